--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# The environment is made again only when pyproject.toml changes.
+VENV := .venv
+PYTHON ?= python3
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test check format clean
+
+demo: $(STAMP)
+	$(BIN)/burdockgate local
+
+test: check
+	$(BIN)/pytest
+
+check: $(STAMP)
+	$(BIN)/ruff format --check src tests
+	$(BIN)/ruff check src tests
+	$(BIN)/mypy
+
+format: $(STAMP)
+	$(BIN)/ruff format src tests
+	$(BIN)/ruff check --fix src tests
+
+$(STAMP): pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --editable '.[dev]'
+	touch $(STAMP)
+
+clean:
+	rm -rf $(VENV) .mypy_cache .pytest_cache .ruff_cache
--- /dev/null
+++ b/src/burdockgate/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/burdockgate/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one connection between nodes."""
--- /dev/null
+++ b/src/burdockgate/effects.py
@@ -0,0 +1,68 @@
+"""What the deciding classes ask their daemon to do.
+
+The classes under ``request`` and ``process`` do no I/O. Their methods are
+generators that yield these effects; the daemon performs each one.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+from burdockgate import messages
+from burdockgate.request import outcome
+
+
+@attrs.frozen
+class Send:
+    """Send a message to a node.
+
+    :param to: name of the node; the message is dropped if it is not connected.
+    """
+
+    to: str
+    message: messages.Message
+
+
+@attrs.frozen
+class Dial:
+    """Open a connection to a node unless there is one."""
+
+    node: messages.Node
+
+
+@attrs.frozen
+class Answer:
+    """Deliver the outcome of a job to a waiting caller.
+
+    :param ticket: number that the caller's submission was given.
+    """
+
+    ticket: int
+    outcome: outcome.Outcome
+
+
+@attrs.frozen
+class Execute:
+    """Run a task on the backend server and report how it ended.
+
+    :param payload: JSON text.
+    :param timeout_ms: time for the backend server's answer.
+    """
+
+    job: bytes
+    attempt: int
+    index: int
+    payload: bytes
+    timeout_ms: int
+
+
+@attrs.frozen
+class Stop:
+    """Stop a running task on the backend server."""
+
+    job: bytes
+    attempt: int
+    index: int
+
+
+Effect = Send | Dial | Answer | Execute | Stop
--- /dev/null
+++ b/src/burdockgate/errors.py
@@ -0,0 +1,65 @@
+"""All exceptions that burdockgate raises on purpose.
+
+Each error message is one line that names the setting, field or peer, the value
+and what is allowed, so that it can be shown to a caller or operator as it is.
+"""
+
+from __future__ import annotations
+
+from burdockgate import codes
+
+
+class BurdockgateError(Exception):
+    """Base class of all errors of this package."""
+
+
+class SettingsError(BurdockgateError):
+    """The settings of a process are not usable.
+
+    :param problems: one line for each problem found.
+    """
+
+    def __init__(self, problems: list[str]) -> None:
+        super().__init__("\n".join(problems))
+        self.problems = problems
+
+
+class RequestError(BurdockgateError):
+    """A caller's request cannot be accepted.
+
+    :param code: the result code, always of the start class "not run".
+    :param detail: one line that names the field, the value and what is allowed.
+    """
+
+    def __init__(self, code: codes.Code, detail: str) -> None:
+        super().__init__(detail)
+        self.code = code
+        self.detail = detail
+
+
+class WireError(BurdockgateError):
+    """A frame from another node is malformed; its connection must be closed."""
+
+
+class LogUnavailableError(BurdockgateError):
+    """The platform's log service did not answer, or answered with an error."""
+
+
+class TableError(BurdockgateError):
+    """A row or a change of the table is not valid.
+
+    :param problems: one line for each problem, with row, column, value and what
+        is allowed.
+    """
+
+    def __init__(self, problems: list[str]) -> None:
+        super().__init__("\n".join(problems))
+        self.problems = problems
+
+
+class ConflictError(BurdockgateError):
+    """Another change of the same row was accepted first."""
+
+
+class ClientError(BurdockgateError):
+    """An entry host could not be reached or gave an answer that makes no sense."""
--- /dev/null
+++ b/src/burdockgate/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one process."""
--- /dev/null
+++ b/src/burdockgate/wire.py
@@ -0,0 +1,232 @@
+"""Codec between messages and frames.
+
+A frame is a 4-byte big-endian length and one msgpack array: the number of the
+message type, then the fields in their declared order. Decoding checks arity,
+types and ranges, so the rest of the program can trust a message's shape.
+"""
+
+from __future__ import annotations
+
+import enum
+import struct
+import types
+import typing
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import attrs
+import msgpack
+
+from burdockgate import errors, messages
+
+HEADER = struct.Struct(">I")
+FRAME_LIMIT_BYTES = 4 * 1024 * 1024
+TEXT_LIMIT_CHARS = 4096
+INT_LIMIT = 2**63
+
+_Reader = Callable[[Any], Any]
+_Writer = Callable[[Any], Any]
+
+
+def encode(message: messages.Message) -> bytes:
+    """Return the frame of a message.
+
+    :param message: any message of :mod:`burdockgate.messages`.
+    :raises errors.WireError: when the frame would be over the size limit.
+    """
+    number, write = _WRITER_BY_CLASS[type(message)]
+    body: bytes = msgpack.packb([number, *write(message)])
+    if len(body) > FRAME_LIMIT_BYTES:
+        raise errors.WireError(
+            f"{type(message).__name__}: {len(body)} bytes, allowed are "
+            f"{FRAME_LIMIT_BYTES}"
+        )
+    return HEADER.pack(len(body)) + body
+
+
+def decode(body: bytes | memoryview) -> messages.Message:
+    """Return the message of a frame's body.
+
+    :param body: the frame without its length.
+    :raises errors.WireError: when the body is not exactly one valid message.
+    """
+    try:
+        array = msgpack.unpackb(body, use_list=False, strict_map_key=True)
+    except (ValueError, msgpack.UnpackException, RecursionError) as error:
+        raise errors.WireError(f"frame is not msgpack: {error}") from error
+    if not isinstance(array, tuple) or not array or type(array[0]) is not int:
+        raise errors.WireError("frame is not an array that begins with a type number")
+    reader = _READER_BY_NUMBER.get(array[0])
+    if reader is None:
+        raise errors.WireError(f"message type {array[0]} is unknown")
+    message: messages.Message = reader(array[1:])
+    return message
+
+
+class FrameBuffer:
+    """Cuts a stream of bytes into message bodies.
+
+    :param limit: largest body accepted, in bytes.
+    """
+
+    def __init__(self, limit: int = FRAME_LIMIT_BYTES) -> None:
+        self._limit = limit
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> Iterator[bytes]:
+        """Add bytes and yield each body that is complete.
+
+        :param data: the bytes received.
+        :raises errors.WireError: when a length is 0 or over the limit.
+        """
+        self._buffer += data
+        start = 0
+        try:
+            while len(self._buffer) - start >= HEADER.size:
+                (length,) = HEADER.unpack_from(self._buffer, start)
+                if not 0 < length <= self._limit:
+                    raise errors.WireError(
+                        f"frame of {length} bytes, allowed are 1 to {self._limit}"
+                    )
+                end = start + HEADER.size + length
+                if len(self._buffer) < end:
+                    break
+                body = bytes(self._buffer[start + HEADER.size : end])
+                start = end
+                yield body
+        finally:
+            del self._buffer[:start]
+
+
+def _read_int(value: Any) -> int:
+    if type(value) is not int or not 0 <= value < INT_LIMIT:
+        raise errors.WireError(f"{value!r:.40} is not an integer from 0 to 2**63-1")
+    return value
+
+
+def _read_float(value: Any) -> float:
+    if type(value) not in (int, float) or not 0 <= value < INT_LIMIT:
+        raise errors.WireError(f"{value!r:.40} is not a number of at least 0")
+    return float(value)
+
+
+def _read_bool(value: Any) -> bool:
+    if type(value) is not bool:
+        raise errors.WireError(f"{value!r:.40} is not a boolean")
+    return value
+
+
+def _read_text(value: Any) -> str:
+    if type(value) is not str or len(value) > TEXT_LIMIT_CHARS:
+        raise errors.WireError(
+            f"{value!r:.40} is not a string of at most {TEXT_LIMIT_CHARS} characters"
+        )
+    return value
+
+
+def _read_bytes(value: Any) -> bytes:
+    if type(value) is not bytes:
+        raise errors.WireError(f"{value!r:.40} is not binary")
+    return value
+
+
+def _same(value: Any) -> Any:
+    return value
+
+
+_READER_BY_TYPE: dict[Any, _Reader] = {
+    int: _read_int,
+    float: _read_float,
+    bool: _read_bool,
+    str: _read_text,
+    bytes: _read_bytes,
+}
+
+
+def _enum_reader(kind: type[enum.IntEnum]) -> _Reader:
+    member_by_value = {int(member): member for member in kind}
+
+    def read(value: Any) -> enum.IntEnum:
+        if type(value) is not int or value not in member_by_value:
+            raise errors.WireError(f"{value!r:.40} is not a {kind.__name__}")
+        return member_by_value[value]
+
+    return read
+
+
+def _tuple_reader(item: _Reader) -> _Reader:
+    def read(value: Any) -> tuple[Any, ...]:
+        if type(value) is not tuple:
+            raise errors.WireError(f"{value!r:.40} is not an array")
+        return tuple(map(item, value))
+
+    return read
+
+
+def _optional_reader(item: _Reader) -> _Reader:
+    def read(value: Any) -> Any:
+        return None if value is None else item(value)
+
+    return read
+
+
+def _class_reader(kind: type) -> _Reader:
+    hints = typing.get_type_hints(kind)
+    readers = [_reader(hints[field.name]) for field in attrs.fields(kind)]
+
+    def read(value: Any) -> Any:
+        if type(value) is not tuple or len(value) != len(readers):
+            raise errors.WireError(
+                f"{kind.__name__} needs an array of {len(readers)} fields"
+            )
+        return kind(
+            *[reader(item) for reader, item in zip(readers, value, strict=True)]
+        )
+
+    return read
+
+
+def _reader(kind: Any) -> _Reader:
+    if kind in _READER_BY_TYPE:
+        return _READER_BY_TYPE[kind]
+    if typing.get_origin(kind) is tuple:
+        return _tuple_reader(_reader(typing.get_args(kind)[0]))
+    if isinstance(kind, types.UnionType):
+        return _optional_reader(_reader(typing.get_args(kind)[0]))
+    if issubclass(kind, enum.IntEnum):
+        return _enum_reader(kind)
+    return _class_reader(kind)
+
+
+def _tuple_writer(item: _Writer) -> _Writer:
+    return lambda value: [item(entry) for entry in value]
+
+
+def _optional_writer(item: _Writer) -> _Writer:
+    return lambda value: None if value is None else item(value)
+
+
+def _class_writer(kind: type) -> _Writer:
+    hints = typing.get_type_hints(kind)
+    fields = [(field.name, _writer(hints[field.name])) for field in attrs.fields(kind)]
+    return lambda value: [write(getattr(value, name)) for name, write in fields]
+
+
+def _writer(kind: Any) -> _Writer:
+    if kind in _READER_BY_TYPE:
+        return _same
+    if typing.get_origin(kind) is tuple:
+        return _tuple_writer(_writer(typing.get_args(kind)[0]))
+    if isinstance(kind, types.UnionType):
+        return _optional_writer(_writer(typing.get_args(kind)[0]))
+    if issubclass(kind, enum.IntEnum):
+        return int
+    return _class_writer(kind)
+
+
+_READER_BY_NUMBER: dict[int, _Reader] = {
+    number: _class_reader(kind) for number, kind in messages.TYPES.items()
+}
+_WRITER_BY_CLASS: dict[type, tuple[int, _Writer]] = {
+    kind: (number, _class_writer(kind)) for number, kind in messages.TYPES.items()
+}
