--- a/src/burdockgate/effects.py
+++ b/src/burdockgate/effects.py
@@ -65,4 +65,16 @@
     index: int
 
 
-Effect = Send | Dial | Answer | Execute | Stop
+@attrs.frozen
+class Append:
+    """Append a record to a stream of the log, unless it is there already.
+
+    :param value: JSON text.
+    """
+
+    stream: str
+    record_id: str
+    value: bytes
+
+
+Effect = Append | Send | Dial | Answer | Execute | Stop
--- a/src/burdockgate/messages.py
+++ b/src/burdockgate/messages.py
@@ -11,6 +11,7 @@
 import attrs
 
 PROTOCOL = 1
+RESULT_LIMIT_BYTES = 1024 * 1024
 
 
 class Role(enum.IntEnum):
@@ -137,11 +138,11 @@
 class Offer:
     """Slots reserved for one entry host for a short time.
 
-    :param slots: number of slots reserved.
+    :param free: free slots, those reserved for the receiver included.
     :param received: as in :class:`Load`.
     """
 
-    slots: int
+    free: int
     received: int
 
 
@@ -182,6 +183,8 @@
     :param digest: hash of the job's body.
     :param scope: agents to which the owner may send tasks.
     :param expires_in_ms: how long the record is needed if no settlement comes.
+    :param code: 900 (pending), or the result code with which the owner settles the
+        job if a majority still takes it for the owner.
     """
 
     job: bytes
@@ -194,6 +197,7 @@
     scope: tuple[Node, ...]
     expires_in_ms: int
     repeatable: bool
+    code: int
 
 
 @attrs.frozen
@@ -320,6 +324,7 @@
 
     :param epoch: the highest epoch seen; above that of the fence, the fence was
         refused.
+    :param more: whether further replies to the same fence follow.
     """
 
     job: bytes
@@ -328,6 +333,7 @@
     attempt: int
     boot: int
     reports: tuple[TaskReport, ...]
+    more: bool
 
 
 @attrs.frozen
--- /dev/null
+++ b/src/burdockgate/process/agent.py
@@ -0,0 +1,456 @@
+"""The decisions of an agent: starts, fences, results, and votes on claims."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import attrs
+
+from burdockgate import clock, effects, messages, settings
+from burdockgate.process import claims, metrics, slots
+from burdockgate.request import record
+from burdockgate.version import view as views
+
+EXPIRY_INTERVAL_S = 1.0
+RECORDS_PER_SYNC_REPLY = 500
+REPORT_BYTES_PER_MESSAGE = 2 * 1024 * 1024
+
+_Effects = Iterator[effects.Effect]
+
+
+@attrs.define
+class _Session:
+    """An open connection from an entry host or another agent."""
+
+    hello: messages.Hello
+    received: int = 0
+    free_sent: int = -1
+    pending_syncs: list[int] = attrs.field(factory=list)
+
+
+class AgentCore:
+    """Decides for one agent; performs nothing itself.
+
+    :param node: this incarnation of the agent.
+    :param config: the agent's settings.
+    :param time: the clock.
+    :param counters: the process's metrics.
+    """
+
+    def __init__(
+        self,
+        node: messages.Node,
+        config: settings.AgentSettings,
+        time: clock.Clock,
+        counters: metrics.Metrics,
+    ) -> None:
+        self.node = node
+        self.draining = False
+        self.slots = slots.Slots(config.backend_server.slots, time)
+        self.claims = claims.ClaimStore(node, time, config.timing.retention_s)
+        self.table_version = 0
+        self._config = config
+        self._time = time
+        self._counters = counters
+        self._record_by_job: dict[bytes, record.Record] = {}
+        self._kept_bytes = 0
+        self._session_by_name: dict[str, _Session] = {}
+        self._expired_at = time.now()
+        self._handler_by_class: dict[type, Callable[[str, Any], _Effects]] = {
+            messages.Start: self._on_start,
+            messages.Fence: self._on_fence,
+            messages.Cancel: self._on_cancel,
+            messages.Settle: self._on_settle,
+            messages.Claim: self._on_claim,
+            messages.Demand: self._on_demand,
+            messages.Sync: self._on_sync,
+            messages.SyncReply: self._on_sync_reply,
+            messages.Records: self._on_records,
+            messages.Drain: self._on_drain,
+        }
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no task runs and every job received is settled."""
+        return self.slots.running == 0 and all(
+            item.settled for item in self._record_by_job.values()
+        )
+
+    @property
+    def table_and_view(self) -> tuple[int, int]:
+        """The versions in force here, for heartbeats."""
+        return self.table_version, self.claims.catchup.view.number
+
+    def connected(self, hello: messages.Hello) -> _Effects:
+        """Start a session with a node.
+
+        :param hello: the node's announcement.
+        """
+        self._session_by_name[hello.node.name] = _Session(hello)
+        if hello.role is messages.Role.ENTRY:
+            yield self._heartbeat(hello.node.name)
+            yield from self._send_load(hello.node.name)
+
+    def disconnected(self, name: str) -> _Effects:
+        """End a session.
+
+        :param name: name of the node.
+        """
+        self._session_by_name.pop(name, None)
+        self.slots.forget(name)
+        yield from self._offer()
+
+    def receive(self, name: str, message: messages.Message) -> _Effects:
+        """Handle a message.
+
+        :param name: name of the connected node that sent it.
+        :param message: the message; one that an agent does not expect is ignored.
+        """
+        handler = self._handler_by_class.get(type(message))
+        if handler is not None and name in self._session_by_name:
+            yield from handler(name, message)
+
+    def tick(self) -> _Effects:
+        """Do what is due; call at least ten times a second."""
+        yield from self.claims.catchup.tick(self._session_by_name)
+        yield from self._answer_syncs()
+        yield from self._offer()
+        now = self._time.now()
+        if now - self._expired_at >= EXPIRY_INTERVAL_S:
+            self._expired_at = now
+            self.claims.expire()
+            self._expire(now)
+
+    def beat(self) -> _Effects:
+        """Send the heartbeats; call once in each heartbeat interval."""
+        for name, session in self._session_by_name.items():
+            yield self._heartbeat(name)
+            if (
+                session.hello.role is messages.Role.ENTRY
+                and session.free_sent != self.slots.free_for(name)
+            ):
+                yield from self._send_load(name)
+
+    def _heartbeat(self, name: str) -> effects.Send:
+        return effects.Send(name, messages.Heartbeat(*self.table_and_view))
+
+    def _send_load(self, name: str) -> _Effects:
+        session = self._session_by_name[name]
+        session.free_sent = self.slots.free_for(name)
+        yield effects.Send(
+            name,
+            messages.Load(
+                session.free_sent, self.slots.running, session.received, self.draining
+            ),
+        )
+
+    def drain(self, active: bool) -> _Effects:
+        """Stop or resume taking new tasks, and tell every entry host.
+
+        :param active: whether to drain.
+        """
+        self.draining = active
+        yield from self._set_open(not active)
+
+    def set_backend_up(self, is_up: bool) -> _Effects:
+        """Note whether the backend server answers.
+
+        :param is_up: while it is down, no slot is free.
+        """
+        yield from self._set_open(is_up and not self.draining)
+
+    def _set_open(self, is_open: bool) -> _Effects:
+        self.slots.is_open = is_open
+        for name, session in self._session_by_name.items():
+            if session.hello.role is messages.Role.ENTRY:
+                yield from self._send_load(name)
+
+    def _on_drain(self, _name: str, message: messages.Drain) -> _Effects:
+        yield from self.drain(message.active)
+
+    # Starts and results
+
+    def _on_start(self, name: str, message: messages.Start) -> _Effects:
+        session = self._session_by_name[name]
+        session.received += len(message.tasks)
+        if message.boot != self.node.boot:
+            self._counters.count("starts.ignored", len(message.tasks))
+            return
+        job = self._admit(message, name)
+        if isinstance(job, record.Admission):
+            self._counters.count("starts.ignored", len(message.tasks))
+            yield from self._refuse_old(name, message, job)
+            return
+        returned = []
+        for task in message.tasks:
+            if not job.is_new_send(task.index, task.send):
+                self._counters.count("starts.ignored")
+            elif self.slots.take(name):
+                job.start(task.index, task.send)
+                self._counters.count("tasks.started")
+                yield effects.Execute(
+                    job.job, job.attempt, task.index, task.payload, task.timeout_ms
+                )
+            else:
+                returned.append(job.give_back(task.index, task.send))
+        if returned:
+            self._counters.count("tasks.returned", len(returned))
+            yield from self._send_results(job, returned)
+
+    def _admit(
+        self, message: messages.Start | messages.Fence, owner: str
+    ) -> record.Record | record.Admission:
+        job = self._record_by_job.get(message.job)
+        now = self._time.now()
+        if job is None:
+            job = record.Record(
+                message.job, message.epoch, message.fence, message.attempt, owner, now
+            )
+            self._record_by_job[message.job] = job
+            return job
+        kept = job.size()
+        admission = job.admit(message.epoch, message.fence, message.attempt, owner)
+        self._kept_bytes += job.size() - kept
+        if admission is not record.Admission.ADMITTED:
+            return admission
+        job.touched_at = now
+        return job
+
+    def _refuse_old(
+        self,
+        name: str,
+        message: messages.Start | messages.Fence,
+        admission: record.Admission,
+    ) -> _Effects:
+        """Tell an owner that has lost the job about the newer epoch."""
+        if admission is record.Admission.OLD_EPOCH:
+            job = self._record_by_job[message.job]
+            yield effects.Send(
+                name,
+                messages.FenceReply(
+                    job.job,
+                    job.epoch,
+                    job.fence,
+                    job.attempt,
+                    self.node.boot,
+                    reports=(),
+                    more=False,
+                ),
+            )
+
+    def finished(
+        self,
+        job_id: bytes,
+        attempt: int,
+        index: int,
+        state: messages.TaskState,
+        payload: bytes,
+        run_ms: float,
+    ) -> _Effects:
+        """Handle the end of an executed task.
+
+        :param job_id: 16-byte job id.
+        :param attempt: the attempt under which it was started.
+        :param index: index of the task.
+        :param state: how it ended.
+        :param payload: JSON text of the result, or a line about the failure.
+        :param run_ms: run time in ms.
+        """
+        self.slots.release()
+        self._counters.count(_COUNTER_BY_STATE.get(state, "tasks.failed"))
+        job = self._record_by_job.get(job_id)
+        report = None
+        if job is not None and job.attempt == attempt:
+            report = job.finish(index, state, payload, run_ms)
+        owner = job.owner if job is not None and report is not None else ""
+        yield from self._offer(silent_for=owner)
+        if job is not None and report is not None:
+            job.touched_at = self._time.now()
+            self._kept_bytes += len(payload)
+            yield from self._send_results(job, [report])
+            self._bound_results()
+
+    def _send_results(
+        self, job: record.Record, reports: list[messages.TaskReport]
+    ) -> _Effects:
+        session = self._session_by_name.get(job.owner)
+        if session is None:
+            return
+        session.free_sent = self.slots.free_for(job.owner)
+        yield effects.Send(
+            job.owner,
+            messages.Results(
+                job.job,
+                job.epoch,
+                job.attempt,
+                self.node.boot,
+                session.free_sent,
+                session.received,
+                tuple(reports),
+            ),
+        )
+
+    def _on_fence(self, name: str, message: messages.Fence) -> _Effects:
+        job = self._admit(message, name)
+        if isinstance(job, record.Admission):
+            yield from self._refuse_old(name, message, job)
+            return
+        reports = tuple(job.reports()) if message.boot == self.node.boot else ()
+        batches = list(_batches(reports))
+        for number, batch in enumerate(batches, start=1):
+            yield effects.Send(
+                name,
+                messages.FenceReply(
+                    job.job,
+                    job.epoch,
+                    job.fence,
+                    job.attempt,
+                    self.node.boot,
+                    batch,
+                    more=number < len(batches),
+                ),
+            )
+
+    def _on_cancel(self, _name: str, message: messages.Cancel) -> _Effects:
+        job = self._record_by_job.get(message.job)
+        if job is None or message.epoch < job.epoch or message.attempt != job.attempt:
+            return
+        for index in job.running():
+            yield effects.Stop(job.job, job.attempt, index)
+
+    def _on_settle(self, _name: str, message: messages.Settle) -> _Effects:
+        self.claims.settle(message)
+        job = self._record_by_job.get(message.job)
+        if job is not None and message.epoch >= job.epoch:
+            job.settled = True
+            job.touched_at = self._time.now()
+        yield from ()
+
+    def _bound_results(self) -> None:
+        """Drop the oldest results when they exceed the bound."""
+        if self._kept_bytes <= self._config.backend_server.results_bytes:
+            return
+        oldest = sorted(
+            self._record_by_job.values(),
+            key=lambda item: (not item.settled, item.touched_at),
+        )
+        for job in oldest:
+            if self._kept_bytes <= self._config.backend_server.results_bytes // 2:
+                return
+            kept = job.size()
+            job.drop_results()
+            self._kept_bytes -= kept - job.size()
+
+    def _expire(self, now: float) -> None:
+        limit = now - self._config.timing.retention_s
+        expired = [
+            job_id
+            for job_id, job in self._record_by_job.items()
+            if job.touched_at <= limit and not job.running()
+        ]
+        for job_id in expired:
+            self._kept_bytes -= self._record_by_job.pop(job_id).size()
+        self._counters.gauge("records.kept", len(self._record_by_job))
+
+    # Slots
+
+    def _on_demand(self, name: str, message: messages.Demand) -> _Effects:
+        self.slots.demand(name, message.waiting, message.weight)
+        yield from self._offer()
+
+    def _offer(self, silent_for: str = "") -> _Effects:
+        """Offer every free slot for which an entry host has demand.
+
+        :param silent_for: an entry host that is about to get results, which show
+            the free slots too.
+        """
+        offered = set()
+        while (entry := self.slots.offer()) is not None:
+            offered.add(entry)
+        for entry in sorted(offered - {silent_for}):
+            session = self._session_by_name[entry]
+            session.free_sent = self.slots.free_for(entry)
+            yield effects.Send(
+                entry, messages.Offer(session.free_sent, session.received)
+            )
+
+    # Claims
+
+    def _on_claim(self, name: str, message: messages.Claim) -> _Effects:
+        reply = self.claims.vote(message)
+        self._counters.count(_COUNTER_BY_VERDICT.get(reply.verdict, "claims.refused"))
+        yield effects.Send(name, reply)
+
+    def _on_sync(self, name: str, message: messages.Sync) -> _Effects:
+        self._session_by_name[name].pending_syncs.append(message.view_number)
+        yield from self._answer_syncs()
+
+    def _answer_syncs(self) -> _Effects:
+        for name, session in self._session_by_name.items():
+            waiting = session.pending_syncs
+            session.pending_syncs = []
+            for number in waiting:
+                if self.claims.catchup.can_reply(number):
+                    yield from self._answer_sync(name, session.hello.node, number)
+                elif number not in session.pending_syncs:
+                    session.pending_syncs.append(number)
+
+    def _answer_sync(self, name: str, node: messages.Node, number: int) -> _Effects:
+        records = self.claims.records_for(node, number)
+        for start in range(0, max(1, len(records)), RECORDS_PER_SYNC_REPLY):
+            batch = tuple(records[start : start + RECORDS_PER_SYNC_REPLY])
+            more = start + RECORDS_PER_SYNC_REPLY < len(records)
+            yield effects.Send(name, messages.SyncReply(number, batch, more))
+
+    def _on_sync_reply(self, name: str, message: messages.SyncReply) -> _Effects:
+        self.claims.merge(message.records)
+        if not message.more:
+            node = self._session_by_name[name].hello.node
+            self.claims.catchup.reply(node, message.view_number)
+        yield from ()
+
+    def _on_records(self, _name: str, message: messages.Records) -> _Effects:
+        yield from self.follow(message)
+
+    def follow(self, message: messages.Records) -> _Effects:
+        """Apply new records of a log stream.
+
+        :param message: the records, from an entry host or from the log.
+        """
+        if message.stream != views.STREAM:
+            self.table_version = max(self.table_version, message.next)
+            return
+        current = self.claims.catchup.view
+        if message.first > current.number and current.number > 0:
+            return
+        for view in views.fold_all(current, message.records):
+            self.claims.catchup.advance(view)
+        self._counters.gauge("view.number", self.claims.catchup.view.number)
+        yield from self.claims.catchup.tick(self._session_by_name)
+
+
+_COUNTER_BY_STATE = {
+    messages.TaskState.DONE: "tasks.done",
+    messages.TaskState.UNKNOWN: "tasks.unknown",
+    messages.TaskState.RETURNED: "tasks.returned",
+}
+_COUNTER_BY_VERDICT = {
+    messages.Verdict.GRANTED: "claims.granted",
+    messages.Verdict.HELD: "claims.held",
+}
+
+
+def _batches(
+    reports: tuple[messages.TaskReport, ...],
+) -> Iterator[tuple[messages.TaskReport, ...]]:
+    """Cut reports into message-sized parts; there is at least one part."""
+    batch: list[messages.TaskReport] = []
+    size = 0
+    for report in reports:
+        if batch and size + len(report.payload) > REPORT_BYTES_PER_MESSAGE:
+            yield tuple(batch)
+            batch, size = [], 0
+        batch.append(report)
+        size += len(report.payload)
+    yield tuple(batch)
--- /dev/null
+++ b/src/burdockgate/process/answers.py
@@ -0,0 +1,104 @@
+"""Outcomes of finished jobs, kept for callers that ask again."""
+
+from __future__ import annotations
+
+import collections
+
+import attrs
+
+from burdockgate import clock, codes
+from burdockgate.request import outcome
+
+
+@attrs.frozen
+class Kept:
+    """A finished job.
+
+    :param epoch: the epoch under which it ended.
+    :param digest: hash of its body.
+    :param kept_at: time of the end, in seconds.
+    """
+
+    outcome: outcome.Complete | outcome.Failed
+    epoch: int
+    digest: bytes
+    repeatable: bool
+    kept_at: float
+
+    @property
+    def may_run_again(self) -> bool:
+        """Whether a new submission with the key starts a new attempt."""
+        return may_run_again(self.outcome.code, self.repeatable)
+
+    @property
+    def size(self) -> int:
+        """Bytes of the results."""
+        if isinstance(self.outcome, outcome.Complete):
+            return sum(map(len, self.outcome.results))
+        return len(self.outcome.detail)
+
+
+def may_run_again(code: codes.Code, repeatable: bool) -> bool:
+    """Return whether a job that ended with a code may run again under its key.
+
+    :param code: the result code.
+    :param repeatable: whether the caller marked the job as repeatable.
+    """
+    if code is codes.Code.COMPLETE:
+        return False
+    return repeatable or codes.start_of(code) is codes.Start.NOT_RUN
+
+
+class Answers:
+    """Kept outcomes by job, the oldest dropped first.
+
+    :param time: the clock.
+    :param retention_s: how long an outcome is kept.
+    :param limit_bytes: bound of all results together.
+    """
+
+    def __init__(self, time: clock.Clock, retention_s: float, limit_bytes: int) -> None:
+        self._time = time
+        self._retention_s = retention_s
+        self._limit_bytes = limit_bytes
+        self._kept_by_job: collections.OrderedDict[bytes, Kept] = (
+            collections.OrderedDict()
+        )
+        self._bytes = 0
+
+    def keep(self, job: bytes, kept: Kept) -> None:
+        """Keep the outcome of a job; an older one of the same job is replaced.
+
+        :param job: 16-byte job id.
+        :param kept: the outcome.
+        """
+        self.drop(job)
+        self._kept_by_job[job] = kept
+        self._bytes += kept.size
+        while self._bytes > self._limit_bytes:
+            self.drop(next(iter(self._kept_by_job)))
+
+    def get(self, job: bytes) -> Kept | None:
+        """Return the kept outcome of a job.
+
+        :param job: 16-byte job id.
+        """
+        return self._kept_by_job.get(job)
+
+    def drop(self, job: bytes) -> None:
+        """Forget a job.
+
+        :param job: 16-byte job id; an unknown one is ignored.
+        """
+        kept = self._kept_by_job.pop(job, None)
+        if kept is not None:
+            self._bytes -= kept.size
+
+    def expire(self) -> None:
+        """Forget the jobs whose retention has passed."""
+        limit = self._time.now() - self._retention_s
+        while self._kept_by_job:
+            job, kept = next(iter(self._kept_by_job.items()))
+            if kept.kept_at > limit:
+                return
+            self.drop(job)
--- /dev/null
+++ b/src/burdockgate/process/claims.py
@@ -0,0 +1,169 @@
+"""The records of a claim group member, and the rules by which it votes.
+
+A majority of a group grants each claim, so any later majority contains a member
+that knows it. :mod:`burdockgate.process.catchup` decides when a member that has
+newly entered a group may vote.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+
+from burdockgate import clock, codes, messages
+from burdockgate.process import catchup
+from burdockgate.request import job
+
+MS_PER_S = 1000
+ASK_ONLY_EPOCH = 0
+
+
+@attrs.define
+class _Held:
+    record: messages.ClaimRecord
+    expires_at: float
+
+
+class ClaimStore:
+    """Votes on claims and keeps what was granted.
+
+    :param node: the agent that votes.
+    :param time: the clock.
+    :param retention_s: how long a record is kept after its last change.
+    """
+
+    def __init__(
+        self, node: messages.Node, time: clock.Clock, retention_s: float
+    ) -> None:
+        self._node = node
+        self._time = time
+        self._retention_s = retention_s
+        self._held_by_job: dict[bytes, _Held] = {}
+        self.catchup = catchup.Catchup(node, time, retention_s + job.LONGEST_DEADLINE_S)
+
+    def __len__(self) -> int:
+        return len(self._held_by_job)
+
+    def vote(self, claim: messages.Claim) -> messages.ClaimReply:
+        """Answer a claim and record it when it is granted.
+
+        :param claim: the claim of an entry host.
+        """
+        held = self._held_by_job.get(claim.job)
+        record = held.record if held else None
+        verdict = self._verdict(claim, record)
+        if verdict is messages.Verdict.GRANTED:
+            self._record(claim, record)
+        return messages.ClaimReply(
+            claim.job, claim.epoch, verdict, self.catchup.view.number, record
+        )
+
+    def _verdict(
+        self, claim: messages.Claim, record: messages.ClaimRecord | None
+    ) -> messages.Verdict:
+        if not self.catchup.agrees(claim.job, claim.group):
+            return messages.Verdict.STALE_VIEW
+        if not self.catchup.is_ready(claim.job):
+            return messages.Verdict.CATCHING_UP
+        if claim.epoch == ASK_ONLY_EPOCH:
+            return messages.Verdict.HELD if record else messages.Verdict.FREE
+        if record is None:
+            return messages.Verdict.GRANTED
+        if claim.attempt < record.attempt:
+            return messages.Verdict.HELD
+        if claim.epoch > record.epoch:
+            return messages.Verdict.GRANTED
+        if claim.epoch == record.epoch and claim.owner.same(record.owner):
+            return messages.Verdict.GRANTED
+        return messages.Verdict.HELD
+
+    def _record(self, claim: messages.Claim, old: messages.ClaimRecord | None) -> None:
+        code = claim.code
+        if code == codes.Code.PENDING and old and old.attempt == claim.attempt:
+            code = old.code
+        record = messages.ClaimRecord(
+            claim.job,
+            claim.epoch,
+            claim.attempt,
+            claim.owner,
+            claim.digest,
+            merge_scopes((old.scope if old else (), claim.scope)),
+            code,
+            claim.repeatable,
+            claim.expires_in_ms,
+        )
+        self._keep(record, claim.expires_in_ms / MS_PER_S + self._retention_s)
+
+    def _keep(self, record: messages.ClaimRecord, seconds: float) -> None:
+        self._held_by_job[record.job] = _Held(record, self._time.now() + seconds)
+
+    def settle(self, settle: messages.Settle) -> None:
+        """Record the result code of a job, from its owner.
+
+        :param settle: ignored when a newer epoch is recorded.
+        """
+        held = self._held_by_job.get(settle.job)
+        if held is None or settle.epoch < held.record.epoch:
+            return
+        record = attrs.evolve(held.record, code=settle.code)
+        self._keep(record, self._retention_s)
+
+    def merge(self, records: Iterable[messages.ClaimRecord]) -> None:
+        """Add records of other members to the own ones.
+
+        Of two records of one job the higher epoch stays, with the scopes of both,
+        because a later owner must fence every agent that may have a task.
+
+        :param records: records from a :class:`messages.SyncReply`.
+        """
+        for record in records:
+            held = self._held_by_job.get(record.job)
+            if held is not None:
+                record = _merged(held.record, record)
+            self._keep(record, record.expires_in_ms / MS_PER_S + self._retention_s)
+
+    def records_for(
+        self, member: messages.Node, number: int
+    ) -> list[messages.ClaimRecord]:
+        """Return the records that a member needs after it entered groups.
+
+        :param member: the member that asks.
+        :param number: number of the view in which it entered them.
+        """
+        now = self._time.now()
+        return [
+            attrs.evolve(
+                held.record,
+                expires_in_ms=max(0, int((held.expires_at - now) * MS_PER_S)),
+            )
+            for held in self._held_by_job.values()
+            if self.catchup.is_member(member, held.record.job, number)
+        ]
+
+    def expire(self) -> None:
+        """Drop records whose retention has passed."""
+        now = self._time.now()
+        expired = [
+            id_ for id_, held in self._held_by_job.items() if held.expires_at <= now
+        ]
+        for id_ in expired:
+            del self._held_by_job[id_]
+
+
+def merge_scopes(
+    scopes: Iterable[tuple[messages.Node, ...]],
+) -> tuple[messages.Node, ...]:
+    """Return every incarnation of the scopes once, in order of first appearance.
+
+    :param scopes: scopes of claims.
+    """
+    node_by_id = {(node.name, node.boot): node for scope in scopes for node in scope}
+    return tuple(node_by_id.values())
+
+
+def _merged(
+    first: messages.ClaimRecord, second: messages.ClaimRecord
+) -> messages.ClaimRecord:
+    newer = max(first, second, key=lambda record: (record.epoch, record.code < 900))
+    return attrs.evolve(newer, scope=merge_scopes((first.scope, second.scope)))
--- /dev/null
+++ b/src/burdockgate/process/daemon.py
@@ -0,0 +1,157 @@
+"""What both daemons share: the event loop's side of a core."""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+import contextlib
+import random
+import secrets
+from collections.abc import Iterable, Iterator
+
+from burdockgate import clock, effects, errors, messages, settings
+from burdockgate.process import logs, metrics, network, platform
+
+TICK_S = 0.05
+METRICS_INTERVAL_S = 1.0
+APPEND_BUDGET_S = 10.0
+BOOT_BITS = 63
+
+
+class Daemon(network.Handler):
+    """Performs the effects of a core; subclasses add what is their own.
+
+    :param node_settings: name and place of the node.
+    :param platform_settings: where the log is, and the seeds.
+    :param timing: intervals and time-outs.
+    :param statsd: where metrics are sent.
+    :param rng: the source of random numbers.
+    """
+
+    def __init__(
+        self,
+        node_settings: settings.NodeSettings,
+        platform_settings: settings.PlatformSettings,
+        timing: settings.TimingSettings,
+        statsd: settings.StatsdSettings,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.rng = rng or random.Random(secrets.randbits(64))
+        self.time = clock.SystemClock()
+        self.counters = metrics.Metrics(statsd)
+        self.log = logs.get(node_settings.name)
+        self.boot = self.rng.getrandbits(BOOT_BITS)
+        self.address = ""
+        self._node_settings = node_settings
+        self._platform_settings = platform_settings
+        self._timing = timing
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.log_client = (
+            platform.LogClient(platform_settings.log_url, self.rng)
+            if platform_settings.log_url
+            else None
+        )
+        self.network = network.Network(
+            self.hello, self, timing.lease_s, self.time, self.rng, self.counters
+        )
+
+    @abc.abstractmethod
+    def hello(self) -> messages.Hello:
+        """Return the announcement of this node."""
+
+    @abc.abstractmethod
+    def tick(self) -> Iterator[effects.Effect]:
+        """Yield the effects that are due."""
+
+    @abc.abstractmethod
+    def beat(self) -> Iterator[effects.Effect]:
+        """Yield the heartbeats."""
+
+    def perform(self, wanted: Iterable[effects.Effect]) -> None:
+        """Perform effects in their order.
+
+        :param wanted: effects of the core.
+        """
+        for effect in wanted:
+            match effect:
+                case effects.Send(to, message):
+                    self.network.send(to, message)
+                case effects.Dial(node):
+                    self.network.dial(node.address, node.name)
+                case effects.Append():
+                    self.spawn(self._append(effect))
+                case _:
+                    self.perform_own(effect)
+
+    @abc.abstractmethod
+    def perform_own(self, effect: effects.Effect) -> None:
+        """Perform an effect that only one kind of daemon knows.
+
+        :param effect: the effect.
+        """
+
+    def spawn(self, coroutine: object) -> asyncio.Task[None]:
+        """Run a coroutine until it ends or the daemon stops.
+
+        :param coroutine: the coroutine object.
+        """
+        task = asyncio.get_running_loop().create_task(coroutine)  # type: ignore[arg-type]
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _append(self, effect: effects.Append) -> None:
+        if self.log_client is None:
+            return
+        self.counters.count("log.appends")
+        try:
+            await self.log_client.append(
+                effect.stream, effect.record_id, effect.value, APPEND_BUDGET_S
+            )
+        except errors.LogUnavailableError:
+            self.counters.count("log.errors")
+
+    async def follow(self, stream: str, first: int) -> None:
+        """Hand the records of a log stream to the core as they come.
+
+        :param stream: name of the stream.
+        :param first: offset of the first record wanted.
+        """
+        if self.log_client is None:
+            return
+        async for records in self.log_client.follow(stream, first):
+            self.perform(self.follow_effects(records))
+
+    @abc.abstractmethod
+    def follow_effects(self, records: messages.Records) -> Iterator[effects.Effect]:
+        """Yield the core's effects of new log records.
+
+        :param records: the records.
+        """
+
+    async def run_timers(self) -> None:
+        """Tick, beat and flush metrics until cancelled."""
+        beat_at = flush_at = self.time.now()
+        while True:
+            now = self.time.now()
+            self.network.watch()
+            self.perform(self.tick())
+            if now >= beat_at:
+                beat_at = now + self._timing.heartbeat_s
+                self.perform(self.beat())
+            if now >= flush_at:
+                flush_at = now + METRICS_INTERVAL_S
+                self.counters.flush()
+            await asyncio.sleep(TICK_S)
+
+    async def close(self) -> None:
+        """End every task and connection."""
+        for task in list(self._tasks):
+            task.cancel()
+        for task in list(self._tasks):
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+        await self.network.stop()
+        if self.log_client is not None:
+            await self.log_client.close()
+        self.counters.flush()
--- /dev/null
+++ b/src/burdockgate/process/entry.py
@@ -0,0 +1,299 @@
+"""The decisions of an entry host: routes messages to its parts."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from burdockgate import clock, codes, effects, messages, settings
+from burdockgate.process import (
+    directory,
+    dispatch,
+    jobs,
+    metrics,
+    placement,
+    roster,
+)
+from burdockgate.request import job
+from burdockgate.version import view as views
+
+ROSTER_INTERVAL_S = 0.2
+RECORDS_PER_MESSAGE = 500
+
+_Effects = Iterator[effects.Effect]
+
+
+class EntryCore:
+    """Decides for one entry host; performs nothing itself.
+
+    :param node: this incarnation of the entry host.
+    :param config: its settings.
+    :param time: the clock.
+    :param rng: the source of random numbers.
+    :param counters: the process's metrics.
+    """
+
+    def __init__(
+        self,
+        node: messages.Node,
+        config: settings.EntrySettings,
+        time: clock.Clock,
+        rng: random.Random,
+        counters: metrics.Metrics,
+    ) -> None:
+        self.node = node
+        self.draining = False
+        self.table_version = 0
+        self.workers = directory.Directory(time, config.timing.lease_s)
+        self._config = config
+        self._time = time
+        self._counters = counters
+        self._dispatcher = dispatch.Dispatcher(
+            self.workers, placement.TwoChoices(rng), counters
+        )
+        self.jobs = jobs.Jobs(
+            node, config, time, rng, counters, self.workers, self._dispatcher
+        )
+        self._roster = roster.Roster(node, time)
+        self._roster_at = time.now()
+        self._records_by_stream: dict[str, list[messages.LogRecord]] = {}
+        self._handler_by_class: dict[type, Callable[[str, Any], _Effects]] = {
+            messages.Load: self._on_load,
+            messages.Offer: self._on_offer,
+            messages.Heartbeat: self._on_heartbeat,
+            messages.Records: self._on_records,
+            messages.Results: self._on_results,
+            messages.FenceReply: self.jobs.fence_reply,
+            messages.ClaimReply: self.jobs.claim_reply,
+            messages.Attach: self.jobs.attach,
+            messages.Detach: self.jobs.detach,
+            messages.Outcome: self.jobs.outcome,
+            messages.Leave: self._on_leave,
+        }
+
+    @property
+    def view(self) -> views.View:
+        """The membership view in force here."""
+        return self.jobs.view
+
+    @property
+    def backlog_tasks(self) -> int:
+        """Number of tasks that wait for a slot."""
+        return self._dispatcher.waiting()
+
+    # Callers
+
+    def submit(self, request: job.JobRequest, ticket: int) -> _Effects:
+        """Take a submission.
+
+        :param request: the job.
+        :param ticket: number under which the caller waits.
+        """
+        refusal, detail = self._refusal(request)
+        yield from self.jobs.submit(request, ticket, refusal, detail)
+        yield from self._dispatch()
+
+    def _refusal(self, request: job.JobRequest) -> tuple[codes.Code | None, str]:
+        """Return the code with which a new job is refused, and one line about it."""
+        if self.draining:
+            return codes.Code.DRAINING, "this entry host is stopping"
+        limit = self._config.limits.backlog_bytes
+        if self.jobs.bytes + request.size > limit:
+            return (
+                codes.Code.BACKLOG_FULL,
+                f"the job of {request.size} bytes does not fit: {self.jobs.bytes} of "
+                f"{limit} bytes are in use",
+            )
+        workers = [
+            worker
+            for worker in self.workers.worker_by_name.values()
+            if worker.hello.service == request.service
+        ]
+        if not workers:
+            return (
+                codes.Code.UNKNOWN_SERVICE,
+                f"service: no backend server announces {request.service!r}",
+            )
+        for index, task in enumerate(request.tasks):
+            if not any(
+                worker.fits(task.cores, task.memory_mb, task.accelerators)
+                for worker in workers
+            ):
+                return (
+                    codes.Code.NEVER_FITS,
+                    f"tasks[{index}]: no worker has {task.cores:g} cores, "
+                    f"{task.memory_mb} MB and {task.accelerators} accelerators",
+                )
+        return None, ""
+
+    def fetch(self, job_id: bytes, ticket: int) -> _Effects:
+        """Wait for the outcome of a job submitted before.
+
+        :param job_id: 16-byte job id.
+        :param ticket: number under which the caller waits.
+        """
+        yield from self.jobs.fetch(job_id, ticket)
+
+    def cancel(self, job_id: bytes, ticket: int) -> _Effects:
+        """Cancel a job and wait for its outcome.
+
+        :param job_id: 16-byte job id.
+        :param ticket: number under which the caller waits.
+        """
+        yield from self.jobs.fetch(job_id, ticket, cancels=True)
+        yield from self._dispatch()
+
+    def drain_worker(self, name: str, active: bool) -> _Effects:
+        """Drain or resume a worker.
+
+        :param name: name of its agent.
+        :param active: whether to drain.
+        """
+        yield effects.Send(name, messages.Drain(active))
+
+    # Nodes
+
+    def connected(self, hello: messages.Hello) -> _Effects:
+        """Start a session with a node.
+
+        :param hello: its announcement.
+        """
+        name = hello.node.name
+        yield effects.Send(name, self._heartbeat())
+        if hello.role is messages.Role.AGENT:
+            self.workers.join(hello)
+            yield effects.Send(name, self._peers())
+            yield from self.jobs.agent_connected(hello.node)
+            yield from self._dispatch()
+        else:
+            yield from self.jobs.peer_connected(hello.node)
+            for worker in self.workers.worker_by_name:
+                yield effects.Send(worker, self._peers())
+
+    def disconnected(self, name: str) -> _Effects:
+        """End a session.
+
+        :param name: name of the node.
+        """
+        self.workers.leave(name)
+        self.jobs.agent_disconnected(name)
+        self.jobs.peer_disconnected(name)
+        yield from ()
+
+    def receive(self, name: str, message: messages.Message) -> _Effects:
+        """Handle a message.
+
+        :param name: name of the connected node that sent it.
+        :param message: the message; one that an entry host does not expect is
+            ignored.
+        """
+        self.workers.hear(name)
+        handler = self._handler_by_class.get(type(message))
+        if handler is not None:
+            yield from handler(name, message)
+            yield from self._dispatch()
+
+    def _dispatch(self) -> _Effects:
+        yield from self._dispatcher.run(self.jobs.widen)
+
+    def _heartbeat(self) -> messages.Heartbeat:
+        return messages.Heartbeat(self.table_version, self.view.number)
+
+    def _peers(self) -> messages.Peers:
+        peers = {**self.view.entry_by_name, **self.jobs.peer_by_name}
+        return messages.Peers((self.node, *peers.values()))
+
+    def _on_load(self, name: str, message: messages.Load) -> _Effects:
+        self.workers.report(name, message.free, message.received)
+        worker = self.workers.worker_by_name.get(name)
+        if worker is not None:
+            worker.draining = message.draining
+            worker.running = message.running
+        yield from ()
+
+    def _on_offer(self, name: str, message: messages.Offer) -> _Effects:
+        self.workers.offer(name, message.free, message.received)
+        yield from ()
+
+    def _on_results(self, name: str, message: messages.Results) -> _Effects:
+        self.workers.report(name, message.free, message.received)
+        yield from self.jobs.results(name, message)
+
+    def _on_leave(self, name: str, _message: messages.Leave) -> _Effects:
+        worker = self.workers.worker_by_name.get(name)
+        if worker is not None:
+            worker.draining = True
+        yield from ()
+
+    # The log's streams
+
+    def _on_heartbeat(self, name: str, message: messages.Heartbeat) -> _Effects:
+        """Hand on the records that a node has not seen yet."""
+        worker = self.workers.worker_by_name.get(name)
+        if worker is not None:
+            worker.table_version = message.table_version
+        if message.view_number < self.view.number:
+            yield from self._hand_on(name, views.STREAM, message.view_number)
+
+    def _hand_on(self, name: str, stream: str, first: int) -> _Effects:
+        records = [
+            record
+            for record in self._records_by_stream.get(stream, [])
+            if record.offset >= first
+        ]
+        for start in range(0, len(records), RECORDS_PER_MESSAGE):
+            batch = tuple(records[start : start + RECORDS_PER_MESSAGE])
+            yield effects.Send(
+                name,
+                messages.Records(stream, batch[0].offset, batch[-1].offset + 1, batch),
+            )
+
+    def _on_records(self, _name: str, message: messages.Records) -> _Effects:
+        yield from self.follow(message)
+
+    def follow(self, message: messages.Records) -> _Effects:
+        """Apply new records of a log stream, from the log or from a peer.
+
+        :param message: the records.
+        """
+        if message.stream == views.STREAM:
+            yield from self._follow_members(message)
+
+    def _follow_members(self, message: messages.Records) -> _Effects:
+        number = self.view.number
+        if message.first > number > 0:
+            return
+        kept = self._records_by_stream.setdefault(views.STREAM, [])
+        new = [record for record in message.records if record.offset >= number]
+        kept.extend(new)
+        for view in views.fold_all(self.view, tuple(new)):
+            self.jobs.view = view
+        if self.view.number == number:
+            return
+        self._counters.gauge("view.number", self.view.number)
+        for name in list(self.workers.worker_by_name):
+            yield from self._hand_on(name, views.STREAM, number)
+        for node in self.view.entry_by_name.values():
+            if node.name != self.node.name:
+                yield effects.Dial(node)
+
+    # Time
+
+    def tick(self) -> _Effects:
+        """Do what is due; call at least ten times a second."""
+        yield from self.jobs.tick()
+        yield from self._dispatch()
+        now = self._time.now()
+        if now - self._roster_at >= ROSTER_INTERVAL_S:
+            self._roster_at = now
+            yield from self._roster.tick(
+                self.view,
+                [worker.hello for worker in self.workers.worker_by_name.values()],
+                self.jobs.peer_by_name.values(),
+            )
+
+    def beat(self) -> _Effects:
+        """Send the heartbeats; call once in each heartbeat interval."""
+        for name in (*self.workers.worker_by_name, *self.jobs.peer_by_name):
+            yield effects.Send(name, self._heartbeat())
--- /dev/null
+++ b/src/burdockgate/process/entryhost.py
@@ -0,0 +1,264 @@
+"""The entry host's daemon: callers on one side, agents on the other."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+from collections.abc import Callable, Iterator
+
+import attrs
+
+from burdockgate import effects, messages, settings
+from burdockgate.process import daemon, entry, histograms, web
+from burdockgate.request import job, outcome
+from burdockgate.version import view as views
+
+DRAIN_POLL_S = 0.05
+DRAIN_GRACE_S = 0.2
+RESPONSE_MEASURE = "response"
+
+
+class EntryHost(daemon.Daemon, web.EntryService):
+    """Runs one entry host.
+
+    :param config: its settings.
+    :param rng: the source of random numbers.
+    """
+
+    def __init__(
+        self, config: settings.EntrySettings, rng: random.Random | None = None
+    ) -> None:
+        super().__init__(
+            config.node, config.platform, config.timing, config.statsd, rng
+        )
+        self._config = config
+        self._histograms = histograms.Histograms()
+        self._future_by_ticket: dict[int, asyncio.Future[outcome.Outcome]] = {}
+        self._tickets = itertools.count(1)
+        self._is_log_read = False
+        self._web: web.Server
+        self.core: entry.EntryCore
+
+    async def start(self) -> None:
+        """Listen for nodes and callers, and follow the log."""
+        self.address = await self.network.start(self._config.node.listen)
+        node = messages.Node(self._config.node.name, self.boot, self.address)
+        self.core = entry.EntryCore(
+            node, self._config, self.time, self.rng, self.counters
+        )
+        limits = self._config.limits
+        application = web.build(
+            self,
+            job.Limits(
+                limits.body_bytes,
+                limits.max_tasks,
+                limits.default_deadline_s,
+                limits.max_deadline_s,
+            ),
+        )
+        host, _, port = self._config.http.rpartition(":")
+        self._web = web.Server(application, host, int(port))
+        await self._web.start()
+        self.spawn(self.run_timers())
+        self.spawn(self.follow(views.STREAM, 0))
+        self.spawn(self._dial_seeds())
+        self.log.info("entry host started", address=self.address, http=self.http)
+
+    @property
+    def http(self) -> str:
+        """The bound ``host:port`` for callers."""
+        return self._web.address
+
+    async def stop(self) -> None:
+        """Refuse new jobs, finish those in progress, and leave."""
+        self.log.info("entry host draining", jobs=len(self.core.jobs))
+        self.core.draining = True
+        try:
+            async with asyncio.timeout(self._config.timing.stop_timeout_s):
+                while len(self.core.jobs):
+                    await asyncio.sleep(DRAIN_POLL_S)
+        except TimeoutError:
+            self.log.warning("entry host stops with jobs", jobs=len(self.core.jobs))
+        await self._web.stop(self._config.timing.stop_timeout_s)
+        await self._append_leave()
+        for name in list(self.network.names):
+            self.network.send(name, messages.Leave())
+        await asyncio.sleep(DRAIN_GRACE_S)
+        await self.close()
+        self.log.info("entry host stopped")
+
+    async def _append_leave(self) -> None:
+        change = views.Change.GONE
+        value = views.removal_record(change, self.core.node)
+        record_id = f"{change}-{self.core.node.name}-{self.boot}-stop"
+        append = effects.Append(views.STREAM, record_id, value)
+        try:
+            async with asyncio.timeout(1.0):
+                await self._append(append)
+        except TimeoutError:
+            self.counters.count("log.errors")
+
+    async def _dial_seeds(self) -> None:
+        """Connect to the seeds until an entry host has been found."""
+        while not self.core.jobs.peer_by_name:
+            for address in self._config.platform.seeds:
+                if address != self.address:
+                    self.network.dial(address)
+            await asyncio.sleep(1.0)
+
+    def hello(self) -> messages.Hello:
+        """Return the announcement of this entry host."""
+        place = self._config.node
+        return messages.Hello(
+            messages.PROTOCOL,
+            messages.Role.ENTRY,
+            messages.Node(place.name, self.boot, self.address),
+            place.region,
+            place.data_centre,
+            place.rack,
+            service="",
+            slots=0,
+            cores=0.0,
+            memory_mb=0,
+            accelerators=0,
+            draining=self.core.draining,
+        )
+
+    def tick(self) -> Iterator[effects.Effect]:
+        """Yield what the core finds due."""
+        return self.core.tick()
+
+    def beat(self) -> Iterator[effects.Effect]:
+        """Yield the core's heartbeats."""
+        return self.core.beat()
+
+    def follow_effects(self, records: messages.Records) -> Iterator[effects.Effect]:
+        """Yield the core's effects of new log records."""
+        self._is_log_read = True
+        return self.core.follow(records)
+
+    def connected(self, hello: messages.Hello) -> None:
+        """Tell the core about a node."""
+        self.log.info("node connected", node=hello.node.name, role=hello.role.name)
+        self.perform(self.core.connected(hello))
+
+    def disconnected(self, name: str) -> None:
+        """Tell the core about the loss of a node."""
+        self.log.info("node lost", node=name)
+        self.perform(self.core.disconnected(name))
+
+    def received(self, name: str, message: messages.Message) -> None:
+        """Hand a message to the core."""
+        self.perform(self.core.receive(name, message))
+
+    def perform_own(self, effect: effects.Effect) -> None:
+        """Answer a caller."""
+        if isinstance(effect, effects.Answer):
+            waiting = self._future_by_ticket.pop(effect.ticket, None)
+            if waiting is not None and not waiting.done():
+                waiting.set_result(effect.outcome)
+
+    # The callers' interface
+
+    async def submit(self, request: job.JobRequest, wait: bool) -> outcome.Outcome:
+        """Take a job and return its outcome, or that it is pending."""
+        started_at = self.time.now()
+        result = await self._ask(
+            lambda ticket: self.core.submit(request, ticket), None if wait else 0.0
+        )
+        if isinstance(result, outcome.Complete):
+            elapsed = self.time.now() - started_at
+            self._histograms.record(RESPONSE_MEASURE, request.caller_class, elapsed)
+        return result
+
+    async def fetch(self, guest: str, key: str, wait_s: float) -> outcome.Outcome:
+        """Return the outcome of a job submitted before, or that it is pending."""
+        job_id = job.job_id(guest, key)
+        return await self._ask(lambda ticket: self.core.fetch(job_id, ticket), wait_s)
+
+    async def cancel(self, guest: str, key: str) -> outcome.Outcome:
+        """Cancel a job and return its outcome."""
+        job_id = job.job_id(guest, key)
+        return await self._ask(lambda ticket: self.core.cancel(job_id, ticket), None)
+
+    async def _ask(
+        self,
+        ask: Callable[[int], Iterator[effects.Effect]],
+        wait_s: float | None,
+    ) -> outcome.Outcome:
+        ticket = next(self._tickets)
+        waiting: asyncio.Future[outcome.Outcome]
+        waiting = asyncio.get_running_loop().create_future()
+        self._future_by_ticket[ticket] = waiting
+        try:
+            self.perform(ask(ticket))
+            async with asyncio.timeout(wait_s):
+                return await waiting
+        except TimeoutError:
+            return outcome.Pending(0)
+        finally:
+            if self._future_by_ticket.pop(ticket, None) is not None:
+                self.core.jobs.forget(ticket)
+
+    async def drain(self, worker: str, active: bool) -> bool:
+        """Drain or resume a worker."""
+        if worker not in self.core.workers.worker_by_name:
+            return False
+        self.perform(self.core.drain_worker(worker, active))
+        return True
+
+    def rejected(self) -> None:
+        """Count a rejected HTTP request."""
+        self.counters.count("http.rejected")
+
+    def not_ready_reason(self) -> str:
+        """Return why no job can be taken, or an empty string."""
+        if self.core.draining:
+            return "stopping"
+        if not self.core.view.voter_by_name:
+            return "no membership view: the log has not been read"
+        if not any(self.core.workers.worker_by_name):
+            return "no worker is connected"
+        return ""
+
+    def status(self) -> dict[str, object]:
+        """Return this entry host's state, ready for JSON."""
+        reason = self.not_ready_reason()
+        return {
+            "name": self.core.node.name,
+            "boot": self.boot,
+            "ready": not reason,
+            "not_ready_reason": reason,
+            "table_version": self.core.table_version,
+            "view_number": self.core.view.number,
+            "voters": sorted(self.core.view.voter_by_name),
+            "peers": sorted(self.core.jobs.peer_by_name),
+            "workers": [self._worker_status(name) for name in self._worker_names()],
+            "backlog_tasks": self.core.backlog_tasks,
+            "backlog_bytes": self.core.jobs.bytes,
+            "jobs_in_progress": len(self.core.jobs),
+            "counters": self.counters.snapshot(),
+            "histograms": [
+                {**attrs.asdict(item), "plot": self._histograms.plot(item)}
+                for item in self._histograms.summary()
+            ],
+        }
+
+    def _worker_names(self) -> list[str]:
+        return sorted(self.core.workers.worker_by_name)
+
+    def _worker_status(self, name: str) -> dict[str, object]:
+        worker = self.core.workers.worker_by_name[name]
+        return {
+            "name": name,
+            "data_centre": worker.hello.data_centre,
+            "rack": worker.hello.rack,
+            "service": worker.hello.service,
+            "slots": worker.hello.slots,
+            "free": worker.free,
+            "running": worker.running,
+            "draining": worker.draining,
+            "lapsed": self.core.workers.has_lapsed(worker),
+            "age_s": round(self.time.now() - worker.heard_at, 3),
+        }
--- /dev/null
+++ b/src/burdockgate/process/slots.py
@@ -0,0 +1,121 @@
+"""The slots of one worker and their division among entry hosts.
+
+A freed slot is offered in turn, by weight, to the entry hosts that have tasks
+waiting. An offer reserves the slot for a short time, so that it is neither taken
+by another entry host on the way nor lost when the offer is not used.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+from burdockgate import clock
+
+RESERVATION_S = 0.1
+
+
+@attrs.define
+class _Demand:
+    waiting: int
+    weight: float
+    served: float = 0.0
+
+
+class Slots:
+    """Counts running tasks and reservations.
+
+    :param total: number of slots.
+    :param time: the clock.
+    """
+
+    def __init__(self, total: int, time: clock.Clock) -> None:
+        self.total = total
+        self.running = 0
+        self.is_open = True
+        self._time = time
+        self._demand_by_entry: dict[str, _Demand] = {}
+        self._expiry_by_entry: dict[str, list[float]] = {}
+
+    def free_for(self, entry: str) -> int:
+        """Return the slots that an entry host may use now.
+
+        :param entry: name of the entry host.
+        """
+        if not self.is_open:
+            return 0
+        reserved = sum(
+            len(expiries)
+            for name, expiries in self._expiry_by_entry.items()
+            if name != entry
+        )
+        return max(0, self.total - self.running - reserved)
+
+    def take(self, entry: str) -> bool:
+        """Occupy a slot for a task of an entry host.
+
+        :param entry: name of the entry host; its own reservation is used first.
+        :returns: whether there was a slot.
+        """
+        if self.free_for(entry) == 0:
+            return False
+        if self._expiry_by_entry.get(entry):
+            self._expiry_by_entry[entry].pop()
+        self.running += 1
+        return True
+
+    def release(self) -> None:
+        """Free the slot of a task that ended."""
+        self.running -= 1
+
+    def demand(self, entry: str, waiting: int, weight: float) -> None:
+        """Note how many tasks wait at an entry host.
+
+        :param entry: name of the entry host.
+        :param waiting: number of tasks; 0 withdraws the demand.
+        :param weight: sum of the weights of the classes that wait.
+        """
+        if waiting == 0:
+            self.forget(entry)
+            return
+        old = self._demand_by_entry.get(entry)
+        served = old.served if old else self._least_served()
+        self._demand_by_entry[entry] = _Demand(waiting, max(weight, 1e-3), served)
+
+    def _least_served(self) -> float:
+        return min(
+            (item.served for item in self._demand_by_entry.values()), default=0.0
+        )
+
+    def forget(self, entry: str) -> None:
+        """Drop the demand and the reservations of an entry host.
+
+        :param entry: name of the entry host.
+        """
+        self._demand_by_entry.pop(entry, None)
+        self._expiry_by_entry.pop(entry, None)
+
+    def offer(self) -> str | None:
+        """Reserve one free slot for the entry host whose turn it is.
+
+        :returns: its name, or ``None`` when no slot is free or nobody waits.
+        """
+        self._expire()
+        if not self._demand_by_entry or self.free_for("") == 0:
+            return None
+        entry, demand = min(
+            self._demand_by_entry.items(), key=lambda item: (item[1].served, item[0])
+        )
+        demand.served += 1.0 / demand.weight
+        demand.waiting -= 1
+        if demand.waiting == 0:
+            del self._demand_by_entry[entry]
+        expiry = self._time.now() + RESERVATION_S
+        self._expiry_by_entry.setdefault(entry, []).append(expiry)
+        return entry
+
+    def _expire(self) -> None:
+        now = self._time.now()
+        for entry, expiries in list(self._expiry_by_entry.items()):
+            self._expiry_by_entry[entry] = [at for at in expiries if at > now]
+            if not self._expiry_by_entry[entry]:
+                del self._expiry_by_entry[entry]
--- a/src/burdockgate/request/job.py
+++ b/src/burdockgate/request/job.py
@@ -5,6 +5,10 @@
 import attrs
 import xxhash
 
+# Members of claim groups that have lost their records wait for this time and the
+# key retention before they vote on unknown keys, so it cannot be large.
+LONGEST_DEADLINE_S = 300.0
+
 
 @attrs.frozen
 class TaskSpec:
--- /dev/null
+++ b/src/burdockgate/request/leader.py
@@ -0,0 +1,448 @@
+"""One job in progress at the entry host that owns it.
+
+The leader knows of each task whether it waits, was sent, or is done. It sends a
+task to another agent only after the first one has returned it, or has shown by a
+fence that it never received it.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterable, Iterator
+
+import attrs
+
+from burdockgate import clock, codes, effects, messages
+from burdockgate.request import claimant, job, outcome
+
+_Effects = Iterator[effects.Effect]
+
+_CODE_BY_STATE = {
+    messages.TaskState.FAILED: codes.Code.TASK_FAILED,
+    messages.TaskState.UNKNOWN: codes.Code.REQUEST_CUT,
+    messages.TaskState.STOPPED: codes.Code.CANCELLED_MAY_HAVE_RUN,
+    messages.TaskState.OVERSIZE: codes.Code.RESULT_TOO_LARGE,
+}
+
+
+@attrs.define
+class _Agent:
+    """What the leader knows of one agent of its scope.
+
+    :param fence: number of the last fence sent.
+    :param is_fencing: whether a reply to that fence is awaited.
+    :param is_recovering: whether tasks of an earlier owner may be there that have
+        not been reported yet.
+    :param lost_at: time at which the connection was lost, if it is.
+    """
+
+    node: messages.Node
+    fence: int = 0
+    is_fencing: bool = False
+    is_recovering: bool = False
+    lost_at: float | None = None
+    sent: dict[int, int] = attrs.field(factory=dict)
+    seen: set[int] = attrs.field(factory=set)
+
+
+class Leader:
+    """State machine of one attempt of a job.
+
+    :param request: the job.
+    :param terms: the claim that was won.
+    :param members: the claim group, to be told of the outcome.
+    :param time: the clock.
+    :param lost_worker_s: time for which a lost agent is awaited.
+    :param had_attempt: whether an earlier attempt may have run; then no result of
+        this one may say "not run".
+    """
+
+    def __init__(
+        self,
+        request: job.JobRequest,
+        terms: claimant.Terms,
+        members: Iterable[messages.Node],
+        time: clock.Clock,
+        lost_worker_s: float,
+        had_attempt: bool = False,
+    ) -> None:
+        self.request = request
+        self.extend(terms)
+        self.arrived_at = time.now()
+        self.first_sent_at: float | None = None
+        self.outcome: outcome.Outcome | None = None
+        self.is_superseded = False
+        self.dropped = 0
+        self._members = tuple(members)
+        self._time = time
+        self._lost_worker_s = lost_worker_s
+        self._waiting = collections.deque(range(len(request.tasks)))
+        self._result_by_index: dict[int, bytes] = {}
+        self._send_by_index = [0] * len(request.tasks)
+        self._agent_by_name: dict[str, _Agent] = {}
+        self._has_started = had_attempt
+        self._in_doubt = False
+
+    def extend(self, terms: claimant.Terms) -> None:
+        """Replace the terms by ones with a longer scope.
+
+        :param terms: terms of the same epoch that a majority has granted.
+        """
+        self.terms = terms
+        self._scope = {(node.name, node.boot) for node in terms.scope}
+
+    # Queue
+
+    @property
+    def waiting_count(self) -> int:
+        """Number of tasks that may be sent now."""
+        return 0 if self.outcome or self._is_recovering else len(self._waiting)
+
+    @property
+    def next_task(self) -> job.TaskSpec:
+        """The task that :meth:`take` would send."""
+        return self.request.tasks[self._waiting[0]]
+
+    @property
+    def _is_recovering(self) -> bool:
+        return any(agent.is_recovering for agent in self._agent_by_name.values())
+
+    def allows(self, node: messages.Node) -> bool:
+        """Return whether a task may be sent to an agent now.
+
+        :param node: an agent; only those of the recorded scope are allowed.
+        """
+        agent = self._agent_by_name.get(node.name)
+        if agent is not None and (
+            agent.is_fencing or agent.lost_at is not None or not agent.node.same(node)
+        ):
+            return False
+        return self.in_scope(node)
+
+    def in_scope(self, node: messages.Node) -> bool:
+        """Return whether an agent is in the recorded scope.
+
+        :param node: the agent's incarnation.
+        """
+        return (node.name, node.boot) in self._scope
+
+    def take(self, node: messages.Node) -> messages.TaskStart:
+        """Take the next waiting task for an agent.
+
+        :param node: the agent; see :meth:`allows`.
+        """
+        index = self._waiting.popleft()
+        self._send_by_index[index] += 1
+        agent = self._agent(node)
+        agent.sent[index] = self._send_by_index[index]
+        if self.first_sent_at is None:
+            self.first_sent_at = self._time.now()
+        return messages.TaskStart(
+            index,
+            self._send_by_index[index],
+            self.request.tasks[index].payload,
+            max(1, int((self.deadline_at - self._time.now()) * 1000)),
+        )
+
+    def start_message(
+        self, node: messages.Node, tasks: Iterable[messages.TaskStart]
+    ) -> effects.Send:
+        """Return the message that sends tasks to an agent.
+
+        :param node: the agent.
+        :param tasks: tasks from :meth:`take`.
+        """
+        return effects.Send(
+            node.name,
+            messages.Start(
+                self.request.job,
+                self.terms.epoch,
+                self._agent(node).fence,
+                self.terms.attempt,
+                node.boot,
+                tuple(tasks),
+            ),
+        )
+
+    def _agent(self, node: messages.Node) -> _Agent:
+        agent = self._agent_by_name.get(node.name)
+        if agent is None:
+            agent = _Agent(node)
+            self._agent_by_name[node.name] = agent
+        return agent
+
+    @property
+    def deadline_at(self) -> float:
+        """Time at which the job fails if it is not complete."""
+        return self.arrived_at + self.request.deadline_ms / 1000
+
+    # Recovery
+
+    def recover(self, scope: Iterable[messages.Node]) -> _Effects:
+        """Fence every agent to which an earlier owner may have sent tasks.
+
+        :param scope: the scopes of all earlier claims of this attempt.
+        """
+        for node in scope:
+            agent = self._agent(node)
+            if not agent.node.same(node):
+                # Of two incarnations of one agent, at least one is gone.
+                self._in_doubt = True
+                continue
+            agent.is_recovering = True
+            agent.lost_at = self._time.now()
+            yield from self._fence(agent)
+
+    def _fence(self, agent: _Agent) -> _Effects:
+        agent.fence += 1
+        agent.is_fencing = True
+        agent.seen.clear()
+        yield effects.Dial(agent.node)
+        yield effects.Send(
+            agent.node.name,
+            messages.Fence(
+                self.request.job,
+                self.terms.epoch,
+                agent.fence,
+                self.terms.attempt,
+                agent.node.boot,
+            ),
+        )
+
+    def agent_connected(self, node: messages.Node) -> _Effects:
+        """Handle a new connection of an agent.
+
+        :param node: its incarnation; another boot proves that the one before is
+            gone.
+        """
+        agent = self._agent_by_name.get(node.name)
+        if agent is None or self.outcome:
+            return
+        if not agent.node.same(node):
+            yield from self._give_up(agent)
+        elif agent.sent or agent.is_fencing:
+            agent.lost_at = self._time.now()
+            yield from self._fence(agent)
+        else:
+            agent.lost_at = None
+
+    def agent_disconnected(self, name: str) -> None:
+        """Note that the connection of an agent is lost.
+
+        :param name: name of the agent.
+        """
+        agent = self._agent_by_name.get(name)
+        if agent is not None and agent.lost_at is None:
+            agent.lost_at = self._time.now()
+
+    def fence_reply(self, name: str, reply: messages.FenceReply) -> _Effects:
+        """Handle an agent's list of what it knows.
+
+        :param name: name of the agent.
+        :param reply: ignored when it answers an older fence.
+        """
+        agent = self._agent_by_name.get(name)
+        if reply.epoch > self.terms.epoch:
+            self.is_superseded = True
+            return
+        if agent is None or self.outcome or not self._answers(agent, reply):
+            self.dropped += 1
+            return
+        if reply.boot != agent.node.boot:
+            yield from self._give_up(agent)
+            return
+        for report in reply.reports:
+            agent.seen.add(report.index)
+            yield from self._report(agent, report, is_resync=True)
+        if not reply.more:
+            yield from self._end_fence(agent)
+
+    def _answers(self, agent: _Agent, reply: messages.FenceReply) -> bool:
+        return (
+            agent.is_fencing
+            and reply.epoch == self.terms.epoch
+            and reply.fence == agent.fence
+            and reply.attempt == self.terms.attempt
+        )
+
+    def _end_fence(self, agent: _Agent) -> _Effects:
+        """Queue again what the agent never received and now never will start."""
+        agent.is_fencing = False
+        agent.is_recovering = False
+        agent.lost_at = None
+        for index in [index for index in agent.sent if index not in agent.seen]:
+            del agent.sent[index]
+            self._requeue(index)
+        yield from self._check_doubt()
+
+    def _give_up(self, agent: _Agent) -> _Effects:
+        """Handle the loss of an agent for good."""
+        was_recovering = agent.is_recovering
+        agent.is_fencing = agent.is_recovering = False
+        if agent.sent:
+            yield from self.fail(
+                codes.Code.WORKER_LOST,
+                f"worker {agent.node.name} was lost with {len(agent.sent)} tasks",
+            )
+        elif was_recovering:
+            self._in_doubt = True
+            yield from self._check_doubt()
+
+    def _check_doubt(self) -> _Effects:
+        """Fail when all agents have been heard and a task is unaccounted for."""
+        if self._in_doubt and not self._is_recovering and self._waiting:
+            yield from self.fail(
+                codes.Code.OWNER_LOST,
+                f"{len(self._waiting)} tasks may have started on a lost worker",
+            )
+
+    # Results
+
+    def results(self, name: str, message: messages.Results) -> _Effects:
+        """Handle tasks that ended at an agent.
+
+        :param name: name of the agent.
+        :param message: dropped and counted when epoch, attempt or boot differ.
+        """
+        agent = self._agent_by_name.get(name)
+        if (
+            agent is None
+            or self.outcome
+            or message.boot != agent.node.boot
+            or message.epoch != self.terms.epoch
+            or message.attempt != self.terms.attempt
+        ):
+            self.dropped += len(message.reports)
+            return
+        for report in message.reports:
+            yield from self._report(agent, report, is_resync=False)
+
+    def _report(
+        self, agent: _Agent, report: messages.TaskReport, is_resync: bool
+    ) -> _Effects:
+        index = report.index
+        if index >= len(self.request.tasks) or self.outcome:
+            self.dropped += 1
+        elif is_resync and agent.sent.get(index) is None:
+            yield from self._adopt(agent, report)
+        elif agent.sent.get(index) != report.send:
+            self.dropped += 1
+        else:
+            yield from self._settle_task(agent, report)
+
+    def _adopt(self, agent: _Agent, report: messages.TaskReport) -> _Effects:
+        """Take over a task that an earlier owner sent."""
+        index = report.index
+        if report.state is messages.TaskState.RETURNED or index not in self._waiting:
+            self._send_by_index[index] = max(self._send_by_index[index], report.send)
+            return
+        self._waiting.remove(index)
+        self._send_by_index[index] = max(self._send_by_index[index], report.send)
+        agent.sent[index] = report.send
+        yield from self._settle_task(agent, report)
+
+    def _settle_task(self, agent: _Agent, report: messages.TaskReport) -> _Effects:
+        index, state = report.index, report.state
+        if state is messages.TaskState.RUNNING:
+            self._has_started = True
+            return
+        del agent.sent[index]
+        if state is messages.TaskState.RETURNED:
+            self._requeue(index)
+            return
+        self._has_started = True
+        if state is not messages.TaskState.DONE:
+            detail = report.payload.decode(errors="replace")[:200]
+            yield from self.fail(_CODE_BY_STATE[state], f"task {index}: {detail}")
+        elif not report.payload:
+            yield from self.fail(
+                codes.Code.ANSWER_EXPIRED, f"the result of task {index} is not kept"
+            )
+        else:
+            self._result_by_index[index] = report.payload
+            if len(self._result_by_index) == len(self.request.tasks):
+                self._complete()
+
+    def _requeue(self, index: int) -> None:
+        """Put a task back at the front, so that its job is not delayed further."""
+        self._waiting.appendleft(index)
+
+    # Ends
+
+    def tick(self) -> _Effects:
+        """Fail the job when its deadline or that of a lost agent has passed."""
+        now = self._time.now()
+        if self.outcome is None and now >= self.deadline_at:
+            yield from self.expire()
+        for agent in list(self._agent_by_name.values()):
+            if self.outcome is None and self._is_overdue(agent, now):
+                agent.lost_at = now
+                yield from self._give_up(agent)
+
+    def _is_overdue(self, agent: _Agent, now: float) -> bool:
+        return agent.lost_at is not None and now - agent.lost_at >= self._lost_worker_s
+
+    def expire(self) -> _Effects:
+        """Fail the job because its deadline has passed."""
+        yield from self._fail_by_start(
+            codes.Code.DEADLINE_NOT_RUN,
+            codes.Code.DEADLINE_MAY_HAVE_RUN,
+            f"deadline of {self.request.deadline_ms} ms passed",
+        )
+
+    def cancel(self) -> _Effects:
+        """Fail the job on the caller's wish; running tasks are stopped."""
+        yield from self._fail_by_start(
+            codes.Code.CANCELLED_NOT_RUN,
+            codes.Code.CANCELLED_MAY_HAVE_RUN,
+            "cancelled by the caller",
+        )
+
+    def _fail_by_start(
+        self, not_run: codes.Code, may_have_run: codes.Code, detail: str
+    ) -> _Effects:
+        is_known = not (self._has_started or self._is_recovering or self._in_doubt)
+        is_sent = any(agent.sent for agent in self._agent_by_name.values())
+        code = not_run if is_known and not is_sent else may_have_run
+        yield from self.fail(code, detail)
+
+    def fail(self, code: codes.Code, detail: str) -> _Effects:
+        """Fail the job as a whole; running tasks are stopped.
+
+        :param code: the result code.
+        :param detail: one line that names the cause.
+        """
+        if self.outcome is not None:
+            return
+        self.outcome = outcome.Failed(self.terms.attempt, code, detail)
+        cancel = messages.Cancel(self.request.job, self.terms.epoch, self.terms.attempt)
+        for agent in self._agent_by_name.values():
+            if agent.sent:
+                yield effects.Send(agent.node.name, cancel)
+
+    def _complete(self) -> None:
+        results = tuple(
+            self._result_by_index[index] for index in range(len(self.request.tasks))
+        )
+        self.outcome = outcome.Complete(self.terms.attempt, results)
+
+    def replace_outcome(self, code: codes.Code) -> None:
+        """Change the code of a failure that could not be confirmed.
+
+        :param code: the weaker result code.
+        """
+        assert isinstance(self.outcome, outcome.Failed)
+        self.outcome = outcome.Failed(self.terms.attempt, code, self.outcome.detail)
+
+    def settle(self) -> _Effects:
+        """Tell the claim group and the agents how the job ended."""
+        assert self.outcome is not None
+        settle = messages.Settle(
+            self.request.job,
+            self.terms.epoch,
+            self.terms.attempt,
+            int(self.outcome.code),
+        )
+        names = {node.name for node in self._members} | set(self._agent_by_name)
+        for name in sorted(names):
+            yield effects.Send(name, settle)
--- /dev/null
+++ b/src/burdockgate/request/submission.py
@@ -0,0 +1,48 @@
+"""A job as an entry host holds it while callers wait for it.
+
+A submission is in one of three phases: its claim is being decided
+(:attr:`Submission.claimant`), this entry host owns it (:attr:`Submission.leader`),
+or another one owns it (:attr:`Submission.owner`).
+"""
+
+from __future__ import annotations
+
+import attrs
+
+from burdockgate import codes, messages
+from burdockgate.request import claimant, job, leader
+
+
+@attrs.define
+class Submission:
+    """State of one job at one entry host.
+
+    :param request: the job; ``None`` while callers only ask for it.
+    :param tickets: callers that wait here.
+    :param attached: entry hosts that wait for the outcome.
+    :param refusal: code with which the job is refused if no claim is held.
+    :param record: the claim record last seen.
+    :param waits_since: since when the owner has not been connected, in seconds.
+    :param confirmation: claim that confirms a "not run" before it is answered.
+    :param retry_at: when to claim again after another claimant failed.
+    :param cancels: whether the callers want the job cancelled.
+    :param had_attempt: whether an earlier attempt may have run.
+    """
+
+    job: bytes
+    deadline_at: float
+    request: job.JobRequest | None = None
+    tickets: set[int] = attrs.field(factory=set)
+    attached: set[str] = attrs.field(factory=set)
+    refusal: codes.Code | None = None
+    refusal_detail: str = ""
+    claimant: claimant.Claimant | None = None
+    extension: claimant.Claimant | None = None
+    confirmation: claimant.Claimant | None = None
+    leader: leader.Leader | None = None
+    owner: messages.Node | None = None
+    record: messages.ClaimRecord | None = None
+    waits_since: float | None = None
+    retry_at: float | None = None
+    cancels: bool = False
+    had_attempt: bool = False
