--- /dev/null
+++ b/src/burdockgate/process/metrics.py
@@ -0,0 +1,188 @@
+"""Counters and gauges of a process, sent to statsd.
+
+``METRICS`` declares every name; ``docs/metrics.md`` shows the same table and is
+checked against it by a test.
+"""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING, TypeVar
+
+import attrs
+
+from burdockgate import settings
+
+if TYPE_CHECKING:
+    import statsd
+
+
+class MetricKind(enum.Enum):
+    """How a metric's values add up."""
+
+    COUNTER = "counter"
+    GAUGE = "gauge"
+
+
+@attrs.frozen
+class Metric:
+    """Declaration of one metric.
+
+    :param unit: what one step of the value stands for.
+    """
+
+    name: str
+    kind: MetricKind
+    unit: str
+    meaning: str
+
+
+_T = TypeVar("_T")
+_COUNTER = MetricKind.COUNTER
+_GAUGE = MetricKind.GAUGE
+
+METRICS = (
+    Metric("jobs.submitted", _COUNTER, "jobs", "submissions read from callers"),
+    Metric("jobs.complete", _COUNTER, "jobs", "led jobs that ended complete"),
+    Metric("jobs.failed", _COUNTER, "jobs", "led jobs that ended failed"),
+    Metric("jobs.refused", _COUNTER, "jobs", "submissions refused"),
+    Metric(
+        "jobs.joined",
+        _COUNTER,
+        "jobs",
+        "submissions that joined a job in progress or got a kept answer",
+    ),
+    Metric("jobs.taken_over", _COUNTER, "jobs", "jobs claimed with a next epoch"),
+    Metric("tasks.sent", _COUNTER, "tasks", "tasks sent to agents, repeats included"),
+    Metric("tasks.returned", _COUNTER, "tasks", "tasks returned without a start"),
+    Metric("tasks.started", _COUNTER, "tasks", "tasks started on the backend server"),
+    Metric("tasks.done", _COUNTER, "tasks", "tasks that ended with a result"),
+    Metric("tasks.failed", _COUNTER, "tasks", "tasks that ended with an error"),
+    Metric(
+        "tasks.unknown",
+        _COUNTER,
+        "tasks",
+        "tasks sent to the backend server, no answer",
+    ),
+    Metric(
+        "results.dropped",
+        _COUNTER,
+        "results",
+        "results dropped because they do not match the job's record",
+    ),
+    Metric(
+        "starts.ignored",
+        _COUNTER,
+        "tasks",
+        "starts ignored as duplicates or for a lower epoch or another boot",
+    ),
+    Metric("claims.granted", _COUNTER, "claims", "claims granted as a group member"),
+    Metric("claims.held", _COUNTER, "claims", "claims answered with another's record"),
+    Metric(
+        "claims.refused",
+        _COUNTER,
+        "claims",
+        "claims refused for a stale view or while catching up",
+    ),
+    Metric("wire.sent", _COUNTER, "messages", "messages sent to nodes"),
+    Metric("wire.received", _COUNTER, "messages", "messages received from nodes"),
+    Metric("wire.bytes_sent", _COUNTER, "bytes", "frames sent to nodes"),
+    Metric("wire.bytes_received", _COUNTER, "bytes", "frames received from nodes"),
+    Metric("wire.rejected", _COUNTER, "frames", "malformed frames from nodes"),
+    Metric("http.rejected", _COUNTER, "requests", "malformed requests from callers"),
+    Metric("sessions.opened", _COUNTER, "sessions", "sessions opened with nodes"),
+    Metric(
+        "sessions.lost", _COUNTER, "sessions", "sessions ended without a planned leave"
+    ),
+    Metric("fences.sent", _COUNTER, "messages", "fences sent to agents"),
+    Metric("log.appends", _COUNTER, "records", "records appended to the log service"),
+    Metric("log.errors", _COUNTER, "calls", "failed calls of the log service"),
+    Metric("backlog.tasks", _GAUGE, "tasks", "waiting tasks"),
+    Metric("backlog.bytes", _GAUGE, "bytes", "size of all waiting jobs"),
+    Metric("workers.known", _GAUGE, "workers", "workers under a lease"),
+    Metric("slots.free", _GAUGE, "slots", "free slots, as far as known"),
+    Metric("table.version", _GAUGE, "version", "version of the table in force"),
+    Metric("view.number", _GAUGE, "number", "number of the membership view in force"),
+    Metric("records.kept", _GAUGE, "records", "claim and job records kept"),
+)
+
+
+class Metrics:
+    """Counts in memory and sends what has changed to statsd.
+
+    Counting does no I/O. An undeclared name, or one of the other kind, raises
+    ``KeyError`` because it is a fault of the program.
+
+    :param statsd_settings: where to send; an empty host sends nothing.
+    """
+
+    def __init__(self, statsd_settings: settings.StatsdSettings) -> None:
+        self._settings = statsd_settings
+        self._client: statsd.StatsClient | None = None
+        self._count_by_name = _names(_COUNTER, 0)
+        self._sent_by_name = _names(_COUNTER, 0)
+        self._gauge_by_name: dict[str, float | None] = _names(_GAUGE, None)
+
+    def count(self, name: str, n: int = 1) -> None:
+        """Add to a counter.
+
+        :param n: what to add, at least 0, in the counter's unit.
+        :raises KeyError: when no such counter is declared.
+        """
+        self._count_by_name[name] += n
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge.
+
+        :param value: the new value, in the gauge's unit.
+        :raises KeyError: when no such gauge is declared.
+        """
+        if name not in self._gauge_by_name:
+            raise KeyError(name)
+        self._gauge_by_name[name] = value
+
+    def snapshot(self) -> dict[str, float]:
+        """Return all values by name; a gauge that was never set is 0."""
+        gauges = self._gauge_by_name.items()
+        return self._count_by_name | {name: value or 0.0 for name, value in gauges}
+
+    def flush(self) -> None:
+        """Send the counts since the last call, and all gauges that were ever set.
+
+        The daemon calls this once a second. Nothing is raised when sending fails.
+        Gauges are sent each time, because UDP may lose the change of one; lost counts
+        are missing at statsd but not in :meth:`snapshot`.
+        """
+        if not self._settings.host:
+            return
+        try:
+            self._send(self._connected())
+        except (OSError, ValueError):
+            # The next call tries again; until then counts add up.
+            return
+
+    def _connected(self) -> statsd.StatsClient:
+        if self._client is None:
+            # Only a process that sends pays for the import.
+            import statsd
+
+            host = self._settings.host
+            self._client = statsd.StatsClient(
+                host, self._settings.port, self._settings.prefix, ipv6=":" in host
+            )
+        return self._client
+
+    def _send(self, client: statsd.StatsClient) -> None:
+        pipeline = client.pipeline()
+        for name, value in self._count_by_name.items():
+            if value != self._sent_by_name[name]:
+                pipeline.incr(name, value - self._sent_by_name[name])
+        for name, gauge in self._gauge_by_name.items():
+            if gauge is not None:
+                pipeline.gauge(name, gauge)
+        pipeline.send()
+        self._sent_by_name = dict(self._count_by_name)
+
+
+def _names(kind: MetricKind, value: _T) -> dict[str, _T]:
+    return {metric.name: value for metric in METRICS if metric.kind is kind}
