--- a/src/burdockgate/process/agenthost.py
+++ b/src/burdockgate/process/agenthost.py
@@ -194,7 +194,7 @@
         own = self._config.node.name
         ranked = sorted(
             self._entry_by_name.values(),
-            key=lambda node: xxhash.xxh3_64_intdigest(f"{own}\0{node.name}"),
+            key=lambda node: xxhash.xxh3_64_intdigest(f"{own}\0{node.name}".encode()),
             reverse=True,
         )
         return ranked[:ENTRY_SUBSET]
--- a/src/burdockgate/process/daemon.py
+++ b/src/burdockgate/process/daemon.py
@@ -7,7 +7,8 @@
 import contextlib
 import random
 import secrets
-from collections.abc import Iterable, Iterator
+from collections.abc import Coroutine, Iterable, Iterator
+from typing import Any
 
 from burdockgate import clock, effects, errors, messages, settings
 from burdockgate.process import logs, metrics, network, platform
@@ -90,12 +91,12 @@
         :param effect: the effect.
         """
 
-    def spawn(self, coroutine: object) -> asyncio.Task[None]:
+    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Run a coroutine until it ends or the daemon stops.
 
         :param coroutine: the coroutine object.
         """
-        task = asyncio.get_running_loop().create_task(coroutine)  # type: ignore[arg-type]
+        task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return task
--- a/src/burdockgate/process/entry.py
+++ b/src/burdockgate/process/entry.py
@@ -68,7 +68,7 @@
             messages.ClaimReply: self.jobs.claim_reply,
             messages.Attach: self.jobs.attach,
             messages.Detach: self.jobs.detach,
-            messages.Outcome: self.jobs.outcome,
+            messages.Outcome: self.jobs.peer_outcome,
             messages.Leave: self._on_leave,
         }
 
--- a/src/burdockgate/process/jobs.py
+++ b/src/burdockgate/process/jobs.py
@@ -102,6 +102,10 @@
         held.tickets.add(ticket)
         yield from self._claim(held, 0 if refusal else 1, 1)
 
+    def _set_request(self, held: _Submission, request: job.JobRequest) -> None:
+        held.request = request
+        self.bytes += request.size
+
     def _join(
         self, held: _Submission, request: job.JobRequest, ticket: int
     ) -> _Effects:
@@ -331,7 +335,7 @@
         held.refusal = None
         yield from self._claim(held, record.epoch + 1, record.attempt)
 
-    def outcome(self, name: str, message: messages.Outcome) -> _Effects:
+    def peer_outcome(self, name: str, message: messages.Outcome) -> _Effects:
         """Handle the outcome of a job that another entry host owns.
 
         :param name: name of that entry host.
--- a/src/burdockgate/process/metrics.py
+++ b/src/burdockgate/process/metrics.py
@@ -52,6 +52,7 @@
         "jobs",
         "submissions that joined a job in progress or got a kept answer",
     ),
+    Metric("jobs.owned", _COUNTER, "jobs", "jobs claimed with the first epoch"),
     Metric("jobs.taken_over", _COUNTER, "jobs", "jobs claimed with a next epoch"),
     Metric("tasks.sent", _COUNTER, "tasks", "tasks sent to agents, repeats included"),
     Metric("tasks.returned", _COUNTER, "tasks", "tasks returned without a start"),
--- a/src/burdockgate/process/roster.py
+++ b/src/burdockgate/process/roster.py
@@ -72,7 +72,7 @@
     def _rank(self, name: str, entries: list[str]) -> int:
         ranked = sorted(
             entries,
-            key=lambda entry: xxhash.xxh3_64_intdigest(f"{name}\0{entry}"),
+            key=lambda entry: xxhash.xxh3_64_intdigest(f"{name}\0{entry}".encode()),
             reverse=True,
         )
         return ranked.index(self._node.name)
--- a/src/burdockgate/request/submission.py
+++ b/src/burdockgate/request/submission.py
@@ -10,7 +10,9 @@
 import attrs
 
 from burdockgate import codes, messages
-from burdockgate.request import claimant, job, leader
+from burdockgate.request import claimant as claimants
+from burdockgate.request import job as jobs
+from burdockgate.request import leader as leaders
 
 
 @attrs.define
@@ -31,15 +33,15 @@
 
     job: bytes
     deadline_at: float
-    request: job.JobRequest | None = None
+    request: jobs.JobRequest | None = None
     tickets: set[int] = attrs.field(factory=set)
     attached: set[str] = attrs.field(factory=set)
     refusal: codes.Code | None = None
     refusal_detail: str = ""
-    claimant: claimant.Claimant | None = None
-    extension: claimant.Claimant | None = None
-    confirmation: claimant.Claimant | None = None
-    leader: leader.Leader | None = None
+    claimant: claimants.Claimant | None = None
+    extension: claimants.Claimant | None = None
+    confirmation: claimants.Claimant | None = None
+    leader: leaders.Leader | None = None
     owner: messages.Node | None = None
     record: messages.ClaimRecord | None = None
     waits_since: float | None = None
--- /dev/null
+++ b/tests/test_session_faults.py
@@ -0,0 +1,266 @@
+"""Whole sessions in which one part or two fail."""
+
+import pytest
+
+import sessions
+from burdockgate import codes, messages
+from burdockgate.request import outcome
+
+
+@pytest.fixture
+def session():
+    return sessions.Session()
+
+
+def assert_failed(result, code):
+    assert isinstance(result, outcome.Failed)
+    assert result.code is code
+
+
+def kill_when_started(session, name, count):
+    session.run_until(lambda: len(session.starts) >= count)
+    session.kill(name)
+
+
+def test_owner_dies_and_caller_submits_elsewhere(session, snapshot):
+    """Finished results are collected, running tasks awaited, none starts twice."""
+    request = sessions.make_request("k1", [50, 500, 500, 500, 50, 50, 50, 50])
+    session.submit("entry-1", request)
+    kill_when_started(session, "entry-1", 7)
+    ticket = session.submit("entry-2", request)
+    sessions.assert_whole(request, session.answer(ticket))
+    sessions.assert_single_starts(session)
+    assert session.text() == snapshot
+
+
+def test_owner_dies_between_claim_and_dispatch(session):
+    """A claim without any start must not block the job for ever."""
+    request = sessions.make_request("k1", [50] * 4)
+    session.filters.append(
+        lambda _from, _to, message, delays: (
+            [] if isinstance(message, messages.Start) and _from == "entry-1" else delays
+        )
+    )
+    session.submit("entry-1", request)
+    session.run(0.01)
+    session.kill("entry-1")
+    ticket = session.submit("entry-2", request)
+    sessions.assert_whole(request, session.answer(ticket))
+    sessions.assert_single_starts(session)
+
+
+def test_owner_frozen_then_thawed(session):
+    """A paused owner that wakes after a takeover starts nothing and joins."""
+    request = sessions.make_request("k1", [400] * 20)
+    first = session.submit("entry-1", request)
+    session.run_until(lambda: len(session.starts) >= 6)
+    session.freeze("entry-1")
+    session.run(0.1)
+    second = session.submit("entry-2", request)
+    session.run(3.5)
+    session.thaw("entry-1")
+    sessions.assert_whole(request, session.answer(second))
+    sessions.assert_whole(request, session.answer(first))
+    sessions.assert_single_starts(session)
+
+
+def test_frozen_owner_does_not_say_not_run(session):
+    """An owner whose deadline passed while it was paused must not claim "not run".
+
+    Another entry host has taken the job over and has run it.
+    """
+    request = sessions.make_request("k1", [50] * 4, deadline_ms=2000)
+    session.filters.append(
+        lambda _from, _to, message, delays: (
+            [] if isinstance(message, messages.Start) and _from == "entry-1" else delays
+        )
+    )
+    first = session.submit("entry-1", request)
+    session.run(0.01)
+    session.freeze("entry-1")
+    again = sessions.make_request("k1", [50] * 4)
+    second = session.submit("entry-2", again)
+    sessions.assert_whole(again, session.answer(second))
+    session.thaw("entry-1")
+    result = session.answer(first)
+    assert codes.start_of(result.code) is not codes.Start.NOT_RUN
+    sessions.assert_single_starts(session)
+
+
+def test_agent_dies_with_tasks(session, snapshot):
+    """The job fails whole as "may have run" and the rest is not started."""
+    request = sessions.make_request("k1", [300] * 12)
+    ticket = session.submit("entry-1", request)
+    kill_when_started(session, "agent-2", 6)
+    assert_failed(session.answer(ticket), codes.Code.WORKER_LOST)
+    sessions.assert_single_starts(session)
+    assert session.text() == snapshot
+
+
+def test_agent_restarts_under_the_same_name(session):
+    """The new boot is proof of the loss: the job fails at once, not after 5 s."""
+    request = sessions.make_request("k1", [300] * 12)
+    ticket = session.submit("entry-1", request)
+    kill_when_started(session, "agent-2", 6)
+    session.start("agent-2")
+    at = session.clock.now()
+    assert_failed(session.answer(ticket), codes.Code.WORKER_LOST)
+    assert session.clock.now() - at < 1.5
+
+
+def test_failed_job_runs_again_only_if_repeatable(session):
+    """The same key starts a new attempt of a repeatable job, never of another."""
+    for key, repeatable in (("again", True), ("once", False)):
+        request = sessions.make_request(key, [300] * 6, repeatable=repeatable)
+        ticket = session.submit("entry-1", request)
+        session.run(0.01)
+        session.kill("agent-2")
+        assert_failed(session.answer(ticket), codes.Code.WORKER_LOST)
+        session.start("agent-2")
+        session.run(1.0)
+        for name in ("entry-1", "entry-2"):
+            result = session.answer(session.submit(name, request))
+            if repeatable:
+                sessions.assert_whole(request, result)
+                assert result.attempt == 2
+            else:
+                assert_failed(result, codes.Code.WORKER_LOST)
+    sessions.assert_single_starts(session)
+
+
+def test_agent_connection_cut_and_back(session):
+    """After a short cut, results that could not be sent are collected by a fence."""
+    request = sessions.make_request("k1", [300] * 12)
+    ticket = session.submit("entry-1", request)
+    session.run(0.1)
+    session.cut("entry-1", "agent-2")
+    session.run(0.5)
+    session.heal("entry-1", "agent-2")
+    sessions.assert_whole(request, session.answer(ticket))
+    sessions.assert_single_starts(session)
+
+
+def test_start_lost_with_the_connection_is_sent_again(session):
+    """A fence shows that the agent never got a task, so it may go elsewhere."""
+    request = sessions.make_request("k1", [100] * 4)
+    lost = []
+
+    def lose_first(_from, to, message, delays):
+        if isinstance(message, messages.Start) and to == "agent-1" and not lost:
+            lost.append(message)
+            return []
+        return delays
+
+    session.filters.append(lose_first)
+    ticket = session.submit("entry-1", request)
+    session.run(0.05)
+    assert lost
+    session.cut("entry-1", "agent-1")
+    session.heal("entry-1", "agent-1")
+    sessions.assert_whole(request, session.answer(ticket))
+    sessions.assert_single_starts(session)
+
+
+def test_duplicated_and_delayed_messages(session):
+    """Every message twice, the second one late: nothing starts twice or is lost."""
+    session.filters.append(
+        lambda _from, _to, _message, delays: [*delays, *(d + 0.15 for d in delays)]
+    )
+    for index in range(10):
+        request = sessions.make_request(f"k{index}", [20 + index] * 10)
+        tickets = [session.submit(name, request) for name in ("entry-1", "entry-2")]
+        for ticket in tickets:
+            sessions.assert_whole(request, session.answer(ticket))
+    sessions.assert_single_starts(session)
+
+
+def test_one_member_lost_does_not_stop_claims(session):
+    """Two of three members are a majority."""
+    session.kill("agent-3")
+    request = sessions.make_request("k1", [50] * 4)
+    sessions.assert_whole(request, session.answer(session.submit("entry-1", request)))
+
+
+def test_no_majority_is_not_called_not_run(session):
+    """Without a majority an earlier submission cannot be excluded."""
+    session.log_is_up = False
+    request = sessions.make_request("k1", [50] * 2, deadline_ms=3000)
+    sessions.assert_whole(request, session.answer(session.submit("entry-1", request)))
+    for name in ("agent-2", "agent-3", "entry-1"):
+        session.kill(name)
+    unknown = sessions.make_request("k2", [50], deadline_ms=3000)
+    result = session.answer(session.submit("entry-2", unknown))
+    assert result.code is codes.Code.CLAIM_UNAVAILABLE
+    known = session.answer(session.submit("entry-2", request))
+    assert codes.start_of(known.code) is codes.Start.MAY_HAVE_RUN
+    sessions.assert_single_starts(session)
+
+
+def test_lost_member_is_replaced_and_catches_up():
+    """A member that enters a group must know claims from before its entry.
+
+    Otherwise a job could be claimed a second time after two view changes.
+    """
+    session = sessions.Session(entries=2, agents=6)
+    requests = [sessions.make_request(f"k{index}", [20]) for index in range(30)]
+    for request in requests:
+        sessions.assert_whole(
+            request, session.answer(session.submit("entry-1", request))
+        )
+    for name in ("agent-1", "agent-2"):
+        session.kill(name)
+        session.run(20.0)
+        session.start(name)
+        session.run(5.0)
+    session.kill("entry-1")
+    for request in requests:
+        session.answer(session.submit("entry-2", request))
+    sessions.assert_single_starts(session)
+
+
+def test_cancel_before_and_after_the_start(session):
+    """A cancel ends in a definite outcome, and "not run" is true."""
+    session.submit("entry-1", sessions.make_request("long", [3000] * 6))
+    session.run(0.1)
+    waiting = sessions.make_request("waiting", [50] * 2)
+    ticket = session.submit("entry-1", waiting)
+    session.run(0.1)
+    cancelled = session.answer(session.cancel("entry-1", waiting))
+    assert cancelled.code is codes.Code.CANCELLED_NOT_RUN
+    assert session.answers[ticket] == cancelled
+    running = sessions.make_request("long", [3000] * 6)
+    result = session.answer(session.cancel("entry-2", running))
+    assert result.code is codes.Code.CANCELLED_MAY_HAVE_RUN
+    session.run(0.1)
+    assert session.core("agent-1").slots.running == 0
+
+
+def test_key_with_another_body_is_refused(session):
+    """A key that was used for another body must not get its answer."""
+    first = sessions.make_request("k1", [50])
+    second = sessions.make_request("k1", [60])
+    session.submit("entry-1", first)
+    for name in ("entry-1", "entry-2"):
+        result = session.answer(session.submit(name, second))
+        assert result.code is codes.Code.KEY_REUSED
+
+
+def test_full_backlog_refuses_but_joins_what_runs(session):
+    """A refusal "not run" must not be given for a job that runs elsewhere."""
+    request = sessions.make_request("k1", [300] * 6)
+    ticket = session.submit("entry-1", request)
+    session.run(0.05)
+    session.core("entry-2").draining = True
+    second = session.submit("entry-2", request)
+    refused = session.submit("entry-2", sessions.make_request("k2", [50]))
+    assert session.answer(refused).code is codes.Code.DRAINING
+    sessions.assert_whole(request, session.answer(second))
+    sessions.assert_whole(request, session.answer(ticket))
+    sessions.assert_single_starts(session)
+
+
+def test_log_outage_does_not_stop_jobs(session):
+    """Claims and starts need no append."""
+    session.log_is_up = False
+    request = sessions.make_request("k1", [50] * 10)
+    sessions.assert_whole(request, session.answer(session.submit("entry-1", request)))
--- /dev/null
+++ b/tests/test_session_plain.py
@@ -0,0 +1,22 @@
+"""Whole sessions without faults."""
+
+import sessions
+
+
+def test_plain_session(snapshot):
+    """The messages of one job, exact; guards against unplanned extra messages."""
+    session = sessions.Session()
+    request = sessions.make_request("k1", [50, 60, 70, 80])
+    sessions.assert_whole(request, session.answer(session.submit("entry-1", request)))
+    session.run(0.1)
+    assert session.text() == snapshot
+
+
+def test_same_key_at_two_entry_hosts_runs_once():
+    """Two entry hosts that get one job at once must not both run it."""
+    session = sessions.Session()
+    request = sessions.make_request("k1", [50] * 4)
+    tickets = [session.submit(name, request) for name in ("entry-1", "entry-2")]
+    for ticket in tickets:
+        sessions.assert_whole(request, session.answer(ticket))
+    sessions.assert_single_starts(session)
