--- /dev/null
+++ b/src/burdockgate/standin/local.py
@@ -0,0 +1,180 @@
+"""All roles and the stand-ins in one process on one event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import random
+
+import attrs
+
+from burdockgate import clock, errors, settings
+from burdockgate.process import agenthost, entryhost
+from burdockgate.standin import backend, log
+
+LOOPBACK = "127.0.0.1"
+READY_TIMEOUT_S = 10.0
+READY_POLL_S = 0.01
+DATA_CENTRES = 4
+REGION = "local"
+
+
+@attrs.frozen
+class LocalSettings:
+    """Size of a local system.
+
+    :param slots: slots of each worker.
+    :param service: name of the one service.
+    :param http_port: port of the first entry host; 0 takes a free one.
+    """
+
+    entries: int = 2
+    agents: int = 3
+    slots: int = 8
+    service: str = "sample"
+    http_port: int = 0
+    seed: int = 1
+    timing: settings.TimingSettings = attrs.field(factory=settings.TimingSettings)
+    limits: settings.LimitSettings = attrs.field(factory=settings.LimitSettings)
+
+
+class Local:
+    """A whole system on the loopback interface.
+
+    :param config: its size.
+    """
+
+    def __init__(self, config: LocalSettings) -> None:
+        self.config = config
+        self.log = log.LogServer(log.LogStore())
+        self.servers: list[backend.BackendServer] = []
+        self.entries: list[entryhost.EntryHost] = []
+        self.agents: list[agenthost.AgentHost] = []
+        self._rng = random.Random(config.seed)
+
+    async def start(self) -> None:
+        """Start every role and wait until jobs can be taken.
+
+        :raises errors.BurdockgateError: when the system is not ready in time.
+        """
+        await self.log.start(LOOPBACK)
+        for index in range(self.config.entries):
+            await self.add_entry(f"entry-{index + 1}", index)
+        for index in range(self.config.agents):
+            await self.add_agent(f"agent-{index + 1}", index)
+        try:
+            async with asyncio.timeout(READY_TIMEOUT_S):
+                while not self._is_ready():
+                    await asyncio.sleep(READY_POLL_S)
+        except TimeoutError:
+            raise errors.BurdockgateError(
+                f"the local system was not ready within {READY_TIMEOUT_S:g} s"
+            ) from None
+
+    def _is_ready(self) -> bool:
+        """Return whether every node knows every other and all voters agree."""
+        numbers = {entry.core.view.number for entry in self.entries}
+        numbers |= {item.core.claims.catchup.view.number for item in self.agents}
+        return len(numbers) == 1 and all(
+            len(entry.core.workers.worker_by_name) == len(self.agents)
+            and len(entry.core.view.voter_by_name) == len(self.agents)
+            and len(entry.core.jobs.peer_by_name) == len(self.entries) - 1
+            for entry in self.entries
+        )
+
+    async def add_entry(self, name: str, place: int) -> entryhost.EntryHost:
+        """Start one more entry host.
+
+        :param name: its name.
+        :param place: number that gives its data centre and rack.
+        """
+        port = self.config.http_port if not self.entries else 0
+        config = settings.EntrySettings(
+            node=_node(name, place),
+            http=f"{LOOPBACK}:{port}",
+            platform=self._platform(),
+            limits=self.config.limits,
+            timing=self.config.timing,
+            statsd=settings.StatsdSettings(),
+        )
+        entry = entryhost.EntryHost(config, random.Random(self._rng.random()))
+        await entry.start()
+        self.entries.append(entry)
+        return entry
+
+    async def add_agent(self, name: str, place: int) -> agenthost.AgentHost:
+        """Start one more backend server with its agent.
+
+        :param name: name of the agent.
+        :param place: number that gives its data centre and rack.
+        """
+        server = backend.BackendServer(
+            f"server-of-{name}", LOOPBACK, 0, clock.SystemClock()
+        )
+        await server.start()
+        self.servers.append(server)
+        config = settings.AgentSettings(
+            node=_node(name, place),
+            backend_server=settings.BackendSettings(
+                url=f"http://{server.address}",
+                service=self.config.service,
+                slots=self.config.slots,
+            ),
+            platform=self._platform(),
+            timing=self.config.timing,
+            statsd=settings.StatsdSettings(),
+        )
+        host = agenthost.AgentHost(config, random.Random(self._rng.random()))
+        await host.start()
+        self.agents.append(host)
+        return host
+
+    def _platform(self) -> settings.PlatformSettings:
+        return settings.PlatformSettings(
+            log_url=self.log.url, seeds=tuple(entry.address for entry in self.entries)
+        )
+
+    @property
+    def urls(self) -> list[str]:
+        """Base URLs of the entry hosts."""
+        return [f"http://{entry.http}" for entry in self.entries]
+
+    @property
+    def messages(self) -> int:
+        """Messages sent so far between the system's processes, of all kinds."""
+        daemons = [*self.entries, *self.agents]
+        return sum(int(item.counters.snapshot()["wire.sent"]) for item in daemons)
+
+    @property
+    def starts(self) -> int:
+        """Tasks started so far, as the backend servers saw them."""
+        return sum(len(server.starts) for server in self.servers)
+
+    async def stop(self) -> None:
+        """Stop every role, callers first and the log last."""
+        await asyncio.gather(*(entry.stop() for entry in self.entries))
+        await asyncio.gather(*(host.stop() for host in self.agents))
+        await asyncio.gather(*(server.stop() for server in self.servers))
+        await self.log.stop()
+
+
+def _node(name: str, place: int) -> settings.NodeSettings:
+    return settings.NodeSettings(
+        name=name,
+        region=REGION,
+        data_centre=f"dc-{place % DATA_CENTRES + 1}",
+        rack=f"rack-{place + 1}",
+        listen=f"{LOOPBACK}:0",
+    )
+
+
+def ideal_ms(run_times_ms: list[float], slots: int) -> float:
+    """Return the response time of a job that has all slots for itself.
+
+    :param run_times_ms: run times of its tasks, in ms; the longest is placed first.
+    :param slots: number of slots.
+    """
+    busy_until = [0.0] * slots
+    for run_time in sorted(run_times_ms, reverse=True):
+        heapq.heappush(busy_until, heapq.heappop(busy_until) + run_time)
+    return max(busy_until)
