--- /dev/null
+++ b/src/burdockgate/cli/main.py
@@ -0,0 +1,140 @@
+"""The command ``burdockgate``: its parser, its errors and its exit status.
+
+Each group of subcommands is a module of this package with
+``register(subparsers) -> None``. The parsers that it adds set ``run``, a function
+that takes the parsed arguments and returns the exit status.
+
+Group modules import only ``argparse`` and the standard library at module level,
+because the parser imports all of them and an agent must stay within its memory.
+"""
+
+from __future__ import annotations
+
+import argparse
+import contextlib
+import importlib
+import importlib.util
+import io
+import os
+import sys
+from collections.abc import Callable, Sequence
+from typing import TYPE_CHECKING
+
+import burdockgate
+
+if TYPE_CHECKING:
+    # What add_subparsers() returns; argparse has no public name for it.
+    Subparsers = argparse._SubParsersAction[argparse.ArgumentParser]
+
+GROUPS = ("jobs", "operate", "daemons", "table", "standins", "measure")
+
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+# 128 plus the signal number, as a shell reports a process ended by SIGINT or
+# SIGPIPE. Neither says anything about the outcome of a job.
+EXIT_INTERRUPTED = 130
+EXIT_PIPE_CLOSED = 141
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run one command.
+
+    :param argv: arguments without the program's name; those of the process when
+        not given.
+    :returns: the exit status: 0, 1 (failure, refusal or an unreachable server),
+        2 (usage or settings), 130 (Ctrl-C) or 141 (output pipe closed).
+    """
+    _prepare_streams()
+    try:
+        status = _run(argv)
+        # The interpreter would report a closed pipe at exit with a traceback.
+        sys.stdout.flush()
+    except KeyboardInterrupt:
+        return EXIT_INTERRUPTED
+    except BrokenPipeError:
+        _discard_output()
+        return EXIT_PIPE_CLOSED
+    return status
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser with the subcommands of all groups."""
+    parser = argparse.ArgumentParser(
+        prog="burdockgate",
+        description=burdockgate.__doc__,
+        epilog="example:\n  burdockgate submit job.json --entry http://127.0.0.1:8080",
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+        allow_abbrev=False,
+    )
+    parser.add_argument(
+        "--version", action="version", version=f"burdockgate {burdockgate.__version__}"
+    )
+    subparsers = parser.add_subparsers(metavar="COMMAND", required=True)
+    for group in GROUPS:
+        name = f"burdockgate.cli.{group}"
+        # Groups that are not merged yet are left out.
+        if importlib.util.find_spec(name) is not None:
+            importlib.import_module(name).register(subparsers)
+    return parser
+
+
+def add_command(
+    subparsers: Subparsers,
+    name: str,
+    text: str,
+    example: str,
+) -> argparse.ArgumentParser:
+    """Add one subcommand whose help ends with an example.
+
+    :param name: name of the subcommand.
+    :param text: what it does, in a few words.
+    :param example: one full command line.
+    :returns: its parser.
+    """
+    return subparsers.add_parser(
+        name,
+        help=text,
+        description=f"{text[0].upper()}{text[1:]}.",
+        epilog=f"example:\n  {example}",
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+        allow_abbrev=False,
+    )
+
+
+def _run(argv: Sequence[str] | None) -> int:
+    try:
+        args = build_parser().parse_args(argv)
+    except SystemExit as stop:
+        return stop.code if isinstance(stop.code, int) else EXIT_USAGE
+    # Not needed for --help and --version, and it imports attrs.
+    from burdockgate import errors
+
+    run: Callable[[argparse.Namespace], int] = args.run
+    try:
+        return run(args)
+    except errors.BurdockgateError as error:
+        for line in str(error).splitlines() or [type(error).__name__]:
+            print(f"burdockgate: {line}", file=sys.stderr)
+        usage = isinstance(error, errors.SettingsError)
+        return EXIT_USAGE if usage else EXIT_FAILED
+
+
+def _prepare_streams() -> None:
+    for name, mode in (("stdin", "r"), ("stdout", "w"), ("stderr", "w")):
+        # Python sets a stream that was closed before the start to None.
+        if getattr(sys, name) is None:
+            setattr(sys, name, open(os.devnull, mode))  # noqa: SIM115
+    for stream in (sys.stdout, sys.stderr):
+        # A character that the terminal's encoding lacks must not end the command.
+        if isinstance(stream, io.TextIOWrapper):
+            stream.reconfigure(errors="backslashreplace")
+
+
+def _discard_output() -> None:
+    """Point each closed stream at the null device, so that the exit does not fail."""
+    for stream in (sys.stdout, sys.stderr):
+        try:
+            stream.flush()
+        except OSError:
+            with contextlib.suppress(OSError), open(os.devnull, "wb") as null:
+                os.dup2(null.fileno(), stream.fileno())
--- /dev/null
+++ b/src/burdockgate/cli/operate.py
@@ -0,0 +1,200 @@
+"""Subcommands for operators: ``status``, ``drain`` and ``check-settings``."""
+
+from __future__ import annotations
+
+import argparse
+import importlib
+import json
+import os
+import sys
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from burdockgate.cli import jobs, main
+
+# Agents report their running tasks with the heartbeat, every 0.8 s.
+DRAIN_POLL_S = 0.5
+
+
+def register(subparsers: main.Subparsers) -> None:
+    """Add the parsers of this group.
+
+    :param subparsers: the subcommands of the one command.
+    """
+    status = main.add_command(
+        subparsers,
+        "status",
+        "show the state of entry hosts",
+        "burdockgate status --entry http://127.0.0.1:8080",
+    )
+    jobs.add_entry_options(status)
+    status.set_defaults(run=run_status)
+
+    drain = main.add_command(
+        subparsers,
+        "drain",
+        "drain a worker: it finishes its tasks and gets no new ones",
+        "burdockgate drain worker-3 --wait --entry http://127.0.0.1:8080",
+    )
+    drain.add_argument("worker", metavar="WORKER", help="name of the worker")
+    mode = drain.add_mutually_exclusive_group()
+    mode.add_argument("--undo", action="store_true", help="give it new tasks again")
+    mode.add_argument(
+        "--wait", action="store_true", help="wait until it runs no task any more"
+    )
+    jobs.add_entry_options(drain)
+    drain.set_defaults(run=run_drain)
+
+    check = main.add_command(
+        subparsers,
+        "check-settings",
+        "check settings files and print each problem",
+        "burdockgate check-settings entry.ini agent.ini",
+    )
+    check.add_argument("files", nargs="+", metavar="FILE", help="INI settings file")
+    check.add_argument(
+        "--role",
+        choices=("entry", "agent"),
+        help="role of the daemon (default: found out from the file)",
+    )
+    check.set_defaults(run=run_check)
+
+
+def run_status(args: argparse.Namespace) -> int:
+    """Show the state of each entry host; one that fails does not hide the others.
+
+    :param args: parsed arguments of ``status``.
+    :returns: 0, or 1 when an entry host cannot be reached.
+    """
+    import asyncio
+
+    from burdockgate.cli import render
+
+    entries = asyncio.run(_statuses(jobs.entry_urls(args)))
+    if args.json:
+        print(json.dumps({"entries": entries}))
+    else:
+        colour = render.uses_colour(sys.stdout, os.environ)
+        shown = [
+            render.status(entry["entry"], entry["status"], colour)
+            for entry in entries
+            if "status" in entry
+        ]
+        if shown:
+            print("\n\n".join(shown))
+    failures = [entry["error"] for entry in entries if "error" in entry]
+    for line in failures:
+        print(f"burdockgate: {line}", file=sys.stderr)
+    return 1 if failures else 0
+
+
+async def _statuses(urls: Sequence[str]) -> list[dict[str, Any]]:
+    import asyncio
+
+    return await asyncio.gather(*map(_status, urls))
+
+
+async def _status(url: str) -> dict[str, Any]:
+    from burdockgate import errors
+
+    try:
+        async with jobs.open_client([url], jobs.CALL_TIMEOUT_S) as client:
+            return {"entry": url, "status": await client.status()}
+    except errors.ClientError as error:
+        text = str(error)
+        return {"entry": url, "error": text if url in text else f"{url}: {text}"}
+
+
+def run_drain(args: argparse.Namespace) -> int:
+    """Drain a worker or give it new tasks again.
+
+    :param args: parsed arguments of ``drain``.
+    :returns: 0; 1 when the worker is not known, or when the wait ended without
+        knowing that no task runs.
+    :raises errors.ClientError: when no entry host can be reached.
+    """
+    import asyncio
+
+    problem, text = asyncio.run(_drain(args))
+    if args.json:
+        facts = {"worker": args.worker, "ok": not problem, "detail": text}
+        print(json.dumps(facts))
+    elif problem:
+        print(f"burdockgate: worker {args.worker}: {text}", file=sys.stderr)
+    else:
+        print(f"worker {args.worker}: {text}")
+    return 1 if problem else 0
+
+
+async def _drain(args: argparse.Namespace) -> tuple[bool, str]:
+    urls = jobs.entry_urls(args)
+    async with jobs.open_client(urls, jobs.CALL_TIMEOUT_S) as client:
+        if not await client.drain(args.worker, active=not args.undo):
+            return True, "not known to the entry host"
+        if args.undo:
+            return False, "gets new tasks again"
+        if args.wait:
+            return await _wait_drained(client, args.worker)
+        return False, "draining"
+
+
+async def _wait_drained(client: Any, worker: str) -> tuple[bool, str]:
+    import asyncio
+
+    state = "draining"
+    # Another entry host may answer the next poll, and not every entry host lists
+    # every worker, so an absence counts only at one that listed the worker before.
+    listed_at: set[object] = set()
+    async with jobs.progress(lambda elapsed_s: f"{worker}: {state}, {elapsed_s:.0f} s"):
+        while True:
+            facts = await client.status()
+            entry = facts.get("name")
+            row = _find_worker(facts, worker)
+            if row is None:
+                if entry in listed_at:
+                    return False, "no longer listed"
+                return True, f"not listed by {entry}, its running tasks are not known"
+            if row.get("lapsed"):
+                return True, "its lease lapsed, its running tasks are not known"
+            running = row.get("running")
+            # Until the agent reports the drain, its count may be older than it.
+            if row.get("draining") and running == 0:
+                return False, "drained, no task is running"
+            listed_at.add(entry)
+            state = f"{running} tasks running"
+            await asyncio.sleep(DRAIN_POLL_S)
+
+
+def _find_worker(facts: Mapping[str, Any], name: str) -> Mapping[str, Any] | None:
+    rows: Sequence[Mapping[str, Any]] = facts.get("workers") or ()
+    return next((row for row in rows if row.get("name") == name), None)
+
+
+def run_check(args: argparse.Namespace) -> int:
+    """Check settings files.
+
+    :param args: parsed arguments of ``check-settings``.
+    :returns: 0 when no file has a problem, otherwise 2.
+    """
+    problems_by_file = {path: _problems(path, args.role) for path in args.files}
+    for path, problems in problems_by_file.items():
+        for line in problems or ["ok"]:
+            print(line if line.startswith(f"{path}:") else f"{path}: {line}")
+    return 2 if any(problems_by_file.values()) else 0
+
+
+def _problems(path: str, role: str | None) -> list[str]:
+    from burdockgate import errors
+
+    settings = load_settings()
+    try:
+        return list(settings.check(path, role or settings.detect_role(path)))
+    except errors.SettingsError as error:
+        return error.problems
+    except OSError as error:
+        return [f"cannot be read: {error.strerror}"]
+
+
+def load_settings() -> Any:
+    """Return the module ``burdockgate.settings``."""
+    return importlib.import_module("burdockgate.settings")
