Confirm the test of a paused owner, split the local run

Cause: the mutant without the confirmation of "not run" passed, because the test's job had tasks in flight. Change: the test now pauses an owner whose job waits; the command modules import nothing heavy. Measured: the test fails without the confirmation and passes with it. Conclusion: the guard is covered.

--- a/src/burdockgate/process/daemon.py
+++ b/src/burdockgate/process/daemon.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from burdockgate import clock, effects, errors, messages, settings
-from burdockgate.process import logs, metrics, network, platform
+from burdockgate.process import logs, metrics, network, platform, running
 
 TICK_S = 0.05
 METRICS_INTERVAL_S = 1.0
@@ -19,7 +19,7 @@
 BOOT_BITS = 63
 
 
-class Daemon(network.Handler):
+class Daemon(network.Handler, running.Runnable):
     """Performs the effects of a core; subclasses add what is their own.
 
     :param node_settings: name and place of the node.
--- /dev/null
+++ b/src/burdockgate/standin/demo.py
@@ -0,0 +1,134 @@
+"""One job on a local system, for newcomers: ``burdockgate local``."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+
+import attrs
+
+from burdockgate import client, codes, errors
+from burdockgate.process import running
+from burdockgate.standin import local
+
+SAMPLE_RUN_TIMES_MS = (50, 80, 120, 60, 200, 90, 150, 70, 300, 50, 110, 60) * 2
+
+
+@attrs.frozen
+class Summary:
+    """Totals of one job.
+
+    :param starts: starts that the backend servers saw.
+    :param ideal_ms: response time on free slots without any overhead.
+    :param messages: messages between the system's processes, of all kinds.
+    """
+
+    outcome: str
+    code: int
+    key: str
+    tasks: int
+    starts: int
+    response_ms: float
+    ideal_ms: float
+    messages: int
+
+
+def read_job(path: str | None) -> dict[str, object]:
+    """Read a job from a JSON file, or return the sample job.
+
+    :param path: the file, or ``None``.
+    :raises errors.RequestError: when the file cannot be used.
+    """
+    if path is None:
+        tasks = [{"payload": {"sleep_ms": ms}} for ms in SAMPLE_RUN_TIMES_MS]
+        return {"guest": "sample-guest", "service": "sample", "tasks": tasks}
+    try:
+        with open(path, encoding="utf-8") as file:
+            body = json.load(file)
+    except (OSError, ValueError) as error:
+        raise errors.RequestError(
+            codes.Code.INVALID_REQUEST, f"{path}: {error}"
+        ) from None
+    if not isinstance(body, dict) or not isinstance(body.get("service"), str):
+        raise errors.RequestError(
+            codes.Code.INVALID_REQUEST, f"{path}: service: a string is needed"
+        )
+    return body
+
+
+def run(
+    config: local.LocalSettings, body: dict[str, object], as_json: bool, keep: bool
+) -> int:
+    """Start a local system, run one job and print its answer.
+
+    :param config: size of the system.
+    :param body: the job as the HTTP interface takes it.
+    :param as_json: whether to print one JSON object.
+    :param keep: whether to serve on until SIGTERM or SIGINT.
+    :returns: the exit status: 0 when the job is complete, else 1.
+    """
+    return asyncio.run(_run(config, body, as_json, keep))
+
+
+async def _run(
+    config: local.LocalSettings, body: dict[str, object], as_json: bool, keep: bool
+) -> int:
+    asked = asyncio.Event()
+    running.on_signal(asked.set)
+    system = local.Local(config)
+    try:
+        await system.start()
+        answer, summary = await _submit(system, body)
+        _show(as_json, answer, summary)
+        if keep:
+            print("serving at", " ".join(system.urls), file=sys.stderr, flush=True)
+            await asked.wait()
+    finally:
+        await system.stop()
+    return 0 if answer.outcome == "complete" else 1
+
+
+async def _submit(
+    system: local.Local, body: dict[str, object]
+) -> tuple[client.Answer, Summary]:
+    loop = asyncio.get_running_loop()
+    sent, started = system.messages, system.starts
+    begin = loop.time()
+    async with client.Client(system.urls) as caller:
+        answer = await caller.submit(body)
+    response_ms = (loop.time() - begin) * 1000
+    tasks = body.get("tasks")
+    run_times = (
+        [_run_time_ms(task) for task in tasks] if isinstance(tasks, list) else []
+    )
+    slots = system.config.agents * system.config.slots
+    summary = Summary(
+        outcome=answer.outcome,
+        code=answer.code,
+        key=answer.key,
+        tasks=len(run_times),
+        starts=system.starts - started,
+        response_ms=round(response_ms, 3),
+        ideal_ms=local.ideal_ms(run_times, slots),
+        messages=system.messages - sent,
+    )
+    return answer, summary
+
+
+def _run_time_ms(task: object) -> float:
+    payload = task.get("payload") if isinstance(task, dict) else None
+    value = payload.get("sleep_ms") if isinstance(payload, dict) else None
+    return float(value) if isinstance(value, int | float) else 0.0
+
+
+def _show(as_json: bool, answer: client.Answer, summary: Summary) -> None:
+    if as_json:
+        print(json.dumps({**attrs.asdict(summary), "results": answer.results}))
+        return
+    for index, result in enumerate(answer.results or ()):
+        print(f"task {index:3d}  {json.dumps(result)}")
+    for name, value in attrs.asdict(summary).items():
+        print(f"{name:12s} {value}")
+    if answer.detail:
+        print(f"{'detail':12s} {answer.detail}")
--- a/tests/fuzz.py
+++ b/tests/fuzz.py
@@ -8,7 +8,6 @@
 import sys
 
 import sessions
-
 from burdockgate import codes
 from burdockgate.request import outcome
 
--- a/tests/test_session_faults.py
+++ b/tests/test_session_faults.py
@@ -67,16 +67,14 @@
 def test_frozen_owner_does_not_say_not_run(session):
     """An owner whose deadline passed while it was paused must not claim "not run".
 
-    Another entry host has taken the job over and has run it.
+    Its job had not started, but another entry host has taken it over and run it.
     """
-    request = sessions.make_request("k1", [50] * 4, deadline_ms=2000)
-    session.filters.append(
-        lambda _from, _to, message, delays: (
-            [] if isinstance(message, messages.Start) and _from == "entry-1" else delays
-        )
+    session.submit("entry-2", sessions.make_request("long", [3000] * 6))
+    session.run(0.1)
+    first = session.submit(
+        "entry-1", sessions.make_request("k1", [50] * 4, deadline_ms=2000)
     )
-    first = session.submit("entry-1", request)
-    session.run(0.01)
+    session.run(0.1)
     session.freeze("entry-1")
     again = sessions.make_request("k1", [50] * 4)
     second = session.submit("entry-2", again)
