Serve the HTTP interface of an entry host

Change: process.web holds EntryService, build and Server. Routing works on the encoded path, so a key may contain a slash. uvicorn limits only the pause between requests, so a subclass of its h11 protocol adds the limit for headers, closes connections whose body nobody reads, and answers malformed HTTP in JSON. An unexpected exception is answered with status 500 and OWNER_LOST, because the codes have none for an internal error and its start class is "may have run".

--- /dev/null
+++ b/src/burdockgate/process/web.py
@@ -0,0 +1,634 @@
+"""The HTTP interface of an entry host, and the server that runs it.
+
+Every answer but the OpenAPI page is JSON. An error has the same fields as the
+answer to a job: a result code, its start class and one line of detail.
+"""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+import contextlib
+import dataclasses
+import math
+import socket
+import urllib.parse
+from collections.abc import AsyncIterator, Awaitable, Iterator
+from typing import Any, cast
+
+import h11
+import litestar
+import msgspec
+import structlog
+import uvicorn
+from litestar import exceptions, openapi, types
+from litestar.openapi import plugins, spec
+from litestar.response import base
+from uvicorn.protocols.http import h11_impl
+
+from burdockgate import codes, errors
+from burdockgate.request import job, outcome
+
+HEADER_TIMEOUT_S = 10.0
+BODY_TIMEOUT_S = 10.0
+# A pool of connections at the balancer outlives the pauses between requests.
+KEEP_ALIVE_S = 60
+ACCEPT_BACKLOG = 2048
+READY_RETRY_S = 1.0
+CANCEL_TIMEOUT_S = 1.0
+
+_JSON = "application/json"
+_logger = structlog.get_logger(__name__)
+_Request = litestar.Request[Any, Any, Any]
+# Litestar passes this kind of response on as it is.
+_Response = base.ASGIResponse
+_ErrorResponse = litestar.Response[bytes]
+
+
+class EntryService(abc.ABC):
+    """What the HTTP interface needs from the entry host.
+
+    A method may raise :class:`errors.RequestError` for a request that it cannot
+    accept.
+    """
+
+    @abc.abstractmethod
+    async def submit(self, request: job.JobRequest, wait: bool) -> outcome.Outcome:
+        """Take a submission and return its outcome.
+
+        :param wait: whether to wait until the job has ended.
+        """
+
+    @abc.abstractmethod
+    async def fetch(self, guest: str, key: str, wait_s: float) -> outcome.Outcome:
+        """Return the outcome of an earlier submission.
+
+        :param wait_s: how long to wait for a pending job to end, in seconds.
+        """
+
+    @abc.abstractmethod
+    async def cancel(self, guest: str, key: str) -> outcome.Outcome:
+        """Cancel a job and return its definite outcome."""
+
+    @abc.abstractmethod
+    async def drain(self, worker: str, active: bool) -> bool:
+        """Drain a worker, or resume it, and return whether the worker is known."""
+
+    @abc.abstractmethod
+    def status(self) -> dict[str, object]:
+        """Return the state of this entry host as values that JSON can hold."""
+
+    @abc.abstractmethod
+    def not_ready_reason(self) -> str:
+        """Return why no jobs are taken now; empty when ready."""
+
+    @abc.abstractmethod
+    def rejected(self) -> None:
+        """Count an HTTP request that was rejected."""
+
+
+def build(service: EntryService, limits: job.Limits) -> litestar.Litestar:
+    """Return the application with all routes.
+
+    :param service: the entry host.
+    :param limits: limits of one submission.
+    """
+    return _Application(service, limits)
+
+
+class _Application(litestar.Litestar):
+    def __init__(self, service: EntryService, limits: job.Limits) -> None:
+        self.service = service
+        self.limits = limits
+        super().__init__(
+            [_submit, _fetch, _cancel, _drain, _status, _alive, _ready],
+            exception_handlers={
+                errors.RequestError: _on_request_error,
+                exceptions.HTTPException: _on_http_error,
+                Exception: _on_error,
+            },
+            openapi_config=openapi.OpenAPIConfig(
+                title="burdockgate",
+                version="1",
+                path="/schema",
+                render_plugins=[plugins.JsonRenderPlugin(path=["/", "/openapi.json"])],
+            ),
+            logging_config=None,
+        )
+
+    async def __call__(
+        self,
+        scope: types.Scope | types.LifeSpanScope,
+        receive: types.Receive | types.LifeSpanReceive,
+        send: types.Send | types.LifeSpanSend,
+    ) -> None:
+        # Routing works on the encoded path, so that a key may contain "/".
+        if raw_path := cast(dict[str, Any], scope).get("raw_path"):
+            cast(dict[str, Any], scope)["path"] = raw_path.decode("latin-1")
+        await super().__call__(scope, receive, send)
+
+
+def _application(request: _Request) -> _Application:
+    return cast(_Application, request.app)
+
+
+def _parameter(name: str, place: str, text: str, required: bool) -> spec.Parameter:
+    return spec.Parameter(
+        name=name,
+        param_in=place,
+        description=text,
+        required=required,
+        schema=spec.Schema(type=spec.OpenAPIType.STRING),
+    )
+
+
+def _schema(**kind_by_field: spec.Schema | spec.OpenAPIType) -> spec.Schema:
+    return spec.Schema(
+        type=spec.OpenAPIType.OBJECT,
+        properties={
+            name.rstrip("_"): kind
+            if isinstance(kind, spec.Schema)
+            else spec.Schema(type=kind)
+            for name, kind in kind_by_field.items()
+        },
+    )
+
+
+@dataclasses.dataclass
+class _SubmitOperation(spec.Operation):
+    """Adds the body and the parameters, which the handler reads by itself."""
+
+    def __post_init__(self) -> None:
+        kinds = spec.OpenAPIType
+        task = _schema(
+            payload=spec.Schema(description="any JSON"),
+            expected_ms=kinds.NUMBER,
+            cores=kinds.NUMBER,
+            memory_mb=kinds.INTEGER,
+            accelerators=kinds.INTEGER,
+        )
+        task.required = ["payload"]
+        body = _schema(
+            guest=kinds.STRING,
+            service=kinds.STRING,
+            class_=kinds.STRING,
+            repeatable=kinds.BOOLEAN,
+            deadline_ms=kinds.INTEGER,
+            tasks=spec.Schema(type=kinds.ARRAY, items=task),
+        )
+        body.required = ["guest", "service", "tasks"]
+        self.request_body = spec.RequestBody(
+            {_JSON: spec.OpenAPIMediaType(schema=body)}, required=True
+        )
+        self.parameters = [
+            _parameter(
+                "Idempotency-Key", "header", "1 to 128 visible ASCII characters", True
+            ),
+            _parameter("wait", "query", '"true" (default) or "false"', False),
+        ]
+
+
+@dataclasses.dataclass
+class _FetchOperation(spec.Operation):
+    """Adds the parameter of the query, which the handler reads by itself."""
+
+    def __post_init__(self) -> None:
+        text = "how long to wait for a pending job, in seconds (default 0)"
+        self.parameters = [
+            *(self.parameters or []),
+            _parameter("wait_s", "query", text, False),
+        ]
+
+
+@dataclasses.dataclass
+class _DrainOperation(spec.Operation):
+    """Adds the parameter of the query, which the handler reads by itself."""
+
+    def __post_init__(self) -> None:
+        self.parameters = [
+            *(self.parameters or []),
+            _parameter("active", "query", '"true" (default) or "false"', False),
+        ]
+
+
+@litestar.post("/v1/jobs", operation_class=_SubmitOperation, status_code=200)
+async def _submit(request: _Request) -> _Response:
+    """Submit a job and wait for its answer."""
+    application = _application(request)
+    wait = _boolean(request, "wait")
+    body = await _read_body(request, application.limits)
+    key = _header(request, b"idempotency-key")
+    submission = job.parse(body, key, application.limits)
+    call = application.service.submit(submission, wait)
+    return await _answer(submission.guest, submission.key, call)
+
+
+@litestar.get("/v1/jobs/{guest:str}/{key:str}", operation_class=_FetchOperation)
+async def _fetch(request: _Request) -> _Response:
+    """Return the kept answer or the state of a job."""
+    application = _application(request)
+    guest, key = _names(request)
+    longest = application.limits.max_deadline_s
+    text = _query(request, "wait_s", "0")
+    try:
+        wait_s = float(text)
+    except ValueError:
+        wait_s = math.nan
+    if not 0 <= wait_s <= longest:
+        raise _invalid(f"wait_s: {job.shorten(text)}, allowed are 0 to {longest:g} s")
+    return await _answer(guest, key, application.service.fetch(guest, key, wait_s))
+
+
+@litestar.delete("/v1/jobs/{guest:str}/{key:str}", status_code=200)
+async def _cancel(request: _Request) -> _Response:
+    """Cancel a job and return its definite outcome."""
+    _query(request)
+    guest, key = _names(request)
+    return await _answer(guest, key, _application(request).service.cancel(guest, key))
+
+
+@litestar.post(
+    "/v1/workers/{name:str}/drain", operation_class=_DrainOperation, status_code=200
+)
+async def _drain(request: _Request) -> _Response:
+    """Drain a worker, or resume it with ``active=false``."""
+    active = _boolean(request, "active")
+    worker = _unquote("worker", request.path_params["name"])
+    if not await _application(request).service.drain(worker, active):
+        raise errors.RequestError(
+            codes.Code.NOT_FOUND,
+            f"worker: {job.shorten(worker)}, allowed are workers that this entry "
+            "host knows",
+        )
+    return _reply({"worker": worker, "draining": active})
+
+
+@litestar.get("/v1/status")
+async def _status(request: _Request) -> _Response:
+    """Return the state of this entry host."""
+    return _reply(_application(request).service.status())
+
+
+@litestar.get("/healthz")
+async def _alive(request: _Request) -> _Response:
+    """Return 200 while the process answers."""
+    return _reply({"alive": True})
+
+
+@litestar.get("/readyz")
+async def _ready(request: _Request) -> _Response:
+    """Return 200 when jobs are taken, else 503 with the reason."""
+    reason = _application(request).service.not_ready_reason()
+    if not reason:
+        return _reply({"ready": True})
+    refused = outcome.Refused(codes.Code.NOT_READY, reason, READY_RETRY_S)
+    return _render("", "", refused)
+
+
+def _header(request: _Request, name: bytes) -> str | None:
+    values = [value for header, value in request.scope["headers"] if header == name]
+    if len(values) > 1:
+        raise _invalid(
+            f"header {name.decode()}: sent {len(values)} times, allowed is 1"
+        )
+    return values[0].decode("latin-1") if values else None
+
+
+def _query(request: _Request, name: str = "", default: str = "") -> str:
+    """Return the value of the only query parameter that a route allows."""
+    query = request.scope["query_string"]
+    if not query:
+        return default
+    pairs = urllib.parse.parse_qsl(query.decode("latin-1"), keep_blank_values=True)
+    for field, _ in pairs:
+        if field != name:
+            allowed = f"allowed is {name}" if name else "none is allowed"
+            raise _invalid(f"query parameter {job.shorten(field)}, {allowed}")
+    if len(pairs) > 1:
+        raise _invalid(f"{name}: sent {len(pairs)} times, allowed is 1")
+    return pairs[0][1] if pairs else default
+
+
+def _boolean(request: _Request, name: str) -> bool:
+    text = _query(request, name, "true")
+    if text not in ("true", "false"):
+        raise _invalid(f"{name}: {job.shorten(text)}, allowed are true and false")
+    return text == "true"
+
+
+def _names(request: _Request) -> tuple[str, str]:
+    guest = _unquote("guest", request.path_params["guest"])
+    key = _unquote("key", request.path_params["key"])
+    return job.check_guest(guest), job.check_key(key)
+
+
+def _unquote(field: str, text: str) -> str:
+    try:
+        return urllib.parse.unquote(text, errors="strict")
+    except UnicodeDecodeError:
+        raise _invalid(f"{field}: {job.shorten(text)}, allowed is UTF-8") from None
+
+
+async def _read_body(request: _Request, limits: job.Limits) -> bytes:
+    """Return the body; reading stops at the size limit and at the time limit."""
+    declared = _header(request, b"content-length")
+    if declared is not None and int(declared) > limits.body_bytes:
+        raise job.too_large(int(declared), limits)
+    parts: list[bytes] = []
+    size = 0
+    try:
+        async with asyncio.timeout(BODY_TIMEOUT_S):
+            async for part in _parts(request):
+                parts.append(part)
+                size += len(part)
+                if size > limits.body_bytes:
+                    raise job.too_large(size, limits)
+    except TimeoutError:
+        raise exceptions.HTTPException(
+            f"body: {size} bytes in {BODY_TIMEOUT_S:g} s, allowed is a whole body in "
+            "this time",
+            status_code=408,
+        ) from None
+    except asyncio.CancelledError:
+        # Only the end of the stop timeout cancels a request.
+        raise errors.RequestError(
+            codes.Code.DRAINING, "the entry host stopped before the body arrived"
+        ) from None
+    return b"".join(parts)
+
+
+async def _parts(request: _Request) -> AsyncIterator[bytes]:
+    more = True
+    while more:
+        message = await request.receive()
+        if message["type"] != "http.request":
+            raise _invalid("body: the connection was closed before its end")
+        yield message["body"]
+        more = message["more_body"]
+
+
+def _invalid(detail: str) -> errors.RequestError:
+    return errors.RequestError(codes.Code.INVALID_REQUEST, detail)
+
+
+async def _answer(guest: str, key: str, call: Awaitable[outcome.Outcome]) -> _Response:
+    try:
+        result = await call
+    except asyncio.CancelledError:
+        # Only the end of the stop timeout cancels a request.
+        result = outcome.Failed(
+            0, codes.Code.OWNER_LOST, "the entry host stopped before the job ended"
+        )
+    except errors.RequestError as error:
+        result = outcome.Refused(error.code, error.detail)
+    return _render(guest, key, result)
+
+
+_NAME_BY_KIND: dict[type[outcome.Outcome], str] = {
+    outcome.Complete: "complete",
+    outcome.Failed: "failed",
+    outcome.Refused: "refused",
+    outcome.Pending: "pending",
+}
+
+
+def _render(guest: str, key: str, result: outcome.Outcome) -> _Response:
+    status = codes.MEANING_BY_CODE[result.code].status
+    headers = {}
+    if isinstance(result, outcome.Refused) and result.retry_after_s > 0:
+        headers["Retry-After"] = str(max(1, math.ceil(result.retry_after_s)))
+    body = _content(guest, key, result)
+    return _Response(body=body, status_code=status, headers=headers, media_type=_JSON)
+
+
+def _content(guest: str, key: str, result: outcome.Outcome) -> bytes:
+    start = codes.start_of(result.code)
+    body = msgspec.json.encode(
+        {
+            "code": int(result.code),
+            "name": result.code.name,
+            "guest": guest,
+            "key": key,
+            "attempt": result.attempt,
+            "detail": result.detail,
+            "start": start.value if start else None,
+            "outcome": _NAME_BY_KIND[type(result)],
+        }
+    )
+    if isinstance(result, outcome.Complete):
+        # The results are JSON text already.
+        body = b'%s,"results":[%s]}' % (body[:-1], b",".join(result.results))
+    return body
+
+
+def _reply(value: object) -> _Response:
+    return _Response(body=msgspec.json.encode(value), media_type=_JSON)
+
+
+def _on_request_error(request: _Request, error: errors.RequestError) -> _ErrorResponse:
+    status = codes.MEANING_BY_CODE[error.code].status
+    return _reject(request, error.code, error.detail, status)
+
+
+def _reject(
+    request: _Request, code: codes.Code, detail: str, status: int
+) -> _ErrorResponse:
+    _application(request).service.rejected()
+    # After these the rest of the body is not read, so the connection is not kept.
+    headers = {"Connection": "close"} if status in (408, 413) else {}
+    return _error(outcome.Refused(code, detail), status, headers)
+
+
+def _error(
+    result: outcome.Outcome, status: int, headers: dict[str, str]
+) -> _ErrorResponse:
+    return litestar.Response(
+        _content("", "", result), status_code=status, headers=headers, media_type=_JSON
+    )
+
+
+def _on_http_error(
+    request: _Request, error: exceptions.HTTPException
+) -> _ErrorResponse:
+    if error.status_code >= 500:
+        return _on_error(request, error)
+    place = f"{request.method} {job.shorten(request.scope['path'])}"
+    if error.status_code == 404:
+        return _reject(request, codes.Code.NOT_FOUND, f"{place}: no such route", 404)
+    invalid = codes.Code.INVALID_REQUEST
+    if error.status_code != 405:
+        detail = job.shorten_line(error.detail)
+        return _reject(request, invalid, detail, error.status_code)
+    allow = (error.headers or {}).get("allow", "")
+    response = _reject(request, invalid, f"{place}: allowed are {allow}", 405)
+    response.headers["Allow"] = allow
+    return response
+
+
+def _on_error(request: _Request, error: Exception) -> _ErrorResponse:
+    _logger.error("web.error", path=request.scope["path"], exc_info=error)
+    detail = f"internal error of the entry host ({type(error).__name__})"
+    return _error(outcome.Failed(0, codes.Code.OWNER_LOST, detail), 500, {})
+
+
+class Server:
+    """Runs an application in the current event loop.
+
+    :param application: the application from :func:`build`.
+    :param host: IP address to listen at.
+    :param port: port to listen at; 0 for a free one.
+    """
+
+    def __init__(
+        self, application: litestar.Litestar, host: str, port: int = 0
+    ) -> None:
+        self._host = host
+        self._port = port
+        self._server = _Uvicorn(
+            uvicorn.Config(
+                application,
+                http=_Protocol,
+                ws="none",
+                lifespan="off",
+                interface="asgi3",
+                log_config=None,
+                access_log=False,
+                proxy_headers=False,
+                server_header=False,
+                backlog=ACCEPT_BACKLOG,
+                timeout_keep_alive=KEEP_ALIVE_S,
+            )
+        )
+        self._task: asyncio.Task[None] | None = None
+        self.address = ""
+        """``host:port`` at which the server listens; empty before the start."""
+
+    async def start(self) -> None:
+        """Listen and serve until :meth:`stop`.
+
+        :raises errors.SettingsError: when the address cannot be bound.
+        """
+        listener = self._bind()
+        host, port = listener.getsockname()[:2]
+        self.address = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+        self._task = asyncio.create_task(self._server.serve(sockets=[listener]))
+        ready = asyncio.create_task(self._server.ready.wait())
+        await asyncio.wait({self._task, ready}, return_when="FIRST_COMPLETED")
+        ready.cancel()
+
+    def _bind(self) -> socket.socket:
+        family = socket.AF_INET6 if ":" in self._host else socket.AF_INET
+        # With the protocol named, asyncio sets TCP_NODELAY on the connections.
+        # Without it the body of an answer can wait for the acknowledgement of
+        # its header.
+        listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+        try:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.bind((self._host, self._port))
+        except (OSError, OverflowError) as error:
+            listener.close()
+            raise errors.SettingsError(
+                [f"listen address {self._host}:{self._port}: {error}"]
+            ) from error
+        return listener
+
+    async def stop(self, timeout_s: float) -> None:
+        """Accept nothing more, finish the requests in progress and close.
+
+        A request that has not ended in time is answered with ``OWNER_LOST``.
+
+        :param timeout_s: time for the requests in progress, in seconds.
+        """
+        if self._task is None:
+            return
+        state = self._server.server_state
+        self._server.should_exit = True
+        await asyncio.wait({self._task}, timeout=timeout_s)
+        if not self._task.done():
+            for task in list(state.tasks):
+                task.cancel()
+            if state.tasks:
+                await asyncio.wait(list(state.tasks), timeout=CANCEL_TIMEOUT_S)
+            for connection in list(state.connections):
+                connection.transport.close()
+            self._server.force_exit = True
+            await asyncio.wait({self._task}, timeout=CANCEL_TIMEOUT_S)
+            # A client that does not read its answer keeps a closed transport open.
+            for connection in list(state.connections):
+                connection.transport.abort()
+        await self._task
+
+
+class _Uvicorn(uvicorn.Server):
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self.ready = asyncio.Event()
+
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        await super().startup(sockets)
+        self.ready.set()
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leave the signals to the daemon."""
+        yield
+
+
+class _Protocol(h11_impl.H11Protocol):
+    """Adds what uvicorn lacks: a time limit for headers, and JSON errors.
+
+    uvicorn limits only the pause between two requests.
+    """
+
+    _header_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
+        super().connection_made(transport)
+        self._start_header_timer()
+
+    def _start_header_timer(self) -> None:
+        self._cancel_header_timer()
+        self._header_timer = self.loop.call_later(
+            HEADER_TIMEOUT_S, self.timeout_keep_alive_handler
+        )
+
+    def _cancel_header_timer(self) -> None:
+        if self._header_timer is not None:
+            self._header_timer.cancel()
+            self._header_timer = None
+
+    def data_received(self, data: bytes) -> None:
+        super().data_received(data)
+        if self.conn.their_state is not h11.IDLE:
+            self._cancel_header_timer()
+        elif self._header_timer is None:
+            self._start_header_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._cancel_header_timer()
+        super().connection_lost(exc)
+
+    def on_response_complete(self) -> None:
+        # The rest of a body that nobody reads could arrive for ever.
+        if self.conn.their_state is h11.SEND_BODY:
+            self.transport.close()
+        super().on_response_complete()
+        if self.conn.their_state is h11.IDLE and self.conn.trailing_data[0]:
+            self._start_header_timer()
+
+    def send_400_response(self, msg: str) -> None:
+        if self.conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            cast(_Application, self.config.app).service.rejected()
+            refused = outcome.Refused(codes.Code.INVALID_REQUEST, msg)
+            body = _content("", "", refused)
+            headers = [
+                ("content-type", _JSON),
+                ("content-length", str(len(body))),
+                ("connection", "close"),
+            ]
+            response = h11.Response(
+                status_code=400, headers=headers, reason=b"Bad Request"
+            )
+            for event in (response, h11.Data(data=body), h11.EndOfMessage()):
+                self.transport.write(self.conn.send(event) or b"")
+        self.transport.close()
