Add the asynchronous client of the HTTP interface

Cause: a caller that meets a lost entry host must submit again elsewhere under the same key, and must not take a guess for an outcome. Change: client.Client moves on to the next host with the same key, with full-jitter back-off, Retry-After, 8 tries, 30 s and a retry budget. Answers that contradict the table of codes or carry another key count as none. A refusal that says "not run" is not passed on while a request to another host is unanswered. Cancelled jobs and passed deadlines are not retried. Conclusion: the client reports only what an entry host said about the key.

--- /dev/null
+++ b/tests/test_client.py
@@ -0,0 +1,245 @@
+"""Guards the client: it tries again under one key and never invents an outcome."""
+
+import asyncio
+import json
+import random
+
+import pytest
+
+from burdockgate import client, codes, errors
+from burdockgate.process import web
+from burdockgate.request import job, outcome
+
+LIMITS = job.Limits(10_000, 3, 30.0, 60.0)
+BODY = {"guest": "g", "service": "s", "tasks": [{"payload": 1}]}
+COMPLETE = outcome.Complete(1, (b'{"a":1}',))
+LOST = outcome.Failed(1, codes.Code.WORKER_LOST, "lost")
+FULL = outcome.Refused(codes.Code.BACKLOG_FULL, "full")
+
+
+class _Service(web.EntryService):
+    """Answers with each of ``results`` in turn, and with the last one for ever."""
+
+    def __init__(self, *results):
+        self.results = list(results)
+        self.keys = []
+        self.workers = set()
+
+    async def _next(self, key):
+        self.keys.append(key)
+        return self.results.pop(0) if len(self.results) > 1 else self.results[0]
+
+    async def submit(self, request, wait):
+        return await self._next(request.key)
+
+    async def fetch(self, guest, key, wait_s):
+        return await self._next((guest, key, wait_s))
+
+    async def cancel(self, guest, key):
+        return await self._next((guest, key))
+
+    async def drain(self, worker, active):
+        return worker in self.workers
+
+    def status(self):
+        return {"view": 1}
+
+    def not_ready_reason(self):
+        return ""
+
+    def rejected(self):
+        pass
+
+
+@pytest.fixture(autouse=True)
+def _no_delay(monkeypatch):
+    monkeypatch.setattr(client, "BACKOFF_BASE_S", 0.0)
+
+
+@pytest.fixture
+async def serve():
+    """Start an entry host for each service and return the URLs."""
+    servers = []
+
+    async def start(*services):
+        for service in services:
+            server = web.Server(web.build(service, LIMITS), "127.0.0.1")
+            await server.start()
+            servers.append(server)
+        return [f"http://{server.address}" for server in servers[-len(services) :]]
+
+    yield start
+    await asyncio.gather(*[server.stop(0.0) for server in servers])
+
+
+@pytest.fixture
+async def breaker():
+    """Return the URL of a host that reads the request and sends ``reply``."""
+    listeners = []
+
+    async def start(reply=b""):
+        async def handle(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(reply)
+            writer.close()
+
+        listeners.append(await asyncio.start_server(handle, "127.0.0.1", 0))
+        return f"http://127.0.0.1:{listeners[-1].sockets[0].getsockname()[1]}"
+
+    yield start
+    for listener in listeners:
+        listener.close()
+
+
+class _First(random.Random):
+    """Begins at the first URL."""
+
+    def randrange(self, *args):
+        return 0
+
+
+def _client(urls, timeout_s=30.0):
+    return client.Client(urls, timeout_s, _First(1))
+
+
+async def _dead_url():
+    listener = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+    port = listener.sockets[0].getsockname()[1]
+    listener.close()
+    await listener.wait_closed()
+    return f"http://127.0.0.1:{port}"
+
+
+async def test_moves_on_with_the_same_key(serve, breaker):
+    """Another key at the next host would start the tasks a second time."""
+    service = _Service(LOST, COMPLETE)
+    [url] = await serve(service)
+    async with _client([await _dead_url(), await breaker(), url]) as entry:
+        answer = await entry.submit(BODY)
+        assert (answer.outcome, answer.results) == ("complete", ({"a": 1},))
+        assert answer.url == url
+        assert service.keys == [answer.key] * 2
+        assert (await entry.submit(json.dumps(BODY).encode(), "mine")).key == "mine"
+        assert service.keys[2:] == ["mine"]
+
+
+HEAD = b"HTTP/1.1 502 Bad\r\nConnection: close\r\n\r\n"
+NONSENSE = [
+    b"",
+    HEAD + b"<html>",
+    HEAD + b'{"error": 1}',
+    HEAD + b'{"code":0,"start":"ran","outcome":"complete","attempt":1,"detail":"",'
+    b'"key":"other","results":[]}',
+    HEAD + b'{"code":113,"start":"not run","outcome":"refused","attempt":0,"detail":"",'
+    b'"key":""}',
+    HEAD + b'{"code":105,"start":"ran","outcome":"refused","attempt":1,"detail":"",'
+    b'"key":"k"}',
+]
+
+
+@pytest.mark.parametrize("reply", NONSENSE, ids=range(len(NONSENSE)))
+async def test_no_outcome_is_invented(breaker, reply):
+    """A broken or foreign answer must not pass for the outcome of the job."""
+    async with _client([await breaker(reply)]) as entry:
+        with pytest.raises(errors.ClientError, match="key k: gave up after 8.* may "):
+            await entry.submit(BODY, "k")
+
+
+async def test_refusal_does_not_cover_an_unanswered_request(serve, breaker):
+    """A refusal by one host is no proof while a request to another is open."""
+    urls = await serve(_Service(FULL))
+    async with _client([await breaker(), *urls]) as entry:
+        with pytest.raises(errors.ClientError, match="BACKLOG_FULL.*may have run"):
+            await entry.submit(BODY)
+    async with _client([await _dead_url(), *urls]) as entry:
+        assert (await entry.submit(BODY)).code is codes.Code.BACKLOG_FULL
+
+
+async def test_unreachable_hosts_are_told_apart(breaker):
+    """A caller must learn that nothing was sent."""
+    async with _client([await _dead_url()]) as entry:
+        with pytest.raises(errors.ClientError, match="no request is left unanswered"):
+            await entry.submit(BODY)
+        with pytest.raises(errors.ClientError, match="GET /v1/status: gave up"):
+            await entry.status()
+
+
+@pytest.mark.parametrize(
+    ("code", "tries"),
+    [
+        (codes.Code.WORKER_LOST, 8),
+        (codes.Code.ANSWER_EXPIRED, 1),
+        (codes.Code.CANCELLED_NOT_RUN, 1),
+        (codes.Code.DEADLINE_MAY_HAVE_RUN, 1),
+    ],
+)
+async def test_only_some_codes_are_retried(serve, code, tries):
+    """Endless or pointless retries would add load when hosts are overloaded."""
+    service = _Service(outcome.Failed(1, code, "x"))
+    async with _client(await serve(service)) as entry:
+        assert (await entry.submit(BODY)).code is code
+    assert len(service.keys) == tries
+
+
+async def test_retry_budget_is_shared_by_calls(serve):
+    """Many callers that all retry would keep an overloaded host overloaded."""
+    service = _Service(FULL)
+    async with _client(await serve(service)) as entry:
+        for _ in range(10):
+            await entry.submit(BODY)
+    assert len(service.keys) <= 10 + client.RETRY_BUDGET_MAX + 1
+
+
+async def test_retry_after_is_honoured(serve, monkeypatch):
+    """A retry before the time that the host names is wasted."""
+    delays = []
+    sleep = asyncio.sleep
+
+    async def record(delay_s):
+        delays.append(delay_s)
+        await sleep(0)
+
+    later = outcome.Refused(codes.Code.RATE_EXCEEDED, "x", 2.0)
+    urls = await serve(_Service(later, COMPLETE), _Service(later))
+    monkeypatch.setattr(client.asyncio, "sleep", record)
+    async with _client(urls[:1]) as entry:
+        assert (await entry.submit(BODY)).outcome == "complete"
+    assert [delay for delay in delays if delay >= 2] == [2.0]
+    monkeypatch.setattr(client, "RETRY_TIME_S", 1.0)
+    async with _client(urls[1:]) as entry:
+        assert (await entry.submit(BODY)).code is codes.Code.RATE_EXCEEDED
+
+
+async def test_timeout_says_what_is_known():
+    """A host that never answers must not block the caller, nor look like a failure."""
+
+    async def handle(reader, writer):
+        await reader.read()
+        writer.close()
+
+    listener = await asyncio.start_server(handle, "127.0.0.1", 0)
+    port = listener.sockets[0].getsockname()[1]
+    async with _client([f"http://127.0.0.1:{port}"], 0.2) as entry:
+        with pytest.raises(errors.ClientError, match="within 0.2 s.*may have run"):
+            await entry.submit(BODY)
+    listener.close()
+
+
+async def test_other_calls(serve):
+    """Names with reserved characters must reach the host unchanged."""
+    first, second = _Service(LOST), _Service(outcome.Pending(1))
+    second.workers = {"w/1"}
+    urls = await serve(first, second)
+    async with _client(urls) as entry:
+        assert (await entry.fetch("g/1", "a?b", 1.5)).code is codes.Code.WORKER_LOST
+        assert (await entry.cancel("g/1", ".")).start == "may have run"
+        assert first.keys == [("g/1", "a?b", 1.5), ("g/1", ".")]
+        assert await entry.status() == {"view": 1}
+        assert await entry.drain("w/1")
+        assert not await entry.drain("w2", active=False)
+    async with _client([urls[0], await _dead_url()]) as entry:
+        with pytest.raises(errors.ClientError, match="ConnectError"):
+            await entry.drain("w2")
+    for bad in ([], ["127.0.0.1:80"], ["http://"], ["http://h:x"]):
+        with pytest.raises(errors.ClientError, match="urls: "):
+            client.Client(bad)
