--- a/src/burdockgate/messages.py
+++ b/src/burdockgate/messages.py
@@ -12,6 +12,9 @@
 
 PROTOCOL = 1
 RESULT_LIMIT_BYTES = 1024 * 1024
+# Members of claim groups that have lost their records wait for this time and the
+# key retention before they vote on unknown keys, so it cannot be large.
+LONGEST_DEADLINE_S = 300.0
 
 
 class Role(enum.IntEnum):
--- a/src/burdockgate/process/claims.py
+++ b/src/burdockgate/process/claims.py
@@ -13,7 +13,6 @@
 
 from burdockgate import clock, codes, messages
 from burdockgate.process import catchup
-from burdockgate.request import job
 
 MS_PER_S = 1000
 ASK_ONLY_EPOCH = 0
@@ -40,7 +39,9 @@
         self._time = time
         self._retention_s = retention_s
         self._held_by_job: dict[bytes, _Held] = {}
-        self.catchup = catchup.Catchup(node, time, retention_s + job.LONGEST_DEADLINE_S)
+        self.catchup = catchup.Catchup(
+            node, time, retention_s + messages.LONGEST_DEADLINE_S
+        )
 
     def __len__(self) -> int:
         return len(self._held_by_job)
--- a/src/burdockgate/process/entryhost.py
+++ b/src/burdockgate/process/entryhost.py
@@ -17,6 +17,7 @@
 DRAIN_POLL_S = 0.05
 DRAIN_GRACE_S = 0.2
 RESPONSE_MEASURE = "response"
+PLOT_WIDTH = 72
 
 
 class EntryHost(daemon.Daemon, web.EntryService):
@@ -240,7 +241,7 @@
             "jobs_in_progress": len(self.core.jobs),
             "counters": self.counters.snapshot(),
             "histograms": [
-                {**attrs.asdict(item), "plot": self._histograms.plot(item)}
+                {**attrs.asdict(item), "plot": histograms.plot(item, PLOT_WIDTH)}
                 for item in self._histograms.summary()
             ],
         }
