--- /dev/null
+++ b/tests/test_backend.py
@@ -0,0 +1,210 @@
+"""Guards what an agent may conclude from each end of a call, and that none is resent.
+
+``RETURNED`` lets the owner start the task elsewhere, so a wrong one is a double start.
+"""
+
+import asyncio
+import contextlib
+import json
+import socket
+
+import httpx
+import pytest
+
+from burdockgate import clock, errors, messages
+from burdockgate.process import backend
+from burdockgate.standin import backend as standin
+
+State = messages.TaskState
+JOB = b"j" * 16
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+OK = HEAD % 2 + b"42"
+
+
+@contextlib.asynccontextmanager
+async def raw_server(*scripts):
+    """Answer the n-th request with the n-th script and count the requests.
+
+    A script is bytes to send; ``None`` in its place resets the connection. After
+    each script but ``OK`` the connection is closed.
+    """
+    requests = []
+
+    async def serve(reader, writer):
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                size = int(head.lower().split(b"content-length:")[1].split()[0])
+                requests.append(head + await reader.readexactly(size))
+                script = scripts[len(requests) - 1]
+                if script is None:
+                    writer.transport.abort()
+                    return
+                writer.write(script)
+                if script != OK:
+                    break
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    try:
+        yield f"http://127.0.0.1:{port}", requests
+    finally:
+        server.close()
+
+
+@contextlib.asynccontextmanager
+async def caller(url, connections=4, limit=1000):
+    calls = backend.Backend(url, connections, limit, clock.ManualClock())
+    try:
+        yield calls
+    finally:
+        await calls.close()
+
+
+@contextlib.asynccontextmanager
+async def standin_server():
+    server = standin.BackendServer("b", "127.0.0.1", 0, clock.ManualClock())
+    await server.start()
+    try:
+        yield server, f"http://{server.address}"
+    finally:
+        await server.stop()
+
+
+async def run(calls, payload=b"1", timeout_ms=5000):
+    return await calls.run(JOB, 2, 7, payload, timeout_ms)
+
+
+async def test_result_and_headers_pass_unchanged():
+    async with standin_server() as (server, url), caller(url) as calls:
+        finished = await run(calls, b'{"a": 1.50}')
+        assert await calls.probe()
+        server.faults = standin.Faults(down=True)
+        assert not await calls.probe()
+    assert finished.state is State.DONE
+    assert finished.payload == b'{"task":7,"echo":{"a": 1.50},"server":"b"}'
+    assert server.starts == [standin.Start(JOB, 2, 7, 0, 0.0, b'{"a": 1.50}')]
+    async with caller(url) as calls:
+        assert not await calls.probe()
+
+
+@pytest.mark.parametrize(
+    ("script", "state"),
+    [
+        (OK, State.DONE),
+        (HEAD % 3 + b"NaN", State.FAILED),
+        (HEAD % 4 + b"\xff\xfe4\x00", State.FAILED),
+        (HEAD % 0, State.FAILED),
+        (HEAD % 5000 + b"1" * 5000, State.OVERSIZE),
+        (HEAD % 1000 + b"1" * 1000, State.DONE),
+        (b"HTTP/1.1 200 OK\r\n\r\n" + b"1" * 1001, State.OVERSIZE),
+        (HEAD % 9 + b"42", State.UNKNOWN),
+        (b"HTTP/1.1 500 X\r\nContent-Length: 9\r\n\r\nbad\n", State.FAILED),
+        (b"HTTP/1.1 302 X\r\nLocation: /tasks\r\n\r\n", State.FAILED),
+        (b"HTTP/1.1 204 X\r\n\r\n", State.FAILED),
+        (b"not HTTP\r\n\r\n", State.UNKNOWN),
+        (b"", State.UNKNOWN),
+        (None, State.UNKNOWN),
+    ],
+)
+async def test_state_of_each_answer_and_no_second_send(script, state):
+    async with raw_server(script, OK) as (url, requests), caller(url) as calls:
+        finished = await run(calls)
+    assert finished.state is state, finished
+    assert state is State.DONE or b"\n" not in finished.payload
+    assert len(requests) == 1
+
+
+@pytest.mark.parametrize("script", [b"", None])
+async def test_broken_kept_connection_is_unknown_and_not_sent_again(script):
+    async with raw_server(OK, script, OK) as (url, requests), caller(url) as calls:
+        assert (await run(calls)).state is State.DONE
+        assert (await run(calls)).state is State.UNKNOWN
+        assert len(requests) == 2
+
+
+async def test_refused_connection_is_returned():
+    with socket.create_server(("127.0.0.1", 0)) as closed:
+        port = closed.getsockname()[1]
+    async with caller(f"http://127.0.0.1:{port}") as calls:
+        finished = await run(calls)
+    assert finished.state is State.RETURNED
+    assert b"ConnectError" in finished.payload
+
+
+async def test_connection_that_is_not_accepted_in_time_is_returned():
+    with socket.create_server(("127.0.0.1", 0), backlog=0) as full:
+        fillers = [socket.socket() for _ in range(4)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(full.getsockname())
+        async with caller(f"http://127.0.0.1:{full.getsockname()[1]}") as calls:
+            finished = await run(calls, timeout_ms=300)
+        for filler in fillers:
+            filler.close()
+    assert finished.state is State.RETURNED
+    assert b"ConnectTimeout" in finished.payload
+
+
+async def test_call_without_a_free_connection_is_returned_and_not_sent():
+    async with standin_server() as (server, url), caller(url, 1) as calls:
+        first = asyncio.create_task(run(calls, b'{"hang": true}'))
+        async with asyncio.timeout(10), httpx.AsyncClient() as client:
+            while not (await client.get(f"{url}/v1/starts")).json():
+                pass
+        finished = await run(calls, timeout_ms=300)
+        first.cancel()
+        assert len(server.starts) == 1
+    assert finished.state is State.RETURNED
+    assert b"PoolTimeout" in finished.payload
+
+
+async def test_timeout_after_the_send_is_unknown():
+    async with standin_server() as (server, url), caller(url) as calls:
+        finished = await run(calls, b'{"hang": true}', 300)
+        assert len(server.starts) == 1
+    assert finished.state is State.UNKNOWN
+
+
+async def test_request_that_is_only_partly_written_is_unknown():
+    """A connection that breaks during the write may have delivered the request."""
+
+    async def reset(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.transport.abort()
+
+    server = await asyncio.start_server(reset, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    async with caller(f"http://127.0.0.1:{port}") as calls:
+        finished = await run(calls, json.dumps("x" * 20_000_000).encode())
+    server.close()
+    assert finished.state is State.UNKNOWN
+
+
+@pytest.mark.parametrize("warm", [False, True])
+async def test_cancelled_call_closes_its_request_and_loses_no_connection(warm):
+    """A lost connection would in the end leave the agent without any."""
+    async with standin_server() as (_, url):
+        for steps in range(40):
+            async with caller(url, 1) as calls:
+                if warm:
+                    assert (await run(calls)).state is State.DONE
+                task = asyncio.create_task(run(calls, b'{"hang": true}'))
+                for _ in range(steps):
+                    await asyncio.sleep(0)
+                task.cancel()
+                with pytest.raises(asyncio.CancelledError):
+                    await task
+                first = await run(calls, timeout_ms=300)
+                assert first.state in (State.DONE, State.RETURNED)
+                assert (await run(calls)).state is State.DONE
+
+
+@pytest.mark.parametrize(
+    "url", ["https://h:1", "h:1", "http://h/x", "http://[", "http://h:99999", ""]
+)
+def test_url_of_another_form_is_refused_in_one_line(url):
+    with pytest.raises(errors.SettingsError) as caught:
+        backend.Backend(url, 1, 1)
+    assert len(caught.value.problems) == 1
