--- a/src/burdockgate/process/agent.py
+++ b/src/burdockgate/process/agent.py
@@ -91,6 +91,9 @@
         if hello.role is messages.Role.ENTRY:
             yield self._heartbeat(hello.node.name)
             yield from self._send_load(hello.node.name)
+        else:
+            self.claims.catchup.hurry(hello.node.name)
+            yield from self.claims.catchup.tick(self._session_by_name)
 
     def disconnected(self, name: str) -> _Effects:
         """End a session.
--- a/src/burdockgate/process/catchup.py
+++ b/src/burdockgate/process/catchup.py
@@ -141,6 +141,14 @@
             if step.after.number == number:
                 step.replied.add((node.name, node.boot))
 
+    def hurry(self, name: str) -> None:
+        """Ask a voter at the next tick, because it has just connected.
+
+        :param name: its name.
+        """
+        for step in self._steps:
+            step.asked_at_by_name.pop(name, None)
+
     def tick(self, connected: Iterable[str]) -> Iterator[effects.Effect]:
         """Ask the voters that have not answered, and drop settled steps.
 
--- a/src/burdockgate/settings.py
+++ b/src/burdockgate/settings.py
@@ -173,9 +173,11 @@
         ),
     )
     max_deadline_s: float = attrs.field(
-        default=3600.0,
+        default=300.0,
         metadata=fields.key(
-            fields.Number(0.001, 86400, "s"), "longest deadline that a job may name"
+            # Claim group members keep unsettled claims no longer than this.
+            fields.Number(0.001, 300, "s"),
+            "longest deadline that a job may name",
         ),
     )
     answers_bytes: int = attrs.field(
--- a/src/burdockgate/version/view.py
+++ b/src/burdockgate/version/view.py
@@ -47,11 +47,19 @@
     """An immutable view.
 
     :param number: offset after the last record folded; 0 for the empty view.
+    :param waiting: records kept until a snapshot comes, when older ones had expired
+        before the first was read; ``None`` for a complete view.
     """
 
     number: int = 0
     entry_by_name: Mapping[str, messages.Node] = attrs.field(factory=dict)
     voter_by_name: Mapping[str, Voter] = attrs.field(factory=dict)
+    waiting: tuple[messages.LogRecord, ...] | None = None
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether every record before ``number`` has been taken into account."""
+        return self.waiting is None
 
     def group(self, job: bytes) -> tuple[messages.Node, ...]:
         """Return the members of the claim group of a job.
@@ -123,12 +131,36 @@
     """
     if record.offset < view.number:
         return view
-    number = record.offset + 1
+    if view.number == 0 and record.offset > 0:
+        view = attrs.evolve(view, waiting=())
+    moved = attrs.evolve(view, number=record.offset + 1)
     try:
         value = json.loads(record.value)
-        return _apply(attrs.evolve(view, number=number), Change(value["type"]), value)
+        change = Change(value["type"])
+        if moved.waiting is not None:
+            return _apply_incomplete(moved, record, change, value)
+        return _apply(moved, change, value)
     except (ValueError, KeyError, TypeError):
-        return attrs.evolve(view, number=number)
+        return moved
+
+
+def _apply_incomplete(
+    view: View, record: messages.LogRecord, change: Change, value: Any
+) -> View:
+    """Keep a record, or start from a snapshot that all kept records follow."""
+    assert view.waiting is not None
+    kept = (*view.waiting, record)
+    first = kept[0].offset
+    if change is not Change.SNAPSHOT or value["through"] < first:
+        return attrs.evolve(view, waiting=kept)
+    start = View(
+        value["through"],
+        {item["name"]: _read_node(item) for item in value["entries"]},
+        {item["name"]: _read_voter(item) for item in value["voters"]},
+    )
+    for later in kept:
+        start = fold(start, later)
+    return start
 
 
 def _apply(view: View, change: Change, value: Any) -> View:
@@ -144,9 +176,6 @@
         _discard(entries, value, lambda node: node)
     elif change is Change.REMOVE:
         _discard(voters, value, lambda voter: voter.node)
-    elif change is Change.SNAPSHOT and not entries and not voters:
-        entries = {item["name"]: _read_node(item) for item in value["entries"]}
-        voters = {item["name"]: _read_voter(item) for item in value["voters"]}
     return attrs.evolve(view, entry_by_name=entries, voter_by_name=voters)
 
 
@@ -206,6 +235,7 @@
     return _dump(
         {
             "type": Change.SNAPSHOT,
+            "through": view.number,
             "entries": [attrs.asdict(node) for node in view.entry_by_name.values()],
             "voters": [_voter_fields(voter) for voter in view.voter_by_name.values()],
         }
