--- /dev/null
+++ b/tests/test_checker.py
@@ -0,0 +1,181 @@
+"""Guards the checker: each broken promise is named, and correct traces pass."""
+
+import pytest
+
+from burdockgate import codes
+from burdockgate.request import job as request_job
+from burdockgate.standin import checker
+
+JOB = request_job.job_id("g", "k")
+TASKS = (b'{"n":1}', b"2")
+RESULTS = tuple(
+    b'{"task":%d,"echo":%b,"server":"w"}' % (index, payload)
+    for index, payload in enumerate(TASKS)
+)
+Code = codes.Code
+Promise = checker.Promise
+
+
+def submitted(at=0.0, repeatable=True, tasks=TASKS, entry="e"):
+    return checker.Submitted(at, "g", "k", 1, entry, tasks, repeatable)
+
+
+def started(at, index, attempt=1, server="w"):
+    return checker.Started(at, JOB, attempt, index, server, TASKS[index])
+
+
+def answered(at, code=Code.COMPLETE, attempt=1, results=RESULTS, entry="e"):
+    return checker.Answered(at, "g", "k", code, attempt, results, entry)
+
+
+def refused(at, code=Code.BACKLOG_FULL, attempt=0, entry="e"):
+    return answered(at, code, attempt, (), entry)
+
+
+def claimed(epoch, owner):
+    return checker.Claimed(0.1, JOB, 1, epoch, owner)
+
+
+CORRECT = [
+    submitted(),
+    claimed(1, "e/1"),
+    checker.Sent(0.2, JOB, 1, 0, "w"),
+    started(0.2, 0),
+    started(0.2, 1, server="v"),
+    answered(0.9),
+]
+VERSIONS = [
+    checker.InForce(0.0, "a", 1),
+    checker.InForce(0.0, "b", 1),
+    checker.Accepted(1.0, 2),
+    checker.InForce(2.0, "a", 2),
+]
+OTHER = submitted(5.0, tasks=(b"9",))
+
+
+def broken(events, **settings):
+    found = checker.check(events, checker.Settings(**settings))
+    assert all("\n" not in violation.detail for violation in found)
+    return [violation.promise for violation in found]
+
+
+@pytest.mark.parametrize(
+    "events",
+    [
+        [],
+        CORRECT,
+        list(reversed(CORRECT)),
+        # The same owner claims again, and another takes over by the next epoch.
+        [*CORRECT, claimed(1, "e/1"), claimed(2, "f/1")],
+        # A failed attempt, then the next one of a repeatable job.
+        [
+            submitted(),
+            started(0.1, 0),
+            refused(0.2, Code.TASK_FAILED, 1),
+            submitted(1.0),
+            started(1.1, 0, 2),
+            started(1.1, 1, 2),
+            answered(1.2, attempt=2),
+        ],
+        # A refusal after an attempt that has ended, and one before the first start.
+        [submitted(), started(0.1, 0), refused(0.2, Code.TASK_FAILED, 1)]
+        + [submitted(1.0), refused(1.1)],
+        [submitted(), refused(0.1), *CORRECT],
+        # A start between submission and refusal may belong to another submission.
+        [submitted(), submitted(0.0, entry="f"), started(0.1, 0), refused(0.2)],
+        # The refused body is not the one that ran.
+        [*CORRECT[:-1], OTHER, refused(5.1, Code.KEY_REUSED)],
+        [submitted(), started(0.1, 0), refused(0.2, Code.WORKER_LOST, 1)],
+        # Another spelling of the same JSON.
+        [
+            submitted(),
+            answered(1, results=(b'{"echo": {"n": 1}, "task": 0}', RESULTS[1])),
+        ],
+        [checker.Left(1.0, "w"), started(4.0, 0)],
+        [checker.Left(1.0, "w"), checker.Joined(8.0, "w"), started(9.0, 0)],
+        [*VERSIONS, checker.InForce(6.0, "b", 3), checker.Accepted(9.0, 4)],
+        [*VERSIONS, checker.Left(3.0, "b"), checker.InForce(20.0, "a", 2)],
+        # A version is due only 5 s after a node has come back.
+        [*VERSIONS, checker.Left(1.5, "b"), checker.Joined(8.0, "b")]
+        + [checker.InForce(12.0, "b", 2), checker.InForce(30.0, "a", 2)],
+    ],
+)
+def test_correct_trace_passes(events):
+    assert broken(events) == []
+
+
+@pytest.mark.parametrize(
+    ("promise", "events"),
+    [
+        (Promise.TASK_STARTED_ONCE, [*CORRECT, started(1.0, 0, server="v")]),
+        (Promise.ONE_OWNER, [*CORRECT, claimed(1, "f/1")]),
+        (Promise.WHOLE_ANSWER, [submitted(), answered(1, results=RESULTS[:1])]),
+        (Promise.WHOLE_ANSWER, [submitted(), answered(1, Code.WORKER_LOST)]),
+        (Promise.OWN_ANSWER, [submitted(), answered(1, results=RESULTS[::-1])]),
+        (Promise.OWN_ANSWER, [submitted(tasks=(b"1", b"2")), answered(1)]),
+        (Promise.OWN_ANSWER, [submitted(), answered(1, results=(b"{", b"1"))]),
+        (
+            Promise.OWN_ANSWER,
+            [
+                submitted(tasks=(b"1",)),
+                answered(1, results=(b'{"task":0,"echo":true}',)),
+            ],
+        ),
+        (Promise.OWN_ANSWER, [answered(1)]),
+        (
+            Promise.NOT_RUN_IS_TRUE,
+            [submitted(), started(0.1, 0), refused(0.2, Code.QUEUE_TIMEOUT, 1)],
+        ),
+        # The start comes after the refusal.
+        (
+            Promise.NOT_RUN_IS_TRUE,
+            [submitted(), refused(0.2, Code.CANCELLED_NOT_RUN, 1), started(0.3, 0)],
+        ),
+        # The only submission is refused without an attempt, then a task starts.
+        (Promise.NOT_RUN_IS_TRUE, [submitted(), refused(0.2), started(0.3, 0)]),
+        # A second submission is refused while the first one runs.
+        (
+            Promise.NOT_RUN_IS_TRUE,
+            [submitted(), started(0.1, 0), submitted(1.0), refused(1.1), answered(2)],
+        ),
+        (
+            Promise.NOT_RUN_IS_TRUE,
+            [submitted(), started(0.1, 0), refused(0.2, Code.KEY_REUSED)],
+        ),
+        (
+            Promise.NOT_REPEATABLE,
+            [submitted(repeatable=False), started(0.1, 0), started(1.0, 0, 2)],
+        ),
+        (
+            Promise.SAME_ANSWER,
+            [*CORRECT, answered(2, results=(RESULTS[0] + b" ", RESULTS[1]))],
+        ),
+        (Promise.LEFT_WORKER_RESTS, [checker.Left(1.0, "w"), started(4.1, 0)]),
+        # The death that follows a leave does not begin the limit again.
+        (
+            Promise.LEFT_WORKER_RESTS,
+            [checker.Left(1.0, "w"), checker.Left(3.0, "w"), started(5.0, 0)],
+        ),
+        (Promise.VERSION_GROWS, [*VERSIONS, checker.InForce(2.5, "a", 1)]),
+        (Promise.VERSION_IN_FORCE, [*VERSIONS, checker.InForce(6.1, "b", 2)]),
+        (Promise.VERSION_IN_FORCE, [*VERSIONS, checker.InForce(9.0, "a", 2)]),
+        (
+            Promise.VERSION_IN_FORCE,
+            [*VERSIONS, checker.Left(1.5, "b"), checker.Joined(8.0, "b")]
+            + [checker.InForce(13.1, "b", 2)],
+        ),
+    ],
+)
+def test_broken_promise_is_found_and_no_other_is_named(promise, events):
+    assert broken(events) == [promise]
+
+
+def test_node_that_never_reports_a_version_is_found():
+    events = [*VERSIONS, checker.InForce(6.0, "b", 2), checker.InForce(9.0, "a", 2)]
+    assert broken(events) == []
+    assert broken(events, nodes=("c",)) == [Promise.VERSION_IN_FORCE]
+
+
+def test_every_promise_is_covered():
+    marks = test_broken_promise_is_found_and_no_other_is_named.pytestmark
+    assert {promise for promise, _ in marks[0].args[1]} == set(Promise)
