Show the table of result codes on a page

Cause: callers need the codes with their start class, status and retry rule in one place that cannot differ from the program. The tests of the client share the fake entry host with those of the HTTP interface.

--- a/src/burdockgate/codes.py
+++ b/src/burdockgate/codes.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Iterator
 
 import attrs
 
@@ -153,3 +154,23 @@
     :returns: the class, or ``None`` for a pending job.
     """
     return MEANING_BY_CODE[code].start
+
+
+def markdown_table() -> str:
+    """Return the table of all codes for ``docs/result-codes.md``.
+
+    :returns: the lines of a Markdown table, each ended by a newline.
+    """
+    return "".join(_markdown_rows())
+
+
+def _markdown_rows() -> Iterator[str]:
+    yield "| code | name | start | HTTP status | retry can help | meaning |\n"
+    yield "| --- | --- | --- | --- | --- | --- |\n"
+    for code, meaning in MEANING_BY_CODE.items():
+        start = meaning.start.value if meaning.start else "none yet"
+        retry = "yes" if meaning.retryable else "no"
+        yield (
+            f"| {code:d} | `{code.name}` | {start} | {meaning.status} | {retry} "
+            f"| {meaning.text} |\n"
+        )
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -6,49 +6,30 @@
 
 import pytest
 
+import test_web
 from burdockgate import client, codes, errors
 from burdockgate.process import web
-from burdockgate.request import job, outcome
+from burdockgate.request import outcome
 
-LIMITS = job.Limits(10_000, 3, 30.0, 60.0)
 BODY = {"guest": "g", "service": "s", "tasks": [{"payload": 1}]}
 COMPLETE = outcome.Complete(1, (b'{"a":1}',))
 LOST = outcome.Failed(1, codes.Code.WORKER_LOST, "lost")
 FULL = outcome.Refused(codes.Code.BACKLOG_FULL, "full")
 
 
-class _Service(web.EntryService):
+class _Service(test_web._Service):
     """Answers with each of ``results`` in turn, and with the last one for ever."""
 
     def __init__(self, *results):
+        super().__init__()
         self.results = list(results)
-        self.keys = []
-        self.workers = set()
 
-    async def _next(self, key):
-        self.keys.append(key)
+    async def _call(self, *call):
+        self.calls.append(call)
         return self.results.pop(0) if len(self.results) > 1 else self.results[0]
 
-    async def submit(self, request, wait):
-        return await self._next(request.key)
-
-    async def fetch(self, guest, key, wait_s):
-        return await self._next((guest, key, wait_s))
-
-    async def cancel(self, guest, key):
-        return await self._next((guest, key))
-
-    async def drain(self, worker, active):
-        return worker in self.workers
-
-    def status(self):
-        return {"view": 1}
-
-    def not_ready_reason(self):
-        return ""
-
-    def rejected(self):
-        pass
+    def keys(self):
+        return [call[2] for call in self.calls]
 
 
 @pytest.fixture(autouse=True)
@@ -63,7 +44,7 @@
 
     async def start(*services):
         for service in services:
-            server = web.Server(web.build(service, LIMITS), "127.0.0.1")
+            server = web.Server(web.build(service, test_web.LIMITS), "127.0.0.1")
             await server.start()
             servers.append(server)
         return [f"http://{server.address}" for server in servers[-len(services) :]]
@@ -118,9 +99,9 @@
         answer = await entry.submit(BODY)
         assert (answer.outcome, answer.results) == ("complete", ({"a": 1},))
         assert answer.url == url
-        assert service.keys == [answer.key] * 2
+        assert service.keys() == [answer.key] * 2
         assert (await entry.submit(json.dumps(BODY).encode(), "mine")).key == "mine"
-        assert service.keys[2:] == ["mine"]
+        assert service.keys()[2:] == ["mine"]
 
 
 HEAD = b"HTTP/1.1 502 Bad\r\nConnection: close\r\n\r\n"
@@ -178,7 +159,7 @@
     service = _Service(outcome.Failed(1, code, "x"))
     async with _client(await serve(service)) as entry:
         assert (await entry.submit(BODY)).code is code
-    assert len(service.keys) == tries
+    assert len(service.calls) == tries
 
 
 async def test_retry_budget_is_shared_by_calls(serve):
@@ -187,7 +168,7 @@
     async with _client(await serve(service)) as entry:
         for _ in range(10):
             await entry.submit(BODY)
-    assert len(service.keys) <= 10 + client.RETRY_BUDGET_MAX + 1
+    assert len(service.calls) <= 10 + client.RETRY_BUDGET_MAX + 1
 
 
 async def test_retry_after_is_honoured(serve, monkeypatch):
@@ -228,13 +209,13 @@
 async def test_other_calls(serve):
     """Names with reserved characters must reach the host unchanged."""
     first, second = _Service(LOST), _Service(outcome.Pending(1))
-    second.workers = {"w/1"}
+    second.worker = "w/1"
     urls = await serve(first, second)
     async with _client(urls) as entry:
         assert (await entry.fetch("g/1", "a?b", 1.5)).code is codes.Code.WORKER_LOST
         assert (await entry.cancel("g/1", ".")).start == "may have run"
-        assert first.keys == [("g/1", "a?b", 1.5), ("g/1", ".")]
-        assert await entry.status() == {"view": 1}
+        assert first.calls == [("fetch", "g/1", "a?b", 1.5), ("cancel", "g/1", ".")]
+        assert await entry.status() == {"workers": 3}
         assert await entry.drain("w/1")
         assert not await entry.drain("w2", active=False)
     async with _client([urls[0], await _dead_url()]) as entry:
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -21,6 +21,7 @@
 
     def __init__(self):
         self.calls = []
+        self.worker = "w"
         self.called = asyncio.Event()
         self.result = outcome.Complete(1, (b"[1]", b'"\xc3\xa9"'))
         self.gate = None
@@ -47,7 +48,7 @@
 
     async def drain(self, worker, active):
         self.calls.append(("drain", worker, active))
-        return worker == "w"
+        return worker == self.worker
 
     def status(self):
         return {"workers": 3}
