--- a/src/burdockgate/standin/checker.py
+++ b/src/burdockgate/standin/checker.py
@@ -18,124 +18,7 @@
 
 from burdockgate import codes
 from burdockgate.request import job as request_job
-
-
-@attrs.frozen
-class Submitted:
-    """A caller sent a job.
-
-    :param attempt_of_caller: counts the caller's submissions of this key.
-    :param entry: name of the entry host.
-    :param tasks: JSON text of each task's payload, in order.
-    """
-
-    at: float
-    guest: str
-    key: str
-    attempt_of_caller: int
-    entry: str
-    tasks: tuple[bytes, ...]
-    repeatable: bool
-
-
-@attrs.frozen
-class Claimed:
-    """An entry host became the owner of a job.
-
-    :param owner: name and boot of the entry host, as one text.
-    """
-
-    at: float
-    job: bytes
-    attempt: int
-    epoch: int
-    owner: str
-
-
-@attrs.frozen
-class Sent:
-    """An owner sent a task to an agent; no promise is judged by it alone."""
-
-    at: float
-    job: bytes
-    attempt: int
-    index: int
-    agent: str
-
-
-@attrs.frozen
-class Started:
-    """A backend server got a task.
-
-    :param server: name of the worker, as in :class:`Left`.
-    :param payload: JSON text.
-    """
-
-    at: float
-    job: bytes
-    attempt: int
-    index: int
-    server: str
-    payload: bytes
-
-
-@attrs.frozen
-class Answered:
-    """A caller got an answer.
-
-    :param attempt: attempt that the answer names; 0 for none.
-    :param results: JSON text of each result; empty when the answer has none.
-    :param entry: name of the entry host.
-    """
-
-    at: float
-    guest: str
-    key: str
-    code: codes.Code
-    attempt: int
-    results: tuple[bytes, ...]
-    entry: str
-
-
-@attrs.frozen
-class Left:
-    """A worker or another node left, died, or let its lease lapse."""
-
-    at: float
-    worker: str
-
-
-@attrs.frozen
-class Joined:
-    """A worker or another node that had left announced itself again."""
-
-    at: float
-    worker: str
-
-
-@attrs.frozen
-class Accepted:
-    """The log accepted a version of the table."""
-
-    at: float
-    version: int
-
-
-@attrs.frozen
-class InForce:
-    """A node works by a version of the table.
-
-    :param node: name as in :class:`Left`; a restarted node is the same node.
-    """
-
-    at: float
-    node: str
-    version: int
-
-
-Event = (
-    Submitted | Claimed | Sent | Started | Answered | Left | Joined | Accepted | InForce
-)
+from burdockgate.standin import trace
 
 
 class Promise(enum.Enum):
@@ -189,13 +72,13 @@
 class _Job:
     """All that the trace says about one job."""
 
-    submissions: list[Submitted] = attrs.field(factory=list)
-    answers: list[Answered] = attrs.field(factory=list)
+    submissions: list[trace.Submitted] = attrs.field(factory=list)
+    answers: list[trace.Answered] = attrs.field(factory=list)
     attempt_by_number: dict[int, _Attempt] = attrs.field(factory=dict)
     owner_by_epoch: dict[int, str] = attrs.field(factory=dict)
 
 
-def check(events: Iterable[Event], settings: Settings) -> list[Violation]:
+def check(events: Iterable[trace.Event], settings: Settings) -> list[Violation]:
     """Return every broken promise that the trace shows.
 
     A version that is due only after the last event is not judged.
@@ -205,25 +88,25 @@
     return list(_check(sorted(events, key=operator.attrgetter("at")), settings))
 
 
-def _check(events: list[Event], settings: Settings) -> Iterator[Violation]:
+def _check(events: list[trace.Event], settings: Settings) -> Iterator[Violation]:
     job_by_id: dict[bytes, _Job] = collections.defaultdict(_Job)
     left_at_by_worker: dict[str, float] = {}
-    presence: list[Left | Joined | InForce] = []
-    accepted: list[Accepted] = []
+    presence: list[trace.Left | trace.Joined | trace.InForce] = []
+    accepted: list[trace.Accepted] = []
     for event in events:
         match event:
-            case Started():
+            case trace.Started():
                 yield from _late_start(event, left_at_by_worker, settings)
                 yield from _second_start(event, job_by_id[event.job])
-            case Claimed():
+            case trace.Claimed():
                 yield from _second_owner(event, job_by_id[event.job])
-            case Submitted():
+            case trace.Submitted():
                 _job_of(event, job_by_id).submissions.append(event)
-            case Answered():
+            case trace.Answered():
                 _job_of(event, job_by_id).answers.append(event)
-            case Accepted():
+            case trace.Accepted():
                 accepted.append(event)
-            case Sent():
+            case trace.Sent():
                 pass
             case _:
                 presence.append(event)
@@ -235,22 +118,25 @@
         yield from _version_violations(presence, accepted, span, settings)
 
 
-def _job_of(event: Submitted | Answered, job_by_id: dict[bytes, _Job]) -> _Job:
+def _job_of(
+    event: trace.Submitted | trace.Answered, job_by_id: dict[bytes, _Job]
+) -> _Job:
     return job_by_id[request_job.job_id(event.guest, event.key)]
 
 
 def _note_presence(
-    event: Left | Joined | InForce, left_at_by_worker: dict[str, float]
+    event: trace.Left | trace.Joined | trace.InForce,
+    left_at_by_worker: dict[str, float],
 ) -> None:
-    if isinstance(event, Left):
+    if isinstance(event, trace.Left):
         # A death after a leave must not begin the limit again.
         left_at_by_worker.setdefault(event.worker, event.at)
-    elif isinstance(event, Joined):
+    elif isinstance(event, trace.Joined):
         left_at_by_worker.pop(event.worker, None)
 
 
 def _late_start(
-    event: Started, left_at_by_worker: dict[str, float], settings: Settings
+    event: trace.Started, left_at_by_worker: dict[str, float], settings: Settings
 ) -> Iterator[Violation]:
     late_s = event.at - left_at_by_worker.get(event.server, math.inf)
     if late_s > settings.leave_limit_s:
@@ -261,7 +147,7 @@
         )
 
 
-def _second_start(event: Started, job: _Job) -> Iterator[Violation]:
+def _second_start(event: trace.Started, job: _Job) -> Iterator[Violation]:
     attempt = job.attempt_by_number.get(event.attempt)
     if attempt is None:
         attempt = job.attempt_by_number[event.attempt] = _Attempt(event.at)
@@ -275,11 +161,11 @@
         )
 
 
-def _task(event: Started) -> str:
+def _task(event: trace.Started) -> str:
     return f"job {event.job.hex()} attempt {event.attempt} task {event.index}"
 
 
-def _second_owner(event: Claimed, job: _Job) -> Iterator[Violation]:
+def _second_owner(event: trace.Claimed, job: _Job) -> Iterator[Violation]:
     first = job.owner_by_epoch.setdefault(event.epoch, event.owner)
     if first != event.owner:
         yield Violation(
@@ -309,7 +195,7 @@
     yield from _false_not_run(job)
 
 
-def _broken(promise: Promise, answer: Answered, detail: str) -> Violation:
+def _broken(promise: Promise, answer: trace.Answered, detail: str) -> Violation:
     return Violation(
         promise,
         f"{answer.guest} key {answer.key!r} attempt {answer.attempt} got "
@@ -317,7 +203,7 @@
     )
 
 
-def _answer_violations(answer: Answered, job: _Job) -> Iterator[Violation]:
+def _answer_violations(answer: trace.Answered, job: _Job) -> Iterator[Violation]:
     # A key may have been submitted with several bodies; the answer must fit one.
     bodies = list(dict.fromkeys(each.tasks for each in job.submissions))
     bodies_of_size = [body for body in bodies if len(body) == len(answer.results)]
@@ -396,7 +282,7 @@
         yield _broken(Promise.NOT_RUN_IS_TRUE, unnamed[-1], detail)
 
 
-def _concerns_other_body(answer: Answered, job: _Job) -> bool:
+def _concerns_other_body(answer: trace.Answered, job: _Job) -> bool:
     """Whether "not run" speaks of a body other than the one that ran."""
     return (
         answer.code is codes.Code.KEY_REUSED
@@ -412,7 +298,7 @@
     return ended_at_by_attempt
 
 
-def _submitted_at(answer: Answered, job: _Job) -> float:
+def _submitted_at(answer: trace.Answered, job: _Job) -> float:
     """Return when the refused submission was sent; -inf when it is not known.
 
     A start between this time and the answer proves nothing, because another
@@ -432,7 +318,7 @@
     :param accepted: in the order of time.
     """
 
-    def __init__(self, accepted: list[Accepted], limit_s: float) -> None:
+    def __init__(self, accepted: list[trace.Accepted], limit_s: float) -> None:
         ordered = sorted(accepted, key=operator.attrgetter("version"))
         self.numbers = [event.version for event in ordered]
         # A higher version that was accepted earlier also asks for the lower one.
@@ -462,28 +348,28 @@
 
 
 def _version_violations(
-    presence: list[Left | Joined | InForce],
-    accepted: list[Accepted],
+    presence: list[trace.Left | trace.Joined | trace.InForce],
+    accepted: list[trace.Accepted],
     span: tuple[float, float],
     settings: Settings,
 ) -> Iterator[Violation]:
     versions = _Versions(accepted, settings.in_force_limit_s)
     state_by_node = {name: _NodeState(since=span[0]) for name in settings.nodes}
     # Workers that never report a version are judged only when the settings name
-    # them, so a Joined alone makes no node known.
+    # them, so a trace.Joined alone makes no node known.
     for event in presence:
-        name = event.node if isinstance(event, InForce) else event.worker
+        name = event.node if isinstance(event, trace.InForce) else event.worker
         state = state_by_node.get(name)
         if state is None:
-            if not isinstance(event, InForce):
+            if not isinstance(event, trace.InForce):
                 continue
             state = state_by_node[name] = _NodeState(since=event.at)
         yield from _late_version(name, state, event.at, versions, settings)
-        if isinstance(event, InForce):
+        if isinstance(event, trace.InForce):
             yield from _version_back(event, state)
             state.version = event.version
         else:
-            state.since = event.at if isinstance(event, Joined) else None
+            state.since = event.at if isinstance(event, trace.Joined) else None
     for name, state in state_by_node.items():
         yield from _late_version(name, state, span[1], versions, settings)
 
@@ -503,7 +389,7 @@
         )
 
 
-def _version_back(event: InForce, state: _NodeState) -> Iterator[Violation]:
+def _version_back(event: trace.InForce, state: _NodeState) -> Iterator[Violation]:
     if event.version < state.version:
         yield Violation(
             Promise.VERSION_GROWS,
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -4,7 +4,7 @@
 
 from burdockgate import codes
 from burdockgate.request import job as request_job
-from burdockgate.standin import checker
+from burdockgate.standin import checker, trace
 
 JOB = request_job.job_id("g", "k")
 TASKS = (b'{"n":1}', b"2")
@@ -17,15 +17,15 @@
 
 
 def submitted(at=0.0, repeatable=True, tasks=TASKS, entry="e"):
-    return checker.Submitted(at, "g", "k", 1, entry, tasks, repeatable)
+    return trace.Submitted(at, "g", "k", 1, entry, tasks, repeatable)
 
 
 def started(at, index, attempt=1, server="w"):
-    return checker.Started(at, JOB, attempt, index, server, TASKS[index])
+    return trace.Started(at, JOB, attempt, index, server, TASKS[index])
 
 
 def answered(at, code=Code.COMPLETE, attempt=1, results=RESULTS, entry="e"):
-    return checker.Answered(at, "g", "k", code, attempt, results, entry)
+    return trace.Answered(at, "g", "k", code, attempt, results, entry)
 
 
 def refused(at, code=Code.BACKLOG_FULL, attempt=0, entry="e"):
@@ -33,28 +33,28 @@
 
 
 def claimed(epoch, owner):
-    return checker.Claimed(0.1, JOB, 1, epoch, owner)
+    return trace.Claimed(0.1, JOB, 1, epoch, owner)
 
 
 CORRECT = [
     submitted(),
     claimed(1, "e/1"),
-    checker.Sent(0.2, JOB, 1, 0, "w"),
+    trace.Sent(0.2, JOB, 1, 0, "w"),
     started(0.2, 0),
     started(0.2, 1, server="v"),
     answered(0.9),
 ]
 VERSIONS = [
-    checker.InForce(0.0, "a", 1),
-    checker.InForce(0.0, "b", 1),
-    checker.Accepted(1.0, 2),
-    checker.InForce(2.0, "a", 2),
+    trace.InForce(0.0, "a", 1),
+    trace.InForce(0.0, "b", 1),
+    trace.Accepted(1.0, 2),
+    trace.InForce(2.0, "a", 2),
 ]
 OTHER = submitted(5.0, tasks=(b"9",))
 ASKED = [submitted()]
 RUNNING = [submitted(), started(0.1, 0)]
-LEFT = [checker.Left(1.0, "w")]
-BACK = [*VERSIONS, checker.Left(1.5, "b"), checker.Joined(8.0, "b")]
+LEFT = [trace.Left(1.0, "w")]
+BACK = [*VERSIONS, trace.Left(1.5, "b"), trace.Joined(8.0, "b")]
 
 
 def broken(events, **settings):
@@ -94,11 +94,11 @@
             answered(1, results=(b'{"echo": {"n": 1}, "task": 0}', RESULTS[1])),
         ],
         [*LEFT, started(4.0, 0)],
-        [*LEFT, checker.Joined(8.0, "w"), started(9.0, 0)],
-        [*VERSIONS, checker.InForce(6.0, "b", 3), checker.Accepted(9.0, 4)],
-        [*VERSIONS, checker.Left(3.0, "b"), checker.InForce(20.0, "a", 2)],
+        [*LEFT, trace.Joined(8.0, "w"), started(9.0, 0)],
+        [*VERSIONS, trace.InForce(6.0, "b", 3), trace.Accepted(9.0, 4)],
+        [*VERSIONS, trace.Left(3.0, "b"), trace.InForce(20.0, "a", 2)],
         # A version is due only 5 s after a node has come back.
-        [*BACK, checker.InForce(12.0, "b", 2), checker.InForce(30.0, "a", 2)],
+        [*BACK, trace.InForce(12.0, "b", 2), trace.InForce(30.0, "a", 2)],
     ],
 )
 def test_correct_trace_passes(events):
@@ -144,11 +144,11 @@
         ),
         (P.LEFT_WORKER_RESTS, [*LEFT, started(4.1, 0)]),
         # The death that follows a leave does not begin the limit again.
-        (P.LEFT_WORKER_RESTS, [*LEFT, checker.Left(3.0, "w"), started(5.0, 0)]),
-        (P.VERSION_GROWS, [*VERSIONS, checker.InForce(2.5, "a", 1)]),
-        (P.VERSION_IN_FORCE, [*VERSIONS, checker.InForce(6.1, "b", 2)]),
-        (P.VERSION_IN_FORCE, [*VERSIONS, checker.InForce(9.0, "a", 2)]),
-        (P.VERSION_IN_FORCE, [*BACK, checker.InForce(13.1, "b", 2)]),
+        (P.LEFT_WORKER_RESTS, [*LEFT, trace.Left(3.0, "w"), started(5.0, 0)]),
+        (P.VERSION_GROWS, [*VERSIONS, trace.InForce(2.5, "a", 1)]),
+        (P.VERSION_IN_FORCE, [*VERSIONS, trace.InForce(6.1, "b", 2)]),
+        (P.VERSION_IN_FORCE, [*VERSIONS, trace.InForce(9.0, "a", 2)]),
+        (P.VERSION_IN_FORCE, [*BACK, trace.InForce(13.1, "b", 2)]),
     ],
 )
 def test_broken_promise_is_found_and_no_other_is_named(promise, events):
@@ -156,7 +156,7 @@
 
 
 def test_node_that_never_reports_a_version_is_found():
-    events = [*VERSIONS, checker.InForce(6.0, "b", 2), checker.InForce(9.0, "a", 2)]
+    events = [*VERSIONS, trace.InForce(6.0, "b", 2), trace.InForce(9.0, "a", 2)]
     assert broken(events) == []
     assert broken(events, nodes=("c",)) == [P.VERSION_IN_FORCE]
 
