Share one HTTP server between the daemons and the stand-ins

Cause: three modules wrapped uvicorn, each with its own start and stop. Change: process.serving holds the one server; web and the stand-in backend derive from it; the stand-ins' commands run it until a signal.

--- a/src/burdockgate/cli/standins.py
+++ b/src/burdockgate/cli/standins.py
@@ -3,27 +3,33 @@
 from __future__ import annotations
 
 import argparse
-import asyncio
 import math
-import signal
-import sys
-from collections.abc import Awaitable, Callable
+
+from burdockgate.cli import main
 
 LISTEN_DEFAULT = "127.0.0.1:0"
 RETENTION_DEFAULT_S = 3600.0
 PORT_LIMIT = 65535
 
 
-def register(
-    subparsers: argparse._SubParsersAction[argparse.ArgumentParser],
-) -> None:
+def register(subparsers: main.Subparsers) -> None:
     """Add ``standin log`` and ``standin backend``.
 
     :param subparsers: the subcommands of the main parser.
     """
-    standin = subparsers.add_parser("standin", help="run a stand-in of the platform")
-    kinds = standin.add_subparsers(dest="standin", required=True)
-    log = kinds.add_parser("log", help="the platform's append-only log service")
+    standin = main.add_command(
+        subparsers,
+        "standin",
+        "run a stand-in of the platform until SIGTERM",
+        "burdockgate standin log --listen 127.0.0.1:7400",
+    )
+    kinds = standin.add_subparsers(dest="standin", required=True, metavar="KIND")
+    log = main.add_command(
+        kinds,
+        "log",
+        "the platform's append-only log service",
+        "burdockgate standin log --listen 127.0.0.1:7400 --retention-s 600",
+    )
     _add_listen(log)
     log.add_argument(
         "--retention-s",
@@ -32,7 +38,12 @@
         help="seconds for which records are kept (default: %(default)s)",
     )
     log.set_defaults(run=run_log)
-    backend = kinds.add_parser("backend", help="a backend server")
+    backend = main.add_command(
+        kinds,
+        "backend",
+        "a backend server that sleeps and echoes",
+        "burdockgate standin backend --listen 127.0.0.1:7500 --name server-1",
+    )
     _add_listen(backend)
     backend.add_argument("--name", default="backend", help="name in its results")
     backend.set_defaults(run=run_backend)
@@ -42,59 +53,25 @@
     """Serve the log stand-in until SIGTERM or SIGINT.
 
     :param args: ``listen`` (host and port) and ``retention_s``.
-    :returns: 0, or 1 when the address cannot be bound.
+    :returns: the exit status.
     """
-    from burdockgate import clock
-    from burdockgate.standin import log  # type: ignore[attr-defined]
-
-    async def start() -> tuple[str, Callable[[], Awaitable[None]]]:
-        host, port = args.listen
-        server = await log.serve(host, port, args.retention_s, clock.SystemClock())
-        return server.address, server.stop
+    from burdockgate.standin import log, serve
 
-    return _run(args, start)
+    store = log.LogStore(retention_s=args.retention_s)
+    return serve.run(log.LogServer(store, *args.listen))
 
 
 def run_backend(args: argparse.Namespace) -> int:
     """Serve the stand-in of a backend server until SIGTERM or SIGINT.
 
     :param args: ``listen`` (host and port) and ``name``.
-    :returns: 0, or 1 when the address cannot be bound.
+    :returns: the exit status.
     """
     from burdockgate import clock
-    from burdockgate.standin import backend
+    from burdockgate.standin import backend, serve
 
-    async def start() -> tuple[str, Callable[[], Awaitable[None]]]:
-        host, port = args.listen
-        server = backend.BackendServer(args.name, host, port, clock.SystemClock())
-        await server.start()
-        return server.address, server.stop
-
-    return _run(args, start)
-
-
-_Start = Callable[[], Awaitable[tuple[str, Callable[[], Awaitable[None]]]]]
-
-
-def _run(args: argparse.Namespace, start: _Start) -> int:
-    try:
-        asyncio.run(_serve(start))
-    except OSError as error:
-        host, port = args.listen
-        print(f"--listen {host}:{port}: {error.strerror or error}", file=sys.stderr)
-        return 1
-    return 0
-
-
-async def _serve(start: _Start) -> None:
-    stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
-    address, stop = await start()
-    print(address, flush=True)
-    await stopping.wait()
-    await stop()
+    host, port = args.listen
+    return serve.run(backend.BackendServer(args.name, host, port, clock.SystemClock()))
 
 
 def _add_listen(parser: argparse.ArgumentParser) -> None:
--- a/src/burdockgate/process/web.py
+++ b/src/burdockgate/process/web.py
@@ -8,34 +8,28 @@
 
 import abc
 import asyncio
-import contextlib
 import dataclasses
 import math
-import socket
 import urllib.parse
-from collections.abc import AsyncIterator, Awaitable, Iterator
+from collections.abc import AsyncIterator, Awaitable
 from typing import Any, cast
 
 import h11
 import litestar
 import msgspec
 import structlog
-import uvicorn
 from litestar import exceptions, openapi, types
 from litestar.openapi import plugins, spec
 from litestar.response import base
 from uvicorn.protocols.http import h11_impl
 
 from burdockgate import codes, errors
+from burdockgate.process import serving
 from burdockgate.request import job, outcome
 
 HEADER_TIMEOUT_S = 10.0
 BODY_TIMEOUT_S = 10.0
-# A pool of connections at the balancer outlives the pauses between requests.
-KEEP_ALIVE_S = 60
-ACCEPT_BACKLOG = 2048
 READY_RETRY_S = 1.0
-CANCEL_TIMEOUT_S = 1.0
 
 _JSON = "application/json"
 _logger = structlog.get_logger(__name__)
@@ -471,10 +465,13 @@
     return _error(outcome.Failed(0, codes.Code.OWNER_LOST, detail), 500, {})
 
 
-class Server:
-    """Runs an application in the current event loop.
+class Server(serving.Server):
+    """Runs an application from :func:`build` in the current event loop.
 
-    :param application: the application from :func:`build`.
+    A request that has not ended when the server stops is answered with
+    ``OWNER_LOST``.
+
+    :param application: the application.
     :param host: IP address to listen at.
     :param port: port to listen at; 0 for a free one.
     """
@@ -482,96 +479,7 @@
     def __init__(
         self, application: litestar.Litestar, host: str, port: int = 0
     ) -> None:
-        self._host = host
-        self._port = port
-        self._server = _Uvicorn(
-            uvicorn.Config(
-                application,
-                http=_Protocol,
-                ws="none",
-                lifespan="off",
-                interface="asgi3",
-                log_config=None,
-                access_log=False,
-                proxy_headers=False,
-                server_header=False,
-                backlog=ACCEPT_BACKLOG,
-                timeout_keep_alive=KEEP_ALIVE_S,
-            )
-        )
-        self._task: asyncio.Task[None] | None = None
-        self.address = ""
-        """``host:port`` at which the server listens; empty before the start."""
-
-    async def start(self) -> None:
-        """Listen and serve until :meth:`stop`.
-
-        :raises errors.SettingsError: when the address cannot be bound.
-        """
-        listener = self._bind()
-        host, port = listener.getsockname()[:2]
-        self.address = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
-        self._task = asyncio.create_task(self._server.serve(sockets=[listener]))
-        ready = asyncio.create_task(self._server.ready.wait())
-        await asyncio.wait({self._task, ready}, return_when="FIRST_COMPLETED")
-        ready.cancel()
-
-    def _bind(self) -> socket.socket:
-        family = socket.AF_INET6 if ":" in self._host else socket.AF_INET
-        # With the protocol named, asyncio sets TCP_NODELAY on the connections.
-        # Without it the body of an answer can wait for the acknowledgement of
-        # its header.
-        listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-        try:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            listener.bind((self._host, self._port))
-        except (OSError, OverflowError) as error:
-            listener.close()
-            raise errors.SettingsError(
-                [f"listen address {self._host}:{self._port}: {error}"]
-            ) from error
-        return listener
-
-    async def stop(self, timeout_s: float) -> None:
-        """Accept nothing more, finish the requests in progress and close.
-
-        A request that has not ended in time is answered with ``OWNER_LOST``.
-
-        :param timeout_s: time for the requests in progress, in seconds.
-        """
-        if self._task is None:
-            return
-        state = self._server.server_state
-        self._server.should_exit = True
-        await asyncio.wait({self._task}, timeout=timeout_s)
-        if not self._task.done():
-            for task in list(state.tasks):
-                task.cancel()
-            if state.tasks:
-                await asyncio.wait(list(state.tasks), timeout=CANCEL_TIMEOUT_S)
-            for connection in list(state.connections):
-                connection.transport.close()
-            self._server.force_exit = True
-            await asyncio.wait({self._task}, timeout=CANCEL_TIMEOUT_S)
-            # A client that does not read its answer keeps a closed transport open.
-            for connection in list(state.connections):
-                connection.transport.abort()
-        await self._task
-
-
-class _Uvicorn(uvicorn.Server):
-    def __init__(self, config: uvicorn.Config) -> None:
-        super().__init__(config)
-        self.ready = asyncio.Event()
-
-    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
-        await super().startup(sockets)
-        self.ready.set()
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        """Leave the signals to the daemon."""
-        yield
+        super().__init__(application, host, port, _Protocol)
 
 
 class _Protocol(h11_impl.H11Protocol):
--- a/src/burdockgate/standin/backend.py
+++ b/src/burdockgate/standin/backend.py
@@ -7,19 +7,17 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import json
 import math
-import socket
 import urllib.parse
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import attrs
-import uvicorn
 from uvicorn.protocols.http import h11_impl
 
 from burdockgate import clock, codes, errors
+from burdockgate.process import serving
 
 BODY_LIMIT_BYTES = 4 * 1024 * 1024
 JOB_BYTES = 16
@@ -77,7 +75,7 @@
 _NO_CONTROLS = _Controls()
 
 
-class BackendServer:
+class BackendServer(serving.Server):
     """Serves ``/tasks``, ``/healthz``, ``/v1/starts`` and ``/v1/faults``.
 
     :param name: name that the results carry.
@@ -87,57 +85,12 @@
     """
 
     def __init__(self, name: str, host: str, port: int, clock: clock.Clock) -> None:
+        super().__init__(self._application, host, port, _Protocol)
         self.name = name
-        self.host = host
-        self.port = port
         self.starts: list[Start] = []
         self.faults = Faults()
         self._clock = clock
         self._tail = b',"server":' + json.dumps(name).encode()
-        self._server: _Server | None = None
-        self._serving: asyncio.Task[None] | None = None
-
-    @property
-    def address(self) -> str:
-        """The bound address as ``host:port``; it is final after the start."""
-        return f"{self.host}:{self.port}"
-
-    async def start(self) -> None:
-        """Bind and serve in the current event loop until stopped.
-
-        :raises OSError: when the address cannot be bound.
-        """
-        listener = _listen(self.host, self.port)
-        self.port = listener.getsockname()[1]
-        config = uvicorn.Config(
-            self._application,
-            http=_Protocol,
-            ws="none",
-            interface="asgi3",
-            lifespan="off",
-            proxy_headers=False,
-            log_config=None,
-            access_log=False,
-            server_header=False,
-            date_header=False,
-            backlog=1024,
-            timeout_keep_alive=30,
-        )
-        self._server = _Server(config)
-        self._serving = asyncio.create_task(self._server.serve(sockets=[listener]))
-        listening = asyncio.create_task(self._server.listening.wait())
-        await asyncio.wait(
-            {self._serving, listening}, return_when=asyncio.FIRST_COMPLETED
-        )
-        listening.cancel()
-
-    async def stop(self) -> None:
-        """Stop at once: close the listener and cut every open connection."""
-        if self._server is None or self._serving is None:
-            return
-        self._server.cut()
-        await self._serving
-        self._server = self._serving = None
 
     async def _application(self, scope: _Scope, receive: _Receive, send: _Send) -> None:
         try:
@@ -215,20 +168,6 @@
         return b"[" + b",".join(entries) + b"]"
 
 
-def _listen(host: str, port: int) -> socket.socket:
-    # asyncio turns Nagle's algorithm off only on sockets whose protocol is named,
-    # and with it each answer takes 40 ms.
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-    try:
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((host, port))
-    except OSError:
-        listener.close()
-        raise
-    return listener
-
-
 class _Protocol(h11_impl.H11Protocol):
     """Gives the application the transport, which ``cut`` closes.
 
@@ -240,37 +179,6 @@
         self.app_state = {**self.app_state, "transport": transport}
 
 
-class _Server(uvicorn.Server):
-    """A server that leaves signals alone, reports its start and stops at once."""
-
-    def __init__(self, config: uvicorn.Config) -> None:
-        super().__init__(config)
-        self.listening = asyncio.Event()
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        """Install no signal handlers; the process decides about its signals."""
-        yield
-
-    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
-        """Start to listen and report it.
-
-        :param sockets: the bound sockets.
-        """
-        await super().startup(sockets=sockets)
-        self.listening.set()
-
-    def cut(self) -> None:
-        """Close the listeners, abort all connections and cancel all requests."""
-        self.should_exit = True
-        for server in self.servers:
-            server.close()
-        for connection in list(self.server_state.connections):
-            connection.transport.abort()
-        for task in list(self.server_state.tasks):
-            task.cancel()
-
-
 async def _read_body(receive: _Receive) -> bytes:
     parts: list[bytes] = []
     size = 0
--- a/src/burdockgate/standin/local.py
+++ b/src/burdockgate/standin/local.py
@@ -154,7 +154,7 @@
         """Stop every role, callers first and the log last."""
         await asyncio.gather(*(entry.stop() for entry in self.entries))
         await asyncio.gather(*(host.stop() for host in self.agents))
-        await asyncio.gather(*(server.stop() for server in self.servers))
+        await asyncio.gather(*(server.cut() for server in self.servers))
         await self.log.stop()
 
 
--- /dev/null
+++ b/src/burdockgate/standin/serve.py
@@ -0,0 +1,26 @@
+"""Runs a stand-in as a process of its own."""
+
+from __future__ import annotations
+
+from burdockgate.process import running, serving
+
+
+class _Standin(running.Runnable):
+    def __init__(self, server: serving.Server) -> None:
+        self._server = server
+
+    async def start(self) -> None:
+        await self._server.start()
+        print(self._server.address, flush=True)
+
+    async def stop(self) -> None:
+        await self._server.cut()
+
+
+def run(server: serving.Server) -> int:
+    """Serve until SIGTERM or SIGINT; prints the bound address as the first line.
+
+    :param server: the stand-in.
+    :returns: the exit status.
+    """
+    return running.run(_Standin(server))
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -69,7 +69,7 @@
     try:
         yield server, f"http://{server.address}"
     finally:
-        await server.stop()
+        await server.cut()
 
 
 async def run(calls, payload=b"1", timeout_ms=5000):
