Keep uvicorn from logging each malformed request

Cause: uvicorn writes a warning for every malformed request, and a caller could fill the log; the house style logs changes of state only. Change: the level of uvicorn's logger is error.

--- a/src/burdockgate/process/web.py
+++ b/src/burdockgate/process/web.py
@@ -492,6 +492,8 @@
                 lifespan="off",
                 interface="asgi3",
                 log_config=None,
+                # Below this uvicorn logs a line for each malformed request.
+                log_level="error",
                 access_log=False,
                 proxy_headers=False,
                 server_header=False,
