--- a/src/burdockgate/cli/main.py
+++ b/src/burdockgate/cli/main.py
@@ -13,7 +13,6 @@
 import argparse
 import contextlib
 import importlib
-import importlib.util
 import io
 import os
 import sys
@@ -26,7 +25,7 @@
     # What add_subparsers() returns; argparse has no public name for it.
     Subparsers = argparse._SubParsersAction[argparse.ArgumentParser]
 
-GROUPS = ("jobs", "operate", "daemons", "table", "standins", "measure")
+GROUPS = ("jobs", "operate", "daemons", "table", "standins")
 
 EXIT_FAILED = 1
 EXIT_USAGE = 2
@@ -71,10 +70,7 @@
     )
     subparsers = parser.add_subparsers(metavar="COMMAND", required=True)
     for group in GROUPS:
-        name = f"burdockgate.cli.{group}"
-        # Groups that are not merged yet are left out.
-        if importlib.util.find_spec(name) is not None:
-            importlib.import_module(name).register(subparsers)
+        importlib.import_module(f"burdockgate.cli.{group}").register(subparsers)
     return parser
 
 
--- a/src/burdockgate/standin/local.py
+++ b/src/burdockgate/standin/local.py
@@ -57,7 +57,7 @@
 
         :raises errors.BurdockgateError: when the system is not ready in time.
         """
-        await self.log.start(LOOPBACK)
+        await self.log.start()
         for index in range(self.config.entries):
             await self.add_entry(f"entry-{index + 1}", index)
         for index in range(self.config.agents):
@@ -155,7 +155,7 @@
         await asyncio.gather(*(entry.stop() for entry in self.entries))
         await asyncio.gather(*(host.stop() for host in self.agents))
         await asyncio.gather(*(server.cut() for server in self.servers))
-        await self.log.stop()
+        await self.log.cut()
 
 
 def _node(name: str, place: int) -> settings.NodeSettings:
--- a/src/burdockgate/standin/log.py
+++ b/src/burdockgate/standin/log.py
@@ -13,17 +13,16 @@
 import itertools
 import json
 import re
-import socket
 from collections.abc import Iterator
 from typing import Any, NoReturn
 
 import attrs
 import litestar
-import uvicorn
 from litestar import exceptions, types
 from litestar.response import base
 
-from burdockgate import clock, errors
+from burdockgate import clock
+from burdockgate.process import serving
 
 BODY_LIMIT_BYTES = 1024 * 1024
 WAIT_LIMIT_S = 30.0
@@ -33,7 +32,7 @@
 PAGE_LIMIT_BYTES = 2 * 1024 * 1024
 RETENTION_S = 3600.0
 # A stop ends the long polls at once; this bounds calls delayed by a fault.
-STOP_TIMEOUT_S = 1
+STOP_TIMEOUT_S = 1.0
 
 _Request = litestar.Request[Any, Any, Any]
 _STREAM_NAME = re.compile(r"[a-z0-9_-]{1,64}")
@@ -340,58 +339,24 @@
     return app
 
 
-class _Server(uvicorn.Server):
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        # Signals belong to the process that runs the loop.
-        yield
-
-
-class LogServer:
+class LogServer(serving.Server):
     """Serves a store over HTTP on the current event loop.
 
     :param store: the streams to serve.
+    :param host: address to bind.
+    :param port: TCP port; 0 takes any free one.
     """
 
-    def __init__(self, store: LogStore) -> None:
+    def __init__(self, store: LogStore, host: str = "127.0.0.1", port: int = 0) -> None:
+        super().__init__(application(store), host, port)
         self.store = store
-        self.host, self.port = "", 0
-        self._server: _Server | None = None
-        self._task: asyncio.Task[None] | None = None
 
     @property
     def url(self) -> str:
         """Base URL of the bound address."""
-        return f"http://{self.host}:{self.port}"
-
-    async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
-        """Bind the address and begin to serve.
-
-        :param port: TCP port; 0 takes any free one, see :attr:`port`.
-        :raises errors.SettingsError: when the address cannot be bound.
-        """
-        try:
-            listener = socket.create_server((host, port))
-        except OSError as error:
-            line = f"log address {host}:{port}: {error.strerror or error}"
-            raise errors.SettingsError([line]) from error
-        self.host, self.port = listener.getsockname()[:2]
-        config = uvicorn.Config(
-            application(self.store),
-            access_log=False,
-            log_config=None,
-            # A connection that is cut on purpose would be logged as an error.
-            log_level="critical",
-            lifespan="off",
-            timeout_graceful_shutdown=STOP_TIMEOUT_S,
-        )
-        self._server = _Server(config)
-        self._task = asyncio.create_task(self._server.serve(sockets=[listener]))
+        return f"http://{self.address}"
 
-    async def stop(self) -> None:
-        """Stop serving; the store keeps its records."""
-        if self._server is None or self._task is None:
-            return
+    async def cut(self) -> None:
+        """End every long poll and stop; the store keeps its records."""
         self.store.close()
-        self._server.should_exit = True
-        await self._task
+        await self.stop(STOP_TIMEOUT_S)
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -18,7 +18,7 @@
     await server.start()
     async with httpx.AsyncClient(base_url=server.url, trust_env=False) as http:
         yield server, http, manual
-    await server.stop()
+    await server.cut()
 
 
 async def _append(http, record_id, value=None):
@@ -139,11 +139,11 @@
         entered = _entered(server.store)
         poll = asyncio.create_task(http.get(f"{RECORDS}?wait_s=30", timeout=20))
         await entered.wait()
-        await server.stop()
+        await server.cut()
         assert (await poll).status_code == 200
 
 
 async def test_taken_port_is_one_line(served):
     server, _, _ = served
     with pytest.raises(errors.SettingsError, match=f"127.0.0.1:{server.port}: "):
-        await log.LogServer(log.LogStore()).start(port=server.port)
+        await log.LogServer(log.LogStore(), port=server.port).start()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -20,7 +20,7 @@
     await server.start()
     async with platform.LogClient(server.url, random.Random(1)) as client:
         yield server.store, client, manual
-    await server.stop()
+    await server.cut()
 
 
 def _ids(records):
