Send a task again when the repeat of its send was lost

Cause: after a reconnect, the agent's report that an earlier send was returned counted as knowledge of the later send. A repeated start that was lost with the connection was never queued again, and the job hung until its deadline. Change: a returned send marks the task as seen only if it is the send awaited. Conclusion: the report of a task counts for the send that it names.

--- a/src/burdockgate/request/leader.py
+++ b/src/burdockgate/request/leader.py
@@ -252,7 +252,13 @@
             yield from self._give_up(agent)
             return
         for report in reply.reports:
-            agent.seen.add(report.index)
+            # The return of an earlier send says nothing of the send that is awaited.
+            is_earlier = (
+                report.state is messages.TaskState.RETURNED
+                and report.send != agent.sent.get(report.index)
+            )
+            if not is_earlier:
+                agent.seen.add(report.index)
             yield from self._report(agent, report, is_resync=True)
         if not reply.more:
             yield from self._end_fence(agent)
