Keep the place of an entry host between its demands

Cause: an entry host whose demand was used up was forgotten, and its next demand began at the lowest place. One that asked anew for each task got every slot, and another with a long backlog got none. Change: demands are ordered by start-time fair queueing, and the place is kept until the entry host disconnects. Conclusion: turns follow the weights, whatever the size of each demand.

--- a/src/burdockgate/process/slots.py
+++ b/src/burdockgate/process/slots.py
@@ -1,8 +1,10 @@
 """The slots of one worker and their division among entry hosts.
 
 A freed slot is offered in turn, by weight, to the entry hosts that have tasks
-waiting. An offer reserves the slot for a short time, so that it is neither taken
-by another entry host on the way nor lost when the offer is not used.
+waiting. The turns are start-time fair queueing: an entry host keeps its place while
+nothing waits there, so that one which asks anew for each task gets no extra turns.
+An offer reserves the slot for a short time, so that it is neither taken by another
+entry host on the way nor lost when the offer is not used.
 """
 
 from __future__ import annotations
@@ -33,6 +35,7 @@
         self.running = 0
         self.is_open = True
         self._time = time
+        self._virtual_time = 0.0
         self._demand_by_entry: dict[str, _Demand] = {}
         self._expiry_by_entry: dict[str, list[float]] = {}
 
@@ -74,17 +77,11 @@
         :param waiting: number of tasks; 0 withdraws the demand.
         :param weight: sum of the weights of the classes that wait.
         """
-        if waiting == 0:
-            self.forget(entry)
-            return
         old = self._demand_by_entry.get(entry)
-        served = old.served if old else self._least_served()
+        served = max(old.served if old else 0.0, self._virtual_time)
         self._demand_by_entry[entry] = _Demand(waiting, max(weight, 1e-3), served)
-
-    def _least_served(self) -> float:
-        return min(
-            (item.served for item in self._demand_by_entry.values()), default=0.0
-        )
+        if waiting == 0:
+            self._expiry_by_entry.pop(entry, None)
 
     def forget(self, entry: str) -> None:
         """Drop the demand and the reservations of an entry host.
@@ -100,15 +97,17 @@
         :returns: its name, or ``None`` when no slot is free or nobody waits.
         """
         self._expire()
-        if not self._demand_by_entry or self.free_for("") == 0:
+        waiting = [
+            (demand.served, entry)
+            for entry, demand in self._demand_by_entry.items()
+            if demand.waiting > 0
+        ]
+        if not waiting or self.free_for("") == 0:
             return None
-        entry, demand = min(
-            self._demand_by_entry.items(), key=lambda item: (item[1].served, item[0])
-        )
+        self._virtual_time, entry = min(waiting)
+        demand = self._demand_by_entry[entry]
         demand.served += 1.0 / demand.weight
         demand.waiting -= 1
-        if demand.waiting == 0:
-            del self._demand_by_entry[entry]
         expiry = self._time.now() + RESERVATION_S
         self._expiry_by_entry.setdefault(entry, []).append(expiry)
         return entry
