Drop ended jobs from the backlog, and queue their next attempts

Cause: a job that ended while no slot was free stayed queued. Its next attempt was not queued beside it, the demand for it was not withdrawn but sent to every worker again in each round with 0 tasks, and its body was kept in memory. Change: the queue tells leaders apart instead of job ids, is empty when no task waits, and releases ended jobs at its head when another job is added. Conclusion: what has ended has no effect on the queue.

Also adds the tests of the backlog and of dispatching: shares within 5% of the weights, ageing, demand, scopes and resources.

--- a/src/burdockgate/process/backlog.py
+++ b/src/burdockgate/process/backlog.py
@@ -35,7 +35,7 @@
         self._queue_by_class: dict[str, _ClassQueue] = {}
         self._virtual_time = 0.0
         self._counter = itertools.count()
-        self._queued: set[bytes] = set()
+        self._queued: set[leaders.Leader] = set()
 
     def add(self, leader: leaders.Leader, weight: float) -> None:
         """Queue a job unless it is queued.
@@ -49,8 +49,14 @@
             queue = _ClassQueue(weight, self._virtual_time)
             self._queue_by_class[name] = queue
         queue.weight = weight
+        self._drop_ended(queue)
         self._push(leader)
 
+    def _drop_ended(self, queue: _ClassQueue) -> None:
+        """Release jobs that ended while no slot was free, to bound the memory."""
+        while queue.heap and queue.heap[0][2].outcome is not None:
+            self._queued.discard(heapq.heappop(queue.heap)[2])
+
     def in_order(self) -> Iterator[leaders.Leader]:
         """Yield the jobs in the order of service; the caller sends their tasks.
 
@@ -61,7 +67,7 @@
         try:
             while (name := self._next_class()) is not None:
                 leader = heapq.heappop(self._queue_by_class[name].heap)[2]
-                self._queued.discard(leader.request.job)
+                self._queued.discard(leader)
                 before = leader.waiting_count
                 if before == 0:
                     continue
@@ -75,8 +81,8 @@
             self._drop_empty()
 
     def _push(self, leader: leaders.Leader) -> None:
-        if leader.waiting_count and leader.request.job not in self._queued:
-            self._queued.add(leader.request.job)
+        if leader.waiting_count and leader not in self._queued:
+            self._queued.add(leader)
             queue = self._queue_by_class[leader.request.caller_class]
             entry = (_rank(leader), next(self._counter), leader)
             heapq.heappush(queue.heap, entry)
@@ -93,8 +99,12 @@
 
     @property
     def is_empty(self) -> bool:
-        """Whether no job is queued."""
-        return not any(queue.heap for queue in self._queue_by_class.values())
+        """Whether no task waits; jobs that have ended may still be queued."""
+        return not any(
+            item[2].waiting_count
+            for queue in self._queue_by_class.values()
+            for item in queue.heap
+        )
 
     def waiting(self) -> tuple[int, float]:
         """Return the number of waiting tasks and the weights of their classes."""
--- /dev/null
+++ b/tests/test_backlog.py
@@ -0,0 +1,160 @@
+"""Guards the order of waiting jobs: shares by weight, and no job passed for ever."""
+
+import collections
+import gc
+import weakref
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+import builders
+from burdockgate import clock
+from burdockgate.process import backlog
+
+A1 = builders.node("a1")
+
+
+@pytest.fixture
+def queue():
+    return backlog.Backlog()
+
+
+def job(key, tasks=1, caller_class="default", time=None):
+    made = builders.request(key, tasks, caller_class)
+    return builders.make_leader(time=time, made=made)
+
+
+def serve(queue, count, work=100.0):
+    """Take tasks one by one, and return the key of the job of each."""
+    keys = []
+    for leader in queue.in_order():
+        keys.append(leader.request.key)
+        leader.take(A1)
+        queue.charge(leader, work)
+        if len(keys) == count:
+            break
+    return keys
+
+
+@settings(derandomize=True, deadline=None, max_examples=20)
+@given(
+    st.lists(st.integers(1, 4), min_size=2, max_size=3), st.sampled_from([1, 7, 300])
+)
+def test_shares_follow_the_weights(weights, batch):
+    """Under overload each class gets its share within 5%, whatever the batches."""
+    queue = backlog.Backlog()
+    for index, weight in enumerate(weights):
+        queue.add(job(f"c{index}", 300, f"c{index}"), float(weight))
+    served = collections.Counter()
+    while served.total() < 300:
+        served.update(serve(queue, min(batch, 300 - served.total())))
+    for index, weight in enumerate(weights):
+        share = weight / sum(weights)
+        assert abs(served[f"c{index}"] / 300 - share) <= 0.05 * share
+
+
+def test_work_counts_and_not_tasks(queue):
+    """A class of long tasks must not get more slots than one of short tasks."""
+    queue.add(job("long", 50, "long"), 1.0)
+    queue.add(job("short", 50, "short"), 1.0)
+    served = collections.Counter()
+    for leader in queue.in_order():
+        key = leader.request.key
+        served[key] += 1
+        leader.take(A1)
+        queue.charge(leader, 400.0 if key == "long" else 100.0)
+        if served.total() == 50:
+            break
+    assert served == {"long": 10, "short": 40}
+
+
+@pytest.mark.parametrize("idle_first", [False, True])
+def test_returning_class_does_not_catch_up(queue, idle_first):
+    """A class that was idle must not take every slot until it has caught up."""
+    if idle_first:
+        queue.add(job("early", 1, "rare"), 1.0)
+        assert serve(queue, 1) == ["early"]
+    queue.add(job("busy", 100, "busy"), 1.0)
+    serve(queue, 40)
+    queue.add(job("rare", 50, "rare"), 1.0)
+    assert abs(serve(queue, 20).count("rare") - 10) <= 1
+
+
+def test_spent_class_does_not_return_with_a_clean_slate(queue):
+    """A class that empties and refills must not be served before the others."""
+    queue.add(job("big", 100, "big"), 1.0)
+    served = collections.Counter()
+    for number in range(40):
+        queue.add(job(f"n{number}", 1, "small"), 1.0)
+        served.update(key == "big" for key in serve(queue, 1))
+    assert abs(served[True] - 20) <= 1
+
+
+def test_nearly_complete_job_goes_first(queue):
+    """An answer counts only when the job is whole."""
+    queue.add(job("large", 10), 1.0)
+    queue.add(job("small", 2), 1.0)
+    assert serve(queue, 3) == ["small", "small", "large"]
+
+
+@settings(derandomize=True, deadline=None, max_examples=10)
+@given(st.integers(2, 60), st.integers(1, 5))
+def test_no_job_is_passed_for_ever(tasks, newcomers):
+    """A large job ages, so a stream of small ones cannot hold it up for ever."""
+    time = clock.ManualClock()
+    queue = backlog.Backlog()
+    queue.add(job("large", tasks, time=time), 1.0)
+    bound_s = backlog.SECONDS_PER_WAITING_TASK * tasks
+    while "large" not in serve(queue, 1):
+        time.advance(0.1)
+        assert time.now() <= bound_s + 0.1
+        for number in range(newcomers):
+            queue.add(job(f"{time.now()}-{number}", 1, time=time), 1.0)
+
+
+def test_job_of_which_nothing_is_taken_is_kept_and_passed(queue):
+    """A job that fits no free worker must neither block the others nor be lost."""
+    queue.add(job("stuck", 1), 1.0)
+    queue.add(job("next", 2), 1.0)
+    offered = []
+    for leader in queue.in_order():
+        offered.append(leader.request.key)
+        if leader.request.key == "next":
+            leader.take(A1)
+    assert offered == ["stuck", "next", "next"]
+    assert (queue.waiting(), queue.is_empty) == ((1, 1.0), False)
+    assert serve(queue, 2) == ["stuck"]
+    assert (queue.waiting(), queue.is_empty) == ((0, 0.0), True)
+
+
+def test_job_is_queued_once(queue):
+    """A job queued twice would count twice in the demand."""
+    leader = job("k1", 3)
+    queue.add(leader, 2.0)
+    queue.add(leader, 2.0)
+    assert queue.waiting() == (3, 2.0)
+    assert serve(queue, 9) == ["k1"] * 3
+
+
+def test_next_attempt_is_queued_beside_a_failed_one(queue):
+    """The entry of the failed attempt must not keep its successor out."""
+    failed, again = job("k1"), job("k1")
+    queue.add(failed, 1.0)
+    list(failed.cancel())
+    queue.add(again, 1.0)
+    assert queue.waiting()[0] == 1
+    assert serve(queue, 2) == ["k1"]
+
+
+def test_ended_jobs_are_released_while_no_slot_is_free(queue):
+    """Jobs that end in a long outage of the workers must not fill the memory."""
+    refs = []
+    for number in range(5):
+        leader = job(f"k{number}")
+        refs.append(weakref.ref(leader))
+        queue.add(leader, 1.0)
+        list(leader.cancel())
+        del leader
+    gc.collect()
+    assert [ref() is None for ref in refs] == [True] * 4 + [False]
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,124 @@
+"""Guards the matching of tasks and workers at an entry host."""
+
+import pytest
+
+import builders
+from burdockgate import clock, messages
+from burdockgate.process import directory, dispatch, placement
+
+
+@pytest.fixture
+def workers():
+    return directory.Directory(clock.ManualClock(), 2.5)
+
+
+@pytest.fixture
+def dispatcher(workers):
+    policy = placement.LeastLoaded()
+    return dispatch.Dispatcher(workers, policy, builders.counters())
+
+
+def join(workers, name, free, **fields):
+    workers.join(builders.hello(name, **fields))
+    workers.report(name, free, 0)
+
+
+def run(dispatcher, outside=lambda leader: None):
+    return list(dispatcher.run(outside))
+
+
+def starts(wanted):
+    """Return the indexes of the tasks of each start, by receiver."""
+    return {
+        each.to: [task.index for task in each.message.tasks]
+        for each in wanted
+        if isinstance(each.message, messages.Start)
+    }
+
+
+def test_tasks_fill_the_free_slots_in_one_message_each(workers, dispatcher):
+    """More starts than slots come back, and a message per task is waste."""
+    join(workers, "a1", 2)
+    join(workers, "a2", 1)
+    dispatcher.add(builders.make_leader(tasks=5), 1.0)
+    wanted = run(dispatcher)
+    assert starts(wanted) == {"a1": [0, 1], "a2": [2]}
+    assert len(builders.sent(wanted, messages.Start)) == 2
+    assert dispatcher.waiting() == 2
+    assert starts(run(dispatcher)) == {}
+
+
+def test_only_workers_that_may_get_the_task_are_used(workers, dispatcher):
+    """A worker that is too small, draining or of another service gets nothing."""
+    join(workers, "small", 2, cores=1.0)
+    join(workers, "leaving", 2, draining=True)
+    join(workers, "other", 2, service="other")
+    scope = ("small", "leaving", "other", "a1")
+    task = builders.job.TaskSpec(b"{}", cores=2.0)
+    made = builders.request(tasks=3)
+    made = builders.attrs.evolve(made, tasks=(task,) * 3)
+    dispatcher.add(builders.make_leader(scope=scope, made=made), 1.0)
+    assert starts(run(dispatcher)) == {}
+    join(workers, "a1", 1)
+    assert starts(run(dispatcher)) == {"a1": [0]}
+
+
+def test_worker_outside_the_scope_is_reported(workers, dispatcher):
+    """Without a longer scope the job would wait beside a free worker."""
+    join(workers, "a9", 1)
+    leader = builders.make_leader()
+    dispatcher.add(leader, 1.0)
+    outside = []
+    assert starts(run(dispatcher, outside.append)) == {}
+    assert outside == [leader]
+    leader.extend(builders.terms(scope=[builders.node("a9")]))
+    assert starts(run(dispatcher)) == {"a9": [0]}
+
+
+def test_demand_is_announced_once_and_withdrawn(workers, dispatcher):
+    """Demand sent again and again, or left standing, is a wasted message."""
+    join(workers, "a1", 0)
+    leader = builders.make_leader(tasks=2)
+    dispatcher.add(leader, 3.0)
+    assert builders.sent(run(dispatcher), messages.Demand) == [messages.Demand(2, 3.0)]
+    assert run(dispatcher) == []
+    workers.offer("a1", 2, 0)
+    assert starts(run(dispatcher)) == {"a1": [0, 1]}
+    assert workers.worker_by_name["a1"].demanded == 0
+    assert run(dispatcher) == []
+
+
+def test_demand_of_cancelled_jobs_is_withdrawn_once(workers, dispatcher):
+    """A wave of cancellations must not leave offers or empty demands behind."""
+    join(workers, "a1", 0)
+    leader = builders.make_leader(tasks=2)
+    dispatcher.add(leader, 1.0)
+    run(dispatcher)
+    list(leader.cancel())
+    assert builders.sent(run(dispatcher), messages.Demand) == [messages.Demand(0, 0.0)]
+    assert run(dispatcher) == []
+    join(workers, "a2", 0)
+    assert run(dispatcher) == []
+
+
+def test_services_do_not_share_a_queue(workers, dispatcher):
+    """Work of a service without workers must not hold up another service."""
+    join(workers, "a1", 1)
+    stuck = builders.request("k2", service="missing")
+    dispatcher.add(builders.make_leader(made=stuck), 1.0)
+    dispatcher.add(builders.make_leader(), 1.0)
+    assert starts(run(dispatcher)) == {"a1": [0]}
+
+
+def test_declared_work_is_charged(workers, dispatcher):
+    """A class with long tasks must get fewer starts than one with short ones."""
+    join(workers, "a1", 10)
+    for name, work in (("long", 400.0), ("short", 0.0)):
+        task = builders.job.TaskSpec(b"{}", expected_ms=work)
+        made = builders.request(name, caller_class=name)
+        made = builders.attrs.evolve(made, tasks=(task,) * 20)
+        dispatcher.add(builders.make_leader(made=made), 1.0)
+    counts = [
+        len(each.tasks) for each in builders.sent(run(dispatcher), messages.Start)
+    ]
+    assert sorted(counts) == [2, 8]
