--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,69 @@
+"""Guards the answers kept for callers that ask again."""
+
+import pytest
+
+import builders
+from burdockgate import clock, codes
+from burdockgate.process import answers
+from burdockgate.request import outcome
+
+
+@pytest.fixture
+def time():
+    return clock.ManualClock(1000.0)
+
+
+@pytest.fixture
+def kept(time):
+    return answers.Answers(time, 300.0, 100)
+
+
+def complete(time, size=40):
+    whole = outcome.Complete(1, (b"x" * (size - 10), b"y" * 10))
+    return answers.Kept(whole, 1, builders.DIGEST, True, time.now())
+
+
+def test_bytes_are_bounded_and_the_oldest_goes_first(kept, time):
+    """Answers without a bound would take the entry host's memory."""
+    for job in (b"1", b"2", b"1", b"3"):
+        kept.keep(job, complete(time))
+    assert [job for job in (b"1", b"2", b"3") if kept.get(job)] == [b"1", b"3"]
+    kept.drop(b"1")
+    kept.drop(b"1")
+    kept.keep(b"4", complete(time, 60))
+    assert kept.get(b"3") and kept.get(b"4")
+    kept.keep(b"5", complete(time, 101))
+    assert not any(kept.get(job) for job in (b"3", b"4", b"5"))
+    kept.keep(b"6", complete(time, 100))
+    assert kept.get(b"6")
+
+
+def test_retention(kept, time):
+    """A caller must find its answer for the whole retention, and no longer."""
+    kept.keep(b"1", complete(time))
+    time.advance(200.0)
+    kept.keep(b"2", complete(time))
+    time.advance(99.0)
+    kept.expire()
+    assert kept.get(b"1")
+    time.advance(1.0)
+    kept.expire()
+    assert (kept.get(b"1"), bool(kept.get(b"2"))) == (None, True)
+
+
+@pytest.mark.parametrize(
+    ("code", "repeatable", "expected"),
+    [
+        (codes.Code.COMPLETE, True, False),
+        (codes.Code.WORKER_LOST, True, True),
+        (codes.Code.WORKER_LOST, False, False),
+        (codes.Code.TASK_FAILED, False, False),
+        (codes.Code.CANCELLED_NOT_RUN, False, True),
+    ],
+)
+def test_may_run_again(time, code, repeatable, expected):
+    """A request that is not repeatable runs at most once."""
+    failed = outcome.Failed(1, code, "detail")
+    made = answers.Kept(failed, 1, builders.DIGEST, repeatable, time.now())
+    assert made.may_run_again is expected
+    assert made.size == 6
