Survive members records with impossible numbers or deep nesting

Cause: a record with an infinite boot or with deeply nested JSON raised an error that the fold did not expect, so one bad record would have stopped every process that reads the stream. A boot above 63 bits entered the view and could not be sent. Change: such records are malformed and change only the view's number. Result: test_malformed_record_changes_only_the_number failed before for these records and passes now. Conclusion: no single record can stop the readers.

--- a/src/burdockgate/version/view.py
+++ b/src/burdockgate/version/view.py
@@ -20,6 +20,8 @@
 STREAM = "members"
 GROUP_SIZE = 3
 VOTERS_PER_REGION_LIMIT = 256
+# A boot above what the wire carries would break every claim that names its group.
+BOOT_LIMIT = 2**63
 
 
 class Change(enum.StrEnum):
@@ -127,7 +129,7 @@
     try:
         value = json.loads(record.value)
         return _apply(attrs.evolve(view, number=number), Change(value["type"]), value)
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, OverflowError, RecursionError):
         return attrs.evolve(view, number=number)
 
 
@@ -158,9 +160,10 @@
 
 
 def _read_node(value: Any) -> messages.Node:
-    return messages.Node(
-        str(value["name"]), int(value["boot"]), str(value.get("address", ""))
-    )
+    boot = int(value["boot"])
+    if not 0 <= boot < BOOT_LIMIT:
+        raise ValueError(f"boot {boot} is not from 0 to 2**63-1")
+    return messages.Node(str(value["name"]), boot, str(value.get("address", "")))
 
 
 def _read_voter(value: Any) -> Voter:
