--- /dev/null
+++ b/tests/test_network.py
@@ -0,0 +1,276 @@
+"""Guards streams and connections between nodes, over real sockets."""
+
+import asyncio
+import contextlib
+import random
+import socket
+
+import pytest
+
+import builders
+from burdockgate import clock, messages, settings, wire
+from burdockgate.connection import session, stream
+from burdockgate.process import metrics, network
+
+BEAT = messages.Heartbeat(1, 1)
+
+
+class Node(network.Handler):
+    """A node that notes its events as text."""
+
+    def __init__(self, name, boot=1):
+        self.events = []
+        self.time = clock.ManualClock()
+        self.counters = metrics.Metrics(settings.StatsdSettings())
+        self.hello = builders.hello(name, boot)
+        self.network = network.Network(
+            lambda: self.hello, self, 2.5, self.time, random.Random(1), self.counters
+        )
+
+    def connected(self, hello):
+        self.events.append(f"+{hello.node.name}.{hello.node.boot}")
+
+    def disconnected(self, name):
+        self.events.append(f"-{name}")
+
+    def received(self, name, message):
+        self.events.append((name, message))
+
+    @property
+    def streams(self):
+        return list(self.network._link_by_stream)
+
+    def count(self, name):
+        return self.counters.snapshot()[name]
+
+
+async def until(condition):
+    async with asyncio.timeout(10):
+        while not condition():
+            await asyncio.sleep(0.001)
+
+
+@pytest.fixture
+async def start():
+    """Return a function that starts a node; all are stopped after the test."""
+    async with contextlib.AsyncExitStack() as stack:
+
+        async def begin(name, boot=1):
+            node = Node(name, boot)
+            node.address = await node.network.start("127.0.0.1:0")
+            stack.push_async_callback(node.network.stop)
+            return node
+
+        yield begin
+
+
+async def connect(first, second):
+    first.network.dial(second.address, second.hello.node.name)
+    names = (first.hello.node.name, second.hello.node.name)
+    await until(lambda: names[1] in first.network.names)
+    await until(lambda: names[0] in second.network.names)
+
+
+async def open_raw(stack, node, data):
+    reader, writer = await asyncio.open_connection(*node.address.split(":"))
+    stack.callback(writer.close)
+    writer.write(data)
+    return reader
+
+
+async def test_messages_arrive_in_order_and_are_counted(start):
+    """A lost or swapped message would break the counting of sends and fences."""
+    a, b = await start("a"), await start("b")
+    await connect(a, b)
+    beats = [messages.Heartbeat(number, 1) for number in range(500)]
+    assert all(a.network.send("b", beat) for beat in beats)
+    await until(lambda: len(b.events) == 501)
+    assert b.events == ["+a.1", *(("a", beat) for beat in beats)]
+    assert (a.count("wire.sent"), b.count("wire.received")) == (500, 501)
+    assert not a.network.send("c", BEAT)
+
+
+@pytest.mark.parametrize("first_dialler", ["a", "b"])
+async def test_nodes_that_dial_each_other_keep_the_same_connection(
+    start, first_dialler
+):
+    """Two nodes that each close the other's choice would be left with none."""
+    a, b = await start("a"), await start("b")
+    order = (a, b) if first_dialler == "a" else (b, a)
+    for own, other in (order, order[::-1]):
+        own.network.dial(other.address, other.hello.node.name)
+    await until(lambda: len(a.streams) == len(b.streams) == 1 and a.events and b.events)
+    await until(lambda: "b" in a.network.names and "a" in b.network.names)
+    (kept,) = a.streams
+    (same,) = b.streams
+    assert kept._transport.get_extra_info("peername") == same._transport.get_extra_info(
+        "sockname"
+    )
+    assert a.network._link_by_stream[kept].dialled == b.address
+    assert a.network.send("b", BEAT) and b.network.send("a", BEAT)
+    await until(lambda: ("b", BEAT) in a.events and ("a", BEAT) in b.events)
+
+
+@pytest.mark.parametrize(
+    "garbage",
+    [
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"\x00\x00\x00\x00",
+        wire.HEADER.pack(3) + b"\xc1\xc1\xc1",
+        wire.encode(BEAT),
+        wire.encode(builders.hello("c", protocol=9)),
+        wire.encode(builders.hello("c")) * 2,
+    ],
+    ids=["http", "empty frame", "no msgpack", "no hello", "protocol", "two hellos"],
+)
+async def test_garbage_closes_only_its_connection(start, garbage):
+    """A stray client must not disturb the connections of nodes."""
+    a, b = await start("a"), await start("b")
+    await connect(a, b)
+    with contextlib.ExitStack() as stack:
+        reader = await open_raw(stack, b, garbage)
+        with contextlib.suppress(ConnectionError):
+            await reader.read()
+            assert reader.at_eof()
+        await until(lambda: len(b.streams) == 1)
+    assert b.count("wire.rejected") == 1
+    assert a.network.send("b", BEAT)
+    await until(lambda: ("a", BEAT) in b.events)
+
+
+async def test_nothing_after_a_malformed_frame_is_handled(start):
+    """What follows garbage in one read cannot be trusted."""
+    b = await start("b")
+    with contextlib.ExitStack() as stack:
+        data = wire.encode(builders.hello("c")) + b"\0\0\0\0" + wire.encode(BEAT)
+        await open_raw(stack, b, data)
+        await until(lambda: b.events == ["+c.1", "-c"])
+    assert b.count("sessions.lost") == 1
+
+
+async def test_hello_that_never_comes(start):
+    """Connections that say nothing must not pile up."""
+    b = await start("b")
+    with contextlib.ExitStack() as stack:
+        await open_raw(stack, b, b"")
+        await until(lambda: b.streams)
+        for _ in range(5):
+            b.time.advance(1.0)
+            b.network.watch()
+        await asyncio.sleep(0)
+        assert len(b.streams) == 1
+        b.time.advance(session.HELLO_TIMEOUT_S - 4.9)
+        b.network.watch()
+        await until(lambda: not b.streams)
+    assert b.events == []
+
+
+async def test_silent_node_is_disconnected_once_after_the_lease(start):
+    """A node that is paused keeps its connections open and must be noticed."""
+    a, b = await start("a"), await start("b")
+    await connect(a, b)
+    for _ in range(2):
+        b.time.advance(1.2)
+        b.network.watch()
+    assert "a" in b.network.names
+    b.time.advance(0.2)
+    b.network.watch()
+    await until(lambda: not b.streams)
+    assert b.events == ["+a.1", "-a"]
+
+
+async def test_own_pause_does_not_end_the_peers_leases(start):
+    """After a pause of this process, unread frames are no proof of a dead peer."""
+    a, b = await start("a"), await start("b")
+    await connect(a, b)
+    b.time.advance(9.0)
+    b.network.watch()
+    b.network.watch()
+    await asyncio.sleep(0.01)
+    assert b.events == ["+a.1"]
+    assert "a" in b.network.names
+
+
+async def test_restart_under_the_same_name_replaces_the_connection(start):
+    """The loss of the older boot is told before the new one, and only once."""
+    b = await start("b")
+    await connect(await start("a", boot=1), b)
+    newer = await start("a", boot=2)
+    await connect(newer, b)
+    await until(lambda: len(b.events) == 3 and len(b.streams) == 1)
+    assert b.events == ["+a.1", "-a", "+a.2"]
+    assert b.network.send("a", BEAT)
+    await until(lambda: ("b", BEAT) in newer.events)
+
+
+async def test_node_does_not_connect_to_itself(start):
+    """A node that finds its own address among its peers must not answer itself."""
+    a = await start("a")
+    a.network.dial(a.address)
+    await until(lambda: a.count("wire.received") >= 1)
+    await until(lambda: not a.streams)
+    assert a.events == []
+
+
+async def test_dial_is_not_repeated(start):
+    """Each further connection to a node would disturb the one in use."""
+    a, b = await start("a"), await start("b")
+    a.network.dial(b.address)
+    a.network.dial(b.address)
+    await until(lambda: "b" in a.network.names and "a" in b.network.names)
+    a.time.advance(9.0)
+    a.network.dial(b.address)
+    a.network.dial("127.0.0.1:1", "b")
+    assert not a.network._task_by_address
+    await until(lambda: a.events == ["+b.1"])
+    assert (len(a.streams), len(b.streams)) == (1, 1)
+
+
+async def test_refused_dial_is_tried_again_later(start):
+    """A node that is not up yet must be reached after it has started."""
+    a = await start("a")
+    with socket.socket() as closed:
+        closed.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{closed.getsockname()[1]}"
+        for advance_s, is_tried in ((0, True), (0.4, False), (0.1, True)):
+            a.time.advance(advance_s)
+            a.network.dial(address)
+            assert bool(a.network._task_by_address) == is_tried
+            await until(lambda: not a.network._task_by_address)
+    a.network.dial("no port")
+    await until(lambda: not a.network._task_by_address)
+
+
+async def test_message_over_the_limit_is_not_sent(start):
+    """A frame that the peer must refuse would cost the whole connection."""
+    a, b = await start("a"), await start("b")
+    await connect(a, b)
+    huge = messages.Outcome(b"j" * 16, 1, 1, 0, "", (b"x" * 1_000_000,) * 5)
+    assert not a.network.send("b", huge)
+    assert a.network.send("b", BEAT)
+    await until(lambda: ("a", BEAT) in b.events)
+
+
+async def test_stop_writes_what_was_queued(start):
+    """The last message of a planned stop must not be lost."""
+    a, b = await start("a"), await start("b")
+    await connect(a, b)
+    a.network.send("b", messages.Leave())
+    await a.network.stop()
+    await until(lambda: b.events == ["+a.1", ("a", messages.Leave()), "-a"])
+    assert not b.network.send("a", BEAT)
+
+
+async def test_slow_reader_is_cut_off(start, monkeypatch):
+    """What a peer does not read must not fill the memory."""
+    monkeypatch.setattr(stream, "WRITE_BUFFER_LIMIT_BYTES", 1_000_000)
+    a = await start("a")
+    with contextlib.ExitStack() as stack:
+        await open_raw(stack, a, wire.encode(builders.hello("c")))
+        await until(lambda: "c" in a.network.names)
+        part = messages.Outcome(b"j" * 16, 1, 1, 0, "", (b"x" * 1_000_000,) * 3)
+        for _ in range(20):
+            a.network.send("c", part)
+            await asyncio.sleep(0)
+        await until(lambda: not a.streams)
+    assert a.events == ["+c.1", "-c"]
--- a/tests/test_session_faults.py
+++ b/tests/test_session_faults.py
@@ -262,3 +262,17 @@
     session.log_is_up = False
     request = sessions.make_request("k1", [50] * 10)
     sessions.assert_whole(request, session.answer(session.submit("entry-1", request)))
+
+
+@pytest.mark.parametrize("count", [0, 3, 5])
+def test_answer_of_the_owner_that_is_not_whole_is_no_answer(session, count):
+    """A joined caller must not get a partial answer from another entry host."""
+    request = sessions.make_request("k1", [300] * 4)
+    session.submit("entry-1", request)
+    session.run(0.05)
+    ticket = session.submit("entry-2", request)
+    session.run(0.05)
+    part = messages.Outcome(request.job, 1, 1, 0, "", (b"1",) * count)
+    joined = session.processes["entry-2"]
+    session._perform(joined, joined.core.receive("entry-1", part))
+    assert_failed(session.answer(ticket), codes.Code.ANSWER_EXPIRED)
