--- a/src/burdockgate/version/view.py
+++ b/src/burdockgate/version/view.py
@@ -138,12 +138,11 @@
     moved = attrs.evolve(view, number=record.offset + 1)
     try:
         value = json.loads(record.value)
-<<<<<<< HEAD
         change = Change(value["type"])
         if moved.waiting is not None:
             return _apply_incomplete(moved, record, change, value)
         return _apply(moved, change, value)
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, OverflowError, RecursionError):
         return moved
 
 
@@ -164,11 +163,6 @@
     for later in kept:
         start = fold(start, later)
     return start
-=======
-        return _apply(attrs.evolve(view, number=number), Change(value["type"]), value)
-    except (ValueError, KeyError, TypeError, OverflowError, RecursionError):
-        return attrs.evolve(view, number=number)
->>>>>>> units
 
 
 def _apply(view: View, change: Change, value: Any) -> View:
