Test ageing in the backlog and connections that are replaced

Cause: trial mutants without ageing, with ended jobs served, and with two rules of the choice between connections dropped passed the tests. The ageing test served the large job before any small one waited. Change: the ageing test starts with a small job and checks that nothing which arrived after the bound goes first; two tests are added.

--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -108,9 +108,10 @@
     queue = backlog.Backlog()
     queue.add(job("large", tasks, time=time), 1.0)
     bound_s = backlog.SECONDS_PER_WAITING_TASK * tasks
-    while "large" not in serve(queue, 1):
+    queue.add(job("0.0-first", 1, time=time), 1.0)
+    while (key := serve(queue, 1)[0]) != "large":
+        assert float(key.partition("-")[0]) <= bound_s
         time.advance(0.1)
-        assert time.now() <= bound_s + 0.1
         for number in range(newcomers):
             queue.add(job(f"{time.now()}-{number}", 1, time=time), 1.0)
 
@@ -161,3 +162,11 @@
         del leader
     gc.collect()
     assert [ref() is None for ref in refs] == [True] * 4 + [False]
+
+
+def test_job_that_ended_is_not_served(queue):
+    """Nothing of a cancelled job may be sent to a worker."""
+    ended = job("k1")
+    queue.add(ended, 1.0)
+    list(ended.cancel())
+    assert serve(queue, 1) == []
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -274,3 +274,18 @@
             await asyncio.sleep(0)
         await until(lambda: not a.streams)
     assert a.events == ["+c.1", "-c"]
+
+
+@pytest.mark.parametrize(("name", "boot"), [("a", 1), ("z", 2)])
+async def test_later_connection_replaces_one_that_may_be_dead(start, name, boot):
+    """A peer that dials again, or that has another boot, has lost the older one."""
+    b = await start("b")
+    with contextlib.ExitStack() as stack:
+        if boot == 1:
+            await open_raw(stack, b, wire.encode(builders.hello(name)))
+        else:
+            await connect(b, await start(name))
+        await until(lambda: b.events)
+        await open_raw(stack, b, wire.encode(builders.hello(name, boot)))
+        await until(lambda: len(b.events) == 3 and len(b.streams) == 1)
+    assert b.events[:3] == [f"+{name}.1", f"-{name}", f"+{name}.{boot}"]
