--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,9 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test check format clean
+.PHONY: demo test check fuzz format clean
+
+SEEDS ?= 200
 
 demo: $(STAMP)
 	$(BIN)/burdockgate local
@@ -17,6 +19,9 @@
 	$(BIN)/ruff check src tests
 	$(BIN)/mypy
 
+fuzz: $(STAMP)
+	PYTHONPATH=tests $(BIN)/python tests/fuzz.py $(SEEDS)
+
 format: $(STAMP)
 	$(BIN)/ruff format src tests
 	$(BIN)/ruff check --fix src tests
