Move the OpenAPI declarations out of the HTTP interface

Change: process.schema holds the declarations of the OpenAPI page. Measured: the tests of the HTTP interface pass. Conclusion: no change of behaviour.

--- a/src/burdockgate/process/web.py
+++ b/src/burdockgate/process/web.py
@@ -8,7 +8,6 @@
 
 import abc
 import asyncio
-import dataclasses
 import math
 import urllib.parse
 from collections.abc import AsyncIterator, Awaitable
@@ -19,12 +18,12 @@
 import msgspec
 import structlog
 from litestar import exceptions, openapi, types
-from litestar.openapi import plugins, spec
+from litestar.openapi import plugins
 from litestar.response import base
 from uvicorn.protocols.http import h11_impl
 
 from burdockgate import codes, errors
-from burdockgate.process import serving
+from burdockgate.process import schema, serving
 from burdockgate.request import job, outcome
 
 HEADER_TIMEOUT_S = 10.0
@@ -126,86 +125,7 @@
     return cast(_Application, request.app)
 
 
-def _parameter(name: str, place: str, text: str, required: bool) -> spec.Parameter:
-    return spec.Parameter(
-        name=name,
-        param_in=place,
-        description=text,
-        required=required,
-        schema=spec.Schema(type=spec.OpenAPIType.STRING),
-    )
-
-
-def _schema(**kind_by_field: spec.Schema | spec.OpenAPIType) -> spec.Schema:
-    return spec.Schema(
-        type=spec.OpenAPIType.OBJECT,
-        properties={
-            name.rstrip("_"): kind
-            if isinstance(kind, spec.Schema)
-            else spec.Schema(type=kind)
-            for name, kind in kind_by_field.items()
-        },
-    )
-
-
-@dataclasses.dataclass
-class _SubmitOperation(spec.Operation):
-    """Adds the body and the parameters, which the handler reads by itself."""
-
-    def __post_init__(self) -> None:
-        kinds = spec.OpenAPIType
-        task = _schema(
-            payload=spec.Schema(description="any JSON"),
-            expected_ms=kinds.NUMBER,
-            cores=kinds.NUMBER,
-            memory_mb=kinds.INTEGER,
-            accelerators=kinds.INTEGER,
-        )
-        task.required = ["payload"]
-        body = _schema(
-            guest=kinds.STRING,
-            service=kinds.STRING,
-            class_=kinds.STRING,
-            repeatable=kinds.BOOLEAN,
-            deadline_ms=kinds.INTEGER,
-            tasks=spec.Schema(type=kinds.ARRAY, items=task),
-        )
-        body.required = ["guest", "service", "tasks"]
-        self.request_body = spec.RequestBody(
-            {_JSON: spec.OpenAPIMediaType(schema=body)}, required=True
-        )
-        self.parameters = [
-            _parameter(
-                "Idempotency-Key", "header", "1 to 128 visible ASCII characters", True
-            ),
-            _parameter("wait", "query", '"true" (default) or "false"', False),
-        ]
-
-
-@dataclasses.dataclass
-class _FetchOperation(spec.Operation):
-    """Adds the parameter of the query, which the handler reads by itself."""
-
-    def __post_init__(self) -> None:
-        text = "how long to wait for a pending job, in seconds (default 0)"
-        self.parameters = [
-            *(self.parameters or []),
-            _parameter("wait_s", "query", text, False),
-        ]
-
-
-@dataclasses.dataclass
-class _DrainOperation(spec.Operation):
-    """Adds the parameter of the query, which the handler reads by itself."""
-
-    def __post_init__(self) -> None:
-        self.parameters = [
-            *(self.parameters or []),
-            _parameter("active", "query", '"true" (default) or "false"', False),
-        ]
-
-
-@litestar.post("/v1/jobs", operation_class=_SubmitOperation, status_code=200)
+@litestar.post("/v1/jobs", operation_class=schema.SubmitOperation, status_code=200)
 async def _submit(request: _Request) -> _Response:
     """Submit a job and wait for its answer."""
     application = _application(request)
@@ -217,7 +137,7 @@
     return await _answer(submission.guest, submission.key, call)
 
 
-@litestar.get("/v1/jobs/{guest:str}/{key:str}", operation_class=_FetchOperation)
+@litestar.get("/v1/jobs/{guest:str}/{key:str}", operation_class=schema.FetchOperation)
 async def _fetch(request: _Request) -> _Response:
     """Return the kept answer or the state of a job."""
     application = _application(request)
@@ -242,7 +162,9 @@
 
 
 @litestar.post(
-    "/v1/workers/{name:str}/drain", operation_class=_DrainOperation, status_code=200
+    "/v1/workers/{name:str}/drain",
+    operation_class=schema.DrainOperation,
+    status_code=200,
 )
 async def _drain(request: _Request) -> _Response:
     """Drain a worker, or resume it with ``active=false``."""
