Accept connections only when the announcement is ready

Cause: a node that dialled between the bind and the construction of the core met a daemon without a core, and its connection failed with an error. A restart on the same port, with peers dialling twice a second, can meet it. Change: Network binds first and accepts after the core exists; an address that cannot be bound gives one line instead of a traceback.

--- a/src/burdockgate/process/agenthost.py
+++ b/src/burdockgate/process/agenthost.py
@@ -46,10 +46,11 @@
 
     async def start(self) -> None:
         """Listen, connect to entry hosts, and begin to take tasks."""
-        self.address = await self.network.start(self._config.node.listen)
+        self.address = await self.network.bind(self._config.node.listen)
         node = messages.Node(self._config.node.name, self.boot, self.address)
         self.core = agent.AgentCore(node, self._config, self.time, self.counters)
         self.core.slots.is_open = await self._backend.probe()
+        await self.network.serve()
         self.spawn(self.run_timers())
         self.spawn(self._dial_entries())
         self.spawn(self._probe())
--- a/src/burdockgate/process/entryhost.py
+++ b/src/burdockgate/process/entryhost.py
@@ -43,11 +43,12 @@
 
     async def start(self) -> None:
         """Listen for nodes and callers, and follow the log."""
-        self.address = await self.network.start(self._config.node.listen)
+        self.address = await self.network.bind(self._config.node.listen)
         node = messages.Node(self._config.node.name, self.boot, self.address)
         self.core = entry.EntryCore(
             node, self._config, self.time, self.rng, self.counters
         )
+        await self.network.serve()
         limits = self._config.limits
         application = web.build(
             self,
--- a/src/burdockgate/process/network.py
+++ b/src/burdockgate/process/network.py
@@ -83,20 +83,33 @@
         self._dialled_at_by_address: dict[str, float] = {}
         self._watched_at = time.now()
 
-    async def start(self, listen: str) -> str:
-        """Listen for connections.
+    async def bind(self, listen: str) -> str:
+        """Bind an address; :meth:`serve` accepts connections.
+
+        The two are apart because the announcement, which a connection needs at
+        once, names the bound address.
 
         :param listen: ``host:port``; port 0 takes a free one.
         :returns: the bound ``host:port``.
+        :raises errors.SettingsError: when the address cannot be bound.
         """
         host, _, port = listen.rpartition(":")
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: stream.Stream(self), host, int(port)
-        )
+        try:
+            self._server = await loop.create_server(
+                lambda: stream.Stream(self), host, int(port), start_serving=False
+            )
+        except OSError as error:
+            line = f"[node] listen={listen}: {error.strerror or error}"
+            raise errors.SettingsError([line]) from error
         bound = self._server.sockets[0].getsockname()
         return f"{bound[0]}:{bound[1]}"
 
+    async def serve(self) -> None:
+        """Accept connections at the bound address."""
+        assert self._server is not None
+        await self._server.start_serving()
+
     async def stop(self) -> None:
         """Stop listening and close every connection after its last write."""
         if self._server is not None:
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -57,7 +57,8 @@
 
         async def begin(name, boot=1):
             node = Node(name, boot)
-            node.address = await node.network.start("127.0.0.1:0")
+            node.address = await node.network.bind("127.0.0.1:0")
+            await node.network.serve()
             stack.push_async_callback(node.network.stop)
             return node
 
