--- a/src/burdockgate/standin/demo.py
+++ b/src/burdockgate/standin/demo.py
@@ -93,11 +93,11 @@
     system: local.Local, body: dict[str, object]
 ) -> tuple[client.Answer, Summary]:
     loop = asyncio.get_running_loop()
-    sent, started = system.messages, system.starts
-    begin = loop.time()
     async with client.Client(system.urls) as caller:
+        sent, started = system.messages, system.starts
+        begin = loop.time()
         answer = await caller.submit(body)
-    response_ms = (loop.time() - begin) * 1000
+        response_ms = (loop.time() - begin) * 1000
     tasks = body.get("tasks")
     run_times = (
         [_run_time_ms(task) for task in tasks] if isinstance(tasks, list) else []
