Connect entry hosts again after a lost connection

Cause: an entry host dialled its peers only when the view changed, so a cut between two of them lasted until the next change. Change: peers of the view that are not connected are dialled at every look at the roster. Measured: test_entry_hosts_connect_again_after_a_cut failed before and passes now. Conclusion: peers find each other again without help.

--- a/src/burdockgate/process/entry.py
+++ b/src/burdockgate/process/entry.py
@@ -274,9 +274,7 @@
         self._counters.gauge("view.number", self.view.number)
         for name in list(self.workers.worker_by_name):
             yield from self._hand_on(name, views.STREAM, number)
-        for node in self.view.entry_by_name.values():
-            if node.name != self.node.name:
-                yield effects.Dial(node)
+        yield from self._dial_entries()
 
     # Time
 
@@ -292,6 +290,13 @@
                 [worker.hello for worker in self.workers.worker_by_name.values()],
                 self.jobs.peer_by_name.values(),
             )
+            yield from self._dial_entries()
+
+    def _dial_entries(self) -> _Effects:
+        """Connect to the entry hosts of the view, also after a lost connection."""
+        for node in self.view.entry_by_name.values():
+            if node.name not in self.jobs.peer_by_name and node.name != self.node.name:
+                yield effects.Dial(node)
 
     def beat(self) -> _Effects:
         """Send the heartbeats; call once in each heartbeat interval."""
--- a/tests/sessions.py
+++ b/tests/sessions.py
@@ -120,6 +120,7 @@
         self.starts = []
         self.answers = {}
         self.log_is_up = True
+        self.redials = True
         self.cuts = set()
         self.filters = []
         self._log = []
@@ -377,9 +378,8 @@
         if not process.frozen:
             self._perform(process, process.core.beat())
             self._drop_silent(process)
-            for other in list(self.processes):
-                if (process.name + other).count("agent") != 2:
-                    self._dial(process.name, other)
+            if self.redials:
+                self._dial_all(process.name)
         self._later(0.8, lambda: self._beat(process))
 
     def _drop_silent(self, process):
--- a/tests/test_session_faults.py
+++ b/tests/test_session_faults.py
@@ -276,3 +276,14 @@
     joined = session.processes["entry-2"]
     session._perform(joined, joined.core.receive("entry-1", part))
     assert_failed(session.answer(ticket), codes.Code.ANSWER_EXPIRED)
+
+
+def test_entry_hosts_connect_again_after_a_cut():
+    """A cut between two entry hosts must not last after its cause is gone."""
+    session = sessions.Session()
+    session.redials = False
+    session.cut("entry-1", "entry-2")
+    session.run(1.0)
+    session.cuts.clear()
+    session.run(1.0)
+    assert "entry-2" in session.core("entry-1").jobs.peer_by_name
