Choose the placement policy by name

Cause: a comparison of policies needs entry hosts that run with a given one. Change: placement keeps a registry of policies by name, EntryCore takes a name (default two-choices), and the local system sets policy, data centres and racks. Conclusion: no behaviour changes by default.

--- a/src/burdockgate/process/entry.py
+++ b/src/burdockgate/process/entry.py
@@ -32,6 +32,7 @@
     :param time: the clock.
     :param rng: the source of random numbers.
     :param counters: the process's metrics.
+    :param policy: name of the placement policy, from ``placement.POLICY_BY_NAME``.
     """
 
     def __init__(
@@ -41,6 +42,7 @@
         time: clock.Clock,
         rng: random.Random,
         counters: metrics.Metrics,
+        policy: str = placement.DEFAULT,
     ) -> None:
         self.node = node
         self.draining = False
@@ -50,7 +52,7 @@
         self._time = time
         self._counters = counters
         self._dispatcher = dispatch.Dispatcher(
-            self.workers, placement.TwoChoices(rng), counters
+            self.workers, placement.POLICY_BY_NAME[policy](rng), counters
         )
         self.jobs = jobs.Jobs(
             node, config, time, rng, counters, self.workers, self._dispatcher
--- a/src/burdockgate/process/entryhost.py
+++ b/src/burdockgate/process/entryhost.py
@@ -10,7 +10,7 @@
 import attrs
 
 from burdockgate import effects, messages, settings
-from burdockgate.process import daemon, entry, histograms, web
+from burdockgate.process import daemon, entry, histograms, placement, web
 from burdockgate.request import job, outcome
 from burdockgate.version import view as views
 
@@ -25,15 +25,20 @@
 
     :param config: its settings.
     :param rng: the source of random numbers.
+    :param policy: name of the placement policy.
     """
 
     def __init__(
-        self, config: settings.EntrySettings, rng: random.Random | None = None
+        self,
+        config: settings.EntrySettings,
+        rng: random.Random | None = None,
+        policy: str = placement.DEFAULT,
     ) -> None:
         super().__init__(
             config.node, config.platform, config.timing, config.statsd, rng
         )
         self._config = config
+        self._policy = policy
         self._histograms = histograms.Histograms()
         self._future_by_ticket: dict[int, asyncio.Future[outcome.Outcome]] = {}
         self._tickets = itertools.count(1)
@@ -46,7 +51,7 @@
         self.address = await self.network.start(self._config.node.listen)
         node = messages.Node(self._config.node.name, self.boot, self.address)
         self.core = entry.EntryCore(
-            node, self._config, self.time, self.rng, self.counters
+            node, self._config, self.time, self.rng, self.counters, self._policy
         )
         limits = self._config.limits
         application = web.build(
--- a/src/burdockgate/process/placement.py
+++ b/src/burdockgate/process/placement.py
@@ -4,7 +4,7 @@
 
 import abc
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from burdockgate.process import directory
 
@@ -52,3 +52,10 @@
         :param candidates: at least one worker.
         """
         return max(candidates, key=lambda worker: worker.free)
+
+
+DEFAULT = "two-choices"
+POLICY_BY_NAME: dict[str, Callable[[random.Random], Placement]] = {
+    DEFAULT: TwoChoices,
+    "least-loaded": lambda _: LeastLoaded(),
+}
--- a/src/burdockgate/standin/local.py
+++ b/src/burdockgate/standin/local.py
@@ -9,7 +9,7 @@
 import attrs
 
 from burdockgate import clock, errors, settings
-from burdockgate.process import agenthost, entryhost
+from burdockgate.process import agenthost, entryhost, placement
 from burdockgate.standin import backend, log
 
 LOOPBACK = "127.0.0.1"
@@ -26,6 +26,9 @@
     :param slots: slots of each worker.
     :param service: name of the one service.
     :param http_port: port of the first entry host; 0 takes a free one.
+    :param data_centres: number of data centres, which the racks take in turn.
+    :param nodes_per_rack: agents in one rack; also entry hosts in one rack.
+    :param policy: name of the placement policy of the entry hosts.
     """
 
     entries: int = 2
@@ -34,6 +37,9 @@
     service: str = "sample"
     http_port: int = 0
     seed: int = 1
+    data_centres: int = DATA_CENTRES
+    nodes_per_rack: int = 1
+    policy: str = placement.DEFAULT
     timing: settings.TimingSettings = attrs.field(factory=settings.TimingSettings)
     limits: settings.LimitSettings = attrs.field(factory=settings.LimitSettings)
 
@@ -90,14 +96,15 @@
         """
         port = self.config.http_port if not self.entries else 0
         config = settings.EntrySettings(
-            node=_node(name, place),
+            node=self._node(name, place),
             http=f"{LOOPBACK}:{port}",
             platform=self._platform(),
             limits=self.config.limits,
             timing=self.config.timing,
             statsd=settings.StatsdSettings(),
         )
-        entry = entryhost.EntryHost(config, random.Random(self._rng.random()))
+        rng = random.Random(self._rng.random())
+        entry = entryhost.EntryHost(config, rng, self.config.policy)
         await entry.start()
         self.entries.append(entry)
         return entry
@@ -114,7 +121,7 @@
         await server.start()
         self.servers.append(server)
         config = settings.AgentSettings(
-            node=_node(name, place),
+            node=self._node(name, place),
             backend_server=settings.BackendSettings(
                 url=f"http://{server.address}",
                 service=self.config.service,
@@ -142,8 +149,15 @@
     @property
     def messages(self) -> int:
         """Messages sent so far between the system's processes, of all kinds."""
+        return self.count("wire.sent")
+
+    def count(self, name: str) -> int:
+        """Return the sum of one counter over all daemons.
+
+        :param name: name of the counter.
+        """
         daemons = [*self.entries, *self.agents]
-        return sum(int(item.counters.snapshot()["wire.sent"]) for item in daemons)
+        return sum(int(item.counters.snapshot()[name]) for item in daemons)
 
     @property
     def starts(self) -> int:
@@ -157,15 +171,15 @@
         await asyncio.gather(*(server.cut() for server in self.servers))
         await self.log.cut()
 
-
-def _node(name: str, place: int) -> settings.NodeSettings:
-    return settings.NodeSettings(
-        name=name,
-        region=REGION,
-        data_centre=f"dc-{place % DATA_CENTRES + 1}",
-        rack=f"rack-{place + 1}",
-        listen=f"{LOOPBACK}:0",
-    )
+    def _node(self, name: str, place: int) -> settings.NodeSettings:
+        rack = place // self.config.nodes_per_rack
+        return settings.NodeSettings(
+            name=name,
+            region=REGION,
+            data_centre=f"dc-{rack % self.config.data_centres + 1}",
+            rack=f"rack-{rack + 1}",
+            listen=f"{LOOPBACK}:0",
+        )
 
 
 def ideal_ms(run_times_ms: list[float], slots: int) -> float:
