Add burdockgate measure, a seeded open-loop load tool

Change: plans drawn before the run, seven scenarios over the local system or running daemons, the verdict of the checker, JSON, a table, and an HTML report; the scenario starts drives one EntryCore without sockets.

--- a/src/burdockgate/cli/main.py
+++ b/src/burdockgate/cli/main.py
@@ -25,7 +25,7 @@
     # What add_subparsers() returns; argparse has no public name for it.
     Subparsers = argparse._SubParsersAction[argparse.ArgumentParser]
 
-GROUPS = ("jobs", "operate", "daemons", "table", "standins")
+GROUPS = ("jobs", "operate", "daemons", "table", "standins", "measure")
 
 EXIT_FAILED = 1
 EXIT_USAGE = 2
--- /dev/null
+++ b/src/burdockgate/standin/arrivals.py
@@ -0,0 +1,198 @@
+"""Plans of measured runs: every arrival is drawn before the run starts."""
+
+from __future__ import annotations
+
+import itertools
+import json
+import math
+import random
+from collections.abc import Iterator
+
+import attrs
+
+from burdockgate.request import job
+
+SHORT_MS = 200.0
+RUN_TIME_MIN_MS = 50.0
+RUN_TIME_MAX_MS = 1000.0
+LONG_SHARE = 0.02
+LONG_MIN_MS = 2000.0
+LONG_MAX_MS = 6000.0
+STRAGGLER_FACTOR = 10.0
+DECLARED_FACTOR = 4.0
+TASKS_MAX = 30
+# A crest of 3x capacity leaves a backlog that takes longer than the usual deadline.
+DEADLINE_MS = 240_000
+CLASSES = ("alpha", "beta", "gamma")
+
+
+@attrs.frozen
+class Task:
+    """One planned task; both times are in ms."""
+
+    run_ms: float
+    declared_ms: float
+
+
+@attrs.frozen
+class Job:
+    """One planned submission.
+
+    :param at: planned time of the arrival, in seconds after the start of the run.
+    :param entry: index of the entry host.
+    :param cancel_at: when the caller cancels, in seconds after the start.
+    """
+
+    at: float
+    guest: str
+    key: str
+    caller_class: str
+    entry: int
+    tasks: tuple[Task, ...]
+    deadline_ms: int = DEADLINE_MS
+    cancel_at: float | None = None
+
+    @property
+    def id(self) -> bytes:
+        """The 16-byte job id."""
+        return job.job_id(self.guest, self.key)
+
+    @property
+    def work_ms(self) -> float:
+        """Sum of the run times, in ms."""
+        return sum(task.run_ms for task in self.tasks)
+
+    def payloads(self) -> tuple[bytes, ...]:
+        """Return the JSON text of each task's payload."""
+        return tuple(b'{"sleep_ms":%.3f}' % task.run_ms for task in self.tasks)
+
+    def body(self, service: str) -> bytes:
+        """Return the JSON body of the submission.
+
+        :param service: name of the service.
+        """
+        tasks = ",".join(
+            f'{{"payload":{payload.decode()},"expected_ms":{task.declared_ms:.3f}}}'
+            for payload, task in zip(self.payloads(), self.tasks, strict=True)
+        )
+        head = json.dumps(
+            {
+                "guest": self.guest,
+                "service": service,
+                "class": self.caller_class,
+                "deadline_ms": self.deadline_ms,
+            }
+        )
+        return f'{head[:-1]},"tasks":[{tasks}]}}'.encode()
+
+
+@attrs.frozen
+class Phase:
+    """A part of a run with one rate of arrivals.
+
+    :param load: offered work as a share of the capacity of all slots.
+    """
+
+    seconds: float
+    load: float
+
+
+@attrs.frozen
+class Shape:
+    """What the arrivals of a run are drawn from.
+
+    :param straggler_share: share of the work that stragglers do; each one runs 10
+        times as long as it otherwise would.
+    """
+
+    slots: int
+    entries: int
+    phases: tuple[Phase, ...]
+    straggler_share: float = 0.0
+
+
+def plan(shape: Shape, seed: int) -> list[Job]:
+    """Return the arrivals of a run in the order of time.
+
+    :param shape: what to draw from.
+    :param seed: seed of all random choices; the same one gives the same plan.
+    """
+    rng = random.Random(seed)
+    return list(_arrivals(shape, seed, rng))
+
+
+def _arrivals(shape: Shape, seed: int, rng: random.Random) -> Iterator[Job]:
+    numbers = itertools.count(1)
+    begin = 0.0
+    for phase in shape.phases:
+        work_per_job_s = _mean_tasks() * mean_run_ms(shape) / 1000
+        rate = phase.load * shape.slots / work_per_job_s
+        end = begin + phase.seconds
+        at = begin + rng.expovariate(rate)
+        while at < end:
+            yield make_job(shape, rng, at, f"{seed}-{next(numbers)}")
+            at += rng.expovariate(rate)
+        begin = end
+
+
+def make_job(shape: Shape, rng: random.Random, at: float, key: str) -> Job:
+    """Return one job drawn from a shape.
+
+    :param shape: what to draw from.
+    :param rng: the source of random numbers.
+    :param at: planned time of the arrival, in seconds after the start of the run.
+    :param key: idempotency key.
+    """
+    count = int(math.exp(rng.uniform(0.0, math.log(TASKS_MAX + 1))))
+    return Job(
+        at=at,
+        guest=f"guest-{rng.randrange(8) + 1}",
+        key=key,
+        caller_class=rng.choice(CLASSES),
+        entry=rng.randrange(shape.entries),
+        tasks=tuple(_task(shape, rng) for _ in range(count)),
+    )
+
+
+def _task(shape: Shape, rng: random.Random) -> Task:
+    if rng.random() < LONG_SHARE:
+        run_ms = _log_uniform(rng, LONG_MIN_MS, LONG_MAX_MS)
+    else:
+        run_ms = _log_uniform(rng, RUN_TIME_MIN_MS, RUN_TIME_MAX_MS)
+    declared_ms = run_ms * _log_uniform(rng, 1 / DECLARED_FACTOR, DECLARED_FACTOR)
+    if rng.random() < straggler_probability(shape.straggler_share):
+        run_ms *= STRAGGLER_FACTOR
+    return Task(round(run_ms, 3), round(declared_ms, 3))
+
+
+def straggler_probability(share: float) -> float:
+    """Return the share of tasks that must be stragglers.
+
+    :param share: share of the work that stragglers do.
+    """
+    return share / (STRAGGLER_FACTOR - share * (STRAGGLER_FACTOR - 1))
+
+
+def mean_run_ms(shape: Shape) -> float:
+    """Return the mean run time of a task, in ms.
+
+    :param shape: what the tasks are drawn from.
+    """
+    usual = _log_uniform_mean(RUN_TIME_MIN_MS, RUN_TIME_MAX_MS)
+    long = _log_uniform_mean(LONG_MIN_MS, LONG_MAX_MS)
+    mean = (1 - LONG_SHARE) * usual + LONG_SHARE * long
+    probability = straggler_probability(shape.straggler_share)
+    return mean * (1 + probability * (STRAGGLER_FACTOR - 1))
+
+
+def _mean_tasks() -> float:
+    span = math.log(TASKS_MAX + 1)
+    return sum(n * math.log((n + 1) / n) / span for n in range(1, TASKS_MAX + 1))
+
+
+def _log_uniform(rng: random.Random, low: float, high: float) -> float:
+    return math.exp(rng.uniform(math.log(low), math.log(high)))
+
+
+def _log_uniform_mean(low: float, high: float) -> float:
+    return (high - low) / math.log(high / low)
--- /dev/null
+++ b/src/burdockgate/standin/load.py
@@ -0,0 +1,256 @@
+"""Runs a plan of arrivals against a system and records what its callers see.
+
+The loop is open: a submission is sent at its planned time whether or not earlier
+ones were answered, and every wait counts from the planned time, so that a slow
+system or a slow load tool cannot hide its own delays.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from collections.abc import Coroutine, Sequence
+from typing import Any
+
+import attrs
+import httpx
+
+from burdockgate import errors
+from burdockgate.standin import arrivals, scenarios, targets
+
+# Answers still missing this long after the last arrival are given up.
+ANSWER_LIMIT_S = 60.0
+WARM_UP_TASK_MS = 20.0
+LEAD_S = 0.1
+
+
+@attrs.frozen
+class Config:
+    """What is run.
+
+    :param seconds: length of the run; see :meth:`scenarios.Scenario.phases`.
+    """
+
+    scenario: scenarios.Scenario
+    seed: int = 1
+    seconds: float = 10.0
+    size: targets.Size = attrs.field(factory=targets.Size)
+    urls: tuple[str, ...] = ()
+
+    @property
+    def planned_s(self) -> float:
+        """Time in which jobs arrive, in seconds."""
+        return sum(phase.seconds for phase in self.scenario.phases(self.seconds))
+
+
+@attrs.define
+class Record:
+    """What a caller saw of one job; times are seconds after the start of the run.
+
+    :param body: the answer; empty while there is none.
+    :param cancel_body: the answer to the cancellation.
+    """
+
+    job: arrivals.Job
+    sent_at: float | None = None
+    answered_at: float | None = None
+    body: bytes = b""
+    cancelled_at: float | None = None
+    cancel_body: bytes = b""
+
+
+@attrs.frozen
+class Run:
+    """A finished run.
+
+    :param began: start of the run by the monotonic clock, in seconds.
+    :param seconds: time from the start to the last answer.
+    :param window_s: time from the start to the end of the planned arrivals.
+    :param before: totals at the start.
+    :param after: totals at the end of the planned arrivals.
+    :param starts: starts of the planned jobs; ``None`` when they are not known.
+    :param fault_at: begin of the fault, in seconds after the start.
+    :param worker: the worker that the faults concern.
+    """
+
+    config: Config
+    slots: int
+    agents: int
+    began: float
+    seconds: float
+    window_s: float
+    records: list[Record]
+    before: targets.Counts | None
+    after: targets.Counts | None
+    starts: list[targets.Start] | None
+    fault_at: float | None
+    worker: str
+
+
+async def run(config: Config, is_base: bool = False) -> Run:
+    """Start the system, run the plan and stop the system.
+
+    :param config: what to run.
+    :param is_base: whether to leave out the stragglers.
+    """
+    target: targets.Target = (
+        targets.RemoteTarget(config.urls)
+        if config.urls
+        else targets.LocalTarget(config.size, config.seed)
+    )
+    try:
+        await target.start()
+        shape = config.scenario.shape(
+            target.slots, len(target.urls), config.seconds, is_base
+        )
+        plan = config.scenario.plan(shape, config.seconds, config.seed)
+        return await _Driver(config, target, plan).run()
+    finally:
+        await target.stop()
+
+
+class _Driver:
+    """Sends the planned jobs and the faults at their times."""
+
+    def __init__(
+        self, config: Config, target: targets.Target, plan: Sequence[arrivals.Job]
+    ) -> None:
+        self._config = config
+        self._target = target
+        self._records = [Record(job) for job in plan]
+        self._began = 0.0
+        self._fault_at: float | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+        self._http = httpx.AsyncClient(
+            trust_env=False,
+            timeout=None,
+            limits=httpx.Limits(max_connections=None),
+        )
+
+    def _now(self) -> float:
+        return time.monotonic() - self._began
+
+    async def run(self) -> Run:
+        """Run the plan and wait for the answers."""
+        async with self._http:
+            await self._warm_up()
+            # Tasks are made and bodies are encoded before the first arrival.
+            self._began = time.monotonic() + LEAD_S
+            before = self._target.counts()
+            fault = asyncio.create_task(self._drive_fault())
+            try:
+                await self._send_all()
+                # The tail after the last arrival has few tasks and many heartbeats,
+                # so it is left out of the costs.
+                await asyncio.sleep(max(0.0, self._config.planned_s - self._now()))
+                window_s, after = self._now(), self._target.counts()
+                if self._tasks:
+                    await asyncio.wait(self._tasks, timeout=ANSWER_LIMIT_S)
+                seconds = self._now()
+            finally:
+                await _end([fault, *self._tasks])
+        if fault.done() and not fault.cancelled():
+            fault.result()
+        return self._result(seconds, window_s, before, after)
+
+    async def _warm_up(self) -> None:
+        """Open the connections that the run will use."""
+        shape_task = arrivals.Task(WARM_UP_TASK_MS, WARM_UP_TASK_MS)
+        per_entry = max(1, self._target.slots // len(self._target.urls))
+        jobs = [
+            arrivals.Job(
+                0.0,
+                "warm-up",
+                f"warm-up-{self._config.seed}-{index}-{time.monotonic_ns()}",
+                arrivals.CLASSES[0],
+                index,
+                (shape_task,) * per_entry,
+            )
+            for index in range(len(self._target.urls))
+        ]
+        replies = await asyncio.gather(*(self._post(job) for job in jobs))
+        for reply in replies:
+            if reply.status_code != httpx.codes.OK:
+                raise errors.ClientError(f"warm-up: {reply.text:.200}")
+
+    async def _send_all(self) -> None:
+        bodies = [item.job.body(self._target.service) for item in self._records]
+        for record, body in zip(self._records, bodies, strict=True):
+            delay = record.job.at - self._now()
+            if delay > 0:
+                await asyncio.sleep(delay)
+            self._spawn(self._submit(record, body))
+            if record.job.cancel_at is not None:
+                self._spawn(self._cancel(record, record.job.cancel_at))
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        self._tasks.append(asyncio.create_task(coroutine))
+
+    async def _submit(self, record: Record, body: bytes) -> None:
+        record.sent_at = self._now()
+        with contextlib.suppress(httpx.HTTPError):
+            reply = await self._post(record.job, body)
+            record.body = reply.content
+            record.answered_at = self._now()
+
+    async def _post(
+        self, job: arrivals.Job, body: bytes | None = None
+    ) -> httpx.Response:
+        return await self._http.post(
+            f"{self._target.urls[job.entry]}/v1/jobs",
+            content=body or job.body(self._target.service),
+            headers={"Idempotency-Key": job.key, "Content-Type": "application/json"},
+        )
+
+    async def _cancel(self, record: Record, at: float) -> None:
+        await asyncio.sleep(max(0.0, at - self._now()))
+        job = record.job
+        url = f"{self._target.urls[job.entry]}/v1/jobs/{job.guest}/{job.key}"
+        with contextlib.suppress(httpx.HTTPError):
+            reply = await self._http.delete(url)
+            record.cancel_body = reply.content
+            record.cancelled_at = self._now()
+
+    async def _drive_fault(self) -> None:
+        scenario, seconds = self._config.scenario, self._config.seconds
+        if scenario.fault is scenarios.Fault.NONE:
+            return
+        await asyncio.sleep(scenario.fault_from * seconds + LEAD_S)
+        await self._target.set_fault(scenario.fault, is_on=True)
+        # A drain counts from the operator's answer, as an operator sees it.
+        self._fault_at = self._now()
+        await asyncio.sleep(max(0.0, scenario.fault_to * seconds - self._now()))
+        await self._target.set_fault(scenario.fault, is_on=False)
+
+    def _result(
+        self,
+        seconds: float,
+        window_s: float,
+        before: targets.Counts | None,
+        after: targets.Counts | None,
+    ) -> Run:
+        starts = self._target.starts()
+        if starts is not None:
+            planned = {record.job.id for record in self._records}
+            starts = [start for start in starts if start.job in planned]
+        return Run(
+            self._config,
+            self._target.slots,
+            self._target.agents,
+            self._began,
+            seconds,
+            window_s,
+            self._records,
+            before,
+            after,
+            starts,
+            self._fault_at,
+            self._target.worker,
+        )
+
+
+async def _end(tasks: Sequence[asyncio.Task[None]]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/tests/test_measure.py
@@ -0,0 +1,156 @@
+"""Guards the load tool: exact plans, honest figures, and the exit status."""
+
+import json
+import xml.etree.ElementTree as ET
+
+import attrs
+import pytest
+
+from burdockgate.cli import main
+from burdockgate.standin import (
+    arrivals,
+    figures,
+    measurement,
+    report,
+    scenarios,
+    targets,
+)
+from burdockgate.standin import starts as bench
+
+SMALL = targets.Size(entries=2, agents=4, slots=2)
+REQUEST = measurement.Request("steady", seconds=0.3, as_json=True, size=SMALL)
+FIELDS = {"scenario", "seed", "jobs", "tasks", "complete", "failed", "refused"}
+FIELDS |= {"violations", "response_over_ideal", "messages_per_task", "cpu_share"}
+FIELDS |= {"wasted_messages_per_task", "short_wait_ms", "slots_busy", "share_error"}
+FIELDS |= {"recovery_s", "starts_per_s", "rss_mb", "bytes_per_s"}
+
+
+def plan(name="steady", seed=1, seconds=20.0):
+    scenario = scenarios.SCENARIO_BY_NAME[name]
+    shape = scenario.shape(8, 3, seconds)
+    return scenario.plan(shape, seconds, seed)
+
+
+@pytest.fixture(autouse=True)
+def short_tasks(monkeypatch):
+    """Keep tasks of several seconds out of the runs of these tests."""
+    monkeypatch.setattr(arrivals, "LONG_MIN_MS", 50.0)
+    monkeypatch.setattr(arrivals, "LONG_MAX_MS", 100.0)
+    monkeypatch.setattr(arrivals, "RUN_TIME_MAX_MS", 100.0)
+
+
+@pytest.mark.parametrize("name", scenarios.SCENARIO_BY_NAME)
+def test_same_seed_gives_same_plan(name):
+    """Two policies must meet the same arrivals, or their comparison is void."""
+    assert plan(name) == plan(name)
+    assert plan(name) != plan(name, seed=2)
+    assert [job.at for job in plan(name)] == sorted(job.at for job in plan(name))
+
+
+def test_offered_work_matches_the_load():
+    """A wrong mean run time would shift the load of every measurement."""
+    work_s = sum(job.work_ms for job in plan(seconds=2000.0)) / 1000
+    assert work_s / (2000.0 * 8) == pytest.approx(0.7, rel=0.03)
+
+
+def test_stragglers_do_their_share_of_the_work():
+    """A wrong share would make the comparison with no stragglers meaningless."""
+    share = arrivals.straggler_probability(0.1)
+    work = share * arrivals.STRAGGLER_FACTOR
+    assert work / (work + 1 - share) == pytest.approx(0.1)
+
+
+def test_steady_run_reports_all_fields(capsys):
+    """A run without faults must end whole, with every field of the interface."""
+    assert measurement.run(REQUEST) == 0
+    summary = json.loads(capsys.readouterr().out)
+    assert summary.keys() >= FIELDS
+    assert summary["complete"] == summary["jobs"] > 0
+    assert summary["violations"] == summary["failed"] == summary["refused"] == 0
+    assert summary["response_over_ideal"].keys() == {"p50", "p99"}
+    # These do not apply to one process without a crest.
+    assert [summary[name] for name in ("rss_mb", "recovery_s", "share_error")] == [
+        None
+    ] * 3
+
+
+def test_planted_violation_is_reported(monkeypatch, capsys, tmp_path):
+    """A task that starts twice must show in the figures and in the exit status."""
+    honest = figures.started_events
+
+    def twice(starts):
+        events = list(honest(starts))
+        return [*events, events[0]]
+
+    monkeypatch.setattr(figures, "started_events", twice)
+    path = tmp_path / "report.html"
+    assert measurement.run(attrs.evolve(REQUEST, report=str(path))) == 1
+    summary = json.loads(capsys.readouterr().out)
+    assert summary["violations"] == 1
+    assert summary["violation_details"][0].startswith("TASK_STARTED_ONCE")
+    assert "TASK_STARTED_ONCE" in path.read_text()
+
+
+def test_failed_jobs_fail_a_run_that_expects_none(monkeypatch, capsys):
+    """Failures of a run without a planned cause must not pass unnoticed."""
+    bad = scenarios.SCENARIO_BY_NAME["bad-worker"]
+    strict = attrs.evolve(bad, expects_failures=False)
+    monkeypatch.setitem(scenarios.SCENARIO_BY_NAME, "bad-worker", strict)
+    assert measurement.run(attrs.evolve(REQUEST, scenario="bad-worker")) == 1
+    summary = json.loads(capsys.readouterr().out)
+    assert summary["failed"] > 0
+    assert summary["violations"] == 0
+
+
+def test_versus_runs_both_policies(capsys):
+    """The second policy must really be the other one, with the same arrivals."""
+    assert measurement.run(attrs.evolve(REQUEST, versus="least-loaded")) == 0
+    first, second = map(json.loads, capsys.readouterr().out.splitlines())
+    assert (first["policy"], second["policy"]) == ("two-choices", "least-loaded")
+    assert first["tasks"] == second["tasks"]
+
+
+def test_bench_completes_the_jobs_whose_starts_it_counts():
+    """Starts of jobs that never end would make the figure of the hot path false."""
+    run = bench.Bench(agents=4, tasks=5, seed=1)
+    assert run.run(200) > 0
+    assert run.started >= 200
+    assert run.complete >= 20
+
+
+@pytest.mark.parametrize(
+    ("arguments", "line"),
+    [
+        (["--scenario", "x"], "--scenario: 'x', allowed are steady, "),
+        (["--versus", "x"], "--versus: 'x', allowed are two-choices, least-loaded"),
+        (
+            ["--connect", "http://127.0.0.1:1", "--scenario", "outage"],
+            "--connect: not possible with the scenario 'outage'",
+        ),
+    ],
+)
+def test_wrong_options_are_named(arguments, line, capsys):
+    """An operator's mistake must be one line, before anything is started."""
+    assert main.main(["measure", *arguments]) == 2
+    assert line in capsys.readouterr().err
+
+
+def test_list_names_every_scenario(capsys):
+    """A scenario that is not listed would not be found."""
+    assert main.main(["measure", "--list"]) == 0
+    names = {line.split()[0] for line in capsys.readouterr().out.splitlines()}
+    assert names == {*scenarios.SCENARIO_BY_NAME, "starts"}
+
+
+def test_unreachable_host_is_a_failure(capsys):
+    """A run against a dead host must not look like a run without jobs."""
+    assert main.main(["measure", "--connect", "http://127.0.0.1:1"]) == 1
+    assert "127.0.0.1:1" in capsys.readouterr().err
+
+
+def test_plot_is_well_formed_and_escapes_names():
+    """Names of callers' classes must not break the page."""
+    points = [(0.0, 1.0), (1.0, float("inf")), (2.0, 3.0)]
+    text = report.plot("a < b", [report.Series("x & y", points, is_line=True)])
+    ET.fromstring(f"<body>{text}</body>")
+    assert "inf" not in text
