Follow the table on every node, from the log and through peers

The first form of the readiness check counted the first connected peer as the majority before the view was known; test_restart_in_an_outage_waits_for_a_majority failed by it.

Conclusion: a change reaches all nodes of a session within 5 s, also at an entry host that is cut from the log.

--- a/src/burdockgate/process/agent.py
+++ b/src/burdockgate/process/agent.py
@@ -8,8 +8,9 @@
 import attrs
 
 from burdockgate import clock, effects, messages, settings
-from burdockgate.process import claims, metrics, slots
+from burdockgate.process import claims, metrics, rows, slots
 from burdockgate.request import record
+from burdockgate.version import table
 from burdockgate.version import view as views
 
 EXPIRY_INTERVAL_S = 1.0
@@ -49,7 +50,7 @@
         self.draining = False
         self.slots = slots.Slots(config.backend_server.slots, time)
         self.claims = claims.ClaimStore(node, time, config.timing.retention_s)
-        self.table_version = 0
+        self.rows = rows.Rows(kept_limit=0)
         self._config = config
         self._time = time
         self._counters = counters
@@ -80,7 +81,7 @@
     @property
     def table_and_view(self) -> tuple[int, int]:
         """The versions in force here, for heartbeats."""
-        return self.table_version, self.claims.catchup.view.number
+        return self.rows.version, self.claims.catchup.view.number
 
     def connected(self, hello: messages.Hello) -> _Effects:
         """Start a session with a node.
@@ -413,16 +414,19 @@
             self.claims.catchup.reply(node, message.view_number)
         yield from ()
 
-    def _on_records(self, _name: str, message: messages.Records) -> _Effects:
+    def _on_records(self, name: str, message: messages.Records) -> _Effects:
+        if message.stream == table.STREAM:
+            self.rows.hear(name, message)
+            self._counters.gauge("table.version", self.rows.version)
+            return
         yield from self.follow(message)
 
     def follow(self, message: messages.Records) -> _Effects:
-        """Apply new records of a log stream.
+        """Apply new records of the members stream.
 
         :param message: the records, from an entry host or from the log.
         """
         if message.stream != views.STREAM:
-            self.table_version = max(self.table_version, message.next)
             return
         current = self.claims.catchup.view
         if message.first > current.number and current.number > 0:
--- a/src/burdockgate/process/entry.py
+++ b/src/burdockgate/process/entry.py
@@ -14,8 +14,11 @@
     metrics,
     placement,
     roster,
+    rows,
+    snapshots,
 )
 from burdockgate.request import job
+from burdockgate.version import table
 from burdockgate.version import view as views
 
 ROSTER_INTERVAL_S = 0.2
@@ -44,7 +47,7 @@
     ) -> None:
         self.node = node
         self.draining = False
-        self.table_version = 0
+        self.rows = rows.Rows()
         self.workers = directory.Directory(time, config.timing.lease_s)
         self._config = config
         self._time = time
@@ -57,6 +60,13 @@
         )
         self._roster = roster.Roster(node, time)
         self._roster_at = time.now()
+        retention_s = config.platform.log_retention_s
+        self._snapshots_by_stream = {
+            stream: snapshots.Snapshots(stream, node, time, retention_s)
+            for stream in (views.STREAM, table.STREAM)
+        }
+        self._is_current = False
+        self._peer_table_version_by_name: dict[str, int] = {}
         self._records_by_stream: dict[str, list[messages.LogRecord]] = {}
         self._handler_by_class: dict[type, Callable[[str, Any], _Effects]] = {
             messages.Load: self._on_load,
@@ -77,6 +87,25 @@
         """The membership view in force here."""
         return self.jobs.view
 
+    @property
+    def has_current_table(self) -> bool:
+        """Whether the table is at least as new as one in force at the start."""
+        # Without the view, the first peer to connect would seem to be the majority.
+        if not self._is_current and self.view.entry_by_name:
+            others = {*self.view.entry_by_name, *self.jobs.peer_by_name}
+            self._is_current = self.rows.is_current(others - {self.node.name})
+        return self._is_current
+
+    @property
+    def table_version_by_entry(self) -> dict[str, int]:
+        """Table version of each entry host known, this one included."""
+        known = dict.fromkeys(self.view.entry_by_name, 0)
+        return {
+            **known,
+            **self._peer_table_version_by_name,
+            self.node.name: self.rows.version,
+        }
+
     @property
     def backlog_tasks(self) -> int:
         """Number of tasks that wait for a slot."""
@@ -170,6 +199,8 @@
             yield from self.jobs.peer_connected(hello.node)
             for worker in self.workers.worker_by_name:
                 yield effects.Send(worker, self._peers())
+            if self.has_current_table:
+                yield effects.Send(name, self.rows.statement())
 
     def disconnected(self, name: str) -> _Effects:
         """End a session.
@@ -179,6 +210,7 @@
         self.workers.leave(name)
         self.jobs.agent_disconnected(name)
         self.jobs.peer_disconnected(name)
+        self._peer_table_version_by_name.pop(name, None)
         yield from ()
 
     def receive(self, name: str, message: messages.Message) -> _Effects:
@@ -198,7 +230,7 @@
         yield from self._dispatcher.run(self.jobs.widen)
 
     def _heartbeat(self) -> messages.Heartbeat:
-        return messages.Heartbeat(self.table_version, self.view.number)
+        return messages.Heartbeat(self.rows.version, self.view.number)
 
     def _peers(self) -> messages.Peers:
         peers = {**self.view.entry_by_name, **self.jobs.peer_by_name}
@@ -233,6 +265,10 @@
         worker = self.workers.worker_by_name.get(name)
         if worker is not None:
             worker.table_version = message.table_version
+        else:
+            self._peer_table_version_by_name[name] = message.table_version
+        for records in self.rows.since(message.table_version):
+            yield effects.Send(name, records)
         if message.view_number < self.view.number:
             yield from self._hand_on(name, views.STREAM, message.view_number)
 
@@ -249,16 +285,38 @@
                 messages.Records(stream, batch[0].offset, batch[-1].offset + 1, batch),
             )
 
-    def _on_records(self, _name: str, message: messages.Records) -> _Effects:
-        yield from self.follow(message)
+    def _on_records(self, name: str, message: messages.Records) -> _Effects:
+        if message.stream == views.STREAM:
+            yield from self._follow_members(message)
+        elif message.stream == table.STREAM:
+            version, was_current = self.rows.version, self.has_current_table
+            self.rows.hear(name, message)
+            yield from self._table_followed(version, was_current)
 
     def follow(self, message: messages.Records) -> _Effects:
-        """Apply new records of a log stream, from the log or from a peer.
+        """Apply new records of a stream that were read from the log.
 
         :param message: the records.
         """
         if message.stream == views.STREAM:
             yield from self._follow_members(message)
+        elif message.stream == table.STREAM:
+            version, was_current = self.rows.version, self.has_current_table
+            self.rows.read(message)
+            self._snapshots_by_stream[table.STREAM].see(message.records)
+            yield from self._table_followed(version, was_current)
+
+    def _table_followed(self, version: int, was_current: bool) -> _Effects:
+        """Hand on what is new, and tell the peers once the table is current."""
+        if self.rows.version > version:
+            self._counters.gauge("table.version", self.rows.version)
+            for name in (*self.workers.worker_by_name, *self.jobs.peer_by_name):
+                known = self._peer_table_version_by_name.get(name, version)
+                for records in self.rows.since(min(known, version)):
+                    yield effects.Send(name, records)
+        if not was_current and self.has_current_table:
+            for name in self.jobs.peer_by_name:
+                yield effects.Send(name, self.rows.statement())
 
     def _follow_members(self, message: messages.Records) -> _Effects:
         number = self.view.number
@@ -267,6 +325,7 @@
         kept = self._records_by_stream.setdefault(views.STREAM, [])
         new = [record for record in message.records if record.offset >= number]
         kept.extend(new)
+        self._snapshots_by_stream[views.STREAM].see(new)
         for view in views.fold_all(self.view, tuple(new)):
             self.jobs.view = view
         if self.view.number == number:
@@ -292,6 +351,18 @@
                 [worker.hello for worker in self.workers.worker_by_name.values()],
                 self.jobs.peer_by_name.values(),
             )
+            yield from self._append_snapshots()
+
+    def _append_snapshots(self) -> _Effects:
+        peers, current = self.jobs.peer_by_name, self.rows.table
+        members = self._snapshots_by_stream[views.STREAM]
+        if members.is_due and self.view.is_complete and self.view.number:
+            value = views.snapshot_record(self.view)
+            yield from members.tick(peers, self.view.number, value)
+        rows_due = self._snapshots_by_stream[table.STREAM]
+        if rows_due.is_due and current.is_complete and current.next:
+            value = table.snapshot_value(current)
+            yield from rows_due.tick(peers, current.next, value)
 
     def beat(self) -> _Effects:
         """Send the heartbeats; call once in each heartbeat interval."""
--- a/src/burdockgate/process/entryhost.py
+++ b/src/burdockgate/process/entryhost.py
@@ -12,6 +12,7 @@
 from burdockgate import effects, messages, settings
 from burdockgate.process import daemon, entry, histograms, web
 from burdockgate.request import job, outcome
+from burdockgate.version import table
 from burdockgate.version import view as views
 
 DRAIN_POLL_S = 0.05
@@ -37,7 +38,6 @@
         self._histograms = histograms.Histograms()
         self._future_by_ticket: dict[int, asyncio.Future[outcome.Outcome]] = {}
         self._tickets = itertools.count(1)
-        self._is_log_read = False
         self._web: web.Server
         self.core: entry.EntryCore
 
@@ -63,6 +63,7 @@
         await self._web.start()
         self.spawn(self.run_timers())
         self.spawn(self.follow(views.STREAM, 0))
+        self.spawn(self.follow(table.STREAM, 0))
         self.spawn(self._dial_seeds())
         self.log.info("entry host started", address=self.address, http=self.http)
 
@@ -136,7 +137,6 @@
 
     def follow_effects(self, records: messages.Records) -> Iterator[effects.Effect]:
         """Yield the core's effects of new log records."""
-        self._is_log_read = True
         return self.core.follow(records)
 
     def connected(self, hello: messages.Hello) -> None:
@@ -219,6 +219,11 @@
             return "stopping"
         if not self.core.view.voter_by_name:
             return "no membership view: the log has not been read"
+        if not self.core.has_current_table:
+            return (
+                "the table may be older than one in force: the log has not been read "
+                "to its end, and no majority of the entry hosts has told its version"
+            )
         if not any(self.core.workers.worker_by_name):
             return "no worker is connected"
         return ""
@@ -231,7 +236,8 @@
             "boot": self.boot,
             "ready": not reason,
             "not_ready_reason": reason,
-            "table_version": self.core.table_version,
+            "table_version": self.core.rows.version,
+            "table_version_by_entry": self.core.table_version_by_entry,
             "view_number": self.core.view.number,
             "voters": sorted(self.core.view.voter_by_name),
             "peers": sorted(self.core.jobs.peer_by_name),
@@ -260,6 +266,7 @@
             "free": worker.free,
             "running": worker.running,
             "draining": worker.draining,
+            "table_version": worker.table_version,
             "lapsed": self.core.workers.has_lapsed(worker),
             "age_s": round(self.time.now() - worker.heard_at, 3),
         }
--- a/src/burdockgate/process/platform.py
+++ b/src/burdockgate/process/platform.py
@@ -230,8 +230,8 @@
     ) -> AsyncGenerator[messages.Records, None]:
         """Yield records from an offset on, for ever.
 
-        The first answer of the log, also after an outage, is yielded even without
-        records, so that the caller knows that it has caught up. Records whose id
+        At the start and after an outage, an empty answer is yielded once the end is
+        reached, so that the caller knows that it has caught up. Records whose id
         came before are left out. When the wanted record has expired, ``first`` of
         the result is larger than ``next`` of the one before.
 
@@ -251,7 +251,10 @@
             if wait_s == 0.0 or records.next > first:
                 fresh = tuple(_unseen(records.records, seen))
                 yield attrs.evolve(records, records=fresh)
-            first, wait_s = records.next, FOLLOW_WAIT_S
+            # Without a wait until the end, so that it shows as an empty answer.
+            if records.next == records.first:
+                wait_s = FOLLOW_WAIT_S
+            first = records.next
 
     async def _read(self, stream: str, first: int, wait_s: float) -> messages.Records:
         params = {"from": str(first), "wait_s": f"{wait_s:g}"}
--- a/src/burdockgate/process/roster.py
+++ b/src/burdockgate/process/roster.py
@@ -58,7 +58,9 @@
             del self._due_by_key[key]
         for key, (wait_s, value) in wanted.items():
             due = self._due_by_key.setdefault(key, _Due(self._time.now()))
-            if self._is_time(due, wait_s + RANK_DELAY_S * self._rank(key[1], names)):
+            if self._is_time(
+                due, wait_s + RANK_DELAY_S * rank(key[1], self._node, names)
+            ):
                 due.appended_at = self._time.now()
                 stream_id = f"{key[0]}-{key[1]}-{key[2]}-{view.number}"
                 yield effects.Append(views.STREAM, stream_id, value)
@@ -69,14 +71,6 @@
             return now - due.appended_at >= REPEAT_S
         return now - due.since >= wait_s
 
-    def _rank(self, name: str, entries: list[str]) -> int:
-        ranked = sorted(
-            entries,
-            key=lambda entry: xxhash.xxh3_64_intdigest(f"{name}\0{entry}".encode()),
-            reverse=True,
-        )
-        return ranked.index(self._node.name)
-
     def _wanted(
         self,
         view: views.View,
@@ -146,5 +140,20 @@
                 )
 
 
+def rank(name: str, node: messages.Node, entries: Iterable[str]) -> int:
+    """Return the rank of an entry host for a name; 0 acts first.
+
+    :param name: name of what is to be changed.
+    :param node: the entry host to rank.
+    :param entries: names of all entry hosts, that one included.
+    """
+    ranked = sorted(
+        entries,
+        key=lambda entry: xxhash.xxh3_64_intdigest(f"{name}\0{entry}".encode()),
+        reverse=True,
+    )
+    return ranked.index(node.name)
+
+
 def _key(change: views.Change, node: messages.Node) -> tuple[str, str, int]:
     return (change.value, node.name, node.boot)
--- a/src/burdockgate/settings.py
+++ b/src/burdockgate/settings.py
@@ -125,10 +125,12 @@
 
 @attrs.frozen
 class PlatformSettings:
-    """How a node finds the system; at least one of the two is needed.
+    """How a node finds the system; a log or seeds are needed.
 
     :param log_url: URL of the log service; empty for none.
     :param seeds: addresses ``host:port`` of entry hosts.
+    :param log_retention_s: entry hosts append snapshots again when half of it has
+        passed.
     """
 
     SECTION: ClassVar[str] = "platform"
@@ -141,6 +143,12 @@
         default=(),
         metadata=fields.key(fields.Addresses(), "stream addresses of entry hosts"),
     )
+    log_retention_s: float = attrs.field(
+        default=3600.0,
+        metadata=fields.key(
+            fields.Number(60, 31536000, "s"), "time for which the log keeps a record"
+        ),
+    )
 
 
 @attrs.frozen
@@ -382,7 +390,7 @@
 def _conflicts(path: str, found: dict[str, dict[str, Any]]) -> Iterator[str]:
     """Yield problems of values that are usable alone but not together."""
     platform = found[PlatformSettings.SECTION]
-    if platform == {"log_url": "", "seeds": ()}:
+    if platform.get("log_url") == "" and platform.get("seeds") == ():
         yield (
             f"{path}: [{PlatformSettings.SECTION}] log_url = '', seeds = '': nothing "
             "to find the system by; at least one of the two is needed"
--- a/tests/sessions.py
+++ b/tests/sessions.py
@@ -21,6 +21,8 @@
 APPEND_S = 0.004
 TICK_S = 0.05
 SERVICE = "records"
+LOG_RETENTION_S = 120.0
+STREAMS = ("members", "table")
 QUIET = (messages.Heartbeat, messages.Load, messages.Peers, messages.Records)
 
 
@@ -35,7 +37,9 @@
 
 
 def platform_settings():
-    return settings.PlatformSettings(log_url="http://127.0.0.1:1", seeds=())
+    return settings.PlatformSettings(
+        log_url="http://127.0.0.1:1", seeds=(), log_retention_s=LOG_RETENTION_S
+    )
 
 
 def entry_settings(name, place, **timing):
@@ -90,6 +94,7 @@
     generation: int
     frozen: bool = False
     inbox: list = attrs.field(factory=list)
+    offset_by_stream: dict = attrs.field(factory=dict)
 
 
 @attrs.define(frozen=True)
@@ -122,7 +127,9 @@
         self.log_is_up = True
         self.cuts = set()
         self.filters = []
-        self._log = []
+        self.log_cuts = set()
+        self._log_by_stream = {stream: [] for stream in STREAMS}
+        self._first_by_stream = dict.fromkeys(STREAMS, 0)
         self._record_ids = set()
         self._events = []
         self._order = itertools.count()
@@ -394,28 +401,47 @@
         if not self.log_is_up or effect.record_id in self._record_ids:
             return
         self._record_ids.add(effect.record_id)
-        record = messages.LogRecord(len(self._log), effect.record_id, effect.value)
-        self._log.append(record)
+        log = self._log_by_stream[effect.stream]
+        log.append(messages.LogRecord(len(log), effect.record_id, effect.value))
+        self.read_log(APPEND_S)
+
+    def append(self, stream, record_id, value):
+        """Append a record as an operator does, and return its offset."""
+        self._append(effects.Append(stream, record_id, value))
+        return len(self._log_by_stream[stream]) - 1
+
+    def expire_log(self, stream, first):
+        """Drop the records of a stream before an offset."""
+        self._first_by_stream[stream] = first
+
+    def log(self, stream):
+        """Return the kept records of a stream."""
+        return self._log_by_stream[stream][self._first_by_stream[stream] :]
+
+    def read_log(self, delay_s=0.0):
+        """Let every entry host that reaches the log read what is new to it."""
         for process in list(self.processes.values()):
             if process.name.startswith("entry"):
-                self._later(
-                    APPEND_S, lambda process=process: self._follow(process, [record])
-                )
+                self._later(delay_s, lambda process=process: self._replay(process))
 
     def _replay(self, process):
-        self._follow(process, list(self._log))
-
-    def _follow(self, process, records):
-        if self._alive(process) and records:
-            first = records[0].offset
-            if first > process.core.view.number:
-                records, first = self._log[: records[-1].offset + 1], 0
-            message = messages.Records(
-                "members", first, records[-1].offset + 1, tuple(records)
-            )
-            self._act(
-                process, lambda: self._perform(process, process.core.follow(message))
-            )
+        is_cut = not self.log_is_up or process.name in self.log_cuts
+        for stream in () if is_cut else STREAMS:
+            self._act(process, lambda stream=stream: self._follow(process, stream))
+
+    def _follow(self, process, stream):
+        """Hand a process the new records, then an empty page as at the log's end."""
+        kept = self.log(stream)
+        wanted = process.offset_by_stream.get(stream, 0)
+        end = len(self._log_by_stream[stream])
+        process.offset_by_stream[stream] = end
+        first = max(wanted, self._first_by_stream[stream])
+        records = tuple(record for record in kept if record.offset >= first)
+        for page in (
+            messages.Records(stream, first, end, records),
+            messages.Records(stream, end, end, ()),
+        ):
+            self._perform(process, process.core.follow(page))
 
     def _execute(self, process, effect):
         self.starts.append(
--- /dev/null
+++ b/tests/test_rows.py
@@ -0,0 +1,134 @@
+"""Guards the table of a node: it follows every source and never goes back."""
+
+import random
+
+import attrs
+import pytest
+
+from burdockgate import messages
+from burdockgate.process import rows
+from burdockgate.version import table
+
+
+def record(offset, value):
+    return messages.LogRecord(offset, f"id-{offset}", value)
+
+
+def changes(count):
+    """Return records of a row that is set again and again, and conflicts."""
+    made, version = [], 0
+    for offset in range(count):
+        is_conflict = offset % 4 == 3
+        row = table.Row("class", "batch", weight=offset + 1)
+        based_on = 0 if is_conflict else version
+        made.append(record(offset, table.set_value(row, based_on)))
+        version = version if is_conflict else offset + 1
+    return made
+
+
+def page(records, first=None):
+    first = records[0].offset if first is None else first
+    return messages.Records("table", first, records[-1].offset + 1, tuple(records))
+
+
+def read(*pages, **fields):
+    made = rows.Rows(**fields)
+    for each in pages:
+        made.read(each)
+    return made
+
+
+def state(made):
+    return made.version, made.table.row_by_key
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_pages_in_any_order_never_lower_the_version(seed):
+    """Older, repeated and reordered pages of peers and of the log come at any time."""
+    rng = random.Random(seed)
+    made = changes(40)
+    source = read(page(made))
+    target = rows.Rows()
+    versions = [0]
+    for _ in range(60):
+        start = rng.randrange(40)
+        part = page(made[start : start + rng.randint(1, 12)])
+        older = read(page(made[: rng.randint(1, 40)]), kept_limit=rng.choice([0, 50]))
+        choice = rng.randrange(3)
+        if choice == 0 and part.first <= target.table.next:
+            target.read(part)
+        elif choice == 1:
+            target.hear("peer", part)
+        else:
+            for each in older.since(rng.randrange(40)):
+                target.hear("peer", each)
+        versions.append(target.version)
+        expected = read(page(made[: target.version])) if target.version else target
+        assert state(target) == state(expected)
+    assert versions == sorted(versions)
+    for each in source.since(target.version):
+        target.hear("peer", each)
+    assert state(target) == state(source)
+
+
+@pytest.mark.parametrize("kept_limit", [0, 2000])
+def test_node_behind_gets_what_it_lacks(kept_limit):
+    """A node at any older version must reach the newest from one that is ahead."""
+    made = changes(30)
+    source = read(page(made), kept_limit=kept_limit)
+    for count in range(1, 30):
+        target = read(page(made[:count]))
+        for each in source.since(target.version):
+            target.hear("peer", each)
+        assert state(target) == state(source)
+    assert list(source.since(source.version)) == []
+
+
+def test_gap_in_the_log_is_closed_by_a_peer():
+    """Expired records must neither lower the version nor block later changes."""
+    made = changes(30)
+    target = read(page(made[:5]), page(made[10:30]))
+    assert (target.version, target.table.is_complete) == (5, False)
+    for each in read(page(made[:20])).since(5):
+        target.hear("peer", each)
+    assert state(target) == state(read(page(made)))
+    assert target.table.is_complete
+
+
+def test_snapshot_bounds_what_is_kept():
+    """Records that a snapshot covers would add up for the life of the process."""
+    made = changes(20)
+    source = read(page(made))
+    later = [record(20, table.snapshot_value(source.table))]
+    source.read(page(later))
+    assert source.kept == 0
+    row = table.Row("class", "web")
+    source.read(page([record(21, table.set_value(row, 0))]))
+    assert source.kept == 1
+    target = read(page(made[:2]))
+    for each in source.since(2):
+        target.hear("peer", each)
+    assert state(target) == state(source)
+
+
+def test_majority_of_peers_vouches_only_with_their_version_reached():
+    """After a restart in an outage, an older table must not count as current."""
+    source = read(page(changes(9)))
+    target = rows.Rows()
+    others = {"e2", "e3"}
+    target.hear("e2", source.statement())
+    assert not target.is_current(others)
+    target.hear("e3", attrs.evolve(source.statement(), first=0, next=0))
+    assert not target.is_current(others)
+    for each in source.since(0):
+        target.hear("e2", each)
+    assert target.is_current(others)
+    assert not target.is_current(set())
+
+
+def test_log_counts_as_read_at_its_end_only():
+    """The first page of a long log must not make an entry host ready."""
+    target = read(page(changes(9)))
+    assert not target.is_current({"e2"})
+    target.read(messages.Records("table", 9, 9, ()))
+    assert target.is_current({"e2"})
--- /dev/null
+++ b/tests/test_session_table.py
@@ -0,0 +1,96 @@
+"""Whole sessions in which the table changes while parts fail."""
+
+import sessions
+from burdockgate import messages
+from burdockgate.version import table
+
+ENTRIES = ("entry-1", "entry-2", "entry-3")
+
+
+def set_row(session, change, based_on=0, **columns):
+    """Append a change as an operator does; return the table version it would make."""
+    row = table.Row("class", "batch", **columns)
+    return session.append("table", change, table.set_value(row, based_on)) + 1
+
+
+def versions(session):
+    return {name: each.core.rows.version for name, each in session.processes.items()}
+
+
+def assert_in_force(session, version, limit_s=5.0):
+    session.run_until(lambda: set(versions(session).values()) == {version}, limit_s)
+
+
+def test_race_of_two_operators_has_one_winner_on_all_nodes():
+    """Nodes that disagree on a race would serve by different weights."""
+    session = sessions.Session()
+    first = set_row(session, "one", weight=2.0)
+    set_row(session, "two", weight=3.0)
+    assert_in_force(session, first)
+    for process in session.processes.values():
+        assert process.core.rows.table.row("class", "batch").weight == 2.0
+
+
+def test_entry_host_cut_from_the_log_follows_through_its_peer():
+    """A change must come into force where the log cannot be read."""
+    session = sessions.Session()
+    session.log_cuts.add("entry-2")
+    assert_in_force(session, set_row(session, "one", weight=2.0))
+    session.cut("entry-1", "entry-2")
+    version = set_row(session, "two", based_on=1, weight=3.0)
+    session.run(1.0)
+    assert versions(session)["entry-2"] == 1
+    session.heal("entry-1", "entry-2")
+    assert_in_force(session, version)
+
+
+def test_restart_in_an_outage_waits_for_a_majority():
+    """A restarted entry host must not serve by an older table or by none."""
+    session = sessions.Session(entries=3)
+    version = set_row(session, "one", weight=2.0)
+    assert_in_force(session, version)
+    session.log_is_up = False
+    session.kill("entry-1")
+    session.cuts.add(frozenset(("entry-1", "entry-2")))
+    core = session.start("entry-1").core
+    session.run(3.0)
+    assert core.rows.version == version
+    assert not core.has_current_table
+    session.heal("entry-1", "entry-2")
+    session.run(1.0)
+    assert core.has_current_table
+
+
+def test_expired_records_are_replaced_by_a_snapshot():
+    """A node that starts after the records have expired needs the snapshot."""
+    session = sessions.Session()
+    version = set_row(session, "one", weight=2.0)
+    session.run(sessions.LOG_RETENTION_S / 2)
+    snapshots = [each for each in session.log("table") if b"snapshot" in each.value]
+    assert len(snapshots) == 1
+    assert sum(b'"snapshot"' in each.value for each in session.log("members")) == 1
+    session.expire_log("table", snapshots[0].offset)
+    session.kill("entry-1")
+    session.kill("entry-2")
+    core = session.start("entry-1").core
+    session.run(0.1)
+    assert core.rows.table.row("class", "batch").weight == 2.0
+    assert (core.rows.version, core.has_current_table) == (version, True)
+
+
+def test_stale_peer_never_lowers_the_version():
+    """Late and repeated records of a peer must not bring an older row back."""
+    session = sessions.Session()
+    session.filters.append(
+        lambda _from, _to, message, delays: (
+            [*delays, 3.0] if isinstance(message, messages.Records) else delays
+        )
+    )
+    version = 0
+    for number in range(6):
+        version = set_row(session, f"change-{number}", version, weight=number + 1)
+        before = versions(session)
+        session.run(0.7)
+        assert all(before[name] <= each for name, each in versions(session).items())
+    session.run(4.0)
+    assert_in_force(session, version)
