Measure the costs that grow with the size of a system

Change: make slopes drives the cores without sockets over three sizes each and fits a least squares line, with the spread over the repetitions. Memory comes from child processes, one at a time.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test check fuzz format clean
+.PHONY: demo test check fuzz slopes format clean
 
 SEEDS ?= 200
 
@@ -22,6 +22,9 @@
 fuzz: $(STAMP)
 	PYTHONPATH=tests $(BIN)/python tests/fuzz.py $(SEEDS)
 
+slopes: $(STAMP)
+	$(BIN)/python -m burdockgate.standin.slopes
+
 format: $(STAMP)
 	$(BIN)/ruff format src tests
 	$(BIN)/ruff check --fix src tests
--- /dev/null
+++ b/src/burdockgate/standin/fit.py
@@ -0,0 +1,118 @@
+"""Least squares lines through measured points, with their spread."""
+
+from __future__ import annotations
+
+import statistics
+from collections.abc import Iterator, Mapping, Sequence
+
+import attrs
+
+HEADER = (
+    "measure",
+    "against",
+    "sizes",
+    "slope",
+    "slope min to max",
+    "at size 0",
+    "values at the sizes",
+    "largest residual",
+)
+
+
+@attrs.frozen
+class Line:
+    """A line through points.
+
+    :param slope: change of the value for each unit of size.
+    :param start: value at size 0 by the line.
+    :param residual: largest distance of a point from the line.
+    """
+
+    slope: float
+    start: float
+    residual: float
+
+
+@attrs.frozen
+class Series:
+    """What one measure gave at all sizes.
+
+    :param name: what was measured, with its unit.
+    :param against: what the size counts.
+    :param values_by_size: values of the repetitions, in the order of the seeds.
+    """
+
+    name: str
+    against: str
+    values_by_size: Mapping[int, Sequence[float]]
+
+
+def line(points: Sequence[tuple[float, float]]) -> Line:
+    """Return the least squares line through points.
+
+    :param points: sizes and values, with at least two different sizes.
+    """
+    sizes, values = zip(*points, strict=True)
+    slope, start = statistics.linear_regression(sizes, values)
+    residual = max(abs(value - start - slope * size) for size, value in points)
+    return Line(slope, start, residual)
+
+
+def lines(series: Series) -> list[Line]:
+    """Return the line of each repetition.
+
+    :param series: a series with the same number of values at each size.
+    """
+    values_by_size = series.values_by_size
+    sizes = list(values_by_size)
+    return [
+        line(list(zip(sizes, values, strict=True)))
+        for values in zip(*values_by_size.values(), strict=True)
+    ]
+
+
+def markdown(every: Sequence[Series]) -> Iterator[str]:
+    """Yield the lines of a Markdown table with one row for each series.
+
+    The residual is the largest of all repetitions, as a share of the largest value.
+
+    :param every: the series.
+    """
+    yield _row(HEADER)
+    yield _row(["---"] * len(HEADER))
+    for series in every:
+        fits = lines(series)
+        slopes = [fit.slope for fit in fits]
+        peak = max(abs(v) for each in series.values_by_size.values() for v in each)
+        residual = max(fit.residual for fit in fits) / peak if peak else 0.0
+        medians = map(statistics.median, series.values_by_size.values())
+        yield _row(
+            [
+                series.name,
+                series.against,
+                ", ".join(map(str, series.values_by_size)),
+                number(statistics.median(slopes)),
+                f"{number(min(slopes))} to {number(max(slopes))}",
+                number(statistics.median(fit.start for fit in fits)),
+                ", ".join(map(number, medians)),
+                f"{residual:.0%}",
+            ]
+        )
+
+
+def number(value: float) -> str:
+    """Return a number with three significant digits and no exponent.
+
+    :param value: the number.
+    """
+    if value == 0 or abs(value) < 1e-9:
+        return "0"
+    digits = 0
+    while abs(value) * 10**digits < 100 and digits < 6:
+        digits += 1
+    text = f"{value:.{digits}f}"
+    return text.rstrip("0").rstrip(".") if "." in text else text
+
+
+def _row(cells: Sequence[str]) -> str:
+    return f"| {' | '.join(cells)} |"
--- /dev/null
+++ b/src/burdockgate/standin/resident.py
@@ -0,0 +1,100 @@
+"""Resident memory of child processes, one at a time."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+KB_PER_MB = 1024
+CHILD_LIMIT_S = 60
+
+_REPORT = """
+def resident():
+    for line in open("/proc/self/status"):
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1])
+"""
+_ENTRY = "import burdockgate.process.entryhost\n"
+_AGENT = "import burdockgate.process.agenthost\n"
+_RECORDS = """
+from burdockgate import messages
+from burdockgate.process import agent
+from burdockgate.request import record
+from burdockgate.standin import meter
+from burdockgate import clock
+process = meter.agent_process(0, clock.ManualClock(100.0))
+core = process.core
+owner = meter.hello(messages.Role.ENTRY, 0)
+list(core.connected(owner))
+def start(index, job, payload):
+    one = messages.TaskStart(index, 1, b"1", 1000)
+    list(core.receive(owner.node.name, messages.Start(
+        job, 1, 0, 1, core.node.boot, (one,))))
+    list(core.finished(job, 1, index, messages.TaskState.DONE, payload, 1.0))
+"""
+_KEEP_JOBS = """
+for number in range({size}):
+    start(0, number.to_bytes(16, "big"), b"")
+"""
+_KEEP_RESULTS = """
+for number in range({size}):
+    start(number % 280, (number // 280).to_bytes(16, "big"), bytes(1024))
+"""
+
+
+_KEEP_CLAIMS = """
+import random
+from burdockgate.standin import probes
+voter = probes.voter(64)
+for frame in probes.claims(voter, 64, {size}, random.Random(1)):
+    voter.receive(probes.OWNER.node.name, frame)
+"""
+
+
+def entry_mb(_size: int, _seed: int) -> dict[str, float]:
+    """Return the memory of an entry host after its imports."""
+    return {"entry host after imports, MB": _measure(_ENTRY)}
+
+
+def agent_mb(_size: int, _seed: int) -> dict[str, float]:
+    """Return the memory of an agent after its imports."""
+    return {"agent after imports, MB": _measure(_AGENT)}
+
+
+def jobs_mb(size: int, _seed: int) -> dict[str, float]:
+    """Return the memory of an agent that keeps some records of jobs.
+
+    :param size: number of records, with one task and an empty result each.
+    """
+    kept = _measure(_AGENT + _RECORDS + _KEEP_JOBS.format(size=size))
+    return {"agent with kept job records, MB": kept}
+
+
+def results_mb(size: int, _seed: int) -> dict[str, float]:
+    """Return the memory of an agent that keeps some results of 1 KB.
+
+    :param size: number of results, 280 for each job.
+    """
+    kept = _measure(_AGENT + _RECORDS + _KEEP_RESULTS.format(size=size))
+    return {"agent with kept results of 1 KB, MB": kept}
+
+
+def claims_mb(size: int, _seed: int) -> dict[str, float]:
+    """Return the memory of an agent that keeps some claims with scopes of 64.
+
+    :param size: number of claims.
+    """
+    kept = _measure(_AGENT + _RECORDS + _KEEP_CLAIMS.format(size=size))
+    return {"agent with kept claims of 64 agents, MB": kept}
+
+
+def _measure(code: str) -> float:
+    script = f"{_REPORT}{code}\nprint(resident())"
+    done = subprocess.run(
+        [sys.executable, "-c", script],
+        check=True,
+        capture_output=True,
+        text=True,
+        timeout=CHILD_LIMIT_S,
+    )
+    return int(done.stdout) / KB_PER_MB
--- /dev/null
+++ b/src/burdockgate/standin/slopes.py
@@ -0,0 +1,75 @@
+"""Measures costs over several sizes and fits a line to each: ``make slopes``.
+
+Times are processor times of this process, so that other load on the machine
+changes them little.
+"""
+
+from __future__ import annotations
+
+import argparse
+import pathlib
+import platform
+import sys
+from collections.abc import Iterable, Iterator, Sequence
+
+from burdockgate.standin import fit, probes, resident
+
+REPETITIONS = 3
+MEMORY = (
+    probes.Probe("kept job records", (1000, 4000, 16000), resident.jobs_mb),
+    probes.Probe("kept results", (1000, 4000, 16000), resident.results_mb),
+    probes.Probe("kept claims", (500, 1000, 2000), resident.claims_mb),
+    # The size counts nothing here: the three runs show the spread.
+    probes.Probe("run", (1, 2, 3), resident.entry_mb),
+    probes.Probe("run", (1, 2, 3), resident.agent_mb),
+)
+
+
+def measure(probe: probes.Probe, seeds: Sequence[int]) -> Iterator[fit.Series]:
+    """Yield a series for each value of a probe.
+
+    :param probe: the probe.
+    :param seeds: one repetition runs with each.
+    """
+    found: dict[str, dict[int, list[float]]] = {}
+    for seed in seeds:
+        for size in probe.sizes:
+            for name, value in probe.take(size, seed).items():
+                found.setdefault(name, {}).setdefault(size, []).append(value)
+    for name, values_by_size in found.items():
+        yield fit.Series(name, probe.against, values_by_size)
+
+
+def report(every: Iterable[probes.Probe], seeds: Sequence[int]) -> str:
+    """Return the Markdown text of all measures.
+
+    :param every: the probes.
+    :param seeds: one repetition runs with each.
+    """
+    series = [one for probe in every for one in measure(probe, seeds)]
+    head = (
+        f"Seeds {', '.join(map(str, seeds))}; Python {platform.python_version()}; "
+        "processor time, not wall time.\n\n"
+    )
+    return head + "\n".join(fit.markdown(series)) + "\n"
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Measure, print the table and write it to a file.
+
+    :param arguments: the command line without the program's name.
+    """
+    parser = argparse.ArgumentParser(prog="slopes", description=__doc__)
+    parser.add_argument("--output", type=pathlib.Path, help="file for the table")
+    parser.add_argument("--seed", type=int, default=1, help="first seed (default 1)")
+    options = parser.parse_args(arguments)
+    seeds = range(options.seed, options.seed + REPETITIONS)
+    text = report((*probes.EVERY, *MEMORY), seeds)
+    sys.stdout.write(text)
+    if options.output is not None:
+        options.output.write_text(text, encoding="utf-8")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_slopes.py
@@ -0,0 +1,49 @@
+"""Tests of the bench behind ``make slopes``."""
+
+import pytest
+
+from burdockgate.standin import fit, probes, slopes
+
+
+def test_line_through_exact_points():
+    """Guards against slope and start being mixed up."""
+    found = fit.line([(1, 5.0), (2, 7.0), (4, 11.0)])
+    assert (found.slope, found.start) == pytest.approx((2.0, 3.0))
+    assert found.residual == pytest.approx(0.0, abs=1e-9)
+
+
+def test_line_with_residual():
+    """Guards against a residual that hides a point far from the line."""
+    found = fit.line([(0, 0.0), (1, 3.0), (2, 0.0)])
+    assert (found.slope, found.start) == pytest.approx((0.0, 1.0))
+    assert found.residual == pytest.approx(2.0)
+
+
+def test_spread_is_over_repetitions():
+    """Guards against a spread over sizes, which would grow with the slope."""
+    series = fit.Series("cost", "agents", {1: [1.0, 2.0, 4.0], 2: [2.0, 4.0, 8.0]})
+    assert [each.slope for each in fit.lines(series)] == pytest.approx([1, 2, 4])
+    row = list(fit.markdown([series]))[-1]
+    assert row == "| cost | agents | 1, 2 | 2 | 1 to 4 | 0 | 2, 4 | 0% |"
+
+
+@pytest.mark.parametrize(
+    ("value", "text"),
+    [(0.0, "0"), (1234.5, "1234"), (100.0, "100"), (0.012345, "0.0123"), (2.5, "2.5")],
+)
+def test_numbers_have_three_digits_and_no_exponent(value, text):
+    """Guards against lost digits of small slopes and lost zeros of round values."""
+    assert fit.number(value) == text
+
+
+def test_tiny_run_has_a_row_for_each_value():
+    """Guards against a probe that fails, or a table that Markdown would not show."""
+    tiny = (
+        probes.Probe("tasks of a job", (1, 2, 3), probes.jobs),
+        probes.Probe("voters", (3, 4, 5), probes.group),
+    )
+    text = slopes.report(tiny, [1])
+    rows = [line for line in text.splitlines() if line.startswith("|")]
+    assert len(rows) == 2 + 6 + 1
+    assert {row.count("|") for row in rows} == {len(fit.HEADER) + 1}
+    assert "| View.group µs | voters | 3, 4, 5 |" in text
