Leave out heartbeats that show nothing new

Cause: heartbeats were the largest part of the messages: 2.13 of 6.07 a task at 70% load, because agents connected for a catch-up kept beating at each other and busy connections beat as well. Change: agents send none to each other; a heartbeat with unchanged versions is left out on a connection used within a sixth of the lease.

--- a/src/burdockgate/process/agent.py
+++ b/src/burdockgate/process/agent.py
@@ -127,14 +127,15 @@
             self._expire(now)
 
     def beat(self) -> _Effects:
-        """Send the heartbeats; call once in each heartbeat interval."""
+        """Send the heartbeats; call once in each heartbeat interval.
+
+        Other agents get none: their connections serve a catch-up and lapse after it.
+        """
         for name, session in self._session_by_name.items():
-            yield self._heartbeat(name)
-            if (
-                session.hello.role is messages.Role.ENTRY
-                and session.free_sent != self.slots.free_for(name)
-            ):
-                yield from self._send_load(name)
+            if session.hello.role is messages.Role.ENTRY:
+                yield self._heartbeat(name)
+                if session.free_sent != self.slots.free_for(name):
+                    yield from self._send_load(name)
 
     def _heartbeat(self, name: str) -> effects.Send:
         return effects.Send(name, messages.Heartbeat(*self.table_and_view))
--- a/src/burdockgate/process/network.py
+++ b/src/burdockgate/process/network.py
@@ -15,6 +15,9 @@
 
 DIAL_TIMEOUT_S = 2.0
 DIAL_RETRY_S = 0.5
+# With a heartbeat due every third of the lease, a connection is never silent for
+# more than half of it.
+RECENT_SHARE_OF_LEASE = 1 / 6
 
 
 class Handler(abc.ABC):
@@ -48,6 +51,8 @@
     stream: stream.Stream
     session: session.Session
     dialled: str = ""
+    heartbeat: messages.Heartbeat | None = None
+    sent_at: float = 0.0
 
 
 class Network(stream.Receiver):
@@ -135,15 +140,32 @@
         target = self._stream_by_name.get(name)
         if target is None:
             return False
+        link, now = self._link_by_stream[target], self._time.now()
+        if isinstance(message, messages.Heartbeat):
+            if self._is_needless(link, message, now):
+                return True
+            link.heartbeat = message
         try:
             size = target.send(message)
         except errors.WireError:
             self._counters.count("wire.rejected")
             return False
+        link.sent_at = now
         self._counters.count("wire.sent")
         self._counters.count("wire.bytes_sent", size)
         return True
 
+    def _is_needless(
+        self, link: _Link, message: messages.Heartbeat, now: float
+    ) -> bool:
+        """Return whether the peer learns nothing from a heartbeat.
+
+        Any message renews the lease, so a heartbeat with the versions of the last
+        one is left out on a connection that was just used.
+        """
+        is_recent = now - link.sent_at < self._lease_s * RECENT_SHARE_OF_LEASE
+        return is_recent and message == link.heartbeat
+
     def dial(self, address: str, name: str = "") -> None:
         """Connect to an address unless that is done or under way.
 
