Add table wait, and show table versions in status

An operator could not see whether an accepted change is in force. status shows the version of each worker and entry host, and table wait waits until every node that the entry hosts know has it; a node that one entry host shows at an older version counts as lacking it.

Conclusion: exit status 0 means that no known node serves by an older table.

--- a/src/burdockgate/cli/operate.py
+++ b/src/burdockgate/cli/operate.py
@@ -70,7 +70,7 @@
 
     from burdockgate.cli import render
 
-    entries = asyncio.run(_statuses(jobs.entry_urls(args)))
+    entries = asyncio.run(read_statuses(jobs.entry_urls(args)))
     if args.json:
         print(json.dumps({"entries": entries}))
     else:
@@ -88,7 +88,11 @@
     return 1 if failures else 0
 
 
-async def _statuses(urls: Sequence[str]) -> list[dict[str, Any]]:
+async def read_statuses(urls: Sequence[str]) -> list[dict[str, Any]]:
+    """Return the status, or one line about the failure, of each entry host.
+
+    :param urls: their URLs.
+    """
     import asyncio
 
     return await asyncio.gather(*map(_status, urls))
--- a/src/burdockgate/cli/render.py
+++ b/src/burdockgate/cli/render.py
@@ -26,6 +26,7 @@
     "slots": "slots",
     "free": "free",
     "running": "running",
+    "table": "table_version",
     "draining": "draining",
     "lapsed": "lapsed",
     "failures": "failures",
--- a/src/burdockgate/cli/table.py
+++ b/src/burdockgate/cli/table.py
@@ -6,6 +6,8 @@
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 from typing import TYPE_CHECKING, Any
 
+from burdockgate.cli import rollout
+
 if TYPE_CHECKING:
     from burdockgate.process import editor
     from burdockgate.version import table
@@ -59,6 +61,15 @@
     parser = _leaf(actions, "history", "show the changes kept", "", _history)
     parser.add_argument("--change", metavar="ID", help="show one change's outcome")
 
+    rollout.add_options(
+        _parser(
+            actions,
+            "wait",
+            "wait until a table version is in force on all nodes",
+            "burdockgate table wait 42 --entry http://127.0.0.1:8080",
+        )
+    )
+
     parser = _leaf(actions, "diff", "compare with a CSV", "rows.csv", _diff)
     parser.add_argument("file", metavar="FILE", help="CSV file as export writes it")
 
