Apply the weights and limits of the table's rows

Every job weighed 1 and no row limited anything. process.limits decides by the rows of a job's service and class: weight, tasks in progress, rate, queue time and queue bytes. Classes at a limit are left out of the backlog's order as a whole, so that no message costs a scan of their jobs; a queue time that has passed is settled through the confirmation of "not run" results.

Measured: the suite passed before the test of two classes with weights 3:1 was added, and that test passes with this change. Conclusion: limits hold for each entry host's share; shares that follow the demand are later work.

--- a/src/burdockgate/process/backlog.py
+++ b/src/burdockgate/process/backlog.py
@@ -11,7 +11,7 @@
 
 import heapq
 import itertools
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import attrs
 
@@ -29,9 +29,13 @@
 
 
 class Backlog:
-    """Orders the jobs that have waiting tasks."""
+    """Orders the jobs that have waiting tasks.
 
-    def __init__(self) -> None:
+    :param may_start: whether tasks of a class may start now; others stay queued.
+    """
+
+    def __init__(self, may_start: Callable[[str], bool] = lambda name: True) -> None:
+        self._may_start = may_start
         self._queue_by_class: dict[str, _ClassQueue] = {}
         self._virtual_time = 0.0
         self._counter = itertools.count()
@@ -97,12 +101,21 @@
         self._virtual_time = max(self._virtual_time, queue.virtual_time)
         queue.virtual_time += work / queue.weight
 
+    def reweigh(self, weight: Callable[[str], float]) -> None:
+        """Apply changed weights to the classes that are queued.
+
+        :param weight: returns the weight of a class.
+        """
+        for name, queue in self._queue_by_class.items():
+            queue.weight = weight(name)
+
     @property
     def is_empty(self) -> bool:
-        """Whether no task waits; jobs that have ended may still be queued."""
+        """Whether no task that may start waits; ended jobs may still be queued."""
         return not any(
             item[2].waiting_count
-            for queue in self._queue_by_class.values()
+            for name, queue in self._queue_by_class.items()
+            if queue.heap and self._may_start(name)
             for item in queue.heap
         )
 
@@ -118,7 +131,11 @@
 
     def _next_class(self) -> str | None:
         return min(
-            (name for name, queue in self._queue_by_class.items() if queue.heap),
+            (
+                name
+                for name, queue in self._queue_by_class.items()
+                if queue.heap and self._may_start(name)
+            ),
             key=lambda name: self._queue_by_class[name].virtual_time,
             default=None,
         )
--- a/src/burdockgate/process/dispatch.py
+++ b/src/burdockgate/process/dispatch.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import functools
 from collections.abc import Callable, Iterator
 
 import attrs
 
 from burdockgate import effects, messages
-from burdockgate.process import backlog, directory, metrics, placement
+from burdockgate.process import backlog, directory, limits, metrics, placement
 from burdockgate.request import job as jobs
 from burdockgate.request import leader as leaders
 
@@ -42,6 +43,7 @@
     :param workers: the workers known.
     :param policy: chooses among workers with a free slot.
     :param counters: the process's metrics.
+    :param limit: limits of services and classes; ``None`` for none.
     """
 
     def __init__(
@@ -49,11 +51,14 @@
         workers: directory.Directory,
         policy: placement.Placement,
         counters: metrics.Metrics,
+        limit: limits.Limits | None = None,
     ) -> None:
+        self._limits = limit
         self._workers = workers
         self._policy = policy
         self._counters = counters
         self._backlog_by_service: dict[str, backlog.Backlog] = {}
+        self._is_reweighed = False
 
     def add(self, leader: leaders.Leader, weight: float) -> None:
         """Queue a job that has waiting tasks.
@@ -62,9 +67,24 @@
         :param weight: weight of its class.
         """
         service = leader.request.service
-        queue = self._backlog_by_service.setdefault(service, backlog.Backlog())
+        queue = self._backlog_by_service.get(service)
+        if queue is None:
+            queue = backlog.Backlog(lambda name: self._may_start("class", name))
+            self._backlog_by_service[service] = queue
         queue.add(leader, weight)
 
+    def reweigh(self, weight: Callable[[str, str], float]) -> None:
+        """Apply changed weights to the jobs that wait.
+
+        :param weight: returns the weight of a service and a class.
+        """
+        for service, queue in self._backlog_by_service.items():
+            queue.reweigh(functools.partial(weight, service))
+        self._is_reweighed = True
+
+    def _may_start(self, scope: str, name: str) -> bool:
+        return self._limits is None or self._limits.may_start(scope, name)
+
     def waiting(self) -> int:
         """Return the number of waiting tasks of all services."""
         return sum(queue.waiting()[0] for queue in self._backlog_by_service.values())
@@ -77,24 +97,26 @@
         """
         for service, queue in self._backlog_by_service.items():
             workers = list(self._workers.of_service(service))
-            yield from self._serve(queue, workers, outside)
-            yield from self._demand(queue, workers)
+            yield from self._serve(service, queue, workers, outside)
+            yield from self._demand(service, queue, workers)
+        self._is_reweighed = False
 
     def _serve(
         self,
+        service: str,
         queue: backlog.Backlog,
         workers: list[directory.Worker],
         outside: Callable[[leaders.Leader], None],
     ) -> _Effects:
         free = [worker for worker in workers if worker.free > 0]
-        if not free:
+        if not free or not self._may_start("service", service):
             return
         batches = _Batches()
         for leader in queue.in_order():
             if not self._take_one(queue, leader, free, batches):
                 outside(leader)
             free = [worker for worker in free if worker.free > 0]
-            if not free:
+            if not free or not self._may_start("service", service):
                 break
         yield from batches.sends()
 
@@ -116,20 +138,26 @@
         worker = self._policy.choose(candidates)
         batches.add(leader, worker.node)
         worker.sent += 1
+        if self._limits is not None:
+            self._limits.started(leader.request)
         queue.charge(leader, task.expected_ms or UNDECLARED_WORK_MS)
         self._counters.count("tasks.sent")
         return True
 
     def _demand(
-        self, queue: backlog.Backlog, workers: list[directory.Worker]
+        self, service: str, queue: backlog.Backlog, workers: list[directory.Worker]
     ) -> _Effects:
-        if queue.is_empty:
+        # Slots offered to a service at its limit would stay empty.
+        if queue.is_empty or not self._may_start("service", service):
             for worker in workers:
                 if worker.demanded > 0:
                     worker.demanded = 0
                     yield effects.Send(worker.name, messages.Demand(0, 0.0))
             return
-        unasked = [worker for worker in workers if worker.demanded <= 0]
+        # The agents divide their slots by the weight that the last demand has told.
+        unasked = [
+            worker for worker in workers if worker.demanded <= 0 or self._is_reweighed
+        ]
         if unasked:
             waiting, weight = queue.waiting()
             for worker in unasked:
--- a/src/burdockgate/process/entry.py
+++ b/src/burdockgate/process/entry.py
@@ -11,6 +11,7 @@
     directory,
     dispatch,
     jobs,
+    limits,
     metrics,
     placement,
     roster,
@@ -52,11 +53,21 @@
         self._config = config
         self._time = time
         self._counters = counters
+        self._limits = limits.Limits(
+            self.rows, time, lambda: len(self.view.entry_by_name)
+        )
         self._dispatcher = dispatch.Dispatcher(
-            self.workers, placement.TwoChoices(rng), counters
+            self.workers, placement.TwoChoices(rng), counters, self._limits
         )
         self.jobs = jobs.Jobs(
-            node, config, time, rng, counters, self.workers, self._dispatcher
+            node,
+            config,
+            time,
+            rng,
+            counters,
+            self.workers,
+            self._dispatcher,
+            self._limits,
         )
         self._roster = roster.Roster(node, time)
         self._roster_at = time.now()
@@ -134,6 +145,9 @@
                 f"the job of {request.size} bytes does not fit: {self.jobs.bytes} of "
                 f"{limit} bytes are in use",
             )
+        detail = self._limits.refusal(request)
+        if detail:
+            return codes.Code.BACKLOG_FULL, detail
         workers = [
             worker
             for worker in self.workers.worker_by_name.values()
@@ -310,6 +324,7 @@
         """Hand on what is new, and tell the peers once the table is current."""
         if self.rows.version > version:
             self._counters.gauge("table.version", self.rows.version)
+            self._dispatcher.reweigh(self._limits.weight)
             for name in (*self.workers.worker_by_name, *self.jobs.peer_by_name):
                 known = self._peer_table_version_by_name.get(name, version)
                 for records in self.rows.since(min(known, version)):
--- a/src/burdockgate/process/jobs.py
+++ b/src/burdockgate/process/jobs.py
@@ -8,7 +8,7 @@
 import attrs
 
 from burdockgate import clock, codes, effects, messages, settings
-from burdockgate.process import answers, directory, dispatch, metrics
+from burdockgate.process import answers, directory, dispatch, limits, metrics
 from burdockgate.request import claimant, job, leader, outcome, submission
 from burdockgate.version import view as views
 
@@ -34,6 +34,7 @@
     :param counters: the process's metrics.
     :param workers: the workers known.
     :param dispatcher: gets the jobs that have waiting tasks.
+    :param limit: weights and limits of services and classes.
     """
 
     def __init__(
@@ -45,7 +46,9 @@
         counters: metrics.Metrics,
         workers: directory.Directory,
         dispatcher: dispatch.Dispatcher,
+        limit: limits.Limits,
     ) -> None:
+        self._limits = limit
         self.view = views.View()
         self.bytes = 0
         self.peer_by_name: dict[str, messages.Node] = {}
@@ -105,6 +108,7 @@
     def _set_request(self, held: _Submission, request: job.JobRequest) -> None:
         held.request = request
         self.bytes += request.size
+        self._limits.queued(request, request.size)
 
     def _join(
         self, held: _Submission, request: job.JobRequest, ticket: int
@@ -439,6 +443,8 @@
         current = held.leader
         if current is None:
             return
+        is_open = current.outcome is None and not current.is_superseded
+        self._limits.in_progress(current.request, current.sent_count * is_open)
         if current.dropped:
             self._counters.count("results.dropped", current.dropped)
             current.dropped = 0
@@ -480,11 +486,11 @@
             yield from self._after(held)
 
     def weight(self, request: job.JobRequest) -> float:
-        """Return the weight of a job's class.
+        """Return the weight of a job, by its service and its class.
 
         :param request: the job.
         """
-        return 1.0
+        return self._limits.weight(request.service, request.caller_class)
 
     def widen(self, current: leader.Leader) -> None:
         """Ask for a longer scope for a job that only agents outside it could run.
@@ -524,7 +530,10 @@
         if self._submission_by_job.get(held.job) is not held:
             return
         del self._submission_by_job[held.job]
-        self.bytes -= held.request.size if held.request else 0
+        if held.request is not None:
+            self.bytes -= held.request.size
+            self._limits.queued(held.request, -held.request.size)
+            self._limits.in_progress(held.request, 0)
         epoch = held.leader.terms.epoch if held.leader else 0
         if held.leader is not None:
             yield from held.leader.settle()
@@ -602,6 +611,9 @@
             yield from current.tick(self.view)
         yield from self._check_claims(held)
         if held.leader is not None:
+            queue_s = self._limits.queue_s(held.leader.request)
+            if queue_s is not None:
+                yield from held.leader.check_queue(queue_s)
             yield from held.leader.tick()
             yield from self._after(held)
         elif now >= held.deadline_at:
@@ -641,6 +653,7 @@
 _UNCONFIRMED: dict[codes.Code, codes.Code] = {
     codes.Code.DEADLINE_NOT_RUN: codes.Code.DEADLINE_MAY_HAVE_RUN,
     codes.Code.CANCELLED_NOT_RUN: codes.Code.CANCELLED_MAY_HAVE_RUN,
+    codes.Code.QUEUE_TIMEOUT: codes.Code.DEADLINE_MAY_HAVE_RUN,
 }
 
 
--- /dev/null
+++ b/src/burdockgate/process/limits.py
@@ -0,0 +1,125 @@
+"""Weights and limits of jobs, from the rows of the table in force."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable, Iterator
+
+import attrs
+
+from burdockgate import clock
+from burdockgate.process import rows
+from burdockgate.request import job
+from burdockgate.version import table
+
+BURST_S = 1.0
+
+
+@attrs.define
+class _Bucket:
+    tokens: float
+    at: float
+
+
+class Limits:
+    """Decides by the rows of a job's service and class; holds counts for each row.
+
+    :param source: the table in force.
+    :param time: the clock.
+    :param hosts: returns the number of entry hosts, which share each limit.
+    """
+
+    def __init__(
+        self, source: rows.Rows, time: clock.Clock, hosts: Callable[[], int]
+    ) -> None:
+        self._source = source
+        self._time = time
+        self._hosts = hosts
+        self._in_progress_by_key: collections.Counter[table.Key] = collections.Counter()
+        self._in_progress_by_job: dict[bytes, int] = {}
+        self._bytes_by_key: collections.Counter[table.Key] = collections.Counter()
+        self._bucket_by_key: dict[table.Key, _Bucket] = {}
+
+    def _rows(self, service: str, caller_class: str) -> Iterator[table.Row]:
+        yield self._source.table.row("service", service)
+        yield self._source.table.row("class", caller_class)
+
+    def _share(self, limit: float) -> float:
+        return limit / max(1, self._hosts())
+
+    def weight(self, service: str, caller_class: str) -> float:
+        """Return the product of the weights of a service and a class."""
+        first, second = self._rows(service, caller_class)
+        return first.weight * second.weight
+
+    def queue_s(self, request: job.JobRequest) -> float | None:
+        """Return the longest time without a start, in seconds; None for no limit."""
+        found = [
+            row.max_queue_s
+            for row in self._rows(request.service, request.caller_class)
+            if row.max_queue_s is not None
+        ]
+        return min(found, default=None)
+
+    def refusal(self, request: job.JobRequest) -> str:
+        """Return one line when a job exceeds the bytes of a row, else nothing."""
+        for row in self._rows(request.service, request.caller_class):
+            if row.max_queue_bytes is None:
+                continue
+            used, limit = self._bytes_by_key[row.key], self._share(row.max_queue_bytes)
+            if used + request.size > limit:
+                return (
+                    f"the job of {request.size} bytes does not fit: {used} of "
+                    f"{limit:.0f} bytes of {row.scope}/{row.name} are in use here"
+                )
+        return ""
+
+    def queued(self, request: job.JobRequest, size: int) -> None:
+        """Count the bytes of a job that came, or with a negative size that ended."""
+        for key in _keys(request):
+            self._bytes_by_key[key] += size
+            if not self._bytes_by_key[key]:
+                del self._bytes_by_key[key]
+
+    def may_start(self, scope: str, name: str) -> bool:
+        """Return whether one more task of a service or a class may start now."""
+        row = self._source.table.row_by_key.get((scope, name))
+        if row is None:
+            return True
+        if row.max_in_progress is not None:
+            limit = max(1, int(self._share(row.max_in_progress)))
+            if self._in_progress_by_key[row.key] >= limit:
+                return False
+        return row.max_rate is None or self._bucket(row, row.max_rate).tokens >= 1
+
+    def _bucket(self, row: table.Row, max_rate: float) -> _Bucket:
+        rate, now = self._share(max_rate), self._time.now()
+        capacity = max(1.0, rate * BURST_S)
+        bucket = self._bucket_by_key.setdefault(row.key, _Bucket(capacity, now))
+        bucket.tokens = min(capacity, bucket.tokens + rate * (now - bucket.at))
+        bucket.at = now
+        return bucket
+
+    def started(self, request: job.JobRequest) -> None:
+        """Count a task that is sent."""
+        self.in_progress(request, self._in_progress_by_job.get(request.job, 0) + 1)
+        for key in _keys(request):
+            row = self._source.table.row_by_key.get(key)
+            if row is not None and row.max_rate is not None:
+                self._bucket(row, row.max_rate).tokens -= 1
+
+    def in_progress(self, request: job.JobRequest, tasks: int) -> None:
+        """Note how many tasks of a job are sent and not ended."""
+        before = self._in_progress_by_job.pop(request.job, 0)
+        if tasks:
+            self._in_progress_by_job[request.job] = tasks
+        if tasks != before:
+            for key in _keys(request):
+                self._in_progress_by_key[key] += tasks - before
+                if not self._in_progress_by_key[key]:
+                    del self._in_progress_by_key[key]
+
+
+def _keys(request: job.JobRequest) -> Iterator[table.Key]:
+    yield ("service", request.service)
+    yield ("class", request.caller_class)
--- a/src/burdockgate/request/leader.py
+++ b/src/burdockgate/request/leader.py
@@ -396,6 +396,24 @@
             f"deadline of {self.request.deadline_ms} ms passed",
         )
 
+    @property
+    def sent_count(self) -> int:
+        """Number of tasks sent and not known to have ended."""
+        return sum(len(agent.sent) for agent in self._agent_by_name.values())
+
+    def check_queue(self, queue_s: float) -> _Effects:
+        """Fail the job when no task was sent within the queue time.
+
+        :param queue_s: longest time in the queue in seconds.
+        """
+        waited_s = self._time.now() - self.arrived_at
+        if self.first_sent_at is None and waited_s >= queue_s:
+            yield from self._fail_by_start(
+                codes.Code.QUEUE_TIMEOUT,
+                codes.Code.DEADLINE_MAY_HAVE_RUN,
+                f"no task started within the queue time of {queue_s:g} s",
+            )
+
     def cancel(self) -> _Effects:
         """Fail the job on the caller's wish; running tasks are stopped."""
         yield from self._fail_by_start(
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,102 @@
+"""Guards the limits of rows: none is exceeded, and each job waits or is told why."""
+
+import types
+
+import attrs
+import pytest
+
+import builders
+from burdockgate import clock
+from burdockgate.process import limits
+from burdockgate.version import table
+
+
+def make(*found, hosts=1):
+    """Return limits by the given rows, with the clock and the rows' holder."""
+    source = types.SimpleNamespace(table=None)
+    change(source, *found)
+    time = clock.ManualClock()
+    return limits.Limits(source, time, lambda: hosts), time, source
+
+
+def change(source, *found):
+    source.table = table.Table(row_by_key={row.key: row for row in found})
+
+
+def start_all(limit, request, most=100):
+    """Start tasks until the class may start none; return their number."""
+    for count in range(most):
+        if not limit.may_start("class", "batch"):
+            return count
+        limit.started(request)
+    return most
+
+
+REQUEST = builders.request(caller_class="batch")
+
+
+def test_weight_is_that_of_the_service_times_that_of_the_class():
+    """A missing row must weigh 1, not 0."""
+    limit, _, source = make(table.Row("class", "batch", weight=0.5))
+    assert limit.weight("records", "batch") == 0.5
+    change(
+        source,
+        table.Row("class", "batch", weight=0.5),
+        table.Row("service", "records", weight=3),
+    )
+    assert limit.weight("records", "batch") == 1.5
+
+
+@pytest.mark.parametrize(("most", "hosts", "share"), [(6, 1, 6), (6, 2, 3), (1, 3, 1)])
+def test_tasks_in_progress(most, hosts, share):
+    """Tasks beyond the share wait, and a slot that is freed is used again."""
+    limit, _, source = make(
+        table.Row("class", "batch", max_in_progress=most), hosts=hosts
+    )
+    assert start_all(limit, REQUEST) == share
+    limit.in_progress(REQUEST, share - 1)
+    assert start_all(limit, REQUEST) == 1
+    limit.in_progress(REQUEST, 0)
+    assert start_all(limit, REQUEST) == share
+    change(source)
+    assert limit.may_start("class", "batch")
+
+
+def test_rate_allows_one_second_of_burst():
+    """A pause must not save up more than a second of starts."""
+    limit, time, _ = make(table.Row("class", "batch", max_rate=10), hosts=2)
+    assert start_all(limit, REQUEST) == 5
+    time.advance(0.4)
+    assert start_all(limit, REQUEST) == 2
+    time.advance(60)
+    assert start_all(limit, REQUEST) == 5
+
+
+def test_slow_rate_still_starts_tasks():
+    """A rate below one task a second must not block a class for ever."""
+    limit, time, _ = make(table.Row("class", "batch", max_rate=0.5))
+    assert start_all(limit, REQUEST) == 1
+    time.advance(1.9)
+    assert not limit.may_start("class", "batch")
+    time.advance(0.2)
+    assert limit.may_start("class", "batch")
+
+
+def test_queue_bytes_of_ended_jobs_are_free_again():
+    """Bytes that are not given back would refuse every later job."""
+    limit, _, _ = make(table.Row("service", "records", max_queue_bytes=150))
+    request = attrs.evolve(REQUEST, size=100)
+    assert limit.refusal(request) == ""
+    limit.queued(request, 100)
+    assert "100 of 150 bytes of service/records" in limit.refusal(request)
+    limit.queued(request, -100)
+    assert limit.refusal(request) == ""
+
+
+def test_shorter_queue_time_counts():
+    limit, _, _ = make(
+        table.Row("service", "records", max_queue_s=9),
+        table.Row("class", "batch", max_queue_s=2),
+    )
+    assert limit.queue_s(REQUEST) == 2
+    assert limit.queue_s(builders.request(caller_class="web")) == 9
--- a/tests/test_session_table.py
+++ b/tests/test_session_table.py
@@ -1,7 +1,10 @@
 """Whole sessions in which the table changes while parts fail."""
 
+import attrs
+import pytest
+
 import sessions
-from burdockgate import messages
+from burdockgate import codes, messages
 from burdockgate.version import table
 
 ENTRIES = ("entry-1", "entry-2", "entry-3")
@@ -94,3 +97,53 @@
         assert all(before[name] <= each for name, each in versions(session).items())
     session.run(4.0)
     assert_in_force(session, version)
+
+
+def submit(session, entry, key, caller_class, tasks):
+    request = sessions.make_request(key, tasks, deadline_ms=300_000)
+    request = attrs.evolve(request, caller_class=caller_class)
+    return session.submit(entry, request), request
+
+
+def test_queue_time_refuses_with_a_true_not_run():
+    """A job without a start is refused once a majority has settled it."""
+    session = sessions.Session()
+    assert_in_force(session, set_row(session, "one", max_queue_s=2.0))
+    submit(session, "entry-1", "long", "web", [8000] * 6)
+    session.run(0.5)
+    ticket, request = submit(session, "entry-1", "k1", "batch", [50])
+    assert session.answer(ticket, 4.0).code is codes.Code.QUEUE_TIMEOUT
+    assert all(start.job != request.job for start in session.starts)
+
+
+def test_limits_make_jobs_wait_rather_than_fail():
+    """Tasks over the limits wait, and go on when the row is changed."""
+    session = sessions.Session(slots=4)
+    version = set_row(session, "one", max_in_progress=4)
+    assert_in_force(session, version)
+    ticket, request = submit(session, "entry-1", "k1", "batch", [1000] * 12)
+    session.run(0.9)
+    assert len(session.starts) == 2
+    set_row(session, "two", based_on=version, max_rate=8.0)
+    session.run(0.2)
+    assert 4 <= len(session.starts) <= 7
+    sessions.assert_whole(request, session.answer(ticket))
+    assert session.core("entry-1").jobs.bytes == 0
+
+
+def test_weights_order_two_classes_under_saturation():
+    """The shares of slots must follow the weights, also for jobs that wait already."""
+    session = sessions.Session(slots=4)
+    class_by_job = {}
+    for number in range(120):
+        for name in ("batch", "web"):
+            entry = ENTRIES[number % 2]
+            _, request = submit(session, entry, f"{name}-{number}", name, [50] * 20)
+            class_by_job[request.job] = name
+    assert_in_force(session, set_row(session, "one", weight=3.0))
+    session.run(0.5)
+    begin = len(session.starts)
+    session.run(8.0)
+    seen = [class_by_job[start.job] for start in session.starts[begin:]]
+    assert seen.count("batch") / len(seen) == pytest.approx(0.75, rel=0.05)
+    assert len(seen) > 1500
