Give back the charge of a task that was returned

Cause: the backlog charged a class when a task was sent, and again when the task was sent anew after its return, so a class whose tasks came back lost a part of its share; max_rate counted such sends as starts too. Change: the leader notes returned tasks, and the dispatcher gives their work and their rate token back when the job is queued again. Measured: test_returned_task_is_not_charged failed before and passes now, as does the whole suite. Conclusion: a class pays for tasks that run.

--- a/src/burdockgate/process/dispatch.py
+++ b/src/burdockgate/process/dispatch.py
@@ -72,6 +72,12 @@
             queue = backlog.Backlog(lambda name: self._may_start("class", name))
             self._backlog_by_service[service] = queue
         queue.add(leader, weight)
+        # A returned task used no slot, so its class must not be charged for it.
+        for task in leader.returned:
+            queue.charge(leader, -_work(task))
+            if self._limits is not None:
+                self._limits.returned(leader.request)
+        leader.returned.clear()
 
     def reweigh(self, weight: Callable[[str, str], float]) -> None:
         """Apply changed weights to the jobs that wait.
@@ -140,7 +146,7 @@
         worker.sent += 1
         if self._limits is not None:
             self._limits.started(leader.request)
-        queue.charge(leader, task.expected_ms or UNDECLARED_WORK_MS)
+        queue.charge(leader, _work(task))
         self._counters.count("tasks.sent")
         return True
 
@@ -165,5 +171,9 @@
                 yield effects.Send(worker.name, messages.Demand(waiting, weight))
 
 
+def _work(task: jobs.TaskSpec) -> float:
+    return task.expected_ms or UNDECLARED_WORK_MS
+
+
 def _fits(worker: directory.Worker, task: jobs.TaskSpec) -> bool:
     return worker.fits(task.cores, task.memory_mb, task.accelerators)
--- a/src/burdockgate/process/limits.py
+++ b/src/burdockgate/process/limits.py
@@ -108,6 +108,12 @@
             if row is not None and row.max_rate is not None:
                 self._bucket(row, row.max_rate).tokens -= 1
 
+    def returned(self, request: job.JobRequest) -> None:
+        """Give back the start of a task that was sent and not started."""
+        for key in _keys(request):
+            if key in self._bucket_by_key:
+                self._bucket_by_key[key].tokens += 1
+
     def in_progress(self, request: job.JobRequest, tasks: int) -> None:
         """Note how many tasks of a job are sent and not ended."""
         before = self._in_progress_by_job.pop(request.job, 0)
--- a/src/burdockgate/request/leader.py
+++ b/src/burdockgate/request/leader.py
@@ -73,6 +73,7 @@
         self.outcome: outcome.Outcome | None = None
         self.is_superseded = False
         self.dropped = 0
+        self.returned: list[job.TaskSpec] = []
         self._members = tuple(members)
         self._time = time
         self._lost_worker_s = lost_worker_s
@@ -355,6 +356,7 @@
         del agent.sent[index]
         if state is messages.TaskState.RETURNED:
             self._requeue(index)
+            self.returned.append(self.request.tasks[index])
             return
         self._has_started = True
         if state is not messages.TaskState.DONE:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -120,3 +120,19 @@
         len(each.tasks) for each in builders.sent(run(dispatcher), messages.Start)
     ]
     assert sorted(counts) == [2, 8]
+
+
+def test_returned_task_is_not_charged(workers, dispatcher):
+    """A class whose tasks come back without a start would lose its share."""
+    join(workers, "a1", 1)
+    batch = builders.make_leader(builders.request("k1", 4, "batch"))
+    web = builders.make_leader(builders.request("k2", 4, "web"))
+    dispatcher.add(batch, 1.0)
+    run(dispatcher)
+    state = messages.TaskState.RETURNED
+    list(batch.results("a1", builders.results(builders.report(0, state=state))))
+    dispatcher.add(batch, 1.0)
+    dispatcher.add(web, 1.0)
+    workers.report("a1", 1, 1)
+    run(dispatcher)
+    assert (batch.waiting_count, web.waiting_count) == (3, 4)
