Decode equal nodes to one object

Cause: each claim names up to 64 agents, and a voter kept its own copy of each node: 15.6 KB for each kept claim. The bound of an agent is 64 MB in all.

Change: the codec checks the fields of a node as before and then takes an equal node that was decoded earlier, out of at most 16,384.

--- a/src/burdockgate/wire.py
+++ b/src/burdockgate/wire.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import enum
+import functools
 import struct
 import types
 import typing
@@ -23,6 +24,9 @@
 FRAME_LIMIT_BYTES = 4 * 1024 * 1024
 TEXT_LIMIT_CHARS = 4096
 INT_LIMIT = 2**63
+# Equal nodes are decoded to one object, because each claim names up to 64 agents and
+# a voter keeps thousands of claims. The number is above that of the 10,000 workers.
+SHARED_NODES = 16_384
 
 _Reader = Callable[[Any], Any]
 _Writer = Callable[[Any], Any]
@@ -170,16 +174,22 @@
     return read
 
 
+@functools.lru_cache(SHARED_NODES)
+def _share_node(name: str, boot: int, address: str) -> messages.Node:
+    return messages.Node(name, boot, address)
+
+
 def _class_reader(kind: type) -> _Reader:
     hints = typing.get_type_hints(kind)
     readers = [_reader(hints[field.name]) for field in attrs.fields(kind)]
+    make = _share_node if kind is messages.Node else kind
 
     def read(value: Any) -> Any:
         if type(value) is not tuple or len(value) != len(readers):
             raise errors.WireError(
                 f"{kind.__name__} needs an array of {len(readers)} fields"
             )
-        return kind(
+        return make(
             *[reader(item) for reader, item in zip(readers, value, strict=True)]
         )
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -2,6 +2,7 @@
 
 import attrs
 import hypothesis
+import msgpack
 import pytest
 from hypothesis import strategies
 
@@ -70,3 +71,22 @@
     """Wrong arity, wrong type and an unknown message number are rejected."""
     with pytest.raises(errors.WireError):
         wire.decode(body)
+
+
+def test_equal_nodes_are_one_object():
+    """Guards against a copy of each scope's nodes in every claim that is kept."""
+    first, second = (
+        wire.decode(wire.encode(messages.Peers((NODE,)))[wire.HEADER.size :])
+        for _ in range(2)
+    )
+    assert first.entries[0] is second.entries[0]
+    assert first.entries[0] == NODE
+
+
+@pytest.mark.parametrize("boot", [True, 7.0, -1])
+def test_a_shared_node_does_not_hide_a_wrong_type(boot):
+    """Guards against a lookup before the checks: 7.0 equals the boot 7."""
+    wire.decode(wire.encode(messages.Peers((NODE,)))[wire.HEADER.size :])
+    body = msgpack.packb([2, [[NODE.name, boot, NODE.address]]])
+    with pytest.raises(errors.WireError):
+        wire.decode(body)
