Name the right field of the answer in submit, fetch and cancel

Cause: the commands read "entry" of client.Answer, whose field is "url", so each ended with a traceback after the job had run. The client was typed as Any and the tests' fake had the wrong field, so neither mypy nor the tests saw it.

Ruled out: the entry host's answer, which the client had parsed in full.

Change: read "url"; the tests build real client.Answer values.

Result: test_commands_of_callers_and_operators in tests/test_processes.py, which runs the command against separate processes, failed before with status 1 and an AttributeError; its submit passes now. 43 tests of the commands pass.

--- a/src/burdockgate/cli/jobs.py
+++ b/src/burdockgate/cli/jobs.py
@@ -280,7 +280,7 @@
         "attempt": answer.attempt,
         "key": answer.key,
         "time_s": round(source.now() - start, 3),
-        "entry": answer.entry,
+        "entry": answer.url,
         "detail": answer.detail,
     }
     # Only a complete job has results; an empty list would look like an answer.
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from burdockgate import client as clients
 from burdockgate import clock, codes
 from burdockgate.cli import jobs, main
 
@@ -17,10 +18,10 @@
 BODY = '{"guest": "acme", "service": "resize", "tasks": [{"payload": 1.10}]}'
 
 
-def _answer(code, outcome, results=None, start="ran"):
-    facts = {"name": code.name, "detail": "", "key": "k1", "entry": URLS[0]}
-    facts |= {"outcome": outcome, "attempt": 1, "results": results, "start": start}
-    return types.SimpleNamespace(code=code, **facts)
+def _answer(code, outcome, results=(), start="ran"):
+    return clients.Answer(
+        code, code.name, start, outcome, 1, "", tuple(results), "k1", URLS[0]
+    )
 
 
 COMPLETE = _answer(codes.Code.COMPLETE, "complete", [{"a": 1}, "é"])
