Wait for the lookup of a job that another entry host leads

Cause: a fetch without wait_s ran out of time before the claim group or the owner could answer, so a host that did not lead the job said "pending", also for a key that was never submitted.

Ruled out: the lookup itself, whose answer is right with a longer wait_s.

Change: the wait is at least two rounds of claims (1 s) unless this entry host leads the job or keeps its answer.

A pending job that is led elsewhere is now reported after 1 s when the caller does not wait.

--- a/src/burdockgate/process/entryhost.py
+++ b/src/burdockgate/process/entryhost.py
@@ -16,6 +16,9 @@
 
 DRAIN_POLL_S = 0.05
 DRAIN_GRACE_S = 0.2
+# Two rounds of claims: the claim group and the owner are asked before it is known
+# whether a job exists elsewhere, also for a caller that does not wait for its end.
+LOOKUP_S = 1.0
 RESPONSE_MEASURE = "response"
 PLOT_WIDTH = 72
 
@@ -176,6 +179,8 @@
     async def fetch(self, guest: str, key: str, wait_s: float) -> outcome.Outcome:
         """Return the outcome of a job submitted before, or that it is pending."""
         job_id = job.job_id(guest, key)
+        if not self.core.jobs.is_local(job_id):
+            wait_s = max(wait_s, LOOKUP_S)
         return await self._ask(lambda ticket: self.core.fetch(job_id, ticket), wait_s)
 
     async def cancel(self, guest: str, key: str) -> outcome.Outcome:
--- a/src/burdockgate/process/jobs.py
+++ b/src/burdockgate/process/jobs.py
@@ -157,6 +157,16 @@
             held.cancels = True
             yield from self._cancel(held)
 
+    def is_local(self, job_id: bytes) -> bool:
+        """Return whether a job is led or its answer kept by this entry host.
+
+        :param job_id: 16-byte job id.
+        """
+        held = self._submission_by_job.get(job_id)
+        if held is None:
+            return self._answers.get(job_id) is not None
+        return held.leader is not None
+
     def forget(self, ticket: int) -> None:
         """Drop a caller that no longer waits; its job goes on.
 
