Report a job file that is nested too deeply in one line

Cause: the JSON decoder raises RecursionError, which read_job did not expect. Ruled out: the entry host's own depth check, which the file never reached. Result: test_bad_file_gives_one_line in tests/test_local.py failed before with a traceback for 100,000 brackets and passes now.

--- a/src/burdockgate/standin/demo.py
+++ b/src/burdockgate/standin/demo.py
@@ -46,7 +46,7 @@
     try:
         with open(path, encoding="utf-8") as file:
             body = json.load(file)
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise errors.RequestError(
             codes.Code.INVALID_REQUEST, f"{path}: {error}"
         ) from None
