--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,353 @@
+"""A whole system of separate processes on the loopback interface."""
+
+import asyncio
+import json
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import httpx
+
+from burdockgate import client, codes, messages
+from burdockgate.request import job
+from burdockgate.standin import checker, trace
+from burdockgate.version import view
+
+LIMIT_S = 20.0
+POLL_S = 0.02
+SHOWN_FIELDS = (
+    "name",
+    "ready",
+    "peers",
+    "view_number",
+    "voters",
+    "workers",
+    "jobs_in_progress",
+)
+GUEST = "acme"
+SERVICE = "sample"
+SLOTS = 8
+# Below the range from which systems take ports of outgoing connections.
+PORTS = range(20000, 32000)
+# No connection is kept, because one to a killed process would fail the next call.
+HTTP = httpx.Client(
+    trust_env=False, verify=False, limits=httpx.Limits(max_keepalive_connections=0)
+)
+
+_PLACE = """[node]
+name = {name}
+region = north
+data_centre = dc-{place}
+rack = rack-{place}
+listen = 127.0.0.1:{port}
+[platform]
+log_url = http://{log}
+seeds = {seeds}
+"""
+
+
+def wait_for(condition, what):
+    """Poll until the condition gives a true value, and return it."""
+    end = time.monotonic() + LIMIT_S
+    while not (value := condition()):
+        shown = what() if callable(what) and time.monotonic() >= end else what
+        assert time.monotonic() < end, f"not within {LIMIT_S:g} s: {shown}"
+        time.sleep(POLL_S)
+    return value
+
+
+async def wait_until(condition, what):
+    """Do as ``wait_for`` does, and leave the event loop free."""
+    return await asyncio.to_thread(wait_for, condition, what)
+
+
+def free_port():
+    for port in random.sample(PORTS, 100):
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+    raise AssertionError(f"no free port in {PORTS}")
+
+
+def body_of(run_times_ms, **fields):
+    """Return a job whose payloads differ from each other."""
+    tasks = [
+        {"payload": {"sleep_ms": run_time_ms, "mark": index}}
+        for index, run_time_ms in enumerate(run_times_ms)
+    ]
+    return {"guest": GUEST, "service": SERVICE, "tasks": tasks} | fields
+
+
+class Process:
+    """One process that is started again with the same arguments."""
+
+    def __init__(self, name, directory, *arguments):
+        self.name = name
+        self._command = [sys.executable, "-m", "burdockgate", *arguments]
+        self._error_path = pathlib.Path(directory) / f"{name}.stderr"
+        self._running = None
+
+    def start(self):
+        assert self._running is None, f"{self.name} runs already"
+        with self._error_path.open("ab") as stderr:
+            self._running = subprocess.Popen(
+                self._command, stdout=subprocess.DEVNULL, stderr=stderr
+            )
+
+    @property
+    def is_running(self):
+        return self._running is not None and self._running.poll() is None
+
+    @property
+    def stderr(self):
+        return self._error_path.read_text()
+
+    def send(self, number):
+        self._running.send_signal(number)
+
+    def wait(self):
+        """Return the exit status."""
+        status = self._running.wait(LIMIT_S)
+        self._running = None
+        return status
+
+    def end(self, number=signal.SIGKILL):
+        """Send a signal that ends the process, and return the exit status."""
+        self.send(number)
+        return self.wait()
+
+    def kill(self):
+        """End the process whatever its state is."""
+        if self._running is not None:
+            self._running.kill()
+            self._running.wait()
+            self._running = None
+
+
+class Server(Process):
+    """A stand-in of a backend server; its starts outlive its incarnations."""
+
+    def __init__(self, name, directory, port):
+        self.address = f"127.0.0.1:{port}"
+        arguments = ("--listen", self.address, "--name", name)
+        super().__init__(name, directory, "standin", "backend", *arguments)
+        self._earlier = []
+        self._current = []
+
+    def collect(self):
+        """Return all starts so far."""
+        if self.is_running:
+            reply = HTTP.get(f"http://{self.address}/v1/starts")
+            self._current = [
+                trace.Started(
+                    start["at"],
+                    bytes.fromhex(start["job"]),
+                    start["attempt"],
+                    start["task"],
+                    self.name,
+                    json.dumps(start["payload"]).encode(),
+                )
+                for start in reply.raise_for_status().json()
+            ]
+        return self._earlier + self._current
+
+    def set_faults(self, **faults):
+        """Switch these faults on, and all others off."""
+        HTTP.post(f"http://{self.address}/v1/faults", json=faults).raise_for_status()
+
+    def end(self, number=signal.SIGKILL):
+        """Keep the starts, and end the process."""
+        self._earlier, self._current = self.collect(), []
+        return super().end(number)
+
+
+class System:
+    """Log, two entry hosts and three agents with a backend server each."""
+
+    def __init__(self, directory):
+        self._directory = pathlib.Path(directory)
+        self._events = []
+        self._log_address = f"127.0.0.1:{free_port()}"
+        listen = ("--listen", self._log_address)
+        self.log = Process("log", directory, "standin", "log", *listen)
+        ports = [free_port() for _ in range(2)]
+        self.seeds = [f"127.0.0.1:{port}" for port in ports]
+        self.urls = [f"http://127.0.0.1:{free_port()}" for _ in ports]
+        self.entries = [self._make_entry(index) for index in range(2)]
+        self.servers = [
+            Server(f"server-{index + 1}", directory, free_port()) for index in range(3)
+        ]
+        self.agent_ports = [free_port() for _ in self.servers]
+        self.agents = [self._make_agent(index) for index in range(3)]
+
+    def _make_entry(self, index):
+        http = self.urls[index].removeprefix("http://")
+        return self._make_daemon("entry", index, self.seeds[index], f"http = {http}")
+
+    def _make_agent(self, index):
+        keys = (
+            f"url = http://{self.servers[index].address}",
+            f"service = {SERVICE}",
+            f"slots = {SLOTS}",
+        )
+        listen = f"127.0.0.1:{self.agent_ports[index]}"
+        return self._make_daemon("agent", index, listen, "\n".join(keys))
+
+    def _make_daemon(self, role, index, listen, keys):
+        name = f"{role}-{index + 1}"
+        section = {"entry": "entry", "agent": "backend_server"}[role]
+        text = _PLACE.format(
+            name=name,
+            place=index + 1,
+            port=listen.rpartition(":")[2],
+            log=self._log_address,
+            seeds=", ".join(self.seeds),
+        )
+        path = self._directory / f"{name}.ini"
+        path.write_text(f"{text}[{section}]\n{keys}\n")
+        return Process(name, self._directory, role, "--settings", str(path))
+
+    @property
+    def processes(self):
+        return [self.log, *self.servers, *self.entries, *self.agents]
+
+    def start(self):
+        """Start what does not run, and wait until the system is whole."""
+        for process in self.processes:
+            if not process.is_running:
+                process.start()
+        self.wait_whole()
+
+    def kill(self):
+        for process in self.processes:
+            process.kill()
+
+    def wait_whole(self):
+        """Wait until every entry host sees all workers with free slots as voters."""
+        wait_for(self._is_whole, self._describe)
+
+    def _describe(self):
+        current = self.view()
+        shown = [f"a whole system; view {current and current.number}"]
+        for status in filter(None, map(self.status, range(2))):
+            shown += [f"{name}={status[name]}" for name in SHOWN_FIELDS]
+        return "\n".join(shown)
+
+    def _is_whole(self):
+        statuses = [self.status(index) for index in range(2)]
+        current = self.view()
+        if None in statuses or current is None:
+            return False
+        return all(
+            status["ready"]
+            and len(status["peers"]) == 1
+            and status["view_number"] == current.number
+            and len(status["voters"]) == 3
+            and self._are_workers_free(status["workers"])
+            for status in statuses
+        )
+
+    def _are_workers_free(self, workers):
+        free = [w for w in workers if w["free"] == SLOTS and not w["lapsed"]]
+        return len(free) == 3 and not any(w["draining"] for w in workers)
+
+    def status(self, index):
+        """Return the status of an entry host, or ``None`` without an answer."""
+        return _get(f"{self.urls[index]}/v1/status")
+
+    def view(self):
+        """Return the membership view by the log, or ``None`` without an answer."""
+        url = f"http://{self._log_address}/v1/streams/{view.STREAM}/records?from=0"
+        page = _get(url)
+        if page is None:
+            return None
+        current = view.View()
+        for record in page["records"]:
+            value = json.dumps(record["value"]).encode()
+            record = messages.LogRecord(record["offset"], record["id"], value)
+            current = view.fold(current, record)
+        return current
+
+    def voter_boot(self, name):
+        """Return the incarnation of a voter; ``None`` when it is none."""
+        current = self.view()
+        voter = current and current.voter_by_name.get(name)
+        return voter and voter.node.boot
+
+    def worker(self, index, name):
+        """Return what an entry host shows of a worker; empty when nothing."""
+        status = self.status(index) or {"workers": []}
+        return next((w for w in status["workers"] if w["name"] == name), {})
+
+    def starts(self, key=None):
+        """Return the starts of a key, or all of them."""
+        wanted = None if key is None else job.job_id(GUEST, key)
+        found = [start for server in self.servers for start in server.collect()]
+        return [start for start in found if wanted in (None, start.job)]
+
+    async def wait_started(self, *keys, count=1):
+        """Wait until each key has this many starts, and return them by key."""
+
+        def started():
+            found = [self.starts(key) for key in keys]
+            return found if all(len(each) >= count for each in found) else None
+
+        return await wait_until(started, f"{count} starts of each of {keys}")
+
+    async def submit(self, key, run_times_ms, urls=None, **fields):
+        """Submit a job through the client and return the answer."""
+        body = body_of(run_times_ms, **fields)
+        urls = urls or self.urls
+        entry = " ".join(urls)
+        self._submitted(key, body, entry)
+        async with client.Client(urls, timeout_s=2 * LIMIT_S) as caller:
+            answer = await caller.submit(body, key)
+        self._answered(key, answer.code, answer.attempt, answer.results, entry)
+        return answer
+
+    async def post(self, index, key, run_times_ms, **fields):
+        """Submit a job in one request and return the body of the answer."""
+        body = body_of(run_times_ms, **fields)
+        url = self.urls[index]
+        self._submitted(key, body, url)
+        async with httpx.AsyncClient(trust_env=False, timeout=2 * LIMIT_S) as caller:
+            headers = {"Idempotency-Key": key}
+            reply = await caller.post(f"{url}/v1/jobs", json=body, headers=headers)
+        answer = reply.json()
+        code, results = codes.Code(answer["code"]), answer.get("results", [])
+        self._answered(key, code, answer["attempt"], results, url)
+        return answer
+
+    def _submitted(self, key, body, entry):
+        tasks = tuple(json.dumps(task["payload"]).encode() for task in body["tasks"])
+        repeatable = body.get("repeatable", True)
+        now = time.monotonic()
+        self._events.append(
+            trace.Submitted(now, GUEST, key, 1, entry, tasks, repeatable)
+        )
+
+    def _answered(self, key, code, attempt, results, entry):
+        texts = tuple(json.dumps(result).encode() for result in results)
+        now = time.monotonic()
+        self._events.append(
+            trace.Answered(now, GUEST, key, code, attempt, texts, entry)
+        )
+
+    def violations(self):
+        """Return each promise that the starts and the answers show as broken."""
+        return checker.check([*self._events, *self.starts()], checker.Settings())
+
+
+def _get(url):
+    try:
+        reply = HTTP.get(url)
+    except httpx.HTTPError:
+        return None
+    return reply.json() if reply.status_code == 200 else None
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,267 @@
+"""Guards the promises of the system when its processes stop, pause or die."""
+
+import asyncio
+import contextlib
+import json
+import signal
+import subprocess
+import sys
+
+import pytest
+
+import processes
+from burdockgate import client
+from burdockgate.request import job
+
+LOAD_JOBS = 20
+LIMIT_MS = 1000 * processes.LIMIT_S
+
+
+@pytest.fixture(scope="module")
+def shared(tmp_path_factory):
+    made = processes.System(tmp_path_factory.mktemp("system"))
+    try:
+        made.start()
+        yield made
+    finally:
+        made.kill()
+
+
+@pytest.fixture
+def system(shared):
+    """Give a whole system, and check all promises after the test."""
+    shared.start()
+    yield shared
+    assert shared.violations() == []
+    assert [p.name for p in shared.processes if "Traceback" in p.stderr] == []
+
+
+def _command(*arguments, **options):
+    command = [sys.executable, "-m", "burdockgate", *arguments]
+    return subprocess.run(command, capture_output=True, timeout=20, **options)
+
+
+def _assert_complete(answers, attempt=1):
+    found = [(answer.outcome, answer.attempt) for answer in answers]
+    assert found == [("complete", attempt)] * len(answers)
+
+
+@contextlib.asynccontextmanager
+async def _submitting(system, name, run_times_ms):
+    """Keep jobs coming, one after another on each of some lines, and check them."""
+    ended = asyncio.Event()
+    answers, jobs = [], set()
+
+    async def line(number):
+        count = 0
+        while not ended.is_set():
+            key = f"{name}-{number}-{count}"
+            jobs.add(job.job_id(processes.GUEST, key))
+            answers.append(await system.submit(key, run_times_ms))
+            count += 1
+
+    async with asyncio.TaskGroup() as lines:
+        for number in range(LOAD_JOBS):
+            lines.create_task(line(number))
+        try:
+            yield answers
+        finally:
+            ended.set()
+    _assert_complete(answers)
+    started = [start for start in system.starts() if start.job in jobs]
+    assert len(started) == len(run_times_ms) * len(answers)
+
+
+async def test_job_echoes_its_own_payloads(system):
+    """No part of the path may lose, repeat or cross a task."""
+    run_times_ms = [1 + index % 7 for index in range(100)]
+    answers = await asyncio.gather(
+        *(system.submit(f"echo-{index}", run_times_ms) for index in range(4))
+    )
+    _assert_complete(answers)
+    for answer in answers:
+        marks = [(each["task"], each["echo"]["mark"]) for each in answer.results]
+        assert marks == [(index, index) for index in range(100)]
+    assert len(system.starts("echo-0")) == 100
+
+
+def test_commands_of_callers_and_operators(system, tmp_path):
+    """The commands must print what the entry hosts really answer."""
+    path = tmp_path / "job.json"
+    path.write_text(json.dumps(processes.body_of([1, 1])))
+    urls = [part for url in system.urls for part in ("--entry", url)]
+    done = _command("submit", str(path), "--key", "command", "--json", *urls)
+    assert (done.returncode, done.stderr) == (0, b"")
+    answer = json.loads(done.stdout)
+    assert (answer["outcome"], answer["key"], answer["attempt"]) == (
+        "complete",
+        "command",
+        1,
+    )
+    assert [each["echo"]["mark"] for each in answer["results"]] == [0, 1]
+    assert answer["entry"] in system.urls
+    done = _command("status", "--json", *urls)
+    assert (done.returncode, done.stderr) == (0, b"")
+    statuses = [each["status"] for each in json.loads(done.stdout)["entries"]]
+    assert [status["name"] for status in statuses] == ["entry-1", "entry-2"]
+
+
+async def test_fetch_at_either_entry_host(system):
+    """A lookup at a host that does not lead the job must not say "pending"."""
+    answer = await system.post(0, "fetched", [1, 1])
+    for url in system.urls:
+        async with client.Client([url]) as caller:
+            kept = await caller.fetch(processes.GUEST, "fetched")
+            unknown = await caller.fetch(processes.GUEST, "never-submitted")
+        assert (kept.name, list(kept.results)) == ("COMPLETE", answer["results"])
+        assert unknown.name == "NOT_FOUND"
+
+
+async def test_owner_killed(system):
+    """A takeover must neither start a task again nor lose a result."""
+    first = asyncio.create_task(system.post(0, "killed", [1000] * 40))
+    await system.wait_started("killed", count=12)
+    system.entries[0].end(signal.SIGKILL)
+    await asyncio.wait({first})
+    assert first.exception() is not None
+    answer = await system.post(1, "killed", [1000] * 40)
+    assert (answer["outcome"], answer["attempt"]) == ("complete", 1)
+    assert len(answer["results"]) == len(system.starts("killed")) == 40
+
+
+async def test_agent_killed(system):
+    """Only the jobs with a task in doubt may fail, and they must not run again."""
+    keys = [f"lost-{index}" for index in range(12)]
+    # Its tasks must not end before the kill.
+    system.servers[0].set_faults(hang_all=True)
+    answers = [asyncio.create_task(system.post(0, key, [500])) for key in keys]
+    starts = [start for (start,) in await system.wait_started(*keys)]
+    system.agents[0].end(signal.SIGKILL)
+    system.servers[0].set_faults()
+    for start, waiting in zip(starts, answers, strict=True):
+        answer = await waiting
+        lost = ("WORKER_LOST", "may have run")
+        expected = lost if start.server == "server-1" else ("COMPLETE", "ran")
+        assert (answer["name"], answer["start"]) == expected
+    assert "server-1" in {start.server for start in starts}
+    before = len(system.servers[0].collect())
+    await asyncio.to_thread(system.start)
+    _assert_complete([await system.submit("lost-after", [100] * 24)])
+    assert len(system.servers[0].collect()) > before
+
+
+async def test_entry_host_stops_under_load(system):
+    """A planned stop of an entry host must not cut a request."""
+    own = [
+        asyncio.create_task(system.submit(f"own-{index}", [300] * 4, system.urls[:1]))
+        for index in range(LOAD_JOBS)
+    ]
+    await processes.wait_until(
+        lambda: system.status(0)["jobs_in_progress"] == LOAD_JOBS, "jobs in progress"
+    )
+    system.entries[0].send(signal.SIGTERM)
+    others = [system.submit(f"other-{index}", [10] * 4) for index in range(LOAD_JOBS)]
+    _assert_complete(await asyncio.gather(*own, *others))
+    assert await asyncio.to_thread(system.entries[0].wait) == 0
+
+
+async def test_agent_stops_under_load(system):
+    """A planned stop of an agent must finish its tasks and fail no job."""
+    jobs = [
+        asyncio.create_task(system.submit(f"drain-{index}", [300] * 4))
+        for index in range(LOAD_JOBS)
+    ]
+    await system.wait_started("drain-0")
+    await processes.wait_until(
+        lambda: system.worker(0, "agent-1").get("running"), "tasks at the agent"
+    )
+    assert await asyncio.to_thread(system.agents[0].end, signal.SIGTERM) == 0
+    _assert_complete(await asyncio.gather(*jobs))
+
+
+async def test_owner_paused(system):
+    """An owner that wakes after a takeover must not start or answer on its own."""
+    first = asyncio.create_task(system.post(0, "paused", [500] * 60))
+    await system.wait_started("paused", count=12)
+    system.entries[0].send(signal.SIGSTOP)
+    try:
+        second = await system.post(1, "paused", [500] * 60)
+    finally:
+        system.entries[0].send(signal.SIGCONT)
+    answers = [await first, second]
+    assert [(a["outcome"], a["attempt"]) for a in answers] == [("complete", 1)] * 2
+    assert answers[0]["results"] == answers[1]["results"]
+    assert len(system.starts("paused")) == 60
+
+
+async def test_backend_server_killed(system):
+    """An agent must offer no slots without its backend server, and then again."""
+    waiting = asyncio.create_task(system.post(0, "cut", [LIMIT_MS]))
+    ((start,),) = await system.wait_started("cut")
+    index = int(start.server.removeprefix("server-")) - 1
+    agent = f"agent-{index + 1}"
+    system.servers[index].end(signal.SIGKILL)
+    answer = await waiting
+    assert (answer["name"], answer["start"]) == ("REQUEST_CUT", "may have run")
+    _assert_complete([await system.submit("without", [20] * 48)])
+    await processes.wait_until(
+        lambda: system.worker(0, agent).get("free") == 0, "no free slots"
+    )
+    before = len(system.servers[index].collect())
+    await asyncio.to_thread(system.start)
+    _assert_complete([await system.submit("with", [100] * 24)])
+    assert len(system.servers[index].collect()) > before
+
+
+async def test_every_process_is_replaced_under_load(system):
+    """A rolling update must lose no job and run none twice."""
+
+    def replace_entry(index):
+        assert system.entries[index].end(signal.SIGTERM) == 0
+        system.entries[index].start()
+        processes.wait_for(lambda: _is_joined(system), "all nodes joined")
+
+    def replace_worker(index):
+        agent, server = system.agents[index], system.servers[index]
+        boot = system.voter_boot(agent.name)
+        assert agent.end(signal.SIGTERM) == 0
+        server.end(signal.SIGTERM)
+        server.start()
+        agent.start()
+        processes.wait_for(
+            lambda: system.voter_boot(agent.name) not in (None, boot), "a new voter"
+        )
+        processes.wait_for(lambda: _is_joined(system), "all nodes joined")
+
+    async with _submitting(system, "rolling", [20] * 4) as answers:
+        for index in range(3):
+            await asyncio.to_thread(replace_worker, index)
+        for index in range(2):
+            await asyncio.to_thread(replace_entry, index)
+    assert len(answers) >= LOAD_JOBS
+
+
+def _is_joined(system):
+    statuses = [system.status(index) for index in range(2)]
+    current = system.view()
+    return all(
+        status is not None
+        and status["ready"]
+        and len(status["peers"]) == 1
+        and len(status["workers"]) == 3
+        and not any(w["draining"] or w["lapsed"] for w in status["workers"])
+        and status["view_number"] == current.number
+        for status in statuses
+    )
+
+
+async def test_log_killed(system):
+    """Jobs must not need the log.
+
+    This test is the last one, because a new log would have lost the membership.
+    """
+    system.log.end(signal.SIGKILL)
+    answers = await asyncio.gather(
+        *(system.submit(f"log-{index}", [20] * 4) for index in range(LOAD_JOBS))
+    )
+    _assert_complete(answers)
