Import the client and the settings with their types in the commands

Change: typed imports inside the functions; the module level stays light. The fake of the settings now replaces the two functions of the module itself, with the same assertions.

--- a/src/burdockgate/cli/jobs.py
+++ b/src/burdockgate/cli/jobs.py
@@ -8,20 +8,19 @@
 
 import argparse
 import contextlib
-import importlib
 import json
 import math
 import os
 import random
 import shutil
 import sys
-from collections.abc import AsyncIterator, Callable, Mapping, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
 from typing import TYPE_CHECKING, Any, NoReturn
 
 from burdockgate.cli import main
 
 if TYPE_CHECKING:
-    from burdockgate import clock
+    from burdockgate import client, clock
 
 ENTRY_VARIABLE = "BURDOCKGATE_ENTRY"
 KEY_LIMIT_CHARS = 128
@@ -134,15 +133,15 @@
         _stop(f"{ENTRY_VARIABLE}: {error}")
 
 
-def open_client(urls: Sequence[str], timeout_s: float) -> Any:
-    """Return a ``client.Client``, to be used as an asynchronous context manager.
+def open_client(urls: Sequence[str], timeout_s: float) -> client.Client:
+    """Return a client, to be used as an asynchronous context manager.
 
     :param urls: entry hosts, tried in this order.
     :param timeout_s: time for one answer, in seconds.
     """
-    return importlib.import_module("burdockgate.client").Client(
-        urls, timeout_s=timeout_s
-    )
+    from burdockgate import client
+
+    return client.Client(urls, timeout_s=timeout_s)
 
 
 def system_clock() -> clock.Clock:
@@ -212,8 +211,8 @@
     elif args.deadline is not None:
         timeout_s = args.deadline + CALL_TIMEOUT_S
 
-    async def call(client: Any) -> Any:
-        return await client.submit(body, key=key, wait=not args.no_wait)
+    async def call(entry: client.Client) -> client.Answer:
+        return await entry.submit(body, key=key, wait=not args.no_wait)
 
     facts = asyncio.run(_answer(urls, timeout_s, "waiting for the answer", call))
     _print_answer(facts, args.json)
@@ -230,8 +229,8 @@
     """
     import asyncio
 
-    async def call(client: Any) -> Any:
-        return await client.fetch(args.guest, args.key, wait_s=args.wait)
+    async def call(entry: client.Client) -> client.Answer:
+        return await entry.fetch(args.guest, args.key, wait_s=args.wait)
 
     timeout_s = args.wait + CALL_TIMEOUT_S
     urls = entry_urls(args)
@@ -250,8 +249,8 @@
     """
     import asyncio
 
-    async def call(client: Any) -> Any:
-        return await client.cancel(args.guest, args.key)
+    async def call(entry: client.Client) -> client.Answer:
+        return await entry.cancel(args.guest, args.key)
 
     urls = entry_urls(args)
     facts = asyncio.run(_answer(urls, CALL_TIMEOUT_S, "cancelling the job", call))
@@ -263,16 +262,16 @@
     urls: Sequence[str],
     timeout_s: float,
     activity: str,
-    call: Callable[[Any], Any],
+    call: Callable[[client.Client], Awaitable[client.Answer]],
 ) -> dict[str, Any]:
     source = system_clock()
     start = source.now()
     async with (
-        open_client(urls, timeout_s) as client,
+        open_client(urls, timeout_s) as entry,
         progress(lambda elapsed_s: f"{activity}: {elapsed_s:.0f} s"),
     ):
-        answer = await call(client)
-    facts = {
+        answer = await call(entry)
+    facts: dict[str, Any] = {
         "outcome": answer.outcome,
         "code": int(answer.code),
         "name": answer.name,
--- a/src/burdockgate/cli/operate.py
+++ b/src/burdockgate/cli/operate.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import argparse
-import importlib
 import json
 import os
 import sys
 from collections.abc import Mapping, Sequence
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from burdockgate.cli import jobs, main
 
+if TYPE_CHECKING:
+    from burdockgate import client
+
 # Agents report their running tasks with the heartbeat, every 0.8 s.
 DRAIN_POLL_S = 0.5
 
@@ -98,8 +100,8 @@
     from burdockgate import errors
 
     try:
-        async with jobs.open_client([url], jobs.CALL_TIMEOUT_S) as client:
-            return {"entry": url, "status": await client.status()}
+        async with jobs.open_client([url], jobs.CALL_TIMEOUT_S) as caller:
+            return {"entry": url, "status": await caller.status()}
     except errors.ClientError as error:
         text = str(error)
         return {"entry": url, "error": text if url in text else f"{url}: {text}"}
@@ -128,17 +130,17 @@
 
 async def _drain(args: argparse.Namespace) -> tuple[bool, str]:
     urls = jobs.entry_urls(args)
-    async with jobs.open_client(urls, jobs.CALL_TIMEOUT_S) as client:
-        if not await client.drain(args.worker, active=not args.undo):
+    async with jobs.open_client(urls, jobs.CALL_TIMEOUT_S) as caller:
+        if not await caller.drain(args.worker, active=not args.undo):
             return True, "not known to the entry host"
         if args.undo:
             return False, "gets new tasks again"
         if args.wait:
-            return await _wait_drained(client, args.worker)
+            return await _wait_drained(caller, args.worker)
         return False, "draining"
 
 
-async def _wait_drained(client: Any, worker: str) -> tuple[bool, str]:
+async def _wait_drained(caller: client.Client, worker: str) -> tuple[bool, str]:
     import asyncio
 
     state = "draining"
@@ -147,7 +149,7 @@
     listed_at: set[object] = set()
     async with jobs.progress(lambda elapsed_s: f"{worker}: {state}, {elapsed_s:.0f} s"):
         while True:
-            facts = await client.status()
+            facts = await caller.status()
             entry = facts.get("name")
             row = _find_worker(facts, worker)
             if row is None:
@@ -184,17 +186,11 @@
 
 
 def _problems(path: str, role: str | None) -> list[str]:
-    from burdockgate import errors
+    from burdockgate import errors, settings
 
-    settings = load_settings()
     try:
         return list(settings.check(path, role or settings.detect_role(path)))
     except errors.SettingsError as error:
         return error.problems
     except OSError as error:
         return [f"cannot be read: {error.strerror}"]
-
-
-def load_settings() -> Any:
-    """Return the module ``burdockgate.settings``."""
-    return importlib.import_module("burdockgate.settings")
--- a/tests/test_operate.py
+++ b/tests/test_operate.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from burdockgate import errors
+from burdockgate import errors, settings
 from burdockgate.cli import jobs, main, operate
 
 ENTRIES = "--entry http://127.0.0.1:1 --entry http://127.0.0.1:2"
@@ -77,7 +77,8 @@
     fake = mock.Mock()
     fake.check.side_effect = [[], ["port: 0", "bad.ini: x"], gone, ["port: 0"], []]
     fake.detect_role.side_effect = ["agent", "agent", odd, "agent", "agent"]
-    monkeypatch.setattr(operate, "load_settings", lambda: fake)
+    monkeypatch.setattr(settings, "check", fake.check)
+    monkeypatch.setattr(settings, "detect_role", fake.detect_role)
     files = ["good.ini", "bad.ini", "odd.ini", "gone.ini"]
     assert main.main(["check-settings", *files]) == 2
     assert main.main(["check-settings", "bad.ini", "--role", "entry"]) == 2
