Encode a message to several nodes once

Cause: a claim goes to three members and a settlement to every agent of the job, and each was encoded anew. With 64 agents and jobs of one task, encoding took 3.4 of 10.0 s under cProfile. Change: wire keeps the frame of the message encoded last, found by identity, and a claimant sends one claim object to all members.

--- a/src/burdockgate/request/claimant.py
+++ b/src/burdockgate/request/claimant.py
@@ -95,12 +95,14 @@
             self._reply_by_name.clear()
         self._view, self._group = view, group
         self._retry_at = self._time.now() + self._round_s
+        # One object for all members, so that it is encoded only once.
+        claim = self._claim()
         for node in group:
             reply = self._reply_by_name.get(node.name)
             if reply is None or reply.verdict in _RETRY_VERDICTS:
                 self._reply_by_name.pop(node.name, None)
                 yield effects.Dial(node)
-                yield effects.Send(node.name, self._claim())
+                yield effects.Send(node.name, claim)
 
     def _claim(self) -> messages.Claim:
         terms = self.terms
--- a/src/burdockgate/wire.py
+++ b/src/burdockgate/wire.py
@@ -24,6 +24,16 @@
 TEXT_LIMIT_CHARS = 4096
 INT_LIMIT = 2**63
 
+
+@attrs.define
+class _Last:
+    """The message encoded last; claims and settlements go to several nodes in a row."""
+
+    message: messages.Message | None = None
+    frame: bytes = b""
+
+
+_last = _Last()
 _Reader = Callable[[Any], Any]
 _Writer = Callable[[Any], Any]
 
@@ -34,6 +44,13 @@
     :param message: any message of :mod:`burdockgate.messages`.
     :raises errors.WireError: when the frame would be over the size limit.
     """
+    # Messages are frozen, so the same object has the same frame.
+    if message is not _last.message:
+        _last.frame, _last.message = _encode(message), message
+    return _last.frame
+
+
+def _encode(message: messages.Message) -> bytes:
     number, write = _WRITER_BY_CLASS[type(message)]
     body: bytes = msgpack.packb([number, *write(message)])
     if len(body) > FRAME_LIMIT_BYTES:
