Free the slot of a task that is stopped before its first step

Cause: a task that asyncio cancels before its first step runs no handler, so the core was not told of its end. The cancel-wave scenario left 9 of 88 slots taken for ever, and the planned stop of those agents waited for its whole timeout. Change: the cancellation is queued behind the first step. Conclusion: cancellations no longer reduce the capacity of a worker.

--- a/src/burdockgate/process/agenthost.py
+++ b/src/burdockgate/process/agenthost.py
@@ -133,7 +133,9 @@
             case effects.Stop(job, attempt, index):
                 running = self._execution_by_key.get((job, attempt, index))
                 if running is not None:
-                    running.cancel()
+                    # A task that is cancelled before its first step runs no handler,
+                    # so its slot would stay taken. The first step is queued already.
+                    asyncio.get_running_loop().call_soon(running.cancel)
 
     async def _execute(self, effect: effects.Execute) -> None:
         try:
