Leave out the busy slots of a cancel wave

Cause: the figure took cancelled tasks for whole ones. Change: the figure is null for this scenario.

--- a/src/burdockgate/standin/figures.py
+++ b/src/burdockgate/standin/figures.py
@@ -279,7 +279,8 @@
 
     def _slots_busy(self) -> float | None:
         """Return the share of slot time in which backend servers ran tasks."""
-        if self.run.starts is None:
+        # How long a cancelled task ran is not known.
+        if self.run.starts is None or self.run.config.scenario.has_wave:
             return None
         begin, end = self._window()
         busy = 0.0
