End the test's processes when the test run gets SIGTERM

Cause: Python ends on SIGTERM without the teardown of fixtures, which would leave the daemons running. Change: SIGTERM is handled as an interrupt, after which pytest tears down.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -172,6 +172,8 @@
     """Log, two entry hosts and three agents with a backend server each."""
 
     def __init__(self, directory):
+        # SIGTERM to the test run, as from a time limit, must end the processes too.
+        signal.signal(signal.SIGTERM, signal.default_int_handler)
         self._directory = pathlib.Path(directory)
         self._events = []
         self._log_address = f"127.0.0.1:{free_port()}"
