--- a/src/burdockgate/process/agent.py
+++ b/src/burdockgate/process/agent.py
@@ -231,6 +231,16 @@
         """Tell an owner that has lost the job about the newer epoch."""
         if admission is record.Admission.OLD_EPOCH:
             job = self._record_by_job[message.job]
+            yield from self._send_fence_reply(name, job, ())
+
+    def _send_fence_reply(
+        self,
+        name: str,
+        job: record.Record,
+        reports: tuple[messages.TaskReport, ...],
+    ) -> _Effects:
+        batches = list(_batches(reports))
+        for number, batch in enumerate(batches, start=1):
             yield effects.Send(
                 name,
                 messages.FenceReply(
@@ -239,8 +249,8 @@
                     job.fence,
                     job.attempt,
                     self.node.boot,
-                    reports=(),
-                    more=False,
+                    batch,
+                    more=number < len(batches),
                 ),
             )
 
@@ -302,20 +312,7 @@
             yield from self._refuse_old(name, message, job)
             return
         reports = tuple(job.reports()) if message.boot == self.node.boot else ()
-        batches = list(_batches(reports))
-        for number, batch in enumerate(batches, start=1):
-            yield effects.Send(
-                name,
-                messages.FenceReply(
-                    job.job,
-                    job.epoch,
-                    job.fence,
-                    job.attempt,
-                    self.node.boot,
-                    batch,
-                    more=number < len(batches),
-                ),
-            )
+        yield from self._send_fence_reply(name, job, reports)
 
     def _on_cancel(self, _name: str, message: messages.Cancel) -> _Effects:
         job = self._record_by_job.get(message.job)
--- a/src/burdockgate/standin/demo.py
+++ b/src/burdockgate/standin/demo.py
@@ -80,12 +80,15 @@
     try:
         await system.start()
         answer, summary = await _submit(system, body)
-        _show(as_json, answer, summary)
         if keep:
+            _show(as_json, answer, summary)
             print("serving at", " ".join(system.urls), file=sys.stderr, flush=True)
             await asked.wait()
     finally:
         await system.stop()
+    if not keep:
+        # After the last log lines, so that the answer stands at the end.
+        _show(as_json, answer, summary)
     return 0 if answer.outcome == "complete" else 1
 
 
--- a/tests/sessions.py
+++ b/tests/sessions.py
@@ -13,6 +13,7 @@
 import attrs
 import xxhash
 
+import configs
 from burdockgate import clock, effects, messages, settings
 from burdockgate.process import agent, entry, metrics
 from burdockgate.request import job, outcome
@@ -20,51 +21,12 @@
 LATENCY_S = 0.0005
 APPEND_S = 0.004
 TICK_S = 0.05
-SERVICE = "records"
-LOG_RETENTION_S = 120.0
+SERVICE = configs.SERVICE
+LOG_RETENTION_S = configs.LOG_RETENTION_S
 STREAMS = ("members", "table")
 QUIET = (messages.Heartbeat, messages.Load, messages.Peers, messages.Records)
 
 
-def node_settings(name, place):
-    return settings.NodeSettings(
-        name=name,
-        region="r1",
-        data_centre=f"dc{place}",
-        rack=f"rack{place}",
-        listen="127.0.0.1:0",
-    )
-
-
-def platform_settings():
-    return settings.PlatformSettings(
-        log_url="http://127.0.0.1:1", seeds=(), log_retention_s=LOG_RETENTION_S
-    )
-
-
-def entry_settings(name, place, **timing):
-    return settings.EntrySettings(
-        node=node_settings(name, place),
-        http="127.0.0.1:0",
-        platform=platform_settings(),
-        limits=settings.LimitSettings(),
-        timing=settings.TimingSettings(**timing),
-        statsd=settings.StatsdSettings(),
-    )
-
-
-def agent_settings(name, place, slots, **timing):
-    return settings.AgentSettings(
-        node=node_settings(name, place),
-        backend_server=settings.BackendSettings(
-            url="http://127.0.0.1:1", service=SERVICE, slots=slots
-        ),
-        platform=platform_settings(),
-        timing=settings.TimingSettings(**timing),
-        statsd=settings.StatsdSettings(),
-    )
-
-
 def make_request(key, tasks, guest="g1", repeatable=True, deadline_ms=30_000):
     """Return a job whose tasks run for the given milliseconds each."""
     payloads = [
@@ -160,13 +122,13 @@
         if name.startswith("entry"):
             core = entry.EntryCore(
                 node,
-                entry_settings(name, place, **self.timing),
+                configs.entry_settings(name, place, **self.timing),
                 self.clock,
                 random.Random(self.rng.random()),
                 counters,
             )
         else:
-            config = agent_settings(name, place, self.slots, **self.timing)
+            config = configs.agent_settings(name, place, self.slots, **self.timing)
             core = agent.AgentCore(node, config, self.clock, counters)
         process = Process(name, core, boot)
         self.processes[name] = process
--- a/tests/test_agenthost.py
+++ b/tests/test_agenthost.py
@@ -4,14 +4,14 @@
 import random
 from unittest import mock
 
-import sessions
+import configs
 from burdockgate import effects
 from burdockgate.process import agenthost
 
 
 async def test_task_stopped_before_its_first_step_frees_its_slot():
     """A start and a cancellation read together must not take a slot for ever."""
-    config = sessions.agent_settings("agent-1", 0, 2)
+    config = configs.agent_settings("agent-1", 0, 2)
     host = agenthost.AgentHost(config, random.Random(1))
     host.core = mock.Mock()
     host.core.finished.return_value = iter(())
