--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -17,16 +17,6 @@
 _numbers = itertools.count(1)
 
 
-@pytest.fixture(scope="module")
-def shared(tmp_path_factory):
-    made = processes.System(tmp_path_factory.mktemp("system"))
-    try:
-        made.start()
-        yield made
-    finally:
-        made.kill()
-
-
 @pytest.fixture
 async def system(shared):
     """Give a running system; after the test, it must still run a good job."""
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -17,16 +17,6 @@
 LIMIT_MS = 1000 * processes.LIMIT_S
 
 
-@pytest.fixture(scope="module")
-def shared(tmp_path_factory):
-    made = processes.System(tmp_path_factory.mktemp("system"))
-    try:
-        made.start()
-        yield made
-    finally:
-        made.kill()
-
-
 @pytest.fixture
 def system(shared):
     """Give a whole system, and check all promises after the test."""
