Keep the connection until the caller has sent a refused body

The entry host answered 413 from the declared length and closed the connection at once. A close with unread data resets the connection, and the caller, still writing, loses the answer. The 2 MB body of that test only sometimes met the reset; ruled out: a fault of the test, since the same happens to every client that reads after it has written.

Change: after a 408 or 413 the answer is sent whole, and the rest of the body is read and dropped for at most 1 s before the close.

Conclusion: the refusal reaches callers that finish their body within 1 s; one that goes on for longer is still reset.

--- a/src/burdockgate/process/web.py
+++ b/src/burdockgate/process/web.py
@@ -15,27 +15,21 @@
 
 import h11
 import litestar
-import msgspec
 import structlog
 from litestar import exceptions, openapi, types
 from litestar.openapi import plugins
-from litestar.response import base
 from uvicorn.protocols.http import h11_impl
 
 from burdockgate import codes, errors
-from burdockgate.process import schema, serving
+from burdockgate.process import replies, schema, serving
 from burdockgate.request import job, outcome
 
 HEADER_TIMEOUT_S = 10.0
 BODY_TIMEOUT_S = 10.0
 READY_RETRY_S = 1.0
 
-_JSON = "application/json"
 _logger = structlog.get_logger(__name__)
 _Request = litestar.Request[Any, Any, Any]
-# Litestar passes this kind of response on as it is.
-_Response = base.ASGIResponse
-_ErrorResponse = litestar.Response[bytes]
 
 
 class EntryService(abc.ABC):
@@ -126,7 +120,7 @@
 
 
 @litestar.post("/v1/jobs", operation_class=schema.SubmitOperation, status_code=200)
-async def _submit(request: _Request) -> _Response:
+async def _submit(request: _Request) -> replies.Response:
     """Submit a job and wait for its answer."""
     application = _application(request)
     wait = _boolean(request, "wait")
@@ -138,7 +132,7 @@
 
 
 @litestar.get("/v1/jobs/{guest:str}/{key:str}", operation_class=schema.FetchOperation)
-async def _fetch(request: _Request) -> _Response:
+async def _fetch(request: _Request) -> replies.Response:
     """Return the kept answer or the state of a job."""
     application = _application(request)
     guest, key = _names(request)
@@ -154,7 +148,7 @@
 
 
 @litestar.delete("/v1/jobs/{guest:str}/{key:str}", status_code=200)
-async def _cancel(request: _Request) -> _Response:
+async def _cancel(request: _Request) -> replies.Response:
     """Cancel a job and return its definite outcome."""
     _query(request)
     guest, key = _names(request)
@@ -166,7 +160,7 @@
     operation_class=schema.DrainOperation,
     status_code=200,
 )
-async def _drain(request: _Request) -> _Response:
+async def _drain(request: _Request) -> replies.Response:
     """Drain a worker, or resume it with ``active=false``."""
     active = _boolean(request, "active")
     worker = _unquote("worker", request.path_params["name"])
@@ -176,29 +170,29 @@
             f"worker: {job.shorten(worker)}, allowed are workers that this entry "
             "host knows",
         )
-    return _reply({"worker": worker, "draining": active})
+    return replies.reply({"worker": worker, "draining": active})
 
 
 @litestar.get("/v1/status")
-async def _status(request: _Request) -> _Response:
+async def _status(request: _Request) -> replies.Response:
     """Return the state of this entry host."""
-    return _reply(_application(request).service.status())
+    return replies.reply(_application(request).service.status())
 
 
 @litestar.get("/healthz")
-async def _alive(request: _Request) -> _Response:
+async def _alive(request: _Request) -> replies.Response:
     """Return 200 while the process answers."""
-    return _reply({"alive": True})
+    return replies.reply({"alive": True})
 
 
 @litestar.get("/readyz")
-async def _ready(request: _Request) -> _Response:
+async def _ready(request: _Request) -> replies.Response:
     """Return 200 when jobs are taken, else 503 with the reason."""
     reason = _application(request).service.not_ready_reason()
     if not reason:
-        return _reply({"ready": True})
+        return replies.reply({"ready": True})
     refused = outcome.Refused(codes.Code.NOT_READY, reason, READY_RETRY_S)
-    return _render("", "", refused)
+    return replies.render("", "", refused)
 
 
 def _header(request: _Request, name: bytes) -> str | None:
@@ -287,7 +281,9 @@
     return errors.RequestError(codes.Code.INVALID_REQUEST, detail)
 
 
-async def _answer(guest: str, key: str, call: Awaitable[outcome.Outcome]) -> _Response:
+async def _answer(
+    guest: str, key: str, call: Awaitable[outcome.Outcome]
+) -> replies.Response:
     try:
         result = await call
     except asyncio.CancelledError:
@@ -297,75 +293,31 @@
         )
     except errors.RequestError as error:
         result = outcome.Refused(error.code, error.detail)
-    return _render(guest, key, result)
-
-
-_NAME_BY_KIND: dict[type[outcome.Outcome], str] = {
-    outcome.Complete: "complete",
-    outcome.Failed: "failed",
-    outcome.Refused: "refused",
-    outcome.Pending: "pending",
-}
-
-
-def _render(guest: str, key: str, result: outcome.Outcome) -> _Response:
-    status = codes.MEANING_BY_CODE[result.code].status
-    headers = {}
-    if isinstance(result, outcome.Refused) and result.retry_after_s > 0:
-        headers["Retry-After"] = str(max(1, math.ceil(result.retry_after_s)))
-    body = _content(guest, key, result)
-    return _Response(body=body, status_code=status, headers=headers, media_type=_JSON)
-
-
-def _content(guest: str, key: str, result: outcome.Outcome) -> bytes:
-    start = codes.start_of(result.code)
-    body = msgspec.json.encode(
-        {
-            "code": int(result.code),
-            "name": result.code.name,
-            "guest": guest,
-            "key": key,
-            "attempt": result.attempt,
-            "detail": result.detail,
-            "start": start.value if start else None,
-            "outcome": _NAME_BY_KIND[type(result)],
-        }
-    )
-    if isinstance(result, outcome.Complete):
-        # The results are JSON text already.
-        body = b'%s,"results":[%s]}' % (body[:-1], b",".join(result.results))
-    return body
-
-
-def _reply(value: object) -> _Response:
-    return _Response(body=msgspec.json.encode(value), media_type=_JSON)
-
-
-def _on_request_error(request: _Request, error: errors.RequestError) -> _ErrorResponse:
+    return replies.render(guest, key, result)
+
+
+def _on_request_error(
+    request: _Request, error: errors.RequestError
+) -> replies.ErrorResponse:
     status = codes.MEANING_BY_CODE[error.code].status
     return _reject(request, error.code, error.detail, status)
 
 
 def _reject(
     request: _Request, code: codes.Code, detail: str, status: int
-) -> _ErrorResponse:
+) -> replies.ErrorResponse:
     _application(request).service.rejected()
-    # After these the rest of the body is not read, so the connection is not kept.
-    headers = {"Connection": "close"} if status in (408, 413) else {}
-    return _error(outcome.Refused(code, detail), status, headers)
-
-
-def _error(
-    result: outcome.Outcome, status: int, headers: dict[str, str]
-) -> _ErrorResponse:
-    return litestar.Response(
-        _content("", "", result), status_code=status, headers=headers, media_type=_JSON
-    )
+    result = outcome.Refused(code, detail)
+    if status in (408, 413):
+        return replies.error(
+            result, status, {"Connection": "close"}, replies.UnreadBodyResponse
+        )
+    return replies.error(result, status, {})
 
 
 def _on_http_error(
     request: _Request, error: exceptions.HTTPException
-) -> _ErrorResponse:
+) -> replies.ErrorResponse:
     if error.status_code >= 500:
         return _on_error(request, error)
     place = f"{request.method} {job.shorten(request.scope['path'])}"
@@ -381,10 +333,10 @@
     return response
 
 
-def _on_error(request: _Request, error: Exception) -> _ErrorResponse:
+def _on_error(request: _Request, error: Exception) -> replies.ErrorResponse:
     _logger.error("web.error", path=request.scope["path"], exc_info=error)
     detail = f"internal error of the entry host ({type(error).__name__})"
-    return _error(outcome.Failed(0, codes.Code.OWNER_LOST, detail), 500, {})
+    return replies.error(outcome.Failed(0, codes.Code.OWNER_LOST, detail), 500, {})
 
 
 class Server(serving.Server):
@@ -450,9 +402,9 @@
         if self.conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             cast(_Application, self.config.app).service.rejected()
             refused = outcome.Refused(codes.Code.INVALID_REQUEST, msg)
-            body = _content("", "", refused)
+            body = replies.content("", "", refused)
             headers = [
-                ("content-type", _JSON),
+                ("content-type", replies.JSON),
                 ("content-length", str(len(body))),
                 ("connection", "close"),
             ]
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -210,6 +210,12 @@
     assert json.loads(body)["code"] == code
 
 
+async def test_answer_reaches_a_caller_that_sends_too_much(http):
+    """A reset connection must not take away the answer that says what is wrong."""
+    reply = await http.post("/v1/jobs", content=b" " * 8_000_000, headers=KEY)
+    assert (reply.status_code, reply.json()["code"]) == (413, 101)
+
+
 async def test_slow_senders_are_cut_off(server, monkeypatch):
     """Connections of slow senders must not pile up."""
     monkeypatch.setattr(web, "HEADER_TIMEOUT_S", 0.1)
