Let the daemon call its core for ticks, heartbeats and log records

Cause: both daemons passed tick, beat and follow on to their core in the same three methods.

Change: process.core declares what a daemon asks of its decisions; AgentCore and EntryCore implement it, and the daemon calls it. No behaviour changes.

Conclusion: test_processes and test_hostile pass (61 tests). In the full run before, test_every_process_is_replaced_under_load failed while these files were being edited under it; daemons started by the test import the tree as it stands.

--- a/src/burdockgate/process/agent.py
+++ b/src/burdockgate/process/agent.py
@@ -8,7 +8,7 @@
 import attrs
 
 from burdockgate import clock, effects, messages, settings
-from burdockgate.process import claims, metrics, rows, slots
+from burdockgate.process import claims, core, metrics, rows, slots
 from burdockgate.request import record
 from burdockgate.version import table
 from burdockgate.version import view as views
@@ -30,7 +30,7 @@
     pending_syncs: list[int] = attrs.field(factory=list)
 
 
-class AgentCore:
+class AgentCore(core.Core):
     """Decides for one agent; performs nothing itself.
 
     :param node: this incarnation of the agent.
--- a/src/burdockgate/process/agenthost.py
+++ b/src/burdockgate/process/agenthost.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-from collections.abc import Iterator
 
 import xxhash
 
@@ -92,18 +91,6 @@
             self.core.draining,
         )
 
-    def tick(self) -> Iterator[effects.Effect]:
-        """Yield what the core finds due."""
-        return self.core.tick()
-
-    def beat(self) -> Iterator[effects.Effect]:
-        """Yield the core's heartbeats."""
-        return self.core.beat()
-
-    def follow_effects(self, records: messages.Records) -> Iterator[effects.Effect]:
-        """Yield the core's effects of new log records."""
-        return self.core.follow(records)
-
     def connected(self, hello: messages.Hello) -> None:
         """Tell the core about a node."""
         if hello.role is messages.Role.ENTRY:
--- a/src/burdockgate/process/daemon.py
+++ b/src/burdockgate/process/daemon.py
@@ -7,11 +7,11 @@
 import contextlib
 import random
 import secrets
-from collections.abc import Coroutine, Iterable, Iterator
+from collections.abc import Coroutine, Iterable
 from typing import Any
 
 from burdockgate import clock, effects, errors, messages, settings
-from burdockgate.process import logs, metrics, network, platform, running
+from burdockgate.process import core, logs, metrics, network, platform, running
 
 TICK_S = 0.05
 METRICS_INTERVAL_S = 1.0
@@ -29,6 +29,8 @@
     :param rng: the source of random numbers.
     """
 
+    core: core.Core
+
     def __init__(
         self,
         node_settings: settings.NodeSettings,
@@ -60,14 +62,6 @@
     def hello(self) -> messages.Hello:
         """Return the announcement of this node."""
 
-    @abc.abstractmethod
-    def tick(self) -> Iterator[effects.Effect]:
-        """Yield the effects that are due."""
-
-    @abc.abstractmethod
-    def beat(self) -> Iterator[effects.Effect]:
-        """Yield the heartbeats."""
-
     def perform(self, wanted: Iterable[effects.Effect]) -> None:
         """Perform effects in their order.
 
@@ -121,14 +115,7 @@
         if self.log_client is None:
             return
         async for records in self.log_client.follow(stream, first):
-            self.perform(self.follow_effects(records))
-
-    @abc.abstractmethod
-    def follow_effects(self, records: messages.Records) -> Iterator[effects.Effect]:
-        """Yield the core's effects of new log records.
-
-        :param records: the records.
-        """
+            self.perform(self.core.follow(records))
 
     async def run_timers(self) -> None:
         """Tick, beat and flush metrics until cancelled."""
@@ -136,10 +123,10 @@
         while True:
             now = self.time.now()
             self.network.watch()
-            self.perform(self.tick())
+            self.perform(self.core.tick())
             if now >= beat_at:
                 beat_at = now + self._timing.heartbeat_s
-                self.perform(self.beat())
+                self.perform(self.core.beat())
             if now >= flush_at:
                 flush_at = now + METRICS_INTERVAL_S
                 self.counters.flush()
--- a/src/burdockgate/process/entry.py
+++ b/src/burdockgate/process/entry.py
@@ -8,6 +8,7 @@
 
 from burdockgate import clock, codes, effects, messages, settings
 from burdockgate.process import (
+    core,
     directory,
     dispatch,
     jobs,
@@ -28,7 +29,7 @@
 _Effects = Iterator[effects.Effect]
 
 
-class EntryCore:
+class EntryCore(core.Core):
     """Decides for one entry host; performs nothing itself.
 
     :param node: this incarnation of the entry host.
--- a/src/burdockgate/process/entryhost.py
+++ b/src/burdockgate/process/entryhost.py
@@ -136,18 +136,6 @@
             draining=self.core.draining,
         )
 
-    def tick(self) -> Iterator[effects.Effect]:
-        """Yield what the core finds due."""
-        return self.core.tick()
-
-    def beat(self) -> Iterator[effects.Effect]:
-        """Yield the core's heartbeats."""
-        return self.core.beat()
-
-    def follow_effects(self, records: messages.Records) -> Iterator[effects.Effect]:
-        """Yield the core's effects of new log records."""
-        return self.core.follow(records)
-
     def connected(self, hello: messages.Hello) -> None:
         """Tell the core about a node."""
         self.log.info("node connected", node=hello.node.name, role=hello.role.name)
