Measure a system of separate processes

Cause: measure ran all roles, the stand-ins and the load tool on one event loop, which used 78% to 87% of a core at 70% load. The figures showed that loop's delays, and the trial with longer tasks said so; what processes on their own do was not known.

Counts wait for one flush, so the costs hold up to 1.1 s of heartbeats after the last arrival.

--- a/src/burdockgate/standin/figures.py
+++ b/src/burdockgate/standin/figures.py
@@ -156,7 +156,7 @@
             "recovery_s": self._recovery_s(),
             "last_new_task_s": self._last_new_task_s(),
             "starts_per_s": None,
-            "rss_mb": None,
+            "rss_mb": self._resident_mb(),
         }
         return known | self._costs()
 
@@ -173,6 +173,12 @@
             or bool(outcomes.keys() - allowed)
         )
 
+    def _resident_mb(self) -> float | None:
+        after = self.run.after
+        if after is None or after.agent_mb is None:
+            return None
+        return round(after.agent_mb, 1)
+
     def _costs(self) -> dict[str, object]:
         before, after = self.run.before, self.run.after
         names = (
--- a/src/burdockgate/standin/load.py
+++ b/src/burdockgate/standin/load.py
@@ -17,7 +17,7 @@
 import httpx
 
 from burdockgate import errors
-from burdockgate.standin import arrivals, scenarios, targets
+from burdockgate.standin import arrivals, fleet, scenarios, targets
 
 # Answers still missing this long after the last arrival are given up.
 ANSWER_LIMIT_S = 60.0
@@ -30,6 +30,7 @@
     """What is run.
 
     :param seconds: length of the run; see :meth:`scenarios.Scenario.phases`.
+    :param has_processes: whether each role and each stand-in is a process.
     """
 
     scenario: scenarios.Scenario
@@ -37,6 +38,7 @@
     seconds: float = 10.0
     size: targets.Size = attrs.field(factory=targets.Size)
     urls: tuple[str, ...] = ()
+    has_processes: bool = False
 
     @property
     def planned_s(self) -> float:
@@ -94,11 +96,7 @@
     :param config: what to run.
     :param is_base: whether to leave out the stragglers.
     """
-    target: targets.Target = (
-        targets.RemoteTarget(config.urls)
-        if config.urls
-        else targets.LocalTarget(config.size, config.seed)
-    )
+    target = _target(config)
     try:
         await target.start()
         shape = config.scenario.shape(
@@ -110,6 +108,14 @@
         await target.stop()
 
 
+def _target(config: Config) -> targets.Target:
+    if config.urls:
+        return targets.RemoteTarget(config.urls)
+    if config.has_processes:
+        return fleet.FleetTarget(config.size)
+    return targets.LocalTarget(config.size, config.seed)
+
+
 class _Driver:
     """Sends the planned jobs and the faults at their times."""
 
@@ -135,15 +141,17 @@
         """Run the plan and wait for the answers."""
         async with self._http:
             await self._warm_up()
+            await asyncio.sleep(self._target.counts_delay_s)
+            before = self._target.counts()
             # Tasks are made and bodies are encoded before the first arrival.
             self._began = time.monotonic() + LEAD_S
-            before = self._target.counts()
             fault = asyncio.create_task(self._drive_fault())
             try:
                 await self._send_all()
                 # The tail after the last arrival has few tasks and many heartbeats,
                 # so it is left out of the costs.
-                await asyncio.sleep(max(0.0, self._config.planned_s - self._now()))
+                end = self._config.planned_s + self._target.counts_delay_s
+                await asyncio.sleep(max(0.0, end - self._now()))
                 window_s, after = self._now(), self._target.counts()
                 if self._tasks:
                     await asyncio.wait(self._tasks, timeout=ANSWER_LIMIT_S)
@@ -152,7 +160,8 @@
                 await _end([fault, *self._tasks])
         if fault.done() and not fault.cancelled():
             fault.result()
-        return self._result(seconds, window_s, before, after)
+        starts = await self._target.starts()
+        return self._result(seconds, window_s, before, after, starts)
 
     async def _warm_up(self) -> None:
         """Open the connections that the run will use."""
@@ -229,8 +238,8 @@
         window_s: float,
         before: targets.Counts | None,
         after: targets.Counts | None,
+        starts: list[targets.Start] | None,
     ) -> Run:
-        starts = self._target.starts()
         if starts is not None:
             planned = {record.job.id for record in self._records}
             starts = [start for start in starts if start.job in planned]
--- a/src/burdockgate/standin/measurement.py
+++ b/src/burdockgate/standin/measurement.py
@@ -21,6 +21,7 @@
 class Request:
     """What to measure; fields as the options of the subcommand.
 
+    :param has_processes: whether each role and each stand-in is a process.
     :param policy: placement policy; ``None`` for the default.
     :param versus: placement policy of a second run, or ``None``.
     """
@@ -32,6 +33,7 @@
     as_json: bool = False
     report: str | None = None
     urls: tuple[str, ...] = ()
+    has_processes: bool = False
     policy: str | None = None
     versus: str | None = None
     size: targets.Size = attrs.field(factory=targets.Size)
@@ -85,8 +87,12 @@
             yield f"--{option}: {name!r:.80}, allowed are {allowed}"
         if request.urls:
             yield f"--{option}: not possible with --connect"
+        if request.has_processes:
+            yield f"--{option}: not possible with --processes"
     scenario = scenarios.SCENARIO_BY_NAME.get(request.scenario)
     remote = (scenarios.Fault.NONE, scenarios.Fault.DRAIN)
+    if request.urls and request.has_processes:
+        yield "--processes: not possible with --connect"
     if request.urls and (scenario is None or scenario.fault not in remote):
         yield f"--connect: not possible with the scenario {request.scenario!r:.80}"
 
@@ -103,6 +109,7 @@
             request.seconds,
             size,
             request.urls,
+            request.has_processes,
         )
 
 
--- a/src/burdockgate/standin/targets.py
+++ b/src/burdockgate/standin/targets.py
@@ -37,13 +37,16 @@
     :param messages: messages sent between the system's processes.
     :param agent_bytes: bytes that agents sent and received, payloads included.
     :param returned: tasks that agents returned without a start.
-    :param processor_s: processor time of the process, in seconds.
+    :param processor_s: processor time of the processes, in seconds.
+    :param agent_mb: resident memory of the largest agent in MB; ``None`` when the
+        agents share a process with others.
     """
 
     messages: int
     agent_bytes: int
     returned: int
     processor_s: float
+    agent_mb: float | None = None
 
 
 @attrs.frozen
@@ -70,6 +73,8 @@
     slots: int
     agents: int
     worker: str
+    # Time after which all that was counted up to now is in the totals.
+    counts_delay_s = 0.0
 
     @abc.abstractmethod
     async def start(self) -> None:
@@ -92,7 +97,7 @@
         """Return the totals so far; ``None`` when they cannot be known."""
 
     @abc.abstractmethod
-    def starts(self) -> list[Start] | None:
+    async def starts(self) -> list[Start] | None:
         """Return every start so far; ``None`` when they cannot be known."""
 
     async def drain(self, is_on: bool) -> None:
@@ -169,7 +174,7 @@
             time.process_time(),
         )
 
-    def starts(self) -> list[Start]:
+    async def starts(self) -> list[Start]:
         """Return every start so far, with the names of the agents."""
         pairs = zip(self.system.servers, self.system.agents, strict=True)
         return [
@@ -230,5 +235,5 @@
     def counts(self) -> None:
         """Return nothing: only entry hosts are reached, and the agents count too."""
 
-    def starts(self) -> None:
+    async def starts(self) -> None:
         """Return nothing: the backend servers are not reached."""
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -102,6 +102,19 @@
     assert summary["violations"] == 0
 
 
+def test_run_with_processes_counts_what_they_report(capsys):
+    """Figures of separate processes must not be those of the load tool."""
+    size = targets.Size(entries=1, agents=3, slots=2)
+    request = attrs.evolve(REQUEST, size=size, has_processes=True)
+    assert measurement.run(request) == 0
+    summary = json.loads(capsys.readouterr().out)
+    assert summary["complete"] == summary["jobs"] > 0
+    assert summary["violations"] == 0
+    assert 1 < summary["messages_per_task"] < 100
+    assert 20 < summary["rss_mb"] < 200
+    assert summary["bytes_per_s"] > 0 < summary["cpu_share"]
+
+
 def test_versus_runs_both_policies(capsys):
     """The second policy must really be the other one, with the same arrivals."""
     assert measurement.run(attrs.evolve(REQUEST, versus="least-loaded")) == 0
@@ -127,6 +140,14 @@
             ["--connect", "http://127.0.0.1:1", "--scenario", "outage"],
             "--connect: not possible with the scenario 'outage'",
         ),
+        (
+            ["--connect", "http://127.0.0.1:1", "--processes"],
+            "--processes: not possible with --connect",
+        ),
+        (
+            ["--policy", "two-choices", "--processes"],
+            "--policy: not possible with --processes",
+        ),
     ],
 )
 def test_wrong_options_are_named(arguments, line, capsys):
