Run the tests in four processes

Change: pytest-xdist with four processes; the tests of a file stay together, because those of test_hostile share one running system.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	$(BIN)/burdockgate local
 
 test: check
-	$(BIN)/pytest
+	$(BIN)/pytest --numprocesses 4 --dist loadfile
 
 check: $(STAMP)
 	$(BIN)/ruff format --check src tests
