Add golden sessions for each role, step and fault

Cause: golden sessions stood for the plain path, a takeover and a lost agent only. The harness hands the checker every submission, start, ownership, answer and table version, and the callers never answered count as violations. A frozen peer is now dropped after the lease instead of at the next heartbeat, a cut can be silent, an append by an entry host that is cut off from the log has no effect, and backend servers can be killed, frozen and cut off.

--- a/tests/sessions.py
+++ b/tests/sessions.py
@@ -5,6 +5,8 @@
 that their payload names, and breaks what a test asks it to break.
 """
 
+import collections
+import functools
 import heapq
 import itertools
 import json
@@ -17,9 +19,14 @@
 from burdockgate import clock, effects, messages, settings
 from burdockgate.process import agent, entry, metrics
 from burdockgate.request import job, outcome
+from burdockgate.standin import checker, trace
 
 LATENCY_S = 0.0005
 APPEND_S = 0.004
+# As in process.backend and process.agenthost.
+CONNECT_S = 1.0
+PROBE_S = 1.0
+LEASE_S = 2.5
 TICK_S = 0.05
 SERVICE = configs.SERVICE
 LOG_RETENTION_S = configs.LOG_RETENTION_S
@@ -55,6 +62,8 @@
     core: object
     generation: int
     frozen: bool = False
+    frozen_at: float = 0.0
+    table_version: int = 0
     inbox: list = attrs.field(factory=list)
     offset_by_stream: dict = attrs.field(factory=dict)
 
@@ -76,9 +85,10 @@
     :param entries: number of entry hosts.
     :param agents: number of agents, each in a data centre of its own up to 4.
     :param seed: seed of all random decisions.
+    :param places: region, data centre and rack by name, where they differ from that.
     """
 
-    def __init__(self, entries=2, agents=3, slots=2, seed=1, **timing):
+    def __init__(self, entries=2, agents=3, slots=2, seed=1, places=None, **timing):
         self.rng = random.Random(seed)
         self.clock = clock.ManualClock(100.0)
         self.timing = timing
@@ -87,9 +97,19 @@
         self.starts = []
         self.answers = {}
         self.log_is_up = True
+        self.append_s = APPEND_S
+        self.loses_append_answers = False
         self.redials = True
+        self.tick_s = TICK_S
         self.cuts = set()
+        self._cut_at = 0.0
+        self._held_by_cut = collections.defaultdict(list)
         self.filters = []
+        self.events = []
+        self.phases = [("begin", collections.Counter())]
+        self.failing = set()
+        self._fault_by_backend = {}
+        self._held_by_backend = collections.defaultdict(list)
         self.log_cuts = set()
         self._log_by_stream = {stream: [] for stream in STREAMS}
         self._first_by_stream = dict.fromkeys(STREAMS, 0)
@@ -102,14 +122,18 @@
         self.processes = {}
         self._places = {}
         self._request_by_ticket = {}
-        for index in range(entries):
-            self._places[f"entry-{index + 1}"] = index % 4
-        for index in range(agents):
-            self._places[f"agent-{index + 1}"] = index % 4
+        self._entry_by_ticket = {}
+        for role, count in (("entry", entries), ("agent", agents)):
+            for index in range(count):
+                place = ("r1", f"dc{index % 4}", f"rack{index % 4}")
+                name = f"{role}-{index + 1}"
+                self._places[name] = (places or {}).get(name, place)
         for name in self._places:
             self.start(name)
         self.run(1.0)
         self.trace.clear()
+        self.events.clear()
+        self.phases = [("begin", collections.Counter())]
 
     # Processes
 
@@ -118,7 +142,7 @@
         boot = next(self._boots)
         node = messages.Node(name, boot, f"{name}:1")
         counters = metrics.Metrics(settings.StatsdSettings())
-        place = self._places[name]
+        place = self._places[name][1]
         if name.startswith("entry"):
             core = entry.EntryCore(
                 node,
@@ -130,8 +154,10 @@
         else:
             config = configs.agent_settings(name, place, self.slots, **self.timing)
             core = agent.AgentCore(node, config, self.clock, counters)
+            core.slots.is_open = name not in self._fault_by_backend
         process = Process(name, core, boot)
         self.processes[name] = process
+        self.events.append(trace.Joined(self.clock.now(), name))
         self._later(self.rng.uniform(0, TICK_S), lambda: self._tick(process))
         self._later(self.rng.uniform(0, 0.8), lambda: self._beat(process))
         self._later(0.0, lambda: self._dial_all(name))
@@ -142,18 +168,42 @@
     def kill(self, name):
         """End a process; its peers see closed connections."""
         self.note(f"{name} killed")
+        self.events.append(trace.Left(self.clock.now(), name))
         del self.processes[name]
-        for pair in [pair for pair in self._links if name in pair]:
+        for pair in self._links_of(name):
             self._unlink(pair)
 
+    def drain(self, name):
+        """Let an agent drain as a planned stop does."""
+        self.note(f"{name} drains")
+        self.events.append(trace.Left(self.clock.now(), name))
+        process = self.processes[name]
+        self._perform(process, process.core.drain(active=True))
+
+    def stop(self, name):
+        """End a process that has drained, as its daemon does."""
+        process = self.processes[name]
+        for pair in self._links_of(name):
+            (peer,) = pair - {name}
+            self._send(process, peer, messages.Leave())
+        self.run(2 * LATENCY_S)
+        self.kill(name)
+
+    def _links_of(self, name):
+        # Sorted, because the order of a set differs from run to run.
+        return sorted((pair for pair in self._links if name in pair), key=sorted)
+
     def freeze(self, name):
         """Stop a process as SIGSTOP does: connections stay, nothing is read."""
         self.note(f"{name} frozen")
+        self.events.append(trace.Left(self.clock.now(), name))
         self.processes[name].frozen = True
+        self.processes[name].frozen_at = self.clock.now()
 
     def thaw(self, name):
         """Let a frozen process go on with what has piled up."""
         self.note(f"{name} thawed")
+        self.events.append(trace.Joined(self.clock.now(), name))
         process = self.processes[name]
         process.frozen = False
         inbox, process.inbox = process.inbox, []
@@ -167,11 +217,74 @@
         self._unlink(frozenset((first, second)))
 
     def heal(self, first, second):
-        """Allow two processes to connect again."""
+        """Allow two processes to connect again, and deliver what was held up."""
         self.note(f"{first} | {second} healed")
-        self.cuts.discard(frozenset((first, second)))
+        pair = frozenset((first, second))
+        self.cuts.discard(pair)
+        for action in self._held_by_cut.pop(pair, []):
+            self._later(LATENCY_S, action)
         self._dial(first, second)
 
+    def _isolate(self, names):
+        """Cut processes off from all others and the log; only the leases tell."""
+        self.log_cuts = set(names)
+        others = [name for name in self.processes if name not in names]
+        pairs = {frozenset(pair) for pair in itertools.product(names, others)}
+        self.cuts |= pairs
+        self._cut_at = cut_at = self.clock.now()
+
+        def lapse():
+            if self._cut_at == cut_at:
+                self._held_by_cut.clear()
+                for pair in sorted(pairs & self.cuts, key=sorted):
+                    self._unlink(pair)
+
+        self._later(LEASE_S, lapse)
+
+    def fail(self, names, fault):
+        """Kill, freeze or cut off processes, all at one moment."""
+        self.mark(f"{fault} {' '.join(names)}")
+        if fault == "cut":
+            self._isolate(names)
+        for name in names if fault != "cut" else ():
+            getattr(self, fault)(name)
+
+    def mend(self, names, fault):
+        """Undo :meth:`fail`; a killed process comes back with another boot."""
+        self.mark(f"mend {' '.join(names)}")
+        if fault == "cut":
+            self._cut_at, self.log_cuts = 0.0, set()
+            for pair in sorted(map(sorted, self.cuts)):
+                self.heal(*pair)
+            self.read_log()
+        for name in names if fault != "cut" else ():
+            self.start(name) if fault == "kill" else self.thaw(name)
+
+    def break_backend(self, name, fault):
+        """Kill, freeze or cut off the backend server of an agent."""
+        self.mark(f"{fault} backend server of {name}")
+        self._fault_by_backend[name] = fault
+        process = self.processes[name]
+        if fault == "kill":
+            for key in sorted(getattr(process.core, "running", ())):
+                self._finish(process, key, messages.TaskState.UNKNOWN, b"cut")
+
+    def mend_backend(self, name):
+        """Let a backend server go on; the agent's next probe finds it."""
+        self.mark(f"mend backend server of {name}")
+        del self._fault_by_backend[name]
+        for action in self._held_by_backend.pop(name, []):
+            action()
+        self._later(PROBE_S, functools.partial(self._set_backend, name, True))
+
+    def _set_backend(self, name, is_up):
+        process = self.processes.get(name)
+        if process is not None and not process.core.draining:
+            self._act(
+                process,
+                lambda: self._perform(process, process.core.set_backend_up(is_up)),
+            )
+
     def core(self, name):
         return self.processes[name].core
 
@@ -181,16 +294,24 @@
         """Submit at an entry host and return the caller's ticket."""
         ticket = next(self._tickets)
         self._request_by_ticket[ticket] = request
-        self.note(f"caller {ticket} -> {name} submit {request.key}")
+        payloads = tuple(task.payload for task in request.tasks)
+        fields = (request.guest, request.key, ticket, name, payloads)
+        self.events.append(
+            trace.Submitted(self.clock.now(), *fields, request.repeatable)
+        )
+        self.mark(f"caller {ticket} -> {name} submit {request.key}")
         process = self.processes[name]
+        self._entry_by_ticket[ticket] = (name, process.generation)
         self._perform(process, process.core.submit(request, ticket))
         return ticket
 
     def cancel(self, name, request):
         """Cancel at an entry host and return the caller's ticket."""
         ticket = next(self._tickets)
-        self.note(f"caller {ticket} -> {name} cancel {request.key}")
+        self._request_by_ticket[ticket] = request
+        self.mark(f"caller {ticket} -> {name} cancel {request.key}")
         process = self.processes[name]
+        self._entry_by_ticket[ticket] = (name, process.generation)
         self._perform(process, process.core.cancel(request.job, ticket))
         return ticket
 
@@ -223,6 +344,47 @@
     def text(self):
         return "\n".join(self.trace)
 
+    def mark(self, text):
+        """Note an event that begins a new line of the summary."""
+        self.note(text)
+        self.phases.append((self.trace[-1].lstrip(), collections.Counter()))
+
+    def summary(self):
+        """Return one line for each event, with the messages sent after it by kind."""
+        lines = (f"{head}: {_counted(kinds)}" for head, kinds in self.phases[1:])
+        return "\n".join(line.removesuffix(": ") for line in lines)
+
+    def totals(self):
+        """Return the messages of the whole session and the outcomes, by kind."""
+        sent = sum((kinds for _, kinds in self.phases), collections.Counter())
+        ended = collections.Counter(item.code.name for item in self.answers.values())
+        return f"{_counted(sent)}\n{_counted(ended)}"
+
+    def violations(self):
+        """Return what the checker finds, and the callers that wait for ever."""
+        found = checker.check(self.events, checker.Settings(tuple(self._places)))
+        waiting = set(self._request_by_ticket) - set(self.answers)
+        return [str(item) for item in found] + [
+            f"caller {ticket} of {name} was never answered"
+            for ticket, (name, boot) in sorted(self._entry_by_ticket.items())
+            if ticket in waiting
+            and name in self.processes
+            and self.processes[name].generation == boot
+        ]
+
+    def when(self, kind, count, delay_s, action):
+        """Do something once, after the given number of messages of a type was sent."""
+        left = [count]
+
+        def watch(_from, _to, message, delays):
+            if isinstance(message, kind):
+                left[0] -= 1
+                if left[0] == 0:
+                    self._later(delay_s, action)
+            return delays
+
+        self.filters.append(watch)
+
     # Network
 
     def _later(self, seconds, action):
@@ -253,7 +415,7 @@
                 key = (effect.job, effect.attempt, effect.index)
                 self._finish(process, key, messages.TaskState.STOPPED, b"stopped")
             elif isinstance(effect, effects.Append):
-                self._append(effect)
+                self._append(effect, process.name)
             elif isinstance(effect, effects.Answer):
                 self._answer(process, effect)
 
@@ -268,6 +430,12 @@
         if not isinstance(message, QUIET):
             lost = "" if delays else " (lost)"
             self.note(f"{process.name} -> {to} {describe(message)}{lost}")
+            self.phases[-1][1][summarise(message) + lost] += 1
+            if isinstance(message, messages.Start | messages.Fence | messages.Settle):
+                node = process.core.node
+                fields = (message.job, message.attempt, message.epoch)
+                owner = f"{node.name} {node.boot}"
+                self.events.append(trace.Claimed(self.clock.now(), *fields, owner))
         link = (process.generation, target.generation)
         for delay in delays:
             self._later(delay, lambda: self._deliver(target, link, process, message))
@@ -276,7 +444,11 @@
         pair = frozenset((sender.name, target.name))
         if pair not in self._links or link[1] != target.generation:
             return
-        if self._alive(target):
+        if pair in self.cuts:
+            self._held_by_cut[pair].append(
+                lambda: self._deliver(target, link, sender, message)
+            )
+        elif self._alive(target):
             self._act(
                 target,
                 lambda: self._perform(
@@ -323,9 +495,7 @@
             messages.PROTOCOL,
             messages.Role.AGENT if is_agent else messages.Role.ENTRY,
             process.core.node,
-            "r1",
-            f"dc{place}",
-            f"rack{place}",
+            *place,
             SERVICE if is_agent else "",
             self.slots if is_agent else 0,
             16.0,
@@ -339,7 +509,16 @@
             return
         if not process.frozen:
             self._perform(process, process.core.tick())
-        self._later(TICK_S, lambda: self._tick(process))
+            self._note_version(process)
+        self._later(self.tick_s, lambda: self._tick(process))
+
+    def _note_version(self, process):
+        """Note the table in force; an entry host works by a current one only."""
+        version = process.core.rows.version
+        is_current = getattr(process.core, "has_current_table", True)
+        if version != process.table_version and is_current:
+            process.table_version = version
+            self.events.append(trace.InForce(self.clock.now(), process.name, version))
 
     def _beat(self, process):
         if not self._alive(process):
@@ -352,25 +531,35 @@
         self._later(0.8, lambda: self._beat(process))
 
     def _drop_silent(self, process):
-        """Close the connections of frozen peers, as a lapsed lease does."""
+        """Close the connections of peers that have been frozen for the lease."""
+        now = self.clock.now()
         for other in list(self.processes.values()):
-            if other.frozen:
+            if other.frozen and now - other.frozen_at > LEASE_S:
                 self._unlink(frozenset((process.name, other.name)))
 
     # The log and the backend servers
 
-    def _append(self, effect):
-        if not self.log_is_up or effect.record_id in self._record_ids:
+    def _append(self, effect, writer=""):
+        if not self.log_is_up or writer in self.log_cuts:
             return
-        self._record_ids.add(effect.record_id)
         log = self._log_by_stream[effect.stream]
+        is_known = effect.record_id in self._record_ids
+        if is_known and not self.loses_append_answers:
+            return
+        self._record_ids.add(effect.record_id)
         log.append(messages.LogRecord(len(log), effect.record_id, effect.value))
-        self.read_log(APPEND_S)
+        if self.loses_append_answers and not is_known:
+            # The writer does not know that its append took effect, and repeats it.
+            self._append(effect)
+        self.read_log(self.append_s)
 
     def append(self, stream, record_id, value):
         """Append a record as an operator does, and return its offset."""
+        offset = len(self._log_by_stream[stream])
         self._append(effects.Append(stream, record_id, value))
-        return len(self._log_by_stream[stream]) - 1
+        if stream == "table" and offset < len(self._log_by_stream[stream]):
+            self.events.append(trace.Accepted(self.clock.now(), offset + 1))
+        return offset
 
     def expire_log(self, stream, first):
         """Drop the records of a stream before an offset."""
@@ -398,7 +587,13 @@
         end = len(self._log_by_stream[stream])
         process.offset_by_stream[stream] = end
         first = max(wanted, self._first_by_stream[stream])
-        records = tuple(record for record in kept if record.offset >= first)
+        known = {record.id for record in kept if record.offset < first}
+        # As the client of the log does, which passes over repeated ids.
+        records = tuple(
+            record
+            for record in {each.id: each for each in reversed(kept)}.values()
+            if record.offset >= first and record.id not in known
+        )[::-1]
         for page in (
             messages.Records(stream, first, end, records),
             messages.Records(stream, end, end, ()),
@@ -406,23 +601,47 @@
             self._perform(process, process.core.follow(page))
 
     def _execute(self, process, effect):
-        self.starts.append(
-            StartSeen(
-                self.clock.now(), effect.job, effect.attempt, effect.index, process.name
+        key = (effect.job, effect.attempt, effect.index)
+        process.core.running = getattr(process.core, "running", set()) | {key}
+        ended = functools.partial(self._finish, process, key)
+        state = messages.TaskState.UNKNOWN
+        self._later(effect.timeout_ms / 1000, lambda: ended(state, b"no answer"))
+        fault = self._fault_by_backend.get(process.name)
+        if fault == "freeze":
+            self._held_by_backend[process.name].append(
+                lambda: self._run_task(process, effect, ended)
             )
-        )
-        self.note(f"{process.name} starts task {effect.index} a{effect.attempt}")
+        elif fault is None:
+            self._run_task(process, effect, ended)
+        else:
+            wait_s = CONNECT_S if fault == "cut" else LATENCY_S
+            returned = messages.TaskState.RETURNED
+            self._later(wait_s, lambda: ended(returned, b"not sent"))
+
+    def _run_task(self, process, effect, ended):
+        now, name = self.clock.now(), process.name
+        fields = (effect.job, effect.attempt, effect.index, name)
+        self.starts.append(StartSeen(now, *fields))
+        self.events.append(trace.Started(now, *fields, effect.payload))
+        self.phases[-1][1]["task started"] += 1
+        self.note(f"{name} starts task {effect.index} a{effect.attempt}")
         payload = json.loads(effect.payload)
-        key = (effect.job, effect.attempt, effect.index)
         state = messages.TaskState.DONE
-        if payload.get("fail"):
+        if payload.get("fail") or name in self.failing:
             state = messages.TaskState.FAILED
-        process.core.running = getattr(process.core, "running", set()) | {key}
         self._later(
             payload["sleep_ms"] / 1000,
-            lambda: self._finish(process, key, state, effect.payload),
+            lambda: self._reach(name, lambda: ended(state, effect.payload)),
         )
 
+    def _reach(self, name, action):
+        """Deliver the answer of a backend server unless it cannot reach its agent."""
+        fault = self._fault_by_backend.get(name)
+        if fault in ("freeze", "cut"):
+            self._held_by_backend[name].append(action)
+        elif fault is None:
+            action()
+
     def _finish(self, process, key, state, payload):
         running = getattr(process.core, "running", set())
         if not self._alive(process) or key not in running:
@@ -434,16 +653,39 @@
                 process, process.core.finished(*key, state, payload, 1.0)
             ),
         )
+        if state is messages.TaskState.RETURNED:
+            self._set_backend(process.name, False)
 
     def _answer(self, process, effect):
         if effect.ticket not in self.answers:
-            self.answers[effect.ticket] = effect.outcome
-            self.note(
+            result = effect.outcome
+            self.answers[effect.ticket] = result
+            request = self._request_by_ticket[effect.ticket]
+            # The checker reads the results as the stand-in backend server writes them.
+            results = tuple(
+                b'{"task":%d,"echo":%b}' % item
+                for item in enumerate(getattr(result, "results", ()))
+            )
+            fields = (request.guest, request.key, result.code, result.attempt, results)
+            self.events.append(trace.Answered(self.clock.now(), *fields, process.name))
+            self.mark(
                 f"{process.name} -> caller {effect.ticket} "
-                f"{effect.outcome.code.name} a{effect.outcome.attempt}"
+                f"{result.code.name} a{result.attempt}"
             )
 
 
+def summarise(message):
+    """Return the type of a message, with what it says about claims and tasks."""
+    if isinstance(message, messages.ClaimReply):
+        return f"ClaimReply {message.verdict.name}"
+    states = {report.state.name for report in getattr(message, "reports", ())}
+    return " ".join([type(message).__name__, *sorted(states)])
+
+
+def _counted(kinds):
+    return ", ".join(f"{kind} {count}" for kind, count in kinds.items())
+
+
 def describe(message):
     """Return one line with the fields of a message that a reader looks for."""
     parts = [type(message).__name__]
