Let an agent leave only when no task can be under way to it

Cause: an agent that was idle at SIGTERM announced its drain, sent Leave and closed at once. A task that an entry host had sent a moment before was then on the closed connection; the job failed as WORKER_LOST although the stop was planned. Ruled out: an outage of the log, under which a test with real processes first showed it, because it comes without one too. Change: an entry host answers an agent's Leave with its own. The agent closes after every answer, and after the jobs of tasks that came before it are settled. Such tasks are returned and run elsewhere. The two new tests of the agent fail without the change. Conclusion: a planned stop of an idle agent loses no task.

--- a/src/burdockgate/messages.py
+++ b/src/burdockgate/messages.py
@@ -401,7 +401,11 @@
 
 @attrs.frozen
 class Leave:
-    """The sender stops on purpose and will close the connection."""
+    """The sender stops on purpose and will close the connection.
+
+    An entry host answers an agent with the same message, after which it sends no
+    task on the connection.
+    """
 
 
 @attrs.frozen
--- a/src/burdockgate/process/agent.py
+++ b/src/burdockgate/process/agent.py
@@ -22,12 +22,16 @@
 
 @attrs.define
 class _Session:
-    """An open connection from an entry host or another agent."""
+    """An open connection from an entry host or another agent.
+
+    :param is_leaving: whether the answer to a ``Leave`` is awaited.
+    """
 
     hello: messages.Hello
     received: int = 0
     free_sent: int = -1
     pending_syncs: list[int] = attrs.field(factory=list)
+    is_leaving: bool = False
 
 
 class AgentCore:
@@ -69,6 +73,7 @@
             messages.SyncReply: self._on_sync_reply,
             messages.Records: self._on_records,
             messages.Drain: self._on_drain,
+            messages.Leave: self._on_leave,
         }
 
     @property
@@ -78,6 +83,11 @@
             item.settled for item in self._record_by_job.values()
         )
 
+    @property
+    def has_left(self) -> bool:
+        """Whether no entry host may still send tasks after :meth:`leave`."""
+        return not any(item.is_leaving for item in self._session_by_name.values())
+
     @property
     def table_and_view(self) -> tuple[int, int]:
         """The versions in force here, for heartbeats."""
@@ -174,6 +184,21 @@
     def _on_drain(self, _name: str, message: messages.Drain) -> _Effects:
         yield from self.drain(message.active)
 
+    def leave(self) -> _Effects:
+        """Announce the end to every entry host.
+
+        Tasks that were sent before the drain was known can still be under way. They
+        have come before the answer, because messages on a stream keep their order.
+        """
+        for name, session in self._session_by_name.items():
+            if session.hello.role is messages.Role.ENTRY:
+                session.is_leaving = True
+                yield effects.Send(name, messages.Leave())
+
+    def _on_leave(self, name: str, _message: messages.Leave) -> _Effects:
+        self._session_by_name[name].is_leaving = False
+        yield from ()
+
     # Starts and results
 
     def _on_start(self, name: str, message: messages.Start) -> _Effects:
--- a/src/burdockgate/process/agenthost.py
+++ b/src/burdockgate/process/agenthost.py
@@ -66,10 +66,12 @@
             async with asyncio.timeout(self._config.timing.stop_timeout_s):
                 while not self.core.is_idle:
                     await asyncio.sleep(DRAIN_POLL_S)
+                self.perform(self.core.leave())
+                while not (self.core.has_left and self.core.is_idle):
+                    await asyncio.sleep(DRAIN_POLL_S)
         except TimeoutError:
-            self.log.warning("agent stops with tasks running")
-        for name in list(self.network.names):
-            self.network.send(name, messages.Leave())
+            self.log.warning("agent stops with jobs that are not settled")
+            self.perform(self.core.leave())
         await self.close()
         await self._backend.close()
         self.log.info("agent stopped")
--- a/src/burdockgate/process/entry.py
+++ b/src/burdockgate/process/entry.py
@@ -277,7 +277,8 @@
         worker = self.workers.worker_by_name.get(name)
         if worker is not None:
             worker.draining = True
-        yield from ()
+            # Nothing that starts a task follows this answer on the connection.
+            yield effects.Send(name, messages.Leave())
 
     # The log's streams
 
--- a/tests/test_agenthost.py
+++ b/tests/test_agenthost.py
@@ -1,12 +1,13 @@
-"""Guards the agent's daemon: every executed task is reported to the core."""
+"""Guards the agent's daemon: tasks reach the core, and a planned stop loses none."""
 
 import asyncio
 import random
 from unittest import mock
 
+import builders
 import configs
-from burdockgate import effects
-from burdockgate.process import agenthost
+from burdockgate import clock, effects, messages, settings
+from burdockgate.process import agent, agenthost, metrics
 
 
 async def test_task_stopped_before_its_first_step_frees_its_slot():
@@ -22,3 +23,34 @@
             await asyncio.sleep(0)
     assert host.core.finished.call_args.args[:3] == (job, 1, 0)
     await host.close()
+
+
+def test_task_under_way_to_an_agent_that_leaves_is_returned():
+    """A task sent before the drain was known must not be lost with the agent."""
+    own, config = builders.node("a1"), configs.agent_settings("a1", 0, 2)
+    counters = metrics.Metrics(settings.StatsdSettings())
+    core = agent.AgentCore(own, config, clock.ManualClock(), counters)
+    list(core.connected(builders.hello("e1", role=messages.Role.ENTRY)))
+    list(core.drain(active=True))
+    assert builders.sent(core.leave(), messages.Leave)
+    task = messages.TaskStart(0, 1, b"1", 1000)
+    start = messages.Start(builders.JOB, 1, 0, 1, own.boot, (task,))
+    (results,) = builders.sent(core.receive("e1", start), messages.Results)
+    assert results.reports[0].state is messages.TaskState.RETURNED
+    assert not core.has_left
+    list(core.receive("e1", messages.Leave()))
+    assert core.has_left and not core.is_idle
+    list(core.receive("e1", messages.Settle(builders.JOB, 1, 1, 0)))
+    assert core.is_idle
+
+
+async def test_stop_waits_until_no_task_can_be_under_way():
+    """An idle agent that closed at once would drop what is on the connection."""
+    config = configs.agent_settings("agent-1", 0, 2)
+    host = agenthost.AgentHost(config, random.Random(1))
+    host.core = mock.Mock(is_idle=True)
+    host.core.drain.return_value = host.core.leave.return_value = ()
+    answers = mock.PropertyMock(side_effect=[False, True])
+    type(host.core).has_left = answers
+    await host.stop()
+    assert answers.call_count == 2
