Count cut frames and slow peers, and only sessions whose loss matters

Cause: a frame cut off by the end of its connection and a peer closed for silence were not counted. sessions.lost counted connections between agents, which serve a catch-up and lapse after it, and sessions after a planned leave. The check of the settings passed a URL with a path, with which the agent and the client of the log do not start. An address with a port above 65535, learnt from a peer, ended its dial in an OverflowError that nobody handled. Change: wire.truncated and wire.timeouts; sessions.lost counts sessions with an entry host at one end that no Leave ended, also when another boot replaces them. The check refuses a URL with a path. The dial handles OverflowError. Tests for dropped frames, one dial at a time and types of errors of stream and network. The test of garbage after an announcement plays an entry host now, because it asserts a lost session; its assertions are the same. Conclusion: operators see these events, and the check agrees with the daemons.

--- a/src/burdockgate/connection/stream.py
+++ b/src/burdockgate/connection/stream.py
@@ -32,6 +32,13 @@
         :param error: what was wrong.
         """
 
+    @abc.abstractmethod
+    def truncated(self, stream: Stream) -> None:
+        """Handle the end of a connection within a frame.
+
+        :param stream: the stream it came from; :meth:`closed` follows.
+        """
+
     @abc.abstractmethod
     def opened(self, stream: Stream) -> None:
         """Handle a connection that has just been made.
@@ -81,6 +88,9 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the end of the connection; called by asyncio."""
+        # After an own abort, the rest of a frame was not awaited.
+        if not self.is_closed and self._buffer.is_partial:
+            self._receiver.truncated(self)
         self.is_closed = True
         self._receiver.closed(self)
 
@@ -111,6 +121,8 @@
         if self._transport is not None and not self.is_closed:
             self._flush()
             self._transport.close()
+            # What the peer was sending is not awaited.
+            self._buffer = wire.FrameBuffer()
 
     def abort(self) -> None:
         """Close at once and drop what was queued."""
--- a/src/burdockgate/fields.py
+++ b/src/burdockgate/fields.py
@@ -204,7 +204,7 @@
 
 @attrs.frozen
 class Url(Kind):
-    """An http URL whose host is an IP address.
+    """An http URL without a path, whose host is an IP address.
 
     :param optional: whether an empty text is allowed.
     """
@@ -215,10 +215,10 @@
     def allowed(self) -> str:
         """Return what is allowed."""
         end = ", or empty" if self.optional else ""
-        return f"allowed is http://IP-ADDRESS:PORT with an optional path{end}"
+        return f"allowed is http://IP-ADDRESS:PORT{end}"
 
     def parse(self, text: str) -> str:
-        """Return the URL without slashes at its end."""
+        """Return the URL without the slash at its end."""
         if not text and self.optional:
             return text
         if not _VISIBLE.fullmatch(text):
@@ -228,6 +228,8 @@
             raise ValueError("not an http URL")
         if "@" in parts.netloc or "?" in text or "#" in text:
             raise ValueError("a user, a query or a fragment is not allowed")
+        if parts.path not in ("", "/"):
+            raise ValueError("a path is not allowed")
         _check_host(parts.hostname or "", any_host=False)
         if parts.port == 0 or parts.netloc.endswith(":"):
             raise ValueError("port out of range")
--- a/src/burdockgate/process/metrics.py
+++ b/src/burdockgate/process/metrics.py
@@ -90,10 +90,25 @@
     Metric("wire.bytes_sent", _COUNTER, "bytes", "frames sent to nodes"),
     Metric("wire.bytes_received", _COUNTER, "bytes", "frames received from nodes"),
     Metric("wire.rejected", _COUNTER, "frames", "malformed frames from nodes"),
+    Metric(
+        "wire.truncated",
+        _COUNTER,
+        "frames",
+        "frames cut off by the end of their connection",
+    ),
+    Metric(
+        "wire.timeouts",
+        _COUNTER,
+        "connections",
+        "connections closed because their peer was silent or too slow",
+    ),
     Metric("http.rejected", _COUNTER, "requests", "malformed requests from callers"),
     Metric("sessions.opened", _COUNTER, "sessions", "sessions opened with nodes"),
     Metric(
-        "sessions.lost", _COUNTER, "sessions", "sessions ended without a planned leave"
+        "sessions.lost",
+        _COUNTER,
+        "sessions",
+        "sessions with an entry host at one end that ended without a planned leave",
     ),
     Metric("fences.sent", _COUNTER, "messages", "fences sent to agents"),
     Metric("log.appends", _COUNTER, "records", "records appended to the log service"),
--- a/src/burdockgate/process/network.py
+++ b/src/burdockgate/process/network.py
@@ -48,11 +48,20 @@
 
 @attrs.define
 class _Link:
+    """One connection.
+
+    :param dialled: the address, when it was dialled from here.
+    :param heartbeat: the last one sent.
+    :param sent_at: time of the last message sent, in seconds.
+    :param is_leaving: whether either end has announced that it leaves.
+    """
+
     stream: stream.Stream
     session: session.Session
     dialled: str = ""
     heartbeat: messages.Heartbeat | None = None
     sent_at: float = 0.0
+    is_leaving: bool = False
 
 
 class Network(stream.Receiver):
@@ -122,6 +131,7 @@
         for task in self._task_by_address.values():
             task.cancel()
         for link in list(self._link_by_stream.values()):
+            link.is_leaving = True
             link.stream.close()
         await asyncio.sleep(0)
 
@@ -145,6 +155,7 @@
             if self._is_needless(link, message, now):
                 return True
             link.heartbeat = message
+        link.is_leaving |= isinstance(message, messages.Leave)
         try:
             size = target.send(message)
         except errors.WireError:
@@ -193,7 +204,7 @@
                 _, made = await loop.create_connection(
                     lambda: stream.Stream(self), host, int(port)
                 )
-        except (OSError, ValueError, TimeoutError):
+        except (OSError, ValueError, OverflowError, TimeoutError):
             return
         link = self._link_by_stream.get(made)
         if link is not None:
@@ -212,6 +223,8 @@
             if paused:
                 link.session.heard_at = now
             elif link.session.is_overdue(now, self._lease_s):
+                if not self._is_between_agents(link):
+                    self._counters.count("wire.timeouts")
                 link.stream.abort()
         if len(self._dialled_at_by_address) > 1000:
             self._dialled_at_by_address.clear()
@@ -230,9 +243,23 @@
         name = link.session.hello.node.name
         if self._stream_by_name.get(name) is stream:
             del self._stream_by_name[name]
-            self._counters.count("sessions.lost")
+            self._count_lost(link)
             self._handler.disconnected(name)
 
+    def _count_lost(self, link: _Link) -> None:
+        if not (link.is_leaving or self._is_between_agents(link)):
+            self._counters.count("sessions.lost")
+
+    def _is_between_agents(self, link: _Link) -> bool:
+        """Return whether a connection serves a catch-up only, and lapses after it."""
+        hello = link.session.hello
+        agent = messages.Role.AGENT
+        return hello is not None and hello.role is self._hello().role is agent
+
+    def truncated(self, stream: stream.Stream) -> None:
+        """Count a frame without its end."""
+        self._counters.count("wire.truncated")
+
     def rejected(self, stream: stream.Stream, error: errors.WireError) -> None:
         """Count a malformed frame."""
         self._counters.count("wire.rejected")
@@ -248,6 +275,7 @@
             self._join(link)
         elif link.session.hello is not None:
             name = link.session.hello.node.name
+            link.is_leaving |= isinstance(message, messages.Leave)
             if self._stream_by_name.get(name) is stream:
                 self._handler.received(name, message)
 
@@ -265,6 +293,8 @@
                 link.stream.abort()
                 return
             del self._stream_by_name[hello.node.name]
+            if not self._is_same(link, old):
+                self._count_lost(self._link_by_stream[old])
             old.abort()
             self._handler.disconnected(hello.node.name)
         self._stream_by_name[hello.node.name] = link.stream
@@ -278,11 +308,19 @@
         the one dialled by the node with the smaller name.
         """
         hello = link.session.hello
-        old_hello = self._link_by_stream[old].session.hello
-        if hello is None or old_hello is None or not hello.node.same(old_hello.node):
+        if hello is None or not self._is_same(link, old):
             return False
         old_is_own = bool(self._link_by_stream[old].dialled)
         new_is_own = bool(link.dialled)
         if old_is_own == new_is_own:
             return False
         return old_is_own == (own.name < hello.node.name)
+
+    def _is_same(self, link: _Link, old: stream.Stream) -> bool:
+        """Return whether two connections are of one incarnation of a node."""
+        hello, old_hello = link.session.hello, self._link_by_stream[old].session.hello
+        return (
+            hello is not None
+            and old_hello is not None
+            and hello.node.same(old_hello.node)
+        )
--- a/src/burdockgate/wire.py
+++ b/src/burdockgate/wire.py
@@ -94,6 +94,11 @@
         self._limit = limit
         self._buffer = bytearray()
 
+    @property
+    def is_partial(self) -> bool:
+        """Whether the bytes so far end within a frame."""
+        return bool(self._buffer)
+
     def feed(self, data: bytes) -> Iterator[bytes]:
         """Add bytes and yield each body that is complete.
 
--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -66,7 +66,7 @@
                 pass
 
 
-def _rejected(system, name):
+def _counted(system, name):
     return system.status(0)["counters"][name]
 
 
@@ -75,13 +75,13 @@
 async def test_bad_stream_is_closed_and_counted(system, role, data):
     """One bad peer must neither stop a daemon nor keep its connection."""
     host, port = _stream_addresses(system)[role].split(":")
-    before = _rejected(system, "wire.rejected")
+    before = _counted(system, "wire.rejected")
     reader, writer = await asyncio.open_connection(host, port)
     with contextlib.closing(writer):
         writer.write(data)
         await _read_to_end(reader)
     if role == "entry":
-        assert _rejected(system, "wire.rejected") == before + 1
+        assert _counted(system, "wire.rejected") == before + 1
 
 
 @pytest.mark.parametrize("role", ["entry", "agent"])
@@ -89,20 +89,23 @@
 async def test_truncated_frame_ends_with_its_connection(system, role, cut):
     """A part of a frame must not be taken for a message."""
     host, port = _stream_addresses(system)[role].split(":")
-    before = _rejected(system, "sessions.opened")
+    names = ("sessions.opened", "wire.truncated")
+    before = [_counted(system, name) for name in names]
     reader, writer = await asyncio.open_connection(host, port)
     with contextlib.closing(writer):
         writer.write(GOOD_HELLO[:cut])
         writer.write_eof()
         await _read_to_end(reader)
     if role == "entry":
-        assert _rejected(system, "sessions.opened") == before
+        after = [_counted(system, name) for name in names]
+        assert after == [before[0], before[1] + 1]
 
 
 @pytest.mark.parametrize("role", ["entry", "agent"])
 async def test_slow_sender_is_closed(system, role):
     """A peer that never finishes its announcement must not keep a connection."""
     host, port = _stream_addresses(system)[role].split(":")
+    before = _counted(system, "wire.timeouts")
     reader, writer = await asyncio.open_connection(host, port)
 
     async def drip():
@@ -117,6 +120,8 @@
         await _read_to_end(reader)
         assert not dripping.done(), "closed only after the last byte"
         dripping.cancel()
+    if role == "entry":
+        assert _counted(system, "wire.timeouts") == before + 1
 
 
 def _deep(levels):
@@ -151,7 +156,7 @@
 @pytest.mark.parametrize(("body", "status"), BAD_BODIES.values(), ids=BAD_BODIES.keys())
 async def test_bad_body_gets_a_result_code_and_is_counted(system, body, status):
     """A caller's mistake must be answered in one line and start nothing."""
-    starts, before = len(system.starts()), _rejected(system, "http.rejected")
+    starts, before = len(system.starts()), _counted(system, "http.rejected")
     headers = {"Idempotency-Key": "bad"}
     async with httpx.AsyncClient(trust_env=False, timeout=20) as caller:
         url = f"{system.urls[0]}/v1/jobs"
@@ -161,7 +166,7 @@
     assert 100 <= answer["code"] <= 102
     assert answer["outcome"] == "refused"
     assert 0 < len(answer["detail"].splitlines()) <= 1
-    assert _rejected(system, "http.rejected") == before + 1
+    assert _counted(system, "http.rejected") == before + 1
     assert len(system.starts()) == starts
 
 
@@ -179,10 +184,10 @@
 @pytest.mark.parametrize("data", BAD_REQUESTS.values(), ids=BAD_REQUESTS.keys())
 async def test_bad_http_is_closed_and_counted(system, data):
     """Bytes that are no HTTP request must end the connection, and nothing else."""
-    before = _rejected(system, "http.rejected")
+    before = _counted(system, "http.rejected")
     host, port = system.urls[0].removeprefix("http://").split(":")
     reader, writer = await asyncio.open_connection(host, port)
     with contextlib.closing(writer):
         writer.write(data)
         await _read_to_end(reader)
-    assert _rejected(system, "http.rejected") == before + 1
+    assert _counted(system, "http.rejected") == before + 1
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -4,11 +4,12 @@
 import contextlib
 import random
 import socket
+from unittest import mock
 
 import pytest
 
 import builders
-from burdockgate import clock, messages, settings, wire
+from burdockgate import clock, errors, messages, settings, wire
 from burdockgate.connection import session, stream
 from burdockgate.process import metrics, network
 
@@ -18,11 +19,11 @@
 class Node(network.Handler):
     """A node that notes its events as text."""
 
-    def __init__(self, name, boot=1):
+    def __init__(self, name, boot=1, **fields):
         self.events = []
         self.time = clock.ManualClock()
         self.counters = metrics.Metrics(settings.StatsdSettings())
-        self.hello = builders.hello(name, boot)
+        self.hello = builders.hello(name, boot, **fields)
         self.network = network.Network(
             lambda: self.hello, self, 2.5, self.time, random.Random(1), self.counters
         )
@@ -55,8 +56,8 @@
     """Return a function that starts a node; all are stopped after the test."""
     async with contextlib.AsyncExitStack() as stack:
 
-        async def begin(name, boot=1):
-            node = Node(name, boot)
+        async def begin(name, boot=1, **fields):
+            node = Node(name, boot, **fields)
             node.address = await node.network.bind("127.0.0.1:0")
             await node.network.serve()
             stack.push_async_callback(node.network.stop)
@@ -141,7 +142,7 @@
 
 async def test_nothing_after_a_malformed_frame_is_handled(start):
     """What follows garbage in one read cannot be trusted."""
-    b = await start("b")
+    b = await start("b", role=messages.Role.ENTRY)
     with contextlib.ExitStack() as stack:
         data = wire.encode(builders.hello("c")) + b"\0\0\0\0" + wire.encode(BEAT)
         await open_raw(stack, b, data)
@@ -290,3 +291,116 @@
         await open_raw(stack, b, wire.encode(builders.hello(name, boot)))
         await until(lambda: len(b.events) == 3 and len(b.streams) == 1)
     assert b.events[:3] == [f"+{name}.1", f"-{name}", f"+{name}.{boot}"]
+
+
+async def test_frames_on_a_closed_stream_are_dropped():
+    """What follows a close in the same read is of a peer that is given up."""
+    receiver = mock.Mock(spec=stream.Receiver)
+    made = stream.Stream(receiver)
+    made.connection_made(mock.Mock(spec=asyncio.Transport))
+    receiver.received.side_effect = lambda *_: made.abort()
+    made.data_received(wire.encode(BEAT) * 3)
+    made.data_received(wire.encode(BEAT))
+    assert receiver.received.call_count == 1
+    assert made.send(BEAT) == 0
+
+
+async def test_frames_on_a_replaced_stream_are_dropped(start):
+    """A late message of an older connection must not pass for the newer one's."""
+    b = await start("b")
+    with contextlib.ExitStack() as stack:
+        for boot in (1, 2):
+            await open_raw(stack, b, wire.encode(builders.hello("a", boot)))
+            await until(lambda: b.events and b.events[-1] == f"+a.{boot}")  # noqa: B023
+            if boot == 1:
+                (old,) = b.streams
+                # Its end comes late, as with frames that are read already.
+                b.network._link_by_stream = Keeping(b.network._link_by_stream)
+        b.network.received(old, BEAT, 1)
+        assert b.events == ["+a.1", "-a", "+a.2"]
+
+
+class Keeping(dict):
+    """Links by stream of which none is removed."""
+
+    def pop(self, key, default=None):
+        return default
+
+
+async def test_one_dial_to_an_address_at_a_time(start, monkeypatch):
+    """A peer that accepts slowly must not get one more connection at each retry."""
+    a, pending = await start("a"), asyncio.Event()
+    loop, tried = asyncio.get_running_loop(), []
+
+    async def connect_slowly(_factory, host, port):
+        tried.append(f"{host}:{port}")
+        await pending.wait()
+        raise ConnectionRefusedError
+
+    monkeypatch.setattr(loop, "create_connection", connect_slowly)
+    for address in ("10.0.0.1:1", "10.0.0.1:1", "10.0.0.2:1", "10.0.0.1:1"):
+        a.network.dial(address)
+        a.time.advance(network.DIAL_RETRY_S)
+        await asyncio.sleep(0)
+    assert tried == ["10.0.0.1:1", "10.0.0.2:1"]
+    pending.set()
+    await until(lambda: not a.network._task_by_address)
+    a.network.dial("10.0.0.1:1")
+    await until(lambda: len(tried) == 3)
+
+
+@pytest.mark.parametrize("address", ["127.0.0.1:99999", "a\0b:1", "no port", "x:-1"])
+async def test_dial_of_an_unusable_address_raises_nothing(start, address):
+    """A peer's address is not checked before, and must not end in a traceback."""
+    a = await start("a")
+    a.network.dial(address)
+    task = a.network._task_by_address[address]
+    await asyncio.wait({task})
+    assert task.exception() is None
+
+
+async def test_address_in_use_is_a_settings_error(start):
+    """An operator gets one line that names the setting, and no traceback."""
+    a = await start("a")
+    with pytest.raises(errors.SettingsError) as caught:
+        await Node("b").network.bind(a.address)
+    assert caught.value.problems[0].startswith(f"[node] listen={a.address}: ")
+
+
+@pytest.mark.parametrize("data", [b"\0\0\0\0", wire.HEADER.pack(1) + b"\xc1"])
+async def test_malformed_frame_is_reported_as_a_wire_error(data):
+    """Any other error would leave the connection open and unhandled."""
+    receiver, transport = mock.Mock(spec=stream.Receiver), mock.Mock()
+    made = stream.Stream(receiver)
+    made.connection_made(transport)
+    made.data_received(data)
+    assert isinstance(receiver.rejected.call_args.args[1], errors.WireError)
+    assert transport.abort.called and not receiver.truncated.called
+
+
+AGENT, ENTRY = messages.Role.AGENT, messages.Role.ENTRY
+
+
+@pytest.mark.parametrize(
+    ("own", "peer", "leaves", "lost"),
+    [
+        (ENTRY, AGENT, False, 1),
+        (AGENT, ENTRY, False, 1),
+        (ENTRY, ENTRY, False, 1),
+        (AGENT, AGENT, False, 0),
+        (ENTRY, AGENT, True, 0),
+    ],
+)
+async def test_only_sessions_that_matter_count_as_lost(start, own, peer, leaves, lost):
+    """Catch-ups of agents lapse by design, and a planned leave is no loss."""
+    a, b = await start("a", role=own), await start("b", role=peer)
+    await connect(b, a)
+    if leaves:
+        b.network.send("a", messages.Leave())
+        await until(lambda: ("b", messages.Leave()) in a.events)
+    for _ in range(3):
+        a.time.advance(1.2)
+        a.network.watch()
+    await until(lambda: "-b" in a.events)
+    assert a.count("sessions.lost") == lost
+    assert a.count("wire.timeouts") == (own is not AGENT or peer is not AGENT)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,11 +1,13 @@
 """Guards the settings: every mistake is reported in one line, all at once."""
 
 import pathlib
+import random
 
 import attrs
 import pytest
 
 from burdockgate import errors, fields, settings
+from burdockgate.process import backend, platform
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
 LOAD_BY_ROLE = {"entry": settings.load_entry, "agent": settings.load_agent}
@@ -111,7 +113,8 @@
 
 
 BAD_URLS = """https://127.0.0.1:1 http://log:1 http://127.0.0.1:x http://127.0.0.1:99999
- http://[::1 http://u@127.0.0.1:1 http://127.0.0.1:1/?a http://0.0.0.0:1"""
+ http://[::1 http://u@127.0.0.1:1 http://127.0.0.1:1/?a http://0.0.0.0:1
+ http://127.0.0.1:1/a http://127.0.0.1:1//"""
 BAD_SEEDS = """127.0.0.1:0 127.0.0.1 ::1:7000 224.0.0.1:7000 127.0.0.1:1,,127.0.0.1:2
  127.0.0.1:1,_x"""
 BAD_ADDRESSES = [("log_url", url) for url in BAD_URLS.split()]
@@ -128,6 +131,19 @@
     assert "; allowed " in problem
 
 
+@pytest.mark.parametrize(
+    "url", ["http://127.0.0.1:1/", "http://[::1]", *BAD_URLS.split()]
+)
+def test_url_that_passes_is_one_that_its_users_take(url):
+    """The check must not pass a URL with which the daemon then does not start."""
+    try:
+        parsed = fields.Url().parse(url)
+    except ValueError:
+        return
+    backend.Backend(parsed, 1, 1)
+    platform.LogClient(parsed, random.Random(1))
+
+
 @pytest.mark.parametrize("text", NOT_INI)
 def test_file_that_is_not_ini_gives_lines_and_no_traceback(tmp_path, text):
     assert 0 < len(_problems(tmp_path, text)) <= 20
