--- a/src/burdockgate/process/entry.py
+++ b/src/burdockgate/process/entry.py
@@ -278,7 +278,8 @@
         worker = self.workers.worker_by_name.get(name)
         if worker is not None:
             worker.draining = True
-        yield from ()
+            # Nothing that starts a task follows this answer on the connection.
+            yield effects.Send(name, messages.Leave())
 
     # The log's streams
 
