Double the wait before a voter that came back is removed again

Cause: an entry host that is cut off from an agent removes it as a voter after 10 s, and an entry host that reaches the agent adds it again at once, for as long as the cut lasts. Each change makes claim groups catch up. Ruled out: a restart of the agent, because the records name the same boot. Change: each entry host counts the removals of an incarnation that is missing at it, and waits twice as long before the next one, at most an hour. Conclusion: a single cut no longer fills the stream.

--- a/src/burdockgate/process/roster.py
+++ b/src/burdockgate/process/roster.py
@@ -19,6 +19,8 @@
 REPEAT_S = 3.0
 VOTER_LOSS_S = 10.0
 ENTRY_LOSS_S = 30.0
+# Longest wait before a voter is removed that had come back each time.
+VOTER_LOSS_LIMIT_S = 3600.0
 
 
 @attrs.define
@@ -38,6 +40,7 @@
         self._node = node
         self._time = time
         self._due_by_key: dict[tuple[str, str, int], _Due] = {}
+        self._removals_by_name: dict[str, tuple[int, int]] = {}
 
     def tick(
         self,
@@ -56,6 +59,7 @@
         wanted = dict(self._wanted(view, list(agents), others))
         for key in set(self._due_by_key) - set(wanted):
             del self._due_by_key[key]
+            self._count_removal(view, key)
         for key, (wait_s, value) in wanted.items():
             due = self._due_by_key.setdefault(key, _Due(self._time.now()))
             if self._is_time(
@@ -65,6 +69,29 @@
                 stream_id = f"{key[0]}-{key[1]}-{key[2]}-{view.number}"
                 yield effects.Append(views.STREAM, stream_id, value)
 
+    def _count_removal(self, view: views.View, key: tuple[str, str, int]) -> None:
+        """Count the removals, by whichever entry host, of a voter missing here.
+
+        Only the last incarnation under a name is counted.
+        """
+        change, name, boot = key
+        voter = view.voter_by_name.get(name)
+        if change == views.Change.REMOVE and (voter is None or voter.node.boot != boot):
+            last_boot, removals = self._removals_by_name.get(name, (boot, 0))
+            self._removals_by_name[name] = (boot, removals * (last_boot == boot) + 1)
+
+    def _voter_loss_s(self, node: messages.Node) -> float:
+        """Return how long a voter must be missing here before it is removed.
+
+        A voter of the same boot that is back after a removal is connected to another
+        entry host. Without a longer wait, the two entry hosts would remove and add it
+        in turn for ever, and each change makes claim groups catch up.
+        """
+        boot, removals = self._removals_by_name.get(node.name, (node.boot, 0))
+        if boot != node.boot:
+            return VOTER_LOSS_S
+        return min(VOTER_LOSS_S * 2.0**removals, VOTER_LOSS_LIMIT_S)
+
     def _is_time(self, due: _Due, wait_s: float) -> bool:
         now = self._time.now()
         if due.appended_at is not None:
@@ -120,7 +147,7 @@
                 yield (
                     _key(change, voter.node),
                     (
-                        VOTER_LOSS_S,
+                        self._voter_loss_s(voter.node),
                         views.removal_record(change, voter.node),
                     ),
                 )
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -106,3 +106,19 @@
     assert lost not in tick(time, view, entries=entries, made=made)
     time.advance(loss_s)
     assert tick(time, view, entries=entries, made=made)[lost] == change
+
+
+def test_voter_that_comes_back_is_removed_ever_later(time):
+    """Two entry hosts must not remove and add a voter in turn for ever.
+
+    One that is cut off from an agent removed it every 10 s, the other one added it.
+    """
+    made = roster.Roster(builders.node("e1"), time)
+    view = builders.fold(BASE, builders.voter("a1"))
+    removals = 0
+    for _ in range(90):
+        time.advance(1.0)
+        if tick(time, view, made=made):
+            removals += 1
+            tick(time, BASE, made=made)
+    assert removals == 3
