Add tests for guards that no test noticed, and bound the classes of the backlog

The test for Backlog._drop_empty found a fault: 50 classes that each came once all stayed, because none of them moved the virtual time past the others. Callers choose class names, so the memory was not bounded.

--- a/src/burdockgate/process/backlog.py
+++ b/src/burdockgate/process/backlog.py
@@ -142,6 +142,11 @@
 
     def _drop_empty(self) -> None:
         """Forget classes without jobs once their virtual time is in the past."""
+        if not any(queue.heap for queue in self._queue_by_class.values()):
+            # Without a rival there is no debt to remember. Classes that each come
+            # once would otherwise stay, because none ever moves the time past them.
+            times = [queue.virtual_time for queue in self._queue_by_class.values()]
+            self._virtual_time = max([self._virtual_time, *times])
         for name, queue in list(self._queue_by_class.items()):
             if not queue.heap and queue.virtual_time <= self._virtual_time:
                 del self._queue_by_class[name]
--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -170,3 +170,13 @@
     queue.add(ended, 1.0)
     list(ended.cancel())
     assert serve(queue, 1) == []
+
+
+def test_classes_without_jobs_are_forgotten(queue):
+    """Callers name the classes, so the names must not fill the memory."""
+    for number in range(50):
+        queue.add(job(f"k{number}", 1, f"c{number}"), 1.0)
+        serve(queue, 2)
+    names = []
+    queue.reweigh(lambda name: names.append(name) or 1.0)
+    assert len(names) <= 1
--- a/tests/test_catchup.py
+++ b/tests/test_catchup.py
@@ -102,6 +102,15 @@
     assert not member.can_reply(5)
 
 
+def test_member_outside_a_step_is_ready():
+    """A step between groups of others must not hold up the next one."""
+    member = entered("a1")
+    assert not any(node.name == "a1" for node in member.view.group(JOB))
+    for name in ("a5", "a6", "a7"):
+        member.advance(builders.fold(member.view, builders.voter(name)))
+    assert member.is_ready(JOB)
+
+
 def test_window_ends_the_wait():
     time = clock.ManualClock()
     member = entered(time=time)
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -251,3 +251,63 @@
     time.advance(30.0 if by_deadline else 0.0)
     list(leader.tick() if by_deadline else leader.cancel())
     assert (codes.start_of(code(leader)) is codes.Start.NOT_RUN) == is_not_run
+
+
+def test_fence_forgets_what_an_earlier_one_showed(leader):
+    """A repeated send that was lost would otherwise never be sent again."""
+    take(leader, A1)
+    reconnect(leader, A1)
+    reply(leader, "a1", report(0, 1, RUNNING))
+    results(leader, "a1", report(0, 1, RETURNED))
+    take(leader, A1)
+    reconnect(leader, A1)
+    reply(leader, "a1", report(0, 1, RETURNED), fence=2)
+    assert leader.waiting_count == 2
+
+
+def test_outcome_stands_whatever_comes_later(leader):
+    """A cancelled job must not turn complete, nor work for its agents go on."""
+    take(leader, A1, A2)
+    reconnect(leader, A1)
+    list(leader.cancel())
+    results(leader, "a2", report(1))
+    reply(leader, "a1", report(0), report(1))
+    assert (code(leader), leader.dropped) == (C.CANCELLED_MAY_HAVE_RUN, 2)
+    assert reconnect(leader, A1) == []
+    assert leader.sent_count == 2, "the reply must free nothing"
+
+
+def test_rest_of_a_message_after_a_failed_task_is_dropped(leader):
+    take(leader, A1, A1)
+    results(leader, "a1", report(0, state=STATE.FAILED), report(1))
+    assert (code(leader), leader.dropped) == (C.TASK_FAILED, 1)
+
+
+def test_only_tasks_unaccounted_for_are_taken_over(leader):
+    """Two agents may report one task, and a report may name a task of no job."""
+    list(leader.recover([A1, A2]))
+    reply(leader, "a1", report(0, 3, RUNNING), report(2, 1, DONE))
+    assert leader.dropped == 1
+    reply(leader, "a2", report(0, 5, RUNNING), report(1, 1, RETURNED))
+    assert leader.returned == [], "the earlier owner has counted it"
+    results(leader, "a1", report(0, 3, RETURNED))
+    assert [(task.index, task.send) for task in take(leader, A2)] == [(0, 6)]
+
+
+def test_send_number_of_a_task_taken_over_goes_on(leader):
+    """The agent ignores a send that is not newer than the one it returned."""
+    list(leader.recover([A1]))
+    reply(leader, "a1", report(0, 3, RUNNING))
+    results(leader, "a1", report(0, 3, RETURNED))
+    assert take(leader, A1)[0].send == 4
+
+
+def test_second_loss_does_not_prolong_the_wait(leader, time):
+    """A connection that closes again and again must not keep the job for ever."""
+    take(leader, A1)
+    for wait_s in (0.0, 3.0):
+        time.advance(wait_s)
+        leader.agent_disconnected("a1")
+    time.advance(2.0)
+    list(leader.tick())
+    assert code(leader) is C.WORKER_LOST
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -106,3 +106,24 @@
     assert lost not in tick(time, view, entries=entries, made=made)
     time.advance(loss_s)
     assert tick(time, view, entries=entries, made=made)[lost] == change
+
+
+def test_restarted_voter_does_not_count_twice(time, monkeypatch):
+    """A voter that comes back must not keep a new agent out of the region."""
+    monkeypatch.setattr(views, "VOTERS_PER_REGION_LIMIT", 2)
+    view = builders.fold(BASE, views.voter_record(builders.hello("a1")))
+    agents = [builders.hello("a1", boot=2), builders.hello("a2")]
+    made = roster.Roster(builders.node("e1"), time)
+    appended = {}
+    for _ in ENTRIES:
+        appended |= tick(time, view, agents, made=made)
+        time.advance(roster.RANK_DELAY_S)
+    assert appended == {"a1": "voter", "a2": "voter"}
+
+
+def test_entry_host_does_not_remove_itself(time):
+    """It is never among its own connections."""
+    made = roster.Roster(builders.node("e1"), time)
+    for _ in range(2):
+        assert "e1" not in tick(time, BASE, made=made)
+        time.advance(roster.ENTRY_LOSS_S + len(ENTRIES) * roster.RANK_DELAY_S)
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -148,3 +148,16 @@
 def test_majority(size, needed):
     """Two majorities of one group must share a member."""
     assert views.majority(size) == needed
+
+
+def test_one_data_centre_spreads_over_racks():
+    """The loss of one rack must cost at most one member where three racks exist."""
+    view = builders.fold(
+        views.View(),
+        *(
+            views.voter_record(builders.hello(f"a{number}", rack=f"rack{rack}"))
+            for number, rack in enumerate((0, 0, 0, 0, 1, 2))
+        ),
+    )
+    for group in groups(view):
+        assert len({view.voter_by_name[name].rack for name, _ in group}) == 3
