Keep a failed attempt closed to later owners

An owner proposed "not run" (code 110, epoch 1) and reached one member. A second entry host won epoch 2 and ran the attempt. The member of the proposal granted epoch 2 as well and carried the code into that record, so the first owner read there that epoch 2 had not run and began attempt 2. The vote itself, the claimant's choice of the newest record and the agents' records were right on what they were given.

A member now answers "held" to a pending claim of a newer epoch on an attempt that it holds as failed. A code in a record thus always belongs to the epoch of that record; if a majority holds it, no later owner can win the attempt. A complete attempt can still be taken over, to collect its results.

--- a/src/burdockgate/process/claims.py
+++ b/src/burdockgate/process/claims.py
@@ -74,7 +74,7 @@
         if claim.attempt < record.attempt:
             return messages.Verdict.HELD
         if claim.epoch > record.epoch:
-            return messages.Verdict.GRANTED
+            return _verdict_on_newer(claim, record)
         if claim.epoch == record.epoch and claim.owner.same(record.owner):
             return messages.Verdict.GRANTED
         return messages.Verdict.HELD
@@ -155,6 +155,22 @@
             del self._held_by_job[id_]
 
 
+def _verdict_on_newer(
+    claim: messages.Claim, record: messages.ClaimRecord
+) -> messages.Verdict:
+    """Vote on an epoch above the recorded one.
+
+    An attempt that has failed stays closed. With a grant, its code would stand in the
+    record of the newer epoch, and who reads it there would take the newer owner's
+    attempt for failed while that owner, who may have won without this vote, runs it.
+    """
+    has_failed = record.code not in (codes.Code.PENDING, codes.Code.COMPLETE)
+    is_pending = claim.code == codes.Code.PENDING
+    if has_failed and is_pending and claim.attempt == record.attempt:
+        return messages.Verdict.HELD
+    return messages.Verdict.GRANTED
+
+
 def merge_scopes(
     scopes: Iterable[tuple[messages.Node, ...]],
 ) -> tuple[messages.Node, ...]:
