--- a/src/burdockgate/process/claims.py
+++ b/src/burdockgate/process/claims.py
@@ -74,7 +74,7 @@
         if claim.attempt < record.attempt:
             return messages.Verdict.HELD
         if claim.epoch > record.epoch:
-            return messages.Verdict.GRANTED
+            return _verdict_on_newer(claim, record)
         if claim.epoch == record.epoch and claim.owner.same(record.owner):
             return messages.Verdict.GRANTED
         return messages.Verdict.HELD
@@ -114,7 +114,10 @@
         """Add records of other members to the own ones.
 
         Of two records of one job the higher epoch stays, with the scopes of both,
-        because a later owner must fence every agent that may have a task.
+        because a later owner must fence every agent that may have a task. Two owners
+        of one epoch are two votes of which at most one was part of a majority. It is
+        not known which, so the merged record has a higher epoch and neither owner is
+        granted that epoch here again.
 
         :param records: records from a :class:`messages.SyncReply`.
         """
@@ -152,6 +155,22 @@
             del self._held_by_job[id_]
 
 
+def _verdict_on_newer(
+    claim: messages.Claim, record: messages.ClaimRecord
+) -> messages.Verdict:
+    """Vote on an epoch above the recorded one.
+
+    An attempt that has failed stays closed. With a grant, its code would stand in the
+    record of the newer epoch, and who reads it there would take the newer owner's
+    attempt for failed while that owner, who may have won without this vote, runs it.
+    """
+    has_failed = record.code not in (codes.Code.PENDING, codes.Code.COMPLETE)
+    is_pending = claim.code == codes.Code.PENDING
+    if has_failed and is_pending and claim.attempt == record.attempt:
+        return messages.Verdict.HELD
+    return messages.Verdict.GRANTED
+
+
 def merge_scopes(
     scopes: Iterable[tuple[messages.Node, ...]],
 ) -> tuple[messages.Node, ...]:
@@ -166,5 +185,16 @@
 def _merged(
     first: messages.ClaimRecord, second: messages.ClaimRecord
 ) -> messages.ClaimRecord:
-    newer = max(first, second, key=lambda record: (record.epoch, record.code < 900))
-    return attrs.evolve(newer, scope=merge_scopes((first.scope, second.scope)))
+    newer = max(first, second, key=_precedence)
+    is_contested = first.epoch == second.epoch and not first.owner.same(second.owner)
+    return attrs.evolve(
+        newer,
+        epoch=newer.epoch + is_contested,
+        scope=merge_scopes((first.scope, second.scope)),
+    )
+
+
+def _precedence(record: messages.ClaimRecord) -> tuple[int, bool, str, int]:
+    """Order records of one job, the same at every member."""
+    is_settled = record.code != codes.Code.PENDING
+    return (record.epoch, is_settled, record.owner.name, record.owner.boot)
--- a/tests/sessions.py
+++ b/tests/sessions.py
@@ -96,6 +96,7 @@
         self.trace = []
         self.starts = []
         self.answers = {}
+        self.answered_at = {}
         self.log_is_up = True
         self.append_s = APPEND_S
         self.loses_append_answers = False
@@ -660,6 +661,7 @@
         if effect.ticket not in self.answers:
             result = effect.outcome
             self.answers[effect.ticket] = result
+            self.answered_at[effect.ticket] = self.clock.now()
             request = self._request_by_ticket[effect.ticket]
             # The checker reads the results as the stand-in backend server writes them.
             results = tuple(
