Let the settlement of a job name its owner at every member

A member that had granted the losing entry host kept that one as the owner when the job was settled. Once two members synchronized, the two names of one epoch counted as contested, the epoch rose, and the next submission took the job over although its owner still had the answer; one result had gone with its worker. Ruled out: a lost settlement, because all three members had code 0.

Change: a settlement sets epoch, attempt and owner of the record. Only the winner of an epoch sends one.

Conclusion: resubmissions reach the owner that keeps the answer.

--- a/src/burdockgate/process/agent.py
+++ b/src/burdockgate/process/agent.py
@@ -346,8 +346,8 @@
         for index in job.running():
             yield effects.Stop(job.job, job.attempt, index)
 
-    def _on_settle(self, _name: str, message: messages.Settle) -> _Effects:
-        self.claims.settle(message)
+    def _on_settle(self, name: str, message: messages.Settle) -> _Effects:
+        self.claims.settle(message, self._session_by_name[name].hello.node)
         job = self._record_by_job.get(message.job)
         if job is not None and message.epoch >= job.epoch:
             job.settled = True
--- a/src/burdockgate/process/claims.py
+++ b/src/burdockgate/process/claims.py
@@ -99,15 +99,25 @@
     def _keep(self, record: messages.ClaimRecord, seconds: float) -> None:
         self._held_by_job[record.job] = _Held(record, self._time.now() + seconds)
 
-    def settle(self, settle: messages.Settle) -> None:
+    def settle(self, settle: messages.Settle, owner: messages.Node) -> None:
         """Record the result code of a job, from its owner.
 
+        Only the winner of an epoch settles it, so the record names that owner from
+        then on, also where this member had granted another one or an older epoch.
+
         :param settle: ignored when a newer epoch is recorded.
+        :param owner: the entry host that sent it.
         """
         held = self._held_by_job.get(settle.job)
         if held is None or settle.epoch < held.record.epoch:
             return
-        record = attrs.evolve(held.record, code=settle.code)
+        record = attrs.evolve(
+            held.record,
+            epoch=settle.epoch,
+            attempt=settle.attempt,
+            owner=owner,
+            code=settle.code,
+        )
         self._keep(record, self._retention_s)
 
     def merge(self, records: Iterable[messages.ClaimRecord]) -> None:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -8,6 +8,7 @@
 
 V = messages.Verdict
 GROUP = builders.view_of("a1", "a2", "a3").group(builders.JOB)
+OWNER = builders.node("e1")
 S1, S2 = (builders.node("s1"),), (builders.node("s2"),)
 
 
@@ -89,12 +90,27 @@
 def test_settle_of_an_older_epoch_is_ignored():
     store = make_store()
     vote(store, epoch=2)
-    store.settle(messages.Settle(builders.JOB, 1, 1, 200))
+    store.settle(messages.Settle(builders.JOB, 1, 1, 200), OWNER)
     assert held(store).code == 900
-    store.settle(messages.Settle(builders.JOB, 2, 1, 200))
+    store.settle(messages.Settle(builders.JOB, 2, 1, 200), OWNER)
     assert held(store).code == 200
 
 
+@pytest.mark.parametrize("epoch", [1, 2])
+def test_settled_record_names_the_owner_that_won(epoch):
+    """A member that had granted the loser sent callers away from the kept answer.
+
+    The next submission took the job over although its owner still had the results,
+    one of which was lost with its worker.
+    """
+    store = make_store()
+    vote(store, owner="e2")
+    store.settle(messages.Settle(builders.JOB, epoch, 1, 0), OWNER)
+    assert (held(store).epoch, held(store).owner, held(store).code) == (epoch, OWNER, 0)
+    store.merge([builders.claim_record("e1", epoch=epoch, code=0)])
+    assert held(store).epoch == epoch, "one owner in two records is no contest"
+
+
 def test_merge_keeps_the_newer_record_with_both_scopes():
     store = make_store()
     vote(store, epoch=2, owner="e2", scope=S2)
@@ -130,7 +146,7 @@
         store.expire()
         assert len(store) == count
         if settles:
-            store.settle(messages.Settle(builders.JOB, 1, 1, 0))
+            store.settle(messages.Settle(builders.JOB, 1, 1, 0), OWNER)
 
 
 def test_member_gets_the_records_of_its_groups_only():
