Stop claiming by a view that may be outdated for long

Cause: a member that replaces others in a claim group voted after 600 s even if no member of the previous group had answered. When that group is cut off it does not know the new view and goes on granting claims, so one key ran in both regions. Ruled out: keys submitted 0, 30 or 300 s after the cut (no violation), and the votes of members that know the new view. Change: an entry host claims only if the end of the members stream was known at most 3,900 s ago (view_limit_s), from the log or from a peer that tells the age of its knowledge in its heartbeat; new members wait for that limit, the longest deadline, the key retention and a margin of 60 s. The follower of the log hands on empty answers too. A member asks a voter that has not answered at intervals that double up to 30 s. Conclusion: a cut of any length leaves one run of a key. In exchange a log outage of more than 3,900 s stops new claims, and a group that lost two members for good waits 4,560 s instead of 600 s.

--- a/src/burdockgate/messages.py
+++ b/src/burdockgate/messages.py
@@ -15,6 +15,7 @@
 # Members of claim groups that have lost their records wait for this time and the
 # key retention before they vote on unknown keys, so it cannot be large.
 LONGEST_DEADLINE_S = 300.0
+UNKNOWN_AGE_S = 2**31 - 1
 
 
 class Role(enum.IntEnum):
@@ -104,10 +105,15 @@
 
 @attrs.frozen
 class Heartbeat:
-    """Renews the lease of an idle connection and shows versions in force."""
+    """Renews the lease of an idle connection and shows versions in force.
+
+    :param view_age_s: between entry hosts, upper bound of the seconds since this view
+        was known to be the newest one.
+    """
 
     table_version: int
     view_number: int
+    view_age_s: int = UNKNOWN_AGE_S
 
 
 @attrs.frozen
--- a/src/burdockgate/process/agent.py
+++ b/src/burdockgate/process/agent.py
@@ -49,7 +49,9 @@
         self.node = node
         self.draining = False
         self.slots = slots.Slots(config.backend_server.slots, time)
-        self.claims = claims.ClaimStore(node, time, config.timing.retention_s)
+        self.claims = claims.ClaimStore(
+            node, time, config.timing.retention_s, config.timing.view_limit_s
+        )
         self.rows = rows.Rows(kept_limit=0)
         self._config = config
         self._time = time
--- a/src/burdockgate/process/catchup.py
+++ b/src/burdockgate/process/catchup.py
@@ -18,6 +18,8 @@
 from burdockgate.version import view as views
 
 ASK_INTERVAL_S = 0.5
+# A voter that cannot answer yet keeps the question, so it need not be asked often.
+ASK_INTERVAL_LIMIT_S = 30.0
 HISTORY_LENGTH = 64
 
 
@@ -33,7 +35,8 @@
     after: views.View
     started_at: float
     is_blind: bool = False
-    asked_at_by_name: dict[str, float] = attrs.field(factory=dict)
+    ask_at_by_name: dict[str, float] = attrs.field(factory=dict)
+    interval_s_by_name: dict[str, float] = attrs.field(factory=dict)
     replied: set[tuple[str, int]] = attrs.field(factory=set)
 
     def missing(self, own: messages.Node) -> list[messages.Node]:
@@ -156,7 +159,8 @@
         :param name: its name.
         """
         for step in self._steps:
-            step.asked_at_by_name.pop(name, None)
+            step.ask_at_by_name.pop(name, None)
+            step.interval_s_by_name.pop(name, None)
 
     def tick(self, connected: Iterable[str]) -> Iterator[effects.Effect]:
         """Ask the voters that have not answered, and drop settled steps.
@@ -178,11 +182,14 @@
         self, step: _Step, connected: set[str], now: float
     ) -> Iterator[effects.Effect]:
         for node in step.missing(self._node):
-            asked_at = step.asked_at_by_name.get(node.name)
-            is_recent = asked_at is not None and now - asked_at < ASK_INTERVAL_S
-            if is_recent or node.name == self._node.name:
+            ask_at = step.ask_at_by_name.get(node.name, now)
+            if now < ask_at or node.name == self._node.name:
                 continue
-            step.asked_at_by_name[node.name] = now
+            interval_s = step.interval_s_by_name.get(node.name, ASK_INTERVAL_S)
+            step.ask_at_by_name[node.name] = now + interval_s
+            step.interval_s_by_name[node.name] = min(
+                2 * interval_s, ASK_INTERVAL_LIMIT_S
+            )
             if node.name in connected:
                 yield effects.Send(node.name, messages.Sync(step.after.number))
             else:
--- a/src/burdockgate/process/claims.py
+++ b/src/burdockgate/process/claims.py
@@ -16,6 +16,8 @@
 
 MS_PER_S = 1000
 ASK_ONLY_EPOCH = 0
+# For answers of the log and votes that were under way when the view changed.
+VIEW_MARGIN_S = 60.0
 
 
 @attrs.define
@@ -30,18 +32,24 @@
     :param node: the agent that votes.
     :param time: the clock.
     :param retention_s: how long a record is kept after its last change.
+    :param view_limit_s: how long entry hosts claim by a view that may be outdated.
     """
 
     def __init__(
-        self, node: messages.Node, time: clock.Clock, retention_s: float
+        self,
+        node: messages.Node,
+        time: clock.Clock,
+        retention_s: float,
+        view_limit_s: float,
     ) -> None:
         self._node = node
         self._time = time
         self._retention_s = retention_s
         self._held_by_job: dict[bytes, _Held] = {}
-        self.catchup = catchup.Catchup(
-            node, time, retention_s + messages.LONGEST_DEADLINE_S
-        )
+        # Members that are cut off grant claims by the view before a step until the
+        # entry hosts beside them stop claiming.
+        window_s = view_limit_s + messages.LONGEST_DEADLINE_S + retention_s
+        self.catchup = catchup.Catchup(node, time, window_s + VIEW_MARGIN_S)
 
     def __len__(self) -> int:
         return len(self._held_by_job)
--- a/src/burdockgate/process/entry.py
+++ b/src/burdockgate/process/entry.py
@@ -250,8 +250,8 @@
     def _dispatch(self) -> _Effects:
         yield from self._dispatcher.run(self.jobs.widen)
 
-    def _heartbeat(self) -> messages.Heartbeat:
-        return messages.Heartbeat(self.rows.version, self.view.number)
+    def _heartbeat(self, age_s: int = messages.UNKNOWN_AGE_S) -> messages.Heartbeat:
+        return messages.Heartbeat(self.rows.version, self.view.number, age_s)
 
     def _peers(self) -> messages.Peers:
         peers = {**self.view.entry_by_name, **self.jobs.peer_by_name}
@@ -288,6 +288,8 @@
             worker.table_version = message.table_version
         else:
             self._peer_table_version_by_name[name] = message.table_version
+            if message.view_number <= self.view.number:
+                self.jobs.check_view(message.view_age_s)
         for records in self.rows.since(message.table_version):
             yield effects.Send(name, records)
         if message.view_number < self.view.number:
@@ -322,6 +324,8 @@
         """
         if message.stream == views.STREAM:
             yield from self._follow_members(message)
+            if message.next == message.first:
+                self.jobs.check_view(0)
         elif message.stream == table.STREAM:
             version, was_current = self.rows.version, self.has_current_table
             self.rows.read(message)
@@ -395,5 +399,7 @@
 
     def beat(self) -> _Effects:
         """Send the heartbeats; call once in each heartbeat interval."""
-        for name in (*self.workers.worker_by_name, *self.jobs.peer_by_name):
+        for name in self.workers.worker_by_name:
             yield effects.Send(name, self._heartbeat())
+        for name in self.jobs.peer_by_name:
+            yield effects.Send(name, self._heartbeat(self.jobs.view_age_s))
--- a/src/burdockgate/process/jobs.py
+++ b/src/burdockgate/process/jobs.py
@@ -137,7 +137,9 @@
     def _tick(self, held: _Submission) -> _Effects:
         now = self._time.now()
         for current in ownership.claimants(held):
-            yield from current.tick(self.view)
+            # A job that is owned already ends before newer groups vote on it.
+            if self.is_view_current or current is not held.claimant:
+                yield from current.tick(self.view)
         yield from self._check_claims(held)
         if held.leader is not None:
             queue_s = self._limits.queue_s(held.leader.request)
--- a/src/burdockgate/process/ownership.py
+++ b/src/burdockgate/process/ownership.py
@@ -30,7 +30,8 @@
             self._rng,
             self._config.timing.claim_round_s,
         )
-        yield from held.claimant.begin(self.view)
+        if self.is_view_current:
+            yield from held.claimant.begin(self.view)
 
     def _terms(self, held: _Submission, epoch: int, attempt: int) -> claimant.Terms:
         request = held.request
--- a/src/burdockgate/process/platform.py
+++ b/src/burdockgate/process/platform.py
@@ -230,9 +230,9 @@
     ) -> AsyncGenerator[messages.Records, None]:
         """Yield records from an offset on, for ever.
 
-        At the start and after an outage, an empty answer is yielded once the end is
-        reached, so that the caller knows that it has caught up. Records whose id
-        came before are left out. When the wanted record has expired, ``first`` of
+        An empty answer is yielded each time that the end is reached or a wait at the
+        end was in vain, so that the caller knows that it has caught up. Records whose
+        id came before are left out. When the wanted record has expired, ``first`` of
         the result is larger than ``next`` of the one before.
 
         :param first: offset of the first record wanted.
@@ -248,9 +248,8 @@
                 await asyncio.sleep(backoff.pause_s())
                 continue
             backoff.reset()
-            if wait_s == 0.0 or records.next > first:
-                fresh = tuple(_unseen(records.records, seen))
-                yield attrs.evolve(records, records=fresh)
+            fresh = tuple(_unseen(records.records, seen))
+            yield attrs.evolve(records, records=fresh)
             # Without a wait until the end, so that it shows as an empty answer.
             if records.next == records.first:
                 wait_s = FOLLOW_WAIT_S
--- a/src/burdockgate/process/registry.py
+++ b/src/burdockgate/process/registry.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import abc
+import math
 import random
 from collections.abc import Iterator
 
@@ -17,6 +18,8 @@
 from burdockgate.request import job, outcome, submission
 from burdockgate.version import view as views
 
+VIEW_AGE_STEP_S = 10
+
 _Effects = Iterator[effects.Effect]
 _Submission = submission.Submission
 
@@ -47,6 +50,7 @@
     ) -> None:
         self._limits = limit
         self.view = views.View()
+        self._view_checked_at = -math.inf
         self.bytes = 0
         self.peer_by_name: dict[str, messages.Node] = {}
         self._node = node
@@ -69,6 +73,36 @@
         """Number of jobs that this entry host owns and that have not ended."""
         return sum(held.leader is not None for held in self._submission_by_job.values())
 
+    @property
+    def is_view_current(self) -> bool:
+        """Whether no claim group outside this view may vote yet.
+
+        Members of newer groups wait until every entry host with an older view has
+        stopped to claim by it, so that the two groups cannot both grant a job.
+        """
+        age_s = self._time.now() - self._view_checked_at
+        return age_s <= self._config.timing.view_limit_s
+
+    @property
+    def view_age_s(self) -> int:
+        """Upper bound of the seconds since the view was known to be the newest one.
+
+        It is rounded up, so that a heartbeat seldom differs from the last one, and
+        may be left out.
+        """
+        age_s = self._time.now() - self._view_checked_at
+        if age_s >= messages.UNKNOWN_AGE_S:
+            return messages.UNKNOWN_AGE_S
+        return math.ceil((age_s + 1) / VIEW_AGE_STEP_S) * VIEW_AGE_STEP_S
+
+    def check_view(self, age_s: float) -> None:
+        """Note that the view is no older than the newest one of some time ago.
+
+        :param age_s: that time in seconds before now.
+        """
+        checked_at = self._time.now() - age_s
+        self._view_checked_at = max(self._view_checked_at, checked_at)
+
     def weight(self, request: job.JobRequest) -> float:
         """Return the weight of a job, by its service and its class.
 
--- a/src/burdockgate/settings.py
+++ b/src/burdockgate/settings.py
@@ -86,6 +86,14 @@
             fields.Number(1, 86400, "s"), "time for which an ended job is kept"
         ),
     )
+    # Regions are at times cut off from each other for an hour, and jobs go on in each.
+    view_limit_s: float = attrs.field(
+        default=3900.0,
+        metadata=fields.key(
+            fields.Number(1, 86400, "s"),
+            "time without the log after which no job is claimed; the same on all nodes",
+        ),
+    )
     stop_timeout_s: float = attrs.field(
         default=60.0,
         metadata=fields.key(
--- a/tests/sessions.py
+++ b/tests/sessions.py
@@ -26,6 +26,7 @@
 # As in process.backend and process.agenthost.
 CONNECT_S = 1.0
 PROBE_S = 1.0
+POLL_S = 2.0
 LEASE_S = 2.5
 TICK_S = 0.05
 SERVICE = configs.SERVICE
@@ -163,6 +164,7 @@
         self._later(0.0, lambda: self._dial_all(name))
         if name.startswith("entry"):
             self._later(0.01, lambda: self._replay(process))
+            self._later(POLL_S, lambda: self._poll(process))
         return process
 
     def kill(self, name):
@@ -580,6 +582,17 @@
         for stream in () if is_cut else STREAMS:
             self._act(process, lambda stream=stream: self._follow(process, stream))
 
+    def _poll(self, process):
+        """Tell an entry host at the end of a stream that nothing is new there."""
+        is_cut = not self.log_is_up or process.name in self.log_cuts
+        for stream in () if is_cut or process.frozen else STREAMS:
+            end = len(self._log_by_stream[stream])
+            if process.offset_by_stream.get(stream) == end:
+                page = messages.Records(stream, end, end, ())
+                self._perform(process, process.core.follow(page))
+        if self._alive(process):
+            self._later(POLL_S, lambda: self._poll(process))
+
     def _follow(self, process, stream):
         """Hand a process the new records, then an empty page as at the log's end."""
         kept = self.log(stream)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -12,7 +12,9 @@
 
 
 def make_store(time=None, own="a1"):
-    made = claims.ClaimStore(builders.node(own), time or clock.ManualClock(), 300.0)
+    made = claims.ClaimStore(
+        builders.node(own), time or clock.ManualClock(), 300.0, 3900.0
+    )
     made.catchup.advance(builders.view_of("a1", "a2", "a3"))
     return made
 
--- a/tests/test_session_steps.py
+++ b/tests/test_session_steps.py
@@ -30,6 +30,8 @@
 FAULTS = ("kill", "freeze", "cut")
 REST_S = 3.5  # Longer than a lease.
 ENTRIES = ("entry-1", "entry-2")
+# New members vote 60 + 300 + 30 + 60 s after a change of the view.
+SHORT_VIEW = {"view_limit_s": 60.0, "retention_s": 30.0}
 
 
 def make_session(**options):
@@ -148,6 +150,43 @@
     assert session.totals() == snapshot
 
 
+def make_regions(**timing):
+    """Return two regions with an entry host and 4 agents each; r1 has the log."""
+    places = {f"entry-{n}": (f"r{n}", "dc0", "rack0") for n in (1, 2)}
+    for n in range(8):
+        places[f"agent-{n + 1}"] = (f"r{n % 2 + 1}", f"dc{n // 2 % 2}", f"rack{n}")
+    session = make_session(places=places, **timing)
+    session.tick_s = 0.5
+    return session, [name for name in places if places[name][0] == "r2"]
+
+
+@pytest.mark.parametrize(
+    "timing, waits_s",
+    [({}, (0, 30, 600, 2900)), (SHORT_VIEW, (30, 70, 200, 300))],
+    ids=["hour", "until new members vote"],
+)
+def test_region_cut_off(timing, waits_s, snapshot):
+    """Each key runs in one region at most, however long the cut lasts.
+
+    Members that were cut off kept granting claims by their old view, while the
+    members that replaced them voted after 600 s: 9 of 12 keys ran twice.
+    """
+    session, far = make_regions(**timing)
+    session.fail(far, "cut")
+    requests = [make_request(f"hour-{number}") for number in range(24)]
+    for count, wait_s in enumerate(waits_s):
+        session.run(wait_s)
+        for request in requests[count * 6 : count * 6 + 6]:
+            for name in ENTRIES:
+                session.submit(name, request)
+    session.run(70.0)
+    session.mend(far, "cut")
+    session.run(5.0)
+    request = make_request("joined")
+    session.submit("entry-1", request)
+    end(session, snapshot, [request])
+
+
 @pytest.mark.parametrize("fault", ["down", "slow", "loses answers"])
 def test_log(fault, snapshot):
     """Jobs go on, and a change of the table reaches all nodes within its limit."""
