Let the benches know the end of the members stream

Cause: the meter set a view and the bench of starts read a stream without its end, so that since the limit on the age of a view no job was claimed in them.

--- a/src/burdockgate/standin/starts.py
+++ b/src/burdockgate/standin/starts.py
@@ -111,6 +111,9 @@
         self._perform(
             self._core.follow(messages.Records(view.STREAM, 0, count, tuple(records)))
         )
+        # Without the end of the stream the view does not count as the newest one.
+        end = messages.Records(view.STREAM, count, count, ())
+        self._perform(self._core.follow(end))
         for name in self._agent_by_name:
             load = messages.Load(SLOTS, 0, 0, draining=False)
             self._perform(self._core.receive(name, load))
