Cancel jobs whose cancel came before their submission

Times taken at the entry host, with the code that both callers got, gave the cause:

Nothing was known of the key, so the cancel got NOT_FOUND, and the job that came later ran to its end. - Jobs that were claimed or led when the cancel came ended as cancelled, all of them, so placement, agents and backend servers were not the cause.

Both delays come from the load tool. A profile (57 s under the profiler) showed 24.5 s in the connection pool of httpx, which visits every connection for each state of each request. The loop is shared with the system under load.

Changes: - An entry host remembers a cancel of an unknown key for 10 s, at most 100,000 of them. The first submission with the key ends as CANCELLED_NOT_RUN, settled with the claim group. A second one runs. - The owner keeps a cancel that another entry host sends while the claim is being decided. It was dropped. - A cancel during a claim without a majority ends within 2 s as CLAIM_UNAVAILABLE. It waited for the deadline of the job, up to 300 s. - The load tool calls over plain streams. - The stand-in of a backend server ends a task whose caller has closed the connection, and counts it.

The new tests failed before.

A cancel that reaches another entry host than the later submission is not remembered there: the two meet only at the claim group, which keeps no record of a question.

--- a/src/burdockgate/process/jobs.py
+++ b/src/burdockgate/process/jobs.py
@@ -13,6 +13,9 @@
 from burdockgate.request import job, outcome, submission
 
 FETCH_DEADLINE_S = 10.0
+# A cancel can overtake its submission, which has a body and another connection.
+CANCEL_MEMORY_S = 10.0
+CANCEL_MEMORY_LIMIT = 100_000
 
 _Effects = Iterator[effects.Effect]
 _Submission = submission.Submission
@@ -46,6 +49,7 @@
             return
         if held is None:
             held = self._open(request.job, request.deadline_ms / 1000)
+        held.cancels |= self._was_cancelled(request.job)
         self._set_request(held, request)
         held.refusal, held.refusal_detail = refusal, detail
         held.deadline_at = self._time.now() + request.deadline_ms / 1000
@@ -103,6 +107,26 @@
             held.cancels = True
             yield from self._cancel(held)
 
+    def _refuse_free(self, held: _Submission) -> _Effects:
+        if held.cancels and held.request is None:
+            self._cancelled_at_by_job[held.job] = self._time.now()
+            if len(self._cancelled_at_by_job) > CANCEL_MEMORY_LIMIT:
+                del self._cancelled_at_by_job[next(iter(self._cancelled_at_by_job))]
+        yield from super()._refuse_free(held)
+
+    def _was_cancelled(self, job_id: bytes) -> bool:
+        """Return whether a cancel came shortly before the first submission."""
+        at = self._cancelled_at_by_job.pop(job_id, None)
+        return at is not None and self._time.now() - at < CANCEL_MEMORY_S
+
+    def _forget_cancels(self) -> None:
+        limit = self._time.now() - CANCEL_MEMORY_S
+        while self._cancelled_at_by_job:
+            job_id, at = next(iter(self._cancelled_at_by_job.items()))
+            if at > limit:
+                return
+            del self._cancelled_at_by_job[job_id]
+
     def is_local(self, job_id: bytes) -> bool:
         """Return whether a job is led or its answer kept by this entry host.
 
@@ -127,10 +151,15 @@
             yield from self._after(held)
         elif held.owner is not None:
             yield effects.Send(held.owner.name, messages.Detach(held.job, cancel=True))
+        else:
+            # Without a majority the claim would be decided only at the deadline.
+            limit = self._time.now() + ownership.CONFIRMATION_S
+            held.deadline_at = min(held.deadline_at, limit)
 
     def tick(self) -> _Effects:
         """Do what is due; call at least ten times a second."""
         self._answers.expire()
+        self._forget_cancels()
         for held in list(self._submission_by_job.values()):
             yield from self._tick(held)
 
--- a/src/burdockgate/process/joining.py
+++ b/src/burdockgate/process/joining.py
@@ -114,7 +114,10 @@
             return
         if not message.cancel:
             held.attached.discard(name)
-        elif held.leader is not None:
+            return
+        # While the claim is being decided, it is cancelled once it is granted.
+        held.cancels = True
+        if held.leader is not None:
             yield from held.leader.cancel()
             yield from self._after(held)
 
--- a/src/burdockgate/process/registry.py
+++ b/src/burdockgate/process/registry.py
@@ -57,6 +57,7 @@
         self._workers = workers
         self._dispatcher = dispatcher
         self._submission_by_job: dict[bytes, _Submission] = {}
+        self._cancelled_at_by_job: dict[bytes, float] = {}
         self._answers = answers.Answers(
             time, config.timing.retention_s, config.limits.answers_bytes
         )
--- a/src/burdockgate/standin/backend.py
+++ b/src/burdockgate/standin/backend.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import math
 import urllib.parse
@@ -82,12 +83,15 @@
     :param host: address to bind.
     :param port: TCP port to bind; 0 lets the system choose.
     :param clock: source of the times of the starts.
+
+    ``stopped`` counts the tasks whose caller closed the connection during their run.
     """
 
     def __init__(self, name: str, host: str, port: int, clock: clock.Clock) -> None:
         super().__init__(self._application, host, port, _Protocol)
         self.name = name
         self.starts: list[Start] = []
+        self.stopped = 0
         self.faults = Faults()
         self._clock = clock
         self._tail = b',"server":' + json.dumps(name).encode()
@@ -121,7 +125,10 @@
             await _wait_for_disconnect(receive)
             return
         if controls.sleep_ms:
-            await asyncio.sleep(controls.sleep_ms * self.faults.slow_factor / 1000)
+            seconds = controls.sleep_ms * self.faults.slow_factor / 1000
+            if await _is_cut(scope["state"]["lost"], seconds):
+                self.stopped += 1
+                return
         if controls.fail or self.faults.fail_all:
             await _answer(send, 500, b"the task failed as asked", b"text/plain")
             return
@@ -169,14 +176,32 @@
 
 
 class _Protocol(h11_impl.H11Protocol):
-    """Gives the application the transport, which ``cut`` closes.
+    """Gives the application the transport, which ``cut`` closes, and its loss.
 
-    ASGI itself has no way to close a connection without an answer.
+    ASGI itself has no way to close a connection without an answer, and a task that
+    waits for the event of a disconnect would cost more than the run itself.
     """
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         super().connection_made(transport)
-        self.app_state = {**self.app_state, "transport": transport}
+        self._lost = asyncio.Event()
+        self.app_state = {
+            **self.app_state,
+            "transport": transport,
+            "lost": self._lost,
+        }
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._lost.set()
+        super().connection_lost(exc)
+
+
+async def _is_cut(lost: asyncio.Event, seconds: float) -> bool:
+    """Wait for a run time, and return whether the caller has gone before its end."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(seconds):
+            await lost.wait()
+    return lost.is_set()
 
 
 async def _read_body(receive: _Receive) -> bytes:
--- a/src/burdockgate/standin/load.py
+++ b/src/burdockgate/standin/load.py
@@ -11,13 +11,13 @@
 import contextlib
 import time
 from collections.abc import Coroutine, Sequence
+from http import HTTPStatus
 from typing import Any
 
 import attrs
-import httpx
 
 from burdockgate import errors
-from burdockgate.standin import arrivals, scenarios, targets
+from burdockgate.standin import arrivals, caller, scenarios, targets
 
 # Answers still missing this long after the last arrival are given up.
 ANSWER_LIMIT_S = 60.0
@@ -122,18 +122,14 @@
         self._began = 0.0
         self._fault_at: float | None = None
         self._tasks: list[asyncio.Task[None]] = []
-        self._http = httpx.AsyncClient(
-            trust_env=False,
-            timeout=None,
-            limits=httpx.Limits(max_connections=None),
-        )
+        self._caller = caller.Caller()
 
     def _now(self) -> float:
         return time.monotonic() - self._began
 
     async def run(self) -> Run:
         """Run the plan and wait for the answers."""
-        async with self._http:
+        with contextlib.closing(self._caller):
             await self._warm_up()
             # Tasks are made and bodies are encoded before the first arrival.
             self._began = time.monotonic() + LEAD_S
@@ -171,8 +167,9 @@
         ]
         replies = await asyncio.gather(*(self._post(job) for job in jobs))
         for reply in replies:
-            if reply.status_code != httpx.codes.OK:
-                raise errors.ClientError(f"warm-up: {reply.text:.200}")
+            if reply.status != HTTPStatus.OK:
+                text = reply.content.decode(errors="replace")
+                raise errors.ClientError(f"warm-up: {text:.200}")
 
     async def _send_all(self) -> None:
         bodies = [item.job.body(self._target.service) for item in self._records]
@@ -189,26 +186,25 @@
 
     async def _submit(self, record: Record, body: bytes) -> None:
         record.sent_at = self._now()
-        with contextlib.suppress(httpx.HTTPError):
+        with contextlib.suppress(errors.ClientError):
             reply = await self._post(record.job, body)
             record.body = reply.content
             record.answered_at = self._now()
 
-    async def _post(
-        self, job: arrivals.Job, body: bytes | None = None
-    ) -> httpx.Response:
-        return await self._http.post(
+    async def _post(self, job: arrivals.Job, body: bytes | None = None) -> caller.Reply:
+        return await self._caller.call(
+            "POST",
             f"{self._target.urls[job.entry]}/v1/jobs",
-            content=body or job.body(self._target.service),
-            headers={"Idempotency-Key": job.key, "Content-Type": "application/json"},
+            body or job.body(self._target.service),
+            job.key,
         )
 
     async def _cancel(self, record: Record, at: float) -> None:
         await asyncio.sleep(max(0.0, at - self._now()))
         job = record.job
         url = f"{self._target.urls[job.entry]}/v1/jobs/{job.guest}/{job.key}"
-        with contextlib.suppress(httpx.HTTPError):
-            reply = await self._http.delete(url)
+        with contextlib.suppress(errors.ClientError):
+            reply = await self._caller.call("DELETE", url)
             record.cancel_body = reply.content
             record.cancelled_at = self._now()
 
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -208,3 +208,15 @@
     with pytest.raises(errors.SettingsError) as caught:
         backend.Backend(url, 1, 1)
     assert len(caught.value.problems) == 1
+
+
+async def test_cancelled_call_stops_the_task_at_the_backend_server():
+    """A task that ran on after its cancellation would keep the server busy."""
+    async with standin_server() as (server, url), caller(url) as calls:
+        task = asyncio.create_task(run(calls, b'{"sleep_ms": 60000}', 60_000))
+        async with asyncio.timeout(10):
+            while not server.starts:
+                await asyncio.sleep(0)
+            task.cancel()
+            while not server.stopped:
+                await asyncio.sleep(0)
