--- a/src/burdockgate/process/backlog.py
+++ b/src/burdockgate/process/backlog.py
@@ -19,13 +19,34 @@
 
 # One waiting task weighs as much as this much later arrival.
 SECONDS_PER_WAITING_TASK = 0.02
+# Jobs of which nothing can be sent that one round looks at. Without a bound each
+# message would visit the whole backlog while the free workers are outside the scopes.
+PASSED_LIMIT = 64
 
 
 @attrs.define
 class _ClassQueue:
+    """Jobs of one class.
+
+    :param tasks: waiting tasks of the queued jobs, as last seen.
+    :param dropped: entries of the heap that count no more.
+    :param last_rank: the highest rank given so far.
+    """
+
     weight: float
     virtual_time: float
     heap: list[tuple[float, int, leaders.Leader]] = attrs.field(factory=list)
+    tasks: int = 0
+    dropped: int = 0
+    last_rank: float = 0.0
+
+
+@attrs.define
+class _Queued:
+    """A queued job; an entry of the heap with another number counts no more."""
+
+    number: int
+    tasks: int
 
 
 class Backlog:
@@ -39,7 +60,7 @@
         self._queue_by_class: dict[str, _ClassQueue] = {}
         self._virtual_time = 0.0
         self._counter = itertools.count()
-        self._queued: set[leaders.Leader] = set()
+        self._queued_by_leader: dict[leaders.Leader, _Queued] = {}
 
     def add(self, leader: leaders.Leader, weight: float) -> None:
         """Queue a job unless it is queued.
@@ -58,22 +79,58 @@
 
     def _drop_ended(self, queue: _ClassQueue) -> None:
         """Release jobs that ended while no slot was free, to bound the memory."""
-        while queue.heap and queue.heap[0][2].outcome is not None:
-            self._queued.discard(heapq.heappop(queue.heap)[2])
+        while queue.heap:
+            _, number, leader = queue.heap[0]
+            if self._is_queued(number, leader) and leader.outcome is None:
+                return
+            self._pop(queue)
+
+    def _is_queued(self, number: int, leader: leaders.Leader) -> bool:
+        queued = self._queued_by_leader.get(leader)
+        return queued is not None and queued.number == number
+
+    def _pop(self, queue: _ClassQueue) -> leaders.Leader | None:
+        """Take the first entry, and return its job unless it counts no more."""
+        _, number, leader = heapq.heappop(queue.heap)
+        if not self._is_queued(number, leader):
+            queue.dropped -= 1
+            return None
+        queue.tasks -= self._queued_by_leader.pop(leader).tasks
+        return leader
+
+    def drop(self, leader: leaders.Leader) -> None:
+        """Release a job that has ended.
+
+        :param leader: the job; one that is not queued is ignored.
+        """
+        queued = self._queued_by_leader.pop(leader, None)
+        if queued is None:
+            return
+        queue = self._queue_by_class[leader.request.caller_class]
+        queue.tasks -= queued.tasks
+        queue.dropped += 1
+        # Entries are removed in bulk, so that a wave of cancellations stays linear.
+        if queue.dropped > len(queue.heap) // 2:
+            queue.heap = [
+                entry for entry in queue.heap if self._is_queued(entry[1], entry[2])
+            ]
+            heapq.heapify(queue.heap)
+            queue.dropped = 0
 
     def in_order(self) -> Iterator[leaders.Leader]:
         """Yield the jobs in the order of service; the caller sends their tasks.
 
         Each time the caller has taken tasks of a job, it calls :meth:`charge`. A
-        job of which nothing was taken is passed over in this round.
+        job of which nothing was taken is passed over in this round. When many are,
+        the round ends, and they go to the end so that the next round sees others.
         """
         passed: list[leaders.Leader] = []
         try:
-            while (name := self._next_class()) is not None:
-                leader = heapq.heappop(self._queue_by_class[name].heap)[2]
-                self._queued.discard(leader)
-                before = leader.waiting_count
-                if before == 0:
+            while len(passed) < PASSED_LIMIT:
+                if (name := self._next_class()) is None:
+                    break
+                leader = self._pop(self._queue_by_class[name])
+                if leader is None or (before := leader.waiting_count) == 0:
                     continue
                 passed.append(leader)
                 yield leader
@@ -81,15 +138,23 @@
                     self._push(passed.pop())
         finally:
             for leader in passed:
-                self._push(leader)
+                self._push(leader, is_last=len(passed) >= PASSED_LIMIT)
             self._drop_empty()
 
-    def _push(self, leader: leaders.Leader) -> None:
-        if leader.waiting_count and leader not in self._queued:
-            self._queued.add(leader)
-            queue = self._queue_by_class[leader.request.caller_class]
-            entry = (_rank(leader), next(self._counter), leader)
-            heapq.heappush(queue.heap, entry)
+    def _push(self, leader: leaders.Leader, is_last: bool = False) -> None:
+        tasks = leader.waiting_count
+        queued = self._queued_by_leader.get(leader)
+        queue = self._queue_by_class[leader.request.caller_class]
+        if queued is not None:
+            queue.tasks += tasks - queued.tasks
+            queued.tasks = tasks
+        elif tasks:
+            number = next(self._counter)
+            self._queued_by_leader[leader] = _Queued(number, tasks)
+            queue.tasks += tasks
+            rank = queue.last_rank if is_last else _rank(leader)
+            queue.last_rank = max(queue.last_rank, rank)
+            heapq.heappush(queue.heap, (rank, number, leader))
 
     def charge(self, leader: leaders.Leader, work: float) -> None:
         """Count work sent against the class of a job.
@@ -112,22 +177,24 @@
     @property
     def is_empty(self) -> bool:
         """Whether no task that may start waits; ended jobs may still be queued."""
-        return not any(
-            item[2].waiting_count
-            for name, queue in self._queue_by_class.items()
-            if queue.heap and self._may_start(name)
-            for item in queue.heap
-        )
+        return next(self.heads(), None) is None
+
+    def heads(self) -> Iterator[leaders.Leader]:
+        """Yield the first job with waiting tasks of each class that may start."""
+        for name, queue in self._queue_by_class.items():
+            if queue.heap and self._may_start(name):
+                while queue.heap:
+                    _, number, leader = queue.heap[0]
+                    if self._is_queued(number, leader) and leader.waiting_count:
+                        yield leader
+                        break
+                    self._pop(queue)
 
     def waiting(self) -> tuple[int, float]:
         """Return the number of waiting tasks and the weights of their classes."""
-        tasks = 0
-        weight = 0.0
-        for queue in self._queue_by_class.values():
-            in_class = sum(item[2].waiting_count for item in queue.heap)
-            tasks += in_class
-            weight += queue.weight if in_class else 0.0
-        return tasks, weight
+        queues = self._queue_by_class.values()
+        tasks = sum(queue.tasks for queue in queues)
+        return tasks, sum((queue.weight for queue in queues if queue.tasks), 0.0)
 
     def _next_class(self) -> str | None:
         return min(
--- a/src/burdockgate/process/directory.py
+++ b/src/burdockgate/process/directory.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import collections
+import itertools
 from collections.abc import Iterator
 
 import attrs
 
 from burdockgate import clock, messages
+from burdockgate.process import pool
 
 
 @attrs.define
@@ -19,6 +22,7 @@
     :param demanded: tasks announced to the agent as waiting and not yet offered a
         slot.
     :param heard_at: time of the last message, in seconds.
+    :param number: its place in the order in which the workers joined.
     """
 
     hello: messages.Hello
@@ -30,6 +34,7 @@
     draining: bool = False
     demanded: int = 0
     table_version: int = 0
+    number: int = 0
 
     @property
     def name(self) -> str:
@@ -60,9 +65,48 @@
         )
 
 
+@attrs.define
+class Service:
+    """The workers of one service, indexed by what the dispatcher asks for.
+
+    :param members: every connected worker.
+    :param free: those with a free slot that may get a task.
+    :param asked: those that may get a task and have been told of waiting tasks.
+    :param unasked: those that may get a task and have not.
+    :param changes: counts the workers that became unasked.
+    """
+
+    members: pool.Pool = attrs.field(factory=pool.Pool)
+    free: pool.Pool = attrs.field(factory=pool.Pool)
+    asked: dict[str, Worker] = attrs.field(factory=dict)
+    unasked: dict[str, Worker] = attrs.field(factory=dict)
+    changes: int = 0
+
+    def put(self, worker: Worker, may_get: bool) -> None:
+        """Index a worker anew.
+
+        :param worker: the worker.
+        :param may_get: whether it may get new tasks.
+        """
+        name, is_asked = worker.name, worker.demanded > 0
+        self.free.put(worker, may_get and worker.free > 0)
+        if may_get and is_asked:
+            self.asked[name] = worker
+        else:
+            self.asked.pop(name, None)
+        if not may_get or is_asked:
+            self.unasked.pop(name, None)
+        elif self.unasked.get(name) is not worker:
+            self.unasked[name] = worker
+            self.changes += 1
+
+
 class Directory:
     """Connected workers by name, with their leases.
 
+    Each change of a worker passes through a method here, which keeps the indexes of
+    its service. A lapsed worker is noticed when it is about to be used.
+
     :param time: the clock.
     :param lease_s: a worker not heard of for this long gets no task.
     """
@@ -70,23 +114,66 @@
     def __init__(self, time: clock.Clock, lease_s: float) -> None:
         self._time = time
         self._lease_s = lease_s
+        self._numbers = itertools.count()
+        self._lapsed: set[str] = set()
+        self._service_by_name: dict[str, Service] = collections.defaultdict(Service)
         self.worker_by_name: dict[str, Worker] = {}
 
+    def service(self, name: str) -> Service:
+        """Return the indexes of a service.
+
+        :param name: name of the service.
+        """
+        return self._service_by_name.get(name) or Service()
+
     def join(self, hello: messages.Hello) -> None:
         """Add a worker, or replace its older session.
 
         :param hello: the announcement of its agent.
         """
-        self.worker_by_name[hello.node.name] = Worker(
-            hello, self._time.now(), draining=hello.draining
-        )
+        name = hello.node.name
+        old = self.worker_by_name.get(name)
+        number = next(self._numbers) if old is None else old.number
+        if old is not None:
+            self._remove(old)
+        worker = Worker(hello, self._time.now(), draining=hello.draining, number=number)
+        self.worker_by_name[name] = worker
+        self._service_by_name[hello.service].members.put(worker, is_in=True)
+        self.refresh(worker)
 
     def leave(self, name: str) -> None:
         """Remove a worker.
 
         :param name: name of its agent; an unknown one is ignored.
         """
-        self.worker_by_name.pop(name, None)
+        worker = self.worker_by_name.pop(name, None)
+        if worker is not None:
+            self._remove(worker)
+
+    def _remove(self, worker: Worker) -> None:
+        self._lapsed.discard(worker.name)
+        service = self._service_by_name[worker.hello.service]
+        service.put(worker, may_get=False)
+        service.members.put(worker, is_in=False)
+        if not service.members:
+            del self._service_by_name[worker.hello.service]
+
+    def refresh(self, worker: Worker) -> None:
+        """Index a worker anew after a change of it.
+
+        :param worker: a worker of this directory.
+        """
+        may_get = self.may_get(worker)
+        if not may_get and self.has_lapsed(worker):
+            self._lapsed.add(worker.name)
+        self._service_by_name[worker.hello.service].put(worker, may_get)
+
+    def may_get(self, worker: Worker) -> bool:
+        """Return whether a worker may get new tasks, with a free slot or without.
+
+        :param worker: the worker.
+        """
+        return not worker.draining and not self.has_lapsed(worker)
 
     def hear(self, name: str) -> None:
         """Renew the lease of a worker.
@@ -96,6 +183,20 @@
         worker = self.worker_by_name.get(name)
         if worker is not None:
             worker.heard_at = self._time.now()
+            if name in self._lapsed:
+                self._lapsed.discard(name)
+                self.refresh(worker)
+
+    def drain(self, name: str, active: bool) -> None:
+        """Note whether a worker is leaving.
+
+        :param name: name of its agent; an unknown one is ignored.
+        :param active: whether it gets no new task.
+        """
+        worker = self.worker_by_name.get(name)
+        if worker is not None:
+            worker.draining = active
+            self.refresh(worker)
 
     def report(self, name: str, free: int, received: int) -> None:
         """Note free slots reported by an agent.
@@ -107,6 +208,7 @@
         worker = self.worker_by_name.get(name)
         if worker is not None:
             worker.reported_free, worker.received = free, received
+            self.refresh(worker)
 
     def offer(self, name: str, free: int, received: int) -> None:
         """Note slots that an agent reserves for this entry host.
@@ -115,10 +217,27 @@
         :param free: free slots, the reserved ones included.
         :param received: as in :meth:`report`.
         """
-        self.report(name, free, received)
         worker = self.worker_by_name.get(name)
         if worker is not None:
             worker.demanded = max(0, worker.demanded - 1)
+        self.report(name, free, received)
+
+    def take(self, worker: Worker) -> None:
+        """Count a task that is sent to a worker.
+
+        :param worker: the worker.
+        """
+        worker.sent += 1
+        self.refresh(worker)
+
+    def demand(self, worker: Worker, waiting: int) -> None:
+        """Note how many waiting tasks a worker is told of.
+
+        :param worker: the worker.
+        :param waiting: number of tasks; 0 withdraws the demand.
+        """
+        worker.demanded = waiting
+        self.refresh(worker)
 
     def has_lapsed(self, worker: Worker) -> bool:
         """Return whether the lease of a worker has lapsed.
@@ -128,14 +247,11 @@
         return self._time.now() - worker.heard_at > self._lease_s
 
     def of_service(self, service: str) -> Iterator[Worker]:
-        """Yield the workers of a service that may get new tasks.
+        """Yield the workers of a service that may get new tasks, as they joined.
 
         :param service: name of the service.
         """
-        for worker in self.worker_by_name.values():
-            if (
-                worker.hello.service == service
-                and not worker.draining
-                and not self.has_lapsed(worker)
-            ):
+        members = self.service(service).members
+        for worker in sorted(members, key=lambda worker: worker.number):
+            if self.may_get(worker):
                 yield worker
--- a/src/burdockgate/process/dispatch.py
+++ b/src/burdockgate/process/dispatch.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 import functools
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 import attrs
 
 from burdockgate import effects, messages
-from burdockgate.process import backlog, directory, limits, metrics, placement
+from burdockgate.process import backlog, directory, limits, metrics, placement, pool
 from burdockgate.request import job as jobs
 from burdockgate.request import leader as leaders
 
 # Work of a task whose run time was not declared, in ms.
 UNDECLARED_WORK_MS = 100.0
+# Workers told of waiting tasks, when fewer tasks than this wait.
+ASKED_MIN = 64
+# A scope up to this size is searched in its order.
+SMALL_SCOPE = 16
 
 _Effects = Iterator[effects.Effect]
 
@@ -59,6 +63,7 @@
         self._counters = counters
         self._backlog_by_service: dict[str, backlog.Backlog] = {}
         self._is_reweighed = False
+        self._heads_asked_by_service: dict[str, tuple[object, ...]] = {}
 
     def add(self, leader: leaders.Leader, weight: float) -> None:
         """Queue a job that has waiting tasks.
@@ -79,6 +84,15 @@
                 self._limits.returned(leader.request)
         leader.returned.clear()
 
+    def drop(self, leader: leaders.Leader) -> None:
+        """Release a job that has ended or that another entry host owns now.
+
+        :param leader: the job.
+        """
+        queue = self._backlog_by_service.get(leader.request.service)
+        if queue is not None:
+            queue.drop(leader)
+
     def reweigh(self, weight: Callable[[str, str], float]) -> None:
         """Apply changed weights to the jobs that wait.
 
@@ -101,27 +115,24 @@
         :param outside: called with a job that has waiting tasks while slots are
             free only outside its scope.
         """
-        for service, queue in self._backlog_by_service.items():
-            workers = list(self._workers.of_service(service))
-            yield from self._serve(service, queue, workers, outside)
-            yield from self._demand(service, queue, workers)
+        for name, queue in self._backlog_by_service.items():
+            yield from self._serve(name, queue, outside)
+            yield from self._demand(name, queue)
         self._is_reweighed = False
 
     def _serve(
         self,
         service: str,
         queue: backlog.Backlog,
-        workers: list[directory.Worker],
         outside: Callable[[leaders.Leader], None],
     ) -> _Effects:
-        free = [worker for worker in workers if worker.free > 0]
+        free = self._workers.service(service).free
         if not free or not self._may_start("service", service):
             return
         batches = _Batches()
         for leader in queue.in_order():
             if not self._take_one(queue, leader, free, batches):
                 outside(leader)
-            free = [worker for worker in free if worker.free > 0]
             if not free or not self._may_start("service", service):
                 break
         yield from batches.sends()
@@ -130,46 +141,102 @@
         self,
         queue: backlog.Backlog,
         leader: leaders.Leader,
-        free: list[directory.Worker],
+        free: pool.Pool,
         batches: _Batches,
     ) -> bool:
-        task = leader.next_task
-        candidates = [
-            worker
-            for worker in free
-            if leader.allows(worker.node) and _fits(worker, task)
-        ]
-        if not candidates:
+        worker = self._pick(leader, free)
+        if worker is None:
             return False
-        worker = self._policy.choose(candidates)
+        task = leader.next_task
         batches.add(leader, worker.node)
-        worker.sent += 1
+        self._workers.take(worker)
         if self._limits is not None:
             self._limits.started(leader.request)
         queue.charge(leader, _work(task))
         self._counters.count("tasks.sent")
         return True
 
-    def _demand(
-        self, service: str, queue: backlog.Backlog, workers: list[directory.Worker]
-    ) -> _Effects:
+    def _pick(self, leader: leaders.Leader, free: pool.Pool) -> directory.Worker | None:
+        """Choose among the free workers or in the scope, whichever is smaller."""
+        task, scope = leader.next_task, leader.terms.scope
+        known = self._workers.worker_by_name
+
+        def check(worker: directory.Worker | None) -> directory.Worker | None:
+            if worker is None or worker.free <= 0 or not _fits(worker, task):
+                return None
+            if worker.hello.service != leader.request.service:
+                return None
+            if not self._workers.may_get(worker):
+                lapsed.append(worker)
+                return None
+            return worker if leader.allows(worker.node) else None
+
+        lapsed: list[directory.Worker] = []
+        if SMALL_SCOPE < len(scope) > len(free):
+            found = self._policy.pick(len(free), lambda place: check(free[place]))
+        else:
+            found = self._policy.pick(
+                len(scope), lambda place: check(known.get(scope[place].name))
+            )
+        for worker in lapsed:
+            self._workers.refresh(worker)
+        return found
+
+    def _demand(self, name: str, queue: backlog.Backlog) -> _Effects:
+        service = self._workers.service(name)
         # Slots offered to a service at its limit would stay empty.
-        if queue.is_empty or not self._may_start("service", service):
-            for worker in workers:
-                if worker.demanded > 0:
-                    worker.demanded = 0
-                    yield effects.Send(worker.name, messages.Demand(0, 0.0))
+        if queue.is_empty or not self._may_start("service", name):
+            self._heads_asked_by_service.pop(name, None)
+            for worker in _as_joined(service.asked.values()):
+                self._workers.demand(worker, 0)
+                yield effects.Send(worker.name, messages.Demand(0, 0.0))
             return
         # The agents divide their slots by the weight that the last demand has told.
-        unasked = [
-            worker for worker in workers if worker.demanded <= 0 or self._is_reweighed
-        ]
-        if unasked:
+        again = list(service.asked.values()) if self._is_reweighed else []
+        unasked = self._to_ask(name, service, queue)
+        if again or unasked:
             waiting, weight = queue.waiting()
-            for worker in unasked:
-                worker.demanded = waiting
+            for worker in _as_joined([*again, *unasked]):
+                self._workers.demand(worker, waiting)
                 yield effects.Send(worker.name, messages.Demand(waiting, weight))
 
+    def _to_ask(
+        self, name: str, service: directory.Service, queue: backlog.Backlog
+    ) -> list[directory.Worker]:
+        """Return the workers to be told now that tasks wait.
+
+        A service with many workers asks those in the scopes of the next jobs only,
+        because the others may not get these tasks.
+        """
+        if not service.unasked:
+            return []
+        if len(service.members) <= ASKED_MIN:
+            return self._with_lease(service.unasked.values())
+        if len(service.asked) >= max(ASKED_MIN, queue.waiting()[0]):
+            return []
+        heads = list(queue.heads())
+        state = (service.changes, *heads)
+        if self._heads_asked_by_service.get(name) == state:
+            return []
+        self._heads_asked_by_service[name] = state
+        scopes = {node.name for head in heads for node in head.terms.scope}
+        return self._with_lease(
+            service.unasked[each] for each in scopes if each in service.unasked
+        )
+
+    def _with_lease(
+        self, workers: Iterable[directory.Worker]
+    ) -> list[directory.Worker]:
+        every = list(workers)
+        for worker in every:
+            if not self._workers.may_get(worker):
+                self._workers.refresh(worker)
+        return [worker for worker in every if self._workers.may_get(worker)]
+
+
+def _as_joined(workers: Iterable[directory.Worker]) -> list[directory.Worker]:
+    return sorted(workers, key=lambda worker: worker.number)
+
 
 def _work(task: jobs.TaskSpec) -> float:
     return task.expected_ms or UNDECLARED_WORK_MS
--- a/src/burdockgate/process/entry.py
+++ b/src/burdockgate/process/entry.py
@@ -155,26 +155,24 @@
         detail = self._limits.refusal(request)
         if detail:
             return codes.Code.BACKLOG_FULL, detail
-        workers = [
-            worker
-            for worker in self.workers.worker_by_name.values()
-            if worker.hello.service == request.service
-        ]
+        workers = self.workers.service(request.service).members
         if not workers:
             return (
                 codes.Code.UNKNOWN_SERVICE,
                 f"service: no backend server announces {request.service!r}",
             )
+        fitting: set[tuple[float, int, int]] = set()
         for index, task in enumerate(request.tasks):
-            if not any(
-                worker.fits(task.cores, task.memory_mb, task.accelerators)
-                for worker in workers
+            needs = (task.cores, task.memory_mb, task.accelerators)
+            if needs not in fitting and not any(
+                worker.fits(*needs) for worker in workers
             ):
                 return (
                     codes.Code.NEVER_FITS,
                     f"tasks[{index}]: no worker has {task.cores:g} cores, "
                     f"{task.memory_mb} MB and {task.accelerators} accelerators",
                 )
+            fitting.add(needs)
         return None, ""
 
     def fetch(self, job_id: bytes, ticket: int) -> _Effects:
@@ -261,8 +259,8 @@
         self.workers.report(name, message.free, message.received)
         worker = self.workers.worker_by_name.get(name)
         if worker is not None:
-            worker.draining = message.draining
             worker.running = message.running
+            self.workers.drain(name, message.draining)
         yield from ()
 
     def _on_offer(self, name: str, message: messages.Offer) -> _Effects:
@@ -274,9 +272,7 @@
         yield from self.jobs.results(name, message)
 
     def _on_leave(self, name: str, _message: messages.Leave) -> _Effects:
-        worker = self.workers.worker_by_name.get(name)
-        if worker is not None:
-            worker.draining = True
+        self.workers.drain(name, active=True)
         yield from ()
 
     # The log's streams
--- a/src/burdockgate/process/entryhost.py
+++ b/src/burdockgate/process/entryhost.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import itertools
 import random
 from collections.abc import Callable, Iterator
@@ -20,6 +21,8 @@
 # Two rounds of claims: the claim group and the owner are asked before it is known
 # whether a job exists elsewhere, also for a caller that does not wait for its end.
 LOOKUP_S = 1.0
+# A wave of cancels must not keep the loop from heartbeats and results.
+CANCELS_PER_PASS = 256
 RESPONSE_MEASURE = "response"
 PLOT_WIDTH = 72
 
@@ -46,6 +49,7 @@
         self._histograms = histograms.Histograms()
         self._future_by_ticket: dict[int, asyncio.Future[outcome.Outcome]] = {}
         self._tickets = itertools.count(1)
+        self._turns: collections.deque[asyncio.Future[None]] = collections.deque()
         self._web: web.Server
         self.core: entry.EntryCore
 
@@ -192,8 +196,28 @@
     async def cancel(self, guest: str, key: str) -> outcome.Outcome:
         """Cancel a job and return its outcome."""
         job_id = job.job_id(guest, key)
+        await self._take_turn()
         return await self._ask(lambda ticket: self.core.cancel(job_id, ticket), None)
 
+    async def _take_turn(self) -> None:
+        """Wait while this pass of the loop has had its share of cancels."""
+        loop = asyncio.get_running_loop()
+        turn: asyncio.Future[None] = loop.create_future()
+        self._turns.append(turn)
+        if len(self._turns) == 1:
+            loop.call_soon(self._give_turns)
+        await turn
+
+    def _give_turns(self) -> None:
+        given = 0
+        while self._turns and given < CANCELS_PER_PASS:
+            turn = self._turns.popleft()
+            if not turn.done():
+                turn.set_result(None)
+                given += 1
+        if self._turns:
+            asyncio.get_running_loop().call_soon(self._give_turns)
+
     async def _ask(
         self,
         ask: Callable[[int], Iterator[effects.Effect]],
--- a/src/burdockgate/process/jobs.py
+++ b/src/burdockgate/process/jobs.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Iterator
 
 from burdockgate import codes, effects, messages
@@ -16,6 +17,7 @@
 # A cancel can overtake its submission, which has a body and another connection.
 CANCEL_MEMORY_S = 10.0
 CANCEL_MEMORY_LIMIT = 100_000
+SCHEDULE_SLACK = 64
 
 _Effects = Iterator[effects.Effect]
 _Submission = submission.Submission
@@ -39,7 +41,7 @@
         :param detail: one line about the refusal.
         """
         self._counters.count("jobs.submitted")
-        held = self._submission_by_job.get(request.job)
+        held = self._find(request.job)
         if held is not None and held.request is not None:
             yield from self._join(held, request, ticket)
             return
@@ -53,7 +55,7 @@
         self._set_request(held, request)
         held.refusal, held.refusal_detail = refusal, detail
         held.deadline_at = self._time.now() + request.deadline_ms / 1000
-        held.tickets.add(ticket)
+        self._await(held, ticket)
         yield from self._claim(held, 0 if refusal else 1, 1)
 
     def _join(
@@ -64,7 +66,7 @@
             yield effects.Answer(ticket, registry.key_reused())
             return
         self._counters.count("jobs.joined")
-        held.tickets.add(ticket)
+        self._await(held, ticket)
 
     def _repeat(
         self,
@@ -83,7 +85,7 @@
             self._answers.drop(request.job)
             held = self._open(request.job, request.deadline_ms / 1000)
             self._set_request(held, request)
-            held.tickets.add(ticket)
+            self._await(held, ticket)
             held.had_attempt = registry.may_have_run(kept.outcome.code)
             yield from self._claim(held, kept.epoch + 1, kept.outcome.attempt + 1)
 
@@ -94,7 +96,7 @@
         :param ticket: number under which the caller waits.
         :param cancels: whether to cancel the job.
         """
-        held = self._submission_by_job.get(job_id)
+        held = self._find(job_id)
         kept = self._answers.get(job_id)
         if held is None and kept is not None:
             yield effects.Answer(ticket, kept.outcome)
@@ -102,7 +104,7 @@
         if held is None:
             held = self._open(job_id, FETCH_DEADLINE_S)
             yield from self._claim(held, 0, 0)
-        held.tickets.add(ticket)
+        self._await(held, ticket)
         if cancels:
             held.cancels = True
             yield from self._cancel(held)
@@ -142,7 +144,8 @@
 
         :param ticket: number of the caller.
         """
-        for held in self._submission_by_job.values():
+        held = self._submission_by_job.get(self._job_by_ticket.pop(ticket, b""))
+        if held is not None:
             held.tickets.discard(ticket)
 
     def _cancel(self, held: _Submission) -> _Effects:
@@ -160,8 +163,57 @@
         """Do what is due; call at least ten times a second."""
         self._answers.expire()
         self._forget_cancels()
-        for held in list(self._submission_by_job.values()):
+        for held in self._due():
             yield from self._tick(held)
+            if self._submission_by_job.get(held.job) is held:
+                self._schedule(held)
+        yield from self._confirm_next(ownership.CONFIRMATIONS_PER_TICK)
+
+    def _due(self) -> list[_Submission]:
+        """Return the jobs that were touched or whose time has come, as they came."""
+        versions = (self.view.number, self._limits.version)
+        if versions != self._ticked_versions:
+            # A view or a table concerns every job.
+            self._ticked_versions = versions
+            self._touched.update(self._submission_by_job)
+        ids, self._touched = self._touched, set()
+        while self._schedule_heap and self._schedule_heap[0][0] <= self._time.now():
+            ids.add(heapq.heappop(self._schedule_heap)[1])
+        every = (self._submission_by_job.get(job_id) for job_id in ids)
+        found = [held for held in every if held is not None]
+        return sorted(found, key=lambda held: held.number)
+
+    def _schedule(self, held: _Submission) -> None:
+        due_at = self._due_at(held)
+        if due_at != held.scheduled_at or due_at <= self._time.now():
+            held.scheduled_at = due_at
+            heapq.heappush(self._schedule_heap, (due_at, held.job))
+        # Entries of ended jobs would otherwise stay until their deadlines.
+        if len(self._schedule_heap) > 2 * len(self) + SCHEDULE_SLACK:
+            self._schedule_heap = [
+                (item.scheduled_at, item.job)
+                for item in self._submission_by_job.values()
+                if item.scheduled_at is not None
+            ]
+            heapq.heapify(self._schedule_heap)
+
+    def _due_at(self, held: _Submission) -> float:
+        """Return when :meth:`_tick` has something to do, if nothing changes."""
+        due = [current.due_at for current in ownership.claimants(held)]
+        if held.leader is not None:
+            due.append(held.leader.due_at)
+            if held.confirmation is not None:
+                due.append(held.deadline_at)
+            queue_s = self._limits.queue_s(held.leader.request)
+            if queue_s is not None and held.leader.first_sent_at is None:
+                due.append(held.leader.arrived_at + queue_s)
+        else:
+            due.append(held.deadline_at)
+            if held.waits_since is not None:
+                due.append(held.waits_since + self._config.timing.lease_s)
+            if held.retry_at is not None:
+                due.append(held.retry_at)
+        return min(due)
 
     def _tick(self, held: _Submission) -> _Effects:
         now = self._time.now()
--- a/src/burdockgate/process/joining.py
+++ b/src/burdockgate/process/joining.py
@@ -56,7 +56,7 @@
         :param name: name of that entry host.
         :param message: the outcome, or that it does not own the job.
         """
-        held = self._submission_by_job.get(message.job)
+        held = self._find(message.job)
         if held is None or held.owner is None or held.owner.name != name:
             self._counters.count("results.dropped")
             return
@@ -92,7 +92,7 @@
         :param name: name of the entry host.
         :param message: names the job.
         """
-        held = self._submission_by_job.get(message.job)
+        held = self._find(message.job)
         kept = self._answers.get(message.job)
         if held is not None and (held.leader or held.claimant):
             held.attached.add(name)
@@ -109,7 +109,7 @@
         :param name: name of the entry host.
         :param message: names the job.
         """
-        held = self._submission_by_job.get(message.job)
+        held = self._find(message.job)
         if held is None:
             return
         if not message.cancel:
@@ -131,7 +131,7 @@
         :param node: its incarnation.
         """
         self.peer_by_name[node.name] = node
-        for held in list(self._submission_by_job.values()):
+        for held in self._find_all():
             if held.owner is not None and held.owner.name == node.name and held.record:
                 yield from self._attach(held, held.record)
 
@@ -141,7 +141,7 @@
         :param name: its name.
         """
         self.peer_by_name.pop(name, None)
-        for held in self._submission_by_job.values():
+        for held in self._find_all():
             held.attached.discard(name)
             if held.owner is not None and held.owner.name == name:
                 held.waits_since = self._time.now()
--- a/src/burdockgate/process/limits.py
+++ b/src/burdockgate/process/limits.py
@@ -47,6 +47,11 @@
     def _share(self, limit: float) -> float:
         return limit / max(1, self._hosts())
 
+    @property
+    def version(self) -> int:
+        """Version of the table in force."""
+        return self._source.version
+
     def weight(self, service: str, caller_class: str) -> float:
         """Return the product of the weights of a service and a class."""
         first, second = self._rows(service, caller_class)
--- a/src/burdockgate/process/ownership.py
+++ b/src/burdockgate/process/ownership.py
@@ -2,17 +2,24 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 
 import attrs
 
 from burdockgate import codes, effects, messages
-from burdockgate.process import answers, joining, registry
+from burdockgate.process import answers, directory, joining, registry
 from burdockgate.request import claimant, job, leader, outcome, submission
 
 SCOPE_LIMIT = 64
+# More are drawn than needed, because some may be draining.
+SCOPE_SAMPLE = 80
 EXTENSION_SIZE = 16
 CONFIRMATION_S = 2.0
+# Jobs settled as "not run" at the same time. The votes on 10,000 of them at once come
+# after the time-outs of the claims, which are then all sent again.
+CONFIRMATIONS_LIMIT = 128
+# Begun in each tick whatever is under way, so that a lost claim group delays no other.
+CONFIRMATIONS_PER_TICK = 64
 RETRY_AFTER_S = 1.0
 
 _Effects = Iterator[effects.Effect]
@@ -47,10 +54,13 @@
         )
 
     def _scope(self, request: job.JobRequest) -> Iterator[messages.Node]:
-        workers = list(self._workers.of_service(request.service))
-        if len(workers) > SCOPE_LIMIT:
-            workers = self._rng.sample(workers, SCOPE_LIMIT)
-        for worker in workers:
+        members = self._workers.service(request.service).members
+        if len(members) <= SCOPE_LIMIT:
+            workers = list(self._workers.of_service(request.service))
+        else:
+            drawn = self._rng.sample(members, min(len(members), SCOPE_SAMPLE))
+            workers = [worker for worker in drawn if self._workers.may_get(worker)]
+        for worker in workers[:SCOPE_LIMIT]:
             yield worker.node
 
     def claim_reply(self, name: str, reply: messages.ClaimReply) -> _Effects:
@@ -59,12 +69,13 @@
         :param name: name of the member.
         :param reply: its vote.
         """
-        held = self._submission_by_job.get(reply.job)
+        held = self._find(reply.job)
         if held is None:
             return
         for current in claimants(held):
             current.reply(name, reply)
         yield from self._check_claims(held)
+        yield from self._confirm_next()
 
     def _check_claims(self, held: _Submission) -> _Effects:
         if held.confirmation is not None and held.confirmation.result is not None:
@@ -150,7 +161,7 @@
         :param name: name of the agent.
         :param message: its reports.
         """
-        held = self._submission_by_job.get(message.job)
+        held = self._find(message.job)
         if held is None or held.leader is None:
             self._counters.count("results.dropped", len(message.reports))
             return
@@ -163,7 +174,7 @@
         :param name: name of the agent.
         :param message: the list.
         """
-        held = self._submission_by_job.get(message.job)
+        held = self._find(message.job)
         if held is None or held.leader is None:
             return
         yield from held.leader.fence_reply(name, message)
@@ -179,8 +190,12 @@
         if current.dropped:
             self._counters.count("results.dropped", current.dropped)
             current.dropped = 0
+        if not is_open:
+            self._dispatcher.drop(current)
         if current.is_superseded:
             held.leader = held.extension = held.confirmation = None
+            self._confirming.discard(held.job)
+            self._to_confirm.pop(held.job, None)
             yield from self._claim(held, 1, 1)
         elif current.outcome is not None:
             if codes.start_of(current.outcome.code) is codes.Start.NOT_RUN:
@@ -193,21 +208,49 @@
     def _confirm(self, held: _Submission, current: leader.Leader) -> _Effects:
         """Settle a job as "not run" before anybody is told so."""
         assert current.outcome is not None
-        if held.confirmation is None:
-            held.deadline_at = self._time.now() + CONFIRMATION_S
-            held.confirmation = claimant.Claimant(
-                attrs.evolve(current.terms, code=int(current.outcome.code)),
-                self._time,
-                self._rng,
-                self._config.timing.claim_round_s,
-            )
-            yield from held.confirmation.begin(self.view)
+        if held.job in self._to_confirm:
+            return
+        if held.confirmation is None and len(self._confirming) >= CONFIRMATIONS_LIMIT:
+            self._to_confirm[held.job] = None
+        elif held.confirmation is None:
+            yield from self._begin_confirmation(held, current)
         elif self._time.now() >= held.deadline_at:
             current.replace_outcome(_UNCONFIRMED[current.outcome.code])
             yield from self._end(held, current.outcome)
 
+    def _begin_confirmation(
+        self, held: _Submission, current: leader.Leader
+    ) -> _Effects:
+        assert current.outcome is not None
+        self._confirming.add(held.job)
+        held.deadline_at = self._time.now() + CONFIRMATION_S
+        held.confirmation = claimant.Claimant(
+            attrs.evolve(current.terms, code=int(current.outcome.code)),
+            self._time,
+            self._rng,
+            self._config.timing.claim_round_s,
+        )
+        yield from held.confirmation.begin(self.view)
+
+    def _confirm_next(self, count: int = 0) -> _Effects:
+        """Begin with jobs that wait to be settled.
+
+        :param count: how many begin even when enough are under way.
+        """
+        while self._to_confirm and (
+            count > 0 or len(self._confirming) < CONFIRMATIONS_LIMIT
+        ):
+            count -= 1
+            job_id = next(iter(self._to_confirm))
+            del self._to_confirm[job_id]
+            held = self._find(job_id)
+            current = held.leader if held is not None else None
+            if held is not None and current is not None and current.outcome:
+                yield from self._begin_confirmation(held, current)
+
     def _confirmed(self, held: _Submission, result: claimant.Result) -> _Effects:
         current, held.confirmation = held.leader, None
+        self._confirming.discard(held.job)
         if current is None or current.outcome is None:
             return
         if isinstance(result, claimant.Won):
@@ -221,13 +264,17 @@
 
         :param current: the job's leader.
         """
-        held = self._submission_by_job.get(current.request.job)
+        held = self._find(current.request.job)
         if held is None or held.leader is not current or held.extension is not None:
             return
+        free: Sequence[directory.Worker]
+        free = self._workers.service(current.request.service).free
+        if len(free) > SCOPE_LIMIT:
+            free = self._rng.sample(free, SCOPE_LIMIT)
         outside = [
             worker.node
-            for worker in self._workers.of_service(current.request.service)
-            if worker.free > 0 and not current.in_scope(worker.node)
+            for worker in sorted(free, key=lambda worker: worker.number)
+            if self._workers.may_get(worker) and not current.in_scope(worker.node)
         ]
         if outside:
             scope = current.terms.scope + tuple(outside[:EXTENSION_SIZE])
@@ -254,7 +301,7 @@
 
         :param node: the agent's incarnation.
         """
-        for held in list(self._submission_by_job.values()):
+        for held in self._find_all():
             for current in claimants(held):
                 current.hurry()
             if held.leader is not None:
@@ -266,7 +313,7 @@
 
         :param name: name of the agent.
         """
-        for held in self._submission_by_job.values():
+        for held in self._find_all():
             if held.leader is not None:
                 held.leader.agent_disconnected(name)
 
--- a/src/burdockgate/process/placement.py
+++ b/src/burdockgate/process/placement.py
@@ -8,6 +8,10 @@
 
 from burdockgate.process import directory
 
+# After so many draws without two workers, every place is looked at. With no more
+# places than this, looking at all is cheaper.
+DRAWS = 16
+
 
 class Placement(abc.ABC):
     """Chooses among workers that fit a task and have a free slot."""
@@ -19,6 +23,18 @@
         :param candidates: at least one worker.
         """
 
+    def pick(
+        self, count: int, at: Callable[[int], directory.Worker | None]
+    ) -> directory.Worker | None:
+        """Return the worker that gets the task, or ``None`` when none may.
+
+        :param count: number of places.
+        :param at: returns the worker at a place; ``None`` when it must not get it.
+        """
+        found = (at(place) for place in range(count))
+        candidates = [worker for worker in found if worker is not None]
+        return self.choose(candidates) if candidates else None
+
 
 class TwoChoices(Placement):
     """The worker with more free slots of two random ones.
@@ -42,6 +58,26 @@
         first, second = self._rng.sample(candidates, 2)
         return first if first.free >= second.free else second
 
+    def pick(
+        self, count: int, at: Callable[[int], directory.Worker | None]
+    ) -> directory.Worker | None:
+        """Draw places until two workers that may get the task are found.
+
+        :param count: number of places.
+        :param at: returns the worker at a place; ``None`` when it must not get it.
+        """
+        if count <= DRAWS:
+            return super().pick(count, at)
+        first = None
+        for _ in range(DRAWS):
+            worker = at(int(self._rng.random() * count))
+            if worker is None or worker is first:
+                continue
+            if first is not None:
+                return first if first.free >= worker.free else worker
+            first = worker
+        return super().pick(count, at)
+
 
 class LeastLoaded(Placement):
     """The worker with the most free slots, the first of several."""
--- a/src/burdockgate/process/registry.py
+++ b/src/burdockgate/process/registry.py
@@ -9,6 +9,8 @@
 from __future__ import annotations
 
 import abc
+import collections
+import itertools
 import random
 from collections.abc import Iterator
 
@@ -57,7 +59,20 @@
         self._workers = workers
         self._dispatcher = dispatcher
         self._submission_by_job: dict[bytes, _Submission] = {}
-        self._cancelled_at_by_job: dict[bytes, float] = {}
+        self._cancelled_at_by_job: collections.OrderedDict[bytes, float] = (
+            collections.OrderedDict()
+        )
+        self._numbers = itertools.count()
+        self._job_by_ticket: dict[int, bytes] = {}
+        # Jobs that a message or a caller has touched since the last tick.
+        self._touched: set[bytes] = set()
+        self._confirming: set[bytes] = set()
+        # The first key of a plain dict is slow to find once many were deleted.
+        self._to_confirm: collections.OrderedDict[bytes, None] = (
+            collections.OrderedDict()
+        )
+        self._schedule_heap: list[tuple[float, bytes]] = []
+        self._ticked_versions = (-1, -1)
         self._answers = answers.Answers(
             time, config.timing.retention_s, config.limits.answers_bytes
         )
@@ -78,10 +93,29 @@
         return self._limits.weight(request.service, request.caller_class)
 
     def _open(self, job_id: bytes, seconds: float) -> _Submission:
-        held = _Submission(job_id, self._time.now() + seconds)
+        number = next(self._numbers)
+        held = _Submission(job_id, self._time.now() + seconds, number=number)
         self._submission_by_job[job_id] = held
+        self._touched.add(job_id)
+        return held
+
+    def _find(self, job_id: bytes) -> _Submission | None:
+        """Return a job that may be changed now; the next tick looks at it."""
+        held = self._submission_by_job.get(job_id)
+        if held is not None:
+            self._touched.add(job_id)
         return held
 
+    def _find_all(self) -> list[_Submission]:
+        """Return every job; the next tick looks at all of them."""
+        self._touched.update(self._submission_by_job)
+        return list(self._submission_by_job.values())
+
+    def _await(self, held: _Submission, ticket: int) -> None:
+        """Note a caller that waits for a job."""
+        held.tickets.add(ticket)
+        self._job_by_ticket[ticket] = held.job
+
     def _set_request(self, held: _Submission, request: job.JobRequest) -> None:
         held.request = request
         self.bytes += request.size
@@ -100,12 +134,15 @@
         if self._submission_by_job.get(held.job) is not held:
             return
         del self._submission_by_job[held.job]
+        self._confirming.discard(held.job)
+        self._to_confirm.pop(held.job, None)
         if held.request is not None:
             self.bytes -= held.request.size
             self._limits.queued(held.request, -held.request.size)
             self._limits.in_progress(held.request, 0)
         epoch = held.leader.terms.epoch if held.leader else 0
         if held.leader is not None:
+            self._dispatcher.drop(held.leader)
             yield from held.leader.settle()
         if isinstance(result, outcome.Complete | outcome.Failed) and held.leader:
             request = held.leader.request
@@ -121,6 +158,7 @@
             )
         self._counters.count(_COUNTER_BY_CLASS.get(type(result), "jobs.refused"))
         for ticket in sorted(held.tickets):
+            del self._job_by_ticket[ticket]
             yield effects.Answer(ticket, result)
         for name in sorted(held.attached):
             yield effects.Send(name, outcome_message(held.job, epoch, result))
--- a/src/burdockgate/request/claimant.py
+++ b/src/burdockgate/request/claimant.py
@@ -148,6 +148,11 @@
         if self.result is None:
             yield from self.begin(view)
 
+    @property
+    def due_at(self) -> float:
+        """Time at which :meth:`tick` asks again."""
+        return self._retry_at
+
     def hurry(self) -> None:
         """Ask again at the next tick, because a member has just connected."""
         self._retry_at = self._time.now()
--- a/src/burdockgate/request/leader.py
+++ b/src/burdockgate/request/leader.py
@@ -83,6 +83,8 @@
         self._agent_by_name: dict[str, _Agent] = {}
         self._has_started = had_attempt
         self._in_doubt = False
+        self._recovering = 0
+        self._sent = 0
 
     def extend(self, terms: claimant.Terms) -> None:
         """Replace the terms by ones with a longer scope.
@@ -97,16 +99,16 @@
     @property
     def waiting_count(self) -> int:
         """Number of tasks that may be sent now."""
-        return 0 if self.outcome or self._is_recovering else len(self._waiting)
+        return 0 if self.outcome or self._recovering else len(self._waiting)
 
     @property
     def next_task(self) -> job.TaskSpec:
         """The task that :meth:`take` would send."""
         return self.request.tasks[self._waiting[0]]
 
-    @property
-    def _is_recovering(self) -> bool:
-        return any(agent.is_recovering for agent in self._agent_by_name.values())
+    def _set_recovering(self, agent: _Agent, is_recovering: bool) -> None:
+        self._recovering += is_recovering - agent.is_recovering
+        agent.is_recovering = is_recovering
 
     def allows(self, node: messages.Node) -> bool:
         """Return whether a task may be sent to an agent now.
@@ -136,6 +138,7 @@
         self._send_by_index[index] += 1
         agent = self._agent(node)
         agent.sent[index] = self._send_by_index[index]
+        self._sent += 1
         if self.first_sent_at is None:
             self.first_sent_at = self._time.now()
         return messages.TaskStart(
@@ -190,7 +193,7 @@
                 # Of two incarnations of one agent, at least one is gone.
                 self._in_doubt = True
                 continue
-            agent.is_recovering = True
+            self._set_recovering(agent, True)
             agent.lost_at = self._time.now()
             yield from self._fence(agent)
 
@@ -275,17 +278,19 @@
     def _end_fence(self, agent: _Agent) -> _Effects:
         """Queue again what the agent never received and now never will start."""
         agent.is_fencing = False
-        agent.is_recovering = False
+        self._set_recovering(agent, False)
         agent.lost_at = None
         for index in [index for index in agent.sent if index not in agent.seen]:
             del agent.sent[index]
+            self._sent -= 1
             self._requeue(index)
         yield from self._check_doubt()
 
     def _give_up(self, agent: _Agent) -> _Effects:
         """Handle the loss of an agent for good."""
         was_recovering = agent.is_recovering
-        agent.is_fencing = agent.is_recovering = False
+        agent.is_fencing = False
+        self._set_recovering(agent, False)
         if agent.sent:
             yield from self.fail(
                 codes.Code.WORKER_LOST,
@@ -297,7 +302,7 @@
 
     def _check_doubt(self) -> _Effects:
         """Fail when all agents have been heard and a task is unaccounted for."""
-        if self._in_doubt and not self._is_recovering and self._waiting:
+        if self._in_doubt and not self._recovering and self._waiting:
             yield from self.fail(
                 codes.Code.OWNER_LOST,
                 f"{len(self._waiting)} tasks may have started on a lost worker",
@@ -346,6 +351,7 @@
         self._waiting.remove(index)
         self._send_by_index[index] = max(self._send_by_index[index], report.send)
         agent.sent[index] = report.send
+        self._sent += 1
         yield from self._settle_task(agent, report)
 
     def _settle_task(self, agent: _Agent, report: messages.TaskReport) -> _Effects:
@@ -354,6 +360,7 @@
             self._has_started = True
             return
         del agent.sent[index]
+        self._sent -= 1
         if state is messages.TaskState.RETURNED:
             self._requeue(index)
             self.returned.append(self.request.tasks[index])
@@ -377,6 +384,16 @@
 
     # Ends
 
+    @property
+    def due_at(self) -> float:
+        """Time at which :meth:`tick` has something to do, if nothing changes."""
+        lost = [
+            agent.lost_at + self._lost_worker_s
+            for agent in self._agent_by_name.values()
+            if agent.lost_at is not None
+        ]
+        return min([self.deadline_at, *lost])
+
     def tick(self) -> _Effects:
         """Fail the job when its deadline or that of a lost agent has passed."""
         now = self._time.now()
@@ -401,7 +418,7 @@
     @property
     def sent_count(self) -> int:
         """Number of tasks sent and not known to have ended."""
-        return sum(len(agent.sent) for agent in self._agent_by_name.values())
+        return self._sent
 
     def check_queue(self, queue_s: float) -> _Effects:
         """Fail the job when no task was sent within the queue time.
@@ -427,9 +444,8 @@
     def _fail_by_start(
         self, not_run: codes.Code, may_have_run: codes.Code, detail: str
     ) -> _Effects:
-        is_known = not (self._has_started or self._is_recovering or self._in_doubt)
-        is_sent = any(agent.sent for agent in self._agent_by_name.values())
-        code = not_run if is_known and not is_sent else may_have_run
+        is_known = not (self._has_started or self._recovering or self._in_doubt)
+        code = not_run if is_known and not self._sent else may_have_run
         yield from self.fail(code, detail)
 
     def fail(self, code: codes.Code, detail: str) -> _Effects:
--- a/src/burdockgate/request/submission.py
+++ b/src/burdockgate/request/submission.py
@@ -29,6 +29,8 @@
     :param retry_at: when to claim again after another claimant failed.
     :param cancels: whether the callers want the job cancelled.
     :param had_attempt: whether an earlier attempt may have run.
+    :param number: its place in the order in which the jobs came.
+    :param scheduled_at: when it is looked at next, if nothing changes.
     """
 
     job: bytes
@@ -48,3 +50,5 @@
     retry_at: float | None = None
     cancels: bool = False
     had_attempt: bool = False
+    number: int = 0
+    scheduled_at: float | None = None
--- a/src/burdockgate/standin/probes.py
+++ b/src/burdockgate/standin/probes.py
@@ -12,7 +12,7 @@
 
 from burdockgate import clock, codes, messages, wire
 from burdockgate.process import agent, entry
-from burdockgate.standin import calls, meter
+from burdockgate.standin import calls, meter, starts
 from burdockgate.version import table, view
 
 US_PER_S = 1_000_000
@@ -102,6 +102,40 @@
     }
 
 
+def many_workers(count: int, seed: int) -> Values:
+    """Run jobs of 20 tasks at an entry host with many workers, 64 of them voters."""
+    bench = starts.Bench(count, 20, seed, voters=64)
+    bench.run(200, in_progress=10)
+    per_s = bench.run(1000, in_progress=10)
+    return {
+        "entry host µs a start, free workers": US_PER_S / per_s,
+        "entry host messages a start, free workers": bench.messages / bench.started,
+    }
+
+
+def many_jobs(count: int, seed: int) -> Values:
+    """Tick an entry host, and let callers leave, while many jobs wait."""
+    system = meter.System(3, seed)
+    for ticket in range(count):
+        system.submit(ticket, 1)
+    system.run(0.2)
+    process = system.entry
+    core = _entry_core(process)
+    process.cost = meter.Cost()
+    for _ in range(20):
+        process.run(core.tick)
+    per_tick, process.cost = process.cost.cpu_s / 20, meter.Cost()
+    begin = time.process_time()
+    for ticket in range(count - 50, count):
+        core.jobs.forget(ticket)
+    return {
+        "entry host µs a tick, waiting jobs of 1": per_tick * US_PER_S,
+        "entry host µs a caller that leaves": (time.process_time() - begin)
+        / 50
+        * US_PER_S,
+    }
+
+
 def _entry_core(process: meter.Process) -> entry.EntryCore:
     assert isinstance(process.core, entry.EntryCore)
     return process.core
@@ -351,6 +385,8 @@
     Probe("tasks of a job", (20, 80, 280), jobs),
     Probe("agents connected", (11, 64, 256), workers),
     Probe("jobs of 20 tasks waiting", (10, 50, 250), backlog),
+    Probe("workers", (100, 1000, 10_000), many_workers),
+    Probe("jobs waiting", (100, 1000, 10_000), many_jobs),
     Probe("agents connected", (16, 64, 256), entry_rest),
     Probe("other entry hosts connected", (1, 4, 16), peer_rest),
     Probe("entry hosts connected", (1, 4, 16), agent_rest),
--- a/src/burdockgate/standin/starts.py
+++ b/src/burdockgate/standin/starts.py
@@ -72,14 +72,18 @@
     :param agents: number of agents.
     :param tasks: tasks of each job.
     :param seed: seed of all random choices.
+    :param voters: number of agents that are in the view; ``None`` for all.
     """
 
-    def __init__(self, agents: int, tasks: int, seed: int) -> None:
+    def __init__(
+        self, agents: int, tasks: int, seed: int, voters: int | None = None
+    ) -> None:
         self.processor_s = 0.0
         self.started = 0
         self.complete = 0
         self.messages = 0
         self._tasks = tasks
+        self._voters = voters
         self._rng = random.Random(seed)
         self._time = clock.ManualClock(100.0)
         self._agent_by_name = {
@@ -105,7 +109,8 @@
         for index, agent in enumerate(self._agent_by_name.values()):
             hello = _hello(agent.node, index)
             value = view.voter_record(hello)
-            records.append(messages.LogRecord(index, str(index), value))
+            if self._voters is None or index < self._voters:
+                records.append(messages.LogRecord(index, str(index), value))
             self._perform(self._core.connected(hello))
         count = len(records)
         self._perform(
@@ -115,14 +120,17 @@
             load = messages.Load(SLOTS, 0, 0, draining=False)
             self._perform(self._core.receive(name, load))
 
-    def run(self, starts: int) -> float:
+    def run(self, starts: int, in_progress: int | None = None) -> float:
         """Run until so many tasks have started and return starts per second.
 
         :param starts: number of starts.
+        :param in_progress: number of jobs in progress; ``None`` for as many as keep
+            all slots busy and some tasks waiting.
         """
         self.processor_s, self.started, self.messages = 0.0, 0, 0
         slots = SLOTS * len(self._agent_by_name)
-        in_progress = max(2, -(-slots * PROGRESS_PER_SLOT // self._tasks))
+        if in_progress is None:
+            in_progress = max(2, -(-slots * PROGRESS_PER_SLOT // self._tasks))
         while self.started < starts:
             while len(self._core.jobs) < in_progress:
                 self._submit()
--- /dev/null
+++ b/src/burdockgate/standin/wave.py
@@ -0,0 +1,166 @@
+"""Measures a wave of cancellations at one entry host: ``python -m`` this module.
+
+A whole system runs in this process, with real connections between its nodes. The
+callers' HTTP side is left out: submissions and cancels are calls of the daemon.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import collections
+import gc
+import io
+import json
+import random
+import time
+
+import xxhash
+
+from burdockgate import codes, messages
+from burdockgate.process import logs
+from burdockgate.request import job, outcome
+from burdockgate.standin import local
+
+TASKS = 2
+RUN_MS = 60_000
+POLL_S = 0.001
+PORTION = 200
+
+
+def main() -> None:
+    """Run one wave and print its figures as JSON."""
+    parser = argparse.ArgumentParser(description=main.__doc__)
+    parser.add_argument("--jobs", type=int, default=10_000)
+    parser.add_argument("--seed", type=int, default=1)
+    args = parser.parse_args()
+    # The lines about connections would hide the figures.
+    logs.configure(io.StringIO())
+    print(json.dumps(asyncio.run(measure(args.jobs, args.seed))))
+
+
+async def measure(jobs: int, seed: int) -> dict[str, object]:
+    """Submit jobs that wait or run for long, cancel all at once, and return figures.
+
+    :param jobs: number of jobs.
+    :param seed: seed of the system's random choices.
+    """
+    system = local.Local(local.LocalSettings(entries=1, agents=11, seed=seed))
+    await system.start()
+    try:
+        return await _Wave(system, jobs, seed).run()
+    finally:
+        await system.stop()
+
+
+def _resident_mb() -> float:
+    with open("/proc/self/status") as status:
+        line = next(line for line in status if line.startswith("VmRSS:"))
+    return int(line.split()[1]) / 1024
+
+
+class _Wave:
+    def __init__(self, system: local.Local, jobs: int, seed: int) -> None:
+        self._system = system
+        self._entry = system.entries[0]
+        self._keys = [f"wave-{seed}-{number}" for number in range(jobs)]
+        self._random = random.Random(seed)
+        self._sent: collections.Counter[str] = collections.Counter()
+        self._late: list[float] = []
+
+    async def run(self) -> dict[str, object]:
+        gc.collect()
+        before_mb = _resident_mb()
+        submitted: list[asyncio.Task[outcome.Outcome]] = []
+        # The wave under test is that of the cancels, so the jobs come in portions.
+        for first in range(0, len(self._keys), PORTION):
+            portion = self._keys[first : first + PORTION]
+            submitted += [asyncio.create_task(self._submit(key)) for key in portion]
+            while self._led() < len(submitted):
+                await asyncio.sleep(0.01)
+        slots = self._system.config.agents * self._system.config.slots
+        while self._system.starts < slots:
+            await asyncio.sleep(0.01)
+        full_mb, running = _resident_mb(), self._system.starts
+        self._count_messages()
+        watch = asyncio.create_task(self._watch())
+        await asyncio.sleep(0.2)
+        self._late.clear()
+        self._sent.clear()
+        begin, cpu = time.monotonic(), time.process_time()
+        cancels = [asyncio.create_task(self._cancel(key)) for key in self._keys]
+        ended = await asyncio.gather(*cancels)
+        last_s, cpu_s = time.monotonic() - begin, time.process_time() - cpu
+        results = await asyncio.gather(*submitted)
+        await asyncio.sleep(0.5)
+        watch.cancel()
+        done = collections.Counter(result.code.name for result in results)
+        del submitted, cancels, results
+        gc.collect()
+        tasks = len(self._keys) * TASKS
+        return {
+            "jobs": len(self._keys),
+            "tasks": tasks,
+            "started": running,
+            "stopped_at_backend": sum(item.stopped for item in self._system.servers),
+            "slots_taken": sum(item.core.slots.running for item in self._system.agents),
+            "cancel_codes": collections.Counter(
+                codes.Code(result.code).name for _, result in ended
+            ),
+            "submit_codes": done,
+            "last_outcome_s": round(last_s, 3),
+            "outcome_p50_s": round(sorted(s for s, _ in ended)[len(ended) // 2], 3),
+            "cpu_s": round(cpu_s, 3),
+            "longest_stall_s": round(max(self._late), 3),
+            "sent_by_kind": dict(self._sent),
+            "messages_per_task": round(sum(self._sent.values()) / tasks, 3),
+            "rss_mb": [round(mb, 1) for mb in (before_mb, full_mb, _resident_mb())],
+            "jobs_held": len(self._entry.core.jobs),
+            "backlog_tasks": self._entry.core.backlog_tasks,
+        }
+
+    def _led(self) -> int:
+        return int(self._entry.counters.snapshot()["jobs.owned"])
+
+    async def _submit(self, key: str) -> outcome.Outcome:
+        payload = json.dumps({"sleep_ms": RUN_MS}).encode()
+        specs = tuple(job.TaskSpec(payload, float(RUN_MS)) for _ in range(TASKS))
+        request = job.JobRequest(
+            guest="wave",
+            key=key,
+            service=self._system.config.service,
+            caller_class="default",
+            repeatable=True,
+            deadline_ms=300_000,
+            tasks=specs,
+            job=job.job_id("wave", key),
+            digest=xxhash.xxh3_128_digest(key.encode()),
+            size=TASKS * len(payload),
+        )
+        return await self._entry.submit(request, wait=True)
+
+    async def _cancel(self, key: str) -> tuple[float, outcome.Outcome]:
+        begin = time.monotonic()
+        result = await self._entry.cancel("wave", key)
+        return time.monotonic() - begin, result
+
+    def _count_messages(self) -> None:
+        """Count what the entry host sends to the workers, by type."""
+        send = self._entry.network.send
+
+        def counted(name: str, message: messages.Message) -> bool:
+            self._sent[type(message).__name__] += 1
+            return send(name, message)
+
+        self._entry.network.send = counted  # type: ignore[method-assign]
+
+    async def _watch(self) -> None:
+        """Note how much later than asked the loop came back."""
+        while True:
+            begin = time.monotonic()
+            await asyncio.sleep(POLL_S)
+            self._late.append(time.monotonic() - begin - POLL_S)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -136,3 +136,41 @@
     workers.report("a1", 1, 1)
     run(dispatcher)
     assert (batch.waiting_count, web.waiting_count) == (3, 4)
+
+
+def test_worker_that_was_lapsed_or_draining_is_used_again(workers, dispatcher):
+    """A worker left out of the index of free ones for good would lose its slots."""
+    join(workers, "a1", 2)
+    dispatcher.add(builders.make_leader(builders.request(tasks=2)), 1.0)
+    workers._time.advance(2.6)
+    assert starts(run(dispatcher)) == {}
+    workers.drain("a1", active=True)
+    workers.hear("a1")
+    assert starts(run(dispatcher)) == {}
+    workers.drain("a1", active=False)
+    assert starts(run(dispatcher)) == {"a1": [0, 1]}
+
+
+def test_small_job_behind_many_that_fit_nowhere(workers, dispatcher):
+    """A bounded round that always saw the same jobs would hold up all others."""
+    join(workers, "a1", 1)
+    for number in range(200):
+        large = builders.request(f"k{number}", 1, cores=100.0)
+        dispatcher.add(builders.make_leader(made=large), 1.0)
+    dispatcher.add(builders.make_leader(builders.request("small", 50)), 1.0)
+    found = [starts(run(dispatcher)) for _ in range(4)]
+    assert found == [{}, {}, {}, {"a1": [0]}]
+
+
+def test_demand_goes_to_the_scope_of_the_next_job(workers, dispatcher):
+    """Telling every one of 10,000 workers costs a message for each of them."""
+    for number in range(1000):
+        join(workers, f"a{number}", 0)
+    scope = [f"a{number}" for number in range(500, 564)]
+    dispatcher.add(builders.make_leader(scope=scope), 1.0)
+    assert {each.to for each in run(dispatcher)} == set(scope)
+    assert run(dispatcher) == []
+    workers.offer("a500", 1, 0)
+    workers.report("a500", 0, 0)
+    workers.offer("a500", 0, 0)
+    assert [each.to for each in run(dispatcher)] == ["a500"]
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -45,3 +45,13 @@
     """The policy is the baseline of comparisons, so it must be exact."""
     many = workers(1, 3, 3, 2)
     assert placement.LeastLoaded().choose(many) is many[1]
+
+
+def test_draw_finds_the_only_worker_of_many():
+    """A draw that gave up would leave the last free slot of a service unused."""
+    many = workers(*[1] * 1000)
+    policy = placement.TwoChoices(random.Random(1))
+    assert policy.pick(1000, lambda n: many[n] if n == 777 else None) is many[777]
+    assert policy.pick(1000, lambda _: None) is None
+    drawn = {policy.pick(1000, many.__getitem__).name for _ in range(300)}
+    assert len(drawn) > 200
