--- a/src/burdockgate/standin/backend.py
+++ b/src/burdockgate/standin/backend.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import math
 import urllib.parse
@@ -85,6 +86,8 @@
     :param record: file to which each start is added as one line; starts in it
         outlive a process that is killed. ``None`` for none.
     :raises errors.SettingsError: when the file cannot be opened.
+
+    ``stopped`` counts the tasks whose caller closed the connection during their run.
     """
 
     def __init__(
@@ -99,6 +102,7 @@
         self.name = name
         self._record = None if record is None else _open(record)
         self.starts: list[Start] = []
+        self.stopped = 0
         self.faults = Faults()
         self._clock = clock
         self._tail = b',"server":' + json.dumps(name).encode()
@@ -133,7 +137,10 @@
             await _wait_for_disconnect(receive)
             return
         if controls.sleep_ms:
-            await asyncio.sleep(controls.sleep_ms * self.faults.slow_factor / 1000)
+            seconds = controls.sleep_ms * self.faults.slow_factor / 1000
+            if await _is_cut(scope["state"]["lost"], seconds):
+                self.stopped += 1
+                return
         if controls.fail or self.faults.fail_all:
             await _answer(send, 500, b"the task failed as asked", b"text/plain")
             return
@@ -170,14 +177,32 @@
 
 
 class _Protocol(h11_impl.H11Protocol):
-    """Gives the application the transport, which ``cut`` closes.
+    """Gives the application the transport, which ``cut`` closes, and its loss.
 
-    ASGI itself has no way to close a connection without an answer.
+    ASGI itself has no way to close a connection without an answer, and a task that
+    waits for the event of a disconnect would cost more than the run itself.
     """
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         super().connection_made(transport)
-        self.app_state = {**self.app_state, "transport": transport}
+        self._lost = asyncio.Event()
+        self.app_state = {
+            **self.app_state,
+            "transport": transport,
+            "lost": self._lost,
+        }
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._lost.set()
+        super().connection_lost(exc)
+
+
+async def _is_cut(lost: asyncio.Event, seconds: float) -> bool:
+    """Wait for a run time, and return whether the caller has gone before its end."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(seconds):
+            await lost.wait()
+    return lost.is_set()
 
 
 async def _read_body(receive: _Receive) -> bytes:
