Measure slow, silent and poisoned work and a bad rack

The scenario bad-worker covered one backend server that fails every task. bad-worker-slow (ten times slower), bad-worker-silent (accepts and never answers), bad-rack (three servers fail) and poisoned-job (every task of one job in ten fails everywhere) are the other cases that the set-aside of bad workers is measured with. Arrivals of the existing scenarios are unchanged.

--- a/src/burdockgate/standin/arrivals.py
+++ b/src/burdockgate/standin/arrivals.py
@@ -41,6 +41,7 @@
     :param at: planned time of the arrival, in seconds after the start of the run.
     :param entry: index of the entry host.
     :param cancel_at: when the caller cancels, in seconds after the start.
+    :param is_poisoned: whether each task fails on every backend server.
     """
 
     at: float
@@ -51,6 +52,7 @@
     tasks: tuple[Task, ...]
     deadline_ms: int = DEADLINE_MS
     cancel_at: float | None = None
+    is_poisoned: bool = False
 
     @property
     def id(self) -> bytes:
@@ -64,7 +66,10 @@
 
     def payloads(self) -> tuple[bytes, ...]:
         """Return the JSON text of each task's payload."""
-        return tuple(b'{"sleep_ms":%.3f}' % task.run_ms for task in self.tasks)
+        fail = b',"fail":true' if self.is_poisoned else b""
+        return tuple(
+            b'{"sleep_ms":%.3f%b}' % (task.run_ms, fail) for task in self.tasks
+        )
 
     def body(self, service: str) -> bytes:
         """Return the JSON body of the submission.
--- a/src/burdockgate/standin/measurement.py
+++ b/src/burdockgate/standin/measurement.py
@@ -40,8 +40,8 @@
 def show_list() -> None:
     """Print the name and the text of each scenario."""
     for scenario in scenarios.SCENARIO_BY_NAME.values():
-        print(f"{scenario.name:12s} {scenario.text}")
-    print(f"{STARTS:12s} {STARTS_TEXT}")
+        print(f"{scenario.name:17s} {scenario.text}")
+    print(f"{STARTS:17s} {STARTS_TEXT}")
 
 
 def run(request: Request) -> int:
--- a/src/burdockgate/standin/scenarios.py
+++ b/src/burdockgate/standin/scenarios.py
@@ -18,6 +18,10 @@
 STRAGGLER_SHARE = 0.1
 WAVE_JOBS_PER_SLOT = 2
 WAVE_PATIENCE_S = 0.5
+POISONED_SHARE = 0.1
+# Jobs with a task on a silent server end with their deadline, within the time for
+# which the load tool waits for answers.
+SILENT_DEADLINE_MS = 20_000
 
 
 class Fault(enum.Enum):
@@ -25,6 +29,9 @@
 
     NONE = "none"
     BAD_WORKER = "bad worker"
+    SLOW_WORKER = "slow worker"
+    SILENT_WORKER = "silent worker"
+    BAD_RACK = "bad rack"
     DRAIN = "drain"
     LOG_DOWN = "log down"
 
@@ -36,6 +43,7 @@
     :param fault_from: begin of the fault as a share of the seconds of the run.
     :param fault_to: its end in the same way.
     :param expects_failures: whether failed jobs belong to the run.
+    :param poisoned_share: share of the jobs of which every task fails everywhere.
     """
 
     name: str
@@ -47,6 +55,8 @@
     is_crest: bool = False
     has_wave: bool = False
     straggler_share: float = 0.0
+    poisoned_share: float = 0.0
+    deadline_ms: int = arrivals.DEADLINE_MS
 
     def phases(self, seconds: float) -> tuple[arrivals.Phase, ...]:
         """Return the rates of arrivals over time.
@@ -94,7 +104,15 @@
         :param seconds: length of the run.
         :param seed: seed of all random choices.
         """
-        jobs = arrivals.plan(shape, seed)
+        poison = random.Random(f"poison {seed}")
+        jobs = [
+            attrs.evolve(
+                job,
+                deadline_ms=self.deadline_ms,
+                is_poisoned=poison.random() < self.poisoned_share,
+            )
+            for job in arrivals.plan(shape, seed)
+        ]
         if not self.has_wave:
             return jobs
         rng = random.Random(f"wave {seed}")
@@ -129,6 +147,30 @@
             fault=Fault.BAD_WORKER,
             expects_failures=True,
         ),
+        Scenario(
+            "bad-worker-slow",
+            "70% load while one backend server takes ten times as long",
+            fault=Fault.SLOW_WORKER,
+        ),
+        Scenario(
+            "bad-worker-silent",
+            "70% load while one backend server accepts tasks and never answers",
+            fault=Fault.SILENT_WORKER,
+            expects_failures=True,
+            deadline_ms=SILENT_DEADLINE_MS,
+        ),
+        Scenario(
+            "bad-rack",
+            "70% load while the backend servers of one rack fail every task",
+            fault=Fault.BAD_RACK,
+            expects_failures=True,
+        ),
+        Scenario(
+            "poisoned-job",
+            "70% load in which every task of one job in ten fails on every server",
+            poisoned_share=POISONED_SHARE,
+            expects_failures=True,
+        ),
         Scenario(
             "cancel-wave",
             "70% load and many jobs that are cancelled at once",
--- a/src/burdockgate/standin/targets.py
+++ b/src/burdockgate/standin/targets.py
@@ -14,6 +14,7 @@
 
 DATA_CENTRES_BY_DEPLOYMENT = {"a": 4, "b": 3}
 NODES_PER_RACK = 3
+SLOW_FACTOR = 10.0
 
 
 @attrs.frozen
@@ -146,12 +147,24 @@
         """
         match fault:
             case scenarios.Fault.BAD_WORKER:
-                self.system.servers[0].faults = backend.Faults(fail_all=is_on)
+                self._set_faults(1, backend.Faults(fail_all=is_on))
+            case scenarios.Fault.SLOW_WORKER:
+                factor = SLOW_FACTOR if is_on else 1.0
+                self._set_faults(1, backend.Faults(slow_factor=factor))
+            case scenarios.Fault.SILENT_WORKER:
+                self._set_faults(1, backend.Faults(hang_all=is_on))
+            case scenarios.Fault.BAD_RACK:
+                self._set_faults(NODES_PER_RACK, backend.Faults(fail_all=is_on))
             case scenarios.Fault.LOG_DOWN:
                 self.system.log.store.set_faults(log.Faults(down=is_on))
             case scenarios.Fault.DRAIN:
                 await self.drain(is_on)
 
+    def _set_faults(self, count: int, faults: backend.Faults) -> None:
+        """Set the faults of the first backend servers; a rack holds the first three."""
+        for server in self.system.servers[:count]:
+            server.faults = faults
+
     def counts(self) -> Counts:
         """Return the totals so far."""
         agent_bytes = sum(
