Eject workers that fail, are slow or never answer

Cause: a worker that fails every task ends each one early, looks idle and attracts work.

Change: process.health judges workers by outcomes per worker against those of the service and class, with each job counted once, and withholds new tasks from bad ones through the directory's free slots. Ejections grow, are capped to a share of the service's workers, and end in a probation with one task at a time. A job that fails on a second trusted worker counts against none. No task is moved: what was sent stays where it is.

--- a/src/burdockgate/cli/render.py
+++ b/src/burdockgate/cli/render.py
@@ -29,7 +29,9 @@
     "table": "table_version",
     "draining": "draining",
     "lapsed": "lapsed",
-    "failures": "failures",
+    "health": "health",
+    "reason": "health_reason",
+    "ejected s": "ejected_s",
     "age s": "age_s",
 }
 _HISTOGRAM_COLUMNS = {
--- a/src/burdockgate/process/directory.py
+++ b/src/burdockgate/process/directory.py
@@ -7,12 +7,14 @@
 import attrs
 
 from burdockgate import clock, messages
+from burdockgate.process import health as healths
 
 
 @attrs.define
 class Worker:
     """A worker as its agent has announced it.
 
+    :param record: what is known of its outcomes.
     :param reported_free: free slots in the agent's last report.
     :param sent: tasks sent in this session.
     :param received: tasks that the last report counts as received.
@@ -30,6 +32,7 @@
     draining: bool = False
     demanded: int = 0
     table_version: int = 0
+    record: healths.Record = attrs.field(factory=lambda: healths.Record("", "", 0))
 
     @property
     def name(self) -> str:
@@ -42,10 +45,15 @@
         return self.hello.node
 
     @property
-    def free(self) -> int:
+    def unused(self) -> int:
         """Free slots: those reported, less the tasks sent since that report."""
         return self.reported_free - (self.sent - self.received)
 
+    @property
+    def free(self) -> int:
+        """Free slots that may be used: none while ejected, few on probation."""
+        return min(self.unused, self.record.allowance)
+
     def fits(self, cores: float, memory_mb: int, accelerators: int) -> bool:
         """Return whether the worker has what one task asks for.
 
@@ -65,11 +73,18 @@
 
     :param time: the clock.
     :param lease_s: a worker not heard of for this long gets no task.
+    :param health: judges the workers; ``None`` for no judgement.
     """
 
-    def __init__(self, time: clock.Clock, lease_s: float) -> None:
+    def __init__(
+        self,
+        time: clock.Clock,
+        lease_s: float,
+        health: healths.Health | None = None,
+    ) -> None:
         self._time = time
         self._lease_s = lease_s
+        self.health = health
         self.worker_by_name: dict[str, Worker] = {}
 
     def join(self, hello: messages.Hello) -> None:
@@ -77,9 +92,10 @@
 
         :param hello: the announcement of its agent.
         """
-        self.worker_by_name[hello.node.name] = Worker(
-            hello, self._time.now(), draining=hello.draining
-        )
+        worker = Worker(hello, self._time.now(), draining=hello.draining)
+        if self.health is not None:
+            worker.record = self.health.join(hello)
+        self.worker_by_name[hello.node.name] = worker
 
     def leave(self, name: str) -> None:
         """Remove a worker.
@@ -87,6 +103,8 @@
         :param name: name of its agent; an unknown one is ignored.
         """
         self.worker_by_name.pop(name, None)
+        if self.health is not None:
+            self.health.leave(name)
 
     def hear(self, name: str) -> None:
         """Renew the lease of a worker.
@@ -106,6 +124,8 @@
         """
         worker = self.worker_by_name.get(name)
         if worker is not None:
+            if self.health is not None and free > worker.reported_free:
+                self.health.freed(worker.record)
             worker.reported_free, worker.received = free, received
 
     def offer(self, name: str, free: int, received: int) -> None:
--- a/src/burdockgate/process/dispatch.py
+++ b/src/burdockgate/process/dispatch.py
@@ -8,7 +8,7 @@
 import attrs
 
 from burdockgate import effects, messages
-from burdockgate.process import backlog, directory, limits, metrics, placement
+from burdockgate.process import backlog, directory, health, limits, metrics, placement
 from burdockgate.request import job as jobs
 from burdockgate.request import leader as leaders
 
@@ -27,10 +27,11 @@
         tuple[leaders.Leader, messages.Node, list[messages.TaskStart]],
     ] = attrs.field(factory=dict)
 
-    def add(self, leader: leaders.Leader, node: messages.Node) -> None:
+    def add(self, leader: leaders.Leader, node: messages.Node) -> int:
         key = (node.name, leader.request.job)
         _, _, tasks = self.tasks_by_pair.setdefault(key, (leader, node, []))
         tasks.append(leader.take(node))
+        return tasks[-1].index
 
     def sends(self) -> _Effects:
         for leader, node, tasks in self.tasks_by_pair.values():
@@ -141,9 +142,14 @@
         ]
         if not candidates:
             return False
-        worker = self._policy.choose(candidates)
-        batches.add(leader, worker.node)
+        worker = _on_probation(candidates) or self._policy.choose(candidates)
+        index = batches.add(leader, worker.node)
         worker.sent += 1
+        if self._workers.health is not None:
+            request = leader.request
+            self._workers.health.sent(
+                worker.record, request.caller_class, request.job, index
+            )
         if self._limits is not None:
             self._limits.started(leader.request)
         queue.charge(leader, _work(task))
@@ -171,6 +177,12 @@
                 yield effects.Send(worker.name, messages.Demand(waiting, weight))
 
 
+def _on_probation(candidates: list[directory.Worker]) -> directory.Worker | None:
+    """Return a worker that must prove itself; policies would seldom choose it."""
+    state = health.State.PROBATION
+    return next((each for each in candidates if each.record.state is state), None)
+
+
 def _work(task: jobs.TaskSpec) -> float:
     return task.expected_ms or UNDECLARED_WORK_MS
 
--- a/src/burdockgate/process/entry.py
+++ b/src/burdockgate/process/entry.py
@@ -10,6 +10,7 @@
 from burdockgate.process import (
     directory,
     dispatch,
+    health,
     jobs,
     limits,
     metrics,
@@ -51,7 +52,8 @@
         self.node = node
         self.draining = False
         self.rows = rows.Rows()
-        self.workers = directory.Directory(time, config.timing.lease_s)
+        self.health = health.Health(config.health, time, counters)
+        self.workers = directory.Directory(time, config.timing.lease_s, self.health)
         self._config = config
         self._time = time
         self._counters = counters
@@ -271,6 +273,7 @@
 
     def _on_results(self, name: str, message: messages.Results) -> _Effects:
         self.workers.report(name, message.free, message.received)
+        self.health.results(message)
         yield from self.jobs.results(name, message)
 
     def _on_leave(self, name: str, _message: messages.Leave) -> _Effects:
@@ -363,6 +366,7 @@
 
     def tick(self) -> _Effects:
         """Do what is due; call at least ten times a second."""
+        self.health.tick()
         yield from self.jobs.tick()
         yield from self._dispatch()
         now = self._time.now()
--- a/src/burdockgate/process/entryhost.py
+++ b/src/burdockgate/process/entryhost.py
@@ -10,7 +10,7 @@
 import attrs
 
 from burdockgate import effects, messages, settings
-from burdockgate.process import daemon, entry, histograms, placement, web
+from burdockgate.process import daemon, entry, health, histograms, placement, web
 from burdockgate.request import job, outcome
 from burdockgate.version import table
 from burdockgate.version import view as views
@@ -138,7 +138,19 @@
 
     def tick(self) -> Iterator[effects.Effect]:
         """Yield what the core finds due."""
-        return self.core.tick()
+        yield from self.core.tick()
+        self._log_health()
+
+    def _log_health(self) -> None:
+        while self.core.health.changes:
+            change = self.core.health.changes.popleft()
+            facts = {"worker": change.worker, "reason": change.reason.value}
+            if change.state is health.State.EJECTED:
+                self.log.warning("worker ejected", **facts, seconds=change.seconds)
+            elif change.state is health.State.PROBATION:
+                self.log.info("worker on probation", **facts)
+            else:
+                self.log.info("worker readmitted", **facts)
 
     def beat(self) -> Iterator[effects.Effect]:
         """Yield the core's heartbeats."""
@@ -274,10 +286,24 @@
             "rack": worker.hello.rack,
             "service": worker.hello.service,
             "slots": worker.hello.slots,
-            "free": worker.free,
+            "free": worker.unused,
             "running": worker.running,
             "draining": worker.draining,
+            **self._health_status(worker.record),
             "table_version": worker.table_version,
             "lapsed": self.core.workers.has_lapsed(worker),
             "age_s": round(self.time.now() - worker.heard_at, 3),
         }
+
+    def _health_status(self, record: health.Record) -> dict[str, object]:
+        """Return the state of a worker; ``suspect`` is one in use at the cap."""
+        state = record.state.value
+        if record.state is health.State.HEALTHY and self.core.health.is_suspect(record):
+            state = "suspect"
+        is_ejected = record.state is health.State.EJECTED
+        left_s = record.until - self.time.now() if is_ejected else 0.0
+        return {
+            "health": state,
+            "health_reason": "" if state == "healthy" else record.reason.value,
+            "ejected_s": round(max(0.0, left_s), 1) if is_ejected else None,
+        }
--- a/src/burdockgate/settings.py
+++ b/src/burdockgate/settings.py
@@ -26,6 +26,7 @@
     ("limits", "body_bytes", 1, "backlog_bytes"),
     # Each running task holds one connection.
     ("backend_server", "slots", 1, "connections"),
+    ("health", "ejection_s", 1, "max_ejection_s"),
 )
 
 
@@ -196,6 +197,61 @@
     )
 
 
+@attrs.frozen
+class HealthSettings:
+    """When an entry host sets a worker aside, and for how long."""
+
+    SECTION: ClassVar[str] = "health"
+
+    failures: int = attrs.field(
+        default=4,
+        metadata=fields.key(
+            fields.Integer(1, 1000, "jobs"),
+            "failed jobs that eject a worker when no task fails elsewhere",
+        ),
+    )
+    slow_factor: float = attrs.field(
+        default=5.0,
+        metadata=fields.key(
+            fields.Number(1.5, 1000),
+            "run time over that of other workers from which a worker is slow",
+        ),
+    )
+    # Some tasks take several seconds.
+    overdue_s: float = attrs.field(
+        default=10.0,
+        metadata=fields.key(
+            fields.Number(0.1, 300, "s"),
+            "time without an answer after which a task is overdue",
+        ),
+    )
+    # A rack of 3 of the 11 workers of a deployment fits in.
+    max_ejected_share: float = attrs.field(
+        default=0.3,
+        metadata=fields.key(
+            fields.Number(0, 0.9), "share of a service's workers ejected at once"
+        ),
+    )
+    ejection_s: float = attrs.field(
+        default=10.0,
+        metadata=fields.key(
+            fields.Number(0.1, 3600, "s"), "length of a worker's first ejection"
+        ),
+    )
+    max_ejection_s: float = attrs.field(
+        default=300.0,
+        metadata=fields.key(
+            fields.Number(0.1, 86400, "s"), "longest ejection; each is twice the last"
+        ),
+    )
+    probation_tasks: int = attrs.field(
+        default=5,
+        metadata=fields.key(
+            fields.Integer(1, 1000, "tasks"), "tasks that end the probation"
+        ),
+    )
+
+
 @attrs.frozen
 class BackendSettings:
     """The backend server beside an agent.
@@ -275,6 +331,9 @@
     limits: LimitSettings = attrs.field(metadata=_group(LimitSettings))
     timing: TimingSettings = attrs.field(metadata=_group(TimingSettings))
     statsd: StatsdSettings = attrs.field(metadata=_group(StatsdSettings))
+    health: HealthSettings = attrs.field(
+        factory=HealthSettings, metadata=_group(HealthSettings)
+    )
 
 
 @attrs.frozen
