Carry failed jobs in a row from agents to all entry hosts

Cause: each entry host sees only its part of a worker's outcomes, so that every one of them needs its own evidence.

Change: agents tell the failed jobs in a row in Load, which goes with the heartbeat. An entry host adds those seen elsewhere to a failure that it has seen itself, unless more than half of the workers tell of them.

--- a/src/burdockgate/messages.py
+++ b/src/burdockgate/messages.py
@@ -117,12 +117,15 @@
     :param free: free slots not reserved for another entry host.
     :param received: tasks received from this entry host in this session, which
         tells it which of its sends the number of free slots already counts.
+    :param failed_row: failed jobs since the last task that ended with a result, over
+        the tasks of all entry hosts.
     """
 
     free: int
     running: int
     received: int
     draining: bool
+    failed_row: int = 0
 
 
 @attrs.frozen
--- a/src/burdockgate/process/agent.py
+++ b/src/burdockgate/process/agent.py
@@ -14,6 +14,7 @@
 from burdockgate.version import view as views
 
 EXPIRY_INTERVAL_S = 1.0
+_FAILED = (messages.TaskState.FAILED, messages.TaskState.UNKNOWN)
 RECORDS_PER_SYNC_REPLY = 500
 REPORT_BYTES_PER_MESSAGE = 2 * 1024 * 1024
 
@@ -27,6 +28,7 @@
     hello: messages.Hello
     received: int = 0
     free_sent: int = -1
+    row_sent: int = 0
     pending_syncs: list[int] = attrs.field(factory=list)
 
 
@@ -56,6 +58,8 @@
         self._counters = counters
         self._record_by_job: dict[bytes, record.Record] = {}
         self._kept_bytes = 0
+        self._failed_row = 0
+        self._failed_job = b""
         self._session_by_name: dict[str, _Session] = {}
         self._expired_at = time.now()
         self._handler_by_class: dict[type, Callable[[str, Any], _Effects]] = {
@@ -134,7 +138,9 @@
         for name, session in self._session_by_name.items():
             if session.hello.role is messages.Role.ENTRY:
                 yield self._heartbeat(name)
-                if session.free_sent != self.slots.free_for(name):
+                # A single failure is no news that is worth a message of its own.
+                is_row_new = session.row_sent != self._failed_row > 1
+                if is_row_new or session.free_sent != self.slots.free_for(name):
                     yield from self._send_load(name)
 
     def _heartbeat(self, name: str) -> effects.Send:
@@ -143,10 +149,15 @@
     def _send_load(self, name: str) -> _Effects:
         session = self._session_by_name[name]
         session.free_sent = self.slots.free_for(name)
+        session.row_sent = self._failed_row
         yield effects.Send(
             name,
             messages.Load(
-                session.free_sent, self.slots.running, session.received, self.draining
+                session.free_sent,
+                self.slots.running,
+                session.received,
+                self.draining,
+                self._failed_row,
             ),
         )
 
@@ -274,6 +285,7 @@
         """
         self.slots.release()
         self._counters.count(_COUNTER_BY_STATE.get(state, "tasks.failed"))
+        self._count_row(job_id, state)
         job = self._record_by_job.get(job_id)
         report = None
         if job is not None and job.attempt == attempt:
@@ -286,6 +298,13 @@
             yield from self._send_results(job, [report])
             self._bound_results()
 
+    def _count_row(self, job_id: bytes, state: messages.TaskState) -> None:
+        """Count the failed jobs in a row, for the entry hosts that see only some."""
+        if state is messages.TaskState.DONE:
+            self._failed_row, self._failed_job = 0, b""
+        elif state in _FAILED and job_id != self._failed_job:
+            self._failed_row, self._failed_job = self._failed_row + 1, job_id
+
     def _send_results(
         self, job: record.Record, reports: list[messages.TaskReport]
     ) -> _Effects:
--- a/src/burdockgate/process/entry.py
+++ b/src/burdockgate/process/entry.py
@@ -265,6 +265,7 @@
         if worker is not None:
             worker.draining = message.draining
             worker.running = message.running
+            self.health.tell(worker.record, message.failed_row)
         yield from ()
 
     def _on_offer(self, name: str, message: messages.Offer) -> _Effects:
--- a/src/burdockgate/process/health.py
+++ b/src/burdockgate/process/health.py
@@ -43,6 +43,8 @@
 # Two overdue tasks without any answer since, or one that is overdue twice as long,
 # weigh as the failures for which a worker is ejected.
 OVERDUE_TASKS = 2
+# Failures in a row at a larger share of the workers are the fault of the jobs.
+ROWS_MAX = 0.5
 FAILED_JOBS = 4096
 GROUPS = 1000
 TICK_S = 0.25
@@ -82,6 +84,8 @@
     :param score: evidence that the worker fails, from 0.
     :param slow: evidence that the worker is slow, from 0.
     :param trust: recent share of successes, each job's failures taken as one.
+    :param row: failed jobs in a row, as seen here.
+    :param told: failed jobs in a row, as the agent has seen them for all entry hosts.
     :param until: end of the ejection.
     :param answered_at: time of the last sign that a task ended there.
     """
@@ -95,6 +99,8 @@
     score: float = 0.0
     slow: float = 0.0
     trust: float = 1.0
+    row: int = 0
+    told: int = 0
     until: float = 0.0
     ejections: int = 0
     readmitted_at: float = -math.inf
@@ -272,6 +278,7 @@
         self._out_by_name: dict[str, Record] = {}
         self._known_by_service: collections.Counter[str] = collections.Counter()
         self._ejected_by_service: collections.Counter[str] = collections.Counter()
+        self._in_row_by_service: collections.Counter[str] = collections.Counter()
         self._group_by_key: dict[tuple[str, str], Group] = {}
         self._whole_by_service: dict[str, Group] = {}
         self._sent_by_task: dict[tuple[bytes, int], _Sent] = {}
@@ -317,6 +324,7 @@
         record = self._record_by_name.get(name)
         if record is None or not record.is_connected:
             return
+        self._set_told(record, 0)
         record.is_connected = False
         self._known_by_service[record.service] -= 1
         self._ejected_by_service[record.service] -= record.state is State.EJECTED
@@ -395,6 +403,8 @@
     def _succeed(self, task: _Sent, run_ms: float) -> None:
         record, group = task.record, task.group
         record.trust += (1.0 - record.trust) * TRUST_STEP
+        record.row = 0
+        self._set_told(record, 0)
         group.saw(0.0, record.trust)
         if record.state is State.EJECTED:
             return
@@ -450,7 +460,8 @@
         if record.state is State.EJECTED:
             return
         record.score += weight
-        if record.score >= self._detector.threshold:
+        record.row += 1
+        if record.score + self._told(record) >= self._detector.threshold:
             self._eject(record, reason)
         elif record.state is State.PROBATION:
             self._prove(record)
@@ -462,10 +473,12 @@
         self._counters.count("health.excused")
         record = first.record
         record.score = max(0.0, record.score - first.weight)
+        record.row = max(0, record.row - 1)
         first.weight = 0.0
         if (
             record.state is State.EJECTED
             and record.reason is not Reason.SLOW
+            and record.told < 2
             and record.score < self._detector.threshold / 2
         ):
             # Little is left of the evidence that ejected the worker.
@@ -476,6 +489,41 @@
         if len(self._failed_by_job) > FAILED_JOBS:
             del self._failed_by_job[next(iter(self._failed_by_job))]
 
+    def tell(self, record: Record, row: int) -> None:
+        """Take the failed jobs in a row that an agent has seen for all entry hosts.
+
+        :param record: the worker.
+        :param row: number of jobs; a success begins anew.
+        """
+        self._set_told(record, row)
+        if (
+            record.state is not State.EJECTED
+            and record.row
+            and record.score + self._told(record) >= self._detector.threshold
+        ):
+            self._eject(record, Reason.FAILING)
+
+    def _set_told(self, record: Record, row: int) -> None:
+        """Keep the number of workers in a row of failures up to date."""
+        if record.is_connected:
+            change = (row > 1) - (record.told > 1)
+            self._in_row_by_service[record.service] += change
+        record.told = row
+
+    def _told(self, record: Record) -> float:
+        """Return the weight of the failures in a row that were seen elsewhere.
+
+        Whether their jobs failed on other workers too is not told. So they count only
+        beside a failure that was seen here, and not while many workers report them.
+        """
+        others = record.told - record.row
+        service = record.service
+        limit = ROWS_MAX * self._known_by_service[service]
+        if not record.row or others <= 0 or self._in_row_by_service[service] > limit:
+            return 0.0
+        whole = self._whole_by_service[service]
+        return others * self._detector.failure(record, whole)
+
     def freed(self, record: Record) -> None:
         """Note that a worker has more free slots than before.
 
--- a/src/burdockgate/standin/suspects.py
+++ b/src/burdockgate/standin/suspects.py
@@ -32,8 +32,9 @@
 DEADLINE_S = 20.0
 POISONED_SHARE = 0.1
 TICK_S = 0.25
-# Agents report with the heartbeat, so that a carried outcome comes within 0.8 s.
+# Agents report with the heartbeat, so that what they carry comes within 0.8 s.
 HEARTBEAT_S = 0.8
+WAYS = ("own", "row", "every outcome")
 SEEDS = (1, 2, 3)
 FAULTS = (
     "none",
@@ -98,13 +99,14 @@
     """What is run.
 
     :param fault: one of ``FAULTS``.
-    :param is_carried: whether agents carry each outcome to the other entry hosts.
+    :param way: how an entry host learns of outcomes of others, one of ``WAYS``:
+        never; failed jobs in a row with the heartbeat; each one with the heartbeat.
     :param base_rate: share of the tasks that fail on every worker.
     """
 
     fault: str
     detector: str = "likelihood"
-    is_carried: bool = False
+    way: str = "row"
     entries: int = 3
     workers: int = 11
     seed: int = 1
@@ -160,6 +162,8 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self._running = [0] * case.workers
+        self._row = [0] * case.workers
+        self._failed_job = [b""] * case.workers
         self._bad = range(_bad_workers(case.fault))
         self._hosts = [self._host() for _ in range(case.entries)]
         self._found: set[tuple[int, str]] = set()
@@ -184,6 +188,8 @@
             held = _Job(job, job.id, len(job.tasks))
             self._later(job.at, lambda held=held: self._arrive(held))  # type: ignore[misc]
         self._later(TICK_S, self._tick)
+        if case.way == "row":
+            self._later(HEARTBEAT_S, self._beat)
         while self._events and self._events[0][0] < SECONDS + DEADLINE_S:
             at, _, action = heapq.heappop(self._events)
             self._clock.advance(at - self._clock.now())
@@ -202,6 +208,12 @@
         if now < SECONDS + DEADLINE_S:
             self._later(now + TICK_S, self._tick)
 
+    def _beat(self) -> None:
+        for host in self._hosts:
+            for record, row in zip(host.records, self._row, strict=True):
+                host.judge.tell(record, row)
+        self._later(self._clock.now() + HEARTBEAT_S, self._beat)
+
     def _read_changes(self, number: int, host: _Host, now: float) -> None:
         while host.judge.changes:
             change = host.judge.changes.popleft()
@@ -317,7 +329,15 @@
         report = messages.TaskReport(index, 1, state, b"", run_s * 1000)
         message = messages.Results(held.id, 1, 1, 1, 0, 0, (report,))
         host.judge.results(message)
-        if self._case.is_carried and state is not messages.TaskState.STOPPED:
+        if state is messages.TaskState.DONE:
+            self._row[worker], self._failed_job[worker] = 0, b""
+        elif state is messages.TaskState.FAILED and held.id != self._failed_job[worker]:
+            self._row[worker] += 1
+            self._failed_job[worker] = held.id
+        if (
+            self._case.way == "every outcome"
+            and state is not messages.TaskState.STOPPED
+        ):
             others = [other for other in self._hosts if other is not host]
             at = self._clock.now() + self._rng.uniform(0, HEARTBEAT_S)
             self._later(at, lambda: self._carry(others, worker, held, message))
@@ -412,12 +432,11 @@
         runs = [Bench(attrs.evolve(case, seed=seed)).run() for seed in SEEDS]
         found = [item for run in runs for item in run.found_s]
         wanted = _bad_workers(case.fault) * case.entries * len(SEEDS)
-        way = "carried" if case.is_carried else "own"
         yield " | ".join(
             (
                 f"| {case.fault}, {case.workers} workers, {case.entries} hosts"
                 + (f", base {case.base_rate:g}" if case.base_rate else ""),
-                f"{case.detector}, {way}",
+                f"{case.detector}, {case.way}",
                 _spread([run.failed for run in runs]),
                 _spread([run.poisoned for run in runs]),
                 _spread([run.good_ejected for run in runs]),
@@ -438,10 +457,10 @@
         Case("none", name, base_rate=0.05) for name in DETECTOR_BY_NAME
     ]
     ways = [
-        Case(fault, is_carried=is_carried, entries=entries)
-        for fault in ("failing", "rack", "jobs")
+        Case(fault, way=way, entries=entries)
+        for fault in ("failing", "rack", "jobs", "every job")
         for entries in (3, 16)
-        for is_carried in (False, True)
+        for way in WAYS
     ]
     for title, cases in (("detectors", detectors), ("ways", ways)):
         print(title)
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -176,6 +176,40 @@
     assert first.state is HEALTHY
 
 
+@pytest.mark.parametrize(
+    ("own", "rows", "state"),
+    [(1, (4, 0, 0), EJECTED), (0, (4, 0, 0), HEALTHY), (1, (4, 4, 4), HEALTHY)],
+)
+def test_failures_that_agents_tell(own, rows, state, judge):
+    """They hasten an ejection, but not alone, nor when most workers tell of them."""
+    records = [join(judge, f"a{number}") for number in range(3)]
+    for _ in range(3):
+        for record, row in zip(records[1:], rows[1:], strict=True):
+            judge.tell(record, row)
+    end(judge, records[0], b"job", FAILED if own else DONE)
+    judge.tell(records[0], rows[0])
+    assert records[0].state is state
+
+
+def test_agent_tells_failed_jobs_in_a_row():
+    """Each entry host must learn of failures that only others saw."""
+    session = FaultySession({"agent-1": "failing"}, agents=3)
+    told = {}
+
+    def read(sender, to, message, delays):
+        if isinstance(message, messages.Load):
+            told.setdefault((sender, to), []).append(message.failed_row)
+        return delays
+
+    session.filters.append(read)
+    for number in range(5):
+        made = sessions.make_request(f"k{number}", [50] * 6)
+        session.answer(session.submit("entry-1", made))
+    session.run(1.0)
+    assert max(told["agent-1", "entry-2"]) >= 2
+    assert not any(told.get(("agent-2", "entry-2"), ()))
+
+
 def test_only_worker_is_kept(judge):
     """Without another worker an ejection would stop the service."""
     record = join(judge, "a1")
