Merge the health of workers

The indexes of free workers follow the allowance of a worker's record: every change of it passes through one place, which tells the directory. Workers on probation have an index of their own, since a policy that samples places would seldom choose them.

--- a/src/burdockgate/process/daemon.py
+++ b/src/burdockgate/process/daemon.py
@@ -85,6 +85,9 @@
         :param effect: the effect.
         """
 
+    def report(self) -> None:  # noqa: B027
+        """Log the changes of state that a tick of the core has found."""
+
     def spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Run a coroutine until it ends or the daemon stops.
 
@@ -124,6 +127,7 @@
             now = self.time.now()
             self.network.watch()
             self.perform(self.core.tick())
+            self.report()
             if now >= beat_at:
                 beat_at = now + self._timing.heartbeat_s
                 self.perform(self.core.beat())
--- a/src/burdockgate/process/directory.py
+++ b/src/burdockgate/process/directory.py
@@ -9,6 +9,7 @@
 import attrs
 
 from burdockgate import clock, messages
+from burdockgate.process import health as healths
 from burdockgate.process import pool
 
 
@@ -16,6 +17,7 @@
 class Worker:
     """A worker as its agent has announced it.
 
+    :param record: what is known of its outcomes.
     :param reported_free: free slots in the agent's last report.
     :param sent: tasks sent in this session.
     :param received: tasks that the last report counts as received.
@@ -35,6 +37,7 @@
     demanded: int = 0
     table_version: int = 0
     number: int = 0
+    record: healths.Record = attrs.field(factory=lambda: healths.Record("", "", 0))
 
     @property
     def name(self) -> str:
@@ -47,10 +50,15 @@
         return self.hello.node
 
     @property
-    def free(self) -> int:
+    def unused(self) -> int:
         """Free slots: those reported, less the tasks sent since that report."""
         return self.reported_free - (self.sent - self.received)
 
+    @property
+    def free(self) -> int:
+        """Free slots that may be used: none while ejected, few on probation."""
+        return min(self.unused, self.record.allowance)
+
     def fits(self, cores: float, memory_mb: int, accelerators: int) -> bool:
         """Return whether the worker has what one task asks for.
 
@@ -71,6 +79,7 @@
 
     :param members: every connected worker.
     :param free: those with a free slot that may get a task.
+    :param proving: those of them that are on probation.
     :param asked: those that may get a task and have been told of waiting tasks.
     :param unasked: those that may get a task and have not.
     :param changes: counts the workers that became unasked.
@@ -78,6 +87,7 @@
 
     members: pool.Pool = attrs.field(factory=pool.Pool)
     free: pool.Pool = attrs.field(factory=pool.Pool)
+    proving: dict[str, Worker] = attrs.field(factory=dict)
     asked: dict[str, Worker] = attrs.field(factory=dict)
     unasked: dict[str, Worker] = attrs.field(factory=dict)
     changes: int = 0
@@ -89,7 +99,12 @@
         :param may_get: whether it may get new tasks.
         """
         name, is_asked = worker.name, worker.demanded > 0
-        self.free.put(worker, may_get and worker.free > 0)
+        is_free = may_get and worker.free > 0
+        self.free.put(worker, is_free)
+        if is_free and worker.record.state is healths.State.PROBATION:
+            self.proving[name] = worker
+        else:
+            self.proving.pop(name, None)
         if may_get and is_asked:
             self.asked[name] = worker
         else:
@@ -109,14 +124,23 @@
 
     :param time: the clock.
     :param lease_s: a worker not heard of for this long gets no task.
+    :param health: judges the workers; ``None`` for no judgement.
     """
 
-    def __init__(self, time: clock.Clock, lease_s: float) -> None:
+    def __init__(
+        self,
+        time: clock.Clock,
+        lease_s: float,
+        health: healths.Health | None = None,
+    ) -> None:
         self._time = time
         self._lease_s = lease_s
         self._numbers = itertools.count()
         self._lapsed: set[str] = set()
         self._service_by_name: dict[str, Service] = collections.defaultdict(Service)
+        self.health = health
+        if health is not None:
+            health.watch(self._on_allowance)
         self.worker_by_name: dict[str, Worker] = {}
 
     def service(self, name: str) -> Service:
@@ -137,6 +161,8 @@
         if old is not None:
             self._remove(old)
         worker = Worker(hello, self._time.now(), draining=hello.draining, number=number)
+        if self.health is not None:
+            worker.record = self.health.join(hello)
         self.worker_by_name[name] = worker
         self._service_by_name[hello.service].members.put(worker, is_in=True)
         self.refresh(worker)
@@ -149,6 +175,14 @@
         worker = self.worker_by_name.pop(name, None)
         if worker is not None:
             self._remove(worker)
+        if self.health is not None:
+            self.health.leave(name)
+
+    def _on_allowance(self, record: healths.Record) -> None:
+        """Index a worker anew after its health has changed what it may get."""
+        worker = self.worker_by_name.get(record.name)
+        if worker is not None and worker.record is record:
+            self.refresh(worker)
 
     def _remove(self, worker: Worker) -> None:
         self._lapsed.discard(worker.name)
@@ -207,6 +241,8 @@
         """
         worker = self.worker_by_name.get(name)
         if worker is not None:
+            if self.health is not None and free > worker.reported_free:
+                self.health.freed(worker.record)
             worker.reported_free, worker.received = free, received
             self.refresh(worker)
 
--- a/src/burdockgate/process/dispatch.py
+++ b/src/burdockgate/process/dispatch.py
@@ -31,10 +31,11 @@
         tuple[leaders.Leader, messages.Node, list[messages.TaskStart]],
     ] = attrs.field(factory=dict)
 
-    def add(self, leader: leaders.Leader, node: messages.Node) -> None:
+    def add(self, leader: leaders.Leader, node: messages.Node) -> int:
         key = (node.name, leader.request.job)
         _, _, tasks = self.tasks_by_pair.setdefault(key, (leader, node, []))
         tasks.append(leader.take(node))
+        return tasks[-1].index
 
     def sends(self) -> _Effects:
         for leader, node, tasks in self.tasks_by_pair.values():
@@ -147,12 +148,16 @@
         worker = self._pick(leader, free)
         if worker is None:
             return False
-        task = leader.next_task
-        batches.add(leader, worker.node)
+        index = batches.add(leader, worker.node)
         self._workers.take(worker)
+        if self._workers.health is not None:
+            request = leader.request
+            self._workers.health.sent(
+                worker.record, request.caller_class, request.job, index
+            )
         if self._limits is not None:
             self._limits.started(leader.request)
-        queue.charge(leader, _work(task))
+        queue.charge(leader, _work(leader.request.tasks[index]))
         self._counters.count("tasks.sent")
         return True
 
@@ -172,6 +177,11 @@
             return worker if leader.allows(worker.node) else None
 
         lapsed: list[directory.Worker] = []
+        # Policies would seldom choose the few workers that must prove themselves.
+        proving = self._workers.service(leader.request.service).proving
+        found = next(filter(check, proving.values()), None)
+        if found is not None:
+            return found
         if SMALL_SCOPE < len(scope) > len(free):
             found = self._policy.pick(len(free), lambda place: check(free[place]))
         else:
--- a/src/burdockgate/process/entry.py
+++ b/src/burdockgate/process/entry.py
@@ -11,6 +11,7 @@
     core,
     directory,
     dispatch,
+    health,
     jobs,
     limits,
     metrics,
@@ -52,7 +53,8 @@
         self.node = node
         self.draining = False
         self.rows = rows.Rows()
-        self.workers = directory.Directory(time, config.timing.lease_s)
+        self.health = health.Health(config.health, time, counters)
+        self.workers = directory.Directory(time, config.timing.lease_s, self.health)
         self._config = config
         self._time = time
         self._counters = counters
@@ -262,6 +264,7 @@
         if worker is not None:
             worker.running = message.running
             self.workers.drain(name, message.draining)
+            self.health.tell(worker.record, message.failed_row)
         yield from ()
 
     def _on_offer(self, name: str, message: messages.Offer) -> _Effects:
@@ -270,6 +273,7 @@
 
     def _on_results(self, name: str, message: messages.Results) -> _Effects:
         self.workers.report(name, message.free, message.received)
+        self.health.results(message)
         yield from self.jobs.results(name, message)
 
     def _on_leave(self, name: str, _message: messages.Leave) -> _Effects:
@@ -366,6 +370,7 @@
 
     def tick(self) -> _Effects:
         """Do what is due; call at least ten times a second."""
+        self.health.tick()
         yield from self.jobs.tick()
         yield from self._dispatch()
         now = self._time.now()
