Add property tests of claims and of leases

Random claims at three members: one owner in each epoch, no scope of a majority unknown to a later one, no settled attempt reopened. Random sessions of two workers: exactly those heard of within the lease that do not drain get tasks.

--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,6 +1,8 @@
 """Guards the rules by which a claim group member votes and keeps records."""
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 import builders
 from burdockgate import clock, messages
@@ -141,3 +143,42 @@
     assert record.expires_in_ms == 330_000
     for other in (builders.node("a9"), builders.node("a2", boot=2)):
         assert store.records_for(other, number) == []
+
+
+CLAIMS = st.tuples(
+    st.sets(st.sampled_from(["a1", "a2", "a3"]), min_size=1),
+    st.sampled_from(["e1", "e2", "e3"]),
+    st.integers(1, 4),
+    st.integers(1, 2),
+    st.sampled_from([900, 900, 110]),
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(st.lists(CLAIMS, min_size=5, max_size=30))
+def test_majorities_share_what_they_granted(steps):
+    """One owner in each epoch, no scope unknown later, no settled attempt reopened."""
+    stores = {name: make_store(own=name) for name in ("a1", "a2", "a3")}
+    members_by_vote, scopes, closed = {}, set(), set()
+    for number, (names, owner, epoch, attempt, code) in enumerate(steps):
+        scope = (builders.node(f"s{number}"),)
+        fields = {"owner": owner, "epoch": epoch, "attempt": attempt, "code": code}
+        replies = {name: vote(stores[name], scope=scope, **fields) for name in names}
+        granted = {name for name in names if replies[name].verdict is V.GRANTED}
+        members_by_vote.setdefault((epoch, owner), set()).update(granted)
+        owners = [
+            key for key, given_by in members_by_vote.items() if len(given_by) >= 2
+        ]
+        assert len(owners) == len({key[0] for key in owners})
+        if len(granted) < 2:
+            continue
+        known = {
+            n for name in granted for n in getattr(replies[name].record, "scope", ())
+        }
+        assert scopes <= known
+        assert code == 110 or all(
+            attempt > done or (epoch, owner) == by for done, by in closed
+        )
+        scopes.add(scope[0])
+        if code == 110:
+            closed.add((attempt, (epoch, owner)))
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -1,6 +1,8 @@
 """Guards what an entry host believes about workers and their free slots."""
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 import builders
 from burdockgate import clock
@@ -102,3 +104,40 @@
 def test_fits_compares_each_resource(known, needs, fits):
     """A task on a worker without its resources fails."""
     assert known.worker_by_name["a1"].fits(*needs) is fits
+
+
+EVENTS = st.tuples(
+    st.sampled_from(["join", "drain", "hear", "leave", "report", "offer"]),
+    st.sampled_from(["a1", "a2"]),
+    st.floats(0, 3),
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(st.lists(EVENTS, max_size=30))
+def test_only_workers_heard_of_within_the_lease_get_tasks(events):
+    """No order of events may keep a worker that has left, lapsed or drains."""
+    time = clock.ManualClock()
+    known = directory.Directory(time, 2.5)
+    heard_at_by_name, draining = {}, set()
+    for kind, name, wait_s in events:
+        time.advance(wait_s)
+        if kind in ("join", "drain"):
+            known.join(builders.hello(name, draining=kind == "drain"))
+            heard_at_by_name[name] = time.now()
+            (draining.add if kind == "drain" else draining.discard)(name)
+        elif kind == "leave":
+            known.leave(name)
+            heard_at_by_name.pop(name, None)
+        elif kind == "hear":
+            known.hear(name)
+            if name in heard_at_by_name:
+                heard_at_by_name[name] = time.now()
+        else:
+            getattr(known, kind)(name, 1, 0)
+        expected = {
+            name
+            for name, at in heard_at_by_name.items()
+            if time.now() - at <= 2.5 and name not in draining
+        }
+        assert set(names(known)) == expected
