Measure the limits of time with processes of their own

Cause: the limits of 3 s after a leave or a death and of 5 s for a change of the table were never measured with real processes, and no run gave the checker version events. The scenario drain resumed its worker at the end of the planned arrivals, so tasks of the tail that it then got counted as late new tasks. A drained worker is resumed after the last answer.

--- a/src/burdockgate/cli/measure.py
+++ b/src/burdockgate/cli/measure.py
@@ -47,6 +47,11 @@
         metavar="URL",
         help="an entry host that runs already; can be given several times",
     )
+    parser.add_argument(
+        "--processes",
+        action="store_true",
+        help="run each role as a process of its own",
+    )
     parser.add_argument("--policy", metavar="NAME", help="placement policy")
     parser.add_argument(
         "--versus", metavar="NAME", help="run again with this placement policy"
@@ -74,6 +79,7 @@
             as_json=args.json,
             report=args.report,
             urls=tuple(args.connect),
+            processes=args.processes,
             policy=args.policy,
             versus=args.versus,
         )
--- a/src/burdockgate/standin/figures.py
+++ b/src/burdockgate/standin/figures.py
@@ -17,7 +17,6 @@
     checker,
     load,
     local,
-    scenarios,
     targets,
     trace,
 )
@@ -82,7 +81,10 @@
         self.run = run
         self.answers = [parse(item.body, item.answered_at) for item in run.records]
         self.job_by_id = {item.job.id: item.job for item in run.records}
-        self.violations = checker.check(list(self._events()), checker.Settings())
+        self.violations = checker.check(
+            list(self._events()),
+            checker.Settings(run.changes.nodes if run.changes else ()),
+        )
 
     def _events(self) -> Iterator[trace.Event]:
         began = self.run.began
@@ -111,12 +113,10 @@
                         entry,
                     )
         yield from started_events(self.run.starts or ())
-        if self._is_drain and self.run.fault_at is not None:
+        if self.run.config.scenario.ends_worker and self.run.fault_at is not None:
             yield trace.Left(began + self.run.fault_at, self.run.worker)
-
-    @property
-    def _is_drain(self) -> bool:
-        return self.run.config.scenario.fault is scenarios.Fault.DRAIN
+        if self.run.changes is not None:
+            yield from self.run.changes.events
 
     def summary(self) -> dict[str, object]:
         """Return the figures, ready for JSON; what is not known is ``None``."""
@@ -155,6 +155,8 @@
             "share_error": self._share_error(),
             "recovery_s": self._recovery_s(),
             "last_new_task_s": self._last_new_task_s(),
+            "in_force_s": self._in_force_s(met_outage=False),
+            "in_force_after_outage_s": self._in_force_s(met_outage=True),
             "starts_per_s": None,
             "rss_mb": None,
         }
@@ -262,13 +264,28 @@
         return None
 
     def _last_new_task_s(self) -> float | None:
-        if not self._is_drain or self.run.fault_at is None or self.run.starts is None:
+        run = self.run
+        if not run.config.scenario.ends_worker:
+            return None
+        if run.fault_at is None or run.starts is None:
             return None
         last = max(
-            (item.at for item in self.run.starts if item.worker == self.run.worker),
+            (item.at for item in run.starts if item.worker == run.worker),
             default=0.0,
         )
-        return round(max(0.0, last - self.run.began - self.run.fault_at), 4)
+        return round(max(0.0, last - run.began - run.fault_at), 4)
+
+    def _in_force_s(self, met_outage: bool) -> dict[str, float | int] | None:
+        """Return how long changes of the table took to be in force everywhere."""
+        changes = self.run.changes
+        delays = sorted(changes.delays(met_outage)) if changes is not None else []
+        if not delays:
+            return None
+        return {
+            "changes": len(delays),
+            "p50": round(delays[(len(delays) - 1) // 2], 3),
+            "max": round(delays[-1], 3),
+        }
 
     def _window(self) -> tuple[float, float]:
         """Return the part of the run in which the load is judged, in seconds."""
--- a/src/burdockgate/standin/load.py
+++ b/src/burdockgate/standin/load.py
@@ -9,15 +9,16 @@
 
 import asyncio
 import contextlib
+import signal
 import time
-from collections.abc import Coroutine, Sequence
+from collections.abc import Coroutine, Iterator, Sequence
 from typing import Any
 
 import attrs
 import httpx
 
 from burdockgate import errors
-from burdockgate.standin import arrivals, scenarios, targets
+from burdockgate.standin import arrivals, fleet, rollout, scenarios, targets
 
 # Answers still missing this long after the last arrival are given up.
 ANSWER_LIMIT_S = 60.0
@@ -30,6 +31,7 @@
     """What is run.
 
     :param seconds: length of the run; see :meth:`scenarios.Scenario.phases`.
+    :param processes: whether each role is a process of its own.
     """
 
     scenario: scenarios.Scenario
@@ -37,6 +39,7 @@
     seconds: float = 10.0
     size: targets.Size = attrs.field(factory=targets.Size)
     urls: tuple[str, ...] = ()
+    processes: bool = False
 
     @property
     def planned_s(self) -> float:
@@ -72,6 +75,7 @@
     :param starts: starts of the planned jobs; ``None`` when they are not known.
     :param fault_at: begin of the fault, in seconds after the start.
     :param worker: the worker that the faults concern.
+    :param changes: the changes of the table; ``None`` for a run without.
     """
 
     config: Config
@@ -86,6 +90,7 @@
     starts: list[targets.Start] | None
     fault_at: float | None
     worker: str
+    changes: rollout.Rollout | None = None
 
 
 async def run(config: Config, is_base: bool = False) -> Run:
@@ -94,11 +99,12 @@
     :param config: what to run.
     :param is_base: whether to leave out the stragglers.
     """
-    target: targets.Target = (
-        targets.RemoteTarget(config.urls)
-        if config.urls
-        else targets.LocalTarget(config.size, config.seed)
-    )
+    target = _target(config)
+    if config.processes:
+        # Without a handler, the processes would outlive this one.
+        task, loop = asyncio.current_task(), asyncio.get_running_loop()
+        assert task is not None
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
     try:
         await target.start()
         shape = config.scenario.shape(
@@ -106,10 +112,20 @@
         )
         plan = config.scenario.plan(shape, config.seconds, config.seed)
         return await _Driver(config, target, plan).run()
+    except asyncio.CancelledError:
+        raise errors.BurdockgateError("the run was stopped by a signal") from None
     finally:
         await target.stop()
 
 
+def _target(config: Config) -> targets.Target:
+    if config.urls:
+        return targets.RemoteTarget(config.urls)
+    if config.processes:
+        return fleet.ProcessTarget(config.size)
+    return targets.LocalTarget(config.size, config.seed)
+
+
 class _Driver:
     """Sends the planned jobs and the faults at their times."""
 
@@ -121,7 +137,13 @@
         self._records = [Record(job) for job in plan]
         self._began = 0.0
         self._fault_at: float | None = None
+        self._answered = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
+        self._changes = (
+            rollout.Rollout(target.urls, target.log_url)
+            if config.scenario.has_changes
+            else None
+        )
         self._http = httpx.AsyncClient(
             trust_env=False,
             timeout=None,
@@ -139,6 +161,7 @@
             self._began = time.monotonic() + LEAD_S
             before = self._target.counts()
             fault = asyncio.create_task(self._drive_fault())
+            others = [asyncio.create_task(item) for item in self._rollout()]
             try:
                 await self._send_all()
                 # The tail after the last arrival has few tasks and many heartbeats,
@@ -147,11 +170,17 @@
                 window_s, after = self._now(), self._target.counts()
                 if self._tasks:
                     await asyncio.wait(self._tasks, timeout=ANSWER_LIMIT_S)
+                if self._changes is not None:
+                    await self._changes.settle()
                 seconds = self._now()
+                self._answered.set()
+                if self._config.scenario.fault is scenarios.Fault.DRAIN:
+                    await fault
             finally:
-                await _end([fault, *self._tasks])
-        if fault.done() and not fault.cancelled():
-            fault.result()
+                await _end([fault, *others, *self._tasks])
+        for task in (fault, *others):
+            if not task.cancelled():
+                task.result()
         return self._result(seconds, window_s, before, after)
 
     async def _warm_up(self) -> None:
@@ -217,12 +246,24 @@
         if scenario.fault is scenarios.Fault.NONE:
             return
         await asyncio.sleep(scenario.fault_from * seconds + LEAD_S)
+        asked_at = self._now()
         await self._target.set_fault(scenario.fault, is_on=True)
         # A drain counts from the operator's answer, as an operator sees it.
-        self._fault_at = self._now()
+        is_drain = scenario.fault is scenarios.Fault.DRAIN
+        self._fault_at = self._now() if is_drain else asked_at
+        if is_drain:
+            # A worker that is resumed in the run would get new tasks.
+            await self._answered.wait()
         await asyncio.sleep(max(0.0, scenario.fault_to * seconds - self._now()))
+        if self._changes is not None:
+            self._changes.outage_ended_at = time.monotonic()
         await self._target.set_fault(scenario.fault, is_on=False)
 
+    def _rollout(self) -> Iterator[Coroutine[Any, Any, None]]:
+        if self._changes is not None:
+            yield self._changes.watch()
+            yield self._changes.change(self._began + self._config.seconds)
+
     def _result(
         self,
         seconds: float,
@@ -247,6 +288,7 @@
             starts,
             self._fault_at,
             self._target.worker,
+            self._changes,
         )
 
 
--- a/src/burdockgate/standin/measurement.py
+++ b/src/burdockgate/standin/measurement.py
@@ -32,6 +32,7 @@
     as_json: bool = False
     report: str | None = None
     urls: tuple[str, ...] = ()
+    processes: bool = False
     policy: str | None = None
     versus: str | None = None
     size: targets.Size = attrs.field(factory=targets.Size)
@@ -83,12 +84,17 @@
             continue
         if name not in placement.POLICY_BY_NAME:
             yield f"--{option}: {name!r:.80}, allowed are {allowed}"
-        if request.urls:
-            yield f"--{option}: not possible with --connect"
+        if request.urls or request.processes:
+            other = "connect" if request.urls else "processes"
+            yield f"--{option}: not possible with --{other}"
+    if request.urls and request.processes:
+        yield "--processes: not possible with --connect"
     scenario = scenarios.SCENARIO_BY_NAME.get(request.scenario)
     remote = (scenarios.Fault.NONE, scenarios.Fault.DRAIN)
     if request.urls and (scenario is None or scenario.fault not in remote):
         yield f"--connect: not possible with the scenario {request.scenario!r:.80}"
+    if scenario is not None and scenario.needs_processes and not request.processes:
+        yield f"--scenario: {request.scenario!r}, allowed is it with --processes"
 
 
 def _configs(request: Request) -> Iterator[load.Config]:
@@ -103,6 +109,7 @@
             request.seconds,
             size,
             request.urls,
+            request.processes,
         )
 
 
--- a/src/burdockgate/standin/scenarios.py
+++ b/src/burdockgate/standin/scenarios.py
@@ -26,6 +26,7 @@
     NONE = "none"
     BAD_WORKER = "bad worker"
     DRAIN = "drain"
+    DEATH = "agent killed"
     LOG_DOWN = "log down"
 
 
@@ -36,6 +37,8 @@
     :param fault_from: begin of the fault as a share of the seconds of the run.
     :param fault_to: its end in the same way.
     :param expects_failures: whether failed jobs belong to the run.
+    :param has_changes: whether a row of the table is set each second.
+    :param needs_processes: whether the fault can only be done to a process.
     """
 
     name: str
@@ -47,6 +50,13 @@
     is_crest: bool = False
     has_wave: bool = False
     straggler_share: float = 0.0
+    has_changes: bool = False
+    needs_processes: bool = False
+
+    @property
+    def ends_worker(self) -> bool:
+        """Whether a worker gets no new task after the fault."""
+        return self.fault in (Fault.DRAIN, Fault.DEATH)
 
     def phases(self, seconds: float) -> tuple[arrivals.Phase, ...]:
         """Return the rates of arrivals over time.
@@ -141,6 +151,22 @@
             fault=Fault.DRAIN,
             fault_from=1 / 3,
         ),
+        Scenario(
+            "death",
+            "70% load while the agent of one worker is killed",
+            fault=Fault.DEATH,
+            fault_from=1 / 3,
+            expects_failures=True,
+            needs_processes=True,
+        ),
+        Scenario(
+            "rollout",
+            "70% load while a row is set each second; the log is down in the middle",
+            fault=Fault.LOG_DOWN,
+            fault_from=1 / 3,
+            fault_to=2 / 3,
+            has_changes=True,
+        ),
         Scenario(
             "outage",
             "70% load while the log is down in the middle third",
--- a/src/burdockgate/standin/targets.py
+++ b/src/burdockgate/standin/targets.py
@@ -70,6 +70,7 @@
     slots: int
     agents: int
     worker: str
+    log_url: str = ""
 
     @abc.abstractmethod
     async def start(self) -> None:
@@ -133,6 +134,7 @@
         await self.system.start()
         self.urls = self.system.urls
         self.worker = self.system.agents[0].core.node.name
+        self.log_url = self.system.log.url
 
     async def stop(self) -> None:
         """Stop them."""
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -1,6 +1,7 @@
 """Guards the load tool: exact plans, honest figures, and the exit status."""
 
 import json
+import math
 import xml.etree.ElementTree as ET
 
 import attrs
@@ -9,11 +10,14 @@
 from burdockgate.cli import main
 from burdockgate.standin import (
     arrivals,
+    checker,
     figures,
     measurement,
     report,
+    rollout,
     scenarios,
     targets,
+    trace,
 )
 from burdockgate.standin import starts as bench
 
@@ -118,9 +122,46 @@
     assert run.complete >= 20
 
 
+@pytest.mark.parametrize(("name", "processes"), [("rollout", False), ("drain", True)])
+def test_limits_of_time_are_measured(name, processes, capsys):
+    """Without these figures nobody sees how near the system is to its limits."""
+    request = attrs.evolve(REQUEST, scenario=name, seconds=1.2, processes=processes)
+    assert measurement.run(request) == 0
+    summary = json.loads(capsys.readouterr().out)
+    assert summary["violations"] == summary["unanswered"] == 0
+    if name == "drain":
+        assert summary["last_new_task_s"] >= 0
+    else:
+        plain, late = summary["in_force_s"], summary["in_force_after_outage_s"]
+        assert [(each or {}).get("changes", 0) for each in (plain, late)] == [2, 0]
+
+
+def test_late_version_is_a_violation_and_counts_from_the_end_of_an_outage():
+    """A change that one node never works by must not be left out of the figures."""
+    watched = rollout.Rollout((), "")
+    for at, version in ((1.0, 1), (9.0, 3)):
+        workers = [{"name": "a", "table_version": version}]
+        status = {"name": "e", "table_version": version, "workers": workers}
+        watched.note(status, at)
+    watched.outage_ended_at = 5.0
+    for asked_at, version in ((0.5, 1), (4.0, 2), (8.5, 3), (9.5, 4)):
+        watched.accept(asked_at, version)
+    assert [watched.delays(False), watched.delays(True)] == [
+        [0.5, 0.5, math.inf],
+        [4.0],
+    ]
+    later = trace.Left(20.0, "other")
+    settings = checker.Settings(watched.nodes)
+    found = checker.check([*watched.events, later], settings)
+    assert {each.promise for each in found} == {checker.Promise.VERSION_IN_FORCE}
+    assert len(found) == len(watched.nodes) == 2
+
+
 @pytest.mark.parametrize(
     ("arguments", "line"),
     [
+        (["--scenario", "death"], "'death', allowed is it with --processes"),
+        (["--processes", "--policy", "least-loaded"], "not possible with --processes"),
         (["--scenario", "x"], "--scenario: 'x', allowed are steady, "),
         (["--versus", "x"], "--versus: 'x', allowed are two-choices, least-loaded"),
         (
