--- a/src/burdockgate/standin/fleet.py
+++ b/src/burdockgate/standin/fleet.py
@@ -15,12 +15,13 @@
 from collections.abc import Iterator, Mapping
 from typing import Any
 
+import attrs
 import httpx
 import msgspec
 
 from burdockgate import errors
 from burdockgate.process import daemon
-from burdockgate.standin import local, scenarios, targets
+from burdockgate.standin import backend, local, targets
 
 HOST = "127.0.0.1"
 SERVICE = "sample"
@@ -84,7 +85,7 @@
         return sum(self.count_by_name[f"{role}.{counter}"] for role in roles)
 
 
-class FleetTarget(targets.Target):
+class FleetTarget(targets.OwnTarget):
     """Starts a process for each role and each stand-in.
 
     Messages are counted by statsd, so a total is up to one flush old.
@@ -105,6 +106,7 @@
         self._process_by_name: dict[str, asyncio.subprocess.Process] = {}
         self._directory = tempfile.TemporaryDirectory(prefix="burdockgate-")
         self._log, *addresses = _free_addresses(1 + 2 * (size.entries + size.agents))
+        self.log_url = f"http://{self._log}"
         self._streams = [addresses.pop() for _ in range(size.entries)]
         self.urls = [f"http://{addresses.pop()}" for _ in range(size.entries)]
         self._servers = [addresses.pop() for _ in range(size.agents)]
@@ -211,7 +213,8 @@
                 if name.startswith(role)
             ]
             for process in own:
-                process.send_signal(signal.SIGTERM)
+                with contextlib.suppress(ProcessLookupError):
+                    process.send_signal(signal.SIGTERM)
             for process in own:
                 await _wait(process)
         await self._http.aclose()
@@ -219,21 +222,27 @@
             self._transport.close()
         self._directory.cleanup()
 
-    async def set_fault(self, fault: scenarios.Fault, is_on: bool) -> None:
-        """Begin or end a fault.
+    async def set_backend_faults(self, count: int, faults: backend.Faults) -> None:
+        """Replace the faults of the first backend servers.
 
-        :param fault: the fault.
-        :param is_on: whether it begins.
+        :param count: number of servers; a rack holds the first three.
+        :param faults: the faults.
         """
-        match fault:
-            case scenarios.Fault.BAD_WORKER:
-                await self._post_faults(self._servers[0], {"fail_all": is_on})
-            case scenarios.Fault.LOG_DOWN:
-                await self._post_faults(self._log, {"down": is_on})
-            case scenarios.Fault.DRAIN:
-                await self.drain(is_on)
-
-    async def _post_faults(self, address: str, faults: dict[str, bool]) -> None:
+        for address in self._servers[:count]:
+            await self._post_faults(address, attrs.asdict(faults))
+
+    async def set_log_down(self, is_down: bool) -> None:
+        """Begin or end an outage of the log.
+
+        :param is_down: whether it begins.
+        """
+        await self._post_faults(self._log, {"down": is_down})
+
+    def kill_worker(self) -> None:
+        """Kill the agent of the first worker."""
+        self._process_by_name[self.worker].kill()
+
+    async def _post_faults(self, address: str, faults: dict[str, Any]) -> None:
         reply = await self._http.post(f"http://{address}/v1/faults", json=faults)
         reply.raise_for_status()
 
@@ -244,19 +253,19 @@
             self._totals.total(name, "agent")
             for name in ("wire.bytes_sent", "wire.bytes_received")
         )
-        processes = [
-            process
+        running = {
+            name: process.pid
             for name, process in self._process_by_name.items()
-            if name.startswith(roles)
-        ]
+            if name.startswith(roles) and process.returncode is None
+        }
         return targets.Counts(
             self._totals.total("wire.sent", *roles),
             agent_bytes,
             self._totals.total("tasks.returned", "agent"),
-            sum(_processor_s(process.pid) for process in processes),
+            sum(_processor_s(pid) for pid in running.values()),
             max(
-                _resident_mb(process.pid)
-                for name, process in self._process_by_name.items()
+                _resident_mb(pid)
+                for name, pid in running.items()
                 if name.startswith("agent")
             ),
         )
--- a/src/burdockgate/standin/load.py
+++ b/src/burdockgate/standin/load.py
@@ -9,15 +9,16 @@
 
 import asyncio
 import contextlib
+import signal
 import time
-from collections.abc import Coroutine, Sequence
+from collections.abc import Coroutine, Iterator, Sequence
 from http import HTTPStatus
 from typing import Any
 
 import attrs
 
 from burdockgate import errors
-from burdockgate.standin import arrivals, caller, fleet, scenarios, targets
+from burdockgate.standin import arrivals, caller, fleet, rollout, scenarios, targets
 
 # Answers still missing this long after the last arrival are given up.
 ANSWER_LIMIT_S = 60.0
@@ -74,6 +75,7 @@
     :param starts: starts of the planned jobs; ``None`` when they are not known.
     :param fault_at: begin of the fault, in seconds after the start.
     :param worker: the worker that the faults concern.
+    :param changes: the changes of the table; ``None`` for a run without.
     """
 
     config: Config
@@ -88,6 +90,7 @@
     starts: list[targets.Start] | None
     fault_at: float | None
     worker: str
+    changes: rollout.Rollout | None = None
 
 
 async def run(config: Config, is_base: bool = False) -> Run:
@@ -97,6 +100,11 @@
     :param is_base: whether to leave out the stragglers.
     """
     target = _target(config)
+    if config.has_processes:
+        # Without a handler, the processes would outlive this one.
+        task, loop = asyncio.current_task(), asyncio.get_running_loop()
+        assert task is not None
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
     try:
         await target.start()
         shape = config.scenario.shape(
@@ -104,6 +112,8 @@
         )
         plan = config.scenario.plan(shape, config.seconds, config.seed)
         return await _Driver(config, target, plan).run()
+    except asyncio.CancelledError:
+        raise errors.BurdockgateError("the run was stopped by a signal") from None
     finally:
         await target.stop()
 
@@ -127,7 +137,13 @@
         self._records = [Record(job) for job in plan]
         self._began = 0.0
         self._fault_at: float | None = None
+        self._answered = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
+        self._changes = (
+            rollout.Rollout(target.urls, target.log_url)
+            if config.scenario.has_changes
+            else None
+        )
         self._caller = caller.Caller()
 
     def _now(self) -> float:
@@ -142,6 +158,7 @@
             # Tasks are made and bodies are encoded before the first arrival.
             self._began = time.monotonic() + LEAD_S
             fault = asyncio.create_task(self._drive_fault())
+            others = [asyncio.create_task(item) for item in self._rollout()]
             try:
                 await self._send_all()
                 # The tail after the last arrival has few tasks and many heartbeats,
@@ -151,11 +168,17 @@
                 window_s, after = self._now(), self._target.counts()
                 if self._tasks:
                     await asyncio.wait(self._tasks, timeout=ANSWER_LIMIT_S)
+                if self._changes is not None:
+                    await self._changes.settle()
                 seconds = self._now()
+                self._answered.set()
+                if self._config.scenario.fault is scenarios.Fault.DRAIN:
+                    await fault
             finally:
-                await _end([fault, *self._tasks])
-        if fault.done() and not fault.cancelled():
-            fault.result()
+                await _end([fault, *others, *self._tasks])
+        for task in (fault, *others):
+            if not task.cancelled():
+                task.result()
         starts = await self._target.starts()
         return self._result(seconds, window_s, before, after, starts)
 
@@ -222,12 +245,24 @@
         if scenario.fault is scenarios.Fault.NONE:
             return
         await asyncio.sleep(scenario.fault_from * seconds + LEAD_S)
+        asked_at = self._now()
         await self._target.set_fault(scenario.fault, is_on=True)
         # A drain counts from the operator's answer, as an operator sees it.
-        self._fault_at = self._now()
+        is_drain = scenario.fault is scenarios.Fault.DRAIN
+        self._fault_at = self._now() if is_drain else asked_at
+        if is_drain:
+            # A worker that is resumed in the run would get new tasks.
+            await self._answered.wait()
         await asyncio.sleep(max(0.0, scenario.fault_to * seconds - self._now()))
+        if self._changes is not None:
+            self._changes.outage_ended_at = time.monotonic()
         await self._target.set_fault(scenario.fault, is_on=False)
 
+    def _rollout(self) -> Iterator[Coroutine[Any, Any, None]]:
+        if self._changes is not None:
+            yield self._changes.watch()
+            yield self._changes.change(self._began + self._config.seconds)
+
     def _result(
         self,
         seconds: float,
@@ -252,6 +287,7 @@
             starts,
             self._fault_at,
             self._target.worker,
+            self._changes,
         )
 
 
--- a/src/burdockgate/standin/measurement.py
+++ b/src/burdockgate/standin/measurement.py
@@ -95,6 +95,8 @@
         yield "--processes: not possible with --connect"
     if request.urls and (scenario is None or scenario.fault not in remote):
         yield f"--connect: not possible with the scenario {request.scenario!r:.80}"
+    if scenario is not None and scenario.needs_processes and not request.has_processes:
+        yield f"--scenario: {request.scenario!r}, allowed is it with --processes"
 
 
 def _configs(request: Request) -> Iterator[load.Config]:
--- a/src/burdockgate/standin/scenarios.py
+++ b/src/burdockgate/standin/scenarios.py
@@ -33,6 +33,7 @@
     SILENT_WORKER = "silent worker"
     BAD_RACK = "bad rack"
     DRAIN = "drain"
+    DEATH = "agent killed"
     LOG_DOWN = "log down"
 
 
@@ -44,6 +45,8 @@
     :param fault_to: its end in the same way.
     :param expects_failures: whether failed jobs belong to the run.
     :param poisoned_share: share of the jobs of which every task fails everywhere.
+    :param has_changes: whether a row of the table is set each second.
+    :param needs_processes: whether the fault can only be done to a process.
     """
 
     name: str
@@ -57,6 +60,13 @@
     straggler_share: float = 0.0
     poisoned_share: float = 0.0
     deadline_ms: int = arrivals.DEADLINE_MS
+    has_changes: bool = False
+    needs_processes: bool = False
+
+    @property
+    def ends_worker(self) -> bool:
+        """Whether a worker gets no new task after the fault."""
+        return self.fault in (Fault.DRAIN, Fault.DEATH)
 
     def phases(self, seconds: float) -> tuple[arrivals.Phase, ...]:
         """Return the rates of arrivals over time.
@@ -183,6 +193,22 @@
             fault=Fault.DRAIN,
             fault_from=1 / 3,
         ),
+        Scenario(
+            "death",
+            "70% load while the agent of one worker is killed",
+            fault=Fault.DEATH,
+            fault_from=1 / 3,
+            expects_failures=True,
+            needs_processes=True,
+        ),
+        Scenario(
+            "rollout",
+            "70% load while a row is set each second; the log is down in the middle",
+            fault=Fault.LOG_DOWN,
+            fault_from=1 / 3,
+            fault_to=2 / 3,
+            has_changes=True,
+        ),
         Scenario(
             "outage",
             "70% load while the log is down in the middle third",
--- a/src/burdockgate/standin/targets.py
+++ b/src/burdockgate/standin/targets.py
@@ -76,6 +76,7 @@
     worker: str
     # Time after which all that was counted up to now is in the totals.
     counts_delay_s = 0.0
+    log_url: str = ""
 
     @abc.abstractmethod
     async def start(self) -> None:
@@ -111,7 +112,57 @@
                 raise errors.ClientError(f"worker {self.worker}: no host knows it")
 
 
-class LocalTarget(Target):
+class OwnTarget(Target):
+    """A system that was started for the run, with its stand-ins."""
+
+    async def set_fault(self, fault: scenarios.Fault, is_on: bool) -> None:
+        """Begin or end a fault.
+
+        :param fault: the fault.
+        :param is_on: whether it begins.
+        """
+        match fault:
+            case scenarios.Fault.BAD_WORKER:
+                await self.set_backend_faults(1, backend.Faults(fail_all=is_on))
+            case scenarios.Fault.SLOW_WORKER:
+                factor = SLOW_FACTOR if is_on else 1.0
+                await self.set_backend_faults(1, backend.Faults(slow_factor=factor))
+            case scenarios.Fault.SILENT_WORKER:
+                await self.set_backend_faults(1, backend.Faults(hang_all=is_on))
+            case scenarios.Fault.BAD_RACK:
+                faults = backend.Faults(fail_all=is_on)
+                await self.set_backend_faults(NODES_PER_RACK, faults)
+            case scenarios.Fault.LOG_DOWN:
+                await self.set_log_down(is_on)
+            case scenarios.Fault.DRAIN:
+                await self.drain(is_on)
+            case scenarios.Fault.DEATH if is_on:
+                self.kill_worker()
+
+    @abc.abstractmethod
+    async def set_backend_faults(self, count: int, faults: backend.Faults) -> None:
+        """Replace the faults of the first backend servers.
+
+        :param count: number of servers; a rack holds the first three.
+        :param faults: the faults.
+        """
+
+    @abc.abstractmethod
+    async def set_log_down(self, is_down: bool) -> None:
+        """Begin or end an outage of the log.
+
+        :param is_down: whether it begins.
+        """
+
+    def kill_worker(self) -> None:
+        """Kill the agent of the first worker.
+
+        :raises errors.SettingsError: when it is no process of its own.
+        """
+        raise errors.SettingsError(["--scenario: only possible with --processes"])
+
+
+class LocalTarget(OwnTarget):
     """All roles and the stand-ins in this process.
 
     :param size: size of the system.
@@ -139,37 +190,28 @@
         await self.system.start()
         self.urls = self.system.urls
         self.worker = self.system.agents[0].core.node.name
+        self.log_url = self.system.log.url
 
     async def stop(self) -> None:
         """Stop them."""
         await self.system.stop()
 
-    async def set_fault(self, fault: scenarios.Fault, is_on: bool) -> None:
-        """Begin or end a fault.
+    async def set_backend_faults(self, count: int, faults: backend.Faults) -> None:
+        """Replace the faults of the first backend servers.
 
-        :param fault: the fault.
-        :param is_on: whether it begins.
+        :param count: number of servers; a rack holds the first three.
+        :param faults: the faults.
         """
-        match fault:
-            case scenarios.Fault.BAD_WORKER:
-                self._set_faults(1, backend.Faults(fail_all=is_on))
-            case scenarios.Fault.SLOW_WORKER:
-                factor = SLOW_FACTOR if is_on else 1.0
-                self._set_faults(1, backend.Faults(slow_factor=factor))
-            case scenarios.Fault.SILENT_WORKER:
-                self._set_faults(1, backend.Faults(hang_all=is_on))
-            case scenarios.Fault.BAD_RACK:
-                self._set_faults(NODES_PER_RACK, backend.Faults(fail_all=is_on))
-            case scenarios.Fault.LOG_DOWN:
-                self.system.log.store.set_faults(log.Faults(down=is_on))
-            case scenarios.Fault.DRAIN:
-                await self.drain(is_on)
-
-    def _set_faults(self, count: int, faults: backend.Faults) -> None:
-        """Set the faults of the first backend servers; a rack holds the first three."""
         for server in self.system.servers[:count]:
             server.faults = faults
 
+    async def set_log_down(self, is_down: bool) -> None:
+        """Begin or end an outage of the log.
+
+        :param is_down: whether it begins.
+        """
+        self.system.log.store.set_faults(log.Faults(down=is_down))
+
     def counts(self) -> Counts:
         """Return the totals so far."""
         agent_bytes = sum(
