Keep an attempt closed where a new member learns of a later owner

Cause: found by reading. Two members close an attempt as not run, the third has granted a later epoch; one of the two is lost. Its replacement merged the two records into the later, pending one, and with the third member gave the later owner a majority, which then ran an attempt of which a caller was told that it had not run. Change: the merged record has the next epoch and the code OWNER_LOST, so the attempt is granted to nobody again and counts as one that may have run. Before: the new test fails for both orders of the records. After: it passes, and so do 295 session and claim tests with their golden files unchanged. Conclusion: no minority can reopen an attempt through a member that catches up.

--- a/src/burdockgate/process/claims.py
+++ b/src/burdockgate/process/claims.py
@@ -182,9 +182,8 @@
     record of the newer epoch, and who reads it there would take the newer owner's
     attempt for failed while that owner, who may have won without this vote, runs it.
     """
-    has_failed = record.code not in (codes.Code.PENDING, codes.Code.COMPLETE)
     is_pending = claim.code == codes.Code.PENDING
-    if has_failed and is_pending and claim.attempt == record.attempt:
+    if _has_failed(record) and is_pending and claim.attempt == record.attempt:
         return messages.Verdict.HELD
     return messages.Verdict.GRANTED
 
@@ -203,13 +202,23 @@
 def _merged(
     first: messages.ClaimRecord, second: messages.ClaimRecord
 ) -> messages.ClaimRecord:
-    newer = max(first, second, key=_precedence)
-    is_contested = first.epoch == second.epoch and not first.owner.same(second.owner)
-    return attrs.evolve(
-        newer,
-        epoch=newer.epoch + is_contested,
-        scope=merge_scopes((first.scope, second.scope)),
-    )
+    older, newer = sorted((first, second), key=_precedence)
+    epoch, code = newer.epoch, newer.code
+    if older.epoch == epoch and not older.owner.same(newer.owner):
+        epoch += 1
+    elif _has_failed(older) and (older.attempt, codes.Code.PENDING) == (
+        newer.attempt,
+        code,
+    ):
+        # A majority closed the attempt, or a majority granted the newer epoch: never
+        # both, and it is not known which. The attempt may have run and stays closed.
+        epoch, code = epoch + 1, codes.Code.OWNER_LOST
+    scope = merge_scopes((first.scope, second.scope))
+    return attrs.evolve(newer, epoch=epoch, code=int(code), scope=scope)
+
+
+def _has_failed(record: messages.ClaimRecord) -> bool:
+    return record.code not in (codes.Code.PENDING, codes.Code.COMPLETE)
 
 
 def _precedence(record: messages.ClaimRecord) -> tuple[int, bool, str, int]:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 import builders
-from burdockgate import clock, messages
+from burdockgate import clock, codes, messages
 from burdockgate.process import claims
 
 V = messages.Verdict
@@ -141,6 +141,27 @@
         assert vote(store, owner="e3", epoch=held(store).epoch + 1).verdict is V.GRANTED
 
 
+@pytest.mark.parametrize("order", [1, -1])
+def test_attempt_closed_by_a_lost_majority_is_granted_to_no_later_owner(order):
+    """An answer of "not run" was false when a later owner won with a new member.
+
+    Members 1 and 3 closed the attempt, member 2 granted epoch 2 before; member 1 was
+    lost, and its replacement learnt from members 2 and 3.
+    """
+    closed, granted, entering = make_store(), make_store(), make_store()
+    vote(closed, scope=S1, code=110)
+    vote(granted, epoch=2, owner="e2", scope=S2)
+    records = [builders.claim_record("e1", code=110, scope=S1), held(granted)]
+    entering.merge(records[::order])
+    for owner, epoch in (("e2", 2), ("e3", 4)):
+        assert vote(closed, owner=owner, epoch=epoch).verdict is V.HELD
+        assert vote(entering, owner=owner, epoch=epoch).verdict is V.HELD
+    assert set(held(entering).scope) == set(S1 + S2)
+    assert codes.start_of(held(entering).code) is codes.Start.MAY_HAVE_RUN
+    # The next attempt of a repeatable job is open.
+    assert vote(entering, owner="e3", epoch=4, attempt=2).verdict is V.GRANTED
+
+
 def test_record_is_kept_until_deadline_and_retention():
     time = clock.ManualClock()
     store = make_store(time)
