--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -71,6 +71,8 @@
         list(reversed(CORRECT)),
         # The same owner claims again, and another takes over by the next epoch.
         [*CORRECT, claimed(1, "e/1"), claimed(2, "f/1")],
+        # One entry host refused its submission and a cancel, another ran the job.
+        [*CORRECT, submitted(0.1, entry="f"), refused(0.11), refused(0.12)],
         # A failed attempt, then the next one of a repeatable job.
         [
             *RUNNING,
