Move the evidence about workers out of the module of their health

Change: states, records, groups and detectors stand in process.evidence; ejection and probation stay. No behaviour changes.

--- a/src/burdockgate/process/health.py
+++ b/src/burdockgate/process/health.py
@@ -8,30 +8,15 @@
 
 from __future__ import annotations
 
-import abc
 import collections
-import enum
 import math
 from collections.abc import Callable
 
-import attrs
-
 from burdockgate import clock, messages, settings
-from burdockgate.process import metrics
-
-UNLIMITED = 1 << 30
-# Failure rate that is taken as usual at least, so that the first failure of a class
-# without any does not weigh without bound.
-RATE_FLOOR = 0.02
-# Outcomes over which the failure rate of a class is taken. When every job fails, 11
-# workers must not collect the evidence for an ejection before this rate has risen.
-MEMORY = 50
+from burdockgate.process import evidence, metrics
+
 RUN_MEMORY = 100
-# Short, so that the mean trust falls with that of the workers when every job fails.
-TRUST_MEMORY = 10
 TRUST_STEP = 0.3
-TRUST_MIN = 0.05
-TRUSTED = 0.5
 # Slowness is not judged before a class has this many run times.
 WARM_UP = 30
 # Run times of the workload spread by a factor of about e around their mean; with the
@@ -60,207 +45,13 @@
 _FAILED = (messages.TaskState.FAILED, messages.TaskState.UNKNOWN)
 
 
-class State(enum.Enum):
-    """Whether a worker gets tasks."""
-
-    HEALTHY = "healthy"
-    EJECTED = "ejected"
-    PROBATION = "probation"
-
-
-class Reason(enum.Enum):
-    """Why a worker is ejected."""
-
-    FAILING = "failing"
-    SLOW = "slow"
-    SILENT = "silent"
-
-
-@attrs.define(eq=False)
-class Record:
-    """What an entry host knows of the outcomes of one worker.
-
-    :param boot: boot id of its agent; another boot begins a new record.
-    :param allowance: tasks that may be sent now, beside the free slots.
-    :param score: evidence that the worker fails, from 0.
-    :param slow: evidence that the worker is slow, from 0.
-    :param trust: recent share of successes, each job's failures taken as one.
-    :param row: failed jobs in a row, as seen here.
-    :param told: failed jobs in a row, as the agent has seen them for all entry hosts.
-    :param until: end of the ejection.
-    :param answered_at: time of the last sign that a task ended there.
-    """
-
-    name: str
-    service: str
-    boot: int
-    state: State = State.HEALTHY
-    reason: Reason = Reason.FAILING
-    allowance: int = UNLIMITED
-    score: float = 0.0
-    slow: float = 0.0
-    trust: float = 1.0
-    row: int = 0
-    told: int = 0
-    until: float = 0.0
-    ejections: int = 0
-    readmitted_at: float = -math.inf
-    proved: int = 0
-    in_flight: int = 0
-    session: int = 0
-    is_connected: bool = False
-    answered_at: float = -math.inf
-    failed_job: bytes = b""
-    slow_job: bytes = b""
-
-
-@attrs.define(eq=False)
-class Group:
-    """Outcomes of one service and class, over all workers.
-
-    :param whole: outcomes of the service; ``None`` in that group itself.
-    :param rate: share of failures.
-    :param trust: mean trust of the workers that the outcomes came from.
-    :param log_ms: mean logarithm of the run time in ms.
-    """
-
-    whole: Group | None = None
-    rate: float = 0.0
-    trust: float = 1.0
-    log_ms: float = 0.0
-    runs: int = 0
-    due: collections.deque[_Sent] = attrs.field(factory=collections.deque)
-    overdue: collections.deque[_Sent] = attrs.field(factory=collections.deque)
-
-    def saw(self, value: float, trust: float) -> None:
-        """Take an outcome into the failure rate.
-
-        A worker that fails every task must not make failures look usual, so its
-        outcomes count by its trust, relative to that of the others: where all workers
-        fail, failures are usual.
-
-        :param value: 1 for a failure, 0 for a success.
-        :param trust: the worker's.
-        """
-        self.trust += (trust - self.trust) / TRUST_MEMORY
-        share = max(trust, TRUST_MIN) / max(self.trust, TRUST_MIN)
-        self.rate += (value - self.rate) * min(1.0, share) / MEMORY
-        if self.whole is not None:
-            self.whole.saw(value, trust)
-
-    @property
-    def usual(self) -> float:
-        """Failure rate of the class or of the service, the higher one.
-
-        When a service breaks, that of the service is learned first.
-        """
-        return max(self.rate, self.whole.rate if self.whole else 0.0)
-
-    def trusts(self, trust: float) -> bool:
-        """Return whether a worker fails less often than a suspect one.
-
-        :param trust: the worker's.
-        """
-        return trust >= TRUSTED * self.trust
-
-
-@attrs.define(eq=False)
-class _Sent:
-    """A task that was sent and has not been reported."""
-
-    record: Record
-    group: Group
-    job: bytes
-    index: int
-    at: float
-    session: int
-
-
-@attrs.define(eq=False)
-class _FailedJob:
-    """The failure of a job that counts against a worker, and its weight."""
-
-    job: bytes
-    record: Record
-    weight: float
-
-
-@attrs.frozen
-class Change:
-    """A change of a worker's state, for the log.
-
-    :param seconds: length of an ejection, else 0.
-    """
-
-    worker: str
-    state: State
-    reason: Reason
-    seconds: float
-
-
-class Detector(abc.ABC):
-    """Turns failures and successes into the score of a worker.
-
-    :param failures: failures in different jobs for which a worker is ejected when no
-        task fails elsewhere.
-    """
-
-    def __init__(self, failures: int) -> None:
-        self.failures = failures
-
-    @property
-    @abc.abstractmethod
-    def threshold(self) -> float:
-        """Score at which a worker is ejected."""
-
-    @abc.abstractmethod
-    def failure(self, record: Record, group: Group) -> float:
-        """Return what a failure adds to the score.
-
-        :param record: the worker.
-        :param group: outcomes of the service and class.
-        """
-
-    @abc.abstractmethod
-    def success(self, record: Record, group: Group) -> float:
-        """Return the score after a success.
-
-        :param record: the worker.
-        :param group: outcomes of the service and class.
-        """
-
-
-class Likelihood(Detector):
-    """Cumulative sum of log likelihood ratios.
-
-    The two hypotheses are that the worker fails as often as its class does elsewhere,
-    and that it fails at a rate halfway between that and every task.
-    """
-
-    @property
-    def threshold(self) -> float:
-        """Score at which a worker is ejected."""
-        # The worker's own failures raise the rate of its class a little, so the last
-        # one need not weigh in full.
-        return (self.failures - 0.5) * math.log((1 + RATE_FLOOR) / 2 / RATE_FLOOR)
-
-    def failure(self, record: Record, group: Group) -> float:
-        """Return what a failure adds to the score."""
-        rate = max(group.usual, RATE_FLOOR)
-        return math.log((1 + rate) / 2 / rate)
-
-    def success(self, record: Record, group: Group) -> float:
-        """Return the score after a success, which is half as likely if it is bad."""
-        return max(0.0, record.score - math.log(2.0))
-
-
 class Health:
     """Judges the workers that one entry host knows.
 
     :param config: the settings.
     :param time: the clock.
     :param counters: the process's metrics.
-    :param detector: how failures are weighed; ``None`` for :class:`Likelihood`.
+    :param detector: weighs failures; ``None`` for :class:`evidence.Likelihood`.
     """
 
     def __init__(
@@ -268,27 +59,29 @@
         config: settings.HealthSettings,
         time: clock.Clock,
         counters: metrics.Metrics,
-        detector: Detector | None = None,
+        detector: evidence.Detector | None = None,
     ) -> None:
         self._config = config
         self._time = time
         self._counters = counters
-        self._detector = detector or Likelihood(config.failures)
+        self._detector = detector or evidence.Likelihood(config.failures)
         self._slow_offset = math.log(config.slow_factor) / 2
-        self._record_by_name: dict[str, Record] = {}
-        self._out_by_name: dict[str, Record] = {}
+        self._record_by_name: dict[str, evidence.Record] = {}
+        self._out_by_name: dict[str, evidence.Record] = {}
         self._known_by_service: collections.Counter[str] = collections.Counter()
         self._ejected_by_service: collections.Counter[str] = collections.Counter()
         self._in_row_by_service: collections.Counter[str] = collections.Counter()
-        self._group_by_key: dict[tuple[str, str], Group] = {}
-        self._whole_by_service: dict[str, Group] = {}
-        self._sent_by_task: dict[tuple[bytes, int], _Sent] = {}
-        self._late: collections.deque[_Sent] = collections.deque()
-        self._failed_by_job: dict[bytes, _FailedJob] = {}
+        self._group_by_key: dict[tuple[str, str], evidence.Group] = {}
+        self._whole_by_service: dict[str, evidence.Group] = {}
+        self._sent_by_task: dict[tuple[bytes, int], evidence.Sent] = {}
+        self._late: collections.deque[evidence.Sent] = collections.deque()
+        self._failed_by_job: dict[bytes, evidence.FailedJob] = {}
         self._ticked_at = -math.inf
-        self._watcher: Callable[[Record], None] | None = None
+        self._watcher: Callable[[evidence.Record], None] | None = None
         # Tests drive cores without a daemon that takes the changes.
-        self.changes: collections.deque[Change] = collections.deque(maxlen=1000)
+        self.changes: collections.deque[evidence.Change] = collections.deque(
+            maxlen=1000
+        )
 
     @property
     def _brink(self) -> float:
@@ -297,14 +90,14 @@
 
     # Workers
 
-    def watch(self, watcher: Callable[[Record], None]) -> None:
+    def watch(self, watcher: Callable[[evidence.Record], None]) -> None:
         """Set what is called after a change of a worker's allowance.
 
         :param watcher: called with the worker's record.
         """
         self._watcher = watcher
 
-    def join(self, hello: messages.Hello) -> Record:
+    def join(self, hello: messages.Hello) -> evidence.Record:
         """Begin a session with a worker and return its record.
 
         :param hello: the announcement of its agent. The state outlives a session, but
@@ -316,13 +109,13 @@
         if record is None or record.boot != hello.node.boot:
             self._out_by_name.pop(name, None)
             self._show_out()
-            record = Record(name, service, hello.node.boot)
+            record = evidence.Record(name, service, hello.node.boot)
             self._record_by_name[name] = record
         record.is_connected = True
         record.session += 1
         record.in_flight = 0
         self._known_by_service[service] += 1
-        self._ejected_by_service[service] += record.state is State.EJECTED
+        self._ejected_by_service[service] += record.state is evidence.State.EJECTED
         self._allow(record)
         return record
 
@@ -337,15 +130,17 @@
         self._set_told(record, 0)
         record.is_connected = False
         self._known_by_service[record.service] -= 1
-        self._ejected_by_service[record.service] -= record.state is State.EJECTED
-        if record.state is State.HEALTHY:
+        self._ejected_by_service[record.service] -= (
+            record.state is evidence.State.EJECTED
+        )
+        if record.state is evidence.State.HEALTHY:
             del self._record_by_name[name]
 
-    def _allow(self, record: Record) -> None:
+    def _allow(self, record: evidence.Record) -> None:
         """Set what may be sent: on probation one task at a time."""
-        if record.state is State.HEALTHY:
-            record.allowance = UNLIMITED
-        elif record.state is State.EJECTED:
+        if record.state is evidence.State.HEALTHY:
+            record.allowance = evidence.UNLIMITED
+        elif record.state is evidence.State.EJECTED:
             record.allowance = 0
         else:
             record.allowance = 1 - record.in_flight
@@ -354,7 +149,9 @@
 
     # Tasks
 
-    def sent(self, record: Record, caller_class: str, job: bytes, index: int) -> None:
+    def sent(
+        self, record: evidence.Record, caller_class: str, job: bytes, index: int
+    ) -> None:
         """Note a task that was sent.
 
         :param record: the worker.
@@ -363,7 +160,9 @@
         :param index: index of the task.
         """
         group = self._group(record.service, caller_class)
-        task = _Sent(record, group, job, index, self._time.now(), record.session)
+        task = evidence.Sent(
+            record, group, job, index, self._time.now(), record.session
+        )
         older = self._sent_by_task.get((job, index))
         if older is not None:
             # The job's next attempt has begun before the last one was reported.
@@ -373,14 +172,14 @@
         record.in_flight += 1
         self._allow(record)
 
-    def _group(self, service: str, caller_class: str) -> Group:
+    def _group(self, service: str, caller_class: str) -> evidence.Group:
         key = (service, caller_class)
         if key not in self._group_by_key:
             # Callers choose the names of classes, so their number must be bounded.
             if len(self._group_by_key) >= GROUPS:
                 key = (service, "")
-            whole = self._whole_by_service.setdefault(service, Group())
-            self._group_by_key.setdefault(key, Group(whole))
+            whole = self._whole_by_service.setdefault(service, evidence.Group())
+            self._group_by_key.setdefault(key, evidence.Group(whole))
         return self._group_by_key[key]
 
     def results(self, message: messages.Results) -> None:
@@ -398,12 +197,12 @@
                 self._end(task)
                 self._judge(task, report)
 
-    def _end(self, task: _Sent) -> None:
+    def _end(self, task: evidence.Sent) -> None:
         if task.session == task.record.session:
             task.record.in_flight -= 1
             self._allow(task.record)
 
-    def _judge(self, task: _Sent, report: messages.TaskReport) -> None:
+    def _judge(self, task: evidence.Sent, report: messages.TaskReport) -> None:
         record = task.record
         if self._record_by_name.get(record.name) is not record:
             # The worker's session was lost meanwhile, and its record with it.
@@ -411,23 +210,23 @@
         if report.state in _ENDED:
             record.answered_at = self._time.now()
         if report.state in _FAILED:
-            self._fail(task, Reason.FAILING)
+            self._fail(task, evidence.Reason.FAILING)
         elif report.state is messages.TaskState.DONE:
             self._succeed(task, report.run_ms)
 
-    def _succeed(self, task: _Sent, run_ms: float) -> None:
+    def _succeed(self, task: evidence.Sent, run_ms: float) -> None:
         record, group = task.record, task.group
         record.trust += (1.0 - record.trust) * TRUST_STEP
         record.row = 0
         self._set_told(record, 0)
         group.saw(0.0, record.trust)
-        if record.state is State.EJECTED:
+        if record.state is evidence.State.EJECTED:
             return
         record.score = self._detector.success(record, group)
         if not self._is_slow(task, run_ms):
             self._prove(record)
 
-    def _is_slow(self, task: _Sent, run_ms: float) -> bool:
+    def _is_slow(self, task: evidence.Sent, run_ms: float) -> bool:
         """Take a run time, and return whether it got the worker ejected.
 
         Tasks of one job are alike, so a job counts as evidence of slowness only once
@@ -445,9 +244,9 @@
         group.log_ms += over / min(group.runs, RUN_MEMORY)
         if record.slow < SLOW_SCORE:
             return False
-        return self._eject(record, Reason.SLOW)
+        return self._eject(record, evidence.Reason.SLOW)
 
-    def _fail(self, task: _Sent, reason: Reason) -> None:
+    def _fail(self, task: evidence.Sent, reason: evidence.Reason) -> None:
         """Count a failure, at most one for each job but for overdue tasks."""
         record, group = task.record, task.group
         # The other workers' view of this one, from before this failure.
@@ -463,25 +262,25 @@
         if (
             first is not None
             and first.record is record
-            and (reason is not Reason.SILENT or not first.weight)
+            and (reason is not evidence.Reason.SILENT or not first.weight)
         ):
             return
         weight = self._detector.failure(record, group)
         group.saw(1.0, record.trust)
-        if reason is Reason.SILENT:
+        if reason is evidence.Reason.SILENT:
             weight *= self._detector.failures / OVERDUE_TASKS
         earlier = first.weight if first is not None and first.record is record else 0.0
-        self._remember(_FailedJob(task.job, record, earlier + weight))
-        if record.state is State.EJECTED:
+        self._remember(evidence.FailedJob(task.job, record, earlier + weight))
+        if record.state is evidence.State.EJECTED:
             return
         record.score += weight
         record.row += 1
         if record.score + self._told(record) >= self._detector.threshold:
             self._eject(record, reason)
-        elif record.state is State.PROBATION:
+        elif record.state is evidence.State.PROBATION:
             self._prove(record)
 
-    def _excuse(self, first: _FailedJob) -> None:
+    def _excuse(self, first: evidence.FailedJob) -> None:
         """Take a failure back: a worker that is trusted failed the same job."""
         if not first.weight:
             return
@@ -491,20 +290,20 @@
         record.row = max(0, record.row - 1)
         first.weight = 0.0
         if (
-            record.state is State.EJECTED
-            and record.reason is not Reason.SLOW
+            record.state is evidence.State.EJECTED
+            and record.reason is not evidence.Reason.SLOW
             and record.told < 2
             and record.score < self._detector.threshold / 2
         ):
             # Little is left of the evidence that ejected the worker.
             record.until = self._time.now()
 
-    def _remember(self, failed: _FailedJob) -> None:
+    def _remember(self, failed: evidence.FailedJob) -> None:
         self._failed_by_job[failed.job] = failed
         if len(self._failed_by_job) > FAILED_JOBS:
             del self._failed_by_job[next(iter(self._failed_by_job))]
 
-    def tell(self, record: Record, row: int) -> None:
+    def tell(self, record: evidence.Record, row: int) -> None:
         """Take the failed jobs in a row that an agent has seen for all entry hosts.
 
         :param record: the worker.
@@ -512,20 +311,20 @@
         """
         self._set_told(record, row)
         if (
-            record.state is not State.EJECTED
+            record.state is not evidence.State.EJECTED
             and record.row
             and record.score + self._told(record) >= self._detector.threshold
         ):
-            self._eject(record, Reason.FAILING)
+            self._eject(record, evidence.Reason.FAILING)
 
-    def _set_told(self, record: Record, row: int) -> None:
+    def _set_told(self, record: evidence.Record, row: int) -> None:
         """Keep the number of workers in a row of failures up to date."""
         if record.is_connected:
             change = (row > 1) - (record.told > 1)
             self._in_row_by_service[record.service] += change
         record.told = row
 
-    def _told(self, record: Record) -> float:
+    def _told(self, record: evidence.Record) -> float:
         """Return the weight of the failures in a row that were seen elsewhere.
 
         Whether their jobs failed on other workers too is not told. So they count only
@@ -539,7 +338,7 @@
         whole = self._whole_by_service[service]
         return others * self._detector.failure(record, whole)
 
-    def freed(self, record: Record) -> None:
+    def freed(self, record: evidence.Record) -> None:
         """Note that a worker has more free slots than before.
 
         Another entry host's task has ended there, so the worker is not silent.
@@ -550,7 +349,7 @@
 
     # States
 
-    def _eject(self, record: Record, reason: Reason) -> bool:
+    def _eject(self, record: evidence.Record, reason: evidence.Reason) -> bool:
         """Eject a worker unless too many of its service are; return whether it is."""
         service = record.service
         if self._ejected_by_service[service] >= self._cap(service):
@@ -561,7 +360,7 @@
             return False
         now, config = self._time.now(), self._config
         if now - record.readmitted_at > config.max_ejection_s and (
-            record.state is State.HEALTHY
+            record.state is evidence.State.HEALTHY
         ):
             record.ejections = 0
         # The exponent is bounded so that the power stays a finite number.
@@ -573,7 +372,7 @@
         self._ejected_by_service[service] += record.is_connected
         self._out_by_name[record.name] = record
         self._counters.count("health.ejections")
-        self._change(record, State.EJECTED, seconds)
+        self._change(record, evidence.State.EJECTED, seconds)
         return True
 
     def _cap(self, service: str) -> int:
@@ -582,18 +381,20 @@
             return 0
         return max(1, int(known * share))
 
-    def _change(self, record: Record, state: State, seconds: float = 0.0) -> None:
+    def _change(
+        self, record: evidence.Record, state: evidence.State, seconds: float = 0.0
+    ) -> None:
         record.state = state
         self._allow(record)
         self._show_out()
-        self.changes.append(Change(record.name, state, record.reason, seconds))
+        self.changes.append(evidence.Change(record.name, state, record.reason, seconds))
 
     def _show_out(self) -> None:
         self._counters.gauge("health.out", len(self._out_by_name))
 
-    def _prove(self, record: Record) -> None:
+    def _prove(self, record: evidence.Record) -> None:
         """Count a task on probation, and readmit the worker after enough of them."""
-        if record.state is not State.PROBATION:
+        if record.state is not evidence.State.PROBATION:
             return
         record.proved += 1
         if record.proved >= self._config.probation_tasks:
@@ -601,9 +402,9 @@
             record.score = record.slow = 0.0
             record.readmitted_at = self._time.now()
             self._counters.count("health.readmissions")
-            self._change(record, State.HEALTHY)
+            self._change(record, evidence.State.HEALTHY)
 
-    def is_suspect(self, record: Record) -> bool:
+    def is_suspect(self, record: evidence.Record) -> bool:
         """Return whether one more failure would eject a worker, but for the cap.
 
         :param record: the worker.
@@ -632,7 +433,7 @@
                 del self._record_by_name[record.name]
                 self._show_out()
 
-    def _check_due(self, group: Group, now: float) -> None:
+    def _check_due(self, group: evidence.Group, now: float) -> None:
         usual_s = math.exp(group.log_ms) / 1000 if group.runs else 0.0
         limit_s = max(self._config.overdue_s, OVERDUE_FACTOR * usual_s)
         self._check_silence(group.due, group.overdue, now - limit_s)
@@ -640,8 +441,8 @@
 
     def _check_silence(
         self,
-        due: collections.deque[_Sent],
-        later: collections.deque[_Sent],
+        due: collections.deque[evidence.Sent],
+        later: collections.deque[evidence.Sent],
         sent_before: float,
     ) -> None:
         while due and due[0].at <= sent_before:
@@ -653,20 +454,20 @@
             is_current = record.is_connected and task.session == record.session
             if is_current and record.answered_at <= task.at:
                 self._counters.count("health.overdue")
-                self._fail(task, Reason.SILENT)
+                self._fail(task, evidence.Reason.SILENT)
 
-    def _forget(self, task: _Sent) -> None:
+    def _forget(self, task: evidence.Sent) -> None:
         key = (task.job, task.index)
         if self._sent_by_task.get(key) is task:
             del self._sent_by_task[key]
             self._end(task)
 
-    def _release(self, record: Record) -> None:
+    def _release(self, record: evidence.Record) -> None:
         """Put an ejected worker on probation; one more failure ejects it again."""
-        if record.state is not State.EJECTED:
+        if record.state is not evidence.State.EJECTED:
             return
         self._ejected_by_service[record.service] -= 1
         record.proved = 0
         record.score = self._brink
-        record.slow = SLOW_BRINK if record.reason is Reason.SLOW else 0.0
-        self._change(record, State.PROBATION)
+        record.slow = SLOW_BRINK if record.reason is evidence.Reason.SLOW else 0.0
+        self._change(record, evidence.State.PROBATION)
