Give the planted answers of the fuzzer's test the time of their question

Change: they are asked after the planted starts, so every check must still find them. Measured: test_fuzz passes.

--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -29,7 +29,7 @@
     ):
         run.request_by_ticket[ticket] = request
         run.session.answers[ticket] = result
-        run.answered_at[ticket] = 1e9
+        run.asked_at[ticket], run.answered_at[ticket] = 1e8, 1e9
         run.entry_by_ticket[ticket] = run.session.processes["entry-1"]
     start = sessions.StartSeen(1.0, request.job, 1, 0, "agent-1")
     again = sessions.StartSeen(2.0, request.job, 2, 0, "agent-2")
