Move the records of an agent into a class of their own

Change: process.records holds them with their bounds; the agent's decisions stay. No behaviour changes.

--- a/src/burdockgate/process/agent.py
+++ b/src/burdockgate/process/agent.py
@@ -8,7 +8,7 @@
 import attrs
 
 from burdockgate import clock, effects, messages, settings
-from burdockgate.process import claims, core, metrics, rows, slots
+from burdockgate.process import claims, core, metrics, records, rows, slots
 from burdockgate.request import record
 from burdockgate.version import table
 from burdockgate.version import view as views
@@ -62,8 +62,9 @@
         self._config = config
         self._time = time
         self._counters = counters
-        self._record_by_job: dict[bytes, record.Record] = {}
-        self._kept_bytes = 0
+        self._records = records.Records(
+            time, config.timing.retention_s, config.backend_server.results_bytes
+        )
         self._failed_row = 0
         self._failed_job = b""
         self._session_by_name: dict[str, _Session] = {}
@@ -85,9 +86,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether no task runs and every job received is settled."""
-        return self.slots.running == 0 and all(
-            item.settled for item in self._record_by_job.values()
-        )
+        return self.slots.running == 0 and self._records.are_settled
 
     @property
     def has_left(self) -> bool:
@@ -140,7 +139,8 @@
         if now - self._expired_at >= EXPIRY_INTERVAL_S:
             self._expired_at = now
             self.claims.expire()
-            self._expire(now)
+            self._records.expire()
+            self._counters.gauge("records.kept", len(self._records.by_job))
 
     def beat(self) -> _Effects:
         """Send the heartbeats; call once in each heartbeat interval.
@@ -220,7 +220,7 @@
         if message.boot != self.node.boot:
             self._counters.count("starts.ignored", len(message.tasks))
             return
-        job = self._admit(message, name)
+        job = self._records.admit(message, name)
         if isinstance(job, record.Admission):
             self._counters.count("starts.ignored", len(message.tasks))
             yield from self._refuse_old(name, message, job)
@@ -241,25 +241,6 @@
             self._counters.count("tasks.returned", len(returned))
             yield from self._send_results(job, returned)
 
-    def _admit(
-        self, message: messages.Start | messages.Fence, owner: str
-    ) -> record.Record | record.Admission:
-        job = self._record_by_job.get(message.job)
-        now = self._time.now()
-        if job is None:
-            job = record.Record(
-                message.job, message.epoch, message.fence, message.attempt, owner, now
-            )
-            self._record_by_job[message.job] = job
-            return job
-        kept = job.size()
-        admission = job.admit(message.epoch, message.fence, message.attempt, owner)
-        self._kept_bytes += job.size() - kept
-        if admission is not record.Admission.ADMITTED:
-            return admission
-        job.touched_at = now
-        return job
-
     def _refuse_old(
         self,
         name: str,
@@ -268,7 +249,7 @@
     ) -> _Effects:
         """Tell an owner that has lost the job about the newer epoch."""
         if admission is record.Admission.OLD_EPOCH:
-            job = self._record_by_job[message.job]
+            job = self._records.by_job[message.job]
             yield from self._send_fence_reply(name, job, ())
 
     def _send_fence_reply(
@@ -313,17 +294,15 @@
         self.slots.release()
         self._counters.count(_COUNTER_BY_STATE.get(state, "tasks.failed"))
         self._count_row(job_id, state)
-        job = self._record_by_job.get(job_id)
+        job = self._records.by_job.get(job_id)
         report = None
         if job is not None and job.attempt == attempt:
             report = job.finish(index, state, payload, run_ms)
         owner = job.owner if job is not None and report is not None else ""
         yield from self._offer(silent_for=owner)
         if job is not None and report is not None:
-            job.touched_at = self._time.now()
-            self._kept_bytes += len(payload)
             yield from self._send_results(job, [report])
-            self._bound_results()
+            self._records.keep(job, len(payload))
 
     def _count_row(self, job_id: bytes, state: messages.TaskState) -> None:
         """Count the failed jobs in a row, for the entry hosts that see only some."""
@@ -353,7 +332,7 @@
         )
 
     def _on_fence(self, name: str, message: messages.Fence) -> _Effects:
-        job = self._admit(message, name)
+        job = self._records.admit(message, name)
         if isinstance(job, record.Admission):
             yield from self._refuse_old(name, message, job)
             return
@@ -361,7 +340,7 @@
         yield from self._send_fence_reply(name, job, reports)
 
     def _on_cancel(self, _name: str, message: messages.Cancel) -> _Effects:
-        job = self._record_by_job.get(message.job)
+        job = self._records.by_job.get(message.job)
         if job is None or message.epoch < job.epoch or message.attempt != job.attempt:
             return
         for index in job.running():
@@ -369,38 +348,9 @@
 
     def _on_settle(self, name: str, message: messages.Settle) -> _Effects:
         self.claims.settle(message, self._session_by_name[name].hello.node)
-        job = self._record_by_job.get(message.job)
-        if job is not None and message.epoch >= job.epoch:
-            job.settled = True
-            job.touched_at = self._time.now()
+        self._records.settle(message)
         yield from ()
 
-    def _bound_results(self) -> None:
-        """Drop the oldest results when they exceed the bound."""
-        if self._kept_bytes <= self._config.backend_server.results_bytes:
-            return
-        oldest = sorted(
-            self._record_by_job.values(),
-            key=lambda item: (not item.settled, item.touched_at),
-        )
-        for job in oldest:
-            if self._kept_bytes <= self._config.backend_server.results_bytes // 2:
-                return
-            kept = job.size()
-            job.drop_results()
-            self._kept_bytes -= kept - job.size()
-
-    def _expire(self, now: float) -> None:
-        limit = now - self._config.timing.retention_s
-        expired = [
-            job_id
-            for job_id, job in self._record_by_job.items()
-            if job.touched_at <= limit and not job.running()
-        ]
-        for job_id in expired:
-            self._kept_bytes -= self._record_by_job.pop(job_id).size()
-        self._counters.gauge("records.kept", len(self._record_by_job))
-
     # Slots
 
     def _on_demand(self, name: str, message: messages.Demand) -> _Effects:
