Notice lapsed workers also when one on probation is chosen

Cause: found by reading the merge of worker health. The early return for a worker on probation skipped the step that takes lapsed workers out of the indexes, so they were looked at again with each task. Change: one way out of the choice. Choices stay the same. No timing was measured.

--- a/src/burdockgate/process/dispatch.py
+++ b/src/burdockgate/process/dispatch.py
@@ -180,11 +180,9 @@
         # Policies would seldom choose the few workers that must prove themselves.
         proving = self._workers.service(leader.request.service).proving
         found = next(filter(check, proving.values()), None)
-        if found is not None:
-            return found
-        if SMALL_SCOPE < len(scope) > len(free):
+        if found is None and SMALL_SCOPE < len(scope) > len(free):
             found = self._policy.pick(len(free), lambda place: check(free[place]))
-        else:
+        elif found is None:
             found = self._policy.pick(
                 len(scope), lambda place: check(known.get(scope[place].name))
             )
