--- a/src/burdockgate/clock.py
+++ b/src/burdockgate/clock.py
@@ -26,6 +26,17 @@
         return time.monotonic()
 
 
+class BootClock(Clock):
+    """The machine's steady clock, which also counts the time of a suspension.
+
+    Leases are judged by it: a process that was suspended must find them lapsed.
+    """
+
+    def now(self) -> float:
+        """Return the time since the machine's start in seconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock(Clock):
     """A clock that moves only when told, for exact tests.
 
--- a/src/burdockgate/connection/stream.py
+++ b/src/burdockgate/connection/stream.py
@@ -6,7 +6,7 @@
 import asyncio
 from typing import cast
 
-from burdockgate import errors, messages, wire
+from burdockgate import errors, wire
 
 # A peer that reads this much too slowly is cut off, so that memory stays bounded.
 WRITE_BUFFER_LIMIT_BYTES = 16 * 1024 * 1024
@@ -16,7 +16,7 @@
     """What a stream reports to."""
 
     @abc.abstractmethod
-    def received(self, stream: Stream, message: messages.Message, size: int) -> None:
+    def received(self, stream: Stream, message: wire.Message, size: int) -> None:
         """Handle a message.
 
         :param stream: the stream it came from.
@@ -94,7 +94,7 @@
         self.is_closed = True
         self._receiver.closed(self)
 
-    def send(self, message: messages.Message) -> int:
+    def send(self, message: wire.Message) -> int:
         """Queue a message.
 
         :param message: the message.
--- a/src/burdockgate/errors.py
+++ b/src/burdockgate/errors.py
@@ -45,6 +45,10 @@
     """The platform's log service did not answer, or answered with an error."""
 
 
+class HistoryExpiredError(BurdockgateError):
+    """The records that were asked for have been deleted from the log."""
+
+
 class TableError(BurdockgateError):
     """A row or a change of the table is not valid.
 
--- /dev/null
+++ b/src/burdockgate/platform/boot.py
@@ -0,0 +1,113 @@
+"""The settings file of a process on the platform."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+
+import msgspec
+
+from burdockgate import errors
+from burdockgate.process import agentside, entryside, gate, scheduler
+
+PATH_VARIABLE = "BURDOCKGATE_NODE_FILE"
+
+
+class _Bounds(msgspec.Struct, rename={"worker_lease_ms": "maxHoldMs"}):
+    # Seconds between SIGTERM and SIGKILL.
+    grace_s: float = msgspec.field(default=6.0, name="graceS")
+    # Longest lease that a worker grants.
+    worker_lease_ms: float = 1000.0
+
+
+class _Listen(msgspec.Struct):
+    # Address for callers.
+    front: str = ""
+    # Address of the readiness check.
+    ready: str = ""
+    # Address for the heartbeats of the worker on the same machine.
+    heartbeats: str = msgspec.field(default="", name="control")
+
+
+class _Store(msgspec.Struct):
+    address: str
+
+
+class Boot(msgspec.Struct):
+    """The fields of the settings file that the product uses."""
+
+    name: str = msgspec.field(name="nodeName")
+    host: str = msgspec.field(name="ip")
+    zone: str
+    listen: _Listen
+    store: _Store = msgspec.field(name="platform")
+    ports: tuple[int, int] = msgspec.field(name="portRange")
+    # Heartbeat addresses of machines that may run entry hosts.
+    seeds: list[str] = []
+    # Address of the worker on the same machine; empty on machines without one.
+    worker: str = msgspec.field(default="", name="app")
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+    @property
+    def link_port(self) -> int:
+        """Port at which entry hosts accept agents; the same on all machines."""
+        return self.ports[0]
+
+    def entry_addresses(self) -> tuple[str, ...]:
+        """Return where entry hosts may accept agents."""
+        hosts = [seed.rpartition(":")[0] for seed in self.seeds]
+        return tuple(f"{host}:{self.link_port}" for host in hosts if host)
+
+    def entry_settings(self) -> entryside.EntrySettings:
+        """Return the settings of an entry host."""
+        return entryside.EntrySettings(
+            name=self.name,
+            zone=self.zone,
+            host=self.host,
+            port=self.link_port,
+            grace_s=self.bounds.grace_s,
+            configuration_topic="keyed.op",
+            configuration_key="config",
+            scheduler=scheduler.SchedulerSettings(
+                agent_gone_s=scheduler.agent_gone_s(self._gate_settings())
+            ),
+        )
+
+    def agent_settings(self) -> agentside.AgentSettings:
+        """Return the settings of an agent."""
+        return agentside.AgentSettings(
+            name=self.name,
+            zone=self.zone,
+            entry_addresses=self.entry_addresses(),
+            grace_s=self.bounds.grace_s,
+            gate=self._gate_settings(),
+        )
+
+    def _gate_settings(self) -> gate.GateSettings:
+        return gate.GateSettings(worker_lease_s=self.bounds.worker_lease_ms / 1000)
+
+
+def load() -> Boot:
+    """Read the settings file of this process.
+
+    :raises errors.SettingsError: when it can't be read or lacks a field.
+    """
+    path = os.environ.get(PATH_VARIABLE)
+    if not path:
+        raise errors.SettingsError([f"{PATH_VARIABLE} is not set"])
+    try:
+        return decode(pathlib.Path(path).read_bytes())
+    except OSError as error:
+        raise errors.SettingsError([f"{path}: {error}"]) from error
+
+
+def decode(content: bytes) -> Boot:
+    """Return the settings in a file; unknown fields are ignored.
+
+    :param content: the file, TOML.
+    :raises errors.SettingsError: when a field is missing or of another type.
+    """
+    try:
+        return msgspec.toml.decode(content, type=Boot)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise errors.SettingsError([f"settings file: {error}"]) from error
--- /dev/null
+++ b/src/burdockgate/platform/worker.py
@@ -0,0 +1,202 @@
+"""Orders to the worker on the same machine, over HTTP."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+import httpx
+import msgspec
+
+from burdockgate import assignments
+from burdockgate.platform import http
+from burdockgate.process import control
+
+# The worker is on the same machine and answers in a millisecond. An order that was
+# given up too early costs one look, which finds out what became of it.
+ANSWER_S = 0.25
+# The worker allows 64.
+CONNECTIONS = 16
+# Best-effort jobs have one occurrence.
+_OCCURRENCE = "0"
+_INSTANCE_HEADER = "Expected-Instance"
+_JSON = {"Content-Type": "application/json"}
+
+_REFUSAL_BY_REASON = {
+    "fence": control.Refusal.FENCED,
+    "old": control.Refusal.OLD_RUN,
+    "late": control.Refusal.LATE,
+    "room": control.Refusal.NO_ROOM,
+}
+_REFUSAL_BY_STATUS = {
+    421: control.Refusal.OTHER_WORKER,
+    429: control.Refusal.UNHEALTHY,
+    503: control.Refusal.UNHEALTHY,
+}
+_REASON_BY_WORD = {
+    "done": control.EndReason.DONE,
+    "failed": control.EndReason.FAILED,
+    "stopped": control.EndReason.STOPPED,
+    "lapsed": control.EndReason.LAPSED,
+}
+
+
+class _Answer(msgspec.Struct, rename={"clock_ms": "clockMs"}):
+    clock_ms: int = 0
+    reason: str = ""
+
+
+class _Lists(msgspec.Struct, rename={"clock_ms": "clockMs"}):
+    clock_ms: int
+    # Rows of task, run, checkpoint, percent of the work done, and a rough load.
+    running: list[Any]
+    # Rows of number, task, run, word for the end, and checkpoint.
+    finished: list[Any]
+    # Start of this life of the worker; older platforms do not tell it.
+    born: int = 0
+
+
+class PlatformWorker(control.RunControl):
+    """The worker's interface over HTTP.
+
+    :param address: ``host:port`` of the worker.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._client = http.client(address, CONNECTIONS)
+
+    async def start(self, order: control.StartOrder) -> control.OrderAnswer:
+        """Start a run."""
+        fields = {
+            "task": _task_name(order.key.task),
+            "run": order.key.run,
+            "spec": order.spec,
+            "deadlineMs": order.lease_until_ms,
+            "fencingToken": order.token,
+        }
+        return await self._order("/burdockgate/run-start", order.worker, fields)
+
+    async def stop(self, order: control.StopOrder) -> control.OrderAnswer:
+        """Stop a run."""
+        fields = {
+            "task": _task_name(order.key.task),
+            "run": order.key.run,
+            "fencingToken": order.token,
+        }
+        return await self._order("/burdockgate/run-stop", order.worker, fields)
+
+    async def look(self, order: control.LookOrder) -> control.LookAnswer:
+        """Read the lists of runs."""
+        fields = {
+            "fencingToken": order.token,
+            "ackedThrough": order.acknowledged,
+            "waitMs": order.wait_ms,
+        }
+        if order.lease_until_ms is not None:
+            fields["deadlineMs"] = order.lease_until_ms
+        answer = await self._post(
+            "/burdockgate/hold", order.worker, fields, order.wait_ms / 1000 + ANSWER_S
+        )
+        if not isinstance(answer, httpx.Response):
+            return answer
+        if answer.status_code != httpx.codes.OK:
+            return _refused(answer)
+        try:
+            return _snapshot(msgspec.json.decode(answer.content, type=_Lists))
+        except msgspec.DecodeError:
+            return control.Refused(control.Refusal.INVALID)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.aclose()
+
+    async def _order(
+        self, path: str, worker: str, fields: dict[str, Any]
+    ) -> control.OrderAnswer:
+        answer = await self._post(path, worker, fields, ANSWER_S)
+        if not isinstance(answer, httpx.Response):
+            return answer
+        if answer.status_code == httpx.codes.OK:
+            return control.Accepted(_decode_answer(answer).clock_ms)
+        if answer.status_code in (
+            httpx.codes.BAD_GATEWAY,
+            httpx.codes.GATEWAY_TIMEOUT,
+            httpx.codes.INTERNAL_SERVER_ERROR,
+        ):
+            return control.Unanswered()
+        return _refused(answer)
+
+    async def _post(
+        self, path: str, worker: str, fields: dict[str, Any], answer_s: float
+    ) -> httpx.Response | control.Refused | control.Unanswered:
+        try:
+            return await self._client.post(
+                path,
+                content=msgspec.json.encode(fields),
+                headers={**_JSON, _INSTANCE_HEADER: worker},
+                timeout=http.timeout(answer_s),
+            )
+        except http.NOT_SENT:
+            return control.Refused(control.Refusal.NOT_SENT)
+        except httpx.HTTPError:
+            return control.Unanswered()
+
+
+def _decode_answer(answer: httpx.Response) -> _Answer:
+    try:
+        return msgspec.json.decode(answer.content, type=_Answer)
+    except msgspec.DecodeError:
+        return _Answer()
+
+
+def _refused(answer: httpx.Response) -> control.Refused:
+    told = _decode_answer(answer)
+    reason = _REFUSAL_BY_STATUS.get(answer.status_code)
+    if reason is None:
+        reason = _REFUSAL_BY_REASON.get(told.reason, control.Refusal.INVALID)
+    return control.Refused(reason, told.clock_ms)
+
+
+def _snapshot(lists: _Lists) -> control.Snapshot:
+    running = tuple(_running(lists.running))
+    finished = tuple(_finished(lists.finished))
+    unreadable = len(lists.running) + len(lists.finished)
+    return control.Snapshot(
+        lists.clock_ms,
+        lists.born,
+        running,
+        finished,
+        unreadable - len(running) - len(finished),
+    )
+
+
+def _running(rows: list[Any]) -> Iterator[control.RunningEntry]:
+    for row in rows:
+        match row:
+            case [str(task), int(run), _, int() | float() as percent, *_]:
+                key = _run_key(task, run)
+                if key is not None:
+                    yield control.RunningEntry(key, int(percent))
+
+
+def _finished(rows: list[Any]) -> Iterator[control.FinishedEntry]:
+    for row in rows:
+        match row:
+            case [int(number), str(task), int(run), str(word), *_]:
+                key = _run_key(task, run)
+                if key is not None:
+                    reason = _REASON_BY_WORD.get(word, control.EndReason.OTHER)
+                    yield control.FinishedEntry(number, key, reason)
+
+
+def _task_name(task: assignments.TaskKey) -> str:
+    return f"{task.job}.{_OCCURRENCE}.{task.step}.{task.index}"
+
+
+def _run_key(task: str, run: int) -> assignments.RunKey | None:
+    """Return the run of a row, or ``None`` for a name of another form."""
+    match task.split("."):
+        case [job, _, step, index] if step.isdecimal() and index.isdecimal():
+            key = assignments.TaskKey(job, int(step), int(index))
+            return assignments.RunKey(key, run)
+    return None
--- /dev/null
+++ b/src/burdockgate/process/agentside.py
@@ -0,0 +1,308 @@
+"""The daemon beside a worker: performs what its gate decides."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+from collections.abc import Coroutine, Iterable
+from typing import Any
+
+import attrs
+
+from burdockgate import assignments, clock, errors
+from burdockgate.connection import stream
+from burdockgate.process import control, events, gate, links, members, running, store
+
+TICK_S = 0.025
+REPORT_INTERVAL_S = 0.2
+# Changes of load within this time go out in one report.
+REPORT_DELAY_S = 0.004
+# A worker that refuses looks must not be asked without a pause.
+LOOK_PAUSE_S = 0.05
+# What is left of the time for a stop after the last runs were stopped: the worker's
+# limit for a stop, and the delivery of the ends.
+STOP_RESERVE_S = 0.8
+STORE_RETRY_S = 0.5
+BOOT_BITS = 62
+
+
+@attrs.frozen
+class AgentSettings:
+    """Place and limits of an agent.
+
+    :param entry_addresses: ``host:port`` of entry hosts to begin with.
+    :param grace_s: time between the signal to stop and the end of the process.
+    """
+
+    name: str
+    zone: str
+    entry_addresses: tuple[str, ...]
+    grace_s: float
+    gate: gate.GateSettings
+
+
+class AgentDaemon(links.Handler, running.Runnable):
+    """Connects the gate with the worker, the entry hosts and the store.
+
+    :param settings: place and limits.
+    :param worker: control of the worker.
+    :param client: the store, read for entry hosts while none is connected.
+    :param rng: source of random numbers.
+    """
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        worker: control.RunControl,
+        client: store.Store,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._settings = settings
+        self._worker = worker
+        self._store = client
+        self._rng = rng or random.Random(secrets.randbits(64))
+        self._time = clock.BootClock()
+        self.events = events.Events(settings.name, self._time)
+        self.boot = self._rng.getrandbits(BOOT_BITS)
+        self.gate = gate.Gate(settings.gate, self._time)
+        self.links = links.AgentLinks(self, self._time, self._rng)
+        self._link_by_owner: dict[str, stream.Stream] = {}
+        self._owner_by_address: dict[str, str] = {}
+        self._info_sent: dict[str, assignments.WorkerInfo] = {}
+        self._configuration: assignments.Configuration | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._is_report_due = False
+        self._has_worker = asyncio.Event()
+
+    async def start(self) -> None:
+        """Begin to serve."""
+        self.events.note("process.started", {"boot": self.boot})
+        for address in self._settings.entry_addresses:
+            self.links.add(address)
+        self._spawn(self._run_timers())
+        self._spawn(self._look())
+        self._spawn(self._find_entries())
+
+    async def stop(self) -> None:
+        """Let what runs end, return what waits, and end."""
+        self.events.note("process.stopping", {"running": self.gate.running_count})
+        self._perform(self.gate.leave())
+        await self._wait_idle(self._settings.grace_s - STOP_RESERVE_S)
+        if self.gate.running_count:
+            self._perform(self.gate.stop_all("agent stops"))
+            await self._wait_idle(STOP_RESERVE_S / 2)
+        self._report()
+        self.links.close()
+        await asyncio.sleep(0)
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._worker.close()
+        await self._store.close()
+        self.events.note("process.stopped", {"running": self.gate.running_count})
+
+    async def _wait_idle(self, limit_s: float) -> None:
+        ends_at = self._time.now() + limit_s
+        while self.gate.running_count and self._time.now() < ends_at:
+            await asyncio.sleep(TICK_S)
+
+    def announced(self, told: control.Announcement) -> None:
+        """Handle a heartbeat of the worker.
+
+        :param told: what it says of itself.
+        """
+        self._perform(self.gate.announced(told))
+        self._has_worker.set()
+
+    def deregistered(self, worker: str) -> None:
+        """Handle that the worker ends.
+
+        :param worker: its identifier.
+        """
+        self.events.note("worker.deregistered", {"worker": worker})
+
+    # Effects of the gate.
+
+    def _perform(self, wanted: Iterable[gate.Effect]) -> None:
+        for effect in wanted:
+            match effect:
+                case gate.Note(event, fields):
+                    self.events.note(event, fields)
+                case gate.Send(to, message):
+                    self._send(to, message)
+                case gate.Start(start_order):
+                    self._spawn(self._start_run(start_order))
+                case gate.Stop(stop_order):
+                    self._spawn(self._stop_run(stop_order))
+                case gate.Look(look_order):
+                    self._spawn(self._look_once(look_order))
+            self._schedule_report()
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _start_run(self, order: control.StartOrder) -> None:
+        answer = await self._worker.start(order)
+        self._perform(self.gate.start_answered(order, answer))
+
+    async def _stop_run(self, order: control.StopOrder) -> None:
+        answer = await self._worker.stop(order)
+        self._perform(self.gate.stop_answered(order, answer))
+
+    async def _look_once(self, order: control.LookOrder) -> None:
+        answer = await self._worker.look(order)
+        self._perform(self.gate.looked(order, answer))
+
+    async def _look(self) -> None:
+        await self._has_worker.wait()
+        while True:
+            order = self.gate.next_look()
+            if order is None:
+                await asyncio.sleep(LOOK_PAUSE_S)
+                continue
+            answer = await self._worker.look(order)
+            self._perform(self.gate.looked(order, answer))
+            if not isinstance(answer, control.Snapshot):
+                await asyncio.sleep(LOOK_PAUSE_S)
+
+    # Links.
+
+    def _send(self, owner: str, message: assignments.Message) -> None:
+        link = self._link_by_owner.get(owner)
+        if link is not None:
+            link.send(message)
+
+    def opened(self, link: stream.Stream) -> None:
+        """Wait for the entry host's hello."""
+
+    def received(self, link: stream.Stream, message: assignments.Message) -> None:
+        """Handle a message of an entry host."""
+        if isinstance(message, assignments.EntryHello):
+            self._greet(link, message)
+            return
+        owner = self._owner_of(link)
+        if owner is None:
+            raise errors.WireError(f"{type(message).__name__} came before the hello")
+        match message:
+            case assignments.Assign():
+                self._perform(self.gate.assigned(owner, message))
+            case assignments.Renewal():
+                self.gate.renewed(owner, message)
+            case assignments.Revoke():
+                self._perform(self.gate.revoked(message))
+            case assignments.EntryHosts(addresses):
+                for address in addresses:
+                    self.links.add(address)
+            case assignments.Configuration():
+                self._pass_on(owner, message)
+
+    def _owner_of(self, link: stream.Stream) -> str | None:
+        return next(
+            (owner for owner, known in self._link_by_owner.items() if known is link),
+            None,
+        )
+
+    def _greet(self, link: stream.Stream, hello: assignments.EntryHello) -> None:
+        if hello.protocol != assignments.PROTOCOL:
+            raise errors.WireError(f"protocol {hello.protocol} of {hello.name}")
+        old = self._link_by_owner.get(hello.name)
+        if old is not None and old is not link:
+            old.abort()
+        boot, held = self.gate.hello(hello.name)
+        self._link_by_owner[hello.name] = link
+        self._owner_by_address[self.links.address_of(link)] = hello.name
+        link.send(
+            assignments.AgentHello(
+                assignments.PROTOCOL,
+                self._settings.name,
+                self.boot,
+                self._settings.zone,
+                boot,
+                held,
+            )
+        )
+        self._info_sent.pop(hello.name, None)
+        self.events.note("owner.linked", {"owner": hello.name, "held": len(held)})
+        self._perform(self.gate.linked(hello.name, hello.boot))
+        if self._configuration is not None:
+            link.send(self._configuration)
+        self._report()
+
+    def _pass_on(self, owner: str, message: assignments.Configuration) -> None:
+        """Give a newer configuration to the other entry hosts."""
+        known = self._configuration
+        if known is not None and known.version >= message.version:
+            return
+        self._configuration = message
+        for other, link in self._link_by_owner.items():
+            if other != owner:
+                link.send(message)
+
+    def closed(self, link: stream.Stream) -> None:
+        """Handle the end of a connection."""
+        owner = self._owner_of(link)
+        if owner is not None:
+            del self._link_by_owner[owner]
+            self._perform(self.gate.unlinked(owner))
+
+    def rejected(self, reason: str) -> None:
+        """Handle a malformed message."""
+        self.events.note("link.rejected", {"detail": reason})
+
+    def refused(self, address: str) -> None:
+        """Stop the runs of an entry host whose process has ended."""
+        owner = self._owner_by_address.get(address)
+        if owner is not None and owner not in self._link_by_owner:
+            self._perform(self.gate.refused(owner))
+
+    # Time.
+
+    def _schedule_report(self) -> None:
+        if not self._is_report_due:
+            self._is_report_due = True
+            asyncio.get_running_loop().call_later(REPORT_DELAY_S, self._report)
+
+    def _report(self) -> None:
+        """Send the load to every entry host, after changed facts of the worker."""
+        self._is_report_due = False
+        info = self.gate.worker_info()
+        for owner, link in self._link_by_owner.items():
+            if info is not None and self._info_sent.get(owner) != info:
+                self._info_sent[owner] = info
+                link.send(info)
+            link.send(self.gate.load(owner))
+
+    async def _run_timers(self) -> None:
+        report_at = 0.0
+        while True:
+            now = self._time.now()
+            self.links.watch()
+            self.links.dial_due()
+            self._perform(self.gate.tick())
+            if now >= report_at:
+                report_at = now + REPORT_INTERVAL_S
+                self._report()
+            await asyncio.sleep(TICK_S)
+
+    async def _find_entries(self) -> None:
+        """Read the entry hosts from the store until one is connected."""
+        while True:
+            if not self._link_by_owner:
+                await self._read_members()
+            await asyncio.sleep(STORE_RETRY_S)
+
+    async def _read_members(self) -> None:
+        try:
+            page = await self._store.newest(members.TOPIC)
+        except errors.LogUnavailableError as error:
+            self.events.note(
+                "store.lost", {"topic": members.TOPIC, "detail": str(error)}
+            )
+            return
+        found = list(members.addresses(page.records))
+        self.events.note("entries.found", {"addresses": found})
+        for address in found:
+            self.links.add(address)
--- /dev/null
+++ b/src/burdockgate/process/entryside.py
@@ -0,0 +1,346 @@
+"""The daemon that takes best-effort jobs: performs what its scheduler decides."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+import secrets
+from collections.abc import Callable, Coroutine, Iterable
+from typing import Any
+
+import attrs
+
+from burdockgate import assignments, clock, errors
+from burdockgate.connection import stream
+from burdockgate.process import (
+    events,
+    follower,
+    links,
+    members,
+    running,
+    scheduler,
+    selection,
+    store,
+)
+from burdockgate.request import batch
+from burdockgate.version import routes
+
+TICK_S = 0.02
+# The balancer notices within two seconds that an entry host is not ready. Until then
+# it still sends requests, which are served.
+UNREADY_S = 2.2
+# What is left of the time for a stop, for answers under way.
+STOP_RESERVE_S = 0.5
+STORE_RETRY_S = 0.5
+BOOT_BITS = 62
+
+
+@attrs.frozen
+class EntrySettings:
+    """Place and limits of an entry host.
+
+    :param host: own IP address, at which agents connect.
+    :param port: port for agents.
+    :param grace_s: time between the signal to stop and the end of the process.
+    :param configuration_topic: topic that holds the configuration.
+    :param configuration_key: its key.
+    """
+
+    name: str
+    zone: str
+    host: str
+    port: int
+    grace_s: float
+    configuration_topic: str
+    configuration_key: str
+    scheduler: scheduler.SchedulerSettings = scheduler.SchedulerSettings()
+    selection: selection.SelectionSettings = selection.SelectionSettings()
+
+
+class EntryDaemon(links.Handler, running.Runnable):
+    """Connects the scheduler with callers, agents and the store.
+
+    :param settings: place and limits.
+    :param client: the store.
+    :param decode_routes: returns the table of a record; ``None`` when unreadable.
+    :param rng: source of random numbers.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        client: store.Store,
+        decode_routes: Callable[[bytes], routes.RouteTable | None],
+        rng: random.Random | None = None,
+    ) -> None:
+        self._settings = settings
+        self._store = client
+        self._decode_routes = decode_routes
+        self._rng = rng or random.Random(secrets.randbits(64))
+        self._time = clock.BootClock()
+        self.events = events.Events(settings.name, self._time)
+        self.boot = self._rng.getrandbits(BOOT_BITS)
+        self.scheduler = scheduler.Scheduler(
+            settings.zone,
+            settings.scheduler,
+            settings.selection,
+            selection.LeastSlack(),
+            self._time,
+            self._rng,
+        )
+        self.routes: routes.RouteTable | None = None
+        self._configuration: assignments.Configuration | None = None
+        self._links = links.EntryLinks(self, self._time)
+        self._server: asyncio.Server | None = None
+        self._link_by_agent: dict[str, stream.Stream] = {}
+        self._address_by_entry: dict[str, str] = {settings.name: self._address}
+        self._answer_by_ticket: dict[int, asyncio.Future[batch.Verdict]] = {}
+        self._tickets = itertools.count(1)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.is_stopping = False
+
+    @property
+    def _address(self) -> str:
+        return f"{self._settings.host}:{self._settings.port}"
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer should send requests here."""
+        return (
+            not self.is_stopping
+            and self.routes is not None
+            and any(view.is_assignable for view in self._views())
+        )
+
+    def _views(self) -> Iterable[Any]:
+        return self.scheduler.fleet.by_agent.values()
+
+    async def start(self) -> None:
+        """Begin to serve."""
+        self.events.note("process.started", {"boot": self.boot})
+        self._server = await self._links.start(self._settings.host, self._settings.port)
+        self._spawn(self._run_timers())
+        self._spawn(self._follow_configuration())
+        self._spawn(self._follow_members())
+        self._spawn(self._register())
+
+    async def stop(self) -> None:
+        """Let the jobs in progress end, then end."""
+        self.is_stopping = True
+        self.events.note("process.stopping", {"jobs": len(self.scheduler.job_by_id)})
+        self._spawn(self._deregister())
+        begun_at = self._time.now()
+        limit_s = self._settings.grace_s - STOP_RESERVE_S
+        await asyncio.sleep(min(UNREADY_S, limit_s))
+        while self.scheduler.job_by_id and self._time.now() - begun_at < limit_s:
+            await asyncio.sleep(TICK_S)
+
+    async def close(self) -> None:
+        """End every connection; call after the requests have been answered."""
+        self.events.note("process.stopped", {"jobs": len(self.scheduler.job_by_id)})
+        if self._server is not None:
+            self._server.close()
+        self._links.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._store.close()
+
+    # Callers.
+
+    async def submit(
+        self, submission: batch.Submission, gone: asyncio.Future[None]
+    ) -> batch.Verdict | None:
+        """Return how a job ended; ``None`` when its caller went before.
+
+        :param submission: the job.
+        :param gone: done when the caller has closed its connection.
+        """
+        ticket = next(self._tickets)
+        answer: asyncio.Future[batch.Verdict] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._answer_by_ticket[ticket] = answer
+        began_at = self._time.now()
+        try:
+            self._perform(self.scheduler.submit(submission, ticket))
+            waited: set[asyncio.Future[Any]] = {answer, gone}
+            await asyncio.wait(waited, return_when=asyncio.FIRST_COMPLETED)
+            if not answer.done():
+                self._perform(self.scheduler.abandon(submission.job, ticket))
+                return None
+            verdict = answer.result()
+            self.events.histograms.record(
+                f"response.{verdict.code.name.lower()}",
+                submission.route,
+                self._time.now() - began_at,
+            )
+            return verdict
+        finally:
+            del self._answer_by_ticket[ticket]
+
+    def cancel(self, job: str) -> bool:
+        """Cancel a job; return whether it was in progress.
+
+        :param job: its identifier.
+        """
+        is_known = job in self.scheduler.job_by_id
+        self._perform(self.scheduler.cancel(job))
+        return is_known
+
+    # Effects of the scheduler.
+
+    def _perform(self, wanted: Iterable[scheduler.Effect]) -> None:
+        for effect in wanted:
+            match effect:
+                case scheduler.Note(event, fields):
+                    self.events.note(event, fields)
+                case scheduler.Send(to, message):
+                    link = self._link_by_agent.get(to)
+                    if link is not None:
+                        link.send(message)
+                case scheduler.Conclude(ticket, _, verdict):
+                    answer = self._answer_by_ticket.get(ticket)
+                    if answer is not None and not answer.done():
+                        answer.set_result(verdict)
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    # Links.
+
+    def opened(self, link: stream.Stream) -> None:
+        """Greet an agent."""
+        settings = self._settings
+        link.send(
+            assignments.EntryHello(
+                assignments.PROTOCOL, settings.name, self.boot, settings.zone
+            )
+        )
+
+    def received(self, link: stream.Stream, message: assignments.Message) -> None:
+        """Handle a message of an agent."""
+        if isinstance(message, assignments.AgentHello):
+            self._greeted(link, message)
+            return
+        agent = self._agent_of(link)
+        if agent is None:
+            raise errors.WireError(f"{type(message).__name__} came before the hello")
+        match message:
+            case assignments.LoadReport():
+                self._perform(self.scheduler.reported(agent, message))
+            case assignments.TaskEnd():
+                self._perform(self.scheduler.ended(agent, message))
+            case assignments.WorkerInfo():
+                self._perform(self.scheduler.informed(agent, message))
+            case assignments.Configuration(_, body):
+                self._configure(body, f"agent {agent}")
+
+    def _agent_of(self, link: stream.Stream) -> str | None:
+        return next(
+            (agent for agent, known in self._link_by_agent.items() if known is link),
+            None,
+        )
+
+    def _greeted(self, link: stream.Stream, hello: assignments.AgentHello) -> None:
+        if hello.protocol != assignments.PROTOCOL:
+            raise errors.WireError(f"protocol {hello.protocol} of {hello.name}")
+        old = self._link_by_agent.get(hello.name)
+        self._link_by_agent[hello.name] = link
+        if old is not None and old is not link:
+            old.abort()
+        self._perform(self.scheduler.linked(hello, self.boot))
+        link.send(assignments.EntryHosts(tuple(self._address_by_entry.values())))
+        if self._configuration is not None:
+            link.send(self._configuration)
+
+    def closed(self, link: stream.Stream) -> None:
+        """Handle the end of a connection."""
+        agent = self._agent_of(link)
+        if agent is not None:
+            del self._link_by_agent[agent]
+            self._perform(self.scheduler.unlinked(agent))
+
+    def rejected(self, reason: str) -> None:
+        """Handle a malformed message."""
+        self.events.note("link.rejected", {"detail": reason})
+
+    async def _run_timers(self) -> None:
+        while True:
+            self._links.watch()
+            self._perform(self.scheduler.tick())
+            await asyncio.sleep(TICK_S)
+
+    # Configuration and membership.
+
+    async def _follow_configuration(self) -> None:
+        settings = self._settings
+        source = follower.Follower(
+            self._store, settings.configuration_topic, self.events, self._rng
+        )
+        async for record in source.records():
+            if record.key == settings.configuration_key:
+                self._configure(record.value, "store")
+
+    def _configure(self, body: bytes, source: str) -> None:
+        """Take a version into force unless it is older than the known one."""
+        table = self._decode_routes(body)
+        if table is None:
+            self.events.note("configuration.unreadable", {"source": source})
+            return
+        known = self.routes
+        if known is not None and table.version <= known.version:
+            return
+        self.routes = table
+        self._configuration = assignments.Configuration(table.version, body)
+        self.events.note(
+            "configuration.applied",
+            {
+                "version": table.version,
+                "before": known.version if known else 0,
+                "routes": len(table.routes),
+                "source": source,
+            },
+        )
+        for link in self._link_by_agent.values():
+            link.send(self._configuration)
+
+    async def _follow_members(self) -> None:
+        source = follower.Follower(self._store, members.TOPIC, self.events, self._rng)
+        async for record in source.records():
+            self._learn(record)
+
+    def _learn(self, record: store.KeyedRecord) -> None:
+        """Tell the agents of another entry host."""
+        for address in members.addresses([record]):
+            if self._address_by_entry.get(record.key) != address:
+                self._address_by_entry[record.key] = address
+                self.events.note(
+                    "entry.known", {"entry": record.key, "address": address}
+                )
+                known = tuple(self._address_by_entry.values())
+                for link in self._link_by_agent.values():
+                    link.send(assignments.EntryHosts(known))
+
+    async def _register(self) -> None:
+        """Write the own address to the store, once it can be reached."""
+        while True:
+            try:
+                await self._store.put(
+                    members.TOPIC, self._settings.name, members.encode(self._address)
+                )
+            except errors.LogUnavailableError as error:
+                self.events.note("entry.not_registered", {"detail": str(error)})
+                await asyncio.sleep(STORE_RETRY_S)
+            else:
+                self.events.note("entry.registered", {"address": self._address})
+                return
+
+    async def _deregister(self) -> None:
+        try:
+            await self._store.put(members.TOPIC, self._settings.name, b"")
+        except errors.LogUnavailableError as error:
+            self.events.note("entry.not_deregistered", {"detail": str(error)})
--- /dev/null
+++ b/src/burdockgate/process/events.py
@@ -0,0 +1,94 @@
+"""Events of a daemon: each is counted, and logged as one line within a bound."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterator, Mapping
+
+import structlog
+
+from burdockgate import assignments, clock
+from burdockgate.process import histograms, logs
+
+# At 100 jobs a second an entry host writes about 400 lines a second. The bound keeps
+# a storm of retries from taking the processor that the requests need.
+LINES_PER_S = 1500.0
+BURST_LINES = 3000.0
+# Fields whose values are few, so that each gets a counter of its own.
+COUNTED_FIELDS = ("code", "kind", "state", "reason")
+MAX_COUNTERS = 1000
+
+
+class Events:
+    """Counts and logs events; serves both as text.
+
+    :param name: name of the process in each line.
+    :param time: a steady clock.
+    """
+
+    def __init__(self, name: str, time: clock.Clock) -> None:
+        self._log: structlog.typing.FilteringBoundLogger = logs.get(name)
+        self._time = time
+        self._count_by_key: collections.Counter[tuple[str, str]] = collections.Counter()
+        self._lines = BURST_LINES
+        self._refilled_at = time.now()
+        self._dropped = 0
+        self.histograms = histograms.Histograms()
+
+    def note(self, event: str, fields: Mapping[str, object]) -> None:
+        """Count an event and log it unless the bound is reached.
+
+        :param event: name of the event.
+        :param fields: what decided it, and its outcome.
+        """
+        detail = next(
+            (str(fields[name]) for name in COUNTED_FIELDS if name in fields), ""
+        )
+        if len(self._count_by_key) < MAX_COUNTERS:
+            self._count_by_key[event, detail] += 1
+        else:
+            self._count_by_key["events.other", ""] += 1
+        self._refill()
+        if self._lines < 1:
+            self._dropped += 1
+            return
+        self._lines -= 1
+        self._log.info(event, **{key: _text(value) for key, value in fields.items()})
+
+    def _refill(self) -> None:
+        now = self._time.now()
+        gained = (now - self._refilled_at) * LINES_PER_S
+        self._lines = min(BURST_LINES, self._lines + gained)
+        self._refilled_at = now
+        if self._dropped and self._lines > BURST_LINES / 10:
+            self._log.warning("log.dropped", lines=self._dropped)
+            self._count_by_key["log.dropped", ""] += self._dropped
+            self._dropped = 0
+
+    def render(self) -> Iterator[str]:
+        """Yield the lines of the metrics page, in the Prometheus text format."""
+        yield "# TYPE burdockgate_events_total counter"
+        for (event, detail), count in sorted(self._count_by_key.items()):
+            labels = f'event="{event}",detail="{detail}"'
+            yield f"burdockgate_events_total{{{labels}}} {count}"
+        yield "# TYPE burdockgate_duration_ms summary"
+        for row in self.histograms.summary():
+            name = f'measure="{row.measure}",route="{row.caller_class}"'
+            for quantile, value in (
+                ("0.5", row.p50),
+                ("0.9", row.p90),
+                ("0.99", row.p99),
+                ("1", row.max),
+            ):
+                yield (
+                    f'burdockgate_duration_ms{{{name},quantile="{quantile}"}} {value}'
+                )
+            yield f"burdockgate_duration_ms_count{{{name}}} {row.count}"
+
+
+def _text(value: object) -> object:
+    """Return a short form of the keys of tasks and runs."""
+    if isinstance(value, assignments.RunKey):
+        task = value.task
+        return f"{task.job}.{task.step}.{task.index}#{value.run}"
+    return value
--- /dev/null
+++ b/src/burdockgate/process/fleet.py
@@ -0,0 +1,155 @@
+"""What an entry host knows of the workers, through their agents' reports."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import attrs
+
+from burdockgate import assignments
+from burdockgate.request import batch
+
+
+@attrs.define
+class WorkerView:
+    """One worker; times in seconds of the entry host's clock.
+
+    :param boot: random number of the life of the agent's process.
+    :param renewed_at: when the session lease was last renewed.
+    :param assigned_number: number of the last assignment sent on this connection.
+    :param unconfirmed: runs that the agent did not name after its connection broke.
+    :param is_recovering: whether runs of an earlier life of the agent may go on.
+    """
+
+    agent: str
+    boot: int
+    zone: str
+    is_linked: bool = True
+    renewed_at: float = 0.0
+    assigned_number: int = 0
+    ends_through: int = 0
+    is_recovering: bool = False
+    unconfirmed: set[assignments.RunKey] = attrs.field(factory=set)
+    info: assignments.WorkerInfo | None = None
+    load: assignments.LoadReport | None = None
+    load_at: float = 0.0
+    _unseen: list[tuple[int, int, int, int]] = attrs.field(factory=list)
+
+    def relink(self) -> None:
+        """Begin a new connection."""
+        self.is_linked = True
+        self.assigned_number = 0
+        self._unseen.clear()
+        self.load = None
+
+    def reported(self, load: assignments.LoadReport, now: float) -> None:
+        """Take in a report.
+
+        :param load: the report.
+        :param now: the time.
+        """
+        self.load, self.load_at = load, now
+        self._unseen = [
+            entry for entry in self._unseen if entry[0] > load.assigned_through
+        ]
+
+    def assign(self, count: int, step: batch.Step) -> int:
+        """Count runs that are about to be assigned.
+
+        :param count: number of tasks.
+        :param step: their step.
+        :returns: number of the assignment.
+        """
+        self.assigned_number += 1
+        self._unseen.append(
+            (
+                self.assigned_number,
+                count * step.cpu,
+                count * step.memory_mb,
+                count * step.gpu,
+            )
+        )
+        return self.assigned_number
+
+    @property
+    def is_assignable(self) -> bool:
+        """Whether new tasks may be assigned."""
+        return (
+            self.is_linked
+            and self.info is not None
+            and self.load is not None
+            and self.load.state
+            in (assignments.WorkerState.READY, assignments.WorkerState.PROBATION)
+        )
+
+    @property
+    def speed(self) -> float:
+        """Speed against the estimates; 1 where they are right."""
+        return max(self.load.speed / 1000, 0.05) if self.load else 1.0
+
+    def committed_cpu(self) -> int:
+        """Return what is in use, waits there or is under way, in 1/1000 core."""
+        if self.load is None:
+            return 0
+        under_way = sum(entry[1] for entry in self._unseen)
+        return self.load.used_cpu + self.load.queued_cpu + under_way
+
+    def excess_cpu(self, step: batch.Step) -> int | None:
+        """Return how far one more task exceeds the free processor time.
+
+        :param step: step of the task.
+        :returns: thousandths of a core, negative where it fits; ``None`` when the
+            task doesn't fit the worker at all or for want of memory.
+        """
+        info, load = self.info, self.load
+        if info is None or load is None:
+            return None
+        memory_mb = load.used_memory_mb + sum(entry[2] for entry in self._unseen)
+        gpu = load.used_gpu + sum(entry[3] for entry in self._unseen)
+        if (
+            step.cpu > info.cpu
+            or memory_mb + step.memory_mb > info.memory_mb
+            or gpu + step.gpu > info.gpu
+        ):
+            return None
+        committed = self.committed_cpu()
+        if load.state is assignments.WorkerState.PROBATION and committed:
+            return None
+        return committed + step.cpu - info.cpu
+
+
+@attrs.define
+class Fleet:
+    """All workers by the name of their agent."""
+
+    by_agent: dict[str, WorkerView] = attrs.field(factory=dict)
+
+    def serving(self, service: str) -> Iterator[WorkerView]:
+        """Yield the workers of a service that may be given tasks.
+
+        :param service: name of the service.
+        """
+        return (
+            view
+            for view in self.by_agent.values()
+            if view.is_assignable
+            and view.info is not None
+            and view.info.service == service
+        )
+
+    def knows(self, service: str) -> bool:
+        """Return whether any linked worker serves a service, whatever its state.
+
+        :param service: name of the service.
+        """
+        return any(
+            view.is_linked and view.info is not None and view.info.service == service
+            for view in self.by_agent.values()
+        )
+
+    def capacity_cpu(self, service: str) -> int:
+        """Return the processors of all assignable workers, in thousandths of a core.
+
+        :param service: name of the service.
+        """
+        return sum(view.info.cpu for view in self.serving(service) if view.info)
--- a/src/burdockgate/process/network.py
+++ b/src/burdockgate/process/network.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from burdockgate import clock, errors, messages
+from burdockgate import assignments, clock, errors, messages, wire
 from burdockgate.connection import session, stream
 from burdockgate.process import metrics
 
@@ -264,12 +264,14 @@
         """Count a malformed frame."""
         self._counters.count("wire.rejected")
 
-    def received(
-        self, stream: stream.Stream, message: messages.Message, size: int
-    ) -> None:
+    def received(self, stream: stream.Stream, message: wire.Message, size: int) -> None:
         """Hand on a message, or finish the handshake."""
         self._counters.count("wire.received")
         self._counters.count("wire.bytes_received", size)
+        if isinstance(message, assignments.Message):
+            raise errors.WireError(
+                f"{type(message).__name__} belongs to another protocol"
+            )
         link = self._link_by_stream[stream]
         if link.session.hear(message, self._time.now()):
             self._join(link)
--- a/src/burdockgate/process/running.py
+++ b/src/burdockgate/process/running.py
@@ -26,10 +26,15 @@
     :param daemon: what to run.
     :returns: the exit status: 0, or 1 when the graceful stop was cut short.
     """
-    return asyncio.run(_run(daemon))
+    return asyncio.run(serve(daemon))
 
 
-async def _run(daemon: Runnable) -> int:
+async def serve(daemon: Runnable) -> int:
+    """Run until SIGTERM or SIGINT, on the current event loop.
+
+    :param daemon: what to run.
+    :returns: the exit status, as :func:`run`.
+    """
     asked = asyncio.Event()
     on_signal(asked.set)
     await daemon.start()
--- /dev/null
+++ b/src/burdockgate/process/selection.py
@@ -0,0 +1,108 @@
+"""Order of waiting tasks, and the worker that gets one."""
+
+from __future__ import annotations
+
+import abc
+import random
+from collections.abc import Iterable
+
+import attrs
+
+from burdockgate.process import fleet
+from burdockgate.request import batch
+
+
+class Ordering(abc.ABC):
+    """Decides which job's tasks are assigned first."""
+
+    @abc.abstractmethod
+    def key(self, job: batch.Job, now: float) -> tuple[float, ...]:
+        """Return the sort key of a job; the smallest is served first.
+
+        :param job: the job.
+        :param now: the time in seconds.
+        """
+
+
+class LeastSlack(Ordering):
+    """Jobs that can still be on time, by their latest start; then the late ones.
+
+    Load pattern: demand above capacity for some seconds. Serving late jobs first
+    would make every following job late too.
+    """
+
+    def key(self, job: batch.Job, now: float) -> tuple[float, ...]:
+        """Return lateness, progress and the latest start that is on time."""
+        start_by = job.start_by()
+        return (float(start_by < now), float(not job.has_run), start_by)
+
+
+@attrs.frozen
+class SelectionSettings:
+    """Weights of the choice of a worker.
+
+    :param queue_share: share of a worker's processors that may wait at its agent. A
+        freed place is filled without a round trip to the entry host.
+    :param full_s: what a wait at a worker costs at least, in seconds. It exceeds what
+        a fast worker gains over a slow one with free room.
+    :param other_zone_s: what a run in another zone costs, in seconds; twice the
+        latency between zones and the price of the bytes.
+    :param spread_s: random part, so that entry hosts with the same view differ.
+    """
+
+    queue_share: float = 0.1
+    full_s: float = 1.0
+    other_zone_s: float = 0.004
+    spread_s: float = 0.002
+
+
+class Selection:
+    """Chooses the worker on which a task is expected to end first.
+
+    :param settings: weights.
+    :param zone: zone of the entry host.
+    :param rng: source of random numbers.
+    """
+
+    def __init__(
+        self, settings: SelectionSettings, zone: str, rng: random.Random
+    ) -> None:
+        self._settings = settings
+        self._zone = zone
+        self._rng = rng
+
+    def choose(
+        self, task: batch.Task, views: Iterable[fleet.WorkerView], now: float
+    ) -> fleet.WorkerView | None:
+        """Return the best worker, or ``None`` when none has room.
+
+        :param task: the task.
+        :param views: workers of its service.
+        :param now: the time in seconds.
+        """
+        rated = (
+            (rating, view.agent, view)
+            for view in views
+            if (rating := self._rate(task, view, now)) is not None
+        )
+        best = min(rated, default=None)
+        return best[2] if best else None
+
+    def _rate(
+        self, task: batch.Task, view: fleet.WorkerView, now: float
+    ) -> float | None:
+        step, info = task.step, view.info
+        if info is None or (step.label and step.label not in info.labels):
+            return None
+        excess = view.excess_cpu(step)
+        if excess is None or excess > self._settings.queue_share * info.cpu:
+            return None
+        if task.avoided_until_by_agent.get(view.agent, 0.0) > now:
+            return None
+        run_s = step.estimate_s / view.speed
+        wait_s = self._settings.full_s + excess / info.cpu if excess > 0 else 0.0
+        far_s = 0.0 if view.zone == self._zone else self._settings.other_zone_s
+        if step.data_rack and step.data_rack not in info.labels:
+            run_s *= 1.5
+        spread_s: float = self._rng.random() * self._settings.spread_s
+        return run_s + wait_s + far_s + spread_s
--- /dev/null
+++ b/src/burdockgate/request/batch.py
@@ -0,0 +1,240 @@
+"""Best-effort jobs: steps of tasks whose caller waits for the end.
+
+Nothing of such a job is stored. A caller whose connection breaks sends the job again
+under the same identifier, to any entry host.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterator
+
+import attrs
+
+from burdockgate import assignments, codes
+
+# A job is late after its objective and worth nothing to its caller after this many
+# times the objective.
+LATE_FACTOR = 3.0
+
+
+@attrs.frozen
+class Step:
+    """Tasks that may run side by side.
+
+    :param cpu: thousandths of a core for each task.
+    :param estimate_s: rough duration of a task.
+    :param after: numbers of the steps that must be done before.
+    :param label: label that the worker must have; empty for any.
+    :param data_rack: rack where the tasks run fastest; empty for any.
+    :param max_per_worker: most tasks of the step on one worker; 0 for no limit.
+    """
+
+    count: int
+    cpu: int
+    memory_mb: int
+    gpu: int
+    estimate_s: float
+    after: tuple[int, ...] = ()
+    label: str = ""
+    data_rack: str = ""
+    max_per_worker: int = 0
+
+
+@attrs.frozen
+class Submission:
+    """A job as its caller sent it.
+
+    :param route: name of the route that matched the request.
+    :param priority: 0 is served first.
+    :param max_attempts: failed runs of one task after which the job has failed.
+    :param stretch: factor of the objective on the longest chain of work.
+    :param target_s: fixed part of the objective.
+    :param deadline_s: how long the caller waits.
+    """
+
+    job: str
+    route: str
+    service: str
+    spec: str
+    steps: tuple[Step, ...]
+    priority: int
+    max_attempts: int
+    stretch: float
+    target_s: float
+    deadline_s: float
+
+
+@attrs.frozen
+class Completed:
+    """All tasks ended well."""
+
+    code: codes.Code = codes.Code.COMPLETE
+
+
+@attrs.frozen
+class Failed:
+    """The job can't be done; some of its tasks may have run."""
+
+    code: codes.Code
+
+
+@attrs.frozen
+class Refused:
+    """No task of the job has run or will run.
+
+    :param retry_after_s: when a new submission can be expected to be served.
+    """
+
+    code: codes.Code
+    retry_after_s: float
+
+
+@attrs.frozen
+class Interrupted:
+    """The job got no result here; some of its tasks may have run, none does now."""
+
+    code: codes.Code
+
+
+Verdict = Completed | Failed | Refused | Interrupted
+
+
+class TaskState(enum.Enum):
+    """How far a task has come."""
+
+    # Steps before are not done.
+    BLOCKED = "blocked"
+    WAITING = "waiting"
+    ASSIGNED = "assigned"
+    DONE = "done"
+
+
+@attrs.define
+class Task:
+    """One task; times in seconds of the entry host's clock.
+
+    :param run: number of the last run.
+    :param agent: agent that has the last run.
+    :param not_before: when it may be assigned.
+    :param avoided_until_by_agent: agents that returned or lost it, and until when
+        others are preferred.
+    """
+
+    key: assignments.TaskKey
+    step: Step
+    state: TaskState = TaskState.BLOCKED
+    run: int = 0
+    failures: int = 0
+    agent: str = ""
+    assigned_at: float = 0.0
+    not_before: float = 0.0
+    avoided_until_by_agent: dict[str, float] = attrs.field(factory=dict)
+
+    @property
+    def run_key(self) -> assignments.RunKey:
+        """The key of the last run."""
+        return assignments.RunKey(self.key, self.run)
+
+
+@attrs.define
+class Job:
+    """A job in progress.
+
+    :param received_at: when its caller's request was read.
+    :param ticket: number of the caller's request; ``None`` when it has gone.
+    :param has_run: whether a task was assigned and not returned unstarted.
+    :param verdict: set once the job has ended.
+    """
+
+    submission: Submission
+    received_at: float
+    ticket: int | None
+    tasks: list[list[Task]]
+    has_run: bool = False
+    is_offered: bool = False
+    verdict: Verdict | None = None
+    ended_at: float = 0.0
+
+    @classmethod
+    def begin(cls, submission: Submission, now: float, ticket: int) -> Job:
+        """Make the job of a submission.
+
+        :param submission: what the caller sent.
+        :param now: the time.
+        :param ticket: number of the caller's request.
+        """
+        tasks = [
+            [
+                Task(assignments.TaskKey(submission.job, number, index), step)
+                for index in range(step.count)
+            ]
+            for number, step in enumerate(submission.steps)
+        ]
+        job = cls(submission, now, ticket, tasks)
+        job.unblock()
+        return job
+
+    def unblock(self) -> None:
+        """Let the tasks wait whose earlier steps are done."""
+        for number, step in enumerate(self.submission.steps):
+            if all(self._is_step_done(earlier) for earlier in step.after):
+                for task in self.tasks[number]:
+                    if task.state is TaskState.BLOCKED:
+                        task.state = TaskState.WAITING
+
+    def _is_step_done(self, number: int) -> bool:
+        return all(task.state is TaskState.DONE for task in self.tasks[number])
+
+    def all_tasks(self) -> Iterator[Task]:
+        """Yield every task."""
+        for tasks in self.tasks:
+            yield from tasks
+
+    def assigned(self) -> list[Task]:
+        """Return the tasks that an agent has."""
+        return [task for task in self.all_tasks() if task.state is TaskState.ASSIGNED]
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether a task waits to be assigned."""
+        return any(task.state is TaskState.WAITING for task in self.all_tasks())
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether every task is done."""
+        return all(task.state is TaskState.DONE for task in self.all_tasks())
+
+    def chain_s(self) -> float:
+        """Return the longest chain of estimated work through the steps."""
+        ends: list[float] = []
+        for step in self.submission.steps:
+            begin = max((ends[earlier] for earlier in step.after), default=0.0)
+            ends.append(begin + step.estimate_s)
+        return max(ends, default=0.0)
+
+    def objective_s(self) -> float:
+        """Return the time in which the caller expects the result."""
+        given = self.submission
+        return given.stretch * self.chain_s() + given.target_s
+
+    def remaining_s(self) -> float:
+        """Return the longest chain of estimated work that has not begun."""
+        ends: list[float] = []
+        for number, step in enumerate(self.submission.steps):
+            begin = max((ends[earlier] for earlier in step.after), default=0.0)
+            is_due = any(
+                task.state in (TaskState.WAITING, TaskState.BLOCKED)
+                for task in self.tasks[number]
+            )
+            ends.append(begin + (step.estimate_s if is_due else 0.0))
+        return max(ends, default=0.0)
+
+    def start_by(self) -> float:
+        """Return the latest start of the remaining work that is on time."""
+        return self.received_at + self.objective_s() - self.remaining_s()
+
+    def useful_until(self) -> float:
+        """Return when the result stops being of use to the caller."""
+        useful_s = min(LATE_FACTOR * self.objective_s(), self.submission.deadline_s)
+        return self.received_at + useful_s
--- a/src/burdockgate/standin/starts.py
+++ b/src/burdockgate/standin/starts.py
@@ -219,7 +219,7 @@
 def _receiver(
     core: entry.EntryCore, name: str, body: bytes
 ) -> Callable[[], Iterator[effects.Effect]]:
-    return lambda: core.receive(name, wire.decode(body))
+    return lambda: core.receive(name, wire.decode_session(body))
 
 
 def _node(name: str, boot: int) -> messages.Node:
--- /dev/null
+++ b/src/burdockgate/version/routes.py
@@ -0,0 +1,54 @@
+"""One version of the configuration of routes and services."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen
+class Route:
+    """Requests of one host and path prefix, and how their jobs are served.
+
+    :param priority: 0 is served first.
+    :param max_attempts: failed runs of one task after which a job has failed.
+    :param stretch: factor of the objective on the longest chain of work.
+    :param target_s: fixed part of the objective.
+    :param needs_advice: whether only workers named by an advisor may run its tasks.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    priority: int
+    max_attempts: int
+    stretch: float
+    target_s: float
+    timeout_s: float
+    needs_advice: bool
+
+
+@attrs.frozen
+class RouteTable:
+    """All routes of one version.
+
+    :param version: grows with each accepted change.
+    :param body_limit: most bytes of a request's body.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    body_limit: int
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of a path, or ``None``.
+
+        :param host: host name of the request, without a port.
+        :param path: path of the request.
+        """
+        matching = (
+            route
+            for route in self.routes
+            if route.host == host and path.startswith(route.path_prefix)
+        )
+        return max(matching, key=lambda route: len(route.path_prefix), default=None)
--- a/src/burdockgate/wire.py
+++ b/src/burdockgate/wire.py
@@ -18,7 +18,7 @@
 import attrs
 import msgpack
 
-from burdockgate import errors, messages
+from burdockgate import assignments, errors, messages
 
 HEADER = struct.Struct(">I")
 FRAME_LIMIT_BYTES = 4 * 1024 * 1024
@@ -29,11 +29,15 @@
 SHARED_NODES = 16_384
 
 
+Message = messages.Message | assignments.Message
+_TYPES: dict[int, type[Message]] = {**messages.TYPES, **assignments.TYPES}
+
+
 @attrs.define
 class _Last:
     """The message encoded last; claims and settlements go to several nodes in a row."""
 
-    message: messages.Message | None = None
+    message: Message | None = None
     frame: bytes = b""
 
 
@@ -42,10 +46,11 @@
 _Writer = Callable[[Any], Any]
 
 
-def encode(message: messages.Message) -> bytes:
+def encode(message: Message) -> bytes:
     """Return the frame of a message.
 
-    :param message: any message of :mod:`burdockgate.messages`.
+    :param message: any message of :mod:`burdockgate.messages` or
+        :mod:`burdockgate.assignments`.
     :raises errors.WireError: when the frame would be over the size limit.
     """
     # Messages are frozen, so the same object has the same frame.
@@ -54,7 +59,7 @@
     return _last.frame
 
 
-def _encode(message: messages.Message) -> bytes:
+def _encode(message: Message) -> bytes:
     number, write = _WRITER_BY_CLASS[type(message)]
     body: bytes = msgpack.packb([number, *write(message)])
     if len(body) > FRAME_LIMIT_BYTES:
@@ -65,7 +70,7 @@
     return HEADER.pack(len(body)) + body
 
 
-def decode(body: bytes | memoryview) -> messages.Message:
+def decode(body: bytes | memoryview) -> Message:
     """Return the message of a frame's body.
 
     :param body: the frame without its length.
@@ -80,7 +85,19 @@
     reader = _READER_BY_NUMBER.get(array[0])
     if reader is None:
         raise errors.WireError(f"message type {array[0]} is unknown")
-    message: messages.Message = reader(array[1:])
+    message: Message = reader(array[1:])
+    return message
+
+
+def decode_session(body: bytes | memoryview) -> messages.Message:
+    """Return the message of a frame of the protocol for claimed jobs.
+
+    :param body: the frame without its length.
+    :raises errors.WireError: when it is malformed or of the other protocol.
+    """
+    message = decode(body)
+    if isinstance(message, assignments.Message):
+        raise errors.WireError(f"{type(message).__name__} belongs to another protocol")
     return message
 
 
@@ -257,8 +274,8 @@
 
 
 _READER_BY_NUMBER: dict[int, _Reader] = {
-    number: _class_reader(kind) for number, kind in messages.TYPES.items()
+    number: _class_reader(kind) for number, kind in _TYPES.items()
 }
 _WRITER_BY_CLASS: dict[type, tuple[int, _Writer]] = {
-    kind: (number, _class_writer(kind)) for number, kind in messages.TYPES.items()
+    kind: (number, _class_writer(kind)) for number, kind in _TYPES.items()
 }
