Assign waiting tasks once for many reports; find faults in a model in virtual time

Ruled out: a lost connection or a full accept queue; the log shows the requests in clumps while assignments go on. Change: one assignment for the reports of a millisecond, tasks larger than one that found no room are skipped; orders to the worker count as unanswered after 80 ms and are given again by the agent once they are fenced off; jobs wait for workers in the first 3 s; a stopping entry host refuses what it can't finish.

--- a/src/burdockgate/platform/worker.py
+++ b/src/burdockgate/platform/worker.py
@@ -14,7 +14,9 @@
 
 # The worker is on the same machine and answers in a millisecond. An order that was
 # given up too early costs one look, which finds out what became of it.
-ANSWER_S = 0.25
+ORDER_ANSWER_S = 0.08
+# Beyond the wait that the look allows.
+LOOK_ANSWER_S = 0.25
 # The worker allows 64.
 CONNECTIONS = 16
 # Best-effort jobs have one occurrence.
@@ -95,7 +97,10 @@
         if order.lease_until_ms is not None:
             fields["deadlineMs"] = order.lease_until_ms
         answer = await self._post(
-            "/burdockgate/hold", order.worker, fields, order.wait_ms / 1000 + ANSWER_S
+            "/burdockgate/hold",
+            order.worker,
+            fields,
+            order.wait_ms / 1000 + LOOK_ANSWER_S,
         )
         if not isinstance(answer, httpx.Response):
             return answer
@@ -113,7 +118,7 @@
     async def _order(
         self, path: str, worker: str, fields: dict[str, Any]
     ) -> control.OrderAnswer:
-        answer = await self._post(path, worker, fields, ANSWER_S)
+        answer = await self._post(path, worker, fields, ORDER_ANSWER_S)
         if not isinstance(answer, httpx.Response):
             return answer
         if answer.status_code == httpx.codes.OK:
--- a/src/burdockgate/process/agentside.py
+++ b/src/burdockgate/process/agentside.py
@@ -69,6 +69,7 @@
         self.links = links.AgentLinks(self, self._time, self._rng)
         self._link_by_owner: dict[str, stream.Stream] = {}
         self._owner_by_address: dict[str, str] = {}
+        self._owner_by_link: dict[stream.Stream, str] = {}
         self._info_sent: dict[str, assignments.WorkerInfo] = {}
         self._configuration: assignments.Configuration | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -183,7 +184,7 @@
         if isinstance(message, assignments.EntryHello):
             self._greet(link, message)
             return
-        owner = self._owner_of(link)
+        owner = self._owner_by_link.get(link)
         if owner is None:
             raise errors.WireError(f"{type(message).__name__} came before the hello")
         match message:
@@ -199,20 +200,16 @@
             case assignments.Configuration():
                 self._pass_on(owner, message)
 
-    def _owner_of(self, link: stream.Stream) -> str | None:
-        return next(
-            (owner for owner, known in self._link_by_owner.items() if known is link),
-            None,
-        )
-
     def _greet(self, link: stream.Stream, hello: assignments.EntryHello) -> None:
         if hello.protocol != assignments.PROTOCOL:
             raise errors.WireError(f"protocol {hello.protocol} of {hello.name}")
         old = self._link_by_owner.get(hello.name)
         if old is not None and old is not link:
+            del self._owner_by_link[old]
             old.abort()
         boot, held = self.gate.hello(hello.name)
         self._link_by_owner[hello.name] = link
+        self._owner_by_link[link] = hello.name
         self._owner_by_address[self.links.address_of(link)] = hello.name
         link.send(
             assignments.AgentHello(
@@ -243,7 +240,7 @@
 
     def closed(self, link: stream.Stream) -> None:
         """Handle the end of a connection."""
-        owner = self._owner_of(link)
+        owner = self._owner_by_link.pop(link, None)
         if owner is not None:
             del self._link_by_owner[owner]
             self._perform(self.gate.unlinked(owner))
--- a/src/burdockgate/process/entryside.py
+++ b/src/burdockgate/process/entryside.py
@@ -27,6 +27,8 @@
 from burdockgate.version import routes
 
 TICK_S = 0.02
+# Reports and ends that come in this time lead to one assignment.
+ASSIGN_DELAY_S = 0.001
 # The balancer notices within two seconds that an entry host is not ready. Until then
 # it still sends requests, which are served.
 UNREADY_S = 2.2
@@ -94,6 +96,7 @@
         self._links = links.EntryLinks(self, self._time)
         self._server: asyncio.Server | None = None
         self._link_by_agent: dict[str, stream.Stream] = {}
+        self._agent_by_link: dict[stream.Stream, str] = {}
         self._address_by_entry: dict[str, str] = {settings.name: self._address}
         self._answer_by_ticket: dict[int, asyncio.Future[batch.Verdict]] = {}
         self._tickets = itertools.count(1)
@@ -132,9 +135,11 @@
         self._spawn(self._deregister())
         begun_at = self._time.now()
         limit_s = self._settings.grace_s - STOP_RESERVE_S
+        self.scheduler.stops_at = begun_at + limit_s
         await asyncio.sleep(min(UNREADY_S, limit_s))
         while self.scheduler.job_by_id and self._time.now() - begun_at < limit_s:
             await asyncio.sleep(TICK_S)
+        self._perform(self.scheduler.interrupt_all())
 
     async def close(self) -> None:
         """End every connection; call after the requests have been answered."""
@@ -200,11 +205,16 @@
                     link = self._link_by_agent.get(to)
                     if link is not None:
                         link.send(message)
+                case scheduler.AssignSoon():
+                    asyncio.get_running_loop().call_later(ASSIGN_DELAY_S, self._assign)
                 case scheduler.Conclude(ticket, _, verdict):
                     answer = self._answer_by_ticket.get(ticket)
                     if answer is not None and not answer.done():
                         answer.set_result(verdict)
 
+    def _assign(self) -> None:
+        self._perform(self.scheduler.assign())
+
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
@@ -226,7 +236,7 @@
         if isinstance(message, assignments.AgentHello):
             self._greeted(link, message)
             return
-        agent = self._agent_of(link)
+        agent = self._agent_by_link.get(link)
         if agent is None:
             raise errors.WireError(f"{type(message).__name__} came before the hello")
         match message:
@@ -239,18 +249,14 @@
             case assignments.Configuration(_, body):
                 self._configure(body, f"agent {agent}")
 
-    def _agent_of(self, link: stream.Stream) -> str | None:
-        return next(
-            (agent for agent, known in self._link_by_agent.items() if known is link),
-            None,
-        )
-
     def _greeted(self, link: stream.Stream, hello: assignments.AgentHello) -> None:
         if hello.protocol != assignments.PROTOCOL:
             raise errors.WireError(f"protocol {hello.protocol} of {hello.name}")
         old = self._link_by_agent.get(hello.name)
         self._link_by_agent[hello.name] = link
+        self._agent_by_link[link] = hello.name
         if old is not None and old is not link:
+            del self._agent_by_link[old]
             old.abort()
         self._perform(self.scheduler.linked(hello, self.boot))
         link.send(assignments.EntryHosts(tuple(self._address_by_entry.values())))
@@ -259,7 +265,7 @@
 
     def closed(self, link: stream.Stream) -> None:
         """Handle the end of a connection."""
-        agent = self._agent_of(link)
+        agent = self._agent_by_link.pop(link, None)
         if agent is not None:
             del self._link_by_agent[agent]
             self._perform(self.scheduler.unlinked(agent))
--- a/src/burdockgate/process/gate.py
+++ b/src/burdockgate/process/gate.py
@@ -98,6 +98,8 @@
     extended_at: float = -1e9
     # Runs of an earlier life of the agent that the worker still lists.
     foreign: dict[assignments.RunKey, float] = attrs.field(factory=dict)
+    # A look with this token has made all orders to an earlier life void.
+    first_token: int = 0
     is_synchronized: bool = False
     is_refusing: bool = False
 
@@ -143,15 +145,21 @@
         yield from self._adopt(told, now)
 
     def _adopt(self, told: control.Announcement, now: float) -> Iterator[Effect]:
-        """Begin with a new life of the worker, which runs nothing of ours."""
+        """Begin with a new life of the worker."""
         yield Note("worker.adopted", {"worker": told.worker, "born": told.born})
-        for run in list(self._runs.ordered()):
-            yield from self._end(run, assignments.EndKind.LOST, "worker restarted")
+        before = self._worker
         self._worker = _Worker(told, told.clock_ms, now, answered_at=now)
         self._vitals = vitals.Vitals()
+        for run in list(self._runs.ordered()):
+            if before is not None and before.told.worker == told.worker:
+                # An order may have reached the new life under the old identifier.
+                run.state = runs.RunState.UNCERTAIN
+            else:
+                yield from self._end(run, assignments.EndKind.LOST, "worker replaced")
         # The worker's clock only grows in one life, so it exceeds every token that an
         # earlier life of this agent has drawn from it.
         self._token = max(self._token + 1, told.clock_ms)
+        self._worker.first_token = self._token
         yield from self._look_now()
 
     def worker_info(self) -> assignments.WorkerInfo | None:
@@ -551,7 +559,11 @@
         self, worker: _Worker, order: control.LookOrder, seen: control.Snapshot
     ) -> Iterator[Effect]:
         if seen.born > worker.told.born:
-            yield from self._restarted(worker, seen.born)
+            # A new life that has not sent a heartbeat yet.
+            told = attrs.evolve(
+                worker.told, born=seen.born, sequence=-1, clock_ms=seen.clock_ms
+            )
+            yield from self._adopt(told, self._time.now())
             return
         if seen.born < worker.told.born or seen.clock_ms < worker.clock_ms:
             # An earlier life of the worker, or an answer that a later one overtook.
@@ -562,20 +574,12 @@
         yield from ended
         yield from self._note_running(worker, seen)
         yield from self._resolve_missing(order, seen)
-        if not worker.foreign and not worker.is_synchronized:
+        is_current = order.token >= worker.first_token
+        if is_current and not worker.foreign and not worker.is_synchronized:
             worker.is_synchronized = True
             yield Note("worker.ready", {"worker": worker.told.worker})
         yield from self._fill()
 
-    def _restarted(self, worker: _Worker, born: int) -> Iterator[Effect]:
-        """Handle a new life of the worker that has not sent a heartbeat yet."""
-        if worker.is_synchronized:
-            yield Note("worker.restarted", {"worker": worker.told.worker, "born": born})
-            worker.is_synchronized = False
-            for run in list(self._runs.ordered()):
-                yield from self._end(run, assignments.EndKind.LOST, "worker restarted")
-            yield from self._return_queued("worker restarted")
-
     def _heard(self, clock_ms: int) -> None:
         worker = self._worker
         if worker is not None and clock_ms >= worker.clock_ms:
@@ -632,7 +636,13 @@
                 continue
             if run.state is runs.RunState.UNCERTAIN and run.token < order.token:
                 # The worker has confirmed a higher token: the order is void.
-                yield from self._end(run, assignments.EndKind.RETURNED, "fenced off")
+                if run.accepted_ms:
+                    yield from self._end(run, assignments.EndKind.LOST, "fenced off")
+                elif run.is_stopping:
+                    yield from self._return(run, "fenced off")
+                else:
+                    run.state = runs.RunState.QUEUED
+                    yield Note("run.requeued", {"run": run.key, "token": order.token})
             elif run.state is runs.RunState.RUNNING and run.accepted_ms < seen.clock_ms:
                 yield from self._end(run, assignments.EndKind.LOST, "not listed")
 
--- a/src/burdockgate/process/scheduler.py
+++ b/src/burdockgate/process/scheduler.py
@@ -27,6 +27,8 @@
     :param examined_tasks: most waiting tasks tried at a time, so that a long queue
         does not hold up the event loop.
     :param waiting_jobs: most jobs that wait.
+    :param settling_s: time after the start in which jobs wait although no worker is
+        known. Workers announce themselves every 1.5 s and agents dial within 1 s.
     """
 
     agent_gone_s: float = 2.3
@@ -36,8 +38,15 @@
     kept_jobs: int = 4000
     examined_tasks: int = 100
     waiting_jobs: int = 2000
+    settling_s: float = 3.0
 
 
+# A worker that was ejected or is out of reach is tried again after one second.
+NO_WORKER_RETRY_S = 1.0
+# Another entry host takes the request at once.
+RETRY_ELSEWHERE_S = 1.0
+# Estimates are up to 40% off, and slow workers take a quarter longer.
+LONG_RUN_FACTOR = 1.75
 # Latency and late timers, beside the limits that the agent keeps.
 AGENT_GONE_MARGIN_S = 0.2
 
@@ -83,7 +92,12 @@
     fields: dict[str, object]
 
 
-Effect = Send | Conclude | Note
+@attrs.frozen
+class AssignSoon:
+    """Effect: call :meth:`Scheduler.assign` within a millisecond or two."""
+
+
+Effect = Send | Conclude | Note | AssignSoon
 
 
 class Scheduler:
@@ -111,8 +125,12 @@
         self._selection = selection.Selection(chosen, zone, rng)
         self._time = time
         self.fleet = fleet.Fleet()
+        self._started_at = time.now()
+        # When the process has to end, once it was asked to.
+        self.stops_at: float | None = None
         self.job_by_id: dict[str, batch.Job] = {}
         self._waiting_by_id: dict[str, batch.Job] = {}
+        self._is_assign_due = False
         self._ended: collections.OrderedDict[str, batch.Job] = collections.OrderedDict()
         # Runs of jobs that are not in progress any more but may still run, with the
         # time after which they count as ended.
@@ -168,13 +186,17 @@
                 "deadline_ms": int(submission.deadline_s * 1000),
             },
         )
-        yield from self.assign()
+        yield from self._assign_soon()
 
     def _refusal(self, submission: batch.Submission) -> batch.Verdict | None:
         service = submission.service
-        if not any(self.fleet.serving(service)):
-            # Another entry host may reach workers that this one does not.
-            return batch.Interrupted(codes.Code.NOT_READY)
+        is_settling = self._time.now() - self._started_at < self._settings.settling_s
+        if not is_settling and not any(self.fleet.serving(service)):
+            return batch.Refused(codes.Code.NOT_READY, NO_WORKER_RETRY_S)
+        if self.stops_at is not None:
+            chain_s = batch.Job.begin(submission, 0.0, 0).chain_s()
+            if self._time.now() + LONG_RUN_FACTOR * chain_s > self.stops_at:
+                return batch.Refused(codes.Code.DRAINING, RETRY_ELSEWHERE_S)
         if len(self.job_by_id) >= self._settings.waiting_jobs:
             return batch.Refused(codes.Code.BACKLOG_FULL, self._retry_after_s(service))
         return None
@@ -223,6 +245,12 @@
                 else batch.Refused(codes.Code.CANCELLED_NOT_RUN, 0.0),
             )
 
+    def interrupt_all(self) -> Iterator[Effect]:
+        """End every job because the process ends."""
+        for job in list(self.job_by_id.values()):
+            verdict = batch.Interrupted(codes.Code.OWNER_LOST)
+            yield from self._end_job(job, verdict)
+
     def pending(self, route: str) -> int:
         """Return how many jobs of a route have not begun.
 
@@ -305,7 +333,7 @@
             yield from self._lose_all(agent, "agent restarted")
         view.renewed_at = now
         yield Send(agent, assignments.Renewal(load.sent_at_us, view.ends_through))
-        yield from self.assign()
+        yield from self._assign_soon()
 
     def ended(self, agent: str, end: assignments.TaskEnd) -> Iterator[Effect]:
         """Handle the end of a run.
@@ -348,7 +376,7 @@
                 yield from self._end_job(job, batch.Completed())
             elif job.is_waiting:
                 self._waiting_by_id[task.key.job] = job
-            yield from self.assign()
+            yield from self._assign_soon()
             return
         task.state = batch.TaskState.WAITING
         self._waiting_by_id[task.key.job] = job
@@ -375,7 +403,7 @@
             if task.failures >= job.submission.max_attempts:
                 yield from self._end_job(job, batch.Failed(codes.Code.TASK_FAILED))
                 return
-        yield from self.assign()
+        yield from self._assign_soon()
 
     def _tasks_of(self, agent: str) -> list[batch.Task]:
         return [
@@ -415,20 +443,31 @@
 
     # Assigning.
 
+    def _assign_soon(self) -> Iterator[Effect]:
+        """Ask for one assignment after many reports and ends.
+
+        Assigning at each of them would take the whole processor when jobs wait.
+        """
+        if self._waiting_by_id and not self._is_assign_due:
+            self._is_assign_due = True
+            yield AssignSoon()
+
     def assign(self) -> Iterator[Effect]:
         """Assign waiting tasks to workers with room."""
+        self._is_assign_due = False
         now = self._time.now()
         waiting = sorted(
             self._waiting_by_id.values(),
             key=lambda job: self._ordering.key(job, now),
         )
         examined = 0
+        # The smallest task that found no room, by service: larger ones find none.
+        full_by_service: dict[str, int] = {}
         chosen: dict[tuple[str, int, str], list[batch.Task]] = {}
         for job in waiting:
-            for task in job.all_tasks():
-                if task.state is not batch.TaskState.WAITING or task.not_before > now:
-                    continue
-                if task.key in self._lingering:
+            service = job.submission.service
+            for task in self._assignable(job, now):
+                if task.step.cpu >= full_by_service.get(service, 1 << 60):
                     continue
                 examined += 1
                 view = self._choose(job, task, now)
@@ -436,6 +475,8 @@
                     self._place(job, task, view, now)
                     group = (task.key.job, task.key.step, view.agent)
                     chosen.setdefault(group, []).append(task)
+                elif task.is_unconstrained(now):
+                    full_by_service[service] = task.step.cpu
             if not job.is_waiting:
                 del self._waiting_by_id[job.submission.job]
             if examined >= self._settings.examined_tasks:
@@ -443,6 +484,15 @@
         for (job_id, _, agent), tasks in chosen.items():
             yield from self._send(self.job_by_id[job_id], agent, tasks, now)
 
+    def _assignable(self, job: batch.Job, now: float) -> Iterator[batch.Task]:
+        return (
+            task
+            for task in job.all_tasks()
+            if task.state is batch.TaskState.WAITING
+            and task.not_before <= now
+            and task.key not in self._lingering
+        )
+
     def _choose(
         self, job: batch.Job, task: batch.Task, now: float
     ) -> fleet.WorkerView | None:
--- a/src/burdockgate/request/batch.py
+++ b/src/burdockgate/request/batch.py
@@ -136,6 +136,14 @@
         """The key of the last run."""
         return assignments.RunKey(self.key, self.run)
 
+    def is_unconstrained(self, now: float) -> bool:
+        """Return whether any worker with room may have the task.
+
+        :param now: the time.
+        """
+        is_avoiding = any(until > now for until in self.avoided_until_by_agent.values())
+        return not (is_avoiding or self.step.label or self.step.max_per_worker)
+
 
 @attrs.define
 class Job:
--- /dev/null
+++ b/src/burdockgate/standin/leased.py
@@ -0,0 +1,283 @@
+"""A worker with leases, fencing tokens and lists of runs, in virtual time."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import attrs
+
+from burdockgate import assignments
+from burdockgate.process import control
+from burdockgate.standin import virtual
+
+STOP_S = 0.04
+MAX_LEASE_MS = 1000
+# Orders that got no answer are carried out this much later.
+LATE_S = (2.0, 12.0)
+
+
+@attrs.define
+class _Run:
+    key: assignments.RunKey
+    work_s: float
+    started_at: float
+    is_alive: bool = True
+
+
+@attrs.frozen
+class Span:
+    """One run as the worker saw it, for the checker.
+
+    :param cpu: thousandths of a core.
+    """
+
+    worker: str
+    key: assignments.RunKey
+    cpu: int
+    began: float
+    ended: float
+    reason: control.EndReason | None
+
+
+@attrs.define
+class Faults:
+    """What is wrong with a worker now.
+
+    :param slowness: factor on every duration.
+    :param unanswered: share of orders without an answer; they are carried out late.
+    :param is_cut: whether the worker is out of reach and runs on.
+    """
+
+    slowness: float = 1.0
+    fails: bool = False
+    hangs: bool = False
+    unanswered: float = 0.0
+    is_cut: bool = False
+
+
+class LeasedWorker:
+    """Runs what it is told, whether it fits or not.
+
+    :param name: identifier of the worker.
+    :param cpu: capacity in thousandths of a core.
+    :param speed: work done per second.
+    :param time: virtual time.
+    :param rng: source of random numbers.
+    :param work_of: returns the work of a task in seconds and its processors; a
+        negative work makes the task fail.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        cpu: int,
+        speed: float,
+        time: virtual.VirtualTime,
+        rng: random.Random,
+        work_of: Callable[[assignments.TaskKey], tuple[float, int]],
+    ) -> None:
+        self.name = name
+        self.cpu = cpu
+        self.born = 1
+        self.faults = Faults()
+        self.spans: list[Span] = []
+        self._speed = speed
+        self._time = time
+        self._rng = rng
+        self._work_of = work_of
+        self._reset()
+
+    def _reset(self) -> None:
+        self._life_began = self._time.now() - 1.0
+        self._token = 0
+        self._lease_ms = 0.0
+        self._run_by_key: dict[assignments.RunKey, _Run] = {}
+        self._highest_by_task: dict[assignments.TaskKey, int] = {}
+        self._finished: list[control.FinishedEntry] = []
+        self._end_number = 0
+        self._waiting: list[Callable[[], None]] = []
+
+    def restart(self) -> None:
+        """End everything and begin a new life under the same identifier."""
+        for run in list(self._run_by_key.values()):
+            self._record(run, None)
+            run.is_alive = False
+        self._reset()
+        self.born += 1
+
+    @property
+    def clock_ms(self) -> int:
+        """The worker's steady clock."""
+        return int((self._time.now() - self._life_began) * 1000)
+
+    def announcement(self, sequence: int, is_draining: bool) -> control.Announcement:
+        """Return a heartbeat.
+
+        :param sequence: its number.
+        :param is_draining: whether the worker leaves.
+        """
+        return control.Announcement(
+            self.name,
+            self.born,
+            "service",
+            self.cpu,
+            65_536,
+            0,
+            ("a", "r1"),
+            is_draining,
+            sequence,
+            self.clock_ms,
+        )
+
+    def is_order_lost(self) -> bool:
+        """Return whether the next order gets no answer and is carried out late."""
+        return self._rng.random() < self.faults.unanswered
+
+    def start(self, order: control.StartOrder) -> control.OrderAnswer:
+        """Carry out a start order.
+
+        :param order: the order.
+        """
+        key = order.key
+        if order.token < self._token:
+            return control.Refused(control.Refusal.FENCED, self.clock_ms)
+        self._token = order.token
+        if order.lease_until_ms <= self.clock_ms:
+            return control.Refused(control.Refusal.LATE, self.clock_ms)
+        self._extend(order.lease_until_ms)
+        if key in self._run_by_key:
+            return control.Accepted(self.clock_ms)
+        if key.run <= self._highest_by_task.get(key.task, 0):
+            return control.Refused(control.Refusal.OLD_RUN, self.clock_ms)
+        self._begin(key)
+        return control.Accepted(self.clock_ms)
+
+    def _begin(self, key: assignments.RunKey) -> None:
+        work_s, _ = self._work_of(key.task)
+        run = _Run(key, abs(work_s), self._time.now())
+        self._run_by_key[key] = run
+        duration_s = run.work_s * self.faults.slowness / self._speed
+        is_failing = work_s < 0 or self.faults.fails
+        if self.faults.hangs:
+            return
+        reason = control.EndReason.FAILED if is_failing else control.EndReason.DONE
+        if self.faults.fails:
+            duration_s = 0.005
+        self._time.call_later(duration_s, lambda: self._end(run, reason))
+
+    def stop(self, order: control.StopOrder) -> control.OrderAnswer:
+        """Carry out a stop order.
+
+        :param order: the order.
+        """
+        if order.token < self._token:
+            return control.Refused(control.Refusal.FENCED, self.clock_ms)
+        self._token = order.token
+        task = order.key.task
+        highest = max(self._highest_by_task.get(task, 0), order.key.run)
+        self._highest_by_task[task] = highest
+        run = self._run_by_key.get(order.key)
+        if run is not None:
+            stopped = control.EndReason.STOPPED
+            self._time.call_later(STOP_S, lambda: self._end(run, stopped))
+        return control.Accepted(self.clock_ms)
+
+    def look(
+        self,
+        order: control.LookOrder,
+        answer: Callable[[control.LookAnswer], None],
+    ) -> None:
+        """Carry out a look; it is answered at an end or after its wait.
+
+        :param order: the order.
+        :param answer: gets the lists.
+        """
+        if order.token < self._token:
+            answer(control.Refused(control.Refusal.FENCED, self.clock_ms))
+            return
+        self._token = order.token
+        if order.lease_until_ms is not None:
+            self._extend(order.lease_until_ms)
+        self._finished = [
+            entry for entry in self._finished if entry.number > order.acknowledged
+        ]
+        if self._finished or not order.wait_ms:
+            answer(self._snapshot())
+            return
+        is_answered = False
+
+        def answer_once() -> None:
+            nonlocal is_answered
+            if not is_answered:
+                is_answered = True
+                answer(self._snapshot())
+
+        self._waiting.append(answer_once)
+        self._time.call_later(order.wait_ms / 1000, answer_once)
+
+    def _snapshot(self) -> control.Snapshot:
+        now = self._time.now()
+        running = tuple(
+            control.RunningEntry(run.key, self._percent(run, now))
+            for run in self._run_by_key.values()
+        )
+        return control.Snapshot(
+            self.clock_ms, self.born, running, tuple(self._finished)
+        )
+
+    def _percent(self, run: _Run, now: float) -> int:
+        if self.faults.hangs:
+            return 0
+        done = (now - run.started_at) * self._speed / self.faults.slowness
+        return min(99, int(100 * done / max(run.work_s, 0.001)))
+
+    def _extend(self, until_ms: float) -> None:
+        until_ms = min(until_ms, self.clock_ms + MAX_LEASE_MS)
+        if until_ms > self._lease_ms:
+            self._lease_ms = until_ms
+            delay_s = (until_ms - self.clock_ms) / 1000
+            life = self.born
+            # The worker's clock may be 2% slow.
+            self._time.call_later(delay_s * 1.02, lambda: self._lapse(life))
+
+    def _lapse(self, life: int) -> None:
+        if life == self.born and self.clock_ms >= self._lease_ms:
+            for run in list(self._run_by_key.values()):
+                self._end(run, control.EndReason.LAPSED)
+
+    def _end(self, run: _Run, reason: control.EndReason) -> None:
+        if not run.is_alive:
+            return
+        run.is_alive = False
+        del self._run_by_key[run.key]
+        task = run.key.task
+        highest = max(self._highest_by_task.get(task, 0), run.key.run)
+        self._highest_by_task[task] = highest
+        self._record(run, reason)
+        self._end_number += 1
+        self._finished.append(control.FinishedEntry(self._end_number, run.key, reason))
+        waiting, self._waiting = self._waiting, []
+        for answer in waiting:
+            answer()
+
+    def _record(self, run: _Run, reason: control.EndReason | None) -> None:
+        _, cpu = self._work_of(run.key.task)
+        self.spans.append(
+            Span(self.name, run.key, cpu, run.started_at, self._time.now(), reason)
+        )
+
+    def open_spans(self) -> list[Span]:
+        """Return what still runs, as spans that end now."""
+        now = self._time.now()
+        return [
+            Span(
+                self.name,
+                run.key,
+                self._work_of(run.key.task)[1],
+                run.started_at,
+                now,
+                None,
+            )
+            for run in self._run_by_key.values()
+        ]
--- /dev/null
+++ b/src/burdockgate/standin/virtual.py
@@ -0,0 +1,41 @@
+"""Virtual time: calls in the order of their time, without waiting."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections.abc import Callable
+
+from burdockgate import clock
+
+
+class VirtualTime(clock.Clock):
+    """A clock that jumps from one due call to the next."""
+
+    def __init__(self) -> None:
+        self._now = 1000.0
+        self._due: list[tuple[float, int, Callable[[], object]]] = []
+        self._numbers = itertools.count()
+
+    def now(self) -> float:
+        """Return the virtual time in seconds."""
+        return self._now
+
+    def call_later(self, delay_s: float, action: Callable[[], object]) -> None:
+        """Call a function later.
+
+        :param delay_s: when, in seconds from now.
+        :param action: the function.
+        """
+        entry = (self._now + delay_s, next(self._numbers), action)
+        heapq.heappush(self._due, entry)
+
+    def run_until(self, end: float) -> None:
+        """Make all calls that are due until a time.
+
+        :param end: the time in seconds.
+        """
+        while self._due and self._due[0][0] <= end:
+            self._now, _, action = heapq.heappop(self._due)
+            action()
+        self._now = max(self._now, end)
