--- a/src/burdockgate/process/entryside.py
+++ b/src/burdockgate/process/entryside.py
@@ -113,12 +113,9 @@
         return (
             not self.is_stopping
             and self.routes is not None
-            and any(view.is_assignable for view in self._views())
+            and self.scheduler.fleet.is_in_touch(self._time.now())
         )
 
-    def _views(self) -> Iterable[Any]:
-        return self.scheduler.fleet.by_agent.values()
-
     async def start(self) -> None:
         """Begin to serve."""
         self.events.note("process.started", {"boot": self.boot})
--- a/src/burdockgate/process/fleet.py
+++ b/src/burdockgate/process/fleet.py
@@ -9,6 +9,12 @@
 from burdockgate import assignments
 from burdockgate.request import batch
 
+# Agents report every 0.2 s. Tasks given to one that is cut off are lost for seconds.
+FRESH_S = 0.45
+# An entry host that hears less than half of the agents it heard in this time is cut
+# off itself.
+RECENT_S = 10.0
+
 
 @attrs.define
 class WorkerView:
@@ -71,11 +77,20 @@
         )
         return self.assigned_number
 
-    @property
-    def is_assignable(self) -> bool:
-        """Whether new tasks may be assigned."""
+    def is_fresh(self, now: float) -> bool:
+        """Return whether the agent has reported lately.
+
+        :param now: the time.
+        """
+        return self.is_linked and now - self.load_at < FRESH_S
+
+    def is_assignable(self, now: float) -> bool:
+        """Return whether new tasks may be assigned.
+
+        :param now: the time.
+        """
         return (
-            self.is_linked
+            self.is_fresh(now)
             and self.info is not None
             and self.load is not None
             and self.load.state
@@ -124,32 +139,34 @@
 
     by_agent: dict[str, WorkerView] = attrs.field(factory=dict)
 
-    def serving(self, service: str) -> Iterator[WorkerView]:
+    def serving(self, service: str, now: float) -> Iterator[WorkerView]:
         """Yield the workers of a service that may be given tasks.
 
         :param service: name of the service.
+        :param now: the time.
         """
         return (
             view
             for view in self.by_agent.values()
-            if view.is_assignable
+            if view.is_assignable(now)
             and view.info is not None
             and view.info.service == service
         )
 
-    def knows(self, service: str) -> bool:
-        """Return whether any linked worker serves a service, whatever its state.
+    def capacity_cpu(self, service: str, now: float) -> int:
+        """Return the processors of all assignable workers, in thousandths of a core.
 
         :param service: name of the service.
+        :param now: the time.
         """
-        return any(
-            view.is_linked and view.info is not None and view.info.service == service
-            for view in self.by_agent.values()
-        )
+        return sum(view.info.cpu for view in self.serving(service, now) if view.info)
 
-    def capacity_cpu(self, service: str) -> int:
-        """Return the processors of all assignable workers, in thousandths of a core.
+    def is_in_touch(self, now: float) -> bool:
+        """Return whether half of the agents of late are heard, and one has room.
 
-        :param service: name of the service.
+        :param now: the time.
         """
-        return sum(view.info.cpu for view in self.serving(service) if view.info)
+        views = self.by_agent.values()
+        recent = sum(1 for view in views if now - view.load_at < RECENT_S)
+        fresh = sum(1 for view in views if view.is_fresh(now))
+        return 2 * fresh >= recent and any(view.is_assignable(now) for view in views)
--- a/src/burdockgate/process/scheduler.py
+++ b/src/burdockgate/process/scheduler.py
@@ -148,13 +148,7 @@
         job = self.job_by_id.get(submission.job)
         if job is not None:
             yield Note("job.joined", {"job": submission.job})
-            if job.ticket is not None:
-                yield Conclude(
-                    job.ticket,
-                    submission.job,
-                    batch.Interrupted(codes.Code.REQUEST_CUT),
-                )
-            job.ticket = ticket
+            job.tickets.add(ticket)
             return
         ended = self._ended.get(submission.job)
         if ended is not None and isinstance(ended.verdict, batch.Completed):
@@ -191,7 +185,7 @@
     def _refusal(self, submission: batch.Submission) -> batch.Verdict | None:
         service = submission.service
         is_settling = self._time.now() - self._started_at < self._settings.settling_s
-        if not is_settling and not any(self.fleet.serving(service)):
+        if not is_settling and not any(self.fleet.serving(service, self._time.now())):
             return batch.Refused(codes.Code.NOT_READY, NO_WORKER_RETRY_S)
         if self.stops_at is not None:
             chain_s = batch.Job.begin(submission, 0.0, 0).chain_s()
@@ -203,7 +197,7 @@
 
     def _retry_after_s(self, service: str) -> float:
         """Return the time in which the waiting work can be done."""
-        capacity = self.fleet.capacity_cpu(service)
+        capacity = self.fleet.capacity_cpu(service, self._time.now())
         if not capacity:
             return 1.0
         work = sum(
@@ -223,9 +217,11 @@
         :param ticket: number of the caller's request.
         """
         job = self.job_by_id.get(job_id)
-        if job is None or job.ticket != ticket:
+        if job is None or ticket not in job.tickets:
+            return
+        job.tickets.discard(ticket)
+        if job.tickets:
             return
-        job.ticket = None
         yield Note("job.abandoned", {"job": job_id, "age_ms": self._age_ms(job)})
         verdict = batch.Interrupted(codes.Code.REQUEST_CUT)
         yield from self._end_job(job, verdict)
@@ -496,7 +492,8 @@
     def _choose(
         self, job: batch.Job, task: batch.Task, now: float
     ) -> fleet.WorkerView | None:
-        views: Iterable[fleet.WorkerView] = self.fleet.serving(job.submission.service)
+        service = job.submission.service
+        views: Iterable[fleet.WorkerView] = self.fleet.serving(service, now)
         limit = task.step.max_per_worker
         if limit:
             counts = collections.Counter(
@@ -582,8 +579,8 @@
                 "revoked": sum(map(len, by_agent.values())),
             },
         )
-        if job.ticket is not None:
-            yield Conclude(job.ticket, job_id, verdict)
+        for ticket in sorted(job.tickets):
+            yield Conclude(ticket, job_id, verdict)
 
     def tick(self) -> Iterator[Effect]:
         """Do what is due; call every few tens of milliseconds."""
--- a/src/burdockgate/request/batch.py
+++ b/src/burdockgate/request/batch.py
@@ -150,14 +150,15 @@
     """A job in progress.
 
     :param received_at: when its caller's request was read.
-    :param ticket: number of the caller's request; ``None`` when it has gone.
+    :param tickets: numbers of the requests that wait for the end; several when the
+        caller has sent the job again.
     :param has_run: whether a task was assigned and not returned unstarted.
     :param verdict: set once the job has ended.
     """
 
     submission: Submission
     received_at: float
-    ticket: int | None
+    tickets: set[int]
     tasks: list[list[Task]]
     has_run: bool = False
     is_offered: bool = False
@@ -179,7 +180,7 @@
             ]
             for number, step in enumerate(submission.steps)
         ]
-        job = cls(submission, now, ticket, tasks)
+        job = cls(submission, now, {ticket}, tasks)
         job.unblock()
         return job
 
