--- /dev/null
+++ b/tests/test_adapter.py
@@ -0,0 +1,448 @@
+"""Guards the platform's adapter: names on its wire, and answers of every kind."""
+
+import asyncio
+import base64
+import json
+import struct
+
+import pytest
+
+from burdockgate import assignments, codes, errors
+from burdockgate.platform import (
+    asgi,
+    boot,
+    configuration,
+    front,
+    heartbeats,
+    http,
+    jobs,
+    store,
+    worker,
+)
+from burdockgate.process import control, serving
+from burdockgate.request import batch
+from burdockgate.version import routes
+
+SETTINGS = b"""
+nodeName = "edge-1"
+role = "entry"
+ip = "127.0.0.1"
+zone = "z1"
+portRange = [7720, 7735]
+seeds = ["10.1.0.13:8166", "10.2.0.30:8166"]
+newField = "ignored"
+[listen]
+front = "127.0.0.1:8161"
+ready = "127.0.0.1:8167"
+control = "127.0.0.1:8166"
+[bounds]
+graceS = 6
+maxHoldMs = 900
+[platform]
+address = "127.0.0.1:8169"
+"""
+
+ROUTE = routes.Route(
+    "r", "h.example", "/jobs/", "svc", 1, 3, 1.6, 0.06, 1.5, needs_advice=False
+)
+
+
+class Script:
+    """An ASGI server that answers from a list and keeps what it was sent."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.requests = []
+        self.server = serving.Server(self, "127.0.0.1")
+
+    async def __call__(self, scope, receive, send):
+        body = await asgi.read_body(receive, 1 << 20)
+        headers = {name.decode(): value.decode() for name, value in scope["headers"]}
+        query = scope["query_string"].decode()
+        self.requests.append((scope["path"], query, headers, body))
+        answer = self.answers.pop(0)
+        if answer is None:
+            await asyncio.sleep(30)
+            return
+        status, body = answer
+        if not isinstance(body, bytes):
+            body = json.dumps(body).encode()
+        await asgi.answer(send, status, body)
+
+
+@pytest.fixture
+async def script():
+    made = []
+
+    async def make(*answers):
+        server = Script(*answers)
+        await server.server.start()
+        made.append(server)
+        return server
+
+    yield make
+    for server in made:
+        await server.server.cut()
+
+
+# Settings.
+
+
+def test_settings_are_decoded_into_the_products_names():
+    """Seeds name heartbeat ports; agents connect to the first port of the range."""
+    settings = boot.decode(SETTINGS)
+    assert settings.entry_addresses() == ("10.1.0.13:7720", "10.2.0.30:7720")
+    assert settings.entry_settings().port == 7720
+    assert settings.agent_settings().gate.worker_lease_s == 0.9
+    assert settings.entry_settings().scheduler.agent_gone_s > 0.9 * 1.02 + 0.7
+
+
+@pytest.mark.parametrize(
+    "content", [b"", b"nodeName = 1", b"\xff", SETTINGS.replace(b"ip =", b"pi =")]
+)
+def test_unusable_settings_are_named_in_one_line(content):
+    """An operator gets a line that names the field, not a traceback."""
+    with pytest.raises(errors.SettingsError) as caught:
+        boot.decode(content)
+    assert "\n" not in str(caught.value)
+
+
+# Configuration.
+
+
+def _configuration(**changes):
+    fields = {
+        "version": 7,
+        "routes": [
+            {
+                "name": "r",
+                "host": "h.example",
+                "pathPrefix": "/jobs/",
+                "service": "svc",
+                "priority": 1,
+                "timeoutMs": 1500,
+                "targetLatencyMs": 60,
+                "stretch": 1.6,
+                "maxAttempts": 3,
+            }
+        ],
+        "limits": {"maxBodyBytes": 1000},
+    }
+    return json.dumps({**fields, **changes}).encode()
+
+
+def test_configuration_becomes_a_route_table():
+    """Milliseconds on the wire are seconds in the product."""
+    table = configuration.decode(_configuration())
+    assert table == routes.RouteTable(7, (ROUTE,), 1000)
+    assert table.match("h.example", "/jobs/ab") == ROUTE
+    assert table.match("other.example", "/jobs/ab") is None
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"{", b"[]", _configuration(version="7"), _configuration(routes=3)]
+)
+def test_unreadable_configuration_is_none(body):
+    """Another writer's record must not end the process or replace the table."""
+    assert configuration.decode(body) is None
+
+
+# Heartbeats.
+
+
+def _heartbeat(**changes):
+    fields = {
+        "service": "svc",
+        "address": "10.0.0.9:8080",
+        "zone": "z1",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "coldRemainingMs": 0,
+        "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 0},
+        "labels": ["a", "r1-3"],
+        "clockMs": 482113,
+        "seq": 4,
+        "born": 1700000000000,
+    }
+    return json.dumps({**fields, **changes}).encode()
+
+
+def test_heartbeat_becomes_an_announcement():
+    """Capacity, clock and life of the worker must arrive under the right fields."""
+    told = heartbeats.decode("i-1", _heartbeat(state="draining"))
+    assert told == control.Announcement(
+        "i-1", 1700000000000, "svc", 16000, 32768, 0, ("a", "r1-3"), True, 4, 482113
+    )
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"\xff\xfe",
+        b"{}",
+        _heartbeat(state="unknown"),
+        _heartbeat(seq="4"),
+        _heartbeat(capacity=None),
+        _heartbeat(capacity={"cpu": "many", "memMb": 1}),
+        _heartbeat(labels=[1]),
+    ],
+)
+def test_heartbeat_of_another_writer_names_no_worker(body):
+    """Missing fields, other types and unknown states are left out."""
+    assert heartbeats.decode("i-1", body) is None
+
+
+# Jobs.
+
+
+def _job(**changes):
+    fields = {
+        "spec": "text",
+        "bestEffort": True,
+        "steps": [
+            {"count": 2, "cpu": 500, "memMb": 64, "estimateMs": 900},
+            {"count": 1, "cpu": 100, "after": [0], "requires": "a", "antiAffinity": 1},
+        ],
+    }
+    return json.dumps({**fields, **changes}).encode()
+
+
+def test_job_becomes_a_submission():
+    """Steps, resources and order must survive the translation."""
+    submission = jobs.decode("ab12", _job(), ROUTE, 2.5)
+    assert submission.steps == (
+        batch.Step(2, 500, 64, 0, 0.9),
+        batch.Step(1, 100, 0, 0, 0.0, (0,), "a", "", 1),
+    )
+    assert (submission.priority, submission.deadline_s) == (1, 2.5)
+
+
+@pytest.mark.parametrize(
+    ("body", "code"),
+    [
+        (b"{", codes.Code.INVALID_REQUEST),
+        (_job(steps=[]), codes.Code.TOO_MANY_TASKS),
+        (_job(steps=[{"count": 1, "after": [0]}]), codes.Code.INVALID_REQUEST),
+        (_job(steps=[{"count": 10_001}]), codes.Code.TOO_MANY_TASKS),
+        (_job(bestEffort=False), codes.Code.NOT_READY),
+        (_job(steps=[{"count": 2, "gang": True}]), codes.Code.NOT_READY),
+        (_job(repeatCount=3), codes.Code.NOT_READY),
+    ],
+)
+def test_job_that_is_not_served_is_refused_and_not_run(body, code):
+    """A job that has to be stored must not be accepted and lost."""
+    with pytest.raises(errors.RequestError) as caught:
+        jobs.decode("ab12", body, ROUTE, 2.5)
+    assert caught.value.code is code
+    assert codes.start_of(code) is codes.Start.NOT_RUN
+
+
+def test_answers_tell_whether_the_job_can_be_sent_again():
+    """429 and 503 promise that nothing ran; 502 and 504 promise nothing."""
+    assert jobs.encode(batch.Completed())[::2] == (200, b'{"state":"completed"}')
+    assert jobs.encode(batch.Failed(codes.Code.TASK_FAILED))[2] == b'{"state":"failed"}'
+    status, headers, _ = jobs.encode(batch.Refused(codes.Code.QUEUE_TIMEOUT, 1.2))
+    assert (status, headers) == (503, {"Retry-After": "2"})
+    assert jobs.encode(batch.Interrupted(codes.Code.OWNER_LOST))[0] == 502
+    late = batch.Interrupted(codes.Code.DEADLINE_MAY_HAVE_RUN)
+    assert jobs.encode(late)[0] == 504
+
+
+@pytest.mark.parametrize(
+    ("text", "seconds"), [("2500", 2.5), ("", 5.0), ("soon", 5.0), ("-4", 0.0)]
+)
+def test_deadline_header(text, seconds):
+    """A caller that sends nonsense gets the default wait."""
+    assert front._deadline_s({"deadline-ms": text}) == seconds
+
+
+# Worker.
+
+_KEY = assignments.RunKey(assignments.TaskKey("ab", 1, 17), 2)
+
+
+async def test_start_order_on_the_wire(script):
+    """The worker must get the lease, the token and the intended instance."""
+    server = await script((200, {"clockMs": 5}))
+    client = worker.PlatformWorker(server.server.address)
+    answer = await client.start(control.StartOrder("i-1", _KEY, "text", 900, 7))
+    await client.close()
+    assert answer == control.Accepted(5)
+    path, _, headers, body = server.requests[0]
+    assert path == "/burdockgate/run-start"
+    assert headers["expected-instance"] == "i-1"
+    assert json.loads(body) == {
+        "task": "ab.0.1.17",
+        "run": 2,
+        "spec": "text",
+        "deadlineMs": 900,
+        "fencingToken": 7,
+    }
+
+
+@pytest.mark.parametrize(
+    ("answer", "expected"),
+    [
+        (
+            (409, {"clockMs": 9, "reason": "fence"}),
+            control.Refused(control.Refusal.FENCED, 9),
+        ),
+        (
+            (409, {"clockMs": 9, "reason": "old"}),
+            control.Refused(control.Refusal.OLD_RUN, 9),
+        ),
+        (
+            (409, {"clockMs": 9, "reason": "late"}),
+            control.Refused(control.Refusal.LATE, 9),
+        ),
+        ((421, b""), control.Refused(control.Refusal.OTHER_WORKER)),
+        ((503, b""), control.Refused(control.Refusal.UNHEALTHY)),
+        ((400, b"?"), control.Refused(control.Refusal.INVALID)),
+        ((502, b""), control.Unanswered()),
+        (None, control.Unanswered()),
+    ],
+)
+async def test_answers_to_an_order(script, answer, expected):
+    """Only an order that surely was not carried out counts as refused."""
+    server = await script(answer)
+    client = worker.PlatformWorker(server.server.address)
+    assert await client.stop(control.StopOrder("i-1", _KEY, 7)) == expected
+    await client.close()
+
+
+async def test_order_to_a_closed_port_was_not_sent(script):
+    """A refused connection proves that the worker did nothing."""
+    server = await script()
+    await server.server.cut()
+    client = worker.PlatformWorker(server.server.address)
+    answer = await client.stop(control.StopOrder("i-1", _KEY, 7))
+    assert answer == control.Refused(control.Refusal.NOT_SENT)
+
+
+async def test_look_reads_the_lists_and_counts_what_it_cannot_read(script):
+    """Rows of another form must not hide the others."""
+    lists = {
+        "clockMs": 10,
+        "born": 3,
+        "running": [["ab.0.1.17", 2, "", 41, 5], ["odd", 1, "", 0], 7],
+        "finished": [[58, "ab.0.1.9", 1, "done", ""], [59, "ab.0.1.9", 1]],
+    }
+    server = await script((200, lists))
+    client = worker.PlatformWorker(server.server.address)
+    seen = await client.look(control.LookOrder("i-1", 7, 57, None, 0))
+    await client.close()
+    other = assignments.RunKey(assignments.TaskKey("ab", 1, 9), 1)
+    assert seen == control.Snapshot(
+        10,
+        3,
+        (control.RunningEntry(_KEY, 41),),
+        (control.FinishedEntry(58, other, control.EndReason.DONE),),
+        3,
+    )
+    assert "deadlineMs" not in json.loads(server.requests[0][3])
+
+
+# Store.
+
+
+def _item(key, value, offset):
+    return {
+        "key": key,
+        "value": base64.b64encode(value).decode(),
+        "offset": offset,
+    }
+
+
+async def test_newest_reads_all_pages_and_skips_unreadable_items(script):
+    """Changes since the first page are read again from its end."""
+    first = {"items": [_item("a", b"1", 0), 5], "more": True, "end": 4}
+    second = {"items": [_item("b", b"2", 5)], "more": False, "end": 6}
+    server = await script((200, first), (200, second))
+    client = store.PlatformStore(server.server.address)
+    page = await client.newest("keyed.op")
+    await client.close()
+    assert [record.key for record in page.records] == ["a", "b"]
+    assert page.end == 4
+    assert "after=a" in server.requests[1][1]
+
+
+def _raw(*records):
+    parts = [struct.pack(">QQ", 9, 0)]
+    for key, value in records:
+        record = bytes([len(key)]) + key + value
+        parts.append(struct.pack(">I", len(record)) + record)
+    return b"".join(parts)
+
+
+async def test_changes_are_read_from_raw_records(script):
+    """Offsets must advance by one for each record."""
+    server = await script((200, _raw((b"config", b"{}"), (b"x", b""))))
+    client = store.PlatformStore(server.server.address)
+    page = await client.changes("keyed.op", 4)
+    await client.close()
+    assert [(record.key, record.value) for record in page.records] == [
+        ("config", b"{}"),
+        ("x", b""),
+    ]
+    assert page.end == 6
+
+
+async def test_expired_history_and_outage_are_told_apart(script):
+    """After a deletion the newest keys are read; an outage is only waited out."""
+    server = await script((410, {"first": 8}), (503, b""))
+    client = store.PlatformStore(server.server.address)
+    with pytest.raises(errors.HistoryExpiredError):
+        await client.changes("keyed.op", 4)
+    with pytest.raises(errors.LogUnavailableError):
+        await client.changes("keyed.op", 4)
+    await client.close()
+
+
+async def test_put_frames_the_key(script):
+    """The length of the key comes first, then the key and the value."""
+    server = await script((200, {"offset": 0, "end": 1}))
+    client = store.PlatformStore(server.server.address)
+    await client.put("keyed.entries", "edge-1", b"value")
+    await client.close()
+    assert server.requests[0][3] == b"\x00\x00\x00\x0c\x06edge-1value"
+
+
+# HTTP.
+
+
+async def test_client_uses_one_connection_again(script):
+    """New connections to workers have a price."""
+    server = await script(*[(200, b"{}")] * 5)
+    client = http.Client(server.server.address, 4)
+    for _ in range(5):
+        assert (await client.request("GET", "/", 1.0)).status == 200
+    assert len(client._idle) == 1
+    client.close()
+
+
+async def test_request_that_times_out_gives_up_its_connection(script):
+    """A late answer must not be taken for that of the next request."""
+    server = await script(None, (200, b"second"))
+    client = http.Client(server.server.address, 1)
+    with pytest.raises(errors.UnansweredError):
+        await client.request("GET", "/", 0.05)
+    assert (await client.request("GET", "/", 1.0)).body == b"second"
+    client.close()
+
+
+@pytest.mark.parametrize("answer", [b"nonsense\r\n\r\n", b"", b"HTTP/1.1 200 OK\r\n"])
+async def test_broken_answer_leaves_the_request_unanswered(answer):
+    """Whatever the peer sends, the caller gets one of the two errors."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    client = http.Client(f"127.0.0.1:{port}", 1)
+    with pytest.raises(errors.UnansweredError):
+        await client.request("GET", "/", 2.0)
+    server.close()
