--- /dev/null
+++ b/tests/platform_standins.py
@@ -0,0 +1,207 @@
+"""Stand-ins of the platform over HTTP: a store with keyed topics, and a worker."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import contextlib
+import json
+import random
+import struct
+import urllib.parse
+
+import httpx
+
+from burdockgate import assignments
+from burdockgate.platform import asgi
+from burdockgate.process import control, serving
+from burdockgate.standin import leased, virtual
+
+
+class LoopTime(virtual.VirtualTime):
+    """The clock of the event loop, for a worker model in real time."""
+
+    def now(self):
+        return asyncio.get_running_loop().time()
+
+    def call_later(self, delay_s, action):
+        asyncio.get_running_loop().call_later(delay_s, action)
+
+
+class StoreStandIn:
+    """Topics of one partition; ``is_down`` refuses every call."""
+
+    def __init__(self):
+        self.records_by_topic = {}
+        self.is_down = False
+        self.server = serving.Server(self, "127.0.0.1")
+        self._changed = asyncio.Event()
+
+    def append(self, topic, key, value):
+        self.records_by_topic.setdefault(topic, []).append((key, value))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def __call__(self, scope, receive, send):
+        body = await asgi.read_body(receive, 1 << 20)
+        query = dict(urllib.parse.parse_qsl(scope["query_string"].decode()))
+        if self.is_down:
+            await asgi.answer(send, 503)
+            return
+        topic = query["topic"]
+        match scope["path"].rpartition("/")[2]:
+            case "log-append":
+                record = body[4:]
+                key_end = 1 + record[0]
+                self.append(topic, record[1:key_end].decode(), record[key_end:])
+                await asgi.answer(send, 200, b'{"offset":0,"end":1}')
+            case "log-newest":
+                await asgi.answer(send, 200, self._newest(topic))
+            case "log-read":
+                await self._read(topic, query, send)
+
+    def _newest(self, topic):
+        records = self.records_by_topic.get(topic, [])
+        newest = {key: (value, at) for at, (key, value) in enumerate(records)}
+        items = [
+            {"key": key, "value": base64.b64encode(value).decode(), "offset": at}
+            for key, (value, at) in sorted(newest.items())
+        ]
+        return json.dumps({"items": items, "more": False, "end": len(records)}).encode()
+
+    async def _read(self, topic, query, send):
+        begin, wait_s = int(query["from"]), int(query["waitMs"]) / 1000
+        if len(self.records_by_topic.get(topic, [])) <= begin:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait_s):
+                    await self._changed.wait()
+        records = self.records_by_topic.get(topic, [])
+        raw = struct.pack(">QQ", len(records), 0)
+        for key, value in records[begin:]:
+            record = bytes([len(key)]) + key.encode() + value
+            raw += struct.pack(">I", len(record)) + record
+        await asgi.answer(send, 200, raw, content_type="application/octet-stream")
+
+
+_REASONS = {
+    control.Refusal.FENCED: "fence",
+    control.Refusal.OLD_RUN: "old",
+    control.Refusal.LATE: "late",
+}
+
+
+class WorkerStandIn:
+    """A worker model behind its HTTP interface, with heartbeats to its agent."""
+
+    def __init__(self, name, heartbeat_address, work_s):
+        self.time = LoopTime()
+        self.model = leased.LeasedWorker(
+            name, 16_000, 1.0, self.time, random.Random(1), lambda task: (work_s, 1600)
+        )
+        self.server = serving.Server(self, "127.0.0.1")
+        self._heartbeat_address = heartbeat_address
+        self._sequence = 0
+        self._beats = None
+
+    async def start(self):
+        await self.server.start()
+        self._beats = asyncio.create_task(self._beat())
+
+    async def close(self):
+        self._beats.cancel()
+        await self.server.cut()
+
+    async def _beat(self):
+        path = f"/burdockgate/instances/{self.model.name}/heartbeat"
+        async with httpx.AsyncClient(trust_env=False) as client:
+            while True:
+                self._sequence += 1
+                # While the agent is not up, the next heartbeat follows.
+                with contextlib.suppress(httpx.HTTPError):
+                    await client.post(
+                        f"http://{self._heartbeat_address}{path}",
+                        json=self._heartbeat(),
+                        timeout=1,
+                    )
+                await asyncio.sleep(0.3)
+
+    def _heartbeat(self):
+        return {
+            "service": "svc",
+            "address": self.server.address,
+            "zone": "z1",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "coldRemainingMs": 0,
+            "capacity": {"cpu": self.model.cpu, "memMb": 65536, "gpu": 0},
+            "labels": ["a", "r1"],
+            "clockMs": self.model.clock_ms,
+            "seq": self._sequence,
+            "born": self.model.born,
+        }
+
+    async def __call__(self, scope, receive, send):
+        fields = json.loads(await asgi.read_body(receive, 1 << 20))
+        match scope["path"].rpartition("/")[2]:
+            case "run-start":
+                order = control.StartOrder(
+                    "",
+                    _key(fields["task"], fields["run"]),
+                    fields["spec"],
+                    fields["deadlineMs"],
+                    fields["fencingToken"],
+                )
+                await self._answer(send, self.model.start(order))
+            case "run-stop":
+                key = _key(fields["task"], fields["run"])
+                order = control.StopOrder("", key, fields["fencingToken"])
+                await self._answer(send, self.model.stop(order))
+            case "hold":
+                await self._look(fields, send)
+
+    async def _look(self, fields, send):
+        seen = asyncio.get_running_loop().create_future()
+        order = control.LookOrder(
+            "",
+            fields["fencingToken"],
+            fields["ackedThrough"],
+            fields.get("deadlineMs"),
+            fields["waitMs"],
+        )
+        self.model.look(order, seen.set_result)
+        answer = await seen
+        if isinstance(answer, control.Refused):
+            await self._answer(send, answer)
+            return
+        lists = {
+            "clockMs": answer.clock_ms,
+            "born": answer.born,
+            "running": [
+                [_name(entry.key), entry.key.run, "", entry.percent]
+                for entry in answer.running
+            ],
+            "finished": [
+                [entry.number, _name(entry.key), entry.key.run, entry.reason.value, ""]
+                for entry in answer.finished
+            ],
+        }
+        await asgi.answer(send, 200, json.dumps(lists).encode())
+
+    @staticmethod
+    async def _answer(send, answer):
+        if isinstance(answer, control.Accepted):
+            body = {"clockMs": answer.clock_ms}
+            await asgi.answer(send, 200, json.dumps(body).encode())
+        else:
+            body = {"clockMs": answer.clock_ms, "reason": _REASONS[answer.reason]}
+            await asgi.answer(send, 409, json.dumps(body).encode())
+
+
+def _key(name, run):
+    job, _, step, index = name.split(".")
+    return assignments.RunKey(assignments.TaskKey(job, int(step), int(index)), run)
+
+
+def _name(key):
+    return f"{key.task.job}.0.{key.task.step}.{key.task.index}"
--- /dev/null
+++ b/tests/test_deployment.py
@@ -0,0 +1,265 @@
+"""The platform's programs as separate processes, against stand-ins over HTTP."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+
+import httpx
+import pytest
+
+import platform_standins
+
+WAIT_S = 30
+CONFIGURATION = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "r",
+            "host": "h.example",
+            "pathPrefix": "/jobs/",
+            "service": "svc",
+            "priority": 0,
+            "timeoutMs": 1500,
+            "targetLatencyMs": 60,
+            "stretch": 1.6,
+            "maxAttempts": 3,
+        }
+    ],
+}
+
+
+def _free_ports(count):
+    listeners = [socket.socket() for _ in range(count)]
+    for listener in listeners:
+        # The same ports are used at several loopback addresses.
+        listener.bind(("0.0.0.0", 0))
+    ports = [listener.getsockname()[1] for listener in listeners]
+    for listener in listeners:
+        listener.close()
+    return ports
+
+
+class Deployment:
+    """Two entry hosts and two agents with their workers."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.link, self.front, self.ready, self.control = _free_ports(4)
+        self.store = platform_standins.StoreStandIn()
+        self.workers = []
+        self.process_by_name = {}
+
+    async def start(self):
+        self.store.append("keyed.op", "config", json.dumps(CONFIGURATION).encode())
+        await self.store.server.start()
+        for number in (1, 2):
+            await self.start_process(
+                f"entry-{number}", "entry", f"127.0.0.{10 + number}"
+            )
+            host = f"127.0.0.{20 + number}"
+            worker = platform_standins.WorkerStandIn(
+                f"i-{number}", f"{host}:{self.control}", 0.3
+            )
+            await worker.start()
+            self.workers.append(worker)
+            await self.start_process(
+                f"agent-{number}", "agent", host, worker.server.address
+            )
+        for host in ("127.0.0.11", "127.0.0.12"):
+            await self.wait_ready(host)
+
+    async def start_process(self, name, role, host, worker=""):
+        path = self.folder / f"{name}.toml"
+        path.write_text(
+            f'nodeName = "{name}"\nrole = "{role}"\nip = "{host}"\nzone = "z1"\n'
+            f"portRange = [{self.link}, {self.link + 1}]\n"
+            f'seeds = ["127.0.0.11:{self.control}"]\napp = "{worker}"\n'
+            f'[listen]\ncontrol = "{host}:{self.control}"\n'
+            + (
+                f'front = "{host}:{self.front}"\nready = "{host}:{self.ready}"\n'
+                if role == "entry"
+                else ""
+            )
+            + "[bounds]\ngraceS = 4\n"
+            + f'[platform]\naddress = "{self.store.server.address}"\n'
+        )
+        log = (self.folder / f"{name}.log").open("ab")
+        self.process_by_name[name] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "burdockgate.platform",
+            role,
+            env={**os.environ, "BURDOCKGATE_NODE_FILE": str(path)},
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+
+    async def wait_ready(self, host):
+        async def is_ready():
+            try:
+                answer = await self.get(host, self.ready, "/burdockgate/readyz")
+            except httpx.HTTPError:
+                return False
+            return answer.status_code == 200
+
+        await self.wait_for(is_ready)
+
+    async def wait_for(self, condition):
+        async with asyncio.timeout(WAIT_S):
+            while not await condition():
+                await asyncio.sleep(0.05)
+
+    async def get(self, host, port, path):
+        async with httpx.AsyncClient(trust_env=False) as client:
+            headers = {"Host": "h.example"}
+            return await client.get(f"http://{host}:{port}{path}", headers=headers)
+
+    async def post(self, host, job, count=4):
+        body = {
+            "spec": "text",
+            "bestEffort": True,
+            "steps": [{"count": count, "cpu": 1600, "memMb": 64, "estimateMs": 300}],
+        }
+        async with httpx.AsyncClient(trust_env=False) as client:
+            return await client.post(
+                f"http://{host}:{self.front}/jobs/{job}",
+                json=body,
+                headers={"Host": "h.example", "Deadline-Ms": "20000"},
+                timeout=WAIT_S,
+            )
+
+    def spans(self, job):
+        return [
+            span
+            for worker in self.workers
+            for span in [*worker.model.spans, *worker.model.open_spans()]
+            if span.key.task.job == job
+        ]
+
+    async def close(self):
+        for process in self.process_by_name.values():
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+        for worker in self.workers:
+            await worker.close()
+        await self.store.server.cut()
+
+
+@pytest.fixture
+async def deployment(tmp_path):
+    made = Deployment(tmp_path)
+    try:
+        await made.start()
+        yield made
+    finally:
+        await made.close()
+
+
+async def _runs_until_stopped(deployment, job):
+    async def is_running():
+        return bool(deployment.spans(job))
+
+    await deployment.wait_for(is_running)
+
+
+async def test_job_is_served_and_its_log_names_every_step(deployment):
+    """The whole path, and the lines that an engineer on call follows."""
+    answer = await deployment.post("127.0.0.11", "00000000000000aa")
+    assert (answer.status_code, answer.json()) == (200, {"state": "completed"})
+    again = await deployment.post("127.0.0.11", "00000000000000aa")
+    assert again.json() == {"state": "completed"}
+    assert len(deployment.spans("00000000000000aa")) == 4
+    log = "".join(path.read_text() for path in deployment.folder.glob("*.log"))
+    events = {
+        json.loads(line)["event"]
+        for line in log.splitlines()
+        if "00000000000000aa" in line
+    }
+    assert {
+        "job.received",
+        "task.assigned",
+        "run.starting",
+        "run.ended",
+        "job.ended",
+    } <= (events)
+
+
+async def test_job_outlives_its_entry_host_and_runs_once_at_a_time(deployment):
+    """A caller whose entry host was killed sends its job to another one."""
+    job = "00000000000000bb"
+    first = asyncio.create_task(deployment.post("127.0.0.11", job))
+    await _runs_until_stopped(deployment, job)
+    deployment.process_by_name["entry-1"].kill()
+    with pytest.raises(httpx.HTTPError):
+        await first
+    await asyncio.sleep(1.3)
+    answer = await deployment.post("127.0.0.12", job)
+    assert answer.json() == {"state": "completed"}
+    by_task = {}
+    for span in deployment.spans(job):
+        by_task.setdefault(span.key.task, []).append(span)
+    assert len(by_task) == 4
+    for spans in by_task.values():
+        spans.sort(key=lambda span: span.began)
+        assert all(
+            earlier.ended <= later.began
+            for earlier, later in zip(spans, spans[1:], strict=False)
+        )
+
+
+async def test_store_outage_stops_no_job_and_a_restarted_entry_host_serves(deployment):
+    """The configuration comes from the agents while the store is down."""
+    deployment.store.is_down = True
+    process = deployment.process_by_name["entry-1"]
+    process.kill()
+    await process.wait()
+    assert (await deployment.post("127.0.0.12", "00000000000000cc")).status_code == 200
+    await deployment.start_process("entry-1", "entry", "127.0.0.11")
+    await deployment.wait_ready("127.0.0.11")
+    assert (await deployment.post("127.0.0.11", "00000000000000dd")).status_code == 200
+
+
+async def test_new_version_is_in_force_and_an_old_one_does_not_return(deployment):
+    """A version that a late reader meets must not replace a newer one."""
+    newer = {**CONFIGURATION, "version": 9, "routes": []}
+    deployment.store.append("keyed.op", "config", json.dumps(newer).encode())
+
+    async def is_gone():
+        answer = await deployment.get("127.0.0.12", deployment.front, "/jobs/")
+        return answer.status_code == 404
+
+    await deployment.wait_for(is_gone)
+    deployment.store.append("keyed.op", "config", json.dumps(CONFIGURATION).encode())
+    deployment.store.append("keyed.op", "other", b"x")
+    await asyncio.sleep(0.5)
+    assert await is_gone()
+
+
+async def test_planned_stop_answers_what_is_in_progress(deployment):
+    """A graceful stop cuts no request."""
+    job = "00000000000000ee"
+    answer = asyncio.create_task(deployment.post("127.0.0.11", job))
+    await _runs_until_stopped(deployment, job)
+    deployment.process_by_name["entry-1"].send_signal(signal.SIGTERM)
+    assert (await answer).json() == {"state": "completed"}
+    assert await deployment.process_by_name["entry-1"].wait() == 0
+
+
+async def test_caller_that_leaves_has_its_tasks_stopped(deployment):
+    """Work that nobody waits for keeps others waiting."""
+    job = "00000000000000ff"
+    answer = asyncio.create_task(deployment.post("127.0.0.11", job))
+    await _runs_until_stopped(deployment, job)
+    answer.cancel()
+
+    async def is_idle():
+        return not any(worker.model.open_spans() for worker in deployment.workers)
+
+    await deployment.wait_for(is_idle)
+    reasons = {span.reason.value for span in deployment.spans(job)}
+    assert reasons <= {"stopped", "done"}
