Share out a worker's freed room to the most urgent entry host

Change: entry hosts tell their waiting demand and its rank; agents report the free room that each may use.

--- a/src/burdockgate/assignments.py
+++ b/src/burdockgate/assignments.py
@@ -118,6 +118,8 @@
 
     :param sent_at_us: steady clock of the agent, echoed by :class:`Renewal`.
     :param assigned_through: number of the last :class:`Assign` that the load includes.
+    :param free_cpu: thousandths of a core that the receiver may assign. While entry
+        hosts have waiting tasks, the free room is shared out to the most urgent ones.
     :param used_cpu: thousandths of a core of all runs that are not known to have ended.
     :param queued_cpu: thousandths of a core of runs that wait at the agent.
     :param speed: speed against the estimates, in thousandths.
@@ -126,6 +128,7 @@
     sent_at_us: int
     assigned_through: int
     state: WorkerState
+    free_cpu: int
     used_cpu: int
     used_memory_mb: int
     used_gpu: int
@@ -145,6 +148,18 @@
     ends_through: int
 
 
+@attrs.frozen
+class Demand:
+    """What waits at an entry host for want of room.
+
+    :param waiting_cpu: thousandths of a core of all waiting tasks; 0 when none waits.
+    :param rank: urgency of the first of them; smaller is more urgent.
+    """
+
+    waiting_cpu: int
+    rank: int
+
+
 @attrs.frozen
 class Assign:
     """Runs of tasks of one step of a job for the agent's worker.
@@ -216,6 +231,7 @@
     | WorkerInfo
     | LoadReport
     | Renewal
+    | Demand
     | Assign
     | TaskEnd
     | Revoke
@@ -234,4 +250,5 @@
     47: Revoke,
     48: EntryHosts,
     49: Configuration,
+    50: Demand,
 }
--- a/src/burdockgate/process/agentside.py
+++ b/src/burdockgate/process/agentside.py
@@ -192,6 +192,9 @@
                 self._perform(self.gate.assigned(owner, message))
             case assignments.Renewal():
                 self.gate.renewed(owner, message)
+            case assignments.Demand():
+                self.gate.demanded(owner, message)
+                self._schedule_report()
             case assignments.Revoke():
                 self._perform(self.gate.revoked(message))
             case assignments.EntryHosts(addresses):
@@ -265,12 +268,12 @@
     def _report(self) -> None:
         """Send the load to every entry host, after changed facts of the worker."""
         self._is_report_due = False
-        info = self.gate.worker_info()
+        info, loads = self.gate.worker_info(), self.gate.loads()
         for owner, link in self._link_by_owner.items():
             if info is not None and self._info_sent.get(owner) != info:
                 self._info_sent[owner] = info
                 link.send(info)
-            link.send(self.gate.load(owner))
+            link.send(loads[owner])
 
     async def _run_timers(self) -> None:
         report_at = 0.0
--- a/src/burdockgate/process/fleet.py
+++ b/src/burdockgate/process/fleet.py
@@ -127,10 +127,10 @@
             or gpu + step.gpu > info.gpu
         ):
             return None
-        committed = self.committed_cpu()
-        if load.state is assignments.WorkerState.PROBATION and committed:
+        if load.state is assignments.WorkerState.PROBATION and self.committed_cpu():
             return None
-        return committed + step.cpu - info.cpu
+        under_way = sum(entry[1] for entry in self._unseen)
+        return under_way + step.cpu - load.free_cpu
 
 
 @attrs.define
--- a/src/burdockgate/process/gate.py
+++ b/src/burdockgate/process/gate.py
@@ -190,22 +190,41 @@
             return assignments.WorkerState.EJECTED
         return self._vitals.state(now)
 
-    def load(self, owner: str) -> assignments.LoadReport:
-        """Return the load of the worker for one entry host.
+    def loads(self) -> dict[str, assignments.LoadReport]:
+        """Return the load of the worker for each entry host, by name."""
+        now, used = self._time.now(), self._runs.used()
+        queued_cpu = sum(run.cpu for run in self._runs.queued())
+        capacity = self._worker.told.cpu if self._worker else 0
+        share_by_owner = owners.share_out(
+            max(0, capacity - used.cpu - queued_cpu),
+            self.session_by_owner.values(),
+            now,
+        )
+        state = self.worker_state()
+        speed = int(self._vitals.current_speed(now) * 1000)
+        return {
+            name: assignments.LoadReport(
+                int(now * 1_000_000),
+                session.assigned_through,
+                state,
+                share_by_owner[name],
+                used.cpu,
+                used.memory_mb,
+                used.gpu,
+                queued_cpu,
+                speed,
+            )
+            for name, session in self.session_by_owner.items()
+        }
+
+    def demanded(self, owner: str, message: assignments.Demand) -> None:
+        """Note what waits at an entry host.
 
         :param owner: name of the entry host.
+        :param message: its demand.
         """
-        now, used = self._time.now(), self._runs.used()
-        return assignments.LoadReport(
-            int(now * 1_000_000),
-            self.session_by_owner[owner].assigned_through,
-            self.worker_state(),
-            used.cpu,
-            used.memory_mb,
-            used.gpu,
-            sum(run.cpu for run in self._runs.queued()),
-            int(self._vitals.current_speed(now) * 1000),
-        )
+        session = self.session_by_owner[owner]
+        session.demand, session.demanded_at = message, self._time.now()
 
     @property
     def running_count(self) -> int:
@@ -250,7 +269,6 @@
         session = self.session_by_owner.get(owner)
         if session is not None and session.is_linked:
             session.is_linked = False
-            session.unlinked_at = self._time.now()
             yield Note("owner.unlinked", {"owner": owner})
 
     def refused(self, owner: str) -> Iterator[Effect]:
@@ -382,6 +400,7 @@
     def _start(self, run: runs.Run, worker: _Worker, now: float) -> Iterator[Effect]:
         run.state, run.token = runs.RunState.STARTING, self._token
         run.started_at = run.progressed_at = now
+        self.session_by_owner[run.owner].served_at = now
         worker.extended_at = now
         yield Note(
             "run.starting",
--- a/src/burdockgate/process/scheduler.py
+++ b/src/burdockgate/process/scheduler.py
@@ -47,6 +47,9 @@
 RETRY_ELSEWHERE_S = 1.0
 # Estimates are up to 40% off, and slow workers take a quarter longer.
 LONG_RUN_FACTOR = 1.75
+# While tasks wait, agents hear of a more urgent one this often, and of the amount.
+DEMAND_CHANGE_S = 0.01
+DEMAND_REPEAT_S = 0.1
 # Latency and late timers, beside the limits that the agent keeps.
 AGENT_GONE_MARGIN_S = 0.2
 
@@ -131,6 +134,8 @@
         self.job_by_id: dict[str, batch.Job] = {}
         self._waiting_by_id: dict[str, batch.Job] = {}
         self._is_assign_due = False
+        self._demand = assignments.Demand(0, 0)
+        self._demanded_at = 0.0
         self._ended: collections.OrderedDict[str, batch.Job] = collections.OrderedDict()
         # Runs of jobs that are not in progress any more but may still run, with the
         # time after which they count as ended.
@@ -479,6 +484,28 @@
                 break
         for (job_id, _, agent), tasks in chosen.items():
             yield from self._send(self.job_by_id[job_id], agent, tasks, now)
+        yield from self._tell_demand(waiting, now)
+
+    def _tell_demand(self, waiting: list[batch.Job], now: float) -> Iterator[Effect]:
+        """Tell the agents what found no room, so that they share out what frees."""
+        left = [job for job in waiting if job.is_waiting]
+        cpu = sum(
+            task.step.cpu
+            for job in left
+            for task in job.all_tasks()
+            if task.state is batch.TaskState.WAITING
+        )
+        rank = self._ordering.rank(left[0], now) if left else 0
+        demand = assignments.Demand(cpu, rank)
+        changed = demand != self._demand and (
+            not cpu or not self._demand.waiting_cpu or rank != self._demand.rank
+        )
+        due_s = DEMAND_CHANGE_S if changed else DEMAND_REPEAT_S
+        if (cpu or changed) and now - self._demanded_at >= due_s:
+            self._demand, self._demanded_at = demand, now
+            for view in self.fleet.by_agent.values():
+                if view.is_fresh(now):
+                    yield Send(view.agent, demand)
 
     def _assignable(self, job: batch.Job, now: float) -> Iterator[batch.Task]:
         return (
--- a/src/burdockgate/process/selection.py
+++ b/src/burdockgate/process/selection.py
@@ -11,6 +11,10 @@
 from burdockgate.process import fleet
 from burdockgate.request import batch
 
+# Bounds of the parts of a rank.
+MAX_PRIORITY = 1000
+MAX_LENGTH_MS = 10_000_000
+
 
 class Ordering(abc.ABC):
     """Decides which job's tasks are assigned first."""
@@ -23,6 +27,20 @@
         :param now: the time in seconds.
         """
 
+    def rank(self, job: batch.Job, now: float) -> int:
+        """Return the urgency of a job among those of all entry hosts.
+
+        :param job: the job.
+        :param now: the time in seconds.
+        :returns: lateness, priority and length in one number; smaller is more urgent.
+        """
+        is_late = int(job.start_by() < now)
+        length_ms = min(int(job.chain_s() * 1000), MAX_LENGTH_MS)
+        priority = min(job.submission.priority, MAX_PRIORITY)
+        return (is_late * (MAX_PRIORITY + 1) + priority) * (
+            MAX_LENGTH_MS + 1
+        ) + length_ms
+
 
 class LeastSlack(Ordering):
     """Jobs that can still be on time, by their latest start; then the late ones.
--- a/src/burdockgate/standin/batches.py
+++ b/src/burdockgate/standin/batches.py
@@ -275,13 +275,13 @@
 
     def report(self) -> None:
         """Send the load to every linked entry host."""
-        info = self.gate.worker_info()
+        info, loads = self.gate.worker_info(), self.gate.loads()
         for entry in self.model.linked_entries(self.name):
             if info is not None and (entry, info) not in self.info_sent:
                 self.info_sent.add((entry, info))
                 self.model.to_entry(self.name, entry, info)
-            if entry in self.gate.session_by_owner:
-                self.model.to_entry(self.name, entry, self.gate.load(entry))
+            if entry in loads:
+                self.model.to_entry(self.name, entry, loads[entry])
 
 
 class ModelEntry(ModelNode):
@@ -592,6 +592,9 @@
                     node.gate.renewed(entry, message)
                 case assignments.Revoke():
                     node.perform(node.gate.revoked(message))
+                case assignments.Demand():
+                    node.gate.demanded(entry, message)
+                    self.soon(node, node.report)
 
         self._deliver(pair, link, node, handle)
 
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -233,7 +233,7 @@
         for effect in entry.scheduler.reported(
             agent,
             assignments.LoadReport(
-                1, 0, assignments.WorkerState.READY, 0, 0, 0, 0, 1000
+                1, 0, assignments.WorkerState.READY, 0, 0, 0, 0, 0, 1000
             ),
         )
         if isinstance(effect, scheduler.AssignSoon)
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -26,7 +26,7 @@
         self.renew()
 
     def renew(self):
-        sent_at = self.gate.load(OWNER).sent_at_us
+        sent_at = self.gate.loads()[OWNER].sent_at_us
         self.gate.renewed(OWNER, assignments.Renewal(sent_at, 0))
 
     def advance(self, seconds):
@@ -85,11 +85,11 @@
     (start,) = _of(gate.Start, bench.assign(0))
     assert start.order.lease_until_ms == pytest.approx(6001, abs=2)
     bench.accept(start)
-    assert bench.gate.load(OWNER).used_cpu == 1000
+    assert bench.gate.loads()[OWNER].used_cpu == 1000
     done = control.FinishedEntry(1, KEY, control.EndReason.DONE)
     (end,) = _ends(bench.look(finished=[done]))
     assert (end.key, end.kind) == (KEY, assignments.EndKind.DONE)
-    assert bench.gate.load(OWNER).used_cpu == 0
+    assert bench.gate.loads()[OWNER].used_cpu == 0
     assert bench.gate.next_look().acknowledged == 1
 
 
@@ -97,7 +97,7 @@
     """Workers start whatever they are told, so the agent keeps their limit."""
     bench = Bench()
     assert len(_of(gate.Start, bench.assign(0, 1, 2, 3, 4))) == 4
-    assert bench.gate.load(OWNER).queued_cpu == 1000
+    assert bench.gate.loads()[OWNER].queued_cpu == 1000
 
 
 def test_unanswered_start_keeps_its_room_until_a_higher_token_is_confirmed():
@@ -111,7 +111,7 @@
     assert look.order.token > start.order.token
     # A list from before the new token proves nothing.
     assert _of(gate.Start, bench.look(order=old_look)) == []
-    assert bench.gate.load(OWNER).used_cpu == 1000
+    assert bench.gate.loads()[OWNER].used_cpu == 1000
     (again,) = _of(gate.Start, bench.look(order=look.order))
     assert again.order.key == start.order.key
     assert again.order.token == look.order.token
@@ -125,7 +125,7 @@
         gate.Look, bench.gate.start_answered(start.order, control.Unanswered())
     )
     assert _of(gate.Start, bench.look(running=[KEY], order=look.order)) == []
-    assert bench.gate.load(OWNER).used_cpu == 1000
+    assert bench.gate.loads()[OWNER].used_cpu == 1000
 
 
 def test_buffered_assignment_of_a_lapsed_session_is_returned():
@@ -141,7 +141,7 @@
 def test_old_echo_does_not_extend_the_session():
     """A renewal that was held up proves nothing about the owner now."""
     bench = Bench()
-    sent_at = bench.gate.load(OWNER).sent_at_us
+    sent_at = bench.gate.loads()[OWNER].sent_at_us
     bench.advance(2.0)
     bench.gate.renewed(OWNER, assignments.Renewal(sent_at, 0))
     assert _of(gate.Start, bench.assign(0)) == []
@@ -242,7 +242,7 @@
     assert _ends(effects) == []
     (look,) = _of(gate.Look, effects)
     assert _ends(bench.look(running=[KEY], born=2, order=look.order)) == []
-    assert bench.gate.load(OWNER).used_cpu == 1000
+    assert bench.gate.loads()[OWNER].used_cpu == 1000
 
 
 def test_token_grows_over_a_restart_of_the_worker():
