Reject waiting jobs whose turn will come too late

Ruled out: rejecting at the objective; a late result is still of use to the caller. Change: every 0.1 s jobs that have not begun are rejected when half of the work ahead, at the rate of the last second, takes too long; begun jobs are given up once they can't end in time.

--- a/src/burdockgate/process/scheduler.py
+++ b/src/burdockgate/process/scheduler.py
@@ -9,7 +9,7 @@
 import attrs
 
 from burdockgate import assignments, clock, codes
-from burdockgate.process import fleet, gate, selection
+from burdockgate.process import fleet, gate, selection, throughput
 from burdockgate.request import batch
 
 
@@ -50,6 +50,11 @@
 # While tasks wait, agents hear of a more urgent one this often, and of the amount.
 DEMAND_CHANGE_S = 0.01
 DEMAND_REPEAT_S = 0.1
+# How often the waiting jobs are looked through for those without a chance.
+REJECT_INTERVAL_S = 0.1
+# A job is rejected only when half of the work ahead of it would already take too long:
+# estimates are 40% off, and the rate of a moment is not that of the next.
+HOPELESS_SHARE = 0.5
 # Latency and late timers, beside the limits that the agent keeps.
 AGENT_GONE_MARGIN_S = 0.2
 
@@ -136,6 +141,8 @@
         self._is_assign_due = False
         self._demand = assignments.Demand(0, 0)
         self._demanded_at = 0.0
+        self._rejected_at = 0.0
+        self._throughput = throughput.Throughput(time.now())
         self._ended: collections.OrderedDict[str, batch.Job] = collections.OrderedDict()
         # Runs of jobs that are not in progress any more but may still run, with the
         # time after which they count as ended.
@@ -538,6 +545,7 @@
         task.run += 1
         task.agent, task.assigned_at = view.agent, now
         job.is_offered = True
+        self._throughput.add(task.step.cpu / 1000 * task.step.estimate_s)
         # Each task is counted by itself; the message carries the last number.
         view.assign(1, task.step)
 
@@ -619,20 +627,45 @@
                 yield from self._lose_all(view.agent, "agent silent")
         for job in list(self.job_by_id.values()):
             yield from self._expire(job, now)
+        if now - self._rejected_at >= REJECT_INTERVAL_S:
+            self._rejected_at = now
+            yield from self._reject_hopeless(now)
         self._forget(now)
         yield from self.assign()
 
     def _expire(self, job: batch.Job, now: float) -> Iterator[Effect]:
         """End a job that can't be of use to its caller any more."""
-        if job.has_run or now + job.remaining_s() < job.useful_until():
-            if now > job.received_at + job.submission.deadline_s:
+        remaining_s = job.remaining_s()
+        if job.has_run or job.assigned():
+            if now + remaining_s > job.received_at + job.submission.deadline_s:
                 verdict = batch.Interrupted(codes.Code.DEADLINE_MAY_HAVE_RUN)
                 yield from self._end_job(job, verdict)
-            return
-        if not job.assigned():
-            retry_after_s = self._retry_after_s(job.submission.service)
-            verdict_refused = batch.Refused(codes.Code.QUEUE_TIMEOUT, retry_after_s)
-            yield from self._end_job(job, verdict_refused)
+        elif now + remaining_s > job.useful_until():
+            yield from self._reject(job)
+
+    def _reject(self, job: batch.Job) -> Iterator[Effect]:
+        retry_after_s = self._retry_after_s(job.submission.service)
+        verdict = batch.Refused(codes.Code.QUEUE_TIMEOUT, retry_after_s)
+        yield from self._end_job(job, verdict)
+
+    def _reject_hopeless(self, now: float) -> Iterator[Effect]:
+        """Reject the waiting jobs whose turn will come too late.
+
+        Their callers learn at once when to return, instead of after their deadline.
+        """
+        ahead_s = 0.0
+        rate = self._throughput.rate(now)
+        waiting = sorted(
+            self._waiting_by_id.values(),
+            key=lambda job: self._ordering.key(job, now),
+        )
+        for job in waiting:
+            is_begun = job.has_run or bool(job.assigned())
+            begins_at = now + HOPELESS_SHARE * ahead_s / rate if rate else now
+            if not is_begun and begins_at + job.remaining_s() > job.useful_until():
+                yield from self._reject(job)
+            else:
+                ahead_s += job.waiting_core_s()
 
     def _forget(self, now: float) -> None:
         while self._ended:
--- a/src/burdockgate/request/batch.py
+++ b/src/burdockgate/request/batch.py
@@ -239,6 +239,14 @@
             ends.append(begin + (step.estimate_s if is_due else 0.0))
         return max(ends, default=0.0)
 
+    def waiting_core_s(self) -> float:
+        """Return the estimated work that waits, in processors times seconds."""
+        return sum(
+            task.step.cpu / 1000 * task.step.estimate_s
+            for task in self.all_tasks()
+            if task.state is TaskState.WAITING
+        )
+
     def start_by(self) -> float:
         """Return the latest start of the remaining work that is on time."""
         return self.received_at + self.objective_s() - self.remaining_s()
