--- a/src/burdockgate/platform/boot.py
+++ b/src/burdockgate/platform/boot.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from burdockgate import errors
-from burdockgate.process import agentside, entryside, gate, scheduler
+from burdockgate.process import agentside, entryside, orders, placing, scheduler
 
 PATH_VARIABLE = "BURDOCKGATE_NODE_FILE"
 
@@ -68,7 +68,7 @@
             grace_s=self.bounds.grace_s,
             configuration_topic="keyed.op",
             configuration_key="config",
-            scheduler=scheduler.SchedulerSettings(
+            scheduler=placing.SchedulerSettings(
                 agent_gone_s=scheduler.agent_gone_s(self._gate_settings())
             ),
         )
@@ -83,8 +83,8 @@
             gate=self._gate_settings(),
         )
 
-    def _gate_settings(self) -> gate.GateSettings:
-        return gate.GateSettings(worker_lease_s=self.bounds.worker_lease_ms / 1000)
+    def _gate_settings(self) -> orders.GateSettings:
+        return orders.GateSettings(worker_lease_s=self.bounds.worker_lease_ms / 1000)
 
 
 def load() -> Boot:
--- a/src/burdockgate/platform/jobs.py
+++ b/src/burdockgate/platform/jobs.py
@@ -146,7 +146,9 @@
             return 200, {}, b'{"state":"failed"}'
         case batch.Refused(code, retry_after_s):
             headers = {"Retry-After": str(max(1, math.ceil(retry_after_s)))}
-            return refuse(code, "", headers)
+            # Callers on the platform know two statuses for "not run".
+            status = 429 if codes.MEANING_BY_CODE[code].status == 429 else 503
+            return status, headers, _error_body(code, "")
         case batch.Interrupted(code):
             status = 504 if code is codes.Code.DEADLINE_MAY_HAVE_RUN else 502
             return status, {}, _error_body(code, "")
--- a/src/burdockgate/process/agentside.py
+++ b/src/burdockgate/process/agentside.py
@@ -12,7 +12,16 @@
 
 from burdockgate import assignments, clock, errors
 from burdockgate.connection import stream
-from burdockgate.process import control, events, gate, links, members, running, store
+from burdockgate.process import (
+    control,
+    events,
+    gate,
+    links,
+    members,
+    orders,
+    running,
+    store,
+)
 
 TICK_S = 0.025
 REPORT_INTERVAL_S = 0.2
@@ -39,7 +48,7 @@
     zone: str
     entry_addresses: tuple[str, ...]
     grace_s: float
-    gate: gate.GateSettings
+    gate: orders.GateSettings
 
 
 class AgentDaemon(links.Handler, running.Runnable):
@@ -125,18 +134,18 @@
 
     # Effects of the gate.
 
-    def _perform(self, wanted: Iterable[gate.Effect]) -> None:
+    def _perform(self, wanted: Iterable[orders.Effect]) -> None:
         for effect in wanted:
             match effect:
-                case gate.Note(event, fields):
+                case orders.Note(event, fields):
                     self.events.note(event, fields)
-                case gate.Send(to, message):
+                case orders.Send(to, message):
                     self._send(to, message)
-                case gate.Start(start_order):
+                case orders.Start(start_order):
                     self._spawn(self._start_run(start_order))
-                case gate.Stop(stop_order):
+                case orders.Stop(stop_order):
                     self._spawn(self._stop_run(stop_order))
-                case gate.Look(look_order):
+                case orders.Look(look_order):
                     self._spawn(self._look_once(look_order))
             self._schedule_report()
 
--- a/src/burdockgate/process/entryside.py
+++ b/src/burdockgate/process/entryside.py
@@ -18,6 +18,7 @@
     follower,
     links,
     members,
+    placing,
     running,
     scheduler,
     selection,
@@ -56,7 +57,7 @@
     grace_s: float
     configuration_topic: str
     configuration_key: str
-    scheduler: scheduler.SchedulerSettings = scheduler.SchedulerSettings()
+    scheduler: placing.SchedulerSettings = placing.SchedulerSettings()
     selection: selection.SelectionSettings = selection.SelectionSettings()
 
 
@@ -193,18 +194,18 @@
 
     # Effects of the scheduler.
 
-    def _perform(self, wanted: Iterable[scheduler.Effect]) -> None:
+    def _perform(self, wanted: Iterable[placing.Effect]) -> None:
         for effect in wanted:
             match effect:
-                case scheduler.Note(event, fields):
+                case placing.Note(event, fields):
                     self.events.note(event, fields)
-                case scheduler.Send(to, message):
+                case placing.Send(to, message):
                     link = self._link_by_agent.get(to)
                     if link is not None:
                         link.send(message)
-                case scheduler.AssignSoon():
+                case placing.AssignSoon():
                     asyncio.get_running_loop().call_later(ASSIGN_DELAY_S, self._assign)
-                case scheduler.Conclude(ticket, _, verdict):
+                case placing.Conclude(ticket, _, verdict):
                     answer = self._answer_by_ticket.get(ticket)
                     if answer is not None and not answer.done():
                         answer.set_result(verdict)
--- a/src/burdockgate/process/fleet.py
+++ b/src/burdockgate/process/fleet.py
@@ -153,6 +153,22 @@
             and view.info.service == service
         )
 
+    def can_fit(self, step: batch.Step, service: str) -> bool:
+        """Return whether an idle worker of a service could run a task of a step.
+
+        :param step: the step.
+        :param service: name of the service.
+        """
+        return any(
+            view.info.service == service
+            and step.cpu <= view.info.cpu
+            and step.memory_mb <= view.info.memory_mb
+            and step.gpu <= view.info.gpu
+            and (not step.label or step.label in view.info.labels)
+            for view in self.by_agent.values()
+            if view.info is not None
+        )
+
     def capacity_cpu(self, service: str, now: float) -> int:
         """Return the processors of all assignable workers, in thousandths of a core.
 
--- a/src/burdockgate/process/gate.py
+++ b/src/burdockgate/process/gate.py
@@ -1,194 +1,27 @@
 """Decides what runs on the worker beside an agent.
 
 The gate is the only one that gives the worker orders, so it alone keeps the worker
-within its capacity. A run counts as taking room from the moment its start order is
-sent until the worker lists its end or its lease has provably lapsed.
+within its capacity.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterator
 
-import attrs
-
 from burdockgate import assignments, clock
-from burdockgate.process import control, owners, runs, vitals
-
-_END_BY_REASON = {
-    control.EndReason.DONE: assignments.EndKind.DONE,
-    control.EndReason.FAILED: assignments.EndKind.FAILED,
-    control.EndReason.STOPPED: assignments.EndKind.STOPPED,
-    control.EndReason.LAPSED: assignments.EndKind.LOST,
-    control.EndReason.OTHER: assignments.EndKind.LOST,
-}
-
-
-@attrs.frozen
-class GateSettings:
-    """Time limits of the gate, in seconds.
-
-    :param worker_lease_s: lease on the worker that each look extends.
-    :param session_lease_s: how long runs go on without a word of their owner. A caller
-        sends a job again 1.3 s after its connection broke; by then these runs must
-        have ended.
-    :param clock_drift: largest relative error of the worker's steady clock.
-    :param stop_repeat_s: time after which a stop is ordered again.
-    :param silence_s: time without an answer after which the worker counts as
-        unreachable; several times the interval of the looks.
-    :param look_wait_s: how long the worker may hold back the answer to a look.
-    """
-
-    worker_lease_s: float = 1.0
-    session_lease_s: float = 0.7
-    clock_drift: float = 0.02
-    stop_repeat_s: float = 0.2
-    silence_s: float = 0.45
-    look_wait_s: float = 0.15
-
-
-@attrs.frozen
-class Start:
-    """Effect: send a start order and report the answer."""
-
-    order: control.StartOrder
-
-
-@attrs.frozen
-class Stop:
-    """Effect: send a stop order and report the answer."""
-
-    order: control.StopOrder
-
-
-@attrs.frozen
-class Look:
-    """Effect: send a look beside the regular ones."""
-
-    order: control.LookOrder
+from burdockgate.process import orders, owners, runs, supervisor
 
 
-@attrs.frozen
-class Send:
-    """Effect: send a message to an entry host; dropped when it is not connected."""
-
-    to: str
-    message: assignments.Message
-
-
-@attrs.frozen
-class Note:
-    """Effect: write a log line."""
-
-    event: str
-    fields: dict[str, object]
-
-
-Effect = Start | Stop | Look | Send | Note
-
-
-@attrs.define
-class _Worker:
-    """What the gate knows of one life of the worker."""
-
-    told: control.Announcement
-    clock_ms: int
-    clock_at: float
-    processed_end: int = 0
-    answered_at: float = 0.0
-    extended_at: float = -1e9
-    # Runs of an earlier life of the agent that the worker still lists.
-    foreign: dict[assignments.RunKey, float] = attrs.field(factory=dict)
-    # A look with this token has made all orders to an earlier life void.
-    first_token: int = 0
-    is_synchronized: bool = False
-    is_refusing: bool = False
-
-
-class Gate:
-    """The agent's decisions; all methods are generators of effects.
+class Gate(supervisor.Supervisor):
+    """The agent's decisions; all methods but queries are generators of effects.
 
     :param settings: time limits.
     :param time: a clock that counts suspensions.
     """
 
-    def __init__(self, settings: GateSettings, time: clock.Clock) -> None:
-        self._settings = settings
-        self._time = time
-        self._worker: _Worker | None = None
-        self._runs = runs.Runs()
-        self._vitals = vitals.Vitals()
+    def __init__(self, settings: orders.GateSettings, time: clock.Clock) -> None:
+        super().__init__(settings, time)
         self.session_by_owner: dict[str, owners.OwnerSession] = {}
-        self._token = 0
-        self.is_leaving = False
-        self._was_lapsed = False
-
-    # The worker's heartbeats.
-
-    def announced(self, told: control.Announcement) -> Iterator[Effect]:
-        """Handle a heartbeat of the worker.
-
-        :param told: what it says of itself.
-        """
-        now, worker = self._time.now(), self._worker
-        if worker is not None:
-            known = worker.told
-            if told.born < known.born:
-                yield Note("heartbeat.stale", {"born": told.born, "known": known.born})
-                return
-            if (told.worker, told.born) == (known.worker, known.born):
-                if told.sequence > known.sequence:
-                    worker.told = told
-                    if told.is_draining != known.is_draining:
-                        yield Note("worker.draining", {"worker": told.worker})
-                        yield from self._return_queued("worker draining")
-                return
-        yield from self._adopt(told, now)
-
-    def _adopt(self, told: control.Announcement, now: float) -> Iterator[Effect]:
-        """Begin with a new life of the worker."""
-        yield Note("worker.adopted", {"worker": told.worker, "born": told.born})
-        before = self._worker
-        self._worker = _Worker(told, told.clock_ms, now, answered_at=now)
-        self._vitals = vitals.Vitals()
-        for run in list(self._runs.ordered()):
-            if before is not None and before.told.worker == told.worker:
-                # An order may have reached the new life under the old identifier.
-                run.state = runs.RunState.UNCERTAIN
-            else:
-                yield from self._end(run, assignments.EndKind.LOST, "worker replaced")
-        # The worker's clock only grows in one life, so it exceeds every token that an
-        # earlier life of this agent has drawn from it.
-        self._token = max(self._token + 1, told.clock_ms)
-        self._worker.first_token = self._token
-        yield from self._look_now()
-
-    def worker_info(self) -> assignments.WorkerInfo | None:
-        """Return what entry hosts are told of the worker, if one is known."""
-        if self._worker is None:
-            return None
-        told = self._worker.told
-        return assignments.WorkerInfo(
-            told.worker,
-            told.born,
-            told.service,
-            told.cpu,
-            told.memory_mb,
-            told.gpu,
-            told.labels,
-        )
-
-    def worker_state(self) -> assignments.WorkerState:
-        """Return whether new tasks may be assigned to the worker."""
-        worker, now = self._worker, self._time.now()
-        if worker is None or not worker.is_synchronized:
-            return assignments.WorkerState.UNREACHABLE
-        if self.is_leaving or worker.told.is_draining:
-            return assignments.WorkerState.DRAINING
-        if now - worker.answered_at > self._settings.silence_s:
-            return assignments.WorkerState.UNREACHABLE
-        if worker.is_refusing:
-            return assignments.WorkerState.EJECTED
-        return self._vitals.state(now)
 
     def loads(self) -> dict[str, assignments.LoadReport]:
         """Return the load of the worker for each entry host, by name."""
@@ -226,13 +59,6 @@
         session = self.session_by_owner[owner]
         session.demand, session.demanded_at = message, self._time.now()
 
-    @property
-    def running_count(self) -> int:
-        """Number of runs that may exist at the worker."""
-        return sum(1 for _ in self._runs.ordered())
-
-    # Sessions with entry hosts.
-
     def hello(self, owner: str) -> tuple[int, tuple[assignments.RunKey, ...]]:
         """Return the known boot of an entry host and the runs held for it.
 
@@ -243,7 +69,7 @@
             return 0, ()
         return session.boot, tuple(run.key for run in self._runs.of_owner(owner))
 
-    def linked(self, owner: str, boot: int) -> Iterator[Effect]:
+    def linked(self, owner: str, boot: int) -> Iterator[orders.Effect]:
         """Handle a new connection to an entry host.
 
         :param owner: name of the entry host.
@@ -254,14 +80,14 @@
             session.is_linked = True
             session.assigned_through = 0
             for end in session.unacknowledged():
-                yield Send(owner, end)
+                yield orders.Send(owner, end)
             return
         if session is not None:
-            yield Note("owner.restarted", {"owner": owner, "boot": boot})
+            yield orders.Note("owner.restarted", {"owner": owner, "boot": boot})
             yield from self._abandon(owner, "owner restarted")
         self.session_by_owner[owner] = owners.OwnerSession(owner, boot)
 
-    def unlinked(self, owner: str) -> Iterator[Effect]:
+    def unlinked(self, owner: str) -> Iterator[orders.Effect]:
         """Handle the loss of the connection to an entry host.
 
         :param owner: its name.
@@ -269,9 +95,9 @@
         session = self.session_by_owner.get(owner)
         if session is not None and session.is_linked:
             session.is_linked = False
-            yield Note("owner.unlinked", {"owner": owner})
+            yield orders.Note("owner.unlinked", {"owner": owner})
 
-    def refused(self, owner: str) -> Iterator[Effect]:
+    def refused(self, owner: str) -> Iterator[orders.Effect]:
         """Handle a refused connection: the process of the entry host has ended.
 
         :param owner: its name.
@@ -292,7 +118,9 @@
         )
         session.acknowledge(message.ends_through)
 
-    def assigned(self, owner: str, message: assignments.Assign) -> Iterator[Effect]:
+    def assigned(
+        self, owner: str, message: assignments.Assign
+    ) -> Iterator[orders.Effect]:
         """Queue runs that an entry host has assigned.
 
         :param owner: name of the entry host.
@@ -319,7 +147,7 @@
 
     def _queue(
         self, run: runs.Run, session: owners.OwnerSession, now: float
-    ) -> Iterator[Effect]:
+    ) -> Iterator[orders.Effect]:
         earlier = self._runs.find_task(run.key.task)
         reason = ""
         if now >= session.leased_until:
@@ -336,7 +164,7 @@
             return
         self._runs.by_key[run.key] = run
 
-    def revoked(self, message: assignments.Revoke) -> Iterator[Effect]:
+    def revoked(self, message: assignments.Revoke) -> Iterator[orders.Effect]:
         """Drop or stop runs that their owner no longer wants.
 
         :param message: the runs.
@@ -347,20 +175,20 @@
                 yield from self._stop(run, "revoked")
         yield from self._fill()
 
-    def _abandon(self, owner: str, reason: str) -> Iterator[Effect]:
+    def _abandon(self, owner: str, reason: str) -> Iterator[orders.Effect]:
         for run in self._runs.of_owner(owner):
             yield from self._stop(run, reason)
 
-    def _return_queued(self, reason: str) -> Iterator[Effect]:
+    def _return_queued(self, reason: str) -> Iterator[orders.Effect]:
         for run in list(self._runs.queued()):
             yield from self._return(run, reason)
 
-    def leave(self) -> Iterator[Effect]:
+    def leave(self) -> Iterator[orders.Effect]:
         """Take no new tasks from now on; running ones go on."""
         self.is_leaving = True
         yield from self._return_queued("agent leaving")
 
-    def stop_all(self, reason: str) -> Iterator[Effect]:
+    def stop_all(self, reason: str) -> Iterator[orders.Effect]:
         """Stop every run.
 
         :param reason: why, for the log.
@@ -368,9 +196,7 @@
         for run in list(self._runs.by_key.values()):
             yield from self._stop(run, reason)
 
-    # Starting.
-
-    def _fill(self) -> Iterator[Effect]:
+    def _fill(self) -> Iterator[orders.Effect]:
         """Start what waits and fits."""
         worker, now = self._worker, self._time.now()
         if worker is None or worker.foreign:
@@ -393,282 +219,12 @@
                 yield from self._return(run, "session lapsed")
             elif capacity.fits(used, run):
                 used.add(run)
+                self.session_by_owner[run.owner].served_at = now
                 yield from self._start(run, worker, now)
                 if state is assignments.WorkerState.PROBATION:
                     return
 
-    def _start(self, run: runs.Run, worker: _Worker, now: float) -> Iterator[Effect]:
-        run.state, run.token = runs.RunState.STARTING, self._token
-        run.started_at = run.progressed_at = now
-        self.session_by_owner[run.owner].served_at = now
-        worker.extended_at = now
-        yield Note(
-            "run.starting",
-            {
-                "run": run.key,
-                "owner": run.owner,
-                "waited_ms": int((now - run.queued_at) * 1000),
-            },
-        )
-        yield Start(
-            control.StartOrder(
-                worker.told.worker,
-                run.key,
-                run.spec,
-                self._lease_until_ms(worker, now),
-                run.token,
-            )
-        )
-
-    def _lease_until_ms(self, worker: _Worker, now: float) -> int:
-        worker_now = worker.clock_ms + (now - worker.clock_at) * 1000
-        return int(worker_now + self._settings.worker_lease_s * 1000)
-
-    def start_answered(
-        self, order: control.StartOrder, answer: control.OrderAnswer
-    ) -> Iterator[Effect]:
-        """Handle the answer to a start order.
-
-        :param order: the order.
-        :param answer: what the worker said, if anything.
-        """
-        run = self._runs.by_key.get(order.key)
-        if run is None or run.state is not runs.RunState.STARTING:
-            return
-        if run.token != order.token:
-            return
-        match answer:
-            case control.Accepted(clock_ms):
-                self._heard(clock_ms)
-                run.state, run.accepted_ms = runs.RunState.RUNNING, clock_ms
-                if run.is_stopping:
-                    yield from self._order_stop(run)
-            case control.Refused(reason, clock_ms):
-                self._heard(clock_ms)
-                yield from self._start_refused(run, reason, clock_ms)
-                yield from self._fill()
-            case control.Unanswered():
-                run.state = runs.RunState.UNCERTAIN
-                yield Note("run.uncertain", {"run": run.key, "token": run.token})
-                yield from self._raise_token()
-
-    def _start_refused(
-        self, run: runs.Run, reason: control.Refusal, clock_ms: int
-    ) -> Iterator[Effect]:
-        run.state = runs.RunState.QUEUED
-        if run.is_stopping:
-            yield from self._end(run, assignments.EndKind.RETURNED, "stopped")
-        elif reason is control.Refusal.FENCED:
-            if run.token >= self._token:
-                self._token = max(self._token + 1, clock_ms)
-                yield Note("token.raised", {"token": self._token, "reason": "fenced"})
-        elif reason is control.Refusal.LATE:
-            yield Note("run.late", {"run": run.key, "clock_ms": clock_ms})
-        else:
-            if reason is control.Refusal.UNHEALTHY:
-                self._vitals.eject(self._time.now())
-            # The worker rejects every run up to one that it saw; how high that was is
-            # not known.
-            step = 16 if reason is control.Refusal.OLD_RUN else 1
-            yield from self._return(run, reason.value, run.key.run + step)
-
-    def _raise_token(self) -> Iterator[Effect]:
-        """Make every order under way harmless, and look what the worker has."""
-        worker = self._worker
-        if worker is None:
-            return
-        self._token = max(self._token + 1, worker.clock_ms)
-        yield from self._look_now()
-
-    # Stopping.
-
-    def _stop(self, run: runs.Run, reason: str) -> Iterator[Effect]:
-        if run.state is runs.RunState.QUEUED:
-            yield from self._end(run, assignments.EndKind.RETURNED, reason)
-            return
-        if run.is_stopping:
-            return
-        run.stop_since = self._time.now()
-        yield Note("run.stopping", {"run": run.key, "reason": reason})
-        if run.state is not runs.RunState.STARTING:
-            yield from self._order_stop(run)
-
-    def _order_stop(self, run: runs.Run) -> Iterator[Effect]:
-        worker = self._worker
-        if worker is not None:
-            run.stop_sent_at = self._time.now()
-            yield Stop(control.StopOrder(worker.told.worker, run.key, self._token))
-
-    def stop_answered(
-        self, order: control.StopOrder, answer: control.OrderAnswer
-    ) -> Iterator[Effect]:
-        """Handle the answer to a stop order; the end itself is listed later.
-
-        :param order: the order.
-        :param answer: what the worker said, if anything.
-        """
-        if isinstance(answer, control.Refused) and (
-            answer.reason is control.Refusal.FENCED and order.token >= self._token
-        ):
-            self._token = max(self._token + 1, answer.clock_ms)
-            yield Note("token.raised", {"token": self._token, "reason": "fenced stop"})
-
-    # Looking.
-
-    def next_look(self) -> control.LookOrder | None:
-        """Return the next regular look, or ``None`` while no worker is known."""
-        return self._look(self._settings.look_wait_s)
-
-    def _look(self, wait_s: float) -> control.LookOrder | None:
-        worker, now = self._worker, self._time.now()
-        if worker is None:
-            return None
-        # A worker that does not answer must be let lapse: its runs are known to be
-        # gone one lease after the last order that could extend it.
-        is_silent = now - worker.answered_at > self._settings.silence_s
-        lease_until_ms = None
-        if not is_silent and not self._is_stop_overdue(now):
-            lease_until_ms = self._lease_until_ms(worker, now)
-            worker.extended_at = now
-        return control.LookOrder(
-            worker.told.worker,
-            self._token,
-            worker.processed_end,
-            lease_until_ms,
-            0 if is_silent else int(wait_s * 1000),
-        )
-
-    def _is_stop_overdue(self, now: float) -> bool:
-        """Return whether a run that must end resists; then the whole lease lapses."""
-        limit_s = 2 * self._settings.stop_repeat_s
-        return any(
-            run.stop_since is not None and now - run.stop_since > limit_s
-            for run in self._runs.ordered()
-        )
-
-    def _look_now(self) -> Iterator[Effect]:
-        order = self._look(0.0)
-        if order is not None:
-            yield Look(order)
-
-    def looked(
-        self, order: control.LookOrder, answer: control.LookAnswer
-    ) -> Iterator[Effect]:
-        """Handle the answer to a look.
-
-        :param order: the order.
-        :param answer: the lists, or why there are none.
-        """
-        worker = self._worker
-        if worker is None or order.worker != worker.told.worker:
-            return
-        match answer:
-            case control.Snapshot():
-                yield from self._snapshot(worker, order, answer)
-            case control.Refused(control.Refusal.FENCED, clock_ms):
-                self._heard(clock_ms)
-                if order.token >= self._token:
-                    self._token = max(self._token + 1, clock_ms)
-                    yield Note(
-                        "token.raised", {"token": self._token, "reason": "fenced look"}
-                    )
-            case control.Refused(control.Refusal.UNHEALTHY, _):
-                worker.is_refusing = True
-
-    def _snapshot(
-        self, worker: _Worker, order: control.LookOrder, seen: control.Snapshot
-    ) -> Iterator[Effect]:
-        if seen.born > worker.told.born:
-            # A new life that has not sent a heartbeat yet.
-            told = attrs.evolve(
-                worker.told, born=seen.born, sequence=-1, clock_ms=seen.clock_ms
-            )
-            yield from self._adopt(told, self._time.now())
-            return
-        if seen.born < worker.told.born or seen.clock_ms < worker.clock_ms:
-            # An earlier life of the worker, or an answer that a later one overtook.
-            return
-        self._heard(seen.clock_ms)
-        worker.is_refusing = False
-        ended = list(self._finish_listed(worker, seen))
-        yield from ended
-        yield from self._note_running(worker, seen)
-        yield from self._resolve_missing(order, seen)
-        is_current = order.token >= worker.first_token
-        if is_current and not worker.foreign and not worker.is_synchronized:
-            worker.is_synchronized = True
-            yield Note("worker.ready", {"worker": worker.told.worker})
-        yield from self._fill()
-
-    def _heard(self, clock_ms: int) -> None:
-        worker = self._worker
-        if worker is not None and clock_ms >= worker.clock_ms:
-            worker.clock_ms = clock_ms
-            worker.clock_at = worker.answered_at = self._time.now()
-
-    def _finish_listed(
-        self, worker: _Worker, seen: control.Snapshot
-    ) -> Iterator[Effect]:
-        for entry in seen.finished:
-            if entry.number <= worker.processed_end:
-                continue
-            worker.processed_end = entry.number
-            worker.foreign.pop(entry.key, None)
-            run = self._runs.by_key.get(entry.key)
-            if run is not None:
-                yield from self._end(run, _END_BY_REASON[entry.reason], "listed")
-
-    def _note_running(
-        self, worker: _Worker, seen: control.Snapshot
-    ) -> Iterator[Effect]:
-        now = self._time.now()
-        listed = {entry.key for entry in seen.running}
-        for key in [key for key in worker.foreign if key not in listed]:
-            del worker.foreign[key]
-        for entry in seen.running:
-            run = self._runs.by_key.get(entry.key)
-            if run is None or run.state is runs.RunState.QUEUED:
-                yield from self._stop_foreign(worker, entry.key, now)
-                continue
-            if run.state is not runs.RunState.RUNNING:
-                run.state, run.accepted_ms = runs.RunState.RUNNING, seen.clock_ms
-                if run.is_stopping:
-                    yield from self._order_stop(run)
-            if entry.percent > run.percent:
-                run.percent, run.progressed_at = entry.percent, now
-
-    def _stop_foreign(
-        self, worker: _Worker, key: assignments.RunKey, now: float
-    ) -> Iterator[Effect]:
-        sent_at = worker.foreign.get(key, -1e9)
-        if now - sent_at >= self._settings.stop_repeat_s:
-            worker.foreign[key] = now
-            yield Note("run.foreign", {"run": key})
-            yield Stop(control.StopOrder(worker.told.worker, key, self._token))
-
-    def _resolve_missing(
-        self, order: control.LookOrder, seen: control.Snapshot
-    ) -> Iterator[Effect]:
-        """Settle runs that a current list does not show."""
-        listed = {entry.key for entry in seen.running}
-        for run in list(self._runs.ordered()):
-            if run.key in listed:
-                continue
-            if run.state is runs.RunState.UNCERTAIN and run.token < order.token:
-                # The worker has confirmed a higher token: the order is void.
-                if run.accepted_ms:
-                    yield from self._end(run, assignments.EndKind.LOST, "fenced off")
-                elif run.is_stopping:
-                    yield from self._return(run, "fenced off")
-                else:
-                    run.state = runs.RunState.QUEUED
-                    yield Note("run.requeued", {"run": run.key, "token": order.token})
-            elif run.state is runs.RunState.RUNNING and run.accepted_ms < seen.clock_ms:
-                yield from self._end(run, assignments.EndKind.LOST, "not listed")
-
-    # Time.
-
-    def tick(self) -> Iterator[Effect]:
+    def tick(self) -> Iterator[orders.Effect]:
         """Do what is due; call every few tens of milliseconds."""
         now = self._time.now()
         yield from self._expire_sessions(now)
@@ -681,30 +237,13 @@
         yield from self._check_stall(now)
         yield from self._fill()
 
-    def _attend(self, run: runs.Run, now: float) -> Iterator[Effect]:
-        if run.is_stopping and run.state is not runs.RunState.STARTING:
-            if now - run.stop_sent_at >= self._settings.stop_repeat_s:
-                yield from self._order_stop(run)
-        elif run.state is runs.RunState.RUNNING and run.estimate_s > 0:
-            ran_s = now - run.started_at
-            if ran_s > 2 * run.estimate_s and run.percent < 100:
-                self._sample_running(run, ran_s, now)
-
-    def _sample_running(self, run: runs.Run, ran_s: float, now: float) -> None:
-        """Take the speed from the progress of a run that is already overdue."""
-        sampled = self._vitals.current_speed(now)
-        speed = max(run.percent, 1) / 100 * run.estimate_s / ran_s
-        if speed < sampled:
-            # Weighted low by its number: this is called at every tick.
-            self._vitals.sample(sampled**0.9 * speed**0.1, now)
-
-    def _expire_sessions(self, now: float) -> Iterator[Effect]:
+    def _expire_sessions(self, now: float) -> Iterator[orders.Effect]:
         for session in self.session_by_owner.values():
             if now < session.leased_until:
                 continue
             held = self._runs.of_owner(session.name)
             if any(not run.is_stopping for run in held):
-                yield Note(
+                yield orders.Note(
                     "owner.lapsed",
                     {
                         "owner": session.name,
@@ -713,39 +252,9 @@
                 )
                 yield from self._abandon(session.name, "owner silent")
 
-    def _expire_lease(self, worker: _Worker, now: float) -> Iterator[Effect]:
-        lapse_s = self._settings.worker_lease_s * (1 + self._settings.clock_drift)
-        is_lapsed = now - worker.extended_at > lapse_s + self._settings.stop_repeat_s
-        if is_lapsed:
-            for run in list(self._runs.ordered()):
-                # An order that is carried out late has a lease that lapsed too, and
-                # the next look that extends the lease carries a higher token.
-                if run.state is not runs.RunState.STARTING:
-                    yield from self._end(run, assignments.EndKind.LOST, "lease lapsed")
-        if is_lapsed and not self._was_lapsed:
-            yield Note("worker.unreachable", {"worker": worker.told.worker})
-            yield from self._return_queued("worker unreachable")
-        self._was_lapsed = is_lapsed
-
-    def _check_stall(self, now: float) -> Iterator[Effect]:
-        running = [
-            run for run in self._runs.ordered() if run.state is runs.RunState.RUNNING
-        ]
-        if running and all(
-            now - run.progressed_at > self._vitals.stall_s(run.estimate_s)
-            for run in running
-        ):
-            if self._vitals.eject(now):
-                yield Note("worker.stalled", {"runs": len(running)})
-                yield from self._return_queued("worker stalled")
-            for run in running:
-                yield from self._stop(run, "stalled")
-
-    # Ends.
-
     def _return(
         self, run: runs.Run, reason: str, next_run: int | None = None
-    ) -> Iterator[Effect]:
+    ) -> Iterator[orders.Effect]:
         run.state = runs.RunState.QUEUED
         yield from self._end(run, assignments.EndKind.RETURNED, reason, next_run)
 
@@ -755,7 +264,7 @@
         kind: assignments.EndKind,
         reason: str,
         next_run: int | None = None,
-    ) -> Iterator[Effect]:
+    ) -> Iterator[orders.Effect]:
         """Forget a run and tell its owner how it ended."""
         now = self._time.now()
         self._runs.by_key.pop(run.key, None)
@@ -765,9 +274,9 @@
         elif kind is assignments.EndKind.FAILED and self._vitals.failed(
             run.key.task.job, now
         ):
-            yield Note("worker.ejected", {"reason": "failed tasks"})
+            yield orders.Note("worker.ejected", {"reason": "failed tasks"})
             yield from self._return_queued("worker ejected")
-        yield Note(
+        yield orders.Note(
             "run.ended",
             {
                 "run": run.key,
@@ -781,4 +290,4 @@
         session = self.session_by_owner.get(run.owner)
         if session is not None:
             number = next_run if next_run is not None else run.key.run + 1
-            yield Send(run.owner, session.ended(run.key, kind, ran_s, number))
+            yield orders.Send(run.owner, session.ended(run.key, kind, ran_s, number))
--- /dev/null
+++ b/src/burdockgate/process/orders.py
@@ -0,0 +1,71 @@
+"""Settings of an agent's decisions, and what they ask their daemon to do."""
+
+from __future__ import annotations
+
+import attrs
+
+from burdockgate import assignments
+from burdockgate.process import control
+
+
+@attrs.frozen
+class GateSettings:
+    """Time limits of the gate, in seconds.
+
+    :param worker_lease_s: lease on the worker that each look extends.
+    :param session_lease_s: how long runs go on without a word of their owner. A caller
+        sends a job again 1.3 s after its connection broke; by then these runs must
+        have ended.
+    :param clock_drift: largest relative error of the worker's steady clock.
+    :param stop_repeat_s: time after which a stop is ordered again.
+    :param silence_s: time without an answer after which the worker counts as
+        unreachable; several times the interval of the looks.
+    :param look_wait_s: how long the worker may hold back the answer to a look.
+    """
+
+    worker_lease_s: float = 1.0
+    session_lease_s: float = 0.7
+    clock_drift: float = 0.02
+    stop_repeat_s: float = 0.2
+    silence_s: float = 0.45
+    look_wait_s: float = 0.15
+
+
+@attrs.frozen
+class Start:
+    """Effect: send a start order and report the answer."""
+
+    order: control.StartOrder
+
+
+@attrs.frozen
+class Stop:
+    """Effect: send a stop order and report the answer."""
+
+    order: control.StopOrder
+
+
+@attrs.frozen
+class Look:
+    """Effect: send a look beside the regular ones."""
+
+    order: control.LookOrder
+
+
+@attrs.frozen
+class Send:
+    """Effect: send a message to an entry host; dropped when it is not connected."""
+
+    to: str
+    message: assignments.Message
+
+
+@attrs.frozen
+class Note:
+    """Effect: write a log line."""
+
+    event: str
+    fields: dict[str, object]
+
+
+Effect = Start | Stop | Look | Send | Note
--- a/src/burdockgate/process/scheduler.py
+++ b/src/burdockgate/process/scheduler.py
@@ -2,54 +2,18 @@
 
 from __future__ import annotations
 
-import collections
-import random
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 
-import attrs
-
-from burdockgate import assignments, clock, codes
-from burdockgate.process import fleet, gate, selection, throughput
+from burdockgate import assignments, codes
+from burdockgate.process import fleet, orders, placing
 from burdockgate.request import batch
 
-
-@attrs.frozen
-class SchedulerSettings:
-    """Limits of the scheduler; times in seconds.
-
-    :param agent_gone_s: time since the last renewal after which all runs of an agent
-        that is not connected have ended, as :func:`agent_gone_s` gives it.
-    :param return_pause_s: pause before a task that was returned is assigned again.
-    :param avoid_s: how long other workers are preferred for such a task.
-    :param kept_s: how long ended jobs answer a repeated submission; callers send a
-        job again seconds after its answer.
-    :param kept_jobs: most ended jobs kept, so that memory stays bounded.
-    :param examined_tasks: most waiting tasks tried at a time, so that a long queue
-        does not hold up the event loop.
-    :param waiting_jobs: most jobs that wait.
-    :param settling_s: time after the start in which jobs wait although no worker is
-        known. Workers announce themselves every 1.5 s and agents dial within 1 s.
-    """
-
-    agent_gone_s: float = 2.3
-    return_pause_s: float = 0.01
-    avoid_s: float = 0.25
-    kept_s: float = 20.0
-    kept_jobs: int = 4000
-    examined_tasks: int = 100
-    waiting_jobs: int = 2000
-    settling_s: float = 3.0
-
-
 # A worker that was ejected or is out of reach is tried again after one second.
 NO_WORKER_RETRY_S = 1.0
 # Another entry host takes the request at once.
 RETRY_ELSEWHERE_S = 1.0
 # Estimates are up to 40% off, and slow workers take a quarter longer.
 LONG_RUN_FACTOR = 1.75
-# While tasks wait, agents hear of a more urgent one this often, and of the amount.
-DEMAND_CHANGE_S = 0.01
-DEMAND_REPEAT_S = 0.1
 # How often the waiting jobs are looked through for those without a chance.
 REJECT_INTERVAL_S = 0.1
 # A job is rejected only when half of the work ahead of it would already take too long:
@@ -59,7 +23,7 @@
 AGENT_GONE_MARGIN_S = 0.2
 
 
-def agent_gone_s(limits: gate.GateSettings) -> float:
+def agent_gone_s(limits: orders.GateSettings) -> float:
     """Return the time after which the runs of a silent agent have ended.
 
     The agent stops them when its session lease lapses. When the worker does not
@@ -72,85 +36,12 @@
     return limits.session_lease_s + stops_s + lease_s + AGENT_GONE_MARGIN_S
 
 
-@attrs.frozen
-class Send:
-    """Effect: send a message to an agent; dropped when it is not connected."""
-
-    to: str
-    message: assignments.Message
-
-
-@attrs.frozen
-class Conclude:
-    """Effect: answer a caller's request.
-
-    :param ticket: number of the request.
-    """
-
-    ticket: int
-    job: str
-    verdict: batch.Verdict
-
-
-@attrs.frozen
-class Note:
-    """Effect: write a log line."""
-
-    event: str
-    fields: dict[str, object]
+class Scheduler(placing.Placing):
+    """The entry host's decisions; all methods but queries are generators of effects."""
 
-
-@attrs.frozen
-class AssignSoon:
-    """Effect: call :meth:`Scheduler.assign` within a millisecond or two."""
-
-
-Effect = Send | Conclude | Note | AssignSoon
-
-
-class Scheduler:
-    """The entry host's decisions; all methods but queries are generators of effects.
-
-    :param zone: zone of the entry host.
-    :param settings: limits.
-    :param chosen: weights of the choice of a worker.
-    :param ordering: order of the waiting jobs.
-    :param time: a clock that counts suspensions.
-    :param rng: source of random numbers.
-    """
-
-    def __init__(
-        self,
-        zone: str,
-        settings: SchedulerSettings,
-        chosen: selection.SelectionSettings,
-        ordering: selection.Ordering,
-        time: clock.Clock,
-        rng: random.Random,
-    ) -> None:
-        self._settings = settings
-        self._ordering = ordering
-        self._selection = selection.Selection(chosen, zone, rng)
-        self._time = time
-        self.fleet = fleet.Fleet()
-        self._started_at = time.now()
-        # When the process has to end, once it was asked to.
-        self.stops_at: float | None = None
-        self.job_by_id: dict[str, batch.Job] = {}
-        self._waiting_by_id: dict[str, batch.Job] = {}
-        self._is_assign_due = False
-        self._demand = assignments.Demand(0, 0)
-        self._demanded_at = 0.0
-        self._rejected_at = 0.0
-        self._throughput = throughput.Throughput(time.now())
-        self._ended: collections.OrderedDict[str, batch.Job] = collections.OrderedDict()
-        # Runs of jobs that are not in progress any more but may still run, with the
-        # time after which they count as ended.
-        self._lingering: dict[assignments.TaskKey, str] = {}
-
-    # Callers.
-
-    def submit(self, submission: batch.Submission, ticket: int) -> Iterator[Effect]:
+    def submit(
+        self, submission: batch.Submission, ticket: int
+    ) -> Iterator[placing.Effect]:
         """Take a job, or answer at once.
 
         :param submission: the job.
@@ -159,17 +50,17 @@
         now = self._time.now()
         job = self.job_by_id.get(submission.job)
         if job is not None:
-            yield Note("job.joined", {"job": submission.job})
+            yield placing.Note("job.joined", {"job": submission.job})
             job.tickets.add(ticket)
             return
         ended = self._ended.get(submission.job)
         if ended is not None and isinstance(ended.verdict, batch.Completed):
-            yield Note("job.repeated", {"job": submission.job})
-            yield Conclude(ticket, submission.job, ended.verdict)
+            yield placing.Note("job.repeated", {"job": submission.job})
+            yield placing.Conclude(ticket, submission.job, ended.verdict)
             return
         refusal = self._refusal(submission)
         if refusal is not None:
-            yield Note(
+            yield placing.Note(
                 "job.refused",
                 {
                     "job": submission.job,
@@ -178,11 +69,11 @@
                     "waiting": len(self.job_by_id),
                 },
             )
-            yield Conclude(ticket, submission.job, refusal)
+            yield placing.Conclude(ticket, submission.job, refusal)
             return
         job = batch.Job.begin(submission, now, ticket)
         self.job_by_id[submission.job] = self._waiting_by_id[submission.job] = job
-        yield Note(
+        yield placing.Note(
             "job.received",
             {
                 "job": submission.job,
@@ -203,26 +94,15 @@
             chain_s = batch.Job.begin(submission, 0.0, 0).chain_s()
             if self._time.now() + LONG_RUN_FACTOR * chain_s > self.stops_at:
                 return batch.Refused(codes.Code.DRAINING, RETRY_ELSEWHERE_S)
+        if not is_settling and not all(
+            self.fleet.can_fit(step, service) for step in submission.steps
+        ):
+            return batch.Refused(codes.Code.NEVER_FITS, NO_WORKER_RETRY_S)
         if len(self.job_by_id) >= self._settings.waiting_jobs:
             return batch.Refused(codes.Code.BACKLOG_FULL, self._retry_after_s(service))
         return None
 
-    def _retry_after_s(self, service: str) -> float:
-        """Return the time in which the waiting work can be done."""
-        capacity = self.fleet.capacity_cpu(service, self._time.now())
-        if not capacity:
-            return 1.0
-        work = sum(
-            task.step.cpu * task.step.estimate_s
-            for job in self.job_by_id.values()
-            if job.submission.service == service
-            for task in job.all_tasks()
-            if task.state is not batch.TaskState.DONE
-        )
-        # Other entry hosts use the same workers; each is expected to have like work.
-        return max(1.0, work / capacity)
-
-    def abandon(self, job_id: str, ticket: int) -> Iterator[Effect]:
+    def abandon(self, job_id: str, ticket: int) -> Iterator[placing.Effect]:
         """Handle that a caller has gone: nobody can get the answer any more.
 
         :param job_id: identifier of the job.
@@ -234,11 +114,13 @@
         job.tickets.discard(ticket)
         if job.tickets:
             return
-        yield Note("job.abandoned", {"job": job_id, "age_ms": self._age_ms(job)})
+        yield placing.Note(
+            "job.abandoned", {"job": job_id, "age_ms": self._age_ms(job)}
+        )
         verdict = batch.Interrupted(codes.Code.REQUEST_CUT)
         yield from self._end_job(job, verdict)
 
-    def cancel(self, job_id: str) -> Iterator[Effect]:
+    def cancel(self, job_id: str) -> Iterator[placing.Effect]:
         """End a job on request.
 
         :param job_id: identifier of the job.
@@ -253,7 +135,7 @@
                 else batch.Refused(codes.Code.CANCELLED_NOT_RUN, 0.0),
             )
 
-    def interrupt_all(self) -> Iterator[Effect]:
+    def interrupt_all(self) -> Iterator[placing.Effect]:
         """End every job because the process ends."""
         for job in list(self.job_by_id.values()):
             verdict = batch.Interrupted(codes.Code.OWNER_LOST)
@@ -270,9 +152,9 @@
             if job.submission.route == route and not job.is_offered
         )
 
-    # Agents.
-
-    def linked(self, hello: assignments.AgentHello, own_boot: int) -> Iterator[Effect]:
+    def linked(
+        self, hello: assignments.AgentHello, own_boot: int
+    ) -> Iterator[placing.Effect]:
         """Handle a new connection of an agent.
 
         :param hello: its first message.
@@ -286,7 +168,9 @@
             view = fleet.WorkerView(hello.name, hello.boot, hello.zone)
             self.fleet.by_agent[hello.name] = view
         elif view.boot != hello.boot:
-            yield Note("agent.restarted", {"agent": hello.name, "boot": hello.boot})
+            yield placing.Note(
+                "agent.restarted", {"agent": hello.name, "boot": hello.boot}
+            )
             view.boot, view.is_recovering = hello.boot, True
             view.info = None
             view.ends_through = 0
@@ -295,9 +179,9 @@
         # Ends that were under way are repeated before the first report; what is
         # missing then is gone.
         view.unconfirmed = {task.run_key for task in self._tasks_of(hello.name)} - held
-        yield Note("agent.linked", {"agent": hello.name, "held": len(held)})
+        yield placing.Note("agent.linked", {"agent": hello.name, "held": len(held)})
 
-    def unlinked(self, agent: str) -> Iterator[Effect]:
+    def unlinked(self, agent: str) -> Iterator[placing.Effect]:
         """Handle the loss of the connection to an agent.
 
         :param agent: its name.
@@ -305,21 +189,25 @@
         view = self.fleet.by_agent.get(agent)
         if view is not None and view.is_linked:
             view.is_linked = False
-            yield Note(
+            yield placing.Note(
                 "agent.unlinked",
                 {"agent": agent, "tasks": len(self._tasks_of(agent))},
             )
 
-    def informed(self, agent: str, info: assignments.WorkerInfo) -> Iterator[Effect]:
+    def informed(
+        self, agent: str, info: assignments.WorkerInfo
+    ) -> Iterator[placing.Effect]:
         """Handle facts about a worker.
 
         :param agent: name of its agent.
         :param info: the facts.
         """
         self.fleet.by_agent[agent].info = info
-        yield Note("worker.known", {"agent": agent, "worker": info.worker})
+        yield placing.Note("worker.known", {"agent": agent, "worker": info.worker})
 
-    def reported(self, agent: str, load: assignments.LoadReport) -> Iterator[Effect]:
+    def reported(
+        self, agent: str, load: assignments.LoadReport
+    ) -> Iterator[placing.Effect]:
         """Handle a report: renew the session and use the room that it shows.
 
         :param agent: name of the agent.
@@ -329,7 +217,7 @@
         before = view.load.state if view.load else None
         view.reported(load, now)
         if before is not load.state:
-            yield Note(
+            yield placing.Note(
                 "worker.state",
                 {"agent": agent, "state": load.state.name, "speed": load.speed},
             )
@@ -340,10 +228,12 @@
             view.is_recovering = False
             yield from self._lose_all(agent, "agent restarted")
         view.renewed_at = now
-        yield Send(agent, assignments.Renewal(load.sent_at_us, view.ends_through))
+        yield placing.Send(
+            agent, assignments.Renewal(load.sent_at_us, view.ends_through)
+        )
         yield from self._assign_soon()
 
-    def ended(self, agent: str, end: assignments.TaskEnd) -> Iterator[Effect]:
+    def ended(self, agent: str, end: assignments.TaskEnd) -> Iterator[placing.Effect]:
         """Handle the end of a run.
 
         :param agent: name of the agent.
@@ -373,7 +263,7 @@
         task: batch.Task,
         kind: assignments.EndKind,
         next_run: int,
-    ) -> Iterator[Effect]:
+    ) -> Iterator[placing.Effect]:
         now, agent = self._time.now(), task.agent
         task.agent = ""
         if kind is assignments.EndKind.DONE:
@@ -390,7 +280,7 @@
         self._waiting_by_id[task.key.job] = job
         task.run = max(task.run, next_run - 1)
         task.avoided_until_by_agent[agent] = now + self._settings.avoid_s
-        yield Note(
+        yield placing.Note(
             "task.ended",
             {
                 "job": task.key.job,
@@ -421,7 +311,7 @@
             if task.state is batch.TaskState.ASSIGNED and task.agent == agent
         ]
 
-    def _lose_unconfirmed(self, view: fleet.WorkerView) -> Iterator[Effect]:
+    def _lose_unconfirmed(self, view: fleet.WorkerView) -> Iterator[placing.Effect]:
         """End the runs that an agent neither holds nor has ended."""
         missing, view.unconfirmed = view.unconfirmed, set()
         for task in self._tasks_of(view.agent) if missing else []:
@@ -432,13 +322,13 @@
                     job, task, assignments.EndKind.LOST, task.run + 1
                 )
 
-    def _lose_all(self, agent: str, reason: str) -> Iterator[Effect]:
+    def _lose_all(self, agent: str, reason: str) -> Iterator[placing.Effect]:
         """Treat all runs of an agent as ended."""
         for key in [key for key, at in self._lingering.items() if at == agent]:
             del self._lingering[key]
         tasks = self._tasks_of(agent)
         if tasks:
-            yield Note(
+            yield placing.Note(
                 "agent.runs_lost",
                 {"agent": agent, "reason": reason, "tasks": len(tasks)},
             )
@@ -449,147 +339,9 @@
                     job, task, assignments.EndKind.LOST, task.run + 1
                 )
 
-    # Assigning.
-
-    def _assign_soon(self) -> Iterator[Effect]:
-        """Ask for one assignment after many reports and ends.
-
-        Assigning at each of them would take the whole processor when jobs wait.
-        """
-        if self._waiting_by_id and not self._is_assign_due:
-            self._is_assign_due = True
-            yield AssignSoon()
-
-    def assign(self) -> Iterator[Effect]:
-        """Assign waiting tasks to workers with room."""
-        self._is_assign_due = False
-        now = self._time.now()
-        waiting = sorted(
-            self._waiting_by_id.values(),
-            key=lambda job: self._ordering.key(job, now),
-        )
-        examined = 0
-        # The smallest task that found no room, by service: larger ones find none.
-        full_by_service: dict[str, int] = {}
-        chosen: dict[tuple[str, int, str], list[batch.Task]] = {}
-        for job in waiting:
-            service = job.submission.service
-            for task in self._assignable(job, now):
-                if task.step.cpu >= full_by_service.get(service, 1 << 60):
-                    continue
-                examined += 1
-                view = self._choose(job, task, now)
-                if view is not None:
-                    self._place(job, task, view, now)
-                    group = (task.key.job, task.key.step, view.agent)
-                    chosen.setdefault(group, []).append(task)
-                elif task.is_unconstrained(now):
-                    full_by_service[service] = task.step.cpu
-            if not job.is_waiting:
-                del self._waiting_by_id[job.submission.job]
-            if examined >= self._settings.examined_tasks:
-                break
-        for (job_id, _, agent), tasks in chosen.items():
-            yield from self._send(self.job_by_id[job_id], agent, tasks, now)
-        yield from self._tell_demand(waiting, now)
-
-    def _tell_demand(self, waiting: list[batch.Job], now: float) -> Iterator[Effect]:
-        """Tell the agents what found no room, so that they share out what frees."""
-        left = [job for job in waiting if job.is_waiting]
-        cpu = sum(
-            task.step.cpu
-            for job in left
-            for task in job.all_tasks()
-            if task.state is batch.TaskState.WAITING
-        )
-        rank = self._ordering.rank(left[0], now) if left else 0
-        demand = assignments.Demand(cpu, rank)
-        changed = demand != self._demand and (
-            not cpu or not self._demand.waiting_cpu or rank != self._demand.rank
-        )
-        due_s = DEMAND_CHANGE_S if changed else DEMAND_REPEAT_S
-        if (cpu or changed) and now - self._demanded_at >= due_s:
-            self._demand, self._demanded_at = demand, now
-            for view in self.fleet.by_agent.values():
-                if view.is_fresh(now):
-                    yield Send(view.agent, demand)
-
-    def _assignable(self, job: batch.Job, now: float) -> Iterator[batch.Task]:
-        return (
-            task
-            for task in job.all_tasks()
-            if task.state is batch.TaskState.WAITING
-            and task.not_before <= now
-            and task.key not in self._lingering
-        )
-
-    def _choose(
-        self, job: batch.Job, task: batch.Task, now: float
-    ) -> fleet.WorkerView | None:
-        service = job.submission.service
-        views: Iterable[fleet.WorkerView] = self.fleet.serving(service, now)
-        limit = task.step.max_per_worker
-        if limit:
-            counts = collections.Counter(
-                other.agent
-                for other in job.tasks[task.key.step]
-                if other.state is batch.TaskState.ASSIGNED
-            )
-            views = (view for view in views if counts[view.agent] < limit)
-        return self._selection.choose(task, views, now)
-
-    def _place(
-        self, job: batch.Job, task: batch.Task, view: fleet.WorkerView, now: float
-    ) -> None:
-        task.state = batch.TaskState.ASSIGNED
-        task.run += 1
-        task.agent, task.assigned_at = view.agent, now
-        job.is_offered = True
-        self._throughput.add(task.step.cpu / 1000 * task.step.estimate_s)
-        # Each task is counted by itself; the message carries the last number.
-        view.assign(1, task.step)
-
-    def _send(
-        self, job: batch.Job, agent: str, tasks: list[batch.Task], now: float
-    ) -> Iterator[Effect]:
-        view, step = self.fleet.by_agent[agent], tasks[0].step
-        given = job.submission
-        yield Note(
-            "task.assigned",
-            {
-                "job": given.job,
-                "tasks": [f"{task.key.step}.{task.key.index}" for task in tasks],
-                "runs": [task.run for task in tasks],
-                "agent": agent,
-                "committed_cpu": view.committed_cpu(),
-                "report_age_ms": int((now - view.load_at) * 1000),
-                "waited_ms": self._age_ms(job),
-            },
-        )
-        yield Send(
-            agent,
-            assignments.Assign(
-                view.assigned_number,
-                given.job,
-                tasks[0].key.step,
-                given.spec,
-                tuple(task.key.index for task in tasks),
-                tuple(task.run for task in tasks),
-                step.cpu,
-                step.memory_mb,
-                step.gpu,
-                given.priority,
-                max(0, int((job.start_by() - now) * 1000)),
-                int(step.estimate_s * 1000),
-            ),
-        )
-
-    # Ends and time.
-
-    def _age_ms(self, job: batch.Job) -> int:
-        return int((self._time.now() - job.received_at) * 1000)
-
-    def _end_job(self, job: batch.Job, verdict: batch.Verdict) -> Iterator[Effect]:
+    def _end_job(
+        self, job: batch.Job, verdict: batch.Verdict
+    ) -> Iterator[placing.Effect]:
         """End a job, stop what still runs of it and answer its caller."""
         job.verdict, job.ended_at = verdict, self._time.now()
         job_id = job.submission.job
@@ -602,8 +354,8 @@
             self._lingering[task.key] = task.agent
             by_agent.setdefault(task.agent, []).append(task.run_key)
         for agent, keys in by_agent.items():
-            yield Send(agent, assignments.Revoke(tuple(keys)))
-        yield Note(
+            yield placing.Send(agent, assignments.Revoke(tuple(keys)))
+        yield placing.Note(
             "job.ended",
             {
                 "job": job_id,
@@ -615,9 +367,9 @@
             },
         )
         for ticket in sorted(job.tickets):
-            yield Conclude(ticket, job_id, verdict)
+            yield placing.Conclude(ticket, job_id, verdict)
 
-    def tick(self) -> Iterator[Effect]:
+    def tick(self) -> Iterator[placing.Effect]:
         """Do what is due; call every few tens of milliseconds."""
         now = self._time.now()
         for view in list(self.fleet.by_agent.values()):
@@ -633,7 +385,7 @@
         self._forget(now)
         yield from self.assign()
 
-    def _expire(self, job: batch.Job, now: float) -> Iterator[Effect]:
+    def _expire(self, job: batch.Job, now: float) -> Iterator[placing.Effect]:
         """End a job that can't be of use to its caller any more."""
         remaining_s = job.remaining_s()
         if job.has_run or job.assigned():
@@ -643,12 +395,12 @@
         elif now + remaining_s > job.useful_until():
             yield from self._reject(job)
 
-    def _reject(self, job: batch.Job) -> Iterator[Effect]:
+    def _reject(self, job: batch.Job) -> Iterator[placing.Effect]:
         retry_after_s = self._retry_after_s(job.submission.service)
         verdict = batch.Refused(codes.Code.QUEUE_TIMEOUT, retry_after_s)
         yield from self._end_job(job, verdict)
 
-    def _reject_hopeless(self, now: float) -> Iterator[Effect]:
+    def _reject_hopeless(self, now: float) -> Iterator[placing.Effect]:
         """Reject the waiting jobs whose turn will come too late.
 
         Their callers learn at once when to return, instead of after their deadline.
--- a/src/burdockgate/standin/batches.py
+++ b/src/burdockgate/standin/batches.py
@@ -7,22 +7,13 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable, Iterator
-
-import attrs
+from collections.abc import Callable
 
 from burdockgate import assignments
-from burdockgate.process import control, gate, scheduler, selection
+from burdockgate.process import selection
 from burdockgate.request import batch
-from burdockgate.standin import leased, virtual
-
-ORDER_TIMEOUT_S = 0.08
-LOOK_TIMEOUT_S = 0.25
-ASSIGN_S = 0.001
-ORDER_S = 0.0005
-TICK_S = 0.025
-REPORT_S = 0.2
-HEARTBEAT_S = 1.5
+from burdockgate.standin import leased, nodes, virtual
+
 REDIAL_S = 0.05
 SILENCE_S = 0.9
 RESEND_S = 1.3
@@ -31,337 +22,6 @@
 FAR_S = 0.0009
 
 
-@attrs.frozen
-class Kind:
-    """A kind of job, as the load is made.
-
-    :param work_s: mean duration of a task at speed 1.
-    :param per_s: jobs a second over all entry hosts.
-    :param worth: what a job on time is worth.
-    """
-
-    name: str
-    width: int
-    work_s: float
-    cpu: int
-    per_s: float
-    priority: int
-    worth: float
-
-
-@attrs.define
-class Order:
-    """One job of a caller and what became of it."""
-
-    job: str
-    kind: Kind
-    submission: batch.Submission
-    sent_at: float
-    objective_s: float
-    verdicts: list[batch.Verdict] = attrs.field(factory=list)
-    ended_at: float | None = None
-    is_interrupted: bool = False
-
-    def credit(self) -> float:
-        """Return the share of its worth: 1 on time, 0.2 late, 0 otherwise."""
-        if self.ended_at is None or not self.is_completed:
-            return 0.0
-        took_s = self.ended_at - self.sent_at
-        if took_s <= self.objective_s:
-            return 1.0
-        return 0.2 if took_s <= batch.LATE_FACTOR * self.objective_s else 0.0
-
-    @property
-    def is_completed(self) -> bool:
-        """Whether the caller was told that all tasks are done."""
-        return any(isinstance(verdict, batch.Completed) for verdict in self.verdicts)
-
-
-class ModelNode:
-    """A process that can be killed and frozen.
-
-    :param model: the system.
-    :param name: name of the process.
-    :param zone: its zone.
-    """
-
-    def __init__(self, model: Model, name: str, zone: str) -> None:
-        self.model, self.name, self.zone = model, name, zone
-        self.is_up = True
-        self.is_frozen = False
-        self.life = 0
-        self._inbox: list[Callable[[], None]] = []
-
-    def run(self, action: Callable[[], None]) -> None:
-        """Run something now, or when the process thaws; a dead one drops it.
-
-        :param action: what to run.
-        """
-        if self.is_frozen:
-            self._inbox.append(action)
-        elif self.is_up:
-            action()
-
-    def freeze(self, for_s: float) -> None:
-        """Stand still.
-
-        :param for_s: how long.
-        """
-        self.is_frozen = True
-        self.model.time.call_later(for_s, self._thaw)
-
-    def _thaw(self) -> None:
-        self.is_frozen = False
-        inbox, self._inbox = self._inbox, []
-        for action in inbox:
-            self.run(action)
-
-    def end(self) -> None:
-        """End the process, without a word to others."""
-        self.is_up, self.life = False, self.life + 1
-        self._inbox.clear()
-
-
-class ModelAgent(ModelNode):
-    """An agent with its worker.
-
-    :param model: the system.
-    :param name: name of the agent.
-    :param zone: its zone.
-    :param worker: its worker.
-    """
-
-    def __init__(
-        self, model: Model, name: str, zone: str, worker: leased.LeasedWorker
-    ) -> None:
-        super().__init__(model, name, zone)
-        self.worker = worker
-        self.sequence = 0
-        self.is_draining = False
-        self.drained_at: float | None = None
-        self._begin()
-
-    def _begin(self) -> None:
-        self.boot = self.model.rng.getrandbits(60)
-        self.gate = gate.Gate(gate.GateSettings(), self.model.time)
-        self.info_sent: set[tuple[str, assignments.WorkerInfo]] = set()
-        life = self.life
-        self._every(TICK_S, lambda: self.perform(self.gate.tick()), life)
-        self._every(REPORT_S, self.report, life)
-        self._every(HEARTBEAT_S, self._beat, life)
-        self.model.time.call_later(0.01, lambda: self._look(life))
-
-    def _every(self, interval_s: float, action: Callable[[], None], life: int) -> None:
-        def again() -> None:
-            if life != self.life:
-                return
-            self.run(action)
-            self.model.time.call_later(interval_s, again)
-
-        self.model.time.call_later(self.model.rng.random() * interval_s, again)
-
-    def kill(self) -> None:
-        """End the process."""
-        self.end()
-        self.model.break_links(agent=self.name)
-
-    def restart(self) -> None:
-        """Start the process again."""
-        self.is_up = True
-        self._begin()
-
-    def _beat(self) -> None:
-        if self.worker.faults.is_cut:
-            return
-        self.sequence += 1
-        if self.is_draining and self.drained_at is None:
-            self.drained_at = self.model.time.now()
-        told = self.worker.announcement(self.sequence, self.is_draining)
-        self.perform(self.gate.announced(told))
-
-    def _look(self, life: int) -> None:
-        if life != self.life:
-            return
-        order = self.gate.next_look() if not self.is_frozen else None
-        if order is None:
-            self.model.time.call_later(0.05, lambda: self._look(life))
-            return
-        self._send_look(order, lambda: self._look(life), life)
-
-    def _send_look(
-        self, order: control.LookOrder, then: Callable[[], None], life: int
-    ) -> None:
-        state = {"done": False}
-
-        def finish(answer: control.LookAnswer) -> None:
-            if state["done"] or life != self.life:
-                return
-            state["done"] = True
-
-            def handle() -> None:
-                self.perform(self.gate.looked(order, answer))
-                pause_s = 0.0 if isinstance(answer, control.Snapshot) else 0.05
-                self.model.time.call_later(pause_s, then)
-
-            self.run(handle)
-
-        time = self.model.time
-        limit_s = order.wait_ms / 1000 + LOOK_TIMEOUT_S
-        time.call_later(limit_s, lambda: finish(control.Unanswered()))
-
-        def answered(answer: control.LookAnswer) -> None:
-            time.call_later(ORDER_S, lambda: finish(answer))
-
-        def arrive() -> None:
-            if not self.worker.faults.is_cut:
-                self.worker.look(order, answered)
-
-        time.call_later(ORDER_S, arrive)
-
-    def perform(self, wanted: Iterable[gate.Effect]) -> None:
-        """Perform effects of the gate.
-
-        :param wanted: the effects.
-        """
-        for effect in wanted:
-            match effect:
-                case gate.Send(to, message):
-                    self.model.to_entry(self.name, to, message)
-                case gate.Start(start):
-                    self._order(
-                        lambda start=start: self.worker.start(start),  # type: ignore[misc]
-                        lambda answer, start=start: self.gate.start_answered(  # type: ignore[misc]
-                            start, answer
-                        ),
-                    )
-                case gate.Stop(stop):
-                    self._order(
-                        lambda stop=stop: self.worker.stop(stop),  # type: ignore[misc]
-                        lambda answer, stop=stop: self.gate.stop_answered(  # type: ignore[misc]
-                            stop, answer
-                        ),
-                    )
-                case gate.Look(look):
-                    self._send_look(look, lambda: None, self.life)
-                case gate.Note(event, fields):
-                    self.model.note(self.name, event, fields)
-                    continue
-            self.model.soon(self, self.report)
-
-    def _order(
-        self,
-        carry_out: Callable[[], control.OrderAnswer],
-        handle: Callable[[control.OrderAnswer], Iterator[gate.Effect]],
-    ) -> None:
-        life, time, faults = self.life, self.model.time, self.worker.faults
-
-        def finish(answer: control.OrderAnswer) -> None:
-            if life == self.life:
-                self.run(lambda: self.perform(handle(answer)))
-
-        if faults.is_cut:
-            time.call_later(ORDER_TIMEOUT_S, lambda: finish(control.Unanswered()))
-        elif self.worker.is_order_lost():
-            late_s = self.model.rng.uniform(*leased.LATE_S)
-            time.call_later(late_s, carry_out)
-            time.call_later(ORDER_TIMEOUT_S, lambda: finish(control.Unanswered()))
-        else:
-
-            def arrive() -> None:
-                answer = carry_out()
-                time.call_later(ORDER_S, lambda: finish(answer))
-
-            time.call_later(ORDER_S, arrive)
-
-    def report(self) -> None:
-        """Send the load to every linked entry host."""
-        info, loads = self.gate.worker_info(), self.gate.loads()
-        for entry in self.model.linked_entries(self.name):
-            if info is not None and (entry, info) not in self.info_sent:
-                self.info_sent.add((entry, info))
-                self.model.to_entry(self.name, entry, info)
-            if entry in loads:
-                self.model.to_entry(self.name, entry, loads[entry])
-
-
-class ModelEntry(ModelNode):
-    """An entry host.
-
-    :param model: the system.
-    :param name: its name.
-    :param zone: its zone.
-    """
-
-    def __init__(self, model: Model, name: str, zone: str) -> None:
-        super().__init__(model, name, zone)
-        self._begin()
-
-    def _begin(self) -> None:
-        self.boot = self.model.rng.getrandbits(60)
-        self.order_by_ticket: dict[int, Order] = {}
-        self.scheduler = scheduler.Scheduler(
-            self.zone,
-            scheduler.SchedulerSettings(
-                agent_gone_s=scheduler.agent_gone_s(gate.GateSettings())
-            ),
-            self.model.selection,
-            self.model.ordering,
-            self.model.time,
-            self.model.rng,
-        )
-        life = self.life
-
-        def tick() -> None:
-            if life == self.life:
-                self.run(lambda: self.perform(self.scheduler.tick()))
-                self.model.time.call_later(TICK_S, tick)
-
-        self.model.time.call_later(self.model.rng.random() * TICK_S, tick)
-
-    def kill(self) -> None:
-        """End the process; its callers see their connections break."""
-        self.end()
-        orders, self.order_by_ticket = list(self.order_by_ticket.values()), {}
-        self.model.break_links(entry=self.name)
-        for order in orders:
-            self.model.resend(order)
-
-    def restart(self) -> None:
-        """Start the process again."""
-        self.is_up = True
-        self._begin()
-
-    def submit(self, order: Order) -> None:
-        """Take a job.
-
-        :param order: the job.
-        """
-        ticket = next(self.model.tickets)
-        self.order_by_ticket[ticket] = order
-        self.perform(self.scheduler.submit(order.submission, ticket))
-
-    def perform(self, wanted: Iterable[scheduler.Effect]) -> None:
-        """Perform effects of the scheduler.
-
-        :param wanted: the effects.
-        """
-        for effect in wanted:
-            match effect:
-                case scheduler.Send(to, message):
-                    self.model.to_agent(self.name, to, message)
-                case scheduler.AssignSoon():
-                    self.model.time.call_later(
-                        ASSIGN_S,
-                        lambda: self.run(lambda: self.perform(self.scheduler.assign())),
-                    )
-                case scheduler.Conclude(ticket, _, verdict):
-                    order = self.order_by_ticket.pop(ticket, None)
-                    if order is not None:
-                        self.model.concluded(order, verdict)
-                case scheduler.Note(event, fields):
-                    self.model.note(self.name, event, fields)
-
-
 class Model:
     """The whole system.
 
@@ -376,7 +36,7 @@
     def __init__(
         self,
         seed: int,
-        kinds: tuple[Kind, ...],
+        kinds: tuple[nodes.Kind, ...],
         entries: int = 4,
         workers: int = 11,
         ordering: selection.Ordering | None = None,
@@ -389,7 +49,7 @@
         self.selection = chosen or selection.SelectionSettings()
         self.tickets = iter(range(1, 1 << 60))
         self.work_by_task: dict[assignments.TaskKey, tuple[float, int]] = {}
-        self.orders: list[Order] = []
+        self.orders: list[nodes.Order] = []
         self.notes: list[tuple[float, str, str, dict[str, object]]] = []
         self.cut_pairs: set[tuple[str, str]] = set()
         self._linked: dict[tuple[str, str], int] = {}
@@ -397,10 +57,12 @@
         self._soon: set[str] = set()
         self._held_up: dict[tuple[str, str], list[Callable[[], None]]] = {}
         self.entry_by_name = {
-            f"entry-{number}": ModelEntry(self, f"entry-{number}", f"zone-{number}")
+            f"entry-{number}": nodes.ModelEntry(
+                self, f"entry-{number}", f"zone-{number}"
+            )
             for number in range(entries)
         }
-        self.agent_by_name: dict[str, ModelAgent] = {}
+        self.agent_by_name: dict[str, nodes.ModelAgent] = {}
         for number in range(workers):
             speed = (0.8, 1.0, 1.25)[number % 3]
             cpu = (16_000, 16_000, 24_000)[number // 3 % 3]
@@ -409,7 +71,7 @@
             )
             zone = f"zone-{number % entries}"
             name = f"agent-{number}"
-            self.agent_by_name[name] = ModelAgent(self, name, zone, worker)
+            self.agent_by_name[name] = nodes.ModelAgent(self, name, zone, worker)
         self._watch()
 
     def _work_of(self, task: assignments.TaskKey) -> tuple[float, int]:
@@ -424,7 +86,7 @@
         """
         self.notes.append((self.time.now(), who, event, fields))
 
-    def soon(self, agent: ModelAgent, action: Callable[[], None]) -> None:
+    def soon(self, agent: nodes.ModelAgent, action: Callable[[], None]) -> None:
         """Run the report of an agent once in a few milliseconds.
 
         :param agent: the agent.
@@ -448,7 +110,7 @@
                 self._relink(agent, entry)
         self.time.call_later(REDIAL_S, self._watch)
 
-    def _relink(self, agent: ModelAgent, entry: ModelEntry) -> None:
+    def _relink(self, agent: nodes.ModelAgent, entry: nodes.ModelEntry) -> None:
         pair = (agent.name, entry.name)
         is_blocked = pair in self.cut_pairs or agent.is_frozen or not agent.is_up
         if pair in self._linked or is_blocked:
@@ -528,7 +190,7 @@
         self,
         pair: tuple[str, str],
         link: int,
-        node: ModelAgent | ModelEntry,
+        node: nodes.ModelAgent | nodes.ModelEntry,
         action: Callable[[], None],
     ) -> None:
         life = node.life
@@ -615,7 +277,7 @@
                     break
                 self.send_at(at, self.make(kind))
 
-    def make(self, kind: Kind, is_poison: bool = False) -> Order:
+    def make(self, kind: nodes.Kind, is_poison: bool = False) -> nodes.Order:
         """Return a job whose durations are not known to the system.
 
         :param kind: its kind.
@@ -645,9 +307,9 @@
             0.06,
             3 * objective_s + 1,
         )
-        return Order(job, kind, submission, 0.0, objective_s)
+        return nodes.Order(job, kind, submission, 0.0, objective_s)
 
-    def send_at(self, at: float, order: Order, entry: str | None = None) -> None:
+    def send_at(self, at: float, order: nodes.Order, entry: str | None = None) -> None:
         """Let a caller send a job.
 
         :param at: when, in seconds from the start of the model.
@@ -662,7 +324,7 @@
 
         self.time.call_later(at, send)
 
-    def _send(self, order: Order, entry: str | None = None) -> None:
+    def _send(self, order: nodes.Order, entry: str | None = None) -> None:
         up = [node for node in self.entry_by_name.values() if node.is_up]
         if not up:
             self.resend(order)
@@ -670,7 +332,7 @@
         node = self.entry_by_name[entry] if entry else self.rng.choice(up)
         node.run(lambda: node.submit(order))
 
-    def resend(self, order: Order) -> None:
+    def resend(self, order: nodes.Order) -> None:
         """Send a job again after its connection broke.
 
         :param order: the job.
@@ -680,7 +342,7 @@
         if waited_s + RESEND_S < order.submission.deadline_s:
             self.time.call_later(RESEND_S, lambda: self._send(order))
 
-    def concluded(self, order: Order, verdict: batch.Verdict) -> None:
+    def concluded(self, order: nodes.Order, verdict: batch.Verdict) -> None:
         """Handle an answer.
 
         :param order: the job.
@@ -716,68 +378,3 @@
             earned = sum(order.credit() for order in orders)
             shares[kind.name] = earned / max(1, len(orders))
         return shares
-
-
-def violations(model: Model) -> Iterator[str]:
-    """Yield what breaks a promise in a model's run.
-
-    :param model: the model, after its run.
-    """
-    yield from _overlaps(model.spans())
-    yield from _overloads(model)
-    yield from _false_answers(model)
-
-
-def _overlaps(spans: list[leased.Span]) -> Iterator[str]:
-    """Yield tasks with two runs at the same time."""
-    by_task: dict[assignments.TaskKey, list[leased.Span]] = {}
-    for span in spans:
-        by_task.setdefault(span.key.task, []).append(span)
-    for task, found in by_task.items():
-        found.sort(key=lambda span: span.began)
-        for first, second in zip(found, found[1:], strict=False):
-            if second.began < first.ended - 1e-9:
-                yield (
-                    f"twice: {task} run {first.key.run} on {first.worker} until "
-                    f"{first.ended:.3f}, run {second.key.run} on {second.worker} from "
-                    f"{second.began:.3f}"
-                )
-
-
-def _overloads(model: Model) -> Iterator[str]:
-    """Yield workers whose capacity was exceeded."""
-    for agent in model.agent_by_name.values():
-        worker = agent.worker
-        steps = [
-            step
-            for span in [*worker.spans, *worker.open_spans()]
-            for step in ((span.began, 1, span.cpu), (span.ended, 0, -span.cpu))
-        ]
-        used = 0
-        for at, _, cpu in sorted(steps):
-            used += cpu
-            if used > worker.cpu:
-                yield f"limit: {worker.name} has {used} of {worker.cpu} at {at:.3f}"
-                break
-
-
-def _false_answers(model: Model) -> Iterator[str]:
-    """Yield answers that are not true."""
-    done: dict[str, set[int]] = {}
-    started: set[str] = set()
-    for span in model.spans():
-        started.add(span.key.task.job)
-        if span.reason is control.EndReason.DONE:
-            done.setdefault(span.key.task.job, set()).add(span.key.task.index)
-    for order in model.orders:
-        if order.is_completed and len(done.get(order.job, ())) != order.kind.width:
-            yield f"partial: {order.job} is shown as completed"
-        # A refusal speaks of its own submission: an earlier one, whose connection
-        # broke, may have run.
-        only_refused = (
-            order.verdicts
-            and not order.is_interrupted
-            and all(isinstance(verdict, batch.Refused) for verdict in order.verdicts)
-        )
-        if only_refused and order.job in started:
-            yield f"refused: {order.job} was refused and has run"
--- a/src/burdockgate/standin/mishaps.py
+++ b/src/burdockgate/standin/mishaps.py
@@ -5,16 +5,16 @@
 import random
 from collections.abc import Callable
 
-from burdockgate.standin import batches, leased
+from burdockgate.standin import batches, leased, nodes
 
 Mishap = Callable[[batches.Model, random.Random], str]
 
 
-def _agent(model: batches.Model, rng: random.Random) -> batches.ModelAgent:
+def _agent(model: batches.Model, rng: random.Random) -> nodes.ModelAgent:
     return rng.choice(list(model.agent_by_name.values()))
 
 
-def _entry(model: batches.Model, rng: random.Random) -> batches.ModelEntry:
+def _entry(model: batches.Model, rng: random.Random) -> nodes.ModelEntry:
     return rng.choice(list(model.entry_by_name.values()))
 
 
--- /dev/null
+++ b/src/burdockgate/standin/nodes.py
@@ -0,0 +1,355 @@
+"""Agents, entry hosts and callers' jobs in the model of best-effort jobs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator
+from typing import TYPE_CHECKING
+
+import attrs
+
+from burdockgate.process import control, gate, orders, placing, scheduler
+from burdockgate.request import batch
+from burdockgate.standin import leased
+
+if TYPE_CHECKING:
+    from burdockgate import assignments
+    from burdockgate.standin import batches
+
+ORDER_TIMEOUT_S = 0.08
+LOOK_TIMEOUT_S = 0.25
+ASSIGN_S = 0.001
+ORDER_S = 0.0005
+TICK_S = 0.025
+REPORT_S = 0.2
+HEARTBEAT_S = 1.5
+
+
+@attrs.frozen
+class Kind:
+    """A kind of job, as the load is made.
+
+    :param work_s: mean duration of a task at speed 1.
+    :param per_s: jobs a second over all entry hosts.
+    :param worth: what a job on time is worth.
+    """
+
+    name: str
+    width: int
+    work_s: float
+    cpu: int
+    per_s: float
+    priority: int
+    worth: float
+
+
+@attrs.define
+class Order:
+    """One job of a caller and what became of it."""
+
+    job: str
+    kind: Kind
+    submission: batch.Submission
+    sent_at: float
+    objective_s: float
+    verdicts: list[batch.Verdict] = attrs.field(factory=list)
+    ended_at: float | None = None
+    is_interrupted: bool = False
+
+    def credit(self) -> float:
+        """Return the share of its worth: 1 on time, 0.2 late, 0 otherwise."""
+        if self.ended_at is None or not self.is_completed:
+            return 0.0
+        took_s = self.ended_at - self.sent_at
+        if took_s <= self.objective_s:
+            return 1.0
+        return 0.2 if took_s <= batch.LATE_FACTOR * self.objective_s else 0.0
+
+    @property
+    def is_completed(self) -> bool:
+        """Whether the caller was told that all tasks are done."""
+        return any(isinstance(verdict, batch.Completed) for verdict in self.verdicts)
+
+
+class ModelNode:
+    """A process that can be killed and frozen.
+
+    :param model: the system.
+    :param name: name of the process.
+    :param zone: its zone.
+    """
+
+    def __init__(self, model: batches.Model, name: str, zone: str) -> None:
+        self.model, self.name, self.zone = model, name, zone
+        self.is_up = True
+        self.is_frozen = False
+        self.life = 0
+        self._inbox: list[Callable[[], None]] = []
+
+    def run(self, action: Callable[[], None]) -> None:
+        """Run something now, or when the process thaws; a dead one drops it.
+
+        :param action: what to run.
+        """
+        if self.is_frozen:
+            self._inbox.append(action)
+        elif self.is_up:
+            action()
+
+    def freeze(self, for_s: float) -> None:
+        """Stand still.
+
+        :param for_s: how long.
+        """
+        self.is_frozen = True
+        self.model.time.call_later(for_s, self._thaw)
+
+    def _thaw(self) -> None:
+        self.is_frozen = False
+        inbox, self._inbox = self._inbox, []
+        for action in inbox:
+            self.run(action)
+
+    def end(self) -> None:
+        """End the process, without a word to others."""
+        self.is_up, self.life = False, self.life + 1
+        self._inbox.clear()
+
+
+class ModelAgent(ModelNode):
+    """An agent with its worker.
+
+    :param model: the system.
+    :param name: name of the agent.
+    :param zone: its zone.
+    :param worker: its worker.
+    """
+
+    def __init__(
+        self, model: batches.Model, name: str, zone: str, worker: leased.LeasedWorker
+    ) -> None:
+        super().__init__(model, name, zone)
+        self.worker = worker
+        self.sequence = 0
+        self.is_draining = False
+        self.drained_at: float | None = None
+        self._begin()
+
+    def _begin(self) -> None:
+        self.boot = self.model.rng.getrandbits(60)
+        self.gate = gate.Gate(orders.GateSettings(), self.model.time)
+        self.info_sent: set[tuple[str, assignments.WorkerInfo]] = set()
+        life = self.life
+        self._every(TICK_S, lambda: self.perform(self.gate.tick()), life)
+        self._every(REPORT_S, self.report, life)
+        self._every(HEARTBEAT_S, self._beat, life)
+        self.model.time.call_later(0.01, lambda: self._look(life))
+
+    def _every(self, interval_s: float, action: Callable[[], None], life: int) -> None:
+        def again() -> None:
+            if life != self.life:
+                return
+            self.run(action)
+            self.model.time.call_later(interval_s, again)
+
+        self.model.time.call_later(self.model.rng.random() * interval_s, again)
+
+    def kill(self) -> None:
+        """End the process."""
+        self.end()
+        self.model.break_links(agent=self.name)
+
+    def restart(self) -> None:
+        """Start the process again."""
+        self.is_up = True
+        self._begin()
+
+    def _beat(self) -> None:
+        if self.worker.faults.is_cut:
+            return
+        self.sequence += 1
+        if self.is_draining and self.drained_at is None:
+            self.drained_at = self.model.time.now()
+        told = self.worker.announcement(self.sequence, self.is_draining)
+        self.perform(self.gate.announced(told))
+
+    def _look(self, life: int) -> None:
+        if life != self.life:
+            return
+        order = self.gate.next_look() if not self.is_frozen else None
+        if order is None:
+            self.model.time.call_later(0.05, lambda: self._look(life))
+            return
+        self._send_look(order, lambda: self._look(life), life)
+
+    def _send_look(
+        self, order: control.LookOrder, then: Callable[[], None], life: int
+    ) -> None:
+        state = {"done": False}
+
+        def finish(answer: control.LookAnswer) -> None:
+            if state["done"] or life != self.life:
+                return
+            state["done"] = True
+
+            def handle() -> None:
+                self.perform(self.gate.looked(order, answer))
+                pause_s = 0.0 if isinstance(answer, control.Snapshot) else 0.05
+                self.model.time.call_later(pause_s, then)
+
+            self.run(handle)
+
+        time = self.model.time
+        limit_s = order.wait_ms / 1000 + LOOK_TIMEOUT_S
+        time.call_later(limit_s, lambda: finish(control.Unanswered()))
+
+        def answered(answer: control.LookAnswer) -> None:
+            time.call_later(ORDER_S, lambda: finish(answer))
+
+        def arrive() -> None:
+            if not self.worker.faults.is_cut:
+                self.worker.look(order, answered)
+
+        time.call_later(ORDER_S, arrive)
+
+    def perform(self, wanted: Iterable[orders.Effect]) -> None:
+        """Perform effects of the gate.
+
+        :param wanted: the effects.
+        """
+        for effect in wanted:
+            match effect:
+                case orders.Send(to, message):
+                    self.model.to_entry(self.name, to, message)
+                case orders.Start(start):
+                    self._order(
+                        lambda start=start: self.worker.start(start),  # type: ignore[misc]
+                        lambda answer, start=start: self.gate.start_answered(  # type: ignore[misc]
+                            start, answer
+                        ),
+                    )
+                case orders.Stop(stop):
+                    self._order(
+                        lambda stop=stop: self.worker.stop(stop),  # type: ignore[misc]
+                        lambda answer, stop=stop: self.gate.stop_answered(  # type: ignore[misc]
+                            stop, answer
+                        ),
+                    )
+                case orders.Look(look):
+                    self._send_look(look, lambda: None, self.life)
+                case orders.Note(event, fields):
+                    self.model.note(self.name, event, fields)
+                    continue
+            self.model.soon(self, self.report)
+
+    def _order(
+        self,
+        carry_out: Callable[[], control.OrderAnswer],
+        handle: Callable[[control.OrderAnswer], Iterator[orders.Effect]],
+    ) -> None:
+        life, time, faults = self.life, self.model.time, self.worker.faults
+
+        def finish(answer: control.OrderAnswer) -> None:
+            if life == self.life:
+                self.run(lambda: self.perform(handle(answer)))
+
+        if faults.is_cut:
+            time.call_later(ORDER_TIMEOUT_S, lambda: finish(control.Unanswered()))
+        elif self.worker.is_order_lost():
+            late_s = self.model.rng.uniform(*leased.LATE_S)
+            time.call_later(late_s, carry_out)
+            time.call_later(ORDER_TIMEOUT_S, lambda: finish(control.Unanswered()))
+        else:
+
+            def arrive() -> None:
+                answer = carry_out()
+                time.call_later(ORDER_S, lambda: finish(answer))
+
+            time.call_later(ORDER_S, arrive)
+
+    def report(self) -> None:
+        """Send the load to every linked entry host."""
+        info, loads = self.gate.worker_info(), self.gate.loads()
+        for entry in self.model.linked_entries(self.name):
+            if info is not None and (entry, info) not in self.info_sent:
+                self.info_sent.add((entry, info))
+                self.model.to_entry(self.name, entry, info)
+            if entry in loads:
+                self.model.to_entry(self.name, entry, loads[entry])
+
+
+class ModelEntry(ModelNode):
+    """An entry host.
+
+    :param model: the system.
+    :param name: its name.
+    :param zone: its zone.
+    """
+
+    def __init__(self, model: batches.Model, name: str, zone: str) -> None:
+        super().__init__(model, name, zone)
+        self._begin()
+
+    def _begin(self) -> None:
+        self.boot = self.model.rng.getrandbits(60)
+        self.order_by_ticket: dict[int, Order] = {}
+        self.scheduler = scheduler.Scheduler(
+            self.zone,
+            placing.SchedulerSettings(
+                agent_gone_s=scheduler.agent_gone_s(orders.GateSettings())
+            ),
+            self.model.selection,
+            self.model.ordering,
+            self.model.time,
+            self.model.rng,
+        )
+        life = self.life
+
+        def tick() -> None:
+            if life == self.life:
+                self.run(lambda: self.perform(self.scheduler.tick()))
+                self.model.time.call_later(TICK_S, tick)
+
+        self.model.time.call_later(self.model.rng.random() * TICK_S, tick)
+
+    def kill(self) -> None:
+        """End the process; its callers see their connections break."""
+        self.end()
+        orders, self.order_by_ticket = list(self.order_by_ticket.values()), {}
+        self.model.break_links(entry=self.name)
+        for order in orders:
+            self.model.resend(order)
+
+    def restart(self) -> None:
+        """Start the process again."""
+        self.is_up = True
+        self._begin()
+
+    def submit(self, order: Order) -> None:
+        """Take a job.
+
+        :param order: the job.
+        """
+        ticket = next(self.model.tickets)
+        self.order_by_ticket[ticket] = order
+        self.perform(self.scheduler.submit(order.submission, ticket))
+
+    def perform(self, wanted: Iterable[placing.Effect]) -> None:
+        """Perform effects of the scheduler.
+
+        :param wanted: the effects.
+        """
+        for effect in wanted:
+            match effect:
+                case placing.Send(to, message):
+                    self.model.to_agent(self.name, to, message)
+                case placing.AssignSoon():
+                    self.model.time.call_later(
+                        ASSIGN_S,
+                        lambda: self.run(lambda: self.perform(self.scheduler.assign())),
+                    )
+                case placing.Conclude(ticket, _, verdict):
+                    order = self.order_by_ticket.pop(ticket, None)
+                    if order is not None:
+                        self.model.concluded(order, verdict)
+                case placing.Note(event, fields):
+                    self.model.note(self.name, event, fields)
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -5,14 +5,14 @@
 import pytest
 
 from burdockgate import assignments
-from burdockgate.process import control, scheduler, selection
+from burdockgate.process import control, placing, selection
 from burdockgate.request import batch
-from burdockgate.standin import batches, leased, mishaps
+from burdockgate.standin import batches, leased, mishaps, nodes, promises
 
 # Width, duration and rate of the users' three kinds of job.
-SHORT = batches.Kind("short", 8, 0.102, 1600, 15.1, 0, 0.0291)
-LONG = batches.Kind("long", 4, 1.52, 1600, 2.75, 2, 0.16)
-MEDIUM = batches.Kind("medium", 2, 0.34, 1600, 44.0, 1, 0.01)
+SHORT = nodes.Kind("short", 8, 0.102, 1600, 15.1, 0, 0.0291)
+LONG = nodes.Kind("long", 4, 1.52, 1600, 2.75, 2, 0.16)
+MEDIUM = nodes.Kind("medium", 2, 0.34, 1600, 44.0, 1, 0.01)
 KINDS = (SHORT, LONG, MEDIUM)
 # Share of the full load that six workers carry.
 PART = 0.35
@@ -33,7 +33,7 @@
     model = batches.Model(1, KINDS)
     model.load(3, 9)
     model.run(60)
-    assert list(batches.violations(model)) == []
+    assert list(promises.violations(model)) == []
     assert all(order.is_completed for order in model.orders)
     assert min(model.credit().values()) > 0.95
 
@@ -47,7 +47,7 @@
     model.load(3, 13, PART)
     told = mishaps.schedule(model, seed, 4, 12, 6)
     model.run(90)
-    assert list(batches.violations(model)) == [], told
+    assert list(promises.violations(model)) == [], told
     assert _is_settled(model), told
 
 
@@ -58,7 +58,7 @@
     model.load(3, 10, PART)
     told = mishaps.schedule(model, 11, 4, 9, 5, (mishap,))
     model.run(90)
-    assert list(batches.violations(model)) == [], told
+    assert list(promises.violations(model)) == [], told
     assert _is_settled(model), told
     # The users' gate allows 60% of the requests to be refused or failed.
     assert sum(order.is_completed for order in model.orders) > 0.4 * len(model.orders)
@@ -71,7 +71,7 @@
     model.send_at(3, order, "entry-0")
     model.time.call_later(3.3, model.entry_by_name["entry-0"].kill)
     model.run(60)
-    assert list(batches.violations(model)) == []
+    assert list(promises.violations(model)) == []
     assert order.is_completed
     assert len({span.key.task for span in model.spans()}) == LONG.width
 
@@ -85,7 +85,7 @@
     agent = model.agent_by_name["agent-2"]
     model.time.call_later(3.4, lambda: agent.freeze(for_s))
     model.run(90)
-    assert list(batches.violations(model)) == []
+    assert list(promises.violations(model)) == []
     assert all(order.is_completed for order in model.orders)
 
 
@@ -96,7 +96,7 @@
     model.send_at(3, order, "entry-0")
     model.send_at(3.2, order, "entry-0")
     model.run(60)
-    assert list(batches.violations(model)) == []
+    assert list(promises.violations(model)) == []
     assert order.is_completed
 
 
@@ -107,7 +107,7 @@
         agent.worker.faults.unanswered = 0.3
     model.load(3, 9, PART)
     model.run(90)
-    assert list(batches.violations(model)) == []
+    assert list(promises.violations(model)) == []
     served = sum(order.is_completed for order in model.orders)
     assert served == len(model.orders)
 
@@ -122,7 +122,7 @@
     worker.faults.unanswered = 0.0
     model.run(60)
     assert model.agent_by_name["agent-0"].gate.running_count == 0
-    assert list(batches.violations(model)) == []
+    assert list(promises.violations(model)) == []
 
 
 def test_agent_that_restarts_counts_what_its_worker_still_runs():
@@ -134,7 +134,7 @@
         model.time.call_later(at, agent.kill)
         model.time.call_later(at + 0.3, agent.restart)
     model.run(90)
-    assert list(batches.violations(model)) == []
+    assert list(promises.violations(model)) == []
     assert _is_settled(model)
 
 
@@ -152,7 +152,7 @@
     assert agent.drained_at is not None
     late = [span for span in agent.worker.spans if span.began > agent.drained_at + 0.01]
     assert late == []
-    assert list(batches.violations(model)) == []
+    assert list(promises.violations(model)) == []
 
 
 def test_failing_worker_is_left_out_soon():
@@ -192,7 +192,7 @@
 
     model.time.call_later(4, hang)
     model.run(90)
-    assert list(batches.violations(model)) == []
+    assert list(promises.violations(model)) == []
     assert all(order.is_completed for order in model.orders)
 
 
@@ -236,7 +236,7 @@
                 1, 0, assignments.WorkerState.READY, 0, 0, 0, 0, 0, 1000
             ),
         )
-        if isinstance(effect, scheduler.AssignSoon)
+        if isinstance(effect, placing.AssignSoon)
     ]
     assert asked == []
 
@@ -255,7 +255,7 @@
     first, second = list(model.agent_by_name.values())[:2]
     first.worker.spans.append(_span("a", 1, 0.0, 2.0))
     second.worker.spans.append(_span("b", 2, 1.0, 3.0))
-    assert any(text.startswith("twice") for text in batches.violations(model))
+    assert any(text.startswith("twice") for text in promises.violations(model))
 
 
 def test_checker_sees_a_worker_over_its_room():
@@ -263,7 +263,7 @@
     model = _small(1)
     agent = model.agent_by_name["agent-0"]
     agent.worker.spans.append(_span("a", 1, 0.0, 2.0, agent.worker.cpu + 1))
-    assert any(text.startswith("limit") for text in batches.violations(model))
+    assert any(text.startswith("limit") for text in promises.violations(model))
 
 
 def test_checker_sees_a_refused_job_that_ran_and_a_partial_answer():
@@ -277,6 +277,6 @@
     model.agent_by_name["agent-0"].worker.spans.append(
         leased.Span("a", key, 1600, 0.0, 1.0, control.EndReason.DONE)
     )
-    found = list(batches.violations(model))
+    found = list(promises.violations(model))
     assert any(text.startswith("refused") for text in found)
     assert any(text.startswith("partial") for text in found)
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -4,7 +4,7 @@
 import pytest
 
 from burdockgate import assignments, clock
-from burdockgate.process import control, gate
+from burdockgate.process import control, gate, orders
 
 OWNER = "entry-1"
 KEY = assignments.RunKey(assignments.TaskKey("job", 0, 0), 1)
@@ -15,7 +15,7 @@
 
     def __init__(self):
         self.time = clock.ManualClock(100.0)
-        self.gate = gate.Gate(gate.GateSettings(), self.time)
+        self.gate = gate.Gate(orders.GateSettings(), self.time)
         self.told = control.Announcement(
             "i-1", 1, "svc", 4000, 1000, 0, (), False, 1, 5000
         )
@@ -74,7 +74,7 @@
 def _ends(effects):
     return [
         effect.message
-        for effect in _of(gate.Send, effects)
+        for effect in _of(orders.Send, effects)
         if isinstance(effect.message, assignments.TaskEnd)
     ]
 
@@ -82,7 +82,7 @@
 def test_run_starts_ends_and_frees_its_room():
     """The plain path of one task."""
     bench = Bench()
-    (start,) = _of(gate.Start, bench.assign(0))
+    (start,) = _of(orders.Start, bench.assign(0))
     assert start.order.lease_until_ms == pytest.approx(6001, abs=2)
     bench.accept(start)
     assert bench.gate.loads()[OWNER].used_cpu == 1000
@@ -96,23 +96,23 @@
 def test_tasks_beyond_the_room_wait():
     """Workers start whatever they are told, so the agent keeps their limit."""
     bench = Bench()
-    assert len(_of(gate.Start, bench.assign(0, 1, 2, 3, 4))) == 4
+    assert len(_of(orders.Start, bench.assign(0, 1, 2, 3, 4))) == 4
     assert bench.gate.loads()[OWNER].queued_cpu == 1000
 
 
 def test_unanswered_start_keeps_its_room_until_a_higher_token_is_confirmed():
     """The order may be carried out seconds later, unless it is fenced off."""
     bench = Bench()
-    (start,) = _of(gate.Start, bench.assign(0))
+    (start,) = _of(orders.Start, bench.assign(0))
     old_look = bench.gate.next_look()
     (look,) = _of(
-        gate.Look, bench.gate.start_answered(start.order, control.Unanswered())
+        orders.Look, bench.gate.start_answered(start.order, control.Unanswered())
     )
     assert look.order.token > start.order.token
     # A list from before the new token proves nothing.
-    assert _of(gate.Start, bench.look(order=old_look)) == []
+    assert _of(orders.Start, bench.look(order=old_look)) == []
     assert bench.gate.loads()[OWNER].used_cpu == 1000
-    (again,) = _of(gate.Start, bench.look(order=look.order))
+    (again,) = _of(orders.Start, bench.look(order=look.order))
     assert again.order.key == start.order.key
     assert again.order.token == look.order.token
 
@@ -120,11 +120,11 @@
 def test_unanswered_start_that_was_carried_out_is_found_by_the_look():
     """Starting it a second time would run the task twice."""
     bench = Bench()
-    (start,) = _of(gate.Start, bench.assign(0))
+    (start,) = _of(orders.Start, bench.assign(0))
     (look,) = _of(
-        gate.Look, bench.gate.start_answered(start.order, control.Unanswered())
+        orders.Look, bench.gate.start_answered(start.order, control.Unanswered())
     )
-    assert _of(gate.Start, bench.look(running=[KEY], order=look.order)) == []
+    assert _of(orders.Start, bench.look(running=[KEY], order=look.order)) == []
     assert bench.gate.loads()[OWNER].used_cpu == 1000
 
 
@@ -133,7 +133,7 @@
     bench = Bench()
     bench.advance(0.8)
     effects = bench.assign(0)
-    assert _of(gate.Start, effects) == []
+    assert _of(orders.Start, effects) == []
     (end,) = _ends(effects)
     assert end.kind is assignments.EndKind.RETURNED
 
@@ -144,33 +144,33 @@
     sent_at = bench.gate.loads()[OWNER].sent_at_us
     bench.advance(2.0)
     bench.gate.renewed(OWNER, assignments.Renewal(sent_at, 0))
-    assert _of(gate.Start, bench.assign(0)) == []
+    assert _of(orders.Start, bench.assign(0)) == []
 
 
 def test_silent_owner_has_its_runs_stopped():
     """Its caller sends the job elsewhere 1.3 s after the connection broke."""
     bench = Bench()
-    (start,) = _of(gate.Start, bench.assign(0))
+    (start,) = _of(orders.Start, bench.assign(0))
     bench.accept(start)
     bench.advance(0.71)
-    (stop,) = _of(gate.Stop, bench.gate.tick())
+    (stop,) = _of(orders.Stop, bench.gate.tick())
     assert stop.order.key == KEY
     bench.advance(0.25)
-    assert len(_of(gate.Stop, bench.gate.tick())) == 1
+    assert len(_of(orders.Stop, bench.gate.tick())) == 1
 
 
 def test_restarted_owner_has_its_runs_stopped():
     """A new life of the entry host knows nothing of them."""
     bench = Bench()
-    (start,) = _of(gate.Start, bench.assign(0))
+    (start,) = _of(orders.Start, bench.assign(0))
     bench.accept(start)
-    assert len(_of(gate.Stop, bench.gate.linked(OWNER, 78))) == 1
+    assert len(_of(orders.Stop, bench.gate.linked(OWNER, 78))) == 1
 
 
 def test_silent_worker_is_let_lapse_and_its_runs_are_lost_after_the_lease():
     """A look that extends the lease of an unreachable worker would keep it running."""
     bench = Bench()
-    (start,) = _of(gate.Start, bench.assign(0))
+    (start,) = _of(orders.Start, bench.assign(0))
     bench.accept(start)
     bench.advance(0.5)
     bench.renew()
@@ -189,10 +189,10 @@
     """A restarted agent does not know what they take."""
     bench = Bench()
     foreign = assignments.RunKey(assignments.TaskKey("other", 0, 0), 3)
-    (stop,) = _of(gate.Stop, bench.look(running=[foreign]))
+    (stop,) = _of(orders.Stop, bench.look(running=[foreign]))
     assert stop.order.key == foreign
-    assert _of(gate.Start, bench.assign(0)) == []
-    assert len(_of(gate.Start, bench.look())) == 1
+    assert _of(orders.Start, bench.assign(0)) == []
+    assert len(_of(orders.Start, bench.look())) == 1
 
 
 def test_draining_worker_gets_nothing_and_its_queue_is_returned():
@@ -225,7 +225,7 @@
 def test_replaced_worker_loses_its_runs_at_once():
     """Orders name the intended worker, so the new one can't have them."""
     bench = Bench()
-    (start,) = _of(gate.Start, bench.assign(0))
+    (start,) = _of(orders.Start, bench.assign(0))
     bench.accept(start)
     newer = attrs.evolve(bench.told, worker="i-2", born=9, clock_ms=10)
     (end,) = _ends(bench.gate.announced(newer))
@@ -235,12 +235,12 @@
 def test_restart_under_the_same_identifier_leaves_runs_in_doubt():
     """Seeds 15 and 26 of the model: an order had reached the new life."""
     bench = Bench()
-    (start,) = _of(gate.Start, bench.assign(0))
+    (start,) = _of(orders.Start, bench.assign(0))
     bench.accept(start)
     bench.clock_ms = 20
     effects = bench.look(running=[KEY], born=2)
     assert _ends(effects) == []
-    (look,) = _of(gate.Look, effects)
+    (look,) = _of(orders.Look, effects)
     assert _ends(bench.look(running=[KEY], born=2, order=look.order)) == []
     assert bench.gate.loads()[OWNER].used_cpu == 1000
 
@@ -257,16 +257,16 @@
 def test_fenced_agent_draws_a_higher_token():
     """An earlier life of the agent may have drawn a higher one."""
     bench = Bench()
-    (start,) = _of(gate.Start, bench.assign(0))
+    (start,) = _of(orders.Start, bench.assign(0))
     refusal = control.Refused(control.Refusal.FENCED, 9000)
-    (again,) = _of(gate.Start, bench.gate.start_answered(start.order, refusal))
+    (again,) = _of(orders.Start, bench.gate.start_answered(start.order, refusal))
     assert again.order.token >= 9000
 
 
 def test_run_of_another_owner_keeps_a_task_from_starting_twice():
     """The same job may come to another entry host while its tasks still run."""
     bench = Bench()
-    (start,) = _of(gate.Start, bench.assign(0))
+    (start,) = _of(orders.Start, bench.assign(0))
     bench.accept(start)
     (end,) = _ends(bench.assign(0, run=2))
     assert end.kind is assignments.EndKind.RETURNED
@@ -275,7 +275,7 @@
 def test_old_run_number_asks_for_a_higher_one():
     """The worker rejects runs up to the highest that it saw of the task."""
     bench = Bench()
-    (start,) = _of(gate.Start, bench.assign(0))
+    (start,) = _of(orders.Start, bench.assign(0))
     refusal = control.Refused(control.Refusal.OLD_RUN, 5100)
     (end,) = _ends(bench.gate.start_answered(start.order, refusal))
     assert end.next_run > KEY.run + 1
@@ -284,14 +284,14 @@
 def test_stalled_tasks_are_stopped_and_the_worker_is_ejected():
     """Tasks that stand still on a worker that answers would wait for ever."""
     bench = Bench()
-    (start,) = _of(gate.Start, bench.assign(0))
+    (start,) = _of(orders.Start, bench.assign(0))
     bench.accept(start)
     stops = []
     for _ in range(12):
         bench.advance(0.1)
         bench.renew()
         bench.look(running=[KEY])
-        stops += _of(gate.Stop, bench.gate.tick())
+        stops += _of(orders.Stop, bench.gate.tick())
     assert stops
     assert bench.gate.worker_state() is assignments.WorkerState.EJECTED
 
@@ -299,9 +299,9 @@
 def test_leaving_agent_finishes_what_runs():
     """A planned stop cuts no task in progress."""
     bench = Bench()
-    (start,) = _of(gate.Start, bench.assign(0))
+    (start,) = _of(orders.Start, bench.assign(0))
     bench.accept(start)
     list(bench.gate.leave())
     assert bench.gate.running_count == 1
-    assert _of(gate.Start, bench.assign(1)) == []
+    assert _of(orders.Start, bench.assign(1)) == []
     assert bench.gate.next_look().lease_until_ms is not None
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -6,7 +6,7 @@
 import pytest
 
 from burdockgate import assignments, clock, codes
-from burdockgate.process import fleet, owners, scheduler, selection, throughput
+from burdockgate.process import fleet, owners, placing, scheduler, selection, throughput
 from burdockgate.request import batch
 
 STEP = batch.Step(2, 1000, 10, 0, 0.1)
@@ -23,7 +23,7 @@
         self.time = clock.ManualClock(100.0)
         self.scheduler = scheduler.Scheduler(
             "z1",
-            scheduler.SchedulerSettings(),
+            placing.SchedulerSettings(),
             selection.SelectionSettings(),
             ordering or selection.ShortestFirst(),
             self.time,
@@ -72,13 +72,13 @@
     return [
         effect.message
         for effect in effects
-        if isinstance(effect, scheduler.Send) and isinstance(effect.message, kind)
+        if isinstance(effect, placing.Send) and isinstance(effect.message, kind)
     ]
 
 
 def _verdicts(effects):
     return [
-        effect.verdict for effect in effects if isinstance(effect, scheduler.Conclude)
+        effect.verdict for effect in effects if isinstance(effect, placing.Conclude)
     ]
 
 
@@ -114,7 +114,7 @@
     assigned = [
         effect.to
         for effect in bench.submit(attrs.evolve(SUBMISSION, steps=(step,)))
-        if isinstance(effect, scheduler.Send)
+        if isinstance(effect, placing.Send)
         and isinstance(effect.message, assignments.Assign)
     ]
     assert sorted(assigned) == ["agent-0", "agent-1"]
@@ -131,7 +131,7 @@
     (sent,) = [
         effect
         for effect in effects
-        if isinstance(effect, scheduler.Send)
+        if isinstance(effect, placing.Send)
         and isinstance(effect.message, assignments.Assign)
     ]
     assert (sent.to, sent.message.runs) == ("agent-1", (2,))
@@ -162,6 +162,17 @@
     assert verdict == batch.Interrupted(codes.Code.DEADLINE_MAY_HAVE_RUN)
 
 
+@pytest.mark.parametrize(
+    "change", [{"cpu": 4001}, {"memory_mb": 1001}, {"gpu": 1}, {"label": "b"}]
+)
+def test_job_that_fits_no_worker_is_rejected_at_once(change):
+    """It must not wait until its deadline for what never comes."""
+    bench = Bench(4000)
+    step = attrs.evolve(STEP, **change)
+    (verdict,) = _verdicts(bench.submit(attrs.evolve(SUBMISSION, steps=(step,))))
+    assert verdict.code is codes.Code.NEVER_FITS
+
+
 def test_silent_agents_are_given_nothing():
     """Tasks given to an agent that is cut off are lost for seconds."""
     bench = Bench(4000)
@@ -191,7 +202,7 @@
     lost = [
         effect.fields["task"]
         for effect in effects
-        if isinstance(effect, scheduler.Note) and effect.event == "task.ended"
+        if isinstance(effect, placing.Note) and effect.event == "task.ended"
     ]
     assert lost == ["0.1"]
 
@@ -218,7 +229,7 @@
     effects = list(bench.scheduler.abandon("job", 1))
     (revoke,) = _messages(assignments.Revoke, effects)
     assert len(revoke.keys) == 2
-    agent = next(e.to for e in effects if isinstance(e, scheduler.Send))
+    agent = next(e.to for e in effects if isinstance(e, placing.Send))
     assert _messages(assignments.Assign, bench.submit(ticket=2)) == []
     effects = bench.end(agent, 0, assignments.EndKind.STOPPED)
     (assign,) = _messages(assignments.Assign, effects)
