--- a/src/burdockgate/platform/front.py
+++ b/src/burdockgate/platform/front.py
@@ -16,7 +16,8 @@
 
 READY_PATH = "/burdockgate/readyz"
 METRICS_PATH = "/metrics"
-ID_DIGITS = 16
+# Longer identifiers are cut in the log.
+MAX_REQUEST_ID = 64
 # For callers that do not say how long they wait.
 DEFAULT_DEADLINE_S = 5.0
 # A configuration that has not come yet is read within a second of the store's return.
@@ -78,16 +79,22 @@
         header_by_name: dict[str, str],
         receive: asgi.Receive,
     ) -> tuple[int, dict[str, str], bytes]:
+        request_id = header_by_name.get("request-id", "")[:MAX_REQUEST_ID]
         try:
             body = await asgi.read_body(receive, table.body_limit)
             deadline_s = _deadline_s(header_by_name)
-            submission = jobs.decode(job_id, body, route, deadline_s)
+            submission = jobs.decode(job_id, body, route, deadline_s, request_id)
         except asgi.BodyTooLargeError:
             return jobs.refuse(codes.Code.TOO_LARGE, f"limit {table.body_limit} bytes")
         except errors.RequestError as error:
             self._daemon.events.note(
                 "job.rejected",
-                {"job": job_id, "code": error.code.name, "detail": error.detail},
+                {
+                    "job": job_id,
+                    "request": request_id,
+                    "code": error.code.name,
+                    "detail": error.detail,
+                },
             )
             return jobs.refuse(error.code, error.detail, {"Retry-After": "1"})
         gone: asyncio.Future[None] = asyncio.get_running_loop().create_future()
--- a/src/burdockgate/platform/jobs.py
+++ b/src/burdockgate/platform/jobs.py
@@ -60,7 +60,11 @@
 
 
 def decode(
-    job_id: str, body: bytes, route: routes.Route, deadline_s: float
+    job_id: str,
+    body: bytes,
+    route: routes.Route,
+    deadline_s: float,
+    request_id: str = "",
 ) -> batch.Submission:
     """Return the job of a request.
 
@@ -68,6 +72,7 @@
     :param body: body of the request, JSON.
     :param route: the route that matched.
     :param deadline_s: how long the caller waits.
+    :param request_id: the caller's identifier of the request.
     :raises errors.RequestError: when it is malformed or of a kind that is not served.
     """
     try:
@@ -86,6 +91,7 @@
         route.stretch,
         route.target_s,
         deadline_s,
+        request_id,
     )
 
 
--- a/src/burdockgate/process/scheduler.py
+++ b/src/burdockgate/process/scheduler.py
@@ -50,12 +50,16 @@
         now = self._time.now()
         job = self.job_by_id.get(submission.job)
         if job is not None:
-            yield placing.Note("job.joined", {"job": submission.job})
+            yield placing.Note(
+                "job.joined", {"job": submission.job, "request": submission.request}
+            )
             job.tickets.add(ticket)
             return
         ended = self._ended.get(submission.job)
         if ended is not None and isinstance(ended.verdict, batch.Completed):
-            yield placing.Note("job.repeated", {"job": submission.job})
+            yield placing.Note(
+                "job.repeated", {"job": submission.job, "request": submission.request}
+            )
             yield placing.Conclude(ticket, submission.job, ended.verdict)
             return
         refusal = self._refusal(submission)
@@ -64,6 +68,7 @@
                 "job.refused",
                 {
                     "job": submission.job,
+                    "request": submission.request,
                     "route": submission.route,
                     "code": refusal.code.name,
                     "waiting": len(self.job_by_id),
@@ -77,6 +82,7 @@
             "job.received",
             {
                 "job": submission.job,
+                "request": submission.request,
                 "route": submission.route,
                 "tasks": sum(step.count for step in submission.steps),
                 "objective_ms": int(job.objective_s() * 1000),
@@ -359,6 +365,7 @@
             "job.ended",
             {
                 "job": job_id,
+                "request": job.submission.request,
                 "route": job.submission.route,
                 "code": verdict.code.name,
                 "age_ms": self._age_ms(job),
--- a/src/burdockgate/request/batch.py
+++ b/src/burdockgate/request/batch.py
@@ -51,6 +51,7 @@
     :param stretch: factor of the objective on the longest chain of work.
     :param target_s: fixed part of the objective.
     :param deadline_s: how long the caller waits.
+    :param request: the caller's identifier of this request, for the log.
     """
 
     job: str
@@ -63,6 +64,7 @@
     stretch: float
     target_s: float
     deadline_s: float
+    request: str = ""
 
 
 @attrs.frozen
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -128,7 +128,11 @@
             return await client.post(
                 f"http://{host}:{self.front}/jobs/{job}",
                 json=body,
-                headers={"Host": "h.example", "Deadline-Ms": "20000"},
+                headers={
+                    "Host": "h.example",
+                    "Deadline-Ms": "20000",
+                    "Request-Id": f"req-{job}",
+                },
                 timeout=WAIT_S,
             )
 
