Log lost and regained workers, and records that can't be read

Cause: reading the diff as a newcomer: failed looks and skipped records left no line, so that an engineer could not tell them from silence; a comment named a time where an agent's name is kept. Change: worker.lost and worker.regained once a change, worker.unreadable and store.unreadable with their number.

--- a/src/burdockgate/platform/store.py
+++ b/src/burdockgate/platform/store.py
@@ -53,6 +53,7 @@
         # Pages are not a snapshot: changes after the first page's end are read again.
         end: int | None = None
         after: str | None = None
+        unreadable = 0
         while True:
             query: dict[str, str | int] = {"topic": topic, "part": 0}
             if after is not None:
@@ -70,8 +71,9 @@
             end = page.end if end is None else end
             found = list(_items(page.items))
             records += found
+            unreadable += len(page.items) - len(found)
             if not page.more or not found:
-                return store.Page(tuple(records), end)
+                return store.Page(tuple(records), end, unreadable)
             after = found[-1].key
 
     async def changes(self, topic: str, offset: int) -> store.Page:
--- a/src/burdockgate/process/follower.py
+++ b/src/burdockgate/process/follower.py
@@ -59,6 +59,10 @@
             await asyncio.sleep(RETRY_S * spread)
             return ()
         self._note(True, "")
+        if page.unreadable:
+            self._log.note(
+                "store.unreadable", {"topic": self._topic, "records": page.unreadable}
+            )
         self._offset = page.end
         return page.records
 
--- a/src/burdockgate/process/placing.py
+++ b/src/burdockgate/process/placing.py
@@ -75,7 +75,7 @@
 
 @attrs.frozen
 class AssignSoon:
-    """Effect: call :meth:`Scheduler.assign` within a millisecond or two."""
+    """Effect: call :meth:`Placing.assign` within a millisecond or two."""
 
 
 Effect = Send | Conclude | Note | AssignSoon
@@ -117,8 +117,7 @@
         self._rejected_at = 0.0
         self._throughput = throughput.Throughput(time.now())
         self._ended: collections.OrderedDict[str, batch.Job] = collections.OrderedDict()
-        # Runs of jobs that are not in progress any more but may still run, with the
-        # time after which they count as ended.
+        # Tasks of jobs that have ended here but may still run, with their agent.
         self._lingering: dict[assignments.TaskKey, str] = {}
 
     def _retry_after_s(self, service: str) -> float:
--- a/src/burdockgate/process/store.py
+++ b/src/burdockgate/process/store.py
@@ -24,10 +24,12 @@
     """Records and where the topic ends.
 
     :param end: offset after the last record.
+    :param unreadable: number of records that could not be read.
     """
 
     records: tuple[KeyedRecord, ...]
     end: int
+    unreadable: int = 0
 
 
 class Store(abc.ABC):
--- a/src/burdockgate/process/supervisor.py
+++ b/src/burdockgate/process/supervisor.py
@@ -39,6 +39,8 @@
     first_token: int = 0
     is_synchronized: bool = False
     is_refusing: bool = False
+    # The last look had no lists for an answer.
+    is_look_failing: bool = False
 
 
 class Supervisor(abc.ABC):
@@ -323,9 +325,13 @@
         worker = self._worker
         if worker is None or order.worker != worker.told.worker:
             return
+        if isinstance(answer, control.Snapshot):
+            yield from self._snapshot(worker, order, answer)
+            return
+        if not worker.is_look_failing:
+            worker.is_look_failing = True
+            yield orders.Note("worker.lost", {"reason": _reason(answer)})
         match answer:
-            case control.Snapshot():
-                yield from self._snapshot(worker, order, answer)
             case control.Refused(control.Refusal.FENCED, clock_ms):
                 self._heard(clock_ms)
                 if order.token >= self._token:
@@ -351,6 +357,11 @@
             return
         self._heard(seen.clock_ms)
         worker.is_refusing = False
+        if worker.is_look_failing:
+            worker.is_look_failing = False
+            yield orders.Note("worker.regained", {"worker": worker.told.worker})
+        if seen.unreadable:
+            yield orders.Note("worker.unreadable", {"entries": seen.unreadable})
         ended = list(self._finish_listed(worker, seen))
         yield from ended
         yield from self._note_running(worker, seen)
@@ -473,3 +484,9 @@
                 yield from self._return_queued("worker stalled")
             for run in running:
                 yield from self._stop(run, "stalled")
+
+
+def _reason(answer: control.Refused | control.Unanswered) -> str:
+    if isinstance(answer, control.Refused):
+        return answer.reason.value
+    return "no answer"
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -363,7 +363,7 @@
     page = await client.newest("keyed.op")
     await client.close()
     assert [record.key for record in page.records] == ["a", "b"]
-    assert page.end == 4
+    assert (page.end, page.unreadable) == (4, 1)
     assert "after=a" in server.requests[1][1]
 
 
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -185,6 +185,17 @@
     assert end.kind is assignments.EndKind.LOST
 
 
+def test_lost_and_regained_worker_is_logged_once():
+    """One line for each change of a dependency, not one for each look."""
+    bench = Bench()
+    notes = []
+    for _ in range(3):
+        order = bench.gate.next_look()
+        notes += _of(orders.Note, bench.gate.looked(order, control.Unanswered()))
+    notes += _of(orders.Note, bench.look())
+    assert [note.event for note in notes] == ["worker.lost", "worker.regained"]
+
+
 def test_runs_of_an_earlier_agent_are_stopped_before_anything_starts():
     """A restarted agent does not know what they take."""
     bench = Bench()
