--- /dev/null
+++ b/tests/test_follower.py
@@ -0,0 +1,106 @@
+"""Guards how processes follow the store through outages and deletions."""
+
+import asyncio
+import io
+import random
+
+import pytest
+
+from burdockgate import clock, errors
+from burdockgate.process import events, follower, logs, members, store
+
+
+class ScriptedStore(store.Store):
+    """Gives the answers of a list; an exception is raised."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.calls = []
+
+    async def _answer(self, *call):
+        self.calls.append(call)
+        if not self.answers:
+            await asyncio.sleep(30)
+        answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    async def newest(self, topic):
+        return await self._answer("newest")
+
+    async def changes(self, topic, offset):
+        return await self._answer("changes", offset)
+
+    async def put(self, topic, key, value):
+        raise NotImplementedError
+
+    async def close(self):
+        pass
+
+
+def _page(end, *keys, unreadable=0):
+    records = tuple(store.KeyedRecord(key, b"v", 0) for key in keys)
+    return store.Page(records, end, unreadable)
+
+
+@pytest.fixture
+def follow(monkeypatch):
+    monkeypatch.setattr(follower, "RETRY_S", 0.001)
+    output = io.StringIO()
+    logs.configure(output, as_json=True)
+    log = events.Events("entry-1", clock.ManualClock())
+
+    async def run(client, count):
+        source = follower.Follower(client, "keyed.op", log, random.Random(1)).records()
+        return [(await anext(source)).key for _ in range(count)], output.getvalue()
+
+    return run
+
+
+async def test_newest_records_are_followed_by_their_changes(follow):
+    """A process that starts must not wait for a change to know the newest."""
+    client = ScriptedStore(_page(5, "config"), _page(6, "config"))
+    keys, _ = await follow(client, 2)
+    assert keys == ["config", "config"]
+    assert client.calls == [("newest",), ("changes", 5)]
+
+
+async def test_history_that_was_deleted_is_read_by_its_newest_keys(follow):
+    """The platform deletes records of the operator at any time."""
+    expired = errors.HistoryExpiredError("keyed.op from 5")
+    client = ScriptedStore(_page(5, "config"), expired, _page(9, "config"))
+    keys, lines = await follow(client, 2)
+    assert client.calls == [("newest",), ("changes", 5), ("newest",)]
+    assert "store.history_expired" in lines
+    assert keys == ["config", "config"]
+
+
+async def test_outage_is_logged_once_and_so_is_its_end(follow):
+    """One line for each lost or regained dependency."""
+    down = [errors.LogUnavailableError("status 503") for _ in range(4)]
+    client = ScriptedStore(*down, _page(5, "config"))
+    _, lines = await follow(client, 1)
+    assert lines.count("store.lost") == 1
+    assert lines.count("store.regained") == 1
+
+
+async def test_unreadable_records_are_counted_in_the_log(follow):
+    """Another writer's record is left out, but not without a word."""
+    client = ScriptedStore(_page(5, "config", unreadable=2))
+    _, lines = await follow(client, 1)
+    assert '"records": 2' in lines
+
+
+def test_addresses_of_members_leave_out_what_is_no_address():
+    """A dropped or foreign record must not stop an agent from finding the others."""
+    values = [
+        members.encode("10.0.0.1:7720"),
+        b"",
+        b"\xc1",
+        members.encode("no-port"),
+        b"\x93\x01\x02\x03",
+        members.encode("10.0.0.2:7720"),
+    ]
+    records = [store.KeyedRecord(str(at), value, at) for at, value in enumerate(values)]
+    assert list(members.addresses(records)) == ["10.0.0.1:7720", "10.0.0.2:7720"]
