Send members records only from the view that an agent has told

Cause: a page of the members stream that was sent to an agent before its first heartbeat had come began after the agent's empty view and passed for a gap. Ruled out: double first members, catch-up steps that wait for each other, lost connections. Change: pages go to agents that have told their view, from that view on. Figures: tests/test_entry.py failed before, passes now.

--- a/src/burdockgate/process/entry.py
+++ b/src/burdockgate/process/entry.py
@@ -87,6 +87,9 @@
         self._is_current = False
         self._peer_table_version_by_name: dict[str, int] = {}
         self._members = history.History()
+        # Up to which view each agent has been sent the records, once it has told its
+        # own in this session. A page that begins later would be a gap in its view.
+        self._view_number_by_worker: dict[str, int] = {}
         self._handler_by_class: dict[type, Callable[[str, Any], _Effects]] = {
             messages.Load: self._on_load,
             messages.Offer: self._on_offer,
@@ -209,6 +212,7 @@
         :param hello: its announcement.
         """
         name = hello.node.name
+        self._view_number_by_worker.pop(name, None)
         yield effects.Send(name, self._heartbeat())
         if hello.role is messages.Role.AGENT:
             self.workers.join(hello)
@@ -231,6 +235,7 @@
         self.jobs.agent_disconnected(name)
         self.jobs.peer_disconnected(name)
         self._peer_table_version_by_name.pop(name, None)
+        self._view_number_by_worker.pop(name, None)
         yield from ()
 
     def receive(self, name: str, message: messages.Message) -> _Effects:
@@ -287,6 +292,7 @@
         worker = self.workers.worker_by_name.get(name)
         if worker is not None:
             worker.table_version = message.table_version
+            self._view_number_by_worker[name] = self.view.number
         else:
             self._peer_table_version_by_name[name] = message.table_version
             if message.view_number <= self.view.number:
@@ -342,12 +348,20 @@
         if self.view.number == number:
             return
         self._counters.gauge("view.number", self.view.number)
-        pages = list(self._members.since(number, self.view))
-        for name in list(self.workers.worker_by_name):
-            for records in pages:
-                yield effects.Send(name, records)
+        yield from self._send_members()
         yield from self._dial_entries()
 
+    def _send_members(self) -> _Effects:
+        """Hand on the new records to the agents whose view is known."""
+        # Most agents were sent the same records, so that pages are made once.
+        pages_by_number: dict[int, list[messages.Records]] = {}
+        for name, number in self._view_number_by_worker.items():
+            if number not in pages_by_number:
+                pages_by_number[number] = list(self._members.since(number, self.view))
+            for records in pages_by_number[number]:
+                yield effects.Send(name, records)
+            self._view_number_by_worker[name] = self.view.number
+
     # Time
 
     def tick(self) -> _Effects:
--- /dev/null
+++ b/tests/test_entry.py
@@ -0,0 +1,89 @@
+"""Guards the pages of the members stream that an entry host hands on."""
+
+import random
+
+import builders
+import configs
+from burdockgate import clock, effects, messages, settings
+from burdockgate.process import agent, entry, metrics
+from burdockgate.version import view as views
+
+
+def make_entry(time):
+    return entry.EntryCore(
+        builders.node("entry-1"),
+        configs.entry_settings("entry-1", 0),
+        time,
+        random.Random(1),
+        metrics.Metrics(settings.StatsdSettings()),
+    )
+
+
+def make_agent(time):
+    return agent.AgentCore(
+        builders.node("agent-1"),
+        configs.agent_settings("agent-1", 0, slots=2),
+        time,
+        metrics.Metrics(settings.StatsdSettings()),
+    )
+
+
+def page(first, *values):
+    records = tuple(
+        messages.LogRecord(first + index, f"id-{first + index}", value)
+        for index, value in enumerate(values)
+    )
+    return messages.Records(views.STREAM, first, first + len(values), records)
+
+
+def to_agent(wanted):
+    return [
+        effect.message
+        for effect in wanted
+        if isinstance(effect, effects.Send) and effect.to == "agent-1"
+    ]
+
+
+def entry_hello():
+    return builders.hello("entry-1", role=messages.Role.ENTRY)
+
+
+def test_record_between_connection_and_first_heartbeat_leaves_no_gap():
+    """A page after the start of the stream passed for a gap, which only a snapshot
+    closes; the agent then voted on no claim, and no job started for hours.
+    """
+    time = clock.ManualClock(100.0)
+    host, member = make_entry(time), make_agent(time)
+    list(host.follow(page(0, views.entry_record(host.node), builders.voter("a2"))))
+    pages = to_agent(host.connected(builders.hello("agent-1")))
+    # The agent's heartbeat is still under way.
+    pages += to_agent(host.follow(page(2, builders.voter("agent-1"))))
+    list(member.connected(entry_hello()))
+    pages += to_agent(host.receive("agent-1", messages.Heartbeat(0, 0)))
+    for message in pages:
+        if isinstance(message, messages.Records):
+            list(member.receive("entry-1", message))
+    view = member.claims.catchup.view
+    assert view.is_complete
+    assert view.number == 3
+    assert set(view.voter_by_name) == {"a2", "agent-1"}
+
+
+def test_agent_that_missed_pages_gets_them_before_newer_ones():
+    """An agent that returns with an old view must not be sent the newest page alone."""
+    time = clock.ManualClock(100.0)
+    host, member = make_entry(time), make_agent(time)
+    list(member.connected(entry_hello()))
+    first = page(0, builders.voter("a2"))
+    list(host.follow(first))
+    list(member.receive("entry-1", first))
+    list(host.follow(page(1, builders.voter("a3"))))
+    pages = to_agent(host.connected(builders.hello("agent-1")))
+    pages += to_agent(host.receive("agent-1", messages.Heartbeat(0, 1)))
+    pages += to_agent(host.follow(page(2, builders.voter("agent-1"))))
+    for message in pages:
+        if isinstance(message, messages.Records):
+            list(member.receive("entry-1", message))
+    view = member.claims.catchup.view
+    assert view.is_complete
+    assert set(view.voter_by_name) == {"a2", "a3", "agent-1"}
