Repeat the settlement of a job to a draining agent that missed it

Cause: an owner settles a job once. Where the connection was broken just then, a planned stop of the agent waited for its whole timeout of 60 s (seen once, agent-3 in test_fault_of_the_log_under_load[paused], beside load). Ruled out: a task that still ran (all slots were free), a paused log. Change: a draining agent repeats the results of ended tasks every second; the owner of an ended job answers a draining agent with the settlement.

--- a/src/burdockgate/process/agent.py
+++ b/src/burdockgate/process/agent.py
@@ -14,6 +14,9 @@
 from burdockgate.version import view as views
 
 EXPIRY_INTERVAL_S = 1.0
+# A planned stop waits for every job to be settled; a settlement that a broken
+# connection lost must not hold it up for the whole timeout.
+SETTLEMENT_INTERVAL_S = 1.0
 _FAILED = (messages.TaskState.FAILED, messages.TaskState.UNKNOWN)
 RECORDS_PER_SYNC_REPLY = 500
 REPORT_BYTES_PER_MESSAGE = 2 * 1024 * 1024
@@ -68,7 +71,7 @@
         self._failed_row = 0
         self._failed_job = b""
         self._session_by_name: dict[str, _Session] = {}
-        self._expired_at = time.now()
+        self._expired_at = self._asked_at = time.now()
         self._handler_by_class: dict[type, Callable[[str, Any], _Effects]] = {
             messages.Start: self._on_start,
             messages.Fence: self._on_fence,
@@ -141,6 +144,15 @@
             self.claims.expire()
             self._records.expire()
             self._counters.gauge("records.kept", len(self._records.by_job))
+        if self.draining and now - self._asked_at >= SETTLEMENT_INTERVAL_S:
+            self._asked_at = now
+            yield from self._ask_settlements()
+
+    def _ask_settlements(self) -> _Effects:
+        """Repeat the results of ended tasks, so that their owners settle the jobs."""
+        for job in self._records.by_job.values():
+            if not job.settled and not job.running():
+                yield from self._send_results(job, list(job.reports()))
 
     def beat(self) -> _Effects:
         """Send the heartbeats; call once in each heartbeat interval.
@@ -178,7 +190,7 @@
 
         :param active: whether to drain.
         """
-        self.draining = active
+        self.draining, self._asked_at = active, self._time.now()
         yield from self._set_open(not active)
 
     def set_backend_up(self, is_up: bool) -> _Effects:
--- a/src/burdockgate/process/ownership.py
+++ b/src/burdockgate/process/ownership.py
@@ -165,10 +165,25 @@
         held = self._find(message.job)
         if held is None or held.leader is None:
             self._counters.count("results.dropped", len(message.reports))
+            yield from self._settle_again(name, message.job)
             return
         yield from held.leader.results(name, message)
         yield from self._after(held)
 
+    def _settle_again(self, name: str, job_id: bytes) -> _Effects:
+        """Repeat the settlement of an ended job to an agent that waits for it.
+
+        Only an agent that drains asks; results that come late from others need none.
+        """
+        worker = self._workers.worker_by_name.get(name)
+        kept = self._answers.get(job_id)
+        if kept is not None and worker is not None and worker.draining:
+            ended = kept.outcome
+            yield effects.Send(
+                name,
+                messages.Settle(job_id, kept.epoch, ended.attempt, int(ended.code)),
+            )
+
     def fence_reply(self, name: str, message: messages.FenceReply) -> _Effects:
         """Handle an agent's list of what it knows of a job.
 
--- a/tests/test_session_faults.py
+++ b/tests/test_session_faults.py
@@ -287,3 +287,25 @@
     session.cuts.clear()
     session.run(1.0)
     assert "entry-2" in session.core("entry-1").jobs.peer_by_name
+
+
+def test_lost_settlement_holds_up_no_planned_stop():
+    """A settlement sent while the connection was broken never came, and the agent's
+    planned stop waited for its whole timeout of 60 s.
+    """
+    session = sessions.Session()
+
+    def lose_settlements(_sender, to, message, delays):
+        is_lost = to == "agent-1" and isinstance(message, messages.Settle)
+        return [] if is_lost else delays
+
+    session.filters.append(lose_settlements)
+    request = sessions.make_request("k1", [20] * 6)
+    ticket = session.submit("entry-1", request)
+    session.run(1.0)
+    assert session.answer(ticket).code is codes.Code.COMPLETE
+    assert not session.core("agent-1").is_idle
+    session.filters.remove(lose_settlements)
+    session.drain("agent-1")
+    session.run(2.0)
+    assert session.core("agent-1").is_idle
