Report each change of load to the four nearest entry hosts, and only what matters

Cause: an agent sent each change of its worker's load to every entry host, and each answered with a renewal. Ruled out: the codec (2 us a field), the ticks. Change: the four nearest entry hosts (own zone first, then a hash) hear of each change of their share, state or assignments; others every 0.2 s and at each change of state. Renewals are sent at most every 0.05 s. Tasks that find a worker full are returned at once, and their owner hears of the load. Entry hosts tell their demand to the agents that hold them near.

--- a/src/burdockgate/assignments.py
+++ b/src/burdockgate/assignments.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-PROTOCOL = 1
+PROTOCOL = 2
 
 
 class WorkerState(enum.IntEnum):
@@ -123,6 +123,8 @@
     :param used_cpu: thousandths of a core of all runs that are not known to have ended.
     :param queued_cpu: thousandths of a core of runs that wait at the agent.
     :param speed: speed against the estimates, in thousandths.
+    :param is_near: whether the receiver is one of the entry hosts that hear of every
+        change at once and share out the freed room. Others hear at regular times.
     """
 
     sent_at_us: int
@@ -134,6 +136,7 @@
     used_gpu: int
     queued_cpu: int
     speed: int
+    is_near: bool
 
 
 @attrs.frozen
--- a/src/burdockgate/process/agentside.py
+++ b/src/burdockgate/process/agentside.py
@@ -19,6 +19,7 @@
     links,
     members,
     orders,
+    owners,
     running,
     store,
 )
@@ -235,7 +236,10 @@
         )
         self._info_sent.pop(hello.name, None)
         self.events.note("owner.linked", {"owner": hello.name, "held": len(held)})
-        self._perform(self.gate.linked(hello.name, hello.boot))
+        distance = owners.distance(
+            self._settings.name, self._settings.zone, hello.name, hello.zone
+        )
+        self._perform(self.gate.linked(hello.name, hello.boot, distance))
         if self._configuration is not None:
             link.send(self._configuration)
         self._report()
@@ -272,17 +276,26 @@
     def _schedule_report(self) -> None:
         if not self._is_report_due:
             self._is_report_due = True
-            asyncio.get_running_loop().call_later(REPORT_DELAY_S, self._report)
+            asyncio.get_running_loop().call_later(REPORT_DELAY_S, self._report_change)
 
-    def _report(self) -> None:
-        """Send the load to every entry host, after changed facts of the worker."""
+    def _report_change(self) -> None:
         self._is_report_due = False
-        info, loads = self.gate.worker_info(), self.gate.loads()
-        for owner, link in self._link_by_owner.items():
+        self._report(is_periodic=False)
+
+    def _report(self, is_periodic: bool = True) -> None:
+        """Send the load to the entry hosts, after changed facts of the worker.
+
+        :param is_periodic: whether every entry host gets it.
+        """
+        info, loads = self.gate.worker_info(), self.gate.loads(is_periodic)
+        for owner, load in loads.items():
+            link = self._link_by_owner.get(owner)
+            if link is None:
+                continue
             if info is not None and self._info_sent.get(owner) != info:
                 self._info_sent[owner] = info
                 link.send(info)
-            link.send(loads[owner])
+            link.send(load)
 
     async def _run_timers(self) -> None:
         report_at = 0.0
--- a/src/burdockgate/process/fleet.py
+++ b/src/burdockgate/process/fleet.py
@@ -22,6 +22,7 @@
 
     :param boot: random number of the life of the agent's process.
     :param renewed_at: when the session lease was last renewed.
+    :param renewal_due_at: from when the next report renews it again.
     :param assigned_number: number of the last assignment sent on this connection.
     :param unconfirmed: runs that the agent did not name after its connection broke.
     :param is_recovering: whether runs of an earlier life of the agent may go on.
@@ -32,6 +33,7 @@
     zone: str
     is_linked: bool = True
     renewed_at: float = 0.0
+    renewal_due_at: float = 0.0
     assigned_number: int = 0
     ends_through: int = 0
     is_recovering: bool = False
@@ -39,13 +41,18 @@
     info: assignments.WorkerInfo | None = None
     load: assignments.LoadReport | None = None
     load_at: float = 0.0
+    # Number, processors, memory and accelerators of the assignments that no report
+    # includes yet, and the sums of the last three.
     _unseen: list[tuple[int, int, int, int]] = attrs.field(factory=list)
+    _under_way: tuple[int, int, int] = (0, 0, 0)
 
     def relink(self) -> None:
         """Begin a new connection."""
         self.is_linked = True
+        self.renewal_due_at = 0.0
         self.assigned_number = 0
         self._unseen.clear()
+        self._under_way = (0, 0, 0)
         self.load = None
 
     def reported(self, load: assignments.LoadReport, now: float) -> None:
@@ -58,24 +65,26 @@
         self._unseen = [
             entry for entry in self._unseen if entry[0] > load.assigned_through
         ]
+        self._under_way = (
+            sum(entry[1] for entry in self._unseen),
+            sum(entry[2] for entry in self._unseen),
+            sum(entry[3] for entry in self._unseen),
+        )
 
-    def assign(self, count: int, step: batch.Step) -> int:
-        """Count runs that are about to be assigned.
+    def assign(self, step: batch.Step) -> None:
+        """Count a run that is about to be assigned.
 
-        :param count: number of tasks.
-        :param step: their step.
-        :returns: number of the assignment.
+        :param step: step of its task.
         """
         self.assigned_number += 1
-        self._unseen.append(
-            (
-                self.assigned_number,
-                count * step.cpu,
-                count * step.memory_mb,
-                count * step.gpu,
-            )
-        )
-        return self.assigned_number
+        cpu, memory_mb, gpu = self._under_way
+        self._under_way = (cpu + step.cpu, memory_mb + step.memory_mb, gpu + step.gpu)
+        self._unseen.append((self.assigned_number, step.cpu, step.memory_mb, step.gpu))
+
+    @property
+    def is_near(self) -> bool:
+        """Whether the agent reports every change, and shares out room by demand."""
+        return self.load is not None and self.load.is_near
 
     def is_fresh(self, now: float) -> bool:
         """Return whether the agent has reported lately.
@@ -102,35 +111,36 @@
         """Speed against the estimates; 1 where they are right."""
         return max(self.load.speed / 1000, 0.05) if self.load else 1.0
 
+    def has_label(self, label: str) -> bool:
+        """Return whether the worker has a label.
+
+        :param label: name of a kind of worker or of a rack.
+        """
+        return self.info is not None and label in self.info.labels
+
     def committed_cpu(self) -> int:
         """Return what is in use, waits there or is under way, in 1/1000 core."""
         if self.load is None:
             return 0
-        under_way = sum(entry[1] for entry in self._unseen)
-        return self.load.used_cpu + self.load.queued_cpu + under_way
+        return self.load.used_cpu + self.load.queued_cpu + self._under_way[0]
 
-    def excess_cpu(self, step: batch.Step) -> int | None:
-        """Return how far one more task exceeds the free processor time.
+    def has_room(self, step: batch.Step) -> bool:
+        """Return whether one more task fits beside what is in use or under way.
 
         :param step: step of the task.
-        :returns: thousandths of a core, negative where it fits; ``None`` when the
-            task doesn't fit the worker at all or for want of memory.
         """
         info, load = self.info, self.load
         if info is None or load is None:
-            return None
-        memory_mb = load.used_memory_mb + sum(entry[2] for entry in self._unseen)
-        gpu = load.used_gpu + sum(entry[3] for entry in self._unseen)
-        if (
-            step.cpu > info.cpu
-            or memory_mb + step.memory_mb > info.memory_mb
-            or gpu + step.gpu > info.gpu
-        ):
-            return None
-        if load.state is assignments.WorkerState.PROBATION and self.committed_cpu():
-            return None
-        under_way = sum(entry[1] for entry in self._unseen)
-        return under_way + step.cpu - load.free_cpu
+            return False
+        cpu, memory_mb, gpu = self._under_way
+        if step.cpu > load.free_cpu - cpu:
+            return False
+        if load.used_memory_mb + memory_mb + step.memory_mb > info.memory_mb:
+            return False
+        if load.used_gpu + gpu + step.gpu > info.gpu:
+            return False
+        is_on_trial = load.state is assignments.WorkerState.PROBATION
+        return not (is_on_trial and self.committed_cpu())
 
 
 @attrs.define
--- a/src/burdockgate/process/gate.py
+++ b/src/burdockgate/process/gate.py
@@ -11,6 +11,10 @@
 from burdockgate import assignments, clock
 from burdockgate.process import orders, owners, runs, supervisor
 
+# Above this share of free room it makes no difference to an entry host how much is
+# free: a task fits, and it can't fill the rest before the next regular report.
+AMPLE_SHARE = 0.5
+
 
 class Gate(supervisor.Supervisor):
     """The agent's decisions; all methods but queries are generators of effects.
@@ -23,32 +27,45 @@
         super().__init__(settings, time)
         self.session_by_owner: dict[str, owners.OwnerSession] = {}
 
-    def loads(self) -> dict[str, assignments.LoadReport]:
-        """Return the load of the worker for each entry host, by name."""
-        now, used = self._time.now(), self._runs.used()
+    def loads(self, is_periodic: bool = True) -> dict[str, assignments.LoadReport]:
+        """Return the load of the worker by the name of the entry host to tell.
+
+        :param is_periodic: whether all are told, or only those to which the change
+            since the last report matters.
+        """
+        now, state = self._time.now(), self.worker_state()
+        sessions = self.session_by_owner.values()
+        near = owners.nearest(sessions, self._settings.near_owners)
+        used = self._runs.used()
         queued_cpu = sum(run.cpu for run in self._runs.queued())
         capacity = self._worker.told.cpu if self._worker else 0
-        share_by_owner = owners.share_out(
-            max(0, capacity - used.cpu - queued_cpu),
-            self.session_by_owner.values(),
-            now,
-        )
-        state = self.worker_state()
+        free_cpu = max(0, capacity - used.cpu - queued_cpu)
+        share_by_owner = owners.share_out(free_cpu, sessions, now)
         speed = int(self._vitals.current_speed(now) * 1000)
-        return {
-            name: assignments.LoadReport(
+        loads = {}
+        for name, session in self.session_by_owner.items():
+            share = share_by_owner[name]
+            news = owners.Told(
+                session.assigned_through if name in near else 0,
+                state,
+                min(share, int(AMPLE_SHARE * capacity)) if name in near else 0,
+            )
+            if not (is_periodic or session.is_outdated or news != session.told):
+                continue
+            session.told, session.is_outdated = news, False
+            loads[name] = assignments.LoadReport(
                 int(now * 1_000_000),
                 session.assigned_through,
                 state,
-                share_by_owner[name],
+                share,
                 used.cpu,
                 used.memory_mb,
                 used.gpu,
                 queued_cpu,
                 speed,
+                name in near,
             )
-            for name, session in self.session_by_owner.items()
-        }
+        return loads
 
     def demanded(self, owner: str, message: assignments.Demand) -> None:
         """Note what waits at an entry host.
@@ -69,11 +86,14 @@
             return 0, ()
         return session.boot, tuple(run.key for run in self._runs.of_owner(owner))
 
-    def linked(self, owner: str, boot: int) -> Iterator[orders.Effect]:
+    def linked(
+        self, owner: str, boot: int, distance: tuple[bool, int] = (False, 0)
+    ) -> Iterator[orders.Effect]:
         """Handle a new connection to an entry host.
 
         :param owner: name of the entry host.
         :param boot: number of the life of its process.
+        :param distance: how far it is, as :func:`owners.distance` gives it.
         """
         session = self.session_by_owner.get(owner)
         if session is not None and session.boot == boot:
@@ -85,7 +105,7 @@
         if session is not None:
             yield orders.Note("owner.restarted", {"owner": owner, "boot": boot})
             yield from self._abandon(owner, "owner restarted")
-        self.session_by_owner[owner] = owners.OwnerSession(owner, boot)
+        self.session_by_owner[owner] = owners.OwnerSession(owner, boot, distance)
 
     def unlinked(self, owner: str) -> Iterator[orders.Effect]:
         """Handle the loss of the connection to an entry host.
@@ -141,9 +161,30 @@
                 now + message.start_by_ms / 1000,
                 message.estimate_ms / 1000,
                 now,
+                message.number,
             )
             yield from self._queue(run, session, now)
         yield from self._fill()
+        yield from self._return_excess(session, message.number)
+
+    def _return_excess(
+        self, session: owners.OwnerSession, number: int
+    ) -> Iterator[orders.Effect]:
+        """Return what an assignment holds beyond the room.
+
+        Owners that assigned at the same time, or by an older report, find another
+        worker sooner than room here.
+
+        :param session: the owner.
+        :param number: number of the assignment.
+        """
+        if self._worker is not None and self._worker.foreign:
+            # All of the room is free once the worker has ended them.
+            return
+        for run in list(self._runs.queued()):
+            if run.owner == session.name and run.assignment == number:
+                session.is_outdated = True
+                yield from self._return(run, "no room")
 
     def _queue(
         self, run: runs.Run, session: owners.OwnerSession, now: float
--- a/src/burdockgate/process/orders.py
+++ b/src/burdockgate/process/orders.py
@@ -21,6 +21,9 @@
     :param silence_s: time without an answer after which the worker counts as
         unreachable; several times the interval of the looks.
     :param look_wait_s: how long the worker may hold back the answer to a look.
+    :param near_owners: how many entry hosts hear of every change of the load at once
+        and share out freed room. With ten of them, reports of every change to all took
+        more processor time than the jobs did; the others hear of it every 0.2 s.
     """
 
     worker_lease_s: float = 1.0
@@ -29,6 +32,7 @@
     stop_repeat_s: float = 0.2
     silence_s: float = 0.45
     look_wait_s: float = 0.15
+    near_owners: int = 4
 
 
 @attrs.frozen
--- a/src/burdockgate/process/owners.py
+++ b/src/burdockgate/process/owners.py
@@ -5,15 +5,34 @@
 from collections.abc import Iterable
 
 import attrs
+import xxhash
 
 from burdockgate import assignments
 
+# Entry hosts tell their demand at least with every change and every 0.2 s; one that
+# stopped doing so must not keep the room from others.
+DEMAND_VALID_S = 0.5
+
+
+@attrs.frozen
+class Told:
+    """What an owner was last told and has to hear of at once when it changes.
+
+    :param assigned_through: as in the report; 0 for an owner that is not near.
+    :param free_cpu: free room up to what is ample; 0 for an owner that is not near.
+    """
+
+    assigned_through: int
+    state: assignments.WorkerState
+    free_cpu: int
+
 
 @attrs.define
 class OwnerSession:
     """One entry host; times in seconds of the agent's clock.
 
     :param boot: random number of the life of the entry host's process.
+    :param distance: order of the owners from this agent, as :func:`distance` gives it.
     :param is_linked: whether there is a connection.
     :param leased_until: runs of this owner may start until then, and go on until then
         when the connection is gone. Counted from the sending of the report that the
@@ -21,19 +40,32 @@
     :param assigned_through: number of the last assignment received.
     :param demand: what waits at the owner.
     :param served_at: when the last run of this owner was started.
+    :param is_outdated: whether it acted on a load that has changed.
+    :param told: what matters of the last report.
     """
 
     name: str
     boot: int
+    distance: tuple[bool, int] = (False, 0)
     is_linked: bool = True
     leased_until: float = 0.0
     assigned_through: int = 0
     demand: assignments.Demand = assignments.Demand(0, 0)
     demanded_at: float = 0.0
     served_at: float = 0.0
+    is_outdated: bool = False
+    told: Told | None = None
     _number: int = 0
     _end_by_number: dict[int, assignments.TaskEnd] = attrs.field(factory=dict)
 
+    def has_demand(self, now: float) -> bool:
+        """Return whether tasks wait at the owner for want of room.
+
+        :param now: the time.
+        """
+        is_valid = now - self.demanded_at < DEMAND_VALID_S
+        return self.is_linked and is_valid and self.demand.waiting_cpu > 0
+
     def ended(
         self,
         key: assignments.RunKey,
@@ -68,11 +100,6 @@
         return list(self._end_by_number.values())
 
 
-# Entry hosts tell their demand at least with every change and every 0.2 s; one that
-# stopped doing so must not keep the room from others.
-DEMAND_VALID_S = 0.5
-
-
 def share_out(
     free_cpu: int, sessions: Iterable[OwnerSession], now: float
 ) -> dict[str, int]:
@@ -88,13 +115,7 @@
     """
     sessions = list(sessions)
     demanding = sorted(
-        (
-            session
-            for session in sessions
-            if session.is_linked
-            and session.demand.waiting_cpu
-            and now - session.demanded_at < DEMAND_VALID_S
-        ),
+        (session for session in sessions if session.has_demand(now)),
         key=lambda session: (session.demand.rank, session.served_at, session.name),
     )
     share_by_owner: dict[str, int] = {}
@@ -105,3 +126,30 @@
     for session in sessions:
         share_by_owner[session.name] = share_by_owner.get(session.name, 0) + free_cpu
     return share_by_owner
+
+
+def distance(
+    agent: str, agent_zone: str, owner: str, owner_zone: str
+) -> tuple[bool, int]:
+    """Return how far an owner is from an agent: its zone, then a hash of both names.
+
+    The hash spreads the agents of a zone without entry hosts over all entry hosts.
+
+    :param agent: name of the agent.
+    :param agent_zone: its zone.
+    :param owner: name of the entry host.
+    :param owner_zone: its zone.
+    """
+    pair = f"{agent}\0{owner}".encode()
+    return owner_zone != agent_zone, xxhash.xxh3_64_intdigest(pair)
+
+
+def nearest(sessions: Iterable[OwnerSession], count: int) -> set[str]:
+    """Return the names of the owners that hear of every change of the load.
+
+    :param sessions: the owners.
+    :param count: how many there are at most.
+    """
+    linked = [session for session in sessions if session.is_linked]
+    linked.sort(key=lambda session: session.distance)
+    return {session.name for session in linked[:count]}
--- a/src/burdockgate/process/placing.py
+++ b/src/burdockgate/process/placing.py
@@ -156,13 +156,16 @@
         # The smallest task that found no room, by service: larger ones find none.
         full_by_service: dict[str, int] = {}
         chosen: dict[tuple[str, int, str], list[batch.Task]] = {}
+        views_by_service: dict[str, list[fleet.WorkerView]] = {}
         for job in waiting:
             service = job.submission.service
+            if service not in views_by_service:
+                views_by_service[service] = list(self.fleet.serving(service, now))
             for task in self._assignable(job, now):
                 if task.step.cpu >= full_by_service.get(service, 1 << 60):
                     continue
                 examined += 1
-                view = self._choose(job, task, now)
+                view = self._choose(job, task, views_by_service[service], now)
                 if view is not None:
                     self._place(job, task, view, now)
                     group = (task.key.job, task.key.step, view.agent)
@@ -195,7 +198,7 @@
         if (cpu or changed) and now - self._demanded_at >= due_s:
             self._demand, self._demanded_at = demand, now
             for view in self.fleet.by_agent.values():
-                if view.is_fresh(now):
+                if view.is_near and view.is_fresh(now):
                     yield Send(view.agent, demand)
 
     def _assignable(self, job: batch.Job, now: float) -> Iterator[batch.Task]:
@@ -208,10 +211,12 @@
         )
 
     def _choose(
-        self, job: batch.Job, task: batch.Task, now: float
+        self,
+        job: batch.Job,
+        task: batch.Task,
+        views: Iterable[fleet.WorkerView],
+        now: float,
     ) -> fleet.WorkerView | None:
-        service = job.submission.service
-        views: Iterable[fleet.WorkerView] = self.fleet.serving(service, now)
         limit = task.step.max_per_worker
         if limit:
             counts = collections.Counter(
@@ -231,7 +236,7 @@
         job.is_offered = True
         self._throughput.add(task.step.cpu / 1000 * task.step.estimate_s)
         # Each task is counted by itself; the message carries the last number.
-        view.assign(1, task.step)
+        view.assign(task.step)
 
     def _send(
         self, job: batch.Job, agent: str, tasks: list[batch.Task], now: float
--- a/src/burdockgate/process/runs.py
+++ b/src/burdockgate/process/runs.py
@@ -26,6 +26,7 @@
     """A run that an entry host has assigned; times in seconds of the agent's clock.
 
     :param owner: name of the entry host.
+    :param assignment: number of the message that assigned it.
     :param start_by: latest start that is on time.
     :param token: fencing token of the last start order.
     :param stop_since: since when it must not start or must stop.
@@ -43,6 +44,7 @@
     start_by: float
     estimate_s: float
     queued_at: float
+    assignment: int = 0
     state: RunState = RunState.QUEUED
     token: int = 0
     stop_since: float | None = None
--- a/src/burdockgate/process/scheduler.py
+++ b/src/burdockgate/process/scheduler.py
@@ -19,6 +19,8 @@
 # A job is rejected only when half of the work ahead of it would already take too long:
 # estimates are 40% off, and the rate of a moment is not that of the next.
 HOPELESS_SHARE = 0.5
+# Reports of changes come more often than the lease of 0.7 s needs to be renewed.
+RENEWAL_INTERVAL_S = 0.05
 # Latency and late timers, beside the limits that the agent keeps.
 AGENT_GONE_MARGIN_S = 0.2
 
@@ -233,10 +235,11 @@
             # The new life of the agent has seen the worker without foreign runs.
             view.is_recovering = False
             yield from self._lose_all(agent, "agent restarted")
-        view.renewed_at = now
-        yield placing.Send(
-            agent, assignments.Renewal(load.sent_at_us, view.ends_through)
-        )
+        if now >= view.renewal_due_at:
+            view.renewed_at, view.renewal_due_at = now, now + RENEWAL_INTERVAL_S
+            yield placing.Send(
+                agent, assignments.Renewal(load.sent_at_us, view.ends_through)
+            )
         yield from self._assign_soon()
 
     def ended(self, agent: str, end: assignments.TaskEnd) -> Iterator[placing.Effect]:
--- a/src/burdockgate/process/selection.py
+++ b/src/burdockgate/process/selection.py
@@ -14,6 +14,9 @@
 # Bounds of the parts of a rank.
 MAX_PRIORITY = 1000
 MAX_LENGTH_MS = 10_000_000
+# How much longer a task takes away from the rack of its data; the users' platforms
+# state 1.5 and 3.
+REMOTE_FACTOR = 1.5
 
 
 class Ordering(abc.ABC):
@@ -87,18 +90,11 @@
 class SelectionSettings:
     """Weights of the choice of a worker.
 
-    :param queue_share: share of a worker's processors that may wait at its agent.
-        What waits there can't be overtaken by more urgent jobs of this entry host,
-        which costs more than the round trip of 2 ms that it saves.
-    :param full_s: what a wait at a worker costs at least, in seconds. It exceeds what
-        a fast worker gains over a slow one with free room.
     :param other_zone_s: what a run in another zone costs, in seconds; twice the
         latency between zones and the price of the bytes.
     :param spread_s: random part, so that entry hosts with the same view differ.
     """
 
-    queue_share: float = 0.0
-    full_s: float = 1.0
     other_zone_s: float = 0.004
     spread_s: float = 0.002
 
@@ -124,32 +120,27 @@
         """Return the best worker, or ``None`` when none has room.
 
         :param task: the task.
-        :param views: workers of its service.
+        :param views: workers of its service that may be given tasks.
         :param now: the time in seconds.
         """
         rated = (
-            (rating, view.agent, view)
+            (self._rate(task.step, view), view.agent, view)
             for view in views
-            if (rating := self._rate(task, view, now)) is not None
+            if view.has_room(task.step) and _may_have(task, view, now)
         )
         best = min(rated, default=None)
         return best[2] if best else None
 
-    def _rate(
-        self, task: batch.Task, view: fleet.WorkerView, now: float
-    ) -> float | None:
-        step, info = task.step, view.info
-        if info is None or (step.label and step.label not in info.labels):
-            return None
-        excess = view.excess_cpu(step)
-        if excess is None or excess > self._settings.queue_share * info.cpu:
-            return None
-        if task.avoided_until_by_agent.get(view.agent, 0.0) > now:
-            return None
+    def _rate(self, step: batch.Step, view: fleet.WorkerView) -> float:
         run_s = step.estimate_s / view.speed
-        wait_s = self._settings.full_s + excess / info.cpu if excess > 0 else 0.0
         far_s = 0.0 if view.zone == self._zone else self._settings.other_zone_s
-        if step.data_rack and step.data_rack not in info.labels:
-            run_s *= 1.5
+        if step.data_rack and not view.has_label(step.data_rack):
+            run_s *= REMOTE_FACTOR
         spread_s: float = self._rng.random() * self._settings.spread_s
-        return run_s + wait_s + far_s + spread_s
+        return run_s + far_s + spread_s
+
+
+def _may_have(task: batch.Task, view: fleet.WorkerView, now: float) -> bool:
+    if task.step.label and not view.has_label(task.step.label):
+        return False
+    return task.avoided_until_by_agent.get(view.agent, 0.0) <= now
--- a/src/burdockgate/standin/batches.py
+++ b/src/burdockgate/standin/batches.py
@@ -6,11 +6,12 @@
 
 from __future__ import annotations
 
+import collections
 import random
 from collections.abc import Callable
 
 from burdockgate import assignments
-from burdockgate.process import selection
+from burdockgate.process import orders, owners, selection
 from burdockgate.request import batch
 from burdockgate.standin import leased, nodes, virtual
 
@@ -27,10 +28,12 @@
 
     :param seed: seed of everything random.
     :param kinds: kinds of jobs.
-    :param entries: number of entry hosts, one in each zone.
+    :param entries: number of entry hosts, spread over the zones.
     :param workers: number of workers, spread over the zones.
+    :param zones: number of zones; 0 for one for each entry host.
     :param ordering: order of waiting jobs.
     :param chosen: weights of the choice of a worker.
+    :param limits: what the agents keep to.
     """
 
     def __init__(
@@ -39,14 +42,19 @@
         kinds: tuple[nodes.Kind, ...],
         entries: int = 4,
         workers: int = 11,
+        zones: int = 0,
         ordering: selection.Ordering | None = None,
         chosen: selection.SelectionSettings | None = None,
+        limits: orders.GateSettings | None = None,
     ) -> None:
+        zones = zones or entries
         self.rng = random.Random(seed)
         self.time = virtual.VirtualTime()
         self.kinds = kinds
         self.ordering = ordering or selection.ShortestFirst()
         self.selection = chosen or selection.SelectionSettings()
+        self.limits = limits or orders.GateSettings()
+        self.messages: collections.Counter[type] = collections.Counter()
         self.tickets = iter(range(1, 1 << 60))
         self.work_by_task: dict[assignments.TaskKey, tuple[float, int]] = {}
         self.orders: list[nodes.Order] = []
@@ -58,7 +66,7 @@
         self._held_up: dict[tuple[str, str], list[Callable[[], None]]] = {}
         self.entry_by_name = {
             f"entry-{number}": nodes.ModelEntry(
-                self, f"entry-{number}", f"zone-{number}"
+                self, f"entry-{number}", f"zone-{number % zones}"
             )
             for number in range(entries)
         }
@@ -69,7 +77,7 @@
             worker = leased.LeasedWorker(
                 f"worker-{number}", cpu, speed, self.time, self.rng, self._work_of
             )
-            zone = f"zone-{number % entries}"
+            zone = f"zone-{number % zones}"
             name = f"agent-{number}"
             self.agent_by_name[name] = nodes.ModelAgent(self, name, zone, worker)
         self._watch()
@@ -134,7 +142,8 @@
             lambda: entry.perform(entry.scheduler.linked(hello, entry_boot)),
         )
         agent.info_sent = {sent for sent in agent.info_sent if sent[0] != entry.name}
-        agent.perform(agent.gate.linked(entry.name, entry_boot))
+        distance = owners.distance(agent.name, agent.zone, entry.name, entry.zone)
+        agent.perform(agent.gate.linked(entry.name, entry_boot, distance))
         agent.report()
 
     def break_links(self, agent: str = "", entry: str = "") -> None:
@@ -216,6 +225,7 @@
         link = self._linked.get(pair)
         if link is None:
             return
+        self.messages[type(message)] += 1
         node = self.entry_by_name[entry]
 
         def handle() -> None:
@@ -242,6 +252,7 @@
         link = self._linked.get(pair)
         if link is None:
             return
+        self.messages[type(message)] += 1
         node = self.agent_by_name[agent]
 
         def handle() -> None:
@@ -256,7 +267,7 @@
                     node.perform(node.gate.revoked(message))
                 case assignments.Demand():
                     node.gate.demanded(entry, message)
-                    self.soon(node, node.report)
+                    self.soon(node, node.report_change)
 
         self._deliver(pair, link, node, handle)
 
--- a/src/burdockgate/standin/nodes.py
+++ b/src/burdockgate/standin/nodes.py
@@ -136,7 +136,7 @@
 
     def _begin(self) -> None:
         self.boot = self.model.rng.getrandbits(60)
-        self.gate = gate.Gate(orders.GateSettings(), self.model.time)
+        self.gate = gate.Gate(self.model.limits, self.model.time)
         self.info_sent: set[tuple[str, assignments.WorkerInfo]] = set()
         life = self.life
         self._every(TICK_S, lambda: self.perform(self.gate.tick()), life)
@@ -239,7 +239,7 @@
                 case orders.Note(event, fields):
                     self.model.note(self.name, event, fields)
                     continue
-            self.model.soon(self, self.report)
+            self.model.soon(self, self.report_change)
 
     def _order(
         self,
@@ -266,15 +266,23 @@
 
             time.call_later(ORDER_S, arrive)
 
-    def report(self) -> None:
-        """Send the load to every linked entry host."""
-        info, loads = self.gate.worker_info(), self.gate.loads()
+    def report_change(self) -> None:
+        """Send a change of the load to the entry hosts that hear of each."""
+        self.report(is_periodic=False)
+
+    def report(self, is_periodic: bool = True) -> None:
+        """Send the load to the linked entry hosts.
+
+        :param is_periodic: whether to all of them.
+        """
+        info, loads = self.gate.worker_info(), self.gate.loads(is_periodic)
         for entry in self.model.linked_entries(self.name):
+            if entry not in loads:
+                continue
             if info is not None and (entry, info) not in self.info_sent:
                 self.info_sent.add((entry, info))
                 self.model.to_entry(self.name, entry, info)
-            if entry in loads:
-                self.model.to_entry(self.name, entry, loads[entry])
+            self.model.to_entry(self.name, entry, loads[entry])
 
 
 class ModelEntry(ModelNode):
@@ -295,7 +303,7 @@
         self.scheduler = scheduler.Scheduler(
             self.zone,
             placing.SchedulerSettings(
-                agent_gone_s=scheduler.agent_gone_s(orders.GateSettings())
+                agent_gone_s=scheduler.agent_gone_s(self.model.limits)
             ),
             self.model.selection,
             self.model.ordering,
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -54,6 +54,7 @@
             0,
             0,
             1000,
+            True,
         )
         return list(self.scheduler.reported(agent, load))
 
