Cut the wake-ups and messages of agents on large systems

An agent woke up 206 times a second at 22 tasks a second, 77 of them for renewals. Change: renewals at most every 0.15 s; distant entry hosts hear of the load every 0.4 s while they have no runs there; ticks every 0.1 s, looks wait 0.25 s; the HTTP servers no longer wake up ten times a second; log lines are bound once and encoded by msgspec (11.9 us to 5.5 us).

--- a/src/burdockgate/process/agentside.py
+++ b/src/burdockgate/process/agentside.py
@@ -24,7 +24,9 @@
     store,
 )
 
-TICK_S = 0.025
+# Half of the shortest limit, the 0.2 s after which a stop is repeated. A wake-up costs
+# an agent more processor time than a message.
+TICK_S = 0.1
 REPORT_INTERVAL_S = 0.2
 # Changes of load within this time go out in one report.
 REPORT_DELAY_S = 0.004
--- a/src/burdockgate/process/events.py
+++ b/src/burdockgate/process/events.py
@@ -27,7 +27,8 @@
     """
 
     def __init__(self, name: str, time: clock.Clock) -> None:
-        self._log: structlog.typing.FilteringBoundLogger = logs.get(name)
+        # Bound once: the logger that follows later configurations binds at each line.
+        self._log: structlog.typing.FilteringBoundLogger = logs.get(name).bind()
         self._time = time
         self._count_by_key: collections.Counter[tuple[str, str]] = collections.Counter()
         self._lines = BURST_LINES
--- a/src/burdockgate/process/fleet.py
+++ b/src/burdockgate/process/fleet.py
@@ -9,8 +9,10 @@
 from burdockgate import assignments
 from burdockgate.request import batch
 
-# Agents report every 0.2 s. Tasks given to one that is cut off are lost for seconds.
+# Near agents report every 0.2 s, others every 0.4 s. Tasks given to one that is cut off
+# are lost for seconds.
 FRESH_S = 0.45
+DISTANT_FRESH_S = 0.85
 # An entry host that hears less than half of the agents it heard in this time is cut
 # off itself.
 RECENT_S = 10.0
@@ -91,7 +93,8 @@
 
         :param now: the time.
         """
-        return self.is_linked and now - self.load_at < FRESH_S
+        limit_s = FRESH_S if self.is_near else DISTANT_FRESH_S
+        return self.is_linked and now - self.load_at < limit_s
 
     def is_assignable(self, now: float) -> bool:
         """Return whether new tasks may be assigned.
--- a/src/burdockgate/process/gate.py
+++ b/src/burdockgate/process/gate.py
@@ -45,14 +45,12 @@
         loads = {}
         for name, session in self.session_by_owner.items():
             share = share_by_owner[name]
-            news = owners.Told(
-                session.assigned_through if name in near else 0,
-                state,
-                min(share, int(AMPLE_SHARE * capacity)) if name in near else 0,
-            )
-            if not (is_periodic or session.is_outdated or news != session.told):
+            ample_cpu = min(share, int(AMPLE_SHARE * capacity))
+            news = owners.Told(state, ample_cpu if name in near else 0)
+            is_due = session.is_outdated or news != session.told
+            if not (is_due or (is_periodic and self._is_regular(session, near, now))):
                 continue
-            session.told, session.is_outdated = news, False
+            session.told, session.told_at, session.is_outdated = news, now, False
             loads[name] = assignments.LoadReport(
                 int(now * 1_000_000),
                 session.assigned_through,
@@ -67,6 +65,14 @@
             )
         return loads
 
+    def _is_regular(
+        self, session: owners.OwnerSession, near: set[str], now: float
+    ) -> bool:
+        """Return whether an owner is due for a regular report."""
+        if session.name in near or any(self._runs.of_owner(session.name)):
+            return True
+        return now - session.told_at >= self._settings.distant_report_s
+
     def demanded(self, owner: str, message: assignments.Demand) -> None:
         """Note what waits at an entry host.
 
--- a/src/burdockgate/process/logs.py
+++ b/src/burdockgate/process/logs.py
@@ -6,8 +6,9 @@
 
 from __future__ import annotations
 
-from typing import TextIO
+from typing import Any, TextIO
 
+import msgspec
 import structlog
 
 _INFO = 20
@@ -33,6 +34,16 @@
     info = warning = error = critical = msg
 
 
+def _encode(line: dict[str, Any], **_: object) -> str:
+    """Return a line as JSON, in a third of the time of the standard library."""
+    # The encoder would write bytes in base64.
+    shown = {
+        key: repr(value) if isinstance(value, bytes) else value
+        for key, value in line.items()
+    }
+    return msgspec.json.encode(shown, enc_hook=repr).decode()
+
+
 def configure(stream: TextIO, as_json: bool | None = None) -> None:
     """Set the form and the destination of all log lines of this process.
 
@@ -46,7 +57,7 @@
         as_json = not stream.isatty()
     renderer: structlog.typing.Processor
     if as_json:
-        renderer = structlog.processors.JSONRenderer()
+        renderer = structlog.processors.JSONRenderer(serializer=_encode)
     else:
         renderer = structlog.processors.KeyValueRenderer(
             key_order=_FIRST_KEYS, drop_missing=True
--- a/src/burdockgate/process/orders.py
+++ b/src/burdockgate/process/orders.py
@@ -23,7 +23,9 @@
     :param look_wait_s: how long the worker may hold back the answer to a look.
     :param near_owners: how many entry hosts hear of every change of the load at once
         and share out freed room. With ten of them, reports of every change to all took
-        more processor time than the jobs did; the others hear of it every 0.2 s.
+        more processor time than the jobs did; the others hear of it at regular times.
+    :param distant_report_s: interval of the regular reports to the other entry hosts
+        while they have no runs here; half of the session lease, which it renews.
     """
 
     worker_lease_s: float = 1.0
@@ -31,8 +33,9 @@
     clock_drift: float = 0.02
     stop_repeat_s: float = 0.2
     silence_s: float = 0.45
-    look_wait_s: float = 0.15
+    look_wait_s: float = 0.25
     near_owners: int = 4
+    distant_report_s: float = 0.35
 
 
 @attrs.frozen
--- a/src/burdockgate/process/owners.py
+++ b/src/burdockgate/process/owners.py
@@ -18,11 +18,9 @@
 class Told:
     """What an owner was last told and has to hear of at once when it changes.
 
-    :param assigned_through: as in the report; 0 for an owner that is not near.
     :param free_cpu: free room up to what is ample; 0 for an owner that is not near.
     """
 
-    assigned_through: int
     state: assignments.WorkerState
     free_cpu: int
 
@@ -42,6 +40,7 @@
     :param served_at: when the last run of this owner was started.
     :param is_outdated: whether it acted on a load that has changed.
     :param told: what matters of the last report.
+    :param told_at: when it was sent.
     """
 
     name: str
@@ -55,6 +54,7 @@
     served_at: float = 0.0
     is_outdated: bool = False
     told: Told | None = None
+    told_at: float = float("-inf")
     _number: int = 0
     _end_by_number: dict[int, assignments.TaskEnd] = attrs.field(factory=dict)
 
--- a/src/burdockgate/process/scheduler.py
+++ b/src/burdockgate/process/scheduler.py
@@ -19,8 +19,9 @@
 # A job is rejected only when half of the work ahead of it would already take too long:
 # estimates are 40% off, and the rate of a moment is not that of the next.
 HOPELESS_SHARE = 0.5
-# Reports of changes come more often than the lease of 0.7 s needs to be renewed.
-RENEWAL_INTERVAL_S = 0.05
+# Reports of changes come more often than the lease of 0.7 s needs to be renewed. The
+# regular reports of every 0.2 s all renew it.
+RENEWAL_INTERVAL_S = 0.15
 # Latency and late timers, beside the limits that the agent keeps.
 AGENT_GONE_MARGIN_S = 0.2
 
--- a/src/burdockgate/process/serving.py
+++ b/src/burdockgate/process/serving.py
@@ -17,6 +17,8 @@
 KEEP_ALIVE_S = 60
 ACCEPT_BACKLOG = 2048
 CANCEL_TIMEOUT_S = 1.0
+# The date in the headers of answers has whole seconds.
+DATE_INTERVAL_S = 1.0
 
 
 class Server:
@@ -101,6 +103,7 @@
         if self._task is None:
             return
         self._server.should_exit = True
+        self._server.ending.set()
         await asyncio.wait({self._task}, timeout=timeout_s)
         if not self._task.done():
             await self._cut_short()
@@ -134,6 +137,15 @@
     def __init__(self, config: uvicorn.Config) -> None:
         super().__init__(config)
         self.ready = asyncio.Event()
+        self.ending = asyncio.Event()
+
+    async def main_loop(self) -> None:
+        """Wait for the end, and keep the date of the answers."""
+        # Each tenth call, counted from 0, changes the date; the others only look for
+        # the end, ten times a second.
+        while not await self.on_tick(0):
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.ending.wait(), DATE_INTERVAL_S)
 
     async def startup(self, sockets: list[socket.socket] | None = None) -> None:
         await super().startup(sockets)
@@ -147,6 +159,7 @@
     def cut(self) -> None:
         """Close the listeners, abort all connections and cancel all requests."""
         self.should_exit = True
+        self.ending.set()
         for server in self.servers:
             server.close()
         for connection in list(self.server_state.connections):
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -342,6 +342,9 @@
         "far-1",
         "far-2",
     }
+    # The others hear of the load at regular times.
+    assert set(bench.gate.loads()) == {OWNER, "far-0", "far-1", "far-2"}
+    bench.advance(0.4)
     every = bench.gate.loads()
     assert len(every) == 10
     assert [name for name, load in every.items() if load.is_near] == [
