--- a/src/burdockgate/process/agentside.py
+++ b/src/burdockgate/process/agentside.py
@@ -13,6 +13,7 @@
 from burdockgate import assignments, clock, errors
 from burdockgate.connection import stream
 from burdockgate.process import (
+    actions,
     control,
     events,
     gate,
@@ -141,9 +142,9 @@
     def _perform(self, wanted: Iterable[orders.Effect]) -> None:
         for effect in wanted:
             match effect:
-                case orders.Note(event, fields):
+                case actions.Note(event, fields):
                     self.events.note(event, fields)
-                case orders.Send(to, message):
+                case actions.Send(to, message):
                     self._send(to, message)
                 case orders.Start(start_order):
                     self._spawn(self._start_run(start_order))
--- a/src/burdockgate/process/entryside.py
+++ b/src/burdockgate/process/entryside.py
@@ -14,6 +14,7 @@
 from burdockgate import assignments, clock, errors
 from burdockgate.connection import stream
 from burdockgate.process import (
+    actions,
     events,
     follower,
     links,
@@ -201,9 +202,9 @@
     def _perform(self, wanted: Iterable[placing.Effect]) -> None:
         for effect in wanted:
             match effect:
-                case placing.Note(event, fields):
+                case actions.Note(event, fields):
                     self.events.note(event, fields)
-                case placing.Send(to, message):
+                case actions.Send(to, message):
                     link = self._link_by_agent.get(to)
                     if link is not None:
                         link.send(message)
--- a/src/burdockgate/process/gate.py
+++ b/src/burdockgate/process/gate.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterator
 
 from burdockgate import assignments, clock
-from burdockgate.process import orders, owners, runs, supervisor
+from burdockgate.process import actions, orders, owners, runs, supervisor
 
 # Above this share of free room it makes no difference to an entry host how much is
 # free: a task fits, and it can't fill the rest before the next regular report.
@@ -106,10 +106,10 @@
             session.is_linked = True
             session.assigned_through = 0
             for end in session.unacknowledged():
-                yield orders.Send(owner, end)
+                yield actions.Send(owner, end)
             return
         if session is not None:
-            yield orders.Note("owner.restarted", {"owner": owner, "boot": boot})
+            yield actions.Note("owner.restarted", {"owner": owner, "boot": boot})
             yield from self._abandon(owner, "owner restarted")
         self.session_by_owner[owner] = owners.OwnerSession(owner, boot, distance)
 
@@ -121,7 +121,7 @@
         session = self.session_by_owner.get(owner)
         if session is not None and session.is_linked:
             session.is_linked = False
-            yield orders.Note("owner.unlinked", {"owner": owner})
+            yield actions.Note("owner.unlinked", {"owner": owner})
 
     def refused(self, owner: str) -> Iterator[orders.Effect]:
         """Handle a refused connection: the process of the entry host has ended.
@@ -290,7 +290,7 @@
                 continue
             held = self._runs.of_owner(session.name)
             if any(not run.is_stopping for run in held):
-                yield orders.Note(
+                yield actions.Note(
                     "owner.lapsed",
                     {
                         "owner": session.name,
@@ -321,9 +321,9 @@
         elif kind is assignments.EndKind.FAILED and self._vitals.failed(
             run.key.task.job, now
         ):
-            yield orders.Note("worker.ejected", {"reason": "failed tasks"})
+            yield actions.Note("worker.ejected", {"reason": "failed tasks"})
             yield from self._return_queued("worker ejected")
-        yield orders.Note(
+        yield actions.Note(
             "run.ended",
             {
                 "run": run.key,
@@ -337,4 +337,4 @@
         session = self.session_by_owner.get(run.owner)
         if session is not None:
             number = next_run if next_run is not None else run.key.run + 1
-            yield orders.Send(run.owner, session.ended(run.key, kind, ran_s, number))
+            yield actions.Send(run.owner, session.ended(run.key, kind, ran_s, number))
--- a/src/burdockgate/process/orders.py
+++ b/src/burdockgate/process/orders.py
@@ -4,8 +4,7 @@
 
 import attrs
 
-from burdockgate import assignments
-from burdockgate.process import control
+from burdockgate.process import actions, control
 
 
 @attrs.frozen
@@ -59,20 +58,4 @@
     order: control.LookOrder
 
 
-@attrs.frozen
-class Send:
-    """Effect: send a message to an entry host; dropped when it is not connected."""
-
-    to: str
-    message: assignments.Message
-
-
-@attrs.frozen
-class Note:
-    """Effect: write a log line."""
-
-    event: str
-    fields: dict[str, object]
-
-
-Effect = Start | Stop | Look | Send | Note
+Effect = Start | Stop | Look | actions.Send | actions.Note
--- a/src/burdockgate/process/placing.py
+++ b/src/burdockgate/process/placing.py
@@ -9,7 +9,7 @@
 import attrs
 
 from burdockgate import assignments, clock
-from burdockgate.process import fleet, selection, throughput
+from burdockgate.process import actions, fleet, selection, throughput
 from burdockgate.request import batch
 
 # While tasks wait, agents hear of a more urgent one this often, and of the amount.
@@ -45,14 +45,6 @@
     settling_s: float = 3.0
 
 
-@attrs.frozen
-class Send:
-    """Effect: send a message to an agent; dropped when it is not connected."""
-
-    to: str
-    message: assignments.Message
-
-
 @attrs.frozen
 class Conclude:
     """Effect: answer a caller's request.
@@ -65,20 +57,12 @@
     verdict: batch.Verdict
 
 
-@attrs.frozen
-class Note:
-    """Effect: write a log line."""
-
-    event: str
-    fields: dict[str, object]
-
-
 @attrs.frozen
 class AssignSoon:
     """Effect: call :meth:`Placing.assign` within a millisecond or two."""
 
 
-Effect = Send | Conclude | Note | AssignSoon
+Effect = actions.Send | Conclude | actions.Note | AssignSoon
 
 
 class Placing:
@@ -201,7 +185,7 @@
             self._demand, self._demanded_at = demand, now
             for view in self.fleet.by_agent.values():
                 if view.is_near and view.is_fresh(now):
-                    yield Send(view.agent, demand)
+                    yield actions.Send(view.agent, demand)
 
     def _assignable(self, job: batch.Job, now: float) -> Iterator[batch.Task]:
         return (
@@ -245,7 +229,7 @@
     ) -> Iterator[Effect]:
         view, step = self.fleet.by_agent[agent], tasks[0].step
         given = job.submission
-        yield Note(
+        yield actions.Note(
             "task.assigned",
             {
                 "job": given.job,
@@ -257,7 +241,7 @@
                 "waited_ms": self._age_ms(job),
             },
         )
-        yield Send(
+        yield actions.Send(
             agent,
             assignments.Assign(
                 view.assigned_number,
--- a/src/burdockgate/process/scheduler.py
+++ b/src/burdockgate/process/scheduler.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 
 from burdockgate import assignments, codes
-from burdockgate.process import fleet, orders, placing
+from burdockgate.process import actions, fleet, orders, placing
 from burdockgate.request import batch
 
 # A worker that was ejected or is out of reach is tried again after one second.
@@ -53,21 +53,21 @@
         now = self._time.now()
         job = self.job_by_id.get(submission.job)
         if job is not None:
-            yield placing.Note(
+            yield actions.Note(
                 "job.joined", {"job": submission.job, "request": submission.request}
             )
             job.tickets.add(ticket)
             return
         ended = self._ended.get(submission.job)
         if ended is not None and isinstance(ended.verdict, batch.Completed):
-            yield placing.Note(
+            yield actions.Note(
                 "job.repeated", {"job": submission.job, "request": submission.request}
             )
             yield placing.Conclude(ticket, submission.job, ended.verdict)
             return
         refusal = self._refusal(submission)
         if refusal is not None:
-            yield placing.Note(
+            yield actions.Note(
                 "job.refused",
                 {
                     "job": submission.job,
@@ -81,7 +81,7 @@
             return
         job = batch.Job.begin(submission, now, ticket)
         self.job_by_id[submission.job] = self._waiting_by_id[submission.job] = job
-        yield placing.Note(
+        yield actions.Note(
             "job.received",
             {
                 "job": submission.job,
@@ -123,7 +123,7 @@
         job.tickets.discard(ticket)
         if job.tickets:
             return
-        yield placing.Note(
+        yield actions.Note(
             "job.abandoned", {"job": job_id, "age_ms": self._age_ms(job)}
         )
         verdict = batch.Interrupted(codes.Code.REQUEST_CUT)
@@ -177,7 +177,7 @@
             view = fleet.WorkerView(hello.name, hello.boot, hello.zone)
             self.fleet.by_agent[hello.name] = view
         elif view.boot != hello.boot:
-            yield placing.Note(
+            yield actions.Note(
                 "agent.restarted", {"agent": hello.name, "boot": hello.boot}
             )
             view.boot, view.is_recovering = hello.boot, True
@@ -188,7 +188,7 @@
         # Ends that were under way are repeated before the first report; what is
         # missing then is gone.
         view.unconfirmed = {task.run_key for task in self._tasks_of(hello.name)} - held
-        yield placing.Note("agent.linked", {"agent": hello.name, "held": len(held)})
+        yield actions.Note("agent.linked", {"agent": hello.name, "held": len(held)})
 
     def unlinked(self, agent: str) -> Iterator[placing.Effect]:
         """Handle the loss of the connection to an agent.
@@ -198,7 +198,7 @@
         view = self.fleet.by_agent.get(agent)
         if view is not None and view.is_linked:
             view.is_linked = False
-            yield placing.Note(
+            yield actions.Note(
                 "agent.unlinked",
                 {"agent": agent, "tasks": len(self._tasks_of(agent))},
             )
@@ -212,7 +212,7 @@
         :param info: the facts.
         """
         self.fleet.by_agent[agent].info = info
-        yield placing.Note("worker.known", {"agent": agent, "worker": info.worker})
+        yield actions.Note("worker.known", {"agent": agent, "worker": info.worker})
 
     def reported(
         self, agent: str, load: assignments.LoadReport
@@ -226,7 +226,7 @@
         before = view.load.state if view.load else None
         view.reported(load, now)
         if before is not load.state:
-            yield placing.Note(
+            yield actions.Note(
                 "worker.state",
                 {"agent": agent, "state": load.state.name, "speed": load.speed},
             )
@@ -238,7 +238,7 @@
             yield from self._lose_all(agent, "agent restarted")
         if now >= view.renewal_due_at:
             view.renewed_at, view.renewal_due_at = now, now + RENEWAL_INTERVAL_S
-            yield placing.Send(
+            yield actions.Send(
                 agent,
                 assignments.Renewal(
                     load.sent_at_us, view.ends_through, self.configuration_version
@@ -293,7 +293,7 @@
         self._waiting_by_id[task.key.job] = job
         task.run = max(task.run, next_run - 1)
         task.avoided_until_by_agent[agent] = now + self._settings.avoid_s
-        yield placing.Note(
+        yield actions.Note(
             "task.ended",
             {
                 "job": task.key.job,
@@ -341,7 +341,7 @@
             del self._lingering[key]
         tasks = self._tasks_of(agent)
         if tasks:
-            yield placing.Note(
+            yield actions.Note(
                 "agent.runs_lost",
                 {"agent": agent, "reason": reason, "tasks": len(tasks)},
             )
@@ -367,8 +367,8 @@
             self._lingering[task.key] = task.agent
             by_agent.setdefault(task.agent, []).append(task.run_key)
         for agent, keys in by_agent.items():
-            yield placing.Send(agent, assignments.Revoke(tuple(keys)))
-        yield placing.Note(
+            yield actions.Send(agent, assignments.Revoke(tuple(keys)))
+        yield actions.Note(
             "job.ended",
             {
                 "job": job_id,
--- a/src/burdockgate/process/supervisor.py
+++ b/src/burdockgate/process/supervisor.py
@@ -12,7 +12,7 @@
 import attrs
 
 from burdockgate import assignments, clock
-from burdockgate.process import control, orders, runs, vitals
+from burdockgate.process import actions, control, orders, runs, vitals
 
 _END_BY_REASON = {
     control.EndReason.DONE: assignments.EndKind.DONE,
@@ -97,7 +97,7 @@
         if worker is not None:
             known = worker.told
             if told.born < known.born:
-                yield orders.Note(
+                yield actions.Note(
                     "heartbeat.stale", {"born": told.born, "known": known.born}
                 )
                 return
@@ -105,14 +105,14 @@
                 if told.sequence > known.sequence:
                     worker.told = told
                     if told.is_draining != known.is_draining:
-                        yield orders.Note("worker.draining", {"worker": told.worker})
+                        yield actions.Note("worker.draining", {"worker": told.worker})
                         yield from self._return_queued("worker draining")
                 return
         yield from self._adopt(told, now)
 
     def _adopt(self, told: control.Announcement, now: float) -> Iterator[orders.Effect]:
         """Begin with a new life of the worker."""
-        yield orders.Note("worker.adopted", {"worker": told.worker, "born": told.born})
+        yield actions.Note("worker.adopted", {"worker": told.worker, "born": told.born})
         before = self._worker
         self._worker = WorkerLife(told, told.clock_ms, now, answered_at=now)
         self._vitals = vitals.Vitals()
@@ -167,7 +167,7 @@
         run.state, run.token = runs.RunState.STARTING, self._token
         run.started_at = run.progressed_at = now
         worker.extended_at = now
-        yield orders.Note(
+        yield actions.Note(
             "run.starting",
             {
                 "run": run.key,
@@ -214,7 +214,9 @@
                 yield from self._fill()
             case control.Unanswered():
                 run.state = runs.RunState.UNCERTAIN
-                yield orders.Note("run.uncertain", {"run": run.key, "token": run.token})
+                yield actions.Note(
+                    "run.uncertain", {"run": run.key, "token": run.token}
+                )
                 yield from self._raise_token()
 
     def _start_refused(
@@ -226,11 +228,11 @@
         elif reason is control.Refusal.FENCED:
             if run.token >= self._token:
                 self._token = max(self._token + 1, clock_ms)
-                yield orders.Note(
+                yield actions.Note(
                     "token.raised", {"token": self._token, "reason": "fenced"}
                 )
         elif reason is control.Refusal.LATE:
-            yield orders.Note("run.late", {"run": run.key, "clock_ms": clock_ms})
+            yield actions.Note("run.late", {"run": run.key, "clock_ms": clock_ms})
         else:
             if reason is control.Refusal.UNHEALTHY:
                 self._vitals.eject(self._time.now())
@@ -254,7 +256,7 @@
         if run.is_stopping:
             return
         run.stop_since = self._time.now()
-        yield orders.Note("run.stopping", {"run": run.key, "reason": reason})
+        yield actions.Note("run.stopping", {"run": run.key, "reason": reason})
         if run.state is not runs.RunState.STARTING:
             yield from self._order_stop(run)
 
@@ -278,7 +280,7 @@
             answer.reason is control.Refusal.FENCED and order.token >= self._token
         ):
             self._token = max(self._token + 1, answer.clock_ms)
-            yield orders.Note(
+            yield actions.Note(
                 "token.raised", {"token": self._token, "reason": "fenced stop"}
             )
 
@@ -334,13 +336,13 @@
             return
         if not worker.is_look_failing:
             worker.is_look_failing = True
-            yield orders.Note("worker.lost", {"reason": _reason(answer)})
+            yield actions.Note("worker.lost", {"reason": _reason(answer)})
         match answer:
             case control.Refused(control.Refusal.FENCED, clock_ms):
                 self._heard(clock_ms)
                 if order.token >= self._token:
                     self._token = max(self._token + 1, clock_ms)
-                    yield orders.Note(
+                    yield actions.Note(
                         "token.raised", {"token": self._token, "reason": "fenced look"}
                     )
             case control.Refused(control.Refusal.UNHEALTHY, _):
@@ -363,9 +365,9 @@
         worker.is_refusing = False
         if worker.is_look_failing:
             worker.is_look_failing = False
-            yield orders.Note("worker.regained", {"worker": worker.told.worker})
+            yield actions.Note("worker.regained", {"worker": worker.told.worker})
         if seen.unreadable:
-            yield orders.Note("worker.unreadable", {"entries": seen.unreadable})
+            yield actions.Note("worker.unreadable", {"entries": seen.unreadable})
         ended = list(self._finish_listed(worker, seen))
         yield from ended
         yield from self._note_running(worker, seen)
@@ -373,7 +375,7 @@
         is_current = order.token >= worker.first_token
         if is_current and not worker.foreign and not worker.is_synchronized:
             worker.is_synchronized = True
-            yield orders.Note("worker.ready", {"worker": worker.told.worker})
+            yield actions.Note("worker.ready", {"worker": worker.told.worker})
         yield from self._fill()
 
     def _heard(self, clock_ms: int) -> None:
@@ -419,7 +421,7 @@
         sent_at = worker.foreign.get(key, -1e9)
         if now - sent_at >= self._settings.stop_repeat_s:
             worker.foreign[key] = now
-            yield orders.Note("run.foreign", {"run": key})
+            yield actions.Note("run.foreign", {"run": key})
             yield orders.Stop(control.StopOrder(worker.told.worker, key, self._token))
 
     def _resolve_missing(
@@ -438,7 +440,7 @@
                     yield from self._return(run, "fenced off")
                 else:
                     run.state = runs.RunState.QUEUED
-                    yield orders.Note(
+                    yield actions.Note(
                         "run.requeued", {"run": run.key, "token": order.token}
                     )
             elif run.state is runs.RunState.RUNNING and run.accepted_ms < seen.clock_ms:
@@ -471,7 +473,7 @@
                 if run.state is not runs.RunState.STARTING:
                     yield from self._end(run, assignments.EndKind.LOST, "lease lapsed")
         if is_lapsed and not self._was_lapsed:
-            yield orders.Note("worker.unreachable", {"worker": worker.told.worker})
+            yield actions.Note("worker.unreachable", {"worker": worker.told.worker})
             yield from self._return_queued("worker unreachable")
         self._was_lapsed = is_lapsed
 
@@ -484,7 +486,7 @@
             for run in running
         ):
             if self._vitals.eject(now):
-                yield orders.Note("worker.stalled", {"runs": len(running)})
+                yield actions.Note("worker.stalled", {"runs": len(running)})
                 yield from self._return_queued("worker stalled")
             for run in running:
                 yield from self._stop(run, "stalled")
--- a/src/burdockgate/standin/nodes.py
+++ b/src/burdockgate/standin/nodes.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from burdockgate.process import control, gate, orders, placing, scheduler
+from burdockgate.process import actions, control, gate, orders, placing, scheduler
 from burdockgate.request import batch
 from burdockgate.standin import leased
 
@@ -219,7 +219,7 @@
         """
         for effect in wanted:
             match effect:
-                case orders.Send(to, message):
+                case actions.Send(to, message):
                     self.model.to_entry(self.name, to, message)
                 case orders.Start(start):
                     self._order(
@@ -237,7 +237,7 @@
                     )
                 case orders.Look(look):
                     self._send_look(look, lambda: None, self.life)
-                case orders.Note(event, fields):
+                case actions.Note(event, fields):
                     self.model.note(self.name, event, fields)
                     continue
             self.model.soon(self, self.report_change)
@@ -349,7 +349,7 @@
         """
         for effect in wanted:
             match effect:
-                case placing.Send(to, message):
+                case actions.Send(to, message):
                     self.model.to_agent(self.name, to, message)
                 case placing.AssignSoon():
                     self.model.time.call_later(
@@ -360,5 +360,5 @@
                     order = self.order_by_ticket.pop(ticket, None)
                     if order is not None:
                         self.model.concluded(order, verdict)
-                case placing.Note(event, fields):
+                case actions.Note(event, fields):
                     self.model.note(self.name, event, fields)
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -4,7 +4,7 @@
 import pytest
 
 from burdockgate import assignments, clock
-from burdockgate.process import control, gate, orders
+from burdockgate.process import actions, control, gate, orders
 
 OWNER = "entry-1"
 KEY = assignments.RunKey(assignments.TaskKey("job", 0, 0), 1)
@@ -74,7 +74,7 @@
 def _ends(effects):
     return [
         effect.message
-        for effect in _of(orders.Send, effects)
+        for effect in _of(actions.Send, effects)
         if isinstance(effect.message, assignments.TaskEnd)
     ]
 
@@ -195,8 +195,8 @@
     notes = []
     for _ in range(3):
         order = bench.gate.next_look()
-        notes += _of(orders.Note, bench.gate.looked(order, control.Unanswered()))
-    notes += _of(orders.Note, bench.look())
+        notes += _of(actions.Note, bench.gate.looked(order, control.Unanswered()))
+    notes += _of(actions.Note, bench.look())
     assert [note.event for note in notes] == ["worker.lost", "worker.regained"]
 
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -6,7 +6,15 @@
 import pytest
 
 from burdockgate import assignments, clock, codes
-from burdockgate.process import fleet, owners, placing, scheduler, selection, throughput
+from burdockgate.process import (
+    actions,
+    fleet,
+    owners,
+    placing,
+    scheduler,
+    selection,
+    throughput,
+)
 from burdockgate.request import batch
 
 STEP = batch.Step(2, 1000, 10, 0, 0.1)
@@ -73,7 +81,7 @@
     return [
         effect.message
         for effect in effects
-        if isinstance(effect, placing.Send) and isinstance(effect.message, kind)
+        if isinstance(effect, actions.Send) and isinstance(effect.message, kind)
     ]
 
 
@@ -115,7 +123,7 @@
     assigned = [
         effect.to
         for effect in bench.submit(attrs.evolve(SUBMISSION, steps=(step,)))
-        if isinstance(effect, placing.Send)
+        if isinstance(effect, actions.Send)
         and isinstance(effect.message, assignments.Assign)
     ]
     assert sorted(assigned) == ["agent-0", "agent-1"]
@@ -132,7 +140,7 @@
     (sent,) = [
         effect
         for effect in effects
-        if isinstance(effect, placing.Send)
+        if isinstance(effect, actions.Send)
         and isinstance(effect.message, assignments.Assign)
     ]
     assert (sent.to, sent.message.runs) == ("agent-1", (2,))
@@ -203,7 +211,7 @@
     lost = [
         effect.fields["task"]
         for effect in effects
-        if isinstance(effect, placing.Note) and effect.event == "task.ended"
+        if isinstance(effect, actions.Note) and effect.event == "task.ended"
     ]
     assert lost == ["0.1"]
 
@@ -230,7 +238,7 @@
     effects = list(bench.scheduler.abandon("job", 1))
     (revoke,) = _messages(assignments.Revoke, effects)
     assert len(revoke.keys) == 2
-    agent = next(e.to for e in effects if isinstance(e, placing.Send))
+    agent = next(e.to for e in effects if isinstance(e, actions.Send))
     assert _messages(assignments.Assign, bench.submit(ticket=2)) == []
     effects = bench.end(agent, 0, assignments.EndKind.STOPPED)
     (assign,) = _messages(assignments.Assign, effects)
