Report to an entry host at once when it connects again

Cause: a distant entry host that came back after a reset heard of the load, and renewed its lease, only at the next regular report up to 0.4 s later. Change: a new connection forgets what was told on the last one.

--- a/src/burdockgate/process/gate.py
+++ b/src/burdockgate/process/gate.py
@@ -105,6 +105,7 @@
         if session is not None and session.boot == boot:
             session.is_linked = True
             session.assigned_through = 0
+            session.told = None
             for end in session.unacknowledged():
                 yield actions.Send(owner, end)
             return
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -383,3 +383,12 @@
     assert OWNER not in bench.gate.loads(is_periodic=False)
     bench.assign(0, 1, 2, 3, 4)
     assert OWNER in bench.gate.loads(is_periodic=False)
+
+
+def test_owner_that_connects_again_hears_of_the_load_at_once():
+    """It knows no load and gets no lease before the first report."""
+    bench = _link(Bench(), 9)
+    bench.gate.loads()
+    list(bench.gate.unlinked("far-8"))
+    list(bench.gate.linked("far-8", 8, (True, 8)))
+    assert set(bench.gate.loads(is_periodic=False)) == {"far-8"}
