Read the log line of unreadable records as JSON in its test

Cause: the test looked for the text of a field with the space that the standard library's encoder writes; the lines are encoded without it now. Change: the test decodes the lines and demands exactly one such line with that number.

--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import io
+import json
 import random
 
 import pytest
@@ -9,6 +10,8 @@
 from burdockgate import clock, errors
 from burdockgate.process import events, follower, logs, members, store
 
+UNREADABLE = "store.unreadable"
+
 
 class ScriptedStore(store.Store):
     """Gives the answers of a list; an exception is raised."""
@@ -89,7 +92,8 @@
     """Another writer's record is left out, but not without a word."""
     client = ScriptedStore(_page(5, "config", unreadable=2))
     _, lines = await follow(client, 1)
-    assert '"records": 2' in lines
+    shown = [json.loads(line) for line in lines.splitlines()]
+    assert [line["records"] for line in shown if line["event"] == UNREADABLE] == [2]
 
 
 def test_addresses_of_members_leave_out_what_is_no_address():
