Count no task as demand while it pauses after a return

Cause: a task that its agent returned waits 10 ms before it is assigned again. Change: only tasks that may be assigned now are demand. An iteration over the agents of a view in process/entry.py is made safe against a change while it sends. The new test failed before.

--- a/src/burdockgate/process/entry.py
+++ b/src/burdockgate/process/entry.py
@@ -355,7 +355,7 @@
         """Hand on the new records to the agents whose view is known."""
         # Most agents were sent the same records, so that pages are made once.
         pages_by_number: dict[int, list[messages.Records]] = {}
-        for name, number in self._view_number_by_worker.items():
+        for name, number in list(self._view_number_by_worker.items()):
             if number not in pages_by_number:
                 pages_by_number[number] = list(self._members.since(number, self.view))
             for records in pages_by_number[number]:
--- a/src/burdockgate/process/placing.py
+++ b/src/burdockgate/process/placing.py
@@ -168,13 +168,9 @@
 
     def _tell_demand(self, waiting: list[batch.Job], now: float) -> Iterator[Effect]:
         """Tell the agents what found no room, so that they share out what frees."""
-        left = [job for job in waiting if job.is_waiting]
-        cpu = sum(
-            task.step.cpu
-            for job in left
-            for task in job.all_tasks()
-            if task.state is batch.TaskState.WAITING
-        )
+        # A task that was returned and pauses has not found the other workers full.
+        left = [job for job in waiting if any(self._assignable(job, now))]
+        cpu = sum(task.step.cpu for job in left for task in self._assignable(job, now))
         rank = self._ordering.rank(left[0], now) if left else 0
         demand = assignments.Demand(cpu, rank)
         changed = demand != self._demand and (
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -357,3 +357,21 @@
         now = 100.0 + after_s
         measured.add(core_s)
     assert measured.rate(now) == pytest.approx(expected)
+
+
+def test_returned_task_is_no_demand_before_its_pause_has_passed():
+    """Each return told 24 agents of a demand and of its end, at usual load."""
+    bench = Bench(4000, 4000)
+    bench.submit()
+    bench.time.advance(1.0)
+    for agent in ("agent-0", "agent-1"):
+        bench.free_by_agent[agent] = 0
+        bench.report(agent)
+    agent = next(bench.scheduler.job_by_id["job"].all_tasks()).agent
+    returned = bench.end(agent, 0, assignments.EndKind.RETURNED)
+    assert _messages(assignments.Demand, returned) == []
+    bench.time.advance(placing.SchedulerSettings().return_pause_s)
+    later = list(bench.scheduler.assign())
+    assert {demand.waiting_cpu for demand in _messages(assignments.Demand, later)} == {
+        STEP.cpu
+    }
