Count failures before an ejection only once

Cause: the test waits until the paused server's worker has no free slot, but the test before it may leave the worker on probation at both entry hosts, which then send it one task each. Found on the way: on probation an agent still tells the row of failed jobs that ended in the ejection, and the entry host ejected the worker for it a second time before its trial task had ended.

Ruled out: a job that hangs by itself, and voters that answer no claim (docs/incidents/idle-claims.md).

Change: the row begins anew on probation. The fault test starts from a healthy worker and ends its fault in any case; a new test replays the pause of a server whose worker is on probation. A test of processes now fails with the exit status of each process that ended unasked.

--- a/src/burdockgate/process/health.py
+++ b/src/burdockgate/process/health.py
@@ -468,6 +468,8 @@
             return
         self._ejected_by_service[record.service] -= 1
         record.proved = 0
+        # An agent goes on telling the row of failures that ended in the ejection.
+        record.row = 0
         record.score = self._brink
         record.slow = SLOW_BRINK if record.reason is evidence.Reason.SLOW else 0.0
         self._change(record, evidence.State.PROBATION)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -96,7 +96,7 @@
         self._running = None
 
     def start(self):
-        assert self._running is None, f"{self.name} runs already"
+        assert self._running is None, f"{self.name} ended with {self._running.poll()}"
         with self._error_path.open("ab") as stderr:
             self._running = subprocess.Popen(
                 self._command, stdout=subprocess.DEVNULL, stderr=stderr
@@ -106,6 +106,11 @@
     def is_running(self):
         return self._running is not None and self._running.poll() is None
 
+    @property
+    def lost_status(self):
+        """Exit status of a process that ended unasked; ``None`` without one."""
+        return None if self._running is None else self._running.poll()
+
     @property
     def stderr(self):
         return self._error_path.read_text()
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -191,6 +191,21 @@
     assert records[0].state is state
 
 
+def test_failures_before_an_ejection_count_once(judge):
+    """A row that an agent still tells on probation must not eject its worker again."""
+    first = join(judge, "a1")
+    join(judge, "a2")
+    eject(judge, first)
+    judge._time.advance(10)
+    judge.tick()
+    assert first.state is PROBATION
+    judge.sent(first, "default", b"trial", 0)
+    judge.tell(first, 9)
+    assert first.state is PROBATION
+    end(judge, first, b"trial", FAILED)
+    assert first.state is EJECTED
+
+
 def test_agent_tells_failed_jobs_in_a_row():
     """Each entry host must learn of failures that only others saw."""
     session = FaultySession({"agent-1": "failing"}, agents=3)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -26,6 +26,8 @@
     """Give a whole system, and check all promises after the test."""
     shared.start()
     yield shared
+    lost = {p.name: p.lost_status for p in shared.processes}
+    assert {name: code for name, code in lost.items() if code is not None} == {}
     assert shared.violations() == []
     assert [p.name for p in shared.processes if "Traceback" in p.stderr] == []
 
@@ -291,6 +293,19 @@
     return system.worker(1, "agent-1").get("free", 1) <= 0
 
 
+def _has_health(system, *states):
+    """Return whether the first agent has one of these states at both entry hosts."""
+    return all(
+        system.worker(index, "agent-1").get("health") in states for index in range(2)
+    )
+
+
+def _renew_agent(system):
+    """Replace the first agent; what is known of its worker's health goes with it."""
+    assert system.agents[0].end(signal.SIGTERM) == 0
+    system.start()
+
+
 def _fault(group, begin, end, is_seen, is_lossy=False):
     """Do something to the first process of a group, and later something else."""
     return Fault(
@@ -334,15 +349,54 @@
 async def test_fault_under_load(system, name):
     """No process that dies, pauses or loses connections may break a promise."""
     fault = FAULTS[name]
+    # The test before may have got the agent ejected, and a worker on probation gets
+    # too few tasks to run out of slots.
+    if not _has_health(system, "healthy"):
+        await asyncio.to_thread(_renew_agent, system)
     async with _submitting(system, name, [20] * 4, fault.is_lossy) as answers:
         await _wait_more(answers)
-        await asyncio.to_thread(fault.begin, system)
-        await processes.wait_until(lambda: fault.is_seen(system), name)
-        await asyncio.to_thread(fault.end, system)
+        try:
+            await asyncio.to_thread(fault.begin, system)
+            await processes.wait_until(lambda: fault.is_seen(system), name)
+        finally:
+            await asyncio.to_thread(fault.end, system)
         await _wait_more(answers)
     await asyncio.to_thread(system.wait_whole)
 
 
+async def test_server_paused_on_probation(system):
+    """A worker on probation that hangs must hold one task of each entry host."""
+    server = system.servers[0]
+    # The first ejection is the shortest, with 10 s.
+    await asyncio.to_thread(_renew_agent, system)
+    server.set_faults(fail_all=True)
+    for count in itertools.count():
+        keys = [f"failing-{count}-{number}" for number in range(4)]
+        jobs = [system.submit(key, [1]) for key in keys]
+        await asyncio.gather(*jobs)
+        if _has_health(system, "ejected"):
+            break
+    server.set_faults()
+    server.send(signal.SIGSTOP)
+    try:
+        async with _submitting(system, "on-probation", [20] * 4) as answers:
+            await processes.wait_until(
+                lambda: _has_health(system, "probation"), "probation"
+            )
+            await processes.wait_until(
+                lambda: system.worker(0, "agent-1")["free"] == processes.SLOTS - 2,
+                "a task of each entry host",
+            )
+            for _ in range(5):
+                await _wait_more(answers)
+                assert system.worker(0, "agent-1")["free"] == processes.SLOTS - 2
+            server.send(signal.SIGCONT)
+            await _wait_more(answers)
+    finally:
+        server.send(signal.SIGCONT)
+    await asyncio.to_thread(system.wait_whole)
+
+
 async def _wait_more(answers):
     wanted = len(answers) + LOAD_JOBS
     await processes.wait_until(lambda: len(answers) >= wanted, "more answers")
