Probe a backend server whose call broke off

Cause: an agent noticed a dead server only when it refused a task. The worker was ejected as slow just before, so no further task came.

Ruled out: a lost load report (no agent logged the server as down), and the kill itself (its task ended as REQUEST_CUT).

Change: a call that breaks off, or passes its time limit, gets the server probed.

--- a/src/burdockgate/process/agenthost.py
+++ b/src/burdockgate/process/agenthost.py
@@ -149,6 +149,10 @@
         )
         if state is messages.TaskState.RETURNED:
             self._set_backend_up(is_up=False)
+        elif state is messages.TaskState.UNKNOWN and self.core.slots.is_open:
+            # The connection may have ended with the server's process, and the next
+            # task may be long in coming.
+            self._set_backend_up(await self._backend.probe())
 
     def _set_backend_up(self, is_up: bool) -> None:
         if self.core.slots.is_open != is_up and not self.core.draining:
--- a/tests/test_agenthost.py
+++ b/tests/test_agenthost.py
@@ -4,10 +4,12 @@
 import random
 from unittest import mock
 
+import pytest
+
 import builders
 import configs
 from burdockgate import clock, effects, messages, settings
-from burdockgate.process import agent, agenthost, metrics
+from burdockgate.process import agent, agenthost, backend, metrics
 
 
 async def test_task_stopped_before_its_first_step_frees_its_slot():
@@ -54,3 +56,22 @@
     type(host.core).has_left = answers
     await host.stop()
     assert answers.call_count == 2
+
+
+@pytest.mark.parametrize("is_up", [True, False])
+async def test_broken_call_gets_the_backend_server_probed(is_up):
+    """A server that dies with its only task must not be offered until the next one."""
+    config = configs.agent_settings("agent-1", 0, 2)
+    host = agenthost.AgentHost(config, random.Random(1))
+    host.core = mock.Mock(draining=False)
+    host.core.slots.is_open = True
+    host.core.finished.return_value = host.core.set_backend_up.return_value = ()
+    ended = backend.Finished(messages.TaskState.UNKNOWN, b"sent, no answer", 1.0)
+    host._backend = mock.Mock(
+        run=mock.AsyncMock(return_value=ended),
+        probe=mock.AsyncMock(return_value=is_up),
+    )
+    await host._execute(effects.Execute(b"j" * 16, 1, 0, b"1", 1000))
+    assert host.core.set_backend_up.call_args_list == (
+        [] if is_up else [mock.call(False)]
+    )
