Look again beside a look without an answer

Cause: the agent awaited one look at a time for up to half a second. A lost answer hid the ends of all runs, so that freed room stayed unused and the worker counted as unreachable.

Ruled out: start orders without an answer (84 ms each), the takeovers (the loss goes on after them), and too little room.

Change: another look goes out beside one that is 0.08 s overdue, and looks are short for 2 s after a loss. The model loses answers to looks as it loses those to orders.

--- a/src/burdockgate/process/agentside.py
+++ b/src/burdockgate/process/agentside.py
@@ -6,7 +6,7 @@
 import random
 import secrets
 from collections.abc import Coroutine, Iterable
-from typing import Any
+from typing import Any, TypeVar
 
 import attrs
 
@@ -26,6 +26,8 @@
     store,
 )
 
+_T = TypeVar("_T")
+
 # Half of the shortest limit, the 0.2 s after which a stop is repeated. A wake-up costs
 # an agent more processor time than a message.
 TICK_S = 0.1
@@ -86,7 +88,7 @@
         self._owner_by_link: dict[stream.Stream, str] = {}
         self._info_sent: dict[str, assignments.WorkerInfo] = {}
         self._relay = relay.Relay(self._time, self._rng)
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[Any]] = set()
         self._is_report_due = False
         self._has_worker = asyncio.Event()
 
@@ -154,10 +156,11 @@
                     self._spawn(self._look_once(look_order))
             self._schedule_report()
 
-    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+    def _spawn(self, coroutine: Coroutine[Any, Any, _T]) -> asyncio.Task[_T]:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     async def _start_run(self, order: control.StartOrder) -> None:
         answer = await self._worker.start(order)
@@ -167,9 +170,10 @@
         answer = await self._worker.stop(order)
         self._perform(self.gate.stop_answered(order, answer))
 
-    async def _look_once(self, order: control.LookOrder) -> None:
+    async def _look_once(self, order: control.LookOrder) -> control.LookAnswer:
         answer = await self._worker.look(order)
         self._perform(self.gate.looked(order, answer))
+        return answer
 
     async def _look(self) -> None:
         await self._has_worker.wait()
@@ -178,9 +182,10 @@
             if order is None:
                 await asyncio.sleep(LOOK_PAUSE_S)
                 continue
-            answer = await self._worker.look(order)
-            self._perform(self.gate.looked(order, answer))
-            if not isinstance(answer, control.Snapshot):
+            look = self._spawn(self._look_once(order))
+            overdue_s = order.wait_ms / 1000 + self._settings.gate.look_repeat_s
+            done, _ = await asyncio.wait({look}, timeout=overdue_s)
+            if done and not isinstance(look.result(), control.Snapshot):
                 await asyncio.sleep(LOOK_PAUSE_S)
 
     # Links.
--- a/src/burdockgate/process/orders.py
+++ b/src/burdockgate/process/orders.py
@@ -20,6 +20,12 @@
     :param silence_s: time without an answer after which the worker counts as
         unreachable; several times the interval of the looks.
     :param look_wait_s: how long the worker may hold back the answer to a look.
+    :param look_repeat_s: how long an answer may be overdue before another look is sent
+        beside it. An answer takes a few milliseconds; until one comes, no end is seen
+        and freed room stays unused.
+    :param lossy_s: how long looks are short after one got no answer. Answers get lost
+        for seconds at a time.
+    :param lossy_look_wait_s: how long the worker may hold back an answer then.
     :param near_owners: how many entry hosts hear of every change of the load at once
         and share out freed room. With ten of them, reports of every change to all took
         more processor time than the jobs did; the others hear of it at regular times.
@@ -33,6 +39,9 @@
     stop_repeat_s: float = 0.2
     silence_s: float = 0.45
     look_wait_s: float = 0.25
+    look_repeat_s: float = 0.08
+    lossy_s: float = 2.0
+    lossy_look_wait_s: float = 0.03
     near_owners: int = 4
     distant_report_s: float = 0.35
 
--- a/src/burdockgate/process/supervisor.py
+++ b/src/burdockgate/process/supervisor.py
@@ -45,6 +45,7 @@
     is_refusing: bool = False
     # The last look had no lists for an answer.
     is_look_failing: bool = False
+    look_unanswered_at: float = -1e9
 
 
 class Supervisor(abc.ABC):
@@ -286,7 +287,12 @@
 
     def next_look(self) -> control.LookOrder | None:
         """Return the next regular look, or ``None`` while no worker is known."""
-        return self._look(self._settings.look_wait_s)
+        settings, worker = self._settings, self._worker
+        lost_at = -1e9 if worker is None else worker.look_unanswered_at
+        is_lossy = self._time.now() - lost_at < settings.lossy_s
+        return self._look(
+            settings.lossy_look_wait_s if is_lossy else settings.look_wait_s
+        )
 
     def _look(self, wait_s: float) -> control.LookOrder | None:
         worker, now = self._worker, self._time.now()
@@ -347,6 +353,8 @@
                     )
             case control.Refused(control.Refusal.UNHEALTHY, _):
                 worker.is_refusing = True
+            case control.Unanswered():
+                worker.look_unanswered_at = self._time.now()
 
     def _snapshot(
         self, worker: WorkerLife, order: control.LookOrder, seen: control.Snapshot
--- a/src/burdockgate/standin/nodes.py
+++ b/src/burdockgate/standin/nodes.py
@@ -116,6 +116,10 @@
         self._inbox.clear()
 
 
+def _ignore(answer: control.LookAnswer) -> None:
+    """Lose the answer to a look."""
+
+
 class ModelAgent(ModelNode):
     """An agent with its worker.
 
@@ -180,7 +184,17 @@
         if order is None:
             self.model.time.call_later(0.05, lambda: self._look(life))
             return
-        self._send_look(order, lambda: self._look(life), life)
+        is_followed = False
+
+        def follow() -> None:
+            nonlocal is_followed
+            if not is_followed:
+                is_followed = True
+                self._look(life)
+
+        self._send_look(order, follow, life)
+        overdue_s = order.wait_ms / 1000 + self.model.limits.look_repeat_s
+        self.model.time.call_later(overdue_s, follow)
 
     def _send_look(
         self, order: control.LookOrder, then: Callable[[], None], life: int
@@ -207,7 +221,10 @@
             time.call_later(ORDER_S, lambda: finish(answer))
 
         def arrive() -> None:
-            if not self.worker.faults.is_cut:
+            if self.worker.faults.unanswered and self.worker.is_order_lost():
+                late_s = self.model.rng.uniform(*leased.LATE_S)
+                time.call_later(late_s, lambda: self.worker.look(order, _ignore))
+            elif not self.worker.faults.is_cut:
                 self.worker.look(order, answered)
 
         time.call_later(ORDER_S, arrive)
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -108,6 +108,25 @@
     assert served == len(model.orders)
 
 
+def _credit_with_lost_answers(limits, seed):
+    model = batches.Model(seed, crest.KINDS, entries=3, workers=11, limits=limits)
+    for agent in model.agent_by_name.values():
+        agent.worker.faults.unanswered = 0.35
+    model.load(3, 10, 1.0)
+    model.run(60)
+    assert list(promises.violations(model)) == []
+    return sum(model.credit().values()) / len(KINDS)
+
+
+def test_lost_answers_to_looks_do_not_hide_free_room():
+    """A look without an answer kept the ends of all runs unseen for half a second."""
+    seeds = range(1, 4)
+    patient = orders.GateSettings(look_repeat_s=0.3, lossy_s=0.0)
+    before = [_credit_with_lost_answers(patient, seed) for seed in seeds]
+    after = [_credit_with_lost_answers(None, seed) for seed in seeds]
+    assert sum(after) > sum(before)
+
+
 def test_order_without_an_answer_does_not_keep_its_room():
     """In the first trial the room of such orders stayed taken for good."""
     model = _small(9)
