Test that a look without an answer delays no other

Cause: the model replays the decisions, not the daemon's loop. Ruled out: a deployment test, whose workers would have to lose answers at chosen moments. Change: a test of the agent's daemon with a worker that never answers its first look.

--- /dev/null
+++ b/tests/test_agentside.py
@@ -0,0 +1,49 @@
+"""Guards the daemon around an agent's gate."""
+
+import asyncio
+import random
+from unittest import mock
+
+from burdockgate.process import agentside, control, orders
+
+TOLD = control.Announcement(
+    "w1", 5, "service", 8_000, 65_536, 0, ("a", "r1"), False, 1, 1_000
+)
+
+
+class LossyWorker:
+    """Answers no regular look but those after the first."""
+
+    def __init__(self):
+        self.looks = []
+        self.answered = asyncio.get_running_loop().create_future()
+
+    async def look(self, order):
+        if order.wait_ms:
+            self.looks.append(order)
+            if len(self.looks) == 1:
+                await asyncio.get_running_loop().create_future()
+            if not self.answered.done():
+                self.answered.set_result(order)
+        await asyncio.sleep(0)
+        return control.Snapshot(1_000 + len(self.looks), 5, (), ())
+
+    async def close(self):
+        pass
+
+
+async def test_look_without_an_answer_does_not_hold_up_the_next():
+    """Ends of runs stayed unseen for half a second after each lost answer."""
+    limits = orders.GateSettings(look_wait_s=0.01, look_repeat_s=0.01)
+    settings = agentside.AgentSettings("a1", "z1", (), 1.0, limits)
+    worker = LossyWorker()
+    store = mock.Mock(newest=mock.AsyncMock(side_effect=asyncio.CancelledError))
+    daemon = agentside.AgentDaemon(settings, worker, store, random.Random(1))
+    daemon.announced(TOLD)
+    looking = asyncio.create_task(daemon._look())
+    async with asyncio.timeout(10):
+        order = await worker.answered
+    assert order.worker == "w1"
+    looking.cancel()
+    for task in list(daemon._tasks):
+        task.cancel()
