Replace agents of process tests one voter at a time

A group of claims that loses two of three members grants nothing; the logs are kept. Ruled out: an end of entry-1 by itself; it had been asked to stop. Change: one function replaces an agent and waits for its vote; the rolling replacement had this already. Checks are the same.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -209,7 +209,7 @@
 async def test_backend_server_killed(system):
     """An agent must offer no slots without its backend server, and then again."""
     # An ejected worker would get no task of the last job.
-    await asyncio.to_thread(_renew_unhealthy, system)
+    await asyncio.to_thread(_replace_unhealthy, system)
     waiting = asyncio.create_task(system.post(0, "cut", [LIMIT_MS]))
     ((start,),) = await system.wait_started("cut")
     index = int(start.server.removeprefix("server-")) - 1
@@ -236,16 +236,10 @@
         processes.wait_for(lambda: _is_joined(system), "all nodes joined")
 
     def replace_worker(index):
-        agent, server = system.agents[index], system.servers[index]
-        boot = system.voter_boot(agent.name)
-        assert agent.end(signal.SIGTERM) == 0
-        server.end(signal.SIGTERM)
-        server.start()
-        agent.start()
-        processes.wait_for(
-            lambda: system.voter_boot(agent.name) not in (None, boot), "a new voter"
+        server = system.servers[index]
+        _replace_agent(
+            system, index, lambda: (server.end(signal.SIGTERM), server.start())
         )
-        processes.wait_for(lambda: _is_joined(system), "all nodes joined")
 
     async with _submitting(system, "rolling", [20] * 4) as answers:
         for index in range(3):
@@ -255,6 +249,23 @@
     assert len(answers) >= LOAD_JOBS
 
 
+def _replace_agent(system, index, meanwhile=lambda: None):
+    """Replace an agent, and wait until the new one votes.
+
+    A group of voters that loses two of three grants no claim, so that agents must not
+    be replaced faster. What is known of the worker's health goes with the old one.
+    """
+    agent = system.agents[index]
+    boot = system.voter_boot(agent.name)
+    assert agent.end(signal.SIGTERM) == 0
+    meanwhile()
+    agent.start()
+    processes.wait_for(
+        lambda: system.voter_boot(agent.name) not in (None, boot), "a new voter"
+    )
+    processes.wait_for(lambda: _is_joined(system), "all nodes joined")
+
+
 def _is_joined(system):
     statuses = [system.status(index) for index in range(2)]
     current = system.view()
@@ -302,17 +313,11 @@
     )
 
 
-def _renew_agent(system, index=0):
-    """Replace an agent; what is known of its worker's health goes with it."""
-    assert system.agents[index].end(signal.SIGTERM) == 0
-    system.start()
-
-
-def _renew_unhealthy(system):
+def _replace_unhealthy(system):
     """Replace the agents that a test before has got ejected."""
     for index, agent in enumerate(system.agents):
         if not _has_health(system, "healthy", agent=agent.name):
-            _renew_agent(system, index)
+            _replace_agent(system, index)
 
 
 def _fault(group, begin, end, is_seen, is_lossy=False):
@@ -361,7 +366,7 @@
     # The test before may have got the agent ejected, and a worker on probation gets
     # too few tasks to run out of slots.
     if not _has_health(system, "healthy"):
-        await asyncio.to_thread(_renew_agent, system)
+        await asyncio.to_thread(_replace_agent, system, 0)
     async with _submitting(system, name, [20] * 4, fault.is_lossy) as answers:
         await _wait_more(answers)
         try:
@@ -377,7 +382,7 @@
     """A worker on probation that hangs must hold one task of each entry host."""
     server = system.servers[0]
     # The first ejection is the shortest, with 10 s.
-    await asyncio.to_thread(_renew_agent, system)
+    await asyncio.to_thread(_replace_agent, system, 0)
     server.set_faults(fail_all=True)
     for count in itertools.count():
         keys = [f"failing-{count}-{number}" for number in range(4)]
