Read the request's id once, and list waiting tasks once

Cause: the front read the Request-Id and the deadline header of a submission in two places, the scheduler went through the waiting tasks twice for each demand, and next_look had a second default for a worker that is not known. Ruled out: a cache of the nearest entry hosts in the gate; it would keep state that can be derived.

--- a/src/burdockgate/platform/front.py
+++ b/src/burdockgate/platform/front.py
@@ -70,7 +70,10 @@
         job_id = scope["path"][len(route.path_prefix) :]
         match scope["method"]:
             case "POST":
-                return await self._submit(job_id, route, table, header_by_name, receive)
+                deadline_s = _deadline_s(header_by_name)
+                return await self._submit(
+                    job_id, request_id, route, table, deadline_s, receive
+                )
             case "GET" if not job_id:
                 pending = self._daemon.scheduler.pending(route.name)
                 return 200, {}, f'{{"pending":{pending}}}'.encode()
@@ -83,15 +86,14 @@
     async def _submit(
         self,
         job_id: str,
+        request_id: str,
         route: routes.Route,
         table: routes.RouteTable,
-        header_by_name: dict[str, str],
+        deadline_s: float,
         receive: asgi.Receive,
     ) -> tuple[int, dict[str, str], bytes]:
-        request_id = header_by_name.get("request-id", "")[:MAX_REQUEST_ID]
         try:
             body = await asgi.read_body(receive, table.body_limit)
-            deadline_s = _deadline_s(header_by_name)
             submission = jobs.decode(job_id, body, route, deadline_s, request_id)
         except asgi.BodyTooLargeError:
             code, detail = codes.Code.TOO_LARGE, f"limit {table.body_limit} bytes"
--- a/src/burdockgate/process/placing.py
+++ b/src/burdockgate/process/placing.py
@@ -169,9 +169,13 @@
     def _tell_demand(self, waiting: list[batch.Job], now: float) -> Iterator[Effect]:
         """Tell the agents what found no room, so that they share out what frees."""
         # A task that was returned and pauses has not found the other workers full.
-        left = [job for job in waiting if any(self._assignable(job, now))]
-        cpu = sum(task.step.cpu for job in left for task in self._assignable(job, now))
-        rank = self._ordering.rank(left[0], now) if left else 0
+        left = [
+            (job, task.step.cpu)
+            for job in waiting
+            for task in self._assignable(job, now)
+        ]
+        cpu = sum(task_cpu for _, task_cpu in left)
+        rank = self._ordering.rank(left[0][0], now) if left else 0
         demand = assignments.Demand(cpu, rank)
         changed = demand != self._demand and (
             not cpu or not self._demand.waiting_cpu or rank != self._demand.rank
--- a/src/burdockgate/process/supervisor.py
+++ b/src/burdockgate/process/supervisor.py
@@ -288,8 +288,9 @@
     def next_look(self) -> control.LookOrder | None:
         """Return the next regular look, or ``None`` while no worker is known."""
         settings, worker = self._settings, self._worker
-        lost_at = -1e9 if worker is None else worker.look_unanswered_at
-        is_lossy = self._time.now() - lost_at < settings.lossy_s
+        if worker is None:
+            return None
+        is_lossy = self._time.now() - worker.look_unanswered_at < settings.lossy_s
         return self._look(
             settings.lossy_look_wait_s if is_lossy else settings.look_wait_s
         )
