--- a/src/burdockgate/cli/daemons.py
+++ b/src/burdockgate/cli/daemons.py
@@ -63,20 +63,20 @@
 
 def _run_entry(args: argparse.Namespace) -> int:
     from burdockgate import settings
-    from burdockgate.process import entryhost, logs, running
+    from burdockgate.process import entryhost, logs, runner
 
     config = settings.load_entry(args.settings)
     logs.configure(sys.stderr)
-    return running.run(entryhost.EntryHost(config))
+    return runner.run(entryhost.EntryHost(config))
 
 
 def _run_agent(args: argparse.Namespace) -> int:
     from burdockgate import settings
-    from burdockgate.process import agenthost, logs, running
+    from burdockgate.process import agenthost, logs, runner
 
     config = settings.load_agent(args.settings)
     logs.configure(sys.stderr)
-    return running.run(agenthost.AgentHost(config))
+    return runner.run(agenthost.AgentHost(config))
 
 
 def _run_local(args: argparse.Namespace) -> int:
--- a/src/burdockgate/cli/table.py
+++ b/src/burdockgate/cli/table.py
@@ -119,11 +119,11 @@
 async def _edit(action: _Action, args: argparse.Namespace) -> int:
     import random
 
-    from burdockgate.process import editor, platform
+    from burdockgate.process import editor, logclient
 
     # Operators' change ids must differ, so they come from the system's source.
     rng = random.SystemRandom()
-    async with platform.LogClient(args.log, rng) as log:
+    async with logclient.LogClient(args.log, rng) as log:
         return await action(editor.TableEditor(log, rng), args)
 
 
--- a/src/burdockgate/platform/__main__.py
+++ b/src/burdockgate/platform/__main__.py
@@ -14,8 +14,8 @@
 from uvicorn.protocols.http import httptools_impl
 
 from burdockgate import errors
-from burdockgate.platform import asgi, boot, configuration, store
-from burdockgate.process import events, logs, running, serving
+from burdockgate.platform import asgi, boot, configuration, storeclient
+from burdockgate.process import events, logs, runner, serving
 
 # Named in deploy/system.toml.
 METRICS_PORT = 9464
@@ -23,7 +23,7 @@
 SERVER_STOP_S = 0.3
 
 
-class Process(running.Runnable):
+class Process(runner.Runnable):
     """A daemon with its HTTP servers.
 
     :param settings: the settings file.
@@ -31,7 +31,7 @@
 
     def __init__(self, settings: boot.Boot) -> None:
         self.settings = settings
-        self.store = store.PlatformStore(settings.store.address)
+        self.store = storeclient.PlatformStore(settings.store.address)
         self._servers: list[serving.Server] = []
 
     async def listen(self, application: Any, address: str) -> None:
@@ -101,10 +101,10 @@
     """An entry host."""
 
     def __init__(self, settings: boot.Boot) -> None:
-        from burdockgate.process import entryside
+        from burdockgate.process import entrydaemon
 
         super().__init__(settings)
-        self._daemon = entryside.EntryDaemon(
+        self._daemon = entrydaemon.EntryDaemon(
             settings.entry_settings(), self.store, configuration.decode
         )
 
@@ -135,10 +135,10 @@
 
     def __init__(self, settings: boot.Boot) -> None:
         from burdockgate.platform import worker
-        from burdockgate.process import agentside
+        from burdockgate.process import agentdaemon
 
         super().__init__(settings)
-        self._daemon = agentside.AgentDaemon(
+        self._daemon = agentdaemon.AgentDaemon(
             settings.agent_settings(),
             worker.PlatformWorker(settings.worker),
             self.store,
@@ -175,7 +175,7 @@
 async def _run(role: str) -> int:
     process = _PROCESS_BY_ROLE[role](boot.load())
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, process.reload)
-    return await running.serve(process)
+    return await runner.serve(process)
 
 
 def main() -> int:
--- a/src/burdockgate/platform/boot.py
+++ b/src/burdockgate/platform/boot.py
@@ -12,7 +12,7 @@
 
 # Each role imports its own part only, because each restart pays for the imports.
 if TYPE_CHECKING:
-    from burdockgate.process import agentside, entryside, orders
+    from burdockgate.process import agentdaemon, entrydaemon, executoractions
 
 PATH_VARIABLE = "BURDOCKGATE_NODE_FILE"
 
@@ -62,11 +62,11 @@
         hosts = [seed.rpartition(":")[0] for seed in self.seeds]
         return tuple(f"{host}:{self.link_port}" for host in hosts if host)
 
-    def entry_settings(self) -> entryside.EntrySettings:
+    def entry_settings(self) -> entrydaemon.EntrySettings:
         """Return the settings of an entry host."""
-        from burdockgate.process import entryside, placing, scheduler
+        from burdockgate.process import assigner, entrydaemon, scheduler
 
-        return entryside.EntrySettings(
+        return entrydaemon.EntrySettings(
             name=self.name,
             zone=self.zone,
             host=self.host,
@@ -74,16 +74,16 @@
             grace_s=self.bounds.grace_s,
             configuration_topic="keyed.op",
             configuration_key="config",
-            scheduler=placing.SchedulerSettings(
+            scheduler=assigner.SchedulerSettings(
                 agent_gone_s=scheduler.agent_gone_s(self._gate_settings())
             ),
         )
 
-    def agent_settings(self) -> agentside.AgentSettings:
+    def agent_settings(self) -> agentdaemon.AgentSettings:
         """Return the settings of an agent."""
-        from burdockgate.process import agentside
+        from burdockgate.process import agentdaemon
 
-        return agentside.AgentSettings(
+        return agentdaemon.AgentSettings(
             name=self.name,
             zone=self.zone,
             entry_addresses=self.entry_addresses(),
@@ -91,10 +91,12 @@
             gate=self._gate_settings(),
         )
 
-    def _gate_settings(self) -> orders.GateSettings:
-        from burdockgate.process import orders
+    def _gate_settings(self) -> executoractions.GateSettings:
+        from burdockgate.process import executoractions
 
-        return orders.GateSettings(worker_lease_s=self.bounds.worker_lease_ms / 1000)
+        return executoractions.GateSettings(
+            worker_lease_s=self.bounds.worker_lease_ms / 1000
+        )
 
 
 def load() -> Boot:
--- a/src/burdockgate/platform/front.py
+++ b/src/burdockgate/platform/front.py
@@ -10,7 +10,7 @@
 
 from burdockgate import codes, errors
 from burdockgate.platform import asgi, jobs
-from burdockgate.process import entryside
+from burdockgate.process import entrydaemon
 from burdockgate.version import routes
 
 READY_PATH = "/burdockgate/readyz"
@@ -33,7 +33,7 @@
     :param daemon: decides about them.
     """
 
-    def __init__(self, daemon: entryside.EntryDaemon) -> None:
+    def __init__(self, daemon: entrydaemon.EntryDaemon) -> None:
         self._daemon = daemon
 
     async def __call__(
@@ -151,7 +151,7 @@
     :param daemon: knows whether it is ready.
     """
 
-    def __init__(self, daemon: entryside.EntryDaemon) -> None:
+    def __init__(self, daemon: entrydaemon.EntryDaemon) -> None:
         self._daemon = daemon
 
     async def __call__(
--- a/src/burdockgate/platform/heartbeats.py
+++ b/src/burdockgate/platform/heartbeats.py
@@ -7,10 +7,10 @@
 import msgspec
 
 from burdockgate.platform import asgi
-from burdockgate.process import control
+from burdockgate.process import workercontrol
 
 if TYPE_CHECKING:
-    from burdockgate.process import agentside
+    from burdockgate.process import agentdaemon
 
 BODY_LIMIT = 65_536
 _PREFIX = "/burdockgate/instances/"
@@ -40,7 +40,7 @@
 _IS_DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 
-def decode(worker: str, body: bytes) -> control.Announcement | None:
+def decode(worker: str, body: bytes) -> workercontrol.Announcement | None:
     """Return what a worker says of itself, or ``None`` when it can't be read.
 
     :param worker: identifier from the path.
@@ -53,7 +53,7 @@
     is_draining = _IS_DRAINING_BY_STATE.get(told.state)
     if is_draining is None:
         return None
-    return control.Announcement(
+    return workercontrol.Announcement(
         worker,
         told.born,
         told.service,
@@ -73,7 +73,7 @@
     :param daemon: the agent.
     """
 
-    def __init__(self, daemon: agentside.AgentDaemon) -> None:
+    def __init__(self, daemon: agentdaemon.AgentDaemon) -> None:
         self._daemon = daemon
 
     async def __call__(
--- a/src/burdockgate/platform/jobs.py
+++ b/src/burdockgate/platform/jobs.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from burdockgate import codes, errors
-from burdockgate.request import batch
+from burdockgate.request import besteffort
 from burdockgate.version import routes
 
 MAX_TASKS = 10_000
@@ -65,7 +65,7 @@
     route: routes.Route,
     deadline_s: float,
     request_id: str = "",
-) -> batch.Submission:
+) -> besteffort.Submission:
     """Return the job of a request.
 
     :param job_id: identifier from the path.
@@ -80,7 +80,7 @@
     except msgspec.DecodeError as error:
         raise errors.RequestError(codes.Code.INVALID_REQUEST, str(error)) from error
     _check(told, route)
-    return batch.Submission(
+    return besteffort.Submission(
         job_id,
         route.name,
         route.service,
@@ -123,8 +123,8 @@
         )
 
 
-def _step(told: _Step) -> batch.Step:
-    return batch.Step(
+def _step(told: _Step) -> besteffort.Step:
+    return besteffort.Step(
         told.count,
         told.cpu,
         told.memory_mb,
@@ -137,7 +137,7 @@
     )
 
 
-def encode(verdict: batch.Verdict) -> tuple[int, dict[str, str], bytes]:
+def encode(verdict: besteffort.Verdict) -> tuple[int, dict[str, str], bytes]:
     """Return status, headers and body of an answer.
 
     A status of 429 or 503 says that no task ran; 502 and 504 say nothing about that,
@@ -146,16 +146,16 @@
     :param verdict: how the job ended.
     """
     match verdict:
-        case batch.Completed():
+        case besteffort.Completed():
             return 200, {}, b'{"state":"completed"}'
-        case batch.Failed():
+        case besteffort.Failed():
             return 200, {}, b'{"state":"failed"}'
-        case batch.Refused(code, retry_after_s):
+        case besteffort.Refused(code, retry_after_s):
             headers = {"Retry-After": str(max(1, math.ceil(retry_after_s)))}
             # Callers on the platform know two statuses for "not run".
             status = 429 if codes.MEANING_BY_CODE[code].status == 429 else 503
             return status, headers, _error_body(code, "")
-        case batch.Interrupted(code):
+        case besteffort.Interrupted(code):
             status = 504 if code is codes.Code.DEADLINE_MAY_HAVE_RUN else 502
             return status, {}, _error_body(code, "")
 
--- a/src/burdockgate/platform/worker.py
+++ b/src/burdockgate/platform/worker.py
@@ -9,7 +9,7 @@
 
 from burdockgate import assignments, errors
 from burdockgate.platform import http
-from burdockgate.process import control
+from burdockgate.process import workercontrol
 
 # The worker is on the same machine and answers in a millisecond. An order that was
 # given up too early costs one look, which finds out what became of it.
@@ -26,21 +26,21 @@
 _UNCERTAIN_STATUSES = (500, 502, 504)
 
 _REFUSAL_BY_REASON = {
-    "fence": control.Refusal.FENCED,
-    "old": control.Refusal.OLD_RUN,
-    "late": control.Refusal.LATE,
-    "room": control.Refusal.NO_ROOM,
+    "fence": workercontrol.Refusal.FENCED,
+    "old": workercontrol.Refusal.OLD_RUN,
+    "late": workercontrol.Refusal.LATE,
+    "room": workercontrol.Refusal.NO_ROOM,
 }
 _REFUSAL_BY_STATUS = {
-    421: control.Refusal.OTHER_WORKER,
-    429: control.Refusal.UNHEALTHY,
-    503: control.Refusal.UNHEALTHY,
+    421: workercontrol.Refusal.OTHER_WORKER,
+    429: workercontrol.Refusal.UNHEALTHY,
+    503: workercontrol.Refusal.UNHEALTHY,
 }
 _REASON_BY_WORD = {
-    "done": control.EndReason.DONE,
-    "failed": control.EndReason.FAILED,
-    "stopped": control.EndReason.STOPPED,
-    "lapsed": control.EndReason.LAPSED,
+    "done": workercontrol.EndReason.DONE,
+    "failed": workercontrol.EndReason.FAILED,
+    "stopped": workercontrol.EndReason.STOPPED,
+    "lapsed": workercontrol.EndReason.LAPSED,
 }
 
 
@@ -59,7 +59,7 @@
     born: int = 0
 
 
-class PlatformWorker(control.RunControl):
+class PlatformWorker(workercontrol.RunControl):
     """The worker's interface over HTTP.
 
     :param address: ``host:port`` of the worker.
@@ -68,7 +68,7 @@
     def __init__(self, address: str) -> None:
         self._client = http.Client(address, CONNECTIONS)
 
-    async def start(self, order: control.StartOrder) -> control.OrderAnswer:
+    async def start(self, order: workercontrol.StartOrder) -> workercontrol.OrderAnswer:
         """Start a run."""
         fields = {
             "task": _task_name(order.key.task),
@@ -79,7 +79,7 @@
         }
         return await self._order("/burdockgate/run-start", order.worker, fields)
 
-    async def stop(self, order: control.StopOrder) -> control.OrderAnswer:
+    async def stop(self, order: workercontrol.StopOrder) -> workercontrol.OrderAnswer:
         """Stop a run."""
         fields = {
             "task": _task_name(order.key.task),
@@ -88,7 +88,7 @@
         }
         return await self._order("/burdockgate/run-stop", order.worker, fields)
 
-    async def look(self, order: control.LookOrder) -> control.LookAnswer:
+    async def look(self, order: workercontrol.LookOrder) -> workercontrol.LookAnswer:
         """Read the lists of runs."""
         fields = {
             "fencingToken": order.token,
@@ -110,7 +110,7 @@
         try:
             return _snapshot(msgspec.json.decode(answer.body, type=_Lists))
         except msgspec.DecodeError:
-            return control.Refused(control.Refusal.INVALID)
+            return workercontrol.Refused(workercontrol.Refusal.INVALID)
 
     async def close(self) -> None:
         """Close the connections."""
@@ -118,19 +118,19 @@
 
     async def _order(
         self, path: str, worker: str, fields: dict[str, Any]
-    ) -> control.OrderAnswer:
+    ) -> workercontrol.OrderAnswer:
         answer = await self._post(path, worker, fields, ORDER_ANSWER_S)
         if not isinstance(answer, http.Answer):
             return answer
         if answer.status == _OK:
-            return control.Accepted(_decode_answer(answer).clock_ms)
+            return workercontrol.Accepted(_decode_answer(answer).clock_ms)
         if answer.status in _UNCERTAIN_STATUSES:
-            return control.Unanswered()
+            return workercontrol.Unanswered()
         return _refused(answer)
 
     async def _post(
         self, path: str, worker: str, fields: dict[str, Any], answer_s: float
-    ) -> http.Answer | control.Refused | control.Unanswered:
+    ) -> http.Answer | workercontrol.Refused | workercontrol.Unanswered:
         headers = {"Content-Type": "application/json", _INSTANCE_HEADER: worker}
         body = msgspec.json.encode(fields)
         try:
@@ -138,9 +138,9 @@
                 "POST", path, answer_s, headers=headers, body=body
             )
         except errors.NotSentError:
-            return control.Refused(control.Refusal.NOT_SENT)
+            return workercontrol.Refused(workercontrol.Refusal.NOT_SENT)
         except errors.UnansweredError:
-            return control.Unanswered()
+            return workercontrol.Unanswered()
 
 
 def _decode_answer(answer: http.Answer) -> _Answer:
@@ -150,19 +150,19 @@
         return _Answer()
 
 
-def _refused(answer: http.Answer) -> control.Refused:
+def _refused(answer: http.Answer) -> workercontrol.Refused:
     told = _decode_answer(answer)
     reason = _REFUSAL_BY_STATUS.get(answer.status)
     if reason is None:
-        reason = _REFUSAL_BY_REASON.get(told.reason, control.Refusal.INVALID)
-    return control.Refused(reason, told.clock_ms)
+        reason = _REFUSAL_BY_REASON.get(told.reason, workercontrol.Refusal.INVALID)
+    return workercontrol.Refused(reason, told.clock_ms)
 
 
-def _snapshot(lists: _Lists) -> control.Snapshot:
+def _snapshot(lists: _Lists) -> workercontrol.Snapshot:
     running = tuple(_running(lists.running))
     finished = tuple(_finished(lists.finished))
     unreadable = len(lists.running) + len(lists.finished)
-    return control.Snapshot(
+    return workercontrol.Snapshot(
         lists.clock_ms,
         lists.born,
         running,
@@ -171,23 +171,23 @@
     )
 
 
-def _running(rows: list[Any]) -> Iterator[control.RunningEntry]:
+def _running(rows: list[Any]) -> Iterator[workercontrol.RunningEntry]:
     for row in rows:
         match row:
             case [str(task), int(run), _, int() | float() as percent, *_]:
                 key = _run_key(task, run)
                 if key is not None:
-                    yield control.RunningEntry(key, int(percent))
+                    yield workercontrol.RunningEntry(key, int(percent))
 
 
-def _finished(rows: list[Any]) -> Iterator[control.FinishedEntry]:
+def _finished(rows: list[Any]) -> Iterator[workercontrol.FinishedEntry]:
     for row in rows:
         match row:
             case [int(number), str(task), int(run), str(word), *_]:
                 key = _run_key(task, run)
                 if key is not None:
-                    reason = _REASON_BY_WORD.get(word, control.EndReason.OTHER)
-                    yield control.FinishedEntry(number, key, reason)
+                    reason = _REASON_BY_WORD.get(word, workercontrol.EndReason.OTHER)
+                    yield workercontrol.FinishedEntry(number, key, reason)
 
 
 def _task_name(task: assignments.TaskKey) -> str:
--- a/src/burdockgate/process/agent.py
+++ b/src/burdockgate/process/agent.py
@@ -8,8 +8,8 @@
 import attrs
 
 from burdockgate import clock, effects, messages, settings
-from burdockgate.process import claims, core, metrics, records, rows, slots
-from burdockgate.request import record
+from burdockgate.process import claims, core, jobrecords, metrics, slots, tablereplica
+from burdockgate.request import jobrecord
 from burdockgate.version import table
 from burdockgate.version import view as views
 
@@ -61,11 +61,11 @@
         self.claims = claims.ClaimStore(
             node, time, config.timing.retention_s, config.timing.view_limit_s
         )
-        self.rows = rows.Rows(kept_limit=0)
+        self.rows = tablereplica.Rows(kept_limit=0)
         self._config = config
         self._time = time
         self._counters = counters
-        self._records = records.Records(
+        self._records = jobrecords.Records(
             time, config.timing.retention_s, config.backend_server.results_bytes
         )
         self._failed_row = 0
@@ -233,7 +233,7 @@
             self._counters.count("starts.ignored", len(message.tasks))
             return
         job = self._records.admit(message, name)
-        if isinstance(job, record.Admission):
+        if isinstance(job, jobrecord.Admission):
             self._counters.count("starts.ignored", len(message.tasks))
             yield from self._refuse_old(name, message, job)
             return
@@ -257,17 +257,17 @@
         self,
         name: str,
         message: messages.Start | messages.Fence,
-        admission: record.Admission,
+        admission: jobrecord.Admission,
     ) -> _Effects:
         """Tell an owner that has lost the job about the newer epoch."""
-        if admission is record.Admission.OLD_EPOCH:
+        if admission is jobrecord.Admission.OLD_EPOCH:
             job = self._records.by_job[message.job]
             yield from self._send_fence_reply(name, job, ())
 
     def _send_fence_reply(
         self,
         name: str,
-        job: record.Record,
+        job: jobrecord.Record,
         reports: tuple[messages.TaskReport, ...],
     ) -> _Effects:
         batches = list(_batches(reports))
@@ -324,7 +324,7 @@
             self._failed_row, self._failed_job = self._failed_row + 1, job_id
 
     def _send_results(
-        self, job: record.Record, reports: list[messages.TaskReport]
+        self, job: jobrecord.Record, reports: list[messages.TaskReport]
     ) -> _Effects:
         session = self._session_by_name.get(job.owner)
         if session is None:
@@ -345,7 +345,7 @@
 
     def _on_fence(self, name: str, message: messages.Fence) -> _Effects:
         job = self._records.admit(message, name)
-        if isinstance(job, record.Admission):
+        if isinstance(job, jobrecord.Admission):
             yield from self._refuse_old(name, message, job)
             return
         reports = tuple(job.reports()) if message.boot == self.node.boot else ()
--- a/src/burdockgate/process/agentside.py
+++ b/src/burdockgate/process/agentdaemon.py
@@ -14,16 +14,16 @@
 from burdockgate.connection import stream
 from burdockgate.process import (
     actions,
-    control,
+    discovery,
+    entrysessions,
     events,
-    gate,
+    executor,
+    executoractions,
     links,
-    members,
-    orders,
-    owners,
     relay,
-    running,
+    runner,
     store,
+    workercontrol,
 )
 
 _T = TypeVar("_T")
@@ -55,10 +55,10 @@
     zone: str
     entry_addresses: tuple[str, ...]
     grace_s: float
-    gate: orders.GateSettings
+    gate: executoractions.GateSettings
 
 
-class AgentDaemon(links.Handler, running.Runnable):
+class AgentDaemon(links.Handler, runner.Runnable):
     """Connects the gate with the worker, the entry hosts and the store.
 
     :param settings: place and limits.
@@ -70,7 +70,7 @@
     def __init__(
         self,
         settings: AgentSettings,
-        worker: control.RunControl,
+        worker: workercontrol.RunControl,
         client: store.Store,
         rng: random.Random | None = None,
     ) -> None:
@@ -81,7 +81,7 @@
         self._time = clock.BootClock()
         self.events = events.Events(settings.name, self._time)
         self.boot = self._rng.getrandbits(BOOT_BITS)
-        self.gate = gate.Gate(settings.gate, self._time)
+        self.gate = executor.Gate(settings.gate, self._time)
         self.links = links.AgentLinks(self, self._time, self._rng)
         self._link_by_owner: dict[str, stream.Stream] = {}
         self._owner_by_address: dict[str, str] = {}
@@ -124,7 +124,7 @@
         while self.gate.running_count and self._time.now() < ends_at:
             await asyncio.sleep(TICK_S)
 
-    def announced(self, told: control.Announcement) -> None:
+    def announced(self, told: workercontrol.Announcement) -> None:
         """Handle a heartbeat of the worker.
 
         :param told: what it says of itself.
@@ -141,18 +141,18 @@
 
     # Effects of the gate.
 
-    def _perform(self, wanted: Iterable[orders.Effect]) -> None:
+    def _perform(self, wanted: Iterable[executoractions.Effect]) -> None:
         for effect in wanted:
             match effect:
                 case actions.Note(event, fields):
                     self.events.note(event, fields)
                 case actions.Send(to, message):
                     self._send(to, message)
-                case orders.Start(start_order):
+                case executoractions.Start(start_order):
                     self._spawn(self._start_run(start_order))
-                case orders.Stop(stop_order):
+                case executoractions.Stop(stop_order):
                     self._spawn(self._stop_run(stop_order))
-                case orders.Look(look_order):
+                case executoractions.Look(look_order):
                     self._spawn(self._look_once(look_order))
             self._schedule_report()
 
@@ -162,15 +162,17 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
-    async def _start_run(self, order: control.StartOrder) -> None:
+    async def _start_run(self, order: workercontrol.StartOrder) -> None:
         answer = await self._worker.start(order)
         self._perform(self.gate.start_answered(order, answer))
 
-    async def _stop_run(self, order: control.StopOrder) -> None:
+    async def _stop_run(self, order: workercontrol.StopOrder) -> None:
         answer = await self._worker.stop(order)
         self._perform(self.gate.stop_answered(order, answer))
 
-    async def _look_once(self, order: control.LookOrder) -> control.LookAnswer:
+    async def _look_once(
+        self, order: workercontrol.LookOrder
+    ) -> workercontrol.LookAnswer:
         answer = await self._worker.look(order)
         self._perform(self.gate.looked(order, answer))
         return answer
@@ -185,7 +187,7 @@
             look = self._spawn(self._look_once(order))
             overdue_s = order.wait_ms / 1000 + self._settings.gate.look_repeat_s
             done, _ = await asyncio.wait({look}, timeout=overdue_s)
-            if done and not isinstance(look.result(), control.Snapshot):
+            if done and not isinstance(look.result(), workercontrol.Snapshot):
                 await asyncio.sleep(LOOK_PAUSE_S)
 
     # Links.
@@ -246,7 +248,7 @@
         )
         self._info_sent.pop(hello.name, None)
         self.events.note("owner.linked", {"owner": hello.name, "held": len(held)})
-        distance = owners.distance(
+        distance = entrysessions.distance(
             self._settings.name, self._settings.zone, hello.name, hello.zone
         )
         self._perform(self.gate.linked(hello.name, hello.boot, distance))
@@ -329,13 +331,13 @@
 
     async def _read_members(self) -> None:
         try:
-            page = await self._store.newest(members.TOPIC)
+            page = await self._store.newest(discovery.TOPIC)
         except errors.LogUnavailableError as error:
             self.events.note(
-                "store.lost", {"topic": members.TOPIC, "detail": str(error)}
+                "store.lost", {"topic": discovery.TOPIC, "detail": str(error)}
             )
             return
-        found = list(members.addresses(page.records))
+        found = list(discovery.addresses(page.records))
         self.events.note("entries.found", {"addresses": found})
         for address in found:
             self.links.add(address)
--- a/src/burdockgate/process/placing.py
+++ b/src/burdockgate/process/assigner.py
@@ -10,7 +10,7 @@
 
 from burdockgate import assignments, clock
 from burdockgate.process import actions, fleet, selection, throughput
-from burdockgate.request import batch
+from burdockgate.request import besteffort
 
 # While tasks wait, agents hear of a more urgent one this often, and of the amount.
 DEMAND_CHANGE_S = 0.01
@@ -54,7 +54,7 @@
 
     ticket: int
     job: str
-    verdict: batch.Verdict
+    verdict: besteffort.Verdict
 
 
 @attrs.frozen
@@ -95,14 +95,16 @@
         self.stops_at: float | None = None
         # Told to the agents, which pass newer ones on.
         self.configuration_version = 0
-        self.job_by_id: dict[str, batch.Job] = {}
-        self._waiting_by_id: dict[str, batch.Job] = {}
+        self.job_by_id: dict[str, besteffort.Job] = {}
+        self._waiting_by_id: dict[str, besteffort.Job] = {}
         self._is_assign_due = False
         self._demand = assignments.Demand(0, 0)
         self._demanded_at = 0.0
         self._rejected_at = 0.0
         self._throughput = throughput.Throughput(time.now())
-        self._ended: collections.OrderedDict[str, batch.Job] = collections.OrderedDict()
+        self._ended: collections.OrderedDict[str, besteffort.Job] = (
+            collections.OrderedDict()
+        )
         # Tasks of jobs that have ended here but may still run, with their agent.
         self._lingering: dict[assignments.TaskKey, str] = {}
 
@@ -116,7 +118,7 @@
             for job in self.job_by_id.values()
             if job.submission.service == service
             for task in job.all_tasks()
-            if task.state is not batch.TaskState.DONE
+            if task.state is not besteffort.TaskState.DONE
         )
         # Other entry hosts use the same workers; each is expected to have like work.
         return max(1.0, work / capacity)
@@ -141,7 +143,7 @@
         examined = 0
         # The smallest task that found no room, by service: larger ones find none.
         full_by_service: dict[str, int] = {}
-        chosen: dict[tuple[str, int, str], list[batch.Task]] = {}
+        chosen: dict[tuple[str, int, str], list[besteffort.Task]] = {}
         views_by_service: dict[str, list[fleet.WorkerView]] = {}
         for job in waiting:
             service = job.submission.service
@@ -166,7 +168,9 @@
             yield from self._send(self.job_by_id[job_id], agent, tasks, now)
         yield from self._tell_demand(waiting, now)
 
-    def _tell_demand(self, waiting: list[batch.Job], now: float) -> Iterator[Effect]:
+    def _tell_demand(
+        self, waiting: list[besteffort.Job], now: float
+    ) -> Iterator[Effect]:
         """Tell the agents what found no room, so that they share out what frees."""
         # A task that was returned and pauses has not found the other workers full.
         left = [
@@ -187,19 +191,19 @@
                 if view.is_near and view.is_fresh(now):
                     yield actions.Send(view.agent, demand)
 
-    def _assignable(self, job: batch.Job, now: float) -> Iterator[batch.Task]:
+    def _assignable(self, job: besteffort.Job, now: float) -> Iterator[besteffort.Task]:
         return (
             task
             for task in job.all_tasks()
-            if task.state is batch.TaskState.WAITING
+            if task.state is besteffort.TaskState.WAITING
             and task.not_before <= now
             and task.key not in self._lingering
         )
 
     def _choose(
         self,
-        job: batch.Job,
-        task: batch.Task,
+        job: besteffort.Job,
+        task: besteffort.Task,
         views: Iterable[fleet.WorkerView],
         now: float,
     ) -> fleet.WorkerView | None:
@@ -208,15 +212,19 @@
             counts = collections.Counter(
                 other.agent
                 for other in job.tasks[task.key.step]
-                if other.state is batch.TaskState.ASSIGNED
+                if other.state is besteffort.TaskState.ASSIGNED
             )
             views = (view for view in views if counts[view.agent] < limit)
         return self._selection.choose(task, views, now)
 
     def _place(
-        self, job: batch.Job, task: batch.Task, view: fleet.WorkerView, now: float
+        self,
+        job: besteffort.Job,
+        task: besteffort.Task,
+        view: fleet.WorkerView,
+        now: float,
     ) -> None:
-        task.state = batch.TaskState.ASSIGNED
+        task.state = besteffort.TaskState.ASSIGNED
         task.run += 1
         task.agent, task.assigned_at = view.agent, now
         job.is_offered = True
@@ -225,7 +233,7 @@
         view.assign(task.step)
 
     def _send(
-        self, job: batch.Job, agent: str, tasks: list[batch.Task], now: float
+        self, job: besteffort.Job, agent: str, tasks: list[besteffort.Task], now: float
     ) -> Iterator[Effect]:
         view, step = self.fleet.by_agent[agent], tasks[0].step
         given = job.submission
@@ -259,5 +267,5 @@
             ),
         )
 
-    def _age_ms(self, job: batch.Job) -> int:
+    def _age_ms(self, job: besteffort.Job) -> int:
         return int((self._time.now() - job.received_at) * 1000)
--- a/src/burdockgate/process/daemon.py
+++ b/src/burdockgate/process/daemon.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from burdockgate import clock, effects, errors, messages, settings
-from burdockgate.process import core, logs, metrics, network, platform, running
+from burdockgate.process import core, logclient, logs, metrics, network, runner
 
 TICK_S = 0.05
 METRICS_INTERVAL_S = 1.0
@@ -19,7 +19,7 @@
 BOOT_BITS = 63
 
 
-class Daemon(network.Handler, running.Runnable):
+class Daemon(network.Handler, runner.Runnable):
     """Performs the effects of a core; subclasses add what is their own.
 
     :param node_settings: name and place of the node.
@@ -50,7 +50,7 @@
         self._timing = timing
         self._tasks: set[asyncio.Task[None]] = set()
         self.log_client = (
-            platform.LogClient(platform_settings.log_url, self.rng)
+            logclient.LogClient(platform_settings.log_url, self.rng)
             if platform_settings.log_url
             else None
         )
--- a/src/burdockgate/process/directory.py
+++ b/src/burdockgate/process/directory.py
@@ -9,7 +9,7 @@
 import attrs
 
 from burdockgate import clock, messages
-from burdockgate.process import evidence, pool
+from burdockgate.process import detectors, pool
 from burdockgate.process import health as healths
 
 
@@ -37,7 +37,7 @@
     demanded: int = 0
     table_version: int = 0
     number: int = 0
-    record: evidence.Record = attrs.field(factory=lambda: evidence.Record("", "", 0))
+    record: detectors.Record = attrs.field(factory=lambda: detectors.Record("", "", 0))
 
     @property
     def name(self) -> str:
@@ -101,7 +101,7 @@
         name, is_asked = worker.name, worker.demanded > 0
         is_free = may_get and worker.free > 0
         self.free.put(worker, is_free)
-        if is_free and worker.record.state is evidence.State.PROBATION:
+        if is_free and worker.record.state is detectors.State.PROBATION:
             self.proving[name] = worker
         else:
             self.proving.pop(name, None)
@@ -178,7 +178,7 @@
         if self.health is not None:
             self.health.leave(name)
 
-    def _on_allowance(self, record: evidence.Record) -> None:
+    def _on_allowance(self, record: detectors.Record) -> None:
         """Index a worker anew after its health has changed what it may get."""
         worker = self.worker_by_name.get(record.name)
         if worker is not None and worker.record is record:
--- a/src/burdockgate/process/editor.py
+++ b/src/burdockgate/process/editor.py
@@ -11,7 +11,7 @@
 import attrs
 
 from burdockgate import errors, messages
-from burdockgate.process import platform
+from burdockgate.process import logclient
 from burdockgate.version import table
 
 # Long enough for a few tries within a short outage, short enough for an operator.
@@ -79,7 +79,7 @@
 
     def __init__(
         self,
-        log: platform.LogClient,
+        log: logclient.LogClient,
         rng: random.Random,
         budget_s: float = BUDGET_S,
     ) -> None:
--- a/src/burdockgate/process/entry.py
+++ b/src/burdockgate/process/entry.py
@@ -12,14 +12,14 @@
     directory,
     dispatch,
     health,
-    history,
-    jobs,
+    lifecycle,
     limits,
+    memberhistory,
+    membership,
     metrics,
     placement,
-    roster,
-    rows,
     snapshots,
+    tablereplica,
 )
 from burdockgate.request import job
 from burdockgate.version import table
@@ -52,7 +52,7 @@
     ) -> None:
         self.node = node
         self.draining = False
-        self.rows = rows.Rows()
+        self.rows = tablereplica.Rows()
         self.health = health.Health(config.health, time, counters)
         self.workers = directory.Directory(time, config.timing.lease_s, self.health)
         self._config = config
@@ -67,7 +67,7 @@
             counters,
             self._limits,
         )
-        self.jobs = jobs.Jobs(
+        self.jobs = lifecycle.Jobs(
             node,
             config,
             time,
@@ -77,7 +77,7 @@
             self._dispatcher,
             self._limits,
         )
-        self._roster = roster.Roster(node, time)
+        self._roster = membership.Roster(node, time)
         self._roster_at = time.now()
         retention_s = config.platform.log_retention_s
         self._snapshots_by_stream = {
@@ -86,7 +86,7 @@
         }
         self._is_current = False
         self._peer_table_version_by_name: dict[str, int] = {}
-        self._members = history.History()
+        self._members = memberhistory.History()
         # Up to which view each agent has been sent the records, once it has told its
         # own in this session. A page that begins later would be a gap in its view.
         self._view_number_by_worker: dict[str, int] = {}
--- a/src/burdockgate/process/entryside.py
+++ b/src/burdockgate/process/entrydaemon.py
@@ -16,17 +16,17 @@
 from burdockgate.connection import stream
 from burdockgate.process import (
     actions,
+    assigner,
+    discovery,
     events,
     follower,
     links,
-    members,
-    placing,
-    running,
+    runner,
     scheduler,
     selection,
     store,
 )
-from burdockgate.request import batch
+from burdockgate.request import besteffort
 from burdockgate.version import routes
 
 TICK_S = 0.02
@@ -62,11 +62,11 @@
     grace_s: float
     configuration_topic: str
     configuration_key: str
-    scheduler: placing.SchedulerSettings = placing.SchedulerSettings()
+    scheduler: assigner.SchedulerSettings = assigner.SchedulerSettings()
     selection: selection.SelectionSettings = selection.SelectionSettings()
 
 
-class EntryDaemon(links.Handler, running.Runnable):
+class EntryDaemon(links.Handler, runner.Runnable):
     """Connects the scheduler with callers, agents and the store.
 
     :param settings: place and limits.
@@ -106,7 +106,7 @@
         self._link_by_agent: dict[str, stream.Stream] = {}
         self._agent_by_link: dict[stream.Stream, str] = {}
         self._address_by_entry: dict[str, str] = {settings.name: self._address}
-        self._answer_by_ticket: dict[int, asyncio.Future[batch.Verdict]] = {}
+        self._answer_by_ticket: dict[int, asyncio.Future[besteffort.Verdict]] = {}
         self._tickets = itertools.count(1)
         self._tasks: set[asyncio.Task[None]] = set()
         self.is_stopping = False
@@ -170,15 +170,15 @@
     # Callers.
 
     async def submit(
-        self, submission: batch.Submission, gone: asyncio.Future[None]
-    ) -> batch.Verdict | None:
+        self, submission: besteffort.Submission, gone: asyncio.Future[None]
+    ) -> besteffort.Verdict | None:
         """Return how a job ended; ``None`` when its caller went before.
 
         :param submission: the job.
         :param gone: done when the caller has closed its connection.
         """
         ticket = next(self._tickets)
-        answer: asyncio.Future[batch.Verdict] = (
+        answer: asyncio.Future[besteffort.Verdict] = (
             asyncio.get_running_loop().create_future()
         )
         self._answer_by_ticket[ticket] = answer
@@ -211,7 +211,7 @@
 
     # Effects of the scheduler.
 
-    def _perform(self, wanted: Iterable[placing.Effect]) -> None:
+    def _perform(self, wanted: Iterable[assigner.Effect]) -> None:
         for effect in wanted:
             match effect:
                 case actions.Note(event, fields):
@@ -220,9 +220,9 @@
                     link = self._link_by_agent.get(to)
                     if link is not None:
                         link.send(message)
-                case placing.AssignSoon():
+                case assigner.AssignSoon():
                     asyncio.get_running_loop().call_later(ASSIGN_DELAY_S, self._assign)
-                case placing.Conclude(ticket, _, verdict):
+                case assigner.Conclude(ticket, _, verdict):
                     answer = self._answer_by_ticket.get(ticket)
                     if answer is not None and not answer.done():
                         answer.set_result(verdict)
@@ -344,13 +344,13 @@
             self._link_by_agent[agent].send(self._configuration)
 
     async def _follow_members(self) -> None:
-        source = follower.Follower(self._store, members.TOPIC, self.events, self._rng)
+        source = follower.Follower(self._store, discovery.TOPIC, self.events, self._rng)
         async for record in source.records():
             self._learn(record)
 
     def _learn(self, record: store.KeyedRecord) -> None:
         """Tell the agents of another entry host."""
-        for address in members.addresses([record]):
+        for address in discovery.addresses([record]):
             if self._address_by_entry.get(record.key) != address:
                 self._address_by_entry[record.key] = address
                 self.events.note(
@@ -365,7 +365,9 @@
         while True:
             try:
                 await self._store.put(
-                    members.TOPIC, self._settings.name, members.encode(self._address)
+                    discovery.TOPIC,
+                    self._settings.name,
+                    discovery.encode(self._address),
                 )
             except errors.LogUnavailableError as error:
                 self.events.note("entry.not_registered", {"detail": str(error)})
@@ -376,6 +378,6 @@
 
     async def _deregister(self) -> None:
         try:
-            await self._store.put(members.TOPIC, self._settings.name, b"")
+            await self._store.put(discovery.TOPIC, self._settings.name, b"")
         except errors.LogUnavailableError as error:
             self.events.note("entry.not_deregistered", {"detail": str(error)})
--- a/src/burdockgate/process/entryhost.py
+++ b/src/burdockgate/process/entryhost.py
@@ -11,7 +11,7 @@
 import attrs
 
 from burdockgate import effects, messages, settings
-from burdockgate.process import daemon, entry, evidence, histograms, placement, web
+from burdockgate.process import daemon, detectors, entry, histograms, placement, web
 from burdockgate.request import job, outcome
 from burdockgate.version import table
 from burdockgate.version import view as views
@@ -145,9 +145,9 @@
         while self.core.health.changes:
             change = self.core.health.changes.popleft()
             facts = {"worker": change.worker, "reason": change.reason.value}
-            if change.state is evidence.State.EJECTED:
+            if change.state is detectors.State.EJECTED:
                 self.log.warning("worker ejected", **facts, seconds=change.seconds)
-            elif change.state is evidence.State.PROBATION:
+            elif change.state is detectors.State.PROBATION:
                 self.log.info("worker on probation", **facts)
             else:
                 self.log.info("worker readmitted", **facts)
@@ -307,14 +307,14 @@
             "age_s": round(self.time.now() - worker.heard_at, 3),
         }
 
-    def _health_status(self, record: evidence.Record) -> dict[str, object]:
+    def _health_status(self, record: detectors.Record) -> dict[str, object]:
         """Return the state of a worker; ``suspect`` is one in use at the cap."""
         state = record.state.value
-        if record.state is evidence.State.HEALTHY and self.core.health.is_suspect(
+        if record.state is detectors.State.HEALTHY and self.core.health.is_suspect(
             record
         ):
             state = "suspect"
-        is_ejected = record.state is evidence.State.EJECTED
+        is_ejected = record.state is detectors.State.EJECTED
         left_s = record.until - self.time.now() if is_ejected else 0.0
         return {
             "health": state,
--- a/src/burdockgate/process/gate.py
+++ b/src/burdockgate/process/executor.py
@@ -9,7 +9,13 @@
 from collections.abc import Iterator
 
 from burdockgate import assignments, clock
-from burdockgate.process import actions, orders, owners, runs, supervisor
+from burdockgate.process import (
+    actions,
+    entrysessions,
+    executoractions,
+    runs,
+    supervisor,
+)
 
 # Above this share of free room it makes no difference to an entry host how much is
 # free: a task fits, and it can't fill the rest before the next regular report.
@@ -23,9 +29,11 @@
     :param time: a clock that counts suspensions.
     """
 
-    def __init__(self, settings: orders.GateSettings, time: clock.Clock) -> None:
+    def __init__(
+        self, settings: executoractions.GateSettings, time: clock.Clock
+    ) -> None:
         super().__init__(settings, time)
-        self.session_by_owner: dict[str, owners.OwnerSession] = {}
+        self.session_by_owner: dict[str, entrysessions.OwnerSession] = {}
 
     def loads(self, is_periodic: bool = True) -> dict[str, assignments.LoadReport]:
         """Return the load of the worker by the name of the entry host to tell.
@@ -35,18 +43,18 @@
         """
         now, state = self._time.now(), self.worker_state()
         sessions = self.session_by_owner.values()
-        near = owners.nearest(sessions, self._settings.near_owners)
+        near = entrysessions.nearest(sessions, self._settings.near_owners)
         used = self._runs.used()
         queued_cpu = sum(run.cpu for run in self._runs.queued())
         capacity = self._worker.told.cpu if self._worker else 0
         free_cpu = max(0, capacity - used.cpu - queued_cpu)
-        share_by_owner = owners.share_out(free_cpu, sessions, now)
+        share_by_owner = entrysessions.share_out(free_cpu, sessions, now)
         speed = int(self._vitals.current_speed(now) * 1000)
         loads = {}
         for name, session in self.session_by_owner.items():
             share = share_by_owner[name]
             ample_cpu = min(share, int(AMPLE_SHARE * capacity))
-            news = owners.Told(state, ample_cpu if name in near else 0)
+            news = entrysessions.Told(state, ample_cpu if name in near else 0)
             is_due = session.is_outdated or news != session.told
             if not (is_due or (is_periodic and self._is_regular(session, near, now))):
                 continue
@@ -66,7 +74,7 @@
         return loads
 
     def _is_regular(
-        self, session: owners.OwnerSession, near: set[str], now: float
+        self, session: entrysessions.OwnerSession, near: set[str], now: float
     ) -> bool:
         """Return whether an owner is due for a regular report."""
         if session.name in near or any(self._runs.of_owner(session.name)):
@@ -94,7 +102,7 @@
 
     def linked(
         self, owner: str, boot: int, distance: tuple[bool, int] = (False, 0)
-    ) -> Iterator[orders.Effect]:
+    ) -> Iterator[executoractions.Effect]:
         """Handle a new connection to an entry host.
 
         :param owner: name of the entry host.
@@ -112,9 +120,9 @@
         if session is not None:
             yield actions.Note("owner.restarted", {"owner": owner, "boot": boot})
             yield from self._abandon(owner, "owner restarted")
-        self.session_by_owner[owner] = owners.OwnerSession(owner, boot, distance)
+        self.session_by_owner[owner] = entrysessions.OwnerSession(owner, boot, distance)
 
-    def unlinked(self, owner: str) -> Iterator[orders.Effect]:
+    def unlinked(self, owner: str) -> Iterator[executoractions.Effect]:
         """Handle the loss of the connection to an entry host.
 
         :param owner: its name.
@@ -124,7 +132,7 @@
             session.is_linked = False
             yield actions.Note("owner.unlinked", {"owner": owner})
 
-    def refused(self, owner: str) -> Iterator[orders.Effect]:
+    def refused(self, owner: str) -> Iterator[executoractions.Effect]:
         """Handle a refused connection: the process of the entry host has ended.
 
         :param owner: its name.
@@ -147,7 +155,7 @@
 
     def assigned(
         self, owner: str, message: assignments.Assign
-    ) -> Iterator[orders.Effect]:
+    ) -> Iterator[executoractions.Effect]:
         """Queue runs that an entry host has assigned.
 
         :param owner: name of the entry host.
@@ -175,8 +183,8 @@
         yield from self._return_excess(session, message.number)
 
     def _return_excess(
-        self, session: owners.OwnerSession, number: int
-    ) -> Iterator[orders.Effect]:
+        self, session: entrysessions.OwnerSession, number: int
+    ) -> Iterator[executoractions.Effect]:
         """Return what an assignment holds beyond the room.
 
         Owners that assigned at the same time, or by an older report, find another
@@ -194,8 +202,8 @@
                 yield from self._return(run, "no room")
 
     def _queue(
-        self, run: runs.Run, session: owners.OwnerSession, now: float
-    ) -> Iterator[orders.Effect]:
+        self, run: runs.Run, session: entrysessions.OwnerSession, now: float
+    ) -> Iterator[executoractions.Effect]:
         earlier = self._runs.find_task(run.key.task)
         reason = ""
         if now >= session.leased_until:
@@ -212,7 +220,7 @@
             return
         self._runs.by_key[run.key] = run
 
-    def revoked(self, message: assignments.Revoke) -> Iterator[orders.Effect]:
+    def revoked(self, message: assignments.Revoke) -> Iterator[executoractions.Effect]:
         """Drop or stop runs that their owner no longer wants.
 
         :param message: the runs.
@@ -223,20 +231,20 @@
                 yield from self._stop(run, "revoked")
         yield from self._fill()
 
-    def _abandon(self, owner: str, reason: str) -> Iterator[orders.Effect]:
+    def _abandon(self, owner: str, reason: str) -> Iterator[executoractions.Effect]:
         for run in self._runs.of_owner(owner):
             yield from self._stop(run, reason)
 
-    def _return_queued(self, reason: str) -> Iterator[orders.Effect]:
+    def _return_queued(self, reason: str) -> Iterator[executoractions.Effect]:
         for run in list(self._runs.queued()):
             yield from self._return(run, reason)
 
-    def leave(self) -> Iterator[orders.Effect]:
+    def leave(self) -> Iterator[executoractions.Effect]:
         """Take no new tasks from now on; running ones go on."""
         self.is_leaving = True
         yield from self._return_queued("agent leaving")
 
-    def stop_all(self, reason: str) -> Iterator[orders.Effect]:
+    def stop_all(self, reason: str) -> Iterator[executoractions.Effect]:
         """Stop every run.
 
         :param reason: why, for the log.
@@ -244,7 +252,7 @@
         for run in list(self._runs.by_key.values()):
             yield from self._stop(run, reason)
 
-    def _fill(self) -> Iterator[orders.Effect]:
+    def _fill(self) -> Iterator[executoractions.Effect]:
         """Start what waits and fits."""
         worker, now = self._worker, self._time.now()
         if worker is None or worker.foreign:
@@ -272,7 +280,7 @@
                 if state is assignments.WorkerState.PROBATION:
                     return
 
-    def tick(self) -> Iterator[orders.Effect]:
+    def tick(self) -> Iterator[executoractions.Effect]:
         """Do what is due; call every few tens of milliseconds."""
         now = self._time.now()
         yield from self._expire_sessions(now)
@@ -285,7 +293,7 @@
         yield from self._check_stall(now)
         yield from self._fill()
 
-    def _expire_sessions(self, now: float) -> Iterator[orders.Effect]:
+    def _expire_sessions(self, now: float) -> Iterator[executoractions.Effect]:
         for session in self.session_by_owner.values():
             if now < session.leased_until:
                 continue
@@ -302,7 +310,7 @@
 
     def _return(
         self, run: runs.Run, reason: str, next_run: int | None = None
-    ) -> Iterator[orders.Effect]:
+    ) -> Iterator[executoractions.Effect]:
         run.state = runs.RunState.QUEUED
         yield from self._end(run, assignments.EndKind.RETURNED, reason, next_run)
 
@@ -312,7 +320,7 @@
         kind: assignments.EndKind,
         reason: str,
         next_run: int | None = None,
-    ) -> Iterator[orders.Effect]:
+    ) -> Iterator[executoractions.Effect]:
         """Forget a run and tell its owner how it ended."""
         now = self._time.now()
         self._runs.by_key.pop(run.key, None)
--- a/src/burdockgate/process/orders.py
+++ b/src/burdockgate/process/executoractions.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from burdockgate.process import actions, control
+from burdockgate.process import actions, workercontrol
 
 
 @attrs.frozen
@@ -50,21 +50,21 @@
 class Start:
     """Effect: send a start order and report the answer."""
 
-    order: control.StartOrder
+    order: workercontrol.StartOrder
 
 
 @attrs.frozen
 class Stop:
     """Effect: send a stop order and report the answer."""
 
-    order: control.StopOrder
+    order: workercontrol.StopOrder
 
 
 @attrs.frozen
 class Look:
     """Effect: send a look beside the regular ones."""
 
-    order: control.LookOrder
+    order: workercontrol.LookOrder
 
 
 Effect = Start | Stop | Look | actions.Send | actions.Note
--- a/src/burdockgate/process/fleet.py
+++ b/src/burdockgate/process/fleet.py
@@ -7,7 +7,7 @@
 import attrs
 
 from burdockgate import assignments
-from burdockgate.request import batch
+from burdockgate.request import besteffort
 
 # Near agents report every 0.2 s, others every 0.4 s. Tasks given to one that is cut off
 # are lost for seconds.
@@ -73,7 +73,7 @@
             sum(entry[3] for entry in self._unseen),
         )
 
-    def assign(self, step: batch.Step) -> None:
+    def assign(self, step: besteffort.Step) -> None:
         """Count a run that is about to be assigned.
 
         :param step: step of its task.
@@ -127,7 +127,7 @@
             return 0
         return self.load.used_cpu + self.load.queued_cpu + self._under_way[0]
 
-    def has_room(self, step: batch.Step) -> bool:
+    def has_room(self, step: besteffort.Step) -> bool:
         """Return whether one more task fits beside what is in use or under way.
 
         :param step: step of the task.
@@ -166,7 +166,7 @@
             and view.info.service == service
         )
 
-    def can_fit(self, step: batch.Step, service: str) -> bool:
+    def can_fit(self, step: besteffort.Step, service: str) -> bool:
         """Return whether an idle worker of a service could run a task of a step.
 
         :param step: the step.
--- a/src/burdockgate/process/health.py
+++ b/src/burdockgate/process/health.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 
 from burdockgate import clock, messages, settings
-from burdockgate.process import evidence, metrics
+from burdockgate.process import detectors, metrics
 
 RUN_MEMORY = 100
 TRUST_STEP = 0.3
@@ -59,27 +59,27 @@
         config: settings.HealthSettings,
         time: clock.Clock,
         counters: metrics.Metrics,
-        detector: evidence.Detector | None = None,
+        detector: detectors.Detector | None = None,
     ) -> None:
         self._config = config
         self._time = time
         self._counters = counters
-        self._detector = detector or evidence.Likelihood(config.failures)
+        self._detector = detector or detectors.Likelihood(config.failures)
         self._slow_offset = math.log(config.slow_factor) / 2
-        self._record_by_name: dict[str, evidence.Record] = {}
-        self._out_by_name: dict[str, evidence.Record] = {}
+        self._record_by_name: dict[str, detectors.Record] = {}
+        self._out_by_name: dict[str, detectors.Record] = {}
         self._known_by_service: collections.Counter[str] = collections.Counter()
         self._ejected_by_service: collections.Counter[str] = collections.Counter()
         self._in_row_by_service: collections.Counter[str] = collections.Counter()
-        self._group_by_key: dict[tuple[str, str], evidence.Group] = {}
-        self._whole_by_service: dict[str, evidence.Group] = {}
-        self._sent_by_task: dict[tuple[bytes, int], evidence.Sent] = {}
-        self._late: collections.deque[evidence.Sent] = collections.deque()
-        self._failed_by_job: dict[bytes, evidence.FailedJob] = {}
+        self._group_by_key: dict[tuple[str, str], detectors.Group] = {}
+        self._whole_by_service: dict[str, detectors.Group] = {}
+        self._sent_by_task: dict[tuple[bytes, int], detectors.Sent] = {}
+        self._late: collections.deque[detectors.Sent] = collections.deque()
+        self._failed_by_job: dict[bytes, detectors.FailedJob] = {}
         self._ticked_at = -math.inf
-        self._watcher: Callable[[evidence.Record], None] | None = None
+        self._watcher: Callable[[detectors.Record], None] | None = None
         # Tests drive cores without a daemon that takes the changes.
-        self.changes: collections.deque[evidence.Change] = collections.deque(
+        self.changes: collections.deque[detectors.Change] = collections.deque(
             maxlen=1000
         )
 
@@ -90,14 +90,14 @@
 
     # Workers
 
-    def watch(self, watcher: Callable[[evidence.Record], None]) -> None:
+    def watch(self, watcher: Callable[[detectors.Record], None]) -> None:
         """Set what is called after a change of a worker's allowance.
 
         :param watcher: called with the worker's record.
         """
         self._watcher = watcher
 
-    def join(self, hello: messages.Hello) -> evidence.Record:
+    def join(self, hello: messages.Hello) -> detectors.Record:
         """Begin a session with a worker and return its record.
 
         :param hello: the announcement of its agent. The state outlives a session, but
@@ -109,13 +109,13 @@
         if record is None or record.boot != hello.node.boot:
             self._out_by_name.pop(name, None)
             self._show_out()
-            record = evidence.Record(name, service, hello.node.boot)
+            record = detectors.Record(name, service, hello.node.boot)
             self._record_by_name[name] = record
         record.is_connected = True
         record.session += 1
         record.in_flight = 0
         self._known_by_service[service] += 1
-        self._ejected_by_service[service] += record.state is evidence.State.EJECTED
+        self._ejected_by_service[service] += record.state is detectors.State.EJECTED
         self._allow(record)
         return record
 
@@ -131,16 +131,16 @@
         record.is_connected = False
         self._known_by_service[record.service] -= 1
         self._ejected_by_service[record.service] -= (
-            record.state is evidence.State.EJECTED
+            record.state is detectors.State.EJECTED
         )
-        if record.state is evidence.State.HEALTHY:
+        if record.state is detectors.State.HEALTHY:
             del self._record_by_name[name]
 
-    def _allow(self, record: evidence.Record) -> None:
+    def _allow(self, record: detectors.Record) -> None:
         """Set what may be sent: on probation one task at a time."""
-        if record.state is evidence.State.HEALTHY:
-            record.allowance = evidence.UNLIMITED
-        elif record.state is evidence.State.EJECTED:
+        if record.state is detectors.State.HEALTHY:
+            record.allowance = detectors.UNLIMITED
+        elif record.state is detectors.State.EJECTED:
             record.allowance = 0
         else:
             record.allowance = 1 - record.in_flight
@@ -150,7 +150,7 @@
     # Tasks
 
     def sent(
-        self, record: evidence.Record, caller_class: str, job: bytes, index: int
+        self, record: detectors.Record, caller_class: str, job: bytes, index: int
     ) -> None:
         """Note a task that was sent.
 
@@ -160,7 +160,7 @@
         :param index: index of the task.
         """
         group = self._group(record.service, caller_class)
-        task = evidence.Sent(
+        task = detectors.Sent(
             record, group, job, index, self._time.now(), record.session
         )
         older = self._sent_by_task.get((job, index))
@@ -172,14 +172,14 @@
         record.in_flight += 1
         self._allow(record)
 
-    def _group(self, service: str, caller_class: str) -> evidence.Group:
+    def _group(self, service: str, caller_class: str) -> detectors.Group:
         key = (service, caller_class)
         if key not in self._group_by_key:
             # Callers choose the names of classes, so their number must be bounded.
             if len(self._group_by_key) >= GROUPS:
                 key = (service, "")
-            whole = self._whole_by_service.setdefault(service, evidence.Group())
-            self._group_by_key.setdefault(key, evidence.Group(whole))
+            whole = self._whole_by_service.setdefault(service, detectors.Group())
+            self._group_by_key.setdefault(key, detectors.Group(whole))
         return self._group_by_key[key]
 
     def results(self, message: messages.Results) -> None:
@@ -197,12 +197,12 @@
                 self._end(task)
                 self._judge(task, report)
 
-    def _end(self, task: evidence.Sent) -> None:
+    def _end(self, task: detectors.Sent) -> None:
         if task.session == task.record.session:
             task.record.in_flight -= 1
             self._allow(task.record)
 
-    def _judge(self, task: evidence.Sent, report: messages.TaskReport) -> None:
+    def _judge(self, task: detectors.Sent, report: messages.TaskReport) -> None:
         record = task.record
         if self._record_by_name.get(record.name) is not record:
             # The worker's session was lost meanwhile, and its record with it.
@@ -210,23 +210,23 @@
         if report.state in _ENDED:
             record.answered_at = self._time.now()
         if report.state in _FAILED:
-            self._fail(task, evidence.Reason.FAILING)
+            self._fail(task, detectors.Reason.FAILING)
         elif report.state is messages.TaskState.DONE:
             self._succeed(task, report.run_ms)
 
-    def _succeed(self, task: evidence.Sent, run_ms: float) -> None:
+    def _succeed(self, task: detectors.Sent, run_ms: float) -> None:
         record, group = task.record, task.group
         record.trust += (1.0 - record.trust) * TRUST_STEP
         record.row = 0
         self._set_told(record, 0)
         group.saw(0.0, record.trust)
-        if record.state is evidence.State.EJECTED:
+        if record.state is detectors.State.EJECTED:
             return
         record.score = self._detector.success(record, group)
         if not self._is_slow(task, run_ms):
             self._prove(record)
 
-    def _is_slow(self, task: evidence.Sent, run_ms: float) -> bool:
+    def _is_slow(self, task: detectors.Sent, run_ms: float) -> bool:
         """Take a run time, and return whether it got the worker ejected.
 
         Tasks of one job are alike, so a job counts as evidence of slowness only once
@@ -244,9 +244,9 @@
         group.log_ms += over / min(group.runs, RUN_MEMORY)
         if record.slow < SLOW_SCORE:
             return False
-        return self._eject(record, evidence.Reason.SLOW)
+        return self._eject(record, detectors.Reason.SLOW)
 
-    def _fail(self, task: evidence.Sent, reason: evidence.Reason) -> None:
+    def _fail(self, task: detectors.Sent, reason: detectors.Reason) -> None:
         """Count a failure, at most one for each job but for overdue tasks."""
         record, group = task.record, task.group
         # The other workers' view of this one, from before this failure.
@@ -262,25 +262,25 @@
         if (
             first is not None
             and first.record is record
-            and (reason is not evidence.Reason.SILENT or not first.weight)
+            and (reason is not detectors.Reason.SILENT or not first.weight)
         ):
             return
         weight = self._detector.failure(record, group)
         group.saw(1.0, record.trust)
-        if reason is evidence.Reason.SILENT:
+        if reason is detectors.Reason.SILENT:
             weight *= self._detector.failures / OVERDUE_TASKS
         earlier = first.weight if first is not None and first.record is record else 0.0
-        self._remember(evidence.FailedJob(task.job, record, earlier + weight))
-        if record.state is evidence.State.EJECTED:
+        self._remember(detectors.FailedJob(task.job, record, earlier + weight))
+        if record.state is detectors.State.EJECTED:
             return
         record.score += weight
         record.row += 1
         if record.score + self._told(record) >= self._detector.threshold:
             self._eject(record, reason)
-        elif record.state is evidence.State.PROBATION:
+        elif record.state is detectors.State.PROBATION:
             self._prove(record)
 
-    def _excuse(self, first: evidence.FailedJob) -> None:
+    def _excuse(self, first: detectors.FailedJob) -> None:
         """Take a failure back: a worker that is trusted failed the same job."""
         if not first.weight:
             return
@@ -290,20 +290,20 @@
         record.row = max(0, record.row - 1)
         first.weight = 0.0
         if (
-            record.state is evidence.State.EJECTED
-            and record.reason is not evidence.Reason.SLOW
+            record.state is detectors.State.EJECTED
+            and record.reason is not detectors.Reason.SLOW
             and record.told < 2
             and record.score < self._detector.threshold / 2
         ):
             # Little is left of the evidence that ejected the worker.
             record.until = self._time.now()
 
-    def _remember(self, failed: evidence.FailedJob) -> None:
+    def _remember(self, failed: detectors.FailedJob) -> None:
         self._failed_by_job[failed.job] = failed
         if len(self._failed_by_job) > FAILED_JOBS:
             del self._failed_by_job[next(iter(self._failed_by_job))]
 
-    def tell(self, record: evidence.Record, row: int) -> None:
+    def tell(self, record: detectors.Record, row: int) -> None:
         """Take the failed jobs in a row that an agent has seen for all entry hosts.
 
         :param record: the worker.
@@ -311,20 +311,20 @@
         """
         self._set_told(record, row)
         if (
-            record.state is not evidence.State.EJECTED
+            record.state is not detectors.State.EJECTED
             and record.row
             and record.score + self._told(record) >= self._detector.threshold
         ):
-            self._eject(record, evidence.Reason.FAILING)
+            self._eject(record, detectors.Reason.FAILING)
 
-    def _set_told(self, record: evidence.Record, row: int) -> None:
+    def _set_told(self, record: detectors.Record, row: int) -> None:
         """Keep the number of workers in a row of failures up to date."""
         if record.is_connected:
             change = (row > 1) - (record.told > 1)
             self._in_row_by_service[record.service] += change
         record.told = row
 
-    def _told(self, record: evidence.Record) -> float:
+    def _told(self, record: detectors.Record) -> float:
         """Return the weight of the failures in a row that were seen elsewhere.
 
         Whether their jobs failed on other workers too is not told. So they count only
@@ -338,7 +338,7 @@
         whole = self._whole_by_service[service]
         return others * self._detector.failure(record, whole)
 
-    def freed(self, record: evidence.Record) -> None:
+    def freed(self, record: detectors.Record) -> None:
         """Note that a worker has more free slots than before.
 
         Another entry host's task has ended there, so the worker is not silent.
@@ -349,7 +349,7 @@
 
     # States
 
-    def _eject(self, record: evidence.Record, reason: evidence.Reason) -> bool:
+    def _eject(self, record: detectors.Record, reason: detectors.Reason) -> bool:
         """Eject a worker unless too many of its service are; return whether it is."""
         service = record.service
         if self._ejected_by_service[service] >= self._cap(service):
@@ -360,7 +360,7 @@
             return False
         now, config = self._time.now(), self._config
         if now - record.readmitted_at > config.max_ejection_s and (
-            record.state is evidence.State.HEALTHY
+            record.state is detectors.State.HEALTHY
         ):
             record.ejections = 0
         # The exponent is bounded so that the power stays a finite number.
@@ -372,7 +372,7 @@
         self._ejected_by_service[service] += record.is_connected
         self._out_by_name[record.name] = record
         self._counters.count("health.ejections")
-        self._change(record, evidence.State.EJECTED, seconds)
+        self._change(record, detectors.State.EJECTED, seconds)
         return True
 
     def _cap(self, service: str) -> int:
@@ -382,19 +382,21 @@
         return max(1, int(known * share))
 
     def _change(
-        self, record: evidence.Record, state: evidence.State, seconds: float = 0.0
+        self, record: detectors.Record, state: detectors.State, seconds: float = 0.0
     ) -> None:
         record.state = state
         self._allow(record)
         self._show_out()
-        self.changes.append(evidence.Change(record.name, state, record.reason, seconds))
+        self.changes.append(
+            detectors.Change(record.name, state, record.reason, seconds)
+        )
 
     def _show_out(self) -> None:
         self._counters.gauge("health.out", len(self._out_by_name))
 
-    def _prove(self, record: evidence.Record) -> None:
+    def _prove(self, record: detectors.Record) -> None:
         """Count a task on probation, and readmit the worker after enough of them."""
-        if record.state is not evidence.State.PROBATION:
+        if record.state is not detectors.State.PROBATION:
             return
         record.proved += 1
         if record.proved >= self._config.probation_tasks:
@@ -402,9 +404,9 @@
             record.score = record.slow = 0.0
             record.readmitted_at = self._time.now()
             self._counters.count("health.readmissions")
-            self._change(record, evidence.State.HEALTHY)
+            self._change(record, detectors.State.HEALTHY)
 
-    def is_suspect(self, record: evidence.Record) -> bool:
+    def is_suspect(self, record: detectors.Record) -> bool:
         """Return whether one more failure would eject a worker, but for the cap.
 
         :param record: the worker.
@@ -433,7 +435,7 @@
                 del self._record_by_name[record.name]
                 self._show_out()
 
-    def _check_due(self, group: evidence.Group, now: float) -> None:
+    def _check_due(self, group: detectors.Group, now: float) -> None:
         usual_s = math.exp(group.log_ms) / 1000 if group.runs else 0.0
         limit_s = max(self._config.overdue_s, OVERDUE_FACTOR * usual_s)
         self._check_silence(group.due, group.overdue, now - limit_s)
@@ -441,8 +443,8 @@
 
     def _check_silence(
         self,
-        due: collections.deque[evidence.Sent],
-        later: collections.deque[evidence.Sent],
+        due: collections.deque[detectors.Sent],
+        later: collections.deque[detectors.Sent],
         sent_before: float,
     ) -> None:
         while due and due[0].at <= sent_before:
@@ -454,22 +456,22 @@
             is_current = record.is_connected and task.session == record.session
             if is_current and record.answered_at <= task.at:
                 self._counters.count("health.overdue")
-                self._fail(task, evidence.Reason.SILENT)
+                self._fail(task, detectors.Reason.SILENT)
 
-    def _forget(self, task: evidence.Sent) -> None:
+    def _forget(self, task: detectors.Sent) -> None:
         key = (task.job, task.index)
         if self._sent_by_task.get(key) is task:
             del self._sent_by_task[key]
             self._end(task)
 
-    def _release(self, record: evidence.Record) -> None:
+    def _release(self, record: detectors.Record) -> None:
         """Put an ejected worker on probation; one more failure ejects it again."""
-        if record.state is not evidence.State.EJECTED:
+        if record.state is not detectors.State.EJECTED:
             return
         self._ejected_by_service[record.service] -= 1
         record.proved = 0
         # An agent goes on telling the row of failures that ended in the ejection.
         record.row = 0
         record.score = self._brink
-        record.slow = SLOW_BRINK if record.reason is evidence.Reason.SLOW else 0.0
-        self._change(record, evidence.State.PROBATION)
+        record.slow = SLOW_BRINK if record.reason is detectors.Reason.SLOW else 0.0
+        self._change(record, detectors.State.PROBATION)
--- a/src/burdockgate/process/records.py
+++ b/src/burdockgate/process/jobrecords.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from burdockgate import clock, messages
-from burdockgate.request import record
+from burdockgate.request import jobrecord
 
 
 class Records:
@@ -15,7 +15,7 @@
     """
 
     def __init__(self, time: clock.Clock, retention_s: float, limit_bytes: int) -> None:
-        self.by_job: dict[bytes, record.Record] = {}
+        self.by_job: dict[bytes, jobrecord.Record] = {}
         self._time = time
         self._retention_s = retention_s
         self._limit_bytes = limit_bytes
@@ -28,7 +28,7 @@
 
     def admit(
         self, message: messages.Start | messages.Fence, owner: str
-    ) -> record.Record | record.Admission:
+    ) -> jobrecord.Record | jobrecord.Admission:
         """Return the record of a job, or why the message is refused.
 
         :param message: the message; it begins a record where there is none.
@@ -37,7 +37,7 @@
         job = self.by_job.get(message.job)
         now = self._time.now()
         if job is None:
-            job = record.Record(
+            job = jobrecord.Record(
                 message.job, message.epoch, message.fence, message.attempt, owner, now
             )
             self.by_job[message.job] = job
@@ -45,12 +45,12 @@
         kept = job.size()
         admission = job.admit(message.epoch, message.fence, message.attempt, owner)
         self._kept_bytes += job.size() - kept
-        if admission is not record.Admission.ADMITTED:
+        if admission is not jobrecord.Admission.ADMITTED:
             return admission
         job.touched_at = now
         return job
 
-    def keep(self, job: record.Record, size: int) -> None:
+    def keep(self, job: jobrecord.Record, size: int) -> None:
         """Count a new result, and drop the oldest ones beyond the bound.
 
         :param job: the record that holds it.
--- a/src/burdockgate/process/jobs.py
+++ b/src/burdockgate/process/lifecycle.py
@@ -1,7 +1,7 @@
 """The life of each job at an entry host, from the caller's side.
 
 The layers below are :mod:`burdockgate.process.ownership`,
-:mod:`burdockgate.process.joining` and :mod:`burdockgate.process.registry`.
+:mod:`burdockgate.process.remotejobs` and :mod:`burdockgate.process.registry`.
 """
 
 from __future__ import annotations
@@ -10,7 +10,7 @@
 from collections.abc import Iterator
 
 from burdockgate import codes, effects, messages
-from burdockgate.process import answers, ownership, registry
+from burdockgate.process import outcomecache, ownership, registry
 from burdockgate.request import job, outcome, submission
 
 FETCH_DEADLINE_S = 10.0
@@ -72,7 +72,7 @@
         self,
         request: job.JobRequest,
         ticket: int,
-        kept: answers.Kept,
+        kept: outcomecache.Kept,
         refusal: codes.Code | None,
         detail: str,
     ) -> _Effects:
--- a/src/burdockgate/process/limits.py
+++ b/src/burdockgate/process/limits.py
@@ -8,7 +8,7 @@
 import attrs
 
 from burdockgate import clock
-from burdockgate.process import rows
+from burdockgate.process import tablereplica
 from burdockgate.request import job
 from burdockgate.version import table
 
@@ -30,7 +30,7 @@
     """
 
     def __init__(
-        self, source: rows.Rows, time: clock.Clock, hosts: Callable[[], int]
+        self, source: tablereplica.Rows, time: clock.Clock, hosts: Callable[[], int]
     ) -> None:
         self._source = source
         self._time = time
--- a/src/burdockgate/process/ownership.py
+++ b/src/burdockgate/process/ownership.py
@@ -7,8 +7,8 @@
 import attrs
 
 from burdockgate import codes, effects, messages
-from burdockgate.process import answers, directory, joining, registry
-from burdockgate.request import claimant, job, leader, outcome, submission
+from burdockgate.process import directory, outcomecache, registry, remotejobs
+from burdockgate.request import claimant, job, outcome, ownedjob, submission
 
 SCOPE_LIMIT = 64
 # More are drawn than needed, because some may be draining.
@@ -26,7 +26,7 @@
 _Submission = submission.Submission
 
 
-class Ownership(joining.Joining):
+class Ownership(remotejobs.Joining):
     """Claims jobs and leads those that a majority has granted."""
 
     def _claim(self, held: _Submission, epoch: int, attempt: int) -> _Effects:
@@ -121,7 +121,7 @@
     ) -> _Effects:
         assert held.request is not None
         self._counters.count("jobs.taken_over" if terms.epoch > 1 else "jobs.owned")
-        held.leader = leader.Leader(
+        held.leader = ownedjob.Leader(
             held.request,
             terms,
             self.view.group(held.job),
@@ -148,7 +148,7 @@
         elif (
             request is not None
             and held.refusal is None
-            and answers.may_run_again(code, record.repeatable)
+            and outcomecache.may_run_again(code, record.repeatable)
         ):
             held.had_attempt = registry.may_have_run(code)
             yield from self._claim(held, record.epoch + 1, record.attempt + 1)
@@ -221,7 +221,7 @@
         elif current.waiting_count:
             self._dispatcher.add(current, self.weight(current.request))
 
-    def _confirm(self, held: _Submission, current: leader.Leader) -> _Effects:
+    def _confirm(self, held: _Submission, current: ownedjob.Leader) -> _Effects:
         """Settle a job as "not run" before anybody is told so."""
         assert current.outcome is not None
         if held.job in self._to_confirm:
@@ -235,7 +235,7 @@
             yield from self._end(held, current.outcome)
 
     def _begin_confirmation(
-        self, held: _Submission, current: leader.Leader
+        self, held: _Submission, current: ownedjob.Leader
     ) -> _Effects:
         assert current.outcome is not None
         self._confirming.add(held.job)
@@ -275,7 +275,7 @@
             current.is_superseded = True
             yield from self._after(held)
 
-    def widen(self, current: leader.Leader) -> None:
+    def widen(self, current: ownedjob.Leader) -> None:
         """Ask for a longer scope for a job that only agents outside it could run.
 
         :param current: the job's leader.
--- a/src/burdockgate/process/registry.py
+++ b/src/burdockgate/process/registry.py
@@ -1,9 +1,9 @@
 """The jobs that an entry host holds, and how each one ends.
 
 :class:`Registry` is the base of three layers, each in a module of its own:
-:mod:`burdockgate.process.joining` for jobs that another entry host owns,
+:mod:`burdockgate.process.remotejobs` for jobs that another entry host owns,
 :mod:`burdockgate.process.ownership` for claims and own jobs, and
-:mod:`burdockgate.process.jobs` for callers and time.
+:mod:`burdockgate.process.lifecycle` for callers and time.
 """
 
 from __future__ import annotations
@@ -16,7 +16,7 @@
 from collections.abc import Iterator
 
 from burdockgate import clock, codes, effects, messages, settings
-from burdockgate.process import answers, directory, dispatch, limits, metrics
+from burdockgate.process import directory, dispatch, limits, metrics, outcomecache
 from burdockgate.request import job, outcome, submission
 from burdockgate.version import view as views
 
@@ -77,7 +77,7 @@
         )
         self._schedule_heap: list[tuple[float, bytes]] = []
         self._ticked_versions = (-1, -1)
-        self._answers = answers.Answers(
+        self._answers = outcomecache.Answers(
             time, config.timing.retention_s, config.limits.answers_bytes
         )
 
@@ -182,7 +182,7 @@
             request = held.leader.request
             self._answers.keep(
                 held.job,
-                answers.Kept(
+                outcomecache.Kept(
                     result,
                     epoch,
                     request.digest,
--- a/src/burdockgate/process/scheduler.py
+++ b/src/burdockgate/process/scheduler.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterator
 
 from burdockgate import assignments, codes
-from burdockgate.process import actions, fleet, orders, placing
-from burdockgate.request import batch
+from burdockgate.process import actions, assigner, executoractions, fleet
+from burdockgate.request import besteffort
 
 # A worker that was ejected or is out of reach is tried again after one second.
 NO_WORKER_RETRY_S = 1.0
@@ -26,7 +26,7 @@
 AGENT_GONE_MARGIN_S = 0.2
 
 
-def agent_gone_s(limits: orders.GateSettings) -> float:
+def agent_gone_s(limits: executoractions.GateSettings) -> float:
     """Return the time after which the runs of a silent agent have ended.
 
     The agent stops them when its session lease lapses. When the worker does not
@@ -39,12 +39,12 @@
     return limits.session_lease_s + stops_s + lease_s + AGENT_GONE_MARGIN_S
 
 
-class Scheduler(placing.Placing):
+class Scheduler(assigner.Placing):
     """The entry host's decisions; all methods but queries are generators of effects."""
 
     def submit(
-        self, submission: batch.Submission, ticket: int
-    ) -> Iterator[placing.Effect]:
+        self, submission: besteffort.Submission, ticket: int
+    ) -> Iterator[assigner.Effect]:
         """Take a job, or answer at once.
 
         :param submission: the job.
@@ -59,11 +59,11 @@
             job.tickets.add(ticket)
             return
         ended = self._ended.get(submission.job)
-        if ended is not None and isinstance(ended.verdict, batch.Completed):
+        if ended is not None and isinstance(ended.verdict, besteffort.Completed):
             yield actions.Note(
                 "job.repeated", {"job": submission.job, "request": submission.request}
             )
-            yield placing.Conclude(ticket, submission.job, ended.verdict)
+            yield assigner.Conclude(ticket, submission.job, ended.verdict)
             return
         refusal = self._refusal(submission)
         if refusal is not None:
@@ -77,9 +77,9 @@
                     "waiting": len(self.job_by_id),
                 },
             )
-            yield placing.Conclude(ticket, submission.job, refusal)
+            yield assigner.Conclude(ticket, submission.job, refusal)
             return
-        job = batch.Job.begin(submission, now, ticket)
+        job = besteffort.Job.begin(submission, now, ticket)
         self.job_by_id[submission.job] = self._waiting_by_id[submission.job] = job
         yield actions.Note(
             "job.received",
@@ -94,24 +94,26 @@
         )
         yield from self._assign_soon()
 
-    def _refusal(self, submission: batch.Submission) -> batch.Verdict | None:
+    def _refusal(self, submission: besteffort.Submission) -> besteffort.Verdict | None:
         service = submission.service
         is_settling = self._time.now() - self._started_at < self._settings.settling_s
         if not is_settling and not any(self.fleet.serving(service, self._time.now())):
-            return batch.Refused(codes.Code.NOT_READY, NO_WORKER_RETRY_S)
+            return besteffort.Refused(codes.Code.NOT_READY, NO_WORKER_RETRY_S)
         if self.stops_at is not None:
-            chain_s = batch.Job.begin(submission, 0.0, 0).chain_s()
+            chain_s = besteffort.Job.begin(submission, 0.0, 0).chain_s()
             if self._time.now() + LONG_RUN_FACTOR * chain_s > self.stops_at:
-                return batch.Refused(codes.Code.DRAINING, RETRY_ELSEWHERE_S)
+                return besteffort.Refused(codes.Code.DRAINING, RETRY_ELSEWHERE_S)
         if not is_settling and not all(
             self.fleet.can_fit(step, service) for step in submission.steps
         ):
-            return batch.Refused(codes.Code.NEVER_FITS, NO_WORKER_RETRY_S)
+            return besteffort.Refused(codes.Code.NEVER_FITS, NO_WORKER_RETRY_S)
         if len(self.job_by_id) >= self._settings.waiting_jobs:
-            return batch.Refused(codes.Code.BACKLOG_FULL, self._retry_after_s(service))
+            return besteffort.Refused(
+                codes.Code.BACKLOG_FULL, self._retry_after_s(service)
+            )
         return None
 
-    def abandon(self, job_id: str, ticket: int) -> Iterator[placing.Effect]:
+    def abandon(self, job_id: str, ticket: int) -> Iterator[assigner.Effect]:
         """Handle that a caller has gone: nobody can get the answer any more.
 
         :param job_id: identifier of the job.
@@ -126,10 +128,10 @@
         yield actions.Note(
             "job.abandoned", {"job": job_id, "age_ms": self._age_ms(job)}
         )
-        verdict = batch.Interrupted(codes.Code.REQUEST_CUT)
+        verdict = besteffort.Interrupted(codes.Code.REQUEST_CUT)
         yield from self._end_job(job, verdict)
 
-    def cancel(self, job_id: str) -> Iterator[placing.Effect]:
+    def cancel(self, job_id: str) -> Iterator[assigner.Effect]:
         """End a job on request.
 
         :param job_id: identifier of the job.
@@ -139,15 +141,15 @@
             is_run = job.has_run or bool(job.assigned())
             yield from self._end_job(
                 job,
-                batch.Interrupted(codes.Code.CANCELLED_MAY_HAVE_RUN)
+                besteffort.Interrupted(codes.Code.CANCELLED_MAY_HAVE_RUN)
                 if is_run
-                else batch.Refused(codes.Code.CANCELLED_NOT_RUN, 0.0),
+                else besteffort.Refused(codes.Code.CANCELLED_NOT_RUN, 0.0),
             )
 
-    def interrupt_all(self) -> Iterator[placing.Effect]:
+    def interrupt_all(self) -> Iterator[assigner.Effect]:
         """End every job because the process ends."""
         for job in list(self.job_by_id.values()):
-            verdict = batch.Interrupted(codes.Code.OWNER_LOST)
+            verdict = besteffort.Interrupted(codes.Code.OWNER_LOST)
             yield from self._end_job(job, verdict)
 
     def pending(self, route: str) -> int:
@@ -163,7 +165,7 @@
 
     def linked(
         self, hello: assignments.AgentHello, own_boot: int
-    ) -> Iterator[placing.Effect]:
+    ) -> Iterator[assigner.Effect]:
         """Handle a new connection of an agent.
 
         :param hello: its first message.
@@ -190,7 +192,7 @@
         view.unconfirmed = {task.run_key for task in self._tasks_of(hello.name)} - held
         yield actions.Note("agent.linked", {"agent": hello.name, "held": len(held)})
 
-    def unlinked(self, agent: str) -> Iterator[placing.Effect]:
+    def unlinked(self, agent: str) -> Iterator[assigner.Effect]:
         """Handle the loss of the connection to an agent.
 
         :param agent: its name.
@@ -205,7 +207,7 @@
 
     def informed(
         self, agent: str, info: assignments.WorkerInfo
-    ) -> Iterator[placing.Effect]:
+    ) -> Iterator[assigner.Effect]:
         """Handle facts about a worker.
 
         :param agent: name of its agent.
@@ -216,7 +218,7 @@
 
     def reported(
         self, agent: str, load: assignments.LoadReport
-    ) -> Iterator[placing.Effect]:
+    ) -> Iterator[assigner.Effect]:
         """Handle a report: renew the session and use the room that it shows.
 
         :param agent: name of the agent.
@@ -246,7 +248,7 @@
             )
         yield from self._assign_soon()
 
-    def ended(self, agent: str, end: assignments.TaskEnd) -> Iterator[placing.Effect]:
+    def ended(self, agent: str, end: assignments.TaskEnd) -> Iterator[assigner.Effect]:
         """Handle the end of a run.
 
         :param agent: name of the agent.
@@ -263,7 +265,7 @@
             return
         task = job.tasks[key.task.step][key.task.index]
         if (
-            task.state is not batch.TaskState.ASSIGNED
+            task.state is not besteffort.TaskState.ASSIGNED
             or task.run != key.run
             or task.agent != agent
         ):
@@ -272,24 +274,24 @@
 
     def _task_ended(
         self,
-        job: batch.Job,
-        task: batch.Task,
+        job: besteffort.Job,
+        task: besteffort.Task,
         kind: assignments.EndKind,
         next_run: int,
-    ) -> Iterator[placing.Effect]:
+    ) -> Iterator[assigner.Effect]:
         now, agent = self._time.now(), task.agent
         task.agent = ""
         if kind is assignments.EndKind.DONE:
             job.has_run = True
-            task.state = batch.TaskState.DONE
+            task.state = besteffort.TaskState.DONE
             job.unblock()
             if job.is_complete:
-                yield from self._end_job(job, batch.Completed())
+                yield from self._end_job(job, besteffort.Completed())
             elif job.is_waiting:
                 self._waiting_by_id[task.key.job] = job
             yield from self._assign_soon()
             return
-        task.state = batch.TaskState.WAITING
+        task.state = besteffort.TaskState.WAITING
         self._waiting_by_id[task.key.job] = job
         task.run = max(task.run, next_run - 1)
         task.avoided_until_by_agent[agent] = now + self._settings.avoid_s
@@ -312,19 +314,19 @@
             task.failures += 1
             task.avoided_until_by_agent[agent] = float("inf")
             if task.failures >= job.submission.max_attempts:
-                yield from self._end_job(job, batch.Failed(codes.Code.TASK_FAILED))
+                yield from self._end_job(job, besteffort.Failed(codes.Code.TASK_FAILED))
                 return
         yield from self._assign_soon()
 
-    def _tasks_of(self, agent: str) -> list[batch.Task]:
+    def _tasks_of(self, agent: str) -> list[besteffort.Task]:
         return [
             task
             for job in self.job_by_id.values()
             for task in job.all_tasks()
-            if task.state is batch.TaskState.ASSIGNED and task.agent == agent
+            if task.state is besteffort.TaskState.ASSIGNED and task.agent == agent
         ]
 
-    def _lose_unconfirmed(self, view: fleet.WorkerView) -> Iterator[placing.Effect]:
+    def _lose_unconfirmed(self, view: fleet.WorkerView) -> Iterator[assigner.Effect]:
         """End the runs that an agent neither holds nor has ended."""
         missing, view.unconfirmed = view.unconfirmed, set()
         for task in self._tasks_of(view.agent) if missing else []:
@@ -335,7 +337,7 @@
                     job, task, assignments.EndKind.LOST, task.run + 1
                 )
 
-    def _lose_all(self, agent: str, reason: str) -> Iterator[placing.Effect]:
+    def _lose_all(self, agent: str, reason: str) -> Iterator[assigner.Effect]:
         """Treat all runs of an agent as ended."""
         for key in [key for key, at in self._lingering.items() if at == agent]:
             del self._lingering[key]
@@ -347,14 +349,14 @@
             )
         for task in tasks:
             job = self.job_by_id.get(task.key.job)
-            if job is not None and task.state is batch.TaskState.ASSIGNED:
+            if job is not None and task.state is besteffort.TaskState.ASSIGNED:
                 yield from self._task_ended(
                     job, task, assignments.EndKind.LOST, task.run + 1
                 )
 
     def _end_job(
-        self, job: batch.Job, verdict: batch.Verdict
-    ) -> Iterator[placing.Effect]:
+        self, job: besteffort.Job, verdict: besteffort.Verdict
+    ) -> Iterator[assigner.Effect]:
         """End a job, stop what still runs of it and answer its caller."""
         job.verdict, job.ended_at = verdict, self._time.now()
         job_id = job.submission.job
@@ -381,9 +383,9 @@
             },
         )
         for ticket in sorted(job.tickets):
-            yield placing.Conclude(ticket, job_id, verdict)
+            yield assigner.Conclude(ticket, job_id, verdict)
 
-    def tick(self) -> Iterator[placing.Effect]:
+    def tick(self) -> Iterator[assigner.Effect]:
         """Do what is due; call every few tens of milliseconds."""
         now = self._time.now()
         for view in list(self.fleet.by_agent.values()):
@@ -399,22 +401,22 @@
         self._forget(now)
         yield from self.assign()
 
-    def _expire(self, job: batch.Job, now: float) -> Iterator[placing.Effect]:
+    def _expire(self, job: besteffort.Job, now: float) -> Iterator[assigner.Effect]:
         """End a job that can't be of use to its caller any more."""
         remaining_s = job.remaining_s()
         if job.has_run or job.assigned():
             if now + remaining_s > job.received_at + job.submission.deadline_s:
-                verdict = batch.Interrupted(codes.Code.DEADLINE_MAY_HAVE_RUN)
+                verdict = besteffort.Interrupted(codes.Code.DEADLINE_MAY_HAVE_RUN)
                 yield from self._end_job(job, verdict)
         elif now + remaining_s > job.useful_until():
             yield from self._reject(job)
 
-    def _reject(self, job: batch.Job) -> Iterator[placing.Effect]:
+    def _reject(self, job: besteffort.Job) -> Iterator[assigner.Effect]:
         retry_after_s = self._retry_after_s(job.submission.service)
-        verdict = batch.Refused(codes.Code.QUEUE_TIMEOUT, retry_after_s)
+        verdict = besteffort.Refused(codes.Code.QUEUE_TIMEOUT, retry_after_s)
         yield from self._end_job(job, verdict)
 
-    def _reject_hopeless(self, now: float) -> Iterator[placing.Effect]:
+    def _reject_hopeless(self, now: float) -> Iterator[assigner.Effect]:
         """Reject the waiting jobs whose turn will come too late.
 
         Their callers learn at once when to return, instead of after their deadline.
--- a/src/burdockgate/process/selection.py
+++ b/src/burdockgate/process/selection.py
@@ -9,7 +9,7 @@
 import attrs
 
 from burdockgate.process import fleet
-from burdockgate.request import batch
+from burdockgate.request import besteffort
 
 # Bounds of the parts of a rank.
 MAX_PRIORITY = 1000
@@ -23,14 +23,14 @@
     """Decides which job's tasks are assigned first."""
 
     @abc.abstractmethod
-    def key(self, job: batch.Job, now: float) -> tuple[float, ...]:
+    def key(self, job: besteffort.Job, now: float) -> tuple[float, ...]:
         """Return the sort key of a job; the smallest is served first.
 
         :param job: the job.
         :param now: the time in seconds.
         """
 
-    def rank(self, job: batch.Job, now: float) -> int:
+    def rank(self, job: besteffort.Job, now: float) -> int:
         """Return the urgency of a job among those of all entry hosts.
 
         :param job: the job.
@@ -52,7 +52,7 @@
     would make every following job late too.
     """
 
-    def key(self, job: batch.Job, now: float) -> tuple[float, ...]:
+    def key(self, job: besteffort.Job, now: float) -> tuple[float, ...]:
         """Return lateness, progress and the latest start that is on time."""
         start_by = job.start_by()
         return (float(start_by < now), float(not job.has_run), start_by)
@@ -66,7 +66,7 @@
     before others, so that work already done is not lost.
     """
 
-    def key(self, job: batch.Job, now: float) -> tuple[float, ...]:
+    def key(self, job: besteffort.Job, now: float) -> tuple[float, ...]:
         """Return lateness, progress, priority, length and the latest start."""
         start_by = job.start_by()
         return (
@@ -81,7 +81,7 @@
 class FirstCome(Ordering):
     """Jobs in the order in which they came; the baseline for comparisons."""
 
-    def key(self, job: batch.Job, now: float) -> tuple[float, ...]:
+    def key(self, job: besteffort.Job, now: float) -> tuple[float, ...]:
         """Return the time of arrival."""
         return (job.received_at,)
 
@@ -115,7 +115,7 @@
         self._rng = rng
 
     def choose(
-        self, task: batch.Task, views: Iterable[fleet.WorkerView], now: float
+        self, task: besteffort.Task, views: Iterable[fleet.WorkerView], now: float
     ) -> fleet.WorkerView | None:
         """Return the best worker, or ``None`` when none has room.
 
@@ -131,7 +131,7 @@
         best = min(rated, default=None)
         return best[2] if best else None
 
-    def _rate(self, step: batch.Step, view: fleet.WorkerView) -> float:
+    def _rate(self, step: besteffort.Step, view: fleet.WorkerView) -> float:
         run_s = step.estimate_s / view.speed
         far_s = 0.0 if view.zone == self._zone else self._settings.other_zone_s
         if step.data_rack and not view.has_label(step.data_rack):
@@ -140,7 +140,7 @@
         return run_s + far_s + spread_s
 
 
-def _may_have(task: batch.Task, view: fleet.WorkerView, now: float) -> bool:
+def _may_have(task: besteffort.Task, view: fleet.WorkerView, now: float) -> bool:
     if task.step.label and not view.has_label(task.step.label):
         return False
     return task.avoided_until_by_agent.get(view.agent, 0.0) <= now
--- a/src/burdockgate/process/snapshots.py
+++ b/src/burdockgate/process/snapshots.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable, Iterator
 
 from burdockgate import clock, effects, messages
-from burdockgate.process import roster
+from burdockgate.process import membership
 
 
 class Snapshots:
@@ -51,12 +51,12 @@
         :param value: its JSON text.
         """
         names = [self._node.name, *entries]
-        rank = roster.rank(self._stream, self._node, names)
+        rank = membership.rank(self._stream, self._node, names)
         now = self._time.now()
-        if now < self._due_at + roster.RANK_DELAY_S * rank:
+        if now < self._due_at + membership.RANK_DELAY_S * rank:
             return
         # Repeated until the snapshot is read back, because the log may be down.
-        self._due_at = now + roster.REPEAT_S
+        self._due_at = now + membership.REPEAT_S
         record_id = f"snapshot-{self._stream}-{end}"
         yield effects.Append(self._stream, record_id, value)
 
--- a/src/burdockgate/process/supervisor.py
+++ b/src/burdockgate/process/supervisor.py
@@ -12,14 +12,20 @@
 import attrs
 
 from burdockgate import assignments, clock
-from burdockgate.process import actions, control, orders, runs, vitals
+from burdockgate.process import (
+    actions,
+    executoractions,
+    runs,
+    workercontrol,
+    workerhealth,
+)
 
 _END_BY_REASON = {
-    control.EndReason.DONE: assignments.EndKind.DONE,
-    control.EndReason.FAILED: assignments.EndKind.FAILED,
-    control.EndReason.STOPPED: assignments.EndKind.STOPPED,
-    control.EndReason.LAPSED: assignments.EndKind.LOST,
-    control.EndReason.OTHER: assignments.EndKind.LOST,
+    workercontrol.EndReason.DONE: assignments.EndKind.DONE,
+    workercontrol.EndReason.FAILED: assignments.EndKind.FAILED,
+    workercontrol.EndReason.STOPPED: assignments.EndKind.STOPPED,
+    workercontrol.EndReason.LAPSED: assignments.EndKind.LOST,
+    workercontrol.EndReason.OTHER: assignments.EndKind.LOST,
 }
 
 # Weight of the progress of one overdue run. It is sampled at every tick, ten times a
@@ -31,7 +37,7 @@
 class WorkerLife:
     """What is known of one life of the worker."""
 
-    told: control.Announcement
+    told: workercontrol.Announcement
     clock_ms: int
     clock_at: float
     processed_end: int = 0
@@ -55,28 +61,30 @@
     :param time: a clock that counts suspensions.
     """
 
-    def __init__(self, settings: orders.GateSettings, time: clock.Clock) -> None:
+    def __init__(
+        self, settings: executoractions.GateSettings, time: clock.Clock
+    ) -> None:
         self._settings = settings
         self._time = time
         self._worker: WorkerLife | None = None
         self._runs = runs.Runs()
-        self._vitals = vitals.Vitals()
+        self._vitals = workerhealth.Vitals()
         self._token = 0
         self.is_leaving = False
         self._was_lapsed = False
 
     @abc.abstractmethod
-    def _fill(self) -> Iterator[orders.Effect]:
+    def _fill(self) -> Iterator[executoractions.Effect]:
         """Start what waits and fits."""
 
     @abc.abstractmethod
-    def _return_queued(self, reason: str) -> Iterator[orders.Effect]:
+    def _return_queued(self, reason: str) -> Iterator[executoractions.Effect]:
         """Return what waits to its owners."""
 
     @abc.abstractmethod
     def _return(
         self, run: runs.Run, reason: str, next_run: int | None = None
-    ) -> Iterator[orders.Effect]:
+    ) -> Iterator[executoractions.Effect]:
         """Return a run that never started."""
 
     @abc.abstractmethod
@@ -86,10 +94,12 @@
         kind: assignments.EndKind,
         reason: str,
         next_run: int | None = None,
-    ) -> Iterator[orders.Effect]:
+    ) -> Iterator[executoractions.Effect]:
         """Forget a run and tell its owner how it ended."""
 
-    def announced(self, told: control.Announcement) -> Iterator[orders.Effect]:
+    def announced(
+        self, told: workercontrol.Announcement
+    ) -> Iterator[executoractions.Effect]:
         """Handle a heartbeat of the worker.
 
         :param told: what it says of itself.
@@ -111,12 +121,14 @@
                 return
         yield from self._adopt(told, now)
 
-    def _adopt(self, told: control.Announcement, now: float) -> Iterator[orders.Effect]:
+    def _adopt(
+        self, told: workercontrol.Announcement, now: float
+    ) -> Iterator[executoractions.Effect]:
         """Begin with a new life of the worker."""
         yield actions.Note("worker.adopted", {"worker": told.worker, "born": told.born})
         before = self._worker
         self._worker = WorkerLife(told, told.clock_ms, now, answered_at=now)
-        self._vitals = vitals.Vitals()
+        self._vitals = workerhealth.Vitals()
         for run in list(self._runs.ordered()):
             if before is not None and before.told.worker == told.worker:
                 # An order may have reached the new life under the old identifier.
@@ -164,7 +176,7 @@
 
     def _start(
         self, run: runs.Run, worker: WorkerLife, now: float
-    ) -> Iterator[orders.Effect]:
+    ) -> Iterator[executoractions.Effect]:
         run.state, run.token = runs.RunState.STARTING, self._token
         run.started_at = run.progressed_at = now
         worker.extended_at = now
@@ -176,8 +188,8 @@
                 "waited_ms": int((now - run.queued_at) * 1000),
             },
         )
-        yield orders.Start(
-            control.StartOrder(
+        yield executoractions.Start(
+            workercontrol.StartOrder(
                 worker.told.worker,
                 run.key,
                 run.spec,
@@ -191,8 +203,8 @@
         return int(worker_now + self._settings.worker_lease_s * 1000)
 
     def start_answered(
-        self, order: control.StartOrder, answer: control.OrderAnswer
-    ) -> Iterator[orders.Effect]:
+        self, order: workercontrol.StartOrder, answer: workercontrol.OrderAnswer
+    ) -> Iterator[executoractions.Effect]:
         """Handle the answer to a start order.
 
         :param order: the order.
@@ -204,16 +216,16 @@
         if run.token != order.token:
             return
         match answer:
-            case control.Accepted(clock_ms):
+            case workercontrol.Accepted(clock_ms):
                 self._heard(clock_ms)
                 run.state, run.accepted_ms = runs.RunState.RUNNING, clock_ms
                 if run.is_stopping:
                     yield from self._order_stop(run)
-            case control.Refused(reason, clock_ms):
+            case workercontrol.Refused(reason, clock_ms):
                 self._heard(clock_ms)
                 yield from self._start_refused(run, reason, clock_ms)
                 yield from self._fill()
-            case control.Unanswered():
+            case workercontrol.Unanswered():
                 run.state = runs.RunState.UNCERTAIN
                 yield actions.Note(
                     "run.uncertain", {"run": run.key, "token": run.token}
@@ -221,28 +233,28 @@
                 yield from self._raise_token()
 
     def _start_refused(
-        self, run: runs.Run, reason: control.Refusal, clock_ms: int
-    ) -> Iterator[orders.Effect]:
+        self, run: runs.Run, reason: workercontrol.Refusal, clock_ms: int
+    ) -> Iterator[executoractions.Effect]:
         run.state = runs.RunState.QUEUED
         if run.is_stopping:
             yield from self._end(run, assignments.EndKind.RETURNED, "stopped")
-        elif reason is control.Refusal.FENCED:
+        elif reason is workercontrol.Refusal.FENCED:
             if run.token >= self._token:
                 self._token = max(self._token + 1, clock_ms)
                 yield actions.Note(
                     "token.raised", {"token": self._token, "reason": "fenced"}
                 )
-        elif reason is control.Refusal.LATE:
+        elif reason is workercontrol.Refusal.LATE:
             yield actions.Note("run.late", {"run": run.key, "clock_ms": clock_ms})
         else:
-            if reason is control.Refusal.UNHEALTHY:
+            if reason is workercontrol.Refusal.UNHEALTHY:
                 self._vitals.eject(self._time.now())
             # The worker rejects every run up to one that it saw; how high that was is
             # not known.
-            step = 16 if reason is control.Refusal.OLD_RUN else 1
+            step = 16 if reason is workercontrol.Refusal.OLD_RUN else 1
             yield from self._return(run, reason.value, run.key.run + step)
 
-    def _raise_token(self) -> Iterator[orders.Effect]:
+    def _raise_token(self) -> Iterator[executoractions.Effect]:
         """Make every order under way harmless, and look what the worker has."""
         worker = self._worker
         if worker is None:
@@ -250,7 +262,7 @@
         self._token = max(self._token + 1, worker.clock_ms)
         yield from self._look_now()
 
-    def _stop(self, run: runs.Run, reason: str) -> Iterator[orders.Effect]:
+    def _stop(self, run: runs.Run, reason: str) -> Iterator[executoractions.Effect]:
         if run.state is runs.RunState.QUEUED:
             yield from self._end(run, assignments.EndKind.RETURNED, reason)
             return
@@ -261,31 +273,31 @@
         if run.state is not runs.RunState.STARTING:
             yield from self._order_stop(run)
 
-    def _order_stop(self, run: runs.Run) -> Iterator[orders.Effect]:
+    def _order_stop(self, run: runs.Run) -> Iterator[executoractions.Effect]:
         worker = self._worker
         if worker is not None:
             run.stop_sent_at = self._time.now()
-            yield orders.Stop(
-                control.StopOrder(worker.told.worker, run.key, self._token)
+            yield executoractions.Stop(
+                workercontrol.StopOrder(worker.told.worker, run.key, self._token)
             )
 
     def stop_answered(
-        self, order: control.StopOrder, answer: control.OrderAnswer
-    ) -> Iterator[orders.Effect]:
+        self, order: workercontrol.StopOrder, answer: workercontrol.OrderAnswer
+    ) -> Iterator[executoractions.Effect]:
         """Handle the answer to a stop order; the end itself is listed later.
 
         :param order: the order.
         :param answer: what the worker said, if anything.
         """
-        if isinstance(answer, control.Refused) and (
-            answer.reason is control.Refusal.FENCED and order.token >= self._token
+        if isinstance(answer, workercontrol.Refused) and (
+            answer.reason is workercontrol.Refusal.FENCED and order.token >= self._token
         ):
             self._token = max(self._token + 1, answer.clock_ms)
             yield actions.Note(
                 "token.raised", {"token": self._token, "reason": "fenced stop"}
             )
 
-    def next_look(self) -> control.LookOrder | None:
+    def next_look(self) -> workercontrol.LookOrder | None:
         """Return the next regular look, or ``None`` while no worker is known."""
         settings, worker = self._settings, self._worker
         if worker is None:
@@ -295,7 +307,7 @@
             settings.lossy_look_wait_s if is_lossy else settings.look_wait_s
         )
 
-    def _look(self, wait_s: float) -> control.LookOrder | None:
+    def _look(self, wait_s: float) -> workercontrol.LookOrder | None:
         worker, now = self._worker, self._time.now()
         if worker is None:
             return None
@@ -306,7 +318,7 @@
         if not is_silent and not self._is_stop_overdue(now):
             lease_until_ms = self._lease_until_ms(worker, now)
             worker.extended_at = now
-        return control.LookOrder(
+        return workercontrol.LookOrder(
             worker.told.worker,
             self._token,
             worker.processed_end,
@@ -322,14 +334,14 @@
             for run in self._runs.ordered()
         )
 
-    def _look_now(self) -> Iterator[orders.Effect]:
+    def _look_now(self) -> Iterator[executoractions.Effect]:
         order = self._look(0.0)
         if order is not None:
-            yield orders.Look(order)
+            yield executoractions.Look(order)
 
     def looked(
-        self, order: control.LookOrder, answer: control.LookAnswer
-    ) -> Iterator[orders.Effect]:
+        self, order: workercontrol.LookOrder, answer: workercontrol.LookAnswer
+    ) -> Iterator[executoractions.Effect]:
         """Handle the answer to a look.
 
         :param order: the order.
@@ -338,28 +350,31 @@
         worker = self._worker
         if worker is None or order.worker != worker.told.worker:
             return
-        if isinstance(answer, control.Snapshot):
+        if isinstance(answer, workercontrol.Snapshot):
             yield from self._snapshot(worker, order, answer)
             return
         if not worker.is_look_failing:
             worker.is_look_failing = True
             yield actions.Note("worker.lost", {"reason": _reason(answer)})
         match answer:
-            case control.Refused(control.Refusal.FENCED, clock_ms):
+            case workercontrol.Refused(workercontrol.Refusal.FENCED, clock_ms):
                 self._heard(clock_ms)
                 if order.token >= self._token:
                     self._token = max(self._token + 1, clock_ms)
                     yield actions.Note(
                         "token.raised", {"token": self._token, "reason": "fenced look"}
                     )
-            case control.Refused(control.Refusal.UNHEALTHY, _):
+            case workercontrol.Refused(workercontrol.Refusal.UNHEALTHY, _):
                 worker.is_refusing = True
-            case control.Unanswered():
+            case workercontrol.Unanswered():
                 worker.look_unanswered_at = self._time.now()
 
     def _snapshot(
-        self, worker: WorkerLife, order: control.LookOrder, seen: control.Snapshot
-    ) -> Iterator[orders.Effect]:
+        self,
+        worker: WorkerLife,
+        order: workercontrol.LookOrder,
+        seen: workercontrol.Snapshot,
+    ) -> Iterator[executoractions.Effect]:
         if seen.born > worker.told.born:
             # A new life that has not sent a heartbeat yet.
             told = attrs.evolve(
@@ -394,8 +409,8 @@
             worker.clock_at = worker.answered_at = self._time.now()
 
     def _finish_listed(
-        self, worker: WorkerLife, seen: control.Snapshot
-    ) -> Iterator[orders.Effect]:
+        self, worker: WorkerLife, seen: workercontrol.Snapshot
+    ) -> Iterator[executoractions.Effect]:
         for entry in seen.finished:
             if entry.number <= worker.processed_end:
                 continue
@@ -406,8 +421,8 @@
                 yield from self._end(run, _END_BY_REASON[entry.reason], "listed")
 
     def _note_running(
-        self, worker: WorkerLife, seen: control.Snapshot
-    ) -> Iterator[orders.Effect]:
+        self, worker: WorkerLife, seen: workercontrol.Snapshot
+    ) -> Iterator[executoractions.Effect]:
         now = self._time.now()
         listed = {entry.key for entry in seen.running}
         for key in [key for key in worker.foreign if key not in listed]:
@@ -426,16 +441,18 @@
 
     def _stop_foreign(
         self, worker: WorkerLife, key: assignments.RunKey, now: float
-    ) -> Iterator[orders.Effect]:
+    ) -> Iterator[executoractions.Effect]:
         sent_at = worker.foreign.get(key, -1e9)
         if now - sent_at >= self._settings.stop_repeat_s:
             worker.foreign[key] = now
             yield actions.Note("run.foreign", {"run": key})
-            yield orders.Stop(control.StopOrder(worker.told.worker, key, self._token))
+            yield executoractions.Stop(
+                workercontrol.StopOrder(worker.told.worker, key, self._token)
+            )
 
     def _resolve_missing(
-        self, order: control.LookOrder, seen: control.Snapshot
-    ) -> Iterator[orders.Effect]:
+        self, order: workercontrol.LookOrder, seen: workercontrol.Snapshot
+    ) -> Iterator[executoractions.Effect]:
         """Settle runs that a current list does not show."""
         listed = {entry.key for entry in seen.running}
         for run in list(self._runs.ordered()):
@@ -455,7 +472,7 @@
             elif run.state is runs.RunState.RUNNING and run.accepted_ms < seen.clock_ms:
                 yield from self._end(run, assignments.EndKind.LOST, "not listed")
 
-    def _attend(self, run: runs.Run, now: float) -> Iterator[orders.Effect]:
+    def _attend(self, run: runs.Run, now: float) -> Iterator[executoractions.Effect]:
         if run.is_stopping and run.state is not runs.RunState.STARTING:
             if now - run.stop_sent_at >= self._settings.stop_repeat_s:
                 yield from self._order_stop(run)
@@ -472,7 +489,9 @@
             weight = OVERDUE_WEIGHT
             self._vitals.sample(sampled ** (1 - weight) * speed**weight, now)
 
-    def _expire_lease(self, worker: WorkerLife, now: float) -> Iterator[orders.Effect]:
+    def _expire_lease(
+        self, worker: WorkerLife, now: float
+    ) -> Iterator[executoractions.Effect]:
         lapse_s = self._settings.worker_lease_s * (1 + self._settings.clock_drift)
         is_lapsed = now - worker.extended_at > lapse_s + self._settings.stop_repeat_s
         if is_lapsed:
@@ -486,7 +505,7 @@
             yield from self._return_queued("worker unreachable")
         self._was_lapsed = is_lapsed
 
-    def _check_stall(self, now: float) -> Iterator[orders.Effect]:
+    def _check_stall(self, now: float) -> Iterator[executoractions.Effect]:
         running = [
             run for run in self._runs.ordered() if run.state is runs.RunState.RUNNING
         ]
@@ -501,7 +520,7 @@
                 yield from self._stop(run, "stalled")
 
 
-def _reason(answer: control.Refused | control.Unanswered) -> str:
-    if isinstance(answer, control.Refused):
+def _reason(answer: workercontrol.Refused | workercontrol.Unanswered) -> str:
+    if isinstance(answer, workercontrol.Refused):
         return answer.reason.value
     return "no answer"
--- a/src/burdockgate/process/web.py
+++ b/src/burdockgate/process/web.py
@@ -21,7 +21,7 @@
 from uvicorn.protocols.http import h11_impl
 
 from burdockgate import codes, errors
-from burdockgate.process import replies, schema, serving
+from burdockgate.process import responses, schema, serving
 from burdockgate.request import job, outcome
 
 HEADER_TIMEOUT_S = 10.0
@@ -120,7 +120,7 @@
 
 
 @litestar.post("/v1/jobs", operation_class=schema.SubmitOperation, status_code=200)
-async def _submit(request: _Request) -> replies.Response:
+async def _submit(request: _Request) -> responses.Response:
     """Submit a job and wait for its answer."""
     application = _application(request)
     wait = _boolean(request, "wait")
@@ -132,7 +132,7 @@
 
 
 @litestar.get("/v1/jobs/{guest:str}/{key:str}", operation_class=schema.FetchOperation)
-async def _fetch(request: _Request) -> replies.Response:
+async def _fetch(request: _Request) -> responses.Response:
     """Return the kept answer or the state of a job."""
     application = _application(request)
     guest, key = _names(request)
@@ -148,7 +148,7 @@
 
 
 @litestar.delete("/v1/jobs/{guest:str}/{key:str}", status_code=200)
-async def _cancel(request: _Request) -> replies.Response:
+async def _cancel(request: _Request) -> responses.Response:
     """Cancel a job and return its definite outcome."""
     _query(request)
     guest, key = _names(request)
@@ -160,7 +160,7 @@
     operation_class=schema.DrainOperation,
     status_code=200,
 )
-async def _drain(request: _Request) -> replies.Response:
+async def _drain(request: _Request) -> responses.Response:
     """Drain a worker, or resume it with ``active=false``."""
     active = _boolean(request, "active")
     worker = _unquote("worker", request.path_params["name"])
@@ -170,29 +170,29 @@
             f"worker: {job.shorten(worker)}, allowed are workers that this entry "
             "host knows",
         )
-    return replies.reply({"worker": worker, "draining": active})
+    return responses.reply({"worker": worker, "draining": active})
 
 
 @litestar.get("/v1/status")
-async def _status(request: _Request) -> replies.Response:
+async def _status(request: _Request) -> responses.Response:
     """Return the state of this entry host."""
-    return replies.reply(_application(request).service.status())
+    return responses.reply(_application(request).service.status())
 
 
 @litestar.get("/healthz")
-async def _alive(request: _Request) -> replies.Response:
+async def _alive(request: _Request) -> responses.Response:
     """Return 200 while the process answers."""
-    return replies.reply({"alive": True})
+    return responses.reply({"alive": True})
 
 
 @litestar.get("/readyz")
-async def _ready(request: _Request) -> replies.Response:
+async def _ready(request: _Request) -> responses.Response:
     """Return 200 when jobs are taken, else 503 with the reason."""
     reason = _application(request).service.not_ready_reason()
     if not reason:
-        return replies.reply({"ready": True})
+        return responses.reply({"ready": True})
     refused = outcome.Refused(codes.Code.NOT_READY, reason, READY_RETRY_S)
-    return replies.render("", "", refused)
+    return responses.render("", "", refused)
 
 
 def _header(request: _Request, name: bytes) -> str | None:
@@ -283,7 +283,7 @@
 
 async def _answer(
     guest: str, key: str, call: Awaitable[outcome.Outcome]
-) -> replies.Response:
+) -> responses.Response:
     try:
         result = await call
     except asyncio.CancelledError:
@@ -293,31 +293,31 @@
         )
     except errors.RequestError as error:
         result = outcome.Refused(error.code, error.detail)
-    return replies.render(guest, key, result)
+    return responses.render(guest, key, result)
 
 
 def _on_request_error(
     request: _Request, error: errors.RequestError
-) -> replies.ErrorResponse:
+) -> responses.ErrorResponse:
     status = codes.MEANING_BY_CODE[error.code].status
     return _reject(request, error.code, error.detail, status)
 
 
 def _reject(
     request: _Request, code: codes.Code, detail: str, status: int
-) -> replies.ErrorResponse:
+) -> responses.ErrorResponse:
     _application(request).service.rejected()
     result = outcome.Refused(code, detail)
     if status in (408, 413):
-        return replies.error(
-            result, status, {"Connection": "close"}, replies.UnreadBodyResponse
+        return responses.error(
+            result, status, {"Connection": "close"}, responses.UnreadBodyResponse
         )
-    return replies.error(result, status, {})
+    return responses.error(result, status, {})
 
 
 def _on_http_error(
     request: _Request, error: exceptions.HTTPException
-) -> replies.ErrorResponse:
+) -> responses.ErrorResponse:
     if error.status_code >= 500:
         return _on_error(request, error)
     place = f"{request.method} {job.shorten(request.scope['path'])}"
@@ -333,10 +333,10 @@
     return response
 
 
-def _on_error(request: _Request, error: Exception) -> replies.ErrorResponse:
+def _on_error(request: _Request, error: Exception) -> responses.ErrorResponse:
     _logger.error("web.error", path=request.scope["path"], exc_info=error)
     detail = f"internal error of the entry host ({type(error).__name__})"
-    return replies.error(outcome.Failed(0, codes.Code.OWNER_LOST, detail), 500, {})
+    return responses.error(outcome.Failed(0, codes.Code.OWNER_LOST, detail), 500, {})
 
 
 class Server(serving.Server):
@@ -402,9 +402,9 @@
         if self.conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             cast(_Application, self.config.app).service.rejected()
             refused = outcome.Refused(codes.Code.INVALID_REQUEST, msg)
-            body = replies.content("", "", refused)
+            body = responses.content("", "", refused)
             headers = [
-                ("content-type", replies.JSON),
+                ("content-type", responses.JSON),
                 ("content-length", str(len(body))),
                 ("connection", "close"),
             ]
--- a/src/burdockgate/request/submission.py
+++ b/src/burdockgate/request/submission.py
@@ -12,7 +12,7 @@
 from burdockgate import codes, messages
 from burdockgate.request import claimant as claimants
 from burdockgate.request import job as jobs
-from burdockgate.request import leader as leaders
+from burdockgate.request import ownedjob
 
 
 @attrs.define
@@ -43,7 +43,7 @@
     claimant: claimants.Claimant | None = None
     extension: claimants.Claimant | None = None
     confirmation: claimants.Claimant | None = None
-    leader: leaders.Leader | None = None
+    leader: ownedjob.Leader | None = None
     owner: messages.Node | None = None
     record: messages.ClaimRecord | None = None
     waits_since: float | None = None
--- a/src/burdockgate/standin/batches.py
+++ b/src/burdockgate/standin/batches.py
@@ -11,8 +11,8 @@
 from collections.abc import Callable
 
 from burdockgate import assignments
-from burdockgate.process import orders, owners, selection
-from burdockgate.request import batch
+from burdockgate.process import entrysessions, executoractions, selection
+from burdockgate.request import besteffort
 from burdockgate.standin import leased, nodes, virtual
 
 REDIAL_S = 0.05
@@ -45,7 +45,7 @@
         zones: int = 0,
         ordering: selection.Ordering | None = None,
         chosen: selection.SelectionSettings | None = None,
-        limits: orders.GateSettings | None = None,
+        limits: executoractions.GateSettings | None = None,
     ) -> None:
         zones = zones or entries
         self.rng = random.Random(seed)
@@ -53,7 +53,7 @@
         self.kinds = kinds
         self.ordering = ordering or selection.ShortestFirst()
         self.selection = chosen or selection.SelectionSettings()
-        self.limits = limits or orders.GateSettings()
+        self.limits = limits or executoractions.GateSettings()
         self.messages: collections.Counter[type] = collections.Counter()
         self.tickets = iter(range(1, 1 << 60))
         self.work_by_task: dict[assignments.TaskKey, tuple[float, int]] = {}
@@ -142,7 +142,9 @@
             lambda: entry.perform(entry.scheduler.linked(hello, entry_boot)),
         )
         agent.info_sent = {sent for sent in agent.info_sent if sent[0] != entry.name}
-        distance = owners.distance(agent.name, agent.zone, entry.name, entry.zone)
+        distance = entrysessions.distance(
+            agent.name, agent.zone, entry.name, entry.zone
+        )
         agent.perform(agent.gate.linked(entry.name, entry_boot, distance))
         agent.report()
 
@@ -304,9 +306,9 @@
             key = assignments.TaskKey(job, 0, index)
             self.work_by_task[key] = (-work_s if is_poison else work_s, kind.cpu)
         estimate_s = kind.work_s * self.rng.uniform(0.6, 1.4)
-        step = batch.Step(kind.width, kind.cpu, 64, 0, estimate_s)
+        step = besteffort.Step(kind.width, kind.cpu, 64, 0, estimate_s)
         objective_s = 1.6 * max(works) + 0.06
-        submission = batch.Submission(
+        submission = besteffort.Submission(
             job,
             kind.name,
             "service",
@@ -353,7 +355,7 @@
         if waited_s + RESEND_S < order.submission.deadline_s:
             self.time.call_later(RESEND_S, lambda: self._send(order))
 
-    def concluded(self, order: nodes.Order, verdict: batch.Verdict) -> None:
+    def concluded(self, order: nodes.Order, verdict: besteffort.Verdict) -> None:
         """Handle an answer.
 
         :param order: the job.
@@ -361,7 +363,7 @@
         """
         order.verdicts.append(verdict)
         order.ended_at = self.time.now()
-        if isinstance(verdict, batch.Interrupted):
+        if isinstance(verdict, besteffort.Interrupted):
             self.resend(order)
 
     def run(self, seconds: float) -> None:
--- a/src/burdockgate/standin/demo.py
+++ b/src/burdockgate/standin/demo.py
@@ -9,7 +9,7 @@
 import attrs
 
 from burdockgate import client, codes, errors
-from burdockgate.process import running
+from burdockgate.process import runner
 from burdockgate.standin import local
 
 SAMPLE_RUN_TIMES_MS = (50, 80, 120, 60, 200, 90, 150, 70, 300, 50, 110, 60) * 2
@@ -75,7 +75,7 @@
     config: local.LocalSettings, body: dict[str, object], as_json: bool, keep: bool
 ) -> int:
     asked = asyncio.Event()
-    running.on_signal(asked.set)
+    runner.on_signal(asked.set)
     system = local.Local(config)
     try:
         await system.start()
--- a/src/burdockgate/standin/leased.py
+++ b/src/burdockgate/standin/leased.py
@@ -8,7 +8,7 @@
 import attrs
 
 from burdockgate import assignments
-from burdockgate.process import control
+from burdockgate.process import workercontrol
 from burdockgate.standin import virtual
 
 STOP_S = 0.04
@@ -37,7 +37,7 @@
     cpu: int
     began: float
     ended: float
-    reason: control.EndReason | None
+    reason: workercontrol.EndReason | None
 
 
 @attrs.define
@@ -94,7 +94,7 @@
         self._lease_ms = 0.0
         self._run_by_key: dict[assignments.RunKey, _Run] = {}
         self._highest_by_task: dict[assignments.TaskKey, int] = {}
-        self._finished: list[control.FinishedEntry] = []
+        self._finished: list[workercontrol.FinishedEntry] = []
         self._end_number = 0
         self._waiting: list[Callable[[], None]] = []
 
@@ -111,13 +111,15 @@
         """The worker's steady clock."""
         return int((self._time.now() - self._life_began) * 1000)
 
-    def announcement(self, sequence: int, is_draining: bool) -> control.Announcement:
+    def announcement(
+        self, sequence: int, is_draining: bool
+    ) -> workercontrol.Announcement:
         """Return a heartbeat.
 
         :param sequence: its number.
         :param is_draining: whether the worker leaves.
         """
-        return control.Announcement(
+        return workercontrol.Announcement(
             self.name,
             self.born,
             "service",
@@ -134,24 +136,24 @@
         """Return whether the next order gets no answer and is carried out late."""
         return self._rng.random() < self.faults.unanswered
 
-    def start(self, order: control.StartOrder) -> control.OrderAnswer:
+    def start(self, order: workercontrol.StartOrder) -> workercontrol.OrderAnswer:
         """Carry out a start order.
 
         :param order: the order.
         """
         key = order.key
         if order.token < self._token:
-            return control.Refused(control.Refusal.FENCED, self.clock_ms)
+            return workercontrol.Refused(workercontrol.Refusal.FENCED, self.clock_ms)
         self._token = order.token
         if order.lease_until_ms <= self.clock_ms:
-            return control.Refused(control.Refusal.LATE, self.clock_ms)
+            return workercontrol.Refused(workercontrol.Refusal.LATE, self.clock_ms)
         self._extend(order.lease_until_ms)
         if key in self._run_by_key:
-            return control.Accepted(self.clock_ms)
+            return workercontrol.Accepted(self.clock_ms)
         if key.run <= self._highest_by_task.get(key.task, 0):
-            return control.Refused(control.Refusal.OLD_RUN, self.clock_ms)
+            return workercontrol.Refused(workercontrol.Refusal.OLD_RUN, self.clock_ms)
         self._begin(key)
-        return control.Accepted(self.clock_ms)
+        return workercontrol.Accepted(self.clock_ms)
 
     def _begin(self, key: assignments.RunKey) -> None:
         work_s, _ = self._work_of(key.task)
@@ -161,32 +163,36 @@
         is_failing = work_s < 0 or self.faults.fails
         if self.faults.hangs:
             return
-        reason = control.EndReason.FAILED if is_failing else control.EndReason.DONE
+        reason = (
+            workercontrol.EndReason.FAILED
+            if is_failing
+            else workercontrol.EndReason.DONE
+        )
         if self.faults.fails:
             duration_s = 0.005
         self._time.call_later(duration_s, lambda: self._end(run, reason))
 
-    def stop(self, order: control.StopOrder) -> control.OrderAnswer:
+    def stop(self, order: workercontrol.StopOrder) -> workercontrol.OrderAnswer:
         """Carry out a stop order.
 
         :param order: the order.
         """
         if order.token < self._token:
-            return control.Refused(control.Refusal.FENCED, self.clock_ms)
+            return workercontrol.Refused(workercontrol.Refusal.FENCED, self.clock_ms)
         self._token = order.token
         task = order.key.task
         highest = max(self._highest_by_task.get(task, 0), order.key.run)
         self._highest_by_task[task] = highest
         run = self._run_by_key.get(order.key)
         if run is not None:
-            stopped = control.EndReason.STOPPED
+            stopped = workercontrol.EndReason.STOPPED
             self._time.call_later(STOP_S, lambda: self._end(run, stopped))
-        return control.Accepted(self.clock_ms)
+        return workercontrol.Accepted(self.clock_ms)
 
     def look(
         self,
-        order: control.LookOrder,
-        answer: Callable[[control.LookAnswer], None],
+        order: workercontrol.LookOrder,
+        answer: Callable[[workercontrol.LookAnswer], None],
     ) -> None:
         """Carry out a look; it is answered at an end or after its wait.
 
@@ -194,7 +200,7 @@
         :param answer: gets the lists.
         """
         if order.token < self._token:
-            answer(control.Refused(control.Refusal.FENCED, self.clock_ms))
+            answer(workercontrol.Refused(workercontrol.Refusal.FENCED, self.clock_ms))
             return
         self._token = order.token
         if order.lease_until_ms is not None:
@@ -216,13 +222,13 @@
         self._waiting.append(answer_once)
         self._time.call_later(order.wait_ms / 1000, answer_once)
 
-    def _snapshot(self) -> control.Snapshot:
+    def _snapshot(self) -> workercontrol.Snapshot:
         now = self._time.now()
         running = tuple(
-            control.RunningEntry(run.key, self._percent(run, now))
+            workercontrol.RunningEntry(run.key, self._percent(run, now))
             for run in self._run_by_key.values()
         )
-        return control.Snapshot(
+        return workercontrol.Snapshot(
             self.clock_ms, self.born, running, tuple(self._finished)
         )
 
@@ -244,9 +250,9 @@
     def _lapse(self, life: int) -> None:
         if life == self.born and self.clock_ms >= self._lease_ms:
             for run in list(self._run_by_key.values()):
-                self._end(run, control.EndReason.LAPSED)
+                self._end(run, workercontrol.EndReason.LAPSED)
 
-    def _end(self, run: _Run, reason: control.EndReason) -> None:
+    def _end(self, run: _Run, reason: workercontrol.EndReason) -> None:
         if not run.is_alive:
             return
         run.is_alive = False
@@ -256,12 +262,14 @@
         self._highest_by_task[task] = highest
         self._record(run, reason)
         self._end_number += 1
-        self._finished.append(control.FinishedEntry(self._end_number, run.key, reason))
+        self._finished.append(
+            workercontrol.FinishedEntry(self._end_number, run.key, reason)
+        )
         waiting, self._waiting = self._waiting, []
         for answer in waiting:
             answer()
 
-    def _record(self, run: _Run, reason: control.EndReason | None) -> None:
+    def _record(self, run: _Run, reason: workercontrol.EndReason | None) -> None:
         _, cpu = self._work_of(run.key.task)
         self.spans.append(
             Span(self.name, run.key, cpu, run.started_at, self._time.now(), reason)
--- a/src/burdockgate/standin/nodes.py
+++ b/src/burdockgate/standin/nodes.py
@@ -7,8 +7,15 @@
 
 import attrs
 
-from burdockgate.process import actions, control, gate, orders, placing, scheduler
-from burdockgate.request import batch
+from burdockgate.process import (
+    actions,
+    assigner,
+    executor,
+    executoractions,
+    scheduler,
+    workercontrol,
+)
+from burdockgate.request import besteffort
 from burdockgate.standin import leased
 
 if TYPE_CHECKING:
@@ -49,10 +56,10 @@
 
     job: str
     kind: Kind
-    submission: batch.Submission
+    submission: besteffort.Submission
     sent_at: float
     objective_s: float
-    verdicts: list[batch.Verdict] = attrs.field(factory=list)
+    verdicts: list[besteffort.Verdict] = attrs.field(factory=list)
     ended_at: float | None = None
     is_interrupted: bool = False
 
@@ -63,12 +70,14 @@
         took_s = self.ended_at - self.sent_at
         if took_s <= self.objective_s:
             return 1.0
-        return 0.2 if took_s <= batch.LATE_FACTOR * self.objective_s else 0.0
+        return 0.2 if took_s <= besteffort.LATE_FACTOR * self.objective_s else 0.0
 
     @property
     def is_completed(self) -> bool:
         """Whether the caller was told that all tasks are done."""
-        return any(isinstance(verdict, batch.Completed) for verdict in self.verdicts)
+        return any(
+            isinstance(verdict, besteffort.Completed) for verdict in self.verdicts
+        )
 
 
 class ModelNode:
@@ -116,7 +125,7 @@
         self._inbox.clear()
 
 
-def _ignore(answer: control.LookAnswer) -> None:
+def _ignore(answer: workercontrol.LookAnswer) -> None:
     """Lose the answer to a look."""
 
 
@@ -141,7 +150,7 @@
 
     def _begin(self) -> None:
         self.boot = self.model.rng.getrandbits(60)
-        self.gate = gate.Gate(self.model.limits, self.model.time)
+        self.gate = executor.Gate(self.model.limits, self.model.time)
         self.info_sent: set[tuple[str, assignments.WorkerInfo]] = set()
         life = self.life
         self._every(AGENT_TICK_S, lambda: self.perform(self.gate.tick()), life)
@@ -197,27 +206,27 @@
         self.model.time.call_later(overdue_s, follow)
 
     def _send_look(
-        self, order: control.LookOrder, then: Callable[[], None], life: int
+        self, order: workercontrol.LookOrder, then: Callable[[], None], life: int
     ) -> None:
         state = {"done": False}
 
-        def finish(answer: control.LookAnswer) -> None:
+        def finish(answer: workercontrol.LookAnswer) -> None:
             if state["done"] or life != self.life:
                 return
             state["done"] = True
 
             def handle() -> None:
                 self.perform(self.gate.looked(order, answer))
-                pause_s = 0.0 if isinstance(answer, control.Snapshot) else 0.05
+                pause_s = 0.0 if isinstance(answer, workercontrol.Snapshot) else 0.05
                 self.model.time.call_later(pause_s, then)
 
             self.run(handle)
 
         time = self.model.time
         limit_s = order.wait_ms / 1000 + LOOK_TIMEOUT_S
-        time.call_later(limit_s, lambda: finish(control.Unanswered()))
+        time.call_later(limit_s, lambda: finish(workercontrol.Unanswered()))
 
-        def answered(answer: control.LookAnswer) -> None:
+        def answered(answer: workercontrol.LookAnswer) -> None:
             time.call_later(ORDER_S, lambda: finish(answer))
 
         def arrive() -> None:
@@ -229,7 +238,7 @@
 
         time.call_later(ORDER_S, arrive)
 
-    def perform(self, wanted: Iterable[orders.Effect]) -> None:
+    def perform(self, wanted: Iterable[executoractions.Effect]) -> None:
         """Perform effects of the gate.
 
         :param wanted: the effects.
@@ -238,21 +247,21 @@
             match effect:
                 case actions.Send(to, message):
                     self.model.to_entry(self.name, to, message)
-                case orders.Start(start):
+                case executoractions.Start(start):
                     self._order(
                         lambda start=start: self.worker.start(start),  # type: ignore[misc]
                         lambda answer, start=start: self.gate.start_answered(  # type: ignore[misc]
                             start, answer
                         ),
                     )
-                case orders.Stop(stop):
+                case executoractions.Stop(stop):
                     self._order(
                         lambda stop=stop: self.worker.stop(stop),  # type: ignore[misc]
                         lambda answer, stop=stop: self.gate.stop_answered(  # type: ignore[misc]
                             stop, answer
                         ),
                     )
-                case orders.Look(look):
+                case executoractions.Look(look):
                     self._send_look(look, lambda: None, self.life)
                 case actions.Note(event, fields):
                     self.model.note(self.name, event, fields)
@@ -261,21 +270,21 @@
 
     def _order(
         self,
-        carry_out: Callable[[], control.OrderAnswer],
-        handle: Callable[[control.OrderAnswer], Iterator[orders.Effect]],
+        carry_out: Callable[[], workercontrol.OrderAnswer],
+        handle: Callable[[workercontrol.OrderAnswer], Iterator[executoractions.Effect]],
     ) -> None:
         life, time, faults = self.life, self.model.time, self.worker.faults
 
-        def finish(answer: control.OrderAnswer) -> None:
+        def finish(answer: workercontrol.OrderAnswer) -> None:
             if life == self.life:
                 self.run(lambda: self.perform(handle(answer)))
 
         if faults.is_cut:
-            time.call_later(ORDER_TIMEOUT_S, lambda: finish(control.Unanswered()))
+            time.call_later(ORDER_TIMEOUT_S, lambda: finish(workercontrol.Unanswered()))
         elif self.worker.is_order_lost():
             late_s = self.model.rng.uniform(*leased.LATE_S)
             time.call_later(late_s, carry_out)
-            time.call_later(ORDER_TIMEOUT_S, lambda: finish(control.Unanswered()))
+            time.call_later(ORDER_TIMEOUT_S, lambda: finish(workercontrol.Unanswered()))
         else:
 
             def arrive() -> None:
@@ -320,7 +329,7 @@
         self.order_by_ticket: dict[int, Order] = {}
         self.scheduler = scheduler.Scheduler(
             self.zone,
-            placing.SchedulerSettings(
+            assigner.SchedulerSettings(
                 agent_gone_s=scheduler.agent_gone_s(self.model.limits)
             ),
             self.model.selection,
@@ -359,7 +368,7 @@
         self.order_by_ticket[ticket] = order
         self.perform(self.scheduler.submit(order.submission, ticket))
 
-    def perform(self, wanted: Iterable[placing.Effect]) -> None:
+    def perform(self, wanted: Iterable[assigner.Effect]) -> None:
         """Perform effects of the scheduler.
 
         :param wanted: the effects.
@@ -368,12 +377,12 @@
             match effect:
                 case actions.Send(to, message):
                     self.model.to_agent(self.name, to, message)
-                case placing.AssignSoon():
+                case assigner.AssignSoon():
                     self.model.time.call_later(
                         ASSIGN_S,
                         lambda: self.run(lambda: self.perform(self.scheduler.assign())),
                     )
-                case placing.Conclude(ticket, _, verdict):
+                case assigner.Conclude(ticket, _, verdict):
                     order = self.order_by_ticket.pop(ticket, None)
                     if order is not None:
                         self.model.concluded(order, verdict)
--- a/src/burdockgate/standin/promises.py
+++ b/src/burdockgate/standin/promises.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterator
 
 from burdockgate import assignments
-from burdockgate.process import control
-from burdockgate.request import batch
+from burdockgate.process import workercontrol
+from burdockgate.request import besteffort
 from burdockgate.standin import batches, leased
 
 
@@ -59,7 +59,7 @@
     started: set[str] = set()
     for span in model.spans():
         started.add(span.key.task.job)
-        if span.reason is control.EndReason.DONE:
+        if span.reason is workercontrol.EndReason.DONE:
             done.setdefault(span.key.task.job, set()).add(span.key.task.index)
     for order in model.orders:
         if order.is_completed and len(done.get(order.job, ())) != order.kind.width:
@@ -69,7 +69,9 @@
         only_refused = (
             order.verdicts
             and not order.is_interrupted
-            and all(isinstance(verdict, batch.Refused) for verdict in order.verdicts)
+            and all(
+                isinstance(verdict, besteffort.Refused) for verdict in order.verdicts
+            )
         )
         if only_refused and order.job in started:
             yield f"refused: {order.job} was refused and has run"
--- a/src/burdockgate/standin/resident.py
+++ b/src/burdockgate/standin/resident.py
@@ -19,7 +19,7 @@
 _RECORDS = """
 from burdockgate import messages
 from burdockgate.process import agent
-from burdockgate.request import record
+from burdockgate.request import jobrecord
 from burdockgate.standin import meter
 from burdockgate import clock
 process = meter.agent_process(0, clock.ManualClock(100.0))
--- a/src/burdockgate/standin/rollout.py
+++ b/src/burdockgate/standin/rollout.py
@@ -15,7 +15,7 @@
 import httpx
 
 from burdockgate import errors
-from burdockgate.process import editor, platform
+from burdockgate.process import editor, logclient
 from burdockgate.standin import trace
 from burdockgate.version import table
 
@@ -103,7 +103,7 @@
 
     async def _change(self, name: str, asked_at: float) -> None:
         rng = random.Random()
-        async with platform.LogClient(self._log_url, rng) as log:
+        async with logclient.LogClient(self._log_url, rng) as log:
             changes = editor.TableEditor(log, rng, BUDGET_S)
             outcome = await changes.set_row(table.Row("class", name), 0)
         if not isinstance(outcome, editor.Accepted):
--- a/src/burdockgate/standin/serve.py
+++ b/src/burdockgate/standin/serve.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from burdockgate.process import running, serving
+from burdockgate.process import runner, serving
 
 
-class _Standin(running.Runnable):
+class _Standin(runner.Runnable):
     def __init__(self, server: serving.Server) -> None:
         self._server = server
 
@@ -23,4 +23,4 @@
     :param server: the stand-in.
     :returns: the exit status.
     """
-    return running.run(_Standin(server))
+    return runner.run(_Standin(server))
--- a/src/burdockgate/standin/suspects.py
+++ b/src/burdockgate/standin/suspects.py
@@ -20,7 +20,7 @@
 import attrs
 
 from burdockgate import clock, messages, settings
-from burdockgate.process import evidence, health, metrics
+from burdockgate.process import detectors, health, metrics
 from burdockgate.standin import arrivals, scenarios
 
 SERVICE = "sample"
@@ -50,7 +50,7 @@
 FLAKY_SHARE = 0.5
 
 
-class Row(evidence.Detector):
+class Row(detectors.Detector):
     """Failures in a row; a success begins anew."""
 
     @property
@@ -58,16 +58,16 @@
         """Score at which a worker is ejected."""
         return float(self.failures)
 
-    def failure(self, record: evidence.Record, group: evidence.Group) -> float:
+    def failure(self, record: detectors.Record, group: detectors.Group) -> float:
         """Return what a failure adds to the score."""
         return 1.0
 
-    def success(self, record: evidence.Record, group: evidence.Group) -> float:
+    def success(self, record: detectors.Record, group: detectors.Group) -> float:
         """Return the score after a success."""
         return 0.0
 
 
-class Rate(evidence.Detector):
+class Rate(detectors.Detector):
     """Success rate against that of the class: a worker 60% below it is ejected."""
 
     @property
@@ -75,20 +75,20 @@
         """Score at which a worker is ejected."""
         return 1.0
 
-    def failure(self, record: evidence.Record, group: evidence.Group) -> float:
+    def failure(self, record: detectors.Record, group: detectors.Group) -> float:
         """Return what a failure adds to the score."""
         return self._score(record, group) - record.score
 
-    def success(self, record: evidence.Record, group: evidence.Group) -> float:
+    def success(self, record: detectors.Record, group: detectors.Group) -> float:
         """Return the score after a success."""
         return self._score(record, group)
 
-    def _score(self, record: evidence.Record, group: evidence.Group) -> float:
+    def _score(self, record: detectors.Record, group: detectors.Group) -> float:
         return ((1.0 - group.usual) - record.trust) / 0.6
 
 
-DETECTOR_BY_NAME: dict[str, Callable[[int], evidence.Detector]] = {
-    "likelihood": evidence.Likelihood,
+DETECTOR_BY_NAME: dict[str, Callable[[int], detectors.Detector]] = {
+    "likelihood": detectors.Likelihood,
     "row": Row,
     "rate": Rate,
 }
@@ -145,7 +145,7 @@
 @attrs.define(eq=False)
 class _Host:
     judge: health.Health
-    records: list[evidence.Record]
+    records: list[detectors.Record]
     queue: collections.deque[tuple[_Job, int]] = attrs.field(factory=collections.deque)
 
 
@@ -217,7 +217,7 @@
     def _read_changes(self, number: int, host: _Host, now: float) -> None:
         while host.judge.changes:
             change = host.judge.changes.popleft()
-            if change.state is not evidence.State.EJECTED:
+            if change.state is not detectors.State.EJECTED:
                 continue
             is_bad = int(change.worker) in self._bad and now >= FAULT_AT_S
             self.figures.bad_ejected += is_bad
@@ -225,7 +225,7 @@
             if is_bad and (number, change.worker) not in self._found:
                 self._found.add((number, change.worker))
                 self.figures.found_s.append(now - FAULT_AT_S)
-        out = sum(record.state is evidence.State.EJECTED for record in host.records)
+        out = sum(record.state is detectors.State.EJECTED for record in host.records)
         self.figures.most_out = max(self.figures.most_out, out)
 
     def _arrive(self, held: _Job) -> None:
@@ -255,7 +255,7 @@
         if not free:
             return None
         for number in free:
-            if host.records[number].state is evidence.State.PROBATION:
+            if host.records[number].state is detectors.State.PROBATION:
                 return number
         return min(
             self._rng.sample(free, min(2, len(free))), key=self._running.__getitem__
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -14,7 +14,7 @@
 
 from burdockgate import assignments
 from burdockgate.platform import asgi
-from burdockgate.process import control, serving
+from burdockgate.process import serving, workercontrol
 from burdockgate.standin import leased, virtual
 
 
@@ -89,9 +89,9 @@
 
 
 _REASONS = {
-    control.Refusal.FENCED: "fence",
-    control.Refusal.OLD_RUN: "old",
-    control.Refusal.LATE: "late",
+    workercontrol.Refusal.FENCED: "fence",
+    workercontrol.Refusal.OLD_RUN: "old",
+    workercontrol.Refusal.LATE: "late",
 }
 
 
@@ -150,7 +150,7 @@
         fields = json.loads(await asgi.read_body(receive, 1 << 20))
         match scope["path"].rpartition("/")[2]:
             case "run-start":
-                order = control.StartOrder(
+                order = workercontrol.StartOrder(
                     "",
                     _key(fields["task"], fields["run"]),
                     fields["spec"],
@@ -160,14 +160,14 @@
                 await self._answer(send, self.model.start(order))
             case "run-stop":
                 key = _key(fields["task"], fields["run"])
-                order = control.StopOrder("", key, fields["fencingToken"])
+                order = workercontrol.StopOrder("", key, fields["fencingToken"])
                 await self._answer(send, self.model.stop(order))
             case "hold":
                 await self._look(fields, send)
 
     async def _look(self, fields, send):
         seen = asyncio.get_running_loop().create_future()
-        order = control.LookOrder(
+        order = workercontrol.LookOrder(
             "",
             fields["fencingToken"],
             fields["ackedThrough"],
@@ -176,7 +176,7 @@
         )
         self.model.look(order, seen.set_result)
         answer = await seen
-        if isinstance(answer, control.Refused):
+        if isinstance(answer, workercontrol.Refused):
             await self._answer(send, answer)
             return
         lists = {
@@ -195,7 +195,7 @@
 
     @staticmethod
     async def _answer(send, answer):
-        if isinstance(answer, control.Accepted):
+        if isinstance(answer, workercontrol.Accepted):
             body = {"clockMs": answer.clock_ms}
             await asgi.answer(send, 200, json.dumps(body).encode())
         else:
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -13,7 +13,7 @@
 import httpx
 
 from burdockgate import client, codes, messages, wire
-from burdockgate.process import editor, platform
+from burdockgate.process import editor, logclient
 from burdockgate.request import job
 from burdockgate.standin import checker, trace
 from burdockgate.version import table, view
@@ -295,7 +295,7 @@
         """Change a row and return what the log made of it."""
         rng = random.Random()
         row = table.Row("class", "changed", weight=rng.uniform(1, 2))
-        async with platform.LogClient(self.log_url, rng) as log:
+        async with logclient.LogClient(self.log_url, rng) as log:
             changes = editor.TableEditor(log, rng, LIMIT_S)
             outcome = await changes.set_row(row, self._row_version)
         self._row_version = getattr(outcome, "version", self._row_version)
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -16,11 +16,11 @@
     heartbeats,
     http,
     jobs,
-    store,
+    storeclient,
     worker,
 )
-from burdockgate.process import control, serving
-from burdockgate.request import batch
+from burdockgate.process import serving, workercontrol
+from burdockgate.request import besteffort
 from burdockgate.version import routes
 
 SETTINGS = b"""
@@ -171,7 +171,7 @@
 def test_heartbeat_becomes_an_announcement():
     """Capacity, clock and life of the worker must arrive under the right fields."""
     told = heartbeats.decode("i-1", _heartbeat(state="draining"))
-    assert told == control.Announcement(
+    assert told == workercontrol.Announcement(
         "i-1", 1700000000000, "svc", 16000, 32768, 0, ("a", "r1-3"), True, 4, 482113
     )
 
@@ -212,8 +212,8 @@
     """Steps, resources and order must survive the translation."""
     submission = jobs.decode("ab12", _job(), ROUTE, 2.5)
     assert submission.steps == (
-        batch.Step(2, 500, 64, 0, 0.9),
-        batch.Step(1, 100, 0, 0, 0.0, (0,), "a", "", 1),
+        besteffort.Step(2, 500, 64, 0, 0.9),
+        besteffort.Step(1, 100, 0, 0, 0.0, (0,), "a", "", 1),
     )
     assert (submission.priority, submission.deadline_s) == (1, 2.5)
 
@@ -240,12 +240,15 @@
 
 def test_answers_tell_whether_the_job_can_be_sent_again():
     """429 and 503 promise that nothing ran; 502 and 504 promise nothing."""
-    assert jobs.encode(batch.Completed())[::2] == (200, b'{"state":"completed"}')
-    assert jobs.encode(batch.Failed(codes.Code.TASK_FAILED))[2] == b'{"state":"failed"}'
-    status, headers, _ = jobs.encode(batch.Refused(codes.Code.QUEUE_TIMEOUT, 1.2))
+    assert jobs.encode(besteffort.Completed())[::2] == (200, b'{"state":"completed"}')
+    assert (
+        jobs.encode(besteffort.Failed(codes.Code.TASK_FAILED))[2]
+        == b'{"state":"failed"}'
+    )
+    status, headers, _ = jobs.encode(besteffort.Refused(codes.Code.QUEUE_TIMEOUT, 1.2))
     assert (status, headers) == (503, {"Retry-After": "2"})
-    assert jobs.encode(batch.Interrupted(codes.Code.OWNER_LOST))[0] == 502
-    late = batch.Interrupted(codes.Code.DEADLINE_MAY_HAVE_RUN)
+    assert jobs.encode(besteffort.Interrupted(codes.Code.OWNER_LOST))[0] == 502
+    late = besteffort.Interrupted(codes.Code.DEADLINE_MAY_HAVE_RUN)
     assert jobs.encode(late)[0] == 504
 
 
@@ -266,9 +269,9 @@
     """The worker must get the lease, the token and the intended instance."""
     server = await script((200, {"clockMs": 5}))
     client = worker.PlatformWorker(server.server.address)
-    answer = await client.start(control.StartOrder("i-1", _KEY, "text", 900, 7))
+    answer = await client.start(workercontrol.StartOrder("i-1", _KEY, "text", 900, 7))
     await client.close()
-    assert answer == control.Accepted(5)
+    assert answer == workercontrol.Accepted(5)
     path, _, headers, body = server.requests[0]
     assert path == "/burdockgate/run-start"
     assert headers["expected-instance"] == "i-1"
@@ -286,28 +289,28 @@
     [
         (
             (409, {"clockMs": 9, "reason": "fence"}),
-            control.Refused(control.Refusal.FENCED, 9),
+            workercontrol.Refused(workercontrol.Refusal.FENCED, 9),
         ),
         (
             (409, {"clockMs": 9, "reason": "old"}),
-            control.Refused(control.Refusal.OLD_RUN, 9),
+            workercontrol.Refused(workercontrol.Refusal.OLD_RUN, 9),
         ),
         (
             (409, {"clockMs": 9, "reason": "late"}),
-            control.Refused(control.Refusal.LATE, 9),
+            workercontrol.Refused(workercontrol.Refusal.LATE, 9),
         ),
-        ((421, b""), control.Refused(control.Refusal.OTHER_WORKER)),
-        ((503, b""), control.Refused(control.Refusal.UNHEALTHY)),
-        ((400, b"?"), control.Refused(control.Refusal.INVALID)),
-        ((502, b""), control.Unanswered()),
-        (None, control.Unanswered()),
+        ((421, b""), workercontrol.Refused(workercontrol.Refusal.OTHER_WORKER)),
+        ((503, b""), workercontrol.Refused(workercontrol.Refusal.UNHEALTHY)),
+        ((400, b"?"), workercontrol.Refused(workercontrol.Refusal.INVALID)),
+        ((502, b""), workercontrol.Unanswered()),
+        (None, workercontrol.Unanswered()),
     ],
 )
 async def test_answers_to_an_order(script, answer, expected):
     """Only an order that surely was not carried out counts as refused."""
     server = await script(answer)
     client = worker.PlatformWorker(server.server.address)
-    assert await client.stop(control.StopOrder("i-1", _KEY, 7)) == expected
+    assert await client.stop(workercontrol.StopOrder("i-1", _KEY, 7)) == expected
     await client.close()
 
 
@@ -316,8 +319,8 @@
     server = await script()
     await server.server.cut()
     client = worker.PlatformWorker(server.server.address)
-    answer = await client.stop(control.StopOrder("i-1", _KEY, 7))
-    assert answer == control.Refused(control.Refusal.NOT_SENT)
+    answer = await client.stop(workercontrol.StopOrder("i-1", _KEY, 7))
+    assert answer == workercontrol.Refused(workercontrol.Refusal.NOT_SENT)
 
 
 async def test_look_reads_the_lists_and_counts_what_it_cannot_read(script):
@@ -330,14 +333,14 @@
     }
     server = await script((200, lists))
     client = worker.PlatformWorker(server.server.address)
-    seen = await client.look(control.LookOrder("i-1", 7, 57, None, 0))
+    seen = await client.look(workercontrol.LookOrder("i-1", 7, 57, None, 0))
     await client.close()
     other = assignments.RunKey(assignments.TaskKey("ab", 1, 9), 1)
-    assert seen == control.Snapshot(
+    assert seen == workercontrol.Snapshot(
         10,
         3,
-        (control.RunningEntry(_KEY, 41),),
-        (control.FinishedEntry(58, other, control.EndReason.DONE),),
+        (workercontrol.RunningEntry(_KEY, 41),),
+        (workercontrol.FinishedEntry(58, other, workercontrol.EndReason.DONE),),
         3,
     )
     assert "deadlineMs" not in json.loads(server.requests[0][3])
@@ -359,7 +362,7 @@
     first = {"items": [_item("a", b"1", 0), 5], "more": True, "end": 4}
     second = {"items": [_item("b", b"2", 5)], "more": False, "end": 6}
     server = await script((200, first), (200, second))
-    client = store.PlatformStore(server.server.address)
+    client = storeclient.PlatformStore(server.server.address)
     page = await client.newest("keyed.op")
     await client.close()
     assert [record.key for record in page.records] == ["a", "b"]
@@ -378,7 +381,7 @@
 async def test_changes_are_read_from_raw_records(script):
     """Offsets must advance by one for each record."""
     server = await script((200, _raw((b"config", b"{}"), (b"x", b""))))
-    client = store.PlatformStore(server.server.address)
+    client = storeclient.PlatformStore(server.server.address)
     page = await client.changes("keyed.op", 4)
     await client.close()
     assert [(record.key, record.value) for record in page.records] == [
@@ -391,7 +394,7 @@
 async def test_expired_history_and_outage_are_told_apart(script):
     """After a deletion the newest keys are read; an outage is only waited out."""
     server = await script((410, {"first": 8}), (503, b""))
-    client = store.PlatformStore(server.server.address)
+    client = storeclient.PlatformStore(server.server.address)
     with pytest.raises(errors.HistoryExpiredError):
         await client.changes("keyed.op", 4)
     with pytest.raises(errors.LogUnavailableError):
@@ -402,7 +405,7 @@
 async def test_put_frames_the_key(script):
     """The length of the key comes first, then the key and the value."""
     server = await script((200, {"offset": 0, "end": 1}))
-    client = store.PlatformStore(server.server.address)
+    client = storeclient.PlatformStore(server.server.address)
     await client.put("keyed.entries", "edge-1", b"value")
     await client.close()
     assert server.requests[0][3] == b"\x00\x00\x00\x0c\x06edge-1value"
--- a/tests/test_agentside.py
+++ b/tests/test_agentdaemon.py
@@ -4,9 +4,9 @@
 import random
 from unittest import mock
 
-from burdockgate.process import agentside, control, orders
+from burdockgate.process import agentdaemon, executoractions, workercontrol
 
-TOLD = control.Announcement(
+TOLD = workercontrol.Announcement(
     "w1", 5, "service", 8_000, 65_536, 0, ("a", "r1"), False, 1, 1_000
 )
 
@@ -26,7 +26,7 @@
             if not self.answered.done():
                 self.answered.set_result(order)
         await asyncio.sleep(0)
-        return control.Snapshot(1_000 + len(self.looks), 5, (), ())
+        return workercontrol.Snapshot(1_000 + len(self.looks), 5, (), ())
 
     async def close(self):
         pass
@@ -34,11 +34,11 @@
 
 async def test_look_without_an_answer_does_not_hold_up_the_next():
     """Ends of runs stayed unseen for half a second after each lost answer."""
-    limits = orders.GateSettings(look_wait_s=0.01, look_repeat_s=0.01)
-    settings = agentside.AgentSettings("a1", "z1", (), 1.0, limits)
+    limits = executoractions.GateSettings(look_wait_s=0.01, look_repeat_s=0.01)
+    settings = agentdaemon.AgentSettings("a1", "z1", (), 1.0, limits)
     worker = LossyWorker()
     store = mock.Mock(newest=mock.AsyncMock(side_effect=asyncio.CancelledError))
-    daemon = agentside.AgentDaemon(settings, worker, store, random.Random(1))
+    daemon = agentdaemon.AgentDaemon(settings, worker, store, random.Random(1))
     daemon.announced(TOLD)
     looking = asyncio.create_task(daemon._look())
     async with asyncio.timeout(10):
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -5,8 +5,8 @@
 import pytest
 
 from burdockgate import assignments
-from burdockgate.process import control, orders, placing
-from burdockgate.request import batch
+from burdockgate.process import assigner, executoractions, workercontrol
+from burdockgate.request import besteffort
 from burdockgate.standin import batches, crest, leased, mishaps, promises
 
 SHORT, MEDIUM, LONG = KINDS = crest.KINDS
@@ -121,7 +121,7 @@
 def test_lost_answers_to_looks_do_not_hide_free_room():
     """A look without an answer kept the ends of all runs unseen for half a second."""
     seeds = range(1, 4)
-    patient = orders.GateSettings(look_repeat_s=0.3, lossy_s=0.0)
+    patient = executoractions.GateSettings(look_repeat_s=0.3, lossy_s=0.0)
     before = [_credit_with_lost_answers(patient, seed) for seed in seeds]
     after = [_credit_with_lost_answers(None, seed) for seed in seeds]
     assert sum(after) > sum(before)
@@ -178,7 +178,7 @@
     model.run(60)
     failed = collections.Counter(
         span.reason for span in model.agent_by_name["agent-0"].worker.spans
-    )[control.EndReason.FAILED]
+    )[workercontrol.EndReason.FAILED]
     # Two jobs eject it; one trial follows after 1, 2 and each further 4 s.
     assert failed < 30
     assert all(order.is_completed for order in model.orders)
@@ -193,7 +193,7 @@
     model.run(60)
     poisoned = [order for order in model.orders if not order.is_completed]
     assert len(poisoned) == 5
-    assert all(isinstance(order.verdicts[-1], batch.Failed) for order in poisoned)
+    assert all(isinstance(order.verdicts[-1], besteffort.Failed) for order in poisoned)
 
 
 def test_hanging_worker_loses_its_tasks_within_the_late_limit():
@@ -245,14 +245,14 @@
                 1, 0, assignments.WorkerState.READY, 0, 0, 0, 0, 0, 1000, True
             ),
         )
-        if isinstance(effect, placing.AssignSoon)
+        if isinstance(effect, assigner.AssignSoon)
     ]
     assert asked == []
 
 
 def _grown_crest(near_owners):
     """Replay a crest on many workers and return the model."""
-    limits = orders.GateSettings(near_owners=near_owners)
+    limits = executoractions.GateSettings(near_owners=near_owners)
     model = batches.Model(5, KINDS, entries=8, workers=24, zones=4, limits=limits)
     model.load(3, 4, 2.2)
     model.load(4, 6, 6.0)
@@ -282,7 +282,7 @@
 
 def _span(worker, run, began, ended, cpu=1000):
     key = assignments.RunKey(assignments.TaskKey("j", 0, 0), run)
-    return leased.Span(worker, key, cpu, began, ended, control.EndReason.DONE)
+    return leased.Span(worker, key, cpu, began, ended, workercontrol.EndReason.DONE)
 
 
 def test_checker_sees_two_runs_at_once():
@@ -306,12 +306,12 @@
     """As above, for the answers to callers."""
     model = _small(1)
     refused, partial = model.make(MEDIUM), model.make(MEDIUM)
-    refused.verdicts.append(batch.Refused(107, 1.0))
-    partial.verdicts.append(batch.Completed())
+    refused.verdicts.append(besteffort.Refused(107, 1.0))
+    partial.verdicts.append(besteffort.Completed())
     model.orders += [refused, partial]
     key = assignments.RunKey(assignments.TaskKey(refused.job, 0, 0), 1)
     model.agent_by_name["agent-0"].worker.spans.append(
-        leased.Span("a", key, 1600, 0.0, 1.0, control.EndReason.DONE)
+        leased.Span("a", key, 1600, 0.0, 1.0, workercontrol.EndReason.DONE)
     )
     found = list(promises.violations(model))
     assert any(text.startswith("refused") for text in found)
--- a/tests/test_editor.py
+++ b/tests/test_editor.py
@@ -9,7 +9,7 @@
 
 from burdockgate import clock, errors
 from burdockgate.cli import table as command
-from burdockgate.process import editor, platform
+from burdockgate.process import editor, logclient
 from burdockgate.standin import log
 from burdockgate.version import table
 
@@ -21,7 +21,7 @@
     manual = clock.ManualClock()
     server = log.LogServer(log.LogStore(manual, retention_s=60))
     await server.start()
-    async with platform.LogClient(server.url, random.Random(1)) as client:
+    async with logclient.LogClient(server.url, random.Random(1)) as client:
         yield server, client, manual
     await server.cut()
 
--- a/tests/test_gate.py
+++ b/tests/test_executor.py
@@ -4,7 +4,7 @@
 import pytest
 
 from burdockgate import assignments, clock
-from burdockgate.process import actions, control, gate, orders
+from burdockgate.process import actions, executor, executoractions, workercontrol
 
 OWNER = "entry-1"
 KEY = assignments.RunKey(assignments.TaskKey("job", 0, 0), 1)
@@ -15,8 +15,8 @@
 
     def __init__(self):
         self.time = clock.ManualClock(100.0)
-        self.gate = gate.Gate(orders.GateSettings(), self.time)
-        self.told = control.Announcement(
+        self.gate = executor.Gate(executoractions.GateSettings(), self.time)
+        self.told = workercontrol.Announcement(
             "i-1", 1, "svc", 4000, 1000, 0, (), False, 1, 5000
         )
         self.clock_ms = 5000
@@ -53,17 +53,17 @@
     def look(self, running=(), finished=(), born=1, order=None):
         order = order or self.gate.next_look()
         self.clock_ms += 1
-        seen = control.Snapshot(
+        seen = workercontrol.Snapshot(
             self.clock_ms,
             born,
-            tuple(control.RunningEntry(key, 1) for key in running),
+            tuple(workercontrol.RunningEntry(key, 1) for key in running),
             tuple(finished),
         )
         return list(self.gate.looked(order, seen))
 
     def accept(self, start):
         self.clock_ms += 1
-        answer = control.Accepted(self.clock_ms)
+        answer = workercontrol.Accepted(self.clock_ms)
         return list(self.gate.start_answered(start.order, answer))
 
 
@@ -82,11 +82,11 @@
 def test_run_starts_ends_and_frees_its_room():
     """The plain path of one task."""
     bench = Bench()
-    (start,) = _of(orders.Start, bench.assign(0))
+    (start,) = _of(executoractions.Start, bench.assign(0))
     assert start.order.lease_until_ms == pytest.approx(6001, abs=2)
     bench.accept(start)
     assert bench.gate.loads()[OWNER].used_cpu == 1000
-    done = control.FinishedEntry(1, KEY, control.EndReason.DONE)
+    done = workercontrol.FinishedEntry(1, KEY, workercontrol.EndReason.DONE)
     (end,) = _ends(bench.look(finished=[done]))
     assert (end.key, end.kind) == (KEY, assignments.EndKind.DONE)
     assert bench.gate.loads()[OWNER].used_cpu == 0
@@ -97,7 +97,7 @@
     """A task that waits at a full worker misses the free room of the others."""
     bench = Bench()
     effects = bench.assign(0, 1, 2, 3, 4)
-    assert len(_of(orders.Start, effects)) == 4
+    assert len(_of(executoractions.Start, effects)) == 4
     (end,) = _ends(effects)
     assert (end.key.task.index, end.kind) == (4, assignments.EndKind.RETURNED)
     load = bench.gate.loads()[OWNER]
@@ -107,16 +107,17 @@
 def test_unanswered_start_keeps_its_room_until_a_higher_token_is_confirmed():
     """The order may be carried out seconds later, unless it is fenced off."""
     bench = Bench()
-    (start,) = _of(orders.Start, bench.assign(0))
+    (start,) = _of(executoractions.Start, bench.assign(0))
     old_look = bench.gate.next_look()
     (look,) = _of(
-        orders.Look, bench.gate.start_answered(start.order, control.Unanswered())
+        executoractions.Look,
+        bench.gate.start_answered(start.order, workercontrol.Unanswered()),
     )
     assert look.order.token > start.order.token
     # A list from before the new token proves nothing.
-    assert _of(orders.Start, bench.look(order=old_look)) == []
+    assert _of(executoractions.Start, bench.look(order=old_look)) == []
     assert bench.gate.loads()[OWNER].used_cpu == 1000
-    (again,) = _of(orders.Start, bench.look(order=look.order))
+    (again,) = _of(executoractions.Start, bench.look(order=look.order))
     assert again.order.key == start.order.key
     assert again.order.token == look.order.token
 
@@ -124,11 +125,12 @@
 def test_unanswered_start_that_was_carried_out_is_found_by_the_look():
     """Starting it a second time would run the task twice."""
     bench = Bench()
-    (start,) = _of(orders.Start, bench.assign(0))
+    (start,) = _of(executoractions.Start, bench.assign(0))
     (look,) = _of(
-        orders.Look, bench.gate.start_answered(start.order, control.Unanswered())
+        executoractions.Look,
+        bench.gate.start_answered(start.order, workercontrol.Unanswered()),
     )
-    assert _of(orders.Start, bench.look(running=[KEY], order=look.order)) == []
+    assert _of(executoractions.Start, bench.look(running=[KEY], order=look.order)) == []
     assert bench.gate.loads()[OWNER].used_cpu == 1000
 
 
@@ -137,7 +139,7 @@
     bench = Bench()
     bench.advance(0.8)
     effects = bench.assign(0)
-    assert _of(orders.Start, effects) == []
+    assert _of(executoractions.Start, effects) == []
     (end,) = _ends(effects)
     assert end.kind is assignments.EndKind.RETURNED
 
@@ -148,33 +150,33 @@
     sent_at = bench.gate.loads()[OWNER].sent_at_us
     bench.advance(2.0)
     bench.gate.renewed(OWNER, assignments.Renewal(sent_at, 0, 0))
-    assert _of(orders.Start, bench.assign(0)) == []
+    assert _of(executoractions.Start, bench.assign(0)) == []
 
 
 def test_silent_owner_has_its_runs_stopped():
     """Its caller sends the job elsewhere 1.3 s after the connection broke."""
     bench = Bench()
-    (start,) = _of(orders.Start, bench.assign(0))
+    (start,) = _of(executoractions.Start, bench.assign(0))
     bench.accept(start)
     bench.advance(0.71)
-    (stop,) = _of(orders.Stop, bench.gate.tick())
+    (stop,) = _of(executoractions.Stop, bench.gate.tick())
     assert stop.order.key == KEY
     bench.advance(0.25)
-    assert len(_of(orders.Stop, bench.gate.tick())) == 1
+    assert len(_of(executoractions.Stop, bench.gate.tick())) == 1
 
 
 def test_restarted_owner_has_its_runs_stopped():
     """A new life of the entry host knows nothing of them."""
     bench = Bench()
-    (start,) = _of(orders.Start, bench.assign(0))
+    (start,) = _of(executoractions.Start, bench.assign(0))
     bench.accept(start)
-    assert len(_of(orders.Stop, bench.gate.linked(OWNER, 78))) == 1
+    assert len(_of(executoractions.Stop, bench.gate.linked(OWNER, 78))) == 1
 
 
 def test_silent_worker_is_let_lapse_and_its_runs_are_lost_after_the_lease():
     """A look that extends the lease of an unreachable worker would keep it running."""
     bench = Bench()
-    (start,) = _of(orders.Start, bench.assign(0))
+    (start,) = _of(executoractions.Start, bench.assign(0))
     bench.accept(start)
     bench.advance(0.5)
     bench.renew()
@@ -195,7 +197,7 @@
     notes = []
     for _ in range(3):
         order = bench.gate.next_look()
-        notes += _of(actions.Note, bench.gate.looked(order, control.Unanswered()))
+        notes += _of(actions.Note, bench.gate.looked(order, workercontrol.Unanswered()))
     notes += _of(actions.Note, bench.look())
     assert [note.event for note in notes] == ["worker.lost", "worker.regained"]
 
@@ -204,10 +206,10 @@
     """A restarted agent does not know what they take."""
     bench = Bench()
     foreign = assignments.RunKey(assignments.TaskKey("other", 0, 0), 3)
-    (stop,) = _of(orders.Stop, bench.look(running=[foreign]))
+    (stop,) = _of(executoractions.Stop, bench.look(running=[foreign]))
     assert stop.order.key == foreign
-    assert _of(orders.Start, bench.assign(0)) == []
-    assert len(_of(orders.Start, bench.look())) == 1
+    assert _of(executoractions.Start, bench.assign(0)) == []
+    assert len(_of(executoractions.Start, bench.look())) == 1
 
 
 def test_draining_worker_gets_nothing_and_its_queue_is_returned():
@@ -242,7 +244,7 @@
 def test_replaced_worker_loses_its_runs_at_once():
     """Orders name the intended worker, so the new one can't have them."""
     bench = Bench()
-    (start,) = _of(orders.Start, bench.assign(0))
+    (start,) = _of(executoractions.Start, bench.assign(0))
     bench.accept(start)
     newer = attrs.evolve(bench.told, worker="i-2", born=9, clock_ms=10)
     (end,) = _ends(bench.gate.announced(newer))
@@ -252,12 +254,12 @@
 def test_restart_under_the_same_identifier_leaves_runs_in_doubt():
     """Seeds 15 and 26 of the model: an order had reached the new life."""
     bench = Bench()
-    (start,) = _of(orders.Start, bench.assign(0))
+    (start,) = _of(executoractions.Start, bench.assign(0))
     bench.accept(start)
     bench.clock_ms = 20
     effects = bench.look(running=[KEY], born=2)
     assert _ends(effects) == []
-    (look,) = _of(orders.Look, effects)
+    (look,) = _of(executoractions.Look, effects)
     assert _ends(bench.look(running=[KEY], born=2, order=look.order)) == []
     assert bench.gate.loads()[OWNER].used_cpu == 1000
 
@@ -274,16 +276,18 @@
 def test_fenced_agent_draws_a_higher_token():
     """An earlier life of the agent may have drawn a higher one."""
     bench = Bench()
-    (start,) = _of(orders.Start, bench.assign(0))
-    refusal = control.Refused(control.Refusal.FENCED, 9000)
-    (again,) = _of(orders.Start, bench.gate.start_answered(start.order, refusal))
+    (start,) = _of(executoractions.Start, bench.assign(0))
+    refusal = workercontrol.Refused(workercontrol.Refusal.FENCED, 9000)
+    (again,) = _of(
+        executoractions.Start, bench.gate.start_answered(start.order, refusal)
+    )
     assert again.order.token >= 9000
 
 
 def test_run_of_another_owner_keeps_a_task_from_starting_twice():
     """The same job may come to another entry host while its tasks still run."""
     bench = Bench()
-    (start,) = _of(orders.Start, bench.assign(0))
+    (start,) = _of(executoractions.Start, bench.assign(0))
     bench.accept(start)
     (end,) = _ends(bench.assign(0, run=2))
     assert end.kind is assignments.EndKind.RETURNED
@@ -292,8 +296,8 @@
 def test_old_run_number_asks_for_a_higher_one():
     """The worker rejects runs up to the highest that it saw of the task."""
     bench = Bench()
-    (start,) = _of(orders.Start, bench.assign(0))
-    refusal = control.Refused(control.Refusal.OLD_RUN, 5100)
+    (start,) = _of(executoractions.Start, bench.assign(0))
+    refusal = workercontrol.Refused(workercontrol.Refusal.OLD_RUN, 5100)
     (end,) = _ends(bench.gate.start_answered(start.order, refusal))
     assert end.next_run > KEY.run + 1
 
@@ -301,14 +305,14 @@
 def test_stalled_tasks_are_stopped_and_the_worker_is_ejected():
     """Tasks that stand still on a worker that answers would wait for ever."""
     bench = Bench()
-    (start,) = _of(orders.Start, bench.assign(0))
+    (start,) = _of(executoractions.Start, bench.assign(0))
     bench.accept(start)
     stops = []
     for _ in range(12):
         bench.advance(0.1)
         bench.renew()
         bench.look(running=[KEY])
-        stops += _of(orders.Stop, bench.gate.tick())
+        stops += _of(executoractions.Stop, bench.gate.tick())
     assert stops
     assert bench.gate.worker_state() is assignments.WorkerState.EJECTED
 
@@ -316,11 +320,11 @@
 def test_leaving_agent_finishes_what_runs():
     """A planned stop cuts no task in progress."""
     bench = Bench()
-    (start,) = _of(orders.Start, bench.assign(0))
+    (start,) = _of(executoractions.Start, bench.assign(0))
     bench.accept(start)
     list(bench.gate.leave())
     assert bench.gate.running_count == 1
-    assert _of(orders.Start, bench.assign(1)) == []
+    assert _of(executoractions.Start, bench.assign(1)) == []
     assert bench.gate.next_look().lease_until_ms is not None
 
 
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -8,7 +8,7 @@
 import pytest
 
 from burdockgate import clock, errors
-from burdockgate.process import events, follower, logs, members, store
+from burdockgate.process import discovery, events, follower, logs, store
 
 UNREADABLE = "store.unreadable"
 
@@ -99,12 +99,12 @@
 def test_addresses_of_members_leave_out_what_is_no_address():
     """A dropped or foreign record must not stop an agent from finding the others."""
     values = [
-        members.encode("10.0.0.1:7720"),
+        discovery.encode("10.0.0.1:7720"),
         b"",
         b"\xc1",
-        members.encode("no-port"),
+        discovery.encode("no-port"),
         b"\x93\x01\x02\x03",
-        members.encode("10.0.0.2:7720"),
+        discovery.encode("10.0.0.2:7720"),
     ]
     records = [store.KeyedRecord(str(at), value, at) for at, value in enumerate(values)]
-    assert list(members.addresses(records)) == ["10.0.0.1:7720", "10.0.0.2:7720"]
+    assert list(discovery.addresses(records)) == ["10.0.0.1:7720", "10.0.0.2:7720"]
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -14,14 +14,14 @@
 import processes
 import sessions
 from burdockgate import clock, messages, settings
-from burdockgate.process import evidence, health, metrics
+from burdockgate.process import detectors, health, metrics
 from burdockgate.request import outcome
 from burdockgate.standin import suspects
 
 PAGE = pathlib.Path(__file__).parent.parent / "docs/operations/bad-worker.md"
 DONE, FAILED = messages.TaskState.DONE, messages.TaskState.FAILED
 RACK = ("agent-1", "agent-5", "agent-9")
-HEALTHY, EJECTED, PROBATION = evidence.State
+HEALTHY, EJECTED, PROBATION = detectors.State
 
 
 class FaultySession(sessions.Session):
@@ -242,7 +242,7 @@
     judge.leave("a1")
     assert join(judge, "a1") is record
     assert record.allowance == 0
-    assert join(judge, "a1", boot=2).allowance == evidence.UNLIMITED
+    assert join(judge, "a1", boot=2).allowance == detectors.UNLIMITED
 
 
 def test_late_results_of_a_lost_session_eject_nobody(judge):
--- a/tests/test_platform.py
+++ b/tests/test_logclient.py
@@ -7,7 +7,7 @@
 import pytest
 
 from burdockgate import clock, errors
-from burdockgate.process import platform
+from burdockgate.process import logclient
 from burdockgate.standin import log
 
 DOWN = log.Faults(down=True)
@@ -18,7 +18,7 @@
     manual = clock.ManualClock()
     server = log.LogServer(log.LogStore(manual, retention_s=60))
     await server.start()
-    async with platform.LogClient(server.url, random.Random(1)) as client:
+    async with logclient.LogClient(server.url, random.Random(1)) as client:
         yield server.store, client, manual
     await server.cut()
 
@@ -73,7 +73,7 @@
     store.set_faults(DOWN)
     with pytest.raises(errors.LogUnavailableError, match="may have been accepted"):
         await client.append("table", "a", b"1", budget_s=0.3)
-    unreachable = platform.LogClient("http://127.0.0.1:1", random.Random(1))
+    unreachable = logclient.LogClient("http://127.0.0.1:1", random.Random(1))
     with pytest.raises(errors.LogUnavailableError, match="a was not accepted"):
         await unreachable.append("table", "a", b"1", budget_s=0.3)
     store.set_faults(log.Faults())
@@ -84,7 +84,7 @@
 async def test_silent_log_times_out(served):
     store, _, _ = served
     store.set_faults(log.Faults(delay_s=5))
-    client = platform.LogClient(served[1]._url, random.Random(1), timeout_s=0.05)
+    client = logclient.LogClient(served[1]._url, random.Random(1), timeout_s=0.05)
     with pytest.raises(errors.LogUnavailableError, match="no answer in time"):
         await client.read("table", 0)
     with pytest.raises(errors.LogUnavailableError, match="may have been accepted"):
@@ -125,13 +125,13 @@
 
 def test_backoff_is_bounded():
     """Pauses stay below the limit, or a change takes over 5 s after an outage."""
-    backoff = platform.Backoff(random.Random(1))
+    backoff = logclient.Backoff(random.Random(1))
     pauses = [backoff.pause_s() for _ in range(5000)]
-    assert pauses[0] <= platform.BACKOFF_FIRST_S
-    assert 1 < max(pauses) <= platform.BACKOFF_LIMIT_S
+    assert pauses[0] <= logclient.BACKOFF_FIRST_S
+    assert 1 < max(pauses) <= logclient.BACKOFF_LIMIT_S
 
 
 @pytest.mark.parametrize("url", ["", "ftp://a", "http://", "http://a/b", "http://a:x"])
 def test_bad_url_is_a_settings_error(url):
     with pytest.raises(errors.SettingsError):
-        platform.LogClient(url, random.Random(1))
+        logclient.LogClient(url, random.Random(1))
--- a/tests/test_roster.py
+++ b/tests/test_membership.py
@@ -4,7 +4,7 @@
 
 import builders
 from burdockgate import clock
-from burdockgate.process import roster
+from burdockgate.process import membership
 from burdockgate.version import view as views
 
 ENTRIES = ("e1", "e2", "e3")
@@ -20,7 +20,7 @@
 
 def tick(time, view, agents=(), entries=ENTRIES, own="e1", made=None):
     """Return the records that an entry host appends, by name of the node changed."""
-    made = made or roster.Roster(builders.node(own), time)
+    made = made or membership.Roster(builders.node(own), time)
     others = [builders.node(name) for name in entries if name != own]
     values = [
         views.json.loads(each.value) for each in made.tick(view, list(agents), others)
@@ -38,29 +38,29 @@
 
 def test_entry_hosts_append_one_after_the_other(time):
     """Entry hosts that all append the same change waste the log's rate."""
-    rosters = {name: roster.Roster(builders.node(name), time) for name in ENTRIES}
+    rosters = {name: membership.Roster(builders.node(name), time) for name in ENTRIES}
     agents = [builders.hello("a1")]
     counts = []
     for _ in range(3):
         done = [tick(time, BASE, agents, own=n, made=r) for n, r in rosters.items()]
         counts.append(done.count({"a1": "voter"}))
-        time.advance(roster.RANK_DELAY_S)
+        time.advance(membership.RANK_DELAY_S)
     assert counts == [1, 1, 1]
 
 
 def test_lost_append_is_repeated_and_a_done_change_is_not(time):
     """An append whose answer was lost must not leave the view as it was."""
-    made = roster.Roster(builders.node("e1"), time)
+    made = membership.Roster(builders.node("e1"), time)
     agents = [builders.hello("a1")]
     alone = {"agents": agents, "entries": ("e1",), "made": made}
     view = builders.fold(views.View(), views.entry_record(builders.node("e1")))
     assert tick(time, view, **alone) == {"a1": "voter"}
-    time.advance(roster.REPEAT_S - 0.1)
+    time.advance(membership.REPEAT_S - 0.1)
     assert tick(time, view, **alone) == {}
     time.advance(0.1)
     assert tick(time, view, **alone) == {"a1": "voter"}
     after = builders.fold(view, views.voter_record(agents[0]))
-    time.advance(roster.REPEAT_S)
+    time.advance(membership.REPEAT_S)
     assert tick(time, after, **alone) == {}
 
 
@@ -68,7 +68,7 @@
     """A draining voter would leave its groups at once."""
     agents = [builders.hello("a1", draining=True), builders.hello("a2", boot=2)]
     view = builders.fold(BASE, builders.voter("a2"))
-    made = roster.Roster(builders.node("e1"), time)
+    made = membership.Roster(builders.node("e1"), time)
     alone = {"agents": agents, "made": made, "entries": ("e1",)}
     assert tick(time, view, **alone) == {"a2": "voter"}
 
@@ -89,14 +89,14 @@
 @pytest.mark.parametrize(
     ("loss_s", "entries", "lost", "change"),
     [
-        (roster.VOTER_LOSS_S, ("e1",), "a1", "remove"),
-        (roster.ENTRY_LOSS_S, ("e1",), "e2", "gone"),
+        (membership.VOTER_LOSS_S, ("e1",), "a1", "remove"),
+        (membership.ENTRY_LOSS_S, ("e1",), "e2", "gone"),
     ],
 )
 def test_loss_counts_only_after_its_time(time, loss_s, entries, lost, change):
     """A short cut must not change the view, and a reconnect starts the time anew."""
     view = builders.fold(BASE, builders.voter("a1"))
-    made = roster.Roster(builders.node("e1"), time)
+    made = membership.Roster(builders.node("e1"), time)
     back = {"agents": [builders.hello("a1")], "made": made}
     for _ in range(2):
         assert lost not in tick(time, view, entries=entries, made=made)
@@ -113,7 +113,7 @@
 
     One that is cut off from an agent removed it every 10 s, the other one added it.
     """
-    made = roster.Roster(builders.node("e1"), time)
+    made = membership.Roster(builders.node("e1"), time)
     view = builders.fold(BASE, builders.voter("a1"))
     removals = 0
     for _ in range(90):
@@ -129,17 +129,17 @@
     monkeypatch.setattr(views, "VOTERS_PER_REGION_LIMIT", 2)
     view = builders.fold(BASE, views.voter_record(builders.hello("a1")))
     agents = [builders.hello("a1", boot=2), builders.hello("a2")]
-    made = roster.Roster(builders.node("e1"), time)
+    made = membership.Roster(builders.node("e1"), time)
     appended = {}
     for _ in ENTRIES:
         appended |= tick(time, view, agents, made=made)
-        time.advance(roster.RANK_DELAY_S)
+        time.advance(membership.RANK_DELAY_S)
     assert appended == {"a1": "voter", "a2": "voter"}
 
 
 def test_entry_host_does_not_remove_itself(time):
     """It is never among its own connections."""
-    made = roster.Roster(builders.node("e1"), time)
+    made = membership.Roster(builders.node("e1"), time)
     for _ in range(2):
         assert "e1" not in tick(time, BASE, made=made)
-        time.advance(roster.ENTRY_LOSS_S + len(ENTRIES) * roster.RANK_DELAY_S)
+        time.advance(membership.ENTRY_LOSS_S + len(ENTRIES) * membership.RANK_DELAY_S)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -8,17 +8,17 @@
 from burdockgate import assignments, clock, codes
 from burdockgate.process import (
     actions,
+    assigner,
+    entrysessions,
     fleet,
-    owners,
-    placing,
     scheduler,
     selection,
     throughput,
 )
-from burdockgate.request import batch
+from burdockgate.request import besteffort
 
-STEP = batch.Step(2, 1000, 10, 0, 0.1)
-SUBMISSION = batch.Submission(
+STEP = besteffort.Step(2, 1000, 10, 0, 0.1)
+SUBMISSION = besteffort.Submission(
     "job", "route", "svc", "text", (STEP,), 0, 2, 1.6, 0.06, 2.0
 )
 READY = assignments.WorkerState.READY
@@ -31,7 +31,7 @@
         self.time = clock.ManualClock(100.0)
         self.scheduler = scheduler.Scheduler(
             "z1",
-            placing.SchedulerSettings(),
+            assigner.SchedulerSettings(),
             selection.SelectionSettings(),
             ordering or selection.ShortestFirst(),
             self.time,
@@ -87,7 +87,7 @@
 
 def _verdicts(effects):
     return [
-        effect.verdict for effect in effects if isinstance(effect, placing.Conclude)
+        effect.verdict for effect in effects if isinstance(effect, assigner.Conclude)
     ]
 
 
@@ -98,7 +98,7 @@
     assert (assign.indexes, assign.runs) == ((0, 1), (1, 1))
     bench.end("agent-0", 0, assignments.EndKind.DONE)
     effects = bench.end("agent-0", 1, assignments.EndKind.DONE, number=2)
-    assert _verdicts(effects) == [batch.Completed()]
+    assert _verdicts(effects) == [besteffort.Completed()]
 
 
 def test_steps_wait_for_the_steps_before():
@@ -145,7 +145,7 @@
     ]
     assert (sent.to, sent.message.runs) == ("agent-1", (2,))
     effects = bench.end("agent-1", 0, assignments.EndKind.FAILED, run=2)
-    assert _verdicts(effects) == [batch.Failed(codes.Code.TASK_FAILED)]
+    assert _verdicts(effects) == [besteffort.Failed(codes.Code.TASK_FAILED)]
 
 
 def test_returned_task_counts_no_attempt_and_leaves_the_job_unrun():
@@ -168,7 +168,7 @@
     assert _verdicts(bench.scheduler.tick()) == []
     bench.time.advance(1.1)
     (verdict,) = _verdicts(bench.scheduler.tick())
-    assert verdict == batch.Interrupted(codes.Code.DEADLINE_MAY_HAVE_RUN)
+    assert verdict == besteffort.Interrupted(codes.Code.DEADLINE_MAY_HAVE_RUN)
 
 
 @pytest.mark.parametrize(
@@ -252,7 +252,7 @@
     bench.submit(ticket=2)
     bench.end("agent-0", 0, assignments.EndKind.DONE)
     effects = bench.end("agent-0", 1, assignments.EndKind.DONE, number=2)
-    assert _verdicts(effects) == [batch.Completed(), batch.Completed()]
+    assert _verdicts(effects) == [besteffort.Completed(), besteffort.Completed()]
 
 
 def test_completed_job_is_answered_again_from_memory():
@@ -261,7 +261,7 @@
     bench.submit()
     bench.end("agent-0", 0, assignments.EndKind.DONE)
     bench.end("agent-0", 1, assignments.EndKind.DONE, number=2)
-    assert _verdicts(bench.submit(ticket=2)) == [batch.Completed()]
+    assert _verdicts(bench.submit(ticket=2)) == [besteffort.Completed()]
 
 
 def test_jobs_without_a_chance_are_rejected_before_their_deadline():
@@ -296,7 +296,7 @@
 def _job(estimate_s, priority=0, received_at=100.0):
     step = attrs.evolve(STEP, estimate_s=estimate_s)
     submission = attrs.evolve(SUBMISSION, steps=(step,), priority=priority)
-    return batch.Job.begin(submission, received_at, 1)
+    return besteffort.Job.begin(submission, received_at, 1)
 
 
 def test_order_puts_priority_first_then_length_and_late_jobs_last():
@@ -319,7 +319,7 @@
     choice = selection.Selection(
         selection.SelectionSettings(), "z1", random.Random(1)
     ).choose(
-        batch.Task(assignments.TaskKey("job", 0, 0), STEP),
+        besteffort.Task(assignments.TaskKey("job", 0, 0), STEP),
         bench.scheduler.fleet.by_agent.values(),
         bench.time.now(),
     )
@@ -327,7 +327,7 @@
 
 
 def _session(name, waiting_cpu, rank, demanded_at=100.0):
-    session = owners.OwnerSession(name, 1)
+    session = entrysessions.OwnerSession(name, 1)
     session.demand = assignments.Demand(waiting_cpu, rank)
     session.demanded_at = demanded_at
     return session
@@ -336,14 +336,14 @@
 def test_freed_room_goes_to_the_most_urgent_owner():
     """All owners once filled the same place, and all but one task waited there."""
     sessions = [_session("a", 3000, 7), _session("b", 1000, 2), _session("c", 0, 0)]
-    shares = owners.share_out(2000, sessions, 100.0)
+    shares = entrysessions.share_out(2000, sessions, 100.0)
     assert shares == {"a": 1000, "b": 1000, "c": 0}
 
 
 def test_room_that_nobody_waits_for_is_open_to_all():
     """Without demand a new job must not wait for a share."""
     sessions = [_session("a", 0, 0), _session("b", 500, 1, demanded_at=90.0)]
-    assert owners.share_out(2000, sessions, 100.0) == {"a": 2000, "b": 2000}
+    assert entrysessions.share_out(2000, sessions, 100.0) == {"a": 2000, "b": 2000}
 
 
 @pytest.mark.parametrize(
@@ -370,7 +370,7 @@
     agent = next(bench.scheduler.job_by_id["job"].all_tasks()).agent
     returned = bench.end(agent, 0, assignments.EndKind.RETURNED)
     assert _messages(assignments.Demand, returned) == []
-    bench.time.advance(placing.SchedulerSettings().return_pause_s)
+    bench.time.advance(assigner.SchedulerSettings().return_pause_s)
     later = list(bench.scheduler.assign())
     assert {demand.waiting_cpu for demand in _messages(assignments.Demand, later)} == {
         STEP.cpu
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -7,7 +7,7 @@
 import pytest
 
 from burdockgate import errors, fields, settings
-from burdockgate.process import backend, platform
+from burdockgate.process import backend, logclient
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
 LOAD_BY_ROLE = {"entry": settings.load_entry, "agent": settings.load_agent}
@@ -141,7 +141,7 @@
     except ValueError:
         return
     backend.Backend(parsed, 1, 1)
-    platform.LogClient(parsed, random.Random(1))
+    logclient.LogClient(parsed, random.Random(1))
 
 
 @pytest.mark.parametrize("text", NOT_INI)
--- a/tests/test_rows.py
+++ b/tests/test_tablereplica.py
@@ -6,7 +6,7 @@
 import pytest
 
 from burdockgate import messages
-from burdockgate.process import rows
+from burdockgate.process import tablereplica
 from burdockgate.version import table
 
 
@@ -32,7 +32,7 @@
 
 
 def read(*pages, **fields):
-    made = rows.Rows(**fields)
+    made = tablereplica.Rows(**fields)
     for each in pages:
         made.read(each)
     return made
@@ -48,7 +48,7 @@
     rng = random.Random(seed)
     made = changes(40)
     source = read(page(made))
-    target = rows.Rows()
+    target = tablereplica.Rows()
     versions = [0]
     for _ in range(60):
         start = rng.randrange(40)
@@ -114,7 +114,7 @@
 def test_majority_of_peers_vouches_only_with_their_version_reached():
     """After a restart in an outage, an older table must not count as current."""
     source = read(page(changes(9)))
-    target = rows.Rows()
+    target = tablereplica.Rows()
     others = {"e2", "e3"}
     target.hear("e2", source.statement())
     assert not target.is_current(others)
--- a/tests/test_vitals.py
+++ b/tests/test_workerhealth.py
@@ -3,7 +3,7 @@
 import pytest
 
 from burdockgate import assignments
-from burdockgate.process import vitals
+from burdockgate.process import workerhealth
 
 READY = assignments.WorkerState.READY
 EJECTED = assignments.WorkerState.EJECTED
@@ -12,14 +12,14 @@
 
 def test_failures_of_one_job_eject_no_worker():
     """A job that can never be done fails everywhere."""
-    worker = vitals.Vitals()
+    worker = workerhealth.Vitals()
     assert not any(worker.failed("job", 1.0) for _ in range(10))
     assert worker.state(1.0) is READY
 
 
 def test_two_jobs_that_fail_in_a_row_eject_and_a_success_between_does_not():
     """Single failures happen on sound workers."""
-    worker = vitals.Vitals()
+    worker = workerhealth.Vitals()
     worker.failed("a", 1.0)
     worker.done(0.1, 0.1, 1.0)
     assert not worker.failed("b", 1.0)
@@ -30,7 +30,7 @@
 
 def test_failed_trials_come_less_often_and_a_good_one_ends_them():
     """Each trial costs a caller one attempt."""
-    worker, now, pauses = vitals.Vitals(), 0.0, []
+    worker, now, pauses = workerhealth.Vitals(), 0.0, []
     worker.failed("a", now)
     worker.failed("b", now)
     for number in range(4):
@@ -47,10 +47,12 @@
 
 def test_speed_follows_samples_within_bounds_and_returns():
     """A worker that was slow must be tried again, and one sample must not decide."""
-    worker = vitals.Vitals()
+    worker = workerhealth.Vitals()
     worker.sample(0.001, 1.0)
     assert worker.current_speed(1.0) > 0.5
     for _ in range(40):
         worker.sample(0.001, 1.0)
-    assert worker.current_speed(1.0) == pytest.approx(vitals.SPEED_BOUNDS[0], rel=0.01)
-    assert worker.current_speed(1.0 + 8 * vitals.SPEED_RECOVERY_S) > 0.98
+    assert worker.current_speed(1.0) == pytest.approx(
+        workerhealth.SPEED_BOUNDS[0], rel=0.01
+    )
+    assert worker.current_speed(1.0 + 8 * workerhealth.SPEED_RECOVERY_S) > 0.98
