--- a/src/burdockgate/connection/session.py
+++ b/src/burdockgate/connection/session.py
@@ -22,7 +22,7 @@
     heard_at: float
     hello: messages.Hello | None = None
 
-    def hear(self, message: messages.Message, now: float) -> bool:
+    def record_activity(self, message: messages.Message, now: float) -> bool:
         """Note a message.
 
         :param message: the first one must be :class:`messages.Hello`.
--- a/src/burdockgate/connection/stream.py
+++ b/src/burdockgate/connection/stream.py
@@ -16,7 +16,7 @@
     """What a stream reports to."""
 
     @abc.abstractmethod
-    def received(self, stream: Stream, message: wire.Message, size: int) -> None:
+    def handle_message(self, stream: Stream, message: wire.Message, size: int) -> None:
         """Handle a message.
 
         :param stream: the stream it came from.
@@ -25,7 +25,7 @@
         """
 
     @abc.abstractmethod
-    def rejected(self, stream: Stream, error: errors.WireError) -> None:
+    def handle_rejected(self, stream: Stream, error: errors.WireError) -> None:
         """Handle a malformed frame; the stream closes itself.
 
         :param stream: the stream it came from.
@@ -33,21 +33,21 @@
         """
 
     @abc.abstractmethod
-    def truncated(self, stream: Stream) -> None:
+    def handle_truncated(self, stream: Stream) -> None:
         """Handle the end of a connection within a frame.
 
-        :param stream: the stream it came from; :meth:`closed` follows.
+        :param stream: the stream it came from; :meth:`handle_close` follows.
         """
 
     @abc.abstractmethod
-    def opened(self, stream: Stream) -> None:
+    def handle_open(self, stream: Stream) -> None:
         """Handle a connection that has just been made.
 
         :param stream: the new stream.
         """
 
     @abc.abstractmethod
-    def closed(self, stream: Stream) -> None:
+    def handle_close(self, stream: Stream) -> None:
         """Handle the end of a connection.
 
         :param stream: the stream that ended.
@@ -72,7 +72,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport; called by asyncio."""
         self._transport = cast(asyncio.Transport, transport)
-        self._receiver.opened(self)
+        self._receiver.handle_open(self)
 
     def data_received(self, data: bytes) -> None:
         """Decode and report the messages in new data; called by asyncio."""
@@ -81,18 +81,18 @@
                 if self.is_closed:
                     return
                 message = wire.decode(body)
-                self._receiver.received(self, message, len(body))
+                self._receiver.handle_message(self, message, len(body))
         except errors.WireError as error:
-            self._receiver.rejected(self, error)
+            self._receiver.handle_rejected(self, error)
             self.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the end of the connection; called by asyncio."""
         # After an own abort, the rest of a frame was not awaited.
         if not self.is_closed and self._buffer.is_partial:
-            self._receiver.truncated(self)
+            self._receiver.handle_truncated(self)
         self.is_closed = True
-        self._receiver.closed(self)
+        self._receiver.handle_close(self)
 
     def send(self, message: wire.Message) -> int:
         """Queue a message.
--- a/src/burdockgate/platform/__main__.py
+++ b/src/burdockgate/platform/__main__.py
@@ -49,7 +49,7 @@
         await server.start()
         self._servers.append(server)
 
-    async def listen_metrics(self, source: events.Events) -> None:
+    async def listen_metrics(self, source: events.EventLog) -> None:
         """Serve the metrics page, or say why not.
 
         :param source: what the page shows.
@@ -57,7 +57,7 @@
         try:
             await self.listen(Metrics(source), f"{self.settings.host}:{METRICS_PORT}")
         except errors.SettingsError as error:
-            source.note("metrics.unavailable", {"detail": str(error)})
+            source.record("metrics.unavailable", {"detail": str(error)})
 
     async def close_servers(self) -> None:
         """Finish the requests in progress and stop listening."""
@@ -86,7 +86,7 @@
     :param source: what is shown.
     """
 
-    def __init__(self, source: events.Events) -> None:
+    def __init__(self, source: events.EventLog) -> None:
         self._source = source
 
     async def __call__(
@@ -127,7 +127,7 @@
 
     def reloaded(self, problem: str) -> None:
         """Log the change; the settings of an entry host are fixed at its start."""
-        self._daemon.events.note("settings.reloaded", {"problem": problem})
+        self._daemon.events.record("settings.reloaded", {"problem": problem})
 
 
 class AgentProcess(Process):
@@ -161,7 +161,7 @@
 
     def reloaded(self, problem: str) -> None:
         """Take in new addresses of entry hosts."""
-        self._daemon.events.note("settings.reloaded", {"problem": problem})
+        self._daemon.events.record("settings.reloaded", {"problem": problem})
         for address in self.settings.entry_addresses():
             self._daemon.links.add(address)
 
--- a/src/burdockgate/platform/boot.py
+++ b/src/burdockgate/platform/boot.py
@@ -62,11 +62,11 @@
         hosts = [seed.rpartition(":")[0] for seed in self.seeds]
         return tuple(f"{host}:{self.link_port}" for host in hosts if host)
 
-    def entry_settings(self) -> entrydaemon.EntrySettings:
+    def entry_settings(self) -> entrydaemon.EntryDaemonSettings:
         """Return the settings of an entry host."""
         from burdockgate.process import assigner, entrydaemon, scheduler
 
-        return entrydaemon.EntrySettings(
+        return entrydaemon.EntryDaemonSettings(
             name=self.name,
             zone=self.zone,
             host=self.host,
@@ -79,11 +79,11 @@
             ),
         )
 
-    def agent_settings(self) -> agentdaemon.AgentSettings:
+    def agent_settings(self) -> agentdaemon.AgentDaemonSettings:
         """Return the settings of an agent."""
         from burdockgate.process import agentdaemon
 
-        return agentdaemon.AgentSettings(
+        return agentdaemon.AgentDaemonSettings(
             name=self.name,
             zone=self.zone,
             entry_addresses=self.entry_addresses(),
@@ -91,10 +91,10 @@
             gate=self._gate_settings(),
         )
 
-    def _gate_settings(self) -> executoractions.GateSettings:
+    def _gate_settings(self) -> executoractions.ExecutorSettings:
         from burdockgate.process import executoractions
 
-        return executoractions.GateSettings(
+        return executoractions.ExecutorSettings(
             worker_lease_s=self.bounds.worker_lease_ms / 1000
         )
 
--- a/src/burdockgate/platform/front.py
+++ b/src/burdockgate/platform/front.py
@@ -122,7 +122,7 @@
     ) -> None:
         facts = {"job": job_id, "request": request_id, "host": host}
         known = {name: value for name, value in facts.items() if value}
-        self._daemon.events.note(
+        self._daemon.events.record(
             "job.rejected", {**known, "code": code.name, "detail": detail}
         )
 
--- a/src/burdockgate/platform/heartbeats.py
+++ b/src/burdockgate/platform/heartbeats.py
@@ -40,7 +40,7 @@
 _IS_DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 
-def decode(worker: str, body: bytes) -> workercontrol.Announcement | None:
+def decode(worker: str, body: bytes) -> workercontrol.WorkerHeartbeat | None:
     """Return what a worker says of itself, or ``None`` when it can't be read.
 
     :param worker: identifier from the path.
@@ -53,7 +53,7 @@
     is_draining = _IS_DRAINING_BY_STATE.get(told.state)
     if is_draining is None:
         return None
-    return workercontrol.Announcement(
+    return workercontrol.WorkerHeartbeat(
         worker,
         told.born,
         told.service,
@@ -102,9 +102,9 @@
             return 404
         told = decode(worker, body)
         if told is None:
-            self._daemon.events.note("heartbeat.unreadable", {"worker": worker})
+            self._daemon.events.record("heartbeat.unreadable", {"worker": worker})
             return 400
-        self._daemon.announced(told)
+        self._daemon.handle_heartbeat(told)
         return 200
 
 
--- a/src/burdockgate/platform/jobs.py
+++ b/src/burdockgate/platform/jobs.py
@@ -137,7 +137,7 @@
     )
 
 
-def encode(verdict: besteffort.Verdict) -> tuple[int, dict[str, str], bytes]:
+def encode(verdict: besteffort.Outcome) -> tuple[int, dict[str, str], bytes]:
     """Return status, headers and body of an answer.
 
     A status of 429 or 503 says that no task ran; 502 and 504 say nothing about that,
--- a/src/burdockgate/platform/worker.py
+++ b/src/burdockgate/platform/worker.py
@@ -59,7 +59,7 @@
     born: int = 0
 
 
-class PlatformWorker(workercontrol.RunControl):
+class PlatformWorker(workercontrol.WorkerControl):
     """The worker's interface over HTTP.
 
     :param address: ``host:port`` of the worker.
@@ -68,7 +68,9 @@
     def __init__(self, address: str) -> None:
         self._client = http.Client(address, CONNECTIONS)
 
-    async def start(self, order: workercontrol.StartOrder) -> workercontrol.OrderAnswer:
+    async def start(
+        self, order: workercontrol.StartCommand
+    ) -> workercontrol.CommandResult:
         """Start a run."""
         fields = {
             "task": _task_name(order.key.task),
@@ -79,7 +81,9 @@
         }
         return await self._order("/burdockgate/run-start", order.worker, fields)
 
-    async def stop(self, order: workercontrol.StopOrder) -> workercontrol.OrderAnswer:
+    async def stop(
+        self, order: workercontrol.StopCommand
+    ) -> workercontrol.CommandResult:
         """Stop a run."""
         fields = {
             "task": _task_name(order.key.task),
@@ -88,7 +92,7 @@
         }
         return await self._order("/burdockgate/run-stop", order.worker, fields)
 
-    async def look(self, order: workercontrol.LookOrder) -> workercontrol.LookAnswer:
+    async def poll(self, order: workercontrol.PollCommand) -> workercontrol.PollResult:
         """Read the lists of runs."""
         fields = {
             "fencingToken": order.token,
@@ -118,7 +122,7 @@
 
     async def _order(
         self, path: str, worker: str, fields: dict[str, Any]
-    ) -> workercontrol.OrderAnswer:
+    ) -> workercontrol.CommandResult:
         answer = await self._post(path, worker, fields, ORDER_ANSWER_S)
         if not isinstance(answer, http.Answer):
             return answer
--- a/src/burdockgate/process/actions.py
+++ b/src/burdockgate/process/actions.py
@@ -16,7 +16,7 @@
 
 
 @attrs.frozen
-class Note:
+class LogEvent:
     """Effect: write a log line."""
 
     event: str
--- a/src/burdockgate/process/agent.py
+++ b/src/burdockgate/process/agent.py
@@ -61,11 +61,11 @@
         self.claims = claims.ClaimStore(
             node, time, config.timing.retention_s, config.timing.view_limit_s
         )
-        self.rows = tablereplica.Rows(kept_limit=0)
+        self.rows = tablereplica.TableReplica(kept_limit=0)
         self._config = config
         self._time = time
         self._counters = counters
-        self._records = jobrecords.Records(
+        self._records = jobrecords.JobRecords(
             time, config.timing.retention_s, config.backend_server.results_bytes
         )
         self._failed_row = 0
@@ -101,7 +101,7 @@
         """The versions in force here, for heartbeats."""
         return self.rows.version, self.claims.catchup.view.number
 
-    def connected(self, hello: messages.Hello) -> _Effects:
+    def handle_connect(self, hello: messages.Hello) -> _Effects:
         """Start a session with a node.
 
         :param hello: the node's announcement.
@@ -114,7 +114,7 @@
             self.claims.catchup.hurry(hello.node.name)
             yield from self.claims.catchup.tick(self._session_by_name)
 
-    def disconnected(self, name: str) -> _Effects:
+    def handle_disconnect(self, name: str) -> _Effects:
         """End a session.
 
         :param name: name of the node.
@@ -267,7 +267,7 @@
     def _send_fence_reply(
         self,
         name: str,
-        job: jobrecord.Record,
+        job: jobrecord.JobRecord,
         reports: tuple[messages.TaskReport, ...],
     ) -> _Effects:
         batches = list(_batches(reports))
@@ -324,7 +324,7 @@
             self._failed_row, self._failed_job = self._failed_row + 1, job_id
 
     def _send_results(
-        self, job: jobrecord.Record, reports: list[messages.TaskReport]
+        self, job: jobrecord.JobRecord, reports: list[messages.TaskReport]
     ) -> _Effects:
         session = self._session_by_name.get(job.owner)
         if session is None:
@@ -422,7 +422,7 @@
 
     def _on_records(self, name: str, message: messages.Records) -> _Effects:
         if message.stream == table.STREAM:
-            self.rows.hear(name, message)
+            self.rows.apply_peer_page(name, message)
             self._counters.gauge("table.version", self.rows.version)
             return
         yield from self.follow(message)
--- a/src/burdockgate/process/agentdaemon.py
+++ b/src/burdockgate/process/agentdaemon.py
@@ -44,7 +44,7 @@
 
 
 @attrs.frozen
-class AgentSettings:
+class AgentDaemonSettings:
     """Place and limits of an agent.
 
     :param entry_addresses: ``host:port`` of entry hosts to begin with.
@@ -55,7 +55,7 @@
     zone: str
     entry_addresses: tuple[str, ...]
     grace_s: float
-    gate: executoractions.GateSettings
+    gate: executoractions.ExecutorSettings
 
 
 class AgentDaemon(links.Handler, runner.Runnable):
@@ -69,8 +69,8 @@
 
     def __init__(
         self,
-        settings: AgentSettings,
-        worker: workercontrol.RunControl,
+        settings: AgentDaemonSettings,
+        worker: workercontrol.WorkerControl,
         client: store.Store,
         rng: random.Random | None = None,
     ) -> None:
@@ -79,9 +79,9 @@
         self._store = client
         self._rng = rng or random.Random(secrets.randbits(64))
         self._time = clock.BootClock()
-        self.events = events.Events(settings.name, self._time)
+        self.events = events.EventLog(settings.name, self._time)
         self.boot = self._rng.getrandbits(BOOT_BITS)
-        self.gate = executor.Gate(settings.gate, self._time)
+        self.gate = executor.Executor(settings.gate, self._time)
         self.links = links.AgentLinks(self, self._time, self._rng)
         self._link_by_owner: dict[str, stream.Stream] = {}
         self._owner_by_address: dict[str, str] = {}
@@ -94,7 +94,7 @@
 
     async def start(self) -> None:
         """Begin to serve."""
-        self.events.note("process.started", {"boot": self.boot})
+        self.events.record("process.started", {"boot": self.boot})
         for address in self._settings.entry_addresses:
             self.links.add(address)
         self._spawn(self._run_timers())
@@ -103,7 +103,7 @@
 
     async def stop(self) -> None:
         """Let what runs end, return what waits, and end."""
-        self.events.note("process.stopping", {"running": self.gate.running_count})
+        self.events.record("process.stopping", {"running": self.gate.running_count})
         self._perform(self.gate.leave())
         await self._wait_idle(self._settings.grace_s - STOP_RESERVE_S)
         if self.gate.running_count:
@@ -117,19 +117,19 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._worker.close()
         await self._store.close()
-        self.events.note("process.stopped", {"running": self.gate.running_count})
+        self.events.record("process.stopped", {"running": self.gate.running_count})
 
     async def _wait_idle(self, limit_s: float) -> None:
         ends_at = self._time.now() + limit_s
         while self.gate.running_count and self._time.now() < ends_at:
             await asyncio.sleep(TICK_S)
 
-    def announced(self, told: workercontrol.Announcement) -> None:
+    def handle_heartbeat(self, told: workercontrol.WorkerHeartbeat) -> None:
         """Handle a heartbeat of the worker.
 
         :param told: what it says of itself.
         """
-        self._perform(self.gate.announced(told))
+        self._perform(self.gate.handle_heartbeat(told))
         self._has_worker.set()
 
     def deregistered(self, worker: str) -> None:
@@ -137,22 +137,22 @@
 
         :param worker: its identifier.
         """
-        self.events.note("worker.deregistered", {"worker": worker})
+        self.events.record("worker.deregistered", {"worker": worker})
 
     # Effects of the gate.
 
     def _perform(self, wanted: Iterable[executoractions.Effect]) -> None:
         for effect in wanted:
             match effect:
-                case actions.Note(event, fields):
-                    self.events.note(event, fields)
+                case actions.LogEvent(event, fields):
+                    self.events.record(event, fields)
                 case actions.Send(to, message):
                     self._send(to, message)
                 case executoractions.Start(start_order):
                     self._spawn(self._start_run(start_order))
                 case executoractions.Stop(stop_order):
                     self._spawn(self._stop_run(stop_order))
-                case executoractions.Look(look_order):
+                case executoractions.Poll(look_order):
                     self._spawn(self._look_once(look_order))
             self._schedule_report()
 
@@ -162,25 +162,25 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
-    async def _start_run(self, order: workercontrol.StartOrder) -> None:
+    async def _start_run(self, order: workercontrol.StartCommand) -> None:
         answer = await self._worker.start(order)
-        self._perform(self.gate.start_answered(order, answer))
+        self._perform(self.gate.handle_start_result(order, answer))
 
-    async def _stop_run(self, order: workercontrol.StopOrder) -> None:
+    async def _stop_run(self, order: workercontrol.StopCommand) -> None:
         answer = await self._worker.stop(order)
-        self._perform(self.gate.stop_answered(order, answer))
+        self._perform(self.gate.handle_stop_result(order, answer))
 
     async def _look_once(
-        self, order: workercontrol.LookOrder
-    ) -> workercontrol.LookAnswer:
-        answer = await self._worker.look(order)
-        self._perform(self.gate.looked(order, answer))
+        self, order: workercontrol.PollCommand
+    ) -> workercontrol.PollResult:
+        answer = await self._worker.poll(order)
+        self._perform(self.gate.handle_poll_result(order, answer))
         return answer
 
     async def _look(self) -> None:
         await self._has_worker.wait()
         while True:
-            order = self.gate.next_look()
+            order = self.gate.next_poll()
             if order is None:
                 await asyncio.sleep(LOOK_PAUSE_S)
                 continue
@@ -197,10 +197,10 @@
         if link is not None:
             link.send(message)
 
-    def opened(self, link: stream.Stream) -> None:
+    def handle_open(self, link: stream.Stream) -> None:
         """Wait for the entry host's hello."""
 
-    def received(self, link: stream.Stream, message: assignments.Message) -> None:
+    def handle_message(self, link: stream.Stream, message: assignments.Message) -> None:
         """Handle a message of an entry host."""
         if isinstance(message, assignments.EntryHello):
             self._greet(link, message)
@@ -210,15 +210,15 @@
             raise errors.WireError(f"{type(message).__name__} came before the hello")
         match message:
             case assignments.Assign():
-                self._perform(self.gate.assigned(owner, message))
+                self._perform(self.gate.handle_assignment(owner, message))
             case assignments.Renewal():
-                self.gate.renewed(owner, message)
-                self._relay.heard(owner, message.configuration)
+                self.gate.handle_renewal(owner, message)
+                self._relay.record_version(owner, message.configuration)
             case assignments.Demand():
-                self.gate.demanded(owner, message)
+                self.gate.handle_demand(owner, message)
                 self._schedule_report()
             case assignments.Revoke():
-                self._perform(self.gate.revoked(message))
+                self._perform(self.gate.handle_revocation(message))
             case assignments.EntryHosts(addresses):
                 for address in addresses:
                     self.links.add(address)
@@ -232,7 +232,7 @@
         if old is not None and old is not link:
             del self._owner_by_link[old]
             old.abort()
-        boot, held = self.gate.hello(hello.name)
+        boot, held = self.gate.session_state(hello.name)
         self._link_by_owner[hello.name] = link
         self._owner_by_link[link] = hello.name
         self._owner_by_address[self.links.address_of(link)] = hello.name
@@ -247,36 +247,38 @@
             )
         )
         self._info_sent.pop(hello.name, None)
-        self.events.note("owner.linked", {"owner": hello.name, "held": len(held)})
+        self.events.record("owner.linked", {"owner": hello.name, "held": len(held)})
         distance = entrysessions.distance(
             self._settings.name, self._settings.zone, hello.name, hello.zone
         )
-        self._perform(self.gate.linked(hello.name, hello.boot, distance))
+        self._perform(
+            self.gate.handle_entry_connected(hello.name, hello.boot, distance)
+        )
         self._report()
 
     def _hold(self, owner: str, message: assignments.Configuration) -> None:
-        if self._relay.take(message):
-            self.events.note(
+        if self._relay.update(message):
+            self.events.record(
                 "configuration.held", {"version": message.version, "source": owner}
             )
 
-    def closed(self, link: stream.Stream) -> None:
+    def handle_close(self, link: stream.Stream) -> None:
         """Handle the end of a connection."""
         owner = self._owner_by_link.pop(link, None)
         if owner is not None:
             del self._link_by_owner[owner]
             self._relay.forget(owner)
-            self._perform(self.gate.unlinked(owner))
+            self._perform(self.gate.handle_entry_disconnected(owner))
 
-    def rejected(self, reason: str) -> None:
+    def handle_rejected(self, reason: str) -> None:
         """Handle a malformed message."""
-        self.events.note("link.rejected", {"detail": reason})
+        self.events.record("link.rejected", {"detail": reason})
 
-    def refused(self, address: str) -> None:
+    def handle_refused(self, address: str) -> None:
         """Stop the runs of an entry host whose process has ended."""
         owner = self._owner_by_address.get(address)
         if owner is not None and owner not in self._link_by_owner:
-            self._perform(self.gate.refused(owner))
+            self._perform(self.gate.handle_entry_gone(owner))
 
     # Time.
 
@@ -294,7 +296,7 @@
 
         :param is_periodic: whether every entry host gets it.
         """
-        info, loads = self.gate.worker_info(), self.gate.loads(is_periodic)
+        info, loads = self.gate.worker_info(), self.gate.due_reports(is_periodic)
         for owner, load in loads.items():
             link = self._link_by_owner.get(owner)
             if link is None:
@@ -312,7 +314,7 @@
             self.links.dial_due()
             self._perform(self.gate.tick())
             for owner, configuration in self._relay.due():
-                self.events.note(
+                self.events.record(
                     "configuration.relayed",
                     {"version": configuration.version, "owner": owner},
                 )
@@ -333,11 +335,11 @@
         try:
             page = await self._store.newest(discovery.TOPIC)
         except errors.LogUnavailableError as error:
-            self.events.note(
+            self.events.record(
                 "store.lost", {"topic": discovery.TOPIC, "detail": str(error)}
             )
             return
         found = list(discovery.addresses(page.records))
-        self.events.note("entries.found", {"addresses": found})
+        self.events.record("entries.found", {"addresses": found})
         for address in found:
             self.links.add(address)
--- a/src/burdockgate/process/agenthost.py
+++ b/src/burdockgate/process/agenthost.py
@@ -93,20 +93,20 @@
             self.core.draining,
         )
 
-    def connected(self, hello: messages.Hello) -> None:
+    def handle_connect(self, hello: messages.Hello) -> None:
         """Tell the core about a node."""
         if hello.role is messages.Role.ENTRY:
             self._entry_by_name[hello.node.name] = hello.node
             self.log.info("entry host connected", entry=hello.node.name)
-        self.perform(self.core.connected(hello))
+        self.perform(self.core.handle_connect(hello))
 
-    def disconnected(self, name: str) -> None:
+    def handle_disconnect(self, name: str) -> None:
         """Tell the core about the loss of a node."""
         if name in self._entry_by_name:
             self.log.info("entry host lost", entry=name)
-        self.perform(self.core.disconnected(name))
+        self.perform(self.core.handle_disconnect(name))
 
-    def received(self, name: str, message: messages.Message) -> None:
+    def handle_message(self, name: str, message: messages.Message) -> None:
         """Hand a message to the core; lists of entry hosts are used here."""
         if isinstance(message, messages.Peers):
             for node in message.entries:
--- a/src/burdockgate/process/assigner.py
+++ b/src/burdockgate/process/assigner.py
@@ -46,7 +46,7 @@
 
 
 @attrs.frozen
-class Conclude:
+class Respond:
     """Effect: answer a caller's request.
 
     :param ticket: number of the request.
@@ -54,18 +54,18 @@
 
     ticket: int
     job: str
-    verdict: besteffort.Verdict
+    verdict: besteffort.Outcome
 
 
 @attrs.frozen
-class AssignSoon:
-    """Effect: call :meth:`Placing.assign` within a millisecond or two."""
+class ScheduleAssignment:
+    """Effect: call :meth:`Assigner.assign` within a millisecond or two."""
 
 
-Effect = actions.Send | Conclude | actions.Note | AssignSoon
+Effect = actions.Send | Respond | actions.LogEvent | ScheduleAssignment
 
 
-class Placing:
+class Assigner:
     """Waiting jobs and the choice of workers; methods are generators of effects.
 
     :param zone: zone of the entry host.
@@ -130,7 +130,7 @@
         """
         if self._waiting_by_id and not self._is_assign_due:
             self._is_assign_due = True
-            yield AssignSoon()
+            yield ScheduleAssignment()
 
     def assign(self) -> Iterator[Effect]:
         """Assign waiting tasks to workers with room."""
@@ -237,7 +237,7 @@
     ) -> Iterator[Effect]:
         view, step = self.fleet.by_agent[agent], tasks[0].step
         given = job.submission
-        yield actions.Note(
+        yield actions.LogEvent(
             "task.assigned",
             {
                 "job": given.job,
--- a/src/burdockgate/process/backlog.py
+++ b/src/burdockgate/process/backlog.py
@@ -35,7 +35,7 @@
 
     weight: float
     virtual_time: float
-    heap: list[tuple[float, int, ownedjob.Leader]] = attrs.field(factory=list)
+    heap: list[tuple[float, int, ownedjob.OwnedJob]] = attrs.field(factory=list)
     tasks: int = 0
     dropped: int = 0
     last_rank: float = 0.0
@@ -60,9 +60,9 @@
         self._queue_by_class: dict[str, _ClassQueue] = {}
         self._virtual_time = 0.0
         self._counter = itertools.count()
-        self._queued_by_leader: dict[ownedjob.Leader, _Queued] = {}
+        self._queued_by_leader: dict[ownedjob.OwnedJob, _Queued] = {}
 
-    def add(self, leader: ownedjob.Leader, weight: float) -> None:
+    def add(self, leader: ownedjob.OwnedJob, weight: float) -> None:
         """Queue a job unless it is queued.
 
         :param leader: the job; it stays queued until it has no waiting task.
@@ -85,11 +85,11 @@
                 return
             self._pop(queue)
 
-    def _is_queued(self, number: int, leader: ownedjob.Leader) -> bool:
+    def _is_queued(self, number: int, leader: ownedjob.OwnedJob) -> bool:
         queued = self._queued_by_leader.get(leader)
         return queued is not None and queued.number == number
 
-    def _pop(self, queue: _ClassQueue) -> ownedjob.Leader | None:
+    def _pop(self, queue: _ClassQueue) -> ownedjob.OwnedJob | None:
         """Take the first entry, and return its job unless it counts no more."""
         _, number, leader = heapq.heappop(queue.heap)
         if not self._is_queued(number, leader):
@@ -98,7 +98,7 @@
         queue.tasks -= self._queued_by_leader.pop(leader).tasks
         return leader
 
-    def drop(self, leader: ownedjob.Leader) -> None:
+    def drop(self, leader: ownedjob.OwnedJob) -> None:
         """Release a job that has ended.
 
         :param leader: the job; one that is not queued is ignored.
@@ -117,14 +117,14 @@
             heapq.heapify(queue.heap)
             queue.dropped = 0
 
-    def in_order(self) -> Iterator[ownedjob.Leader]:
+    def in_order(self) -> Iterator[ownedjob.OwnedJob]:
         """Yield the jobs in the order of service; the caller sends their tasks.
 
         Each time the caller has taken tasks of a job, it calls :meth:`charge`. A
         job of which nothing was taken is passed over in this round. When many are,
         the round ends, and they go to the end so that the next round sees others.
         """
-        passed: list[ownedjob.Leader] = []
+        passed: list[ownedjob.OwnedJob] = []
         try:
             while len(passed) < PASSED_LIMIT:
                 if (name := self._next_class()) is None:
@@ -141,7 +141,7 @@
                 self._push(leader, is_last=len(passed) >= PASSED_LIMIT)
             self._drop_empty()
 
-    def _push(self, leader: ownedjob.Leader, is_last: bool = False) -> None:
+    def _push(self, leader: ownedjob.OwnedJob, is_last: bool = False) -> None:
         tasks = leader.waiting_count
         queued = self._queued_by_leader.get(leader)
         queue = self._queue_by_class[leader.request.caller_class]
@@ -156,7 +156,7 @@
             queue.last_rank = max(queue.last_rank, rank)
             heapq.heappush(queue.heap, (rank, number, leader))
 
-    def charge(self, leader: ownedjob.Leader, work: float) -> None:
+    def charge(self, leader: ownedjob.OwnedJob, work: float) -> None:
         """Count work sent against the class of a job.
 
         :param leader: the job.
@@ -179,7 +179,7 @@
         """Whether no task that may start waits; ended jobs may still be queued."""
         return next(self.heads(), None) is None
 
-    def heads(self) -> Iterator[ownedjob.Leader]:
+    def heads(self) -> Iterator[ownedjob.OwnedJob]:
         """Yield the first job with waiting tasks of each class that may start."""
         for name, queue in self._queue_by_class.items():
             if queue.heap and self._may_start(name):
@@ -219,5 +219,5 @@
                 del self._queue_by_class[name]
 
 
-def _rank(leader: ownedjob.Leader) -> float:
+def _rank(leader: ownedjob.OwnedJob) -> float:
     return leader.arrived_at + SECONDS_PER_WAITING_TASK * leader.waiting_count
--- a/src/burdockgate/process/detectors.py
+++ b/src/burdockgate/process/detectors.py
@@ -39,7 +39,7 @@
 
 
 @attrs.define(eq=False)
-class Record:
+class WorkerRecord:
     """What an entry host knows of the outcomes of one worker.
 
     :param boot: boot id of its agent; another boot begins a new record.
@@ -77,7 +77,7 @@
 
 
 @attrs.define(eq=False)
-class Group:
+class OutcomeStatistics:
     """Outcomes of one service and class, over all workers.
 
     :param whole: outcomes of the service; ``None`` in that group itself.
@@ -86,7 +86,7 @@
     :param log_ms: mean logarithm of the run time in ms.
     """
 
-    whole: Group | None = None
+    whole: OutcomeStatistics | None = None
     rate: float = 0.0
     trust: float = 1.0
     log_ms: float = 0.0
@@ -130,8 +130,8 @@
 class Sent:
     """A task that was sent and has not been reported."""
 
-    record: Record
-    group: Group
+    record: WorkerRecord
+    group: OutcomeStatistics
     job: bytes
     index: int
     at: float
@@ -143,7 +143,7 @@
     """The failure of a job that counts against a worker, and its weight."""
 
     job: bytes
-    record: Record
+    record: WorkerRecord
     weight: float
 
 
@@ -160,7 +160,7 @@
     seconds: float
 
 
-class Detector(abc.ABC):
+class FailureDetector(abc.ABC):
     """Turns failures and successes into the score of a worker.
 
     :param failures: failures in different jobs for which a worker is ejected when no
@@ -176,7 +176,7 @@
         """Score at which a worker is ejected."""
 
     @abc.abstractmethod
-    def failure(self, record: Record, group: Group) -> float:
+    def failure(self, record: WorkerRecord, group: OutcomeStatistics) -> float:
         """Return what a failure adds to the score.
 
         :param record: the worker.
@@ -184,7 +184,7 @@
         """
 
     @abc.abstractmethod
-    def success(self, record: Record, group: Group) -> float:
+    def success(self, record: WorkerRecord, group: OutcomeStatistics) -> float:
         """Return the score after a success.
 
         :param record: the worker.
@@ -192,7 +192,7 @@
         """
 
 
-class Likelihood(Detector):
+class LikelihoodDetector(FailureDetector):
     """Cumulative sum of log likelihood ratios.
 
     The two hypotheses are that the worker fails as often as its class does elsewhere,
@@ -206,11 +206,11 @@
         # one need not weigh in full.
         return (self.failures - 0.5) * math.log((1 + RATE_FLOOR) / 2 / RATE_FLOOR)
 
-    def failure(self, record: Record, group: Group) -> float:
+    def failure(self, record: WorkerRecord, group: OutcomeStatistics) -> float:
         """Return what a failure adds to the score."""
         rate = max(group.usual, RATE_FLOOR)
         return math.log((1 + rate) / 2 / rate)
 
-    def success(self, record: Record, group: Group) -> float:
+    def success(self, record: WorkerRecord, group: OutcomeStatistics) -> float:
         """Return the score after a success, which is half as likely if it is bad."""
         return max(0.0, record.score - math.log(2.0))
--- a/src/burdockgate/process/directory.py
+++ b/src/burdockgate/process/directory.py
@@ -37,7 +37,9 @@
     demanded: int = 0
     table_version: int = 0
     number: int = 0
-    record: detectors.Record = attrs.field(factory=lambda: detectors.Record("", "", 0))
+    record: detectors.WorkerRecord = attrs.field(
+        factory=lambda: detectors.WorkerRecord("", "", 0)
+    )
 
     @property
     def name(self) -> str:
@@ -131,7 +133,7 @@
         self,
         time: clock.Clock,
         lease_s: float,
-        health: healths.Health | None = None,
+        health: healths.HealthMonitor | None = None,
     ) -> None:
         self._time = time
         self._lease_s = lease_s
@@ -178,7 +180,7 @@
         if self.health is not None:
             self.health.leave(name)
 
-    def _on_allowance(self, record: detectors.Record) -> None:
+    def _on_allowance(self, record: detectors.WorkerRecord) -> None:
         """Index a worker anew after its health has changed what it may get."""
         worker = self.worker_by_name.get(record.name)
         if worker is not None and worker.record is record:
--- a/src/burdockgate/process/dispatch.py
+++ b/src/burdockgate/process/dispatch.py
@@ -28,10 +28,10 @@
 
     tasks_by_pair: dict[
         tuple[str, bytes],
-        tuple[ownedjob.Leader, messages.Node, list[messages.TaskStart]],
+        tuple[ownedjob.OwnedJob, messages.Node, list[messages.TaskStart]],
     ] = attrs.field(factory=dict)
 
-    def add(self, leader: ownedjob.Leader, node: messages.Node) -> int:
+    def add(self, leader: ownedjob.OwnedJob, node: messages.Node) -> int:
         key = (node.name, leader.request.job)
         _, _, tasks = self.tasks_by_pair.setdefault(key, (leader, node, []))
         tasks.append(leader.take(node))
@@ -66,7 +66,7 @@
         self._is_reweighed = False
         self._heads_asked_by_service: dict[str, tuple[object, ...]] = {}
 
-    def add(self, leader: ownedjob.Leader, weight: float) -> None:
+    def add(self, leader: ownedjob.OwnedJob, weight: float) -> None:
         """Queue a job that has waiting tasks.
 
         :param leader: the job.
@@ -85,7 +85,7 @@
                 self._limits.returned(leader.request)
         leader.returned.clear()
 
-    def drop(self, leader: ownedjob.Leader) -> None:
+    def drop(self, leader: ownedjob.OwnedJob) -> None:
         """Release a job that has ended or that another entry host owns now.
 
         :param leader: the job.
@@ -110,7 +110,7 @@
         """Return the number of waiting tasks of all services."""
         return sum(queue.waiting()[0] for queue in self._backlog_by_service.values())
 
-    def run(self, outside: Callable[[ownedjob.Leader], None]) -> _Effects:
+    def run(self, outside: Callable[[ownedjob.OwnedJob], None]) -> _Effects:
         """Send what can be sent now, and adjust the demand at the agents.
 
         :param outside: called with a job that has waiting tasks while slots are
@@ -125,7 +125,7 @@
         self,
         service: str,
         queue: backlog.Backlog,
-        outside: Callable[[ownedjob.Leader], None],
+        outside: Callable[[ownedjob.OwnedJob], None],
     ) -> _Effects:
         free = self._workers.service(service).free
         if not free or not self._may_start("service", service):
@@ -141,7 +141,7 @@
     def _take_one(
         self,
         queue: backlog.Backlog,
-        leader: ownedjob.Leader,
+        leader: ownedjob.OwnedJob,
         free: pool.Pool,
         batches: _Batches,
     ) -> bool:
@@ -162,7 +162,7 @@
         return True
 
     def _pick(
-        self, leader: ownedjob.Leader, free: pool.Pool
+        self, leader: ownedjob.OwnedJob, free: pool.Pool
     ) -> directory.Worker | None:
         """Choose among the free workers or in the scope, whichever is smaller."""
         task, scope = leader.next_task, leader.terms.scope
--- a/src/burdockgate/process/entry.py
+++ b/src/burdockgate/process/entry.py
@@ -52,8 +52,8 @@
     ) -> None:
         self.node = node
         self.draining = False
-        self.rows = tablereplica.Rows()
-        self.health = health.Health(config.health, time, counters)
+        self.rows = tablereplica.TableReplica()
+        self.health = health.HealthMonitor(config.health, time, counters)
         self.workers = directory.Directory(time, config.timing.lease_s, self.health)
         self._config = config
         self._time = time
@@ -67,7 +67,7 @@
             counters,
             self._limits,
         )
-        self.jobs = lifecycle.Jobs(
+        self.jobs = lifecycle.JobLifecycle(
             node,
             config,
             time,
@@ -77,7 +77,7 @@
             self._dispatcher,
             self._limits,
         )
-        self._roster = membership.Roster(node, time)
+        self._roster = membership.MembershipPublisher(node, time)
         self._roster_at = time.now()
         retention_s = config.platform.log_retention_s
         self._snapshots_by_stream = {
@@ -86,7 +86,7 @@
         }
         self._is_current = False
         self._peer_table_version_by_name: dict[str, int] = {}
-        self._members = memberhistory.History()
+        self._members = memberhistory.MemberHistory()
         # Up to which view each agent has been sent the records, once it has told its
         # own in this session. A page that begins later would be a gap in its view.
         self._view_number_by_worker: dict[str, int] = {}
@@ -206,7 +206,7 @@
 
     # Nodes
 
-    def connected(self, hello: messages.Hello) -> _Effects:
+    def handle_connect(self, hello: messages.Hello) -> _Effects:
         """Start a session with a node.
 
         :param hello: its announcement.
@@ -226,7 +226,7 @@
             if self.has_current_table:
                 yield effects.Send(name, self.rows.statement())
 
-    def disconnected(self, name: str) -> _Effects:
+    def handle_disconnect(self, name: str) -> _Effects:
         """End a session.
 
         :param name: name of the node.
@@ -308,7 +308,7 @@
             yield from self._follow_members(message)
         elif message.stream == table.STREAM:
             version, was_current = self.rows.version, self.has_current_table
-            self.rows.hear(name, message)
+            self.rows.apply_peer_page(name, message)
             yield from self._table_followed(version, was_current)
 
     def follow(self, message: messages.Records) -> _Effects:
@@ -322,7 +322,7 @@
                 self.jobs.check_view(0)
         elif message.stream == table.STREAM:
             version, was_current = self.rows.version, self.has_current_table
-            self.rows.read(message)
+            self.rows.apply_log_page(message)
             self._snapshots_by_stream[table.STREAM].see(message.records)
             yield from self._table_followed(version, was_current)
 
--- a/src/burdockgate/process/entrydaemon.py
+++ b/src/burdockgate/process/entrydaemon.py
@@ -45,7 +45,7 @@
 
 
 @attrs.frozen
-class EntrySettings:
+class EntryDaemonSettings:
     """Place and limits of an entry host.
 
     :param host: own IP address, at which agents connect.
@@ -77,7 +77,7 @@
 
     def __init__(
         self,
-        settings: EntrySettings,
+        settings: EntryDaemonSettings,
         client: store.Store,
         decode_routes: Callable[[bytes], routes.RouteTable | None],
         rng: random.Random | None = None,
@@ -87,7 +87,7 @@
         self._decode_routes = decode_routes
         self._rng = rng or random.Random(secrets.randbits(64))
         self._time = clock.BootClock()
-        self.events = events.Events(settings.name, self._time)
+        self.events = events.EventLog(settings.name, self._time)
         self.boot = self._rng.getrandbits(BOOT_BITS)
         self.scheduler = scheduler.Scheduler(
             settings.zone,
@@ -106,7 +106,7 @@
         self._link_by_agent: dict[str, stream.Stream] = {}
         self._agent_by_link: dict[stream.Stream, str] = {}
         self._address_by_entry: dict[str, str] = {settings.name: self._address}
-        self._answer_by_ticket: dict[int, asyncio.Future[besteffort.Verdict]] = {}
+        self._answer_by_ticket: dict[int, asyncio.Future[besteffort.Outcome]] = {}
         self._tickets = itertools.count(1)
         self._tasks: set[asyncio.Task[None]] = set()
         self.is_stopping = False
@@ -136,7 +136,7 @@
 
     async def start(self) -> None:
         """Begin to serve."""
-        self.events.note("process.started", {"boot": self.boot})
+        self.events.record("process.started", {"boot": self.boot})
         self._server = await self._links.start(self._settings.host, self._settings.port)
         self._spawn(self._run_timers())
         self._spawn(self._follow_configuration())
@@ -146,7 +146,7 @@
     async def stop(self) -> None:
         """Let the jobs in progress end, then end."""
         self.is_stopping = True
-        self.events.note("process.stopping", {"jobs": len(self.scheduler.job_by_id)})
+        self.events.record("process.stopping", {"jobs": len(self.scheduler.job_by_id)})
         self._spawn(self._deregister())
         begun_at = self._time.now()
         limit_s = self._settings.grace_s - STOP_RESERVE_S
@@ -158,7 +158,7 @@
 
     async def close(self) -> None:
         """End every connection; call after the requests have been answered."""
-        self.events.note("process.stopped", {"jobs": len(self.scheduler.job_by_id)})
+        self.events.record("process.stopped", {"jobs": len(self.scheduler.job_by_id)})
         if self._server is not None:
             self._server.close()
         self._links.close()
@@ -171,14 +171,14 @@
 
     async def submit(
         self, submission: besteffort.Submission, gone: asyncio.Future[None]
-    ) -> besteffort.Verdict | None:
+    ) -> besteffort.Outcome | None:
         """Return how a job ended; ``None`` when its caller went before.
 
         :param submission: the job.
         :param gone: done when the caller has closed its connection.
         """
         ticket = next(self._tickets)
-        answer: asyncio.Future[besteffort.Verdict] = (
+        answer: asyncio.Future[besteffort.Outcome] = (
             asyncio.get_running_loop().create_future()
         )
         self._answer_by_ticket[ticket] = answer
@@ -214,15 +214,15 @@
     def _perform(self, wanted: Iterable[assigner.Effect]) -> None:
         for effect in wanted:
             match effect:
-                case actions.Note(event, fields):
-                    self.events.note(event, fields)
+                case actions.LogEvent(event, fields):
+                    self.events.record(event, fields)
                 case actions.Send(to, message):
                     link = self._link_by_agent.get(to)
                     if link is not None:
                         link.send(message)
-                case assigner.AssignSoon():
+                case assigner.ScheduleAssignment():
                     asyncio.get_running_loop().call_later(ASSIGN_DELAY_S, self._assign)
-                case assigner.Conclude(ticket, _, verdict):
+                case assigner.Respond(ticket, _, verdict):
                     answer = self._answer_by_ticket.get(ticket)
                     if answer is not None and not answer.done():
                         answer.set_result(verdict)
@@ -237,7 +237,7 @@
 
     # Links.
 
-    def opened(self, link: stream.Stream) -> None:
+    def handle_open(self, link: stream.Stream) -> None:
         """Greet an agent."""
         settings = self._settings
         link.send(
@@ -246,7 +246,7 @@
             )
         )
 
-    def received(self, link: stream.Stream, message: assignments.Message) -> None:
+    def handle_message(self, link: stream.Stream, message: assignments.Message) -> None:
         """Handle a message of an agent."""
         if isinstance(message, assignments.AgentHello):
             self._greeted(link, message)
@@ -256,11 +256,11 @@
             raise errors.WireError(f"{type(message).__name__} came before the hello")
         match message:
             case assignments.LoadReport():
-                self._perform(self.scheduler.reported(agent, message))
+                self._perform(self.scheduler.handle_load_report(agent, message))
             case assignments.TaskEnd():
-                self._perform(self.scheduler.ended(agent, message))
+                self._perform(self.scheduler.handle_task_end(agent, message))
             case assignments.WorkerInfo():
-                self._perform(self.scheduler.informed(agent, message))
+                self._perform(self.scheduler.handle_worker_info(agent, message))
             case assignments.Configuration(_, body):
                 self._configure(body, f"agent {agent}")
 
@@ -273,23 +273,23 @@
         if old is not None and old is not link:
             del self._agent_by_link[old]
             old.abort()
-        self._perform(self.scheduler.linked(hello, self.boot))
+        self._perform(self.scheduler.handle_agent_connected(hello, self.boot))
         link.send(assignments.EntryHosts(tuple(self._address_by_entry.values())))
         self._holders.discard(hello.name)
         self._hand_out_configuration()
 
-    def closed(self, link: stream.Stream) -> None:
+    def handle_close(self, link: stream.Stream) -> None:
         """Handle the end of a connection."""
         agent = self._agent_by_link.pop(link, None)
         if agent is not None:
             del self._link_by_agent[agent]
-            self._perform(self.scheduler.unlinked(agent))
+            self._perform(self.scheduler.handle_agent_disconnected(agent))
             self._holders.discard(agent)
             self._hand_out_configuration()
 
-    def rejected(self, reason: str) -> None:
+    def handle_rejected(self, reason: str) -> None:
         """Handle a malformed message."""
-        self.events.note("link.rejected", {"detail": reason})
+        self.events.record("link.rejected", {"detail": reason})
 
     async def _run_timers(self) -> None:
         while True:
@@ -301,7 +301,7 @@
 
     async def _follow_configuration(self) -> None:
         settings = self._settings
-        source = follower.Follower(
+        source = follower.TopicFollower(
             self._store, settings.configuration_topic, self.events, self._rng
         )
         async for record in source.records():
@@ -312,7 +312,7 @@
         """Take a version into force unless it is older than the known one."""
         table = self._decode_routes(body)
         if table is None:
-            self.events.note("configuration.unreadable", {"source": source})
+            self.events.record("configuration.unreadable", {"source": source})
             return
         known = self.routes
         if known is not None and table.version <= known.version:
@@ -320,7 +320,7 @@
         self.routes = table
         self._has_routes.set()
         self._configuration = assignments.Configuration(table.version, body)
-        self.events.note(
+        self.events.record(
             "configuration.applied",
             {
                 "version": table.version,
@@ -344,7 +344,9 @@
             self._link_by_agent[agent].send(self._configuration)
 
     async def _follow_members(self) -> None:
-        source = follower.Follower(self._store, discovery.TOPIC, self.events, self._rng)
+        source = follower.TopicFollower(
+            self._store, discovery.TOPIC, self.events, self._rng
+        )
         async for record in source.records():
             self._learn(record)
 
@@ -353,7 +355,7 @@
         for address in discovery.addresses([record]):
             if self._address_by_entry.get(record.key) != address:
                 self._address_by_entry[record.key] = address
-                self.events.note(
+                self.events.record(
                     "entry.known", {"entry": record.key, "address": address}
                 )
                 known = tuple(self._address_by_entry.values())
@@ -370,14 +372,14 @@
                     discovery.encode(self._address),
                 )
             except errors.LogUnavailableError as error:
-                self.events.note("entry.not_registered", {"detail": str(error)})
+                self.events.record("entry.not_registered", {"detail": str(error)})
                 await asyncio.sleep(STORE_RETRY_S)
             else:
-                self.events.note("entry.registered", {"address": self._address})
+                self.events.record("entry.registered", {"address": self._address})
                 return
 
     async def _deregister(self) -> None:
         try:
             await self._store.put(discovery.TOPIC, self._settings.name, b"")
         except errors.LogUnavailableError as error:
-            self.events.note("entry.not_deregistered", {"detail": str(error)})
+            self.events.record("entry.not_deregistered", {"detail": str(error)})
--- a/src/burdockgate/process/entryhost.py
+++ b/src/burdockgate/process/entryhost.py
@@ -152,17 +152,17 @@
             else:
                 self.log.info("worker readmitted", **facts)
 
-    def connected(self, hello: messages.Hello) -> None:
+    def handle_connect(self, hello: messages.Hello) -> None:
         """Tell the core about a node."""
         self.log.info("node connected", node=hello.node.name, role=hello.role.name)
-        self.perform(self.core.connected(hello))
+        self.perform(self.core.handle_connect(hello))
 
-    def disconnected(self, name: str) -> None:
+    def handle_disconnect(self, name: str) -> None:
         """Tell the core about the loss of a node."""
         self.log.info("node lost", node=name)
-        self.perform(self.core.disconnected(name))
+        self.perform(self.core.handle_disconnect(name))
 
-    def received(self, name: str, message: messages.Message) -> None:
+    def handle_message(self, name: str, message: messages.Message) -> None:
         """Hand a message to the core."""
         self.perform(self.core.receive(name, message))
 
@@ -307,7 +307,7 @@
             "age_s": round(self.time.now() - worker.heard_at, 3),
         }
 
-    def _health_status(self, record: detectors.Record) -> dict[str, object]:
+    def _health_status(self, record: detectors.WorkerRecord) -> dict[str, object]:
         """Return the state of a worker; ``suspect`` is one in use at the cap."""
         state = record.state.value
         if record.state is detectors.State.HEALTHY and self.core.health.is_suspect(
--- a/src/burdockgate/process/entrysessions.py
+++ b/src/burdockgate/process/entrysessions.py
@@ -15,7 +15,7 @@
 
 
 @attrs.frozen
-class Told:
+class ReportedLoad:
     """What an owner was last told and has to hear of at once when it changes.
 
     :param free_cpu: free room up to what is ample; 0 for an owner that is not near.
@@ -26,7 +26,7 @@
 
 
 @attrs.define
-class OwnerSession:
+class EntrySession:
     """One entry host; times in seconds of the agent's clock.
 
     :param boot: random number of the life of the entry host's process.
@@ -53,7 +53,7 @@
     demanded_at: float = 0.0
     served_at: float = 0.0
     is_outdated: bool = False
-    told: Told | None = None
+    told: ReportedLoad | None = None
     told_at: float = float("-inf")
     _number: int = 0
     _end_by_number: dict[int, assignments.TaskEnd] = attrs.field(factory=dict)
@@ -66,7 +66,7 @@
         is_valid = now - self.demanded_at < DEMAND_VALID_S
         return self.is_linked and is_valid and self.demand.waiting_cpu > 0
 
-    def ended(
+    def record_end(
         self,
         key: assignments.RunKey,
         kind: assignments.EndKind,
@@ -101,7 +101,7 @@
 
 
 def share_out(
-    free_cpu: int, sessions: Iterable[OwnerSession], now: float
+    free_cpu: int, sessions: Iterable[EntrySession], now: float
 ) -> dict[str, int]:
     """Return the free room that each owner may use, by name.
 
@@ -144,7 +144,7 @@
     return owner_zone != agent_zone, xxhash.xxh3_64_intdigest(pair)
 
 
-def nearest(sessions: Iterable[OwnerSession], count: int) -> set[str]:
+def nearest(sessions: Iterable[EntrySession], count: int) -> set[str]:
     """Return the names of the owners that hear of every change of the load.
 
     :param sessions: the owners.
--- a/src/burdockgate/process/events.py
+++ b/src/burdockgate/process/events.py
@@ -19,7 +19,7 @@
 MAX_COUNTERS = 1000
 
 
-class Events:
+class EventLog:
     """Counts and logs events; serves both as text.
 
     :param name: name of the process in each line.
@@ -36,7 +36,7 @@
         self._dropped = 0
         self.histograms = histograms.Histograms()
 
-    def note(self, event: str, fields: Mapping[str, object]) -> None:
+    def record(self, event: str, fields: Mapping[str, object]) -> None:
         """Count an event and log it unless the bound is reached.
 
         :param event: name of the event.
--- a/src/burdockgate/process/executor.py
+++ b/src/burdockgate/process/executor.py
@@ -22,7 +22,7 @@
 AMPLE_SHARE = 0.5
 
 
-class Gate(supervisor.Supervisor):
+class Executor(supervisor.Supervisor):
     """The agent's decisions; all methods but queries are generators of effects.
 
     :param settings: time limits.
@@ -30,12 +30,14 @@
     """
 
     def __init__(
-        self, settings: executoractions.GateSettings, time: clock.Clock
+        self, settings: executoractions.ExecutorSettings, time: clock.Clock
     ) -> None:
         super().__init__(settings, time)
-        self.session_by_owner: dict[str, entrysessions.OwnerSession] = {}
+        self.session_by_owner: dict[str, entrysessions.EntrySession] = {}
 
-    def loads(self, is_periodic: bool = True) -> dict[str, assignments.LoadReport]:
+    def due_reports(
+        self, is_periodic: bool = True
+    ) -> dict[str, assignments.LoadReport]:
         """Return the load of the worker by the name of the entry host to tell.
 
         :param is_periodic: whether all are told, or only those to which the change
@@ -54,7 +56,7 @@
         for name, session in self.session_by_owner.items():
             share = share_by_owner[name]
             ample_cpu = min(share, int(AMPLE_SHARE * capacity))
-            news = entrysessions.Told(state, ample_cpu if name in near else 0)
+            news = entrysessions.ReportedLoad(state, ample_cpu if name in near else 0)
             is_due = session.is_outdated or news != session.told
             if not (is_due or (is_periodic and self._is_regular(session, near, now))):
                 continue
@@ -74,14 +76,14 @@
         return loads
 
     def _is_regular(
-        self, session: entrysessions.OwnerSession, near: set[str], now: float
+        self, session: entrysessions.EntrySession, near: set[str], now: float
     ) -> bool:
         """Return whether an owner is due for a regular report."""
         if session.name in near or any(self._runs.of_owner(session.name)):
             return True
         return now - session.told_at >= self._settings.distant_report_s
 
-    def demanded(self, owner: str, message: assignments.Demand) -> None:
+    def handle_demand(self, owner: str, message: assignments.Demand) -> None:
         """Note what waits at an entry host.
 
         :param owner: name of the entry host.
@@ -90,7 +92,7 @@
         session = self.session_by_owner[owner]
         session.demand, session.demanded_at = message, self._time.now()
 
-    def hello(self, owner: str) -> tuple[int, tuple[assignments.RunKey, ...]]:
+    def session_state(self, owner: str) -> tuple[int, tuple[assignments.RunKey, ...]]:
         """Return the known boot of an entry host and the runs held for it.
 
         :param owner: name of the entry host; empty boot and runs for a new one.
@@ -100,14 +102,14 @@
             return 0, ()
         return session.boot, tuple(run.key for run in self._runs.of_owner(owner))
 
-    def linked(
+    def handle_entry_connected(
         self, owner: str, boot: int, distance: tuple[bool, int] = (False, 0)
     ) -> Iterator[executoractions.Effect]:
         """Handle a new connection to an entry host.
 
         :param owner: name of the entry host.
         :param boot: number of the life of its process.
-        :param distance: how far it is, as :func:`owners.distance` gives it.
+        :param distance: how far it is, as :func:`entrysessions.distance` gives it.
         """
         session = self.session_by_owner.get(owner)
         if session is not None and session.boot == boot:
@@ -118,11 +120,11 @@
                 yield actions.Send(owner, end)
             return
         if session is not None:
-            yield actions.Note("owner.restarted", {"owner": owner, "boot": boot})
+            yield actions.LogEvent("owner.restarted", {"owner": owner, "boot": boot})
             yield from self._abandon(owner, "owner restarted")
-        self.session_by_owner[owner] = entrysessions.OwnerSession(owner, boot, distance)
+        self.session_by_owner[owner] = entrysessions.EntrySession(owner, boot, distance)
 
-    def unlinked(self, owner: str) -> Iterator[executoractions.Effect]:
+    def handle_entry_disconnected(self, owner: str) -> Iterator[executoractions.Effect]:
         """Handle the loss of the connection to an entry host.
 
         :param owner: its name.
@@ -130,9 +132,9 @@
         session = self.session_by_owner.get(owner)
         if session is not None and session.is_linked:
             session.is_linked = False
-            yield actions.Note("owner.unlinked", {"owner": owner})
+            yield actions.LogEvent("owner.unlinked", {"owner": owner})
 
-    def refused(self, owner: str) -> Iterator[executoractions.Effect]:
+    def handle_entry_gone(self, owner: str) -> Iterator[executoractions.Effect]:
         """Handle a refused connection: the process of the entry host has ended.
 
         :param owner: its name.
@@ -140,7 +142,7 @@
         if owner in self.session_by_owner:
             yield from self._abandon(owner, "owner ended")
 
-    def renewed(self, owner: str, message: assignments.Renewal) -> None:
+    def handle_renewal(self, owner: str, message: assignments.Renewal) -> None:
         """Extend the session lease.
 
         :param owner: name of the entry host.
@@ -153,7 +155,7 @@
         )
         session.acknowledge(message.ends_through)
 
-    def assigned(
+    def handle_assignment(
         self, owner: str, message: assignments.Assign
     ) -> Iterator[executoractions.Effect]:
         """Queue runs that an entry host has assigned.
@@ -183,7 +185,7 @@
         yield from self._return_excess(session, message.number)
 
     def _return_excess(
-        self, session: entrysessions.OwnerSession, number: int
+        self, session: entrysessions.EntrySession, number: int
     ) -> Iterator[executoractions.Effect]:
         """Return what an assignment holds beyond the room.
 
@@ -202,7 +204,7 @@
                 yield from self._return(run, "no room")
 
     def _queue(
-        self, run: runs.Run, session: entrysessions.OwnerSession, now: float
+        self, run: runs.Run, session: entrysessions.EntrySession, now: float
     ) -> Iterator[executoractions.Effect]:
         earlier = self._runs.find_task(run.key.task)
         reason = ""
@@ -220,7 +222,9 @@
             return
         self._runs.by_key[run.key] = run
 
-    def revoked(self, message: assignments.Revoke) -> Iterator[executoractions.Effect]:
+    def handle_revocation(
+        self, message: assignments.Revoke
+    ) -> Iterator[executoractions.Effect]:
         """Drop or stop runs that their owner no longer wants.
 
         :param message: the runs.
@@ -264,7 +268,7 @@
         elif state is not assignments.WorkerState.READY:
             return
         told = worker.told
-        capacity = runs.Room(told.cpu, told.memory_mb, told.gpu)
+        capacity = runs.Resources(told.cpu, told.memory_mb, told.gpu)
         used = self._runs.used()
         waiting = sorted(
             self._runs.queued(),
@@ -299,7 +303,7 @@
                 continue
             held = self._runs.of_owner(session.name)
             if any(not run.is_stopping for run in held):
-                yield actions.Note(
+                yield actions.LogEvent(
                     "owner.lapsed",
                     {
                         "owner": session.name,
@@ -326,13 +330,13 @@
         self._runs.by_key.pop(run.key, None)
         ran_s = now - run.started_at if run.started_at else 0.0
         if kind is assignments.EndKind.DONE:
-            self._vitals.done(ran_s, run.estimate_s, now)
-        elif kind is assignments.EndKind.FAILED and self._vitals.failed(
+            self._vitals.record_success(ran_s, run.estimate_s, now)
+        elif kind is assignments.EndKind.FAILED and self._vitals.record_failure(
             run.key.task.job, now
         ):
-            yield actions.Note("worker.ejected", {"reason": "failed tasks"})
+            yield actions.LogEvent("worker.ejected", {"reason": "failed tasks"})
             yield from self._return_queued("worker ejected")
-        yield actions.Note(
+        yield actions.LogEvent(
             "run.ended",
             {
                 "run": run.key,
@@ -346,4 +350,6 @@
         session = self.session_by_owner.get(run.owner)
         if session is not None:
             number = next_run if next_run is not None else run.key.run + 1
-            yield actions.Send(run.owner, session.ended(run.key, kind, ran_s, number))
+            yield actions.Send(
+                run.owner, session.record_end(run.key, kind, ran_s, number)
+            )
--- a/src/burdockgate/process/executoractions.py
+++ b/src/burdockgate/process/executoractions.py
@@ -8,7 +8,7 @@
 
 
 @attrs.frozen
-class GateSettings:
+class ExecutorSettings:
     """Time limits of the gate, in seconds.
 
     :param worker_lease_s: lease on the worker that each look extends.
@@ -50,21 +50,21 @@
 class Start:
     """Effect: send a start order and report the answer."""
 
-    order: workercontrol.StartOrder
+    order: workercontrol.StartCommand
 
 
 @attrs.frozen
 class Stop:
     """Effect: send a stop order and report the answer."""
 
-    order: workercontrol.StopOrder
+    order: workercontrol.StopCommand
 
 
 @attrs.frozen
-class Look:
+class Poll:
     """Effect: send a look beside the regular ones."""
 
-    order: workercontrol.LookOrder
+    order: workercontrol.PollCommand
 
 
-Effect = Start | Stop | Look | actions.Send | actions.Note
+Effect = Start | Stop | Poll | actions.Send | actions.LogEvent
--- a/src/burdockgate/process/fleet.py
+++ b/src/burdockgate/process/fleet.py
@@ -48,7 +48,7 @@
     _unseen: list[tuple[int, int, int, int]] = attrs.field(factory=list)
     _under_way: tuple[int, int, int] = (0, 0, 0)
 
-    def relink(self) -> None:
+    def reset_session(self) -> None:
         """Begin a new connection."""
         self.is_linked = True
         self.renewal_due_at = 0.0
@@ -57,7 +57,7 @@
         self._under_way = (0, 0, 0)
         self.load = None
 
-    def reported(self, load: assignments.LoadReport, now: float) -> None:
+    def apply_report(self, load: assignments.LoadReport, now: float) -> None:
         """Take in a report.
 
         :param load: the report.
--- a/src/burdockgate/process/follower.py
+++ b/src/burdockgate/process/follower.py
@@ -15,7 +15,7 @@
 RETRY_SPREAD = 0.4
 
 
-class Follower:
+class TopicFollower:
     """Yields the newest records of a topic, then its changes.
 
     :param client: the store.
@@ -28,7 +28,7 @@
         self,
         client: store.Store,
         topic: str,
-        log: events.Events,
+        log: events.EventLog,
         rng: random.Random,
     ) -> None:
         self._client = client
@@ -48,7 +48,7 @@
         try:
             page = await self._read()
         except errors.HistoryExpiredError as error:
-            self._log.note(
+            self._log.record(
                 "store.history_expired", {"topic": self._topic, "detail": str(error)}
             )
             self._offset = None
@@ -60,7 +60,7 @@
             return ()
         self._note(True, "")
         if page.unreadable:
-            self._log.note(
+            self._log.record(
                 "store.unreadable", {"topic": self._topic, "records": page.unreadable}
             )
         self._offset = page.end
@@ -75,4 +75,4 @@
         if is_reached != self._is_reached:
             self._is_reached = is_reached
             event = "store.regained" if is_reached else "store.lost"
-            self._log.note(event, {"topic": self._topic, "detail": detail})
+            self._log.record(event, {"topic": self._topic, "detail": detail})
--- a/src/burdockgate/process/health.py
+++ b/src/burdockgate/process/health.py
@@ -45,13 +45,14 @@
 _FAILED = (messages.TaskState.FAILED, messages.TaskState.UNKNOWN)
 
 
-class Health:
+class HealthMonitor:
     """Judges the workers that one entry host knows.
 
     :param config: the settings.
     :param time: the clock.
     :param counters: the process's metrics.
-    :param detector: weighs failures; ``None`` for :class:`evidence.Likelihood`.
+    :param detector: weighs failures; ``None`` for
+        :class:`detectors.LikelihoodDetector`.
     """
 
     def __init__(
@@ -59,25 +60,25 @@
         config: settings.HealthSettings,
         time: clock.Clock,
         counters: metrics.Metrics,
-        detector: detectors.Detector | None = None,
+        detector: detectors.FailureDetector | None = None,
     ) -> None:
         self._config = config
         self._time = time
         self._counters = counters
-        self._detector = detector or detectors.Likelihood(config.failures)
+        self._detector = detector or detectors.LikelihoodDetector(config.failures)
         self._slow_offset = math.log(config.slow_factor) / 2
-        self._record_by_name: dict[str, detectors.Record] = {}
-        self._out_by_name: dict[str, detectors.Record] = {}
+        self._record_by_name: dict[str, detectors.WorkerRecord] = {}
+        self._out_by_name: dict[str, detectors.WorkerRecord] = {}
         self._known_by_service: collections.Counter[str] = collections.Counter()
         self._ejected_by_service: collections.Counter[str] = collections.Counter()
         self._in_row_by_service: collections.Counter[str] = collections.Counter()
-        self._group_by_key: dict[tuple[str, str], detectors.Group] = {}
-        self._whole_by_service: dict[str, detectors.Group] = {}
+        self._group_by_key: dict[tuple[str, str], detectors.OutcomeStatistics] = {}
+        self._whole_by_service: dict[str, detectors.OutcomeStatistics] = {}
         self._sent_by_task: dict[tuple[bytes, int], detectors.Sent] = {}
         self._late: collections.deque[detectors.Sent] = collections.deque()
         self._failed_by_job: dict[bytes, detectors.FailedJob] = {}
         self._ticked_at = -math.inf
-        self._watcher: Callable[[detectors.Record], None] | None = None
+        self._watcher: Callable[[detectors.WorkerRecord], None] | None = None
         # Tests drive cores without a daemon that takes the changes.
         self.changes: collections.deque[detectors.Change] = collections.deque(
             maxlen=1000
@@ -90,14 +91,14 @@
 
     # Workers
 
-    def watch(self, watcher: Callable[[detectors.Record], None]) -> None:
+    def watch(self, watcher: Callable[[detectors.WorkerRecord], None]) -> None:
         """Set what is called after a change of a worker's allowance.
 
         :param watcher: called with the worker's record.
         """
         self._watcher = watcher
 
-    def join(self, hello: messages.Hello) -> detectors.Record:
+    def join(self, hello: messages.Hello) -> detectors.WorkerRecord:
         """Begin a session with a worker and return its record.
 
         :param hello: the announcement of its agent. The state outlives a session, but
@@ -109,7 +110,7 @@
         if record is None or record.boot != hello.node.boot:
             self._out_by_name.pop(name, None)
             self._show_out()
-            record = detectors.Record(name, service, hello.node.boot)
+            record = detectors.WorkerRecord(name, service, hello.node.boot)
             self._record_by_name[name] = record
         record.is_connected = True
         record.session += 1
@@ -136,7 +137,7 @@
         if record.state is detectors.State.HEALTHY:
             del self._record_by_name[name]
 
-    def _allow(self, record: detectors.Record) -> None:
+    def _allow(self, record: detectors.WorkerRecord) -> None:
         """Set what may be sent: on probation one task at a time."""
         if record.state is detectors.State.HEALTHY:
             record.allowance = detectors.UNLIMITED
@@ -150,7 +151,7 @@
     # Tasks
 
     def sent(
-        self, record: detectors.Record, caller_class: str, job: bytes, index: int
+        self, record: detectors.WorkerRecord, caller_class: str, job: bytes, index: int
     ) -> None:
         """Note a task that was sent.
 
@@ -172,14 +173,16 @@
         record.in_flight += 1
         self._allow(record)
 
-    def _group(self, service: str, caller_class: str) -> detectors.Group:
+    def _group(self, service: str, caller_class: str) -> detectors.OutcomeStatistics:
         key = (service, caller_class)
         if key not in self._group_by_key:
             # Callers choose the names of classes, so their number must be bounded.
             if len(self._group_by_key) >= GROUPS:
                 key = (service, "")
-            whole = self._whole_by_service.setdefault(service, detectors.Group())
-            self._group_by_key.setdefault(key, detectors.Group(whole))
+            whole = self._whole_by_service.setdefault(
+                service, detectors.OutcomeStatistics()
+            )
+            self._group_by_key.setdefault(key, detectors.OutcomeStatistics(whole))
         return self._group_by_key[key]
 
     def results(self, message: messages.Results) -> None:
@@ -303,7 +306,7 @@
         if len(self._failed_by_job) > FAILED_JOBS:
             del self._failed_by_job[next(iter(self._failed_by_job))]
 
-    def tell(self, record: detectors.Record, row: int) -> None:
+    def tell(self, record: detectors.WorkerRecord, row: int) -> None:
         """Take the failed jobs in a row that an agent has seen for all entry hosts.
 
         :param record: the worker.
@@ -317,14 +320,14 @@
         ):
             self._eject(record, detectors.Reason.FAILING)
 
-    def _set_told(self, record: detectors.Record, row: int) -> None:
+    def _set_told(self, record: detectors.WorkerRecord, row: int) -> None:
         """Keep the number of workers in a row of failures up to date."""
         if record.is_connected:
             change = (row > 1) - (record.told > 1)
             self._in_row_by_service[record.service] += change
         record.told = row
 
-    def _told(self, record: detectors.Record) -> float:
+    def _told(self, record: detectors.WorkerRecord) -> float:
         """Return the weight of the failures in a row that were seen elsewhere.
 
         Whether their jobs failed on other workers too is not told. So they count only
@@ -338,7 +341,7 @@
         whole = self._whole_by_service[service]
         return others * self._detector.failure(record, whole)
 
-    def freed(self, record: detectors.Record) -> None:
+    def freed(self, record: detectors.WorkerRecord) -> None:
         """Note that a worker has more free slots than before.
 
         Another entry host's task has ended there, so the worker is not silent.
@@ -349,7 +352,7 @@
 
     # States
 
-    def _eject(self, record: detectors.Record, reason: detectors.Reason) -> bool:
+    def _eject(self, record: detectors.WorkerRecord, reason: detectors.Reason) -> bool:
         """Eject a worker unless too many of its service are; return whether it is."""
         service = record.service
         if self._ejected_by_service[service] >= self._cap(service):
@@ -382,7 +385,10 @@
         return max(1, int(known * share))
 
     def _change(
-        self, record: detectors.Record, state: detectors.State, seconds: float = 0.0
+        self,
+        record: detectors.WorkerRecord,
+        state: detectors.State,
+        seconds: float = 0.0,
     ) -> None:
         record.state = state
         self._allow(record)
@@ -394,7 +400,7 @@
     def _show_out(self) -> None:
         self._counters.gauge("health.out", len(self._out_by_name))
 
-    def _prove(self, record: detectors.Record) -> None:
+    def _prove(self, record: detectors.WorkerRecord) -> None:
         """Count a task on probation, and readmit the worker after enough of them."""
         if record.state is not detectors.State.PROBATION:
             return
@@ -406,7 +412,7 @@
             self._counters.count("health.readmissions")
             self._change(record, detectors.State.HEALTHY)
 
-    def is_suspect(self, record: detectors.Record) -> bool:
+    def is_suspect(self, record: detectors.WorkerRecord) -> bool:
         """Return whether one more failure would eject a worker, but for the cap.
 
         :param record: the worker.
@@ -435,7 +441,7 @@
                 del self._record_by_name[record.name]
                 self._show_out()
 
-    def _check_due(self, group: detectors.Group, now: float) -> None:
+    def _check_due(self, group: detectors.OutcomeStatistics, now: float) -> None:
         usual_s = math.exp(group.log_ms) / 1000 if group.runs else 0.0
         limit_s = max(self._config.overdue_s, OVERDUE_FACTOR * usual_s)
         self._check_silence(group.due, group.overdue, now - limit_s)
@@ -464,7 +470,7 @@
             del self._sent_by_task[key]
             self._end(task)
 
-    def _release(self, record: detectors.Record) -> None:
+    def _release(self, record: detectors.WorkerRecord) -> None:
         """Put an ejected worker on probation; one more failure ejects it again."""
         if record.state is not detectors.State.EJECTED:
             return
--- a/src/burdockgate/process/jobrecords.py
+++ b/src/burdockgate/process/jobrecords.py
@@ -6,7 +6,7 @@
 from burdockgate.request import jobrecord
 
 
-class Records:
+class JobRecords:
     """One record for each job of which this agent got a task or a fence.
 
     :param time: the clock.
@@ -15,7 +15,7 @@
     """
 
     def __init__(self, time: clock.Clock, retention_s: float, limit_bytes: int) -> None:
-        self.by_job: dict[bytes, jobrecord.Record] = {}
+        self.by_job: dict[bytes, jobrecord.JobRecord] = {}
         self._time = time
         self._retention_s = retention_s
         self._limit_bytes = limit_bytes
@@ -28,7 +28,7 @@
 
     def admit(
         self, message: messages.Start | messages.Fence, owner: str
-    ) -> jobrecord.Record | jobrecord.Admission:
+    ) -> jobrecord.JobRecord | jobrecord.Admission:
         """Return the record of a job, or why the message is refused.
 
         :param message: the message; it begins a record where there is none.
@@ -37,7 +37,7 @@
         job = self.by_job.get(message.job)
         now = self._time.now()
         if job is None:
-            job = jobrecord.Record(
+            job = jobrecord.JobRecord(
                 message.job, message.epoch, message.fence, message.attempt, owner, now
             )
             self.by_job[message.job] = job
@@ -50,7 +50,7 @@
         job.touched_at = now
         return job
 
-    def keep(self, job: jobrecord.Record, size: int) -> None:
+    def keep(self, job: jobrecord.JobRecord, size: int) -> None:
         """Count a new result, and drop the oldest ones beyond the bound.
 
         :param job: the record that holds it.
--- a/src/burdockgate/process/lifecycle.py
+++ b/src/burdockgate/process/lifecycle.py
@@ -23,7 +23,7 @@
 _Submission = submission.Submission
 
 
-class Jobs(ownership.Ownership):
+class JobLifecycle(ownership.Ownership):
     """Every job that this entry host holds."""
 
     def submit(
@@ -72,7 +72,7 @@
         self,
         request: job.JobRequest,
         ticket: int,
-        kept: outcomecache.Kept,
+        kept: outcomecache.CachedOutcome,
         refusal: codes.Code | None,
         detail: str,
     ) -> _Effects:
--- a/src/burdockgate/process/limits.py
+++ b/src/burdockgate/process/limits.py
@@ -30,7 +30,10 @@
     """
 
     def __init__(
-        self, source: tablereplica.Rows, time: clock.Clock, hosts: Callable[[], int]
+        self,
+        source: tablereplica.TableReplica,
+        time: clock.Clock,
+        hosts: Callable[[], int],
     ) -> None:
         self._source = source
         self._time = time
--- a/src/burdockgate/process/links.py
+++ b/src/burdockgate/process/links.py
@@ -30,14 +30,14 @@
     """What an end of a link reports to."""
 
     @abc.abstractmethod
-    def opened(self, link: stream.Stream) -> None:
+    def handle_open(self, link: stream.Stream) -> None:
         """Handle a connection that was made.
 
         :param link: the connection.
         """
 
     @abc.abstractmethod
-    def received(self, link: stream.Stream, message: assignments.Message) -> None:
+    def handle_message(self, link: stream.Stream, message: assignments.Message) -> None:
         """Handle a message.
 
         :param link: the connection.
@@ -45,20 +45,20 @@
         """
 
     @abc.abstractmethod
-    def closed(self, link: stream.Stream) -> None:
+    def handle_close(self, link: stream.Stream) -> None:
         """Handle the end of a connection.
 
         :param link: the connection.
         """
 
     @abc.abstractmethod
-    def rejected(self, reason: str) -> None:
+    def handle_rejected(self, reason: str) -> None:
         """Handle a malformed message; its connection is closed.
 
         :param reason: what was wrong.
         """
 
-    def refused(self, address: str) -> None:  # noqa: B027
+    def handle_refused(self, address: str) -> None:  # noqa: B027
         """Handle that no process listens at an address.
 
         :param address: the address.
@@ -77,31 +77,33 @@
         self._time = time
         self._heard_at_by_link: dict[stream.Stream, float] = {}
 
-    def opened(self, stream: stream.Stream) -> None:
+    def handle_open(self, stream: stream.Stream) -> None:
         """Report a connection."""
         self._heard_at_by_link[stream] = self._time.now()
-        self._handler.opened(stream)
+        self._handler.handle_open(stream)
 
-    def closed(self, stream: stream.Stream) -> None:
+    def handle_close(self, stream: stream.Stream) -> None:
         """Report the end of a connection."""
         if self._heard_at_by_link.pop(stream, None) is not None:
-            self._handler.closed(stream)
+            self._handler.handle_close(stream)
 
-    def truncated(self, stream: stream.Stream) -> None:
+    def handle_truncated(self, stream: stream.Stream) -> None:
         """Accept a connection that ends within a frame; the end itself is reported."""
 
-    def rejected(self, stream: stream.Stream, error: errors.WireError) -> None:
+    def handle_rejected(self, stream: stream.Stream, error: errors.WireError) -> None:
         """Report a malformed frame."""
-        self._handler.rejected(str(error))
+        self._handler.handle_rejected(str(error))
 
-    def received(self, stream: stream.Stream, message: wire.Message, size: int) -> None:
+    def handle_message(
+        self, stream: stream.Stream, message: wire.Message, size: int
+    ) -> None:
         """Hand on a message."""
         if stream not in self._heard_at_by_link:
             return
         self._heard_at_by_link[stream] = self._time.now()
         if not isinstance(message, assignments.Message):
             raise errors.WireError(f"{type(message).__name__} is not expected here")
-        self._handler.received(stream, message)
+        self._handler.handle_message(stream, message)
 
     def watch(self) -> None:
         """Abort the connections that are silent."""
@@ -109,7 +111,7 @@
         for link, heard_at in list(self._heard_at_by_link.items()):
             if now - heard_at > SILENCE_S:
                 link.abort()
-                self.closed(link)
+                self.handle_close(link)
 
     def close(self) -> None:
         """Close all connections after what was queued."""
@@ -214,7 +216,7 @@
             target.link, target.pause_s = made, FIRST_REDIAL_S
         except ConnectionRefusedError:
             self._postpone(target)
-            self._handler.refused(target.address)
+            self._handler.handle_refused(target.address)
         except (OSError, ValueError, TimeoutError):
             self._postpone(target)
         finally:
--- a/src/burdockgate/process/memberhistory.py
+++ b/src/burdockgate/process/memberhistory.py
@@ -15,7 +15,7 @@
 WHOLE_ID = ""
 
 
-class History:
+class MemberHistory:
     """Keeps the newest records; older ones live on in the view alone."""
 
     def __init__(self) -> None:
--- a/src/burdockgate/process/membership.py
+++ b/src/burdockgate/process/membership.py
@@ -29,7 +29,7 @@
     appended_at: float | None = None
 
 
-class Roster:
+class MembershipPublisher:
     """Decides on changes of the view.
 
     :param node: this entry host.
--- a/src/burdockgate/process/network.py
+++ b/src/burdockgate/process/network.py
@@ -24,21 +24,21 @@
     """What a node does with the events of its connections."""
 
     @abc.abstractmethod
-    def connected(self, hello: messages.Hello) -> None:
+    def handle_connect(self, hello: messages.Hello) -> None:
         """Handle a node that has connected.
 
         :param hello: its announcement.
         """
 
     @abc.abstractmethod
-    def disconnected(self, name: str) -> None:
+    def handle_disconnect(self, name: str) -> None:
         """Handle the loss of a node's only connection.
 
         :param name: its name.
         """
 
     @abc.abstractmethod
-    def received(self, name: str, message: messages.Message) -> None:
+    def handle_message(self, name: str, message: messages.Message) -> None:
         """Handle a message.
 
         :param name: name of the sender.
@@ -229,13 +229,13 @@
         if len(self._dialled_at_by_address) > 1000:
             self._dialled_at_by_address.clear()
 
-    def opened(self, stream: stream.Stream) -> None:
+    def handle_open(self, stream: stream.Stream) -> None:
         """Send the announcement."""
         now = self._time.now()
         self._link_by_stream[stream] = _Link(stream, session.Session(now, now))
         stream.send(self._hello())
 
-    def closed(self, stream: stream.Stream) -> None:
+    def handle_close(self, stream: stream.Stream) -> None:
         """Report the loss of a node unless another connection replaced this one."""
         link = self._link_by_stream.pop(stream, None)
         if link is None or link.session.hello is None:
@@ -244,7 +244,7 @@
         if self._stream_by_name.get(name) is stream:
             del self._stream_by_name[name]
             self._count_lost(link)
-            self._handler.disconnected(name)
+            self._handler.handle_disconnect(name)
 
     def _count_lost(self, link: _Link) -> None:
         if not (link.is_leaving or self._is_between_agents(link)):
@@ -256,15 +256,17 @@
         agent = messages.Role.AGENT
         return hello is not None and hello.role is self._hello().role is agent
 
-    def truncated(self, stream: stream.Stream) -> None:
+    def handle_truncated(self, stream: stream.Stream) -> None:
         """Count a frame without its end."""
         self._counters.count("wire.truncated")
 
-    def rejected(self, stream: stream.Stream, error: errors.WireError) -> None:
+    def handle_rejected(self, stream: stream.Stream, error: errors.WireError) -> None:
         """Count a malformed frame."""
         self._counters.count("wire.rejected")
 
-    def received(self, stream: stream.Stream, message: wire.Message, size: int) -> None:
+    def handle_message(
+        self, stream: stream.Stream, message: wire.Message, size: int
+    ) -> None:
         """Hand on a message, or finish the handshake."""
         self._counters.count("wire.received")
         self._counters.count("wire.bytes_received", size)
@@ -273,13 +275,13 @@
                 f"{type(message).__name__} belongs to another protocol"
             )
         link = self._link_by_stream[stream]
-        if link.session.hear(message, self._time.now()):
+        if link.session.record_activity(message, self._time.now()):
             self._join(link)
         elif link.session.hello is not None:
             name = link.session.hello.node.name
             link.is_leaving |= isinstance(message, messages.Leave)
             if self._stream_by_name.get(name) is stream:
-                self._handler.received(name, message)
+                self._handler.handle_message(name, message)
 
     def _join(self, link: _Link) -> None:
         """Make a connection the one of its node; an older one is closed."""
@@ -298,10 +300,10 @@
             if not self._is_same(link, old):
                 self._count_lost(self._link_by_stream[old])
             old.abort()
-            self._handler.disconnected(hello.node.name)
+            self._handler.handle_disconnect(hello.node.name)
         self._stream_by_name[hello.node.name] = link.stream
         self._counters.count("sessions.opened")
-        self._handler.connected(hello)
+        self._handler.handle_connect(hello)
 
     def _keeps_old(self, own: messages.Node, link: _Link, old: stream.Stream) -> bool:
         """Return whether an older connection of the same incarnation stays.
--- a/src/burdockgate/process/outcomecache.py
+++ b/src/burdockgate/process/outcomecache.py
@@ -11,7 +11,7 @@
 
 
 @attrs.frozen
-class Kept:
+class CachedOutcome:
     """A finished job.
 
     :param epoch: the epoch under which it ended.
@@ -49,7 +49,7 @@
     return repeatable or codes.start_of(code) is codes.Start.NOT_RUN
 
 
-class Answers:
+class OutcomeCache:
     """Kept outcomes by job, the oldest dropped first.
 
     :param time: the clock.
@@ -61,12 +61,12 @@
         self._time = time
         self._retention_s = retention_s
         self._limit_bytes = limit_bytes
-        self._kept_by_job: collections.OrderedDict[bytes, Kept] = (
+        self._kept_by_job: collections.OrderedDict[bytes, CachedOutcome] = (
             collections.OrderedDict()
         )
         self._bytes = 0
 
-    def keep(self, job: bytes, kept: Kept) -> None:
+    def keep(self, job: bytes, kept: CachedOutcome) -> None:
         """Keep the outcome of a job; an older one of the same job is replaced.
 
         :param job: 16-byte job id.
@@ -78,7 +78,7 @@
         while self._bytes > self._limit_bytes:
             self.drop(next(iter(self._kept_by_job)))
 
-    def get(self, job: bytes) -> Kept | None:
+    def get(self, job: bytes) -> CachedOutcome | None:
         """Return the kept outcome of a job.
 
         :param job: 16-byte job id.
--- a/src/burdockgate/process/ownership.py
+++ b/src/burdockgate/process/ownership.py
@@ -26,7 +26,7 @@
 _Submission = submission.Submission
 
 
-class Ownership(remotejobs.Joining):
+class Ownership(remotejobs.RemoteJobs):
     """Claims jobs and leads those that a majority has granted."""
 
     def _claim(self, held: _Submission, epoch: int, attempt: int) -> _Effects:
@@ -121,7 +121,7 @@
     ) -> _Effects:
         assert held.request is not None
         self._counters.count("jobs.taken_over" if terms.epoch > 1 else "jobs.owned")
-        held.leader = ownedjob.Leader(
+        held.leader = ownedjob.OwnedJob(
             held.request,
             terms,
             self.view.group(held.job),
@@ -221,7 +221,7 @@
         elif current.waiting_count:
             self._dispatcher.add(current, self.weight(current.request))
 
-    def _confirm(self, held: _Submission, current: ownedjob.Leader) -> _Effects:
+    def _confirm(self, held: _Submission, current: ownedjob.OwnedJob) -> _Effects:
         """Settle a job as "not run" before anybody is told so."""
         assert current.outcome is not None
         if held.job in self._to_confirm:
@@ -235,7 +235,7 @@
             yield from self._end(held, current.outcome)
 
     def _begin_confirmation(
-        self, held: _Submission, current: ownedjob.Leader
+        self, held: _Submission, current: ownedjob.OwnedJob
     ) -> _Effects:
         assert current.outcome is not None
         self._confirming.add(held.job)
@@ -275,7 +275,7 @@
             current.is_superseded = True
             yield from self._after(held)
 
-    def widen(self, current: ownedjob.Leader) -> None:
+    def widen(self, current: ownedjob.OwnedJob) -> None:
         """Ask for a longer scope for a job that only agents outside it could run.
 
         :param current: the job's leader.
--- a/src/burdockgate/process/registry.py
+++ b/src/burdockgate/process/registry.py
@@ -1,6 +1,6 @@
 """The jobs that an entry host holds, and how each one ends.
 
-:class:`Registry` is the base of three layers, each in a module of its own:
+:class:`JobRegistry` is the base of three layers, each in a module of its own:
 :mod:`burdockgate.process.remotejobs` for jobs that another entry host owns,
 :mod:`burdockgate.process.ownership` for claims and own jobs, and
 :mod:`burdockgate.process.lifecycle` for callers and time.
@@ -26,7 +26,7 @@
 _Submission = submission.Submission
 
 
-class Registry(abc.ABC):
+class JobRegistry(abc.ABC):
     """Every job that this entry host holds; ``bytes`` counts their bodies.
 
     :param node: this incarnation of the entry host.
@@ -77,7 +77,7 @@
         )
         self._schedule_heap: list[tuple[float, bytes]] = []
         self._ticked_versions = (-1, -1)
-        self._answers = outcomecache.Answers(
+        self._answers = outcomecache.OutcomeCache(
             time, config.timing.retention_s, config.limits.answers_bytes
         )
 
@@ -182,7 +182,7 @@
             request = held.leader.request
             self._answers.keep(
                 held.job,
-                outcomecache.Kept(
+                outcomecache.CachedOutcome(
                     result,
                     epoch,
                     request.digest,
--- a/src/burdockgate/process/relay.py
+++ b/src/burdockgate/process/relay.py
@@ -37,7 +37,7 @@
         """Version of the configuration held here; 0 without one."""
         return self._held.version if self._held is not None else 0
 
-    def take(self, configuration: assignments.Configuration) -> bool:
+    def update(self, configuration: assignments.Configuration) -> bool:
         """Keep a configuration unless it is older.
 
         :param configuration: the configuration.
@@ -48,7 +48,7 @@
         self._held = configuration
         return True
 
-    def heard(self, owner: str, version: int) -> None:
+    def record_version(self, owner: str, version: int) -> None:
         """Note which version an entry host has.
 
         :param owner: name of the entry host.
--- a/src/burdockgate/process/remotejobs.py
+++ b/src/burdockgate/process/remotejobs.py
@@ -15,7 +15,7 @@
 _Submission = submission.Submission
 
 
-class Joining(registry.Registry):
+class RemoteJobs(registry.JobRegistry):
     """Waits at the owner of a job, and claims the job when the owner is lost."""
 
     def _attach(self, held: _Submission, record: messages.ClaimRecord) -> _Effects:
--- a/src/burdockgate/process/runs.py
+++ b/src/burdockgate/process/runs.py
@@ -61,14 +61,14 @@
 
 
 @attrs.define
-class Room:
+class Resources:
     """What a worker offers, or what is in use of it."""
 
     cpu: int = 0
     memory_mb: int = 0
     gpu: int = 0
 
-    def fits(self, used: Room, run: Run) -> bool:
+    def fits(self, used: Resources, run: Run) -> bool:
         """Return whether a run fits beside what is in use.
 
         :param used: what is in use.
@@ -91,7 +91,7 @@
 
 
 @attrs.define
-class Runs:
+class RunTable:
     """All runs of an agent by their key."""
 
     by_key: dict[assignments.RunKey, Run] = attrs.field(factory=dict)
@@ -111,9 +111,9 @@
         """
         return [run for run in self.by_key.values() if run.owner == owner]
 
-    def used(self) -> Room:
+    def used(self) -> Resources:
         """Return the room of all runs that may exist at the worker."""
-        room = Room()
+        room = Resources()
         for run in self.ordered():
             room.add(run)
         return room
--- a/src/burdockgate/process/scheduler.py
+++ b/src/burdockgate/process/scheduler.py
@@ -26,7 +26,7 @@
 AGENT_GONE_MARGIN_S = 0.2
 
 
-def agent_gone_s(limits: executoractions.GateSettings) -> float:
+def agent_gone_s(limits: executoractions.ExecutorSettings) -> float:
     """Return the time after which the runs of a silent agent have ended.
 
     The agent stops them when its session lease lapses. When the worker does not
@@ -39,7 +39,7 @@
     return limits.session_lease_s + stops_s + lease_s + AGENT_GONE_MARGIN_S
 
 
-class Scheduler(assigner.Placing):
+class Scheduler(assigner.Assigner):
     """The entry host's decisions; all methods but queries are generators of effects."""
 
     def submit(
@@ -53,21 +53,21 @@
         now = self._time.now()
         job = self.job_by_id.get(submission.job)
         if job is not None:
-            yield actions.Note(
+            yield actions.LogEvent(
                 "job.joined", {"job": submission.job, "request": submission.request}
             )
             job.tickets.add(ticket)
             return
         ended = self._ended.get(submission.job)
         if ended is not None and isinstance(ended.verdict, besteffort.Completed):
-            yield actions.Note(
+            yield actions.LogEvent(
                 "job.repeated", {"job": submission.job, "request": submission.request}
             )
-            yield assigner.Conclude(ticket, submission.job, ended.verdict)
+            yield assigner.Respond(ticket, submission.job, ended.verdict)
             return
         refusal = self._refusal(submission)
         if refusal is not None:
-            yield actions.Note(
+            yield actions.LogEvent(
                 "job.refused",
                 {
                     "job": submission.job,
@@ -77,11 +77,11 @@
                     "waiting": len(self.job_by_id),
                 },
             )
-            yield assigner.Conclude(ticket, submission.job, refusal)
+            yield assigner.Respond(ticket, submission.job, refusal)
             return
         job = besteffort.Job.begin(submission, now, ticket)
         self.job_by_id[submission.job] = self._waiting_by_id[submission.job] = job
-        yield actions.Note(
+        yield actions.LogEvent(
             "job.received",
             {
                 "job": submission.job,
@@ -94,7 +94,7 @@
         )
         yield from self._assign_soon()
 
-    def _refusal(self, submission: besteffort.Submission) -> besteffort.Verdict | None:
+    def _refusal(self, submission: besteffort.Submission) -> besteffort.Outcome | None:
         service = submission.service
         is_settling = self._time.now() - self._started_at < self._settings.settling_s
         if not is_settling and not any(self.fleet.serving(service, self._time.now())):
@@ -125,7 +125,7 @@
         job.tickets.discard(ticket)
         if job.tickets:
             return
-        yield actions.Note(
+        yield actions.LogEvent(
             "job.abandoned", {"job": job_id, "age_ms": self._age_ms(job)}
         )
         verdict = besteffort.Interrupted(codes.Code.REQUEST_CUT)
@@ -163,7 +163,7 @@
             if job.submission.route == route and not job.is_offered
         )
 
-    def linked(
+    def handle_agent_connected(
         self, hello: assignments.AgentHello, own_boot: int
     ) -> Iterator[assigner.Effect]:
         """Handle a new connection of an agent.
@@ -179,20 +179,20 @@
             view = fleet.WorkerView(hello.name, hello.boot, hello.zone)
             self.fleet.by_agent[hello.name] = view
         elif view.boot != hello.boot:
-            yield actions.Note(
+            yield actions.LogEvent(
                 "agent.restarted", {"agent": hello.name, "boot": hello.boot}
             )
             view.boot, view.is_recovering = hello.boot, True
             view.info = None
             view.ends_through = 0
-        view.relink()
+        view.reset_session()
         view.renewed_at = now
         # Ends that were under way are repeated before the first report; what is
         # missing then is gone.
         view.unconfirmed = {task.run_key for task in self._tasks_of(hello.name)} - held
-        yield actions.Note("agent.linked", {"agent": hello.name, "held": len(held)})
+        yield actions.LogEvent("agent.linked", {"agent": hello.name, "held": len(held)})
 
-    def unlinked(self, agent: str) -> Iterator[assigner.Effect]:
+    def handle_agent_disconnected(self, agent: str) -> Iterator[assigner.Effect]:
         """Handle the loss of the connection to an agent.
 
         :param agent: its name.
@@ -200,12 +200,12 @@
         view = self.fleet.by_agent.get(agent)
         if view is not None and view.is_linked:
             view.is_linked = False
-            yield actions.Note(
+            yield actions.LogEvent(
                 "agent.unlinked",
                 {"agent": agent, "tasks": len(self._tasks_of(agent))},
             )
 
-    def informed(
+    def handle_worker_info(
         self, agent: str, info: assignments.WorkerInfo
     ) -> Iterator[assigner.Effect]:
         """Handle facts about a worker.
@@ -214,9 +214,9 @@
         :param info: the facts.
         """
         self.fleet.by_agent[agent].info = info
-        yield actions.Note("worker.known", {"agent": agent, "worker": info.worker})
+        yield actions.LogEvent("worker.known", {"agent": agent, "worker": info.worker})
 
-    def reported(
+    def handle_load_report(
         self, agent: str, load: assignments.LoadReport
     ) -> Iterator[assigner.Effect]:
         """Handle a report: renew the session and use the room that it shows.
@@ -226,9 +226,9 @@
         """
         now, view = self._time.now(), self.fleet.by_agent[agent]
         before = view.load.state if view.load else None
-        view.reported(load, now)
+        view.apply_report(load, now)
         if before is not load.state:
-            yield actions.Note(
+            yield actions.LogEvent(
                 "worker.state",
                 {"agent": agent, "state": load.state.name, "speed": load.speed},
             )
@@ -248,7 +248,9 @@
             )
         yield from self._assign_soon()
 
-    def ended(self, agent: str, end: assignments.TaskEnd) -> Iterator[assigner.Effect]:
+    def handle_task_end(
+        self, agent: str, end: assignments.TaskEnd
+    ) -> Iterator[assigner.Effect]:
         """Handle the end of a run.
 
         :param agent: name of the agent.
@@ -295,7 +297,7 @@
         self._waiting_by_id[task.key.job] = job
         task.run = max(task.run, next_run - 1)
         task.avoided_until_by_agent[agent] = now + self._settings.avoid_s
-        yield actions.Note(
+        yield actions.LogEvent(
             "task.ended",
             {
                 "job": task.key.job,
@@ -343,7 +345,7 @@
             del self._lingering[key]
         tasks = self._tasks_of(agent)
         if tasks:
-            yield actions.Note(
+            yield actions.LogEvent(
                 "agent.runs_lost",
                 {"agent": agent, "reason": reason, "tasks": len(tasks)},
             )
@@ -355,7 +357,7 @@
                 )
 
     def _end_job(
-        self, job: besteffort.Job, verdict: besteffort.Verdict
+        self, job: besteffort.Job, verdict: besteffort.Outcome
     ) -> Iterator[assigner.Effect]:
         """End a job, stop what still runs of it and answer its caller."""
         job.verdict, job.ended_at = verdict, self._time.now()
@@ -370,7 +372,7 @@
             by_agent.setdefault(task.agent, []).append(task.run_key)
         for agent, keys in by_agent.items():
             yield actions.Send(agent, assignments.Revoke(tuple(keys)))
-        yield actions.Note(
+        yield actions.LogEvent(
             "job.ended",
             {
                 "job": job_id,
@@ -383,7 +385,7 @@
             },
         )
         for ticket in sorted(job.tickets):
-            yield assigner.Conclude(ticket, job_id, verdict)
+            yield assigner.Respond(ticket, job_id, verdict)
 
     def tick(self) -> Iterator[assigner.Effect]:
         """Do what is due; call every few tens of milliseconds."""
--- a/src/burdockgate/process/supervisor.py
+++ b/src/burdockgate/process/supervisor.py
@@ -34,10 +34,10 @@
 
 
 @attrs.define
-class WorkerLife:
+class WorkerIncarnation:
     """What is known of one life of the worker."""
 
-    told: workercontrol.Announcement
+    told: workercontrol.WorkerHeartbeat
     clock_ms: int
     clock_at: float
     processed_end: int = 0
@@ -62,13 +62,13 @@
     """
 
     def __init__(
-        self, settings: executoractions.GateSettings, time: clock.Clock
+        self, settings: executoractions.ExecutorSettings, time: clock.Clock
     ) -> None:
         self._settings = settings
         self._time = time
-        self._worker: WorkerLife | None = None
-        self._runs = runs.Runs()
-        self._vitals = workerhealth.Vitals()
+        self._worker: WorkerIncarnation | None = None
+        self._runs = runs.RunTable()
+        self._vitals = workerhealth.WorkerHealth()
         self._token = 0
         self.is_leaving = False
         self._was_lapsed = False
@@ -97,8 +97,8 @@
     ) -> Iterator[executoractions.Effect]:
         """Forget a run and tell its owner how it ended."""
 
-    def announced(
-        self, told: workercontrol.Announcement
+    def handle_heartbeat(
+        self, told: workercontrol.WorkerHeartbeat
     ) -> Iterator[executoractions.Effect]:
         """Handle a heartbeat of the worker.
 
@@ -108,7 +108,7 @@
         if worker is not None:
             known = worker.told
             if told.born < known.born:
-                yield actions.Note(
+                yield actions.LogEvent(
                     "heartbeat.stale", {"born": told.born, "known": known.born}
                 )
                 return
@@ -116,19 +116,23 @@
                 if told.sequence > known.sequence:
                     worker.told = told
                     if told.is_draining != known.is_draining:
-                        yield actions.Note("worker.draining", {"worker": told.worker})
+                        yield actions.LogEvent(
+                            "worker.draining", {"worker": told.worker}
+                        )
                         yield from self._return_queued("worker draining")
                 return
         yield from self._adopt(told, now)
 
     def _adopt(
-        self, told: workercontrol.Announcement, now: float
+        self, told: workercontrol.WorkerHeartbeat, now: float
     ) -> Iterator[executoractions.Effect]:
         """Begin with a new life of the worker."""
-        yield actions.Note("worker.adopted", {"worker": told.worker, "born": told.born})
+        yield actions.LogEvent(
+            "worker.adopted", {"worker": told.worker, "born": told.born}
+        )
         before = self._worker
-        self._worker = WorkerLife(told, told.clock_ms, now, answered_at=now)
-        self._vitals = workerhealth.Vitals()
+        self._worker = WorkerIncarnation(told, told.clock_ms, now, answered_at=now)
+        self._vitals = workerhealth.WorkerHealth()
         for run in list(self._runs.ordered()):
             if before is not None and before.told.worker == told.worker:
                 # An order may have reached the new life under the old identifier.
@@ -175,12 +179,12 @@
         return sum(1 for _ in self._runs.ordered())
 
     def _start(
-        self, run: runs.Run, worker: WorkerLife, now: float
+        self, run: runs.Run, worker: WorkerIncarnation, now: float
     ) -> Iterator[executoractions.Effect]:
         run.state, run.token = runs.RunState.STARTING, self._token
         run.started_at = run.progressed_at = now
         worker.extended_at = now
-        yield actions.Note(
+        yield actions.LogEvent(
             "run.starting",
             {
                 "run": run.key,
@@ -189,7 +193,7 @@
             },
         )
         yield executoractions.Start(
-            workercontrol.StartOrder(
+            workercontrol.StartCommand(
                 worker.told.worker,
                 run.key,
                 run.spec,
@@ -198,12 +202,12 @@
             )
         )
 
-    def _lease_until_ms(self, worker: WorkerLife, now: float) -> int:
+    def _lease_until_ms(self, worker: WorkerIncarnation, now: float) -> int:
         worker_now = worker.clock_ms + (now - worker.clock_at) * 1000
         return int(worker_now + self._settings.worker_lease_s * 1000)
 
-    def start_answered(
-        self, order: workercontrol.StartOrder, answer: workercontrol.OrderAnswer
+    def handle_start_result(
+        self, order: workercontrol.StartCommand, answer: workercontrol.CommandResult
     ) -> Iterator[executoractions.Effect]:
         """Handle the answer to a start order.
 
@@ -227,7 +231,7 @@
                 yield from self._fill()
             case workercontrol.Unanswered():
                 run.state = runs.RunState.UNCERTAIN
-                yield actions.Note(
+                yield actions.LogEvent(
                     "run.uncertain", {"run": run.key, "token": run.token}
                 )
                 yield from self._raise_token()
@@ -241,11 +245,11 @@
         elif reason is workercontrol.Refusal.FENCED:
             if run.token >= self._token:
                 self._token = max(self._token + 1, clock_ms)
-                yield actions.Note(
+                yield actions.LogEvent(
                     "token.raised", {"token": self._token, "reason": "fenced"}
                 )
         elif reason is workercontrol.Refusal.LATE:
-            yield actions.Note("run.late", {"run": run.key, "clock_ms": clock_ms})
+            yield actions.LogEvent("run.late", {"run": run.key, "clock_ms": clock_ms})
         else:
             if reason is workercontrol.Refusal.UNHEALTHY:
                 self._vitals.eject(self._time.now())
@@ -269,7 +273,7 @@
         if run.is_stopping:
             return
         run.stop_since = self._time.now()
-        yield actions.Note("run.stopping", {"run": run.key, "reason": reason})
+        yield actions.LogEvent("run.stopping", {"run": run.key, "reason": reason})
         if run.state is not runs.RunState.STARTING:
             yield from self._order_stop(run)
 
@@ -278,11 +282,11 @@
         if worker is not None:
             run.stop_sent_at = self._time.now()
             yield executoractions.Stop(
-                workercontrol.StopOrder(worker.told.worker, run.key, self._token)
+                workercontrol.StopCommand(worker.told.worker, run.key, self._token)
             )
 
-    def stop_answered(
-        self, order: workercontrol.StopOrder, answer: workercontrol.OrderAnswer
+    def handle_stop_result(
+        self, order: workercontrol.StopCommand, answer: workercontrol.CommandResult
     ) -> Iterator[executoractions.Effect]:
         """Handle the answer to a stop order; the end itself is listed later.
 
@@ -293,11 +297,11 @@
             answer.reason is workercontrol.Refusal.FENCED and order.token >= self._token
         ):
             self._token = max(self._token + 1, answer.clock_ms)
-            yield actions.Note(
+            yield actions.LogEvent(
                 "token.raised", {"token": self._token, "reason": "fenced stop"}
             )
 
-    def next_look(self) -> workercontrol.LookOrder | None:
+    def next_poll(self) -> workercontrol.PollCommand | None:
         """Return the next regular look, or ``None`` while no worker is known."""
         settings, worker = self._settings, self._worker
         if worker is None:
@@ -307,7 +311,7 @@
             settings.lossy_look_wait_s if is_lossy else settings.look_wait_s
         )
 
-    def _look(self, wait_s: float) -> workercontrol.LookOrder | None:
+    def _look(self, wait_s: float) -> workercontrol.PollCommand | None:
         worker, now = self._worker, self._time.now()
         if worker is None:
             return None
@@ -318,7 +322,7 @@
         if not is_silent and not self._is_stop_overdue(now):
             lease_until_ms = self._lease_until_ms(worker, now)
             worker.extended_at = now
-        return workercontrol.LookOrder(
+        return workercontrol.PollCommand(
             worker.told.worker,
             self._token,
             worker.processed_end,
@@ -337,10 +341,10 @@
     def _look_now(self) -> Iterator[executoractions.Effect]:
         order = self._look(0.0)
         if order is not None:
-            yield executoractions.Look(order)
+            yield executoractions.Poll(order)
 
-    def looked(
-        self, order: workercontrol.LookOrder, answer: workercontrol.LookAnswer
+    def handle_poll_result(
+        self, order: workercontrol.PollCommand, answer: workercontrol.PollResult
     ) -> Iterator[executoractions.Effect]:
         """Handle the answer to a look.
 
@@ -355,13 +359,13 @@
             return
         if not worker.is_look_failing:
             worker.is_look_failing = True
-            yield actions.Note("worker.lost", {"reason": _reason(answer)})
+            yield actions.LogEvent("worker.lost", {"reason": _reason(answer)})
         match answer:
             case workercontrol.Refused(workercontrol.Refusal.FENCED, clock_ms):
                 self._heard(clock_ms)
                 if order.token >= self._token:
                     self._token = max(self._token + 1, clock_ms)
-                    yield actions.Note(
+                    yield actions.LogEvent(
                         "token.raised", {"token": self._token, "reason": "fenced look"}
                     )
             case workercontrol.Refused(workercontrol.Refusal.UNHEALTHY, _):
@@ -371,8 +375,8 @@
 
     def _snapshot(
         self,
-        worker: WorkerLife,
-        order: workercontrol.LookOrder,
+        worker: WorkerIncarnation,
+        order: workercontrol.PollCommand,
         seen: workercontrol.Snapshot,
     ) -> Iterator[executoractions.Effect]:
         if seen.born > worker.told.born:
@@ -389,9 +393,9 @@
         worker.is_refusing = False
         if worker.is_look_failing:
             worker.is_look_failing = False
-            yield actions.Note("worker.regained", {"worker": worker.told.worker})
+            yield actions.LogEvent("worker.regained", {"worker": worker.told.worker})
         if seen.unreadable:
-            yield actions.Note("worker.unreadable", {"entries": seen.unreadable})
+            yield actions.LogEvent("worker.unreadable", {"entries": seen.unreadable})
         ended = list(self._finish_listed(worker, seen))
         yield from ended
         yield from self._note_running(worker, seen)
@@ -399,7 +403,7 @@
         is_current = order.token >= worker.first_token
         if is_current and not worker.foreign and not worker.is_synchronized:
             worker.is_synchronized = True
-            yield actions.Note("worker.ready", {"worker": worker.told.worker})
+            yield actions.LogEvent("worker.ready", {"worker": worker.told.worker})
         yield from self._fill()
 
     def _heard(self, clock_ms: int) -> None:
@@ -409,7 +413,7 @@
             worker.clock_at = worker.answered_at = self._time.now()
 
     def _finish_listed(
-        self, worker: WorkerLife, seen: workercontrol.Snapshot
+        self, worker: WorkerIncarnation, seen: workercontrol.Snapshot
     ) -> Iterator[executoractions.Effect]:
         for entry in seen.finished:
             if entry.number <= worker.processed_end:
@@ -421,7 +425,7 @@
                 yield from self._end(run, _END_BY_REASON[entry.reason], "listed")
 
     def _note_running(
-        self, worker: WorkerLife, seen: workercontrol.Snapshot
+        self, worker: WorkerIncarnation, seen: workercontrol.Snapshot
     ) -> Iterator[executoractions.Effect]:
         now = self._time.now()
         listed = {entry.key for entry in seen.running}
@@ -440,18 +444,18 @@
                 run.percent, run.progressed_at = entry.percent, now
 
     def _stop_foreign(
-        self, worker: WorkerLife, key: assignments.RunKey, now: float
+        self, worker: WorkerIncarnation, key: assignments.RunKey, now: float
     ) -> Iterator[executoractions.Effect]:
         sent_at = worker.foreign.get(key, -1e9)
         if now - sent_at >= self._settings.stop_repeat_s:
             worker.foreign[key] = now
-            yield actions.Note("run.foreign", {"run": key})
+            yield actions.LogEvent("run.foreign", {"run": key})
             yield executoractions.Stop(
-                workercontrol.StopOrder(worker.told.worker, key, self._token)
+                workercontrol.StopCommand(worker.told.worker, key, self._token)
             )
 
     def _resolve_missing(
-        self, order: workercontrol.LookOrder, seen: workercontrol.Snapshot
+        self, order: workercontrol.PollCommand, seen: workercontrol.Snapshot
     ) -> Iterator[executoractions.Effect]:
         """Settle runs that a current list does not show."""
         listed = {entry.key for entry in seen.running}
@@ -466,7 +470,7 @@
                     yield from self._return(run, "fenced off")
                 else:
                     run.state = runs.RunState.QUEUED
-                    yield actions.Note(
+                    yield actions.LogEvent(
                         "run.requeued", {"run": run.key, "token": order.token}
                     )
             elif run.state is runs.RunState.RUNNING and run.accepted_ms < seen.clock_ms:
@@ -490,7 +494,7 @@
             self._vitals.sample(sampled ** (1 - weight) * speed**weight, now)
 
     def _expire_lease(
-        self, worker: WorkerLife, now: float
+        self, worker: WorkerIncarnation, now: float
     ) -> Iterator[executoractions.Effect]:
         lapse_s = self._settings.worker_lease_s * (1 + self._settings.clock_drift)
         is_lapsed = now - worker.extended_at > lapse_s + self._settings.stop_repeat_s
@@ -501,7 +505,7 @@
                 if run.state is not runs.RunState.STARTING:
                     yield from self._end(run, assignments.EndKind.LOST, "lease lapsed")
         if is_lapsed and not self._was_lapsed:
-            yield actions.Note("worker.unreachable", {"worker": worker.told.worker})
+            yield actions.LogEvent("worker.unreachable", {"worker": worker.told.worker})
             yield from self._return_queued("worker unreachable")
         self._was_lapsed = is_lapsed
 
@@ -514,7 +518,7 @@
             for run in running
         ):
             if self._vitals.eject(now):
-                yield actions.Note("worker.stalled", {"runs": len(running)})
+                yield actions.LogEvent("worker.stalled", {"runs": len(running)})
                 yield from self._return_queued("worker stalled")
             for run in running:
                 yield from self._stop(run, "stalled")
--- a/src/burdockgate/process/tablereplica.py
+++ b/src/burdockgate/process/tablereplica.py
@@ -18,7 +18,7 @@
 WHOLE_ID = ""
 
 
-class Rows:
+class TableReplica:
     """Holds a node's table, which never goes back.
 
     :param kept_limit: most records kept to be handed on; 0 for a node that hands
@@ -46,7 +46,7 @@
 
     # Following
 
-    def read(self, page: messages.Records) -> None:
+    def apply_log_page(self, page: messages.Records) -> None:
         """Apply a page that was read from the log.
 
         :param page: the page; an empty one shows that the end was reached.
@@ -55,7 +55,7 @@
         if page.first == page.next and page.next >= self.table.next:
             self.is_log_read = True
 
-    def hear(self, name: str, page: messages.Records) -> None:
+    def apply_peer_page(self, name: str, page: messages.Records) -> None:
         """Apply a page that another node handed on.
 
         :param name: name of that node.
--- a/src/burdockgate/process/workercontrol.py
+++ b/src/burdockgate/process/workercontrol.py
@@ -16,7 +16,7 @@
 
 
 @attrs.frozen
-class Announcement:
+class WorkerHeartbeat:
     """What a worker says of itself in a heartbeat.
 
     :param worker: identifier of the worker.
@@ -39,7 +39,7 @@
 
 
 @attrs.frozen
-class StartOrder:
+class StartCommand:
     """Start a run.
 
     :param lease_until_ms: end of the lease on the worker's clock.
@@ -54,7 +54,7 @@
 
 
 @attrs.frozen
-class StopOrder:
+class StopCommand:
     """Stop a run."""
 
     worker: str
@@ -63,7 +63,7 @@
 
 
 @attrs.frozen
-class LookOrder:
+class PollCommand:
     """Read the lists, acknowledge ends and extend the lease.
 
     :param lease_until_ms: end of the lease; ``None`` leaves it as it is.
@@ -169,29 +169,29 @@
     unreadable: int = 0
 
 
-OrderAnswer = Accepted | Refused | Unanswered
-LookAnswer = Snapshot | Refused | Unanswered
+CommandResult = Accepted | Refused | Unanswered
+PollResult = Snapshot | Refused | Unanswered
 
 
-class RunControl(abc.ABC):
+class WorkerControl(abc.ABC):
     """Gives orders to the worker beside the agent."""
 
     @abc.abstractmethod
-    async def start(self, order: StartOrder) -> OrderAnswer:
+    async def start(self, order: StartCommand) -> CommandResult:
         """Start a run; never raises.
 
         :param order: what to start.
         """
 
     @abc.abstractmethod
-    async def stop(self, order: StopOrder) -> OrderAnswer:
+    async def stop(self, order: StopCommand) -> CommandResult:
         """Stop a run; its end is listed later. Never raises.
 
         :param order: what to stop.
         """
 
     @abc.abstractmethod
-    async def look(self, order: LookOrder) -> LookAnswer:
+    async def poll(self, order: PollCommand) -> PollResult:
         """Read the lists of runs; never raises.
 
         :param order: token, lease and acknowledged ends.
--- a/src/burdockgate/process/workerhealth.py
+++ b/src/burdockgate/process/workerhealth.py
@@ -26,7 +26,7 @@
 
 
 @attrs.define
-class Vitals:
+class WorkerHealth:
     """Speed and health of one life of a worker; times in seconds."""
 
     speed: float = 1.0
@@ -47,7 +47,7 @@
             return assignments.WorkerState.PROBATION
         return assignments.WorkerState.READY
 
-    def done(self, ran_s: float, estimate_s: float, now: float) -> None:
+    def record_success(self, ran_s: float, estimate_s: float, now: float) -> None:
         """Note a task that ended well.
 
         :param ran_s: how long it ran.
@@ -59,7 +59,7 @@
         self._ejection_s = FIRST_EJECTION_S
         self.sample(estimate_s / max(ran_s, 0.001), now)
 
-    def failed(self, job: str, now: float) -> bool:
+    def record_failure(self, job: str, now: float) -> bool:
         """Note a task that failed.
 
         :param job: its job.
--- a/src/burdockgate/request/besteffort.py
+++ b/src/burdockgate/request/besteffort.py
@@ -99,7 +99,7 @@
     code: codes.Code
 
 
-Verdict = Completed | Failed | Refused | Interrupted
+Outcome = Completed | Failed | Refused | Interrupted
 
 
 class TaskState(enum.Enum):
@@ -164,7 +164,7 @@
     tasks: list[list[Task]]
     has_run: bool = False
     is_offered: bool = False
-    verdict: Verdict | None = None
+    verdict: Outcome | None = None
     ended_at: float = 0.0
 
     @classmethod
--- a/src/burdockgate/request/jobrecord.py
+++ b/src/burdockgate/request/jobrecord.py
@@ -37,7 +37,7 @@
 
 
 @attrs.define
-class Record:
+class JobRecord:
     """State of one job at one agent.
 
     :param owner: name of the entry host that gets the results.
--- a/src/burdockgate/request/ownedjob.py
+++ b/src/burdockgate/request/ownedjob.py
@@ -45,7 +45,7 @@
     seen: set[int] = attrs.field(factory=set)
 
 
-class Leader:
+class OwnedJob:
     """State machine of one attempt of a job.
 
     :param request: the job.
--- a/src/burdockgate/request/submission.py
+++ b/src/burdockgate/request/submission.py
@@ -43,7 +43,7 @@
     claimant: claimants.Claimant | None = None
     extension: claimants.Claimant | None = None
     confirmation: claimants.Claimant | None = None
-    leader: ownedjob.Leader | None = None
+    leader: ownedjob.OwnedJob | None = None
     owner: messages.Node | None = None
     record: messages.ClaimRecord | None = None
     waits_since: float | None = None
--- a/src/burdockgate/standin/batches.py
+++ b/src/burdockgate/standin/batches.py
@@ -45,7 +45,7 @@
         zones: int = 0,
         ordering: selection.Ordering | None = None,
         chosen: selection.SelectionSettings | None = None,
-        limits: executoractions.GateSettings | None = None,
+        limits: executoractions.ExecutorSettings | None = None,
     ) -> None:
         zones = zones or entries
         self.rng = random.Random(seed)
@@ -53,7 +53,7 @@
         self.kinds = kinds
         self.ordering = ordering or selection.ShortestFirst()
         self.selection = chosen or selection.SelectionSettings()
-        self.limits = limits or executoractions.GateSettings()
+        self.limits = limits or executoractions.ExecutorSettings()
         self.messages: collections.Counter[type] = collections.Counter()
         self.tickets = iter(range(1, 1 << 60))
         self.work_by_task: dict[assignments.TaskKey, tuple[float, int]] = {}
@@ -124,12 +124,12 @@
         if pair in self._linked or is_blocked:
             return
         if not entry.is_up:
-            agent.perform(agent.gate.refused(entry.name))
+            agent.perform(agent.gate.handle_entry_gone(entry.name))
             return
         if entry.is_frozen:
             return
         self._linked[pair] = next(self._link_numbers)
-        boot, held = agent.gate.hello(entry.name)
+        boot, held = agent.gate.session_state(entry.name)
         hello = assignments.AgentHello(
             1, agent.name, agent.boot, agent.zone, boot, held
         )
@@ -139,13 +139,17 @@
             pair,
             link,
             entry,
-            lambda: entry.perform(entry.scheduler.linked(hello, entry_boot)),
+            lambda: entry.perform(
+                entry.scheduler.handle_agent_connected(hello, entry_boot)
+            ),
         )
         agent.info_sent = {sent for sent in agent.info_sent if sent[0] != entry.name}
         distance = entrysessions.distance(
             agent.name, agent.zone, entry.name, entry.zone
         )
-        agent.perform(agent.gate.linked(entry.name, entry_boot, distance))
+        agent.perform(
+            agent.gate.handle_entry_connected(entry.name, entry_boot, distance)
+        )
         agent.report()
 
     def break_links(self, agent: str = "", entry: str = "") -> None:
@@ -161,8 +165,12 @@
     def _unlink(self, pair: tuple[str, str]) -> None:
         del self._linked[pair]
         agent, entry = self.agent_by_name[pair[0]], self.entry_by_name[pair[1]]
-        agent.run(lambda: agent.perform(agent.gate.unlinked(entry.name)))
-        entry.run(lambda: entry.perform(entry.scheduler.unlinked(agent.name)))
+        agent.run(
+            lambda: agent.perform(agent.gate.handle_entry_disconnected(entry.name))
+        )
+        entry.run(
+            lambda: entry.perform(entry.scheduler.handle_agent_disconnected(agent.name))
+        )
 
     def cut(self, agent: str, entry: str, for_s: float) -> None:
         """Cut a pair off from each other without a word.
@@ -235,11 +243,11 @@
                 return
             match message:
                 case assignments.LoadReport():
-                    node.perform(node.scheduler.reported(agent, message))
+                    node.perform(node.scheduler.handle_load_report(agent, message))
                 case assignments.TaskEnd():
-                    node.perform(node.scheduler.ended(agent, message))
+                    node.perform(node.scheduler.handle_task_end(agent, message))
                 case assignments.WorkerInfo():
-                    node.perform(node.scheduler.informed(agent, message))
+                    node.perform(node.scheduler.handle_worker_info(agent, message))
 
         self._deliver(pair, link, node, handle)
 
@@ -262,13 +270,13 @@
                 return
             match message:
                 case assignments.Assign():
-                    node.perform(node.gate.assigned(entry, message))
+                    node.perform(node.gate.handle_assignment(entry, message))
                 case assignments.Renewal():
-                    node.gate.renewed(entry, message)
+                    node.gate.handle_renewal(entry, message)
                 case assignments.Revoke():
-                    node.perform(node.gate.revoked(message))
+                    node.perform(node.gate.handle_revocation(message))
                 case assignments.Demand():
-                    node.gate.demanded(entry, message)
+                    node.gate.handle_demand(entry, message)
                     self.soon(node, node.report_change)
 
         self._deliver(pair, link, node, handle)
@@ -355,7 +363,7 @@
         if waited_s + RESEND_S < order.submission.deadline_s:
             self.time.call_later(RESEND_S, lambda: self._send(order))
 
-    def concluded(self, order: nodes.Order, verdict: besteffort.Verdict) -> None:
+    def concluded(self, order: nodes.Order, verdict: besteffort.Outcome) -> None:
         """Handle an answer.
 
         :param order: the job.
--- a/src/burdockgate/standin/leased.py
+++ b/src/burdockgate/standin/leased.py
@@ -113,13 +113,13 @@
 
     def announcement(
         self, sequence: int, is_draining: bool
-    ) -> workercontrol.Announcement:
+    ) -> workercontrol.WorkerHeartbeat:
         """Return a heartbeat.
 
         :param sequence: its number.
         :param is_draining: whether the worker leaves.
         """
-        return workercontrol.Announcement(
+        return workercontrol.WorkerHeartbeat(
             self.name,
             self.born,
             "service",
@@ -136,7 +136,7 @@
         """Return whether the next order gets no answer and is carried out late."""
         return self._rng.random() < self.faults.unanswered
 
-    def start(self, order: workercontrol.StartOrder) -> workercontrol.OrderAnswer:
+    def start(self, order: workercontrol.StartCommand) -> workercontrol.CommandResult:
         """Carry out a start order.
 
         :param order: the order.
@@ -172,7 +172,7 @@
             duration_s = 0.005
         self._time.call_later(duration_s, lambda: self._end(run, reason))
 
-    def stop(self, order: workercontrol.StopOrder) -> workercontrol.OrderAnswer:
+    def stop(self, order: workercontrol.StopCommand) -> workercontrol.CommandResult:
         """Carry out a stop order.
 
         :param order: the order.
@@ -189,10 +189,10 @@
             self._time.call_later(STOP_S, lambda: self._end(run, stopped))
         return workercontrol.Accepted(self.clock_ms)
 
-    def look(
+    def poll(
         self,
-        order: workercontrol.LookOrder,
-        answer: Callable[[workercontrol.LookAnswer], None],
+        order: workercontrol.PollCommand,
+        answer: Callable[[workercontrol.PollResult], None],
     ) -> None:
         """Carry out a look; it is answered at an end or after its wait.
 
--- a/src/burdockgate/standin/meter.py
+++ b/src/burdockgate/standin/meter.py
@@ -306,7 +306,7 @@
 
     def _connect(self, process: Process) -> None:
         for one, other in ((self.entry, process), (process, self.entry)):
-            wanted = functools.partial(one.core.connected, other.hello)
+            wanted = functools.partial(one.core.handle_connect, other.hello)
             self.perform(one, one.run(wanted))
 
     def perform(self, process: Process, wanted: list[Frame | effects.Effect]) -> None:
--- a/src/burdockgate/standin/nodes.py
+++ b/src/burdockgate/standin/nodes.py
@@ -59,7 +59,7 @@
     submission: besteffort.Submission
     sent_at: float
     objective_s: float
-    verdicts: list[besteffort.Verdict] = attrs.field(factory=list)
+    verdicts: list[besteffort.Outcome] = attrs.field(factory=list)
     ended_at: float | None = None
     is_interrupted: bool = False
 
@@ -125,7 +125,7 @@
         self._inbox.clear()
 
 
-def _ignore(answer: workercontrol.LookAnswer) -> None:
+def _ignore(answer: workercontrol.PollResult) -> None:
     """Lose the answer to a look."""
 
 
@@ -150,7 +150,7 @@
 
     def _begin(self) -> None:
         self.boot = self.model.rng.getrandbits(60)
-        self.gate = executor.Gate(self.model.limits, self.model.time)
+        self.gate = executor.Executor(self.model.limits, self.model.time)
         self.info_sent: set[tuple[str, assignments.WorkerInfo]] = set()
         life = self.life
         self._every(AGENT_TICK_S, lambda: self.perform(self.gate.tick()), life)
@@ -184,12 +184,12 @@
         if self.is_draining and self.drained_at is None:
             self.drained_at = self.model.time.now()
         told = self.worker.announcement(self.sequence, self.is_draining)
-        self.perform(self.gate.announced(told))
+        self.perform(self.gate.handle_heartbeat(told))
 
     def _look(self, life: int) -> None:
         if life != self.life:
             return
-        order = self.gate.next_look() if not self.is_frozen else None
+        order = self.gate.next_poll() if not self.is_frozen else None
         if order is None:
             self.model.time.call_later(0.05, lambda: self._look(life))
             return
@@ -206,17 +206,17 @@
         self.model.time.call_later(overdue_s, follow)
 
     def _send_look(
-        self, order: workercontrol.LookOrder, then: Callable[[], None], life: int
+        self, order: workercontrol.PollCommand, then: Callable[[], None], life: int
     ) -> None:
         state = {"done": False}
 
-        def finish(answer: workercontrol.LookAnswer) -> None:
+        def finish(answer: workercontrol.PollResult) -> None:
             if state["done"] or life != self.life:
                 return
             state["done"] = True
 
             def handle() -> None:
-                self.perform(self.gate.looked(order, answer))
+                self.perform(self.gate.handle_poll_result(order, answer))
                 pause_s = 0.0 if isinstance(answer, workercontrol.Snapshot) else 0.05
                 self.model.time.call_later(pause_s, then)
 
@@ -226,15 +226,15 @@
         limit_s = order.wait_ms / 1000 + LOOK_TIMEOUT_S
         time.call_later(limit_s, lambda: finish(workercontrol.Unanswered()))
 
-        def answered(answer: workercontrol.LookAnswer) -> None:
+        def answered(answer: workercontrol.PollResult) -> None:
             time.call_later(ORDER_S, lambda: finish(answer))
 
         def arrive() -> None:
             if self.worker.faults.unanswered and self.worker.is_order_lost():
                 late_s = self.model.rng.uniform(*leased.LATE_S)
-                time.call_later(late_s, lambda: self.worker.look(order, _ignore))
+                time.call_later(late_s, lambda: self.worker.poll(order, _ignore))
             elif not self.worker.faults.is_cut:
-                self.worker.look(order, answered)
+                self.worker.poll(order, answered)
 
         time.call_later(ORDER_S, arrive)
 
@@ -250,32 +250,34 @@
                 case executoractions.Start(start):
                     self._order(
                         lambda start=start: self.worker.start(start),  # type: ignore[misc]
-                        lambda answer, start=start: self.gate.start_answered(  # type: ignore[misc]
+                        lambda answer, start=start: self.gate.handle_start_result(  # type: ignore[misc]
                             start, answer
                         ),
                     )
                 case executoractions.Stop(stop):
                     self._order(
                         lambda stop=stop: self.worker.stop(stop),  # type: ignore[misc]
-                        lambda answer, stop=stop: self.gate.stop_answered(  # type: ignore[misc]
+                        lambda answer, stop=stop: self.gate.handle_stop_result(  # type: ignore[misc]
                             stop, answer
                         ),
                     )
-                case executoractions.Look(look):
+                case executoractions.Poll(look):
                     self._send_look(look, lambda: None, self.life)
-                case actions.Note(event, fields):
+                case actions.LogEvent(event, fields):
                     self.model.note(self.name, event, fields)
                     continue
             self.model.soon(self, self.report_change)
 
     def _order(
         self,
-        carry_out: Callable[[], workercontrol.OrderAnswer],
-        handle: Callable[[workercontrol.OrderAnswer], Iterator[executoractions.Effect]],
+        carry_out: Callable[[], workercontrol.CommandResult],
+        handle: Callable[
+            [workercontrol.CommandResult], Iterator[executoractions.Effect]
+        ],
     ) -> None:
         life, time, faults = self.life, self.model.time, self.worker.faults
 
-        def finish(answer: workercontrol.OrderAnswer) -> None:
+        def finish(answer: workercontrol.CommandResult) -> None:
             if life == self.life:
                 self.run(lambda: self.perform(handle(answer)))
 
@@ -302,7 +304,7 @@
 
         :param is_periodic: whether to all of them.
         """
-        info, loads = self.gate.worker_info(), self.gate.loads(is_periodic)
+        info, loads = self.gate.worker_info(), self.gate.due_reports(is_periodic)
         for entry in self.model.linked_entries(self.name):
             if entry not in loads:
                 continue
@@ -377,14 +379,14 @@
             match effect:
                 case actions.Send(to, message):
                     self.model.to_agent(self.name, to, message)
-                case assigner.AssignSoon():
+                case assigner.ScheduleAssignment():
                     self.model.time.call_later(
                         ASSIGN_S,
                         lambda: self.run(lambda: self.perform(self.scheduler.assign())),
                     )
-                case assigner.Conclude(ticket, _, verdict):
+                case assigner.Respond(ticket, _, verdict):
                     order = self.order_by_ticket.pop(ticket, None)
                     if order is not None:
                         self.model.concluded(order, verdict)
-                case actions.Note(event, fields):
+                case actions.LogEvent(event, fields):
                     self.model.note(self.name, event, fields)
--- a/src/burdockgate/standin/probes.py
+++ b/src/burdockgate/standin/probes.py
@@ -169,7 +169,7 @@
     _agent_core(process).claims.catchup.view = meter.members(64, entries)
     for index in range(entries):
         other = meter.hello(messages.Role.ENTRY, index)
-        process.run(functools.partial(process.core.connected, other))
+        process.run(functools.partial(process.core.handle_connect, other))
     return _rest(process, now, "agent")
 
 
@@ -183,7 +183,7 @@
     for role, count, first in roles:
         for index in range(first, first + count):
             other = meter.hello(role, index)
-            process.run(functools.partial(process.core.connected, other))
+            process.run(functools.partial(process.core.handle_connect, other))
     return process, now
 
 
@@ -257,7 +257,7 @@
     for frame in claims(process, 3, count, random.Random(seed)):
         process.receive(OWNER.node.name, frame)
     other = meter.hello(messages.Role.AGENT, 1)
-    process.run(lambda: process.core.connected(other))
+    process.run(lambda: process.core.handle_connect(other))
     process.cost = meter.Cost()
     frame = wire.encode(messages.Sync(_number_of(process)))
     process.receive(other.node.name, frame)
@@ -271,7 +271,7 @@
     """
     process = meter.agent_process(0, clock.ManualClock(100.0))
     _agent_core(process).claims.catchup.advance(meter.members(voters, 1))
-    process.run(lambda: process.core.connected(OWNER))
+    process.run(lambda: process.core.handle_connect(OWNER))
     return process
 
 
@@ -333,10 +333,12 @@
     process, _ = _joined_entry(agents, 3, seed)
     process.cost = meter.Cost()
     process.run(
-        lambda: process.core.connected(meter.hello(messages.Role.AGENT, agents))
+        lambda: process.core.handle_connect(meter.hello(messages.Role.AGENT, agents))
     )
     agent_cost, process.cost = process.cost, meter.Cost()
-    process.run(lambda: process.core.connected(meter.hello(messages.Role.ENTRY, 4)))
+    process.run(
+        lambda: process.core.handle_connect(meter.hello(messages.Role.ENTRY, 4))
+    )
     return {
         "new agent: messages of an entry host": agent_cost.sent,
         "new agent: bytes of an entry host": agent_cost.sent_bytes,
@@ -351,7 +353,9 @@
     """Send the list of entry hosts that each new agent gets."""
     process, _ = _joined_entry(11, entries - 1, seed)
     process.cost = meter.Cost()
-    process.run(lambda: process.core.connected(meter.hello(messages.Role.AGENT, 11)))
+    process.run(
+        lambda: process.core.handle_connect(meter.hello(messages.Role.AGENT, 11))
+    )
     return {"new agent: bytes of the list of entry hosts": process.cost.sent_bytes}
 
 
@@ -361,7 +365,7 @@
     other = meter.agent_process(0, now)
     _agent_core(other).claims.catchup.view = _view_of(process)
     owner = meter.hello(messages.Role.ENTRY, 0)
-    other.run(lambda: other.core.connected(owner))
+    other.run(lambda: other.core.handle_connect(owner))
     number = _view_of(process).number
     added = view.voter_record(meter.hello(messages.Role.AGENT, agents))
     record = messages.LogRecord(number, "new", added)
--- a/src/burdockgate/standin/resident.py
+++ b/src/burdockgate/standin/resident.py
@@ -25,7 +25,7 @@
 process = meter.agent_process(0, clock.ManualClock(100.0))
 core = process.core
 owner = meter.hello(messages.Role.ENTRY, 0)
-list(core.connected(owner))
+list(core.handle_connect(owner))
 def start(index, job, payload):
     one = messages.TaskStart(index, 1, b"1", 1000)
     list(core.receive(owner.node.name, messages.Start(
--- a/src/burdockgate/standin/starts.py
+++ b/src/burdockgate/standin/starts.py
@@ -111,7 +111,7 @@
             value = view.voter_record(hello)
             if self._voters is None or index < self._voters:
                 records.append(messages.LogRecord(index, str(index), value))
-            self._perform(self._core.connected(hello))
+            self._perform(self._core.handle_connect(hello))
         count = len(records)
         self._perform(
             self._core.follow(messages.Records(view.STREAM, 0, count, tuple(records)))
--- a/src/burdockgate/standin/suspects.py
+++ b/src/burdockgate/standin/suspects.py
@@ -50,7 +50,7 @@
 FLAKY_SHARE = 0.5
 
 
-class Row(detectors.Detector):
+class Row(detectors.FailureDetector):
     """Failures in a row; a success begins anew."""
 
     @property
@@ -58,16 +58,20 @@
         """Score at which a worker is ejected."""
         return float(self.failures)
 
-    def failure(self, record: detectors.Record, group: detectors.Group) -> float:
+    def failure(
+        self, record: detectors.WorkerRecord, group: detectors.OutcomeStatistics
+    ) -> float:
         """Return what a failure adds to the score."""
         return 1.0
 
-    def success(self, record: detectors.Record, group: detectors.Group) -> float:
+    def success(
+        self, record: detectors.WorkerRecord, group: detectors.OutcomeStatistics
+    ) -> float:
         """Return the score after a success."""
         return 0.0
 
 
-class Rate(detectors.Detector):
+class Rate(detectors.FailureDetector):
     """Success rate against that of the class: a worker 60% below it is ejected."""
 
     @property
@@ -75,20 +79,26 @@
         """Score at which a worker is ejected."""
         return 1.0
 
-    def failure(self, record: detectors.Record, group: detectors.Group) -> float:
+    def failure(
+        self, record: detectors.WorkerRecord, group: detectors.OutcomeStatistics
+    ) -> float:
         """Return what a failure adds to the score."""
         return self._score(record, group) - record.score
 
-    def success(self, record: detectors.Record, group: detectors.Group) -> float:
+    def success(
+        self, record: detectors.WorkerRecord, group: detectors.OutcomeStatistics
+    ) -> float:
         """Return the score after a success."""
         return self._score(record, group)
 
-    def _score(self, record: detectors.Record, group: detectors.Group) -> float:
+    def _score(
+        self, record: detectors.WorkerRecord, group: detectors.OutcomeStatistics
+    ) -> float:
         return ((1.0 - group.usual) - record.trust) / 0.6
 
 
-DETECTOR_BY_NAME: dict[str, Callable[[int], detectors.Detector]] = {
-    "likelihood": detectors.Likelihood,
+DETECTOR_BY_NAME: dict[str, Callable[[int], detectors.FailureDetector]] = {
+    "likelihood": detectors.LikelihoodDetector,
     "row": Row,
     "rate": Rate,
 }
@@ -144,8 +154,8 @@
 
 @attrs.define(eq=False)
 class _Host:
-    judge: health.Health
-    records: list[detectors.Record]
+    judge: health.HealthMonitor
+    records: list[detectors.WorkerRecord]
     queue: collections.deque[tuple[_Job, int]] = attrs.field(factory=collections.deque)
 
 
@@ -173,7 +183,7 @@
         config = settings.HealthSettings()
         detector = DETECTOR_BY_NAME[self._case.detector](config.failures)
         counters = metrics.Metrics(settings.StatsdSettings())
-        judge = health.Health(config, self._clock, counters, detector)
+        judge = health.HealthMonitor(config, self._clock, counters, detector)
         return _Host(judge, [judge.join(hello(i)) for i in range(self._case.workers)])
 
     def run(self) -> Figures:
@@ -399,7 +409,7 @@
     time_ = clock.ManualClock()
     counters = metrics.Metrics(settings.StatsdSettings())
     tracemalloc.start()
-    judge = health.Health(settings.HealthSettings(), time_, counters)
+    judge = health.HealthMonitor(settings.HealthSettings(), time_, counters)
     records = [judge.join(each) for each in announced]
     size = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -69,7 +69,7 @@
 def make_leader(made=None, time=None, scope=("a1", "a2"), had_attempt=False):
     members, time = (node("m1"),), time or clock.ManualClock()
     made = made or request()
-    return ownedjob.Leader(made, terms(scope), members, time, 5.0, had_attempt)
+    return ownedjob.OwnedJob(made, terms(scope), members, time, 5.0, had_attempt)
 
 
 def report(index, send=1, state=messages.TaskState.DONE, payload=b"1"):
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -150,7 +150,7 @@
         fields = json.loads(await asgi.read_body(receive, 1 << 20))
         match scope["path"].rpartition("/")[2]:
             case "run-start":
-                order = workercontrol.StartOrder(
+                order = workercontrol.StartCommand(
                     "",
                     _key(fields["task"], fields["run"]),
                     fields["spec"],
@@ -160,21 +160,21 @@
                 await self._answer(send, self.model.start(order))
             case "run-stop":
                 key = _key(fields["task"], fields["run"])
-                order = workercontrol.StopOrder("", key, fields["fencingToken"])
+                order = workercontrol.StopCommand("", key, fields["fencingToken"])
                 await self._answer(send, self.model.stop(order))
             case "hold":
                 await self._look(fields, send)
 
     async def _look(self, fields, send):
         seen = asyncio.get_running_loop().create_future()
-        order = workercontrol.LookOrder(
+        order = workercontrol.PollCommand(
             "",
             fields["fencingToken"],
             fields["ackedThrough"],
             fields.get("deadlineMs"),
             fields["waitMs"],
         )
-        self.model.look(order, seen.set_result)
+        self.model.poll(order, seen.set_result)
         answer = await seen
         if isinstance(answer, workercontrol.Refused):
             await self._answer(send, answer)
--- a/tests/sessions.py
+++ b/tests/sessions.py
@@ -474,7 +474,7 @@
         self._links.add(pair)
         for process, peer in (both, both[::-1]):
             hello = self._hello(peer)
-            self._perform(process, process.core.connected(hello))
+            self._perform(process, process.core.handle_connect(hello))
 
     def _unlink(self, pair):
         if pair not in self._links:
@@ -487,7 +487,7 @@
                 self._act(
                     process,
                     lambda process=process, peer=peer: self._perform(
-                        process, process.core.disconnected(peer)
+                        process, process.core.handle_disconnect(peer)
                     ),
                 )
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -171,7 +171,7 @@
 def test_heartbeat_becomes_an_announcement():
     """Capacity, clock and life of the worker must arrive under the right fields."""
     told = heartbeats.decode("i-1", _heartbeat(state="draining"))
-    assert told == workercontrol.Announcement(
+    assert told == workercontrol.WorkerHeartbeat(
         "i-1", 1700000000000, "svc", 16000, 32768, 0, ("a", "r1-3"), True, 4, 482113
     )
 
@@ -269,7 +269,7 @@
     """The worker must get the lease, the token and the intended instance."""
     server = await script((200, {"clockMs": 5}))
     client = worker.PlatformWorker(server.server.address)
-    answer = await client.start(workercontrol.StartOrder("i-1", _KEY, "text", 900, 7))
+    answer = await client.start(workercontrol.StartCommand("i-1", _KEY, "text", 900, 7))
     await client.close()
     assert answer == workercontrol.Accepted(5)
     path, _, headers, body = server.requests[0]
@@ -310,7 +310,7 @@
     """Only an order that surely was not carried out counts as refused."""
     server = await script(answer)
     client = worker.PlatformWorker(server.server.address)
-    assert await client.stop(workercontrol.StopOrder("i-1", _KEY, 7)) == expected
+    assert await client.stop(workercontrol.StopCommand("i-1", _KEY, 7)) == expected
     await client.close()
 
 
@@ -319,7 +319,7 @@
     server = await script()
     await server.server.cut()
     client = worker.PlatformWorker(server.server.address)
-    answer = await client.stop(workercontrol.StopOrder("i-1", _KEY, 7))
+    answer = await client.stop(workercontrol.StopCommand("i-1", _KEY, 7))
     assert answer == workercontrol.Refused(workercontrol.Refusal.NOT_SENT)
 
 
@@ -333,7 +333,7 @@
     }
     server = await script((200, lists))
     client = worker.PlatformWorker(server.server.address)
-    seen = await client.look(workercontrol.LookOrder("i-1", 7, 57, None, 0))
+    seen = await client.poll(workercontrol.PollCommand("i-1", 7, 57, None, 0))
     await client.close()
     other = assignments.RunKey(assignments.TaskKey("ab", 1, 9), 1)
     assert seen == workercontrol.Snapshot(
--- a/tests/test_agentdaemon.py
+++ b/tests/test_agentdaemon.py
@@ -6,7 +6,7 @@
 
 from burdockgate.process import agentdaemon, executoractions, workercontrol
 
-TOLD = workercontrol.Announcement(
+TOLD = workercontrol.WorkerHeartbeat(
     "w1", 5, "service", 8_000, 65_536, 0, ("a", "r1"), False, 1, 1_000
 )
 
@@ -18,7 +18,7 @@
         self.looks = []
         self.answered = asyncio.get_running_loop().create_future()
 
-    async def look(self, order):
+    async def poll(self, order):
         if order.wait_ms:
             self.looks.append(order)
             if len(self.looks) == 1:
@@ -34,12 +34,12 @@
 
 async def test_look_without_an_answer_does_not_hold_up_the_next():
     """Ends of runs stayed unseen for half a second after each lost answer."""
-    limits = executoractions.GateSettings(look_wait_s=0.01, look_repeat_s=0.01)
-    settings = agentdaemon.AgentSettings("a1", "z1", (), 1.0, limits)
+    limits = executoractions.ExecutorSettings(look_wait_s=0.01, look_repeat_s=0.01)
+    settings = agentdaemon.AgentDaemonSettings("a1", "z1", (), 1.0, limits)
     worker = LossyWorker()
     store = mock.Mock(newest=mock.AsyncMock(side_effect=asyncio.CancelledError))
     daemon = agentdaemon.AgentDaemon(settings, worker, store, random.Random(1))
-    daemon.announced(TOLD)
+    daemon.handle_heartbeat(TOLD)
     looking = asyncio.create_task(daemon._look())
     async with asyncio.timeout(10):
         order = await worker.answered
--- a/tests/test_agenthost.py
+++ b/tests/test_agenthost.py
@@ -32,7 +32,7 @@
     own, config = builders.node("a1"), configs.agent_settings("a1", 0, 2)
     counters = metrics.Metrics(settings.StatsdSettings())
     core = agent.AgentCore(own, config, clock.ManualClock(), counters)
-    list(core.connected(builders.hello("e1", role=messages.Role.ENTRY)))
+    list(core.handle_connect(builders.hello("e1", role=messages.Role.ENTRY)))
     list(core.drain(active=True))
     assert builders.sent(core.leave(), messages.Leave)
     task = messages.TaskStart(0, 1, b"1", 1000)
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -121,7 +121,7 @@
 def test_lost_answers_to_looks_do_not_hide_free_room():
     """A look without an answer kept the ends of all runs unseen for half a second."""
     seeds = range(1, 4)
-    patient = executoractions.GateSettings(look_repeat_s=0.3, lossy_s=0.0)
+    patient = executoractions.ExecutorSettings(look_repeat_s=0.3, lossy_s=0.0)
     before = [_credit_with_lost_answers(patient, seed) for seed in seeds]
     after = [_credit_with_lost_answers(None, seed) for seed in seeds]
     assert sum(after) > sum(before)
@@ -239,20 +239,20 @@
     asked = [
         effect
         for agent in model.agent_by_name
-        for effect in entry.scheduler.reported(
+        for effect in entry.scheduler.handle_load_report(
             agent,
             assignments.LoadReport(
                 1, 0, assignments.WorkerState.READY, 0, 0, 0, 0, 0, 1000, True
             ),
         )
-        if isinstance(effect, assigner.AssignSoon)
+        if isinstance(effect, assigner.ScheduleAssignment)
     ]
     assert asked == []
 
 
 def _grown_crest(near_owners):
     """Replay a crest on many workers and return the model."""
-    limits = executoractions.GateSettings(near_owners=near_owners)
+    limits = executoractions.ExecutorSettings(near_owners=near_owners)
     model = batches.Model(5, KINDS, entries=8, workers=24, zones=4, limits=limits)
     model.load(3, 4, 2.2)
     model.load(4, 6, 6.0)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -53,10 +53,10 @@
     time = clock.ManualClock(100.0)
     host, member = make_entry(time), make_agent(time)
     list(host.follow(page(0, views.entry_record(host.node), builders.voter("a2"))))
-    pages = to_agent(host.connected(builders.hello("agent-1")))
+    pages = to_agent(host.handle_connect(builders.hello("agent-1")))
     # The agent's heartbeat is still under way.
     pages += to_agent(host.follow(page(2, builders.voter("agent-1"))))
-    list(member.connected(entry_hello()))
+    list(member.handle_connect(entry_hello()))
     pages += to_agent(host.receive("agent-1", messages.Heartbeat(0, 0)))
     for message in pages:
         if isinstance(message, messages.Records):
@@ -71,12 +71,12 @@
     """An agent that returns with an old view must not be sent the newest page alone."""
     time = clock.ManualClock(100.0)
     host, member = make_entry(time), make_agent(time)
-    list(member.connected(entry_hello()))
+    list(member.handle_connect(entry_hello()))
     first = page(0, builders.voter("a2"))
     list(host.follow(first))
     list(member.receive("entry-1", first))
     list(host.follow(page(1, builders.voter("a3"))))
-    pages = to_agent(host.connected(builders.hello("agent-1")))
+    pages = to_agent(host.handle_connect(builders.hello("agent-1")))
     pages += to_agent(host.receive("agent-1", messages.Heartbeat(0, 1)))
     pages += to_agent(host.follow(page(2, builders.voter("agent-1"))))
     for message in pages:
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -52,10 +52,12 @@
     monkeypatch.setattr(follower, "RETRY_S", 0.001)
     output = io.StringIO()
     logs.configure(output, as_json=True)
-    log = events.Events("entry-1", clock.ManualClock())
+    log = events.EventLog("entry-1", clock.ManualClock())
 
     async def run(client, count):
-        source = follower.Follower(client, "keyed.op", log, random.Random(1)).records()
+        source = follower.TopicFollower(
+            client, "keyed.op", log, random.Random(1)
+        ).records()
         return [(await anext(source)).key for _ in range(count)], output.getvalue()
 
     return run
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -145,7 +145,9 @@
 @pytest.fixture
 def judge():
     counters = metrics.Metrics(settings.StatsdSettings())
-    return health.Health(settings.HealthSettings(), clock.ManualClock(), counters)
+    return health.HealthMonitor(
+        settings.HealthSettings(), clock.ManualClock(), counters
+    )
 
 
 def end(judge, record, job, state=DONE, run_ms=50.0, index=0):
--- a/tests/test_jobrecord.py
+++ b/tests/test_jobrecord.py
@@ -21,14 +21,14 @@
 
 @pytest.fixture
 def job():
-    return jobrecord.Record(builders.JOB, 2, 2, 2, "e1", 0.0)
+    return jobrecord.JobRecord(builders.JOB, 2, 2, 2, "e1", 0.0)
 
 
 @settings(derandomize=True, deadline=None, max_examples=150)
 @given(st.lists(STEPS, min_size=5, max_size=40))
 def test_no_interleaving_starts_a_task_twice(steps):
     """Starts, fences, returns and duplicates; only a returned start is repeated."""
-    job = jobrecord.Record(builders.JOB, 1, 0, 1, "e1", 0.0)
+    job = jobrecord.JobRecord(builders.JOB, 1, 0, 1, "e1", 0.0)
     begun = collections.Counter()
     for step in steps:
         if isinstance(step, STATE):
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -14,19 +14,19 @@
         self.first = asyncio.get_running_loop().create_future()
         self.refusals = []
 
-    def opened(self, link):
+    def handle_open(self, link):
         self.first.set_result(link)
 
-    def received(self, link, message):
+    def handle_message(self, link, message):
         raise AssertionError("nothing is sent")
 
-    def closed(self, link):
+    def handle_close(self, link):
         pass
 
-    def refused(self, address):
+    def handle_refused(self, address):
         self.refusals.append(address)
 
-    def rejected(self, reason):
+    def handle_rejected(self, reason):
         raise AssertionError("nothing is sent")
 
 
--- a/tests/test_memberhistory.py
+++ b/tests/test_memberhistory.py
@@ -10,7 +10,7 @@
 
 def announced(count, step=1):
     """Follow announcements of 200 agents that restart in turn; return all states."""
-    kept, view, states = memberhistory.History(), views.View(), [views.View()]
+    kept, view, states = memberhistory.MemberHistory(), views.View(), [views.View()]
     for first in range(0, count, step):
         records = tuple(
             messages.LogRecord(n, f"id-{n}", builders.voter(f"a{n % 200}", n))
@@ -45,7 +45,7 @@
 def test_peer_that_took_a_snapshot_hands_on_the_whole_view():
     """Its own copy of the snapshot is not one that the log holds."""
     kept, states = announced(5000, step=250)
-    peer = memberhistory.History()
+    peer = memberhistory.MemberHistory()
     for page in kept.since(0, states[-1]):
         assert peer.keep(page, 0) == []
     view = views.View()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -20,7 +20,7 @@
 
 def tick(time, view, agents=(), entries=ENTRIES, own="e1", made=None):
     """Return the records that an entry host appends, by name of the node changed."""
-    made = made or membership.Roster(builders.node(own), time)
+    made = made or membership.MembershipPublisher(builders.node(own), time)
     others = [builders.node(name) for name in entries if name != own]
     values = [
         views.json.loads(each.value) for each in made.tick(view, list(agents), others)
@@ -38,7 +38,10 @@
 
 def test_entry_hosts_append_one_after_the_other(time):
     """Entry hosts that all append the same change waste the log's rate."""
-    rosters = {name: membership.Roster(builders.node(name), time) for name in ENTRIES}
+    rosters = {
+        name: membership.MembershipPublisher(builders.node(name), time)
+        for name in ENTRIES
+    }
     agents = [builders.hello("a1")]
     counts = []
     for _ in range(3):
@@ -50,7 +53,7 @@
 
 def test_lost_append_is_repeated_and_a_done_change_is_not(time):
     """An append whose answer was lost must not leave the view as it was."""
-    made = membership.Roster(builders.node("e1"), time)
+    made = membership.MembershipPublisher(builders.node("e1"), time)
     agents = [builders.hello("a1")]
     alone = {"agents": agents, "entries": ("e1",), "made": made}
     view = builders.fold(views.View(), views.entry_record(builders.node("e1")))
@@ -68,7 +71,7 @@
     """A draining voter would leave its groups at once."""
     agents = [builders.hello("a1", draining=True), builders.hello("a2", boot=2)]
     view = builders.fold(BASE, builders.voter("a2"))
-    made = membership.Roster(builders.node("e1"), time)
+    made = membership.MembershipPublisher(builders.node("e1"), time)
     alone = {"agents": agents, "made": made, "entries": ("e1",)}
     assert tick(time, view, **alone) == {"a2": "voter"}
 
@@ -96,7 +99,7 @@
 def test_loss_counts_only_after_its_time(time, loss_s, entries, lost, change):
     """A short cut must not change the view, and a reconnect starts the time anew."""
     view = builders.fold(BASE, builders.voter("a1"))
-    made = membership.Roster(builders.node("e1"), time)
+    made = membership.MembershipPublisher(builders.node("e1"), time)
     back = {"agents": [builders.hello("a1")], "made": made}
     for _ in range(2):
         assert lost not in tick(time, view, entries=entries, made=made)
@@ -113,7 +116,7 @@
 
     One that is cut off from an agent removed it every 10 s, the other one added it.
     """
-    made = membership.Roster(builders.node("e1"), time)
+    made = membership.MembershipPublisher(builders.node("e1"), time)
     view = builders.fold(BASE, builders.voter("a1"))
     removals = 0
     for _ in range(90):
@@ -129,7 +132,7 @@
     monkeypatch.setattr(views, "VOTERS_PER_REGION_LIMIT", 2)
     view = builders.fold(BASE, views.voter_record(builders.hello("a1")))
     agents = [builders.hello("a1", boot=2), builders.hello("a2")]
-    made = membership.Roster(builders.node("e1"), time)
+    made = membership.MembershipPublisher(builders.node("e1"), time)
     appended = {}
     for _ in ENTRIES:
         appended |= tick(time, view, agents, made=made)
@@ -139,7 +142,7 @@
 
 def test_entry_host_does_not_remove_itself(time):
     """It is never among its own connections."""
-    made = membership.Roster(builders.node("e1"), time)
+    made = membership.MembershipPublisher(builders.node("e1"), time)
     for _ in range(2):
         assert "e1" not in tick(time, BASE, made=made)
         time.advance(membership.ENTRY_LOSS_S + len(ENTRIES) * membership.RANK_DELAY_S)
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -28,13 +28,13 @@
             lambda: self.hello, self, 2.5, self.time, random.Random(1), self.counters
         )
 
-    def connected(self, hello):
+    def handle_connect(self, hello):
         self.events.append(f"+{hello.node.name}.{hello.node.boot}")
 
-    def disconnected(self, name):
+    def handle_disconnect(self, name):
         self.events.append(f"-{name}")
 
-    def received(self, name, message):
+    def handle_message(self, name, message):
         self.events.append((name, message))
 
     @property
@@ -298,10 +298,10 @@
     receiver = mock.Mock(spec=stream.Receiver)
     made = stream.Stream(receiver)
     made.connection_made(mock.Mock(spec=asyncio.Transport))
-    receiver.received.side_effect = lambda *_: made.abort()
+    receiver.handle_message.side_effect = lambda *_: made.abort()
     made.data_received(wire.encode(BEAT) * 3)
     made.data_received(wire.encode(BEAT))
-    assert receiver.received.call_count == 1
+    assert receiver.handle_message.call_count == 1
     assert made.send(BEAT) == 0
 
 
@@ -316,7 +316,7 @@
                 (old,) = b.streams
                 # Its end comes late, as with frames that are read already.
                 b.network._link_by_stream = Keeping(b.network._link_by_stream)
-        b.network.received(old, BEAT, 1)
+        b.network.handle_message(old, BEAT, 1)
         assert b.events == ["+a.1", "-a", "+a.2"]
 
 
@@ -374,8 +374,8 @@
     made = stream.Stream(receiver)
     made.connection_made(transport)
     made.data_received(data)
-    assert isinstance(receiver.rejected.call_args.args[1], errors.WireError)
-    assert transport.abort.called and not receiver.truncated.called
+    assert isinstance(receiver.handle_rejected.call_args.args[1], errors.WireError)
+    assert transport.abort.called and not receiver.handle_truncated.called
 
 
 AGENT, ENTRY = messages.Role.AGENT, messages.Role.ENTRY
--- a/tests/test_outcomecache.py
+++ b/tests/test_outcomecache.py
@@ -14,12 +14,12 @@
 
 @pytest.fixture
 def kept(time):
-    return outcomecache.Answers(time, 300.0, 100)
+    return outcomecache.OutcomeCache(time, 300.0, 100)
 
 
 def complete(time, size=40):
     whole = outcome.Complete(1, (b"x" * (size - 10), b"y" * 10))
-    return outcomecache.Kept(whole, 1, b"d", True, time.now())
+    return outcomecache.CachedOutcome(whole, 1, b"d", True, time.now())
 
 
 def test_bytes_are_bounded_and_the_oldest_goes_first(kept, time):
@@ -63,6 +63,6 @@
 def test_may_run_again(time, code, repeatable, expected):
     """A request that is not repeatable runs at most once."""
     failed = outcome.Failed(1, code, "detail")
-    made = outcomecache.Kept(failed, 1, b"d", repeatable, time.now())
+    made = outcomecache.CachedOutcome(failed, 1, b"d", repeatable, time.now())
     assert made.may_run_again is expected
     assert made.size == 6
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -18,13 +18,13 @@
         self.time = clock.ManualClock(100.0)
         self.relay = relay.Relay(self.time, random.Random(seed))
         if held is not None:
-            self.relay.take(held)
+            self.relay.update(held)
 
 
 def test_entry_host_with_the_version_gets_no_copy():
     """Copies to all filled the links of small entry hosts at a series of changes."""
     bench = Bench()
-    bench.relay.heard("e1", 3)
+    bench.relay.record_version("e1", 3)
     bench.time.advance(10)
     assert bench.relay.due() == []
 
@@ -32,10 +32,10 @@
 def test_entry_host_that_catches_up_in_time_gets_no_copy():
     """A change reaches the entry hosts through the store within the first delay."""
     bench = Bench()
-    bench.relay.heard("e1", 2)
+    bench.relay.record_version("e1", 2)
     bench.time.advance(relay.LAG_MIN_S / 2)
     assert bench.relay.due() == []
-    bench.relay.heard("e1", 3)
+    bench.relay.record_version("e1", 3)
     bench.time.advance(10)
     assert bench.relay.due() == []
 
@@ -44,11 +44,11 @@
 def test_entry_host_that_lags_gets_a_copy_and_later_another(version):
     """One that the store turns away must have the version within two seconds."""
     bench = Bench()
-    bench.relay.heard("e1", version)
+    bench.relay.record_version("e1", version)
     bench.time.advance(relay.LAG_MAX_S)
     assert bench.relay.due() == [("e1", FIRST)]
     assert bench.relay.due() == []
-    bench.relay.heard("e1", version)
+    bench.relay.record_version("e1", version)
     bench.time.advance(relay.REPEAT_S)
     assert bench.relay.due() == [("e1", FIRST)]
 
@@ -60,14 +60,14 @@
     """
     benches = [Bench(seed=seed) for seed in range(30)]
     for bench in benches:
-        bench.relay.heard("e1", 0)
+        bench.relay.record_version("e1", 0)
     sent_at = None
     copies = 0
     for step in range(30):
         for bench in benches:
             bench.time.advance(0.05)
             if sent_at is not None and step - sent_at >= 4:
-                bench.relay.heard("e1", 3)
+                bench.relay.record_version("e1", 3)
             copies += len(bench.relay.due())
         if copies and sent_at is None:
             sent_at = step
@@ -77,15 +77,15 @@
 def test_older_configuration_is_not_taken():
     """A version must never go back."""
     bench = Bench(SECOND)
-    assert not bench.relay.take(FIRST)
-    assert not bench.relay.take(SECOND)
+    assert not bench.relay.update(FIRST)
+    assert not bench.relay.update(SECOND)
     assert bench.relay.version == 8
 
 
 def test_relay_without_a_configuration_sends_nothing():
     """An agent that has just started knows less than its entry hosts."""
     bench = Bench(held=None)
-    bench.relay.heard("e1", 0)
+    bench.relay.record_version("e1", 0)
     bench.time.advance(10)
     assert bench.relay.due() == []
 
@@ -93,7 +93,7 @@
 def test_lost_entry_host_is_forgotten():
     """A copy due on an earlier connection must not come at once on a new one."""
     bench = Bench()
-    bench.relay.heard("e1", 0)
+    bench.relay.record_version("e1", 0)
     bench.relay.forget("e1")
     bench.time.advance(10)
     assert bench.relay.due() == []
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -44,9 +44,9 @@
 
     def link(self, agent, free, boot=5, held=(), labels=("a",)):
         hello = assignments.AgentHello(1, agent, boot, "z1", 9, tuple(held))
-        effects = list(self.scheduler.linked(hello, 9))
+        effects = list(self.scheduler.handle_agent_connected(hello, 9))
         info = assignments.WorkerInfo("i", 1, "svc", 4000, 1000, 0, labels)
-        effects += self.scheduler.informed(agent, info)
+        effects += self.scheduler.handle_worker_info(agent, info)
         self.free_by_agent[agent] = free
         return effects + self.report(agent)
 
@@ -64,7 +64,7 @@
             1000,
             True,
         )
-        return list(self.scheduler.reported(agent, load))
+        return list(self.scheduler.handle_load_report(agent, load))
 
     def submit(self, submission=SUBMISSION, ticket=1):
         effects = list(self.scheduler.submit(submission, ticket))
@@ -73,7 +73,7 @@
     def end(self, agent, index, kind, run=1, number=1):
         key = assignments.RunKey(assignments.TaskKey("job", 0, index), run)
         end = assignments.TaskEnd(number, key, kind, 100, run + 1)
-        effects = list(self.scheduler.ended(agent, end))
+        effects = list(self.scheduler.handle_task_end(agent, end))
         return effects + list(self.scheduler.assign())
 
 
@@ -87,7 +87,7 @@
 
 def _verdicts(effects):
     return [
-        effect.verdict for effect in effects if isinstance(effect, assigner.Conclude)
+        effect.verdict for effect in effects if isinstance(effect, assigner.Respond)
     ]
 
 
@@ -206,12 +206,12 @@
     bench = Bench(4000)
     bench.submit()
     key = assignments.RunKey(assignments.TaskKey("job", 0, 0), 1)
-    list(bench.scheduler.unlinked("agent-0"))
+    list(bench.scheduler.handle_agent_disconnected("agent-0"))
     effects = bench.link("agent-0", 4000, held=[key])
     lost = [
         effect.fields["task"]
         for effect in effects
-        if isinstance(effect, actions.Note) and effect.event == "task.ended"
+        if isinstance(effect, actions.LogEvent) and effect.event == "task.ended"
     ]
     assert lost == ["0.1"]
 
@@ -220,7 +220,7 @@
     """Its worker may run them until then."""
     bench = Bench(4000)
     bench.submit(attrs.evolve(SUBMISSION, deadline_s=20.0))
-    list(bench.scheduler.unlinked("agent-0"))
+    list(bench.scheduler.handle_agent_disconnected("agent-0"))
     bench.link("agent-1", 4000)
     bench.time.advance(2.25)
     bench.report("agent-1")
@@ -327,7 +327,7 @@
 
 
 def _session(name, waiting_cpu, rank, demanded_at=100.0):
-    session = entrysessions.OwnerSession(name, 1)
+    session = entrysessions.EntrySession(name, 1)
     session.demand = assignments.Demand(waiting_cpu, rank)
     session.demanded_at = demanded_at
     return session
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -17,19 +17,19 @@
 def test_hello_comes_first_and_once(session):
     """Messages of a node that is not announced must not be acted on."""
     with pytest.raises(errors.WireError, match="Heartbeat came before Hello"):
-        session.hear(BEAT, 10.0)
-    assert session.hear(builders.hello("a1"), 11.0)
+        session.record_activity(BEAT, 10.0)
+    assert session.record_activity(builders.hello("a1"), 11.0)
     assert session.hello.node.name == "a1"
-    assert not session.hear(BEAT, 12.0)
+    assert not session.record_activity(BEAT, 12.0)
     with pytest.raises(errors.WireError, match="twice"):
-        session.hear(builders.hello("a2"), 12.0)
+        session.record_activity(builders.hello("a2"), 12.0)
     assert session.hello.node.name == "a1"
 
 
 def test_other_protocol_is_refused(session):
     """A node of another protocol would misread every later message."""
     with pytest.raises(errors.WireError, match="protocol 2 of a1, allowed is 1"):
-        session.hear(builders.hello("a1", protocol=2), 10.0)
+        session.record_activity(builders.hello("a1", protocol=2), 10.0)
     assert session.hello is None
 
 
@@ -41,8 +41,8 @@
 
 def test_lease_counts_from_the_last_message(session):
     """A dead peer is noticed after the lease, and a busy one never is."""
-    session.hear(builders.hello("a1"), 11.0)
+    session.record_activity(builders.hello("a1"), 11.0)
     assert not session.is_overdue(13.5, 2.5)
-    session.hear(BEAT, 13.0)
+    session.record_activity(BEAT, 13.0)
     assert not session.is_overdue(15.5, 2.5)
     assert session.is_overdue(15.6, 2.5)
--- a/tests/test_tablereplica.py
+++ b/tests/test_tablereplica.py
@@ -32,9 +32,9 @@
 
 
 def read(*pages, **fields):
-    made = tablereplica.Rows(**fields)
+    made = tablereplica.TableReplica(**fields)
     for each in pages:
-        made.read(each)
+        made.apply_log_page(each)
     return made
 
 
@@ -48,7 +48,7 @@
     rng = random.Random(seed)
     made = changes(40)
     source = read(page(made))
-    target = tablereplica.Rows()
+    target = tablereplica.TableReplica()
     versions = [0]
     for _ in range(60):
         start = rng.randrange(40)
@@ -56,18 +56,18 @@
         older = read(page(made[: rng.randint(1, 40)]), kept_limit=rng.choice([0, 50]))
         choice = rng.randrange(3)
         if choice == 0 and part.first <= target.table.next:
-            target.read(part)
+            target.apply_log_page(part)
         elif choice == 1:
-            target.hear("peer", part)
+            target.apply_peer_page("peer", part)
         else:
             for each in older.since(rng.randrange(40)):
-                target.hear("peer", each)
+                target.apply_peer_page("peer", each)
         versions.append(target.version)
         expected = read(page(made[: target.version])) if target.version else target
         assert state(target) == state(expected)
     assert versions == sorted(versions)
     for each in source.since(target.version):
-        target.hear("peer", each)
+        target.apply_peer_page("peer", each)
     assert state(target) == state(source)
 
 
@@ -79,7 +79,7 @@
     for count in range(1, 30):
         target = read(page(made[:count]))
         for each in source.since(target.version):
-            target.hear("peer", each)
+            target.apply_peer_page("peer", each)
         assert state(target) == state(source)
     assert list(source.since(source.version)) == []
 
@@ -90,7 +90,7 @@
     target = read(page(made[:5]), page(made[10:30]))
     assert (target.version, target.table.is_complete) == (5, False)
     for each in read(page(made[:20])).since(5):
-        target.hear("peer", each)
+        target.apply_peer_page("peer", each)
     assert state(target) == state(read(page(made)))
     assert target.table.is_complete
 
@@ -100,28 +100,28 @@
     made = changes(20)
     source = read(page(made))
     later = [record(20, table.snapshot_value(source.table))]
-    source.read(page(later))
+    source.apply_log_page(page(later))
     assert source.kept == 0
     row = table.Row("class", "web")
-    source.read(page([record(21, table.set_value(row, 0))]))
+    source.apply_log_page(page([record(21, table.set_value(row, 0))]))
     assert source.kept == 1
     target = read(page(made[:2]))
     for each in source.since(2):
-        target.hear("peer", each)
+        target.apply_peer_page("peer", each)
     assert state(target) == state(source)
 
 
 def test_majority_of_peers_vouches_only_with_their_version_reached():
     """After a restart in an outage, an older table must not count as current."""
     source = read(page(changes(9)))
-    target = tablereplica.Rows()
+    target = tablereplica.TableReplica()
     others = {"e2", "e3"}
-    target.hear("e2", source.statement())
+    target.apply_peer_page("e2", source.statement())
     assert not target.is_current(others)
-    target.hear("e3", attrs.evolve(source.statement(), first=0, next=0))
+    target.apply_peer_page("e3", attrs.evolve(source.statement(), first=0, next=0))
     assert not target.is_current(others)
     for each in source.since(0):
-        target.hear("e2", each)
+        target.apply_peer_page("e2", each)
     assert target.is_current(others)
     assert not target.is_current(set())
 
@@ -130,5 +130,5 @@
     """The first page of a long log must not make an entry host ready."""
     target = read(page(changes(9)))
     assert not target.is_current({"e2"})
-    target.read(messages.Records("table", 9, 9, ()))
+    target.apply_log_page(messages.Records("table", 9, 9, ()))
     assert target.is_current({"e2"})
--- a/tests/test_workerhealth.py
+++ b/tests/test_workerhealth.py
@@ -12,42 +12,42 @@
 
 def test_failures_of_one_job_eject_no_worker():
     """A job that can never be done fails everywhere."""
-    worker = workerhealth.Vitals()
-    assert not any(worker.failed("job", 1.0) for _ in range(10))
+    worker = workerhealth.WorkerHealth()
+    assert not any(worker.record_failure("job", 1.0) for _ in range(10))
     assert worker.state(1.0) is READY
 
 
 def test_two_jobs_that_fail_in_a_row_eject_and_a_success_between_does_not():
     """Single failures happen on sound workers."""
-    worker = workerhealth.Vitals()
-    worker.failed("a", 1.0)
-    worker.done(0.1, 0.1, 1.0)
-    assert not worker.failed("b", 1.0)
-    assert worker.failed("c", 1.0)
+    worker = workerhealth.WorkerHealth()
+    worker.record_failure("a", 1.0)
+    worker.record_success(0.1, 0.1, 1.0)
+    assert not worker.record_failure("b", 1.0)
+    assert worker.record_failure("c", 1.0)
     assert worker.state(1.5) is EJECTED
     assert worker.state(2.1) is PROBATION
 
 
 def test_failed_trials_come_less_often_and_a_good_one_ends_them():
     """Each trial costs a caller one attempt."""
-    worker, now, pauses = workerhealth.Vitals(), 0.0, []
-    worker.failed("a", now)
-    worker.failed("b", now)
+    worker, now, pauses = workerhealth.WorkerHealth(), 0.0, []
+    worker.record_failure("a", now)
+    worker.record_failure("b", now)
     for number in range(4):
         began = now
         while worker.state(now) is EJECTED:
             now += 0.1
         pauses.append(round(now - began))
-        assert worker.failed(f"trial-{number}", now)
+        assert worker.record_failure(f"trial-{number}", now)
     assert pauses == [1, 2, 4, 4]
     now += 5.0
-    worker.done(0.1, 0.1, now)
+    worker.record_success(0.1, 0.1, now)
     assert worker.state(now) is READY
 
 
 def test_speed_follows_samples_within_bounds_and_returns():
     """A worker that was slow must be tried again, and one sample must not decide."""
-    worker = workerhealth.Vitals()
+    worker = workerhealth.WorkerHealth()
     worker.sample(0.001, 1.0)
     assert worker.current_speed(1.0) > 0.5
     for _ in range(40):
