--- a/src/burdockgate/platform/boot.py
+++ b/src/burdockgate/platform/boot.py
@@ -75,7 +75,7 @@
             configuration_topic="keyed.op",
             configuration_key="config",
             scheduler=assigner.SchedulerSettings(
-                agent_gone_s=scheduler.agent_gone_s(self._gate_settings())
+                agent_gone_s=scheduler.agent_gone_s(self._executor_settings())
             ),
         )
 
@@ -88,10 +88,10 @@
             zone=self.zone,
             entry_addresses=self.entry_addresses(),
             grace_s=self.bounds.grace_s,
-            gate=self._gate_settings(),
+            executor=self._executor_settings(),
         )
 
-    def _gate_settings(self) -> executoractions.ExecutorSettings:
+    def _executor_settings(self) -> executoractions.ExecutorSettings:
         from burdockgate.process import executoractions
 
         return executoractions.ExecutorSettings(
--- a/src/burdockgate/platform/worker.py
+++ b/src/burdockgate/platform/worker.py
@@ -11,11 +11,11 @@
 from burdockgate.platform import http
 from burdockgate.process import workercontrol
 
-# The worker is on the same machine and answers in a millisecond. An order that was
-# given up too early costs one look, which finds out what became of it.
-ORDER_ANSWER_S = 0.08
-# Beyond the wait that the look allows.
-LOOK_ANSWER_S = 0.25
+# The worker is on the same machine and answers in a millisecond. A command that was
+# given up too early costs one poll, which finds out what became of it.
+COMMAND_ANSWER_S = 0.08
+# Beyond the wait that the poll allows.
+POLL_ANSWER_S = 0.25
 # The worker allows 64.
 CONNECTIONS = 16
 # Best-effort jobs have one occurrence.
@@ -69,43 +69,45 @@
         self._client = http.Client(address, CONNECTIONS)
 
     async def start(
-        self, order: workercontrol.StartCommand
+        self, command: workercontrol.StartCommand
     ) -> workercontrol.CommandResult:
         """Start a run."""
         fields = {
-            "task": _task_name(order.key.task),
-            "run": order.key.run,
-            "spec": order.spec,
-            "deadlineMs": order.lease_until_ms,
-            "fencingToken": order.token,
+            "task": _task_name(command.key.task),
+            "run": command.key.run,
+            "spec": command.spec,
+            "deadlineMs": command.lease_until_ms,
+            "fencingToken": command.token,
         }
-        return await self._order("/burdockgate/run-start", order.worker, fields)
+        return await self._order("/burdockgate/run-start", command.worker, fields)
 
     async def stop(
-        self, order: workercontrol.StopCommand
+        self, command: workercontrol.StopCommand
     ) -> workercontrol.CommandResult:
         """Stop a run."""
         fields = {
-            "task": _task_name(order.key.task),
-            "run": order.key.run,
-            "fencingToken": order.token,
+            "task": _task_name(command.key.task),
+            "run": command.key.run,
+            "fencingToken": command.token,
         }
-        return await self._order("/burdockgate/run-stop", order.worker, fields)
+        return await self._order("/burdockgate/run-stop", command.worker, fields)
 
-    async def poll(self, order: workercontrol.PollCommand) -> workercontrol.PollResult:
+    async def poll(
+        self, command: workercontrol.PollCommand
+    ) -> workercontrol.PollResult:
         """Read the lists of runs."""
         fields = {
-            "fencingToken": order.token,
-            "ackedThrough": order.acknowledged,
-            "waitMs": order.wait_ms,
+            "fencingToken": command.token,
+            "ackedThrough": command.acknowledged,
+            "waitMs": command.wait_ms,
         }
-        if order.lease_until_ms is not None:
-            fields["deadlineMs"] = order.lease_until_ms
+        if command.lease_until_ms is not None:
+            fields["deadlineMs"] = command.lease_until_ms
         answer = await self._post(
             "/burdockgate/hold",
-            order.worker,
+            command.worker,
             fields,
-            order.wait_ms / 1000 + LOOK_ANSWER_S,
+            command.wait_ms / 1000 + POLL_ANSWER_S,
         )
         if not isinstance(answer, http.Answer):
             return answer
@@ -123,7 +125,7 @@
     async def _order(
         self, path: str, worker: str, fields: dict[str, Any]
     ) -> workercontrol.CommandResult:
-        answer = await self._post(path, worker, fields, ORDER_ANSWER_S)
+        answer = await self._post(path, worker, fields, COMMAND_ANSWER_S)
         if not isinstance(answer, http.Answer):
             return answer
         if answer.status == _OK:
--- a/src/burdockgate/process/agent.py
+++ b/src/burdockgate/process/agent.py
@@ -61,7 +61,7 @@
         self.claims = claims.ClaimStore(
             node, time, config.timing.retention_s, config.timing.view_limit_s
         )
-        self.rows = tablereplica.TableReplica(kept_limit=0)
+        self.table_replica = tablereplica.TableReplica(kept_limit=0)
         self._config = config
         self._time = time
         self._counters = counters
@@ -99,7 +99,7 @@
     @property
     def table_and_view(self) -> tuple[int, int]:
         """The versions in force here, for heartbeats."""
-        return self.rows.version, self.claims.catchup.view.number
+        return self.table_replica.version, self.claims.catchup.view.number
 
     def handle_connect(self, hello: messages.Hello) -> _Effects:
         """Start a session with a node.
@@ -422,8 +422,8 @@
 
     def _on_records(self, name: str, message: messages.Records) -> _Effects:
         if message.stream == table.STREAM:
-            self.rows.apply_peer_page(name, message)
-            self._counters.gauge("table.version", self.rows.version)
+            self.table_replica.apply_peer_page(name, message)
+            self._counters.gauge("table.version", self.table_replica.version)
             return
         yield from self.follow(message)
 
--- a/src/burdockgate/process/agentdaemon.py
+++ b/src/burdockgate/process/agentdaemon.py
@@ -1,4 +1,4 @@
-"""The daemon beside a worker: performs what its gate decides."""
+"""The daemon beside a worker: performs what its executor decides."""
 
 from __future__ import annotations
 
@@ -34,8 +34,8 @@
 REPORT_INTERVAL_S = 0.2
 # Changes of load within this time go out in one report.
 REPORT_DELAY_S = 0.004
-# A worker that refuses looks must not be asked without a pause.
-LOOK_PAUSE_S = 0.05
+# A worker that refuses polls must not be asked without a pause.
+POLL_PAUSE_S = 0.05
 # What is left of the time for a stop after the last runs were stopped: the worker's
 # limit for a stop, and the delivery of the ends.
 STOP_RESERVE_S = 0.8
@@ -55,11 +55,11 @@
     zone: str
     entry_addresses: tuple[str, ...]
     grace_s: float
-    gate: executoractions.ExecutorSettings
+    executor: executoractions.ExecutorSettings
 
 
 class AgentDaemon(links.Handler, runner.Runnable):
-    """Connects the gate with the worker, the entry hosts and the store.
+    """Connects the executor with the worker, the entry hosts and the store.
 
     :param settings: place and limits.
     :param worker: control of the worker.
@@ -81,11 +81,11 @@
         self._time = clock.BootClock()
         self.events = events.EventLog(settings.name, self._time)
         self.boot = self._rng.getrandbits(BOOT_BITS)
-        self.gate = executor.Executor(settings.gate, self._time)
+        self.executor = executor.Executor(settings.executor, self._time)
         self.links = links.AgentLinks(self, self._time, self._rng)
-        self._link_by_owner: dict[str, stream.Stream] = {}
-        self._owner_by_address: dict[str, str] = {}
-        self._owner_by_link: dict[stream.Stream, str] = {}
+        self._link_by_entry: dict[str, stream.Stream] = {}
+        self._entry_by_address: dict[str, str] = {}
+        self._entry_by_link: dict[stream.Stream, str] = {}
         self._info_sent: dict[str, assignments.WorkerInfo] = {}
         self._relay = relay.Relay(self._time, self._rng)
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -98,16 +98,16 @@
         for address in self._settings.entry_addresses:
             self.links.add(address)
         self._spawn(self._run_timers())
-        self._spawn(self._look())
+        self._spawn(self._poll())
         self._spawn(self._find_entries())
 
     async def stop(self) -> None:
         """Let what runs end, return what waits, and end."""
-        self.events.record("process.stopping", {"running": self.gate.running_count})
-        self._perform(self.gate.leave())
+        self.events.record("process.stopping", {"running": self.executor.running_count})
+        self._perform(self.executor.leave())
         await self._wait_idle(self._settings.grace_s - STOP_RESERVE_S)
-        if self.gate.running_count:
-            self._perform(self.gate.stop_all("agent stops"))
+        if self.executor.running_count:
+            self._perform(self.executor.stop_all("agent stops"))
             await self._wait_idle(STOP_RESERVE_S / 2)
         self._report()
         self.links.close()
@@ -117,11 +117,11 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._worker.close()
         await self._store.close()
-        self.events.record("process.stopped", {"running": self.gate.running_count})
+        self.events.record("process.stopped", {"running": self.executor.running_count})
 
     async def _wait_idle(self, limit_s: float) -> None:
         ends_at = self._time.now() + limit_s
-        while self.gate.running_count and self._time.now() < ends_at:
+        while self.executor.running_count and self._time.now() < ends_at:
             await asyncio.sleep(TICK_S)
 
     def handle_heartbeat(self, told: workercontrol.WorkerHeartbeat) -> None:
@@ -129,7 +129,7 @@
 
         :param told: what it says of itself.
         """
-        self._perform(self.gate.handle_heartbeat(told))
+        self._perform(self.executor.handle_heartbeat(told))
         self._has_worker.set()
 
     def deregistered(self, worker: str) -> None:
@@ -139,7 +139,7 @@
         """
         self.events.record("worker.deregistered", {"worker": worker})
 
-    # Effects of the gate.
+    # Effects of the executor.
 
     def _perform(self, wanted: Iterable[executoractions.Effect]) -> None:
         for effect in wanted:
@@ -148,12 +148,12 @@
                     self.events.record(event, fields)
                 case actions.Send(to, message):
                     self._send(to, message)
-                case executoractions.Start(start_order):
-                    self._spawn(self._start_run(start_order))
-                case executoractions.Stop(stop_order):
-                    self._spawn(self._stop_run(stop_order))
-                case executoractions.Poll(look_order):
-                    self._spawn(self._look_once(look_order))
+                case executoractions.Start(start_command):
+                    self._spawn(self._start_run(start_command))
+                case executoractions.Stop(stop_command):
+                    self._spawn(self._stop_run(stop_command))
+                case executoractions.Poll(poll_command):
+                    self._spawn(self._poll_once(poll_command))
             self._schedule_report()
 
     def _spawn(self, coroutine: Coroutine[Any, Any, _T]) -> asyncio.Task[_T]:
@@ -162,38 +162,38 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
-    async def _start_run(self, order: workercontrol.StartCommand) -> None:
-        answer = await self._worker.start(order)
-        self._perform(self.gate.handle_start_result(order, answer))
+    async def _start_run(self, command: workercontrol.StartCommand) -> None:
+        answer = await self._worker.start(command)
+        self._perform(self.executor.handle_start_result(command, answer))
 
-    async def _stop_run(self, order: workercontrol.StopCommand) -> None:
-        answer = await self._worker.stop(order)
-        self._perform(self.gate.handle_stop_result(order, answer))
+    async def _stop_run(self, command: workercontrol.StopCommand) -> None:
+        answer = await self._worker.stop(command)
+        self._perform(self.executor.handle_stop_result(command, answer))
 
-    async def _look_once(
-        self, order: workercontrol.PollCommand
+    async def _poll_once(
+        self, command: workercontrol.PollCommand
     ) -> workercontrol.PollResult:
-        answer = await self._worker.poll(order)
-        self._perform(self.gate.handle_poll_result(order, answer))
+        answer = await self._worker.poll(command)
+        self._perform(self.executor.handle_poll_result(command, answer))
         return answer
 
-    async def _look(self) -> None:
+    async def _poll(self) -> None:
         await self._has_worker.wait()
         while True:
-            order = self.gate.next_poll()
-            if order is None:
-                await asyncio.sleep(LOOK_PAUSE_S)
+            command = self.executor.next_poll()
+            if command is None:
+                await asyncio.sleep(POLL_PAUSE_S)
                 continue
-            look = self._spawn(self._look_once(order))
-            overdue_s = order.wait_ms / 1000 + self._settings.gate.look_repeat_s
-            done, _ = await asyncio.wait({look}, timeout=overdue_s)
-            if done and not isinstance(look.result(), workercontrol.Snapshot):
-                await asyncio.sleep(LOOK_PAUSE_S)
+            poll = self._spawn(self._poll_once(command))
+            overdue_s = command.wait_ms / 1000 + self._settings.executor.poll_repeat_s
+            done, _ = await asyncio.wait({poll}, timeout=overdue_s)
+            if done and not isinstance(poll.result(), workercontrol.Snapshot):
+                await asyncio.sleep(POLL_PAUSE_S)
 
     # Links.
 
-    def _send(self, owner: str, message: assignments.Message) -> None:
-        link = self._link_by_owner.get(owner)
+    def _send(self, entry: str, message: assignments.Message) -> None:
+        link = self._link_by_entry.get(entry)
         if link is not None:
             link.send(message)
 
@@ -205,37 +205,37 @@
         if isinstance(message, assignments.EntryHello):
             self._greet(link, message)
             return
-        owner = self._owner_by_link.get(link)
-        if owner is None:
+        entry = self._entry_by_link.get(link)
+        if entry is None:
             raise errors.WireError(f"{type(message).__name__} came before the hello")
         match message:
             case assignments.Assign():
-                self._perform(self.gate.handle_assignment(owner, message))
+                self._perform(self.executor.handle_assignment(entry, message))
             case assignments.Renewal():
-                self.gate.handle_renewal(owner, message)
-                self._relay.record_version(owner, message.configuration)
+                self.executor.handle_renewal(entry, message)
+                self._relay.record_version(entry, message.configuration)
             case assignments.Demand():
-                self.gate.handle_demand(owner, message)
+                self.executor.handle_demand(entry, message)
                 self._schedule_report()
             case assignments.Revoke():
-                self._perform(self.gate.handle_revocation(message))
+                self._perform(self.executor.handle_revocation(message))
             case assignments.EntryHosts(addresses):
                 for address in addresses:
                     self.links.add(address)
             case assignments.Configuration():
-                self._hold(owner, message)
+                self._hold(entry, message)
 
     def _greet(self, link: stream.Stream, hello: assignments.EntryHello) -> None:
         if hello.protocol != assignments.PROTOCOL:
             raise errors.WireError(f"protocol {hello.protocol} of {hello.name}")
-        old = self._link_by_owner.get(hello.name)
+        old = self._link_by_entry.get(hello.name)
         if old is not None and old is not link:
-            del self._owner_by_link[old]
+            del self._entry_by_link[old]
             old.abort()
-        boot, held = self.gate.session_state(hello.name)
-        self._link_by_owner[hello.name] = link
-        self._owner_by_link[link] = hello.name
-        self._owner_by_address[self.links.address_of(link)] = hello.name
+        boot, held = self.executor.session_state(hello.name)
+        self._link_by_entry[hello.name] = link
+        self._entry_by_link[link] = hello.name
+        self._entry_by_address[self.links.address_of(link)] = hello.name
         link.send(
             assignments.AgentHello(
                 assignments.PROTOCOL,
@@ -252,23 +252,23 @@
             self._settings.name, self._settings.zone, hello.name, hello.zone
         )
         self._perform(
-            self.gate.handle_entry_connected(hello.name, hello.boot, distance)
+            self.executor.handle_entry_connected(hello.name, hello.boot, distance)
         )
         self._report()
 
-    def _hold(self, owner: str, message: assignments.Configuration) -> None:
+    def _hold(self, entry: str, message: assignments.Configuration) -> None:
         if self._relay.update(message):
             self.events.record(
-                "configuration.held", {"version": message.version, "source": owner}
+                "configuration.held", {"version": message.version, "source": entry}
             )
 
     def handle_close(self, link: stream.Stream) -> None:
         """Handle the end of a connection."""
-        owner = self._owner_by_link.pop(link, None)
-        if owner is not None:
-            del self._link_by_owner[owner]
-            self._relay.forget(owner)
-            self._perform(self.gate.handle_entry_disconnected(owner))
+        entry = self._entry_by_link.pop(link, None)
+        if entry is not None:
+            del self._link_by_entry[entry]
+            self._relay.forget(entry)
+            self._perform(self.executor.handle_entry_disconnected(entry))
 
     def handle_rejected(self, reason: str) -> None:
         """Handle a malformed message."""
@@ -276,9 +276,9 @@
 
     def handle_refused(self, address: str) -> None:
         """Stop the runs of an entry host whose process has ended."""
-        owner = self._owner_by_address.get(address)
-        if owner is not None and owner not in self._link_by_owner:
-            self._perform(self.gate.handle_entry_gone(owner))
+        entry = self._entry_by_address.get(address)
+        if entry is not None and entry not in self._link_by_entry:
+            self._perform(self.executor.handle_entry_gone(entry))
 
     # Time.
 
@@ -296,13 +296,16 @@
 
         :param is_periodic: whether every entry host gets it.
         """
-        info, loads = self.gate.worker_info(), self.gate.due_reports(is_periodic)
-        for owner, load in loads.items():
-            link = self._link_by_owner.get(owner)
+        info, loads = (
+            self.executor.worker_info(),
+            self.executor.due_reports(is_periodic),
+        )
+        for entry, load in loads.items():
+            link = self._link_by_entry.get(entry)
             if link is None:
                 continue
-            if info is not None and self._info_sent.get(owner) != info:
-                self._info_sent[owner] = info
+            if info is not None and self._info_sent.get(entry) != info:
+                self._info_sent[entry] = info
                 link.send(info)
             link.send(load)
 
@@ -312,13 +315,13 @@
             now = self._time.now()
             self.links.watch()
             self.links.dial_due()
-            self._perform(self.gate.tick())
-            for owner, configuration in self._relay.due():
+            self._perform(self.executor.tick())
+            for entry, configuration in self._relay.due():
                 self.events.record(
                     "configuration.relayed",
-                    {"version": configuration.version, "owner": owner},
+                    {"version": configuration.version, "owner": entry},
                 )
-                self._send(owner, configuration)
+                self._send(entry, configuration)
             if now >= report_at:
                 report_at = now + REPORT_INTERVAL_S
                 self._report()
@@ -327,7 +330,7 @@
     async def _find_entries(self) -> None:
         """Read the entry hosts from the store until one is connected."""
         while True:
-            if not self._link_by_owner:
+            if not self._link_by_entry:
                 await self._read_members()
             await asyncio.sleep(STORE_RETRY_S)
 
--- a/src/burdockgate/process/backlog.py
+++ b/src/burdockgate/process/backlog.py
@@ -60,53 +60,53 @@
         self._queue_by_class: dict[str, _ClassQueue] = {}
         self._virtual_time = 0.0
         self._counter = itertools.count()
-        self._queued_by_leader: dict[ownedjob.OwnedJob, _Queued] = {}
+        self._queued_by_job: dict[ownedjob.OwnedJob, _Queued] = {}
 
-    def add(self, leader: ownedjob.OwnedJob, weight: float) -> None:
+    def add(self, job: ownedjob.OwnedJob, weight: float) -> None:
         """Queue a job unless it is queued.
 
-        :param leader: the job; it stays queued until it has no waiting task.
+        :param job: the job; it stays queued until it has no waiting task.
         :param weight: weight of its class.
         """
-        name = leader.request.caller_class
+        name = job.request.caller_class
         queue = self._queue_by_class.get(name)
         if queue is None:
             queue = _ClassQueue(weight, self._virtual_time)
             self._queue_by_class[name] = queue
         queue.weight = weight
         self._drop_ended(queue)
-        self._push(leader)
+        self._push(job)
 
     def _drop_ended(self, queue: _ClassQueue) -> None:
         """Release jobs that ended while no slot was free, to bound the memory."""
         while queue.heap:
-            _, number, leader = queue.heap[0]
-            if self._is_queued(number, leader) and leader.outcome is None:
+            _, number, job = queue.heap[0]
+            if self._is_queued(number, job) and job.outcome is None:
                 return
             self._pop(queue)
 
-    def _is_queued(self, number: int, leader: ownedjob.OwnedJob) -> bool:
-        queued = self._queued_by_leader.get(leader)
+    def _is_queued(self, number: int, job: ownedjob.OwnedJob) -> bool:
+        queued = self._queued_by_job.get(job)
         return queued is not None and queued.number == number
 
     def _pop(self, queue: _ClassQueue) -> ownedjob.OwnedJob | None:
         """Take the first entry, and return its job unless it counts no more."""
-        _, number, leader = heapq.heappop(queue.heap)
-        if not self._is_queued(number, leader):
+        _, number, job = heapq.heappop(queue.heap)
+        if not self._is_queued(number, job):
             queue.dropped -= 1
             return None
-        queue.tasks -= self._queued_by_leader.pop(leader).tasks
-        return leader
+        queue.tasks -= self._queued_by_job.pop(job).tasks
+        return job
 
-    def drop(self, leader: ownedjob.OwnedJob) -> None:
+    def drop(self, job: ownedjob.OwnedJob) -> None:
         """Release a job that has ended.
 
-        :param leader: the job; one that is not queued is ignored.
+        :param job: the job; one that is not queued is ignored.
         """
-        queued = self._queued_by_leader.pop(leader, None)
+        queued = self._queued_by_job.pop(job, None)
         if queued is None:
             return
-        queue = self._queue_by_class[leader.request.caller_class]
+        queue = self._queue_by_class[job.request.caller_class]
         queue.tasks -= queued.tasks
         queue.dropped += 1
         # Entries are removed in bulk, so that a wave of cancellations stays linear.
@@ -129,40 +129,40 @@
             while len(passed) < PASSED_LIMIT:
                 if (name := self._next_class()) is None:
                     break
-                leader = self._pop(self._queue_by_class[name])
-                if leader is None or (before := leader.waiting_count) == 0:
+                job = self._pop(self._queue_by_class[name])
+                if job is None or (before := job.waiting_count) == 0:
                     continue
-                passed.append(leader)
-                yield leader
-                if leader.waiting_count != before:
+                passed.append(job)
+                yield job
+                if job.waiting_count != before:
                     self._push(passed.pop())
         finally:
-            for leader in passed:
-                self._push(leader, is_last=len(passed) >= PASSED_LIMIT)
+            for job in passed:
+                self._push(job, is_last=len(passed) >= PASSED_LIMIT)
             self._drop_empty()
 
-    def _push(self, leader: ownedjob.OwnedJob, is_last: bool = False) -> None:
-        tasks = leader.waiting_count
-        queued = self._queued_by_leader.get(leader)
-        queue = self._queue_by_class[leader.request.caller_class]
+    def _push(self, job: ownedjob.OwnedJob, is_last: bool = False) -> None:
+        tasks = job.waiting_count
+        queued = self._queued_by_job.get(job)
+        queue = self._queue_by_class[job.request.caller_class]
         if queued is not None:
             queue.tasks += tasks - queued.tasks
             queued.tasks = tasks
         elif tasks:
             number = next(self._counter)
-            self._queued_by_leader[leader] = _Queued(number, tasks)
+            self._queued_by_job[job] = _Queued(number, tasks)
             queue.tasks += tasks
-            rank = queue.last_rank if is_last else _rank(leader)
+            rank = queue.last_rank if is_last else _rank(job)
             queue.last_rank = max(queue.last_rank, rank)
-            heapq.heappush(queue.heap, (rank, number, leader))
+            heapq.heappush(queue.heap, (rank, number, job))
 
-    def charge(self, leader: ownedjob.OwnedJob, work: float) -> None:
+    def charge(self, job: ownedjob.OwnedJob, work: float) -> None:
         """Count work sent against the class of a job.
 
-        :param leader: the job.
+        :param job: the job.
         :param work: amount of work, such as expected ms.
         """
-        queue = self._queue_by_class[leader.request.caller_class]
+        queue = self._queue_by_class[job.request.caller_class]
         self._virtual_time = max(self._virtual_time, queue.virtual_time)
         queue.virtual_time += work / queue.weight
 
@@ -184,9 +184,9 @@
         for name, queue in self._queue_by_class.items():
             if queue.heap and self._may_start(name):
                 while queue.heap:
-                    _, number, leader = queue.heap[0]
-                    if self._is_queued(number, leader) and leader.waiting_count:
-                        yield leader
+                    _, number, job = queue.heap[0]
+                    if self._is_queued(number, job) and job.waiting_count:
+                        yield job
                         break
                     self._pop(queue)
 
@@ -219,5 +219,5 @@
                 del self._queue_by_class[name]
 
 
-def _rank(leader: ownedjob.OwnedJob) -> float:
-    return leader.arrived_at + SECONDS_PER_WAITING_TASK * leader.waiting_count
+def _rank(job: ownedjob.OwnedJob) -> float:
+    return job.arrived_at + SECONDS_PER_WAITING_TASK * job.waiting_count
--- a/src/burdockgate/process/dispatch.py
+++ b/src/burdockgate/process/dispatch.py
@@ -31,15 +31,15 @@
         tuple[ownedjob.OwnedJob, messages.Node, list[messages.TaskStart]],
     ] = attrs.field(factory=dict)
 
-    def add(self, leader: ownedjob.OwnedJob, node: messages.Node) -> int:
-        key = (node.name, leader.request.job)
-        _, _, tasks = self.tasks_by_pair.setdefault(key, (leader, node, []))
-        tasks.append(leader.take(node))
+    def add(self, job: ownedjob.OwnedJob, node: messages.Node) -> int:
+        key = (node.name, job.request.job)
+        _, _, tasks = self.tasks_by_pair.setdefault(key, (job, node, []))
+        tasks.append(job.take(node))
         return tasks[-1].index
 
     def sends(self) -> _Effects:
-        for leader, node, tasks in self.tasks_by_pair.values():
-            yield leader.start_message(node, tasks)
+        for job, node, tasks in self.tasks_by_pair.values():
+            yield job.start_message(node, tasks)
 
 
 class Dispatcher:
@@ -66,33 +66,33 @@
         self._is_reweighed = False
         self._heads_asked_by_service: dict[str, tuple[object, ...]] = {}
 
-    def add(self, leader: ownedjob.OwnedJob, weight: float) -> None:
+    def add(self, job: ownedjob.OwnedJob, weight: float) -> None:
         """Queue a job that has waiting tasks.
 
-        :param leader: the job.
+        :param job: the job.
         :param weight: weight of its class.
         """
-        service = leader.request.service
+        service = job.request.service
         queue = self._backlog_by_service.get(service)
         if queue is None:
             queue = backlog.Backlog(lambda name: self._may_start("class", name))
             self._backlog_by_service[service] = queue
-        queue.add(leader, weight)
+        queue.add(job, weight)
         # A returned task used no slot, so its class must not be charged for it.
-        for task in leader.returned:
-            queue.charge(leader, -_work(task))
+        for task in job.returned:
+            queue.charge(job, -_work(task))
             if self._limits is not None:
-                self._limits.returned(leader.request)
-        leader.returned.clear()
+                self._limits.returned(job.request)
+        job.returned.clear()
 
-    def drop(self, leader: ownedjob.OwnedJob) -> None:
+    def drop(self, job: ownedjob.OwnedJob) -> None:
         """Release a job that has ended or that another entry host owns now.
 
-        :param leader: the job.
+        :param job: the job.
         """
-        queue = self._backlog_by_service.get(leader.request.service)
+        queue = self._backlog_by_service.get(job.request.service)
         if queue is not None:
-            queue.drop(leader)
+            queue.drop(job)
 
     def reweigh(self, weight: Callable[[str, str], float]) -> None:
         """Apply changed weights to the jobs that wait.
@@ -131,9 +131,9 @@
         if not free or not self._may_start("service", service):
             return
         batches = _Batches()
-        for leader in queue.in_order():
-            if not self._take_one(queue, leader, free, batches):
-                outside(leader)
+        for job in queue.in_order():
+            if not self._take_one(queue, job, free, batches):
+                outside(job)
             if not free or not self._may_start("service", service):
                 break
         yield from batches.sends()
@@ -141,46 +141,44 @@
     def _take_one(
         self,
         queue: backlog.Backlog,
-        leader: ownedjob.OwnedJob,
+        job: ownedjob.OwnedJob,
         free: pool.Pool,
         batches: _Batches,
     ) -> bool:
-        worker = self._pick(leader, free)
+        worker = self._pick(job, free)
         if worker is None:
             return False
-        index = batches.add(leader, worker.node)
+        index = batches.add(job, worker.node)
         self._workers.take(worker)
         if self._workers.health is not None:
-            request = leader.request
+            request = job.request
             self._workers.health.sent(
                 worker.record, request.caller_class, request.job, index
             )
         if self._limits is not None:
-            self._limits.started(leader.request)
-        queue.charge(leader, _work(leader.request.tasks[index]))
+            self._limits.started(job.request)
+        queue.charge(job, _work(job.request.tasks[index]))
         self._counters.count("tasks.sent")
         return True
 
-    def _pick(
-        self, leader: ownedjob.OwnedJob, free: pool.Pool
-    ) -> directory.Worker | None:
+    def _pick(self, job: ownedjob.OwnedJob, free: pool.Pool) -> directory.Worker | None:
         """Choose among the free workers or in the scope, whichever is smaller."""
-        task, scope = leader.next_task, leader.terms.scope
+        task, scope = job.next_task, job.terms.scope
         known = self._workers.worker_by_name
 
         def check(worker: directory.Worker | None) -> directory.Worker | None:
             if worker is None or worker.free <= 0 or not _fits(worker, task):
                 return None
-            if worker.hello.service != leader.request.service:
+            if worker.hello.service != job.request.service:
                 return None
             if not self._workers.may_get(worker):
                 lapsed.append(worker)
                 return None
-            return worker if leader.allows(worker.node) else None
+            return worker if job.allows(worker.node) else None
 
         lapsed: list[directory.Worker] = []
         # Policies would seldom choose the few workers that must prove themselves.
-        proving = self._workers.service(leader.request.service).proving
+        proving = self._workers.service(job.request.service).proving
         found = next(filter(check, proving.values()), None)
         if found is None and SMALL_SCOPE < len(scope) > len(free):
             found = self._policy.pick(len(free), lambda place: check(free[place]))
--- a/src/burdockgate/process/entry.py
+++ b/src/burdockgate/process/entry.py
@@ -25,7 +25,7 @@
 from burdockgate.version import table
 from burdockgate.version import view as views
 
-ROSTER_INTERVAL_S = 0.2
+MEMBERSHIP_INTERVAL_S = 0.2
 
 _Effects = Iterator[effects.Effect]
 
@@ -52,14 +52,14 @@
     ) -> None:
         self.node = node
         self.draining = False
-        self.rows = tablereplica.TableReplica()
+        self.table_replica = tablereplica.TableReplica()
         self.health = health.HealthMonitor(config.health, time, counters)
         self.workers = directory.Directory(time, config.timing.lease_s, self.health)
         self._config = config
         self._time = time
         self._counters = counters
         self._limits = limits.Limits(
-            self.rows, time, lambda: len(self.view.entry_by_name)
+            self.table_replica, time, lambda: len(self.view.entry_by_name)
         )
         self._dispatcher = dispatch.Dispatcher(
             self.workers,
@@ -77,8 +77,8 @@
             self._dispatcher,
             self._limits,
         )
-        self._roster = membership.MembershipPublisher(node, time)
-        self._roster_at = time.now()
+        self._membership = membership.MembershipPublisher(node, time)
+        self._membership_at = time.now()
         retention_s = config.platform.log_retention_s
         self._snapshots_by_stream = {
             stream: snapshots.Snapshots(stream, node, time, retention_s)
@@ -86,7 +86,7 @@
         }
         self._is_current = False
         self._peer_table_version_by_name: dict[str, int] = {}
-        self._members = memberhistory.MemberHistory()
+        self._member_history = memberhistory.MemberHistory()
         # Up to which view each agent has been sent the records, once it has told its
         # own in this session. A page that begins later would be a gap in its view.
         self._view_number_by_worker: dict[str, int] = {}
@@ -115,7 +115,7 @@
         # Without the view, the first peer to connect would seem to be the majority.
         if not self._is_current and self.view.entry_by_name:
             others = {*self.view.entry_by_name, *self.jobs.peer_by_name}
-            self._is_current = self.rows.is_current(others - {self.node.name})
+            self._is_current = self.table_replica.is_current(others - {self.node.name})
         return self._is_current
 
     @property
@@ -125,7 +125,7 @@
         return {
             **known,
             **self._peer_table_version_by_name,
-            self.node.name: self.rows.version,
+            self.node.name: self.table_replica.version,
         }
 
     @property
@@ -224,7 +224,7 @@
             for worker in self.workers.worker_by_name:
                 yield effects.Send(worker, self._peers())
             if self.has_current_table:
-                yield effects.Send(name, self.rows.statement())
+                yield effects.Send(name, self.table_replica.statement())
 
     def handle_disconnect(self, name: str) -> _Effects:
         """End a session.
@@ -255,7 +255,7 @@
         yield from self._dispatcher.run(self.jobs.widen)
 
     def _heartbeat(self, age_s: int = messages.UNKNOWN_AGE_S) -> messages.Heartbeat:
-        return messages.Heartbeat(self.rows.version, self.view.number, age_s)
+        return messages.Heartbeat(self.table_replica.version, self.view.number, age_s)
 
     def _peers(self) -> messages.Peers:
         peers = {**self.view.entry_by_name, **self.jobs.peer_by_name}
@@ -297,18 +297,18 @@
             self._peer_table_version_by_name[name] = message.table_version
             if message.view_number <= self.view.number:
                 self.jobs.check_view(message.view_age_s)
-        for records in self.rows.since(message.table_version):
+        for records in self.table_replica.since(message.table_version):
             yield effects.Send(name, records)
         if message.view_number < self.view.number:
-            for records in self._members.since(message.view_number, self.view):
+            for records in self._member_history.since(message.view_number, self.view):
                 yield effects.Send(name, records)
 
     def _on_records(self, name: str, message: messages.Records) -> _Effects:
         if message.stream == views.STREAM:
             yield from self._follow_members(message)
         elif message.stream == table.STREAM:
-            version, was_current = self.rows.version, self.has_current_table
-            self.rows.apply_peer_page(name, message)
+            version, was_current = self.table_replica.version, self.has_current_table
+            self.table_replica.apply_peer_page(name, message)
             yield from self._table_followed(version, was_current)
 
     def follow(self, message: messages.Records) -> _Effects:
@@ -321,27 +321,27 @@
             if message.next == message.first:
                 self.jobs.check_view(0)
         elif message.stream == table.STREAM:
-            version, was_current = self.rows.version, self.has_current_table
-            self.rows.apply_log_page(message)
+            version, was_current = self.table_replica.version, self.has_current_table
+            self.table_replica.apply_log_page(message)
             self._snapshots_by_stream[table.STREAM].see(message.records)
             yield from self._table_followed(version, was_current)
 
     def _table_followed(self, version: int, was_current: bool) -> _Effects:
         """Hand on what is new, and tell the peers once the table is current."""
-        if self.rows.version > version:
-            self._counters.gauge("table.version", self.rows.version)
+        if self.table_replica.version > version:
+            self._counters.gauge("table.version", self.table_replica.version)
             self._dispatcher.reweigh(self._limits.weight)
             for name in (*self.workers.worker_by_name, *self.jobs.peer_by_name):
                 known = self._peer_table_version_by_name.get(name, version)
-                for records in self.rows.since(min(known, version)):
+                for records in self.table_replica.since(min(known, version)):
                     yield effects.Send(name, records)
         if not was_current and self.has_current_table:
             for name in self.jobs.peer_by_name:
-                yield effects.Send(name, self.rows.statement())
+                yield effects.Send(name, self.table_replica.statement())
 
     def _follow_members(self, message: messages.Records) -> _Effects:
         number = self.view.number
-        new = self._members.keep(message, number)
+        new = self._member_history.keep(message, number)
         self._snapshots_by_stream[views.STREAM].see(new)
         for view in views.follow(self.view, message):
             self.jobs.view = view
@@ -357,7 +357,9 @@
         pages_by_number: dict[int, list[messages.Records]] = {}
         for name, number in list(self._view_number_by_worker.items()):
             if number not in pages_by_number:
-                pages_by_number[number] = list(self._members.since(number, self.view))
+                pages_by_number[number] = list(
+                    self._member_history.since(number, self.view)
+                )
             for records in pages_by_number[number]:
                 yield effects.Send(name, records)
             self._view_number_by_worker[name] = self.view.number
@@ -370,9 +372,9 @@
         yield from self.jobs.tick()
         yield from self._dispatch()
         now = self._time.now()
-        if now - self._roster_at >= ROSTER_INTERVAL_S:
-            self._roster_at = now
-            yield from self._roster.tick(
+        if now - self._membership_at >= MEMBERSHIP_INTERVAL_S:
+            self._membership_at = now
+            yield from self._membership.tick(
                 self.view,
                 [worker.hello for worker in self.workers.worker_by_name.values()],
                 self.jobs.peer_by_name.values(),
@@ -387,7 +389,7 @@
                 yield effects.Dial(node)
 
     def _append_snapshots(self) -> _Effects:
-        peers, current = self.jobs.peer_by_name, self.rows.table
+        peers, current = self.jobs.peer_by_name, self.table_replica.table
         members = self._snapshots_by_stream[views.STREAM]
         if members.is_due and self.view.is_complete and self.view.number:
             value = views.snapshot_record(self.view)
--- a/src/burdockgate/process/entryhost.py
+++ b/src/burdockgate/process/entryhost.py
@@ -271,7 +271,7 @@
             "boot": self.boot,
             "ready": not reason,
             "not_ready_reason": reason,
-            "table_version": self.core.rows.version,
+            "table_version": self.core.table_replica.version,
             "table_version_by_entry": self.core.table_version_by_entry,
             "view_number": self.core.view.number,
             "voters": sorted(self.core.view.voter_by_name),
--- a/src/burdockgate/process/entrysessions.py
+++ b/src/burdockgate/process/entrysessions.py
@@ -118,18 +118,18 @@
         (session for session in sessions if session.has_demand(now)),
         key=lambda session: (session.demand.rank, session.served_at, session.name),
     )
-    share_by_owner: dict[str, int] = {}
+    share_by_entry: dict[str, int] = {}
     for session in demanding:
         share = min(free_cpu, session.demand.waiting_cpu)
-        share_by_owner[session.name] = share
+        share_by_entry[session.name] = share
         free_cpu -= share
     for session in sessions:
-        share_by_owner[session.name] = share_by_owner.get(session.name, 0) + free_cpu
-    return share_by_owner
+        share_by_entry[session.name] = share_by_entry.get(session.name, 0) + free_cpu
+    return share_by_entry
 
 
 def distance(
-    agent: str, agent_zone: str, owner: str, owner_zone: str
+    agent: str, agent_zone: str, entry: str, entry_zone: str
 ) -> tuple[bool, int]:
     """Return how far an owner is from an agent: its zone, then a hash of both names.
 
@@ -137,11 +137,11 @@
 
     :param agent: name of the agent.
     :param agent_zone: its zone.
-    :param owner: name of the entry host.
-    :param owner_zone: its zone.
+    :param entry: name of the entry host.
+    :param entry_zone: its zone.
     """
-    pair = f"{agent}\0{owner}".encode()
-    return owner_zone != agent_zone, xxhash.xxh3_64_intdigest(pair)
+    pair = f"{agent}\0{entry}".encode()
+    return entry_zone != agent_zone, xxhash.xxh3_64_intdigest(pair)
 
 
 def nearest(sessions: Iterable[EntrySession], count: int) -> set[str]:
--- a/src/burdockgate/process/executor.py
+++ b/src/burdockgate/process/executor.py
@@ -1,7 +1,7 @@
 """Decides what runs on the worker beside an agent.
 
-The gate is the only one that gives the worker orders, so it alone keeps the worker
-within its capacity.
+The executor is the only one that gives the worker commands, so it alone keeps the
+worker within its capacity.
 """
 
 from __future__ import annotations
@@ -33,7 +33,7 @@
         self, settings: executoractions.ExecutorSettings, time: clock.Clock
     ) -> None:
         super().__init__(settings, time)
-        self.session_by_owner: dict[str, entrysessions.EntrySession] = {}
+        self.session_by_entry: dict[str, entrysessions.EntrySession] = {}
 
     def due_reports(
         self, is_periodic: bool = True
@@ -44,17 +44,17 @@
             since the last report matters.
         """
         now, state = self._time.now(), self.worker_state()
-        sessions = self.session_by_owner.values()
-        near = entrysessions.nearest(sessions, self._settings.near_owners)
+        sessions = self.session_by_entry.values()
+        near = entrysessions.nearest(sessions, self._settings.near_entries)
         used = self._runs.used()
         queued_cpu = sum(run.cpu for run in self._runs.queued())
         capacity = self._worker.told.cpu if self._worker else 0
         free_cpu = max(0, capacity - used.cpu - queued_cpu)
-        share_by_owner = entrysessions.share_out(free_cpu, sessions, now)
-        speed = int(self._vitals.current_speed(now) * 1000)
+        share_by_entry = entrysessions.share_out(free_cpu, sessions, now)
+        speed = int(self._health.current_speed(now) * 1000)
         loads = {}
-        for name, session in self.session_by_owner.items():
-            share = share_by_owner[name]
+        for name, session in self.session_by_entry.items():
+            share = share_by_entry[name]
             ample_cpu = min(share, int(AMPLE_SHARE * capacity))
             news = entrysessions.ReportedLoad(state, ample_cpu if name in near else 0)
             is_due = session.is_outdated or news != session.told
@@ -83,72 +83,72 @@
             return True
         return now - session.told_at >= self._settings.distant_report_s
 
-    def handle_demand(self, owner: str, message: assignments.Demand) -> None:
+    def handle_demand(self, entry: str, message: assignments.Demand) -> None:
         """Note what waits at an entry host.
 
-        :param owner: name of the entry host.
+        :param entry: name of the entry host.
         :param message: its demand.
         """
-        session = self.session_by_owner[owner]
+        session = self.session_by_entry[entry]
         session.demand, session.demanded_at = message, self._time.now()
 
-    def session_state(self, owner: str) -> tuple[int, tuple[assignments.RunKey, ...]]:
+    def session_state(self, entry: str) -> tuple[int, tuple[assignments.RunKey, ...]]:
         """Return the known boot of an entry host and the runs held for it.
 
-        :param owner: name of the entry host; empty boot and runs for a new one.
+        :param entry: name of the entry host; empty boot and runs for a new one.
         """
-        session = self.session_by_owner.get(owner)
+        session = self.session_by_entry.get(entry)
         if session is None:
             return 0, ()
-        return session.boot, tuple(run.key for run in self._runs.of_owner(owner))
+        return session.boot, tuple(run.key for run in self._runs.of_owner(entry))
 
     def handle_entry_connected(
-        self, owner: str, boot: int, distance: tuple[bool, int] = (False, 0)
+        self, entry: str, boot: int, distance: tuple[bool, int] = (False, 0)
     ) -> Iterator[executoractions.Effect]:
         """Handle a new connection to an entry host.
 
-        :param owner: name of the entry host.
+        :param entry: name of the entry host.
         :param boot: number of the life of its process.
         :param distance: how far it is, as :func:`entrysessions.distance` gives it.
         """
-        session = self.session_by_owner.get(owner)
+        session = self.session_by_entry.get(entry)
         if session is not None and session.boot == boot:
             session.is_linked = True
             session.assigned_through = 0
             session.told = None
             for end in session.unacknowledged():
-                yield actions.Send(owner, end)
+                yield actions.Send(entry, end)
             return
         if session is not None:
-            yield actions.LogEvent("owner.restarted", {"owner": owner, "boot": boot})
-            yield from self._abandon(owner, "owner restarted")
-        self.session_by_owner[owner] = entrysessions.EntrySession(owner, boot, distance)
+            yield actions.LogEvent("owner.restarted", {"owner": entry, "boot": boot})
+            yield from self._abandon(entry, "owner restarted")
+        self.session_by_entry[entry] = entrysessions.EntrySession(entry, boot, distance)
 
-    def handle_entry_disconnected(self, owner: str) -> Iterator[executoractions.Effect]:
+    def handle_entry_disconnected(self, entry: str) -> Iterator[executoractions.Effect]:
         """Handle the loss of the connection to an entry host.
 
-        :param owner: its name.
+        :param entry: its name.
         """
-        session = self.session_by_owner.get(owner)
+        session = self.session_by_entry.get(entry)
         if session is not None and session.is_linked:
             session.is_linked = False
-            yield actions.LogEvent("owner.unlinked", {"owner": owner})
+            yield actions.LogEvent("owner.unlinked", {"owner": entry})
 
-    def handle_entry_gone(self, owner: str) -> Iterator[executoractions.Effect]:
+    def handle_entry_gone(self, entry: str) -> Iterator[executoractions.Effect]:
         """Handle a refused connection: the process of the entry host has ended.
 
-        :param owner: its name.
+        :param entry: its name.
         """
-        if owner in self.session_by_owner:
-            yield from self._abandon(owner, "owner ended")
+        if entry in self.session_by_entry:
+            yield from self._abandon(entry, "owner ended")
 
-    def handle_renewal(self, owner: str, message: assignments.Renewal) -> None:
+    def handle_renewal(self, entry: str, message: assignments.Renewal) -> None:
         """Extend the session lease.
 
-        :param owner: name of the entry host.
+        :param entry: name of the entry host.
         :param message: what it acknowledged.
         """
-        session = self.session_by_owner[owner]
+        session = self.session_by_entry[entry]
         echoed = message.echo_us / 1_000_000
         session.leased_until = max(
             session.leased_until, echoed + self._settings.session_lease_s
@@ -156,20 +156,20 @@
         session.acknowledge(message.ends_through)
 
     def handle_assignment(
-        self, owner: str, message: assignments.Assign
+        self, entry: str, message: assignments.Assign
     ) -> Iterator[executoractions.Effect]:
         """Queue runs that an entry host has assigned.
 
-        :param owner: name of the entry host.
+        :param entry: name of the entry host.
         :param message: the runs.
         """
-        now, session = self._time.now(), self.session_by_owner[owner]
+        now, session = self._time.now(), self.session_by_entry[entry]
         session.assigned_through = message.number
         for index, number in zip(message.indexes, message.runs, strict=True):
             task = assignments.TaskKey(message.job, message.step, index)
             run = runs.Run(
                 assignments.RunKey(task, number),
-                owner,
+                entry,
                 message.spec,
                 message.cpu,
                 message.memory_mb,
@@ -235,8 +235,8 @@
                 yield from self._stop(run, "revoked")
         yield from self._fill()
 
-    def _abandon(self, owner: str, reason: str) -> Iterator[executoractions.Effect]:
-        for run in self._runs.of_owner(owner):
+    def _abandon(self, entry: str, reason: str) -> Iterator[executoractions.Effect]:
+        for run in self._runs.of_owner(entry):
             yield from self._stop(run, reason)
 
     def _return_queued(self, reason: str) -> Iterator[executoractions.Effect]:
@@ -275,11 +275,11 @@
             key=lambda run: (run.start_by < now, run.priority, run.estimate_s),
         )
         for run in waiting:
-            if now >= self.session_by_owner[run.owner].leased_until:
+            if now >= self.session_by_entry[run.owner].leased_until:
                 yield from self._return(run, "session lapsed")
             elif capacity.fits(used, run):
                 used.add(run)
-                self.session_by_owner[run.owner].served_at = now
+                self.session_by_entry[run.owner].served_at = now
                 yield from self._start(run, worker, now)
                 if state is assignments.WorkerState.PROBATION:
                     return
@@ -298,7 +298,7 @@
         yield from self._fill()
 
     def _expire_sessions(self, now: float) -> Iterator[executoractions.Effect]:
-        for session in self.session_by_owner.values():
+        for session in self.session_by_entry.values():
             if now < session.leased_until:
                 continue
             held = self._runs.of_owner(session.name)
@@ -330,8 +330,8 @@
         self._runs.by_key.pop(run.key, None)
         ran_s = now - run.started_at if run.started_at else 0.0
         if kind is assignments.EndKind.DONE:
-            self._vitals.record_success(ran_s, run.estimate_s, now)
-        elif kind is assignments.EndKind.FAILED and self._vitals.record_failure(
+            self._health.record_success(ran_s, run.estimate_s, now)
+        elif kind is assignments.EndKind.FAILED and self._health.record_failure(
             run.key.task.job, now
         ):
             yield actions.LogEvent("worker.ejected", {"reason": "failed tasks"})
@@ -347,7 +347,7 @@
                 "token": run.token,
             },
         )
-        session = self.session_by_owner.get(run.owner)
+        session = self.session_by_entry.get(run.owner)
         if session is not None:
             number = next_run if next_run is not None else run.key.run + 1
             yield actions.Send(
--- a/src/burdockgate/process/lifecycle.py
+++ b/src/burdockgate/process/lifecycle.py
@@ -45,7 +45,7 @@
         if held is not None and held.request is not None:
             yield from self._join(held, request, ticket)
             return
-        kept = self._answers.get(request.job)
+        kept = self._outcomes.get(request.job)
         if kept is not None:
             yield from self._repeat(request, ticket, kept, refusal, detail)
             return
@@ -82,7 +82,7 @@
             self._counters.count("jobs.joined")
             yield effects.Answer(ticket, kept.outcome)
         else:
-            self._answers.drop(request.job)
+            self._outcomes.drop(request.job)
             held = self._open(request.job, request.deadline_ms / 1000)
             self._set_request(held, request)
             self._await(held, ticket)
@@ -97,7 +97,7 @@
         :param cancels: whether to cancel the job.
         """
         held = self._find(job_id)
-        kept = self._answers.get(job_id)
+        kept = self._outcomes.get(job_id)
         if held is None and kept is not None:
             yield effects.Answer(ticket, kept.outcome)
             return
@@ -136,8 +136,8 @@
         """
         held = self._submission_by_job.get(job_id)
         if held is None:
-            return self._answers.get(job_id) is not None
-        return held.leader is not None
+            return self._outcomes.get(job_id) is not None
+        return held.owned_job is not None
 
     def forget(self, ticket: int) -> None:
         """Drop a caller that no longer waits; its job goes on.
@@ -149,8 +149,8 @@
             held.tickets.discard(ticket)
 
     def _cancel(self, held: _Submission) -> _Effects:
-        if held.leader is not None:
-            yield from held.leader.cancel()
+        if held.owned_job is not None:
+            yield from held.owned_job.cancel()
             yield from self._after(held)
         elif held.owner is not None:
             yield effects.Send(held.owner.name, messages.Detach(held.job, cancel=True))
@@ -161,7 +161,7 @@
 
     def tick(self) -> _Effects:
         """Do what is due; call at least ten times a second."""
-        self._answers.expire()
+        self._outcomes.expire()
         self._forget_cancels()
         for held in self._due():
             yield from self._tick(held)
@@ -200,13 +200,13 @@
     def _due_at(self, held: _Submission) -> float:
         """Return when :meth:`_tick` has something to do, if nothing changes."""
         due = [current.due_at for current in ownership.claimants(held)]
-        if held.leader is not None:
-            due.append(held.leader.due_at)
+        if held.owned_job is not None:
+            due.append(held.owned_job.due_at)
             if held.confirmation is not None:
                 due.append(held.deadline_at)
-            queue_s = self._limits.queue_s(held.leader.request)
-            if queue_s is not None and held.leader.first_sent_at is None:
-                due.append(held.leader.arrived_at + queue_s)
+            queue_s = self._limits.queue_s(held.owned_job.request)
+            if queue_s is not None and held.owned_job.first_sent_at is None:
+                due.append(held.owned_job.arrived_at + queue_s)
         else:
             due.append(held.deadline_at)
             if held.waits_since is not None:
@@ -222,11 +222,11 @@
             if self.is_view_current or current is not held.claimant:
                 yield from current.tick(self.view)
         yield from self._check_claims(held)
-        if held.leader is not None:
-            queue_s = self._limits.queue_s(held.leader.request)
+        if held.owned_job is not None:
+            queue_s = self._limits.queue_s(held.owned_job.request)
             if queue_s is not None:
-                yield from held.leader.check_queue(queue_s)
-            yield from held.leader.tick()
+                yield from held.owned_job.check_queue(queue_s)
+            yield from held.owned_job.tick()
             yield from self._after(held)
         elif now >= held.deadline_at:
             yield from self._expire(held)
--- a/src/burdockgate/process/ownership.py
+++ b/src/burdockgate/process/ownership.py
@@ -121,7 +121,7 @@
     ) -> _Effects:
         assert held.request is not None
         self._counters.count("jobs.taken_over" if terms.epoch > 1 else "jobs.owned")
-        held.leader = ownedjob.OwnedJob(
+        held.owned_job = ownedjob.OwnedJob(
             held.request,
             terms,
             self.view.group(held.job),
@@ -130,9 +130,9 @@
             held.had_attempt,
         )
         if record is not None and record.attempt == terms.attempt and terms.epoch > 1:
-            yield from held.leader.recover(record.scope)
+            yield from held.owned_job.recover(record.scope)
         if held.cancels:
-            yield from held.leader.cancel()
+            yield from held.owned_job.cancel()
         yield from self._after(held)
 
     def _held_elsewhere(
@@ -163,11 +163,11 @@
         :param message: its reports.
         """
         held = self._find(message.job)
-        if held is None or held.leader is None:
+        if held is None or held.owned_job is None:
             self._counters.count("results.dropped", len(message.reports))
             yield from self._settle_again(name, message.job)
             return
-        yield from held.leader.results(name, message)
+        yield from held.owned_job.results(name, message)
         yield from self._after(held)
 
     def _settle_again(self, name: str, job_id: bytes) -> _Effects:
@@ -176,7 +176,7 @@
         Only an agent that drains asks; results that come late from others need none.
         """
         worker = self._workers.worker_by_name.get(name)
-        kept = self._answers.get(job_id)
+        kept = self._outcomes.get(job_id)
         if kept is not None and worker is not None and worker.draining:
             ended = kept.outcome
             yield effects.Send(
@@ -191,14 +191,14 @@
         :param message: the list.
         """
         held = self._find(message.job)
-        if held is None or held.leader is None:
+        if held is None or held.owned_job is None:
             return
-        yield from held.leader.fence_reply(name, message)
+        yield from held.owned_job.fence_reply(name, message)
         yield from self._after(held)
 
     def _after(self, held: _Submission) -> _Effects:
-        """Queue, answer or give up a job after its leader has changed."""
-        current = held.leader
+        """Queue, answer or give up a job after its owned job has changed."""
+        current = held.owned_job
         if current is None:
             return
         is_open = current.outcome is None and not current.is_superseded
@@ -209,7 +209,7 @@
         if not is_open:
             self._dispatcher.drop(current)
         if current.is_superseded:
-            held.leader = held.extension = held.confirmation = None
+            held.owned_job = held.extension = held.confirmation = None
             self._confirming.discard(held.job)
             self._to_confirm.pop(held.job, None)
             yield from self._claim(held, 1, 1)
@@ -260,12 +260,12 @@
             job_id = next(iter(self._to_confirm))
             del self._to_confirm[job_id]
             held = self._find(job_id)
-            current = held.leader if held is not None else None
+            current = held.owned_job if held is not None else None
             if held is not None and current is not None and current.outcome:
                 yield from self._begin_confirmation(held, current)
 
     def _confirmed(self, held: _Submission, result: claimant.Result) -> _Effects:
-        current, held.confirmation = held.leader, None
+        current, held.confirmation = held.owned_job, None
         self._confirming.discard(held.job)
         if current is None or current.outcome is None:
             return
@@ -278,10 +278,10 @@
     def widen(self, current: ownedjob.OwnedJob) -> None:
         """Ask for a longer scope for a job that only agents outside it could run.
 
-        :param current: the job's leader.
+        :param current: the owned job.
         """
         held = self._find(current.request.job)
-        if held is None or held.leader is not current or held.extension is not None:
+        if held is None or held.owned_job is not current or held.extension is not None:
             return
         free: Sequence[directory.Worker]
         free = self._workers.service(current.request.service).free
@@ -303,13 +303,13 @@
 
     def _extended(self, held: _Submission) -> _Effects:
         current, held.extension = held.extension, None
-        if held.leader is None or current is None:
+        if held.owned_job is None or current is None:
             return
         if isinstance(current.result, claimant.Won):
-            held.leader.extend(current.terms)
+            held.owned_job.extend(current.terms)
             yield from self._after(held)
         else:
-            held.leader.is_superseded = True
+            held.owned_job.is_superseded = True
             yield from self._after(held)
 
     def agent_connected(self, node: messages.Node) -> _Effects:
@@ -320,8 +320,8 @@
         for held in self._find_all():
             for current in claimants(held):
                 current.hurry()
-            if held.leader is not None:
-                yield from held.leader.agent_connected(node)
+            if held.owned_job is not None:
+                yield from held.owned_job.agent_connected(node)
                 yield from self._after(held)
 
     def agent_disconnected(self, name: str) -> None:
@@ -330,8 +330,8 @@
         :param name: name of the agent.
         """
         for held in self._find_all():
-            if held.leader is not None:
-                held.leader.agent_disconnected(name)
+            if held.owned_job is not None:
+                held.owned_job.agent_disconnected(name)
 
 
 # A "not run" that no majority has confirmed is answered with the weaker code.
--- a/src/burdockgate/process/registry.py
+++ b/src/burdockgate/process/registry.py
@@ -77,7 +77,7 @@
         )
         self._schedule_heap: list[tuple[float, bytes]] = []
         self._ticked_versions = (-1, -1)
-        self._answers = outcomecache.OutcomeCache(
+        self._outcomes = outcomecache.OutcomeCache(
             time, config.timing.retention_s, config.limits.answers_bytes
         )
 
@@ -87,7 +87,9 @@
     @property
     def led(self) -> int:
         """Number of jobs that this entry host owns and that have not ended."""
-        return sum(held.leader is not None for held in self._submission_by_job.values())
+        return sum(
+            held.owned_job is not None for held in self._submission_by_job.values()
+        )
 
     @property
     def is_view_current(self) -> bool:
@@ -161,7 +163,7 @@
 
     @abc.abstractmethod
     def _after(self, held: _Submission) -> _Effects:
-        """Queue, answer or give up a job after its leader has changed."""
+        """Queue, answer or give up a job after its owned job has changed."""
 
     def _end(self, held: _Submission, result: outcome.Outcome) -> _Effects:
         """Answer everybody who waits for a job, and keep the outcome of an own one."""
@@ -174,13 +176,13 @@
             self.bytes -= held.request.size
             self._limits.queued(held.request, -held.request.size)
             self._limits.in_progress(held.request, 0)
-        epoch = held.leader.terms.epoch if held.leader else 0
-        if held.leader is not None:
-            self._dispatcher.drop(held.leader)
-            yield from held.leader.settle()
-        if isinstance(result, outcome.Complete | outcome.Failed) and held.leader:
-            request = held.leader.request
-            self._answers.keep(
+        epoch = held.owned_job.terms.epoch if held.owned_job else 0
+        if held.owned_job is not None:
+            self._dispatcher.drop(held.owned_job)
+            yield from held.owned_job.settle()
+        if isinstance(result, outcome.Complete | outcome.Failed) and held.owned_job:
+            request = held.owned_job.request
+            self._outcomes.keep(
                 held.job,
                 outcomecache.CachedOutcome(
                     result,
--- a/src/burdockgate/process/relay.py
+++ b/src/burdockgate/process/relay.py
@@ -30,7 +30,7 @@
         self._time = time
         self._rng = rng
         self._held: assignments.Configuration | None = None
-        self._due_at_by_owner: dict[str, float] = {}
+        self._due_at_by_entry: dict[str, float] = {}
 
     @property
     def version(self) -> int:
@@ -48,31 +48,31 @@
         self._held = configuration
         return True
 
-    def record_version(self, owner: str, version: int) -> None:
+    def record_version(self, entry: str, version: int) -> None:
         """Note which version an entry host has.
 
-        :param owner: name of the entry host.
+        :param entry: name of the entry host.
         :param version: its version; 0 when it has none.
         """
         if version >= self.version:
-            self._due_at_by_owner.pop(owner, None)
-        elif owner not in self._due_at_by_owner:
+            self._due_at_by_entry.pop(entry, None)
+        elif entry not in self._due_at_by_entry:
             delay_s = self._rng.uniform(LAG_MIN_S, LAG_MAX_S)
-            self._due_at_by_owner[owner] = self._time.now() + delay_s
+            self._due_at_by_entry[entry] = self._time.now() + delay_s
 
-    def forget(self, owner: str) -> None:
+    def forget(self, entry: str) -> None:
         """Note that an entry host is not connected any more.
 
-        :param owner: its name.
+        :param entry: its name.
         """
-        self._due_at_by_owner.pop(owner, None)
+        self._due_at_by_entry.pop(entry, None)
 
     def due(self) -> list[tuple[str, assignments.Configuration]]:
         """Return the entry hosts that have lagged too long, with what to send them."""
         now = self._time.now()
-        owners = [owner for owner, at in self._due_at_by_owner.items() if now >= at]
+        entries = [entry for entry, at in self._due_at_by_entry.items() if now >= at]
         if self._held is None:
             return []
-        for owner in owners:
-            self._due_at_by_owner[owner] = now + REPEAT_S
-        return [(owner, self._held) for owner in owners]
+        for entry in entries:
+            self._due_at_by_entry[entry] = now + REPEAT_S
+        return [(entry, self._held) for entry in entries]
--- a/src/burdockgate/process/remotejobs.py
+++ b/src/burdockgate/process/remotejobs.py
@@ -93,8 +93,8 @@
         :param message: names the job.
         """
         held = self._find(message.job)
-        kept = self._answers.get(message.job)
-        if held is not None and (held.leader or held.claimant):
+        kept = self._outcomes.get(message.job)
+        if held is not None and (held.owned_job or held.claimant):
             held.attached.add(name)
         elif kept is not None:
             yield effects.Send(
@@ -117,8 +117,8 @@
             return
         # While the claim is being decided, it is cancelled once it is granted.
         held.cancels = True
-        if held.leader is not None:
-            yield from held.leader.cancel()
+        if held.owned_job is not None:
+            yield from held.owned_job.cancel()
             yield from self._after(held)
 
     @staticmethod
--- a/src/burdockgate/process/runs.py
+++ b/src/burdockgate/process/runs.py
@@ -113,10 +113,10 @@
 
     def used(self) -> Resources:
         """Return the room of all runs that may exist at the worker."""
-        room = Resources()
+        used = Resources()
         for run in self.ordered():
-            room.add(run)
-        return room
+            used.add(run)
+        return used
 
     def find_task(self, task: assignments.TaskKey) -> Run | None:
         """Return the run of a task, or ``None``.
--- a/src/burdockgate/process/supervisor.py
+++ b/src/burdockgate/process/supervisor.py
@@ -1,6 +1,6 @@
-"""What an agent knows of the worker beside it, and the orders that it gives.
+"""What an agent knows of the worker beside it, and the commands that it gives.
 
-A run counts as taking room from the moment its start order is sent until the worker
+A run counts as taking room from the moment its start command is sent until the worker
 lists its end or its lease has provably lapsed.
 """
 
@@ -45,13 +45,13 @@
     extended_at: float = -1e9
     # Runs of an earlier life of the agent that the worker still lists.
     foreign: dict[assignments.RunKey, float] = attrs.field(factory=dict)
-    # A look with this token has made all orders to an earlier life void.
+    # A poll with this token has made all commands to an earlier life void.
     first_token: int = 0
     is_synchronized: bool = False
     is_refusing: bool = False
-    # The last look had no lists for an answer.
-    is_look_failing: bool = False
-    look_unanswered_at: float = -1e9
+    # The last poll had no lists for an answer.
+    is_poll_failing: bool = False
+    poll_unanswered_at: float = -1e9
 
 
 class Supervisor(abc.ABC):
@@ -68,7 +68,7 @@
         self._time = time
         self._worker: WorkerIncarnation | None = None
         self._runs = runs.RunTable()
-        self._vitals = workerhealth.WorkerHealth()
+        self._health = workerhealth.WorkerHealth()
         self._token = 0
         self.is_leaving = False
         self._was_lapsed = False
@@ -132,10 +132,10 @@
         )
         before = self._worker
         self._worker = WorkerIncarnation(told, told.clock_ms, now, answered_at=now)
-        self._vitals = workerhealth.WorkerHealth()
+        self._health = workerhealth.WorkerHealth()
         for run in list(self._runs.ordered()):
             if before is not None and before.told.worker == told.worker:
-                # An order may have reached the new life under the old identifier.
+                # A command may have reached the new life under the old identifier.
                 run.state = runs.RunState.UNCERTAIN
             else:
                 yield from self._end(run, assignments.EndKind.LOST, "worker replaced")
@@ -143,7 +143,7 @@
         # earlier life of this agent has drawn from it.
         self._token = max(self._token + 1, told.clock_ms)
         self._worker.first_token = self._token
-        yield from self._look_now()
+        yield from self._poll_now()
 
     def worker_info(self) -> assignments.WorkerInfo | None:
         """Return what entry hosts are told of the worker, if one is known."""
@@ -171,7 +171,7 @@
             return assignments.WorkerState.UNREACHABLE
         if worker.is_refusing:
             return assignments.WorkerState.EJECTED
-        return self._vitals.state(now)
+        return self._health.state(now)
 
     @property
     def running_count(self) -> int:
@@ -207,24 +207,24 @@
         return int(worker_now + self._settings.worker_lease_s * 1000)
 
     def handle_start_result(
-        self, order: workercontrol.StartCommand, answer: workercontrol.CommandResult
+        self, command: workercontrol.StartCommand, answer: workercontrol.CommandResult
     ) -> Iterator[executoractions.Effect]:
-        """Handle the answer to a start order.
+        """Handle the answer to a start command.
 
-        :param order: the order.
+        :param command: the command.
         :param answer: what the worker said, if anything.
         """
-        run = self._runs.by_key.get(order.key)
+        run = self._runs.by_key.get(command.key)
         if run is None or run.state is not runs.RunState.STARTING:
             return
-        if run.token != order.token:
+        if run.token != command.token:
             return
         match answer:
             case workercontrol.Accepted(clock_ms):
                 self._heard(clock_ms)
                 run.state, run.accepted_ms = runs.RunState.RUNNING, clock_ms
                 if run.is_stopping:
-                    yield from self._order_stop(run)
+                    yield from self._command_stop(run)
             case workercontrol.Refused(reason, clock_ms):
                 self._heard(clock_ms)
                 yield from self._start_refused(run, reason, clock_ms)
@@ -252,19 +252,19 @@
             yield actions.LogEvent("run.late", {"run": run.key, "clock_ms": clock_ms})
         else:
             if reason is workercontrol.Refusal.UNHEALTHY:
-                self._vitals.eject(self._time.now())
+                self._health.eject(self._time.now())
             # The worker rejects every run up to one that it saw; how high that was is
             # not known.
             step = 16 if reason is workercontrol.Refusal.OLD_RUN else 1
             yield from self._return(run, reason.value, run.key.run + step)
 
     def _raise_token(self) -> Iterator[executoractions.Effect]:
-        """Make every order under way harmless, and look what the worker has."""
+        """Make every command under way harmless, and poll what the worker has."""
         worker = self._worker
         if worker is None:
             return
         self._token = max(self._token + 1, worker.clock_ms)
-        yield from self._look_now()
+        yield from self._poll_now()
 
     def _stop(self, run: runs.Run, reason: str) -> Iterator[executoractions.Effect]:
         if run.state is runs.RunState.QUEUED:
@@ -275,9 +275,9 @@
         run.stop_since = self._time.now()
         yield actions.LogEvent("run.stopping", {"run": run.key, "reason": reason})
         if run.state is not runs.RunState.STARTING:
-            yield from self._order_stop(run)
+            yield from self._command_stop(run)
 
-    def _order_stop(self, run: runs.Run) -> Iterator[executoractions.Effect]:
+    def _command_stop(self, run: runs.Run) -> Iterator[executoractions.Effect]:
         worker = self._worker
         if worker is not None:
             run.stop_sent_at = self._time.now()
@@ -286,15 +286,16 @@
             )
 
     def handle_stop_result(
-        self, order: workercontrol.StopCommand, answer: workercontrol.CommandResult
+        self, command: workercontrol.StopCommand, answer: workercontrol.CommandResult
     ) -> Iterator[executoractions.Effect]:
-        """Handle the answer to a stop order; the end itself is listed later.
+        """Handle the answer to a stop command; the end itself is listed later.
 
-        :param order: the order.
+        :param command: the command.
         :param answer: what the worker said, if anything.
         """
         if isinstance(answer, workercontrol.Refused) and (
-            answer.reason is workercontrol.Refusal.FENCED and order.token >= self._token
+            answer.reason is workercontrol.Refusal.FENCED
+            and command.token >= self._token
         ):
             self._token = max(self._token + 1, answer.clock_ms)
             yield actions.LogEvent(
@@ -302,21 +303,21 @@
             )
 
     def next_poll(self) -> workercontrol.PollCommand | None:
-        """Return the next regular look, or ``None`` while no worker is known."""
+        """Return the next regular poll, or ``None`` while no worker is known."""
         settings, worker = self._settings, self._worker
         if worker is None:
             return None
-        is_lossy = self._time.now() - worker.look_unanswered_at < settings.lossy_s
-        return self._look(
-            settings.lossy_look_wait_s if is_lossy else settings.look_wait_s
+        is_lossy = self._time.now() - worker.poll_unanswered_at < settings.lossy_s
+        return self._poll(
+            settings.lossy_poll_wait_s if is_lossy else settings.poll_wait_s
         )
 
-    def _look(self, wait_s: float) -> workercontrol.PollCommand | None:
+    def _poll(self, wait_s: float) -> workercontrol.PollCommand | None:
         worker, now = self._worker, self._time.now()
         if worker is None:
             return None
         # A worker that does not answer must be let lapse: its runs are known to be
-        # gone one lease after the last order that could extend it.
+        # gone one lease after the last command that could extend it.
         is_silent = now - worker.answered_at > self._settings.silence_s
         lease_until_ms = None
         if not is_silent and not self._is_stop_overdue(now):
@@ -338,32 +339,32 @@
             for run in self._runs.ordered()
         )
 
-    def _look_now(self) -> Iterator[executoractions.Effect]:
-        order = self._look(0.0)
-        if order is not None:
-            yield executoractions.Poll(order)
+    def _poll_now(self) -> Iterator[executoractions.Effect]:
+        command = self._poll(0.0)
+        if command is not None:
+            yield executoractions.Poll(command)
 
     def handle_poll_result(
-        self, order: workercontrol.PollCommand, answer: workercontrol.PollResult
+        self, command: workercontrol.PollCommand, answer: workercontrol.PollResult
     ) -> Iterator[executoractions.Effect]:
-        """Handle the answer to a look.
+        """Handle the answer to a poll.
 
-        :param order: the order.
+        :param command: the command.
         :param answer: the lists, or why there are none.
         """
         worker = self._worker
-        if worker is None or order.worker != worker.told.worker:
+        if worker is None or command.worker != worker.told.worker:
             return
         if isinstance(answer, workercontrol.Snapshot):
-            yield from self._snapshot(worker, order, answer)
+            yield from self._snapshot(worker, command, answer)
             return
-        if not worker.is_look_failing:
-            worker.is_look_failing = True
+        if not worker.is_poll_failing:
+            worker.is_poll_failing = True
             yield actions.LogEvent("worker.lost", {"reason": _reason(answer)})
         match answer:
             case workercontrol.Refused(workercontrol.Refusal.FENCED, clock_ms):
                 self._heard(clock_ms)
-                if order.token >= self._token:
+                if command.token >= self._token:
                     self._token = max(self._token + 1, clock_ms)
                     yield actions.LogEvent(
                         "token.raised", {"token": self._token, "reason": "fenced look"}
@@ -371,12 +372,12 @@
             case workercontrol.Refused(workercontrol.Refusal.UNHEALTHY, _):
                 worker.is_refusing = True
             case workercontrol.Unanswered():
-                worker.look_unanswered_at = self._time.now()
+                worker.poll_unanswered_at = self._time.now()
 
     def _snapshot(
         self,
         worker: WorkerIncarnation,
-        order: workercontrol.PollCommand,
+        command: workercontrol.PollCommand,
         seen: workercontrol.Snapshot,
     ) -> Iterator[executoractions.Effect]:
         if seen.born > worker.told.born:
@@ -391,16 +392,16 @@
             return
         self._heard(seen.clock_ms)
         worker.is_refusing = False
-        if worker.is_look_failing:
-            worker.is_look_failing = False
+        if worker.is_poll_failing:
+            worker.is_poll_failing = False
             yield actions.LogEvent("worker.regained", {"worker": worker.told.worker})
         if seen.unreadable:
             yield actions.LogEvent("worker.unreadable", {"entries": seen.unreadable})
         ended = list(self._finish_listed(worker, seen))
         yield from ended
         yield from self._note_running(worker, seen)
-        yield from self._resolve_missing(order, seen)
-        is_current = order.token >= worker.first_token
+        yield from self._resolve_missing(command, seen)
+        is_current = command.token >= worker.first_token
         if is_current and not worker.foreign and not worker.is_synchronized:
             worker.is_synchronized = True
             yield actions.LogEvent("worker.ready", {"worker": worker.told.worker})
@@ -439,7 +440,7 @@
             if run.state is not runs.RunState.RUNNING:
                 run.state, run.accepted_ms = runs.RunState.RUNNING, seen.clock_ms
                 if run.is_stopping:
-                    yield from self._order_stop(run)
+                    yield from self._command_stop(run)
             if entry.percent > run.percent:
                 run.percent, run.progressed_at = entry.percent, now
 
@@ -455,15 +456,15 @@
             )
 
     def _resolve_missing(
-        self, order: workercontrol.PollCommand, seen: workercontrol.Snapshot
+        self, command: workercontrol.PollCommand, seen: workercontrol.Snapshot
     ) -> Iterator[executoractions.Effect]:
         """Settle runs that a current list does not show."""
         listed = {entry.key for entry in seen.running}
         for run in list(self._runs.ordered()):
             if run.key in listed:
                 continue
-            if run.state is runs.RunState.UNCERTAIN and run.token < order.token:
-                # The worker has confirmed a higher token: the order is void.
+            if run.state is runs.RunState.UNCERTAIN and run.token < command.token:
+                # The worker has confirmed a higher token: the command is void.
                 if run.accepted_ms:
                     yield from self._end(run, assignments.EndKind.LOST, "fenced off")
                 elif run.is_stopping:
@@ -471,7 +472,7 @@
                 else:
                     run.state = runs.RunState.QUEUED
                     yield actions.LogEvent(
-                        "run.requeued", {"run": run.key, "token": order.token}
+                        "run.requeued", {"run": run.key, "token": command.token}
                     )
             elif run.state is runs.RunState.RUNNING and run.accepted_ms < seen.clock_ms:
                 yield from self._end(run, assignments.EndKind.LOST, "not listed")
@@ -479,7 +480,7 @@
     def _attend(self, run: runs.Run, now: float) -> Iterator[executoractions.Effect]:
         if run.is_stopping and run.state is not runs.RunState.STARTING:
             if now - run.stop_sent_at >= self._settings.stop_repeat_s:
-                yield from self._order_stop(run)
+                yield from self._command_stop(run)
         elif run.state is runs.RunState.RUNNING and run.estimate_s > 0:
             ran_s = now - run.started_at
             if ran_s > 2 * run.estimate_s and run.percent < 100:
@@ -487,11 +488,11 @@
 
     def _sample_running(self, run: runs.Run, ran_s: float, now: float) -> None:
         """Take the speed from the progress of a run that is already overdue."""
-        sampled = self._vitals.current_speed(now)
+        sampled = self._health.current_speed(now)
         speed = max(run.percent, 1) / 100 * run.estimate_s / ran_s
         if speed < sampled:
             weight = OVERDUE_WEIGHT
-            self._vitals.sample(sampled ** (1 - weight) * speed**weight, now)
+            self._health.sample(sampled ** (1 - weight) * speed**weight, now)
 
     def _expire_lease(
         self, worker: WorkerIncarnation, now: float
@@ -500,8 +501,8 @@
         is_lapsed = now - worker.extended_at > lapse_s + self._settings.stop_repeat_s
         if is_lapsed:
             for run in list(self._runs.ordered()):
-                # An order that is carried out late has a lease that lapsed too, and
-                # the next look that extends the lease carries a higher token.
+                # A command that is carried out late has a lease that lapsed too, and
+                # the next poll that extends the lease carries a higher token.
                 if run.state is not runs.RunState.STARTING:
                     yield from self._end(run, assignments.EndKind.LOST, "lease lapsed")
         if is_lapsed and not self._was_lapsed:
@@ -514,10 +515,10 @@
             run for run in self._runs.ordered() if run.state is runs.RunState.RUNNING
         ]
         if running and all(
-            now - run.progressed_at > self._vitals.stall_s(run.estimate_s)
+            now - run.progressed_at > self._health.stall_s(run.estimate_s)
             for run in running
         ):
-            if self._vitals.eject(now):
+            if self._health.eject(now):
                 yield actions.LogEvent("worker.stalled", {"runs": len(running)})
                 yield from self._return_queued("worker stalled")
             for run in running:
--- a/src/burdockgate/process/workercontrol.py
+++ b/src/burdockgate/process/workercontrol.py
@@ -79,13 +79,13 @@
 
 
 class Refusal(enum.Enum):
-    """Why an order was not carried out; it never will be."""
+    """Why a command was not carried out; it never will be."""
 
     # The worker has seen a higher fencing token.
     FENCED = "fenced"
     # This or a higher run of the task has ended or was stopped there.
     OLD_RUN = "old run"
-    # The lease of the order had lapsed on the worker's clock.
+    # The lease of the command had lapsed on the worker's clock.
     LATE = "late"
     # The task does not fit.
     NO_ROOM = "no room"
@@ -100,14 +100,14 @@
 
 @attrs.frozen
 class Accepted:
-    """The order was carried out."""
+    """The command was carried out."""
 
     clock_ms: int
 
 
 @attrs.frozen
 class Refused:
-    """The order was not carried out.
+    """The command was not carried out.
 
     :param clock_ms: the worker's clock; 0 when the answer had none.
     """
@@ -118,7 +118,7 @@
 
 @attrs.frozen
 class Unanswered:
-    """Whether the order was carried out is not known; it may still be."""
+    """Whether the command was carried out is not known; it may still be."""
 
 
 @attrs.frozen
@@ -157,7 +157,7 @@
 
 @attrs.frozen
 class Snapshot:
-    """Answer to a look.
+    """Answer to a poll.
 
     :param unreadable: number of entries that could not be read.
     """
@@ -174,27 +174,27 @@
 
 
 class WorkerControl(abc.ABC):
-    """Gives orders to the worker beside the agent."""
+    """Gives commands to the worker beside the agent."""
 
     @abc.abstractmethod
-    async def start(self, order: StartCommand) -> CommandResult:
+    async def start(self, command: StartCommand) -> CommandResult:
         """Start a run; never raises.
 
-        :param order: what to start.
+        :param command: what to start.
         """
 
     @abc.abstractmethod
-    async def stop(self, order: StopCommand) -> CommandResult:
+    async def stop(self, command: StopCommand) -> CommandResult:
         """Stop a run; its end is listed later. Never raises.
 
-        :param order: what to stop.
+        :param command: what to stop.
         """
 
     @abc.abstractmethod
-    async def poll(self, order: PollCommand) -> PollResult:
+    async def poll(self, command: PollCommand) -> PollResult:
         """Read the lists of runs; never raises.
 
-        :param order: token, lease and acknowledged ends.
+        :param command: token, lease and acknowledged ends.
         """
 
     @abc.abstractmethod
--- a/src/burdockgate/request/ownedjob.py
+++ b/src/burdockgate/request/ownedjob.py
@@ -1,6 +1,6 @@
 """One job in progress at the entry host that owns it.
 
-The leader knows of each task whether it waits, was sent, or is done. It sends a
+An owned job knows of each task whether it waits, was sent, or is done. It sends a
 task to another agent only after the first one has returned it, or has shown by a
 fence that it never received it.
 """
@@ -27,7 +27,7 @@
 
 @attrs.define
 class _Agent:
-    """What the leader knows of one agent of its scope.
+    """What an owned job knows of one agent of its scope.
 
     :param fence: number of the last fence sent.
     :param is_fencing: whether a reply to that fence is awaited.
--- a/src/burdockgate/request/submission.py
+++ b/src/burdockgate/request/submission.py
@@ -1,7 +1,7 @@
 """A job as an entry host holds it while callers wait for it.
 
 A submission is in one of three phases: its claim is being decided
-(:attr:`Submission.claimant`), this entry host owns it (:attr:`Submission.leader`),
+(:attr:`Submission.claimant`), this entry host owns it (:attr:`Submission.owned_job`),
 or another one owns it (:attr:`Submission.owner`).
 """
 
@@ -43,7 +43,7 @@
     claimant: claimants.Claimant | None = None
     extension: claimants.Claimant | None = None
     confirmation: claimants.Claimant | None = None
-    leader: ownedjob.OwnedJob | None = None
+    owned_job: ownedjob.OwnedJob | None = None
     owner: messages.Node | None = None
     record: messages.ClaimRecord | None = None
     waits_since: float | None = None
--- a/src/burdockgate/standin/batches.py
+++ b/src/burdockgate/standin/batches.py
@@ -124,12 +124,12 @@
         if pair in self._linked or is_blocked:
             return
         if not entry.is_up:
-            agent.perform(agent.gate.handle_entry_gone(entry.name))
+            agent.perform(agent.executor.handle_entry_gone(entry.name))
             return
         if entry.is_frozen:
             return
         self._linked[pair] = next(self._link_numbers)
-        boot, held = agent.gate.session_state(entry.name)
+        boot, held = agent.executor.session_state(entry.name)
         hello = assignments.AgentHello(
             1, agent.name, agent.boot, agent.zone, boot, held
         )
@@ -148,7 +148,7 @@
             agent.name, agent.zone, entry.name, entry.zone
         )
         agent.perform(
-            agent.gate.handle_entry_connected(entry.name, entry_boot, distance)
+            agent.executor.handle_entry_connected(entry.name, entry_boot, distance)
         )
         agent.report()
 
@@ -166,7 +166,7 @@
         del self._linked[pair]
         agent, entry = self.agent_by_name[pair[0]], self.entry_by_name[pair[1]]
         agent.run(
-            lambda: agent.perform(agent.gate.handle_entry_disconnected(entry.name))
+            lambda: agent.perform(agent.executor.handle_entry_disconnected(entry.name))
         )
         entry.run(
             lambda: entry.perform(entry.scheduler.handle_agent_disconnected(agent.name))
@@ -266,17 +266,17 @@
         node = self.agent_by_name[agent]
 
         def handle() -> None:
-            if entry not in node.gate.session_by_owner:
+            if entry not in node.executor.session_by_entry:
                 return
             match message:
                 case assignments.Assign():
-                    node.perform(node.gate.handle_assignment(entry, message))
+                    node.perform(node.executor.handle_assignment(entry, message))
                 case assignments.Renewal():
-                    node.gate.handle_renewal(entry, message)
+                    node.executor.handle_renewal(entry, message)
                 case assignments.Revoke():
-                    node.perform(node.gate.handle_revocation(message))
+                    node.perform(node.executor.handle_revocation(message))
                 case assignments.Demand():
-                    node.gate.handle_demand(entry, message)
+                    node.executor.handle_demand(entry, message)
                     self.soon(node, node.report_change)
 
         self._deliver(pair, link, node, handle)
--- a/src/burdockgate/standin/leased.py
+++ b/src/burdockgate/standin/leased.py
@@ -45,7 +45,7 @@
     """What is wrong with a worker now.
 
     :param slowness: factor on every duration.
-    :param unanswered: share of orders without an answer; they are carried out late.
+    :param unanswered: share of commands without an answer; they are carried out late.
     :param is_cut: whether the worker is out of reach and runs on.
     """
 
@@ -132,22 +132,22 @@
             self.clock_ms,
         )
 
-    def is_order_lost(self) -> bool:
-        """Return whether the next order gets no answer and is carried out late."""
+    def is_command_lost(self) -> bool:
+        """Return whether the next command gets no answer and is carried out late."""
         return self._rng.random() < self.faults.unanswered
 
-    def start(self, order: workercontrol.StartCommand) -> workercontrol.CommandResult:
-        """Carry out a start order.
+    def start(self, command: workercontrol.StartCommand) -> workercontrol.CommandResult:
+        """Carry out a start command.
 
-        :param order: the order.
+        :param command: the command.
         """
-        key = order.key
-        if order.token < self._token:
+        key = command.key
+        if command.token < self._token:
             return workercontrol.Refused(workercontrol.Refusal.FENCED, self.clock_ms)
-        self._token = order.token
-        if order.lease_until_ms <= self.clock_ms:
+        self._token = command.token
+        if command.lease_until_ms <= self.clock_ms:
             return workercontrol.Refused(workercontrol.Refusal.LATE, self.clock_ms)
-        self._extend(order.lease_until_ms)
+        self._extend(command.lease_until_ms)
         if key in self._run_by_key:
             return workercontrol.Accepted(self.clock_ms)
         if key.run <= self._highest_by_task.get(key.task, 0):
@@ -172,18 +172,18 @@
             duration_s = 0.005
         self._time.call_later(duration_s, lambda: self._end(run, reason))
 
-    def stop(self, order: workercontrol.StopCommand) -> workercontrol.CommandResult:
-        """Carry out a stop order.
+    def stop(self, command: workercontrol.StopCommand) -> workercontrol.CommandResult:
+        """Carry out a stop command.
 
-        :param order: the order.
+        :param command: the command.
         """
-        if order.token < self._token:
+        if command.token < self._token:
             return workercontrol.Refused(workercontrol.Refusal.FENCED, self.clock_ms)
-        self._token = order.token
-        task = order.key.task
-        highest = max(self._highest_by_task.get(task, 0), order.key.run)
+        self._token = command.token
+        task = command.key.task
+        highest = max(self._highest_by_task.get(task, 0), command.key.run)
         self._highest_by_task[task] = highest
-        run = self._run_by_key.get(order.key)
+        run = self._run_by_key.get(command.key)
         if run is not None:
             stopped = workercontrol.EndReason.STOPPED
             self._time.call_later(STOP_S, lambda: self._end(run, stopped))
@@ -191,24 +191,24 @@
 
     def poll(
         self,
-        order: workercontrol.PollCommand,
+        command: workercontrol.PollCommand,
         answer: Callable[[workercontrol.PollResult], None],
     ) -> None:
-        """Carry out a look; it is answered at an end or after its wait.
+        """Carry out a poll; it is answered at an end or after its wait.
 
-        :param order: the order.
+        :param command: the command.
         :param answer: gets the lists.
         """
-        if order.token < self._token:
+        if command.token < self._token:
             answer(workercontrol.Refused(workercontrol.Refusal.FENCED, self.clock_ms))
             return
-        self._token = order.token
-        if order.lease_until_ms is not None:
-            self._extend(order.lease_until_ms)
+        self._token = command.token
+        if command.lease_until_ms is not None:
+            self._extend(command.lease_until_ms)
         self._finished = [
-            entry for entry in self._finished if entry.number > order.acknowledged
+            entry for entry in self._finished if entry.number > command.acknowledged
         ]
-        if self._finished or not order.wait_ms:
+        if self._finished or not command.wait_ms:
             answer(self._snapshot())
             return
         is_answered = False
@@ -220,7 +220,7 @@
                 answer(self._snapshot())
 
         self._waiting.append(answer_once)
-        self._time.call_later(order.wait_ms / 1000, answer_once)
+        self._time.call_later(command.wait_ms / 1000, answer_once)
 
     def _snapshot(self) -> workercontrol.Snapshot:
         now = self._time.now()
--- a/src/burdockgate/standin/nodes.py
+++ b/src/burdockgate/standin/nodes.py
@@ -22,10 +22,10 @@
     from burdockgate import assignments
     from burdockgate.standin import batches
 
-ORDER_TIMEOUT_S = 0.08
-LOOK_TIMEOUT_S = 0.25
+COMMAND_TIMEOUT_S = 0.08
+POLL_TIMEOUT_S = 0.25
 ASSIGN_S = 0.001
-ORDER_S = 0.0005
+COMMAND_S = 0.0005
 AGENT_TICK_S = 0.1
 ENTRY_TICK_S = 0.02
 REPORT_S = 0.2
@@ -126,7 +126,7 @@
 
 
 def _ignore(answer: workercontrol.PollResult) -> None:
-    """Lose the answer to a look."""
+    """Lose the answer to a poll."""
 
 
 class ModelAgent(ModelNode):
@@ -150,13 +150,13 @@
 
     def _begin(self) -> None:
         self.boot = self.model.rng.getrandbits(60)
-        self.gate = executor.Executor(self.model.limits, self.model.time)
+        self.executor = executor.Executor(self.model.limits, self.model.time)
         self.info_sent: set[tuple[str, assignments.WorkerInfo]] = set()
         life = self.life
-        self._every(AGENT_TICK_S, lambda: self.perform(self.gate.tick()), life)
+        self._every(AGENT_TICK_S, lambda: self.perform(self.executor.tick()), life)
         self._every(REPORT_S, self.report, life)
         self._every(HEARTBEAT_S, self._beat, life)
-        self.model.time.call_later(0.01, lambda: self._look(life))
+        self.model.time.call_later(0.01, lambda: self._poll(life))
 
     def _every(self, interval_s: float, action: Callable[[], None], life: int) -> None:
         def again() -> None:
@@ -184,14 +184,14 @@
         if self.is_draining and self.drained_at is None:
             self.drained_at = self.model.time.now()
         told = self.worker.announcement(self.sequence, self.is_draining)
-        self.perform(self.gate.handle_heartbeat(told))
+        self.perform(self.executor.handle_heartbeat(told))
 
-    def _look(self, life: int) -> None:
+    def _poll(self, life: int) -> None:
         if life != self.life:
             return
-        order = self.gate.next_poll() if not self.is_frozen else None
-        if order is None:
-            self.model.time.call_later(0.05, lambda: self._look(life))
+        command = self.executor.next_poll() if not self.is_frozen else None
+        if command is None:
+            self.model.time.call_later(0.05, lambda: self._poll(life))
             return
         is_followed = False
 
@@ -199,14 +199,14 @@
             nonlocal is_followed
             if not is_followed:
                 is_followed = True
-                self._look(life)
+                self._poll(life)
 
-        self._send_look(order, follow, life)
-        overdue_s = order.wait_ms / 1000 + self.model.limits.look_repeat_s
+        self._send_poll(command, follow, life)
+        overdue_s = command.wait_ms / 1000 + self.model.limits.poll_repeat_s
         self.model.time.call_later(overdue_s, follow)
 
-    def _send_look(
-        self, order: workercontrol.PollCommand, then: Callable[[], None], life: int
+    def _send_poll(
+        self, command: workercontrol.PollCommand, then: Callable[[], None], life: int
     ) -> None:
         state = {"done": False}
 
@@ -216,30 +216,30 @@
             state["done"] = True
 
             def handle() -> None:
-                self.perform(self.gate.handle_poll_result(order, answer))
+                self.perform(self.executor.handle_poll_result(command, answer))
                 pause_s = 0.0 if isinstance(answer, workercontrol.Snapshot) else 0.05
                 self.model.time.call_later(pause_s, then)
 
             self.run(handle)
 
         time = self.model.time
-        limit_s = order.wait_ms / 1000 + LOOK_TIMEOUT_S
+        limit_s = command.wait_ms / 1000 + POLL_TIMEOUT_S
         time.call_later(limit_s, lambda: finish(workercontrol.Unanswered()))
 
         def answered(answer: workercontrol.PollResult) -> None:
-            time.call_later(ORDER_S, lambda: finish(answer))
+            time.call_later(COMMAND_S, lambda: finish(answer))
 
         def arrive() -> None:
-            if self.worker.faults.unanswered and self.worker.is_order_lost():
+            if self.worker.faults.unanswered and self.worker.is_command_lost():
                 late_s = self.model.rng.uniform(*leased.LATE_S)
-                time.call_later(late_s, lambda: self.worker.poll(order, _ignore))
+                time.call_later(late_s, lambda: self.worker.poll(command, _ignore))
             elif not self.worker.faults.is_cut:
-                self.worker.poll(order, answered)
+                self.worker.poll(command, answered)
 
-        time.call_later(ORDER_S, arrive)
+        time.call_later(COMMAND_S, arrive)
 
     def perform(self, wanted: Iterable[executoractions.Effect]) -> None:
-        """Perform effects of the gate.
+        """Perform effects of the executor.
 
         :param wanted: the effects.
         """
@@ -250,19 +250,19 @@
                 case executoractions.Start(start):
                     self._order(
                         lambda start=start: self.worker.start(start),  # type: ignore[misc]
-                        lambda answer, start=start: self.gate.handle_start_result(  # type: ignore[misc]
+                        lambda answer, start=start: self.executor.handle_start_result(  # type: ignore[misc]
                             start, answer
                         ),
                     )
                 case executoractions.Stop(stop):
                     self._order(
                         lambda stop=stop: self.worker.stop(stop),  # type: ignore[misc]
-                        lambda answer, stop=stop: self.gate.handle_stop_result(  # type: ignore[misc]
+                        lambda answer, stop=stop: self.executor.handle_stop_result(  # type: ignore[misc]
                             stop, answer
                         ),
                     )
-                case executoractions.Poll(look):
-                    self._send_look(look, lambda: None, self.life)
+                case executoractions.Poll(poll):
+                    self._send_poll(poll, lambda: None, self.life)
                 case actions.LogEvent(event, fields):
                     self.model.note(self.name, event, fields)
                     continue
@@ -282,18 +282,22 @@
                 self.run(lambda: self.perform(handle(answer)))
 
         if faults.is_cut:
-            time.call_later(ORDER_TIMEOUT_S, lambda: finish(workercontrol.Unanswered()))
-        elif self.worker.is_order_lost():
+            time.call_later(
+                COMMAND_TIMEOUT_S, lambda: finish(workercontrol.Unanswered())
+            )
+        elif self.worker.is_command_lost():
             late_s = self.model.rng.uniform(*leased.LATE_S)
             time.call_later(late_s, carry_out)
-            time.call_later(ORDER_TIMEOUT_S, lambda: finish(workercontrol.Unanswered()))
+            time.call_later(
+                COMMAND_TIMEOUT_S, lambda: finish(workercontrol.Unanswered())
+            )
         else:
 
             def arrive() -> None:
                 answer = carry_out()
-                time.call_later(ORDER_S, lambda: finish(answer))
+                time.call_later(COMMAND_S, lambda: finish(answer))
 
-            time.call_later(ORDER_S, arrive)
+            time.call_later(COMMAND_S, arrive)
 
     def report_change(self) -> None:
         """Send a change of the load to the entry hosts that hear of each."""
@@ -304,7 +308,10 @@
 
         :param is_periodic: whether to all of them.
         """
-        info, loads = self.gate.worker_info(), self.gate.due_reports(is_periodic)
+        info, loads = (
+            self.executor.worker_info(),
+            self.executor.due_reports(is_periodic),
+        )
         for entry in self.model.linked_entries(self.name):
             if entry not in loads:
                 continue
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -66,7 +66,7 @@
     return attrs.evolve(whole, caller_class=caller_class, tasks=specs)
 
 
-def make_leader(made=None, time=None, scope=("a1", "a2"), had_attempt=False):
+def make_owned_job(made=None, time=None, scope=("a1", "a2"), had_attempt=False):
     members, time = (node("m1"),), time or clock.ManualClock()
     made = made or request()
     return ownedjob.OwnedJob(made, terms(scope), members, time, 5.0, had_attempt)
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -150,31 +150,31 @@
         fields = json.loads(await asgi.read_body(receive, 1 << 20))
         match scope["path"].rpartition("/")[2]:
             case "run-start":
-                order = workercontrol.StartCommand(
+                command = workercontrol.StartCommand(
                     "",
                     _key(fields["task"], fields["run"]),
                     fields["spec"],
                     fields["deadlineMs"],
                     fields["fencingToken"],
                 )
-                await self._answer(send, self.model.start(order))
+                await self._answer(send, self.model.start(command))
             case "run-stop":
                 key = _key(fields["task"], fields["run"])
-                order = workercontrol.StopCommand("", key, fields["fencingToken"])
-                await self._answer(send, self.model.stop(order))
+                command = workercontrol.StopCommand("", key, fields["fencingToken"])
+                await self._answer(send, self.model.stop(command))
             case "hold":
-                await self._look(fields, send)
+                await self._poll(fields, send)
 
-    async def _look(self, fields, send):
+    async def _poll(self, fields, send):
         seen = asyncio.get_running_loop().create_future()
-        order = workercontrol.PollCommand(
+        command = workercontrol.PollCommand(
             "",
             fields["fencingToken"],
             fields["ackedThrough"],
             fields.get("deadlineMs"),
             fields["waitMs"],
         )
-        self.model.poll(order, seen.set_result)
+        self.model.poll(command, seen.set_result)
         answer = await seen
         if isinstance(answer, workercontrol.Refused):
             await self._answer(send, answer)
--- a/tests/sessions.py
+++ b/tests/sessions.py
@@ -517,7 +517,7 @@
 
     def _note_version(self, process):
         """Note the table in force; an entry host works by a current one only."""
-        version = process.core.rows.version
+        version = process.core.table_replica.version
         is_current = getattr(process.core, "has_current_table", True)
         if version != process.table_version and is_current:
             process.table_version = version
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -93,7 +93,7 @@
     settings = boot.decode(SETTINGS)
     assert settings.entry_addresses() == ("10.1.0.13:7720", "10.2.0.30:7720")
     assert settings.entry_settings().port == 7720
-    assert settings.agent_settings().gate.worker_lease_s == 0.9
+    assert settings.agent_settings().executor.worker_lease_s == 0.9
     assert settings.entry_settings().scheduler.agent_gone_s > 0.9 * 1.02 + 0.7
 
 
--- a/tests/test_agentdaemon.py
+++ b/tests/test_agentdaemon.py
@@ -1,4 +1,4 @@
-"""Guards the daemon around an agent's gate."""
+"""Guards the daemon around an agent's executor."""
 
 import asyncio
 import random
@@ -12,21 +12,21 @@
 
 
 class LossyWorker:
-    """Answers no regular look but those after the first."""
+    """Answers no regular poll but those after the first."""
 
     def __init__(self):
-        self.looks = []
+        self.polls = []
         self.answered = asyncio.get_running_loop().create_future()
 
-    async def poll(self, order):
-        if order.wait_ms:
-            self.looks.append(order)
-            if len(self.looks) == 1:
+    async def poll(self, command):
+        if command.wait_ms:
+            self.polls.append(command)
+            if len(self.polls) == 1:
                 await asyncio.get_running_loop().create_future()
             if not self.answered.done():
-                self.answered.set_result(order)
+                self.answered.set_result(command)
         await asyncio.sleep(0)
-        return workercontrol.Snapshot(1_000 + len(self.looks), 5, (), ())
+        return workercontrol.Snapshot(1_000 + len(self.polls), 5, (), ())
 
     async def close(self):
         pass
@@ -34,16 +34,16 @@
 
 async def test_look_without_an_answer_does_not_hold_up_the_next():
     """Ends of runs stayed unseen for half a second after each lost answer."""
-    limits = executoractions.ExecutorSettings(look_wait_s=0.01, look_repeat_s=0.01)
+    limits = executoractions.ExecutorSettings(poll_wait_s=0.01, poll_repeat_s=0.01)
     settings = agentdaemon.AgentDaemonSettings("a1", "z1", (), 1.0, limits)
     worker = LossyWorker()
     store = mock.Mock(newest=mock.AsyncMock(side_effect=asyncio.CancelledError))
     daemon = agentdaemon.AgentDaemon(settings, worker, store, random.Random(1))
     daemon.handle_heartbeat(TOLD)
-    looking = asyncio.create_task(daemon._look())
+    polling = asyncio.create_task(daemon._poll())
     async with asyncio.timeout(10):
-        order = await worker.answered
-    assert order.worker == "w1"
-    looking.cancel()
+        command = await worker.answered
+    assert command.worker == "w1"
+    polling.cancel()
     for task in list(daemon._tasks):
         task.cancel()
--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -22,16 +22,16 @@
 
 def job(key, tasks=1, caller_class="default", time=None):
     made = builders.request(key, tasks, caller_class)
-    return builders.make_leader(time=time, made=made)
+    return builders.make_owned_job(time=time, made=made)
 
 
 def serve(queue, count, work=100.0):
     """Take tasks one by one, and return the key of the job of each."""
     keys = []
-    for leader in queue.in_order():
-        keys.append(leader.request.key)
-        leader.take(A1)
-        queue.charge(leader, work)
+    for owned_job in queue.in_order():
+        keys.append(owned_job.request.key)
+        owned_job.take(A1)
+        queue.charge(owned_job, work)
         if len(keys) == count:
             break
     return keys
@@ -58,11 +58,11 @@
     queue.add(job("long", 50, "long"), 1.0)
     queue.add(job("short", 50, "short"), 1.0)
     served = collections.Counter()
-    for leader in queue.in_order():
-        key = leader.request.key
+    for owned_job in queue.in_order():
+        key = owned_job.request.key
         served[key] += 1
-        leader.take(A1)
-        queue.charge(leader, 400.0 if key == "long" else 100.0)
+        owned_job.take(A1)
+        queue.charge(owned_job, 400.0 if key == "long" else 100.0)
         if served.total() == 50:
             break
     assert served == {"long": 10, "short": 40}
@@ -121,10 +121,10 @@
     queue.add(job("stuck", 1), 1.0)
     queue.add(job("next", 2), 1.0)
     offered = []
-    for leader in queue.in_order():
-        offered.append(leader.request.key)
-        if leader.request.key == "next":
-            leader.take(A1)
+    for owned_job in queue.in_order():
+        offered.append(owned_job.request.key)
+        if owned_job.request.key == "next":
+            owned_job.take(A1)
     assert offered == ["stuck", "next", "next"]
     assert (queue.waiting(), queue.is_empty) == ((1, 1.0), False)
     assert serve(queue, 2) == ["stuck"]
@@ -133,9 +133,9 @@
 
 def test_job_is_queued_once_with_its_latest_weight(queue):
     """A job queued twice would count twice in the demand."""
-    leader = job("k1", 3)
+    owned_job = job("k1", 3)
     for weight in (1.0, 2.0):
-        queue.add(leader, weight)
+        queue.add(owned_job, weight)
     assert queue.waiting() == (3, 2.0)
     assert serve(queue, 9) == ["k1"] * 3
 
@@ -155,11 +155,11 @@
     """Jobs that end in a long outage of the workers must not fill the memory."""
     refs = []
     for number in range(5):
-        leader = job(f"k{number}")
-        refs.append(weakref.ref(leader))
-        queue.add(leader, 1.0)
-        list(leader.cancel())
-        del leader
+        owned_job = job(f"k{number}")
+        refs.append(weakref.ref(owned_job))
+        queue.add(owned_job, 1.0)
+        list(owned_job.cancel())
+        del owned_job
     gc.collect()
     assert [ref() is None for ref in refs] == [True] * 4 + [False]
 
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -21,7 +21,9 @@
 def _is_settled(model):
     return not any(
         entry.scheduler.job_by_id for entry in model.entry_by_name.values()
-    ) and not any(agent.gate.running_count for agent in model.agent_by_name.values())
+    ) and not any(
+        agent.executor.running_count for agent in model.agent_by_name.values()
+    )
 
 
 def test_calm_load_is_served_in_time():
@@ -121,7 +123,7 @@
 def test_lost_answers_to_looks_do_not_hide_free_room():
     """A look without an answer kept the ends of all runs unseen for half a second."""
     seeds = range(1, 4)
-    patient = executoractions.ExecutorSettings(look_repeat_s=0.3, lossy_s=0.0)
+    patient = executoractions.ExecutorSettings(poll_repeat_s=0.3, lossy_s=0.0)
     before = [_credit_with_lost_answers(patient, seed) for seed in seeds]
     after = [_credit_with_lost_answers(None, seed) for seed in seeds]
     assert sum(after) > sum(before)
@@ -136,7 +138,7 @@
     model.run(6)
     worker.faults.unanswered = 0.0
     model.run(60)
-    assert model.agent_by_name["agent-0"].gate.running_count == 0
+    assert model.agent_by_name["agent-0"].executor.running_count == 0
     assert list(promises.violations(model)) == []
 
 
@@ -250,9 +252,9 @@
     assert asked == []
 
 
-def _grown_crest(near_owners):
+def _grown_crest(near_entries):
     """Replay a crest on many workers and return the model."""
-    limits = executoractions.ExecutorSettings(near_owners=near_owners)
+    limits = executoractions.ExecutorSettings(near_entries=near_entries)
     model = batches.Model(5, KINDS, entries=8, workers=24, zones=4, limits=limits)
     model.load(3, 4, 2.2)
     model.load(4, 6, 6.0)
@@ -269,7 +271,7 @@
 
 def test_crest_with_many_entry_hosts_is_served_as_well_with_fewer_reports():
     """Ten entry hosts that hear of every change had no time left for the jobs."""
-    few, every = _grown_crest(near_owners=4), _grown_crest(near_owners=8)
+    few, every = _grown_crest(near_entries=4), _grown_crest(near_entries=8)
     assert list(promises.violations(few)) == []
     for kind in (assignments.LoadReport, assignments.Demand):
         assert few.messages[kind] < every.messages[kind]
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -25,7 +25,7 @@
     workers.report(name, free, 0)
 
 
-def run(dispatcher, outside=lambda leader: None):
+def run(dispatcher, outside=lambda job: None):
     return list(dispatcher.run(outside))
 
 
@@ -42,7 +42,7 @@
     """More starts than slots come back, and a message per task is waste."""
     join(workers, "a1", 2)
     join(workers, "a2", 1)
-    dispatcher.add(builders.make_leader(builders.request(tasks=5)), 1.0)
+    dispatcher.add(builders.make_owned_job(builders.request(tasks=5)), 1.0)
     wanted = run(dispatcher)
     assert starts(wanted) == {"a1": [0, 1], "a2": [2]}
     assert len(builders.sent(wanted, messages.Start)) == 2
@@ -57,7 +57,7 @@
     join(workers, "other", 2, service="other")
     scope = ("small", "leaving", "other", "a1")
     made = builders.request(tasks=3, cores=2.0)
-    dispatcher.add(builders.make_leader(scope=scope, made=made), 1.0)
+    dispatcher.add(builders.make_owned_job(scope=scope, made=made), 1.0)
     assert starts(run(dispatcher)) == {}
     join(workers, "a1", 1)
     assert starts(run(dispatcher)) == {"a1": [0]}
@@ -66,20 +66,20 @@
 def test_worker_outside_the_scope_is_reported(workers, dispatcher):
     """Without a longer scope the job would wait beside a free worker."""
     join(workers, "a9", 1)
-    leader = builders.make_leader()
-    dispatcher.add(leader, 1.0)
+    job = builders.make_owned_job()
+    dispatcher.add(job, 1.0)
     outside = []
     assert starts(run(dispatcher, outside.append)) == {}
-    assert outside == [leader]
-    leader.extend(builders.terms(["a9"]))
+    assert outside == [job]
+    job.extend(builders.terms(["a9"]))
     assert starts(run(dispatcher)) == {"a9": [0]}
 
 
 def test_demand_is_announced_once_and_withdrawn(workers, dispatcher):
     """Demand sent again and again, or left standing, is a wasted message."""
     join(workers, "a1", 0)
-    leader = builders.make_leader()
-    dispatcher.add(leader, 3.0)
+    job = builders.make_owned_job()
+    dispatcher.add(job, 3.0)
     assert builders.sent(run(dispatcher), messages.Demand) == [messages.Demand(2, 3.0)]
     assert run(dispatcher) == []
     workers.offer("a1", 2, 0)
@@ -91,10 +91,10 @@
 def test_demand_of_cancelled_jobs_is_withdrawn_once(workers, dispatcher):
     """A wave of cancellations must not leave offers or empty demands behind."""
     join(workers, "a1", 0)
-    leader = builders.make_leader()
-    dispatcher.add(leader, 1.0)
+    job = builders.make_owned_job()
+    dispatcher.add(job, 1.0)
     run(dispatcher)
-    list(leader.cancel())
+    list(job.cancel())
     assert builders.sent(run(dispatcher), messages.Demand) == [messages.Demand(0, 0.0)]
     assert run(dispatcher) == []
     join(workers, "a2", 0)
@@ -105,8 +105,8 @@
     """Work of a service without workers must not hold up another service."""
     join(workers, "a1", 1)
     stuck = builders.attrs.evolve(builders.request("k2"), service="missing")
-    dispatcher.add(builders.make_leader(made=stuck), 1.0)
-    dispatcher.add(builders.make_leader(), 1.0)
+    dispatcher.add(builders.make_owned_job(made=stuck), 1.0)
+    dispatcher.add(builders.make_owned_job(), 1.0)
     assert starts(run(dispatcher)) == {"a1": [0]}
 
 
@@ -115,7 +115,7 @@
     join(workers, "a1", 10)
     for name, work in (("long", 400.0), ("short", 0.0)):
         made = builders.request(name, 20, caller_class=name, expected_ms=work)
-        dispatcher.add(builders.make_leader(made=made), 1.0)
+        dispatcher.add(builders.make_owned_job(made=made), 1.0)
     counts = [
         len(each.tasks) for each in builders.sent(run(dispatcher), messages.Start)
     ]
@@ -125,8 +125,8 @@
 def test_returned_task_is_not_charged(workers, dispatcher):
     """A class whose tasks come back without a start would lose its share."""
     join(workers, "a1", 1)
-    batch = builders.make_leader(builders.request("k1", 4, "batch"))
-    web = builders.make_leader(builders.request("k2", 4, "web"))
+    batch = builders.make_owned_job(builders.request("k1", 4, "batch"))
+    web = builders.make_owned_job(builders.request("k2", 4, "web"))
     dispatcher.add(batch, 1.0)
     run(dispatcher)
     state = messages.TaskState.RETURNED
@@ -141,7 +141,7 @@
 def test_worker_that_was_lapsed_or_draining_is_used_again(workers, dispatcher):
     """A worker left out of the index of free ones for good would lose its slots."""
     join(workers, "a1", 2)
-    dispatcher.add(builders.make_leader(builders.request(tasks=2)), 1.0)
+    dispatcher.add(builders.make_owned_job(builders.request(tasks=2)), 1.0)
     workers._time.advance(2.6)
     assert starts(run(dispatcher)) == {}
     workers.drain("a1", active=True)
@@ -156,8 +156,8 @@
     join(workers, "a1", 1)
     for number in range(200):
         large = builders.request(f"k{number}", 1, cores=100.0)
-        dispatcher.add(builders.make_leader(made=large), 1.0)
-    dispatcher.add(builders.make_leader(builders.request("small", 50)), 1.0)
+        dispatcher.add(builders.make_owned_job(made=large), 1.0)
+    dispatcher.add(builders.make_owned_job(builders.request("small", 50)), 1.0)
     found = [starts(run(dispatcher)) for _ in range(4)]
     assert found == [{}, {}, {}, {"a1": [0]}]
 
@@ -167,7 +167,7 @@
     for number in range(1000):
         join(workers, f"a{number}", 0)
     scope = [f"a{number}" for number in range(500, 564)]
-    dispatcher.add(builders.make_leader(scope=scope), 1.0)
+    dispatcher.add(builders.make_owned_job(scope=scope), 1.0)
     assert {each.to for each in run(dispatcher)} == set(scope)
     assert run(dispatcher) == []
     workers.offer("a500", 1, 0)
--- a/tests/test_ownedjob.py
+++ b/tests/test_ownedjob.py
@@ -1,4 +1,4 @@
-"""Guards the leader of a job: no second start, no false "not run"."""
+"""Guards an owned job: no second start, no false "not run"."""
 
 import pytest
 
@@ -19,29 +19,29 @@
 
 
 @pytest.fixture
-def leader(time):
-    return builders.make_leader(time=time)
+def job(time):
+    return builders.make_owned_job(time=time)
 
 
-def take(leader, *nodes):
-    return [leader.take(node) for node in nodes]
+def take(job, *nodes):
+    return [job.take(node) for node in nodes]
 
 
-def results(leader, name, *reports, **fields):
-    return list(leader.results(name, builders.results(*reports, **fields)))
+def results(job, name, *reports, **fields):
+    return list(job.results(name, builders.results(*reports, **fields)))
 
 
-def reply(leader, name, *reports, **fields):
-    return list(leader.fence_reply(name, builders.fence_reply(*reports, **fields)))
+def reply(job, name, *reports, **fields):
+    return list(job.fence_reply(name, builders.fence_reply(*reports, **fields)))
 
 
-def reconnect(leader, node):
-    leader.agent_disconnected(node.name)
-    return builders.sent(leader.agent_connected(node), messages.Fence)
+def reconnect(job, node):
+    job.agent_disconnected(node.name)
+    return builders.sent(job.agent_connected(node), messages.Fence)
 
 
-def code(leader):
-    return leader.outcome and leader.outcome.code
+def code(job):
+    return job.outcome and job.outcome.code
 
 
 @pytest.mark.parametrize(
@@ -57,151 +57,151 @@
     ],
 )
 def test_answer_is_whole_in_order_and_from_matching_results(
-    leader, name, index, send, fields
+    job, name, index, send, fields
 ):
-    take(leader, A1, A2)
-    results(leader, name, report(index, send), **fields)
-    assert leader.dropped == 1
-    results(leader, "a2", report(1, payload=b"y"))
-    assert leader.outcome is None
-    results(leader, "a1", report(0, payload=b"x"))
-    assert leader.outcome == outcome.Complete(1, (b"x", b"y"))
+    take(job, A1, A2)
+    results(job, name, report(index, send), **fields)
+    assert job.dropped == 1
+    results(job, "a2", report(1, payload=b"y"))
+    assert job.outcome is None
+    results(job, "a1", report(0, payload=b"x"))
+    assert job.outcome == outcome.Complete(1, (b"x", b"y"))
 
 
-def test_start_names_what_the_agent_checks(leader):
-    start = leader.start_message(A1, take(leader, A1)).message
+def test_start_names_what_the_agent_checks(job):
+    start = job.start_message(A1, take(job, A1)).message
     assert (start.epoch, start.fence, start.attempt, start.boot) == (1, 0, 1, 1)
-    results(leader, "a1", report(0, 1, RETURNED))
-    assert [task.send for task in take(leader, A2)] == [2]
-    reconnect(leader, A2)
-    reply(leader, "a2")
-    assert leader.start_message(A2, take(leader, A2)).message.fence == 1
+    results(job, "a1", report(0, 1, RETURNED))
+    assert [task.send for task in take(job, A2)] == [2]
+    reconnect(job, A2)
+    reply(job, "a2")
+    assert job.start_message(A2, take(job, A2)).message.fence == 1
 
 
-def test_only_agents_of_the_scope_are_allowed(leader):
+def test_only_agents_of_the_scope_are_allowed(job):
     """A later owner fences only the recorded scope."""
     a3 = builders.node("a3")
-    allowed = [leader.allows(each) for each in (A1, a3, builders.node("a1", 2))]
+    allowed = [job.allows(each) for each in (A1, a3, builders.node("a1", 2))]
     assert allowed == [True, False, False]
-    leader.extend(builders.terms(("a1", "a3")))
-    assert leader.allows(a3)
+    job.extend(builders.terms(("a1", "a3")))
+    assert job.allows(a3)
 
 
-def test_no_task_for_an_agent_that_is_lost_or_fenced(leader, time):
+def test_no_task_for_an_agent_that_is_lost_or_fenced(job, time):
     """A start sent around a fence would make its reply meaningless."""
-    take(leader, A1)
-    leader.agent_disconnected("a1")
-    assert not leader.allows(A1)
+    take(job, A1)
+    job.agent_disconnected("a1")
+    assert not job.allows(A1)
     time.advance(4.0)
-    leader.agent_disconnected("a1")
-    list(leader.agent_connected(A1))
-    assert not leader.allows(A1)
-    reply(leader, "a1", report(0, state=RUNNING))
-    assert leader.allows(A1)
-    results(leader, "a1", report(0))
-    assert reconnect(leader, A1) == [], "a fence for an idle agent is waste"
-    assert leader.allows(A1)
+    job.agent_disconnected("a1")
+    list(job.agent_connected(A1))
+    assert not job.allows(A1)
+    reply(job, "a1", report(0, state=RUNNING))
+    assert job.allows(A1)
+    results(job, "a1", report(0))
+    assert reconnect(job, A1) == [], "a fence for an idle agent is waste"
+    assert job.allows(A1)
 
 
 @pytest.mark.parametrize(
     "fields", [{"fence": 1}, {"fence": 3}, {"epoch": 0}, {"attempt": 2}]
 )
-def test_reply_to_another_fence_frees_no_task(leader, fields):
-    take(leader, A1)
-    reconnect(leader, A1)
-    assert [fence.fence for fence in reconnect(leader, A1)] == [2]
-    reply(leader, "a1", **({"fence": 2} | fields))
-    assert (leader.waiting_count, leader.allows(A1)) == (1, False)
-    reply(leader, "a1", fence=2)
-    assert leader.waiting_count == 2
-    take(leader, A1)
-    reply(leader, "a1", fence=2)
-    assert leader.waiting_count == 1, "a duplicate must free nothing"
-
-
-def test_fence_frees_only_tasks_the_agent_never_got(leader):
-    take(leader, A1, A1)
-    reconnect(leader, A1)
-    reply(leader, "a1", report(0, state=RUNNING), more=True)
-    assert leader.waiting_count == 0
-    reply(leader, "a1")
-    assert leader.take(A2).index == 1
-
-
-def test_repeated_send_that_was_lost_is_freed_by_the_fence(leader):
+def test_reply_to_another_fence_frees_no_task(job, fields):
+    take(job, A1)
+    reconnect(job, A1)
+    assert [fence.fence for fence in reconnect(job, A1)] == [2]
+    reply(job, "a1", **({"fence": 2} | fields))
+    assert (job.waiting_count, job.allows(A1)) == (1, False)
+    reply(job, "a1", fence=2)
+    assert job.waiting_count == 2
+    take(job, A1)
+    reply(job, "a1", fence=2)
+    assert job.waiting_count == 1, "a duplicate must free nothing"
+
+
+def test_fence_frees_only_tasks_the_agent_never_got(job):
+    take(job, A1, A1)
+    reconnect(job, A1)
+    reply(job, "a1", report(0, state=RUNNING), more=True)
+    assert job.waiting_count == 0
+    reply(job, "a1")
+    assert job.take(A2).index == 1
+
+
+def test_repeated_send_that_was_lost_is_freed_by_the_fence(job):
     """The report of the send before must not hide that the repeat never arrived."""
-    take(leader, A1)
-    results(leader, "a1", report(0, 1, RETURNED))
-    take(leader, A1)
-    reconnect(leader, A1)
-    reply(leader, "a1", report(0, 1, RETURNED))
-    assert leader.waiting_count == 2
+    take(job, A1)
+    results(job, "a1", report(0, 1, RETURNED))
+    take(job, A1)
+    reconnect(job, A1)
+    reply(job, "a1", report(0, 1, RETURNED))
+    assert job.waiting_count == 2
 
 
-def test_no_task_waits_while_an_agent_is_recovered(leader):
+def test_no_task_waits_while_an_agent_is_recovered(job):
     """Until all agents of the scopes have answered, a task may run at any of them."""
-    wanted = list(leader.recover([A1, A2]))
+    wanted = list(job.recover([A1, A2]))
     assert effects.Dial(A1) in wanted
     fences = builders.sent(wanted, messages.Fence)
     assert [(fence.epoch, fence.fence) for fence in fences] == [(1, 1), (1, 1)]
-    reply(leader, "a1", report(0, 3, RUNNING))
-    assert leader.waiting_count == 0
-    reply(leader, "a2", report(1, 4, RETURNED))
-    assert [task.send for task in take(leader, A2)] == [5]
+    reply(job, "a1", report(0, 3, RUNNING))
+    assert job.waiting_count == 0
+    reply(job, "a2", report(1, 4, RETURNED))
+    assert [task.send for task in take(job, A2)] == [5]
     for name, index, send in (("a1", 0, 3), ("a2", 1, 5)):
-        results(leader, name, report(index, send))
-    assert code(leader) is C.COMPLETE
+        results(job, name, report(index, send))
+    assert code(job) is C.COMPLETE
 
 
 @pytest.mark.parametrize(("count", "expected"), [(1, C.OWNER_LOST), (2, C.COMPLETE)])
-def test_lost_agent_leaves_unknown_tasks_in_doubt(leader, time, count, expected):
-    list(leader.recover([A1, A2]))
-    reply(leader, "a1", report(0), *[report(1, state=RUNNING)][: count - 1])
+def test_lost_agent_leaves_unknown_tasks_in_doubt(job, time, count, expected):
+    list(job.recover([A1, A2]))
+    reply(job, "a1", report(0), *[report(1, state=RUNNING)][: count - 1])
     time.advance(4.9)
-    list(leader.tick())
-    assert leader.outcome is None
+    list(job.tick())
+    assert job.outcome is None
     time.advance(0.1)
-    list(leader.tick())
-    results(leader, "a1", report(1))
-    assert code(leader) is expected
+    list(job.tick())
+    results(job, "a1", report(1))
+    assert code(job) is expected
 
 
-def test_two_boots_of_one_agent_leave_doubt_once_all_have_answered(leader):
-    list(leader.recover([A1, builders.node("a1", boot=2), A2]))
-    reply(leader, "a1")
-    assert leader.outcome is None
-    reply(leader, "a2")
-    assert code(leader) is C.OWNER_LOST
+def test_two_boots_of_one_agent_leave_doubt_once_all_have_answered(job):
+    list(job.recover([A1, builders.node("a1", boot=2), A2]))
+    reply(job, "a1")
+    assert job.outcome is None
+    reply(job, "a2")
+    assert code(job) is C.OWNER_LOST
 
 
 @pytest.mark.parametrize("cause", ["timeout", "hello", "reply"])
 @pytest.mark.parametrize("returned", [False, True])
-def test_lost_worker_fails_the_job_if_it_has_tasks(leader, time, cause, returned):
+def test_lost_worker_fails_the_job_if_it_has_tasks(job, time, cause, returned):
     """A cut of less than the timeout fails nothing; another boot fails at once."""
-    take(leader, A1)
+    take(job, A1)
     if cause == "reply":
-        reconnect(leader, A1)
-        reply(leader, "a1", *[report(0, 1, RETURNED)] * returned)
-        take(leader, *[A1] * (not returned))
-        reconnect(leader, A1)
-        reply(leader, "a1", fence=2, boot=2)
+        reconnect(job, A1)
+        reply(job, "a1", *[report(0, 1, RETURNED)] * returned)
+        take(job, *[A1] * (not returned))
+        reconnect(job, A1)
+        reply(job, "a1", fence=2, boot=2)
     else:
-        results(leader, "a1", *[report(0, 1, RETURNED)] * returned)
-        leader.agent_disconnected("a1")
+        results(job, "a1", *[report(0, 1, RETURNED)] * returned)
+        job.agent_disconnected("a1")
         time.advance(4.9)
-        list(leader.tick())
-        assert leader.outcome is None
+        list(job.tick())
+        assert job.outcome is None
         time.advance(0.1 * (cause == "timeout"))
-        list(leader.tick())
+        list(job.tick())
         if cause == "hello":
-            list(leader.agent_connected(builders.node("a1", boot=2)))
-    assert code(leader) is (None if returned else C.WORKER_LOST)
-    assert leader.waiting_count == (2 if returned else 0)
+            list(job.agent_connected(builders.node("a1", boot=2)))
+    assert code(job) is (None if returned else C.WORKER_LOST)
+    assert job.waiting_count == (2 if returned else 0)
 
 
-def test_higher_epoch_ends_the_leadership(leader):
-    reply(leader, "a9", epoch=2)
-    assert leader.is_superseded
+def test_higher_epoch_ends_the_leadership(job):
+    reply(job, "a9", epoch=2)
+    assert job.is_superseded
 
 
 @pytest.mark.parametrize(
@@ -214,16 +214,16 @@
         (DONE, b"", C.ANSWER_EXPIRED),
     ],
 )
-def test_failed_task_fails_the_whole_job(leader, state, payload, expected):
-    take(leader, A1, A2)
-    wanted = results(leader, "a1", report(0, state=state, payload=payload))
+def test_failed_task_fails_the_whole_job(job, state, payload, expected):
+    take(job, A1, A2)
+    wanted = results(job, "a1", report(0, state=state, payload=payload))
     assert [(each.to, type(each.message)) for each in wanted] == [
         ("a2", messages.Cancel)
     ]
-    results(leader, "a2", report(1))
-    list(leader.cancel())
-    assert (code(leader), leader.waiting_count) == (expected, 0)
-    told = [(each.to, each.message.code) for each in leader.settle()]
+    results(job, "a2", report(1))
+    list(job.cancel())
+    assert (code(job), job.waiting_count) == (expected, 0)
+    told = [(each.to, each.message.code) for each in job.settle()]
     assert told == [(name, int(expected)) for name in ("a1", "a2", "m1")]
 
 
@@ -237,77 +237,77 @@
     time, situation, is_not_run, by_deadline
 ):
     had_attempt = situation == "earlier attempt"
-    leader = builders.make_leader(time=time, had_attempt=had_attempt)
+    job = builders.make_owned_job(time=time, had_attempt=had_attempt)
     if situation in ("returned", "sent", "running", "done"):
-        take(leader, A1)
+        take(job, A1)
     if situation in ("returned", "done"):
-        results(leader, "a1", report(0, state=STATE[situation.upper()]))
+        results(job, "a1", report(0, state=STATE[situation.upper()]))
     if situation == "running":
-        reconnect(leader, A1)
-        reply(leader, "a1", report(0, state=RUNNING))
-        results(leader, "a1", report(0, state=RETURNED))
+        reconnect(job, A1)
+        reply(job, "a1", report(0, state=RUNNING))
+        results(job, "a1", report(0, state=RETURNED))
     if situation == "recovering":
-        list(leader.recover([A1, A2]))
+        list(job.recover([A1, A2]))
     time.advance(30.0 if by_deadline else 0.0)
-    list(leader.tick() if by_deadline else leader.cancel())
-    assert (codes.start_of(code(leader)) is codes.Start.NOT_RUN) == is_not_run
+    list(job.tick() if by_deadline else job.cancel())
+    assert (codes.start_of(code(job)) is codes.Start.NOT_RUN) == is_not_run
 
 
-def test_fence_forgets_what_an_earlier_one_showed(leader):
+def test_fence_forgets_what_an_earlier_one_showed(job):
     """A repeated send that was lost would otherwise never be sent again."""
-    take(leader, A1)
-    reconnect(leader, A1)
-    reply(leader, "a1", report(0, 1, RUNNING))
-    results(leader, "a1", report(0, 1, RETURNED))
-    take(leader, A1)
-    reconnect(leader, A1)
-    reply(leader, "a1", report(0, 1, RETURNED), fence=2)
-    assert leader.waiting_count == 2
+    take(job, A1)
+    reconnect(job, A1)
+    reply(job, "a1", report(0, 1, RUNNING))
+    results(job, "a1", report(0, 1, RETURNED))
+    take(job, A1)
+    reconnect(job, A1)
+    reply(job, "a1", report(0, 1, RETURNED), fence=2)
+    assert job.waiting_count == 2
 
 
-def test_outcome_stands_whatever_comes_later(leader):
+def test_outcome_stands_whatever_comes_later(job):
     """A cancelled job must not turn complete, nor work for its agents go on."""
-    take(leader, A1, A2)
-    reconnect(leader, A1)
-    list(leader.cancel())
-    results(leader, "a2", report(1))
-    reply(leader, "a1", report(0), report(1))
-    assert (code(leader), leader.dropped) == (C.CANCELLED_MAY_HAVE_RUN, 2)
-    assert reconnect(leader, A1) == []
-    assert leader.sent_count == 2, "the reply must free nothing"
+    take(job, A1, A2)
+    reconnect(job, A1)
+    list(job.cancel())
+    results(job, "a2", report(1))
+    reply(job, "a1", report(0), report(1))
+    assert (code(job), job.dropped) == (C.CANCELLED_MAY_HAVE_RUN, 2)
+    assert reconnect(job, A1) == []
+    assert job.sent_count == 2, "the reply must free nothing"
 
 
-def test_rest_of_a_message_after_a_failed_task_is_dropped(leader):
-    take(leader, A1, A1)
-    results(leader, "a1", report(0, state=STATE.FAILED), report(1))
-    assert (code(leader), leader.dropped) == (C.TASK_FAILED, 1)
+def test_rest_of_a_message_after_a_failed_task_is_dropped(job):
+    take(job, A1, A1)
+    results(job, "a1", report(0, state=STATE.FAILED), report(1))
+    assert (code(job), job.dropped) == (C.TASK_FAILED, 1)
 
 
-def test_only_tasks_unaccounted_for_are_taken_over(leader):
+def test_only_tasks_unaccounted_for_are_taken_over(job):
     """Two agents may report one task, and a report may name a task of no job."""
-    list(leader.recover([A1, A2]))
-    reply(leader, "a1", report(0, 3, RUNNING), report(2, 1, DONE))
-    assert leader.dropped == 1
-    reply(leader, "a2", report(0, 5, RUNNING), report(1, 1, RETURNED))
-    assert leader.returned == [], "the earlier owner has counted it"
-    results(leader, "a1", report(0, 3, RETURNED))
-    assert [(task.index, task.send) for task in take(leader, A2)] == [(0, 6)]
+    list(job.recover([A1, A2]))
+    reply(job, "a1", report(0, 3, RUNNING), report(2, 1, DONE))
+    assert job.dropped == 1
+    reply(job, "a2", report(0, 5, RUNNING), report(1, 1, RETURNED))
+    assert job.returned == [], "the earlier owner has counted it"
+    results(job, "a1", report(0, 3, RETURNED))
+    assert [(task.index, task.send) for task in take(job, A2)] == [(0, 6)]
 
 
-def test_send_number_of_a_task_taken_over_goes_on(leader):
+def test_send_number_of_a_task_taken_over_goes_on(job):
     """The agent ignores a send that is not newer than the one it returned."""
-    list(leader.recover([A1]))
-    reply(leader, "a1", report(0, 3, RUNNING))
-    results(leader, "a1", report(0, 3, RETURNED))
-    assert take(leader, A1)[0].send == 4
+    list(job.recover([A1]))
+    reply(job, "a1", report(0, 3, RUNNING))
+    results(job, "a1", report(0, 3, RETURNED))
+    assert take(job, A1)[0].send == 4
 
 
-def test_second_loss_does_not_prolong_the_wait(leader, time):
+def test_second_loss_does_not_prolong_the_wait(job, time):
     """A connection that closes again and again must not keep the job for ever."""
-    take(leader, A1)
+    take(job, A1)
     for wait_s in (0.0, 3.0):
         time.advance(wait_s)
-        leader.agent_disconnected("a1")
+        job.agent_disconnected("a1")
     time.advance(2.0)
-    list(leader.tick())
-    assert code(leader) is C.WORKER_LOST
+    list(job.tick())
+    assert code(job) is C.WORKER_LOST
--- a/tests/test_session_table.py
+++ b/tests/test_session_table.py
@@ -17,7 +17,10 @@
 
 
 def versions(session):
-    return {name: each.core.rows.version for name, each in session.processes.items()}
+    return {
+        name: each.core.table_replica.version
+        for name, each in session.processes.items()
+    }
 
 
 def assert_in_force(session, version, limit_s=5.0):
@@ -31,7 +34,7 @@
     set_row(session, "two", weight=3.0)
     assert_in_force(session, first)
     for process in session.processes.values():
-        assert process.core.rows.table.row("class", "batch").weight == 2.0
+        assert process.core.table_replica.table.row("class", "batch").weight == 2.0
 
 
 def test_entry_host_cut_from_the_log_follows_through_its_peer():
@@ -57,7 +60,7 @@
     session.cuts.add(frozenset(("entry-1", "entry-2")))
     core = session.start("entry-1").core
     session.run(3.0)
-    assert core.rows.version == version
+    assert core.table_replica.version == version
     assert not core.has_current_table
     session.heal("entry-1", "entry-2")
     session.run(1.0)
@@ -77,8 +80,8 @@
     session.kill("entry-2")
     core = session.start("entry-1").core
     session.run(0.1)
-    assert core.rows.table.row("class", "batch").weight == 2.0
-    assert (core.rows.version, core.has_current_table) == (version, True)
+    assert core.table_replica.table.row("class", "batch").weight == 2.0
+    assert (core.table_replica.version, core.has_current_table) == (version, True)
 
 
 def test_stale_peer_never_lowers_the_version():
