Merge the renames of modules, public classes and handlers

Cause: an engineer who joins met one word for several things and several words for one thing (jobs, records, owners, placing and placement, platform as package and module).

--- a/src/burdockgate/process/backlog.py
+++ b/src/burdockgate/process/backlog.py
@@ -15,7 +15,7 @@
 
 import attrs
 
-from burdockgate.request import leader as leaders
+from burdockgate.request import ownedjob
 
 # One waiting task weighs as much as this much later arrival.
 SECONDS_PER_WAITING_TASK = 0.02
@@ -35,7 +35,7 @@
 
     weight: float
     virtual_time: float
-    heap: list[tuple[float, int, leaders.Leader]] = attrs.field(factory=list)
+    heap: list[tuple[float, int, ownedjob.OwnedJob]] = attrs.field(factory=list)
     tasks: int = 0
     dropped: int = 0
     last_rank: float = 0.0
@@ -60,53 +60,53 @@
         self._queue_by_class: dict[str, _ClassQueue] = {}
         self._virtual_time = 0.0
         self._counter = itertools.count()
-        self._queued_by_leader: dict[leaders.Leader, _Queued] = {}
+        self._queued_by_job: dict[ownedjob.OwnedJob, _Queued] = {}
 
-    def add(self, leader: leaders.Leader, weight: float) -> None:
+    def add(self, job: ownedjob.OwnedJob, weight: float) -> None:
         """Queue a job unless it is queued.
 
-        :param leader: the job; it stays queued until it has no waiting task.
+        :param job: the job; it stays queued until it has no waiting task.
         :param weight: weight of its class.
         """
-        name = leader.request.caller_class
+        name = job.request.caller_class
         queue = self._queue_by_class.get(name)
         if queue is None:
             queue = _ClassQueue(weight, self._virtual_time)
             self._queue_by_class[name] = queue
         queue.weight = weight
         self._drop_ended(queue)
-        self._push(leader)
+        self._push(job)
 
     def _drop_ended(self, queue: _ClassQueue) -> None:
         """Release jobs that ended while no slot was free, to bound the memory."""
         while queue.heap:
-            _, number, leader = queue.heap[0]
-            if self._is_queued(number, leader) and leader.outcome is None:
+            _, number, job = queue.heap[0]
+            if self._is_queued(number, job) and job.outcome is None:
                 return
             self._pop(queue)
 
-    def _is_queued(self, number: int, leader: leaders.Leader) -> bool:
-        queued = self._queued_by_leader.get(leader)
+    def _is_queued(self, number: int, job: ownedjob.OwnedJob) -> bool:
+        queued = self._queued_by_job.get(job)
         return queued is not None and queued.number == number
 
-    def _pop(self, queue: _ClassQueue) -> leaders.Leader | None:
+    def _pop(self, queue: _ClassQueue) -> ownedjob.OwnedJob | None:
         """Take the first entry, and return its job unless it counts no more."""
-        _, number, leader = heapq.heappop(queue.heap)
-        if not self._is_queued(number, leader):
+        _, number, job = heapq.heappop(queue.heap)
+        if not self._is_queued(number, job):
             queue.dropped -= 1
             return None
-        queue.tasks -= self._queued_by_leader.pop(leader).tasks
-        return leader
+        queue.tasks -= self._queued_by_job.pop(job).tasks
+        return job
 
-    def drop(self, leader: leaders.Leader) -> None:
+    def drop(self, job: ownedjob.OwnedJob) -> None:
         """Release a job that has ended.
 
-        :param leader: the job; one that is not queued is ignored.
+        :param job: the job; one that is not queued is ignored.
         """
-        queued = self._queued_by_leader.pop(leader, None)
+        queued = self._queued_by_job.pop(job, None)
         if queued is None:
             return
-        queue = self._queue_by_class[leader.request.caller_class]
+        queue = self._queue_by_class[job.request.caller_class]
         queue.tasks -= queued.tasks
         queue.dropped += 1
         # Entries are removed in bulk, so that a wave of cancellations stays linear.
@@ -117,52 +117,52 @@
             heapq.heapify(queue.heap)
             queue.dropped = 0
 
-    def in_order(self) -> Iterator[leaders.Leader]:
+    def in_order(self) -> Iterator[ownedjob.OwnedJob]:
         """Yield the jobs in the order of service; the caller sends their tasks.
 
         Each time the caller has taken tasks of a job, it calls :meth:`charge`. A
         job of which nothing was taken is passed over in this round. When many are,
         the round ends, and they go to the end so that the next round sees others.
         """
-        passed: list[leaders.Leader] = []
+        passed: list[ownedjob.OwnedJob] = []
         try:
             while len(passed) < PASSED_LIMIT:
                 if (name := self._next_class()) is None:
                     break
-                leader = self._pop(self._queue_by_class[name])
-                if leader is None or (before := leader.waiting_count) == 0:
+                job = self._pop(self._queue_by_class[name])
+                if job is None or (before := job.waiting_count) == 0:
                     continue
-                passed.append(leader)
-                yield leader
-                if leader.waiting_count != before:
+                passed.append(job)
+                yield job
+                if job.waiting_count != before:
                     self._push(passed.pop())
         finally:
-            for leader in passed:
-                self._push(leader, is_last=len(passed) >= PASSED_LIMIT)
+            for job in passed:
+                self._push(job, is_last=len(passed) >= PASSED_LIMIT)
             self._drop_empty()
 
-    def _push(self, leader: leaders.Leader, is_last: bool = False) -> None:
-        tasks = leader.waiting_count
-        queued = self._queued_by_leader.get(leader)
-        queue = self._queue_by_class[leader.request.caller_class]
+    def _push(self, job: ownedjob.OwnedJob, is_last: bool = False) -> None:
+        tasks = job.waiting_count
+        queued = self._queued_by_job.get(job)
+        queue = self._queue_by_class[job.request.caller_class]
         if queued is not None:
             queue.tasks += tasks - queued.tasks
             queued.tasks = tasks
         elif tasks:
             number = next(self._counter)
-            self._queued_by_leader[leader] = _Queued(number, tasks)
+            self._queued_by_job[job] = _Queued(number, tasks)
             queue.tasks += tasks
-            rank = queue.last_rank if is_last else _rank(leader)
+            rank = queue.last_rank if is_last else _rank(job)
             queue.last_rank = max(queue.last_rank, rank)
-            heapq.heappush(queue.heap, (rank, number, leader))
+            heapq.heappush(queue.heap, (rank, number, job))
 
-    def charge(self, leader: leaders.Leader, work: float) -> None:
+    def charge(self, job: ownedjob.OwnedJob, work: float) -> None:
         """Count work sent against the class of a job.
 
-        :param leader: the job.
+        :param job: the job.
         :param work: amount of work, such as expected ms.
         """
-        queue = self._queue_by_class[leader.request.caller_class]
+        queue = self._queue_by_class[job.request.caller_class]
         self._virtual_time = max(self._virtual_time, queue.virtual_time)
         queue.virtual_time += work / queue.weight
 
@@ -179,14 +179,14 @@
         """Whether no task that may start waits; ended jobs may still be queued."""
         return next(self.heads(), None) is None
 
-    def heads(self) -> Iterator[leaders.Leader]:
+    def heads(self) -> Iterator[ownedjob.OwnedJob]:
         """Yield the first job with waiting tasks of each class that may start."""
         for name, queue in self._queue_by_class.items():
             if queue.heap and self._may_start(name):
                 while queue.heap:
-                    _, number, leader = queue.heap[0]
-                    if self._is_queued(number, leader) and leader.waiting_count:
-                        yield leader
+                    _, number, job = queue.heap[0]
+                    if self._is_queued(number, job) and job.waiting_count:
+                        yield job
                         break
                     self._pop(queue)
 
@@ -219,5 +219,5 @@
                 del self._queue_by_class[name]
 
 
-def _rank(leader: leaders.Leader) -> float:
-    return leader.arrived_at + SECONDS_PER_WAITING_TASK * leader.waiting_count
+def _rank(job: ownedjob.OwnedJob) -> float:
+    return job.arrived_at + SECONDS_PER_WAITING_TASK * job.waiting_count
--- a/src/burdockgate/process/owners.py
+++ b/src/burdockgate/process/entrysessions.py
@@ -15,7 +15,7 @@
 
 
 @attrs.frozen
-class Told:
+class ReportedLoad:
     """What an owner was last told and has to hear of at once when it changes.
 
     :param free_cpu: free room up to what is ample; 0 for an owner that is not near.
@@ -26,7 +26,7 @@
 
 
 @attrs.define
-class OwnerSession:
+class EntrySession:
     """One entry host; times in seconds of the agent's clock.
 
     :param boot: random number of the life of the entry host's process.
@@ -53,7 +53,7 @@
     demanded_at: float = 0.0
     served_at: float = 0.0
     is_outdated: bool = False
-    told: Told | None = None
+    told: ReportedLoad | None = None
     told_at: float = float("-inf")
     _number: int = 0
     _end_by_number: dict[int, assignments.TaskEnd] = attrs.field(factory=dict)
@@ -66,7 +66,7 @@
         is_valid = now - self.demanded_at < DEMAND_VALID_S
         return self.is_linked and is_valid and self.demand.waiting_cpu > 0
 
-    def ended(
+    def record_end(
         self,
         key: assignments.RunKey,
         kind: assignments.EndKind,
@@ -101,7 +101,7 @@
 
 
 def share_out(
-    free_cpu: int, sessions: Iterable[OwnerSession], now: float
+    free_cpu: int, sessions: Iterable[EntrySession], now: float
 ) -> dict[str, int]:
     """Return the free room that each owner may use, by name.
 
@@ -118,18 +118,18 @@
         (session for session in sessions if session.has_demand(now)),
         key=lambda session: (session.demand.rank, session.served_at, session.name),
     )
-    share_by_owner: dict[str, int] = {}
+    share_by_entry: dict[str, int] = {}
     for session in demanding:
         share = min(free_cpu, session.demand.waiting_cpu)
-        share_by_owner[session.name] = share
+        share_by_entry[session.name] = share
         free_cpu -= share
     for session in sessions:
-        share_by_owner[session.name] = share_by_owner.get(session.name, 0) + free_cpu
-    return share_by_owner
+        share_by_entry[session.name] = share_by_entry.get(session.name, 0) + free_cpu
+    return share_by_entry
 
 
 def distance(
-    agent: str, agent_zone: str, owner: str, owner_zone: str
+    agent: str, agent_zone: str, entry: str, entry_zone: str
 ) -> tuple[bool, int]:
     """Return how far an owner is from an agent: its zone, then a hash of both names.
 
@@ -137,14 +137,14 @@
 
     :param agent: name of the agent.
     :param agent_zone: its zone.
-    :param owner: name of the entry host.
-    :param owner_zone: its zone.
+    :param entry: name of the entry host.
+    :param entry_zone: its zone.
     """
-    pair = f"{agent}\0{owner}".encode()
-    return owner_zone != agent_zone, xxhash.xxh3_64_intdigest(pair)
+    pair = f"{agent}\0{entry}".encode()
+    return entry_zone != agent_zone, xxhash.xxh3_64_intdigest(pair)
 
 
-def nearest(sessions: Iterable[OwnerSession], count: int) -> set[str]:
+def nearest(sessions: Iterable[EntrySession], count: int) -> set[str]:
     """Return the names of the owners that hear of every change of the load.
 
     :param sessions: the owners.
--- a/src/burdockgate/process/gate.py
+++ b/src/burdockgate/process/executor.py
@@ -1,7 +1,7 @@
 """Decides what runs on the worker beside an agent.
 
-The gate is the only one that gives the worker orders, so it alone keeps the worker
-within its capacity.
+The executor is the only one that gives the worker commands, so it alone keeps the
+worker within its capacity.
 """
 
 from __future__ import annotations
@@ -9,44 +9,54 @@
 from collections.abc import Iterator
 
 from burdockgate import assignments, clock
-from burdockgate.process import actions, orders, owners, runs, supervisor
+from burdockgate.process import (
+    actions,
+    entrysessions,
+    executoractions,
+    runs,
+    supervisor,
+)
 
 # Above this share of free room it makes no difference to an entry host how much is
 # free: a task fits, and it can't fill the rest before the next regular report.
 AMPLE_SHARE = 0.5
 
 
-class Gate(supervisor.Supervisor):
+class Executor(supervisor.Supervisor):
     """The agent's decisions; all methods but queries are generators of effects.
 
     :param settings: time limits.
     :param time: a clock that counts suspensions.
     """
 
-    def __init__(self, settings: orders.GateSettings, time: clock.Clock) -> None:
+    def __init__(
+        self, settings: executoractions.ExecutorSettings, time: clock.Clock
+    ) -> None:
         super().__init__(settings, time)
-        self.session_by_owner: dict[str, owners.OwnerSession] = {}
+        self.session_by_entry: dict[str, entrysessions.EntrySession] = {}
 
-    def loads(self, is_periodic: bool = True) -> dict[str, assignments.LoadReport]:
+    def due_reports(
+        self, is_periodic: bool = True
+    ) -> dict[str, assignments.LoadReport]:
         """Return the load of the worker by the name of the entry host to tell.
 
         :param is_periodic: whether all are told, or only those to which the change
             since the last report matters.
         """
         now, state = self._time.now(), self.worker_state()
-        sessions = self.session_by_owner.values()
-        near = owners.nearest(sessions, self._settings.near_owners)
+        sessions = self.session_by_entry.values()
+        near = entrysessions.nearest(sessions, self._settings.near_entries)
         used = self._runs.used()
         queued_cpu = sum(run.cpu for run in self._runs.queued())
         capacity = self._worker.told.cpu if self._worker else 0
         free_cpu = max(0, capacity - used.cpu - queued_cpu)
-        share_by_owner = owners.share_out(free_cpu, sessions, now)
-        speed = int(self._vitals.current_speed(now) * 1000)
+        share_by_entry = entrysessions.share_out(free_cpu, sessions, now)
+        speed = int(self._health.current_speed(now) * 1000)
         loads = {}
-        for name, session in self.session_by_owner.items():
-            share = share_by_owner[name]
+        for name, session in self.session_by_entry.items():
+            share = share_by_entry[name]
             ample_cpu = min(share, int(AMPLE_SHARE * capacity))
-            news = owners.Told(state, ample_cpu if name in near else 0)
+            news = entrysessions.ReportedLoad(state, ample_cpu if name in near else 0)
             is_due = session.is_outdated or news != session.told
             if not (is_due or (is_periodic and self._is_regular(session, near, now))):
                 continue
@@ -66,100 +76,100 @@
         return loads
 
     def _is_regular(
-        self, session: owners.OwnerSession, near: set[str], now: float
+        self, session: entrysessions.EntrySession, near: set[str], now: float
     ) -> bool:
         """Return whether an owner is due for a regular report."""
         if session.name in near or any(self._runs.of_owner(session.name)):
             return True
         return now - session.told_at >= self._settings.distant_report_s
 
-    def demanded(self, owner: str, message: assignments.Demand) -> None:
+    def handle_demand(self, entry: str, message: assignments.Demand) -> None:
         """Note what waits at an entry host.
 
-        :param owner: name of the entry host.
+        :param entry: name of the entry host.
         :param message: its demand.
         """
-        session = self.session_by_owner[owner]
+        session = self.session_by_entry[entry]
         session.demand, session.demanded_at = message, self._time.now()
 
-    def hello(self, owner: str) -> tuple[int, tuple[assignments.RunKey, ...]]:
+    def session_state(self, entry: str) -> tuple[int, tuple[assignments.RunKey, ...]]:
         """Return the known boot of an entry host and the runs held for it.
 
-        :param owner: name of the entry host; empty boot and runs for a new one.
+        :param entry: name of the entry host; empty boot and runs for a new one.
         """
-        session = self.session_by_owner.get(owner)
+        session = self.session_by_entry.get(entry)
         if session is None:
             return 0, ()
-        return session.boot, tuple(run.key for run in self._runs.of_owner(owner))
+        return session.boot, tuple(run.key for run in self._runs.of_owner(entry))
 
-    def linked(
-        self, owner: str, boot: int, distance: tuple[bool, int] = (False, 0)
-    ) -> Iterator[orders.Effect]:
+    def handle_entry_connected(
+        self, entry: str, boot: int, distance: tuple[bool, int] = (False, 0)
+    ) -> Iterator[executoractions.Effect]:
         """Handle a new connection to an entry host.
 
-        :param owner: name of the entry host.
+        :param entry: name of the entry host.
         :param boot: number of the life of its process.
-        :param distance: how far it is, as :func:`owners.distance` gives it.
+        :param distance: how far it is, as :func:`entrysessions.distance` gives it.
         """
-        session = self.session_by_owner.get(owner)
+        session = self.session_by_entry.get(entry)
         if session is not None and session.boot == boot:
             session.is_linked = True
             session.assigned_through = 0
             session.told = None
             for end in session.unacknowledged():
-                yield actions.Send(owner, end)
+                yield actions.Send(entry, end)
             return
         if session is not None:
-            yield actions.Note("owner.restarted", {"owner": owner, "boot": boot})
-            yield from self._abandon(owner, "owner restarted")
-        self.session_by_owner[owner] = owners.OwnerSession(owner, boot, distance)
+            yield actions.LogEvent("owner.restarted", {"owner": entry, "boot": boot})
+            yield from self._abandon(entry, "owner restarted")
+        self.session_by_entry[entry] = entrysessions.EntrySession(entry, boot, distance)
 
-    def unlinked(self, owner: str) -> Iterator[orders.Effect]:
+    def handle_entry_disconnected(self, entry: str) -> Iterator[executoractions.Effect]:
         """Handle the loss of the connection to an entry host.
 
-        :param owner: its name.
+        :param entry: its name.
         """
-        session = self.session_by_owner.get(owner)
+        session = self.session_by_entry.get(entry)
         if session is not None and session.is_linked:
             session.is_linked = False
-            yield actions.Note("owner.unlinked", {"owner": owner})
+            yield actions.LogEvent("owner.unlinked", {"owner": entry})
 
-    def refused(self, owner: str) -> Iterator[orders.Effect]:
+    def handle_entry_gone(self, entry: str) -> Iterator[executoractions.Effect]:
         """Handle a refused connection: the process of the entry host has ended.
 
-        :param owner: its name.
+        :param entry: its name.
         """
-        if owner in self.session_by_owner:
-            yield from self._abandon(owner, "owner ended")
+        if entry in self.session_by_entry:
+            yield from self._abandon(entry, "owner ended")
 
-    def renewed(self, owner: str, message: assignments.Renewal) -> None:
+    def handle_renewal(self, entry: str, message: assignments.Renewal) -> None:
         """Extend the session lease.
 
-        :param owner: name of the entry host.
+        :param entry: name of the entry host.
         :param message: what it acknowledged.
         """
-        session = self.session_by_owner[owner]
+        session = self.session_by_entry[entry]
         echoed = message.echo_us / 1_000_000
         session.leased_until = max(
             session.leased_until, echoed + self._settings.session_lease_s
         )
         session.acknowledge(message.ends_through)
 
-    def assigned(
-        self, owner: str, message: assignments.Assign
-    ) -> Iterator[orders.Effect]:
+    def handle_assignment(
+        self, entry: str, message: assignments.Assign
+    ) -> Iterator[executoractions.Effect]:
         """Queue runs that an entry host has assigned.
 
-        :param owner: name of the entry host.
+        :param entry: name of the entry host.
         :param message: the runs.
         """
-        now, session = self._time.now(), self.session_by_owner[owner]
+        now, session = self._time.now(), self.session_by_entry[entry]
         session.assigned_through = message.number
         for index, number in zip(message.indexes, message.runs, strict=True):
             task = assignments.TaskKey(message.job, message.step, index)
             run = runs.Run(
                 assignments.RunKey(task, number),
-                owner,
+                entry,
                 message.spec,
                 message.cpu,
                 message.memory_mb,
@@ -175,8 +185,8 @@
         yield from self._return_excess(session, message.number)
 
     def _return_excess(
-        self, session: owners.OwnerSession, number: int
-    ) -> Iterator[orders.Effect]:
+        self, session: entrysessions.EntrySession, number: int
+    ) -> Iterator[executoractions.Effect]:
         """Return what an assignment holds beyond the room.
 
         Owners that assigned at the same time, or by an older report, find another
@@ -194,8 +204,8 @@
                 yield from self._return(run, "no room")
 
     def _queue(
-        self, run: runs.Run, session: owners.OwnerSession, now: float
-    ) -> Iterator[orders.Effect]:
+        self, run: runs.Run, session: entrysessions.EntrySession, now: float
+    ) -> Iterator[executoractions.Effect]:
         earlier = self._runs.find_task(run.key.task)
         reason = ""
         if now >= session.leased_until:
@@ -212,7 +222,9 @@
             return
         self._runs.by_key[run.key] = run
 
-    def revoked(self, message: assignments.Revoke) -> Iterator[orders.Effect]:
+    def handle_revocation(
+        self, message: assignments.Revoke
+    ) -> Iterator[executoractions.Effect]:
         """Drop or stop runs that their owner no longer wants.
 
         :param message: the runs.
@@ -223,20 +235,20 @@
                 yield from self._stop(run, "revoked")
         yield from self._fill()
 
-    def _abandon(self, owner: str, reason: str) -> Iterator[orders.Effect]:
-        for run in self._runs.of_owner(owner):
+    def _abandon(self, entry: str, reason: str) -> Iterator[executoractions.Effect]:
+        for run in self._runs.of_owner(entry):
             yield from self._stop(run, reason)
 
-    def _return_queued(self, reason: str) -> Iterator[orders.Effect]:
+    def _return_queued(self, reason: str) -> Iterator[executoractions.Effect]:
         for run in list(self._runs.queued()):
             yield from self._return(run, reason)
 
-    def leave(self) -> Iterator[orders.Effect]:
+    def leave(self) -> Iterator[executoractions.Effect]:
         """Take no new tasks from now on; running ones go on."""
         self.is_leaving = True
         yield from self._return_queued("agent leaving")
 
-    def stop_all(self, reason: str) -> Iterator[orders.Effect]:
+    def stop_all(self, reason: str) -> Iterator[executoractions.Effect]:
         """Stop every run.
 
         :param reason: why, for the log.
@@ -244,7 +256,7 @@
         for run in list(self._runs.by_key.values()):
             yield from self._stop(run, reason)
 
-    def _fill(self) -> Iterator[orders.Effect]:
+    def _fill(self) -> Iterator[executoractions.Effect]:
         """Start what waits and fits."""
         worker, now = self._worker, self._time.now()
         if worker is None or worker.foreign:
@@ -256,23 +268,23 @@
         elif state is not assignments.WorkerState.READY:
             return
         told = worker.told
-        capacity = runs.Room(told.cpu, told.memory_mb, told.gpu)
+        capacity = runs.Resources(told.cpu, told.memory_mb, told.gpu)
         used = self._runs.used()
         waiting = sorted(
             self._runs.queued(),
             key=lambda run: (run.start_by < now, run.priority, run.estimate_s),
         )
         for run in waiting:
-            if now >= self.session_by_owner[run.owner].leased_until:
+            if now >= self.session_by_entry[run.owner].leased_until:
                 yield from self._return(run, "session lapsed")
             elif capacity.fits(used, run):
                 used.add(run)
-                self.session_by_owner[run.owner].served_at = now
+                self.session_by_entry[run.owner].served_at = now
                 yield from self._start(run, worker, now)
                 if state is assignments.WorkerState.PROBATION:
                     return
 
-    def tick(self) -> Iterator[orders.Effect]:
+    def tick(self) -> Iterator[executoractions.Effect]:
         """Do what is due; call every few tens of milliseconds."""
         now = self._time.now()
         yield from self._expire_sessions(now)
@@ -285,13 +297,13 @@
         yield from self._check_stall(now)
         yield from self._fill()
 
-    def _expire_sessions(self, now: float) -> Iterator[orders.Effect]:
-        for session in self.session_by_owner.values():
+    def _expire_sessions(self, now: float) -> Iterator[executoractions.Effect]:
+        for session in self.session_by_entry.values():
             if now < session.leased_until:
                 continue
             held = self._runs.of_owner(session.name)
             if any(not run.is_stopping for run in held):
-                yield actions.Note(
+                yield actions.LogEvent(
                     "owner.lapsed",
                     {
                         "owner": session.name,
@@ -302,7 +314,7 @@
 
     def _return(
         self, run: runs.Run, reason: str, next_run: int | None = None
-    ) -> Iterator[orders.Effect]:
+    ) -> Iterator[executoractions.Effect]:
         run.state = runs.RunState.QUEUED
         yield from self._end(run, assignments.EndKind.RETURNED, reason, next_run)
 
@@ -312,19 +324,19 @@
         kind: assignments.EndKind,
         reason: str,
         next_run: int | None = None,
-    ) -> Iterator[orders.Effect]:
+    ) -> Iterator[executoractions.Effect]:
         """Forget a run and tell its owner how it ended."""
         now = self._time.now()
         self._runs.by_key.pop(run.key, None)
         ran_s = now - run.started_at if run.started_at else 0.0
         if kind is assignments.EndKind.DONE:
-            self._vitals.done(ran_s, run.estimate_s, now)
-        elif kind is assignments.EndKind.FAILED and self._vitals.failed(
+            self._health.record_success(ran_s, run.estimate_s, now)
+        elif kind is assignments.EndKind.FAILED and self._health.record_failure(
             run.key.task.job, now
         ):
-            yield actions.Note("worker.ejected", {"reason": "failed tasks"})
+            yield actions.LogEvent("worker.ejected", {"reason": "failed tasks"})
             yield from self._return_queued("worker ejected")
-        yield actions.Note(
+        yield actions.LogEvent(
             "run.ended",
             {
                 "run": run.key,
@@ -335,7 +347,9 @@
                 "token": run.token,
             },
         )
-        session = self.session_by_owner.get(run.owner)
+        session = self.session_by_entry.get(run.owner)
         if session is not None:
             number = next_run if next_run is not None else run.key.run + 1
-            yield actions.Send(run.owner, session.ended(run.key, kind, ran_s, number))
+            yield actions.Send(
+                run.owner, session.record_end(run.key, kind, ran_s, number)
+            )
--- a/src/burdockgate/process/control.py
+++ b/src/burdockgate/process/workercontrol.py
@@ -16,7 +16,7 @@
 
 
 @attrs.frozen
-class Announcement:
+class WorkerHeartbeat:
     """What a worker says of itself in a heartbeat.
 
     :param worker: identifier of the worker.
@@ -39,7 +39,7 @@
 
 
 @attrs.frozen
-class StartOrder:
+class StartCommand:
     """Start a run.
 
     :param lease_until_ms: end of the lease on the worker's clock.
@@ -54,7 +54,7 @@
 
 
 @attrs.frozen
-class StopOrder:
+class StopCommand:
     """Stop a run."""
 
     worker: str
@@ -63,7 +63,7 @@
 
 
 @attrs.frozen
-class LookOrder:
+class PollCommand:
     """Read the lists, acknowledge ends and extend the lease.
 
     :param lease_until_ms: end of the lease; ``None`` leaves it as it is.
@@ -79,13 +79,13 @@
 
 
 class Refusal(enum.Enum):
-    """Why an order was not carried out; it never will be."""
+    """Why a command was not carried out; it never will be."""
 
     # The worker has seen a higher fencing token.
     FENCED = "fenced"
     # This or a higher run of the task has ended or was stopped there.
     OLD_RUN = "old run"
-    # The lease of the order had lapsed on the worker's clock.
+    # The lease of the command had lapsed on the worker's clock.
     LATE = "late"
     # The task does not fit.
     NO_ROOM = "no room"
@@ -100,14 +100,14 @@
 
 @attrs.frozen
 class Accepted:
-    """The order was carried out."""
+    """The command was carried out."""
 
     clock_ms: int
 
 
 @attrs.frozen
 class Refused:
-    """The order was not carried out.
+    """The command was not carried out.
 
     :param clock_ms: the worker's clock; 0 when the answer had none.
     """
@@ -118,7 +118,7 @@
 
 @attrs.frozen
 class Unanswered:
-    """Whether the order was carried out is not known; it may still be."""
+    """Whether the command was carried out is not known; it may still be."""
 
 
 @attrs.frozen
@@ -157,7 +157,7 @@
 
 @attrs.frozen
 class Snapshot:
-    """Answer to a look.
+    """Answer to a poll.
 
     :param unreadable: number of entries that could not be read.
     """
@@ -169,32 +169,32 @@
     unreadable: int = 0
 
 
-OrderAnswer = Accepted | Refused | Unanswered
-LookAnswer = Snapshot | Refused | Unanswered
+CommandResult = Accepted | Refused | Unanswered
+PollResult = Snapshot | Refused | Unanswered
 
 
-class RunControl(abc.ABC):
-    """Gives orders to the worker beside the agent."""
+class WorkerControl(abc.ABC):
+    """Gives commands to the worker beside the agent."""
 
     @abc.abstractmethod
-    async def start(self, order: StartOrder) -> OrderAnswer:
+    async def start(self, command: StartCommand) -> CommandResult:
         """Start a run; never raises.
 
-        :param order: what to start.
+        :param command: what to start.
         """
 
     @abc.abstractmethod
-    async def stop(self, order: StopOrder) -> OrderAnswer:
+    async def stop(self, command: StopCommand) -> CommandResult:
         """Stop a run; its end is listed later. Never raises.
 
-        :param order: what to stop.
+        :param command: what to stop.
         """
 
     @abc.abstractmethod
-    async def look(self, order: LookOrder) -> LookAnswer:
+    async def poll(self, command: PollCommand) -> PollResult:
         """Read the lists of runs; never raises.
 
-        :param order: token, lease and acknowledged ends.
+        :param command: token, lease and acknowledged ends.
         """
 
     @abc.abstractmethod
--- a/src/burdockgate/standin/leased.py
+++ b/src/burdockgate/standin/leased.py
@@ -8,7 +8,7 @@
 import attrs
 
 from burdockgate import assignments
-from burdockgate.process import control
+from burdockgate.process import workercontrol
 from burdockgate.standin import virtual
 
 STOP_S = 0.04
@@ -37,7 +37,7 @@
     cpu: int
     began: float
     ended: float
-    reason: control.EndReason | None
+    reason: workercontrol.EndReason | None
 
 
 @attrs.define
@@ -45,7 +45,7 @@
     """What is wrong with a worker now.
 
     :param slowness: factor on every duration.
-    :param unanswered: share of orders without an answer; they are carried out late.
+    :param unanswered: share of commands without an answer; they are carried out late.
     :param is_cut: whether the worker is out of reach and runs on.
     """
 
@@ -94,7 +94,7 @@
         self._lease_ms = 0.0
         self._run_by_key: dict[assignments.RunKey, _Run] = {}
         self._highest_by_task: dict[assignments.TaskKey, int] = {}
-        self._finished: list[control.FinishedEntry] = []
+        self._finished: list[workercontrol.FinishedEntry] = []
         self._end_number = 0
         self._waiting: list[Callable[[], None]] = []
 
@@ -111,13 +111,15 @@
         """The worker's steady clock."""
         return int((self._time.now() - self._life_began) * 1000)
 
-    def announcement(self, sequence: int, is_draining: bool) -> control.Announcement:
+    def announcement(
+        self, sequence: int, is_draining: bool
+    ) -> workercontrol.WorkerHeartbeat:
         """Return a heartbeat.
 
         :param sequence: its number.
         :param is_draining: whether the worker leaves.
         """
-        return control.Announcement(
+        return workercontrol.WorkerHeartbeat(
             self.name,
             self.born,
             "service",
@@ -130,28 +132,28 @@
             self.clock_ms,
         )
 
-    def is_order_lost(self) -> bool:
-        """Return whether the next order gets no answer and is carried out late."""
+    def is_command_lost(self) -> bool:
+        """Return whether the next command gets no answer and is carried out late."""
         return self._rng.random() < self.faults.unanswered
 
-    def start(self, order: control.StartOrder) -> control.OrderAnswer:
-        """Carry out a start order.
+    def start(self, command: workercontrol.StartCommand) -> workercontrol.CommandResult:
+        """Carry out a start command.
 
-        :param order: the order.
+        :param command: the command.
         """
-        key = order.key
-        if order.token < self._token:
-            return control.Refused(control.Refusal.FENCED, self.clock_ms)
-        self._token = order.token
-        if order.lease_until_ms <= self.clock_ms:
-            return control.Refused(control.Refusal.LATE, self.clock_ms)
-        self._extend(order.lease_until_ms)
+        key = command.key
+        if command.token < self._token:
+            return workercontrol.Refused(workercontrol.Refusal.FENCED, self.clock_ms)
+        self._token = command.token
+        if command.lease_until_ms <= self.clock_ms:
+            return workercontrol.Refused(workercontrol.Refusal.LATE, self.clock_ms)
+        self._extend(command.lease_until_ms)
         if key in self._run_by_key:
-            return control.Accepted(self.clock_ms)
+            return workercontrol.Accepted(self.clock_ms)
         if key.run <= self._highest_by_task.get(key.task, 0):
-            return control.Refused(control.Refusal.OLD_RUN, self.clock_ms)
+            return workercontrol.Refused(workercontrol.Refusal.OLD_RUN, self.clock_ms)
         self._begin(key)
-        return control.Accepted(self.clock_ms)
+        return workercontrol.Accepted(self.clock_ms)
 
     def _begin(self, key: assignments.RunKey) -> None:
         work_s, _ = self._work_of(key.task)
@@ -161,48 +163,52 @@
         is_failing = work_s < 0 or self.faults.fails
         if self.faults.hangs:
             return
-        reason = control.EndReason.FAILED if is_failing else control.EndReason.DONE
+        reason = (
+            workercontrol.EndReason.FAILED
+            if is_failing
+            else workercontrol.EndReason.DONE
+        )
         if self.faults.fails:
             duration_s = 0.005
         self._time.call_later(duration_s, lambda: self._end(run, reason))
 
-    def stop(self, order: control.StopOrder) -> control.OrderAnswer:
-        """Carry out a stop order.
+    def stop(self, command: workercontrol.StopCommand) -> workercontrol.CommandResult:
+        """Carry out a stop command.
 
-        :param order: the order.
+        :param command: the command.
         """
-        if order.token < self._token:
-            return control.Refused(control.Refusal.FENCED, self.clock_ms)
-        self._token = order.token
-        task = order.key.task
-        highest = max(self._highest_by_task.get(task, 0), order.key.run)
+        if command.token < self._token:
+            return workercontrol.Refused(workercontrol.Refusal.FENCED, self.clock_ms)
+        self._token = command.token
+        task = command.key.task
+        highest = max(self._highest_by_task.get(task, 0), command.key.run)
         self._highest_by_task[task] = highest
-        run = self._run_by_key.get(order.key)
+        run = self._run_by_key.get(command.key)
         if run is not None:
-            stopped = control.EndReason.STOPPED
+            stopped = workercontrol.EndReason.STOPPED
             self._time.call_later(STOP_S, lambda: self._end(run, stopped))
-        return control.Accepted(self.clock_ms)
+        return workercontrol.Accepted(self.clock_ms)
 
-    def look(
+    def poll(
         self,
-        order: control.LookOrder,
-        answer: Callable[[control.LookAnswer], None],
+        command: workercontrol.PollCommand,
+        answer: Callable[[workercontrol.PollResult], None],
     ) -> None:
-        """Carry out a look; it is answered at an end or after its wait.
+        """Carry out a poll; it is answered at an end or after its wait.
 
-        :param order: the order.
+        :param command: the command.
         :param answer: gets the lists.
         """
-        if order.token < self._token:
-            answer(control.Refused(control.Refusal.FENCED, self.clock_ms))
+        if command.token < self._token:
+            answer(workercontrol.Refused(workercontrol.Refusal.FENCED, self.clock_ms))
             return
-        self._token = order.token
-        if order.lease_until_ms is not None:
-            self._extend(order.lease_until_ms)
+        self._token = command.token
+        if command.lease_until_ms is not None:
+            self._extend(command.lease_until_ms)
         self._finished = [
-            entry for entry in self._finished if entry.number > order.acknowledged
+            entry for entry in self._finished if entry.number > command.acknowledged
         ]
-        if self._finished or not order.wait_ms:
+        if self._finished or not command.wait_ms:
             answer(self._snapshot())
             return
         is_answered = False
@@ -214,15 +220,15 @@
                 answer(self._snapshot())
 
         self._waiting.append(answer_once)
-        self._time.call_later(order.wait_ms / 1000, answer_once)
+        self._time.call_later(command.wait_ms / 1000, answer_once)
 
-    def _snapshot(self) -> control.Snapshot:
+    def _snapshot(self) -> workercontrol.Snapshot:
         now = self._time.now()
         running = tuple(
-            control.RunningEntry(run.key, self._percent(run, now))
+            workercontrol.RunningEntry(run.key, self._percent(run, now))
             for run in self._run_by_key.values()
         )
-        return control.Snapshot(
+        return workercontrol.Snapshot(
             self.clock_ms, self.born, running, tuple(self._finished)
         )
 
@@ -244,9 +250,9 @@
     def _lapse(self, life: int) -> None:
         if life == self.born and self.clock_ms >= self._lease_ms:
             for run in list(self._run_by_key.values()):
-                self._end(run, control.EndReason.LAPSED)
+                self._end(run, workercontrol.EndReason.LAPSED)
 
-    def _end(self, run: _Run, reason: control.EndReason) -> None:
+    def _end(self, run: _Run, reason: workercontrol.EndReason) -> None:
         if not run.is_alive:
             return
         run.is_alive = False
@@ -256,12 +262,14 @@
         self._highest_by_task[task] = highest
         self._record(run, reason)
         self._end_number += 1
-        self._finished.append(control.FinishedEntry(self._end_number, run.key, reason))
+        self._finished.append(
+            workercontrol.FinishedEntry(self._end_number, run.key, reason)
+        )
         waiting, self._waiting = self._waiting, []
         for answer in waiting:
             answer()
 
-    def _record(self, run: _Run, reason: control.EndReason | None) -> None:
+    def _record(self, run: _Run, reason: workercontrol.EndReason | None) -> None:
         _, cpu = self._work_of(run.key.task)
         self.spans.append(
             Span(self.name, run.key, cpu, run.started_at, self._time.now(), reason)
--- a/src/burdockgate/standin/nodes.py
+++ b/src/burdockgate/standin/nodes.py
@@ -7,18 +7,25 @@
 
 import attrs
 
-from burdockgate.process import actions, control, gate, orders, placing, scheduler
-from burdockgate.request import batch
+from burdockgate.process import (
+    actions,
+    assigner,
+    executor,
+    executoractions,
+    scheduler,
+    workercontrol,
+)
+from burdockgate.request import besteffort
 from burdockgate.standin import leased
 
 if TYPE_CHECKING:
     from burdockgate import assignments
     from burdockgate.standin import batches
 
-ORDER_TIMEOUT_S = 0.08
-LOOK_TIMEOUT_S = 0.25
+COMMAND_TIMEOUT_S = 0.08
+POLL_TIMEOUT_S = 0.25
 ASSIGN_S = 0.001
-ORDER_S = 0.0005
+COMMAND_S = 0.0005
 AGENT_TICK_S = 0.1
 ENTRY_TICK_S = 0.02
 REPORT_S = 0.2
@@ -49,10 +56,10 @@
 
     job: str
     kind: Kind
-    submission: batch.Submission
+    submission: besteffort.Submission
     sent_at: float
     objective_s: float
-    verdicts: list[batch.Verdict] = attrs.field(factory=list)
+    verdicts: list[besteffort.Outcome] = attrs.field(factory=list)
     ended_at: float | None = None
     is_interrupted: bool = False
 
@@ -63,12 +70,14 @@
         took_s = self.ended_at - self.sent_at
         if took_s <= self.objective_s:
             return 1.0
-        return 0.2 if took_s <= batch.LATE_FACTOR * self.objective_s else 0.0
+        return 0.2 if took_s <= besteffort.LATE_FACTOR * self.objective_s else 0.0
 
     @property
     def is_completed(self) -> bool:
         """Whether the caller was told that all tasks are done."""
-        return any(isinstance(verdict, batch.Completed) for verdict in self.verdicts)
+        return any(
+            isinstance(verdict, besteffort.Completed) for verdict in self.verdicts
+        )
 
 
 class ModelNode:
@@ -116,8 +125,8 @@
         self._inbox.clear()
 
 
-def _ignore(answer: control.LookAnswer) -> None:
-    """Lose the answer to a look."""
+def _ignore(answer: workercontrol.PollResult) -> None:
+    """Lose the answer to a poll."""
 
 
 class ModelAgent(ModelNode):
@@ -141,13 +150,13 @@
 
     def _begin(self) -> None:
         self.boot = self.model.rng.getrandbits(60)
-        self.gate = gate.Gate(self.model.limits, self.model.time)
+        self.executor = executor.Executor(self.model.limits, self.model.time)
         self.info_sent: set[tuple[str, assignments.WorkerInfo]] = set()
         life = self.life
-        self._every(AGENT_TICK_S, lambda: self.perform(self.gate.tick()), life)
+        self._every(AGENT_TICK_S, lambda: self.perform(self.executor.tick()), life)
         self._every(REPORT_S, self.report, life)
         self._every(HEARTBEAT_S, self._beat, life)
-        self.model.time.call_later(0.01, lambda: self._look(life))
+        self.model.time.call_later(0.01, lambda: self._poll(life))
 
     def _every(self, interval_s: float, action: Callable[[], None], life: int) -> None:
         def again() -> None:
@@ -175,14 +184,14 @@
         if self.is_draining and self.drained_at is None:
             self.drained_at = self.model.time.now()
         told = self.worker.announcement(self.sequence, self.is_draining)
-        self.perform(self.gate.announced(told))
+        self.perform(self.executor.handle_heartbeat(told))
 
-    def _look(self, life: int) -> None:
+    def _poll(self, life: int) -> None:
         if life != self.life:
             return
-        order = self.gate.next_look() if not self.is_frozen else None
-        if order is None:
-            self.model.time.call_later(0.05, lambda: self._look(life))
+        command = self.executor.next_poll() if not self.is_frozen else None
+        if command is None:
+            self.model.time.call_later(0.05, lambda: self._poll(life))
             return
         is_followed = False
 
@@ -190,47 +199,47 @@
             nonlocal is_followed
             if not is_followed:
                 is_followed = True
-                self._look(life)
+                self._poll(life)
 
-        self._send_look(order, follow, life)
-        overdue_s = order.wait_ms / 1000 + self.model.limits.look_repeat_s
+        self._send_poll(command, follow, life)
+        overdue_s = command.wait_ms / 1000 + self.model.limits.poll_repeat_s
         self.model.time.call_later(overdue_s, follow)
 
-    def _send_look(
-        self, order: control.LookOrder, then: Callable[[], None], life: int
+    def _send_poll(
+        self, command: workercontrol.PollCommand, then: Callable[[], None], life: int
     ) -> None:
         state = {"done": False}
 
-        def finish(answer: control.LookAnswer) -> None:
+        def finish(answer: workercontrol.PollResult) -> None:
             if state["done"] or life != self.life:
                 return
             state["done"] = True
 
             def handle() -> None:
-                self.perform(self.gate.looked(order, answer))
-                pause_s = 0.0 if isinstance(answer, control.Snapshot) else 0.05
+                self.perform(self.executor.handle_poll_result(command, answer))
+                pause_s = 0.0 if isinstance(answer, workercontrol.Snapshot) else 0.05
                 self.model.time.call_later(pause_s, then)
 
             self.run(handle)
 
         time = self.model.time
-        limit_s = order.wait_ms / 1000 + LOOK_TIMEOUT_S
-        time.call_later(limit_s, lambda: finish(control.Unanswered()))
+        limit_s = command.wait_ms / 1000 + POLL_TIMEOUT_S
+        time.call_later(limit_s, lambda: finish(workercontrol.Unanswered()))
 
-        def answered(answer: control.LookAnswer) -> None:
-            time.call_later(ORDER_S, lambda: finish(answer))
+        def answered(answer: workercontrol.PollResult) -> None:
+            time.call_later(COMMAND_S, lambda: finish(answer))
 
         def arrive() -> None:
-            if self.worker.faults.unanswered and self.worker.is_order_lost():
+            if self.worker.faults.unanswered and self.worker.is_command_lost():
                 late_s = self.model.rng.uniform(*leased.LATE_S)
-                time.call_later(late_s, lambda: self.worker.look(order, _ignore))
+                time.call_later(late_s, lambda: self.worker.poll(command, _ignore))
             elif not self.worker.faults.is_cut:
-                self.worker.look(order, answered)
+                self.worker.poll(command, answered)
 
-        time.call_later(ORDER_S, arrive)
+        time.call_later(COMMAND_S, arrive)
 
-    def perform(self, wanted: Iterable[orders.Effect]) -> None:
-        """Perform effects of the gate.
+    def perform(self, wanted: Iterable[executoractions.Effect]) -> None:
+        """Perform effects of the executor.
 
         :param wanted: the effects.
         """
@@ -238,51 +247,57 @@
             match effect:
                 case actions.Send(to, message):
                     self.model.to_entry(self.name, to, message)
-                case orders.Start(start):
+                case executoractions.Start(start):
                     self._order(
                         lambda start=start: self.worker.start(start),  # type: ignore[misc]
-                        lambda answer, start=start: self.gate.start_answered(  # type: ignore[misc]
+                        lambda answer, start=start: self.executor.handle_start_result(  # type: ignore[misc]
                             start, answer
                         ),
                     )
-                case orders.Stop(stop):
+                case executoractions.Stop(stop):
                     self._order(
                         lambda stop=stop: self.worker.stop(stop),  # type: ignore[misc]
-                        lambda answer, stop=stop: self.gate.stop_answered(  # type: ignore[misc]
+                        lambda answer, stop=stop: self.executor.handle_stop_result(  # type: ignore[misc]
                             stop, answer
                         ),
                     )
-                case orders.Look(look):
-                    self._send_look(look, lambda: None, self.life)
-                case actions.Note(event, fields):
+                case executoractions.Poll(poll):
+                    self._send_poll(poll, lambda: None, self.life)
+                case actions.LogEvent(event, fields):
                     self.model.note(self.name, event, fields)
                     continue
             self.model.soon(self, self.report_change)
 
     def _order(
         self,
-        carry_out: Callable[[], control.OrderAnswer],
-        handle: Callable[[control.OrderAnswer], Iterator[orders.Effect]],
+        carry_out: Callable[[], workercontrol.CommandResult],
+        handle: Callable[
+            [workercontrol.CommandResult], Iterator[executoractions.Effect]
+        ],
     ) -> None:
         life, time, faults = self.life, self.model.time, self.worker.faults
 
-        def finish(answer: control.OrderAnswer) -> None:
+        def finish(answer: workercontrol.CommandResult) -> None:
             if life == self.life:
                 self.run(lambda: self.perform(handle(answer)))
 
         if faults.is_cut:
-            time.call_later(ORDER_TIMEOUT_S, lambda: finish(control.Unanswered()))
-        elif self.worker.is_order_lost():
+            time.call_later(
+                COMMAND_TIMEOUT_S, lambda: finish(workercontrol.Unanswered())
+            )
+        elif self.worker.is_command_lost():
             late_s = self.model.rng.uniform(*leased.LATE_S)
             time.call_later(late_s, carry_out)
-            time.call_later(ORDER_TIMEOUT_S, lambda: finish(control.Unanswered()))
+            time.call_later(
+                COMMAND_TIMEOUT_S, lambda: finish(workercontrol.Unanswered())
+            )
         else:
 
             def arrive() -> None:
                 answer = carry_out()
-                time.call_later(ORDER_S, lambda: finish(answer))
+                time.call_later(COMMAND_S, lambda: finish(answer))
 
-            time.call_later(ORDER_S, arrive)
+            time.call_later(COMMAND_S, arrive)
 
     def report_change(self) -> None:
         """Send a change of the load to the entry hosts that hear of each."""
@@ -293,7 +308,10 @@
 
         :param is_periodic: whether to all of them.
         """
-        info, loads = self.gate.worker_info(), self.gate.loads(is_periodic)
+        info, loads = (
+            self.executor.worker_info(),
+            self.executor.due_reports(is_periodic),
+        )
         for entry in self.model.linked_entries(self.name):
             if entry not in loads:
                 continue
@@ -320,7 +338,7 @@
         self.order_by_ticket: dict[int, Order] = {}
         self.scheduler = scheduler.Scheduler(
             self.zone,
-            placing.SchedulerSettings(
+            assigner.SchedulerSettings(
                 agent_gone_s=scheduler.agent_gone_s(self.model.limits)
             ),
             self.model.selection,
@@ -359,7 +377,7 @@
         self.order_by_ticket[ticket] = order
         self.perform(self.scheduler.submit(order.submission, ticket))
 
-    def perform(self, wanted: Iterable[placing.Effect]) -> None:
+    def perform(self, wanted: Iterable[assigner.Effect]) -> None:
         """Perform effects of the scheduler.
 
         :param wanted: the effects.
@@ -368,14 +386,14 @@
             match effect:
                 case actions.Send(to, message):
                     self.model.to_agent(self.name, to, message)
-                case placing.AssignSoon():
+                case assigner.ScheduleAssignment():
                     self.model.time.call_later(
                         ASSIGN_S,
                         lambda: self.run(lambda: self.perform(self.scheduler.assign())),
                     )
-                case placing.Conclude(ticket, _, verdict):
+                case assigner.Respond(ticket, _, verdict):
                     order = self.order_by_ticket.pop(ticket, None)
                     if order is not None:
                         self.model.concluded(order, verdict)
-                case actions.Note(event, fields):
+                case actions.LogEvent(event, fields):
                     self.model.note(self.name, event, fields)
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -14,7 +14,7 @@
 
 from burdockgate import assignments
 from burdockgate.platform import asgi
-from burdockgate.process import control, serving
+from burdockgate.process import serving, workercontrol
 from burdockgate.standin import leased, virtual
 
 
@@ -89,9 +89,9 @@
 
 
 _REASONS = {
-    control.Refusal.FENCED: "fence",
-    control.Refusal.OLD_RUN: "old",
-    control.Refusal.LATE: "late",
+    workercontrol.Refusal.FENCED: "fence",
+    workercontrol.Refusal.OLD_RUN: "old",
+    workercontrol.Refusal.LATE: "late",
 }
 
 
@@ -150,33 +150,33 @@
         fields = json.loads(await asgi.read_body(receive, 1 << 20))
         match scope["path"].rpartition("/")[2]:
             case "run-start":
-                order = control.StartOrder(
+                command = workercontrol.StartCommand(
                     "",
                     _key(fields["task"], fields["run"]),
                     fields["spec"],
                     fields["deadlineMs"],
                     fields["fencingToken"],
                 )
-                await self._answer(send, self.model.start(order))
+                await self._answer(send, self.model.start(command))
             case "run-stop":
                 key = _key(fields["task"], fields["run"])
-                order = control.StopOrder("", key, fields["fencingToken"])
-                await self._answer(send, self.model.stop(order))
+                command = workercontrol.StopCommand("", key, fields["fencingToken"])
+                await self._answer(send, self.model.stop(command))
             case "hold":
-                await self._look(fields, send)
+                await self._poll(fields, send)
 
-    async def _look(self, fields, send):
+    async def _poll(self, fields, send):
         seen = asyncio.get_running_loop().create_future()
-        order = control.LookOrder(
+        command = workercontrol.PollCommand(
             "",
             fields["fencingToken"],
             fields["ackedThrough"],
             fields.get("deadlineMs"),
             fields["waitMs"],
         )
-        self.model.look(order, seen.set_result)
+        self.model.poll(command, seen.set_result)
         answer = await seen
-        if isinstance(answer, control.Refused):
+        if isinstance(answer, workercontrol.Refused):
             await self._answer(send, answer)
             return
         lists = {
@@ -195,7 +195,7 @@
 
     @staticmethod
     async def _answer(send, answer):
-        if isinstance(answer, control.Accepted):
+        if isinstance(answer, workercontrol.Accepted):
             body = {"clockMs": answer.clock_ms}
             await asgi.answer(send, 200, json.dumps(body).encode())
         else:
