Name agent settings and handlers by what they do

Cause: some names that other modules use are figurative or vague: share_out, lossy_s, NO_ROOM, demanded_at, and deregistered for a handler. Change: they are called allocate_free_cpu, short_poll_period_s, NO_CAPACITY, demand_received_at and handle_deregistration. The value 'no room' and the reason 'room' of the worker stay.

--- a/src/burdockgate/platform/heartbeats.py
+++ b/src/burdockgate/platform/heartbeats.py
@@ -96,7 +96,7 @@
 
     def _take(self, worker: str, action: str, body: bytes) -> int:
         if action == "deregister":
-            self._daemon.deregistered(worker)
+            self._daemon.handle_deregistration(worker)
             return 200
         if action != "heartbeat":
             return 404
--- a/src/burdockgate/platform/worker.py
+++ b/src/burdockgate/platform/worker.py
@@ -29,7 +29,7 @@
     "fence": workercontrol.Refusal.FENCED,
     "old": workercontrol.Refusal.OLD_RUN,
     "late": workercontrol.Refusal.LATE,
-    "room": workercontrol.Refusal.NO_ROOM,
+    "room": workercontrol.Refusal.NO_CAPACITY,
 }
 _REFUSAL_BY_STATUS = {
     421: workercontrol.Refusal.OTHER_WORKER,
--- a/src/burdockgate/process/agentdaemon.py
+++ b/src/burdockgate/process/agentdaemon.py
@@ -132,7 +132,7 @@
         self._perform(self.executor.handle_heartbeat(told))
         self._has_worker.set()
 
-    def deregistered(self, worker: str) -> None:
+    def handle_deregistration(self, worker: str) -> None:
         """Handle that the worker ends.
 
         :param worker: its identifier.
--- a/src/burdockgate/process/entrysessions.py
+++ b/src/burdockgate/process/entrysessions.py
@@ -50,7 +50,7 @@
     leased_until: float = 0.0
     assigned_through: int = 0
     demand: assignments.Demand = assignments.Demand(0, 0)
-    demanded_at: float = 0.0
+    demand_received_at: float = 0.0
     served_at: float = 0.0
     is_outdated: bool = False
     told: ReportedLoad | None = None
@@ -63,7 +63,7 @@
 
         :param now: the time.
         """
-        is_valid = now - self.demanded_at < DEMAND_VALID_S
+        is_valid = now - self.demand_received_at < DEMAND_VALID_S
         return self.is_linked and is_valid and self.demand.waiting_cpu > 0
 
     def record_end(
@@ -100,7 +100,7 @@
         return list(self._end_by_number.values())
 
 
-def share_out(
+def allocate_free_cpu(
     free_cpu: int, sessions: Iterable[EntrySession], now: float
 ) -> dict[str, int]:
     """Return the free room that each owner may use, by name.
--- a/src/burdockgate/process/executor.py
+++ b/src/burdockgate/process/executor.py
@@ -50,7 +50,7 @@
         queued_cpu = sum(run.cpu for run in self._runs.queued())
         capacity = self._worker.told.cpu if self._worker else 0
         free_cpu = max(0, capacity - used.cpu - queued_cpu)
-        share_by_entry = entrysessions.share_out(free_cpu, sessions, now)
+        share_by_entry = entrysessions.allocate_free_cpu(free_cpu, sessions, now)
         speed = int(self._health.current_speed(now) * 1000)
         loads = {}
         for name, session in self.session_by_entry.items():
@@ -90,7 +90,7 @@
         :param message: its demand.
         """
         session = self.session_by_entry[entry]
-        session.demand, session.demanded_at = message, self._time.now()
+        session.demand, session.demand_received_at = message, self._time.now()
 
     def session_state(self, entry: str) -> tuple[int, tuple[assignments.RunKey, ...]]:
         """Return the known boot of an entry host and the runs held for it.
--- a/src/burdockgate/process/executoractions.py
+++ b/src/burdockgate/process/executoractions.py
@@ -23,8 +23,8 @@
     :param poll_repeat_s: how long an answer may be overdue before another poll is sent
         beside it. An answer takes a few milliseconds; until one comes, no end is seen
         and freed room stays unused.
-    :param lossy_s: how long polls are short after one got no answer. Answers get lost
-        for seconds at a time.
+    :param short_poll_period_s: how long polls are short after one got no answer.
+        Answers get lost for seconds at a time.
     :param lossy_poll_wait_s: how long the worker may hold back an answer then.
     :param near_entries: how many entry hosts hear of every change of the load at once
         and share out freed room. With ten of them, reports of every change to all took
@@ -40,7 +40,7 @@
     silence_s: float = 0.45
     poll_wait_s: float = 0.25
     poll_repeat_s: float = 0.08
-    lossy_s: float = 2.0
+    short_poll_period_s: float = 2.0
     lossy_poll_wait_s: float = 0.03
     near_entries: int = 4
     distant_report_s: float = 0.35
--- a/src/burdockgate/process/supervisor.py
+++ b/src/burdockgate/process/supervisor.py
@@ -307,7 +307,9 @@
         settings, worker = self._settings, self._worker
         if worker is None:
             return None
-        is_lossy = self._time.now() - worker.poll_unanswered_at < settings.lossy_s
+        is_lossy = (
+            self._time.now() - worker.poll_unanswered_at < settings.short_poll_period_s
+        )
         return self._poll(
             settings.lossy_poll_wait_s if is_lossy else settings.poll_wait_s
         )
--- a/src/burdockgate/process/workercontrol.py
+++ b/src/burdockgate/process/workercontrol.py
@@ -88,7 +88,7 @@
     # The lease of the command had lapsed on the worker's clock.
     LATE = "late"
     # The task does not fit.
-    NO_ROOM = "no room"
+    NO_CAPACITY = "no room"
     # The worker is unhealthy.
     UNHEALTHY = "unhealthy"
     # Another life or another worker answered.
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -123,7 +123,9 @@
 def test_lost_answers_to_looks_do_not_hide_free_room():
     """A look without an answer kept the ends of all runs unseen for half a second."""
     seeds = range(1, 4)
-    patient = executoractions.ExecutorSettings(poll_repeat_s=0.3, lossy_s=0.0)
+    patient = executoractions.ExecutorSettings(
+        poll_repeat_s=0.3, short_poll_period_s=0.0
+    )
     before = [_credit_with_lost_answers(patient, seed) for seed in seeds]
     after = [_credit_with_lost_answers(None, seed) for seed in seeds]
     assert sum(after) > sum(before)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -329,21 +329,24 @@
 def _session(name, waiting_cpu, rank, demanded_at=100.0):
     session = entrysessions.EntrySession(name, 1)
     session.demand = assignments.Demand(waiting_cpu, rank)
-    session.demanded_at = demanded_at
+    session.demand_received_at = demanded_at
     return session
 
 
 def test_freed_room_goes_to_the_most_urgent_owner():
     """All owners once filled the same place, and all but one task waited there."""
     sessions = [_session("a", 3000, 7), _session("b", 1000, 2), _session("c", 0, 0)]
-    shares = entrysessions.share_out(2000, sessions, 100.0)
+    shares = entrysessions.allocate_free_cpu(2000, sessions, 100.0)
     assert shares == {"a": 1000, "b": 1000, "c": 0}
 
 
 def test_room_that_nobody_waits_for_is_open_to_all():
     """Without demand a new job must not wait for a share."""
     sessions = [_session("a", 0, 0), _session("b", 500, 1, demanded_at=90.0)]
-    assert entrysessions.share_out(2000, sessions, 100.0) == {"a": 2000, "b": 2000}
+    assert entrysessions.allocate_free_cpu(2000, sessions, 100.0) == {
+        "a": 2000,
+        "b": 2000,
+    }
 
 
 @pytest.mark.parametrize(
