Rename scheduler, store and message names used across modules

Cause: some names were bare participles or adjectives (held, is_offered, newest), or did not say what they count or hold (by_agent, pending, watch).

Message fields are encoded by position, so that their names are free. PlatformStore and the store of tests/test_follower.py follow the methods of Store.

--- a/src/burdockgate/assignments.py
+++ b/src/burdockgate/assignments.py
@@ -68,7 +68,7 @@
     """First message of an agent.
 
     :param boot: random number of this life of the agent's process.
-    :param held: runs of this entry host that the agent still has. Runs assigned
+    :param active_runs: runs of this entry host that the agent still has. Runs assigned
         earlier and not listed never started, or their end follows.
     """
 
@@ -77,7 +77,7 @@
     boot: int
     zone: str
     entry_boot: int
-    held: tuple[RunKey, ...]
+    active_runs: tuple[RunKey, ...]
 
 
 @attrs.frozen
@@ -117,7 +117,8 @@
     """Load of a worker; serves as the heartbeat of the session.
 
     :param sent_at_us: steady clock of the agent, echoed by :class:`Renewal`.
-    :param assigned_through: number of the last :class:`Assign` that the load includes.
+    :param last_assign_number: number of the last :class:`Assign` that the load
+        includes.
     :param free_cpu: thousandths of a core that the receiver may assign. While entry
         hosts have waiting tasks, the free room is shared out to the most urgent ones.
     :param used_cpu: thousandths of a core of all runs that are not known to have ended.
@@ -128,7 +129,7 @@
     """
 
     sent_at_us: int
-    assigned_through: int
+    last_assign_number: int
     state: WorkerState
     free_cpu: int
     used_cpu: int
@@ -144,14 +145,14 @@
     """Extends the session lease of an agent.
 
     :param echo_us: ``sent_at_us`` of the newest report received.
-    :param ends_through: number of the last :class:`TaskEnd` received.
-    :param configuration: version of the configuration in force at the entry host; 0
-        when it has none.
+    :param last_end_number: number of the last :class:`TaskEnd` received.
+    :param configuration_version: version of the configuration in force at the entry
+        host; 0 when it has none.
     """
 
     echo_us: int
-    ends_through: int
-    configuration: int
+    last_end_number: int
+    configuration_version: int
 
 
 @attrs.frozen
@@ -195,14 +196,14 @@
     """The end of a run.
 
     :param number: counts the ends of a session, from 1; repeated until acknowledged.
-    :param ran_ms: time from the start to the end at the agent.
+    :param run_ms: time from the start to the end at the agent.
     :param next_run: smallest number that the worker accepts for the next run.
     """
 
     number: int
     key: RunKey
     kind: EndKind
-    ran_ms: int
+    run_ms: int
     next_run: int
 
 
--- a/src/burdockgate/platform/boot.py
+++ b/src/burdockgate/platform/boot.py
@@ -75,7 +75,7 @@
             configuration_topic="keyed.op",
             configuration_key="config",
             scheduler=assigner.SchedulerSettings(
-                agent_gone_s=scheduler.agent_gone_s(self._executor_settings())
+                agent_timeout_s=scheduler.agent_timeout_s(self._executor_settings())
             ),
         )
 
--- a/src/burdockgate/platform/front.py
+++ b/src/burdockgate/platform/front.py
@@ -56,7 +56,7 @@
         request_id = header_by_name.get("request-id", "")[:MAX_REQUEST_ID]
         table = self._daemon.routes
         if table is None:
-            table = await self._daemon.wait_routes(CONFIGURATION_WAIT_S)
+            table = await self._daemon.wait_for_routes(CONFIGURATION_WAIT_S)
         if table is None:
             code, detail = codes.Code.NOT_READY, "no configuration"
             self._note_rejected("", request_id, code, detail)
@@ -75,7 +75,7 @@
                     job_id, request_id, route, table, deadline_s, receive
                 )
             case "GET" if not job_id:
-                pending = self._daemon.scheduler.pending(route.name)
+                pending = self._daemon.scheduler.unassigned_job_count(route.name)
                 return 200, {}, f'{{"pending":{pending}}}'.encode()
             case "GET":
                 return self._state(job_id)
@@ -93,10 +93,10 @@
         receive: asgi.Receive,
     ) -> tuple[int, dict[str, str], bytes]:
         try:
-            body = await asgi.read_body(receive, table.body_limit)
+            body = await asgi.read_body(receive, table.max_body_bytes)
             submission = jobs.decode(job_id, body, route, deadline_s, request_id)
         except asgi.BodyTooLargeError:
-            code, detail = codes.Code.TOO_LARGE, f"limit {table.body_limit} bytes"
+            code, detail = codes.Code.TOO_LARGE, f"limit {table.max_body_bytes} bytes"
             self._note_rejected(job_id, request_id, code, detail)
             return jobs.refuse(code, detail)
         except errors.RequestError as error:
@@ -130,7 +130,7 @@
         job = self._daemon.scheduler.job_by_id.get(job_id)
         if job is None:
             return 410, {}, b""
-        state = "running" if job.is_offered else "queued"
+        state = "running" if job.has_been_assigned else "queued"
         return 200, {}, f'{{"state":"{state}"}}'.encode()
 
     def _cancel(self, job_id: str) -> tuple[int, dict[str, str], bytes]:
--- a/src/burdockgate/platform/storeclient.py
+++ b/src/burdockgate/platform/storeclient.py
@@ -47,7 +47,7 @@
     def __init__(self, address: str) -> None:
         self._client = http.Client(address, CONNECTIONS)
 
-    async def newest(self, topic: str) -> store.Page:
+    async def read_newest(self, topic: str) -> store.Page:
         """Return the newest record of each key, over all pages."""
         records: list[store.KeyedRecord] = []
         # Pages are not a snapshot: changes after the first page's end are read again.
@@ -76,7 +76,7 @@
                 return store.Page(tuple(records), end, unreadable)
             after = found[-1].key
 
-    async def changes(self, topic: str, offset: int) -> store.Page:
+    async def read_changes(self, topic: str, offset: int) -> store.Page:
         """Wait up to 1.5 s for new records."""
         query = {
             "topic": topic,
--- a/src/burdockgate/process/agentdaemon.py
+++ b/src/burdockgate/process/agentdaemon.py
@@ -213,7 +213,7 @@
                 self._perform(self.executor.handle_assignment(entry, message))
             case assignments.Renewal():
                 self.executor.handle_renewal(entry, message)
-                self._relay.record_version(entry, message.configuration)
+                self._relay.record_version(entry, message.configuration_version)
             case assignments.Demand():
                 self.executor.handle_demand(entry, message)
                 self._schedule_report()
@@ -313,7 +313,7 @@
         report_at = 0.0
         while True:
             now = self._time.now()
-            self.links.watch()
+            self.links.abort_silent_links()
             self.links.dial_due()
             self._perform(self.executor.tick())
             for entry, configuration in self._relay.due():
@@ -336,7 +336,7 @@
 
     async def _read_members(self) -> None:
         try:
-            page = await self._store.newest(discovery.TOPIC)
+            page = await self._store.read_newest(discovery.TOPIC)
         except errors.LogUnavailableError as error:
             self.events.record(
                 "store.lost", {"topic": discovery.TOPIC, "detail": str(error)}
--- a/src/burdockgate/process/assigner.py
+++ b/src/burdockgate/process/assigner.py
@@ -21,8 +21,8 @@
 class SchedulerSettings:
     """Limits of the scheduler; times in seconds.
 
-    :param agent_gone_s: time since the last renewal after which all runs of an agent
-        that is not connected have ended, as :func:`agent_gone_s` gives it.
+    :param agent_timeout_s: time since the last renewal after which all runs of an agent
+        that is not connected have ended, as :func:`agent_timeout_s` gives it.
     :param return_pause_s: pause before a task that was returned is assigned again.
     :param avoid_s: how long other workers are preferred for such a task.
     :param kept_s: how long ended jobs answer a repeated submission; callers send a
@@ -35,7 +35,7 @@
         known. Workers announce themselves every 1.5 s and agents dial within 1 s.
     """
 
-    agent_gone_s: float = 2.3
+    agent_timeout_s: float = 2.3
     return_pause_s: float = 0.01
     avoid_s: float = 0.25
     kept_s: float = 20.0
@@ -187,7 +187,7 @@
         due_s = DEMAND_CHANGE_S if changed else DEMAND_REPEAT_S
         if (cpu or changed) and now - self._demanded_at >= due_s:
             self._demand, self._demanded_at = demand, now
-            for view in self.fleet.by_agent.values():
+            for view in self.fleet.view_by_agent.values():
                 if view.is_near and view.is_fresh(now):
                     yield actions.Send(view.agent, demand)
 
@@ -227,7 +227,7 @@
         task.state = besteffort.TaskState.ASSIGNED
         task.run += 1
         task.agent, task.assigned_at = view.agent, now
-        job.is_offered = True
+        job.has_been_assigned = True
         self._throughput.add(task.step.cpu / 1000 * task.step.estimate_s)
         # Each task is counted by itself; the message carries the last number.
         view.assign(task.step)
@@ -235,7 +235,7 @@
     def _send(
         self, job: besteffort.Job, agent: str, tasks: list[besteffort.Task], now: float
     ) -> Iterator[Effect]:
-        view, step = self.fleet.by_agent[agent], tasks[0].step
+        view, step = self.fleet.view_by_agent[agent], tasks[0].step
         given = job.submission
         yield actions.LogEvent(
             "task.assigned",
--- a/src/burdockgate/process/entrydaemon.py
+++ b/src/burdockgate/process/entrydaemon.py
@@ -124,7 +124,7 @@
             and self.scheduler.fleet.is_in_touch(self._time.now())
         )
 
-    async def wait_routes(self, limit_s: float) -> routes.RouteTable | None:
+    async def wait_for_routes(self, limit_s: float) -> routes.RouteTable | None:
         """Return the configuration; ``None`` when none has come in time.
 
         :param limit_s: longest wait for the first one in seconds.
@@ -293,7 +293,7 @@
 
     async def _run_timers(self) -> None:
         while True:
-            self._links.watch()
+            self._links.abort_silent_links()
             self._perform(self.scheduler.tick())
             await asyncio.sleep(TICK_S)
 
--- a/src/burdockgate/process/executor.py
+++ b/src/burdockgate/process/executor.py
@@ -153,7 +153,7 @@
         session.leased_until = max(
             session.leased_until, echoed + self._settings.session_lease_s
         )
-        session.acknowledge(message.ends_through)
+        session.acknowledge(message.last_end_number)
 
     def handle_assignment(
         self, entry: str, message: assignments.Assign
--- a/src/burdockgate/process/fleet.py
+++ b/src/burdockgate/process/fleet.py
@@ -65,7 +65,7 @@
         """
         self.load, self.load_at = load, now
         self._unseen = [
-            entry for entry in self._unseen if entry[0] > load.assigned_through
+            entry for entry in self._unseen if entry[0] > load.last_assign_number
         ]
         self._under_way = (
             sum(entry[1] for entry in self._unseen),
@@ -150,7 +150,7 @@
 class Fleet:
     """All workers by the name of their agent."""
 
-    by_agent: dict[str, WorkerView] = attrs.field(factory=dict)
+    view_by_agent: dict[str, WorkerView] = attrs.field(factory=dict)
 
     def serving(self, service: str, now: float) -> Iterator[WorkerView]:
         """Yield the workers of a service that may be given tasks.
@@ -160,7 +160,7 @@
         """
         return (
             view
-            for view in self.by_agent.values()
+            for view in self.view_by_agent.values()
             if view.is_assignable(now)
             and view.info is not None
             and view.info.service == service
@@ -178,7 +178,7 @@
             and step.memory_mb <= view.info.memory_mb
             and step.gpu <= view.info.gpu
             and (not step.label or step.label in view.info.labels)
-            for view in self.by_agent.values()
+            for view in self.view_by_agent.values()
             if view.info is not None
         )
 
@@ -195,7 +195,7 @@
 
         :param now: the time.
         """
-        views = self.by_agent.values()
+        views = self.view_by_agent.values()
         recent = sum(1 for view in views if now - view.load_at < RECENT_S)
         fresh = sum(1 for view in views if view.is_fresh(now))
         return 2 * fresh >= recent and any(view.is_assignable(now) for view in views)
--- a/src/burdockgate/process/follower.py
+++ b/src/burdockgate/process/follower.py
@@ -68,8 +68,8 @@
 
     async def _read(self) -> store.Page:
         if self._offset is None:
-            return await self._client.newest(self._topic)
-        return await self._client.changes(self._topic, self._offset)
+            return await self._client.read_newest(self._topic)
+        return await self._client.read_changes(self._topic, self._offset)
 
     def _note(self, is_reached: bool, detail: str) -> None:
         if is_reached != self._is_reached:
--- a/src/burdockgate/process/links.py
+++ b/src/burdockgate/process/links.py
@@ -105,7 +105,7 @@
             raise errors.WireError(f"{type(message).__name__} is not expected here")
         self._handler.handle_message(stream, message)
 
-    def watch(self) -> None:
+    def abort_silent_links(self) -> None:
         """Abort the connections that are silent."""
         now = self._time.now()
         for link, heard_at in list(self._heard_at_by_link.items()):
--- a/src/burdockgate/process/scheduler.py
+++ b/src/burdockgate/process/scheduler.py
@@ -26,7 +26,7 @@
 AGENT_GONE_MARGIN_S = 0.2
 
 
-def agent_gone_s(limits: executoractions.ExecutorSettings) -> float:
+def agent_timeout_s(limits: executoractions.ExecutorSettings) -> float:
     """Return the time after which the runs of a silent agent have ended.
 
     The agent stops them when its session lease lapses. When the worker does not
@@ -152,7 +152,7 @@
             verdict = besteffort.Interrupted(codes.Code.OWNER_LOST)
             yield from self._end_job(job, verdict)
 
-    def pending(self, route: str) -> int:
+    def unassigned_job_count(self, route: str) -> int:
         """Return how many jobs of a route have not begun.
 
         :param route: name of the route.
@@ -160,7 +160,7 @@
         return sum(
             1
             for job in self.job_by_id.values()
-            if job.submission.route == route and not job.is_offered
+            if job.submission.route == route and not job.has_been_assigned
         )
 
     def handle_agent_connected(
@@ -173,11 +173,11 @@
             are not ours.
         """
         now = self._time.now()
-        view = self.fleet.by_agent.get(hello.name)
-        held = set(hello.held) if hello.entry_boot == own_boot else set()
+        view = self.fleet.view_by_agent.get(hello.name)
+        held = set(hello.active_runs) if hello.entry_boot == own_boot else set()
         if view is None:
             view = fleet.WorkerView(hello.name, hello.boot, hello.zone)
-            self.fleet.by_agent[hello.name] = view
+            self.fleet.view_by_agent[hello.name] = view
         elif view.boot != hello.boot:
             yield actions.LogEvent(
                 "agent.restarted", {"agent": hello.name, "boot": hello.boot}
@@ -197,7 +197,7 @@
 
         :param agent: its name.
         """
-        view = self.fleet.by_agent.get(agent)
+        view = self.fleet.view_by_agent.get(agent)
         if view is not None and view.is_linked:
             view.is_linked = False
             yield actions.LogEvent(
@@ -213,7 +213,7 @@
         :param agent: name of its agent.
         :param info: the facts.
         """
-        self.fleet.by_agent[agent].info = info
+        self.fleet.view_by_agent[agent].info = info
         yield actions.LogEvent("worker.known", {"agent": agent, "worker": info.worker})
 
     def handle_load_report(
@@ -224,7 +224,7 @@
         :param agent: name of the agent.
         :param load: the report.
         """
-        now, view = self._time.now(), self.fleet.by_agent[agent]
+        now, view = self._time.now(), self.fleet.view_by_agent[agent]
         before = view.load.state if view.load else None
         view.apply_report(load, now)
         if before is not load.state:
@@ -256,7 +256,7 @@
         :param agent: name of the agent.
         :param end: the end.
         """
-        view = self.fleet.by_agent[agent]
+        view = self.fleet.view_by_agent[agent]
         view.ends_through = max(view.ends_through, end.number)
         key = end.key
         lingering = self._lingering.get(key.task)
@@ -390,8 +390,8 @@
     def tick(self) -> Iterator[assigner.Effect]:
         """Do what is due; call every few tens of milliseconds."""
         now = self._time.now()
-        for view in list(self.fleet.by_agent.values()):
-            is_gone = now - view.renewed_at > self._settings.agent_gone_s
+        for view in list(self.fleet.view_by_agent.values()):
+            is_gone = now - view.renewed_at > self._settings.agent_timeout_s
             if is_gone and (view.is_recovering or not view.is_linked):
                 view.is_recovering = False
                 yield from self._lose_all(view.agent, "agent silent")
--- a/src/burdockgate/process/store.py
+++ b/src/burdockgate/process/store.py
@@ -36,7 +36,7 @@
     """Client of the store; there is one in each process."""
 
     @abc.abstractmethod
-    async def newest(self, topic: str) -> Page:
+    async def read_newest(self, topic: str) -> Page:
         """Return the newest record of each key.
 
         :param topic: name of the topic.
@@ -44,7 +44,7 @@
         """
 
     @abc.abstractmethod
-    async def changes(self, topic: str, offset: int) -> Page:
+    async def read_changes(self, topic: str, offset: int) -> Page:
         """Wait a while for new records.
 
         :param topic: name of the topic.
--- a/src/burdockgate/request/besteffort.py
+++ b/src/burdockgate/request/besteffort.py
@@ -163,7 +163,7 @@
     tickets: set[int]
     tasks: list[list[Task]]
     has_run: bool = False
-    is_offered: bool = False
+    has_been_assigned: bool = False
     verdict: Outcome | None = None
     ended_at: float = 0.0
 
--- a/src/burdockgate/standin/batches.py
+++ b/src/burdockgate/standin/batches.py
@@ -239,7 +239,7 @@
         node = self.entry_by_name[entry]
 
         def handle() -> None:
-            if agent not in node.scheduler.fleet.by_agent:
+            if agent not in node.scheduler.fleet.view_by_agent:
                 return
             match message:
                 case assignments.LoadReport():
--- a/src/burdockgate/standin/nodes.py
+++ b/src/burdockgate/standin/nodes.py
@@ -339,7 +339,7 @@
         self.scheduler = scheduler.Scheduler(
             self.zone,
             assigner.SchedulerSettings(
-                agent_gone_s=scheduler.agent_gone_s(self.model.limits)
+                agent_timeout_s=scheduler.agent_timeout_s(self.model.limits)
             ),
             self.model.selection,
             self.model.ordering,
--- a/src/burdockgate/version/routes.py
+++ b/src/burdockgate/version/routes.py
@@ -33,12 +33,12 @@
     """All routes of one version.
 
     :param version: grows with each accepted change.
-    :param body_limit: most bytes of a request's body.
+    :param max_body_bytes: most bytes of a request's body.
     """
 
     version: int
     routes: tuple[Route, ...]
-    body_limit: int
+    max_body_bytes: int
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of a path, or ``None``.
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -94,7 +94,7 @@
     assert settings.entry_addresses() == ("10.1.0.13:7720", "10.2.0.30:7720")
     assert settings.entry_settings().port == 7720
     assert settings.agent_settings().executor.worker_lease_s == 0.9
-    assert settings.entry_settings().scheduler.agent_gone_s > 0.9 * 1.02 + 0.7
+    assert settings.entry_settings().scheduler.agent_timeout_s > 0.9 * 1.02 + 0.7
 
 
 @pytest.mark.parametrize(
@@ -363,7 +363,7 @@
     second = {"items": [_item("b", b"2", 5)], "more": False, "end": 6}
     server = await script((200, first), (200, second))
     client = storeclient.PlatformStore(server.server.address)
-    page = await client.newest("keyed.op")
+    page = await client.read_newest("keyed.op")
     await client.close()
     assert [record.key for record in page.records] == ["a", "b"]
     assert (page.end, page.unreadable) == (4, 1)
@@ -382,7 +382,7 @@
     """Offsets must advance by one for each record."""
     server = await script((200, _raw((b"config", b"{}"), (b"x", b""))))
     client = storeclient.PlatformStore(server.server.address)
-    page = await client.changes("keyed.op", 4)
+    page = await client.read_changes("keyed.op", 4)
     await client.close()
     assert [(record.key, record.value) for record in page.records] == [
         ("config", b"{}"),
@@ -396,9 +396,9 @@
     server = await script((410, {"first": 8}), (503, b""))
     client = storeclient.PlatformStore(server.server.address)
     with pytest.raises(errors.HistoryExpiredError):
-        await client.changes("keyed.op", 4)
+        await client.read_changes("keyed.op", 4)
     with pytest.raises(errors.LogUnavailableError):
-        await client.changes("keyed.op", 4)
+        await client.read_changes("keyed.op", 4)
     await client.close()
 
 
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -29,10 +29,10 @@
             raise answer
         return answer
 
-    async def newest(self, topic):
+    async def read_newest(self, topic):
         return await self._answer("newest")
 
-    async def changes(self, topic, offset):
+    async def read_changes(self, topic, offset):
         return await self._answer("changes", offset)
 
     async def put(self, topic, key, value):
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -51,7 +51,7 @@
         return effects + self.report(agent)
 
     def report(self, agent, state=READY):
-        view = self.scheduler.fleet.by_agent[agent]
+        view = self.scheduler.fleet.view_by_agent[agent]
         load = assignments.LoadReport(
             1,
             view.assigned_number,
@@ -314,13 +314,13 @@
     """A task goes where it ends first."""
     bench = Bench(4000, 4000, 500)
     for agent, speed in (("agent-0", 800), ("agent-1", 1200), ("agent-2", 2000)):
-        view = bench.scheduler.fleet.by_agent[agent]
+        view = bench.scheduler.fleet.view_by_agent[agent]
         view.load = attrs.evolve(view.load, speed=speed)
     choice = selection.Selection(
         selection.SelectionSettings(), "z1", random.Random(1)
     ).choose(
         besteffort.Task(assignments.TaskKey("job", 0, 0), STEP),
-        bench.scheduler.fleet.by_agent.values(),
+        bench.scheduler.fleet.view_by_agent.values(),
         bench.time.now(),
     )
     assert choice.agent == "agent-1"
