Name the counts and the caller's removal of the job registry

Cause: JobRegistry.led, .bytes and .check_view and JobLifecycle.forget are used in other modules and don't say what they count or do. Change: they are owned_count, body_bytes, record_view_check and remove_caller. Three untyped uses in tests follow by hand. A message of EntryCore that became too long for a line is split in another place.

--- a/src/burdockgate/process/entry.py
+++ b/src/burdockgate/process/entry.py
@@ -150,11 +150,11 @@
         if self.draining:
             return codes.Code.DRAINING, "this entry host is stopping"
         limit = self._config.limits.backlog_bytes
-        if self.jobs.bytes + request.size > limit:
+        if self.jobs.body_bytes + request.size > limit:
             return (
                 codes.Code.BACKLOG_FULL,
-                f"the job of {request.size} bytes does not fit: {self.jobs.bytes} of "
-                f"{limit} bytes are in use",
+                f"the job of {request.size} bytes does not fit: "
+                f"{self.jobs.body_bytes} of {limit} bytes are in use",
             )
         detail = self._limits.refusal(request)
         if detail:
@@ -296,7 +296,7 @@
         else:
             self._peer_table_version_by_name[name] = message.table_version
             if message.view_number <= self.view.number:
-                self.jobs.check_view(message.view_age_s)
+                self.jobs.record_view_check(message.view_age_s)
         for records in self.table_replica.since(message.table_version):
             yield effects.Send(name, records)
         if message.view_number < self.view.number:
@@ -319,7 +319,7 @@
         if message.stream == views.STREAM:
             yield from self._follow_members(message)
             if message.next == message.first:
-                self.jobs.check_view(0)
+                self.jobs.record_view_check(0)
         elif message.stream == table.STREAM:
             version, was_current = self.table_replica.version, self.has_current_table
             self.table_replica.apply_log_page(message)
--- a/src/burdockgate/process/entryhost.py
+++ b/src/burdockgate/process/entryhost.py
@@ -235,7 +235,7 @@
             return outcome.Pending(0)
         finally:
             if self._future_by_ticket.pop(ticket, None) is not None:
-                self.core.jobs.forget(ticket)
+                self.core.jobs.remove_caller(ticket)
 
     async def drain(self, worker: str, active: bool) -> bool:
         """Drain or resume a worker."""
@@ -278,7 +278,7 @@
             "peers": sorted(self.core.jobs.peer_by_name),
             "workers": [self._worker_status(name) for name in self._worker_names()],
             "backlog_tasks": self.core.backlog_tasks,
-            "backlog_bytes": self.core.jobs.bytes,
+            "backlog_bytes": self.core.jobs.body_bytes,
             "jobs_in_progress": len(self.core.jobs),
             "counters": self.counters.snapshot(),
             "histograms": [
--- a/src/burdockgate/process/lifecycle.py
+++ b/src/burdockgate/process/lifecycle.py
@@ -139,7 +139,7 @@
             return self._outcomes.get(job_id) is not None
         return held.owned_job is not None
 
-    def forget(self, ticket: int) -> None:
+    def remove_caller(self, ticket: int) -> None:
         """Drop a caller that no longer waits; its job goes on.
 
         :param ticket: number of the caller.
--- a/src/burdockgate/process/registry.py
+++ b/src/burdockgate/process/registry.py
@@ -27,7 +27,7 @@
 
 
 class JobRegistry(abc.ABC):
-    """Every job that this entry host holds; ``bytes`` counts their bodies.
+    """Every job that this entry host holds; ``body_bytes`` counts their bodies.
 
     :param node: this incarnation of the entry host.
     :param config: its settings.
@@ -53,7 +53,7 @@
         self._limits = limit
         self.view = views.View()
         self._view_checked_at = -math.inf
-        self.bytes = 0
+        self.body_bytes = 0
         self.peer_by_name: dict[str, messages.Node] = {}
         self._node = node
         self._config = config
@@ -85,7 +85,7 @@
         return len(self._submission_by_job)
 
     @property
-    def led(self) -> int:
+    def owned_count(self) -> int:
         """Number of jobs that this entry host owns and that have not ended."""
         return sum(
             held.owned_job is not None for held in self._submission_by_job.values()
@@ -113,7 +113,7 @@
             return messages.UNKNOWN_AGE_S
         return math.ceil((age_s + 1) / VIEW_AGE_STEP_S) * VIEW_AGE_STEP_S
 
-    def check_view(self, age_s: float) -> None:
+    def record_view_check(self, age_s: float) -> None:
         """Note that the view is no older than the newest one of some time ago.
 
         :param age_s: that time in seconds before now.
@@ -154,7 +154,7 @@
 
     def _set_request(self, held: _Submission, request: job.JobRequest) -> None:
         held.request = request
-        self.bytes += request.size
+        self.body_bytes += request.size
         self._limits.queued(request, request.size)
 
     @abc.abstractmethod
@@ -173,7 +173,7 @@
         self._confirming.discard(held.job)
         self._to_confirm.pop(held.job, None)
         if held.request is not None:
-            self.bytes -= held.request.size
+            self.body_bytes -= held.request.size
             self._limits.queued(held.request, -held.request.size)
             self._limits.in_progress(held.request, 0)
         epoch = held.owned_job.terms.epoch if held.owned_job else 0
--- a/src/burdockgate/standin/meter.py
+++ b/src/burdockgate/standin/meter.py
@@ -234,7 +234,7 @@
         view = members(min(agents, views.VOTERS_PER_REGION_LIMIT), 1)
         assert isinstance(self.entry.core, entry.EntryCore)
         self.entry.core.jobs.view = view
-        self.entry.core.jobs.check_view(0)
+        self.entry.core.jobs.record_view_check(0)
         for process in self.agents:
             assert isinstance(process.core, agent.AgentCore)
             process.core.claims.catchup.view = view
--- a/src/burdockgate/standin/probes.py
+++ b/src/burdockgate/standin/probes.py
@@ -127,7 +127,7 @@
     per_tick, process.cost = process.cost.cpu_s / 20, meter.Cost()
     begin = time.process_time()
     for ticket in range(count - 50, count):
-        core.jobs.forget(ticket)
+        core.jobs.remove_caller(ticket)
     return {
         "entry host µs a tick, waiting jobs of 1": per_tick * US_PER_S,
         "entry host µs a caller that leaves": (time.process_time() - begin)
--- a/tests/test_session_cancel.py
+++ b/tests/test_session_cancel.py
@@ -97,7 +97,7 @@
     # Each "not run" is settled with the claim group, whatever its number of tasks.
     assert sent.count("Claim") <= 3 * 200
     core = session.core("entry-1")
-    assert (len(core.jobs), core.backlog_tasks, core.jobs.bytes) == (0, 0, 0)
+    assert (len(core.jobs), core.backlog_tasks, core.jobs.body_bytes) == (0, 0, 0)
     for name in ("agent-1", "agent-2", "agent-3"):
         assert session.core(name).slots.running == 0
         assert core.workers.worker_by_name[name].free == 2
--- a/tests/test_session_steps.py
+++ b/tests/test_session_steps.py
@@ -302,7 +302,7 @@
         if "entry" in name:
             core.draining = True
             load(0.5)
-            session.run_until(lambda core=core: core.jobs.led == 0)
+            session.run_until(lambda core=core: core.jobs.owned_count == 0)
         else:
             session.drain(name)
             load(0.5)
--- a/tests/test_session_table.py
+++ b/tests/test_session_table.py
@@ -131,7 +131,7 @@
     session.run(0.2)
     assert 4 <= len(session.starts) <= 7
     sessions.assert_whole(request, session.answer(ticket))
-    assert session.core("entry-1").jobs.bytes == 0
+    assert session.core("entry-1").jobs.body_bytes == 0
 
 
 def test_weights_order_two_classes_under_saturation():
