Rename methods of the cores, the replicas and the streams

The names beat, finished, see, since, statement and follow, and *_value for the JSON text of a record, did not say what the methods do. Methods that handle an event are verb phrases now; the functions that build records of the table stream are named like those of the members stream.

--- a/src/burdockgate/cli/table.py
+++ b/src/burdockgate/cli/table.py
@@ -156,9 +156,9 @@
         raise errors.TableError(problems)
     named = {"scope": key[0], "name": key[1]}
     # Wrong values are reported even when the log cannot be reached.
-    table.check_row({**columns, **named})
+    table.parse_row({**columns, **named})
     current = await edit.read()
-    row = table.check_row({**_columns(current.row(*key)), **columns, **named})
+    row = table.parse_row({**_columns(current.row(*key)), **columns, **named})
     based_on = current.row_version(key) if args.based_on is None else args.based_on
     return _report([(args.row, await edit.set_row(row, based_on))], args)
 
@@ -273,7 +273,7 @@
     scope, slash, name = text.partition("/")
     if not slash:
         raise errors.TableError([f"row {text!r:.80}: allowed is {_ROW_HELP[7:]}"])
-    return table.check_row({"scope": scope, "name": name}).key
+    return table.parse_row({"scope": scope, "name": name}).key
 
 
 def _read_file(path: str) -> list[table.Row]:
@@ -312,7 +312,7 @@
         raise errors.TableError(["allowed are as many fields as the header has"])
     fields = {str(column): str(text) for column, text in columns.items()}
     version = fields.pop("version", "") or "0"
-    row = table.check_row(fields)
+    row = table.parse_row(fields)
     if not (version.isascii() and version.isdigit() and len(version) < 19):
         name = "/".join(row.key)
         raise errors.TableError(
--- a/src/burdockgate/process/agent.py
+++ b/src/burdockgate/process/agent.py
@@ -97,7 +97,7 @@
         return not any(item.is_leaving for item in self._session_by_name.values())
 
     @property
-    def table_and_view(self) -> tuple[int, int]:
+    def table_and_view_versions(self) -> tuple[int, int]:
         """The versions in force here, for heartbeats."""
         return self.table_replica.version, self.claims.catchup.view.number
 
@@ -154,7 +154,7 @@
             if not job.settled and not job.running():
                 yield from self._send_results(job, list(job.reports()))
 
-    def beat(self) -> _Effects:
+    def send_heartbeats(self) -> _Effects:
         """Send the heartbeats; call once in each heartbeat interval.
 
         Other agents get none: their connections serve a catch-up and lapse after it.
@@ -168,7 +168,7 @@
                     yield from self._send_load(name)
 
     def _heartbeat(self, name: str) -> effects.Send:
-        return effects.Send(name, messages.Heartbeat(*self.table_and_view))
+        return effects.Send(name, messages.Heartbeat(*self.table_and_view_versions))
 
     def _send_load(self, name: str) -> _Effects:
         session = self._session_by_name[name]
@@ -285,7 +285,7 @@
                 ),
             )
 
-    def finished(
+    def handle_task_end(
         self,
         job_id: bytes,
         attempt: int,
@@ -434,7 +434,7 @@
         """
         if message.stream != views.STREAM:
             return
-        for view in views.follow(self.claims.catchup.view, message):
+        for view in views.fold_page(self.claims.catchup.view, message):
             self.claims.catchup.advance(view)
         self._counters.gauge("view.number", self.claims.catchup.view.number)
         yield from self.claims.catchup.tick(self._session_by_name)
--- a/src/burdockgate/process/agenthost.py
+++ b/src/burdockgate/process/agenthost.py
@@ -143,7 +143,7 @@
             key = (effect.job, effect.attempt, effect.index)
             self._execution_by_key.pop(key, None)
         self.perform(
-            self.core.finished(
+            self.core.handle_task_end(
                 effect.job, effect.attempt, effect.index, state, payload, run_ms
             )
         )
--- a/src/burdockgate/process/core.py
+++ b/src/burdockgate/process/core.py
@@ -16,7 +16,7 @@
         """Do what is due; call at least ten times a second."""
 
     @abc.abstractmethod
-    def beat(self) -> Iterator[effects.Effect]:
+    def send_heartbeats(self) -> Iterator[effects.Effect]:
         """Send the heartbeats; call once in each heartbeat interval."""
 
     @abc.abstractmethod
--- a/src/burdockgate/process/daemon.py
+++ b/src/burdockgate/process/daemon.py
@@ -121,7 +121,7 @@
             self.perform(self.core.follow(records))
 
     async def run_timers(self) -> None:
-        """Tick, beat and flush metrics until cancelled."""
+        """Tick, send heartbeats and flush metrics until cancelled."""
         beat_at = flush_at = self.time.now()
         while True:
             now = self.time.now()
@@ -130,7 +130,7 @@
             self.report()
             if now >= beat_at:
                 beat_at = now + self._timing.heartbeat_s
-                self.perform(self.core.beat())
+                self.perform(self.core.send_heartbeats())
             if now >= flush_at:
                 flush_at = now + METRICS_INTERVAL_S
                 self.counters.flush()
--- a/src/burdockgate/process/editor.py
+++ b/src/burdockgate/process/editor.py
@@ -118,14 +118,14 @@
 
         :param based_on: version that the writer saw, :meth:`table.Table.row_version`.
         """
-        return await self._change(table.set_value(row, based_on))
+        return await self._change(table.row_record(row, based_on))
 
     async def delete_row(self, scope: str, name: str, based_on: int) -> Outcome:
         """Delete a row if nobody changed it meanwhile.
 
         :param based_on: version that the writer saw, :meth:`table.Table.row_version`.
         """
-        return await self._change(table.delete_value((scope, name), based_on))
+        return await self._change(table.deletion_record((scope, name), based_on))
 
     async def snapshot(self) -> Outcome:
         """Append a snapshot of the table, from which new readers can start.
@@ -135,7 +135,7 @@
         """
         current = await self.read()
         change_id = self._change_id()
-        value = table.snapshot_value(current)
+        value = table.snapshot_record(current)
         try:
             await self._log.append(
                 table.STREAM, change_id, value, self._budget_s, current.next
--- a/src/burdockgate/process/entry.py
+++ b/src/burdockgate/process/entry.py
@@ -81,7 +81,7 @@
         self._membership_at = time.now()
         retention_s = config.platform.log_retention_s
         self._snapshots_by_stream = {
-            stream: snapshots.Snapshots(stream, node, time, retention_s)
+            stream: snapshots.SnapshotPublisher(stream, node, time, retention_s)
             for stream in (views.STREAM, table.STREAM)
         }
         self._is_current = False
@@ -224,7 +224,7 @@
             for worker in self.workers.worker_by_name:
                 yield effects.Send(worker, self._peers())
             if self.has_current_table:
-                yield effects.Send(name, self.table_replica.statement())
+                yield effects.Send(name, self.table_replica.version_announcement())
 
     def handle_disconnect(self, name: str) -> _Effects:
         """End a session.
@@ -297,10 +297,12 @@
             self._peer_table_version_by_name[name] = message.table_version
             if message.view_number <= self.view.number:
                 self.jobs.check_view(message.view_age_s)
-        for records in self.table_replica.since(message.table_version):
+        for records in self.table_replica.pages_since(message.table_version):
             yield effects.Send(name, records)
         if message.view_number < self.view.number:
-            for records in self._member_history.since(message.view_number, self.view):
+            for records in self._member_history.pages_since(
+                message.view_number, self.view
+            ):
                 yield effects.Send(name, records)
 
     def _on_records(self, name: str, message: messages.Records) -> _Effects:
@@ -323,7 +325,7 @@
         elif message.stream == table.STREAM:
             version, was_current = self.table_replica.version, self.has_current_table
             self.table_replica.apply_log_page(message)
-            self._snapshots_by_stream[table.STREAM].see(message.records)
+            self._snapshots_by_stream[table.STREAM].observe(message.records)
             yield from self._table_followed(version, was_current)
 
     def _table_followed(self, version: int, was_current: bool) -> _Effects:
@@ -333,17 +335,17 @@
             self._dispatcher.reweigh(self._limits.weight)
             for name in (*self.workers.worker_by_name, *self.jobs.peer_by_name):
                 known = self._peer_table_version_by_name.get(name, version)
-                for records in self.table_replica.since(min(known, version)):
+                for records in self.table_replica.pages_since(min(known, version)):
                     yield effects.Send(name, records)
         if not was_current and self.has_current_table:
             for name in self.jobs.peer_by_name:
-                yield effects.Send(name, self.table_replica.statement())
+                yield effects.Send(name, self.table_replica.version_announcement())
 
     def _follow_members(self, message: messages.Records) -> _Effects:
         number = self.view.number
-        new = self._member_history.keep(message, number)
-        self._snapshots_by_stream[views.STREAM].see(new)
-        for view in views.follow(self.view, message):
+        new = self._member_history.add_page(message, number)
+        self._snapshots_by_stream[views.STREAM].observe(new)
+        for view in views.fold_page(self.view, message):
             self.jobs.view = view
         if self.view.number == number:
             return
@@ -358,7 +360,7 @@
         for name, number in list(self._view_number_by_worker.items()):
             if number not in pages_by_number:
                 pages_by_number[number] = list(
-                    self._member_history.since(number, self.view)
+                    self._member_history.pages_since(number, self.view)
                 )
             for records in pages_by_number[number]:
                 yield effects.Send(name, records)
@@ -396,10 +398,10 @@
             yield from members.tick(peers, self.view.number, value)
         rows_due = self._snapshots_by_stream[table.STREAM]
         if rows_due.is_due and current.is_complete and current.next:
-            value = table.snapshot_value(current)
+            value = table.snapshot_record(current)
             yield from rows_due.tick(peers, current.next, value)
 
-    def beat(self) -> _Effects:
+    def send_heartbeats(self) -> _Effects:
         """Send the heartbeats; call once in each heartbeat interval."""
         for name in self.workers.worker_by_name:
             yield effects.Send(name, self._heartbeat())
--- a/src/burdockgate/process/memberhistory.py
+++ b/src/burdockgate/process/memberhistory.py
@@ -26,7 +26,9 @@
     def __len__(self) -> int:
         return len(self._kept)
 
-    def keep(self, message: messages.Records, number: int) -> list[messages.LogRecord]:
+    def add_page(
+        self, message: messages.Records, number: int
+    ) -> list[messages.LogRecord]:
         """Keep the new records of a page, and return those that come from the log.
 
         :param message: a page of the stream.
@@ -43,7 +45,7 @@
             self._first = self._kept[0].offset
         return [record for record in new if record.id != WHOLE_ID]
 
-    def since(self, first: int, view: views.View) -> Iterator[messages.Records]:
+    def pages_since(self, first: int, view: views.View) -> Iterator[messages.Records]:
         """Yield the pages that bring a node up to a view.
 
         :param first: number of the node's view.
--- a/src/burdockgate/process/snapshots.py
+++ b/src/burdockgate/process/snapshots.py
@@ -14,7 +14,7 @@
 from burdockgate.process import membership
 
 
-class Snapshots:
+class SnapshotPublisher:
     """Decides on the snapshots of one stream.
 
     :param stream: name of the stream.
@@ -33,7 +33,7 @@
         # A snapshot seen at the start can be half of the retention old already.
         self._due_at = time.now() + retention_s / 4
 
-    def see(self, records: Iterable[messages.LogRecord]) -> None:
+    def observe(self, records: Iterable[messages.LogRecord]) -> None:
         """Note snapshots among new records of the log.
 
         :param records: the records; those read at the start may be old.
--- a/src/burdockgate/process/tablereplica.py
+++ b/src/burdockgate/process/tablereplica.py
@@ -136,7 +136,7 @@
 
     # Handing on
 
-    def since(self, version: int) -> Iterator[messages.Records]:
+    def pages_since(self, version: int) -> Iterator[messages.Records]:
         """Yield what a node needs that has an older version in force.
 
         :param version: the version in force there. The table of that version is
@@ -160,12 +160,12 @@
         complete = attrs.evolve(self.table, waiting=(), resume=None)
         if not self.table.is_complete:
             complete = attrs.evolve(complete, next=self.version)
-        value = table.snapshot_value(complete)
+        value = table.snapshot_record(complete)
         end = complete.next
         record = messages.LogRecord(max(0, end - 1), WHOLE_ID, value)
         return messages.Records(table.STREAM, record.offset, end, (record,))
 
-    def statement(self) -> messages.Records:
+    def version_announcement(self) -> messages.Records:
         """Return an empty page that tells the version in force here."""
         return messages.Records(table.STREAM, self.version, self.version, ())
 
--- a/src/burdockgate/standin/meter.py
+++ b/src/burdockgate/standin/meter.py
@@ -339,7 +339,7 @@
 
         def end() -> None:
             made = process.run(
-                lambda: core.finished(
+                lambda: core.handle_task_end(
                     item.job,
                     item.attempt,
                     item.index,
--- a/src/burdockgate/standin/probes.py
+++ b/src/burdockgate/standin/probes.py
@@ -188,8 +188,8 @@
 
 
 def _rest(process: meter.Process, now: clock.ManualClock, role: str) -> Values:
-    """Tick, beat and answer the heartbeats of every connected node for a while."""
-    process.run(process.core.beat)
+    """Tick, and send and answer the heartbeats of every connected node for a while."""
+    process.run(process.core.send_heartbeats)
     process.cost = meter.Cost()
     beats = round(REST_S / BEAT_S)
     number = _number_of(process)
@@ -198,7 +198,7 @@
         for _ in range(round(BEAT_S / meter.TICK_S)):
             now.advance(meter.TICK_S)
             process.run(process.core.tick)
-        sent = process.run(process.core.beat)
+        sent = process.run(process.core.send_heartbeats)
         for item in sent:
             if isinstance(item, meter.Frame):
                 process.receive(item.to, frame)
@@ -212,7 +212,7 @@
 
 def _number_of(process: meter.Process) -> int:
     if isinstance(process.core, agent.AgentCore):
-        return process.core.table_and_view[1]
+        return process.core.table_and_view_versions[1]
     return process.core.view.number
 
 
@@ -319,13 +319,13 @@
     return {
         "table: µs a row change": spent * US_PER_S,
         "table: bytes of memory": after - before,
-        "table: bytes of a snapshot": len(table.snapshot_value(whole)),
+        "table: bytes of a snapshot": len(table.snapshot_record(whole)),
     }
 
 
 def _set_value(index: int, rng: random.Random, based_on: int = 0) -> bytes:
     row = table.Row("class", f"team-{index:05d}", rng.uniform(0.5, 4), 1000, 500.0)
-    return table.set_value(row, based_on)
+    return table.row_record(row, based_on)
 
 
 def announcement(agents: int, seed: int) -> Values:
--- a/src/burdockgate/standin/resident.py
+++ b/src/burdockgate/standin/resident.py
@@ -30,7 +30,7 @@
     one = messages.TaskStart(index, 1, b"1", 1000)
     list(core.receive(owner.node.name, messages.Start(
         job, 1, 0, 1, core.node.boot, (one,))))
-    list(core.finished(job, 1, index, messages.TaskState.DONE, payload, 1.0))
+    list(core.handle_task_end(job, 1, index, messages.TaskState.DONE, payload, 1.0))
 """
 _KEEP_JOBS = """
 for number in range({size}):
--- a/src/burdockgate/version/table.py
+++ b/src/burdockgate/version/table.py
@@ -149,7 +149,7 @@
 COLUMNS = ("scope", "name", *_COLUMN_BY_NAME, "region")
 
 
-def check_row(columns: Mapping[str, str]) -> Row:
+def parse_row(columns: Mapping[str, str]) -> Row:
     """Return the row that columns of text describe.
 
     :param columns: text by column name; an absent or empty column is the default.
@@ -200,18 +200,18 @@
             yield _problem(where, column, value)
 
 
-def set_value(row: Row, based_on: int) -> bytes:
+def row_record(row: Row, based_on: int) -> bytes:
     """Return JSON that sets a row based on the :meth:`Table.row_version` seen."""
     return _dump({"type": "set", "row": _row_json(row), "based_on": based_on})
 
 
-def delete_value(key: Key, based_on: int) -> bytes:
+def deletion_record(key: Key, based_on: int) -> bytes:
     """Return JSON that deletes a row based on the :meth:`Table.row_version` seen."""
     scope, name = key
     return _dump({"type": "delete", "scope": scope, "name": name, "based_on": based_on})
 
 
-def snapshot_value(table: Table) -> bytes:
+def snapshot_record(table: Table) -> bytes:
     """Return the JSON text of a snapshot, ``through`` the version of the table.
 
     :raises errors.TableError: when the table is not complete.
@@ -336,7 +336,7 @@
 
 
 def read_snapshot(value: bytes) -> Table:
-    """Return the table that :func:`snapshot_value` wrote.
+    """Return the table that :func:`snapshot_record` wrote.
 
     :raises errors.TableError: when the text is not a snapshot.
     """
--- a/src/burdockgate/version/view.py
+++ b/src/burdockgate/version/view.py
@@ -261,7 +261,7 @@
     return json.dumps(value, sort_keys=True).encode()
 
 
-def follow(view: View, message: messages.Records) -> Iterator[View]:
+def fold_page(view: View, message: messages.Records) -> Iterator[View]:
     """Yield the view after each new record of a page, and after the page.
 
     A page may end with records that were left out because their ids had come
@@ -275,13 +275,13 @@
         view = attrs.evolve(view, number=message.first, waiting=())
         yield view
     last = view
-    for last in fold_all(view, message.records):
+    for last in fold_records(view, message.records):
         yield last
     if message.next > last.number:
         yield attrs.evolve(last, number=message.next)
 
 
-def fold_all(view: View, records: tuple[messages.LogRecord, ...]) -> Iterator[View]:
+def fold_records(view: View, records: tuple[messages.LogRecord, ...]) -> Iterator[View]:
     """Yield the view after each record that is new to it.
 
     Members of claim groups need every step, because a group may change in each.
--- a/tests/sessions.py
+++ b/tests/sessions.py
@@ -527,7 +527,7 @@
         if not self._alive(process):
             return
         if not process.frozen:
-            self._perform(process, process.core.beat())
+            self._perform(process, process.core.send_heartbeats())
             self._drop_silent(process)
             if self.redials:
                 self._dial_all(process.name)
@@ -664,7 +664,7 @@
         self._act(
             process,
             lambda: self._perform(
-                process, process.core.finished(*key, state, payload, 1.0)
+                process, process.core.handle_task_end(*key, state, payload, 1.0)
             ),
         )
         if state is messages.TaskState.RETURNED:
--- a/tests/test_agenthost.py
+++ b/tests/test_agenthost.py
@@ -17,13 +17,13 @@
     config = configs.agent_settings("agent-1", 0, 2)
     host = agenthost.AgentHost(config, random.Random(1))
     host.core = mock.Mock()
-    host.core.finished.return_value = iter(())
+    host.core.handle_task_end.return_value = iter(())
     job = b"j" * 16
     host.perform([effects.Execute(job, 1, 0, b"1", 1000), effects.Stop(job, 1, 0)])
     async with asyncio.timeout(10):
-        while not host.core.finished.called:
+        while not host.core.handle_task_end.called:
             await asyncio.sleep(0)
-    assert host.core.finished.call_args.args[:3] == (job, 1, 0)
+    assert host.core.handle_task_end.call_args.args[:3] == (job, 1, 0)
     await host.close()
 
 
@@ -65,7 +65,7 @@
     host = agenthost.AgentHost(config, random.Random(1))
     host.core = mock.Mock(draining=False)
     host.core.slots.is_open = True
-    host.core.finished.return_value = host.core.set_backend_up.return_value = ()
+    host.core.handle_task_end.return_value = host.core.set_backend_up.return_value = ()
     ended = backend.Finished(messages.TaskState.UNKNOWN, b"sent, no answer", 1.0)
     host._backend = mock.Mock(
         run=mock.AsyncMock(return_value=ended),
--- a/tests/test_editor.py
+++ b/tests/test_editor.py
@@ -71,7 +71,7 @@
     server.store.set_faults(log.Faults())
     edit = _editor(client, 2)
     assert await edit.outcome(unknown.change_id) is None
-    server.store.append("table", unknown.change_id, table.set_value(BATCH, 0).decode())
+    server.store.append("table", unknown.change_id, table.row_record(BATCH, 0).decode())
     assert (await edit.outcome(unknown.change_id)).version == 1
 
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -35,8 +35,8 @@
     def start(self, name):
         process = super().start(name)
         if name.startswith("agent"):
-            finished = process.core.finished
-            process.core.finished = lambda *told: finished(
+            finished = process.core.handle_task_end
+            process.core.handle_task_end = lambda *told: finished(
                 *told[:-1], 500.0 if self.fault_by_agent.get(name) == "slow" else 50.0
             )
         return process
--- a/tests/test_memberhistory.py
+++ b/tests/test_memberhistory.py
@@ -17,8 +17,8 @@
             for n in range(first, min(first + step, count))
         )
         page = messages.Records(views.STREAM, first, first + len(records), records)
-        kept.keep(page, view.number)
-        states += views.follow(view, page)
+        kept.add_page(page, view.number)
+        states += views.fold_page(view, page)
         view = states[-1]
     return kept, states
 
@@ -27,7 +27,7 @@
     """A process that runs for weeks must stay within its memory."""
     kept, states = announced(10_000, step=100)
     assert len(kept) <= memberhistory.KEPT_LIMIT
-    pages = list(kept.since(0, states[-1]))
+    pages = list(kept.pages_since(0, states[-1]))
     assert sum(len(page.records) for page in pages) == 1
 
 
@@ -36,9 +36,9 @@
     """A node may start in an outage of the log, or after records have expired."""
     kept, states = announced(5000, step=250)
     for view in (states[-1 - behind], views.View()):
-        pages = list(kept.since(view.number, states[-1]))
+        pages = list(kept.pages_since(view.number, states[-1]))
         for page in pages:
-            *_, view = views.follow(view, page)
+            *_, view = views.fold_page(view, page)
         assert view == states[-1]
 
 
@@ -46,11 +46,11 @@
     """Its own copy of the snapshot is not one that the log holds."""
     kept, states = announced(5000, step=250)
     peer = memberhistory.MemberHistory()
-    for page in kept.since(0, states[-1]):
-        assert peer.keep(page, 0) == []
+    for page in kept.pages_since(0, states[-1]):
+        assert peer.add_page(page, 0) == []
     view = views.View()
-    for page in peer.since(7, states[-1]):
-        *_, view = views.follow(view, page)
+    for page in peer.pages_since(7, states[-1]):
+        *_, view = views.fold_page(view, page)
     assert view == states[-1]
 
 
--- a/tests/test_session_steps.py
+++ b/tests/test_session_steps.py
@@ -204,7 +204,7 @@
         session.run(15.0)
         session.start(name)
         row = table.Row("class", "batch", weight=number + 2.0)
-        value = table.set_value(row, version)
+        value = table.row_record(row, version)
         version = session.append("table", f"change-{number}", value) + 1
         session.run(6.0)
     session.log_is_up = True
--- a/tests/test_session_table.py
+++ b/tests/test_session_table.py
@@ -13,7 +13,7 @@
 def set_row(session, change, based_on=0, **columns):
     """Append a change as an operator does; return the table version it would make."""
     row = table.Row("class", "batch", **columns)
-    return session.append("table", change, table.set_value(row, based_on)) + 1
+    return session.append("table", change, table.row_record(row, based_on)) + 1
 
 
 def versions(session):
--- a/tests/test_table.py
+++ b/tests/test_table.py
@@ -34,7 +34,7 @@
 def test_race_is_decided_by_the_order_of_the_log():
     """Two changes based on the same version must not both be accepted."""
     first, second = BATCH, table.Row("class", "batch", weight=2)
-    values = [table.set_value(first, 0), table.set_value(second, 0)]
+    values = [table.row_record(first, 0), table.row_record(second, 0)]
     folded, results = _fold([_record(n, value) for n, value in enumerate(values)])
     assert _effects(results) == ["accepted", "conflict"]
     assert results[1][1].row == folded.row("class", "batch")
@@ -44,13 +44,13 @@
 
 def test_late_duplicate_does_not_bring_a_deleted_row_back():
     """A deleted row keeps a version, or a repeated creation is accepted."""
-    create = table.set_value(BATCH, 0)
-    values = [create, table.delete_value(BATCH.key, 1), create]
+    create = table.row_record(BATCH, 0)
+    values = [create, table.deletion_record(BATCH.key, 1), create]
     records = [_record(n, value) for n, value in enumerate(values)]
     folded, results = _fold(records)
     assert _effects(results) == ["accepted", "accepted", "conflict"]
     assert (folded.version, dict(folded.row_by_key)) == (2, {})
-    again, result = table.fold(folded, _record(3, table.set_value(BATCH, 2)))
+    again, result = table.fold(folded, _record(3, table.row_record(BATCH, 2)))
     assert (result.effect, again.version) == (table.Effect.ACCEPTED, 4)
 
 
@@ -75,7 +75,7 @@
 )
 def test_malformed_change_is_ignored_and_told(change):
     """A record that no editor wrote must not stop a reader."""
-    before, _ = _fold([_record(0, table.set_value(BATCH, 0))])
+    before, _ = _fold([_record(0, table.row_record(BATCH, 0))])
     after, result = table.fold(before, _record(1, change))
     assert result.effect is table.Effect.MALFORMED
     assert result.detail
@@ -104,13 +104,13 @@
         if kind == "again" and records:
             value = draw(strategies.sampled_from(records)).value
         elif kind == "delete":
-            value = table.delete_value(key, seen.row_version(key))
+            value = table.deletion_record(key, seen.row_version(key))
         elif kind == "snap":
-            value = table.snapshot_value(seen)
+            value = table.snapshot_record(seen)
         else:
             weight = draw(strategies.integers(1, 9))
             row = table.Row(*key, weight=weight)
-            value = table.set_value(row, seen.row_version(key))
+            value = table.row_record(row, seen.row_version(key))
         records.append(_record(offset, value))
         tables.append(table.fold(tables[-1], records[-1])[0])
     return records
@@ -147,9 +147,9 @@
 
 def test_reader_starts_at_a_snapshot_and_applies_changes_around_it():
     """Changes between a snapshot's reading and its append must not be lost."""
-    values = [table.set_value(BATCH, 0), table.set_value(table.Row("class", "a"), 0)]
+    values = [table.row_record(BATCH, 0), table.row_record(table.Row("class", "a"), 0)]
     early, _ = _fold([_record(0, values[0])])
-    values += [table.snapshot_value(early), table.delete_value(BATCH.key, 1)]
+    values += [table.snapshot_record(early), table.deletion_record(BATCH.key, 1)]
     records = [_record(n, value) for n, value in enumerate(values)]
     full, _ = _fold(records)
     late, results = _fold(records, 1)
@@ -159,7 +159,7 @@
     assert not _fold(records, 2)[0].is_complete
     alone, result = table.fold(table.Table(), records[3])
     assert (result.effect, alone.is_complete) == (table.Effect.WAITING, False)
-    assert table.read_snapshot(table.snapshot_value(full)) == full
+    assert table.read_snapshot(table.snapshot_record(full)) == full
 
 
 def test_row_is_checked_with_all_problems_at_once():
@@ -174,7 +174,7 @@
         "colour": "red",
     }
     with pytest.raises(errors.TableError) as caught:
-        table.check_row(columns)
+        table.parse_row(columns)
     lines = "\n".join(caught.value.problems)
     assert len(caught.value.problems) == 6
     assert "team/a b: weight=" in lines
@@ -184,7 +184,7 @@
 
 def test_row_of_text():
     columns = {"scope": "class", "name": "a", "weight": "2", "max_in_progress": "7"}
-    row = table.check_row({**columns, "max_rate": "", "region": "north"})
+    row = table.parse_row({**columns, "max_rate": "", "region": "north"})
     assert row == table.Row("class", "a", 2.0, 7, region="north")
     with pytest.raises(errors.TableError, match="in class rows only"):
-        table.check_row({"scope": "service", "name": "a", "region": "north"})
+        table.parse_row({"scope": "service", "name": "a", "region": "north"})
--- a/tests/test_tablereplica.py
+++ b/tests/test_tablereplica.py
@@ -21,7 +21,7 @@
         is_conflict = offset % 4 == 3
         row = table.Row("class", "batch", weight=offset + 1)
         based_on = 0 if is_conflict else version
-        made.append(record(offset, table.set_value(row, based_on)))
+        made.append(record(offset, table.row_record(row, based_on)))
         version = version if is_conflict else offset + 1
     return made
 
@@ -60,13 +60,13 @@
         elif choice == 1:
             target.apply_peer_page("peer", part)
         else:
-            for each in older.since(rng.randrange(40)):
+            for each in older.pages_since(rng.randrange(40)):
                 target.apply_peer_page("peer", each)
         versions.append(target.version)
         expected = read(page(made[: target.version])) if target.version else target
         assert state(target) == state(expected)
     assert versions == sorted(versions)
-    for each in source.since(target.version):
+    for each in source.pages_since(target.version):
         target.apply_peer_page("peer", each)
     assert state(target) == state(source)
 
@@ -78,10 +78,10 @@
     source = read(page(made), kept_limit=kept_limit)
     for count in range(1, 30):
         target = read(page(made[:count]))
-        for each in source.since(target.version):
+        for each in source.pages_since(target.version):
             target.apply_peer_page("peer", each)
         assert state(target) == state(source)
-    assert list(source.since(source.version)) == []
+    assert list(source.pages_since(source.version)) == []
 
 
 def test_gap_in_the_log_is_closed_by_a_peer():
@@ -89,7 +89,7 @@
     made = changes(30)
     target = read(page(made[:5]), page(made[10:30]))
     assert (target.version, target.table.is_complete) == (5, False)
-    for each in read(page(made[:20])).since(5):
+    for each in read(page(made[:20])).pages_since(5):
         target.apply_peer_page("peer", each)
     assert state(target) == state(read(page(made)))
     assert target.table.is_complete
@@ -99,14 +99,14 @@
     """Records that a snapshot covers would add up for the life of the process."""
     made = changes(20)
     source = read(page(made))
-    later = [record(20, table.snapshot_value(source.table))]
+    later = [record(20, table.snapshot_record(source.table))]
     source.apply_log_page(page(later))
     assert source.kept == 0
     row = table.Row("class", "web")
-    source.apply_log_page(page([record(21, table.set_value(row, 0))]))
+    source.apply_log_page(page([record(21, table.row_record(row, 0))]))
     assert source.kept == 1
     target = read(page(made[:2]))
-    for each in source.since(2):
+    for each in source.pages_since(2):
         target.apply_peer_page("peer", each)
     assert state(target) == state(source)
 
@@ -116,11 +116,13 @@
     source = read(page(changes(9)))
     target = tablereplica.TableReplica()
     others = {"e2", "e3"}
-    target.apply_peer_page("e2", source.statement())
+    target.apply_peer_page("e2", source.version_announcement())
     assert not target.is_current(others)
-    target.apply_peer_page("e3", attrs.evolve(source.statement(), first=0, next=0))
+    target.apply_peer_page(
+        "e3", attrs.evolve(source.version_announcement(), first=0, next=0)
+    )
     assert not target.is_current(others)
-    for each in source.since(0):
+    for each in source.pages_since(0):
         target.apply_peer_page("e2", each)
     assert target.is_current(others)
     assert not target.is_current(set())
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -61,7 +61,7 @@
     view = views.View()
     for first in range(0, len(records), 2):
         batch = records[max(0, first - 3) : first + 2]
-        *_, view = [view, *views.fold_all(view, batch)]
+        *_, view = [view, *views.fold_records(view, batch)]
     assert view.number == len(values)
     assert view == whole
     assert groups(view) == groups(whole)
--- a/tests/test_view_snapshot.py
+++ b/tests/test_view_snapshot.py
@@ -59,7 +59,7 @@
     later = messages.Records(views.STREAM, 5, 6, (records[6],))
     view = views.View()
     for page in (first, repeated, later):
-        *_, view = views.follow(view, page)
+        *_, view = views.fold_page(view, page)
     assert view.is_complete
     assert "e6" in view.entry_by_name
 
@@ -69,7 +69,7 @@
     records = _stream()
     before = _fold(records[:1])
     page = messages.Records(views.STREAM, 3, 7, tuple(records[3:]))
-    *_, view = views.follow(before, page)
+    *_, view = views.fold_page(before, page)
     assert view == _fold(records)
-    *_, stuck = views.follow(before, attrs.evolve(page, next=5, records=()))
+    *_, stuck = views.fold_page(before, attrs.evolve(page, next=5, records=()))
     assert not stuck.is_complete
