--- a/src/burdockgate/process/agent.py
+++ b/src/burdockgate/process/agent.py
@@ -120,7 +120,7 @@
         :param name: name of the node.
         """
         self._session_by_name.pop(name, None)
-        self.slots.forget(name)
+        self.slots.remove_entry(name)
         yield from self._offer()
 
     def receive(self, name: str, message: messages.Message) -> _Effects:
@@ -241,7 +241,7 @@
         for task in message.tasks:
             if not job.is_new_send(task.index, task.send):
                 self._counters.count("starts.ignored")
-            elif self.slots.take(name):
+            elif self.slots.acquire(name):
                 job.start(task.index, task.send)
                 self._counters.count("tasks.started")
                 yield effects.Execute(
@@ -366,7 +366,7 @@
     # Slots
 
     def _on_demand(self, name: str, message: messages.Demand) -> _Effects:
-        self.slots.demand(name, message.waiting, message.weight)
+        self.slots.set_demand(name, message.waiting, message.weight)
         yield from self._offer()
 
     def _offer(self, silent_for: str = "") -> _Effects:
--- a/src/burdockgate/process/agenthost.py
+++ b/src/burdockgate/process/agenthost.py
@@ -34,7 +34,7 @@
             config.node, config.platform, config.timing, config.statsd, rng
         )
         self._config = config
-        self._backend = backend.Backend(
+        self._backend = backend.BackendClient(
             config.backend_server.url,
             config.backend_server.connections,
             messages.RESULT_LIMIT_BYTES,
--- a/src/burdockgate/process/backend.py
+++ b/src/burdockgate/process/backend.py
@@ -41,7 +41,7 @@
 
 
 @attrs.frozen
-class Finished:
+class CallResult:
     """How one call ended.
 
     :param payload: the result's JSON text for ``DONE``, else one line of text.
@@ -53,7 +53,7 @@
     run_ms: float
 
 
-class Backend:
+class BackendClient:
     """Runs tasks on one backend server.
 
     :param url: ``http://host:port`` of the backend server, without a path.
@@ -84,7 +84,7 @@
 
     async def run(
         self, job: bytes, attempt: int, index: int, payload: bytes, timeout_ms: int
-    ) -> Finished:
+    ) -> CallResult:
         """Run one task and return how it ended; it is sent at most once.
 
         ``RETURNED`` means that nothing was sent, ``FAILED`` that the backend
@@ -118,7 +118,7 @@
             pool.running -= 1
             if pool is not self._pool and not pool.running:
                 await pool.client.aclose()
-        return Finished(state, body, (self._timer.now() - start) * 1000)
+        return CallResult(state, body, (self._timer.now() - start) * 1000)
 
     async def probe(self) -> bool:
         """Return whether the backend server says that it is healthy."""
--- a/src/burdockgate/process/daemon.py
+++ b/src/burdockgate/process/daemon.py
@@ -42,7 +42,7 @@
         self.rng = rng or random.Random(secrets.randbits(64))
         self.time = clock.SystemClock()
         self.counters = metrics.Metrics(statsd)
-        self.log = logs.get(node_settings.name)
+        self.log = logs.get_logger(node_settings.name)
         self.boot = self.rng.getrandbits(BOOT_BITS)
         self.address = ""
         self._node_settings = node_settings
--- a/src/burdockgate/process/detectors.py
+++ b/src/burdockgate/process/detectors.py
@@ -22,7 +22,7 @@
 TRUSTED = 0.5
 
 
-class State(enum.Enum):
+class HealthState(enum.Enum):
     """Whether a worker gets tasks."""
 
     HEALTHY = "healthy"
@@ -30,7 +30,7 @@
     PROBATION = "probation"
 
 
-class Reason(enum.Enum):
+class EjectionReason(enum.Enum):
     """Why a worker is ejected."""
 
     FAILING = "failing"
@@ -56,15 +56,15 @@
     name: str
     service: str
     boot: int
-    state: State = State.HEALTHY
-    reason: Reason = Reason.FAILING
+    state: HealthState = HealthState.HEALTHY
+    reason: EjectionReason = EjectionReason.FAILING
     allowance: int = UNLIMITED
-    score: float = 0.0
+    failure_score: float = 0.0
     slow: float = 0.0
     trust: float = 1.0
     row: int = 0
     told: int = 0
-    until: float = 0.0
+    ejected_until: float = 0.0
     ejections: int = 0
     readmitted_at: float = -math.inf
     proved: int = 0
@@ -111,7 +111,7 @@
             self.whole.saw(value, trust)
 
     @property
-    def usual(self) -> float:
+    def expected_failure_rate(self) -> float:
         """Failure rate of the class or of the service, the higher one.
 
         When a service breaks, that of the service is learned first.
@@ -155,8 +155,8 @@
     """
 
     worker: str
-    state: State
-    reason: Reason
+    state: HealthState
+    reason: EjectionReason
     seconds: float
 
 
@@ -167,8 +167,8 @@
         task fails elsewhere.
     """
 
-    def __init__(self, failures: int) -> None:
-        self.failures = failures
+    def __init__(self, failures_to_eject: int) -> None:
+        self.failures_to_eject = failures_to_eject
 
     @property
     @abc.abstractmethod
@@ -176,7 +176,7 @@
         """Score at which a worker is ejected."""
 
     @abc.abstractmethod
-    def failure(self, record: WorkerRecord, group: OutcomeStatistics) -> float:
+    def failure_weight(self, record: WorkerRecord, stats: OutcomeStatistics) -> float:
         """Return what a failure adds to the score.
 
         :param record: the worker.
@@ -184,7 +184,9 @@
         """
 
     @abc.abstractmethod
-    def success(self, record: WorkerRecord, group: OutcomeStatistics) -> float:
+    def score_after_success(
+        self, record: WorkerRecord, stats: OutcomeStatistics
+    ) -> float:
         """Return the score after a success.
 
         :param record: the worker.
@@ -204,13 +206,17 @@
         """Score at which a worker is ejected."""
         # The worker's own failures raise the rate of its class a little, so the last
         # one need not weigh in full.
-        return (self.failures - 0.5) * math.log((1 + RATE_FLOOR) / 2 / RATE_FLOOR)
+        return (self.failures_to_eject - 0.5) * math.log(
+            (1 + RATE_FLOOR) / 2 / RATE_FLOOR
+        )
 
-    def failure(self, record: WorkerRecord, group: OutcomeStatistics) -> float:
+    def failure_weight(self, record: WorkerRecord, stats: OutcomeStatistics) -> float:
         """Return what a failure adds to the score."""
-        rate = max(group.usual, RATE_FLOOR)
+        rate = max(stats.expected_failure_rate, RATE_FLOOR)
         return math.log((1 + rate) / 2 / rate)
 
-    def success(self, record: WorkerRecord, group: OutcomeStatistics) -> float:
+    def score_after_success(
+        self, record: WorkerRecord, stats: OutcomeStatistics
+    ) -> float:
         """Return the score after a success, which is half as likely if it is bad."""
-        return max(0.0, record.score - math.log(2.0))
+        return max(0.0, record.failure_score - math.log(2.0))
--- a/src/burdockgate/process/directory.py
+++ b/src/burdockgate/process/directory.py
@@ -28,15 +28,15 @@
     """
 
     hello: messages.Hello
-    heard_at: float
+    last_message_at: float
     reported_free: int = 0
     running: int = 0
     sent: int = 0
     received: int = 0
     draining: bool = False
-    demanded: int = 0
+    open_demand: int = 0
     table_version: int = 0
-    number: int = 0
+    join_number: int = 0
     record: detectors.WorkerRecord = attrs.field(
         factory=lambda: detectors.WorkerRecord("", "", 0)
     )
@@ -52,14 +52,14 @@
         return self.hello.node
 
     @property
-    def unused(self) -> int:
+    def free_slots(self) -> int:
         """Free slots: those reported, less the tasks sent since that report."""
         return self.reported_free - (self.sent - self.received)
 
     @property
-    def free(self) -> int:
+    def available_slots(self) -> int:
         """Free slots that may be used: none while ejected, few on probation."""
-        return min(self.unused, self.record.allowance)
+        return min(self.free_slots, self.record.allowance)
 
     def fits(self, cores: float, memory_mb: int, accelerators: int) -> bool:
         """Return whether the worker has what one task asks for.
@@ -76,7 +76,7 @@
 
 
 @attrs.define
-class Service:
+class ServiceIndex:
     """The workers of one service, indexed by what the dispatcher asks for.
 
     :param members: every connected worker.
@@ -88,34 +88,34 @@
     """
 
     members: pool.Pool = attrs.field(factory=pool.Pool)
-    free: pool.Pool = attrs.field(factory=pool.Pool)
-    proving: dict[str, Worker] = attrs.field(factory=dict)
-    asked: dict[str, Worker] = attrs.field(factory=dict)
-    unasked: dict[str, Worker] = attrs.field(factory=dict)
-    changes: int = 0
+    available: pool.Pool = attrs.field(factory=pool.Pool)
+    on_probation: dict[str, Worker] = attrs.field(factory=dict)
+    with_demand: dict[str, Worker] = attrs.field(factory=dict)
+    without_demand: dict[str, Worker] = attrs.field(factory=dict)
+    additions: int = 0
 
-    def put(self, worker: Worker, may_get: bool) -> None:
+    def put(self, worker: Worker, is_schedulable: bool) -> None:
         """Index a worker anew.
 
         :param worker: the worker.
         :param may_get: whether it may get new tasks.
         """
-        name, is_asked = worker.name, worker.demanded > 0
-        is_free = may_get and worker.free > 0
-        self.free.put(worker, is_free)
-        if is_free and worker.record.state is detectors.State.PROBATION:
-            self.proving[name] = worker
+        name, is_asked = worker.name, worker.open_demand > 0
+        is_free = is_schedulable and worker.available_slots > 0
+        self.available.put(worker, is_free)
+        if is_free and worker.record.state is detectors.HealthState.PROBATION:
+            self.on_probation[name] = worker
         else:
-            self.proving.pop(name, None)
-        if may_get and is_asked:
-            self.asked[name] = worker
+            self.on_probation.pop(name, None)
+        if is_schedulable and is_asked:
+            self.with_demand[name] = worker
         else:
-            self.asked.pop(name, None)
-        if not may_get or is_asked:
-            self.unasked.pop(name, None)
-        elif self.unasked.get(name) is not worker:
-            self.unasked[name] = worker
-            self.changes += 1
+            self.with_demand.pop(name, None)
+        if not is_schedulable or is_asked:
+            self.without_demand.pop(name, None)
+        elif self.without_demand.get(name) is not worker:
+            self.without_demand[name] = worker
+            self.additions += 1
 
 
 class Directory:
@@ -139,18 +139,20 @@
         self._lease_s = lease_s
         self._numbers = itertools.count()
         self._lapsed: set[str] = set()
-        self._service_by_name: dict[str, Service] = collections.defaultdict(Service)
+        self._service_by_name: dict[str, ServiceIndex] = collections.defaultdict(
+            ServiceIndex
+        )
         self.health = health
         if health is not None:
             health.watch(self._on_allowance)
         self.worker_by_name: dict[str, Worker] = {}
 
-    def service(self, name: str) -> Service:
+    def service(self, name: str) -> ServiceIndex:
         """Return the indexes of a service.
 
         :param name: name of the service.
         """
-        return self._service_by_name.get(name) or Service()
+        return self._service_by_name.get(name) or ServiceIndex()
 
     def join(self, hello: messages.Hello) -> None:
         """Add a worker, or replace its older session.
@@ -159,15 +161,17 @@
         """
         name = hello.node.name
         old = self.worker_by_name.get(name)
-        number = next(self._numbers) if old is None else old.number
+        number = next(self._numbers) if old is None else old.join_number
         if old is not None:
             self._remove(old)
-        worker = Worker(hello, self._time.now(), draining=hello.draining, number=number)
+        worker = Worker(
+            hello, self._time.now(), draining=hello.draining, join_number=number
+        )
         if self.health is not None:
             worker.record = self.health.join(hello)
         self.worker_by_name[name] = worker
         self._service_by_name[hello.service].members.put(worker, is_in=True)
-        self.refresh(worker)
+        self.reindex(worker)
 
     def leave(self, name: str) -> None:
         """Remove a worker.
@@ -184,46 +188,46 @@
         """Index a worker anew after its health has changed what it may get."""
         worker = self.worker_by_name.get(record.name)
         if worker is not None and worker.record is record:
-            self.refresh(worker)
+            self.reindex(worker)
 
     def _remove(self, worker: Worker) -> None:
         self._lapsed.discard(worker.name)
         service = self._service_by_name[worker.hello.service]
-        service.put(worker, may_get=False)
+        service.put(worker, is_schedulable=False)
         service.members.put(worker, is_in=False)
         if not service.members:
             del self._service_by_name[worker.hello.service]
 
-    def refresh(self, worker: Worker) -> None:
+    def reindex(self, worker: Worker) -> None:
         """Index a worker anew after a change of it.
 
         :param worker: a worker of this directory.
         """
-        may_get = self.may_get(worker)
+        may_get = self.is_schedulable(worker)
         if not may_get and self.has_lapsed(worker):
             self._lapsed.add(worker.name)
         self._service_by_name[worker.hello.service].put(worker, may_get)
 
-    def may_get(self, worker: Worker) -> bool:
+    def is_schedulable(self, worker: Worker) -> bool:
         """Return whether a worker may get new tasks, with a free slot or without.
 
         :param worker: the worker.
         """
         return not worker.draining and not self.has_lapsed(worker)
 
-    def hear(self, name: str) -> None:
+    def renew_lease(self, name: str) -> None:
         """Renew the lease of a worker.
 
         :param name: name of its agent; an unknown one is ignored.
         """
         worker = self.worker_by_name.get(name)
         if worker is not None:
-            worker.heard_at = self._time.now()
+            worker.last_message_at = self._time.now()
             if name in self._lapsed:
                 self._lapsed.discard(name)
-                self.refresh(worker)
+                self.reindex(worker)
 
-    def drain(self, name: str, active: bool) -> None:
+    def set_draining(self, name: str, active: bool) -> None:
         """Note whether a worker is leaving.
 
         :param name: name of its agent; an unknown one is ignored.
@@ -232,9 +236,9 @@
         worker = self.worker_by_name.get(name)
         if worker is not None:
             worker.draining = active
-            self.refresh(worker)
+            self.reindex(worker)
 
-    def report(self, name: str, free: int, received: int) -> None:
+    def record_report(self, name: str, free: int, received: int) -> None:
         """Note free slots reported by an agent.
 
         :param name: name of the agent.
@@ -246,9 +250,9 @@
             if self.health is not None and free > worker.reported_free:
                 self.health.freed(worker.record)
             worker.reported_free, worker.received = free, received
-            self.refresh(worker)
+            self.reindex(worker)
 
-    def offer(self, name: str, free: int, received: int) -> None:
+    def record_offer(self, name: str, free: int, received: int) -> None:
         """Note slots that an agent reserves for this entry host.
 
         :param name: name of the agent.
@@ -257,39 +261,39 @@
         """
         worker = self.worker_by_name.get(name)
         if worker is not None:
-            worker.demanded = max(0, worker.demanded - 1)
-        self.report(name, free, received)
+            worker.open_demand = max(0, worker.open_demand - 1)
+        self.record_report(name, free, received)
 
-    def take(self, worker: Worker) -> None:
+    def record_sent(self, worker: Worker) -> None:
         """Count a task that is sent to a worker.
 
         :param worker: the worker.
         """
         worker.sent += 1
-        self.refresh(worker)
+        self.reindex(worker)
 
-    def demand(self, worker: Worker, waiting: int) -> None:
+    def set_demand(self, worker: Worker, waiting: int) -> None:
         """Note how many waiting tasks a worker is told of.
 
         :param worker: the worker.
         :param waiting: number of tasks; 0 withdraws the demand.
         """
-        worker.demanded = waiting
-        self.refresh(worker)
+        worker.open_demand = waiting
+        self.reindex(worker)
 
     def has_lapsed(self, worker: Worker) -> bool:
         """Return whether the lease of a worker has lapsed.
 
         :param worker: the worker.
         """
-        return self._time.now() - worker.heard_at > self._lease_s
+        return self._time.now() - worker.last_message_at > self._lease_s
 
-    def of_service(self, service: str) -> Iterator[Worker]:
+    def schedulable_workers(self, service: str) -> Iterator[Worker]:
         """Yield the workers of a service that may get new tasks, as they joined.
 
         :param service: name of the service.
         """
         members = self.service(service).members
-        for worker in sorted(members, key=lambda worker: worker.number):
-            if self.may_get(worker):
+        for worker in sorted(members, key=lambda worker: worker.join_number):
+            if self.is_schedulable(worker):
                 yield worker
--- a/src/burdockgate/process/dispatch.py
+++ b/src/burdockgate/process/dispatch.py
@@ -127,7 +127,7 @@
         queue: backlog.Backlog,
         outside: Callable[[ownedjob.OwnedJob], None],
     ) -> _Effects:
-        free = self._workers.service(service).free
+        free = self._workers.service(service).available
         if not free or not self._may_start("service", service):
             return
         batches = _Batches()
@@ -149,10 +149,10 @@
         if worker is None:
             return False
         index = batches.add(job, worker.node)
-        self._workers.take(worker)
+        self._workers.record_sent(worker)
         if self._workers.health is not None:
             request = job.request
-            self._workers.health.sent(
+            self._workers.health.record_sent(
                 worker.record, request.caller_class, request.job, index
             )
         if self._limits is not None:
@@ -167,27 +167,29 @@
         known = self._workers.worker_by_name
 
         def check(worker: directory.Worker | None) -> directory.Worker | None:
-            if worker is None or worker.free <= 0 or not _fits(worker, task):
+            if worker is None or worker.available_slots <= 0 or not _fits(worker, task):
                 return None
             if worker.hello.service != job.request.service:
                 return None
-            if not self._workers.may_get(worker):
+            if not self._workers.is_schedulable(worker):
                 lapsed.append(worker)
                 return None
             return worker if job.allows(worker.node) else None
 
         lapsed: list[directory.Worker] = []
         # Policies would seldom choose the few workers that must prove themselves.
-        proving = self._workers.service(job.request.service).proving
+        proving = self._workers.service(job.request.service).on_probation
         found = next(filter(check, proving.values()), None)
         if found is None and SMALL_SCOPE < len(scope) > len(free):
-            found = self._policy.pick(len(free), lambda place: check(free[place]))
+            found = self._policy.choose_by_index(
+                len(free), lambda place: check(free[place])
+            )
         elif found is None:
-            found = self._policy.pick(
+            found = self._policy.choose_by_index(
                 len(scope), lambda place: check(known.get(scope[place].name))
             )
         for worker in lapsed:
-            self._workers.refresh(worker)
+            self._workers.reindex(worker)
         return found
 
     def _demand(self, name: str, queue: backlog.Backlog) -> _Effects:
@@ -195,41 +197,43 @@
         # Slots offered to a service at its limit would stay empty.
         if queue.is_empty or not self._may_start("service", name):
             self._heads_asked_by_service.pop(name, None)
-            for worker in _as_joined(service.asked.values()):
-                self._workers.demand(worker, 0)
+            for worker in _as_joined(service.with_demand.values()):
+                self._workers.set_demand(worker, 0)
                 yield effects.Send(worker.name, messages.Demand(0, 0.0))
             return
         # The agents divide their slots by the weight that the last demand has told.
-        again = list(service.asked.values()) if self._is_reweighed else []
+        again = list(service.with_demand.values()) if self._is_reweighed else []
         unasked = self._to_ask(name, service, queue)
         if again or unasked:
             waiting, weight = queue.waiting()
             for worker in _as_joined([*again, *unasked]):
-                self._workers.demand(worker, waiting)
+                self._workers.set_demand(worker, waiting)
                 yield effects.Send(worker.name, messages.Demand(waiting, weight))
 
     def _to_ask(
-        self, name: str, service: directory.Service, queue: backlog.Backlog
+        self, name: str, service: directory.ServiceIndex, queue: backlog.Backlog
     ) -> list[directory.Worker]:
         """Return the workers to be told now that tasks wait.
 
         A service with many workers asks those in the scopes of the next jobs only,
         because the others may not get these tasks.
         """
-        if not service.unasked:
+        if not service.without_demand:
             return []
         if len(service.members) <= ASKED_MIN:
-            return self._with_lease(service.unasked.values())
-        if len(service.asked) >= max(ASKED_MIN, queue.waiting()[0]):
+            return self._with_lease(service.without_demand.values())
+        if len(service.with_demand) >= max(ASKED_MIN, queue.waiting()[0]):
             return []
         heads = list(queue.heads())
-        state = (service.changes, *heads)
+        state = (service.additions, *heads)
         if self._heads_asked_by_service.get(name) == state:
             return []
         self._heads_asked_by_service[name] = state
         scopes = {node.name for head in heads for node in head.terms.scope}
         return self._with_lease(
-            service.unasked[each] for each in scopes if each in service.unasked
+            service.without_demand[each]
+            for each in scopes
+            if each in service.without_demand
         )
 
     def _with_lease(
@@ -237,13 +241,13 @@
     ) -> list[directory.Worker]:
         every = list(workers)
         for worker in every:
-            if not self._workers.may_get(worker):
-                self._workers.refresh(worker)
-        return [worker for worker in every if self._workers.may_get(worker)]
+            if not self._workers.is_schedulable(worker):
+                self._workers.reindex(worker)
+        return [worker for worker in every if self._workers.is_schedulable(worker)]
 
 
 def _as_joined(workers: Iterable[directory.Worker]) -> list[directory.Worker]:
-    return sorted(workers, key=lambda worker: worker.number)
+    return sorted(workers, key=lambda worker: worker.join_number)
 
 
 def _work(task: jobs.TaskSpec) -> float:
--- a/src/burdockgate/process/editor.py
+++ b/src/burdockgate/process/editor.py
@@ -62,7 +62,7 @@
 
 
 @attrs.frozen
-class Entry:
+class HistoryEntry:
     """One kept record of the table stream and what it did."""
 
     record: messages.LogRecord
@@ -105,7 +105,7 @@
             )
         return self._table
 
-    async def history(self) -> list[Entry]:
+    async def history(self) -> list[HistoryEntry]:
         """Return every kept record, oldest first, with its effect.
 
         :raises errors.LogUnavailableError: when the log cannot be read.
@@ -185,7 +185,7 @@
                 return self._outcome(entry)
         return None
 
-    def _outcome(self, entry: Entry) -> Outcome:
+    def _outcome(self, entry: HistoryEntry) -> Outcome:
         change_id, result = entry.record.id, entry.result
         if result.key is None and result.effect is not table.Effect.MALFORMED:
             # A snapshot changes nothing for a reader that has every record.
@@ -201,8 +201,8 @@
         version = self._table.row_version(result.key)
         return Conflict(change_id, row, version, result.detail)
 
-    async def _advance(self) -> list[Entry]:
-        entries: list[Entry] = []
+    async def _advance(self) -> list[HistoryEntry]:
+        entries: list[HistoryEntry] = []
         try:
             async with asyncio.timeout(self._budget_s):
                 while True:
@@ -215,6 +215,6 @@
                 f"the log did not give the whole table in {self._budget_s:g} s"
             ) from error
 
-    def _fold(self, page: messages.Records) -> Iterator[Entry]:
+    def _fold(self, page: messages.Records) -> Iterator[HistoryEntry]:
         self._table, results = table.fold_page(self._table, page)
-        return (Entry(record, result) for record, result in results)
+        return (HistoryEntry(record, result) for record, result in results)
--- a/src/burdockgate/process/entry.py
+++ b/src/burdockgate/process/entry.py
@@ -245,7 +245,7 @@
         :param message: the message; one that an entry host does not expect is
             ignored.
         """
-        self.workers.hear(name)
+        self.workers.renew_lease(name)
         handler = self._handler_by_class.get(type(message))
         if handler is not None:
             yield from handler(name, message)
@@ -262,26 +262,26 @@
         return messages.Peers((self.node, *peers.values()))
 
     def _on_load(self, name: str, message: messages.Load) -> _Effects:
-        self.workers.report(name, message.free, message.received)
+        self.workers.record_report(name, message.free, message.received)
         worker = self.workers.worker_by_name.get(name)
         if worker is not None:
             worker.running = message.running
-            self.workers.drain(name, message.draining)
-            self.health.tell(worker.record, message.failed_row)
+            self.workers.set_draining(name, message.draining)
+            self.health.record_reported_failures(worker.record, message.failed_row)
         yield from ()
 
     def _on_offer(self, name: str, message: messages.Offer) -> _Effects:
-        self.workers.offer(name, message.free, message.received)
+        self.workers.record_offer(name, message.free, message.received)
         yield from ()
 
     def _on_results(self, name: str, message: messages.Results) -> _Effects:
-        self.workers.report(name, message.free, message.received)
-        self.health.results(message)
+        self.workers.record_report(name, message.free, message.received)
+        self.health.record_results(message)
         yield from self.jobs.results(name, message)
 
     def _on_leave(self, name: str, _message: messages.Leave) -> _Effects:
         if name in self.workers.worker_by_name:
-            self.workers.drain(name, active=True)
+            self.workers.set_draining(name, active=True)
             # Nothing that starts a task follows this answer on the connection.
             yield effects.Send(name, messages.Leave())
 
--- a/src/burdockgate/process/entryhost.py
+++ b/src/burdockgate/process/entryhost.py
@@ -145,9 +145,9 @@
         while self.core.health.changes:
             change = self.core.health.changes.popleft()
             facts = {"worker": change.worker, "reason": change.reason.value}
-            if change.state is detectors.State.EJECTED:
+            if change.state is detectors.HealthState.EJECTED:
                 self.log.warning("worker ejected", **facts, seconds=change.seconds)
-            elif change.state is detectors.State.PROBATION:
+            elif change.state is detectors.HealthState.PROBATION:
                 self.log.info("worker on probation", **facts)
             else:
                 self.log.info("worker readmitted", **facts)
@@ -298,24 +298,25 @@
             "rack": worker.hello.rack,
             "service": worker.hello.service,
             "slots": worker.hello.slots,
-            "free": worker.unused,
+            "free": worker.free_slots,
             "running": worker.running,
             "draining": worker.draining,
             **self._health_status(worker.record),
             "table_version": worker.table_version,
             "lapsed": self.core.workers.has_lapsed(worker),
-            "age_s": round(self.time.now() - worker.heard_at, 3),
+            "age_s": round(self.time.now() - worker.last_message_at, 3),
         }
 
     def _health_status(self, record: detectors.WorkerRecord) -> dict[str, object]:
         """Return the state of a worker; ``suspect`` is one in use at the cap."""
         state = record.state.value
-        if record.state is detectors.State.HEALTHY and self.core.health.is_suspect(
-            record
+        if (
+            record.state is detectors.HealthState.HEALTHY
+            and self.core.health.is_suspect(record)
         ):
             state = "suspect"
-        is_ejected = record.state is detectors.State.EJECTED
-        left_s = record.until - self.time.now() if is_ejected else 0.0
+        is_ejected = record.state is detectors.HealthState.EJECTED
+        left_s = record.ejected_until - self.time.now() if is_ejected else 0.0
         return {
             "health": state,
             "health_reason": "" if state == "healthy" else record.reason.value,
--- a/src/burdockgate/process/events.py
+++ b/src/burdockgate/process/events.py
@@ -28,7 +28,7 @@
 
     def __init__(self, name: str, time: clock.Clock) -> None:
         # Bound once: the logger that follows later configurations binds at each line.
-        self._log: structlog.typing.FilteringBoundLogger = logs.get(name).bind()
+        self._log: structlog.typing.FilteringBoundLogger = logs.get_logger(name).bind()
         self._time = time
         self._count_by_key: collections.Counter[tuple[str, str]] = collections.Counter()
         self._lines = BURST_LINES
--- a/src/burdockgate/process/health.py
+++ b/src/burdockgate/process/health.py
@@ -87,7 +87,7 @@
     @property
     def _brink(self) -> float:
         """Score from which one failure ejects a worker, if none fails elsewhere."""
-        return self._detector.threshold * (1 - 0.4 / self._detector.failures)
+        return self._detector.threshold * (1 - 0.4 / self._detector.failures_to_eject)
 
     # Workers
 
@@ -116,7 +116,9 @@
         record.session += 1
         record.in_flight = 0
         self._known_by_service[service] += 1
-        self._ejected_by_service[service] += record.state is detectors.State.EJECTED
+        self._ejected_by_service[service] += (
+            record.state is detectors.HealthState.EJECTED
+        )
         self._allow(record)
         return record
 
@@ -132,16 +134,16 @@
         record.is_connected = False
         self._known_by_service[record.service] -= 1
         self._ejected_by_service[record.service] -= (
-            record.state is detectors.State.EJECTED
+            record.state is detectors.HealthState.EJECTED
         )
-        if record.state is detectors.State.HEALTHY:
+        if record.state is detectors.HealthState.HEALTHY:
             del self._record_by_name[name]
 
     def _allow(self, record: detectors.WorkerRecord) -> None:
         """Set what may be sent: on probation one task at a time."""
-        if record.state is detectors.State.HEALTHY:
+        if record.state is detectors.HealthState.HEALTHY:
             record.allowance = detectors.UNLIMITED
-        elif record.state is detectors.State.EJECTED:
+        elif record.state is detectors.HealthState.EJECTED:
             record.allowance = 0
         else:
             record.allowance = 1 - record.in_flight
@@ -150,7 +152,7 @@
 
     # Tasks
 
-    def sent(
+    def record_sent(
         self, record: detectors.WorkerRecord, caller_class: str, job: bytes, index: int
     ) -> None:
         """Note a task that was sent.
@@ -185,7 +187,7 @@
             self._group_by_key.setdefault(key, detectors.OutcomeStatistics(whole))
         return self._group_by_key[key]
 
-    def results(self, message: messages.Results) -> None:
+    def record_results(self, message: messages.Results) -> None:
         """Take the outcomes that an agent reports.
 
         :param message: the reports; those of tasks that are not awaited are ignored.
@@ -213,7 +215,7 @@
         if report.state in _ENDED:
             record.answered_at = self._time.now()
         if report.state in _FAILED:
-            self._fail(task, detectors.Reason.FAILING)
+            self._fail(task, detectors.EjectionReason.FAILING)
         elif report.state is messages.TaskState.DONE:
             self._succeed(task, report.run_ms)
 
@@ -223,9 +225,9 @@
         record.row = 0
         self._set_told(record, 0)
         group.saw(0.0, record.trust)
-        if record.state is detectors.State.EJECTED:
+        if record.state is detectors.HealthState.EJECTED:
             return
-        record.score = self._detector.success(record, group)
+        record.failure_score = self._detector.score_after_success(record, group)
         if not self._is_slow(task, run_ms):
             self._prove(record)
 
@@ -247,9 +249,9 @@
         group.log_ms += over / min(group.runs, RUN_MEMORY)
         if record.slow < SLOW_SCORE:
             return False
-        return self._eject(record, detectors.Reason.SLOW)
+        return self._eject(record, detectors.EjectionReason.SLOW)
 
-    def _fail(self, task: detectors.Sent, reason: detectors.Reason) -> None:
+    def _fail(self, task: detectors.Sent, reason: detectors.EjectionReason) -> None:
         """Count a failure, at most one for each job but for overdue tasks."""
         record, group = task.record, task.group
         # The other workers' view of this one, from before this failure.
@@ -265,22 +267,22 @@
         if (
             first is not None
             and first.record is record
-            and (reason is not detectors.Reason.SILENT or not first.weight)
+            and (reason is not detectors.EjectionReason.SILENT or not first.weight)
         ):
             return
-        weight = self._detector.failure(record, group)
+        weight = self._detector.failure_weight(record, group)
         group.saw(1.0, record.trust)
-        if reason is detectors.Reason.SILENT:
-            weight *= self._detector.failures / OVERDUE_TASKS
+        if reason is detectors.EjectionReason.SILENT:
+            weight *= self._detector.failures_to_eject / OVERDUE_TASKS
         earlier = first.weight if first is not None and first.record is record else 0.0
         self._remember(detectors.FailedJob(task.job, record, earlier + weight))
-        if record.state is detectors.State.EJECTED:
+        if record.state is detectors.HealthState.EJECTED:
             return
-        record.score += weight
+        record.failure_score += weight
         record.row += 1
-        if record.score + self._told(record) >= self._detector.threshold:
+        if record.failure_score + self._told(record) >= self._detector.threshold:
             self._eject(record, reason)
-        elif record.state is detectors.State.PROBATION:
+        elif record.state is detectors.HealthState.PROBATION:
             self._prove(record)
 
     def _excuse(self, first: detectors.FailedJob) -> None:
@@ -289,36 +291,38 @@
             return
         self._counters.count("health.excused")
         record = first.record
-        record.score = max(0.0, record.score - first.weight)
+        record.failure_score = max(0.0, record.failure_score - first.weight)
         record.row = max(0, record.row - 1)
         first.weight = 0.0
         if (
-            record.state is detectors.State.EJECTED
-            and record.reason is not detectors.Reason.SLOW
+            record.state is detectors.HealthState.EJECTED
+            and record.reason is not detectors.EjectionReason.SLOW
             and record.told < 2
-            and record.score < self._detector.threshold / 2
+            and record.failure_score < self._detector.threshold / 2
         ):
             # Little is left of the evidence that ejected the worker.
-            record.until = self._time.now()
+            record.ejected_until = self._time.now()
 
     def _remember(self, failed: detectors.FailedJob) -> None:
         self._failed_by_job[failed.job] = failed
         if len(self._failed_by_job) > FAILED_JOBS:
             del self._failed_by_job[next(iter(self._failed_by_job))]
 
-    def tell(self, record: detectors.WorkerRecord, row: int) -> None:
+    def record_reported_failures(
+        self, record: detectors.WorkerRecord, count: int
+    ) -> None:
         """Take the failed jobs in a row that an agent has seen for all entry hosts.
 
         :param record: the worker.
         :param row: number of jobs; a success begins anew.
         """
-        self._set_told(record, row)
+        self._set_told(record, count)
         if (
-            record.state is not detectors.State.EJECTED
+            record.state is not detectors.HealthState.EJECTED
             and record.row
-            and record.score + self._told(record) >= self._detector.threshold
+            and record.failure_score + self._told(record) >= self._detector.threshold
         ):
-            self._eject(record, detectors.Reason.FAILING)
+            self._eject(record, detectors.EjectionReason.FAILING)
 
     def _set_told(self, record: detectors.WorkerRecord, row: int) -> None:
         """Keep the number of workers in a row of failures up to date."""
@@ -339,7 +343,7 @@
         if not record.row or others <= 0 or self._in_row_by_service[service] > limit:
             return 0.0
         whole = self._whole_by_service[service]
-        return others * self._detector.failure(record, whole)
+        return others * self._detector.failure_weight(record, whole)
 
     def freed(self, record: detectors.WorkerRecord) -> None:
         """Note that a worker has more free slots than before.
@@ -352,30 +356,32 @@
 
     # States
 
-    def _eject(self, record: detectors.WorkerRecord, reason: detectors.Reason) -> bool:
+    def _eject(
+        self, record: detectors.WorkerRecord, reason: detectors.EjectionReason
+    ) -> bool:
         """Eject a worker unless too many of its service are; return whether it is."""
         service = record.service
         if self._ejected_by_service[service] >= self._cap(service):
             # It takes new evidence, weighed by then, to eject it later.
-            record.score = min(record.score, self._brink)
+            record.failure_score = min(record.failure_score, self._brink)
             record.slow = min(record.slow, SLOW_BRINK)
             self._counters.count("health.capped")
             return False
         now, config = self._time.now(), self._config
         if now - record.readmitted_at > config.max_ejection_s and (
-            record.state is detectors.State.HEALTHY
+            record.state is detectors.HealthState.HEALTHY
         ):
             record.ejections = 0
         # The exponent is bounded so that the power stays a finite number.
         factor = 2.0 ** min(record.ejections, 32)
         seconds = min(config.ejection_s * factor, config.max_ejection_s)
         record.ejections += 1
-        record.until = now + seconds
+        record.ejected_until = now + seconds
         record.reason = reason
         self._ejected_by_service[service] += record.is_connected
         self._out_by_name[record.name] = record
         self._counters.count("health.ejections")
-        self._change(record, detectors.State.EJECTED, seconds)
+        self._change(record, detectors.HealthState.EJECTED, seconds)
         return True
 
     def _cap(self, service: str) -> int:
@@ -387,7 +393,7 @@
     def _change(
         self,
         record: detectors.WorkerRecord,
-        state: detectors.State,
+        state: detectors.HealthState,
         seconds: float = 0.0,
     ) -> None:
         record.state = state
@@ -402,22 +408,22 @@
 
     def _prove(self, record: detectors.WorkerRecord) -> None:
         """Count a task on probation, and readmit the worker after enough of them."""
-        if record.state is not detectors.State.PROBATION:
+        if record.state is not detectors.HealthState.PROBATION:
             return
         record.proved += 1
         if record.proved >= self._config.probation_tasks:
             del self._out_by_name[record.name]
-            record.score = record.slow = 0.0
+            record.failure_score = record.slow = 0.0
             record.readmitted_at = self._time.now()
             self._counters.count("health.readmissions")
-            self._change(record, detectors.State.HEALTHY)
+            self._change(record, detectors.HealthState.HEALTHY)
 
     def is_suspect(self, record: detectors.WorkerRecord) -> bool:
         """Return whether one more failure would eject a worker, but for the cap.
 
         :param record: the worker.
         """
-        return record.score >= self._brink or record.slow >= SLOW_BRINK
+        return record.failure_score >= self._brink or record.slow >= SLOW_BRINK
 
     # Time
 
@@ -432,11 +438,11 @@
         while self._late and now - self._late[0].at >= FORGET_S:
             self._forget(self._late.popleft())
         for record in list(self._out_by_name.values()):
-            if now < record.until:
+            if now < record.ejected_until:
                 continue
             if record.is_connected:
                 self._release(record)
-            elif now - record.until >= self._config.max_ejection_s:
+            elif now - record.ejected_until >= self._config.max_ejection_s:
                 del self._out_by_name[record.name]
                 del self._record_by_name[record.name]
                 self._show_out()
@@ -462,7 +468,7 @@
             is_current = record.is_connected and task.session == record.session
             if is_current and record.answered_at <= task.at:
                 self._counters.count("health.overdue")
-                self._fail(task, detectors.Reason.SILENT)
+                self._fail(task, detectors.EjectionReason.SILENT)
 
     def _forget(self, task: detectors.Sent) -> None:
         key = (task.job, task.index)
@@ -472,12 +478,14 @@
 
     def _release(self, record: detectors.WorkerRecord) -> None:
         """Put an ejected worker on probation; one more failure ejects it again."""
-        if record.state is not detectors.State.EJECTED:
+        if record.state is not detectors.HealthState.EJECTED:
             return
         self._ejected_by_service[record.service] -= 1
         record.proved = 0
         # An agent goes on telling the row of failures that ended in the ejection.
         record.row = 0
-        record.score = self._brink
-        record.slow = SLOW_BRINK if record.reason is detectors.Reason.SLOW else 0.0
-        self._change(record, detectors.State.PROBATION)
+        record.failure_score = self._brink
+        record.slow = (
+            SLOW_BRINK if record.reason is detectors.EjectionReason.SLOW else 0.0
+        )
+        self._change(record, detectors.HealthState.PROBATION)
--- a/src/burdockgate/process/logs.py
+++ b/src/burdockgate/process/logs.py
@@ -75,7 +75,7 @@
     )
 
 
-def get(name: str) -> structlog.typing.FilteringBoundLogger:
+def get_logger(name: str) -> structlog.typing.FilteringBoundLogger:
     """Return a logger; it follows a later :func:`configure` too.
 
     :param name: the value of ``module`` in each line.
--- a/src/burdockgate/process/ownership.py
+++ b/src/burdockgate/process/ownership.py
@@ -57,10 +57,12 @@
     def _scope(self, request: job.JobRequest) -> Iterator[messages.Node]:
         members = self._workers.service(request.service).members
         if len(members) <= SCOPE_LIMIT:
-            workers = list(self._workers.of_service(request.service))
+            workers = list(self._workers.schedulable_workers(request.service))
         else:
             drawn = self._rng.sample(members, min(len(members), SCOPE_SAMPLE))
-            workers = [worker for worker in drawn if self._workers.may_get(worker)]
+            workers = [
+                worker for worker in drawn if self._workers.is_schedulable(worker)
+            ]
         for worker in workers[:SCOPE_LIMIT]:
             yield worker.node
 
@@ -284,13 +286,14 @@
         if held is None or held.owned_job is not current or held.extension is not None:
             return
         free: Sequence[directory.Worker]
-        free = self._workers.service(current.request.service).free
+        free = self._workers.service(current.request.service).available
         if len(free) > SCOPE_LIMIT:
             free = self._rng.sample(free, SCOPE_LIMIT)
         outside = [
             worker.node
-            for worker in sorted(free, key=lambda worker: worker.number)
-            if self._workers.may_get(worker) and not current.in_scope(worker.node)
+            for worker in sorted(free, key=lambda worker: worker.join_number)
+            if self._workers.is_schedulable(worker)
+            and not current.in_scope(worker.node)
         ]
         if outside:
             scope = current.terms.scope + tuple(outside[:EXTENSION_SIZE])
--- a/src/burdockgate/process/placement.py
+++ b/src/burdockgate/process/placement.py
@@ -23,7 +23,7 @@
         :param candidates: at least one worker.
         """
 
-    def pick(
+    def choose_by_index(
         self, count: int, at: Callable[[int], directory.Worker | None]
     ) -> directory.Worker | None:
         """Return the worker that gets the task, or ``None`` when none may.
@@ -56,7 +56,7 @@
         if len(candidates) == 1:
             return candidates[0]
         first, second = self._rng.sample(candidates, 2)
-        return first if first.free >= second.free else second
+        return first if first.available_slots >= second.available_slots else second
 
     def pick(
         self, count: int, at: Callable[[int], directory.Worker | None]
@@ -67,16 +67,18 @@
         :param at: returns the worker at a place; ``None`` when it must not get it.
         """
         if count <= DRAWS:
-            return super().pick(count, at)
+            return super().choose_by_index(count, at)
         first = None
         for _ in range(DRAWS):
             worker = at(int(self._rng.random() * count))
             if worker is None or worker is first:
                 continue
             if first is not None:
-                return first if first.free >= worker.free else worker
+                return (
+                    first if first.available_slots >= worker.available_slots else worker
+                )
             first = worker
-        return super().pick(count, at)
+        return super().choose_by_index(count, at)
 
 
 class LeastLoaded(Placement):
@@ -87,7 +89,7 @@
 
         :param candidates: at least one worker.
         """
-        return max(candidates, key=lambda worker: worker.free)
+        return max(candidates, key=lambda worker: worker.available_slots)
 
 
 DEFAULT = "two-choices"
--- a/src/burdockgate/process/slots.py
+++ b/src/burdockgate/process/slots.py
@@ -53,7 +53,7 @@
         )
         return max(0, self.total - self.running - reserved)
 
-    def take(self, entry: str) -> bool:
+    def acquire(self, entry: str) -> bool:
         """Occupy a slot for a task of an entry host.
 
         :param entry: name of the entry host; its own reservation is used first.
@@ -70,7 +70,7 @@
         """Free the slot of a task that ended."""
         self.running -= 1
 
-    def demand(self, entry: str, waiting: int, weight: float) -> None:
+    def set_demand(self, entry: str, waiting: int, weight: float) -> None:
         """Note how many tasks wait at an entry host.
 
         :param entry: name of the entry host.
@@ -83,7 +83,7 @@
         if waiting == 0:
             self._expiry_by_entry.pop(entry, None)
 
-    def forget(self, entry: str) -> None:
+    def remove_entry(self, entry: str) -> None:
         """Drop the demand and the reservations of an entry host.
 
         :param entry: name of the entry host.
--- a/src/burdockgate/standin/calls.py
+++ b/src/burdockgate/standin/calls.py
@@ -36,7 +36,7 @@
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
-    client = backend.Backend(f"http://127.0.0.1:{port}", 8, 1 << 20)
+    client = backend.BackendClient(f"http://127.0.0.1:{port}", 8, 1 << 20)
     await client.run(b"j" * 16, 1, 0, body, 5000)
     begin = time.process_time()
     for index in range(calls):
--- a/src/burdockgate/standin/meter.py
+++ b/src/burdockgate/standin/meter.py
@@ -300,7 +300,7 @@
         core = self.entry.core
         assert isinstance(core, entry.EntryCore)
         for process in self.agents:
-            core.workers.hear(process.name)
+            core.workers.renew_lease(process.name)
         self.perform(self.entry, self.entry.run(core.tick))
         self.entry.cost = cost
 
--- a/src/burdockgate/standin/suspects.py
+++ b/src/burdockgate/standin/suspects.py
@@ -56,16 +56,16 @@
     @property
     def threshold(self) -> float:
         """Score at which a worker is ejected."""
-        return float(self.failures)
+        return float(self.failures_to_eject)
 
-    def failure(
-        self, record: detectors.WorkerRecord, group: detectors.OutcomeStatistics
+    def failure_weight(
+        self, record: detectors.WorkerRecord, stats: detectors.OutcomeStatistics
     ) -> float:
         """Return what a failure adds to the score."""
         return 1.0
 
-    def success(
-        self, record: detectors.WorkerRecord, group: detectors.OutcomeStatistics
+    def score_after_success(
+        self, record: detectors.WorkerRecord, stats: detectors.OutcomeStatistics
     ) -> float:
         """Return the score after a success."""
         return 0.0
@@ -79,22 +79,22 @@
         """Score at which a worker is ejected."""
         return 1.0
 
-    def failure(
-        self, record: detectors.WorkerRecord, group: detectors.OutcomeStatistics
+    def failure_weight(
+        self, record: detectors.WorkerRecord, stats: detectors.OutcomeStatistics
     ) -> float:
         """Return what a failure adds to the score."""
-        return self._score(record, group) - record.score
+        return self._score(record, stats) - record.failure_score
 
-    def success(
-        self, record: detectors.WorkerRecord, group: detectors.OutcomeStatistics
+    def score_after_success(
+        self, record: detectors.WorkerRecord, stats: detectors.OutcomeStatistics
     ) -> float:
         """Return the score after a success."""
-        return self._score(record, group)
+        return self._score(record, stats)
 
     def _score(
-        self, record: detectors.WorkerRecord, group: detectors.OutcomeStatistics
+        self, record: detectors.WorkerRecord, stats: detectors.OutcomeStatistics
     ) -> float:
-        return ((1.0 - group.usual) - record.trust) / 0.6
+        return ((1.0 - stats.expected_failure_rate) - record.trust) / 0.6
 
 
 DETECTOR_BY_NAME: dict[str, Callable[[int], detectors.FailureDetector]] = {
@@ -221,13 +221,13 @@
     def _beat(self) -> None:
         for host in self._hosts:
             for record, row in zip(host.records, self._row, strict=True):
-                host.judge.tell(record, row)
+                host.judge.record_reported_failures(record, row)
         self._later(self._clock.now() + HEARTBEAT_S, self._beat)
 
     def _read_changes(self, number: int, host: _Host, now: float) -> None:
         while host.judge.changes:
             change = host.judge.changes.popleft()
-            if change.state is not detectors.State.EJECTED:
+            if change.state is not detectors.HealthState.EJECTED:
                 continue
             is_bad = int(change.worker) in self._bad and now >= FAULT_AT_S
             self.figures.bad_ejected += is_bad
@@ -235,7 +235,9 @@
             if is_bad and (number, change.worker) not in self._found:
                 self._found.add((number, change.worker))
                 self.figures.found_s.append(now - FAULT_AT_S)
-        out = sum(record.state is detectors.State.EJECTED for record in host.records)
+        out = sum(
+            record.state is detectors.HealthState.EJECTED for record in host.records
+        )
         self.figures.most_out = max(self.figures.most_out, out)
 
     def _arrive(self, held: _Job) -> None:
@@ -265,7 +267,7 @@
         if not free:
             return None
         for number in free:
-            if host.records[number].state is detectors.State.PROBATION:
+            if host.records[number].state is detectors.HealthState.PROBATION:
                 return number
         return min(
             self._rng.sample(free, min(2, len(free))), key=self._running.__getitem__
@@ -275,7 +277,7 @@
         self._running[worker] += 1
         held.running[index] = worker
         record = host.records[worker]
-        host.judge.sent(record, held.job.caller_class, held.id, index)
+        host.judge.record_sent(record, held.job.caller_class, held.id, index)
         state, run_s = self._outcome(held, index, worker)
         if run_s is not None:
             end = self._clock.now() + run_s
@@ -338,7 +340,7 @@
         self._running[worker] -= 1
         report = messages.TaskReport(index, 1, state, b"", run_s * 1000)
         message = messages.Results(held.id, 1, 1, 1, 0, 0, (report,))
-        host.judge.results(message)
+        host.judge.record_results(message)
         if state is messages.TaskState.DONE:
             self._row[worker], self._failed_job[worker] = 0, b""
         elif state is messages.TaskState.FAILED and held.id != self._failed_job[worker]:
@@ -359,8 +361,8 @@
         index = message.reports[0].index
         for host in hosts:
             record = host.records[worker]
-            host.judge.sent(record, held.job.caller_class, held.id, index)
-            host.judge.results(message)
+            host.judge.record_sent(record, held.job.caller_class, held.id, index)
+            host.judge.record_results(message)
 
     def _fail(self, host: _Host, held: _Job, is_bad: bool) -> None:
         if held.has_ended:
@@ -428,8 +430,8 @@
     ]
     began = time.process_time()
     for number, message in enumerate(results):
-        judge.sent(records[number % workers], "default", message.job, 0)
-        judge.results(message)
+        judge.record_sent(records[number % workers], "default", message.job, 0)
+        judge.record_results(message)
     return size / workers, (time.process_time() - began) / outcomes
 
 
--- a/tests/test_agenthost.py
+++ b/tests/test_agenthost.py
@@ -66,7 +66,7 @@
     host.core = mock.Mock(draining=False)
     host.core.slots.is_open = True
     host.core.finished.return_value = host.core.set_backend_up.return_value = ()
-    ended = backend.Finished(messages.TaskState.UNKNOWN, b"sent, no answer", 1.0)
+    ended = backend.CallResult(messages.TaskState.UNKNOWN, b"sent, no answer", 1.0)
     host._backend = mock.Mock(
         run=mock.AsyncMock(return_value=ended),
         probe=mock.AsyncMock(return_value=is_up),
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -55,7 +55,7 @@
 
 @contextlib.asynccontextmanager
 async def caller(url, connections=4, limit=1000):
-    calls = backend.Backend(url, connections, limit, clock.ManualClock())
+    calls = backend.BackendClient(url, connections, limit, clock.ManualClock())
     try:
         yield calls
     finally:
@@ -206,7 +206,7 @@
 )
 def test_url_of_another_form_is_refused_in_one_line(url):
     with pytest.raises(errors.SettingsError) as caught:
-        backend.Backend(url, 1, 1)
+        backend.BackendClient(url, 1, 1)
     assert len(caught.value.problems) == 1
 
 
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -24,17 +24,17 @@
 
 
 def names(known, service=SERVICE):
-    return [worker.name for worker in known.of_service(service)]
+    return [worker.name for worker in known.schedulable_workers(service)]
 
 
 def test_lease_ends_and_is_renewed(known, time):
     """A worker that has died must get no new task after its lease."""
     time.advance(2.5)
     assert names(known) == ["a1"]
-    known.hear("a1")
+    known.renew_lease("a1")
     time.advance(2.6)
     assert names(known) == []
-    known.hear("a1")
+    known.renew_lease("a1")
     assert names(known) == ["a1"]
 
 
@@ -52,43 +52,43 @@
 def test_tasks_on_the_way_are_subtracted(known):
     """A report from before a start arrived must not free its slot again."""
     worker = known.worker_by_name["a1"]
-    known.report("a1", 2, 0)
+    known.record_report("a1", 2, 0)
     worker.sent = 2
-    assert worker.free == 0
-    known.report("a1", 1, 1)
-    assert worker.free == 0
-    known.report("a1", 0, 2)
-    assert worker.free == 0
-    known.offer("a1", 1, 2)
-    assert worker.free == 1
+    assert worker.available_slots == 0
+    known.record_report("a1", 1, 1)
+    assert worker.available_slots == 0
+    known.record_report("a1", 0, 2)
+    assert worker.available_slots == 0
+    known.record_offer("a1", 1, 2)
+    assert worker.available_slots == 1
 
 
 def test_offer_uses_up_demand(known):
     """Demand that is never used up would keep the worker from being asked again."""
     worker = known.worker_by_name["a1"]
-    worker.demanded = 1
-    known.report("a1", 1, 0)
-    assert worker.demanded == 1
-    known.offer("a1", 1, 0)
-    known.offer("a1", 1, 0)
-    assert worker.demanded == 0
+    worker.open_demand = 1
+    known.record_report("a1", 1, 0)
+    assert worker.open_demand == 1
+    known.record_offer("a1", 1, 0)
+    known.record_offer("a1", 1, 0)
+    assert worker.open_demand == 0
 
 
 def test_new_session_counts_from_zero(known):
     """Counters of an older session would hide the free slots of the new one."""
-    known.report("a1", 2, 0)
+    known.record_report("a1", 2, 0)
     known.worker_by_name["a1"].sent = 5
     known.join(builders.hello("a1", boot=2))
-    known.report("a1", 2, 0)
+    known.record_report("a1", 2, 0)
     worker = known.worker_by_name["a1"]
-    assert (worker.free, worker.node.boot) == (2, 2)
+    assert (worker.available_slots, worker.node.boot) == (2, 2)
 
 
 def test_unknown_names_are_ignored(known):
     """A late message of a worker that has left must do no harm."""
     known.leave("a9")
-    known.hear("a9")
-    known.offer("a9", 1, 1)
+    known.renew_lease("a9")
+    known.record_offer("a9", 1, 1)
     assert names(known) == ["a1"]
 
 
@@ -107,7 +107,9 @@
 
 
 EVENTS = st.tuples(
-    st.sampled_from(["join", "drain", "hear", "leave", "report", "offer"]),
+    st.sampled_from(
+        ["join", "drain", "hear", "leave", "record_report", "record_offer"]
+    ),
     st.sampled_from(["a1", "a2"]),
     st.floats(0, 3),
 )
@@ -130,7 +132,7 @@
             known.leave(name)
             heard_at_by_name.pop(name, None)
         elif kind == "hear":
-            known.hear(name)
+            known.renew_lease(name)
             if name in heard_at_by_name:
                 heard_at_by_name[name] = time.now()
         else:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -22,7 +22,7 @@
 
 def join(workers, name, free, **fields):
     workers.join(builders.hello(name, **fields))
-    workers.report(name, free, 0)
+    workers.record_report(name, free, 0)
 
 
 def run(dispatcher, outside=lambda job: None):
@@ -82,9 +82,9 @@
     dispatcher.add(job, 3.0)
     assert builders.sent(run(dispatcher), messages.Demand) == [messages.Demand(2, 3.0)]
     assert run(dispatcher) == []
-    workers.offer("a1", 2, 0)
+    workers.record_offer("a1", 2, 0)
     assert starts(run(dispatcher)) == {"a1": [0, 1]}
-    assert workers.worker_by_name["a1"].demanded == 0
+    assert workers.worker_by_name["a1"].open_demand == 0
     assert run(dispatcher) == []
 
 
@@ -133,7 +133,7 @@
     list(batch.results("a1", builders.results(builders.report(0, state=state))))
     dispatcher.add(batch, 1.0)
     dispatcher.add(web, 1.0)
-    workers.report("a1", 1, 1)
+    workers.record_report("a1", 1, 1)
     run(dispatcher)
     assert (batch.waiting_count, web.waiting_count) == (3, 4)
 
@@ -144,10 +144,10 @@
     dispatcher.add(builders.make_owned_job(builders.request(tasks=2)), 1.0)
     workers._time.advance(2.6)
     assert starts(run(dispatcher)) == {}
-    workers.drain("a1", active=True)
-    workers.hear("a1")
+    workers.set_draining("a1", active=True)
+    workers.renew_lease("a1")
     assert starts(run(dispatcher)) == {}
-    workers.drain("a1", active=False)
+    workers.set_draining("a1", active=False)
     assert starts(run(dispatcher)) == {"a1": [0, 1]}
 
 
@@ -170,7 +170,7 @@
     dispatcher.add(builders.make_owned_job(scope=scope), 1.0)
     assert {each.to for each in run(dispatcher)} == set(scope)
     assert run(dispatcher) == []
-    workers.offer("a500", 1, 0)
-    workers.report("a500", 0, 0)
-    workers.offer("a500", 0, 0)
+    workers.record_offer("a500", 1, 0)
+    workers.record_report("a500", 0, 0)
+    workers.record_offer("a500", 0, 0)
     assert [each.to for each in run(dispatcher)] == ["a500"]
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -21,7 +21,7 @@
 PAGE = pathlib.Path(__file__).parent.parent / "docs/operations/bad-worker.md"
 DONE, FAILED = messages.TaskState.DONE, messages.TaskState.FAILED
 RACK = ("agent-1", "agent-5", "agent-9")
-HEALTHY, EJECTED, PROBATION = detectors.State
+HEALTHY, EJECTED, PROBATION = detectors.HealthState
 
 
 class FaultySession(sessions.Session):
@@ -151,9 +151,9 @@
 
 
 def end(judge, record, job, state=DONE, run_ms=50.0, index=0):
-    judge.sent(record, "default", job, index)
+    judge.record_sent(record, "default", job, index)
     report = messages.TaskReport(index, 1, state, b"", run_ms)
-    judge.results(messages.Results(job, 1, 1, record.boot, 0, 0, (report,)))
+    judge.record_results(messages.Results(job, 1, 1, record.boot, 0, 0, (report,)))
 
 
 def eject(judge, record):
@@ -187,9 +187,9 @@
     records = [join(judge, f"a{number}") for number in range(3)]
     for _ in range(3):
         for record, row in zip(records[1:], rows[1:], strict=True):
-            judge.tell(record, row)
+            judge.record_reported_failures(record, row)
     end(judge, records[0], b"job", FAILED if own else DONE)
-    judge.tell(records[0], rows[0])
+    judge.record_reported_failures(records[0], rows[0])
     assert records[0].state is state
 
 
@@ -201,8 +201,8 @@
     judge._time.advance(10)
     judge.tick()
     assert first.state is PROBATION
-    judge.sent(first, "default", b"trial", 0)
-    judge.tell(first, 9)
+    judge.record_sent(first, "default", b"trial", 0)
+    judge.record_reported_failures(first, 9)
     assert first.state is PROBATION
     end(judge, first, b"trial", FAILED)
     assert first.state is EJECTED
@@ -252,11 +252,11 @@
     old = join(judge, "a1")
     join(judge, "a2")
     for number in range(6):
-        judge.sent(old, "default", b"%d" % number, 0)
+        judge.record_sent(old, "default", b"%d" % number, 0)
     assert join(judge, "a1") is not old
     for number in range(6):
         report = messages.TaskReport(0, 1, FAILED, b"", 1.0)
-        judge.results(messages.Results(b"%d" % number, 1, 1, 1, 0, 0, (report,)))
+        judge.record_results(messages.Results(b"%d" % number, 1, 1, 1, 0, 0, (report,)))
     assert not judge.changes
 
 
@@ -272,7 +272,7 @@
         judge._time.advance(0.5)
         judge.tick()
         assert (record.state, record.allowance) == (PROBATION, 1)
-        judge.sent(record, "default", b"still%d" % number, 0)
+        judge.record_sent(record, "default", b"still%d" % number, 0)
         assert record.allowance == 0
         end(judge, record, b"still%d" % number, FAILED)
         assert record.state is EJECTED
@@ -284,9 +284,9 @@
     """Names of classes and jobs come from callers and must not fill the memory."""
     record = join(judge, "a1")
     for number in range(2 * health.FAILED_JOBS):
-        judge.sent(record, f"class{number}", b"%d" % number, 0)
+        judge.record_sent(record, f"class{number}", b"%d" % number, 0)
         report = messages.TaskReport(0, 1, FAILED, b"", 1.0)
-        judge.results(messages.Results(b"%d" % number, 1, 1, 1, 0, 0, (report,)))
+        judge.record_results(messages.Results(b"%d" % number, 1, 1, 1, 0, 0, (report,)))
     assert len(judge._group_by_key) <= health.GROUPS + 1
     assert len(judge._failed_by_job) == health.FAILED_JOBS
     assert judge._sent_by_task == {}
--- a/tests/test_local.py
+++ b/tests/test_local.py
@@ -94,4 +94,4 @@
 async def test_example_of_an_agent_names_a_usable_backend_server():
     """The check accepts a path in the URL, and the agent itself does not start."""
     server = settings.load_agent(str(EXAMPLES / "agent.ini")).backend_server
-    await backend.Backend(server.url, server.connections, 1024).close()
+    await backend.BackendClient(server.url, server.connections, 1024).close()
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -27,7 +27,7 @@
 )
 def test_json_elsewhere_or_when_forced(stream, as_json):
     """A collector must be able to parse each line and compare its time."""
-    logger = logs.get("entry")
+    logger = logs.get_logger("entry")
     logs.configure(stream, as_json)
     logger.info("worker lost", worker="a\nb", boot=7, raw=b"x")
     logger.debug("dropped")
@@ -43,7 +43,7 @@
     """A value with a line break must not forge a second line."""
     stream = _Terminal()
     logs.configure(stream)
-    logs.get("agent").warning("session lost", peer="e1\nlevel='error'")
+    logs.get_logger("agent").warning("session lost", peer="e1\nlevel='error'")
     (line,) = stream.getvalue().splitlines()
     assert line.startswith("timestamp='")
     assert "level='warning' module='agent' event='session lost' " in line
@@ -56,4 +56,4 @@
     closed.close()
     for stream in (mock.Mock(**{"write.side_effect": BrokenPipeError}), closed):
         logs.configure(stream, as_json=True)
-        logs.get("agent").error("up")
+        logs.get_logger("agent").error("up")
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -51,7 +51,10 @@
     """A draw that gave up would leave the last free slot of a service unused."""
     many = workers(*[1] * 1000)
     policy = placement.TwoChoices(random.Random(1))
-    assert policy.pick(1000, lambda n: many[n] if n == 777 else None) is many[777]
-    assert policy.pick(1000, lambda _: None) is None
-    drawn = {policy.pick(1000, many.__getitem__).name for _ in range(300)}
+    assert (
+        policy.choose_by_index(1000, lambda n: many[n] if n == 777 else None)
+        is many[777]
+    )
+    assert policy.choose_by_index(1000, lambda _: None) is None
+    drawn = {policy.choose_by_index(1000, many.__getitem__).name for _ in range(300)}
     assert len(drawn) > 200
--- a/tests/test_session_cancel.py
+++ b/tests/test_session_cancel.py
@@ -100,6 +100,6 @@
     assert (len(core.jobs), core.backlog_tasks, core.jobs.bytes) == (0, 0, 0)
     for name in ("agent-1", "agent-2", "agent-3"):
         assert session.core(name).slots.running == 0
-        assert core.workers.worker_by_name[name].free == 2
+        assert core.workers.worker_by_name[name].available_slots == 2
     whole = sessions.make_request("last", [50] * 6)
     sessions.assert_whole(whole, session.answer(session.submit("entry-1", whole), 0.2))
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -140,7 +140,7 @@
         parsed = fields.Url().parse(url)
     except ValueError:
         return
-    backend.Backend(parsed, 1, 1)
+    backend.BackendClient(parsed, 1, 1)
     logclient.LogClient(parsed, random.Random(1))
 
 
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -27,17 +27,17 @@
 def serve(slots):
     """Run one task on the next slot offered, and return who got it."""
     entry = slots.offer()
-    assert slots.take(entry)
+    assert slots.acquire(entry)
     slots.release()
     return entry
 
 
 def step(slots, time, reserved, kind, first, *rest):
     """Do one step, and keep the reservations that it leaves in force."""
-    if kind == "take" and slots.take(first) and reserved[first]:
+    if kind == "take" and slots.acquire(first) and reserved[first]:
         reserved[first].pop()
     elif kind == "demand":
-        slots.demand(first, *rest)
+        slots.set_demand(first, *rest)
     elif kind == "release" and slots.running:
         slots.release()
     elif kind == "wait":
@@ -47,7 +47,7 @@
     elif kind == "offer" and (entry := slots.offer()) is not None:
         reserved[entry].append(time.now() + module.RESERVATION_S)
     elif kind == "forget":
-        slots.forget(first)
+        slots.remove_entry(first)
     if kind == "forget" or (kind == "demand" and rest[0] == 0):
         reserved.pop(first, None)
 
@@ -74,7 +74,7 @@
 def test_offers_follow_the_weights_within_one_slot(weights, count):
     slots = module.Slots(1, clock.ManualClock())
     for index, weight in enumerate(weights):
-        slots.demand(index, 1000, float(weight))
+        slots.set_demand(index, 1000, float(weight))
     served = collections.Counter(serve(slots) for _ in range(count))
     for (i, first), (j, second) in itertools.permutations(enumerate(weights), 2):
         assert (served[i] - 1) / first <= served[j] / second + 1e-9
@@ -83,10 +83,10 @@
 def test_demand_of_single_tasks_does_not_starve_another(time):
     """An entry host that asks anew for each task must not win every turn."""
     slots = module.Slots(1, time)
-    slots.demand("e2", 100, 1.0)
+    slots.set_demand("e2", 100, 1.0)
     served = collections.Counter()
     for _ in range(20):
-        slots.demand("e1", 1, 1.0)
+        slots.set_demand("e1", 1, 1.0)
         served[serve(slots)] += 1
     assert served == {"e1": 10, "e2": 10}
 
@@ -94,9 +94,9 @@
 def test_newcomer_does_not_catch_up_on_the_past(time):
     """A newcomer that counted from zero would take every slot for a while."""
     slots = module.Slots(1, time)
-    slots.demand("e1", 100, 1.0)
+    slots.set_demand("e1", 100, 1.0)
     assert {serve(slots) for _ in range(20)} == {"e1"}
-    slots.demand("e2", 100, 1.0)
+    slots.set_demand("e2", 100, 1.0)
     served = collections.Counter(serve(slots) for _ in range(10))
     assert served == {"e1": 5, "e2": 5}
 
@@ -104,24 +104,24 @@
 def test_reserved_slot_is_free_only_for_its_entry_host(time):
     """A slot on offer must neither be taken by another nor be lost."""
     slots = module.Slots(1, time)
-    slots.demand("e1", 5, 1.0)
+    slots.set_demand("e1", 5, 1.0)
     assert slots.offer() == "e1"
     assert (slots.free_for("e1"), slots.free_for("e2")) == (1, 0)
-    assert (slots.offer(), slots.take("e2")) == (None, False)
+    assert (slots.offer(), slots.acquire("e2")) == (None, False)
     time.advance(module.RESERVATION_S)
     assert slots.offer() == "e1"
-    slots.forget("e1")
-    assert (slots.offer(), slots.take("e2")) == (None, True)
+    slots.remove_entry("e1")
+    assert (slots.offer(), slots.acquire("e2")) == (None, True)
 
 
 def test_closed_worker_and_ended_demand_get_no_offer(time):
     slots = module.Slots(3, time)
-    slots.demand("e1", 1, 1.0)
-    slots.demand("e2", 5, 1.0)
+    slots.set_demand("e1", 1, 1.0)
+    slots.set_demand("e2", 5, 1.0)
     slots.is_open = False
-    assert (slots.offer(), slots.take("e1")) == (None, False)
+    assert (slots.offer(), slots.acquire("e1")) == (None, False)
     slots.is_open = True
     assert [slots.offer(), slots.offer()] == ["e1", "e2"]
     assert slots.free_for("e3") == 1
-    slots.demand("e2", 0, 1.0)
+    slots.set_demand("e2", 0, 1.0)
     assert (slots.offer(), slots.free_for("e3")) == (None, 2)
