--- a/src/burdockgate/process/agenthost.py
+++ b/src/burdockgate/process/agenthost.py
@@ -34,7 +34,7 @@
             config.node, config.platform, config.timing, config.statsd, rng
         )
         self._config = config
-        self._backend = backend.Backend(
+        self._backend = backend.BackendClient(
             config.backend_server.url,
             config.backend_server.connections,
             messages.RESULT_LIMIT_BYTES,
@@ -143,7 +143,7 @@
             key = (effect.job, effect.attempt, effect.index)
             self._execution_by_key.pop(key, None)
         self.perform(
-            self.core.finished(
+            self.core.handle_task_end(
                 effect.job, effect.attempt, effect.index, state, payload, run_ms
             )
         )
--- a/src/burdockgate/process/entry.py
+++ b/src/burdockgate/process/entry.py
@@ -81,7 +81,7 @@
         self._membership_at = time.now()
         retention_s = config.platform.log_retention_s
         self._snapshots_by_stream = {
-            stream: snapshots.Snapshots(stream, node, time, retention_s)
+            stream: snapshots.SnapshotPublisher(stream, node, time, retention_s)
             for stream in (views.STREAM, table.STREAM)
         }
         self._is_current = False
@@ -150,11 +150,11 @@
         if self.draining:
             return codes.Code.DRAINING, "this entry host is stopping"
         limit = self._config.limits.backlog_bytes
-        if self.jobs.bytes + request.size > limit:
+        if self.jobs.body_bytes + request.size > limit:
             return (
                 codes.Code.BACKLOG_FULL,
-                f"the job of {request.size} bytes does not fit: {self.jobs.bytes} of "
-                f"{limit} bytes are in use",
+                f"the job of {request.size} bytes does not fit: "
+                f"{self.jobs.body_bytes} of {limit} bytes are in use",
             )
         detail = self._limits.refusal(request)
         if detail:
@@ -224,7 +224,7 @@
             for worker in self.workers.worker_by_name:
                 yield effects.Send(worker, self._peers())
             if self.has_current_table:
-                yield effects.Send(name, self.table_replica.statement())
+                yield effects.Send(name, self.table_replica.version_announcement())
 
     def handle_disconnect(self, name: str) -> _Effects:
         """End a session.
@@ -245,7 +245,7 @@
         :param message: the message; one that an entry host does not expect is
             ignored.
         """
-        self.workers.hear(name)
+        self.workers.renew_lease(name)
         handler = self._handler_by_class.get(type(message))
         if handler is not None:
             yield from handler(name, message)
@@ -262,26 +262,26 @@
         return messages.Peers((self.node, *peers.values()))
 
     def _on_load(self, name: str, message: messages.Load) -> _Effects:
-        self.workers.report(name, message.free, message.received)
+        self.workers.record_report(name, message.free, message.received)
         worker = self.workers.worker_by_name.get(name)
         if worker is not None:
             worker.running = message.running
-            self.workers.drain(name, message.draining)
-            self.health.tell(worker.record, message.failed_row)
+            self.workers.set_draining(name, message.draining)
+            self.health.record_reported_failures(worker.record, message.failed_row)
         yield from ()
 
     def _on_offer(self, name: str, message: messages.Offer) -> _Effects:
-        self.workers.offer(name, message.free, message.received)
+        self.workers.record_offer(name, message.free, message.received)
         yield from ()
 
     def _on_results(self, name: str, message: messages.Results) -> _Effects:
-        self.workers.report(name, message.free, message.received)
-        self.health.results(message)
+        self.workers.record_report(name, message.free, message.received)
+        self.health.record_results(message)
         yield from self.jobs.results(name, message)
 
     def _on_leave(self, name: str, _message: messages.Leave) -> _Effects:
         if name in self.workers.worker_by_name:
-            self.workers.drain(name, active=True)
+            self.workers.set_draining(name, active=True)
             # Nothing that starts a task follows this answer on the connection.
             yield effects.Send(name, messages.Leave())
 
@@ -296,11 +296,13 @@
         else:
             self._peer_table_version_by_name[name] = message.table_version
             if message.view_number <= self.view.number:
-                self.jobs.check_view(message.view_age_s)
-        for records in self.table_replica.since(message.table_version):
+                self.jobs.record_view_check(message.view_age_s)
+        for records in self.table_replica.pages_since(message.table_version):
             yield effects.Send(name, records)
         if message.view_number < self.view.number:
-            for records in self._member_history.since(message.view_number, self.view):
+            for records in self._member_history.pages_since(
+                message.view_number, self.view
+            ):
                 yield effects.Send(name, records)
 
     def _on_records(self, name: str, message: messages.Records) -> _Effects:
@@ -319,11 +321,11 @@
         if message.stream == views.STREAM:
             yield from self._follow_members(message)
             if message.next == message.first:
-                self.jobs.check_view(0)
+                self.jobs.record_view_check(0)
         elif message.stream == table.STREAM:
             version, was_current = self.table_replica.version, self.has_current_table
             self.table_replica.apply_log_page(message)
-            self._snapshots_by_stream[table.STREAM].see(message.records)
+            self._snapshots_by_stream[table.STREAM].observe(message.records)
             yield from self._table_followed(version, was_current)
 
     def _table_followed(self, version: int, was_current: bool) -> _Effects:
@@ -333,17 +335,17 @@
             self._dispatcher.reweigh(self._limits.weight)
             for name in (*self.workers.worker_by_name, *self.jobs.peer_by_name):
                 known = self._peer_table_version_by_name.get(name, version)
-                for records in self.table_replica.since(min(known, version)):
+                for records in self.table_replica.pages_since(min(known, version)):
                     yield effects.Send(name, records)
         if not was_current and self.has_current_table:
             for name in self.jobs.peer_by_name:
-                yield effects.Send(name, self.table_replica.statement())
+                yield effects.Send(name, self.table_replica.version_announcement())
 
     def _follow_members(self, message: messages.Records) -> _Effects:
         number = self.view.number
-        new = self._member_history.keep(message, number)
-        self._snapshots_by_stream[views.STREAM].see(new)
-        for view in views.follow(self.view, message):
+        new = self._member_history.add_page(message, number)
+        self._snapshots_by_stream[views.STREAM].observe(new)
+        for view in views.fold_page(self.view, message):
             self.jobs.view = view
         if self.view.number == number:
             return
@@ -358,7 +360,7 @@
         for name, number in list(self._view_number_by_worker.items()):
             if number not in pages_by_number:
                 pages_by_number[number] = list(
-                    self._member_history.since(number, self.view)
+                    self._member_history.pages_since(number, self.view)
                 )
             for records in pages_by_number[number]:
                 yield effects.Send(name, records)
@@ -396,10 +398,10 @@
             yield from members.tick(peers, self.view.number, value)
         rows_due = self._snapshots_by_stream[table.STREAM]
         if rows_due.is_due and current.is_complete and current.next:
-            value = table.snapshot_value(current)
+            value = table.snapshot_record(current)
             yield from rows_due.tick(peers, current.next, value)
 
-    def beat(self) -> _Effects:
+    def send_heartbeats(self) -> _Effects:
         """Send the heartbeats; call once in each heartbeat interval."""
         for name in self.workers.worker_by_name:
             yield effects.Send(name, self._heartbeat())
--- a/src/burdockgate/standin/meter.py
+++ b/src/burdockgate/standin/meter.py
@@ -234,7 +234,7 @@
         view = members(min(agents, views.VOTERS_PER_REGION_LIMIT), 1)
         assert isinstance(self.entry.core, entry.EntryCore)
         self.entry.core.jobs.view = view
-        self.entry.core.jobs.check_view(0)
+        self.entry.core.jobs.record_view_check(0)
         for process in self.agents:
             assert isinstance(process.core, agent.AgentCore)
             process.core.claims.catchup.view = view
@@ -300,7 +300,7 @@
         core = self.entry.core
         assert isinstance(core, entry.EntryCore)
         for process in self.agents:
-            core.workers.hear(process.name)
+            core.workers.renew_lease(process.name)
         self.perform(self.entry, self.entry.run(core.tick))
         self.entry.cost = cost
 
@@ -339,7 +339,7 @@
 
         def end() -> None:
             made = process.run(
-                lambda: core.finished(
+                lambda: core.handle_task_end(
                     item.job,
                     item.attempt,
                     item.index,
--- a/tests/test_session_steps.py
+++ b/tests/test_session_steps.py
@@ -204,7 +204,7 @@
         session.run(15.0)
         session.start(name)
         row = table.Row("class", "batch", weight=number + 2.0)
-        value = table.set_value(row, version)
+        value = table.row_record(row, version)
         version = session.append("table", f"change-{number}", value) + 1
         session.run(6.0)
     session.log_is_up = True
@@ -302,7 +302,7 @@
         if "entry" in name:
             core.draining = True
             load(0.5)
-            session.run_until(lambda core=core: core.jobs.led == 0)
+            session.run_until(lambda core=core: core.jobs.owned_count == 0)
         else:
             session.drain(name)
             load(0.5)
--- a/tests/test_session_table.py
+++ b/tests/test_session_table.py
@@ -13,7 +13,7 @@
 def set_row(session, change, based_on=0, **columns):
     """Append a change as an operator does; return the table version it would make."""
     row = table.Row("class", "batch", **columns)
-    return session.append("table", change, table.set_value(row, based_on)) + 1
+    return session.append("table", change, table.row_record(row, based_on)) + 1
 
 
 def versions(session):
@@ -131,7 +131,7 @@
     session.run(0.2)
     assert 4 <= len(session.starts) <= 7
     sessions.assert_whole(request, session.answer(ticket))
-    assert session.core("entry-1").jobs.bytes == 0
+    assert session.core("entry-1").jobs.body_bytes == 0
 
 
 def test_weights_order_two_classes_under_saturation():
