Reword the agent, its claim store, catch-up and job records

Cause: figurative and private words (held, row for a streak, step, blind, hurry, give_back) made the voting rules and the records hard to read. Change: a change of the voters is a reconfiguration; a stored claim record is stored; job records record starts, returns and ends; comments give the same reasons in plain sentences.

--- a/src/burdockgate/process/agent.py
+++ b/src/burdockgate/process/agent.py
@@ -1,4 +1,8 @@
-"""The decisions of an agent: starts, fences, results, and votes on claims."""
+"""The protocol logic of an agent: task starts, fences, results and claim votes.
+
+It does no I/O: the agent's daemon passes in messages and ticks, and performs the
+effects that come out.
+"""
 
 from __future__ import annotations
 
@@ -14,9 +18,9 @@
 from burdockgate.version import view as views
 
 EXPIRY_INTERVAL_S = 1.0
-# A planned stop waits for every job to be settled; a settlement that a broken
-# connection lost must not hold it up for the whole timeout.
-SETTLEMENT_INTERVAL_S = 1.0
+# While the agent drains. A planned stop waits until every job is settled; without
+# a repeat, a Settle message lost with its connection would delay it until the timeout.
+RESULT_REPEAT_INTERVAL_S = 1.0
 _FAILED = (messages.TaskState.FAILED, messages.TaskState.UNKNOWN)
 RECORDS_PER_SYNC_REPLY = 500
 REPORT_BYTES_PER_MESSAGE = 2 * 1024 * 1024
@@ -28,19 +32,23 @@
 class _Session:
     """An open connection from an entry host or another agent.
 
+    :param received: number of tasks received on this connection.
+    :param free_sent: free slots last reported; -1 before the first report.
+    :param failure_streak_sent: failure streak last reported.
+    :param pending_syncs: view numbers of the ``Sync`` requests not answered yet.
     :param is_leaving: whether the answer to a ``Leave`` is awaited.
     """
 
     hello: messages.Hello
     received: int = 0
     free_sent: int = -1
-    row_sent: int = 0
+    failure_streak_sent: int = 0
     pending_syncs: list[int] = attrs.field(factory=list)
     is_leaving: bool = False
 
 
 class AgentCore(core.Core):
-    """Decides for one agent; performs nothing itself.
+    """The state machine of one agent; its methods yield effects and do no I/O.
 
     :param node: this incarnation of the agent.
     :param config: the agent's settings.
@@ -68,10 +76,10 @@
         self._records = jobrecords.JobRecords(
             time, config.timing.retention_s, config.backend_server.results_bytes
         )
-        self._failed_row = 0
-        self._failed_job = b""
+        self._failure_streak = 0
+        self._last_failed_job = b""
         self._session_by_name: dict[str, _Session] = {}
-        self._expired_at = self._asked_at = time.now()
+        self._last_expiry_at = self._results_repeated_at = time.now()
         self._handler_by_class: dict[type, Callable[[str, Any], _Effects]] = {
             messages.Start: self._on_start,
             messages.Fence: self._on_fence,
@@ -89,7 +97,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether no task runs and every job received is settled."""
-        return self.slots.running == 0 and self._records.are_settled
+        return self.slots.running == 0 and self._records.is_settled
 
     @property
     def has_left(self) -> bool:
@@ -98,7 +106,7 @@
 
     @property
     def table_and_view_versions(self) -> tuple[int, int]:
-        """The versions in force here, for heartbeats."""
+        """Version of the table and number of the view in force here."""
         return self.table_replica.version, self.claims.catchup.view.number
 
     def handle_connect(self, hello: messages.Hello) -> _Effects:
@@ -111,7 +119,7 @@
             yield self._heartbeat(hello.node.name)
             yield from self._send_load(hello.node.name)
         else:
-            self.claims.catchup.hurry(hello.node.name)
+            self.claims.catchup.reset_backoff(hello.node.name)
             yield from self.claims.catchup.tick(self._session_by_name)
 
     def handle_disconnect(self, name: str) -> _Effects:
@@ -121,7 +129,7 @@
         """
         self._session_by_name.pop(name, None)
         self.slots.remove_entry(name)
-        yield from self._offer()
+        yield from self._send_offers()
 
     def receive(self, name: str, message: messages.Message) -> _Effects:
         """Handle a message.
@@ -134,37 +142,44 @@
             yield from handler(name, message)
 
     def tick(self) -> _Effects:
-        """Do what is due; call at least ten times a second."""
+        """Run the periodic work that is due; call at least ten times a second."""
         yield from self.claims.catchup.tick(self._session_by_name)
         yield from self._answer_syncs()
-        yield from self._offer()
+        yield from self._send_offers()
         now = self._time.now()
-        if now - self._expired_at >= EXPIRY_INTERVAL_S:
-            self._expired_at = now
+        if now - self._last_expiry_at >= EXPIRY_INTERVAL_S:
+            self._last_expiry_at = now
             self.claims.expire()
             self._records.expire()
-            self._counters.gauge("records.kept", len(self._records.by_job))
-        if self.draining and now - self._asked_at >= SETTLEMENT_INTERVAL_S:
-            self._asked_at = now
-            yield from self._ask_settlements()
-
-    def _ask_settlements(self) -> _Effects:
-        """Repeat the results of ended tasks, so that their owners settle the jobs."""
-        for job in self._records.by_job.values():
-            if not job.settled and not job.running():
+            self._counters.gauge("records.kept", len(self._records.record_by_job))
+        if (
+            self.draining
+            and now - self._results_repeated_at >= RESULT_REPEAT_INTERVAL_S
+        ):
+            self._results_repeated_at = now
+            yield from self._repeat_results()
+
+    def _repeat_results(self) -> _Effects:
+        """Send the results of unsettled jobs again, so that their owners settle them.
+
+        Jobs with a running task are left out.
+        """
+        for job in self._records.record_by_job.values():
+            if not job.is_settled and not job.running_indexes():
                 yield from self._send_results(job, list(job.reports()))
 
     def send_heartbeats(self) -> _Effects:
         """Send the heartbeats; call once in each heartbeat interval.
 
-        Other agents get none: their connections serve a catch-up and lapse after it.
+        Other agents get none: a connection between agents serves a catch-up only, and
+        times out after it.
         """
         for name, session in self._session_by_name.items():
             if session.hello.role is messages.Role.ENTRY:
                 yield self._heartbeat(name)
-                # A single failure is no news that is worth a message of its own.
-                is_row_new = session.row_sent != self._failed_row > 1
-                if is_row_new or session.free_sent != self.slots.free_for(name):
+                # A single failure does not warrant a message of its own.
+                is_streak_new = session.failure_streak_sent != self._failure_streak > 1
+                if is_streak_new or session.free_sent != self.slots.free_for(name):
                     yield from self._send_load(name)
 
     def _heartbeat(self, name: str) -> effects.Send:
@@ -173,7 +188,7 @@
     def _send_load(self, name: str) -> _Effects:
         session = self._session_by_name[name]
         session.free_sent = self.slots.free_for(name)
-        session.row_sent = self._failed_row
+        session.failure_streak_sent = self._failure_streak
         yield effects.Send(
             name,
             messages.Load(
@@ -181,22 +196,22 @@
                 self.slots.running,
                 session.received,
                 self.draining,
-                self._failed_row,
+                self._failure_streak,
             ),
         )
 
     def drain(self, active: bool) -> _Effects:
-        """Stop or resume taking new tasks, and tell every entry host.
+        """Stop or resume taking new tasks, and notify every entry host.
 
         :param active: whether to drain.
         """
-        self.draining, self._asked_at = active, self._time.now()
+        self.draining, self._results_repeated_at = active, self._time.now()
         yield from self._set_open(not active)
 
     def set_backend_up(self, is_up: bool) -> _Effects:
-        """Note whether the backend server answers.
+        """Update the state of the backend server.
 
-        :param is_up: while it is down, no slot is free.
+        :param is_up: whether it answers; while it does not, no slot is free.
         """
         yield from self._set_open(is_up and not self.draining)
 
@@ -210,10 +225,11 @@
         yield from self.drain(message.active)
 
     def leave(self) -> _Effects:
-        """Announce the end to every entry host.
+        """Send ``Leave`` to every entry host.
 
-        Tasks that were sent before the drain was known can still be under way. They
-        have come before the answer, because messages on a stream keep their order.
+        Tasks that were sent before the entry host learned of the drain may still be
+        in transit. They arrive before its answer, because a connection keeps the
+        order of messages.
         """
         for name, session in self._session_by_name.items():
             if session.hello.role is messages.Role.ENTRY:
@@ -235,33 +251,33 @@
         job = self._records.admit(message, name)
         if isinstance(job, jobrecord.Admission):
             self._counters.count("starts.ignored", len(message.tasks))
-            yield from self._refuse_old(name, message, job)
+            yield from self._reply_to_old_owner(name, message, job)
             return
         returned = []
         for task in message.tasks:
             if not job.is_new_send(task.index, task.send):
                 self._counters.count("starts.ignored")
             elif self.slots.acquire(name):
-                job.start(task.index, task.send)
+                job.record_start(task.index, task.send)
                 self._counters.count("tasks.started")
                 yield effects.Execute(
                     job.job, job.attempt, task.index, task.payload, task.timeout_ms
                 )
             else:
-                returned.append(job.give_back(task.index, task.send))
+                returned.append(job.record_return(task.index, task.send))
         if returned:
             self._counters.count("tasks.returned", len(returned))
             yield from self._send_results(job, returned)
 
-    def _refuse_old(
+    def _reply_to_old_owner(
         self,
         name: str,
         message: messages.Start | messages.Fence,
         admission: jobrecord.Admission,
     ) -> _Effects:
-        """Tell an owner that has lost the job about the newer epoch."""
+        """Send the newer epoch to an owner that has lost the job."""
         if admission is jobrecord.Admission.OLD_EPOCH:
-            job = self._records.by_job[message.job]
+            job = self._records.record_by_job[message.job]
             yield from self._send_fence_reply(name, job, ())
 
     def _send_fence_reply(
@@ -300,28 +316,36 @@
         :param attempt: the attempt under which it was started.
         :param index: index of the task.
         :param state: how it ended.
-        :param payload: JSON text of the result, or a line about the failure.
+        :param payload: JSON text of the result, or one line that describes the
+            failure.
         :param run_ms: run time in ms.
         """
         self.slots.release()
         self._counters.count(_COUNTER_BY_STATE.get(state, "tasks.failed"))
-        self._count_row(job_id, state)
-        job = self._records.by_job.get(job_id)
+        self._count_failed_job(job_id, state)
+        job = self._records.record_by_job.get(job_id)
         report = None
         if job is not None and job.attempt == attempt:
-            report = job.finish(index, state, payload, run_ms)
+            report = job.record_end(index, state, payload, run_ms)
         owner = job.owner if job is not None and report is not None else ""
-        yield from self._offer(silent_for=owner)
+        # The results that follow report the free slots to the owner.
+        yield from self._send_offers(excluded=owner)
         if job is not None and report is not None:
             yield from self._send_results(job, [report])
-            self._records.keep(job, len(payload))
+            self._records.count_result(job, len(payload))
 
-    def _count_row(self, job_id: bytes, state: messages.TaskState) -> None:
-        """Count the failed jobs in a row, for the entry hosts that see only some."""
+    def _count_failed_job(self, job_id: bytes, state: messages.TaskState) -> None:
+        """Count consecutive failed jobs over all entry hosts.
+
+        Each entry host sees only the failures of its own jobs.
+        """
         if state is messages.TaskState.DONE:
-            self._failed_row, self._failed_job = 0, b""
-        elif state in _FAILED and job_id != self._failed_job:
-            self._failed_row, self._failed_job = self._failed_row + 1, job_id
+            self._failure_streak, self._last_failed_job = 0, b""
+        elif state in _FAILED and job_id != self._last_failed_job:
+            self._failure_streak, self._last_failed_job = (
+                self._failure_streak + 1,
+                job_id,
+            )
 
     def _send_results(
         self, job: jobrecord.JobRecord, reports: list[messages.TaskReport]
@@ -346,16 +370,16 @@
     def _on_fence(self, name: str, message: messages.Fence) -> _Effects:
         job = self._records.admit(message, name)
         if isinstance(job, jobrecord.Admission):
-            yield from self._refuse_old(name, message, job)
+            yield from self._reply_to_old_owner(name, message, job)
             return
         reports = tuple(job.reports()) if message.boot == self.node.boot else ()
         yield from self._send_fence_reply(name, job, reports)
 
     def _on_cancel(self, _name: str, message: messages.Cancel) -> _Effects:
-        job = self._records.by_job.get(message.job)
+        job = self._records.record_by_job.get(message.job)
         if job is None or message.epoch < job.epoch or message.attempt != job.attempt:
             return
-        for index in job.running():
+        for index in job.running_indexes():
             yield effects.Stop(job.job, job.attempt, index)
 
     def _on_settle(self, name: str, message: messages.Settle) -> _Effects:
@@ -367,18 +391,18 @@
 
     def _on_demand(self, name: str, message: messages.Demand) -> _Effects:
         self.slots.set_demand(name, message.waiting, message.weight)
-        yield from self._offer()
+        yield from self._send_offers()
 
-    def _offer(self, silent_for: str = "") -> _Effects:
+    def _send_offers(self, excluded: str = "") -> _Effects:
         """Offer every free slot for which an entry host has demand.
 
-        :param silent_for: an entry host that is about to get results, which show
-            the free slots too.
+        :param excluded: an entry host that gets no message, because results that
+            report the free slots are about to be sent to it.
         """
         offered = set()
         while (entry := self.slots.offer()) is not None:
             offered.add(entry)
-        for entry in sorted(offered - {silent_for}):
+        for entry in sorted(offered - {excluded}):
             session = self._session_by_name[entry]
             session.free_sent = self.slots.free_for(entry)
             yield effects.Send(
@@ -398,9 +422,9 @@
 
     def _answer_syncs(self) -> _Effects:
         for name, session in self._session_by_name.items():
-            waiting = session.pending_syncs
+            numbers = session.pending_syncs
             session.pending_syncs = []
-            for number in waiting:
+            for number in numbers:
                 if self.claims.catchup.can_reply(number):
                     yield from self._answer_sync(name, session.hello.node, number)
                 elif number not in session.pending_syncs:
@@ -417,7 +441,7 @@
         self.claims.merge(message.records)
         if not message.more:
             node = self._session_by_name[name].hello.node
-            self.claims.catchup.reply(node, message.view_number)
+            self.claims.catchup.record_reply(node, message.view_number)
         yield from ()
 
     def _on_records(self, name: str, message: messages.Records) -> _Effects:
@@ -428,7 +452,7 @@
         yield from self.follow(message)
 
     def follow(self, message: messages.Records) -> _Effects:
-        """Apply new records of the members stream.
+        """Apply new records of the members stream; other streams are ignored.
 
         :param message: the records, from an entry host or from the log.
         """
@@ -454,7 +478,10 @@
 def _batches(
     reports: tuple[messages.TaskReport, ...],
 ) -> Iterator[tuple[messages.TaskReport, ...]]:
-    """Cut reports into message-sized parts; there is at least one part."""
+    """Split reports into batches of one message each; yield at least one batch.
+
+    A report above ``REPORT_BYTES_PER_MESSAGE`` gets a batch of its own.
+    """
     batch: list[messages.TaskReport] = []
     size = 0
     for report in reports:
--- a/src/burdockgate/process/jobrecords.py
+++ b/src/burdockgate/process/jobrecords.py
@@ -1,4 +1,4 @@
-"""The records of jobs that an agent keeps, bounded by time and by bytes."""
+"""The job records of an agent, bounded in time and in the size of the results."""
 
 from __future__ import annotations
 
@@ -11,84 +11,87 @@
 
     :param time: the clock.
     :param retention_s: time for which a record is kept after its last change.
-    :param limit_bytes: size of all results kept.
+    :param limit_bytes: upper bound of the size of all stored results. Above it, the
+        oldest results are dropped down to half of it.
     """
 
     def __init__(self, time: clock.Clock, retention_s: float, limit_bytes: int) -> None:
-        self.by_job: dict[bytes, jobrecord.JobRecord] = {}
+        self.record_by_job: dict[bytes, jobrecord.JobRecord] = {}
         self._time = time
         self._retention_s = retention_s
         self._limit_bytes = limit_bytes
-        self._kept_bytes = 0
+        self._result_bytes = 0
 
     @property
-    def are_settled(self) -> bool:
+    def is_settled(self) -> bool:
         """Whether every job is settled."""
-        return all(item.settled for item in self.by_job.values())
+        return all(item.is_settled for item in self.record_by_job.values())
 
     def admit(
         self, message: messages.Start | messages.Fence, owner: str
     ) -> jobrecord.JobRecord | jobrecord.Admission:
-        """Return the record of a job, or why the message is refused.
+        """Return the record of a job, or the reason why the message is refused.
 
-        :param message: the message; it begins a record where there is none.
+        :param message: the message; it creates the record when there is none.
         :param owner: name of the entry host that sent it.
         """
-        job = self.by_job.get(message.job)
+        job = self.record_by_job.get(message.job)
         now = self._time.now()
         if job is None:
             job = jobrecord.JobRecord(
                 message.job, message.epoch, message.fence, message.attempt, owner, now
             )
-            self.by_job[message.job] = job
+            self.record_by_job[message.job] = job
             return job
-        kept = job.size()
+        size_before = job.result_bytes()
         admission = job.admit(message.epoch, message.fence, message.attempt, owner)
-        self._kept_bytes += job.size() - kept
+        self._result_bytes += job.result_bytes() - size_before
         if admission is not jobrecord.Admission.ADMITTED:
             return admission
-        job.touched_at = now
+        job.changed_at = now
         return job
 
-    def keep(self, job: jobrecord.JobRecord, size: int) -> None:
-        """Count a new result, and drop the oldest ones beyond the bound.
+    def count_result(self, job: jobrecord.JobRecord, size: int) -> None:
+        """Add a new result to the total size, and drop old results above the limit.
 
-        :param job: the record that holds it.
-        :param size: bytes of the result.
+        :param job: the record that stores the result.
+        :param size: size of the result in bytes.
         """
-        job.touched_at = self._time.now()
-        self._kept_bytes += size
-        if self._kept_bytes > self._limit_bytes:
+        job.changed_at = self._time.now()
+        self._result_bytes += size
+        if self._result_bytes > self._limit_bytes:
             self._drop_results()
 
     def _drop_results(self) -> None:
+        """Drop results down to half of the limit, those of settled jobs first."""
         oldest = sorted(
-            self.by_job.values(), key=lambda item: (not item.settled, item.touched_at)
+            self.record_by_job.values(),
+            key=lambda item: (not item.is_settled, item.changed_at),
         )
         for job in oldest:
-            if self._kept_bytes <= self._limit_bytes // 2:
+            if self._result_bytes <= self._limit_bytes // 2:
                 return
-            kept = job.size()
+            size_before = job.result_bytes()
             job.drop_results()
-            self._kept_bytes -= kept - job.size()
+            self._result_bytes -= size_before - job.result_bytes()
 
     def settle(self, message: messages.Settle) -> None:
-        """Note that the outcome of a job is known.
+        """Mark a job as settled.
 
-        :param message: ignored when it is from an older epoch.
+        :param message: ignored when there is no record, or one with a newer epoch.
         """
-        job = self.by_job.get(message.job)
+        job = self.record_by_job.get(message.job)
         if job is not None and message.epoch >= job.epoch:
-            job.settled = True
-            job.touched_at = self._time.now()
+            job.is_settled = True
+            job.changed_at = self._time.now()
 
     def expire(self) -> None:
-        """Drop the records whose retention has passed, unless a task runs."""
+        """Drop records whose retention has passed, except those with a running task."""
         limit = self._time.now() - self._retention_s
         expired = [
             job_id
-            for job_id, job in self.by_job.items()
-            if job.touched_at <= limit and not job.running()
+            for job_id, job in self.record_by_job.items()
+            if job.changed_at <= limit and not job.running_indexes()
         ]
         for job_id in expired:
-            self._kept_bytes -= self.by_job.pop(job_id).size()
+            self._result_bytes -= self.record_by_job.pop(job_id).result_bytes()
--- a/src/burdockgate/request/jobrecord.py
+++ b/src/burdockgate/request/jobrecord.py
@@ -1,8 +1,8 @@
-"""An agent's record of one job: what was received, started and finished.
+"""An agent's record of one job: which of its tasks were received, started and ended.
 
-The record is made before a task starts, and it refuses whatever is older than the
-highest epoch and fence it has seen. That comparison, not a clock, is what keeps a
-task from starting twice.
+The record is made before a task starts, and it refuses every message with an older
+epoch or fence number than its own. This comparison, and no clock, prevents a second
+start of a task.
 """
 
 from __future__ import annotations
@@ -21,7 +21,10 @@
 
 
 class Admission(enum.Enum):
-    """How a record answers a start or a fence."""
+    """Whether a record accepts a start or a fence, or why not.
+
+    ``OLD_EPOCH`` also stands for an older attempt.
+    """
 
     ADMITTED = "admitted"
     OLD_EPOCH = "old epoch"
@@ -40,9 +43,10 @@
 class JobRecord:
     """State of one job at one agent.
 
+    :param job: 16-byte job id.
     :param owner: name of the entry host that gets the results.
-    :param touched_at: time of the last change, in seconds.
-    :param settled: whether the owner has settled the job.
+    :param changed_at: time of the last change, in seconds.
+    :param is_settled: whether the owner has settled the job.
     """
 
     job: bytes
@@ -50,16 +54,16 @@
     fence: int
     attempt: int
     owner: str
-    touched_at: float
-    settled: bool = False
+    changed_at: float
+    is_settled: bool = False
     _task_by_index: dict[int, _Task] = attrs.field(factory=dict)
 
     def admit(self, epoch: int, fence: int, attempt: int, owner: str) -> Admission:
-        """Check a message of an owner, and take over its epoch when it is newer.
+        """Check a message of an owner, and adopt its numbers when they are not older.
 
         :param epoch: the message's epoch.
         :param fence: the message's fence number.
-        :param attempt: the message's attempt; a newer one starts afresh.
+        :param attempt: the message's attempt; a newer one clears the tasks.
         :param owner: name of the sender.
         """
         if epoch < self.epoch or attempt < self.attempt:
@@ -69,24 +73,24 @@
         if attempt > self.attempt:
             self._task_by_index.clear()
         if epoch > self.epoch or attempt > self.attempt:
-            self.settled = False
+            self.is_settled = False
         self.epoch, self.fence = epoch, fence
         self.attempt, self.owner = attempt, owner
         return Admission.ADMITTED
 
     def is_new_send(self, index: int, send: int) -> bool:
-        """Return whether a send of a task may be acted on.
+        """Return whether a task that was received may be started or returned.
 
         :param index: index of the task.
-        :param send: number of the send; only a newer one than the last may, and
-            only when the last one was returned.
+        :param send: number of the send. After the first one, only a higher number is
+            accepted, and only when the last send was returned.
         """
         task = self._task_by_index.get(index)
         if task is None:
             return True
         return send > task.send and task.state is messages.TaskState.RETURNED
 
-    def start(self, index: int, send: int) -> None:
+    def record_start(self, index: int, send: int) -> None:
         """Record that a task is started.
 
         :param index: index of the task.
@@ -94,8 +98,8 @@
         """
         self._task_by_index[index] = _Task(send, messages.TaskState.RUNNING)
 
-    def give_back(self, index: int, send: int) -> messages.TaskReport:
-        """Record that a task is not started, and return the report of it.
+    def record_return(self, index: int, send: int) -> messages.TaskReport:
+        """Record that a task is returned without a start, and return its report.
 
         :param index: index of the task.
         :param send: number of the send.
@@ -104,16 +108,17 @@
         self._task_by_index[index] = task
         return _report(index, task)
 
-    def finish(
+    def record_end(
         self, index: int, state: messages.TaskState, payload: bytes, run_ms: float
     ) -> messages.TaskReport | None:
-        """Record how a running task ended, and return the report of it.
+        """Record how a running task ended, and return its report.
 
         :param index: index of the task.
         :param state: any state but running.
-        :param payload: JSON text of the result, or a line about the failure.
+        :param payload: JSON text of the result, or one line that describes the
+            failure.
         :param run_ms: run time in ms.
-        :returns: ``None`` when the task is not running by this record.
+        :returns: ``None`` when the record has no such running task.
         """
         task = self._task_by_index.get(index)
         if task is None or task.state is not messages.TaskState.RUNNING:
@@ -126,22 +131,22 @@
         for index, task in self._task_by_index.items():
             yield _report(index, task)
 
-    def running(self) -> list[int]:
-        """Return the indexes of the tasks that run."""
+    def running_indexes(self) -> list[int]:
+        """Return the indexes of the running tasks."""
         return [
             index
             for index, task in self._task_by_index.items()
             if task.state is messages.TaskState.RUNNING
         ]
 
-    def size(self) -> int:
-        """Return the bytes of the results kept."""
+    def result_bytes(self) -> int:
+        """Return the size of the stored results in bytes."""
         return sum(len(task.payload) for task in self._task_by_index.values())
 
     def drop_results(self) -> None:
-        """Forget the results and keep the states.
+        """Drop the results and keep the states.
 
-        An empty payload of a finished task says that its result is not kept.
+        An empty payload of an ended task means that its result was dropped.
         """
         for task in self._task_by_index.values():
             if task.state in _ENDED:
--- a/tests/test_catchup.py
+++ b/tests/test_catchup.py
@@ -1,4 +1,4 @@
-"""Guards the entry of a member into claim groups: no vote before it knows them."""
+"""Guards how a member joins claim groups: no vote before it has their records."""
 
 import attrs
 import pytest
@@ -24,13 +24,13 @@
 
 
 def test_agrees_only_on_the_same_group_and_as_a_member():
-    """Two views in use at once must not both get votes of one member."""
+    """One member must not vote by two views at the same time."""
     member = entered("a2")
     own = member.view.group(JOB)
-    assert member.agrees(JOB, own)
-    assert not member.agrees(JOB, OLD.group(JOB))
-    assert not member.agrees(JOB, tuple(builders.node(n.name, 2) for n in own))
-    assert not entered("a1").agrees(JOB, own)
+    assert member.agrees_on_group(JOB, own)
+    assert not member.agrees_on_group(JOB, OLD.group(JOB))
+    assert not member.agrees_on_group(JOB, tuple(builders.node(n.name, 2) for n in own))
+    assert not entered("a1").agrees_on_group(JOB, own)
 
 
 def test_new_member_votes_after_a_majority_of_the_old_group():
@@ -38,23 +38,23 @@
     number = member.view.number
     replies = [(A["a2"], number), (A["a2"], number), (A["a9"], number)]
     replies += [(A["a3"], number - 1), (builders.node("a3", 2), number)]
-    for node, step in replies:
-        member.reply(node, step)
+    for node, view_number in replies:
+        member.record_reply(node, view_number)
         assert not member.is_ready(JOB)
-    member.reply(A["a3"], number)
+    member.record_reply(A["a3"], number)
     assert member.is_ready(JOB)
 
 
-def test_who_votes_at_once():
-    """A restarted member has lost its records; one that stays knows its groups."""
+def test_which_members_vote_without_catching_up():
+    """A restarted member has lost its records; one that stays has them."""
     assert entered("a2").is_ready(JOB)
     assert not entered("a1", boot=2, new=builders.voter("a1", 2)).is_ready(JOB)
     first = catchup.Catchup(A["a1"], clock.ManualClock(), 600.0)
     first.advance(builders.view_of("a1"))
-    assert first.is_ready(JOB), "without voters before, no claim can exist"
+    assert first.is_ready(JOB), "without earlier voters, no claim can exist"
 
 
-def test_an_open_older_step_still_counts():
+def test_unfinished_older_reconfiguration_still_counts():
     member = entered()
     member.advance(builders.fold(member.view, builders.removal("a3")))
     assert not member.is_ready(JOB)
@@ -63,8 +63,8 @@
 def test_last_member_of_a_shrunk_group_catches_up():
     """One of two is no majority, so it may not know what the other one granted.
 
-    Voters removed one by one left a member alone that granted a held job (fuzz
-    seed 302).
+    After the voters had been removed one by one, the last member granted a job that
+    already had an owner (fuzz seed 302).
     """
     member = catchup.Catchup(A["a2"], clock.ManualClock(), 600.0)
     member.advance(OLD)
@@ -73,13 +73,13 @@
     assert member.is_ready(JOB), "both of two are a majority of three"
     member.advance(builders.fold(member.view, builders.removal("a1")))
     assert not member.is_ready(JOB)
-    member.reply(A["a1"], member.view.number)
+    member.record_reply(A["a1"], member.view.number)
     assert member.is_ready(JOB)
 
 
 @pytest.mark.parametrize("own", ["a2", "a4"])
 def test_voter_after_a_view_without_voters_catches_up(own):
-    """The claims of the voters before still stand when all were removed."""
+    """Claims granted by the earlier voters remain valid after all were removed."""
     member = catchup.Catchup(A[own], clock.ManualClock(), 600.0)
     member.advance(OLD)
     list(member.tick([]))
@@ -87,12 +87,12 @@
     member.advance(builders.fold(member.view, builders.voter(own)))
     assert not member.is_ready(JOB)
     for name in ("a1", "a3"):
-        member.reply(A[name], member.view.number)
+        member.record_reply(A[name], member.view.number)
     assert member.is_ready(JOB)
 
 
 def test_no_reply_across_a_gap_of_the_stream():
-    """A member that missed steps cannot say that its records are complete."""
+    """The records of a member that missed reconfigurations may be incomplete."""
     member = catchup.Catchup(A["a1"], clock.ManualClock(), 600.0)
     member.advance(OLD)
     list(member.tick([]))
@@ -102,8 +102,8 @@
     assert not member.can_reply(5)
 
 
-def test_member_outside_a_step_is_ready():
-    """A step between groups of others must not hold up the next one."""
+def test_member_outside_a_reconfiguration_is_ready():
+    """A change of groups without this member must not delay its next group."""
     member = entered("a1")
     assert not any(node.name == "a1" for node in member.view.group(JOB))
     for name in ("a5", "a6", "a7"):
@@ -121,7 +121,7 @@
 
 
 def test_can_reply_only_when_the_records_are_complete():
-    """Records sent before the step is applied, or while catching up, may lack one."""
+    """A reply sent before the view is applied, or during catch-up, may lack records."""
     old, new = entered("a2"), entered()
     number = old.view.number
     assert old.can_reply(number) and new.can_reply(number)
@@ -138,7 +138,7 @@
     + [("a9", 999, True)],
 )
 def test_records_are_sent_for_the_groups_of_both_views(name, number, expected):
-    assert entered("a2").is_member(A[name], JOB, number) is expected
+    assert entered("a2").needs_record(A[name], JOB, number) is expected
 
 
 def test_missing_voters_are_asked_again_and_dialled():
@@ -147,33 +147,33 @@
     sync, dial1, dial3 = messages.Sync(4), *(effects.Dial(A[n]) for n in ("a1", "a3"))
     assert list(member.tick(["a2"])) == [dial1, effects.Send("a2", sync), dial3]
     assert list(member.tick(["a2"])) == []
-    member.reply(A["a2"], 4)
+    member.record_reply(A["a2"], 4)
     time.advance(catchup.ASK_INTERVAL_S)
     assert list(member.tick(["a3"])) == [dial1, effects.Send("a3", sync)]
-    assert len(list(entered("a2").tick([]))) == 2, "an old voter has its own records"
+    assert len(list(entered("a2").tick([]))) == 2, "a voter does not ask itself"
 
 
-def test_step_ends_only_when_every_group_has_a_majority():
+def test_reconfiguration_ends_when_every_group_has_a_majority():
     time = clock.ManualClock()
     member = catchup.Catchup(builders.node("b"), time, 600.0)
     member.advance(builders.fold(OLD, *map(builders.voter, ("a4", "a5"))))
     member.advance(builders.fold(member.view, builders.voter("b")))
     for name in ("a1", "a2", "a3"):
-        member.reply(A[name], 6)
+        member.record_reply(A[name], 6)
     assert len(builders.sent(member.tick(["a4", "a5"]), messages.Sync)) == 2
-    member.reply(A["a4"], 6)
+    member.record_reply(A["a4"], 6)
     time.advance(catchup.ASK_INTERVAL_S)
     assert list(member.tick(["a4", "a5"])) == []
 
 
 def test_member_that_starts_from_a_snapshot_waits_for_the_window():
-    """The groups before a snapshot are not known, so nobody can be asked."""
+    """The groups before a snapshot are not known, so no member can be asked."""
     time = clock.ManualClock()
     member = catchup.Catchup(A["a1"], time, 600.0)
     member.advance(views.View(5, waiting=()))
     member.advance(builders.view_of("a1", "a2", "a3"))
     for name in ("a2", "a3"):
-        member.reply(A[name], member.view.number)
+        member.record_reply(A[name], member.view.number)
     list(member.tick([]))
     assert not member.is_ready(JOB)
     time.advance(600)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -26,7 +26,7 @@
     return store.vote(builders.claim(group, **fields))
 
 
-def held(store):
+def record_of(store):
     return vote(store, epoch=0).record
 
 
@@ -49,7 +49,7 @@
     assert reply.verdict is verdict
     assert (reply.record.epoch, reply.record.attempt) == (2, 2)
     if verdict is V.HELD:
-        assert held(store) == reply.record, "a refused claim must change nothing"
+        assert record_of(store) == reply.record, "a refused claim must change nothing"
 
 
 def test_no_vote_for_another_group_or_before_catching_up():
@@ -65,29 +65,30 @@
 
 
 def test_scopes_never_shrink_and_codes_stay_within_the_attempt():
-    """An agent missing from the scope is not fenced; a lost code is a second run."""
+    """An agent missing from the scope is not fenced; a lost code leads to a rerun."""
     store = make_store()
     vote(store, scope=S1)
     vote(store, epoch=2, owner="e2", scope=S2)
     vote(store, epoch=2, owner="e2", code=111)
     vote(store, epoch=2, owner="e2")
-    assert (held(store).scope, held(store).code) == (S1 + S2, 111)
+    assert (record_of(store).scope, record_of(store).code) == (S1 + S2, 111)
     vote(store, epoch=3, attempt=2)
-    assert held(store).code == 900
+    assert record_of(store).code == 900
 
 
 @pytest.mark.parametrize(("code", "epoch"), [(111, 1), (200, 1), (0, 2), (900, 2)])
 def test_failed_attempt_is_closed_to_later_owners(code, epoch):
-    """The code of an epoch in the record of the next one led to a second run.
+    """A code copied into the record of the next epoch led to a second run.
 
     The next owner had won without this member and ran the attempt; a third entry
-    host read here that it was not run and began another (fuzz seed 277).
+    host read from this member that it had not run, and started another attempt
+    (fuzz seed 277).
     """
     store = make_store()
     vote(store, scope=S1, code=code)
     reply = vote(store, epoch=2, owner="e2", scope=S2)
     assert reply.verdict is (V.HELD if epoch == 1 else V.GRANTED)
-    assert (held(store).epoch, held(store).code) == (epoch, code)
+    assert (record_of(store).epoch, record_of(store).code) == (epoch, code)
     assert vote(store, epoch=3, owner="e3", attempt=2).verdict is V.GRANTED
 
 
@@ -95,69 +96,79 @@
     store = make_store()
     vote(store, epoch=2)
     store.settle(messages.Settle(builders.JOB, 1, 1, 200), OWNER)
-    assert held(store).code == 900
+    assert record_of(store).code == 900
     store.settle(messages.Settle(builders.JOB, 2, 1, 200), OWNER)
-    assert held(store).code == 200
+    assert record_of(store).code == 200
 
 
 @pytest.mark.parametrize("epoch", [1, 2])
 def test_settled_record_names_the_owner_that_won(epoch):
-    """A member that had granted the loser sent callers away from the kept answer.
+    """A member that had granted the losing owner kept naming it after the settlement.
 
-    The next submission took the job over although its owner still had the results,
-    one of which was lost with its worker.
+    The next submission took the job over although the real owner still had the
+    results, one of which was by then lost with its worker.
     """
     store = make_store()
     vote(store, owner="e2")
     store.settle(messages.Settle(builders.JOB, epoch, 1, 0), OWNER)
-    assert (held(store).epoch, held(store).owner, held(store).code) == (epoch, OWNER, 0)
+    assert (record_of(store).epoch, record_of(store).owner, record_of(store).code) == (
+        epoch,
+        OWNER,
+        0,
+    )
     store.merge([builders.claim_record("e1", epoch=epoch, code=0)])
-    assert held(store).epoch == epoch, "one owner in two records is no contest"
+    assert record_of(store).epoch == epoch, (
+        "records of one owner must not raise the epoch"
+    )
 
 
 def test_merge_keeps_the_newer_record_with_both_scopes():
     store = make_store()
     vote(store, epoch=2, owner="e2", scope=S2)
     store.merge([builders.claim_record(epoch=1, scope=S1)])
-    assert (held(store).epoch, held(store).owner.name) == (2, "e2")
-    assert set(held(store).scope) == set(S1 + S2)
+    assert (record_of(store).epoch, record_of(store).owner.name) == (2, "e2")
+    assert set(record_of(store).scope) == set(S1 + S2)
     for code in (200, 900):
         store.merge([builders.claim_record(epoch=2, code=code)])
-    assert held(store).code == 200, "a pending record must not hide a settlement"
+    assert record_of(store).code == 200, "a pending record must not hide a settlement"
 
 
 def test_merge_of_two_owners_of_an_epoch_grants_it_to_neither():
-    """A member that has learnt both votes cannot tell which one won a majority.
+    """A member that has merged both votes cannot tell which one won a majority.
 
-    With the lost owner's record it made a second majority (fuzz seed 597).
+    With the record of the losing owner, it completed a second majority (fuzz seed
+    597).
     """
     for first, second in (("e1", "e2"), ("e2", "e1")):
         store = make_store()
         store.merge([builders.claim_record(first, scope=S1)])
         store.merge([builders.claim_record(second, scope=S2)])
-        assert set(held(store).scope) == set(S1 + S2)
+        assert set(record_of(store).scope) == set(S1 + S2)
         for owner in ("e1", "e2"):
             assert vote(store, owner=owner).verdict is V.HELD
-        assert vote(store, owner="e3", epoch=held(store).epoch + 1).verdict is V.GRANTED
+        assert (
+            vote(store, owner="e3", epoch=record_of(store).epoch + 1).verdict
+            is V.GRANTED
+        )
 
 
 @pytest.mark.parametrize("order", [1, -1])
 def test_attempt_closed_by_a_lost_majority_is_granted_to_no_later_owner(order):
-    """An answer of "not run" was false when a later owner won with a new member.
+    """The outcome "not run" was wrong when a later owner won with a new member.
 
-    Members 1 and 3 closed the attempt, member 2 granted epoch 2 before; member 1 was
-    lost, and its replacement learnt from members 2 and 3.
+    Member 2 granted epoch 2, then members 1 and 3 closed the attempt; member 1 was
+    lost, and its replacement merged the records of members 2 and 3.
     """
     closed, granted, entering = make_store(), make_store(), make_store()
     vote(closed, scope=S1, code=110)
     vote(granted, epoch=2, owner="e2", scope=S2)
-    records = [builders.claim_record("e1", code=110, scope=S1), held(granted)]
+    records = [builders.claim_record("e1", code=110, scope=S1), record_of(granted)]
     entering.merge(records[::order])
     for owner, epoch in (("e2", 2), ("e3", 4)):
         assert vote(closed, owner=owner, epoch=epoch).verdict is V.HELD
         assert vote(entering, owner=owner, epoch=epoch).verdict is V.HELD
-    assert set(held(entering).scope) == set(S1 + S2)
-    assert codes.start_of(held(entering).code) is codes.Start.MAY_HAVE_RUN
+    assert set(record_of(entering).scope) == set(S1 + S2)
+    assert codes.start_of(record_of(entering).code) is codes.Start.MAY_HAVE_RUN
     # The next attempt of a repeatable job is open.
     assert vote(entering, owner="e3", epoch=4, attempt=2).verdict is V.GRANTED
 
@@ -196,7 +207,7 @@
 @settings(derandomize=True, deadline=None, max_examples=150)
 @given(st.lists(CLAIMS, min_size=5, max_size=30))
 def test_majorities_share_what_they_granted(steps):
-    """One owner in each epoch, no scope unknown later, no settled attempt reopened."""
+    """An epoch has one owner; later majorities know scopes and closed attempts."""
     stores = {name: make_store(own=name) for name in ("a1", "a2", "a3")}
     members_by_vote, scopes, closed = {}, set(), set()
     for number, (names, owner, epoch, attempt, code) in enumerate(steps):
@@ -205,9 +216,7 @@
         replies = {name: vote(stores[name], scope=scope, **fields) for name in names}
         granted = {name for name in names if replies[name].verdict is V.GRANTED}
         members_by_vote.setdefault((epoch, owner), set()).update(granted)
-        owners = [
-            key for key, given_by in members_by_vote.items() if len(given_by) >= 2
-        ]
+        owners = [key for key, members in members_by_vote.items() if len(members) >= 2]
         assert len(owners) == len({key[0] for key in owners})
         if len(granted) < 2:
             continue
@@ -216,7 +225,8 @@
         }
         assert scopes <= known
         assert code == 110 or all(
-            attempt > done or (epoch, owner) == by for done, by in closed
+            attempt > closed_attempt or (epoch, owner) == closing_claim
+            for closed_attempt, closing_claim in closed
         )
         scopes.add(scope[0])
         if code == 110:
--- a/tests/test_jobrecord.py
+++ b/tests/test_jobrecord.py
@@ -27,21 +27,25 @@
 @settings(derandomize=True, deadline=None, max_examples=150)
 @given(st.lists(STEPS, min_size=5, max_size=40))
 def test_no_interleaving_starts_a_task_twice(steps):
-    """Starts, fences, returns and duplicates; only a returned start is repeated."""
+    """Of fences, returns and duplicate starts, only a return allows another start."""
     job = jobrecord.JobRecord(builders.JOB, 1, 0, 1, "e1", 0.0)
-    begun = collections.Counter()
+    starts_by_attempt = collections.Counter()
     for step in steps:
         if isinstance(step, STATE):
-            ended = job.finish(0, step, b"1", 1.0) if job.running() else None
-            begun[job.attempt] -= ended is not None and step is STATE.RETURNED
+            ended = (
+                job.record_end(0, step, b"1", 1.0) if job.running_indexes() else None
+            )
+            starts_by_attempt[job.attempt] -= (
+                ended is not None and step is STATE.RETURNED
+            )
             continue
         *numbers, send, has_slot = step
         if job.admit(*numbers, "e1") is not OK or send is None:
             continue
         if job.is_new_send(0, send):
-            (job.start if has_slot else job.give_back)(0, send)
-            begun[numbers[2]] += has_slot
-        assert max(begun.values()) <= 1
+            (job.record_start if has_slot else job.record_return)(0, send)
+            starts_by_attempt[numbers[2]] += has_slot
+        assert max(starts_by_attempt.values()) <= 1
 
 
 @pytest.mark.parametrize(
@@ -62,29 +66,33 @@
 
 
 def test_send_is_new_only_after_a_return(job):
-    job.give_back(0, 2)
+    job.record_return(0, 2)
     assert [job.is_new_send(0, send) for send in (1, 2, 3)] == [False, False, True]
-    job.start(0, 3)
+    job.record_start(0, 3)
     assert not job.is_new_send(0, 4)
-    job.finish(0, STATE.DONE, b"1", 1.0)
+    job.record_end(0, STATE.DONE, b"1", 1.0)
     assert not job.is_new_send(0, 4)
 
 
 def test_new_attempt_forgets_the_tasks_and_a_new_epoch_keeps_them(job):
-    job.start(0, 1)
+    job.record_start(0, 1)
     for numbers, running in (((3, 0, 2), [0]), ((4, 0, 3), [])):
-        job.settled = True
+        job.is_settled = True
         job.admit(*numbers, "e2")
-        assert (job.running(), job.settled) == (running, False)
+        assert (job.running_indexes(), job.is_settled) == (running, False)
 
 
 def test_result_is_reported_once_and_its_loss_allows_no_start(job):
-    job.start(0, 1)
-    assert job.finish(1, STATE.DONE, b"1", 1.0) is None
-    first = job.finish(0, STATE.DONE, b"123", 2.0)
+    job.record_start(0, 1)
+    assert job.record_end(1, STATE.DONE, b"1", 1.0) is None
+    first = job.record_end(0, STATE.DONE, b"123", 2.0)
     assert first == messages.TaskReport(0, 1, STATE.DONE, b"123", 2.0)
-    assert job.finish(0, STATE.FAILED, b"2", 1.0) is None
-    assert (list(job.reports()), job.running(), job.size()) == ([first], [], 3)
+    assert job.record_end(0, STATE.FAILED, b"2", 1.0) is None
+    assert (list(job.reports()), job.running_indexes(), job.result_bytes()) == (
+        [first],
+        [],
+        3,
+    )
     job.drop_results()
-    assert (job.size(), job.is_new_send(0, 2)) == (0, False)
+    assert (job.result_bytes(), job.is_new_send(0, 2)) == (0, False)
     assert [each.state for each in job.reports()] == [STATE.DONE]
