--- a/src/burdockgate/effects.py
+++ b/src/burdockgate/effects.py
@@ -1,7 +1,7 @@
-"""What the deciding classes ask their daemon to do.
+"""Effects: the I/O that state machines ask their daemon to perform.
 
-The classes under ``request`` and ``process`` do no I/O. Their methods are
-generators that yield these effects; the daemon performs each one.
+The state machines under ``request`` and ``process`` do no I/O. Their methods are
+generators that yield effects, and the daemon performs each one.
 """
 
 from __future__ import annotations
@@ -25,7 +25,7 @@
 
 @attrs.frozen
 class Dial:
-    """Open a connection to a node unless there is one."""
+    """Open a connection to a node, unless there is one already."""
 
     node: messages.Node
 
@@ -34,7 +34,7 @@
 class Answer:
     """Deliver the outcome of a job to a waiting caller.
 
-    :param ticket: number that the caller's submission was given.
+    :param ticket: number under which the caller waits.
     """
 
     ticket: int
@@ -45,8 +45,9 @@
 class Execute:
     """Run a task on the backend server and report how it ended.
 
+    :param job: 16-byte job id.
     :param payload: JSON text.
-    :param timeout_ms: time for the backend server's answer.
+    :param timeout_ms: timeout of the request to the backend server.
     """
 
     job: bytes
--- a/src/burdockgate/process/__init__.py
+++ b/src/burdockgate/process/__init__.py
@@ -1,1 +1,1 @@
-"""What lives for one process."""
+"""State machines, daemons and I/O that live as long as the process."""
--- a/src/burdockgate/process/agent.py
+++ b/src/burdockgate/process/agent.py
@@ -69,7 +69,7 @@
         self.claims = claims.ClaimStore(
             node, time, config.timing.retention_s, config.timing.view_limit_s
         )
-        self.table_replica = tablereplica.TableReplica(kept_limit=0)
+        self.table_replica = tablereplica.TableReplica(record_limit=0)
         self._config = config
         self._time = time
         self._counters = counters
--- a/src/burdockgate/process/core.py
+++ b/src/burdockgate/process/core.py
@@ -1,4 +1,4 @@
-"""What a daemon asks of the decisions that it performs."""
+"""The interface between a daemon and the state machine whose effects it performs."""
 
 from __future__ import annotations
 
@@ -9,11 +9,11 @@
 
 
 class Core(abc.ABC):
-    """Decides for one node and performs nothing itself."""
+    """The state machine of one node; its methods yield effects and do no I/O."""
 
     @abc.abstractmethod
     def tick(self) -> Iterator[effects.Effect]:
-        """Do what is due; call at least ten times a second."""
+        """Run the periodic work that is due; call at least ten times a second."""
 
     @abc.abstractmethod
     def send_heartbeats(self) -> Iterator[effects.Effect]:
--- a/src/burdockgate/process/membership.py
+++ b/src/burdockgate/process/membership.py
@@ -1,8 +1,9 @@
 """Which records an entry host appends to the members stream.
 
-Every entry host sees the same view and the agents connected to it. For each
-change that is due, the entry host with the highest rendezvous score for the node
-appends first; the others wait longer by their rank and find the change done.
+All entry hosts have the same view, and each one knows the nodes connected to it.
+Entry hosts are ranked by their rendezvous score for the node of a change. The one of
+rank 0 appends first; the others wait longer by their rank, and normally read the
+change from the stream before their own append is due.
 """
 
 from __future__ import annotations
@@ -16,21 +17,28 @@
 from burdockgate.version import view as views
 
 RANK_DELAY_S = 1.0
-REPEAT_S = 3.0
-VOTER_LOSS_S = 10.0
-ENTRY_LOSS_S = 30.0
-# Longest wait before a voter is removed that had come back each time.
-VOTER_LOSS_LIMIT_S = 3600.0
+# An append is repeated until its change is in the view.
+REPEAT_INTERVAL_S = 3.0
+VOTER_TIMEOUT_S = 10.0
+ENTRY_TIMEOUT_S = 30.0
+# Upper bound of the timeout of a voter that was added again after each removal.
+VOTER_TIMEOUT_LIMIT_S = 3600.0
 
 
 @attrs.define
-class _Due:
-    since: float
+class _PendingChange:
+    """A change that the view lacks.
+
+    :param needed_since: when the change was first needed.
+    :param appended_at: time of the last append; ``None`` before the first one.
+    """
+
+    needed_since: float
     appended_at: float | None = None
 
 
 class MembershipPublisher:
-    """Decides on changes of the view.
+    """Decides which changes of the view this entry host appends, and when.
 
     :param node: this entry host.
     :param time: the clock.
@@ -39,7 +47,7 @@
     def __init__(self, node: messages.Node, time: clock.Clock) -> None:
         self._node = node
         self._time = time
-        self._due_by_key: dict[tuple[str, str, int], _Due] = {}
+        self._pending_by_key: dict[tuple[str, str, int], _PendingChange] = {}
         self._removals_by_name: dict[str, tuple[int, int]] = {}
 
     def tick(
@@ -56,23 +64,28 @@
         """
         others = list(entries)
         names = [self._node.name, *(node.name for node in others)]
-        wanted = dict(self._wanted(view, list(agents), others))
-        for key in set(self._due_by_key) - set(wanted):
-            del self._due_by_key[key]
+        needed = dict(self._needed_changes(view, list(agents), others))
+        for key in set(self._pending_by_key) - set(needed):
+            del self._pending_by_key[key]
             self._count_removal(view, key)
-        for key, (wait_s, value) in wanted.items():
-            due = self._due_by_key.setdefault(key, _Due(self._time.now()))
-            if self._is_time(
-                due, wait_s + RANK_DELAY_S * rank(key[1], self._node, names)
+        for key, (wait_s, value) in needed.items():
+            pending = self._pending_by_key.setdefault(
+                key, _PendingChange(self._time.now())
+            )
+            if self._is_append_due(
+                pending, wait_s + RANK_DELAY_S * rank(key[1], self._node, names)
             ):
-                due.appended_at = self._time.now()
+                pending.appended_at = self._time.now()
                 stream_id = f"{key[0]}-{key[1]}-{key[2]}-{view.number}"
                 yield effects.Append(views.STREAM, stream_id, value)
 
     def _count_removal(self, view: views.View, key: tuple[str, str, int]) -> None:
-        """Count the removals, by whichever entry host, of a voter missing here.
+        """Count the removals of a voter that is not connected to this entry host.
+
+        Removals by any entry host count, but only those of the last incarnation under
+        a name.
 
-        Only the last incarnation under a name is counted.
+        :param key: key of a change that is no longer needed.
         """
         change, name, boot = key
         voter = view.voter_by_name.get(name)
@@ -80,35 +93,38 @@
             last_boot, removals = self._removals_by_name.get(name, (boot, 0))
             self._removals_by_name[name] = (boot, removals * (last_boot == boot) + 1)
 
-    def _voter_loss_s(self, node: messages.Node) -> float:
-        """Return how long a voter must be missing here before it is removed.
+    def _voter_timeout_s(self, node: messages.Node) -> float:
+        """Return how long a voter must be disconnected from here before it is removed.
 
-        A voter of the same boot that is back after a removal is connected to another
-        entry host. Without a longer wait, the two entry hosts would remove and add it
-        in turn for ever, and each change makes claim groups catch up.
+        The timeout doubles with each removal of an incarnation. A voter that is added
+        again with the same boot is connected to another entry host. With a constant
+        timeout, the two entry hosts would remove and add it in turn forever, and each
+        change makes claim groups catch up.
         """
         boot, removals = self._removals_by_name.get(node.name, (node.boot, 0))
         if boot != node.boot:
-            return VOTER_LOSS_S
-        return min(VOTER_LOSS_S * 2.0**removals, VOTER_LOSS_LIMIT_S)
+            return VOTER_TIMEOUT_S
+        return min(VOTER_TIMEOUT_S * 2.0**removals, VOTER_TIMEOUT_LIMIT_S)
 
-    def _is_time(self, due: _Due, wait_s: float) -> bool:
+    def _is_append_due(self, pending: _PendingChange, wait_s: float) -> bool:
         now = self._time.now()
-        if due.appended_at is not None:
-            return now - due.appended_at >= REPEAT_S
-        return now - due.since >= wait_s
+        if pending.appended_at is not None:
+            return now - pending.appended_at >= REPEAT_INTERVAL_S
+        return now - pending.needed_since >= wait_s
 
-    def _wanted(
+    def _needed_changes(
         self,
         view: views.View,
         agents: list[messages.Hello],
         entries: list[messages.Node],
     ) -> Iterator[tuple[tuple[str, str, int], tuple[float, bytes]]]:
+        """Yield the key of each needed change, with its delay in seconds and record."""
         own = view.entry_by_name.get(self._node.name)
         if own is None or own != self._node:
             yield (
                 _key(views.Change.ENTRY, self._node),
                 (
+                    # Offsets the delay by rank: no other entry host announces this one.
                     -RANK_DELAY_S * (len(entries) + 1),
                     views.entry_record(self._node),
                 ),
@@ -147,7 +163,7 @@
                 yield (
                     _key(change, voter.node),
                     (
-                        self._voter_loss_s(voter.node),
+                        self._voter_timeout_s(voter.node),
                         views.removal_record(change, voter.node),
                     ),
                 )
@@ -161,18 +177,18 @@
                 yield (
                     _key(change, node),
                     (
-                        ENTRY_LOSS_S,
+                        ENTRY_TIMEOUT_S,
                         views.removal_record(change, node),
                     ),
                 )
 
 
 def rank(name: str, node: messages.Node, entries: Iterable[str]) -> int:
-    """Return the rank of an entry host for a name; 0 acts first.
+    """Return the rank of an entry host for a name; the one of rank 0 acts first.
 
-    :param name: name of what is to be changed.
+    :param name: name of the node or stream that a record is appended for.
     :param node: the entry host to rank.
-    :param entries: names of all entry hosts, that one included.
+    :param entries: names of all connected entry hosts, ``node`` included.
     """
     ranked = sorted(
         entries,
--- a/src/burdockgate/process/snapshots.py
+++ b/src/burdockgate/process/snapshots.py
@@ -1,8 +1,9 @@
-"""When an entry host appends a snapshot of a log stream again.
+"""When an entry host appends a new snapshot of a stream to the log.
 
-The log keeps records for a limited time. The entry host with the highest
-rendezvous score for the stream appends first; the others wait longer by their
-rank and find the snapshot done.
+The log keeps records for a limited time, so snapshots are repeated before the last
+one expires. Entry hosts are ranked by their rendezvous score for the stream. The one
+of rank 0 appends first; the others wait longer by their rank, and normally read the
+snapshot from the stream before their own append is due.
 """
 
 from __future__ import annotations
@@ -15,7 +16,7 @@
 
 
 class SnapshotPublisher:
-    """Decides on the snapshots of one stream.
+    """Decides when this entry host appends a snapshot of one stream.
 
     :param stream: name of the stream.
     :param node: this entry host.
@@ -30,11 +31,11 @@
         self._node = node
         self._time = time
         self._retention_s = retention_s
-        # A snapshot seen at the start can be half of the retention old already.
+        # At the start, the last snapshot may already be half of the retention old.
         self._due_at = time.now() + retention_s / 4
 
     def observe(self, records: Iterable[messages.LogRecord]) -> None:
-        """Note snapshots among new records of the log.
+        """Postpone the next snapshot if the new records of the log include one.
 
         :param records: the records; those read at the start may be old.
         """
@@ -44,25 +45,25 @@
     def tick(
         self, entries: Iterable[str], end: int, value: bytes
     ) -> Iterator[effects.Effect]:
-        """Yield the append that is due.
+        """Yield the append that is due, if any.
 
         :param entries: names of the other connected entry hosts.
-        :param end: offset after the last record that the snapshot covers.
-        :param value: its JSON text.
+        :param end: offset after the last record that the snapshot includes.
+        :param value: JSON text of the snapshot.
         """
         names = [self._node.name, *entries]
         rank = membership.rank(self._stream, self._node, names)
         now = self._time.now()
         if now < self._due_at + membership.RANK_DELAY_S * rank:
             return
-        # Repeated until the snapshot is read back, because the log may be down.
-        self._due_at = now + membership.REPEAT_S
+        # Repeats the append until the snapshot is read back: the log may be down.
+        self._due_at = now + membership.REPEAT_INTERVAL_S
         record_id = f"snapshot-{self._stream}-{end}"
         yield effects.Append(self._stream, record_id, value)
 
     @property
     def is_due(self) -> bool:
-        """Whether an append is due here or at an entry host of a better rank."""
+        """Whether an append is due at rank 0; higher ranks wait longer."""
         return self._time.now() >= self._due_at
 
 
--- a/src/burdockgate/version/__init__.py
+++ b/src/burdockgate/version/__init__.py
@@ -1,1 +1,1 @@
-"""What lives for one version of the table or of the view."""
+"""Immutable state that is folded from a stream of the log, one object per version."""
--- a/src/burdockgate/version/table.py
+++ b/src/burdockgate/version/table.py
@@ -1,9 +1,9 @@
 """The table of weights and limits, as a fold of the log's ``table`` stream.
 
-Every reader folds the same records in the order of their offsets and so gets the
-same rows. The version of a row, and of the table, is the offset after the change
-that set it. A deleted row keeps the version of its deletion, so that a change
-that was meant for an earlier state of the row is a conflict.
+All readers fold the same records in offset order and therefore have the same rows.
+The version of a row, and of the table, is the offset after the change that set it.
+The version of a deletion is kept, so that a change that is based on an earlier state
+of the row is a conflict.
 """
 
 from __future__ import annotations
@@ -20,10 +20,12 @@
 from burdockgate import errors, messages
 
 STREAM = "table"
-# Bounds the memory of a reader that waits for a snapshot; a day of changes.
-WAITING_LIMIT = 10_000
-# A late duplicate of the change that created a row would create it again, and comes
-# within seconds. A snapshot holds the deletions and must fit in an append of 1 MiB.
+# Number of records, about one day of changes. Bounds the memory of a reader that
+# waits for a snapshot.
+BUFFER_LIMIT = 10_000
+# Number of deletions whose versions are kept. Without its version, a late duplicate of
+# the change that created a row would create it again; duplicates come within seconds.
+# A snapshot contains the deletions and must fit in an append of 1 MiB.
 DELETED_LIMIT = 2_000
 
 _NAME = re.compile(r"[!-~]{1,128}")
@@ -39,10 +41,10 @@
 
     :param scope: "service" or "class".
     :param weight: share of the slots, relative to other rows; 0.001 to 1000.
-    :param max_in_progress: most tasks in progress; None for no limit.
-    :param max_rate: most task starts per second; None for no limit.
-    :param max_queue_s: longest time in the queue in seconds; None for no limit.
-    :param max_queue_bytes: most bytes in the queue; None for no limit.
+    :param max_in_progress: maximum number of tasks in progress; None for no limit.
+    :param max_rate: maximum number of task starts per second; None for no limit.
+    :param max_queue_s: maximum time in the queue in seconds; None for no limit.
+    :param max_queue_bytes: maximum number of bytes in the queue; None for no limit.
     :param region: home region of a class; empty for none.
     :param version: offset after the change that set the row; 0 for a default row.
     """
@@ -68,38 +70,38 @@
     """All rows at one version.
 
     :param version: offset after the last accepted change; 0 when there is none.
-    :param next: offset after the last record folded; follow the stream from here.
+    :param next: offset after the last record folded, from which to read on.
     :param deleted_by_key: versions of deletions, oldest first.
-    :param waiting: records kept until a snapshot arrives, because older ones have
+    :param buffered: records kept until a snapshot is read, because older ones have
         expired.
-    :param resume: offset from which ``waiting`` has every record; None when the
-        rows are complete.
+    :param buffer_start: offset from which ``buffered`` has every record; None when
+        the rows are complete.
     """
 
     version: int = 0
     row_by_key: Mapping[Key, Row] = _frozen({})
     next: int = 0
     deleted_by_key: Mapping[Key, int] = _frozen({})
-    waiting: tuple[messages.LogRecord, ...] = ()
-    resume: int | None = None
+    buffered: tuple[messages.LogRecord, ...] = ()
+    buffer_start: int | None = None
 
     @property
     def is_complete(self) -> bool:
         """Whether no records are missing between the rows and ``next``."""
-        return self.resume is None
+        return self.buffer_start is None
 
     def row(self, scope: str, name: str) -> Row:
-        """Return a row, or one of default values when there is none."""
+        """Return a row, or one with default values when there is none."""
         return self.row_by_key.get((scope, name)) or Row(scope, name)
 
     def row_version(self, key: Key) -> int:
-        """Return the version of a row or its deletion; 0 for a row never seen."""
+        """Return the version of a row or of its deletion; 0 when there is neither."""
         row = self.row_by_key.get(key)
         return row.version if row else self.deleted_by_key.get(key, 0)
 
 
 class Effect(enum.Enum):
-    """What a record did to the table."""
+    """How a record affects the table."""
 
     ACCEPTED = "accepted"
     CONFLICT = "conflict"
@@ -112,9 +114,9 @@
 class Result:
     """Effect of one record.
 
-    :param key: the row that the record names, if any.
-    :param row: that row after the record, if any.
-    :param detail: one line that gives the reason, except for an accepted change.
+    :param key: the key of the row that the record names, if any.
+    :param row: the row after the record, if any.
+    :param detail: one line with the reason; empty for an accepted change.
     """
 
     effect: Effect
@@ -125,18 +127,18 @@
 
 @attrs.frozen
 class _Column:
-    kind: type[int] | type[float]
+    number_type: type[int] | type[float]
     low: float
     high: float
 
     def parse(self, text: str) -> float:
-        # int() and float() take underscores and the digits of every script.
+        # int() and float() accept underscores and the digits of every script.
         if not text.isascii() or "_" in text:
             raise ValueError(text)
-        return self.kind(text)
+        return self.number_type(text)
 
-    def holds(self, value: Any) -> bool:
-        return type(value) in {int, self.kind} and self.low <= value <= self.high
+    def is_valid(self, value: Any) -> bool:
+        return type(value) in {int, self.number_type} and self.low <= value <= self.high
 
 
 _COLUMN_BY_NAME = {
@@ -150,9 +152,9 @@
 
 
 def parse_row(columns: Mapping[str, str]) -> Row:
-    """Return the row that columns of text describe.
+    """Return the row of the given columns.
 
-    :param columns: text by column name; an absent or empty column is the default.
+    :param columns: text by column name; an absent or empty column has its default.
     :raises errors.TableError: with one line for each problem.
     """
     values: dict[str, Any] = {}
@@ -163,16 +165,16 @@
             if text:
                 values[column] = rule.parse(text) if rule else text
         except ValueError:
-            problems.append(_problem(columns, column, text))
-    problems += _problems(values, columns)
+            problems.append(_range_problem(columns, column, text))
+    problems += _check_values(values, columns)
     if problems:
         raise errors.TableError(problems)
     return Row(**values)
 
 
-def _problem(where: Mapping[str, Any], column: str, value: Any) -> str:
+def _range_problem(where: Mapping[str, Any], column: str, value: Any) -> str:
     rule = _COLUMN_BY_NAME[column]
-    what = "numbers" if rule.kind is float else "integers"
+    what = "numbers" if rule.number_type is float else "integers"
     allowed = f"allowed are {what} from {rule.low:.15g} to {rule.high:.15g}"
     return f"{_label(where)}: {column}={value!r:.40}, {allowed}"
 
@@ -182,7 +184,7 @@
     return label if label.isprintable() else repr(label)
 
 
-def _problems(values: Mapping[str, Any], where: Mapping[str, Any]) -> Iterator[str]:
+def _check_values(values: Mapping[str, Any], where: Mapping[str, Any]) -> Iterator[str]:
     label = _label(where)
     scope, name, region = (values.get(key, "") for key in ("scope", "name", "region"))
     if scope not in ("service", "class"):
@@ -196,23 +198,31 @@
     for column, value in values.items():
         if column not in COLUMNS:
             yield f"{label}: column {column!r:.40}, allowed are {', '.join(COLUMNS)}"
-        elif column in _COLUMN_BY_NAME and not _COLUMN_BY_NAME[column].holds(value):
-            yield _problem(where, column, value)
+        elif column in _COLUMN_BY_NAME and not _COLUMN_BY_NAME[column].is_valid(value):
+            yield _range_problem(where, column, value)
 
 
 def row_record(row: Row, based_on: int) -> bytes:
-    """Return JSON that sets a row based on the :meth:`Table.row_version` seen."""
-    return _dump({"type": "set", "row": _row_json(row), "based_on": based_on})
+    """Return the JSON text of a record that sets a row.
+
+    :param based_on: the :meth:`Table.row_version` that the writer read.
+    """
+    return _encode({"type": "set", "row": _row_json(row), "based_on": based_on})
 
 
 def deletion_record(key: Key, based_on: int) -> bytes:
-    """Return JSON that deletes a row based on the :meth:`Table.row_version` seen."""
+    """Return the JSON text of a record that deletes a row.
+
+    :param based_on: the :meth:`Table.row_version` that the writer read.
+    """
     scope, name = key
-    return _dump({"type": "delete", "scope": scope, "name": name, "based_on": based_on})
+    return _encode(
+        {"type": "delete", "scope": scope, "name": name, "based_on": based_on}
+    )
 
 
 def snapshot_record(table: Table) -> bytes:
-    """Return the JSON text of a snapshot, ``through`` the version of the table.
+    """Return the JSON text of a snapshot; its ``through`` is the version of the table.
 
     :raises errors.TableError: when the table is not complete.
     """
@@ -226,10 +236,10 @@
         for (scope, name), version in table.deleted_by_key.items()
     ]
     head = {"type": "snapshot", "through": table.version, "next": table.next}
-    return _dump({**head, "rows": rows, "deleted": deleted})
+    return _encode({**head, "rows": rows, "deleted": deleted})
 
 
-def _dump(value: Mapping[str, Any]) -> bytes:
+def _encode(value: Mapping[str, Any]) -> bytes:
     return json.dumps(value, separators=(",", ":")).encode()
 
 
@@ -238,20 +248,20 @@
 
 
 def fold(table: Table, record: messages.LogRecord) -> tuple[Table, Result]:
-    """Return the table after a record, and what the record did.
+    """Return the table after a record, and the effect of the record.
 
-    A record whose offset was folded before is ignored. An empty table that gets a
-    later record first keeps it until a usable snapshot arrives. A gap further on
-    cannot be seen here, because followers leave out duplicates: pages of records
-    go through :func:`fold_page`.
+    A record whose offset was folded before is ignored. An empty table whose first
+    record is not at offset 0 buffers it until a usable snapshot is read. A later gap
+    cannot be detected here, because the log client leaves out duplicates, so pages of
+    records must go through :func:`fold_page`.
     """
     if record.offset < table.next:
         return table, Result(Effect.IGNORED, detail="older than the table")
     if table.next == 0 and record.offset > 0:
-        table = attrs.evolve(table, resume=record.offset)
+        table = attrs.evolve(table, buffer_start=record.offset)
     table = attrs.evolve(table, next=record.offset + 1)
     try:
-        return _apply(table, record, _object(json.loads(record.value)))
+        return _apply(table, record, _require_object(json.loads(record.value)))
     except (ValueError, RecursionError) as error:
         detail = " ".join(str(error).split())
         return table, Result(Effect.MALFORMED, detail=f"{detail:.200}")
@@ -260,13 +270,16 @@
 def fold_page(
     table: Table, page: messages.Records
 ) -> tuple[Table, list[tuple[messages.LogRecord, Result]]]:
-    """Return the table after a page read from ``table.next`` on, and the effects.
+    """Return the table after a page, and the effect of each of its records.
 
-    When records between the table and the page have expired, the table keeps its
-    rows and is not complete until a usable snapshot arrives.
+    The page was read from ``table.next`` on. When it begins later, the records in
+    between have expired; the table then keeps its rows and is not complete until a
+    usable snapshot is read.
     """
     if page.first > table.next:
-        table = attrs.evolve(table, next=page.first, resume=page.first, waiting=())
+        table = attrs.evolve(
+            table, next=page.first, buffer_start=page.first, buffered=()
+        )
     results = []
     for record in page.records:
         table, result = fold(table, record)
@@ -279,7 +292,7 @@
 ) -> tuple[Table, Result]:
     kind = change.get("type")
     if kind == "snapshot":
-        return _take_snapshot(table, record, change)
+        return _apply_snapshot(table, record, change)
     if kind == "set":
         row = attrs.evolve(_read_row(change.get("row")), version=record.offset + 1)
         key = row.key
@@ -287,18 +300,18 @@
         row, key = None, _read_key(change)
     else:
         raise ValueError(f"type={kind!r:.40}, allowed are set, delete and snapshot")
-    based_on = _version(change, "based_on", record.offset)
+    based_on = _require_version(change, "based_on", record.offset)
     if not table.is_complete:
-        return _keep(table, record, key)
+        return _buffer(table, record, key)
     current = table.row_by_key.get(key)
     if based_on != table.row_version(key) or (row is None and current is None):
         detail = f"based on version {based_on}, current is {table.row_version(key)}"
         return table, Result(Effect.CONFLICT, key, current, detail)
-    table = _change(table, key, row, record.offset + 1)
+    table = _update_row(table, key, row, record.offset + 1)
     return table, Result(Effect.ACCEPTED, key, row)
 
 
-def _change(table: Table, key: Key, row: Row | None, version: int) -> Table:
+def _update_row(table: Table, key: Key, row: Row | None, version: int) -> Table:
     rows, deleted = dict(table.row_by_key), dict(table.deleted_by_key)
     deleted.pop(key, None)
     if row is None:
@@ -311,28 +324,30 @@
     return Table(version, _frozen(rows), table.next, _frozen(deleted))
 
 
-def _keep(table: Table, record: messages.LogRecord, key: Key) -> tuple[Table, Result]:
+def _buffer(table: Table, record: messages.LogRecord, key: Key) -> tuple[Table, Result]:
     result = Result(Effect.WAITING, key, detail="waits for a snapshot")
-    if len(table.waiting) == WAITING_LIMIT:
-        return attrs.evolve(table, waiting=(), resume=record.offset + 1), result
-    return attrs.evolve(table, waiting=(*table.waiting, record)), result
+    if len(table.buffered) == BUFFER_LIMIT:
+        return attrs.evolve(table, buffered=(), buffer_start=record.offset + 1), result
+    return attrs.evolve(table, buffered=(*table.buffered, record)), result
 
 
-def _take_snapshot(
+def _apply_snapshot(
     table: Table, record: messages.LogRecord, change: Mapping[str, Any]
 ) -> tuple[Table, Result]:
-    taken = _read_snapshot(change, record.offset)
-    is_same = taken.version == table.version and table.is_complete
-    if is_same or taken.version < table.version:
+    snapshot = _read_snapshot(change, record.offset)
+    is_same = snapshot.version == table.version and table.is_complete
+    if is_same or snapshot.version < table.version:
         return table, Result(Effect.IGNORED, detail="the table is not older")
-    # A complete table misses no change, so it cannot be older than a snapshot.
-    resume = record.offset if table.resume is None else table.resume
-    if taken.next < resume:
-        detail = f"records from {taken.next} to {resume - 1} are missing"
-        return attrs.evolve(table, resume=resume), Result(Effect.IGNORED, detail=detail)
-    for later in table.waiting:
-        taken, _ = fold(taken, later)
-    return attrs.evolve(taken, next=table.next), Result(Effect.ACCEPTED)
+    # A complete table lacks no change, so it cannot be older than a snapshot.
+    buffer_start = record.offset if table.buffer_start is None else table.buffer_start
+    if snapshot.next < buffer_start:
+        detail = f"records from {snapshot.next} to {buffer_start - 1} are missing"
+        return attrs.evolve(table, buffer_start=buffer_start), Result(
+            Effect.IGNORED, detail=detail
+        )
+    for later in table.buffered:
+        snapshot, _ = fold(snapshot, later)
+    return attrs.evolve(snapshot, next=table.next), Result(Effect.ACCEPTED)
 
 
 def read_snapshot(value: bytes) -> Table:
@@ -341,41 +356,43 @@
     :raises errors.TableError: when the text is not a snapshot.
     """
     try:
-        change = _object(json.loads(value))
-        return _read_snapshot(change, _version(change, "next", 2**63))
+        change = _require_object(json.loads(value))
+        return _read_snapshot(change, _require_version(change, "next", 2**63))
     except (ValueError, RecursionError) as error:
         raise errors.TableError([f"snapshot: {error}"]) from error
 
 
 def _read_snapshot(change: Mapping[str, Any], offset: int) -> Table:
-    end = _version(change, "next", offset)
-    through = _version(change, "through", end)
+    end = _require_version(change, "next", offset)
+    through = _require_version(change, "through", end)
     rows = [
-        attrs.evolve(_read_row(entry), version=_version(entry, "version", through))
-        for entry in _list(change, "rows")
+        attrs.evolve(
+            _read_row(entry), version=_require_version(entry, "version", through)
+        )
+        for entry in _require_list(change, "rows")
     ]
     deleted = {
-        _read_key(entry): _version(entry, "version", through)
-        for entry in _list(change, "deleted")
+        _read_key(entry): _require_version(entry, "version", through)
+        for entry in _require_list(change, "deleted")
     }
     row_by_key = {row.key: row for row in rows}
     return Table(through, _frozen(row_by_key), end, _frozen(deleted))
 
 
-def _object(value: Any) -> Mapping[str, Any]:
+def _require_object(value: Any) -> Mapping[str, Any]:
     if not isinstance(value, dict):
         raise ValueError(f"{value!r:.40}: allowed is a JSON object")
     return value
 
 
-def _list(change: Mapping[str, Any], field: str) -> Iterable[Mapping[str, Any]]:
+def _require_list(change: Mapping[str, Any], field: str) -> Iterable[Mapping[str, Any]]:
     value = change.get(field)
     if not isinstance(value, list):
         raise ValueError(f"{field}={value!r:.40}, allowed is a list")
-    return map(_object, value)
+    return map(_require_object, value)
 
 
-def _version(change: Mapping[str, Any], field: str, high: int) -> int:
+def _require_version(change: Mapping[str, Any], field: str, high: int) -> int:
     value = change.get(field)
     if type(value) is not int or not 0 <= value <= high:
         raise ValueError(f"{field}={value!r:.40}, allowed are 0 to {high}")
@@ -384,16 +401,16 @@
 
 def _read_key(change: Mapping[str, Any]) -> Key:
     key = {"scope": change.get("scope"), "name": change.get("name")}
-    for problem in _problems(key, key):
+    for problem in _check_values(key, key):
         raise ValueError(problem)
     return (str(key["scope"]), str(key["name"]))
 
 
 def _read_row(value: Any) -> Row:
-    # Unknown columns are left out, so that readers of an older release agree with
-    # newer ones on which changes are accepted.
-    row = _object(value)
+    # Unknown columns are ignored, so that readers of an older release accept the same
+    # changes as those of a newer one.
+    row = _require_object(value)
     values = {column: row[column] for column in COLUMNS if row.get(column) is not None}
-    for problem in _problems(values, row):
+    for problem in _check_values(values, row):
         raise ValueError(problem)
     return Row(**values)
--- a/src/burdockgate/version/view.py
+++ b/src/burdockgate/version/view.py
@@ -1,8 +1,8 @@
 """The membership view: which agents vote on claims, and which entry hosts exist.
 
-A view is the fold of the log's ``members`` stream up to an offset. Every process
-that has folded the same records has the same view, and so computes the same claim
-group for a job.
+A view is the fold of the log's ``members`` stream up to an offset. All processes
+that have folded the same records have the same view, and therefore compute the same
+claim group for a job.
 """
 
 from __future__ import annotations
@@ -20,11 +20,12 @@
 STREAM = "members"
 GROUP_SIZE = 3
 VOTERS_PER_REGION_LIMIT = 256
-# A boot above what the wire carries would break every claim that names its group.
+# The messages cannot carry a larger boot number: a claim whose group contains such a
+# node could not be sent.
 BOOT_LIMIT = 2**63
-# A reader that waits for a snapshot drops older records; a snapshot that starts
-# before the first one kept is not used.
-WAITING_LIMIT = 2_000
+# Number of records. A reader that waits for a snapshot drops the oldest ones above
+# it; a snapshot that ends before the first buffered record is not used.
+BUFFER_LIMIT = 2_000
 
 
 class Change(enum.StrEnum):
@@ -39,7 +40,7 @@
 
 @attrs.frozen
 class Voter:
-    """An agent that votes on claims, with its place."""
+    """An agent that votes on claims, with its location."""
 
     node: messages.Node
     region: str
@@ -52,25 +53,25 @@
     """An immutable view.
 
     :param number: offset after the last record folded; 0 for the empty view.
-    :param waiting: records kept until a snapshot comes, when older ones had expired
-        before the first was read; ``None`` for a complete view.
+    :param buffered: records kept until a snapshot is read, when older ones had
+        expired before they could be read; ``None`` for a complete view.
     """
 
     number: int = 0
     entry_by_name: Mapping[str, messages.Node] = attrs.field(factory=dict)
     voter_by_name: Mapping[str, Voter] = attrs.field(factory=dict)
-    waiting: tuple[messages.LogRecord, ...] | None = None
+    buffered: tuple[messages.LogRecord, ...] | None = None
 
     @property
     def is_complete(self) -> bool:
-        """Whether every record before ``number`` has been taken into account."""
-        return self.waiting is None
+        """Whether the view includes every record before ``number``."""
+        return self.buffered is None
 
     def group(self, job: bytes) -> tuple[messages.Node, ...]:
         """Return the members of the claim group of a job.
 
-        The highest rendezvous scores win, one member for each data centre first,
-        then one for each rack, then any.
+        Voters are chosen in descending order of their rendezvous scores: first one
+        per data centre, then one per rack, then any.
 
         :param job: 16-byte job id.
         :returns: three nodes, or all voters when there are fewer.
@@ -80,7 +81,7 @@
             key=lambda voter: xxhash.xxh3_64_intdigest(job + voter.node.name.encode()),
             reverse=True,
         )
-        return tuple(voter.node for voter in _spread(ranked))
+        return tuple(voter.node for voter in _choose_members(ranked))
 
     def is_voter(self, node: messages.Node) -> bool:
         """Return whether this incarnation of a node votes.
@@ -99,17 +100,20 @@
     return size // 2 + 1
 
 
-def _spread(ranked: list[Voter]) -> list[Voter]:
-    """Choose up to ``GROUP_SIZE`` voters in as many places as there are."""
+def _choose_members(ranked: list[Voter]) -> list[Voter]:
+    """Choose up to ``GROUP_SIZE`` voters in as many data centres and racks as possible.
+
+    :param ranked: all voters, highest score first.
+    """
     chosen: list[Voter] = []
-    for place in (_data_centre, _rack, _name):
-        taken = {place(voter) for voter in chosen}
+    for place_of in (_data_centre, _rack, _name):
+        taken = {place_of(voter) for voter in chosen}
         for voter in ranked:
             if len(chosen) == GROUP_SIZE:
                 return chosen
-            if voter not in chosen and place(voter) not in taken:
+            if voter not in chosen and place_of(voter) not in taken:
                 chosen.append(voter)
-                taken.add(place(voter))
+                taken.add(place_of(voter))
     return chosen
 
 
@@ -128,8 +132,9 @@
 def fold(view: View, record: messages.LogRecord) -> View:
     """Return the view after one more record.
 
-    A record that is older than the view or malformed changes nothing but the
-    number, so that every process keeps the same number whatever the record holds.
+    A record that the view already includes changes nothing. A malformed record
+    changes only the number, so that all processes agree on the number whatever the
+    record contains.
 
     :param view: the view before the record.
     :param record: the next record of the stream.
@@ -137,33 +142,33 @@
     if record.offset < view.number:
         return view
     if view.number == 0 and record.offset > 0:
-        view = attrs.evolve(view, waiting=())
-    moved = attrs.evolve(view, number=record.offset + 1)
+        view = attrs.evolve(view, buffered=())
+    advanced = attrs.evolve(view, number=record.offset + 1)
     try:
         value = json.loads(record.value)
         change = Change(value["type"])
-        if moved.waiting is not None:
-            return _apply_incomplete(moved, record, change, value)
-        return _apply(moved, change, value)
+        if advanced.buffered is not None:
+            return _apply_incomplete(advanced, record, change, value)
+        return _apply(advanced, change, value)
     except (ValueError, KeyError, TypeError, OverflowError, RecursionError):
-        return moved
+        return advanced
 
 
 def _apply_incomplete(
     view: View, record: messages.LogRecord, change: Change, value: Any
 ) -> View:
-    """Keep a record, or start from a snapshot that all kept records follow."""
-    assert view.waiting is not None
-    kept = (*view.waiting, record)[-WAITING_LIMIT:]
-    first = kept[0].offset
+    """Buffer a record, or start from a snapshot if the buffer has all later records."""
+    assert view.buffered is not None
+    buffered = (*view.buffered, record)[-BUFFER_LIMIT:]
+    first = buffered[0].offset
     if change is not Change.SNAPSHOT or value["through"] < first:
-        return attrs.evolve(view, waiting=kept)
+        return attrs.evolve(view, buffered=buffered)
     start = View(
         value["through"],
         {item["name"]: _read_node(item) for item in value["entries"]},
         {item["name"]: _read_voter(item) for item in value["voters"]},
     )
-    for later in kept:
+    for later in buffered:
         start = fold(start, later)
     return start
 
@@ -178,14 +183,14 @@
         voter = _read_voter(value)
         voters[voter.node.name] = voter
     elif change is Change.GONE:
-        _discard(entries, value, lambda node: node)
+        _remove_incarnation(entries, value, lambda node: node)
     elif change is Change.REMOVE:
-        _discard(voters, value, lambda voter: voter.node)
+        _remove_incarnation(voters, value, lambda voter: voter.node)
     return attrs.evolve(view, entry_by_name=entries, voter_by_name=voters)
 
 
-def _discard(item_by_name: dict[str, Any], value: Any, node_of: Any) -> None:
-    """Drop an incarnation; a newer one under the same name stays."""
+def _remove_incarnation(item_by_name: dict[str, Any], value: Any, node_of: Any) -> None:
+    """Remove an incarnation of a node; another one under the same name stays."""
     item = item_by_name.get(value["name"])
     if item is not None and node_of(item).boot == value["boot"]:
         del item_by_name[value["name"]]
@@ -208,37 +213,37 @@
 
 
 def entry_record(node: messages.Node) -> bytes:
-    """Return the JSON text that announces an entry host.
+    """Return the JSON text of a record that announces an entry host.
 
     :param node: the entry host.
     """
-    return _dump({"type": Change.ENTRY, **attrs.asdict(node)})
+    return _encode({"type": Change.ENTRY, **attrs.asdict(node)})
 
 
 def voter_record(hello: messages.Hello) -> bytes:
-    """Return the JSON text that makes an agent a voter.
+    """Return the JSON text of a record that makes an agent a voter.
 
     :param hello: the agent's announcement.
     """
     voter = Voter(hello.node, hello.region, hello.data_centre, hello.rack)
-    return _dump({"type": Change.VOTER, **_voter_fields(voter)})
+    return _encode({"type": Change.VOTER, **_voter_fields(voter)})
 
 
 def removal_record(change: Change, node: messages.Node) -> bytes:
-    """Return the JSON text that removes an incarnation.
+    """Return the JSON text of a record that removes an incarnation of a node.
 
     :param change: ``GONE`` for an entry host, ``REMOVE`` for a voter.
     :param node: the node to remove.
     """
-    return _dump({"type": change, "name": node.name, "boot": node.boot})
+    return _encode({"type": change, "name": node.name, "boot": node.boot})
 
 
 def snapshot_record(view: View) -> bytes:
-    """Return the JSON text of a whole view, for readers without older records.
+    """Return the JSON text of a snapshot, for readers that lack older records.
 
     :param view: the view to write.
     """
-    return _dump(
+    return _encode(
         {
             "type": Change.SNAPSHOT,
             "through": view.number,
@@ -257,22 +262,22 @@
     }
 
 
-def _dump(value: Mapping[str, object]) -> bytes:
+def _encode(value: Mapping[str, object]) -> bytes:
     return json.dumps(value, sort_keys=True).encode()
 
 
 def fold_page(view: View, message: messages.Records) -> Iterator[View]:
     """Yield the view after each new record of a page, and after the page.
 
-    A page may end with records that were left out because their ids had come
-    before; the number passes over them, so that the next page is not taken for one
-    after a gap. After a real gap the view is incomplete until a snapshot comes.
+    The log client leaves out records with a repeated id. The number skips those at
+    the end of a page, so that they don't look like a gap before the next page. After
+    a real gap the view is incomplete until a snapshot is read.
 
     :param view: the view before the page.
     :param message: a page of the stream, without a gap inside.
     """
     if message.first > view.number:
-        view = attrs.evolve(view, number=message.first, waiting=())
+        view = attrs.evolve(view, number=message.first, buffered=())
         yield view
     last = view
     for last in fold_records(view, message.records):
@@ -282,9 +287,10 @@
 
 
 def fold_records(view: View, records: tuple[messages.LogRecord, ...]) -> Iterator[View]:
-    """Yield the view after each record that is new to it.
+    """Yield the view after each record that it does not include yet.
 
-    Members of claim groups need every step, because a group may change in each.
+    Members of claim groups need every view in between, because a group may change
+    with each record.
 
     :param view: the view before the records.
     :param records: records of the stream in offset order.
--- a/tests/test_catchup.py
+++ b/tests/test_catchup.py
@@ -92,11 +92,11 @@
 
 
 def test_no_reply_across_a_gap_of_the_stream():
-    """The records of a member that missed reconfigurations may be incomplete."""
+    """After missed reconfigurations, the records of a member may be incomplete."""
     member = catchup.Catchup(A["a1"], clock.ManualClock(), 600.0)
     member.advance(OLD)
     list(member.tick([]))
-    member.advance(attrs.evolve(OLD, number=9, waiting=()))
+    member.advance(attrs.evolve(OLD, number=9, buffered=()))
     assert not member.can_reply(5)
     member.advance(attrs.evolve(OLD, number=10))
     assert not member.can_reply(5)
@@ -170,7 +170,7 @@
     """The groups before a snapshot are not known, so no member can be asked."""
     time = clock.ManualClock()
     member = catchup.Catchup(A["a1"], time, 600.0)
-    member.advance(views.View(5, waiting=()))
+    member.advance(views.View(5, buffered=()))
     member.advance(builders.view_of("a1", "a2", "a3"))
     for name in ("a2", "a3"):
         member.record_reply(A[name], member.view.number)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,4 +1,4 @@
-"""Guards the appends to the members stream: due changes only, by one entry host."""
+"""Guards appends to the members stream: only due changes, by one entry host each."""
 
 import pytest
 
@@ -18,12 +18,13 @@
     return clock.ManualClock()
 
 
-def tick(time, view, agents=(), entries=ENTRIES, own="e1", made=None):
+def tick(time, view, agents=(), entries=ENTRIES, own="e1", publisher=None):
     """Return the records that an entry host appends, by name of the node changed."""
-    made = made or membership.MembershipPublisher(builders.node(own), time)
+    publisher = publisher or membership.MembershipPublisher(builders.node(own), time)
     others = [builders.node(name) for name in entries if name != own]
     values = [
-        views.json.loads(each.value) for each in made.tick(view, list(agents), others)
+        views.json.loads(each.value)
+        for each in publisher.tick(view, list(agents), others)
     ]
     return {value["name"]: value["type"] for value in values}
 
@@ -37,47 +38,50 @@
 
 
 def test_entry_hosts_append_one_after_the_other(time):
-    """Entry hosts that all append the same change waste the log's rate."""
-    rosters = {
+    """Duplicate appends by all entry hosts would use up the rate of the log."""
+    publisher_by_name = {
         name: membership.MembershipPublisher(builders.node(name), time)
         for name in ENTRIES
     }
     agents = [builders.hello("a1")]
     counts = []
     for _ in range(3):
-        done = [tick(time, BASE, agents, own=n, made=r) for n, r in rosters.items()]
-        counts.append(done.count({"a1": "voter"}))
+        appended = [
+            tick(time, BASE, agents, own=own, publisher=publisher)
+            for own, publisher in publisher_by_name.items()
+        ]
+        counts.append(appended.count({"a1": "voter"}))
         time.advance(membership.RANK_DELAY_S)
     assert counts == [1, 1, 1]
 
 
-def test_lost_append_is_repeated_and_a_done_change_is_not(time):
-    """An append whose answer was lost must not leave the view as it was."""
-    made = membership.MembershipPublisher(builders.node("e1"), time)
+def test_lost_append_is_repeated_until_the_view_has_the_change(time):
+    """An append without an answer must not leave the view unchanged."""
+    publisher = membership.MembershipPublisher(builders.node("e1"), time)
     agents = [builders.hello("a1")]
-    alone = {"agents": agents, "entries": ("e1",), "made": made}
+    alone = {"agents": agents, "entries": ("e1",), "publisher": publisher}
     view = builders.fold(views.View(), views.entry_record(builders.node("e1")))
     assert tick(time, view, **alone) == {"a1": "voter"}
-    time.advance(membership.REPEAT_S - 0.1)
+    time.advance(membership.REPEAT_INTERVAL_S - 0.1)
     assert tick(time, view, **alone) == {}
     time.advance(0.1)
     assert tick(time, view, **alone) == {"a1": "voter"}
     after = builders.fold(view, views.voter_record(agents[0]))
-    time.advance(membership.REPEAT_S)
+    time.advance(membership.REPEAT_INTERVAL_S)
     assert tick(time, after, **alone) == {}
 
 
 def test_only_agents_that_stay_become_voters(time):
-    """A draining voter would leave its groups at once."""
+    """A draining agent would soon leave its groups again."""
     agents = [builders.hello("a1", draining=True), builders.hello("a2", boot=2)]
     view = builders.fold(BASE, builders.voter("a2"))
-    made = membership.MembershipPublisher(builders.node("e1"), time)
-    alone = {"agents": agents, "made": made, "entries": ("e1",)}
+    publisher = membership.MembershipPublisher(builders.node("e1"), time)
+    alone = {"agents": agents, "publisher": publisher, "entries": ("e1",)}
     assert tick(time, view, **alone) == {"a2": "voter"}
 
 
 def test_voters_of_a_region_are_bounded(time, monkeypatch):
-    """More voters mean a view change for nearly every restart."""
+    """With more voters, nearly every restart would change the view."""
     monkeypatch.setattr(views, "VOTERS_PER_REGION_LIMIT", 2)
     view = builders.fold(BASE, builders.voter("a1"))
     names = ("a1", "a2", "a3")
@@ -90,59 +94,62 @@
 
 
 @pytest.mark.parametrize(
-    ("loss_s", "entries", "lost", "change"),
+    ("timeout_s", "entries", "lost", "change"),
     [
-        (membership.VOTER_LOSS_S, ("e1",), "a1", "remove"),
-        (membership.ENTRY_LOSS_S, ("e1",), "e2", "gone"),
+        (membership.VOTER_TIMEOUT_S, ("e1",), "a1", "remove"),
+        (membership.ENTRY_TIMEOUT_S, ("e1",), "e2", "gone"),
     ],
 )
-def test_loss_counts_only_after_its_time(time, loss_s, entries, lost, change):
-    """A short cut must not change the view, and a reconnect starts the time anew."""
+def test_node_is_removed_after_its_timeout(time, timeout_s, entries, lost, change):
+    """A short loss must not change the view, and a reconnect resets the timeout."""
     view = builders.fold(BASE, builders.voter("a1"))
-    made = membership.MembershipPublisher(builders.node("e1"), time)
-    back = {"agents": [builders.hello("a1")], "made": made}
+    publisher = membership.MembershipPublisher(builders.node("e1"), time)
+    back = {"agents": [builders.hello("a1")], "publisher": publisher}
     for _ in range(2):
-        assert lost not in tick(time, view, entries=entries, made=made)
-        time.advance(loss_s - 0.1)
-        assert lost not in tick(time, view, entries=entries, made=made)
+        assert lost not in tick(time, view, entries=entries, publisher=publisher)
+        time.advance(timeout_s - 0.1)
+        assert lost not in tick(time, view, entries=entries, publisher=publisher)
         tick(time, view, **back)
-    assert lost not in tick(time, view, entries=entries, made=made)
-    time.advance(loss_s)
-    assert tick(time, view, entries=entries, made=made)[lost] == change
+    assert lost not in tick(time, view, entries=entries, publisher=publisher)
+    time.advance(timeout_s)
+    assert tick(time, view, entries=entries, publisher=publisher)[lost] == change
 
 
-def test_voter_that_comes_back_is_removed_ever_later(time):
-    """Two entry hosts must not remove and add a voter in turn for ever.
+def test_timeout_grows_with_each_removal_of_a_voter(time):
+    """Two entry hosts must not remove and add a voter in turn forever.
 
-    One that is cut off from an agent removed it every 10 s, the other one added it.
+    An entry host without a connection to an agent removed it every 10 s, and another
+    one with a connection added it again.
     """
-    made = membership.MembershipPublisher(builders.node("e1"), time)
+    publisher = membership.MembershipPublisher(builders.node("e1"), time)
     view = builders.fold(BASE, builders.voter("a1"))
     removals = 0
     for _ in range(90):
         time.advance(1.0)
-        if tick(time, view, made=made):
+        if tick(time, view, publisher=publisher):
             removals += 1
-            tick(time, BASE, made=made)
+            tick(time, BASE, publisher=publisher)
     assert removals == 3
 
 
 def test_restarted_voter_does_not_count_twice(time, monkeypatch):
-    """A voter that comes back must not keep a new agent out of the region."""
+    """A restarted voter must not take the place of a new agent in the region."""
     monkeypatch.setattr(views, "VOTERS_PER_REGION_LIMIT", 2)
     view = builders.fold(BASE, views.voter_record(builders.hello("a1")))
     agents = [builders.hello("a1", boot=2), builders.hello("a2")]
-    made = membership.MembershipPublisher(builders.node("e1"), time)
+    publisher = membership.MembershipPublisher(builders.node("e1"), time)
     appended = {}
     for _ in ENTRIES:
-        appended |= tick(time, view, agents, made=made)
+        appended |= tick(time, view, agents, publisher=publisher)
         time.advance(membership.RANK_DELAY_S)
     assert appended == {"a1": "voter", "a2": "voter"}
 
 
 def test_entry_host_does_not_remove_itself(time):
-    """It is never among its own connections."""
-    made = membership.MembershipPublisher(builders.node("e1"), time)
+    """An entry host has no connection to itself."""
+    publisher = membership.MembershipPublisher(builders.node("e1"), time)
     for _ in range(2):
-        assert "e1" not in tick(time, BASE, made=made)
-        time.advance(membership.ENTRY_LOSS_S + len(ENTRIES) * membership.RANK_DELAY_S)
+        assert "e1" not in tick(time, BASE, publisher=publisher)
+        time.advance(
+            membership.ENTRY_TIMEOUT_S + len(ENTRIES) * membership.RANK_DELAY_S
+        )
--- a/tests/test_table.py
+++ b/tests/test_table.py
@@ -21,9 +21,9 @@
 
 
 def _fold(records, start=0):
-    """Fold records as a reader whose first kept offset is ``start``."""
-    kept = tuple(record for record in records if record.offset >= start)
-    page = messages.Records("table", start, len(records), kept)
+    """Fold records as a reader of a log that begins at offset ``start``."""
+    retained = tuple(record for record in records if record.offset >= start)
+    page = messages.Records("table", start, len(records), retained)
     return table.fold_page(table.Table(), page)
 
 
@@ -31,7 +31,7 @@
     return [result.effect.value for _, result in results]
 
 
-def test_race_is_decided_by_the_order_of_the_log():
+def test_log_order_decides_between_concurrent_changes():
     """Two changes based on the same version must not both be accepted."""
     first, second = BATCH, table.Row("class", "batch", weight=2)
     values = [table.row_record(first, 0), table.row_record(second, 0)]
@@ -42,8 +42,8 @@
     assert folded.row("class", "other") == table.Row("class", "other")
 
 
-def test_late_duplicate_does_not_bring_a_deleted_row_back():
-    """A deleted row keeps a version, or a repeated creation is accepted."""
+def test_late_duplicate_does_not_restore_a_deleted_row():
+    """Without the version of the deletion, a repeated creation would be accepted."""
     create = table.row_record(BATCH, 0)
     values = [create, table.deletion_record(BATCH.key, 1), create]
     records = [_record(n, value) for n, value in enumerate(values)]
@@ -73,8 +73,8 @@
         b'{"type":"snapshot","through":0,"next":0,"rows":[{}],"deleted":[]}',
     ],
 )
-def test_malformed_change_is_ignored_and_told(change):
-    """A record that no editor wrote must not stop a reader."""
+def test_malformed_change_is_ignored_and_reported(change):
+    """A malformed record in the log must not stop a reader."""
     before, _ = _fold([_record(0, table.row_record(BATCH, 0))])
     after, result = table.fold(before, _record(1, change))
     assert result.effect is table.Effect.MALFORMED
@@ -84,7 +84,7 @@
 
 
 def test_unknown_column_is_left_out():
-    """A change of a newer release must not be a conflict for older readers only."""
+    """Readers of an older release must accept a change with a newer column."""
     change = {"type": "set", "row": {"scope": "class", "name": "a", "x": 1}}
     value = json.dumps({**change, "based_on": 0}).encode()
     folded, results = _fold([_record(0, value)])
@@ -94,7 +94,7 @@
 
 @strategies.composite
 def logs(draw):
-    """Draw a stream: changes, stale changes, duplicates, snapshots of slow writers."""
+    """Draw a stream of current and stale changes, duplicates and late snapshots."""
     records: list[messages.LogRecord] = []
     tables = [table.Table()]
     for offset in range(draw(strategies.integers(1, 25))):
@@ -118,13 +118,13 @@
 
 @hypothesis.given(logs(), strategies.data())
 def test_every_reader_agrees_wherever_it_starts(records, data):
-    """A reader that starts after expiry has the same rows or knows it lacks some."""
+    """A reader that starts after expiry has the same rows or is marked incomplete."""
     full, _ = _fold(records)
     start = data.draw(strategies.integers(0, len(records)))
     late, _ = _fold(records, start)
     if late.is_complete:
         assert late == full
-    # A reader that was cut off keeps its rows and catches up in the same way.
+    # A reader that was offline keeps its rows and catches up in the same way.
     cut = data.draw(strategies.integers(0, start))
     before, _ = _fold(records[:cut])
     page = messages.Records("table", start, len(records), tuple(records[start:]))
@@ -135,7 +135,7 @@
 
 @hypothesis.given(logs(), strategies.data())
 def test_stale_record_never_lowers_the_version(records, data):
-    """Records in any order and any number must never take the table back."""
+    """Records in any order, also repeated ones, must never lower the version."""
     folded = table.Table()
     for record in data.draw(strategies.lists(strategies.sampled_from(records))):
         after, result = table.fold(folded, record)
@@ -146,7 +146,7 @@
 
 
 def test_reader_starts_at_a_snapshot_and_applies_changes_around_it():
-    """Changes between a snapshot's reading and its append must not be lost."""
+    """Changes between the end of a snapshot and its append must not be lost."""
     values = [table.row_record(BATCH, 0), table.row_record(table.Row("class", "a"), 0)]
     early, _ = _fold([_record(0, values[0])])
     values += [table.snapshot_record(early), table.deletion_record(BATCH.key, 1)]
@@ -163,7 +163,7 @@
 
 
 def test_row_is_checked_with_all_problems_at_once():
-    """An operator must see every problem of a row in one go."""
+    """An operator must get all problems of a row in one message."""
     columns = {
         "scope": "team",
         "name": "a b",
--- a/tests/test_tablereplica.py
+++ b/tests/test_tablereplica.py
@@ -1,4 +1,4 @@
-"""Guards the table of a node: it follows every source and never goes back."""
+"""Guards the table of a node: it accepts every source and never gets older."""
 
 import random
 
@@ -15,15 +15,15 @@
 
 
 def changes(count):
-    """Return records of a row that is set again and again, and conflicts."""
-    made, version = [], 0
+    """Return records that set one row repeatedly, every fourth of them a conflict."""
+    records, version = [], 0
     for offset in range(count):
         is_conflict = offset % 4 == 3
         row = table.Row("class", "batch", weight=offset + 1)
         based_on = 0 if is_conflict else version
-        made.append(record(offset, table.row_record(row, based_on)))
+        records.append(record(offset, table.row_record(row, based_on)))
         version = version if is_conflict else offset + 1
-    return made
+    return records
 
 
 def page(records, first=None):
@@ -32,28 +32,30 @@
 
 
 def read(*pages, **fields):
-    made = tablereplica.TableReplica(**fields)
+    replica = tablereplica.TableReplica(**fields)
     for each in pages:
-        made.apply_log_page(each)
-    return made
+        replica.apply_log_page(each)
+    return replica
 
 
-def state(made):
-    return made.version, made.table.row_by_key
+def state(replica):
+    return replica.version, replica.table.row_by_key
 
 
 @pytest.mark.parametrize("seed", range(30))
 def test_pages_in_any_order_never_lower_the_version(seed):
-    """Older, repeated and reordered pages of peers and of the log come at any time."""
+    """Peers and the log may deliver old, repeated and reordered pages at any time."""
     rng = random.Random(seed)
-    made = changes(40)
-    source = read(page(made))
+    records = changes(40)
+    source = read(page(records))
     target = tablereplica.TableReplica()
     versions = [0]
     for _ in range(60):
         start = rng.randrange(40)
-        part = page(made[start : start + rng.randint(1, 12)])
-        older = read(page(made[: rng.randint(1, 40)]), kept_limit=rng.choice([0, 50]))
+        part = page(records[start : start + rng.randint(1, 12)])
+        older = read(
+            page(records[: rng.randint(1, 40)]), record_limit=rng.choice([0, 50])
+        )
         choice = rng.randrange(3)
         if choice == 0 and part.first <= target.table.next:
             target.apply_log_page(part)
@@ -63,7 +65,7 @@
             for each in older.pages_since(rng.randrange(40)):
                 target.apply_peer_page("peer", each)
         versions.append(target.version)
-        expected = read(page(made[: target.version])) if target.version else target
+        expected = read(page(records[: target.version])) if target.version else target
         assert state(target) == state(expected)
     assert versions == sorted(versions)
     for each in source.pages_since(target.version):
@@ -71,13 +73,13 @@
     assert state(target) == state(source)
 
 
-@pytest.mark.parametrize("kept_limit", [0, 2000])
-def test_node_behind_gets_what_it_lacks(kept_limit):
-    """A node at any older version must reach the newest from one that is ahead."""
-    made = changes(30)
-    source = read(page(made), kept_limit=kept_limit)
+@pytest.mark.parametrize("record_limit", [0, 2000])
+def test_node_behind_gets_what_it_lacks(record_limit):
+    """A node at any older version must get the newest table from one that is ahead."""
+    records = changes(30)
+    source = read(page(records), record_limit=record_limit)
     for count in range(1, 30):
-        target = read(page(made[:count]))
+        target = read(page(records[:count]))
         for each in source.pages_since(target.version):
             target.apply_peer_page("peer", each)
         assert state(target) == state(source)
@@ -86,33 +88,33 @@
 
 def test_gap_in_the_log_is_closed_by_a_peer():
     """Expired records must neither lower the version nor block later changes."""
-    made = changes(30)
-    target = read(page(made[:5]), page(made[10:30]))
+    records = changes(30)
+    target = read(page(records[:5]), page(records[10:30]))
     assert (target.version, target.table.is_complete) == (5, False)
-    for each in read(page(made[:20])).pages_since(5):
+    for each in read(page(records[:20])).pages_since(5):
         target.apply_peer_page("peer", each)
-    assert state(target) == state(read(page(made)))
+    assert state(target) == state(read(page(records)))
     assert target.table.is_complete
 
 
-def test_snapshot_bounds_what_is_kept():
-    """Records that a snapshot covers would add up for the life of the process."""
-    made = changes(20)
-    source = read(page(made))
+def test_snapshot_bounds_the_stored_records():
+    """Records that a snapshot includes would accumulate as long as the process runs."""
+    records = changes(20)
+    source = read(page(records))
     later = [record(20, table.snapshot_record(source.table))]
     source.apply_log_page(page(later))
-    assert source.kept == 0
+    assert source.record_count == 0
     row = table.Row("class", "web")
     source.apply_log_page(page([record(21, table.row_record(row, 0))]))
-    assert source.kept == 1
-    target = read(page(made[:2]))
+    assert source.record_count == 1
+    target = read(page(records[:2]))
     for each in source.pages_since(2):
         target.apply_peer_page("peer", each)
     assert state(target) == state(source)
 
 
-def test_majority_of_peers_vouches_only_with_their_version_reached():
-    """After a restart in an outage, an older table must not count as current."""
+def test_table_is_current_once_it_has_the_versions_of_a_majority():
+    """After a restart during an outage, an older table must not count as current."""
     source = read(page(changes(9)))
     target = tablereplica.TableReplica()
     others = {"e2", "e3"}
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -1,4 +1,4 @@
-"""Guards the membership view: the same records give everybody the same groups."""
+"""Guards the membership view: the same records give every process the same groups."""
 
 import pytest
 from hypothesis import given, settings
@@ -50,7 +50,7 @@
 @PROPERTY
 @given(CHANGES, st.lists(st.integers(0, 20), max_size=4))
 def test_same_records_give_the_same_groups(values, malformed):
-    """Batches that overlap and malformed records must not split the processes."""
+    """Processes must agree despite overlapping batches and malformed records."""
     for position in malformed:
         values.insert(position, GARBAGE[position % len(GARBAGE)])
     records = tuple(
@@ -69,7 +69,7 @@
 
 @pytest.mark.parametrize("value", GARBAGE, ids=lambda value: str(value[:50]))
 def test_malformed_record_changes_only_the_number(value):
-    """One bad record in the log must not stop every process that reads it."""
+    """A malformed record in the log must not stop the processes that read it."""
     view = builders.view_of("a1", "a2")
     after = builders.fold(view, value)
     assert after == builders.attrs.evolve(view, number=view.number + 1)
@@ -79,7 +79,7 @@
 @PROPERTY
 @given(CHANGES, st.one_of(VOTERS, REMOVALS))
 def test_change_of_one_voter_touches_only_its_groups(values, change):
-    """Every other group would have to catch up for nothing."""
+    """Other groups would have to catch up without need."""
     before = builders.fold(views.View(), *values)
     after = builders.fold(before, change)
     name = views.json.loads(change)["name"]
@@ -89,7 +89,7 @@
 
 @PROPERTY
 @given(CHANGES)
-def test_members_stand_in_different_places(values):
+def test_members_are_in_different_data_centres_and_racks(values):
     """The loss of one data centre or rack must cost at most one member."""
     view = builders.fold(views.View(), *values)
     voters = view.voter_by_name
@@ -103,14 +103,14 @@
 
 
 def test_groups_spread_over_all_voters():
-    """A group that ignored the job would give three agents all claims."""
+    """If groups did not depend on the job, three agents would get all claims."""
     view = builders.view_of(*(f"a{number}" for number in range(8)))
     used = {name for group in groups(view) for name, _ in group}
     assert used == set(view.voter_by_name)
 
 
 def test_late_removal_does_not_hit_the_next_boot():
-    """A removal that lost the race against a restart must not remove the new boot."""
+    """A removal appended after a restart must not remove the new incarnation."""
     view = builders.fold(builders.view_of("a1"), builders.voter("a1", 2))
     view = builders.fold(view, builders.removal("a1", boot=1))
     assert view.is_voter(builders.node("a1", boot=2))
@@ -124,29 +124,29 @@
 
 
 def test_old_record_is_ignored():
-    """A record folded twice would undo what came after it."""
+    """A record folded twice would undo the records after it."""
     view = builders.fold(builders.view_of("a1", "a2"), builders.removal("a1"))
     old = messages.LogRecord(0, "id", builders.voter("a1"))
     assert views.fold(view, old) == view
 
 
 def test_late_snapshot_does_not_undo_changes():
-    """A snapshot appended late must not undo changes made since it was taken.
+    """A snapshot that is appended late must not undo the changes made meanwhile.
 
-    ``test_view_snapshot`` guards the readers that start from a snapshot.
+    ``test_view_snapshot`` covers readers that start from a snapshot.
     """
-    whole = builders.fold(
+    earlier = builders.fold(
         builders.view_of("a1", "a2"), views.entry_record(builders.node("e1"))
     )
-    start = builders.fold(whole, builders.removal("a1"))
-    read = builders.fold(start, views.snapshot_record(whole))
-    assert read.voter_by_name == start.voter_by_name
-    assert read.entry_by_name == start.entry_by_name
+    before = builders.fold(earlier, builders.removal("a1"))
+    after = builders.fold(before, views.snapshot_record(earlier))
+    assert after.voter_by_name == before.voter_by_name
+    assert after.entry_by_name == before.entry_by_name
 
 
 @pytest.mark.parametrize(("size", "needed"), [(1, 1), (2, 2), (3, 2), (4, 3), (5, 3)])
 def test_majority(size, needed):
-    """Two majorities of one group must share a member."""
+    """Two majorities of one group must have a member in common."""
     assert views.majority(size) == needed
 
 
--- a/tests/test_view_snapshot.py
+++ b/tests/test_view_snapshot.py
@@ -22,7 +22,7 @@
 
 
 def _stream():
-    """Return entry hosts that come and go, and a snapshot in the middle."""
+    """Return records of entry hosts that start and stop, with a snapshot in between."""
     records = [_record(i, views.entry_record(_node(f"e{i}"))) for i in range(4)]
     snapshot = views.snapshot_record(_fold(records[:3]))
     records.append(_record(4, views.removal_record(views.Change.GONE, _node("e0"))))
@@ -32,14 +32,14 @@
 
 
 def test_reader_from_the_snapshot_has_the_same_view():
-    """Records between the snapshot's state and its append must not be lost."""
+    """Records between the end of a snapshot and its append must not be lost."""
     records = _stream()
     assert _fold(records[3:]) == _fold(records)
     assert set(_fold(records).entry_by_name) == {"e1", "e2", "e3", "e6"}
 
 
-def test_snapshot_with_a_gap_before_the_kept_records_is_not_used():
-    """A record between the snapshot's state and the first kept one is missing."""
+def test_snapshot_with_a_gap_before_the_buffered_records_is_not_used():
+    """A record between the end of the snapshot and the buffered ones is missing."""
     view = _fold(_stream()[4:])
     assert not view.is_complete
     assert not view.entry_by_name
@@ -51,8 +51,8 @@
     assert _fold(records[:5]).entry_by_name == _fold(records[:6]).entry_by_name
 
 
-def test_left_out_duplicate_is_no_gap():
-    """A repeated record that the log client leaves out must not stop the view."""
+def test_omitted_duplicate_is_no_gap():
+    """A duplicate that the log client leaves out must not make the view incomplete."""
     records = _stream()
     first = messages.Records(views.STREAM, 0, 4, tuple(records[:4]))
     repeated = messages.Records(views.STREAM, 4, 5, ())
@@ -65,11 +65,11 @@
 
 
 def test_gap_waits_for_a_snapshot():
-    """A reader cut off for longer than the retention must not go on with old nodes."""
+    """A reader that was offline beyond the retention must not go on with old nodes."""
     records = _stream()
     before = _fold(records[:1])
     page = messages.Records(views.STREAM, 3, 7, tuple(records[3:]))
     *_, view = views.fold_page(before, page)
     assert view == _fold(records)
-    *_, stuck = views.fold_page(before, attrs.evolve(page, next=5, records=()))
-    assert not stuck.is_complete
+    *_, incomplete = views.fold_page(before, attrs.evolve(page, next=5, records=()))
+    assert not incomplete.is_complete
