Name the fixtures of the claim and catch-up tests plainly

Change: names only, and one comment on the removals counted by the membership publisher; its record id is called so.

--- a/src/burdockgate/process/membership.py
+++ b/src/burdockgate/process/membership.py
@@ -48,6 +48,7 @@
         self._node = node
         self._time = time
         self._pending_by_key: dict[tuple[str, str, int], _PendingChange] = {}
+        # Boot of the last removed incarnation, and how often it was removed.
         self._removals_by_name: dict[str, tuple[int, int]] = {}
 
     def tick(
@@ -76,8 +77,8 @@
                 pending, wait_s + RANK_DELAY_S * rank(key[1], self._node, names)
             ):
                 pending.appended_at = self._time.now()
-                stream_id = f"{key[0]}-{key[1]}-{key[2]}-{view.number}"
-                yield effects.Append(views.STREAM, stream_id, value)
+                record_id = f"{key[0]}-{key[1]}-{key[2]}-{view.number}"
+                yield effects.Append(views.STREAM, record_id, value)
 
     def _count_removal(self, view: views.View, key: tuple[str, str, int]) -> None:
         """Count the removals of a voter that is not connected to this entry host.
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -15,11 +15,11 @@
 
 
 def make_store(time=None, own="a1"):
-    made = claims.ClaimStore(
+    store = claims.ClaimStore(
         builders.node(own), time or clock.ManualClock(), 300.0, 3900.0
     )
-    made.catchup.advance(builders.view_of("a1", "a2", "a3"))
-    return made
+    store.catchup.advance(builders.view_of("a1", "a2", "a3"))
+    return store
 
 
 def vote(store, group=GROUP, **fields):
@@ -57,11 +57,11 @@
     other = builders.view_of("a1", "a2", "a4")
     assert vote(store, other.group(builders.JOB)).verdict is V.STALE_VIEW
     assert vote(store, epoch=0).verdict is V.FREE
-    assert len(store) == 0, "a question must not block the first claim"
-    entering = make_store(own="a4")
-    entering.catchup.advance(builders.fold(entering.catchup.view, builders.voter("a4")))
-    group = entering.catchup.view.group(builders.JOB)
-    assert vote(entering, group).verdict is V.CATCHING_UP
+    assert len(store) == 0, "a query must not block the first claim"
+    joining = make_store(own="a4")
+    joining.catchup.advance(builders.fold(joining.catchup.view, builders.voter("a4")))
+    group = joining.catchup.view.group(builders.JOB)
+    assert vote(joining, group).verdict is V.CATCHING_UP
 
 
 def test_scopes_never_shrink_and_codes_stay_within_the_attempt():
@@ -159,18 +159,18 @@
     Member 2 granted epoch 2, then members 1 and 3 closed the attempt; member 1 was
     lost, and its replacement merged the records of members 2 and 3.
     """
-    closed, granted, entering = make_store(), make_store(), make_store()
+    closed, granted, joining = make_store(), make_store(), make_store()
     vote(closed, scope=S1, code=110)
     vote(granted, epoch=2, owner="e2", scope=S2)
     records = [builders.claim_record("e1", code=110, scope=S1), record_of(granted)]
-    entering.merge(records[::order])
+    joining.merge(records[::order])
     for owner, epoch in (("e2", 2), ("e3", 4)):
         assert vote(closed, owner=owner, epoch=epoch).verdict is V.HELD
-        assert vote(entering, owner=owner, epoch=epoch).verdict is V.HELD
-    assert set(record_of(entering).scope) == set(S1 + S2)
-    assert codes.start_of(record_of(entering).code) is codes.Start.MAY_HAVE_RUN
+        assert vote(joining, owner=owner, epoch=epoch).verdict is V.HELD
+    assert set(record_of(joining).scope) == set(S1 + S2)
+    assert codes.start_of(record_of(joining).code) is codes.Start.MAY_HAVE_RUN
     # The next attempt of a repeatable job is open.
-    assert vote(entering, owner="e3", epoch=4, attempt=2).verdict is V.GRANTED
+    assert vote(joining, owner="e3", epoch=4, attempt=2).verdict is V.GRANTED
 
 
 def test_record_is_kept_until_deadline_and_retention():
--- a/tests/test_jobrecord.py
+++ b/tests/test_jobrecord.py
@@ -11,7 +11,7 @@
 from burdockgate.request import jobrecord
 
 STATE = messages.TaskState
-OK, EPOCH, FENCE = jobrecord.Admission
+OK, OLD_EPOCH, OLD_FENCE = jobrecord.Admission
 NUMBER = st.integers(1, 3)
 STEPS = st.one_of(
     st.tuples(NUMBER, NUMBER, NUMBER, st.none() | NUMBER, st.booleans()),
@@ -51,9 +51,9 @@
 @pytest.mark.parametrize(
     ("numbers", "admission"),
     [
-        ((1, 9, 2), EPOCH),
-        ((3, 9, 1), EPOCH),
-        ((2, 1, 2), FENCE),
+        ((1, 9, 2), OLD_EPOCH),
+        ((3, 9, 1), OLD_EPOCH),
+        ((2, 1, 2), OLD_FENCE),
         ((2, 2, 2), OK),
         ((3, 0, 2), OK),
         ((3, 0, 3), OK),
@@ -61,8 +61,8 @@
 )
 def test_old_owner_or_fence_is_refused(job, numbers, admission):
     assert job.admit(*numbers, "e2") is admission
-    taken = (*numbers, "e2") if admission is OK else (2, 2, 2, "e1")
-    assert (job.epoch, job.fence, job.attempt, job.owner) == taken
+    expected = (*numbers, "e2") if admission is OK else (2, 2, 2, "e1")
+    assert (job.epoch, job.fence, job.attempt, job.owner) == expected
 
 
 def test_send_is_new_only_after_a_return(job):
