--- a/src/burdockgate/process/backlog.py
+++ b/src/burdockgate/process/backlog.py
@@ -21,7 +21,7 @@
 SECONDS_PER_WAITING_TASK = 0.02
 # Jobs of which nothing can be sent that one round looks at. Without a bound each
 # message would visit the whole backlog while the free workers are outside the scopes.
-PASSED_LIMIT = 64
+SKIPPED_JOBS_LIMIT = 64
 
 
 @attrs.define
@@ -36,17 +36,17 @@
     weight: float
     virtual_time: float
     heap: list[tuple[float, int, ownedjob.OwnedJob]] = attrs.field(factory=list)
-    tasks: int = 0
-    dropped: int = 0
-    last_rank: float = 0.0
+    waiting_tasks: int = 0
+    stale_entries: int = 0
+    highest_rank: float = 0.0
 
 
 @attrs.define
-class _Queued:
+class _QueuedJob:
     """A queued job; an entry of the heap with another number counts no more."""
 
     number: int
-    tasks: int
+    waiting_tasks: int
 
 
 class Backlog:
@@ -59,8 +59,8 @@
         self._may_start = may_start
         self._queue_by_class: dict[str, _ClassQueue] = {}
         self._virtual_time = 0.0
-        self._counter = itertools.count()
-        self._queued_by_job: dict[ownedjob.OwnedJob, _Queued] = {}
+        self._entry_numbers = itertools.count()
+        self._queued_by_job: dict[ownedjob.OwnedJob, _QueuedJob] = {}
 
     def add(self, job: ownedjob.OwnedJob, weight: float) -> None:
         """Queue a job unless it is queued.
@@ -74,31 +74,31 @@
             queue = _ClassQueue(weight, self._virtual_time)
             self._queue_by_class[name] = queue
         queue.weight = weight
-        self._drop_ended(queue)
+        self._remove_ended_jobs(queue)
         self._push(job)
 
-    def _drop_ended(self, queue: _ClassQueue) -> None:
+    def _remove_ended_jobs(self, queue: _ClassQueue) -> None:
         """Release jobs that ended while no slot was free, to bound the memory."""
         while queue.heap:
             _, number, job = queue.heap[0]
-            if self._is_queued(number, job) and job.outcome is None:
+            if self._is_current_entry(number, job) and job.outcome is None:
                 return
             self._pop(queue)
 
-    def _is_queued(self, number: int, job: ownedjob.OwnedJob) -> bool:
+    def _is_current_entry(self, number: int, job: ownedjob.OwnedJob) -> bool:
         queued = self._queued_by_job.get(job)
         return queued is not None and queued.number == number
 
     def _pop(self, queue: _ClassQueue) -> ownedjob.OwnedJob | None:
         """Take the first entry, and return its job unless it counts no more."""
         _, number, job = heapq.heappop(queue.heap)
-        if not self._is_queued(number, job):
-            queue.dropped -= 1
+        if not self._is_current_entry(number, job):
+            queue.stale_entries -= 1
             return None
-        queue.tasks -= self._queued_by_job.pop(job).tasks
+        queue.waiting_tasks -= self._queued_by_job.pop(job).waiting_tasks
         return job
 
-    def drop(self, job: ownedjob.OwnedJob) -> None:
+    def remove(self, job: ownedjob.OwnedJob) -> None:
         """Release a job that has ended.
 
         :param job: the job; one that is not queued is ignored.
@@ -107,53 +107,55 @@
         if queued is None:
             return
         queue = self._queue_by_class[job.request.caller_class]
-        queue.tasks -= queued.tasks
-        queue.dropped += 1
+        queue.waiting_tasks -= queued.waiting_tasks
+        queue.stale_entries += 1
         # Entries are removed in bulk, so that a wave of cancellations stays linear.
-        if queue.dropped > len(queue.heap) // 2:
+        if queue.stale_entries > len(queue.heap) // 2:
             queue.heap = [
-                entry for entry in queue.heap if self._is_queued(entry[1], entry[2])
+                entry
+                for entry in queue.heap
+                if self._is_current_entry(entry[1], entry[2])
             ]
             heapq.heapify(queue.heap)
-            queue.dropped = 0
+            queue.stale_entries = 0
 
-    def in_order(self) -> Iterator[ownedjob.OwnedJob]:
+    def jobs_in_order(self) -> Iterator[ownedjob.OwnedJob]:
         """Yield the jobs in the order of service; the caller sends their tasks.
 
         Each time the caller has taken tasks of a job, it calls :meth:`charge`. A
         job of which nothing was taken is passed over in this round. When many are,
         the round ends, and they go to the end so that the next round sees others.
         """
-        passed: list[ownedjob.OwnedJob] = []
+        skipped: list[ownedjob.OwnedJob] = []
         try:
-            while len(passed) < PASSED_LIMIT:
+            while len(skipped) < SKIPPED_JOBS_LIMIT:
                 if (name := self._next_class()) is None:
                     break
                 job = self._pop(self._queue_by_class[name])
                 if job is None or (before := job.waiting_count) == 0:
                     continue
-                passed.append(job)
+                skipped.append(job)
                 yield job
                 if job.waiting_count != before:
-                    self._push(passed.pop())
+                    self._push(skipped.pop())
         finally:
-            for job in passed:
-                self._push(job, is_last=len(passed) >= PASSED_LIMIT)
-            self._drop_empty()
+            for job in skipped:
+                self._push(job, is_last=len(skipped) >= SKIPPED_JOBS_LIMIT)
+            self._remove_idle_classes()
 
     def _push(self, job: ownedjob.OwnedJob, is_last: bool = False) -> None:
         tasks = job.waiting_count
         queued = self._queued_by_job.get(job)
         queue = self._queue_by_class[job.request.caller_class]
         if queued is not None:
-            queue.tasks += tasks - queued.tasks
-            queued.tasks = tasks
+            queue.waiting_tasks += tasks - queued.waiting_tasks
+            queued.waiting_tasks = tasks
         elif tasks:
-            number = next(self._counter)
-            self._queued_by_job[job] = _Queued(number, tasks)
-            queue.tasks += tasks
-            rank = queue.last_rank if is_last else _rank(job)
-            queue.last_rank = max(queue.last_rank, rank)
+            number = next(self._entry_numbers)
+            self._queued_by_job[job] = _QueuedJob(number, tasks)
+            queue.waiting_tasks += tasks
+            rank = queue.highest_rank if is_last else _rank(job)
+            queue.highest_rank = max(queue.highest_rank, rank)
             heapq.heappush(queue.heap, (rank, number, job))
 
     def charge(self, job: ownedjob.OwnedJob, work: float) -> None:
@@ -166,7 +168,7 @@
         self._virtual_time = max(self._virtual_time, queue.virtual_time)
         queue.virtual_time += work / queue.weight
 
-    def reweigh(self, weight: Callable[[str], float]) -> None:
+    def update_weights(self, weight: Callable[[str], float]) -> None:
         """Apply changed weights to the classes that are queued.
 
         :param weight: returns the weight of a class.
@@ -177,24 +179,26 @@
     @property
     def is_empty(self) -> bool:
         """Whether no task that may start waits; ended jobs may still be queued."""
-        return next(self.heads(), None) is None
+        return next(self.first_jobs(), None) is None
 
-    def heads(self) -> Iterator[ownedjob.OwnedJob]:
+    def first_jobs(self) -> Iterator[ownedjob.OwnedJob]:
         """Yield the first job with waiting tasks of each class that may start."""
         for name, queue in self._queue_by_class.items():
             if queue.heap and self._may_start(name):
                 while queue.heap:
                     _, number, job = queue.heap[0]
-                    if self._is_queued(number, job) and job.waiting_count:
+                    if self._is_current_entry(number, job) and job.waiting_count:
                         yield job
                         break
                     self._pop(queue)
 
-    def waiting(self) -> tuple[int, float]:
+    def demand(self) -> tuple[int, float]:
         """Return the number of waiting tasks and the weights of their classes."""
         queues = self._queue_by_class.values()
-        tasks = sum(queue.tasks for queue in queues)
-        return tasks, sum((queue.weight for queue in queues if queue.tasks), 0.0)
+        tasks = sum(queue.waiting_tasks for queue in queues)
+        return tasks, sum(
+            (queue.weight for queue in queues if queue.waiting_tasks), 0.0
+        )
 
     def _next_class(self) -> str | None:
         return min(
@@ -207,7 +211,7 @@
             default=None,
         )
 
-    def _drop_empty(self) -> None:
+    def _remove_idle_classes(self) -> None:
         """Forget classes without jobs once their virtual time is in the past."""
         if not any(queue.heap for queue in self._queue_by_class.values()):
             # Without a rival there is no debt to remember. Classes that each come
--- a/src/burdockgate/process/dispatch.py
+++ b/src/burdockgate/process/dispatch.py
@@ -13,17 +13,17 @@
 from burdockgate.request import ownedjob
 
 # Work of a task whose run time was not declared, in ms.
-UNDECLARED_WORK_MS = 100.0
+DEFAULT_WORK_MS = 100.0
 # Workers told of waiting tasks, when fewer tasks than this wait.
-ASKED_MIN = 64
+DEMAND_WORKERS_MIN = 64
 # A scope up to this size is searched in its order.
-SMALL_SCOPE = 16
+SMALL_SCOPE_SIZE = 16
 
 _Effects = Iterator[effects.Effect]
 
 
 @attrs.define
-class _Batches:
+class _StartBatches:
     """Tasks taken in one round, by agent and job, so that each pair is one message."""
 
     tasks_by_pair: dict[
@@ -34,10 +34,10 @@
     def add(self, job: ownedjob.OwnedJob, node: messages.Node) -> int:
         key = (node.name, job.request.job)
         _, _, tasks = self.tasks_by_pair.setdefault(key, (job, node, []))
-        tasks.append(job.take(node))
+        tasks.append(job.assign_next_task(node))
         return tasks[-1].index
 
-    def sends(self) -> _Effects:
+    def start_messages(self) -> _Effects:
         for job, node, tasks in self.tasks_by_pair.values():
             yield job.start_message(node, tasks)
 
@@ -63,8 +63,8 @@
         self._policy = policy
         self._counters = counters
         self._backlog_by_service: dict[str, backlog.Backlog] = {}
-        self._is_reweighed = False
-        self._heads_asked_by_service: dict[str, tuple[object, ...]] = {}
+        self._has_new_weights = False
+        self._notified_state_by_service: dict[str, tuple[object, ...]] = {}
 
     def add(self, job: ownedjob.OwnedJob, weight: float) -> None:
         """Queue a job that has waiting tasks.
@@ -79,73 +79,73 @@
             self._backlog_by_service[service] = queue
         queue.add(job, weight)
         # A returned task used no slot, so its class must not be charged for it.
-        for task in job.returned:
-            queue.charge(job, -_work(task))
+        for task in job.returned_tasks:
+            queue.charge(job, -_work_ms(task))
             if self._limits is not None:
-                self._limits.returned(job.request)
-        job.returned.clear()
+                self._limits.refund_start(job.request)
+        job.returned_tasks.clear()
 
-    def drop(self, job: ownedjob.OwnedJob) -> None:
+    def remove(self, job: ownedjob.OwnedJob) -> None:
         """Release a job that has ended or that another entry host owns now.
 
         :param job: the job.
         """
         queue = self._backlog_by_service.get(job.request.service)
         if queue is not None:
-            queue.drop(job)
+            queue.remove(job)
 
-    def reweigh(self, weight: Callable[[str, str], float]) -> None:
+    def update_weights(self, weight: Callable[[str, str], float]) -> None:
         """Apply changed weights to the jobs that wait.
 
         :param weight: returns the weight of a service and a class.
         """
         for service, queue in self._backlog_by_service.items():
-            queue.reweigh(functools.partial(weight, service))
-        self._is_reweighed = True
+            queue.update_weights(functools.partial(weight, service))
+        self._has_new_weights = True
 
     def _may_start(self, scope: str, name: str) -> bool:
         return self._limits is None or self._limits.may_start(scope, name)
 
-    def waiting(self) -> int:
+    def waiting_count(self) -> int:
         """Return the number of waiting tasks of all services."""
-        return sum(queue.waiting()[0] for queue in self._backlog_by_service.values())
+        return sum(queue.demand()[0] for queue in self._backlog_by_service.values())
 
-    def run(self, outside: Callable[[ownedjob.OwnedJob], None]) -> _Effects:
+    def run(self, on_outside_scope: Callable[[ownedjob.OwnedJob], None]) -> _Effects:
         """Send what can be sent now, and adjust the demand at the agents.
 
         :param outside: called with a job that has waiting tasks while slots are
             free only outside its scope.
         """
         for name, queue in self._backlog_by_service.items():
-            yield from self._serve(name, queue, outside)
-            yield from self._demand(name, queue)
-        self._is_reweighed = False
+            yield from self._send_tasks(name, queue, on_outside_scope)
+            yield from self._update_demand(name, queue)
+        self._has_new_weights = False
 
-    def _serve(
+    def _send_tasks(
         self,
         service: str,
         queue: backlog.Backlog,
-        outside: Callable[[ownedjob.OwnedJob], None],
+        on_outside_scope: Callable[[ownedjob.OwnedJob], None],
     ) -> _Effects:
         free = self._workers.service(service).available
         if not free or not self._may_start("service", service):
             return
-        batches = _Batches()
-        for job in queue.in_order():
-            if not self._take_one(queue, job, free, batches):
-                outside(job)
+        batches = _StartBatches()
+        for job in queue.jobs_in_order():
+            if not self._assign_one_task(queue, job, free, batches):
+                on_outside_scope(job)
             if not free or not self._may_start("service", service):
                 break
-        yield from batches.sends()
+        yield from batches.start_messages()
 
-    def _take_one(
+    def _assign_one_task(
         self,
         queue: backlog.Backlog,
         job: ownedjob.OwnedJob,
         free: pool.Pool,
-        batches: _Batches,
+        batches: _StartBatches,
     ) -> bool:
-        worker = self._pick(job, free)
+        worker = self._choose_worker(job, free)
         if worker is None:
             return False
         index = batches.add(job, worker.node)
@@ -156,12 +156,14 @@
                 worker.record, request.caller_class, request.job, index
             )
         if self._limits is not None:
-            self._limits.started(job.request)
-        queue.charge(job, _work(job.request.tasks[index]))
+            self._limits.record_start(job.request)
+        queue.charge(job, _work_ms(job.request.tasks[index]))
         self._counters.count("tasks.sent")
         return True
 
-    def _pick(self, job: ownedjob.OwnedJob, free: pool.Pool) -> directory.Worker | None:
+    def _choose_worker(
+        self, job: ownedjob.OwnedJob, free: pool.Pool
+    ) -> directory.Worker | None:
         """Choose among the free workers or in the scope, whichever is smaller."""
         task, scope = job.next_task, job.terms.scope
         known = self._workers.worker_by_name
@@ -174,13 +176,13 @@
             if not self._workers.is_schedulable(worker):
                 lapsed.append(worker)
                 return None
-            return worker if job.allows(worker.node) else None
+            return worker if job.may_send_to(worker.node) else None
 
         lapsed: list[directory.Worker] = []
         # Policies would seldom choose the few workers that must prove themselves.
         proving = self._workers.service(job.request.service).on_probation
         found = next(filter(check, proving.values()), None)
-        if found is None and SMALL_SCOPE < len(scope) > len(free):
+        if found is None and SMALL_SCOPE_SIZE < len(scope) > len(free):
             found = self._policy.choose_by_index(
                 len(free), lambda place: check(free[place])
             )
@@ -192,25 +194,25 @@
             self._workers.reindex(worker)
         return found
 
-    def _demand(self, name: str, queue: backlog.Backlog) -> _Effects:
+    def _update_demand(self, name: str, queue: backlog.Backlog) -> _Effects:
         service = self._workers.service(name)
         # Slots offered to a service at its limit would stay empty.
         if queue.is_empty or not self._may_start("service", name):
-            self._heads_asked_by_service.pop(name, None)
-            for worker in _as_joined(service.with_demand.values()):
+            self._notified_state_by_service.pop(name, None)
+            for worker in _in_join_order(service.with_demand.values()):
                 self._workers.set_demand(worker, 0)
                 yield effects.Send(worker.name, messages.Demand(0, 0.0))
             return
         # The agents divide their slots by the weight that the last demand has told.
-        again = list(service.with_demand.values()) if self._is_reweighed else []
-        unasked = self._to_ask(name, service, queue)
+        again = list(service.with_demand.values()) if self._has_new_weights else []
+        unasked = self._workers_to_notify(name, service, queue)
         if again or unasked:
-            waiting, weight = queue.waiting()
-            for worker in _as_joined([*again, *unasked]):
+            waiting, weight = queue.demand()
+            for worker in _in_join_order([*again, *unasked]):
                 self._workers.set_demand(worker, waiting)
                 yield effects.Send(worker.name, messages.Demand(waiting, weight))
 
-    def _to_ask(
+    def _workers_to_notify(
         self, name: str, service: directory.ServiceIndex, queue: backlog.Backlog
     ) -> list[directory.Worker]:
         """Return the workers to be told now that tasks wait.
@@ -220,15 +222,15 @@
         """
         if not service.without_demand:
             return []
-        if len(service.members) <= ASKED_MIN:
+        if len(service.members) <= DEMAND_WORKERS_MIN:
             return self._with_lease(service.without_demand.values())
-        if len(service.with_demand) >= max(ASKED_MIN, queue.waiting()[0]):
+        if len(service.with_demand) >= max(DEMAND_WORKERS_MIN, queue.demand()[0]):
             return []
-        heads = list(queue.heads())
+        heads = list(queue.first_jobs())
         state = (service.additions, *heads)
-        if self._heads_asked_by_service.get(name) == state:
+        if self._notified_state_by_service.get(name) == state:
             return []
-        self._heads_asked_by_service[name] = state
+        self._notified_state_by_service[name] = state
         scopes = {node.name for head in heads for node in head.terms.scope}
         return self._with_lease(
             service.without_demand[each]
@@ -246,12 +248,12 @@
         return [worker for worker in every if self._workers.is_schedulable(worker)]
 
 
-def _as_joined(workers: Iterable[directory.Worker]) -> list[directory.Worker]:
+def _in_join_order(workers: Iterable[directory.Worker]) -> list[directory.Worker]:
     return sorted(workers, key=lambda worker: worker.join_number)
 
 
-def _work(task: jobs.TaskSpec) -> float:
-    return task.expected_ms or UNDECLARED_WORK_MS
+def _work_ms(task: jobs.TaskSpec) -> float:
+    return task.expected_ms or DEFAULT_WORK_MS
 
 
 def _fits(worker: directory.Worker, task: jobs.TaskSpec) -> bool:
--- a/src/burdockgate/process/entry.py
+++ b/src/burdockgate/process/entry.py
@@ -1,4 +1,9 @@
-"""The decisions of an entry host: routes messages to its parts."""
+"""The state machine of an entry host.
+
+It routes calls and messages to the job lifecycle, the dispatcher, the worker
+directory and the replicas of the log's streams, and returns effects that the daemon
+in :mod:`burdockgate.process.entryhost` performs.
+"""
 
 from __future__ import annotations
 
@@ -31,7 +36,7 @@
 
 
 class EntryCore(core.Core):
-    """Decides for one entry host; performs nothing itself.
+    """Handles the calls, messages and timers of one entry host without any I/O.
 
     :param node: this incarnation of the entry host.
     :param config: its settings.
@@ -78,17 +83,18 @@
             self._limits,
         )
         self._membership = membership.MembershipPublisher(node, time)
-        self._membership_at = time.now()
+        self._membership_ticked_at = time.now()
         retention_s = config.platform.log_retention_s
         self._snapshots_by_stream = {
             stream: snapshots.SnapshotPublisher(stream, node, time, retention_s)
             for stream in (views.STREAM, table.STREAM)
         }
-        self._is_current = False
+        self._is_table_current = False
         self._peer_table_version_by_name: dict[str, int] = {}
         self._member_history = memberhistory.MemberHistory()
-        # Up to which view each agent has been sent the records, once it has told its
-        # own in this session. A page that begins later would be a gap in its view.
+        # Number of the view up to which each agent has been sent the member records.
+        # An agent is added when its first heartbeat of the session reports its view,
+        # since a page that starts after that view would leave a gap in it.
         self._view_number_by_worker: dict[str, int] = {}
         self._handler_by_class: dict[type, Callable[[str, Any], _Effects]] = {
             messages.Load: self._on_load,
@@ -96,11 +102,11 @@
             messages.Heartbeat: self._on_heartbeat,
             messages.Records: self._on_records,
             messages.Results: self._on_results,
-            messages.FenceReply: self.jobs.fence_reply,
-            messages.ClaimReply: self.jobs.claim_reply,
-            messages.Attach: self.jobs.attach,
-            messages.Detach: self.jobs.detach,
-            messages.Outcome: self.jobs.peer_outcome,
+            messages.FenceReply: self.jobs.handle_fence_reply,
+            messages.ClaimReply: self.jobs.handle_claim_reply,
+            messages.Attach: self.jobs.handle_attach,
+            messages.Detach: self.jobs.handle_detach,
+            messages.Outcome: self.jobs.handle_peer_outcome,
             messages.Leave: self._on_leave,
         }
 
@@ -111,42 +117,44 @@
 
     @property
     def has_current_table(self) -> bool:
-        """Whether the table is at least as new as one in force at the start."""
-        # Without the view, the first peer to connect would seem to be the majority.
-        if not self._is_current and self.view.entry_by_name:
+        """Whether the table is at least as new as the one in force at the start."""
+        # Without the view, the first peer to connect would look like a majority.
+        if not self._is_table_current and self.view.entry_by_name:
             others = {*self.view.entry_by_name, *self.jobs.peer_by_name}
-            self._is_current = self.table_replica.is_current(others - {self.node.name})
-        return self._is_current
+            self._is_table_current = self.table_replica.is_current(
+                others - {self.node.name}
+            )
+        return self._is_table_current
 
     @property
     def table_version_by_entry(self) -> dict[str, int]:
-        """Table version of each entry host known, this one included."""
-        known = dict.fromkeys(self.view.entry_by_name, 0)
+        """Table version of each known entry host, including this one."""
+        unknown = dict.fromkeys(self.view.entry_by_name, 0)
         return {
-            **known,
+            **unknown,
             **self._peer_table_version_by_name,
             self.node.name: self.table_replica.version,
         }
 
     @property
     def backlog_tasks(self) -> int:
-        """Number of tasks that wait for a slot."""
-        return self._dispatcher.waiting()
+        """Number of tasks that are waiting for a slot."""
+        return self._dispatcher.waiting_count()
 
-    # Callers
+    # Calls of clients
 
     def submit(self, request: job.JobRequest, ticket: int) -> _Effects:
-        """Take a submission.
+        """Accept, join or refuse a submitted job.
 
         :param request: the job.
-        :param ticket: number under which the caller waits.
+        :param ticket: number that identifies the waiting caller.
         """
         refusal, detail = self._refusal(request)
         yield from self.jobs.submit(request, ticket, refusal, detail)
         yield from self._dispatch()
 
     def _refusal(self, request: job.JobRequest) -> tuple[codes.Code | None, str]:
-        """Return the code with which a new job is refused, and one line about it."""
+        """Return the code and the detail of a refusal, or ``(None, "")``."""
         if self.draining:
             return codes.Code.DRAINING, "this entry host is stopping"
         limit = self._config.limits.backlog_bytes
@@ -165,10 +173,10 @@
                 codes.Code.UNKNOWN_SERVICE,
                 f"service: no backend server announces {request.service!r}",
             )
-        fitting: set[tuple[float, int, int]] = set()
+        fitting_needs: set[tuple[float, int, int]] = set()
         for index, task in enumerate(request.tasks):
             needs = (task.cores, task.memory_mb, task.accelerators)
-            if needs not in fitting and not any(
+            if needs not in fitting_needs and not any(
                 worker.fits(*needs) for worker in workers
             ):
                 return (
@@ -176,14 +184,14 @@
                     f"tasks[{index}]: no worker has {task.cores:g} cores, "
                     f"{task.memory_mb} MB and {task.accelerators} accelerators",
                 )
-            fitting.add(needs)
+            fitting_needs.add(needs)
         return None, ""
 
     def fetch(self, job_id: bytes, ticket: int) -> _Effects:
-        """Wait for the outcome of a job submitted before.
+        """Wait for the outcome of a job that was submitted earlier.
 
         :param job_id: 16-byte job id.
-        :param ticket: number under which the caller waits.
+        :param ticket: number that identifies the waiting caller.
         """
         yield from self.jobs.fetch(job_id, ticket)
 
@@ -191,49 +199,49 @@
         """Cancel a job and wait for its outcome.
 
         :param job_id: 16-byte job id.
-        :param ticket: number under which the caller waits.
+        :param ticket: number that identifies the waiting caller.
         """
-        yield from self.jobs.fetch(job_id, ticket, cancels=True)
+        yield from self.jobs.fetch(job_id, ticket, is_cancel=True)
         yield from self._dispatch()
 
     def drain_worker(self, name: str, active: bool) -> _Effects:
-        """Drain or resume a worker.
+        """Tell an agent to drain its worker or to resume it.
 
-        :param name: name of its agent.
+        :param name: name of the agent.
         :param active: whether to drain.
         """
         yield effects.Send(name, messages.Drain(active))
 
-    # Nodes
+    # Sessions with agents and other entry hosts
 
     def handle_connect(self, hello: messages.Hello) -> _Effects:
-        """Start a session with a node.
+        """Handle a new session with an agent or another entry host.
 
-        :param hello: its announcement.
+        :param hello: the announcement of the node.
         """
         name = hello.node.name
         self._view_number_by_worker.pop(name, None)
-        yield effects.Send(name, self._heartbeat())
+        yield effects.Send(name, self._heartbeat_message())
         if hello.role is messages.Role.AGENT:
             self.workers.join(hello)
-            yield effects.Send(name, self._peers())
-            yield from self.jobs.agent_connected(hello.node)
+            yield effects.Send(name, self._peers_message())
+            yield from self.jobs.handle_agent_connected(hello.node)
             yield from self._dispatch()
         else:
-            yield from self.jobs.peer_connected(hello.node)
+            yield from self.jobs.handle_peer_connected(hello.node)
             for worker in self.workers.worker_by_name:
-                yield effects.Send(worker, self._peers())
+                yield effects.Send(worker, self._peers_message())
             if self.has_current_table:
                 yield effects.Send(name, self.table_replica.version_announcement())
 
     def handle_disconnect(self, name: str) -> _Effects:
-        """End a session.
+        """Handle the end of a session.
 
         :param name: name of the node.
         """
         self.workers.leave(name)
-        self.jobs.agent_disconnected(name)
-        self.jobs.peer_disconnected(name)
+        self.jobs.handle_agent_disconnected(name)
+        self.jobs.handle_peer_disconnected(name)
         self._peer_table_version_by_name.pop(name, None)
         self._view_number_by_worker.pop(name, None)
         yield from ()
@@ -242,7 +250,7 @@
         """Handle a message.
 
         :param name: name of the connected node that sent it.
-        :param message: the message; one that an entry host does not expect is
+        :param message: the message; types that an entry host does not expect are
             ignored.
         """
         self.workers.renew_lease(name)
@@ -252,12 +260,14 @@
             yield from self._dispatch()
 
     def _dispatch(self) -> _Effects:
-        yield from self._dispatcher.run(self.jobs.widen)
+        yield from self._dispatcher.run(self.jobs.request_scope_extension)
 
-    def _heartbeat(self, age_s: int = messages.UNKNOWN_AGE_S) -> messages.Heartbeat:
+    def _heartbeat_message(
+        self, age_s: int = messages.UNKNOWN_AGE_S
+    ) -> messages.Heartbeat:
         return messages.Heartbeat(self.table_replica.version, self.view.number, age_s)
 
-    def _peers(self) -> messages.Peers:
+    def _peers_message(self) -> messages.Peers:
         peers = {**self.view.entry_by_name, **self.jobs.peer_by_name}
         return messages.Peers((self.node, *peers.values()))
 
@@ -277,18 +287,18 @@
     def _on_results(self, name: str, message: messages.Results) -> _Effects:
         self.workers.record_report(name, message.free, message.received)
         self.health.record_results(message)
-        yield from self.jobs.results(name, message)
+        yield from self.jobs.handle_results(name, message)
 
     def _on_leave(self, name: str, _message: messages.Leave) -> _Effects:
         if name in self.workers.worker_by_name:
             self.workers.set_draining(name, active=True)
-            # Nothing that starts a task follows this answer on the connection.
+            # No task start follows this reply on the connection.
             yield effects.Send(name, messages.Leave())
 
-    # The log's streams
+    # Streams of the log
 
     def _on_heartbeat(self, name: str, message: messages.Heartbeat) -> _Effects:
-        """Hand on the records that a node has not seen yet."""
+        """Send a node the table and member records that it lacks."""
         worker = self.workers.worker_by_name.get(name)
         if worker is not None:
             worker.table_version = message.table_version
@@ -307,55 +317,62 @@
 
     def _on_records(self, name: str, message: messages.Records) -> _Effects:
         if message.stream == views.STREAM:
-            yield from self._follow_members(message)
+            yield from self._apply_member_records(message)
         elif message.stream == table.STREAM:
             version, was_current = self.table_replica.version, self.has_current_table
             self.table_replica.apply_peer_page(name, message)
-            yield from self._table_followed(version, was_current)
+            yield from self._handle_table_change(version, was_current)
 
     def follow(self, message: messages.Records) -> _Effects:
         """Apply new records of a stream that were read from the log.
 
-        :param message: the records.
+        :param message: the records; an empty page of the members stream shows that
+            the view is the newest one.
         """
         if message.stream == views.STREAM:
-            yield from self._follow_members(message)
+            yield from self._apply_member_records(message)
             if message.next == message.first:
                 self.jobs.record_view_check(0)
         elif message.stream == table.STREAM:
             version, was_current = self.table_replica.version, self.has_current_table
             self.table_replica.apply_log_page(message)
             self._snapshots_by_stream[table.STREAM].observe(message.records)
-            yield from self._table_followed(version, was_current)
+            yield from self._handle_table_change(version, was_current)
 
-    def _table_followed(self, version: int, was_current: bool) -> _Effects:
-        """Hand on what is new, and tell the peers once the table is current."""
+    def _handle_table_change(self, version: int, was_current: bool) -> _Effects:
+        """Forward new table records; announce the table when it becomes current.
+
+        :param version: version of the table before the change.
+        :param was_current: whether the table was current before the change.
+        """
         if self.table_replica.version > version:
             self._counters.gauge("table.version", self.table_replica.version)
-            self._dispatcher.reweigh(self._limits.weight)
+            self._dispatcher.update_weights(self._limits.weight)
             for name in (*self.workers.worker_by_name, *self.jobs.peer_by_name):
-                known = self._peer_table_version_by_name.get(name, version)
-                for records in self.table_replica.pages_since(min(known, version)):
+                peer_version = self._peer_table_version_by_name.get(name, version)
+                for records in self.table_replica.pages_since(
+                    min(peer_version, version)
+                ):
                     yield effects.Send(name, records)
         if not was_current and self.has_current_table:
             for name in self.jobs.peer_by_name:
                 yield effects.Send(name, self.table_replica.version_announcement())
 
-    def _follow_members(self, message: messages.Records) -> _Effects:
+    def _apply_member_records(self, message: messages.Records) -> _Effects:
         number = self.view.number
-        new = self._member_history.add_page(message, number)
-        self._snapshots_by_stream[views.STREAM].observe(new)
+        new_records = self._member_history.add_page(message, number)
+        self._snapshots_by_stream[views.STREAM].observe(new_records)
         for view in views.fold_page(self.view, message):
             self.jobs.view = view
         if self.view.number == number:
             return
         self._counters.gauge("view.number", self.view.number)
-        yield from self._send_members()
+        yield from self._send_member_records()
         yield from self._dial_entries()
 
-    def _send_members(self) -> _Effects:
-        """Hand on the new records to the agents whose view is known."""
-        # Most agents were sent the same records, so that pages are made once.
+    def _send_member_records(self) -> _Effects:
+        """Send the new member records to the agents whose view is known."""
+        # Most agents have the same view, so their pages are built only once.
         pages_by_number: dict[int, list[messages.Records]] = {}
         for name, number in list(self._view_number_by_worker.items()):
             if number not in pages_by_number:
@@ -366,16 +383,16 @@
                 yield effects.Send(name, records)
             self._view_number_by_worker[name] = self.view.number
 
-    # Time
+    # Timers
 
     def tick(self) -> _Effects:
-        """Do what is due; call at least ten times a second."""
+        """Run the timers that are due; call at least ten times a second."""
         self.health.tick()
         yield from self.jobs.tick()
         yield from self._dispatch()
         now = self._time.now()
-        if now - self._membership_at >= MEMBERSHIP_INTERVAL_S:
-            self._membership_at = now
+        if now - self._membership_ticked_at >= MEMBERSHIP_INTERVAL_S:
+            self._membership_ticked_at = now
             yield from self._membership.tick(
                 self.view,
                 [worker.hello for worker in self.workers.worker_by_name.values()],
@@ -385,25 +402,25 @@
             yield from self._append_snapshots()
 
     def _dial_entries(self) -> _Effects:
-        """Connect to the entry hosts of the view, also after a lost connection."""
+        """Connect to the entry hosts of the view that are not connected."""
         for node in self.view.entry_by_name.values():
             if node.name not in self.jobs.peer_by_name and node.name != self.node.name:
                 yield effects.Dial(node)
 
     def _append_snapshots(self) -> _Effects:
         peers, current = self.jobs.peer_by_name, self.table_replica.table
-        members = self._snapshots_by_stream[views.STREAM]
-        if members.is_due and self.view.is_complete and self.view.number:
+        member_snapshots = self._snapshots_by_stream[views.STREAM]
+        if member_snapshots.is_due and self.view.is_complete and self.view.number:
             value = views.snapshot_record(self.view)
-            yield from members.tick(peers, self.view.number, value)
-        rows_due = self._snapshots_by_stream[table.STREAM]
-        if rows_due.is_due and current.is_complete and current.next:
+            yield from member_snapshots.tick(peers, self.view.number, value)
+        table_snapshots = self._snapshots_by_stream[table.STREAM]
+        if table_snapshots.is_due and current.is_complete and current.next:
             value = table.snapshot_record(current)
-            yield from rows_due.tick(peers, current.next, value)
+            yield from table_snapshots.tick(peers, current.next, value)
 
     def send_heartbeats(self) -> _Effects:
         """Send the heartbeats; call once in each heartbeat interval."""
         for name in self.workers.worker_by_name:
-            yield effects.Send(name, self._heartbeat())
+            yield effects.Send(name, self._heartbeat_message())
         for name in self.jobs.peer_by_name:
-            yield effects.Send(name, self._heartbeat(self.jobs.view_age_s))
+            yield effects.Send(name, self._heartbeat_message(self.jobs.view_age_s))
--- a/src/burdockgate/process/limits.py
+++ b/src/burdockgate/process/limits.py
@@ -16,9 +16,9 @@
 
 
 @attrs.define
-class _Bucket:
+class _TokenBucket:
     tokens: float
-    at: float
+    refilled_at: float
 
 
 class Limits:
@@ -31,36 +31,36 @@
 
     def __init__(
         self,
-        source: tablereplica.TableReplica,
+        table_replica: tablereplica.TableReplica,
         time: clock.Clock,
-        hosts: Callable[[], int],
+        entry_host_count: Callable[[], int],
     ) -> None:
-        self._source = source
+        self._table_replica = table_replica
         self._time = time
-        self._hosts = hosts
+        self._entry_host_count = entry_host_count
         self._in_progress_by_key: collections.Counter[table.Key] = collections.Counter()
         self._in_progress_by_job: dict[bytes, int] = {}
         self._bytes_by_key: collections.Counter[table.Key] = collections.Counter()
-        self._bucket_by_key: dict[table.Key, _Bucket] = {}
+        self._bucket_by_key: dict[table.Key, _TokenBucket] = {}
 
     def _rows(self, service: str, caller_class: str) -> Iterator[table.Row]:
-        yield self._source.table.row("service", service)
-        yield self._source.table.row("class", caller_class)
+        yield self._table_replica.table.row("service", service)
+        yield self._table_replica.table.row("class", caller_class)
 
     def _share(self, limit: float) -> float:
-        return limit / max(1, self._hosts())
+        return limit / max(1, self._entry_host_count())
 
     @property
     def version(self) -> int:
         """Version of the table in force."""
-        return self._source.version
+        return self._table_replica.version
 
     def weight(self, service: str, caller_class: str) -> float:
         """Return the product of the weights of a service and a class."""
         first, second = self._rows(service, caller_class)
         return first.weight * second.weight
 
-    def queue_s(self, request: job.JobRequest) -> float | None:
+    def max_queue_s(self, request: job.JobRequest) -> float | None:
         """Return the longest time without a start, in seconds; None for no limit."""
         found = [
             row.max_queue_s
@@ -82,16 +82,16 @@
                 )
         return ""
 
-    def queued(self, request: job.JobRequest, size: int) -> None:
+    def add_queued_bytes(self, request: job.JobRequest, size: int) -> None:
         """Count the bytes of a job that came, or with a negative size that ended."""
-        for key in _keys(request):
+        for key in _row_keys(request):
             self._bytes_by_key[key] += size
             if not self._bytes_by_key[key]:
                 del self._bytes_by_key[key]
 
     def may_start(self, scope: str, name: str) -> bool:
         """Return whether one more task of a service or a class may start now."""
-        row = self._source.table.row_by_key.get((scope, name))
+        row = self._table_replica.table.row_by_key.get((scope, name))
         if row is None:
             return True
         if row.max_in_progress is not None:
@@ -100,40 +100,40 @@
                 return False
         return row.max_rate is None or self._bucket(row, row.max_rate).tokens >= 1
 
-    def _bucket(self, row: table.Row, max_rate: float) -> _Bucket:
+    def _bucket(self, row: table.Row, max_rate: float) -> _TokenBucket:
         rate, now = self._share(max_rate), self._time.now()
         capacity = max(1.0, rate * BURST_S)
-        bucket = self._bucket_by_key.setdefault(row.key, _Bucket(capacity, now))
-        bucket.tokens = min(capacity, bucket.tokens + rate * (now - bucket.at))
-        bucket.at = now
+        bucket = self._bucket_by_key.setdefault(row.key, _TokenBucket(capacity, now))
+        bucket.tokens = min(capacity, bucket.tokens + rate * (now - bucket.refilled_at))
+        bucket.refilled_at = now
         return bucket
 
-    def started(self, request: job.JobRequest) -> None:
+    def record_start(self, request: job.JobRequest) -> None:
         """Count a task that is sent."""
-        self.in_progress(request, self._in_progress_by_job.get(request.job, 0) + 1)
-        for key in _keys(request):
-            row = self._source.table.row_by_key.get(key)
+        self.set_in_progress(request, self._in_progress_by_job.get(request.job, 0) + 1)
+        for key in _row_keys(request):
+            row = self._table_replica.table.row_by_key.get(key)
             if row is not None and row.max_rate is not None:
                 self._bucket(row, row.max_rate).tokens -= 1
 
-    def returned(self, request: job.JobRequest) -> None:
+    def refund_start(self, request: job.JobRequest) -> None:
         """Give back the start of a task that was sent and not started."""
-        for key in _keys(request):
+        for key in _row_keys(request):
             if key in self._bucket_by_key:
                 self._bucket_by_key[key].tokens += 1
 
-    def in_progress(self, request: job.JobRequest, tasks: int) -> None:
+    def set_in_progress(self, request: job.JobRequest, tasks: int) -> None:
         """Note how many tasks of a job are sent and not ended."""
         before = self._in_progress_by_job.pop(request.job, 0)
         if tasks:
             self._in_progress_by_job[request.job] = tasks
         if tasks != before:
-            for key in _keys(request):
+            for key in _row_keys(request):
                 self._in_progress_by_key[key] += tasks - before
                 if not self._in_progress_by_key[key]:
                     del self._in_progress_by_key[key]
 
 
-def _keys(request: job.JobRequest) -> Iterator[table.Key]:
+def _row_keys(request: job.JobRequest) -> Iterator[table.Key]:
     yield ("service", request.service)
     yield ("class", request.caller_class)
--- a/src/burdockgate/process/outcomecache.py
+++ b/src/burdockgate/process/outcomecache.py
@@ -23,7 +23,7 @@
     epoch: int
     digest: bytes
     repeatable: bool
-    kept_at: float
+    ended_at: float
 
     @property
     def may_run_again(self) -> bool:
@@ -61,44 +61,44 @@
         self._time = time
         self._retention_s = retention_s
         self._limit_bytes = limit_bytes
-        self._kept_by_job: collections.OrderedDict[bytes, CachedOutcome] = (
+        self._cached_by_job: collections.OrderedDict[bytes, CachedOutcome] = (
             collections.OrderedDict()
         )
         self._bytes = 0
 
-    def keep(self, job: bytes, kept: CachedOutcome) -> None:
+    def put(self, job: bytes, cached: CachedOutcome) -> None:
         """Keep the outcome of a job; an older one of the same job is replaced.
 
         :param job: 16-byte job id.
         :param kept: the outcome.
         """
-        self.drop(job)
-        self._kept_by_job[job] = kept
-        self._bytes += kept.size
+        self.discard(job)
+        self._cached_by_job[job] = cached
+        self._bytes += cached.size
         while self._bytes > self._limit_bytes:
-            self.drop(next(iter(self._kept_by_job)))
+            self.discard(next(iter(self._cached_by_job)))
 
     def get(self, job: bytes) -> CachedOutcome | None:
         """Return the kept outcome of a job.
 
         :param job: 16-byte job id.
         """
-        return self._kept_by_job.get(job)
+        return self._cached_by_job.get(job)
 
-    def drop(self, job: bytes) -> None:
+    def discard(self, job: bytes) -> None:
         """Forget a job.
 
         :param job: 16-byte job id; an unknown one is ignored.
         """
-        kept = self._kept_by_job.pop(job, None)
-        if kept is not None:
-            self._bytes -= kept.size
+        cached = self._cached_by_job.pop(job, None)
+        if cached is not None:
+            self._bytes -= cached.size
 
     def expire(self) -> None:
         """Forget the jobs whose retention has passed."""
         limit = self._time.now() - self._retention_s
-        while self._kept_by_job:
-            job, kept = next(iter(self._kept_by_job.items()))
-            if kept.kept_at > limit:
+        while self._cached_by_job:
+            job, cached = next(iter(self._cached_by_job.items()))
+            if cached.ended_at > limit:
                 return
-            self.drop(job)
+            self.discard(job)
--- a/src/burdockgate/process/registry.py
+++ b/src/burdockgate/process/registry.py
@@ -17,13 +17,14 @@
 
 from burdockgate import clock, codes, effects, messages, settings
 from burdockgate.process import directory, dispatch, limits, metrics, outcomecache
-from burdockgate.request import job, outcome, submission
+from burdockgate.request import job, outcome
+from burdockgate.request import submission as submissions
 from burdockgate.version import view as views
 
 VIEW_AGE_STEP_S = 10
 
 _Effects = Iterator[effects.Effect]
-_Submission = submission.Submission
+_Submission = submissions.Submission
 
 
 class JobRegistry(abc.ABC):
@@ -66,17 +67,17 @@
         self._cancelled_at_by_job: collections.OrderedDict[bytes, float] = (
             collections.OrderedDict()
         )
-        self._numbers = itertools.count()
+        self._submission_numbers = itertools.count()
         self._job_by_ticket: dict[int, bytes] = {}
         # Jobs that a message or a caller has touched since the last tick.
-        self._touched: set[bytes] = set()
-        self._confirming: set[bytes] = set()
+        self._touched_jobs: set[bytes] = set()
+        self._confirming_jobs: set[bytes] = set()
         # The first key of a plain dict is slow to find once many were deleted.
-        self._to_confirm: collections.OrderedDict[bytes, None] = (
+        self._confirmation_queue: collections.OrderedDict[bytes, None] = (
             collections.OrderedDict()
         )
         self._schedule_heap: list[tuple[float, bytes]] = []
-        self._ticked_versions = (-1, -1)
+        self._versions_at_last_tick = (-1, -1)
         self._outcomes = outcomecache.OutcomeCache(
             time, config.timing.retention_s, config.limits.answers_bytes
         )
@@ -88,7 +89,8 @@
     def owned_count(self) -> int:
         """Number of jobs that this entry host owns and that have not ended."""
         return sum(
-            held.owned_job is not None for held in self._submission_by_job.values()
+            submission.owned_job is not None
+            for submission in self._submission_by_job.values()
         )
 
     @property
@@ -128,62 +130,65 @@
         """
         return self._limits.weight(request.service, request.caller_class)
 
-    def _open(self, job_id: bytes, seconds: float) -> _Submission:
-        number = next(self._numbers)
-        held = _Submission(job_id, self._time.now() + seconds, number=number)
-        self._submission_by_job[job_id] = held
-        self._touched.add(job_id)
-        return held
+    def _add_submission(self, job_id: bytes, seconds: float) -> _Submission:
+        number = next(self._submission_numbers)
+        submission = _Submission(job_id, self._time.now() + seconds, number=number)
+        self._submission_by_job[job_id] = submission
+        self._touched_jobs.add(job_id)
+        return submission
 
     def _find(self, job_id: bytes) -> _Submission | None:
         """Return a job that may be changed now; the next tick looks at it."""
-        held = self._submission_by_job.get(job_id)
-        if held is not None:
-            self._touched.add(job_id)
-        return held
+        submission = self._submission_by_job.get(job_id)
+        if submission is not None:
+            self._touched_jobs.add(job_id)
+        return submission
 
     def _find_all(self) -> list[_Submission]:
         """Return every job; the next tick looks at all of them."""
-        self._touched.update(self._submission_by_job)
+        self._touched_jobs.update(self._submission_by_job)
         return list(self._submission_by_job.values())
 
-    def _await(self, held: _Submission, ticket: int) -> None:
+    def _add_caller(self, submission: _Submission, ticket: int) -> None:
         """Note a caller that waits for a job."""
-        held.tickets.add(ticket)
-        self._job_by_ticket[ticket] = held.job
+        submission.tickets.add(ticket)
+        self._job_by_ticket[ticket] = submission.job
 
-    def _set_request(self, held: _Submission, request: job.JobRequest) -> None:
-        held.request = request
+    def _set_request(self, submission: _Submission, request: job.JobRequest) -> None:
+        submission.request = request
         self.body_bytes += request.size
-        self._limits.queued(request, request.size)
+        self._limits.add_queued_bytes(request, request.size)
 
     @abc.abstractmethod
-    def _claim(self, held: _Submission, epoch: int, attempt: int) -> _Effects:
+    def _claim(self, submission: _Submission, epoch: int, attempt: int) -> _Effects:
         """Claim a job, or with epoch 0 only ask whether it is claimed."""
 
     @abc.abstractmethod
-    def _after(self, held: _Submission) -> _Effects:
+    def _handle_job_change(self, submission: _Submission) -> _Effects:
         """Queue, answer or give up a job after its owned job has changed."""
 
-    def _end(self, held: _Submission, result: outcome.Outcome) -> _Effects:
+    def _finish(self, submission: _Submission, result: outcome.Outcome) -> _Effects:
         """Answer everybody who waits for a job, and keep the outcome of an own one."""
-        if self._submission_by_job.get(held.job) is not held:
+        if self._submission_by_job.get(submission.job) is not submission:
             return
-        del self._submission_by_job[held.job]
-        self._confirming.discard(held.job)
-        self._to_confirm.pop(held.job, None)
-        if held.request is not None:
-            self.body_bytes -= held.request.size
-            self._limits.queued(held.request, -held.request.size)
-            self._limits.in_progress(held.request, 0)
-        epoch = held.owned_job.terms.epoch if held.owned_job else 0
-        if held.owned_job is not None:
-            self._dispatcher.drop(held.owned_job)
-            yield from held.owned_job.settle()
-        if isinstance(result, outcome.Complete | outcome.Failed) and held.owned_job:
-            request = held.owned_job.request
-            self._outcomes.keep(
-                held.job,
+        del self._submission_by_job[submission.job]
+        self._confirming_jobs.discard(submission.job)
+        self._confirmation_queue.pop(submission.job, None)
+        if submission.request is not None:
+            self.body_bytes -= submission.request.size
+            self._limits.add_queued_bytes(submission.request, -submission.request.size)
+            self._limits.set_in_progress(submission.request, 0)
+        epoch = submission.owned_job.terms.epoch if submission.owned_job else 0
+        if submission.owned_job is not None:
+            self._dispatcher.remove(submission.owned_job)
+            yield from submission.owned_job.settle()
+        if (
+            isinstance(result, outcome.Complete | outcome.Failed)
+            and submission.owned_job
+        ):
+            request = submission.owned_job.request
+            self._outcomes.put(
+                submission.job,
                 outcomecache.CachedOutcome(
                     result,
                     epoch,
@@ -193,11 +198,11 @@
                 ),
             )
         self._counters.count(_COUNTER_BY_CLASS.get(type(result), "jobs.refused"))
-        for ticket in sorted(held.tickets):
+        for ticket in sorted(submission.tickets):
             del self._job_by_ticket[ticket]
             yield effects.Answer(ticket, result)
-        for name in sorted(held.attached):
-            yield effects.Send(name, outcome_message(held.job, epoch, result))
+        for name in sorted(submission.attached_hosts):
+            yield effects.Send(name, outcome_message(submission.job, epoch, result))
 
 
 _COUNTER_BY_CLASS: dict[type, str] = {
@@ -215,7 +220,7 @@
     return codes.start_of(code) is not codes.Start.NOT_RUN
 
 
-def key_reused() -> outcome.Refused:
+def key_reused_refusal() -> outcome.Refused:
     """Return the refusal of a key that belongs to another body."""
     code = codes.Code.KEY_REUSED
     return outcome.Refused(code, codes.MEANING_BY_CODE[code].text)
--- a/src/burdockgate/process/remotejobs.py
+++ b/src/burdockgate/process/remotejobs.py
@@ -6,76 +6,91 @@
 
 from burdockgate import codes, effects, messages
 from burdockgate.process import registry
-from burdockgate.request import outcome, submission
+from burdockgate.request import outcome
+from burdockgate.request import submission as submissions
 
 CONTENTION_MIN_S = 0.05
 CONTENTION_MAX_S = 0.25
 
 _Effects = Iterator[effects.Effect]
-_Submission = submission.Submission
+_Submission = submissions.Submission
 
 
 class RemoteJobs(registry.JobRegistry):
     """Waits at the owner of a job, and claims the job when the owner is lost."""
 
-    def _attach(self, held: _Submission, record: messages.ClaimRecord) -> _Effects:
-        held.owner = record.owner
-        for name in held.attached:
-            yield effects.Send(name, self._not_mine(held.job))
-        held.attached.clear()
+    def _attach_to_owner(
+        self, submission: _Submission, record: messages.ClaimRecord
+    ) -> _Effects:
+        submission.owner = record.owner
+        for name in submission.attached_hosts:
+            yield effects.Send(name, self._not_owned_message(submission.job))
+        submission.attached_hosts.clear()
         peer = self.peer_by_name.get(record.owner.name)
         if record.owner.name == self._node.name or (
             peer is not None and not peer.same(record.owner)
         ):
             # The owner has another boot by now, so it is gone.
-            yield from self._take_over(held)
+            yield from self._take_over(submission)
         elif peer is not None:
             self._counters.count("jobs.joined")
-            held.waits_since = None
-            yield effects.Send(peer.name, messages.Attach(held.job, record.epoch))
-            if held.cancels:
-                yield effects.Send(peer.name, messages.Detach(held.job, cancel=True))
+            submission.owner_disconnected_at = None
+            yield effects.Send(peer.name, messages.Attach(submission.job, record.epoch))
+            if submission.is_cancel_requested:
+                yield effects.Send(
+                    peer.name, messages.Detach(submission.job, cancel=True)
+                )
         else:
-            held.waits_since = held.waits_since or self._time.now()
+            submission.owner_disconnected_at = (
+                submission.owner_disconnected_at or self._time.now()
+            )
             yield effects.Dial(record.owner)
 
-    def _take_over(self, held: _Submission) -> _Effects:
-        record = held.record
+    def _take_over(self, submission: _Submission) -> _Effects:
+        record = submission.claim_record
         assert record is not None
-        if held.request is None:
+        if submission.request is None:
             # Without the body the job cannot be led; a submission would do it.
             detail = "the owner of the job is lost; submit again with the same key"
-            yield from self._end(held, outcome.Pending(record.attempt, detail=detail))
+            yield from self._finish(
+                submission, outcome.Pending(record.attempt, detail=detail)
+            )
             return
-        held.refusal = None
-        yield from self._claim(held, record.epoch + 1, record.attempt)
+        submission.refusal = None
+        yield from self._claim(submission, record.epoch + 1, record.attempt)
 
-    def peer_outcome(self, name: str, message: messages.Outcome) -> _Effects:
+    def handle_peer_outcome(self, name: str, message: messages.Outcome) -> _Effects:
         """Handle the outcome of a job that another entry host owns.
 
         :param name: name of that entry host.
         :param message: the outcome, or that it does not own the job.
         """
-        held = self._find(message.job)
-        if held is None or held.owner is None or held.owner.name != name:
+        submission = self._find(message.job)
+        if (
+            submission is None
+            or submission.owner is None
+            or submission.owner.name != name
+        ):
             self._counters.count("results.dropped")
             return
         code = codes.Code(message.code)
         if code is codes.Code.PENDING:
             delay = self._rng.uniform(CONTENTION_MIN_S, CONTENTION_MAX_S)
-            held.retry_at = self._time.now() + delay
+            submission.retry_at = self._time.now() + delay
         elif code is codes.Code.COMPLETE:
-            yield from self._end(held, self._whole(held, message))
+            yield from self._finish(
+                submission, self._checked_outcome(submission, message)
+            )
         else:
-            yield from self._end(
-                held, outcome.Failed(message.attempt, code, message.detail)
+            yield from self._finish(
+                submission, outcome.Failed(message.attempt, code, message.detail)
             )
 
-    def _whole(
-        self, held: _Submission, message: messages.Outcome
+    def _checked_outcome(
+        self, submission: _Submission, message: messages.Outcome
     ) -> outcome.Complete | outcome.Failed:
         """Return the answer only when it has a result for each task."""
-        request = held.request
+        request = submission.request
         if not message.results or (
             request is not None and len(message.results) != len(request.tasks)
         ):
@@ -86,69 +101,77 @@
             )
         return outcome.Complete(message.attempt, message.results)
 
-    def attach(self, name: str, message: messages.Attach) -> _Effects:
+    def handle_attach(self, name: str, message: messages.Attach) -> _Effects:
         """Handle an entry host that waits for a job.
 
         :param name: name of the entry host.
         :param message: names the job.
         """
-        held = self._find(message.job)
-        kept = self._outcomes.get(message.job)
-        if held is not None and (held.owned_job or held.claimant):
-            held.attached.add(name)
-        elif kept is not None:
+        submission = self._find(message.job)
+        cached = self._outcomes.get(message.job)
+        if submission is not None and (submission.owned_job or submission.claimant):
+            submission.attached_hosts.add(name)
+        elif cached is not None:
             yield effects.Send(
-                name, registry.outcome_message(message.job, kept.epoch, kept.outcome)
+                name,
+                registry.outcome_message(message.job, cached.epoch, cached.outcome),
             )
         else:
-            yield effects.Send(name, self._not_mine(message.job))
+            yield effects.Send(name, self._not_owned_message(message.job))
 
-    def detach(self, name: str, message: messages.Detach) -> _Effects:
+    def handle_detach(self, name: str, message: messages.Detach) -> _Effects:
         """Handle an entry host that no longer waits, or that cancels a job.
 
         :param name: name of the entry host.
         :param message: names the job.
         """
-        held = self._find(message.job)
-        if held is None:
+        submission = self._find(message.job)
+        if submission is None:
             return
         if not message.cancel:
-            held.attached.discard(name)
+            submission.attached_hosts.discard(name)
             return
         # While the claim is being decided, it is cancelled once it is granted.
-        held.cancels = True
-        if held.owned_job is not None:
-            yield from held.owned_job.cancel()
-            yield from self._after(held)
+        submission.is_cancel_requested = True
+        if submission.owned_job is not None:
+            yield from submission.owned_job.cancel()
+            yield from self._handle_job_change(submission)
 
     @staticmethod
-    def _not_mine(job_id: bytes) -> messages.Outcome:
+    def _not_owned_message(job_id: bytes) -> messages.Outcome:
         return messages.Outcome(job_id, 0, 0, int(codes.Code.PENDING), "", ())
 
-    def peer_connected(self, node: messages.Node) -> _Effects:
+    def handle_peer_connected(self, node: messages.Node) -> _Effects:
         """Attach again to the jobs of an entry host that has connected.
 
         :param node: its incarnation.
         """
         self.peer_by_name[node.name] = node
-        for held in self._find_all():
-            if held.owner is not None and held.owner.name == node.name and held.record:
-                yield from self._attach(held, held.record)
-
-    def peer_disconnected(self, name: str) -> None:
+        for submission in self._find_all():
+            if (
+                submission.owner is not None
+                and submission.owner.name == node.name
+                and submission.claim_record
+            ):
+                yield from self._attach_to_owner(submission, submission.claim_record)
+
+    def handle_peer_disconnected(self, name: str) -> None:
         """Note that an entry host is no longer connected.
 
         :param name: its name.
         """
         self.peer_by_name.pop(name, None)
-        for held in self._find_all():
-            held.attached.discard(name)
-            if held.owner is not None and held.owner.name == name:
-                held.waits_since = self._time.now()
+        for submission in self._find_all():
+            submission.attached_hosts.discard(name)
+            if submission.owner is not None and submission.owner.name == name:
+                submission.owner_disconnected_at = self._time.now()
 
-    def _watch_owner(self, held: _Submission, now: float) -> _Effects:
+    def _check_owner(self, submission: _Submission, now: float) -> _Effects:
         lease_s = self._config.timing.lease_s
-        is_lost = held.waits_since is not None and now - held.waits_since >= lease_s
-        is_due = held.retry_at is not None and now >= held.retry_at
+        is_lost = (
+            submission.owner_disconnected_at is not None
+            and now - submission.owner_disconnected_at >= lease_s
+        )
+        is_due = submission.retry_at is not None and now >= submission.retry_at
         if is_lost or is_due:
-            yield from self._take_over(held)
+            yield from self._take_over(submission)
--- a/src/burdockgate/request/claimant.py
+++ b/src/burdockgate/request/claimant.py
@@ -19,7 +19,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Won:
+class Granted:
     """A majority granted the claim.
 
     :param record: the newest record that these members held before, with the scopes
@@ -30,18 +30,18 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Held:
+class AlreadyClaimed:
     """Another claim stands in the way."""
 
     record: messages.ClaimRecord
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Free:
+class Unclaimed:
     """A majority holds no claim; the answer to a question with epoch 0."""
 
 
-Result = Won | Held | Free
+Result = Granted | AlreadyClaimed | Unclaimed
 
 
 @attrs.frozen
@@ -85,7 +85,7 @@
         self._reply_by_name: dict[str, messages.ClaimReply] = {}
         self._retry_at = 0.0
 
-    def begin(self, view: views.View) -> _Effects:
+    def send_claims(self, view: views.View) -> _Effects:
         """Ask every member of the claim group, with the view given.
 
         :param view: the current view; replies by another group are forgotten.
@@ -96,7 +96,7 @@
         self._view, self._group = view, group
         self._retry_at = self._time.now() + self._round_s
         # One object for all members, so that it is encoded only once.
-        claim = self._claim()
+        claim = self._claim_message()
         for node in group:
             reply = self._reply_by_name.get(node.name)
             if reply is None or reply.verdict in _RETRY_VERDICTS:
@@ -104,7 +104,7 @@
                 yield effects.Dial(node)
                 yield effects.Send(node.name, claim)
 
-    def _claim(self) -> messages.Claim:
+    def _claim_message(self) -> messages.Claim:
         terms = self.terms
         return messages.Claim(
             terms.job,
@@ -120,7 +120,7 @@
             terms.code,
         )
 
-    def reply(self, name: str, reply: messages.ClaimReply) -> None:
+    def handle_reply(self, name: str, reply: messages.ClaimReply) -> None:
         """Count the reply of a member; :attr:`result` is set when it decides.
 
         :param name: name of the member.
@@ -146,14 +146,14 @@
             return
         self.result = self._decide(is_round_over=True)
         if self.result is None:
-            yield from self.begin(view)
+            yield from self.send_claims(view)
 
     @property
     def due_at(self) -> float:
         """Time at which :meth:`tick` asks again."""
         return self._retry_at
 
-    def hurry(self) -> None:
+    def retry_at_next_tick(self) -> None:
         """Ask again at the next tick, because a member has just connected."""
         self._retry_at = self._time.now()
 
@@ -163,19 +163,19 @@
             by_verdict.setdefault(reply.verdict, []).append(reply)
         needed = views.majority(len(self._group))
         granted = by_verdict.get(messages.Verdict.GRANTED, [])
-        held = by_verdict.get(messages.Verdict.HELD, [])
+        claimed = by_verdict.get(messages.Verdict.HELD, [])
         if self._group and len(granted) >= needed:
-            return Won(_newest(granted))
+            return Granted(_newest_record(granted))
         if len(by_verdict.get(messages.Verdict.FREE, [])) >= needed and self._group:
-            return Free()
-        newest = _newest(held)
-        is_lost = len(self._group) - len(held) < needed
-        if newest is not None and (is_lost or is_round_over):
-            return Held(newest)
+            return Unclaimed()
+        newest = _newest_record(claimed)
+        is_unwinnable = len(self._group) - len(claimed) < needed
+        if newest is not None and (is_unwinnable or is_round_over):
+            return AlreadyClaimed(newest)
         return None
 
 
-def _newest(replies: list[messages.ClaimReply]) -> messages.ClaimRecord | None:
+def _newest_record(replies: list[messages.ClaimReply]) -> messages.ClaimRecord | None:
     """Return the record with the highest epoch, with the scopes of all records."""
     records = [reply.record for reply in replies if reply.record is not None]
     if not records:
--- a/src/burdockgate/request/job.py
+++ b/src/burdockgate/request/job.py
@@ -19,7 +19,7 @@
 MEMORY_LIMIT_MB = 2**40
 ACCELERATORS_LIMIT = 65_536
 DEADLINE_LIMIT_MS = 2**53
-SHOWN_CHARS = 40
+SHORTENED_LIMIT_CHARS = 40
 
 # The body, its task list and the task itself enclose each payload.
 _ENVELOPE_DEPTH = 3
@@ -123,7 +123,7 @@
     _check_count(len(decoded.tasks), limits)
     tasks = tuple(
         TaskSpec(
-            _payload(index, task.payload),
+            _checked_payload(index, task.payload),
             task.expected_ms,
             task.cores,
             task.memory_mb,
@@ -175,8 +175,14 @@
 
     :param value: any value.
     """
-    text = ascii(value[: SHOWN_CHARS + 1] if isinstance(value, str) else value)
-    return text if len(text) <= SHOWN_CHARS else text[: SHOWN_CHARS - 3] + "..."
+    text = ascii(
+        value[: SHORTENED_LIMIT_CHARS + 1] if isinstance(value, str) else value
+    )
+    return (
+        text
+        if len(text) <= SHORTENED_LIMIT_CHARS
+        else text[: SHORTENED_LIMIT_CHARS - 3] + "..."
+    )
 
 
 def _invalid(detail: str) -> errors.RequestError:
@@ -215,7 +221,7 @@
     except RecursionError:
         raise _too_deep("body") from None
     except msgspec.ValidationError as error:
-        _explain(body, str(error))
+        _raise_validation_error(body, str(error))
     except msgspec.DecodeError as error:
         raise _invalid(f"body: {shorten_line(str(error))}, allowed is JSON") from None
 
@@ -229,7 +235,7 @@
     return line if len(line) <= 200 else line[:197] + "..."
 
 
-def _explain(body: bytes, text: str) -> NoReturn:
+def _raise_validation_error(body: bytes, text: str) -> NoReturn:
     """Raise the error for a body of the wrong shape, with the value at fault.
 
     The decoder names the path and what it expected, but not the value.
@@ -275,7 +281,7 @@
         )
 
 
-def _payload(index: int, raw: msgspec.Raw) -> bytes:
+def _checked_payload(index: int, raw: msgspec.Raw) -> bytes:
     payload = bytes(raw)
     allowed = DEPTH_LIMIT - _ENVELOPE_DEPTH
     if payload.count(b"[") + payload.count(b"{") > allowed and _is_deep(
--- a/src/burdockgate/request/ownedjob.py
+++ b/src/burdockgate/request/ownedjob.py
@@ -26,7 +26,7 @@
 
 
 @attrs.define
-class _Agent:
+class _AgentState:
     """What an owned job knows of one agent of its scope.
 
     :param fence: number of the last fence sent.
@@ -41,8 +41,8 @@
     is_fencing: bool = False
     is_recovering: bool = False
     lost_at: float | None = None
-    sent: dict[int, int] = attrs.field(factory=dict)
-    seen: set[int] = attrs.field(factory=set)
+    send_by_index: dict[int, int] = attrs.field(factory=dict)
+    reported_indexes: set[int] = attrs.field(factory=set)
 
 
 class OwnedJob:
@@ -61,32 +61,32 @@
         self,
         request: job.JobRequest,
         terms: claimant.Terms,
-        members: Iterable[messages.Node],
+        claim_group: Iterable[messages.Node],
         time: clock.Clock,
         lost_worker_s: float,
         had_attempt: bool = False,
     ) -> None:
         self.request = request
-        self.extend(terms)
+        self.extend_scope(terms)
         self.arrived_at = time.now()
         self.first_sent_at: float | None = None
         self.outcome: outcome.Outcome | None = None
         self.is_superseded = False
-        self.dropped = 0
-        self.returned: list[job.TaskSpec] = []
-        self._members = tuple(members)
+        self.dropped_count = 0
+        self.returned_tasks: list[job.TaskSpec] = []
+        self._claim_group = tuple(claim_group)
         self._time = time
         self._lost_worker_s = lost_worker_s
-        self._waiting = collections.deque(range(len(request.tasks)))
+        self._waiting_indexes = collections.deque(range(len(request.tasks)))
         self._result_by_index: dict[int, bytes] = {}
         self._send_by_index = [0] * len(request.tasks)
-        self._agent_by_name: dict[str, _Agent] = {}
+        self._agent_by_name: dict[str, _AgentState] = {}
         self._has_started = had_attempt
-        self._in_doubt = False
-        self._recovering = 0
-        self._sent = 0
+        self._is_in_doubt = False
+        self._recovering_count = 0
+        self._sent_count = 0
 
-    def extend(self, terms: claimant.Terms) -> None:
+    def extend_scope(self, terms: claimant.Terms) -> None:
         """Replace the terms by ones with a longer scope.
 
         :param terms: terms of the same epoch that a majority has granted.
@@ -99,18 +99,20 @@
     @property
     def waiting_count(self) -> int:
         """Number of tasks that may be sent now."""
-        return 0 if self.outcome or self._recovering else len(self._waiting)
+        return (
+            0 if self.outcome or self._recovering_count else len(self._waiting_indexes)
+        )
 
     @property
     def next_task(self) -> job.TaskSpec:
         """The task that :meth:`take` would send."""
-        return self.request.tasks[self._waiting[0]]
+        return self.request.tasks[self._waiting_indexes[0]]
 
-    def _set_recovering(self, agent: _Agent, is_recovering: bool) -> None:
-        self._recovering += is_recovering - agent.is_recovering
+    def _set_recovering(self, agent: _AgentState, is_recovering: bool) -> None:
+        self._recovering_count += is_recovering - agent.is_recovering
         agent.is_recovering = is_recovering
 
-    def allows(self, node: messages.Node) -> bool:
+    def may_send_to(self, node: messages.Node) -> bool:
         """Return whether a task may be sent to an agent now.
 
         :param node: an agent; only those of the recorded scope are allowed.
@@ -120,25 +122,25 @@
             agent.is_fencing or agent.lost_at is not None or not agent.node.same(node)
         ):
             return False
-        return self.in_scope(node)
+        return self.is_in_scope(node)
 
-    def in_scope(self, node: messages.Node) -> bool:
+    def is_in_scope(self, node: messages.Node) -> bool:
         """Return whether an agent is in the recorded scope.
 
         :param node: the agent's incarnation.
         """
         return (node.name, node.boot) in self._scope
 
-    def take(self, node: messages.Node) -> messages.TaskStart:
+    def assign_next_task(self, node: messages.Node) -> messages.TaskStart:
         """Take the next waiting task for an agent.
 
         :param node: the agent; see :meth:`allows`.
         """
-        index = self._waiting.popleft()
+        index = self._waiting_indexes.popleft()
         self._send_by_index[index] += 1
-        agent = self._agent(node)
-        agent.sent[index] = self._send_by_index[index]
-        self._sent += 1
+        agent = self._find_or_add_agent(node)
+        agent.send_by_index[index] = self._send_by_index[index]
+        self._sent_count += 1
         if self.first_sent_at is None:
             self.first_sent_at = self._time.now()
         return messages.TaskStart(
@@ -161,17 +163,17 @@
             messages.Start(
                 self.request.job,
                 self.terms.epoch,
-                self._agent(node).fence,
+                self._find_or_add_agent(node).fence,
                 self.terms.attempt,
                 node.boot,
                 tuple(tasks),
             ),
         )
 
-    def _agent(self, node: messages.Node) -> _Agent:
+    def _find_or_add_agent(self, node: messages.Node) -> _AgentState:
         agent = self._agent_by_name.get(node.name)
         if agent is None:
-            agent = _Agent(node)
+            agent = _AgentState(node)
             self._agent_by_name[node.name] = agent
         return agent
 
@@ -188,19 +190,19 @@
         :param scope: the scopes of all earlier claims of this attempt.
         """
         for node in scope:
-            agent = self._agent(node)
+            agent = self._find_or_add_agent(node)
             if not agent.node.same(node):
                 # Of two incarnations of one agent, at least one is gone.
-                self._in_doubt = True
+                self._is_in_doubt = True
                 continue
             self._set_recovering(agent, True)
             agent.lost_at = self._time.now()
-            yield from self._fence(agent)
+            yield from self._send_fence(agent)
 
-    def _fence(self, agent: _Agent) -> _Effects:
+    def _send_fence(self, agent: _AgentState) -> _Effects:
         agent.fence += 1
         agent.is_fencing = True
-        agent.seen.clear()
+        agent.reported_indexes.clear()
         yield effects.Dial(agent.node)
         yield effects.Send(
             agent.node.name,
@@ -213,7 +215,7 @@
             ),
         )
 
-    def agent_connected(self, node: messages.Node) -> _Effects:
+    def handle_agent_connected(self, node: messages.Node) -> _Effects:
         """Handle a new connection of an agent.
 
         :param node: its incarnation; another boot proves that the one before is
@@ -223,14 +225,14 @@
         if agent is None or self.outcome:
             return
         if not agent.node.same(node):
-            yield from self._give_up(agent)
-        elif agent.sent or agent.is_fencing:
+            yield from self._handle_agent_lost(agent)
+        elif agent.send_by_index or agent.is_fencing:
             agent.lost_at = self._time.now()
-            yield from self._fence(agent)
+            yield from self._send_fence(agent)
         else:
             agent.lost_at = None
 
-    def agent_disconnected(self, name: str) -> None:
+    def handle_agent_disconnected(self, name: str) -> None:
         """Note that the connection of an agent is lost.
 
         :param name: name of the agent.
@@ -239,7 +241,7 @@
         if agent is not None and agent.lost_at is None:
             agent.lost_at = self._time.now()
 
-    def fence_reply(self, name: str, reply: messages.FenceReply) -> _Effects:
+    def handle_fence_reply(self, name: str, reply: messages.FenceReply) -> _Effects:
         """Handle an agent's list of what it knows.
 
         :param name: name of the agent.
@@ -249,25 +251,27 @@
         if reply.epoch > self.terms.epoch:
             self.is_superseded = True
             return
-        if agent is None or self.outcome or not self._answers(agent, reply):
-            self.dropped += 1
+        if agent is None or self.outcome or not self._is_reply_to_fence(agent, reply):
+            self.dropped_count += 1
             return
         if reply.boot != agent.node.boot:
-            yield from self._give_up(agent)
+            yield from self._handle_agent_lost(agent)
             return
         for report in reply.reports:
             # The return of an earlier send says nothing of the send that is awaited.
             is_earlier = (
                 report.state is messages.TaskState.RETURNED
-                and report.send != agent.sent.get(report.index)
+                and report.send != agent.send_by_index.get(report.index)
             )
             if not is_earlier:
-                agent.seen.add(report.index)
-            yield from self._report(agent, report, is_resync=True)
+                agent.reported_indexes.add(report.index)
+            yield from self._handle_report(agent, report, is_resync=True)
         if not reply.more:
-            yield from self._end_fence(agent)
+            yield from self._finish_fence(agent)
 
-    def _answers(self, agent: _Agent, reply: messages.FenceReply) -> bool:
+    def _is_reply_to_fence(
+        self, agent: _AgentState, reply: messages.FenceReply
+    ) -> bool:
         return (
             agent.is_fencing
             and reply.epoch == self.terms.epoch
@@ -275,42 +279,47 @@
             and reply.attempt == self.terms.attempt
         )
 
-    def _end_fence(self, agent: _Agent) -> _Effects:
+    def _finish_fence(self, agent: _AgentState) -> _Effects:
         """Queue again what the agent never received and now never will start."""
         agent.is_fencing = False
         self._set_recovering(agent, False)
         agent.lost_at = None
-        for index in [index for index in agent.sent if index not in agent.seen]:
-            del agent.sent[index]
-            self._sent -= 1
+        for index in [
+            index
+            for index in agent.send_by_index
+            if index not in agent.reported_indexes
+        ]:
+            del agent.send_by_index[index]
+            self._sent_count -= 1
             self._requeue(index)
-        yield from self._check_doubt()
+        yield from self._fail_if_in_doubt()
 
-    def _give_up(self, agent: _Agent) -> _Effects:
+    def _handle_agent_lost(self, agent: _AgentState) -> _Effects:
         """Handle the loss of an agent for good."""
         was_recovering = agent.is_recovering
         agent.is_fencing = False
         self._set_recovering(agent, False)
-        if agent.sent:
+        if agent.send_by_index:
             yield from self.fail(
                 codes.Code.WORKER_LOST,
-                f"worker {agent.node.name} was lost with {len(agent.sent)} tasks",
+                f"worker {agent.node.name} was lost with "
+                f"{len(agent.send_by_index)} tasks",
             )
         elif was_recovering:
-            self._in_doubt = True
-            yield from self._check_doubt()
+            self._is_in_doubt = True
+            yield from self._fail_if_in_doubt()
 
-    def _check_doubt(self) -> _Effects:
+    def _fail_if_in_doubt(self) -> _Effects:
         """Fail when all agents have been heard and a task is unaccounted for."""
-        if self._in_doubt and not self._recovering and self._waiting:
+        if self._is_in_doubt and not self._recovering_count and self._waiting_indexes:
             yield from self.fail(
                 codes.Code.OWNER_LOST,
-                f"{len(self._waiting)} tasks may have started on a lost worker",
+                f"{len(self._waiting_indexes)} tasks may have started on a lost worker",
             )
 
     # Results
 
-    def results(self, name: str, message: messages.Results) -> _Effects:
+    def handle_results(self, name: str, message: messages.Results) -> _Effects:
         """Handle tasks that ended at an agent.
 
         :param name: name of the agent.
@@ -324,46 +333,51 @@
             or message.epoch != self.terms.epoch
             or message.attempt != self.terms.attempt
         ):
-            self.dropped += len(message.reports)
+            self.dropped_count += len(message.reports)
             return
         for report in message.reports:
-            yield from self._report(agent, report, is_resync=False)
+            yield from self._handle_report(agent, report, is_resync=False)
 
-    def _report(
-        self, agent: _Agent, report: messages.TaskReport, is_resync: bool
+    def _handle_report(
+        self, agent: _AgentState, report: messages.TaskReport, is_resync: bool
     ) -> _Effects:
         index = report.index
         if index >= len(self.request.tasks) or self.outcome:
-            self.dropped += 1
-        elif is_resync and agent.sent.get(index) is None:
-            yield from self._adopt(agent, report)
-        elif agent.sent.get(index) != report.send:
-            self.dropped += 1
+            self.dropped_count += 1
+        elif is_resync and agent.send_by_index.get(index) is None:
+            yield from self._adopt_task(agent, report)
+        elif agent.send_by_index.get(index) != report.send:
+            self.dropped_count += 1
         else:
-            yield from self._settle_task(agent, report)
+            yield from self._apply_report(agent, report)
 
-    def _adopt(self, agent: _Agent, report: messages.TaskReport) -> _Effects:
+    def _adopt_task(self, agent: _AgentState, report: messages.TaskReport) -> _Effects:
         """Take over a task that an earlier owner sent."""
         index = report.index
-        if report.state is messages.TaskState.RETURNED or index not in self._waiting:
+        if (
+            report.state is messages.TaskState.RETURNED
+            or index not in self._waiting_indexes
+        ):
             self._send_by_index[index] = max(self._send_by_index[index], report.send)
             return
-        self._waiting.remove(index)
+        self._waiting_indexes.remove(index)
         self._send_by_index[index] = max(self._send_by_index[index], report.send)
-        agent.sent[index] = report.send
-        self._sent += 1
-        yield from self._settle_task(agent, report)
+        agent.send_by_index[index] = report.send
+        self._sent_count += 1
+        yield from self._apply_report(agent, report)
 
-    def _settle_task(self, agent: _Agent, report: messages.TaskReport) -> _Effects:
+    def _apply_report(
+        self, agent: _AgentState, report: messages.TaskReport
+    ) -> _Effects:
         index, state = report.index, report.state
         if state is messages.TaskState.RUNNING:
             self._has_started = True
             return
-        del agent.sent[index]
-        self._sent -= 1
+        del agent.send_by_index[index]
+        self._sent_count -= 1
         if state is messages.TaskState.RETURNED:
             self._requeue(index)
-            self.returned.append(self.request.tasks[index])
+            self.returned_tasks.append(self.request.tasks[index])
             return
         self._has_started = True
         if state is not messages.TaskState.DONE:
@@ -380,7 +394,7 @@
 
     def _requeue(self, index: int) -> None:
         """Put a task back at the front, so that its job is not delayed further."""
-        self._waiting.appendleft(index)
+        self._waiting_indexes.appendleft(index)
 
     # Ends
 
@@ -402,9 +416,9 @@
         for agent in list(self._agent_by_name.values()):
             if self.outcome is None and self._is_overdue(agent, now):
                 agent.lost_at = now
-                yield from self._give_up(agent)
+                yield from self._handle_agent_lost(agent)
 
-    def _is_overdue(self, agent: _Agent, now: float) -> bool:
+    def _is_overdue(self, agent: _AgentState, now: float) -> bool:
         return agent.lost_at is not None and now - agent.lost_at >= self._lost_worker_s
 
     def expire(self) -> _Effects:
@@ -418,9 +432,9 @@
     @property
     def sent_count(self) -> int:
         """Number of tasks sent and not known to have ended."""
-        return self._sent
+        return self._sent_count
 
-    def check_queue(self, queue_s: float) -> _Effects:
+    def check_queue_time(self, queue_s: float) -> _Effects:
         """Fail the job when no task was sent within the queue time.
 
         :param queue_s: longest time in the queue in seconds.
@@ -444,8 +458,10 @@
     def _fail_by_start(
         self, not_run: codes.Code, may_have_run: codes.Code, detail: str
     ) -> _Effects:
-        is_known = not (self._has_started or self._recovering or self._in_doubt)
-        code = not_run if is_known and not self._sent else may_have_run
+        is_known = not (
+            self._has_started or self._recovering_count or self._is_in_doubt
+        )
+        code = not_run if is_known and not self._sent_count else may_have_run
         yield from self.fail(code, detail)
 
     def fail(self, code: codes.Code, detail: str) -> _Effects:
@@ -459,7 +475,7 @@
         self.outcome = outcome.Failed(self.terms.attempt, code, detail)
         cancel = messages.Cancel(self.request.job, self.terms.epoch, self.terms.attempt)
         for agent in self._agent_by_name.values():
-            if agent.sent:
+            if agent.send_by_index:
                 yield effects.Send(agent.node.name, cancel)
 
     def _complete(self) -> None:
@@ -468,7 +484,7 @@
         )
         self.outcome = outcome.Complete(self.terms.attempt, results)
 
-    def replace_outcome(self, code: codes.Code) -> None:
+    def replace_code(self, code: codes.Code) -> None:
         """Change the code of a failure that could not be confirmed.
 
         :param code: the weaker result code.
@@ -485,6 +501,6 @@
             self.terms.attempt,
             int(self.outcome.code),
         )
-        names = {node.name for node in self._members} | set(self._agent_by_name)
+        names = {node.name for node in self._claim_group} | set(self._agent_by_name)
         for name in sorted(names):
             yield effects.Send(name, settle)
--- a/src/burdockgate/request/submission.py
+++ b/src/burdockgate/request/submission.py
@@ -37,7 +37,7 @@
     deadline_at: float
     request: jobs.JobRequest | None = None
     tickets: set[int] = attrs.field(factory=set)
-    attached: set[str] = attrs.field(factory=set)
+    attached_hosts: set[str] = attrs.field(factory=set)
     refusal: codes.Code | None = None
     refusal_detail: str = ""
     claimant: claimants.Claimant | None = None
@@ -45,10 +45,10 @@
     confirmation: claimants.Claimant | None = None
     owned_job: ownedjob.OwnedJob | None = None
     owner: messages.Node | None = None
-    record: messages.ClaimRecord | None = None
-    waits_since: float | None = None
+    claim_record: messages.ClaimRecord | None = None
+    owner_disconnected_at: float | None = None
     retry_at: float | None = None
-    cancels: bool = False
+    is_cancel_requested: bool = False
     had_attempt: bool = False
     number: int = 0
     scheduled_at: float | None = None
--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -28,9 +28,9 @@
 def serve(queue, count, work=100.0):
     """Take tasks one by one, and return the key of the job of each."""
     keys = []
-    for owned_job in queue.in_order():
+    for owned_job in queue.jobs_in_order():
         keys.append(owned_job.request.key)
-        owned_job.take(A1)
+        owned_job.assign_next_task(A1)
         queue.charge(owned_job, work)
         if len(keys) == count:
             break
@@ -58,10 +58,10 @@
     queue.add(job("long", 50, "long"), 1.0)
     queue.add(job("short", 50, "short"), 1.0)
     served = collections.Counter()
-    for owned_job in queue.in_order():
+    for owned_job in queue.jobs_in_order():
         key = owned_job.request.key
         served[key] += 1
-        owned_job.take(A1)
+        owned_job.assign_next_task(A1)
         queue.charge(owned_job, 400.0 if key == "long" else 100.0)
         if served.total() == 50:
             break
@@ -121,14 +121,14 @@
     queue.add(job("stuck", 1), 1.0)
     queue.add(job("next", 2), 1.0)
     offered = []
-    for owned_job in queue.in_order():
+    for owned_job in queue.jobs_in_order():
         offered.append(owned_job.request.key)
         if owned_job.request.key == "next":
-            owned_job.take(A1)
+            owned_job.assign_next_task(A1)
     assert offered == ["stuck", "next", "next"]
-    assert (queue.waiting(), queue.is_empty) == ((1, 1.0), False)
+    assert (queue.demand(), queue.is_empty) == ((1, 1.0), False)
     assert serve(queue, 2) == ["stuck"]
-    assert (queue.waiting(), queue.is_empty) == ((0, 0.0), True)
+    assert (queue.demand(), queue.is_empty) == ((0, 0.0), True)
 
 
 def test_job_is_queued_once_with_its_latest_weight(queue):
@@ -136,7 +136,7 @@
     owned_job = job("k1", 3)
     for weight in (1.0, 2.0):
         queue.add(owned_job, weight)
-    assert queue.waiting() == (3, 2.0)
+    assert queue.demand() == (3, 2.0)
     assert serve(queue, 9) == ["k1"] * 3
 
 
@@ -147,7 +147,7 @@
     list(failed.cancel())
     assert queue.is_empty
     queue.add(again, 1.0)
-    assert queue.waiting()[0] == 1
+    assert queue.demand()[0] == 1
     assert serve(queue, 2) == ["k1"]
 
 
@@ -178,5 +178,5 @@
         queue.add(job(f"k{number}", 1, f"c{number}"), 1.0)
         serve(queue, 2)
     names = []
-    queue.reweigh(lambda name: names.append(name) or 1.0)
+    queue.update_weights(lambda name: names.append(name) or 1.0)
     assert len(names) <= 1
--- a/tests/test_claimant.py
+++ b/tests/test_claimant.py
@@ -25,12 +25,14 @@
 def claim(time):
     terms = builders.terms(epoch=2, code=111)
     made = claimant.Claimant(terms, time, random.Random(1), 0.5)
-    made.asked = list(made.begin(VIEW))
+    made.asked = list(made.send_claims(VIEW))
     return made
 
 
 def reply(claim, name, verdict, record=None, epoch=2):
-    claim.reply(name, messages.ClaimReply(builders.JOB, epoch, verdict, 3, record))
+    claim.handle_reply(
+        name, messages.ClaimReply(builders.JOB, epoch, verdict, 3, record)
+    )
 
 
 def asked(claim, view=VIEW):
@@ -51,7 +53,7 @@
         reply(claim, name, V.GRANTED, epoch=epoch)
         assert claim.result is None
     reply(claim, "a2", V.GRANTED)
-    assert claim.result == claimant.Won(None)
+    assert claim.result == claimant.Granted(None)
     reply(claim, "a3", V.HELD, RECORD)
     assert list(claim.tick(builders.view_of("a1"))) == [], "decided once"
 
@@ -69,7 +71,7 @@
 def test_pending_record_does_not_hide_a_settlement(claim):
     for name, record in (("a1", builders.claim_record(epoch=2)), ("a2", SETTLED)):
         reply(claim, name, V.HELD, record)
-    assert claim.result == claimant.Held(SETTLED)
+    assert claim.result == claimant.AlreadyClaimed(SETTLED)
 
 
 @pytest.mark.parametrize("silent", [False, True])
@@ -79,11 +81,11 @@
     if silent:
         time.advance(0.5)
         list(claim.tick(VIEW))
-        assert claim.result == claimant.Held(RECORD)
+        assert claim.result == claimant.AlreadyClaimed(RECORD)
     else:
         reply(claim, "a2", V.GRANTED)
         reply(claim, "a3", V.GRANTED)
-        assert isinstance(claim.result, claimant.Won)
+        assert isinstance(claim.result, claimant.Granted)
 
 
 def test_free_needs_a_majority(claim, time):
@@ -93,7 +95,7 @@
     list(claim.tick(VIEW))
     assert claim.result is None
     reply(claim, "a2", V.FREE)
-    assert claim.result == claimant.Free()
+    assert claim.result == claimant.Unclaimed()
 
 
 def test_votes_of_another_group_are_forgotten(claim):
@@ -114,7 +116,7 @@
     assert asked(claim) == set()
     time.advance(claimant.RETRY_MAX_S)
     assert asked(claim) == {"a2", "a3"}
-    claim.hurry()
+    claim.retry_at_next_tick()
     assert asked(claim) == {"a2", "a3"}
     reply(claim, "a2", V.GRANTED)
-    assert claim.result == claimant.Won(None)
+    assert claim.result == claimant.Granted(None)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -46,7 +46,7 @@
     wanted = run(dispatcher)
     assert starts(wanted) == {"a1": [0, 1], "a2": [2]}
     assert len(builders.sent(wanted, messages.Start)) == 2
-    assert dispatcher.waiting() == 2
+    assert dispatcher.waiting_count() == 2
     assert starts(run(dispatcher)) == {}
 
 
@@ -71,7 +71,7 @@
     outside = []
     assert starts(run(dispatcher, outside.append)) == {}
     assert outside == [job]
-    job.extend(builders.terms(["a9"]))
+    job.extend_scope(builders.terms(["a9"]))
     assert starts(run(dispatcher)) == {"a9": [0]}
 
 
@@ -130,7 +130,7 @@
     dispatcher.add(batch, 1.0)
     run(dispatcher)
     state = messages.TaskState.RETURNED
-    list(batch.results("a1", builders.results(builders.report(0, state=state))))
+    list(batch.handle_results("a1", builders.results(builders.report(0, state=state))))
     dispatcher.add(batch, 1.0)
     dispatcher.add(web, 1.0)
     workers.record_report("a1", 1, 1)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,4 +1,4 @@
-"""Guards the pages of the members stream that an entry host hands on."""
+"""An entry host forwards the records of the members stream without gaps."""
 
 import random
 
@@ -36,10 +36,10 @@
     return messages.Records(views.STREAM, first, first + len(values), records)
 
 
-def to_agent(wanted):
+def messages_to_agent(performed):
     return [
         effect.message
-        for effect in wanted
+        for effect in performed
         if isinstance(effect, effects.Send) and effect.to == "agent-1"
     ]
 
@@ -49,15 +49,19 @@
 
 
 def test_record_between_connection_and_first_heartbeat_leaves_no_gap():
-    """Such a page must not pass for a gap, which stops the agent's votes for hours."""
+    """The agent must get every record once its heartbeat has reported its view.
+
+    A page sent before that heartbeat would look like a gap in the stream, and an agent
+    with a gap in its view does not vote for hours.
+    """
     time = clock.ManualClock(100.0)
     host, member = make_entry(time), make_agent(time)
     list(host.follow(page(0, views.entry_record(host.node), builders.voter("a2"))))
-    pages = to_agent(host.handle_connect(builders.hello("agent-1")))
-    # The agent's heartbeat is still under way.
-    pages += to_agent(host.follow(page(2, builders.voter("agent-1"))))
+    pages = messages_to_agent(host.handle_connect(builders.hello("agent-1")))
+    # The agent's first heartbeat has not arrived yet.
+    pages += messages_to_agent(host.follow(page(2, builders.voter("agent-1"))))
     list(member.handle_connect(entry_hello()))
-    pages += to_agent(host.receive("agent-1", messages.Heartbeat(0, 0)))
+    pages += messages_to_agent(host.receive("agent-1", messages.Heartbeat(0, 0)))
     for message in pages:
         if isinstance(message, messages.Records):
             list(member.receive("entry-1", message))
@@ -68,7 +72,7 @@
 
 
 def test_agent_that_missed_pages_gets_them_before_newer_ones():
-    """An agent that returns with an old view must not be sent the newest page alone."""
+    """An agent that reconnects with an old view needs the pages in between too."""
     time = clock.ManualClock(100.0)
     host, member = make_entry(time), make_agent(time)
     list(member.handle_connect(entry_hello()))
@@ -76,9 +80,9 @@
     list(host.follow(first))
     list(member.receive("entry-1", first))
     list(host.follow(page(1, builders.voter("a3"))))
-    pages = to_agent(host.handle_connect(builders.hello("agent-1")))
-    pages += to_agent(host.receive("agent-1", messages.Heartbeat(0, 1)))
-    pages += to_agent(host.follow(page(2, builders.voter("agent-1"))))
+    pages = messages_to_agent(host.handle_connect(builders.hello("agent-1")))
+    pages += messages_to_agent(host.receive("agent-1", messages.Heartbeat(0, 1)))
+    pages += messages_to_agent(host.follow(page(2, builders.voter("agent-1"))))
     for message in pages:
         if isinstance(message, messages.Records):
             list(member.receive("entry-1", message))
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -28,7 +28,7 @@
     for count in range(most):
         if not limit.may_start("class", "batch"):
             return count
-        limit.started(request)
+        limit.record_start(request)
     return most
 
 
@@ -54,9 +54,9 @@
         table.Row("class", "batch", max_in_progress=most), hosts=hosts
     )
     assert start_all(limit, REQUEST) == share
-    limit.in_progress(REQUEST, share - 1)
+    limit.set_in_progress(REQUEST, share - 1)
     assert start_all(limit, REQUEST) == 1
-    limit.in_progress(REQUEST, 0)
+    limit.set_in_progress(REQUEST, 0)
     assert start_all(limit, REQUEST) == share
     change(source)
     assert limit.may_start("class", "batch")
@@ -87,9 +87,9 @@
     limit, _, _ = make(table.Row("service", "records", max_queue_bytes=150))
     request = attrs.evolve(REQUEST, size=100)
     assert limit.refusal(request) == ""
-    limit.queued(request, 100)
+    limit.add_queued_bytes(request, 100)
     assert "100 of 150 bytes of service/records" in limit.refusal(request)
-    limit.queued(request, -100)
+    limit.add_queued_bytes(request, -100)
     assert limit.refusal(request) == ""
 
 
@@ -98,5 +98,5 @@
         table.Row("service", "records", max_queue_s=9),
         table.Row("class", "batch", max_queue_s=2),
     )
-    assert limit.queue_s(REQUEST) == 2
-    assert limit.queue_s(builders.request(caller_class="web")) == 9
+    assert limit.max_queue_s(REQUEST) == 2
+    assert limit.max_queue_s(builders.request(caller_class="web")) == 9
--- a/tests/test_outcomecache.py
+++ b/tests/test_outcomecache.py
@@ -1,4 +1,4 @@
-"""Guards the answers kept for callers that ask again."""
+"""Guards the answers cache for callers that ask again."""
 
 import pytest
 
@@ -13,7 +13,7 @@
 
 
 @pytest.fixture
-def kept(time):
+def cache(time):
     return outcomecache.OutcomeCache(time, 300.0, 100)
 
 
@@ -22,32 +22,32 @@
     return outcomecache.CachedOutcome(whole, 1, b"d", True, time.now())
 
 
-def test_bytes_are_bounded_and_the_oldest_goes_first(kept, time):
+def test_bytes_are_bounded_and_the_oldest_goes_first(cache, time):
     """Answers without a bound would take the entry host's memory."""
     for job in (b"1", b"2", b"1", b"3"):
-        kept.keep(job, complete(time))
-    assert [job for job in (b"1", b"2", b"3") if kept.get(job)] == [b"1", b"3"]
-    kept.drop(b"1")
-    kept.drop(b"1")
-    kept.keep(b"4", complete(time, 60))
-    assert kept.get(b"3") and kept.get(b"4")
-    kept.keep(b"5", complete(time, 101))
-    assert not any(kept.get(job) for job in (b"3", b"4", b"5"))
-    kept.keep(b"6", complete(time, 100))
-    assert kept.get(b"6")
+        cache.put(job, complete(time))
+    assert [job for job in (b"1", b"2", b"3") if cache.get(job)] == [b"1", b"3"]
+    cache.discard(b"1")
+    cache.discard(b"1")
+    cache.put(b"4", complete(time, 60))
+    assert cache.get(b"3") and cache.get(b"4")
+    cache.put(b"5", complete(time, 101))
+    assert not any(cache.get(job) for job in (b"3", b"4", b"5"))
+    cache.put(b"6", complete(time, 100))
+    assert cache.get(b"6")
 
 
-def test_retention(kept, time):
+def test_retention(cache, time):
     """A caller must find its answer for the whole retention, and no longer."""
-    kept.keep(b"1", complete(time))
+    cache.put(b"1", complete(time))
     time.advance(200.0)
-    kept.keep(b"2", complete(time))
+    cache.put(b"2", complete(time))
     time.advance(99.0)
-    kept.expire()
-    assert kept.get(b"1")
+    cache.expire()
+    assert cache.get(b"1")
     time.advance(1.0)
-    kept.expire()
-    assert (kept.get(b"1"), bool(kept.get(b"2"))) == (None, True)
+    cache.expire()
+    assert (cache.get(b"1"), bool(cache.get(b"2"))) == (None, True)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_ownedjob.py
+++ b/tests/test_ownedjob.py
@@ -24,20 +24,20 @@
 
 
 def take(job, *nodes):
-    return [job.take(node) for node in nodes]
+    return [job.assign_next_task(node) for node in nodes]
 
 
 def results(job, name, *reports, **fields):
-    return list(job.results(name, builders.results(*reports, **fields)))
+    return list(job.handle_results(name, builders.results(*reports, **fields)))
 
 
 def reply(job, name, *reports, **fields):
-    return list(job.fence_reply(name, builders.fence_reply(*reports, **fields)))
+    return list(job.handle_fence_reply(name, builders.fence_reply(*reports, **fields)))
 
 
 def reconnect(job, node):
-    job.agent_disconnected(node.name)
-    return builders.sent(job.agent_connected(node), messages.Fence)
+    job.handle_agent_disconnected(node.name)
+    return builders.sent(job.handle_agent_connected(node), messages.Fence)
 
 
 def code(job):
@@ -61,7 +61,7 @@
 ):
     take(job, A1, A2)
     results(job, name, report(index, send), **fields)
-    assert job.dropped == 1
+    assert job.dropped_count == 1
     results(job, "a2", report(1, payload=b"y"))
     assert job.outcome is None
     results(job, "a1", report(0, payload=b"x"))
@@ -81,26 +81,26 @@
 def test_only_agents_of_the_scope_are_allowed(job):
     """A later owner fences only the recorded scope."""
     a3 = builders.node("a3")
-    allowed = [job.allows(each) for each in (A1, a3, builders.node("a1", 2))]
+    allowed = [job.may_send_to(each) for each in (A1, a3, builders.node("a1", 2))]
     assert allowed == [True, False, False]
-    job.extend(builders.terms(("a1", "a3")))
-    assert job.allows(a3)
+    job.extend_scope(builders.terms(("a1", "a3")))
+    assert job.may_send_to(a3)
 
 
 def test_no_task_for_an_agent_that_is_lost_or_fenced(job, time):
     """A start sent around a fence would make its reply meaningless."""
     take(job, A1)
-    job.agent_disconnected("a1")
-    assert not job.allows(A1)
+    job.handle_agent_disconnected("a1")
+    assert not job.may_send_to(A1)
     time.advance(4.0)
-    job.agent_disconnected("a1")
-    list(job.agent_connected(A1))
-    assert not job.allows(A1)
+    job.handle_agent_disconnected("a1")
+    list(job.handle_agent_connected(A1))
+    assert not job.may_send_to(A1)
     reply(job, "a1", report(0, state=RUNNING))
-    assert job.allows(A1)
+    assert job.may_send_to(A1)
     results(job, "a1", report(0))
     assert reconnect(job, A1) == [], "a fence for an idle agent is waste"
-    assert job.allows(A1)
+    assert job.may_send_to(A1)
 
 
 @pytest.mark.parametrize(
@@ -111,7 +111,7 @@
     reconnect(job, A1)
     assert [fence.fence for fence in reconnect(job, A1)] == [2]
     reply(job, "a1", **({"fence": 2} | fields))
-    assert (job.waiting_count, job.allows(A1)) == (1, False)
+    assert (job.waiting_count, job.may_send_to(A1)) == (1, False)
     reply(job, "a1", fence=2)
     assert job.waiting_count == 2
     take(job, A1)
@@ -125,7 +125,7 @@
     reply(job, "a1", report(0, state=RUNNING), more=True)
     assert job.waiting_count == 0
     reply(job, "a1")
-    assert job.take(A2).index == 1
+    assert job.assign_next_task(A2).index == 1
 
 
 def test_repeated_send_that_was_lost_is_freed_by_the_fence(job):
@@ -187,14 +187,14 @@
         reply(job, "a1", fence=2, boot=2)
     else:
         results(job, "a1", *[report(0, 1, RETURNED)] * returned)
-        job.agent_disconnected("a1")
+        job.handle_agent_disconnected("a1")
         time.advance(4.9)
         list(job.tick())
         assert job.outcome is None
         time.advance(0.1 * (cause == "timeout"))
         list(job.tick())
         if cause == "hello":
-            list(job.agent_connected(builders.node("a1", boot=2)))
+            list(job.handle_agent_connected(builders.node("a1", boot=2)))
     assert code(job) is (None if returned else C.WORKER_LOST)
     assert job.waiting_count == (2 if returned else 0)
 
@@ -272,7 +272,7 @@
     list(job.cancel())
     results(job, "a2", report(1))
     reply(job, "a1", report(0), report(1))
-    assert (code(job), job.dropped) == (C.CANCELLED_MAY_HAVE_RUN, 2)
+    assert (code(job), job.dropped_count) == (C.CANCELLED_MAY_HAVE_RUN, 2)
     assert reconnect(job, A1) == []
     assert job.sent_count == 2, "the reply must free nothing"
 
@@ -280,16 +280,16 @@
 def test_rest_of_a_message_after_a_failed_task_is_dropped(job):
     take(job, A1, A1)
     results(job, "a1", report(0, state=STATE.FAILED), report(1))
-    assert (code(job), job.dropped) == (C.TASK_FAILED, 1)
+    assert (code(job), job.dropped_count) == (C.TASK_FAILED, 1)
 
 
 def test_only_tasks_unaccounted_for_are_taken_over(job):
     """Two agents may report one task, and a report may name a task of no job."""
     list(job.recover([A1, A2]))
     reply(job, "a1", report(0, 3, RUNNING), report(2, 1, DONE))
-    assert job.dropped == 1
+    assert job.dropped_count == 1
     reply(job, "a2", report(0, 5, RUNNING), report(1, 1, RETURNED))
-    assert job.returned == [], "the earlier owner has counted it"
+    assert job.returned_tasks == [], "the earlier owner has counted it"
     results(job, "a1", report(0, 3, RETURNED))
     assert [(task.index, task.send) for task in take(job, A2)] == [(0, 6)]
 
@@ -307,7 +307,7 @@
     take(job, A1)
     for wait_s in (0.0, 3.0):
         time.advance(wait_s)
-        job.agent_disconnected("a1")
+        job.handle_agent_disconnected("a1")
     time.advance(2.0)
     list(job.tick())
     assert code(job) is C.WORKER_LOST
