Reword the layers of the job registry

Cause: docstrings and comments of lifecycle, ownership, remotejobs and registry spoke of jobs that are held, led, touched and given up, and locals were called current, every, found and drawn. Change: plain terms: submission, owned job, claim, outcome; constants say what they bound. Details of refusals and failures go to callers and stay.

--- a/src/burdockgate/process/lifecycle.py
+++ b/src/burdockgate/process/lifecycle.py
@@ -1,7 +1,7 @@
-"""The life of each job at an entry host, from the caller's side.
+"""Calls of clients and timers of the jobs of an entry host.
 
-The layers below are :mod:`burdockgate.process.ownership`,
-:mod:`burdockgate.process.remotejobs` and :mod:`burdockgate.process.registry`.
+This is the top layer of the job registry; see :mod:`burdockgate.process.registry`
+for the layers below.
 """
 
 from __future__ import annotations
@@ -15,9 +15,11 @@
 from burdockgate.request import submission as submissions
 
 FETCH_DEADLINE_S = 10.0
-# A cancel can overtake its submission, which has a body and another connection.
+# A cancel can arrive before its submission, which has a body and uses another
+# connection.
 CANCEL_RETENTION_S = 10.0
 CANCEL_RETENTION_LIMIT = 100_000
+# The heap is rebuilt when it has more than two entries per job plus this many.
 SCHEDULE_HEAP_SLACK = 64
 
 _Effects = Iterator[effects.Effect]
@@ -25,7 +27,7 @@
 
 
 class JobLifecycle(ownership.Ownership):
-    """Every job that this entry host holds."""
+    """All jobs known to this entry host, with the calls and timers that drive them."""
 
     def submit(
         self,
@@ -34,12 +36,12 @@
         refusal: codes.Code | None = None,
         detail: str = "",
     ) -> _Effects:
-        """Take a submission.
+        """Claim a submitted job, or join the one that has its key.
 
         :param request: the job.
-        :param ticket: number under which the caller waits.
-        :param refusal: code with which the job is refused unless it is known.
-        :param detail: one line about the refusal.
+        :param ticket: number that identifies the waiting caller.
+        :param refusal: code with which the job is refused unless it is already known.
+        :param detail: one line that explains the refusal.
         """
         self._counters.count("jobs.submitted")
         submission = self._find(request.job)
@@ -77,6 +79,7 @@
         refusal: codes.Code | None,
         detail: str,
     ) -> _Effects:
+        """Answer from the cache, or start another attempt if that is allowed."""
         if cached.digest != request.digest:
             yield effects.Answer(ticket, registry.key_reused_refusal())
         elif not cached.may_run_again or refusal is not None:
@@ -93,11 +96,11 @@
             )
 
     def fetch(self, job_id: bytes, ticket: int, is_cancel: bool = False) -> _Effects:
-        """Wait for the outcome of a job that was submitted before.
+        """Wait for the outcome of a job that was submitted earlier.
 
         :param job_id: 16-byte job id.
-        :param ticket: number under which the caller waits.
-        :param cancels: whether to cancel the job.
+        :param ticket: number that identifies the waiting caller.
+        :param is_cancel: whether to cancel the job.
         """
         submission = self._find(job_id)
         cached = self._outcomes.get(job_id)
@@ -120,20 +123,23 @@
         yield from super()._refuse_unclaimed(submission)
 
     def _was_cancelled(self, job_id: bytes) -> bool:
-        """Return whether a cancel came shortly before the first submission."""
-        at = self._cancelled_at_by_job.pop(job_id, None)
-        return at is not None and self._time.now() - at < CANCEL_RETENTION_S
+        """Return whether the job was cancelled shortly before it was submitted."""
+        cancelled_at = self._cancelled_at_by_job.pop(job_id, None)
+        return (
+            cancelled_at is not None
+            and self._time.now() - cancelled_at < CANCEL_RETENTION_S
+        )
 
     def _expire_cancels(self) -> None:
-        limit = self._time.now() - CANCEL_RETENTION_S
+        expired_at = self._time.now() - CANCEL_RETENTION_S
         while self._cancelled_at_by_job:
-            job_id, at = next(iter(self._cancelled_at_by_job.items()))
-            if at > limit:
+            job_id, cancelled_at = next(iter(self._cancelled_at_by_job.items()))
+            if cancelled_at > expired_at:
                 return
             del self._cancelled_at_by_job[job_id]
 
     def is_local(self, job_id: bytes) -> bool:
-        """Return whether a job is led or its answer cached by this entry host.
+        """Return whether this entry host owns a job or has its outcome in the cache.
 
         :param job_id: 16-byte job id.
         """
@@ -143,9 +149,9 @@
         return submission.owned_job is not None
 
     def remove_caller(self, ticket: int) -> None:
-        """Drop a caller that no longer waits; its job goes on.
+        """Remove a caller that no longer waits; its job continues.
 
-        :param ticket: number of the caller.
+        :param ticket: number that identifies the caller.
         """
         submission = self._submission_by_job.get(self._job_by_ticket.pop(ticket, b""))
         if submission is not None:
@@ -160,12 +166,12 @@
                 submission.owner.name, messages.Detach(submission.job, cancel=True)
             )
         else:
-            # Without a majority the claim would be decided only at the deadline.
-            limit = self._time.now() + ownership.CONFIRMATION_TIMEOUT_S
-            submission.deadline_at = min(submission.deadline_at, limit)
+            # Without a majority, the claim would stay open until the deadline.
+            latest_at = self._time.now() + ownership.CONFIRMATION_TIMEOUT_S
+            submission.deadline_at = min(submission.deadline_at, latest_at)
 
     def tick(self) -> _Effects:
-        """Do what is due; call at least ten times a second."""
+        """Run the timers that are due; call at least ten times a second."""
         self._outcomes.expire()
         self._expire_cancels()
         for submission in self._due_submissions():
@@ -175,25 +181,26 @@
         yield from self._start_queued_confirmations(ownership.CONFIRMATIONS_PER_TICK)
 
     def _due_submissions(self) -> list[_Submission]:
-        """Return the jobs that were touched or whose time has come, as they came."""
+        """Return the jobs that were touched or are due, in the order of submission."""
         versions = (self.view.number, self._limits.version)
         if versions != self._versions_at_last_tick:
-            # A view or a table concerns every job.
+            # A new view or table affects every job.
             self._versions_at_last_tick = versions
             self._touched_jobs.update(self._submission_by_job)
         ids, self._touched_jobs = self._touched_jobs, set()
         while self._schedule_heap and self._schedule_heap[0][0] <= self._time.now():
             ids.add(heapq.heappop(self._schedule_heap)[1])
-        every = (self._submission_by_job.get(job_id) for job_id in ids)
-        found = [submission for submission in every if submission is not None]
-        return sorted(found, key=lambda submission: submission.number)
+        known = (self._submission_by_job.get(job_id) for job_id in ids)
+        due = [submission for submission in known if submission is not None]
+        return sorted(due, key=lambda submission: submission.number)
 
     def _schedule(self, submission: _Submission) -> None:
         due_at = self._next_due_at(submission)
         if due_at != submission.scheduled_at or due_at <= self._time.now():
             submission.scheduled_at = due_at
             heapq.heappush(self._schedule_heap, (due_at, submission.job))
-        # Entries of ended jobs would otherwise stay until their deadlines.
+        # Rebuild the heap, because entries of ended jobs would otherwise stay until
+        # their deadlines.
         if len(self._schedule_heap) > 2 * len(self) + SCHEDULE_HEAP_SLACK:
             self._schedule_heap = [
                 (item.scheduled_at, item.job)
@@ -203,31 +210,32 @@
             heapq.heapify(self._schedule_heap)
 
     def _next_due_at(self, submission: _Submission) -> float:
-        """Return when :meth:`_tick` has something to do, if nothing changes."""
-        due = [current.due_at for current in ownership.open_claims(submission)]
+        """Return when the timers of a job are due, if no event comes first."""
+        due_times = [claim.due_at for claim in ownership.open_claims(submission)]
         if submission.owned_job is not None:
-            due.append(submission.owned_job.due_at)
+            due_times.append(submission.owned_job.due_at)
             if submission.confirmation is not None:
-                due.append(submission.deadline_at)
+                due_times.append(submission.deadline_at)
             queue_s = self._limits.max_queue_s(submission.owned_job.request)
             if queue_s is not None and submission.owned_job.first_sent_at is None:
-                due.append(submission.owned_job.arrived_at + queue_s)
+                due_times.append(submission.owned_job.arrived_at + queue_s)
         else:
-            due.append(submission.deadline_at)
+            due_times.append(submission.deadline_at)
             if submission.owner_disconnected_at is not None:
-                due.append(
+                due_times.append(
                     submission.owner_disconnected_at + self._config.timing.lease_s
                 )
             if submission.retry_at is not None:
-                due.append(submission.retry_at)
-        return min(due)
+                due_times.append(submission.retry_at)
+        return min(due_times)
 
     def _tick_submission(self, submission: _Submission) -> _Effects:
         now = self._time.now()
-        for current in ownership.open_claims(submission):
-            # A job that is owned already ends before newer groups vote on it.
-            if self.is_view_current or current is not submission.claimant:
-                yield from current.tick(self.view)
+        for claim in ownership.open_claims(submission):
+            # The claim of a job that is not owned here yet needs a current view. An
+            # owned job ends before a newer group votes on it.
+            if self.is_view_current or claim is not submission.claimant:
+                yield from claim.tick(self.view)
         yield from self._check_claims(submission)
         if submission.owned_job is not None:
             queue_s = self._limits.max_queue_s(submission.owned_job.request)
--- a/src/burdockgate/process/ownership.py
+++ b/src/burdockgate/process/ownership.py
@@ -1,4 +1,8 @@
-"""Claims of jobs, and the jobs that this entry host owns."""
+"""Claims of jobs, and the jobs that this entry host owns.
+
+This layer claims a job at its claim group, runs it once a majority has granted the
+claim, and confirms a "not run" outcome with the group before callers get it.
+"""
 
 from __future__ import annotations
 
@@ -12,14 +16,15 @@
 from burdockgate.request import submission as submissions
 
 SCOPE_LIMIT = 64
-# More are drawn than needed, because some may be draining.
+# More workers are sampled than a scope holds, because some may be draining.
 SCOPE_SAMPLE_SIZE = 80
 EXTENSION_SIZE = 16
 CONFIRMATION_TIMEOUT_S = 2.0
-# Jobs settled as "not run" at the same time. The votes on 10,000 of them at once come
-# after the time-outs of the claims, which are then all sent again.
+# Confirmations in progress at the same time. With 10,000 at once, the votes arrive
+# after the claims have timed out, and all claims are sent again.
 CONFIRMATIONS_LIMIT = 128
-# Begun in each tick whatever is under way, so that a lost claim group delays no other.
+# Confirmations started in each tick even above the limit, so that an unreachable claim
+# group does not delay the jobs of other groups.
 CONFIRMATIONS_PER_TICK = 64
 RETRY_AFTER_S = 1.0
 
@@ -28,7 +33,7 @@
 
 
 class Ownership(remotejobs.RemoteJobs):
-    """Claims jobs and leads those that a majority has granted."""
+    """Claims jobs, and runs those whose claim a majority has granted."""
 
     def _claim(self, submission: _Submission, epoch: int, attempt: int) -> _Effects:
         submission.owner = submission.owner_disconnected_at = submission.retry_at = None
@@ -45,7 +50,7 @@
         self, submission: _Submission, epoch: int, attempt: int
     ) -> claimant.Terms:
         request = submission.request
-        remaining = max(0.0, submission.deadline_at - self._time.now())
+        remaining_s = max(0.0, submission.deadline_at - self._time.now())
         return claimant.Terms(
             submission.job,
             epoch,
@@ -53,7 +58,7 @@
             self._node,
             request.digest if request else b"",
             tuple(self._choose_scope(request)) if request and epoch else (),
-            int(remaining * 1000),
+            int(remaining_s * 1000),
             request.repeatable if request else False,
         )
 
@@ -62,15 +67,15 @@
         if len(members) <= SCOPE_LIMIT:
             workers = list(self._workers.schedulable_workers(request.service))
         else:
-            drawn = self._rng.sample(members, min(len(members), SCOPE_SAMPLE_SIZE))
+            sample = self._rng.sample(members, min(len(members), SCOPE_SAMPLE_SIZE))
             workers = [
-                worker for worker in drawn if self._workers.is_schedulable(worker)
+                worker for worker in sample if self._workers.is_schedulable(worker)
             ]
         for worker in workers[:SCOPE_LIMIT]:
             yield worker.node
 
     def handle_claim_reply(self, name: str, reply: messages.ClaimReply) -> _Effects:
-        """Handle the vote of a claim group member.
+        """Handle the vote of a member of a claim group.
 
         :param name: name of the member.
         :param reply: its vote.
@@ -78,8 +83,8 @@
         submission = self._find(reply.job)
         if submission is None:
             return
-        for current in open_claims(submission):
-            current.handle_reply(name, reply)
+        for claim in open_claims(submission):
+            claim.handle_reply(name, reply)
         yield from self._check_claims(submission)
         yield from self._start_queued_confirmations()
 
@@ -94,36 +99,36 @@
         if submission.extension is not None and submission.extension.result is not None:
             yield from self._handle_extension_result(submission)
         if submission.claimant is not None and submission.claimant.result is not None:
-            current, submission.claimant = submission.claimant, None
-            yield from self._handle_claim_result(submission, current)
+            claim, submission.claimant = submission.claimant, None
+            yield from self._handle_claim_result(submission, claim)
 
     def _handle_claim_result(
-        self, submission: _Submission, current: claimant.Claimant
+        self, submission: _Submission, claim: claimant.Claimant
     ) -> _Effects:
-        match current.result:
-            case claimant.Granted(record) if _has_failed(record, current.terms.attempt):
-                # The owner before settled the job while this claim was under way.
+        match claim.result:
+            case claimant.Granted(record) if _has_failed(record, claim.terms.attempt):
+                # The previous owner settled the job while this claim was in progress.
                 assert record is not None
-                newer = attrs.evolve(record, epoch=current.terms.epoch)
-                yield from self._handle_other_claim(submission, newer)
+                other = attrs.evolve(record, epoch=claim.terms.epoch)
+                yield from self._handle_other_claim(submission, other)
             case claimant.Granted(record):
-                yield from self._start_owned_job(submission, current.terms, record)
+                yield from self._start_owned_job(submission, claim.terms, record)
             case claimant.AlreadyClaimed(record):
                 yield from self._handle_other_claim(submission, record)
             case claimant.Unclaimed():
                 yield from self._refuse_unclaimed(submission)
 
     def _refuse_unclaimed(self, submission: _Submission) -> _Effects:
-        """Refuse a job of which a majority holds no claim."""
+        """Refuse a job for which a majority of the claim group has no claim."""
         code = submission.refusal or codes.Code.NOT_FOUND
         meaning = codes.MEANING_BY_CODE[code]
-        retry_after = (
+        retry_after_s = (
             RETRY_AFTER_S * self._rng.uniform(1, 3) if meaning.retryable else 0
         )
         yield from self._finish(
             submission,
             outcome.Refused(
-                code, submission.refusal_detail or meaning.text, retry_after
+                code, submission.refusal_detail or meaning.text, retry_after_s
             ),
         )
 
@@ -173,10 +178,10 @@
             )
 
     def handle_results(self, name: str, message: messages.Results) -> _Effects:
-        """Handle tasks that ended at an agent.
+        """Handle an agent's reports about tasks that have ended.
 
         :param name: name of the agent.
-        :param message: its reports.
+        :param message: the reports.
         """
         submission = self._find(message.job)
         if submission is None or submission.owned_job is None:
@@ -187,24 +192,24 @@
         yield from self._handle_job_change(submission)
 
     def _resend_settlement(self, name: str, job_id: bytes) -> _Effects:
-        """Repeat the settlement of an ended job to an agent that waits for it.
+        """Send the settlement of an ended job again to a draining agent.
 
-        Only an agent that drains asks; results that come late from others need none.
+        A draining agent waits for it; late results of other agents need no reply.
         """
         worker = self._workers.worker_by_name.get(name)
         cached = self._outcomes.get(job_id)
         if cached is not None and worker is not None and worker.draining:
-            ended = cached.outcome
+            result = cached.outcome
             yield effects.Send(
                 name,
-                messages.Settle(job_id, cached.epoch, ended.attempt, int(ended.code)),
+                messages.Settle(job_id, cached.epoch, result.attempt, int(result.code)),
             )
 
     def handle_fence_reply(self, name: str, message: messages.FenceReply) -> _Effects:
-        """Handle an agent's list of what it knows of a job.
+        """Handle an agent's reply to a fence.
 
         :param name: name of the agent.
-        :param message: the list.
+        :param message: the tasks of the job that the agent knows.
         """
         submission = self._find(message.job)
         if submission is None or submission.owned_job is None:
@@ -213,35 +218,35 @@
         yield from self._handle_job_change(submission)
 
     def _handle_job_change(self, submission: _Submission) -> _Effects:
-        """Queue, answer or give up a job after its owned job has changed."""
-        current = submission.owned_job
-        if current is None:
+        """Queue, finish or claim a job again after its owned job has changed."""
+        owned_job = submission.owned_job
+        if owned_job is None:
             return
-        is_open = current.outcome is None and not current.is_superseded
-        self._limits.set_in_progress(current.request, current.sent_count * is_open)
-        if current.dropped_count:
-            self._counters.count("results.dropped", current.dropped_count)
-            current.dropped_count = 0
+        is_open = owned_job.outcome is None and not owned_job.is_superseded
+        self._limits.set_in_progress(owned_job.request, owned_job.sent_count * is_open)
+        if owned_job.dropped_count:
+            self._counters.count("results.dropped", owned_job.dropped_count)
+            owned_job.dropped_count = 0
         if not is_open:
-            self._dispatcher.remove(current)
-        if current.is_superseded:
+            self._dispatcher.remove(owned_job)
+        if owned_job.is_superseded:
             submission.owned_job = submission.extension = submission.confirmation = None
             self._confirming_jobs.discard(submission.job)
             self._confirmation_queue.pop(submission.job, None)
             yield from self._claim(submission, 1, 1)
-        elif current.outcome is not None:
-            if codes.start_of(current.outcome.code) is codes.Start.NOT_RUN:
-                yield from self._confirm_not_run(submission, current)
+        elif owned_job.outcome is not None:
+            if codes.start_of(owned_job.outcome.code) is codes.Start.NOT_RUN:
+                yield from self._confirm_not_run(submission, owned_job)
             else:
-                yield from self._finish(submission, current.outcome)
-        elif current.waiting_count:
-            self._dispatcher.add(current, self.weight(current.request))
+                yield from self._finish(submission, owned_job.outcome)
+        elif owned_job.waiting_count:
+            self._dispatcher.add(owned_job, self.weight(owned_job.request))
 
     def _confirm_not_run(
-        self, submission: _Submission, current: ownedjob.OwnedJob
+        self, submission: _Submission, owned_job: ownedjob.OwnedJob
     ) -> _Effects:
-        """Settle a job as "not run" before anybody is told so."""
-        assert current.outcome is not None
+        """Have the claim group confirm a "not run" outcome before it is reported."""
+        assert owned_job.outcome is not None
         if submission.job in self._confirmation_queue:
             return
         if (
@@ -250,19 +255,19 @@
         ):
             self._confirmation_queue[submission.job] = None
         elif submission.confirmation is None:
-            yield from self._start_confirmation(submission, current)
+            yield from self._start_confirmation(submission, owned_job)
         elif self._time.now() >= submission.deadline_at:
-            current.replace_code(_UNCONFIRMED_CODE_BY_CODE[current.outcome.code])
-            yield from self._finish(submission, current.outcome)
+            owned_job.replace_code(_UNCONFIRMED_CODE_BY_CODE[owned_job.outcome.code])
+            yield from self._finish(submission, owned_job.outcome)
 
     def _start_confirmation(
-        self, submission: _Submission, current: ownedjob.OwnedJob
+        self, submission: _Submission, owned_job: ownedjob.OwnedJob
     ) -> _Effects:
-        assert current.outcome is not None
+        assert owned_job.outcome is not None
         self._confirming_jobs.add(submission.job)
         submission.deadline_at = self._time.now() + CONFIRMATION_TIMEOUT_S
         submission.confirmation = claimant.Claimant(
-            attrs.evolve(current.terms, code=int(current.outcome.code)),
+            attrs.evolve(owned_job.terms, code=int(owned_job.outcome.code)),
             self._time,
             self._rng,
             self._config.timing.claim_round_s,
@@ -270,9 +275,9 @@
         yield from submission.confirmation.send_claims(self.view)
 
     def _start_queued_confirmations(self, count: int = 0) -> _Effects:
-        """Begin with jobs that wait to be settled.
+        """Start the confirmations that wait in the queue.
 
-        :param count: how many begin even when enough are under way.
+        :param count: number of confirmations that start even above the limit.
         """
         while self._confirmation_queue and (
             count > 0 or len(self._confirming_jobs) < CONFIRMATIONS_LIMIT
@@ -281,79 +286,79 @@
             job_id = next(iter(self._confirmation_queue))
             del self._confirmation_queue[job_id]
             submission = self._find(job_id)
-            current = submission.owned_job if submission is not None else None
-            if submission is not None and current is not None and current.outcome:
-                yield from self._start_confirmation(submission, current)
+            owned_job = submission.owned_job if submission is not None else None
+            if submission is not None and owned_job is not None and owned_job.outcome:
+                yield from self._start_confirmation(submission, owned_job)
 
     def _handle_confirmation_result(
         self, submission: _Submission, result: claimant.Result
     ) -> _Effects:
-        current, submission.confirmation = submission.owned_job, None
+        owned_job, submission.confirmation = submission.owned_job, None
         self._confirming_jobs.discard(submission.job)
-        if current is None or current.outcome is None:
+        if owned_job is None or owned_job.outcome is None:
             return
         if isinstance(result, claimant.Granted):
-            yield from self._finish(submission, current.outcome)
+            yield from self._finish(submission, owned_job.outcome)
         else:
-            current.is_superseded = True
+            owned_job.is_superseded = True
             yield from self._handle_job_change(submission)
 
-    def request_scope_extension(self, current: ownedjob.OwnedJob) -> None:
-        """Ask for a longer scope for a job that only agents outside it could run.
+    def request_scope_extension(self, owned_job: ownedjob.OwnedJob) -> None:
+        """Claim a longer scope for a job that only agents outside its scope could run.
 
-        :param current: the owned job.
+        :param owned_job: the owned job.
         """
-        submission = self._find(current.request.job)
+        submission = self._find(owned_job.request.job)
         if (
             submission is None
-            or submission.owned_job is not current
+            or submission.owned_job is not owned_job
             or submission.extension is not None
         ):
             return
         free: Sequence[directory.Worker]
-        free = self._workers.service(current.request.service).available
+        free = self._workers.service(owned_job.request.service).available
         if len(free) > SCOPE_LIMIT:
             free = self._rng.sample(free, SCOPE_LIMIT)
-        outside = [
+        outside_nodes = [
             worker.node
             for worker in sorted(free, key=lambda worker: worker.join_number)
             if self._workers.is_schedulable(worker)
-            and not current.is_in_scope(worker.node)
+            and not owned_job.is_in_scope(worker.node)
         ]
-        if outside:
-            scope = current.terms.scope + tuple(outside[:EXTENSION_SIZE])
+        if outside_nodes:
+            scope = owned_job.terms.scope + tuple(outside_nodes[:EXTENSION_SIZE])
             submission.extension = claimant.Claimant(
-                attrs.evolve(current.terms, scope=scope),
+                attrs.evolve(owned_job.terms, scope=scope),
                 self._time,
                 self._rng,
                 self._config.timing.claim_round_s,
             )
 
     def _handle_extension_result(self, submission: _Submission) -> _Effects:
-        current, submission.extension = submission.extension, None
-        if submission.owned_job is None or current is None:
+        extension, submission.extension = submission.extension, None
+        if submission.owned_job is None or extension is None:
             return
-        if isinstance(current.result, claimant.Granted):
-            submission.owned_job.extend_scope(current.terms)
+        if isinstance(extension.result, claimant.Granted):
+            submission.owned_job.extend_scope(extension.terms)
             yield from self._handle_job_change(submission)
         else:
             submission.owned_job.is_superseded = True
             yield from self._handle_job_change(submission)
 
     def handle_agent_connected(self, node: messages.Node) -> _Effects:
-        """Tell every job about a new connection of an agent.
+        """Update the claims and jobs after an agent has connected.
 
         :param node: the agent's incarnation.
         """
         for submission in self._find_all():
-            for current in open_claims(submission):
-                current.retry_at_next_tick()
+            for claim in open_claims(submission):
+                claim.retry_at_next_tick()
             if submission.owned_job is not None:
                 yield from submission.owned_job.handle_agent_connected(node)
                 yield from self._handle_job_change(submission)
 
     def handle_agent_disconnected(self, name: str) -> None:
-        """Tell every job about a lost connection of an agent.
+        """Update the owned jobs after the connection of an agent was lost.
 
         :param name: name of the agent.
         """
@@ -362,7 +367,7 @@
                 submission.owned_job.handle_agent_disconnected(name)
 
 
-# A "not run" that no majority has confirmed is answered with the weaker code.
+# Code that replaces a "not run" code when no majority has confirmed it.
 _UNCONFIRMED_CODE_BY_CODE: dict[codes.Code, codes.Code] = {
     codes.Code.DEADLINE_NOT_RUN: codes.Code.DEADLINE_MAY_HAVE_RUN,
     codes.Code.CANCELLED_NOT_RUN: codes.Code.CANCELLED_MAY_HAVE_RUN,
@@ -371,15 +376,19 @@
 
 
 def open_claims(submission: _Submission) -> list[claimant.Claimant]:
-    """Return the claims of a job that are being decided.
+    """Return the claims of a job that have no result yet.
 
     :param submission: the job.
     """
-    every = (submission.claimant, submission.extension, submission.confirmation)
-    return [current for current in every if current is not None]
+    claims = (submission.claimant, submission.extension, submission.confirmation)
+    return [claim for claim in claims if claim is not None]
 
 
 def _has_failed(record: messages.ClaimRecord | None, attempt: int) -> bool:
-    """Return whether an attempt was settled with a failure."""
-    ended = (int(codes.Code.PENDING), int(codes.Code.COMPLETE))
-    return record is not None and record.attempt == attempt and record.code not in ended
+    """Return whether a record settles an attempt with a failure."""
+    not_failed = (int(codes.Code.PENDING), int(codes.Code.COMPLETE))
+    return (
+        record is not None
+        and record.attempt == attempt
+        and record.code not in not_failed
+    )
--- a/src/burdockgate/process/registry.py
+++ b/src/burdockgate/process/registry.py
@@ -1,9 +1,9 @@
-"""The jobs that an entry host holds, and how each one ends.
+"""The registry of the jobs of an entry host, and the end of each job.
 
-:class:`JobRegistry` is the base of three layers, each in a module of its own:
+:class:`JobRegistry` is the base of three layers, each in its own module:
 :mod:`burdockgate.process.remotejobs` for jobs that another entry host owns,
-:mod:`burdockgate.process.ownership` for claims and own jobs, and
-:mod:`burdockgate.process.lifecycle` for callers and time.
+:mod:`burdockgate.process.ownership` for claims and owned jobs, and
+:mod:`burdockgate.process.lifecycle` for callers and timers.
 """
 
 from __future__ import annotations
@@ -28,15 +28,15 @@
 
 
 class JobRegistry(abc.ABC):
-    """Every job that this entry host holds; ``body_bytes`` counts their bodies.
+    """All jobs known to this entry host; ``body_bytes`` is the size of their bodies.
 
     :param node: this incarnation of the entry host.
     :param config: its settings.
     :param time: the clock.
     :param rng: the source of random delays.
     :param counters: the process's metrics.
-    :param workers: the workers known.
-    :param dispatcher: gets the jobs that have waiting tasks.
+    :param workers: the connected workers.
+    :param dispatcher: queues the jobs that have waiting tasks.
     :param limit: weights and limits of services and classes.
     """
 
@@ -69,10 +69,11 @@
         )
         self._submission_numbers = itertools.count()
         self._job_by_ticket: dict[int, bytes] = {}
-        # Jobs that a message or a caller has touched since the last tick.
+        # Jobs that may have changed since the last tick.
         self._touched_jobs: set[bytes] = set()
         self._confirming_jobs: set[bytes] = set()
-        # The first key of a plain dict is slow to find once many were deleted.
+        # Used as an ordered set: finding the first key of a plain dict is slow after
+        # many deletions.
         self._confirmation_queue: collections.OrderedDict[bytes, None] = (
             collections.OrderedDict()
         )
@@ -87,7 +88,7 @@
 
     @property
     def owned_count(self) -> int:
-        """Number of jobs that this entry host owns and that have not ended."""
+        """Number of jobs that this entry host owns and that are still in progress."""
         return sum(
             submission.owned_job is not None
             for submission in self._submission_by_job.values()
@@ -95,10 +96,10 @@
 
     @property
     def is_view_current(self) -> bool:
-        """Whether no claim group outside this view may vote yet.
+        """Whether claims may still use this view, since no newer group votes yet.
 
-        Members of newer groups wait until every entry host with an older view has
-        stopped to claim by it, so that the two groups cannot both grant a job.
+        The members of a newer group wait until every entry host with an older view has
+        stopped using it for claims, so that two groups cannot both grant a job.
         """
         age_s = self._time.now() - self._view_checked_at
         return age_s <= self._config.timing.view_limit_s
@@ -107,8 +108,8 @@
     def view_age_s(self) -> int:
         """Upper bound of the seconds since the view was known to be the newest one.
 
-        It is rounded up, so that a heartbeat seldom differs from the last one, and
-        may be left out.
+        The bound is rounded up so that most heartbeats are equal to the previous one
+        and need not be sent.
         """
         age_s = self._time.now() - self._view_checked_at
         if age_s >= messages.UNKNOWN_AGE_S:
@@ -116,15 +117,15 @@
         return math.ceil((age_s + 1) / VIEW_AGE_STEP_S) * VIEW_AGE_STEP_S
 
     def record_view_check(self, age_s: float) -> None:
-        """Note that the view is no older than the newest one of some time ago.
+        """Record that the view was the newest one at some time in the past.
 
-        :param age_s: that time in seconds before now.
+        :param age_s: seconds since that time.
         """
         checked_at = self._time.now() - age_s
         self._view_checked_at = max(self._view_checked_at, checked_at)
 
     def weight(self, request: job.JobRequest) -> float:
-        """Return the weight of a job, by its service and its class.
+        """Return the weight of a job from its service and its class.
 
         :param request: the job.
         """
@@ -138,19 +139,19 @@
         return submission
 
     def _find(self, job_id: bytes) -> _Submission | None:
-        """Return a job that may be changed now; the next tick looks at it."""
+        """Return a job that the caller may change; the next tick runs its timers."""
         submission = self._submission_by_job.get(job_id)
         if submission is not None:
             self._touched_jobs.add(job_id)
         return submission
 
     def _find_all(self) -> list[_Submission]:
-        """Return every job; the next tick looks at all of them."""
+        """Return all jobs; the next tick runs the timers of each."""
         self._touched_jobs.update(self._submission_by_job)
         return list(self._submission_by_job.values())
 
     def _add_caller(self, submission: _Submission, ticket: int) -> None:
-        """Note a caller that waits for a job."""
+        """Add a caller that waits for a job."""
         submission.tickets.add(ticket)
         self._job_by_ticket[ticket] = submission.job
 
@@ -161,14 +162,14 @@
 
     @abc.abstractmethod
     def _claim(self, submission: _Submission, epoch: int, attempt: int) -> _Effects:
-        """Claim a job, or with epoch 0 only ask whether it is claimed."""
+        """Claim a job; epoch 0 only asks whether it is claimed."""
 
     @abc.abstractmethod
     def _handle_job_change(self, submission: _Submission) -> _Effects:
-        """Queue, answer or give up a job after its owned job has changed."""
+        """Queue, finish or claim a job again after its owned job has changed."""
 
     def _finish(self, submission: _Submission, result: outcome.Outcome) -> _Effects:
-        """Answer everybody who waits for a job, and keep the outcome of an own one."""
+        """Answer all who wait for a job, and cache the outcome if it is owned here."""
         if self._submission_by_job.get(submission.job) is not submission:
             return
         del self._submission_by_job[submission.job]
@@ -221,7 +222,7 @@
 
 
 def key_reused_refusal() -> outcome.Refused:
-    """Return the refusal of a key that belongs to another body."""
+    """Return the refusal of a key that was used with another body."""
     code = codes.Code.KEY_REUSED
     return outcome.Refused(code, codes.MEANING_BY_CODE[code].text)
 
@@ -229,7 +230,7 @@
 def outcome_message(
     job_id: bytes, epoch: int, result: outcome.Outcome
 ) -> messages.Outcome:
-    """Return the message that tells an attached entry host how a job ended.
+    """Return the message that reports the outcome of a job to another entry host.
 
     :param job_id: 16-byte job id.
     :param epoch: the epoch under which it ended.
--- a/src/burdockgate/process/remotejobs.py
+++ b/src/burdockgate/process/remotejobs.py
@@ -1,4 +1,7 @@
-"""Jobs that another entry host owns: wait for its outcome, or take over."""
+"""Jobs that another entry host owns.
+
+This layer waits for the owner's outcome, or takes the job over when the owner is lost.
+"""
 
 from __future__ import annotations
 
@@ -17,7 +20,7 @@
 
 
 class RemoteJobs(registry.JobRegistry):
-    """Waits at the owner of a job, and claims the job when the owner is lost."""
+    """Attaches to the owner of a job, and claims the job when the owner is lost."""
 
     def _attach_to_owner(
         self, submission: _Submission, record: messages.ClaimRecord
@@ -30,7 +33,7 @@
         if record.owner.name == self._node.name or (
             peer is not None and not peer.same(record.owner)
         ):
-            # The owner has another boot by now, so it is gone.
+            # The owner has restarted since it claimed the job.
             yield from self._take_over(submission)
         elif peer is not None:
             self._counters.count("jobs.joined")
@@ -50,7 +53,7 @@
         record = submission.claim_record
         assert record is not None
         if submission.request is None:
-            # Without the body the job cannot be led; a submission would do it.
+            # Running the job needs its body, which only a submission carries.
             detail = "the owner of the job is lost; submit again with the same key"
             yield from self._finish(
                 submission, outcome.Pending(record.attempt, detail=detail)
@@ -63,7 +66,7 @@
         """Handle the outcome of a job that another entry host owns.
 
         :param name: name of that entry host.
-        :param message: the outcome, or that it does not own the job.
+        :param message: the outcome; code ``PENDING`` when it does not own the job.
         """
         submission = self._find(message.job)
         if (
@@ -75,8 +78,8 @@
             return
         code = codes.Code(message.code)
         if code is codes.Code.PENDING:
-            delay = self._rng.uniform(CONTENTION_MIN_S, CONTENTION_MAX_S)
-            submission.retry_at = self._time.now() + delay
+            delay_s = self._rng.uniform(CONTENTION_MIN_S, CONTENTION_MAX_S)
+            submission.retry_at = self._time.now() + delay_s
         elif code is codes.Code.COMPLETE:
             yield from self._finish(
                 submission, self._checked_outcome(submission, message)
@@ -89,7 +92,7 @@
     def _checked_outcome(
         self, submission: _Submission, message: messages.Outcome
     ) -> outcome.Complete | outcome.Failed:
-        """Return the answer only when it has a result for each task."""
+        """Return a complete outcome only if it has a result for each task."""
         request = submission.request
         if not message.results or (
             request is not None and len(message.results) != len(request.tasks)
@@ -102,7 +105,7 @@
         return outcome.Complete(message.attempt, message.results)
 
     def handle_attach(self, name: str, message: messages.Attach) -> _Effects:
-        """Handle an entry host that waits for a job.
+        """Handle an entry host's request for the outcome of a job.
 
         :param name: name of the entry host.
         :param message: names the job.
@@ -120,7 +123,7 @@
             yield effects.Send(name, self._not_owned_message(message.job))
 
     def handle_detach(self, name: str, message: messages.Detach) -> _Effects:
-        """Handle an entry host that no longer waits, or that cancels a job.
+        """Handle an entry host that stops waiting for a job or cancels it.
 
         :param name: name of the entry host.
         :param message: names the job.
@@ -131,7 +134,7 @@
         if not message.cancel:
             submission.attached_hosts.discard(name)
             return
-        # While the claim is being decided, it is cancelled once it is granted.
+        # If the claim is still open, the job is cancelled once the claim is granted.
         submission.is_cancel_requested = True
         if submission.owned_job is not None:
             yield from submission.owned_job.cancel()
@@ -142,9 +145,9 @@
         return messages.Outcome(job_id, 0, 0, int(codes.Code.PENDING), "", ())
 
     def handle_peer_connected(self, node: messages.Node) -> _Effects:
-        """Attach again to the jobs of an entry host that has connected.
+        """Attach again to the jobs that a newly connected entry host owns.
 
-        :param node: its incarnation.
+        :param node: incarnation of the entry host.
         """
         self.peer_by_name[node.name] = node
         for submission in self._find_all():
@@ -156,9 +159,9 @@
                 yield from self._attach_to_owner(submission, submission.claim_record)
 
     def handle_peer_disconnected(self, name: str) -> None:
-        """Note that an entry host is no longer connected.
+        """Record since when the owner of a job has been disconnected.
 
-        :param name: its name.
+        :param name: name of the entry host.
         """
         self.peer_by_name.pop(name, None)
         for submission in self._find_all():
