Reword the outcome cache and the backlog with their tests

Cause: outcomes were kept and forgotten, jobs passed and dropped, entries counted no more, and the heads of the tests told stories. Change: cached, removed, skipped, stale; the docstrings say how the queue orders and bounds. Tests name the failure that they guard against; five are renamed, none changes what it checks.

--- a/src/burdockgate/process/backlog.py
+++ b/src/burdockgate/process/backlog.py
@@ -1,10 +1,10 @@
 """The queue of jobs with waiting tasks at an entry host.
 
-Classes share by start-time fair queueing: each class has a virtual time that
-grows by the work sent divided by the class's weight, and the class with the
-lowest one is served next. Within a class, the job with the fewest waiting tasks
-goes first, since an answer counts only when the job is whole; the time of arrival
-counts too, so that a large job is not passed for ever.
+Classes share the slots by start-time fair queueing: the virtual time of a class grows
+by the work sent divided by the weight of the class, and the class with the lowest
+virtual time is served next. Within a class, jobs with few waiting tasks go first,
+because an answer needs all tasks of a job, and the time of arrival counts too, so that
+large jobs do not starve.
 """
 
 from __future__ import annotations
@@ -17,20 +17,22 @@
 
 from burdockgate.request import ownedjob
 
-# One waiting task weighs as much as this much later arrival.
+# Each waiting task of a job counts like an arrival later by this time.
 SECONDS_PER_WAITING_TASK = 0.02
-# Jobs of which nothing can be sent that one round looks at. Without a bound each
-# message would visit the whole backlog while the free workers are outside the scopes.
+# Largest number of jobs without a suitable worker that one round visits. Without this
+# bound, each message would cause a scan of the whole backlog while only workers outside
+# the scopes of its jobs are free.
 SKIPPED_JOBS_LIMIT = 64
 
 
 @attrs.define
 class _ClassQueue:
-    """Jobs of one class.
+    """The queued jobs of one class.
 
-    :param tasks: waiting tasks of the queued jobs, as last seen.
-    :param dropped: entries of the heap that count no more.
-    :param last_rank: the highest rank given so far.
+    :param heap: rank, entry number and job of each entry; some may be stale.
+    :param waiting_tasks: waiting tasks of the queued jobs when they were last counted.
+    :param stale_entries: entries of the heap whose job was removed from the queue.
+    :param highest_rank: the highest rank given so far.
     """
 
     weight: float
@@ -43,16 +45,17 @@
 
 @attrs.define
 class _QueuedJob:
-    """A queued job; an entry of the heap with another number counts no more."""
+    """A queued job; heap entries of the job with another number are stale."""
 
     number: int
     waiting_tasks: int
 
 
 class Backlog:
-    """Orders the jobs that have waiting tasks.
+    """Orders the jobs of one service that have waiting tasks.
 
-    :param may_start: whether tasks of a class may start now; others stay queued.
+    :param may_start: returns whether tasks of a class may start now; the jobs of other
+        classes stay queued.
     """
 
     def __init__(self, may_start: Callable[[str], bool] = lambda name: True) -> None:
@@ -63,10 +66,10 @@
         self._queued_by_job: dict[ownedjob.OwnedJob, _QueuedJob] = {}
 
     def add(self, job: ownedjob.OwnedJob, weight: float) -> None:
-        """Queue a job unless it is queued.
+        """Queue a job, or update its number of waiting tasks if it is queued.
 
         :param job: the job; it stays queued until it has no waiting task.
-        :param weight: weight of its class.
+        :param weight: weight of its class; replaces an earlier one.
         """
         name = job.request.caller_class
         queue = self._queue_by_class.get(name)
@@ -78,7 +81,10 @@
         self._push(job)
 
     def _remove_ended_jobs(self, queue: _ClassQueue) -> None:
-        """Release jobs that ended while no slot was free, to bound the memory."""
+        """Remove ended jobs from the front of a queue, to bound its memory.
+
+        Jobs end in the queue while no slot is free.
+        """
         while queue.heap:
             _, number, job = queue.heap[0]
             if self._is_current_entry(number, job) and job.outcome is None:
@@ -90,7 +96,7 @@
         return queued is not None and queued.number == number
 
     def _pop(self, queue: _ClassQueue) -> ownedjob.OwnedJob | None:
-        """Take the first entry, and return its job unless it counts no more."""
+        """Remove the first entry, and return its job unless the entry is stale."""
         _, number, job = heapq.heappop(queue.heap)
         if not self._is_current_entry(number, job):
             queue.stale_entries -= 1
@@ -99,7 +105,7 @@
         return job
 
     def remove(self, job: ownedjob.OwnedJob) -> None:
-        """Release a job that has ended.
+        """Remove a job that has ended.
 
         :param job: the job; one that is not queued is ignored.
         """
@@ -109,7 +115,8 @@
         queue = self._queue_by_class[job.request.caller_class]
         queue.waiting_tasks -= queued.waiting_tasks
         queue.stale_entries += 1
-        # Entries are removed in bulk, so that a wave of cancellations stays linear.
+        # Stale entries are removed in bulk, so that many cancellations at once take
+        # linear time in total.
         if queue.stale_entries > len(queue.heap) // 2:
             queue.heap = [
                 entry
@@ -122,9 +129,10 @@
     def jobs_in_order(self) -> Iterator[ownedjob.OwnedJob]:
         """Yield the jobs in the order of service; the caller sends their tasks.
 
-        Each time the caller has taken tasks of a job, it calls :meth:`charge`. A
-        job of which nothing was taken is passed over in this round. When many are,
-        the round ends, and they go to the end so that the next round sees others.
+        The caller calls :meth:`charge` for each task that it sends. A job of which it
+        sends nothing is skipped for the rest of the round. After
+        ``SKIPPED_JOBS_LIMIT`` skipped jobs the round ends, and these jobs move to the
+        end of their queues so that the next round visits others.
         """
         skipped: list[ownedjob.OwnedJob] = []
         try:
@@ -132,11 +140,11 @@
                 if (name := self._next_class()) is None:
                     break
                 job = self._pop(self._queue_by_class[name])
-                if job is None or (before := job.waiting_count) == 0:
+                if job is None or (waiting_before := job.waiting_count) == 0:
                     continue
                 skipped.append(job)
                 yield job
-                if job.waiting_count != before:
+                if job.waiting_count != waiting_before:
                     self._push(skipped.pop())
         finally:
             for job in skipped:
@@ -159,17 +167,18 @@
             heapq.heappush(queue.heap, (rank, number, job))
 
     def charge(self, job: ownedjob.OwnedJob, work: float) -> None:
-        """Count work sent against the class of a job.
+        """Advance the virtual time of the class of a job.
 
         :param job: the job.
-        :param work: amount of work, such as expected ms.
+        :param work: amount of work sent, such as expected ms; negative for a task that
+            was returned.
         """
         queue = self._queue_by_class[job.request.caller_class]
         self._virtual_time = max(self._virtual_time, queue.virtual_time)
         queue.virtual_time += work / queue.weight
 
     def update_weights(self, weight: Callable[[str], float]) -> None:
-        """Apply changed weights to the classes that are queued.
+        """Apply changed weights to the queued classes.
 
         :param weight: returns the weight of a class.
         """
@@ -178,7 +187,7 @@
 
     @property
     def is_empty(self) -> bool:
-        """Whether no task that may start waits; ended jobs may still be queued."""
+        """Whether no waiting task may start; ended jobs may still be queued."""
         return next(self.first_jobs(), None) is None
 
     def first_jobs(self) -> Iterator[ownedjob.OwnedJob]:
@@ -193,7 +202,7 @@
                     self._pop(queue)
 
     def demand(self) -> tuple[int, float]:
-        """Return the number of waiting tasks and the weights of their classes."""
+        """Return the number of waiting tasks and the sum of their classes' weights."""
         queues = self._queue_by_class.values()
         tasks = sum(queue.waiting_tasks for queue in queues)
         return tasks, sum(
@@ -212,12 +221,15 @@
         )
 
     def _remove_idle_classes(self) -> None:
-        """Forget classes without jobs once their virtual time is in the past."""
+        """Remove the classes without jobs that are not ahead in virtual time."""
         if not any(queue.heap for queue in self._queue_by_class.values()):
-            # Without a rival there is no debt to remember. Classes that each come
-            # once would otherwise stay, because none ever moves the time past them.
-            times = [queue.virtual_time for queue in self._queue_by_class.values()]
-            self._virtual_time = max([self._virtual_time, *times])
+            # With all queues empty, no class is ahead of another. Without this step,
+            # classes that are each used once would stay for ever, because no charge
+            # would move the virtual time past theirs.
+            virtual_times = [
+                queue.virtual_time for queue in self._queue_by_class.values()
+            ]
+            self._virtual_time = max([self._virtual_time, *virtual_times])
         for name, queue in list(self._queue_by_class.items()):
             if not queue.heap and queue.virtual_time <= self._virtual_time:
                 del self._queue_by_class[name]
--- a/src/burdockgate/process/outcomecache.py
+++ b/src/burdockgate/process/outcomecache.py
@@ -1,4 +1,4 @@
-"""Outcomes of finished jobs, kept for callers that ask again."""
+"""Cache of the outcomes of finished jobs, for callers that ask again."""
 
 from __future__ import annotations
 
@@ -12,11 +12,12 @@
 
 @attrs.frozen
 class CachedOutcome:
-    """A finished job.
+    """The outcome of a finished job.
 
-    :param epoch: the epoch under which it ended.
-    :param digest: hash of its body.
-    :param kept_at: time of the end, in seconds.
+    :param epoch: epoch under which the job ended.
+    :param digest: hash of the body.
+    :param repeatable: whether the caller marked the job as repeatable.
+    :param ended_at: time of the end, in seconds.
     """
 
     outcome: outcome.Complete | outcome.Failed
@@ -27,21 +28,21 @@
 
     @property
     def may_run_again(self) -> bool:
-        """Whether a new submission with the key starts a new attempt."""
+        """Whether a new submission with the same key starts a new attempt."""
         return may_run_again(self.outcome.code, self.repeatable)
 
     @property
     def size(self) -> int:
-        """Bytes of the results."""
+        """Size of the results, or of the detail of a failure, in bytes."""
         if isinstance(self.outcome, outcome.Complete):
             return sum(map(len, self.outcome.results))
         return len(self.outcome.detail)
 
 
 def may_run_again(code: codes.Code, repeatable: bool) -> bool:
-    """Return whether a job that ended with a code may run again under its key.
+    """Return whether a new submission with the key of an ended job may run it again.
 
-    :param code: the result code.
+    :param code: result code with which the job ended.
     :param repeatable: whether the caller marked the job as repeatable.
     """
     if code is codes.Code.COMPLETE:
@@ -50,11 +51,11 @@
 
 
 class OutcomeCache:
-    """Kept outcomes by job, the oldest dropped first.
+    """Outcomes by job id, bounded in age and size; the oldest is evicted first.
 
     :param time: the clock.
-    :param retention_s: how long an outcome is kept.
-    :param limit_bytes: bound of all results together.
+    :param retention_s: time for which an outcome is cached, in seconds.
+    :param limit_bytes: largest size of all cached results together.
     """
 
     def __init__(self, time: clock.Clock, retention_s: float, limit_bytes: int) -> None:
@@ -67,10 +68,10 @@
         self._bytes = 0
 
     def put(self, job: bytes, cached: CachedOutcome) -> None:
-        """Keep the outcome of a job; an older one of the same job is replaced.
+        """Add the outcome of a job, or replace the one that is cached.
 
         :param job: 16-byte job id.
-        :param kept: the outcome.
+        :param cached: the outcome.
         """
         self.discard(job)
         self._cached_by_job[job] = cached
@@ -79,14 +80,14 @@
             self.discard(next(iter(self._cached_by_job)))
 
     def get(self, job: bytes) -> CachedOutcome | None:
-        """Return the kept outcome of a job.
+        """Return the cached outcome of a job, if any.
 
         :param job: 16-byte job id.
         """
         return self._cached_by_job.get(job)
 
     def discard(self, job: bytes) -> None:
-        """Forget a job.
+        """Remove the outcome of a job.
 
         :param job: 16-byte job id; an unknown one is ignored.
         """
@@ -95,10 +96,10 @@
             self._bytes -= cached.size
 
     def expire(self) -> None:
-        """Forget the jobs whose retention has passed."""
-        limit = self._time.now() - self._retention_s
+        """Remove the outcomes whose retention time has passed."""
+        expired_at = self._time.now() - self._retention_s
         while self._cached_by_job:
             job, cached = next(iter(self._cached_by_job.items()))
-            if cached.ended_at > limit:
+            if cached.ended_at > expired_at:
                 return
             self.discard(job)
--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -1,4 +1,4 @@
-"""Guards the order of waiting jobs: shares by weight, and no job passed for ever."""
+"""The order of waiting jobs: classes share by weight, and no job starves."""
 
 import collections
 import gc
@@ -26,7 +26,7 @@
 
 
 def serve(queue, count, work=100.0):
-    """Take tasks one by one, and return the key of the job of each."""
+    """Assign tasks one by one, and return the key of each task's job."""
     keys = []
     for owned_job in queue.jobs_in_order():
         keys.append(owned_job.request.key)
@@ -42,7 +42,7 @@
     st.lists(st.integers(1, 4), min_size=2, max_size=3), st.sampled_from([1, 7, 300])
 )
 def test_shares_follow_the_weights(weights, batch):
-    """Under overload each class gets its share within 5%, whatever the batches."""
+    """Under overload each class gets its share within 5%, for any batch size."""
     queue = backlog.Backlog()
     for index, weight in enumerate(weights):
         queue.add(job(f"c{index}", 300, f"c{index}"), float(weight))
@@ -70,7 +70,7 @@
 
 @pytest.mark.parametrize("idle_first", [False, True])
 def test_returning_class_does_not_catch_up(queue, idle_first):
-    """A class that was idle must not take every slot until it has caught up."""
+    """A class that was idle must not get all slots to make up for that time."""
     if idle_first:
         queue.add(job("early", 1, "rare"), 1.0)
         assert serve(queue, 1) == ["early"]
@@ -80,8 +80,8 @@
     assert abs(serve(queue, 20).count("rare") - 10) <= 1
 
 
-def test_spent_class_does_not_return_with_a_clean_slate(queue):
-    """A class that empties and refills must not be served before the others."""
+def test_refilled_class_keeps_its_virtual_time(queue):
+    """A class whose queue empties and refills must not be served before others."""
     served = collections.Counter()
     for number in range(40):
         queue.add(job(f"n{number}", 1, "small"), 1.0)
@@ -94,7 +94,7 @@
 
 
 def test_nearly_complete_job_goes_first(queue):
-    """An answer counts only when the job is whole."""
+    """A caller gets an answer only once all tasks of its job are done."""
     queue.add(job("large", 10), 1.0)
     queue.add(job("small", 2), 1.0)
     assert serve(queue, 3) == ["small", "small", "large"]
@@ -102,8 +102,8 @@
 
 @settings(derandomize=True, deadline=None, max_examples=10)
 @given(st.integers(2, 60), st.integers(1, 5))
-def test_no_job_is_passed_for_ever(tasks, newcomers):
-    """A large job ages, so a stream of small ones cannot hold it up for ever."""
+def test_no_job_starves(tasks, newcomers):
+    """The rank of a large job is bounded, so newer small jobs come after it."""
     time = clock.ManualClock()
     queue = backlog.Backlog()
     queue.add(job("large", tasks, time=time), 1.0)
@@ -116,8 +116,8 @@
             queue.add(job(f"{time.now()}-{number}", 1, time=time), 1.0)
 
 
-def test_job_of_which_nothing_is_taken_is_kept_and_passed(queue):
-    """A job that fits no free worker must neither block the others nor be lost."""
+def test_job_without_suitable_worker_is_skipped_and_stays_queued(queue):
+    """A job that fits no free worker must neither block other jobs nor be lost."""
     queue.add(job("stuck", 1), 1.0)
     queue.add(job("next", 2), 1.0)
     offered = []
@@ -132,7 +132,7 @@
 
 
 def test_job_is_queued_once_with_its_latest_weight(queue):
-    """A job queued twice would count twice in the demand."""
+    """A job that is queued twice would count twice in the demand."""
     owned_job = job("k1", 3)
     for weight in (1.0, 2.0):
         queue.add(owned_job, weight)
@@ -140,8 +140,8 @@
     assert serve(queue, 9) == ["k1"] * 3
 
 
-def test_next_attempt_is_queued_beside_a_failed_one(queue):
-    """The entry of the failed attempt must not keep its successor out."""
+def test_new_attempt_is_queued_while_the_failed_one_is(queue):
+    """The entry of a failed attempt must not block the entry of the next one."""
     failed, again = job("k1"), job("k1")
     queue.add(failed, 1.0)
     list(failed.cancel())
@@ -152,7 +152,7 @@
 
 
 def test_ended_jobs_are_released_while_no_slot_is_free(queue):
-    """Jobs that end in a long outage of the workers must not fill the memory."""
+    """Jobs that end during a long outage of the workers must not use up memory."""
     refs = []
     for number in range(5):
         owned_job = job(f"k{number}")
@@ -165,15 +165,15 @@
 
 
 def test_job_that_ended_is_not_served(queue):
-    """Nothing of a cancelled job may be sent to a worker."""
+    """No task of a cancelled job may be sent to a worker."""
     ended = job("k1")
     queue.add(ended, 1.0)
     list(ended.cancel())
     assert serve(queue, 1) == []
 
 
-def test_classes_without_jobs_are_forgotten(queue):
-    """Callers name the classes, so the names must not fill the memory."""
+def test_classes_without_jobs_are_removed(queue):
+    """Callers choose the names of classes, so old ones must not use up memory."""
     for number in range(50):
         queue.add(job(f"k{number}", 1, f"c{number}"), 1.0)
         serve(queue, 2)
--- a/tests/test_outcomecache.py
+++ b/tests/test_outcomecache.py
@@ -1,4 +1,4 @@
-"""Guards the answers cache for callers that ask again."""
+"""The outcome cache: its bounds in size and age, and which jobs may run again."""
 
 import pytest
 
@@ -23,7 +23,7 @@
 
 
 def test_bytes_are_bounded_and_the_oldest_goes_first(cache, time):
-    """Answers without a bound would take the entry host's memory."""
+    """An unbounded cache would exhaust the memory of the entry host."""
     for job in (b"1", b"2", b"1", b"3"):
         cache.put(job, complete(time))
     assert [job for job in (b"1", b"2", b"3") if cache.get(job)] == [b"1", b"3"]
@@ -38,7 +38,7 @@
 
 
 def test_retention(cache, time):
-    """A caller must find its answer for the whole retention, and no longer."""
+    """An outcome is available for exactly the retention time."""
     cache.put(b"1", complete(time))
     time.advance(200.0)
     cache.put(b"2", complete(time))
@@ -61,7 +61,7 @@
     ],
 )
 def test_may_run_again(time, code, repeatable, expected):
-    """A request that is not repeatable runs at most once."""
+    """A job that is not repeatable must run at most once."""
     failed = outcome.Failed(1, code, "detail")
     made = outcomecache.CachedOutcome(failed, 1, b"d", repeatable, time.now())
     assert made.may_run_again is expected
