Reword the dispatcher and the limits with their tests

Cause: workers were told and asked, heads and outsides unexplained, rows that count nowhere said, and locals named every, known, again, place. Change: demand is announced to workers, tasks are assigned, the limits say which counts they hold; constants say what they bound.

--- a/src/burdockgate/process/dispatch.py
+++ b/src/burdockgate/process/dispatch.py
@@ -1,4 +1,8 @@
-"""Sends waiting tasks of an entry host to workers with free slots."""
+"""Assigns the waiting tasks of an entry host to workers with free slots.
+
+The order of jobs comes from :mod:`burdockgate.process.backlog`, the choice among
+workers from :mod:`burdockgate.process.placement`.
+"""
 
 from __future__ import annotations
 
@@ -12,11 +16,11 @@
 from burdockgate.request import job as jobs
 from burdockgate.request import ownedjob
 
-# Work of a task whose run time was not declared, in ms.
+# Expected run time of a task for which the caller declared none.
 DEFAULT_WORK_MS = 100.0
-# Workers told of waiting tasks, when fewer tasks than this wait.
+# Demand is announced to at least this many workers, even when fewer tasks wait.
 DEMAND_WORKERS_MIN = 64
-# A scope up to this size is searched in its order.
+# A scope of up to this size is searched in its order, even if fewer workers are free.
 SMALL_SCOPE_SIZE = 16
 
 _Effects = Iterator[effects.Effect]
@@ -24,7 +28,7 @@
 
 @attrs.define
 class _StartBatches:
-    """Tasks taken in one round, by agent and job, so that each pair is one message."""
+    """Tasks assigned in one round, with one start message per agent and job."""
 
     tasks_by_pair: dict[
         tuple[str, bytes],
@@ -45,8 +49,8 @@
 class Dispatcher:
     """Matches waiting tasks and free slots, one backlog for each service.
 
-    :param workers: the workers known.
-    :param policy: chooses among workers with a free slot.
+    :param workers: the connected workers.
+    :param policy: placement policy that chooses among workers with a free slot.
     :param counters: the process's metrics.
     :param limit: limits of services and classes; ``None`` for none.
     """
@@ -78,7 +82,7 @@
             queue = backlog.Backlog(lambda name: self._may_start("class", name))
             self._backlog_by_service[service] = queue
         queue.add(job, weight)
-        # A returned task used no slot, so its class must not be charged for it.
+        # A returned task used no slot, so its class gets the charge back.
         for task in job.returned_tasks:
             queue.charge(job, -_work_ms(task))
             if self._limits is not None:
@@ -86,7 +90,7 @@
         job.returned_tasks.clear()
 
     def remove(self, job: ownedjob.OwnedJob) -> None:
-        """Release a job that has ended or that another entry host owns now.
+        """Remove a job that has ended or is now owned by another entry host.
 
         :param job: the job.
         """
@@ -95,9 +99,9 @@
             queue.remove(job)
 
     def update_weights(self, weight: Callable[[str, str], float]) -> None:
-        """Apply changed weights to the jobs that wait.
+        """Apply changed weights to the queued jobs.
 
-        :param weight: returns the weight of a service and a class.
+        :param weight: returns the weight for a service and a class.
         """
         for service, queue in self._backlog_by_service.items():
             queue.update_weights(functools.partial(weight, service))
@@ -107,14 +111,14 @@
         return self._limits is None or self._limits.may_start(scope, name)
 
     def waiting_count(self) -> int:
-        """Return the number of waiting tasks of all services."""
+        """Return the number of waiting tasks, over all services."""
         return sum(queue.demand()[0] for queue in self._backlog_by_service.values())
 
     def run(self, on_outside_scope: Callable[[ownedjob.OwnedJob], None]) -> _Effects:
-        """Send what can be sent now, and adjust the demand at the agents.
+        """Send the tasks that can start now, and update the demand at the agents.
 
-        :param outside: called with a job that has waiting tasks while slots are
-            free only outside its scope.
+        :param on_outside_scope: called with a job that has waiting tasks when no worker
+            in its scope can take one while other workers have free slots.
         """
         for name, queue in self._backlog_by_service.items():
             yield from self._send_tasks(name, queue, on_outside_scope)
@@ -164,11 +168,14 @@
     def _choose_worker(
         self, job: ownedjob.OwnedJob, free: pool.Pool
     ) -> directory.Worker | None:
-        """Choose among the free workers or in the scope, whichever is smaller."""
+        """Choose a worker in the scope of a job for its next task.
+
+        Either the scope or the free workers are searched, whichever are fewer.
+        """
         task, scope = job.next_task, job.terms.scope
-        known = self._workers.worker_by_name
+        worker_by_name = self._workers.worker_by_name
 
-        def check(worker: directory.Worker | None) -> directory.Worker | None:
+        def if_usable(worker: directory.Worker | None) -> directory.Worker | None:
             if worker is None or worker.available_slots <= 0 or not _fits(worker, task):
                 return None
             if worker.hello.service != job.request.service:
@@ -179,16 +186,17 @@
             return worker if job.may_send_to(worker.node) else None
 
         lapsed: list[directory.Worker] = []
-        # Policies would seldom choose the few workers that must prove themselves.
-        proving = self._workers.service(job.request.service).on_probation
-        found = next(filter(check, proving.values()), None)
+        # Workers on probation come first, since a policy would seldom choose them.
+        on_probation = self._workers.service(job.request.service).on_probation
+        found = next(filter(if_usable, on_probation.values()), None)
         if found is None and SMALL_SCOPE_SIZE < len(scope) > len(free):
             found = self._policy.choose_by_index(
-                len(free), lambda place: check(free[place])
+                len(free), lambda index: if_usable(free[index])
             )
         elif found is None:
             found = self._policy.choose_by_index(
-                len(scope), lambda place: check(known.get(scope[place].name))
+                len(scope),
+                lambda index: if_usable(worker_by_name.get(scope[index].name)),
             )
         for worker in lapsed:
             self._workers.reindex(worker)
@@ -196,29 +204,29 @@
 
     def _update_demand(self, name: str, queue: backlog.Backlog) -> _Effects:
         service = self._workers.service(name)
-        # Slots offered to a service at its limit would stay empty.
+        # A service at its limit could not use the slots that agents offer it.
         if queue.is_empty or not self._may_start("service", name):
             self._notified_state_by_service.pop(name, None)
             for worker in _in_join_order(service.with_demand.values()):
                 self._workers.set_demand(worker, 0)
                 yield effects.Send(worker.name, messages.Demand(0, 0.0))
             return
-        # The agents divide their slots by the weight that the last demand has told.
-        again = list(service.with_demand.values()) if self._has_new_weights else []
-        unasked = self._workers_to_notify(name, service, queue)
-        if again or unasked:
+        # Agents divide their slots by the weights in the latest demand messages.
+        to_update = list(service.with_demand.values()) if self._has_new_weights else []
+        to_notify = self._workers_to_notify(name, service, queue)
+        if to_update or to_notify:
             waiting, weight = queue.demand()
-            for worker in _in_join_order([*again, *unasked]):
+            for worker in _in_join_order([*to_update, *to_notify]):
                 self._workers.set_demand(worker, waiting)
                 yield effects.Send(worker.name, messages.Demand(waiting, weight))
 
     def _workers_to_notify(
         self, name: str, service: directory.ServiceIndex, queue: backlog.Backlog
     ) -> list[directory.Worker]:
-        """Return the workers to be told now that tasks wait.
+        """Return the workers to which demand is announced now.
 
-        A service with many workers asks those in the scopes of the next jobs only,
-        because the others may not get these tasks.
+        A service with many workers announces it only in the scopes of the first jobs of
+        its classes, because the other workers may not get their tasks.
         """
         if not service.without_demand:
             return []
@@ -226,26 +234,26 @@
             return self._with_lease(service.without_demand.values())
         if len(service.with_demand) >= max(DEMAND_WORKERS_MIN, queue.demand()[0]):
             return []
-        heads = list(queue.first_jobs())
-        state = (service.additions, *heads)
+        first_jobs = list(queue.first_jobs())
+        state = (service.additions, *first_jobs)
         if self._notified_state_by_service.get(name) == state:
             return []
         self._notified_state_by_service[name] = state
-        scopes = {node.name for head in heads for node in head.terms.scope}
+        scope_names = {node.name for job in first_jobs for node in job.terms.scope}
         return self._with_lease(
-            service.without_demand[each]
-            for each in scopes
-            if each in service.without_demand
+            service.without_demand[worker_name]
+            for worker_name in scope_names
+            if worker_name in service.without_demand
         )
 
     def _with_lease(
         self, workers: Iterable[directory.Worker]
     ) -> list[directory.Worker]:
-        every = list(workers)
-        for worker in every:
+        candidates = list(workers)
+        for worker in candidates:
             if not self._workers.is_schedulable(worker):
                 self._workers.reindex(worker)
-        return [worker for worker in every if self._workers.is_schedulable(worker)]
+        return [worker for worker in candidates if self._workers.is_schedulable(worker)]
 
 
 def _in_join_order(workers: Iterable[directory.Worker]) -> list[directory.Worker]:
--- a/src/burdockgate/process/limits.py
+++ b/src/burdockgate/process/limits.py
@@ -1,4 +1,8 @@
-"""Weights and limits of jobs, from the rows of the table in force."""
+"""Weights and limits of services and classes, from the table in force.
+
+The dispatcher and the job registry report queued bytes and started tasks here, and ask
+whether a job may be queued or a task may start.
+"""
 
 from __future__ import annotations
 
@@ -12,7 +16,7 @@
 from burdockgate.request import job
 from burdockgate.version import table
 
-BURST_S = 1.0
+BURST_S = 1.0  # capacity of a token bucket, in seconds of its rate
 
 
 @attrs.define
@@ -22,11 +26,12 @@
 
 
 class Limits:
-    """Decides by the rows of a job's service and class; holds counts for each row.
+    """Applies the table rows of a job's service and class, and counts their use.
 
-    :param source: the table in force.
+    :param table_replica: the table in force.
     :param time: the clock.
-    :param hosts: returns the number of entry hosts, which share each limit.
+    :param entry_host_count: returns the number of entry hosts, which share each limit
+        equally.
     """
 
     def __init__(
@@ -57,20 +62,24 @@
 
     def weight(self, service: str, caller_class: str) -> float:
         """Return the product of the weights of a service and a class."""
-        first, second = self._rows(service, caller_class)
-        return first.weight * second.weight
+        service_row, class_row = self._rows(service, caller_class)
+        return service_row.weight * class_row.weight
 
     def max_queue_s(self, request: job.JobRequest) -> float | None:
-        """Return the longest time without a start, in seconds; None for no limit."""
-        found = [
+        """Return the longest time that a job may wait for its first start.
+
+        :param request: the job.
+        :return: seconds; ``None`` for no limit.
+        """
+        limits_s = [
             row.max_queue_s
             for row in self._rows(request.service, request.caller_class)
             if row.max_queue_s is not None
         ]
-        return min(found, default=None)
+        return min(limits_s, default=None)
 
     def refusal(self, request: job.JobRequest) -> str:
-        """Return one line when a job exceeds the bytes of a row, else nothing."""
+        """Return the detail of a refusal, or ``""`` when the bytes of the job fit."""
         for row in self._rows(request.service, request.caller_class):
             if row.max_queue_bytes is None:
                 continue
@@ -83,7 +92,7 @@
         return ""
 
     def add_queued_bytes(self, request: job.JobRequest, size: int) -> None:
-        """Count the bytes of a job that came, or with a negative size that ended."""
+        """Count the bytes of a new job; a negative size is that of an ended job."""
         for key in _row_keys(request):
             self._bytes_by_key[key] += size
             if not self._bytes_by_key[key]:
@@ -109,7 +118,7 @@
         return bucket
 
     def record_start(self, request: job.JobRequest) -> None:
-        """Count a task that is sent."""
+        """Count a task that is sent to a worker."""
         self.set_in_progress(request, self._in_progress_by_job.get(request.job, 0) + 1)
         for key in _row_keys(request):
             row = self._table_replica.table.row_by_key.get(key)
@@ -117,13 +126,13 @@
                 self._bucket(row, row.max_rate).tokens -= 1
 
     def refund_start(self, request: job.JobRequest) -> None:
-        """Give back the start of a task that was sent and not started."""
+        """Return the tokens of a task that was sent and came back without a start."""
         for key in _row_keys(request):
             if key in self._bucket_by_key:
                 self._bucket_by_key[key].tokens += 1
 
     def set_in_progress(self, request: job.JobRequest, tasks: int) -> None:
-        """Note how many tasks of a job are sent and not ended."""
+        """Set the number of tasks of a job that were sent and have not ended."""
         before = self._in_progress_by_job.pop(request.job, 0)
         if tasks:
             self._in_progress_by_job[request.job] = tasks
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -1,4 +1,4 @@
-"""Guards the matching of tasks and workers at an entry host."""
+"""The assignment of tasks to workers, and the demand announced to agents."""
 
 import pytest
 
@@ -29,67 +29,67 @@
     return list(dispatcher.run(outside))
 
 
-def starts(wanted):
-    """Return the indexes of the tasks of each start, by receiver."""
+def start_indexes(effects):
+    """Return the indexes of the started tasks, by receiver."""
     return {
         each.to: [task.index for task in each.message.tasks]
-        for each in wanted
+        for each in effects
         if isinstance(each.message, messages.Start)
     }
 
 
 def test_tasks_fill_the_free_slots_in_one_message_each(workers, dispatcher):
-    """More starts than slots come back, and a message per task is waste."""
+    """Agents would return tasks beyond their slots; a message per task is wasteful."""
     join(workers, "a1", 2)
     join(workers, "a2", 1)
     dispatcher.add(builders.make_owned_job(builders.request(tasks=5)), 1.0)
     wanted = run(dispatcher)
-    assert starts(wanted) == {"a1": [0, 1], "a2": [2]}
+    assert start_indexes(wanted) == {"a1": [0, 1], "a2": [2]}
     assert len(builders.sent(wanted, messages.Start)) == 2
     assert dispatcher.waiting_count() == 2
-    assert starts(run(dispatcher)) == {}
+    assert start_indexes(run(dispatcher)) == {}
 
 
 def test_only_workers_that_may_get_the_task_are_used(workers, dispatcher):
-    """A worker that is too small, draining or of another service gets nothing."""
+    """A worker that is too small, draining or of another service gets no task."""
     join(workers, "small", 2, cores=1.0)
     join(workers, "leaving", 2, draining=True)
     join(workers, "other", 2, service="other")
     scope = ("small", "leaving", "other", "a1")
     made = builders.request(tasks=3, cores=2.0)
     dispatcher.add(builders.make_owned_job(scope=scope, made=made), 1.0)
-    assert starts(run(dispatcher)) == {}
+    assert start_indexes(run(dispatcher)) == {}
     join(workers, "a1", 1)
-    assert starts(run(dispatcher)) == {"a1": [0]}
+    assert start_indexes(run(dispatcher)) == {"a1": [0]}
 
 
 def test_worker_outside_the_scope_is_reported(workers, dispatcher):
-    """Without a longer scope the job would wait beside a free worker."""
+    """A free worker could not be used if the scope of the job were not extended."""
     join(workers, "a9", 1)
     job = builders.make_owned_job()
     dispatcher.add(job, 1.0)
     outside = []
-    assert starts(run(dispatcher, outside.append)) == {}
+    assert start_indexes(run(dispatcher, outside.append)) == {}
     assert outside == [job]
     job.extend_scope(builders.terms(["a9"]))
-    assert starts(run(dispatcher)) == {"a9": [0]}
+    assert start_indexes(run(dispatcher)) == {"a9": [0]}
 
 
 def test_demand_is_announced_once_and_withdrawn(workers, dispatcher):
-    """Demand sent again and again, or left standing, is a wasted message."""
+    """Unchanged demand is not sent again, and none is left once the tasks are sent."""
     join(workers, "a1", 0)
     job = builders.make_owned_job()
     dispatcher.add(job, 3.0)
     assert builders.sent(run(dispatcher), messages.Demand) == [messages.Demand(2, 3.0)]
     assert run(dispatcher) == []
     workers.record_offer("a1", 2, 0)
-    assert starts(run(dispatcher)) == {"a1": [0, 1]}
+    assert start_indexes(run(dispatcher)) == {"a1": [0, 1]}
     assert workers.worker_by_name["a1"].open_demand == 0
     assert run(dispatcher) == []
 
 
 def test_demand_of_cancelled_jobs_is_withdrawn_once(workers, dispatcher):
-    """A wave of cancellations must not leave offers or empty demands behind."""
+    """Agents must not keep offering slots for jobs that were cancelled."""
     join(workers, "a1", 0)
     job = builders.make_owned_job()
     dispatcher.add(job, 1.0)
@@ -102,16 +102,16 @@
 
 
 def test_services_do_not_share_a_queue(workers, dispatcher):
-    """Work of a service without workers must not hold up another service."""
+    """Tasks of a service without workers must not block another service."""
     join(workers, "a1", 1)
     stuck = builders.attrs.evolve(builders.request("k2"), service="missing")
     dispatcher.add(builders.make_owned_job(made=stuck), 1.0)
     dispatcher.add(builders.make_owned_job(), 1.0)
-    assert starts(run(dispatcher)) == {"a1": [0]}
+    assert start_indexes(run(dispatcher)) == {"a1": [0]}
 
 
 def test_declared_work_is_charged(workers, dispatcher):
-    """A class with long tasks must get fewer starts than one with short ones."""
+    """A class with long tasks gets fewer starts than one with short tasks."""
     join(workers, "a1", 10)
     for name, work in (("long", 400.0), ("short", 0.0)):
         made = builders.request(name, 20, caller_class=name, expected_ms=work)
@@ -123,7 +123,7 @@
 
 
 def test_returned_task_is_not_charged(workers, dispatcher):
-    """A class whose tasks come back without a start would lose its share."""
+    """A class whose tasks are returned without a start must keep its share."""
     join(workers, "a1", 1)
     batch = builders.make_owned_job(builders.request("k1", 4, "batch"))
     web = builders.make_owned_job(builders.request("k2", 4, "web"))
@@ -138,32 +138,32 @@
     assert (batch.waiting_count, web.waiting_count) == (3, 4)
 
 
-def test_worker_that_was_lapsed_or_draining_is_used_again(workers, dispatcher):
-    """A worker left out of the index of free ones for good would lose its slots."""
+def test_worker_is_used_again_after_a_lapsed_lease_or_a_drain(workers, dispatcher):
+    """A worker that is not put back into the index of free workers loses its slots."""
     join(workers, "a1", 2)
     dispatcher.add(builders.make_owned_job(builders.request(tasks=2)), 1.0)
     workers._time.advance(2.6)
-    assert starts(run(dispatcher)) == {}
+    assert start_indexes(run(dispatcher)) == {}
     workers.set_draining("a1", active=True)
     workers.renew_lease("a1")
-    assert starts(run(dispatcher)) == {}
+    assert start_indexes(run(dispatcher)) == {}
     workers.set_draining("a1", active=False)
-    assert starts(run(dispatcher)) == {"a1": [0, 1]}
+    assert start_indexes(run(dispatcher)) == {"a1": [0, 1]}
 
 
-def test_small_job_behind_many_that_fit_nowhere(workers, dispatcher):
-    """A bounded round that always saw the same jobs would hold up all others."""
+def test_small_job_behind_many_that_fit_no_worker(workers, dispatcher):
+    """A round visits a bounded number of jobs, and the next one must visit others."""
     join(workers, "a1", 1)
     for number in range(200):
         large = builders.request(f"k{number}", 1, cores=100.0)
         dispatcher.add(builders.make_owned_job(made=large), 1.0)
     dispatcher.add(builders.make_owned_job(builders.request("small", 50)), 1.0)
-    found = [starts(run(dispatcher)) for _ in range(4)]
+    found = [start_indexes(run(dispatcher)) for _ in range(4)]
     assert found == [{}, {}, {}, {"a1": [0]}]
 
 
 def test_demand_goes_to_the_scope_of_the_next_job(workers, dispatcher):
-    """Telling every one of 10,000 workers costs a message for each of them."""
+    """Announcing demand to each of 10,000 workers would cost 10,000 messages."""
     for number in range(1000):
         join(workers, f"a{number}", 0)
     scope = [f"a{number}" for number in range(500, 564)]
