Reword the modules of a single job with their tests

Cause: the claim was won, held or free, agents were heard, a job knew of its tasks, and docstrings left fields out or told them in passing. Change: the state of an agent and of a submission is documented field by field; claims, fences and settlements have one word each. Tests name the failure that they guard against; names of tests that were figurative follow, none changes what it checks. Texts of errors and refusals stay.

--- a/src/burdockgate/request/__init__.py
+++ b/src/burdockgate/request/__init__.py
@@ -1,1 +1,1 @@
-"""What lives for one request."""
+"""State machines and data of a single job."""
--- a/src/burdockgate/request/claimant.py
+++ b/src/burdockgate/request/claimant.py
@@ -1,4 +1,7 @@
-"""The claim of one job, as the entry host that wants the job sees it."""
+"""The claim of a job by an entry host, which asks the claim group for votes.
+
+The members of the group decide their votes in :mod:`burdockgate.process.claims`.
+"""
 
 from __future__ import annotations
 
@@ -22,8 +25,8 @@
 class Granted:
     """A majority granted the claim.
 
-    :param record: the newest record that these members held before, with the scopes
-        of all their records; ``None`` for a job that none of them knew.
+    :param record: the newest record that these members had before, with the scopes of
+        all their records; ``None`` for a job that none of them knew.
     """
 
     record: messages.ClaimRecord | None
@@ -31,14 +34,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AlreadyClaimed:
-    """Another claim stands in the way."""
+    """Another claim of the job prevents this one.
+
+    :param record: the record of the newest claim.
+    """
 
     record: messages.ClaimRecord
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unclaimed:
-    """A majority holds no claim; the answer to a question with epoch 0."""
+    """A majority has no claim of the job; a possible result of a claim with epoch 0."""
 
 
 Result = Granted | AlreadyClaimed | Unclaimed
@@ -46,7 +52,7 @@
 
 @attrs.frozen
 class Terms:
-    """What a claimant asks for; fields as in :class:`messages.Claim`."""
+    """The terms of a claim, with fields as in :class:`messages.Claim`."""
 
     job: bytes
     epoch: int
@@ -62,10 +68,10 @@
 class Claimant:
     """Collects votes for one claim until it is decided.
 
-    :param terms: what is claimed.
+    :param terms: the terms of the claim.
     :param time: the clock.
     :param rng: the source of random delays.
-    :param round_s: time after which members that did not answer are asked again.
+    :param round_s: time after which members that did not vote are asked again.
     """
 
     def __init__(
@@ -86,16 +92,17 @@
         self._retry_at = 0.0
 
     def send_claims(self, view: views.View) -> _Effects:
-        """Ask every member of the claim group, with the view given.
+        """Send the claim to each member of the claim group that has not voted.
 
-        :param view: the current view; replies by another group are forgotten.
+        :param view: the current view; if it changes the group, earlier replies are
+            discarded.
         """
         group = view.group(self.terms.job)
         if group != self._group:
             self._reply_by_name.clear()
         self._view, self._group = view, group
         self._retry_at = self._time.now() + self._round_s
-        # One object for all members, so that it is encoded only once.
+        # All members get the same object, so that it is encoded only once.
         claim = self._claim_message()
         for node in group:
             reply = self._reply_by_name.get(node.name)
@@ -121,22 +128,22 @@
         )
 
     def handle_reply(self, name: str, reply: messages.ClaimReply) -> None:
-        """Count the reply of a member; :attr:`result` is set when it decides.
+        """Count the vote of a member, and set :attr:`result` once the claim is decided.
 
         :param name: name of the member.
-        :param reply: ignored when it answers another epoch or is from no member.
+        :param reply: ignored if its epoch differs or its sender is not a member.
         """
         members = {node.name for node in self._group}
         if reply.epoch != self.terms.epoch or name not in members or self.result:
             return
         self._reply_by_name[name] = reply
         if reply.verdict in _RETRY_VERDICTS:
-            delay = self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S)
-            self._retry_at = min(self._retry_at, self._time.now() + delay)
+            delay_s = self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S)
+            self._retry_at = min(self._retry_at, self._time.now() + delay_s)
         self.result = self._decide(is_round_over=False)
 
     def tick(self, view: views.View) -> _Effects:
-        """Ask again when a delay has passed or the view has changed.
+        """Send the claim again when the delay has passed or the view has changed.
 
         :param view: the current view.
         """
@@ -150,11 +157,11 @@
 
     @property
     def due_at(self) -> float:
-        """Time at which :meth:`tick` asks again."""
+        """Time at which :meth:`tick` sends the claim again."""
         return self._retry_at
 
     def retry_at_next_tick(self) -> None:
-        """Ask again at the next tick, because a member has just connected."""
+        """Send the claim again at the next tick, since a member may have connected."""
         self._retry_at = self._time.now()
 
     def _decide(self, is_round_over: bool) -> Result | None:
@@ -176,7 +183,11 @@
 
 
 def _newest_record(replies: list[messages.ClaimReply]) -> messages.ClaimRecord | None:
-    """Return the record with the highest epoch, with the scopes of all records."""
+    """Return the record with the highest epoch, with the scopes of all records.
+
+    Of two records with that epoch, a settled one (code below ``PENDING``, 900) counts
+    as newer.
+    """
     records = [reply.record for reply in replies if reply.record is not None]
     if not records:
         return None
--- a/src/burdockgate/request/job.py
+++ b/src/burdockgate/request/job.py
@@ -1,4 +1,4 @@
-"""A caller's job and its tasks, and the checks of the JSON body."""
+"""A job as a caller submits it, and the validation of its JSON body."""
 
 from __future__ import annotations
 
@@ -21,12 +21,12 @@
 DEADLINE_LIMIT_MS = 2**53
 SHORTENED_LIMIT_CHARS = 40
 
-# The body, its task list and the task itself enclose each payload.
+# A payload is nested in the body, the list of tasks and its task.
 _ENVELOPE_DEPTH = 3
 _KEY = re.compile(rf"[\x21-\x7e]{{1,{KEY_LIMIT_CHARS}}}")
 _KEY_ALLOWED = f"1 to {KEY_LIMIT_CHARS} visible ASCII characters"
 _CONTROL = re.compile(r"[\x00-\x1f\x7f-\x9f\u2028\u2029]")
-# Possessive repeats keep long strings from filling the matcher's backtrack stack.
+# Possessive quantifiers prevent long strings from filling the backtracking stack.
 _STRING = re.compile(rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"', re.DOTALL)
 _BRACKETS = bytes.maketrans(b"[]{}", b"()()")
 _NO_BRACKETS = bytes(set(range(256)) - set(b"[]{}"))
@@ -38,10 +38,10 @@
 class Limits:
     """Limits of one submission.
 
-    :param body_bytes: largest body.
-    :param max_tasks: most tasks of one job.
-    :param default_deadline_s: deadline of a body that names none, in seconds.
-    :param max_deadline_s: longest deadline that a body may name, in seconds.
+    :param body_bytes: largest size of a body.
+    :param max_tasks: largest number of tasks in one job.
+    :param default_deadline_s: deadline for a body without one, in seconds.
+    :param max_deadline_s: longest deadline in a body, in seconds.
     """
 
     body_bytes: int
@@ -52,12 +52,13 @@
 
 @attrs.frozen
 class TaskSpec:
-    """One task as the caller declared it.
+    """One task as declared by the caller.
 
     :param payload: JSON text for the backend server.
     :param expected_ms: declared run time in ms; 0 when not declared.
-    :param cores: processors that the task asks for.
-    :param memory_mb: memory that the task asks for, in MB.
+    :param cores: number of processors that the task needs.
+    :param memory_mb: memory that the task needs, in MB.
+    :param accelerators: number of accelerators that the task needs.
     """
 
     payload: bytes
@@ -69,13 +70,13 @@
 
 @attrs.frozen
 class JobRequest:
-    """One submission.
+    """A submitted job.
 
     :param key: the caller's idempotency key.
-    :param caller_class: class of callers that the table may limit.
-    :param deadline_ms: time for the answer, counted from the arrival.
+    :param caller_class: class of callers, for weights and limits in the table.
+    :param deadline_ms: time until the deadline, counted from the arrival, in ms.
     :param job: 16-byte job id, from :func:`job_id`.
-    :param digest: hash of the body, to recognise a key used for another body.
+    :param digest: hash of the body, to detect a key that is reused for another body.
     :param size: size of the body in bytes.
     """
 
@@ -101,17 +102,17 @@
 
 
 def parse(body: bytes, key: str | None, limits: Limits) -> JobRequest:
-    """Return the submission that a JSON body and an idempotency key describe.
+    """Return the job described by a JSON body and an idempotency key.
 
-    Payloads stay JSON text. The nesting depth of the body, payloads included, is
-    at most ``DEPTH_LIMIT``. The digest covers the service, the class, whether the
-    job is repeatable, and the text of the payloads. It leaves out the deadline,
-    because a caller that submits again has less time left and still means the same
-    job, and the declared sizes, because they are only estimates.
+    Payloads stay JSON text. The nesting depth of the body, including payloads, is at
+    most ``DEPTH_LIMIT``. The digest covers the service, the class, whether the job is
+    repeatable, and the text of the payloads. It excludes the deadline, because a caller
+    that submits the same job again has less time left, and the declared sizes, because
+    they are only estimates.
 
     :param body: the request body.
     :param key: the idempotency key; ``None`` when the request has none.
-    :raises errors.RequestError: when the body or the key is not valid.
+    :raises errors.RequestError: if the body or the key is not valid.
     """
     if len(body) > limits.body_bytes:
         raise too_large(len(body), limits)
@@ -146,10 +147,10 @@
 
 
 def check_key(key: str | None) -> str:
-    """Return an idempotency key that is valid.
+    """Return an idempotency key after validating it.
 
     :param key: the key; ``None`` when the request has none.
-    :raises errors.RequestError: when it is missing or not valid.
+    :raises errors.RequestError: if it is missing or not valid.
     """
     if key is None:
         raise _invalid(f"Idempotency-Key is missing, allowed are {_KEY_ALLOWED}")
@@ -159,9 +160,9 @@
 
 
 def too_large(size: int, limits: Limits) -> errors.RequestError:
-    """Return the error for a body over the limit.
+    """Return the error for a body above the size limit.
 
-    :param size: size of the body in bytes, as far as it is known.
+    :param size: size of the body in bytes, or of the part that was read.
     :param limits: the limits in force.
     """
     return errors.RequestError(
@@ -171,7 +172,7 @@
 
 
 def shorten(value: object) -> str:
-    """Return a value as printable ASCII text of bounded length for an error line.
+    """Return a value as printable ASCII text of bounded length, for error messages.
 
     :param value: any value.
     """
@@ -227,18 +228,19 @@
 
 
 def shorten_line(text: str) -> str:
-    """Return a text as one line of printable ASCII of bounded length.
+    """Return a text as one line of printable ASCII characters of bounded length.
 
-    :param text: the text, which may quote a caller's input.
+    :param text: the text; it may contain a caller's input.
     """
     line = ascii(text)[1:-1]
     return line if len(line) <= 200 else line[:197] + "..."
 
 
 def _raise_validation_error(body: bytes, text: str) -> NoReturn:
-    """Raise the error for a body of the wrong shape, with the value at fault.
+    """Raise the error for a body that does not match the schema.
 
-    The decoder names the path and what it expected, but not the value.
+    The decoder's message has the path and what was expected, but not the value, so the
+    value is looked up here.
     """
     match = _PATH.match(text)
     reason, path = (match[1], match[2] or "") if match else (text, "")
@@ -262,10 +264,10 @@
 
 
 def check_guest(guest: str) -> str:
-    """Return a guest name that is valid.
+    """Return a guest name after validating it.
 
     :param guest: the name.
-    :raises errors.RequestError: when it is not valid.
+    :raises errors.RequestError: if it is not valid.
     """
     _check_name("guest", guest)
     return guest
@@ -292,9 +294,10 @@
 
 
 def _is_deep(text: bytes, allowed: int) -> bool:
-    """Return whether valid JSON text is nested deeper than allowed.
+    """Return whether valid JSON text is nested more deeply than allowed.
 
-    Each round removes the innermost brackets, so the number of rounds is the depth.
+    Each iteration removes the innermost brackets, so the number of iterations is the
+    depth.
     """
     brackets = _STRING.sub(b"", text).translate(_BRACKETS, _NO_BRACKETS)
     for _ in range(allowed):
@@ -320,7 +323,7 @@
 
 
 def _digest(decoded: _Body, tasks: tuple[TaskSpec, ...]) -> bytes:
-    # Lengths before the parts keep two different lists from hashing as one text.
+    # The lengths come first, so that different lists of parts never hash the same text.
     parts = [decoded.service.encode(), decoded.caller_class.encode()]
     parts += [task.payload for task in tasks]
     lengths = ",".join(map(str, map(len, parts)))
--- a/src/burdockgate/request/outcome.py
+++ b/src/burdockgate/request/outcome.py
@@ -1,7 +1,6 @@
-"""Tagged outcomes of a job.
+"""The possible outcomes of a job, as a union of dataclasses.
 
-An outcome is exactly one of the dataclasses below. Only :class:`Complete` holds
-results, so a partial answer cannot be expressed.
+Only :class:`Complete` has results, so a partial answer cannot be represented.
 """
 
 from __future__ import annotations
@@ -13,9 +12,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Complete:
-    """Every task ran.
+    """Every task ran and has a result.
 
-    :param attempt: number of this run of the key, from 1.
+    :param attempt: number of the attempt under the key, from 1.
     :param results: JSON text of each task's result, in the order of the tasks.
     """
 
@@ -29,7 +28,7 @@
 class Failed:
     """The job was accepted and has failed as a whole.
 
-    :param attempt: number of this run of the key, from 1.
+    :param attempt: number of the attempt under the key, from 1.
     :param detail: one line that names the cause.
     """
 
@@ -42,7 +41,7 @@
 class Refused:
     """The job was not accepted.
 
-    :param retry_after_s: seconds after which a retry can help; 0 for never.
+    :param retry_after_s: time after which a retry may succeed, in seconds; 0 for never.
     """
 
     code: codes.Code
@@ -53,7 +52,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Pending:
-    """The job has no result yet."""
+    """The job has no outcome yet."""
 
     attempt: int
     code: codes.Code = codes.Code.PENDING
--- a/src/burdockgate/request/ownedjob.py
+++ b/src/burdockgate/request/ownedjob.py
@@ -1,8 +1,8 @@
-"""One job in progress at the entry host that owns it.
+"""A job in progress at the entry host that owns it.
 
-An owned job knows of each task whether it waits, was sent, or is done. It sends a
-task to another agent only after the first one has returned it, or has shown by a
-fence that it never received it.
+Each task of an owned job is waiting, sent or done. A task that was sent is sent again
+only after the agent has returned it, or has replied to a fence that it never received
+the task.
 """
 
 from __future__ import annotations
@@ -27,13 +27,16 @@
 
 @attrs.define
 class _AgentState:
-    """What an owned job knows of one agent of its scope.
+    """The state of one agent in the scope of an owned job.
 
     :param fence: number of the last fence sent.
-    :param is_fencing: whether a reply to that fence is awaited.
-    :param is_recovering: whether tasks of an earlier owner may be there that have
-        not been reported yet.
-    :param lost_at: time at which the connection was lost, if it is.
+    :param is_fencing: whether the reply to that fence is outstanding.
+    :param is_recovering: whether the agent may have unreported tasks that an earlier
+        owner sent.
+    :param lost_at: time from which the loss of the agent is counted; ``None`` while it
+        is connected and in sync.
+    :param send_by_index: number of the current send of each task at the agent.
+    :param reported_indexes: tasks reported in replies to the current fence.
     """
 
     node: messages.Node
@@ -49,12 +52,12 @@
     """State machine of one attempt of a job.
 
     :param request: the job.
-    :param terms: the claim that was won.
-    :param members: the claim group, to be told of the outcome.
+    :param terms: the claim that was granted.
+    :param claim_group: the members of the claim group, which get the settlement.
     :param time: the clock.
-    :param lost_worker_s: time for which a lost agent is awaited.
-    :param had_attempt: whether an earlier attempt may have run; then no result of
-        this one may say "not run".
+    :param lost_worker_s: time after which a disconnected agent counts as lost.
+    :param had_attempt: whether an earlier attempt may have run; if so, no result code
+        of this attempt may say "not run".
     """
 
     def __init__(
@@ -87,25 +90,25 @@
         self._sent_count = 0
 
     def extend_scope(self, terms: claimant.Terms) -> None:
-        """Replace the terms by ones with a longer scope.
+        """Replace the terms of the claim by terms with a longer scope.
 
         :param terms: terms of the same epoch that a majority has granted.
         """
         self.terms = terms
         self._scope = {(node.name, node.boot) for node in terms.scope}
 
-    # Queue
+    # Sending tasks
 
     @property
     def waiting_count(self) -> int:
-        """Number of tasks that may be sent now."""
+        """Number of waiting tasks that may be sent now."""
         return (
             0 if self.outcome or self._recovering_count else len(self._waiting_indexes)
         )
 
     @property
     def next_task(self) -> job.TaskSpec:
-        """The task that :meth:`take` would send."""
+        """The task that :meth:`assign_next_task` would send."""
         return self.request.tasks[self._waiting_indexes[0]]
 
     def _set_recovering(self, agent: _AgentState, is_recovering: bool) -> None:
@@ -132,9 +135,9 @@
         return (node.name, node.boot) in self._scope
 
     def assign_next_task(self, node: messages.Node) -> messages.TaskStart:
-        """Take the next waiting task for an agent.
+        """Assign the next waiting task to an agent, and return its start.
 
-        :param node: the agent; see :meth:`allows`.
+        :param node: the agent; see :meth:`may_send_to`.
         """
         index = self._waiting_indexes.popleft()
         self._send_by_index[index] += 1
@@ -156,7 +159,7 @@
         """Return the message that sends tasks to an agent.
 
         :param node: the agent.
-        :param tasks: tasks from :meth:`take`.
+        :param tasks: task starts from :meth:`assign_next_task`.
         """
         return effects.Send(
             node.name,
@@ -185,14 +188,15 @@
     # Recovery
 
     def recover(self, scope: Iterable[messages.Node]) -> _Effects:
-        """Fence every agent to which an earlier owner may have sent tasks.
+        """Send a fence to each agent to which an earlier owner may have sent tasks.
 
-        :param scope: the scopes of all earlier claims of this attempt.
+        :param scope: the agents in the scopes of all earlier claims of this attempt.
         """
         for node in scope:
             agent = self._find_or_add_agent(node)
             if not agent.node.same(node):
-                # Of two incarnations of one agent, at least one is gone.
+                # At least one of two incarnations of an agent has ended, so tasks may
+                # have started on a lost worker.
                 self._is_in_doubt = True
                 continue
             self._set_recovering(agent, True)
@@ -218,8 +222,8 @@
     def handle_agent_connected(self, node: messages.Node) -> _Effects:
         """Handle a new connection of an agent.
 
-        :param node: its incarnation; another boot proves that the one before is
-            gone.
+        :param node: incarnation of the agent; another boot number proves that the
+            earlier incarnation has ended.
         """
         agent = self._agent_by_name.get(node.name)
         if agent is None or self.outcome:
@@ -233,7 +237,7 @@
             agent.lost_at = None
 
     def handle_agent_disconnected(self, name: str) -> None:
-        """Note that the connection of an agent is lost.
+        """Record when the connection of an agent was lost.
 
         :param name: name of the agent.
         """
@@ -242,10 +246,11 @@
             agent.lost_at = self._time.now()
 
     def handle_fence_reply(self, name: str, reply: messages.FenceReply) -> _Effects:
-        """Handle an agent's list of what it knows.
+        """Handle an agent's reply to a fence.
 
         :param name: name of the agent.
-        :param reply: ignored when it answers an older fence.
+        :param reply: the tasks that the agent knows; dropped and counted unless it
+            replies to the latest fence.
         """
         agent = self._agent_by_name.get(name)
         if reply.epoch > self.terms.epoch:
@@ -258,12 +263,12 @@
             yield from self._handle_agent_lost(agent)
             return
         for report in reply.reports:
-            # The return of an earlier send says nothing of the send that is awaited.
-            is_earlier = (
+            # The return of an earlier send says nothing about the current send.
+            is_earlier_send = (
                 report.state is messages.TaskState.RETURNED
                 and report.send != agent.send_by_index.get(report.index)
             )
-            if not is_earlier:
+            if not is_earlier_send:
                 agent.reported_indexes.add(report.index)
             yield from self._handle_report(agent, report, is_resync=True)
         if not reply.more:
@@ -280,7 +285,7 @@
         )
 
     def _finish_fence(self, agent: _AgentState) -> _Effects:
-        """Queue again what the agent never received and now never will start."""
+        """Queue the tasks again that the agent did not report and will never start."""
         agent.is_fencing = False
         self._set_recovering(agent, False)
         agent.lost_at = None
@@ -295,7 +300,7 @@
         yield from self._fail_if_in_doubt()
 
     def _handle_agent_lost(self, agent: _AgentState) -> _Effects:
-        """Handle the loss of an agent for good."""
+        """Fail the job, or put it in doubt, after an agent was lost for good."""
         was_recovering = agent.is_recovering
         agent.is_fencing = False
         self._set_recovering(agent, False)
@@ -310,7 +315,7 @@
             yield from self._fail_if_in_doubt()
 
     def _fail_if_in_doubt(self) -> _Effects:
-        """Fail when all agents have been heard and a task is unaccounted for."""
+        """Fail if no agent's reply is outstanding and a task is unaccounted for."""
         if self._is_in_doubt and not self._recovering_count and self._waiting_indexes:
             yield from self.fail(
                 codes.Code.OWNER_LOST,
@@ -320,10 +325,11 @@
     # Results
 
     def handle_results(self, name: str, message: messages.Results) -> _Effects:
-        """Handle tasks that ended at an agent.
+        """Handle an agent's reports about tasks that have ended.
 
         :param name: name of the agent.
-        :param message: dropped and counted when epoch, attempt or boot differ.
+        :param message: the reports; they are dropped and counted when the epoch, the
+            attempt or the boot number differs.
         """
         agent = self._agent_by_name.get(name)
         if (
@@ -352,7 +358,7 @@
             yield from self._apply_report(agent, report)
 
     def _adopt_task(self, agent: _AgentState, report: messages.TaskReport) -> _Effects:
-        """Take over a task that an earlier owner sent."""
+        """Record a task that an earlier owner sent to an agent."""
         index = report.index
         if (
             report.state is messages.TaskState.RETURNED
@@ -393,23 +399,23 @@
                 self._complete()
 
     def _requeue(self, index: int) -> None:
-        """Put a task back at the front, so that its job is not delayed further."""
+        """Put a task back at the front of the queue, to delay its job no further."""
         self._waiting_indexes.appendleft(index)
 
-    # Ends
+    # End of the job
 
     @property
     def due_at(self) -> float:
-        """Time at which :meth:`tick` has something to do, if nothing changes."""
-        lost = [
+        """Time at which :meth:`tick` is due, if no event comes first."""
+        loss_times = [
             agent.lost_at + self._lost_worker_s
             for agent in self._agent_by_name.values()
             if agent.lost_at is not None
         ]
-        return min([self.deadline_at, *lost])
+        return min([self.deadline_at, *loss_times])
 
     def tick(self) -> _Effects:
-        """Fail the job when its deadline or that of a lost agent has passed."""
+        """Fail the job when its deadline has passed or an agent counts as lost."""
         now = self._time.now()
         if self.outcome is None and now >= self.deadline_at:
             yield from self.expire()
@@ -431,13 +437,13 @@
 
     @property
     def sent_count(self) -> int:
-        """Number of tasks sent and not known to have ended."""
+        """Number of tasks that were sent and are not known to have ended."""
         return self._sent_count
 
     def check_queue_time(self, queue_s: float) -> _Effects:
-        """Fail the job when no task was sent within the queue time.
+        """Fail the job if no task was sent within the queue time.
 
-        :param queue_s: longest time in the queue in seconds.
+        :param queue_s: longest time in the queue, in seconds.
         """
         waited_s = self._time.now() - self.arrived_at
         if self.first_sent_at is None and waited_s >= queue_s:
@@ -448,7 +454,7 @@
             )
 
     def cancel(self) -> _Effects:
-        """Fail the job on the caller's wish; running tasks are stopped."""
+        """Fail the job because a caller cancelled it; running tasks are stopped."""
         yield from self._fail_by_start(
             codes.Code.CANCELLED_NOT_RUN,
             codes.Code.CANCELLED_MAY_HAVE_RUN,
@@ -458,10 +464,10 @@
     def _fail_by_start(
         self, not_run: codes.Code, may_have_run: codes.Code, detail: str
     ) -> _Effects:
-        is_known = not (
+        is_accounted_for = not (
             self._has_started or self._recovering_count or self._is_in_doubt
         )
-        code = not_run if is_known and not self._sent_count else may_have_run
+        code = not_run if is_accounted_for and not self._sent_count else may_have_run
         yield from self.fail(code, detail)
 
     def fail(self, code: codes.Code, detail: str) -> _Effects:
@@ -485,15 +491,15 @@
         self.outcome = outcome.Complete(self.terms.attempt, results)
 
     def replace_code(self, code: codes.Code) -> None:
-        """Change the code of a failure that could not be confirmed.
+        """Replace the code of a failure that the claim group has not confirmed.
 
-        :param code: the weaker result code.
+        :param code: result code that claims less.
         """
         assert isinstance(self.outcome, outcome.Failed)
         self.outcome = outcome.Failed(self.terms.attempt, code, self.outcome.detail)
 
     def settle(self) -> _Effects:
-        """Tell the claim group and the agents how the job ended."""
+        """Send the settlement to the claim group and to the agents of the job."""
         assert self.outcome is not None
         settle = messages.Settle(
             self.request.job,
--- a/src/burdockgate/request/submission.py
+++ b/src/burdockgate/request/submission.py
@@ -1,8 +1,8 @@
-"""A job as an entry host holds it while callers wait for it.
+"""The state of a job at an entry host while callers wait for it.
 
-A submission is in one of three phases: its claim is being decided
-(:attr:`Submission.claimant`), this entry host owns it (:attr:`Submission.owned_job`),
-or another one owns it (:attr:`Submission.owner`).
+A submission is in one of three phases: its claim is open
+(:attr:`Submission.claimant`), this entry host owns the job
+(:attr:`Submission.owned_job`), or another one does (:attr:`Submission.owner`).
 """
 
 from __future__ import annotations
@@ -19,18 +19,25 @@
 class Submission:
     """State of one job at one entry host.
 
-    :param request: the job; ``None`` while callers only ask for it.
-    :param tickets: callers that wait here.
-    :param attached: entry hosts that wait for the outcome.
-    :param refusal: code with which the job is refused if no claim is held.
-    :param record: the claim record last seen.
-    :param waits_since: since when the owner has not been connected, in seconds.
-    :param confirmation: claim that confirms a "not run" before it is answered.
-    :param retry_at: when to claim again after another claimant failed.
-    :param cancels: whether the callers want the job cancelled.
+    :param job: 16-byte job id.
+    :param deadline_at: time at which an open claim, the wait for the owner or the
+        confirmation fails, in seconds.
+    :param request: the job; ``None`` while callers only ask for its outcome.
+    :param tickets: numbers of the callers that wait here.
+    :param attached_hosts: names of the entry hosts that wait for the outcome.
+    :param refusal: code with which the job is refused if it is not claimed.
+    :param claimant: the open claim of the job.
+    :param extension: open claim for a longer scope of the owned job.
+    :param confirmation: open claim that confirms a "not run" outcome before callers
+        get it.
+    :param claim_record: the latest claim record of another claim.
+    :param owner_disconnected_at: time since which the owner has not been connected.
+    :param retry_at: time of the next claim, set when the supposed owner has replied
+        that it does not own the job.
+    :param is_cancel_requested: whether a caller has cancelled the job.
     :param had_attempt: whether an earlier attempt may have run.
-    :param number: its place in the order in which the jobs came.
-    :param scheduled_at: when it is looked at next, if nothing changes.
+    :param number: position in the order of arrival.
+    :param scheduled_at: time of the entry in the schedule heap.
     """
 
     job: bytes
--- a/tests/test_claimant.py
+++ b/tests/test_claimant.py
@@ -1,4 +1,4 @@
-"""Guards the counting of votes: only a majority of one group decides."""
+"""The counting of votes: only a majority of one claim group decides a claim."""
 
 import random
 
@@ -35,11 +35,11 @@
     )
 
 
-def asked(claim, view=VIEW):
+def receivers(claim, view=VIEW):
     return {each.to for each in claim.tick(view) if isinstance(each, effects.Send)}
 
 
-def test_every_member_is_dialled_and_asked_with_the_terms(claim):
+def test_every_member_is_dialled_and_gets_the_claim(claim):
     sent = builders.sent(claim.asked, messages.Claim)
     group = VIEW.group(builders.JOB)
     assert {(each.group, each.epoch, each.code) for each in sent} == {(group, 2, 111)}
@@ -48,19 +48,21 @@
     }
 
 
-def test_no_vote_counts_twice_or_for_another_epoch_or_from_a_stranger(claim):
+def test_repeated_votes_other_epochs_and_non_members_do_not_count(claim):
     for name, epoch in (("a1", 2), ("a1", 2), ("a9", 2), ("a2", 1)):
         reply(claim, name, V.GRANTED, epoch=epoch)
         assert claim.result is None
     reply(claim, "a2", V.GRANTED)
     assert claim.result == claimant.Granted(None)
     reply(claim, "a3", V.HELD, RECORD)
-    assert list(claim.tick(builders.view_of("a1"))) == [], "decided once"
+    assert list(claim.tick(builders.view_of("a1"))) == [], (
+        "a decided claim is not sent again"
+    )
 
 
 @pytest.mark.parametrize("verdict", [V.GRANTED, V.HELD])
 def test_newest_record_is_found_with_all_scopes(claim, verdict):
-    """A scope that is missing here would not be fenced."""
+    """No fence would be sent to the agents of a missing scope."""
     older = builders.claim_record(epoch=1, scope=S1)
     for name, record in (("a1", older), ("a2", RECORD)):
         reply(claim, name, verdict, record)
@@ -74,11 +76,11 @@
     assert claim.result == claimant.AlreadyClaimed(SETTLED)
 
 
-@pytest.mark.parametrize("silent", [False, True])
-def test_minority_record_decides_only_after_the_round(claim, time, silent):
+@pytest.mark.parametrize("is_silent", [False, True])
+def test_minority_record_decides_only_after_the_round(claim, time, is_silent):
     reply(claim, "a1", V.HELD, RECORD)
     assert claim.result is None
-    if silent:
+    if is_silent:
         time.advance(0.5)
         list(claim.tick(VIEW))
         assert claim.result == claimant.AlreadyClaimed(RECORD)
@@ -89,7 +91,7 @@
 
 
 def test_free_needs_a_majority(claim, time):
-    """A refusal "not run" after one answer of three may be false."""
+    """After one reply of three, a "not run" refusal might be false."""
     reply(claim, "a1", V.FREE)
     time.advance(1.0)
     list(claim.tick(VIEW))
@@ -98,25 +100,25 @@
     assert claim.result == claimant.Unclaimed()
 
 
-def test_votes_of_another_group_are_forgotten(claim):
-    """Votes of two groups together are a majority of neither; none decides nothing."""
+def test_votes_of_another_group_are_discarded(claim):
+    """Votes of two groups must not add up, and an empty group must not decide."""
     reply(claim, "a1", V.GRANTED)
     changed = builders.fold(VIEW, builders.removal("a2"), builders.voter("a4"))
-    assert asked(claim, changed) == {"a1", "a3", "a4"}
+    assert receivers(claim, changed) == {"a1", "a3", "a4"}
     for name in ("a4", "a2"):
         reply(claim, name, V.GRANTED)
         assert claim.result is None
-    assert asked(claim, view.View()) == set()
+    assert receivers(claim, view.View()) == set()
     assert claim.result is None
 
 
 def test_only_members_without_a_vote_are_asked_again(claim, time):
     reply(claim, "a1", V.GRANTED)
     reply(claim, "a2", V.STALE_VIEW)
-    assert asked(claim) == set()
+    assert receivers(claim) == set()
     time.advance(claimant.RETRY_MAX_S)
-    assert asked(claim) == {"a2", "a3"}
+    assert receivers(claim) == {"a2", "a3"}
     claim.retry_at_next_tick()
-    assert asked(claim) == {"a2", "a3"}
+    assert receivers(claim) == {"a2", "a3"}
     reply(claim, "a2", V.GRANTED)
     assert claim.result == claimant.Granted(None)
--- a/tests/test_job.py
+++ b/tests/test_job.py
@@ -1,4 +1,4 @@
-"""Guards the checks of a submission: what is not valid never reaches a worker."""
+"""Validation of submitted jobs: invalid input is rejected with a clear message."""
 
 import json
 
@@ -13,11 +13,11 @@
 hypothesis.settings.load_profile("ci")
 
 LIMITS = job.Limits(4096, 3, 30.0, 60.0)
-GOOD = {"guest": "g", "service": "s", "tasks": [{"payload": 1}]}
+VALID_BODY = {"guest": "g", "service": "s", "tasks": [{"payload": 1}]}
 
 
 def _body(**changes):
-    return json.dumps({**GOOD, **changes}).encode()
+    return json.dumps({**VALID_BODY, **changes}).encode()
 
 
 def _task(**changes):
@@ -29,7 +29,7 @@
     return b'{"guest":"g","service":"s","tasks":[{"payload":%s}]}' % text
 
 
-BAD = [
+INVALID_BODIES = [
     (b"", "body: "),
     (b"[1", "body: "),
     (b"[1]", "body: \\[1\\]: Expected `object`"),
@@ -59,9 +59,11 @@
 ]
 
 
-@pytest.mark.parametrize(("body", "text"), BAD, ids=range(len(BAD)))
-def test_bad_body_is_named_in_one_line(body, text):
-    """A caller must be able to find the mistake from the line alone."""
+@pytest.mark.parametrize(
+    ("body", "text"), INVALID_BODIES, ids=range(len(INVALID_BODIES))
+)
+def test_invalid_body_is_rejected_with_one_line(body, text):
+    """The line alone must be enough for a caller to find the mistake."""
     with pytest.raises(errors.RequestError, match=text) as caught:
         job.parse(body, "k", LIMITS)
     assert caught.value.code is codes.Code.INVALID_REQUEST
@@ -70,7 +72,7 @@
 
 
 def test_size_and_task_limits_have_their_own_codes():
-    """A caller that has to split a job must be told so."""
+    """A caller must be able to tell that a job has to be split."""
     with pytest.raises(errors.RequestError, match="allowed are 4096") as caught:
         job.parse(b"x" * 4097, "k", LIMITS)
     assert caught.value.code is codes.Code.TOO_LARGE
@@ -80,14 +82,14 @@
 
 
 @pytest.mark.parametrize("key", [None, "", "a b", "é", "k\n", "k" * 129])
-def test_bad_key_is_rejected(key):
-    """A key that cannot be repeated exactly gives no protection."""
+def test_invalid_key_is_rejected(key):
+    """A key that cannot be sent again unchanged does not make a retry safe."""
     with pytest.raises(errors.RequestError, match="Idempotency-Key"):
         job.parse(_body(), key, LIMITS)
 
 
-def test_payload_is_kept_as_text():
-    """Decoding payloads would change numbers and cost time."""
+def test_payload_stays_json_text():
+    """Decoding payloads would change numbers and take time."""
     text = b'{"n": 1.0000000000000000001, "s": "[[{\\"\xc3\xa9"}'
     body = b'{"guest":"g","service":"s","tasks":[{"payload": %s }]}' % text
     request = job.parse(body, "k", LIMITS)
@@ -98,13 +100,13 @@
 
 
 def test_brackets_in_strings_do_not_count_as_nesting():
-    """A payload of text with many brackets must not be refused."""
+    """A payload whose strings contain many brackets must not be rejected."""
     payload = ["[{" * 100 + '"\\', "}" * 90, [1] * 5, [[]] * 80]
     assert job.parse(_body(tasks=[{"payload": payload}]), "k", LIMITS)
 
 
-def test_digest_tells_other_bodies_but_not_other_deadlines():
-    """A resubmission with less time left must join, and another body must not."""
+def test_digest_differs_for_other_bodies_but_not_other_deadlines():
+    """A resubmission with less time left joins the job; another body must not."""
 
     def digest(**changes):
         return job.parse(_body(**changes), "k", LIMITS).digest
@@ -149,7 +151,7 @@
 
 @hypothesis.given(_BODIES, strategies.none() | strategies.text(max_size=130))
 def test_any_input_is_parsed_or_rejected(body, key):
-    """Any other exception would become an error 500 with a traceback in the log."""
+    """Any other exception would cause an error 500 and a traceback in the log."""
     try:
         request = job.parse(body, key, LIMITS)
     except errors.RequestError as error:
--- a/tests/test_ownedjob.py
+++ b/tests/test_ownedjob.py
@@ -1,4 +1,4 @@
-"""Guards an owned job: no second start, no false "not run"."""
+"""The owned job: no task starts twice, and no "not run" outcome is false."""
 
 import pytest
 
@@ -23,7 +23,7 @@
     return builders.make_owned_job(time=time)
 
 
-def take(job, *nodes):
+def assign(job, *nodes):
     return [job.assign_next_task(node) for node in nodes]
 
 
@@ -59,7 +59,7 @@
 def test_answer_is_whole_in_order_and_from_matching_results(
     job, name, index, send, fields
 ):
-    take(job, A1, A2)
+    assign(job, A1, A2)
     results(job, name, report(index, send), **fields)
     assert job.dropped_count == 1
     results(job, "a2", report(1, payload=b"y"))
@@ -69,17 +69,17 @@
 
 
 def test_start_names_what_the_agent_checks(job):
-    start = job.start_message(A1, take(job, A1)).message
+    start = job.start_message(A1, assign(job, A1)).message
     assert (start.epoch, start.fence, start.attempt, start.boot) == (1, 0, 1, 1)
     results(job, "a1", report(0, 1, RETURNED))
-    assert [task.send for task in take(job, A2)] == [2]
+    assert [task.send for task in assign(job, A2)] == [2]
     reconnect(job, A2)
     reply(job, "a2")
-    assert job.start_message(A2, take(job, A2)).message.fence == 1
+    assert job.start_message(A2, assign(job, A2)).message.fence == 1
 
 
 def test_only_agents_of_the_scope_are_allowed(job):
-    """A later owner fences only the recorded scope."""
+    """A later owner sends fences only to the recorded scope."""
     a3 = builders.node("a3")
     allowed = [job.may_send_to(each) for each in (A1, a3, builders.node("a1", 2))]
     assert allowed == [True, False, False]
@@ -88,8 +88,8 @@
 
 
 def test_no_task_for_an_agent_that_is_lost_or_fenced(job, time):
-    """A start sent around a fence would make its reply meaningless."""
-    take(job, A1)
+    """A start sent while a fence is outstanding would make the reply meaningless."""
+    assign(job, A1)
     job.handle_agent_disconnected("a1")
     assert not job.may_send_to(A1)
     time.advance(4.0)
@@ -99,28 +99,28 @@
     reply(job, "a1", report(0, state=RUNNING))
     assert job.may_send_to(A1)
     results(job, "a1", report(0))
-    assert reconnect(job, A1) == [], "a fence for an idle agent is waste"
+    assert reconnect(job, A1) == [], "an idle agent needs no fence"
     assert job.may_send_to(A1)
 
 
 @pytest.mark.parametrize(
     "fields", [{"fence": 1}, {"fence": 3}, {"epoch": 0}, {"attempt": 2}]
 )
-def test_reply_to_another_fence_frees_no_task(job, fields):
-    take(job, A1)
+def test_reply_to_another_fence_requeues_no_task(job, fields):
+    assign(job, A1)
     reconnect(job, A1)
     assert [fence.fence for fence in reconnect(job, A1)] == [2]
     reply(job, "a1", **({"fence": 2} | fields))
     assert (job.waiting_count, job.may_send_to(A1)) == (1, False)
     reply(job, "a1", fence=2)
     assert job.waiting_count == 2
-    take(job, A1)
+    assign(job, A1)
     reply(job, "a1", fence=2)
-    assert job.waiting_count == 1, "a duplicate must free nothing"
+    assert job.waiting_count == 1, "a duplicate reply must not requeue tasks"
 
 
-def test_fence_frees_only_tasks_the_agent_never_got(job):
-    take(job, A1, A1)
+def test_fence_requeues_only_tasks_the_agent_never_received(job):
+    assign(job, A1, A1)
     reconnect(job, A1)
     reply(job, "a1", report(0, state=RUNNING), more=True)
     assert job.waiting_count == 0
@@ -128,33 +128,33 @@
     assert job.assign_next_task(A2).index == 1
 
 
-def test_repeated_send_that_was_lost_is_freed_by_the_fence(job):
-    """The report of the send before must not hide that the repeat never arrived."""
-    take(job, A1)
+def test_lost_second_send_is_requeued_by_the_fence(job):
+    """The report of the first send must not hide that the second never arrived."""
+    assign(job, A1)
     results(job, "a1", report(0, 1, RETURNED))
-    take(job, A1)
+    assign(job, A1)
     reconnect(job, A1)
     reply(job, "a1", report(0, 1, RETURNED))
     assert job.waiting_count == 2
 
 
-def test_no_task_waits_while_an_agent_is_recovered(job):
-    """Until all agents of the scopes have answered, a task may run at any of them."""
-    wanted = list(job.recover([A1, A2]))
-    assert effects.Dial(A1) in wanted
-    fences = builders.sent(wanted, messages.Fence)
+def test_no_task_is_sent_during_recovery(job):
+    """Until all agents of the scopes have replied, a task may run at any of them."""
+    performed = list(job.recover([A1, A2]))
+    assert effects.Dial(A1) in performed
+    fences = builders.sent(performed, messages.Fence)
     assert [(fence.epoch, fence.fence) for fence in fences] == [(1, 1), (1, 1)]
     reply(job, "a1", report(0, 3, RUNNING))
     assert job.waiting_count == 0
     reply(job, "a2", report(1, 4, RETURNED))
-    assert [task.send for task in take(job, A2)] == [5]
+    assert [task.send for task in assign(job, A2)] == [5]
     for name, index, send in (("a1", 0, 3), ("a2", 1, 5)):
         results(job, name, report(index, send))
     assert code(job) is C.COMPLETE
 
 
 @pytest.mark.parametrize(("count", "expected"), [(1, C.OWNER_LOST), (2, C.COMPLETE)])
-def test_lost_agent_leaves_unknown_tasks_in_doubt(job, time, count, expected):
+def test_lost_agent_with_unreported_tasks_fails_the_job(job, time, count, expected):
     list(job.recover([A1, A2]))
     reply(job, "a1", report(0), *[report(1, state=RUNNING)][: count - 1])
     time.advance(4.9)
@@ -166,7 +166,7 @@
     assert code(job) is expected
 
 
-def test_two_boots_of_one_agent_leave_doubt_once_all_have_answered(job):
+def test_two_boots_of_one_agent_fail_the_job_once_all_have_replied(job):
     list(job.recover([A1, builders.node("a1", boot=2), A2]))
     reply(job, "a1")
     assert job.outcome is None
@@ -177,12 +177,12 @@
 @pytest.mark.parametrize("cause", ["timeout", "hello", "reply"])
 @pytest.mark.parametrize("returned", [False, True])
 def test_lost_worker_fails_the_job_if_it_has_tasks(job, time, cause, returned):
-    """A cut of less than the timeout fails nothing; another boot fails at once."""
-    take(job, A1)
+    """Another boot fails the job at once, a disconnection only after the timeout."""
+    assign(job, A1)
     if cause == "reply":
         reconnect(job, A1)
         reply(job, "a1", *[report(0, 1, RETURNED)] * returned)
-        take(job, *[A1] * (not returned))
+        assign(job, *[A1] * (not returned))
         reconnect(job, A1)
         reply(job, "a1", fence=2, boot=2)
     else:
@@ -199,7 +199,7 @@
     assert job.waiting_count == (2 if returned else 0)
 
 
-def test_higher_epoch_ends_the_leadership(job):
+def test_higher_epoch_supersedes_the_job(job):
     reply(job, "a9", epoch=2)
     assert job.is_superseded
 
@@ -215,16 +215,16 @@
     ],
 )
 def test_failed_task_fails_the_whole_job(job, state, payload, expected):
-    take(job, A1, A2)
-    wanted = results(job, "a1", report(0, state=state, payload=payload))
-    assert [(each.to, type(each.message)) for each in wanted] == [
+    assign(job, A1, A2)
+    performed = results(job, "a1", report(0, state=state, payload=payload))
+    assert [(each.to, type(each.message)) for each in performed] == [
         ("a2", messages.Cancel)
     ]
     results(job, "a2", report(1))
     list(job.cancel())
     assert (code(job), job.waiting_count) == (expected, 0)
-    told = [(each.to, each.message.code) for each in job.settle()]
-    assert told == [(name, int(expected)) for name in ("a1", "a2", "m1")]
+    settlements = [(each.to, each.message.code) for each in job.settle()]
+    assert settlements == [(name, int(expected)) for name in ("a1", "a2", "m1")]
 
 
 @pytest.mark.parametrize("by_deadline", [False, True])
@@ -233,13 +233,13 @@
     [("waiting", True), ("returned", True), ("sent", False), ("done", False)]
     + [("running", False), ("recovering", False), ("earlier attempt", False)],
 )
-def test_not_run_is_said_only_when_nothing_can_have_started(
+def test_code_says_not_run_only_if_no_task_can_have_started(
     time, situation, is_not_run, by_deadline
 ):
     had_attempt = situation == "earlier attempt"
     job = builders.make_owned_job(time=time, had_attempt=had_attempt)
     if situation in ("returned", "sent", "running", "done"):
-        take(job, A1)
+        assign(job, A1)
     if situation in ("returned", "done"):
         results(job, "a1", report(0, state=STATE[situation.upper()]))
     if situation == "running":
@@ -253,58 +253,58 @@
     assert (codes.start_of(code(job)) is codes.Start.NOT_RUN) == is_not_run
 
 
-def test_fence_forgets_what_an_earlier_one_showed(job):
-    """A repeated send that was lost would otherwise never be sent again."""
-    take(job, A1)
+def test_fence_discards_reports_of_an_earlier_fence(job):
+    """Otherwise a second send that was lost would never be repeated."""
+    assign(job, A1)
     reconnect(job, A1)
     reply(job, "a1", report(0, 1, RUNNING))
     results(job, "a1", report(0, 1, RETURNED))
-    take(job, A1)
+    assign(job, A1)
     reconnect(job, A1)
     reply(job, "a1", report(0, 1, RETURNED), fence=2)
     assert job.waiting_count == 2
 
 
-def test_outcome_stands_whatever_comes_later(job):
-    """A cancelled job must not turn complete, nor work for its agents go on."""
-    take(job, A1, A2)
+def test_outcome_does_not_change(job):
+    """A cancelled job must not become complete, and its agents get no more fences."""
+    assign(job, A1, A2)
     reconnect(job, A1)
     list(job.cancel())
     results(job, "a2", report(1))
     reply(job, "a1", report(0), report(1))
     assert (code(job), job.dropped_count) == (C.CANCELLED_MAY_HAVE_RUN, 2)
     assert reconnect(job, A1) == []
-    assert job.sent_count == 2, "the reply must free nothing"
+    assert job.sent_count == 2, "the reply must not requeue tasks"
 
 
-def test_rest_of_a_message_after_a_failed_task_is_dropped(job):
-    take(job, A1, A1)
+def test_reports_after_a_failed_task_are_dropped(job):
+    assign(job, A1, A1)
     results(job, "a1", report(0, state=STATE.FAILED), report(1))
     assert (code(job), job.dropped_count) == (C.TASK_FAILED, 1)
 
 
-def test_only_tasks_unaccounted_for_are_taken_over(job):
-    """Two agents may report one task, and a report may name a task of no job."""
+def test_only_unaccounted_tasks_are_adopted(job):
+    """Two agents may report the same task, and a report may name an unknown task."""
     list(job.recover([A1, A2]))
     reply(job, "a1", report(0, 3, RUNNING), report(2, 1, DONE))
     assert job.dropped_count == 1
     reply(job, "a2", report(0, 5, RUNNING), report(1, 1, RETURNED))
-    assert job.returned_tasks == [], "the earlier owner has counted it"
+    assert job.returned_tasks == [], "the earlier owner has counted the return"
     results(job, "a1", report(0, 3, RETURNED))
-    assert [(task.index, task.send) for task in take(job, A2)] == [(0, 6)]
+    assert [(task.index, task.send) for task in assign(job, A2)] == [(0, 6)]
 
 
-def test_send_number_of_a_task_taken_over_goes_on(job):
-    """The agent ignores a send that is not newer than the one it returned."""
+def test_send_number_of_an_adopted_task_increases(job):
+    """An agent ignores a send whose number is not above that of the returned one."""
     list(job.recover([A1]))
     reply(job, "a1", report(0, 3, RUNNING))
     results(job, "a1", report(0, 3, RETURNED))
-    assert take(job, A1)[0].send == 4
+    assert assign(job, A1)[0].send == 4
 
 
-def test_second_loss_does_not_prolong_the_wait(job, time):
-    """A connection that closes again and again must not keep the job for ever."""
-    take(job, A1)
+def test_second_loss_does_not_extend_the_timeout(job, time):
+    """An agent whose connection keeps closing must not delay the failure for ever."""
+    assign(job, A1)
     for wait_s in (0.0, 3.0):
         time.advance(wait_s)
         job.handle_agent_disconnected("a1")
