Document fence replies and lost agents of an owned job

Cause: the docstrings left out that a reply of a higher epoch supersedes the job, and when the loss of an agent fails it. Change: both are said; a time-out of the registry is named with its unit.

--- a/src/burdockgate/process/registry.py
+++ b/src/burdockgate/process/registry.py
@@ -131,9 +131,9 @@
         """
         return self._limits.weight(request.service, request.caller_class)
 
-    def _add_submission(self, job_id: bytes, seconds: float) -> _Submission:
+    def _add_submission(self, job_id: bytes, timeout_s: float) -> _Submission:
         number = next(self._submission_numbers)
-        submission = _Submission(job_id, self._time.now() + seconds, number=number)
+        submission = _Submission(job_id, self._time.now() + timeout_s, number=number)
         self._submission_by_job[job_id] = submission
         self._touched_jobs.add(job_id)
         return submission
@@ -233,7 +233,7 @@
     """Return the message that reports the outcome of a job to another entry host.
 
     :param job_id: 16-byte job id.
-    :param epoch: the epoch under which it ended.
+    :param epoch: epoch under which the job ended.
     :param result: the outcome.
     """
     results = result.results if isinstance(result, outcome.Complete) else ()
--- a/src/burdockgate/request/ownedjob.py
+++ b/src/burdockgate/request/ownedjob.py
@@ -249,8 +249,9 @@
         """Handle an agent's reply to a fence.
 
         :param name: name of the agent.
-        :param reply: the tasks that the agent knows; dropped and counted unless it
-            replies to the latest fence.
+        :param reply: the tasks that the agent knows. A higher epoch shows that another
+            owner has taken the job over; any other reply is dropped and counted unless
+            it is to the latest fence.
         """
         agent = self._agent_by_name.get(name)
         if reply.epoch > self.terms.epoch:
@@ -300,7 +301,11 @@
         yield from self._fail_if_in_doubt()
 
     def _handle_agent_lost(self, agent: _AgentState) -> _Effects:
-        """Fail the job, or put it in doubt, after an agent was lost for good."""
+        """Handle the loss of an agent for good.
+
+        The job fails if the agent has tasks of it. If an earlier owner may have sent
+        tasks to the agent, the job is in doubt.
+        """
         was_recovering = agent.is_recovering
         agent.is_fencing = False
         self._set_recovering(agent, False)
