Reword the health monitor and its detectors

The scores, streaks and statistics carried private names (told, row, whole, brink, saw), and comments told their reasons in figures of speech. Fields, constants and methods now have the names of the field, and every reason stands as a plain sentence. No behaviour changes.

--- a/src/burdockgate/process/directory.py
+++ b/src/burdockgate/process/directory.py
@@ -144,7 +144,7 @@
         )
         self.health = health
         if health is not None:
-            health.watch(self._on_allowance)
+            health.set_allowance_listener(self._on_allowance)
         self.worker_by_name: dict[str, Worker] = {}
 
     def service(self, name: str) -> ServiceIndex:
@@ -248,7 +248,7 @@
         worker = self.worker_by_name.get(name)
         if worker is not None:
             if self.health is not None and free > worker.reported_free:
-                self.health.freed(worker.record)
+                self.health.record_freed_slot(worker.record)
             worker.reported_free, worker.received = free, received
             self.reindex(worker)
 
--- a/src/burdockgate/process/health.py
+++ b/src/burdockgate/process/health.py
@@ -1,9 +1,8 @@
-"""Which workers an entry host sets aside because they fail, are slow or never answer.
+"""Ejection of workers that fail, are slow or do not answer, by one entry host.
 
-Outcomes of a worker are set against those of its service and class, and those of a job
-against the other workers that ran it. The judgement costs a constant number of steps
-for each task sent and each outcome. It only withholds new tasks: a task that was sent
-stays where it is.
+The outcomes of a worker are compared with those of its service and class, and a failed
+job with its outcomes on other workers. The cost per sent task and per outcome is
+constant. An ejected worker gets no new task; tasks already sent stay there.
 """
 
 from __future__ import annotations
@@ -15,43 +14,45 @@
 from burdockgate import clock, messages, settings
 from burdockgate.process import detectors, metrics
 
-RUN_MEMORY = 100
+RUN_TIME_WINDOW = 100
 TRUST_STEP = 0.3
-# Slowness is not judged before a class has this many run times.
-WARM_UP = 30
-# Run times of the workload spread by a factor of about e around their mean; with the
-# default factor, this sum is reached by chance once in about a million outcomes.
-SLOW_SCORE = 8.0
-SLOW_BRINK = 6.0
-SLOW_CLIP = math.log(10.0)
-# A task is overdue after this many times the usual run time of its class.
+# A class needs this many run times before workers are compared with its mean.
+MIN_RUN_TIMES = 30
+# Run times of the workload vary by a factor of about e around their mean. With the
+# default slow factor, a healthy worker reaches this score about once in a million
+# outcomes.
+SLOWNESS_THRESHOLD = 8.0
+SUSPECT_SLOWNESS = 6.0
+MAX_LOG_EXCESS = math.log(10.0)
+# A task is overdue after this multiple of the mean run time of its class.
 OVERDUE_FACTOR = 30.0
-# Two overdue tasks without any answer since, or one that is overdue twice as long,
-# weigh as the failures for which a worker is ejected.
-OVERDUE_TASKS = 2
-# Failures in a row at a larger share of the workers are the fault of the jobs.
-ROWS_MAX = 0.5
-FAILED_JOBS = 4096
-GROUPS = 1000
-TICK_S = 0.25
-# Longer than the longest deadline; the outcome of an older task is not awaited.
-FORGET_S = messages.LONGEST_DEADLINE_S + 30.0
-
-_ENDED = (
+# Two overdue tasks without any answer since, or one task that has passed twice the
+# limit, weigh as much as the failures that eject a worker.
+OVERDUE_TASKS_TO_EJECT = 2
+# When more than this share of the workers report failures in a row, the jobs are taken
+# to be at fault.
+MAX_FAILING_SHARE = 0.5
+MAX_FAILED_JOBS = 4096
+MAX_CLASSES = 1000
+TICK_INTERVAL_S = 0.25
+# Longer than the longest deadline; outcomes of older tasks are no longer awaited.
+OUTCOME_TIMEOUT_S = messages.LONGEST_DEADLINE_S + 30.0
+
+_ANSWER_STATES = (
     messages.TaskState.DONE,
     messages.TaskState.FAILED,
     messages.TaskState.OVERSIZE,
 )
-_FAILED = (messages.TaskState.FAILED, messages.TaskState.UNKNOWN)
+_FAILURE_STATES = (messages.TaskState.FAILED, messages.TaskState.UNKNOWN)
 
 
 class HealthMonitor:
-    """Judges the workers that one entry host knows.
+    """Tracks the health of the workers that one entry host knows.
 
     :param config: the settings.
     :param time: the clock.
-    :param counters: the process's metrics.
-    :param detector: weighs failures; ``None`` for
+    :param counters: the metrics of the process.
+    :param detector: computes the failure scores; ``None`` for a
         :class:`detectors.LikelihoodDetector`.
     """
 
@@ -66,60 +67,64 @@
         self._time = time
         self._counters = counters
         self._detector = detector or detectors.LikelihoodDetector(config.failures)
-        self._slow_offset = math.log(config.slow_factor) / 2
+        self._slowness_offset = math.log(config.slow_factor) / 2
         self._record_by_name: dict[str, detectors.WorkerRecord] = {}
-        self._out_by_name: dict[str, detectors.WorkerRecord] = {}
-        self._known_by_service: collections.Counter[str] = collections.Counter()
+        self._unhealthy_by_name: dict[str, detectors.WorkerRecord] = {}
+        self._connected_by_service: collections.Counter[str] = collections.Counter()
         self._ejected_by_service: collections.Counter[str] = collections.Counter()
-        self._in_row_by_service: collections.Counter[str] = collections.Counter()
-        self._group_by_key: dict[tuple[str, str], detectors.OutcomeStatistics] = {}
-        self._whole_by_service: dict[str, detectors.OutcomeStatistics] = {}
-        self._sent_by_task: dict[tuple[bytes, int], detectors.Sent] = {}
-        self._late: collections.deque[detectors.Sent] = collections.deque()
+        self._failing_by_service: collections.Counter[str] = collections.Counter()
+        self._stats_by_key: dict[tuple[str, str], detectors.OutcomeStatistics] = {}
+        self._stats_by_service: dict[str, detectors.OutcomeStatistics] = {}
+        self._sent_by_task: dict[tuple[bytes, int], detectors.SentTask] = {}
+        self._long_overdue: collections.deque[detectors.SentTask] = collections.deque()
         self._failed_by_job: dict[bytes, detectors.FailedJob] = {}
-        self._ticked_at = -math.inf
-        self._watcher: Callable[[detectors.WorkerRecord], None] | None = None
-        # Tests drive cores without a daemon that takes the changes.
-        self.changes: collections.deque[detectors.Change] = collections.deque(
+        self._last_tick_at = -math.inf
+        self._allowance_listener: Callable[[detectors.WorkerRecord], None] | None = None
+        # Bounded, because tests run cores without a daemon that consumes the changes.
+        self.changes: collections.deque[detectors.StateChange] = collections.deque(
             maxlen=1000
         )
 
     @property
-    def _brink(self) -> float:
-        """Score from which one failure ejects a worker, if none fails elsewhere."""
+    def _suspect_score(self) -> float:
+        """Score at which one failure ejects a worker when no task fails elsewhere."""
         return self._detector.threshold * (1 - 0.4 / self._detector.failures_to_eject)
 
     # Workers
 
-    def watch(self, watcher: Callable[[detectors.WorkerRecord], None]) -> None:
-        """Set what is called after a change of a worker's allowance.
+    def set_allowance_listener(
+        self, listener: Callable[[detectors.WorkerRecord], None]
+    ) -> None:
+        """Set the function that is called when a worker's allowance may have changed.
 
-        :param watcher: called with the worker's record.
+        :param listener: called with the worker's record.
         """
-        self._watcher = watcher
+        self._allowance_listener = listener
 
     def join(self, hello: messages.Hello) -> detectors.WorkerRecord:
-        """Begin a session with a worker and return its record.
+        """Start a session with a worker and return its record.
+
+        The state of a worker that is ejected or on probation survives the end of a
+        session, but not a restart of the agent.
 
-        :param hello: the announcement of its agent. The state outlives a session, but
-            not the agent's process.
+        :param hello: the announcement of its agent.
         """
         name, service = hello.node.name, hello.service
         self.leave(name)
         record = self._record_by_name.get(name)
         if record is None or record.boot != hello.node.boot:
-            self._out_by_name.pop(name, None)
-            self._show_out()
+            self._unhealthy_by_name.pop(name, None)
+            self._update_unhealthy_gauge()
             record = detectors.WorkerRecord(name, service, hello.node.boot)
             self._record_by_name[name] = record
         record.is_connected = True
-        record.session += 1
+        record.session_number += 1
         record.in_flight = 0
-        self._known_by_service[service] += 1
+        self._connected_by_service[service] += 1
         self._ejected_by_service[service] += (
             record.state is detectors.HealthState.EJECTED
         )
-        self._allow(record)
+        self._update_allowance(record)
         return record
 
     def leave(self, name: str) -> None:
@@ -130,67 +135,71 @@
         record = self._record_by_name.get(name)
         if record is None or not record.is_connected:
             return
-        self._set_told(record, 0)
+        self._set_reported_failures(record, 0)
         record.is_connected = False
-        self._known_by_service[record.service] -= 1
+        self._connected_by_service[record.service] -= 1
         self._ejected_by_service[record.service] -= (
             record.state is detectors.HealthState.EJECTED
         )
         if record.state is detectors.HealthState.HEALTHY:
             del self._record_by_name[name]
 
-    def _allow(self, record: detectors.WorkerRecord) -> None:
-        """Set what may be sent: on probation one task at a time."""
+    def _update_allowance(self, record: detectors.WorkerRecord) -> None:
+        """Set the allowance for the state; it is one task at a time on probation."""
         if record.state is detectors.HealthState.HEALTHY:
             record.allowance = detectors.UNLIMITED
         elif record.state is detectors.HealthState.EJECTED:
             record.allowance = 0
         else:
             record.allowance = 1 - record.in_flight
-        if self._watcher is not None:
-            self._watcher(record)
+        if self._allowance_listener is not None:
+            self._allowance_listener(record)
 
     # Tasks
 
     def record_sent(
         self, record: detectors.WorkerRecord, caller_class: str, job: bytes, index: int
     ) -> None:
-        """Note a task that was sent.
+        """Record a task that was sent.
 
         :param record: the worker.
         :param caller_class: class of the job's caller.
         :param job: 16-byte job id.
         :param index: index of the task.
         """
-        group = self._group(record.service, caller_class)
-        task = detectors.Sent(
-            record, group, job, index, self._time.now(), record.session
+        stats = self._class_stats(record.service, caller_class)
+        task = detectors.SentTask(
+            record, stats, job, index, self._time.now(), record.session_number
         )
-        older = self._sent_by_task.get((job, index))
-        if older is not None:
-            # The job's next attempt has begun before the last one was reported.
-            self._end(older)
+        previous = self._sent_by_task.get((job, index))
+        if previous is not None:
+            # The next attempt of the job started before the last one was reported.
+            self._remove_in_flight(previous)
         self._sent_by_task[job, index] = task
-        group.due.append(task)
+        stats.awaited.append(task)
         record.in_flight += 1
-        self._allow(record)
+        self._update_allowance(record)
 
-    def _group(self, service: str, caller_class: str) -> detectors.OutcomeStatistics:
+    def _class_stats(
+        self, service: str, caller_class: str
+    ) -> detectors.OutcomeStatistics:
         key = (service, caller_class)
-        if key not in self._group_by_key:
-            # Callers choose the names of classes, so their number must be bounded.
-            if len(self._group_by_key) >= GROUPS:
+        if key not in self._stats_by_key:
+            # Callers choose the names of classes, so the number of classes is bounded.
+            if len(self._stats_by_key) >= MAX_CLASSES:
                 key = (service, "")
-            whole = self._whole_by_service.setdefault(
+            service_stats = self._stats_by_service.setdefault(
                 service, detectors.OutcomeStatistics()
             )
-            self._group_by_key.setdefault(key, detectors.OutcomeStatistics(whole))
-        return self._group_by_key[key]
+            self._stats_by_key.setdefault(
+                key, detectors.OutcomeStatistics(service_stats)
+            )
+        return self._stats_by_key[key]
 
     def record_results(self, message: messages.Results) -> None:
-        """Take the outcomes that an agent reports.
+        """Record the outcomes that an agent reports.
 
-        :param message: the reports; those of tasks that are not awaited are ignored.
+        :param message: the reports; tasks that are not awaited are ignored.
         """
         for report in message.reports:
             if report.state is messages.TaskState.RUNNING:
@@ -199,172 +208,202 @@
             task = self._sent_by_task.get(key)
             if task is not None and task.record.boot == message.boot:
                 del self._sent_by_task[key]
-                self._end(task)
-                self._judge(task, report)
+                self._remove_in_flight(task)
+                self._record_outcome(task, report)
 
-    def _end(self, task: detectors.Sent) -> None:
-        if task.session == task.record.session:
+    def _remove_in_flight(self, task: detectors.SentTask) -> None:
+        if task.session_number == task.record.session_number:
             task.record.in_flight -= 1
-            self._allow(task.record)
+            self._update_allowance(task.record)
 
-    def _judge(self, task: detectors.Sent, report: messages.TaskReport) -> None:
+    def _record_outcome(
+        self, task: detectors.SentTask, report: messages.TaskReport
+    ) -> None:
         record = task.record
         if self._record_by_name.get(record.name) is not record:
-            # The worker's session was lost meanwhile, and its record with it.
+            # The session was lost after the task was sent, and the record was dropped.
             return
-        if report.state in _ENDED:
-            record.answered_at = self._time.now()
-        if report.state in _FAILED:
-            self._fail(task, detectors.EjectionReason.FAILING)
+        if report.state in _ANSWER_STATES:
+            record.last_answer_at = self._time.now()
+        if report.state in _FAILURE_STATES:
+            self._record_failure(task, detectors.EjectionReason.FAILING)
         elif report.state is messages.TaskState.DONE:
-            self._succeed(task, report.run_ms)
+            self._record_success(task, report.run_ms)
 
-    def _succeed(self, task: detectors.Sent, run_ms: float) -> None:
-        record, group = task.record, task.group
+    def _record_success(self, task: detectors.SentTask, run_ms: float) -> None:
+        record, stats = task.record, task.stats
         record.trust += (1.0 - record.trust) * TRUST_STEP
-        record.row = 0
-        self._set_told(record, 0)
-        group.saw(0.0, record.trust)
+        record.consecutive_failures = 0
+        self._set_reported_failures(record, 0)
+        stats.add_outcome(0.0, record.trust)
         if record.state is detectors.HealthState.EJECTED:
             return
-        record.failure_score = self._detector.score_after_success(record, group)
-        if not self._is_slow(task, run_ms):
-            self._prove(record)
+        record.failure_score = self._detector.score_after_success(record, stats)
+        if not self._record_run_time(task, run_ms):
+            self._count_probation_outcome(record)
 
-    def _is_slow(self, task: detectors.Sent, run_ms: float) -> bool:
-        """Take a run time, and return whether it got the worker ejected.
+    def _record_run_time(self, task: detectors.SentTask, run_ms: float) -> bool:
+        """Update the slowness score and return whether the worker was ejected.
 
-        Tasks of one job are alike, so a job counts as evidence of slowness only once
-        in a row.
+        Tasks of one job have similar run times, so consecutive slow tasks of the same
+        job count once.
         """
-        record, group = task.record, task.group
-        over = math.log(max(run_ms, 1.0)) - group.log_ms
-        if group.runs >= WARM_UP:
-            step = min(over, SLOW_CLIP) - self._slow_offset
-            if step < 0 or record.slow_job != task.job:
-                record.slow = max(0.0, record.slow + step)
+        record, stats = task.record, task.stats
+        excess = math.log(max(run_ms, 1.0)) - stats.mean_log_ms
+        if stats.run_count >= MIN_RUN_TIMES:
+            step = min(excess, MAX_LOG_EXCESS) - self._slowness_offset
+            if step < 0 or record.last_slow_job != task.job:
+                record.slowness_score = max(0.0, record.slowness_score + step)
             if step > 0:
-                record.slow_job = task.job
-        group.runs += 1
-        group.log_ms += over / min(group.runs, RUN_MEMORY)
-        if record.slow < SLOW_SCORE:
+                record.last_slow_job = task.job
+        stats.run_count += 1
+        stats.mean_log_ms += excess / min(stats.run_count, RUN_TIME_WINDOW)
+        if record.slowness_score < SLOWNESS_THRESHOLD:
             return False
         return self._eject(record, detectors.EjectionReason.SLOW)
 
-    def _fail(self, task: detectors.Sent, reason: detectors.EjectionReason) -> None:
-        """Count a failure, at most one for each job but for overdue tasks."""
-        record, group = task.record, task.group
-        # The other workers' view of this one, from before this failure.
-        is_trusted = group.trusts(record.trust)
-        if record.failed_job != task.job:
-            record.failed_job = task.job
+    def _record_failure(
+        self, task: detectors.SentTask, reason: detectors.EjectionReason
+    ) -> None:
+        """Update the failure score; only overdue tasks count more than once per job."""
+        record, stats = task.record, task.stats
+        # Compared before this failure lowers the worker's own trust.
+        is_trusted = stats.is_trusted(record.trust)
+        if record.last_failed_job != task.job:
+            record.last_failed_job = task.job
             record.trust -= record.trust * TRUST_STEP
-        first = self._failed_by_job.get(task.job)
-        if first is not None and first.record is not record and is_trusted:
-            group.saw(1.0, record.trust)
-            self._excuse(first)
+        earlier_failure = self._failed_by_job.get(task.job)
+        if (
+            earlier_failure is not None
+            and earlier_failure.record is not record
+            and is_trusted
+        ):
+            stats.add_outcome(1.0, record.trust)
+            self._excuse(earlier_failure)
             return
         if (
-            first is not None
-            and first.record is record
-            and (reason is not detectors.EjectionReason.SILENT or not first.weight)
+            earlier_failure is not None
+            and earlier_failure.record is record
+            and (
+                reason is not detectors.EjectionReason.SILENT
+                or not earlier_failure.weight
+            )
         ):
             return
-        weight = self._detector.failure_weight(record, group)
-        group.saw(1.0, record.trust)
+        weight = self._detector.failure_weight(record, stats)
+        stats.add_outcome(1.0, record.trust)
         if reason is detectors.EjectionReason.SILENT:
-            weight *= self._detector.failures_to_eject / OVERDUE_TASKS
-        earlier = first.weight if first is not None and first.record is record else 0.0
-        self._remember(detectors.FailedJob(task.job, record, earlier + weight))
+            weight *= self._detector.failures_to_eject / OVERDUE_TASKS_TO_EJECT
+        earlier_weight = (
+            earlier_failure.weight
+            if earlier_failure is not None and earlier_failure.record is record
+            else 0.0
+        )
+        self._store_failed_job(
+            detectors.FailedJob(task.job, record, earlier_weight + weight)
+        )
         if record.state is detectors.HealthState.EJECTED:
             return
         record.failure_score += weight
-        record.row += 1
-        if record.failure_score + self._told(record) >= self._detector.threshold:
+        record.consecutive_failures += 1
+        if (
+            record.failure_score + self._reported_failure_weight(record)
+            >= self._detector.threshold
+        ):
             self._eject(record, reason)
         elif record.state is detectors.HealthState.PROBATION:
-            self._prove(record)
+            self._count_probation_outcome(record)
 
-    def _excuse(self, first: detectors.FailedJob) -> None:
-        """Take a failure back: a worker that is trusted failed the same job."""
-        if not first.weight:
+    def _excuse(self, failed_job: detectors.FailedJob) -> None:
+        """Take a failure back, because a trusted worker failed the same job."""
+        if not failed_job.weight:
             return
         self._counters.count("health.excused")
-        record = first.record
-        record.failure_score = max(0.0, record.failure_score - first.weight)
-        record.row = max(0, record.row - 1)
-        first.weight = 0.0
+        record = failed_job.record
+        record.failure_score = max(0.0, record.failure_score - failed_job.weight)
+        record.consecutive_failures = max(0, record.consecutive_failures - 1)
+        failed_job.weight = 0.0
         if (
             record.state is detectors.HealthState.EJECTED
             and record.reason is not detectors.EjectionReason.SLOW
-            and record.told < 2
+            and record.reported_failures < 2
             and record.failure_score < self._detector.threshold / 2
         ):
-            # Little is left of the evidence that ejected the worker.
+            # Less than half of the evidence for the ejection is left, so it ends.
             record.ejected_until = self._time.now()
 
-    def _remember(self, failed: detectors.FailedJob) -> None:
-        self._failed_by_job[failed.job] = failed
-        if len(self._failed_by_job) > FAILED_JOBS:
+    def _store_failed_job(self, failed_job: detectors.FailedJob) -> None:
+        self._failed_by_job[failed_job.job] = failed_job
+        if len(self._failed_by_job) > MAX_FAILED_JOBS:
             del self._failed_by_job[next(iter(self._failed_by_job))]
 
     def record_reported_failures(
         self, record: detectors.WorkerRecord, count: int
     ) -> None:
-        """Take the failed jobs in a row that an agent has seen for all entry hosts.
+        """Record the number of failed jobs in a row that an agent reports.
 
         :param record: the worker.
-        :param row: number of jobs; a success begins anew.
+        :param count: number of jobs over all entry hosts; a success resets it.
         """
-        self._set_told(record, count)
+        self._set_reported_failures(record, count)
         if (
             record.state is not detectors.HealthState.EJECTED
-            and record.row
-            and record.failure_score + self._told(record) >= self._detector.threshold
+            and record.consecutive_failures
+            and record.failure_score + self._reported_failure_weight(record)
+            >= self._detector.threshold
         ):
             self._eject(record, detectors.EjectionReason.FAILING)
 
-    def _set_told(self, record: detectors.WorkerRecord, row: int) -> None:
-        """Keep the number of workers in a row of failures up to date."""
+    def _set_reported_failures(
+        self, record: detectors.WorkerRecord, count: int
+    ) -> None:
+        """Set the number, and count the workers with more than one failure in a row."""
         if record.is_connected:
-            change = (row > 1) - (record.told > 1)
-            self._in_row_by_service[record.service] += change
-        record.told = row
+            change = (count > 1) - (record.reported_failures > 1)
+            self._failing_by_service[record.service] += change
+        record.reported_failures = count
 
-    def _told(self, record: detectors.WorkerRecord) -> float:
-        """Return the weight of the failures in a row that were seen elsewhere.
+    def _reported_failure_weight(self, record: detectors.WorkerRecord) -> float:
+        """Return the weight of the failures in a row at other entry hosts.
 
-        Whether their jobs failed on other workers too is not told. So they count only
-        beside a failure that was seen here, and not while many workers report them.
+        The report does not say whether the jobs failed on other workers too. So these
+        failures count only together with one at this entry host, and not while many
+        workers report failures in a row.
         """
-        others = record.told - record.row
+        others = record.reported_failures - record.consecutive_failures
         service = record.service
-        limit = ROWS_MAX * self._known_by_service[service]
-        if not record.row or others <= 0 or self._in_row_by_service[service] > limit:
+        limit = MAX_FAILING_SHARE * self._connected_by_service[service]
+        if (
+            not record.consecutive_failures
+            or others <= 0
+            or self._failing_by_service[service] > limit
+        ):
             return 0.0
-        whole = self._whole_by_service[service]
-        return others * self._detector.failure_weight(record, whole)
+        service_stats = self._stats_by_service[service]
+        return others * self._detector.failure_weight(record, service_stats)
 
-    def freed(self, record: detectors.WorkerRecord) -> None:
-        """Note that a worker has more free slots than before.
+    def record_freed_slot(self, record: detectors.WorkerRecord) -> None:
+        """Record that a worker has more free slots than before.
 
-        Another entry host's task has ended there, so the worker is not silent.
+        A task has ended there, also if another entry host sent it, so the worker is not
+        silent.
 
         :param record: the worker.
         """
-        record.answered_at = self._time.now()
+        record.last_answer_at = self._time.now()
 
     # States
 
     def _eject(
         self, record: detectors.WorkerRecord, reason: detectors.EjectionReason
     ) -> bool:
-        """Eject a worker unless too many of its service are; return whether it is."""
+        """Eject a worker unless its service is at the cap; return whether it was."""
         service = record.service
-        if self._ejected_by_service[service] >= self._cap(service):
-            # It takes new evidence, weighed by then, to eject it later.
-            record.failure_score = min(record.failure_score, self._brink)
-            record.slow = min(record.slow, SLOW_BRINK)
+        if self._ejected_by_service[service] >= self._max_ejected(service):
+            # The scores are cut, so that a later ejection needs new evidence, weighed
+            # by the failure rates of that time.
+            record.failure_score = min(record.failure_score, self._suspect_score)
+            record.slowness_score = min(record.slowness_score, SUSPECT_SLOWNESS)
             self._counters.count("health.capped")
             return False
         now, config = self._time.now(), self._config
@@ -372,120 +411,132 @@
             record.state is detectors.HealthState.HEALTHY
         ):
             record.ejections = 0
-        # The exponent is bounded so that the power stays a finite number.
+        # The exponent is bounded to keep the power finite.
         factor = 2.0 ** min(record.ejections, 32)
         seconds = min(config.ejection_s * factor, config.max_ejection_s)
         record.ejections += 1
         record.ejected_until = now + seconds
         record.reason = reason
         self._ejected_by_service[service] += record.is_connected
-        self._out_by_name[record.name] = record
+        self._unhealthy_by_name[record.name] = record
         self._counters.count("health.ejections")
-        self._change(record, detectors.HealthState.EJECTED, seconds)
+        self._set_state(record, detectors.HealthState.EJECTED, seconds)
         return True
 
-    def _cap(self, service: str) -> int:
-        known, share = self._known_by_service[service], self._config.max_ejected_share
-        if known < 2 or share == 0:
+    def _max_ejected(self, service: str) -> int:
+        connected, share = (
+            self._connected_by_service[service],
+            self._config.max_ejected_share,
+        )
+        if connected < 2 or share == 0:
             return 0
-        return max(1, int(known * share))
+        return max(1, int(connected * share))
 
-    def _change(
+    def _set_state(
         self,
         record: detectors.WorkerRecord,
         state: detectors.HealthState,
         seconds: float = 0.0,
     ) -> None:
         record.state = state
-        self._allow(record)
-        self._show_out()
+        self._update_allowance(record)
+        self._update_unhealthy_gauge()
         self.changes.append(
-            detectors.Change(record.name, state, record.reason, seconds)
+            detectors.StateChange(record.name, state, record.reason, seconds)
         )
 
-    def _show_out(self) -> None:
-        self._counters.gauge("health.out", len(self._out_by_name))
+    def _update_unhealthy_gauge(self) -> None:
+        self._counters.gauge("health.out", len(self._unhealthy_by_name))
 
-    def _prove(self, record: detectors.WorkerRecord) -> None:
-        """Count a task on probation, and readmit the worker after enough of them."""
+    def _count_probation_outcome(self, record: detectors.WorkerRecord) -> None:
+        """Count an outcome on probation; enough of them readmit the worker."""
         if record.state is not detectors.HealthState.PROBATION:
             return
-        record.proved += 1
-        if record.proved >= self._config.probation_tasks:
-            del self._out_by_name[record.name]
-            record.failure_score = record.slow = 0.0
+        record.probation_outcomes += 1
+        if record.probation_outcomes >= self._config.probation_tasks:
+            del self._unhealthy_by_name[record.name]
+            record.failure_score = record.slowness_score = 0.0
             record.readmitted_at = self._time.now()
             self._counters.count("health.readmissions")
-            self._change(record, detectors.HealthState.HEALTHY)
+            self._set_state(record, detectors.HealthState.HEALTHY)
 
     def is_suspect(self, record: detectors.WorkerRecord) -> bool:
         """Return whether one more failure would eject a worker, but for the cap.
 
         :param record: the worker.
         """
-        return record.failure_score >= self._brink or record.slow >= SLOW_BRINK
+        return (
+            record.failure_score >= self._suspect_score
+            or record.slowness_score >= SUSPECT_SLOWNESS
+        )
 
     # Time
 
     def tick(self) -> None:
-        """Judge overdue tasks and end ejections; call at least once a second."""
+        """Check for overdue tasks and end ejections; call at least once a second."""
         now = self._time.now()
-        if now - self._ticked_at < TICK_S:
+        if now - self._last_tick_at < TICK_INTERVAL_S:
             return
-        self._ticked_at = now
-        for group in self._group_by_key.values():
-            self._check_due(group, now)
-        while self._late and now - self._late[0].at >= FORGET_S:
-            self._forget(self._late.popleft())
-        for record in list(self._out_by_name.values()):
+        self._last_tick_at = now
+        for stats in self._stats_by_key.values():
+            self._check_overdue(stats, now)
+        while (
+            self._long_overdue
+            and now - self._long_overdue[0].sent_at >= OUTCOME_TIMEOUT_S
+        ):
+            self._stop_awaiting(self._long_overdue.popleft())
+        for record in list(self._unhealthy_by_name.values()):
             if now < record.ejected_until:
                 continue
             if record.is_connected:
-                self._release(record)
+                self._start_probation(record)
             elif now - record.ejected_until >= self._config.max_ejection_s:
-                del self._out_by_name[record.name]
+                del self._unhealthy_by_name[record.name]
                 del self._record_by_name[record.name]
-                self._show_out()
+                self._update_unhealthy_gauge()
 
-    def _check_due(self, group: detectors.OutcomeStatistics, now: float) -> None:
-        usual_s = math.exp(group.log_ms) / 1000 if group.runs else 0.0
+    def _check_overdue(self, stats: detectors.OutcomeStatistics, now: float) -> None:
+        usual_s = math.exp(stats.mean_log_ms) / 1000 if stats.run_count else 0.0
         limit_s = max(self._config.overdue_s, OVERDUE_FACTOR * usual_s)
-        self._check_silence(group.due, group.overdue, now - limit_s)
-        self._check_silence(group.overdue, self._late, now - 2 * limit_s)
+        self._check_silence(stats.awaited, stats.overdue, now - limit_s)
+        self._check_silence(stats.overdue, self._long_overdue, now - 2 * limit_s)
 
     def _check_silence(
         self,
-        due: collections.deque[detectors.Sent],
-        later: collections.deque[detectors.Sent],
+        tasks: collections.deque[detectors.SentTask],
+        next_stage: collections.deque[detectors.SentTask],
         sent_before: float,
     ) -> None:
-        while due and due[0].at <= sent_before:
-            task = due.popleft()
+        while tasks and tasks[0].sent_at <= sent_before:
+            task = tasks.popleft()
             if self._sent_by_task.get((task.job, task.index)) is not task:
                 continue
-            later.append(task)
+            next_stage.append(task)
             record = task.record
-            is_current = record.is_connected and task.session == record.session
-            if is_current and record.answered_at <= task.at:
+            is_current = (
+                record.is_connected and task.session_number == record.session_number
+            )
+            if is_current and record.last_answer_at <= task.sent_at:
                 self._counters.count("health.overdue")
-                self._fail(task, detectors.EjectionReason.SILENT)
+                self._record_failure(task, detectors.EjectionReason.SILENT)
 
-    def _forget(self, task: detectors.Sent) -> None:
+    def _stop_awaiting(self, task: detectors.SentTask) -> None:
         key = (task.job, task.index)
         if self._sent_by_task.get(key) is task:
             del self._sent_by_task[key]
-            self._end(task)
+            self._remove_in_flight(task)
 
-    def _release(self, record: detectors.WorkerRecord) -> None:
+    def _start_probation(self, record: detectors.WorkerRecord) -> None:
         """Put an ejected worker on probation; one more failure ejects it again."""
         if record.state is not detectors.HealthState.EJECTED:
             return
         self._ejected_by_service[record.service] -= 1
-        record.proved = 0
-        # An agent goes on telling the row of failures that ended in the ejection.
-        record.row = 0
-        record.failure_score = self._brink
-        record.slow = (
-            SLOW_BRINK if record.reason is detectors.EjectionReason.SLOW else 0.0
+        record.probation_outcomes = 0
+        # The agent still reports the failures that led to the ejection; they have no
+        # weight while this count is 0.
+        record.consecutive_failures = 0
+        record.failure_score = self._suspect_score
+        record.slowness_score = (
+            SUSPECT_SLOWNESS if record.reason is detectors.EjectionReason.SLOW else 0.0
         )
-        self._change(record, detectors.HealthState.PROBATION)
+        self._set_state(record, detectors.HealthState.PROBATION)
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -1,4 +1,4 @@
-"""Guards the ejection of bad workers, and that good ones are not ejected."""
+"""Tests that bad workers are ejected and good ones are not."""
 
 import asyncio
 import json
@@ -25,7 +25,10 @@
 
 
 class FaultySession(sessions.Session):
-    """A session in which some backend servers are bad, by the name of their agent."""
+    """A session with faulty backend servers.
+
+    :param fault_by_agent: "failing", "slow" or "silent" by the name of the agent.
+    """
 
     def __init__(self, fault_by_agent, **options):
         self.fault_by_agent = fault_by_agent
@@ -36,8 +39,9 @@
         process = super().start(name)
         if name.startswith("agent"):
             finished = process.core.handle_task_end
-            process.core.handle_task_end = lambda *told: finished(
-                *told[:-1], 500.0 if self.fault_by_agent.get(name) == "slow" else 50.0
+            process.core.handle_task_end = lambda *arguments: finished(
+                *arguments[:-1],
+                500.0 if self.fault_by_agent.get(name) == "slow" else 50.0,
             )
         return process
 
@@ -56,16 +60,16 @@
         super()._finish(process, key, FAILED if is_failed else state, payload)
 
     def load(self, seconds, prefix, tasks=4):
-        """Submit a job every 50 ms at the entry hosts in turn."""
+        """Submit a job every 50 ms, at each entry host in turn."""
         tickets = []
         for number in range(int(seconds / 0.05)):
-            made = sessions.make_request(f"{prefix}{number}", [50] * tasks)
-            tickets.append(self.submit(f"entry-{number % 2 + 1}", made))
+            request = sessions.make_request(f"{prefix}{number}", [50] * tasks)
+            tickets.append(self.submit(f"entry-{number % 2 + 1}", request))
             self.run(0.05)
         return tickets
 
     def changes(self):
-        """Return one line for each change of state at each entry host."""
+        """Return a line for each change of state, by entry host."""
         return [
             f"{name} {each.worker} {each.state.value} {each.reason.value} "
             f"{each.seconds:g}"
@@ -82,7 +86,7 @@
 
 @pytest.mark.parametrize("fault", ["failing", "slow", "silent"])
 def test_bad_worker_is_ejected_and_comes_back(fault, snapshot):
-    """A bad worker gets no task while ejected, and all its slots once it is mended."""
+    """A bad worker is ejected, and used again in full once its fault is gone."""
     session = FaultySession({"agent-1": fault}, agents=6)
     session.load(25.0, "bad")
     assert session.changes() == snapshot
@@ -97,7 +101,7 @@
 
 
 def test_bad_rack_is_ejected_within_the_cap(snapshot):
-    """Three bad workers of eleven fit into the cap, and no good one is ejected."""
+    """Three bad workers of eleven are below the cap, and no good one is ejected."""
     session = FaultySession(dict.fromkeys(RACK, "failing"), agents=11)
     session.load(8.0, "bad")
     assert session.changes() == snapshot
@@ -106,7 +110,7 @@
 
 
 def test_cap_keeps_the_fleet_in_use():
-    """When all workers are bad, no more than the cap may be ejected at once."""
+    """When all workers are bad, at most the cap is ejected at once."""
     agents = [f"agent-{number + 1}" for number in range(10)]
     session = FaultySession(dict.fromkeys(agents, "failing"), agents=10)
     for number in range(15):
@@ -116,24 +120,25 @@
             assert sum(each.record.state is EJECTED for each in workers) <= 3
 
 
-def poisoned(key):
-    made = sessions.make_request(key, [50] * 20)
+def poisoned_request(key):
+    request = sessions.make_request(key, [50] * 20)
     tasks = tuple(
         attrs.evolve(task, payload=task.payload.replace(b"{", b'{"fail":1,', 1))
-        for task in made.tasks
+        for task in request.tasks
     )
-    return attrs.evolve(made, tasks=tasks)
+    return attrs.evolve(request, tasks=tasks)
 
 
 def test_poisoned_job_ejects_nobody(snapshot):
-    """A job that fails everywhere is not the workers' fault, however often it comes.
+    """A job that fails on every worker must not count against the workers.
 
-    It comes under one key, whose attempts fail on other workers, and under new ones.
+    The job is submitted repeatedly under one key, whose attempts fail on different
+    workers, and under new keys.
     """
     session = FaultySession({}, agents=6)
     for number in range(40):
         for key in ("poison", f"poison{number}"):
-            ticket = session.submit(f"entry-{number % 2 + 1}", poisoned(key))
+            ticket = session.submit(f"entry-{number % 2 + 1}", poisoned_request(key))
             assert isinstance(session.answer(ticket), outcome.Failed)
         if number >= 20:
             session.load(0.2, f"good{number}-")
@@ -143,164 +148,171 @@
 
 
 @pytest.fixture
-def judge():
+def monitor():
     counters = metrics.Metrics(settings.StatsdSettings())
     return health.HealthMonitor(
         settings.HealthSettings(), clock.ManualClock(), counters
     )
 
 
-def end(judge, record, job, state=DONE, run_ms=50.0, index=0):
-    judge.record_sent(record, "default", job, index)
+def report_outcome(monitor, record, job, state=DONE, run_ms=50.0, index=0):
+    monitor.record_sent(record, "default", job, index)
     report = messages.TaskReport(index, 1, state, b"", run_ms)
-    judge.record_results(messages.Results(job, 1, 1, record.boot, 0, 0, (report,)))
+    monitor.record_results(messages.Results(job, 1, 1, record.boot, 0, 0, (report,)))
 
 
-def eject(judge, record):
+def eject(monitor, record):
     for number in range(4):
-        end(judge, record, b"bad%d" % number, FAILED)
+        report_outcome(monitor, record, b"bad%d" % number, FAILED)
     assert record.state is EJECTED
 
 
-def join(judge, name, boot=1):
-    return judge.join(builders.hello(name, boot))
+def join(monitor, name, boot=1):
+    return monitor.join(builders.hello(name, boot))
 
 
-def test_tasks_of_one_job_count_once(judge):
-    """One job with many failed or long tasks says little about its worker."""
-    first = join(judge, "a1")
-    join(judge, "a2")
+def test_tasks_of_one_job_count_once(monitor):
+    """One job with many failed or slow tasks must not eject its worker."""
+    first = join(monitor, "a1")
+    join(monitor, "a2")
     for index in range(50):
-        end(judge, first, b"usual%d" % index)
+        report_outcome(monitor, first, b"usual%d" % index)
     for index in range(50):
-        end(judge, first, b"long", run_ms=60_000.0, index=index)
-        end(judge, first, b"bad", FAILED, index=index)
+        report_outcome(monitor, first, b"long", run_ms=60_000.0, index=index)
+        report_outcome(monitor, first, b"bad", FAILED, index=index)
     assert first.state is HEALTHY
 
 
 @pytest.mark.parametrize(
-    ("own", "rows", "state"),
+    ("own_failures", "reported", "state"),
     [(1, (4, 0, 0), EJECTED), (0, (4, 0, 0), HEALTHY), (1, (4, 4, 4), HEALTHY)],
 )
-def test_failures_that_agents_tell(own, rows, state, judge):
-    """They hasten an ejection, but not alone, nor when most workers tell of them."""
-    records = [join(judge, f"a{number}") for number in range(3)]
+def test_failures_that_agents_report(own_failures, reported, state, monitor):
+    """Reported failures count only beside a local one and while few workers fail."""
+    records = [join(monitor, f"a{number}") for number in range(3)]
     for _ in range(3):
-        for record, row in zip(records[1:], rows[1:], strict=True):
-            judge.record_reported_failures(record, row)
-    end(judge, records[0], b"job", FAILED if own else DONE)
-    judge.record_reported_failures(records[0], rows[0])
+        for record, count in zip(records[1:], reported[1:], strict=True):
+            monitor.record_reported_failures(record, count)
+    report_outcome(monitor, records[0], b"job", FAILED if own_failures else DONE)
+    monitor.record_reported_failures(records[0], reported[0])
     assert records[0].state is state
 
 
-def test_failures_before_an_ejection_count_once(judge):
-    """A row that an agent still tells on probation must not eject its worker again."""
-    first = join(judge, "a1")
-    join(judge, "a2")
-    eject(judge, first)
-    judge._time.advance(10)
-    judge.tick()
+def test_failures_before_an_ejection_count_once(monitor):
+    """Failures from before an ejection must not eject a worker on probation again.
+
+    The agent still reports them, because no task has succeeded since.
+    """
+    first = join(monitor, "a1")
+    join(monitor, "a2")
+    eject(monitor, first)
+    monitor._time.advance(10)
+    monitor.tick()
     assert first.state is PROBATION
-    judge.record_sent(first, "default", b"trial", 0)
-    judge.record_reported_failures(first, 9)
+    monitor.record_sent(first, "default", b"trial", 0)
+    monitor.record_reported_failures(first, 9)
     assert first.state is PROBATION
-    end(judge, first, b"trial", FAILED)
+    report_outcome(monitor, first, b"trial", FAILED)
     assert first.state is EJECTED
 
 
-def test_agent_tells_failed_jobs_in_a_row():
-    """Each entry host must learn of failures that only others saw."""
+def test_agent_reports_failed_jobs_in_a_row():
+    """Each entry host must learn of failures in jobs of other entry hosts."""
     session = FaultySession({"agent-1": "failing"}, agents=3)
-    told = {}
+    reported_by_link = {}
 
     def read(sender, to, message, delays):
         if isinstance(message, messages.Load):
-            told.setdefault((sender, to), []).append(message.failed_row)
+            reported_by_link.setdefault((sender, to), []).append(message.failed_row)
         return delays
 
     session.filters.append(read)
     for number in range(5):
-        made = sessions.make_request(f"k{number}", [50] * 6)
-        session.answer(session.submit("entry-1", made))
+        request = sessions.make_request(f"k{number}", [50] * 6)
+        session.answer(session.submit("entry-1", request))
     session.run(1.0)
-    assert max(told["agent-1", "entry-2"]) >= 2
-    assert not any(told.get(("agent-2", "entry-2"), ()))
+    assert max(reported_by_link["agent-1", "entry-2"]) >= 2
+    assert not any(reported_by_link.get(("agent-2", "entry-2"), ()))
 
 
-def test_only_worker_is_kept(judge):
-    """Without another worker an ejection would stop the service."""
-    record = join(judge, "a1")
+def test_only_worker_is_kept(monitor):
+    """The only worker of a service is not ejected, because that would stop it."""
+    record = join(monitor, "a1")
     for number in range(20):
-        end(judge, record, b"%d" % number, FAILED)
+        report_outcome(monitor, record, b"%d" % number, FAILED)
     assert record.state is HEALTHY
-    assert judge.is_suspect(record)
+    assert monitor.is_suspect(record)
 
 
-def test_ejection_outlives_a_session_but_not_the_process(judge):
-    """A bad worker must not come back by dialling again; a new process starts anew."""
-    record = join(judge, "a1")
-    join(judge, "a2")
-    eject(judge, record)
-    judge.leave("a1")
-    assert join(judge, "a1") is record
+def test_ejection_outlives_a_session_but_not_the_process(monitor):
+    """A reconnect must not end an ejection; a restart of the agent does."""
+    record = join(monitor, "a1")
+    join(monitor, "a2")
+    eject(monitor, record)
+    monitor.leave("a1")
+    assert join(monitor, "a1") is record
     assert record.allowance == 0
-    assert join(judge, "a1", boot=2).allowance == detectors.UNLIMITED
+    assert join(monitor, "a1", boot=2).allowance == detectors.UNLIMITED
 
 
-def test_late_results_of_a_lost_session_eject_nobody(judge):
-    """The record of a lost session must not come between the worker and its new one."""
-    old = join(judge, "a1")
-    join(judge, "a2")
+def test_late_results_of_a_lost_session_eject_nobody(monitor):
+    """Results for a dropped record must not change the worker's new record."""
+    old = join(monitor, "a1")
+    join(monitor, "a2")
     for number in range(6):
-        judge.record_sent(old, "default", b"%d" % number, 0)
-    assert join(judge, "a1") is not old
+        monitor.record_sent(old, "default", b"%d" % number, 0)
+    assert join(monitor, "a1") is not old
     for number in range(6):
         report = messages.TaskReport(0, 1, FAILED, b"", 1.0)
-        judge.record_results(messages.Results(b"%d" % number, 1, 1, 1, 0, 0, (report,)))
-    assert not judge.changes
+        monitor.record_results(
+            messages.Results(b"%d" % number, 1, 1, 1, 0, 0, (report,))
+        )
+    assert not monitor.changes
 
 
-def test_probation_is_one_task_at_a_time_and_ejections_grow(judge):
-    """A worker that is still bad must cost one job for each probation, ever rarer."""
-    record = join(judge, "a1")
-    join(judge, "a2")
-    eject(judge, record)
+def test_probation_is_one_task_at_a_time_and_ejections_grow(monitor):
+    """A worker that stays bad fails one job per probation, at growing intervals."""
+    record = join(monitor, "a1")
+    join(monitor, "a2")
+    eject(monitor, record)
     for number, seconds in enumerate((10, 20, 40, 80, 160, 300, 300)):
-        judge._time.advance(seconds - 0.5)
-        judge.tick()
+        monitor._time.advance(seconds - 0.5)
+        monitor.tick()
         assert record.allowance == 0
-        judge._time.advance(0.5)
-        judge.tick()
+        monitor._time.advance(0.5)
+        monitor.tick()
         assert (record.state, record.allowance) == (PROBATION, 1)
-        judge.record_sent(record, "default", b"still%d" % number, 0)
+        monitor.record_sent(record, "default", b"still%d" % number, 0)
         assert record.allowance == 0
-        end(judge, record, b"still%d" % number, FAILED)
+        report_outcome(monitor, record, b"still%d" % number, FAILED)
         assert record.state is EJECTED
-    lengths = [change.seconds for change in judge.changes if change.seconds]
+    lengths = [change.seconds for change in monitor.changes if change.seconds]
     assert lengths == [10, 20, 40, 80, 160, 300, 300, 300]
 
 
-def test_state_is_bounded(judge):
-    """Names of classes and jobs come from callers and must not fill the memory."""
-    record = join(judge, "a1")
-    for number in range(2 * health.FAILED_JOBS):
-        judge.record_sent(record, f"class{number}", b"%d" % number, 0)
+def test_state_is_bounded(monitor):
+    """Callers choose the names of classes and jobs, so all state is bounded."""
+    record = join(monitor, "a1")
+    for number in range(2 * health.MAX_FAILED_JOBS):
+        monitor.record_sent(record, f"class{number}", b"%d" % number, 0)
         report = messages.TaskReport(0, 1, FAILED, b"", 1.0)
-        judge.record_results(messages.Results(b"%d" % number, 1, 1, 1, 0, 0, (report,)))
-    assert len(judge._group_by_key) <= health.GROUPS + 1
-    assert len(judge._failed_by_job) == health.FAILED_JOBS
-    assert judge._sent_by_task == {}
+        monitor.record_results(
+            messages.Results(b"%d" % number, 1, 1, 1, 0, 0, (report,))
+        )
+    assert len(monitor._stats_by_key) <= health.MAX_CLASSES + 1
+    assert len(monitor._failed_by_job) == health.MAX_FAILED_JOBS
+    assert monitor._sent_by_task == {}
 
 
 def test_size_for_each_of_10000_workers():
-    """The records of the largest fleet must fit beside everything else."""
+    """The record of a worker takes at most 400 bytes in a fleet of 10,000 workers."""
     size, _ = suspects.cost(10_000, outcomes=1000)
     assert size <= 400
 
 
 @pytest.mark.parametrize("name", suspects.DETECTOR_BY_NAME)
 def test_bench_tells_bad_workers_from_good_ones(name):
-    """A bench that finds nothing, or judges good workers, would void its figures."""
+    """The benchmark must find every bad worker and eject no good one."""
     figures = suspects.Bench(suspects.Case("rack", name, entries=1)).run()
     assert len(figures.found_s) == len(RACK)
     assert figures.good_ejected == 0
@@ -308,7 +320,7 @@
 
 
 async def test_commands_of_the_page(shared):
-    """The operator's page must name commands that run, and values that they show."""
+    """The commands on the operator's page run and show what the page says."""
     shared.start()
     shared.servers[0].set_faults(fail_all=True)
     for number in range(100):
