--- a/src/burdockgate/process/directory.py
+++ b/src/burdockgate/process/directory.py
@@ -1,4 +1,8 @@
-"""The workers that an entry host knows, under leases."""
+"""The workers that an entry host knows, under leases.
+
+The directory combines what agents report with the judgement of the health monitor, and
+indexes the workers of each service for the dispatcher.
+"""
 
 from __future__ import annotations
 
@@ -15,16 +19,18 @@
 
 @attrs.define
 class Worker:
-    """A worker as its agent has announced it.
+    """A connected worker.
 
-    :param record: what is known of its outcomes.
+    :param hello: announcement of its agent.
+    :param last_message_at: time of the last message, in seconds.
     :param reported_free: free slots in the agent's last report.
     :param sent: tasks sent in this session.
-    :param received: tasks that the last report counts as received.
-    :param demanded: tasks announced to the agent as waiting and not yet offered a
-        slot.
-    :param heard_at: time of the last message, in seconds.
-    :param number: its place in the order in which the workers joined.
+    :param received: tasks of this entry host that the agent had received at its last
+        report.
+    :param open_demand: tasks announced to the agent as waiting and not offered a slot
+        yet.
+    :param join_number: position in the order in which the workers first joined.
+    :param record: its health.
     """
 
     hello: messages.Hello
@@ -48,25 +54,25 @@
 
     @property
     def node(self) -> messages.Node:
-        """Incarnation of the agent."""
+        """Name, boot id and address of the agent."""
         return self.hello.node
 
     @property
     def free_slots(self) -> int:
-        """Free slots: those reported, less the tasks sent since that report."""
+        """Free slots at the last report, minus the sent tasks that it leaves out."""
         return self.reported_free - (self.sent - self.received)
 
     @property
     def available_slots(self) -> int:
-        """Free slots that may be used: none while ejected, few on probation."""
+        """Free slots within the allowance that the health of the worker gives."""
         return min(self.free_slots, self.record.allowance)
 
     def fits(self, cores: float, memory_mb: int, accelerators: int) -> bool:
-        """Return whether the worker has what one task asks for.
+        """Return whether the worker has the resources that a task needs.
 
-        :param cores: processors.
+        :param cores: number of processor cores.
         :param memory_mb: memory in MB.
-        :param accelerators: accelerators.
+        :param accelerators: number of accelerators.
         """
         return (
             cores <= self.hello.cores
@@ -77,14 +83,16 @@
 
 @attrs.define
 class ServiceIndex:
-    """The workers of one service, indexed by what the dispatcher asks for.
-
-    :param members: every connected worker.
-    :param free: those with a free slot that may get a task.
-    :param proving: those of them that are on probation.
-    :param asked: those that may get a task and have been told of waiting tasks.
-    :param unasked: those that may get a task and have not.
-    :param changes: counts the workers that became unasked.
+    """Index of the workers of one service, for the dispatcher.
+
+    A worker is schedulable unless it is draining or its lease has lapsed.
+
+    :param members: all connected workers.
+    :param available: schedulable workers with an available slot.
+    :param on_probation: those of ``available`` that are on probation.
+    :param with_demand: schedulable workers with an open demand.
+    :param without_demand: schedulable workers without one.
+    :param additions: how often a worker was added to ``without_demand``.
     """
 
     members: pool.Pool = attrs.field(factory=pool.Pool)
@@ -94,24 +102,24 @@
     without_demand: dict[str, Worker] = attrs.field(factory=dict)
     additions: int = 0
 
-    def put(self, worker: Worker, is_schedulable: bool) -> None:
-        """Index a worker anew.
+    def reindex(self, worker: Worker, is_schedulable: bool) -> None:
+        """Update the index after a change of a worker.
 
         :param worker: the worker.
-        :param may_get: whether it may get new tasks.
+        :param is_schedulable: whether it may get new tasks.
         """
-        name, is_asked = worker.name, worker.open_demand > 0
-        is_free = is_schedulable and worker.available_slots > 0
-        self.available.put(worker, is_free)
-        if is_free and worker.record.state is detectors.HealthState.PROBATION:
+        name, has_demand = worker.name, worker.open_demand > 0
+        is_available = is_schedulable and worker.available_slots > 0
+        self.available.put(worker, is_available)
+        if is_available and worker.record.state is detectors.HealthState.PROBATION:
             self.on_probation[name] = worker
         else:
             self.on_probation.pop(name, None)
-        if is_schedulable and is_asked:
+        if is_schedulable and has_demand:
             self.with_demand[name] = worker
         else:
             self.with_demand.pop(name, None)
-        if not is_schedulable or is_asked:
+        if not is_schedulable or has_demand:
             self.without_demand.pop(name, None)
         elif self.without_demand.get(name) is not worker:
             self.without_demand[name] = worker
@@ -121,12 +129,12 @@
 class Directory:
     """Connected workers by name, with their leases.
 
-    Each change of a worker passes through a method here, which keeps the indexes of
-    its service. A lapsed worker is noticed when it is about to be used.
+    Workers are changed through the methods here, which update the index of the service.
+    A lapsed lease is detected only when the worker is about to be used.
 
     :param time: the clock.
-    :param lease_s: a worker not heard of for this long gets no task.
-    :param health: judges the workers; ``None`` for no judgement.
+    :param lease_s: a worker that sends no message for this long gets no new task.
+    :param health: ejects bad workers; ``None`` to eject none.
     """
 
     def __init__(
@@ -137,31 +145,31 @@
     ) -> None:
         self._time = time
         self._lease_s = lease_s
-        self._numbers = itertools.count()
+        self._join_numbers = itertools.count()
         self._lapsed: set[str] = set()
         self._service_by_name: dict[str, ServiceIndex] = collections.defaultdict(
             ServiceIndex
         )
         self.health = health
         if health is not None:
-            health.set_allowance_listener(self._on_allowance)
+            health.set_allowance_listener(self._handle_allowance_change)
         self.worker_by_name: dict[str, Worker] = {}
 
     def service(self, name: str) -> ServiceIndex:
-        """Return the indexes of a service.
+        """Return the index of a service; it is empty for an unknown one.
 
         :param name: name of the service.
         """
         return self._service_by_name.get(name) or ServiceIndex()
 
     def join(self, hello: messages.Hello) -> None:
-        """Add a worker, or replace its older session.
+        """Add a worker, or replace its previous session.
 
         :param hello: the announcement of its agent.
         """
         name = hello.node.name
         old = self.worker_by_name.get(name)
-        number = next(self._numbers) if old is None else old.join_number
+        number = next(self._join_numbers) if old is None else old.join_number
         if old is not None:
             self._remove(old)
         worker = Worker(
@@ -170,7 +178,7 @@
         if self.health is not None:
             worker.record = self.health.join(hello)
         self.worker_by_name[name] = worker
-        self._service_by_name[hello.service].members.put(worker, is_in=True)
+        self._service_by_name[hello.service].members.put(worker, is_member=True)
         self.reindex(worker)
 
     def leave(self, name: str) -> None:
@@ -184,8 +192,8 @@
         if self.health is not None:
             self.health.leave(name)
 
-    def _on_allowance(self, record: detectors.WorkerRecord) -> None:
-        """Index a worker anew after its health has changed what it may get."""
+    def _handle_allowance_change(self, record: detectors.WorkerRecord) -> None:
+        """Update the index after a change of a worker's allowance."""
         worker = self.worker_by_name.get(record.name)
         if worker is not None and worker.record is record:
             self.reindex(worker)
@@ -193,23 +201,25 @@
     def _remove(self, worker: Worker) -> None:
         self._lapsed.discard(worker.name)
         service = self._service_by_name[worker.hello.service]
-        service.put(worker, is_schedulable=False)
-        service.members.put(worker, is_in=False)
+        service.reindex(worker, is_schedulable=False)
+        service.members.put(worker, is_member=False)
         if not service.members:
             del self._service_by_name[worker.hello.service]
 
     def reindex(self, worker: Worker) -> None:
-        """Index a worker anew after a change of it.
+        """Update the index after a change of a worker.
 
         :param worker: a worker of this directory.
         """
-        may_get = self.is_schedulable(worker)
-        if not may_get and self.has_lapsed(worker):
+        is_schedulable = self.is_schedulable(worker)
+        if not is_schedulable and self.has_lapsed(worker):
             self._lapsed.add(worker.name)
-        self._service_by_name[worker.hello.service].put(worker, may_get)
+        self._service_by_name[worker.hello.service].reindex(worker, is_schedulable)
 
     def is_schedulable(self, worker: Worker) -> bool:
-        """Return whether a worker may get new tasks, with a free slot or without.
+        """Return whether a worker is neither draining nor lapsed.
+
+        Free slots and health do not matter here.
 
         :param worker: the worker.
         """
@@ -228,10 +238,10 @@
                 self.reindex(worker)
 
     def set_draining(self, name: str, active: bool) -> None:
-        """Note whether a worker is leaving.
+        """Set whether a worker is draining.
 
         :param name: name of its agent; an unknown one is ignored.
-        :param active: whether it gets no new task.
+        :param active: whether it is draining and so gets no new task.
         """
         worker = self.worker_by_name.get(name)
         if worker is not None:
@@ -239,11 +249,11 @@
             self.reindex(worker)
 
     def record_report(self, name: str, free: int, received: int) -> None:
-        """Note free slots reported by an agent.
+        """Record the free slots that an agent reports.
 
-        :param name: name of the agent.
+        :param name: name of the agent; an unknown one is ignored.
         :param free: free slots.
-        :param received: tasks the agent had received from here by then.
+        :param received: tasks of this entry host that the agent has received so far.
         """
         worker = self.worker_by_name.get(name)
         if worker is not None:
@@ -253,11 +263,11 @@
             self.reindex(worker)
 
     def record_offer(self, name: str, free: int, received: int) -> None:
-        """Note slots that an agent reserves for this entry host.
+        """Record a slot that an agent reserves for this entry host.
 
-        :param name: name of the agent.
+        :param name: name of the agent; an unknown one is ignored.
         :param free: free slots, the reserved ones included.
-        :param received: as in :meth:`report`.
+        :param received: as in :meth:`record_report`.
         """
         worker = self.worker_by_name.get(name)
         if worker is not None:
@@ -265,7 +275,7 @@
         self.record_report(name, free, received)
 
     def record_sent(self, worker: Worker) -> None:
-        """Count a task that is sent to a worker.
+        """Record that a task is sent to a worker.
 
         :param worker: the worker.
         """
@@ -273,7 +283,7 @@
         self.reindex(worker)
 
     def set_demand(self, worker: Worker, waiting: int) -> None:
-        """Note how many waiting tasks a worker is told of.
+        """Record the number of waiting tasks announced to a worker.
 
         :param worker: the worker.
         :param waiting: number of tasks; 0 withdraws the demand.
@@ -289,7 +299,7 @@
         return self._time.now() - worker.last_message_at > self._lease_s
 
     def schedulable_workers(self, service: str) -> Iterator[Worker]:
-        """Yield the workers of a service that may get new tasks, as they joined.
+        """Yield the schedulable workers of a service in the order in which they joined.
 
         :param service: name of the service.
         """
--- a/src/burdockgate/process/placement.py
+++ b/src/burdockgate/process/placement.py
@@ -1,4 +1,4 @@
-"""Policies that choose the worker for a task."""
+"""Policies that choose the worker for a task, for the dispatcher."""
 
 from __future__ import annotations
 
@@ -8,13 +8,13 @@
 
 from burdockgate.process import directory
 
-# After so many draws without two workers, every place is looked at. With no more
-# places than this, looking at all is cheaper.
-DRAWS = 16
+# Random draws before all candidates are enumerated. With no more candidates than this,
+# enumerating them is cheaper than drawing.
+MAX_DRAWS = 16
 
 
 class Placement(abc.ABC):
-    """Chooses among workers that fit a task and have a free slot."""
+    """Chooses among workers that fit a task and have an available slot."""
 
     @abc.abstractmethod
     def choose(self, candidates: Sequence[directory.Worker]) -> directory.Worker:
@@ -24,23 +24,24 @@
         """
 
     def choose_by_index(
-        self, count: int, at: Callable[[int], directory.Worker | None]
+        self, count: int, worker_at: Callable[[int], directory.Worker | None]
     ) -> directory.Worker | None:
-        """Return the worker that gets the task, or ``None`` when none may.
+        """Return the worker that gets the task; ``None`` when none is eligible.
 
-        :param count: number of places.
-        :param at: returns the worker at a place; ``None`` when it must not get it.
+        :param count: number of indexes.
+        :param worker_at: returns the worker at an index; ``None`` when that worker is
+            not eligible.
         """
-        found = (at(place) for place in range(count))
+        found = (worker_at(index) for index in range(count))
         candidates = [worker for worker in found if worker is not None]
         return self.choose(candidates) if candidates else None
 
 
 class TwoChoices(Placement):
-    """The worker with more free slots of two random ones.
+    """Chooses the one of two random workers that has more available slots.
 
-    Several entry hosts that all took the least loaded worker would pick the same
-    one until its next report; two random choices spread them.
+    Entry hosts that all chose the least loaded worker would choose the same one until
+    its next report; two random choices spread the load.
 
     :param rng: the source of random numbers.
     """
@@ -59,18 +60,19 @@
         return first if first.available_slots >= second.available_slots else second
 
     def pick(
-        self, count: int, at: Callable[[int], directory.Worker | None]
+        self, count: int, worker_at: Callable[[int], directory.Worker | None]
     ) -> directory.Worker | None:
-        """Draw places until two workers that may get the task are found.
+        """Draw indexes until two eligible workers are found.
 
-        :param count: number of places.
-        :param at: returns the worker at a place; ``None`` when it must not get it.
+        :param count: number of indexes.
+        :param worker_at: returns the worker at an index; ``None`` when that worker is
+            not eligible.
         """
-        if count <= DRAWS:
-            return super().choose_by_index(count, at)
+        if count <= MAX_DRAWS:
+            return super().choose_by_index(count, worker_at)
         first = None
-        for _ in range(DRAWS):
-            worker = at(int(self._rng.random() * count))
+        for _ in range(MAX_DRAWS):
+            worker = worker_at(int(self._rng.random() * count))
             if worker is None or worker is first:
                 continue
             if first is not None:
@@ -78,11 +80,11 @@
                     first if first.available_slots >= worker.available_slots else worker
                 )
             first = worker
-        return super().choose_by_index(count, at)
+        return super().choose_by_index(count, worker_at)
 
 
 class LeastLoaded(Placement):
-    """The worker with the most free slots, the first of several."""
+    """Chooses the first of the workers with the most available slots."""
 
     def choose(self, candidates: Sequence[directory.Worker]) -> directory.Worker:
         """Return the worker that gets the task.
--- a/src/burdockgate/process/pool.py
+++ b/src/burdockgate/process/pool.py
@@ -1,4 +1,4 @@
-"""A set of workers with a random choice in constant time."""
+"""A set of workers with access by index, so that a random one is found in O(1)."""
 
 from __future__ import annotations
 
@@ -10,35 +10,35 @@
 
 
 class Pool(Sequence["directory.Worker"]):
-    """Workers by place, without a lasting order."""
+    """A set of workers as a sequence; its order changes when a worker is removed."""
 
     def __init__(self) -> None:
         self._workers: list[directory.Worker] = []
-        self._place_by_name: dict[str, int] = {}
+        self._index_by_name: dict[str, int] = {}
 
-    def put(self, worker: directory.Worker, is_in: bool) -> None:
+    def put(self, worker: directory.Worker, is_member: bool) -> None:
         """Add or remove a worker.
 
         :param worker: the worker; one of the same name is replaced.
-        :param is_in: whether it belongs to the set.
+        :param is_member: whether it belongs to the set.
         """
-        place = self._place_by_name.get(worker.name)
-        if not is_in:
-            if place is not None:
-                self._remove(place)
-        elif place is None:
-            self._place_by_name[worker.name] = len(self._workers)
+        index = self._index_by_name.get(worker.name)
+        if not is_member:
+            if index is not None:
+                self._remove(index)
+        elif index is None:
+            self._index_by_name[worker.name] = len(self._workers)
             self._workers.append(worker)
         else:
-            self._workers[place] = worker
+            self._workers[index] = worker
 
-    def _remove(self, place: int) -> None:
-        """Fill the place with the last worker, so that no other one moves."""
-        del self._place_by_name[self._workers[place].name]
+    def _remove(self, index: int) -> None:
+        """Move the last worker to the index, so that all others keep theirs."""
+        del self._index_by_name[self._workers[index].name]
         last = self._workers.pop()
-        if place < len(self._workers):
-            self._workers[place] = last
-            self._place_by_name[last.name] = place
+        if index < len(self._workers):
+            self._workers[index] = last
+            self._index_by_name[last.name] = index
 
     def __len__(self) -> int:
         return len(self._workers)
@@ -47,10 +47,10 @@
         return iter(self._workers)
 
     @overload
-    def __getitem__(self, place: int) -> directory.Worker: ...
+    def __getitem__(self, index: int) -> directory.Worker: ...
     @overload
-    def __getitem__(self, place: slice) -> Sequence[directory.Worker]: ...
+    def __getitem__(self, index: slice) -> Sequence[directory.Worker]: ...
     def __getitem__(
-        self, place: int | slice
+        self, index: int | slice
     ) -> directory.Worker | Sequence[directory.Worker]:
-        return self._workers[place]
+        return self._workers[index]
