Reword the slots of a worker

The docstrings name weighted start-time fair queueing by its terms, and the virtual start time is named as one. The test's steps are named after the methods that they call. No behaviour changes.

--- a/src/burdockgate/process/slots.py
+++ b/src/burdockgate/process/slots.py
@@ -1,10 +1,9 @@
 """The slots of one worker and their division among entry hosts.
 
-A freed slot is offered in turn, by weight, to the entry hosts that have tasks
-waiting. The turns are start-time fair queueing: an entry host keeps its place while
-nothing waits there, so that one which asks anew for each task gets no extra turns.
-An offer reserves the slot for a short time, so that it is neither taken by another
-entry host on the way nor lost when the offer is not used.
+Freed slots are offered to the entry hosts with waiting tasks by weighted start-time
+fair queueing. An entry host keeps its virtual start time while it has no demand, so one
+that announces each task separately gets no extra offers. An offer reserves the slot for
+a short time: meanwhile no other entry host can take it, and an unused offer expires.
 """
 
 from __future__ import annotations
@@ -18,13 +17,21 @@
 
 @attrs.define
 class _Demand:
+    """Demand of one entry host.
+
+    :param waiting: waiting tasks that no slot was offered for yet.
+    :param next_start: virtual time at which the next offer is due.
+    """
+
     waiting: int
     weight: float
-    served: float = 0.0
+    next_start: float = 0.0
 
 
 class Slots:
-    """Counts running tasks and reservations.
+    """Counts the running tasks and the reserved slots of a worker.
+
+    While ``is_open`` is false, no slot is offered or acquired.
 
     :param total: number of slots.
     :param time: the clock.
@@ -40,7 +47,7 @@
         self._expiry_by_entry: dict[str, list[float]] = {}
 
     def free_for(self, entry: str) -> int:
-        """Return the slots that an entry host may use now.
+        """Return the number of slots that an entry host may use now.
 
         :param entry: name of the entry host.
         """
@@ -71,20 +78,20 @@
         self.running -= 1
 
     def set_demand(self, entry: str, waiting: int, weight: float) -> None:
-        """Note how many tasks wait at an entry host.
+        """Set the number of tasks that wait at an entry host.
 
         :param entry: name of the entry host.
         :param waiting: number of tasks; 0 withdraws the demand.
-        :param weight: sum of the weights of the classes that wait.
+        :param weight: sum of the weights of the classes that have waiting tasks.
         """
-        old = self._demand_by_entry.get(entry)
-        served = max(old.served if old else 0.0, self._virtual_time)
-        self._demand_by_entry[entry] = _Demand(waiting, max(weight, 1e-3), served)
+        previous = self._demand_by_entry.get(entry)
+        next_start = max(previous.next_start if previous else 0.0, self._virtual_time)
+        self._demand_by_entry[entry] = _Demand(waiting, max(weight, 1e-3), next_start)
         if waiting == 0:
             self._expiry_by_entry.pop(entry, None)
 
     def remove_entry(self, entry: str) -> None:
-        """Drop the demand and the reservations of an entry host.
+        """Remove the demand and the reservations of an entry host.
 
         :param entry: name of the entry host.
         """
@@ -92,13 +99,13 @@
         self._expiry_by_entry.pop(entry, None)
 
     def offer(self) -> str | None:
-        """Reserve one free slot for the entry host whose turn it is.
+        """Reserve a free slot for the entry host that is next in turn.
 
-        :returns: its name, or ``None`` when no slot is free or nobody waits.
+        :returns: its name, or ``None`` when no slot is free or no task waits.
         """
-        self._expire()
+        self._drop_expired()
         waiting = [
-            (demand.served, entry)
+            (demand.next_start, entry)
             for entry, demand in self._demand_by_entry.items()
             if demand.waiting > 0
         ]
@@ -106,13 +113,13 @@
             return None
         self._virtual_time, entry = min(waiting)
         demand = self._demand_by_entry[entry]
-        demand.served += 1.0 / demand.weight
+        demand.next_start += 1.0 / demand.weight
         demand.waiting -= 1
         expiry = self._time.now() + RESERVATION_S
         self._expiry_by_entry.setdefault(entry, []).append(expiry)
         return entry
 
-    def _expire(self) -> None:
+    def _drop_expired(self) -> None:
         now = self._time.now()
         for entry, expiries in list(self._expiry_by_entry.items()):
             self._expiry_by_entry[entry] = [at for at in expiries if at > now]
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -1,4 +1,4 @@
-"""Guards a worker's slots: never more tasks than slots, offers by weight."""
+"""Tests that tasks never exceed the slots of a worker and offers follow the weights."""
 
 import collections
 import itertools
@@ -12,9 +12,9 @@
 
 ENTRY = st.sampled_from(["e1", "e2", "e3"])
 STEPS = st.one_of(
-    st.tuples(st.just("take"), ENTRY),
+    st.tuples(st.just("acquire"), ENTRY),
     st.tuples(st.just("demand"), ENTRY, st.integers(0, 3), st.floats(0, 4)),
-    st.tuples(st.sampled_from(["offer", "release", "wait", "forget"]), ENTRY),
+    st.tuples(st.sampled_from(["offer", "release", "wait", "remove"]), ENTRY),
     st.tuples(st.just("open"), st.booleans()),
 )
 
@@ -24,8 +24,8 @@
     return clock.ManualClock()
 
 
-def serve(slots):
-    """Run one task on the next slot offered, and return who got it."""
+def run_next(slots):
+    """Run a task on the next offered slot and return the name of the entry host."""
     entry = slots.offer()
     assert slots.acquire(entry)
     slots.release()
@@ -33,8 +33,8 @@
 
 
 def step(slots, time, reserved, kind, first, *rest):
-    """Do one step, and keep the reservations that it leaves in force."""
-    if kind == "take" and slots.acquire(first) and reserved[first]:
+    """Execute one step and update the reservations that are expected to be in force."""
+    if kind == "acquire" and slots.acquire(first) and reserved[first]:
         reserved[first].pop()
     elif kind == "demand":
         slots.set_demand(first, *rest)
@@ -46,9 +46,9 @@
         slots.is_open = first
     elif kind == "offer" and (entry := slots.offer()) is not None:
         reserved[entry].append(time.now() + module.RESERVATION_S)
-    elif kind == "forget":
+    elif kind == "remove":
         slots.remove_entry(first)
-    if kind == "forget" or (kind == "demand" and rest[0] == 0):
+    if kind == "remove" or (kind == "demand" and rest[0] == 0):
         reserved.pop(first, None)
 
 
@@ -62,10 +62,10 @@
         step(slots, time, reserved, *each)
         for entry, expiries in reserved.items():
             reserved[entry] = [at for at in expiries if at > time.now()]
-        held = sum(map(len, reserved.values()))
-        assert 0 <= slots.running <= slots.running + held <= total
+        total_reserved = sum(map(len, reserved.values()))
+        assert 0 <= slots.running <= slots.running + total_reserved <= total
         for entry in ("e1", "e2", "e3"):
-            free = total - slots.running - held + len(reserved[entry])
+            free = total - slots.running - total_reserved + len(reserved[entry])
             assert slots.free_for(entry) <= (free if slots.is_open else 0)
 
 
@@ -75,34 +75,37 @@
     slots = module.Slots(1, clock.ManualClock())
     for index, weight in enumerate(weights):
         slots.set_demand(index, 1000, float(weight))
-    served = collections.Counter(serve(slots) for _ in range(count))
+    served = collections.Counter(run_next(slots) for _ in range(count))
     for (i, first), (j, second) in itertools.permutations(enumerate(weights), 2):
         assert (served[i] - 1) / first <= served[j] / second + 1e-9
 
 
 def test_demand_of_single_tasks_does_not_starve_another(time):
-    """An entry host that asks anew for each task must not win every turn."""
+    """An entry host that announces each task separately must not get every offer."""
     slots = module.Slots(1, time)
     slots.set_demand("e2", 100, 1.0)
     served = collections.Counter()
     for _ in range(20):
         slots.set_demand("e1", 1, 1.0)
-        served[serve(slots)] += 1
+        served[run_next(slots)] += 1
     assert served == {"e1": 10, "e2": 10}
 
 
 def test_newcomer_does_not_catch_up_on_the_past(time):
-    """A newcomer that counted from zero would take every slot for a while."""
+    """A new entry host starts at the current virtual time.
+
+    With a start at zero it would get every offer until it has caught up.
+    """
     slots = module.Slots(1, time)
     slots.set_demand("e1", 100, 1.0)
-    assert {serve(slots) for _ in range(20)} == {"e1"}
+    assert {run_next(slots) for _ in range(20)} == {"e1"}
     slots.set_demand("e2", 100, 1.0)
-    served = collections.Counter(serve(slots) for _ in range(10))
+    served = collections.Counter(run_next(slots) for _ in range(10))
     assert served == {"e1": 5, "e2": 5}
 
 
 def test_reserved_slot_is_free_only_for_its_entry_host(time):
-    """A slot on offer must neither be taken by another nor be lost."""
+    """No other entry host can acquire an offered slot, and an unused offer expires."""
     slots = module.Slots(1, time)
     slots.set_demand("e1", 5, 1.0)
     assert slots.offer() == "e1"
