--- a/src/burdockgate/process/backend.py
+++ b/src/burdockgate/process/backend.py
@@ -1,8 +1,8 @@
-"""The agent's HTTP calls to its backend server.
+"""HTTP client of an agent for its backend server.
 
-Each call is sent at most once. httpx sends a request again only when asked to
-(transport retries and redirects, both off here); its pool changes to another
-connection only before the first byte is written.
+Each request is sent at most once. httpx repeats a request only for transport retries
+and redirects, which are off here, and its pool switches to another connection only
+before the first byte is written.
 """
 
 from __future__ import annotations
@@ -20,12 +20,12 @@
 
 TASKS_PATH = "/tasks"
 HEALTH_PATH = "/healthz"
-# Connecting and waiting for a pooled connection together must end before the
-# task's own time-out, so that a time-out before the send is told from one after.
+# Connecting and waiting for a pooled connection together must end before the time-out
+# of the task, so that a time-out before the send differs from one after it.
 CONNECT_LIMIT_S = 1.0
 CONNECT_SHARE = 1 / 3
-# Below the 5 s after which common servers close an idle connection. A request
-# that meets such a close counts as "may have run", although nothing ran.
+# Common servers close a connection that is idle for 5 s. A request that is sent while
+# the server closes its connection counts as "may have run", although nothing ran.
 IDLE_LIMIT_S = 2.0
 PROBE_LIMIT_S = 1.0
 DETAIL_LIMIT_CHARS = 200
@@ -35,17 +35,17 @@
 
 _URL = re.compile(r"http://([\w.-]+|\[[0-9A-Fa-f:.]+\])(:[0-9]{1,5})?/?", re.ASCII)
 
-# These are raised only before the first byte of the request is written. A
-# WriteError is not among them, because a part of the request may have arrived.
+# Errors that httpx raises only before the first byte of the request is written. A
+# WriteError is not one of them, because a part of the request may have arrived.
 _NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 
 
 @attrs.frozen
 class CallResult:
-    """How one call ended.
+    """Result of one call.
 
-    :param payload: the result's JSON text for ``DONE``, else one line of text.
-    :param run_ms: time from the call to its end in ms.
+    :param payload: JSON text of the result for ``DONE``, else one line of text.
+    :param run_ms: duration of the call in ms.
     """
 
     state: messages.TaskState
@@ -57,10 +57,10 @@
     """Runs tasks on one backend server.
 
     :param url: ``http://host:port`` of the backend server, without a path.
-    :param connections: largest number of connections; more calls wait.
-    :param result_limit: largest result in bytes.
-    :param timer: source of the run times; the system's clock when ``None``.
-    :raises errors.SettingsError: when the URL is not of this form.
+    :param connections: largest number of connections; further calls wait.
+    :param result_limit: largest size of a result in bytes.
+    :param timer: clock for the run times; the system clock when ``None``.
+    :raises errors.SettingsError: when the URL does not have this form.
     """
 
     def __init__(
@@ -71,8 +71,7 @@
         timer: clock.Clock | None = None,
     ) -> None:
         base = _base_url(url)
-        # Each request is logged by httpx at INFO, and a log line per task is
-        # neither wanted nor cheap.
+        # httpx logs each request at INFO, and a log line per task costs too much.
         logging.getLogger("httpx").setLevel(logging.WARNING)
         self._tasks_url = base.copy_with(path=TASKS_PATH)
         self._health_url = base.copy_with(path=HEALTH_PATH)
@@ -85,16 +84,16 @@
     async def run(
         self, job: bytes, attempt: int, index: int, payload: bytes, timeout_ms: int
     ) -> CallResult:
-        """Run one task and return how it ended; it is sent at most once.
+        """Run a task and return its result; the request is sent at most once.
 
-        ``RETURNED`` means that nothing was sent, ``FAILED`` that the backend
-        server answered without a result, ``UNKNOWN`` that the time-out passed
-        or the connection broke after the send, ``OVERSIZE`` that the result is
-        over the limit.
+        The state is ``RETURNED`` when nothing was sent, ``FAILED`` when the backend
+        server answered without a result, ``UNKNOWN`` when the time-out passed or the
+        connection broke after the send, and ``OVERSIZE`` when the result exceeds the
+        limit.
 
         :param job: 16-byte job id.
         :param payload: JSON text.
-        :param timeout_ms: time for the whole call in ms, above 0.
+        :param timeout_ms: time limit of the whole call in ms, above 0.
         :raises asyncio.CancelledError: after the connection has been closed.
         """
         start = self._timer.now()
@@ -106,11 +105,14 @@
             async with asyncio.timeout(limit_s) as limit:
                 state, body = await self._call(pool.client, request, limit)
         except _NOT_SENT as error:
-            state, body = messages.TaskState.RETURNED, _line("not sent", error)
+            state, body = messages.TaskState.RETURNED, _error_line("not sent", error)
             if isinstance(error, httpx.PoolTimeout):
-                self._replace(pool)
+                self._replace_pool(pool)
         except httpx.HTTPError as error:
-            state, body = messages.TaskState.UNKNOWN, _line("sent, no answer", error)
+            state, body = (
+                messages.TaskState.UNKNOWN,
+                _error_line("sent, no answer", error),
+            )
         except TimeoutError:
             state = messages.TaskState.UNKNOWN
             body = b"sent, no answer within %d ms" % timeout_ms
@@ -121,7 +123,7 @@
         return CallResult(state, body, (self._timer.now() - start) * 1000)
 
     async def probe(self) -> bool:
-        """Return whether the backend server says that it is healthy."""
+        """Return whether the backend server reports that it is healthy."""
         try:
             async with asyncio.timeout(PROBE_LIMIT_S):
                 answer = await self._pool.client.get(self._health_url)
@@ -133,12 +135,12 @@
         """Close all connections; calls in progress end as ``UNKNOWN``."""
         await self._pool.client.aclose()
 
-    def _replace(self, pool: _Pool) -> None:
-        """Take a new pool when the old one has lost a connection.
+    def _replace_pool(self, pool: _Pool) -> None:
+        """Replace a pool that has leaked a connection.
 
-        httpx keeps a connection as busy for ever when the call is cancelled
-        just after the connection opened. It shows when a call finds no free
-        connection although fewer calls run than the pool has connections.
+        httpx counts a connection as busy for ever when its call is cancelled just after
+        the connection was opened. The leak is detected when a call gets no connection
+        although no more calls run than the pool has connections.
         """
         if pool is self._pool and pool.running <= self._connections:
             self._pool = _Pool(self._connections)
@@ -158,8 +160,8 @@
                 (b"Burdockgate-Task", b"%d" % index),
             ],
             content=payload,
-            # No limits on single reads and writes: each costs a timer, and the
-            # limit on the whole call covers them.
+            # Single reads and writes have no limits: each limit costs a timer, and the
+            # one on the whole call covers them.
             extensions={"timeout": {"connect": connect_s, "pool": connect_s}},
         )
 
@@ -169,10 +171,10 @@
         response = await client.send(request, stream=True, auth=None)
         try:
             if response.status_code != httpx.codes.OK:
-                # The outcome is known; a slow error text must not change it.
+                # The state is known, and a slow error text must not change it.
                 limit.reschedule(None)
-                return messages.TaskState.FAILED, await _refusal(response)
-            body = await _read(response, self._result_limit)
+                return messages.TaskState.FAILED, await _error_detail(response)
+            body = await _read_body(response, self._result_limit)
         finally:
             await response.aclose()
         if body is None:
@@ -184,14 +186,14 @@
 
 
 class _Pool:
-    """One httpx client and the number of task calls that run on it."""
+    """An httpx client and the number of task calls in progress on it."""
 
     def __init__(self, connections: int) -> None:
         self.running = 0
         self.client = httpx.AsyncClient(
-            # Only http is allowed, so no certificates are loaded.
+            # Only http:// is allowed, so loading certificates is not needed.
             verify=False,
-            # A proxy named in the environment must not come between.
+            # Proxies set in the environment must not be used for these calls.
             trust_env=False,
             follow_redirects=False,
             timeout=PROBE_LIMIT_S,
@@ -212,8 +214,8 @@
     )
 
 
-async def _read(response: httpx.Response, limit: int) -> bytes | None:
-    """Return the body, or ``None`` as soon as it is known to be over the limit."""
+async def _read_body(response: httpx.Response, limit: int) -> bytes | None:
+    """Return the body, or ``None`` as soon as it is known to exceed the limit."""
     declared = response.headers.get("content-length", "0")
     if int(declared) > limit:
         return None
@@ -227,7 +229,7 @@
     return parts[0] if len(parts) == 1 else b"".join(parts)
 
 
-async def _refusal(response: httpx.Response) -> bytes:
+async def _error_detail(response: httpx.Response) -> bytes:
     head = b""
     with contextlib.suppress(httpx.HTTPError, TimeoutError):
         async with asyncio.timeout(DETAIL_LIMIT_S):
@@ -240,19 +242,21 @@
     return f"answer {response.status_code}: {text}".encode()
 
 
-def _line(what: str, error: Exception) -> bytes:
+def _error_line(summary: str, error: Exception) -> bytes:
     lines = str(error).splitlines() or [""]
-    text = f"{what}: {type(error).__name__} {lines[0]}"
+    text = f"{summary}: {type(error).__name__} {lines[0]}"
     return text.strip()[:DETAIL_LIMIT_CHARS].encode()
 
 
-def _reject(constant: str) -> None:
+def _reject_constant(constant: str) -> None:
     raise ValueError(f"{constant} is not JSON")
 
 
-# Numbers are not converted: Python refuses integers of more than 4,300 digits,
-# and accepts NaN and Infinity, which JSON does not have.
-_DECODER = json.JSONDecoder(parse_int=len, parse_float=len, parse_constant=_reject)
+# Numbers are not converted, because int() rejects more than 4,300 digits. NaN and
+# Infinity, which Python's decoder accepts, are not JSON.
+_DECODER = json.JSONDecoder(
+    parse_int=len, parse_float=len, parse_constant=_reject_constant
+)
 
 
 def _is_json(body: bytes) -> bool:
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -1,6 +1,7 @@
-"""Guards what an agent may conclude from each end of a call, and that none is resent.
+"""Tests the state that each end of a call gives, and that no request is sent twice.
 
-``RETURNED`` lets the owner start the task elsewhere, so a wrong one is a double start.
+``RETURNED`` lets the owner start the task on another worker, so a wrong ``RETURNED``
+would start the task twice.
 """
 
 import asyncio
@@ -22,11 +23,11 @@
 
 
 @contextlib.asynccontextmanager
-async def raw_server(*scripts):
-    """Answer the n-th request with the n-th script and count the requests.
+async def raw_server(*responses):
+    """Answer the n-th request with the n-th response and collect the requests.
 
-    A script is bytes to send; ``None`` in its place resets the connection. After
-    each script but ``OK`` the connection is closed.
+    A response is bytes to send, or ``None`` to reset the connection. The connection is
+    closed after each response except ``OK``.
     """
     requests = []
 
@@ -36,12 +37,12 @@
                 head = await reader.readuntil(b"\r\n\r\n")
                 size = int(head.lower().split(b"content-length:")[1].split()[0])
                 requests.append(head + await reader.readexactly(size))
-                script = scripts[len(requests) - 1]
-                if script is None:
+                response = responses[len(requests) - 1]
+                if response is None:
                     writer.transport.abort()
                     return
-                writer.write(script)
-                if script != OK:
+                writer.write(response)
+                if response != OK:
                     break
         writer.close()
 
@@ -54,12 +55,12 @@
 
 
 @contextlib.asynccontextmanager
-async def caller(url, connections=4, limit=1000):
-    calls = backend.BackendClient(url, connections, limit, clock.ManualClock())
+async def backend_client(url, connections=4, limit=1000):
+    client = backend.BackendClient(url, connections, limit, clock.ManualClock())
     try:
-        yield calls
+        yield client
     finally:
-        await calls.close()
+        await client.close()
 
 
 @contextlib.asynccontextmanager
@@ -72,25 +73,25 @@
         await server.cut()
 
 
-async def run(calls, payload=b"1", timeout_ms=5000):
-    return await calls.run(JOB, 2, 7, payload, timeout_ms)
+async def run(client, payload=b"1", timeout_ms=5000):
+    return await client.run(JOB, 2, 7, payload, timeout_ms)
 
 
 async def test_result_and_headers_pass_unchanged():
-    async with standin_server() as (server, url), caller(url) as calls:
-        finished = await run(calls, b'{"a": 1.50}')
-        assert await calls.probe()
+    async with standin_server() as (server, url), backend_client(url) as client:
+        result = await run(client, b'{"a": 1.50}')
+        assert await client.probe()
         server.faults = standin.Faults(down=True)
-        assert not await calls.probe()
-    assert finished.state is State.DONE
-    assert finished.payload == b'{"task":7,"echo":{"a": 1.50},"server":"b"}'
+        assert not await client.probe()
+    assert result.state is State.DONE
+    assert result.payload == b'{"task":7,"echo":{"a": 1.50},"server":"b"}'
     assert server.starts == [standin.Start(JOB, 2, 7, 0, 0.0, b'{"a": 1.50}')]
-    async with caller(url) as calls:
-        assert not await calls.probe()
+    async with backend_client(url) as client:
+        assert not await client.probe()
 
 
 @pytest.mark.parametrize(
-    ("script", "state"),
+    ("response", "state"),
     [
         (OK, State.DONE),
         (HEAD % 3 + b"NaN", State.FAILED),
@@ -108,29 +109,35 @@
         (None, State.UNKNOWN),
     ],
 )
-async def test_state_of_each_answer_and_no_second_send(script, state):
-    async with raw_server(script, OK) as (url, requests), caller(url) as calls:
-        finished = await run(calls)
-    assert finished.state is state, finished
-    assert state is State.DONE or b"\n" not in finished.payload
+async def test_state_of_each_answer_and_no_second_send(response, state):
+    async with (
+        raw_server(response, OK) as (url, requests),
+        backend_client(url) as client,
+    ):
+        result = await run(client)
+    assert result.state is state, result
+    assert state is State.DONE or b"\n" not in result.payload
     assert len(requests) == 1
 
 
-@pytest.mark.parametrize("script", [b"", None])
-async def test_broken_kept_connection_is_unknown_and_not_sent_again(script):
-    async with raw_server(OK, script, OK) as (url, requests), caller(url) as calls:
-        assert (await run(calls)).state is State.DONE
-        assert (await run(calls)).state is State.UNKNOWN
+@pytest.mark.parametrize("response", [b"", None])
+async def test_broken_kept_connection_is_unknown_and_not_sent_again(response):
+    async with (
+        raw_server(OK, response, OK) as (url, requests),
+        backend_client(url) as client,
+    ):
+        assert (await run(client)).state is State.DONE
+        assert (await run(client)).state is State.UNKNOWN
         assert len(requests) == 2
 
 
 async def test_refused_connection_is_returned():
     with socket.create_server(("127.0.0.1", 0)) as closed:
         port = closed.getsockname()[1]
-    async with caller(f"http://127.0.0.1:{port}") as calls:
-        finished = await run(calls)
-    assert finished.state is State.RETURNED
-    assert b"ConnectError" in finished.payload
+    async with backend_client(f"http://127.0.0.1:{port}") as client:
+        result = await run(client)
+    assert result.state is State.RETURNED
+    assert b"ConnectError" in result.payload
 
 
 async def test_connection_that_is_not_accepted_in_time_is_returned():
@@ -139,36 +146,38 @@
         for filler in fillers:
             filler.setblocking(False)
             filler.connect_ex(full.getsockname())
-        async with caller(f"http://127.0.0.1:{full.getsockname()[1]}") as calls:
-            finished = await run(calls, timeout_ms=300)
+        async with backend_client(
+            f"http://127.0.0.1:{full.getsockname()[1]}"
+        ) as client:
+            result = await run(client, timeout_ms=300)
         for filler in fillers:
             filler.close()
-    assert finished.state is State.RETURNED
-    assert b"ConnectTimeout" in finished.payload
+    assert result.state is State.RETURNED
+    assert b"ConnectTimeout" in result.payload
 
 
 async def test_call_without_a_free_connection_is_returned_and_not_sent():
-    async with standin_server() as (server, url), caller(url, 1) as calls:
-        first = asyncio.create_task(run(calls, b'{"hang": true}'))
-        async with asyncio.timeout(10), httpx.AsyncClient() as client:
-            while not (await client.get(f"{url}/v1/starts")).json():
+    async with standin_server() as (server, url), backend_client(url, 1) as client:
+        first = asyncio.create_task(run(client, b'{"hang": true}'))
+        async with asyncio.timeout(10), httpx.AsyncClient() as standin_client:
+            while not (await standin_client.get(f"{url}/v1/starts")).json():
                 pass
-        finished = await run(calls, timeout_ms=300)
+        result = await run(client, timeout_ms=300)
         first.cancel()
         assert len(server.starts) == 1
-    assert finished.state is State.RETURNED
-    assert b"PoolTimeout" in finished.payload
+    assert result.state is State.RETURNED
+    assert b"PoolTimeout" in result.payload
 
 
 async def test_timeout_after_the_send_is_unknown():
-    async with standin_server() as (server, url), caller(url) as calls:
-        finished = await run(calls, b'{"hang": true}', 300)
+    async with standin_server() as (server, url), backend_client(url) as client:
+        result = await run(client, b'{"hang": true}', 300)
         assert len(server.starts) == 1
-    assert finished.state is State.UNKNOWN
+    assert result.state is State.UNKNOWN
 
 
 async def test_request_that_is_only_partly_written_is_unknown():
-    """A connection that breaks during the write may have delivered the request."""
+    """A connection that breaks during a write may have delivered the request."""
 
     async def reset(reader, writer):
         await reader.readuntil(b"\r\n\r\n")
@@ -176,29 +185,29 @@
 
     server = await asyncio.start_server(reset, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
-    async with caller(f"http://127.0.0.1:{port}") as calls:
-        finished = await run(calls, json.dumps("x" * 20_000_000).encode())
+    async with backend_client(f"http://127.0.0.1:{port}") as client:
+        result = await run(client, json.dumps("x" * 20_000_000).encode())
     server.close()
-    assert finished.state is State.UNKNOWN
+    assert result.state is State.UNKNOWN
 
 
 @pytest.mark.parametrize("warm", [False, True])
 async def test_cancelled_call_closes_its_request_and_loses_no_connection(warm):
-    """A lost connection would in the end leave the agent without any."""
+    """Leaked connections would in time use up the pool of the agent."""
     async with standin_server() as (_, url):
         for steps in range(40):
-            async with caller(url, 1) as calls:
+            async with backend_client(url, 1) as client:
                 if warm:
-                    assert (await run(calls)).state is State.DONE
-                task = asyncio.create_task(run(calls, b'{"hang": true}'))
+                    assert (await run(client)).state is State.DONE
+                task = asyncio.create_task(run(client, b'{"hang": true}'))
                 for _ in range(steps):
                     await asyncio.sleep(0)
                 task.cancel()
                 with pytest.raises(asyncio.CancelledError):
                     await task
-                first = await run(calls, timeout_ms=300)
+                first = await run(client, timeout_ms=300)
                 assert first.state in (State.DONE, State.RETURNED)
-                assert (await run(calls)).state is State.DONE
+                assert (await run(client)).state is State.DONE
 
 
 @pytest.mark.parametrize(
@@ -211,9 +220,9 @@
 
 
 async def test_cancelled_call_stops_the_task_at_the_backend_server():
-    """A task that ran on after its cancellation would keep the server busy."""
-    async with standin_server() as (server, url), caller(url) as calls:
-        task = asyncio.create_task(run(calls, b'{"sleep_ms": 60000}', 60_000))
+    """A task that runs on after its cancellation keeps the backend server busy."""
+    async with standin_server() as (server, url), backend_client(url) as client:
+        task = asyncio.create_task(run(client, b'{"sleep_ms": 60000}', 60_000))
         async with asyncio.timeout(10):
             while not server.starts:
                 await asyncio.sleep(0)
