Reword the log client and the table editor

The docstrings say page, long poll, time limit and retry; messages say that the log stored a change and that the table could not be read. The test of the first message changes with it and checks as much. No behaviour changes.

--- a/src/burdockgate/process/editor.py
+++ b/src/burdockgate/process/editor.py
@@ -1,4 +1,7 @@
-"""Editor of the table for operators: conditional changes with true reports."""
+"""Editor of the table of weights and limits, for operators.
+
+It appends changes to the log and reads them back to report whether they were accepted.
+"""
 
 from __future__ import annotations
 
@@ -14,16 +17,16 @@
 from burdockgate.process import logclient
 from burdockgate.version import table
 
-# Long enough for a few tries within a short outage, short enough for an operator.
+# Allows a few tries during a short outage of the log while an operator waits.
 BUDGET_S = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Accepted:
-    """The change is part of the table.
+    """The change was accepted.
 
-    :param version: version of the table that it made.
-    :param row: the row as set; None for a deletion or a snapshot.
+    :param version: version of the table after the change.
+    :param row: the new row; ``None`` for a deletion or a snapshot.
     """
 
     change_id: str
@@ -33,11 +36,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Conflict:
-    """The change has no effect, now or later.
+    """The change was rejected for good.
 
-    :param row: the current row; None when there is none.
+    :param row: the current row; ``None`` when there is none.
     :param version: version that a new change of the row must be based on.
-    :param detail: one line that gives the reason.
+    :param detail: the reason, in one line.
     """
 
     change_id: str
@@ -48,9 +51,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unknown:
-    """The log did not tell whether the change was accepted.
+    """It is not known whether the change was accepted.
 
-    :param change_id: id of the change, to ask for once the log answers.
+    :param change_id: id of the change, for :meth:`TableEditor.outcome` once the log is
+        available again.
     :param detail: one line that says whether it may have been accepted.
     """
 
@@ -63,7 +67,7 @@
 
 @attrs.frozen
 class HistoryEntry:
-    """One kept record of the table stream and what it did."""
+    """A record of the table stream and its effect."""
 
     record: messages.LogRecord
     result: table.Result
@@ -73,8 +77,8 @@
     """Reads and changes the table through the log.
 
     :param log: client of the log service.
-    :param rng: source of the change ids; they must differ between all writers.
-    :param budget_s: seconds for one append or one read of the table.
+    :param rng: source of the change ids, which must be unique among all writers.
+    :param budget_s: time limit of one append or one read of the table, in seconds.
     """
 
     def __init__(
@@ -106,7 +110,7 @@
         return self._table
 
     async def history(self) -> list[HistoryEntry]:
-        """Return every kept record, oldest first, with its effect.
+        """Return all records that the log still holds, oldest first.
 
         :raises errors.LogUnavailableError: when the log cannot be read.
         """
@@ -114,16 +118,16 @@
         return await self._advance()
 
     async def set_row(self, row: table.Row, based_on: int) -> Outcome:
-        """Set a row if nobody changed it meanwhile.
+        """Set a row, unless it has changed since a version.
 
-        :param based_on: version that the writer saw, :meth:`table.Table.row_version`.
+        :param based_on: that version; see :meth:`table.Table.row_version`.
         """
         return await self._change(table.row_record(row, based_on))
 
     async def delete_row(self, scope: str, name: str, based_on: int) -> Outcome:
-        """Delete a row if nobody changed it meanwhile.
+        """Delete a row, unless it has changed since a version.
 
-        :param based_on: version that the writer saw, :meth:`table.Table.row_version`.
+        :param based_on: that version; see :meth:`table.Table.row_version`.
         """
         return await self._change(table.deletion_record((scope, name), based_on))
 
@@ -162,7 +166,7 @@
         except TimeoutError:
             return Unknown(
                 change_id,
-                f"the log took the change and cannot be read since; whether it was "
+                f"the log stored the change and cannot be read since; whether it was "
                 f"accepted or is a conflict is not known after {self._budget_s:g} s",
             )
 
@@ -176,7 +180,7 @@
         raise AssertionError("a follower never ends")
 
     async def outcome(self, change_id: str) -> Outcome | None:
-        """Return the outcome of an earlier change, or None when it is not in the log.
+        """Return the outcome of an earlier change, ``None`` when it is not in the log.
 
         :raises errors.LogUnavailableError: when the log cannot be read.
         """
@@ -188,7 +192,7 @@
     def _outcome(self, entry: HistoryEntry) -> Outcome:
         change_id, result = entry.record.id, entry.result
         if result.key is None and result.effect is not table.Effect.MALFORMED:
-            # A snapshot changes nothing for a reader that has every record.
+            # Folding a snapshot has no effect for a reader that has every record.
             version = table.read_snapshot(entry.record.value).version
             return Accepted(change_id, version, None)
         if result.effect is table.Effect.ACCEPTED:
@@ -212,7 +216,7 @@
                         return entries
         except TimeoutError as error:
             raise errors.LogUnavailableError(
-                f"the log did not give the whole table in {self._budget_s:g} s"
+                f"the table could not be read from the log in {self._budget_s:g} s"
             ) from error
 
     def _fold(self, page: messages.Records) -> Iterator[HistoryEntry]:
--- a/src/burdockgate/process/logclient.py
+++ b/src/burdockgate/process/logclient.py
@@ -1,4 +1,8 @@
-"""Client of the platform's log service: append with an id, read, follow."""
+"""Client of the log service of the platform.
+
+It appends records with an id, so that a repeated append can be detected, reads them
+and follows the end of a stream.
+"""
 
 from __future__ import annotations
 
@@ -17,16 +21,18 @@
 from burdockgate import errors, messages
 
 BACKOFF_FIRST_S = 0.1
-# A change must be in force 5 s after an outage of the log has ended. The longest
-# pause plus one call that hangs for the default timeout stay below that.
+# A change must be in force 5 s after the end of an outage of the log. The longest
+# pause plus one call that hangs until the default timeout is below that.
 BACKOFF_LIMIT_S = 2.0
-# A connection that was cut silently is noticed after this wait plus the timeout.
+# Wait of a long poll. A silently broken connection is detected after it plus the
+# timeout.
 FOLLOW_WAIT_S = 2.0
 APPEND_BUDGET_S = 10.0
 TIMEOUT_S = 2.0
-# About a day of changes; a duplicate comes within seconds of the first append.
-SEEN_LIMIT = 10_000
-# The service refuses the call for good, unless it asks to try again.
+# Record ids kept to detect duplicates. This is about a day of changes, and a duplicate
+# follows within seconds of the first append.
+MAX_SEEN_IDS = 10_000
+# The 4xx statuses that ask for a retry; any other one refuses the call for good.
 _RETRY_STATUSES = (408, 425, 429)
 
 
@@ -35,16 +41,15 @@
 
 
 class _UnansweredError(Exception):
-    """The call may have taken effect."""
+    """The call had no usable answer and may have taken effect."""
 
 
 @attrs.define
 class _Progress:
-    """What is known about an append.
+    """State of an append over its tries.
 
-    :param may_be_accepted: whether a call whose answer is not known can have taken
-        effect.
-    :param offset: offset from an answer to an append.
+    :param may_be_accepted: whether a try without a usable answer may have taken effect.
+    :param offset: offset that the answer to a try gave.
     :param failure: the last failure, in one line.
     """
 
@@ -54,7 +59,7 @@
 
 
 class Backoff:
-    """Exponential back-off with full jitter.
+    """Exponential backoff with full jitter.
 
     :param rng: source of the jitter.
     """
@@ -64,12 +69,12 @@
         self._failures = 0
 
     def reset(self) -> None:
-        """Begin again with the shortest pause."""
+        """Start again with the shortest pause."""
         self._failures = 0
 
     def pause_s(self) -> float:
         """Return the seconds to wait before the next try."""
-        # The exponent is bounded because a long outage would overflow a float.
+        # The exponent is bounded, because a long outage would overflow a float.
         ceiling = BACKOFF_FIRST_S * 2 ** min(self._failures, 16)
         self._failures += 1
         return self._rng.uniform(0, min(BACKOFF_LIMIT_S, ceiling))
@@ -80,8 +85,8 @@
 
     :param url: base URL of the service, ``http://HOST:PORT``.
     :param rng: source of the jitter between tries.
-    :param timeout_s: seconds for the answer to one call, besides a long poll's wait.
-    :raises errors.SettingsError: when the URL is not one of HTTP or HTTPS.
+    :param timeout_s: time limit of a call in seconds, besides the wait of a long poll.
+    :raises errors.SettingsError: when the URL is not an HTTP or HTTPS URL.
     """
 
     def __init__(
@@ -92,7 +97,7 @@
                 [f"log URL {url!r}: allowed is http://HOST:PORT"]
             )
         try:
-            # Proxies set in the environment are for other traffic.
+            # Proxies set in the environment must not be used for the log.
             self._http = httpx.AsyncClient(base_url=url, trust_env=False, timeout=None)
         except httpx.InvalidURL as error:
             raise errors.SettingsError([f"log URL {url!r}: {error}"]) from error
@@ -121,17 +126,16 @@
     ) -> int:
         """Append a record once and return its offset.
 
-        When an answer is lost, the stream is read back for the record id before
-        the append is tried again. If the record landed twice, the offset is that
-        of the first one, which is the one that readers use.
+        When an answer is lost, the stream is searched for the record id before the next
+        try. If the record was appended twice all the same, the offset is that of the
+        first one, which is the one that readers use.
 
-        :param record_id: id of the record, 1 to 128 visible ASCII characters,
-            never used for another record.
+        :param record_id: unique id of the record, 1 to 128 visible ASCII characters.
         :param value: JSON text.
-        :param budget_s: seconds after which to give up.
-        :param since: offset from which to read back; the stream held no record
+        :param budget_s: time limit over all tries, in seconds.
+        :param since: offset at which the search starts; the stream must hold no record
             with this id before it.
-        :raises errors.LogUnavailableError: when the budget is used up or the log
+        :raises errors.LogUnavailableError: when the time limit is reached or the log
             refuses the record; the text says whether the record may have been
             accepted.
         """
@@ -142,7 +146,7 @@
         except TimeoutError as error:
             raise errors.LogUnavailableError(
                 f"log {self._url}: {progress.failure}; after {budget_s:g} s the record "
-                f"{record_id} {_verdict(progress)}"
+                f"{record_id} {_describe_acceptance(progress)}"
             ) from error
 
     async def _append(
@@ -165,7 +169,8 @@
                     progress.offset = await self._post(
                         stream, record_id, body, progress
                     )
-                    # An earlier try can have landed as well, so the first is sought.
+                    # An earlier try may have taken effect too, so the first record of
+                    # this id is searched for.
                     if progress.may_be_accepted:
                         continue
                 return progress.offset
@@ -177,22 +182,22 @@
     async def _post(
         self, stream: str, record_id: str, body: bytes, progress: _Progress
     ) -> int:
-        before = progress.may_be_accepted
+        previously = progress.may_be_accepted
         progress.may_be_accepted = True
         try:
             answer = await self._call("POST", stream, self._timeout_s, content=body)
         except _UnsentError:
-            progress.may_be_accepted = before
+            progress.may_be_accepted = previously
             raise
         except errors.LogUnavailableError as error:
-            progress.may_be_accepted = before
+            progress.may_be_accepted = previously
             raise errors.LogUnavailableError(
-                f"{error}; the record {record_id} {_verdict(progress)}"
+                f"{error}; the record {record_id} {_describe_acceptance(progress)}"
             ) from error
         offset = answer.get("offset")
         if not _is_offset(offset):
             raise _UnansweredError("the answer has no offset")
-        progress.may_be_accepted = before
+        progress.may_be_accepted = previously
         return offset
 
     async def _find(self, stream: str, record_id: str, since: int) -> int | None:
@@ -208,16 +213,16 @@
     async def read(
         self, stream: str, first: int, wait_s: float = 0.0
     ) -> messages.Records:
-        """Read records from an offset on, in one call.
+        """Read a page of records, starting at an offset.
 
-        The result begins at the oldest kept record when the wanted one has
-        expired; its ``first`` is then larger than the one asked for. It holds no
-        records when the stream has no newer ones.
+        When the record at the offset has expired, the page starts at the oldest record
+        that the log still holds, and its ``first`` is larger than the offset. The page
+        is empty at the end of the stream.
 
-        :param first: offset of the first record wanted.
+        :param first: offset of the first record to read.
         :param wait_s: seconds to wait for a record, at most 30.
-        :raises errors.LogUnavailableError: when the log cannot be reached or gives
-            an answer that makes no sense.
+        :raises errors.LogUnavailableError: when the log cannot be reached or gives no
+            valid answer.
         """
         try:
             return await self._read(stream, first, wait_s)
@@ -228,14 +233,14 @@
     async def follow(
         self, stream: str, first: int
     ) -> AsyncGenerator[messages.Records, None]:
-        """Yield records from an offset on, for ever.
+        """Yield pages of records, starting at an offset, without end.
 
-        An empty answer is yielded each time that the end is reached or a wait at the
-        end was in vain, so that the caller knows that it has caught up. Records whose
-        id came before are left out. When the wanted record has expired, ``first`` of
-        the result is larger than ``next`` of the one before.
+        An empty page is yielded when the end is reached and after each long poll
+        without a new record, so that the caller knows that it has caught up. Records
+        with an id that was already yielded are left out. When records have expired,
+        ``first`` of a page is larger than ``next`` of the previous one.
 
-        :param first: offset of the first record wanted.
+        :param first: offset of the first record to read.
         """
         backoff = Backoff(self._rng)
         seen: collections.OrderedDict[str, None] = collections.OrderedDict()
@@ -248,9 +253,9 @@
                 await asyncio.sleep(backoff.pause_s())
                 continue
             backoff.reset()
-            fresh = tuple(_unseen(records.records, seen))
-            yield attrs.evolve(records, records=fresh)
-            # Without a wait until the end, so that it shows as an empty answer.
+            new_records = tuple(_unseen(records.records, seen))
+            yield attrs.evolve(records, records=new_records)
+            # Long polls start at the end, so that reaching it yields an empty page.
             if records.next == records.first:
                 wait_s = FOLLOW_WAIT_S
             first = records.next
@@ -260,7 +265,7 @@
         timeout_s = self._timeout_s + wait_s
         answer = await self._call("GET", stream, timeout_s, params=params)
         try:
-            records = tuple(map(_record, answer["records"]))
+            records = tuple(map(_parse_record, answer["records"]))
             start, end = max(first, answer["first"]), answer["next"]
             valid = _is_offset(answer["first"]) and _is_offset(end)
         except (KeyError, TypeError, ValueError) as error:
@@ -276,7 +281,7 @@
         self, method: str, stream: str, timeout_s: float, **arguments: Any
     ) -> dict[str, Any]:
         path = f"/v1/streams/{stream}/records"
-        with _tagged():
+        with _translate_errors():
             async with asyncio.timeout(timeout_s):
                 response = await self._http.request(method, path, **arguments)
         status = response.status_code
@@ -288,7 +293,7 @@
                 f"log {self._url}: refused with status {status}: {line:.200}"
             )
         try:
-            # A 5xx can come from a balancer after the log has taken the record.
+            # A load balancer can send a 5xx after the log has accepted the record.
             answer = response.json() if status in (200, 201) else None
         except ValueError:
             answer = None
@@ -298,7 +303,7 @@
 
 
 @contextlib.contextmanager
-def _tagged() -> Iterator[None]:
+def _translate_errors() -> Iterator[None]:
     try:
         yield
     except httpx.ConnectError as error:
@@ -310,7 +315,7 @@
         raise _UnansweredError("no answer in time") from error
 
 
-def _record(entry: Any) -> messages.LogRecord:
+def _parse_record(entry: Any) -> messages.LogRecord:
     offset, record_id = entry["offset"], entry["id"]
     if not _is_offset(offset) or not isinstance(record_id, str):
         raise ValueError(offset)
@@ -326,7 +331,7 @@
         if record.id not in seen:
             seen[record.id] = None
             yield record
-    while len(seen) > SEEN_LIMIT:
+    while len(seen) > MAX_SEEN_IDS:
         seen.popitem(last=False)
 
 
@@ -334,7 +339,7 @@
     return type(value) is int and value >= 0
 
 
-def _verdict(progress: _Progress) -> str:
+def _describe_acceptance(progress: _Progress) -> str:
     if progress.offset is not None:
         return f"was accepted at or before offset {progress.offset}"
     if progress.may_be_accepted:
--- a/tests/test_editor.py
+++ b/tests/test_editor.py
@@ -1,4 +1,4 @@
-"""Guards what operators are told about their changes, also on the command line."""
+"""Tests the outcomes of table changes that are reported to operators."""
 
 import argparse
 import asyncio
@@ -31,7 +31,10 @@
 
 
 async def test_two_operators_race(served):
-    """The loser must be told, with the winner's row, and can then change it."""
+    """Of two concurrent changes one is a conflict, which reports the accepted row.
+
+    A new change that is based on the reported version is accepted.
+    """
     _, client, _ = served
     editors = [_editor(client, seed) for seed in (1, 2)]
     for edit in editors:
@@ -51,7 +54,7 @@
 
 @pytest.mark.parametrize("lost", [log.LostAnswer.ERROR, log.LostAnswer.CUT])
 async def test_lost_answer_is_reported_as_accepted(served, lost):
-    """A change that took effect must not be called unknown or a conflict."""
+    """A change that took effect must not be reported as unknown or a conflict."""
     server, client, _ = served
     server.store.set_faults(log.Faults(lose_answers=lost))
     outcome = await _editor(client, 1).set_row(BATCH, 0)
@@ -59,7 +62,7 @@
 
 
 async def test_outage_gives_the_change_id_to_ask_for(served):
-    """While the log is down, nothing may be claimed; afterwards the id tells."""
+    """During an outage the outcome is unknown; the change id gives it afterwards."""
     server, client, _ = served
     edit = _editor(client, 1, budget_s=0.3)
     server.store.set_faults(log.Faults(down=True))
@@ -76,7 +79,7 @@
 
 
 async def test_log_that_goes_down_after_the_append(served, monkeypatch):
-    """An append that is answered says nothing yet about a conflict."""
+    """An acknowledged append may still be a conflict, so the outcome is unknown."""
     server, client, _ = served
     append = client.append
 
@@ -88,11 +91,11 @@
     monkeypatch.setattr(client, "append", append_and_go_down)
     outcome = await _editor(client, 1, budget_s=0.3).set_row(BATCH, 0)
     assert isinstance(outcome, editor.Unknown)
-    assert "the log took the change" in outcome.detail
+    assert "the log stored the change" in outcome.detail
 
 
 async def test_expired_records_with_and_without_a_snapshot(served):
-    """A table without its history must not look like an empty one."""
+    """A table whose records have expired must not be read as an empty one."""
     server, client, manual = served
     edit = _editor(client, 1)
     await edit.set_row(BATCH, 0)
@@ -120,7 +123,7 @@
 
 
 async def test_command_line(served, capsys, tmp_path):
-    """Exit statuses, and an export that is imported again."""
+    """Each command has its exit status, and an export can be imported again."""
     server, _, _ = served
     path = tmp_path / "rows.csv"
     assert await _run(server, "set", "class/batch", "weight=0.5", "max_rate=3") == 0
@@ -148,7 +151,7 @@
 
 
 async def test_mistakes_on_the_command_line(served, capsys, tmp_path):
-    """Each mistake is one line and status 2, and nothing is changed."""
+    """A usage error prints one line, exits with status 2 and changes nothing."""
     server, client, _ = served
     path = tmp_path / "rows.csv"
     path.write_text("scope,name,weight\nclass,a,0\nclass,b,1\nclass,b,1\nteam,c,1,7\n")
--- a/tests/test_logclient.py
+++ b/tests/test_logclient.py
@@ -1,4 +1,4 @@
-"""Guards the client of the log against lost answers, outages and expiry."""
+"""Tests the log client with lost answers, outages and expired records."""
 
 import asyncio
 import itertools
@@ -37,7 +37,7 @@
 
 @pytest.mark.parametrize("lost", [log.LostAnswer.ERROR, log.LostAnswer.CUT])
 async def test_lost_answer_is_settled_without_a_second_append(served, lost):
-    """A lost answer must not make the record appear twice."""
+    """A retry after a lost answer must not append the record twice."""
     store, client, _ = served
     await client.append("table", "a", b"1")
     store.set_faults(log.Faults(lose_answers=lost))
@@ -48,17 +48,17 @@
 
 
 async def test_late_append_gives_the_first_offset(served, monkeypatch):
-    """When a slow try and its repetition both land, readers use the first."""
+    """When a slow try and its retry are both appended, readers use the first."""
     store, client, _ = served
-    find, late = client._find, iter(["a"])
+    find, slow_ids = client._find, iter(["a"])
 
-    async def find_before_the_slow_try_lands(stream, record_id, since):
+    async def find_before_slow_append(stream, record_id, since):
         found = await find(stream, record_id, since)
-        for slow in late:
-            store.append(stream, slow, "1")
+        for slow_id in slow_ids:
+            store.append(stream, slow_id, "1")
         return found
 
-    monkeypatch.setattr(client, "_find", find_before_the_slow_try_lands)
+    monkeypatch.setattr(client, "_find", find_before_slow_append)
     store.set_faults(DOWN)
     append = asyncio.create_task(client.append("table", "a", b"1"))
     await _until(lambda: client.failures >= 1)
@@ -68,7 +68,7 @@
 
 
 async def test_budget_and_what_the_error_says(served):
-    """The error must not claim that a record that may have landed did not."""
+    """The error must say when the record may have been accepted."""
     store, client, _ = served
     store.set_faults(DOWN)
     with pytest.raises(errors.LogUnavailableError, match="may have been accepted"):
@@ -92,7 +92,7 @@
 
 
 async def test_follow_goes_on_after_an_outage_and_skips_duplicates(served):
-    """An outage in the middle must lose no record and repeat none."""
+    """An outage between two pages must neither lose nor repeat a record."""
     store, client, _ = served
     store.append("table", "a", "1")
     pages = client.follow("table", 0)
@@ -118,13 +118,13 @@
 
 
 async def test_log_that_lost_its_end_is_an_error(served):
-    """A reader must not go back to lower offsets when the log starts anew."""
+    """A reader must not continue at lower offsets when the log has lost its records."""
     with pytest.raises(errors.LogUnavailableError, match="ends at 0, wanted was 7"):
         await served[1].read("table", 7)
 
 
 def test_backoff_is_bounded():
-    """Pauses stay below the limit, or a change takes over 5 s after an outage."""
+    """Longer pauses would delay a change by more than 5 s after an outage."""
     backoff = logclient.Backoff(random.Random(1))
     pauses = [backoff.pause_s() for _ in range(5000)]
     assert pauses[0] <= logclient.BACKOFF_FIRST_S
