Reword metrics, histograms and the set-up of logs

Names, units and meanings of the metrics stay, since docs/metrics.md is compared with them. No behaviour changes.

tests/test_metrics.py, test_histograms.py, test_logs.py, test_events.py: 27 passed.

--- a/src/burdockgate/process/histograms.py
+++ b/src/burdockgate/process/histograms.py
@@ -1,4 +1,4 @@
-"""HDR histograms of durations per measure and class of callers."""
+"""HDR histograms of durations, by measure and class of callers, and their plots."""
 
 from __future__ import annotations
 
@@ -12,11 +12,12 @@
 
 LOWEST_US = 1
 HIGHEST_US = 3_600_000_000
-DIGITS = 2
+SIGNIFICANT_DIGITS = 2
 MAX_CLASSES = 380
 OTHER_CLASS = "other"
-# With this range, 2 digits and 4 bytes a histogram takes 14 KB, so that 380 classes
-# with 3 measures take 16 MB. With 8 bytes they take 31 MB, over the limit of 20 MB.
+# With 4-byte counters, this range and 2 digits, a histogram takes 14 KB and the full
+# set of 380 classes with 3 measures 16 MB. With 8-byte counters the set takes 31 MB,
+# which is over the limit of 20 MB.
 _COUNTER_BYTES = 4
 _LARGEST_COUNT = (1 << 8 * _COUNTER_BYTES) - 1
 _US_PER_S = 1_000_000
@@ -28,7 +29,7 @@
 
 @attrs.frozen
 class Summary:
-    """Percentiles of one measure and class, in ms; ``max`` is exact."""
+    """Percentiles of a measure and class in ms, and the exact maximum."""
 
     measure: str
     caller_class: str
@@ -41,10 +42,11 @@
 
 
 class Histograms:
-    """Histograms from 1 us to 1 h with 2 significant digits, made at first use.
+    """Histograms from 1 us to 1 h with 2 significant digits, created on first use.
 
-    :param max_classes: classes that get histograms of their own; later ones are
-        recorded under the class "other", so that callers cannot fill the memory.
+    :param max_classes: number of classes that get histograms of their own; further
+        ones are recorded under the class "other", so that callers cannot fill the
+        memory with names of classes.
     """
 
     def __init__(self, max_classes: int = MAX_CLASSES) -> None:
@@ -55,39 +57,39 @@
     def record(self, measure: str, caller_class: str, seconds: float) -> None:
         """Record a duration.
 
-        :param measure: name of what was measured; the program has a few.
-        :param seconds: the duration; below 1 us it counts as 1 us and above 1 h as 1 h.
+        :param measure: name of the measured duration, one of a few.
+        :param seconds: the duration; values outside 1 us to 1 h count as the limit.
         """
         histogram = self.find(measure, caller_class)
         if histogram is None:
-            histogram = self._make(measure, caller_class)
+            histogram = self._create(measure, caller_class)
         if histogram.total_count >= _LARGEST_COUNT:
-            # A counter would wrap around to 0. At 3,000 records a second this takes
-            # 16 days; the histogram then begins again.
+            # Resets before a counter wraps around to 0, which takes 16 days at 3,000
+            # records a second.
             histogram.reset()
         microseconds = int(max(0.0, min(seconds, 3600.0)) * _US_PER_S + 0.5)
         histogram.record_value(max(LOWEST_US, microseconds))
 
     def find(self, measure: str, caller_class: str) -> hdr.HdrHistogram | None:
-        """Return the histogram of a measure and class, in us; ``None`` when unused.
+        """Return the histogram of a measure and class in us; ``None`` without one.
 
-        :param caller_class: a class, or "other" for those over the bound.
+        :param caller_class: a class, or "other" for those beyond ``max_classes``.
         """
         return self._histogram_by_key.get((measure, caller_class))
 
     def summary(self) -> list[Summary]:
-        """Return one summary per histogram, ordered by measure and class.
+        """Return a summary of each histogram, ordered by measure and class.
 
-        The full set of 380 classes with 3 measures takes about 160 ms.
+        This takes about 160 ms for the full set of 380 classes with 3 measures.
         """
         return [
-            _summary(*key, histogram)
+            _summarize(*key, histogram)
             for key, histogram in sorted(
                 self._histogram_by_key.items(), key=lambda item: item[0]
             )
         ]
 
-    def _make(self, measure: str, caller_class: str) -> hdr.HdrHistogram:
+    def _create(self, measure: str, caller_class: str) -> hdr.HdrHistogram:
         if caller_class not in self._classes and caller_class != OTHER_CLASS:
             if len(self._classes) < self._max_classes:
                 self._classes.add(caller_class)
@@ -96,66 +98,72 @@
         key = (measure, caller_class)
         if key not in self._histogram_by_key:
             self._histogram_by_key[key] = hdr.HdrHistogram(
-                LOWEST_US, HIGHEST_US, DIGITS, word_size=_COUNTER_BYTES
+                LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS, word_size=_COUNTER_BYTES
             )
         return self._histogram_by_key[key]
 
 
 def plot(source: Summary | hdr.HdrHistogram, width: int) -> str:
-    """Return the percentile distribution as text, one bar per percentile.
+    """Return the percentile distribution as text, with one bar per percentile.
 
-    The bars have a logarithmic scale, which the last line names.
+    The bars have a logarithmic scale, which the last line states.
 
     :param source: a summary, or a histogram in us, which gives more percentiles.
-    :param width: most characters per line; below 40 it counts as 40.
+    :param width: maximum number of characters in a line; below 40 it counts as 40.
     """
     if isinstance(source, Summary):
         title = f"{source.measure}, class {source.caller_class}: {source.count} values"
-        tail = (source.p50, source.p90, source.p99, source.p999, source.max)
-        points = list(zip((*_SUMMARY_PERCENTILES, 100.0), tail, strict=True))
+        values = (source.p50, source.p90, source.p99, source.p999, source.max)
+        points = list(zip((*_SUMMARY_PERCENTILES, 100.0), values, strict=True))
         count = source.count
     else:
         count = source.total_count
         title = f"{count} values"
         points = list(
-            zip(_PLOT_PERCENTILES, _ms(source, _PLOT_PERCENTILES), strict=True)
+            zip(
+                _PLOT_PERCENTILES,
+                _percentiles_ms(source, _PLOT_PERCENTILES),
+                strict=True,
+            )
         )
-    lines = [title] + (_bars(points, max(width, _PLOT_MIN_WIDTH)) if count else [])
+    lines = [title] + (_bar_lines(points, max(width, _PLOT_MIN_WIDTH)) if count else [])
     return "\n".join(line[: max(width, _PLOT_MIN_WIDTH)] for line in lines)
 
 
-def _bars(points: list[tuple[float, float]], width: int) -> list[str]:
+def _bar_lines(points: list[tuple[float, float]], width: int) -> list[str]:
     low = 10 ** math.floor(math.log10(points[0][1]))
     high = max(points[-1][1], 1.001 * low)
-    # A row is "99.99 % " and "3600000.000 ms ", then the bar.
-    room = width - 23
-    rows = [
+    # A line starts with "99.99 % " and "3600000.000 ms "; the bar follows.
+    bar_width = width - 23
+    lines = [
         f"{percentile:>5g} % {ms:>11.3f} ms "
-        + "#" * max(1, round(room * math.log(ms / low) / math.log(high / low)))
+        + "#" * max(1, round(bar_width * math.log(ms / low) / math.log(high / low)))
         for percentile, ms in points
     ]
-    return [*rows, f"log scale from {low:g} ms to {high:g} ms"]
+    return [*lines, f"log scale from {low:g} ms to {high:g} ms"]
 
 
-def _summary(measure: str, caller_class: str, histogram: hdr.HdrHistogram) -> Summary:
-    p50, p90, p99, p999 = _ms(histogram, _SUMMARY_PERCENTILES)
+def _summarize(measure: str, caller_class: str, histogram: hdr.HdrHistogram) -> Summary:
+    p50, p90, p99, p999 = _percentiles_ms(histogram, _SUMMARY_PERCENTILES)
     count, highest = histogram.total_count, histogram.max_value / _US_PER_MS
     return Summary(measure, caller_class, count, p50, p90, p99, p999, highest)
 
 
-def _ms(histogram: hdr.HdrHistogram, percentiles: Iterable[float]) -> list[float]:
+def _percentiles_ms(
+    histogram: hdr.HdrHistogram, percentiles: Iterable[float]
+) -> list[float]:
     """Return the values at the percentiles, in ms.
 
-    The library's own search takes more than twice as long, and the loop of a daemon
-    stands still meanwhile.
+    The search of the library takes more than twice as long, and it would block the
+    event loop of the daemon for that time.
     """
     totals = list(itertools.accumulate(histogram.counts[:]))
     indexes = (
         bisect.bisect_left(totals, histogram.get_target_count_at_percentile(percentile))
         for percentile in percentiles
     )
-    tops = (
+    upper_bounds = (
         histogram.get_highest_equivalent_value(histogram.get_value_from_index(index))
         for index in indexes
     )
-    return [min(top, histogram.max_value) / _US_PER_MS for top in tops]
+    return [min(bound, histogram.max_value) / _US_PER_MS for bound in upper_bounds]
--- a/src/burdockgate/process/logs.py
+++ b/src/burdockgate/process/logs.py
@@ -1,7 +1,7 @@
-"""Log lines through structlog.
+"""Set-up of structlog for the daemons.
 
-A line is written only for a change of state; what happens per job, task or message
-is counted in metrics instead.
+Lines are logged only for changes of state. Events of single jobs, tasks and messages
+are counted in metrics instead.
 """
 
 from __future__ import annotations
@@ -16,9 +16,9 @@
 
 
 class _LineWriter:
-    """Writes lines to a stream and drops those that the stream does not take.
+    """Logger that writes lines to a stream and ignores errors of writing.
 
-    A full disk or a closed pipe behind the stream must not stop a daemon.
+    A full disk or a closed pipe must not stop a daemon.
     """
 
     def __init__(self, stream: TextIO) -> None:
@@ -35,22 +35,22 @@
 
 
 def _encode(line: dict[str, Any], **_: object) -> str:
-    """Return a line as JSON, in a third of the time of the standard library."""
-    # The encoder would write bytes in base64.
-    shown = {
+    """Return a line as JSON; this is three times as fast as the standard library."""
+    # The encoder would write bytes as base64.
+    printable = {
         key: repr(value) if isinstance(value, bytes) else value
         for key, value in line.items()
     }
-    return msgspec.json.encode(shown, enc_hook=repr).decode()
+    return msgspec.json.encode(printable, enc_hook=repr).decode()
 
 
 def configure(stream: TextIO, as_json: bool | None = None) -> None:
-    """Set the form and the destination of all log lines of this process.
+    """Set the format and the destination of all log lines of this process.
 
-    Lines below the level "info" are dropped. Time stamps are UTC in ISO 8601.
+    Lines below the level "info" are dropped. Timestamps are in UTC and ISO 8601.
 
-    :param stream: gets one line per event; lines that it does not take are lost.
-    :param as_json: whether a line is one JSON object or ``key=value`` pairs; ``None``
+    :param stream: gets one line per event; lines that cannot be written are dropped.
+    :param as_json: true for JSON objects, false for ``key=value`` pairs; ``None``
         chooses pairs when the stream is a terminal and JSON otherwise.
     """
     if as_json is None:
@@ -76,7 +76,7 @@
 
 
 def get_logger(name: str) -> structlog.typing.FilteringBoundLogger:
-    """Return a logger; it follows a later :func:`configure` too.
+    """Return a logger; later calls of :func:`configure` apply to it too.
 
     :param name: the value of ``module`` in each line.
     """
--- a/src/burdockgate/process/metrics.py
+++ b/src/burdockgate/process/metrics.py
@@ -1,7 +1,7 @@
 """Counters and gauges of a process, sent to statsd.
 
-``METRICS`` declares every name; ``docs/metrics.md`` shows the same table and is
-checked against it by a test.
+``METRICS`` declares all of them. A test compares it with the table in
+``docs/metrics.md``.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 
 
 class MetricKind(enum.Enum):
-    """How a metric's values add up."""
+    """How statsd treats a metric: as an increment or as the current value."""
 
     COUNTER = "counter"
     GAUGE = "gauge"
@@ -26,9 +26,9 @@
 
 @attrs.frozen
 class Metric:
-    """Declaration of one metric.
+    """Declaration of a metric.
 
-    :param unit: what one step of the value stands for.
+    :param unit: what the value counts or measures.
     """
 
     name: str
@@ -145,25 +145,25 @@
 
 
 class Metrics:
-    """Counts in memory and sends what has changed to statsd.
+    """Keeps the metrics in memory and sends them to statsd.
 
-    Counting does no I/O. An undeclared name, or one of the other kind, raises
-    ``KeyError`` because it is a fault of the program.
+    Updates do no I/O. An undeclared name, or one of the other kind, is a programming
+    error and raises ``KeyError``.
 
-    :param statsd_settings: where to send; an empty host sends nothing.
+    :param statsd_settings: address of statsd; with an empty host nothing is sent.
     """
 
     def __init__(self, statsd_settings: settings.StatsdSettings) -> None:
         self._settings = statsd_settings
         self._client: statsd.StatsClient | None = None
-        self._count_by_name = _names(_COUNTER, 0)
-        self._sent_by_name = _names(_COUNTER, 0)
-        self._gauge_by_name: dict[str, float | None] = _names(_GAUGE, None)
+        self._count_by_name = _initial_values(_COUNTER, 0)
+        self._sent_by_name = _initial_values(_COUNTER, 0)
+        self._gauge_by_name: dict[str, float | None] = _initial_values(_GAUGE, None)
 
     def count(self, name: str, n: int = 1) -> None:
         """Add to a counter.
 
-        :param n: what to add, at least 0, in the counter's unit.
+        :param n: amount to add in the unit of the counter, at least 0.
         :raises KeyError: when no such counter is declared.
         """
         self._count_by_name[name] += n
@@ -171,7 +171,7 @@
     def gauge(self, name: str, value: float) -> None:
         """Set a gauge.
 
-        :param value: the new value, in the gauge's unit.
+        :param value: the new value in the unit of the gauge.
         :raises KeyError: when no such gauge is declared.
         """
         if name not in self._gauge_by_name:
@@ -184,23 +184,23 @@
         return self._count_by_name | {name: value or 0.0 for name, value in gauges}
 
     def flush(self) -> None:
-        """Send the counts since the last call, and all gauges that were ever set.
+        """Send the increments since the last call and all gauges that have been set.
 
-        The daemon calls this once a second. Nothing is raised when sending fails.
-        Gauges are sent each time, because UDP may lose the change of one; lost counts
-        are missing at statsd but not in :meth:`snapshot`.
+        The daemon calls this once a second. Errors of sending are ignored. Gauges are
+        sent each time, because UDP may lose a change. Increments that UDP loses are
+        missing at statsd but not in :meth:`snapshot`.
         """
         if not self._settings.host:
             return
         try:
-            self._send(self._connected())
+            self._send(self._statsd_client())
         except (OSError, ValueError):
-            # The next call tries again; until then counts add up.
+            # The next call sends these increments as well.
             return
 
-    def _connected(self) -> statsd.StatsClient:
+    def _statsd_client(self) -> statsd.StatsClient:
         if self._client is None:
-            # Only a process that sends pays for the import.
+            # Imported here to save memory in processes that do not use statsd.
             import statsd
 
             host = self._settings.host
@@ -221,5 +221,5 @@
         self._sent_by_name = dict(self._count_by_name)
 
 
-def _names(kind: MetricKind, value: _T) -> dict[str, _T]:
+def _initial_values(kind: MetricKind, value: _T) -> dict[str, _T]:
     return {metric.name: value for metric in METRICS if metric.kind is kind}
--- a/tests/test_histograms.py
+++ b/tests/test_histograms.py
@@ -1,4 +1,4 @@
-"""Guards the histograms: right percentiles, bounded memory, plots that fit."""
+"""Tests the percentiles, the bounded memory and the plots of the histograms."""
 
 import itertools
 import tracemalloc
@@ -17,12 +17,12 @@
     strategies.lists(strategies.integers(1, 3_600_000_000), min_size=1, max_size=50)
 )
 def test_percentiles_are_those_of_the_library(values):
-    """The search of this module must find what the library's slower one finds."""
-    kept = histograms.Histograms()
+    """The module's own search must find the same percentiles as the library's."""
+    recorded = histograms.Histograms()
     for value in values:
-        kept.record("wait", "a", value / 1e6)
-    (summary,) = kept.summary()
-    histogram = kept.find("wait", "a")
+        recorded.record("wait", "a", value / 1e6)
+    (summary,) = recorded.summary()
+    histogram = recorded.find("wait", "a")
     found = {50: summary.p50, 90: summary.p90, 99: summary.p99, 99.9: summary.p999}
     for percentile, ms in found.items():
         exact = min(histogram.get_value_at_percentile(percentile), max(values))
@@ -37,20 +37,20 @@
 
 @pytest.mark.parametrize(("seconds", "ms"), LIMITS)
 def test_duration_out_of_range_is_counted_at_the_limit(seconds, ms):
-    """The library drops such values, so a stalled task would not show."""
-    kept = histograms.Histograms()
-    kept.record("wait", "a", seconds)
-    (summary,) = kept.summary()
+    """The library drops such values, and a stalled task would not be visible."""
+    recorded = histograms.Histograms()
+    recorded.record("wait", "a", seconds)
+    (summary,) = recorded.summary()
     assert (summary.count, summary.max, summary.p50) == (1, ms, ms)
 
 
 def test_classes_over_the_bound_go_to_other():
-    """Callers choose the names of classes and must not fill the memory with them."""
-    kept = histograms.Histograms(max_classes=2)
+    """Callers choose the names of classes, so the number of histograms is bounded."""
+    recorded = histograms.Histograms(max_classes=2)
     for name in ("a", "b", "c", "d", "a", "other"):
-        kept.record("wait", name, 0.001)
-        kept.record("run", name, 0.001)
-    assert [(s.measure, s.caller_class, s.count) for s in kept.summary()] == [
+        recorded.record("wait", name, 0.001)
+        recorded.record("run", name, 0.001)
+    assert [(s.measure, s.caller_class, s.count) for s in recorded.summary()] == [
         (measure, name, count)
         for measure in ("run", "wait")
         for name, count in (("a", 2), ("b", 1), ("other", 3))
@@ -58,35 +58,35 @@
 
 
 def test_full_set_stays_below_20_mb():
-    """Another range or number of digits could take an entry host's memory."""
+    """A larger range or more digits would take too much memory of an entry host."""
     tracemalloc.start()
-    kept = histograms.Histograms()
+    recorded = histograms.Histograms()
     for name, measure in itertools.product(range(500), ("wait", "run", "total")):
-        kept.record(measure, str(name), 0.05)
+        recorded.record(measure, str(name), 0.05)
     used, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    assert len(kept.summary()) == 381 * 3
+    assert len(recorded.summary()) == 381 * 3
     assert 381 * 3 * 4 * 3000 < used < 20_000_000
 
 
 def test_counter_does_not_wrap():
-    """The library's counters of 4 bytes wrap to 0 without an error."""
-    kept = histograms.Histograms()
-    kept.record("wait", "a", 0.05)
-    kept.find("wait", "a").record_value(50_000, (1 << 32) - 2)
-    kept.record("wait", "a", 0.05)
-    (summary,) = kept.summary()
+    """The 4-byte counters of the library wrap around to 0 without an error."""
+    recorded = histograms.Histograms()
+    recorded.record("wait", "a", 0.05)
+    recorded.find("wait", "a").record_value(50_000, (1 << 32) - 2)
+    recorded.record("wait", "a", 0.05)
+    (summary,) = recorded.summary()
     assert (summary.count, summary.p50) == (1, 50)
 
 
 @pytest.mark.parametrize("width", [10, 40, 80])
 def test_plot_fits_and_grows(width):
-    """A line wider than the terminal breaks the bars."""
-    kept = histograms.Histograms()
+    """A line that is wider than the terminal would be wrapped and break its bar."""
+    recorded = histograms.Histograms()
     for value in range(1, 1000):
-        kept.record("wait", "a" * 90, value / 1000)
-    (summary,) = kept.summary()
-    for source in (summary, kept.find("wait", "a" * 90)):
+        recorded.record("wait", "a" * 90, value / 1000)
+    (summary,) = recorded.summary()
+    for source in (summary, recorded.find("wait", "a" * 90)):
         _, *rows, _ = lines = histograms.plot(source, width).split("\n")
         assert max(map(len, lines)) <= max(width, 40)
         bars = [row.count("#") for row in rows]
@@ -96,10 +96,10 @@
 
 
 def test_plot_of_equal_or_no_values():
-    """A scale of no length must not divide by zero."""
-    kept = histograms.Histograms()
-    kept.record("wait", "a", 0.001)
-    histogram = kept.find("wait", "a")
+    """A scale of length 0 must not cause a division by zero."""
+    recorded = histograms.Histograms()
+    recorded.record("wait", "a", 0.001)
+    histogram = recorded.find("wait", "a")
     assert "1.000 ms #" in histograms.plot(histogram, 60)
     histogram.reset()
     assert histograms.plot(histogram, 60) == "0 values"
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,4 +1,4 @@
-"""Guards the form of log lines: one line each, in the form the stream calls for."""
+"""Tests the format of log lines on terminals and other streams."""
 
 import datetime
 import io
@@ -26,7 +26,7 @@
     ("stream", "as_json"), [(io.StringIO(), None), (_Terminal(), True)]
 )
 def test_json_elsewhere_or_when_forced(stream, as_json):
-    """A collector must be able to parse each line and compare its time."""
+    """A log collector must be able to parse each line and its timestamp."""
     logger = logs.get_logger("entry")
     logs.configure(stream, as_json)
     logger.info("worker lost", worker="a\nb", boot=7, raw=b"x")
@@ -40,7 +40,7 @@
 
 
 def test_pairs_on_a_terminal():
-    """A value with a line break must not forge a second line."""
+    """A line break in a value must not start a second line."""
     stream = _Terminal()
     logs.configure(stream)
     logs.get_logger("agent").warning("session lost", peer="e1\nlevel='error'")
@@ -51,7 +51,7 @@
 
 
 def test_failing_stream_does_not_raise():
-    """A closed pipe behind the log must not stop a daemon."""
+    """A closed log stream must not stop a daemon."""
     closed = io.StringIO()
     closed.close()
     for stream in (mock.Mock(**{"write.side_effect": BrokenPipeError}), closed):
