Say what the health constants bound

Four constants without a comment now say what they weigh or limit, and is_suspect says what it covers: one slow job needn't reach the threshold from the value to which the cap cuts the slowness score. No behaviour changes.

--- a/src/burdockgate/process/directory.py
+++ b/src/burdockgate/process/directory.py
@@ -59,7 +59,7 @@
 
     @property
     def free_slots(self) -> int:
-        """Free slots at the last report, minus the sent tasks that it leaves out."""
+        """Free slots at the last report, minus the sent tasks not included in it."""
         return self.reported_free - (self.sent - self.received)
 
     @property
--- a/src/burdockgate/process/health.py
+++ b/src/burdockgate/process/health.py
@@ -14,7 +14,9 @@
 from burdockgate import clock, messages, settings
 from burdockgate.process import detectors, metrics
 
+# Window of the moving average of run times, in tasks.
 RUN_TIME_WINDOW = 100
+# Weight of the newest outcome in the trust of a worker.
 TRUST_STEP = 0.3
 # A class needs this many run times before workers are compared with its mean.
 MIN_RUN_TIMES = 30
@@ -22,7 +24,10 @@
 # default slow factor, a healthy worker reaches this score about once in a million
 # outcomes.
 SLOWNESS_THRESHOLD = 8.0
+# The slowness score is cut to this value when the cap prevents an ejection, and starts
+# at it on probation.
 SUSPECT_SLOWNESS = 6.0
+# Upper bound of what one run time adds to the slowness score, before the offset.
 MAX_LOG_EXCESS = math.log(10.0)
 # A task is overdue after this multiple of the mean run time of its class.
 OVERDUE_FACTOR = 30.0
@@ -461,7 +466,7 @@
             self._set_state(record, detectors.HealthState.HEALTHY)
 
     def is_suspect(self, record: detectors.WorkerRecord) -> bool:
-        """Return whether one more failure would eject a worker, but for the cap.
+        """Return whether a worker is close to an ejection or only kept by the cap.
 
         :param record: the worker.
         """
