--- a/src/burdockgate/process/outcomecache.py
+++ b/src/burdockgate/process/outcomecache.py
@@ -1,4 +1,4 @@
-"""Outcomes of finished jobs, kept for callers that ask again."""
+"""Cache of the outcomes of finished jobs, for callers that ask again."""
 
 from __future__ import annotations
 
@@ -12,36 +12,37 @@
 
 @attrs.frozen
 class CachedOutcome:
-    """A finished job.
+    """The outcome of a finished job.
 
-    :param epoch: the epoch under which it ended.
-    :param digest: hash of its body.
-    :param kept_at: time of the end, in seconds.
+    :param epoch: epoch under which the job ended.
+    :param digest: hash of the body.
+    :param repeatable: whether the caller marked the job as repeatable.
+    :param ended_at: time of the end, in seconds.
     """
 
     outcome: outcome.Complete | outcome.Failed
     epoch: int
     digest: bytes
     repeatable: bool
-    kept_at: float
+    ended_at: float
 
     @property
     def may_run_again(self) -> bool:
-        """Whether a new submission with the key starts a new attempt."""
+        """Whether a new submission with the same key starts a new attempt."""
         return may_run_again(self.outcome.code, self.repeatable)
 
     @property
     def size(self) -> int:
-        """Bytes of the results."""
+        """Size of the results, or of the detail of a failure, in bytes."""
         if isinstance(self.outcome, outcome.Complete):
             return sum(map(len, self.outcome.results))
         return len(self.outcome.detail)
 
 
 def may_run_again(code: codes.Code, repeatable: bool) -> bool:
-    """Return whether a job that ended with a code may run again under its key.
+    """Return whether a new submission with the key of an ended job may run it again.
 
-    :param code: the result code.
+    :param code: result code with which the job ended.
     :param repeatable: whether the caller marked the job as repeatable.
     """
     if code is codes.Code.COMPLETE:
@@ -50,55 +51,55 @@
 
 
 class OutcomeCache:
-    """Kept outcomes by job, the oldest dropped first.
+    """Outcomes by job id, bounded in age and size; the oldest is evicted first.
 
     :param time: the clock.
-    :param retention_s: how long an outcome is kept.
-    :param limit_bytes: bound of all results together.
+    :param retention_s: time for which an outcome is cached, in seconds.
+    :param limit_bytes: largest size of all cached results together.
     """
 
     def __init__(self, time: clock.Clock, retention_s: float, limit_bytes: int) -> None:
         self._time = time
         self._retention_s = retention_s
         self._limit_bytes = limit_bytes
-        self._kept_by_job: collections.OrderedDict[bytes, CachedOutcome] = (
+        self._cached_by_job: collections.OrderedDict[bytes, CachedOutcome] = (
             collections.OrderedDict()
         )
         self._bytes = 0
 
-    def keep(self, job: bytes, kept: CachedOutcome) -> None:
-        """Keep the outcome of a job; an older one of the same job is replaced.
+    def put(self, job: bytes, cached: CachedOutcome) -> None:
+        """Add the outcome of a job, or replace the one that is cached.
 
         :param job: 16-byte job id.
-        :param kept: the outcome.
+        :param cached: the outcome.
         """
-        self.drop(job)
-        self._kept_by_job[job] = kept
-        self._bytes += kept.size
+        self.discard(job)
+        self._cached_by_job[job] = cached
+        self._bytes += cached.size
         while self._bytes > self._limit_bytes:
-            self.drop(next(iter(self._kept_by_job)))
+            self.discard(next(iter(self._cached_by_job)))
 
     def get(self, job: bytes) -> CachedOutcome | None:
-        """Return the kept outcome of a job.
+        """Return the cached outcome of a job, if any.
 
         :param job: 16-byte job id.
         """
-        return self._kept_by_job.get(job)
+        return self._cached_by_job.get(job)
 
-    def drop(self, job: bytes) -> None:
-        """Forget a job.
+    def discard(self, job: bytes) -> None:
+        """Remove the outcome of a job.
 
         :param job: 16-byte job id; an unknown one is ignored.
         """
-        kept = self._kept_by_job.pop(job, None)
-        if kept is not None:
-            self._bytes -= kept.size
+        cached = self._cached_by_job.pop(job, None)
+        if cached is not None:
+            self._bytes -= cached.size
 
     def expire(self) -> None:
-        """Forget the jobs whose retention has passed."""
-        limit = self._time.now() - self._retention_s
-        while self._kept_by_job:
-            job, kept = next(iter(self._kept_by_job.items()))
-            if kept.kept_at > limit:
+        """Remove the outcomes whose retention time has passed."""
+        expired_at = self._time.now() - self._retention_s
+        while self._cached_by_job:
+            job, cached = next(iter(self._cached_by_job.items()))
+            if cached.ended_at > expired_at:
                 return
-            self.drop(job)
+            self.discard(job)
