Merge the wording of the entry host's claimed jobs, worker health and clients

Cause: leaders, held jobs, groups that saw and workers that are told: the decisions about claimed jobs and about unhealthy workers read like riddles.

--- a/src/burdockgate/request/claimant.py
+++ b/src/burdockgate/request/claimant.py
@@ -1,4 +1,7 @@
-"""The claim of one job, as the entry host that wants the job sees it."""
+"""The claim of a job by an entry host, which asks the claim group for votes.
+
+The members of the group decide their votes in :mod:`burdockgate.process.claims`.
+"""
 
 from __future__ import annotations
 
@@ -19,34 +22,37 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Won:
+class Granted:
     """A majority granted the claim.
 
-    :param record: the newest record that these members held before, with the scopes
-        of all their records; ``None`` for a job that none of them knew.
+    :param record: the newest record that these members had before, with the scopes of
+        all their records; ``None`` for a job that none of them knew.
     """
 
     record: messages.ClaimRecord | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Held:
-    """Another claim stands in the way."""
+class AlreadyClaimed:
+    """Another claim of the job prevents this one.
+
+    :param record: the record of the newest claim.
+    """
 
     record: messages.ClaimRecord
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Free:
-    """A majority holds no claim; the answer to a question with epoch 0."""
+class Unclaimed:
+    """A majority has no claim of the job; a possible result of a claim with epoch 0."""
 
 
-Result = Won | Held | Free
+Result = Granted | AlreadyClaimed | Unclaimed
 
 
 @attrs.frozen
 class Terms:
-    """What a claimant asks for; fields as in :class:`messages.Claim`."""
+    """The terms of a claim, with fields as in :class:`messages.Claim`."""
 
     job: bytes
     epoch: int
@@ -62,10 +68,10 @@
 class Claimant:
     """Collects votes for one claim until it is decided.
 
-    :param terms: what is claimed.
+    :param terms: the terms of the claim.
     :param time: the clock.
     :param rng: the source of random delays.
-    :param round_s: time after which members that did not answer are asked again.
+    :param round_s: time after which members that did not vote are asked again.
     """
 
     def __init__(
@@ -85,18 +91,19 @@
         self._reply_by_name: dict[str, messages.ClaimReply] = {}
         self._retry_at = 0.0
 
-    def begin(self, view: views.View) -> _Effects:
-        """Ask every member of the claim group, with the view given.
+    def send_claims(self, view: views.View) -> _Effects:
+        """Send the claim to each member of the claim group that has not voted.
 
-        :param view: the current view; replies by another group are forgotten.
+        :param view: the current view; if it changes the group, earlier replies are
+            discarded.
         """
         group = view.group(self.terms.job)
         if group != self._group:
             self._reply_by_name.clear()
         self._view, self._group = view, group
         self._retry_at = self._time.now() + self._round_s
-        # One object for all members, so that it is encoded only once.
-        claim = self._claim()
+        # All members get the same object, so that it is encoded only once.
+        claim = self._claim_message()
         for node in group:
             reply = self._reply_by_name.get(node.name)
             if reply is None or reply.verdict in _RETRY_VERDICTS:
@@ -104,7 +111,7 @@
                 yield effects.Dial(node)
                 yield effects.Send(node.name, claim)
 
-    def _claim(self) -> messages.Claim:
+    def _claim_message(self) -> messages.Claim:
         terms = self.terms
         return messages.Claim(
             terms.job,
@@ -120,23 +127,23 @@
             terms.code,
         )
 
-    def reply(self, name: str, reply: messages.ClaimReply) -> None:
-        """Count the reply of a member; :attr:`result` is set when it decides.
+    def handle_reply(self, name: str, reply: messages.ClaimReply) -> None:
+        """Count the vote of a member, and set :attr:`result` once the claim is decided.
 
         :param name: name of the member.
-        :param reply: ignored when it answers another epoch or is from no member.
+        :param reply: ignored if its epoch differs or its sender is not a member.
         """
         members = {node.name for node in self._group}
         if reply.epoch != self.terms.epoch or name not in members or self.result:
             return
         self._reply_by_name[name] = reply
         if reply.verdict in _RETRY_VERDICTS:
-            delay = self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S)
-            self._retry_at = min(self._retry_at, self._time.now() + delay)
+            delay_s = self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S)
+            self._retry_at = min(self._retry_at, self._time.now() + delay_s)
         self.result = self._decide(is_round_over=False)
 
     def tick(self, view: views.View) -> _Effects:
-        """Ask again when a delay has passed or the view has changed.
+        """Send the claim again when the delay has passed or the view has changed.
 
         :param view: the current view.
         """
@@ -146,15 +153,15 @@
             return
         self.result = self._decide(is_round_over=True)
         if self.result is None:
-            yield from self.begin(view)
+            yield from self.send_claims(view)
 
     @property
     def due_at(self) -> float:
-        """Time at which :meth:`tick` asks again."""
+        """Time at which :meth:`tick` sends the claim again."""
         return self._retry_at
 
-    def hurry(self) -> None:
-        """Ask again at the next tick, because a member has just connected."""
+    def retry_at_next_tick(self) -> None:
+        """Send the claim again at the next tick, since a member may have connected."""
         self._retry_at = self._time.now()
 
     def _decide(self, is_round_over: bool) -> Result | None:
@@ -163,20 +170,24 @@
             by_verdict.setdefault(reply.verdict, []).append(reply)
         needed = views.majority(len(self._group))
         granted = by_verdict.get(messages.Verdict.GRANTED, [])
-        held = by_verdict.get(messages.Verdict.HELD, [])
+        claimed = by_verdict.get(messages.Verdict.HELD, [])
         if self._group and len(granted) >= needed:
-            return Won(_newest(granted))
+            return Granted(_newest_record(granted))
         if len(by_verdict.get(messages.Verdict.FREE, [])) >= needed and self._group:
-            return Free()
-        newest = _newest(held)
-        is_lost = len(self._group) - len(held) < needed
-        if newest is not None and (is_lost or is_round_over):
-            return Held(newest)
+            return Unclaimed()
+        newest = _newest_record(claimed)
+        is_unwinnable = len(self._group) - len(claimed) < needed
+        if newest is not None and (is_unwinnable or is_round_over):
+            return AlreadyClaimed(newest)
         return None
 
 
-def _newest(replies: list[messages.ClaimReply]) -> messages.ClaimRecord | None:
-    """Return the record with the highest epoch, with the scopes of all records."""
+def _newest_record(replies: list[messages.ClaimReply]) -> messages.ClaimRecord | None:
+    """Return the record with the highest epoch, with the scopes of all records.
+
+    Of two records with that epoch, a settled one (code below ``PENDING``, 900) counts
+    as newer.
+    """
     records = [reply.record for reply in replies if reply.record is not None]
     if not records:
         return None
