Reword the commands to the worker, the effects and the discovery

Cause: docstrings spoke of lives, looks and what a worker says of itself, and some fields had no unit or meaning. Change: plain terms: incarnation, monotonic clock, capacity, expired lease. The fields and refusals that need it are explained. The comment of Refusal.UNHEALTHY, which only restated the name, is gone.

--- a/src/burdockgate/process/actions.py
+++ b/src/burdockgate/process/actions.py
@@ -1,4 +1,4 @@
-"""What the decisions of entry hosts and agents alike ask their daemon to do."""
+"""Effects that the logic of entry hosts and agents asks their daemon to perform."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 @attrs.frozen
 class Send:
-    """Effect: send a message to another node; dropped when it is not connected."""
+    """Effect: send a message to another node, or drop it if that is not connected."""
 
     to: str
     message: assignments.Message
--- a/src/burdockgate/process/discovery.py
+++ b/src/burdockgate/process/discovery.py
@@ -1,4 +1,4 @@
-"""Entry hosts as records of the store, so that agents find them."""
+"""Encoding of the store's records by which agents and entry hosts find entry hosts."""
 
 from __future__ import annotations
 
@@ -21,17 +21,17 @@
 
 
 def addresses(records: Iterable[store.KeyedRecord]) -> Iterator[str]:
-    """Yield the addresses in records; dropped and unreadable ones are left out.
+    """Yield the addresses in records; deleted and unreadable records are skipped.
 
     :param records: records of the topic.
     """
     for record in records:
-        address = _decode(record.value)
+        address = _decode_address(record.value)
         if address is not None:
             yield address
 
 
-def _decode(value: bytes) -> str | None:
+def _decode_address(value: bytes) -> str | None:
     try:
         fields = msgpack.unpackb(value)
     except (ValueError, msgpack.UnpackException):
--- a/src/burdockgate/process/workercontrol.py
+++ b/src/burdockgate/process/workercontrol.py
@@ -1,8 +1,8 @@
-"""How an agent controls the runs on its worker, and what the worker answers.
+"""Commands from an agent to its worker, and the worker's answers and heartbeats.
 
-The worker keeps a lease on everything that runs, a list of running and finished
-runs, and the highest fencing token that it has seen. Times of the worker are
-milliseconds of its own steady clock.
+The worker keeps a lease on all of its runs, lists of the running and the finished
+ones, and the highest fencing token that it has seen; it rejects commands with a lower
+token. Times named ``clock_ms`` or ``lease_until_ms`` are on its own monotonic clock.
 """
 
 from __future__ import annotations
@@ -17,13 +17,13 @@
 
 @attrs.frozen
 class WorkerHeartbeat:
-    """What a worker says of itself in a heartbeat.
+    """Identity, capacity and state that a worker reports regularly.
 
     :param worker: identifier of the worker.
-    :param born: start of this life of the worker, Unix milliseconds.
+    :param born: start time of this incarnation of the worker, Unix milliseconds.
     :param cpu: capacity in thousandths of a core.
-    :param sequence: grows with each heartbeat of one life.
-    :param clock_ms: the worker's steady clock.
+    :param sequence: number that grows with each heartbeat of one incarnation.
+    :param clock_ms: reading of the worker's monotonic clock.
     """
 
     worker: str
@@ -43,7 +43,7 @@
     """Start a run.
 
     :param lease_until_ms: end of the lease on the worker's clock.
-    :param token: fencing token.
+    :param token: fencing token of the agent.
     """
 
     worker: str
@@ -64,11 +64,11 @@
 
 @attrs.frozen
 class PollCommand:
-    """Read the lists, acknowledge ends and extend the lease.
+    """Read the lists of runs, acknowledge ends and extend the lease.
 
-    :param lease_until_ms: end of the lease; ``None`` leaves it as it is.
     :param acknowledged: number of the last end that was processed.
-    :param wait_ms: how long the worker waits for an end before it answers.
+    :param lease_until_ms: end of the lease; ``None`` does not extend it.
+    :param wait_ms: how long the worker waits for the end of a run before it answers.
     """
 
     worker: str
@@ -79,22 +79,22 @@
 
 
 class Refusal(enum.Enum):
-    """Why a command was not carried out; it never will be."""
+    """Why a command was not carried out; the worker will not carry it out later."""
 
     # The worker has seen a higher fencing token.
     FENCED = "fenced"
-    # This or a higher run of the task has ended or was stopped there.
+    # This or a higher run number of the task has ended or was stopped there.
     OLD_RUN = "old run"
-    # The lease of the command had lapsed on the worker's clock.
+    # The lease in the command had expired on the worker's clock.
     LATE = "late"
-    # The task does not fit.
+    # The task does not fit into the free capacity.
     NO_CAPACITY = "no room"
-    # The worker is unhealthy.
     UNHEALTHY = "unhealthy"
-    # Another life or another worker answered.
+    # Another worker or another incarnation answered.
     OTHER_WORKER = "other worker"
-    # The connection could not be made, so that nothing was sent.
+    # No connection could be established, so that nothing was sent.
     NOT_SENT = "not sent"
+    # The answer is malformed or gives an unknown reason.
     INVALID = "invalid"
 
 
@@ -109,7 +109,7 @@
 class Refused:
     """The command was not carried out.
 
-    :param clock_ms: the worker's clock; 0 when the answer had none.
+    :param clock_ms: the worker's clock; 0 when the answer does not contain it.
     """
 
     reason: Refusal
@@ -118,14 +118,14 @@
 
 @attrs.frozen
 class Unanswered:
-    """Whether the command was carried out is not known; it may still be."""
+    """No answer: the command may have been carried out, or may still be."""
 
 
 @attrs.frozen
 class RunningEntry:
     """A run that the worker lists as running.
 
-    :param percent: share of the work done, 0 to 100.
+    :param percent: share of the work that is done, 0 to 100.
     """
 
     key: assignments.RunKey
@@ -133,21 +133,21 @@
 
 
 class EndReason(enum.Enum):
-    """How the worker says that a run ended."""
+    """How a run ended, as the worker reports it."""
 
     DONE = "done"
     FAILED = "failed"
     STOPPED = "stopped"
     LAPSED = "lapsed"
-    # Ends of groups of tasks, which are not assigned yet.
+    # Ends of groups of tasks, which this program does not assign yet.
     OTHER = "other"
 
 
 @attrs.frozen
 class FinishedEntry:
-    """An end that the worker has not seen acknowledged.
+    """The end of a run; listed until a poll acknowledges it.
 
-    :param number: counts the ends of one life of the worker, from 1.
+    :param number: number of the end, counted from 1 in each incarnation of the worker.
     """
 
     number: int
@@ -157,9 +157,10 @@
 
 @attrs.frozen
 class Snapshot:
-    """Answer to a poll.
+    """Answer to a poll: the lists of runs.
 
-    :param unreadable: number of entries that could not be read.
+    :param born: start time of the incarnation that answered, Unix milliseconds.
+    :param unreadable: number of list entries that could not be decoded.
     """
 
     clock_ms: int
@@ -174,20 +175,20 @@
 
 
 class WorkerControl(abc.ABC):
-    """Gives commands to the worker beside the agent."""
+    """Sends commands to the worker beside the agent."""
 
     @abc.abstractmethod
     async def start(self, command: StartCommand) -> CommandResult:
         """Start a run; never raises.
 
-        :param command: what to start.
+        :param command: run, lease and token.
         """
 
     @abc.abstractmethod
     async def stop(self, command: StopCommand) -> CommandResult:
-        """Stop a run; its end is listed later. Never raises.
+        """Stop a run; a later snapshot lists its end. Never raises.
 
-        :param command: what to stop.
+        :param command: run and token.
         """
 
     @abc.abstractmethod
