--- a/src/burdockgate/process/agentdaemon.py
+++ b/src/burdockgate/process/agentdaemon.py
@@ -1,4 +1,4 @@
-"""The daemon beside a worker: performs what its executor decides."""
+"""The agent's daemon: connects an executor with its worker, entry hosts and store."""
 
 from __future__ import annotations
 
@@ -28,16 +28,16 @@
 
 _T = TypeVar("_T")
 
-# Half of the shortest limit, the 0.2 s after which a stop is repeated. A wake-up costs
-# an agent more processor time than a message.
+# Half of the shortest time limit, the 0.2 s after which a stop is repeated. A shorter
+# tick wastes processor time, as a wake-up costs an agent more than a message does.
 TICK_S = 0.1
 REPORT_INTERVAL_S = 0.2
-# Changes of load within this time go out in one report.
+# Changes of the load within this time are sent in one report.
 REPORT_DELAY_S = 0.004
-# A worker that refuses polls must not be asked without a pause.
+# Pause after a refused poll, so that the agent does not poll in a tight loop.
 POLL_PAUSE_S = 0.05
-# What is left of the time for a stop after the last runs were stopped: the worker's
-# limit for a stop, and the delivery of the ends.
+# Part of the grace time that is kept for stopping the runs still in progress: the
+# worker's time limit for a stop, and the delivery of the ends to their owners.
 STOP_RESERVE_S = 0.8
 STORE_RETRY_S = 0.5
 BOOT_BITS = 62
@@ -45,10 +45,12 @@
 
 @attrs.frozen
 class AgentDaemonSettings:
-    """Place and limits of an agent.
+    """Name, zone and limits of an agent.
 
-    :param entry_addresses: ``host:port`` of entry hosts to begin with.
-    :param grace_s: time between the signal to stop and the end of the process.
+    :param entry_addresses: ``host:port`` of the entry hosts that are known at the
+        start.
+    :param grace_s: longest time between the signal to stop and the end of the process.
+    :param executor: time limits of the executor.
     """
 
     name: str
@@ -59,12 +61,12 @@
 
 
 class AgentDaemon(links.Handler, runner.Runnable):
-    """Connects the executor with the worker, the entry hosts and the store.
+    """Performs the effects of an executor and passes it messages, results and time.
 
-    :param settings: place and limits.
-    :param worker: control of the worker.
-    :param client: the store, read for entry hosts while none is connected.
-    :param rng: source of random numbers.
+    :param settings: name, zone and limits.
+    :param worker: sends commands to the worker.
+    :param client: the store, where entry hosts are looked up while none is connected.
+    :param rng: source of random numbers; seeded by the system by default.
     """
 
     def __init__(
@@ -86,29 +88,32 @@
         self._link_by_entry: dict[str, stream.Stream] = {}
         self._entry_by_address: dict[str, str] = {}
         self._entry_by_link: dict[stream.Stream, str] = {}
-        self._info_sent: dict[str, assignments.WorkerInfo] = {}
+        self._sent_info_by_entry: dict[str, assignments.WorkerInfo] = {}
         self._relay = relay.Relay(self._time, self._rng)
         self._tasks: set[asyncio.Task[Any]] = set()
-        self._is_report_due = False
+        self._is_report_scheduled = False
         self._has_worker = asyncio.Event()
 
     async def start(self) -> None:
-        """Begin to serve."""
+        """Connect to the entry hosts, and start the timers and the polls."""
         self.events.record("process.started", {"boot": self.boot})
         for address in self._settings.entry_addresses:
             self.links.add(address)
-        self._spawn(self._run_timers())
-        self._spawn(self._poll())
-        self._spawn(self._find_entries())
+        self._create_task(self._run_timers())
+        self._create_task(self._poll_forever())
+        self._create_task(self._find_entries())
 
     async def stop(self) -> None:
-        """Let what runs end, return what waits, and end."""
+        """Return queued runs, let dispatched ones end within the grace time, and end.
+
+        Runs that are still in progress shortly before the end are stopped.
+        """
         self.events.record("process.stopping", {"running": self.executor.running_count})
-        self._perform(self.executor.leave())
-        await self._wait_idle(self._settings.grace_s - STOP_RESERVE_S)
+        self._perform(self.executor.drain())
+        await self._wait_until_idle(self._settings.grace_s - STOP_RESERVE_S)
         if self.executor.running_count:
             self._perform(self.executor.stop_all("agent stops"))
-            await self._wait_idle(STOP_RESERVE_S / 2)
+            await self._wait_until_idle(STOP_RESERVE_S / 2)
         self._report()
         self.links.close()
         await asyncio.sleep(0)
@@ -119,78 +124,79 @@
         await self._store.close()
         self.events.record("process.stopped", {"running": self.executor.running_count})
 
-    async def _wait_idle(self, limit_s: float) -> None:
-        ends_at = self._time.now() + limit_s
-        while self.executor.running_count and self._time.now() < ends_at:
+    async def _wait_until_idle(self, timeout_s: float) -> None:
+        deadline = self._time.now() + timeout_s
+        while self.executor.running_count and self._time.now() < deadline:
             await asyncio.sleep(TICK_S)
 
-    def handle_heartbeat(self, told: workercontrol.WorkerHeartbeat) -> None:
+    def handle_heartbeat(self, heartbeat: workercontrol.WorkerHeartbeat) -> None:
         """Handle a heartbeat of the worker.
 
-        :param told: what it says of itself.
+        :param heartbeat: the heartbeat.
         """
-        self._perform(self.executor.handle_heartbeat(told))
+        self._perform(self.executor.handle_heartbeat(heartbeat))
         self._has_worker.set()
 
     def handle_deregistration(self, worker: str) -> None:
-        """Handle that the worker ends.
+        """Handle the notice that the worker shuts down.
 
-        :param worker: its identifier.
+        :param worker: identifier of the worker.
         """
         self.events.record("worker.deregistered", {"worker": worker})
 
     # Effects of the executor.
 
-    def _perform(self, wanted: Iterable[executoractions.Effect]) -> None:
-        for effect in wanted:
+    def _perform(self, effects: Iterable[executoractions.Effect]) -> None:
+        for effect in effects:
             match effect:
                 case actions.LogEvent(event, fields):
                     self.events.record(event, fields)
                 case actions.Send(to, message):
                     self._send(to, message)
                 case executoractions.Start(start_command):
-                    self._spawn(self._start_run(start_command))
+                    self._create_task(self._start_run(start_command))
                 case executoractions.Stop(stop_command):
-                    self._spawn(self._stop_run(stop_command))
+                    self._create_task(self._stop_run(stop_command))
                 case executoractions.Poll(poll_command):
-                    self._spawn(self._poll_once(poll_command))
+                    self._create_task(self._poll_once(poll_command))
             self._schedule_report()
 
-    def _spawn(self, coroutine: Coroutine[Any, Any, _T]) -> asyncio.Task[_T]:
+    def _create_task(self, coroutine: Coroutine[Any, Any, _T]) -> asyncio.Task[_T]:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return task
 
     async def _start_run(self, command: workercontrol.StartCommand) -> None:
-        answer = await self._worker.start(command)
-        self._perform(self.executor.handle_start_result(command, answer))
+        result = await self._worker.start(command)
+        self._perform(self.executor.handle_start_result(command, result))
 
     async def _stop_run(self, command: workercontrol.StopCommand) -> None:
-        answer = await self._worker.stop(command)
-        self._perform(self.executor.handle_stop_result(command, answer))
+        result = await self._worker.stop(command)
+        self._perform(self.executor.handle_stop_result(command, result))
 
     async def _poll_once(
         self, command: workercontrol.PollCommand
     ) -> workercontrol.PollResult:
-        answer = await self._worker.poll(command)
-        self._perform(self.executor.handle_poll_result(command, answer))
-        return answer
+        result = await self._worker.poll(command)
+        self._perform(self.executor.handle_poll_result(command, result))
+        return result
 
-    async def _poll(self) -> None:
+    async def _poll_forever(self) -> None:
+        """Poll the worker continuously, without waiting for a poll that is overdue."""
         await self._has_worker.wait()
         while True:
             command = self.executor.next_poll()
             if command is None:
                 await asyncio.sleep(POLL_PAUSE_S)
                 continue
-            poll = self._spawn(self._poll_once(command))
+            poll = self._create_task(self._poll_once(command))
             overdue_s = command.wait_ms / 1000 + self._settings.executor.poll_repeat_s
             done, _ = await asyncio.wait({poll}, timeout=overdue_s)
             if done and not isinstance(poll.result(), workercontrol.Snapshot):
                 await asyncio.sleep(POLL_PAUSE_S)
 
-    # Links.
+    # Connections to entry hosts.
 
     def _send(self, entry: str, message: assignments.Message) -> None:
         link = self._link_by_entry.get(entry)
@@ -198,12 +204,12 @@
             link.send(message)
 
     def handle_open(self, link: stream.Stream) -> None:
-        """Wait for the entry host's hello."""
+        """Do nothing: the entry host sends its hello first."""
 
     def handle_message(self, link: stream.Stream, message: assignments.Message) -> None:
-        """Handle a message of an entry host."""
+        """Handle a message from an entry host."""
         if isinstance(message, assignments.EntryHello):
-            self._greet(link, message)
+            self._handle_hello(link, message)
             return
         entry = self._entry_by_link.get(link)
         if entry is None:
@@ -223,16 +229,16 @@
                 for address in addresses:
                     self.links.add(address)
             case assignments.Configuration():
-                self._hold(entry, message)
+                self._update_configuration(entry, message)
 
-    def _greet(self, link: stream.Stream, hello: assignments.EntryHello) -> None:
+    def _handle_hello(self, link: stream.Stream, hello: assignments.EntryHello) -> None:
         if hello.protocol != assignments.PROTOCOL:
             raise errors.WireError(f"protocol {hello.protocol} of {hello.name}")
-        old = self._link_by_entry.get(hello.name)
-        if old is not None and old is not link:
-            del self._entry_by_link[old]
-            old.abort()
-        boot, held = self.executor.session_state(hello.name)
+        previous_link = self._link_by_entry.get(hello.name)
+        if previous_link is not None and previous_link is not link:
+            del self._entry_by_link[previous_link]
+            previous_link.abort()
+        boot, held_runs = self.executor.session_state(hello.name)
         self._link_by_entry[hello.name] = link
         self._entry_by_link[link] = hello.name
         self._entry_by_address[self.links.address_of(link)] = hello.name
@@ -243,11 +249,13 @@
                 self.boot,
                 self._settings.zone,
                 boot,
-                held,
+                held_runs,
             )
         )
-        self._info_sent.pop(hello.name, None)
-        self.events.record("owner.linked", {"owner": hello.name, "held": len(held)})
+        self._sent_info_by_entry.pop(hello.name, None)
+        self.events.record(
+            "owner.linked", {"owner": hello.name, "held": len(held_runs)}
+        )
         distance = entrysessions.distance(
             self._settings.name, self._settings.zone, hello.name, hello.zone
         )
@@ -256,14 +264,16 @@
         )
         self._report()
 
-    def _hold(self, entry: str, message: assignments.Configuration) -> None:
+    def _update_configuration(
+        self, entry: str, message: assignments.Configuration
+    ) -> None:
         if self._relay.update(message):
             self.events.record(
                 "configuration.held", {"version": message.version, "source": entry}
             )
 
     def handle_close(self, link: stream.Stream) -> None:
-        """Handle the end of a connection."""
+        """Handle the end of a connection to an entry host."""
         entry = self._entry_by_link.pop(link, None)
         if entry is not None:
             del self._link_by_entry[entry]
@@ -280,34 +290,34 @@
         if entry is not None and entry not in self._link_by_entry:
             self._perform(self.executor.handle_entry_gone(entry))
 
-    # Time.
+    # Reports and timers.
 
     def _schedule_report(self) -> None:
-        if not self._is_report_due:
-            self._is_report_due = True
-            asyncio.get_running_loop().call_later(REPORT_DELAY_S, self._report_change)
+        if not self._is_report_scheduled:
+            self._is_report_scheduled = True
+            asyncio.get_running_loop().call_later(REPORT_DELAY_S, self._report_changes)
 
-    def _report_change(self) -> None:
-        self._is_report_due = False
+    def _report_changes(self) -> None:
+        self._is_report_scheduled = False
         self._report(is_periodic=False)
 
     def _report(self, is_periodic: bool = True) -> None:
-        """Send the load to the entry hosts, after changed facts of the worker.
+        """Send the due load reports, each after the worker's facts if they changed.
 
-        :param is_periodic: whether every entry host gets it.
+        :param is_periodic: whether regular reports are included.
         """
-        info, loads = (
+        info, report_by_entry = (
             self.executor.worker_info(),
             self.executor.due_reports(is_periodic),
         )
-        for entry, load in loads.items():
+        for entry, report in report_by_entry.items():
             link = self._link_by_entry.get(entry)
             if link is None:
                 continue
-            if info is not None and self._info_sent.get(entry) != info:
-                self._info_sent[entry] = info
+            if info is not None and self._sent_info_by_entry.get(entry) != info:
+                self._sent_info_by_entry[entry] = info
                 link.send(info)
-            link.send(load)
+            link.send(report)
 
     async def _run_timers(self) -> None:
         report_at = 0.0
@@ -316,7 +326,7 @@
             self.links.abort_silent_links()
             self.links.dial_due()
             self._perform(self.executor.tick())
-            for entry, configuration in self._relay.due():
+            for entry, configuration in self._relay.collect_due():
                 self.events.record(
                     "configuration.relayed",
                     {"version": configuration.version, "owner": entry},
@@ -328,13 +338,13 @@
             await asyncio.sleep(TICK_S)
 
     async def _find_entries(self) -> None:
-        """Read the entry hosts from the store until one is connected."""
+        """Look entry hosts up in the store while none is connected."""
         while True:
             if not self._link_by_entry:
-                await self._read_members()
+                await self._read_entries()
             await asyncio.sleep(STORE_RETRY_S)
 
-    async def _read_members(self) -> None:
+    async def _read_entries(self) -> None:
         try:
             page = await self._store.read_newest(discovery.TOPIC)
         except errors.LogUnavailableError as error:
@@ -342,7 +352,7 @@
                 "store.lost", {"topic": discovery.TOPIC, "detail": str(error)}
             )
             return
-        found = list(discovery.addresses(page.records))
-        self.events.record("entries.found", {"addresses": found})
-        for address in found:
+        addresses = list(discovery.addresses(page.records))
+        self.events.record("entries.found", {"addresses": addresses})
+        for address in addresses:
             self.links.add(address)
--- a/src/burdockgate/process/entrysessions.py
+++ b/src/burdockgate/process/entrysessions.py
@@ -1,4 +1,4 @@
-"""Sessions of an agent with the entry hosts that own its runs."""
+"""Sessions of an agent with entry hosts: leases, demand, load reports and run ends."""
 
 from __future__ import annotations
 
@@ -9,16 +9,17 @@
 
 from burdockgate import assignments
 
-# Entry hosts tell their demand at least with every change and every 0.2 s; one that
-# stopped doing so must not keep the room from others.
+# Entry hosts send their demand with every change and at least every 0.2 s. An older
+# demand must not reserve capacity that others can use.
 DEMAND_VALID_S = 0.5
 
 
 @attrs.frozen
 class ReportedLoad:
-    """What an owner was last told and has to hear of at once when it changes.
+    """Part of a load report whose changes are reported at once.
 
-    :param free_cpu: free room up to what is ample; 0 for an owner that is not near.
+    :param free_cpu: free processors up to the share above which changes do not matter,
+        in thousandths of a core; 0 for an entry host that is not among the nearest.
     """
 
     state: assignments.WorkerState
@@ -27,20 +28,23 @@
 
 @attrs.define
 class EntrySession:
-    """One entry host; times in seconds of the agent's clock.
-
-    :param boot: random number of the life of the entry host's process.
-    :param distance: order of the owners from this agent, as :func:`distance` gives it.
-    :param is_linked: whether there is a connection.
-    :param leased_until: runs of this owner may start until then, and go on until then
-        when the connection is gone. Counted from the sending of the report that the
-        entry host echoed, so that messages that were held up extend nothing.
+    """State kept for one entry host; times in seconds of the agent's clock.
+
+    :param boot: random number that the process of the entry host drew at its start.
+    :param distance: sort key returned by :func:`distance`; smaller is nearer.
+    :param is_linked: whether a connection exists.
+    :param leased_until: end of the session lease. Runs of this entry host may start
+        until then, and go on until then after the connection is lost. It is counted
+        from the sending time of the report that a renewal echoes, so that delayed
+        messages do not extend it.
     :param assigned_through: number of the last assignment received.
-    :param demand: what waits at the owner.
-    :param served_at: when the last run of this owner was started.
-    :param is_outdated: whether it acted on a load that has changed.
-    :param told: what matters of the last report.
-    :param told_at: when it was sent.
+    :param demand: processors that tasks waiting at the entry host need.
+    :param last_start_at: when a run of this entry host was last started.
+    :param has_stale_load: whether the entry host assigned runs by an outdated load
+        report, so that it needs a new one at once.
+    :param reported_load: part of the last report whose changes matter; ``None`` when
+        none was sent on this connection.
+    :param reported_at: when the last report was sent.
     """
 
     name: str
@@ -51,17 +55,17 @@
     assigned_through: int = 0
     demand: assignments.Demand = assignments.Demand(0, 0)
     demand_received_at: float = 0.0
-    served_at: float = 0.0
-    is_outdated: bool = False
-    told: ReportedLoad | None = None
-    told_at: float = float("-inf")
-    _number: int = 0
+    last_start_at: float = 0.0
+    has_stale_load: bool = False
+    reported_load: ReportedLoad | None = None
+    reported_at: float = float("-inf")
+    _last_end_number: int = 0
     _end_by_number: dict[int, assignments.TaskEnd] = attrs.field(factory=dict)
 
     def has_demand(self, now: float) -> bool:
-        """Return whether tasks wait at the owner for want of room.
+        """Return whether tasks wait at the entry host for free capacity.
 
-        :param now: the time.
+        :param now: the time in seconds.
         """
         is_valid = now - self.demand_received_at < DEMAND_VALID_S
         return self.is_linked and is_valid and self.demand.waiting_cpu > 0
@@ -73,50 +77,50 @@
         ran_s: float,
         next_run: int,
     ) -> assignments.TaskEnd:
-        """Keep an end until the owner has acknowledged it, and return its message.
+        """Store the end of a run until it is acknowledged, and return its message.
 
         :param key: the run.
         :param kind: how it ended.
-        :param ran_s: how long it ran.
-        :param next_run: smallest number for the task's next run.
+        :param ran_s: run time in seconds.
+        :param next_run: smallest number for the next run of the task.
         """
-        self._number += 1
+        self._last_end_number += 1
         end = assignments.TaskEnd(
-            self._number, key, kind, int(max(0.0, ran_s) * 1000), next_run
+            self._last_end_number, key, kind, int(max(0.0, ran_s) * 1000), next_run
         )
         self._end_by_number[end.number] = end
         return end
 
     def acknowledge(self, number: int) -> None:
-        """Forget the ends that the owner has.
+        """Drop the ends that the entry host has received.
 
-        :param number: number of the last one.
+        :param number: number of the last end received.
         """
-        for known in [known for known in self._end_by_number if known <= number]:
-            del self._end_by_number[known]
+        for stored in [stored for stored in self._end_by_number if stored <= number]:
+            del self._end_by_number[stored]
 
     def unacknowledged(self) -> list[assignments.TaskEnd]:
-        """Return the ends that the owner may not have, in order."""
+        """Return the ends that the entry host may not have received, in order."""
         return list(self._end_by_number.values())
 
 
 def allocate_free_cpu(
     free_cpu: int, sessions: Iterable[EntrySession], now: float
 ) -> dict[str, int]:
-    """Return the free room that each owner may use, by name.
+    """Return the free processors that each entry host may use, by its name.
 
-    The most urgent demand is served first. Without this, every owner would fill the
-    same freed place, and all but one task would wait at this worker while other
-    workers have room.
+    The most urgent demand is served first; what remains is open to all. If all free
+    capacity were open to all, every entry host would fill the same freed place, and
+    all but one of their tasks would wait here while other workers have free capacity.
 
     :param free_cpu: thousandths of a core.
-    :param sessions: the owners.
+    :param sessions: sessions with the entry hosts.
     :param now: the time in seconds.
     """
     sessions = list(sessions)
     demanding = sorted(
         (session for session in sessions if session.has_demand(now)),
-        key=lambda session: (session.demand.rank, session.served_at, session.name),
+        key=lambda session: (session.demand.rank, session.last_start_at, session.name),
     )
     share_by_entry: dict[str, int] = {}
     for session in demanding:
@@ -131,7 +135,7 @@
 def distance(
     agent: str, agent_zone: str, entry: str, entry_zone: str
 ) -> tuple[bool, int]:
-    """Return how far an owner is from an agent: its zone, then a hash of both names.
+    """Return a sort key of entry hosts: same zone first, then a hash of both names.
 
     The hash spreads the agents of a zone without entry hosts over all entry hosts.
 
@@ -145,10 +149,10 @@
 
 
 def nearest(sessions: Iterable[EntrySession], count: int) -> set[str]:
-    """Return the names of the owners that hear of every change of the load.
+    """Return the names of the nearest connected entry hosts.
 
-    :param sessions: the owners.
-    :param count: how many there are at most.
+    :param sessions: sessions with the entry hosts.
+    :param count: largest number of names.
     """
     linked = [session for session in sessions if session.is_linked]
     linked.sort(key=lambda session: session.distance)
--- a/src/burdockgate/process/executor.py
+++ b/src/burdockgate/process/executor.py
@@ -1,7 +1,8 @@
-"""Decides what runs on the worker beside an agent.
+"""Decides which runs an agent starts and stops on its worker.
 
-The executor is the only one that gives the worker commands, so it alone keeps the
-worker within its capacity.
+Nothing else sends commands to the worker, so the executor alone keeps it within its
+capacity. :mod:`agentdaemon` performs the effects, and :mod:`supervisor` tracks the
+state of the worker.
 """
 
 from __future__ import annotations
@@ -17,16 +18,19 @@
     supervisor,
 )
 
-# Above this share of free room it makes no difference to an entry host how much is
-# free: a task fits, and it can't fill the rest before the next regular report.
-AMPLE_SHARE = 0.5
+# Changes of the free capacity above this share of the total are not reported at once:
+# a task fits, and the entry host cannot use up the rest before the next regular report.
+AMPLE_FREE_SHARE = 0.5
 
 
 class Executor(supervisor.Supervisor):
-    """The agent's decisions; all methods but queries are generators of effects.
+    """Queues, starts, stops and ends the runs of an agent.
+
+    A method that returns an iterator of effects is a generator: it acts only while the
+    caller iterates over it and performs the effects.
 
     :param settings: time limits.
-    :param time: a clock that counts suspensions.
+    :param time: a clock that goes on while the machine is suspended.
     """
 
     def __init__(
@@ -38,30 +42,39 @@
     def due_reports(
         self, is_periodic: bool = True
     ) -> dict[str, assignments.LoadReport]:
-        """Return the load of the worker by the name of the entry host to tell.
+        """Return the load reports to send now, by name of the entry host.
+
+        Marks them as sent.
 
-        :param is_periodic: whether all are told, or only those to which the change
-            since the last report matters.
+        :param is_periodic: whether regular reports are included; otherwise only entry
+            hosts that need to know of a change at once get a report.
         """
         now, state = self._time.now(), self.worker_state()
         sessions = self.session_by_entry.values()
-        near = entrysessions.nearest(sessions, self._settings.near_entries)
+        near_entries = entrysessions.nearest(sessions, self._settings.near_entries)
         used = self._runs.used()
         queued_cpu = sum(run.cpu for run in self._runs.queued())
-        capacity = self._worker.told.cpu if self._worker else 0
+        capacity = self._worker.heartbeat.cpu if self._worker else 0
         free_cpu = max(0, capacity - used.cpu - queued_cpu)
         share_by_entry = entrysessions.allocate_free_cpu(free_cpu, sessions, now)
         speed = int(self._health.current_speed(now) * 1000)
-        loads = {}
+        report_by_entry = {}
         for name, session in self.session_by_entry.items():
             share = share_by_entry[name]
-            ample_cpu = min(share, int(AMPLE_SHARE * capacity))
-            news = entrysessions.ReportedLoad(state, ample_cpu if name in near else 0)
-            is_due = session.is_outdated or news != session.told
-            if not (is_due or (is_periodic and self._is_regular(session, near, now))):
+            ample_cpu = min(share, int(AMPLE_FREE_SHARE * capacity))
+            load = entrysessions.ReportedLoad(
+                state, ample_cpu if name in near_entries else 0
+            )
+            has_changed = session.has_stale_load or load != session.reported_load
+            if not (
+                has_changed
+                or (is_periodic and self._is_report_due(session, near_entries, now))
+            ):
                 continue
-            session.told, session.told_at, session.is_outdated = news, now, False
-            loads[name] = assignments.LoadReport(
+            session.reported_load = load
+            session.reported_at = now
+            session.has_stale_load = False
+            report_by_entry[name] = assignments.LoadReport(
                 int(now * 1_000_000),
                 session.assigned_through,
                 state,
@@ -71,36 +84,37 @@
                 used.gpu,
                 queued_cpu,
                 speed,
-                name in near,
+                name in near_entries,
             )
-        return loads
+        return report_by_entry
 
-    def _is_regular(
-        self, session: entrysessions.EntrySession, near: set[str], now: float
+    def _is_report_due(
+        self, session: entrysessions.EntrySession, near_entries: set[str], now: float
     ) -> bool:
-        """Return whether an owner is due for a regular report."""
-        if session.name in near or any(self._runs.of_owner(session.name)):
+        """Return whether a regular report to an entry host is due."""
+        if session.name in near_entries or any(self._runs.owned_by(session.name)):
             return True
-        return now - session.told_at >= self._settings.distant_report_s
+        return now - session.reported_at >= self._settings.distant_report_s
 
     def handle_demand(self, entry: str, message: assignments.Demand) -> None:
-        """Note what waits at an entry host.
+        """Record the demand of an entry host.
 
         :param entry: name of the entry host.
-        :param message: its demand.
+        :param message: the processors that its waiting tasks need.
         """
         session = self.session_by_entry[entry]
         session.demand, session.demand_received_at = message, self._time.now()
 
     def session_state(self, entry: str) -> tuple[int, tuple[assignments.RunKey, ...]]:
-        """Return the known boot of an entry host and the runs held for it.
+        """Return the last known boot number of an entry host and the keys of its runs.
 
-        :param entry: name of the entry host; empty boot and runs for a new one.
+        :param entry: name of the entry host.
+        :returns: 0 and no keys for an entry host that never connected.
         """
         session = self.session_by_entry.get(entry)
         if session is None:
             return 0, ()
-        return session.boot, tuple(run.key for run in self._runs.of_owner(entry))
+        return session.boot, tuple(run.key for run in self._runs.owned_by(entry))
 
     def handle_entry_connected(
         self, entry: str, boot: int, distance: tuple[bool, int] = (False, 0)
@@ -108,26 +122,26 @@
         """Handle a new connection to an entry host.
 
         :param entry: name of the entry host.
-        :param boot: number of the life of its process.
-        :param distance: how far it is, as :func:`entrysessions.distance` gives it.
+        :param boot: random number that its process drew at its start.
+        :param distance: sort key returned by :func:`entrysessions.distance`.
         """
         session = self.session_by_entry.get(entry)
         if session is not None and session.boot == boot:
             session.is_linked = True
             session.assigned_through = 0
-            session.told = None
+            session.reported_load = None
             for end in session.unacknowledged():
                 yield actions.Send(entry, end)
             return
         if session is not None:
             yield actions.LogEvent("owner.restarted", {"owner": entry, "boot": boot})
-            yield from self._abandon(entry, "owner restarted")
+            yield from self._stop_runs_of(entry, "owner restarted")
         self.session_by_entry[entry] = entrysessions.EntrySession(entry, boot, distance)
 
     def handle_entry_disconnected(self, entry: str) -> Iterator[executoractions.Effect]:
         """Handle the loss of the connection to an entry host.
 
-        :param entry: its name.
+        :param entry: name of the entry host.
         """
         session = self.session_by_entry.get(entry)
         if session is not None and session.is_linked:
@@ -135,33 +149,33 @@
             yield actions.LogEvent("owner.unlinked", {"owner": entry})
 
     def handle_entry_gone(self, entry: str) -> Iterator[executoractions.Effect]:
-        """Handle a refused connection: the process of the entry host has ended.
+        """Handle a refused connection, which shows that the process has ended.
 
-        :param entry: its name.
+        :param entry: name of the entry host.
         """
         if entry in self.session_by_entry:
-            yield from self._abandon(entry, "owner ended")
+            yield from self._stop_runs_of(entry, "owner ended")
 
     def handle_renewal(self, entry: str, message: assignments.Renewal) -> None:
-        """Extend the session lease.
+        """Extend the session lease and drop the ends that are acknowledged.
 
         :param entry: name of the entry host.
-        :param message: what it acknowledged.
+        :param message: the renewal.
         """
         session = self.session_by_entry[entry]
-        echoed = message.echo_us / 1_000_000
+        echoed_at = message.echo_us / 1_000_000
         session.leased_until = max(
-            session.leased_until, echoed + self._settings.session_lease_s
+            session.leased_until, echoed_at + self._settings.session_lease_s
         )
         session.acknowledge(message.last_end_number)
 
     def handle_assignment(
         self, entry: str, message: assignments.Assign
     ) -> Iterator[executoractions.Effect]:
-        """Queue runs that an entry host has assigned.
+        """Queue the runs of an assignment, start those that fit and return the rest.
 
         :param entry: name of the entry host.
-        :param message: the runs.
+        :param message: the assignment.
         """
         now, session = self._time.now(), self.session_by_entry[entry]
         session.assigned_through = message.number
@@ -180,86 +194,96 @@
                 now,
                 message.number,
             )
-            yield from self._queue(run, session, now)
-        yield from self._fill()
+            yield from self._enqueue(run, session, now)
+        yield from self._start_queued()
         yield from self._return_excess(session, message.number)
 
     def _return_excess(
         self, session: entrysessions.EntrySession, number: int
     ) -> Iterator[executoractions.Effect]:
-        """Return what an assignment holds beyond the room.
+        """Return the runs of an assignment that exceed the free capacity.
 
-        Owners that assigned at the same time, or by an older report, find another
-        worker sooner than room here.
+        Entry hosts can exceed it by assigning at the same time or by an older report.
+        They find another worker sooner than capacity becomes free here.
 
-        :param session: the owner.
+        :param session: session with the entry host.
         :param number: number of the assignment.
         """
-        if self._worker is not None and self._worker.foreign:
-            # All of the room is free once the worker has ended them.
+        if self._worker is not None and self._worker.stop_sent_at_by_foreign_run:
+            # The runs stay queued, since the whole capacity becomes free once the
+            # worker has ended the foreign runs.
             return
         for run in list(self._runs.queued()):
             if run.owner == session.name and run.assignment == number:
-                session.is_outdated = True
-                yield from self._return(run, "no room")
+                session.has_stale_load = True
+                yield from self._return_run(run, "no room")
 
-    def _queue(
+    def _enqueue(
         self, run: runs.Run, session: entrysessions.EntrySession, now: float
     ) -> Iterator[executoractions.Effect]:
-        earlier = self._runs.find_task(run.key.task)
+        existing = self._runs.find_by_task(run.key.task)
         reason = ""
         if now >= session.leased_until:
             reason = "session lapsed"
-        elif earlier is not None:
-            reason = f"run {earlier.key.run} of {earlier.owner} exists"
+        elif existing is not None:
+            reason = f"run {existing.key.run} of {existing.owner} exists"
         elif self.worker_state() not in (
             assignments.WorkerState.READY,
             assignments.WorkerState.PROBATION,
         ):
             reason = f"worker {self.worker_state().name.lower()}"
         if reason:
-            yield from self._return(run, reason)
+            yield from self._return_run(run, reason)
             return
-        self._runs.by_key[run.key] = run
+        self._runs.run_by_key[run.key] = run
 
     def handle_revocation(
         self, message: assignments.Revoke
     ) -> Iterator[executoractions.Effect]:
-        """Drop or stop runs that their owner no longer wants.
+        """Drop or stop runs that their owner has revoked.
 
-        :param message: the runs.
+        :param message: the keys of the runs.
         """
         for key in message.keys:
-            run = self._runs.by_key.get(key)
+            run = self._runs.run_by_key.get(key)
             if run is not None:
-                yield from self._stop(run, "revoked")
-        yield from self._fill()
+                yield from self._stop_run(run, "revoked")
+        yield from self._start_queued()
 
-    def _abandon(self, entry: str, reason: str) -> Iterator[executoractions.Effect]:
-        for run in self._runs.of_owner(entry):
-            yield from self._stop(run, reason)
+    def _stop_runs_of(
+        self, entry: str, reason: str
+    ) -> Iterator[executoractions.Effect]:
+        for run in self._runs.owned_by(entry):
+            yield from self._stop_run(run, reason)
 
     def _return_queued(self, reason: str) -> Iterator[executoractions.Effect]:
         for run in list(self._runs.queued()):
-            yield from self._return(run, reason)
+            yield from self._return_run(run, reason)
+
+    def drain(self) -> Iterator[executoractions.Effect]:
+        """Accept no new runs from now on and return the queued ones.
 
-    def leave(self) -> Iterator[executoractions.Effect]:
-        """Take no new tasks from now on; running ones go on."""
-        self.is_leaving = True
+        Dispatched runs go on.
+        """
+        self.is_draining = True
         yield from self._return_queued("agent leaving")
 
     def stop_all(self, reason: str) -> Iterator[executoractions.Effect]:
-        """Stop every run.
+        """Stop the dispatched runs and return the queued ones.
 
-        :param reason: why, for the log.
+        :param reason: reason for the log.
         """
-        for run in list(self._runs.by_key.values()):
-            yield from self._stop(run, reason)
+        for run in list(self._runs.run_by_key.values()):
+            yield from self._stop_run(run, reason)
+
+    def _start_queued(self) -> Iterator[executoractions.Effect]:
+        """Start the queued runs that fit into the free capacity.
 
-    def _fill(self) -> Iterator[executoractions.Effect]:
-        """Start what waits and fits."""
+        Runs that are past their latest start come last, then priority and estimate
+        decide. A worker on probation gets one run.
+        """
         worker, now = self._worker, self._time.now()
-        if worker is None or worker.foreign:
+        if worker is None or worker.stop_sent_at_by_foreign_run:
             return
         state = self.worker_state()
         if state is assignments.WorkerState.PROBATION:
@@ -267,42 +291,45 @@
                 return
         elif state is not assignments.WorkerState.READY:
             return
-        told = worker.told
-        capacity = runs.Resources(told.cpu, told.memory_mb, told.gpu)
+        heartbeat = worker.heartbeat
+        capacity = runs.Resources(heartbeat.cpu, heartbeat.memory_mb, heartbeat.gpu)
         used = self._runs.used()
-        waiting = sorted(
+        queued = sorted(
             self._runs.queued(),
             key=lambda run: (run.start_by < now, run.priority, run.estimate_s),
         )
-        for run in waiting:
+        for run in queued:
             if now >= self.session_by_entry[run.owner].leased_until:
-                yield from self._return(run, "session lapsed")
+                yield from self._return_run(run, "session lapsed")
             elif capacity.fits(used, run):
                 used.add(run)
-                self.session_by_entry[run.owner].served_at = now
-                yield from self._start(run, worker, now)
+                self.session_by_entry[run.owner].last_start_at = now
+                yield from self._start_run(run, worker, now)
                 if state is assignments.WorkerState.PROBATION:
                     return
 
     def tick(self) -> Iterator[executoractions.Effect]:
-        """Do what is due; call every few tens of milliseconds."""
+        """Expire leases, check dispatched runs and start queued ones.
+
+        Call it about ten times a second.
+        """
         now = self._time.now()
         yield from self._expire_sessions(now)
         worker = self._worker
         if worker is None:
             return
         yield from self._expire_lease(worker, now)
-        for run in list(self._runs.ordered()):
-            yield from self._attend(run, now)
-        yield from self._check_stall(now)
-        yield from self._fill()
+        for run in list(self._runs.dispatched()):
+            yield from self._check_run(run, now)
+        yield from self._check_for_stall(now)
+        yield from self._start_queued()
 
     def _expire_sessions(self, now: float) -> Iterator[executoractions.Effect]:
         for session in self.session_by_entry.values():
             if now < session.leased_until:
                 continue
-            held = self._runs.of_owner(session.name)
-            if any(not run.is_stopping for run in held):
+            owned = self._runs.owned_by(session.name)
+            if any(not run.is_stopping for run in owned):
                 yield actions.LogEvent(
                     "owner.lapsed",
                     {
@@ -310,24 +337,28 @@
                         "age_ms": int((now - session.leased_until) * 1000),
                     },
                 )
-                yield from self._abandon(session.name, "owner silent")
+                yield from self._stop_runs_of(session.name, "owner silent")
 
-    def _return(
+    def _return_run(
         self, run: runs.Run, reason: str, next_run: int | None = None
     ) -> Iterator[executoractions.Effect]:
         run.state = runs.RunState.QUEUED
-        yield from self._end(run, assignments.EndKind.RETURNED, reason, next_run)
+        yield from self._end_run(run, assignments.EndKind.RETURNED, reason, next_run)
 
-    def _end(
+    def _end_run(
         self,
         run: runs.Run,
         kind: assignments.EndKind,
         reason: str,
         next_run: int | None = None,
     ) -> Iterator[executoractions.Effect]:
-        """Forget a run and tell its owner how it ended."""
+        """Remove a run and report its end to its owner.
+
+        :param next_run: smallest number for the next run of the task; by default the
+            number after this run.
+        """
         now = self._time.now()
-        self._runs.by_key.pop(run.key, None)
+        self._runs.run_by_key.pop(run.key, None)
         ran_s = now - run.started_at if run.started_at else 0.0
         if kind is assignments.EndKind.DONE:
             self._health.record_success(ran_s, run.estimate_s, now)
--- a/src/burdockgate/process/relay.py
+++ b/src/burdockgate/process/relay.py
@@ -1,8 +1,8 @@
-"""How an agent passes the configuration on to entry hosts that lag behind.
+"""Relays the configuration from an agent to entry hosts with an older version.
 
-The body of a configuration can have 250 KB, and the link of an entry host can be small.
-So the body goes only to an entry host whose renewals show an older version for a while:
-one that the store does not reach, or that has just started.
+A configuration can have 250 KB, and the link of an entry host can be slow. So it is
+sent only to an entry host whose renewals show an older version for some time, because
+the host cannot reach the store or has just started.
 """
 
 from __future__ import annotations
@@ -11,68 +11,71 @@
 
 from burdockgate import assignments, clock
 
-# An entry host that reaches the store has a new version before the first of these. The
-# spread lets the others see in its renewals that one agent has sent the body.
-LAG_MIN_S = 0.25
-LAG_MAX_S = 1.0
-# After this time a body that was sent has come, even over a small link.
-REPEAT_S = 1.5
+# An entry host that reaches the store has a new version before the minimum. The delay
+# is random, so that most agents see in a renewal that another agent was faster.
+RELAY_DELAY_MIN_S = 0.25
+RELAY_DELAY_MAX_S = 1.0
+# A configuration has arrived after this time, even over a slow link.
+RESEND_S = 1.5
 
 
 class Relay:
-    """Keeps the newest configuration and the entry hosts that lag.
+    """Stores the newest configuration and tracks the entry hosts that lack it.
 
     :param time: the clock.
-    :param rng: spreads the agents.
+    :param rng: source of the random delay before a configuration is sent.
     """
 
     def __init__(self, time: clock.Clock, rng: random.Random) -> None:
         self._time = time
         self._rng = rng
-        self._held: assignments.Configuration | None = None
+        self._configuration: assignments.Configuration | None = None
         self._due_at_by_entry: dict[str, float] = {}
 
     @property
     def version(self) -> int:
-        """Version of the configuration held here; 0 without one."""
-        return self._held.version if self._held is not None else 0
+        """Version of the stored configuration; 0 without one."""
+        return self._configuration.version if self._configuration is not None else 0
 
     def update(self, configuration: assignments.Configuration) -> bool:
-        """Keep a configuration unless it is older.
+        """Store a configuration if it is newer than the stored one.
 
         :param configuration: the configuration.
-        :returns: whether it is newer than what was held.
+        :returns: whether it is newer.
         """
         if configuration.version <= self.version:
             return False
-        self._held = configuration
+        self._configuration = configuration
         return True
 
     def record_version(self, entry: str, version: int) -> None:
-        """Note which version an entry host has.
+        """Record the version of an entry host, and schedule a copy if it is older.
 
         :param entry: name of the entry host.
-        :param version: its version; 0 when it has none.
+        :param version: version in force there; 0 when it has none.
         """
         if version >= self.version:
             self._due_at_by_entry.pop(entry, None)
         elif entry not in self._due_at_by_entry:
-            delay_s = self._rng.uniform(LAG_MIN_S, LAG_MAX_S)
+            delay_s = self._rng.uniform(RELAY_DELAY_MIN_S, RELAY_DELAY_MAX_S)
             self._due_at_by_entry[entry] = self._time.now() + delay_s
 
     def forget(self, entry: str) -> None:
-        """Note that an entry host is not connected any more.
+        """Drop the copy that is due to an entry host, as its connection is lost.
 
-        :param entry: its name.
+        :param entry: name of the entry host.
         """
         self._due_at_by_entry.pop(entry, None)
 
-    def due(self) -> list[tuple[str, assignments.Configuration]]:
-        """Return the entry hosts that have lagged too long, with what to send them."""
+    def collect_due(self) -> list[tuple[str, assignments.Configuration]]:
+        """Return the entry hosts to send the configuration to now, with it.
+
+        Schedules the next copy, in case an entry host still lacks the version then.
+        """
         now = self._time.now()
         entries = [entry for entry, at in self._due_at_by_entry.items() if now >= at]
-        if self._held is None:
+        if self._configuration is None:
             return []
         for entry in entries:
-            self._due_at_by_entry[entry] = now + REPEAT_S
-        return [(entry, self._held) for entry in entries]
+            self._due_at_by_entry[entry] = now + RESEND_S
+        return [(entry, self._configuration) for entry in entries]
--- a/src/burdockgate/process/runs.py
+++ b/src/burdockgate/process/runs.py
@@ -1,4 +1,4 @@
-"""The runs that an agent holds for its worker, and the room that they take."""
+"""The runs of an agent, queued or dispatched to its worker, and their resources."""
 
 from __future__ import annotations
 
@@ -11,12 +11,15 @@
 
 
 class RunState(enum.Enum):
-    """How far a run has come."""
+    """State of a run at the agent; a run that has ended is removed.
+
+    A run in any other state than ``QUEUED`` is dispatched: it may exist at the worker.
+    """
 
     QUEUED = "queued"
-    # The order is under way.
+    # The start command was sent and its answer is awaited.
     STARTING = "starting"
-    # The order got no answer and may still be carried out.
+    # The start command got no answer and may still be carried out.
     UNCERTAIN = "uncertain"
     RUNNING = "running"
 
@@ -25,13 +28,20 @@
 class Run:
     """A run that an entry host has assigned; times in seconds of the agent's clock.
 
-    :param owner: name of the entry host.
-    :param assignment: number of the message that assigned it.
+    :param owner: name of the entry host that runs its job.
+    :param cpu: required processors in thousandths of a core.
+    :param priority: smaller is started first.
     :param start_by: latest start that is on time.
-    :param token: fencing token of the last start order.
-    :param stop_since: since when it must not start or must stop.
-    :param stop_sent_at: when the last stop order was sent.
-    :param accepted_ms: the worker's clock when the start was confirmed.
+    :param estimate_s: estimated run time.
+    :param assignment: number of the message that assigned the run.
+    :param token: fencing token of the last start command.
+    :param stop_requested_at: since when the run must stop, or must not start; ``None``
+        while it may run.
+    :param stop_sent_at: when the last stop command was sent.
+    :param started_at: when the last start command was sent; 0 before the first.
+    :param accepted_ms: the worker's clock when the start was confirmed; 0 before that.
+    :param percent: share of the work that is done, 0 to 100.
+    :param progressed_at: when the share last grew, or the start command was sent.
     """
 
     key: assignments.RunKey
@@ -47,7 +57,7 @@
     assignment: int = 0
     state: RunState = RunState.QUEUED
     token: int = 0
-    stop_since: float | None = None
+    stop_requested_at: float | None = None
     stop_sent_at: float = 0.0
     started_at: float = 0.0
     accepted_ms: int = 0
@@ -57,21 +67,24 @@
     @property
     def is_stopping(self) -> bool:
         """Whether the run must not start, or must stop."""
-        return self.stop_since is not None
+        return self.stop_requested_at is not None
 
 
 @attrs.define
 class Resources:
-    """What a worker offers, or what is in use of it."""
+    """Amounts of resources: the capacity of a worker, or the part in use.
+
+    :param cpu: thousandths of a core.
+    """
 
     cpu: int = 0
     memory_mb: int = 0
     gpu: int = 0
 
     def fits(self, used: Resources, run: Run) -> bool:
-        """Return whether a run fits beside what is in use.
+        """Return whether a run fits into the part of this capacity that is not in use.
 
-        :param used: what is in use.
+        :param used: resources in use.
         :param run: the run.
         """
         return (
@@ -81,7 +94,7 @@
         )
 
     def add(self, run: Run) -> None:
-        """Add what a run takes.
+        """Add the resources of a run.
 
         :param run: the run.
         """
@@ -92,35 +105,39 @@
 
 @attrs.define
 class RunTable:
-    """All runs of an agent by their key."""
+    """All runs of an agent that have not ended."""
 
-    by_key: dict[assignments.RunKey, Run] = attrs.field(factory=dict)
+    run_by_key: dict[assignments.RunKey, Run] = attrs.field(factory=dict)
 
     def queued(self) -> Iterator[Run]:
-        """Yield the runs that wait."""
-        return (run for run in self.by_key.values() if run.state is RunState.QUEUED)
+        """Yield the runs that wait for their start."""
+        return (run for run in self.run_by_key.values() if run.state is RunState.QUEUED)
 
-    def ordered(self) -> Iterator[Run]:
-        """Yield the runs that the worker was told to start and that may exist there."""
-        return (run for run in self.by_key.values() if run.state is not RunState.QUEUED)
+    def dispatched(self) -> Iterator[Run]:
+        """Yield the runs whose start command was sent and that may exist."""
+        return (
+            run for run in self.run_by_key.values() if run.state is not RunState.QUEUED
+        )
 
-    def of_owner(self, owner: str) -> list[Run]:
+    def owned_by(self, owner: str) -> list[Run]:
         """Return the runs of an entry host.
 
-        :param owner: its name.
+        :param owner: name of the entry host.
         """
-        return [run for run in self.by_key.values() if run.owner == owner]
+        return [run for run in self.run_by_key.values() if run.owner == owner]
 
     def used(self) -> Resources:
-        """Return the room of all runs that may exist at the worker."""
+        """Return the resources of all runs that may exist at the worker."""
         used = Resources()
-        for run in self.ordered():
+        for run in self.dispatched():
             used.add(run)
         return used
 
-    def find_task(self, task: assignments.TaskKey) -> Run | None:
+    def find_by_task(self, task: assignments.TaskKey) -> Run | None:
         """Return the run of a task, or ``None``.
 
-        :param task: name of the task.
+        :param task: key of the task.
         """
-        return next((run for key, run in self.by_key.items() if key.task == task), None)
+        return next(
+            (run for key, run in self.run_by_key.items() if key.task == task), None
+        )
--- a/src/burdockgate/process/supervisor.py
+++ b/src/burdockgate/process/supervisor.py
@@ -1,7 +1,8 @@
-"""What an agent knows of the worker beside it, and the commands that it gives.
+"""Tracks the state of an agent's worker and of the runs dispatched to it.
 
-A run counts as taking room from the moment its start command is sent until the worker
-lists its end or its lease has provably lapsed.
+A run occupies capacity from the moment its start command is sent until the worker
+lists its end or the run provably does not exist: the worker was replaced or does not
+list it any more, the start command is fenced off, or the lease has expired.
 """
 
 from __future__ import annotations
@@ -28,37 +29,59 @@
     workercontrol.EndReason.OTHER: assignments.EndKind.LOST,
 }
 
-# Weight of the progress of one overdue run. It is sampled at every tick, ten times a
-# second, so that a run that is slow by itself shows after some of them.
+# Weight of one sample of the speed of an overdue run. Samples are taken at every tick,
+# ten times a second, so that a single slow run shows in the speed after a few of them.
 OVERDUE_WEIGHT = 0.34
 
 
 @attrs.define
 class WorkerIncarnation:
-    """What is known of one life of the worker."""
+    """State of the worker since its last start; times in seconds of the agent's clock.
+
+    :param heartbeat: the newest heartbeat.
+    :param clock_ms: newest known reading of the worker's clock.
+    :param clock_read_at: when that reading arrived.
+    :param last_processed_end: number of the last end processed; the next poll
+        acknowledges it.
+    :param last_answer_at: when the worker last answered a command or a poll.
+    :param lease_extended_at: when a command that can extend the lease was last sent.
+    :param stop_sent_at_by_foreign_run: when a stop was last sent to each run that the
+        worker lists and this agent does not know, such as one of the agent's previous
+        process.
+    :param first_token: first token drawn for this incarnation. Once the worker has
+        accepted a poll with it, every earlier command is fenced off.
+    :param is_synchronized: whether the runs at the worker are fully known, so that
+        tasks can be assigned.
+    :param is_refusing_polls: whether the worker refused a poll as unhealthy since its
+        last snapshot.
+    :param is_poll_failing: whether the last poll returned no snapshot.
+    :param poll_unanswered_at: when a poll last got no answer.
+    """
 
-    told: workercontrol.WorkerHeartbeat
+    heartbeat: workercontrol.WorkerHeartbeat
     clock_ms: int
-    clock_at: float
-    processed_end: int = 0
-    answered_at: float = 0.0
-    extended_at: float = -1e9
-    # Runs of an earlier life of the agent that the worker still lists.
-    foreign: dict[assignments.RunKey, float] = attrs.field(factory=dict)
-    # A poll with this token has made all commands to an earlier life void.
+    clock_read_at: float
+    last_processed_end: int = 0
+    last_answer_at: float = 0.0
+    lease_extended_at: float = -1e9
+    stop_sent_at_by_foreign_run: dict[assignments.RunKey, float] = attrs.field(
+        factory=dict
+    )
     first_token: int = 0
     is_synchronized: bool = False
-    is_refusing: bool = False
-    # The last poll had no lists for an answer.
+    is_refusing_polls: bool = False
     is_poll_failing: bool = False
     poll_unanswered_at: float = -1e9
 
 
 class Supervisor(abc.ABC):
-    """Orders to the worker; all methods but queries are generators of effects.
+    """Sends commands to the worker and handles its answers, lists and heartbeats.
+
+    A method that returns an iterator of effects is a generator: it acts only while the
+    caller iterates over it and performs the effects.
 
     :param settings: time limits.
-    :param time: a clock that counts suspensions.
+    :param time: a clock that goes on while the machine is suspended.
     """
 
     def __init__(
@@ -70,94 +93,110 @@
         self._runs = runs.RunTable()
         self._health = workerhealth.WorkerHealth()
         self._token = 0
-        self.is_leaving = False
-        self._was_lapsed = False
+        self.is_draining = False
+        self._is_lease_expired = False
 
     @abc.abstractmethod
-    def _fill(self) -> Iterator[executoractions.Effect]:
-        """Start what waits and fits."""
+    def _start_queued(self) -> Iterator[executoractions.Effect]:
+        """Start the queued runs that fit into the free capacity."""
 
     @abc.abstractmethod
     def _return_queued(self, reason: str) -> Iterator[executoractions.Effect]:
-        """Return what waits to its owners."""
+        """Return all queued runs to their owners.
+
+        :param reason: reason for the log.
+        """
 
     @abc.abstractmethod
-    def _return(
+    def _return_run(
         self, run: runs.Run, reason: str, next_run: int | None = None
     ) -> Iterator[executoractions.Effect]:
-        """Return a run that never started."""
+        """End a run that never started, so that its owner assigns it elsewhere.
+
+        :param next_run: smallest number for the next run of the task; by default the
+            number after this run.
+        """
 
     @abc.abstractmethod
-    def _end(
+    def _end_run(
         self,
         run: runs.Run,
         kind: assignments.EndKind,
         reason: str,
         next_run: int | None = None,
     ) -> Iterator[executoractions.Effect]:
-        """Forget a run and tell its owner how it ended."""
+        """Remove a run and report its end to its owner.
+
+        :param next_run: smallest number for the next run of the task; by default the
+            number after this run.
+        """
 
     def handle_heartbeat(
-        self, told: workercontrol.WorkerHeartbeat
+        self, heartbeat: workercontrol.WorkerHeartbeat
     ) -> Iterator[executoractions.Effect]:
         """Handle a heartbeat of the worker.
 
-        :param told: what it says of itself.
+        :param heartbeat: the heartbeat.
         """
         now, worker = self._time.now(), self._worker
         if worker is not None:
-            known = worker.told
-            if told.born < known.born:
+            known = worker.heartbeat
+            if heartbeat.born < known.born:
                 yield actions.LogEvent(
-                    "heartbeat.stale", {"born": told.born, "known": known.born}
+                    "heartbeat.stale", {"born": heartbeat.born, "known": known.born}
                 )
                 return
-            if (told.worker, told.born) == (known.worker, known.born):
-                if told.sequence > known.sequence:
-                    worker.told = told
-                    if told.is_draining != known.is_draining:
+            if (heartbeat.worker, heartbeat.born) == (known.worker, known.born):
+                if heartbeat.sequence > known.sequence:
+                    worker.heartbeat = heartbeat
+                    if heartbeat.is_draining != known.is_draining:
                         yield actions.LogEvent(
-                            "worker.draining", {"worker": told.worker}
+                            "worker.draining", {"worker": heartbeat.worker}
                         )
                         yield from self._return_queued("worker draining")
                 return
-        yield from self._adopt(told, now)
+        yield from self._adopt_worker(heartbeat, now)
 
-    def _adopt(
-        self, told: workercontrol.WorkerHeartbeat, now: float
+    def _adopt_worker(
+        self, heartbeat: workercontrol.WorkerHeartbeat, now: float
     ) -> Iterator[executoractions.Effect]:
-        """Begin with a new life of the worker."""
+        """Reset the state for another worker or a new incarnation of the same one."""
         yield actions.LogEvent(
-            "worker.adopted", {"worker": told.worker, "born": told.born}
+            "worker.adopted", {"worker": heartbeat.worker, "born": heartbeat.born}
+        )
+        previous = self._worker
+        self._worker = WorkerIncarnation(
+            heartbeat, heartbeat.clock_ms, now, last_answer_at=now
         )
-        before = self._worker
-        self._worker = WorkerIncarnation(told, told.clock_ms, now, answered_at=now)
         self._health = workerhealth.WorkerHealth()
-        for run in list(self._runs.ordered()):
-            if before is not None and before.told.worker == told.worker:
-                # A command may have reached the new life under the old identifier.
+        for run in list(self._runs.dispatched()):
+            if previous is not None and previous.heartbeat.worker == heartbeat.worker:
+                # Commands name only the identifier of the worker, so a start may have
+                # reached the new incarnation.
                 run.state = runs.RunState.UNCERTAIN
             else:
-                yield from self._end(run, assignments.EndKind.LOST, "worker replaced")
-        # The worker's clock only grows in one life, so it exceeds every token that an
-        # earlier life of this agent has drawn from it.
-        self._token = max(self._token + 1, told.clock_ms)
+                yield from self._end_run(
+                    run, assignments.EndKind.LOST, "worker replaced"
+                )
+        # The worker's clock is monotonic within one incarnation, so it exceeds every
+        # token that a previous process of this agent derived from it.
+        self._token = max(self._token + 1, heartbeat.clock_ms)
         self._worker.first_token = self._token
         yield from self._poll_now()
 
     def worker_info(self) -> assignments.WorkerInfo | None:
-        """Return what entry hosts are told of the worker, if one is known."""
+        """Return the facts about the worker for entry hosts, if a worker is known."""
         if self._worker is None:
             return None
-        told = self._worker.told
+        heartbeat = self._worker.heartbeat
         return assignments.WorkerInfo(
-            told.worker,
-            told.born,
-            told.service,
-            told.cpu,
-            told.memory_mb,
-            told.gpu,
-            told.labels,
+            heartbeat.worker,
+            heartbeat.born,
+            heartbeat.service,
+            heartbeat.cpu,
+            heartbeat.memory_mb,
+            heartbeat.gpu,
+            heartbeat.labels,
         )
 
     def worker_state(self) -> assignments.WorkerState:
@@ -165,25 +204,25 @@
         worker, now = self._worker, self._time.now()
         if worker is None or not worker.is_synchronized:
             return assignments.WorkerState.UNREACHABLE
-        if self.is_leaving or worker.told.is_draining:
+        if self.is_draining or worker.heartbeat.is_draining:
             return assignments.WorkerState.DRAINING
-        if now - worker.answered_at > self._settings.silence_s:
+        if now - worker.last_answer_at > self._settings.unreachable_after_s:
             return assignments.WorkerState.UNREACHABLE
-        if worker.is_refusing:
+        if worker.is_refusing_polls:
             return assignments.WorkerState.EJECTED
         return self._health.state(now)
 
     @property
     def running_count(self) -> int:
-        """Number of runs that may exist at the worker."""
-        return sum(1 for _ in self._runs.ordered())
+        """Number of dispatched runs, which may exist at the worker."""
+        return sum(1 for _ in self._runs.dispatched())
 
-    def _start(
+    def _start_run(
         self, run: runs.Run, worker: WorkerIncarnation, now: float
     ) -> Iterator[executoractions.Effect]:
         run.state, run.token = runs.RunState.STARTING, self._token
         run.started_at = run.progressed_at = now
-        worker.extended_at = now
+        worker.lease_extended_at = now
         yield actions.LogEvent(
             "run.starting",
             {
@@ -194,7 +233,7 @@
         )
         yield executoractions.Start(
             workercontrol.StartCommand(
-                worker.told.worker,
+                worker.heartbeat.worker,
                 run.key,
                 run.spec,
                 self._lease_until_ms(worker, now),
@@ -203,45 +242,46 @@
         )
 
     def _lease_until_ms(self, worker: WorkerIncarnation, now: float) -> int:
-        worker_now = worker.clock_ms + (now - worker.clock_at) * 1000
+        """Return the end of a lease that begins now, on the worker's clock."""
+        worker_now = worker.clock_ms + (now - worker.clock_read_at) * 1000
         return int(worker_now + self._settings.worker_lease_s * 1000)
 
     def handle_start_result(
-        self, command: workercontrol.StartCommand, answer: workercontrol.CommandResult
+        self, command: workercontrol.StartCommand, result: workercontrol.CommandResult
     ) -> Iterator[executoractions.Effect]:
         """Handle the answer to a start command.
 
         :param command: the command.
-        :param answer: what the worker said, if anything.
+        :param result: the answer, or that there was none.
         """
-        run = self._runs.by_key.get(command.key)
+        run = self._runs.run_by_key.get(command.key)
         if run is None or run.state is not runs.RunState.STARTING:
             return
         if run.token != command.token:
             return
-        match answer:
+        match result:
             case workercontrol.Accepted(clock_ms):
-                self._heard(clock_ms)
+                self._record_answer(clock_ms)
                 run.state, run.accepted_ms = runs.RunState.RUNNING, clock_ms
                 if run.is_stopping:
-                    yield from self._command_stop(run)
+                    yield from self._send_stop(run)
             case workercontrol.Refused(reason, clock_ms):
-                self._heard(clock_ms)
-                yield from self._start_refused(run, reason, clock_ms)
-                yield from self._fill()
+                self._record_answer(clock_ms)
+                yield from self._handle_start_refusal(run, reason, clock_ms)
+                yield from self._start_queued()
             case workercontrol.Unanswered():
                 run.state = runs.RunState.UNCERTAIN
                 yield actions.LogEvent(
                     "run.uncertain", {"run": run.key, "token": run.token}
                 )
-                yield from self._raise_token()
+                yield from self._fence_commands()
 
-    def _start_refused(
+    def _handle_start_refusal(
         self, run: runs.Run, reason: workercontrol.Refusal, clock_ms: int
     ) -> Iterator[executoractions.Effect]:
         run.state = runs.RunState.QUEUED
         if run.is_stopping:
-            yield from self._end(run, assignments.EndKind.RETURNED, "stopped")
+            yield from self._end_run(run, assignments.EndKind.RETURNED, "stopped")
         elif reason is workercontrol.Refusal.FENCED:
             if run.token >= self._token:
                 self._token = max(self._token + 1, clock_ms)
@@ -253,51 +293,55 @@
         else:
             if reason is workercontrol.Refusal.UNHEALTHY:
                 self._health.eject(self._time.now())
-            # The worker rejects every run up to one that it saw; how high that was is
-            # not known.
+            # The worker rejects run numbers up to the highest that it has seen of the
+            # task. That number is not known here, so that several are skipped.
             step = 16 if reason is workercontrol.Refusal.OLD_RUN else 1
-            yield from self._return(run, reason.value, run.key.run + step)
+            yield from self._return_run(run, reason.value, run.key.run + step)
+
+    def _fence_commands(self) -> Iterator[executoractions.Effect]:
+        """Raise the fencing token and poll at once.
 
-    def _raise_token(self) -> Iterator[executoractions.Effect]:
-        """Make every command under way harmless, and poll what the worker has."""
+        When the worker has accepted the poll, it rejects all commands that are still
+        in flight, and the snapshot shows which of them it carried out.
+        """
         worker = self._worker
         if worker is None:
             return
         self._token = max(self._token + 1, worker.clock_ms)
         yield from self._poll_now()
 
-    def _stop(self, run: runs.Run, reason: str) -> Iterator[executoractions.Effect]:
+    def _stop_run(self, run: runs.Run, reason: str) -> Iterator[executoractions.Effect]:
         if run.state is runs.RunState.QUEUED:
-            yield from self._end(run, assignments.EndKind.RETURNED, reason)
+            yield from self._end_run(run, assignments.EndKind.RETURNED, reason)
             return
         if run.is_stopping:
             return
-        run.stop_since = self._time.now()
+        run.stop_requested_at = self._time.now()
         yield actions.LogEvent("run.stopping", {"run": run.key, "reason": reason})
         if run.state is not runs.RunState.STARTING:
-            yield from self._command_stop(run)
+            yield from self._send_stop(run)
 
-    def _command_stop(self, run: runs.Run) -> Iterator[executoractions.Effect]:
+    def _send_stop(self, run: runs.Run) -> Iterator[executoractions.Effect]:
         worker = self._worker
         if worker is not None:
             run.stop_sent_at = self._time.now()
             yield executoractions.Stop(
-                workercontrol.StopCommand(worker.told.worker, run.key, self._token)
+                workercontrol.StopCommand(worker.heartbeat.worker, run.key, self._token)
             )
 
     def handle_stop_result(
-        self, command: workercontrol.StopCommand, answer: workercontrol.CommandResult
+        self, command: workercontrol.StopCommand, result: workercontrol.CommandResult
     ) -> Iterator[executoractions.Effect]:
-        """Handle the answer to a stop command; the end itself is listed later.
+        """Handle the answer to a stop command; a later snapshot lists the end itself.
 
         :param command: the command.
-        :param answer: what the worker said, if anything.
+        :param result: the answer, or that there was none.
         """
-        if isinstance(answer, workercontrol.Refused) and (
-            answer.reason is workercontrol.Refusal.FENCED
+        if isinstance(result, workercontrol.Refused) and (
+            result.reason is workercontrol.Refusal.FENCED
             and command.token >= self._token
         ):
-            self._token = max(self._token + 1, answer.clock_ms)
+            self._token = max(self._token + 1, result.clock_ms)
             yield actions.LogEvent(
                 "token.raised", {"token": self._token, "reason": "fenced stop"}
             )
@@ -307,227 +351,265 @@
         settings, worker = self._settings, self._worker
         if worker is None:
             return None
-        is_lossy = (
+        is_short = (
             self._time.now() - worker.poll_unanswered_at < settings.short_poll_period_s
         )
-        return self._poll(
-            settings.lossy_poll_wait_s if is_lossy else settings.poll_wait_s
+        return self._poll_command(
+            settings.short_poll_wait_s if is_short else settings.poll_wait_s
         )
 
-    def _poll(self, wait_s: float) -> workercontrol.PollCommand | None:
+    def _poll_command(self, wait_s: float) -> workercontrol.PollCommand | None:
         worker, now = self._worker, self._time.now()
         if worker is None:
             return None
-        # A worker that does not answer must be let lapse: its runs are known to be
-        # gone one lease after the last command that could extend it.
-        is_silent = now - worker.answered_at > self._settings.silence_s
+        # The lease of a worker that does not answer must expire: its runs are known to
+        # be gone one lease after the last command that could extend it.
+        is_silent = now - worker.last_answer_at > self._settings.unreachable_after_s
         lease_until_ms = None
         if not is_silent and not self._is_stop_overdue(now):
             lease_until_ms = self._lease_until_ms(worker, now)
-            worker.extended_at = now
+            worker.lease_extended_at = now
         return workercontrol.PollCommand(
-            worker.told.worker,
+            worker.heartbeat.worker,
             self._token,
-            worker.processed_end,
+            worker.last_processed_end,
             lease_until_ms,
             0 if is_silent else int(wait_s * 1000),
         )
 
     def _is_stop_overdue(self, now: float) -> bool:
-        """Return whether a run that must end resists; then the whole lease lapses."""
+        """Return whether a run still exists long after its stop was requested.
+
+        Polls then no longer extend the lease of the worker, so that it ends all runs.
+        """
         limit_s = 2 * self._settings.stop_repeat_s
         return any(
-            run.stop_since is not None and now - run.stop_since > limit_s
-            for run in self._runs.ordered()
+            run.stop_requested_at is not None and now - run.stop_requested_at > limit_s
+            for run in self._runs.dispatched()
         )
 
     def _poll_now(self) -> Iterator[executoractions.Effect]:
-        command = self._poll(0.0)
+        command = self._poll_command(0.0)
         if command is not None:
             yield executoractions.Poll(command)
 
     def handle_poll_result(
-        self, command: workercontrol.PollCommand, answer: workercontrol.PollResult
+        self, command: workercontrol.PollCommand, result: workercontrol.PollResult
     ) -> Iterator[executoractions.Effect]:
         """Handle the answer to a poll.
 
-        :param command: the command.
-        :param answer: the lists, or why there are none.
+        :param command: the poll.
+        :param result: the lists of runs, or why there are none.
         """
         worker = self._worker
-        if worker is None or command.worker != worker.told.worker:
+        if worker is None or command.worker != worker.heartbeat.worker:
             return
-        if isinstance(answer, workercontrol.Snapshot):
-            yield from self._snapshot(worker, command, answer)
+        if isinstance(result, workercontrol.Snapshot):
+            yield from self._apply_snapshot(worker, command, result)
             return
         if not worker.is_poll_failing:
             worker.is_poll_failing = True
-            yield actions.LogEvent("worker.lost", {"reason": _reason(answer)})
-        match answer:
+            yield actions.LogEvent("worker.lost", {"reason": _poll_failure(result)})
+        match result:
             case workercontrol.Refused(workercontrol.Refusal.FENCED, clock_ms):
-                self._heard(clock_ms)
+                self._record_answer(clock_ms)
                 if command.token >= self._token:
                     self._token = max(self._token + 1, clock_ms)
                     yield actions.LogEvent(
                         "token.raised", {"token": self._token, "reason": "fenced look"}
                     )
             case workercontrol.Refused(workercontrol.Refusal.UNHEALTHY, _):
-                worker.is_refusing = True
+                worker.is_refusing_polls = True
             case workercontrol.Unanswered():
                 worker.poll_unanswered_at = self._time.now()
 
-    def _snapshot(
+    def _apply_snapshot(
         self,
         worker: WorkerIncarnation,
         command: workercontrol.PollCommand,
-        seen: workercontrol.Snapshot,
+        snapshot: workercontrol.Snapshot,
     ) -> Iterator[executoractions.Effect]:
-        if seen.born > worker.told.born:
-            # A new life that has not sent a heartbeat yet.
-            told = attrs.evolve(
-                worker.told, born=seen.born, sequence=-1, clock_ms=seen.clock_ms
+        if snapshot.born > worker.heartbeat.born:
+            # The worker has restarted and has not sent a heartbeat since.
+            heartbeat = attrs.evolve(
+                worker.heartbeat,
+                born=snapshot.born,
+                sequence=-1,
+                clock_ms=snapshot.clock_ms,
             )
-            yield from self._adopt(told, self._time.now())
+            yield from self._adopt_worker(heartbeat, self._time.now())
             return
-        if seen.born < worker.told.born or seen.clock_ms < worker.clock_ms:
-            # An earlier life of the worker, or an answer that a later one overtook.
+        if snapshot.born < worker.heartbeat.born or snapshot.clock_ms < worker.clock_ms:
+            # An earlier incarnation answered, or a later answer overtook this one.
             return
-        self._heard(seen.clock_ms)
-        worker.is_refusing = False
+        self._record_answer(snapshot.clock_ms)
+        worker.is_refusing_polls = False
         if worker.is_poll_failing:
             worker.is_poll_failing = False
-            yield actions.LogEvent("worker.regained", {"worker": worker.told.worker})
-        if seen.unreadable:
-            yield actions.LogEvent("worker.unreadable", {"entries": seen.unreadable})
-        ended = list(self._finish_listed(worker, seen))
+            yield actions.LogEvent(
+                "worker.regained", {"worker": worker.heartbeat.worker}
+            )
+        if snapshot.unreadable:
+            yield actions.LogEvent(
+                "worker.unreadable", {"entries": snapshot.unreadable}
+            )
+        ended = list(self._end_finished(worker, snapshot))
         yield from ended
-        yield from self._note_running(worker, seen)
-        yield from self._resolve_missing(command, seen)
+        yield from self._update_running(worker, snapshot)
+        yield from self._resolve_unlisted(command, snapshot)
         is_current = command.token >= worker.first_token
-        if is_current and not worker.foreign and not worker.is_synchronized:
+        if (
+            is_current
+            and not worker.stop_sent_at_by_foreign_run
+            and not worker.is_synchronized
+        ):
             worker.is_synchronized = True
-            yield actions.LogEvent("worker.ready", {"worker": worker.told.worker})
-        yield from self._fill()
+            yield actions.LogEvent("worker.ready", {"worker": worker.heartbeat.worker})
+        yield from self._start_queued()
+
+    def _record_answer(self, clock_ms: int) -> None:
+        """Record that the worker answered, unless a later answer overtook this one.
 
-    def _heard(self, clock_ms: int) -> None:
+        :param clock_ms: the worker's clock in the answer.
+        """
         worker = self._worker
         if worker is not None and clock_ms >= worker.clock_ms:
             worker.clock_ms = clock_ms
-            worker.clock_at = worker.answered_at = self._time.now()
+            worker.clock_read_at = worker.last_answer_at = self._time.now()
 
-    def _finish_listed(
-        self, worker: WorkerIncarnation, seen: workercontrol.Snapshot
+    def _end_finished(
+        self, worker: WorkerIncarnation, snapshot: workercontrol.Snapshot
     ) -> Iterator[executoractions.Effect]:
-        for entry in seen.finished:
-            if entry.number <= worker.processed_end:
+        """End the runs that the worker lists as finished."""
+        for entry in snapshot.finished:
+            if entry.number <= worker.last_processed_end:
                 continue
-            worker.processed_end = entry.number
-            worker.foreign.pop(entry.key, None)
-            run = self._runs.by_key.get(entry.key)
+            worker.last_processed_end = entry.number
+            worker.stop_sent_at_by_foreign_run.pop(entry.key, None)
+            run = self._runs.run_by_key.get(entry.key)
             if run is not None:
-                yield from self._end(run, _END_BY_REASON[entry.reason], "listed")
+                yield from self._end_run(run, _END_BY_REASON[entry.reason], "listed")
 
-    def _note_running(
-        self, worker: WorkerIncarnation, seen: workercontrol.Snapshot
+    def _update_running(
+        self, worker: WorkerIncarnation, snapshot: workercontrol.Snapshot
     ) -> Iterator[executoractions.Effect]:
+        """Update the runs that the worker lists as running, and stop foreign ones."""
         now = self._time.now()
-        listed = {entry.key for entry in seen.running}
-        for key in [key for key in worker.foreign if key not in listed]:
-            del worker.foreign[key]
-        for entry in seen.running:
-            run = self._runs.by_key.get(entry.key)
+        listed = {entry.key for entry in snapshot.running}
+        for key in [
+            key for key in worker.stop_sent_at_by_foreign_run if key not in listed
+        ]:
+            del worker.stop_sent_at_by_foreign_run[key]
+        for entry in snapshot.running:
+            run = self._runs.run_by_key.get(entry.key)
             if run is None or run.state is runs.RunState.QUEUED:
                 yield from self._stop_foreign(worker, entry.key, now)
                 continue
             if run.state is not runs.RunState.RUNNING:
-                run.state, run.accepted_ms = runs.RunState.RUNNING, seen.clock_ms
+                run.state, run.accepted_ms = runs.RunState.RUNNING, snapshot.clock_ms
                 if run.is_stopping:
-                    yield from self._command_stop(run)
+                    yield from self._send_stop(run)
             if entry.percent > run.percent:
                 run.percent, run.progressed_at = entry.percent, now
 
     def _stop_foreign(
         self, worker: WorkerIncarnation, key: assignments.RunKey, now: float
     ) -> Iterator[executoractions.Effect]:
-        sent_at = worker.foreign.get(key, -1e9)
+        sent_at = worker.stop_sent_at_by_foreign_run.get(key, -1e9)
         if now - sent_at >= self._settings.stop_repeat_s:
-            worker.foreign[key] = now
+            worker.stop_sent_at_by_foreign_run[key] = now
             yield actions.LogEvent("run.foreign", {"run": key})
             yield executoractions.Stop(
-                workercontrol.StopCommand(worker.told.worker, key, self._token)
+                workercontrol.StopCommand(worker.heartbeat.worker, key, self._token)
             )
 
-    def _resolve_missing(
-        self, command: workercontrol.PollCommand, seen: workercontrol.Snapshot
+    def _resolve_unlisted(
+        self, command: workercontrol.PollCommand, snapshot: workercontrol.Snapshot
     ) -> Iterator[executoractions.Effect]:
-        """Settle runs that a current list does not show."""
-        listed = {entry.key for entry in seen.running}
-        for run in list(self._runs.ordered()):
+        """Requeue or end dispatched runs that the worker does not list as running."""
+        listed = {entry.key for entry in snapshot.running}
+        for run in list(self._runs.dispatched()):
             if run.key in listed:
                 continue
             if run.state is runs.RunState.UNCERTAIN and run.token < command.token:
-                # The worker has confirmed a higher token: the command is void.
+                # The worker has confirmed a higher token, so that it rejects the start
+                # command if that is still in flight.
                 if run.accepted_ms:
-                    yield from self._end(run, assignments.EndKind.LOST, "fenced off")
+                    yield from self._end_run(
+                        run, assignments.EndKind.LOST, "fenced off"
+                    )
                 elif run.is_stopping:
-                    yield from self._return(run, "fenced off")
+                    yield from self._return_run(run, "fenced off")
                 else:
                     run.state = runs.RunState.QUEUED
                     yield actions.LogEvent(
                         "run.requeued", {"run": run.key, "token": command.token}
                     )
-            elif run.state is runs.RunState.RUNNING and run.accepted_ms < seen.clock_ms:
-                yield from self._end(run, assignments.EndKind.LOST, "not listed")
-
-    def _attend(self, run: runs.Run, now: float) -> Iterator[executoractions.Effect]:
+            elif (
+                run.state is runs.RunState.RUNNING
+                and run.accepted_ms < snapshot.clock_ms
+            ):
+                yield from self._end_run(run, assignments.EndKind.LOST, "not listed")
+
+    def _check_run(self, run: runs.Run, now: float) -> Iterator[executoractions.Effect]:
+        """Repeat a stop without effect, or sample the speed of an overdue run."""
         if run.is_stopping and run.state is not runs.RunState.STARTING:
             if now - run.stop_sent_at >= self._settings.stop_repeat_s:
-                yield from self._command_stop(run)
+                yield from self._send_stop(run)
         elif run.state is runs.RunState.RUNNING and run.estimate_s > 0:
             ran_s = now - run.started_at
             if ran_s > 2 * run.estimate_s and run.percent < 100:
-                self._sample_running(run, ran_s, now)
+                self._sample_overdue_run(run, ran_s, now)
 
-    def _sample_running(self, run: runs.Run, ran_s: float, now: float) -> None:
-        """Take the speed from the progress of a run that is already overdue."""
+    def _sample_overdue_run(self, run: runs.Run, ran_s: float, now: float) -> None:
+        """Lower the speed of the worker if an overdue run progresses more slowly."""
         sampled = self._health.current_speed(now)
         speed = max(run.percent, 1) / 100 * run.estimate_s / ran_s
         if speed < sampled:
             weight = OVERDUE_WEIGHT
-            self._health.sample(sampled ** (1 - weight) * speed**weight, now)
+            self._health.record_speed(sampled ** (1 - weight) * speed**weight, now)
 
     def _expire_lease(
         self, worker: WorkerIncarnation, now: float
     ) -> Iterator[executoractions.Effect]:
-        lapse_s = self._settings.worker_lease_s * (1 + self._settings.clock_drift)
-        is_lapsed = now - worker.extended_at > lapse_s + self._settings.stop_repeat_s
-        if is_lapsed:
-            for run in list(self._runs.ordered()):
-                # A command that is carried out late has a lease that lapsed too, and
-                # the next poll that extends the lease carries a higher token.
+        """End the dispatched runs once the lease of the worker has expired."""
+        lease_s = self._settings.worker_lease_s * (1 + self._settings.clock_drift)
+        is_expired = (
+            now - worker.lease_extended_at > lease_s + self._settings.stop_repeat_s
+        )
+        if is_expired:
+            for run in list(self._runs.dispatched()):
+                # This holds for uncertain runs too: a start command that is carried
+                # out late has an expired lease, and the next poll that extends the
+                # lease carries a higher token.
                 if run.state is not runs.RunState.STARTING:
-                    yield from self._end(run, assignments.EndKind.LOST, "lease lapsed")
-        if is_lapsed and not self._was_lapsed:
-            yield actions.LogEvent("worker.unreachable", {"worker": worker.told.worker})
+                    yield from self._end_run(
+                        run, assignments.EndKind.LOST, "lease lapsed"
+                    )
+        if is_expired and not self._is_lease_expired:
+            yield actions.LogEvent(
+                "worker.unreachable", {"worker": worker.heartbeat.worker}
+            )
             yield from self._return_queued("worker unreachable")
-        self._was_lapsed = is_lapsed
+        self._is_lease_expired = is_expired
 
-    def _check_stall(self, now: float) -> Iterator[executoractions.Effect]:
+    def _check_for_stall(self, now: float) -> Iterator[executoractions.Effect]:
+        """Eject the worker and stop its runs when none of them makes progress."""
         running = [
-            run for run in self._runs.ordered() if run.state is runs.RunState.RUNNING
+            run for run in self._runs.dispatched() if run.state is runs.RunState.RUNNING
         ]
         if running and all(
-            now - run.progressed_at > self._health.stall_s(run.estimate_s)
+            now - run.progressed_at > self._health.stall_limit_s(run.estimate_s)
             for run in running
         ):
             if self._health.eject(now):
                 yield actions.LogEvent("worker.stalled", {"runs": len(running)})
                 yield from self._return_queued("worker stalled")
             for run in running:
-                yield from self._stop(run, "stalled")
+                yield from self._stop_run(run, "stalled")
 
 
-def _reason(answer: workercontrol.Refused | workercontrol.Unanswered) -> str:
-    if isinstance(answer, workercontrol.Refused):
-        return answer.reason.value
+def _poll_failure(result: workercontrol.Refused | workercontrol.Unanswered) -> str:
+    if isinstance(result, workercontrol.Refused):
+        return result.reason.value
     return "no answer"
--- a/src/burdockgate/process/workerhealth.py
+++ b/src/burdockgate/process/workerhealth.py
@@ -1,4 +1,4 @@
-"""Evidence about the worker beside an agent: speed, failures and stalls."""
+"""Health of an agent's worker: its speed, and its ejection after failures or stalls."""
 
 from __future__ import annotations
 
@@ -6,89 +6,94 @@
 
 from burdockgate import assignments
 
-# Tasks of this many different jobs must fail in a row: a job that can never be done
-# fails on every worker and says nothing about this one.
+# Number of different jobs whose tasks must fail without a success between them. A job
+# that always fails does so on every worker and is no sign of a bad one.
 FAILED_JOBS_TO_EJECT = 2
 FIRST_EJECTION_S = 1.0
-# Trials cost a caller one failed attempt each, so they become rare on a worker that
-# stays bad.
+# The ejection time doubles up to this limit while trials fail, because each failed
+# trial costs a caller one attempt.
 MAX_EJECTION_S = 4.0
-# A worker reports progress in whole percent. A task ten times as long as its estimate
-# shows one percent in a tenth of the estimate.
+# A worker reports progress in whole percent. A task that runs ten times as long as its
+# estimate gains one percent in a tenth of the estimate.
 STALL_MIN_S = 0.5
 STALL_ESTIMATE_SHARE = 0.2
-# Weight of a new observation. Estimates are 40% off, so one sample must not decide.
+# Weight of a new sample. Estimates are off by 40%, so that one sample proves little.
 SPEED_WEIGHT = 0.25
-# The tail of long tasks must not pass for a slow worker.
+# Bounds of a sample, so that single tasks of extreme length do not make a worker look
+# slow.
 SPEED_BOUNDS = (0.1, 2.0)
-# Without samples the speed returns towards 1, so that a recovered worker is tried.
-SPEED_RECOVERY_S = 6.0
+# Without samples the speed returns to 1, so that a recovered worker gets tasks again.
+SPEED_HALF_LIFE_S = 6.0
 
 
 @attrs.define
 class WorkerHealth:
-    """Speed and health of one life of a worker; times in seconds."""
+    """Speed and health of one incarnation of a worker; times in seconds.
+
+    :param speed: speed against the estimates after the last sample; 1 where they are
+        right.
+    """
 
     speed: float = 1.0
     _sampled_at: float = 0.0
     _failed_jobs: set[str] = attrs.field(factory=set)
     _ejected_until: float = 0.0
     _ejection_s: float = FIRST_EJECTION_S
-    _is_on_trial: bool = False
+    _is_on_probation: bool = False
 
     def state(self, now: float) -> assignments.WorkerState:
-        """Return whether the worker may be given tasks.
+        """Return whether the worker is ready, ejected or on probation.
 
         :param now: the time in seconds.
         """
         if now < self._ejected_until:
             return assignments.WorkerState.EJECTED
-        if self._is_on_trial:
+        if self._is_on_probation:
             return assignments.WorkerState.PROBATION
         return assignments.WorkerState.READY
 
     def record_success(self, ran_s: float, estimate_s: float, now: float) -> None:
-        """Note a task that ended well.
+        """Record a task that succeeded; ends a probation.
 
-        :param ran_s: how long it ran.
-        :param estimate_s: how long it should have run.
+        :param ran_s: run time in seconds.
+        :param estimate_s: estimated run time.
         :param now: the time.
         """
         self._failed_jobs.clear()
-        self._is_on_trial = False
+        self._is_on_probation = False
         self._ejection_s = FIRST_EJECTION_S
-        self.sample(estimate_s / max(ran_s, 0.001), now)
+        self.record_speed(estimate_s / max(ran_s, 0.001), now)
 
     def record_failure(self, job: str, now: float) -> bool:
-        """Note a task that failed.
+        """Record a task that failed.
 
-        :param job: its job.
+        :param job: identifier of its job.
         :param now: the time.
-        :returns: whether this ejects the worker.
+        :returns: whether the worker is ejected for it.
         """
         self._failed_jobs.add(job)
-        if self._is_on_trial or len(self._failed_jobs) >= FAILED_JOBS_TO_EJECT:
+        if self._is_on_probation or len(self._failed_jobs) >= FAILED_JOBS_TO_EJECT:
             return self.eject(now)
         return False
 
     def eject(self, now: float) -> bool:
-        """Keep new tasks away for a time, then allow a trial.
+        """Eject the worker for a time; it is on probation afterwards.
 
         :param now: the time.
-        :returns: whether the worker was not ejected before.
+        :returns: ``False`` if the worker is already ejected.
         """
         if now < self._ejected_until:
             return False
         self._ejected_until = now + self._ejection_s
         self._ejection_s = min(2 * self._ejection_s, MAX_EJECTION_S)
-        self._is_on_trial = True
+        self._is_on_probation = True
         self._failed_jobs.clear()
         return True
 
-    def sample(self, speed: float, now: float) -> None:
-        """Note an observation of the speed.
+    def record_speed(self, speed: float, now: float) -> None:
+        """Include a sample in the speed.
 
-        :param speed: work done per time, 1 where the estimates are right.
+        :param speed: speed against the estimates; 1 where they are right.
         :param now: the time.
         """
         low, high = SPEED_BOUNDS
@@ -99,18 +104,18 @@
         self._sampled_at = now
 
     def current_speed(self, now: float) -> float:
-        """Return the speed; it returns to 1 when there are no observations.
+        """Return the speed against the estimates; returns to 1 without samples.
 
         :param now: the time.
         """
         age = max(0.0, now - self._sampled_at)
-        weight: float = 0.5 ** (age / SPEED_RECOVERY_S)
+        weight: float = 0.5 ** (age / SPEED_HALF_LIFE_S)
         return float(self.speed**weight)
 
     @staticmethod
-    def stall_s(estimate_s: float) -> float:
-        """Return how long a task may show no progress.
+    def stall_limit_s(estimate_s: float) -> float:
+        """Return how long a task may show no progress before it counts as stalled.
 
-        :param estimate_s: how long the task should run in all.
+        :param estimate_s: estimated run time of the whole task.
         """
         return STALL_MIN_S + STALL_ESTIMATE_SHARE * estimate_s
--- a/tests/test_agentdaemon.py
+++ b/tests/test_agentdaemon.py
@@ -1,4 +1,4 @@
-"""Guards the daemon around an agent's executor."""
+"""Tests the daemon that connects an executor with its worker."""
 
 import asyncio
 import random
@@ -6,13 +6,13 @@
 
 from burdockgate.process import agentdaemon, executoractions, workercontrol
 
-TOLD = workercontrol.WorkerHeartbeat(
+HEARTBEAT = workercontrol.WorkerHeartbeat(
     "w1", 5, "service", 8_000, 65_536, 0, ("a", "r1"), False, 1, 1_000
 )
 
 
 class LossyWorker:
-    """Answers no regular poll but those after the first."""
+    """A worker that never answers the first regular poll, and answers later ones."""
 
     def __init__(self):
         self.polls = []
@@ -32,15 +32,15 @@
         pass
 
 
-async def test_look_without_an_answer_does_not_hold_up_the_next():
-    """Ends of runs stayed unseen for half a second after each lost answer."""
+async def test_unanswered_poll_does_not_delay_the_next():
+    """The end of a run went unnoticed for half a second after each lost answer."""
     limits = executoractions.ExecutorSettings(poll_wait_s=0.01, poll_repeat_s=0.01)
     settings = agentdaemon.AgentDaemonSettings("a1", "z1", (), 1.0, limits)
     worker = LossyWorker()
     store = mock.Mock(newest=mock.AsyncMock(side_effect=asyncio.CancelledError))
     daemon = agentdaemon.AgentDaemon(settings, worker, store, random.Random(1))
-    daemon.handle_heartbeat(TOLD)
-    polling = asyncio.create_task(daemon._poll())
+    daemon.handle_heartbeat(HEARTBEAT)
+    polling = asyncio.create_task(daemon._poll_forever())
     async with asyncio.timeout(10):
         command = await worker.answered
     assert command.worker == "w1"
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -1,4 +1,4 @@
-"""Guards the agent's decisions: leases, fencing tokens, late commands, restarts."""
+"""Tests the executor: leases, fencing tokens, late commands, restarts, load reports."""
 
 import attrs
 import pytest
@@ -11,16 +11,16 @@
 
 
 class Bench:
-    """An executor with a worker that is ready and one linked owner."""
+    """An executor with a worker that is ready and one connected entry host."""
 
     def __init__(self):
         self.time = clock.ManualClock(100.0)
         self.executor = executor.Executor(executoractions.ExecutorSettings(), self.time)
-        self.told = workercontrol.WorkerHeartbeat(
+        self.heartbeat = workercontrol.WorkerHeartbeat(
             "i-1", 1, "svc", 4000, 1000, 0, (), False, 1, 5000
         )
         self.clock_ms = 5000
-        list(self.executor.handle_heartbeat(self.told))
+        list(self.executor.handle_heartbeat(self.heartbeat))
         self.poll()
         list(self.executor.handle_entry_connected(OWNER, 77))
         self.renew()
@@ -53,13 +53,13 @@
     def poll(self, running=(), finished=(), born=1, command=None):
         command = command or self.executor.next_poll()
         self.clock_ms += 1
-        seen = workercontrol.Snapshot(
+        snapshot = workercontrol.Snapshot(
             self.clock_ms,
             born,
             tuple(workercontrol.RunningEntry(key, 1) for key in running),
             tuple(finished),
         )
-        return list(self.executor.handle_poll_result(command, seen))
+        return list(self.executor.handle_poll_result(command, snapshot))
 
     def accept(self, start):
         self.clock_ms += 1
@@ -79,8 +79,8 @@
     ]
 
 
-def test_run_starts_ends_and_frees_its_room():
-    """The plain path of one task."""
+def test_run_starts_ends_and_frees_its_capacity():
+    """A task is assigned, started, listed as done and reported to its owner."""
     bench = Bench()
     (start,) = _of(executoractions.Start, bench.assign(0))
     assert start.command.lease_until_ms == pytest.approx(6001, abs=2)
@@ -93,8 +93,8 @@
     assert bench.executor.next_poll().acknowledged == 1
 
 
-def test_tasks_beyond_the_room_are_returned_at_once():
-    """A task that waits at a full worker misses the free room of the others."""
+def test_tasks_beyond_the_capacity_are_returned_at_once():
+    """A task that waits at a full worker could run on another one."""
     bench = Bench()
     effects = bench.assign(0, 1, 2, 3, 4)
     assert len(_of(executoractions.Start, effects)) == 4
@@ -104,8 +104,8 @@
     assert (load.used_cpu, load.queued_cpu) == (4000, 0)
 
 
-def test_unanswered_start_keeps_its_room_until_a_higher_token_is_confirmed():
-    """The command may be carried out seconds later, unless it is fenced off."""
+def test_unanswered_start_keeps_its_capacity_until_a_higher_token_is_confirmed():
+    """The worker may carry the command out seconds later, unless it is fenced off."""
     bench = Bench()
     (start,) = _of(executoractions.Start, bench.assign(0))
     old_poll = bench.executor.next_poll()
@@ -114,7 +114,7 @@
         bench.executor.handle_start_result(start.command, workercontrol.Unanswered()),
     )
     assert poll.command.token > start.command.token
-    # A list from before the new token proves nothing.
+    # A snapshot of a poll with the old token proves nothing.
     assert _of(executoractions.Start, bench.poll(command=old_poll)) == []
     assert bench.executor.due_reports()[OWNER].used_cpu == 1000
     (again,) = _of(executoractions.Start, bench.poll(command=poll.command))
@@ -122,8 +122,8 @@
     assert again.command.token == poll.command.token
 
 
-def test_unanswered_start_that_was_carried_out_is_found_by_the_look():
-    """Starting it a second time would run the task twice."""
+def test_unanswered_start_that_was_carried_out_is_found_by_the_poll():
+    """A second start would run the task twice."""
     bench = Bench()
     (start,) = _of(executoractions.Start, bench.assign(0))
     (poll,) = _of(
@@ -137,8 +137,8 @@
     assert bench.executor.due_reports()[OWNER].used_cpu == 1000
 
 
-def test_buffered_assignment_of_a_lapsed_session_is_returned():
-    """After a freeze, messages that waited in the connection must not start."""
+def test_buffered_assignment_of_an_expired_session_is_returned():
+    """Assignments that were buffered while the agent was frozen must not start."""
     bench = Bench()
     bench.advance(0.8)
     effects = bench.assign(0)
@@ -148,7 +148,7 @@
 
 
 def test_old_echo_does_not_extend_the_session():
-    """A renewal that was held up proves nothing about the owner now."""
+    """A delayed renewal does not show that the entry host is alive now."""
     bench = Bench()
     sent_at = bench.executor.due_reports()[OWNER].sent_at_us
     bench.advance(2.0)
@@ -157,7 +157,7 @@
 
 
 def test_silent_owner_has_its_runs_stopped():
-    """Its caller sends the job elsewhere 1.3 s after the connection broke."""
+    """The caller submits the job elsewhere 1.3 s after its connection broke."""
     bench = Bench()
     (start,) = _of(executoractions.Start, bench.assign(0))
     bench.accept(start)
@@ -169,7 +169,7 @@
 
 
 def test_restarted_owner_has_its_runs_stopped():
-    """A new life of the entry host knows nothing of them."""
+    """The new process of the entry host does not know the runs of the old one."""
     bench = Bench()
     (start,) = _of(executoractions.Start, bench.assign(0))
     bench.accept(start)
@@ -179,8 +179,8 @@
     )
 
 
-def test_silent_worker_is_let_lapse_and_its_runs_are_lost_after_the_lease():
-    """A poll that extends the lease of an unreachable worker would keep it running."""
+def test_lease_of_a_silent_worker_expires_and_its_runs_are_lost():
+    """A poll that extended the lease of an unreachable worker would keep its runs."""
     bench = Bench()
     (start,) = _of(executoractions.Start, bench.assign(0))
     bench.accept(start)
@@ -198,21 +198,24 @@
 
 
 def test_lost_and_regained_worker_is_logged_once():
-    """One line for each change of a dependency, not one for each poll."""
+    """Each change of the worker's availability is logged, not each failed poll."""
     bench = Bench()
-    notes = []
+    logged = []
     for _ in range(3):
         command = bench.executor.next_poll()
-        notes += _of(
+        logged += _of(
             actions.LogEvent,
             bench.executor.handle_poll_result(command, workercontrol.Unanswered()),
         )
-    notes += _of(actions.LogEvent, bench.poll())
-    assert [note.event for note in notes] == ["worker.lost", "worker.regained"]
+    logged += _of(actions.LogEvent, bench.poll())
+    assert [effect.event for effect in logged] == [
+        "worker.lost",
+        "worker.regained",
+    ]
 
 
-def test_runs_of_an_earlier_agent_are_stopped_before_anything_starts():
-    """A restarted agent does not know what they take."""
+def test_runs_of_an_earlier_agent_process_are_stopped_before_others_start():
+    """A restarted agent does not know the resources of the runs it left behind."""
     bench = Bench()
     foreign = assignments.RunKey(assignments.TaskKey("other", 0, 0), 3)
     (stop,) = _of(executoractions.Stop, bench.poll(running=[foreign]))
@@ -221,51 +224,54 @@
     assert len(_of(executoractions.Start, bench.poll())) == 1
 
 
-def test_draining_worker_gets_nothing_and_its_queue_is_returned():
-    """A worker that leaves must get no new work."""
+def test_draining_worker_gets_no_task_and_its_queue_is_returned():
+    """A worker that shuts down must get no new task."""
     bench = Bench()
-    # What a run of an earlier agent takes is not known, so that tasks wait.
+    # The resources of a run of an earlier agent process are not known, so tasks wait.
     bench.poll(running=[assignments.RunKey(assignments.TaskKey("other", 0, 0), 3)])
     bench.assign(0)
-    draining = attrs.evolve(bench.told, is_draining=True, sequence=2)
+    draining = attrs.evolve(bench.heartbeat, is_draining=True, sequence=2)
     (end,) = _ends(bench.executor.handle_heartbeat(draining))
     assert end.kind is assignments.EndKind.RETURNED
     assert bench.executor.worker_state() is assignments.WorkerState.DRAINING
 
 
 def test_late_heartbeat_does_not_undo_a_later_one():
-    """A heartbeat that was held up must not make a draining worker ready."""
+    """A delayed heartbeat must not make a draining worker ready again."""
     bench = Bench()
     list(
         bench.executor.handle_heartbeat(
-            attrs.evolve(bench.told, is_draining=True, sequence=3)
+            attrs.evolve(bench.heartbeat, is_draining=True, sequence=3)
         )
     )
-    list(bench.executor.handle_heartbeat(attrs.evolve(bench.told, sequence=2)))
+    list(bench.executor.handle_heartbeat(attrs.evolve(bench.heartbeat, sequence=2)))
     assert bench.executor.worker_state() is assignments.WorkerState.DRAINING
 
 
-def test_heartbeat_of_an_earlier_life_is_ignored():
-    """It may arrive after a new life has registered at the same address."""
+def test_heartbeat_of_an_earlier_incarnation_is_ignored():
+    """It may arrive after a restarted worker has registered at the same address."""
     bench = Bench()
-    newer = attrs.evolve(bench.told, worker="i-2", born=9, sequence=1, clock_ms=10)
+    newer = attrs.evolve(bench.heartbeat, worker="i-2", born=9, sequence=1, clock_ms=10)
     list(bench.executor.handle_heartbeat(newer))
-    list(bench.executor.handle_heartbeat(attrs.evolve(bench.told, sequence=50)))
+    list(bench.executor.handle_heartbeat(attrs.evolve(bench.heartbeat, sequence=50)))
     assert bench.executor.worker_info().worker == "i-2"
 
 
-def test_replaced_worker_loses_its_runs_at_once():
-    """Orders name the intended worker, so the new one can't have them."""
+def test_runs_of_a_replaced_worker_are_lost_at_once():
+    """Commands name the intended worker, so the new one cannot have run them."""
     bench = Bench()
     (start,) = _of(executoractions.Start, bench.assign(0))
     bench.accept(start)
-    newer = attrs.evolve(bench.told, worker="i-2", born=9, clock_ms=10)
+    newer = attrs.evolve(bench.heartbeat, worker="i-2", born=9, clock_ms=10)
     (end,) = _ends(bench.executor.handle_heartbeat(newer))
     assert end.kind is assignments.EndKind.LOST
 
 
-def test_restart_under_the_same_identifier_leaves_runs_in_doubt():
-    """Seeds 15 and 26 of the model: a command had reached the new life."""
+def test_restart_under_the_same_identifier_makes_runs_uncertain():
+    """A start command that reaches the restarted worker must not be taken for lost.
+
+    Tasks ran twice with seeds 15 and 26 of the model of test_batches.
+    """
     bench = Bench()
     (start,) = _of(executoractions.Start, bench.assign(0))
     bench.accept(start)
@@ -277,17 +283,17 @@
     assert bench.executor.due_reports()[OWNER].used_cpu == 1000
 
 
-def test_token_grows_over_a_restart_of_the_worker():
-    """A late command to the earlier life must not pass for a current one."""
+def test_token_grows_across_a_restart_of_the_worker():
+    """A late command to the earlier incarnation must not pass for a current one."""
     bench = Bench()
     before = bench.executor.next_poll().token
-    newer = attrs.evolve(bench.told, born=9, clock_ms=10)
+    newer = attrs.evolve(bench.heartbeat, born=9, clock_ms=10)
     list(bench.executor.handle_heartbeat(newer))
     assert bench.executor.next_poll().token > before
 
 
 def test_fenced_agent_draws_a_higher_token():
-    """An earlier life of the agent may have drawn a higher one."""
+    """An earlier process of the agent may have used a higher token."""
     bench = Bench()
     (start,) = _of(executoractions.Start, bench.assign(0))
     refusal = workercontrol.Refused(workercontrol.Refusal.FENCED, 9000)
@@ -299,7 +305,7 @@
 
 
 def test_run_of_another_owner_keeps_a_task_from_starting_twice():
-    """The same job may come to another entry host while its tasks still run."""
+    """A job may be submitted to another entry host while its tasks still run."""
     bench = Bench()
     (start,) = _of(executoractions.Start, bench.assign(0))
     bench.accept(start)
@@ -308,7 +314,7 @@
 
 
 def test_old_run_number_asks_for_a_higher_one():
-    """The worker rejects runs up to the highest that it saw of the task."""
+    """The worker rejects run numbers up to the highest that it has seen of the task."""
     bench = Bench()
     (start,) = _of(executoractions.Start, bench.assign(0))
     refusal = workercontrol.Refused(workercontrol.Refusal.OLD_RUN, 5100)
@@ -317,7 +323,7 @@
 
 
 def test_stalled_tasks_are_stopped_and_the_worker_is_ejected():
-    """Tasks that stand still on a worker that answers would wait for ever."""
+    """Without a limit, tasks without progress on a responsive worker never end."""
     bench = Bench()
     (start,) = _of(executoractions.Start, bench.assign(0))
     bench.accept(start)
@@ -331,27 +337,27 @@
     assert bench.executor.worker_state() is assignments.WorkerState.EJECTED
 
 
-def test_leaving_agent_finishes_what_runs():
-    """A planned stop cuts no task in progress."""
+def test_draining_agent_finishes_dispatched_runs():
+    """A planned shutdown must not interrupt tasks in progress."""
     bench = Bench()
     (start,) = _of(executoractions.Start, bench.assign(0))
     bench.accept(start)
-    list(bench.executor.leave())
+    list(bench.executor.drain())
     assert bench.executor.running_count == 1
     assert _of(executoractions.Start, bench.assign(1)) == []
     assert bench.executor.next_poll().lease_until_ms is not None
 
 
-def _link(bench, count):
+def _connect_distant_entries(bench, count):
     for number in range(count):
         name = f"far-{number}"
         list(bench.executor.handle_entry_connected(name, number, (True, number)))
     return bench
 
 
-def test_changes_are_reported_to_the_nearest_owners_only():
-    """Reports of every change to ten entry hosts took more time than the jobs."""
-    bench = _link(Bench(), 9)
+def test_changes_are_reported_to_the_nearest_entry_hosts_only():
+    """Reports of every change to ten entry hosts took more processor time than jobs."""
+    bench = _connect_distant_entries(Bench(), 9)
     bench.executor.due_reports()
     bench.assign(0, 1, 2)
     assert set(bench.executor.due_reports(is_periodic=False)) == {
@@ -360,7 +366,7 @@
         "far-1",
         "far-2",
     }
-    # The others hear of the load at regular times.
+    # The others get regular reports at a longer interval.
     assert set(bench.executor.due_reports()) == {OWNER, "far-0", "far-1", "far-2"}
     bench.advance(0.4)
     every = bench.executor.due_reports()
@@ -374,26 +380,26 @@
 
 
 def test_unchanged_load_is_reported_only_at_regular_times():
-    """Answers and log lines that change nothing must cost no messages."""
+    """Answers and log lines that do not change the load must not cause messages."""
     bench = Bench()
     bench.executor.due_reports()
     assert bench.executor.due_reports(is_periodic=False) == {}
     assert set(bench.executor.due_reports()) == {OWNER}
 
 
-def test_state_of_the_worker_is_told_to_every_owner_at_once():
-    """A worker that drains must not look free to distant entry hosts."""
-    bench = _link(Bench(), 9)
+def test_state_of_the_worker_is_reported_to_every_entry_host_at_once():
+    """Otherwise a draining worker looks free to distant entry hosts."""
+    bench = _connect_distant_entries(Bench(), 9)
     bench.executor.due_reports()
-    draining = attrs.evolve(bench.told, is_draining=True, sequence=2)
+    draining = attrs.evolve(bench.heartbeat, is_draining=True, sequence=2)
     list(bench.executor.handle_heartbeat(draining))
     loads = bench.executor.due_reports(is_periodic=False)
     assert len(loads) == 10
     assert {load.state for load in loads.values()} == {assignments.WorkerState.DRAINING}
 
 
-def test_owner_whose_tasks_were_returned_hears_of_the_load():
-    """A distant owner would send its next tasks to the same full worker."""
+def test_entry_host_whose_tasks_were_returned_gets_a_report():
+    """Otherwise a distant entry host assigns its next tasks to the same full worker."""
     bench = Bench()
     for number in range(4):
         list(
@@ -405,9 +411,9 @@
     assert OWNER in bench.executor.due_reports(is_periodic=False)
 
 
-def test_owner_that_connects_again_hears_of_the_load_at_once():
-    """It knows no load and gets no lease before the first report."""
-    bench = _link(Bench(), 9)
+def test_reconnected_entry_host_gets_a_report_at_once():
+    """Before the first report it knows no load, and the agent gets no session lease."""
+    bench = _connect_distant_entries(Bench(), 9)
     bench.executor.due_reports()
     list(bench.executor.handle_entry_disconnected("far-8"))
     list(bench.executor.handle_entry_connected("far-8", 8, (True, 8)))
