Name run times and assignment numbers on the agent as in the messages

Cause: the messages now call these run_ms, last_assign_number and active_runs, while the agent still said ran_s, assigned_through and held. Change: the agent's fields and variables follow; the keys ran_ms and held of its log lines stay. Two methods of the supervisor get a docstring.

--- a/src/burdockgate/process/agentdaemon.py
+++ b/src/burdockgate/process/agentdaemon.py
@@ -238,7 +238,7 @@
         if previous_link is not None and previous_link is not link:
             del self._entry_by_link[previous_link]
             previous_link.abort()
-        boot, held_runs = self.executor.session_state(hello.name)
+        boot, active_runs = self.executor.session_state(hello.name)
         self._link_by_entry[hello.name] = link
         self._entry_by_link[link] = hello.name
         self._entry_by_address[self.links.address_of(link)] = hello.name
@@ -249,12 +249,12 @@
                 self.boot,
                 self._settings.zone,
                 boot,
-                held_runs,
+                active_runs,
             )
         )
         self._sent_info_by_entry.pop(hello.name, None)
         self.events.record(
-            "owner.linked", {"owner": hello.name, "held": len(held_runs)}
+            "owner.linked", {"owner": hello.name, "held": len(active_runs)}
         )
         distance = entrysessions.distance(
             self._settings.name, self._settings.zone, hello.name, hello.zone
--- a/src/burdockgate/process/entrysessions.py
+++ b/src/burdockgate/process/entrysessions.py
@@ -37,7 +37,7 @@
         until then, and go on until then after the connection is lost. It is counted
         from the sending time of the report that a renewal echoes, so that delayed
         messages do not extend it.
-    :param assigned_through: number of the last assignment received.
+    :param last_assign_number: number of the last assignment received.
     :param demand: processors that tasks waiting at the entry host need.
     :param last_start_at: when a run of this entry host was last started.
     :param has_stale_load: whether the entry host assigned runs by an outdated load
@@ -52,7 +52,7 @@
     distance: tuple[bool, int] = (False, 0)
     is_linked: bool = True
     leased_until: float = 0.0
-    assigned_through: int = 0
+    last_assign_number: int = 0
     demand: assignments.Demand = assignments.Demand(0, 0)
     demand_received_at: float = 0.0
     last_start_at: float = 0.0
@@ -74,19 +74,19 @@
         self,
         key: assignments.RunKey,
         kind: assignments.EndKind,
-        ran_s: float,
+        run_s: float,
         next_run: int,
     ) -> assignments.TaskEnd:
         """Store the end of a run until it is acknowledged, and return its message.
 
         :param key: the run.
         :param kind: how it ended.
-        :param ran_s: run time in seconds.
+        :param run_s: run time in seconds.
         :param next_run: smallest number for the next run of the task.
         """
         self._last_end_number += 1
         end = assignments.TaskEnd(
-            self._last_end_number, key, kind, int(max(0.0, ran_s) * 1000), next_run
+            self._last_end_number, key, kind, int(max(0.0, run_s) * 1000), next_run
         )
         self._end_by_number[end.number] = end
         return end
--- a/src/burdockgate/process/executor.py
+++ b/src/burdockgate/process/executor.py
@@ -76,7 +76,7 @@
             session.has_stale_load = False
             report_by_entry[name] = assignments.LoadReport(
                 int(now * 1_000_000),
-                session.assigned_through,
+                session.last_assign_number,
                 state,
                 share,
                 used.cpu,
@@ -128,7 +128,7 @@
         session = self.session_by_entry.get(entry)
         if session is not None and session.boot == boot:
             session.is_linked = True
-            session.assigned_through = 0
+            session.last_assign_number = 0
             session.reported_load = None
             for end in session.unacknowledged():
                 yield actions.Send(entry, end)
@@ -178,7 +178,7 @@
         :param message: the assignment.
         """
         now, session = self._time.now(), self.session_by_entry[entry]
-        session.assigned_through = message.number
+        session.last_assign_number = message.number
         for index, number in zip(message.indexes, message.runs, strict=True):
             task = assignments.TaskKey(message.job, message.step, index)
             run = runs.Run(
@@ -359,9 +359,9 @@
         """
         now = self._time.now()
         self._runs.run_by_key.pop(run.key, None)
-        ran_s = now - run.started_at if run.started_at else 0.0
+        run_s = now - run.started_at if run.started_at else 0.0
         if kind is assignments.EndKind.DONE:
-            self._health.record_success(ran_s, run.estimate_s, now)
+            self._health.record_success(run_s, run.estimate_s, now)
         elif kind is assignments.EndKind.FAILED and self._health.record_failure(
             run.key.task.job, now
         ):
@@ -374,7 +374,7 @@
                 "kind": kind.name,
                 "reason": reason,
                 "owner": run.owner,
-                "ran_ms": int(ran_s * 1000),
+                "ran_ms": int(run_s * 1000),
                 "token": run.token,
             },
         )
@@ -382,5 +382,5 @@
         if session is not None:
             number = next_run if next_run is not None else run.key.run + 1
             yield actions.Send(
-                run.owner, session.record_end(run.key, kind, ran_s, number)
+                run.owner, session.record_end(run.key, kind, run_s, number)
             )
--- a/src/burdockgate/process/supervisor.py
+++ b/src/burdockgate/process/supervisor.py
@@ -311,6 +311,7 @@
         yield from self._poll_now()
 
     def _stop_run(self, run: runs.Run, reason: str) -> Iterator[executoractions.Effect]:
+        """Return a queued run, or stop a dispatched one once its start is answered."""
         if run.state is runs.RunState.QUEUED:
             yield from self._end_run(run, assignments.EndKind.RETURNED, reason)
             return
@@ -429,6 +430,7 @@
         command: workercontrol.PollCommand,
         snapshot: workercontrol.Snapshot,
     ) -> Iterator[executoractions.Effect]:
+        """Update the state of the worker and of all runs from the lists of a poll."""
         if snapshot.born > worker.heartbeat.born:
             # The worker has restarted and has not sent a heartbeat since.
             heartbeat = attrs.evolve(
@@ -557,14 +559,14 @@
             if now - run.stop_sent_at >= self._settings.stop_repeat_s:
                 yield from self._send_stop(run)
         elif run.state is runs.RunState.RUNNING and run.estimate_s > 0:
-            ran_s = now - run.started_at
-            if ran_s > 2 * run.estimate_s and run.percent < 100:
-                self._sample_overdue_run(run, ran_s, now)
+            run_s = now - run.started_at
+            if run_s > 2 * run.estimate_s and run.percent < 100:
+                self._sample_overdue_run(run, run_s, now)
 
-    def _sample_overdue_run(self, run: runs.Run, ran_s: float, now: float) -> None:
+    def _sample_overdue_run(self, run: runs.Run, run_s: float, now: float) -> None:
         """Lower the speed of the worker if an overdue run progresses more slowly."""
         sampled = self._health.current_speed(now)
-        speed = max(run.percent, 1) / 100 * run.estimate_s / ran_s
+        speed = max(run.percent, 1) / 100 * run.estimate_s / run_s
         if speed < sampled:
             weight = OVERDUE_WEIGHT
             self._health.record_speed(sampled ** (1 - weight) * speed**weight, now)
--- a/src/burdockgate/process/workerhealth.py
+++ b/src/burdockgate/process/workerhealth.py
@@ -52,17 +52,17 @@
             return assignments.WorkerState.PROBATION
         return assignments.WorkerState.READY
 
-    def record_success(self, ran_s: float, estimate_s: float, now: float) -> None:
+    def record_success(self, run_s: float, estimate_s: float, now: float) -> None:
         """Record a task that succeeded; ends a probation.
 
-        :param ran_s: run time in seconds.
+        :param run_s: run time in seconds.
         :param estimate_s: estimated run time.
         :param now: the time.
         """
         self._failed_jobs.clear()
         self._is_on_probation = False
         self._ejection_s = FIRST_EJECTION_S
-        self.record_speed(estimate_s / max(ran_s, 0.001), now)
+        self.record_speed(estimate_s / max(run_s, 0.001), now)
 
     def record_failure(self, job: str, now: float) -> bool:
         """Record a task that failed.
