--- a/src/burdockgate/process/assigner.py
+++ b/src/burdockgate/process/assigner.py
@@ -1,4 +1,8 @@
-"""Assigns the waiting tasks of an entry host to workers."""
+"""Assigns the waiting tasks of an entry host to workers.
+
+Base class of the scheduler: holds the jobs in progress and sends assignments and
+demands to the agents. :mod:`selection` defines the order of jobs and rates workers.
+"""
 
 from __future__ import annotations
 
@@ -12,7 +16,8 @@
 from burdockgate.process import actions, fleet, selection, throughput
 from burdockgate.request import besteffort
 
-# While tasks wait, agents hear of a more urgent one this often, and of the amount.
+# Minimum intervals between demands sent to the agents: when the urgency has changed,
+# and otherwise while tasks wait.
 DEMAND_CHANGE_S = 0.01
 DEMAND_REPEAT_S = 0.1
 
@@ -21,56 +26,58 @@
 class SchedulerSettings:
     """Limits of the scheduler; times in seconds.
 
-    :param agent_timeout_s: time since the last renewal after which all runs of an agent
-        that is not connected have ended, as :func:`agent_timeout_s` gives it.
-    :param return_pause_s: pause before a task that was returned is assigned again.
-    :param avoid_s: how long other workers are preferred for such a task.
-    :param kept_s: how long ended jobs answer a repeated submission; callers send a
-        job again seconds after its answer.
-    :param kept_jobs: most ended jobs kept, so that memory stays bounded.
-    :param examined_tasks: most waiting tasks tried at a time, so that a long queue
-        does not hold up the event loop.
-    :param waiting_jobs: most jobs that wait.
-    :param settling_s: time after the start in which jobs wait although no worker is
-        known. Workers announce themselves every 1.5 s and agents dial within 1 s.
+    :param agent_timeout_s: time since the last renewal after which all runs of a
+        disconnected agent have ended; see :func:`scheduler.agent_timeout_s`.
+    :param return_backoff_s: delay before a returned task is assigned again.
+    :param avoid_agent_s: how long a task is not assigned to an agent that has returned,
+        stopped or lost it.
+    :param ended_job_ttl_s: how long a completed job answers repeated submissions;
+        callers may send a job again seconds after its answer.
+    :param max_ended_jobs: most ended jobs kept, to bound memory use.
+    :param max_examined_tasks: number of tried tasks after which an assignment pass
+        ends, so that a long queue does not block the event loop.
+    :param max_jobs: most jobs in progress; further ones are refused.
+    :param startup_grace_s: time after the start in which jobs are queued although no
+        worker is known. Workers send heartbeats every 1.5 s and agents connect within
+        1 s.
     """
 
     agent_timeout_s: float = 2.3
-    return_pause_s: float = 0.01
-    avoid_s: float = 0.25
-    kept_s: float = 20.0
-    kept_jobs: int = 4000
-    examined_tasks: int = 100
-    waiting_jobs: int = 2000
-    settling_s: float = 3.0
+    return_backoff_s: float = 0.01
+    avoid_agent_s: float = 0.25
+    ended_job_ttl_s: float = 20.0
+    max_ended_jobs: int = 4000
+    max_examined_tasks: int = 100
+    max_jobs: int = 2000
+    startup_grace_s: float = 3.0
 
 
 @attrs.frozen
 class Respond:
-    """Effect: answer a caller's request.
+    """Effect: answer a caller's request with the outcome of its job.
 
     :param ticket: number of the request.
     """
 
     ticket: int
     job: str
-    verdict: besteffort.Outcome
+    outcome: besteffort.Outcome
 
 
 @attrs.frozen
 class ScheduleAssignment:
-    """Effect: call :meth:`Assigner.assign` within a millisecond or two."""
+    """Effect: call :meth:`Assigner.assign` within 1 to 2 ms."""
 
 
 Effect = actions.Send | Respond | actions.LogEvent | ScheduleAssignment
 
 
 class Assigner:
-    """Waiting jobs and the choice of workers; methods are generators of effects.
+    """Jobs in progress and the assignment of their tasks to workers.
 
     :param zone: zone of the entry host.
     :param settings: limits.
-    :param chosen: weights of the choice of a worker.
+    :param selection_settings: weights of the choice of a worker.
     :param ordering: order of the waiting jobs.
     :param time: a clock that counts suspensions.
     :param rng: source of random numbers.
@@ -80,36 +87,36 @@
         self,
         zone: str,
         settings: SchedulerSettings,
-        chosen: selection.SelectionSettings,
+        selection_settings: selection.SelectionSettings,
         ordering: selection.Ordering,
         time: clock.Clock,
         rng: random.Random,
     ) -> None:
         self._settings = settings
         self._ordering = ordering
-        self._selection = selection.Selection(chosen, zone, rng)
+        self._selection = selection.Selection(selection_settings, zone, rng)
         self._time = time
         self.fleet = fleet.Fleet()
         self._started_at = time.now()
-        # When the process has to end, once it was asked to.
-        self.stops_at: float | None = None
-        # Told to the agents, which pass newer ones on.
+        # Time by which the process must exit; set when its stop begins.
+        self.stop_deadline: float | None = None
+        # Sent to the agents with renewals; they pass newer configurations on.
         self.configuration_version = 0
         self.job_by_id: dict[str, besteffort.Job] = {}
         self._waiting_by_id: dict[str, besteffort.Job] = {}
         self._is_assign_due = False
-        self._demand = assignments.Demand(0, 0)
-        self._demanded_at = 0.0
-        self._rejected_at = 0.0
+        self._sent_demand = assignments.Demand(0, 0)
+        self._demand_sent_at = 0.0
+        self._reject_checked_at = 0.0
         self._throughput = throughput.Throughput(time.now())
         self._ended: collections.OrderedDict[str, besteffort.Job] = (
             collections.OrderedDict()
         )
-        # Tasks of jobs that have ended here but may still run, with their agent.
-        self._lingering: dict[assignments.TaskKey, str] = {}
+        # Tasks of ended jobs whose revoked run may still be active on its agent.
+        self._agent_by_revoked_task: dict[assignments.TaskKey, str] = {}
 
     def _retry_after_s(self, service: str) -> float:
-        """Return the time in which the waiting work can be done."""
+        """Return the time in seconds in which the present work can be done."""
         capacity = self.fleet.capacity_cpu(service, self._time.now())
         if not capacity:
             return 1.0
@@ -120,20 +127,20 @@
             for task in job.all_tasks()
             if task.state is not besteffort.TaskState.DONE
         )
-        # Other entry hosts use the same workers; each is expected to have like work.
+        # Other entry hosts use the same workers; each is expected to have similar work.
         return max(1.0, work / capacity)
 
-    def _assign_soon(self) -> Iterator[Effect]:
-        """Ask for one assignment after many reports and ends.
+    def _schedule_assignment(self) -> Iterator[Effect]:
+        """Schedule one assignment pass for a burst of load reports and task ends.
 
-        Assigning at each of them would take the whole processor when jobs wait.
+        One pass for each of them would saturate the processor while jobs wait.
         """
         if self._waiting_by_id and not self._is_assign_due:
             self._is_assign_due = True
             yield ScheduleAssignment()
 
     def assign(self) -> Iterator[Effect]:
-        """Assign waiting tasks to workers with room."""
+        """Assign waiting tasks to workers with free capacity."""
         self._is_assign_due = False
         now = self._time.now()
         waiting = sorted(
@@ -141,66 +148,72 @@
             key=lambda job: self._ordering.key(job, now),
         )
         examined = 0
-        # The smallest task that found no room, by service: larger ones find none.
-        full_by_service: dict[str, int] = {}
-        chosen: dict[tuple[str, int, str], list[besteffort.Task]] = {}
+        # Processors of the smallest task that fits no worker; larger tasks are skipped.
+        min_unfit_cpu_by_service: dict[str, int] = {}
+        tasks_by_group: dict[tuple[str, int, str], list[besteffort.Task]] = {}
         views_by_service: dict[str, list[fleet.WorkerView]] = {}
         for job in waiting:
             service = job.submission.service
             if service not in views_by_service:
-                views_by_service[service] = list(self.fleet.serving(service, now))
-            for task in self._assignable(job, now):
-                if task.step.cpu >= full_by_service.get(service, 1 << 60):
+                views_by_service[service] = list(
+                    self.fleet.assignable_workers(service, now)
+                )
+            for task in self._assignable_tasks(job, now):
+                if task.step.cpu >= min_unfit_cpu_by_service.get(service, 1 << 60):
                     continue
                 examined += 1
-                view = self._choose(job, task, views_by_service[service], now)
+                view = self._choose_worker(job, task, views_by_service[service], now)
                 if view is not None:
-                    self._place(job, task, view, now)
+                    self._record_assignment(job, task, view, now)
                     group = (task.key.job, task.key.step, view.agent)
-                    chosen.setdefault(group, []).append(task)
+                    tasks_by_group.setdefault(group, []).append(task)
                 elif task.is_unconstrained(now):
-                    full_by_service[service] = task.step.cpu
+                    min_unfit_cpu_by_service[service] = task.step.cpu
             if not job.is_waiting:
                 del self._waiting_by_id[job.submission.job]
-            if examined >= self._settings.examined_tasks:
+            if examined >= self._settings.max_examined_tasks:
                 break
-        for (job_id, _, agent), tasks in chosen.items():
-            yield from self._send(self.job_by_id[job_id], agent, tasks, now)
-        yield from self._tell_demand(waiting, now)
+        for (job_id, _, agent), tasks in tasks_by_group.items():
+            yield from self._send_assignment(self.job_by_id[job_id], agent, tasks, now)
+        yield from self._send_demand(waiting, now)
 
-    def _tell_demand(
+    def _send_demand(
         self, waiting: list[besteffort.Job], now: float
     ) -> Iterator[Effect]:
-        """Tell the agents what found no room, so that they share out what frees."""
-        # A task that was returned and pauses has not found the other workers full.
-        left = [
+        """Send the demand of unassigned tasks, so that agents share freed capacity."""
+        # A returned task in its backoff is no demand: other workers may have capacity.
+        unassigned = [
             (job, task.step.cpu)
             for job in waiting
-            for task in self._assignable(job, now)
+            for task in self._assignable_tasks(job, now)
         ]
-        cpu = sum(task_cpu for _, task_cpu in left)
-        rank = self._ordering.rank(left[0][0], now) if left else 0
+        cpu = sum(task_cpu for _, task_cpu in unassigned)
+        rank = self._ordering.rank(unassigned[0][0], now) if unassigned else 0
         demand = assignments.Demand(cpu, rank)
-        changed = demand != self._demand and (
-            not cpu or not self._demand.waiting_cpu or rank != self._demand.rank
+        has_changed = demand != self._sent_demand and (
+            not cpu
+            or not self._sent_demand.waiting_cpu
+            or rank != self._sent_demand.rank
         )
-        due_s = DEMAND_CHANGE_S if changed else DEMAND_REPEAT_S
-        if (cpu or changed) and now - self._demanded_at >= due_s:
-            self._demand, self._demanded_at = demand, now
+        due_s = DEMAND_CHANGE_S if has_changed else DEMAND_REPEAT_S
+        if (cpu or has_changed) and now - self._demand_sent_at >= due_s:
+            self._sent_demand, self._demand_sent_at = demand, now
             for view in self.fleet.view_by_agent.values():
                 if view.is_near and view.is_fresh(now):
                     yield actions.Send(view.agent, demand)
 
-    def _assignable(self, job: besteffort.Job, now: float) -> Iterator[besteffort.Task]:
+    def _assignable_tasks(
+        self, job: besteffort.Job, now: float
+    ) -> Iterator[besteffort.Task]:
         return (
             task
             for task in job.all_tasks()
             if task.state is besteffort.TaskState.WAITING
             and task.not_before <= now
-            and task.key not in self._lingering
+            and task.key not in self._agent_by_revoked_task
         )
 
-    def _choose(
+    def _choose_worker(
         self,
         job: besteffort.Job,
         task: besteffort.Task,
@@ -215,9 +228,9 @@
                 if other.state is besteffort.TaskState.ASSIGNED
             )
             views = (view for view in views if counts[view.agent] < limit)
-        return self._selection.choose(task, views, now)
+        return self._selection.choose_worker(task, views, now)
 
-    def _place(
+    def _record_assignment(
         self,
         job: besteffort.Job,
         task: besteffort.Task,
@@ -229,39 +242,39 @@
         task.agent, task.assigned_at = view.agent, now
         job.has_been_assigned = True
         self._throughput.add(task.step.cpu / 1000 * task.step.estimate_s)
-        # Each task is counted by itself; the message carries the last number.
-        view.assign(task.step)
+        # Numbers each task by itself; the message carries the number of the last one.
+        view.add_assignment(task.step)
 
-    def _send(
+    def _send_assignment(
         self, job: besteffort.Job, agent: str, tasks: list[besteffort.Task], now: float
     ) -> Iterator[Effect]:
         view, step = self.fleet.view_by_agent[agent], tasks[0].step
-        given = job.submission
+        submission = job.submission
         yield actions.LogEvent(
             "task.assigned",
             {
-                "job": given.job,
+                "job": submission.job,
                 "tasks": [f"{task.key.step}.{task.key.index}" for task in tasks],
                 "runs": [task.run for task in tasks],
                 "agent": agent,
                 "committed_cpu": view.committed_cpu(),
-                "report_age_ms": int((now - view.load_at) * 1000),
+                "report_age_ms": int((now - view.reported_at) * 1000),
                 "waited_ms": self._age_ms(job),
             },
         )
         yield actions.Send(
             agent,
             assignments.Assign(
-                view.assigned_number,
-                given.job,
+                view.last_assign_number,
+                submission.job,
                 tasks[0].key.step,
-                given.spec,
+                submission.spec,
                 tuple(task.key.index for task in tasks),
                 tuple(task.run for task in tasks),
                 step.cpu,
                 step.memory_mb,
                 step.gpu,
-                given.priority,
+                submission.priority,
                 max(0, int((job.start_by() - now) * 1000)),
                 int(step.estimate_s * 1000),
             ),
--- a/src/burdockgate/process/entrydaemon.py
+++ b/src/burdockgate/process/entrydaemon.py
@@ -121,7 +121,7 @@
         return (
             not self.is_stopping
             and self.routes is not None
-            and self.scheduler.fleet.is_in_touch(self._time.now())
+            and self.scheduler.fleet.has_enough_agents(self._time.now())
         )
 
     async def wait_for_routes(self, limit_s: float) -> routes.RouteTable | None:
@@ -150,7 +150,7 @@
         self._spawn(self._deregister())
         begun_at = self._time.now()
         limit_s = self._settings.grace_s - STOP_RESERVE_S
-        self.scheduler.stops_at = begun_at + limit_s
+        self.scheduler.stop_deadline = begun_at + limit_s
         await asyncio.sleep(min(UNREADY_S, limit_s))
         while self.scheduler.job_by_id and self._time.now() - begun_at < limit_s:
             await asyncio.sleep(TICK_S)
@@ -188,7 +188,9 @@
             waited: set[asyncio.Future[Any]] = {answer, gone}
             await asyncio.wait(waited, return_when=asyncio.FIRST_COMPLETED)
             if not answer.done():
-                self._perform(self.scheduler.abandon(submission.job, ticket))
+                self._perform(
+                    self.scheduler.handle_caller_disconnected(submission.job, ticket)
+                )
                 return None
             verdict = answer.result()
             self.events.histograms.record(
--- a/src/burdockgate/process/fleet.py
+++ b/src/burdockgate/process/fleet.py
@@ -1,4 +1,4 @@
-"""What an entry host knows of the workers, through their agents' reports."""
+"""Entry host's view of the workers, from the reports of their agents."""
 
 from __future__ import annotations
 
@@ -9,92 +9,101 @@
 from burdockgate import assignments
 from burdockgate.request import besteffort
 
-# Near agents report every 0.2 s, others every 0.4 s. Tasks given to one that is cut off
-# are lost for seconds.
-FRESH_S = 0.45
-DISTANT_FRESH_S = 0.85
-# An entry host that hears less than half of the agents it heard in this time is cut
-# off itself.
-RECENT_S = 10.0
+# An agent whose last report is older gets no tasks: those assigned to an unreachable
+# agent are lost for seconds. Near agents report every 0.2 s, others every 0.4 s.
+NEAR_REPORT_TIMEOUT_S = 0.45
+DISTANT_REPORT_TIMEOUT_S = 0.85
+# An entry host that is reached by less than half of the agents that reported in this
+# time considers itself cut off.
+RECENT_AGENT_WINDOW_S = 10.0
 
 
 @attrs.define
 class WorkerView:
-    """One worker; times in seconds of the entry host's clock.
+    """One worker and its agent; times in seconds of the entry host's clock.
 
-    :param boot: random number of the life of the agent's process.
+    :param boot: random number drawn at each start of the agent's process.
     :param renewed_at: when the session lease was last renewed.
-    :param renewal_due_at: from when the next report renews it again.
-    :param assigned_number: number of the last assignment sent on this connection.
-    :param unconfirmed: runs that the agent did not name after its connection broke.
-    :param is_recovering: whether runs of an earlier life of the agent may go on.
+    :param renewal_due_at: earliest time at which a report renews it again.
+    :param last_assign_number: number of the last assignment on this connection.
+    :param last_end_number: number of the last task end received.
+    :param unconfirmed_runs: assigned runs that the agent did not list when it connected
+        again.
+    :param is_recovering: whether runs from an earlier boot of the agent may be active.
+    :param reported_at: when the last load report came.
     """
 
     agent: str
     boot: int
     zone: str
-    is_linked: bool = True
+    is_connected: bool = True
     renewed_at: float = 0.0
     renewal_due_at: float = 0.0
-    assigned_number: int = 0
-    ends_through: int = 0
+    last_assign_number: int = 0
+    last_end_number: int = 0
     is_recovering: bool = False
-    unconfirmed: set[assignments.RunKey] = attrs.field(factory=set)
+    unconfirmed_runs: set[assignments.RunKey] = attrs.field(factory=set)
     info: assignments.WorkerInfo | None = None
     load: assignments.LoadReport | None = None
-    load_at: float = 0.0
-    # Number, processors, memory and accelerators of the assignments that no report
-    # includes yet, and the sums of the last three.
-    _unseen: list[tuple[int, int, int, int]] = attrs.field(factory=list)
-    _under_way: tuple[int, int, int] = (0, 0, 0)
+    reported_at: float = 0.0
+    # Assignments that no report includes yet, as (number, cpu, memory_mb, gpu), and
+    # the sums of their resources.
+    _unreported: list[tuple[int, int, int, int]] = attrs.field(factory=list)
+    _unreported_sums: tuple[int, int, int] = (0, 0, 0)
 
     def reset_session(self) -> None:
-        """Begin a new connection."""
-        self.is_linked = True
+        """Reset the state of the connection for a new one."""
+        self.is_connected = True
         self.renewal_due_at = 0.0
-        self.assigned_number = 0
-        self._unseen.clear()
-        self._under_way = (0, 0, 0)
+        self.last_assign_number = 0
+        self._unreported.clear()
+        self._unreported_sums = (0, 0, 0)
         self.load = None
 
     def apply_report(self, load: assignments.LoadReport, now: float) -> None:
-        """Take in a report.
+        """Store a load report and drop the assignments that it includes.
 
         :param load: the report.
         :param now: the time.
         """
-        self.load, self.load_at = load, now
-        self._unseen = [
-            entry for entry in self._unseen if entry[0] > load.last_assign_number
+        self.load, self.reported_at = load, now
+        self._unreported = [
+            entry for entry in self._unreported if entry[0] > load.last_assign_number
         ]
-        self._under_way = (
-            sum(entry[1] for entry in self._unseen),
-            sum(entry[2] for entry in self._unseen),
-            sum(entry[3] for entry in self._unseen),
+        self._unreported_sums = (
+            sum(entry[1] for entry in self._unreported),
+            sum(entry[2] for entry in self._unreported),
+            sum(entry[3] for entry in self._unreported),
         )
 
-    def assign(self, step: besteffort.Step) -> None:
-        """Count a run that is about to be assigned.
+    def add_assignment(self, step: besteffort.Step) -> None:
+        """Reserve the resources of a run that is about to be assigned.
 
         :param step: step of its task.
         """
-        self.assigned_number += 1
-        cpu, memory_mb, gpu = self._under_way
-        self._under_way = (cpu + step.cpu, memory_mb + step.memory_mb, gpu + step.gpu)
-        self._unseen.append((self.assigned_number, step.cpu, step.memory_mb, step.gpu))
+        self.last_assign_number += 1
+        cpu, memory_mb, gpu = self._unreported_sums
+        self._unreported_sums = (
+            cpu + step.cpu,
+            memory_mb + step.memory_mb,
+            gpu + step.gpu,
+        )
+        self._unreported.append(
+            (self.last_assign_number, step.cpu, step.memory_mb, step.gpu)
+        )
 
     @property
     def is_near(self) -> bool:
-        """Whether the agent reports every change, and shares out room by demand."""
+        """Whether the agent reports each change and allots capacity by demand."""
         return self.load is not None and self.load.is_near
 
     def is_fresh(self, now: float) -> bool:
-        """Return whether the agent has reported lately.
+        """Return whether the agent is connected and its last report is recent.
 
         :param now: the time.
         """
-        limit_s = FRESH_S if self.is_near else DISTANT_FRESH_S
-        return self.is_linked and now - self.load_at < limit_s
+        limit_s = NEAR_REPORT_TIMEOUT_S if self.is_near else DISTANT_REPORT_TIMEOUT_S
+        return self.is_connected and now - self.reported_at < limit_s
 
     def is_assignable(self, now: float) -> bool:
         """Return whether new tasks may be assigned.
@@ -111,7 +120,7 @@
 
     @property
     def speed(self) -> float:
-        """Speed against the estimates; 1 where they are right."""
+        """Speed relative to the estimates, at least 0.05; 1 where they are right."""
         return max(self.load.speed / 1000, 0.05) if self.load else 1.0
 
     def has_label(self, label: str) -> bool:
@@ -122,28 +131,29 @@
         return self.info is not None and label in self.info.labels
 
     def committed_cpu(self) -> int:
-        """Return what is in use, waits there or is under way, in 1/1000 core."""
+        """Return used, queued and not yet reported processors, in 1/1000 core."""
         if self.load is None:
             return 0
-        return self.load.used_cpu + self.load.queued_cpu + self._under_way[0]
+        return self.load.used_cpu + self.load.queued_cpu + self._unreported_sums[0]
 
-    def has_room(self, step: besteffort.Step) -> bool:
-        """Return whether one more task fits beside what is in use or under way.
+    def has_capacity_for(self, step: besteffort.Step) -> bool:
+        """Return whether one more task fits into the free capacity.
 
         :param step: step of the task.
         """
         info, load = self.info, self.load
         if info is None or load is None:
             return False
-        cpu, memory_mb, gpu = self._under_way
+        cpu, memory_mb, gpu = self._unreported_sums
         if step.cpu > load.free_cpu - cpu:
             return False
         if load.used_memory_mb + memory_mb + step.memory_mb > info.memory_mb:
             return False
         if load.used_gpu + gpu + step.gpu > info.gpu:
             return False
-        is_on_trial = load.state is assignments.WorkerState.PROBATION
-        return not (is_on_trial and self.committed_cpu())
+        is_on_probation = load.state is assignments.WorkerState.PROBATION
+        # A worker on probation gets one task at a time.
+        return not (is_on_probation and self.committed_cpu())
 
 
 @attrs.define
@@ -152,8 +162,8 @@
 
     view_by_agent: dict[str, WorkerView] = attrs.field(factory=dict)
 
-    def serving(self, service: str, now: float) -> Iterator[WorkerView]:
-        """Yield the workers of a service that may be given tasks.
+    def assignable_workers(self, service: str, now: float) -> Iterator[WorkerView]:
+        """Yield the workers of a service that may be assigned tasks.
 
         :param service: name of the service.
         :param now: the time.
@@ -188,14 +198,18 @@
         :param service: name of the service.
         :param now: the time.
         """
-        return sum(view.info.cpu for view in self.serving(service, now) if view.info)
+        return sum(
+            view.info.cpu for view in self.assignable_workers(service, now) if view.info
+        )
 
-    def is_in_touch(self, now: float) -> bool:
-        """Return whether half of the agents of late are heard, and one has room.
+    def has_enough_agents(self, now: float) -> bool:
+        """Return whether half of the recent agents still report and one is assignable.
 
         :param now: the time.
         """
         views = self.view_by_agent.values()
-        recent = sum(1 for view in views if now - view.load_at < RECENT_S)
+        recent = sum(
+            1 for view in views if now - view.reported_at < RECENT_AGENT_WINDOW_S
+        )
         fresh = sum(1 for view in views if view.is_fresh(now))
         return 2 * fresh >= recent and any(view.is_assignable(now) for view in views)
--- a/src/burdockgate/process/scheduler.py
+++ b/src/burdockgate/process/scheduler.py
@@ -1,4 +1,8 @@
-"""Decides for an entry host which task runs where, and how each job ends."""
+"""Scheduler of best-effort jobs on an entry host.
+
+Admits jobs, tracks the runs of their tasks and decides how each job ends. The base
+class in :mod:`assigner` chooses the workers; :mod:`entrydaemon` performs the effects.
+"""
 
 from __future__ import annotations
 
@@ -8,44 +12,44 @@
 from burdockgate.process import actions, assigner, executoractions, fleet
 from burdockgate.request import besteffort
 
-# A worker that was ejected or is out of reach is tried again after one second.
+# Ejected and unreachable workers are retried after one second.
 NO_WORKER_RETRY_S = 1.0
-# Another entry host takes the request at once.
+# Another entry host can accept the job immediately.
 RETRY_ELSEWHERE_S = 1.0
 # Estimates are up to 40% off, and slow workers take a quarter longer.
-LONG_RUN_FACTOR = 1.75
-# How often the waiting jobs are looked through for those without a chance.
+WORST_CASE_RUN_FACTOR = 1.75
+# How often waiting jobs are checked for those that cannot finish in time.
 REJECT_INTERVAL_S = 0.1
-# A job is rejected only when half of the work ahead of it would already take too long:
-# estimates are 40% off, and the rate of a moment is not that of the next.
-HOPELESS_SHARE = 0.5
-# Reports of changes come more often than the lease of 0.7 s needs to be renewed. The
-# regular reports of every 0.2 s all renew it.
+# Share of the estimated queueing delay that counts against a waiting job. It is below 1
+# because estimates are up to 40% off and the throughput fluctuates.
+QUEUE_DELAY_FACTOR = 0.5
+# Reports of load changes arrive more often than a session lease of 0.7 s has to be
+# renewed. The periodic reports, 0.2 s apart, all renew it.
 RENEWAL_INTERVAL_S = 0.15
-# Latency and late timers, beside the limits that the agent keeps.
-AGENT_GONE_MARGIN_S = 0.2
+# Allows for network latency and late timers on top of the agent's own timeouts.
+AGENT_TIMEOUT_MARGIN_S = 0.2
 
 
 def agent_timeout_s(limits: executoractions.ExecutorSettings) -> float:
-    """Return the time after which the runs of a silent agent have ended.
+    """Return the seconds after which all runs of a silent agent have ended.
 
-    The agent stops them when its session lease lapses. When the worker does not
-    confirm the stops, the agent lets the lease of the worker lapse.
+    The agent stops its runs when its session lease lapses. If the worker does not
+    confirm the stops, the agent lets the lease of the worker lapse as well.
 
-    :param limits: what the agents keep to.
+    :param limits: timeouts that the agents enforce.
     """
     stops_s = 2 * limits.stop_repeat_s
     lease_s = limits.worker_lease_s * (1 + limits.clock_drift)
-    return limits.session_lease_s + stops_s + lease_s + AGENT_GONE_MARGIN_S
+    return limits.session_lease_s + stops_s + lease_s + AGENT_TIMEOUT_MARGIN_S
 
 
 class Scheduler(assigner.Assigner):
-    """The entry host's decisions; all methods but queries are generators of effects."""
+    """Handles events of callers and agents; handlers yield the resulting effects."""
 
     def submit(
         self, submission: besteffort.Submission, ticket: int
     ) -> Iterator[assigner.Effect]:
-        """Take a job, or answer at once.
+        """Accept a job, join it to the same job in progress, or answer it at once.
 
         :param submission: the job.
         :param ticket: number of the caller's request.
@@ -59,13 +63,13 @@
             job.tickets.add(ticket)
             return
         ended = self._ended.get(submission.job)
-        if ended is not None and isinstance(ended.verdict, besteffort.Completed):
+        if ended is not None and isinstance(ended.outcome, besteffort.Completed):
             yield actions.LogEvent(
                 "job.repeated", {"job": submission.job, "request": submission.request}
             )
-            yield assigner.Respond(ticket, submission.job, ended.verdict)
+            yield assigner.Respond(ticket, submission.job, ended.outcome)
             return
-        refusal = self._refusal(submission)
+        refusal = self._check_admission(submission)
         if refusal is not None:
             yield actions.LogEvent(
                 "job.refused",
@@ -79,7 +83,7 @@
             )
             yield assigner.Respond(ticket, submission.job, refusal)
             return
-        job = besteffort.Job.begin(submission, now, ticket)
+        job = besteffort.Job.from_submission(submission, now, ticket)
         self.job_by_id[submission.job] = self._waiting_by_id[submission.job] = job
         yield actions.LogEvent(
             "job.received",
@@ -92,29 +96,40 @@
                 "deadline_ms": int(submission.deadline_s * 1000),
             },
         )
-        yield from self._assign_soon()
+        yield from self._schedule_assignment()
 
-    def _refusal(self, submission: besteffort.Submission) -> besteffort.Outcome | None:
+    def _check_admission(
+        self, submission: besteffort.Submission
+    ) -> besteffort.Outcome | None:
+        """Return why a job is refused; ``None`` when it is admitted."""
         service = submission.service
-        is_settling = self._time.now() - self._started_at < self._settings.settling_s
-        if not is_settling and not any(self.fleet.serving(service, self._time.now())):
+        is_starting_up = (
+            self._time.now() - self._started_at < self._settings.startup_grace_s
+        )
+        if not is_starting_up and not any(
+            self.fleet.assignable_workers(service, self._time.now())
+        ):
             return besteffort.Refused(codes.Code.NOT_READY, NO_WORKER_RETRY_S)
-        if self.stops_at is not None:
-            chain_s = besteffort.Job.begin(submission, 0.0, 0).chain_s()
-            if self._time.now() + LONG_RUN_FACTOR * chain_s > self.stops_at:
+        if self.stop_deadline is not None:
+            path_s = besteffort.Job.from_submission(
+                submission, 0.0, 0
+            ).critical_path_s()
+            if self._time.now() + WORST_CASE_RUN_FACTOR * path_s > self.stop_deadline:
                 return besteffort.Refused(codes.Code.DRAINING, RETRY_ELSEWHERE_S)
-        if not is_settling and not all(
+        if not is_starting_up and not all(
             self.fleet.can_fit(step, service) for step in submission.steps
         ):
             return besteffort.Refused(codes.Code.NEVER_FITS, NO_WORKER_RETRY_S)
-        if len(self.job_by_id) >= self._settings.waiting_jobs:
+        if len(self.job_by_id) >= self._settings.max_jobs:
             return besteffort.Refused(
                 codes.Code.BACKLOG_FULL, self._retry_after_s(service)
             )
         return None
 
-    def abandon(self, job_id: str, ticket: int) -> Iterator[assigner.Effect]:
-        """Handle that a caller has gone: nobody can get the answer any more.
+    def handle_caller_disconnected(
+        self, job_id: str, ticket: int
+    ) -> Iterator[assigner.Effect]:
+        """End a job whose last waiting caller has disconnected.
 
         :param job_id: identifier of the job.
         :param ticket: number of the caller's request.
@@ -128,8 +143,8 @@
         yield actions.LogEvent(
             "job.abandoned", {"job": job_id, "age_ms": self._age_ms(job)}
         )
-        verdict = besteffort.Interrupted(codes.Code.REQUEST_CUT)
-        yield from self._end_job(job, verdict)
+        outcome = besteffort.Interrupted(codes.Code.REQUEST_CUT)
+        yield from self._end_job(job, outcome)
 
     def cancel(self, job_id: str) -> Iterator[assigner.Effect]:
         """End a job on request.
@@ -138,22 +153,22 @@
         """
         job = self.job_by_id.get(job_id)
         if job is not None:
-            is_run = job.has_run or bool(job.assigned())
+            may_have_run = job.has_run or bool(job.assigned_tasks())
             yield from self._end_job(
                 job,
                 besteffort.Interrupted(codes.Code.CANCELLED_MAY_HAVE_RUN)
-                if is_run
+                if may_have_run
                 else besteffort.Refused(codes.Code.CANCELLED_NOT_RUN, 0.0),
             )
 
     def interrupt_all(self) -> Iterator[assigner.Effect]:
-        """End every job because the process ends."""
+        """End every job because the process is about to exit."""
         for job in list(self.job_by_id.values()):
-            verdict = besteffort.Interrupted(codes.Code.OWNER_LOST)
-            yield from self._end_job(job, verdict)
+            outcome = besteffort.Interrupted(codes.Code.OWNER_LOST)
+            yield from self._end_job(job, outcome)
 
     def unassigned_job_count(self, route: str) -> int:
-        """Return how many jobs of a route have not begun.
+        """Return how many jobs of a route have not had a task assigned yet.
 
         :param route: name of the route.
         """
@@ -169,12 +184,12 @@
         """Handle a new connection of an agent.
 
         :param hello: its first message.
-        :param own_boot: number of this process' life; runs held for an earlier life
-            are not ours.
+        :param own_boot: boot number of this process; runs that the agent lists for an
+            earlier boot are ignored.
         """
         now = self._time.now()
         view = self.fleet.view_by_agent.get(hello.name)
-        held = set(hello.active_runs) if hello.entry_boot == own_boot else set()
+        active_runs = set(hello.active_runs) if hello.entry_boot == own_boot else set()
         if view is None:
             view = fleet.WorkerView(hello.name, hello.boot, hello.zone)
             self.fleet.view_by_agent[hello.name] = view
@@ -184,13 +199,17 @@
             )
             view.boot, view.is_recovering = hello.boot, True
             view.info = None
-            view.ends_through = 0
+            view.last_end_number = 0
         view.reset_session()
         view.renewed_at = now
-        # Ends that were under way are repeated before the first report; what is
-        # missing then is gone.
-        view.unconfirmed = {task.run_key for task in self._tasks_of(hello.name)} - held
-        yield actions.LogEvent("agent.linked", {"agent": hello.name, "held": len(held)})
+        # The agent repeats unacknowledged ends before its first load report. Runs that
+        # are still unconfirmed by then count as lost.
+        view.unconfirmed_runs = {
+            task.run_key for task in self._tasks_assigned_to(hello.name)
+        } - active_runs
+        yield actions.LogEvent(
+            "agent.linked", {"agent": hello.name, "held": len(active_runs)}
+        )
 
     def handle_agent_disconnected(self, agent: str) -> Iterator[assigner.Effect]:
         """Handle the loss of the connection to an agent.
@@ -198,20 +217,20 @@
         :param agent: its name.
         """
         view = self.fleet.view_by_agent.get(agent)
-        if view is not None and view.is_linked:
-            view.is_linked = False
+        if view is not None and view.is_connected:
+            view.is_connected = False
             yield actions.LogEvent(
                 "agent.unlinked",
-                {"agent": agent, "tasks": len(self._tasks_of(agent))},
+                {"agent": agent, "tasks": len(self._tasks_assigned_to(agent))},
             )
 
     def handle_worker_info(
         self, agent: str, info: assignments.WorkerInfo
     ) -> Iterator[assigner.Effect]:
-        """Handle facts about a worker.
+        """Store the static properties of a worker.
 
         :param agent: name of its agent.
-        :param info: the facts.
+        :param info: capacity and labels of the worker.
         """
         self.fleet.view_by_agent[agent].info = info
         yield actions.LogEvent("worker.known", {"agent": agent, "worker": info.worker})
@@ -219,34 +238,35 @@
     def handle_load_report(
         self, agent: str, load: assignments.LoadReport
     ) -> Iterator[assigner.Effect]:
-        """Handle a report: renew the session and use the room that it shows.
+        """Handle a load report: renew the session lease and assign waiting tasks.
 
         :param agent: name of the agent.
         :param load: the report.
         """
         now, view = self._time.now(), self.fleet.view_by_agent[agent]
-        before = view.load.state if view.load else None
+        previous_state = view.load.state if view.load else None
         view.apply_report(load, now)
-        if before is not load.state:
+        if previous_state is not load.state:
             yield actions.LogEvent(
                 "worker.state",
                 {"agent": agent, "state": load.state.name, "speed": load.speed},
             )
         if not view.is_recovering:
-            yield from self._lose_unconfirmed(view)
+            yield from self._mark_unconfirmed_lost(view)
         elif load.state is not assignments.WorkerState.UNREACHABLE:
-            # The new life of the agent has seen the worker without foreign runs.
+            # The restarted agent has reached its worker and found no foreign runs, so
+            # that all runs of its previous boot have ended.
             view.is_recovering = False
-            yield from self._lose_all(agent, "agent restarted")
+            yield from self._mark_all_lost(agent, "agent restarted")
         if now >= view.renewal_due_at:
             view.renewed_at, view.renewal_due_at = now, now + RENEWAL_INTERVAL_S
             yield actions.Send(
                 agent,
                 assignments.Renewal(
-                    load.sent_at_us, view.ends_through, self.configuration_version
+                    load.sent_at_us, view.last_end_number, self.configuration_version
                 ),
             )
-        yield from self._assign_soon()
+        yield from self._schedule_assignment()
 
     def handle_task_end(
         self, agent: str, end: assignments.TaskEnd
@@ -257,11 +277,11 @@
         :param end: the end.
         """
         view = self.fleet.view_by_agent[agent]
-        view.ends_through = max(view.ends_through, end.number)
+        view.last_end_number = max(view.last_end_number, end.number)
         key = end.key
-        lingering = self._lingering.get(key.task)
-        if lingering == agent:
-            del self._lingering[key.task]
+        revoked_agent = self._agent_by_revoked_task.get(key.task)
+        if revoked_agent == agent:
+            del self._agent_by_revoked_task[key.task]
         job = self.job_by_id.get(key.task.job)
         if job is None:
             return
@@ -272,9 +292,9 @@
             or task.agent != agent
         ):
             return
-        yield from self._task_ended(job, task, end.kind, end.next_run)
+        yield from self._finish_run(job, task, end.kind, end.next_run)
 
-    def _task_ended(
+    def _finish_run(
         self,
         job: besteffort.Job,
         task: besteffort.Task,
@@ -291,12 +311,12 @@
                 yield from self._end_job(job, besteffort.Completed())
             elif job.is_waiting:
                 self._waiting_by_id[task.key.job] = job
-            yield from self._assign_soon()
+            yield from self._schedule_assignment()
             return
         task.state = besteffort.TaskState.WAITING
         self._waiting_by_id[task.key.job] = job
         task.run = max(task.run, next_run - 1)
-        task.avoided_until_by_agent[agent] = now + self._settings.avoid_s
+        task.avoided_until_by_agent[agent] = now + self._settings.avoid_agent_s
         yield actions.LogEvent(
             "task.ended",
             {
@@ -309,7 +329,7 @@
             },
         )
         if kind is assignments.EndKind.RETURNED:
-            task.not_before = now + self._settings.return_pause_s
+            task.not_before = now + self._settings.return_backoff_s
         else:
             job.has_run = True
         if kind is assignments.EndKind.FAILED:
@@ -318,9 +338,9 @@
             if task.failures >= job.submission.max_attempts:
                 yield from self._end_job(job, besteffort.Failed(codes.Code.TASK_FAILED))
                 return
-        yield from self._assign_soon()
+        yield from self._schedule_assignment()
 
-    def _tasks_of(self, agent: str) -> list[besteffort.Task]:
+    def _tasks_assigned_to(self, agent: str) -> list[besteffort.Task]:
         return [
             task
             for job in self.job_by_id.values()
@@ -328,22 +348,28 @@
             if task.state is besteffort.TaskState.ASSIGNED and task.agent == agent
         ]
 
-    def _lose_unconfirmed(self, view: fleet.WorkerView) -> Iterator[assigner.Effect]:
-        """End the runs that an agent neither holds nor has ended."""
-        missing, view.unconfirmed = view.unconfirmed, set()
-        for task in self._tasks_of(view.agent) if missing else []:
+    def _mark_unconfirmed_lost(
+        self, view: fleet.WorkerView
+    ) -> Iterator[assigner.Effect]:
+        """Mark the runs as lost that an agent neither lists nor reports as ended."""
+        missing, view.unconfirmed_runs = view.unconfirmed_runs, set()
+        for task in self._tasks_assigned_to(view.agent) if missing else []:
             job = self.job_by_id.get(task.key.job)
             if task.run_key in missing and job is not None:
-                # Whether the message came before the connection broke is not known.
-                yield from self._task_ended(
+                # The assignment may or may not have arrived before the disconnect.
+                yield from self._finish_run(
                     job, task, assignments.EndKind.LOST, task.run + 1
                 )
 
-    def _lose_all(self, agent: str, reason: str) -> Iterator[assigner.Effect]:
-        """Treat all runs of an agent as ended."""
-        for key in [key for key, at in self._lingering.items() if at == agent]:
-            del self._lingering[key]
-        tasks = self._tasks_of(agent)
+    def _mark_all_lost(self, agent: str, reason: str) -> Iterator[assigner.Effect]:
+        """Mark all runs of an agent as lost."""
+        for key in [
+            key
+            for key, holder in self._agent_by_revoked_task.items()
+            if holder == agent
+        ]:
+            del self._agent_by_revoked_task[key]
+        tasks = self._tasks_assigned_to(agent)
         if tasks:
             yield actions.LogEvent(
                 "agent.runs_lost",
@@ -352,23 +378,23 @@
         for task in tasks:
             job = self.job_by_id.get(task.key.job)
             if job is not None and task.state is besteffort.TaskState.ASSIGNED:
-                yield from self._task_ended(
+                yield from self._finish_run(
                     job, task, assignments.EndKind.LOST, task.run + 1
                 )
 
     def _end_job(
-        self, job: besteffort.Job, verdict: besteffort.Outcome
+        self, job: besteffort.Job, outcome: besteffort.Outcome
     ) -> Iterator[assigner.Effect]:
-        """End a job, stop what still runs of it and answer its caller."""
-        job.verdict, job.ended_at = verdict, self._time.now()
+        """End a job, revoke its remaining runs and answer its callers."""
+        job.outcome, job.ended_at = outcome, self._time.now()
         job_id = job.submission.job
         del self.job_by_id[job_id]
         self._waiting_by_id.pop(job_id, None)
         self._ended[job_id] = job
         self._ended.move_to_end(job_id)
         by_agent: dict[str, list[assignments.RunKey]] = {}
-        for task in job.assigned():
-            self._lingering[task.key] = task.agent
+        for task in job.assigned_tasks():
+            self._agent_by_revoked_task[task.key] = task.agent
             by_agent.setdefault(task.agent, []).append(task.run_key)
         for agent, keys in by_agent.items():
             yield actions.Send(agent, assignments.Revoke(tuple(keys)))
@@ -378,69 +404,72 @@
                 "job": job_id,
                 "request": job.submission.request,
                 "route": job.submission.route,
-                "code": verdict.code.name,
+                "code": outcome.code.name,
                 "age_ms": self._age_ms(job),
                 "objective_ms": int(job.objective_s() * 1000),
                 "revoked": sum(map(len, by_agent.values())),
             },
         )
         for ticket in sorted(job.tickets):
-            yield assigner.Respond(ticket, job_id, verdict)
+            yield assigner.Respond(ticket, job_id, outcome)
 
     def tick(self) -> Iterator[assigner.Effect]:
-        """Do what is due; call every few tens of milliseconds."""
+        """Handle timeouts and assign tasks; call every few tens of milliseconds."""
         now = self._time.now()
         for view in list(self.fleet.view_by_agent.values()):
-            is_gone = now - view.renewed_at > self._settings.agent_timeout_s
-            if is_gone and (view.is_recovering or not view.is_linked):
+            is_timed_out = now - view.renewed_at > self._settings.agent_timeout_s
+            if is_timed_out and (view.is_recovering or not view.is_connected):
                 view.is_recovering = False
-                yield from self._lose_all(view.agent, "agent silent")
+                yield from self._mark_all_lost(view.agent, "agent silent")
         for job in list(self.job_by_id.values()):
             yield from self._expire(job, now)
-        if now - self._rejected_at >= REJECT_INTERVAL_S:
-            self._rejected_at = now
-            yield from self._reject_hopeless(now)
-        self._forget(now)
+        if now - self._reject_checked_at >= REJECT_INTERVAL_S:
+            self._reject_checked_at = now
+            yield from self._reject_unservable(now)
+        self._evict_ended_jobs(now)
         yield from self.assign()
 
     def _expire(self, job: besteffort.Job, now: float) -> Iterator[assigner.Effect]:
-        """End a job that can't be of use to its caller any more."""
-        remaining_s = job.remaining_s()
-        if job.has_run or job.assigned():
+        """End a job that can no longer finish in time for its caller."""
+        remaining_s = job.remaining_path_s()
+        if job.has_run or job.assigned_tasks():
             if now + remaining_s > job.received_at + job.submission.deadline_s:
-                verdict = besteffort.Interrupted(codes.Code.DEADLINE_MAY_HAVE_RUN)
-                yield from self._end_job(job, verdict)
+                outcome = besteffort.Interrupted(codes.Code.DEADLINE_MAY_HAVE_RUN)
+                yield from self._end_job(job, outcome)
         elif now + remaining_s > job.useful_until():
             yield from self._reject(job)
 
     def _reject(self, job: besteffort.Job) -> Iterator[assigner.Effect]:
         retry_after_s = self._retry_after_s(job.submission.service)
-        verdict = besteffort.Refused(codes.Code.QUEUE_TIMEOUT, retry_after_s)
-        yield from self._end_job(job, verdict)
+        outcome = besteffort.Refused(codes.Code.QUEUE_TIMEOUT, retry_after_s)
+        yield from self._end_job(job, outcome)
 
-    def _reject_hopeless(self, now: float) -> Iterator[assigner.Effect]:
-        """Reject the waiting jobs whose turn will come too late.
+    def _reject_unservable(self, now: float) -> Iterator[assigner.Effect]:
+        """Reject waiting jobs that cannot finish in time behind the jobs before them.
 
-        Their callers learn at once when to return, instead of after their deadline.
+        Callers get a retry time at once instead of waiting until their deadline.
         """
-        ahead_s = 0.0
+        ahead_core_s = 0.0
         rate = self._throughput.rate(now)
         waiting = sorted(
             self._waiting_by_id.values(),
             key=lambda job: self._ordering.key(job, now),
         )
         for job in waiting:
-            is_begun = job.has_run or bool(job.assigned())
-            begins_at = now + HOPELESS_SHARE * ahead_s / rate if rate else now
-            if not is_begun and begins_at + job.remaining_s() > job.useful_until():
+            is_started = job.has_run or bool(job.assigned_tasks())
+            start_at = now + QUEUE_DELAY_FACTOR * ahead_core_s / rate if rate else now
+            if (
+                not is_started
+                and start_at + job.remaining_path_s() > job.useful_until()
+            ):
                 yield from self._reject(job)
             else:
-                ahead_s += job.waiting_core_s()
+                ahead_core_s += job.waiting_core_s()
 
-    def _forget(self, now: float) -> None:
+    def _evict_ended_jobs(self, now: float) -> None:
         while self._ended:
             job = next(iter(self._ended.values()))
-            is_old = now - job.ended_at > self._settings.kept_s
-            if not is_old and len(self._ended) <= self._settings.kept_jobs:
+            is_expired = now - job.ended_at > self._settings.ended_job_ttl_s
+            if not is_expired and len(self._ended) <= self._settings.max_ended_jobs:
                 return
             self._ended.popitem(last=False)
--- a/src/burdockgate/process/selection.py
+++ b/src/burdockgate/process/selection.py
@@ -1,4 +1,4 @@
-"""Order of waiting tasks, and the worker that gets one."""
+"""Order of the waiting jobs, and choice of the worker for a task."""
 
 from __future__ import annotations
 
@@ -11,16 +11,16 @@
 from burdockgate.process import fleet
 from burdockgate.request import besteffort
 
-# Bounds of the parts of a rank.
+# Upper bounds of the components of a rank.
 MAX_PRIORITY = 1000
 MAX_LENGTH_MS = 10_000_000
-# How much longer a task takes away from the rack of its data; the users' platforms
-# state 1.5 and 3.
-REMOTE_FACTOR = 1.5
+# How much longer a task runs outside the rack of its data. Users' platforms state 1.5
+# and 3.
+REMOTE_DATA_FACTOR = 1.5
 
 
 class Ordering(abc.ABC):
-    """Decides which job's tasks are assigned first."""
+    """Order in which the waiting jobs are served."""
 
     @abc.abstractmethod
     def key(self, job: besteffort.Job, now: float) -> tuple[float, ...]:
@@ -31,14 +31,15 @@
         """
 
     def rank(self, job: besteffort.Job, now: float) -> int:
-        """Return the urgency of a job among those of all entry hosts.
+        """Return the urgency of a job, comparable across entry hosts.
 
         :param job: the job.
         :param now: the time in seconds.
-        :returns: lateness, priority and length in one number; smaller is more urgent.
+        :returns: lateness, priority and critical path in one number; smaller is more
+            urgent.
         """
         is_late = int(job.start_by() < now)
-        length_ms = min(int(job.chain_s() * 1000), MAX_LENGTH_MS)
+        length_ms = min(int(job.critical_path_s() * 1000), MAX_LENGTH_MS)
         priority = min(job.submission.priority, MAX_PRIORITY)
         return (is_late * (MAX_PRIORITY + 1) + priority) * (
             MAX_LENGTH_MS + 1
@@ -48,8 +49,8 @@
 class LeastSlack(Ordering):
     """Jobs that can still be on time, by their latest start; then the late ones.
 
-    Load pattern: demand above capacity for some seconds. Serving late jobs first
-    would make every following job late too.
+    Meant for overload of some seconds: serving late jobs first would make every
+    following job late too.
     """
 
     def key(self, job: besteffort.Job, now: float) -> tuple[float, ...]:
@@ -59,27 +60,27 @@
 
 
 class ShortestFirst(Ordering):
-    """Jobs that can still be on time, by priority and then by length; then the others.
+    """Jobs that can still be on time, by priority and critical path; then the others.
 
-    Load pattern: a crest of demand above capacity for some seconds. Short jobs have
-    the least slack and block a place for the shortest time. Jobs that have begun come
-    before others, so that work already done is not lost.
+    Meant for overload of some seconds: short jobs have the least slack and occupy a
+    worker for the shortest time. Started jobs come before others of the same lateness,
+    so that finished work is not lost.
     """
 
     def key(self, job: besteffort.Job, now: float) -> tuple[float, ...]:
-        """Return lateness, progress, priority, length and the latest start."""
+        """Return lateness, progress, priority, critical path and latest start."""
         start_by = job.start_by()
         return (
             float(start_by < now),
             float(not job.has_run),
             float(job.submission.priority),
-            job.chain_s(),
+            job.critical_path_s(),
             start_by,
         )
 
 
 class FirstCome(Ordering):
-    """Jobs in the order in which they came; the baseline for comparisons."""
+    """Jobs in order of arrival; the baseline for comparisons."""
 
     def key(self, job: besteffort.Job, now: float) -> tuple[float, ...]:
         """Return the time of arrival."""
@@ -90,17 +91,18 @@
 class SelectionSettings:
     """Weights of the choice of a worker.
 
-    :param other_zone_s: what a run in another zone costs, in seconds; twice the
-        latency between zones and the price of the bytes.
-    :param spread_s: random part, so that entry hosts with the same view differ.
+    :param other_zone_penalty_s: added for a worker in another zone, in seconds; twice
+        the latency between zones, and the cost of the traffic.
+    :param jitter_s: upper bound of a random part in seconds, so that entry hosts with
+        the same load reports choose different workers.
     """
 
-    other_zone_s: float = 0.004
-    spread_s: float = 0.002
+    other_zone_penalty_s: float = 0.004
+    jitter_s: float = 0.002
 
 
 class Selection:
-    """Chooses the worker on which a task is expected to end first.
+    """Chooses the worker on which a task is expected to finish first.
 
     :param settings: weights.
     :param zone: zone of the entry host.
@@ -114,33 +116,35 @@
         self._zone = zone
         self._rng = rng
 
-    def choose(
+    def choose_worker(
         self, task: besteffort.Task, views: Iterable[fleet.WorkerView], now: float
     ) -> fleet.WorkerView | None:
-        """Return the best worker, or ``None`` when none has room.
+        """Return the best worker, or ``None`` when none has free capacity.
 
         :param task: the task.
-        :param views: workers of its service that may be given tasks.
+        :param views: assignable workers of its service.
         :param now: the time in seconds.
         """
-        rated = (
-            (self._rate(task.step, view), view.agent, view)
+        scored = (
+            (self._score(task.step, view), view.agent, view)
             for view in views
-            if view.has_room(task.step) and _may_have(task, view, now)
+            if view.has_capacity_for(task.step) and _is_allowed(task, view, now)
         )
-        best = min(rated, default=None)
+        best = min(scored, default=None)
         return best[2] if best else None
 
-    def _rate(self, step: besteffort.Step, view: fleet.WorkerView) -> float:
+    def _score(self, step: besteffort.Step, view: fleet.WorkerView) -> float:
         run_s = step.estimate_s / view.speed
-        far_s = 0.0 if view.zone == self._zone else self._settings.other_zone_s
+        zone_penalty_s = (
+            0.0 if view.zone == self._zone else self._settings.other_zone_penalty_s
+        )
         if step.data_rack and not view.has_label(step.data_rack):
-            run_s *= REMOTE_FACTOR
-        spread_s: float = self._rng.random() * self._settings.spread_s
-        return run_s + far_s + spread_s
+            run_s *= REMOTE_DATA_FACTOR
+        jitter_s: float = self._rng.random() * self._settings.jitter_s
+        return run_s + zone_penalty_s + jitter_s
 
 
-def _may_have(task: besteffort.Task, view: fleet.WorkerView, now: float) -> bool:
+def _is_allowed(task: besteffort.Task, view: fleet.WorkerView, now: float) -> bool:
     if task.step.label and not view.has_label(task.step.label):
         return False
     return task.avoided_until_by_agent.get(view.agent, 0.0) <= now
--- a/src/burdockgate/request/besteffort.py
+++ b/src/burdockgate/request/besteffort.py
@@ -1,7 +1,7 @@
-"""Best-effort jobs: steps of tasks whose caller waits for the end.
+"""Best-effort jobs: steps of tasks whose caller waits for the outcome.
 
-Nothing of such a job is stored. A caller whose connection breaks sends the job again
-under the same identifier, to any entry host.
+Such jobs are not stored. A caller whose connection breaks sends the job again under
+the same identifier, to any entry host.
 """
 
 from __future__ import annotations
@@ -13,20 +13,20 @@
 
 from burdockgate import assignments, codes
 
-# A job is late after its objective and worth nothing to its caller after this many
-# times the objective.
+# A job is late after its objective, and useless to its caller after this many times
+# the objective.
 LATE_FACTOR = 3.0
 
 
 @attrs.frozen
 class Step:
-    """Tasks that may run side by side.
+    """Tasks that may run in parallel.
 
     :param cpu: thousandths of a core for each task.
-    :param estimate_s: rough duration of a task.
-    :param after: numbers of the steps that must be done before.
+    :param estimate_s: estimated duration of a task.
+    :param after: numbers of the steps that must be done before this one.
     :param label: label that the worker must have; empty for any.
-    :param data_rack: rack where the tasks run fastest; empty for any.
+    :param data_rack: rack of the data, where the tasks run fastest; empty for any.
     :param max_per_worker: most tasks of the step on one worker; 0 for no limit.
     """
 
@@ -48,9 +48,9 @@
     :param route: name of the route that matched the request.
     :param priority: 0 is served first.
     :param max_attempts: failed runs of one task after which the job has failed.
-    :param stretch: factor of the objective on the longest chain of work.
+    :param stretch: factor on the critical path in the objective.
     :param target_s: fixed part of the objective.
-    :param deadline_s: how long the caller waits.
+    :param deadline_s: how long the caller waits for the outcome.
     :param request: the caller's identifier of this request, for the log.
     """
 
@@ -69,7 +69,7 @@
 
 @attrs.frozen
 class Completed:
-    """All tasks ended well."""
+    """All tasks are done."""
 
     code: codes.Code = codes.Code.COMPLETE
 
@@ -85,7 +85,7 @@
 class Refused:
     """No task of the job has run or will run.
 
-    :param retry_after_s: when a new submission can be expected to be served.
+    :param retry_after_s: delay after which a new submission is likely to be served.
     """
 
     code: codes.Code
@@ -94,7 +94,7 @@
 
 @attrs.frozen
 class Interrupted:
-    """The job got no result here; some of its tasks may have run, none does now."""
+    """The job got no result here; some tasks may have run, none runs any more."""
 
     code: codes.Code
 
@@ -103,9 +103,9 @@
 
 
 class TaskState(enum.Enum):
-    """How far a task has come."""
+    """Progress of a task."""
 
-    # Steps before are not done.
+    # A step that it depends on is not done.
     BLOCKED = "blocked"
     WAITING = "waiting"
     ASSIGNED = "assigned"
@@ -116,11 +116,12 @@
 class Task:
     """One task; times in seconds of the entry host's clock.
 
-    :param run: number of the last run.
-    :param agent: agent that has the last run.
-    :param not_before: when it may be assigned.
-    :param avoided_until_by_agent: agents that returned or lost it, and until when
-        others are preferred.
+    :param run: number of the last run; 0 before the first.
+    :param failures: number of failed runs.
+    :param agent: agent to which the last run is assigned; empty after its end.
+    :param not_before: earliest time of the next assignment.
+    :param avoided_until_by_agent: agents on which a run ended without success, and
+        until when the task is not assigned to them.
     """
 
     key: assignments.TaskKey
@@ -139,7 +140,7 @@
         return assignments.RunKey(self.key, self.run)
 
     def is_unconstrained(self, now: float) -> bool:
-        """Return whether any worker with room may have the task.
+        """Return whether any worker with free capacity may run the task.
 
         :param now: the time.
         """
@@ -152,10 +153,11 @@
     """A job in progress.
 
     :param received_at: when its caller's request was read.
-    :param tickets: numbers of the requests that wait for the end; several when the
+    :param tickets: numbers of the requests that wait for the outcome; several when the
         caller has sent the job again.
-    :param has_run: whether a task was assigned and not returned unstarted.
-    :param verdict: set once the job has ended.
+    :param has_run: whether a run of it has ended and may have started.
+    :param has_been_assigned: whether a task was ever assigned.
+    :param outcome: set once the job has ended.
     """
 
     submission: Submission
@@ -164,12 +166,12 @@
     tasks: list[list[Task]]
     has_run: bool = False
     has_been_assigned: bool = False
-    verdict: Outcome | None = None
+    outcome: Outcome | None = None
     ended_at: float = 0.0
 
     @classmethod
-    def begin(cls, submission: Submission, now: float, ticket: int) -> Job:
-        """Make the job of a submission.
+    def from_submission(cls, submission: Submission, now: float, ticket: int) -> Job:
+        """Return a new job for a submission.
 
         :param submission: what the caller sent.
         :param now: the time.
@@ -187,7 +189,7 @@
         return job
 
     def unblock(self) -> None:
-        """Let the tasks wait whose earlier steps are done."""
+        """Make the blocked tasks wait whose preceding steps are done."""
         for number, step in enumerate(self.submission.steps):
             if all(self._is_step_done(earlier) for earlier in step.after):
                 for task in self.tasks[number]:
@@ -202,8 +204,8 @@
         for tasks in self.tasks:
             yield from tasks
 
-    def assigned(self) -> list[Task]:
-        """Return the tasks that an agent has."""
+    def assigned_tasks(self) -> list[Task]:
+        """Return the tasks that are assigned to an agent."""
         return [task for task in self.all_tasks() if task.state is TaskState.ASSIGNED]
 
     @property
@@ -216,33 +218,33 @@
         """Whether every task is done."""
         return all(task.state is TaskState.DONE for task in self.all_tasks())
 
-    def chain_s(self) -> float:
-        """Return the longest chain of estimated work through the steps."""
-        ends: list[float] = []
+    def critical_path_s(self) -> float:
+        """Return the duration of the critical path through the steps, as estimated."""
+        ends_s: list[float] = []
         for step in self.submission.steps:
-            begin = max((ends[earlier] for earlier in step.after), default=0.0)
-            ends.append(begin + step.estimate_s)
-        return max(ends, default=0.0)
+            start_s = max((ends_s[earlier] for earlier in step.after), default=0.0)
+            ends_s.append(start_s + step.estimate_s)
+        return max(ends_s, default=0.0)
 
     def objective_s(self) -> float:
         """Return the time in which the caller expects the result."""
-        given = self.submission
-        return given.stretch * self.chain_s() + given.target_s
+        submission = self.submission
+        return submission.stretch * self.critical_path_s() + submission.target_s
 
-    def remaining_s(self) -> float:
-        """Return the longest chain of estimated work that has not begun."""
-        ends: list[float] = []
+    def remaining_path_s(self) -> float:
+        """Return the critical path through the steps with unassigned tasks."""
+        ends_s: list[float] = []
         for number, step in enumerate(self.submission.steps):
-            begin = max((ends[earlier] for earlier in step.after), default=0.0)
-            is_due = any(
+            start_s = max((ends_s[earlier] for earlier in step.after), default=0.0)
+            has_unassigned = any(
                 task.state in (TaskState.WAITING, TaskState.BLOCKED)
                 for task in self.tasks[number]
             )
-            ends.append(begin + (step.estimate_s if is_due else 0.0))
-        return max(ends, default=0.0)
+            ends_s.append(start_s + (step.estimate_s if has_unassigned else 0.0))
+        return max(ends_s, default=0.0)
 
     def waiting_core_s(self) -> float:
-        """Return the estimated work that waits, in processors times seconds."""
+        """Return the estimated work of the waiting tasks in core-seconds."""
         return sum(
             task.step.cpu / 1000 * task.step.estimate_s
             for task in self.all_tasks()
@@ -250,10 +252,10 @@
         )
 
     def start_by(self) -> float:
-        """Return the latest start of the remaining work that is on time."""
-        return self.received_at + self.objective_s() - self.remaining_s()
+        """Return the latest time to start the remaining work and meet the objective."""
+        return self.received_at + self.objective_s() - self.remaining_path_s()
 
     def useful_until(self) -> float:
-        """Return when the result stops being of use to the caller."""
+        """Return the time after which the result is useless to the caller."""
         useful_s = min(LATE_FACTOR * self.objective_s(), self.submission.deadline_s)
         return self.received_at + useful_s
--- a/src/burdockgate/version/routes.py
+++ b/src/burdockgate/version/routes.py
@@ -1,4 +1,4 @@
-"""One version of the configuration of routes and services."""
+"""Routes of one version of the configuration, and matching of requests to them."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
     :param priority: 0 is served first.
     :param max_attempts: failed runs of one task after which a job has failed.
-    :param stretch: factor of the objective on the longest chain of work.
+    :param stretch: factor on the critical path in the objective of a job.
     :param target_s: fixed part of the objective.
     :param needs_advice: whether only workers named by an advisor may run its tasks.
     """
@@ -32,8 +32,8 @@
 class RouteTable:
     """All routes of one version.
 
-    :param version: grows with each accepted change.
-    :param max_body_bytes: most bytes of a request's body.
+    :param version: increases with each accepted change.
+    :param max_body_bytes: upper bound of the size of a request's body.
     """
 
     version: int
@@ -41,7 +41,7 @@
     max_body_bytes: int
 
     def match(self, host: str, path: str) -> Route | None:
-        """Return the route with the longest prefix of a path, or ``None``.
+        """Return the route with the longest matching prefix, or ``None``.
 
         :param host: host name of the request, without a port.
         :param path: path of the request.
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -1,4 +1,4 @@
-"""Guards the entry host's decisions: choice, retries, rejection, and waiting."""
+"""Tests of the entry host's scheduler: choice of workers, retries and rejection."""
 
 import random
 
@@ -25,7 +25,7 @@
 
 
 class Bench:
-    """A scheduler after its settling time, with agents that have reported."""
+    """A scheduler after its startup grace, with agents that have reported."""
 
     def __init__(self, *free_cpu, ordering=None):
         self.time = clock.ManualClock(100.0)
@@ -54,7 +54,7 @@
         view = self.scheduler.fleet.view_by_agent[agent]
         load = assignments.LoadReport(
             1,
-            view.assigned_number,
+            view.last_assign_number,
             state,
             self.free_by_agent[agent],
             0,
@@ -85,20 +85,20 @@
     ]
 
 
-def _verdicts(effects):
+def _outcomes(effects):
     return [
-        effect.verdict for effect in effects if isinstance(effect, assigner.Respond)
+        effect.outcome for effect in effects if isinstance(effect, assigner.Respond)
     ]
 
 
 def test_tasks_of_a_job_go_in_one_message_and_complete_it():
-    """The plain path."""
+    """The tasks of one step on one agent share one assignment."""
     bench = Bench(4000)
     (assign,) = _messages(assignments.Assign, bench.submit())
     assert (assign.indexes, assign.runs) == ((0, 1), (1, 1))
     bench.end("agent-0", 0, assignments.EndKind.DONE)
     effects = bench.end("agent-0", 1, assignments.EndKind.DONE, number=2)
-    assert _verdicts(effects) == [besteffort.Completed()]
+    assert _outcomes(effects) == [besteffort.Completed()]
 
 
 def test_steps_wait_for_the_steps_before():
@@ -115,7 +115,7 @@
     assert assign.step == 1
 
 
-def test_label_and_limit_per_worker_are_kept():
+def test_label_and_limit_per_worker_are_respected():
     """A task must not run on a worker that its step excludes."""
     bench = Bench(4000, 4000)
     bench.link("agent-2", 4000, labels=("b",))
@@ -145,64 +145,64 @@
     ]
     assert (sent.to, sent.message.runs) == ("agent-1", (2,))
     effects = bench.end("agent-1", 0, assignments.EndKind.FAILED, run=2)
-    assert _verdicts(effects) == [besteffort.Failed(codes.Code.TASK_FAILED)]
+    assert _outcomes(effects) == [besteffort.Failed(codes.Code.TASK_FAILED)]
 
 
-def test_returned_task_counts_no_attempt_and_leaves_the_job_unrun():
-    """Only a job of which nothing can have run may be refused."""
+def test_returned_task_counts_no_attempt_and_its_job_may_still_be_refused():
+    """A returned run never started; a job may be refused only if no task has run."""
     bench = Bench(4000)
     bench.submit(attrs.evolve(SUBMISSION, steps=(attrs.evolve(STEP, count=1),)))
     bench.end("agent-0", 0, assignments.EndKind.RETURNED)
     job = bench.scheduler.job_by_id["job"]
     assert not job.has_run
     bench.time.advance(1.95)
-    (verdict,) = _verdicts(bench.scheduler.tick())
-    assert verdict.code is codes.Code.QUEUE_TIMEOUT
+    (outcome,) = _outcomes(bench.scheduler.tick())
+    assert outcome.code is codes.Code.QUEUE_TIMEOUT
 
 
 def test_job_with_an_assigned_task_is_not_refused():
-    """Its agent may have started it."""
+    """Its agent may have started the task."""
     bench = Bench(4000)
     bench.submit()
     bench.time.advance(1.0)
-    assert _verdicts(bench.scheduler.tick()) == []
+    assert _outcomes(bench.scheduler.tick()) == []
     bench.time.advance(1.1)
-    (verdict,) = _verdicts(bench.scheduler.tick())
-    assert verdict == besteffort.Interrupted(codes.Code.DEADLINE_MAY_HAVE_RUN)
+    (outcome,) = _outcomes(bench.scheduler.tick())
+    assert outcome == besteffort.Interrupted(codes.Code.DEADLINE_MAY_HAVE_RUN)
 
 
 @pytest.mark.parametrize(
     "change", [{"cpu": 4001}, {"memory_mb": 1001}, {"gpu": 1}, {"label": "b"}]
 )
 def test_job_that_fits_no_worker_is_rejected_at_once(change):
-    """It must not wait until its deadline for what never comes."""
+    """It must not wait until its deadline for a worker that does not exist."""
     bench = Bench(4000)
     step = attrs.evolve(STEP, **change)
-    (verdict,) = _verdicts(bench.submit(attrs.evolve(SUBMISSION, steps=(step,))))
-    assert verdict.code is codes.Code.NEVER_FITS
+    (outcome,) = _outcomes(bench.submit(attrs.evolve(SUBMISSION, steps=(step,))))
+    assert outcome.code is codes.Code.NEVER_FITS
 
 
-def test_silent_agents_are_given_nothing():
-    """Tasks given to an agent that is cut off are lost for seconds."""
+def test_silent_agents_are_assigned_nothing():
+    """Tasks assigned to an unreachable agent are lost for seconds."""
     bench = Bench(4000)
-    bench.time.advance(fleet.FRESH_S)
-    (verdict,) = _verdicts(bench.submit())
-    assert verdict.code is codes.Code.NOT_READY
+    bench.time.advance(fleet.NEAR_REPORT_TIMEOUT_S)
+    (outcome,) = _outcomes(bench.submit())
+    assert outcome.code is codes.Code.NOT_READY
 
 
-def test_entry_host_that_hears_few_agents_is_not_in_touch():
-    """The balancer should send the requests of a host that is cut off elsewhere."""
+def test_entry_host_without_reports_of_half_its_agents_is_not_ready():
+    """The balancer should send requests elsewhere while an entry host is cut off."""
     bench = Bench(4000, 4000, 4000)
-    assert bench.scheduler.fleet.is_in_touch(bench.time.now())
+    assert bench.scheduler.fleet.has_enough_agents(bench.time.now())
     bench.time.advance(1.0)
     bench.report("agent-0")
-    assert not bench.scheduler.fleet.is_in_touch(bench.time.now())
+    assert not bench.scheduler.fleet.has_enough_agents(bench.time.now())
     bench.report("agent-1")
-    assert bench.scheduler.fleet.is_in_touch(bench.time.now())
+    assert bench.scheduler.fleet.has_enough_agents(bench.time.now())
 
 
-def test_runs_that_an_agent_does_not_hold_after_a_reset_are_lost():
-    """An assignment that was under way when the connection broke never started."""
+def test_runs_that_a_reconnected_agent_does_not_list_are_lost():
+    """An assignment that was in flight when the connection broke never started."""
     bench = Bench(4000)
     bench.submit()
     key = assignments.RunKey(assignments.TaskKey("job", 0, 0), 1)
@@ -217,7 +217,7 @@
 
 
 def test_runs_of_a_silent_agent_start_elsewhere_only_after_the_leases():
-    """Its worker may run them until then."""
+    """The agent's worker may run them until its lease lapses."""
     bench = Bench(4000)
     bench.submit(attrs.evolve(SUBMISSION, deadline_s=20.0))
     list(bench.scheduler.handle_agent_disconnected("agent-0"))
@@ -231,11 +231,11 @@
     assert assign.runs == (2, 2)
 
 
-def test_abandoned_job_is_revoked_and_its_tasks_wait_for_their_ends_when_it_returns():
-    """Starting them before would run them twice at a time."""
+def test_resubmitted_job_waits_for_the_ends_of_its_revoked_runs():
+    """Starting a task again before its revoked run has ended would run it twice."""
     bench = Bench(4000)
     bench.submit()
-    effects = list(bench.scheduler.abandon("job", 1))
+    effects = list(bench.scheduler.handle_caller_disconnected("job", 1))
     (revoke,) = _messages(assignments.Revoke, effects)
     assert len(revoke.keys) == 2
     agent = next(e.to for e in effects if isinstance(e, actions.Send))
@@ -246,61 +246,61 @@
 
 
 def test_every_request_for_a_job_gets_its_answer():
-    """A caller that sent its job again must not be told to send it once more."""
+    """A caller that sent its job again waits for the same outcome as the first."""
     bench = Bench(4000)
     bench.submit()
     bench.submit(ticket=2)
     bench.end("agent-0", 0, assignments.EndKind.DONE)
     effects = bench.end("agent-0", 1, assignments.EndKind.DONE, number=2)
-    assert _verdicts(effects) == [besteffort.Completed(), besteffort.Completed()]
+    assert _outcomes(effects) == [besteffort.Completed(), besteffort.Completed()]
 
 
-def test_completed_job_is_answered_again_from_memory():
+def test_repeated_submission_of_a_completed_job_is_answered_at_once():
     """A repeated request may arrive seconds after the answer."""
     bench = Bench(4000)
     bench.submit()
     bench.end("agent-0", 0, assignments.EndKind.DONE)
     bench.end("agent-0", 1, assignments.EndKind.DONE, number=2)
-    assert _verdicts(bench.submit(ticket=2)) == [besteffort.Completed()]
+    assert _outcomes(bench.submit(ticket=2)) == [besteffort.Completed()]
 
 
-def test_jobs_without_a_chance_are_rejected_before_their_deadline():
-    """Callers waited for 2 s at a crest and were refused then."""
+def test_jobs_that_cannot_finish_in_time_are_rejected_before_their_deadline():
+    """During overload, callers waited for 2 s only to be refused."""
     bench = Bench(4000)
     for number in range(200):
         name = f"{number:016x}"
         bench.submit(attrs.evolve(SUBMISSION, job=name, deadline_s=20.0), number)
-    verdicts = []
+    outcomes = []
     for _ in range(5):
         bench.time.advance(0.1)
         bench.report("agent-0")
-        verdicts += _verdicts(bench.scheduler.tick())
-    assert len(verdicts) > 100
-    assert all(verdict.code is codes.Code.QUEUE_TIMEOUT for verdict in verdicts)
-    assert all(verdict.retry_after_s >= 1.0 for verdict in verdicts)
+        outcomes += _outcomes(bench.scheduler.tick())
+    assert len(outcomes) > 100
+    assert all(outcome.code is codes.Code.QUEUE_TIMEOUT for outcome in outcomes)
+    assert all(outcome.retry_after_s >= 1.0 for outcome in outcomes)
 
 
 def test_stopping_entry_host_refuses_what_it_cannot_finish():
-    """A job that would be cut off by the end of the process is not begun."""
+    """A job that would be interrupted by the exit of the process is not accepted."""
     bench = Bench(4000)
-    bench.scheduler.stops_at = bench.time.now() + 1.0
+    bench.scheduler.stop_deadline = bench.time.now() + 1.0
     long = attrs.evolve(STEP, estimate_s=2.0)
-    (verdict,) = _verdicts(bench.submit(attrs.evolve(SUBMISSION, steps=(long,))))
-    assert verdict.code is codes.Code.DRAINING
-    assert _verdicts(bench.submit(attrs.evolve(SUBMISSION, job="short"))) == []
+    (outcome,) = _outcomes(bench.submit(attrs.evolve(SUBMISSION, steps=(long,))))
+    assert outcome.code is codes.Code.DRAINING
+    assert _outcomes(bench.submit(attrs.evolve(SUBMISSION, job="short"))) == []
 
 
-# Order, choice and shares.
+# Order of jobs, choice of workers, shares of capacity.
 
 
 def _job(estimate_s, priority=0, received_at=100.0):
     step = attrs.evolve(STEP, estimate_s=estimate_s)
     submission = attrs.evolve(SUBMISSION, steps=(step,), priority=priority)
-    return besteffort.Job.begin(submission, received_at, 1)
+    return besteffort.Job.from_submission(submission, received_at, 1)
 
 
 def test_order_puts_priority_first_then_length_and_late_jobs_last():
-    """The order that the replayed crest speaks for."""
+    """The rank sent to agents has to sort jobs like the order of the entry host."""
     order = selection.ShortestFirst()
     urgent, short, long = _job(1.0), _job(0.1, priority=1), _job(1.0, priority=1)
     late = _job(0.1, received_at=90.0)
@@ -311,14 +311,14 @@
 
 
 def test_faster_worker_is_chosen_and_a_full_one_is_not():
-    """A task goes where it ends first."""
+    """A task is assigned to the worker on which it is expected to finish first."""
     bench = Bench(4000, 4000, 500)
     for agent, speed in (("agent-0", 800), ("agent-1", 1200), ("agent-2", 2000)):
         view = bench.scheduler.fleet.view_by_agent[agent]
         view.load = attrs.evolve(view.load, speed=speed)
     choice = selection.Selection(
         selection.SelectionSettings(), "z1", random.Random(1)
-    ).choose(
+    ).choose_worker(
         besteffort.Task(assignments.TaskKey("job", 0, 0), STEP),
         bench.scheduler.fleet.view_by_agent.values(),
         bench.time.now(),
@@ -333,15 +333,15 @@
     return session
 
 
-def test_freed_room_goes_to_the_most_urgent_owner():
-    """All owners once filled the same place, and all but one task waited there."""
+def test_freed_capacity_goes_to_the_most_urgent_entry_host():
+    """Entry hosts filled the same free capacity, and all but one task queued there."""
     sessions = [_session("a", 3000, 7), _session("b", 1000, 2), _session("c", 0, 0)]
     shares = entrysessions.allocate_free_cpu(2000, sessions, 100.0)
     assert shares == {"a": 1000, "b": 1000, "c": 0}
 
 
-def test_room_that_nobody_waits_for_is_open_to_all():
-    """Without demand a new job must not wait for a share."""
+def test_capacity_without_demand_is_offered_to_all_entry_hosts():
+    """A new job must not wait for a share while no tasks wait elsewhere."""
     sessions = [_session("a", 0, 0), _session("b", 500, 1, demanded_at=90.0)]
     assert entrysessions.allocate_free_cpu(2000, sessions, 100.0) == {
         "a": 2000,
@@ -350,20 +350,20 @@
 
 
 @pytest.mark.parametrize(
-    ("placed", "expected"), [([], 0.0), ([(0.5, 4.0)], 8.0), ([(1.0, 4.0)], 4.0)]
+    ("assigned", "expected"), [([], 0.0), ([(0.5, 4.0)], 8.0), ([(1.0, 4.0)], 4.0)]
 )
-def test_throughput(placed, expected):
-    """The rate is known after a quarter of a second and follows within one."""
+def test_throughput(assigned, expected):
+    """The rate is known after a quarter of a second and follows within one second."""
     measured = throughput.Throughput(100.0)
     now = 100.0
-    for after_s, core_s in placed:
+    for after_s, core_s in assigned:
         now = 100.0 + after_s
         measured.add(core_s)
     assert measured.rate(now) == pytest.approx(expected)
 
 
-def test_returned_task_is_no_demand_before_its_pause_has_passed():
-    """Each return told 24 agents of a demand and of its end, at usual load."""
+def test_returned_task_causes_no_demand_during_its_backoff():
+    """At normal load, each return sent a demand and its end to 24 agents."""
     bench = Bench(4000, 4000)
     bench.submit()
     bench.time.advance(1.0)
@@ -373,7 +373,7 @@
     agent = next(bench.scheduler.job_by_id["job"].all_tasks()).agent
     returned = bench.end(agent, 0, assignments.EndKind.RETURNED)
     assert _messages(assignments.Demand, returned) == []
-    bench.time.advance(assigner.SchedulerSettings().return_pause_s)
+    bench.time.advance(assigner.SchedulerSettings().return_backoff_s)
     later = list(bench.scheduler.assign())
     assert {demand.waiting_cpu for demand in _messages(assignments.Demand, later)} == {
         STEP.cpu
