Reword the entry host's daemon and the connections with agents

Cause: names such as _greeted, _learn, _holders and heard_at, and docstrings such as "Tell the agents of another entry host", had to be guessed.

Change: docstrings, comments and names say what is sent, stored or aborted; the result of a job is an outcome here too. Events, their fields and the reasons of rejected messages stay.

--- a/src/burdockgate/process/entrydaemon.py
+++ b/src/burdockgate/process/entrydaemon.py
@@ -1,4 +1,8 @@
-"""The daemon that takes best-effort jobs: performs what its scheduler decides."""
+"""Daemon of an entry host for best-effort jobs.
+
+Passes requests and the messages of agents to the scheduler and performs its effects,
+and follows the configuration and the other entry hosts in the store.
+"""
 
 from __future__ import annotations
 
@@ -30,29 +34,30 @@
 from burdockgate.version import routes
 
 TICK_S = 0.02
-# Reports and ends that come in this time lead to one assignment.
+# Load reports and task ends that arrive within this time share one assignment pass.
 ASSIGN_DELAY_S = 0.001
-# The balancer notices within two seconds that an entry host is not ready. Until then
-# it still sends requests, which are served.
-UNREADY_S = 2.2
-# What is left of the time for a stop, for answers under way.
+# The load balancer detects within two seconds that an entry host is not ready. Requests
+# that it still sends until then are served.
+BALANCER_DELAY_S = 2.2
+# Part of the grace period that is reserved for sending the last responses.
 STOP_RESERVE_S = 0.5
 STORE_RETRY_S = 0.5
 BOOT_BITS = 62
-# Agents that get the body of each configuration, to pass it on to entry hosts that lag.
-# Any of them reaches every entry host; several stay when a zone is lost.
-CONFIGURATION_HOLDERS = 3
+# Number of agents that get the body of each configuration, to pass it on to entry hosts
+# with an older one. Each agent reaches all entry hosts; with several, some remain when
+# a zone is lost.
+CONFIGURATION_COPIES = 3
 
 
 @attrs.frozen
 class EntryDaemonSettings:
-    """Place and limits of an entry host.
+    """Location and limits of an entry host.
 
-    :param host: own IP address, at which agents connect.
+    :param host: own IP address, to which agents connect.
     :param port: port for agents.
-    :param grace_s: time between the signal to stop and the end of the process.
-    :param configuration_topic: topic that holds the configuration.
-    :param configuration_key: its key.
+    :param grace_s: time between the stop signal and the exit of the process.
+    :param configuration_topic: topic of the store that holds the configuration.
+    :param configuration_key: key of the configuration in its topic.
     """
 
     name: str
@@ -69,9 +74,9 @@
 class EntryDaemon(links.Handler, runner.Runnable):
     """Connects the scheduler with callers, agents and the store.
 
-    :param settings: place and limits.
-    :param client: the store.
-    :param decode_routes: returns the table of a record; ``None`` when unreadable.
+    :param settings: location and limits.
+    :param client: client of the store.
+    :param decode_routes: decodes a record; returns ``None`` if it is unreadable.
     :param rng: source of random numbers.
     """
 
@@ -100,13 +105,13 @@
         self.routes: routes.RouteTable | None = None
         self._has_routes = asyncio.Event()
         self._configuration: assignments.Configuration | None = None
-        self._holders: set[str] = set()
+        self._agents_with_configuration: set[str] = set()
         self._links = links.EntryLinks(self, self._time)
         self._server: asyncio.Server | None = None
         self._link_by_agent: dict[str, stream.Stream] = {}
         self._agent_by_link: dict[stream.Stream, str] = {}
         self._address_by_entry: dict[str, str] = {settings.name: self._address}
-        self._answer_by_ticket: dict[int, asyncio.Future[besteffort.Outcome]] = {}
+        self._outcome_by_ticket: dict[int, asyncio.Future[besteffort.Outcome]] = {}
         self._tickets = itertools.count(1)
         self._tasks: set[asyncio.Task[None]] = set()
         self.is_stopping = False
@@ -125,9 +130,9 @@
         )
 
     async def wait_for_routes(self, limit_s: float) -> routes.RouteTable | None:
-        """Return the configuration; ``None`` when none has come in time.
+        """Return the configuration; ``None`` when none arrives in time.
 
-        :param limit_s: longest wait for the first one in seconds.
+        :param limit_s: longest wait for the first configuration in seconds.
         """
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(limit_s):
@@ -135,29 +140,29 @@
         return self.routes
 
     async def start(self) -> None:
-        """Begin to serve."""
+        """Listen for agents and start the background tasks."""
         self.events.record("process.started", {"boot": self.boot})
         self._server = await self._links.start(self._settings.host, self._settings.port)
         self._spawn(self._run_timers())
         self._spawn(self._follow_configuration())
-        self._spawn(self._follow_members())
+        self._spawn(self._follow_entry_hosts())
         self._spawn(self._register())
 
     async def stop(self) -> None:
-        """Let the jobs in progress end, then end."""
+        """Wait for the jobs in progress and interrupt those left when time is up."""
         self.is_stopping = True
         self.events.record("process.stopping", {"jobs": len(self.scheduler.job_by_id)})
         self._spawn(self._deregister())
-        begun_at = self._time.now()
+        started_at = self._time.now()
         limit_s = self._settings.grace_s - STOP_RESERVE_S
-        self.scheduler.stop_deadline = begun_at + limit_s
-        await asyncio.sleep(min(UNREADY_S, limit_s))
-        while self.scheduler.job_by_id and self._time.now() - begun_at < limit_s:
+        self.scheduler.stop_deadline = started_at + limit_s
+        await asyncio.sleep(min(BALANCER_DELAY_S, limit_s))
+        while self.scheduler.job_by_id and self._time.now() - started_at < limit_s:
             await asyncio.sleep(TICK_S)
         self._perform(self.scheduler.interrupt_all())
 
     async def close(self) -> None:
-        """End every connection; call after the requests have been answered."""
+        """Close all connections; call after the requests have been answered."""
         self.events.record("process.stopped", {"jobs": len(self.scheduler.job_by_id)})
         if self._server is not None:
             self._server.close()
@@ -170,37 +175,38 @@
     # Callers.
 
     async def submit(
-        self, submission: besteffort.Submission, gone: asyncio.Future[None]
+        self, submission: besteffort.Submission, disconnected: asyncio.Future[None]
     ) -> besteffort.Outcome | None:
-        """Return how a job ended; ``None`` when its caller went before.
+        """Run a job; return ``None`` when its caller disconnects before its end.
 
         :param submission: the job.
-        :param gone: done when the caller has closed its connection.
+        :param disconnected: done when the caller has closed its connection.
+        :returns: how the job ended.
         """
         ticket = next(self._tickets)
-        answer: asyncio.Future[besteffort.Outcome] = (
+        outcome: asyncio.Future[besteffort.Outcome] = (
             asyncio.get_running_loop().create_future()
         )
-        self._answer_by_ticket[ticket] = answer
-        began_at = self._time.now()
+        self._outcome_by_ticket[ticket] = outcome
+        started_at = self._time.now()
         try:
             self._perform(self.scheduler.submit(submission, ticket))
-            waited: set[asyncio.Future[Any]] = {answer, gone}
-            await asyncio.wait(waited, return_when=asyncio.FIRST_COMPLETED)
-            if not answer.done():
+            awaited: set[asyncio.Future[Any]] = {outcome, disconnected}
+            await asyncio.wait(awaited, return_when=asyncio.FIRST_COMPLETED)
+            if not outcome.done():
                 self._perform(
                     self.scheduler.handle_caller_disconnected(submission.job, ticket)
                 )
                 return None
-            verdict = answer.result()
+            result = outcome.result()
             self.events.histograms.record(
-                f"response.{verdict.code.name.lower()}",
+                f"response.{result.code.name.lower()}",
                 submission.route,
-                self._time.now() - began_at,
+                self._time.now() - started_at,
             )
-            return verdict
+            return result
         finally:
-            del self._answer_by_ticket[ticket]
+            del self._outcome_by_ticket[ticket]
 
     def cancel(self, job: str) -> bool:
         """Cancel a job; return whether it was in progress.
@@ -213,21 +219,21 @@
 
     # Effects of the scheduler.
 
-    def _perform(self, wanted: Iterable[assigner.Effect]) -> None:
-        for effect in wanted:
+    def _perform(self, effects: Iterable[assigner.Effect]) -> None:
+        for effect in effects:
             match effect:
                 case actions.LogEvent(event, fields):
                     self.events.record(event, fields)
-                case actions.Send(to, message):
-                    link = self._link_by_agent.get(to)
+                case actions.Send(agent, message):
+                    link = self._link_by_agent.get(agent)
                     if link is not None:
                         link.send(message)
                 case assigner.ScheduleAssignment():
                     asyncio.get_running_loop().call_later(ASSIGN_DELAY_S, self._assign)
-                case assigner.Respond(ticket, _, verdict):
-                    answer = self._answer_by_ticket.get(ticket)
-                    if answer is not None and not answer.done():
-                        answer.set_result(verdict)
+                case assigner.Respond(ticket, _, result):
+                    outcome = self._outcome_by_ticket.get(ticket)
+                    if outcome is not None and not outcome.done():
+                        outcome.set_result(result)
 
     def _assign(self) -> None:
         self._perform(self.scheduler.assign())
@@ -237,10 +243,10 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    # Links.
+    # Connections of agents.
 
     def handle_open(self, link: stream.Stream) -> None:
-        """Greet an agent."""
+        """Send the hello to a newly connected agent."""
         settings = self._settings
         link.send(
             assignments.EntryHello(
@@ -251,7 +257,7 @@
     def handle_message(self, link: stream.Stream, message: assignments.Message) -> None:
         """Handle a message of an agent."""
         if isinstance(message, assignments.AgentHello):
-            self._greeted(link, message)
+            self._accept_agent(link, message)
             return
         agent = self._agent_by_link.get(link)
         if agent is None:
@@ -264,9 +270,9 @@
             case assignments.WorkerInfo():
                 self._perform(self.scheduler.handle_worker_info(agent, message))
             case assignments.Configuration(_, body):
-                self._configure(body, f"agent {agent}")
+                self._apply_configuration(body, f"agent {agent}")
 
-    def _greeted(self, link: stream.Stream, hello: assignments.AgentHello) -> None:
+    def _accept_agent(self, link: stream.Stream, hello: assignments.AgentHello) -> None:
         if hello.protocol != assignments.PROTOCOL:
             raise errors.WireError(f"protocol {hello.protocol} of {hello.name}")
         old = self._link_by_agent.get(hello.name)
@@ -277,8 +283,8 @@
             old.abort()
         self._perform(self.scheduler.handle_agent_connected(hello, self.boot))
         link.send(assignments.EntryHosts(tuple(self._address_by_entry.values())))
-        self._holders.discard(hello.name)
-        self._hand_out_configuration()
+        self._agents_with_configuration.discard(hello.name)
+        self._distribute_configuration()
 
     def handle_close(self, link: stream.Stream) -> None:
         """Handle the end of a connection."""
@@ -286,8 +292,8 @@
         if agent is not None:
             del self._link_by_agent[agent]
             self._perform(self.scheduler.handle_agent_disconnected(agent))
-            self._holders.discard(agent)
-            self._hand_out_configuration()
+            self._agents_with_configuration.discard(agent)
+            self._distribute_configuration()
 
     def handle_rejected(self, reason: str) -> None:
         """Handle a malformed message."""
@@ -308,16 +314,16 @@
         )
         async for record in source.records():
             if record.key == settings.configuration_key:
-                self._configure(record.value, "store")
+                self._apply_configuration(record.value, "store")
 
-    def _configure(self, body: bytes, source: str) -> None:
-        """Take a version into force unless it is older than the known one."""
+    def _apply_configuration(self, body: bytes, source: str) -> None:
+        """Apply a configuration that is newer than the one in force."""
         table = self._decode_routes(body)
         if table is None:
             self.events.record("configuration.unreadable", {"source": source})
             return
-        known = self.routes
-        if known is not None and table.version <= known.version:
+        current = self.routes
+        if current is not None and table.version <= current.version:
             return
         self.routes = table
         self._has_routes.set()
@@ -326,46 +332,46 @@
             "configuration.applied",
             {
                 "version": table.version,
-                "before": known.version if known else 0,
+                "before": current.version if current else 0,
                 "routes": len(table.routes),
                 "source": source,
             },
         )
         self.scheduler.configuration_version = table.version
-        self._holders.clear()
-        self._hand_out_configuration()
+        self._agents_with_configuration.clear()
+        self._distribute_configuration()
 
-    def _hand_out_configuration(self) -> None:
-        """Send the configuration to agents until enough of them hold it."""
-        missing = CONFIGURATION_HOLDERS - len(self._holders)
+    def _distribute_configuration(self) -> None:
+        """Send the configuration to agents until enough of them have it."""
+        missing = CONFIGURATION_COPIES - len(self._agents_with_configuration)
         if self._configuration is None or missing <= 0:
             return
-        others = sorted(set(self._link_by_agent) - self._holders)
+        others = sorted(set(self._link_by_agent) - self._agents_with_configuration)
         for agent in self._rng.sample(others, min(missing, len(others))):
-            self._holders.add(agent)
+            self._agents_with_configuration.add(agent)
             self._link_by_agent[agent].send(self._configuration)
 
-    async def _follow_members(self) -> None:
+    async def _follow_entry_hosts(self) -> None:
         source = follower.TopicFollower(
             self._store, discovery.TOPIC, self.events, self._rng
         )
         async for record in source.records():
-            self._learn(record)
+            self._add_entry_host(record)
 
-    def _learn(self, record: store.KeyedRecord) -> None:
-        """Tell the agents of another entry host."""
+    def _add_entry_host(self, record: store.KeyedRecord) -> None:
+        """Store the address of an entry host and send a changed list to the agents."""
         for address in discovery.addresses([record]):
             if self._address_by_entry.get(record.key) != address:
                 self._address_by_entry[record.key] = address
                 self.events.record(
                     "entry.known", {"entry": record.key, "address": address}
                 )
-                known = tuple(self._address_by_entry.values())
+                addresses = tuple(self._address_by_entry.values())
                 for link in self._link_by_agent.values():
-                    link.send(assignments.EntryHosts(known))
+                    link.send(assignments.EntryHosts(addresses))
 
     async def _register(self) -> None:
-        """Write the own address to the store, once it can be reached."""
+        """Write the own address to the store; retry until the store is reachable."""
         while True:
             try:
                 await self._store.put(
--- a/src/burdockgate/process/links.py
+++ b/src/burdockgate/process/links.py
@@ -1,4 +1,8 @@
-"""Connections between agents and entry hosts; an agent dials every entry host."""
+"""Connections between agents and entry hosts.
+
+Each agent connects to every entry host. Connections without messages are aborted and
+made again.
+"""
 
 from __future__ import annotations
 
@@ -14,24 +18,25 @@
 from burdockgate.connection import stream
 
 DIAL_TIMEOUT_S = 0.6
-# An entry host is dialled again soon after a reset, because its runs here end with
-# the session lease; later less often, since dead addresses stay known for long.
+# The first retry after a reset is early, because the entry host's runs on this worker
+# end with the session lease. The delay then doubles up to the maximum, since addresses
+# of dead entry hosts stay known for long.
 FIRST_REDIAL_S = 0.05
 MAX_REDIAL_S = 1.0
-# Reports and renewals pass every 0.2 s, so that a connection that is silent for this
-# long is broken. It is longer than the session lease: a lease that lapsed is noted
-# before the connection is given up.
-SILENCE_S = 0.9
-# Entry hosts are few; the bound keeps a faulty list from growing without end.
+# Reports and renewals are sent every 0.2 s, so a connection without a message for this
+# long is broken. The timeout exceeds the session lease, so that the lapse of a lease is
+# handled before its connection is aborted.
+SILENCE_TIMEOUT_S = 0.9
+# Bounds the number of targets if an entry host sends a faulty list; few are expected.
 MAX_ADDRESSES = 200
 
 
 class Handler(abc.ABC):
-    """What an end of a link reports to."""
+    """Handles the events of the connections of a process."""
 
     @abc.abstractmethod
     def handle_open(self, link: stream.Stream) -> None:
-        """Handle a connection that was made.
+        """Handle a new connection.
 
         :param link: the connection.
         """
@@ -68,23 +73,23 @@
 class Links(stream.Receiver):
     """Open connections, with the time of the last message of each.
 
-    :param handler: gets the events.
+    :param handler: handles the events.
     :param time: a clock that counts suspensions.
     """
 
     def __init__(self, handler: Handler, time: clock.Clock) -> None:
         self._handler = handler
         self._time = time
-        self._heard_at_by_link: dict[stream.Stream, float] = {}
+        self._last_message_at_by_link: dict[stream.Stream, float] = {}
 
     def handle_open(self, stream: stream.Stream) -> None:
-        """Report a connection."""
-        self._heard_at_by_link[stream] = self._time.now()
+        """Report a new connection."""
+        self._last_message_at_by_link[stream] = self._time.now()
         self._handler.handle_open(stream)
 
     def handle_close(self, stream: stream.Stream) -> None:
         """Report the end of a connection."""
-        if self._heard_at_by_link.pop(stream, None) is not None:
+        if self._last_message_at_by_link.pop(stream, None) is not None:
             self._handler.handle_close(stream)
 
     def handle_truncated(self, stream: stream.Stream) -> None:
@@ -97,30 +102,30 @@
     def handle_message(
         self, stream: stream.Stream, message: wire.Message, size: int
     ) -> None:
-        """Hand on a message."""
-        if stream not in self._heard_at_by_link:
+        """Pass a message to the handler."""
+        if stream not in self._last_message_at_by_link:
             return
-        self._heard_at_by_link[stream] = self._time.now()
+        self._last_message_at_by_link[stream] = self._time.now()
         if not isinstance(message, assignments.Message):
             raise errors.WireError(f"{type(message).__name__} is not expected here")
         self._handler.handle_message(stream, message)
 
     def abort_silent_links(self) -> None:
-        """Abort the connections that are silent."""
+        """Abort the connections whose last message is too old."""
         now = self._time.now()
-        for link, heard_at in list(self._heard_at_by_link.items()):
-            if now - heard_at > SILENCE_S:
+        for link, last_message_at in list(self._last_message_at_by_link.items()):
+            if now - last_message_at > SILENCE_TIMEOUT_S:
                 link.abort()
                 self.handle_close(link)
 
     def close(self) -> None:
-        """Close all connections after what was queued."""
-        for link in list(self._heard_at_by_link):
+        """Close all connections after sending the queued messages."""
+        for link in list(self._last_message_at_by_link):
             link.close()
 
 
 class EntryLinks(Links):
-    """The side that accepts."""
+    """Connections that an entry host accepts."""
 
     async def start(self, host: str, port: int) -> asyncio.Server:
         """Listen for agents.
@@ -137,28 +142,28 @@
 
 @attrs.define
 class _Target:
-    """An entry host to keep a connection with."""
+    """An entry host to stay connected with."""
 
     address: str
     link: stream.Stream | None = None
     is_dialling: bool = False
     next_dial_at: float = 0.0
-    pause_s: float = FIRST_REDIAL_S
+    redial_delay_s: float = FIRST_REDIAL_S
 
 
 class AgentLinks(Links):
-    """The side that dials.
+    """Connections that an agent opens.
 
-    :param handler: gets the events.
+    :param handler: handles the events.
     :param time: a clock that counts suspensions.
-    :param rng: spreads the dials of many agents.
+    :param rng: source of the jitter that keeps agents from dialling at the same time.
     """
 
     def __init__(self, handler: Handler, time: clock.Clock, rng: random.Random) -> None:
         super().__init__(handler, time)
         self._rng = rng
         self._target_by_address: dict[str, _Target] = {}
-        self._dials: set[asyncio.Task[None]] = set()
+        self._dial_tasks: set[asyncio.Task[None]] = set()
 
     @property
     def addresses(self) -> tuple[str, ...]:
@@ -166,7 +171,7 @@
         return tuple(self._target_by_address)
 
     def add(self, address: str) -> None:
-        """Keep a connection with an entry host, and dial a new one now.
+        """Stay connected with an entry host; dial an unknown one immediately.
 
         :param address: ``host:port``.
         """
@@ -176,18 +181,18 @@
             self.dial_due()
 
     def dial_due(self) -> None:
-        """Dial the entry hosts without a connection."""
+        """Dial the disconnected entry hosts whose delay has passed."""
         now = self._time.now()
         for target in self._target_by_address.values():
             if target.link is not None and target.link.is_closed:
                 target.link, target.next_dial_at = None, now + FIRST_REDIAL_S
-                target.pause_s = FIRST_REDIAL_S
-            is_idle = target.link is None and not target.is_dialling
-            if is_idle and now >= target.next_dial_at:
+                target.redial_delay_s = FIRST_REDIAL_S
+            is_disconnected = target.link is None and not target.is_dialling
+            if is_disconnected and now >= target.next_dial_at:
                 target.is_dialling = True
                 dial = asyncio.get_running_loop().create_task(self._dial(target))
-                self._dials.add(dial)
-                dial.add_done_callback(self._dials.discard)
+                self._dial_tasks.add(dial)
+                dial.add_done_callback(self._dial_tasks.discard)
 
     def address_of(self, link: stream.Stream) -> str:
         """Return the address that was dialled for a connection; empty if unknown.
@@ -208,28 +213,28 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(DIAL_TIMEOUT_S):
-                transport, made = await loop.create_connection(
+                transport, link = await loop.create_connection(
                     lambda: stream.Stream(self), host, int(port)
                 )
             connection = cast(socket.socket, transport.get_extra_info("socket"))
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            target.link, target.pause_s = made, FIRST_REDIAL_S
+            target.link, target.redial_delay_s = link, FIRST_REDIAL_S
         except ConnectionRefusedError:
-            self._postpone(target)
+            self._back_off(target)
             self._handler.handle_refused(target.address)
         except (OSError, ValueError, TimeoutError):
-            self._postpone(target)
+            self._back_off(target)
         finally:
             target.is_dialling = False
 
-    def _postpone(self, target: _Target) -> None:
-        target.pause_s = min(2 * target.pause_s, MAX_REDIAL_S)
-        spread: float = self._rng.uniform(0.7, 1.3)
-        target.next_dial_at = self._time.now() + target.pause_s * spread
+    def _back_off(self, target: _Target) -> None:
+        target.redial_delay_s = min(2 * target.redial_delay_s, MAX_REDIAL_S)
+        jitter: float = self._rng.uniform(0.7, 1.3)
+        target.next_dial_at = self._time.now() + target.redial_delay_s * jitter
 
     def close(self) -> None:
-        """Close all connections and dial no more."""
+        """Close all connections and stop dialling."""
         self._target_by_address.clear()
-        for dial in self._dials:
+        for dial in self._dial_tasks:
             dial.cancel()
         super().close()
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,4 +1,4 @@
-"""Guards the connections between agents and entry hosts."""
+"""Tests of the connections between agents and entry hosts."""
 
 import asyncio
 import random
@@ -8,7 +8,7 @@
 
 
 class Handler(links.Handler):
-    """Notes the connections that were made."""
+    """Records connections and refusals."""
 
     def __init__(self):
         self.first = asyncio.get_running_loop().create_future()
@@ -31,7 +31,7 @@
 
 
 async def test_entry_host_is_dialled_as_soon_as_it_is_known():
-    """After a restart of all machines, agents waited for a tick of 0.1 s."""
+    """After a restart of all machines, agents dialled only at their next 0.1 s tick."""
     server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
     handler = Handler()
