Reword the store, its follower, the event log and the runner

Cause: phrases such as "what the product needs", "what is in progress", a storm, or a record left out "not without a word" are figurative or vague.

Change: docstrings, comments, private names and the heads of two test files. The names of events, their fields and the metrics stay.

--- a/src/burdockgate/process/events.py
+++ b/src/burdockgate/process/events.py
@@ -1,4 +1,4 @@
-"""Events of a daemon: each is counted, and logged as one line within a bound."""
+"""Event log of a daemon: counts each event and logs it within a rate limit."""
 
 from __future__ import annotations
 
@@ -10,37 +10,37 @@
 from burdockgate import assignments, clock
 from burdockgate.process import histograms, logs
 
-# At 100 jobs a second an entry host writes about 400 lines a second. The bound keeps
-# a storm of retries from taking the processor that the requests need.
+# At 100 jobs a second an entry host writes about 400 lines a second. The limit keeps a
+# burst of retries from using the processor time that the requests need.
 LINES_PER_S = 1500.0
 BURST_LINES = 3000.0
-# Fields whose values are few, so that each gets a counter of its own.
+# Fields with few distinct values, each of which gets its own counter.
 COUNTED_FIELDS = ("code", "kind", "state", "reason")
 MAX_COUNTERS = 1000
 
 
 class EventLog:
-    """Counts and logs events; serves both as text.
+    """Counts and logs events, and renders the metrics page.
 
-    :param name: name of the process in each line.
+    :param name: name of the process, the ``module`` of each line.
     :param time: a steady clock.
     """
 
     def __init__(self, name: str, time: clock.Clock) -> None:
-        # Bound once: the logger that follows later configurations binds at each line.
+        # Bound once, because structlog's lazy proxy binds again for each line.
         self._log: structlog.typing.FilteringBoundLogger = logs.get_logger(name).bind()
         self._time = time
         self._count_by_key: collections.Counter[tuple[str, str]] = collections.Counter()
-        self._lines = BURST_LINES
+        self._line_budget = BURST_LINES
         self._refilled_at = time.now()
-        self._dropped = 0
+        self._dropped_lines = 0
         self.histograms = histograms.Histograms()
 
     def record(self, event: str, fields: Mapping[str, object]) -> None:
-        """Count an event and log it unless the bound is reached.
+        """Count an event and log it unless the rate limit is exceeded.
 
         :param event: name of the event.
-        :param fields: what decided it, and its outcome.
+        :param fields: fields of the line: the causes of the event and its result.
         """
         detail = next(
             (str(fields[name]) for name in COUNTED_FIELDS if name in fields), ""
@@ -50,24 +50,26 @@
         else:
             self._count_by_key["events.other", ""] += 1
         self._refill()
-        if self._lines < 1:
-            self._dropped += 1
+        if self._line_budget < 1:
+            self._dropped_lines += 1
             return
-        self._lines -= 1
-        self._log.info(event, **{key: _text(value) for key, value in fields.items()})
+        self._line_budget -= 1
+        self._log.info(
+            event, **{key: _format_value(value) for key, value in fields.items()}
+        )
 
     def _refill(self) -> None:
         now = self._time.now()
-        gained = (now - self._refilled_at) * LINES_PER_S
-        self._lines = min(BURST_LINES, self._lines + gained)
+        refill = (now - self._refilled_at) * LINES_PER_S
+        self._line_budget = min(BURST_LINES, self._line_budget + refill)
         self._refilled_at = now
-        if self._dropped and self._lines > BURST_LINES / 10:
-            self._log.warning("log.dropped", lines=self._dropped)
-            self._count_by_key["log.dropped", ""] += self._dropped
-            self._dropped = 0
+        if self._dropped_lines and self._line_budget > BURST_LINES / 10:
+            self._log.warning("log.dropped", lines=self._dropped_lines)
+            self._count_by_key["log.dropped", ""] += self._dropped_lines
+            self._dropped_lines = 0
 
     def render(self) -> Iterator[str]:
-        """Yield the lines of the metrics page, in the Prometheus text format."""
+        """Yield the lines of the metrics page in the Prometheus text format."""
         yield "# TYPE burdockgate_events_total counter"
         for (event, detail), count in sorted(self._count_by_key.items()):
             labels = f'event="{event}",detail="{detail}"'
@@ -87,8 +89,8 @@
             yield f"burdockgate_duration_ms_count{{{name}}} {row.count}"
 
 
-def _text(value: object) -> object:
-    """Return a short form of the keys of tasks and runs."""
+def _format_value(value: object) -> object:
+    """Return the key of a run in short form, and any other value unchanged."""
     if isinstance(value, assignments.RunKey):
         task = value.task
         return f"{task.job}.{task.step}.{task.index}#{value.run}"
--- a/src/burdockgate/process/follower.py
+++ b/src/burdockgate/process/follower.py
@@ -1,4 +1,4 @@
-"""Follows a keyed topic of the store through its outages."""
+"""Follows a keyed topic of the store, across outages of the store."""
 
 from __future__ import annotations
 
@@ -9,18 +9,19 @@
 from burdockgate import errors
 from burdockgate.process import events, store
 
-# The bound for a change to be in force is 2 s; several attempts must fit into it.
+# A change has to be in force within 2 s, which leaves time for several retries.
 RETRY_S = 0.25
-# Every reader that was turned away comes back; the spread keeps them apart.
-RETRY_SPREAD = 0.4
+# Share of the delay by which retries vary, so that readers do not retry all at once
+# after an outage.
+RETRY_JITTER = 0.4
 
 
 class TopicFollower:
-    """Yields the newest records of a topic, then its changes.
+    """Yields the newest record of each key of a topic, then the changes.
 
-    :param client: the store.
+    :param client: client of the store.
     :param topic: name of the topic.
-    :param log: gets a line for each outage and its end.
+    :param log: records the start and the end of each outage.
     :param rng: source of random numbers.
     """
 
@@ -36,15 +37,15 @@
         self._log = log
         self._rng = rng
         self._offset: int | None = None
-        self._is_reached = True
+        self._is_reachable = True
 
     async def records(self) -> AsyncIterator[store.KeyedRecord]:
-        """Yield records until cancelled; a record may come again."""
+        """Yield records until cancelled; a record may be yielded more than once."""
         while True:
-            for record in await self._next():
+            for record in await self._next_records():
                 yield record
 
-    async def _next(self) -> tuple[store.KeyedRecord, ...]:
+    async def _next_records(self) -> tuple[store.KeyedRecord, ...]:
         try:
             page = await self._read()
         except errors.HistoryExpiredError as error:
@@ -54,11 +55,11 @@
             self._offset = None
             return ()
         except errors.LogUnavailableError as error:
-            self._note(False, str(error))
-            spread = self._rng.uniform(1 - RETRY_SPREAD, 1 + RETRY_SPREAD)
-            await asyncio.sleep(RETRY_S * spread)
+            self._set_reachable(False, str(error))
+            jitter = self._rng.uniform(1 - RETRY_JITTER, 1 + RETRY_JITTER)
+            await asyncio.sleep(RETRY_S * jitter)
             return ()
-        self._note(True, "")
+        self._set_reachable(True, "")
         if page.unreadable:
             self._log.record(
                 "store.unreadable", {"topic": self._topic, "records": page.unreadable}
@@ -71,8 +72,8 @@
             return await self._client.read_newest(self._topic)
         return await self._client.read_changes(self._topic, self._offset)
 
-    def _note(self, is_reached: bool, detail: str) -> None:
-        if is_reached != self._is_reached:
-            self._is_reached = is_reached
-            event = "store.regained" if is_reached else "store.lost"
+    def _set_reachable(self, is_reachable: bool, detail: str) -> None:
+        if is_reachable != self._is_reachable:
+            self._is_reachable = is_reachable
+            event = "store.regained" if is_reachable else "store.lost"
             self._log.record(event, {"topic": self._topic, "detail": detail})
--- a/src/burdockgate/process/runner.py
+++ b/src/burdockgate/process/runner.py
@@ -9,21 +9,21 @@
 
 
 class Runnable(abc.ABC):
-    """Something that is started, serves, and is stopped gracefully."""
+    """A service that is started and stopped gracefully."""
 
     @abc.abstractmethod
     async def start(self) -> None:
-        """Begin to serve."""
+        """Start serving."""
 
     @abc.abstractmethod
     async def stop(self) -> None:
-        """Finish what is in progress and end."""
+        """Finish the work in progress and stop serving."""
 
 
 def run(daemon: Runnable) -> int:
-    """Run until SIGTERM or SIGINT; a second signal ends the graceful stop.
+    """Run until SIGTERM or SIGINT; a second signal cancels the graceful stop.
 
-    :param daemon: what to run.
+    :param daemon: the service.
     :returns: the exit status: 0, or 1 when the graceful stop was cut short.
     """
     return asyncio.run(serve(daemon))
@@ -32,13 +32,13 @@
 async def serve(daemon: Runnable) -> int:
     """Run until SIGTERM or SIGINT, on the current event loop.
 
-    :param daemon: what to run.
+    :param daemon: the service.
     :returns: the exit status, as :func:`run`.
     """
-    asked = asyncio.Event()
-    on_signal(asked.set)
+    stop_requested = asyncio.Event()
+    on_signal(stop_requested.set)
     await daemon.start()
-    await asked.wait()
+    await stop_requested.wait()
     stopping = asyncio.ensure_future(daemon.stop())
     on_signal(stopping.cancel)
     try:
@@ -49,7 +49,7 @@
 
 
 def on_signal(action: Callable[[], object]) -> None:
-    """Call a function on SIGTERM and SIGINT, in place of any earlier one.
+    """Call a function on SIGTERM and SIGINT, instead of any earlier one.
 
     :param action: called in the event loop.
     """
--- a/src/burdockgate/process/store.py
+++ b/src/burdockgate/process/store.py
@@ -1,4 +1,4 @@
-"""What the product needs of the platform's store: records kept by key."""
+"""Interface to the store of a platform, which keeps the newest record of each key."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 class KeyedRecord:
     """The newest record of a key.
 
-    :param value: empty when the key was dropped.
+    :param value: empty when the key was deleted.
     """
 
     key: str
@@ -21,10 +21,10 @@
 
 @attrs.frozen
 class Page:
-    """Records and where the topic ends.
+    """Records of one read.
 
     :param end: offset after the last record.
-    :param unreadable: number of records that could not be read.
+    :param unreadable: number of malformed records that were skipped.
     """
 
     records: tuple[KeyedRecord, ...]
@@ -33,7 +33,7 @@
 
 
 class Store(abc.ABC):
-    """Client of the store; there is one in each process."""
+    """Client of the store; each process has one."""
 
     @abc.abstractmethod
     async def read_newest(self, topic: str) -> Page:
@@ -45,22 +45,22 @@
 
     @abc.abstractmethod
     async def read_changes(self, topic: str, offset: int) -> Page:
-        """Wait a while for new records.
+        """Return new records; wait a limited time for the first one.
 
         :param topic: name of the topic.
-        :param offset: the first record wanted.
+        :param offset: offset of the first record to return.
         :raises errors.HistoryExpiredError: when that record has been deleted.
         :raises errors.LogUnavailableError: when the store gives no usable answer.
         """
 
     @abc.abstractmethod
     async def put(self, topic: str, key: str, value: bytes) -> None:
-        """Append a record; an empty value drops the key.
+        """Append a record; an empty value deletes the key.
 
         :param topic: name of the topic.
         :param key: key of the record.
-        :param value: content.
-        :raises errors.LogUnavailableError: when it may not have been appended.
+        :param value: content of the record.
+        :raises errors.LogUnavailableError: when the record may not have been appended.
         """
 
     @abc.abstractmethod
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -1,4 +1,4 @@
-"""Guards the log and the metrics page of the platform's daemons."""
+"""Tests of the event log and the metrics page of the daemons."""
 
 import io
 import json
@@ -17,34 +17,34 @@
 
 
 def test_line_names_the_run_and_the_page_counts_it(output):
-    """An engineer greps for the job's id."""
-    made = events.EventLog("agent-1", clock.ManualClock())
+    """Operators search the log for the identifier of a job."""
+    event_log = events.EventLog("agent-1", clock.ManualClock())
     key = assignments.RunKey(assignments.TaskKey("00aa", 0, 3), 2)
-    made.record("run.ended", {"run": key, "kind": "DONE"})
+    event_log.record("run.ended", {"run": key, "kind": "DONE"})
     line = json.loads(output.getvalue())
     assert (line["run"], line["event"]) == ("00aa.0.3#2", "run.ended")
-    page = "\n".join(made.render())
+    page = "\n".join(event_log.render())
     assert 'burdockgate_events_total{event="run.ended",detail="DONE"} 1' in page
 
 
-def test_storm_of_events_is_bounded_and_what_was_dropped_is_told(output):
-    """Logging must not take the processor that the requests need."""
+def test_lines_are_rate_limited_and_dropped_ones_are_counted(output):
+    """Logging must not use the processor time that the requests need."""
     time = clock.ManualClock()
-    made = events.EventLog("entry-1", time)
+    event_log = events.EventLog("entry-1", time)
     for _ in range(10_000):
-        made.record("job.received", {})
+        event_log.record("job.received", {})
     assert len(output.getvalue().splitlines()) == events.BURST_LINES
     time.advance(1.0)
-    made.record("job.received", {})
+    event_log.record("job.received", {})
     lines = [json.loads(line) for line in output.getvalue().splitlines()]
     (dropped,) = [line for line in lines if line["event"] == "log.dropped"]
     assert dropped["lines"] == 10_000 - events.BURST_LINES
-    assert 'event="job.received",detail=""} 10001' in "\n".join(made.render())
+    assert 'event="job.received",detail=""} 10001' in "\n".join(event_log.render())
 
 
 def test_durations_are_shown_by_route():
-    """Histograms for each class of requests."""
-    made = events.EventLog("entry-1", clock.ManualClock())
-    made.histograms.record("response.complete", "r", 0.2)
-    page = "\n".join(made.render())
+    """Durations are summarised for each route."""
+    event_log = events.EventLog("entry-1", clock.ManualClock())
+    event_log.histograms.record("response.complete", "r", 0.2)
+    page = "\n".join(event_log.render())
     assert 'measure="response.complete",route="r",quantile="0.5"} 200' in page
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -1,4 +1,4 @@
-"""Guards how processes follow the store through outages and deletions."""
+"""Tests of following the store across outages and deletions."""
 
 import asyncio
 import io
@@ -14,7 +14,7 @@
 
 
 class ScriptedStore(store.Store):
-    """Gives the answers of a list; an exception is raised."""
+    """Returns the listed answers in order; raises those that are exceptions."""
 
     def __init__(self, *answers):
         self.answers = list(answers)
@@ -64,15 +64,15 @@
 
 
 async def test_newest_records_are_followed_by_their_changes(follow):
-    """A process that starts must not wait for a change to know the newest."""
+    """A starting process must get the present records without waiting for a change."""
     client = ScriptedStore(_page(5, "config"), _page(6, "config"))
     keys, _ = await follow(client, 2)
     assert keys == ["config", "config"]
     assert client.calls == [("newest",), ("changes", 5)]
 
 
-async def test_history_that_was_deleted_is_read_by_its_newest_keys(follow):
-    """The platform deletes records of the operator at any time."""
+async def test_deleted_history_is_replaced_by_the_newest_records(follow):
+    """The platform may delete records of the operator's topic at any time."""
     expired = errors.HistoryExpiredError("keyed.op from 5")
     client = ScriptedStore(_page(5, "config"), expired, _page(9, "config"))
     keys, lines = await follow(client, 2)
@@ -82,7 +82,7 @@
 
 
 async def test_outage_is_logged_once_and_so_is_its_end(follow):
-    """One line for each lost or regained dependency."""
+    """Each lost or regained dependency is logged in one line, not at each retry."""
     down = [errors.LogUnavailableError("status 503") for _ in range(4)]
     client = ScriptedStore(*down, _page(5, "config"))
     _, lines = await follow(client, 1)
@@ -91,15 +91,15 @@
 
 
 async def test_unreadable_records_are_counted_in_the_log(follow):
-    """Another writer's record is left out, but not without a word."""
+    """A malformed record of another writer is skipped, but logged."""
     client = ScriptedStore(_page(5, "config", unreadable=2))
     _, lines = await follow(client, 1)
-    shown = [json.loads(line) for line in lines.splitlines()]
-    assert [line["records"] for line in shown if line["event"] == UNREADABLE] == [2]
+    parsed = [json.loads(line) for line in lines.splitlines()]
+    assert [line["records"] for line in parsed if line["event"] == UNREADABLE] == [2]
 
 
-def test_addresses_of_members_leave_out_what_is_no_address():
-    """A dropped or foreign record must not stop an agent from finding the others."""
+def test_records_without_a_valid_address_are_skipped():
+    """A deleted or malformed record must not hide the other entry hosts."""
     values = [
         discovery.encode("10.0.0.1:7720"),
         b"",
