Describe the messages between entry hosts and agents in usual terms

Cause: "room", "given", "for want of", "this life" had to be guessed, and some fields had no description. Assign.number was described as a count of messages; it has been a count of assigned runs since each task is counted by itself.

Change: docstrings and comments only.

--- a/src/burdockgate/assignments.py
+++ b/src/burdockgate/assignments.py
@@ -1,8 +1,8 @@
 """Messages between an entry host and the agents that run its best-effort jobs.
 
-An agent opens one connection to each entry host. It reports the load of its worker;
-the entry host answers each report with a renewal of the agent's session lease and
-assigns tasks. Text fields are UTF-8; times are microseconds or milliseconds as named.
+An agent opens one connection to each entry host and reports the load of its worker.
+The entry host renews the session lease of the agent and assigns tasks. Text fields are
+UTF-8, cpu fields thousandths of a core; times are micro- or milliseconds as named.
 """
 
 from __future__ import annotations
@@ -18,13 +18,13 @@
     """Whether new tasks may be assigned to a worker."""
 
     READY = 1
-    # The worker or its agent leaves; running tasks go on.
+    # The worker or its agent is shutting down; running tasks continue.
     DRAINING = 2
     # The worker does not answer its agent.
     UNREACHABLE = 3
-    # The worker failed or stalled what it ran lately and is given no tasks.
+    # Recent tasks failed or stalled on the worker; it gets no tasks.
     EJECTED = 4
-    # The worker was ejected and may have one task as a trial.
+    # The worker was ejected and gets one task at a time as a trial.
     PROBATION = 5
 
 
@@ -33,17 +33,17 @@
 
     DONE = 1
     FAILED = 2
-    # Stopped on request or for a reason of the agent's.
+    # Stopped on request or by a decision of the agent.
     STOPPED = 3
-    # The run is gone: its lease lapsed or its worker restarted.
+    # The lease of the run lapsed or its worker restarted.
     LOST = 4
-    # The run never started and never will.
+    # The run has not started and will not start.
     RETURNED = 5
 
 
 @attrs.frozen
 class TaskKey:
-    """Name of a task.
+    """Identifies a task.
 
     :param job: identifier chosen by the caller.
     :param step: number of the step, from 0.
@@ -57,7 +57,7 @@
 
 @attrs.frozen
 class RunKey:
-    """One run of a task; runs of a task are numbered upwards from 1."""
+    """Identifies a run of a task; the runs of a task are numbered from 1."""
 
     task: TaskKey
     run: int
@@ -67,9 +67,10 @@
 class AgentHello:
     """First message of an agent.
 
-    :param boot: random number of this life of the agent's process.
-    :param active_runs: runs of this entry host that the agent still has. Runs assigned
-        earlier and not listed never started, or their end follows.
+    :param boot: random number drawn at the start of the agent's process.
+    :param entry_boot: boot of the entry host that assigned the active runs.
+    :param active_runs: runs of this entry host that the agent still has. Earlier runs
+        that are not listed never started, or their :class:`TaskEnd` follows.
     """
 
     protocol: int
@@ -84,7 +85,7 @@
 class EntryHello:
     """First message of an entry host.
 
-    :param boot: random number of this life of the entry host's process.
+    :param boot: random number drawn at the start of the entry host's process.
     """
 
     protocol: int
@@ -95,10 +96,10 @@
 
 @attrs.frozen
 class WorkerInfo:
-    """What changes seldom about a worker.
+    """Properties of a worker that seldom change.
 
     :param worker: identifier of the worker; empty while none is known.
-    :param born: start of this life of the worker, Unix milliseconds.
+    :param born: start time of the worker, Unix milliseconds.
     :param cpu: capacity in thousandths of a core.
     :param labels: kind and rack of the worker.
     """
@@ -119,13 +120,14 @@
     :param sent_at_us: steady clock of the agent, echoed by :class:`Renewal`.
     :param last_assign_number: number of the last :class:`Assign` that the load
         includes.
-    :param free_cpu: thousandths of a core that the receiver may assign. While entry
-        hosts have waiting tasks, the free room is shared out to the most urgent ones.
+    :param free_cpu: thousandths of a core that the receiver may assign. While tasks
+        wait at entry hosts, free capacity is allotted to those with the most urgent.
     :param used_cpu: thousandths of a core of all runs that are not known to have ended.
     :param queued_cpu: thousandths of a core of runs that wait at the agent.
-    :param speed: speed against the estimates, in thousandths.
-    :param is_near: whether the receiver is one of the entry hosts that hear of every
-        change at once and share out the freed room. Others hear at regular times.
+    :param speed: speed relative to the estimates, in thousandths.
+    :param is_near: whether the receiver is one of the near entry hosts, which get a
+        report of every change at once and share the freed capacity. The others get
+        periodic reports only.
     """
 
     sent_at_us: int
@@ -157,10 +159,10 @@
 
 @attrs.frozen
 class Demand:
-    """What waits at an entry host for want of room.
+    """Tasks that wait at an entry host for free capacity.
 
     :param waiting_cpu: thousandths of a core of all waiting tasks; 0 when none waits.
-    :param rank: urgency of the first of them; smaller is more urgent.
+    :param rank: urgency of the first waiting task; smaller is more urgent.
     """
 
     waiting_cpu: int
@@ -171,8 +173,10 @@
 class Assign:
     """Runs of tasks of one step of a job for the agent's worker.
 
-    :param number: counts the messages of this kind on the connection, from 1.
+    :param number: number of runs assigned on the connection when the message is sent.
     :param spec: text that the worker gets with each task.
+    :param indexes: numbers of the tasks in their step.
+    :param runs: number of the run of each task.
     :param priority: 0 is served first.
     :param start_by_ms: time from now until the latest start that is on time.
     """
@@ -196,7 +200,7 @@
     """The end of a run.
 
     :param number: counts the ends of a session, from 1; repeated until acknowledged.
-    :param run_ms: time from the start to the end at the agent.
+    :param run_ms: duration of the run, measured by the agent.
     :param next_run: smallest number that the worker accepts for the next run.
     """
 
@@ -209,7 +213,7 @@
 
 @attrs.frozen
 class Revoke:
-    """The runs must not start; those that run must be stopped."""
+    """Cancels runs: they must not start, and started ones must be stopped."""
 
     keys: tuple[RunKey, ...]
 
@@ -223,9 +227,9 @@
 
 @attrs.frozen
 class Configuration:
-    """A version of the configuration, passed on to those that the store cannot reach.
+    """A version of the configuration, passed on to nodes that cannot reach the store.
 
-    :param body: the record as the store holds it.
+    :param body: the record as read from the store.
     """
 
     version: int
--- a/src/burdockgate/process/fleet.py
+++ b/src/burdockgate/process/fleet.py
@@ -25,7 +25,7 @@
     :param boot: random number drawn at each start of the agent's process.
     :param renewed_at: when the session lease was last renewed.
     :param renewal_due_at: earliest time at which a report renews it again.
-    :param last_assign_number: number of the last assignment on this connection.
+    :param last_assign_number: number of runs assigned on this connection.
     :param last_end_number: number of the last task end received.
     :param unconfirmed_runs: assigned runs that the agent did not list when it connected
         again.
