Reword the simulation tests of best-effort jobs

Cause: names and heads spoke of room, looks, orders, a crest and of owners that die, and told the story of the first trials.

Change: names of tests and locals, docstrings and comments: which failure each test guards against.

--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -1,4 +1,4 @@
-"""Best-effort jobs through faults, in virtual time with the daemons' decisions."""
+"""Simulates best-effort jobs under faults: real schedulers, virtual time."""
 
 import collections
 
@@ -11,7 +11,7 @@
 
 SHORT, MEDIUM, LONG = KINDS = crest.KINDS
 # Share of the full load that six workers carry.
-PART = 0.35
+LOAD_SHARE = 0.35
 
 
 def _small(seed, **options):
@@ -26,8 +26,8 @@
     )
 
 
-def test_calm_load_is_served_in_time():
-    """The whole path must serve what fits, without a late short job in twenty."""
+def test_load_below_capacity_is_served_in_time():
+    """At a load that fits the workers, less than one job in twenty may be late."""
     model = batches.Model(1, KINDS)
     model.load(3, 9)
     model.run(60)
@@ -36,33 +36,33 @@
     assert min(model.credit().values()) > 0.95
 
 
-# Seeds 15 and 26: a worker that restarted under its identifier ran a task twice.
-# Seed 17: an end was lost with a cut. Seed 104: a whole run of every kind of fault.
+# Seeds 15 and 26: a worker that restarted under the same identifier ran a task twice.
+# Seed 17: a task end was lost with a connection. Seed 104: every kind of fault.
 @pytest.mark.parametrize("seed", [0, 6, 15, 17, 26, 34, 49, 104])
 def test_promises_hold_through_random_faults(seed):
-    """No task runs twice at once, no worker is over its room, no answer is false."""
+    """No concurrent runs of a task, no overcommitted worker, no false answer."""
     model = _small(seed)
-    model.load(3, 13, PART)
-    told = mishaps.schedule(model, seed, 4, 12, 6)
+    model.load(3, 13, LOAD_SHARE)
+    injected = mishaps.schedule(model, seed, 4, 12, 6)
     model.run(90)
-    assert list(promises.violations(model)) == [], told
-    assert _is_settled(model), told
+    assert list(promises.violations(model)) == [], injected
+    assert _is_settled(model), injected
 
 
 @pytest.mark.parametrize("mishap", mishaps.ALL, ids=lambda mishap: mishap.__name__)
 def test_promises_hold_through_a_series_of_one_fault(mishap):
-    """The same trouble may come again before the system has recovered."""
+    """The same fault may recur before the system has recovered from it."""
     model = _small(7)
-    model.load(3, 10, PART)
-    told = mishaps.schedule(model, 11, 4, 9, 5, (mishap,))
+    model.load(3, 10, LOAD_SHARE)
+    injected = mishaps.schedule(model, 11, 4, 9, 5, (mishap,))
     model.run(90)
-    assert list(promises.violations(model)) == [], told
-    assert _is_settled(model), told
-    # The users' gate allows 60% of the requests to be refused or failed.
+    assert list(promises.violations(model)) == [], injected
+    assert _is_settled(model), injected
+    # The users' acceptance test allows 60% of the requests to be refused or to fail.
     assert sum(order.is_completed for order in model.orders) > 0.4 * len(model.orders)
 
 
-def test_owner_that_dies_leaves_nothing_running_when_its_caller_returns():
+def test_runs_of_a_dead_owner_have_ended_when_its_caller_retries():
     """A caller sends a job again 1.3 s after its connection broke."""
     model = _small(3)
     order = model.make(LONG)
@@ -75,8 +75,8 @@
 
 
 @pytest.mark.parametrize("for_s", [0.5, 1.5, 3.0])
-def test_frozen_agent_does_not_run_what_was_given_to_another(for_s):
-    """Assignments that waited in a frozen agent's connection must not start."""
+def test_frozen_agent_does_not_run_tasks_that_were_assigned_elsewhere(for_s):
+    """Assignments that were buffered while an agent was frozen must not start."""
     model = _small(4)
     for number in range(20):
         model.send_at(3 + number / 20, model.make(LONG))
@@ -88,7 +88,7 @@
 
 
 def test_job_that_is_sent_again_to_its_owner_joins_the_one_in_progress():
-    """A caller whose connection broke unseen must not start its job a second time."""
+    """The owner may not have seen the disconnect; the job must not start twice."""
     model = _small(5)
     order = model.make(LONG)
     model.send_at(3, order, "entry-0")
@@ -98,16 +98,16 @@
     assert order.is_completed
 
 
-def test_late_orders_do_not_start_what_was_given_elsewhere():
-    """A start without an answer may be carried out up to 12 s later."""
+def test_late_start_commands_do_not_start_tasks_that_were_assigned_elsewhere():
+    """A worker may execute a start command without an answer up to 12 s later."""
     model = _small(8)
     for agent in model.agent_by_name.values():
         agent.worker.faults.unanswered = 0.3
-    model.load(3, 9, PART)
+    model.load(3, 9, LOAD_SHARE)
     model.run(90)
     assert list(promises.violations(model)) == []
-    served = sum(order.is_completed for order in model.orders)
-    assert served == len(model.orders)
+    completed = sum(order.is_completed for order in model.orders)
+    assert completed == len(model.orders)
 
 
 def _credit_with_lost_answers(limits, seed):
@@ -120,23 +120,23 @@
     return sum(model.credit().values()) / len(KINDS)
 
 
-def test_lost_answers_to_looks_do_not_hide_free_room():
-    """A look without an answer kept the ends of all runs unseen for half a second."""
+def test_lost_answers_to_polls_do_not_hide_free_capacity():
+    """A poll without an answer delayed the ends of all runs by half a second."""
     seeds = range(1, 4)
-    patient = executoractions.ExecutorSettings(
+    slow_polls = executoractions.ExecutorSettings(
         poll_repeat_s=0.3, short_poll_period_s=0.0
     )
-    before = [_credit_with_lost_answers(patient, seed) for seed in seeds]
+    before = [_credit_with_lost_answers(slow_polls, seed) for seed in seeds]
     after = [_credit_with_lost_answers(None, seed) for seed in seeds]
     assert sum(after) > sum(before)
 
 
-def test_order_without_an_answer_does_not_keep_its_room():
-    """In the first trial the room of such orders stayed taken for good."""
+def test_start_command_without_an_answer_releases_its_capacity():
+    """The capacity reserved for a start without an answer was never released."""
     model = _small(9)
     worker = model.agent_by_name["agent-0"].worker
     worker.faults.unanswered = 1.0
-    model.load(3, 6, PART)
+    model.load(3, 6, LOAD_SHARE)
     model.run(6)
     worker.faults.unanswered = 0.0
     model.run(60)
@@ -145,9 +145,9 @@
 
 
 def test_agent_that_restarts_counts_what_its_worker_still_runs():
-    """A restarted agent once forgot the running tasks and exceeded the room."""
+    """A restarted agent that ignored running tasks overcommitted its worker."""
     model = _small(10)
-    model.load(3, 8, 2 * PART)
+    model.load(3, 8, 2 * LOAD_SHARE)
     for number, agent in enumerate(model.agent_by_name.values()):
         at = 4 + number * 0.3
         model.time.call_later(at, agent.kill)
@@ -157,10 +157,10 @@
     assert _is_settled(model)
 
 
-def test_draining_worker_is_given_nothing_new():
-    """A worker that leaves must get no task after it said so."""
+def test_draining_worker_is_assigned_nothing_new():
+    """A worker must get no task after it has announced that it drains."""
     model = _small(12)
-    model.load(3, 9, PART)
+    model.load(3, 9, LOAD_SHARE)
     agent = model.agent_by_name["agent-1"]
 
     def drain():
@@ -174,11 +174,11 @@
     assert list(promises.violations(model)) == []
 
 
-def test_failing_worker_is_left_out_soon():
-    """A worker that fails all it starts must not use up the attempts of many jobs."""
+def test_failing_worker_is_ejected_soon():
+    """A worker that fails every task must not use up the attempts of many jobs."""
     model = _small(13)
     model.agent_by_name["agent-0"].worker.faults.fails = True
-    model.load(3, 9, PART)
+    model.load(3, 9, LOAD_SHARE)
     model.run(60)
     failed = collections.Counter(
         span.reason for span in model.agent_by_name["agent-0"].worker.spans
@@ -188,10 +188,10 @@
     assert all(order.is_completed for order in model.orders)
 
 
-def test_jobs_that_always_fail_eject_no_sound_worker():
-    """Jobs that can never be done say nothing about a worker."""
+def test_jobs_that_always_fail_eject_no_healthy_worker():
+    """The failure of a job that can never succeed is no fault of its worker."""
     model = _small(14)
-    model.load(3, 9, PART)
+    model.load(3, 9, LOAD_SHARE)
     for number in range(5):
         model.send_at(4 + number, model.make(MEDIUM, is_poison=True))
     model.run(60)
@@ -201,9 +201,9 @@
 
 
 def test_hanging_worker_loses_its_tasks_within_the_late_limit():
-    """Tasks that stand still are stopped and run elsewhere."""
+    """Hanging tasks are stopped and run on another worker."""
     model = _small(15)
-    model.load(3, 9, PART)
+    model.load(3, 9, LOAD_SHARE)
     worker = model.agent_by_name["agent-0"].worker
 
     def hang():
@@ -217,10 +217,11 @@
 
 # Nine replays take 30 s of processor time.
 @pytest.mark.timeout(300)
-def test_crest_order_serves_more_than_its_predecessors():
-    """Replays 2.4 times the usual load for 3 s: first come, least slack, shortest.
+def test_shortest_first_serves_more_of_an_overload_than_the_other_orders():
+    """Replays 2.4 times the normal load for 3 s with each order.
 
-    One replay differs by 0.02 with the timing of reports, so that three are added up.
+    The result of one replay varies by 0.02 with the timing of reports, so that three
+    are added up.
     """
     worth = {}
     for policy in crest.POLICIES:
@@ -232,7 +233,7 @@
 
 
 def test_many_reports_lead_to_one_assignment():
-    """With jobs waiting, assigning at each report once took the whole processor."""
+    """With jobs waiting, one pass for each report saturated the processor."""
     model = _small(16)
     entry = model.entry_by_name["entry-0"]
     model.run(3)
@@ -240,7 +241,7 @@
         agent.worker.faults.is_cut = True
     model.run(1)
     entry.submit(model.make(LONG))
-    asked = [
+    scheduled = [
         effect
         for agent in model.agent_by_name
         for effect in entry.scheduler.handle_load_report(
@@ -251,11 +252,11 @@
         )
         if isinstance(effect, assigner.ScheduleAssignment)
     ]
-    assert asked == []
+    assert scheduled == []
 
 
-def _grown_crest(near_entries):
-    """Replay a crest on many workers and return the model."""
+def _overloaded_model(near_entries):
+    """Simulate an overload on many workers and return the model."""
     limits = executoractions.ExecutorSettings(near_entries=near_entries)
     model = batches.Model(5, KINDS, entries=8, workers=24, zones=4, limits=limits)
     model.load(3, 4, 2.2)
@@ -266,18 +267,18 @@
 
 def _worth(model):
     shares = model.credit()
-    owed = sum(kind.worth * kind.per_s for kind in KINDS)
+    possible = sum(kind.worth * kind.per_s for kind in KINDS)
     earned = sum(shares[kind.name] * kind.worth * kind.per_s for kind in KINDS)
-    return earned / owed
+    return earned / possible
 
 
-def test_crest_with_many_entry_hosts_is_served_as_well_with_fewer_reports():
-    """Ten entry hosts that hear of every change had no time left for the jobs."""
-    few, every = _grown_crest(near_entries=4), _grown_crest(near_entries=8)
+def test_overload_with_many_entry_hosts_is_served_as_well_with_fewer_reports():
+    """Ten entry hosts that got a report of every change had no time for the jobs."""
+    few, every = _overloaded_model(near_entries=4), _overloaded_model(near_entries=8)
     assert list(promises.violations(few)) == []
     for kind in (assignments.LoadReport, assignments.Demand):
         assert few.messages[kind] < every.messages[kind]
-    # Callers must not notice; replays of one load by other timing differ by 0.02.
+    # Callers must see no difference beyond the 0.02 by which replays vary with timing.
     assert _worth(few) > _worth(every) - 0.02
 
 
@@ -289,8 +290,8 @@
     return leased.Span(worker, key, cpu, began, ended, workercontrol.EndReason.DONE)
 
 
-def test_checker_sees_two_runs_at_once():
-    """A checker that sees nothing would pass every run."""
+def test_checker_detects_concurrent_runs_of_a_task():
+    """A checker that detects nothing would pass every simulation."""
     model = _small(1)
     first, second = list(model.agent_by_name.values())[:2]
     first.worker.spans.append(_span("a", 1, 0.0, 2.0))
@@ -298,7 +299,7 @@
     assert any(text.startswith("twice") for text in promises.violations(model))
 
 
-def test_checker_sees_a_worker_over_its_room():
+def test_checker_detects_an_overcommitted_worker():
     """As above, for the capacity of a worker."""
     model = _small(1)
     agent = model.agent_by_name["agent-0"]
@@ -306,7 +307,7 @@
     assert any(text.startswith("limit") for text in promises.violations(model))
 
 
-def test_checker_sees_a_refused_job_that_ran_and_a_partial_answer():
+def test_checker_detects_a_refused_job_that_ran_and_a_partial_answer():
     """As above, for the answers to callers."""
     model = _small(1)
     refused, partial = model.make(MEDIUM), model.make(MEDIUM)
