Name the summaries of the metrics page and the result of a submission

Cause: second reading of the entry host's daemon, the connections and the event log.

Change: local names and one docstring. The text of the page stays.

--- a/src/burdockgate/process/entrydaemon.py
+++ b/src/burdockgate/process/entrydaemon.py
@@ -172,16 +172,16 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._store.close()
 
-    # Callers.
+    # Requests of callers.
 
     async def submit(
         self, submission: besteffort.Submission, disconnected: asyncio.Future[None]
     ) -> besteffort.Outcome | None:
-        """Run a job; return ``None`` when its caller disconnects before its end.
+        """Submit a job and wait for its outcome.
 
         :param submission: the job.
         :param disconnected: done when the caller has closed its connection.
-        :returns: how the job ended.
+        :returns: how the job ended; ``None`` when its caller disconnected before.
         """
         ticket = next(self._tickets)
         outcome: asyncio.Future[besteffort.Outcome] = (
--- a/src/burdockgate/process/events.py
+++ b/src/burdockgate/process/events.py
@@ -75,18 +75,18 @@
             labels = f'event="{event}",detail="{detail}"'
             yield f"burdockgate_events_total{{{labels}}} {count}"
         yield "# TYPE burdockgate_duration_ms summary"
-        for row in self.histograms.summary():
-            name = f'measure="{row.measure}",route="{row.caller_class}"'
+        for summary in self.histograms.summary():
+            series = f'measure="{summary.measure}",route="{summary.caller_class}"'
             for quantile, value in (
-                ("0.5", row.p50),
-                ("0.9", row.p90),
-                ("0.99", row.p99),
-                ("1", row.max),
+                ("0.5", summary.p50),
+                ("0.9", summary.p90),
+                ("0.99", summary.p99),
+                ("1", summary.max),
             ):
                 yield (
-                    f'burdockgate_duration_ms{{{name},quantile="{quantile}"}} {value}'
+                    f'burdockgate_duration_ms{{{series},quantile="{quantile}"}} {value}'
                 )
-            yield f"burdockgate_duration_ms_count{{{name}}} {row.count}"
+            yield f"burdockgate_duration_ms_count{{{series}}} {summary.count}"
 
 
 def _format_value(value: object) -> object:
--- a/src/burdockgate/process/links.py
+++ b/src/burdockgate/process/links.py
@@ -216,8 +216,8 @@
                 transport, link = await loop.create_connection(
                     lambda: stream.Stream(self), host, int(port)
                 )
-            connection = cast(socket.socket, transport.get_extra_info("socket"))
-            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock = cast(socket.socket, transport.get_extra_info("socket"))
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             target.link, target.redial_delay_s = link, FIRST_REDIAL_S
         except ConnectionRefusedError:
             self._back_off(target)
