--- a/src/burdockgate/process/scheduler.py
+++ b/src/burdockgate/process/scheduler.py
@@ -392,11 +392,11 @@
         self._waiting_by_id.pop(job_id, None)
         self._ended[job_id] = job
         self._ended.move_to_end(job_id)
-        by_agent: dict[str, list[assignments.RunKey]] = {}
+        run_keys_by_agent: dict[str, list[assignments.RunKey]] = {}
         for task in job.assigned_tasks():
             self._agent_by_revoked_task[task.key] = task.agent
-            by_agent.setdefault(task.agent, []).append(task.run_key)
-        for agent, keys in by_agent.items():
+            run_keys_by_agent.setdefault(task.agent, []).append(task.run_key)
+        for agent, keys in run_keys_by_agent.items():
             yield actions.Send(agent, assignments.Revoke(tuple(keys)))
         yield actions.LogEvent(
             "job.ended",
@@ -407,7 +407,7 @@
                 "code": outcome.code.name,
                 "age_ms": self._age_ms(job),
                 "objective_ms": int(job.objective_s() * 1000),
-                "revoked": sum(map(len, by_agent.values())),
+                "revoked": sum(map(len, run_keys_by_agent.values())),
             },
         )
         for ticket in sorted(job.tickets):
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -42,8 +42,8 @@
         for number, free in enumerate(free_cpu):
             self.link(f"agent-{number}", free)
 
-    def link(self, agent, free, boot=5, held=(), labels=("a",)):
-        hello = assignments.AgentHello(1, agent, boot, "z1", 9, tuple(held))
+    def link(self, agent, free, boot=5, active_runs=(), labels=("a",)):
+        hello = assignments.AgentHello(1, agent, boot, "z1", 9, tuple(active_runs))
         effects = list(self.scheduler.handle_agent_connected(hello, 9))
         info = assignments.WorkerInfo("i", 1, "svc", 4000, 1000, 0, labels)
         effects += self.scheduler.handle_worker_info(agent, info)
@@ -207,7 +207,7 @@
     bench.submit()
     key = assignments.RunKey(assignments.TaskKey("job", 0, 0), 1)
     list(bench.scheduler.handle_agent_disconnected("agent-0"))
-    effects = bench.link("agent-0", 4000, held=[key])
+    effects = bench.link("agent-0", 4000, active_runs=[key])
     lost = [
         effect.fields["task"]
         for effect in effects
