Reword the clients of the platform's worker and store

Cause: orders, lists, answers and words stood for commands, responses and end reasons, and a constant named an answer although it is a timeout. Change: names and comments. Reasons and figures are kept. Texts of errors stay, since they are logged as details.

--- a/src/burdockgate/platform/http.py
+++ b/src/burdockgate/platform/http.py
@@ -1,8 +1,8 @@
-"""HTTP client for the platform: the store and the worker.
+"""HTTP client for the platform's store and worker.
 
-An agent gives its worker 40 orders a second on a fraction of a core, and a call
-through httpx takes 2 ms of it. Parsing is done by httptools; what is added here is a
-pool of connections and the distinction whether a request can have been carried out.
+An agent sends its worker 40 commands a second on a fraction of a core, and a call
+through httpx takes 2 ms of that. This client parses with httptools, pools connections,
+and tells requests that were not sent from those that may have been carried out.
 """
 
 from __future__ import annotations
@@ -20,27 +20,28 @@
 from burdockgate import errors
 
 CONNECT_TIMEOUT_S = 0.5
-# A peer without power answers nothing; the kernel must not wait for minutes.
+# A host that lost power acknowledges nothing; by default the kernel closes the
+# connection only after minutes.
 USER_TIMEOUT_MS = 1500
-# The store answers a read with at most 1 MB.
+# The store returns at most 1 MB for a read.
 MAX_BODY_BYTES = 8 * 1024 * 1024
 
 
 @attrs.frozen
-class Answer:
-    """An answer to a request."""
+class Response:
+    """The response to a request."""
 
     status: int
     body: bytes
 
 
 class _Connection(asyncio.Protocol):
-    """One connection; it carries one request at a time."""
+    """A connection to the server; it carries one request at a time."""
 
     def __init__(self) -> None:
         self.is_closed = False
         self._transport: asyncio.Transport | None = None
-        self._answer: asyncio.Future[Answer] | None = None
+        self._response: asyncio.Future[Response] | None = None
         self._reset()
 
     def _reset(self) -> None:
@@ -56,19 +57,19 @@
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
         )
 
-    def send(self, request: bytes) -> asyncio.Future[Answer]:
-        """Send a request and return its answer to come.
+    def send(self, request: bytes) -> asyncio.Future[Response]:
+        """Send a request and return a future of its response.
 
-        :param request: head and body.
+        :param request: head and body of the request.
         """
         assert self._transport is not None
         self._reset()
-        self._answer = asyncio.get_running_loop().create_future()
+        self._response = asyncio.get_running_loop().create_future()
         self._transport.write(request)
-        return self._answer
+        return self._response
 
     def data_received(self, data: bytes) -> None:
-        """Parse what came; called by asyncio."""
+        """Parse received data; called by asyncio."""
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -76,82 +77,85 @@
             self.abort()
 
     def on_body(self, body: bytes) -> None:
-        """Keep a part of the body; called by the parser."""
+        """Append to the body of the response; called by the parser."""
         self._body += body
         if len(self._body) > MAX_BODY_BYTES:
             self._fail("answer is too large")
             self.abort()
 
     def on_message_complete(self) -> None:
-        """Hand over the answer; called by the parser."""
-        answer, self._answer = self._answer, None
+        """Complete the future of the response; called by the parser."""
+        response, self._response = self._response, None
         if not self._parser.should_keep_alive():
             self.abort()
-        if answer is not None and not answer.done():
-            answer.set_result(Answer(self._parser.get_status_code(), bytes(self._body)))
+        if response is not None and not response.done():
+            response.set_result(
+                Response(self._parser.get_status_code(), bytes(self._body))
+            )
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Fail the request under way; called by asyncio."""
+        """Fail the request in progress; called by asyncio."""
         self.is_closed = True
         self._fail(str(exc or "connection closed"))
 
     def _fail(self, reason: str) -> None:
-        answer, self._answer = self._answer, None
-        if answer is not None and not answer.done():
-            answer.set_exception(errors.UnansweredError(reason))
+        response, self._response = self._response, None
+        if response is not None and not response.done():
+            response.set_exception(errors.UnansweredError(reason))
 
     def abort(self) -> None:
-        """Close at once."""
+        """Close the connection at once."""
         self.is_closed = True
         if self._transport is not None:
             self._transport.abort()
 
 
 class Client:
-    """Keeps connections to one server open.
+    """HTTP client of one server, with a pool of connections.
 
     :param address: ``host:port`` of the server.
-    :param connections: most connections.
+    :param max_connections: largest number of connections.
     """
 
-    def __init__(self, address: str, connections: int) -> None:
+    def __init__(self, address: str, max_connections: int) -> None:
         self._address = address
         self._host, _, port = address.rpartition(":")
         self._port = int(port or 0)
         self._idle: collections.deque[_Connection] = collections.deque()
-        self._free = asyncio.Semaphore(connections)
+        self._connection_slots = asyncio.Semaphore(max_connections)
 
     async def request(
         self,
         method: str,
         path: str,
-        answer_s: float,
+        timeout_s: float,
         query: Mapping[str, object] | None = None,
         headers: Mapping[str, str] | None = None,
         body: bytes = b"",
-    ) -> Answer:
-        """Send a request and return its answer.
+    ) -> Response:
+        """Send a request and return its response.
 
         :param method: HTTP method.
-        :param path: path without a query.
-        :param answer_s: how long the answer may take, in seconds.
-        :param query: fields of the query.
+        :param path: path without the query string.
+        :param timeout_s: time limit for the response, in seconds.
+        :param query: parameters of the query string.
         :param headers: further headers.
         :param body: body of the request.
-        :raises errors.NotSentError: when no connection could be made.
-        :raises errors.UnansweredError: when the request may have been carried out.
+        :raises errors.NotSentError: when no connection could be made or was free.
+        :raises errors.UnansweredError: when no valid response came, so that the request
+            may have been carried out.
         """
         request = self._encode(method, path, query, headers, body)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await self._free.acquire()
+                await self._connection_slots.acquire()
         except TimeoutError as error:
             raise errors.NotSentError("no free connection") from error
         try:
-            connection = await self._connection()
-            return await self._exchange(connection, request, answer_s)
+            connection = await self._get_connection()
+            return await self._exchange(connection, request, timeout_s)
         finally:
-            self._free.release()
+            self._connection_slots.release()
 
     def _encode(
         self,
@@ -167,7 +171,7 @@
         lines += [f"Content-Length: {len(body)}", "", ""]
         return "\r\n".join(lines).encode("latin-1") + body
 
-    async def _connection(self) -> _Connection:
+    async def _get_connection(self) -> _Connection:
         while self._idle:
             connection = self._idle.pop()
             if not connection.is_closed:
@@ -175,28 +179,28 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, made = await loop.create_connection(
+                _, new_connection = await loop.create_connection(
                     _Connection, self._host, self._port
                 )
         except (OSError, TimeoutError) as error:
             raise errors.NotSentError(str(error) or "no connection in time") from error
-        return made
+        return new_connection
 
     async def _exchange(
-        self, connection: _Connection, request: bytes, answer_s: float
-    ) -> Answer:
+        self, connection: _Connection, request: bytes, timeout_s: float
+    ) -> Response:
         try:
-            async with asyncio.timeout(answer_s):
-                answer = await connection.send(request)
+            async with asyncio.timeout(timeout_s):
+                response = await connection.send(request)
         except TimeoutError as error:
             connection.abort()
-            raise errors.UnansweredError(f"no answer in {answer_s} s") from error
+            raise errors.UnansweredError(f"no answer in {timeout_s} s") from error
         except asyncio.CancelledError:
             connection.abort()
             raise
         if not connection.is_closed:
             self._idle.append(connection)
-        return answer
+        return response
 
     def close(self) -> None:
         """Close the idle connections; others end with their requests."""
--- a/src/burdockgate/platform/worker.py
+++ b/src/burdockgate/platform/worker.py
@@ -1,4 +1,4 @@
-"""Orders to the worker on the same machine, over HTTP."""
+"""Client that sends commands to the worker on the same machine, over HTTP."""
 
 from __future__ import annotations
 
@@ -11,18 +11,18 @@
 from burdockgate.platform import http
 from burdockgate.process import workercontrol
 
-# The worker is on the same machine and answers in a millisecond. A command that was
-# given up too early costs one poll, which finds out what became of it.
-COMMAND_ANSWER_S = 0.08
-# Beyond the wait that the poll allows.
-POLL_ANSWER_S = 0.25
-# The worker allows 64.
-CONNECTIONS = 16
-# Best-effort jobs have one occurrence.
+# The worker on the same machine responds within a millisecond. When a command times out
+# too early, one more poll finds out whether it was carried out.
+COMMAND_TIMEOUT_S = 0.08
+# Timeout of a poll, in addition to the time for which it lets the worker wait.
+POLL_TIMEOUT_MARGIN_S = 0.25
+# The worker accepts 64.
+MAX_CONNECTIONS = 16
+# Part of each task name; best-effort jobs have a single occurrence.
 _OCCURRENCE = "0"
 _INSTANCE_HEADER = "Expected-Instance"
 _OK = 200
-# A gateway's answers say nothing about what the worker did.
+# A gateway may send these, so they don't tell whether the worker carried out a command.
 _UNCERTAIN_STATUSES = (500, 502, 504)
 
 _REFUSAL_BY_REASON = {
@@ -36,7 +36,7 @@
     429: workercontrol.Refusal.UNHEALTHY,
     503: workercontrol.Refusal.UNHEALTHY,
 }
-_REASON_BY_WORD = {
+_END_REASON_BY_NAME = {
     "done": workercontrol.EndReason.DONE,
     "failed": workercontrol.EndReason.FAILED,
     "stopped": workercontrol.EndReason.STOPPED,
@@ -44,58 +44,60 @@
 }
 
 
-class _Answer(msgspec.Struct, rename={"clock_ms": "clockMs"}):
+class _CommandResponse(msgspec.Struct, rename={"clock_ms": "clockMs"}):
     clock_ms: int = 0
     reason: str = ""
 
 
-class _Lists(msgspec.Struct, rename={"clock_ms": "clockMs"}):
+class _RunLists(msgspec.Struct, rename={"clock_ms": "clockMs"}):
     clock_ms: int
-    # Rows of task, run, checkpoint, percent of the work done, and a rough load.
+    # Rows of task, run, checkpoint, percent of the work done, and approximate load.
     running: list[Any]
-    # Rows of number, task, run, word for the end, and checkpoint.
+    # Rows of number, task, run, name of the end reason, and checkpoint.
     finished: list[Any]
-    # Start of this life of the worker; older platforms do not tell it.
+    # Start time of this worker instance; older platforms do not send it.
     born: int = 0
 
 
 class PlatformWorker(workercontrol.WorkerControl):
-    """The worker's interface over HTTP.
+    """Client of the worker's HTTP interface.
 
     :param address: ``host:port`` of the worker.
     """
 
     def __init__(self, address: str) -> None:
-        self._client = http.Client(address, CONNECTIONS)
+        self._client = http.Client(address, MAX_CONNECTIONS)
 
     async def start(
         self, command: workercontrol.StartCommand
     ) -> workercontrol.CommandResult:
         """Start a run."""
         fields = {
-            "task": _task_name(command.key.task),
+            "task": _format_task(command.key.task),
             "run": command.key.run,
             "spec": command.spec,
             "deadlineMs": command.lease_until_ms,
             "fencingToken": command.token,
         }
-        return await self._order("/burdockgate/run-start", command.worker, fields)
+        return await self._send_command(
+            "/burdockgate/run-start", command.worker, fields
+        )
 
     async def stop(
         self, command: workercontrol.StopCommand
     ) -> workercontrol.CommandResult:
         """Stop a run."""
         fields = {
-            "task": _task_name(command.key.task),
+            "task": _format_task(command.key.task),
             "run": command.key.run,
             "fencingToken": command.token,
         }
-        return await self._order("/burdockgate/run-stop", command.worker, fields)
+        return await self._send_command("/burdockgate/run-stop", command.worker, fields)
 
     async def poll(
         self, command: workercontrol.PollCommand
     ) -> workercontrol.PollResult:
-        """Read the lists of runs."""
+        """Read the lists of running and finished runs."""
         fields = {
             "fencingToken": command.token,
             "ackedThrough": command.acknowledged,
@@ -103,18 +105,18 @@
         }
         if command.lease_until_ms is not None:
             fields["deadlineMs"] = command.lease_until_ms
-        answer = await self._post(
+        response = await self._post(
             "/burdockgate/hold",
             command.worker,
             fields,
-            command.wait_ms / 1000 + POLL_ANSWER_S,
+            command.wait_ms / 1000 + POLL_TIMEOUT_MARGIN_S,
         )
-        if not isinstance(answer, http.Answer):
-            return answer
-        if answer.status != _OK:
-            return _refused(answer)
+        if not isinstance(response, http.Response):
+            return response
+        if response.status != _OK:
+            return _decode_refusal(response)
         try:
-            return _snapshot(msgspec.json.decode(answer.body, type=_Lists))
+            return _decode_snapshot(msgspec.json.decode(response.body, type=_RunLists))
         except msgspec.DecodeError:
             return workercontrol.Refused(workercontrol.Refusal.INVALID)
 
@@ -122,26 +124,26 @@
         """Close the connections."""
         self._client.close()
 
-    async def _order(
+    async def _send_command(
         self, path: str, worker: str, fields: dict[str, Any]
     ) -> workercontrol.CommandResult:
-        answer = await self._post(path, worker, fields, COMMAND_ANSWER_S)
-        if not isinstance(answer, http.Answer):
-            return answer
-        if answer.status == _OK:
-            return workercontrol.Accepted(_decode_answer(answer).clock_ms)
-        if answer.status in _UNCERTAIN_STATUSES:
+        response = await self._post(path, worker, fields, COMMAND_TIMEOUT_S)
+        if not isinstance(response, http.Response):
+            return response
+        if response.status == _OK:
+            return workercontrol.Accepted(_decode_response(response).clock_ms)
+        if response.status in _UNCERTAIN_STATUSES:
             return workercontrol.Unanswered()
-        return _refused(answer)
+        return _decode_refusal(response)
 
     async def _post(
-        self, path: str, worker: str, fields: dict[str, Any], answer_s: float
-    ) -> http.Answer | workercontrol.Refused | workercontrol.Unanswered:
+        self, path: str, worker: str, fields: dict[str, Any], timeout_s: float
+    ) -> http.Response | workercontrol.Refused | workercontrol.Unanswered:
         headers = {"Content-Type": "application/json", _INSTANCE_HEADER: worker}
         body = msgspec.json.encode(fields)
         try:
             return await self._client.request(
-                "POST", path, answer_s, headers=headers, body=body
+                "POST", path, timeout_s, headers=headers, body=body
             )
         except errors.NotSentError:
             return workercontrol.Refused(workercontrol.Refusal.NOT_SENT)
@@ -149,59 +151,61 @@
             return workercontrol.Unanswered()
 
 
-def _decode_answer(answer: http.Answer) -> _Answer:
+def _decode_response(response: http.Response) -> _CommandResponse:
     try:
-        return msgspec.json.decode(answer.body, type=_Answer)
+        return msgspec.json.decode(response.body, type=_CommandResponse)
     except msgspec.DecodeError:
-        return _Answer()
+        return _CommandResponse()
 
 
-def _refused(answer: http.Answer) -> workercontrol.Refused:
-    told = _decode_answer(answer)
-    reason = _REFUSAL_BY_STATUS.get(answer.status)
+def _decode_refusal(response: http.Response) -> workercontrol.Refused:
+    content = _decode_response(response)
+    reason = _REFUSAL_BY_STATUS.get(response.status)
     if reason is None:
-        reason = _REFUSAL_BY_REASON.get(told.reason, workercontrol.Refusal.INVALID)
-    return workercontrol.Refused(reason, told.clock_ms)
+        reason = _REFUSAL_BY_REASON.get(content.reason, workercontrol.Refusal.INVALID)
+    return workercontrol.Refused(reason, content.clock_ms)
 
 
-def _snapshot(lists: _Lists) -> workercontrol.Snapshot:
-    running = tuple(_running(lists.running))
-    finished = tuple(_finished(lists.finished))
-    unreadable = len(lists.running) + len(lists.finished)
+def _decode_snapshot(lists: _RunLists) -> workercontrol.Snapshot:
+    running = tuple(_decode_running(lists.running))
+    finished = tuple(_decode_finished(lists.finished))
+    entry_count = len(lists.running) + len(lists.finished)
     return workercontrol.Snapshot(
         lists.clock_ms,
         lists.born,
         running,
         finished,
-        unreadable - len(running) - len(finished),
+        entry_count - len(running) - len(finished),
     )
 
 
-def _running(rows: list[Any]) -> Iterator[workercontrol.RunningEntry]:
+def _decode_running(rows: list[Any]) -> Iterator[workercontrol.RunningEntry]:
     for row in rows:
         match row:
             case [str(task), int(run), _, int() | float() as percent, *_]:
-                key = _run_key(task, run)
+                key = _parse_run_key(task, run)
                 if key is not None:
                     yield workercontrol.RunningEntry(key, int(percent))
 
 
-def _finished(rows: list[Any]) -> Iterator[workercontrol.FinishedEntry]:
+def _decode_finished(rows: list[Any]) -> Iterator[workercontrol.FinishedEntry]:
     for row in rows:
         match row:
-            case [int(number), str(task), int(run), str(word), *_]:
-                key = _run_key(task, run)
+            case [int(number), str(task), int(run), str(end_name), *_]:
+                key = _parse_run_key(task, run)
                 if key is not None:
-                    reason = _REASON_BY_WORD.get(word, workercontrol.EndReason.OTHER)
+                    reason = _END_REASON_BY_NAME.get(
+                        end_name, workercontrol.EndReason.OTHER
+                    )
                     yield workercontrol.FinishedEntry(number, key, reason)
 
 
-def _task_name(task: assignments.TaskKey) -> str:
+def _format_task(task: assignments.TaskKey) -> str:
     return f"{task.job}.{_OCCURRENCE}.{task.step}.{task.index}"
 
 
-def _run_key(task: str, run: int) -> assignments.RunKey | None:
-    """Return the run of a row, or ``None`` for a name of another form."""
+def _parse_run_key(task: str, run: int) -> assignments.RunKey | None:
+    """Return the key of a run, or ``None`` when the task name is malformed."""
     match task.split("."):
         case [job, _, step, index] if step.isdecimal() and index.isdecimal():
             key = assignments.TaskKey(job, int(step), int(index))
