Reword the platform's processes, settings, caller interface and heartbeats

Cause: told, taken, gone, reloaded and answer stood for a decoded message, its handling, a closed connection and an HTTP response; docstrings said who is told what. Change: names and comments; tests of the adapter are named after what they check, and their docstrings say which failure they guard against. Details of rejections and events stay, since they are logged.

--- a/src/burdockgate/platform/__init__.py
+++ b/src/burdockgate/platform/__init__.py
@@ -1,6 +1,6 @@
-"""Adapter between burdockgate and the users' platform.
+"""Adapter for the users' platform: its settings, callers, workers and metadata store.
 
-Each module decodes one kind of the platform's messages into types of the product,
-or encodes the product's answers. Nothing outside this package knows the names on the
-platform's wire.
+Each module decodes one kind of the platform's messages into types of the other
+packages, or encodes messages to the platform. No other package depends on the names in
+the platform's wire format.
 """
--- a/src/burdockgate/platform/__main__.py
+++ b/src/burdockgate/platform/__main__.py
@@ -17,16 +17,17 @@
 from burdockgate.platform import asgi, boot, configuration, storeclient
 from burdockgate.process import events, logs, runner, serving
 
-# Named in deploy/system.toml.
+# Must match deploy/system.toml.
 METRICS_PORT = 9464
-# A caller that does not read its answer must not keep the process from ending.
-SERVER_STOP_S = 0.3
+# Bounds the wait for clients that do not read their response, so that the process can
+# exit.
+SERVER_STOP_TIMEOUT_S = 0.3
 
 
 class Process(runner.Runnable):
-    """A daemon with its HTTP servers.
+    """A daemon and its HTTP servers.
 
-    :param settings: the settings file.
+    :param settings: content of the settings file.
     """
 
     def __init__(self, settings: boot.Boot) -> None:
@@ -35,10 +36,10 @@
         self._servers: list[serving.Server] = []
 
     async def listen(self, application: Any, address: str) -> None:
-        """Serve an application.
+        """Serve an application over HTTP.
 
         :param application: the ASGI application.
-        :param address: ``host:port``; empty serves nothing.
+        :param address: ``host:port``; if empty, the application is not served.
         """
         if not address:
             return
@@ -49,52 +50,59 @@
         await server.start()
         self._servers.append(server)
 
-    async def listen_metrics(self, source: events.EventLog) -> None:
-        """Serve the metrics page, or say why not.
+    async def listen_metrics(self, event_log: events.EventLog) -> None:
+        """Serve the metrics page; record an event if its address cannot be bound.
 
-        :param source: what the page shows.
+        :param event_log: the counters and histograms to show.
         """
         try:
-            await self.listen(Metrics(source), f"{self.settings.host}:{METRICS_PORT}")
+            await self.listen(
+                Metrics(event_log), f"{self.settings.host}:{METRICS_PORT}"
+            )
         except errors.SettingsError as error:
-            source.record("metrics.unavailable", {"detail": str(error)})
+            event_log.record("metrics.unavailable", {"detail": str(error)})
 
     async def close_servers(self) -> None:
-        """Finish the requests in progress and stop listening."""
-        await asyncio.gather(*(server.stop(SERVER_STOP_S) for server in self._servers))
+        """Stop listening and finish the requests in progress."""
+        await asyncio.gather(
+            *(server.stop(SERVER_STOP_TIMEOUT_S) for server in self._servers)
+        )
 
     def reload(self) -> None:
-        """Read the settings file again and take new addresses from it."""
+        """Read the settings file again; keep the old settings if it is not usable."""
         try:
             self.settings = boot.load()
         except errors.SettingsError as error:
-            self.reloaded(str(error))
+            self.handle_reload(str(error))
             return
-        self.reloaded("")
+        self.handle_reload("")
 
     @abc.abstractmethod
-    def reloaded(self, problem: str) -> None:
-        """Handle changed settings.
+    def handle_reload(self, problem: str) -> None:
+        """Apply the settings after a reload.
 
-        :param problem: why the file can't be used; the old settings then stay.
+        :param problem: why the file can't be used, so that the old settings stay; empty
+            on success.
         """
 
 
 class Metrics:
     """Serves the counters and histograms of a process.
 
-    :param source: what is shown.
+    :param event_log: the counters and histograms.
     """
 
-    def __init__(self, source: events.EventLog) -> None:
-        self._source = source
+    def __init__(self, event_log: events.EventLog) -> None:
+        self._event_log = event_log
 
     async def __call__(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
-        """Answer with the metrics page."""
-        body = "\n".join([*self._source.render(), ""]).encode()
-        await asgi.answer(send, 200, body, content_type="text/plain; version=0.0.4")
+        """Respond with the metrics page."""
+        body = "\n".join([*self._event_log.render(), ""]).encode()
+        await asgi.send_response(
+            send, 200, body, content_type="text/plain; version=0.0.4"
+        )
 
 
 class EntryProcess(Process):
@@ -109,7 +117,7 @@
         )
 
     async def start(self) -> None:
-        """Begin to serve."""
+        """Start the daemon, then its HTTP servers."""
         from burdockgate.platform import front, heartbeats
 
         await self._daemon.start()
@@ -120,13 +128,13 @@
         await self.listen_metrics(self._daemon.events)
 
     async def stop(self) -> None:
-        """Let the jobs in progress end."""
+        """Finish the jobs in progress, then close the servers and the daemon."""
         await self._daemon.stop()
         await self.close_servers()
         await self._daemon.close()
 
-    def reloaded(self, problem: str) -> None:
-        """Log the change; the settings of an entry host are fixed at its start."""
+    def handle_reload(self, problem: str) -> None:
+        """Log the reload; an entry host applies its settings only when it starts."""
         self._daemon.events.record("settings.reloaded", {"problem": problem})
 
 
@@ -145,7 +153,7 @@
         )
 
     async def start(self) -> None:
-        """Begin to serve."""
+        """Start the daemon, then its HTTP servers."""
         from burdockgate.platform import heartbeats
 
         await self._daemon.start()
@@ -155,12 +163,12 @@
         await self.listen_metrics(self._daemon.events)
 
     async def stop(self) -> None:
-        """Let what runs end."""
+        """Finish or stop the runs in progress, then close the servers."""
         await self._daemon.stop()
         await self.close_servers()
 
-    def reloaded(self, problem: str) -> None:
-        """Take in new addresses of entry hosts."""
+    def handle_reload(self, problem: str) -> None:
+        """Log the reload and connect to new addresses of entry hosts."""
         self._daemon.events.record("settings.reloaded", {"problem": problem})
         for address in self.settings.entry_addresses():
             self._daemon.links.add(address)
@@ -184,7 +192,8 @@
     parser.add_argument("role", choices=sorted(_PROCESS_BY_ROLE))
     arguments = parser.parse_args()
     if stat.S_ISFIFO(os.fstat(sys.stdout.fileno()).st_mode):
-        # A reader that stops must not stop the process; lines are lost instead.
+        # When the reader of the pipe stalls, log lines are lost; a blocking write would
+        # stop the process.
         os.set_blocking(sys.stdout.fileno(), False)
     logs.configure(sys.stdout, as_json=True)
     try:
--- a/src/burdockgate/platform/asgi.py
+++ b/src/burdockgate/platform/asgi.py
@@ -1,4 +1,4 @@
-"""The few parts of ASGI that the adapter's servers share."""
+"""ASGI helpers shared by the adapter's HTTP servers."""
 
 from __future__ import annotations
 
@@ -16,16 +16,16 @@
 
 
 class CallerGoneError(Exception):
-    """The connection ended before the whole request was read."""
+    """The caller closed its connection before the response was sent."""
 
 
-async def read_body(receive: Receive, limit: int) -> bytes:
+async def read_body(receive: Receive, max_bytes: int) -> bytes:
     """Return the body of a request.
 
     :param receive: the server's receive function.
-    :param limit: most bytes.
-    :raises BodyTooLargeError: when it is larger.
-    :raises CallerGoneError: when the connection ended.
+    :param max_bytes: largest accepted size.
+    :raises BodyTooLargeError: when the body is larger.
+    :raises CallerGoneError: when the caller closed its connection first.
     """
     body = bytearray()
     while True:
@@ -33,38 +33,40 @@
         if event["type"] == "http.disconnect":
             raise CallerGoneError
         body += event.get("body", b"")
-        if len(body) > limit:
+        if len(body) > max_bytes:
             raise BodyTooLargeError
         if not event.get("more_body"):
             return bytes(body)
 
 
-async def wait_gone(receive: Receive, gone: asyncio.Future[None]) -> None:
+async def wait_for_disconnect(
+    receive: Receive, disconnected: asyncio.Future[None]
+) -> None:
     """Complete a future when the caller closes its connection.
 
-    :param receive: the server's receive function; the body has been read.
-    :param gone: the future.
+    :param receive: the server's receive function, after the body has been read.
+    :param disconnected: the future.
     """
     while (await receive())["type"] != "http.disconnect":
         pass
-    if not gone.done():
-        gone.set_result(None)
+    if not disconnected.done():
+        disconnected.set_result(None)
 
 
-async def answer(
+async def send_response(
     send: Send,
     status: int,
     body: bytes = b"",
     headers: dict[str, str] | None = None,
     content_type: str = "application/json",
 ) -> None:
-    """Send a whole answer.
+    """Send a response with its whole body.
 
     :param send: the server's send function.
     :param status: HTTP status.
     :param body: the body.
     :param headers: further headers.
-    :param content_type: type of the body.
+    :param content_type: media type of the body.
     """
     fields = {"content-type": content_type, "content-length": str(len(body))}
     fields.update(headers or {})
--- a/src/burdockgate/platform/boot.py
+++ b/src/burdockgate/platform/boot.py
@@ -10,22 +10,22 @@
 
 from burdockgate import errors
 
-# Each role imports its own part only, because each restart pays for the imports.
+# Imports take part of each restart, so a role imports only the modules that it uses.
 if TYPE_CHECKING:
     from burdockgate.process import agentdaemon, entrydaemon, executoractions
 
 PATH_VARIABLE = "BURDOCKGATE_NODE_FILE"
 
 
-class _Bounds(msgspec.Struct, rename={"worker_lease_ms": "maxHoldMs"}):
+class _Bounds(msgspec.Struct, rename={"max_worker_lease_ms": "maxHoldMs"}):
     # Seconds between SIGTERM and SIGKILL.
     grace_s: float = msgspec.field(default=6.0, name="graceS")
-    # Longest lease that a worker grants.
-    worker_lease_ms: float = 1000.0
+    # Longest lease that the worker grants.
+    max_worker_lease_ms: float = 1000.0
 
 
 class _Listen(msgspec.Struct):
-    # Address for callers.
+    # Address of the HTTP interface for callers.
     front: str = ""
     # Address of the readiness check.
     ready: str = ""
@@ -38,7 +38,7 @@
 
 
 class Boot(msgspec.Struct):
-    """The fields of the settings file that the product uses."""
+    """The fields of the settings file that burdockgate uses."""
 
     name: str = msgspec.field(name="nodeName")
     host: str = msgspec.field(name="ip")
@@ -46,7 +46,7 @@
     listen: _Listen
     store: _Store = msgspec.field(name="platform")
     ports: tuple[int, int] = msgspec.field(name="portRange")
-    # Heartbeat addresses of machines that may run entry hosts.
+    # Addresses of the heartbeat endpoints of machines that may run entry hosts.
     seeds: list[str] = []
     # Address of the worker on the same machine; empty on machines without one.
     worker: str = msgspec.field(default="", name="app")
@@ -54,11 +54,11 @@
 
     @property
     def link_port(self) -> int:
-        """Port at which entry hosts accept agents; the same on all machines."""
+        """Port on which entry hosts accept agents; the same on all machines."""
         return self.ports[0]
 
     def entry_addresses(self) -> tuple[str, ...]:
-        """Return where entry hosts may accept agents."""
+        """Return the addresses at which entry hosts may accept agents."""
         hosts = [seed.rpartition(":")[0] for seed in self.seeds]
         return tuple(f"{host}:{self.link_port}" for host in hosts if host)
 
@@ -95,14 +95,14 @@
         from burdockgate.process import executoractions
 
         return executoractions.ExecutorSettings(
-            worker_lease_s=self.bounds.worker_lease_ms / 1000
+            worker_lease_s=self.bounds.max_worker_lease_ms / 1000
         )
 
 
 def load() -> Boot:
     """Read the settings file of this process.
 
-    :raises errors.SettingsError: when it can't be read or lacks a field.
+    :raises errors.SettingsError: when the file can't be read or is not valid.
     """
     path = os.environ.get(PATH_VARIABLE)
     if not path:
@@ -114,10 +114,11 @@
 
 
 def decode(content: bytes) -> Boot:
-    """Return the settings in a file; unknown fields are ignored.
+    """Decode a settings file; unknown fields are ignored.
 
-    :param content: the file, TOML.
-    :raises errors.SettingsError: when a field is missing or of another type.
+    :param content: content of the file, TOML.
+    :raises errors.SettingsError: when the file is not TOML, or a field is missing or of
+        another type.
     """
     try:
         return msgspec.toml.decode(content, type=Boot)
--- a/src/burdockgate/platform/configuration.py
+++ b/src/burdockgate/platform/configuration.py
@@ -1,4 +1,4 @@
-"""The operator's configuration of routes and services."""
+"""Decodes the operator's configuration of routes into a route table."""
 
 from __future__ import annotations
 
@@ -8,8 +8,8 @@
 
 from burdockgate.version import routes
 
-DEFAULT_BODY_LIMIT = 262_144
-DEFAULT_ATTEMPTS = 3
+DEFAULT_MAX_BODY_BYTES = 262_144
+DEFAULT_MAX_ATTEMPTS = 3
 DEFAULT_STRETCH = 1.6
 
 
@@ -31,15 +31,15 @@
     timeout_ms: float = 0.0
     # Fixed part of the objective for a job's duration.
     target_ms: float = 0.0
-    # Factor of the objective on the longest chain of work.
+    # The rest of the objective: this factor times the longest chain of estimated work.
     stretch: float = DEFAULT_STRETCH
-    max_attempts: int = DEFAULT_ATTEMPTS
-    # Present where an advisor names the workers that may run a step.
+    max_attempts: int = DEFAULT_MAX_ATTEMPTS
+    # Present if an advisor names the workers that may run a step.
     advice: Any = None
 
 
-class _Limits(msgspec.Struct, rename={"body_limit": "maxBodyBytes"}):
-    body_limit: int = DEFAULT_BODY_LIMIT
+class _Limits(msgspec.Struct, rename={"max_body_bytes": "maxBodyBytes"}):
+    max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
 
 
 class _Configuration(msgspec.Struct):
@@ -49,29 +49,31 @@
 
 
 def decode(body: bytes) -> routes.RouteTable | None:
-    """Return the table of a configuration, or ``None`` when it can't be read.
+    """Decode a configuration; return ``None`` when it is malformed.
 
-    :param body: the record, JSON.
+    :param body: the configuration record, JSON.
     """
     try:
-        told = msgspec.json.decode(body, type=_Configuration)
+        configuration = msgspec.json.decode(body, type=_Configuration)
     except msgspec.DecodeError:
         return None
     return routes.RouteTable(
-        told.version, tuple(map(_route, told.routes)), told.limits.body_limit
+        configuration.version,
+        tuple(map(_convert_route, configuration.routes)),
+        configuration.limits.max_body_bytes,
     )
 
 
-def _route(told: _Route) -> routes.Route:
+def _convert_route(route: _Route) -> routes.Route:
     return routes.Route(
-        told.name,
-        told.host,
-        told.path_prefix,
-        told.service,
-        told.priority,
-        told.max_attempts,
-        told.stretch,
-        told.target_ms / 1000,
-        told.timeout_ms / 1000,
-        told.advice is not None,
+        route.name,
+        route.host,
+        route.path_prefix,
+        route.service,
+        route.priority,
+        route.max_attempts,
+        route.stretch,
+        route.target_ms / 1000,
+        route.timeout_ms / 1000,
+        route.advice is not None,
     )
--- a/src/burdockgate/platform/front.py
+++ b/src/burdockgate/platform/front.py
@@ -1,7 +1,7 @@
-"""HTTP interface for callers and the balancer.
+"""HTTP interface for callers and for the load balancer's readiness check.
 
-Routes come with the configuration and change while the server runs, so they are
-matched here and not by a framework's router.
+Requests are matched here and not by a framework's router, because the routes come from
+the configuration and change while the server runs.
 """
 
 from __future__ import annotations
@@ -15,22 +15,23 @@
 
 READY_PATH = "/burdockgate/readyz"
 METRICS_PATH = "/metrics"
-# Longer identifiers are cut in the log.
-MAX_REQUEST_ID = 64
-# For callers that do not say how long they wait.
+# Longer identifiers are truncated in the log.
+MAX_REQUEST_ID_CHARS = 64
+# Used for requests without a valid deadline.
 DEFAULT_DEADLINE_S = 5.0
-# Seconds; a configuration that has not come yet is read within a second of the store's
-# return.
-CONFIGURATION_RETRY = "1"
-# The store and agents in reach give a process that has just started its configuration
-# within some 20 ms; callers take the 503 that is due without one as final.
+# Retry-After of requests before the first configuration, which is read within a second
+# after the store is available again.
+CONFIGURATION_RETRY_AFTER_S = "1"
+# A process that has just started gets its configuration from the store or an agent
+# within about 20 ms. Requests wait for it, because callers treat the 503 that they
+# would get without it as final.
 CONFIGURATION_WAIT_S = 0.3
 
 
 class Front:
-    """Takes the requests of callers.
+    """ASGI application that serves the requests of callers.
 
-    :param daemon: decides about them.
+    :param daemon: runs the jobs.
     """
 
     def __init__(self, daemon: entrydaemon.EntryDaemon) -> None:
@@ -39,12 +40,12 @@
     async def __call__(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
-        """Answer a request."""
+        """Handle a request and send the response, unless the caller disconnected."""
         try:
             status, headers, body = await self._handle(scope, receive)
         except asgi.CallerGoneError:
             return
-        await asgi.answer(send, status, body, headers)
+        await asgi.send_response(send, status, body, headers)
 
     async def _handle(
         self, scope: asgi.Scope, receive: asgi.Receive
@@ -53,20 +54,22 @@
             name.decode("latin-1").lower(): value.decode("latin-1")
             for name, value in scope["headers"]
         }
-        request_id = header_by_name.get("request-id", "")[:MAX_REQUEST_ID]
+        request_id = header_by_name.get("request-id", "")[:MAX_REQUEST_ID_CHARS]
         table = self._daemon.routes
         if table is None:
             table = await self._daemon.wait_for_routes(CONFIGURATION_WAIT_S)
         if table is None:
             code, detail = codes.Code.NOT_READY, "no configuration"
-            self._note_rejected("", request_id, code, detail)
-            return jobs.refuse(code, detail, {"Retry-After": CONFIGURATION_RETRY})
+            self._record_rejection("", request_id, code, detail)
+            return jobs.encode_rejection(
+                code, detail, {"Retry-After": CONFIGURATION_RETRY_AFTER_S}
+            )
         host = header_by_name.get("host", "").partition(":")[0]
         route = table.match(host, scope["path"])
         if route is None:
             code, detail = codes.Code.NOT_FOUND, "no such route"
-            self._note_rejected("", request_id, code, detail, host=host)
-            return jobs.refuse(code, detail)
+            self._record_rejection("", request_id, code, detail, host=host)
+            return jobs.encode_rejection(code, detail)
         job_id = scope["path"][len(route.path_prefix) :]
         match scope["method"]:
             case "POST":
@@ -78,7 +81,7 @@
                 pending = self._daemon.scheduler.unassigned_job_count(route.name)
                 return 200, {}, f'{{"pending":{pending}}}'.encode()
             case "GET":
-                return self._state(job_id)
+                return self._job_state(job_id)
             case "DELETE":
                 return self._cancel(job_id)
         return 405, {}, b""
@@ -97,22 +100,24 @@
             submission = jobs.decode(job_id, body, route, deadline_s, request_id)
         except asgi.BodyTooLargeError:
             code, detail = codes.Code.TOO_LARGE, f"limit {table.max_body_bytes} bytes"
-            self._note_rejected(job_id, request_id, code, detail)
-            return jobs.refuse(code, detail)
+            self._record_rejection(job_id, request_id, code, detail)
+            return jobs.encode_rejection(code, detail)
         except errors.RequestError as error:
-            self._note_rejected(job_id, request_id, error.code, error.detail)
-            return jobs.refuse(error.code, error.detail, {"Retry-After": "1"})
-        gone: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        watch = asyncio.create_task(asgi.wait_gone(receive, gone))
+            self._record_rejection(job_id, request_id, error.code, error.detail)
+            return jobs.encode_rejection(error.code, error.detail, {"Retry-After": "1"})
+        disconnected: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        disconnect_task = asyncio.create_task(
+            asgi.wait_for_disconnect(receive, disconnected)
+        )
         try:
-            verdict = await self._daemon.submit(submission, gone)
+            outcome = await self._daemon.submit(submission, disconnected)
         finally:
-            watch.cancel()
-        if verdict is None:
+            disconnect_task.cancel()
+        if outcome is None:
             raise asgi.CallerGoneError
-        return jobs.encode(verdict)
+        return jobs.encode(outcome)
 
-    def _note_rejected(
+    def _record_rejection(
         self,
         job_id: str,
         request_id: str,
@@ -120,13 +125,13 @@
         detail: str,
         host: str = "",
     ) -> None:
-        facts = {"job": job_id, "request": request_id, "host": host}
-        known = {name: value for name, value in facts.items() if value}
+        optional_fields = {"job": job_id, "request": request_id, "host": host}
+        fields = {name: value for name, value in optional_fields.items() if value}
         self._daemon.events.record(
-            "job.rejected", {**known, "code": code.name, "detail": detail}
+            "job.rejected", {**fields, "code": code.name, "detail": detail}
         )
 
-    def _state(self, job_id: str) -> tuple[int, dict[str, str], bytes]:
+    def _job_state(self, job_id: str) -> tuple[int, dict[str, str], bytes]:
         job = self._daemon.scheduler.job_by_id.get(job_id)
         if job is None:
             return 410, {}, b""
@@ -146,9 +151,9 @@
 
 
 class Ready:
-    """Answers the balancer's check.
+    """ASGI application for the load balancer's readiness check.
 
-    :param daemon: knows whether it is ready.
+    :param daemon: the entry host to check.
     """
 
     def __init__(self, daemon: entrydaemon.EntryDaemon) -> None:
@@ -157,5 +162,5 @@
     async def __call__(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
-        """Answer 200 when ready and 503 otherwise."""
-        await asgi.answer(send, 200 if self._daemon.is_ready else 503)
+        """Respond with 200 when the entry host is ready and with 503 otherwise."""
+        await asgi.send_response(send, 200 if self._daemon.is_ready else 503)
--- a/src/burdockgate/platform/heartbeats.py
+++ b/src/burdockgate/platform/heartbeats.py
@@ -1,4 +1,4 @@
-"""Heartbeats of the worker on the same machine, over HTTP."""
+"""HTTP endpoint for the heartbeats of the worker on the same machine."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from burdockgate.process import agentdaemon
 
-BODY_LIMIT = 65_536
+MAX_BODY_BYTES = 65_536
 _PREFIX = "/burdockgate/instances/"
 
 
@@ -30,10 +30,10 @@
     state: str
     capacity: _Capacity
     sequence: int
-    # The worker's steady clock.
+    # The worker's monotonic clock.
     clock_ms: int
     labels: list[str] = []
-    # Start of this life of the worker, Unix milliseconds.
+    # Start time of this worker instance, Unix milliseconds.
     born: int = 0
 
 
@@ -41,36 +41,36 @@
 
 
 def decode(worker: str, body: bytes) -> workercontrol.WorkerHeartbeat | None:
-    """Return what a worker says of itself, or ``None`` when it can't be read.
+    """Decode a heartbeat; return ``None`` when it is malformed.
 
-    :param worker: identifier from the path.
+    :param worker: identifier of the worker, from the path.
     :param body: the heartbeat, JSON.
     """
     try:
-        told = msgspec.json.decode(body, type=_Heartbeat)
+        heartbeat = msgspec.json.decode(body, type=_Heartbeat)
     except msgspec.DecodeError:
         return None
-    is_draining = _IS_DRAINING_BY_STATE.get(told.state)
+    is_draining = _IS_DRAINING_BY_STATE.get(heartbeat.state)
     if is_draining is None:
         return None
     return workercontrol.WorkerHeartbeat(
         worker,
-        told.born,
-        told.service,
-        told.capacity.cpu,
-        told.capacity.memory_mb,
-        told.capacity.gpu,
-        tuple(told.labels),
+        heartbeat.born,
+        heartbeat.service,
+        heartbeat.capacity.cpu,
+        heartbeat.capacity.memory_mb,
+        heartbeat.capacity.gpu,
+        tuple(heartbeat.labels),
         is_draining,
-        told.sequence,
-        told.clock_ms,
+        heartbeat.sequence,
+        heartbeat.clock_ms,
     )
 
 
 class Heartbeats:
-    """Takes the heartbeats.
+    """ASGI application that receives the heartbeats.
 
-    :param daemon: the agent.
+    :param daemon: the agent that handles them.
     """
 
     def __init__(self, daemon: agentdaemon.AgentDaemon) -> None:
@@ -79,40 +79,40 @@
     async def __call__(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
-        """Acknowledge a heartbeat that was taken in."""
+        """Handle a heartbeat or deregistration and send the status."""
         path: str = scope["path"]
         if scope["method"] != "POST" or not path.startswith(_PREFIX):
-            await asgi.answer(send, 404)
+            await asgi.send_response(send, 404)
             return
         worker, _, action = path[len(_PREFIX) :].partition("/")
         try:
-            body = await asgi.read_body(receive, BODY_LIMIT)
+            body = await asgi.read_body(receive, MAX_BODY_BYTES)
         except asgi.BodyTooLargeError:
-            await asgi.answer(send, 413)
+            await asgi.send_response(send, 413)
             return
         except asgi.CallerGoneError:
             return
-        await asgi.answer(send, self._take(worker, action, body), b"{}")
+        await asgi.send_response(send, self._handle(worker, action, body), b"{}")
 
-    def _take(self, worker: str, action: str, body: bytes) -> int:
+    def _handle(self, worker: str, action: str, body: bytes) -> int:
         if action == "deregister":
             self._daemon.handle_deregistration(worker)
             return 200
         if action != "heartbeat":
             return 404
-        told = decode(worker, body)
-        if told is None:
+        heartbeat = decode(worker, body)
+        if heartbeat is None:
             self._daemon.events.record("heartbeat.unreadable", {"worker": worker})
             return 400
-        self._daemon.handle_heartbeat(told)
+        self._daemon.handle_heartbeat(heartbeat)
         return 200
 
 
 class NoHeartbeats:
-    """Refuses heartbeats on a machine without a worker, so that they go elsewhere."""
+    """Rejects heartbeats on a machine without a worker, so that they go elsewhere."""
 
     async def __call__(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
-        """Answer 503."""
-        await asgi.answer(send, 503)
+        """Respond with 503."""
+        await asgi.send_response(send, 503)
--- a/src/burdockgate/platform/jobs.py
+++ b/src/burdockgate/platform/jobs.py
@@ -1,4 +1,4 @@
-"""Jobs as callers send them, and the answers that they get."""
+"""Decodes the jobs that callers send and encodes the responses to them."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
         "label": "requires",
         "data_rack": "dataRack",
         "max_per_worker": "antiAffinity",
-        "is_lasting": "longRunning",
+        "is_long_running": "longRunning",
         "is_filling": "fills",
     },
 ):
@@ -32,14 +32,14 @@
     memory_mb: int = 0
     gpu: int = 0
     estimate_ms: float = 0.0
-    # Numbers of the steps that must be done before.
+    # Indexes of the earlier steps that must be done first.
     after: list[int] = []
     label: str = ""
     data_rack: str = ""
     max_per_worker: int = 0
-    # Tasks that start together; not served yet.
+    # The tasks must start together; not supported yet.
     gang: bool = False
-    is_lasting: bool = False
+    is_long_running: bool = False
     is_filling: bool = False
 
 
@@ -48,15 +48,15 @@
     rename={
         "is_best_effort": "bestEffort",
         "repeat_count": "repeatCount",
-        "is_lasting": "longRunning",
+        "is_long_running": "longRunning",
     },
 ):
     spec: str
     steps: list[_Step]
-    # The caller waits for the end, and nothing is stored.
+    # The caller waits for the end of the job, and the job is not stored.
     is_best_effort: bool = False
     repeat_count: int = 0
-    is_lasting: bool = False
+    is_long_running: bool = False
 
 
 def decode(
@@ -66,26 +66,27 @@
     deadline_s: float,
     request_id: str = "",
 ) -> besteffort.Submission:
-    """Return the job of a request.
+    """Decode the job in a request.
 
-    :param job_id: identifier from the path.
+    :param job_id: identifier of the job, from the path.
     :param body: body of the request, JSON.
-    :param route: the route that matched.
-    :param deadline_s: how long the caller waits.
+    :param route: the route that matched the request.
+    :param deadline_s: how long the caller waits, in seconds.
     :param request_id: the caller's identifier of the request.
-    :raises errors.RequestError: when it is malformed or of a kind that is not served.
+    :raises errors.RequestError: when the job is malformed or of a kind that is not
+        supported.
     """
     try:
-        told = msgspec.json.decode(body, type=_Job)
+        job = msgspec.json.decode(body, type=_Job)
     except msgspec.DecodeError as error:
         raise errors.RequestError(codes.Code.INVALID_REQUEST, str(error)) from error
-    _check(told, route)
+    _check_is_served(job, route)
     return besteffort.Submission(
         job_id,
         route.name,
         route.service,
-        told.spec,
-        tuple(map(_step, told.steps)),
+        job.spec,
+        tuple(map(_convert_step, job.steps)),
         route.priority,
         route.max_attempts,
         route.stretch,
@@ -95,25 +96,25 @@
     )
 
 
-def _check(told: _Job, route: routes.Route) -> None:
-    tasks = sum(step.count for step in told.steps)
-    if not 0 < tasks <= MAX_TASKS or len(told.steps) > MAX_STEPS:
+def _check_is_served(job: _Job, route: routes.Route) -> None:
+    tasks = sum(step.count for step in job.steps)
+    if not 0 < tasks <= MAX_TASKS or len(job.steps) > MAX_STEPS:
         raise errors.RequestError(
             codes.Code.TOO_MANY_TASKS,
-            f"{tasks} tasks in {len(told.steps)} steps, allowed are {MAX_TASKS} in "
+            f"{tasks} tasks in {len(job.steps)} steps, allowed are {MAX_TASKS} in "
             f"{MAX_STEPS}",
         )
-    for number, step in enumerate(told.steps):
+    for number, step in enumerate(job.steps):
         if any(not 0 <= earlier < number for earlier in step.after):
             raise errors.RequestError(
                 codes.Code.INVALID_REQUEST, f"step {number}: after={step.after}"
             )
-        if step.gang or step.is_lasting or step.is_filling:
+        if step.gang or step.is_long_running or step.is_filling:
             raise errors.RequestError(
                 codes.Code.NOT_READY, f"step {number}: its kind is not served yet"
             )
-    if not told.is_best_effort or told.repeat_count or told.is_lasting:
-        # Nothing is stored yet, so a job that has to be kept is never accepted.
+    if not job.is_best_effort or job.repeat_count or job.is_long_running:
+        # Storing jobs is not supported yet, so a job that has to be stored is refused.
         raise errors.RequestError(
             codes.Code.NOT_READY, "only best-effort jobs are served yet"
         )
@@ -123,56 +124,56 @@
         )
 
 
-def _step(told: _Step) -> besteffort.Step:
+def _convert_step(step: _Step) -> besteffort.Step:
     return besteffort.Step(
-        told.count,
-        told.cpu,
-        told.memory_mb,
-        told.gpu,
-        told.estimate_ms / 1000,
-        tuple(told.after),
-        told.label,
-        told.data_rack,
-        told.max_per_worker,
+        step.count,
+        step.cpu,
+        step.memory_mb,
+        step.gpu,
+        step.estimate_ms / 1000,
+        tuple(step.after),
+        step.label,
+        step.data_rack,
+        step.max_per_worker,
     )
 
 
-def encode(verdict: besteffort.Outcome) -> tuple[int, dict[str, str], bytes]:
-    """Return status, headers and body of an answer.
+def encode(outcome: besteffort.Outcome) -> tuple[int, dict[str, str], bytes]:
+    """Return the status, headers and body of the response to a job.
 
-    A status of 429 or 503 says that no task ran; 502 and 504 say nothing about that,
-    and the caller sends the job again.
+    Statuses 429 and 503 state that no task ran. After 502 and 504 tasks may have run;
+    the caller sends the job again.
 
-    :param verdict: how the job ended.
+    :param outcome: how the job ended.
     """
-    match verdict:
+    match outcome:
         case besteffort.Completed():
             return 200, {}, b'{"state":"completed"}'
         case besteffort.Failed():
             return 200, {}, b'{"state":"failed"}'
         case besteffort.Refused(code, retry_after_s):
             headers = {"Retry-After": str(max(1, math.ceil(retry_after_s)))}
-            # Callers on the platform know two statuses for "not run".
+            # The platform's callers know only 429 and 503 as "not run".
             status = 429 if codes.MEANING_BY_CODE[code].status == 429 else 503
-            return status, headers, _error_body(code, "")
+            return status, headers, _encode_error(code, "")
         case besteffort.Interrupted(code):
             status = 504 if code is codes.Code.DEADLINE_MAY_HAVE_RUN else 502
-            return status, {}, _error_body(code, "")
+            return status, {}, _encode_error(code, "")
 
 
-def refuse(
+def encode_rejection(
     code: codes.Code, detail: str, headers: dict[str, str] | None = None
 ) -> tuple[int, dict[str, str], bytes]:
-    """Return the answer to a request that was not run.
+    """Return the status, headers and body of the response to a rejected request.
 
     :param code: the result code.
-    :param detail: one line for the caller.
-    :param headers: headers to send.
+    :param detail: one line for the caller; empty for the text of the code.
+    :param headers: further headers.
     """
     status = codes.MEANING_BY_CODE[code].status
-    return status, headers or {}, _error_body(code, detail)
+    return status, headers or {}, _encode_error(code, detail)
 
 
-def _error_body(code: codes.Code, detail: str) -> bytes:
+def _encode_error(code: codes.Code, detail: str) -> bytes:
     text = detail or codes.MEANING_BY_CODE[code].text
     return msgspec.json.encode({"code": int(code), "name": code.name, "detail": text})
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -1,4 +1,4 @@
-"""Stand-ins of the platform over HTTP: a store with keyed topics, and a worker."""
+"""Stand-ins for the platform over HTTP: a store with keyed topics, and a worker."""
 
 from __future__ import annotations
 
@@ -29,9 +29,10 @@
 
 
 class StoreStandIn:
-    """Topics of one partition.
+    """A metadata store whose topics have one partition each.
 
-    ``is_down`` refuses every call, and ``delay_s`` delays each.
+    It delays each response by ``delay_s``, and while ``is_down`` is set it responds to
+    every call with 503.
     """
 
     def __init__(self):
@@ -51,7 +52,7 @@
         query = dict(urllib.parse.parse_qsl(scope["query_string"].decode()))
         await asyncio.sleep(self.delay_s)
         if self.is_down:
-            await asgi.answer(send, 503)
+            await asgi.send_response(send, 503)
             return
         topic = query["topic"]
         match scope["path"].rpartition("/")[2]:
@@ -59,36 +60,38 @@
                 record = body[4:]
                 key_end = 1 + record[0]
                 self.append(topic, record[1:key_end].decode(), record[key_end:])
-                await asgi.answer(send, 200, b'{"offset":0,"end":1}')
+                await asgi.send_response(send, 200, b'{"offset":0,"end":1}')
             case "log-newest":
-                await asgi.answer(send, 200, self._newest(topic))
+                await asgi.send_response(send, 200, self._newest(topic))
             case "log-read":
                 await self._read(topic, query, send)
 
     def _newest(self, topic):
         records = self.records_by_topic.get(topic, [])
-        newest = {key: (value, at) for at, (key, value) in enumerate(records)}
+        newest = {key: (value, offset) for offset, (key, value) in enumerate(records)}
         items = [
-            {"key": key, "value": base64.b64encode(value).decode(), "offset": at}
-            for key, (value, at) in sorted(newest.items())
+            {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+            for key, (value, offset) in sorted(newest.items())
         ]
         return json.dumps({"items": items, "more": False, "end": len(records)}).encode()
 
     async def _read(self, topic, query, send):
-        begin, wait_s = int(query["from"]), int(query["waitMs"]) / 1000
-        if len(self.records_by_topic.get(topic, [])) <= begin:
+        offset, wait_s = int(query["from"]), int(query["waitMs"]) / 1000
+        if len(self.records_by_topic.get(topic, [])) <= offset:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait_s):
                     await self._changed.wait()
         records = self.records_by_topic.get(topic, [])
         raw = struct.pack(">QQ", len(records), 0)
-        for key, value in records[begin:]:
+        for key, value in records[offset:]:
             record = bytes([len(key)]) + key.encode() + value
             raw += struct.pack(">I", len(record)) + record
-        await asgi.answer(send, 200, raw, content_type="application/octet-stream")
+        await asgi.send_response(
+            send, 200, raw, content_type="application/octet-stream"
+        )
 
 
-_REASONS = {
+_REASON_BY_REFUSAL = {
     workercontrol.Refusal.FENCED: "fence",
     workercontrol.Refusal.OLD_RUN: "old",
     workercontrol.Refusal.LATE: "late",
@@ -96,7 +99,7 @@
 
 
 class WorkerStandIn:
-    """A worker model behind its HTTP interface, with heartbeats to its agent."""
+    """Serves a worker model over HTTP and sends heartbeats to its agent."""
 
     def __init__(self, name, heartbeat_address, work_s):
         self.time = LoopTime()
@@ -106,22 +109,22 @@
         self.server = serving.Server(self, "127.0.0.1")
         self._heartbeat_address = heartbeat_address
         self._sequence = 0
-        self._beats = None
+        self._heartbeat_task = None
 
     async def start(self):
         await self.server.start()
-        self._beats = asyncio.create_task(self._beat())
+        self._heartbeat_task = asyncio.create_task(self._send_heartbeats())
 
     async def close(self):
-        self._beats.cancel()
+        self._heartbeat_task.cancel()
         await self.server.cut()
 
-    async def _beat(self):
+    async def _send_heartbeats(self):
         path = f"/burdockgate/instances/{self.model.name}/heartbeat"
         async with httpx.AsyncClient(trust_env=False) as client:
             while True:
                 self._sequence += 1
-                # While the agent is not up, the next heartbeat follows.
+                # The agent may not be running yet; a later heartbeat reaches it.
                 with contextlib.suppress(httpx.HTTPError):
                     await client.post(
                         f"http://{self._heartbeat_address}{path}",
@@ -152,21 +155,21 @@
             case "run-start":
                 command = workercontrol.StartCommand(
                     "",
-                    _key(fields["task"], fields["run"]),
+                    _parse_run_key(fields["task"], fields["run"]),
                     fields["spec"],
                     fields["deadlineMs"],
                     fields["fencingToken"],
                 )
-                await self._answer(send, self.model.start(command))
+                await self._send_result(send, self.model.start(command))
             case "run-stop":
-                key = _key(fields["task"], fields["run"])
+                key = _parse_run_key(fields["task"], fields["run"])
                 command = workercontrol.StopCommand("", key, fields["fencingToken"])
-                await self._answer(send, self.model.stop(command))
+                await self._send_result(send, self.model.stop(command))
             case "hold":
                 await self._poll(fields, send)
 
     async def _poll(self, fields, send):
-        seen = asyncio.get_running_loop().create_future()
+        result_future = asyncio.get_running_loop().create_future()
         command = workercontrol.PollCommand(
             "",
             fields["fencingToken"],
@@ -174,39 +177,48 @@
             fields.get("deadlineMs"),
             fields["waitMs"],
         )
-        self.model.poll(command, seen.set_result)
-        answer = await seen
-        if isinstance(answer, workercontrol.Refused):
-            await self._answer(send, answer)
+        self.model.poll(command, result_future.set_result)
+        result = await result_future
+        if isinstance(result, workercontrol.Refused):
+            await self._send_result(send, result)
             return
         lists = {
-            "clockMs": answer.clock_ms,
-            "born": answer.born,
+            "clockMs": result.clock_ms,
+            "born": result.born,
             "running": [
-                [_name(entry.key), entry.key.run, "", entry.percent]
-                for entry in answer.running
+                [_format_task(entry.key), entry.key.run, "", entry.percent]
+                for entry in result.running
             ],
             "finished": [
-                [entry.number, _name(entry.key), entry.key.run, entry.reason.value, ""]
-                for entry in answer.finished
+                [
+                    entry.number,
+                    _format_task(entry.key),
+                    entry.key.run,
+                    entry.reason.value,
+                    "",
+                ]
+                for entry in result.finished
             ],
         }
-        await asgi.answer(send, 200, json.dumps(lists).encode())
+        await asgi.send_response(send, 200, json.dumps(lists).encode())
 
     @staticmethod
-    async def _answer(send, answer):
-        if isinstance(answer, workercontrol.Accepted):
-            body = {"clockMs": answer.clock_ms}
-            await asgi.answer(send, 200, json.dumps(body).encode())
+    async def _send_result(send, result):
+        if isinstance(result, workercontrol.Accepted):
+            body = {"clockMs": result.clock_ms}
+            await asgi.send_response(send, 200, json.dumps(body).encode())
         else:
-            body = {"clockMs": answer.clock_ms, "reason": _REASONS[answer.reason]}
-            await asgi.answer(send, 409, json.dumps(body).encode())
+            body = {
+                "clockMs": result.clock_ms,
+                "reason": _REASON_BY_REFUSAL[result.reason],
+            }
+            await asgi.send_response(send, 409, json.dumps(body).encode())
 
 
-def _key(name, run):
+def _parse_run_key(name, run):
     job, _, step, index = name.split(".")
     return assignments.RunKey(assignments.TaskKey(job, int(step), int(index)), run)
 
 
-def _name(key):
+def _format_task(key):
     return f"{key.task.job}.0.{key.task.step}.{key.task.index}"
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -1,4 +1,4 @@
-"""Guards the platform's adapter: names on its wire, and answers of every kind."""
+"""Tests the platform's adapter: names in its wire format, and all kinds of response."""
 
 import asyncio
 import base64
@@ -47,11 +47,14 @@
 )
 
 
-class Script:
-    """An ASGI server that answers from a list and keeps what it was sent."""
+class ScriptedServer:
+    """An ASGI server that sends given responses in turn and records the requests.
 
-    def __init__(self, *answers):
-        self.answers = list(answers)
+    A response of ``None`` never comes.
+    """
+
+    def __init__(self, *responses):
+        self.responses = list(responses)
         self.requests = []
         self.server = serving.Server(self, "127.0.0.1")
 
@@ -60,36 +63,36 @@
         headers = {name.decode(): value.decode() for name, value in scope["headers"]}
         query = scope["query_string"].decode()
         self.requests.append((scope["path"], query, headers, body))
-        answer = self.answers.pop(0)
-        if answer is None:
+        response = self.responses.pop(0)
+        if response is None:
             await asyncio.sleep(30)
             return
-        status, body = answer
+        status, body = response
         if not isinstance(body, bytes):
             body = json.dumps(body).encode()
-        await asgi.answer(send, status, body)
+        await asgi.send_response(send, status, body)
 
 
 @pytest.fixture
-async def script():
-    made = []
+async def start_server():
+    servers = []
 
-    async def make(*answers):
-        server = Script(*answers)
+    async def start(*responses):
+        server = ScriptedServer(*responses)
         await server.server.start()
-        made.append(server)
+        servers.append(server)
         return server
 
-    yield make
-    for server in made:
+    yield start
+    for server in servers:
         await server.server.cut()
 
 
 # Settings.
 
 
-def test_settings_are_decoded_into_the_products_names():
-    """Seeds name heartbeat ports; agents connect to the first port of the range."""
+def test_settings_are_decoded():
+    """Seeds have heartbeat ports; agents connect to the first port of the range."""
     settings = boot.decode(SETTINGS)
     assert settings.entry_addresses() == ("10.1.0.13:7720", "10.2.0.30:7720")
     assert settings.entry_settings().port == 7720
@@ -100,8 +103,8 @@
 @pytest.mark.parametrize(
     "content", [b"", b"nodeName = 1", b"\xff", SETTINGS.replace(b"ip =", b"pi =")]
 )
-def test_unusable_settings_are_named_in_one_line(content):
-    """An operator gets a line that names the field, not a traceback."""
+def test_unusable_settings_are_reported_in_one_line(content):
+    """The operator gets one line that names the problem, not a traceback."""
     with pytest.raises(errors.SettingsError) as caught:
         boot.decode(content)
     assert "\n" not in str(caught.value)
@@ -132,7 +135,7 @@
 
 
 def test_configuration_becomes_a_route_table():
-    """Milliseconds on the wire are seconds in the product."""
+    """The wire format has milliseconds, the route table seconds."""
     table = configuration.decode(_configuration())
     assert table == routes.RouteTable(7, (ROUTE,), 1000)
     assert table.match("h.example", "/jobs/ab") == ROUTE
@@ -142,8 +145,8 @@
 @pytest.mark.parametrize(
     "body", [b"", b"{", b"[]", _configuration(version="7"), _configuration(routes=3)]
 )
-def test_unreadable_configuration_is_none(body):
-    """Another writer's record must not end the process or replace the table."""
+def test_malformed_configuration_is_none(body):
+    """A malformed record must not end the process or replace the route table."""
     assert configuration.decode(body) is None
 
 
@@ -168,10 +171,10 @@
     return json.dumps({**fields, **changes}).encode()
 
 
-def test_heartbeat_becomes_an_announcement():
-    """Capacity, clock and life of the worker must arrive under the right fields."""
-    told = heartbeats.decode("i-1", _heartbeat(state="draining"))
-    assert told == workercontrol.WorkerHeartbeat(
+def test_heartbeat_is_decoded():
+    """Capacity, clock and start time of the worker must be in the right fields."""
+    heartbeat = heartbeats.decode("i-1", _heartbeat(state="draining"))
+    assert heartbeat == workercontrol.WorkerHeartbeat(
         "i-1", 1700000000000, "svc", 16000, 32768, 0, ("a", "r1-3"), True, 4, 482113
     )
 
@@ -188,8 +191,8 @@
         _heartbeat(labels=[1]),
     ],
 )
-def test_heartbeat_of_another_writer_names_no_worker(body):
-    """Missing fields, other types and unknown states are left out."""
+def test_malformed_heartbeat_is_none(body):
+    """Heartbeats with missing fields, wrong types or unknown states are ignored."""
     assert heartbeats.decode("i-1", body) is None
 
 
@@ -209,7 +212,7 @@
 
 
 def test_job_becomes_a_submission():
-    """Steps, resources and order must survive the translation."""
+    """Steps, resources and the order of steps must be decoded."""
     submission = jobs.decode("ab12", _job(), ROUTE, 2.5)
     assert submission.steps == (
         besteffort.Step(2, 500, 64, 0, 0.9),
@@ -230,7 +233,7 @@
         (_job(repeatCount=3), codes.Code.NOT_READY),
     ],
 )
-def test_job_that_is_not_served_is_refused_and_not_run(body, code):
+def test_unsupported_job_is_refused_and_not_run(body, code):
     """A job that has to be stored must not be accepted and lost."""
     with pytest.raises(errors.RequestError) as caught:
         jobs.decode("ab12", body, ROUTE, 2.5)
@@ -238,8 +241,8 @@
     assert codes.start_of(code) is codes.Start.NOT_RUN
 
 
-def test_answers_tell_whether_the_job_can_be_sent_again():
-    """429 and 503 promise that nothing ran; 502 and 504 promise nothing."""
+def test_status_tells_whether_tasks_may_have_run():
+    """429 and 503 state that no task ran; after 502 and 504 tasks may have run."""
     assert jobs.encode(besteffort.Completed())[::2] == (200, b'{"state":"completed"}')
     assert (
         jobs.encode(besteffort.Failed(codes.Code.TASK_FAILED))[2]
@@ -256,7 +259,7 @@
     ("text", "seconds"), [("2500", 2.5), ("", 5.0), ("soon", 5.0), ("-4", 0.0)]
 )
 def test_deadline_header(text, seconds):
-    """A caller that sends nonsense gets the default wait."""
+    """A malformed deadline is replaced by the default; a negative one by 0."""
     assert front._deadline_s({"deadline-ms": text}) == seconds
 
 
@@ -265,13 +268,13 @@
 _KEY = assignments.RunKey(assignments.TaskKey("ab", 1, 17), 2)
 
 
-async def test_start_order_on_the_wire(script):
-    """The worker must get the lease, the token and the intended instance."""
-    server = await script((200, {"clockMs": 5}))
+async def test_start_command_on_the_wire(start_server):
+    """The worker must get the lease, the fencing token and the expected instance."""
+    server = await start_server((200, {"clockMs": 5}))
     client = worker.PlatformWorker(server.server.address)
-    answer = await client.start(workercontrol.StartCommand("i-1", _KEY, "text", 900, 7))
+    result = await client.start(workercontrol.StartCommand("i-1", _KEY, "text", 900, 7))
     await client.close()
-    assert answer == workercontrol.Accepted(5)
+    assert result == workercontrol.Accepted(5)
     path, _, headers, body = server.requests[0]
     assert path == "/burdockgate/run-start"
     assert headers["expected-instance"] == "i-1"
@@ -285,7 +288,7 @@
 
 
 @pytest.mark.parametrize(
-    ("answer", "expected"),
+    ("response", "expected"),
     [
         (
             (409, {"clockMs": 9, "reason": "fence"}),
@@ -306,37 +309,37 @@
         (None, workercontrol.Unanswered()),
     ],
 )
-async def test_answers_to_an_order(script, answer, expected):
-    """Only an order that surely was not carried out counts as refused."""
-    server = await script(answer)
+async def test_responses_to_a_command(start_server, response, expected):
+    """A command counts as refused only if it certainly was not carried out."""
+    server = await start_server(response)
     client = worker.PlatformWorker(server.server.address)
     assert await client.stop(workercontrol.StopCommand("i-1", _KEY, 7)) == expected
     await client.close()
 
 
-async def test_order_to_a_closed_port_was_not_sent(script):
+async def test_command_to_a_closed_port_was_not_sent(start_server):
     """A refused connection proves that the worker did nothing."""
-    server = await script()
+    server = await start_server()
     await server.server.cut()
     client = worker.PlatformWorker(server.server.address)
-    answer = await client.stop(workercontrol.StopCommand("i-1", _KEY, 7))
-    assert answer == workercontrol.Refused(workercontrol.Refusal.NOT_SENT)
+    result = await client.stop(workercontrol.StopCommand("i-1", _KEY, 7))
+    assert result == workercontrol.Refused(workercontrol.Refusal.NOT_SENT)
 
 
-async def test_look_reads_the_lists_and_counts_what_it_cannot_read(script):
-    """Rows of another form must not hide the others."""
+async def test_poll_decodes_the_lists_and_counts_unreadable_rows(start_server):
+    """Malformed rows must not hide the others."""
     lists = {
         "clockMs": 10,
         "born": 3,
         "running": [["ab.0.1.17", 2, "", 41, 5], ["odd", 1, "", 0], 7],
         "finished": [[58, "ab.0.1.9", 1, "done", ""], [59, "ab.0.1.9", 1]],
     }
-    server = await script((200, lists))
+    server = await start_server((200, lists))
     client = worker.PlatformWorker(server.server.address)
-    seen = await client.poll(workercontrol.PollCommand("i-1", 7, 57, None, 0))
+    snapshot = await client.poll(workercontrol.PollCommand("i-1", 7, 57, None, 0))
     await client.close()
     other = assignments.RunKey(assignments.TaskKey("ab", 1, 9), 1)
-    assert seen == workercontrol.Snapshot(
+    assert snapshot == workercontrol.Snapshot(
         10,
         3,
         (workercontrol.RunningEntry(_KEY, 41),),
@@ -357,11 +360,11 @@
     }
 
 
-async def test_newest_reads_all_pages_and_skips_unreadable_items(script):
-    """Changes since the first page are read again from its end."""
+async def test_newest_reads_all_pages_and_skips_unreadable_items(start_server):
+    """The end of the first page is returned, so that later changes are read again."""
     first = {"items": [_item("a", b"1", 0), 5], "more": True, "end": 4}
     second = {"items": [_item("b", b"2", 5)], "more": False, "end": 6}
-    server = await script((200, first), (200, second))
+    server = await start_server((200, first), (200, second))
     client = storeclient.PlatformStore(server.server.address)
     page = await client.read_newest("keyed.op")
     await client.close()
@@ -370,7 +373,7 @@
     assert "after=a" in server.requests[1][1]
 
 
-def _raw(*records):
+def _encode_read(*records):
     parts = [struct.pack(">QQ", 9, 0)]
     for key, value in records:
         record = bytes([len(key)]) + key + value
@@ -378,9 +381,9 @@
     return b"".join(parts)
 
 
-async def test_changes_are_read_from_raw_records(script):
+async def test_changes_are_read_from_raw_records(start_server):
     """Offsets must advance by one for each record."""
-    server = await script((200, _raw((b"config", b"{}"), (b"x", b""))))
+    server = await start_server((200, _encode_read((b"config", b"{}"), (b"x", b""))))
     client = storeclient.PlatformStore(server.server.address)
     page = await client.read_changes("keyed.op", 4)
     await client.close()
@@ -391,9 +394,9 @@
     assert page.end == 6
 
 
-async def test_expired_history_and_outage_are_told_apart(script):
-    """After a deletion the newest keys are read; an outage is only waited out."""
-    server = await script((410, {"first": 8}), (503, b""))
+async def test_expired_history_and_outage_raise_different_errors(start_server):
+    """Expired history requires reading the newest records; an outage only a retry."""
+    server = await start_server((410, {"first": 8}), (503, b""))
     client = storeclient.PlatformStore(server.server.address)
     with pytest.raises(errors.HistoryExpiredError):
         await client.read_changes("keyed.op", 4)
@@ -402,9 +405,9 @@
     await client.close()
 
 
-async def test_put_frames_the_key(script):
-    """The length of the key comes first, then the key and the value."""
-    server = await script((200, {"offset": 0, "end": 1}))
+async def test_put_frames_the_key(start_server):
+    """The record has the length of the key, the key and the value."""
+    server = await start_server((200, {"offset": 0, "end": 1}))
     client = storeclient.PlatformStore(server.server.address)
     await client.put("keyed.entries", "edge-1", b"value")
     await client.close()
@@ -414,9 +417,9 @@
 # HTTP.
 
 
-async def test_client_uses_one_connection_again(script):
-    """New connections to workers have a price."""
-    server = await script(*[(200, b"{}")] * 5)
+async def test_client_reuses_its_connection(start_server):
+    """Opening a connection for each request would be expensive."""
+    server = await start_server(*[(200, b"{}")] * 5)
     client = http.Client(server.server.address, 4)
     for _ in range(5):
         assert (await client.request("GET", "/", 1.0)).status == 200
@@ -424,9 +427,9 @@
     client.close()
 
 
-async def test_request_that_times_out_gives_up_its_connection(script):
-    """A late answer must not be taken for that of the next request."""
-    server = await script(None, (200, b"second"))
+async def test_request_that_times_out_closes_its_connection(start_server):
+    """A late response must not be taken for that of the next request."""
+    server = await start_server(None, (200, b"second"))
     client = http.Client(server.server.address, 1)
     with pytest.raises(errors.UnansweredError):
         await client.request("GET", "/", 0.05)
@@ -434,13 +437,13 @@
     client.close()
 
 
-@pytest.mark.parametrize("answer", [b"nonsense\r\n\r\n", b"", b"HTTP/1.1 200 OK\r\n"])
-async def test_broken_answer_leaves_the_request_unanswered(answer):
-    """Whatever the peer sends, the caller gets one of the two errors."""
+@pytest.mark.parametrize("response", [b"nonsense\r\n\r\n", b"", b"HTTP/1.1 200 OK\r\n"])
+async def test_malformed_response_leaves_the_request_unanswered(response):
+    """Whatever the server sends, the caller gets one of the client's two errors."""
 
     async def serve(reader, writer):
         await reader.readuntil(b"\r\n\r\n")
-        writer.write(answer)
+        writer.write(response)
         writer.close()
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
