--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -1,4 +1,4 @@
-"""The platform's programs as separate processes, against stand-ins over HTTP."""
+"""Tests the platform's programs as separate processes, with stand-ins over HTTP."""
 
 import asyncio
 import contextlib
@@ -35,7 +35,7 @@
 def _free_ports(count):
     listeners = [socket.socket() for _ in range(count)]
     for listener in listeners:
-        # The same ports are used at several loopback addresses.
+        # Each port is used at several loopback addresses and must be free at all.
         listener.bind(("0.0.0.0", 0))
     ports = [listener.getsockname()[1] for listener in listeners]
     for listener in listeners:
@@ -44,11 +44,13 @@
 
 
 class Deployment:
-    """Two entry hosts and two agents with their workers."""
+    """A store, two entry hosts, and two agents with their workers."""
 
     def __init__(self, folder):
         self.folder = folder
-        self.link, self.front, self.ready, self.control = _free_ports(4)
+        self.link_port, self.front_port, self.ready_port, self.heartbeat_port = (
+            _free_ports(4)
+        )
         self.store = platform_standins.StoreStandIn()
         self.workers = []
         self.process_by_name = {}
@@ -62,7 +64,7 @@
             )
             host = f"127.0.0.{20 + number}"
             worker = platform_standins.WorkerStandIn(
-                f"i-{number}", f"{host}:{self.control}", 0.3
+                f"i-{number}", f"{host}:{self.heartbeat_port}", 0.3
             )
             await worker.start()
             self.workers.append(worker)
@@ -76,11 +78,12 @@
         path = self.folder / f"{name}.toml"
         path.write_text(
             f'nodeName = "{name}"\nrole = "{role}"\nip = "{host}"\nzone = "z1"\n'
-            f"portRange = [{self.link}, {self.link + 1}]\n"
-            f'seeds = ["127.0.0.11:{self.control}"]\napp = "{worker}"\n'
-            f'[listen]\ncontrol = "{host}:{self.control}"\n'
+            f"portRange = [{self.link_port}, {self.link_port + 1}]\n"
+            f'seeds = ["127.0.0.11:{self.heartbeat_port}"]\napp = "{worker}"\n'
+            f'[listen]\ncontrol = "{host}:{self.heartbeat_port}"\n'
             + (
-                f'front = "{host}:{self.front}"\nready = "{host}:{self.ready}"\n'
+                f'front = "{host}:{self.front_port}"\n'
+                f'ready = "{host}:{self.ready_port}"\n'
                 if role == "entry"
                 else ""
             )
@@ -102,10 +105,10 @@
     async def wait_ready(self, host):
         async def is_ready():
             try:
-                answer = await self.get(host, self.ready, "/burdockgate/readyz")
+                response = await self.get(host, self.ready_port, "/burdockgate/readyz")
             except httpx.HTTPError:
                 return False
-            return answer.status_code == 200
+            return response.status_code == 200
 
         await self.wait_for(is_ready)
 
@@ -127,7 +130,7 @@
         }
         async with httpx.AsyncClient(trust_env=False) as client:
             return await client.post(
-                f"http://{host}:{self.front}/jobs/{job}",
+                f"http://{host}:{self.front_port}/jobs/{job}",
                 json=body,
                 headers={
                     "Host": "h.example",
@@ -157,15 +160,15 @@
 
 @pytest.fixture
 async def deployment(tmp_path):
-    made = Deployment(tmp_path)
+    instance = Deployment(tmp_path)
     try:
-        await made.start()
-        yield made
+        await instance.start()
+        yield instance
     finally:
-        await made.close()
+        await instance.close()
 
 
-async def _runs_until_stopped(deployment, job):
+async def _wait_until_running(deployment, job):
     async def is_running():
         return bool(deployment.spans(job))
 
@@ -173,11 +176,11 @@
 
 
 async def test_job_is_served_and_its_log_names_every_step(deployment):
-    """The whole path, and the lines that an engineer on call follows."""
-    answer = await deployment.post("127.0.0.11", "00000000000000aa")
-    assert (answer.status_code, answer.json()) == (200, {"state": "completed"})
-    again = await deployment.post("127.0.0.11", "00000000000000aa")
-    assert again.json() == {"state": "completed"}
+    """Each step of a job is logged, so that an engineer on call can follow the job."""
+    response = await deployment.post("127.0.0.11", "00000000000000aa")
+    assert (response.status_code, response.json()) == (200, {"state": "completed"})
+    repeated = await deployment.post("127.0.0.11", "00000000000000aa")
+    assert repeated.json() == {"state": "completed"}
     assert len(deployment.spans("00000000000000aa")) == 4
     log = "".join(path.read_text() for path in deployment.folder.glob("*.log"))
     events = {
@@ -198,18 +201,18 @@
     """A caller whose entry host was killed sends its job to another one."""
     job = "00000000000000bb"
     first = asyncio.create_task(deployment.post("127.0.0.11", job))
-    await _runs_until_stopped(deployment, job)
+    await _wait_until_running(deployment, job)
     deployment.process_by_name["entry-1"].kill()
     with pytest.raises(httpx.HTTPError):
         await first
     await asyncio.sleep(1.3)
-    answer = await deployment.post("127.0.0.12", job)
-    assert answer.json() == {"state": "completed"}
-    by_task = {}
+    response = await deployment.post("127.0.0.12", job)
+    assert response.json() == {"state": "completed"}
+    spans_by_task = {}
     for span in deployment.spans(job):
-        by_task.setdefault(span.key.task, []).append(span)
-    assert len(by_task) == 4
-    for spans in by_task.values():
+        spans_by_task.setdefault(span.key.task, []).append(span)
+    assert len(spans_by_task) == 4
+    for spans in spans_by_task.values():
         spans.sort(key=lambda span: span.began)
         assert all(
             earlier.ended <= later.began
@@ -230,7 +233,7 @@
 
 
 async def test_request_before_the_first_configuration_waits_for_it(deployment):
-    """Callers take the 503 of a process that has just started as final."""
+    """A 503 from a process that has just started would be final for its caller."""
     for name in ("agent-1", "agent-2", "entry-1"):
         deployment.process_by_name[name].kill()
         await deployment.process_by_name[name].wait()
@@ -240,8 +243,10 @@
 
     async def is_answered():
         with contextlib.suppress(httpx.ConnectError):
-            answer = await deployment.get("127.0.0.11", deployment.front, "/jobs/")
-            statuses.append(answer.status_code)
+            response = await deployment.get(
+                "127.0.0.11", deployment.front_port, "/jobs/"
+            )
+            statuses.append(response.status_code)
         return statuses
 
     await deployment.wait_for(is_answered)
@@ -249,13 +254,13 @@
 
 
 async def test_new_version_is_in_force_and_an_old_one_does_not_return(deployment):
-    """A version that a late reader meets must not replace a newer one."""
+    """An old version that is read late must not replace a newer one."""
     newer = {**CONFIGURATION, "version": 9, "routes": []}
     deployment.store.append("keyed.op", "config", json.dumps(newer).encode())
 
     async def is_gone():
-        answer = await deployment.get("127.0.0.12", deployment.front, "/jobs/")
-        return answer.status_code == 404
+        response = await deployment.get("127.0.0.12", deployment.front_port, "/jobs/")
+        return response.status_code == 404
 
     await deployment.wait_for(is_gone)
     deployment.store.append("keyed.op", "config", json.dumps(CONFIGURATION).encode())
@@ -265,21 +270,21 @@
 
 
 async def test_planned_stop_answers_what_is_in_progress(deployment):
-    """A graceful stop cuts no request."""
+    """A graceful stop must not cut off a request."""
     job = "00000000000000ee"
-    answer = asyncio.create_task(deployment.post("127.0.0.11", job))
-    await _runs_until_stopped(deployment, job)
+    request = asyncio.create_task(deployment.post("127.0.0.11", job))
+    await _wait_until_running(deployment, job)
     deployment.process_by_name["entry-1"].send_signal(signal.SIGTERM)
-    assert (await answer).json() == {"state": "completed"}
+    assert (await request).json() == {"state": "completed"}
     assert await deployment.process_by_name["entry-1"].wait() == 0
 
 
 async def test_caller_that_leaves_has_its_tasks_stopped(deployment):
-    """Work that nobody waits for keeps others waiting."""
+    """Tasks whose caller has left would delay the tasks of others."""
     job = "00000000000000ff"
-    answer = asyncio.create_task(deployment.post("127.0.0.11", job))
-    await _runs_until_stopped(deployment, job)
-    answer.cancel()
+    request = asyncio.create_task(deployment.post("127.0.0.11", job))
+    await _wait_until_running(deployment, job)
+    request.cancel()
 
     async def is_idle():
         return not any(worker.model.open_spans() for worker in deployment.workers)
