--- a/src/burdockgate/process/entryhost.py
+++ b/src/burdockgate/process/entryhost.py
@@ -62,7 +62,7 @@
         )
         await self.network.serve()
         limits = self._config.limits
-        application = web.build(
+        application = web.create_application(
             self,
             job.Limits(
                 limits.body_bytes,
@@ -78,10 +78,12 @@
         self.spawn(self.follow(views.STREAM, 0))
         self.spawn(self.follow(table.STREAM, 0))
         self.spawn(self._dial_seeds())
-        self.log.info("entry host started", address=self.address, http=self.http)
+        self.log.info(
+            "entry host started", address=self.address, http=self.http_address
+        )
 
     @property
-    def http(self) -> str:
+    def http_address(self) -> str:
         """The bound ``host:port`` for callers."""
         return self._web.address
 
@@ -244,7 +246,7 @@
         self.perform(self.core.drain_worker(worker, active))
         return True
 
-    def rejected(self) -> None:
+    def count_rejected(self) -> None:
         """Count a rejected HTTP request."""
         self.counters.count("http.rejected")
 
--- a/src/burdockgate/process/serving.py
+++ b/src/burdockgate/process/serving.py
@@ -124,11 +124,11 @@
         for connection in list(state.connections):
             connection.transport.abort()
 
-    async def cut(self) -> None:
+    async def stop_now(self) -> None:
         """Stop at once, as a crash does: abort connections, cancel requests."""
         if self._task is None:
             return
-        self._server.cut()
+        self._server.abort()
         await self._task
         self._task = None
 
@@ -156,7 +156,7 @@
         """Leave the signals to the process."""
         yield
 
-    def cut(self) -> None:
+    def abort(self) -> None:
         """Close the listeners, abort all connections and cancel all requests."""
         self.should_exit = True
         self.ending.set()
--- a/src/burdockgate/process/web.py
+++ b/src/burdockgate/process/web.py
@@ -70,11 +70,11 @@
         """Return why no jobs are taken now; empty when ready."""
 
     @abc.abstractmethod
-    def rejected(self) -> None:
+    def count_rejected(self) -> None:
         """Count an HTTP request that was rejected."""
 
 
-def build(service: EntryService, limits: job.Limits) -> litestar.Litestar:
+def create_application(service: EntryService, limits: job.Limits) -> litestar.Litestar:
     """Return the application with all routes.
 
     :param service: the entry host.
@@ -306,7 +306,7 @@
 def _reject(
     request: _Request, code: codes.Code, detail: str, status: int
 ) -> responses.ErrorResponse:
-    _application(request).service.rejected()
+    _application(request).service.count_rejected()
     result = outcome.Refused(code, detail)
     if status in (408, 413):
         return responses.error(
@@ -400,7 +400,7 @@
 
     def send_400_response(self, msg: str) -> None:
         if self.conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            cast(_Application, self.config.app).service.rejected()
+            cast(_Application, self.config.app).service.count_rejected()
             refused = outcome.Refused(codes.Code.INVALID_REQUEST, msg)
             body = responses.content("", "", refused)
             headers = [
--- a/src/burdockgate/standin/local.py
+++ b/src/burdockgate/standin/local.py
@@ -144,7 +144,7 @@
     @property
     def urls(self) -> list[str]:
         """Base URLs of the entry hosts."""
-        return [f"http://{entry.http}" for entry in self.entries]
+        return [f"http://{entry.http_address}" for entry in self.entries]
 
     @property
     def messages(self) -> int:
@@ -168,8 +168,8 @@
         """Stop every role, callers first and the log last."""
         await asyncio.gather(*(entry.stop() for entry in self.entries))
         await asyncio.gather(*(host.stop() for host in self.agents))
-        await asyncio.gather(*(server.cut() for server in self.servers))
-        await self.log.cut()
+        await asyncio.gather(*(server.stop_now() for server in self.servers))
+        await self.log.stop_now()
 
     def _node(self, name: str, place: int) -> settings.NodeSettings:
         rack = place // self.config.nodes_per_rack
--- a/src/burdockgate/standin/log.py
+++ b/src/burdockgate/standin/log.py
@@ -356,7 +356,7 @@
         """Base URL of the bound address."""
         return f"http://{self.address}"
 
-    async def cut(self) -> None:
+    async def stop_now(self) -> None:
         """End every long poll and stop; the store keeps its records."""
         self.store.close()
         await self.stop(STOP_TIMEOUT_S)
--- a/src/burdockgate/standin/serve.py
+++ b/src/burdockgate/standin/serve.py
@@ -14,7 +14,7 @@
         print(self._server.address, flush=True)
 
     async def stop(self) -> None:
-        await self._server.cut()
+        await self._server.stop_now()
 
 
 def run(server: serving.Server) -> int:
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -114,7 +114,7 @@
 
     async def close(self):
         self._beats.cancel()
-        await self.server.cut()
+        await self.server.stop_now()
 
     async def _beat(self):
         path = f"/burdockgate/instances/{self.model.name}/heartbeat"
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -82,7 +82,7 @@
 
     yield make
     for server in made:
-        await server.server.cut()
+        await server.server.stop_now()
 
 
 # Settings.
@@ -317,7 +317,7 @@
 async def test_order_to_a_closed_port_was_not_sent(script):
     """A refused connection proves that the worker did nothing."""
     server = await script()
-    await server.server.cut()
+    await server.server.stop_now()
     client = worker.PlatformWorker(server.server.address)
     answer = await client.stop(workercontrol.StopCommand("i-1", _KEY, 7))
     assert answer == workercontrol.Refused(workercontrol.Refusal.NOT_SENT)
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -70,7 +70,7 @@
     try:
         yield server, f"http://{server.address}"
     finally:
-        await server.cut()
+        await server.stop_now()
 
 
 async def run(client, payload=b"1", timeout_ms=5000):
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -44,7 +44,9 @@
 
     async def start(*services):
         for service in services:
-            server = web.Server(web.build(service, test_web.LIMITS), "127.0.0.1")
+            server = web.Server(
+                web.create_application(service, test_web.LIMITS), "127.0.0.1"
+            )
             await server.start()
             servers.append(server)
         return [f"http://{server.address}" for server in servers[-len(services) :]]
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -152,7 +152,7 @@
             await process.wait()
         for worker in self.workers:
             await worker.close()
-        await self.store.server.cut()
+        await self.store.server.stop_now()
 
 
 @pytest.fixture
--- a/tests/test_editor.py
+++ b/tests/test_editor.py
@@ -23,7 +23,7 @@
     await server.start()
     async with logclient.LogClient(server.url, random.Random(1)) as client:
         yield server, client, manual
-    await server.cut()
+    await server.stop_now()
 
 
 def _editor(client, seed, budget_s=10.0):
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -18,7 +18,7 @@
     await server.start()
     async with httpx.AsyncClient(base_url=server.url, trust_env=False) as http:
         yield server, http, manual
-    await server.cut()
+    await server.stop_now()
 
 
 async def _append(http, record_id, value=None):
@@ -139,7 +139,7 @@
         entered = _entered(server.store)
         poll = asyncio.create_task(http.get(f"{RECORDS}?wait_s=30", timeout=20))
         await entered.wait()
-        await server.cut()
+        await server.stop_now()
         assert (await poll).status_code == 200
 
 
--- a/tests/test_logclient.py
+++ b/tests/test_logclient.py
@@ -20,7 +20,7 @@
     await server.start()
     async with logclient.LogClient(server.url, random.Random(1)) as client:
         yield server.store, client, manual
-    await server.cut()
+    await server.stop_now()
 
 
 def _ids(records):
--- a/tests/test_standin_backend.py
+++ b/tests/test_standin_backend.py
@@ -25,7 +25,7 @@
         async with httpx.AsyncClient(base_url=f"http://{server.address}") as client:
             yield server, client
     finally:
-        await server.cut()
+        await server.stop_now()
 
 
 async def post(client, payload, headers=HEADERS):
@@ -80,7 +80,7 @@
         await until_started(client, 2)
         assert not first.done() and not second.done()
         first.cancel()
-        await server.cut()
+        await server.stop_now()
         with pytest.raises(httpx.RequestError):
             await second
 
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -56,7 +56,7 @@
     def not_ready_reason(self):
         return self.reason
 
-    def rejected(self):
+    def count_rejected(self):
         self.rejections += 1
 
 
@@ -67,7 +67,7 @@
 
 @pytest.fixture
 async def server(service):
-    running = web.Server(web.build(service, LIMITS), "127.0.0.1")
+    running = web.Server(web.create_application(service, LIMITS), "127.0.0.1")
     await running.start()
     yield running
     await running.stop(1.0)
@@ -257,6 +257,6 @@
 async def test_address_in_use_is_a_settings_error(service, server):
     """An operator must get one line and not the exit of the process."""
     host, port = server.address.split(":")
-    second = web.Server(web.build(service, LIMITS), host, int(port))
+    second = web.Server(web.create_application(service, LIMITS), host, int(port))
     with pytest.raises(errors.SettingsError, match=f"{server.address}: "):
         await second.start()
