Reword the daemons of the nodes and their connections

Cause: figurative and vague words (told, handed, kept, cut off, announced, turns, asked, watch, needless, own) for events, handshakes, throttled cancels and timeouts, and module docstrings that did not say what the module is for. Change: a stream receives and sends messages, a network closes overdue connections and registers one connection per node, cancels are throttled per pass of the event loop; comments keep their reasons and figures in plain sentences. Event names, log fields and the reasons of /readyz stay.

--- a/src/burdockgate/connection/__init__.py
+++ b/src/burdockgate/connection/__init__.py
@@ -1,1 +1,1 @@
-"""What lives for one connection between nodes."""
+"""One connection between nodes: its message stream, its handshake and its lease."""
--- a/src/burdockgate/connection/session.py
+++ b/src/burdockgate/connection/session.py
@@ -1,4 +1,4 @@
-"""The handshake and the lease of one connection, without I/O."""
+"""Handshake and lease of one connection between nodes, without I/O."""
 
 from __future__ import annotations
 
@@ -14,23 +14,23 @@
     """State of one connection.
 
     :param opened_at: time at which the connection was made, in seconds.
-    :param heard_at: time of the last frame.
-    :param hello: the peer's announcement, once it has come.
+    :param last_received_at: time of the last message received, in seconds.
+    :param hello: the peer's first message, once it has arrived.
     """
 
     opened_at: float
-    heard_at: float
+    last_received_at: float
     hello: messages.Hello | None = None
 
     def record_activity(self, message: messages.Message, now: float) -> bool:
-        """Note a message.
+        """Record a received message and check the handshake.
 
         :param message: the first one must be :class:`messages.Hello`.
         :param now: the time in seconds.
         :returns: whether the message completes the handshake.
-        :raises errors.WireError: when the handshake is not kept.
+        :raises errors.WireError: when the message violates the handshake.
         """
-        self.heard_at = now
+        self.last_received_at = now
         if self.hello is not None:
             if isinstance(message, messages.Hello):
                 raise errors.WireError("Hello was sent twice")
@@ -49,8 +49,8 @@
         """Return whether the connection must be closed.
 
         :param now: the time in seconds.
-        :param lease_s: longest silence after the handshake.
+        :param lease_s: longest silence after the handshake, in seconds.
         """
         if self.hello is None:
             return now - self.opened_at > HELLO_TIMEOUT_S
-        return now - self.heard_at > lease_s
+        return now - self.last_received_at > lease_s
--- a/src/burdockgate/connection/stream.py
+++ b/src/burdockgate/connection/stream.py
@@ -1,4 +1,4 @@
-"""One TCP connection between nodes, as a stream of messages."""
+"""Messages between nodes on one TCP connection."""
 
 from __future__ import annotations
 
@@ -8,12 +8,13 @@
 
 from burdockgate import errors, wire
 
-# A peer that reads this much too slowly is cut off, so that memory stays bounded.
+# A connection with more unsent data than this is aborted, so that a peer that reads
+# too slowly can't exhaust the memory.
 WRITE_BUFFER_LIMIT_BYTES = 16 * 1024 * 1024
 
 
 class Receiver(abc.ABC):
-    """What a stream reports to."""
+    """Handles the events of a stream."""
 
     @abc.abstractmethod
     def handle_message(self, stream: Stream, message: wire.Message, size: int) -> None:
@@ -21,7 +22,7 @@
 
         :param stream: the stream it came from.
         :param message: the message.
-        :param size: bytes of its frame.
+        :param size: size of its frame in bytes.
         """
 
     @abc.abstractmethod
@@ -29,19 +30,19 @@
         """Handle a malformed frame; the stream closes itself.
 
         :param stream: the stream it came from.
-        :param error: what was wrong.
+        :param error: describes the malformed frame.
         """
 
     @abc.abstractmethod
     def handle_truncated(self, stream: Stream) -> None:
-        """Handle the end of a connection within a frame.
+        """Handle a connection that ends within a frame.
 
         :param stream: the stream it came from; :meth:`handle_close` follows.
         """
 
     @abc.abstractmethod
     def handle_open(self, stream: Stream) -> None:
-        """Handle a connection that has just been made.
+        """Handle a new connection.
 
         :param stream: the new stream.
         """
@@ -57,9 +58,9 @@
 class Stream(asyncio.Protocol):
     """Sends and receives messages on one connection.
 
-    Messages sent in one pass of the event loop leave in one write.
+    Messages sent in one pass of the event loop are combined into one write.
 
-    :param receiver: gets the messages and the events.
+    :param receiver: receives the messages and the events.
     """
 
     def __init__(self, receiver: Receiver) -> None:
@@ -70,7 +71,7 @@
         self.is_closed = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport; called by asyncio."""
+        """Store the transport and report the connection; called by asyncio."""
         self._transport = cast(asyncio.Transport, transport)
         self._receiver.handle_open(self)
 
@@ -88,7 +89,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the end of the connection; called by asyncio."""
-        # After an own abort, the rest of a frame was not awaited.
+        # A frame that was cut off by an abort of this end is not reported.
         if not self.is_closed and self._buffer.is_partial:
             self._receiver.handle_truncated(self)
         self.is_closed = True
@@ -98,7 +99,7 @@
         """Queue a message.
 
         :param message: the message.
-        :returns: bytes of its frame; 0 when the stream is closed.
+        :returns: size of its frame in bytes; 0 when the stream is closed.
         """
         if self.is_closed or self._transport is None:
             return 0
@@ -117,15 +118,15 @@
             self.abort()
 
     def close(self) -> None:
-        """Close after what was queued has been written."""
+        """Close the connection after writing the queued messages."""
         if self._transport is not None and not self.is_closed:
             self._flush()
             self._transport.close()
-            # What the peer was sending is not awaited.
+            # A frame that is cut off by this close is not reported as truncated.
             self._buffer = wire.FrameBuffer()
 
     def abort(self) -> None:
-        """Close at once and drop what was queued."""
+        """Close the connection at once and drop the queued messages."""
         self.is_closed = True
         if self._transport is not None:
             self._transport.abort()
--- a/src/burdockgate/process/daemon.py
+++ b/src/burdockgate/process/daemon.py
@@ -1,4 +1,8 @@
-"""What both daemons share: the event loop's side of a core."""
+"""Base class of the daemons of entry hosts and agents.
+
+A daemon performs the effects of its core on the event loop, passes the events of
+connections to it, and runs its timers.
+"""
 
 from __future__ import annotations
 
@@ -15,16 +19,16 @@
 
 TICK_S = 0.05
 METRICS_INTERVAL_S = 1.0
-APPEND_BUDGET_S = 10.0
+APPEND_TIMEOUT_S = 10.0
 BOOT_BITS = 63
 
 
 class Daemon(network.Handler, runner.Runnable):
-    """Performs the effects of a core; subclasses add what is their own.
+    """Performs the effects of a core; subclasses handle the connection events.
 
-    :param node_settings: name and place of the node.
-    :param platform_settings: where the log is, and the seeds.
-    :param timing: intervals and time-outs.
+    :param node_settings: name and location of the node.
+    :param platform_settings: address of the log, and the seeds.
+    :param timing: intervals and timeouts.
     :param statsd: where metrics are sent.
     :param rng: the source of random numbers.
     """
@@ -60,14 +64,14 @@
 
     @abc.abstractmethod
     def hello(self) -> messages.Hello:
-        """Return the announcement of this node."""
+        """Return the message that opens each connection of this node."""
 
-    def perform(self, wanted: Iterable[effects.Effect]) -> None:
-        """Perform effects in their order.
+    def perform(self, requested: Iterable[effects.Effect]) -> None:
+        """Perform effects in order.
 
-        :param wanted: effects of the core.
+        :param requested: effects that the core yields.
         """
-        for effect in wanted:
+        for effect in requested:
             match effect:
                 case effects.Send(to, message):
                     self.network.send(to, message)
@@ -76,17 +80,17 @@
                 case effects.Append():
                     self.spawn(self._append(effect))
                 case _:
-                    self.perform_own(effect)
+                    self.perform_specific_effect(effect)
 
     @abc.abstractmethod
-    def perform_own(self, effect: effects.Effect) -> None:
-        """Perform an effect that only one kind of daemon knows.
+    def perform_specific_effect(self, effect: effects.Effect) -> None:
+        """Perform an effect that only one kind of daemon supports.
 
         :param effect: the effect.
         """
 
-    def report(self) -> None:  # noqa: B027
-        """Log the changes of state that a tick of the core has found."""
+    def log_state_changes(self) -> None:  # noqa: B027
+        """Log the state changes found by a tick of the core."""
 
     def spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Run a coroutine until it ends or the daemon stops.
@@ -104,16 +108,16 @@
         self.counters.count("log.appends")
         try:
             await self.log_client.append(
-                effect.stream, effect.record_id, effect.value, APPEND_BUDGET_S
+                effect.stream, effect.record_id, effect.value, APPEND_TIMEOUT_S
             )
         except errors.LogUnavailableError:
             self.counters.count("log.errors")
 
     async def follow(self, stream: str, first: int) -> None:
-        """Hand the records of a log stream to the core as they come.
+        """Pass the records of a log stream to the core as they arrive.
 
         :param stream: name of the stream.
-        :param first: offset of the first record wanted.
+        :param first: offset of the first record to read.
         """
         if self.log_client is None:
             return
@@ -121,23 +125,23 @@
             self.perform(self.core.follow(records))
 
     async def run_timers(self) -> None:
-        """Tick, send heartbeats and flush metrics until cancelled."""
-        beat_at = flush_at = self.time.now()
+        """Tick the core, send heartbeats and flush metrics until cancelled."""
+        next_heartbeat_at = next_flush_at = self.time.now()
         while True:
             now = self.time.now()
-            self.network.watch()
+            self.network.close_overdue()
             self.perform(self.core.tick())
-            self.report()
-            if now >= beat_at:
-                beat_at = now + self._timing.heartbeat_s
+            self.log_state_changes()
+            if now >= next_heartbeat_at:
+                next_heartbeat_at = now + self._timing.heartbeat_s
                 self.perform(self.core.send_heartbeats())
-            if now >= flush_at:
-                flush_at = now + METRICS_INTERVAL_S
+            if now >= next_flush_at:
+                next_flush_at = now + METRICS_INTERVAL_S
                 self.counters.flush()
             await asyncio.sleep(TICK_S)
 
     async def close(self) -> None:
-        """End every task and connection."""
+        """Cancel all tasks, close all connections and flush the metrics."""
         for task in list(self._tasks):
             task.cancel()
         for task in list(self._tasks):
--- a/src/burdockgate/process/entryhost.py
+++ b/src/burdockgate/process/entryhost.py
@@ -1,4 +1,8 @@
-"""The entry host's daemon: callers on one side, agents on the other."""
+"""The daemon of an entry host.
+
+It connects the core of the entry host with callers over HTTP, and with agents and
+other entry hosts over the network.
+"""
 
 from __future__ import annotations
 
@@ -17,12 +21,13 @@
 from burdockgate.version import view as views
 
 DRAIN_POLL_S = 0.05
-DRAIN_GRACE_S = 0.2
-# Two rounds of claims: the claim group and the owner are asked before it is known
-# whether a job exists elsewhere, also for a caller that does not wait for its end.
-LOOKUP_S = 1.0
-# A wave of cancels must not keep the loop from heartbeats and results.
-CANCELS_PER_PASS = 256
+LEAVE_GRACE_S = 0.2
+# Time of two rounds of claims. The claim group and the owner must reply before it is
+# known whether a job exists on another entry host, even for a caller that does not wait
+# for the job to end.
+MIN_LOOKUP_WAIT_S = 1.0
+# Bounds a burst of cancels, so that heartbeats and results are handled in between.
+MAX_CANCELS_PER_LOOP_PASS = 256
 RESPONSE_MEASURE = "response"
 PLOT_WIDTH = 72
 
@@ -30,7 +35,7 @@
 class EntryHost(daemon.Daemon, web.EntryService):
     """Runs one entry host.
 
-    :param config: its settings.
+    :param config: the settings of the entry host.
     :param rng: the source of random numbers.
     :param policy: name of the placement policy.
     """
@@ -49,12 +54,14 @@
         self._histograms = histograms.Histograms()
         self._future_by_ticket: dict[int, asyncio.Future[outcome.Outcome]] = {}
         self._tickets = itertools.count(1)
-        self._turns: collections.deque[asyncio.Future[None]] = collections.deque()
+        self._waiting_cancels: collections.deque[asyncio.Future[None]] = (
+            collections.deque()
+        )
         self._web: web.Server
         self.core: entry.EntryCore
 
     async def start(self) -> None:
-        """Listen for nodes and callers, and follow the log."""
+        """Listen for nodes and callers, and follow the log streams."""
         self.address = await self.network.bind(self._config.node.listen)
         node = messages.Node(self._config.node.name, self.boot, self.address)
         self.core = entry.EntryCore(
@@ -88,7 +95,7 @@
         return self._web.address
 
     async def stop(self) -> None:
-        """Refuse new jobs, finish those in progress, and leave."""
+        """Refuse new jobs, finish those in progress, and send ``Leave``."""
         self.log.info("entry host draining", jobs=len(self.core.jobs))
         self.core.draining = True
         try:
@@ -98,14 +105,15 @@
         except TimeoutError:
             self.log.warning("entry host stops with jobs", jobs=len(self.core.jobs))
         await self._web.stop(self._config.timing.stop_timeout_s)
-        await self._append_leave()
-        for name in list(self.network.names):
+        await self._append_removal()
+        for name in list(self.network.connected_names):
             self.network.send(name, messages.Leave())
-        await asyncio.sleep(DRAIN_GRACE_S)
+        await asyncio.sleep(LEAVE_GRACE_S)
         await self.close()
         self.log.info("entry host stopped")
 
-    async def _append_leave(self) -> None:
+    async def _append_removal(self) -> None:
+        """Append the removal of this entry host from the view to the log."""
         change = views.Change.GONE
         value = views.removal_record(change, self.core.node)
         record_id = f"{change}-{self.core.node.name}-{self.boot}-stop"
@@ -117,7 +125,7 @@
             self.counters.count("log.errors")
 
     async def _dial_seeds(self) -> None:
-        """Connect to the seeds until an entry host has been found."""
+        """Dial the seeds until another entry host is known."""
         while not self.core.jobs.peer_by_name:
             for address in self._config.platform.seeds:
                 if address != self.address:
@@ -125,15 +133,15 @@
             await asyncio.sleep(1.0)
 
     def hello(self) -> messages.Hello:
-        """Return the announcement of this entry host."""
-        place = self._config.node
+        """Return the message that opens each connection of this entry host."""
+        node_settings = self._config.node
         return messages.Hello(
             messages.PROTOCOL,
             messages.Role.ENTRY,
-            messages.Node(place.name, self.boot, self.address),
-            place.region,
-            place.data_centre,
-            place.rack,
+            messages.Node(node_settings.name, self.boot, self.address),
+            node_settings.region,
+            node_settings.data_centre,
+            node_settings.rack,
             service="",
             slots=0,
             cores=0.0,
@@ -142,45 +150,45 @@
             draining=self.core.draining,
         )
 
-    def report(self) -> None:
+    def log_state_changes(self) -> None:
         """Log the workers whose health has changed."""
         while self.core.health.changes:
             change = self.core.health.changes.popleft()
-            facts = {"worker": change.worker, "reason": change.reason.value}
+            fields = {"worker": change.worker, "reason": change.reason.value}
             if change.state is detectors.HealthState.EJECTED:
-                self.log.warning("worker ejected", **facts, seconds=change.seconds)
+                self.log.warning("worker ejected", **fields, seconds=change.seconds)
             elif change.state is detectors.HealthState.PROBATION:
-                self.log.info("worker on probation", **facts)
+                self.log.info("worker on probation", **fields)
             else:
-                self.log.info("worker readmitted", **facts)
+                self.log.info("worker readmitted", **fields)
 
     def handle_connect(self, hello: messages.Hello) -> None:
-        """Tell the core about a node."""
+        """Log a connected node, and pass the event to the core."""
         self.log.info("node connected", node=hello.node.name, role=hello.role.name)
         self.perform(self.core.handle_connect(hello))
 
     def handle_disconnect(self, name: str) -> None:
-        """Tell the core about the loss of a node."""
+        """Log a lost node, and pass the event to the core."""
         self.log.info("node lost", node=name)
         self.perform(self.core.handle_disconnect(name))
 
     def handle_message(self, name: str, message: messages.Message) -> None:
-        """Hand a message to the core."""
+        """Pass a message to the core."""
         self.perform(self.core.receive(name, message))
 
-    def perform_own(self, effect: effects.Effect) -> None:
-        """Answer a caller."""
+    def perform_specific_effect(self, effect: effects.Effect) -> None:
+        """Deliver an outcome to the caller that waits for it."""
         if isinstance(effect, effects.Answer):
-            waiting = self._future_by_ticket.pop(effect.ticket, None)
-            if waiting is not None and not waiting.done():
-                waiting.set_result(effect.outcome)
+            future = self._future_by_ticket.pop(effect.ticket, None)
+            if future is not None and not future.done():
+                future.set_result(effect.outcome)
 
-    # The callers' interface
+    # Implementation of web.EntryService
 
     async def submit(self, request: job.JobRequest, wait: bool) -> outcome.Outcome:
-        """Take a job and return its outcome, or that it is pending."""
+        """Submit a job and return its outcome, or ``Pending``."""
         started_at = self.time.now()
-        result = await self._ask(
+        result = await self._wait_for_outcome(
             lambda ticket: self.core.submit(request, ticket), None if wait else 0.0
         )
         if isinstance(result, outcome.Complete):
@@ -189,50 +197,60 @@
         return result
 
     async def fetch(self, guest: str, key: str, wait_s: float) -> outcome.Outcome:
-        """Return the outcome of a job submitted before, or that it is pending."""
+        """Return the outcome of an earlier submission, or ``Pending``."""
         job_id = job.job_id(guest, key)
         if not self.core.jobs.is_local(job_id):
-            wait_s = max(wait_s, LOOKUP_S)
-        return await self._ask(lambda ticket: self.core.fetch(job_id, ticket), wait_s)
+            wait_s = max(wait_s, MIN_LOOKUP_WAIT_S)
+        return await self._wait_for_outcome(
+            lambda ticket: self.core.fetch(job_id, ticket), wait_s
+        )
 
     async def cancel(self, guest: str, key: str) -> outcome.Outcome:
         """Cancel a job and return its outcome."""
         job_id = job.job_id(guest, key)
-        await self._take_turn()
-        return await self._ask(lambda ticket: self.core.cancel(job_id, ticket), None)
+        await self._throttle_cancel()
+        return await self._wait_for_outcome(
+            lambda ticket: self.core.cancel(job_id, ticket), None
+        )
 
-    async def _take_turn(self) -> None:
-        """Wait while this pass of the loop has had its share of cancels."""
+    async def _throttle_cancel(self) -> None:
+        """Wait until a pass of the event loop may handle one more cancel."""
         loop = asyncio.get_running_loop()
-        turn: asyncio.Future[None] = loop.create_future()
-        self._turns.append(turn)
-        if len(self._turns) == 1:
-            loop.call_soon(self._give_turns)
-        await turn
-
-    def _give_turns(self) -> None:
-        given = 0
-        while self._turns and given < CANCELS_PER_PASS:
-            turn = self._turns.popleft()
-            if not turn.done():
-                turn.set_result(None)
-                given += 1
-        if self._turns:
-            asyncio.get_running_loop().call_soon(self._give_turns)
-
-    async def _ask(
+        waiter: asyncio.Future[None] = loop.create_future()
+        self._waiting_cancels.append(waiter)
+        if len(self._waiting_cancels) == 1:
+            loop.call_soon(self._admit_cancels)
+        await waiter
+
+    def _admit_cancels(self) -> None:
+        """Release the cancels for this pass, and schedule the rest for the next."""
+        admitted = 0
+        while self._waiting_cancels and admitted < MAX_CANCELS_PER_LOOP_PASS:
+            waiter = self._waiting_cancels.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                admitted += 1
+        if self._waiting_cancels:
+            asyncio.get_running_loop().call_soon(self._admit_cancels)
+
+    async def _wait_for_outcome(
         self,
-        ask: Callable[[int], Iterator[effects.Effect]],
+        call_core: Callable[[int], Iterator[effects.Effect]],
         wait_s: float | None,
     ) -> outcome.Outcome:
+        """Return the outcome that the core delivers, or ``Pending`` after a timeout.
+
+        :param call_core: takes the ticket of the caller and returns the effects.
+        :param wait_s: longest time to wait, in seconds; ``None`` for no limit.
+        """
         ticket = next(self._tickets)
-        waiting: asyncio.Future[outcome.Outcome]
-        waiting = asyncio.get_running_loop().create_future()
-        self._future_by_ticket[ticket] = waiting
+        future: asyncio.Future[outcome.Outcome]
+        future = asyncio.get_running_loop().create_future()
+        self._future_by_ticket[ticket] = future
         try:
-            self.perform(ask(ticket))
+            self.perform(call_core(ticket))
             async with asyncio.timeout(wait_s):
-                return await waiting
+                return await future
         except TimeoutError:
             return outcome.Pending(0)
         finally:
@@ -240,7 +258,7 @@
                 self.core.jobs.remove_caller(ticket)
 
     async def drain(self, worker: str, active: bool) -> bool:
-        """Drain or resume a worker."""
+        """Drain or resume a worker, and return whether it is known."""
         if worker not in self.core.workers.worker_by_name:
             return False
         self.perform(self.core.drain_worker(worker, active))
@@ -251,7 +269,7 @@
         self.counters.count("http.rejected")
 
     def not_ready_reason(self) -> str:
-        """Return why no job can be taken, or an empty string."""
+        """Return why no job can be accepted, or an empty string."""
         if self.core.draining:
             return "stopping"
         if not self.core.view.voter_by_name:
@@ -266,7 +284,7 @@
         return ""
 
     def status(self) -> dict[str, object]:
-        """Return this entry host's state, ready for JSON."""
+        """Return the state of this entry host as JSON-compatible values."""
         reason = self.not_ready_reason()
         return {
             "name": self.core.node.name,
@@ -310,7 +328,11 @@
         }
 
     def _health_status(self, record: detectors.WorkerRecord) -> dict[str, object]:
-        """Return the state of a worker; ``suspect`` is one in use at the cap."""
+        """Return the health fields of a worker.
+
+        A healthy worker is reported as ``suspect`` while one more failure would eject
+        it, and only the cap on ejections keeps it in use.
+        """
         state = record.state.value
         if (
             record.state is detectors.HealthState.HEALTHY
@@ -318,9 +340,9 @@
         ):
             state = "suspect"
         is_ejected = record.state is detectors.HealthState.EJECTED
-        left_s = record.ejected_until - self.time.now() if is_ejected else 0.0
+        remaining_s = record.ejected_until - self.time.now() if is_ejected else 0.0
         return {
             "health": state,
             "health_reason": "" if state == "healthy" else record.reason.value,
-            "ejected_s": round(max(0.0, left_s), 1) if is_ejected else None,
+            "ejected_s": round(max(0.0, remaining_s), 1) if is_ejected else None,
         }
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -1,4 +1,4 @@
-"""Guards streams and connections between nodes, over real sockets."""
+"""Tests of streams and connections between nodes, over real sockets."""
 
 import asyncio
 import contextlib
@@ -13,11 +13,11 @@
 from burdockgate.connection import session, stream
 from burdockgate.process import metrics, network
 
-BEAT = messages.Heartbeat(1, 1)
+HEARTBEAT = messages.Heartbeat(1, 1)
 
 
 class Node(network.Handler):
-    """A node that notes its events as text."""
+    """A node that records its connection events as text."""
 
     def __init__(self, name, boot=1, **fields):
         self.events = []
@@ -53,7 +53,7 @@
 
 @pytest.fixture
 async def start():
-    """Return a function that starts a node; all are stopped after the test."""
+    """Return a function that starts a node; all nodes are stopped after the test."""
     async with contextlib.AsyncExitStack() as stack:
 
         async def begin(name, boot=1, **fields):
@@ -69,8 +69,8 @@
 async def connect(first, second):
     first.network.dial(second.address, second.hello.node.name)
     names = (first.hello.node.name, second.hello.node.name)
-    await until(lambda: names[1] in first.network.names)
-    await until(lambda: names[0] in second.network.names)
+    await until(lambda: names[1] in first.network.connected_names)
+    await until(lambda: names[0] in second.network.connected_names)
 
 
 async def open_raw(stack, node, data):
@@ -81,36 +81,38 @@
 
 
 async def test_messages_arrive_in_order_and_are_counted(start):
-    """A lost or swapped message would break the counting of sends and fences."""
+    """A lost or reordered message would break the counts of sends and the fences."""
     a, b = await start("a"), await start("b")
     await connect(a, b)
-    beats = [messages.Heartbeat(number, 1) for number in range(500)]
-    assert all(a.network.send("b", beat) for beat in beats)
+    heartbeats = [messages.Heartbeat(number, 1) for number in range(500)]
+    assert all(a.network.send("b", heartbeat) for heartbeat in heartbeats)
     await until(lambda: len(b.events) == 501)
-    assert b.events == ["+a.1", *(("a", beat) for beat in beats)]
+    assert b.events == ["+a.1", *(("a", heartbeat) for heartbeat in heartbeats)]
     assert (a.count("wire.sent"), b.count("wire.received")) == (500, 501)
-    assert not a.network.send("c", BEAT)
+    assert not a.network.send("c", HEARTBEAT)
 
 
 @pytest.mark.parametrize("first_dialler", ["a", "b"])
 async def test_nodes_that_dial_each_other_keep_the_same_connection(
     start, first_dialler
 ):
-    """Two nodes that each close the other's choice would be left with none."""
+    """If each node closed the connection that the other keeps, none would be left."""
     a, b = await start("a"), await start("b")
     order = (a, b) if first_dialler == "a" else (b, a)
     for own, other in (order, order[::-1]):
         own.network.dial(other.address, other.hello.node.name)
     await until(lambda: len(a.streams) == len(b.streams) == 1 and a.events and b.events)
-    await until(lambda: "b" in a.network.names and "a" in b.network.names)
-    (kept,) = a.streams
-    (same,) = b.streams
-    assert kept._transport.get_extra_info("peername") == same._transport.get_extra_info(
-        "sockname"
+    await until(
+        lambda: "b" in a.network.connected_names and "a" in b.network.connected_names
     )
-    assert a.network._link_by_stream[kept].dialled == b.address
-    assert a.network.send("b", BEAT) and b.network.send("a", BEAT)
-    await until(lambda: ("b", BEAT) in a.events and ("a", BEAT) in b.events)
+    (stream_of_a,) = a.streams
+    (stream_of_b,) = b.streams
+    assert stream_of_a._transport.get_extra_info(
+        "peername"
+    ) == stream_of_b._transport.get_extra_info("sockname")
+    assert a.network._link_by_stream[stream_of_a].dialled_address == b.address
+    assert a.network.send("b", HEARTBEAT) and b.network.send("a", HEARTBEAT)
+    await until(lambda: ("b", HEARTBEAT) in a.events and ("a", HEARTBEAT) in b.events)
 
 
 @pytest.mark.parametrize(
@@ -119,14 +121,14 @@
         b"GET / HTTP/1.1\r\n\r\n",
         b"\x00\x00\x00\x00",
         wire.HEADER.pack(3) + b"\xc1\xc1\xc1",
-        wire.encode(BEAT),
+        wire.encode(HEARTBEAT),
         wire.encode(builders.hello("c", protocol=9)),
         wire.encode(builders.hello("c")) * 2,
     ],
     ids=["http", "empty frame", "no msgpack", "no hello", "protocol", "two hellos"],
 )
 async def test_garbage_closes_only_its_connection(start, garbage):
-    """A stray client must not disturb the connections of nodes."""
+    """Bytes of another program must not disturb the connections between nodes."""
     a, b = await start("a"), await start("b")
     await connect(a, b)
     with contextlib.ExitStack() as stack:
@@ -136,77 +138,77 @@
             assert reader.at_eof()
         await until(lambda: len(b.streams) == 1)
     assert b.count("wire.rejected") == 1
-    assert a.network.send("b", BEAT)
-    await until(lambda: ("a", BEAT) in b.events)
+    assert a.network.send("b", HEARTBEAT)
+    await until(lambda: ("a", HEARTBEAT) in b.events)
 
 
 async def test_nothing_after_a_malformed_frame_is_handled(start):
-    """What follows garbage in one read cannot be trusted."""
+    """Frames after a malformed one in the same read cannot be trusted."""
     b = await start("b", role=messages.Role.ENTRY)
     with contextlib.ExitStack() as stack:
-        data = wire.encode(builders.hello("c")) + b"\0\0\0\0" + wire.encode(BEAT)
+        data = wire.encode(builders.hello("c")) + b"\0\0\0\0" + wire.encode(HEARTBEAT)
         await open_raw(stack, b, data)
         await until(lambda: b.events == ["+c.1", "-c"])
     assert b.count("sessions.lost") == 1
 
 
-async def test_hello_that_never_comes(start):
-    """Connections that say nothing must not pile up."""
+async def test_connection_without_hello_is_closed(start):
+    """Connections that never send ``Hello`` must not accumulate."""
     b = await start("b")
     with contextlib.ExitStack() as stack:
         await open_raw(stack, b, b"")
         await until(lambda: b.streams)
         for _ in range(5):
             b.time.advance(1.0)
-            b.network.watch()
+            b.network.close_overdue()
         await asyncio.sleep(0)
         assert len(b.streams) == 1
         b.time.advance(session.HELLO_TIMEOUT_S - 4.9)
-        b.network.watch()
+        b.network.close_overdue()
         await until(lambda: not b.streams)
     assert b.events == []
 
 
 async def test_silent_node_is_disconnected_once_after_the_lease(start):
-    """A node that is paused keeps its connections open and must be noticed."""
+    """A paused node keeps its connections open, so only its silence shows the pause."""
     a, b = await start("a"), await start("b")
     await connect(a, b)
     for _ in range(2):
         b.time.advance(1.2)
-        b.network.watch()
-    assert "a" in b.network.names
+        b.network.close_overdue()
+    assert "a" in b.network.connected_names
     b.time.advance(0.2)
-    b.network.watch()
+    b.network.close_overdue()
     await until(lambda: not b.streams)
     assert b.events == ["+a.1", "-a"]
 
 
 async def test_own_pause_does_not_end_the_peers_leases(start):
-    """After a pause of this process, unread frames are no proof of a dead peer."""
+    """After a pause of this process, frames may be unread, and peers are not dead."""
     a, b = await start("a"), await start("b")
     await connect(a, b)
     b.time.advance(9.0)
-    b.network.watch()
-    b.network.watch()
+    b.network.close_overdue()
+    b.network.close_overdue()
     await asyncio.sleep(0.01)
     assert b.events == ["+a.1"]
-    assert "a" in b.network.names
+    assert "a" in b.network.connected_names
 
 
 async def test_restart_under_the_same_name_replaces_the_connection(start):
-    """The loss of the older boot is told before the new one, and only once."""
+    """The loss of the older boot is reported once, and before the new boot."""
     b = await start("b")
     await connect(await start("a", boot=1), b)
     newer = await start("a", boot=2)
     await connect(newer, b)
     await until(lambda: len(b.events) == 3 and len(b.streams) == 1)
     assert b.events == ["+a.1", "-a", "+a.2"]
-    assert b.network.send("a", BEAT)
-    await until(lambda: ("b", BEAT) in newer.events)
+    assert b.network.send("a", HEARTBEAT)
+    await until(lambda: ("b", HEARTBEAT) in newer.events)
 
 
 async def test_node_does_not_connect_to_itself(start):
-    """A node that finds its own address among its peers must not answer itself."""
+    """A node that finds its own address among its peers must not connect to itself."""
     a = await start("a")
     a.network.dial(a.address)
     await until(lambda: a.count("wire.received") >= 1)
@@ -215,21 +217,23 @@
 
 
 async def test_dial_is_not_repeated(start):
-    """Each further connection to a node would disturb the one in use."""
+    """A further connection to a node would replace the one in use."""
     a, b = await start("a"), await start("b")
     a.network.dial(b.address)
     a.network.dial(b.address)
-    await until(lambda: "b" in a.network.names and "a" in b.network.names)
+    await until(
+        lambda: "b" in a.network.connected_names and "a" in b.network.connected_names
+    )
     a.time.advance(9.0)
     a.network.dial(b.address)
     a.network.dial("127.0.0.1:1", "b")
-    assert not a.network._task_by_address
+    assert not a.network._dial_task_by_address
     await until(lambda: a.events == ["+b.1"])
     assert (len(a.streams), len(b.streams)) == (1, 1)
 
 
 async def test_refused_dial_is_tried_again_later(start):
-    """A node that is not up yet must be reached after it has started."""
+    """A node that has not started yet must be reached after its start."""
     a = await start("a")
     with socket.socket() as closed:
         closed.bind(("127.0.0.1", 0))
@@ -237,39 +241,39 @@
         for advance_s, is_tried in ((0, True), (0.4, False), (0.1, True)):
             a.time.advance(advance_s)
             a.network.dial(address)
-            assert bool(a.network._task_by_address) == is_tried
-            await until(lambda: not a.network._task_by_address)
+            assert bool(a.network._dial_task_by_address) == is_tried
+            await until(lambda: not a.network._dial_task_by_address)
     a.network.dial("no port")
-    await until(lambda: not a.network._task_by_address)
+    await until(lambda: not a.network._dial_task_by_address)
 
 
 async def test_message_over_the_limit_is_not_sent(start):
-    """A frame that the peer must refuse would cost the whole connection."""
+    """The peer would reject such a frame and close the connection."""
     a, b = await start("a"), await start("b")
     await connect(a, b)
     huge = messages.Outcome(b"j" * 16, 1, 1, 0, "", (b"x" * 1_000_000,) * 5)
     assert not a.network.send("b", huge)
-    assert a.network.send("b", BEAT)
-    await until(lambda: ("a", BEAT) in b.events)
+    assert a.network.send("b", HEARTBEAT)
+    await until(lambda: ("a", HEARTBEAT) in b.events)
 
 
-async def test_stop_writes_what_was_queued(start):
+async def test_stop_writes_queued_messages(start):
     """The last message of a planned stop must not be lost."""
     a, b = await start("a"), await start("b")
     await connect(a, b)
     a.network.send("b", messages.Leave())
     await a.network.stop()
     await until(lambda: b.events == ["+a.1", ("a", messages.Leave()), "-a"])
-    assert not b.network.send("a", BEAT)
+    assert not b.network.send("a", HEARTBEAT)
 
 
-async def test_slow_reader_is_cut_off(start, monkeypatch):
-    """What a peer does not read must not fill the memory."""
+async def test_connection_to_a_slow_reader_is_aborted(start, monkeypatch):
+    """Messages that a peer does not read must not exhaust the memory."""
     monkeypatch.setattr(stream, "WRITE_BUFFER_LIMIT_BYTES", 1_000_000)
     a = await start("a")
     with contextlib.ExitStack() as stack:
         await open_raw(stack, a, wire.encode(builders.hello("c")))
-        await until(lambda: "c" in a.network.names)
+        await until(lambda: "c" in a.network.connected_names)
         part = messages.Outcome(b"j" * 16, 1, 1, 0, "", (b"x" * 1_000_000,) * 3)
         for _ in range(20):
             a.network.send("c", part)
@@ -280,7 +284,7 @@
 
 @pytest.mark.parametrize(("name", "boot"), [("a", 1), ("z", 2)])
 async def test_later_connection_replaces_one_that_may_be_dead(start, name, boot):
-    """A peer that dials again, or that has another boot, has lost the older one."""
+    """A peer that dials again, or with another boot, has lost its older connection."""
     b = await start("b")
     with contextlib.ExitStack() as stack:
         if boot == 1:
@@ -294,19 +298,19 @@
 
 
 async def test_frames_on_a_closed_stream_are_dropped():
-    """What follows a close in the same read is of a peer that is given up."""
+    """Frames in the same read as an abort come from a peer that was disconnected."""
     receiver = mock.Mock(spec=stream.Receiver)
-    made = stream.Stream(receiver)
-    made.connection_made(mock.Mock(spec=asyncio.Transport))
-    receiver.handle_message.side_effect = lambda *_: made.abort()
-    made.data_received(wire.encode(BEAT) * 3)
-    made.data_received(wire.encode(BEAT))
+    connection = stream.Stream(receiver)
+    connection.connection_made(mock.Mock(spec=asyncio.Transport))
+    receiver.handle_message.side_effect = lambda *_: connection.abort()
+    connection.data_received(wire.encode(HEARTBEAT) * 3)
+    connection.data_received(wire.encode(HEARTBEAT))
     assert receiver.handle_message.call_count == 1
-    assert made.send(BEAT) == 0
+    assert connection.send(HEARTBEAT) == 0
 
 
 async def test_frames_on_a_replaced_stream_are_dropped(start):
-    """A late message of an older connection must not pass for the newer one's."""
+    """A late message of an older boot must not be taken for one of the newer boot."""
     b = await start("b")
     with contextlib.ExitStack() as stack:
         for boot in (1, 2):
@@ -314,26 +318,27 @@
             await until(lambda: b.events and b.events[-1] == f"+a.{boot}")  # noqa: B023
             if boot == 1:
                 (old,) = b.streams
-                # Its end comes late, as with frames that are read already.
-                b.network._link_by_stream = Keeping(b.network._link_by_stream)
-        b.network.handle_message(old, BEAT, 1)
+                # The older connection stays registered, as if its end were reported
+                # after frames that have been read already.
+                b.network._link_by_stream = UndeletableDict(b.network._link_by_stream)
+        b.network.handle_message(old, HEARTBEAT, 1)
         assert b.events == ["+a.1", "-a", "+a.2"]
 
 
-class Keeping(dict):
-    """Links by stream of which none is removed."""
+class UndeletableDict(dict):
+    """A dictionary whose ``pop`` removes nothing."""
 
     def pop(self, key, default=None):
         return default
 
 
 async def test_one_dial_to_an_address_at_a_time(start, monkeypatch):
-    """A peer that accepts slowly must not get one more connection at each retry."""
+    """A peer that accepts slowly must not get another connection at each retry."""
     a, pending = await start("a"), asyncio.Event()
-    loop, tried = asyncio.get_running_loop(), []
+    loop, dialled_addresses = asyncio.get_running_loop(), []
 
     async def connect_slowly(_factory, host, port):
-        tried.append(f"{host}:{port}")
+        dialled_addresses.append(f"{host}:{port}")
         await pending.wait()
         raise ConnectionRefusedError
 
@@ -342,25 +347,25 @@
         a.network.dial(address)
         a.time.advance(network.DIAL_RETRY_S)
         await asyncio.sleep(0)
-    assert tried == ["10.0.0.1:1", "10.0.0.2:1"]
+    assert dialled_addresses == ["10.0.0.1:1", "10.0.0.2:1"]
     pending.set()
-    await until(lambda: not a.network._task_by_address)
+    await until(lambda: not a.network._dial_task_by_address)
     a.network.dial("10.0.0.1:1")
-    await until(lambda: len(tried) == 3)
+    await until(lambda: len(dialled_addresses) == 3)
 
 
 @pytest.mark.parametrize("address", ["127.0.0.1:99999", "a\0b:1", "no port", "x:-1"])
 async def test_dial_of_an_unusable_address_raises_nothing(start, address):
-    """A peer's address is not checked before, and must not end in a traceback."""
+    """Addresses of peers are not validated, and must not cause an unhandled error."""
     a = await start("a")
     a.network.dial(address)
-    task = a.network._task_by_address[address]
+    task = a.network._dial_task_by_address[address]
     await asyncio.wait({task})
     assert task.exception() is None
 
 
 async def test_address_in_use_is_a_settings_error(start):
-    """An operator gets one line that names the setting, and no traceback."""
+    """The operator gets one line that names the setting, and no traceback."""
     a = await start("a")
     with pytest.raises(errors.SettingsError) as caught:
         await Node("b").network.bind(a.address)
@@ -369,11 +374,11 @@
 
 @pytest.mark.parametrize("data", [b"\0\0\0\0", wire.HEADER.pack(1) + b"\xc1"])
 async def test_malformed_frame_is_reported_as_a_wire_error(data):
-    """Any other error would leave the connection open and unhandled."""
+    """Any other exception would leave the connection open without a handler."""
     receiver, transport = mock.Mock(spec=stream.Receiver), mock.Mock()
-    made = stream.Stream(receiver)
-    made.connection_made(transport)
-    made.data_received(data)
+    connection = stream.Stream(receiver)
+    connection.connection_made(transport)
+    connection.data_received(data)
     assert isinstance(receiver.handle_rejected.call_args.args[1], errors.WireError)
     assert transport.abort.called and not receiver.handle_truncated.called
 
@@ -391,8 +396,10 @@
         (ENTRY, AGENT, True, 0),
     ],
 )
-async def test_only_sessions_that_matter_count_as_lost(start, own, peer, leaves, lost):
-    """Catch-ups of agents lapse by design, and a planned leave is no loss."""
+async def test_catchups_and_planned_leaves_do_not_count_as_lost(
+    start, own, peer, leaves, lost
+):
+    """Connections for catch-ups end by timeout, and a planned leave is not a loss."""
     a, b = await start("a", role=own), await start("b", role=peer)
     await connect(b, a)
     if leaves:
@@ -400,7 +407,7 @@
         await until(lambda: ("b", messages.Leave()) in a.events)
     for _ in range(3):
         a.time.advance(1.2)
-        a.network.watch()
+        a.network.close_overdue()
     await until(lambda: "-b" in a.events)
     assert a.count("sessions.lost") == lost
     assert a.count("wire.timeouts") == (own is not AGENT or peer is not AGENT)
