Reword the HTTP interface, its responses and its server

Cause: vague or private words (names, parts, answer, render, content, kinds, ending, cut short, gate, SHOWN) for parameters, chunks of a body, responses and the stop of a server. Change: responses are called responses, query parameters and chunks by these names; comments give the same reasons and figures plainly. The names of the route handlers stay, as litestar derives the operation ids of the OpenAPI document from them; the details of error responses stay too.

--- a/src/burdockgate/process/schema.py
+++ b/src/burdockgate/process/schema.py
@@ -1,7 +1,7 @@
-"""What the OpenAPI page says beyond the handlers' signatures.
+"""Parts of the OpenAPI document that Litestar can't derive from the handlers.
 
-The handlers read bodies, headers and queries by themselves, so that each mistake
-gets a result code; these classes declare them for the page.
+The handlers parse bodies, headers and query strings themselves, so that each invalid
+one gets a result code. The classes here declare them for the document.
 """
 
 from __future__ import annotations
@@ -13,49 +13,51 @@
 JSON = "application/json"
 
 
-def _parameter(name: str, place: str, text: str, required: bool) -> spec.Parameter:
+def _parameter(
+    name: str, location: str, description: str, required: bool
+) -> spec.Parameter:
     return spec.Parameter(
         name=name,
-        param_in=place,
-        description=text,
+        param_in=location,
+        description=description,
         required=required,
         schema=spec.Schema(type=spec.OpenAPIType.STRING),
     )
 
 
-def _schema(**kind_by_field: spec.Schema | spec.OpenAPIType) -> spec.Schema:
+def _schema(**type_by_field: spec.Schema | spec.OpenAPIType) -> spec.Schema:
     return spec.Schema(
         type=spec.OpenAPIType.OBJECT,
         properties={
             name.rstrip("_"): kind
             if isinstance(kind, spec.Schema)
             else spec.Schema(type=kind)
-            for name, kind in kind_by_field.items()
+            for name, kind in type_by_field.items()
         },
     )
 
 
 @dataclasses.dataclass
 class SubmitOperation(spec.Operation):
-    """Adds the body and the parameters, which the handler reads by itself."""
+    """Declares the body and the parameters, which the handler parses itself."""
 
     def __post_init__(self) -> None:
-        kinds = spec.OpenAPIType
+        types = spec.OpenAPIType
         task = _schema(
             payload=spec.Schema(description="any JSON"),
-            expected_ms=kinds.NUMBER,
-            cores=kinds.NUMBER,
-            memory_mb=kinds.INTEGER,
-            accelerators=kinds.INTEGER,
+            expected_ms=types.NUMBER,
+            cores=types.NUMBER,
+            memory_mb=types.INTEGER,
+            accelerators=types.INTEGER,
         )
         task.required = ["payload"]
         body = _schema(
-            guest=kinds.STRING,
-            service=kinds.STRING,
-            class_=kinds.STRING,
-            repeatable=kinds.BOOLEAN,
-            deadline_ms=kinds.INTEGER,
-            tasks=spec.Schema(type=kinds.ARRAY, items=task),
+            guest=types.STRING,
+            service=types.STRING,
+            class_=types.STRING,
+            repeatable=types.BOOLEAN,
+            deadline_ms=types.INTEGER,
+            tasks=spec.Schema(type=types.ARRAY, items=task),
         )
         body.required = ["guest", "service", "tasks"]
         self.request_body = spec.RequestBody(
@@ -71,19 +73,19 @@
 
 @dataclasses.dataclass
 class FetchOperation(spec.Operation):
-    """Adds the parameter of the query, which the handler reads by itself."""
+    """Declares the query parameter, which the handler parses itself."""
 
     def __post_init__(self) -> None:
-        text = "how long to wait for a pending job, in seconds (default 0)"
+        description = "how long to wait for a pending job, in seconds (default 0)"
         self.parameters = [
             *(self.parameters or []),
-            _parameter("wait_s", "query", text, False),
+            _parameter("wait_s", "query", description, False),
         ]
 
 
 @dataclasses.dataclass
 class DrainOperation(spec.Operation):
-    """Adds the parameter of the query, which the handler reads by itself."""
+    """Declares the query parameter, which the handler parses itself."""
 
     def __post_init__(self) -> None:
         self.parameters = [
--- a/src/burdockgate/process/serving.py
+++ b/src/burdockgate/process/serving.py
@@ -1,4 +1,4 @@
-"""An HTTP server on the current event loop, for daemons and stand-ins."""
+"""HTTP server on the current event loop, used by daemons and stand-ins."""
 
 from __future__ import annotations
 
@@ -13,21 +13,21 @@
 
 from burdockgate import errors
 
-# A pool of connections at the balancer outlives the pauses between requests.
+# The load balancer keeps a pool of connections, which must stay open between requests.
 KEEP_ALIVE_S = 60
 ACCEPT_BACKLOG = 2048
 CANCEL_TIMEOUT_S = 1.0
-# The date in the headers of answers has whole seconds.
+# The ``Date`` header has a resolution of one second.
 DATE_INTERVAL_S = 1.0
 
 
 class Server:
-    """Runs an ASGI application; installs no signal handlers.
+    """Runs an ASGI application without installing signal handlers.
 
     :param application: the application.
-    :param host: IP address to listen at.
-    :param port: port to listen at; 0 for a free one.
-    :param protocol: uvicorn's class for one HTTP connection.
+    :param host: IP address to listen on.
+    :param port: port to listen on; 0 selects a free one.
+    :param protocol: uvicorn's protocol class for HTTP connections.
     """
 
     def __init__(
@@ -47,7 +47,7 @@
                 lifespan="off",
                 interface="asgi3",
                 log_config=None,
-                # Below this uvicorn logs a line for each malformed request.
+                # At lower levels, uvicorn logs a line for each malformed request.
                 log_level="error",
                 access_log=False,
                 proxy_headers=False,
@@ -60,12 +60,12 @@
 
     @property
     def address(self) -> str:
-        """``host:port`` at which the server listens; final after the start."""
+        """``host:port`` of the server; with port 0, known only after the start."""
         host = f"[{self.host}]" if ":" in self.host else self.host
         return f"{host}:{self.port}"
 
     async def start(self) -> None:
-        """Listen and serve until stopped.
+        """Start to listen and serve in the background.
 
         :raises errors.SettingsError: when the address cannot be bound.
         """
@@ -78,9 +78,9 @@
 
     def _bind(self) -> socket.socket:
         family = socket.AF_INET6 if ":" in self.host else socket.AF_INET
-        # With the protocol named, asyncio sets TCP_NODELAY on the connections.
-        # Without it the body of an answer can wait for the acknowledgement of
-        # its header, which takes 40 ms.
+        # asyncio sets TCP_NODELAY only if the protocol is given explicitly. Without
+        # it, the body of a response can wait 40 ms for the acknowledgement of its
+        # header.
         listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
         try:
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -93,23 +93,24 @@
         return listener
 
     async def stop(self, timeout_s: float) -> None:
-        """Accept nothing more, finish the requests in progress and close.
+        """Accept no further connections, finish the requests in progress, and close.
 
-        A request that has not ended in time is cancelled, which lets the
-        application still answer it.
+        A request that is still in progress at the timeout is cancelled, and the
+        application can still respond to it.
 
-        :param timeout_s: time for the requests in progress, in seconds.
+        :param timeout_s: longest time for the requests in progress, in seconds.
         """
         if self._task is None:
             return
         self._server.should_exit = True
-        self._server.ending.set()
+        self._server.stop_requested.set()
         await asyncio.wait({self._task}, timeout=timeout_s)
         if not self._task.done():
-            await self._cut_short()
+            await self._cancel_requests()
         await self._task
 
-    async def _cut_short(self) -> None:
+    async def _cancel_requests(self) -> None:
+        """Cancel the requests in progress, then close or abort all connections."""
         assert self._task is not None
         state = self._server.server_state
         for task in list(state.tasks):
@@ -120,12 +121,12 @@
             connection.transport.close()
         self._server.force_exit = True
         await asyncio.wait({self._task}, timeout=CANCEL_TIMEOUT_S)
-        # A client that does not read its answer keeps a closed transport open.
+        # A closed transport stays open while its client doesn't read the response.
         for connection in list(state.connections):
             connection.transport.abort()
 
     async def stop_now(self) -> None:
-        """Stop at once, as a crash does: abort connections, cancel requests."""
+        """Abort all connections and cancel all requests, like a crash."""
         if self._task is None:
             return
         self._server.abort()
@@ -137,15 +138,15 @@
     def __init__(self, config: uvicorn.Config) -> None:
         super().__init__(config)
         self.ready = asyncio.Event()
-        self.ending = asyncio.Event()
+        self.stop_requested = asyncio.Event()
 
     async def main_loop(self) -> None:
-        """Wait for the end, and keep the date of the answers."""
-        # Each tenth call, counted from 0, changes the date; the others only look for
-        # the end, ten times a second.
+        """Update the ``Date`` header until the stop."""
+        # on_tick updates the header on each tenth call, counted from 0. uvicorn calls
+        # it ten times a second, and nine of ten calls only check for the stop.
         while not await self.on_tick(0):
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.ending.wait(), DATE_INTERVAL_S)
+                await asyncio.wait_for(self.stop_requested.wait(), DATE_INTERVAL_S)
 
     async def startup(self, sockets: list[socket.socket] | None = None) -> None:
         await super().startup(sockets)
@@ -153,13 +154,13 @@
 
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
-        """Leave the signals to the process."""
+        """Leave signal handling to the process."""
         yield
 
     def abort(self) -> None:
         """Close the listeners, abort all connections and cancel all requests."""
         self.should_exit = True
-        self.ending.set()
+        self.stop_requested.set()
         for server in self.servers:
             server.close()
         for connection in list(self.server_state.connections):
--- a/src/burdockgate/process/web.py
+++ b/src/burdockgate/process/web.py
@@ -1,7 +1,7 @@
 """The HTTP interface of an entry host, and the server that runs it.
 
-Every answer but the OpenAPI page is JSON. An error has the same fields as the
-answer to a job: a result code, its start class and one line of detail.
+Every response except the OpenAPI document is JSON. An error has the same fields as
+the response to a job: a result code, its start class and one line of detail.
 """
 
 from __future__ import annotations
@@ -33,15 +33,14 @@
 
 
 class EntryService(abc.ABC):
-    """What the HTTP interface needs from the entry host.
+    """The operations of an entry host that the HTTP interface calls.
 
-    A method may raise :class:`errors.RequestError` for a request that it cannot
-    accept.
+    A method may raise :class:`errors.RequestError` to reject a request.
     """
 
     @abc.abstractmethod
     async def submit(self, request: job.JobRequest, wait: bool) -> outcome.Outcome:
-        """Take a submission and return its outcome.
+        """Submit a job and return its outcome.
 
         :param wait: whether to wait until the job has ended.
         """
@@ -63,15 +62,15 @@
 
     @abc.abstractmethod
     def status(self) -> dict[str, object]:
-        """Return the state of this entry host as values that JSON can hold."""
+        """Return the state of this entry host as JSON-compatible values."""
 
     @abc.abstractmethod
     def not_ready_reason(self) -> str:
-        """Return why no jobs are taken now; empty when ready."""
+        """Return why no job can be accepted; an empty string when ready."""
 
     @abc.abstractmethod
     def count_rejected(self) -> None:
-        """Count an HTTP request that was rejected."""
+        """Count a rejected HTTP request."""
 
 
 def create_application(service: EntryService, limits: job.Limits) -> litestar.Litestar:
@@ -90,9 +89,9 @@
         super().__init__(
             [_submit, _fetch, _cancel, _drain, _status, _alive, _ready],
             exception_handlers={
-                errors.RequestError: _on_request_error,
-                exceptions.HTTPException: _on_http_error,
-                Exception: _on_error,
+                errors.RequestError: _handle_request_error,
+                exceptions.HTTPException: _handle_http_error,
+                Exception: _handle_error,
             },
             openapi_config=openapi.OpenAPIConfig(
                 title="burdockgate",
@@ -109,7 +108,7 @@
         receive: types.Receive | types.LifeSpanReceive,
         send: types.Send | types.LifeSpanSend,
     ) -> None:
-        # Routing works on the encoded path, so that a key may contain "/".
+        # Routes match the percent-encoded path, so that a key may contain "/".
         if raw_path := cast(dict[str, Any], scope).get("raw_path"):
             cast(dict[str, Any], scope)["path"] = raw_path.decode("latin-1")
         await super().__call__(scope, receive, send)
@@ -121,38 +120,40 @@
 
 @litestar.post("/v1/jobs", operation_class=schema.SubmitOperation, status_code=200)
 async def _submit(request: _Request) -> responses.Response:
-    """Submit a job and wait for its answer."""
+    """Submit a job and wait for its outcome."""
     application = _application(request)
-    wait = _boolean(request, "wait")
+    wait = _boolean_parameter(request, "wait")
     body = await _read_body(request, application.limits)
     key = _header(request, b"idempotency-key")
     submission = job.parse(body, key, application.limits)
     call = application.service.submit(submission, wait)
-    return await _answer(submission.guest, submission.key, call)
+    return await _respond(submission.guest, submission.key, call)
 
 
 @litestar.get("/v1/jobs/{guest:str}/{key:str}", operation_class=schema.FetchOperation)
 async def _fetch(request: _Request) -> responses.Response:
-    """Return the kept answer or the state of a job."""
+    """Return the stored outcome or the state of a job."""
     application = _application(request)
-    guest, key = _names(request)
-    longest = application.limits.max_deadline_s
-    text = _query(request, "wait_s", "0")
+    guest, key = _guest_and_key(request)
+    max_wait_s = application.limits.max_deadline_s
+    text = _query_parameter(request, "wait_s", "0")
     try:
         wait_s = float(text)
     except ValueError:
         wait_s = math.nan
-    if not 0 <= wait_s <= longest:
-        raise _invalid(f"wait_s: {job.shorten(text)}, allowed are 0 to {longest:g} s")
-    return await _answer(guest, key, application.service.fetch(guest, key, wait_s))
+    if not 0 <= wait_s <= max_wait_s:
+        raise _invalid_request(
+            f"wait_s: {job.shorten(text)}, allowed are 0 to {max_wait_s:g} s"
+        )
+    return await _respond(guest, key, application.service.fetch(guest, key, wait_s))
 
 
 @litestar.delete("/v1/jobs/{guest:str}/{key:str}", status_code=200)
 async def _cancel(request: _Request) -> responses.Response:
     """Cancel a job and return its definite outcome."""
-    _query(request)
-    guest, key = _names(request)
-    return await _answer(guest, key, _application(request).service.cancel(guest, key))
+    _query_parameter(request)
+    guest, key = _guest_and_key(request)
+    return await _respond(guest, key, _application(request).service.cancel(guest, key))
 
 
 @litestar.post(
@@ -162,7 +163,7 @@
 )
 async def _drain(request: _Request) -> responses.Response:
     """Drain a worker, or resume it with ``active=false``."""
-    active = _boolean(request, "active")
+    active = _boolean_parameter(request, "active")
     worker = _unquote("worker", request.path_params["name"])
     if not await _application(request).service.drain(worker, active):
         raise errors.RequestError(
@@ -170,42 +171,42 @@
             f"worker: {job.shorten(worker)}, allowed are workers that this entry "
             "host knows",
         )
-    return responses.reply({"worker": worker, "draining": active})
+    return responses.json_response({"worker": worker, "draining": active})
 
 
 @litestar.get("/v1/status")
 async def _status(request: _Request) -> responses.Response:
     """Return the state of this entry host."""
-    return responses.reply(_application(request).service.status())
+    return responses.json_response(_application(request).service.status())
 
 
 @litestar.get("/healthz")
 async def _alive(request: _Request) -> responses.Response:
-    """Return 200 while the process answers."""
-    return responses.reply({"alive": True})
+    """Return 200 while the process responds."""
+    return responses.json_response({"alive": True})
 
 
 @litestar.get("/readyz")
 async def _ready(request: _Request) -> responses.Response:
-    """Return 200 when jobs are taken, else 503 with the reason."""
+    """Return 200 when jobs are accepted, else 503 with the reason."""
     reason = _application(request).service.not_ready_reason()
     if not reason:
-        return responses.reply({"ready": True})
+        return responses.json_response({"ready": True})
     refused = outcome.Refused(codes.Code.NOT_READY, reason, READY_RETRY_S)
-    return responses.render("", "", refused)
+    return responses.job_response("", "", refused)
 
 
 def _header(request: _Request, name: bytes) -> str | None:
     values = [value for header, value in request.scope["headers"] if header == name]
     if len(values) > 1:
-        raise _invalid(
+        raise _invalid_request(
             f"header {name.decode()}: sent {len(values)} times, allowed is 1"
         )
     return values[0].decode("latin-1") if values else None
 
 
-def _query(request: _Request, name: str = "", default: str = "") -> str:
-    """Return the value of the only query parameter that a route allows."""
+def _query_parameter(request: _Request, name: str = "", default: str = "") -> str:
+    """Return the value of the only query parameter that a route accepts."""
     query = request.scope["query_string"]
     if not query:
         return default
@@ -213,20 +214,22 @@
     for field, _ in pairs:
         if field != name:
             allowed = f"allowed is {name}" if name else "none is allowed"
-            raise _invalid(f"query parameter {job.shorten(field)}, {allowed}")
+            raise _invalid_request(f"query parameter {job.shorten(field)}, {allowed}")
     if len(pairs) > 1:
-        raise _invalid(f"{name}: sent {len(pairs)} times, allowed is 1")
+        raise _invalid_request(f"{name}: sent {len(pairs)} times, allowed is 1")
     return pairs[0][1] if pairs else default
 
 
-def _boolean(request: _Request, name: str) -> bool:
-    text = _query(request, name, "true")
+def _boolean_parameter(request: _Request, name: str) -> bool:
+    text = _query_parameter(request, name, "true")
     if text not in ("true", "false"):
-        raise _invalid(f"{name}: {job.shorten(text)}, allowed are true and false")
+        raise _invalid_request(
+            f"{name}: {job.shorten(text)}, allowed are true and false"
+        )
     return text == "true"
 
 
-def _names(request: _Request) -> tuple[str, str]:
+def _guest_and_key(request: _Request) -> tuple[str, str]:
     guest = _unquote("guest", request.path_params["guest"])
     key = _unquote("key", request.path_params["key"])
     return job.check_guest(guest), job.check_key(key)
@@ -236,21 +239,23 @@
     try:
         return urllib.parse.unquote(text, errors="strict")
     except UnicodeDecodeError:
-        raise _invalid(f"{field}: {job.shorten(text)}, allowed is UTF-8") from None
+        raise _invalid_request(
+            f"{field}: {job.shorten(text)}, allowed is UTF-8"
+        ) from None
 
 
 async def _read_body(request: _Request, limits: job.Limits) -> bytes:
-    """Return the body; reading stops at the size limit and at the time limit."""
+    """Return the body; reading stops at the size limit and at the timeout."""
     declared = _header(request, b"content-length")
     if declared is not None and int(declared) > limits.body_bytes:
         raise job.too_large(int(declared), limits)
-    parts: list[bytes] = []
+    chunks: list[bytes] = []
     size = 0
     try:
         async with asyncio.timeout(BODY_TIMEOUT_S):
-            async for part in _parts(request):
-                parts.append(part)
-                size += len(part)
+            async for chunk in _receive_chunks(request):
+                chunks.append(chunk)
+                size += len(chunk)
                 if size > limits.body_bytes:
                     raise job.too_large(size, limits)
     except TimeoutError:
@@ -260,43 +265,43 @@
             status_code=408,
         ) from None
     except asyncio.CancelledError:
-        # Only the end of the stop timeout cancels a request.
+        # Requests are cancelled only when the stop timeout has expired.
         raise errors.RequestError(
             codes.Code.DRAINING, "the entry host stopped before the body arrived"
         ) from None
-    return b"".join(parts)
+    return b"".join(chunks)
 
 
-async def _parts(request: _Request) -> AsyncIterator[bytes]:
+async def _receive_chunks(request: _Request) -> AsyncIterator[bytes]:
     more = True
     while more:
         message = await request.receive()
         if message["type"] != "http.request":
-            raise _invalid("body: the connection was closed before its end")
+            raise _invalid_request("body: the connection was closed before its end")
         yield message["body"]
         more = message["more_body"]
 
 
-def _invalid(detail: str) -> errors.RequestError:
+def _invalid_request(detail: str) -> errors.RequestError:
     return errors.RequestError(codes.Code.INVALID_REQUEST, detail)
 
 
-async def _answer(
+async def _respond(
     guest: str, key: str, call: Awaitable[outcome.Outcome]
 ) -> responses.Response:
     try:
         result = await call
     except asyncio.CancelledError:
-        # Only the end of the stop timeout cancels a request.
+        # Requests are cancelled only when the stop timeout has expired.
         result = outcome.Failed(
             0, codes.Code.OWNER_LOST, "the entry host stopped before the job ended"
         )
     except errors.RequestError as error:
         result = outcome.Refused(error.code, error.detail)
-    return responses.render(guest, key, result)
+    return responses.job_response(guest, key, result)
 
 
-def _on_request_error(
+def _handle_request_error(
     request: _Request, error: errors.RequestError
 ) -> responses.ErrorResponse:
     status = codes.MEANING_BY_CODE[error.code].status
@@ -309,45 +314,47 @@
     _application(request).service.count_rejected()
     result = outcome.Refused(code, detail)
     if status in (408, 413):
-        return responses.error(
+        return responses.error_response(
             result, status, {"Connection": "close"}, responses.UnreadBodyResponse
         )
-    return responses.error(result, status, {})
+    return responses.error_response(result, status, {})
 
 
-def _on_http_error(
+def _handle_http_error(
     request: _Request, error: exceptions.HTTPException
 ) -> responses.ErrorResponse:
     if error.status_code >= 500:
-        return _on_error(request, error)
-    place = f"{request.method} {job.shorten(request.scope['path'])}"
+        return _handle_error(request, error)
+    route = f"{request.method} {job.shorten(request.scope['path'])}"
     if error.status_code == 404:
-        return _reject(request, codes.Code.NOT_FOUND, f"{place}: no such route", 404)
+        return _reject(request, codes.Code.NOT_FOUND, f"{route}: no such route", 404)
     invalid = codes.Code.INVALID_REQUEST
     if error.status_code != 405:
         detail = job.shorten_line(error.detail)
         return _reject(request, invalid, detail, error.status_code)
     allow = (error.headers or {}).get("allow", "")
-    response = _reject(request, invalid, f"{place}: allowed are {allow}", 405)
+    response = _reject(request, invalid, f"{route}: allowed are {allow}", 405)
     response.headers["Allow"] = allow
     return response
 
 
-def _on_error(request: _Request, error: Exception) -> responses.ErrorResponse:
+def _handle_error(request: _Request, error: Exception) -> responses.ErrorResponse:
     _logger.error("web.error", path=request.scope["path"], exc_info=error)
     detail = f"internal error of the entry host ({type(error).__name__})"
-    return responses.error(outcome.Failed(0, codes.Code.OWNER_LOST, detail), 500, {})
+    return responses.error_response(
+        outcome.Failed(0, codes.Code.OWNER_LOST, detail), 500, {}
+    )
 
 
 class Server(serving.Server):
     """Runs an application from :func:`build` in the current event loop.
 
-    A request that has not ended when the server stops is answered with
+    A job request that has not ended when the stop times out gets the response
     ``OWNER_LOST``.
 
     :param application: the application.
-    :param host: IP address to listen at.
-    :param port: port to listen at; 0 for a free one.
+    :param host: IP address to listen on.
+    :param port: port to listen on; 0 selects a free one.
     """
 
     def __init__(
@@ -357,9 +364,9 @@
 
 
 class _Protocol(h11_impl.H11Protocol):
-    """Adds what uvicorn lacks: a time limit for headers, and JSON errors.
+    """Adds a timeout for request headers and JSON error responses to uvicorn.
 
-    uvicorn limits only the pause between two requests.
+    uvicorn itself limits only the time between two requests.
     """
 
     _header_timer: asyncio.TimerHandle | None = None
@@ -391,7 +398,7 @@
         super().connection_lost(exc)
 
     def on_response_complete(self) -> None:
-        # The rest of a body that nobody reads could arrive for ever.
+        # Without the close, an unread body could go on arriving for ever.
         if self.conn.their_state is h11.SEND_BODY:
             self.transport.close()
         super().on_response_complete()
@@ -402,7 +409,7 @@
         if self.conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             cast(_Application, self.config.app).service.count_rejected()
             refused = outcome.Refused(codes.Code.INVALID_REQUEST, msg)
-            body = responses.content("", "", refused)
+            body = responses.encode_outcome("", "", refused)
             headers = [
                 ("content-type", responses.JSON),
                 ("content-length", str(len(body))),
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -1,4 +1,4 @@
-"""Guards the HTTP interface: each answer is JSON and says what is known."""
+"""Guards the HTTP interface: each response is JSON and states the known outcome."""
 
 import asyncio
 import json
@@ -13,26 +13,26 @@
 LIMITS = job.Limits(2000, 3, 30.0, 60.0)
 BODY = b'{"guest":"g/1","service":"s","tasks":[{"payload":[1]},{"payload":2}]}'
 KEY = {"Idempotency-Key": "a/b"}
-SHOWN = "/v1/jobs/g%2F1/a%2Fb"
+JOB_PATH = "/v1/jobs/g%2F1/a%2Fb"
 
 
 class _Service(web.EntryService):
-    """Records calls and answers with ``result``."""
+    """Records calls and returns ``result``, or raises it."""
 
     def __init__(self):
         self.calls = []
         self.worker = "w"
         self.called = asyncio.Event()
         self.result = outcome.Complete(1, (b"[1]", b'"\xc3\xa9"'))
-        self.gate = None
-        self.reason = ""
+        self.proceed = None
+        self.unready_reason = ""
         self.rejections = 0
 
-    async def _call(self, *call):
-        self.calls.append(call)
+    async def _call(self, *arguments):
+        self.calls.append(arguments)
         self.called.set()
-        if self.gate:
-            await self.gate.wait()
+        if self.proceed:
+            await self.proceed.wait()
         if isinstance(self.result, Exception):
             raise self.result
         return self.result
@@ -54,7 +54,7 @@
         return {"workers": 3}
 
     def not_ready_reason(self):
-        return self.reason
+        return self.unready_reason
 
     def count_rejected(self):
         self.rejections += 1
@@ -80,7 +80,7 @@
 
 
 async def test_routes_call_the_service(service, http):
-    """A key with a slash must reach the service as the caller wrote it."""
+    """A key with a slash must reach the service unchanged."""
     answer = await http.post("/v1/jobs?wait=false", content=BODY, headers=KEY)
     assert answer.json() == {
         "code": 0,
@@ -94,8 +94,8 @@
         "results": [[1], "é"],
     }
     await http.post("/v1/jobs", content=BODY, headers=KEY)
-    await http.get(f"{SHOWN}?wait_s=2.5")
-    await http.delete(SHOWN)
+    await http.get(f"{JOB_PATH}?wait_s=2.5")
+    await http.delete(JOB_PATH)
     assert (await http.post("/v1/workers/w/drain")).status_code == 200
     assert (await http.post("/v1/workers/x/drain?active=false")).status_code == 404
     assert service.calls == [
@@ -109,7 +109,7 @@
     assert (await http.get("/v1/status")).json() == {"workers": 3}
     assert (await http.get("/healthz")).status_code == 200
     assert (await http.get("/readyz")).status_code == 200
-    service.reason = "no table yet"
+    service.unready_reason = "no table yet"
     answer = await http.get("/readyz")
     assert (answer.status_code, answer.json()["detail"]) == (503, "no table yet")
     assert {"/v1/jobs", "/v1/status"} <= set(
@@ -134,8 +134,8 @@
         (RuntimeError("secret"), 500, "may have run", None),
     ],
 )
-async def test_outcomes(service, http, result, status, start, retry):
-    """An answer without results must not look complete, nor an error like a refusal."""
+async def test_outcome_is_rendered_as_json(service, http, result, status, start, retry):
+    """Without results a job must not look complete, nor an error like a refusal."""
     service.result = result
     answer = await http.post("/v1/jobs", content=BODY, headers=KEY)
     assert answer.status_code == status
@@ -145,7 +145,7 @@
     assert "secret" not in answer.text
 
 
-BAD = [
+BAD_REQUESTS = [
     ("POST", "/v1/jobs", b"{", KEY, 400, 100),
     ("POST", "/v1/jobs", b"{}", KEY, 400, 100),
     ("POST", "/v1/jobs", BODY, {}, 400, 100),
@@ -168,12 +168,14 @@
 
 
 @pytest.mark.parametrize(
-    ("method", "path", "body", "headers", "status", "code"), BAD, ids=range(len(BAD))
+    ("method", "path", "body", "headers", "status", "code"),
+    BAD_REQUESTS,
+    ids=range(len(BAD_REQUESTS)),
 )
 async def test_bad_request_gets_a_code(
     service, http, method, path, body, headers, status, code
 ):
-    """A mistake must be answered in JSON, counted, and never reach the service."""
+    """An invalid request must get a JSON error, be counted, and not be passed on."""
     answer = await http.request(method, path, content=body, headers=headers)
     assert (answer.status_code, answer.json()["code"]) == (status, code)
     assert answer.json()["detail"].isprintable()
@@ -182,7 +184,7 @@
 
 
 async def _exchange(server, data):
-    """Send bytes and return all that comes until the connection is closed."""
+    """Send bytes and return all bytes received until the connection is closed."""
     reader, writer = await asyncio.open_connection(*server.address.split(":"))
     writer.write(data)
     received = await asyncio.wait_for(reader.read(), 30)
@@ -203,21 +205,23 @@
         (b"nonsense\r\n\r\n", 400, 100),
     ],
 )
-async def test_connection_is_closed_without_the_rest(server, data, status, code):
-    """Reading stops at the limit: the rest of a body could arrive for ever."""
+async def test_connection_is_closed_without_reading_the_rest(
+    server, data, status, code
+):
+    """Reading stops at the limit, as the rest of a body could arrive for ever."""
     head, _, body = (await _exchange(server, data)).partition(b"\r\n\r\n")
     assert b" %d " % status in head
     assert json.loads(body)["code"] == code
 
 
 async def test_answer_reaches_a_caller_that_sends_too_much(http):
-    """A reset connection must not take away the answer that says what is wrong."""
+    """A connection reset must not discard the response that explains the error."""
     reply = await http.post("/v1/jobs", content=b" " * 8_000_000, headers=KEY)
     assert (reply.status_code, reply.json()["code"]) == (413, 101)
 
 
-async def test_slow_senders_are_cut_off(server, monkeypatch):
-    """Connections of slow senders must not pile up."""
+async def test_slow_senders_are_disconnected(server, monkeypatch):
+    """Connections of slow senders must not accumulate."""
     monkeypatch.setattr(web, "HEADER_TIMEOUT_S", 0.1)
     monkeypatch.setattr(web, "BODY_TIMEOUT_S", 0.1)
     assert await _exchange(server, b"") == b""
@@ -230,8 +234,8 @@
 
 
 async def test_stop_finishes_requests_in_progress(service, server, http):
-    """A planned stop cuts off no request, and takes no new ones."""
-    service.gate = asyncio.Event()
+    """A planned stop interrupts no request and accepts no new connections."""
+    service.proceed = asyncio.Event()
     request = asyncio.create_task(http.post("/v1/jobs", content=BODY, headers=KEY))
     await service.called.wait()
     stop = asyncio.create_task(server.stop(30.0))
@@ -240,14 +244,14 @@
             await _exchange(server, b"GET /healthz HTTP/1.0\r\n\r\n")
         except ConnectionError:
             break
-    service.gate.set()
+    service.proceed.set()
     assert (await request).json()["name"] == "COMPLETE"
     await stop
 
 
-async def test_stop_timeout_claims_no_more_than_is_known(service, server, http):
-    """A request that the stop cuts off may have run."""
-    service.gate = asyncio.Event()
+async def test_request_cancelled_by_a_stop_may_have_run(service, server, http):
+    """The job of a request that is cancelled at the stop timeout may have run."""
+    service.proceed = asyncio.Event()
     request = asyncio.create_task(http.post("/v1/jobs", content=BODY, headers=KEY))
     await service.called.wait()
     await server.stop(0.0)
@@ -255,7 +259,7 @@
 
 
 async def test_address_in_use_is_a_settings_error(service, server):
-    """An operator must get one line and not the exit of the process."""
+    """The operator must get one line; uvicorn itself would end the process."""
     host, port = server.address.split(":")
     second = web.Server(web.create_application(service, LIMITS), host, int(port))
     with pytest.raises(errors.SettingsError, match=f"{server.address}: "):
