Reword the tests of malformed input

Cause: names such as _counted, _deep, drip and cut, and docstrings about mistakes and announcements. Change: names and docstrings only.

--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -1,4 +1,4 @@
-"""Guards the ports of running daemons against bad input."""
+"""Guards the daemons against malformed input on their ports."""
 
 import asyncio
 import contextlib
@@ -14,14 +14,14 @@
 from burdockgate import messages, wire
 
 HEADER_BYTES = 4
-_numbers = itertools.count(1)
+_counter = itertools.count(1)
 
 
 @pytest.fixture
 async def system(shared):
-    """Give a running system; after the test, it must still run a good job."""
+    """Yield a running system, which must still complete a job after the test."""
     yield shared
-    answer = await shared.submit(f"good-{next(_numbers)}", [1] * 24)
+    answer = await shared.submit(f"good-{next(_counter)}", [1] * 24)
     assert (answer.outcome, answer.attempt) == ("complete", 1)
     assert all(process.is_running for process in shared.processes)
     assert shared.violations() == []
@@ -33,9 +33,9 @@
 
 
 def _hello(**fields):
-    """Return an announcement that adds no worker to the system."""
+    """Return an encoded ``Hello`` that adds no worker to the system."""
     fields = {"role": messages.Role.ENTRY, "service": "", "slots": 0} | fields
-    return wire.encode(builders.hello(f"stranger-{next(_numbers)}", **fields))
+    return wire.encode(builders.hello(f"stranger-{next(_counter)}", **fields))
 
 
 GOOD_HELLO = _hello()
@@ -66,49 +66,49 @@
                 pass
 
 
-def _counted(system, name):
+def _count(system, name):
     return system.status(0)["counters"][name]
 
 
 @pytest.mark.parametrize("role", ["entry", "agent"])
 @pytest.mark.parametrize("data", BAD_STREAMS.values(), ids=BAD_STREAMS.keys())
 async def test_bad_stream_is_closed_and_counted(system, role, data):
-    """One bad peer must neither stop a daemon nor keep its connection."""
+    """A faulty peer must not stop a daemon, and its connection must be closed."""
     host, port = _stream_addresses(system)[role].split(":")
-    before = _counted(system, "wire.rejected")
+    before = _count(system, "wire.rejected")
     reader, writer = await asyncio.open_connection(host, port)
     with contextlib.closing(writer):
         writer.write(data)
         await _read_to_end(reader)
     if role == "entry":
-        assert _counted(system, "wire.rejected") == before + 1
+        assert _count(system, "wire.rejected") == before + 1
 
 
 @pytest.mark.parametrize("role", ["entry", "agent"])
-@pytest.mark.parametrize("cut", [1, HEADER_BYTES, len(GOOD_HELLO) - 1])
-async def test_truncated_frame_ends_with_its_connection(system, role, cut):
-    """A part of a frame must not be taken for a message."""
+@pytest.mark.parametrize("sent_bytes", [1, HEADER_BYTES, len(GOOD_HELLO) - 1])
+async def test_truncated_frame_ends_with_its_connection(system, role, sent_bytes):
+    """A partial frame must not be handled as a message."""
     host, port = _stream_addresses(system)[role].split(":")
     names = ("sessions.opened", "wire.truncated")
-    before = [_counted(system, name) for name in names]
+    before = [_count(system, name) for name in names]
     reader, writer = await asyncio.open_connection(host, port)
     with contextlib.closing(writer):
-        writer.write(GOOD_HELLO[:cut])
+        writer.write(GOOD_HELLO[:sent_bytes])
         writer.write_eof()
         await _read_to_end(reader)
     if role == "entry":
-        after = [_counted(system, name) for name in names]
+        after = [_count(system, name) for name in names]
         assert after == [before[0], before[1] + 1]
 
 
 @pytest.mark.parametrize("role", ["entry", "agent"])
 async def test_slow_sender_is_closed(system, role):
-    """A peer that never finishes its announcement must not keep a connection."""
+    """A peer that sends ``Hello`` too slowly must be disconnected."""
     host, port = _stream_addresses(system)[role].split(":")
-    before = _counted(system, "wire.timeouts")
+    before = _count(system, "wire.timeouts")
     reader, writer = await asyncio.open_connection(host, port)
 
-    async def drip():
+    async def send_slowly():
         with contextlib.suppress(ConnectionError):
             for byte in GOOD_HELLO[:-1]:
                 writer.write(bytes((byte,)))
@@ -116,20 +116,20 @@
                 await asyncio.sleep(0.3)
 
     with contextlib.closing(writer):
-        dripping = asyncio.create_task(drip())
+        sending = asyncio.create_task(send_slowly())
         await _read_to_end(reader)
-        assert not dripping.done(), "closed only after the last byte"
-        dripping.cancel()
+        assert not sending.done(), "closed only after the last byte"
+        sending.cancel()
     if role == "entry":
-        assert _counted(system, "wire.timeouts") == before + 1
+        assert _count(system, "wire.timeouts") == before + 1
 
 
-def _deep(levels):
+def _nested_body(levels):
     payload = b"[" * levels + b"]" * levels
     return b'{"guest":"a","service":"s","tasks":[{"payload":%b}]}' % payload
 
 
-def _job(**fields):
+def _body(**fields):
     return json.dumps(processes.body_of([1]) | fields).encode()
 
 
@@ -138,25 +138,28 @@
     "not JSON": (b"{", 400),
     "not UTF-8": (b'{"guest":"\xff"}', 400),
     "not an object": (b"[]", 400),
-    "unknown field": (_job(colour="red"), 400),
-    "guest of a wrong type": (_job(guest=1), 400),
-    "guest with a control character": (_job(guest="a\0b"), 400),
-    "tasks of a wrong type": (_job(tasks={}), 400),
-    "no task": (_job(tasks=[]), 400),
-    "task without payload": (_job(tasks=[{}]), 400),
-    "negative size": (_job(tasks=[{"payload": 1, "cores": -1}]), 400),
-    "negative deadline": (_job(deadline_ms=-1), 400),
-    "too deep": (_deep(65), 400),
-    "far too deep": (_deep(500_000), 400),
-    "too many tasks": (_job(tasks=[{"payload": 1}] * 1001), 413),
+    "unknown field": (_body(colour="red"), 400),
+    "guest of a wrong type": (_body(guest=1), 400),
+    "guest with a control character": (_body(guest="a\0b"), 400),
+    "tasks of a wrong type": (_body(tasks={}), 400),
+    "no task": (_body(tasks=[]), 400),
+    "task without payload": (_body(tasks=[{}]), 400),
+    "negative size": (_body(tasks=[{"payload": 1, "cores": -1}]), 400),
+    "negative deadline": (_body(deadline_ms=-1), 400),
+    "too deep": (_nested_body(65), 400),
+    "far too deep": (_nested_body(500_000), 400),
+    "too many tasks": (_body(tasks=[{"payload": 1}] * 1001), 413),
     "over the size limit": (b" " * 2_097_153, 413),
 }
 
 
 @pytest.mark.parametrize(("body", "status"), BAD_BODIES.values(), ids=BAD_BODIES.keys())
 async def test_bad_body_gets_a_result_code_and_is_counted(system, body, status):
-    """A caller's mistake must be answered in one line and start nothing."""
-    starts, before = len(system.starts()), _counted(system, "http.rejected")
+    """An invalid job must get an error of one line and start no task."""
+    starts_before, rejected_before = (
+        len(system.starts()),
+        _count(system, "http.rejected"),
+    )
     headers = {"Idempotency-Key": "bad"}
     async with httpx.AsyncClient(trust_env=False, timeout=20) as caller:
         url = f"{system.urls[0]}/v1/jobs"
@@ -166,8 +169,8 @@
     assert 100 <= answer["code"] <= 102
     assert answer["outcome"] == "refused"
     assert 0 < len(answer["detail"].splitlines()) <= 1
-    assert _counted(system, "http.rejected") == before + 1
-    assert len(system.starts()) == starts
+    assert _count(system, "http.rejected") == rejected_before + 1
+    assert len(system.starts()) == starts_before
 
 
 BAD_REQUESTS = {
@@ -183,11 +186,11 @@
 
 @pytest.mark.parametrize("data", BAD_REQUESTS.values(), ids=BAD_REQUESTS.keys())
 async def test_bad_http_is_closed_and_counted(system, data):
-    """Bytes that are no HTTP request must end the connection, and nothing else."""
-    before = _counted(system, "http.rejected")
+    """A malformed HTTP request must close its connection and have no other effect."""
+    before = _count(system, "http.rejected")
     host, port = system.urls[0].removeprefix("http://").split(":")
     reader, writer = await asyncio.open_connection(host, port)
     with contextlib.closing(writer):
         writer.write(data)
         await _read_to_end(reader)
-    assert _counted(system, "http.rejected") == before + 1
+    assert _count(system, "http.rejected") == before + 1
