Correct a reference and a comment of the HTTP server

Cause: the docstring of web.Server named a function by its old name, and the comment on the update of the Date header was hard to follow. Change: docstrings and comments only.

--- a/src/burdockgate/process/serving.py
+++ b/src/burdockgate/process/serving.py
@@ -142,8 +142,8 @@
 
     async def main_loop(self) -> None:
         """Update the ``Date`` header until the stop."""
-        # on_tick updates the header on each tenth call, counted from 0. uvicorn calls
-        # it ten times a second, and nine of ten calls only check for the stop.
+        # uvicorn calls on_tick ten times a second with a counter from 0. Only each
+        # tenth call updates the header, and the others just check for the stop.
         while not await self.on_tick(0):
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.stop_requested.wait(), DATE_INTERVAL_S)
--- a/src/burdockgate/process/web.py
+++ b/src/burdockgate/process/web.py
@@ -347,7 +347,7 @@
 
 
 class Server(serving.Server):
-    """Runs an application from :func:`build` in the current event loop.
+    """Runs an application from :func:`create_application` in the current event loop.
 
     A job request that has not ended when the stop times out gets the response
     ``OWNER_LOST``.
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -184,7 +184,7 @@
 
 
 async def test_own_pause_does_not_end_the_peers_leases(start):
-    """After a pause of this process, frames may be unread, and peers are not dead."""
+    """After a pause of this process, unread frames do not mean that a peer is dead."""
     a, b = await start("a"), await start("b")
     await connect(a, b)
     b.time.advance(9.0)
