Name responses and results in the tests of the HTTP interface

Cause: answer and reply stood for responses, and announcement for Hello. Change: names of variables, of one test and of two parameter ids.

--- a/src/burdockgate/process/network.py
+++ b/src/burdockgate/process/network.py
@@ -297,13 +297,13 @@
         """Use a connection for its node; of two connections, one is closed."""
         hello = link.session.hello
         assert hello is not None
-        own = self._hello().node
-        if hello.node.name == own.name:
+        own_node = self._hello().node
+        if hello.node.name == own_node.name:
             link.stream.abort()
             return
         old = self._stream_by_name.get(hello.node.name)
         if old is not None:
-            if self._must_keep_old(own, link, old):
+            if self._must_keep_old(own_node, link, old):
                 link.stream.abort()
                 return
             del self._stream_by_name[hello.node.name]
@@ -316,7 +316,7 @@
         self._handler.handle_connect(hello)
 
     def _must_keep_old(
-        self, own: messages.Node, link: _Link, old: stream.Stream
+        self, own_node: messages.Node, link: _Link, old: stream.Stream
     ) -> bool:
         """Return whether an older connection with the same incarnation is kept.
 
@@ -330,7 +330,7 @@
         new_dialled_here = bool(link.dialled_address)
         if old_dialled_here == new_dialled_here:
             return False
-        return old_dialled_here == (own.name < hello.node.name)
+        return old_dialled_here == (own_node.name < hello.node.name)
 
     def _is_same_incarnation(self, link: _Link, old: stream.Stream) -> bool:
         """Return whether two connections are with the same incarnation of a node."""
--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -21,8 +21,8 @@
 async def system(shared):
     """Yield a running system, which must still complete a job after the test."""
     yield shared
-    answer = await shared.submit(f"good-{next(_counter)}", [1] * 24)
-    assert (answer.outcome, answer.attempt) == ("complete", 1)
+    result = await shared.submit(f"good-{next(_counter)}", [1] * 24)
+    assert (result.outcome, result.attempt) == ("complete", 1)
     assert all(process.is_running for process in shared.processes)
     assert shared.violations() == []
     assert [p.name for p in shared.processes if "Traceback" in p.stderr] == []
@@ -46,9 +46,9 @@
     "frame that is not msgpack": _frame(b"\xc1" * 40),
     "type that does not exist": _frame(b"\x91\xcc\xff"),
     "deep nesting": _frame(b"\x91" * 100_000),
-    "message before the announcement": wire.encode(messages.Leave()),
+    "message before Hello": wire.encode(messages.Leave()),
     "wrong protocol number": _hello(protocol=messages.PROTOCOL + 1),
-    "second announcement": GOOD_HELLO + GOOD_HELLO,
+    "second Hello": GOOD_HELLO + GOOD_HELLO,
     "field of a wrong type": GOOD_HELLO + _frame(b"\x93\x03\xa1x\x01"),
 }
 
@@ -163,12 +163,12 @@
     headers = {"Idempotency-Key": "bad"}
     async with httpx.AsyncClient(trust_env=False, timeout=20) as caller:
         url = f"{system.urls[0]}/v1/jobs"
-        reply = await caller.post(url, content=body, headers=headers)
-    answer = reply.json()
-    assert (reply.status_code, answer["start"]) == (status, "not run")
-    assert 100 <= answer["code"] <= 102
-    assert answer["outcome"] == "refused"
-    assert 0 < len(answer["detail"].splitlines()) <= 1
+        response = await caller.post(url, content=body, headers=headers)
+    result = response.json()
+    assert (response.status_code, result["start"]) == (status, "not run")
+    assert 100 <= result["code"] <= 102
+    assert result["outcome"] == "refused"
+    assert 0 < len(result["detail"].splitlines()) <= 1
     assert _count(system, "http.rejected") == rejected_before + 1
     assert len(system.starts()) == starts_before
 
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -81,8 +81,8 @@
 
 async def test_routes_call_the_service(service, http):
     """A key with a slash must reach the service unchanged."""
-    answer = await http.post("/v1/jobs?wait=false", content=BODY, headers=KEY)
-    assert answer.json() == {
+    response = await http.post("/v1/jobs?wait=false", content=BODY, headers=KEY)
+    assert response.json() == {
         "code": 0,
         "name": "COMPLETE",
         "guest": "g/1",
@@ -110,8 +110,8 @@
     assert (await http.get("/healthz")).status_code == 200
     assert (await http.get("/readyz")).status_code == 200
     service.unready_reason = "no table yet"
-    answer = await http.get("/readyz")
-    assert (answer.status_code, answer.json()["detail"]) == (503, "no table yet")
+    response = await http.get("/readyz")
+    assert (response.status_code, response.json()["detail"]) == (503, "no table yet")
     assert {"/v1/jobs", "/v1/status"} <= set(
         (await http.get("/schema")).json()["paths"]
     )
@@ -137,12 +137,12 @@
 async def test_outcome_is_rendered_as_json(service, http, result, status, start, retry):
     """Without results a job must not look complete, nor an error like a refusal."""
     service.result = result
-    answer = await http.post("/v1/jobs", content=BODY, headers=KEY)
-    assert answer.status_code == status
-    assert answer.json()["start"] == start
-    assert answer.headers.get("retry-after") == retry
-    assert "results" not in answer.json()
-    assert "secret" not in answer.text
+    response = await http.post("/v1/jobs", content=BODY, headers=KEY)
+    assert response.status_code == status
+    assert response.json()["start"] == start
+    assert response.headers.get("retry-after") == retry
+    assert "results" not in response.json()
+    assert "secret" not in response.text
 
 
 BAD_REQUESTS = [
@@ -176,9 +176,9 @@
     service, http, method, path, body, headers, status, code
 ):
     """An invalid request must get a JSON error, be counted, and not be passed on."""
-    answer = await http.request(method, path, content=body, headers=headers)
-    assert (answer.status_code, answer.json()["code"]) == (status, code)
-    assert answer.json()["detail"].isprintable()
+    response = await http.request(method, path, content=body, headers=headers)
+    assert (response.status_code, response.json()["code"]) == (status, code)
+    assert response.json()["detail"].isprintable()
     assert service.rejections == 1
     assert not service.calls
 
@@ -214,10 +214,10 @@
     assert json.loads(body)["code"] == code
 
 
-async def test_answer_reaches_a_caller_that_sends_too_much(http):
+async def test_response_reaches_a_caller_that_sends_too_much(http):
     """A connection reset must not discard the response that explains the error."""
-    reply = await http.post("/v1/jobs", content=b" " * 8_000_000, headers=KEY)
-    assert (reply.status_code, reply.json()["code"]) == (413, 101)
+    response = await http.post("/v1/jobs", content=b" " * 8_000_000, headers=KEY)
+    assert (response.status_code, response.json()["code"]) == (413, 101)
 
 
 async def test_slow_senders_are_disconnected(server, monkeypatch):
