--- a/src/burdockgate/cli/standins.py
+++ b/src/burdockgate/cli/standins.py
@@ -60,10 +60,10 @@
     :param args: ``listen`` (host and port) and ``retention_s``.
     :returns: the exit status.
     """
-    from burdockgate.standin import log, serve
+    from burdockgate.standin import launcher, log
 
     store = log.LogStore(retention_s=args.retention_s)
-    return serve.run(log.LogServer(store, *args.listen))
+    return launcher.run(log.LogServer(store, *args.listen))
 
 
 def run_backend(args: argparse.Namespace) -> int:
@@ -73,13 +73,13 @@
     :returns: the exit status.
     """
     from burdockgate import clock
-    from burdockgate.standin import backend, serve
+    from burdockgate.standin import backend, launcher
 
     host, port = args.listen
     server = backend.BackendServer(
         args.name, host, port, clock.SystemClock(), args.record
     )
-    return serve.run(server)
+    return launcher.run(server)
 
 
 def _add_listen(parser: argparse.ArgumentParser) -> None:
--- a/src/burdockgate/standin/crest.py
+++ b/src/burdockgate/standin/crest.py
@@ -1,4 +1,4 @@
-"""Replays a crest of demand in the model and compares the orders of waiting jobs.
+"""Replays a crest of demand in the simulation and compares the orders of waiting jobs.
 
 Run it with ``python -m burdockgate.standin.crest``.
 """
@@ -11,13 +11,13 @@
 import attrs
 
 from burdockgate.process import selection
-from burdockgate.standin import batches, nodes, promises
+from burdockgate.standin import invariants, simnodes, simulation
 
 # Width, duration, processors, rate, priority and worth of the users' kinds of job.
 KINDS = (
-    nodes.Kind("short", 8, 0.102, 1600, 15.1, 0, 0.0291),
-    nodes.Kind("medium", 2, 0.34, 1600, 44.0, 1, 0.01),
-    nodes.Kind("long", 4, 1.52, 1600, 2.75, 2, 0.16),
+    simnodes.Kind("short", 8, 0.102, 1600, 15.1, 0, 0.0291),
+    simnodes.Kind("medium", 2, 0.34, 1600, 44.0, 1, 0.01),
+    simnodes.Kind("long", 4, 1.52, 1600, 2.75, 2, 0.16),
 )
 CALM_S = 2.0
 # Agents and workers have found each other by then.
@@ -48,7 +48,7 @@
     :param worth: share of the worth of all jobs that was earned.
     :param share_by_kind: the same by kind of job.
     :param refused: share of the jobs that were not served.
-    :param broken: promises that were broken.
+    :param broken: number of invariant violations.
     """
 
     policy: str
@@ -66,22 +66,24 @@
     :param factor: load of the crest against the usual one.
     :param crest_s: length of the crest in seconds.
     """
-    model = batches.Model(seed, KINDS, ordering=policy.ordering)
+    sim = simulation.Simulation(seed, KINDS, ordering=policy.ordering)
     crest_at = BEGIN_S + CALM_S
-    model.load(BEGIN_S, crest_at)
-    model.load(crest_at, crest_at + crest_s, factor)
-    model.load(crest_at + crest_s, crest_at + crest_s + CALM_S)
-    model.run(crest_at + crest_s + CALM_S + RUN_OUT_S)
-    shares = model.credit()
+    sim.load(BEGIN_S, crest_at)
+    sim.load(crest_at, crest_at + crest_s, factor)
+    sim.load(crest_at + crest_s, crest_at + crest_s + CALM_S)
+    sim.run(crest_at + crest_s + CALM_S + RUN_OUT_S)
+    shares = sim.credit()
     worth = sum(shares[kind.name] * kind.worth * kind.per_s for kind in KINDS)
     owed = sum(kind.worth * kind.per_s for kind in KINDS)
-    unserved = [order for order in model.orders if not order.is_completed]
+    unserved = [
+        caller_job for caller_job in sim.caller_jobs if not caller_job.is_completed
+    ]
     return Result(
         policy.name,
         worth / owed,
         shares,
-        len(unserved) / len(model.orders),
-        sum(1 for _ in promises.violations(model)),
+        len(unserved) / len(sim.caller_jobs),
+        sum(1 for _ in invariants.violations(sim)),
     )
 
 
--- /dev/null
+++ b/src/burdockgate/standin/faultinjection.py
@@ -0,0 +1,211 @@
+"""Faults for the simulation of best-effort jobs, drawn from a seed."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from burdockgate.standin import simnodes, simulation, simworker
+
+Fault = Callable[[simulation.Simulation, random.Random], str]
+
+
+def _agent(sim: simulation.Simulation, rng: random.Random) -> simnodes.SimulatedAgent:
+    return rng.choice(list(sim.agent_by_name.values()))
+
+
+def _entry(
+    sim: simulation.Simulation, rng: random.Random
+) -> simnodes.SimulatedEntryHost:
+    return rng.choice(list(sim.entry_by_name.values()))
+
+
+def kill_agent(sim: simulation.Simulation, rng: random.Random) -> str:
+    """Kill an agent and start it again."""
+    agent, down_s = _agent(sim, rng), rng.uniform(0.2, 4)
+    if agent.is_up and not agent.is_frozen:
+        agent.kill()
+        sim.time.call_later(down_s, agent.restart)
+    return f"kill {agent.name} for {down_s:.1f} s"
+
+
+def kill_entry(sim: simulation.Simulation, rng: random.Random) -> str:
+    """Kill an entry host and start it again."""
+    entry, down_s = _entry(sim, rng), rng.uniform(0.2, 4)
+    if entry.is_up and not entry.is_frozen:
+        entry.kill()
+        sim.time.call_later(down_s, entry.restart)
+    return f"kill {entry.name} for {down_s:.1f} s"
+
+
+def freeze_agent(sim: simulation.Simulation, rng: random.Random) -> str:
+    """Let an agent stand still."""
+    agent, for_s = _agent(sim, rng), rng.uniform(0.1, 5)
+    if agent.is_up and not agent.is_frozen:
+        agent.freeze(for_s)
+    return f"freeze {agent.name} for {for_s:.1f} s"
+
+
+def freeze_entry(sim: simulation.Simulation, rng: random.Random) -> str:
+    """Let an entry host stand still."""
+    entry, for_s = _entry(sim, rng), rng.uniform(0.1, 5)
+    if entry.is_up and not entry.is_frozen:
+        entry.freeze(for_s)
+    return f"freeze {entry.name} for {for_s:.1f} s"
+
+
+def cut_agent(sim: simulation.Simulation, rng: random.Random) -> str:
+    """Cut an agent off from some entry hosts, without a word."""
+    agent, for_s = _agent(sim, rng), rng.uniform(0.2, 6)
+    for entry in sim.entry_by_name:
+        if rng.random() < 0.7:
+            sim.cut(agent.name, entry, for_s)
+    return f"cut {agent.name} for {for_s:.1f} s"
+
+
+def cut_entry(sim: simulation.Simulation, rng: random.Random) -> str:
+    """Cut an entry host off from some agents, without a word."""
+    entry, for_s = _entry(sim, rng), rng.uniform(0.2, 6)
+    for agent in sim.agent_by_name:
+        if rng.random() < 0.7:
+            sim.cut(agent, entry.name, for_s)
+    return f"cut {entry.name} for {for_s:.1f} s"
+
+
+def reset_links(sim: simulation.Simulation, rng: random.Random) -> str:
+    """Reset the connections of an entry host."""
+    entry = _entry(sim, rng)
+    sim.break_links(entry=entry.name)
+    return f"reset {entry.name}"
+
+
+def _fault(
+    sim: simulation.Simulation,
+    rng: random.Random,
+    name: str,
+    begin: Callable[[simworker.Faults], None],
+    end: Callable[[simworker.Faults], None],
+) -> str:
+    for_s = rng.uniform(0.5, 6)
+    agents = list(sim.agent_by_name.values())
+    for agent in rng.sample(agents, rng.randint(1, len(agents) // 2)):
+        faults = agent.worker.faults
+        begin(faults)
+        sim.time.call_later(for_s, lambda faults=faults: end(faults))  # type: ignore[misc]
+    return f"{name} for {for_s:.1f} s"
+
+
+def lose_commands(sim: simulation.Simulation, rng: random.Random) -> str:
+    """Let workers leave commands unanswered and carry them out late."""
+
+    def begin(faults: simworker.Faults) -> None:
+        faults.unanswered = 0.2
+
+    def end(faults: simworker.Faults) -> None:
+        faults.unanswered = 0.0
+
+    return _fault(sim, rng, "late commands", begin, end)
+
+
+def cut_worker(sim: simulation.Simulation, rng: random.Random) -> str:
+    """Let workers run on while their agents can't reach them."""
+
+    def begin(faults: simworker.Faults) -> None:
+        faults.is_cut = True
+
+    def end(faults: simworker.Faults) -> None:
+        faults.is_cut = False
+
+    return _fault(sim, rng, "workers cut", begin, end)
+
+
+def fail_worker(sim: simulation.Simulation, rng: random.Random) -> str:
+    """Let workers fail all that they start."""
+
+    def begin(faults: simworker.Faults) -> None:
+        faults.fails = True
+
+    def end(faults: simworker.Faults) -> None:
+        faults.fails = False
+
+    return _fault(sim, rng, "workers fail", begin, end)
+
+
+def hang_worker(sim: simulation.Simulation, rng: random.Random) -> str:
+    """Let tasks stand still."""
+
+    def begin(faults: simworker.Faults) -> None:
+        faults.hangs = True
+
+    def end(faults: simworker.Faults) -> None:
+        faults.hangs = False
+
+    return _fault(sim, rng, "workers hang", begin, end)
+
+
+def slow_worker(sim: simulation.Simulation, rng: random.Random) -> str:
+    """Let workers take several times as long."""
+    factor = rng.uniform(3, 8)
+
+    def begin(faults: simworker.Faults) -> None:
+        faults.slowness = factor
+
+    def end(faults: simworker.Faults) -> None:
+        faults.slowness = 1.0
+
+    return _fault(sim, rng, "workers slow", begin, end)
+
+
+def restart_worker(sim: simulation.Simulation, rng: random.Random) -> str:
+    """Let a worker start again under its identifier."""
+    agent = _agent(sim, rng)
+    agent.worker.restart()
+    return f"restart {agent.worker.name}"
+
+
+ALL: tuple[Fault, ...] = (
+    kill_agent,
+    kill_entry,
+    freeze_agent,
+    freeze_entry,
+    cut_agent,
+    cut_entry,
+    reset_links,
+    lose_commands,
+    cut_worker,
+    fail_worker,
+    hang_worker,
+    slow_worker,
+    restart_worker,
+)
+
+
+def schedule(
+    sim: simulation.Simulation,
+    seed: int,
+    begin: float,
+    end: float,
+    count: int,
+    kinds: tuple[Fault, ...] = ALL,
+) -> list[str]:
+    """Let faults happen at random moments, together and in series.
+
+    :param sim: the simulation.
+    :param seed: seed of the faults.
+    :param begin: first second.
+    :param end: last second.
+    :param count: number of faults.
+    :param kinds: what may happen.
+    :returns: what happened, filled in while the simulation runs.
+    """
+    rng = random.Random(seed)
+    told: list[str] = []
+    for _ in range(count):
+        fault = rng.choice(kinds)
+        at = rng.uniform(begin, end)
+
+        def strike(fault: Fault = fault) -> None:
+            told.append(f"{sim.time.now():.3f} {fault(sim, rng)}")
+
+        sim.time.call_later(at, strike)
+    return told
--- a/src/burdockgate/standin/calls.py
+++ b/src/burdockgate/standin/httpcost.py
@@ -7,7 +7,7 @@
 
 from burdockgate import messages
 from burdockgate.process import backend
-from burdockgate.standin import meter
+from burdockgate.standin import costmeter
 
 
 def http(calls: int, seed: int) -> dict[str, float]:
@@ -20,7 +20,7 @@
 
 
 async def _http(calls: int) -> dict[str, float]:
-    body = b'"' + b"x" * (meter.PAYLOAD_BYTES - 2) + b'"'
+    body = b'"' + b"x" * (costmeter.PAYLOAD_BYTES - 2) + b'"'
     head = f"HTTP/1.1 200 OK\r\ncontent-length: {len(body)}\r\n"
     answer = f"{head}content-type: application/json\r\n\r\n".encode() + body
 
--- a/src/burdockgate/standin/promises.py
+++ b/src/burdockgate/standin/invariants.py
@@ -1,4 +1,4 @@
-"""Checks the promises on a run of the model of best-effort jobs."""
+"""Checks the invariants on a run of the simulation of best-effort jobs."""
 
 from __future__ import annotations
 
@@ -7,22 +7,22 @@
 from burdockgate import assignments
 from burdockgate.process import workercontrol
 from burdockgate.request import besteffort
-from burdockgate.standin import batches, leased
+from burdockgate.standin import simulation, simworker
 
 
-def violations(model: batches.Model) -> Iterator[str]:
-    """Yield what breaks a promise in a model's run.
+def violations(sim: simulation.Simulation) -> Iterator[str]:
+    """Yield each violation of an invariant in a run of the simulation.
 
-    :param model: the model, after its run.
+    :param sim: the simulation, after its run.
     """
-    yield from _overlaps(model.spans())
-    yield from _overloads(model)
-    yield from _false_answers(model)
+    yield from _overlaps(sim.spans())
+    yield from _overloads(sim)
+    yield from _false_answers(sim)
 
 
-def _overlaps(spans: list[leased.Span]) -> Iterator[str]:
+def _overlaps(spans: list[simworker.Span]) -> Iterator[str]:
     """Yield tasks with two runs at the same time."""
-    by_task: dict[assignments.TaskKey, list[leased.Span]] = {}
+    by_task: dict[assignments.TaskKey, list[simworker.Span]] = {}
     for span in spans:
         by_task.setdefault(span.key.task, []).append(span)
     for task, found in by_task.items():
@@ -36,9 +36,9 @@
                 )
 
 
-def _overloads(model: batches.Model) -> Iterator[str]:
+def _overloads(sim: simulation.Simulation) -> Iterator[str]:
     """Yield workers whose capacity was exceeded."""
-    for agent in model.agent_by_name.values():
+    for agent in sim.agent_by_name.values():
         worker = agent.worker
         steps = [
             step
@@ -53,25 +53,29 @@
                 break
 
 
-def _false_answers(model: batches.Model) -> Iterator[str]:
+def _false_answers(sim: simulation.Simulation) -> Iterator[str]:
     """Yield answers that are not true."""
     done: dict[str, set[int]] = {}
     started: set[str] = set()
-    for span in model.spans():
+    for span in sim.spans():
         started.add(span.key.task.job)
         if span.reason is workercontrol.EndReason.DONE:
             done.setdefault(span.key.task.job, set()).add(span.key.task.index)
-    for order in model.orders:
-        if order.is_completed and len(done.get(order.job, ())) != order.kind.width:
-            yield f"partial: {order.job} is shown as completed"
+    for caller_job in sim.caller_jobs:
+        if (
+            caller_job.is_completed
+            and len(done.get(caller_job.job, ())) != caller_job.kind.width
+        ):
+            yield f"partial: {caller_job.job} is shown as completed"
         # A refusal speaks of its own submission: an earlier one, whose connection
         # broke, may have run.
         only_refused = (
-            order.verdicts
-            and not order.is_interrupted
+            caller_job.verdicts
+            and not caller_job.is_interrupted
             and all(
-                isinstance(verdict, besteffort.Refused) for verdict in order.verdicts
+                isinstance(verdict, besteffort.Refused)
+                for verdict in caller_job.verdicts
             )
         )
-        if only_refused and order.job in started:
-            yield f"refused: {order.job} was refused and has run"
+        if only_refused and caller_job.job in started:
+            yield f"refused: {caller_job.job} was refused and has run"
--- a/src/burdockgate/standin/measurement.py
+++ b/src/burdockgate/standin/measurement.py
@@ -11,7 +11,7 @@
 
 from burdockgate import errors
 from burdockgate.process import logs, placement
-from burdockgate.standin import figures, load, report, scenarios, starts, targets
+from burdockgate.standin import figures, load, report, scenarios, startrate, targets
 
 STARTS = "starts"
 STARTS_TEXT = "task starts per second of processor time of one entry host's core"
@@ -57,7 +57,7 @@
     logs.configure(io.StringIO())
     _check(request)
     if request.scenario == STARTS:
-        _show(starts.measure(request.seed), request.as_json)
+        _show(startrate.measure(request.seed), request.as_json)
         return 0
     results = []
     for config in _configs(request):
--- a/src/burdockgate/standin/resident.py
+++ b/src/burdockgate/standin/memory.py
@@ -20,11 +20,11 @@
 from burdockgate import messages
 from burdockgate.process import agent
 from burdockgate.request import jobrecord
-from burdockgate.standin import meter
+from burdockgate.standin import costmeter
 from burdockgate import clock
-process = meter.agent_process(0, clock.ManualClock(100.0))
+process = costmeter.agent_process(0, clock.ManualClock(100.0))
 core = process.core
-owner = meter.hello(messages.Role.ENTRY, 0)
+owner = costmeter.hello(messages.Role.ENTRY, 0)
 list(core.handle_connect(owner))
 def start(index, job, payload):
     one = messages.TaskStart(index, 1, b"1", 1000)
--- a/src/burdockgate/standin/probes.py
+++ b/src/burdockgate/standin/probes.py
@@ -12,14 +12,14 @@
 
 from burdockgate import clock, codes, messages, wire
 from burdockgate.process import agent, entry
-from burdockgate.standin import calls, meter, starts
+from burdockgate.standin import costmeter, httpcost, startrate
 from burdockgate.version import table, view
 
 US_PER_S = 1_000_000
 LOAD = 0.7
 REST_S = 8.0
 BEAT_S = 0.8
-OWNER = meter.hello(messages.Role.ENTRY, 0)
+OWNER = costmeter.hello(messages.Role.ENTRY, 0)
 
 Values = Mapping[str, float]
 
@@ -45,7 +45,7 @@
 
 def workers(agents: int, seed: int) -> Values:
     """Run the same jobs of 20 tasks with some agents; costs are for each start."""
-    values = _load(agents, 20, 20, seed, slots=11 * meter.SLOTS)
+    values = _load(agents, 20, 20, seed, slots=11 * costmeter.SLOTS)
     return {
         "entry host µs a start": values["entry host µs"] / 20,
         "entry host messages a start": values["entry host messages sent"] / 20,
@@ -54,9 +54,9 @@
 
 
 def _load(agents: int, tasks: int, count: int, seed: int, slots: int = 0) -> Values:
-    system = meter.System(agents, seed)
-    slots = slots or agents * meter.SLOTS
-    run_s = (meter.RUN_MIN_S + meter.RUN_MAX_S) / 2
+    system = costmeter.System(agents, seed)
+    slots = slots or agents * costmeter.SLOTS
+    run_s = (costmeter.RUN_MIN_S + costmeter.RUN_MAX_S) / 2
     gap_s = tasks * run_s / (slots * LOAD)
     for ticket in range(count):
         system.later(ticket * gap_s, functools.partial(system.submit, ticket, tasks))
@@ -74,7 +74,7 @@
     }
 
 
-def _check(system: meter.System, starts: int) -> None:
+def _check(system: costmeter.System, starts: int) -> None:
     """Fail when a run was not whole, because its costs would mean nothing."""
     codes_seen = {answer.outcome.code for answer in system.answers}
     if codes_seen != {codes.Code.COMPLETE} or system.starts != starts:
@@ -83,17 +83,17 @@
 
 def backlog(count: int, seed: int) -> Values:
     """Give a heartbeat to an entry host where some jobs wait for a slot."""
-    system = meter.System(3, seed)
+    system = costmeter.System(3, seed)
     for ticket in range(count):
         system.submit(ticket, 20)
     system.run(0.02)
     frame = wire.encode(messages.Heartbeat(0, _view_of(system.entry).number))
     process, name = system.entry, system.agents[0].name
-    process.cost = meter.Cost()
+    process.cost = costmeter.Cost()
     for _ in range(50):
         process.receive(name, frame)
     per_message = process.cost.cpu_s / 50 * US_PER_S
-    process.cost = meter.Cost()
+    process.cost = costmeter.Cost()
     for _ in range(20):
         process.run(_entry_core(process).tick)
     return {
@@ -104,7 +104,7 @@
 
 def many_workers(count: int, seed: int) -> Values:
     """Run jobs of 20 tasks at an entry host with many workers, 64 of them voters."""
-    bench = starts.Bench(count, 20, seed, voters=64)
+    bench = startrate.Bench(count, 20, seed, voters=64)
     bench.run(200, in_progress=10)
     per_s = bench.run(1000, in_progress=10)
     return {
@@ -115,16 +115,16 @@
 
 def many_jobs(count: int, seed: int) -> Values:
     """Tick an entry host, and let callers leave, while many jobs wait."""
-    system = meter.System(3, seed)
+    system = costmeter.System(3, seed)
     for ticket in range(count):
         system.submit(ticket, 1)
     system.run(0.2)
     process = system.entry
     core = _entry_core(process)
-    process.cost = meter.Cost()
+    process.cost = costmeter.Cost()
     for _ in range(20):
         process.run(core.tick)
-    per_tick, process.cost = process.cost.cpu_s / 20, meter.Cost()
+    per_tick, process.cost = process.cost.cpu_s / 20, costmeter.Cost()
     begin = time.process_time()
     for ticket in range(count - 50, count):
         core.jobs.remove_caller(ticket)
@@ -136,17 +136,17 @@
     }
 
 
-def _entry_core(process: meter.Process) -> entry.EntryCore:
+def _entry_core(process: costmeter.Process) -> entry.EntryCore:
     assert isinstance(process.core, entry.EntryCore)
     return process.core
 
 
-def _agent_core(process: meter.Process) -> agent.AgentCore:
+def _agent_core(process: costmeter.Process) -> agent.AgentCore:
     assert isinstance(process.core, agent.AgentCore)
     return process.core
 
 
-def _view_of(process: meter.Process) -> view.View:
+def _view_of(process: costmeter.Process) -> view.View:
     return _entry_core(process).view
 
 
@@ -165,42 +165,42 @@
 def agent_rest(entries: int, seed: int) -> Values:
     """Let an agent rest with some entry hosts; costs are for a second."""
     now = clock.ManualClock(100.0)
-    process = meter.agent_process(0, now)
-    _agent_core(process).claims.catchup.view = meter.members(64, entries)
+    process = costmeter.agent_process(0, now)
+    _agent_core(process).claims.catchup.view = costmeter.members(64, entries)
     for index in range(entries):
-        other = meter.hello(messages.Role.ENTRY, index)
+        other = costmeter.hello(messages.Role.ENTRY, index)
         process.run(functools.partial(process.core.handle_connect, other))
     return _rest(process, now, "agent")
 
 
 def _joined_entry(
     agents: int, peers: int, seed: int
-) -> tuple[meter.Process, clock.ManualClock]:
+) -> tuple[costmeter.Process, clock.ManualClock]:
     now = clock.ManualClock(100.0)
-    process = meter.entry_process(0, now, random.Random(seed))
-    _entry_core(process).jobs.view = meter.members(agents, peers + 1)
+    process = costmeter.entry_process(0, now, random.Random(seed))
+    _entry_core(process).jobs.view = costmeter.members(agents, peers + 1)
     roles = [(messages.Role.AGENT, agents, 0), (messages.Role.ENTRY, peers, 1)]
     for role, count, first in roles:
         for index in range(first, first + count):
-            other = meter.hello(role, index)
+            other = costmeter.hello(role, index)
             process.run(functools.partial(process.core.handle_connect, other))
     return process, now
 
 
-def _rest(process: meter.Process, now: clock.ManualClock, role: str) -> Values:
+def _rest(process: costmeter.Process, now: clock.ManualClock, role: str) -> Values:
     """Tick, and send and answer the heartbeats of every connected node for a while."""
     process.run(process.core.send_heartbeats)
-    process.cost = meter.Cost()
+    process.cost = costmeter.Cost()
     beats = round(REST_S / BEAT_S)
     number = _number_of(process)
     frame = wire.encode(messages.Heartbeat(0, number))
     for _ in range(beats):
-        for _ in range(round(BEAT_S / meter.TICK_S)):
-            now.advance(meter.TICK_S)
+        for _ in range(round(BEAT_S / costmeter.TICK_S)):
+            now.advance(costmeter.TICK_S)
             process.run(process.core.tick)
         sent = process.run(process.core.send_heartbeats)
         for item in sent:
-            if isinstance(item, meter.Frame):
+            if isinstance(item, costmeter.Frame):
                 process.receive(item.to, frame)
     cost = process.cost
     return {
@@ -210,7 +210,7 @@
     }
 
 
-def _number_of(process: meter.Process) -> int:
+def _number_of(process: costmeter.Process) -> int:
     if isinstance(process.core, agent.AgentCore):
         return process.core.table_and_view_versions[1]
     return process.core.view.number
@@ -218,7 +218,7 @@
 
 def group(voters: int, seed: int) -> Values:
     """Compute claim groups among some voters."""
-    members = meter.members(voters, 1)
+    members = costmeter.members(voters, 1)
     rng = random.Random(seed)
     ids = [rng.randbytes(16) for _ in range(max(20, 4000 // voters))]
     begin = time.process_time()
@@ -241,7 +241,7 @@
 def _vote(voters: int, agents: int, seed: int) -> Values:
     process = voter(voters)
     frames = list(claims(process, agents, 50, random.Random(seed)))
-    process.cost = meter.Cost()
+    process.cost = costmeter.Cost()
     for frame in frames:
         process.receive(OWNER.node.name, frame)
     return {
@@ -256,27 +256,27 @@
     process = voter(64)
     for frame in claims(process, 3, count, random.Random(seed)):
         process.receive(OWNER.node.name, frame)
-    other = meter.hello(messages.Role.AGENT, 1)
+    other = costmeter.hello(messages.Role.AGENT, 1)
     process.run(lambda: process.core.handle_connect(other))
-    process.cost = meter.Cost()
+    process.cost = costmeter.Cost()
     frame = wire.encode(messages.Sync(_number_of(process)))
     process.receive(other.node.name, frame)
     return {"one Sync at an agent, µs": process.cost.cpu_s * US_PER_S}
 
 
-def voter(voters: int) -> meter.Process:
+def voter(voters: int) -> costmeter.Process:
     """Return a voting agent to which one entry host is connected.
 
     :param voters: number of voters in its view.
     """
-    process = meter.agent_process(0, clock.ManualClock(100.0))
-    _agent_core(process).claims.catchup.advance(meter.members(voters, 1))
+    process = costmeter.agent_process(0, clock.ManualClock(100.0))
+    _agent_core(process).claims.catchup.advance(costmeter.members(voters, 1))
     process.run(lambda: process.core.handle_connect(OWNER))
     return process
 
 
 def claims(
-    process: meter.Process, agents: int, count: int, rng: random.Random
+    process: costmeter.Process, agents: int, count: int, rng: random.Random
 ) -> Iterator[bytes]:
     """Yield frames of claims on which a voter may vote.
 
@@ -287,7 +287,7 @@
     """
     core = _agent_core(process)
     members = core.claims.catchup.view
-    nodes = tuple(meter.hello(messages.Role.AGENT, i).node for i in range(agents))
+    nodes = tuple(costmeter.hello(messages.Role.AGENT, i).node for i in range(agents))
     while count:
         id_ = rng.randbytes(16)
         chosen = members.group(id_)
@@ -331,13 +331,15 @@
 def announcement(agents: int, seed: int) -> Values:
     """Connect one more agent, then one more entry host, to an entry host."""
     process, _ = _joined_entry(agents, 3, seed)
-    process.cost = meter.Cost()
+    process.cost = costmeter.Cost()
     process.run(
-        lambda: process.core.handle_connect(meter.hello(messages.Role.AGENT, agents))
+        lambda: process.core.handle_connect(
+            costmeter.hello(messages.Role.AGENT, agents)
+        )
     )
-    agent_cost, process.cost = process.cost, meter.Cost()
+    agent_cost, process.cost = process.cost, costmeter.Cost()
     process.run(
-        lambda: process.core.handle_connect(meter.hello(messages.Role.ENTRY, 4))
+        lambda: process.core.handle_connect(costmeter.hello(messages.Role.ENTRY, 4))
     )
     return {
         "new agent: messages of an entry host": agent_cost.sent,
@@ -352,9 +354,9 @@
 def peers(entries: int, seed: int) -> Values:
     """Send the list of entry hosts that each new agent gets."""
     process, _ = _joined_entry(11, entries - 1, seed)
-    process.cost = meter.Cost()
+    process.cost = costmeter.Cost()
     process.run(
-        lambda: process.core.handle_connect(meter.hello(messages.Role.AGENT, 11))
+        lambda: process.core.handle_connect(costmeter.hello(messages.Role.AGENT, 11))
     )
     return {"new agent: bytes of the list of entry hosts": process.cost.sent_bytes}
 
@@ -362,19 +364,19 @@
 def view_change(agents: int, seed: int) -> Values:
     """Add one voter to the view at an entry host, and at an agent it tells."""
     process, now = _joined_entry(agents, 0, seed)
-    other = meter.agent_process(0, now)
+    other = costmeter.agent_process(0, now)
     _agent_core(other).claims.catchup.view = _view_of(process)
-    owner = meter.hello(messages.Role.ENTRY, 0)
+    owner = costmeter.hello(messages.Role.ENTRY, 0)
     other.run(lambda: other.core.handle_connect(owner))
     number = _view_of(process).number
-    added = view.voter_record(meter.hello(messages.Role.AGENT, agents))
+    added = view.voter_record(costmeter.hello(messages.Role.AGENT, agents))
     record = messages.LogRecord(number, "new", added)
     records = messages.Records(view.STREAM, number, number + 1, (record,))
-    process.cost = meter.Cost()
+    process.cost = costmeter.Cost()
     core = _entry_core(process)
     sent = process.run(lambda: core.follow(records))
-    frame = next(item for item in sent if isinstance(item, meter.Frame))
-    other.cost = meter.Cost()
+    frame = next(item for item in sent if isinstance(item, costmeter.Frame))
+    other.cost = costmeter.Cost()
     effects = other.receive(owner.node.name, frame.data)
     return {
         "view change: µs at the entry host": process.cost.cpu_s * US_PER_S,
@@ -402,5 +404,5 @@
     Probe("agents connected", (16, 64, 256), announcement),
     Probe("entry hosts", (4, 16, 64), peers),
     Probe("agents connected, all voters", (16, 64, 255), view_change),
-    Probe("calls", (50, 100, 200), calls.http),
+    Probe("calls", (50, 100, 200), httpcost.http),
 )
--- a/src/burdockgate/standin/nodes.py
+++ b/src/burdockgate/standin/simnodes.py
@@ -1,4 +1,4 @@
-"""Agents, entry hosts and callers' jobs in the model of best-effort jobs."""
+"""Agents, entry hosts and callers' jobs in the simulation of best-effort jobs."""
 
 from __future__ import annotations
 
@@ -16,11 +16,11 @@
     workercontrol,
 )
 from burdockgate.request import besteffort
-from burdockgate.standin import leased
+from burdockgate.standin import simworker
 
 if TYPE_CHECKING:
     from burdockgate import assignments
-    from burdockgate.standin import batches
+    from burdockgate.standin import simulation
 
 COMMAND_TIMEOUT_S = 0.08
 POLL_TIMEOUT_S = 0.25
@@ -51,7 +51,7 @@
 
 
 @attrs.define
-class Order:
+class CallerJob:
     """One job of a caller and what became of it."""
 
     job: str
@@ -80,16 +80,16 @@
         )
 
 
-class ModelNode:
+class SimulatedNode:
     """A process that can be killed and frozen.
 
-    :param model: the system.
+    :param sim: the simulation.
     :param name: name of the process.
     :param zone: its zone.
     """
 
-    def __init__(self, model: batches.Model, name: str, zone: str) -> None:
-        self.model, self.name, self.zone = model, name, zone
+    def __init__(self, sim: simulation.Simulation, name: str, zone: str) -> None:
+        self.sim, self.name, self.zone = sim, name, zone
         self.is_up = True
         self.is_frozen = False
         self.life = 0
@@ -111,7 +111,7 @@
         :param for_s: how long.
         """
         self.is_frozen = True
-        self.model.time.call_later(for_s, self._thaw)
+        self.sim.time.call_later(for_s, self._thaw)
 
     def _thaw(self) -> None:
         self.is_frozen = False
@@ -129,19 +129,23 @@
     """Lose the answer to a poll."""
 
 
-class ModelAgent(ModelNode):
+class SimulatedAgent(SimulatedNode):
     """An agent with its worker.
 
-    :param model: the system.
+    :param sim: the simulation.
     :param name: name of the agent.
     :param zone: its zone.
     :param worker: its worker.
     """
 
     def __init__(
-        self, model: batches.Model, name: str, zone: str, worker: leased.LeasedWorker
+        self,
+        sim: simulation.Simulation,
+        name: str,
+        zone: str,
+        worker: simworker.SimulatedWorker,
     ) -> None:
-        super().__init__(model, name, zone)
+        super().__init__(sim, name, zone)
         self.worker = worker
         self.sequence = 0
         self.is_draining = False
@@ -149,28 +153,28 @@
         self._begin()
 
     def _begin(self) -> None:
-        self.boot = self.model.rng.getrandbits(60)
-        self.executor = executor.Executor(self.model.limits, self.model.time)
+        self.boot = self.sim.rng.getrandbits(60)
+        self.executor = executor.Executor(self.sim.limits, self.sim.time)
         self.info_sent: set[tuple[str, assignments.WorkerInfo]] = set()
         life = self.life
         self._every(AGENT_TICK_S, lambda: self.perform(self.executor.tick()), life)
         self._every(REPORT_S, self.report, life)
         self._every(HEARTBEAT_S, self._beat, life)
-        self.model.time.call_later(0.01, lambda: self._poll(life))
+        self.sim.time.call_later(0.01, lambda: self._poll(life))
 
     def _every(self, interval_s: float, action: Callable[[], None], life: int) -> None:
         def again() -> None:
             if life != self.life:
                 return
             self.run(action)
-            self.model.time.call_later(interval_s, again)
+            self.sim.time.call_later(interval_s, again)
 
-        self.model.time.call_later(self.model.rng.random() * interval_s, again)
+        self.sim.time.call_later(self.sim.rng.random() * interval_s, again)
 
     def kill(self) -> None:
         """End the process."""
         self.end()
-        self.model.break_links(agent=self.name)
+        self.sim.break_links(agent=self.name)
 
     def restart(self) -> None:
         """Start the process again."""
@@ -182,8 +186,8 @@
             return
         self.sequence += 1
         if self.is_draining and self.drained_at is None:
-            self.drained_at = self.model.time.now()
-        told = self.worker.announcement(self.sequence, self.is_draining)
+            self.drained_at = self.sim.time.now()
+        told = self.worker.heartbeat(self.sequence, self.is_draining)
         self.perform(self.executor.handle_heartbeat(told))
 
     def _poll(self, life: int) -> None:
@@ -191,7 +195,7 @@
             return
         command = self.executor.next_poll() if not self.is_frozen else None
         if command is None:
-            self.model.time.call_later(0.05, lambda: self._poll(life))
+            self.sim.time.call_later(0.05, lambda: self._poll(life))
             return
         is_followed = False
 
@@ -202,8 +206,8 @@
                 self._poll(life)
 
         self._send_poll(command, follow, life)
-        overdue_s = command.wait_ms / 1000 + self.model.limits.poll_repeat_s
-        self.model.time.call_later(overdue_s, follow)
+        overdue_s = command.wait_ms / 1000 + self.sim.limits.poll_repeat_s
+        self.sim.time.call_later(overdue_s, follow)
 
     def _send_poll(
         self, command: workercontrol.PollCommand, then: Callable[[], None], life: int
@@ -218,11 +222,11 @@
             def handle() -> None:
                 self.perform(self.executor.handle_poll_result(command, answer))
                 pause_s = 0.0 if isinstance(answer, workercontrol.Snapshot) else 0.05
-                self.model.time.call_later(pause_s, then)
+                self.sim.time.call_later(pause_s, then)
 
             self.run(handle)
 
-        time = self.model.time
+        time = self.sim.time
         limit_s = command.wait_ms / 1000 + POLL_TIMEOUT_S
         time.call_later(limit_s, lambda: finish(workercontrol.Unanswered()))
 
@@ -231,7 +235,7 @@
 
         def arrive() -> None:
             if self.worker.faults.unanswered and self.worker.is_command_lost():
-                late_s = self.model.rng.uniform(*leased.LATE_S)
+                late_s = self.sim.rng.uniform(*simworker.LATE_S)
                 time.call_later(late_s, lambda: self.worker.poll(command, _ignore))
             elif not self.worker.faults.is_cut:
                 self.worker.poll(command, answered)
@@ -246,16 +250,16 @@
         for effect in wanted:
             match effect:
                 case actions.Send(to, message):
-                    self.model.to_entry(self.name, to, message)
+                    self.sim.to_entry(self.name, to, message)
                 case executoractions.Start(start):
-                    self._order(
+                    self._send_command(
                         lambda start=start: self.worker.start(start),  # type: ignore[misc]
                         lambda answer, start=start: self.executor.handle_start_result(  # type: ignore[misc]
                             start, answer
                         ),
                     )
                 case executoractions.Stop(stop):
-                    self._order(
+                    self._send_command(
                         lambda stop=stop: self.worker.stop(stop),  # type: ignore[misc]
                         lambda answer, stop=stop: self.executor.handle_stop_result(  # type: ignore[misc]
                             stop, answer
@@ -264,18 +268,18 @@
                 case executoractions.Poll(poll):
                     self._send_poll(poll, lambda: None, self.life)
                 case actions.LogEvent(event, fields):
-                    self.model.note(self.name, event, fields)
+                    self.sim.note(self.name, event, fields)
                     continue
-            self.model.soon(self, self.report_change)
+            self.sim.soon(self, self.report_change)
 
-    def _order(
+    def _send_command(
         self,
         carry_out: Callable[[], workercontrol.CommandResult],
         handle: Callable[
             [workercontrol.CommandResult], Iterator[executoractions.Effect]
         ],
     ) -> None:
-        life, time, faults = self.life, self.model.time, self.worker.faults
+        life, time, faults = self.life, self.sim.time, self.worker.faults
 
         def finish(answer: workercontrol.CommandResult) -> None:
             if life == self.life:
@@ -286,7 +290,7 @@
                 COMMAND_TIMEOUT_S, lambda: finish(workercontrol.Unanswered())
             )
         elif self.worker.is_command_lost():
-            late_s = self.model.rng.uniform(*leased.LATE_S)
+            late_s = self.sim.rng.uniform(*simworker.LATE_S)
             time.call_later(late_s, carry_out)
             time.call_later(
                 COMMAND_TIMEOUT_S, lambda: finish(workercontrol.Unanswered())
@@ -312,70 +316,73 @@
             self.executor.worker_info(),
             self.executor.due_reports(is_periodic),
         )
-        for entry in self.model.linked_entries(self.name):
+        for entry in self.sim.linked_entries(self.name):
             if entry not in loads:
                 continue
             if info is not None and (entry, info) not in self.info_sent:
                 self.info_sent.add((entry, info))
-                self.model.to_entry(self.name, entry, info)
-            self.model.to_entry(self.name, entry, loads[entry])
+                self.sim.to_entry(self.name, entry, info)
+            self.sim.to_entry(self.name, entry, loads[entry])
 
 
-class ModelEntry(ModelNode):
+class SimulatedEntryHost(SimulatedNode):
     """An entry host.
 
-    :param model: the system.
+    :param sim: the simulation.
     :param name: its name.
     :param zone: its zone.
     """
 
-    def __init__(self, model: batches.Model, name: str, zone: str) -> None:
-        super().__init__(model, name, zone)
+    def __init__(self, sim: simulation.Simulation, name: str, zone: str) -> None:
+        super().__init__(sim, name, zone)
         self._begin()
 
     def _begin(self) -> None:
-        self.boot = self.model.rng.getrandbits(60)
-        self.order_by_ticket: dict[int, Order] = {}
+        self.boot = self.sim.rng.getrandbits(60)
+        self.caller_job_by_ticket: dict[int, CallerJob] = {}
         self.scheduler = scheduler.Scheduler(
             self.zone,
             assigner.SchedulerSettings(
-                agent_timeout_s=scheduler.agent_timeout_s(self.model.limits)
+                agent_timeout_s=scheduler.agent_timeout_s(self.sim.limits)
             ),
-            self.model.selection,
-            self.model.ordering,
-            self.model.time,
-            self.model.rng,
+            self.sim.selection,
+            self.sim.ordering,
+            self.sim.time,
+            self.sim.rng,
         )
         life = self.life
 
         def tick() -> None:
             if life == self.life:
                 self.run(lambda: self.perform(self.scheduler.tick()))
-                self.model.time.call_later(ENTRY_TICK_S, tick)
+                self.sim.time.call_later(ENTRY_TICK_S, tick)
 
-        self.model.time.call_later(self.model.rng.random() * ENTRY_TICK_S, tick)
+        self.sim.time.call_later(self.sim.rng.random() * ENTRY_TICK_S, tick)
 
     def kill(self) -> None:
         """End the process; its callers see their connections break."""
         self.end()
-        orders, self.order_by_ticket = list(self.order_by_ticket.values()), {}
-        self.model.break_links(entry=self.name)
-        for order in orders:
-            self.model.resend(order)
+        caller_jobs, self.caller_job_by_ticket = (
+            list(self.caller_job_by_ticket.values()),
+            {},
+        )
+        self.sim.break_links(entry=self.name)
+        for caller_job in caller_jobs:
+            self.sim.resend(caller_job)
 
     def restart(self) -> None:
         """Start the process again."""
         self.is_up = True
         self._begin()
 
-    def submit(self, order: Order) -> None:
+    def submit(self, caller_job: CallerJob) -> None:
         """Take a job.
 
-        :param order: the job.
+        :param caller_job: the job.
         """
-        ticket = next(self.model.tickets)
-        self.order_by_ticket[ticket] = order
-        self.perform(self.scheduler.submit(order.submission, ticket))
+        ticket = next(self.sim.tickets)
+        self.caller_job_by_ticket[ticket] = caller_job
+        self.perform(self.scheduler.submit(caller_job.submission, ticket))
 
     def perform(self, wanted: Iterable[assigner.Effect]) -> None:
         """Perform effects of the scheduler.
@@ -385,15 +392,15 @@
         for effect in wanted:
             match effect:
                 case actions.Send(to, message):
-                    self.model.to_agent(self.name, to, message)
+                    self.sim.to_agent(self.name, to, message)
                 case assigner.ScheduleAssignment():
-                    self.model.time.call_later(
+                    self.sim.time.call_later(
                         ASSIGN_S,
                         lambda: self.run(lambda: self.perform(self.scheduler.assign())),
                     )
                 case assigner.Respond(ticket, _, verdict):
-                    order = self.order_by_ticket.pop(ticket, None)
-                    if order is not None:
-                        self.model.concluded(order, verdict)
+                    caller_job = self.caller_job_by_ticket.pop(ticket, None)
+                    if caller_job is not None:
+                        self.sim.concluded(caller_job, verdict)
                 case actions.LogEvent(event, fields):
-                    self.model.note(self.name, event, fields)
+                    self.sim.note(self.name, event, fields)
--- a/src/burdockgate/standin/batches.py
+++ b/src/burdockgate/standin/simulation.py
@@ -13,7 +13,7 @@
 from burdockgate import assignments
 from burdockgate.process import entrysessions, executoractions, selection
 from burdockgate.request import besteffort
-from burdockgate.standin import leased, nodes, virtual
+from burdockgate.standin import simnodes, simworker, virtualtime
 
 REDIAL_S = 0.05
 SILENCE_S = 0.9
@@ -23,7 +23,7 @@
 FAR_S = 0.0009
 
 
-class Model:
+class Simulation:
     """The whole system.
 
     :param seed: seed of everything random.
@@ -39,7 +39,7 @@
     def __init__(
         self,
         seed: int,
-        kinds: tuple[nodes.Kind, ...],
+        kinds: tuple[simnodes.Kind, ...],
         entries: int = 4,
         workers: int = 11,
         zones: int = 0,
@@ -49,7 +49,7 @@
     ) -> None:
         zones = zones or entries
         self.rng = random.Random(seed)
-        self.time = virtual.VirtualTime()
+        self.time = virtualtime.VirtualClock()
         self.kinds = kinds
         self.ordering = ordering or selection.ShortestFirst()
         self.selection = chosen or selection.SelectionSettings()
@@ -57,7 +57,7 @@
         self.messages: collections.Counter[type] = collections.Counter()
         self.tickets = iter(range(1, 1 << 60))
         self.work_by_task: dict[assignments.TaskKey, tuple[float, int]] = {}
-        self.orders: list[nodes.Order] = []
+        self.caller_jobs: list[simnodes.CallerJob] = []
         self.notes: list[tuple[float, str, str, dict[str, object]]] = []
         self.cut_pairs: set[tuple[str, str]] = set()
         self._linked: dict[tuple[str, str], int] = {}
@@ -65,21 +65,21 @@
         self._soon: set[str] = set()
         self._held_up: dict[tuple[str, str], list[Callable[[], None]]] = {}
         self.entry_by_name = {
-            f"entry-{number}": nodes.ModelEntry(
+            f"entry-{number}": simnodes.SimulatedEntryHost(
                 self, f"entry-{number}", f"zone-{number % zones}"
             )
             for number in range(entries)
         }
-        self.agent_by_name: dict[str, nodes.ModelAgent] = {}
+        self.agent_by_name: dict[str, simnodes.SimulatedAgent] = {}
         for number in range(workers):
             speed = (0.8, 1.0, 1.25)[number % 3]
             cpu = (16_000, 16_000, 24_000)[number // 3 % 3]
-            worker = leased.LeasedWorker(
+            worker = simworker.SimulatedWorker(
                 f"worker-{number}", cpu, speed, self.time, self.rng, self._work_of
             )
             zone = f"zone-{number % zones}"
             name = f"agent-{number}"
-            self.agent_by_name[name] = nodes.ModelAgent(self, name, zone, worker)
+            self.agent_by_name[name] = simnodes.SimulatedAgent(self, name, zone, worker)
         self._watch()
 
     def _work_of(self, task: assignments.TaskKey) -> tuple[float, int]:
@@ -94,7 +94,7 @@
         """
         self.notes.append((self.time.now(), who, event, fields))
 
-    def soon(self, agent: nodes.ModelAgent, action: Callable[[], None]) -> None:
+    def soon(self, agent: simnodes.SimulatedAgent, action: Callable[[], None]) -> None:
         """Run the report of an agent once in a few milliseconds.
 
         :param agent: the agent.
@@ -118,7 +118,9 @@
                 self._relink(agent, entry)
         self.time.call_later(REDIAL_S, self._watch)
 
-    def _relink(self, agent: nodes.ModelAgent, entry: nodes.ModelEntry) -> None:
+    def _relink(
+        self, agent: simnodes.SimulatedAgent, entry: simnodes.SimulatedEntryHost
+    ) -> None:
         pair = (agent.name, entry.name)
         is_blocked = pair in self.cut_pairs or agent.is_frozen or not agent.is_up
         if pair in self._linked or is_blocked:
@@ -209,7 +211,7 @@
         self,
         pair: tuple[str, str],
         link: int,
-        node: nodes.ModelAgent | nodes.ModelEntry,
+        node: simnodes.SimulatedAgent | simnodes.SimulatedEntryHost,
         action: Callable[[], None],
     ) -> None:
         life = node.life
@@ -286,7 +288,7 @@
     def load(self, begin: float, end: float, factor: float = 1.0) -> None:
         """Let callers send jobs at the rates of their kinds.
 
-        :param begin: first second of the load, from the start of the model.
+        :param begin: first second of the load, from the start of the simulation.
         :param end: last second.
         :param factor: on all rates.
         """
@@ -298,7 +300,7 @@
                     break
                 self.send_at(at, self.make(kind))
 
-    def make(self, kind: nodes.Kind, is_poison: bool = False) -> nodes.Order:
+    def make(self, kind: simnodes.Kind, is_poison: bool = False) -> simnodes.CallerJob:
         """Return a job whose durations are not known to the system.
 
         :param kind: its kind.
@@ -328,51 +330,55 @@
             0.06,
             3 * objective_s + 1,
         )
-        return nodes.Order(job, kind, submission, 0.0, objective_s)
+        return simnodes.CallerJob(job, kind, submission, 0.0, objective_s)
 
-    def send_at(self, at: float, order: nodes.Order, entry: str | None = None) -> None:
+    def send_at(
+        self, at: float, caller_job: simnodes.CallerJob, entry: str | None = None
+    ) -> None:
         """Let a caller send a job.
 
-        :param at: when, in seconds from the start of the model.
-        :param order: the job.
+        :param at: when, in seconds from the start of the simulation.
+        :param caller_job: the job.
         :param entry: name of the entry host; ``None`` picks one.
         """
-        self.orders.append(order)
+        self.caller_jobs.append(caller_job)
 
         def send() -> None:
-            order.sent_at = self.time.now()
-            self._send(order, entry)
+            caller_job.sent_at = self.time.now()
+            self._send(caller_job, entry)
 
         self.time.call_later(at, send)
 
-    def _send(self, order: nodes.Order, entry: str | None = None) -> None:
+    def _send(self, caller_job: simnodes.CallerJob, entry: str | None = None) -> None:
         up = [node for node in self.entry_by_name.values() if node.is_up]
         if not up:
-            self.resend(order)
+            self.resend(caller_job)
             return
         node = self.entry_by_name[entry] if entry else self.rng.choice(up)
-        node.run(lambda: node.submit(order))
+        node.run(lambda: node.submit(caller_job))
 
-    def resend(self, order: nodes.Order) -> None:
+    def resend(self, caller_job: simnodes.CallerJob) -> None:
         """Send a job again after its connection broke.
 
-        :param order: the job.
+        :param caller_job: the job.
         """
-        order.is_interrupted = True
-        waited_s = self.time.now() - order.sent_at
-        if waited_s + RESEND_S < order.submission.deadline_s:
-            self.time.call_later(RESEND_S, lambda: self._send(order))
+        caller_job.is_interrupted = True
+        waited_s = self.time.now() - caller_job.sent_at
+        if waited_s + RESEND_S < caller_job.submission.deadline_s:
+            self.time.call_later(RESEND_S, lambda: self._send(caller_job))
 
-    def concluded(self, order: nodes.Order, verdict: besteffort.Outcome) -> None:
+    def concluded(
+        self, caller_job: simnodes.CallerJob, verdict: besteffort.Outcome
+    ) -> None:
         """Handle an answer.
 
-        :param order: the job.
+        :param caller_job: the job.
         :param verdict: the answer.
         """
-        order.verdicts.append(verdict)
-        order.ended_at = self.time.now()
+        caller_job.verdicts.append(verdict)
+        caller_job.ended_at = self.time.now()
         if isinstance(verdict, besteffort.Interrupted):
-            self.resend(order)
+            self.resend(caller_job)
 
     def run(self, seconds: float) -> None:
         """Let time pass.
@@ -383,7 +389,7 @@
 
     # Results.
 
-    def spans(self) -> list[leased.Span]:
+    def spans(self) -> list[simworker.Span]:
         """Return all runs on all workers."""
         return [
             span
@@ -395,7 +401,9 @@
         """Return the share of the worth that was earned, by kind."""
         shares: dict[str, float] = {}
         for kind in self.kinds:
-            orders = [order for order in self.orders if order.kind is kind]
-            earned = sum(order.credit() for order in orders)
-            shares[kind.name] = earned / max(1, len(orders))
+            caller_jobs = [
+                caller_job for caller_job in self.caller_jobs if caller_job.kind is kind
+            ]
+            earned = sum(caller_job.credit() for caller_job in caller_jobs)
+            shares[kind.name] = earned / max(1, len(caller_jobs))
         return shares
--- a/src/burdockgate/standin/leased.py
+++ b/src/burdockgate/standin/simworker.py
@@ -9,11 +9,11 @@
 
 from burdockgate import assignments
 from burdockgate.process import workercontrol
-from burdockgate.standin import virtual
+from burdockgate.standin import virtualtime
 
 STOP_S = 0.04
 MAX_LEASE_MS = 1000
-# Orders that got no answer are carried out this much later.
+# Commands that got no answer are carried out this much later.
 LATE_S = (2.0, 12.0)
 
 
@@ -56,7 +56,7 @@
     is_cut: bool = False
 
 
-class LeasedWorker:
+class SimulatedWorker:
     """Runs what it is told, whether it fits or not.
 
     :param name: identifier of the worker.
@@ -73,7 +73,7 @@
         name: str,
         cpu: int,
         speed: float,
-        time: virtual.VirtualTime,
+        time: virtualtime.VirtualClock,
         rng: random.Random,
         work_of: Callable[[assignments.TaskKey], tuple[float, int]],
     ) -> None:
@@ -111,7 +111,7 @@
         """The worker's steady clock."""
         return int((self._time.now() - self._life_began) * 1000)
 
-    def announcement(
+    def heartbeat(
         self, sequence: int, is_draining: bool
     ) -> workercontrol.WorkerHeartbeat:
         """Return a heartbeat.
--- a/src/burdockgate/standin/slopes.py
+++ b/src/burdockgate/standin/slopes.py
@@ -12,20 +12,20 @@
 import sys
 from collections.abc import Iterable, Iterator, Sequence
 
-from burdockgate.standin import fit, probes, resident
+from burdockgate.standin import memory, probes, regression
 
 REPETITIONS = 3
 MEMORY = (
-    probes.Probe("kept job records", (1000, 4000, 16000), resident.jobs_mb),
-    probes.Probe("kept results", (1000, 4000, 16000), resident.results_mb),
-    probes.Probe("kept claims", (500, 1000, 2000), resident.claims_mb),
+    probes.Probe("kept job records", (1000, 4000, 16000), memory.jobs_mb),
+    probes.Probe("kept results", (1000, 4000, 16000), memory.results_mb),
+    probes.Probe("kept claims", (500, 1000, 2000), memory.claims_mb),
     # The size counts nothing here: the three runs show the spread.
-    probes.Probe("run", (1, 2, 3), resident.entry_mb),
-    probes.Probe("run", (1, 2, 3), resident.agent_mb),
+    probes.Probe("run", (1, 2, 3), memory.entry_mb),
+    probes.Probe("run", (1, 2, 3), memory.agent_mb),
 )
 
 
-def measure(probe: probes.Probe, seeds: Sequence[int]) -> Iterator[fit.Series]:
+def measure(probe: probes.Probe, seeds: Sequence[int]) -> Iterator[regression.Series]:
     """Yield a series for each value of a probe.
 
     :param probe: the probe.
@@ -37,7 +37,7 @@
             for name, value in probe.take(size, seed).items():
                 found.setdefault(name, {}).setdefault(size, []).append(value)
     for name, values_by_size in found.items():
-        yield fit.Series(name, probe.against, values_by_size)
+        yield regression.Series(name, probe.against, values_by_size)
 
 
 def report(every: Iterable[probes.Probe], seeds: Sequence[int]) -> str:
@@ -51,7 +51,7 @@
         f"Seeds {', '.join(map(str, seeds))}; Python {platform.python_version()}; "
         "processor time, not wall time.\n\n"
     )
-    return head + "\n".join(fit.markdown(series)) + "\n"
+    return head + "\n".join(regression.markdown(series)) + "\n"
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
--- a/src/burdockgate/standin/virtual.py
+++ b/src/burdockgate/standin/virtualtime.py
@@ -9,7 +9,7 @@
 from burdockgate import clock
 
 
-class VirtualTime(clock.Clock):
+class VirtualClock(clock.Clock):
     """A clock that jumps from one due call to the next."""
 
     def __init__(self) -> None:
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -15,11 +15,11 @@
 from burdockgate import assignments
 from burdockgate.platform import asgi
 from burdockgate.process import serving, workercontrol
-from burdockgate.standin import leased, virtual
+from burdockgate.standin import simworker, virtualtime
 
 
-class LoopTime(virtual.VirtualTime):
-    """The clock of the event loop, for a worker model in real time."""
+class LoopClock(virtualtime.VirtualClock):
+    """The clock of the event loop, for a simulated worker in real time."""
 
     def now(self):
         return asyncio.get_running_loop().time()
@@ -96,11 +96,11 @@
 
 
 class WorkerStandIn:
-    """A worker model behind its HTTP interface, with heartbeats to its agent."""
+    """A simulated worker behind its HTTP interface, with heartbeats to its agent."""
 
     def __init__(self, name, heartbeat_address, work_s):
-        self.time = LoopTime()
-        self.model = leased.LeasedWorker(
+        self.time = LoopClock()
+        self.simulated = simworker.SimulatedWorker(
             name, 16_000, 1.0, self.time, random.Random(1), lambda task: (work_s, 1600)
         )
         self.server = serving.Server(self, "127.0.0.1")
@@ -117,7 +117,7 @@
         await self.server.stop_now()
 
     async def _beat(self):
-        path = f"/burdockgate/instances/{self.model.name}/heartbeat"
+        path = f"/burdockgate/instances/{self.simulated.name}/heartbeat"
         async with httpx.AsyncClient(trust_env=False) as client:
             while True:
                 self._sequence += 1
@@ -139,11 +139,11 @@
             "slots": 8,
             "state": "ready",
             "coldRemainingMs": 0,
-            "capacity": {"cpu": self.model.cpu, "memMb": 65536, "gpu": 0},
+            "capacity": {"cpu": self.simulated.cpu, "memMb": 65536, "gpu": 0},
             "labels": ["a", "r1"],
-            "clockMs": self.model.clock_ms,
+            "clockMs": self.simulated.clock_ms,
             "seq": self._sequence,
-            "born": self.model.born,
+            "born": self.simulated.born,
         }
 
     async def __call__(self, scope, receive, send):
@@ -157,11 +157,11 @@
                     fields["deadlineMs"],
                     fields["fencingToken"],
                 )
-                await self._answer(send, self.model.start(command))
+                await self._answer(send, self.simulated.start(command))
             case "run-stop":
                 key = _key(fields["task"], fields["run"])
                 command = workercontrol.StopCommand("", key, fields["fencingToken"])
-                await self._answer(send, self.model.stop(command))
+                await self._answer(send, self.simulated.stop(command))
             case "hold":
                 await self._poll(fields, send)
 
@@ -174,7 +174,7 @@
             fields.get("deadlineMs"),
             fields["waitMs"],
         )
-        self.model.poll(command, seen.set_result)
+        self.simulated.poll(command, seen.set_result)
         answer = await seen
         if isinstance(answer, workercontrol.Refused):
             await self._answer(send, answer)
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -141,7 +141,7 @@
         return [
             span
             for worker in self.workers
-            for span in [*worker.model.spans, *worker.model.open_spans()]
+            for span in [*worker.simulated.spans, *worker.simulated.open_spans()]
             if span.key.task.job == job
         ]
 
@@ -282,7 +282,7 @@
     answer.cancel()
 
     async def is_idle():
-        return not any(worker.model.open_spans() for worker in deployment.workers)
+        return not any(worker.simulated.open_spans() for worker in deployment.workers)
 
     await deployment.wait_for(is_idle)
     reasons = {span.reason.value for span in deployment.spans(job)}
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -270,7 +270,7 @@
 def test_restart_under_the_same_identifier_makes_runs_uncertain():
     """A start command that reaches the restarted worker must not be taken for lost.
 
-    Tasks ran twice with seeds 15 and 26 of the model of test_batches.
+    Tasks ran twice with seeds 15 and 26 of the simulation in test_simulation.
     """
     bench = Bench()
     (start,) = _of(executoractions.Start, bench.assign(0))
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -19,7 +19,7 @@
     targets,
     trace,
 )
-from burdockgate.standin import starts as bench
+from burdockgate.standin import startrate as bench
 
 SMALL = targets.Size(entries=2, agents=4, slots=2)
 REQUEST = measurement.Request("steady", seconds=0.3, as_json=True, size=SMALL)
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -2,28 +2,30 @@
 
 import pytest
 
-from burdockgate.standin import fit, probes, slopes
+from burdockgate.standin import probes, regression, slopes
 
 
 def test_line_through_exact_points():
     """Guards against slope and start being mixed up."""
-    found = fit.line([(1, 5.0), (2, 7.0), (4, 11.0)])
+    found = regression.line([(1, 5.0), (2, 7.0), (4, 11.0)])
     assert (found.slope, found.start) == pytest.approx((2.0, 3.0))
     assert found.residual == pytest.approx(0.0, abs=1e-9)
 
 
 def test_line_with_residual():
     """Guards against a residual that hides a point far from the line."""
-    found = fit.line([(0, 0.0), (1, 3.0), (2, 0.0)])
+    found = regression.line([(0, 0.0), (1, 3.0), (2, 0.0)])
     assert (found.slope, found.start) == pytest.approx((0.0, 1.0))
     assert found.residual == pytest.approx(2.0)
 
 
 def test_spread_is_over_repetitions():
     """Guards against a spread over sizes, which would grow with the slope."""
-    series = fit.Series("cost", "agents", {1: [1.0, 2.0, 4.0], 2: [2.0, 4.0, 8.0]})
-    assert [each.slope for each in fit.lines(series)] == pytest.approx([1, 2, 4])
-    row = list(fit.markdown([series]))[-1]
+    series = regression.Series(
+        "cost", "agents", {1: [1.0, 2.0, 4.0], 2: [2.0, 4.0, 8.0]}
+    )
+    assert [each.slope for each in regression.lines(series)] == pytest.approx([1, 2, 4])
+    row = list(regression.markdown([series]))[-1]
     assert row == "| cost | agents | 1, 2 | 2 | 1 to 4 | 0 | 2, 4 | 0% |"
 
 
@@ -33,7 +35,7 @@
 )
 def test_numbers_have_three_digits_and_no_exponent(value, text):
     """Guards against lost digits of small slopes and lost zeros of round values."""
-    assert fit.number(value) == text
+    assert regression.number(value) == text
 
 
 def test_tiny_run_has_a_row_for_each_value():
@@ -45,5 +47,5 @@
     text = slopes.report(tiny, [1])
     rows = [line for line in text.splitlines() if line.startswith("|")]
     assert len(rows) == 2 + 6 + 1
-    assert {row.count("|") for row in rows} == {len(fit.HEADER) + 1}
+    assert {row.count("|") for row in rows} == {len(regression.HEADER) + 1}
     assert "| View.group µs | voters | 3, 4, 5 |" in text
