--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -15,11 +15,11 @@
 from burdockgate import assignments
 from burdockgate.platform import asgi
 from burdockgate.process import serving, workercontrol
-from burdockgate.standin import leased, virtual
+from burdockgate.standin import simworker, virtualtime
 
 
-class LoopTime(virtual.VirtualTime):
-    """The clock of the event loop, for a worker model in real time."""
+class LoopClock(virtualtime.VirtualClock):
+    """The clock of the event loop, for a simulated worker in real time."""
 
     def now(self):
         return asyncio.get_running_loop().time()
@@ -99,11 +99,11 @@
 
 
 class WorkerStandIn:
-    """Serves a worker model over HTTP and sends heartbeats to its agent."""
+    """A simulated worker behind its HTTP interface, with heartbeats to its agent."""
 
     def __init__(self, name, heartbeat_address, work_s):
-        self.time = LoopTime()
-        self.model = leased.LeasedWorker(
+        self.time = LoopClock()
+        self.simulated = simworker.SimulatedWorker(
             name, 16_000, 1.0, self.time, random.Random(1), lambda task: (work_s, 1600)
         )
         self.server = serving.Server(self, "127.0.0.1")
@@ -120,7 +120,7 @@
         await self.server.stop_now()
 
     async def _send_heartbeats(self):
-        path = f"/burdockgate/instances/{self.model.name}/heartbeat"
+        path = f"/burdockgate/instances/{self.simulated.name}/heartbeat"
         async with httpx.AsyncClient(trust_env=False) as client:
             while True:
                 self._sequence += 1
@@ -142,11 +142,11 @@
             "slots": 8,
             "state": "ready",
             "coldRemainingMs": 0,
-            "capacity": {"cpu": self.model.cpu, "memMb": 65536, "gpu": 0},
+            "capacity": {"cpu": self.simulated.cpu, "memMb": 65536, "gpu": 0},
             "labels": ["a", "r1"],
-            "clockMs": self.model.clock_ms,
+            "clockMs": self.simulated.clock_ms,
             "seq": self._sequence,
-            "born": self.model.born,
+            "born": self.simulated.born,
         }
 
     async def __call__(self, scope, receive, send):
@@ -160,11 +160,11 @@
                     fields["deadlineMs"],
                     fields["fencingToken"],
                 )
-                await self._send_result(send, self.model.start(command))
+                await self._send_result(send, self.simulated.start(command))
             case "run-stop":
                 key = _parse_run_key(fields["task"], fields["run"])
                 command = workercontrol.StopCommand("", key, fields["fencingToken"])
-                await self._send_result(send, self.model.stop(command))
+                await self._send_result(send, self.simulated.stop(command))
             case "hold":
                 await self._poll(fields, send)
 
@@ -177,7 +177,7 @@
             fields.get("deadlineMs"),
             fields["waitMs"],
         )
-        self.model.poll(command, result_future.set_result)
+        self.simulated.poll(command, result_future.set_result)
         result = await result_future
         if isinstance(result, workercontrol.Refused):
             await self._send_result(send, result)
