Name the fields of slots, sends and the start class plainly

Cause: Load.failed_row, .free, .send, Node.same and codes.Start (beside messages.Start) have to be looked up before a use can be read. Change: names only. consecutive_failed_jobs, free_slots, send_number, is_same_incarnation, MAX_DEADLINE_S, codes.StartClass, codes.start_class and wire.decode_session_message; order and types of the message fields stay.

--- a/src/burdockgate/client.py
+++ b/src/burdockgate/client.py
@@ -363,7 +363,7 @@
         code = codes.Code(shape.code)
     except (ValueError, RecursionError):
         return None
-    start = codes.start_of(code)
+    start = codes.start_class(code)
     if shape.start != (start.value if start else None):
         return None
     if (shape.outcome == "complete") != (code is codes.Code.COMPLETE):
--- a/src/burdockgate/codes.py
+++ b/src/burdockgate/codes.py
@@ -11,7 +11,7 @@
 import attrs
 
 
-class Start(enum.Enum):
+class StartClass(enum.Enum):
     """What a result code states about the tasks of the job."""
 
     NOT_RUN = "not run"
@@ -63,13 +63,13 @@
     :param text: one sentence for the docs and the answer's detail.
     """
 
-    start: Start | None
+    start: StartClass | None
     status: int
     retryable: bool
     text: str
 
 
-_NOT_RUN, _MAYBE, _RAN = Start.NOT_RUN, Start.MAY_HAVE_RUN, Start.RAN
+_NOT_RUN, _MAYBE, _RAN = StartClass.NOT_RUN, StartClass.MAY_HAVE_RUN, StartClass.RAN
 
 MEANING_BY_CODE: dict[Code, Meaning] = {
     Code.COMPLETE: Meaning(_RAN, 200, False, "Every task ran and has its result."),
@@ -147,7 +147,7 @@
 }
 
 
-def start_of(code: Code) -> Start | None:
+def start_class(code: Code) -> StartClass | None:
     """Return the start class of a result code.
 
     :param code: the result code.
--- a/src/burdockgate/messages.py
+++ b/src/burdockgate/messages.py
@@ -14,7 +14,7 @@
 RESULT_LIMIT_BYTES = 1024 * 1024
 # Members of claim groups that have lost their records wait for this time and the
 # key retention before they vote on unknown keys, so it cannot be large.
-LONGEST_DEADLINE_S = 300.0
+MAX_DEADLINE_S = 300.0
 UNKNOWN_AGE_S = 2**31 - 1
 
 
@@ -65,7 +65,7 @@
     boot: int
     address: str
 
-    def same(self, other: Node) -> bool:
+    def is_same_incarnation(self, other: Node) -> bool:
         """Return whether both are the same incarnation.
 
         :param other: the node to compare with; its address is not looked at.
@@ -120,18 +120,18 @@
 class Load:
     """Free capacity of an agent.
 
-    :param free: free slots not reserved for another entry host.
+    :param free_slots: free slots not reserved for another entry host.
     :param received: tasks received from this entry host in this session, which
         tells it which of its sends the number of free slots already counts.
-    :param failed_row: failed jobs since the last task that ended with a result, over
-        the tasks of all entry hosts.
+    :param consecutive_failed_jobs: failed jobs since the last task that ended with a
+        result, over the tasks of all entry hosts.
     """
 
-    free: int
+    free_slots: int
     running: int
     received: int
     draining: bool
-    failed_row: int = 0
+    consecutive_failed_jobs: int = 0
 
 
 @attrs.frozen
@@ -150,11 +150,11 @@
 class Offer:
     """Slots reserved for one entry host for a short time.
 
-    :param free: free slots, those reserved for the receiver included.
+    :param free_slots: free slots, those reserved for the receiver included.
     :param received: as in :class:`Load`.
     """
 
-    free: int
+    free_slots: int
     received: int
 
 
@@ -259,14 +259,14 @@
 class TaskStart:
     """One task within :class:`Start`.
 
-    :param send: counts the sends of this task; an agent ignores a send that is
+    :param send_number: counts the sends of this task; an agent ignores a send that is
         not newer than the last one it has seen for the task.
     :param payload: JSON text for the backend server.
     :param timeout_ms: time for the backend server's answer.
     """
 
     index: int
-    send: int
+    send_number: int
     payload: bytes
     timeout_ms: int
 
@@ -296,7 +296,7 @@
     """
 
     index: int
-    send: int
+    send_number: int
     state: TaskState
     payload: bytes
     run_ms: float
@@ -306,7 +306,7 @@
 class Results:
     """Tasks that ended or were returned.
 
-    :param free: free slots not reserved for another entry host.
+    :param free_slots: free slots not reserved for another entry host.
     :param received: as in :class:`Load`.
     """
 
@@ -314,7 +314,7 @@
     epoch: int
     attempt: int
     boot: int
-    free: int
+    free_slots: int
     received: int
     reports: tuple[TaskReport, ...]
 
--- a/src/burdockgate/process/agent.py
+++ b/src/burdockgate/process/agent.py
@@ -255,16 +255,16 @@
             return
         returned = []
         for task in message.tasks:
-            if not job.is_new_send(task.index, task.send):
+            if not job.is_new_send(task.index, task.send_number):
                 self._counters.count("starts.ignored")
             elif self.slots.acquire(name):
-                job.record_start(task.index, task.send)
+                job.record_start(task.index, task.send_number)
                 self._counters.count("tasks.started")
                 yield effects.Execute(
                     job.job, job.attempt, task.index, task.payload, task.timeout_ms
                 )
             else:
-                returned.append(job.record_return(task.index, task.send))
+                returned.append(job.record_return(task.index, task.send_number))
         if returned:
             self._counters.count("tasks.returned", len(returned))
             yield from self._send_results(job, returned)
--- a/src/burdockgate/process/catchup.py
+++ b/src/burdockgate/process/catchup.py
@@ -58,7 +58,7 @@
             voter.node
             for voter in self.before.voter_by_name.values()
             if (voter.node.name, voter.node.boot) not in self.replied
-            and not voter.node.same(own)
+            and not voter.node.is_same_incarnation(own)
         ]
 
     def has_majority(self, group: tuple[messages.Node, ...]) -> bool:
@@ -127,7 +127,9 @@
         :param group: the job's group in the view of the claimant.
         """
         own = self.view.group(job)
-        return _ids(own) == _ids(group) and any(self._node.same(node) for node in own)
+        return _ids(own) == _ids(group) and any(
+            self._node.is_same_incarnation(node) for node in own
+        )
 
     def is_ready(self, job: bytes) -> bool:
         """Return whether this member may vote on a job.
@@ -141,9 +143,9 @@
             return False
         old = change.before.group(job)
         new = change.after.group(job)
-        if not any(self._node.same(node) for node in new):
+        if not any(self._node.is_same_incarnation(node) for node in new):
             return True
-        was_member = any(self._node.same(node) for node in old)
+        was_member = any(self._node.is_same_incarnation(node) for node in old)
         if was_member and views.majority(len(new)) >= views.majority(len(old)):
             return True
         return change.has_majority(old)
@@ -159,7 +161,9 @@
         if view is None:
             return True
         groups = (view.group(job), self.view.group(job))
-        return any(member.same(node) for group in groups for node in group)
+        return any(
+            member.is_same_incarnation(node) for group in groups for node in group
+        )
 
     def can_reply(self, number: int) -> bool:
         """Return whether the records here are complete up to a reconfiguration.
--- a/src/burdockgate/process/claims.py
+++ b/src/burdockgate/process/claims.py
@@ -51,7 +51,7 @@
         self._stored_by_job: dict[bytes, _StoredRecord] = {}
         # Members that are partitioned off still grant claims by the view before a
         # reconfiguration, until the entry hosts in their partition stop making claims.
-        window_s = view_limit_s + messages.LONGEST_DEADLINE_S + retention_s
+        window_s = view_limit_s + messages.MAX_DEADLINE_S + retention_s
         self.catchup = catchup.Catchup(node, time, window_s + VIEW_MARGIN_S)
 
     def __len__(self) -> int:
@@ -87,7 +87,9 @@
             return messages.Verdict.HELD
         if claim.epoch > record.epoch:
             return _verdict_on_newer(claim, record)
-        if claim.epoch == record.epoch and claim.owner.same(record.owner):
+        if claim.epoch == record.epoch and claim.owner.is_same_incarnation(
+            record.owner
+        ):
             return messages.Verdict.GRANTED
         return messages.Verdict.HELD
 
@@ -216,7 +218,7 @@
 ) -> messages.ClaimRecord:
     older, newer = sorted((first, second), key=_precedence)
     epoch, code = newer.epoch, newer.code
-    if older.epoch == epoch and not older.owner.same(newer.owner):
+    if older.epoch == epoch and not older.owner.is_same_incarnation(newer.owner):
         epoch += 1
     elif _has_failed(older) and (older.attempt, codes.Code.PENDING) == (
         newer.attempt,
--- a/src/burdockgate/process/entry.py
+++ b/src/burdockgate/process/entry.py
@@ -272,20 +272,22 @@
         return messages.Peers((self.node, *peers.values()))
 
     def _on_load(self, name: str, message: messages.Load) -> _Effects:
-        self.workers.record_report(name, message.free, message.received)
+        self.workers.record_report(name, message.free_slots, message.received)
         worker = self.workers.worker_by_name.get(name)
         if worker is not None:
             worker.running = message.running
             self.workers.set_draining(name, message.draining)
-            self.health.record_reported_failures(worker.record, message.failed_row)
+            self.health.record_reported_failures(
+                worker.record, message.consecutive_failed_jobs
+            )
         yield from ()
 
     def _on_offer(self, name: str, message: messages.Offer) -> _Effects:
-        self.workers.record_offer(name, message.free, message.received)
+        self.workers.record_offer(name, message.free_slots, message.received)
         yield from ()
 
     def _on_results(self, name: str, message: messages.Results) -> _Effects:
-        self.workers.record_report(name, message.free, message.received)
+        self.workers.record_report(name, message.free_slots, message.received)
         self.health.record_results(message)
         yield from self.jobs.handle_results(name, message)
 
--- a/src/burdockgate/process/health.py
+++ b/src/burdockgate/process/health.py
@@ -41,7 +41,7 @@
 MAX_CLASSES = 1000
 TICK_INTERVAL_S = 0.25
 # Longer than the longest deadline; outcomes of older tasks are no longer awaited.
-OUTCOME_TIMEOUT_S = messages.LONGEST_DEADLINE_S + 30.0
+OUTCOME_TIMEOUT_S = messages.MAX_DEADLINE_S + 30.0
 
 _ANSWER_STATES = (
     messages.TaskState.DONE,
--- a/src/burdockgate/process/network.py
+++ b/src/burdockgate/process/network.py
@@ -326,5 +326,5 @@
         return (
             hello is not None
             and old_hello is not None
-            and hello.node.same(old_hello.node)
+            and hello.node.is_same_incarnation(old_hello.node)
         )
--- a/src/burdockgate/process/outcomecache.py
+++ b/src/burdockgate/process/outcomecache.py
@@ -47,7 +47,7 @@
     """
     if code is codes.Code.COMPLETE:
         return False
-    return repeatable or codes.start_of(code) is codes.Start.NOT_RUN
+    return repeatable or codes.start_class(code) is codes.StartClass.NOT_RUN
 
 
 class OutcomeCache:
--- a/src/burdockgate/process/ownership.py
+++ b/src/burdockgate/process/ownership.py
@@ -235,7 +235,7 @@
             self._confirmation_queue.pop(submission.job, None)
             yield from self._claim(submission, 1, 1)
         elif owned_job.outcome is not None:
-            if codes.start_of(owned_job.outcome.code) is codes.Start.NOT_RUN:
+            if codes.start_class(owned_job.outcome.code) is codes.StartClass.NOT_RUN:
                 yield from self._confirm_not_run(submission, owned_job)
             else:
                 yield from self._finish(submission, owned_job.outcome)
--- a/src/burdockgate/process/registry.py
+++ b/src/burdockgate/process/registry.py
@@ -218,7 +218,7 @@
 
     :param code: the result code.
     """
-    return codes.start_of(code) is not codes.Start.NOT_RUN
+    return codes.start_class(code) is not codes.StartClass.NOT_RUN
 
 
 def key_reused_refusal() -> outcome.Refused:
--- a/src/burdockgate/process/remotejobs.py
+++ b/src/burdockgate/process/remotejobs.py
@@ -31,7 +31,7 @@
         submission.attached_hosts.clear()
         peer = self.peer_by_name.get(record.owner.name)
         if record.owner.name == self._node.name or (
-            peer is not None and not peer.same(record.owner)
+            peer is not None and not peer.is_same_incarnation(record.owner)
         ):
             # The owner has restarted since it claimed the job.
             yield from self._take_over(submission)
--- a/src/burdockgate/process/responses.py
+++ b/src/burdockgate/process/responses.py
@@ -55,7 +55,7 @@
     :param key: idempotency key of the job; empty where there is no job.
     :param result: the outcome.
     """
-    start = codes.start_of(result.code)
+    start = codes.start_class(result.code)
     body = msgspec.json.encode(
         {
             "code": int(result.code),
--- a/src/burdockgate/request/ownedjob.py
+++ b/src/burdockgate/request/ownedjob.py
@@ -122,7 +122,9 @@
         """
         agent = self._agent_by_name.get(node.name)
         if agent is not None and (
-            agent.is_fencing or agent.lost_at is not None or not agent.node.same(node)
+            agent.is_fencing
+            or agent.lost_at is not None
+            or not agent.node.is_same_incarnation(node)
         ):
             return False
         return self.is_in_scope(node)
@@ -194,7 +196,7 @@
         """
         for node in scope:
             agent = self._find_or_add_agent(node)
-            if not agent.node.same(node):
+            if not agent.node.is_same_incarnation(node):
                 # At least one of two incarnations of an agent has ended, so tasks may
                 # have started on a lost worker.
                 self._is_in_doubt = True
@@ -228,7 +230,7 @@
         agent = self._agent_by_name.get(node.name)
         if agent is None or self.outcome:
             return
-        if not agent.node.same(node):
+        if not agent.node.is_same_incarnation(node):
             yield from self._handle_agent_lost(agent)
         elif agent.send_by_index or agent.is_fencing:
             agent.lost_at = self._time.now()
@@ -267,7 +269,7 @@
             # The return of an earlier send says nothing about the current send.
             is_earlier_send = (
                 report.state is messages.TaskState.RETURNED
-                and report.send != agent.send_by_index.get(report.index)
+                and report.send_number != agent.send_by_index.get(report.index)
             )
             if not is_earlier_send:
                 agent.reported_indexes.add(report.index)
@@ -357,7 +359,7 @@
             self.dropped_count += 1
         elif is_resync and agent.send_by_index.get(index) is None:
             yield from self._adopt_task(agent, report)
-        elif agent.send_by_index.get(index) != report.send:
+        elif agent.send_by_index.get(index) != report.send_number:
             self.dropped_count += 1
         else:
             yield from self._apply_report(agent, report)
@@ -369,11 +371,13 @@
             report.state is messages.TaskState.RETURNED
             or index not in self._waiting_indexes
         ):
-            self._send_by_index[index] = max(self._send_by_index[index], report.send)
+            self._send_by_index[index] = max(
+                self._send_by_index[index], report.send_number
+            )
             return
         self._waiting_indexes.remove(index)
-        self._send_by_index[index] = max(self._send_by_index[index], report.send)
-        agent.send_by_index[index] = report.send
+        self._send_by_index[index] = max(self._send_by_index[index], report.send_number)
+        agent.send_by_index[index] = report.send_number
         self._sent_count += 1
         yield from self._apply_report(agent, report)
 
--- a/src/burdockgate/standin/checker.py
+++ b/src/burdockgate/standin/checker.py
@@ -251,7 +251,7 @@
     refusals = [
         answer
         for answer in job.answers
-        if codes.start_of(answer.code) is codes.Start.NOT_RUN
+        if codes.start_class(answer.code) is codes.StartClass.NOT_RUN
         and not _concerns_other_body(answer, job)
     ]
     if not refusals:
--- a/src/burdockgate/standin/meter.py
+++ b/src/burdockgate/standin/meter.py
@@ -97,7 +97,9 @@
         :param data: the whole frame.
         """
         body = data[wire.HEADER.size :]
-        return self.run(lambda: self.core.receive(sender, wire.decode_session(body)))
+        return self.run(
+            lambda: self.core.receive(sender, wire.decode_session_message(body))
+        )
 
 
 def hello(role: messages.Role, index: int) -> messages.Hello:
--- a/src/burdockgate/standin/probes.py
+++ b/src/burdockgate/standin/probes.py
@@ -291,7 +291,7 @@
     while count:
         id_ = rng.randbytes(16)
         chosen = members.group(id_)
-        if any(core.node.same(node) for node in chosen):
+        if any(core.node.is_same_incarnation(node) for node in chosen):
             count -= 1
             head = (id_, members.number, chosen, 1, 1, OWNER.node, id_, nodes)
             yield wire.encode(messages.Claim(*head, 60_000, True, 900))
--- a/src/burdockgate/standin/starts.py
+++ b/src/burdockgate/standin/starts.py
@@ -157,7 +157,7 @@
         agent = self._agent_by_name[name]
         agent.running -= 1
         report = messages.TaskReport(
-            task.index, task.send, messages.TaskState.DONE, RESULT, 100.0
+            task.index, task.send_number, messages.TaskState.DONE, RESULT, 100.0
         )
         self._replies.append(
             (
@@ -219,7 +219,7 @@
 def _receiver(
     core: entry.EntryCore, name: str, body: bytes
 ) -> Callable[[], Iterator[effects.Effect]]:
-    return lambda: core.receive(name, wire.decode_session(body))
+    return lambda: core.receive(name, wire.decode_session_message(body))
 
 
 def _node(name: str, boot: int) -> messages.Node:
--- a/src/burdockgate/version/view.py
+++ b/src/burdockgate/version/view.py
@@ -89,7 +89,7 @@
         :param node: the agent to look up by name and boot.
         """
         voter = self.voter_by_name.get(node.name)
-        return voter is not None and voter.node.same(node)
+        return voter is not None and voter.node.is_same_incarnation(node)
 
 
 def majority(size: int) -> int:
--- a/src/burdockgate/wire.py
+++ b/src/burdockgate/wire.py
@@ -89,7 +89,7 @@
     return message
 
 
-def decode_session(body: bytes | memoryview) -> messages.Message:
+def decode_session_message(body: bytes | memoryview) -> messages.Message:
     """Return the message of a frame of the protocol for claimed jobs.
 
     :param body: the frame without its length.
--- a/tests/fuzz.py
+++ b/tests/fuzz.py
@@ -348,7 +348,7 @@
             result = self.session.answers.get(ticket)
             if result is None:
                 yield from self._missing(ticket)
-            elif codes.start_of(result.code) is codes.Start.NOT_RUN:
+            elif codes.start_class(result.code) is codes.StartClass.NOT_RUN:
                 yield from self._false_not_run(ticket, request, result)
 
     def _events(self):
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -235,7 +235,7 @@
     with pytest.raises(errors.RequestError) as caught:
         jobs.decode("ab12", body, ROUTE, 2.5)
     assert caught.value.code is code
-    assert codes.start_of(code) is codes.Start.NOT_RUN
+    assert codes.start_class(code) is codes.StartClass.NOT_RUN
 
 
 def test_answers_tell_whether_the_job_can_be_sent_again():
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -168,7 +168,7 @@
         assert vote(closed, owner=owner, epoch=epoch).verdict is V.HELD
         assert vote(joining, owner=owner, epoch=epoch).verdict is V.HELD
     assert set(record_of(joining).scope) == set(S1 + S2)
-    assert codes.start_of(record_of(joining).code) is codes.Start.MAY_HAVE_RUN
+    assert codes.start_class(record_of(joining).code) is codes.StartClass.MAY_HAVE_RUN
     # The next attempt of a repeatable job is open.
     assert vote(joining, owner="e3", epoch=4, attempt=2).verdict is V.GRANTED
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -223,7 +223,9 @@
 
     def read(sender, to, message, delays):
         if isinstance(message, messages.Load):
-            reported_by_link.setdefault((sender, to), []).append(message.failed_row)
+            reported_by_link.setdefault((sender, to), []).append(
+                message.consecutive_failed_jobs
+            )
         return delays
 
     session.filters.append(read)
--- a/tests/test_job.py
+++ b/tests/test_job.py
@@ -156,6 +156,6 @@
         request = job.parse(body, key, LIMITS)
     except errors.RequestError as error:
         assert error.detail.isprintable()
-        assert codes.start_of(error.code) is codes.Start.NOT_RUN
+        assert codes.start_class(error.code) is codes.StartClass.NOT_RUN
         return
     assert all(json.loads(task.payload) is not ... for task in request.tasks)
--- a/tests/test_ownedjob.py
+++ b/tests/test_ownedjob.py
@@ -72,7 +72,7 @@
     start = job.start_message(A1, assign(job, A1)).message
     assert (start.epoch, start.fence, start.attempt, start.boot) == (1, 0, 1, 1)
     results(job, "a1", report(0, 1, RETURNED))
-    assert [task.send for task in assign(job, A2)] == [2]
+    assert [task.send_number for task in assign(job, A2)] == [2]
     reconnect(job, A2)
     reply(job, "a2")
     assert job.start_message(A2, assign(job, A2)).message.fence == 1
@@ -147,7 +147,7 @@
     reply(job, "a1", report(0, 3, RUNNING))
     assert job.waiting_count == 0
     reply(job, "a2", report(1, 4, RETURNED))
-    assert [task.send for task in assign(job, A2)] == [5]
+    assert [task.send_number for task in assign(job, A2)] == [5]
     for name, index, send in (("a1", 0, 3), ("a2", 1, 5)):
         results(job, name, report(index, send))
     assert code(job) is C.COMPLETE
@@ -250,7 +250,7 @@
         list(job.recover([A1, A2]))
     time.advance(30.0 if by_deadline else 0.0)
     list(job.tick() if by_deadline else job.cancel())
-    assert (codes.start_of(code(job)) is codes.Start.NOT_RUN) == is_not_run
+    assert (codes.start_class(code(job)) is codes.StartClass.NOT_RUN) == is_not_run
 
 
 def test_fence_discards_reports_of_an_earlier_fence(job):
@@ -291,7 +291,7 @@
     reply(job, "a2", report(0, 5, RUNNING), report(1, 1, RETURNED))
     assert job.returned_tasks == [], "the earlier owner has counted the return"
     results(job, "a1", report(0, 3, RETURNED))
-    assert [(task.index, task.send) for task in assign(job, A2)] == [(0, 6)]
+    assert [(task.index, task.send_number) for task in assign(job, A2)] == [(0, 6)]
 
 
 def test_send_number_of_an_adopted_task_increases(job):
@@ -299,7 +299,7 @@
     list(job.recover([A1]))
     reply(job, "a1", report(0, 3, RUNNING))
     results(job, "a1", report(0, 3, RETURNED))
-    assert assign(job, A1)[0].send == 4
+    assert assign(job, A1)[0].send_number == 4
 
 
 def test_second_loss_does_not_extend_the_timeout(job, time):
--- a/tests/test_session_cancel.py
+++ b/tests/test_session_cancel.py
@@ -28,7 +28,7 @@
     session.run(wait_s)
     ticket = session.submit("entry-1", request)
     assert session.answer(ticket).code is codes.Code.CANCELLED_NOT_RUN
-    assert codes.start_of(session.answer(cancel).code) is codes.Start.NOT_RUN
+    assert codes.start_class(session.answer(cancel).code) is codes.StartClass.NOT_RUN
     assert session.starts == []
     again = session.submit("entry-1", request)
     sessions.assert_whole(request, session.answer(again))
--- a/tests/test_session_faults.py
+++ b/tests/test_session_faults.py
@@ -81,7 +81,7 @@
     sessions.assert_whole(again, session.answer(second))
     session.thaw("entry-1")
     result = session.answer(first)
-    assert codes.start_of(result.code) is not codes.Start.NOT_RUN
+    assert codes.start_class(result.code) is not codes.StartClass.NOT_RUN
     sessions.assert_single_starts(session)
 
 
@@ -190,7 +190,7 @@
     result = session.answer(session.submit("entry-2", unknown))
     assert result.code is codes.Code.CLAIM_UNAVAILABLE
     known = session.answer(session.submit("entry-2", request))
-    assert codes.start_of(known.code) is codes.Start.MAY_HAVE_RUN
+    assert codes.start_class(known.code) is codes.StartClass.MAY_HAVE_RUN
     sessions.assert_single_starts(session)
 
 
