Reword the messages and the codec

Cause: docstrings that need a second reading ("what X holds", "a promise"), sentences in place of parameters, vague names (_Last, _same, kind). Change: the docstrings say what a message does and what each field is; the verdicts of a claim group member are explained from the code; local names of the codec. The texts of WireError stay, since they are logged as the detail of link.rejected. Test names and docstrings say which fault they guard against.

--- a/src/burdockgate/messages.py
+++ b/src/burdockgate/messages.py
@@ -1,7 +1,7 @@
-"""Every message between nodes, as frozen attrs classes.
+"""Messages of the protocol for claimed jobs, as frozen attrs classes.
 
-The order of the fields is their order on the wire. ``TYPES`` gives each message
-type its number; numbers are never used again for another type.
+The order of the fields is their order on the wire. ``TYPES`` maps the number of each
+message type to its class; the number of a removed type is never reused.
 """
 
 from __future__ import annotations
@@ -12,9 +12,10 @@
 
 PROTOCOL = 1
 RESULT_LIMIT_BYTES = 1024 * 1024
-# Members of claim groups that have lost their records wait for this time and the
-# key retention before they vote on unknown keys, so it cannot be large.
+# A claim group member that has lost its records waits for this time and the key
+# retention before it votes on unknown keys, so the value must not be large.
 MAX_DEADLINE_S = 300.0
+# Value of ``Heartbeat.view_age_s`` when the age is not known.
 UNKNOWN_AGE_S = 2**31 - 1
 
 
@@ -26,11 +27,12 @@
 
 
 class TaskState(enum.IntEnum):
-    """What an agent knows about one task.
+    """State of one task at an agent.
 
-    ``RETURNED`` is a promise: the task was not started by the send it answers and
-    never will be. ``UNKNOWN`` means that the request went out and no answer came.
-    ``OVERSIZE`` means that the task ran and its result is over the size limit.
+    ``RETURNED`` guarantees that the send which it answers has not started the task and
+    never will. ``UNKNOWN`` means that the request to the backend server was sent and
+    not answered. ``OVERSIZE`` means that the task ran and its result is over the size
+    limit.
     """
 
     RETURNED = 1
@@ -43,7 +45,13 @@
 
 
 class Verdict(enum.IntEnum):
-    """Answer of a claim group member to a claim."""
+    """Answer of a claim group member to a claim.
+
+    ``GRANTED`` means that the claim is recorded, ``HELD`` that the member's record of
+    the job takes precedence, ``STALE_VIEW`` that the two views give different claim
+    groups, and ``CATCHING_UP`` that the member still lacks records and cannot vote.
+    A query (epoch 0) gets ``HELD`` when there is a record, else ``FREE``.
+    """
 
     GRANTED = 1
     HELD = 2
@@ -68,7 +76,7 @@
     def is_same_incarnation(self, other: Node) -> bool:
         """Return whether both are the same incarnation.
 
-        :param other: the node to compare with; its address is not looked at.
+        :param other: the node to compare with; its address is ignored.
         """
         return self.name == other.name and self.boot == other.boot
 
@@ -105,10 +113,10 @@
 
 @attrs.frozen
 class Heartbeat:
-    """Renews the lease of an idle connection and shows versions in force.
+    """Renews the lease of an idle connection and announces table and view versions.
 
-    :param view_age_s: between entry hosts, upper bound of the seconds since this view
-        was known to be the newest one.
+    :param view_age_s: between entry hosts, upper bound of the time since the view was
+        known to be the newest one, in seconds.
     """
 
     table_version: int
@@ -121,8 +129,8 @@
     """Free capacity of an agent.
 
     :param free_slots: free slots not reserved for another entry host.
-    :param received: tasks received from this entry host in this session, which
-        tells it which of its sends the number of free slots already counts.
+    :param received: tasks received from this entry host in this session, so that the
+        entry host knows which of its sends ``free_slots`` already accounts for.
     :param consecutive_failed_jobs: failed jobs since the last task that ended with a
         result, over the tasks of all entry hosts.
     """
@@ -136,10 +144,10 @@
 
 @attrs.frozen
 class Demand:
-    """An entry host has tasks waiting for this agent.
+    """Tells an agent that an entry host has tasks waiting for a slot.
 
-    :param waiting: number of tasks; 0 withdraws the demand.
-    :param weight: sum of the weights of the classes that wait.
+    :param waiting: number of waiting tasks; 0 withdraws the demand.
+    :param weight: sum of the weights of the classes that have waiting tasks.
     """
 
     waiting: int
@@ -172,7 +180,7 @@
 
 @attrs.frozen
 class Records:
-    """Log records, handed on to a node that does not read the log itself.
+    """Log records, forwarded to a node that does not read the log itself.
 
     :param first: offset of the first record.
     :param next: offset after the last record; larger than the number of records
@@ -189,14 +197,14 @@
 class Claim:
     """Asks a member of a claim group for the ownership of a job.
 
-    :param view_number: the claimant's view.
-    :param group: names and boots of the members by that view.
-    :param epoch: 0 only asks whether a record is held and records nothing.
+    :param view_number: number of the claimant's view.
+    :param group: the members of the claim group in that view.
+    :param epoch: 0 for a query whether a record exists, which stores nothing.
     :param digest: hash of the job's body.
     :param scope: agents to which the owner may send tasks.
-    :param expires_in_ms: how long the record is needed if no settlement comes.
+    :param expires_in_ms: how long the record is needed if no settlement arrives.
     :param code: 900 (pending), or the result code with which the owner settles the
-        job if a majority still takes it for the owner.
+        job if a majority still recognizes it as the owner.
     """
 
     job: bytes
@@ -214,9 +222,9 @@
 
 @attrs.frozen
 class ClaimRecord:
-    """What a member of a claim group holds about a job.
+    """Record of a job at a member of its claim group.
 
-    :param scope: every agent to which any owner so far may have sent tasks.
+    :param scope: all agents to which any owner so far may have sent tasks.
     :param code: result code when the job is settled, else 900 (pending).
     """
 
@@ -235,7 +243,7 @@
 class ClaimReply:
     """A member's answer to a claim.
 
-    :param record: the record held before this claim, if any.
+    :param record: the member's record from before this claim, if any.
     """
 
     job: bytes
@@ -247,7 +255,7 @@
 
 @attrs.frozen
 class Settle:
-    """The job has ended with this result code."""
+    """Announces the result code with which a job has ended."""
 
     job: bytes
     epoch: int
@@ -259,10 +267,10 @@
 class TaskStart:
     """One task within :class:`Start`.
 
-    :param send_number: counts the sends of this task; an agent ignores a send that is
-        not newer than the last one it has seen for the task.
+    :param send_number: number of this send of the task; an agent ignores a number that
+        is not higher than the last one it received for the task.
     :param payload: JSON text for the backend server.
-    :param timeout_ms: time for the backend server's answer.
+    :param timeout_ms: time limit for the backend server's answer.
     """
 
     index: int
@@ -275,8 +283,8 @@
 class Start:
     """Sends tasks of one job to an agent.
 
-    :param boot: the agent's boot id that the owner knows.
     :param fence: number of the last fence that the owner sent to this agent.
+    :param boot: boot number of the agent, as known to the owner.
     """
 
     job: bytes
@@ -291,8 +299,8 @@
 class TaskReport:
     """State of one task at an agent.
 
-    :param payload: JSON text of the result, or a line that explains a failure.
-    :param run_ms: run time in ms as the agent saw it.
+    :param payload: JSON text of the result, or one line that describes a failure.
+    :param run_ms: run time measured by the agent, in ms.
     """
 
     index: int
@@ -321,7 +329,7 @@
 
 @attrs.frozen
 class Fence:
-    """Stops older starts of a job at an agent and asks what it knows."""
+    """Makes an agent refuse older starts of a job and report the job's tasks."""
 
     job: bytes
     epoch: int
@@ -332,10 +340,10 @@
 
 @attrs.frozen
 class FenceReply:
-    """All that an agent knows about a job.
+    """State of a job at an agent.
 
-    :param epoch: the highest epoch seen; above that of the fence, the fence was
-        refused.
+    :param epoch: the highest epoch received for the job; when it is above the epoch of
+        the fence, the fence was refused.
     :param more: whether further replies to the same fence follow.
     """
 
@@ -367,7 +375,10 @@
 
 @attrs.frozen
 class Detach:
-    """Withdraws :class:`Attach`; with ``cancel`` the caller cancels the job."""
+    """Withdraws :class:`Attach`.
+
+    :param cancel: whether the caller cancels the job.
+    """
 
     job: bytes
     cancel: bool
@@ -391,14 +402,17 @@
 
 @attrs.frozen
 class Sync:
-    """A member that enters claim groups asks another for its records."""
+    """Asks another member for its records, after the sender has joined claim groups.
+
+    :param view_number: number of the view in which the sender joined them.
+    """
 
     view_number: int
 
 
 @attrs.frozen
 class SyncReply:
-    """Claims of the groups that the asking member has entered.
+    """Claim records for the groups that the requesting member has joined.
 
     :param more: whether further replies to the same request follow.
     """
@@ -410,16 +424,19 @@
 
 @attrs.frozen
 class Leave:
-    """The sender stops on purpose and will close the connection.
+    """Announces that the sender is shutting down and will close the connection.
 
-    An entry host answers an agent with the same message, after which it sends no
-    task on the connection.
+    An entry host answers an agent with the same message and sends no task on the
+    connection after it.
     """
 
 
 @attrs.frozen
 class Drain:
-    """An operator drains the agent's worker, or with ``active`` false resumes it."""
+    """Drains the agent's worker for an operator.
+
+    :param active: false resumes the worker.
+    """
 
     active: bool
 
--- a/src/burdockgate/wire.py
+++ b/src/burdockgate/wire.py
@@ -25,23 +25,23 @@
 TEXT_LIMIT_CHARS = 4096
 INT_LIMIT = 2**63
 # Equal nodes are decoded to one object, because each claim names up to 64 agents and
-# a voter keeps thousands of claims. The number is above that of the 10,000 workers.
-SHARED_NODES = 16_384
-
+# a claim group member keeps thousands of claims. The cache has space for the 10,000
+# workers of a system.
+NODE_CACHE_SIZE = 16_384
 
 Message = messages.Message | assignments.Message
-_TYPES: dict[int, type[Message]] = {**messages.TYPES, **assignments.TYPES}
+_CLASS_BY_NUMBER: dict[int, type[Message]] = {**messages.TYPES, **assignments.TYPES}
 
 
 @attrs.define
-class _Last:
-    """The message encoded last; claims and settlements go to several nodes in a row."""
+class _LastFrame:
+    """The last encoded frame; claims and settlements are sent to several nodes."""
 
     message: Message | None = None
     frame: bytes = b""
 
 
-_last = _Last()
+_last_frame = _LastFrame()
 _Reader = Callable[[Any], Any]
 _Writer = Callable[[Any], Any]
 
@@ -54,9 +54,9 @@
     :raises errors.WireError: when the frame would be over the size limit.
     """
     # Messages are frozen, so the same object has the same frame.
-    if message is not _last.message:
-        _last.frame, _last.message = _encode(message), message
-    return _last.frame
+    if message is not _last_frame.message:
+        _last_frame.frame, _last_frame.message = _encode(message), message
+    return _last_frame.frame
 
 
 def _encode(message: Message) -> bytes:
@@ -102,7 +102,7 @@
 
 
 class FrameBuffer:
-    """Cuts a stream of bytes into message bodies.
+    """Splits a stream of bytes into message bodies.
 
     :param limit: largest body accepted, in bytes.
     """
@@ -113,7 +113,7 @@
 
     @property
     def is_partial(self) -> bool:
-        """Whether the bytes so far end within a frame."""
+        """Whether the bytes received so far end within a frame."""
         return bool(self._buffer)
 
     def feed(self, data: bytes) -> Iterator[bytes]:
@@ -173,7 +173,7 @@
     return value
 
 
-def _same(value: Any) -> Any:
+def _unchanged(value: Any) -> Any:
     return value
 
 
@@ -186,12 +186,12 @@
 }
 
 
-def _enum_reader(kind: type[enum.IntEnum]) -> _Reader:
-    member_by_value = {int(member): member for member in kind}
+def _enum_reader(enum_class: type[enum.IntEnum]) -> _Reader:
+    member_by_value = {int(member): member for member in enum_class}
 
     def read(value: Any) -> enum.IntEnum:
         if type(value) is not int or value not in member_by_value:
-            raise errors.WireError(f"{value!r:.40} is not a {kind.__name__}")
+            raise errors.WireError(f"{value!r:.40} is not a {enum_class.__name__}")
         return member_by_value[value]
 
     return read
@@ -213,38 +213,38 @@
     return read
 
 
-@functools.lru_cache(SHARED_NODES)
-def _share_node(name: str, boot: int, address: str) -> messages.Node:
+@functools.lru_cache(NODE_CACHE_SIZE)
+def _cached_node(name: str, boot: int, address: str) -> messages.Node:
     return messages.Node(name, boot, address)
 
 
-def _class_reader(kind: type) -> _Reader:
-    hints = typing.get_type_hints(kind)
-    readers = [_reader(hints[field.name]) for field in attrs.fields(kind)]
-    make = _share_node if kind is messages.Node else kind
+def _class_reader(cls: type) -> _Reader:
+    hints = typing.get_type_hints(cls)
+    readers = [_reader(hints[field.name]) for field in attrs.fields(cls)]
+    construct = _cached_node if cls is messages.Node else cls
 
     def read(value: Any) -> Any:
         if type(value) is not tuple or len(value) != len(readers):
             raise errors.WireError(
-                f"{kind.__name__} needs an array of {len(readers)} fields"
+                f"{cls.__name__} needs an array of {len(readers)} fields"
             )
-        return make(
+        return construct(
             *[reader(item) for reader, item in zip(readers, value, strict=True)]
         )
 
     return read
 
 
-def _reader(kind: Any) -> _Reader:
-    if kind in _READER_BY_TYPE:
-        return _READER_BY_TYPE[kind]
-    if typing.get_origin(kind) is tuple:
-        return _tuple_reader(_reader(typing.get_args(kind)[0]))
-    if isinstance(kind, types.UnionType):
-        return _optional_reader(_reader(typing.get_args(kind)[0]))
-    if issubclass(kind, enum.IntEnum):
-        return _enum_reader(kind)
-    return _class_reader(kind)
+def _reader(annotation: Any) -> _Reader:
+    if annotation in _READER_BY_TYPE:
+        return _READER_BY_TYPE[annotation]
+    if typing.get_origin(annotation) is tuple:
+        return _tuple_reader(_reader(typing.get_args(annotation)[0]))
+    if isinstance(annotation, types.UnionType):
+        return _optional_reader(_reader(typing.get_args(annotation)[0]))
+    if issubclass(annotation, enum.IntEnum):
+        return _enum_reader(annotation)
+    return _class_reader(annotation)
 
 
 def _tuple_writer(item: _Writer) -> _Writer:
@@ -255,27 +255,27 @@
     return lambda value: None if value is None else item(value)
 
 
-def _class_writer(kind: type) -> _Writer:
-    hints = typing.get_type_hints(kind)
-    fields = [(field.name, _writer(hints[field.name])) for field in attrs.fields(kind)]
+def _class_writer(cls: type) -> _Writer:
+    hints = typing.get_type_hints(cls)
+    fields = [(field.name, _writer(hints[field.name])) for field in attrs.fields(cls)]
     return lambda value: [write(getattr(value, name)) for name, write in fields]
 
 
-def _writer(kind: Any) -> _Writer:
-    if kind in _READER_BY_TYPE:
-        return _same
-    if typing.get_origin(kind) is tuple:
-        return _tuple_writer(_writer(typing.get_args(kind)[0]))
-    if isinstance(kind, types.UnionType):
-        return _optional_writer(_writer(typing.get_args(kind)[0]))
-    if issubclass(kind, enum.IntEnum):
+def _writer(annotation: Any) -> _Writer:
+    if annotation in _READER_BY_TYPE:
+        return _unchanged
+    if typing.get_origin(annotation) is tuple:
+        return _tuple_writer(_writer(typing.get_args(annotation)[0]))
+    if isinstance(annotation, types.UnionType):
+        return _optional_writer(_writer(typing.get_args(annotation)[0]))
+    if issubclass(annotation, enum.IntEnum):
         return int
-    return _class_writer(kind)
+    return _class_writer(annotation)
 
 
 _READER_BY_NUMBER: dict[int, _Reader] = {
-    number: _class_reader(kind) for number, kind in _TYPES.items()
+    number: _class_reader(cls) for number, cls in _CLASS_BY_NUMBER.items()
 }
 _WRITER_BY_CLASS: dict[type, tuple[int, _Writer]] = {
-    kind: (number, _class_writer(kind)) for number, kind in _TYPES.items()
+    cls: (number, _class_writer(cls)) for number, cls in _CLASS_BY_NUMBER.items()
 }
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,4 +1,4 @@
-"""Guards the codec: a frame is decoded to the same message or rejected."""
+"""Tests of the codec: a frame is decoded to the same message or rejected."""
 
 import attrs
 import hypothesis
@@ -35,8 +35,8 @@
 
 
 @hypothesis.given(strategies.binary(max_size=200))
-def test_garbage_is_rejected_or_decoded(body):
-    """Garbage must raise the one error that closes the connection."""
+def test_random_bytes_are_rejected_or_decoded(body):
+    """Malformed bytes must raise ``WireError``, on which the connection is closed."""
     try:
         message = wire.decode(body)
     except errors.WireError:
@@ -45,8 +45,8 @@
 
 
 @hypothesis.given(strategies.data())
-def test_frames_survive_any_split(data):
-    """TCP may deliver a frame in any pieces."""
+def test_frames_are_decoded_whatever_the_split(data):
+    """TCP may split a frame at any byte."""
     stream = b"".join(map(wire.encode, SAMPLES))
     buffer = wire.FrameBuffer()
     decoded = []
@@ -58,7 +58,7 @@
 
 
 def test_length_over_limit_is_rejected_before_the_body_arrives():
-    """A large length must not make the process collect memory for it."""
+    """A length over the limit must not make the process buffer that many bytes."""
     with pytest.raises(errors.WireError, match="allowed are 1 to 100"):
         list(wire.FrameBuffer(limit=100).feed(wire.HEADER.pack(101)))
 
@@ -67,14 +67,14 @@
     "body",
     [b"\x91\x03", b"\x93\x03\x01\x02\x03", b"\x93\x03\x01\xa1a", b"\x92\x63\x01"],
 )
-def test_wrong_shape_is_rejected(body):
+def test_malformed_array_is_rejected(body):
     """Wrong arity, wrong type and an unknown message number are rejected."""
     with pytest.raises(errors.WireError):
         wire.decode(body)
 
 
 def test_equal_nodes_are_one_object():
-    """Guards against a copy of each scope's nodes in every claim that is kept."""
+    """Guards against a copy of the scope's nodes in every claim record."""
     first, second = (
         wire.decode(wire.encode(messages.Peers((NODE,)))[wire.HEADER.size :])
         for _ in range(2)
@@ -84,8 +84,8 @@
 
 
 @pytest.mark.parametrize("boot", [True, 7.0, -1])
-def test_a_shared_node_does_not_hide_a_wrong_type(boot):
-    """Guards against a lookup before the checks: 7.0 equals the boot 7."""
+def test_cached_node_does_not_bypass_the_type_checks(boot):
+    """Guards against a cache lookup before the checks: 7.0 equals the boot 7."""
     wire.decode(wire.encode(messages.Peers((NODE,)))[wire.HEADER.size :])
     body = msgpack.packb([2, [[NODE.name, boot, NODE.address]]])
     with pytest.raises(errors.WireError):
