Reword the settings, their fields and the INI reader

Cause: names that say little (fields.Kind, fields.unknown, fields.values, ini.show, ini.label, settings.sections, _ORDERED, _GROUP) and sentences that need a second reading (a "file's form", "what a file holds"). Change: fields.ValueType, find_undeclared, parse_section, ini.quote_value, quote_name, settings.fields_by_section, _MINIMUM_FACTORS, _SECTION_CLASS; no other module uses them. Two error lines read "no way to find the other nodes" and "precedes the first section"; the keys, values and the part "allowed ..." of all lines stay. Each reason of a default or a bound is kept.

--- a/src/burdockgate/fields.py
+++ b/src/burdockgate/fields.py
@@ -1,7 +1,7 @@
 """Declaration, parsing and checking of single settings values.
 
-A :class:`Kind` turns the text of one key into its value. It is the metadata of a
-settings field, together with the meaning of the field.
+A :class:`ValueType` parses the text of one key. The metadata of a settings field holds
+it together with a description of the field.
 """
 
 from __future__ import annotations
@@ -26,51 +26,51 @@
 _VISIBLE = re.compile(r"[!-~]+")
 
 
-class Kind(abc.ABC):
-    """What the value of a key may be."""
+class ValueType(abc.ABC):
+    """Type and allowed range of the value of a key."""
 
     unit = ""
 
     @property
     @abc.abstractmethod
     def allowed(self) -> str:
-        """Return what is allowed, as the end of an error line."""
+        """Return a phrase that says what is allowed, for the end of an error line."""
 
     @abc.abstractmethod
     def parse(self, text: str) -> Any:
         """Return the value.
 
         :param text: the text after the equals sign, without outer white space.
-        :raises ValueError: when the text is not allowed; the message is the reason.
+        :raises ValueError: with the reason, when the text is not allowed.
         """
 
 
 @attrs.frozen
 class Key:
-    """Declaration of one key beside its default.
+    """Declaration of one key, without its default.
 
     :param meaning: one phrase for help texts.
     """
 
-    kind: Kind
+    value_type: ValueType
     meaning: str
 
 
-def key(kind: Kind, meaning: str) -> dict[str, Key]:
+def key(value_type: ValueType, meaning: str) -> dict[str, Key]:
     """Return the metadata of a settings field.
 
     :param meaning: one phrase for help texts.
     """
-    return {KEY: Key(kind, meaning)}
+    return {KEY: Key(value_type, meaning)}
 
 
 @attrs.frozen
-class Name(Kind):
+class Name(ValueType):
     """A name of 1 to 64 characters of ``[A-Za-z0-9._-]``."""
 
     @property
     def allowed(self) -> str:
-        """Return what is allowed."""
+        """Return a phrase that says what is allowed."""
         return "allowed are 1 to 64 characters of A-Z a-z 0-9 . _ -"
 
     def parse(self, text: str) -> str:
@@ -81,7 +81,7 @@
 
 
 @attrs.frozen
-class Integer(Kind):
+class Integer(ValueType):
     """A whole number.
 
     :param low: lowest value allowed.
@@ -94,7 +94,7 @@
 
     @property
     def allowed(self) -> str:
-        """Return what is allowed."""
+        """Return a phrase that says what is allowed."""
         unit = f" {self.unit}" if self.unit else ""
         return f"allowed are whole numbers from {self.low} to {self.high}{unit}"
 
@@ -108,7 +108,7 @@
 
 
 @attrs.frozen
-class Number(Kind):
+class Number(ValueType):
     """A decimal number; infinity and NaN are not allowed.
 
     :param low: lowest value allowed.
@@ -121,7 +121,7 @@
 
     @property
     def allowed(self) -> str:
-        """Return what is allowed."""
+        """Return a phrase that says what is allowed."""
         unit = f" {self.unit}" if self.unit else ""
         return f"allowed are numbers from {self.low:.12g} to {self.high:.12g}{unit}"
 
@@ -135,7 +135,7 @@
 
 
 @attrs.frozen
-class Address(Kind):
+class Address(ValueType):
     """An address ``host:port`` with an IP address as host.
 
     :param lowest_port: 0 when the system may choose the port, else 1.
@@ -147,7 +147,7 @@
 
     @property
     def allowed(self) -> str:
-        """Return what is allowed."""
+        """Return a phrase that says what is allowed."""
         host = "" if self.any_host else " other than the unspecified one"
         return (
             f"allowed is an IP address{host}, a colon and a port from "
@@ -164,19 +164,19 @@
 
 
 @attrs.frozen
-class Addresses(Kind):
+class Addresses(ValueType):
     """A comma-separated list of addresses, which may be empty."""
 
     @property
     def allowed(self) -> str:
-        """Return what is allowed."""
+        """Return a phrase that says what is allowed."""
         return (
             "allowed are host:port separated by commas, each with an IP address "
             "other than the unspecified one and a port from 1 to 65535"
         )
 
     def parse(self, text: str) -> tuple[str, ...]:
-        """Return the addresses in the order given, each once."""
+        """Return the addresses in the order given, without duplicates."""
         parts = [part.strip() for part in text.split(",")] if text else []
         for part in parts:
             try:
@@ -187,12 +187,12 @@
 
 
 @attrs.frozen
-class Host(Kind):
-    """An IP address, or empty."""
+class Host(ValueType):
+    """An IP address or an empty text."""
 
     @property
     def allowed(self) -> str:
-        """Return what is allowed."""
+        """Return a phrase that says what is allowed."""
         return "allowed is an IP address, or empty"
 
     def parse(self, text: str) -> str:
@@ -203,7 +203,7 @@
 
 
 @attrs.frozen
-class Url(Kind):
+class Url(ValueType):
     """An http URL without a path, whose host is an IP address.
 
     :param optional: whether an empty text is allowed.
@@ -213,12 +213,12 @@
 
     @property
     def allowed(self) -> str:
-        """Return what is allowed."""
-        end = ", or empty" if self.optional else ""
-        return f"allowed is http://IP-ADDRESS:PORT{end}"
+        """Return a phrase that says what is allowed."""
+        alternative = ", or empty" if self.optional else ""
+        return f"allowed is http://IP-ADDRESS:PORT{alternative}"
 
     def parse(self, text: str) -> str:
-        """Return the URL without the slash at its end."""
+        """Return the URL without a trailing slash."""
         if not text and self.optional:
             return text
         if not _VISIBLE.fullmatch(text):
@@ -237,10 +237,11 @@
 
 
 def split_address(text: str) -> tuple[str, int]:
-    """Return host and port of an address, the host without brackets.
+    """Return the host of an address, without brackets, and the port.
 
     :param text: ``host:port``, with an IPv6 address in brackets.
-    :raises ValueError: when the text has another form; the host is not checked.
+    :raises ValueError: when the text does not have this form. Whether the host is an
+        IP address is not checked.
     """
     host, colon, port = text.rpartition(":")
     bracketed = host.startswith("[") and host.endswith("]")
@@ -251,63 +252,67 @@
     return host[1:-1] if bracketed else host, int(port)
 
 
-def unknown(
+def find_undeclared(
     path: str,
     content: ini.Content,
     declared: Mapping[str, Iterable[attrs.Attribute[Any]]],
 ) -> Iterator[str]:
-    """Yield one line for each section or key that is not declared.
+    """Yield one error line for each section or key that is not declared.
 
-    :param path: the file, for the lines.
+    :param path: the file, for the error lines.
     :param declared: the fields by section.
     """
     for section, texts in content.text_by_key_by_section.items():
         if section not in declared:
-            known = _known(section, declared)
-            yield f"{path}: [{ini.label(section)}]: unknown section; {known}"
+            allowed = _allowed_names(section, declared)
+            yield f"{path}: [{ini.quote_name(section)}]: unknown section; {allowed}"
             continue
         names = [field.name for field in declared[section]]
         for name in (name for name in texts if name not in names):
             yield (
-                f"{path}: [{section}] {ini.label(name)} = {ini.show(texts[name])}: "
-                f"unknown key; {_known(name, names)}"
+                f"{path}: [{section}] {ini.quote_name(name)} = "
+                f"{ini.quote_value(texts[name])}: unknown key; "
+                f"{_allowed_names(name, names)}"
             )
 
 
-def _known(name: str, names: Iterable[str]) -> str:
+def _allowed_names(name: str, names: Iterable[str]) -> str:
     close = difflib.get_close_matches(name, names, n=1)
     hint = f"did you mean {close[0]}? " if close else ""
     return f"{hint}allowed are {', '.join(names)}"
 
 
-def values(
+def parse_section(
     path: str,
     section: str,
     declared: Iterable[attrs.Attribute[Any]],
     texts: Mapping[str, str],
     problems: list[str],
 ) -> dict[str, Any]:
-    """Return the usable values of a section by key, defaults included.
+    """Return the valid values of a section by key, including defaults.
 
-    :param path: the file, for the lines.
+    :param path: the file, for the error lines.
     :param texts: the text of each key in the file.
-    :param problems: gets one line for each missing or unusable key.
+    :param problems: list to which one error line is appended for each key that is
+        missing or not valid.
     """
-    found: dict[str, Any] = {}
+    value_by_key: dict[str, Any] = {}
     for field in declared:
-        kind = field.metadata[KEY].kind
+        value_type = field.metadata[KEY].value_type
         place = f"{path}: [{section}] {field.name}"
         text = texts.get(field.name)
         if text is not None:
             try:
-                found[field.name] = kind.parse(text)
+                value_by_key[field.name] = value_type.parse(text)
             except ValueError as error:
-                problems.append(f"{place} = {ini.show(text)}: {error}; {kind.allowed}")
+                problems.append(
+                    f"{place} = {ini.quote_value(text)}: {error}; {value_type.allowed}"
+                )
         elif field.default is attrs.NOTHING:
-            problems.append(f"{place}: missing; {kind.allowed}")
+            problems.append(f"{place}: missing; {value_type.allowed}")
         else:
-            found[field.name] = field.default
-    return found
+            value_by_key[field.name] = field.default
+    return value_by_key
 
 
 def _check_host(host: str, any_host: bool) -> None:
--- a/src/burdockgate/ini.py
+++ b/src/burdockgate/ini.py
@@ -1,7 +1,7 @@
-"""Reading of an INI file with all its errors at once.
+"""Reading of an INI file, with all its syntax errors reported together.
 
-``configparser`` stops at the first duplicate. So each duplicate gets a name of its own
-and the text is parsed again until no error is left.
+``configparser`` stops at the first duplicate. Therefore each duplicate is renamed and
+the text is parsed again until no error is left.
 """
 
 from __future__ import annotations
@@ -12,20 +12,20 @@
 
 from burdockgate import errors
 
-# A settings file has a few KB; the limits keep a wrong path, for example that of a
-# device or of a binary file, from filling the memory or the terminal.
+# A settings file has a few KB. The limits prevent a wrong path, for example of a device
+# or a binary file, from filling the memory or the terminal.
 FILE_LIMIT_CHARS = 1 << 20
 PROBLEM_LIMIT = 20
 VALUE_LIMIT_CHARS = 80
-_LABEL_LIMIT_CHARS = 1024
+_NAME_LIMIT_CHARS = 1024
 
 
 @attrs.frozen
 class Content:
-    """What a file holds.
+    """Content of a file.
 
-    :param text_by_key_by_section: the text of each key; of duplicates the last.
-    :param problems: one line for each error of the file's form.
+    :param text_by_key_by_section: the text of each key; the last one of duplicates.
+    :param problems: one line for each syntax error or duplicate.
     """
 
     text_by_key_by_section: dict[str, dict[str, str]]
@@ -39,36 +39,36 @@
     :raises errors.SettingsError: when the file cannot be read or is not INI, so that
         no key can be checked.
     """
-    lines = _text(path).split("\n")
-    merged = _parser(strict=False)
-    problems = _problems(path, lines)
+    lines = _read_text(path).split("\n")
+    parser = _create_parser(strict=False)
+    problems = _find_syntax_errors(path, lines)
     try:
-        merged.read_string("\n".join(lines))
+        parser.read_string("\n".join(lines))
     except configparser.Error:
         raise errors.SettingsError(problems) from None
-    return Content({name: dict(merged[name]) for name in merged.sections()}, problems)
+    return Content({name: dict(parser[name]) for name in parser.sections()}, problems)
 
 
-def show(text: str) -> str:
-    """Return a value for an error line: quoted, on one line and not too long.
+def quote_value(text: str) -> str:
+    """Return a value for an error line: quoted, on one line and shortened.
 
-    :param text: the value as it stands in the file.
+    :param text: the value as written in the file.
     """
     if len(text) > VALUE_LIMIT_CHARS:
         return f"{text[:VALUE_LIMIT_CHARS]!r}..."
     return repr(text)
 
 
-def label(name: str) -> str:
+def quote_name(name: str) -> str:
     """Return a path, section or key for an error line, quoted only when needed.
 
     :param name: the name as the operator wrote it.
     """
-    plain = name.isprintable() and len(name) <= _LABEL_LIMIT_CHARS
-    return name if plain else show(name)
+    is_plain = name.isprintable() and len(name) <= _NAME_LIMIT_CHARS
+    return name if is_plain else quote_value(name)
 
 
-def _text(path: str) -> str:
+def _read_text(path: str) -> str:
     try:
         with open(path, encoding="utf-8-sig") as file:
             text = file.read(FILE_LIMIT_CHARS + 1)
@@ -83,53 +83,57 @@
             return text
         reason = f"longer than {FILE_LIMIT_CHARS} characters"
     raise errors.SettingsError(
-        [f"{label(path)}: {reason}; allowed is a readable INI file in UTF-8"]
+        [f"{quote_name(path)}: {reason}; allowed is a readable INI file in UTF-8"]
     )
 
 
-def _parser(strict: bool) -> configparser.RawConfigParser:
-    # An empty name cannot be written as a section, so no section gives defaults to
-    # the others.
+def _create_parser(strict: bool) -> configparser.RawConfigParser:
+    # No section can have an empty name, so none supplies defaults to the others.
     return configparser.RawConfigParser(
         default_section="", strict=strict, delimiters=("=",), interpolation=None
     )
 
 
-def _problems(path: str, lines: list[str]) -> list[str]:
-    """Return the errors of form, and blank the malformed lines but not duplicates."""
+def _find_syntax_errors(path: str, lines: list[str]) -> list[str]:
+    """Return one line for each syntax error or duplicate.
+
+    :param lines: lines of the file; malformed ones are blanked in place, duplicates
+        are left.
+    """
     problems: list[str] = []
-    rest = list(lines)
+    edited = list(lines)
     while len(problems) < PROBLEM_LIMIT:
         try:
-            _parser(strict=True).read_string("\n".join(rest))
+            _create_parser(strict=True).read_string("\n".join(edited))
             return problems
         except configparser.DuplicateSectionError as error:
             number = error.lineno or 1
             problems.append(
-                f"{path}: [{label(error.section)}] (line {number}): duplicate section; "
-                "allowed is each section once"
+                f"{path}: [{quote_name(error.section)}] (line {number}): "
+                "duplicate section; allowed is each section once"
             )
-            rest[number - 1] = f"[{error.section} of line {number}]"
+            edited[number - 1] = f"[{error.section} of line {number}]"
         except configparser.DuplicateOptionError as error:
             number = error.lineno or 1
-            text = rest[number - 1].partition("=")[2].strip()
+            text = edited[number - 1].partition("=")[2].strip()
             problems.append(
-                f"{path}: [{label(error.section)}] {label(error.option)} (line "
-                f"{number}) = {show(text)}: duplicate key; allowed is each key once"
+                f"{path}: [{quote_name(error.section)}] {quote_name(error.option)} "
+                f"(line {number}) = {quote_value(text)}: duplicate key; "
+                "allowed is each key once"
             )
-            rest[number - 1] = f"{error.option} of line {number} ="
+            edited[number - 1] = f"{error.option} of line {number} ="
         except configparser.MissingSectionHeaderError as error:
-            text = show(rest[error.lineno - 1])
+            text = quote_value(edited[error.lineno - 1])
             problems.append(
-                f"{path}: line {error.lineno} {text}: stands before any section; "
+                f"{path}: line {error.lineno} {text}: precedes the first section; "
                 "allowed is an INI file that begins with [SECTION]"
             )
             return problems
         except configparser.ParsingError as error:
             for number, _ in error.errors[: PROBLEM_LIMIT - len(problems)]:
                 problems.append(
-                    f"{path}: line {number} {show(rest[number - 1])}: not INI; "
-                    "allowed are [SECTION], KEY = VALUE and # COMMENT"
+                    f"{path}: line {number} {quote_value(edited[number - 1])}: "
+                    "not INI; allowed are [SECTION], KEY = VALUE and # COMMENT"
                 )
-                rest[number - 1] = lines[number - 1] = ""
+                edited[number - 1] = lines[number - 1] = ""
     return problems
--- a/src/burdockgate/settings.py
+++ b/src/burdockgate/settings.py
@@ -1,8 +1,8 @@
-"""Settings of a process, from one INI file that is checked whole at the start.
+"""Settings of a process, read from one INI file and checked when the process starts.
 
-Each section is a frozen attrs class whose fields declare key, default, allowed
-range and unit. Errors do not stop the check at the first one: all are reported
-together, one line each.
+Each section is a frozen attrs class whose fields declare key, default, allowed range
+and unit (see :mod:`burdockgate.fields`). All errors of a file are reported together,
+one line each.
 """
 
 from __future__ import annotations
@@ -17,14 +17,15 @@
 ENTRY = "entry"
 AGENT = "agent"
 _GIB = 1 << 30
-_GROUP = "group"
+_SECTION_CLASS = "group"
 
-# Pairs of keys of one section: the second must be at least the factor times the first.
-_ORDERED = (
+# Section, key, factor and second key: the value of the second key must be at least the
+# factor times that of the first one.
+_MINIMUM_FACTORS = (
     ("timing", "heartbeat_s", 3, "lease_s"),
     ("limits", "default_deadline_s", 1, "max_deadline_s"),
     ("limits", "body_bytes", 1, "backlog_bytes"),
-    # Each running task holds one connection.
+    # Each running task uses one connection.
     ("backend_server", "slots", 1, "connections"),
     ("health", "ejection_s", 1, "max_ejection_s"),
 )
@@ -48,7 +49,7 @@
         metadata=fields.key(fields.Name(), "data centre of the node")
     )
     rack: str = attrs.field(metadata=fields.key(fields.Name(), "rack of the node"))
-    # Peers dial this address, so it must name one host.
+    # Peers connect to this address, so it must name one host.
     listen: str = attrs.field(
         metadata=fields.key(
             fields.Address(lowest_port=0), "address for streams from other nodes"
@@ -58,7 +59,7 @@
 
 @attrs.frozen
 class TimingSettings:
-    """Intervals and timeouts in seconds, see section 3.3 of the design page."""
+    """Intervals and timeouts in seconds, see section 3.3 of ``docs/design.md``."""
 
     SECTION: ClassVar[str] = "timing"
 
@@ -66,7 +67,7 @@
         default=0.8,
         metadata=fields.key(fields.Number(0.01, 0.95, "s"), "interval of heartbeats"),
     )
-    # A dead worker must get no new task after 3 s; 0.1 s is left for timers.
+    # A dead worker must get no new task after 3 s; timers may be 0.1 s late.
     lease_s: float = attrs.field(
         default=2.5,
         metadata=fields.key(
@@ -87,7 +88,7 @@
             fields.Number(1, 86400, "s"), "time for which an ended job is kept"
         ),
     )
-    # Regions are at times cut off from each other for an hour, and jobs go on in each.
+    # Regions may be partitioned for an hour, and each must keep running jobs.
     view_limit_s: float = attrs.field(
         default=3900.0,
         metadata=fields.key(
@@ -111,7 +112,7 @@
 
 @attrs.frozen
 class StatsdSettings:
-    """Where metrics go.
+    """The statsd server to which metrics are sent.
 
     :param host: IP address; empty turns statsd off.
     """
@@ -134,12 +135,12 @@
 
 @attrs.frozen
 class PlatformSettings:
-    """How a node finds the system; a log or seeds are needed.
+    """How a node finds the other nodes: by the log, by seeds or by both.
 
     :param log_url: URL of the log service; empty for none.
     :param seeds: addresses ``host:port`` of entry hosts.
-    :param log_retention_s: entry hosts append snapshots again when half of it has
-        passed.
+    :param log_retention_s: time for which the log keeps a record; entry hosts append
+        new snapshots after half of it.
     """
 
     SECTION: ClassVar[str] = "platform"
@@ -162,7 +163,7 @@
 
 @attrs.frozen
 class LimitSettings:
-    """What an entry host accepts and keeps."""
+    """Limits on the jobs that an entry host accepts and on the answers it keeps."""
 
     SECTION: ClassVar[str] = "limits"
 
@@ -192,7 +193,7 @@
     max_deadline_s: float = attrs.field(
         default=300.0,
         metadata=fields.key(
-            # Claim group members keep unsettled claims no longer than this.
+            # Claim group members keep unsettled claims no longer than 300 s.
             fields.Number(0.001, 300, "s"),
             "longest deadline that a job may name",
         ),
@@ -207,7 +208,7 @@
 
 @attrs.frozen
 class HealthSettings:
-    """When an entry host sets a worker aside, and for how long."""
+    """When an entry host ejects a worker, and for how long."""
 
     SECTION: ClassVar[str] = "health"
 
@@ -225,7 +226,7 @@
             "run time over that of other workers from which a worker is slow",
         ),
     )
-    # Some tasks take several seconds.
+    # Some tasks run for several seconds.
     overdue_s: float = attrs.field(
         default=10.0,
         metadata=fields.key(
@@ -233,7 +234,7 @@
             "time without an answer after which a task is overdue",
         ),
     )
-    # A rack of 3 of the 11 workers of a deployment fits in.
+    # Allows the ejection of a rack with 3 of a deployment's 11 workers.
     max_ejected_share: float = attrs.field(
         default=0.3,
         metadata=fields.key(
@@ -262,10 +263,10 @@
 
 @attrs.frozen
 class BackendSettings:
-    """The backend server beside an agent.
+    """The backend server that runs the tasks of an agent's worker.
 
     :param slots: tasks that run at once.
-    :param connections: most HTTP connections to the backend server.
+    :param connections: maximum number of HTTP connections to the backend server.
     :param cores: processors that one task may ask for.
     :param memory_mb: memory that one task may ask for, in MB.
     """
@@ -306,7 +307,7 @@
             "accelerators that one task may ask for",
         ),
     )
-    # One result may have 1 MiB.
+    # The lowest value is the size limit of one result, 1 MiB.
     results_bytes: int = attrs.field(
         default=16777216,
         metadata=fields.key(
@@ -315,8 +316,8 @@
     )
 
 
-def _group(section: type) -> dict[str, type]:
-    return {_GROUP: section}
+def _section(section_class: type) -> dict[str, type]:
+    return {_SECTION_CLASS: section_class}
 
 
 @attrs.frozen
@@ -329,18 +330,18 @@
 
     SECTION: ClassVar[str] = "entry"
 
-    node: NodeSettings = attrs.field(metadata=_group(NodeSettings))
+    node: NodeSettings = attrs.field(metadata=_section(NodeSettings))
     http: str = attrs.field(
         metadata=fields.key(
             fields.Address(lowest_port=0, any_host=True), "address for callers"
         )
     )
-    platform: PlatformSettings = attrs.field(metadata=_group(PlatformSettings))
-    limits: LimitSettings = attrs.field(metadata=_group(LimitSettings))
-    timing: TimingSettings = attrs.field(metadata=_group(TimingSettings))
-    statsd: StatsdSettings = attrs.field(metadata=_group(StatsdSettings))
+    platform: PlatformSettings = attrs.field(metadata=_section(PlatformSettings))
+    limits: LimitSettings = attrs.field(metadata=_section(LimitSettings))
+    timing: TimingSettings = attrs.field(metadata=_section(TimingSettings))
+    statsd: StatsdSettings = attrs.field(metadata=_section(StatsdSettings))
     health: HealthSettings = attrs.field(
-        factory=HealthSettings, metadata=_group(HealthSettings)
+        factory=HealthSettings, metadata=_section(HealthSettings)
     )
 
 
@@ -350,11 +351,11 @@
 
     SECTION: ClassVar[str] = ""
 
-    node: NodeSettings = attrs.field(metadata=_group(NodeSettings))
-    backend_server: BackendSettings = attrs.field(metadata=_group(BackendSettings))
-    platform: PlatformSettings = attrs.field(metadata=_group(PlatformSettings))
-    timing: TimingSettings = attrs.field(metadata=_group(TimingSettings))
-    statsd: StatsdSettings = attrs.field(metadata=_group(StatsdSettings))
+    node: NodeSettings = attrs.field(metadata=_section(NodeSettings))
+    backend_server: BackendSettings = attrs.field(metadata=_section(BackendSettings))
+    platform: PlatformSettings = attrs.field(metadata=_section(PlatformSettings))
+    timing: TimingSettings = attrs.field(metadata=_section(TimingSettings))
+    statsd: StatsdSettings = attrs.field(metadata=_section(StatsdSettings))
 
 
 _T = TypeVar("_T", EntrySettings, AgentSettings)
@@ -379,7 +380,7 @@
 
 
 def check(path: str, role: str) -> list[str]:
-    """Return the problems of a file, one line each; none for a usable file.
+    """Return the problems of a file, one line each; an empty list for a valid file.
 
     :param path: the INI file.
     :param role: ``entry`` or ``agent``.
@@ -387,7 +388,7 @@
     load_by_role = {ENTRY: load_entry, AGENT: load_agent}
     if role not in load_by_role:
         allowed = " or ".join(load_by_role)
-        return [f"{path}: role {ini.show(role)}: unknown; allowed is {allowed}"]
+        return [f"{path}: role {ini.quote_value(role)}: unknown; allowed is {allowed}"]
     try:
         load_by_role[role](path)
     except errors.SettingsError as error:
@@ -396,7 +397,7 @@
 
 
 def detect_role(path: str) -> str:
-    """Return ``entry`` or ``agent``, by the section that only its file has.
+    """Return ``entry`` or ``agent``, by the section that only the role's file has.
 
     :param path: the INI file.
     :raises errors.SettingsError: when the file has both sections or neither, or
@@ -416,60 +417,64 @@
     return roles[0]
 
 
-def sections(
+def fields_by_section(
     cls: type[EntrySettings] | type[AgentSettings],
 ) -> dict[str, tuple[attrs.Attribute[Any], ...]]:
-    """Return the declared fields by section, in the order of the class.
+    """Return the declared fields of each section, in the order of the class.
 
     :param cls: :class:`EntrySettings` or :class:`AgentSettings`.
     """
-    found: dict[str, tuple[attrs.Attribute[Any], ...]] = {}
+    declared: dict[str, tuple[attrs.Attribute[Any], ...]] = {}
     for field in attrs.fields(cls):
-        if group := field.metadata.get(_GROUP):
-            found[group.SECTION] = attrs.fields(group)
+        if section_class := field.metadata.get(_SECTION_CLASS):
+            declared[section_class.SECTION] = attrs.fields(section_class)
         else:
-            found[cls.SECTION] = (*found.get(cls.SECTION, ()), field)
-    return found
+            declared[cls.SECTION] = (*declared.get(cls.SECTION, ()), field)
+    return declared
 
 
 def _load(path: str, cls: type[_T]) -> _T:
     content = ini.read(path)
     texts = content.text_by_key_by_section
-    declared = sections(cls)
+    declared = fields_by_section(cls)
     problems = list(content.problems)
-    problems += fields.unknown(path, content, declared)
+    problems += fields.find_undeclared(path, content, declared)
     value_by_key_by_section = {
-        section: fields.values(path, section, keys, texts.get(section, {}), problems)
+        section: fields.parse_section(
+            path, section, keys, texts.get(section, {}), problems
+        )
         for section, keys in declared.items()
     }
-    problems += _conflicts(path, value_by_key_by_section)
+    problems += _find_conflicts(path, value_by_key_by_section)
     if problems:
         raise errors.SettingsError(problems)
-    own = value_by_key_by_section.get(cls.SECTION, {})
-    groups = {
-        field.name: group(**value_by_key_by_section[group.SECTION])
+    own_values = value_by_key_by_section.get(cls.SECTION, {})
+    sections = {
+        field.name: section_class(**value_by_key_by_section[section_class.SECTION])
         for field in attrs.fields(cls)
-        if (group := field.metadata.get(_GROUP))
+        if (section_class := field.metadata.get(_SECTION_CLASS))
     }
-    return cls(**own, **groups)
+    return cls(**own_values, **sections)
 
 
-def _conflicts(path: str, found: dict[str, dict[str, Any]]) -> Iterator[str]:
-    """Yield problems of values that are usable alone but not together."""
-    platform = found[PlatformSettings.SECTION]
+def _find_conflicts(
+    path: str, value_by_key_by_section: dict[str, dict[str, Any]]
+) -> Iterator[str]:
+    """Yield problems of values that are valid alone but not together."""
+    platform = value_by_key_by_section[PlatformSettings.SECTION]
     if platform.get("log_url") == "" and platform.get("seeds") == ():
         yield (
-            f"{path}: [{PlatformSettings.SECTION}] log_url = '', seeds = '': nothing "
-            "to find the system by; at least one of the two is needed"
+            f"{path}: [{PlatformSettings.SECTION}] log_url = '', seeds = '': no "
+            "way to find the other nodes; at least one of the two is needed"
         )
-    for section, low, factor, high in _ORDERED:
-        values = found.get(section, {})
+    for section, low, factor, high in _MINIMUM_FACTORS:
+        values = value_by_key_by_section.get(section, {})
         if low not in values or high not in values:
             continue
-        # The tolerance is for decimal fractions: 3 * 0.1 is over 0.3 in binary.
-        least = round(factor * values[low], 9)
-        if values[high] < least:
+        # Rounded because 3 * 0.1 is above 0.3 in binary floating point.
+        minimum = round(factor * values[low], 9)
+        if values[high] < minimum:
             yield (
                 f"{path}: [{section}] {high} = {values[high]}: too low; allowed is at "
-                f"least {f'{factor} x ' if factor > 1 else ''}{low}, which is {least}"
+                f"least {f'{factor} x ' if factor > 1 else ''}{low}, which is {minimum}"
             )
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,4 +1,4 @@
-"""Guards the settings: every mistake is reported in one line, all at once."""
+"""Tests of the settings: each error is reported in one line, and all together."""
 
 import pathlib
 import random
@@ -40,16 +40,16 @@
 
 @pytest.mark.parametrize("role", ["entry", "agent"])
 def test_example_shows_every_key_with_its_default_and_unit(role):
-    """An example must not drift from the declared keys, defaults and units."""
+    """The examples must match the declared keys, defaults and units."""
     path = str(EXAMPLES / f"{role}.ini")
     loaded = LOAD_BY_ROLE[role](path)
     assert settings.detect_role(path) == role
     text = pathlib.Path(path).read_text()
-    for section, keys in settings.sections(type(loaded)).items():
+    for section, keys in settings.fields_by_section(type(loaded)).items():
         body = text.split(f"\n[{section}]\n")[1].split("\n[")[0]
         for field in keys:
             comment = body.partition(f"\n{field.name} =")[0].rpartition("\n# ")[2]
-            unit = field.metadata[fields.KEY].kind.unit
+            unit = field.metadata[fields.KEY].value_type.unit
             shown = "empty" if field.default in ("", ()) else field.default
             default = f"Default: {shown}"
             if field.default is attrs.NOTHING:
@@ -67,7 +67,7 @@
 
 
 def test_all_errors_at_once(tmp_path):
-    """The check must not stop at the first error, whatever kind that is."""
+    """The check must not stop at the first error of any kind."""
     text = """[node]
 name = a b
 region = r
@@ -124,7 +124,7 @@
 
 
 @pytest.mark.parametrize(("key", "text"), [*BAD_ADDRESSES, ("listen", "0.0.0.0:7000")])
-def test_address_that_no_node_can_dial_is_one_problem(tmp_path, key, text):
+def test_unusable_address_is_one_problem(tmp_path, key, text):
     old = "listen = 127.0.0.1:0" if key == "listen" else SEEDS
     (problem,) = _problems(tmp_path, ENTRY.replace(old, f"{key} = {text}"))
     assert f"] {key} = " in problem
@@ -134,8 +134,8 @@
 @pytest.mark.parametrize(
     "url", ["http://127.0.0.1:1/", "http://[::1]", *BAD_URLS.split()]
 )
-def test_url_that_passes_is_one_that_its_users_take(url):
-    """The check must not pass a URL with which the daemon then does not start."""
+def test_accepted_url_is_accepted_by_the_http_clients(url):
+    """The check must not accept a URL with which the daemon then fails to start."""
     try:
         parsed = fields.Url().parse(url)
     except ValueError:
@@ -145,7 +145,7 @@
 
 
 @pytest.mark.parametrize("text", NOT_INI)
-def test_file_that_is_not_ini_gives_lines_and_no_traceback(tmp_path, text):
+def test_file_that_is_not_ini_gives_problems_and_no_exception(tmp_path, text):
     assert 0 < len(_problems(tmp_path, text)) <= 20
 
 
@@ -155,14 +155,14 @@
     assert "allowed is a readable INI file" in problem
 
 
-def test_values_that_only_conflict_with_each_other(tmp_path):
-    """A slot without a connection could not run its task."""
+def test_values_that_conflict_with_each_other(tmp_path):
+    """A slot without a connection cannot run a task."""
     text = (EXAMPLES / "agent.ini").read_text().replace("slots = 8", "slots = 65")
     (problem,) = _problems(tmp_path, text, "agent")
     assert "connections = 64: too low; allowed is at least slots" in problem
 
 
-def test_role_is_detected_only_when_clear(tmp_path):
+def test_role_is_detected_only_when_unambiguous(tmp_path):
     for text in ("[node]\n", "[entry]\n[backend_server]\n"):
         with pytest.raises(errors.SettingsError, match="allowed is exactly one"):
             settings.detect_role(_write(tmp_path, text))
