--- a/src/burdockgate/clock.py
+++ b/src/burdockgate/clock.py
@@ -1,7 +1,7 @@
-"""Sources of time for decisions.
+"""Clocks for the classes that make decisions based on time.
 
-All times are seconds as floats. Decisions use the monotonic time only; the wall
-clock serves display.
+All times are seconds as floats. Decisions use monotonic time only; wall-clock time is
+only displayed.
 """
 
 from __future__ import annotations
@@ -11,7 +11,7 @@
 
 
 class Clock(abc.ABC):
-    """Tells the time to the classes that decide."""
+    """Interface of a monotonic clock."""
 
     @abc.abstractmethod
     def now(self) -> float:
@@ -27,32 +27,32 @@
 
 
 class BootClock(Clock):
-    """The machine's steady clock, which also counts the time of a suspension.
+    """The machine's monotonic clock, which also runs while the machine is suspended.
 
-    Leases are judged by it: a process that was suspended must find them lapsed.
+    Leases are measured with it, so that a process that was suspended finds them lapsed.
     """
 
     def now(self) -> float:
-        """Return the time since the machine's start in seconds."""
+        """Return the time since the machine's boot in seconds."""
         return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 class ManualClock(Clock):
-    """A clock that moves only when told, for exact tests.
+    """A clock that is advanced explicitly, for deterministic tests.
 
-    :param start: the first time in seconds.
+    :param start: the initial time in seconds.
     """
 
     def __init__(self, start: float = 0.0) -> None:
         self._now = start
 
     def now(self) -> float:
-        """Return the time last set, in seconds."""
+        """Return the current time in seconds."""
         return self._now
 
     def advance(self, seconds: float) -> None:
         """Move the clock forward.
 
-        :param seconds: how far, at least 0.
+        :param seconds: duration of at least 0.
         """
         self._now += seconds
--- a/src/burdockgate/codes.py
+++ b/src/burdockgate/codes.py
@@ -12,7 +12,7 @@
 
 
 class StartClass(enum.Enum):
-    """What a result code states about the tasks of the job."""
+    """Whether tasks of a job were started, as far as its result code states."""
 
     NOT_RUN = "not run"
     MAY_HAVE_RUN = "may have run"
@@ -55,21 +55,25 @@
 
 @attrs.frozen
 class Meaning:
-    """Facts about one result code.
+    """Properties of one result code.
 
-    :param start: the start class; ``None`` for a job without a result yet.
+    :param start_class: ``None`` for a job without a result yet.
     :param status: HTTP status of the answer.
     :param retryable: whether submitting again with the same key can help.
     :param text: one sentence for the docs and the answer's detail.
     """
 
-    start: StartClass | None
+    start_class: StartClass | None
     status: int
     retryable: bool
     text: str
 
 
-_NOT_RUN, _MAYBE, _RAN = StartClass.NOT_RUN, StartClass.MAY_HAVE_RUN, StartClass.RAN
+_NOT_RUN, _MAY_HAVE_RUN, _RAN = (
+    StartClass.NOT_RUN,
+    StartClass.MAY_HAVE_RUN,
+    StartClass.RAN,
+)
 
 MEANING_BY_CODE: dict[Code, Meaning] = {
     Code.COMPLETE: Meaning(_RAN, 200, False, "Every task ran and has its result."),
@@ -110,25 +114,28 @@
         _NOT_RUN, 404, False, "This entry host knows no job with this key."
     ),
     Code.WORKER_LOST: Meaning(
-        _MAYBE, 502, True, "A worker that had tasks of the job was lost."
+        _MAY_HAVE_RUN, 502, True, "A worker that had tasks of the job was lost."
     ),
     Code.OWNER_LOST: Meaning(
-        _MAYBE,
+        _MAY_HAVE_RUN,
         502,
         True,
         "The entry host that owned the job was lost and a start is in doubt.",
     ),
     Code.DEADLINE_MAY_HAVE_RUN: Meaning(
-        _MAYBE, 504, True, "The deadline passed after tasks were sent."
+        _MAY_HAVE_RUN, 504, True, "The deadline passed after tasks were sent."
     ),
     Code.CANCELLED_MAY_HAVE_RUN: Meaning(
-        _MAYBE, 409, True, "The job was cancelled after tasks were sent."
+        _MAY_HAVE_RUN, 409, True, "The job was cancelled after tasks were sent."
     ),
     Code.REQUEST_CUT: Meaning(
-        _MAYBE, 502, True, "A request to a backend server was sent and not answered."
+        _MAY_HAVE_RUN,
+        502,
+        True,
+        "A request to a backend server was sent and not answered.",
     ),
     Code.CLAIM_UNAVAILABLE: Meaning(
-        _MAYBE,
+        _MAY_HAVE_RUN,
         503,
         True,
         "No majority of the claim group answered, so an earlier submission with "
@@ -151,15 +158,15 @@
     """Return the start class of a result code.
 
     :param code: the result code.
-    :returns: the class, or ``None`` for a pending job.
+    :returns: the start class, or ``None`` for a pending job.
     """
-    return MEANING_BY_CODE[code].start
+    return MEANING_BY_CODE[code].start_class
 
 
 def markdown_table() -> str:
     """Return the table of all codes for ``docs/result-codes.md``.
 
-    :returns: the lines of a Markdown table, each ended by a newline.
+    :returns: a Markdown table; each line ends with a newline.
     """
     return "".join(_markdown_rows())
 
@@ -168,7 +175,7 @@
     yield "| code | name | start | HTTP status | retry can help | meaning |\n"
     yield "| --- | --- | --- | --- | --- | --- |\n"
     for code, meaning in MEANING_BY_CODE.items():
-        start = meaning.start.value if meaning.start else "none yet"
+        start = meaning.start_class.value if meaning.start_class else "none yet"
         retry = "yes" if meaning.retryable else "no"
         yield (
             f"| {code:d} | `{code.name}` | {start} | {meaning.status} | {retry} "
--- a/src/burdockgate/errors.py
+++ b/src/burdockgate/errors.py
@@ -1,7 +1,7 @@
-"""All exceptions that burdockgate raises on purpose.
+"""Exceptions raised by burdockgate.
 
-Each error message is one line that names the setting, field or peer, the value
-and what is allowed, so that it can be shown to a caller or operator as it is.
+Each error message is one line that names the setting, field or peer, the value and
+what is allowed, so that it can be shown unchanged to a caller or operator.
 """
 
 from __future__ import annotations
@@ -10,11 +10,11 @@
 
 
 class BurdockgateError(Exception):
-    """Base class of all errors of this package."""
+    """Base class of all exceptions of this package."""
 
 
 class SettingsError(BurdockgateError):
-    """The settings of a process are not usable.
+    """The settings of a process are not valid.
 
     :param problems: one line for each problem found.
     """
@@ -46,19 +46,19 @@
 
 
 class CallError(BurdockgateError):
-    """A call of the platform failed."""
+    """A call to the platform failed."""
 
 
 class NotSentError(CallError):
-    """No connection could be made, so that nothing was carried out."""
+    """No connection could be made, so the request was not sent and had no effect."""
 
 
 class UnansweredError(CallError):
-    """A request got no answer; it may have been carried out, or may be later."""
+    """A request was not answered; it may have taken effect, or may do so later."""
 
 
 class HistoryExpiredError(BurdockgateError):
-    """The records that were asked for have been deleted from the log."""
+    """The requested records have been deleted from the log."""
 
 
 class TableError(BurdockgateError):
@@ -78,4 +78,7 @@
 
 
 class ClientError(BurdockgateError):
-    """An entry host could not be reached or gave an answer that makes no sense."""
+    """A call of the client failed: no entry host gave a usable answer.
+
+    It is also raised for URLs of entry hosts that are not valid.
+    """
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -1,4 +1,4 @@
-"""Guards the client: it tries again under one key and never invents an outcome."""
+"""Tests of the client: it retries with one key and reports only outcomes from hosts."""
 
 import asyncio
 import json
@@ -18,7 +18,7 @@
 
 
 class _Service(test_web._Service):
-    """Answers with each of ``results`` in turn, and with the last one for ever."""
+    """Answers with each of ``results`` in turn and then always with the last one."""
 
     def __init__(self, *results):
         super().__init__()
@@ -39,7 +39,10 @@
 
 @pytest.fixture
 async def serve():
-    """Start an entry host for each service and return the URLs."""
+    """Return a function that starts an entry host for each service.
+
+    It returns their URLs.
+    """
     servers = []
 
     async def start(*services):
@@ -54,8 +57,11 @@
 
 
 @pytest.fixture
-async def breaker():
-    """Return the URL of a host that reads the request and sends ``reply``."""
+async def broken_host():
+    """Return a function that starts a host and returns its URL.
+
+    The host reads the head of a request, sends ``reply`` and closes the connection.
+    """
     listeners = []
 
     async def start(reply=b""):
@@ -72,18 +78,18 @@
         listener.close()
 
 
-class _First(random.Random):
-    """Begins at the first URL."""
+class _FirstUrl(random.Random):
+    """Makes the client start at the first URL."""
 
     def randrange(self, *args):
         return 0
 
 
 def _client(urls, timeout_s=30.0):
-    return client.Client(urls, timeout_s, _First(1))
+    return client.Client(urls, timeout_s, _FirstUrl(1))
 
 
-async def _dead_url():
+async def _unreachable_url():
     listener = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
     port = listener.sockets[0].getsockname()[1]
     listener.close()
@@ -91,11 +97,11 @@
     return f"http://127.0.0.1:{port}"
 
 
-async def test_moves_on_with_the_same_key(serve, breaker):
-    """Another key at the next host would start the tasks a second time."""
+async def test_next_host_is_called_with_the_same_key(serve, broken_host):
+    """A different key at the next host would start the tasks a second time."""
     service = _Service(LOST, COMPLETE)
     [url] = await serve(service)
-    async with _client([await _dead_url(), await breaker(), url]) as entry:
+    async with _client([await _unreachable_url(), await broken_host(), url]) as entry:
         answer = await entry.submit(BODY)
         assert (answer.outcome, answer.results) == ("complete", ({"a": 1},))
         assert answer.url == url
@@ -104,41 +110,44 @@
         assert service.keys()[2:] == ["mine"]
 
 
-HEAD = b"HTTP/1.1 502 Bad\r\nConnection: close\r\n\r\n"
-NONSENSE = [
+RESPONSE_HEAD = b"HTTP/1.1 502 Bad\r\nConnection: close\r\n\r\n"
+INVALID_REPLIES = [
     b"",
-    HEAD + b"<html>",
-    HEAD + b'{"error": 1}',
-    HEAD + b'{"code":0,"start":"ran","outcome":"complete","attempt":1,"detail":"",'
+    RESPONSE_HEAD + b"<html>",
+    RESPONSE_HEAD + b'{"error": 1}',
+    RESPONSE_HEAD
+    + b'{"code":0,"start":"ran","outcome":"complete","attempt":1,"detail":"",'
     b'"key":"other","results":[]}',
-    HEAD + b'{"code":113,"start":"not run","outcome":"refused","attempt":0,"detail":"",'
+    RESPONSE_HEAD
+    + b'{"code":113,"start":"not run","outcome":"refused","attempt":0,"detail":"",'
     b'"key":""}',
-    HEAD + b'{"code":105,"start":"ran","outcome":"refused","attempt":1,"detail":"",'
+    RESPONSE_HEAD
+    + b'{"code":105,"start":"ran","outcome":"refused","attempt":1,"detail":"",'
     b'"key":"k"}',
 ]
 
 
-@pytest.mark.parametrize("reply", NONSENSE, ids=range(len(NONSENSE)))
-async def test_no_outcome_is_invented(breaker, reply):
-    """A broken or foreign answer must not pass for the outcome of the job."""
-    async with _client([await breaker(reply)]) as entry:
+@pytest.mark.parametrize("reply", INVALID_REPLIES, ids=range(len(INVALID_REPLIES)))
+async def test_invalid_reply_is_not_taken_as_the_outcome(broken_host, reply):
+    """A malformed answer, or one about another job, must not become the outcome."""
+    async with _client([await broken_host(reply)]) as entry:
         with pytest.raises(errors.ClientError, match="key k: gave up after 8.* may "):
             await entry.submit(BODY, "k")
 
 
-async def test_refusal_does_not_cover_an_unanswered_request(serve, breaker):
-    """A refusal by one host is no proof while a request to another is open."""
+async def test_refusal_does_not_hide_an_unanswered_request(serve, broken_host):
+    """A request to another host may still run the job after a refusal by this one."""
     urls = await serve(_Service(FULL))
-    async with _client([await breaker(), *urls]) as entry:
+    async with _client([await broken_host(), *urls]) as entry:
         with pytest.raises(errors.ClientError, match="BACKLOG_FULL.*may have run"):
             await entry.submit(BODY)
-    async with _client([await _dead_url(), *urls]) as entry:
+    async with _client([await _unreachable_url(), *urls]) as entry:
         assert (await entry.submit(BODY)).code is codes.Code.BACKLOG_FULL
 
 
-async def test_unreachable_hosts_are_told_apart(breaker):
-    """A caller must learn that nothing was sent."""
-    async with _client([await _dead_url()]) as entry:
+async def test_unreachable_hosts_are_reported_as_such(broken_host):
+    """The error must tell the caller that nothing was sent."""
+    async with _client([await _unreachable_url()]) as entry:
         with pytest.raises(errors.ClientError, match="no request is left unanswered"):
             await entry.submit(BODY)
         with pytest.raises(errors.ClientError, match="GET /v1/status: gave up"):
@@ -163,7 +172,7 @@
 
 
 async def test_retry_budget_is_shared_by_calls(serve):
-    """Many callers that all retry would keep an overloaded host overloaded."""
+    """Unlimited retries by many callers would keep an overloaded host overloaded."""
     service = _Service(FULL)
     async with _client(await serve(service)) as entry:
         for _ in range(10):
@@ -172,7 +181,7 @@
 
 
 async def test_retry_after_is_honoured(serve, monkeypatch):
-    """A retry before the time that the host names is wasted."""
+    """A retry before the time in ``Retry-After`` would be refused again."""
     delays = []
     sleep = asyncio.sleep
 
@@ -191,8 +200,8 @@
         assert (await entry.submit(BODY)).code is codes.Code.RATE_EXCEEDED
 
 
-async def test_timeout_says_what_is_known():
-    """A host that never answers must not block the caller, nor look like a failure."""
+async def test_timeout_reports_that_the_job_may_have_run():
+    """A host that never answers must not block the caller or count as a failed job."""
 
     async def handle(reader, writer):
         await reader.read()
@@ -206,7 +215,7 @@
     listener.close()
 
 
-async def test_other_calls(serve):
+async def test_fetch_cancel_status_and_drain(serve):
     """Names with reserved characters must reach the host unchanged."""
     first, second = _Service(LOST), _Service(outcome.Pending(1))
     second.worker = "w/1"
@@ -218,7 +227,7 @@
         assert await entry.status() == {"workers": 3}
         assert await entry.drain("w/1")
         assert not await entry.drain("w2", active=False)
-    async with _client([urls[0], await _dead_url()]) as entry:
+    async with _client([urls[0], await _unreachable_url()]) as entry:
         with pytest.raises(errors.ClientError, match="ConnectError"):
             await entry.drain("w2")
     for bad in ([], ["127.0.0.1:80"], ["http://"], ["http://h:x"]):
--- a/tests/test_codes.py
+++ b/tests/test_codes.py
@@ -1,4 +1,4 @@
-"""Guards the table of result codes against contradictions and a stale page."""
+"""Tests of the result codes: their table is consistent and the page shows it."""
 
 import pathlib
 
@@ -10,15 +10,15 @@
 
 
 def test_page_shows_the_table():
-    """Callers read the page; print ``codes.markdown_table()`` to renew its table."""
+    """Callers read the page; print ``codes.markdown_table()`` to update its table."""
     lines = PAGE.read_text().splitlines(keepends=True)
     table = "".join(line for line in lines if line.startswith("|"))
     assert table == codes.markdown_table()
 
 
 @pytest.mark.parametrize("code", codes.Code)
-def test_number_tells_the_start_class(code):
-    """Callers may look at the number alone, so it must not contradict the class."""
+def test_number_gives_the_start_class(code):
+    """Callers may use the number alone, so it must agree with the start class."""
     ran, not_run, may = (
         codes.StartClass.RAN,
         codes.StartClass.NOT_RUN,
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,4 +1,4 @@
-"""Nodes find each other although their settings name hosts that are gone."""
+"""Tests of discovery with seeds or a log in the settings that cannot be reached."""
 
 import asyncio
 import contextlib
@@ -9,13 +9,13 @@
 from burdockgate import settings
 from burdockgate.standin import local, log
 
-DEAD = "127.0.0.1:1"
+UNREACHABLE = "127.0.0.1:1"
 LIMIT_S = 15.0
 
 
 @pytest.fixture
 async def system():
-    """Yield a local system whose nodes get other ``[platform]`` settings on request."""
+    """Yield a started local system of one entry host and one agent."""
     async with contextlib.AsyncExitStack() as stack:
         started = local.Local(local.LocalSettings(entries=1, agents=1, slots=2))
         await started.start()
@@ -23,16 +23,16 @@
         yield started
 
 
-async def until(condition):
+async def wait_until(condition):
     async with asyncio.timeout(LIMIT_S):
         while not condition():
             await asyncio.sleep(0.02)
 
 
-def use(system, monkeypatch, **platform):
-    """Let the next nodes of a system start with these platform settings."""
-    fresh = attrs.evolve(system._platform(), **platform)
-    monkeypatch.setattr(system, "_platform", lambda: fresh)
+def set_platform(system, monkeypatch, **platform):
+    """Start further nodes of a system with these platform settings."""
+    changed = attrs.evolve(system._platform(), **platform)
+    monkeypatch.setattr(system, "_platform", lambda: changed)
 
 
 def knows(system, name):
@@ -40,28 +40,28 @@
 
 
 async def test_agent_with_stale_seeds_finds_the_log(system, monkeypatch):
-    """Every seed of the settings has been replaced since they were written."""
-    use(system, monkeypatch, seeds=(DEAD,))
+    """All seeds may have been replaced since the settings were written."""
+    set_platform(system, monkeypatch, seeds=(UNREACHABLE,))
     await system.add_agent("late", 5)
-    await until(lambda: knows(system, "late"))
+    await wait_until(lambda: knows(system, "late"))
 
 
 async def test_agent_finds_a_seed_while_the_log_is_down(system, monkeypatch):
-    """An agent that starts in an outage of the log must still take work."""
-    use(system, monkeypatch, seeds=(DEAD, system.entries[0].address))
+    """An agent that starts during an outage of the log must still get tasks."""
+    set_platform(system, monkeypatch, seeds=(UNREACHABLE, system.entries[0].address))
     system.log.store.set_faults(log.Faults(down=True))
     await system.add_agent("late", 5)
-    await until(lambda: knows(system, "late"))
+    await wait_until(lambda: knows(system, "late"))
 
 
 async def test_agent_learns_the_other_entry_hosts_from_one(system, monkeypatch):
-    """One reachable seed is enough to be known to all entry hosts."""
+    """One reachable seed must suffice for an agent to connect to all entry hosts."""
     first = system.entries[0].address
     await system.add_entry("entry-2", 1)
-    await until(lambda: system.entries[1].core.jobs.peer_by_name)
-    use(system, monkeypatch, seeds=(first,))
+    await wait_until(lambda: system.entries[1].core.jobs.peer_by_name)
+    set_platform(system, monkeypatch, seeds=(first,))
     await system.add_agent("late", 5)
-    await until(
+    await wait_until(
         lambda: all(
             "late" in entry.core.workers.worker_by_name for entry in system.entries
         )
@@ -69,17 +69,19 @@
 
 
 async def test_entry_host_with_stale_seeds_finds_its_peers(system, monkeypatch):
-    """An entry host learns its peers from the log."""
-    use(system, monkeypatch, seeds=(DEAD,))
+    """An entry host must find its peers by the log when no seed can be reached."""
+    set_platform(system, monkeypatch, seeds=(UNREACHABLE,))
     late = await system.add_entry("entry-2", 1)
-    await until(lambda: "entry-1" in late.core.jobs.peer_by_name)
-    await until(lambda: late.core.view.voter_by_name)
+    await wait_until(lambda: "entry-1" in late.core.jobs.peer_by_name)
+    await wait_until(lambda: late.core.view.voter_by_name)
 
 
 async def test_entry_host_that_starts_in_an_outage_learns_the_view(system, monkeypatch):
-    """Without the log, the view comes from a peer."""
-    use(system, monkeypatch, seeds=(system.entries[0].address,))
+    """Without the log, an entry host must get the view from a peer."""
+    set_platform(system, monkeypatch, seeds=(system.entries[0].address,))
     assert isinstance(system._platform(), settings.PlatformSettings)
     system.log.store.set_faults(log.Faults(down=True))
     late = await system.add_entry("entry-2", 1)
-    await until(lambda: late.core.view.number == system.entries[0].core.view.number)
+    await wait_until(
+        lambda: late.core.view.number == system.entries[0].core.view.number
+    )
