Reword four meanings of settings

Cause: "each is twice the last", "run time over that of other workers" and "before its tasks may have run" have to be read twice. Change: texts only.

--- a/src/burdockgate/settings.py
+++ b/src/burdockgate/settings.py
@@ -79,7 +79,7 @@
         default=5.0,
         metadata=fields.key(
             fields.Number(0.05, 600, "s"),
-            "time for a lost worker to return before its tasks may have run",
+            "time for a lost worker to return before its tasks count as 'may have run'",
         ),
     )
     retention_s: float = attrs.field(
@@ -223,7 +223,7 @@
         default=5.0,
         metadata=fields.key(
             fields.Number(1.5, 1000),
-            "run time over that of other workers from which a worker is slow",
+            "ratio to the run time of other workers from which a worker is slow",
         ),
     )
     # Some tasks run for several seconds.
@@ -238,7 +238,8 @@
     max_ejected_share: float = attrs.field(
         default=0.3,
         metadata=fields.key(
-            fields.Number(0, 0.9), "share of a service's workers ejected at once"
+            fields.Number(0, 0.9),
+            "largest share of a service's workers ejected at once",
         ),
     )
     ejection_s: float = attrs.field(
@@ -250,7 +251,8 @@
     max_ejection_s: float = attrs.field(
         default=300.0,
         metadata=fields.key(
-            fields.Number(0.1, 86400, "s"), "longest ejection; each is twice the last"
+            fields.Number(0.1, 86400, "s"),
+            "longest ejection; each lasts twice as long as the last",
         ),
     )
     probation_tasks: int = attrs.field(
