Reword the entry point and the daemon commands

Cause: docstrings and help texts named things figuratively ("its memory", "point each closed stream at", "all roles with stand-ins, and one job").

--- a/src/burdockgate/cli/daemons.py
+++ b/src/burdockgate/cli/daemons.py
@@ -12,9 +12,9 @@
 
 
 def register(subparsers: main.Subparsers) -> None:
-    """Add the subcommands.
+    """Add the parsers of this group.
 
-    :param subparsers: the parser's subcommands.
+    :param subparsers: the subcommands of the main parser.
     """
     _add_daemon(subparsers, "entry", "run an entry host until SIGTERM", _run_entry)
     _add_daemon(
@@ -26,10 +26,12 @@
     parser = main.add_command(
         subparsers,
         "local",
-        "run all roles with stand-ins in one process, and one job",
+        "run one job on entry hosts, agents and stand-ins in one process",
         "burdockgate local --job job.json --agents 5 --json",
     )
-    parser.add_argument("--job", metavar="FILE", help="JSON job instead of the sample")
+    parser.add_argument(
+        "--job", metavar="FILE", help="JSON job to run instead of the sample"
+    )
     for name, default in (("--entries", 2), ("--agents", 3), ("--slots", 8)):
         parser.add_argument(name, type=_count, default=default, metavar="N")
     parser.add_argument("--http-port", type=int, default=0, metavar="PORT")
@@ -52,11 +54,11 @@
 def _add_daemon(
     subparsers: main.Subparsers,
     name: str,
-    text: str,
+    summary: str,
     run: Callable[[argparse.Namespace], int],
 ) -> None:
     example = f"burdockgate {name} --settings examples/{name}.ini"
-    parser = main.add_command(subparsers, name, text, example)
+    parser = main.add_command(subparsers, name, summary, example)
     parser.add_argument("--settings", required=True, metavar="FILE")
     parser.set_defaults(run=run)
 
--- a/src/burdockgate/cli/main.py
+++ b/src/burdockgate/cli/main.py
@@ -1,11 +1,10 @@
-"""The command ``burdockgate``: its parser, its errors and its exit status.
+"""Entry point of the command ``burdockgate``: parser, error output and exit status.
 
 Each group of subcommands is a module of this package with
-``register(subparsers) -> None``. The parsers that it adds set ``run``, a function
-that takes the parsed arguments and returns the exit status.
-
-Group modules import only ``argparse`` and the standard library at module level,
-because the parser imports all of them and an agent must stay within its memory.
+``register(subparsers) -> None``. Each parser that it adds sets the default ``run``, a
+function that takes the parsed arguments and returns the exit status. At module level,
+group modules import only the standard library and this package: every command, also
+that of the agent, imports all groups, and an agent must stay within its memory limit.
 """
 
 from __future__ import annotations
@@ -22,7 +21,7 @@
 import burdockgate
 
 if TYPE_CHECKING:
-    # What add_subparsers() returns; argparse has no public name for it.
+    # Type of add_subparsers(), for which argparse has no public name.
     Subparsers = argparse._SubParsersAction[argparse.ArgumentParser]
 
 GROUPS = ("jobs", "operate", "daemons", "table", "standins", "measure")
@@ -46,7 +45,8 @@
     _prepare_streams()
     try:
         status = _run(argv)
-        # The interpreter would report a closed pipe at exit with a traceback.
+        # Without this flush, the interpreter would print a traceback at exit when the
+        # output pipe is closed.
         sys.stdout.flush()
     except KeyboardInterrupt:
         return EXIT_INTERRUPTED
@@ -77,20 +77,20 @@
 def add_command(
     subparsers: Subparsers,
     name: str,
-    text: str,
+    summary: str,
     example: str,
 ) -> argparse.ArgumentParser:
     """Add one subcommand whose help ends with an example.
 
     :param name: name of the subcommand.
-    :param text: what it does, in a few words.
-    :param example: one full command line.
+    :param summary: what it does, in a few words that start in lower case.
+    :param example: a complete command line.
     :returns: its parser.
     """
     return subparsers.add_parser(
         name,
-        help=text,
-        description=f"{text[0].upper()}{text[1:]}.",
+        help=summary,
+        description=f"{summary[0].upper()}{summary[1:]}.",
         epilog=f"example:\n  {example}",
         formatter_class=argparse.RawDescriptionHelpFormatter,
         allow_abbrev=False,
@@ -100,9 +100,9 @@
 def _run(argv: Sequence[str] | None) -> int:
     try:
         args = build_parser().parse_args(argv)
-    except SystemExit as stop:
-        return stop.code if isinstance(stop.code, int) else EXIT_USAGE
-    # Not needed for --help and --version, and it imports attrs.
+    except SystemExit as request:
+        return request.code if isinstance(request.code, int) else EXIT_USAGE
+    # Imported late because it imports attrs, which --help and --version do not need.
     from burdockgate import errors
 
     run: Callable[[argparse.Namespace], int] = args.run
@@ -117,17 +117,17 @@
 
 def _prepare_streams() -> None:
     for name, mode in (("stdin", "r"), ("stdout", "w"), ("stderr", "w")):
-        # Python sets a stream that was closed before the start to None.
+        # A stream that was closed when the interpreter started is None.
         if getattr(sys, name) is None:
             setattr(sys, name, open(os.devnull, mode))  # noqa: SIM115
     for stream in (sys.stdout, sys.stderr):
-        # A character that the terminal's encoding lacks must not end the command.
+        # A character that the stream's encoding lacks must not end the command.
         if isinstance(stream, io.TextIOWrapper):
             stream.reconfigure(errors="backslashreplace")
 
 
 def _discard_output() -> None:
-    """Point each closed stream at the null device, so that the exit does not fail."""
+    """Redirect closed streams to the null device, so that a flush at exit succeeds."""
     for stream in (sys.stdout, sys.stderr):
         try:
             stream.flush()
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -1,4 +1,4 @@
-"""Guards exit status, error output and light start-up of the command line."""
+"""Tests the exit status, error output and start-up imports of the command line."""
 
 import argparse
 import os
@@ -21,10 +21,10 @@
 
 
 def test_every_help_has_an_example():
-    """A subcommand of any group must not be added without an example."""
-    found = list(_parsers(main.build_parser()))
-    assert len(found) >= 7
-    assert [p.prog for p in found if "example" not in (p.epilog or "")] == []
+    """No subcommand of any group may be added without an example."""
+    parsers = list(_parsers(main.build_parser()))
+    assert len(parsers) >= 7
+    assert [p.prog for p in parsers if "example" not in (p.epilog or "")] == []
 
 
 @pytest.mark.parametrize(
@@ -38,26 +38,26 @@
     ],
 )
 def test_errors_are_lines_not_tracebacks(error, status, lines, monkeypatch, capsys):
-    """An operator's mistake must not show a traceback or a wrong status."""
+    """An error must not show a traceback or return a wrong exit status."""
     monkeypatch.setattr(jobs, "run_fetch", mock.Mock(side_effect=error))
     assert main.main(["fetch", "acme", "k1"]) == status
     assert capsys.readouterr().err.splitlines() == [f"burdockgate: {x}" for x in lines]
 
 
 def test_closed_pipe_is_quiet():
-    """The interpreter must not report the closed pipe when it flushes at exit."""
+    """The interpreter must not print a traceback when it flushes a closed pipe."""
     reader, writer = os.pipe()
     os.close(reader)
     command = [sys.executable, "-m", "burdockgate", "--help"]
-    # Without a buffer, argparse itself ignores the failed write.
+    # With unbuffered output, argparse itself ignores the failed write.
     env = {k: v for k, v in os.environ.items() if k != "PYTHONUNBUFFERED"}
-    done = subprocess.run(command, stdout=writer, stderr=subprocess.PIPE, env=env)
+    completed = subprocess.run(command, stdout=writer, stderr=subprocess.PIPE, env=env)
     os.close(writer)
-    assert (done.returncode, done.stderr) == (141, b"")
+    assert (completed.returncode, completed.stderr) == (141, b"")
 
 
 def test_parser_imports_no_heavy_module():
-    """A daemon that is started by the command must fit in its memory."""
+    """A daemon imports the parser of every group and must fit in its memory limit."""
     code = (
         "import sys; from burdockgate.cli import main; main.build_parser();"
         "print({'asyncio', 'attrs', 'httpx', 'litestar', 'msgpack', 'structlog',"
