Reword the commands that call entry hosts and their output

Cause: facts, shown, row, problem, tick and source had to be looked up before a use could be read; some comments took two readings. Change: wording, and private and local names (fields, status, sections, has_failed, _update_progress, timer, rng, _call_entry, _raise_settings_error, _read_status, _WORKER_KEY_BY_HEADER). Two error texts read "allowed is an object" and "give at least one URL" instead of "needed is"; the test of the first changes with it. open_client no longer says that the entry hosts are tried in the order given, since the client begins at a random one.

--- a/src/burdockgate/cli/jobs.py
+++ b/src/burdockgate/cli/jobs.py
@@ -1,7 +1,7 @@
 """Subcommands for callers: ``submit``, ``fetch`` and ``cancel``.
 
-Also holds what the commands that call an entry host share: the option
-``--entry``, the opening of a client and the progress line.
+The module also holds what all commands that call an entry host share: the options
+``--entry`` and ``--json``, the client and the progress line.
 """
 
 from __future__ import annotations
@@ -24,26 +24,26 @@
 
 ENTRY_VARIABLE = "BURDOCKGATE_ENTRY"
 KEY_LIMIT_CHARS = 128
-# An entry host answers all calls but a waiting submission or fetch at once; the
-# rest of the time is for a host that is busy.
+# An entry host answers every call at once, except a submission or fetch that waits;
+# the margin is for a busy host.
 CALL_TIMEOUT_S = 10.0
-# A late answer is better than none, so only a job that must have been lost ends
-# the wait of a submission without a deadline.
+# Limit of a submission without a deadline. A late answer is better than none, so the
+# wait ends only when the job must have been lost.
 ANSWER_TIMEOUT_S = 3600.0
 PROGRESS_INTERVAL_S = 0.5
-_CANCELLED = ("CANCELLED_NOT_RUN", "CANCELLED_MAY_HAVE_RUN")
+_CANCELLED_CODE_NAMES = ("CANCELLED_NOT_RUN", "CANCELLED_MAY_HAVE_RUN")
 
 
 def register(subparsers: main.Subparsers) -> None:
     """Add the parsers of this group.
 
-    :param subparsers: the subcommands of the one command.
+    :param subparsers: the subcommands of the main parser.
     """
     _register_submit(subparsers)
     fetch = main.add_command(
         subparsers,
         "fetch",
-        "fetch the kept answer or the state of a job",
+        "fetch the stored answer or the state of a job",
         "burdockgate fetch acme 4f1c --wait 10 --entry http://127.0.0.1:8080",
     )
     fetch.add_argument(
@@ -79,12 +79,12 @@
     )
     parser.add_argument("--guest", help="guest of the job")
     parser.add_argument("--service", help="service that runs the tasks")
-    parser.add_argument("--class", dest="caller_class", help="class of callers")
+    parser.add_argument("--class", dest="caller_class", help="caller class of the job")
     parser.add_argument(
         "--deadline",
         type=_positive_seconds,
         metavar="SECONDS",
-        help="time for the answer, counted from the arrival",
+        help="longest time until the answer, counted from the arrival of the job",
     )
     parser.add_argument(
         "--not-repeatable", action="store_true", help="the job runs at most once"
@@ -116,28 +116,28 @@
     """Return the URLs of the entry hosts to call, at least one.
 
     :param args: parsed arguments with ``entry``.
-    :raises errors.SettingsError: when none is given, or when a URL of the
+    :raises errors.SettingsError: when there is no URL, or when one in the
         environment variable is not valid.
     """
     if args.entry:
         return list(args.entry)
     urls = os.environ.get(ENTRY_VARIABLE, "").replace(",", " ").split()
     if not urls:
-        _stop(
+        _raise_settings_error(
             f"--entry: not given and {ENTRY_VARIABLE} is not set; "
-            "needed is at least one URL, such as http://127.0.0.1:8080"
+            "give at least one URL, such as http://127.0.0.1:8080"
         )
     try:
         return [_url(url) for url in urls]
     except argparse.ArgumentTypeError as error:
-        _stop(f"{ENTRY_VARIABLE}: {error}")
+        _raise_settings_error(f"{ENTRY_VARIABLE}: {error}")
 
 
 def open_client(urls: Sequence[str], timeout_s: float) -> client.Client:
     """Return a client, to be used as an asynchronous context manager.
 
-    :param urls: entry hosts, tried in this order.
-    :param timeout_s: time for one answer, in seconds.
+    :param urls: base URLs of the entry hosts.
+    :param timeout_s: longest time of one call with all its tries, in seconds.
     """
     from burdockgate import client
 
@@ -145,7 +145,7 @@
 
 
 def system_clock() -> clock.Clock:
-    """Return the clock that measures the time shown with an answer."""
+    """Return the clock that measures the duration of a call."""
     from burdockgate import clock
 
     return clock.SystemClock()
@@ -153,7 +153,9 @@
 
 @contextlib.asynccontextmanager
 async def progress(describe: Callable[[float], str]) -> AsyncIterator[None]:
-    """Show a line on standard error during a wait, if that is a terminal.
+    """Show a progress line while the ``async with`` block runs.
+
+    The line goes to standard error, and only when that is a terminal.
 
     :param describe: returns the line, given the seconds since the start.
     """
@@ -162,21 +164,21 @@
         return
     import asyncio
 
-    ticker = asyncio.create_task(_tick(describe))
+    updater = asyncio.create_task(_update_progress(describe))
     try:
         yield
     finally:
-        ticker.cancel()
+        updater.cancel()
         _write_progress("")
 
 
-async def _tick(describe: Callable[[float], str]) -> None:
+async def _update_progress(describe: Callable[[float], str]) -> None:
     import asyncio
 
-    source = system_clock()
-    start = source.now()
+    timer = system_clock()
+    start = timer.now()
     while True:
-        _write_progress(describe(source.now() - start))
+        _write_progress(describe(timer.now() - start))
         await asyncio.sleep(PROGRESS_INTERVAL_S)
 
 
@@ -211,17 +213,17 @@
     elif args.deadline is not None:
         timeout_s = args.deadline + CALL_TIMEOUT_S
 
-    async def call(entry: client.Client) -> client.Answer:
-        return await entry.submit(body, key=key, wait=not args.no_wait)
+    async def call(entry_client: client.Client) -> client.Answer:
+        return await entry_client.submit(body, key=key, wait=not args.no_wait)
 
-    facts = asyncio.run(_answer(urls, timeout_s, "waiting for the answer", call))
-    _print_answer(facts, args.json)
+    fields = asyncio.run(_call_entry(urls, timeout_s, "waiting for the answer", call))
+    _print_answer(fields, args.json)
     accepted = ("complete", "pending") if args.no_wait else ("complete",)
-    return 0 if facts["outcome"] in accepted else 1
+    return 0 if fields["outcome"] in accepted else 1
 
 
 def run_fetch(args: argparse.Namespace) -> int:
-    """Fetch the kept answer or the state of a job.
+    """Fetch the stored answer or the state of a job.
 
     :param args: parsed arguments of ``fetch``.
     :returns: 0 for a complete or pending job, otherwise 1.
@@ -229,14 +231,14 @@
     """
     import asyncio
 
-    async def call(entry: client.Client) -> client.Answer:
-        return await entry.fetch(args.guest, args.key, wait_s=args.wait)
+    async def call(entry_client: client.Client) -> client.Answer:
+        return await entry_client.fetch(args.guest, args.key, wait_s=args.wait)
 
     timeout_s = args.wait + CALL_TIMEOUT_S
     urls = entry_urls(args)
-    facts = asyncio.run(_answer(urls, timeout_s, "waiting for the job", call))
-    _print_answer(facts, args.json)
-    return 0 if facts["outcome"] in ("complete", "pending") else 1
+    fields = asyncio.run(_call_entry(urls, timeout_s, "waiting for the job", call))
+    _print_answer(fields, args.json)
+    return 0 if fields["outcome"] in ("complete", "pending") else 1
 
 
 def run_cancel(args: argparse.Namespace) -> int:
@@ -249,81 +251,85 @@
     """
     import asyncio
 
-    async def call(entry: client.Client) -> client.Answer:
-        return await entry.cancel(args.guest, args.key)
+    async def call(entry_client: client.Client) -> client.Answer:
+        return await entry_client.cancel(args.guest, args.key)
 
     urls = entry_urls(args)
-    facts = asyncio.run(_answer(urls, CALL_TIMEOUT_S, "cancelling the job", call))
-    _print_answer(facts, args.json)
-    return 0 if facts["name"] in _CANCELLED else 1
+    fields = asyncio.run(_call_entry(urls, CALL_TIMEOUT_S, "cancelling the job", call))
+    _print_answer(fields, args.json)
+    return 0 if fields["name"] in _CANCELLED_CODE_NAMES else 1
 
 
-async def _answer(
+async def _call_entry(
     urls: Sequence[str],
     timeout_s: float,
     activity: str,
     call: Callable[[client.Client], Awaitable[client.Answer]],
 ) -> dict[str, Any]:
-    source = system_clock()
-    start = source.now()
+    """Make a call with a progress line and return the fields of its answer to print."""
+    timer = system_clock()
+    start = timer.now()
     async with (
-        open_client(urls, timeout_s) as entry,
+        open_client(urls, timeout_s) as entry_client,
         progress(lambda elapsed_s: f"{activity}: {elapsed_s:.0f} s"),
     ):
-        answer = await call(entry)
-    facts: dict[str, Any] = {
+        answer = await call(entry_client)
+    fields: dict[str, Any] = {
         "outcome": answer.outcome,
         "code": int(answer.code),
         "name": answer.name,
         "start": answer.start,
         "attempt": answer.attempt,
         "key": answer.key,
-        "time_s": round(source.now() - start, 3),
+        "time_s": round(timer.now() - start, 3),
         "entry": answer.url,
         "detail": answer.detail,
     }
-    # Only a complete job has results; an empty list would look like an answer.
+    # Only a complete job has results; an empty list would look like a complete answer.
     if answer.outcome == "complete":
-        facts["results"] = list(answer.results)
-    return facts
+        fields["results"] = list(answer.results)
+    return fields
 
 
-def _print_answer(facts: Mapping[str, Any], as_json: bool) -> None:
+def _print_answer(fields: Mapping[str, Any], as_json: bool) -> None:
     from burdockgate.cli import render
 
     if as_json:
-        print(json.dumps(facts))
+        print(json.dumps(fields))
     else:
-        print(render.answer(facts, render.uses_colour(sys.stdout, os.environ)))
+        print(render.answer(fields, render.uses_colour(sys.stdout, os.environ)))
 
 
 def _read_job(args: argparse.Namespace) -> tuple[bytes | dict[str, Any], str | None]:
     data = _read_file(args.file)
-    name = "standard input" if args.file == "-" else args.file
+    source = "standard input" if args.file == "-" else args.file
     try:
         body = json.loads(data, parse_constant=_reject_constant)
     except (ValueError, RecursionError) as error:
-        _stop(f"{name}: not valid JSON: {error}")
+        _raise_settings_error(f"{source}: not valid JSON: {error}")
     if not isinstance(body, dict):
-        _stop(f"{name}: holds a JSON {type(body).__name__}, needed is an object")
-    overrides = {
+        _raise_settings_error(
+            f"{source}: holds a JSON {type(body).__name__}, allowed is an object"
+        )
+    options = {
         "guest": args.guest,
         "service": args.service,
         "class": args.caller_class,
         "repeatable": False if args.not_repeatable else None,
         "deadline_ms": None if args.deadline is None else round(args.deadline * 1000),
     }
-    changes = {name: value for name, value in overrides.items() if value is not None}
-    if not changes and "key" not in body:
-        # Sent byte for byte, so that any other sender of the file has the same body.
+    overrides = {name: value for name, value in options.items() if value is not None}
+    if not overrides and "key" not in body:
+        # Sent byte for byte: any client that submits the file again sends the same
+        # body, while another encoding would be refused as a reused key.
         return data, args.key
     key = body.pop("key", None)
     if args.key is None and key is not None:
         try:
-            return {**body, **changes}, _key(key)
+            return {**body, **overrides}, _key(key)
         except argparse.ArgumentTypeError as error:
-            _stop(f"{name}: key: {error}")
-    return {**body, **changes}, args.key
+            _raise_settings_error(f"{source}: key: {error}")
+    return {**body, **overrides}, args.key
 
 
 def _read_file(path: str) -> bytes:
@@ -333,22 +339,22 @@
         with open(path, "rb") as file:
             return file.read()
     except OSError as error:
-        _stop(f"{path}: cannot be read: {error.strerror}")
+        _raise_settings_error(f"{path}: cannot be read: {error.strerror}")
 
 
-def new_key(source: random.Random) -> str:
+def new_key(rng: random.Random) -> str:
     """Return a new idempotency key of 32 hexadecimal digits.
 
-    :param source: where the 128 random bits come from.
+    :param rng: source of the 128 random bits.
     """
-    return f"{source.getrandbits(128):032x}"
+    return f"{rng.getrandbits(128):032x}"
 
 
 def seconds(text: str) -> float:
-    """Parse a time of at least 0 s.
+    """Parse a number of seconds of at least 0.
 
-    :param text: a decimal number of seconds.
-    :raises argparse.ArgumentTypeError: when it is not one.
+    :param text: a decimal number.
+    :raises argparse.ArgumentTypeError: when it is not a finite number of at least 0.
     """
     try:
         value = float(text)
@@ -361,6 +367,7 @@
 
 def _positive_seconds(text: str) -> float:
     value = seconds(text)
+    # The deadline is sent in whole milliseconds.
     if value < 0.001:
         raise argparse.ArgumentTypeError(f"{text!r}: allowed are 0.001 or more seconds")
     return value
@@ -390,7 +397,7 @@
     raise ValueError(f"{text} is not a JSON number")
 
 
-def _stop(problem: str) -> NoReturn:
+def _raise_settings_error(problem: str) -> NoReturn:
     from burdockgate import errors
 
     raise errors.SettingsError([problem])
--- a/src/burdockgate/cli/operate.py
+++ b/src/burdockgate/cli/operate.py
@@ -14,14 +14,14 @@
 if TYPE_CHECKING:
     from burdockgate import client
 
-# Agents report their running tasks with the heartbeat, every 0.8 s.
+# Agents report their running tasks with each heartbeat, by default every 0.8 s.
 DRAIN_POLL_S = 0.5
 
 
 def register(subparsers: main.Subparsers) -> None:
     """Add the parsers of this group.
 
-    :param subparsers: the subcommands of the one command.
+    :param subparsers: the subcommands of the main parser.
     """
     status = main.add_command(
         subparsers,
@@ -41,9 +41,7 @@
     drain.add_argument("worker", metavar="WORKER", help="name of the worker")
     mode = drain.add_mutually_exclusive_group()
     mode.add_argument("--undo", action="store_true", help="give it new tasks again")
-    mode.add_argument(
-        "--wait", action="store_true", help="wait until it runs no task any more"
-    )
+    mode.add_argument("--wait", action="store_true", help="wait until it runs no tasks")
     jobs.add_entry_options(drain)
     drain.set_defaults(run=run_drain)
 
@@ -57,13 +55,13 @@
     check.add_argument(
         "--role",
         choices=("entry", "agent"),
-        help="role of the daemon (default: found out from the file)",
+        help="role of the daemon (default: detected from the file)",
     )
     check.set_defaults(run=run_check)
 
 
 def run_status(args: argparse.Namespace) -> int:
-    """Show the state of each entry host; one that fails does not hide the others.
+    """Show the state of each entry host, also when others cannot be reached.
 
     :param args: parsed arguments of ``status``.
     :returns: 0, or 1 when an entry host cannot be reached.
@@ -77,13 +75,13 @@
         print(json.dumps({"entries": entries}))
     else:
         colour = render.uses_colour(sys.stdout, os.environ)
-        shown = [
+        sections = [
             render.status(entry["entry"], entry["status"], colour)
             for entry in entries
             if "status" in entry
         ]
-        if shown:
-            print("\n\n".join(shown))
+        if sections:
+            print("\n\n".join(sections))
     failures = [entry["error"] for entry in entries if "error" in entry]
     for line in failures:
         print(f"burdockgate: {line}", file=sys.stderr)
@@ -91,89 +89,96 @@
 
 
 async def read_statuses(urls: Sequence[str]) -> list[dict[str, Any]]:
-    """Return the status, or one line about the failure, of each entry host.
+    """Return the status of each entry host, or an error in one line.
 
-    :param urls: their URLs.
+    :param urls: URLs of the entry hosts.
+    :returns: an object per URL in the same order, with ``entry`` (the URL) and either
+        ``status`` or ``error``.
     """
     import asyncio
 
-    return await asyncio.gather(*map(_status, urls))
+    return await asyncio.gather(*map(_read_status, urls))
 
 
-async def _status(url: str) -> dict[str, Any]:
+async def _read_status(url: str) -> dict[str, Any]:
     from burdockgate import errors
 
     try:
-        async with jobs.open_client([url], jobs.CALL_TIMEOUT_S) as caller:
-            return {"entry": url, "status": await caller.status()}
+        async with jobs.open_client([url], jobs.CALL_TIMEOUT_S) as entry_client:
+            return {"entry": url, "status": await entry_client.status()}
     except errors.ClientError as error:
         text = str(error)
         return {"entry": url, "error": text if url in text else f"{url}: {text}"}
 
 
 def run_drain(args: argparse.Namespace) -> int:
-    """Drain a worker or give it new tasks again.
+    """Drain a worker, or undo the drain.
 
     :param args: parsed arguments of ``drain``.
-    :returns: 0; 1 when the worker is not known, or when the wait ended without
-        knowing that no task runs.
+    :returns: 0, or 1 when no entry host knows the worker, or when the wait ended while
+        tasks may still run.
     :raises errors.ClientError: when no entry host can be reached.
     """
     import asyncio
 
-    problem, text = asyncio.run(_drain(args))
+    has_failed, detail = asyncio.run(_drain(args))
     if args.json:
-        facts = {"worker": args.worker, "ok": not problem, "detail": text}
-        print(json.dumps(facts))
-    elif problem:
-        print(f"burdockgate: worker {args.worker}: {text}", file=sys.stderr)
+        fields = {"worker": args.worker, "ok": not has_failed, "detail": detail}
+        print(json.dumps(fields))
+    elif has_failed:
+        print(f"burdockgate: worker {args.worker}: {detail}", file=sys.stderr)
     else:
-        print(f"worker {args.worker}: {text}")
-    return 1 if problem else 0
+        print(f"worker {args.worker}: {detail}")
+    return 1 if has_failed else 0
 
 
 async def _drain(args: argparse.Namespace) -> tuple[bool, str]:
+    """Return whether the command failed, and a line with the result."""
     urls = jobs.entry_urls(args)
-    async with jobs.open_client(urls, jobs.CALL_TIMEOUT_S) as caller:
-        if not await caller.drain(args.worker, active=not args.undo):
+    async with jobs.open_client(urls, jobs.CALL_TIMEOUT_S) as entry_client:
+        if not await entry_client.drain(args.worker, active=not args.undo):
             return True, "not known to the entry host"
         if args.undo:
             return False, "gets new tasks again"
         if args.wait:
-            return await _wait_drained(caller, args.worker)
+            return await _wait_until_drained(entry_client, args.worker)
         return False, "draining"
 
 
-async def _wait_drained(caller: client.Client, worker: str) -> tuple[bool, str]:
+async def _wait_until_drained(
+    entry_client: client.Client, worker_name: str
+) -> tuple[bool, str]:
     import asyncio
 
     state = "draining"
-    # Another entry host may answer the next poll, and not every entry host lists
-    # every worker, so an absence counts only at one that listed the worker before.
-    listed_at: set[object] = set()
-    async with jobs.progress(lambda elapsed_s: f"{worker}: {state}, {elapsed_s:.0f} s"):
+    # Polls may be answered by different entry hosts, and not every entry host lists
+    # every worker. A missing worker has left only if the same host listed it before.
+    listing_entries: set[object] = set()
+    async with jobs.progress(
+        lambda elapsed_s: f"{worker_name}: {state}, {elapsed_s:.0f} s"
+    ):
         while True:
-            facts = await caller.status()
-            entry = facts.get("name")
-            row = _find_worker(facts, worker)
-            if row is None:
-                if entry in listed_at:
+            status = await entry_client.status()
+            entry = status.get("name")
+            worker = _find_worker(status, worker_name)
+            if worker is None:
+                if entry in listing_entries:
                     return False, "no longer listed"
                 return True, f"not listed by {entry}, its running tasks are not known"
-            if row.get("lapsed"):
+            if worker.get("lapsed"):
                 return True, "its lease lapsed, its running tasks are not known"
-            running = row.get("running")
-            # Until the agent reports the drain, its count may be older than it.
-            if row.get("draining") and running == 0:
+            running = worker.get("running")
+            # Before the agent reports the drain, its count of tasks may be outdated.
+            if worker.get("draining") and running == 0:
                 return False, "drained, no task is running"
-            listed_at.add(entry)
+            listing_entries.add(entry)
             state = f"{running} tasks running"
             await asyncio.sleep(DRAIN_POLL_S)
 
 
-def _find_worker(facts: Mapping[str, Any], name: str) -> Mapping[str, Any] | None:
-    rows: Sequence[Mapping[str, Any]] = facts.get("workers") or ()
-    return next((row for row in rows if row.get("name") == name), None)
+def _find_worker(status: Mapping[str, Any], name: str) -> Mapping[str, Any] | None:
+    workers: Sequence[Mapping[str, Any]] = status.get("workers") or ()
+    return next((worker for worker in workers if worker.get("name") == name), None)
 
 
 def run_check(args: argparse.Namespace) -> int:
@@ -182,14 +187,14 @@
     :param args: parsed arguments of ``check-settings``.
     :returns: 0 when no file has a problem, otherwise 2.
     """
-    problems_by_file = {path: _problems(path, args.role) for path in args.files}
+    problems_by_file = {path: _check_file(path, args.role) for path in args.files}
     for path, problems in problems_by_file.items():
         for line in problems or ["ok"]:
             print(line if line.startswith(f"{path}:") else f"{path}: {line}")
     return 2 if any(problems_by_file.values()) else 0
 
 
-def _problems(path: str, role: str | None) -> list[str]:
+def _check_file(path: str, role: str | None) -> list[str]:
     from burdockgate import errors, settings
 
     try:
--- a/src/burdockgate/cli/render.py
+++ b/src/burdockgate/cli/render.py
@@ -1,6 +1,6 @@
-"""Text for the terminal: tables, one answer, the status of an entry host.
+"""Formats tables, answers and the status of an entry host for the terminal.
 
-All functions take values and return text without the last newline.
+The functions that return text return it without a trailing newline.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
     "failed": "red",
     "refused": "red",
 }
-_WORKER_COLUMNS = {
+_WORKER_KEY_BY_HEADER = {
     "worker": "name",
     "data centre": "data_centre",
     "rack": "rack",
@@ -34,7 +34,7 @@
     "ejected s": "ejected_s",
     "age s": "age_s",
 }
-_HISTOGRAM_COLUMNS = {
+_HISTOGRAM_KEY_BY_HEADER = {
     "measure": "measure",
     "class": "caller_class",
     "count": "count",
@@ -47,28 +47,28 @@
 
 
 def uses_colour(stream: TextIO, environ: Mapping[str, str]) -> bool:
-    """Return whether text for a stream may hold colours.
+    """Return whether text for a stream may contain colours.
 
     :param stream: where the text will be written.
-    :param environ: environment; a ``NO_COLOR`` that is not empty forbids colours.
+    :param environ: environment variables; a non-empty ``NO_COLOR`` disables colours.
     """
     return not environ.get("NO_COLOR") and stream.isatty()
 
 
 def styled(text: str, style: str, colour: bool) -> str:
-    """Return a text in a style.
+    """Return a text with the escape sequences of a style.
 
     :param style: "bold", "red", "green" or "yellow".
-    :param colour: whether to apply it; otherwise the text is returned unchanged.
+    :param colour: whether to apply the style; otherwise the text is returned as it is.
     """
     return f"\x1b[{_STYLE_BY_NAME[style]}m{text}\x1b[0m" if colour else text
 
 
 def cell(value: object) -> str:
-    """Return one value as printable text on one line.
+    """Return a value as printable text on one line.
 
-    Unprintable characters are escaped, because a text from a server must not
-    send control sequences to the terminal.
+    Unprintable characters are escaped, so that text from a server cannot send
+    control sequences to the terminal.
 
     :param value: ``None`` and an empty string give "-", a bool "yes" or "no", and
         a float one decimal.
@@ -88,17 +88,19 @@
 def table(headers: Sequence[str], rows: Sequence[Sequence[object]]) -> str:
     """Return a table with aligned columns; columns of numbers are right-aligned.
 
-    :param headers: one title per column; all empty for a table without titles.
+    :param headers: one title per column; all empty for a table without a header line.
     :param rows: one value per column in each row.
     """
     lines = [list(headers)] if any(headers) else []
     lines += [[cell(value) for value in row] for row in rows]
     columns = range(len(headers))
     widths = [max((len(line[i]) for line in lines), default=0) for i in columns]
-    right = [bool(rows) and all(_is_numeric(row[i]) for row in rows) for i in columns]
+    right_aligned = [
+        bool(rows) and all(_is_numeric(row[i]) for row in rows) for i in columns
+    ]
     return "\n".join(
         "  ".join(
-            line[i].rjust(widths[i]) if right[i] else line[i].ljust(widths[i])
+            line[i].rjust(widths[i]) if right_aligned[i] else line[i].ljust(widths[i])
             for i in columns
         ).rstrip()
         for line in lines
@@ -111,87 +113,90 @@
     :param text: the new content; an empty string clears the line.
     :param columns: width of the terminal; the text is cut to fit.
     """
-    # The last column stays free, because some terminals wrap after it.
+    # The last column stays empty, because some terminals wrap after it.
     width = max(columns - 1, 0)
     return "\r" + cell(text or " ")[:width].ljust(width) + ("" if text else "\r")
 
 
-def answer(facts: Mapping[str, Any], colour: bool) -> str:
+def answer(fields: Mapping[str, Any], colour: bool) -> str:
     """Return the answer to a job as a short table and one line per result.
 
-    :param facts: outcome, code, name, start, attempt, key, time_s (seconds, may be
+    :param fields: outcome, code, name, start, attempt, key, time_s (seconds, may be
         missing), entry, detail, and results of a complete job.
     :param colour: whether to colour the outcome.
     """
-    time_s = facts.get("time_s")
+    time_s = fields.get("time_s")
     rows = [
-        ("outcome", facts.get("outcome")),
-        ("code", f"{cell(facts.get('code'))} {cell(facts.get('name'))}"),
-        ("start", facts.get("start")),
-        ("attempt", facts.get("attempt")),
-        ("key", facts.get("key")),
+        ("outcome", fields.get("outcome")),
+        ("code", f"{cell(fields.get('code'))} {cell(fields.get('name'))}"),
+        ("start", fields.get("start")),
+        ("attempt", fields.get("attempt")),
+        ("key", fields.get("key")),
         ("time", None if time_s is None else f"{time_s:.3f} s"),
-        ("entry", facts.get("entry")),
-        ("detail", facts.get("detail")),
+        ("entry", fields.get("entry")),
+        ("detail", fields.get("detail")),
     ]
     text = table(("", ""), rows)
-    style = _STYLE_BY_OUTCOME.get(str(facts.get("outcome")), "bold")
+    style = _STYLE_BY_OUTCOME.get(str(fields.get("outcome")), "bold")
     first, rest = text.split("\n", 1)
     lines = [styled(first, style, colour), rest]
-    results = facts.get("results")
+    results = fields.get("results")
     if results is not None:
         lines.append(f"results  {len(results)}")
         lines += map(json.dumps, results)
     return "\n".join(lines)
 
 
-def status(url: str, facts: Mapping[str, Any], colour: bool) -> str:
+def status(url: str, fields: Mapping[str, Any], colour: bool) -> str:
     """Return the status of one entry host.
 
-    :param url: the URL that was asked.
-    :param facts: JSON object of ``GET /v1/status``; a missing key is shown as "-".
-    :param colour: whether to emphasise titles.
+    :param url: the URL of the entry host.
+    :param fields: JSON object of ``GET /v1/status``; a missing key is shown as "-".
+    :param colour: whether to print titles in bold.
     """
-    title = styled(f"{cell(facts.get('name'))}  {cell(url)}", "bold", colour)
+    title = styled(f"{cell(fields.get('name'))}  {cell(url)}", "bold", colour)
     sections = [
-        "\n".join([title, _indent(table(("", ""), _overview(facts)))]),
-        _section("workers", _WORKER_COLUMNS, facts.get("workers"), colour),
-        _counters(facts.get("counters"), colour),
-        _section("histograms", _HISTOGRAM_COLUMNS, facts.get("histograms"), colour),
-        *_plots(facts.get("histograms")),
+        "\n".join([title, _indent(table(("", ""), _overview(fields)))]),
+        _table_section("workers", _WORKER_KEY_BY_HEADER, fields.get("workers"), colour),
+        _counters_section(fields.get("counters"), colour),
+        _table_section(
+            "histograms", _HISTOGRAM_KEY_BY_HEADER, fields.get("histograms"), colour
+        ),
+        *_plots(fields.get("histograms")),
     ]
     return "\n\n".join(sections)
 
 
-def _overview(facts: Mapping[str, Any]) -> list[tuple[str, str]]:
-    ready = cell(facts.get("ready"))
-    if facts.get("ready") is False:
-        ready += f": {cell(facts.get('not_ready_reason'))}"
-    tasks, size = cell(facts.get("backlog_tasks")), cell(facts.get("backlog_bytes"))
+def _overview(fields: Mapping[str, Any]) -> list[tuple[str, str]]:
+    ready = cell(fields.get("ready"))
+    if fields.get("ready") is False:
+        ready += f": {cell(fields.get('not_ready_reason'))}"
+    backlog_tasks = cell(fields.get("backlog_tasks"))
+    backlog_bytes = cell(fields.get("backlog_bytes"))
     return [
-        ("boot", cell(facts.get("boot"))),
+        ("boot", cell(fields.get("boot"))),
         ("ready", ready),
-        ("table version", cell(facts.get("table_version"))),
-        ("view number", cell(facts.get("view_number"))),
-        ("jobs in progress", cell(facts.get("jobs_in_progress"))),
-        ("backlog", f"{tasks} tasks, {size} bytes"),
+        ("table version", cell(fields.get("table_version"))),
+        ("view number", cell(fields.get("view_number"))),
+        ("jobs in progress", cell(fields.get("jobs_in_progress"))),
+        ("backlog", f"{backlog_tasks} tasks, {backlog_bytes} bytes"),
     ]
 
 
-def _section(
+def _table_section(
     title: str,
     key_by_header: Mapping[str, str],
-    entries: Sequence[Mapping[str, Any]] | None,
+    items: Sequence[Mapping[str, Any]] | None,
     colour: bool,
 ) -> str:
     heading = styled(title, "bold", colour)
-    if not entries:
-        return f"{heading}  {MISSING if entries is None else 'none'}"
-    rows = [[entry.get(key) for key in key_by_header.values()] for entry in entries]
+    if not items:
+        return f"{heading}  {MISSING if items is None else 'none'}"
+    rows = [[item.get(key) for key in key_by_header.values()] for item in items]
     return "\n".join([heading, _indent(table(list(key_by_header), rows))])
 
 
-def _counters(counters: Mapping[str, Any] | None, colour: bool) -> str:
+def _counters_section(counters: Mapping[str, Any] | None, colour: bool) -> str:
     heading = styled("counters", "bold", colour)
     if not counters:
         return f"{heading}  {MISSING if counters is None else 'none'}"
@@ -199,10 +204,11 @@
 
 
 def _plots(histograms: Sequence[Mapping[str, Any]] | None) -> Iterator[str]:
-    for entry in histograms or ():
-        lines = str(entry.get("plot") or "").splitlines()
+    for histogram in histograms or ():
+        lines = str(histogram.get("plot") or "").splitlines()
         if lines:
-            title = f"{cell(entry.get('measure'))}, {cell(entry.get('caller_class'))}"
+            measure = cell(histogram.get("measure"))
+            title = f"{measure}, {cell(histogram.get('caller_class'))}"
             plot = "\n".join(cell(line) if line else "" for line in lines)
             yield "\n".join([title, _indent(plot)])
 
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -1,4 +1,4 @@
-"""Guards what the caller's commands send, print and return, with a fake client."""
+"""Tests what ``submit``, ``fetch`` and ``cancel`` send, print and return."""
 
 import asyncio
 import io
@@ -10,7 +10,7 @@
 
 import pytest
 
-from burdockgate import client as clients
+from burdockgate import client as client_module
 from burdockgate import clock, codes
 from burdockgate.cli import jobs, main
 
@@ -19,7 +19,7 @@
 
 
 def _answer(code, outcome, results=(), start="ran"):
-    return clients.Answer(
+    return client_module.Answer(
         code, code.name, start, outcome, 1, "", tuple(results), "k1", URLS[0]
     )
 
@@ -36,8 +36,8 @@
     fake = mock.AsyncMock()
     fake.__aenter__.return_value = fake
     fake.submit.return_value = COMPLETE
-    fake.opened = mock.Mock(return_value=fake)
-    monkeypatch.setattr(jobs, "open_client", fake.opened)
+    fake.open_client = mock.Mock(return_value=fake)
+    monkeypatch.setattr(jobs, "open_client", fake.open_client)
     monkeypatch.setattr(jobs, "system_clock", clock.ManualClock)
     monkeypatch.setenv("BURDOCKGATE_ENTRY", ",".join(URLS))
     monkeypatch.chdir(tmp_path)
@@ -45,11 +45,11 @@
     return fake
 
 
-@pytest.mark.parametrize("form", [["--json"], []], ids=["json", "table"])
-def test_printed_answers(form, client, snapshot, capsys):
+@pytest.mark.parametrize("options", [["--json"], []], ids=["json", "table"])
+def test_printed_answers(options, client, snapshot, capsys):
     client.submit.side_effect = ANSWERS
     for _ in ANSWERS:
-        main.main(["submit", "job.json", "--key", "k1", *form])
+        main.main(["submit", "job.json", "--key", "k1", *options])
     assert capsys.readouterr().out == snapshot
 
 
@@ -62,8 +62,8 @@
         ("cancel acme k1", (1, 1, 1, 0)),
     ],
 )
-def test_status(command, statuses, client):
-    """A script must not take a failure or a missing answer for success."""
+def test_exit_status(command, statuses, client):
+    """A failure or a missing answer must not return the exit status of success."""
     for answer, status in zip(ANSWERS, statuses, strict=True):
         getattr(client, command.split()[0]).return_value = answer
         assert main.main(command.split()) == status
@@ -72,26 +72,26 @@
 def test_unchanged_file_is_sent_byte_for_byte(client):
     """Another encoding of the same job would be refused as a reused key."""
     main.main(["submit", "job.json", "--key", "k1", "--no-wait"])
-    client.opened.assert_called_once_with(URLS, jobs.CALL_TIMEOUT_S)
+    client.open_client.assert_called_once_with(URLS, jobs.CALL_TIMEOUT_S)
     client.submit.assert_awaited_once_with(BODY.encode(), key="k1", wait=False)
 
 
 def test_options_override_the_body(client, monkeypatch):
-    body = json.dumps({"guest": "a", "key": "of-file", "class": "x", "tasks": []})
+    body = json.dumps({"guest": "a", "key": "file-key", "class": "x", "tasks": []})
     stdin = types.SimpleNamespace(buffer=io.BytesIO(body.encode()))
     monkeypatch.setattr("sys.stdin", stdin)
     options = "--guest b --service s --class y --deadline 1.5 --not-repeatable"
     main.main(
         ["submit", "-", *options.split(), "--entry", "http://h/", "--entry=" + URLS[1]]
     )
-    client.opened.assert_called_once_with(["http://h", URLS[1]], 11.5)
+    client.open_client.assert_called_once_with(["http://h", URLS[1]], 11.5)
     sent = {"guest": "b", "class": "y", "tasks": [], "service": "s"}
     sent |= {"repeatable": False, "deadline_ms": 1500}
-    client.submit.assert_awaited_once_with(sent, key="of-file", wait=True)
+    client.submit.assert_awaited_once_with(sent, key="file-key", wait=True)
 
 
 def test_random_key_is_shown_before_the_wait(client, monkeypatch, capsys):
-    """After Ctrl-C the caller needs the key to submit the same job again."""
+    """After Ctrl-C, the caller needs the key to submit the same job again."""
     client.submit.side_effect = KeyboardInterrupt
     monkeypatch.setattr(jobs.random, "SystemRandom", lambda: random.Random(1))
     assert main.main(["submit", "job.json"]) == 130
@@ -99,7 +99,7 @@
 
 
 def test_progress_is_shown_on_a_terminal_and_cleared(client, monkeypatch):
-    """The line must not stay beside the answer."""
+    """The progress line must not be left next to the answer."""
     terminal = io.StringIO()
     terminal.isatty = lambda: True
     monkeypatch.setattr("sys.stderr", terminal)
@@ -115,7 +115,7 @@
         ("{", [], "not valid JSON"),
         ("[" * 100_000, [], "not valid JSON"),
         ('{"a": NaN}', [], "NaN is not a JSON number"),
-        ("[]", [], "holds a JSON list, needed is an object"),
+        ("[]", [], "holds a JSON list, allowed is an object"),
         ('{"key": 5}', [], "key: 5: allowed are 1 to 128 visible ASCII"),
         ("{}", ["--key", "a b"], "'a b': allowed are 1 to 128 visible ASCII"),
         ("{}", ["--deadline", "0"], "'0': allowed are 0.001 or more seconds"),
@@ -124,7 +124,7 @@
     ],
 )
 def test_usage_errors(content, options, problem, client, capsys):
-    """A mistake ends with status 2, the value and what is allowed, and no call."""
+    """A usage error exits with 2, names value and allowed form, and makes no call."""
     pathlib.Path("job.json").write_text(content)
     assert main.main(["submit", "job.json", *options]) == 2
     assert problem in capsys.readouterr().err
--- a/tests/test_operate.py
+++ b/tests/test_operate.py
@@ -1,4 +1,4 @@
-"""Guards the operator's commands against false success, with fakes."""
+"""Tests that the operator's commands report no false success, with fakes."""
 
 from unittest import mock
 
@@ -20,63 +20,63 @@
     return fake
 
 
-def _shown(entry="e1", **worker):
+def _status(entry="e1", **worker):
     return {"name": entry, "workers": [{"name": "w1", **worker}] if worker else []}
 
 
-@pytest.mark.parametrize("form", ["", "--json"])
-def test_status_shows_hosts_that_answer(form, client, snapshot, capsys):
-    """One host that is down must neither hide the others nor give status 0."""
-    client.status.side_effect = [REFUSED, _shown(slots=8, running=0)]
-    assert main.main(f"status {form} {ENTRIES}".split()) == 1
+@pytest.mark.parametrize("option", ["", "--json"])
+def test_status_shows_hosts_that_answer(option, client, snapshot, capsys):
+    """A host that is down must neither hide the others nor give exit status 0."""
+    client.status.side_effect = [REFUSED, _status(slots=8, running=0)]
+    assert main.main(f"status {option} {ENTRIES}".split()) == 1
     captured = capsys.readouterr()
     assert captured.out == snapshot
     assert captured.err == "burdockgate: http://127.0.0.1:1: connection refused\n"
 
 
-BUSY = _shown(running=2, draining=True)
-IDLE = _shown(running=0, draining=True)
-LAPSED = _shown(running=0, draining=True, lapsed=True)
+BUSY = _status(running=2, draining=True)
+IDLE = _status(running=0, draining=True)
+LAPSED = _status(running=0, draining=True, lapsed=True)
 
 
 @pytest.mark.parametrize(
-    ("statuses", "status", "text"),
+    ("statuses", "exit_status", "text"),
     [
         ([BUSY, IDLE], 0, "drained, no task is running"),
-        ([_shown(running=0, draining=False), BUSY, IDLE], 0, "drained"),
-        ([BUSY, _shown()], 0, "no longer listed"),
-        ([_shown()], 1, "not listed by e1"),
-        ([BUSY, _shown("e2")], 1, "not listed by e2"),
+        ([_status(running=0, draining=False), BUSY, IDLE], 0, "drained"),
+        ([BUSY, _status()], 0, "no longer listed"),
+        ([_status()], 1, "not listed by e1"),
+        ([BUSY, _status("e2")], 1, "not listed by e2"),
         ([BUSY, LAPSED], 1, "lease lapsed"),
         ([BUSY, REFUSED], 1, "connection refused"),
     ],
 )
-def test_drain_wait(statuses, status, text, client, capsys):
-    """Status 0 tells the operator that stopping the worker cuts no task."""
+def test_drain_wait(statuses, exit_status, text, client, capsys):
+    """Exit status 0 tells the operator that stopping the worker interrupts no task."""
     client.status.side_effect = statuses
-    assert main.main(f"drain w1 --wait {ENTRIES}".split()) == status
+    assert main.main(f"drain w1 --wait {ENTRIES}".split()) == exit_status
     assert text in "".join(capsys.readouterr())
     assert client.status.await_count == len(statuses)
 
 
 @pytest.mark.parametrize(
-    ("option", "known", "status"),
+    ("option", "is_known", "exit_status"),
     [("", True, 0), ("--undo", True, 0), ("", False, 1), ("--json", False, 1)],
 )
-def test_drain(option, known, status, client, snapshot, capsys):
-    client.drain.return_value = known
-    assert main.main(f"drain w1 {option} {ENTRIES}".split()) == status
+def test_drain(option, is_known, exit_status, client, snapshot, capsys):
+    client.drain.return_value = is_known
+    assert main.main(f"drain w1 {option} {ENTRIES}".split()) == exit_status
     client.drain.assert_awaited_once_with("w1", active=option != "--undo")
     assert "".join(capsys.readouterr()) == snapshot
 
 
 def test_check_settings(monkeypatch, snapshot, capsys):
-    """Each problem of each file is shown, also after a file that is unreadable."""
-    odd = errors.SettingsError(["neither [entry] nor [agent]", "second"])
-    gone = FileNotFoundError(2, "No such file or directory")
+    """Every problem of every file is printed, also after an unreadable file."""
+    undetected = errors.SettingsError(["neither [entry] nor [agent]", "second"])
+    missing = FileNotFoundError(2, "No such file or directory")
     fake = mock.Mock()
-    fake.check.side_effect = [[], ["port: 0", "bad.ini: x"], gone, ["port: 0"], []]
-    fake.detect_role.side_effect = ["agent", "agent", odd, "agent", "agent"]
+    fake.check.side_effect = [[], ["port: 0", "bad.ini: x"], missing, ["port: 0"], []]
+    fake.detect_role.side_effect = ["agent", "agent", undetected, "agent", "agent"]
     monkeypatch.setattr(settings, "check", fake.check)
     monkeypatch.setattr(settings, "detect_role", fake.detect_role)
     files = ["good.ini", "bad.ini", "odd.ini", "gone.ini"]
--- a/tests/test_render.py
+++ b/tests/test_render.py
@@ -1,4 +1,4 @@
-"""Guards the printed texts against missing values and unprintable characters."""
+"""Tests the printed text with missing values and unprintable characters."""
 
 import io
 import types
@@ -20,32 +20,32 @@
 
 @pytest.mark.parametrize("facts", [STATUS, {}, {"workers": [], "counters": {}}])
 def test_status(facts, snapshot):
-    """An older entry host may lack keys; each is shown as "-"."""
+    """An older entry host may not send all keys; a missing one is shown as "-"."""
     assert render.status("http://127.0.0.1:8080", facts, False) == snapshot
 
 
 def test_control_characters_are_escaped():
-    """A server's text must not control the operator's terminal."""
+    """Text from a server must not send control sequences to the terminal."""
     assert render.cell("a\x1b[2J\x9b\nb é") == "a\\x1b[2J\\x9b\\nb é"
     assert "\x1b" not in render.status("u", STATUS, False)
-    shown = render.answer({"outcome": "complete", "results": ["\x1b\x9b"]}, False)
-    assert shown.splitlines()[-1] == '"\\u001b\\u009b"'
+    text = render.answer({"outcome": "complete", "results": ["\x1b\x9b"]}, False)
+    assert text.splitlines()[-1] == '"\\u001b\\u009b"'
 
 
-@pytest.mark.parametrize("terminal", [True, False])
+@pytest.mark.parametrize("is_terminal", [True, False])
 @pytest.mark.parametrize("environ", [{}, {"NO_COLOR": ""}, {"NO_COLOR": "1"}])
-def test_colour_only_where_allowed(terminal, environ):
+def test_colour_only_where_allowed(is_terminal, environ):
     """Escape sequences must not reach a file or a user who opted out."""
-    stream = types.SimpleNamespace(isatty=lambda: terminal)
-    allowed = terminal and environ != {"NO_COLOR": "1"}
-    assert render.uses_colour(stream, environ) is allowed
+    stream = types.SimpleNamespace(isatty=lambda: is_terminal)
+    is_allowed = is_terminal and environ != {"NO_COLOR": "1"}
+    assert render.uses_colour(stream, environ) is is_allowed
     assert not render.uses_colour(io.StringIO(), environ)
-    text = render.answer({"outcome": "failed"}, allowed)
-    assert text.startswith("\x1b[31moutcome" if allowed else "outcome")
+    text = render.answer({"outcome": "failed"}, is_allowed)
+    assert text.startswith("\x1b[31moutcome" if is_allowed else "outcome")
 
 
 def test_progress_line_replaces_the_whole_line():
-    """A shorter text must leave nothing of the longer one before it."""
+    """A shorter text must overwrite all of a longer one."""
     assert render.progress_line("abc", 6) == "\rabc  "
     assert render.progress_line("abcdefgh", 6) == "\rabcde"
     assert render.progress_line("", 6) == "\r     \r"
