--- a/src/burdockgate/cli/table.py
+++ b/src/burdockgate/cli/table.py
@@ -12,10 +12,12 @@
     from burdockgate.process import editor
     from burdockgate.version import table
 
-_ROW_HELP = "row as service/NAME or class/NAME"
+_ROW_FORM = "service/NAME or class/NAME"
+_ROW_HELP = f"row as {_ROW_FORM}"
 _BASED_ON_HELP = "version of the row that the change is meant for (default: current)"
 
-# What an action of this module does with an editor; returns the exit status.
+# Carries out an action with an editor and the parsed arguments and returns the exit
+# status.
 _Action = Callable[["editor.TableEditor", argparse.Namespace], Awaitable[int]]
 
 
@@ -25,20 +27,20 @@
     Each parser sets the default ``run``, a function that takes the arguments and
     returns the exit status: 0, 1 (a failure or a conflict) or 2 (usage).
 
-    :param subparsers: the subparsers of the main parser.
+    :param subparsers: the subcommands of the main parser.
     """
-    main = _parser(
+    table_parser = _add_parser(
         subparsers,
         "table",
         "read and change the table of weights and limits",
         "burdockgate table set class/batch weight=0.5 --log http://127.0.0.1:7000",
     )
-    actions = main.add_subparsers(required=True, metavar="ACTION")
+    actions = table_parser.add_subparsers(required=True, metavar="ACTION")
 
-    parser = _leaf(actions, "get", "show rows", "class/batch", _get)
+    parser = _add_action(actions, "get", "show rows", "class/batch", _get)
     parser.add_argument("row", nargs="?", metavar="ROW", help=_ROW_HELP)
 
-    parser = _leaf(actions, "set", "set columns", "class/batch weight=0.5", _set)
+    parser = _add_action(actions, "set", "set columns", "class/batch weight=0.5", _set)
     parser.add_argument("row", metavar="ROW", help=_ROW_HELP)
     parser.add_argument(
         "columns",
@@ -49,20 +51,24 @@
     )
     parser.add_argument("--based-on", type=int, metavar="N", help=_BASED_ON_HELP)
 
-    parser = _leaf(actions, "delete", "delete a row", "class/batch", _delete)
+    parser = _add_action(actions, "delete", "delete a row", "class/batch", _delete)
     parser.add_argument("row", metavar="ROW", help=_ROW_HELP)
     parser.add_argument("--based-on", type=int, metavar="N", help=_BASED_ON_HELP)
 
-    parser = _leaf(actions, "import", "set the rows of a CSV", "rows.csv", _import)
+    parser = _add_action(
+        actions, "import", "set the rows of a CSV", "rows.csv", _import
+    )
     parser.add_argument("file", metavar="FILE", help="CSV file as export writes it")
 
-    _leaf(actions, "export", "write all rows as CSV", "> rows.csv", _export)
+    _add_action(actions, "export", "write all rows as CSV", "> rows.csv", _export)
 
-    parser = _leaf(actions, "history", "show the changes kept", "", _history)
-    parser.add_argument("--change", metavar="ID", help="show one change's outcome")
+    parser = _add_action(
+        actions, "history", "show the changes in the log", "", _history
+    )
+    parser.add_argument("--change", metavar="ID", help="show the outcome of one change")
 
     rollout.add_options(
-        _parser(
+        _add_parser(
             actions,
             "wait",
             "wait until a table version is in force on all nodes",
@@ -70,11 +76,13 @@
         )
     )
 
-    parser = _leaf(actions, "diff", "compare with a CSV", "rows.csv", _diff)
+    parser = _add_action(
+        actions, "diff", "compare the table with a CSV", "rows.csv", _diff
+    )
     parser.add_argument("file", metavar="FILE", help="CSV file as export writes it")
 
 
-def _parser(
+def _add_parser(
     subparsers: argparse._SubParsersAction[argparse.ArgumentParser],
     name: str,
     summary: str,
@@ -85,16 +93,18 @@
     )
 
 
-def _leaf(
+def _add_action(
     subparsers: argparse._SubParsersAction[argparse.ArgumentParser],
     name: str,
     summary: str,
     example: str,
     action: _Action,
 ) -> argparse.ArgumentParser:
-    words = f"burdockgate table {name} --log http://127.0.0.1:7000 {example}"
-    parser = _parser(subparsers, name, summary, words.rstrip())
-    parser.add_argument("--log", required=True, metavar="URL", help="the log service")
+    command_line = f"burdockgate table {name} --log http://127.0.0.1:7000 {example}"
+    parser = _add_parser(subparsers, name, summary, command_line.rstrip())
+    parser.add_argument(
+        "--log", required=True, metavar="URL", help="URL of the log service"
+    )
     parser.add_argument("--json", action="store_true", help="write JSON")
     parser.set_defaults(run=lambda args: _run(action, args))
     return parser
@@ -107,7 +117,7 @@
     from burdockgate import errors
 
     try:
-        return asyncio.run(_edit(action, args))
+        return asyncio.run(_run_with_editor(action, args))
     except (errors.TableError, errors.SettingsError) as error:
         print(error, file=sys.stderr)
         return 2
@@ -116,114 +126,124 @@
         return 1
 
 
-async def _edit(action: _Action, args: argparse.Namespace) -> int:
+async def _run_with_editor(action: _Action, args: argparse.Namespace) -> int:
     import random
 
     from burdockgate.process import editor, logclient
 
-    # Operators' change ids must differ, so they come from the system's source.
+    # Change ids must be unique among all writers, so they come from the operating
+    # system's random source.
     rng = random.SystemRandom()
     async with logclient.LogClient(args.log, rng) as log:
         return await action(editor.TableEditor(log, rng), args)
 
 
-async def _get(edit: editor.TableEditor, args: argparse.Namespace) -> int:
-    key = _key(args.row) if args.row else None
-    current = await edit.read()
+async def _get(table_editor: editor.TableEditor, args: argparse.Namespace) -> int:
+    key = _parse_key(args.row) if args.row else None
+    current = await table_editor.read()
     rows = [current.row(*key)] if key else list(current.row_by_key.values())
     if args.json:
         _print_json({"version": current.version, "rows": list(map(_row_json, rows))})
     else:
         print(f"version {current.version}")
         for row in rows:
-            print(_line(row))
+            print(_format_row(row))
     return 0
 
 
-async def _set(edit: editor.TableEditor, args: argparse.Namespace) -> int:
+async def _set(table_editor: editor.TableEditor, args: argparse.Namespace) -> int:
     from burdockgate import errors
     from burdockgate.version import table
 
-    key = _key(args.row)
-    columns = dict(word.partition("=")[::2] for word in args.columns)
+    key = _parse_key(args.row)
+    columns = dict(assignment.partition("=")[::2] for assignment in args.columns)
     problems = [
-        f"{args.row}: {word!r:.80}, allowed is column=value with columns "
+        f"{args.row}: {assignment!r:.80}, allowed is column=value with columns "
         f"{', '.join(table.COLUMNS[2:])}"
-        for word in args.columns
-        if "=" not in word or word.partition("=")[0] not in table.COLUMNS[2:]
+        for assignment in args.columns
+        if "=" not in assignment
+        or assignment.partition("=")[0] not in table.COLUMNS[2:]
     ]
     if problems:
         raise errors.TableError(problems)
-    named = {"scope": key[0], "name": key[1]}
-    # Wrong values are reported even when the log cannot be reached.
-    table.parse_row({**columns, **named})
-    current = await edit.read()
-    row = table.parse_row({**_columns(current.row(*key)), **columns, **named})
+    key_columns = {"scope": key[0], "name": key[1]}
+    # Checked before the log is read, so that invalid values are reported even when the
+    # log cannot be reached.
+    table.parse_row({**columns, **key_columns})
+    current = await table_editor.read()
+    row = table.parse_row(
+        {**_column_texts(current.row(*key)), **columns, **key_columns}
+    )
     based_on = current.row_version(key) if args.based_on is None else args.based_on
-    return _report([(args.row, await edit.set_row(row, based_on))], args)
+    return _print_outcomes(
+        [(args.row, await table_editor.set_row(row, based_on))], args
+    )
 
 
-async def _delete(edit: editor.TableEditor, args: argparse.Namespace) -> int:
+async def _delete(table_editor: editor.TableEditor, args: argparse.Namespace) -> int:
     from burdockgate import errors
 
-    key = _key(args.row)
-    current = await edit.read()
+    key = _parse_key(args.row)
+    current = await table_editor.read()
     if key not in current.row_by_key:
         raise errors.ConflictError(f"{args.row}: there is no such row to delete")
     based_on = current.row_version(key) if args.based_on is None else args.based_on
-    return _report([(args.row, await edit.delete_row(*key, based_on))], args)
+    return _print_outcomes(
+        [(args.row, await table_editor.delete_row(*key, based_on))], args
+    )
 
 
-async def _import(edit: editor.TableEditor, args: argparse.Namespace) -> int:
+async def _import(table_editor: editor.TableEditor, args: argparse.Namespace) -> int:
     from burdockgate.process import editor
 
     rows = _read_file(args.file)
-    current = await edit.read()
-    reports: list[tuple[str, editor.Outcome]] = []
+    current = await table_editor.read()
+    outcomes: list[tuple[str, editor.Outcome]] = []
     for row in rows:
-        if _columns(row) == _columns(current.row(*row.key)) and (
+        if _column_texts(row) == _column_texts(current.row(*row.key)) and (
             row.key in current.row_by_key
         ):
             continue
-        # A version in the file makes a change of the row since the export a conflict.
+        # With a version from the file, a row that has changed since the export is a
+        # conflict.
         based_on = row.version or current.row_version(row.key)
-        outcome = await edit.set_row(row, based_on)
-        reports.append(("/".join(row.key), outcome))
+        outcome = await table_editor.set_row(row, based_on)
+        outcomes.append(("/".join(row.key), outcome))
         if isinstance(outcome, editor.Unknown):
             break
-    return _report(reports, args)
+    return _print_outcomes(outcomes, args)
 
 
-async def _export(edit: editor.TableEditor, args: argparse.Namespace) -> int:
+async def _export(table_editor: editor.TableEditor, args: argparse.Namespace) -> int:
     import csv
     import sys
 
     from burdockgate.version import table
 
-    current = await edit.read()
+    current = await table_editor.read()
     rows = list(current.row_by_key.values())
     if args.json:
         _print_json({"version": current.version, "rows": list(map(_row_json, rows))})
         return 0
     writer = csv.writer(sys.stdout, lineterminator="\n")
     writer.writerow([*table.COLUMNS, "version"])
-    writer.writerows([*_columns(row).values(), row.version] for row in rows)
+    writer.writerows([*_column_texts(row).values(), row.version] for row in rows)
     return 0
 
 
-async def _history(edit: editor.TableEditor, args: argparse.Namespace) -> int:
+async def _history(table_editor: editor.TableEditor, args: argparse.Namespace) -> int:
     import json
 
     from burdockgate import errors
 
     if args.change:
-        outcome = await edit.outcome(args.change)
+        outcome = await table_editor.outcome(args.change)
         if outcome is None:
             raise errors.ConflictError(
                 f"change {args.change}: not among the records that the log keeps"
             )
-        return _report([(f"change {args.change}", outcome)], args)
-    for entry in await edit.history():
+        return _print_outcomes([(f"change {args.change}", outcome)], args)
+    for entry in await table_editor.history():
         record, result = entry.record, entry.result
         if args.json:
             _print_json(
@@ -242,37 +262,41 @@
     return 0
 
 
-async def _diff(edit: editor.TableEditor, args: argparse.Namespace) -> int:
-    wanted = {row.key: row for row in _read_file(args.file)}
-    current = (await edit.read()).row_by_key
+async def _diff(table_editor: editor.TableEditor, args: argparse.Namespace) -> int:
+    file_rows = {row.key: row for row in _read_file(args.file)}
+    table_rows = (await table_editor.read()).row_by_key
     changes = []
-    for key in sorted(wanted.keys() | current.keys()):
-        here, there = current.get(key), wanted.get(key)
-        if here is None or there is None or _columns(here) != _columns(there):
-            changes.append((here, there))
-    for here, there in changes:
+    for key in sorted(file_rows.keys() | table_rows.keys()):
+        table_row, file_row = table_rows.get(key), file_rows.get(key)
+        if (
+            table_row is None
+            or file_row is None
+            or _column_texts(table_row) != _column_texts(file_row)
+        ):
+            changes.append((table_row, file_row))
+    for table_row, file_row in changes:
         if args.json:
             _print_json(
                 {
-                    "table": _row_json(here) if here else None,
-                    "file": _row_json(there) if there else None,
+                    "table": _row_json(table_row) if table_row else None,
+                    "file": _row_json(file_row) if file_row else None,
                 }
             )
             continue
-        if here:
-            print(f"- {_line(here)}")
-        if there:
-            print(f"+ {_line(there)}")
+        if table_row:
+            print(f"- {_format_row(table_row)}")
+        if file_row:
+            print(f"+ {_format_row(file_row)}")
     return 0
 
 
-def _key(text: str) -> table.Key:
+def _parse_key(text: str) -> table.Key:
     from burdockgate import errors
     from burdockgate.version import table
 
     scope, slash, name = text.partition("/")
     if not slash:
-        raise errors.TableError([f"row {text!r:.80}: allowed is {_ROW_HELP[7:]}"])
+        raise errors.TableError([f"row {text!r:.80}: allowed is {_ROW_FORM}"])
     return table.parse_row({"scope": scope, "name": name}).key
 
 
@@ -283,17 +307,17 @@
 
     try:
         with open(path, encoding="utf-8", newline="") as file:
-            lines = list(csv.DictReader(file, strict=True))
+            records = list(csv.DictReader(file, strict=True))
     except (OSError, ValueError, csv.Error) as error:
         raise errors.TableError([f"file {path}: {error}"]) from error
     rows: list[table.Row] = []
     problems: list[str] = []
-    for number, columns in enumerate(lines, 1):
+    for number, columns in enumerate(records, 1):
         try:
-            row = _read_columns(columns)
+            row = _parse_record(columns)
             if row.key in {earlier.key for earlier in rows}:
                 name = "/".join(row.key)
-                raise errors.TableError([f"{name}: allowed is one line for each row"])
+                raise errors.TableError([f"{name}: allowed is one line per row"])
             rows.append(row)
         except errors.TableError as error:
             problems += [f"row {number}: {problem}" for problem in error.problems]
@@ -302,15 +326,17 @@
     return rows
 
 
-def _read_columns(columns: Mapping[str | None, Any]) -> table.Row:
+def _parse_record(record: Mapping[str | None, Any]) -> table.Row:
     import attrs
 
     from burdockgate import errors
     from burdockgate.version import table
 
-    if None in columns or None in columns.values():
-        raise errors.TableError(["allowed are as many fields as the header has"])
-    fields = {str(column): str(text) for column, text in columns.items()}
+    if None in record or None in record.values():
+        raise errors.TableError(
+            ["the number of fields differs from that of the header"]
+        )
+    fields = {str(column): str(text) for column, text in record.items()}
     version = fields.pop("version", "") or "0"
     row = table.parse_row(fields)
     if not (version.isascii() and version.isdigit() and len(version) < 19):
@@ -321,11 +347,13 @@
     return attrs.evolve(row, version=int(version))
 
 
-def _columns(row: table.Row) -> dict[str, str]:
+def _column_texts(row: table.Row) -> dict[str, str]:
     from burdockgate.version import table
 
     values = {column: getattr(row, column) for column in table.COLUMNS}
-    return {column: "" if v is None else str(v) for column, v in values.items()}
+    return {
+        column: "" if value is None else str(value) for column, value in values.items()
+    }
 
 
 def _row_json(row: table.Row) -> dict[str, Any]:
@@ -334,14 +362,18 @@
     return attrs.asdict(row)
 
 
-def _line(row: table.Row) -> str:
-    words = [f"{c}={text}" for c, text in list(_columns(row).items())[2:] if text]
+def _format_row(row: table.Row) -> str:
+    assignments = [
+        f"{column}={text}"
+        for column, text in list(_column_texts(row).items())[2:]
+        if text
+    ]
     version = f" (version {row.version})" if row.version else " (default)"
-    return f"{row.scope}/{row.name} {' '.join(words)}{version}"
+    return f"{row.scope}/{row.name} {' '.join(assignments)}{version}"
 
 
-def _report(
-    reports: Iterable[tuple[str, editor.Outcome]], args: argparse.Namespace
+def _print_outcomes(
+    outcomes: Iterable[tuple[str, editor.Outcome]], args: argparse.Namespace
 ) -> int:
     import dataclasses
     import sys
@@ -351,7 +383,7 @@
     from burdockgate.process import editor
 
     status = 0
-    for label, outcome in reports:
+    for subject, outcome in outcomes:
         if not isinstance(outcome, editor.Accepted):
             status = 1
         if args.json:
@@ -360,24 +392,24 @@
             if "row" in fields:
                 fields["row"] = attrs.asdict(row) if row else None
             kind = type(outcome).__name__.lower()
-            _print_json({"subject": label, "outcome": kind, **fields})
+            _print_json({"subject": subject, "outcome": kind, **fields})
         else:
             stream = sys.stdout if isinstance(outcome, editor.Accepted) else sys.stderr
-            print(f"{label}: {_outcome_line(outcome)}", file=stream)
+            print(f"{subject}: {_format_outcome(outcome)}", file=stream)
     return status
 
 
-def _outcome_line(outcome: editor.Outcome) -> str:
+def _format_outcome(outcome: editor.Outcome) -> str:
     from burdockgate.process import editor
 
     if isinstance(outcome, editor.Accepted):
         return f"accepted: version {outcome.version}, change {outcome.change_id}"
     if isinstance(outcome, editor.Conflict):
-        current = _line(outcome.row) if outcome.row else "no such row"
+        current = _format_row(outcome.row) if outcome.row else "no such row"
         return f"conflict: {outcome.detail}; current: {current}"
     return (
-        f"not known: {outcome.detail}; ask later with: burdockgate table history "
-        f"--change {outcome.change_id}"
+        f"not known: {outcome.detail}; to look it up later, run: burdockgate table "
+        f"history --change {outcome.change_id}"
     )
 
 
