Reword the measure and stand-in commands

Cause: SECONDS_LIMIT and LISTEN_DEFAULT did not say of what, and help texts were indirect ("4 data centres or 3", "which outlives a killed process"). Change: wording of docstrings and help, DEFAULT_DURATION_S, DURATION_LIMIT_S, _duration, DEFAULT_LISTEN and DEFAULT_RETENTION_S.

--- a/src/burdockgate/cli/measure.py
+++ b/src/burdockgate/cli/measure.py
@@ -1,4 +1,4 @@
-"""The ``measure`` subcommand: runs a scenario under load and prints its figures."""
+"""Subcommand ``measure``: runs a scenario under load and prints its figures."""
 
 from __future__ import annotations
 
@@ -7,12 +7,12 @@
 
 from burdockgate.cli import main
 
-SECONDS_DEFAULT = 10.0
-SECONDS_LIMIT = 3600.0
+DEFAULT_DURATION_S = 10.0
+DURATION_LIMIT_S = 3600.0
 
 
 def register(subparsers: main.Subparsers) -> None:
-    """Add ``measure``.
+    """Add the subcommand ``measure``.
 
     :param subparsers: the subcommands of the main parser.
     """
@@ -27,16 +27,16 @@
     parser.add_argument("--seed", type=int, default=1, metavar="N")
     parser.add_argument(
         "--seconds",
-        type=_seconds,
-        default=SECONDS_DEFAULT,
+        type=_duration,
+        default=DEFAULT_DURATION_S,
         metavar="S",
-        help="length of the run (default: %(default)g)",
+        help="duration of the run (default: %(default)g)",
     )
     parser.add_argument(
         "--deployment",
         choices=("a", "b"),
         default="a",
-        help="4 data centres or 3 (default: %(default)s)",
+        help="a has 4 data centres, b has 3 (default: %(default)s)",
     )
     parser.add_argument("--json", action="store_true", help="print JSON objects")
     parser.add_argument("--report", metavar="FILE", help="write an HTML page")
@@ -45,12 +45,12 @@
         action="append",
         default=[],
         metavar="URL",
-        help="an entry host that runs already; can be given several times",
+        help="URL of a running entry host; can be given several times",
     )
     parser.add_argument(
         "--processes",
         action="store_true",
-        help="start a process for each role and stand-in, not all in one",
+        help="run each role and each stand-in in its own process",
     )
     parser.add_argument("--policy", metavar="NAME", help="placement policy")
     parser.add_argument(
@@ -62,7 +62,7 @@
 def run_measure(args: argparse.Namespace) -> int:
     """Run one scenario, or list all.
 
-    :param args: the parsed arguments.
+    :param args: parsed arguments of ``measure``.
     :returns: the exit status: 1 when a promise was broken or the run failed.
     """
     from burdockgate.standin import measurement
@@ -86,14 +86,14 @@
     )
 
 
-def _seconds(text: str) -> float:
+def _duration(text: str) -> float:
     try:
         value = float(text)
     except ValueError:
         value = math.nan
-    if not 0 < value <= SECONDS_LIMIT:
+    if not 0 < value <= DURATION_LIMIT_S:
         raise argparse.ArgumentTypeError(
             f"{text!r:.80}, allowed is a number of seconds above 0 and up to "
-            f"{SECONDS_LIMIT:g}"
+            f"{DURATION_LIMIT_S:g}"
         )
     return value
--- a/src/burdockgate/cli/standins.py
+++ b/src/burdockgate/cli/standins.py
@@ -1,4 +1,7 @@
-"""The ``standin`` subcommands: the platform's parts as processes of their own."""
+"""Subcommands ``standin log`` and ``standin backend``.
+
+Each runs a stand-in of a part of the platform in a process of its own.
+"""
 
 from __future__ import annotations
 
@@ -7,8 +10,8 @@
 
 from burdockgate.cli import main
 
-LISTEN_DEFAULT = "127.0.0.1:0"
-RETENTION_DEFAULT_S = 3600.0
+DEFAULT_LISTEN = "127.0.0.1:0"
+DEFAULT_RETENTION_S = 3600.0
 PORT_LIMIT = 65535
 
 
@@ -34,22 +37,25 @@
     log.add_argument(
         "--retention-s",
         type=_seconds,
-        default=RETENTION_DEFAULT_S,
-        help="seconds for which records are kept (default: %(default)s)",
+        default=DEFAULT_RETENTION_S,
+        help="how many seconds records are retained (default: %(default)s)",
     )
     log.set_defaults(run=run_log)
     backend = main.add_command(
         kinds,
         "backend",
-        "a backend server that sleeps and echoes",
+        "a backend server that sleeps and returns the payload",
         "burdockgate standin backend --listen 127.0.0.1:7500 --name server-1",
     )
     _add_listen(backend)
-    backend.add_argument("--name", default="backend", help="name in its results")
+    backend.add_argument(
+        "--name", default="backend", help="name that its results carry"
+    )
     backend.add_argument(
         "--record",
         metavar="FILE",
-        help="add each start as a line of JSON, which outlives a killed process",
+        help="append each task start to this file as a line of JSON; the file keeps it "
+        "when the process is killed",
     )
     backend.set_defaults(run=run_backend)
 
@@ -86,7 +92,7 @@
     parser.add_argument(
         "--listen",
         type=_address,
-        default=LISTEN_DEFAULT,
+        default=DEFAULT_LISTEN,
         metavar="HOST:PORT",
         help="address to bind; port 0 lets the system choose (default: %(default)s)",
     )
