--- a/tests/builders.py
+++ b/tests/builders.py
@@ -41,7 +41,7 @@
     return view.removal_record(view.Change.REMOVE, node(name, boot))
 
 
-def view_of(*names):
+def make_view(*names):
     return fold(view.View(), *map(voter, names))
 
 
@@ -54,7 +54,7 @@
     return messages.ClaimRecord(owner=node(owner), **(CLAIM | fields))
 
 
-def terms(scope=(), **fields):
+def claim_terms(scope=(), **fields):
     fields = CLAIM | {"scope": tuple(map(node, scope))} | fields
     return claimant.Terms(owner=node("e1"), **fields)
 
@@ -69,7 +69,7 @@
 def make_owned_job(made=None, time=None, scope=("a1", "a2"), had_attempt=False):
     members, time = (node("m1"),), time or clock.ManualClock()
     made = made or request()
-    return ownedjob.OwnedJob(made, terms(scope), members, time, 5.0, had_attempt)
+    return ownedjob.OwnedJob(made, claim_terms(scope), members, time, 5.0, had_attempt)
 
 
 def report(index, send=1, state=messages.TaskState.DONE, payload=b"1"):
@@ -84,7 +84,7 @@
     return messages.FenceReply(JOB, epoch, fence, attempt, boot, reports, more)
 
 
-def sent(wanted, kind):
+def sent_messages(wanted, kind):
     """Perform a generator of effects and return the messages of one type in it."""
     found = [getattr(effect, "message", effect) for effect in wanted]
     return [message for message in found if isinstance(message, kind)]
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,7 +8,7 @@
 
 
 @pytest.fixture(scope="module")
-def shared(tmp_path_factory):
+def shared_system(tmp_path_factory):
     """Run one system of real processes for all tests of a file."""
     made = processes.System(tmp_path_factory.mktemp("system"))
     try:
--- a/tests/fuzz.py
+++ b/tests/fuzz.py
@@ -104,7 +104,7 @@
         """Take the next step of a scenario, and the others after its waits."""
         wait_s = None if self.is_over else next(scenario, None)
         if wait_s is not None:
-            self.session._later(wait_s, lambda: self._go_on(scenario))
+            self.session.schedule(wait_s, lambda: self._go_on(scenario))
 
     def _alive(self, names):
         return [
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -77,7 +77,7 @@
     raise AssertionError(f"no free port in {PORTS}")
 
 
-def body_of(run_times_ms, **fields):
+def make_body(run_times_ms, **fields):
     """Return a job whose payloads differ from each other."""
     tasks = [
         {"payload": {"sleep_ms": run_time_ms, "mark": index}}
@@ -367,7 +367,7 @@
 
     async def submit_with(self, caller, key, run_times_ms, **fields):
         """Do as ``submit`` does, with a client that has connections already."""
-        body = body_of(run_times_ms, **fields)
+        body = make_body(run_times_ms, **fields)
         entry = " ".join(self.urls)
         self._submitted(key, body, entry)
         answer = await caller.submit(body, key)
@@ -376,7 +376,7 @@
 
     async def post(self, index, key, run_times_ms, **fields):
         """Submit a job in one request and return the body of the answer."""
-        body = body_of(run_times_ms, **fields)
+        body = make_body(run_times_ms, **fields)
         url = self.urls[index]
         self._submitted(key, body, url)
         async with httpx.AsyncClient(trust_env=False, timeout=2 * LIMIT_S) as caller:
--- a/tests/sessions.py
+++ b/tests/sessions.py
@@ -160,12 +160,12 @@
         process = Process(name, core, boot)
         self.processes[name] = process
         self.events.append(trace.Joined(self.clock.now(), name))
-        self._later(self.rng.uniform(0, TICK_S), lambda: self._tick(process))
-        self._later(self.rng.uniform(0, 0.8), lambda: self._beat(process))
-        self._later(0.0, lambda: self._dial_all(name))
+        self.schedule(self.rng.uniform(0, TICK_S), lambda: self._tick(process))
+        self.schedule(self.rng.uniform(0, 0.8), lambda: self._beat(process))
+        self.schedule(0.0, lambda: self._dial_all(name))
         if name.startswith("entry"):
-            self._later(0.01, lambda: self._replay(process))
-            self._later(POLL_S, lambda: self._poll(process))
+            self.schedule(0.01, lambda: self._replay(process))
+            self.schedule(POLL_S, lambda: self._poll(process))
         return process
 
     def kill(self, name):
@@ -225,7 +225,7 @@
         pair = frozenset((first, second))
         self.cuts.discard(pair)
         for action in self._held_by_cut.pop(pair, []):
-            self._later(LATENCY_S, action)
+            self.schedule(LATENCY_S, action)
         self._dial(first, second)
 
     def _isolate(self, names):
@@ -242,7 +242,7 @@
                 for pair in sorted(pairs & self.cuts, key=sorted):
                     self._unlink(pair)
 
-        self._later(LEASE_S, lapse)
+        self.schedule(LEASE_S, lapse)
 
     def fail(self, names, fault):
         """Kill, freeze or cut off processes, all at one moment."""
@@ -278,7 +278,7 @@
         del self._fault_by_backend[name]
         for action in self._held_by_backend.pop(name, []):
             action()
-        self._later(PROBE_S, functools.partial(self._set_backend, name, True))
+        self.schedule(PROBE_S, functools.partial(self._set_backend, name, True))
 
     def _set_backend(self, name, is_up):
         process = self.processes.get(name)
@@ -331,10 +331,10 @@
         """Run until a condition holds; fail when it does not within the limit."""
         end = self.clock.now() + limit_s
         while not condition():
-            assert self.clock.now() < end, "condition not met:\n" + self.text()
+            assert self.clock.now() < end, "condition not met:\n" + self.trace_text()
             self.run(0.01)
 
-    def answer(self, ticket, limit_s=60.0):
+    def wait_answer(self, ticket, limit_s=60.0):
         """Run until a caller has its outcome, and return it."""
         self.run_until(lambda: ticket in self.answers, limit_s)
         return self.answers[ticket]
@@ -344,7 +344,7 @@
     def note(self, text):
         self.trace.append(f"{self.clock.now() - 100.0:9.4f} {text}")
 
-    def text(self):
+    def trace_text(self):
         return "\n".join(self.trace)
 
     def mark(self, text):
@@ -383,14 +383,14 @@
             if isinstance(message, kind):
                 left[0] -= 1
                 if left[0] == 0:
-                    self._later(delay_s, action)
+                    self.schedule(delay_s, action)
             return delays
 
         self.filters.append(watch)
 
     # Network
 
-    def _later(self, seconds, action):
+    def schedule(self, seconds, action):
         at = self.clock.now() + seconds
         heapq.heappush(self._events, (at, next(self._order), action))
 
@@ -441,7 +441,7 @@
                 self.events.append(trace.Claimed(self.clock.now(), *fields, owner))
         link = (process.generation, target.generation)
         for delay in delays:
-            self._later(delay, lambda: self._deliver(target, link, process, message))
+            self.schedule(delay, lambda: self._deliver(target, link, process, message))
 
     def _deliver(self, target, link, sender, message):
         pair = frozenset((sender.name, target.name))
@@ -513,7 +513,7 @@
         if not process.frozen:
             self._perform(process, process.core.tick())
             self._note_version(process)
-        self._later(self.tick_s, lambda: self._tick(process))
+        self.schedule(self.tick_s, lambda: self._tick(process))
 
     def _note_version(self, process):
         """Note the table in force; an entry host works by a current one only."""
@@ -531,7 +531,7 @@
             self._drop_silent(process)
             if self.redials:
                 self._dial_all(process.name)
-        self._later(0.8, lambda: self._beat(process))
+        self.schedule(0.8, lambda: self._beat(process))
 
     def _drop_silent(self, process):
         """Close the connections of peers that have been frozen for the lease."""
@@ -576,7 +576,7 @@
         """Let every entry host that reaches the log read what is new to it."""
         for process in list(self.processes.values()):
             if process.name.startswith("entry"):
-                self._later(delay_s, lambda process=process: self._replay(process))
+                self.schedule(delay_s, lambda process=process: self._replay(process))
 
     def _replay(self, process):
         is_cut = not self.log_is_up or process.name in self.log_cuts
@@ -592,7 +592,7 @@
                 page = messages.Records(stream, end, end, ())
                 self._perform(process, process.core.follow(page))
         if self._alive(process):
-            self._later(POLL_S, lambda: self._poll(process))
+            self.schedule(POLL_S, lambda: self._poll(process))
 
     def _follow(self, process, stream):
         """Hand a process the new records, then an empty page as at the log's end."""
@@ -619,7 +619,7 @@
         process.core.running = getattr(process.core, "running", set()) | {key}
         ended = functools.partial(self._finish, process, key)
         state = messages.TaskState.UNKNOWN
-        self._later(effect.timeout_ms / 1000, lambda: ended(state, b"no answer"))
+        self.schedule(effect.timeout_ms / 1000, lambda: ended(state, b"no answer"))
         fault = self._fault_by_backend.get(process.name)
         if fault == "freeze":
             self._held_by_backend[process.name].append(
@@ -630,7 +630,7 @@
         else:
             wait_s = CONNECT_S if fault == "cut" else LATENCY_S
             returned = messages.TaskState.RETURNED
-            self._later(wait_s, lambda: ended(returned, b"not sent"))
+            self.schedule(wait_s, lambda: ended(returned, b"not sent"))
 
     def _run_task(self, process, effect, ended):
         now, name = self.clock.now(), process.name
@@ -643,7 +643,7 @@
         state = messages.TaskState.DONE
         if payload.get("fail") or name in self.failing:
             state = messages.TaskState.FAILED
-        self._later(
+        self.schedule(
             payload["sleep_ms"] / 1000,
             lambda: self._reach(name, lambda: ended(state, effect.payload)),
         )
@@ -719,7 +719,7 @@
     return " ".join(parts)
 
 
-def assert_whole(request, result):
+def assert_complete(request, result):
     """Assert that an outcome is the whole answer to a request."""
     assert isinstance(result, outcome.Complete), result
     assert result.results == tuple(task.payload for task in request.tasks)
@@ -728,4 +728,4 @@
 def assert_single_starts(session):
     """Assert that no task of an attempt has started twice."""
     seen = [(start.job, start.attempt, start.index) for start in session.starts]
-    assert len(seen) == len(set(seen)), session.text()
+    assert len(seen) == len(set(seen)), session.trace_text()
--- a/tests/test_agenthost.py
+++ b/tests/test_agenthost.py
@@ -34,10 +34,10 @@
     core = agent.AgentCore(own, config, clock.ManualClock(), counters)
     list(core.handle_connect(builders.hello("e1", role=messages.Role.ENTRY)))
     list(core.drain(active=True))
-    assert builders.sent(core.leave(), messages.Leave)
+    assert builders.sent_messages(core.leave(), messages.Leave)
     task = messages.TaskStart(0, 1, b"1", 1000)
     start = messages.Start(builders.JOB, 1, 0, 1, own.boot, (task,))
-    (results,) = builders.sent(core.receive("e1", start), messages.Results)
+    (results,) = builders.sent_messages(core.receive("e1", start), messages.Results)
     assert results.reports[0].state is messages.TaskState.RETURNED
     assert not core.has_left
     list(core.receive("e1", messages.Leave()))
--- a/tests/test_catchup.py
+++ b/tests/test_catchup.py
@@ -9,7 +9,7 @@
 from burdockgate.version import view as views
 
 JOB = builders.JOB
-OLD_VIEW = builders.view_of("a1", "a2", "a3")
+OLD_VIEW = builders.make_view("a1", "a2", "a3")
 NODE_BY_NAME = {name: builders.node(name) for name in ("a1", "a2", "a3", "a4", "a9")}
 
 
@@ -54,7 +54,7 @@
     assert make_member("a2").is_ready(JOB)
     assert not make_member("a1", boot=2, new=builders.voter("a1", 2)).is_ready(JOB)
     first = catchup.Catchup(NODE_BY_NAME["a1"], clock.ManualClock(), 600.0)
-    first.advance(builders.view_of("a1"))
+    first.advance(builders.make_view("a1"))
     assert first.is_ready(JOB), "without earlier voters, no claim can exist"
 
 
@@ -167,7 +167,7 @@
     member.advance(builders.fold(member.view, builders.voter("b")))
     for name in ("a1", "a2", "a3"):
         member.record_reply(NODE_BY_NAME[name], 6)
-    assert len(builders.sent(member.tick(["a4", "a5"]), messages.Sync)) == 2
+    assert len(builders.sent_messages(member.tick(["a4", "a5"]), messages.Sync)) == 2
     member.record_reply(NODE_BY_NAME["a4"], 6)
     time.advance(catchup.ASK_INTERVAL_S)
     assert list(member.tick(["a4", "a5"])) == []
@@ -178,7 +178,7 @@
     time = clock.ManualClock()
     member = catchup.Catchup(NODE_BY_NAME["a1"], time, 600.0)
     member.advance(views.View(5, buffered=()))
-    member.advance(builders.view_of("a1", "a2", "a3"))
+    member.advance(builders.make_view("a1", "a2", "a3"))
     for name in ("a2", "a3"):
         member.record_reply(NODE_BY_NAME[name], member.view.number)
     list(member.tick([]))
--- a/tests/test_claimant.py
+++ b/tests/test_claimant.py
@@ -10,7 +10,7 @@
 from burdockgate.version import view
 
 V = messages.Verdict
-VIEW = builders.view_of("a1", "a2", "a3")
+VIEW = builders.make_view("a1", "a2", "a3")
 S1, S2 = (builders.node("s1"),), (builders.node("s2"),)
 RECORD = builders.claim_record(epoch=2, scope=S2)
 SETTLED = builders.claim_record(epoch=2, code=200)
@@ -23,7 +23,7 @@
 
 @pytest.fixture
 def claim(time):
-    terms = builders.terms(epoch=2, code=111)
+    terms = builders.claim_terms(epoch=2, code=111)
     made = claimant.Claimant(terms, time, random.Random(1), 0.5)
     made.asked = list(made.send_claims(VIEW))
     return made
@@ -40,7 +40,7 @@
 
 
 def test_every_member_is_dialled_and_gets_the_claim(claim):
-    sent = builders.sent(claim.asked, messages.Claim)
+    sent = builders.sent_messages(claim.asked, messages.Claim)
     group = VIEW.group(builders.JOB)
     assert {(each.group, each.epoch, each.code) for each in sent} == {(group, 2, 111)}
     assert {each.node for each in claim.asked if isinstance(each, effects.Dial)} == {
@@ -55,7 +55,7 @@
     reply(claim, "a2", V.GRANTED)
     assert claim.result == claimant.Granted(None)
     reply(claim, "a3", V.HELD, RECORD)
-    assert list(claim.tick(builders.view_of("a1"))) == [], (
+    assert list(claim.tick(builders.make_view("a1"))) == [], (
         "a decided claim is not sent again"
     )
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -9,7 +9,7 @@
 from burdockgate.process import claims
 
 V = messages.Verdict
-GROUP = builders.view_of("a1", "a2", "a3").group(builders.JOB)
+GROUP = builders.make_view("a1", "a2", "a3").group(builders.JOB)
 OWNER = builders.node("e1")
 S1, S2 = (builders.node("s1"),), (builders.node("s2"),)
 
@@ -18,7 +18,7 @@
     store = claims.ClaimStore(
         builders.node(own), time or clock.ManualClock(), 300.0, 3900.0
     )
-    store.catchup.advance(builders.view_of("a1", "a2", "a3"))
+    store.catchup.advance(builders.make_view("a1", "a2", "a3"))
     return store
 
 
@@ -54,7 +54,7 @@
 
 def test_no_vote_for_another_group_or_before_catching_up():
     store = make_store()
-    other = builders.view_of("a1", "a2", "a4")
+    other = builders.make_view("a1", "a2", "a4")
     assert vote(store, other.group(builders.JOB)).verdict is V.STALE_VIEW
     assert vote(store, epoch=0).verdict is V.FREE
     assert len(store) == 0, "a query must not block the first claim"
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -45,7 +45,7 @@
     dispatcher.add(builders.make_owned_job(builders.request(tasks=5)), 1.0)
     wanted = run(dispatcher)
     assert start_indexes(wanted) == {"a1": [0, 1], "a2": [2]}
-    assert len(builders.sent(wanted, messages.Start)) == 2
+    assert len(builders.sent_messages(wanted, messages.Start)) == 2
     assert dispatcher.waiting_count() == 2
     assert start_indexes(run(dispatcher)) == {}
 
@@ -71,7 +71,7 @@
     outside = []
     assert start_indexes(run(dispatcher, outside.append)) == {}
     assert outside == [job]
-    job.extend_scope(builders.terms(["a9"]))
+    job.extend_scope(builders.claim_terms(["a9"]))
     assert start_indexes(run(dispatcher)) == {"a9": [0]}
 
 
@@ -80,7 +80,9 @@
     join(workers, "a1", 0)
     job = builders.make_owned_job()
     dispatcher.add(job, 3.0)
-    assert builders.sent(run(dispatcher), messages.Demand) == [messages.Demand(2, 3.0)]
+    assert builders.sent_messages(run(dispatcher), messages.Demand) == [
+        messages.Demand(2, 3.0)
+    ]
     assert run(dispatcher) == []
     workers.record_offer("a1", 2, 0)
     assert start_indexes(run(dispatcher)) == {"a1": [0, 1]}
@@ -95,7 +97,9 @@
     dispatcher.add(job, 1.0)
     run(dispatcher)
     list(job.cancel())
-    assert builders.sent(run(dispatcher), messages.Demand) == [messages.Demand(0, 0.0)]
+    assert builders.sent_messages(run(dispatcher), messages.Demand) == [
+        messages.Demand(0, 0.0)
+    ]
     assert run(dispatcher) == []
     join(workers, "a2", 0)
     assert run(dispatcher) == []
@@ -117,7 +121,8 @@
         made = builders.request(name, 20, caller_class=name, expected_ms=work)
         dispatcher.add(builders.make_owned_job(made=made), 1.0)
     counts = [
-        len(each.tasks) for each in builders.sent(run(dispatcher), messages.Start)
+        len(each.tasks)
+        for each in builders.sent_messages(run(dispatcher), messages.Start)
     ]
     assert sorted(counts) == [2, 8]
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -51,7 +51,7 @@
             return
         if state is DONE and fault == "slow" and key not in self._delayed:
             self._delayed.add(key)
-            self._later(
+            self.schedule(
                 9 * json.loads(payload)["sleep_ms"] / 1000,
                 lambda: self._finish(process, key, state, payload),
             )
@@ -139,12 +139,12 @@
     for number in range(40):
         for key in ("poison", f"poison{number}"):
             ticket = session.submit(f"entry-{number % 2 + 1}", poisoned_request(key))
-            assert isinstance(session.answer(ticket), outcome.Failed)
+            assert isinstance(session.wait_answer(ticket), outcome.Failed)
         if number >= 20:
             session.load(0.2, f"good{number}-")
     assert session.changes() == []
     assert session.counts("health.excused") > 0
-    assert session.text().splitlines()[:40] == snapshot
+    assert session.trace_text().splitlines()[:40] == snapshot
 
 
 @pytest.fixture
@@ -231,7 +231,7 @@
     session.filters.append(read)
     for number in range(5):
         request = sessions.make_request(f"k{number}", [50] * 6)
-        session.answer(session.submit("entry-1", request))
+        session.wait_answer(session.submit("entry-1", request))
     session.run(1.0)
     assert max(reported_by_link["agent-1", "entry-2"]) >= 2
     assert not any(reported_by_link.get(("agent-2", "entry-2"), ()))
@@ -321,20 +321,20 @@
     assert figures.most_out == len(RACK)
 
 
-async def test_commands_of_the_page(shared):
+async def test_commands_of_the_page(shared_system):
     """The commands on the operator's page run and show what the page says."""
-    shared.start()
-    shared.servers[0].set_faults(fail_all=True)
+    shared_system.start()
+    shared_system.servers[0].set_faults(fail_all=True)
     for number in range(100):
-        await shared.post(0, f"bad-{number}", [1] * 3)
-        if shared.worker(0, "agent-1")["health"] == "ejected":
+        await shared_system.post(0, f"bad-{number}", [1] * 3)
+        if shared_system.worker(0, "agent-1")["health"] == "ejected":
             break
     lines = [line for line in PAGE.read_text().splitlines() if line.startswith("    ")]
     assert len(lines) == 3
     shown = []
     for line in lines:
         _, *arguments = shlex.split(line)
-        arguments[-1] = shared.urls[0]
+        arguments[-1] = shared_system.urls[0]
         command = [sys.executable, "-m", "burdockgate", *arguments]
         done = await asyncio.to_thread(
             subprocess.run, command, capture_output=True, text=True, timeout=20
@@ -343,6 +343,6 @@
         shown.append(done.stdout)
     (row,) = [line for line in shown[0].splitlines() if "agent-1 " in line]
     assert "ejected" in row and "failing" in row
-    (entry,) = [each for each in shared.entries if each.name == "entry-1"]
+    (entry,) = [each for each in shared_system.entries if each.name == "entry-1"]
     processes.wait_for(lambda: "worker ejected" in entry.stderr, "log line")
     assert entry.stderr.count("worker ejected") == 1
--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -18,14 +18,14 @@
 
 
 @pytest.fixture
-async def system(shared):
+async def system(shared_system):
     """Give a running system; after the test, it must still run a good job."""
-    yield shared
-    answer = await shared.submit(f"good-{next(_numbers)}", [1] * 24)
+    yield shared_system
+    answer = await shared_system.submit(f"good-{next(_numbers)}", [1] * 24)
     assert (answer.outcome, answer.attempt) == ("complete", 1)
-    assert all(process.is_running for process in shared.processes)
-    assert shared.violations() == []
-    assert [p.name for p in shared.processes if "Traceback" in p.stderr] == []
+    assert all(process.is_running for process in shared_system.processes)
+    assert shared_system.violations() == []
+    assert [p.name for p in shared_system.processes if "Traceback" in p.stderr] == []
 
 
 def _frame(body):
@@ -130,7 +130,7 @@
 
 
 def _job(**fields):
-    return json.dumps(processes.body_of([1]) | fields).encode()
+    return json.dumps(processes.make_body([1]) | fields).encode()
 
 
 BAD_BODIES = {
--- a/tests/test_ownedjob.py
+++ b/tests/test_ownedjob.py
@@ -37,7 +37,7 @@
 
 def reconnect(job, node):
     job.handle_agent_disconnected(node.name)
-    return builders.sent(job.handle_agent_connected(node), messages.Fence)
+    return builders.sent_messages(job.handle_agent_connected(node), messages.Fence)
 
 
 def code(job):
@@ -83,7 +83,7 @@
     a3 = builders.node("a3")
     allowed = [job.may_send_to(each) for each in (A1, a3, builders.node("a1", 2))]
     assert allowed == [True, False, False]
-    job.extend_scope(builders.terms(("a1", "a3")))
+    job.extend_scope(builders.claim_terms(("a1", "a3")))
     assert job.may_send_to(a3)
 
 
@@ -142,7 +142,7 @@
     """Until all agents of the scopes have replied, a task may run at any of them."""
     performed = list(job.recover([A1, A2]))
     assert effects.Dial(A1) in performed
-    fences = builders.sent(performed, messages.Fence)
+    fences = builders.sent_messages(performed, messages.Fence)
     assert [(fence.epoch, fence.fence) for fence in fences] == [(1, 1), (1, 1)]
     reply(job, "a1", report(0, 3, RUNNING))
     assert job.waiting_count == 0
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -22,14 +22,14 @@
 
 
 @pytest.fixture
-def system(shared):
+def system(shared_system):
     """Give a whole system, and check all promises after the test."""
-    shared.start()
-    yield shared
-    lost = {p.name: p.lost_status for p in shared.processes}
+    shared_system.start()
+    yield shared_system
+    lost = {p.name: p.lost_status for p in shared_system.processes}
     assert {name: code for name, code in lost.items() if code is not None} == {}
-    assert shared.violations() == []
-    assert [p.name for p in shared.processes if "Traceback" in p.stderr] == []
+    assert shared_system.violations() == []
+    assert [p.name for p in shared_system.processes if "Traceback" in p.stderr] == []
 
 
 def _command(*arguments, **options):
@@ -90,7 +90,7 @@
 def test_commands_of_callers_and_operators(system, tmp_path):
     """The commands must print what the entry hosts really answer."""
     path = tmp_path / "job.json"
-    path.write_text(json.dumps(processes.body_of([1, 1])))
+    path.write_text(json.dumps(processes.make_body([1, 1])))
     urls = [part for url in system.urls for part in ("--entry", url)]
     done = _command("submit", str(path), "--key", "command", "--json", *urls)
     assert (done.returncode, done.stderr) == (0, b"")
--- a/tests/test_remotejobs.py
+++ b/tests/test_remotejobs.py
@@ -18,4 +18,4 @@
     held = joined.core.jobs._submission_by_job[request.job]
     held.owner = session.core("entry-1").node
     session._perform(joined, joined.core.receive("entry-1", empty))
-    assert session.answer(ticket).code is codes.Code.ANSWER_EXPIRED
+    assert session.wait_answer(ticket).code is codes.Code.ANSWER_EXPIRED
--- a/tests/test_session_cancel.py
+++ b/tests/test_session_cancel.py
@@ -27,11 +27,13 @@
     cancel = session.cancel("entry-1", request)
     session.run(wait_s)
     ticket = session.submit("entry-1", request)
-    assert session.answer(ticket).code is codes.Code.CANCELLED_NOT_RUN
-    assert codes.start_class(session.answer(cancel).code) is codes.StartClass.NOT_RUN
+    assert session.wait_answer(ticket).code is codes.Code.CANCELLED_NOT_RUN
+    assert (
+        codes.start_class(session.wait_answer(cancel).code) is codes.StartClass.NOT_RUN
+    )
     assert session.starts == []
     again = session.submit("entry-1", request)
-    sessions.assert_whole(request, session.answer(again))
+    sessions.assert_complete(request, session.wait_answer(again))
 
 
 def test_cancel_of_a_key_is_not_remembered_for_ever(session):
@@ -41,7 +43,7 @@
     session.run(11.0)
     assert not session.core("entry-1").jobs._cancelled_at_by_job
     ticket = session.submit("entry-1", request)
-    sessions.assert_whole(request, session.answer(ticket))
+    sessions.assert_complete(request, session.wait_answer(ticket))
 
 
 def test_cancel_from_elsewhere_during_the_claim(session):
@@ -60,7 +62,7 @@
     assert lost
     cancel = session.cancel("entry-2", request)
     for each in (ticket, cancel):
-        assert session.answer(each).code is codes.Code.CANCELLED_NOT_RUN
+        assert session.wait_answer(each).code is codes.Code.CANCELLED_NOT_RUN
     assert session.starts == []
 
 
@@ -71,7 +73,7 @@
     ticket = session.submit("entry-1", request)
     cancel = session.cancel("entry-1", request)
     for each in (ticket, cancel):
-        result = session.answer(each, limit_s=3.0)
+        result = session.wait_answer(each, limit_s=3.0)
         assert result.code is codes.Code.CLAIM_UNAVAILABLE
     assert session.starts == []
 
@@ -85,7 +87,7 @@
     assert len(session.starts) == 6
     session.trace.clear()
     cancels = [session.cancel("entry-1", request) for request in requests]
-    ended = {session.answer(ticket, limit_s=1.0).code for ticket in cancels}
+    ended = {session.wait_answer(ticket, limit_s=1.0).code for ticket in cancels}
     session.run(1.0)
     assert ended == {
         codes.Code.CANCELLED_NOT_RUN,
@@ -102,4 +104,6 @@
         assert session.core(name).slots.running == 0
         assert core.workers.worker_by_name[name].available_slots == 2
     whole = sessions.make_request("last", [50] * 6)
-    sessions.assert_whole(whole, session.answer(session.submit("entry-1", whole), 0.2))
+    sessions.assert_complete(
+        whole, session.wait_answer(session.submit("entry-1", whole), 0.2)
+    )
--- a/tests/test_session_faults.py
+++ b/tests/test_session_faults.py
@@ -28,9 +28,9 @@
     session.submit("entry-1", request)
     kill_when_started(session, "entry-1", 7)
     ticket = session.submit("entry-2", request)
-    sessions.assert_whole(request, session.answer(ticket))
+    sessions.assert_complete(request, session.wait_answer(ticket))
     sessions.assert_single_starts(session)
-    assert session.text() == snapshot
+    assert session.trace_text() == snapshot
 
 
 def test_owner_dies_between_claim_and_dispatch(session):
@@ -45,7 +45,7 @@
     session.run(0.01)
     session.kill("entry-1")
     ticket = session.submit("entry-2", request)
-    sessions.assert_whole(request, session.answer(ticket))
+    sessions.assert_complete(request, session.wait_answer(ticket))
     sessions.assert_single_starts(session)
 
 
@@ -59,8 +59,8 @@
     second = session.submit("entry-2", request)
     session.run(3.5)
     session.thaw("entry-1")
-    sessions.assert_whole(request, session.answer(second))
-    sessions.assert_whole(request, session.answer(first))
+    sessions.assert_complete(request, session.wait_answer(second))
+    sessions.assert_complete(request, session.wait_answer(first))
     sessions.assert_single_starts(session)
 
 
@@ -78,9 +78,9 @@
     session.freeze("entry-1")
     again = sessions.make_request("k1", [50] * 4)
     second = session.submit("entry-2", again)
-    sessions.assert_whole(again, session.answer(second))
+    sessions.assert_complete(again, session.wait_answer(second))
     session.thaw("entry-1")
-    result = session.answer(first)
+    result = session.wait_answer(first)
     assert codes.start_class(result.code) is not codes.StartClass.NOT_RUN
     sessions.assert_single_starts(session)
 
@@ -90,9 +90,9 @@
     request = sessions.make_request("k1", [300] * 12)
     ticket = session.submit("entry-1", request)
     kill_when_started(session, "agent-2", 6)
-    assert_failed(session.answer(ticket), codes.Code.WORKER_LOST)
+    assert_failed(session.wait_answer(ticket), codes.Code.WORKER_LOST)
     sessions.assert_single_starts(session)
-    assert session.text() == snapshot
+    assert session.trace_text() == snapshot
 
 
 def test_agent_restarts_under_the_same_name(session):
@@ -102,7 +102,7 @@
     kill_when_started(session, "agent-2", 6)
     session.start("agent-2")
     at = session.clock.now()
-    assert_failed(session.answer(ticket), codes.Code.WORKER_LOST)
+    assert_failed(session.wait_answer(ticket), codes.Code.WORKER_LOST)
     assert session.clock.now() - at < 1.5
 
 
@@ -113,13 +113,13 @@
         ticket = session.submit("entry-1", request)
         session.run(0.01)
         session.kill("agent-2")
-        assert_failed(session.answer(ticket), codes.Code.WORKER_LOST)
+        assert_failed(session.wait_answer(ticket), codes.Code.WORKER_LOST)
         session.start("agent-2")
         session.run(1.0)
         for name in ("entry-1", "entry-2"):
-            result = session.answer(session.submit(name, request))
+            result = session.wait_answer(session.submit(name, request))
             if repeatable:
-                sessions.assert_whole(request, result)
+                sessions.assert_complete(request, result)
                 assert result.attempt == 2
             else:
                 assert_failed(result, codes.Code.WORKER_LOST)
@@ -134,7 +134,7 @@
     session.cut("entry-1", "agent-2")
     session.run(0.5)
     session.heal("entry-1", "agent-2")
-    sessions.assert_whole(request, session.answer(ticket))
+    sessions.assert_complete(request, session.wait_answer(ticket))
     sessions.assert_single_starts(session)
 
 
@@ -155,7 +155,7 @@
     assert lost
     session.cut("entry-1", "agent-1")
     session.heal("entry-1", "agent-1")
-    sessions.assert_whole(request, session.answer(ticket))
+    sessions.assert_complete(request, session.wait_answer(ticket))
     sessions.assert_single_starts(session)
 
 
@@ -168,7 +168,7 @@
         request = sessions.make_request(f"k{index}", [20 + index] * 10)
         tickets = [session.submit(name, request) for name in ("entry-1", "entry-2")]
         for ticket in tickets:
-            sessions.assert_whole(request, session.answer(ticket))
+            sessions.assert_complete(request, session.wait_answer(ticket))
     sessions.assert_single_starts(session)
 
 
@@ -176,20 +176,24 @@
     """Two of three members are a majority."""
     session.kill("agent-3")
     request = sessions.make_request("k1", [50] * 4)
-    sessions.assert_whole(request, session.answer(session.submit("entry-1", request)))
+    sessions.assert_complete(
+        request, session.wait_answer(session.submit("entry-1", request))
+    )
 
 
 def test_no_majority_is_not_called_not_run(session):
     """Without a majority an earlier submission cannot be excluded."""
     session.log_is_up = False
     request = sessions.make_request("k1", [50] * 2, deadline_ms=3000)
-    sessions.assert_whole(request, session.answer(session.submit("entry-1", request)))
+    sessions.assert_complete(
+        request, session.wait_answer(session.submit("entry-1", request))
+    )
     for name in ("agent-2", "agent-3", "entry-1"):
         session.kill(name)
     unknown = sessions.make_request("k2", [50], deadline_ms=3000)
-    result = session.answer(session.submit("entry-2", unknown))
+    result = session.wait_answer(session.submit("entry-2", unknown))
     assert result.code is codes.Code.CLAIM_UNAVAILABLE
-    known = session.answer(session.submit("entry-2", request))
+    known = session.wait_answer(session.submit("entry-2", request))
     assert codes.start_class(known.code) is codes.StartClass.MAY_HAVE_RUN
     sessions.assert_single_starts(session)
 
@@ -202,8 +206,8 @@
     session = sessions.Session(entries=2, agents=6)
     requests = [sessions.make_request(f"k{index}", [20]) for index in range(30)]
     for request in requests:
-        sessions.assert_whole(
-            request, session.answer(session.submit("entry-1", request))
+        sessions.assert_complete(
+            request, session.wait_answer(session.submit("entry-1", request))
         )
     for name in ("agent-1", "agent-2"):
         session.kill(name)
@@ -212,7 +216,7 @@
         session.run(5.0)
     session.kill("entry-1")
     for request in requests:
-        session.answer(session.submit("entry-2", request))
+        session.wait_answer(session.submit("entry-2", request))
     sessions.assert_single_starts(session)
 
 
@@ -223,11 +227,11 @@
     waiting = sessions.make_request("waiting", [50] * 2)
     ticket = session.submit("entry-1", waiting)
     session.run(0.1)
-    cancelled = session.answer(session.cancel("entry-1", waiting))
+    cancelled = session.wait_answer(session.cancel("entry-1", waiting))
     assert cancelled.code is codes.Code.CANCELLED_NOT_RUN
     assert session.answers[ticket] == cancelled
     running = sessions.make_request("long", [3000] * 6)
-    result = session.answer(session.cancel("entry-2", running))
+    result = session.wait_answer(session.cancel("entry-2", running))
     assert result.code is codes.Code.CANCELLED_MAY_HAVE_RUN
     session.run(0.1)
     assert session.core("agent-1").slots.running == 0
@@ -239,7 +243,7 @@
     second = sessions.make_request("k1", [60])
     session.submit("entry-1", first)
     for name in ("entry-1", "entry-2"):
-        result = session.answer(session.submit(name, second))
+        result = session.wait_answer(session.submit(name, second))
         assert result.code is codes.Code.KEY_REUSED
 
 
@@ -251,9 +255,9 @@
     session.core("entry-2").draining = True
     second = session.submit("entry-2", request)
     refused = session.submit("entry-2", sessions.make_request("k2", [50]))
-    assert session.answer(refused).code is codes.Code.DRAINING
-    sessions.assert_whole(request, session.answer(second))
-    sessions.assert_whole(request, session.answer(ticket))
+    assert session.wait_answer(refused).code is codes.Code.DRAINING
+    sessions.assert_complete(request, session.wait_answer(second))
+    sessions.assert_complete(request, session.wait_answer(ticket))
     sessions.assert_single_starts(session)
 
 
@@ -261,7 +265,9 @@
     """Claims and starts need no append."""
     session.log_is_up = False
     request = sessions.make_request("k1", [50] * 10)
-    sessions.assert_whole(request, session.answer(session.submit("entry-1", request)))
+    sessions.assert_complete(
+        request, session.wait_answer(session.submit("entry-1", request))
+    )
 
 
 @pytest.mark.parametrize("count", [0, 3, 5])
@@ -275,7 +281,7 @@
     part = messages.Outcome(request.job, 1, 1, 0, "", (b"1",) * count)
     joined = session.processes["entry-2"]
     session._perform(joined, joined.core.receive("entry-1", part))
-    assert_failed(session.answer(ticket), codes.Code.ANSWER_EXPIRED)
+    assert_failed(session.wait_answer(ticket), codes.Code.ANSWER_EXPIRED)
 
 
 def test_entry_hosts_connect_again_after_a_cut():
@@ -301,7 +307,7 @@
     request = sessions.make_request("k1", [20] * 6)
     ticket = session.submit("entry-1", request)
     session.run(1.0)
-    assert session.answer(ticket).code is codes.Code.COMPLETE
+    assert session.wait_answer(ticket).code is codes.Code.COMPLETE
     assert not session.core("agent-1").is_idle
     session.filters.remove(lose_settlements)
     session.drain("agent-1")
--- a/tests/test_session_plain.py
+++ b/tests/test_session_plain.py
@@ -7,9 +7,11 @@
     """The messages of one job, exact; guards against unplanned extra messages."""
     session = sessions.Session()
     request = sessions.make_request("k1", [50, 60, 70, 80])
-    sessions.assert_whole(request, session.answer(session.submit("entry-1", request)))
+    sessions.assert_complete(
+        request, session.wait_answer(session.submit("entry-1", request))
+    )
     session.run(0.1)
-    assert session.text() == snapshot
+    assert session.trace_text() == snapshot
 
 
 def test_same_key_at_two_entry_hosts_runs_once():
@@ -18,5 +20,5 @@
     request = sessions.make_request("k1", [50] * 4)
     tickets = [session.submit(name, request) for name in ("entry-1", "entry-2")]
     for ticket in tickets:
-        sessions.assert_whole(request, session.answer(ticket))
+        sessions.assert_complete(request, session.wait_answer(ticket))
     sessions.assert_single_starts(session)
--- a/tests/test_session_steps.py
+++ b/tests/test_session_steps.py
@@ -46,7 +46,7 @@
 def cast():
     """Return who plays each role of the job in a session without a fault."""
     session, request = make_session(), make_request()
-    session.answer(session.submit("entry-1", request))
+    session.wait_answer(session.submit("entry-1", request))
     group = [node.name for node in session.core("entry-1").view.group(request.job)]
     ran = [start.agent for start in session.starts]
     runner, backend = [name for name in ran if name not in group][:2]
@@ -102,10 +102,10 @@
         for role in roles:
             mend(session, role, fault)
     session.run(8.0)
-    last = session.answer(session.submit("entry-2", request))
+    last = session.wait_answer(session.submit("entry-2", request))
     session.run(1.0)
-    assert not session.violations(), session.text()
-    sessions.assert_whole(request, last)
+    assert not session.violations(), session.trace_text()
+    sessions.assert_complete(request, last)
     assert session.summary() == snapshot
 
 
@@ -130,12 +130,14 @@
     session.submit("entry-2", request)
     others = [make_request(f"other-{count}") for count in range(6)]
     for other in others:
-        session.answer(session.submit("entry-3", other))
+        session.wait_answer(session.submit("entry-3", other))
     session.run(15.0)
     session.mend(lost, fault)
     session.run(20.0)
-    sessions.assert_whole(request, session.answer(session.submit("entry-2", request)))
-    assert not session.violations(), session.text()
+    sessions.assert_complete(
+        request, session.wait_answer(session.submit("entry-2", request))
+    )
+    assert not session.violations(), session.trace_text()
     assert session.summary() == snapshot
 
 
@@ -143,7 +145,7 @@
     """Submit each job once more, let the checker judge, and compare the totals."""
     session.run(rest_s)
     for request in requests:
-        result = session.answer(session.submit("entry-2", request))
+        result = session.wait_answer(session.submit("entry-2", request))
         assert result.code in (codes.Code.COMPLETE, codes.Code.TASK_FAILED), result
     session.run(1.0)
     assert not session.violations(), "\n".join(session.violations())
--- a/tests/test_session_table.py
+++ b/tests/test_session_table.py
@@ -115,7 +115,7 @@
     submit(session, "entry-1", "long", "web", [8000] * 6)
     session.run(0.5)
     ticket, request = submit(session, "entry-1", "k1", "batch", [50])
-    assert session.answer(ticket, 4.0).code is codes.Code.QUEUE_TIMEOUT
+    assert session.wait_answer(ticket, 4.0).code is codes.Code.QUEUE_TIMEOUT
     assert all(start.job != request.job for start in session.starts)
 
 
@@ -130,7 +130,7 @@
     set_row(session, "two", based_on=version, max_rate=8.0)
     session.run(0.2)
     assert 4 <= len(session.starts) <= 7
-    sessions.assert_whole(request, session.answer(ticket))
+    sessions.assert_complete(request, session.wait_answer(ticket))
     assert session.core("entry-1").jobs.body_bytes == 0
 
 
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -70,7 +70,7 @@
 @pytest.mark.parametrize("value", GARBAGE, ids=lambda value: str(value[:50]))
 def test_malformed_record_changes_only_the_number(value):
     """A malformed record in the log must not stop the processes that read it."""
-    view = builders.view_of("a1", "a2")
+    view = builders.make_view("a1", "a2")
     after = builders.fold(view, value)
     assert after == builders.attrs.evolve(view, number=view.number + 1)
     assert builders.fold(views.View(), value) == views.View(1)
@@ -104,14 +104,14 @@
 
 def test_groups_spread_over_all_voters():
     """If groups did not depend on the job, three agents would get all claims."""
-    view = builders.view_of(*(f"a{number}" for number in range(8)))
+    view = builders.make_view(*(f"a{number}" for number in range(8)))
     used = {name for group in groups(view) for name, _ in group}
     assert used == set(view.voter_by_name)
 
 
 def test_late_removal_does_not_hit_the_next_boot():
     """A removal appended after a restart must not remove the new incarnation."""
-    view = builders.fold(builders.view_of("a1"), builders.voter("a1", 2))
+    view = builders.fold(builders.make_view("a1"), builders.voter("a1", 2))
     view = builders.fold(view, builders.removal("a1", boot=1))
     assert view.is_voter(builders.node("a1", boot=2))
     assert not view.is_voter(builders.node("a1", boot=1))
@@ -125,7 +125,7 @@
 
 def test_old_record_is_ignored():
     """A record folded twice would undo the records after it."""
-    view = builders.fold(builders.view_of("a1", "a2"), builders.removal("a1"))
+    view = builders.fold(builders.make_view("a1", "a2"), builders.removal("a1"))
     old = messages.LogRecord(0, "id", builders.voter("a1"))
     assert views.fold(view, old) == view
 
@@ -136,7 +136,7 @@
     ``test_view_snapshot`` covers readers that start from a snapshot.
     """
     earlier = builders.fold(
-        builders.view_of("a1", "a2"), views.entry_record(builders.node("e1"))
+        builders.make_view("a1", "a2"), views.entry_record(builders.node("e1"))
     )
     before = builders.fold(earlier, builders.removal("a1"))
     after = builders.fold(before, views.snapshot_record(earlier))
