--- a/tests/builders.py
+++ b/tests/builders.py
@@ -66,10 +66,14 @@
     return attrs.evolve(whole, caller_class=caller_class, tasks=specs)
 
 
-def make_owned_job(made=None, time=None, scope=("a1", "a2"), had_attempt=False):
-    members, time = (node("m1"),), time or clock.ManualClock()
-    made = made or request()
-    return ownedjob.OwnedJob(made, claim_terms(scope), members, time, 5.0, had_attempt)
+def make_owned_job(
+    job_request=None, manual_clock=None, scope=("a1", "a2"), had_attempt=False
+):
+    members, manual_clock = (node("m1"),), manual_clock or clock.ManualClock()
+    job_request = job_request or request()
+    return ownedjob.OwnedJob(
+        job_request, claim_terms(scope), members, manual_clock, 5.0, had_attempt
+    )
 
 
 def report(index, send=1, state=messages.TaskState.DONE, payload=b"1"):
@@ -84,7 +88,7 @@
     return messages.FenceReply(JOB, epoch, fence, attempt, boot, reports, more)
 
 
-def sent_messages(wanted, kind):
+def sent_messages(effects, kind):
     """Perform a generator of effects and return the messages of one type in it."""
-    found = [getattr(effect, "message", effect) for effect in wanted]
+    found = [getattr(effect, "message", effect) for effect in effects]
     return [message for message in found if isinstance(message, kind)]
--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -22,7 +22,7 @@
 
 def job(key, tasks=1, caller_class="default", time=None):
     made = builders.request(key, tasks, caller_class)
-    return builders.make_owned_job(time=time, made=made)
+    return builders.make_owned_job(manual_clock=time, job_request=made)
 
 
 def serve(queue, count, work=100.0):
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -57,7 +57,7 @@
     join(workers, "other", 2, service="other")
     scope = ("small", "leaving", "other", "a1")
     made = builders.request(tasks=3, cores=2.0)
-    dispatcher.add(builders.make_owned_job(scope=scope, made=made), 1.0)
+    dispatcher.add(builders.make_owned_job(scope=scope, job_request=made), 1.0)
     assert start_indexes(run(dispatcher)) == {}
     join(workers, "a1", 1)
     assert start_indexes(run(dispatcher)) == {"a1": [0]}
@@ -109,7 +109,7 @@
     """Tasks of a service without workers must not block another service."""
     join(workers, "a1", 1)
     stuck = builders.attrs.evolve(builders.request("k2"), service="missing")
-    dispatcher.add(builders.make_owned_job(made=stuck), 1.0)
+    dispatcher.add(builders.make_owned_job(job_request=stuck), 1.0)
     dispatcher.add(builders.make_owned_job(), 1.0)
     assert start_indexes(run(dispatcher)) == {"a1": [0]}
 
@@ -119,7 +119,7 @@
     join(workers, "a1", 10)
     for name, work in (("long", 400.0), ("short", 0.0)):
         made = builders.request(name, 20, caller_class=name, expected_ms=work)
-        dispatcher.add(builders.make_owned_job(made=made), 1.0)
+        dispatcher.add(builders.make_owned_job(job_request=made), 1.0)
     counts = [
         len(each.tasks)
         for each in builders.sent_messages(run(dispatcher), messages.Start)
@@ -161,7 +161,7 @@
     join(workers, "a1", 1)
     for number in range(200):
         large = builders.request(f"k{number}", 1, cores=100.0)
-        dispatcher.add(builders.make_owned_job(made=large), 1.0)
+        dispatcher.add(builders.make_owned_job(job_request=large), 1.0)
     dispatcher.add(builders.make_owned_job(builders.request("small", 50)), 1.0)
     found = [start_indexes(run(dispatcher)) for _ in range(4)]
     assert found == [{}, {}, {}, {"a1": [0]}]
--- a/tests/test_ownedjob.py
+++ b/tests/test_ownedjob.py
@@ -20,7 +20,7 @@
 
 @pytest.fixture
 def job(time):
-    return builders.make_owned_job(time=time)
+    return builders.make_owned_job(manual_clock=time)
 
 
 def assign(job, *nodes):
@@ -237,7 +237,7 @@
     time, situation, is_not_run, by_deadline
 ):
     had_attempt = situation == "earlier attempt"
-    job = builders.make_owned_job(time=time, had_attempt=had_attempt)
+    job = builders.make_owned_job(manual_clock=time, had_attempt=had_attempt)
     if situation in ("returned", "sent", "running", "done"):
         assign(job, A1)
     if situation in ("returned", "done"):
