--- a/tests/fuzz.py
+++ b/tests/fuzz.py
@@ -1,11 +1,11 @@
-"""Random faults against whole sessions; the checker decides.
+"""Fuzzer that injects random faults into sessions and runs the checker on them.
 
-Half of the seeds take single random faults, the other half mostly scenarios: faults
-in the order that a guard of the protocol exists for, with random times. Scenarios
+Half of the seeds inject single random faults, the other half mostly scenarios:
+sequences of faults at random times that a guard of the protocol is meant for. Scenarios
 overlap each other and the single faults.
 
-``python tests/fuzz.py SEEDS [FIRST]`` runs that many seeds, prints the trace of each
-failing one, and ends with a line of totals. Exit status 1 means a violation.
+``python tests/fuzz.py SEEDS [FIRST]`` runs that many seeds, prints the end of the trace
+of each failing seed, and then a line of totals. Exit status 1 means a violation.
 """
 
 import math
@@ -21,60 +21,60 @@
 
 ENTRIES = [f"entry-{index}" for index in (1, 2, 3)]
 AGENTS = [f"agent-{index}" for index in (1, 2, 3, 4, 5)]
-STEPS = 60
-KEYS = 6
+STEP_COUNT = 60
+KEY_COUNT = 6
 DEADLINES_MS = (1500, 6000, 12_000)
 SETTLE_S = 30.0
 TRACE_LINES = 60
 
 
-class Run:
-    """One seed: a session, its random faults and what the callers saw."""
+class FuzzRun:
+    """The run of one seed: a session, its random faults and the calls to it."""
 
     def __init__(self, seed):
         self.rng = random.Random(seed)
         self.session = sessions.Session(entries=3, agents=5, slots=2, seed=seed)
         self.session.filters.append(self._disturb)
-        self.disturbance = 0.0
-        self.silent = set()
+        self.disturb_probability = 0.0
+        self.silent_pairs = set()
         self.is_over = False
         self.request_by_ticket = {}
         self.entry_by_ticket = {}
-        self.asked_at = {}
-        self.submissions = set()
-        self.answered_at = self.session.answered_at
+        self.requested_at_by_ticket = {}
+        self.submission_tickets = set()
+        self.answered_at_by_ticket = self.session.answered_at
         self.request_by_key = {}
         self.events = []
-        self.steps = 0
+        self.trace_line_count = 0
 
     def _disturb(self, sender, to, message, delays):
-        """Lose, delay or double a message now and then."""
+        """Lose, delay or duplicate a random message; a filter of the session."""
         if isinstance(message, messages.Start | messages.Fence):
-            self._note_owner(sender, message)
-        if frozenset((sender, to)) in self.silent:
+            self._record_owner(sender, message)
+        if frozenset((sender, to)) in self.silent_pairs:
             return []
-        if self.rng.random() >= self.disturbance:
+        if self.rng.random() >= self.disturb_probability:
             return delays
         kind = self.rng.randrange(3)
         if kind == 0:
             return []
-        late = delays[0] + self.rng.uniform(0, 0.5)
-        return [late] if kind == 1 else [*delays, late]
+        late_s = delays[0] + self.rng.uniform(0, 0.5)
+        return [late_s] if kind == 1 else [*delays, late_s]
 
-    def _note_owner(self, sender, message):
-        """Only the owner of an epoch sends starts and fences."""
+    def _record_owner(self, sender, message):
+        """Record the owner of an epoch, which alone sends starts and fences."""
         owner = f"{sender} boot {self.session.core(sender).node.boot}"
         at, job = self.session.clock.now(), message.job
         claimed = trace.Claimed(at, job, message.attempt, message.epoch, owner)
         self.events.append(claimed)
 
     def request(self):
-        """Return a job of one of a few keys, always the same for a key."""
-        key = f"k{self.rng.randrange(KEYS)}"
+        """Return the job of a random key; a key always has the same job."""
+        key = f"k{self.rng.randrange(KEY_COUNT)}"
         return self.request_by_key.get(key) or self._new_request(key)
 
     def _new_request(self, key="", count=None, longest_ms=400):
-        """Return a job of a key, by default of one that was not used before."""
+        """Return a new job of a key, by default of an unused key."""
         key = key or f"new{len(self.request_by_key)}"
         count = count or self.rng.randrange(1, 9)
         self.request_by_key[key] = sessions.make_request(
@@ -84,34 +84,34 @@
         )
         return self.request_by_key[key]
 
-    def go(self):
-        """Take random steps, mend everything, and wait for the end."""
+    def execute(self):
+        """Take random steps, end all faults, and return the violations."""
         if self.rng.random() < 0.5:
-            steps, actions, waits = STEPS, ACTIONS, (0.0, 0.01, 0.1, 0.5)
+            steps, actions, waits = STEP_COUNT, ACTIONS, (0.0, 0.01, 0.1, 0.5)
         else:
-            steps, actions, waits = STEPS // 4, SCENARIOS, (0.1, 1.0, 3.0)
+            steps, actions, waits = STEP_COUNT // 4, SCENARIOS, (0.1, 1.0, 3.0)
         for _ in range(steps):
             scenario = self.rng.choice(actions)(self)
             if scenario is not None:
-                self._go_on(scenario)
+                self._advance(scenario)
             self.session.run(self.rng.choice(waits))
-        self._mend()
+        self._end_faults()
         self.session.run(SETTLE_S)
-        self.steps = len(self.session.trace)
+        self.trace_line_count = len(self.session.trace)
         return list(self._violations())
 
-    def _go_on(self, scenario):
-        """Take the next step of a scenario, and the others after its waits."""
+    def _advance(self, scenario):
+        """Take the next step of a scenario, and schedule the one after it."""
         wait_s = None if self.is_over else next(scenario, None)
         if wait_s is not None:
-            self.session.schedule(wait_s, lambda: self._go_on(scenario))
+            self.session.schedule(wait_s, lambda: self._advance(scenario))
 
     def _alive(self, names):
         return [
             name
             for name in names
             if name in self.session.processes
-            and not self.session.processes[name].frozen
+            and not self.session.processes[name].is_frozen
         ]
 
     def submit(self, name="", request=None, deadlines_ms=DEADLINES_MS):
@@ -122,8 +122,8 @@
             )
             name = self.rng.choice(alive)
             ticket = self.session.submit(name, request)
-            self.submissions.add(ticket)
-            self._await(ticket, name, request)
+            self.submission_tickets.add(ticket)
+            self._record_request(ticket, name, request)
             tasks = tuple(task.payload for task in request.tasks)
             self.events.append(
                 trace.Submitted(
@@ -142,19 +142,19 @@
         if alive and self.request_by_key:
             request = request or self.rng.choice(list(self.request_by_key.values()))
             name = self.rng.choice(alive)
-            self._await(self.session.cancel(name, request), name, request)
+            self._record_request(self.session.cancel(name, request), name, request)
 
-    def _await(self, ticket, name, request):
-        self.asked_at[ticket] = self.session.clock.now()
+    def _record_request(self, ticket, name, request):
+        self.requested_at_by_ticket[ticket] = self.session.clock.now()
         self.request_by_ticket[ticket] = request
         self.entry_by_ticket[ticket] = self.session.processes[name]
 
     def kill(self, name=""):
         alive = self._alive(ENTRIES + AGENTS)
         if len(alive) > 3:
-            self._end(name or self.rng.choice(alive))
+            self._kill_if_running(name or self.rng.choice(alive))
 
-    def _end(self, name):
+    def _kill_if_running(self, name):
         if name in self.session.processes:
             self.session.kill(name)
 
@@ -176,7 +176,7 @@
         frozen = [
             each
             for each, process in self.session.processes.items()
-            if process.frozen and name in ("", each)
+            if process.is_frozen and name in ("", each)
         ]
         if frozen:
             self.session.thaw(self.rng.choice(frozen))
@@ -186,25 +186,25 @@
         self.session.cut(first, second)
 
     def heal(self):
-        if self.session.cuts:
-            pair = self.rng.choice(sorted(map(sorted, self.session.cuts)))
+        if self.session.cut_pairs:
+            pair = self.rng.choice(sorted(map(sorted, self.session.cut_pairs)))
             self.session.heal(*pair)
 
-    def log_outage(self):
+    def toggle_log(self):
         self.session.log_is_up = not self.session.log_is_up
 
-    def disturb(self):
-        self.disturbance = self.rng.choice((0.0, 0.0, 0.05, 0.3))
+    def set_disturbance(self):
+        self.disturb_probability = self.rng.choice((0.0, 0.0, 0.05, 0.3))
 
-    # Scenarios; each yields the seconds until its next step
+    # Scenarios: generators that yield the seconds until their next step
 
-    def _rivals(self):
+    def _choose_two_entries(self):
         """Return two entry hosts in random order."""
         return self.rng.sample(ENTRIES, 2)
 
     def pause_owner(self):
-        """Pause an owner across a takeover, mostly with its job not started."""
-        first, second = self._rivals()
+        """Pause an owner during a takeover, mostly before its job has started."""
+        first, second = self._choose_two_entries()
         if self.rng.random() < 0.8:
             busy = self._new_request(count=20, longest_ms=2500)
             self.submit(second, busy, DEADLINES_MS[1:])
@@ -219,9 +219,9 @@
         again = self.rng.choice((self.submit, self.cancel))
         again(self.rng.choice((first, first, second)), request)
 
-    def hide_owner(self):
+    def isolate_owner(self):
         """Cut an owner off from the other entry hosts but not from its agents."""
-        first, second = self._rivals()
+        first, second = self._choose_two_entries()
         request = self._new_request(count=self.rng.randrange(20, 60), longest_ms=2000)
         self.submit(first, request, DEADLINES_MS[1:])
         yield self.rng.uniform(0, 0.5)
@@ -233,14 +233,14 @@
         yield self.rng.uniform(0, 3)
         self._heal_all()
 
-    def stale_view(self):
-        """Let an entry host without news claim by a group that no longer stands."""
-        first, second = self._rivals()
+    def claim_by_stale_view(self):
+        """Let an entry host claim by an old view, whose claim group was replaced."""
+        first, second = self._choose_two_entries()
         lost = self.rng.sample(AGENTS, 2)
         for name in lost:
-            self._end(name)
+            self._kill_if_running(name)
         yield self.rng.uniform(10, 15)
-        self.session.log_cuts.add(first)
+        self.session.processes_without_log.add(first)
         yield from self._cut_off(first, ENTRIES, 0.0)
         for name in lost:
             self.restart(name)
@@ -250,17 +250,17 @@
                 self.submit(name, request)
                 yield self.rng.choice((0.0, 0.0006, 0.1))
         yield self.rng.uniform(0, 3)
-        self.session.log_cuts.discard(first)
+        self.session.processes_without_log.discard(first)
         self._heal_all()
 
-    def split(self):
-        """Cut the nodes in halves, with the log in one of them, and use both."""
+    def partition_nodes(self):
+        """Partition the nodes in halves, one with the log, and submit to both."""
         everyone = ENTRIES + AGENTS
         half = self.rng.sample(everyone, len(everyone) // 2)
         request = self._new_request(count=12, longest_ms=1000)
         self.submit("", request)
         yield self.rng.uniform(0, 0.1)
-        self.session.log_cuts.update(set(half) & set(ENTRIES))
+        self.session.processes_without_log.update(set(half) & set(ENTRIES))
         for name in half:
             yield from self._cut_off(name, set(everyone) - set(half), 0.0)
         yield self.rng.uniform(0, 1)
@@ -268,19 +268,19 @@
             self.submit(name, request)
             self.submit(name)
         yield self.rng.uniform(0.5, 14)
-        self.session.log_cuts.clear()
+        self.session.processes_without_log.clear()
         self._heal_all()
 
-    def lose_place(self):
-        """Lose or pause a whole data centre, and bring it back."""
+    def lose_data_centre(self):
+        """Kill or pause the processes of a data centre, and start them again."""
         place = self.rng.randrange(4)
-        names = [n for n in ENTRIES + AGENTS if self.session._places[n] == place]
+        names = [n for n in ENTRIES + AGENTS if self.session.place_by_name[n] == place]
         request = self._new_request(count=12, longest_ms=1000)
         self.submit("", request)
         yield self.rng.uniform(0, 0.3)
         is_pause = self.rng.random() < 0.5
         for name in names:
-            (self.freeze if is_pause else self._end)(name)
+            (self.freeze if is_pause else self._kill_if_running)(name)
         self.submit("", request)
         yield self.rng.uniform(0, 12)
         for name in names:
@@ -288,27 +288,27 @@
         self.submit("", request)
 
     def change_view(self):
-        """Replace voters while claims are under way and entry hosts compete."""
+        """Restart agents, and so replace voters, while entry hosts claim jobs."""
         requests = [self._new_request() for _ in range(4)]
         for name in self.rng.sample(AGENTS, 2):
-            self._end(name)
+            self._kill_if_running(name)
             self.restart(name)
             for request in requests:
                 self.submit("", request)
                 yield self.rng.choice((0.0, 0.0006, 0.05, 0.5))
 
-    def hush(self):
-        """Silence a connection, mostly for longer than a lease, and close it."""
+    def silence_connection(self):
+        """Drop the messages of a connection, mostly for over a lease, and close it."""
         pair = frozenset(self.rng.sample(ENTRIES + AGENTS, 2))
-        self.silent.add(pair)
+        self.silent_pairs.add(pair)
         yield self.rng.uniform(0.2, 5)
-        self.silent.discard(pair)
-        if not self.session.cuts & {pair}:
+        self.silent_pairs.discard(pair)
+        if not self.session.cut_pairs & {pair}:
             self.session.cut(*sorted(pair))
             self.session.heal(*sorted(pair))
 
     def cancel_wave(self):
-        """Submit many jobs at several entry hosts and cancel all at once."""
+        """Submit jobs to several entry hosts and cancel all of them at once."""
         requests = [self._new_request() for _ in range(6)]
         for request in requests:
             for name in self.rng.sample(ENTRIES, self.rng.randrange(1, 4)):
@@ -326,43 +326,43 @@
             yield wait_s
 
     def _heal_all(self):
-        for pair in sorted(map(sorted, self.session.cuts)):
+        for pair in sorted(map(sorted, self.session.cut_pairs)):
             self.session.heal(*pair)
         self.session.read_log()
 
-    def _mend(self):
+    def _end_faults(self):
         self.is_over = True
-        self.disturbance = 0.0
-        self.silent.clear()
+        self.disturb_probability = 0.0
+        self.silent_pairs.clear()
         self.session.log_is_up = True
-        self.session.log_cuts.clear()
+        self.session.processes_without_log.clear()
         self._heal_all()
         for name in ENTRIES + AGENTS:
             self.restart(name)
             self.thaw(name)
 
     def _violations(self):
-        for violation in checker.check(self._events(), checker.Settings()):
+        for violation in checker.check(self._checker_events(), checker.Settings()):
             yield f"{violation.promise.value}: {violation.detail}"
         for ticket, request in self.request_by_ticket.items():
             result = self.session.answers.get(ticket)
             if result is None:
-                yield from self._missing(ticket)
+                yield from self._check_answered(ticket)
             elif codes.start_class(result.code) is codes.StartClass.NOT_RUN:
-                yield from self._false_not_run(ticket, request, result)
+                yield from self._check_not_run(ticket, request, result)
 
-    def _events(self):
-        """Yield the run as the checker reads it, with results as backends echo them."""
+    def _checker_events(self):
+        """Yield the events for the checker, with results as backend servers echo."""
         yield from self.events
         for start in self.session.starts:
-            at = (start.at, start.job, start.attempt, start.index, start.agent)
-            yield trace.Started(*at, b"")
+            fields = (start.at, start.job, start.attempt, start.index, start.agent)
+            yield trace.Started(*fields, b"")
         for ticket, request in self.request_by_ticket.items():
             result = self.session.answers.get(ticket)
             if result is not None:
                 results = result.results if isinstance(result, outcome.Complete) else ()
                 yield trace.Answered(
-                    self.answered_at[ticket],
+                    self.answered_at_by_ticket[ticket],
                     request.guest,
                     request.key,
                     result.code,
@@ -374,38 +374,40 @@
                     self.entry_by_ticket[ticket].name,
                 )
 
-    def _missing(self, ticket):
+    def _check_answered(self, ticket):
         process = self.entry_by_ticket[ticket]
         if self.session.processes.get(process.name) is process:
             yield f"caller {ticket} of {process.name} was never answered"
 
-    def _may_be_of_another(self, ticket, request, start):
+    def _may_belong_to_other_submission(self, ticket, request, start):
         """Return whether a start may belong to a submission during the refused call.
 
-        A refusal speaks of its own call. One of a cancel (seed 8019) came when the
-        submission after it had run at another entry host.
+        A refusal is about its own call only. In seed 8019, a cancel was refused after a
+        later submission of the job had run at another entry host.
         """
-        if start.at < self.asked_at[ticket]:
+        if start.at < self.requested_at_by_ticket[ticket]:
             return False
         others = [
             each
-            for each in self.submissions - {ticket}
+            for each in self.submission_tickets - {ticket}
             if self.request_by_ticket[each].job == request.job
         ]
         return any(
-            self.asked_at[each] <= start.at
-            and self.answered_at.get(each, math.inf) >= start.at
+            self.requested_at_by_ticket[each] <= start.at
+            and self.answered_at_by_ticket.get(each, math.inf) >= start.at
             for each in others
         )
 
-    def _false_not_run(self, ticket, request, result):
+    def _check_not_run(self, ticket, request, result):
         for start in self.session.starts:
             if start.job != request.job:
                 continue
             is_refusal = isinstance(result, outcome.Refused)
-            if is_refusal and self._may_be_of_another(ticket, request, start):
+            if is_refusal and self._may_belong_to_other_submission(
+                ticket, request, start
+            ):
                 continue
-            if is_refusal and start.at >= self.answered_at[ticket] - 0.5:
+            if is_refusal and start.at >= self.answered_at_by_ticket[ticket] - 0.5:
                 continue
             if is_refusal or start.attempt == result.attempt:
                 yield f"caller {ticket} was told {result.code.name} of {request.key}"
@@ -413,23 +415,42 @@
 
 
 ACTIONS = (
-    [Run.submit] * 8
-    + [Run.kill, Run.restart, Run.freeze, Run.thaw, Run.thaw]
-    + [Run.cut, Run.heal, Run.log_outage, Run.disturb, Run.cancel, Run.restart]
-    + [Run.hush, Run.cancel_wave, Run.change_view]
+    [FuzzRun.submit] * 8
+    + [FuzzRun.kill, FuzzRun.restart, FuzzRun.freeze, FuzzRun.thaw, FuzzRun.thaw]
+    + [
+        FuzzRun.cut,
+        FuzzRun.heal,
+        FuzzRun.toggle_log,
+        FuzzRun.set_disturbance,
+        FuzzRun.cancel,
+        FuzzRun.restart,
+    ]
+    + [FuzzRun.silence_connection, FuzzRun.cancel_wave, FuzzRun.change_view]
 )
 SCENARIOS = [
-    *(Run.pause_owner, Run.hide_owner, Run.stale_view, Run.split, Run.lose_place),
-    *(Run.change_view, Run.hush, Run.cancel_wave, Run.submit, Run.disturb),
+    *(
+        FuzzRun.pause_owner,
+        FuzzRun.isolate_owner,
+        FuzzRun.claim_by_stale_view,
+        FuzzRun.partition_nodes,
+        FuzzRun.lose_data_centre,
+    ),
+    *(
+        FuzzRun.change_view,
+        FuzzRun.silence_connection,
+        FuzzRun.cancel_wave,
+        FuzzRun.submit,
+        FuzzRun.set_disturbance,
+    ),
 ]
 
 
 def main(count, first=0):
     steps = violations = 0
     for seed in range(first, first + count):
-        run = Run(seed)
-        found = run.go()
-        steps += run.steps
+        run = FuzzRun(seed)
+        found = run.execute()
+        steps += run.trace_line_count
         if found:
             violations += len(found)
             print(f"seed {seed}:")
--- a/tests/sessions.py
+++ b/tests/sessions.py
@@ -1,8 +1,7 @@
-"""Cores on a virtual clock, joined by queues, for exact sessions under faults.
+"""Deterministic simulation of a whole system, for tests of its behaviour under faults.
 
-A session is a small fake of the network, the log and the backend servers. It holds
-no decisions: it delivers messages after a fixed latency, runs tasks for the time
-that their payload names, and breaks what a test asks it to break.
+A session runs the cores of entry hosts and agents on a virtual clock. It simulates the
+network, the log and the backend servers, and injects the faults that a test asks for.
 """
 
 import collections
@@ -23,7 +22,7 @@
 
 LATENCY_S = 0.0005
 APPEND_S = 0.004
-# As in process.backend and process.agenthost.
+# The values of process.backend and process.agenthost.
 CONNECT_S = 1.0
 PROBE_S = 1.0
 POLL_S = 2.0
@@ -32,11 +31,16 @@
 SERVICE = configs.SERVICE
 LOG_RETENTION_S = configs.LOG_RETENTION_S
 STREAMS = ("members", "table")
-QUIET = (messages.Heartbeat, messages.Load, messages.Peers, messages.Records)
+UNTRACED_MESSAGES = (
+    messages.Heartbeat,
+    messages.Load,
+    messages.Peers,
+    messages.Records,
+)
 
 
 def make_request(key, tasks, guest="g1", repeatable=True, deadline_ms=30_000):
-    """Return a job whose tasks run for the given milliseconds each."""
+    """Return a job; ``tasks`` holds the run time of each task in milliseconds."""
     payloads = [
         json.dumps({"sleep_ms": ms, "key": key, "index": index}).encode()
         for index, ms in enumerate(tasks)
@@ -57,21 +61,25 @@
 
 @attrs.define
 class Process:
-    """One simulated process; ``generation`` tells events of an older boot apart."""
+    """A simulated process.
+
+    :param generation: boot id, which tells the events of an earlier boot apart.
+    :param deferred_actions: actions to run when a frozen process goes on.
+    """
 
     name: str
     core: object
     generation: int
-    frozen: bool = False
+    is_frozen: bool = False
     frozen_at: float = 0.0
     table_version: int = 0
-    inbox: list = attrs.field(factory=list)
+    deferred_actions: list = attrs.field(factory=list)
     offset_by_stream: dict = attrs.field(factory=dict)
 
 
 @attrs.define(frozen=True)
-class StartSeen:
-    """A start as the backend server saw it."""
+class BackendStart:
+    """The start of a task at a backend server."""
 
     at: float
     job: bytes
@@ -81,12 +89,14 @@
 
 
 class Session:
-    """Entry hosts and agents of one system.
+    """Simulation of a system of entry hosts and agents.
 
     :param entries: number of entry hosts.
-    :param agents: number of agents, each in a data centre of its own up to 4.
+    :param agents: number of agents, spread over up to 4 data centres.
     :param seed: seed of all random decisions.
-    :param places: region, data centre and rack by name, where they differ from that.
+    :param places: region, data centre and rack by name of a process, to override the
+        default.
+    :param timing: settings of the section ``timing``, to override the defaults.
     """
 
     def __init__(self, entries=2, agents=3, slots=2, seed=1, places=None, **timing):
@@ -101,36 +111,36 @@
         self.log_is_up = True
         self.append_s = APPEND_S
         self.loses_append_answers = False
-        self.redials = True
+        self.is_redialing = True
         self.tick_s = TICK_S
-        self.cuts = set()
-        self._cut_at = 0.0
-        self._held_by_cut = collections.defaultdict(list)
+        self.cut_pairs = set()
+        self._isolated_at = 0.0
+        self._pending_by_cut = collections.defaultdict(list)
         self.filters = []
         self.events = []
         self.phases = [("begin", collections.Counter())]
-        self.failing = set()
+        self.failing_agents = set()
         self._fault_by_backend = {}
-        self._held_by_backend = collections.defaultdict(list)
-        self.log_cuts = set()
+        self._pending_by_backend = collections.defaultdict(list)
+        self.processes_without_log = set()
         self._log_by_stream = {stream: [] for stream in STREAMS}
         self._first_by_stream = dict.fromkeys(STREAMS, 0)
         self._record_ids = set()
-        self._events = []
-        self._order = itertools.count()
-        self._tickets = itertools.count(1)
-        self._boots = itertools.count(1)
+        self._scheduled_actions = []
+        self._sequence = itertools.count()
+        self._ticket_numbers = itertools.count(1)
+        self._boot_ids = itertools.count(1)
         self._links = set()
         self.processes = {}
-        self._places = {}
+        self.place_by_name = {}
         self._request_by_ticket = {}
         self._entry_by_ticket = {}
         for role, count in (("entry", entries), ("agent", agents)):
             for index in range(count):
                 place = ("r1", f"dc{index % 4}", f"rack{index % 4}")
                 name = f"{role}-{index + 1}"
-                self._places[name] = (places or {}).get(name, place)
-        for name in self._places:
+                self.place_by_name[name] = (places or {}).get(name, place)
+        for name in self.place_by_name:
             self.start(name)
         self.run(1.0)
         self.trace.clear()
@@ -140,11 +150,11 @@
     # Processes
 
     def start(self, name):
-        """Start a process, or start it again with another boot id."""
-        boot = next(self._boots)
+        """Start or restart a process, with a new boot id."""
+        boot = next(self._boot_ids)
         node = messages.Node(name, boot, f"{name}:1")
         counters = metrics.Metrics(settings.StatsdSettings())
-        place = self._places[name][1]
+        place = self.place_by_name[name][1]
         if name.startswith("entry"):
             core = entry.EntryCore(
                 node,
@@ -161,30 +171,30 @@
         self.processes[name] = process
         self.events.append(trace.Joined(self.clock.now(), name))
         self.schedule(self.rng.uniform(0, TICK_S), lambda: self._tick(process))
-        self.schedule(self.rng.uniform(0, 0.8), lambda: self._beat(process))
+        self.schedule(self.rng.uniform(0, 0.8), lambda: self._send_heartbeats(process))
         self.schedule(0.0, lambda: self._dial_all(name))
         if name.startswith("entry"):
-            self.schedule(0.01, lambda: self._replay(process))
+            self.schedule(0.01, lambda: self._read_streams(process))
             self.schedule(POLL_S, lambda: self._poll(process))
         return process
 
     def kill(self, name):
-        """End a process; its peers see closed connections."""
-        self.note(f"{name} killed")
+        """Kill a process, which closes its connections."""
+        self.add_trace_line(f"{name} killed")
         self.events.append(trace.Left(self.clock.now(), name))
         del self.processes[name]
         for pair in self._links_of(name):
             self._unlink(pair)
 
     def drain(self, name):
-        """Let an agent drain as a planned stop does."""
-        self.note(f"{name} drains")
+        """Drain an agent as for a planned stop."""
+        self.add_trace_line(f"{name} drains")
         self.events.append(trace.Left(self.clock.now(), name))
         process = self.processes[name]
         self._perform(process, process.core.drain(active=True))
 
     def stop(self, name):
-        """End a process that has drained, as its daemon does."""
+        """Stop a drained process as its daemon does."""
         process = self.processes[name]
         for pair in self._links_of(name):
             (peer,) = pair - {name}
@@ -197,93 +207,102 @@
         return sorted((pair for pair in self._links if name in pair), key=sorted)
 
     def freeze(self, name):
-        """Stop a process as SIGSTOP does: connections stay, nothing is read."""
-        self.note(f"{name} frozen")
+        """Pause a process as SIGSTOP does: connections stay open, nothing is read."""
+        self.add_trace_line(f"{name} frozen")
         self.events.append(trace.Left(self.clock.now(), name))
-        self.processes[name].frozen = True
+        self.processes[name].is_frozen = True
         self.processes[name].frozen_at = self.clock.now()
 
     def thaw(self, name):
-        """Let a frozen process go on with what has piled up."""
-        self.note(f"{name} thawed")
+        """Resume a frozen process, which first runs its deferred actions."""
+        self.add_trace_line(f"{name} thawed")
         self.events.append(trace.Joined(self.clock.now(), name))
         process = self.processes[name]
-        process.frozen = False
-        inbox, process.inbox = process.inbox, []
-        for action in inbox:
+        process.is_frozen = False
+        actions, process.deferred_actions = process.deferred_actions, []
+        for action in actions:
             action()
 
     def cut(self, first, second):
         """Cut the connection between two processes, in both directions."""
-        self.note(f"{first} | {second} cut")
-        self.cuts.add(frozenset((first, second)))
+        self.add_trace_line(f"{first} | {second} cut")
+        self.cut_pairs.add(frozenset((first, second)))
         self._unlink(frozenset((first, second)))
 
     def heal(self, first, second):
-        """Allow two processes to connect again, and deliver what was held up."""
-        self.note(f"{first} | {second} healed")
+        """End a cut: deliver the delayed messages and connect the processes again."""
+        self.add_trace_line(f"{first} | {second} healed")
         pair = frozenset((first, second))
-        self.cuts.discard(pair)
-        for action in self._held_by_cut.pop(pair, []):
+        self.cut_pairs.discard(pair)
+        for action in self._pending_by_cut.pop(pair, []):
             self.schedule(LATENCY_S, action)
         self._dial(first, second)
 
     def _isolate(self, names):
-        """Cut processes off from all others and the log; only the leases tell."""
-        self.log_cuts = set(names)
+        """Cut processes off from all others and the log.
+
+        Their connections stay open until the lease has lapsed, which alone shows the cut.
+        """
+        self.processes_without_log = set(names)
         others = [name for name in self.processes if name not in names]
         pairs = {frozenset(pair) for pair in itertools.product(names, others)}
-        self.cuts |= pairs
-        self._cut_at = cut_at = self.clock.now()
+        self.cut_pairs |= pairs
+        self._isolated_at = cut_at = self.clock.now()
 
         def lapse():
-            if self._cut_at == cut_at:
-                self._held_by_cut.clear()
-                for pair in sorted(pairs & self.cuts, key=sorted):
+            if self._isolated_at == cut_at:
+                self._pending_by_cut.clear()
+                for pair in sorted(pairs & self.cut_pairs, key=sorted):
                     self._unlink(pair)
 
         self.schedule(LEASE_S, lapse)
 
     def fail(self, names, fault):
-        """Kill, freeze or cut off processes, all at one moment."""
-        self.mark(f"{fault} {' '.join(names)}")
+        """Kill, freeze or cut off processes at the same time.
+
+        :param fault: "kill", "freeze" or "cut".
+        """
+        self.begin_phase(f"{fault} {' '.join(names)}")
         if fault == "cut":
             self._isolate(names)
         for name in names if fault != "cut" else ():
             getattr(self, fault)(name)
 
-    def mend(self, names, fault):
-        """Undo :meth:`fail`; a killed process comes back with another boot."""
-        self.mark(f"mend {' '.join(names)}")
+    def recover(self, names, fault):
+        """Undo :meth:`fail`; a killed process starts with a new boot id."""
+        self.begin_phase(f"mend {' '.join(names)}")
         if fault == "cut":
-            self._cut_at, self.log_cuts = 0.0, set()
-            for pair in sorted(map(sorted, self.cuts)):
+            self._isolated_at, self.processes_without_log = 0.0, set()
+            for pair in sorted(map(sorted, self.cut_pairs)):
                 self.heal(*pair)
             self.read_log()
         for name in names if fault != "cut" else ():
             self.start(name) if fault == "kill" else self.thaw(name)
 
     def break_backend(self, name, fault):
-        """Kill, freeze or cut off the backend server of an agent."""
-        self.mark(f"{fault} backend server of {name}")
+        """Kill, freeze or cut off the backend server of an agent.
+
+        Killing it reports the running tasks as unknown.
+        """
+        self.begin_phase(f"{fault} backend server of {name}")
         self._fault_by_backend[name] = fault
         process = self.processes[name]
         if fault == "kill":
             for key in sorted(getattr(process.core, "running", ())):
                 self._finish(process, key, messages.TaskState.UNKNOWN, b"cut")
 
-    def mend_backend(self, name):
-        """Let a backend server go on; the agent's next probe finds it."""
-        self.mark(f"mend backend server of {name}")
+    def recover_backend(self, name):
+        """End a fault of a backend server; the next probe of the agent detects it."""
+        self.begin_phase(f"mend backend server of {name}")
         del self._fault_by_backend[name]
-        for action in self._held_by_backend.pop(name, []):
+        for action in self._pending_by_backend.pop(name, []):
             action()
         self.schedule(PROBE_S, functools.partial(self._set_backend, name, True))
 
     def _set_backend(self, name, is_up):
         process = self.processes.get(name)
         if process is not None and not process.core.draining:
-            self._act(
+            self._run_unless_frozen(
                 process,
                 lambda: self._perform(process, process.core.set_backend_up(is_up)),
             )
@@ -294,78 +313,81 @@
     # Callers
 
     def submit(self, name, request):
-        """Submit at an entry host and return the caller's ticket."""
-        ticket = next(self._tickets)
+        """Submit a job to an entry host and return the ticket of the call."""
+        ticket = next(self._ticket_numbers)
         self._request_by_ticket[ticket] = request
         payloads = tuple(task.payload for task in request.tasks)
         fields = (request.guest, request.key, ticket, name, payloads)
         self.events.append(
             trace.Submitted(self.clock.now(), *fields, request.repeatable)
         )
-        self.mark(f"caller {ticket} -> {name} submit {request.key}")
+        self.begin_phase(f"caller {ticket} -> {name} submit {request.key}")
         process = self.processes[name]
         self._entry_by_ticket[ticket] = (name, process.generation)
         self._perform(process, process.core.submit(request, ticket))
         return ticket
 
     def cancel(self, name, request):
-        """Cancel at an entry host and return the caller's ticket."""
-        ticket = next(self._tickets)
+        """Cancel a job at an entry host and return the ticket of the call."""
+        ticket = next(self._ticket_numbers)
         self._request_by_ticket[ticket] = request
-        self.mark(f"caller {ticket} -> {name} cancel {request.key}")
+        self.begin_phase(f"caller {ticket} -> {name} cancel {request.key}")
         process = self.processes[name]
         self._entry_by_ticket[ticket] = (name, process.generation)
         self._perform(process, process.core.cancel(request.job, ticket))
         return ticket
 
     def run(self, seconds):
-        """Advance the clock and do all that falls due."""
+        """Advance the clock and run the actions that become due."""
         end = self.clock.now() + seconds
-        while self._events and self._events[0][0] <= end:
-            at, _, action = heapq.heappop(self._events)
+        while self._scheduled_actions and self._scheduled_actions[0][0] <= end:
+            at, _, action = heapq.heappop(self._scheduled_actions)
             self.clock.advance(max(0.0, at - self.clock.now()))
             action()
         self.clock.advance(max(0.0, end - self.clock.now()))
 
     def run_until(self, condition, limit_s=60.0):
-        """Run until a condition holds; fail when it does not within the limit."""
+        """Run until a condition holds.
+
+        :raises AssertionError: when it does not hold within ``limit_s``.
+        """
         end = self.clock.now() + limit_s
         while not condition():
             assert self.clock.now() < end, "condition not met:\n" + self.trace_text()
             self.run(0.01)
 
     def wait_answer(self, ticket, limit_s=60.0):
-        """Run until a caller has its outcome, and return it."""
+        """Run until a call has its outcome, and return it."""
         self.run_until(lambda: ticket in self.answers, limit_s)
         return self.answers[ticket]
 
     # The trace
 
-    def note(self, text):
+    def add_trace_line(self, text):
         self.trace.append(f"{self.clock.now() - 100.0:9.4f} {text}")
 
     def trace_text(self):
         return "\n".join(self.trace)
 
-    def mark(self, text):
-        """Note an event that begins a new line of the summary."""
-        self.note(text)
+    def begin_phase(self, text):
+        """Trace an event and count the messages after it on its own summary line."""
+        self.add_trace_line(text)
         self.phases.append((self.trace[-1].lstrip(), collections.Counter()))
 
     def summary(self):
-        """Return one line for each event, with the messages sent after it by kind."""
-        lines = (f"{head}: {_counted(kinds)}" for head, kinds in self.phases[1:])
+        """Return a line for each event, with counts of the messages that follow it."""
+        lines = (f"{head}: {_format_counts(kinds)}" for head, kinds in self.phases[1:])
         return "\n".join(line.removesuffix(": ") for line in lines)
 
     def totals(self):
-        """Return the messages of the whole session and the outcomes, by kind."""
+        """Return counts of all messages by kind, and of the outcomes by code."""
         sent = sum((kinds for _, kinds in self.phases), collections.Counter())
         ended = collections.Counter(item.code.name for item in self.answers.values())
-        return f"{_counted(sent)}\n{_counted(ended)}"
+        return f"{_format_counts(sent)}\n{_format_counts(ended)}"
 
     def violations(self):
-        """Return what the checker finds, and the callers that wait for ever."""
-        found = checker.check(self.events, checker.Settings(tuple(self._places)))
+        """Return the violations of the checker, and the calls without an answer."""
+        found = checker.check(self.events, checker.Settings(tuple(self.place_by_name)))
         waiting = set(self._request_by_ticket) - set(self.answers)
         return [str(item) for item in found] + [
             f"caller {ticket} of {name} was never answered"
@@ -375,39 +397,41 @@
             and self.processes[name].generation == boot
         ]
 
-    def when(self, kind, count, delay_s, action):
-        """Do something once, after the given number of messages of a type was sent."""
-        left = [count]
+    def schedule_after_messages(self, kind, count, delay_s, action):
+        """Run an action once, after ``count`` messages of a type were sent."""
+        remaining = [count]
 
-        def watch(_from, _to, message, delays):
+        def count_messages(_from, _to, message, delays):
             if isinstance(message, kind):
-                left[0] -= 1
-                if left[0] == 0:
+                remaining[0] -= 1
+                if remaining[0] == 0:
                     self.schedule(delay_s, action)
             return delays
 
-        self.filters.append(watch)
+        self.filters.append(count_messages)
 
     # Network
 
     def schedule(self, seconds, action):
         at = self.clock.now() + seconds
-        heapq.heappush(self._events, (at, next(self._order), action))
+        heapq.heappush(self._scheduled_actions, (at, next(self._sequence), action))
 
     def _alive(self, process):
         return self.processes.get(process.name) is process
 
-    def _act(self, process, action):
-        """Run an action of a process now, or when it is thawed."""
+    def _run_unless_frozen(self, process, action):
+        """Run an action of a process now, or defer it while the process is frozen."""
         if not self._alive(process):
             return
-        if process.frozen:
-            process.inbox.append(lambda: self._act(process, action))
+        if process.is_frozen:
+            process.deferred_actions.append(
+                lambda: self._run_unless_frozen(process, action)
+            )
         else:
             action()
 
-    def _perform(self, process, wanted):
-        for effect in wanted:
+    def _perform(self, process, wanted_effects):
+        for effect in wanted_effects:
             if isinstance(effect, effects.Send):
                 self._send(process, effect.to, effect.message)
             elif isinstance(effect, effects.Dial):
@@ -428,11 +452,11 @@
         if target is None or pair not in self._links:
             return
         delays = [LATENCY_S]
-        for each in self.filters:
-            delays = each(process.name, to, message, delays)
-        if not isinstance(message, QUIET):
+        for message_filter in self.filters:
+            delays = message_filter(process.name, to, message, delays)
+        if not isinstance(message, UNTRACED_MESSAGES):
             lost = "" if delays else " (lost)"
-            self.note(f"{process.name} -> {to} {describe(message)}{lost}")
+            self.add_trace_line(f"{process.name} -> {to} {describe(message)}{lost}")
             self.phases[-1][1][summarise(message) + lost] += 1
             if isinstance(message, messages.Start | messages.Fence | messages.Settle):
                 node = process.core.node
@@ -447,12 +471,12 @@
         pair = frozenset((sender.name, target.name))
         if pair not in self._links or link[1] != target.generation:
             return
-        if pair in self.cuts:
-            self._held_by_cut[pair].append(
+        if pair in self.cut_pairs:
+            self._pending_by_cut[pair].append(
                 lambda: self._deliver(target, link, sender, message)
             )
         elif self._alive(target):
-            self._act(
+            self._run_unless_frozen(
                 target,
                 lambda: self._perform(
                     target, target.core.receive(sender.name, message)
@@ -466,10 +490,10 @@
 
     def _dial(self, first, second):
         pair = frozenset((first, second))
-        if pair in self._links or pair in self.cuts or len(pair) < 2:
+        if pair in self._links or pair in self.cut_pairs or len(pair) < 2:
             return
         both = [self.processes.get(name) for name in (first, second)]
-        if None in both or any(process.frozen for process in both):
+        if None in both or any(process.is_frozen for process in both):
             return
         self._links.add(pair)
         for process, peer in (both, both[::-1]):
@@ -484,7 +508,7 @@
             (peer,) = pair - {name}
             process = self.processes.get(name)
             if process is not None:
-                self._act(
+                self._run_unless_frozen(
                     process,
                     lambda process=process, peer=peer: self._perform(
                         process, process.core.handle_disconnect(peer)
@@ -493,7 +517,7 @@
 
     def _hello(self, process):
         is_agent = process.name.startswith("agent")
-        place = self._places[process.name]
+        place = self.place_by_name[process.name]
         return messages.Hello(
             messages.PROTOCOL,
             messages.Role.AGENT if is_agent else messages.Role.ENTRY,
@@ -510,40 +534,40 @@
     def _tick(self, process):
         if not self._alive(process):
             return
-        if not process.frozen:
+        if not process.is_frozen:
             self._perform(process, process.core.tick())
-            self._note_version(process)
+            self._record_table_version(process)
         self.schedule(self.tick_s, lambda: self._tick(process))
 
-    def _note_version(self, process):
-        """Note the table in force; an entry host works by a current one only."""
+    def _record_table_version(self, process):
+        """Record the table version in force; an entry host needs a current one."""
         version = process.core.table_replica.version
         is_current = getattr(process.core, "has_current_table", True)
         if version != process.table_version and is_current:
             process.table_version = version
             self.events.append(trace.InForce(self.clock.now(), process.name, version))
 
-    def _beat(self, process):
+    def _send_heartbeats(self, process):
         if not self._alive(process):
             return
-        if not process.frozen:
+        if not process.is_frozen:
             self._perform(process, process.core.send_heartbeats())
-            self._drop_silent(process)
-            if self.redials:
+            self._close_lapsed_connections(process)
+            if self.is_redialing:
                 self._dial_all(process.name)
-        self.schedule(0.8, lambda: self._beat(process))
+        self.schedule(0.8, lambda: self._send_heartbeats(process))
 
-    def _drop_silent(self, process):
-        """Close the connections of peers that have been frozen for the lease."""
+    def _close_lapsed_connections(self, process):
+        """Close the connections of peers that have been frozen for over a lease."""
         now = self.clock.now()
         for other in list(self.processes.values()):
-            if other.frozen and now - other.frozen_at > LEASE_S:
+            if other.is_frozen and now - other.frozen_at > LEASE_S:
                 self._unlink(frozenset((process.name, other.name)))
 
     # The log and the backend servers
 
     def _append(self, effect, writer=""):
-        if not self.log_is_up or writer in self.log_cuts:
+        if not self.log_is_up or writer in self.processes_without_log:
             return
         log = self._log_by_stream[effect.stream]
         is_known = effect.record_id in self._record_ids
@@ -552,12 +576,12 @@
         self._record_ids.add(effect.record_id)
         log.append(messages.LogRecord(len(log), effect.record_id, effect.value))
         if self.loses_append_answers and not is_known:
-            # The writer does not know that its append took effect, and repeats it.
+            # The writer got no reply to its append, so it repeats it.
             self._append(effect)
         self.read_log(self.append_s)
 
     def append(self, stream, record_id, value):
-        """Append a record as an operator does, and return its offset."""
+        """Append a record as an operator does, and return the offset meant for it."""
         offset = len(self._log_by_stream[stream])
         self._append(effects.Append(stream, record_id, value))
         if stream == "table" and offset < len(self._log_by_stream[stream]):
@@ -565,28 +589,32 @@
         return offset
 
     def expire_log(self, stream, first):
-        """Drop the records of a stream before an offset."""
+        """Drop the records of a stream before the offset ``first``."""
         self._first_by_stream[stream] = first
 
     def log(self, stream):
-        """Return the kept records of a stream."""
+        """Return the records of a stream that have not expired."""
         return self._log_by_stream[stream][self._first_by_stream[stream] :]
 
     def read_log(self, delay_s=0.0):
-        """Let every entry host that reaches the log read what is new to it."""
+        """Let every entry host that reaches the log read the new records."""
         for process in list(self.processes.values()):
             if process.name.startswith("entry"):
-                self.schedule(delay_s, lambda process=process: self._replay(process))
+                self.schedule(
+                    delay_s, lambda process=process: self._read_streams(process)
+                )
 
-    def _replay(self, process):
-        is_cut = not self.log_is_up or process.name in self.log_cuts
+    def _read_streams(self, process):
+        is_cut = not self.log_is_up or process.name in self.processes_without_log
         for stream in () if is_cut else STREAMS:
-            self._act(process, lambda stream=stream: self._follow(process, stream))
+            self._run_unless_frozen(
+                process, lambda stream=stream: self._follow(process, stream)
+            )
 
     def _poll(self, process):
-        """Tell an entry host at the end of a stream that nothing is new there."""
-        is_cut = not self.log_is_up or process.name in self.log_cuts
-        for stream in () if is_cut or process.frozen else STREAMS:
+        """Send an empty page to an entry host that has read a stream to its end."""
+        is_cut = not self.log_is_up or process.name in self.processes_without_log
+        for stream in () if is_cut or process.is_frozen else STREAMS:
             end = len(self._log_by_stream[stream])
             if process.offset_by_stream.get(stream) == end:
                 page = messages.Records(stream, end, end, ())
@@ -595,17 +623,17 @@
             self.schedule(POLL_S, lambda: self._poll(process))
 
     def _follow(self, process, stream):
-        """Hand a process the new records, then an empty page as at the log's end."""
-        kept = self.log(stream)
-        wanted = process.offset_by_stream.get(stream, 0)
+        """Send a process the new records, then an empty page for the end of the log."""
+        available = self.log(stream)
+        next_offset = process.offset_by_stream.get(stream, 0)
         end = len(self._log_by_stream[stream])
         process.offset_by_stream[stream] = end
-        first = max(wanted, self._first_by_stream[stream])
-        known = {record.id for record in kept if record.offset < first}
-        # As the client of the log does, which passes over repeated ids.
+        first = max(next_offset, self._first_by_stream[stream])
+        known = {record.id for record in available if record.offset < first}
+        # The log client drops records with a repeated id.
         records = tuple(
             record
-            for record in {each.id: each for each in reversed(kept)}.values()
+            for record in {each.id: each for each in reversed(available)}.values()
             if record.offset >= first and record.id not in known
         )[::-1]
         for page in (
@@ -622,7 +650,7 @@
         self.schedule(effect.timeout_ms / 1000, lambda: ended(state, b"no answer"))
         fault = self._fault_by_backend.get(process.name)
         if fault == "freeze":
-            self._held_by_backend[process.name].append(
+            self._pending_by_backend[process.name].append(
                 lambda: self._run_task(process, effect, ended)
             )
         elif fault is None:
@@ -635,24 +663,30 @@
     def _run_task(self, process, effect, ended):
         now, name = self.clock.now(), process.name
         fields = (effect.job, effect.attempt, effect.index, name)
-        self.starts.append(StartSeen(now, *fields))
+        self.starts.append(BackendStart(now, *fields))
         self.events.append(trace.Started(now, *fields, effect.payload))
         self.phases[-1][1]["task started"] += 1
-        self.note(f"{name} starts task {effect.index} a{effect.attempt}")
+        self.add_trace_line(f"{name} starts task {effect.index} a{effect.attempt}")
         payload = json.loads(effect.payload)
         state = messages.TaskState.DONE
-        if payload.get("fail") or name in self.failing:
+        if payload.get("fail") or name in self.failing_agents:
             state = messages.TaskState.FAILED
         self.schedule(
             payload["sleep_ms"] / 1000,
-            lambda: self._reach(name, lambda: ended(state, effect.payload)),
+            lambda: self._deliver_backend_answer(
+                name, lambda: ended(state, effect.payload)
+            ),
         )
 
-    def _reach(self, name, action):
-        """Deliver the answer of a backend server unless it cannot reach its agent."""
+    def _deliver_backend_answer(self, name, action):
+        """Deliver an answer of a backend server, later or never under a fault.
+
+        A frozen or cut-off backend server answers once it has recovered, a killed one
+        not at all.
+        """
         fault = self._fault_by_backend.get(name)
         if fault in ("freeze", "cut"):
-            self._held_by_backend[name].append(action)
+            self._pending_by_backend[name].append(action)
         elif fault is None:
             action()
 
@@ -661,7 +695,7 @@
         if not self._alive(process) or key not in running:
             return
         running.discard(key)
-        self._act(
+        self._run_unless_frozen(
             process,
             lambda: self._perform(
                 process, process.core.handle_task_end(*key, state, payload, 1.0)
@@ -676,33 +710,33 @@
             self.answers[effect.ticket] = result
             self.answered_at[effect.ticket] = self.clock.now()
             request = self._request_by_ticket[effect.ticket]
-            # The checker reads the results as the stand-in backend server writes them.
+            # The checker expects results in the form of the stand-in backend server.
             results = tuple(
                 b'{"task":%d,"echo":%b}' % item
                 for item in enumerate(getattr(result, "results", ()))
             )
             fields = (request.guest, request.key, result.code, result.attempt, results)
             self.events.append(trace.Answered(self.clock.now(), *fields, process.name))
-            self.mark(
+            self.begin_phase(
                 f"{process.name} -> caller {effect.ticket} "
                 f"{result.code.name} a{result.attempt}"
             )
 
 
 def summarise(message):
-    """Return the type of a message, with what it says about claims and tasks."""
+    """Return the type of a message, with its verdict or the states of its tasks."""
     if isinstance(message, messages.ClaimReply):
         return f"ClaimReply {message.verdict.name}"
     states = {report.state.name for report in getattr(message, "reports", ())}
     return " ".join([type(message).__name__, *sorted(states)])
 
 
-def _counted(kinds):
+def _format_counts(kinds):
     return ", ".join(f"{kind} {count}" for kind, count in kinds.items())
 
 
 def describe(message):
-    """Return one line with the fields of a message that a reader looks for."""
+    """Return the type and the main fields of a message, for the trace."""
     parts = [type(message).__name__]
     for name in ("epoch", "attempt", "fence"):
         if hasattr(message, name):
@@ -720,12 +754,12 @@
 
 
 def assert_complete(request, result):
-    """Assert that an outcome is the whole answer to a request."""
+    """Assert that an outcome holds the result of every task of a request."""
     assert isinstance(result, outcome.Complete), result
     assert result.results == tuple(task.payload for task in request.tasks)
 
 
 def assert_single_starts(session):
     """Assert that no task of an attempt has started twice."""
-    seen = [(start.job, start.attempt, start.index) for start in session.starts]
-    assert len(seen) == len(set(seen)), session.trace_text()
+    keys = [(start.job, start.attempt, start.index) for start in session.starts]
+    assert len(keys) == len(set(keys)), session.trace_text()
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -1,4 +1,4 @@
-"""A few seeds of the fuzzer in every run; ``make fuzz`` runs as many as wanted."""
+"""A few seeds of the fuzzer; ``make fuzz SEEDS=N`` runs more of them."""
 
 import pytest
 
@@ -11,13 +11,13 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_random_faults_break_no_promise(seed):
-    """Kills, pauses, cuts and disturbed messages in random order."""
-    assert fuzz.Run(seed).go() == []
+    """Guards against violations under random kills, pauses, cuts and lost messages."""
+    assert fuzz.FuzzRun(seed).execute() == []
 
 
 def test_planted_violations_are_found():
-    """The fuzzer's own checks must fail on a run that breaks each promise."""
-    run = fuzz.Run(0)
+    """Guards against a fuzzer that misses violations: each planted one is reported."""
+    run = fuzz.FuzzRun(0)
     request = sessions.make_request("planted", [10, 10], repeatable=False)
     run.submit("entry-1", request)
     for ticket, result in enumerate(
@@ -29,10 +29,10 @@
     ):
         run.request_by_ticket[ticket] = request
         run.session.answers[ticket] = result
-        run.asked_at[ticket], run.answered_at[ticket] = 1e8, 1e9
+        run.requested_at_by_ticket[ticket], run.answered_at_by_ticket[ticket] = 1e8, 1e9
         run.entry_by_ticket[ticket] = run.session.processes["entry-1"]
-    start = sessions.StartSeen(1.0, request.job, 1, 0, "agent-1")
-    again = sessions.StartSeen(2.0, request.job, 2, 0, "agent-2")
+    start = sessions.BackendStart(1.0, request.job, 1, 0, "agent-1")
+    again = sessions.BackendStart(2.0, request.job, 2, 0, "agent-2")
     run.session.starts += [start, start, again]
     found = "\n".join(run._violations())
     for text in (
--- a/tests/test_session_cancel.py
+++ b/tests/test_session_cancel.py
@@ -1,4 +1,4 @@
-"""Whole sessions in which jobs are cancelled, alone and in waves."""
+"""Sessions in which jobs are cancelled, singly and in large numbers."""
 
 import pytest
 
@@ -11,7 +11,7 @@
     return sessions.Session()
 
 
-def hold(session, kind, seconds):
+def delay_messages(session, kind, seconds):
     """Delay the messages of one type."""
     session.filters.append(
         lambda _from, _to, message, delays: (
@@ -22,7 +22,10 @@
 
 @pytest.mark.parametrize("wait_s", [0.0, 5.0])
 def test_cancel_that_overtakes_its_submission(session, wait_s):
-    """In a wave, 147 of 528 jobs ran because their cancel came first."""
+    """Guards against running a job whose cancel arrived first.
+
+    When many jobs were cancelled at once, 147 of 528 ran for this reason.
+    """
     request = sessions.make_request("k1", [50] * 4)
     cancel = session.cancel("entry-1", request)
     session.run(wait_s)
@@ -37,7 +40,7 @@
 
 
 def test_cancel_of_a_key_is_not_remembered_for_ever(session):
-    """A job that is submitted long after a cancel of its key must run."""
+    """Guards against dropping a job submitted long after a cancel of its key."""
     request = sessions.make_request("k1", [50])
     session.cancel("entry-1", request)
     session.run(11.0)
@@ -47,19 +50,19 @@
 
 
 def test_cancel_from_elsewhere_during_the_claim(session):
-    """The owner dropped a cancel that came before its claim was decided."""
+    """Guards against an owner that drops a cancel received during its claim."""
     request = sessions.make_request("k1", [50] * 4)
-    lost = []
+    votes = []
 
-    def slow_votes(sender, to, message, delays):
+    def delay_votes(sender, to, message, delays):
         is_vote = isinstance(message, messages.ClaimReply) and to == "entry-1"
-        lost.extend([message] * is_vote)
+        votes.extend([message] * is_vote)
         return [0.2] if is_vote else delays
 
-    session.filters.append(slow_votes)
+    session.filters.append(delay_votes)
     ticket = session.submit("entry-1", request)
     session.run(0.01)
-    assert lost
+    assert votes
     cancel = session.cancel("entry-2", request)
     for each in (ticket, cancel):
         assert session.wait_answer(each).code is codes.Code.CANCELLED_NOT_RUN
@@ -67,8 +70,8 @@
 
 
 def test_cancel_without_a_majority_ends_at_once(session):
-    """The cancel waited for the deadline of the job, up to 300 s."""
-    hold(session, messages.ClaimReply, 1000.0)
+    """Guards against a cancel that waits for the deadline of the job, up to 300 s."""
+    delay_messages(session, messages.ClaimReply, 1000.0)
     request = sessions.make_request("k1", [50] * 4, deadline_ms=300_000)
     ticket = session.submit("entry-1", request)
     cancel = session.cancel("entry-1", request)
@@ -79,7 +82,10 @@
 
 
 def test_wave_leaves_nothing_behind(session):
-    """Waiting tasks cost the workers nothing, and no slot or claim stays taken."""
+    """Guards against slots, claims and bytes that stay taken after many cancels.
+
+    Waiting tasks must cost the workers no starts and no cancels.
+    """
     requests = [sessions.make_request(f"k{n}", [5000] * 4) for n in range(200)]
     for request in requests:
         session.submit("entry-1", request)
@@ -96,7 +102,7 @@
     sent = [line.split()[4] for line in session.trace if " entry-1 -> agent" in line]
     assert sent.count("Start") == 0
     assert sent.count("Cancel") <= 6
-    # Each "not run" is settled with the claim group, whatever its number of tasks.
+    # Each "not run" takes one claim per member, whatever the number of tasks.
     assert sent.count("Claim") <= 3 * 200
     core = session.core("entry-1")
     assert (len(core.jobs), core.backlog_tasks, core.jobs.body_bytes) == (0, 0, 0)
--- a/tests/test_session_faults.py
+++ b/tests/test_session_faults.py
@@ -1,4 +1,4 @@
-"""Whole sessions in which one part or two fail."""
+"""Sessions in which one or two processes or connections fail."""
 
 import pytest
 
@@ -17,16 +17,16 @@
     assert result.code is code
 
 
-def kill_when_started(session, name, count):
+def kill_after_starts(session, name, count):
     session.run_until(lambda: len(session.starts) >= count)
     session.kill(name)
 
 
 def test_owner_dies_and_caller_submits_elsewhere(session, snapshot):
-    """Finished results are collected, running tasks awaited, none starts twice."""
+    """Guards a takeover: it collects results, awaits running tasks, restarts none."""
     request = sessions.make_request("k1", [50, 500, 500, 500, 50, 50, 50, 50])
     session.submit("entry-1", request)
-    kill_when_started(session, "entry-1", 7)
+    kill_after_starts(session, "entry-1", 7)
     ticket = session.submit("entry-2", request)
     sessions.assert_complete(request, session.wait_answer(ticket))
     sessions.assert_single_starts(session)
@@ -34,7 +34,7 @@
 
 
 def test_owner_dies_between_claim_and_dispatch(session):
-    """A claim without any start must not block the job for ever."""
+    """Guards against a job that is blocked for ever by a claim without a start."""
     request = sessions.make_request("k1", [50] * 4)
     session.filters.append(
         lambda _from, _to, message, delays: (
@@ -50,7 +50,7 @@
 
 
 def test_owner_frozen_then_thawed(session):
-    """A paused owner that wakes after a takeover starts nothing and joins."""
+    """A paused owner that goes on after a takeover starts nothing and joins the job."""
     request = sessions.make_request("k1", [400] * 20)
     first = session.submit("entry-1", request)
     session.run_until(lambda: len(session.starts) >= 6)
@@ -65,9 +65,9 @@
 
 
 def test_frozen_owner_does_not_say_not_run(session):
-    """An owner whose deadline passed while it was paused must not claim "not run".
+    """Guards against a false "not run" of an owner that was paused past the deadline.
 
-    Its job had not started, but another entry host has taken it over and run it.
+    Its job had not started, but another entry host took it over and ran it.
     """
     session.submit("entry-2", sessions.make_request("long", [3000] * 6))
     session.run(0.1)
@@ -86,20 +86,20 @@
 
 
 def test_agent_dies_with_tasks(session, snapshot):
-    """The job fails whole as "may have run" and the rest is not started."""
+    """The whole job fails as "may have run", and its other tasks are not started."""
     request = sessions.make_request("k1", [300] * 12)
     ticket = session.submit("entry-1", request)
-    kill_when_started(session, "agent-2", 6)
+    kill_after_starts(session, "agent-2", 6)
     assert_failed(session.wait_answer(ticket), codes.Code.WORKER_LOST)
     sessions.assert_single_starts(session)
     assert session.trace_text() == snapshot
 
 
 def test_agent_restarts_under_the_same_name(session):
-    """The new boot is proof of the loss: the job fails at once, not after 5 s."""
+    """A new boot id proves the loss: the job fails at once, not after 5 s."""
     request = sessions.make_request("k1", [300] * 12)
     ticket = session.submit("entry-1", request)
-    kill_when_started(session, "agent-2", 6)
+    kill_after_starts(session, "agent-2", 6)
     session.start("agent-2")
     at = session.clock.now()
     assert_failed(session.wait_answer(ticket), codes.Code.WORKER_LOST)
@@ -107,7 +107,7 @@
 
 
 def test_failed_job_runs_again_only_if_repeatable(session):
-    """The same key starts a new attempt of a repeatable job, never of another."""
+    """A submitted key starts a new attempt of a failed job only if it is repeatable."""
     for key, repeatable in (("again", True), ("once", False)):
         request = sessions.make_request(key, [300] * 6, repeatable=repeatable)
         ticket = session.submit("entry-1", request)
@@ -127,7 +127,7 @@
 
 
 def test_agent_connection_cut_and_back(session):
-    """After a short cut, results that could not be sent are collected by a fence."""
+    """A fence collects the results that could not be sent during a short cut."""
     request = sessions.make_request("k1", [300] * 12)
     ticket = session.submit("entry-1", request)
     session.run(0.1)
@@ -139,7 +139,7 @@
 
 
 def test_start_lost_with_the_connection_is_sent_again(session):
-    """A fence shows that the agent never got a task, so it may go elsewhere."""
+    """A fence shows that an agent did not get a task, which may then go to another."""
     request = sessions.make_request("k1", [100] * 4)
     lost = []
 
@@ -160,7 +160,7 @@
 
 
 def test_duplicated_and_delayed_messages(session):
-    """Every message twice, the second one late: nothing starts twice or is lost."""
+    """Guards against tasks started twice or lost when every message arrives again."""
     session.filters.append(
         lambda _from, _to, _message, delays: [*delays, *(d + 0.15 for d in delays)]
     )
@@ -173,7 +173,7 @@
 
 
 def test_one_member_lost_does_not_stop_claims(session):
-    """Two of three members are a majority."""
+    """Two of the three members of a claim group are a majority."""
     session.kill("agent-3")
     request = sessions.make_request("k1", [50] * 4)
     sessions.assert_complete(
@@ -182,7 +182,7 @@
 
 
 def test_no_majority_is_not_called_not_run(session):
-    """Without a majority an earlier submission cannot be excluded."""
+    """Without a majority an earlier submission is possible, so "not run" is false."""
     session.log_is_up = False
     request = sessions.make_request("k1", [50] * 2, deadline_ms=3000)
     sessions.assert_complete(
@@ -199,9 +199,9 @@
 
 
 def test_lost_member_is_replaced_and_catches_up():
-    """A member that enters a group must know claims from before its entry.
+    """A member that joins a claim group must know the claims from before.
 
-    Otherwise a job could be claimed a second time after two view changes.
+    Otherwise a job could be claimed again after two changes of the view.
     """
     session = sessions.Session(entries=2, agents=6)
     requests = [sessions.make_request(f"k{index}", [20]) for index in range(30)]
@@ -221,7 +221,7 @@
 
 
 def test_cancel_before_and_after_the_start(session):
-    """A cancel ends in a definite outcome, and "not run" is true."""
+    """Guards against a cancel without a final outcome, and a false "not run"."""
     session.submit("entry-1", sessions.make_request("long", [3000] * 6))
     session.run(0.1)
     waiting = sessions.make_request("waiting", [50] * 2)
@@ -238,7 +238,7 @@
 
 
 def test_key_with_another_body_is_refused(session):
-    """A key that was used for another body must not get its answer."""
+    """Guards against the answer to another body that used the same key."""
     first = sessions.make_request("k1", [50])
     second = sessions.make_request("k1", [60])
     session.submit("entry-1", first)
@@ -248,7 +248,7 @@
 
 
 def test_full_backlog_refuses_but_joins_what_runs(session):
-    """A refusal "not run" must not be given for a job that runs elsewhere."""
+    """Guards against a "not run" for a job that runs at another entry host."""
     request = sessions.make_request("k1", [300] * 6)
     ticket = session.submit("entry-1", request)
     session.run(0.05)
@@ -262,7 +262,7 @@
 
 
 def test_log_outage_does_not_stop_jobs(session):
-    """Claims and starts need no append."""
+    """Claims and starts need no append to the log."""
     session.log_is_up = False
     request = sessions.make_request("k1", [50] * 10)
     sessions.assert_complete(
@@ -272,7 +272,7 @@
 
 @pytest.mark.parametrize("count", [0, 3, 5])
 def test_answer_of_the_owner_that_is_not_whole_is_no_answer(session, count):
-    """A joined caller must not get a partial answer from another entry host."""
+    """Guards against a partial answer from the owner to a caller of another host."""
     request = sessions.make_request("k1", [300] * 4)
     session.submit("entry-1", request)
     session.run(0.05)
@@ -285,18 +285,18 @@
 
 
 def test_entry_hosts_connect_again_after_a_cut():
-    """A cut between two entry hosts must not last after its cause is gone."""
+    """Guards against entry hosts that stay apart after the end of a cut."""
     session = sessions.Session()
-    session.redials = False
+    session.is_redialing = False
     session.cut("entry-1", "entry-2")
     session.run(1.0)
-    session.cuts.clear()
+    session.cut_pairs.clear()
     session.run(1.0)
     assert "entry-2" in session.core("entry-1").jobs.peer_by_name
 
 
 def test_lost_settlement_holds_up_no_planned_stop():
-    """A settlement lost with a connection must not hold up the stop for 60 s."""
+    """Guards against a lost settlement that delays a planned stop by 60 s."""
     session = sessions.Session()
 
     def lose_settlements(_sender, to, message, delays):
--- a/tests/test_session_plain.py
+++ b/tests/test_session_plain.py
@@ -1,10 +1,10 @@
-"""Whole sessions without faults."""
+"""Sessions without faults."""
 
 import sessions
 
 
 def test_plain_session(snapshot):
-    """The messages of one job, exact; guards against unplanned extra messages."""
+    """One job takes exactly these messages; guards against additional ones."""
     session = sessions.Session()
     request = sessions.make_request("k1", [50, 60, 70, 80])
     sessions.assert_complete(
@@ -15,7 +15,7 @@
 
 
 def test_same_key_at_two_entry_hosts_runs_once():
-    """Two entry hosts that get one job at once must not both run it."""
+    """Two entry hosts that receive a job at the same time must not both run it."""
     session = sessions.Session()
     request = sessions.make_request("k1", [50] * 4)
     tickets = [session.submit(name, request) for name in ("entry-1", "entry-2")]
--- a/tests/test_session_table.py
+++ b/tests/test_session_table.py
@@ -1,4 +1,4 @@
-"""Whole sessions in which the table changes while parts fail."""
+"""Sessions in which the table changes during faults."""
 
 import attrs
 import pytest
@@ -11,12 +11,12 @@
 
 
 def set_row(session, change, based_on=0, **columns):
-    """Append a change as an operator does; return the table version it would make."""
+    """Append a change as an operator does; return the version that it makes."""
     row = table.Row("class", "batch", **columns)
     return session.append("table", change, table.row_record(row, based_on)) + 1
 
 
-def versions(session):
+def version_by_node(session):
     return {
         name: each.core.table_replica.version
         for name, each in session.processes.items()
@@ -24,11 +24,13 @@
 
 
 def assert_in_force(session, version, limit_s=5.0):
-    session.run_until(lambda: set(versions(session).values()) == {version}, limit_s)
+    session.run_until(
+        lambda: set(version_by_node(session).values()) == {version}, limit_s
+    )
 
 
 def test_race_of_two_operators_has_one_winner_on_all_nodes():
-    """Nodes that disagree on a race would serve by different weights."""
+    """Guards against nodes with different weights after a race of two changes."""
     session = sessions.Session()
     first = set_row(session, "one", weight=2.0)
     set_row(session, "two", weight=3.0)
@@ -38,26 +40,26 @@
 
 
 def test_entry_host_cut_from_the_log_follows_through_its_peer():
-    """A change must come into force where the log cannot be read."""
+    """Guards against an old table at an entry host that cannot read the log."""
     session = sessions.Session()
-    session.log_cuts.add("entry-2")
+    session.processes_without_log.add("entry-2")
     assert_in_force(session, set_row(session, "one", weight=2.0))
     session.cut("entry-1", "entry-2")
     version = set_row(session, "two", based_on=1, weight=3.0)
     session.run(1.0)
-    assert versions(session)["entry-2"] == 1
+    assert version_by_node(session)["entry-2"] == 1
     session.heal("entry-1", "entry-2")
     assert_in_force(session, version)
 
 
 def test_restart_in_an_outage_waits_for_a_majority():
-    """A restarted entry host must not serve by an older table or by none."""
+    """Guards against a restarted entry host that works by an old table or none."""
     session = sessions.Session(entries=3)
     version = set_row(session, "one", weight=2.0)
     assert_in_force(session, version)
     session.log_is_up = False
     session.kill("entry-1")
-    session.cuts.add(frozenset(("entry-1", "entry-2")))
+    session.cut_pairs.add(frozenset(("entry-1", "entry-2")))
     core = session.start("entry-1").core
     session.run(3.0)
     assert core.table_replica.version == version
@@ -68,7 +70,7 @@
 
 
 def test_expired_records_are_replaced_by_a_snapshot():
-    """A node that starts after the records have expired needs the snapshot."""
+    """Guards a node that starts after the records expired: it needs the snapshot."""
     session = sessions.Session()
     version = set_row(session, "one", weight=2.0)
     session.run(sessions.LOG_RETENTION_S / 2)
@@ -85,7 +87,7 @@
 
 
 def test_stale_peer_never_lowers_the_version():
-    """Late and repeated records of a peer must not bring an older row back."""
+    """Guards against late and repeated records of a peer that restore an old row."""
     session = sessions.Session()
     session.filters.append(
         lambda _from, _to, message, delays: (
@@ -95,9 +97,11 @@
     version = 0
     for number in range(6):
         version = set_row(session, f"change-{number}", version, weight=number + 1)
-        before = versions(session)
+        before = version_by_node(session)
         session.run(0.7)
-        assert all(before[name] <= each for name, each in versions(session).items())
+        assert all(
+            before[name] <= each for name, each in version_by_node(session).items()
+        )
     session.run(4.0)
     assert_in_force(session, version)
 
@@ -120,7 +124,7 @@
 
 
 def test_limits_make_jobs_wait_rather_than_fail():
-    """Tasks over the limits wait, and go on when the row is changed."""
+    """Tasks over the limits wait, and start after a change of the row."""
     session = sessions.Session(slots=4)
     version = set_row(session, "one", max_in_progress=4)
     assert_in_force(session, version)
@@ -135,7 +139,7 @@
 
 
 def test_weights_order_two_classes_under_saturation():
-    """The shares of slots must follow the weights, also for jobs that wait already."""
+    """The shares of slots follow the weights, also for jobs that already wait."""
     session = sessions.Session(slots=4)
     class_by_job = {}
     for number in range(120):
