Reword the factories of test data and the tests with real processes

Names and docstrings such as 'wait_whole', 'lost_status', 'stranger' and 'keep jobs coming' are replaced by the usual terms. No behaviour changes.

--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,4 +1,4 @@
-"""Short ways to make the values that the tests of single modules need."""
+"""Factories for the messages and records that unit tests need."""
 
 import attrs
 
@@ -17,16 +17,16 @@
 
 
 def hello(name, boot=1, place=0, **fields):
-    """Return an announcement; ``place`` names the data centre and the rack."""
+    """Return the announcement of an agent in data centre and rack ``place``."""
     places = ("r1", f"dc{place}", f"rack{place}", sessions.SERVICE)
-    whole = messages.Hello(
+    default = messages.Hello(
         1, messages.Role.AGENT, node(name, boot), *places, 2, 4.0, 1000, 1, False
     )
-    return attrs.evolve(whole, **fields)
+    return attrs.evolve(default, **fields)
 
 
 def fold(current, *values):
-    """Fold records with the given values, at the next offsets."""
+    """Return a view after records with these values, at its next offsets."""
     for value in values:
         record = messages.LogRecord(current.number, "id", value)
         current = view.fold(current, record)
@@ -60,10 +60,10 @@
 
 
 def request(key="k1", tasks=2, caller_class="default", **spec):
-    """Return a job of equal tasks; ``spec`` holds fields of each of them."""
-    whole = sessions.make_request(key, [50] * tasks)
-    specs = tuple(attrs.evolve(task, **spec) for task in whole.tasks)
-    return attrs.evolve(whole, caller_class=caller_class, tasks=specs)
+    """Return a job of equal tasks; ``spec`` sets fields of each task."""
+    default = sessions.make_request(key, [50] * tasks)
+    specs = tuple(attrs.evolve(task, **spec) for task in default.tasks)
+    return attrs.evolve(default, caller_class=caller_class, tasks=specs)
 
 
 def make_owned_job(
@@ -89,6 +89,6 @@
 
 
 def sent_messages(effects, kind):
-    """Perform a generator of effects and return the messages of one type in it."""
+    """Return the messages of one type among effects, which are run if a generator."""
     found = [getattr(effect, "message", effect) for effect in effects]
     return [message for message in found if isinstance(message, kind)]
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Fixtures that several test files share."""
+"""Fixtures of several test files, and the skipping of tests with a known fault."""
 
 import pathlib
 
@@ -9,20 +9,20 @@
 
 @pytest.fixture(scope="module")
 def shared_system(tmp_path_factory):
-    """Run one system of real processes for all tests of a file."""
-    made = processes.System(tmp_path_factory.mktemp("system"))
+    """Run a system of real processes for all tests of a file."""
+    system = processes.System(tmp_path_factory.mktemp("system"))
     try:
-        made.start()
-        yield made
+        system.start()
+        yield system
     finally:
-        made.kill()
+        system.kill()
 
 
 KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 
-def _known_red():
-    """Return the ids of tests with a known fault that is not mended yet."""
+def _known_red_ids():
+    """Return the ids of tests that fail because of a known fault."""
     if not KNOWN_RED.exists():
         return set()
     lines = KNOWN_RED.read_text().splitlines()
@@ -30,14 +30,14 @@
 
 
 def pytest_collection_modifyitems(items):
-    """Pass over the tests that KNOWN-RED.txt names."""
-    known = _known_red()
+    """Skip the tests that KNOWN-RED.txt names."""
+    known = _known_red_ids()
     for item in items:
         if item.nodeid in known:
             item.add_marker(pytest.mark.skip(reason="listed in KNOWN-RED.txt"))
 
 
 def pytest_terminal_summary(terminalreporter):
-    """Print the tests that were passed over."""
-    for name in sorted(_known_red()):
+    """Print the skipped tests."""
+    for name in sorted(_known_red_ids()):
         terminalreporter.write_line(f"KNOWN-RED: {name}")
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -1,4 +1,4 @@
-"""A whole system of separate processes on the loopback interface."""
+"""A system of real processes on the loopback interface, and the calls to test it."""
 
 import asyncio
 import json
@@ -20,7 +20,7 @@
 
 LIMIT_S = 20.0
 POLL_S = 0.02
-SHOWN_FIELDS = (
+STATUS_FIELDS = (
     "name",
     "ready",
     "peers",
@@ -32,14 +32,14 @@
 GUEST = "acme"
 SERVICE = "sample"
 SLOTS = 8
-# Below the range from which systems take ports of outgoing connections.
+# Below the ephemeral ports, which outgoing connections use.
 PORTS = range(20000, 32000)
-# No connection is kept, because one to a killed process would fail the next call.
+# Without keep-alive, since a connection to a killed process would fail the next call.
 HTTP = httpx.Client(
     trust_env=False, verify=False, limits=httpx.Limits(max_keepalive_connections=0)
 )
 
-_PLACE = """[node]
+_SETTINGS_TEMPLATE = """[node]
 name = {name}
 region = north
 data_centre = dc-{place}
@@ -51,19 +51,26 @@
 """
 
 
-def wait_for(condition, what):
-    """Poll until the condition gives a true value, and return it."""
+def wait_for(condition, description):
+    """Poll until the condition gives a true value, and return it.
+
+    :param description: of the condition, for the error: text or a function.
+    """
     end = time.monotonic() + LIMIT_S
     while not (value := condition()):
-        shown = what() if callable(what) and time.monotonic() >= end else what
+        shown = (
+            description()
+            if callable(description) and time.monotonic() >= end
+            else description
+        )
         assert time.monotonic() < end, f"not within {LIMIT_S:g} s: {shown}"
         time.sleep(POLL_S)
     return value
 
 
-async def wait_until(condition, what):
-    """Do as ``wait_for`` does, and leave the event loop free."""
-    return await asyncio.to_thread(wait_for, condition, what)
+async def wait_until(condition, description):
+    """Do as :func:`wait_for` does in a thread, without blocking the event loop."""
+    return await asyncio.to_thread(wait_for, condition, description)
 
 
 def free_port():
@@ -78,7 +85,7 @@
 
 
 def make_body(run_times_ms, **fields):
-    """Return a job whose payloads differ from each other."""
+    """Return the body of a job whose payloads differ from each other."""
     tasks = [
         {"payload": {"sleep_ms": run_time_ms, "mark": index}}
         for index, run_time_ms in enumerate(run_times_ms)
@@ -87,7 +94,7 @@
 
 
 class Process:
-    """One process that is started again with the same arguments."""
+    """A process that can be restarted with the same arguments."""
 
     def __init__(self, name, directory, *arguments):
         self.name = name
@@ -107,8 +114,8 @@
         return self._running is not None and self._running.poll() is None
 
     @property
-    def lost_status(self):
-        """Exit status of a process that ended unasked; ``None`` without one."""
+    def unexpected_exit_status(self):
+        """Exit status of a process that ended on its own, otherwise ``None``."""
         return None if self._running is None else self._running.poll()
 
     @property
@@ -125,12 +132,12 @@
         return status
 
     def end(self, number=signal.SIGKILL):
-        """Send a signal that ends the process, and return the exit status."""
+        """Send a signal that ends the process, wait, and return the exit status."""
         self.send(number)
         return self.wait()
 
     def kill(self):
-        """End the process whatever its state is."""
+        """Kill the process if it was started and not yet waited for."""
         if self._running is not None:
             self._running.kill()
             self._running.wait()
@@ -138,7 +145,10 @@
 
 
 class Server(Process):
-    """A stand-in of a backend server; its starts outlive its incarnations."""
+    """A stand-in backend server, which records its starts in a file.
+
+    The file is kept over restarts.
+    """
 
     def __init__(self, name, directory, port):
         self.address = f"127.0.0.1:{port}"
@@ -147,11 +157,11 @@
         listen = ("--listen", self.address)
         super().__init__(name, directory, "standin", "backend", *listen, *arguments)
 
-    def collect(self):
-        """Return all starts so far, those of killed incarnations included."""
+    def read_starts(self):
+        """Return all starts so far, also those before a restart."""
         if not self._record.exists():
             return []
-        # A line without its end is still being written.
+        # A line without a newline is still being written.
         lines = self._record.read_bytes().split(b"\n")[:-1]
         return [
             trace.Started(
@@ -166,15 +176,15 @@
         ]
 
     def set_faults(self, **faults):
-        """Switch these faults on, and all others off."""
+        """Set these faults and clear all others."""
         HTTP.post(f"http://{self.address}/v1/faults", json=faults).raise_for_status()
 
 
 class System:
-    """Log, two entry hosts and three agents with a backend server each."""
+    """A log, two entry hosts, and three agents with a backend server each."""
 
     def __init__(self, directory):
-        # SIGTERM to the test run, as from a time limit, must end the processes too.
+        # A SIGTERM to the test run, as from a time limit, must end these processes too.
         signal.signal(signal.SIGTERM, signal.default_int_handler)
         self._directory = pathlib.Path(directory)
         self._events = []
@@ -209,7 +219,7 @@
     def _make_daemon(self, role, index, listen, keys):
         name = f"{role}-{index + 1}"
         section = {"entry": "entry", "agent": "backend_server"}[role]
-        text = _PLACE.format(
+        text = _SETTINGS_TEMPLATE.format(
             name=name,
             place=index + 1,
             port=listen.rpartition(":")[2],
@@ -225,28 +235,28 @@
         return [self.log, *self.servers, *self.entries, *self.agents]
 
     def start(self):
-        """Start what does not run, and wait until the system is whole."""
+        """Start the processes that are not running, and wait for a ready system."""
         for process in self.processes:
             if not process.is_running:
                 process.start()
-        self.wait_whole()
+        self.wait_ready()
 
     def kill(self):
         for process in self.processes:
             process.kill()
 
-    def wait_whole(self):
-        """Wait until every entry host sees all workers with free slots as voters."""
-        wait_for(self._is_whole, self._describe)
+    def wait_ready(self):
+        """Wait until every entry host has its peer, and 3 voters with free slots."""
+        wait_for(self._is_ready, self._describe)
 
     def _describe(self):
         current = self.view()
-        shown = [f"a whole system; view {current and current.number}"]
+        lines = [f"the system to be ready; view {current and current.number}"]
         for status in filter(None, map(self.status, range(2))):
-            shown += [f"{name}={status[name]}" for name in SHOWN_FIELDS]
-        return "\n".join(shown)
+            lines += [f"{name}={status[name]}" for name in STATUS_FIELDS]
+        return "\n".join(lines)
 
-    def _is_whole(self):
+    def _is_ready(self):
         statuses = [self.status(index) for index in range(2)]
         current = self.view()
         if None in statuses or current is None:
@@ -265,12 +275,12 @@
         return len(free) == 3 and not any(w["draining"] for w in workers)
 
     def status(self, index):
-        """Return the status of an entry host, or ``None`` without an answer."""
-        return _get(f"{self.urls[index]}/v1/status")
+        """Return the status of an entry host, or ``None`` when it gives none."""
+        return _get_json(f"{self.urls[index]}/v1/status")
 
     def view(self):
-        """Return the membership view by the log, or ``None`` without an answer."""
-        page = _get(f"{self.log_url}/v1/streams/{view.STREAM}/records?from=0")
+        """Return the membership view in the log, or ``None`` when it can't be read."""
+        page = _get_json(f"{self.log_url}/v1/streams/{view.STREAM}/records?from=0")
         if page is None:
             return None
         current = view.View()
@@ -288,16 +298,16 @@
         HTTP.post(url, json=body).raise_for_status()
 
     def set_log_faults(self, **faults):
-        """Switch these faults of the log on, and all others off."""
+        """Set these faults of the log and clear all others."""
         HTTP.post(f"{self.log_url}/v1/faults", json=faults).raise_for_status()
 
     async def change_table(self):
-        """Change a row and return what the log made of it."""
+        """Change a row of the table and return the outcome of the change."""
         rng = random.Random()
         row = table.Row("class", "changed", weight=rng.uniform(1, 2))
         async with logclient.LogClient(self.log_url, rng) as log:
-            changes = editor.TableEditor(log, rng, LIMIT_S)
-            outcome = await changes.set_row(row, self._row_version)
+            table_editor = editor.TableEditor(log, rng, LIMIT_S)
+            outcome = await table_editor.set_row(row, self._row_version)
         self._row_version = getattr(outcome, "version", self._row_version)
         return outcome
 
@@ -310,48 +320,59 @@
             for status in statuses
         )
 
-    def cut(self, name, index):
-        """Cut the connection of a node with an entry host.
+    def close_connection(self, name, index):
+        """Close the connection between a node and an entry host.
 
-        A second connection with the node's announcement takes its place, and ends.
+        A second connection with the node's announcement replaces it, and is closed.
         """
         current = self.view()
         voter, entry = current.voter_by_name.get(name), current.entry_by_name.get(name)
         role = messages.Role.ENTRY if voter is None else messages.Role.AGENT
-        own = entry or voter.node
-        # Without a service it gets no task, which would be lost with it.
+        node = entry or voter.node
+        # Without a service this connection gets no tasks, which would be lost with it.
         hello = messages.Hello(
-            messages.PROTOCOL, role, own, "north", "dc", "rack", "", 0, 0.0, 0, 0, False
+            messages.PROTOCOL,
+            role,
+            node,
+            "north",
+            "dc",
+            "rack",
+            "",
+            0,
+            0.0,
+            0,
+            0,
+            False,
         )
         host, port = self.seeds[index].split(":")
-        with socket.create_connection((host, port), LIMIT_S) as stranger:
-            stranger.sendall(wire.encode(hello))
-            # The entry host has taken the connection when it sends more than its own
-            # announcement.
+        with socket.create_connection((host, port), LIMIT_S) as connection:
+            connection.sendall(wire.encode(hello))
+            # An entry host that sends more than its announcement has accepted the
+            # connection.
             frames = wire.FrameBuffer()
             count = 0
-            while count < 2 and (data := stranger.recv(65536)):
+            while count < 2 and (data := connection.recv(65536)):
                 count += len(list(frames.feed(data)))
         assert count >= 2, f"{self.entries[index].name} kept the other connection"
 
     def voter_boot(self, name):
-        """Return the incarnation of a voter; ``None`` when it is none."""
+        """Return the boot id of a voter, or ``None`` when the node is not a voter."""
         current = self.view()
         voter = current and current.voter_by_name.get(name)
         return voter and voter.node.boot
 
     def worker(self, index, name):
-        """Return what an entry host shows of a worker; empty when nothing."""
+        """Return a worker's part of an entry host's status, empty when it has none."""
         status = self.status(index) or {"workers": []}
         return next((w for w in status["workers"] if w["name"] == name), {})
 
     def starts(self, key=None):
-        """Return the starts of a key, or all of them."""
-        wanted = None if key is None else job.job_id(GUEST, key)
-        found = [start for server in self.servers for start in server.collect()]
-        return [start for start in found if wanted in (None, start.job)]
+        """Return the starts of the tasks of a key, or all starts."""
+        job_id = None if key is None else job.job_id(GUEST, key)
+        found = [start for server in self.servers for start in server.read_starts()]
+        return [start for start in found if job_id in (None, start.job)]
 
-    async def wait_started(self, *keys, count=1):
+    async def wait_for_starts(self, *keys, count=1):
         """Wait until each key has this many starts, and return them by key."""
 
         def started():
@@ -361,33 +382,33 @@
         return await wait_until(started, f"{count} starts of each of {keys}")
 
     async def submit(self, key, run_times_ms, urls=None, **fields):
-        """Submit a job through the client and return the answer."""
+        """Submit a job through a new client and return the answer."""
         async with client.Client(urls or self.urls, timeout_s=2 * LIMIT_S) as caller:
             return await self.submit_with(caller, key, run_times_ms, **fields)
 
     async def submit_with(self, caller, key, run_times_ms, **fields):
-        """Do as ``submit`` does, with a client that has connections already."""
+        """Submit a job through a client that may have open connections."""
         body = make_body(run_times_ms, **fields)
         entry = " ".join(self.urls)
-        self._submitted(key, body, entry)
+        self._record_submission(key, body, entry)
         answer = await caller.submit(body, key)
-        self._answered(key, answer.code, answer.attempt, answer.results, entry)
+        self._record_answer(key, answer.code, answer.attempt, answer.results, entry)
         return answer
 
     async def post(self, index, key, run_times_ms, **fields):
         """Submit a job in one request and return the body of the answer."""
         body = make_body(run_times_ms, **fields)
         url = self.urls[index]
-        self._submitted(key, body, url)
+        self._record_submission(key, body, url)
         async with httpx.AsyncClient(trust_env=False, timeout=2 * LIMIT_S) as caller:
             headers = {"Idempotency-Key": key}
             reply = await caller.post(f"{url}/v1/jobs", json=body, headers=headers)
         answer = reply.json()
         code, results = codes.Code(answer["code"]), answer.get("results", [])
-        self._answered(key, code, answer["attempt"], results, url)
+        self._record_answer(key, code, answer["attempt"], results, url)
         return answer
 
-    def _submitted(self, key, body, entry):
+    def _record_submission(self, key, body, entry):
         tasks = tuple(json.dumps(task["payload"]).encode() for task in body["tasks"])
         repeatable = body.get("repeatable", True)
         now = time.monotonic()
@@ -395,7 +416,7 @@
             trace.Submitted(now, GUEST, key, 1, entry, tasks, repeatable)
         )
 
-    def _answered(self, key, code, attempt, results, entry):
+    def _record_answer(self, key, code, attempt, results, entry):
         texts = tuple(json.dumps(result).encode() for result in results)
         now = time.monotonic()
         self._events.append(
@@ -403,7 +424,7 @@
         )
 
     def violations(self):
-        """Return each promise that the starts and the answers show as broken."""
+        """Return the violations that the checker finds in the answers and starts."""
         return checker.check([*self._events, *self.starts()], checker.Settings())
 
 
@@ -411,7 +432,7 @@
     return [worker["table_version"] for worker in status["workers"]]
 
 
-def _get(url):
+def _get_json(url):
     try:
         reply = HTTP.get(url)
     except httpx.HTTPError:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,4 +1,4 @@
-"""Guards the promises of the system when its processes stop, pause or die."""
+"""The guarantees of the system when its real processes stop, pause or die."""
 
 import asyncio
 import contextlib
@@ -23,16 +23,16 @@
 
 @pytest.fixture
 def system(shared_system):
-    """Give a whole system, and check all promises after the test."""
+    """Yield a ready system, and check all guarantees after the test."""
     shared_system.start()
     yield shared_system
-    lost = {p.name: p.lost_status for p in shared_system.processes}
-    assert {name: code for name, code in lost.items() if code is not None} == {}
+    statuses = {p.name: p.unexpected_exit_status for p in shared_system.processes}
+    assert {name: code for name, code in statuses.items() if code is not None} == {}
     assert shared_system.violations() == []
     assert [p.name for p in shared_system.processes if "Traceback" in p.stderr] == []
 
 
-def _command(*arguments, **options):
+def _run_command(*arguments, **options):
     command = [sys.executable, "-m", "burdockgate", *arguments]
     return subprocess.run(command, capture_output=True, timeout=20, **options)
 
@@ -43,15 +43,16 @@
 
 
 @contextlib.asynccontextmanager
-async def _submitting(system, name, run_times_ms, is_lossy=False):
-    """Keep jobs coming, one after another on each of some lines, and check them.
+async def _run_load(system, name, run_times_ms, is_lossy=False):
+    """Submit jobs continuously with several clients, and check the answers.
 
-    A fault that loses tasks may end an attempt, and the client makes the next one.
+    :param is_lossy: the fault may lose tasks, which ends an attempt; the client then
+        submits the next one.
     """
     ended = asyncio.Event()
     answers = []
 
-    async def line(number):
+    async def submit_jobs(number):
         async with client.Client(system.urls) as caller:
             for count in itertools.count():
                 if ended.is_set():
@@ -59,9 +60,9 @@
                 key = f"{name}-{number}-{count}"
                 answers.append(await system.submit_with(caller, key, run_times_ms))
 
-    async with asyncio.TaskGroup() as lines:
+    async with asyncio.TaskGroup() as group:
         for number in range(LOAD_JOBS):
-            lines.create_task(line(number))
+            group.create_task(submit_jobs(number))
         try:
             yield answers
         finally:
@@ -75,7 +76,7 @@
 
 
 async def test_job_echoes_its_own_payloads(system):
-    """No part of the path may lose, repeat or cross a task."""
+    """Guards against lost, repeated or swapped tasks on the way to the worker."""
     run_times_ms = [1 + index % 7 for index in range(100)]
     answers = await asyncio.gather(
         *(system.submit(f"echo-{index}", run_times_ms) for index in range(4))
@@ -88,11 +89,11 @@
 
 
 def test_commands_of_callers_and_operators(system, tmp_path):
-    """The commands must print what the entry hosts really answer."""
+    """The commands print the answers of the entry hosts."""
     path = tmp_path / "job.json"
     path.write_text(json.dumps(processes.make_body([1, 1])))
     urls = [part for url in system.urls for part in ("--entry", url)]
-    done = _command("submit", str(path), "--key", "command", "--json", *urls)
+    done = _run_command("submit", str(path), "--key", "command", "--json", *urls)
     assert (done.returncode, done.stderr) == (0, b"")
     answer = json.loads(done.stdout)
     assert (answer["outcome"], answer["key"], answer["attempt"]) == (
@@ -102,14 +103,14 @@
     )
     assert [each["echo"]["mark"] for each in answer["results"]] == [0, 1]
     assert answer["entry"] in system.urls
-    done = _command("status", "--json", *urls)
+    done = _run_command("status", "--json", *urls)
     assert (done.returncode, done.stderr) == (0, b"")
     statuses = [each["status"] for each in json.loads(done.stdout)["entries"]]
     assert [status["name"] for status in statuses] == ["entry-1", "entry-2"]
 
 
 async def test_fetch_at_either_entry_host(system):
-    """A lookup at a host that does not lead the job must not say "pending"."""
+    """Guards against "pending" from an entry host that does not own the job."""
     answer = await system.post(0, "fetched", [1, 1])
     for url in system.urls:
         async with client.Client([url]) as caller:
@@ -120,9 +121,9 @@
 
 
 async def test_owner_killed(system):
-    """A takeover must neither start a task again nor lose a result."""
+    """Guards against a takeover that starts a task again or loses a result."""
     first = asyncio.create_task(system.post(0, "killed", [1000] * 40))
-    await system.wait_started("killed", count=12)
+    await system.wait_for_starts("killed", count=12)
     system.entries[0].end(signal.SIGKILL)
     await asyncio.wait({first})
     assert first.exception() is not None
@@ -132,28 +133,28 @@
 
 
 async def test_agent_killed(system):
-    """Only the jobs with a task in doubt may fail, and they must not run again."""
+    """Only jobs with a task that may have run may fail, and they must not run again."""
     keys = [f"lost-{index}" for index in range(12)]
-    # Its tasks must not end before the kill.
+    # The tasks of this agent must not end before the kill.
     system.servers[0].set_faults(hang_all=True)
     answers = [asyncio.create_task(system.post(0, key, [500])) for key in keys]
-    starts = [start for (start,) in await system.wait_started(*keys)]
+    starts = [start for (start,) in await system.wait_for_starts(*keys)]
     system.agents[0].end(signal.SIGKILL)
     system.servers[0].set_faults()
     for start, waiting in zip(starts, answers, strict=True):
         answer = await waiting
-        lost = ("WORKER_LOST", "may have run")
-        expected = lost if start.server == "server-1" else ("COMPLETE", "ran")
+        worker_lost = ("WORKER_LOST", "may have run")
+        expected = worker_lost if start.server == "server-1" else ("COMPLETE", "ran")
         assert (answer["name"], answer["start"]) == expected
     assert "server-1" in {start.server for start in starts}
-    before = len(system.servers[0].collect())
+    before = len(system.servers[0].read_starts())
     await asyncio.to_thread(system.start)
     _assert_complete([await system.submit("lost-after", [100] * 24)])
-    assert len(system.servers[0].collect()) > before
+    assert len(system.servers[0].read_starts()) > before
 
 
 async def test_entry_host_stops_under_load(system):
-    """A planned stop of an entry host must not cut a request."""
+    """Guards against a planned stop of an entry host that ends a request."""
     own = [
         asyncio.create_task(system.submit(f"own-{index}", [300] * 4, system.urls[:1]))
         for index in range(LOAD_JOBS)
@@ -168,26 +169,26 @@
 
 
 async def test_agent_stops_under_load(system):
-    """A planned stop of an agent must finish its tasks and fail no job."""
+    """A planned stop of an agent finishes its tasks and fails no job."""
     jobs = [
         asyncio.create_task(system.submit(f"drain-{index}", [300] * 12))
         for index in range(LOAD_JOBS)
     ]
-    await system.wait_started("drain-0")
-    # The status shows running tasks only with the next heartbeat, when they may have
-    # ended; the starts at the backend server stay.
-    before = len(system.servers[0].collect())
+    await system.wait_for_starts("drain-0")
+    # The status shows running tasks only from the next heartbeat on, when they may have
+    # ended. The record of starts at the backend server stays.
+    before = len(system.servers[0].read_starts())
     await processes.wait_until(
-        lambda: len(system.servers[0].collect()) > before, "tasks at the agent"
+        lambda: len(system.servers[0].read_starts()) > before, "tasks at the agent"
     )
     assert await asyncio.to_thread(system.agents[0].end, signal.SIGTERM) == 0
     _assert_complete(await asyncio.gather(*jobs))
 
 
 async def test_owner_paused(system):
-    """An owner that wakes after a takeover must not start or answer on its own."""
+    """Guards against an owner that acts on its own when it goes on after a takeover."""
     first = asyncio.create_task(system.post(0, "paused", [500] * 60))
-    await system.wait_started("paused", count=12)
+    await system.wait_for_starts("paused", count=12)
     system.entries[0].send(signal.SIGSTOP)
     try:
         second = await system.post(1, "paused", [500] * 60)
@@ -200,18 +201,18 @@
 
 
 async def test_repeated_member_record_changes_nothing(system):
-    """Two entry hosts may append one change twice; the view must stay whole."""
+    """Two entry hosts may append the same change; the view must stay the same."""
     system.repeat_last_member()
-    await asyncio.to_thread(system.wait_whole)
+    await asyncio.to_thread(system.wait_ready)
     _assert_complete([await system.submit("repeated", [20] * 12)])
 
 
 async def test_backend_server_killed(system):
-    """An agent must offer no slots without its backend server, and then again."""
-    # An ejected worker would get no task of the last job.
-    await asyncio.to_thread(_replace_unhealthy, system)
+    """An agent offers no slots while its backend server is down, and then again."""
+    # An ejected worker would get no tasks of the last job.
+    await asyncio.to_thread(_replace_unhealthy_agents, system)
     waiting = asyncio.create_task(system.post(0, "cut", [LIMIT_MS]))
-    ((start,),) = await system.wait_started("cut")
+    ((start,),) = await system.wait_for_starts("cut")
     index = int(start.server.removeprefix("server-")) - 1
     agent = f"agent-{index + 1}"
     system.servers[index].end(signal.SIGKILL)
@@ -221,14 +222,14 @@
     await processes.wait_until(
         lambda: system.worker(0, agent).get("free") == 0, "no free slots"
     )
-    before = len(system.servers[index].collect())
+    before = len(system.servers[index].read_starts())
     await asyncio.to_thread(system.start)
     _assert_complete([await system.submit("with", [100] * 24)])
-    assert len(system.servers[index].collect()) > before
+    assert len(system.servers[index].read_starts()) > before
 
 
 async def test_every_process_is_replaced_under_load(system):
-    """A rolling update must lose no job and run none twice."""
+    """Guards against jobs lost or run twice in a rolling update."""
 
     def replace_entry(index):
         assert system.entries[index].end(signal.SIGTERM) == 0
@@ -241,7 +242,7 @@
             system, index, lambda: (server.end(signal.SIGTERM), server.start())
         )
 
-    async with _submitting(system, "rolling", [20] * 4) as answers:
+    async with _run_load(system, "rolling", [20] * 4) as answers:
         for index in range(3):
             await asyncio.to_thread(replace_worker, index)
         for index in range(2):
@@ -250,10 +251,10 @@
 
 
 def _replace_agent(system, index, meanwhile=lambda: None):
-    """Replace an agent, and wait until the new one votes.
+    """Replace an agent, and wait until the new one is a voter.
 
-    A group of voters that loses two of three grants no claim, so that agents must not
-    be replaced faster. What is known of the worker's health goes with the old one.
+    A claim group that loses two of its three members grants no claims, so agents are
+    not replaced faster. The health record of the worker ends with the old agent.
     """
     agent = system.agents[index]
     boot = system.voter_boot(agent.name)
@@ -281,16 +282,16 @@
 
 
 class Fault(typing.NamedTuple):
-    """What is done to a system, how it shows, and what ends it."""
+    """A fault of a system: how to inject it, detect it and clear it."""
 
-    begin: typing.Callable
-    is_seen: typing.Callable
-    end: typing.Callable
+    inject: typing.Callable
+    is_detected: typing.Callable
+    clear: typing.Callable
     is_lossy: bool = False
 
 
-def _no_worker(system):
-    """Return whether no entry host shows the first agent."""
+def _is_worker_lost(system):
+    """Return whether both entry hosts have lost the first agent."""
     statuses = [system.status(index) for index in range(2)]
     return None not in statuses and all(
         [worker["name"] for worker in status["workers"]] == ["agent-2", "agent-3"]
@@ -298,11 +299,11 @@
     )
 
 
-def _no_peer(system):
+def _is_peer_lost(system):
     return system.status(1)["peers"] == []
 
 
-def _no_slot(system):
+def _has_no_free_slot(system):
     return system.worker(1, "agent-1").get("free", 1) <= 0
 
 
@@ -313,19 +314,22 @@
     )
 
 
-def _replace_unhealthy(system):
-    """Replace the agents that a test before has got ejected."""
+def _replace_unhealthy_agents(system):
+    """Replace agents that an earlier test left in an unhealthy state."""
     for index, agent in enumerate(system.agents):
         if not _has_health(system, "healthy", agent=agent.name):
             _replace_agent(system, index)
 
 
-def _fault(group, begin, end, is_seen, is_lossy=False):
-    """Do something to the first process of a group, and later something else."""
+def _make_fault(group, inject, clear, is_detected, is_lossy=False):
+    """Return a fault of the first process of a group.
+
+    :param group: name of a list of processes of the system.
+    """
     return Fault(
-        lambda system: begin(getattr(system, group)[0]),
-        is_seen,
-        lambda system: end(getattr(system, group)[0]),
+        lambda system: inject(getattr(system, group)[0]),
+        is_detected,
+        lambda system: clear(getattr(system, group)[0]),
         is_lossy,
     )
 
@@ -336,52 +340,54 @@
 )
 
 
-def _cut(*pairs):
-    def begin(system):
+def _make_connection_fault(*pairs):
+    def inject(system):
         for name, index in pairs:
-            system.cut(name, index)
+            system.close_connection(name, index)
             processes.wait_for(lambda: _is_joined(system), f"{name} joined again")
 
-    return Fault(begin, _is_joined, lambda _: None)
+    return Fault(inject, _is_joined, lambda _: None)
 
 
 FAULTS = {
-    "entry-killed": _fault("entries", *KILLED, _no_peer),
-    "entry-paused": _fault("entries", *PAUSED, _no_peer),
-    "agent-killed": _fault("agents", *KILLED, _no_worker, is_lossy=True),
-    # On a slow machine the tasks of a paused agent are given up 5 s after its lease.
-    "agent-paused": _fault("agents", *PAUSED, _no_worker, is_lossy=True),
-    "server-killed": _fault("servers", *KILLED, _no_slot, is_lossy=True),
-    "server-paused": _fault("servers", *PAUSED, _no_slot),
-    "agents-cut": _cut(*(("agent-1", 0), ("agent-2", 0), ("agent-1", 1)) * 2),
-    # When both dial, the connection that entry-1 has made is kept.
-    "entries-cut": _cut(("entry-1", 1), ("entry-1", 1)),
+    "entry-killed": _make_fault("entries", *KILLED, _is_peer_lost),
+    "entry-paused": _make_fault("entries", *PAUSED, _is_peer_lost),
+    "agent-killed": _make_fault("agents", *KILLED, _is_worker_lost, is_lossy=True),
+    # On a slow machine the tasks of a paused agent are lost, 5 s after its lease.
+    "agent-paused": _make_fault("agents", *PAUSED, _is_worker_lost, is_lossy=True),
+    "server-killed": _make_fault("servers", *KILLED, _has_no_free_slot, is_lossy=True),
+    "server-paused": _make_fault("servers", *PAUSED, _has_no_free_slot),
+    "agents-cut": _make_connection_fault(
+        *(("agent-1", 0), ("agent-2", 0), ("agent-1", 1)) * 2
+    ),
+    # When both entry hosts dial, the connection of entry-1 is kept.
+    "entries-cut": _make_connection_fault(("entry-1", 1), ("entry-1", 1)),
 }
 
 
 @pytest.mark.parametrize("name", FAULTS)
 async def test_fault_under_load(system, name):
-    """No process that dies, pauses or loses connections may break a promise."""
+    """Guards against guarantees broken by processes that die, pause or disconnect."""
     fault = FAULTS[name]
-    # The test before may have got the agent ejected, and a worker on probation gets
-    # too few tasks to run out of slots.
+    # An earlier test may have left the agent ejected, and a worker on probation gets
+    # too few tasks to use all its slots.
     if not _has_health(system, "healthy"):
         await asyncio.to_thread(_replace_agent, system, 0)
-    async with _submitting(system, name, [20] * 4, fault.is_lossy) as answers:
-        await _wait_more(answers)
+    async with _run_load(system, name, [20] * 4, fault.is_lossy) as answers:
+        await _wait_for_more_answers(answers)
         try:
-            await asyncio.to_thread(fault.begin, system)
-            await processes.wait_until(lambda: fault.is_seen(system), name)
+            await asyncio.to_thread(fault.inject, system)
+            await processes.wait_until(lambda: fault.is_detected(system), name)
         finally:
-            await asyncio.to_thread(fault.end, system)
-        await _wait_more(answers)
-    await asyncio.to_thread(system.wait_whole)
+            await asyncio.to_thread(fault.clear, system)
+        await _wait_for_more_answers(answers)
+    await asyncio.to_thread(system.wait_ready)
 
 
 async def test_server_paused_on_probation(system):
-    """A worker on probation that hangs must hold one task of each entry host."""
+    """A worker on probation that hangs gets only one task from each entry host."""
     server = system.servers[0]
-    # The first ejection is the shortest, with 10 s.
+    # The first ejection is the shortest, 10 s, so a new agent is used.
     await asyncio.to_thread(_replace_agent, system, 0)
     server.set_faults(fail_all=True)
     for count in itertools.count():
@@ -393,7 +399,7 @@
     server.set_faults()
     server.send(signal.SIGSTOP)
     try:
-        async with _submitting(system, "on-probation", [20] * 4) as answers:
+        async with _run_load(system, "on-probation", [20] * 4) as answers:
             await processes.wait_until(
                 lambda: _has_health(system, "probation"), "probation"
             )
@@ -402,16 +408,16 @@
                 "a task of each entry host",
             )
             for _ in range(5):
-                await _wait_more(answers)
+                await _wait_for_more_answers(answers)
                 assert system.worker(0, "agent-1")["free"] == processes.SLOTS - 2
             server.send(signal.SIGCONT)
-            await _wait_more(answers)
+            await _wait_for_more_answers(answers)
     finally:
         server.send(signal.SIGCONT)
-    await asyncio.to_thread(system.wait_whole)
+    await asyncio.to_thread(system.wait_ready)
 
 
-async def _wait_more(answers):
+async def _wait_for_more_answers(answers):
     wanted = len(answers) + LOAD_JOBS
     await processes.wait_until(lambda: len(answers) >= wanted, "more answers")
 
@@ -425,12 +431,12 @@
 
 @pytest.mark.parametrize("name", LOG_FAULTS)
 async def test_fault_of_the_log_under_load(system, name):
-    """Jobs must not need the log; a change must be accepted once, and take effect."""
+    """Jobs do not need the log; a change is accepted once, and takes effect."""
     faults = LOG_FAULTS[name]
     agent, server = system.agents[2], system.servers[2]
     boot = system.voter_boot(agent.name)
-    async with _submitting(system, f"log-{name}", [20] * 4) as answers:
-        await _wait_more(answers)
+    async with _run_load(system, f"log-{name}", [20] * 4) as answers:
+        await _wait_for_more_answers(answers)
         if faults is None:
             system.log.send(signal.SIGSTOP)
         else:
@@ -438,12 +444,12 @@
         try:
             change = asyncio.create_task(system.change_table())
             assert await asyncio.to_thread(agent.end, signal.SIGTERM) == 0
-            before = len(server.collect())
+            before = len(server.read_starts())
             agent.start()
             await processes.wait_until(
-                lambda: len(server.collect()) > before, "tasks at the new agent"
+                lambda: len(server.read_starts()) > before, "tasks at the new agent"
             )
-            await _wait_more(answers)
+            await _wait_for_more_answers(answers)
         finally:
             system.log.send(signal.SIGCONT)
             await asyncio.to_thread(system.set_log_faults)
@@ -452,14 +458,14 @@
         await processes.wait_until(
             lambda: system.is_in_force(outcome.version), "the change in force"
         )
-    await asyncio.to_thread(system.wait_whole)
+    await asyncio.to_thread(system.wait_ready)
     assert system.voter_boot(agent.name) not in (None, boot)
 
 
 async def test_log_killed(system):
-    """Jobs must not need the log.
+    """Jobs do not need the log.
 
-    This test is the last one, because a new log would have lost the membership.
+    This test is the last one, because a restarted log loses the membership.
     """
     system.log.end(signal.SIGKILL)
     answers = await asyncio.gather(
