--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -18,14 +18,14 @@
 
 
 @pytest.fixture
-async def system(shared):
+async def system(shared_system):
     """Yield a running system, which must still complete a job after the test."""
-    yield shared
-    result = await shared.submit(f"good-{next(_counter)}", [1] * 24)
+    yield shared_system
+    result = await shared_system.submit(f"good-{next(_counter)}", [1] * 24)
     assert (result.outcome, result.attempt) == ("complete", 1)
-    assert all(process.is_running for process in shared.processes)
-    assert shared.violations() == []
-    assert [p.name for p in shared.processes if "Traceback" in p.stderr] == []
+    assert all(process.is_running for process in shared_system.processes)
+    assert shared_system.violations() == []
+    assert [p.name for p in shared_system.processes if "Traceback" in p.stderr] == []
 
 
 def _frame(body):
@@ -130,7 +130,7 @@
 
 
 def _body(**fields):
-    return json.dumps(processes.body_of([1]) | fields).encode()
+    return json.dumps(processes.make_body([1]) | fields).encode()
 
 
 BAD_BODIES = {
--- a/tests/test_session_faults.py
+++ b/tests/test_session_faults.py
@@ -1,4 +1,4 @@
-"""Whole sessions in which one part or two fail."""
+"""Sessions in which one or two processes or connections fail."""
 
 import pytest
 
@@ -17,24 +17,24 @@
     assert result.code is code
 
 
-def kill_when_started(session, name, count):
+def kill_after_starts(session, name, count):
     session.run_until(lambda: len(session.starts) >= count)
     session.kill(name)
 
 
 def test_owner_dies_and_caller_submits_elsewhere(session, snapshot):
-    """Finished results are collected, running tasks awaited, none starts twice."""
+    """Guards a takeover: it collects results, awaits running tasks, restarts none."""
     request = sessions.make_request("k1", [50, 500, 500, 500, 50, 50, 50, 50])
     session.submit("entry-1", request)
-    kill_when_started(session, "entry-1", 7)
+    kill_after_starts(session, "entry-1", 7)
     ticket = session.submit("entry-2", request)
-    sessions.assert_whole(request, session.answer(ticket))
+    sessions.assert_complete(request, session.wait_answer(ticket))
     sessions.assert_single_starts(session)
-    assert session.text() == snapshot
+    assert session.trace_text() == snapshot
 
 
 def test_owner_dies_between_claim_and_dispatch(session):
-    """A claim without any start must not block the job for ever."""
+    """Guards against a job that is blocked for ever by a claim without a start."""
     request = sessions.make_request("k1", [50] * 4)
     session.filters.append(
         lambda _from, _to, message, delays: (
@@ -45,12 +45,12 @@
     session.run(0.01)
     session.kill("entry-1")
     ticket = session.submit("entry-2", request)
-    sessions.assert_whole(request, session.answer(ticket))
+    sessions.assert_complete(request, session.wait_answer(ticket))
     sessions.assert_single_starts(session)
 
 
 def test_owner_frozen_then_thawed(session):
-    """A paused owner that wakes after a takeover starts nothing and joins."""
+    """A paused owner that goes on after a takeover starts nothing and joins the job."""
     request = sessions.make_request("k1", [400] * 20)
     first = session.submit("entry-1", request)
     session.run_until(lambda: len(session.starts) >= 6)
@@ -59,15 +59,15 @@
     second = session.submit("entry-2", request)
     session.run(3.5)
     session.thaw("entry-1")
-    sessions.assert_whole(request, session.answer(second))
-    sessions.assert_whole(request, session.answer(first))
+    sessions.assert_complete(request, session.wait_answer(second))
+    sessions.assert_complete(request, session.wait_answer(first))
     sessions.assert_single_starts(session)
 
 
 def test_frozen_owner_does_not_say_not_run(session):
-    """An owner whose deadline passed while it was paused must not claim "not run".
+    """Guards against a false "not run" of an owner that was paused past the deadline.
 
-    Its job had not started, but another entry host has taken it over and run it.
+    Its job had not started, but another entry host took it over and ran it.
     """
     session.submit("entry-2", sessions.make_request("long", [3000] * 6))
     session.run(0.1)
@@ -78,48 +78,48 @@
     session.freeze("entry-1")
     again = sessions.make_request("k1", [50] * 4)
     second = session.submit("entry-2", again)
-    sessions.assert_whole(again, session.answer(second))
+    sessions.assert_complete(again, session.wait_answer(second))
     session.thaw("entry-1")
-    result = session.answer(first)
+    result = session.wait_answer(first)
     assert codes.start_class(result.code) is not codes.StartClass.NOT_RUN
     sessions.assert_single_starts(session)
 
 
 def test_agent_dies_with_tasks(session, snapshot):
-    """The job fails whole as "may have run" and the rest is not started."""
+    """The whole job fails as "may have run", and its other tasks are not started."""
     request = sessions.make_request("k1", [300] * 12)
     ticket = session.submit("entry-1", request)
-    kill_when_started(session, "agent-2", 6)
-    assert_failed(session.answer(ticket), codes.Code.WORKER_LOST)
+    kill_after_starts(session, "agent-2", 6)
+    assert_failed(session.wait_answer(ticket), codes.Code.WORKER_LOST)
     sessions.assert_single_starts(session)
-    assert session.text() == snapshot
+    assert session.trace_text() == snapshot
 
 
 def test_agent_restarts_under_the_same_name(session):
-    """The new boot is proof of the loss: the job fails at once, not after 5 s."""
+    """A new boot id proves the loss: the job fails at once, not after 5 s."""
     request = sessions.make_request("k1", [300] * 12)
     ticket = session.submit("entry-1", request)
-    kill_when_started(session, "agent-2", 6)
+    kill_after_starts(session, "agent-2", 6)
     session.start("agent-2")
     at = session.clock.now()
-    assert_failed(session.answer(ticket), codes.Code.WORKER_LOST)
+    assert_failed(session.wait_answer(ticket), codes.Code.WORKER_LOST)
     assert session.clock.now() - at < 1.5
 
 
 def test_failed_job_runs_again_only_if_repeatable(session):
-    """The same key starts a new attempt of a repeatable job, never of another."""
+    """A submitted key starts a new attempt of a failed job only if it is repeatable."""
     for key, repeatable in (("again", True), ("once", False)):
         request = sessions.make_request(key, [300] * 6, repeatable=repeatable)
         ticket = session.submit("entry-1", request)
         session.run(0.01)
         session.kill("agent-2")
-        assert_failed(session.answer(ticket), codes.Code.WORKER_LOST)
+        assert_failed(session.wait_answer(ticket), codes.Code.WORKER_LOST)
         session.start("agent-2")
         session.run(1.0)
         for name in ("entry-1", "entry-2"):
-            result = session.answer(session.submit(name, request))
+            result = session.wait_answer(session.submit(name, request))
             if repeatable:
-                sessions.assert_whole(request, result)
+                sessions.assert_complete(request, result)
                 assert result.attempt == 2
             else:
                 assert_failed(result, codes.Code.WORKER_LOST)
@@ -127,19 +127,19 @@
 
 
 def test_agent_connection_cut_and_back(session):
-    """After a short cut, results that could not be sent are collected by a fence."""
+    """A fence collects the results that could not be sent during a short cut."""
     request = sessions.make_request("k1", [300] * 12)
     ticket = session.submit("entry-1", request)
     session.run(0.1)
     session.cut("entry-1", "agent-2")
     session.run(0.5)
     session.heal("entry-1", "agent-2")
-    sessions.assert_whole(request, session.answer(ticket))
+    sessions.assert_complete(request, session.wait_answer(ticket))
     sessions.assert_single_starts(session)
 
 
 def test_start_lost_with_the_connection_is_sent_again(session):
-    """A fence shows that the agent never got a task, so it may go elsewhere."""
+    """A fence shows that an agent did not get a task, which may then go to another."""
     request = sessions.make_request("k1", [100] * 4)
     lost = []
 
@@ -155,12 +155,12 @@
     assert lost
     session.cut("entry-1", "agent-1")
     session.heal("entry-1", "agent-1")
-    sessions.assert_whole(request, session.answer(ticket))
+    sessions.assert_complete(request, session.wait_answer(ticket))
     sessions.assert_single_starts(session)
 
 
 def test_duplicated_and_delayed_messages(session):
-    """Every message twice, the second one late: nothing starts twice or is lost."""
+    """Guards against tasks started twice or lost when every message arrives again."""
     session.filters.append(
         lambda _from, _to, _message, delays: [*delays, *(d + 0.15 for d in delays)]
     )
@@ -168,42 +168,46 @@
         request = sessions.make_request(f"k{index}", [20 + index] * 10)
         tickets = [session.submit(name, request) for name in ("entry-1", "entry-2")]
         for ticket in tickets:
-            sessions.assert_whole(request, session.answer(ticket))
+            sessions.assert_complete(request, session.wait_answer(ticket))
     sessions.assert_single_starts(session)
 
 
 def test_one_member_lost_does_not_stop_claims(session):
-    """Two of three members are a majority."""
+    """Two of the three members of a claim group are a majority."""
     session.kill("agent-3")
     request = sessions.make_request("k1", [50] * 4)
-    sessions.assert_whole(request, session.answer(session.submit("entry-1", request)))
+    sessions.assert_complete(
+        request, session.wait_answer(session.submit("entry-1", request))
+    )
 
 
 def test_no_majority_is_not_called_not_run(session):
-    """Without a majority an earlier submission cannot be excluded."""
+    """Without a majority an earlier submission is possible, so "not run" is false."""
     session.log_is_up = False
     request = sessions.make_request("k1", [50] * 2, deadline_ms=3000)
-    sessions.assert_whole(request, session.answer(session.submit("entry-1", request)))
+    sessions.assert_complete(
+        request, session.wait_answer(session.submit("entry-1", request))
+    )
     for name in ("agent-2", "agent-3", "entry-1"):
         session.kill(name)
     unknown = sessions.make_request("k2", [50], deadline_ms=3000)
-    result = session.answer(session.submit("entry-2", unknown))
+    result = session.wait_answer(session.submit("entry-2", unknown))
     assert result.code is codes.Code.CLAIM_UNAVAILABLE
-    known = session.answer(session.submit("entry-2", request))
+    known = session.wait_answer(session.submit("entry-2", request))
     assert codes.start_class(known.code) is codes.StartClass.MAY_HAVE_RUN
     sessions.assert_single_starts(session)
 
 
 def test_lost_member_is_replaced_and_catches_up():
-    """A member that enters a group must know claims from before its entry.
+    """A member that joins a claim group must know the claims from before.
 
-    Otherwise a job could be claimed a second time after two view changes.
+    Otherwise a job could be claimed again after two changes of the view.
     """
     session = sessions.Session(entries=2, agents=6)
     requests = [sessions.make_request(f"k{index}", [20]) for index in range(30)]
     for request in requests:
-        sessions.assert_whole(
-            request, session.answer(session.submit("entry-1", request))
+        sessions.assert_complete(
+            request, session.wait_answer(session.submit("entry-1", request))
         )
     for name in ("agent-1", "agent-2"):
         session.kill(name)
@@ -212,61 +216,63 @@
         session.run(5.0)
     session.kill("entry-1")
     for request in requests:
-        session.answer(session.submit("entry-2", request))
+        session.wait_answer(session.submit("entry-2", request))
     sessions.assert_single_starts(session)
 
 
 def test_cancel_before_and_after_the_start(session):
-    """A cancel ends in a definite outcome, and "not run" is true."""
+    """Guards against a cancel without a final outcome, and a false "not run"."""
     session.submit("entry-1", sessions.make_request("long", [3000] * 6))
     session.run(0.1)
     waiting = sessions.make_request("waiting", [50] * 2)
     ticket = session.submit("entry-1", waiting)
     session.run(0.1)
-    cancelled = session.answer(session.cancel("entry-1", waiting))
+    cancelled = session.wait_answer(session.cancel("entry-1", waiting))
     assert cancelled.code is codes.Code.CANCELLED_NOT_RUN
     assert session.answers[ticket] == cancelled
     running = sessions.make_request("long", [3000] * 6)
-    result = session.answer(session.cancel("entry-2", running))
+    result = session.wait_answer(session.cancel("entry-2", running))
     assert result.code is codes.Code.CANCELLED_MAY_HAVE_RUN
     session.run(0.1)
     assert session.core("agent-1").slots.running == 0
 
 
 def test_key_with_another_body_is_refused(session):
-    """A key that was used for another body must not get its answer."""
+    """Guards against the answer to another body that used the same key."""
     first = sessions.make_request("k1", [50])
     second = sessions.make_request("k1", [60])
     session.submit("entry-1", first)
     for name in ("entry-1", "entry-2"):
-        result = session.answer(session.submit(name, second))
+        result = session.wait_answer(session.submit(name, second))
         assert result.code is codes.Code.KEY_REUSED
 
 
 def test_full_backlog_refuses_but_joins_what_runs(session):
-    """A refusal "not run" must not be given for a job that runs elsewhere."""
+    """Guards against a "not run" for a job that runs at another entry host."""
     request = sessions.make_request("k1", [300] * 6)
     ticket = session.submit("entry-1", request)
     session.run(0.05)
     session.core("entry-2").draining = True
     second = session.submit("entry-2", request)
     refused = session.submit("entry-2", sessions.make_request("k2", [50]))
-    assert session.answer(refused).code is codes.Code.DRAINING
-    sessions.assert_whole(request, session.answer(second))
-    sessions.assert_whole(request, session.answer(ticket))
+    assert session.wait_answer(refused).code is codes.Code.DRAINING
+    sessions.assert_complete(request, session.wait_answer(second))
+    sessions.assert_complete(request, session.wait_answer(ticket))
     sessions.assert_single_starts(session)
 
 
 def test_log_outage_does_not_stop_jobs(session):
-    """Claims and starts need no append."""
+    """Claims and starts need no append to the log."""
     session.log_is_up = False
     request = sessions.make_request("k1", [50] * 10)
-    sessions.assert_whole(request, session.answer(session.submit("entry-1", request)))
+    sessions.assert_complete(
+        request, session.wait_answer(session.submit("entry-1", request))
+    )
 
 
 @pytest.mark.parametrize("count", [0, 3, 5])
 def test_answer_of_the_owner_that_is_not_whole_is_no_answer(session, count):
-    """A joined caller must not get a partial answer from another entry host."""
+    """Guards against a partial answer from the owner to a caller of another host."""
     request = sessions.make_request("k1", [300] * 4)
     session.submit("entry-1", request)
     session.run(0.05)
@@ -275,22 +281,22 @@
     part = messages.Outcome(request.job, 1, 1, 0, "", (b"1",) * count)
     joined = session.processes["entry-2"]
     session._perform(joined, joined.core.receive("entry-1", part))
-    assert_failed(session.answer(ticket), codes.Code.ANSWER_EXPIRED)
+    assert_failed(session.wait_answer(ticket), codes.Code.ANSWER_EXPIRED)
 
 
 def test_entry_hosts_connect_again_after_a_cut():
-    """A cut between two entry hosts must not last after its cause is gone."""
+    """Guards against entry hosts that stay apart after the end of a cut."""
     session = sessions.Session()
-    session.redials = False
+    session.is_redialing = False
     session.cut("entry-1", "entry-2")
     session.run(1.0)
-    session.cuts.clear()
+    session.cut_pairs.clear()
     session.run(1.0)
     assert "entry-2" in session.core("entry-1").jobs.peer_by_name
 
 
 def test_lost_settlement_holds_up_no_planned_stop():
-    """A settlement lost with a connection must not hold up the stop for 60 s."""
+    """Guards against a lost settlement that delays a planned stop by 60 s."""
     session = sessions.Session()
 
     def lose_settlements(_sender, to, message, delays):
@@ -301,7 +307,7 @@
     request = sessions.make_request("k1", [20] * 6)
     ticket = session.submit("entry-1", request)
     session.run(1.0)
-    assert session.answer(ticket).code is codes.Code.COMPLETE
+    assert session.wait_answer(ticket).code is codes.Code.COMPLETE
     assert not session.core("agent-1").is_idle
     session.filters.remove(lose_settlements)
     session.drain("agent-1")
