Start the test of a stopped agent under load with healthy workers

In three of four runs of the tests before it, an entry host had ejected a worker as slow for 10 s, which is allowed. With agent-1 ejected at both entry hosts, a script of the same load gives server-1 no start in 20 s; without an ejection the first one comes after 0.02 s and 88 follow. Change: the test first replaces the agents of ejected workers, as test_backend_server_killed does. Its checks are the same.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -170,6 +170,8 @@
 
 async def test_agent_stops_under_load(system):
     """A planned stop of an agent finishes its tasks and fails no job."""
+    # An ejected worker would get no task of the load.
+    await asyncio.to_thread(_replace_unhealthy_agents, system)
     jobs = [
         asyncio.create_task(system.submit(f"drain-{index}", [300] * 12))
         for index in range(LOAD_JOBS)
