Rename the fields of the simulation that tests use

`fails`, `hangs`, `is_cut`, `verdicts`, `credit` and `broken` did not say what they hold, and `load`, `make` and `messages` said it only to their author. This commit holds renames only; strings, log lines and printed columns are the same.

--- a/src/burdockgate/standin/crest.py
+++ b/src/burdockgate/standin/crest.py
@@ -55,7 +55,7 @@
     worth: float
     share_by_kind: dict[str, float]
     refused: float
-    broken: int
+    violation_count: int
 
 
 def replay(policy: Policy, seed: int, factor: float, crest_s: float) -> Result:
@@ -68,11 +68,11 @@
     """
     sim = simulation.Simulation(seed, KINDS, ordering=policy.ordering)
     crest_at = BEGIN_S + CALM_S
-    sim.load(BEGIN_S, crest_at)
-    sim.load(crest_at, crest_at + crest_s, factor)
-    sim.load(crest_at + crest_s, crest_at + crest_s + CALM_S)
+    sim.schedule_load(BEGIN_S, crest_at)
+    sim.schedule_load(crest_at, crest_at + crest_s, factor)
+    sim.schedule_load(crest_at + crest_s, crest_at + crest_s + CALM_S)
     sim.run(crest_at + crest_s + CALM_S + RUN_OUT_S)
-    shares = sim.credit()
+    shares = sim.earned_share_by_kind()
     worth = sum(shares[kind.name] * kind.worth * kind.per_s for kind in KINDS)
     owed = sum(kind.worth * kind.per_s for kind in KINDS)
     unserved = [
@@ -87,7 +87,7 @@
     )
 
 
-def table(results: list[Result]) -> Iterator[str]:
+def format_table(results: list[Result]) -> Iterator[str]:
     """Yield the lines of a table.
 
     :param results: one row each.
@@ -102,7 +102,7 @@
         shares = "  ".join(f"{row.share_by_kind[name]:6.3f}" for name in kinds)
         yield (
             f"{row.policy:<12}  {row.worth:.3f}  {shares}  {row.refused:8.3f}"
-            f"  {row.broken:6}"
+            f"  {row.violation_count:6}"
         )
 
 
@@ -119,7 +119,7 @@
     results = [
         replay(policy, given.seed, given.factor, given.seconds) for policy in POLICIES
     ]
-    print("\n".join(table(results)))
+    print("\n".join(format_table(results)))
 
 
 if __name__ == "__main__":
--- a/src/burdockgate/standin/faultinjection.py
+++ b/src/burdockgate/standin/faultinjection.py
@@ -99,10 +99,10 @@
     """Let workers leave commands unanswered and carry them out late."""
 
     def begin(faults: simworker.Faults) -> None:
-        faults.unanswered = 0.2
+        faults.unanswered_share = 0.2
 
     def end(faults: simworker.Faults) -> None:
-        faults.unanswered = 0.0
+        faults.unanswered_share = 0.0
 
     return _fault(sim, rng, "late commands", begin, end)
 
@@ -111,10 +111,10 @@
     """Let workers run on while their agents can't reach them."""
 
     def begin(faults: simworker.Faults) -> None:
-        faults.is_cut = True
+        faults.is_unreachable = True
 
     def end(faults: simworker.Faults) -> None:
-        faults.is_cut = False
+        faults.is_unreachable = False
 
     return _fault(sim, rng, "workers cut", begin, end)
 
@@ -123,10 +123,10 @@
     """Let workers fail all that they start."""
 
     def begin(faults: simworker.Faults) -> None:
-        faults.fails = True
+        faults.is_failing = True
 
     def end(faults: simworker.Faults) -> None:
-        faults.fails = False
+        faults.is_failing = False
 
     return _fault(sim, rng, "workers fail", begin, end)
 
@@ -135,10 +135,10 @@
     """Let tasks stand still."""
 
     def begin(faults: simworker.Faults) -> None:
-        faults.hangs = True
+        faults.is_hanging = True
 
     def end(faults: simworker.Faults) -> None:
-        faults.hangs = False
+        faults.is_hanging = False
 
     return _fault(sim, rng, "workers hang", begin, end)
 
--- a/src/burdockgate/standin/invariants.py
+++ b/src/burdockgate/standin/invariants.py
@@ -26,13 +26,13 @@
     for span in spans:
         by_task.setdefault(span.key.task, []).append(span)
     for task, found in by_task.items():
-        found.sort(key=lambda span: span.began)
+        found.sort(key=lambda span: span.started_at)
         for first, second in zip(found, found[1:], strict=False):
-            if second.began < first.ended - 1e-9:
+            if second.started_at < first.ended_at - 1e-9:
                 yield (
                     f"twice: {task} run {first.key.run} on {first.worker} until "
-                    f"{first.ended:.3f}, run {second.key.run} on {second.worker} from "
-                    f"{second.began:.3f}"
+                    f"{first.ended_at:.3f}, run {second.key.run} on {second.worker} "
+                    f"from {second.started_at:.3f}"
                 )
 
 
@@ -43,7 +43,7 @@
         steps = [
             step
             for span in [*worker.spans, *worker.open_spans()]
-            for step in ((span.began, 1, span.cpu), (span.ended, 0, -span.cpu))
+            for step in ((span.started_at, 1, span.cpu), (span.ended_at, 0, -span.cpu))
         ]
         used = 0
         for at, _, cpu in sorted(steps):
@@ -70,11 +70,11 @@
         # A refusal speaks of its own submission: an earlier one, whose connection
         # broke, may have run.
         only_refused = (
-            caller_job.verdicts
+            caller_job.outcomes
             and not caller_job.is_interrupted
             and all(
                 isinstance(verdict, besteffort.Refused)
-                for verdict in caller_job.verdicts
+                for verdict in caller_job.outcomes
             )
         )
         if only_refused and caller_job.job in started:
--- a/src/burdockgate/standin/simnodes.py
+++ b/src/burdockgate/standin/simnodes.py
@@ -59,7 +59,7 @@
     submission: besteffort.Submission
     sent_at: float
     objective_s: float
-    verdicts: list[besteffort.Outcome] = attrs.field(factory=list)
+    outcomes: list[besteffort.Outcome] = attrs.field(factory=list)
     ended_at: float | None = None
     is_interrupted: bool = False
 
@@ -76,7 +76,7 @@
     def is_completed(self) -> bool:
         """Whether the caller was told that all tasks are done."""
         return any(
-            isinstance(verdict, besteffort.Completed) for verdict in self.verdicts
+            isinstance(verdict, besteffort.Completed) for verdict in self.outcomes
         )
 
 
@@ -182,7 +182,7 @@
         self._begin()
 
     def _beat(self) -> None:
-        if self.worker.faults.is_cut:
+        if self.worker.faults.is_unreachable:
             return
         self.sequence += 1
         if self.is_draining and self.drained_at is None:
@@ -234,10 +234,10 @@
             time.call_later(COMMAND_S, lambda: finish(answer))
 
         def arrive() -> None:
-            if self.worker.faults.unanswered and self.worker.is_command_lost():
+            if self.worker.faults.unanswered_share and self.worker.is_command_lost():
                 late_s = self.sim.rng.uniform(*simworker.LATE_S)
                 time.call_later(late_s, lambda: self.worker.poll(command, _ignore))
-            elif not self.worker.faults.is_cut:
+            elif not self.worker.faults.is_unreachable:
                 self.worker.poll(command, answered)
 
         time.call_later(COMMAND_S, arrive)
@@ -285,7 +285,7 @@
             if life == self.life:
                 self.run(lambda: self.perform(handle(answer)))
 
-        if faults.is_cut:
+        if faults.is_unreachable:
             time.call_later(
                 COMMAND_TIMEOUT_S, lambda: finish(workercontrol.Unanswered())
             )
--- a/src/burdockgate/standin/simulation.py
+++ b/src/burdockgate/standin/simulation.py
@@ -54,7 +54,7 @@
         self.ordering = ordering or selection.ShortestFirst()
         self.selection = chosen or selection.SelectionSettings()
         self.limits = limits or executoractions.ExecutorSettings()
-        self.messages: collections.Counter[type] = collections.Counter()
+        self.message_count_by_type: collections.Counter[type] = collections.Counter()
         self.tickets = iter(range(1, 1 << 60))
         self.work_by_task: dict[assignments.TaskKey, tuple[float, int]] = {}
         self.caller_jobs: list[simnodes.CallerJob] = []
@@ -237,7 +237,7 @@
         link = self._linked.get(pair)
         if link is None:
             return
-        self.messages[type(message)] += 1
+        self.message_count_by_type[type(message)] += 1
         node = self.entry_by_name[entry]
 
         def handle() -> None:
@@ -264,7 +264,7 @@
         link = self._linked.get(pair)
         if link is None:
             return
-        self.messages[type(message)] += 1
+        self.message_count_by_type[type(message)] += 1
         node = self.agent_by_name[agent]
 
         def handle() -> None:
@@ -285,7 +285,7 @@
 
     # Callers.
 
-    def load(self, begin: float, end: float, factor: float = 1.0) -> None:
+    def schedule_load(self, begin: float, end: float, factor: float = 1.0) -> None:
         """Let callers send jobs at the rates of their kinds.
 
         :param begin: first second of the load, from the start of the simulation.
@@ -298,9 +298,11 @@
                 at += self.rng.expovariate(kind.per_s * factor)
                 if at >= end:
                     break
-                self.send_at(at, self.make(kind))
+                self.submit_at(at, self.make_job(kind))
 
-    def make(self, kind: simnodes.Kind, is_poison: bool = False) -> simnodes.CallerJob:
+    def make_job(
+        self, kind: simnodes.Kind, is_poison: bool = False
+    ) -> simnodes.CallerJob:
         """Return a job whose durations are not known to the system.
 
         :param kind: its kind.
@@ -332,7 +334,7 @@
         )
         return simnodes.CallerJob(job, kind, submission, 0.0, objective_s)
 
-    def send_at(
+    def submit_at(
         self, at: float, caller_job: simnodes.CallerJob, entry: str | None = None
     ) -> None:
         """Let a caller send a job.
@@ -375,7 +377,7 @@
         :param caller_job: the job.
         :param verdict: the answer.
         """
-        caller_job.verdicts.append(verdict)
+        caller_job.outcomes.append(verdict)
         caller_job.ended_at = self.time.now()
         if isinstance(verdict, besteffort.Interrupted):
             self.resend(caller_job)
@@ -397,7 +399,7 @@
             for span in [*agent.worker.spans, *agent.worker.open_spans()]
         ]
 
-    def credit(self) -> dict[str, float]:
+    def earned_share_by_kind(self) -> dict[str, float]:
         """Return the share of the worth that was earned, by kind."""
         shares: dict[str, float] = {}
         for kind in self.kinds:
--- a/src/burdockgate/standin/simworker.py
+++ b/src/burdockgate/standin/simworker.py
@@ -35,8 +35,8 @@
     worker: str
     key: assignments.RunKey
     cpu: int
-    began: float
-    ended: float
+    started_at: float
+    ended_at: float
     reason: workercontrol.EndReason | None
 
 
@@ -50,10 +50,10 @@
     """
 
     slowness: float = 1.0
-    fails: bool = False
-    hangs: bool = False
-    unanswered: float = 0.0
-    is_cut: bool = False
+    is_failing: bool = False
+    is_hanging: bool = False
+    unanswered_share: float = 0.0
+    is_unreachable: bool = False
 
 
 class SimulatedWorker:
@@ -134,7 +134,7 @@
 
     def is_command_lost(self) -> bool:
         """Return whether the next command gets no answer and is carried out late."""
-        return self._rng.random() < self.faults.unanswered
+        return self._rng.random() < self.faults.unanswered_share
 
     def start(self, command: workercontrol.StartCommand) -> workercontrol.CommandResult:
         """Carry out a start command.
@@ -160,15 +160,15 @@
         run = _Run(key, abs(work_s), self._time.now())
         self._run_by_key[key] = run
         duration_s = run.work_s * self.faults.slowness / self._speed
-        is_failing = work_s < 0 or self.faults.fails
-        if self.faults.hangs:
+        is_failing = work_s < 0 or self.faults.is_failing
+        if self.faults.is_hanging:
             return
         reason = (
             workercontrol.EndReason.FAILED
             if is_failing
             else workercontrol.EndReason.DONE
         )
-        if self.faults.fails:
+        if self.faults.is_failing:
             duration_s = 0.005
         self._time.call_later(duration_s, lambda: self._end(run, reason))
 
@@ -233,7 +233,7 @@
         )
 
     def _percent(self, run: _Run, now: float) -> int:
-        if self.faults.hangs:
+        if self.faults.is_hanging:
             return 0
         done = (now - run.started_at) * self._speed / self.faults.slowness
         return min(99, int(100 * done / max(run.work_s, 0.001)))
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -210,9 +210,9 @@
         by_task.setdefault(span.key.task, []).append(span)
     assert len(by_task) == 4
     for spans in by_task.values():
-        spans.sort(key=lambda span: span.began)
+        spans.sort(key=lambda span: span.started_at)
         assert all(
-            earlier.ended <= later.began
+            earlier.ended_at <= later.started_at
             for earlier, later in zip(spans, spans[1:], strict=False)
         )
 
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -27,11 +27,11 @@
 def test_load_below_capacity_is_served_in_time():
     """At a load that fits the workers, less than one job in twenty may be late."""
     sim = simulation.Simulation(1, KINDS)
-    sim.load(3, 9)
+    sim.schedule_load(3, 9)
     sim.run(60)
     assert list(invariants.violations(sim)) == []
     assert all(caller_job.is_completed for caller_job in sim.caller_jobs)
-    assert min(sim.credit().values()) > 0.95
+    assert min(sim.earned_share_by_kind().values()) > 0.95
 
 
 # Seeds 15 and 26: a worker that restarted under the same identifier ran a task twice.
@@ -40,7 +40,7 @@
 def test_invariants_hold_through_random_faults(seed):
     """No concurrent runs of a task, no overcommitted worker, no false answer."""
     sim = _small(seed)
-    sim.load(3, 13, LOAD_SHARE)
+    sim.schedule_load(3, 13, LOAD_SHARE)
     injected = faultinjection.schedule(sim, seed, 4, 12, 6)
     sim.run(90)
     assert list(invariants.violations(sim)) == [], injected
@@ -51,7 +51,7 @@
 def test_invariants_hold_through_a_series_of_one_fault(fault):
     """The same fault may recur before the system has recovered from it."""
     sim = _small(7)
-    sim.load(3, 10, LOAD_SHARE)
+    sim.schedule_load(3, 10, LOAD_SHARE)
     injected = faultinjection.schedule(sim, 11, 4, 9, 5, (fault,))
     sim.run(90)
     assert list(invariants.violations(sim)) == [], injected
@@ -65,8 +65,8 @@
 def test_runs_of_a_dead_owner_have_ended_when_its_caller_retries():
     """A caller sends a job again 1.3 s after its connection broke."""
     sim = _small(3)
-    caller_job = sim.make(LONG)
-    sim.send_at(3, caller_job, "entry-0")
+    caller_job = sim.make_job(LONG)
+    sim.submit_at(3, caller_job, "entry-0")
     sim.time.call_later(3.3, sim.entry_by_name["entry-0"].kill)
     sim.run(60)
     assert list(invariants.violations(sim)) == []
@@ -79,7 +79,7 @@
     """Assignments that were buffered while an agent was frozen must not start."""
     sim = _small(4)
     for number in range(20):
-        sim.send_at(3 + number / 20, sim.make(LONG))
+        sim.submit_at(3 + number / 20, sim.make_job(LONG))
     agent = sim.agent_by_name["agent-2"]
     sim.time.call_later(3.4, lambda: agent.freeze(for_s))
     sim.run(90)
@@ -90,9 +90,9 @@
 def test_job_that_is_sent_again_to_its_owner_joins_the_one_in_progress():
     """The owner may not have seen the disconnect; the job must not start twice."""
     sim = _small(5)
-    caller_job = sim.make(LONG)
-    sim.send_at(3, caller_job, "entry-0")
-    sim.send_at(3.2, caller_job, "entry-0")
+    caller_job = sim.make_job(LONG)
+    sim.submit_at(3, caller_job, "entry-0")
+    sim.submit_at(3.2, caller_job, "entry-0")
     sim.run(60)
     assert list(invariants.violations(sim)) == []
     assert caller_job.is_completed
@@ -102,8 +102,8 @@
     """A worker may execute a start command without an answer up to 12 s later."""
     sim = _small(8)
     for agent in sim.agent_by_name.values():
-        agent.worker.faults.unanswered = 0.3
-    sim.load(3, 9, LOAD_SHARE)
+        agent.worker.faults.unanswered_share = 0.3
+    sim.schedule_load(3, 9, LOAD_SHARE)
     sim.run(90)
     assert list(invariants.violations(sim)) == []
     completed = sum(caller_job.is_completed for caller_job in sim.caller_jobs)
@@ -113,11 +113,11 @@
 def _credit_with_lost_answers(limits, seed):
     sim = simulation.Simulation(seed, crest.KINDS, entries=3, workers=11, limits=limits)
     for agent in sim.agent_by_name.values():
-        agent.worker.faults.unanswered = 0.35
-    sim.load(3, 10, 1.0)
+        agent.worker.faults.unanswered_share = 0.35
+    sim.schedule_load(3, 10, 1.0)
     sim.run(60)
     assert list(invariants.violations(sim)) == []
-    return sum(sim.credit().values()) / len(KINDS)
+    return sum(sim.earned_share_by_kind().values()) / len(KINDS)
 
 
 def test_lost_answers_to_polls_do_not_hide_free_capacity():
@@ -135,10 +135,10 @@
     """The capacity reserved for a start without an answer was never released."""
     sim = _small(9)
     worker = sim.agent_by_name["agent-0"].worker
-    worker.faults.unanswered = 1.0
-    sim.load(3, 6, LOAD_SHARE)
+    worker.faults.unanswered_share = 1.0
+    sim.schedule_load(3, 6, LOAD_SHARE)
     sim.run(6)
-    worker.faults.unanswered = 0.0
+    worker.faults.unanswered_share = 0.0
     sim.run(60)
     assert sim.agent_by_name["agent-0"].executor.running_count == 0
     assert list(invariants.violations(sim)) == []
@@ -147,7 +147,7 @@
 def test_agent_that_restarts_counts_what_its_worker_still_runs():
     """A restarted agent that ignored running tasks overcommitted its worker."""
     sim = _small(10)
-    sim.load(3, 8, 2 * LOAD_SHARE)
+    sim.schedule_load(3, 8, 2 * LOAD_SHARE)
     for number, agent in enumerate(sim.agent_by_name.values()):
         at = 4 + number * 0.3
         sim.time.call_later(at, agent.kill)
@@ -160,7 +160,7 @@
 def test_draining_worker_is_assigned_nothing_new():
     """A worker must get no task after it has announced that it drains."""
     sim = _small(12)
-    sim.load(3, 9, LOAD_SHARE)
+    sim.schedule_load(3, 9, LOAD_SHARE)
     agent = sim.agent_by_name["agent-1"]
 
     def drain():
@@ -169,7 +169,9 @@
     sim.time.call_later(4, drain)
     sim.run(60)
     assert agent.drained_at is not None
-    late = [span for span in agent.worker.spans if span.began > agent.drained_at + 0.01]
+    late = [
+        span for span in agent.worker.spans if span.started_at > agent.drained_at + 0.01
+    ]
     assert late == []
     assert list(invariants.violations(sim)) == []
 
@@ -177,8 +179,8 @@
 def test_failing_worker_is_ejected_soon():
     """A worker that fails every task must not use up the attempts of many jobs."""
     sim = _small(13)
-    sim.agent_by_name["agent-0"].worker.faults.fails = True
-    sim.load(3, 9, LOAD_SHARE)
+    sim.agent_by_name["agent-0"].worker.faults.is_failing = True
+    sim.schedule_load(3, 9, LOAD_SHARE)
     sim.run(60)
     failed = collections.Counter(
         span.reason for span in sim.agent_by_name["agent-0"].worker.spans
@@ -191,16 +193,16 @@
 def test_jobs_that_always_fail_eject_no_healthy_worker():
     """The failure of a job that can never succeed is no fault of its worker."""
     sim = _small(14)
-    sim.load(3, 9, LOAD_SHARE)
+    sim.schedule_load(3, 9, LOAD_SHARE)
     for number in range(5):
-        sim.send_at(4 + number, sim.make(MEDIUM, is_poison=True))
+        sim.submit_at(4 + number, sim.make_job(MEDIUM, is_poison=True))
     sim.run(60)
     poisoned = [
         caller_job for caller_job in sim.caller_jobs if not caller_job.is_completed
     ]
     assert len(poisoned) == 5
     assert all(
-        isinstance(caller_job.verdicts[-1], besteffort.Failed)
+        isinstance(caller_job.outcomes[-1], besteffort.Failed)
         for caller_job in poisoned
     )
 
@@ -208,11 +210,11 @@
 def test_hanging_worker_loses_its_tasks_within_the_late_limit():
     """Hanging tasks are stopped and run on another worker."""
     sim = _small(15)
-    sim.load(3, 9, LOAD_SHARE)
+    sim.schedule_load(3, 9, LOAD_SHARE)
     worker = sim.agent_by_name["agent-0"].worker
 
     def hang():
-        worker.faults.hangs = True
+        worker.faults.is_hanging = True
 
     sim.time.call_later(4, hang)
     sim.run(90)
@@ -232,8 +234,8 @@
     for policy in crest.POLICIES:
         results = [crest.replay(policy, seed, 2.4, 3.0) for seed in (1, 2, 3)]
         worth[policy.name] = sum(result.worth for result in results)
-        assert [result.broken for result in results] == [0, 0, 0]
-        assert len(list(crest.table(results))) == 4
+        assert [result.violation_count for result in results] == [0, 0, 0]
+        assert len(list(crest.format_table(results))) == 4
     assert worth["shortest"] > max(worth["first come"], worth["least slack"])
 
 
@@ -243,9 +245,9 @@
     entry = sim.entry_by_name["entry-0"]
     sim.run(3)
     for agent in sim.agent_by_name.values():
-        agent.worker.faults.is_cut = True
+        agent.worker.faults.is_unreachable = True
     sim.run(1)
-    entry.submit(sim.make(LONG))
+    entry.submit(sim.make_job(LONG))
     scheduled = [
         effect
         for agent in sim.agent_by_name
@@ -264,14 +266,14 @@
     """Simulate an overload on many workers and return the simulation."""
     limits = executoractions.ExecutorSettings(near_entries=near_entries)
     sim = simulation.Simulation(5, KINDS, entries=8, workers=24, zones=4, limits=limits)
-    sim.load(3, 4, 2.2)
-    sim.load(4, 6, 6.0)
+    sim.schedule_load(3, 4, 2.2)
+    sim.schedule_load(4, 6, 6.0)
     sim.run(20)
     return sim
 
 
 def _worth(sim):
-    shares = sim.credit()
+    shares = sim.earned_share_by_kind()
     possible = sum(kind.worth * kind.per_s for kind in KINDS)
     earned = sum(shares[kind.name] * kind.worth * kind.per_s for kind in KINDS)
     return earned / possible
@@ -282,7 +284,7 @@
     few, every = _simulate_overload(near_entries=4), _simulate_overload(near_entries=8)
     assert list(invariants.violations(few)) == []
     for kind in (assignments.LoadReport, assignments.Demand):
-        assert few.messages[kind] < every.messages[kind]
+        assert few.message_count_by_type[kind] < every.message_count_by_type[kind]
     # Callers must see no difference beyond the 0.02 by which replays vary with timing.
     assert _worth(few) > _worth(every) - 0.02
 
@@ -315,9 +317,9 @@
 def test_checker_detects_a_refused_job_that_ran_and_a_partial_answer():
     """As above, for the answers to callers."""
     sim = _small(1)
-    refused, partial = sim.make(MEDIUM), sim.make(MEDIUM)
-    refused.verdicts.append(besteffort.Refused(107, 1.0))
-    partial.verdicts.append(besteffort.Completed())
+    refused, partial = sim.make_job(MEDIUM), sim.make_job(MEDIUM)
+    refused.outcomes.append(besteffort.Refused(107, 1.0))
+    partial.outcomes.append(besteffort.Completed())
     sim.caller_jobs += [refused, partial]
     key = assignments.RunKey(assignments.TaskKey(refused.job, 0, 0), 1)
     sim.agent_by_name["agent-0"].worker.spans.append(
