--- a/src/burdockgate/standin/costmeter.py
+++ b/src/burdockgate/standin/costmeter.py
@@ -27,7 +27,7 @@
 SLOTS = 8
 RUN_MIN_S, RUN_MAX_S = 0.05, 0.15
 PAYLOAD_BYTES = 200
-PLACES = 14
+DATA_CENTRES = 14
 
 
 @attrs.define
@@ -69,7 +69,7 @@
         """Name of the node."""
         return self.core.node.name
 
-    def run(
+    def execute(
         self, wanted: Callable[[], Iterable[effects.Effect]]
     ) -> list[Frame | effects.Effect]:
         """Return effects with their messages encoded, and count the cost.
@@ -97,7 +97,7 @@
         :param data: the whole frame.
         """
         body = data[wire.HEADER.size :]
-        return self.run(
+        return self.execute(
             lambda: self.core.receive(sender, wire.decode_session_message(body))
         )
 
@@ -111,7 +111,7 @@
     name = f"{role.name.lower()}-{index:05d}"
     node = messages.Node(name, 2**62 + index, f"10.0.{index // 250}.{index % 250}:7000")
     is_agent = role is messages.Role.AGENT
-    place = index % PLACES
+    place = index % DATA_CENTRES
     return messages.Hello(
         messages.PROTOCOL,
         role,
@@ -128,7 +128,7 @@
     )
 
 
-def members(voters: int, entries: int) -> views.View:
+def view_of_members(voters: int, entries: int) -> views.View:
     """Return a view of the first agents and entry hosts.
 
     :param voters: number of agents that vote.
@@ -233,7 +233,7 @@
         self._process_by_name = {
             process.name: process for process in (self.entry, *self.agents)
         }
-        view = members(min(agents, views.VOTERS_PER_REGION_LIMIT), 1)
+        view = view_of_members(min(agents, views.VOTERS_PER_REGION_LIMIT), 1)
         assert isinstance(self.entry.core, entry.EntryCore)
         self.entry.core.jobs.view = view
         self.entry.core.jobs.record_view_check(0)
@@ -242,9 +242,9 @@
             process.core.claims.catchup.view = view
             self._connect(process)
         self.run(0.5)
-        self.reset()
+        self.reset_costs()
 
-    def reset(self) -> None:
+    def reset_costs(self) -> None:
         """Forget the costs so far."""
         for process in self._process_by_name.values():
             process.cost = Cost()
@@ -267,9 +267,9 @@
         made = request(f"job-{ticket}", tasks)
         core = self.entry.core
         assert isinstance(core, entry.EntryCore)
-        self.perform(self.entry, self.entry.run(lambda: core.submit(made, ticket)))
+        self.perform(self.entry, self.entry.execute(lambda: core.submit(made, ticket)))
 
-    def later(self, seconds: float, action: Callable[[], None]) -> None:
+    def call_later(self, seconds: float, action: Callable[[], None]) -> None:
         """Call a function later.
 
         :param seconds: delay on the virtual clock.
@@ -303,13 +303,13 @@
         assert isinstance(core, entry.EntryCore)
         for process in self.agents:
             core.workers.renew_lease(process.name)
-        self.perform(self.entry, self.entry.run(core.tick))
+        self.perform(self.entry, self.entry.execute(core.tick))
         self.entry.cost = cost
 
     def _connect(self, process: Process) -> None:
         for one, other in ((self.entry, process), (process, self.entry)):
             wanted = functools.partial(one.core.handle_connect, other.hello)
-            self.perform(one, one.run(wanted))
+            self.perform(one, one.execute(wanted))
 
     def perform(self, process: Process, wanted: list[Frame | effects.Effect]) -> None:
         """Carry out what a core has asked for.
@@ -329,7 +329,7 @@
     def _send(self, sender: Process, frame: Frame) -> None:
         target = self._process_by_name.get(frame.to)
         if target is not None:
-            self.later(
+            self.call_later(
                 LATENCY_S,
                 lambda: self.perform(target, target.receive(sender.name, frame.data)),
             )
@@ -340,7 +340,7 @@
         run_s = self.rng.uniform(RUN_MIN_S, RUN_MAX_S)
 
         def end() -> None:
-            made = process.run(
+            made = process.execute(
                 lambda: core.handle_task_end(
                     item.job,
                     item.attempt,
@@ -352,4 +352,4 @@
             )
             self.perform(process, made)
 
-        self.later(run_s, end)
+        self.call_later(run_s, end)
--- a/src/burdockgate/standin/crest.py
+++ b/src/burdockgate/standin/crest.py
@@ -15,15 +15,15 @@
 
 # Width, duration, processors, rate, priority and worth of the users' kinds of job.
 KINDS = (
-    simnodes.Kind("short", 8, 0.102, 1600, 15.1, 0, 0.0291),
-    simnodes.Kind("medium", 2, 0.34, 1600, 44.0, 1, 0.01),
-    simnodes.Kind("long", 4, 1.52, 1600, 2.75, 2, 0.16),
+    simnodes.JobKind("short", 8, 0.102, 1600, 15.1, 0, 0.0291),
+    simnodes.JobKind("medium", 2, 0.34, 1600, 44.0, 1, 0.01),
+    simnodes.JobKind("long", 4, 1.52, 1600, 2.75, 2, 0.16),
 )
-CALM_S = 2.0
+NORMAL_LOAD_S = 2.0
 # Agents and workers have found each other by then.
-BEGIN_S = 3.0
+WARM_UP_S = 3.0
 # All but a few of the longest tasks end within this time.
-RUN_OUT_S = 20.0
+COMPLETION_S = 20.0
 
 
 @attrs.frozen
@@ -52,13 +52,13 @@
     """
 
     policy: str
-    worth: float
+    worth_share: float
     share_by_kind: dict[str, float]
-    refused: float
+    unserved_share: float
     violation_count: int
 
 
-def replay(policy: Policy, seed: int, factor: float, crest_s: float) -> Result:
+def replay(policy: Policy, seed: int, factor: float, peak_s: float) -> Result:
     """Return what a policy earns in one crest between two calm spans.
 
     :param policy: the policy.
@@ -67,14 +67,14 @@
     :param crest_s: length of the crest in seconds.
     """
     sim = simulation.Simulation(seed, KINDS, ordering=policy.ordering)
-    crest_at = BEGIN_S + CALM_S
-    sim.schedule_load(BEGIN_S, crest_at)
-    sim.schedule_load(crest_at, crest_at + crest_s, factor)
-    sim.schedule_load(crest_at + crest_s, crest_at + crest_s + CALM_S)
-    sim.run(crest_at + crest_s + CALM_S + RUN_OUT_S)
+    peak_at = WARM_UP_S + NORMAL_LOAD_S
+    sim.schedule_load(WARM_UP_S, peak_at)
+    sim.schedule_load(peak_at, peak_at + peak_s, factor)
+    sim.schedule_load(peak_at + peak_s, peak_at + peak_s + NORMAL_LOAD_S)
+    sim.run(peak_at + peak_s + NORMAL_LOAD_S + COMPLETION_S)
     shares = sim.earned_share_by_kind()
-    worth = sum(shares[kind.name] * kind.worth * kind.per_s for kind in KINDS)
-    owed = sum(kind.worth * kind.per_s for kind in KINDS)
+    worth = sum(shares[kind.name] * kind.worth * kind.jobs_per_s for kind in KINDS)
+    owed = sum(kind.worth * kind.jobs_per_s for kind in KINDS)
     unserved = [
         caller_job for caller_job in sim.caller_jobs if not caller_job.is_completed
     ]
@@ -101,8 +101,8 @@
     for row in results:
         shares = "  ".join(f"{row.share_by_kind[name]:6.3f}" for name in kinds)
         yield (
-            f"{row.policy:<12}  {row.worth:.3f}  {shares}  {row.refused:8.3f}"
-            f"  {row.violation_count:6}"
+            f"{row.policy:<12}  {row.worth_share:.3f}  {shares}"
+            f"  {row.unserved_share:8.3f}  {row.violation_count:6}"
         )
 
 
--- a/src/burdockgate/standin/faultinjection.py
+++ b/src/burdockgate/standin/faultinjection.py
@@ -10,11 +10,13 @@
 Fault = Callable[[simulation.Simulation, random.Random], str]
 
 
-def _agent(sim: simulation.Simulation, rng: random.Random) -> simnodes.SimulatedAgent:
+def _random_agent(
+    sim: simulation.Simulation, rng: random.Random
+) -> simnodes.SimulatedAgent:
     return rng.choice(list(sim.agent_by_name.values()))
 
 
-def _entry(
+def _random_entry(
     sim: simulation.Simulation, rng: random.Random
 ) -> simnodes.SimulatedEntryHost:
     return rng.choice(list(sim.entry_by_name.values()))
@@ -22,7 +24,7 @@
 
 def kill_agent(sim: simulation.Simulation, rng: random.Random) -> str:
     """Kill an agent and start it again."""
-    agent, down_s = _agent(sim, rng), rng.uniform(0.2, 4)
+    agent, down_s = _random_agent(sim, rng), rng.uniform(0.2, 4)
     if agent.is_up and not agent.is_frozen:
         agent.kill()
         sim.time.call_later(down_s, agent.restart)
@@ -31,7 +33,7 @@
 
 def kill_entry(sim: simulation.Simulation, rng: random.Random) -> str:
     """Kill an entry host and start it again."""
-    entry, down_s = _entry(sim, rng), rng.uniform(0.2, 4)
+    entry, down_s = _random_entry(sim, rng), rng.uniform(0.2, 4)
     if entry.is_up and not entry.is_frozen:
         entry.kill()
         sim.time.call_later(down_s, entry.restart)
@@ -40,7 +42,7 @@
 
 def freeze_agent(sim: simulation.Simulation, rng: random.Random) -> str:
     """Let an agent stand still."""
-    agent, for_s = _agent(sim, rng), rng.uniform(0.1, 5)
+    agent, for_s = _random_agent(sim, rng), rng.uniform(0.1, 5)
     if agent.is_up and not agent.is_frozen:
         agent.freeze(for_s)
     return f"freeze {agent.name} for {for_s:.1f} s"
@@ -48,7 +50,7 @@
 
 def freeze_entry(sim: simulation.Simulation, rng: random.Random) -> str:
     """Let an entry host stand still."""
-    entry, for_s = _entry(sim, rng), rng.uniform(0.1, 5)
+    entry, for_s = _random_entry(sim, rng), rng.uniform(0.1, 5)
     if entry.is_up and not entry.is_frozen:
         entry.freeze(for_s)
     return f"freeze {entry.name} for {for_s:.1f} s"
@@ -56,30 +58,30 @@
 
 def cut_agent(sim: simulation.Simulation, rng: random.Random) -> str:
     """Cut an agent off from some entry hosts, without a word."""
-    agent, for_s = _agent(sim, rng), rng.uniform(0.2, 6)
+    agent, for_s = _random_agent(sim, rng), rng.uniform(0.2, 6)
     for entry in sim.entry_by_name:
         if rng.random() < 0.7:
-            sim.cut(agent.name, entry, for_s)
+            sim.partition(agent.name, entry, for_s)
     return f"cut {agent.name} for {for_s:.1f} s"
 
 
 def cut_entry(sim: simulation.Simulation, rng: random.Random) -> str:
     """Cut an entry host off from some agents, without a word."""
-    entry, for_s = _entry(sim, rng), rng.uniform(0.2, 6)
+    entry, for_s = _random_entry(sim, rng), rng.uniform(0.2, 6)
     for agent in sim.agent_by_name:
         if rng.random() < 0.7:
-            sim.cut(agent, entry.name, for_s)
+            sim.partition(agent, entry.name, for_s)
     return f"cut {entry.name} for {for_s:.1f} s"
 
 
 def reset_links(sim: simulation.Simulation, rng: random.Random) -> str:
     """Reset the connections of an entry host."""
-    entry = _entry(sim, rng)
-    sim.break_links(entry=entry.name)
+    entry = _random_entry(sim, rng)
+    sim.reset_connections(entry=entry.name)
     return f"reset {entry.name}"
 
 
-def _fault(
+def _inject_worker_fault(
     sim: simulation.Simulation,
     rng: random.Random,
     name: str,
@@ -104,7 +106,7 @@
     def end(faults: simworker.Faults) -> None:
         faults.unanswered_share = 0.0
 
-    return _fault(sim, rng, "late commands", begin, end)
+    return _inject_worker_fault(sim, rng, "late commands", begin, end)
 
 
 def cut_worker(sim: simulation.Simulation, rng: random.Random) -> str:
@@ -116,7 +118,7 @@
     def end(faults: simworker.Faults) -> None:
         faults.is_unreachable = False
 
-    return _fault(sim, rng, "workers cut", begin, end)
+    return _inject_worker_fault(sim, rng, "workers cut", begin, end)
 
 
 def fail_worker(sim: simulation.Simulation, rng: random.Random) -> str:
@@ -128,7 +130,7 @@
     def end(faults: simworker.Faults) -> None:
         faults.is_failing = False
 
-    return _fault(sim, rng, "workers fail", begin, end)
+    return _inject_worker_fault(sim, rng, "workers fail", begin, end)
 
 
 def hang_worker(sim: simulation.Simulation, rng: random.Random) -> str:
@@ -140,7 +142,7 @@
     def end(faults: simworker.Faults) -> None:
         faults.is_hanging = False
 
-    return _fault(sim, rng, "workers hang", begin, end)
+    return _inject_worker_fault(sim, rng, "workers hang", begin, end)
 
 
 def slow_worker(sim: simulation.Simulation, rng: random.Random) -> str:
@@ -148,17 +150,17 @@
     factor = rng.uniform(3, 8)
 
     def begin(faults: simworker.Faults) -> None:
-        faults.slowness = factor
+        faults.slow_factor = factor
 
     def end(faults: simworker.Faults) -> None:
-        faults.slowness = 1.0
+        faults.slow_factor = 1.0
 
-    return _fault(sim, rng, "workers slow", begin, end)
+    return _inject_worker_fault(sim, rng, "workers slow", begin, end)
 
 
 def restart_worker(sim: simulation.Simulation, rng: random.Random) -> str:
     """Let a worker start again under its identifier."""
-    agent = _agent(sim, rng)
+    agent = _random_agent(sim, rng)
     agent.worker.restart()
     return f"restart {agent.worker.name}"
 
@@ -199,13 +201,13 @@
     :returns: what happened, filled in while the simulation runs.
     """
     rng = random.Random(seed)
-    told: list[str] = []
+    injected: list[str] = []
     for _ in range(count):
         fault = rng.choice(kinds)
         at = rng.uniform(begin, end)
 
-        def strike(fault: Fault = fault) -> None:
-            told.append(f"{sim.time.now():.3f} {fault(sim, rng)}")
+        def inject(fault: Fault = fault) -> None:
+            injected.append(f"{sim.time.now():.3f} {fault(sim, rng)}")
 
-        sim.time.call_later(at, strike)
-    return told
+        sim.time.call_later(at, inject)
+    return injected
--- a/src/burdockgate/standin/invariants.py
+++ b/src/burdockgate/standin/invariants.py
@@ -15,12 +15,12 @@
 
     :param sim: the simulation, after its run.
     """
-    yield from _overlaps(sim.spans())
-    yield from _overloads(sim)
+    yield from _concurrent_runs(sim.spans())
+    yield from _overcommitted_workers(sim)
     yield from _false_answers(sim)
 
 
-def _overlaps(spans: list[simworker.Span]) -> Iterator[str]:
+def _concurrent_runs(spans: list[simworker.Span]) -> Iterator[str]:
     """Yield tasks with two runs at the same time."""
     by_task: dict[assignments.TaskKey, list[simworker.Span]] = {}
     for span in spans:
@@ -36,7 +36,7 @@
                 )
 
 
-def _overloads(sim: simulation.Simulation) -> Iterator[str]:
+def _overcommitted_workers(sim: simulation.Simulation) -> Iterator[str]:
     """Yield workers whose capacity was exceeded."""
     for agent in sim.agent_by_name.values():
         worker = agent.worker
--- a/src/burdockgate/standin/memory.py
+++ b/src/burdockgate/standin/memory.py
@@ -45,8 +45,8 @@
 _KEEP_CLAIMS = """
 import random
 from burdockgate.standin import probes
-voter = probes.voter(64)
-for frame in probes.claims(voter, 64, {size}, random.Random(1)):
+voter = probes.voting_agent(64)
+for frame in probes.claim_frames(voter, 64, {size}, random.Random(1)):
     voter.receive(probes.OWNER.node.name, frame)
 """
 
--- a/src/burdockgate/standin/probes.py
+++ b/src/burdockgate/standin/probes.py
@@ -16,9 +16,9 @@
 from burdockgate.version import table, view
 
 US_PER_S = 1_000_000
-LOAD = 0.7
-REST_S = 8.0
-BEAT_S = 0.8
+LOAD_SHARE = 0.7
+IDLE_S = 8.0
+HEARTBEAT_INTERVAL_S = 0.8
 OWNER = costmeter.hello(messages.Role.ENTRY, 0)
 
 Values = Mapping[str, float]
@@ -33,19 +33,19 @@
     :param take: returns values by name and unit, at a size and with a seed.
     """
 
-    against: str
+    parameter: str
     sizes: tuple[int, ...]
-    take: Callable[[int, int], Values]
+    measure: Callable[[int, int], Values]
 
 
 def jobs(tasks: int, seed: int) -> Values:
     """Run jobs of some tasks on 11 agents at 70% load; costs are for each job."""
-    return _load(11, tasks, max(3, min(42, 840 // tasks)), seed)
+    return _measure_load(11, tasks, max(3, min(42, 840 // tasks)), seed)
 
 
 def workers(agents: int, seed: int) -> Values:
     """Run the same jobs of 20 tasks with some agents; costs are for each start."""
-    values = _load(agents, 20, 20, seed, slots=11 * costmeter.SLOTS)
+    values = _measure_load(agents, 20, 20, seed, slots=11 * costmeter.SLOTS)
     return {
         "entry host µs a start": values["entry host µs"] / 20,
         "entry host messages a start": values["entry host messages sent"] / 20,
@@ -53,16 +53,20 @@
     }
 
 
-def _load(agents: int, tasks: int, count: int, seed: int, slots: int = 0) -> Values:
+def _measure_load(
+    agents: int, tasks: int, count: int, seed: int, slots: int = 0
+) -> Values:
     system = costmeter.System(agents, seed)
     slots = slots or agents * costmeter.SLOTS
     run_s = (costmeter.RUN_MIN_S + costmeter.RUN_MAX_S) / 2
-    gap_s = tasks * run_s / (slots * LOAD)
+    gap_s = tasks * run_s / (slots * LOAD_SHARE)
     for ticket in range(count):
-        system.later(ticket * gap_s, functools.partial(system.submit, ticket, tasks))
+        system.call_later(
+            ticket * gap_s, functools.partial(system.submit, ticket, tasks)
+        )
     while len(system.answers) < count:
         system.run(1.0)
-    _check(system, count * tasks)
+    _check_complete(system, count * tasks)
     at_agents, at_entry = system.agent_cost(), system.entry.cost
     return {
         "entry host µs": at_entry.cpu_s / count * US_PER_S,
@@ -74,7 +78,7 @@
     }
 
 
-def _check(system: costmeter.System, starts: int) -> None:
+def _check_complete(system: costmeter.System, starts: int) -> None:
     """Fail when a run was not whole, because its costs would mean nothing."""
     codes_seen = {answer.outcome.code for answer in system.answers}
     if codes_seen != {codes.Code.COMPLETE} or system.starts != starts:
@@ -95,7 +99,7 @@
     per_message = process.cost.cpu_s / 50 * US_PER_S
     process.cost = costmeter.Cost()
     for _ in range(20):
-        process.run(_entry_core(process).tick)
+        process.execute(_entry_core(process).tick)
     return {
         "entry host µs a received message": per_message,
         "entry host µs a tick": process.cost.cpu_s / 20 * US_PER_S,
@@ -123,7 +127,7 @@
     core = _entry_core(process)
     process.cost = costmeter.Cost()
     for _ in range(20):
-        process.run(core.tick)
+        process.execute(core.tick)
     per_tick, process.cost = process.cost.cpu_s / 20, costmeter.Cost()
     begin = time.process_time()
     for ticket in range(count - 50, count):
@@ -150,75 +154,77 @@
     return _entry_core(process).view
 
 
-def entry_rest(agents: int, seed: int) -> Values:
+def idle_entry(agents: int, seed: int) -> Values:
     """Let an entry host rest with some agents connected; costs are for a second."""
-    process, now = _joined_entry(agents, 0, seed)
-    return _rest(process, now, "entry host")
+    process, now = _entry_with_connections(agents, 0, seed)
+    return _measure_idle(process, now, "entry host")
 
 
-def peer_rest(peers: int, seed: int) -> Values:
+def idle_entry_with_peers(peers: int, seed: int) -> Values:
     """Let an entry host rest with some other entry hosts and 11 agents."""
-    process, now = _joined_entry(11, peers, seed)
-    return _rest(process, now, "entry host")
+    process, now = _entry_with_connections(11, peers, seed)
+    return _measure_idle(process, now, "entry host")
 
 
-def agent_rest(entries: int, seed: int) -> Values:
+def idle_agent(entries: int, seed: int) -> Values:
     """Let an agent rest with some entry hosts; costs are for a second."""
     now = clock.ManualClock(100.0)
     process = costmeter.agent_process(0, now)
-    _agent_core(process).claims.catchup.view = costmeter.members(64, entries)
+    _agent_core(process).claims.catchup.view = costmeter.view_of_members(64, entries)
     for index in range(entries):
         other = costmeter.hello(messages.Role.ENTRY, index)
-        process.run(functools.partial(process.core.handle_connect, other))
-    return _rest(process, now, "agent")
+        process.execute(functools.partial(process.core.handle_connect, other))
+    return _measure_idle(process, now, "agent")
 
 
-def _joined_entry(
+def _entry_with_connections(
     agents: int, peers: int, seed: int
 ) -> tuple[costmeter.Process, clock.ManualClock]:
     now = clock.ManualClock(100.0)
     process = costmeter.entry_process(0, now, random.Random(seed))
-    _entry_core(process).jobs.view = costmeter.members(agents, peers + 1)
+    _entry_core(process).jobs.view = costmeter.view_of_members(agents, peers + 1)
     roles = [(messages.Role.AGENT, agents, 0), (messages.Role.ENTRY, peers, 1)]
     for role, count, first in roles:
         for index in range(first, first + count):
             other = costmeter.hello(role, index)
-            process.run(functools.partial(process.core.handle_connect, other))
+            process.execute(functools.partial(process.core.handle_connect, other))
     return process, now
 
 
-def _rest(process: costmeter.Process, now: clock.ManualClock, role: str) -> Values:
+def _measure_idle(
+    process: costmeter.Process, now: clock.ManualClock, role: str
+) -> Values:
     """Tick, and send and answer the heartbeats of every connected node for a while."""
-    process.run(process.core.send_heartbeats)
+    process.execute(process.core.send_heartbeats)
     process.cost = costmeter.Cost()
-    beats = round(REST_S / BEAT_S)
-    number = _number_of(process)
+    beats = round(IDLE_S / HEARTBEAT_INTERVAL_S)
+    number = _view_number(process)
     frame = wire.encode(messages.Heartbeat(0, number))
     for _ in range(beats):
-        for _ in range(round(BEAT_S / costmeter.TICK_S)):
+        for _ in range(round(HEARTBEAT_INTERVAL_S / costmeter.TICK_S)):
             now.advance(costmeter.TICK_S)
-            process.run(process.core.tick)
-        sent = process.run(process.core.send_heartbeats)
+            process.execute(process.core.tick)
+        sent = process.execute(process.core.send_heartbeats)
         for item in sent:
             if isinstance(item, costmeter.Frame):
                 process.receive(item.to, frame)
     cost = process.cost
     return {
-        f"{role} at rest, µs a second": cost.cpu_s / REST_S * US_PER_S,
-        f"{role} at rest, messages sent a second": cost.sent / REST_S,
-        f"{role} at rest, bytes sent a second": cost.sent_bytes / REST_S,
+        f"{role} at rest, µs a second": cost.cpu_s / IDLE_S * US_PER_S,
+        f"{role} at rest, messages sent a second": cost.sent / IDLE_S,
+        f"{role} at rest, bytes sent a second": cost.sent_bytes / IDLE_S,
     }
 
 
-def _number_of(process: costmeter.Process) -> int:
+def _view_number(process: costmeter.Process) -> int:
     if isinstance(process.core, agent.AgentCore):
         return process.core.table_and_view_versions[1]
     return process.core.view.number
 
 
-def group(voters: int, seed: int) -> Values:
+def claim_group(voters: int, seed: int) -> Values:
     """Compute claim groups among some voters."""
-    members = costmeter.members(voters, 1)
+    members = costmeter.view_of_members(voters, 1)
     rng = random.Random(seed)
     ids = [rng.randbytes(16) for _ in range(max(20, 4000 // voters))]
     begin = time.process_time()
@@ -229,18 +235,18 @@
 
 def vote(voters: int, seed: int) -> Values:
     """Ask an agent for its vote, with a scope of 64 agents."""
-    values = _vote(voters, 64, seed)
+    values = _measure_vote(voters, 64, seed)
     return {"claim vote at the agent, µs": values["claim vote at the agent, µs"]}
 
 
 def scope(agents: int, seed: int) -> Values:
     """Ask one of 64 voters for its vote, with a scope of some agents."""
-    return _vote(64, agents, seed)
+    return _measure_vote(64, agents, seed)
 
 
-def _vote(voters: int, agents: int, seed: int) -> Values:
-    process = voter(voters)
-    frames = list(claims(process, agents, 50, random.Random(seed)))
+def _measure_vote(voters: int, agents: int, seed: int) -> Values:
+    process = voting_agent(voters)
+    frames = list(claim_frames(process, agents, 50, random.Random(seed)))
     process.cost = costmeter.Cost()
     for frame in frames:
         process.receive(OWNER.node.name, frame)
@@ -253,29 +259,29 @@
 
 def sync(count: int, seed: int) -> Values:
     """Ask one of 64 voters for the claims that another one needs."""
-    process = voter(64)
-    for frame in claims(process, 3, count, random.Random(seed)):
+    process = voting_agent(64)
+    for frame in claim_frames(process, 3, count, random.Random(seed)):
         process.receive(OWNER.node.name, frame)
     other = costmeter.hello(messages.Role.AGENT, 1)
-    process.run(lambda: process.core.handle_connect(other))
+    process.execute(lambda: process.core.handle_connect(other))
     process.cost = costmeter.Cost()
-    frame = wire.encode(messages.Sync(_number_of(process)))
+    frame = wire.encode(messages.Sync(_view_number(process)))
     process.receive(other.node.name, frame)
     return {"one Sync at an agent, µs": process.cost.cpu_s * US_PER_S}
 
 
-def voter(voters: int) -> costmeter.Process:
+def voting_agent(voters: int) -> costmeter.Process:
     """Return a voting agent to which one entry host is connected.
 
     :param voters: number of voters in its view.
     """
     process = costmeter.agent_process(0, clock.ManualClock(100.0))
-    _agent_core(process).claims.catchup.advance(costmeter.members(voters, 1))
-    process.run(lambda: process.core.handle_connect(OWNER))
+    _agent_core(process).claims.catchup.advance(costmeter.view_of_members(voters, 1))
+    process.execute(lambda: process.core.handle_connect(OWNER))
     return process
 
 
-def claims(
+def claim_frames(
     process: costmeter.Process, agents: int, count: int, rng: random.Random
 ) -> Iterator[bytes]:
     """Yield frames of claims on which a voter may vote.
@@ -330,15 +336,15 @@
 
 def announcement(agents: int, seed: int) -> Values:
     """Connect one more agent, then one more entry host, to an entry host."""
-    process, _ = _joined_entry(agents, 3, seed)
+    process, _ = _entry_with_connections(agents, 3, seed)
     process.cost = costmeter.Cost()
-    process.run(
+    process.execute(
         lambda: process.core.handle_connect(
             costmeter.hello(messages.Role.AGENT, agents)
         )
     )
     agent_cost, process.cost = process.cost, costmeter.Cost()
-    process.run(
+    process.execute(
         lambda: process.core.handle_connect(costmeter.hello(messages.Role.ENTRY, 4))
     )
     return {
@@ -353,9 +359,9 @@
 
 def peers(entries: int, seed: int) -> Values:
     """Send the list of entry hosts that each new agent gets."""
-    process, _ = _joined_entry(11, entries - 1, seed)
+    process, _ = _entry_with_connections(11, entries - 1, seed)
     process.cost = costmeter.Cost()
-    process.run(
+    process.execute(
         lambda: process.core.handle_connect(costmeter.hello(messages.Role.AGENT, 11))
     )
     return {"new agent: bytes of the list of entry hosts": process.cost.sent_bytes}
@@ -363,18 +369,18 @@
 
 def view_change(agents: int, seed: int) -> Values:
     """Add one voter to the view at an entry host, and at an agent it tells."""
-    process, now = _joined_entry(agents, 0, seed)
+    process, now = _entry_with_connections(agents, 0, seed)
     other = costmeter.agent_process(0, now)
     _agent_core(other).claims.catchup.view = _view_of(process)
     owner = costmeter.hello(messages.Role.ENTRY, 0)
-    other.run(lambda: other.core.handle_connect(owner))
+    other.execute(lambda: other.core.handle_connect(owner))
     number = _view_of(process).number
     added = view.voter_record(costmeter.hello(messages.Role.AGENT, agents))
     record = messages.LogRecord(number, "new", added)
     records = messages.Records(view.STREAM, number, number + 1, (record,))
     process.cost = costmeter.Cost()
     core = _entry_core(process)
-    sent = process.run(lambda: core.follow(records))
+    sent = process.execute(lambda: core.follow(records))
     frame = next(item for item in sent if isinstance(item, costmeter.Frame))
     other.cost = costmeter.Cost()
     effects = other.receive(owner.node.name, frame.data)
@@ -387,16 +393,16 @@
     }
 
 
-EVERY = (
+PROBES = (
     Probe("tasks of a job", (20, 80, 280), jobs),
     Probe("agents connected", (11, 64, 256), workers),
     Probe("jobs of 20 tasks waiting", (10, 50, 250), backlog),
     Probe("workers", (100, 1000, 10_000), many_workers),
     Probe("jobs waiting", (100, 1000, 10_000), many_jobs),
-    Probe("agents connected", (16, 64, 256), entry_rest),
-    Probe("other entry hosts connected", (1, 4, 16), peer_rest),
-    Probe("entry hosts connected", (1, 4, 16), agent_rest),
-    Probe("voters", (11, 64, 256, 1024), group),
+    Probe("agents connected", (16, 64, 256), idle_entry),
+    Probe("other entry hosts connected", (1, 4, 16), idle_entry_with_peers),
+    Probe("entry hosts connected", (1, 4, 16), idle_agent),
+    Probe("voters", (11, 64, 256, 1024), claim_group),
     Probe("voters", (11, 64, 256), vote),
     Probe("agents in the scope", (3, 16, 64), scope),
     Probe("claims held, 64 voters", (100, 200, 400), sync),
--- a/src/burdockgate/standin/regression.py
+++ b/src/burdockgate/standin/regression.py
@@ -20,7 +20,7 @@
 
 
 @attrs.frozen
-class Line:
+class FittedLine:
     """A line through points.
 
     :param slope: change of the value for each unit of size.
@@ -29,7 +29,7 @@
     """
 
     slope: float
-    start: float
+    intercept: float
     residual: float
 
 
@@ -43,11 +43,11 @@
     """
 
     name: str
-    against: str
+    parameter: str
     values_by_size: Mapping[int, Sequence[float]]
 
 
-def line(points: Sequence[tuple[float, float]]) -> Line:
+def fit_line(points: Sequence[tuple[float, float]]) -> FittedLine:
     """Return the least squares line through points.
 
     :param points: sizes and values, with at least two different sizes.
@@ -55,10 +55,10 @@
     sizes, values = zip(*points, strict=True)
     slope, start = statistics.linear_regression(sizes, values)
     residual = max(abs(value - start - slope * size) for size, value in points)
-    return Line(slope, start, residual)
+    return FittedLine(slope, start, residual)
 
 
-def lines(series: Series) -> list[Line]:
+def fit_each_repetition(series: Series) -> list[FittedLine]:
     """Return the line of each repetition.
 
     :param series: a series with the same number of values at each size.
@@ -66,12 +66,12 @@
     values_by_size = series.values_by_size
     sizes = list(values_by_size)
     return [
-        line(list(zip(sizes, values, strict=True)))
+        fit_line(list(zip(sizes, values, strict=True)))
         for values in zip(*values_by_size.values(), strict=True)
     ]
 
 
-def markdown(every: Sequence[Series]) -> Iterator[str]:
+def markdown_table(every: Sequence[Series]) -> Iterator[str]:
     """Yield the lines of a Markdown table with one row for each series.
 
     The residual is the largest of all repetitions, as a share of the largest value.
@@ -81,7 +81,7 @@
     yield _row(HEADER)
     yield _row(["---"] * len(HEADER))
     for series in every:
-        fits = lines(series)
+        fits = fit_each_repetition(series)
         slopes = [fit.slope for fit in fits]
         peak = max(abs(v) for each in series.values_by_size.values() for v in each)
         residual = max(fit.residual for fit in fits) / peak if peak else 0.0
@@ -89,18 +89,18 @@
         yield _row(
             [
                 series.name,
-                series.against,
+                series.parameter,
                 ", ".join(map(str, series.values_by_size)),
-                number(statistics.median(slopes)),
-                f"{number(min(slopes))} to {number(max(slopes))}",
-                number(statistics.median(fit.start for fit in fits)),
-                ", ".join(map(number, medians)),
+                format_number(statistics.median(slopes)),
+                f"{format_number(min(slopes))} to {format_number(max(slopes))}",
+                format_number(statistics.median(fit.intercept for fit in fits)),
+                ", ".join(map(format_number, medians)),
                 f"{residual:.0%}",
             ]
         )
 
 
-def number(value: float) -> str:
+def format_number(value: float) -> str:
     """Return a number with three significant digits and no exponent.
 
     :param value: the number.
--- a/src/burdockgate/standin/simnodes.py
+++ b/src/burdockgate/standin/simnodes.py
@@ -24,16 +24,16 @@
 
 COMMAND_TIMEOUT_S = 0.08
 POLL_TIMEOUT_S = 0.25
-ASSIGN_S = 0.001
-COMMAND_S = 0.0005
-AGENT_TICK_S = 0.1
-ENTRY_TICK_S = 0.02
-REPORT_S = 0.2
-HEARTBEAT_S = 1.5
+ASSIGN_DELAY_S = 0.001
+COMMAND_LATENCY_S = 0.0005
+AGENT_TICK_INTERVAL_S = 0.1
+ENTRY_TICK_INTERVAL_S = 0.02
+REPORT_INTERVAL_S = 0.2
+HEARTBEAT_INTERVAL_S = 1.5
 
 
 @attrs.frozen
-class Kind:
+class JobKind:
     """A kind of job, as the load is made.
 
     :param work_s: mean duration of a task at speed 1.
@@ -45,7 +45,7 @@
     width: int
     work_s: float
     cpu: int
-    per_s: float
+    jobs_per_s: float
     priority: int
     worth: float
 
@@ -55,7 +55,7 @@
     """One job of a caller and what became of it."""
 
     job: str
-    kind: Kind
+    kind: JobKind
     submission: besteffort.Submission
     sent_at: float
     objective_s: float
@@ -63,7 +63,7 @@
     ended_at: float | None = None
     is_interrupted: bool = False
 
-    def credit(self) -> float:
+    def earned_share(self) -> float:
         """Return the share of its worth: 1 on time, 0.2 late, 0 otherwise."""
         if self.ended_at is None or not self.is_completed:
             return 0.0
@@ -92,16 +92,16 @@
         self.sim, self.name, self.zone = sim, name, zone
         self.is_up = True
         self.is_frozen = False
-        self.life = 0
-        self._inbox: list[Callable[[], None]] = []
+        self.incarnation = 0
+        self._deferred: list[Callable[[], None]] = []
 
-    def run(self, action: Callable[[], None]) -> None:
+    def execute(self, action: Callable[[], None]) -> None:
         """Run something now, or when the process thaws; a dead one drops it.
 
         :param action: what to run.
         """
         if self.is_frozen:
-            self._inbox.append(action)
+            self._deferred.append(action)
         elif self.is_up:
             action()
 
@@ -111,21 +111,21 @@
         :param for_s: how long.
         """
         self.is_frozen = True
-        self.sim.time.call_later(for_s, self._thaw)
+        self.sim.time.call_later(for_s, self._resume)
 
-    def _thaw(self) -> None:
+    def _resume(self) -> None:
         self.is_frozen = False
-        inbox, self._inbox = self._inbox, []
+        inbox, self._deferred = self._deferred, []
         for action in inbox:
-            self.run(action)
+            self.execute(action)
 
-    def end(self) -> None:
+    def terminate(self) -> None:
         """End the process, without a word to others."""
-        self.is_up, self.life = False, self.life + 1
-        self._inbox.clear()
+        self.is_up, self.incarnation = False, self.incarnation + 1
+        self._deferred.clear()
 
 
-def _ignore(answer: workercontrol.PollResult) -> None:
+def _discard(answer: workercontrol.PollResult) -> None:
     """Lose the answer to a poll."""
 
 
@@ -150,38 +150,40 @@
         self.sequence = 0
         self.is_draining = False
         self.drained_at: float | None = None
-        self._begin()
+        self._start()
 
-    def _begin(self) -> None:
+    def _start(self) -> None:
         self.boot = self.sim.rng.getrandbits(60)
         self.executor = executor.Executor(self.sim.limits, self.sim.time)
-        self.info_sent: set[tuple[str, assignments.WorkerInfo]] = set()
-        life = self.life
-        self._every(AGENT_TICK_S, lambda: self.perform(self.executor.tick()), life)
-        self._every(REPORT_S, self.report, life)
-        self._every(HEARTBEAT_S, self._beat, life)
+        self.sent_worker_info: set[tuple[str, assignments.WorkerInfo]] = set()
+        life = self.incarnation
+        self._repeat(
+            AGENT_TICK_INTERVAL_S, lambda: self.perform(self.executor.tick()), life
+        )
+        self._repeat(REPORT_INTERVAL_S, self.report, life)
+        self._repeat(HEARTBEAT_INTERVAL_S, self._send_heartbeat, life)
         self.sim.time.call_later(0.01, lambda: self._poll(life))
 
-    def _every(self, interval_s: float, action: Callable[[], None], life: int) -> None:
+    def _repeat(self, interval_s: float, action: Callable[[], None], life: int) -> None:
         def again() -> None:
-            if life != self.life:
+            if life != self.incarnation:
                 return
-            self.run(action)
+            self.execute(action)
             self.sim.time.call_later(interval_s, again)
 
         self.sim.time.call_later(self.sim.rng.random() * interval_s, again)
 
     def kill(self) -> None:
         """End the process."""
-        self.end()
-        self.sim.break_links(agent=self.name)
+        self.terminate()
+        self.sim.reset_connections(agent=self.name)
 
     def restart(self) -> None:
         """Start the process again."""
         self.is_up = True
-        self._begin()
+        self._start()
 
-    def _beat(self) -> None:
+    def _send_heartbeat(self) -> None:
         if self.worker.faults.is_unreachable:
             return
         self.sequence += 1
@@ -191,7 +193,7 @@
         self.perform(self.executor.handle_heartbeat(told))
 
     def _poll(self, life: int) -> None:
-        if life != self.life:
+        if life != self.incarnation:
             return
         command = self.executor.next_poll() if not self.is_frozen else None
         if command is None:
@@ -210,37 +212,37 @@
         self.sim.time.call_later(overdue_s, follow)
 
     def _send_poll(
-        self, command: workercontrol.PollCommand, then: Callable[[], None], life: int
+        self, command: workercontrol.PollCommand, on_done: Callable[[], None], life: int
     ) -> None:
         state = {"done": False}
 
         def finish(answer: workercontrol.PollResult) -> None:
-            if state["done"] or life != self.life:
+            if state["done"] or life != self.incarnation:
                 return
             state["done"] = True
 
             def handle() -> None:
                 self.perform(self.executor.handle_poll_result(command, answer))
                 pause_s = 0.0 if isinstance(answer, workercontrol.Snapshot) else 0.05
-                self.sim.time.call_later(pause_s, then)
+                self.sim.time.call_later(pause_s, on_done)
 
-            self.run(handle)
+            self.execute(handle)
 
         time = self.sim.time
         limit_s = command.wait_ms / 1000 + POLL_TIMEOUT_S
         time.call_later(limit_s, lambda: finish(workercontrol.Unanswered()))
 
         def answered(answer: workercontrol.PollResult) -> None:
-            time.call_later(COMMAND_S, lambda: finish(answer))
+            time.call_later(COMMAND_LATENCY_S, lambda: finish(answer))
 
         def arrive() -> None:
             if self.worker.faults.unanswered_share and self.worker.is_command_lost():
-                late_s = self.sim.rng.uniform(*simworker.LATE_S)
-                time.call_later(late_s, lambda: self.worker.poll(command, _ignore))
+                late_s = self.sim.rng.uniform(*simworker.LATE_DELAY_RANGE_S)
+                time.call_later(late_s, lambda: self.worker.poll(command, _discard))
             elif not self.worker.faults.is_unreachable:
                 self.worker.poll(command, answered)
 
-        time.call_later(COMMAND_S, arrive)
+        time.call_later(COMMAND_LATENCY_S, arrive)
 
     def perform(self, wanted: Iterable[executoractions.Effect]) -> None:
         """Perform effects of the executor.
@@ -250,7 +252,7 @@
         for effect in wanted:
             match effect:
                 case actions.Send(to, message):
-                    self.sim.to_entry(self.name, to, message)
+                    self.sim.send_to_entry(self.name, to, message)
                 case executoractions.Start(start):
                     self._send_command(
                         lambda start=start: self.worker.start(start),  # type: ignore[misc]
@@ -266,42 +268,42 @@
                         ),
                     )
                 case executoractions.Poll(poll):
-                    self._send_poll(poll, lambda: None, self.life)
+                    self._send_poll(poll, lambda: None, self.incarnation)
                 case actions.LogEvent(event, fields):
-                    self.sim.note(self.name, event, fields)
+                    self.sim.record_event(self.name, event, fields)
                     continue
-            self.sim.soon(self, self.report_change)
+            self.sim.schedule_report(self, self.report_change)
 
     def _send_command(
         self,
-        carry_out: Callable[[], workercontrol.CommandResult],
-        handle: Callable[
+        execute_command: Callable[[], workercontrol.CommandResult],
+        handle_result: Callable[
             [workercontrol.CommandResult], Iterator[executoractions.Effect]
         ],
     ) -> None:
-        life, time, faults = self.life, self.sim.time, self.worker.faults
+        life, time, faults = self.incarnation, self.sim.time, self.worker.faults
 
         def finish(answer: workercontrol.CommandResult) -> None:
-            if life == self.life:
-                self.run(lambda: self.perform(handle(answer)))
+            if life == self.incarnation:
+                self.execute(lambda: self.perform(handle_result(answer)))
 
         if faults.is_unreachable:
             time.call_later(
                 COMMAND_TIMEOUT_S, lambda: finish(workercontrol.Unanswered())
             )
         elif self.worker.is_command_lost():
-            late_s = self.sim.rng.uniform(*simworker.LATE_S)
-            time.call_later(late_s, carry_out)
+            late_s = self.sim.rng.uniform(*simworker.LATE_DELAY_RANGE_S)
+            time.call_later(late_s, execute_command)
             time.call_later(
                 COMMAND_TIMEOUT_S, lambda: finish(workercontrol.Unanswered())
             )
         else:
 
             def arrive() -> None:
-                answer = carry_out()
-                time.call_later(COMMAND_S, lambda: finish(answer))
+                answer = execute_command()
+                time.call_later(COMMAND_LATENCY_S, lambda: finish(answer))
 
-            time.call_later(COMMAND_S, arrive)
+            time.call_later(COMMAND_LATENCY_S, arrive)
 
     def report_change(self) -> None:
         """Send a change of the load to the entry hosts that hear of each."""
@@ -316,13 +318,13 @@
             self.executor.worker_info(),
             self.executor.due_reports(is_periodic),
         )
-        for entry in self.sim.linked_entries(self.name):
+        for entry in self.sim.connected_entries(self.name):
             if entry not in loads:
                 continue
-            if info is not None and (entry, info) not in self.info_sent:
-                self.info_sent.add((entry, info))
-                self.sim.to_entry(self.name, entry, info)
-            self.sim.to_entry(self.name, entry, loads[entry])
+            if info is not None and (entry, info) not in self.sent_worker_info:
+                self.sent_worker_info.add((entry, info))
+                self.sim.send_to_entry(self.name, entry, info)
+            self.sim.send_to_entry(self.name, entry, loads[entry])
 
 
 class SimulatedEntryHost(SimulatedNode):
@@ -335,9 +337,9 @@
 
     def __init__(self, sim: simulation.Simulation, name: str, zone: str) -> None:
         super().__init__(sim, name, zone)
-        self._begin()
+        self._start()
 
-    def _begin(self) -> None:
+    def _start(self) -> None:
         self.boot = self.sim.rng.getrandbits(60)
         self.caller_job_by_ticket: dict[int, CallerJob] = {}
         self.scheduler = scheduler.Scheduler(
@@ -350,30 +352,30 @@
             self.sim.time,
             self.sim.rng,
         )
-        life = self.life
+        life = self.incarnation
 
         def tick() -> None:
-            if life == self.life:
-                self.run(lambda: self.perform(self.scheduler.tick()))
-                self.sim.time.call_later(ENTRY_TICK_S, tick)
+            if life == self.incarnation:
+                self.execute(lambda: self.perform(self.scheduler.tick()))
+                self.sim.time.call_later(ENTRY_TICK_INTERVAL_S, tick)
 
-        self.sim.time.call_later(self.sim.rng.random() * ENTRY_TICK_S, tick)
+        self.sim.time.call_later(self.sim.rng.random() * ENTRY_TICK_INTERVAL_S, tick)
 
     def kill(self) -> None:
         """End the process; its callers see their connections break."""
-        self.end()
+        self.terminate()
         caller_jobs, self.caller_job_by_ticket = (
             list(self.caller_job_by_ticket.values()),
             {},
         )
-        self.sim.break_links(entry=self.name)
+        self.sim.reset_connections(entry=self.name)
         for caller_job in caller_jobs:
-            self.sim.resend(caller_job)
+            self.sim.retry(caller_job)
 
     def restart(self) -> None:
         """Start the process again."""
         self.is_up = True
-        self._begin()
+        self._start()
 
     def submit(self, caller_job: CallerJob) -> None:
         """Take a job.
@@ -392,15 +394,17 @@
         for effect in wanted:
             match effect:
                 case actions.Send(to, message):
-                    self.sim.to_agent(self.name, to, message)
+                    self.sim.send_to_agent(self.name, to, message)
                 case assigner.ScheduleAssignment():
                     self.sim.time.call_later(
-                        ASSIGN_S,
-                        lambda: self.run(lambda: self.perform(self.scheduler.assign())),
+                        ASSIGN_DELAY_S,
+                        lambda: self.execute(
+                            lambda: self.perform(self.scheduler.assign())
+                        ),
                     )
                 case assigner.Respond(ticket, _, verdict):
                     caller_job = self.caller_job_by_ticket.pop(ticket, None)
                     if caller_job is not None:
-                        self.sim.concluded(caller_job, verdict)
+                        self.sim.handle_outcome(caller_job, verdict)
                 case actions.LogEvent(event, fields):
-                    self.sim.note(self.name, event, fields)
+                    self.sim.record_event(self.name, event, fields)
--- a/src/burdockgate/standin/simulation.py
+++ b/src/burdockgate/standin/simulation.py
@@ -15,12 +15,12 @@
 from burdockgate.request import besteffort
 from burdockgate.standin import simnodes, simworker, virtualtime
 
-REDIAL_S = 0.05
-SILENCE_S = 0.9
-RESEND_S = 1.3
+REDIAL_INTERVAL_S = 0.05
+DISCONNECT_TIMEOUT_S = 0.9
+RETRY_DELAY_S = 1.3
 # Delivery in a zone and between zones, one way.
-NEAR_S = 0.0002
-FAR_S = 0.0009
+SAME_ZONE_DELAY_S = 0.0002
+CROSS_ZONE_DELAY_S = 0.0009
 
 
 class Simulation:
@@ -39,12 +39,12 @@
     def __init__(
         self,
         seed: int,
-        kinds: tuple[simnodes.Kind, ...],
+        kinds: tuple[simnodes.JobKind, ...],
         entries: int = 4,
         workers: int = 11,
         zones: int = 0,
         ordering: selection.Ordering | None = None,
-        chosen: selection.SelectionSettings | None = None,
+        selection_settings: selection.SelectionSettings | None = None,
         limits: executoractions.ExecutorSettings | None = None,
     ) -> None:
         zones = zones or entries
@@ -52,18 +52,18 @@
         self.time = virtualtime.VirtualClock()
         self.kinds = kinds
         self.ordering = ordering or selection.ShortestFirst()
-        self.selection = chosen or selection.SelectionSettings()
+        self.selection = selection_settings or selection.SelectionSettings()
         self.limits = limits or executoractions.ExecutorSettings()
         self.message_count_by_type: collections.Counter[type] = collections.Counter()
         self.tickets = iter(range(1, 1 << 60))
         self.work_by_task: dict[assignments.TaskKey, tuple[float, int]] = {}
         self.caller_jobs: list[simnodes.CallerJob] = []
-        self.notes: list[tuple[float, str, str, dict[str, object]]] = []
-        self.cut_pairs: set[tuple[str, str]] = set()
-        self._linked: dict[tuple[str, str], int] = {}
-        self._link_numbers = iter(range(1, 1 << 60))
-        self._soon: set[str] = set()
-        self._held_up: dict[tuple[str, str], list[Callable[[], None]]] = {}
+        self.events: list[tuple[float, str, str, dict[str, object]]] = []
+        self.partitioned_pairs: set[tuple[str, str]] = set()
+        self._connection_by_pair: dict[tuple[str, str], int] = {}
+        self._connection_numbers = iter(range(1, 1 << 60))
+        self._agents_with_scheduled_report: set[str] = set()
+        self._delayed_by_pair: dict[tuple[str, str], list[Callable[[], None]]] = {}
         self.entry_by_name = {
             f"entry-{number}": simnodes.SimulatedEntryHost(
                 self, f"entry-{number}", f"zone-{number % zones}"
@@ -80,63 +80,67 @@
             zone = f"zone-{number % zones}"
             name = f"agent-{number}"
             self.agent_by_name[name] = simnodes.SimulatedAgent(self, name, zone, worker)
-        self._watch()
+        self._connect_all()
 
     def _work_of(self, task: assignments.TaskKey) -> tuple[float, int]:
         return self.work_by_task[task]
 
-    def note(self, who: str, event: str, fields: dict[str, object]) -> None:
+    def record_event(self, who: str, event: str, fields: dict[str, object]) -> None:
         """Keep a log line.
 
         :param who: name of the process.
         :param event: the event.
         :param fields: its fields.
         """
-        self.notes.append((self.time.now(), who, event, fields))
+        self.events.append((self.time.now(), who, event, fields))
 
-    def soon(self, agent: simnodes.SimulatedAgent, action: Callable[[], None]) -> None:
+    def schedule_report(
+        self, agent: simnodes.SimulatedAgent, action: Callable[[], None]
+    ) -> None:
         """Run the report of an agent once in a few milliseconds.
 
         :param agent: the agent.
         :param action: what to run.
         """
-        if agent.name not in self._soon:
-            self._soon.add(agent.name)
+        if agent.name not in self._agents_with_scheduled_report:
+            self._agents_with_scheduled_report.add(agent.name)
 
             def later() -> None:
-                self._soon.discard(agent.name)
-                agent.run(action)
+                self._agents_with_scheduled_report.discard(agent.name)
+                agent.execute(action)
 
             self.time.call_later(0.004, later)
 
     # Links.
 
-    def _watch(self) -> None:
+    def _connect_all(self) -> None:
         """Link every pair that can be linked, as the dialling agents do."""
         for agent in self.agent_by_name.values():
             for entry in self.entry_by_name.values():
-                self._relink(agent, entry)
-        self.time.call_later(REDIAL_S, self._watch)
+                self._connect(agent, entry)
+        self.time.call_later(REDIAL_INTERVAL_S, self._connect_all)
 
-    def _relink(
+    def _connect(
         self, agent: simnodes.SimulatedAgent, entry: simnodes.SimulatedEntryHost
     ) -> None:
         pair = (agent.name, entry.name)
-        is_blocked = pair in self.cut_pairs or agent.is_frozen or not agent.is_up
-        if pair in self._linked or is_blocked:
+        is_blocked = (
+            pair in self.partitioned_pairs or agent.is_frozen or not agent.is_up
+        )
+        if pair in self._connection_by_pair or is_blocked:
             return
         if not entry.is_up:
             agent.perform(agent.executor.handle_entry_gone(entry.name))
             return
         if entry.is_frozen:
             return
-        self._linked[pair] = next(self._link_numbers)
+        self._connection_by_pair[pair] = next(self._connection_numbers)
         boot, held = agent.executor.session_state(entry.name)
         hello = assignments.AgentHello(
             1, agent.name, agent.boot, agent.zone, boot, held
         )
         entry_boot = entry.boot
-        link = self._linked[pair]
+        link = self._connection_by_pair[pair]
         self._deliver(
             pair,
             link,
@@ -145,7 +149,9 @@
                 entry.scheduler.handle_agent_connected(hello, entry_boot)
             ),
         )
-        agent.info_sent = {sent for sent in agent.info_sent if sent[0] != entry.name}
+        agent.sent_worker_info = {
+            sent for sent in agent.sent_worker_info if sent[0] != entry.name
+        }
         distance = entrysessions.distance(
             agent.name, agent.zone, entry.name, entry.zone
         )
@@ -154,27 +160,27 @@
         )
         agent.report()
 
-    def break_links(self, agent: str = "", entry: str = "") -> None:
+    def reset_connections(self, agent: str = "", entry: str = "") -> None:
         """Reset connections; both ends see it.
 
         :param agent: only those of this agent; empty for any.
         :param entry: only those of this entry host; empty for any.
         """
-        for pair in list(self._linked):
+        for pair in list(self._connection_by_pair):
             if agent in ("", pair[0]) and entry in ("", pair[1]):
-                self._unlink(pair)
+                self._disconnect(pair)
 
-    def _unlink(self, pair: tuple[str, str]) -> None:
-        del self._linked[pair]
+    def _disconnect(self, pair: tuple[str, str]) -> None:
+        del self._connection_by_pair[pair]
         agent, entry = self.agent_by_name[pair[0]], self.entry_by_name[pair[1]]
-        agent.run(
+        agent.execute(
             lambda: agent.perform(agent.executor.handle_entry_disconnected(entry.name))
         )
-        entry.run(
+        entry.execute(
             lambda: entry.perform(entry.scheduler.handle_agent_disconnected(agent.name))
         )
 
-    def cut(self, agent: str, entry: str, for_s: float) -> None:
+    def partition(self, agent: str, entry: str, for_s: float) -> None:
         """Cut a pair off from each other without a word.
 
         :param agent: name of the agent.
@@ -182,30 +188,30 @@
         :param for_s: how long.
         """
         pair = (agent, entry)
-        self.cut_pairs.add(pair)
+        self.partitioned_pairs.add(pair)
 
         def notice() -> None:
-            if pair in self._linked and pair in self.cut_pairs:
-                self._unlink(pair)
+            if pair in self._connection_by_pair and pair in self.partitioned_pairs:
+                self._disconnect(pair)
 
-        self.time.call_later(SILENCE_S, notice)
+        self.time.call_later(DISCONNECT_TIMEOUT_S, notice)
         self.time.call_later(for_s, lambda: self._heal(pair))
 
     def _heal(self, pair: tuple[str, str]) -> None:
-        self.cut_pairs.discard(pair)
-        for arrive in self._held_up.pop(pair, []):
+        self.partitioned_pairs.discard(pair)
+        for arrive in self._delayed_by_pair.pop(pair, []):
             arrive()
 
-    def linked_entries(self, agent: str) -> list[str]:
+    def connected_entries(self, agent: str) -> list[str]:
         """Return the entry hosts that an agent is connected with.
 
         :param agent: its name.
         """
-        return [pair[1] for pair in self._linked if pair[0] == agent]
+        return [pair[1] for pair in self._connection_by_pair if pair[0] == agent]
 
     def _delay_s(self, agent: str, entry: str) -> float:
         same = self.agent_by_name[agent].zone == self.entry_by_name[entry].zone
-        return NEAR_S if same else FAR_S
+        return SAME_ZONE_DELAY_S if same else CROSS_ZONE_DELAY_S
 
     def _deliver(
         self,
@@ -214,19 +220,23 @@
         node: simnodes.SimulatedAgent | simnodes.SimulatedEntryHost,
         action: Callable[[], None],
     ) -> None:
-        life = node.life
+        life = node.incarnation
 
         def arrive() -> None:
-            is_same = self._linked.get(pair) == link and life == node.life
-            if is_same and pair in self.cut_pairs:
+            is_same = (
+                self._connection_by_pair.get(pair) == link and life == node.incarnation
+            )
+            if is_same and pair in self.partitioned_pairs:
                 # A connection that outlives a cut delivers what was held up.
-                self._held_up.setdefault(pair, []).append(arrive)
+                self._delayed_by_pair.setdefault(pair, []).append(arrive)
             elif is_same:
-                node.run(action)
+                node.execute(action)
 
         self.time.call_later(self._delay_s(*pair), arrive)
 
-    def to_entry(self, agent: str, entry: str, message: assignments.Message) -> None:
+    def send_to_entry(
+        self, agent: str, entry: str, message: assignments.Message
+    ) -> None:
         """Send a message of an agent.
 
         :param agent: the sender.
@@ -234,7 +244,7 @@
         :param message: the message.
         """
         pair = (agent, entry)
-        link = self._linked.get(pair)
+        link = self._connection_by_pair.get(pair)
         if link is None:
             return
         self.message_count_by_type[type(message)] += 1
@@ -253,7 +263,9 @@
 
         self._deliver(pair, link, node, handle)
 
-    def to_agent(self, entry: str, agent: str, message: assignments.Message) -> None:
+    def send_to_agent(
+        self, entry: str, agent: str, message: assignments.Message
+    ) -> None:
         """Send a message of an entry host.
 
         :param entry: the sender.
@@ -261,7 +273,7 @@
         :param message: the message.
         """
         pair = (agent, entry)
-        link = self._linked.get(pair)
+        link = self._connection_by_pair.get(pair)
         if link is None:
             return
         self.message_count_by_type[type(message)] += 1
@@ -279,7 +291,7 @@
                     node.perform(node.executor.handle_revocation(message))
                 case assignments.Demand():
                     node.executor.handle_demand(entry, message)
-                    self.soon(node, node.report_change)
+                    self.schedule_report(node, node.report_change)
 
         self._deliver(pair, link, node, handle)
 
@@ -295,13 +307,13 @@
         for kind in self.kinds:
             at = begin
             while True:
-                at += self.rng.expovariate(kind.per_s * factor)
+                at += self.rng.expovariate(kind.jobs_per_s * factor)
                 if at >= end:
                     break
                 self.submit_at(at, self.make_job(kind))
 
     def make_job(
-        self, kind: simnodes.Kind, is_poison: bool = False
+        self, kind: simnodes.JobKind, is_poison: bool = False
     ) -> simnodes.CallerJob:
         """Return a job whose durations are not known to the system.
 
@@ -347,40 +359,40 @@
 
         def send() -> None:
             caller_job.sent_at = self.time.now()
-            self._send(caller_job, entry)
+            self._submit(caller_job, entry)
 
         self.time.call_later(at, send)
 
-    def _send(self, caller_job: simnodes.CallerJob, entry: str | None = None) -> None:
+    def _submit(self, caller_job: simnodes.CallerJob, entry: str | None = None) -> None:
         up = [node for node in self.entry_by_name.values() if node.is_up]
         if not up:
-            self.resend(caller_job)
+            self.retry(caller_job)
             return
         node = self.entry_by_name[entry] if entry else self.rng.choice(up)
-        node.run(lambda: node.submit(caller_job))
+        node.execute(lambda: node.submit(caller_job))
 
-    def resend(self, caller_job: simnodes.CallerJob) -> None:
+    def retry(self, caller_job: simnodes.CallerJob) -> None:
         """Send a job again after its connection broke.
 
         :param caller_job: the job.
         """
         caller_job.is_interrupted = True
         waited_s = self.time.now() - caller_job.sent_at
-        if waited_s + RESEND_S < caller_job.submission.deadline_s:
-            self.time.call_later(RESEND_S, lambda: self._send(caller_job))
+        if waited_s + RETRY_DELAY_S < caller_job.submission.deadline_s:
+            self.time.call_later(RETRY_DELAY_S, lambda: self._submit(caller_job))
 
-    def concluded(
-        self, caller_job: simnodes.CallerJob, verdict: besteffort.Outcome
+    def handle_outcome(
+        self, caller_job: simnodes.CallerJob, outcome: besteffort.Outcome
     ) -> None:
         """Handle an answer.
 
         :param caller_job: the job.
         :param verdict: the answer.
         """
-        caller_job.outcomes.append(verdict)
+        caller_job.outcomes.append(outcome)
         caller_job.ended_at = self.time.now()
-        if isinstance(verdict, besteffort.Interrupted):
-            self.resend(caller_job)
+        if isinstance(outcome, besteffort.Interrupted):
+            self.retry(caller_job)
 
     def run(self, seconds: float) -> None:
         """Let time pass.
@@ -406,6 +418,6 @@
             caller_jobs = [
                 caller_job for caller_job in self.caller_jobs if caller_job.kind is kind
             ]
-            earned = sum(caller_job.credit() for caller_job in caller_jobs)
+            earned = sum(caller_job.earned_share() for caller_job in caller_jobs)
             shares[kind.name] = earned / max(1, len(caller_jobs))
         return shares
--- a/src/burdockgate/standin/simworker.py
+++ b/src/burdockgate/standin/simworker.py
@@ -11,10 +11,10 @@
 from burdockgate.process import workercontrol
 from burdockgate.standin import virtualtime
 
-STOP_S = 0.04
+STOP_DELAY_S = 0.04
 MAX_LEASE_MS = 1000
 # Commands that got no answer are carried out this much later.
-LATE_S = (2.0, 12.0)
+LATE_DELAY_RANGE_S = (2.0, 12.0)
 
 
 @attrs.define
@@ -49,7 +49,7 @@
     :param is_cut: whether the worker is out of reach and runs on.
     """
 
-    slowness: float = 1.0
+    slow_factor: float = 1.0
     is_failing: bool = False
     is_hanging: bool = False
     unanswered_share: float = 0.0
@@ -89,19 +89,19 @@
         self._reset()
 
     def _reset(self) -> None:
-        self._life_began = self._time.now() - 1.0
+        self._started_at = self._time.now() - 1.0
         self._token = 0
-        self._lease_ms = 0.0
+        self._lease_until_ms = 0.0
         self._run_by_key: dict[assignments.RunKey, _Run] = {}
-        self._highest_by_task: dict[assignments.TaskKey, int] = {}
+        self._highest_run_by_task: dict[assignments.TaskKey, int] = {}
         self._finished: list[workercontrol.FinishedEntry] = []
         self._end_number = 0
-        self._waiting: list[Callable[[], None]] = []
+        self._pending_polls: list[Callable[[], None]] = []
 
     def restart(self) -> None:
         """End everything and begin a new life under the same identifier."""
         for run in list(self._run_by_key.values()):
-            self._record(run, None)
+            self._record_span(run, None)
             run.is_alive = False
         self._reset()
         self.born += 1
@@ -109,7 +109,7 @@
     @property
     def clock_ms(self) -> int:
         """The worker's steady clock."""
-        return int((self._time.now() - self._life_began) * 1000)
+        return int((self._time.now() - self._started_at) * 1000)
 
     def heartbeat(
         self, sequence: int, is_draining: bool
@@ -147,19 +147,19 @@
         self._token = command.token
         if command.lease_until_ms <= self.clock_ms:
             return workercontrol.Refused(workercontrol.Refusal.LATE, self.clock_ms)
-        self._extend(command.lease_until_ms)
+        self._extend_lease(command.lease_until_ms)
         if key in self._run_by_key:
             return workercontrol.Accepted(self.clock_ms)
-        if key.run <= self._highest_by_task.get(key.task, 0):
+        if key.run <= self._highest_run_by_task.get(key.task, 0):
             return workercontrol.Refused(workercontrol.Refusal.OLD_RUN, self.clock_ms)
-        self._begin(key)
+        self._start_run(key)
         return workercontrol.Accepted(self.clock_ms)
 
-    def _begin(self, key: assignments.RunKey) -> None:
+    def _start_run(self, key: assignments.RunKey) -> None:
         work_s, _ = self._work_of(key.task)
         run = _Run(key, abs(work_s), self._time.now())
         self._run_by_key[key] = run
-        duration_s = run.work_s * self.faults.slowness / self._speed
+        duration_s = run.work_s * self.faults.slow_factor / self._speed
         is_failing = work_s < 0 or self.faults.is_failing
         if self.faults.is_hanging:
             return
@@ -170,7 +170,7 @@
         )
         if self.faults.is_failing:
             duration_s = 0.005
-        self._time.call_later(duration_s, lambda: self._end(run, reason))
+        self._time.call_later(duration_s, lambda: self._end_run(run, reason))
 
     def stop(self, command: workercontrol.StopCommand) -> workercontrol.CommandResult:
         """Carry out a stop command.
@@ -181,12 +181,12 @@
             return workercontrol.Refused(workercontrol.Refusal.FENCED, self.clock_ms)
         self._token = command.token
         task = command.key.task
-        highest = max(self._highest_by_task.get(task, 0), command.key.run)
-        self._highest_by_task[task] = highest
+        highest = max(self._highest_run_by_task.get(task, 0), command.key.run)
+        self._highest_run_by_task[task] = highest
         run = self._run_by_key.get(command.key)
         if run is not None:
             stopped = workercontrol.EndReason.STOPPED
-            self._time.call_later(STOP_S, lambda: self._end(run, stopped))
+            self._time.call_later(STOP_DELAY_S, lambda: self._end_run(run, stopped))
         return workercontrol.Accepted(self.clock_ms)
 
     def poll(
@@ -204,7 +204,7 @@
             return
         self._token = command.token
         if command.lease_until_ms is not None:
-            self._extend(command.lease_until_ms)
+            self._extend_lease(command.lease_until_ms)
         self._finished = [
             entry for entry in self._finished if entry.number > command.acknowledged
         ]
@@ -219,57 +219,57 @@
                 is_answered = True
                 answer(self._snapshot())
 
-        self._waiting.append(answer_once)
+        self._pending_polls.append(answer_once)
         self._time.call_later(command.wait_ms / 1000, answer_once)
 
     def _snapshot(self) -> workercontrol.Snapshot:
         now = self._time.now()
         running = tuple(
-            workercontrol.RunningEntry(run.key, self._percent(run, now))
+            workercontrol.RunningEntry(run.key, self._progress_percent(run, now))
             for run in self._run_by_key.values()
         )
         return workercontrol.Snapshot(
             self.clock_ms, self.born, running, tuple(self._finished)
         )
 
-    def _percent(self, run: _Run, now: float) -> int:
+    def _progress_percent(self, run: _Run, now: float) -> int:
         if self.faults.is_hanging:
             return 0
-        done = (now - run.started_at) * self._speed / self.faults.slowness
+        done = (now - run.started_at) * self._speed / self.faults.slow_factor
         return min(99, int(100 * done / max(run.work_s, 0.001)))
 
-    def _extend(self, until_ms: float) -> None:
+    def _extend_lease(self, until_ms: float) -> None:
         until_ms = min(until_ms, self.clock_ms + MAX_LEASE_MS)
-        if until_ms > self._lease_ms:
-            self._lease_ms = until_ms
+        if until_ms > self._lease_until_ms:
+            self._lease_until_ms = until_ms
             delay_s = (until_ms - self.clock_ms) / 1000
             life = self.born
             # The worker's clock may be 2% slow.
-            self._time.call_later(delay_s * 1.02, lambda: self._lapse(life))
+            self._time.call_later(delay_s * 1.02, lambda: self._expire_lease(life))
 
-    def _lapse(self, life: int) -> None:
-        if life == self.born and self.clock_ms >= self._lease_ms:
+    def _expire_lease(self, life: int) -> None:
+        if life == self.born and self.clock_ms >= self._lease_until_ms:
             for run in list(self._run_by_key.values()):
-                self._end(run, workercontrol.EndReason.LAPSED)
+                self._end_run(run, workercontrol.EndReason.LAPSED)
 
-    def _end(self, run: _Run, reason: workercontrol.EndReason) -> None:
+    def _end_run(self, run: _Run, reason: workercontrol.EndReason) -> None:
         if not run.is_alive:
             return
         run.is_alive = False
         del self._run_by_key[run.key]
         task = run.key.task
-        highest = max(self._highest_by_task.get(task, 0), run.key.run)
-        self._highest_by_task[task] = highest
-        self._record(run, reason)
+        highest = max(self._highest_run_by_task.get(task, 0), run.key.run)
+        self._highest_run_by_task[task] = highest
+        self._record_span(run, reason)
         self._end_number += 1
         self._finished.append(
             workercontrol.FinishedEntry(self._end_number, run.key, reason)
         )
-        waiting, self._waiting = self._waiting, []
+        waiting, self._pending_polls = self._pending_polls, []
         for answer in waiting:
             answer()
 
-    def _record(self, run: _Run, reason: workercontrol.EndReason | None) -> None:
+    def _record_span(self, run: _Run, reason: workercontrol.EndReason | None) -> None:
         _, cpu = self._work_of(run.key.task)
         self.spans.append(
             Span(self.name, run.key, cpu, run.started_at, self._time.now(), reason)
--- a/src/burdockgate/standin/slopes.py
+++ b/src/burdockgate/standin/slopes.py
@@ -15,7 +15,7 @@
 from burdockgate.standin import memory, probes, regression
 
 REPETITIONS = 3
-MEMORY = (
+MEMORY_PROBES = (
     probes.Probe("kept job records", (1000, 4000, 16000), memory.jobs_mb),
     probes.Probe("kept results", (1000, 4000, 16000), memory.results_mb),
     probes.Probe("kept claims", (500, 1000, 2000), memory.claims_mb),
@@ -34,10 +34,10 @@
     found: dict[str, dict[int, list[float]]] = {}
     for seed in seeds:
         for size in probe.sizes:
-            for name, value in probe.take(size, seed).items():
+            for name, value in probe.measure(size, seed).items():
                 found.setdefault(name, {}).setdefault(size, []).append(value)
     for name, values_by_size in found.items():
-        yield regression.Series(name, probe.against, values_by_size)
+        yield regression.Series(name, probe.parameter, values_by_size)
 
 
 def report(every: Iterable[probes.Probe], seeds: Sequence[int]) -> str:
@@ -51,7 +51,7 @@
         f"Seeds {', '.join(map(str, seeds))}; Python {platform.python_version()}; "
         "processor time, not wall time.\n\n"
     )
-    return head + "\n".join(regression.markdown(series)) + "\n"
+    return head + "\n".join(regression.markdown_table(series)) + "\n"
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
@@ -64,7 +64,7 @@
     parser.add_argument("--seed", type=int, default=1, help="first seed (default 1)")
     options = parser.parse_args(arguments)
     seeds = range(options.seed, options.seed + REPETITIONS)
-    text = report((*probes.EVERY, *MEMORY), seeds)
+    text = report((*probes.PROBES, *MEMORY_PROBES), seeds)
     sys.stdout.write(text)
     if options.output is not None:
         options.output.write_text(text, encoding="utf-8")
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -233,7 +233,7 @@
     worth = {}
     for policy in crest.POLICIES:
         results = [crest.replay(policy, seed, 2.4, 3.0) for seed in (1, 2, 3)]
-        worth[policy.name] = sum(result.worth for result in results)
+        worth[policy.name] = sum(result.worth_share for result in results)
         assert [result.violation_count for result in results] == [0, 0, 0]
         assert len(list(crest.format_table(results))) == 4
     assert worth["shortest"] > max(worth["first come"], worth["least slack"])
@@ -274,8 +274,8 @@
 
 def _worth(sim):
     shares = sim.earned_share_by_kind()
-    possible = sum(kind.worth * kind.per_s for kind in KINDS)
-    earned = sum(shares[kind.name] * kind.worth * kind.per_s for kind in KINDS)
+    possible = sum(kind.worth * kind.jobs_per_s for kind in KINDS)
+    earned = sum(shares[kind.name] * kind.worth * kind.jobs_per_s for kind in KINDS)
     return earned / possible
 
 
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -7,15 +7,15 @@
 
 def test_line_through_exact_points():
     """Guards against slope and start being mixed up."""
-    found = regression.line([(1, 5.0), (2, 7.0), (4, 11.0)])
-    assert (found.slope, found.start) == pytest.approx((2.0, 3.0))
+    found = regression.fit_line([(1, 5.0), (2, 7.0), (4, 11.0)])
+    assert (found.slope, found.intercept) == pytest.approx((2.0, 3.0))
     assert found.residual == pytest.approx(0.0, abs=1e-9)
 
 
 def test_line_with_residual():
     """Guards against a residual that hides a point far from the line."""
-    found = regression.line([(0, 0.0), (1, 3.0), (2, 0.0)])
-    assert (found.slope, found.start) == pytest.approx((0.0, 1.0))
+    found = regression.fit_line([(0, 0.0), (1, 3.0), (2, 0.0)])
+    assert (found.slope, found.intercept) == pytest.approx((0.0, 1.0))
     assert found.residual == pytest.approx(2.0)
 
 
@@ -24,8 +24,10 @@
     series = regression.Series(
         "cost", "agents", {1: [1.0, 2.0, 4.0], 2: [2.0, 4.0, 8.0]}
     )
-    assert [each.slope for each in regression.lines(series)] == pytest.approx([1, 2, 4])
-    row = list(regression.markdown([series]))[-1]
+    assert [
+        each.slope for each in regression.fit_each_repetition(series)
+    ] == pytest.approx([1, 2, 4])
+    row = list(regression.markdown_table([series]))[-1]
     assert row == "| cost | agents | 1, 2 | 2 | 1 to 4 | 0 | 2, 4 | 0% |"
 
 
@@ -35,14 +37,14 @@
 )
 def test_numbers_have_three_digits_and_no_exponent(value, text):
     """Guards against lost digits of small slopes and lost zeros of round values."""
-    assert regression.number(value) == text
+    assert regression.format_number(value) == text
 
 
 def test_tiny_run_has_a_row_for_each_value():
     """Guards against a probe that fails, or a table that Markdown would not show."""
     tiny = (
         probes.Probe("tasks of a job", (1, 2, 3), probes.jobs),
-        probes.Probe("voters", (3, 4, 5), probes.group),
+        probes.Probe("voters", (3, 4, 5), probes.claim_group),
     )
     text = slopes.report(tiny, [1])
     rows = [line for line in text.splitlines() if line.startswith("|")]
