Reword the simulation of best-effort jobs

Cause: comments and docstrings such as "cut a pair off without a word", "let an agent stand still", "runs what it is told" and "what a replay gave" left out what the code does, and parameters had no unit.

Change: wording, local names and three help texts of standin.crest ("crest" reads "peak"; the module, its flags and the printed columns stay). schedule_load and submit_at now say that their times count from the call, as the code does.

--- a/src/burdockgate/standin/crest.py
+++ b/src/burdockgate/standin/crest.py
@@ -1,4 +1,4 @@
-"""Replays a crest of demand in the simulation and compares the orders of waiting jobs.
+"""Compares the orders of waiting jobs in a simulated peak of demand.
 
 Run it with ``python -m burdockgate.standin.crest``.
 """
@@ -13,22 +13,23 @@
 from burdockgate.process import selection
 from burdockgate.standin import invariants, simnodes, simulation
 
-# Width, duration, processors, rate, priority and worth of the users' kinds of job.
+# The users' kinds of jobs: number of tasks, seconds and thousandths of a core of each
+# task, jobs per second, priority and worth.
 KINDS = (
     simnodes.JobKind("short", 8, 0.102, 1600, 15.1, 0, 0.0291),
     simnodes.JobKind("medium", 2, 0.34, 1600, 44.0, 1, 0.01),
     simnodes.JobKind("long", 4, 1.52, 1600, 2.75, 2, 0.16),
 )
 NORMAL_LOAD_S = 2.0
-# Agents and workers have found each other by then.
+# By then all agents are connected.
 WARM_UP_S = 3.0
-# All but a few of the longest tasks end within this time.
+# Time after the load in which all but a few of the longest tasks end.
 COMPLETION_S = 20.0
 
 
 @attrs.frozen
 class Policy:
-    """An order of waiting jobs under a name."""
+    """A named order of waiting jobs."""
 
     name: str
     ordering: selection.Ordering
@@ -43,12 +44,12 @@
 
 @attrs.frozen
 class Result:
-    """What a replay gave.
+    """Result of a replay.
 
-    :param worth: share of the worth of all jobs that was earned.
-    :param share_by_kind: the same by kind of job.
-    :param refused: share of the jobs that were not served.
-    :param broken: number of invariant violations.
+    :param worth_share: share of the worth of all jobs that was earned.
+    :param share_by_kind: the same share by kind of job.
+    :param unserved_share: share of the jobs that were not completed.
+    :param violation_count: number of violated invariants.
     """
 
     policy: str
@@ -59,12 +60,12 @@
 
 
 def replay(policy: Policy, seed: int, factor: float, peak_s: float) -> Result:
-    """Return what a policy earns in one crest between two calm spans.
+    """Simulate a peak between two spans of normal load and return its result.
 
     :param policy: the policy.
     :param seed: seed of the load.
-    :param factor: load of the crest against the usual one.
-    :param crest_s: length of the crest in seconds.
+    :param factor: load of the peak as a multiple of the normal load.
+    :param peak_s: duration of the peak in seconds.
     """
     sim = simulation.Simulation(seed, KINDS, ordering=policy.ordering)
     peak_at = WARM_UP_S + NORMAL_LOAD_S
@@ -73,14 +74,14 @@
     sim.schedule_load(peak_at + peak_s, peak_at + peak_s + NORMAL_LOAD_S)
     sim.run(peak_at + peak_s + NORMAL_LOAD_S + COMPLETION_S)
     shares = sim.earned_share_by_kind()
-    worth = sum(shares[kind.name] * kind.worth * kind.jobs_per_s for kind in KINDS)
-    owed = sum(kind.worth * kind.jobs_per_s for kind in KINDS)
+    earned = sum(shares[kind.name] * kind.worth * kind.jobs_per_s for kind in KINDS)
+    possible = sum(kind.worth * kind.jobs_per_s for kind in KINDS)
     unserved = [
         caller_job for caller_job in sim.caller_jobs if not caller_job.is_completed
     ]
     return Result(
         policy.name,
-        worth / owed,
+        earned / possible,
         shares,
         len(unserved) / len(sim.caller_jobs),
         sum(1 for _ in invariants.violations(sim)),
@@ -90,7 +91,7 @@
 def format_table(results: list[Result]) -> Iterator[str]:
     """Yield the lines of a table.
 
-    :param results: one row each.
+    :param results: the results, one row each.
     """
     kinds = [kind.name for kind in KINDS]
     yield (
@@ -98,26 +99,29 @@
         + "  ".join(f"{name:>6}" for name in kinds)
         + ("  unserved  broken")
     )
-    for row in results:
-        shares = "  ".join(f"{row.share_by_kind[name]:6.3f}" for name in kinds)
+    for result in results:
+        shares = "  ".join(f"{result.share_by_kind[name]:6.3f}" for name in kinds)
         yield (
-            f"{row.policy:<12}  {row.worth_share:.3f}  {shares}"
-            f"  {row.unserved_share:8.3f}  {row.violation_count:6}"
+            f"{result.policy:<12}  {result.worth_share:.3f}  {shares}"
+            f"  {result.unserved_share:8.3f}  {result.violation_count:6}"
         )
 
 
 def main() -> None:
-    """Compare the policies with the load named on the command line."""
+    """Compare the policies under the load that the command line gives."""
     parser = argparse.ArgumentParser(
         prog="burdockgate.standin.crest",
-        description="Compares orders of waiting jobs at a crest of demand.",
+        description="Compares orders of waiting jobs in a peak of demand.",
     )
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--factor", type=float, default=2.4, help="times usual load")
-    parser.add_argument("--seconds", type=float, default=5.0, help="of the crest")
-    given = parser.parse_args()
+    parser.add_argument("--factor", type=float, default=2.4, help="times normal load")
+    parser.add_argument(
+        "--seconds", type=float, default=5.0, help="duration of the peak"
+    )
+    arguments = parser.parse_args()
     results = [
-        replay(policy, given.seed, given.factor, given.seconds) for policy in POLICIES
+        replay(policy, arguments.seed, arguments.factor, arguments.seconds)
+        for policy in POLICIES
     ]
     print("\n".join(format_table(results)))
 
--- a/src/burdockgate/standin/faultinjection.py
+++ b/src/burdockgate/standin/faultinjection.py
@@ -1,4 +1,4 @@
-"""Faults for the simulation of best-effort jobs, drawn from a seed."""
+"""Injects random faults into the simulation of best-effort jobs."""
 
 from __future__ import annotations
 
@@ -41,7 +41,7 @@
 
 
 def freeze_agent(sim: simulation.Simulation, rng: random.Random) -> str:
-    """Let an agent stand still."""
+    """Freeze an agent for a while."""
     agent, for_s = _random_agent(sim, rng), rng.uniform(0.1, 5)
     if agent.is_up and not agent.is_frozen:
         agent.freeze(for_s)
@@ -49,7 +49,7 @@
 
 
 def freeze_entry(sim: simulation.Simulation, rng: random.Random) -> str:
-    """Let an entry host stand still."""
+    """Freeze an entry host for a while."""
     entry, for_s = _random_entry(sim, rng), rng.uniform(0.1, 5)
     if entry.is_up and not entry.is_frozen:
         entry.freeze(for_s)
@@ -57,7 +57,7 @@
 
 
 def cut_agent(sim: simulation.Simulation, rng: random.Random) -> str:
-    """Cut an agent off from some entry hosts, without a word."""
+    """Partition an agent from some entry hosts, without a reset."""
     agent, for_s = _random_agent(sim, rng), rng.uniform(0.2, 6)
     for entry in sim.entry_by_name:
         if rng.random() < 0.7:
@@ -66,7 +66,7 @@
 
 
 def cut_entry(sim: simulation.Simulation, rng: random.Random) -> str:
-    """Cut an entry host off from some agents, without a word."""
+    """Partition an entry host from some agents, without a reset."""
     entry, for_s = _random_entry(sim, rng), rng.uniform(0.2, 6)
     for agent in sim.agent_by_name:
         if rng.random() < 0.7:
@@ -84,7 +84,7 @@
 def _inject_worker_fault(
     sim: simulation.Simulation,
     rng: random.Random,
-    name: str,
+    description: str,
     begin: Callable[[simworker.Faults], None],
     end: Callable[[simworker.Faults], None],
 ) -> str:
@@ -94,11 +94,11 @@
         faults = agent.worker.faults
         begin(faults)
         sim.time.call_later(for_s, lambda faults=faults: end(faults))  # type: ignore[misc]
-    return f"{name} for {for_s:.1f} s"
+    return f"{description} for {for_s:.1f} s"
 
 
 def lose_commands(sim: simulation.Simulation, rng: random.Random) -> str:
-    """Let workers leave commands unanswered and carry them out late."""
+    """Let workers leave some commands unanswered and execute them late."""
 
     def begin(faults: simworker.Faults) -> None:
         faults.unanswered_share = 0.2
@@ -110,7 +110,7 @@
 
 
 def cut_worker(sim: simulation.Simulation, rng: random.Random) -> str:
-    """Let workers run on while their agents can't reach them."""
+    """Make workers unreachable for their agents while their runs continue."""
 
     def begin(faults: simworker.Faults) -> None:
         faults.is_unreachable = True
@@ -122,7 +122,7 @@
 
 
 def fail_worker(sim: simulation.Simulation, rng: random.Random) -> str:
-    """Let workers fail all that they start."""
+    """Let workers fail every run that they start."""
 
     def begin(faults: simworker.Faults) -> None:
         faults.is_failing = True
@@ -134,7 +134,7 @@
 
 
 def hang_worker(sim: simulation.Simulation, rng: random.Random) -> str:
-    """Let tasks stand still."""
+    """Let workers hang, so that their runs make no progress."""
 
     def begin(faults: simworker.Faults) -> None:
         faults.is_hanging = True
@@ -146,7 +146,7 @@
 
 
 def slow_worker(sim: simulation.Simulation, rng: random.Random) -> str:
-    """Let workers take several times as long."""
+    """Slow workers down by a factor of 3 to 8."""
     factor = rng.uniform(3, 8)
 
     def begin(faults: simworker.Faults) -> None:
@@ -159,7 +159,7 @@
 
 
 def restart_worker(sim: simulation.Simulation, rng: random.Random) -> str:
-    """Let a worker start again under its identifier."""
+    """Restart a worker under the same identifier."""
     agent = _random_agent(sim, rng)
     agent.worker.restart()
     return f"restart {agent.worker.name}"
@@ -190,15 +190,16 @@
     count: int,
     kinds: tuple[Fault, ...] = ALL,
 ) -> list[str]:
-    """Let faults happen at random moments, together and in series.
+    """Schedule faults at random times; several may be active at once.
 
     :param sim: the simulation.
     :param seed: seed of the faults.
-    :param begin: first second.
-    :param end: last second.
+    :param begin: earliest time of a fault, in seconds from now.
+    :param end: latest time of a fault, in seconds from now.
     :param count: number of faults.
-    :param kinds: what may happen.
-    :returns: what happened, filled in while the simulation runs.
+    :param kinds: functions from which the faults are chosen.
+    :returns: times and descriptions of the injected faults, appended while the
+        simulation runs.
     """
     rng = random.Random(seed)
     injected: list[str] = []
--- a/src/burdockgate/standin/invariants.py
+++ b/src/burdockgate/standin/invariants.py
@@ -1,4 +1,4 @@
-"""Checks the invariants on a run of the simulation of best-effort jobs."""
+"""Checks invariants of best-effort jobs after a simulation."""
 
 from __future__ import annotations
 
@@ -11,9 +11,9 @@
 
 
 def violations(sim: simulation.Simulation) -> Iterator[str]:
-    """Yield each violation of an invariant in a run of the simulation.
+    """Yield a description of each violation of an invariant.
 
-    :param sim: the simulation, after its run.
+    :param sim: the simulation, after it has run.
     """
     yield from _concurrent_runs(sim.spans())
     yield from _overcommitted_workers(sim)
@@ -22,12 +22,12 @@
 
 def _concurrent_runs(spans: list[simworker.Span]) -> Iterator[str]:
     """Yield tasks with two runs at the same time."""
-    by_task: dict[assignments.TaskKey, list[simworker.Span]] = {}
+    spans_by_task: dict[assignments.TaskKey, list[simworker.Span]] = {}
     for span in spans:
-        by_task.setdefault(span.key.task, []).append(span)
-    for task, found in by_task.items():
-        found.sort(key=lambda span: span.started_at)
-        for first, second in zip(found, found[1:], strict=False):
+        spans_by_task.setdefault(span.key.task, []).append(span)
+    for task, task_spans in spans_by_task.items():
+        task_spans.sort(key=lambda span: span.started_at)
+        for first, second in zip(task_spans, task_spans[1:], strict=False):
             if second.started_at < first.ended_at - 1e-9:
                 yield (
                     f"twice: {task} run {first.key.run} on {first.worker} until "
@@ -40,13 +40,16 @@
     """Yield workers whose capacity was exceeded."""
     for agent in sim.agent_by_name.values():
         worker = agent.worker
-        steps = [
-            step
+        changes = [
+            change
             for span in [*worker.spans, *worker.open_spans()]
-            for step in ((span.started_at, 1, span.cpu), (span.ended_at, 0, -span.cpu))
+            for change in (
+                (span.started_at, 1, span.cpu),
+                (span.ended_at, 0, -span.cpu),
+            )
         ]
         used = 0
-        for at, _, cpu in sorted(steps):
+        for at, _, cpu in sorted(changes):
             used += cpu
             if used > worker.cpu:
                 yield f"limit: {worker.name} has {used} of {worker.cpu} at {at:.3f}"
@@ -54,28 +57,31 @@
 
 
 def _false_answers(sim: simulation.Simulation) -> Iterator[str]:
-    """Yield answers that are not true."""
-    done: dict[str, set[int]] = {}
-    started: set[str] = set()
+    """Yield outcomes that contradict the runs on the workers."""
+    done_indexes_by_job: dict[str, set[int]] = {}
+    started_jobs: set[str] = set()
     for span in sim.spans():
-        started.add(span.key.task.job)
+        started_jobs.add(span.key.task.job)
         if span.reason is workercontrol.EndReason.DONE:
-            done.setdefault(span.key.task.job, set()).add(span.key.task.index)
+            done_indexes_by_job.setdefault(span.key.task.job, set()).add(
+                span.key.task.index
+            )
     for caller_job in sim.caller_jobs:
         if (
             caller_job.is_completed
-            and len(done.get(caller_job.job, ())) != caller_job.kind.width
+            and len(done_indexes_by_job.get(caller_job.job, ()))
+            != caller_job.kind.width
         ):
             yield f"partial: {caller_job.job} is shown as completed"
-        # A refusal speaks of its own submission: an earlier one, whose connection
-        # broke, may have run.
-        only_refused = (
+        # A refusal is about one submission of the job: an earlier one, whose
+        # connection broke, may have run.
+        is_only_refused = (
             caller_job.outcomes
             and not caller_job.is_interrupted
             and all(
-                isinstance(verdict, besteffort.Refused)
-                for verdict in caller_job.outcomes
+                isinstance(outcome, besteffort.Refused)
+                for outcome in caller_job.outcomes
             )
         )
-        if only_refused and caller_job.job in started:
+        if is_only_refused and caller_job.job in started_jobs:
             yield f"refused: {caller_job.job} was refused and has run"
--- a/src/burdockgate/standin/simnodes.py
+++ b/src/burdockgate/standin/simnodes.py
@@ -1,4 +1,4 @@
-"""Agents, entry hosts and callers' jobs in the simulation of best-effort jobs."""
+"""Simulated agents and entry hosts, and the jobs that callers submit to them."""
 
 from __future__ import annotations
 
@@ -22,9 +22,12 @@
     from burdockgate import assignments
     from burdockgate.standin import simulation
 
+# An agent waits this long for the answer to a start or stop command.
 COMMAND_TIMEOUT_S = 0.08
+# A poll is unanswered this long after its requested wait.
 POLL_TIMEOUT_S = 0.25
 ASSIGN_DELAY_S = 0.001
+# One-way delay between an agent and its worker.
 COMMAND_LATENCY_S = 0.0005
 AGENT_TICK_INTERVAL_S = 0.1
 ENTRY_TICK_INTERVAL_S = 0.02
@@ -34,11 +37,13 @@
 
 @attrs.frozen
 class JobKind:
-    """A kind of job, as the load is made.
+    """A kind of job that callers submit.
 
+    :param width: number of tasks.
     :param work_s: mean duration of a task at speed 1.
-    :param per_s: jobs a second over all entry hosts.
-    :param worth: what a job on time is worth.
+    :param cpu: thousandths of a core for each task.
+    :param jobs_per_s: jobs per second over all entry hosts.
+    :param worth: what a job on time earns.
     """
 
     name: str
@@ -52,7 +57,7 @@
 
 @attrs.define
 class CallerJob:
-    """One job of a caller and what became of it."""
+    """A job of a caller with its outcomes; times in virtual seconds."""
 
     job: str
     kind: JobKind
@@ -64,7 +69,11 @@
     is_interrupted: bool = False
 
     def earned_share(self) -> float:
-        """Return the share of its worth: 1 on time, 0.2 late, 0 otherwise."""
+        """Return the share of its worth that the job earned.
+
+        1 within the objective, 0.2 within ``LATE_FACTOR`` times the objective,
+        otherwise 0.
+        """
         if self.ended_at is None or not self.is_completed:
             return 0.0
         took_s = self.ended_at - self.sent_at
@@ -74,9 +83,9 @@
 
     @property
     def is_completed(self) -> bool:
-        """Whether the caller was told that all tasks are done."""
+        """Whether the caller was answered that all tasks are done."""
         return any(
-            isinstance(verdict, besteffort.Completed) for verdict in self.outcomes
+            isinstance(outcome, besteffort.Completed) for outcome in self.outcomes
         )
 
 
@@ -85,7 +94,7 @@
 
     :param sim: the simulation.
     :param name: name of the process.
-    :param zone: its zone.
+    :param zone: zone of the process.
     """
 
     def __init__(self, sim: simulation.Simulation, name: str, zone: str) -> None:
@@ -96,9 +105,9 @@
         self._deferred: list[Callable[[], None]] = []
 
     def execute(self, action: Callable[[], None]) -> None:
-        """Run something now, or when the process thaws; a dead one drops it.
+        """Execute an action now, or after a freeze; a process that is down drops it.
 
-        :param action: what to run.
+        :param action: the action.
         """
         if self.is_frozen:
             self._deferred.append(action)
@@ -106,9 +115,9 @@
             action()
 
     def freeze(self, for_s: float) -> None:
-        """Stand still.
+        """Freeze the process.
 
-        :param for_s: how long.
+        :param for_s: duration in seconds.
         """
         self.is_frozen = True
         self.sim.time.call_later(for_s, self._resume)
@@ -120,13 +129,13 @@
             self.execute(action)
 
     def terminate(self) -> None:
-        """End the process, without a word to others."""
+        """End the process; its connections are not reset."""
         self.is_up, self.incarnation = False, self.incarnation + 1
         self._deferred.clear()
 
 
-def _discard(answer: workercontrol.PollResult) -> None:
-    """Lose the answer to a poll."""
+def _discard(result: workercontrol.PollResult) -> None:
+    """Discard the result of a poll."""
 
 
 class SimulatedAgent(SimulatedNode):
@@ -134,8 +143,8 @@
 
     :param sim: the simulation.
     :param name: name of the agent.
-    :param zone: its zone.
-    :param worker: its worker.
+    :param zone: zone of the process.
+    :param worker: worker of the agent.
     """
 
     def __init__(
@@ -156,25 +165,29 @@
         self.boot = self.sim.rng.getrandbits(60)
         self.executor = executor.Executor(self.sim.limits, self.sim.time)
         self.sent_worker_info: set[tuple[str, assignments.WorkerInfo]] = set()
-        life = self.incarnation
+        incarnation = self.incarnation
         self._repeat(
-            AGENT_TICK_INTERVAL_S, lambda: self.perform(self.executor.tick()), life
+            AGENT_TICK_INTERVAL_S,
+            lambda: self.perform(self.executor.tick()),
+            incarnation,
         )
-        self._repeat(REPORT_INTERVAL_S, self.report, life)
-        self._repeat(HEARTBEAT_INTERVAL_S, self._send_heartbeat, life)
-        self.sim.time.call_later(0.01, lambda: self._poll(life))
+        self._repeat(REPORT_INTERVAL_S, self.report, incarnation)
+        self._repeat(HEARTBEAT_INTERVAL_S, self._send_heartbeat, incarnation)
+        self.sim.time.call_later(0.01, lambda: self._poll(incarnation))
 
-    def _repeat(self, interval_s: float, action: Callable[[], None], life: int) -> None:
-        def again() -> None:
-            if life != self.incarnation:
+    def _repeat(
+        self, interval_s: float, action: Callable[[], None], incarnation: int
+    ) -> None:
+        def run_once() -> None:
+            if incarnation != self.incarnation:
                 return
             self.execute(action)
-            self.sim.time.call_later(interval_s, again)
+            self.sim.time.call_later(interval_s, run_once)
 
-        self.sim.time.call_later(self.sim.rng.random() * interval_s, again)
+        self.sim.time.call_later(self.sim.rng.random() * interval_s, run_once)
 
     def kill(self) -> None:
-        """End the process."""
+        """End the process; its connections are reset."""
         self.terminate()
         self.sim.reset_connections(agent=self.name)
 
@@ -189,41 +202,44 @@
         self.sequence += 1
         if self.is_draining and self.drained_at is None:
             self.drained_at = self.sim.time.now()
-        told = self.worker.heartbeat(self.sequence, self.is_draining)
-        self.perform(self.executor.handle_heartbeat(told))
+        heartbeat = self.worker.heartbeat(self.sequence, self.is_draining)
+        self.perform(self.executor.handle_heartbeat(heartbeat))
 
-    def _poll(self, life: int) -> None:
-        if life != self.incarnation:
+    def _poll(self, incarnation: int) -> None:
+        if incarnation != self.incarnation:
             return
         command = self.executor.next_poll() if not self.is_frozen else None
         if command is None:
-            self.sim.time.call_later(0.05, lambda: self._poll(life))
+            self.sim.time.call_later(0.05, lambda: self._poll(incarnation))
             return
-        is_followed = False
+        has_polled_again = False
 
-        def follow() -> None:
-            nonlocal is_followed
-            if not is_followed:
-                is_followed = True
-                self._poll(life)
+        def poll_again() -> None:
+            nonlocal has_polled_again
+            if not has_polled_again:
+                has_polled_again = True
+                self._poll(incarnation)
 
-        self._send_poll(command, follow, life)
+        self._send_poll(command, poll_again, incarnation)
         overdue_s = command.wait_ms / 1000 + self.sim.limits.poll_repeat_s
-        self.sim.time.call_later(overdue_s, follow)
+        self.sim.time.call_later(overdue_s, poll_again)
 
     def _send_poll(
-        self, command: workercontrol.PollCommand, on_done: Callable[[], None], life: int
+        self,
+        command: workercontrol.PollCommand,
+        on_done: Callable[[], None],
+        incarnation: int,
     ) -> None:
         state = {"done": False}
 
-        def finish(answer: workercontrol.PollResult) -> None:
-            if state["done"] or life != self.incarnation:
+        def finish(result: workercontrol.PollResult) -> None:
+            if state["done"] or incarnation != self.incarnation:
                 return
             state["done"] = True
 
             def handle() -> None:
-                self.perform(self.executor.handle_poll_result(command, answer))
-                pause_s = 0.0 if isinstance(answer, workercontrol.Snapshot) else 0.05
+                self.perform(self.executor.handle_poll_result(command, result))
+                pause_s = 0.0 if isinstance(result, workercontrol.Snapshot) else 0.05
                 self.sim.time.call_later(pause_s, on_done)
 
             self.execute(handle)
@@ -232,39 +248,39 @@
         limit_s = command.wait_ms / 1000 + POLL_TIMEOUT_S
         time.call_later(limit_s, lambda: finish(workercontrol.Unanswered()))
 
-        def answered(answer: workercontrol.PollResult) -> None:
-            time.call_later(COMMAND_LATENCY_S, lambda: finish(answer))
+        def send_result(result: workercontrol.PollResult) -> None:
+            time.call_later(COMMAND_LATENCY_S, lambda: finish(result))
 
         def arrive() -> None:
             if self.worker.faults.unanswered_share and self.worker.is_command_lost():
                 late_s = self.sim.rng.uniform(*simworker.LATE_DELAY_RANGE_S)
                 time.call_later(late_s, lambda: self.worker.poll(command, _discard))
             elif not self.worker.faults.is_unreachable:
-                self.worker.poll(command, answered)
+                self.worker.poll(command, send_result)
 
         time.call_later(COMMAND_LATENCY_S, arrive)
 
-    def perform(self, wanted: Iterable[executoractions.Effect]) -> None:
+    def perform(self, effects: Iterable[executoractions.Effect]) -> None:
         """Perform effects of the executor.
 
-        :param wanted: the effects.
+        :param effects: the effects.
         """
-        for effect in wanted:
+        for effect in effects:
             match effect:
                 case actions.Send(to, message):
                     self.sim.send_to_entry(self.name, to, message)
                 case executoractions.Start(start):
                     self._send_command(
                         lambda start=start: self.worker.start(start),  # type: ignore[misc]
-                        lambda answer, start=start: self.executor.handle_start_result(  # type: ignore[misc]
-                            start, answer
+                        lambda result, start=start: self.executor.handle_start_result(  # type: ignore[misc]
+                            start, result
                         ),
                     )
                 case executoractions.Stop(stop):
                     self._send_command(
                         lambda stop=stop: self.worker.stop(stop),  # type: ignore[misc]
-                        lambda answer, stop=stop: self.executor.handle_stop_result(  # type: ignore[misc]
-                            stop, answer
+                        lambda result, stop=stop: self.executor.handle_stop_result(  # type: ignore[misc]
+                            stop, result
                         ),
                     )
                 case executoractions.Poll(poll):
@@ -281,11 +297,11 @@
             [workercontrol.CommandResult], Iterator[executoractions.Effect]
         ],
     ) -> None:
-        life, time, faults = self.incarnation, self.sim.time, self.worker.faults
+        incarnation, time, faults = self.incarnation, self.sim.time, self.worker.faults
 
-        def finish(answer: workercontrol.CommandResult) -> None:
-            if life == self.incarnation:
-                self.execute(lambda: self.perform(handle_result(answer)))
+        def finish(result: workercontrol.CommandResult) -> None:
+            if incarnation == self.incarnation:
+                self.execute(lambda: self.perform(handle_result(result)))
 
         if faults.is_unreachable:
             time.call_later(
@@ -300,39 +316,39 @@
         else:
 
             def arrive() -> None:
-                answer = execute_command()
-                time.call_later(COMMAND_LATENCY_S, lambda: finish(answer))
+                result = execute_command()
+                time.call_later(COMMAND_LATENCY_S, lambda: finish(result))
 
             time.call_later(COMMAND_LATENCY_S, arrive)
 
     def report_change(self) -> None:
-        """Send a change of the load to the entry hosts that hear of each."""
+        """Send the load to the entry hosts that get a report of every change."""
         self.report(is_periodic=False)
 
     def report(self, is_periodic: bool = True) -> None:
-        """Send the load to the linked entry hosts.
+        """Send the load to the connected entry hosts for which a report is due.
 
-        :param is_periodic: whether to all of them.
+        :param is_periodic: whether the report is a periodic one.
         """
-        info, loads = (
+        info, report_by_entry = (
             self.executor.worker_info(),
             self.executor.due_reports(is_periodic),
         )
         for entry in self.sim.connected_entries(self.name):
-            if entry not in loads:
+            if entry not in report_by_entry:
                 continue
             if info is not None and (entry, info) not in self.sent_worker_info:
                 self.sent_worker_info.add((entry, info))
                 self.sim.send_to_entry(self.name, entry, info)
-            self.sim.send_to_entry(self.name, entry, loads[entry])
+            self.sim.send_to_entry(self.name, entry, report_by_entry[entry])
 
 
 class SimulatedEntryHost(SimulatedNode):
     """An entry host.
 
     :param sim: the simulation.
-    :param name: its name.
-    :param zone: its zone.
+    :param name: name of the entry host.
+    :param zone: zone of the process.
     """
 
     def __init__(self, sim: simulation.Simulation, name: str, zone: str) -> None:
@@ -352,17 +368,17 @@
             self.sim.time,
             self.sim.rng,
         )
-        life = self.incarnation
+        incarnation = self.incarnation
 
         def tick() -> None:
-            if life == self.incarnation:
+            if incarnation == self.incarnation:
                 self.execute(lambda: self.perform(self.scheduler.tick()))
                 self.sim.time.call_later(ENTRY_TICK_INTERVAL_S, tick)
 
         self.sim.time.call_later(self.sim.rng.random() * ENTRY_TICK_INTERVAL_S, tick)
 
     def kill(self) -> None:
-        """End the process; its callers see their connections break."""
+        """End the process; its callers retry after their connections broke."""
         self.terminate()
         caller_jobs, self.caller_job_by_ticket = (
             list(self.caller_job_by_ticket.values()),
@@ -378,7 +394,7 @@
         self._start()
 
     def submit(self, caller_job: CallerJob) -> None:
-        """Take a job.
+        """Submit a job to the scheduler.
 
         :param caller_job: the job.
         """
@@ -386,12 +402,12 @@
         self.caller_job_by_ticket[ticket] = caller_job
         self.perform(self.scheduler.submit(caller_job.submission, ticket))
 
-    def perform(self, wanted: Iterable[assigner.Effect]) -> None:
+    def perform(self, effects: Iterable[assigner.Effect]) -> None:
         """Perform effects of the scheduler.
 
-        :param wanted: the effects.
+        :param effects: the effects.
         """
-        for effect in wanted:
+        for effect in effects:
             match effect:
                 case actions.Send(to, message):
                     self.sim.send_to_agent(self.name, to, message)
@@ -402,9 +418,9 @@
                             lambda: self.perform(self.scheduler.assign())
                         ),
                     )
-                case assigner.Respond(ticket, _, verdict):
+                case assigner.Respond(ticket, _, outcome):
                     caller_job = self.caller_job_by_ticket.pop(ticket, None)
                     if caller_job is not None:
-                        self.sim.handle_outcome(caller_job, verdict)
+                        self.sim.handle_outcome(caller_job, outcome)
                 case actions.LogEvent(event, fields):
                     self.sim.record_event(self.name, event, fields)
--- a/src/burdockgate/standin/simulation.py
+++ b/src/burdockgate/standin/simulation.py
@@ -1,7 +1,7 @@
-"""Entry hosts, agents and workers of best-effort jobs in virtual time.
+"""Simulates best-effort jobs on entry hosts, agents and workers in virtual time.
 
-The decisions are those of the daemons; the network, the workers and the callers are
-stand-ins. Every run is repeatable from its seed.
+Schedulers and executors are the real ones; the network, the workers and the callers
+are simulated. The same seed gives the same simulation.
 """
 
 from __future__ import annotations
@@ -16,24 +16,26 @@
 from burdockgate.standin import simnodes, simworker, virtualtime
 
 REDIAL_INTERVAL_S = 0.05
+# Both ends of a connection notice a partition after this time.
 DISCONNECT_TIMEOUT_S = 0.9
+# A caller submits a job again this long after its connection broke.
 RETRY_DELAY_S = 1.3
-# Delivery in a zone and between zones, one way.
+# One-way network delays.
 SAME_ZONE_DELAY_S = 0.0002
 CROSS_ZONE_DELAY_S = 0.0009
 
 
 class Simulation:
-    """The whole system.
+    """All entry hosts, agents, workers and callers, and the network between them.
 
-    :param seed: seed of everything random.
-    :param kinds: kinds of jobs.
+    :param seed: seed of all random choices.
+    :param kinds: kinds of jobs that callers submit.
     :param entries: number of entry hosts, spread over the zones.
     :param workers: number of workers, spread over the zones.
-    :param zones: number of zones; 0 for one for each entry host.
+    :param zones: number of zones; 0 for as many as entry hosts.
     :param ordering: order of waiting jobs.
-    :param chosen: weights of the choice of a worker.
-    :param limits: what the agents keep to.
+    :param selection_settings: settings of the choice of a worker.
+    :param limits: settings of the agents' executors.
     """
 
     def __init__(
@@ -85,36 +87,36 @@
     def _work_of(self, task: assignments.TaskKey) -> tuple[float, int]:
         return self.work_by_task[task]
 
-    def record_event(self, who: str, event: str, fields: dict[str, object]) -> None:
-        """Keep a log line.
+    def record_event(self, process: str, event: str, fields: dict[str, object]) -> None:
+        """Record an event that a process logs.
 
-        :param who: name of the process.
-        :param event: the event.
-        :param fields: its fields.
+        :param process: name of the process.
+        :param event: name of the event.
+        :param fields: fields of the event.
         """
-        self.events.append((self.time.now(), who, event, fields))
+        self.events.append((self.time.now(), process, event, fields))
 
     def schedule_report(
         self, agent: simnodes.SimulatedAgent, action: Callable[[], None]
     ) -> None:
-        """Run the report of an agent once in a few milliseconds.
+        """Schedule the report of an agent in 4 ms, unless one is scheduled already.
 
         :param agent: the agent.
-        :param action: what to run.
+        :param action: sends the report.
         """
         if agent.name not in self._agents_with_scheduled_report:
             self._agents_with_scheduled_report.add(agent.name)
 
-            def later() -> None:
+            def report() -> None:
                 self._agents_with_scheduled_report.discard(agent.name)
                 agent.execute(action)
 
-            self.time.call_later(0.004, later)
+            self.time.call_later(0.004, report)
 
-    # Links.
+    # Connections between agents and entry hosts.
 
     def _connect_all(self) -> None:
-        """Link every pair that can be linked, as the dialling agents do."""
+        """Connect every pair that can be connected, as the dialling agents do."""
         for agent in self.agent_by_name.values():
             for entry in self.entry_by_name.values():
                 self._connect(agent, entry)
@@ -135,15 +137,15 @@
         if entry.is_frozen:
             return
         self._connection_by_pair[pair] = next(self._connection_numbers)
-        boot, held = agent.executor.session_state(entry.name)
+        boot, run_keys = agent.executor.session_state(entry.name)
         hello = assignments.AgentHello(
-            1, agent.name, agent.boot, agent.zone, boot, held
+            1, agent.name, agent.boot, agent.zone, boot, run_keys
         )
         entry_boot = entry.boot
-        link = self._connection_by_pair[pair]
+        connection = self._connection_by_pair[pair]
         self._deliver(
             pair,
-            link,
+            connection,
             entry,
             lambda: entry.perform(
                 entry.scheduler.handle_agent_connected(hello, entry_boot)
@@ -161,10 +163,10 @@
         agent.report()
 
     def reset_connections(self, agent: str = "", entry: str = "") -> None:
-        """Reset connections; both ends see it.
+        """Reset connections; both ends notice it without a timeout.
 
-        :param agent: only those of this agent; empty for any.
-        :param entry: only those of this entry host; empty for any.
+        :param agent: name of the agent; empty for any.
+        :param entry: name of the entry host; empty for any.
         """
         for pair in list(self._connection_by_pair):
             if agent in ("", pair[0]) and entry in ("", pair[1]):
@@ -181,71 +183,72 @@
         )
 
     def partition(self, agent: str, entry: str, for_s: float) -> None:
-        """Cut a pair off from each other without a word.
+        """Delay the messages of a pair; both ends notice it only after a timeout.
 
         :param agent: name of the agent.
         :param entry: name of the entry host.
-        :param for_s: how long.
+        :param for_s: duration in seconds.
         """
         pair = (agent, entry)
         self.partitioned_pairs.add(pair)
 
-        def notice() -> None:
+        def disconnect() -> None:
             if pair in self._connection_by_pair and pair in self.partitioned_pairs:
                 self._disconnect(pair)
 
-        self.time.call_later(DISCONNECT_TIMEOUT_S, notice)
+        self.time.call_later(DISCONNECT_TIMEOUT_S, disconnect)
         self.time.call_later(for_s, lambda: self._heal(pair))
 
     def _heal(self, pair: tuple[str, str]) -> None:
         self.partitioned_pairs.discard(pair)
-        for arrive in self._delayed_by_pair.pop(pair, []):
-            arrive()
+        for deliver in self._delayed_by_pair.pop(pair, []):
+            deliver()
 
     def connected_entries(self, agent: str) -> list[str]:
-        """Return the entry hosts that an agent is connected with.
+        """Return the names of the entry hosts to which an agent is connected.
 
-        :param agent: its name.
+        :param agent: name of the agent.
         """
         return [pair[1] for pair in self._connection_by_pair if pair[0] == agent]
 
     def _delay_s(self, agent: str, entry: str) -> float:
-        same = self.agent_by_name[agent].zone == self.entry_by_name[entry].zone
-        return SAME_ZONE_DELAY_S if same else CROSS_ZONE_DELAY_S
+        is_same_zone = self.agent_by_name[agent].zone == self.entry_by_name[entry].zone
+        return SAME_ZONE_DELAY_S if is_same_zone else CROSS_ZONE_DELAY_S
 
     def _deliver(
         self,
         pair: tuple[str, str],
-        link: int,
+        connection: int,
         node: simnodes.SimulatedAgent | simnodes.SimulatedEntryHost,
         action: Callable[[], None],
     ) -> None:
-        life = node.incarnation
+        incarnation = node.incarnation
 
-        def arrive() -> None:
-            is_same = (
-                self._connection_by_pair.get(pair) == link and life == node.incarnation
+        def deliver() -> None:
+            is_current = (
+                self._connection_by_pair.get(pair) == connection
+                and incarnation == node.incarnation
             )
-            if is_same and pair in self.partitioned_pairs:
-                # A connection that outlives a cut delivers what was held up.
-                self._delayed_by_pair.setdefault(pair, []).append(arrive)
-            elif is_same:
+            if is_current and pair in self.partitioned_pairs:
+                # If the connection survives the partition, the message follows it.
+                self._delayed_by_pair.setdefault(pair, []).append(deliver)
+            elif is_current:
                 node.execute(action)
 
-        self.time.call_later(self._delay_s(*pair), arrive)
+        self.time.call_later(self._delay_s(*pair), deliver)
 
     def send_to_entry(
         self, agent: str, entry: str, message: assignments.Message
     ) -> None:
-        """Send a message of an agent.
+        """Send a message from an agent to an entry host.
 
-        :param agent: the sender.
-        :param entry: the receiver.
+        :param agent: name of the sender.
+        :param entry: name of the receiver.
         :param message: the message.
         """
         pair = (agent, entry)
-        link = self._connection_by_pair.get(pair)
-        if link is None:
+        connection = self._connection_by_pair.get(pair)
+        if connection is None:
             return
         self.message_count_by_type[type(message)] += 1
         node = self.entry_by_name[entry]
@@ -261,20 +264,20 @@
                 case assignments.WorkerInfo():
                     node.perform(node.scheduler.handle_worker_info(agent, message))
 
-        self._deliver(pair, link, node, handle)
+        self._deliver(pair, connection, node, handle)
 
     def send_to_agent(
         self, entry: str, agent: str, message: assignments.Message
     ) -> None:
-        """Send a message of an entry host.
+        """Send a message from an entry host to an agent.
 
-        :param entry: the sender.
-        :param agent: the receiver.
+        :param entry: name of the sender.
+        :param agent: name of the receiver.
         :param message: the message.
         """
         pair = (agent, entry)
-        link = self._connection_by_pair.get(pair)
-        if link is None:
+        connection = self._connection_by_pair.get(pair)
+        if connection is None:
             return
         self.message_count_by_type[type(message)] += 1
         node = self.agent_by_name[agent]
@@ -293,16 +296,16 @@
                     node.executor.handle_demand(entry, message)
                     self.schedule_report(node, node.report_change)
 
-        self._deliver(pair, link, node, handle)
+        self._deliver(pair, connection, node, handle)
 
     # Callers.
 
     def schedule_load(self, begin: float, end: float, factor: float = 1.0) -> None:
-        """Let callers send jobs at the rates of their kinds.
+        """Schedule jobs at random times, at the rates of their kinds.
 
-        :param begin: first second of the load, from the start of the simulation.
-        :param end: last second.
-        :param factor: on all rates.
+        :param begin: start of the load, in seconds from now.
+        :param end: end of the load, in seconds from now.
+        :param factor: factor on all rates.
         """
         for kind in self.kinds:
             at = begin
@@ -315,23 +318,23 @@
     def make_job(
         self, kind: simnodes.JobKind, is_poison: bool = False
     ) -> simnodes.CallerJob:
-        """Return a job whose durations are not known to the system.
+        """Return a job whose estimate differs from the durations of its tasks.
 
-        :param kind: its kind.
-        :param is_poison: whether its tasks always fail.
+        :param kind: kind of the job.
+        :param is_poison: whether all runs of its tasks fail.
         """
         job = f"{self.rng.getrandbits(64):016x}"
-        works = []
+        works_s = []
         for index in range(kind.width):
             work_s = kind.work_s * self.rng.lognormvariate(-0.08, 0.4)
             if self.rng.random() < 0.03:
                 work_s *= 7
-            works.append(work_s)
+            works_s.append(work_s)
             key = assignments.TaskKey(job, 0, index)
             self.work_by_task[key] = (-work_s if is_poison else work_s, kind.cpu)
         estimate_s = kind.work_s * self.rng.uniform(0.6, 1.4)
         step = besteffort.Step(kind.width, kind.cpu, 64, 0, estimate_s)
-        objective_s = 1.6 * max(works) + 0.06
+        objective_s = 1.6 * max(works_s) + 0.06
         submission = besteffort.Submission(
             job,
             kind.name,
@@ -349,11 +352,11 @@
     def submit_at(
         self, at: float, caller_job: simnodes.CallerJob, entry: str | None = None
     ) -> None:
-        """Let a caller send a job.
+        """Let a caller submit a job.
 
-        :param at: when, in seconds from the start of the simulation.
+        :param at: when, in seconds from now.
         :param caller_job: the job.
-        :param entry: name of the entry host; ``None`` picks one.
+        :param entry: name of the entry host; ``None`` for a random one.
         """
         self.caller_jobs.append(caller_job)
 
@@ -364,15 +367,15 @@
         self.time.call_later(at, send)
 
     def _submit(self, caller_job: simnodes.CallerJob, entry: str | None = None) -> None:
-        up = [node for node in self.entry_by_name.values() if node.is_up]
-        if not up:
+        running_entries = [node for node in self.entry_by_name.values() if node.is_up]
+        if not running_entries:
             self.retry(caller_job)
             return
-        node = self.entry_by_name[entry] if entry else self.rng.choice(up)
+        node = self.entry_by_name[entry] if entry else self.rng.choice(running_entries)
         node.execute(lambda: node.submit(caller_job))
 
     def retry(self, caller_job: simnodes.CallerJob) -> None:
-        """Send a job again after its connection broke.
+        """Submit a job again later, unless its deadline is too near.
 
         :param caller_job: the job.
         """
@@ -384,10 +387,10 @@
     def handle_outcome(
         self, caller_job: simnodes.CallerJob, outcome: besteffort.Outcome
     ) -> None:
-        """Handle an answer.
+        """Record the outcome of a job; retry the job if it was interrupted.
 
         :param caller_job: the job.
-        :param verdict: the answer.
+        :param outcome: the outcome.
         """
         caller_job.outcomes.append(outcome)
         caller_job.ended_at = self.time.now()
@@ -395,16 +398,16 @@
             self.retry(caller_job)
 
     def run(self, seconds: float) -> None:
-        """Let time pass.
+        """Advance the virtual time.
 
-        :param seconds: how long.
+        :param seconds: by how much.
         """
         self.time.run_until(self.time.now() + seconds)
 
     # Results.
 
     def spans(self) -> list[simworker.Span]:
-        """Return all runs on all workers."""
+        """Return the spans of all runs on all workers."""
         return [
             span
             for agent in self.agent_by_name.values()
@@ -412,7 +415,7 @@
         ]
 
     def earned_share_by_kind(self) -> dict[str, float]:
-        """Return the share of the worth that was earned, by kind."""
+        """Return the share of the worth of its jobs that each kind earned."""
         shares: dict[str, float] = {}
         for kind in self.kinds:
             caller_jobs = [
--- a/src/burdockgate/standin/simworker.py
+++ b/src/burdockgate/standin/simworker.py
@@ -1,4 +1,4 @@
-"""A worker with leases, fencing tokens and lists of runs, in virtual time."""
+"""A simulated worker with leases, fencing tokens and lists of runs."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 STOP_DELAY_S = 0.04
 MAX_LEASE_MS = 1000
-# Commands that got no answer are carried out this much later.
+# A command that gets no answer is executed after a delay in this range.
 LATE_DELAY_RANGE_S = (2.0, 12.0)
 
 
@@ -27,9 +27,12 @@
 
 @attrs.frozen
 class Span:
-    """One run as the worker saw it, for the checker.
+    """The time that a run took on its worker, for the check of the invariants.
 
     :param cpu: thousandths of a core.
+    :param started_at: start in virtual seconds.
+    :param ended_at: end in virtual seconds.
+    :param reason: why the run ended; ``None`` if it runs or its worker restarted.
     """
 
     worker: str
@@ -42,11 +45,14 @@
 
 @attrs.define
 class Faults:
-    """What is wrong with a worker now.
-
-    :param slowness: factor on every duration.
-    :param unanswered: share of commands without an answer; they are carried out late.
-    :param is_cut: whether the worker is out of reach and runs on.
+    """Current faults of a worker.
+
+    :param slow_factor: factor on the duration of every run.
+    :param is_failing: whether runs that start fail at once.
+    :param is_hanging: whether runs that start never end by themselves.
+    :param unanswered_share: share of commands that get no answer and are executed
+        late.
+    :param is_unreachable: whether its agent can't reach the worker; its runs continue.
     """
 
     slow_factor: float = 1.0
@@ -57,15 +63,15 @@
 
 
 class SimulatedWorker:
-    """Runs what it is told, whether it fits or not.
+    """Runs what it is commanded to, even beyond its capacity.
 
     :param name: identifier of the worker.
     :param cpu: capacity in thousandths of a core.
-    :param speed: work done per second.
+    :param speed: seconds of work done per second.
     :param time: virtual time.
     :param rng: source of random numbers.
-    :param work_of: returns the work of a task in seconds and its processors; a
-        negative work makes the task fail.
+    :param work_of: returns the work of a task in seconds and its processors in
+        thousandths of a core; a task with negative work fails.
     """
 
     def __init__(
@@ -99,7 +105,7 @@
         self._pending_polls: list[Callable[[], None]] = []
 
     def restart(self) -> None:
-        """End everything and begin a new life under the same identifier."""
+        """End all runs and restart as a new incarnation under the same identifier."""
         for run in list(self._run_by_key.values()):
             self._record_span(run, None)
             run.is_alive = False
@@ -108,7 +114,7 @@
 
     @property
     def clock_ms(self) -> int:
-        """The worker's steady clock."""
+        """The worker's monotonic clock."""
         return int((self._time.now() - self._started_at) * 1000)
 
     def heartbeat(
@@ -116,8 +122,8 @@
     ) -> workercontrol.WorkerHeartbeat:
         """Return a heartbeat.
 
-        :param sequence: its number.
-        :param is_draining: whether the worker leaves.
+        :param sequence: sequence number of the heartbeat.
+        :param is_draining: whether the worker drains.
         """
         return workercontrol.WorkerHeartbeat(
             self.name,
@@ -133,11 +139,11 @@
         )
 
     def is_command_lost(self) -> bool:
-        """Return whether the next command gets no answer and is carried out late."""
+        """Return whether the next command gets no answer and is executed late."""
         return self._rng.random() < self.faults.unanswered_share
 
     def start(self, command: workercontrol.StartCommand) -> workercontrol.CommandResult:
-        """Carry out a start command.
+        """Execute a start command.
 
         :param command: the command.
         """
@@ -173,7 +179,7 @@
         self._time.call_later(duration_s, lambda: self._end_run(run, reason))
 
     def stop(self, command: workercontrol.StopCommand) -> workercontrol.CommandResult:
-        """Carry out a stop command.
+        """Execute a stop command.
 
         :param command: the command.
         """
@@ -192,15 +198,17 @@
     def poll(
         self,
         command: workercontrol.PollCommand,
-        answer: Callable[[workercontrol.PollResult], None],
+        send_result: Callable[[workercontrol.PollResult], None],
     ) -> None:
-        """Carry out a poll; it is answered at an end or after its wait.
+        """Execute a poll; it is answered when a run ends, or after its wait.
 
         :param command: the command.
-        :param answer: gets the lists.
+        :param send_result: called with the result.
         """
         if command.token < self._token:
-            answer(workercontrol.Refused(workercontrol.Refusal.FENCED, self.clock_ms))
+            send_result(
+                workercontrol.Refused(workercontrol.Refusal.FENCED, self.clock_ms)
+            )
             return
         self._token = command.token
         if command.lease_until_ms is not None:
@@ -209,18 +217,18 @@
             entry for entry in self._finished if entry.number > command.acknowledged
         ]
         if self._finished or not command.wait_ms:
-            answer(self._snapshot())
+            send_result(self._snapshot())
             return
-        is_answered = False
+        is_sent = False
 
-        def answer_once() -> None:
-            nonlocal is_answered
-            if not is_answered:
-                is_answered = True
-                answer(self._snapshot())
+        def send_snapshot_once() -> None:
+            nonlocal is_sent
+            if not is_sent:
+                is_sent = True
+                send_result(self._snapshot())
 
-        self._pending_polls.append(answer_once)
-        self._time.call_later(command.wait_ms / 1000, answer_once)
+        self._pending_polls.append(send_snapshot_once)
+        self._time.call_later(command.wait_ms / 1000, send_snapshot_once)
 
     def _snapshot(self) -> workercontrol.Snapshot:
         now = self._time.now()
@@ -243,12 +251,14 @@
         if until_ms > self._lease_until_ms:
             self._lease_until_ms = until_ms
             delay_s = (until_ms - self.clock_ms) / 1000
-            life = self.born
+            incarnation = self.born
             # The worker's clock may be 2% slow.
-            self._time.call_later(delay_s * 1.02, lambda: self._expire_lease(life))
+            self._time.call_later(
+                delay_s * 1.02, lambda: self._expire_lease(incarnation)
+            )
 
-    def _expire_lease(self, life: int) -> None:
-        if life == self.born and self.clock_ms >= self._lease_until_ms:
+    def _expire_lease(self, incarnation: int) -> None:
+        if incarnation == self.born and self.clock_ms >= self._lease_until_ms:
             for run in list(self._run_by_key.values()):
                 self._end_run(run, workercontrol.EndReason.LAPSED)
 
@@ -265,9 +275,9 @@
         self._finished.append(
             workercontrol.FinishedEntry(self._end_number, run.key, reason)
         )
-        waiting, self._pending_polls = self._pending_polls, []
-        for answer in waiting:
-            answer()
+        polls, self._pending_polls = self._pending_polls, []
+        for send_snapshot in polls:
+            send_snapshot()
 
     def _record_span(self, run: _Run, reason: workercontrol.EndReason | None) -> None:
         _, cpu = self._work_of(run.key.task)
@@ -276,7 +286,7 @@
         )
 
     def open_spans(self) -> list[Span]:
-        """Return what still runs, as spans that end now."""
+        """Return the spans of the current runs, with the current time as their end."""
         now = self._time.now()
         return [
             Span(
--- a/src/burdockgate/standin/virtualtime.py
+++ b/src/burdockgate/standin/virtualtime.py
@@ -1,4 +1,4 @@
-"""Virtual time: calls in the order of their time, without waiting."""
+"""A virtual clock that makes scheduled calls in order, without waiting."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 class VirtualClock(clock.Clock):
-    """A clock that jumps from one due call to the next."""
+    """A clock that advances from one scheduled call to the next."""
 
     def __init__(self) -> None:
         self._now = 1000.0
@@ -22,18 +22,18 @@
         return self._now
 
     def call_later(self, delay_s: float, action: Callable[[], object]) -> None:
-        """Call a function later.
+        """Schedule a call.
 
-        :param delay_s: when, in seconds from now.
+        :param delay_s: delay in seconds.
         :param action: the function.
         """
-        entry = (self._now + delay_s, next(self._numbers), action)
-        heapq.heappush(self._due, entry)
+        call = (self._now + delay_s, next(self._numbers), action)
+        heapq.heappush(self._due, call)
 
     def run_until(self, end: float) -> None:
-        """Make all calls that are due until a time.
+        """Make all calls that are due by a time, and advance the clock to it.
 
-        :param end: the time in seconds.
+        :param end: the virtual time in seconds.
         """
         while self._due and self._due[0][0] <= end:
             self._now, _, action = heapq.heappop(self._due)
