Reword the cost probes, their regression and the memory probe

Change: wording, local names, the names inside the scripts of standin.memory, and one test name. Names of the measures and the columns of the table stay letter for letter.

Measured: 50 tests passed (test_simulation, test_slopes). The five functions of standin.memory ran.

--- a/src/burdockgate/standin/costmeter.py
+++ b/src/burdockgate/standin/costmeter.py
@@ -1,7 +1,7 @@
-"""Cores on a virtual clock whose processor time, messages and bytes are counted.
+"""Measures processor time, messages and bytes of cores on a virtual clock.
 
-Sockets, HTTP and the event loop are left out: what is counted is decoding a frame,
-deciding, and encoding the frames that follow.
+Sockets, HTTP and the event loop are left out: the cost is that of decoding a frame,
+handling it, and encoding the frames that result.
 """
 
 from __future__ import annotations
@@ -32,9 +32,10 @@
 
 @attrs.define
 class Cost:
-    """Totals of one process or of several.
+    """Total cost of one process or of several.
 
     :param cpu_s: processor time in seconds.
+    :param sent: number of sent messages.
     """
 
     cpu_s: float = 0.0
@@ -44,17 +45,17 @@
 
 @attrs.frozen
 class Frame:
-    """An encoded message on its way."""
+    """An encoded message and the name of its receiver."""
 
     to: str
     data: bytes
 
 
 class Process:
-    """A core with its cost.
+    """A core and its cost.
 
     :param core: the core.
-    :param hello: its announcement.
+    :param hello: message that introduces the node to others.
     """
 
     def __init__(
@@ -70,25 +71,27 @@
         return self.core.node.name
 
     def execute(
-        self, wanted: Callable[[], Iterable[effects.Effect]]
+        self, get_effects: Callable[[], Iterable[effects.Effect]]
     ) -> list[Frame | effects.Effect]:
-        """Return effects with their messages encoded, and count the cost.
+        """Call the core, add up the cost, and return the effects.
 
-        :param wanted: the call of the core.
+        Messages among the effects are returned as encoded frames.
+
+        :param get_effects: calls the core and returns its effects.
         """
         begin = time.process_time()
-        out: list[Frame | effects.Effect] = [
+        items: list[Frame | effects.Effect] = [
             Frame(effect.to, wire.encode(effect.message))
             if isinstance(effect, effects.Send)
             else effect
-            for effect in wanted()
+            for effect in get_effects()
         ]
         self.cost.cpu_s += time.process_time() - begin
-        for item in out:
+        for item in items:
             if isinstance(item, Frame):
                 self.cost.sent += 1
                 self.cost.sent_bytes += len(item.data)
-        return out
+        return items
 
     def receive(self, sender: str, data: bytes) -> list[Frame | effects.Effect]:
         """Decode a frame and hand it to the core.
@@ -103,21 +106,21 @@
 
 
 def hello(role: messages.Role, index: int) -> messages.Hello:
-    """Return the announcement of a node; places repeat after 14 data centres.
+    """Return the ``Hello`` of a node; data centres repeat after 14 nodes.
 
-    :param role: its role.
-    :param index: its number.
+    :param role: role of the node.
+    :param index: number of the node.
     """
     name = f"{role.name.lower()}-{index:05d}"
     node = messages.Node(name, 2**62 + index, f"10.0.{index // 250}.{index % 250}:7000")
     is_agent = role is messages.Role.AGENT
-    place = index % DATA_CENTRES
+    data_centre = index % DATA_CENTRES
     return messages.Hello(
         messages.PROTOCOL,
         role,
         node,
-        f"region-{place % 4}",
-        f"dc-{place}",
+        f"region-{data_centre % 4}",
+        f"dc-{data_centre}",
         f"rack-{index // 3}",
         SERVICE if is_agent else "",
         SLOTS if is_agent else 0,
@@ -135,14 +138,14 @@
     :param entries: number of entry hosts.
     """
     view = views.View()
-    values = [
+    records = [
         views.entry_record(hello(messages.Role.ENTRY, index).node)
         for index in range(entries)
     ]
-    values += [
+    records += [
         views.voter_record(hello(messages.Role.AGENT, index)) for index in range(voters)
     ]
-    for offset, value in enumerate(values):
+    for offset, value in enumerate(records):
         view = views.fold(view, messages.LogRecord(offset, str(offset), value))
     return view
 
@@ -154,9 +157,9 @@
 
 
 def entry_process(index: int, time: clock.Clock, rng: random.Random) -> Process:
-    """Return an entry host that knows nobody.
+    """Return an entry host without connections.
 
-    :param index: its number.
+    :param index: number of the node.
     :param time: the clock.
     :param rng: the source of random numbers.
     """
@@ -174,9 +177,9 @@
 
 
 def agent_process(index: int, time: clock.Clock) -> Process:
-    """Return an agent that knows nobody.
+    """Return an agent without connections.
 
-    :param index: its number.
+    :param index: number of the node.
     :param time: the clock.
     """
     own = hello(messages.Role.AGENT, index)
@@ -196,7 +199,7 @@
 def request(key: str, tasks: int) -> job.JobRequest:
     """Return a job of equal tasks.
 
-    :param key: its idempotency key.
+    :param key: idempotency key of the job.
     :param tasks: number of tasks.
     """
     payload = b'"' + b"x" * (PAYLOAD_BYTES - 2) + b'"'
@@ -215,7 +218,7 @@
 
 
 class System:
-    """One entry host and agents, joined by queues with a fixed latency.
+    """One entry host and agents, connected with a fixed latency.
 
     :param agents: number of agents, all of them voters up to the limit.
     :param seed: seed of all random decisions.
@@ -245,7 +248,7 @@
         self.reset_costs()
 
     def reset_costs(self) -> None:
-        """Forget the costs so far."""
+        """Reset the costs of all processes."""
         for process in self._process_by_name.values():
             process.cost = Cost()
 
@@ -264,24 +267,26 @@
         :param ticket: number of the caller.
         :param tasks: number of tasks.
         """
-        made = request(f"job-{ticket}", tasks)
+        job_request = request(f"job-{ticket}", tasks)
         core = self.entry.core
         assert isinstance(core, entry.EntryCore)
-        self.perform(self.entry, self.entry.execute(lambda: core.submit(made, ticket)))
+        self.perform(
+            self.entry, self.entry.execute(lambda: core.submit(job_request, ticket))
+        )
 
     def call_later(self, seconds: float, action: Callable[[], None]) -> None:
-        """Call a function later.
+        """Schedule a call on the virtual clock.
 
-        :param seconds: delay on the virtual clock.
+        :param seconds: delay in seconds.
         :param action: the function.
         """
-        at = self.time.now() + seconds
-        heapq.heappush(self._events, (at, next(self._order), action))
+        due_at = self.time.now() + seconds
+        heapq.heappush(self._events, (due_at, next(self._order), action))
 
     def run(self, seconds: float) -> None:
-        """Advance the clock and do all that falls due; ticks are not counted.
+        """Advance the clock and make all due calls; the cost of ticks is not counted.
 
-        :param seconds: how far.
+        :param seconds: by how much.
         """
         end = self.time.now() + seconds
         tick_at = self.time.now() + TICK_S
@@ -297,7 +302,7 @@
         self.time.advance(max(0.0, end - self.time.now()))
 
     def _tick(self) -> None:
-        """Tick the entry host, and keep every lease; both are measured elsewhere."""
+        """Tick the entry host and renew all leases; other probes measure both."""
         cost, self.entry.cost = self.entry.cost, Cost()
         core = self.entry.core
         assert isinstance(core, entry.EntryCore)
@@ -307,17 +312,17 @@
         self.entry.cost = cost
 
     def _connect(self, process: Process) -> None:
-        for one, other in ((self.entry, process), (process, self.entry)):
-            wanted = functools.partial(one.core.handle_connect, other.hello)
-            self.perform(one, one.execute(wanted))
+        for receiver, sender in ((self.entry, process), (process, self.entry)):
+            connect = functools.partial(receiver.core.handle_connect, sender.hello)
+            self.perform(receiver, receiver.execute(connect))
 
-    def perform(self, process: Process, wanted: list[Frame | effects.Effect]) -> None:
-        """Carry out what a core has asked for.
+    def perform(self, process: Process, items: list[Frame | effects.Effect]) -> None:
+        """Perform the effects of a core.
 
-        :param process: the process of the core.
-        :param wanted: its effects and frames.
+        :param process: process of the core.
+        :param items: effects and frames that the process returned.
         """
-        for item in wanted:
+        for item in items:
             if isinstance(item, Frame):
                 self._send(process, item)
             elif isinstance(item, effects.Execute):
@@ -340,7 +345,7 @@
         run_s = self.rng.uniform(RUN_MIN_S, RUN_MAX_S)
 
         def end() -> None:
-            made = process.execute(
+            items = process.execute(
                 lambda: core.handle_task_end(
                     item.job,
                     item.attempt,
@@ -350,6 +355,6 @@
                     run_s * 1000,
                 )
             )
-            self.perform(process, made)
+            self.perform(process, items)
 
         self.call_later(run_s, end)
--- a/src/burdockgate/standin/memory.py
+++ b/src/burdockgate/standin/memory.py
@@ -1,4 +1,4 @@
-"""Resident memory of child processes, one at a time."""
+"""Measures the resident memory of child processes, one at a time."""
 
 from __future__ import annotations
 
@@ -6,17 +6,17 @@
 import sys
 
 KB_PER_MB = 1024
-CHILD_LIMIT_S = 60
+CHILD_TIMEOUT_S = 60
 
-_REPORT = """
-def resident():
+_RESIDENT_KB_FUNCTION = """
+def resident_kb():
     for line in open("/proc/self/status"):
         if line.startswith("VmRSS:"):
             return int(line.split()[1])
 """
-_ENTRY = "import burdockgate.process.entryhost\n"
-_AGENT = "import burdockgate.process.agenthost\n"
-_RECORDS = """
+_IMPORT_ENTRY_HOST = "import burdockgate.process.entryhost\n"
+_IMPORT_AGENT = "import burdockgate.process.agenthost\n"
+_CONNECTED_AGENT = """
 from burdockgate import messages
 from burdockgate.process import agent
 from burdockgate.request import jobrecord
@@ -27,9 +27,9 @@
 owner = costmeter.hello(messages.Role.ENTRY, 0)
 list(core.handle_connect(owner))
 def start(index, job, payload):
-    one = messages.TaskStart(index, 1, b"1", 1000)
+    task = messages.TaskStart(index, 1, b"1", 1000)
     list(core.receive(owner.node.name, messages.Start(
-        job, 1, 0, 1, core.node.boot, (one,))))
+        job, 1, 0, 1, core.node.boot, (task,))))
     list(core.handle_task_end(job, 1, index, messages.TaskState.DONE, payload, 1.0))
 """
 _KEEP_JOBS = """
@@ -52,49 +52,55 @@
 
 
 def entry_mb(_size: int, _seed: int) -> dict[str, float]:
-    """Return the memory of an entry host after its imports."""
-    return {"entry host after imports, MB": _measure(_ENTRY)}
+    """Return the memory of a process that has imported the entry host."""
+    return {"entry host after imports, MB": _measure(_IMPORT_ENTRY_HOST)}
 
 
 def agent_mb(_size: int, _seed: int) -> dict[str, float]:
-    """Return the memory of an agent after its imports."""
-    return {"agent after imports, MB": _measure(_AGENT)}
+    """Return the memory of a process that has imported the agent."""
+    return {"agent after imports, MB": _measure(_IMPORT_AGENT)}
 
 
 def jobs_mb(size: int, _seed: int) -> dict[str, float]:
-    """Return the memory of an agent that keeps some records of jobs.
+    """Return the memory of an agent that keeps records of jobs.
 
     :param size: number of records, with one task and an empty result each.
     """
-    kept = _measure(_AGENT + _RECORDS + _KEEP_JOBS.format(size=size))
-    return {"agent with kept job records, MB": kept}
+    resident_mb = _measure(
+        _IMPORT_AGENT + _CONNECTED_AGENT + _KEEP_JOBS.format(size=size)
+    )
+    return {"agent with kept job records, MB": resident_mb}
 
 
 def results_mb(size: int, _seed: int) -> dict[str, float]:
-    """Return the memory of an agent that keeps some results of 1 KB.
+    """Return the memory of an agent that keeps results of 1 KB.
 
     :param size: number of results, 280 for each job.
     """
-    kept = _measure(_AGENT + _RECORDS + _KEEP_RESULTS.format(size=size))
-    return {"agent with kept results of 1 KB, MB": kept}
+    resident_mb = _measure(
+        _IMPORT_AGENT + _CONNECTED_AGENT + _KEEP_RESULTS.format(size=size)
+    )
+    return {"agent with kept results of 1 KB, MB": resident_mb}
 
 
 def claims_mb(size: int, _seed: int) -> dict[str, float]:
-    """Return the memory of an agent that keeps some claims with scopes of 64.
+    """Return the memory of an agent that keeps claims with scopes of 64 agents.
 
     :param size: number of claims.
     """
-    kept = _measure(_AGENT + _RECORDS + _KEEP_CLAIMS.format(size=size))
-    return {"agent with kept claims of 64 agents, MB": kept}
+    resident_mb = _measure(
+        _IMPORT_AGENT + _CONNECTED_AGENT + _KEEP_CLAIMS.format(size=size)
+    )
+    return {"agent with kept claims of 64 agents, MB": resident_mb}
 
 
 def _measure(code: str) -> float:
-    script = f"{_REPORT}{code}\nprint(resident())"
-    done = subprocess.run(
+    script = f"{_RESIDENT_KB_FUNCTION}{code}\nprint(resident_kb())"
+    completed = subprocess.run(
         [sys.executable, "-c", script],
         check=True,
         capture_output=True,
         text=True,
-        timeout=CHILD_LIMIT_S,
+        timeout=CHILD_TIMEOUT_S,
     )
-    return int(done.stdout) / KB_PER_MB
+    return int(completed.stdout) / KB_PER_MB
--- a/src/burdockgate/standin/probes.py
+++ b/src/burdockgate/standin/probes.py
@@ -1,4 +1,4 @@
-"""What the bench measures: each probe gives values at one size and seed."""
+"""Probes that measure costs; each returns values for one size and seed."""
 
 from __future__ import annotations
 
@@ -26,11 +26,11 @@
 
 @attrs.frozen
 class Probe:
-    """A measure over sizes.
+    """A measurement over several sizes.
 
-    :param against: what the size counts.
+    :param parameter: what the size counts.
     :param sizes: the sizes, at least three.
-    :param take: returns values by name and unit, at a size and with a seed.
+    :param measure: takes a size and a seed; returns values by name with unit.
     """
 
     parameter: str
@@ -39,12 +39,22 @@
 
 
 def jobs(tasks: int, seed: int) -> Values:
-    """Run jobs of some tasks on 11 agents at 70% load; costs are for each job."""
+    """Run jobs on 11 agents at 70% load; costs are per job.
+
+    :param tasks: number of tasks of a job.
+    :param seed: seed of the load.
+    """
     return _measure_load(11, tasks, max(3, min(42, 840 // tasks)), seed)
 
 
 def workers(agents: int, seed: int) -> Values:
-    """Run the same jobs of 20 tasks with some agents; costs are for each start."""
+    """Run 70% load for 11 agents, in jobs of 20 tasks, on any number of agents.
+
+    Costs are per start of a task.
+
+    :param agents: number of agents.
+    :param seed: seed of the load.
+    """
     values = _measure_load(agents, 20, 20, seed, slots=11 * costmeter.SLOTS)
     return {
         "entry host µs a start": values["entry host µs"] / 20,
@@ -54,39 +64,39 @@
 
 
 def _measure_load(
-    agents: int, tasks: int, count: int, seed: int, slots: int = 0
+    agents: int, tasks: int, job_count: int, seed: int, slots: int = 0
 ) -> Values:
     system = costmeter.System(agents, seed)
     slots = slots or agents * costmeter.SLOTS
     run_s = (costmeter.RUN_MIN_S + costmeter.RUN_MAX_S) / 2
     gap_s = tasks * run_s / (slots * LOAD_SHARE)
-    for ticket in range(count):
+    for ticket in range(job_count):
         system.call_later(
             ticket * gap_s, functools.partial(system.submit, ticket, tasks)
         )
-    while len(system.answers) < count:
+    while len(system.answers) < job_count:
         system.run(1.0)
-    _check_complete(system, count * tasks)
-    at_agents, at_entry = system.agent_cost(), system.entry.cost
+    _check_complete(system, job_count * tasks)
+    agents_cost, entry_cost = system.agent_cost(), system.entry.cost
     return {
-        "entry host µs": at_entry.cpu_s / count * US_PER_S,
-        "entry host messages sent": at_entry.sent / count,
-        "entry host bytes sent": at_entry.sent_bytes / count,
-        "agents µs": at_agents.cpu_s / count * US_PER_S,
-        "agents messages sent": at_agents.sent / count,
-        "agents bytes sent": at_agents.sent_bytes / count,
+        "entry host µs": entry_cost.cpu_s / job_count * US_PER_S,
+        "entry host messages sent": entry_cost.sent / job_count,
+        "entry host bytes sent": entry_cost.sent_bytes / job_count,
+        "agents µs": agents_cost.cpu_s / job_count * US_PER_S,
+        "agents messages sent": agents_cost.sent / job_count,
+        "agents bytes sent": agents_cost.sent_bytes / job_count,
     }
 
 
 def _check_complete(system: costmeter.System, starts: int) -> None:
-    """Fail when a run was not whole, because its costs would mean nothing."""
-    codes_seen = {answer.outcome.code for answer in system.answers}
-    if codes_seen != {codes.Code.COMPLETE} or system.starts != starts:
-        raise AssertionError(f"{system.starts} starts of {starts}, codes {codes_seen}")
+    """Raise if not all jobs completed, since the costs would mean nothing."""
+    seen_codes = {answer.outcome.code for answer in system.answers}
+    if seen_codes != {codes.Code.COMPLETE} or system.starts != starts:
+        raise AssertionError(f"{system.starts} starts of {starts}, codes {seen_codes}")
 
 
 def backlog(count: int, seed: int) -> Values:
-    """Give a heartbeat to an entry host where some jobs wait for a slot."""
+    """Measure a received heartbeat and a tick while jobs wait for a slot."""
     system = costmeter.System(3, seed)
     for ticket in range(count):
         system.submit(ticket, 20)
@@ -96,18 +106,18 @@
     process.cost = costmeter.Cost()
     for _ in range(50):
         process.receive(name, frame)
-    per_message = process.cost.cpu_s / 50 * US_PER_S
+    per_message_us = process.cost.cpu_s / 50 * US_PER_S
     process.cost = costmeter.Cost()
     for _ in range(20):
         process.execute(_entry_core(process).tick)
     return {
-        "entry host µs a received message": per_message,
+        "entry host µs a received message": per_message_us,
         "entry host µs a tick": process.cost.cpu_s / 20 * US_PER_S,
     }
 
 
 def many_workers(count: int, seed: int) -> Values:
-    """Run jobs of 20 tasks at an entry host with many workers, 64 of them voters."""
+    """Run jobs of 20 tasks on many workers, 64 of which vote."""
     bench = startrate.Bench(count, 20, seed, voters=64)
     bench.run(200, in_progress=10)
     per_s = bench.run(1000, in_progress=10)
@@ -118,7 +128,7 @@
 
 
 def many_jobs(count: int, seed: int) -> Values:
-    """Tick an entry host, and let callers leave, while many jobs wait."""
+    """Measure a tick and the disconnect of a caller while many jobs wait."""
     system = costmeter.System(3, seed)
     for ticket in range(count):
         system.submit(ticket, 1)
@@ -155,19 +165,19 @@
 
 
 def idle_entry(agents: int, seed: int) -> Values:
-    """Let an entry host rest with some agents connected; costs are for a second."""
+    """Measure an idle entry host with connected agents; costs are per second."""
     process, now = _entry_with_connections(agents, 0, seed)
     return _measure_idle(process, now, "entry host")
 
 
 def idle_entry_with_peers(peers: int, seed: int) -> Values:
-    """Let an entry host rest with some other entry hosts and 11 agents."""
+    """Measure an idle entry host with connected entry hosts and 11 agents."""
     process, now = _entry_with_connections(11, peers, seed)
     return _measure_idle(process, now, "entry host")
 
 
 def idle_agent(entries: int, seed: int) -> Values:
-    """Let an agent rest with some entry hosts; costs are for a second."""
+    """Measure an idle agent with connected entry hosts; costs are per second."""
     now = clock.ManualClock(100.0)
     process = costmeter.agent_process(0, now)
     _agent_core(process).claims.catchup.view = costmeter.view_of_members(64, entries)
@@ -194,13 +204,13 @@
 def _measure_idle(
     process: costmeter.Process, now: clock.ManualClock, role: str
 ) -> Values:
-    """Tick, and send and answer the heartbeats of every connected node for a while."""
+    """Tick, and exchange heartbeats with every connected node, for ``IDLE_S``."""
     process.execute(process.core.send_heartbeats)
     process.cost = costmeter.Cost()
-    beats = round(IDLE_S / HEARTBEAT_INTERVAL_S)
-    number = _view_number(process)
-    frame = wire.encode(messages.Heartbeat(0, number))
-    for _ in range(beats):
+    heartbeat_count = round(IDLE_S / HEARTBEAT_INTERVAL_S)
+    view_number = _view_number(process)
+    frame = wire.encode(messages.Heartbeat(0, view_number))
+    for _ in range(heartbeat_count):
         for _ in range(round(HEARTBEAT_INTERVAL_S / costmeter.TICK_S)):
             now.advance(costmeter.TICK_S)
             process.execute(process.core.tick)
@@ -223,24 +233,24 @@
 
 
 def claim_group(voters: int, seed: int) -> Values:
-    """Compute claim groups among some voters."""
-    members = costmeter.view_of_members(voters, 1)
+    """Measure the choice of a claim group among the voters."""
+    member_view = costmeter.view_of_members(voters, 1)
     rng = random.Random(seed)
     ids = [rng.randbytes(16) for _ in range(max(20, 4000 // voters))]
     begin = time.process_time()
     for id_ in ids:
-        members.group(id_)
+        member_view.group(id_)
     return {"View.group µs": (time.process_time() - begin) / len(ids) * US_PER_S}
 
 
 def vote(voters: int, seed: int) -> Values:
-    """Ask an agent for its vote, with a scope of 64 agents."""
+    """Measure a vote on a claim with a scope of 64 agents."""
     values = _measure_vote(voters, 64, seed)
     return {"claim vote at the agent, µs": values["claim vote at the agent, µs"]}
 
 
 def scope(agents: int, seed: int) -> Values:
-    """Ask one of 64 voters for its vote, with a scope of some agents."""
+    """Measure a vote of one of 64 voters, by the number of agents in the scope."""
     return _measure_vote(64, agents, seed)
 
 
@@ -258,7 +268,7 @@
 
 
 def sync(count: int, seed: int) -> Values:
-    """Ask one of 64 voters for the claims that another one needs."""
+    """Measure how one of 64 voters sends its claims to another that catches up."""
     process = voting_agent(64)
     for frame in claim_frames(process, 3, count, random.Random(seed)):
         process.receive(OWNER.node.name, frame)
@@ -284,9 +294,9 @@
 def claim_frames(
     process: costmeter.Process, agents: int, count: int, rng: random.Random
 ) -> Iterator[bytes]:
-    """Yield frames of claims on which a voter may vote.
+    """Yield encoded claims whose claim group includes a voter.
 
-    :param process: the voter.
+    :param process: process of the voter.
     :param agents: number of agents in the scope.
     :param count: number of claims.
     :param rng: the source of random job ids.
@@ -299,23 +309,25 @@
         chosen = members.group(id_)
         if any(core.node.is_same_incarnation(node) for node in chosen):
             count -= 1
-            head = (id_, members.number, chosen, 1, 1, OWNER.node, id_, nodes)
-            yield wire.encode(messages.Claim(*head, 60_000, True, 900))
+            fields = (id_, members.number, chosen, 1, 1, OWNER.node, id_, nodes)
+            yield wire.encode(messages.Claim(*fields, 60_000, True, 900))
 
 
 def rows(count: int, seed: int) -> Values:
-    """Fold row changes into a table of some rows."""
+    """Measure changes of rows, the memory and the snapshot of a table."""
     rng = random.Random(seed)
     values = [_set_value(index, rng) for index in range(count)]
     tracemalloc.start()
     before, _ = tracemalloc.get_traced_memory()
-    whole = table.Table()
+    full_table = table.Table()
     for offset, value in enumerate(values):
-        whole, _ = table.fold(whole, messages.LogRecord(offset, str(offset), value))
+        full_table, _ = table.fold(
+            full_table, messages.LogRecord(offset, str(offset), value)
+        )
     after, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     begin = time.process_time()
-    changed = whole
+    changed = full_table
     for offset in range(count, count + 50):
         row = rng.randrange(count)
         value = _set_value(row, rng, changed.row_version(("class", f"team-{row:05d}")))
@@ -325,7 +337,7 @@
     return {
         "table: µs a row change": spent * US_PER_S,
         "table: bytes of memory": after - before,
-        "table: bytes of a snapshot": len(table.snapshot_record(whole)),
+        "table: bytes of a snapshot": len(table.snapshot_record(full_table)),
     }
 
 
@@ -335,7 +347,7 @@
 
 
 def announcement(agents: int, seed: int) -> Values:
-    """Connect one more agent, then one more entry host, to an entry host."""
+    """Measure the connection of one more agent, then of one more entry host."""
     process, _ = _entry_with_connections(agents, 3, seed)
     process.cost = costmeter.Cost()
     process.execute(
@@ -358,7 +370,7 @@
 
 
 def peers(entries: int, seed: int) -> Values:
-    """Send the list of entry hosts that each new agent gets."""
+    """Measure the list of entry hosts that each new agent is sent."""
     process, _ = _entry_with_connections(11, entries - 1, seed)
     process.cost = costmeter.Cost()
     process.execute(
@@ -368,7 +380,7 @@
 
 
 def view_change(agents: int, seed: int) -> Values:
-    """Add one voter to the view at an entry host, and at an agent it tells."""
+    """Measure a new voter in the view at an entry host, and at a voting agent."""
     process, now = _entry_with_connections(agents, 0, seed)
     other = costmeter.agent_process(0, now)
     _agent_core(other).claims.catchup.view = _view_of(process)
--- a/src/burdockgate/standin/regression.py
+++ b/src/burdockgate/standin/regression.py
@@ -1,4 +1,4 @@
-"""Least squares lines through measured points, with their spread."""
+"""Least squares fits of measured points, with their spread over repetitions."""
 
 from __future__ import annotations
 
@@ -21,10 +21,10 @@
 
 @attrs.frozen
 class FittedLine:
-    """A line through points.
+    """A line that was fitted to points.
 
     :param slope: change of the value for each unit of size.
-    :param start: value at size 0 by the line.
+    :param intercept: value of the line at size 0.
     :param residual: largest distance of a point from the line.
     """
 
@@ -35,10 +35,10 @@
 
 @attrs.frozen
 class Series:
-    """What one measure gave at all sizes.
+    """Values of one measure at all sizes.
 
     :param name: what was measured, with its unit.
-    :param against: what the size counts.
+    :param parameter: what the size counts.
     :param values_by_size: values of the repetitions, in the order of the seeds.
     """
 
@@ -59,7 +59,7 @@
 
 
 def fit_each_repetition(series: Series) -> list[FittedLine]:
-    """Return the line of each repetition.
+    """Return the fitted line of each repetition.
 
     :param series: a series with the same number of values at each size.
     """
@@ -71,19 +71,21 @@
     ]
 
 
-def markdown_table(every: Sequence[Series]) -> Iterator[str]:
+def markdown_table(all_series: Sequence[Series]) -> Iterator[str]:
     """Yield the lines of a Markdown table with one row for each series.
 
     The residual is the largest of all repetitions, as a share of the largest value.
 
-    :param every: the series.
+    :param all_series: the series.
     """
     yield _row(HEADER)
     yield _row(["---"] * len(HEADER))
-    for series in every:
+    for series in all_series:
         fits = fit_each_repetition(series)
         slopes = [fit.slope for fit in fits]
-        peak = max(abs(v) for each in series.values_by_size.values() for v in each)
+        peak = max(
+            abs(value) for values in series.values_by_size.values() for value in values
+        )
         residual = max(fit.residual for fit in fits) / peak if peak else 0.0
         medians = map(statistics.median, series.values_by_size.values())
         yield _row(
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -1,4 +1,4 @@
-"""Tests of the bench behind ``make slopes``."""
+"""Tests the measurement of costs behind ``make slopes``."""
 
 import pytest
 
@@ -6,7 +6,7 @@
 
 
 def test_line_through_exact_points():
-    """Guards against slope and start being mixed up."""
+    """Guards against swapped slope and intercept."""
     found = regression.fit_line([(1, 5.0), (2, 7.0), (4, 11.0)])
     assert (found.slope, found.intercept) == pytest.approx((2.0, 3.0))
     assert found.residual == pytest.approx(0.0, abs=1e-9)
@@ -40,13 +40,13 @@
     assert regression.format_number(value) == text
 
 
-def test_tiny_run_has_a_row_for_each_value():
+def test_small_measurement_has_a_row_for_each_value():
     """Guards against a probe that fails, or a table that Markdown would not show."""
-    tiny = (
+    small = (
         probes.Probe("tasks of a job", (1, 2, 3), probes.jobs),
         probes.Probe("voters", (3, 4, 5), probes.claim_group),
     )
-    text = slopes.report(tiny, [1])
+    text = slopes.report(small, [1])
     rows = [line for line in text.splitlines() if line.startswith("|")]
     assert len(rows) == 2 + 6 + 1
     assert {row.count("|") for row in rows} == {len(regression.HEADER) + 1}
