--- a/src/burdockgate/standin/faultinjection.py
+++ b/src/burdockgate/standin/faultinjection.py
@@ -1,4 +1,4 @@
-"""Faults for the simulation of best-effort jobs, drawn from a seed."""
+"""Injects random faults into the simulation of best-effort jobs."""
 
 from __future__ import annotations
 
@@ -10,11 +10,13 @@
 Fault = Callable[[simulation.Simulation, random.Random], str]
 
 
-def _agent(sim: simulation.Simulation, rng: random.Random) -> simnodes.SimulatedAgent:
+def _random_agent(
+    sim: simulation.Simulation, rng: random.Random
+) -> simnodes.SimulatedAgent:
     return rng.choice(list(sim.agent_by_name.values()))
 
 
-def _entry(
+def _random_entry(
     sim: simulation.Simulation, rng: random.Random
 ) -> simnodes.SimulatedEntryHost:
     return rng.choice(list(sim.entry_by_name.values()))
@@ -22,7 +24,7 @@
 
 def kill_agent(sim: simulation.Simulation, rng: random.Random) -> str:
     """Kill an agent and start it again."""
-    agent, down_s = _agent(sim, rng), rng.uniform(0.2, 4)
+    agent, down_s = _random_agent(sim, rng), rng.uniform(0.2, 4)
     if agent.is_up and not agent.is_frozen:
         agent.kill()
         sim.time.call_later(down_s, agent.restart)
@@ -31,7 +33,7 @@
 
 def kill_entry(sim: simulation.Simulation, rng: random.Random) -> str:
     """Kill an entry host and start it again."""
-    entry, down_s = _entry(sim, rng), rng.uniform(0.2, 4)
+    entry, down_s = _random_entry(sim, rng), rng.uniform(0.2, 4)
     if entry.is_up and not entry.is_frozen:
         entry.kill()
         sim.time.call_later(down_s, entry.restart)
@@ -39,50 +41,50 @@
 
 
 def freeze_agent(sim: simulation.Simulation, rng: random.Random) -> str:
-    """Let an agent stand still."""
-    agent, for_s = _agent(sim, rng), rng.uniform(0.1, 5)
+    """Freeze an agent for a while."""
+    agent, for_s = _random_agent(sim, rng), rng.uniform(0.1, 5)
     if agent.is_up and not agent.is_frozen:
         agent.freeze(for_s)
     return f"freeze {agent.name} for {for_s:.1f} s"
 
 
 def freeze_entry(sim: simulation.Simulation, rng: random.Random) -> str:
-    """Let an entry host stand still."""
-    entry, for_s = _entry(sim, rng), rng.uniform(0.1, 5)
+    """Freeze an entry host for a while."""
+    entry, for_s = _random_entry(sim, rng), rng.uniform(0.1, 5)
     if entry.is_up and not entry.is_frozen:
         entry.freeze(for_s)
     return f"freeze {entry.name} for {for_s:.1f} s"
 
 
 def cut_agent(sim: simulation.Simulation, rng: random.Random) -> str:
-    """Cut an agent off from some entry hosts, without a word."""
-    agent, for_s = _agent(sim, rng), rng.uniform(0.2, 6)
+    """Partition an agent from some entry hosts, without a reset."""
+    agent, for_s = _random_agent(sim, rng), rng.uniform(0.2, 6)
     for entry in sim.entry_by_name:
         if rng.random() < 0.7:
-            sim.cut(agent.name, entry, for_s)
+            sim.partition(agent.name, entry, for_s)
     return f"cut {agent.name} for {for_s:.1f} s"
 
 
 def cut_entry(sim: simulation.Simulation, rng: random.Random) -> str:
-    """Cut an entry host off from some agents, without a word."""
-    entry, for_s = _entry(sim, rng), rng.uniform(0.2, 6)
+    """Partition an entry host from some agents, without a reset."""
+    entry, for_s = _random_entry(sim, rng), rng.uniform(0.2, 6)
     for agent in sim.agent_by_name:
         if rng.random() < 0.7:
-            sim.cut(agent, entry.name, for_s)
+            sim.partition(agent, entry.name, for_s)
     return f"cut {entry.name} for {for_s:.1f} s"
 
 
 def reset_links(sim: simulation.Simulation, rng: random.Random) -> str:
     """Reset the connections of an entry host."""
-    entry = _entry(sim, rng)
-    sim.break_links(entry=entry.name)
+    entry = _random_entry(sim, rng)
+    sim.reset_connections(entry=entry.name)
     return f"reset {entry.name}"
 
 
-def _fault(
+def _inject_worker_fault(
     sim: simulation.Simulation,
     rng: random.Random,
-    name: str,
+    description: str,
     begin: Callable[[simworker.Faults], None],
     end: Callable[[simworker.Faults], None],
 ) -> str:
@@ -92,73 +94,73 @@
         faults = agent.worker.faults
         begin(faults)
         sim.time.call_later(for_s, lambda faults=faults: end(faults))  # type: ignore[misc]
-    return f"{name} for {for_s:.1f} s"
+    return f"{description} for {for_s:.1f} s"
 
 
 def lose_commands(sim: simulation.Simulation, rng: random.Random) -> str:
-    """Let workers leave commands unanswered and carry them out late."""
+    """Let workers leave some commands unanswered and execute them late."""
 
     def begin(faults: simworker.Faults) -> None:
-        faults.unanswered = 0.2
+        faults.unanswered_share = 0.2
 
     def end(faults: simworker.Faults) -> None:
-        faults.unanswered = 0.0
+        faults.unanswered_share = 0.0
 
-    return _fault(sim, rng, "late commands", begin, end)
+    return _inject_worker_fault(sim, rng, "late commands", begin, end)
 
 
 def cut_worker(sim: simulation.Simulation, rng: random.Random) -> str:
-    """Let workers run on while their agents can't reach them."""
+    """Make workers unreachable for their agents while their runs continue."""
 
     def begin(faults: simworker.Faults) -> None:
-        faults.is_cut = True
+        faults.is_unreachable = True
 
     def end(faults: simworker.Faults) -> None:
-        faults.is_cut = False
+        faults.is_unreachable = False
 
-    return _fault(sim, rng, "workers cut", begin, end)
+    return _inject_worker_fault(sim, rng, "workers cut", begin, end)
 
 
 def fail_worker(sim: simulation.Simulation, rng: random.Random) -> str:
-    """Let workers fail all that they start."""
+    """Let workers fail every run that they start."""
 
     def begin(faults: simworker.Faults) -> None:
-        faults.fails = True
+        faults.is_failing = True
 
     def end(faults: simworker.Faults) -> None:
-        faults.fails = False
+        faults.is_failing = False
 
-    return _fault(sim, rng, "workers fail", begin, end)
+    return _inject_worker_fault(sim, rng, "workers fail", begin, end)
 
 
 def hang_worker(sim: simulation.Simulation, rng: random.Random) -> str:
-    """Let tasks stand still."""
+    """Let workers hang, so that their runs make no progress."""
 
     def begin(faults: simworker.Faults) -> None:
-        faults.hangs = True
+        faults.is_hanging = True
 
     def end(faults: simworker.Faults) -> None:
-        faults.hangs = False
+        faults.is_hanging = False
 
-    return _fault(sim, rng, "workers hang", begin, end)
+    return _inject_worker_fault(sim, rng, "workers hang", begin, end)
 
 
 def slow_worker(sim: simulation.Simulation, rng: random.Random) -> str:
-    """Let workers take several times as long."""
+    """Slow workers down by a factor of 3 to 8."""
     factor = rng.uniform(3, 8)
 
     def begin(faults: simworker.Faults) -> None:
-        faults.slowness = factor
+        faults.slow_factor = factor
 
     def end(faults: simworker.Faults) -> None:
-        faults.slowness = 1.0
+        faults.slow_factor = 1.0
 
-    return _fault(sim, rng, "workers slow", begin, end)
+    return _inject_worker_fault(sim, rng, "workers slow", begin, end)
 
 
 def restart_worker(sim: simulation.Simulation, rng: random.Random) -> str:
-    """Let a worker start again under its identifier."""
-    agent = _agent(sim, rng)
+    """Restart a worker under the same identifier."""
+    agent = _random_agent(sim, rng)
     agent.worker.restart()
     return f"restart {agent.worker.name}"
 
@@ -188,24 +190,25 @@
     count: int,
     kinds: tuple[Fault, ...] = ALL,
 ) -> list[str]:
-    """Let faults happen at random moments, together and in series.
+    """Schedule faults at random times; several may be active at once.
 
     :param sim: the simulation.
     :param seed: seed of the faults.
-    :param begin: first second.
-    :param end: last second.
+    :param begin: earliest time of a fault, in seconds from now.
+    :param end: latest time of a fault, in seconds from now.
     :param count: number of faults.
-    :param kinds: what may happen.
-    :returns: what happened, filled in while the simulation runs.
+    :param kinds: functions from which the faults are chosen.
+    :returns: times and descriptions of the injected faults, appended while the
+        simulation runs.
     """
     rng = random.Random(seed)
-    told: list[str] = []
+    injected: list[str] = []
     for _ in range(count):
         fault = rng.choice(kinds)
         at = rng.uniform(begin, end)
 
-        def strike(fault: Fault = fault) -> None:
-            told.append(f"{sim.time.now():.3f} {fault(sim, rng)}")
+        def inject(fault: Fault = fault) -> None:
+            injected.append(f"{sim.time.now():.3f} {fault(sim, rng)}")
 
-        sim.time.call_later(at, strike)
-    return told
+        sim.time.call_later(at, inject)
+    return injected
--- a/src/burdockgate/standin/regression.py
+++ b/src/burdockgate/standin/regression.py
@@ -1,4 +1,4 @@
-"""Least squares lines through measured points, with their spread."""
+"""Least squares fits of measured points, with their spread over repetitions."""
 
 from __future__ import annotations
 
@@ -20,34 +20,34 @@
 
 
 @attrs.frozen
-class Line:
-    """A line through points.
+class FittedLine:
+    """A line that was fitted to points.
 
     :param slope: change of the value for each unit of size.
-    :param start: value at size 0 by the line.
+    :param intercept: value of the line at size 0.
     :param residual: largest distance of a point from the line.
     """
 
     slope: float
-    start: float
+    intercept: float
     residual: float
 
 
 @attrs.frozen
 class Series:
-    """What one measure gave at all sizes.
+    """Values of one measure at all sizes.
 
     :param name: what was measured, with its unit.
-    :param against: what the size counts.
+    :param parameter: what the size counts.
     :param values_by_size: values of the repetitions, in the order of the seeds.
     """
 
     name: str
-    against: str
+    parameter: str
     values_by_size: Mapping[int, Sequence[float]]
 
 
-def line(points: Sequence[tuple[float, float]]) -> Line:
+def fit_line(points: Sequence[tuple[float, float]]) -> FittedLine:
     """Return the least squares line through points.
 
     :param points: sizes and values, with at least two different sizes.
@@ -55,52 +55,54 @@
     sizes, values = zip(*points, strict=True)
     slope, start = statistics.linear_regression(sizes, values)
     residual = max(abs(value - start - slope * size) for size, value in points)
-    return Line(slope, start, residual)
+    return FittedLine(slope, start, residual)
 
 
-def lines(series: Series) -> list[Line]:
-    """Return the line of each repetition.
+def fit_each_repetition(series: Series) -> list[FittedLine]:
+    """Return the fitted line of each repetition.
 
     :param series: a series with the same number of values at each size.
     """
     values_by_size = series.values_by_size
     sizes = list(values_by_size)
     return [
-        line(list(zip(sizes, values, strict=True)))
+        fit_line(list(zip(sizes, values, strict=True)))
         for values in zip(*values_by_size.values(), strict=True)
     ]
 
 
-def markdown(every: Sequence[Series]) -> Iterator[str]:
+def markdown_table(all_series: Sequence[Series]) -> Iterator[str]:
     """Yield the lines of a Markdown table with one row for each series.
 
     The residual is the largest of all repetitions, as a share of the largest value.
 
-    :param every: the series.
+    :param all_series: the series.
     """
     yield _row(HEADER)
     yield _row(["---"] * len(HEADER))
-    for series in every:
-        fits = lines(series)
+    for series in all_series:
+        fits = fit_each_repetition(series)
         slopes = [fit.slope for fit in fits]
-        peak = max(abs(v) for each in series.values_by_size.values() for v in each)
+        peak = max(
+            abs(value) for values in series.values_by_size.values() for value in values
+        )
         residual = max(fit.residual for fit in fits) / peak if peak else 0.0
         medians = map(statistics.median, series.values_by_size.values())
         yield _row(
             [
                 series.name,
-                series.against,
+                series.parameter,
                 ", ".join(map(str, series.values_by_size)),
-                number(statistics.median(slopes)),
-                f"{number(min(slopes))} to {number(max(slopes))}",
-                number(statistics.median(fit.start for fit in fits)),
-                ", ".join(map(number, medians)),
+                format_number(statistics.median(slopes)),
+                f"{format_number(min(slopes))} to {format_number(max(slopes))}",
+                format_number(statistics.median(fit.intercept for fit in fits)),
+                ", ".join(map(format_number, medians)),
                 f"{residual:.0%}",
             ]
         )
 
 
-def number(value: float) -> str:
+def format_number(value: float) -> str:
     """Return a number with three significant digits and no exponent.
 
     :param value: the number.
--- a/src/burdockgate/standin/simulation.py
+++ b/src/burdockgate/standin/simulation.py
@@ -1,7 +1,7 @@
-"""Entry hosts, agents and workers of best-effort jobs in virtual time.
+"""Simulates best-effort jobs on entry hosts, agents and workers in virtual time.
 
-The decisions are those of the daemons; the network, the workers and the callers are
-stand-ins. Every run is repeatable from its seed.
+Schedulers and executors are the real ones; the network, the workers and the callers
+are simulated. The same seed gives the same simulation.
 """
 
 from __future__ import annotations
@@ -15,36 +15,38 @@
 from burdockgate.request import besteffort
 from burdockgate.standin import simnodes, simworker, virtualtime
 
-REDIAL_S = 0.05
-SILENCE_S = 0.9
-RESEND_S = 1.3
-# Delivery in a zone and between zones, one way.
-NEAR_S = 0.0002
-FAR_S = 0.0009
+REDIAL_INTERVAL_S = 0.05
+# Both ends of a connection notice a partition after this time.
+DISCONNECT_TIMEOUT_S = 0.9
+# A caller submits a job again this long after its connection broke.
+RETRY_DELAY_S = 1.3
+# One-way network delays.
+SAME_ZONE_DELAY_S = 0.0002
+CROSS_ZONE_DELAY_S = 0.0009
 
 
 class Simulation:
-    """The whole system.
+    """All entry hosts, agents, workers and callers, and the network between them.
 
-    :param seed: seed of everything random.
-    :param kinds: kinds of jobs.
+    :param seed: seed of all random choices.
+    :param kinds: kinds of jobs that callers submit.
     :param entries: number of entry hosts, spread over the zones.
     :param workers: number of workers, spread over the zones.
-    :param zones: number of zones; 0 for one for each entry host.
+    :param zones: number of zones; 0 for as many as entry hosts.
     :param ordering: order of waiting jobs.
-    :param chosen: weights of the choice of a worker.
-    :param limits: what the agents keep to.
+    :param selection_settings: settings of the choice of a worker.
+    :param limits: settings of the agents' executors.
     """
 
     def __init__(
         self,
         seed: int,
-        kinds: tuple[simnodes.Kind, ...],
+        kinds: tuple[simnodes.JobKind, ...],
         entries: int = 4,
         workers: int = 11,
         zones: int = 0,
         ordering: selection.Ordering | None = None,
-        chosen: selection.SelectionSettings | None = None,
+        selection_settings: selection.SelectionSettings | None = None,
         limits: executoractions.ExecutorSettings | None = None,
     ) -> None:
         zones = zones or entries
@@ -52,18 +54,18 @@
         self.time = virtualtime.VirtualClock()
         self.kinds = kinds
         self.ordering = ordering or selection.ShortestFirst()
-        self.selection = chosen or selection.SelectionSettings()
+        self.selection = selection_settings or selection.SelectionSettings()
         self.limits = limits or executoractions.ExecutorSettings()
-        self.messages: collections.Counter[type] = collections.Counter()
+        self.message_count_by_type: collections.Counter[type] = collections.Counter()
         self.tickets = iter(range(1, 1 << 60))
         self.work_by_task: dict[assignments.TaskKey, tuple[float, int]] = {}
         self.caller_jobs: list[simnodes.CallerJob] = []
-        self.notes: list[tuple[float, str, str, dict[str, object]]] = []
-        self.cut_pairs: set[tuple[str, str]] = set()
-        self._linked: dict[tuple[str, str], int] = {}
-        self._link_numbers = iter(range(1, 1 << 60))
-        self._soon: set[str] = set()
-        self._held_up: dict[tuple[str, str], list[Callable[[], None]]] = {}
+        self.events: list[tuple[float, str, str, dict[str, object]]] = []
+        self.partitioned_pairs: set[tuple[str, str]] = set()
+        self._connection_by_pair: dict[tuple[str, str], int] = {}
+        self._connection_numbers = iter(range(1, 1 << 60))
+        self._agents_with_scheduled_report: set[str] = set()
+        self._delayed_by_pair: dict[tuple[str, str], list[Callable[[], None]]] = {}
         self.entry_by_name = {
             f"entry-{number}": simnodes.SimulatedEntryHost(
                 self, f"entry-{number}", f"zone-{number % zones}"
@@ -80,72 +82,78 @@
             zone = f"zone-{number % zones}"
             name = f"agent-{number}"
             self.agent_by_name[name] = simnodes.SimulatedAgent(self, name, zone, worker)
-        self._watch()
+        self._connect_all()
 
     def _work_of(self, task: assignments.TaskKey) -> tuple[float, int]:
         return self.work_by_task[task]
 
-    def note(self, who: str, event: str, fields: dict[str, object]) -> None:
-        """Keep a log line.
+    def record_event(self, process: str, event: str, fields: dict[str, object]) -> None:
+        """Record an event that a process logs.
 
-        :param who: name of the process.
-        :param event: the event.
-        :param fields: its fields.
+        :param process: name of the process.
+        :param event: name of the event.
+        :param fields: fields of the event.
         """
-        self.notes.append((self.time.now(), who, event, fields))
+        self.events.append((self.time.now(), process, event, fields))
 
-    def soon(self, agent: simnodes.SimulatedAgent, action: Callable[[], None]) -> None:
-        """Run the report of an agent once in a few milliseconds.
+    def schedule_report(
+        self, agent: simnodes.SimulatedAgent, action: Callable[[], None]
+    ) -> None:
+        """Schedule the report of an agent in 4 ms, unless one is scheduled already.
 
         :param agent: the agent.
-        :param action: what to run.
+        :param action: sends the report.
         """
-        if agent.name not in self._soon:
-            self._soon.add(agent.name)
+        if agent.name not in self._agents_with_scheduled_report:
+            self._agents_with_scheduled_report.add(agent.name)
 
-            def later() -> None:
-                self._soon.discard(agent.name)
-                agent.run(action)
+            def report() -> None:
+                self._agents_with_scheduled_report.discard(agent.name)
+                agent.execute(action)
 
-            self.time.call_later(0.004, later)
+            self.time.call_later(0.004, report)
 
-    # Links.
+    # Connections between agents and entry hosts.
 
-    def _watch(self) -> None:
-        """Link every pair that can be linked, as the dialling agents do."""
+    def _connect_all(self) -> None:
+        """Connect every pair that can be connected, as the dialling agents do."""
         for agent in self.agent_by_name.values():
             for entry in self.entry_by_name.values():
-                self._relink(agent, entry)
-        self.time.call_later(REDIAL_S, self._watch)
+                self._connect(agent, entry)
+        self.time.call_later(REDIAL_INTERVAL_S, self._connect_all)
 
-    def _relink(
+    def _connect(
         self, agent: simnodes.SimulatedAgent, entry: simnodes.SimulatedEntryHost
     ) -> None:
         pair = (agent.name, entry.name)
-        is_blocked = pair in self.cut_pairs or agent.is_frozen or not agent.is_up
-        if pair in self._linked or is_blocked:
+        is_blocked = (
+            pair in self.partitioned_pairs or agent.is_frozen or not agent.is_up
+        )
+        if pair in self._connection_by_pair or is_blocked:
             return
         if not entry.is_up:
             agent.perform(agent.executor.handle_entry_gone(entry.name))
             return
         if entry.is_frozen:
             return
-        self._linked[pair] = next(self._link_numbers)
-        boot, held = agent.executor.session_state(entry.name)
+        self._connection_by_pair[pair] = next(self._connection_numbers)
+        boot, run_keys = agent.executor.session_state(entry.name)
         hello = assignments.AgentHello(
-            1, agent.name, agent.boot, agent.zone, boot, held
+            1, agent.name, agent.boot, agent.zone, boot, run_keys
         )
         entry_boot = entry.boot
-        link = self._linked[pair]
+        connection = self._connection_by_pair[pair]
         self._deliver(
             pair,
-            link,
+            connection,
             entry,
             lambda: entry.perform(
                 entry.scheduler.handle_agent_connected(hello, entry_boot)
             ),
         )
-        agent.info_sent = {sent for sent in agent.info_sent if sent[0] != entry.name}
+        agent.sent_worker_info = {
+            sent for sent in agent.sent_worker_info if sent[0] != entry.name
+        }
         distance = entrysessions.distance(
             agent.name, agent.zone, entry.name, entry.zone
         )
@@ -154,90 +162,95 @@
         )
         agent.report()
 
-    def break_links(self, agent: str = "", entry: str = "") -> None:
-        """Reset connections; both ends see it.
+    def reset_connections(self, agent: str = "", entry: str = "") -> None:
+        """Reset connections; both ends notice it without a timeout.
 
-        :param agent: only those of this agent; empty for any.
-        :param entry: only those of this entry host; empty for any.
+        :param agent: name of the agent; empty for any.
+        :param entry: name of the entry host; empty for any.
         """
-        for pair in list(self._linked):
+        for pair in list(self._connection_by_pair):
             if agent in ("", pair[0]) and entry in ("", pair[1]):
-                self._unlink(pair)
+                self._disconnect(pair)
 
-    def _unlink(self, pair: tuple[str, str]) -> None:
-        del self._linked[pair]
+    def _disconnect(self, pair: tuple[str, str]) -> None:
+        del self._connection_by_pair[pair]
         agent, entry = self.agent_by_name[pair[0]], self.entry_by_name[pair[1]]
-        agent.run(
+        agent.execute(
             lambda: agent.perform(agent.executor.handle_entry_disconnected(entry.name))
         )
-        entry.run(
+        entry.execute(
             lambda: entry.perform(entry.scheduler.handle_agent_disconnected(agent.name))
         )
 
-    def cut(self, agent: str, entry: str, for_s: float) -> None:
-        """Cut a pair off from each other without a word.
+    def partition(self, agent: str, entry: str, for_s: float) -> None:
+        """Delay the messages of a pair; both ends notice it only after a timeout.
 
         :param agent: name of the agent.
         :param entry: name of the entry host.
-        :param for_s: how long.
+        :param for_s: duration in seconds.
         """
         pair = (agent, entry)
-        self.cut_pairs.add(pair)
+        self.partitioned_pairs.add(pair)
 
-        def notice() -> None:
-            if pair in self._linked and pair in self.cut_pairs:
-                self._unlink(pair)
+        def disconnect() -> None:
+            if pair in self._connection_by_pair and pair in self.partitioned_pairs:
+                self._disconnect(pair)
 
-        self.time.call_later(SILENCE_S, notice)
+        self.time.call_later(DISCONNECT_TIMEOUT_S, disconnect)
         self.time.call_later(for_s, lambda: self._heal(pair))
 
     def _heal(self, pair: tuple[str, str]) -> None:
-        self.cut_pairs.discard(pair)
-        for arrive in self._held_up.pop(pair, []):
-            arrive()
+        self.partitioned_pairs.discard(pair)
+        for deliver in self._delayed_by_pair.pop(pair, []):
+            deliver()
 
-    def linked_entries(self, agent: str) -> list[str]:
-        """Return the entry hosts that an agent is connected with.
+    def connected_entries(self, agent: str) -> list[str]:
+        """Return the names of the entry hosts to which an agent is connected.
 
-        :param agent: its name.
+        :param agent: name of the agent.
         """
-        return [pair[1] for pair in self._linked if pair[0] == agent]
+        return [pair[1] for pair in self._connection_by_pair if pair[0] == agent]
 
     def _delay_s(self, agent: str, entry: str) -> float:
-        same = self.agent_by_name[agent].zone == self.entry_by_name[entry].zone
-        return NEAR_S if same else FAR_S
+        is_same_zone = self.agent_by_name[agent].zone == self.entry_by_name[entry].zone
+        return SAME_ZONE_DELAY_S if is_same_zone else CROSS_ZONE_DELAY_S
 
     def _deliver(
         self,
         pair: tuple[str, str],
-        link: int,
+        connection: int,
         node: simnodes.SimulatedAgent | simnodes.SimulatedEntryHost,
         action: Callable[[], None],
     ) -> None:
-        life = node.life
+        incarnation = node.incarnation
 
-        def arrive() -> None:
-            is_same = self._linked.get(pair) == link and life == node.life
-            if is_same and pair in self.cut_pairs:
-                # A connection that outlives a cut delivers what was held up.
-                self._held_up.setdefault(pair, []).append(arrive)
-            elif is_same:
-                node.run(action)
+        def deliver() -> None:
+            is_current = (
+                self._connection_by_pair.get(pair) == connection
+                and incarnation == node.incarnation
+            )
+            if is_current and pair in self.partitioned_pairs:
+                # If the connection survives the partition, the message follows it.
+                self._delayed_by_pair.setdefault(pair, []).append(deliver)
+            elif is_current:
+                node.execute(action)
 
-        self.time.call_later(self._delay_s(*pair), arrive)
+        self.time.call_later(self._delay_s(*pair), deliver)
 
-    def to_entry(self, agent: str, entry: str, message: assignments.Message) -> None:
-        """Send a message of an agent.
+    def send_to_entry(
+        self, agent: str, entry: str, message: assignments.Message
+    ) -> None:
+        """Send a message from an agent to an entry host.
 
-        :param agent: the sender.
-        :param entry: the receiver.
+        :param agent: name of the sender.
+        :param entry: name of the receiver.
         :param message: the message.
         """
         pair = (agent, entry)
-        link = self._linked.get(pair)
-        if link is None:
+        connection = self._connection_by_pair.get(pair)
+        if connection is None:
             return
-        self.messages[type(message)] += 1
+        self.message_count_by_type[type(message)] += 1
         node = self.entry_by_name[entry]
 
         def handle() -> None:
@@ -251,20 +264,22 @@
                 case assignments.WorkerInfo():
                     node.perform(node.scheduler.handle_worker_info(agent, message))
 
-        self._deliver(pair, link, node, handle)
+        self._deliver(pair, connection, node, handle)
 
-    def to_agent(self, entry: str, agent: str, message: assignments.Message) -> None:
-        """Send a message of an entry host.
+    def send_to_agent(
+        self, entry: str, agent: str, message: assignments.Message
+    ) -> None:
+        """Send a message from an entry host to an agent.
 
-        :param entry: the sender.
-        :param agent: the receiver.
+        :param entry: name of the sender.
+        :param agent: name of the receiver.
         :param message: the message.
         """
         pair = (agent, entry)
-        link = self._linked.get(pair)
-        if link is None:
+        connection = self._connection_by_pair.get(pair)
+        if connection is None:
             return
-        self.messages[type(message)] += 1
+        self.message_count_by_type[type(message)] += 1
         node = self.agent_by_name[agent]
 
         def handle() -> None:
@@ -279,45 +294,47 @@
                     node.perform(node.executor.handle_revocation(message))
                 case assignments.Demand():
                     node.executor.handle_demand(entry, message)
-                    self.soon(node, node.report_change)
+                    self.schedule_report(node, node.report_change)
 
-        self._deliver(pair, link, node, handle)
+        self._deliver(pair, connection, node, handle)
 
     # Callers.
 
-    def load(self, begin: float, end: float, factor: float = 1.0) -> None:
-        """Let callers send jobs at the rates of their kinds.
+    def schedule_load(self, begin: float, end: float, factor: float = 1.0) -> None:
+        """Schedule jobs at random times, at the rates of their kinds.
 
-        :param begin: first second of the load, from the start of the simulation.
-        :param end: last second.
-        :param factor: on all rates.
+        :param begin: start of the load, in seconds from now.
+        :param end: end of the load, in seconds from now.
+        :param factor: factor on all rates.
         """
         for kind in self.kinds:
             at = begin
             while True:
-                at += self.rng.expovariate(kind.per_s * factor)
+                at += self.rng.expovariate(kind.jobs_per_s * factor)
                 if at >= end:
                     break
-                self.send_at(at, self.make(kind))
+                self.submit_at(at, self.make_job(kind))
 
-    def make(self, kind: simnodes.Kind, is_poison: bool = False) -> simnodes.CallerJob:
-        """Return a job whose durations are not known to the system.
+    def make_job(
+        self, kind: simnodes.JobKind, is_poison: bool = False
+    ) -> simnodes.CallerJob:
+        """Return a job whose estimate differs from the durations of its tasks.
 
-        :param kind: its kind.
-        :param is_poison: whether its tasks always fail.
+        :param kind: kind of the job.
+        :param is_poison: whether all runs of its tasks fail.
         """
         job = f"{self.rng.getrandbits(64):016x}"
-        works = []
+        works_s = []
         for index in range(kind.width):
             work_s = kind.work_s * self.rng.lognormvariate(-0.08, 0.4)
             if self.rng.random() < 0.03:
                 work_s *= 7
-            works.append(work_s)
+            works_s.append(work_s)
             key = assignments.TaskKey(job, 0, index)
             self.work_by_task[key] = (-work_s if is_poison else work_s, kind.cpu)
         estimate_s = kind.work_s * self.rng.uniform(0.6, 1.4)
         step = besteffort.Step(kind.width, kind.cpu, 64, 0, estimate_s)
-        objective_s = 1.6 * max(works) + 0.06
+        objective_s = 1.6 * max(works_s) + 0.06
         submission = besteffort.Submission(
             job,
             kind.name,
@@ -332,78 +349,78 @@
         )
         return simnodes.CallerJob(job, kind, submission, 0.0, objective_s)
 
-    def send_at(
+    def submit_at(
         self, at: float, caller_job: simnodes.CallerJob, entry: str | None = None
     ) -> None:
-        """Let a caller send a job.
+        """Let a caller submit a job.
 
-        :param at: when, in seconds from the start of the simulation.
+        :param at: when, in seconds from now.
         :param caller_job: the job.
-        :param entry: name of the entry host; ``None`` picks one.
+        :param entry: name of the entry host; ``None`` for a random one.
         """
         self.caller_jobs.append(caller_job)
 
         def send() -> None:
             caller_job.sent_at = self.time.now()
-            self._send(caller_job, entry)
+            self._submit(caller_job, entry)
 
         self.time.call_later(at, send)
 
-    def _send(self, caller_job: simnodes.CallerJob, entry: str | None = None) -> None:
-        up = [node for node in self.entry_by_name.values() if node.is_up]
-        if not up:
-            self.resend(caller_job)
+    def _submit(self, caller_job: simnodes.CallerJob, entry: str | None = None) -> None:
+        running_entries = [node for node in self.entry_by_name.values() if node.is_up]
+        if not running_entries:
+            self.retry(caller_job)
             return
-        node = self.entry_by_name[entry] if entry else self.rng.choice(up)
-        node.run(lambda: node.submit(caller_job))
+        node = self.entry_by_name[entry] if entry else self.rng.choice(running_entries)
+        node.execute(lambda: node.submit(caller_job))
 
-    def resend(self, caller_job: simnodes.CallerJob) -> None:
-        """Send a job again after its connection broke.
+    def retry(self, caller_job: simnodes.CallerJob) -> None:
+        """Submit a job again later, unless its deadline is too near.
 
         :param caller_job: the job.
         """
         caller_job.is_interrupted = True
         waited_s = self.time.now() - caller_job.sent_at
-        if waited_s + RESEND_S < caller_job.submission.deadline_s:
-            self.time.call_later(RESEND_S, lambda: self._send(caller_job))
+        if waited_s + RETRY_DELAY_S < caller_job.submission.deadline_s:
+            self.time.call_later(RETRY_DELAY_S, lambda: self._submit(caller_job))
 
-    def concluded(
-        self, caller_job: simnodes.CallerJob, verdict: besteffort.Outcome
+    def handle_outcome(
+        self, caller_job: simnodes.CallerJob, outcome: besteffort.Outcome
     ) -> None:
-        """Handle an answer.
+        """Record the outcome of a job; retry the job if it was interrupted.
 
         :param caller_job: the job.
-        :param verdict: the answer.
+        :param outcome: the outcome.
         """
-        caller_job.verdicts.append(verdict)
+        caller_job.outcomes.append(outcome)
         caller_job.ended_at = self.time.now()
-        if isinstance(verdict, besteffort.Interrupted):
-            self.resend(caller_job)
+        if isinstance(outcome, besteffort.Interrupted):
+            self.retry(caller_job)
 
     def run(self, seconds: float) -> None:
-        """Let time pass.
+        """Advance the virtual time.
 
-        :param seconds: how long.
+        :param seconds: by how much.
         """
         self.time.run_until(self.time.now() + seconds)
 
     # Results.
 
     def spans(self) -> list[simworker.Span]:
-        """Return all runs on all workers."""
+        """Return the spans of all runs on all workers."""
         return [
             span
             for agent in self.agent_by_name.values()
             for span in [*agent.worker.spans, *agent.worker.open_spans()]
         ]
 
-    def credit(self) -> dict[str, float]:
-        """Return the share of the worth that was earned, by kind."""
+    def earned_share_by_kind(self) -> dict[str, float]:
+        """Return the share of the worth of its jobs that each kind earned."""
         shares: dict[str, float] = {}
         for kind in self.kinds:
             caller_jobs = [
                 caller_job for caller_job in self.caller_jobs if caller_job.kind is kind
             ]
-            earned = sum(caller_job.credit() for caller_job in caller_jobs)
+            earned = sum(caller_job.earned_share() for caller_job in caller_jobs)
             shares[kind.name] = earned / max(1, len(caller_jobs))
         return shares
