Name the methods of measured systems by what they return

Cause: counts, starts, change, settle, found_s and most_out name neither an action nor a quantity, and Counts also holds processor time and memory.

Change: names only. Target.read_totals, Target.read_starts, Totals and totals_delay_s; ManagedTarget; Rollout.set_rows, watch_versions and wait_until_in_force; print_scenarios; suspects.measure_cost, and the figures detection_delays_s and max_ejected.

--- a/src/burdockgate/cli/measure.py
+++ b/src/burdockgate/cli/measure.py
@@ -68,7 +68,7 @@
     from burdockgate.standin import measurement
 
     if args.list:
-        measurement.show_list()
+        measurement.print_scenarios()
         return 0
     return measurement.run(
         measurement.Request(
--- a/src/burdockgate/standin/fleet.py
+++ b/src/burdockgate/standin/fleet.py
@@ -85,7 +85,7 @@
         return sum(self.count_by_name[f"{role}.{counter}"] for role in roles)
 
 
-class FleetTarget(targets.OwnTarget):
+class FleetTarget(targets.ManagedTarget):
     """Starts a process for each role and each stand-in.
 
     Messages are counted by statsd, so a total is up to one flush old.
@@ -93,7 +93,7 @@
     :param size: size of the system; the policy must be the default one.
     """
 
-    counts_delay_s = daemon.METRICS_INTERVAL_S + POLL_S
+    totals_delay_s = daemon.METRICS_INTERVAL_S + POLL_S
 
     def __init__(self, size: targets.Size) -> None:
         self.service = SERVICE
@@ -246,7 +246,7 @@
         reply = await self._http.post(f"http://{address}/v1/faults", json=faults)
         reply.raise_for_status()
 
-    def counts(self) -> targets.Counts:
+    def read_totals(self) -> targets.Totals:
         """Return the totals so far, as of the last flush of each daemon."""
         roles = ("entry", "agent")
         agent_bytes = sum(
@@ -258,7 +258,7 @@
             for name, process in self._process_by_name.items()
             if name.startswith(roles) and process.returncode is None
         }
-        return targets.Counts(
+        return targets.Totals(
             self._totals.total("wire.sent", *roles),
             agent_bytes,
             self._totals.total("tasks.returned", "agent"),
@@ -270,7 +270,7 @@
             ),
         )
 
-    async def starts(self) -> list[targets.Start]:
+    async def read_starts(self) -> list[targets.Start]:
         """Return every start so far, with the names of the agents."""
         found = []
         for index, address in enumerate(self._servers, start=1):
--- a/src/burdockgate/standin/load.py
+++ b/src/burdockgate/standin/load.py
@@ -85,8 +85,8 @@
     seconds: float
     window_s: float
     records: list[Record]
-    before: targets.Counts | None
-    after: targets.Counts | None
+    before: targets.Totals | None
+    after: targets.Totals | None
     starts: list[targets.Start] | None
     fault_at: float | None
     worker: str
@@ -153,8 +153,8 @@
         """Run the plan and wait for the answers."""
         with contextlib.closing(self._caller):
             await self._warm_up()
-            await asyncio.sleep(self._target.counts_delay_s)
-            before = self._target.counts()
+            await asyncio.sleep(self._target.totals_delay_s)
+            before = self._target.read_totals()
             # Tasks are made and bodies are encoded before the first arrival.
             self._began = time.monotonic() + LEAD_S
             fault = asyncio.create_task(self._drive_fault())
@@ -163,13 +163,13 @@
                 await self._send_all()
                 # The tail after the last arrival has few tasks and many heartbeats,
                 # so it is left out of the costs.
-                end = self._config.planned_s + self._target.counts_delay_s
+                end = self._config.planned_s + self._target.totals_delay_s
                 await asyncio.sleep(max(0.0, end - self._now()))
-                window_s, after = self._now(), self._target.counts()
+                window_s, after = self._now(), self._target.read_totals()
                 if self._tasks:
                     await asyncio.wait(self._tasks, timeout=ANSWER_LIMIT_S)
                 if self._changes is not None:
-                    await self._changes.settle()
+                    await self._changes.wait_until_in_force()
                 seconds = self._now()
                 self._answered.set()
                 if self._config.scenario.fault is scenarios.Fault.DRAIN:
@@ -179,7 +179,7 @@
         for task in (fault, *others):
             if not task.cancelled():
                 task.result()
-        starts = await self._target.starts()
+        starts = await self._target.read_starts()
         return self._result(seconds, window_s, before, after, starts)
 
     async def _warm_up(self) -> None:
@@ -260,15 +260,15 @@
 
     def _rollout(self) -> Iterator[Coroutine[Any, Any, None]]:
         if self._changes is not None:
-            yield self._changes.watch()
-            yield self._changes.change(self._began + self._config.seconds)
+            yield self._changes.watch_versions()
+            yield self._changes.set_rows(self._began + self._config.seconds)
 
     def _result(
         self,
         seconds: float,
         window_s: float,
-        before: targets.Counts | None,
-        after: targets.Counts | None,
+        before: targets.Totals | None,
+        after: targets.Totals | None,
         starts: list[targets.Start] | None,
     ) -> Run:
         if starts is not None:
--- a/src/burdockgate/standin/measurement.py
+++ b/src/burdockgate/standin/measurement.py
@@ -39,7 +39,7 @@
     size: targets.Size = attrs.field(factory=targets.Size)
 
 
-def show_list() -> None:
+def print_scenarios() -> None:
     """Print the name and the text of each scenario."""
     for scenario in scenarios.SCENARIO_BY_NAME.values():
         print(f"{scenario.name:17s} {scenario.text}")
--- a/src/burdockgate/standin/rollout.py
+++ b/src/burdockgate/standin/rollout.py
@@ -88,7 +88,7 @@
         )
         return min(times, default=math.inf)
 
-    async def change(self, until: float) -> None:
+    async def set_rows(self, until: float) -> None:
         """Set a new row in each interval, also while earlier changes are pending.
 
         :param until: time of the last change, by the monotonic clock.
@@ -125,7 +125,7 @@
         at = ended_at if met_outage else asked_at
         self.changes.append(Change(at, version, met_outage))
 
-    async def watch(self) -> None:
+    async def watch_versions(self) -> None:
         """Note each new version until cancelled."""
         async with httpx.AsyncClient(trust_env=False) as caller:
             while True:
@@ -154,7 +154,7 @@
             self._version_by_node[node] = version
             self.in_force.append(trace.InForce(at, node, version))
 
-    async def settle(self) -> None:
+    async def wait_until_in_force(self) -> None:
         """Wait until the last change is in force everywhere, or too late."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(SETTLE_S):
--- a/src/burdockgate/standin/suspects.py
+++ b/src/burdockgate/standin/suspects.py
@@ -139,8 +139,8 @@
     poisoned: int = 0
     good_ejected: int = 0
     bad_ejected: int = 0
-    found_s: list[float] = attrs.field(factory=list)
-    most_out: int = 0
+    detection_delays_s: list[float] = attrs.field(factory=list)
+    max_ejected: int = 0
 
 
 @attrs.define(eq=False)
@@ -234,11 +234,11 @@
             self.figures.good_ejected += not is_bad
             if is_bad and (number, change.worker) not in self._found:
                 self._found.add((number, change.worker))
-                self.figures.found_s.append(now - FAULT_AT_S)
+                self.figures.detection_delays_s.append(now - FAULT_AT_S)
         out = sum(
             record.state is detectors.HealthState.EJECTED for record in host.records
         )
-        self.figures.most_out = max(self.figures.most_out, out)
+        self.figures.max_ejected = max(self.figures.max_ejected, out)
 
     def _arrive(self, held: _Job) -> None:
         self.figures.jobs += 1
@@ -401,7 +401,7 @@
     )
 
 
-def cost(workers: int, outcomes: int = 200_000) -> tuple[float, float]:
+def measure_cost(workers: int, outcomes: int = 200_000) -> tuple[float, float]:
     """Return the bytes for each worker, and the seconds for each task and outcome.
 
     :param workers: number of workers.
@@ -442,7 +442,7 @@
     """
     for case in cases:
         runs = [Bench(attrs.evolve(case, seed=seed)).run() for seed in SEEDS]
-        found = [item for run in runs for item in run.found_s]
+        found = [item for run in runs for item in run.detection_delays_s]
         wanted = _bad_workers(case.fault) * case.entries * len(SEEDS)
         yield " | ".join(
             (
@@ -454,7 +454,7 @@
                 _spread([run.good_ejected for run in runs]),
                 f"{len(found)} of {wanted}",
                 f"{statistics.median(found):.2f} / {max(found):.2f}" if found else "-",
-                f"{max(run.most_out for run in runs)} |",
+                f"{max(run.max_ejected for run in runs)} |",
             )
         )
 
@@ -482,7 +482,7 @@
         for row in rows(cases):
             print(row, flush=True)
     for workers in (11, 10_000):
-        size, seconds = cost(workers)
+        size, seconds = measure_cost(workers)
         print(f"{workers} workers: {size:.0f} bytes each, {seconds * 1e6:.2f} us")
     return 0
 
--- a/src/burdockgate/standin/targets.py
+++ b/src/burdockgate/standin/targets.py
@@ -32,7 +32,7 @@
 
 
 @attrs.frozen
-class Counts:
+class Totals:
     """Totals up to one moment.
 
     :param messages: messages sent between the system's processes.
@@ -75,7 +75,7 @@
     agents: int
     worker: str
     # Time after which all that was counted up to now is in the totals.
-    counts_delay_s = 0.0
+    totals_delay_s = 0.0
     log_url: str = ""
 
     @abc.abstractmethod
@@ -95,11 +95,11 @@
         """
 
     @abc.abstractmethod
-    def counts(self) -> Counts | None:
+    def read_totals(self) -> Totals | None:
         """Return the totals so far; ``None`` when they cannot be known."""
 
     @abc.abstractmethod
-    async def starts(self) -> list[Start] | None:
+    async def read_starts(self) -> list[Start] | None:
         """Return every start so far; ``None`` when they cannot be known."""
 
     async def drain(self, is_on: bool) -> None:
@@ -112,7 +112,7 @@
                 raise errors.ClientError(f"worker {self.worker}: no host knows it")
 
 
-class OwnTarget(Target):
+class ManagedTarget(Target):
     """A system that was started for the run, with its stand-ins."""
 
     async def set_fault(self, fault: scenarios.Fault, is_on: bool) -> None:
@@ -162,7 +162,7 @@
         raise errors.SettingsError(["--scenario: only possible with --processes"])
 
 
-class LocalTarget(OwnTarget):
+class LocalTarget(ManagedTarget):
     """All roles and the stand-ins in this process.
 
     :param size: size of the system.
@@ -212,14 +212,14 @@
         """
         self.system.log.store.set_faults(log.Faults(down=is_down))
 
-    def counts(self) -> Counts:
+    def read_totals(self) -> Totals:
         """Return the totals so far."""
         agent_bytes = sum(
             int(agent.counters.snapshot()[name])
             for agent in self.system.agents
             for name in ("wire.bytes_sent", "wire.bytes_received")
         )
-        return Counts(
+        return Totals(
             self.system.messages,
             agent_bytes,
             sum(
@@ -229,7 +229,7 @@
             time.process_time(),
         )
 
-    async def starts(self) -> list[Start]:
+    async def read_starts(self) -> list[Start]:
         """Return every start so far, with the names of the agents."""
         pairs = zip(self.system.servers, self.system.agents, strict=True)
         return [
@@ -287,8 +287,8 @@
             )
         await self.drain(is_on)
 
-    def counts(self) -> None:
+    def read_totals(self) -> None:
         """Return nothing: only entry hosts are reached, and the agents count too."""
 
-    async def starts(self) -> None:
+    async def read_starts(self) -> None:
         """Return nothing: the backend servers are not reached."""
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -308,7 +308,7 @@
 
 def test_size_for_each_of_10000_workers():
     """The record of a worker takes at most 400 bytes in a fleet of 10,000 workers."""
-    size, _ = suspects.cost(10_000, outcomes=1000)
+    size, _ = suspects.measure_cost(10_000, outcomes=1000)
     assert size <= 400
 
 
@@ -316,9 +316,9 @@
 def test_bench_tells_bad_workers_from_good_ones(name):
     """The benchmark must find every bad worker and eject no good one."""
     figures = suspects.Bench(suspects.Case("rack", name, entries=1)).run()
-    assert len(figures.found_s) == len(RACK)
+    assert len(figures.detection_delays_s) == len(RACK)
     assert figures.good_ejected == 0
-    assert figures.most_out == len(RACK)
+    assert figures.max_ejected == len(RACK)
 
 
 async def test_commands_of_the_page(shared):
