Name the parts of the measurement of mass cancellations plainly

Cause: _led, _late, _watch, counted and PORTION don't say that they are owned jobs, delays of the event loop, their recorder, a counting send and the size of a batch.

Change: wording and private names of standin.wave; the keys of its output stay.

--- a/src/burdockgate/standin/wave.py
+++ b/src/burdockgate/standin/wave.py
@@ -1,7 +1,8 @@
-"""Measures a wave of cancellations at one entry host: ``python -m`` this module.
+"""Measures many simultaneous cancellations at one entry host.
 
-A whole system runs in this process, with real connections between its nodes. The
-callers' HTTP side is left out: submissions and cancels are calls of the daemon.
+A whole system runs in this process, with real connections between its nodes. HTTP is
+left out: jobs are submitted and cancelled by calls of the entry host. Run it with
+``python -m burdockgate.standin.wave``.
 """
 
 from __future__ import annotations
@@ -22,25 +23,25 @@
 from burdockgate.request import job, outcome
 from burdockgate.standin import local
 
-TASKS = 2
+TASKS_PER_JOB = 2
 RUN_MS = 60_000
-POLL_S = 0.001
-PORTION = 200
+LOOP_POLL_S = 0.001
+SUBMIT_BATCH_JOBS = 200
 
 
 def main() -> None:
-    """Run one wave and print its figures as JSON."""
+    """Cancel many jobs at once and print the figures as JSON."""
     parser = argparse.ArgumentParser(description=main.__doc__)
     parser.add_argument("--jobs", type=int, default=10_000)
     parser.add_argument("--seed", type=int, default=1)
     args = parser.parse_args()
-    # The lines about connections would hide the figures.
+    # Log lines about connections would hide the figures.
     logs.configure(io.StringIO())
     print(json.dumps(asyncio.run(measure(args.jobs, args.seed))))
 
 
 async def measure(jobs: int, seed: int) -> dict[str, object]:
-    """Submit jobs that wait or run for long, cancel all at once, and return figures.
+    """Submit long jobs, cancel all of them at once, and return the figures.
 
     :param jobs: number of jobs.
     :param seed: seed of the system's random choices.
@@ -48,7 +49,7 @@
     system = local.Local(local.LocalSettings(entries=1, agents=11, seed=seed))
     await system.start()
     try:
-        return await _Wave(system, jobs, seed).run()
+        return await _CancelWave(system, jobs, seed).run()
     finally:
         await system.stop()
 
@@ -59,72 +60,76 @@
     return int(line.split()[1]) / 1024
 
 
-class _Wave:
+class _CancelWave:
     def __init__(self, system: local.Local, jobs: int, seed: int) -> None:
         self._system = system
         self._entry = system.entries[0]
         self._keys = [f"wave-{seed}-{number}" for number in range(jobs)]
         self._random = random.Random(seed)
-        self._sent: collections.Counter[str] = collections.Counter()
-        self._late: list[float] = []
+        self._sent_by_type: collections.Counter[str] = collections.Counter()
+        self._loop_delays_s: list[float] = []
 
     async def run(self) -> dict[str, object]:
         gc.collect()
         before_mb = _resident_mb()
         submitted: list[asyncio.Task[outcome.Outcome]] = []
-        # The wave under test is that of the cancels, so the jobs come in portions.
-        for first in range(0, len(self._keys), PORTION):
-            portion = self._keys[first : first + PORTION]
-            submitted += [asyncio.create_task(self._submit(key)) for key in portion]
-            while self._led() < len(submitted):
+        # Only the cancellations come all at once; the jobs are submitted in batches.
+        for first in range(0, len(self._keys), SUBMIT_BATCH_JOBS):
+            batch = self._keys[first : first + SUBMIT_BATCH_JOBS]
+            submitted += [asyncio.create_task(self._submit(key)) for key in batch]
+            while self._owned_jobs() < len(submitted):
                 await asyncio.sleep(0.01)
         slots = self._system.config.agents * self._system.config.slots
         while self._system.starts < slots:
             await asyncio.sleep(0.01)
-        full_mb, running = _resident_mb(), self._system.starts
+        loaded_mb, started = _resident_mb(), self._system.starts
         self._count_messages()
-        watch = asyncio.create_task(self._watch())
+        recorder = asyncio.create_task(self._record_loop_delays())
         await asyncio.sleep(0.2)
-        self._late.clear()
-        self._sent.clear()
+        self._loop_delays_s.clear()
+        self._sent_by_type.clear()
         begin, cpu = time.monotonic(), time.process_time()
         cancels = [asyncio.create_task(self._cancel(key)) for key in self._keys]
-        ended = await asyncio.gather(*cancels)
+        cancellations = await asyncio.gather(*cancels)
         last_s, cpu_s = time.monotonic() - begin, time.process_time() - cpu
         results = await asyncio.gather(*submitted)
         await asyncio.sleep(0.5)
-        watch.cancel()
-        done = collections.Counter(result.code.name for result in results)
+        recorder.cancel()
+        submit_codes = collections.Counter(result.code.name for result in results)
         del submitted, cancels, results
         gc.collect()
-        tasks = len(self._keys) * TASKS
+        tasks = len(self._keys) * TASKS_PER_JOB
         return {
             "jobs": len(self._keys),
             "tasks": tasks,
-            "started": running,
+            "started": started,
             "stopped_at_backend": sum(item.stopped for item in self._system.servers),
             "slots_taken": sum(item.core.slots.running for item in self._system.agents),
             "cancel_codes": collections.Counter(
-                codes.Code(result.code).name for _, result in ended
+                codes.Code(result.code).name for _, result in cancellations
             ),
-            "submit_codes": done,
+            "submit_codes": submit_codes,
             "last_outcome_s": round(last_s, 3),
-            "outcome_p50_s": round(sorted(s for s, _ in ended)[len(ended) // 2], 3),
+            "outcome_p50_s": round(
+                sorted(s for s, _ in cancellations)[len(cancellations) // 2], 3
+            ),
             "cpu_s": round(cpu_s, 3),
-            "longest_stall_s": round(max(self._late), 3),
-            "sent_by_kind": dict(self._sent),
-            "messages_per_task": round(sum(self._sent.values()) / tasks, 3),
-            "rss_mb": [round(mb, 1) for mb in (before_mb, full_mb, _resident_mb())],
+            "longest_stall_s": round(max(self._loop_delays_s), 3),
+            "sent_by_kind": dict(self._sent_by_type),
+            "messages_per_task": round(sum(self._sent_by_type.values()) / tasks, 3),
+            "rss_mb": [round(mb, 1) for mb in (before_mb, loaded_mb, _resident_mb())],
             "jobs_held": len(self._entry.core.jobs),
             "backlog_tasks": self._entry.core.backlog_tasks,
         }
 
-    def _led(self) -> int:
+    def _owned_jobs(self) -> int:
         return int(self._entry.counters.snapshot()["jobs.owned"])
 
     async def _submit(self, key: str) -> outcome.Outcome:
         payload = json.dumps({"sleep_ms": RUN_MS}).encode()
-        specs = tuple(job.TaskSpec(payload, float(RUN_MS)) for _ in range(TASKS))
+        specs = tuple(
+            job.TaskSpec(payload, float(RUN_MS)) for _ in range(TASKS_PER_JOB)
+        )
         request = job.JobRequest(
             guest="wave",
             key=key,
@@ -135,7 +140,7 @@
             tasks=specs,
             job=job.job_id("wave", key),
             digest=xxhash.xxh3_128_digest(key.encode()),
-            size=TASKS * len(payload),
+            size=TASKS_PER_JOB * len(payload),
         )
         return await self._entry.submit(request, wait=True)
 
@@ -145,21 +150,21 @@
         return time.monotonic() - begin, result
 
     def _count_messages(self) -> None:
-        """Count what the entry host sends to the workers, by type."""
+        """Count the messages that the entry host sends to the workers, by type."""
         send = self._entry.network.send
 
-        def counted(name: str, message: messages.Message) -> bool:
-            self._sent[type(message).__name__] += 1
+        def count_and_send(name: str, message: messages.Message) -> bool:
+            self._sent_by_type[type(message).__name__] += 1
             return send(name, message)
 
-        self._entry.network.send = counted  # type: ignore[method-assign]
+        self._entry.network.send = count_and_send  # type: ignore[method-assign]
 
-    async def _watch(self) -> None:
-        """Note how much later than asked the loop came back."""
+    async def _record_loop_delays(self) -> None:
+        """Record how late the event loop resumes after each sleep."""
         while True:
             begin = time.monotonic()
-            await asyncio.sleep(POLL_S)
-            self._late.append(time.monotonic() - begin - POLL_S)
+            await asyncio.sleep(LOOP_POLL_S)
+            self._loop_delays_s.append(time.monotonic() - begin - LOOP_POLL_S)
 
 
 if __name__ == "__main__":
