Word the load tool, its scenarios and the detector comparison plainly

Cause: names such as held, judge, way, met_outage, note, crowd_at, best_case and docstrings such as "what is done to the system" had to be read twice; fields of scenarios, targets and figures had no description.

Change: wording and names of the modules scenarios, suspects, targets, figures, report, measurement and rollout, and of test_measure. The peak of the scenario "crest" is a peak in the code; names and texts of scenarios, values of Fault and keys of the summary stay.

--- a/src/burdockgate/standin/__init__.py
+++ b/src/burdockgate/standin/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins of the platform, and the tools that use them."""
+"""Stand-ins for the platform's services, and the load tools and simulations on them."""
--- a/src/burdockgate/standin/figures.py
+++ b/src/burdockgate/standin/figures.py
@@ -1,4 +1,4 @@
-"""Figures of a finished run, and the verdict of the checker."""
+"""Computes the figures of a finished run and checks its invariants."""
 
 from __future__ import annotations
 
@@ -21,14 +21,18 @@
     trace,
 )
 
-SHOWN_VIOLATIONS = 20
-# At the begin of a crest the slots fill and the backlogs of the classes build up.
-CREST_SETTLING_S = 0.5
+MAX_VIOLATION_DETAILS = 20
+# At the start of a peak, free slots fill up and each class builds up a backlog.
+PEAK_SETTLING_S = 0.5
 
 
 @attrs.frozen
 class Answer:
-    """One parsed answer; ``at`` is in seconds after the start of the run."""
+    """One parsed answer.
+
+    :param at: time of the answer, in seconds after the start of the run.
+    :param results: JSON text of each result.
+    """
 
     at: float
     code: codes.Code
@@ -51,11 +55,11 @@
     }
 
 
-def parse(body: bytes, at: float | None) -> Answer | None:
-    """Return an answer, or ``None`` when there was none that can be used.
+def parse_answer(body: bytes, at: float | None) -> Answer | None:
+    """Return the parsed answer, or ``None`` when it is missing or malformed.
 
-    :param body: the JSON text.
-    :param at: when it came, in seconds after the start of the run.
+    :param body: JSON text of the answer.
+    :param at: time of the answer, in seconds after the start of the run.
     """
     if not body or at is None:
         return None
@@ -72,14 +76,16 @@
 
 
 class Figures:
-    """Everything that is computed from one run.
+    """Figures and invariant violations of one run.
 
-    :param run: the run.
+    :param run: the finished run.
     """
 
     def __init__(self, run: load.Run) -> None:
         self.run = run
-        self.answers = [parse(item.body, item.answered_at) for item in run.records]
+        self.answers = [
+            parse_answer(item.body, item.answered_at) for item in run.records
+        ]
         self.job_by_id = {item.job.id: item.job for item in run.records}
         self.violations = checker.check(
             list(self._events()),
@@ -100,29 +106,29 @@
                     job.payloads(),
                     repeatable=True,
                 )
-            cancelled = parse(record.cancel_body, record.cancelled_at)
-            for given in (answer, cancelled):
-                if given is not None:
+            cancelled = parse_answer(record.cancel_body, record.cancelled_at)
+            for reply in (answer, cancelled):
+                if reply is not None:
                     yield trace.Answered(
-                        began + given.at,
+                        began + reply.at,
                         job.guest,
                         job.key,
-                        given.code,
-                        given.attempt,
-                        given.results,
+                        reply.code,
+                        reply.attempt,
+                        reply.results,
                         entry,
                     )
         yield from started_events(self.run.starts or ())
-        if self.run.config.scenario.ends_worker and self.run.fault_at is not None:
+        if self.run.config.scenario.is_worker_removed and self.run.fault_at is not None:
             yield trace.Left(began + self.run.fault_at, self.run.worker)
         if self.run.changes is not None:
             yield from self.run.changes.events
 
     def summary(self) -> dict[str, object]:
-        """Return the figures, ready for JSON; what is not known is ``None``."""
+        """Return the figures in a form for JSON; an unknown figure is ``None``."""
         run, config = self.run, self.run.config
         outcomes = Counter(item.outcome for item in self.answers if item is not None)
-        known = {
+        summary = {
             "scenario": config.scenario.name,
             "policy": None if config.urls else config.size.policy,
             "deployment": None if config.urls else config.size.deployment,
@@ -137,10 +143,10 @@
             "violations": len(self.violations),
             "violation_details": [
                 f"{item.promise.name}: {item.detail}"
-                for item in self.violations[:SHOWN_VIOLATIONS]
+                for item in self.violations[:MAX_VIOLATION_DETAILS]
             ],
             "response_over_ideal": percentiles(
-                [ratio for _, ratio in self.responses()]
+                [ratio for _, ratio in self.response_ratios()]
             ),
             "short_wait_ms": percentiles(self.short_waits()),
             "short_wait_ratio": None,
@@ -155,16 +161,19 @@
             "share_error": self._share_error(),
             "recovery_s": self._recovery_s(),
             "last_new_task_s": self._last_new_task_s(),
-            "in_force_s": self._in_force_s(met_outage=False),
-            "in_force_after_outage_s": self._in_force_s(met_outage=True),
+            "in_force_s": self._in_force_s(is_in_outage=False),
+            "in_force_after_outage_s": self._in_force_s(is_in_outage=True),
             "starts_per_s": None,
             "rss_mb": self._resident_mb(),
         }
-        return known | self._costs()
+        return summary | self._costs()
 
     @property
     def is_failed(self) -> bool:
-        """Whether a promise was broken or the run did not go as it should."""
+        """Whether an invariant was violated or an outcome was not expected.
+
+        A run without a complete job has failed, too.
+        """
         outcomes = Counter(item.outcome if item else "" for item in self.answers)
         allowed = {"complete"}
         if self.run.config.scenario.expects_failures:
@@ -198,8 +207,8 @@
         agent_bytes = after.agent_bytes - before.agent_bytes
         values = (
             (after.messages - before.messages) / tasks,
-            # At most: several tasks of one message may be returned together.
-            2 * (after.returned - before.returned) / tasks,
+            # An upper bound, since one message can return several tasks.
+            2 * (after.returned_tasks - before.returned_tasks) / tasks,
             (after.processor_s - before.processor_s) / seconds,
             agent_bytes / self.run.agents / seconds,
         )
@@ -207,8 +216,11 @@
             name: round(value, 4) for name, value in zip(names, values, strict=True)
         }
 
-    def responses(self) -> list[tuple[float, float]]:
-        """Return planned time and response over the ideal of each complete job."""
+    def response_ratios(self) -> list[tuple[float, float]]:
+        """Return the planned time and the response over the ideal of each complete job.
+
+        The time is in seconds after the start of the run.
+        """
         return [
             (
                 record.job.at,
@@ -223,7 +235,7 @@
         ]
 
     def waits(self) -> Iterator[tuple[arrivals.Job, arrivals.Task, float]]:
-        """Yield each started task with its wait from the arrival, in ms."""
+        """Yield each started task and its job with the wait from arrival, in ms."""
         for start in self.run.starts or ():
             job = self.job_by_id[start.job]
             wait_ms = (start.at - self.run.began - job.at) * 1000
@@ -236,9 +248,10 @@
         ]
 
     def backlog(self) -> list[tuple[float, int]]:
-        """Return the number of tasks that wait, at each time of a change.
+        """Return the number of waiting tasks at each time when it changes.
 
-        A task waits from its planned arrival to its start or its job's answer.
+        A task waits from its planned arrival until its start or its job's answer,
+        whichever comes first.
         """
         started_at = {
             (start.job, start.index): start.at - self.run.began
@@ -248,30 +261,33 @@
         for record in self.run.records:
             end = math.inf if record.answered_at is None else record.answered_at
             for index in range(len(record.job.tasks)):
-                left = min(end, started_at.get((record.job.id, index), math.inf))
-                changes += [(record.job.at, 1), (left, -1)]
+                wait_end = min(end, started_at.get((record.job.id, index), math.inf))
+                changes += [(record.job.at, 1), (wait_end, -1)]
         changes.sort()
         times = (at for at, _ in changes)
         counts = itertools.accumulate(change for _, change in changes)
         return list(zip(times, counts, strict=True))
 
     def _recovery_s(self) -> float | None:
-        """Return the time from the change until the backlog is normal again."""
+        """Return the time until the backlog is back to its normal size.
+
+        The normal size is the largest backlog before the peak or the cancel wave.
+        """
         seconds = self.run.config.seconds
-        change_at = self.run.config.scenario.change_at(seconds)
-        if change_at is None or self.run.starts is None:
+        recovery_from = self.run.config.scenario.recovery_from(seconds)
+        if recovery_from is None or self.run.starts is None:
             return None
-        crowd_at = seconds / (3 if self.run.config.scenario.is_crest else 2)
+        surge_from = seconds / (3 if self.run.config.scenario.has_peak else 2)
         backlog = self.backlog()
-        normal = max((count for at, count in backlog if at < crowd_at), default=0)
+        normal = max((count for at, count in backlog if at < surge_from), default=0)
         for at, count in backlog:
-            if at >= change_at and count <= normal:
-                return round(at - change_at, 3)
+            if at >= recovery_from and count <= normal:
+                return round(at - recovery_from, 3)
         return None
 
     def _last_new_task_s(self) -> float | None:
         run = self.run
-        if not run.config.scenario.ends_worker:
+        if not run.config.scenario.is_worker_removed:
             return None
         if run.fault_at is None or run.starts is None:
             return None
@@ -281,10 +297,10 @@
         )
         return round(max(0.0, last - run.began - run.fault_at), 4)
 
-    def _in_force_s(self, met_outage: bool) -> dict[str, float | int] | None:
-        """Return how long changes of the table took to be in force everywhere."""
+    def _in_force_s(self, is_in_outage: bool) -> dict[str, float | int] | None:
+        """Return how long changes of the table took to be in force on every node."""
         changes = self.run.changes
-        delays = sorted(changes.delays(met_outage)) if changes is not None else []
+        delays = sorted(changes.delays(is_in_outage)) if changes is not None else []
         if not delays:
             return None
         return {
@@ -293,19 +309,19 @@
             "max": round(delays[-1], 3),
         }
 
-    def _window(self) -> tuple[float, float]:
-        """Return the part of the run in which the load is judged, in seconds."""
+    def _load_window(self) -> tuple[float, float]:
+        """Return the start and end of the measured part of the run, in seconds."""
         seconds = self.run.config.seconds
-        if self.run.config.scenario.is_crest:
-            return min(seconds / 3 + CREST_SETTLING_S, seconds / 2), 2 * seconds / 3
+        if self.run.config.scenario.has_peak:
+            return min(seconds / 3 + PEAK_SETTLING_S, seconds / 2), 2 * seconds / 3
         return 0.0, seconds
 
     def _slots_busy(self) -> float | None:
         """Return the share of slot time in which backend servers ran tasks."""
-        # How long a cancelled task ran is not known.
-        if self.run.starts is None or self.run.config.scenario.has_wave:
+        # The run time of a cancelled task is not known.
+        if self.run.starts is None or self.run.config.scenario.has_cancel_wave:
             return None
-        begin, end = self._window()
+        begin, end = self._load_window()
         busy = 0.0
         for start in self.run.starts:
             at = start.at - self.run.began
@@ -314,14 +330,14 @@
         return round(busy / (end - begin) / self.run.slots, 4)
 
     def _share_error(self) -> float | None:
-        """Return the largest relative error of the classes' shares at the crest.
+        """Return the largest relative error of the classes' shares during the peak.
 
         Shares are of declared run times, because the queue knows no others. The
         classes have equal weights.
         """
-        if not self.run.config.scenario.is_crest or not self.run.starts:
+        if not self.run.config.scenario.has_peak or not self.run.starts:
             return None
-        begin, end = self._window()
+        begin, end = self._load_window()
         work_by_class: Counter[str] = Counter()
         for start in self.run.starts:
             if begin <= start.at - self.run.began < end:
@@ -336,9 +352,9 @@
 
 
 def started_events(starts: Iterable[targets.Start]) -> Iterator[trace.Event]:
-    """Yield the starts as events of a trace.
+    """Yield trace events for the starts.
 
-    :param starts: the starts that the backend servers saw.
+    :param starts: starts that the backend servers recorded.
     """
     for start in starts:
         yield trace.Started(
@@ -346,13 +362,13 @@
         )
 
 
-def best_case(run: load.Run) -> dict[str, float] | None:
-    """Return response over ideal of one ideal queue in front of all slots.
+def single_queue_ratios(run: load.Run) -> dict[str, float] | None:
+    """Return percentiles of the response over the ideal with one queue for all slots.
 
-    Tasks start in the order of arrival with no cost of any kind. It shows which
-    part of the response comes from the load itself and not from the dispatcher.
+    Tasks start in the order of arrival and without overhead, so the figure shows how
+    much of the response time is due to the load and not to the dispatcher.
 
-    :param run: the run whose plan is used.
+    :param run: run with the planned jobs.
     """
     free_at = [0.0] * run.slots
     ratios = []
--- a/src/burdockgate/standin/measurement.py
+++ b/src/burdockgate/standin/measurement.py
@@ -1,4 +1,4 @@
-"""What ``burdockgate measure`` does: runs, compares and shows scenarios."""
+"""Implements ``burdockgate measure``: runs scenarios and prints their figures."""
 
 from __future__ import annotations
 
@@ -13,14 +13,16 @@
 from burdockgate.process import logs, placement
 from burdockgate.standin import figures, load, report, scenarios, startrate, targets
 
-STARTS = "starts"
-STARTS_TEXT = "task starts per second of processor time of one entry host's core"
+STARTS_SCENARIO = "starts"
+STARTS_DESCRIPTION = "task starts per second of processor time of one entry host's core"
 
 
 @attrs.frozen
 class Request:
-    """What to measure; fields as the options of the subcommand.
+    """Parameters of a measurement; the fields match the options of the subcommand.
 
+    :param report: path of the HTML page, or ``None``.
+    :param urls: base URLs of running entry hosts; empty to start a system.
     :param has_processes: whether each role and each stand-in is a process.
     :param policy: placement policy; ``None`` for the default.
     :param versus: placement policy of a second run, or ``None``.
@@ -40,43 +42,44 @@
 
 
 def print_scenarios() -> None:
-    """Print the name and the text of each scenario."""
+    """Print the name and the description of each scenario."""
     for scenario in scenarios.SCENARIO_BY_NAME.values():
-        print(f"{scenario.name:17s} {scenario.text}")
-    print(f"{STARTS:17s} {STARTS_TEXT}")
+        print(f"{scenario.name:17s} {scenario.description}")
+    print(f"{STARTS_SCENARIO:17s} {STARTS_DESCRIPTION}")
 
 
 def run(request: Request) -> int:
     """Run a scenario and print its figures.
 
-    :param request: what to measure.
-    :returns: the exit status: 1 when a promise was broken or a run failed.
-    :raises errors.SettingsError: when a name is not known.
+    :param request: parameters of the measurement.
+    :returns: the exit status: 1 when an invariant was violated or a run failed.
+    :raises errors.SettingsError: when an option is invalid, options conflict, or the
+        report cannot be written.
     """
-    # A local system logs hundreds of connections, which would hide the figures.
+    # Log lines about hundreds of local connections would hide the figures.
     logs.configure(io.StringIO())
-    _check(request)
-    if request.scenario == STARTS:
-        _show(startrate.measure(request.seed), request.as_json)
+    _check_request(request)
+    if request.scenario == STARTS_SCENARIO:
+        _print_summary(startrate.measure(request.seed), request.as_json)
         return 0
     results = []
     for config in _configs(request):
         result, summary = asyncio.run(_measure(config))
         results.append((result, summary))
-        _show(summary, request.as_json)
+        _print_summary(summary, request.as_json)
     if request.report is not None:
-        _write(request.report, report.page(results))
+        _write_report(request.report, report.render_page(results))
     return int(any(result.is_failed for result, _ in results))
 
 
-def _check(request: Request) -> None:
-    problems = list(_problems(request))
+def _check_request(request: Request) -> None:
+    problems = list(_request_problems(request))
     if problems:
         raise errors.SettingsError(problems)
 
 
-def _problems(request: Request) -> Iterator[str]:
-    names = [*scenarios.SCENARIO_BY_NAME, STARTS]
+def _request_problems(request: Request) -> Iterator[str]:
+    names = [*scenarios.SCENARIO_BY_NAME, STARTS_SCENARIO]
     if request.scenario not in names:
         yield f"--scenario: {request.scenario!r:.80}, allowed are {', '.join(names)}"
     allowed = ", ".join(placement.POLICY_BY_NAME)
@@ -90,13 +93,13 @@
         if request.has_processes:
             yield f"--{option}: not possible with --processes"
     scenario = scenarios.SCENARIO_BY_NAME.get(request.scenario)
-    remote = (scenarios.Fault.NONE, scenarios.Fault.DRAIN)
+    remote_faults = (scenarios.Fault.NONE, scenarios.Fault.DRAIN)
     if request.urls and request.has_processes:
         yield "--processes: not possible with --connect"
-    if request.urls and (scenario is None or scenario.fault not in remote):
+    if request.urls and (scenario is None or scenario.fault not in remote_faults):
         yield f"--connect: not possible with the scenario {request.scenario!r:.80}"
     if scenario is not None and scenario.needs_processes and not request.has_processes:
-        yield f"--scenario: {request.scenario!r}, allowed is it with --processes"
+        yield f"--scenario: {request.scenario!r} needs --processes"
 
 
 def _configs(request: Request) -> Iterator[load.Config]:
@@ -118,10 +121,13 @@
 async def _measure(
     config: load.Config,
 ) -> tuple[figures.Figures, dict[str, object]]:
-    """Run a scenario; one with stragglers also without them, for comparison."""
+    """Run a scenario.
+
+    A scenario with stragglers runs a second time without them, for comparison.
+    """
     result = figures.Figures(await load.run(config))
     summary = result.summary()
-    summary["one_queue_over_ideal"] = figures.best_case(result.run)
+    summary["one_queue_over_ideal"] = figures.single_queue_ratios(result.run)
     if config.scenario.straggler_share:
         base = figures.Figures(await load.run(config, is_base=True))
         own, other = (
@@ -133,7 +139,7 @@
     return result, summary
 
 
-def _show(summary: dict[str, object], as_json: bool) -> None:
+def _print_summary(summary: dict[str, object], as_json: bool) -> None:
     if as_json:
         print(json.dumps(summary), flush=True)
         return
@@ -146,7 +152,7 @@
     print(flush=True)
 
 
-def _write(path: str, text: str) -> None:
+def _write_report(path: str, text: str) -> None:
     try:
         with open(path, "w", encoding="utf-8") as file:
             file.write(text)
--- a/src/burdockgate/standin/scenarios.py
+++ b/src/burdockgate/standin/scenarios.py
@@ -9,23 +9,24 @@
 
 from burdockgate.standin import arrivals
 
-LOAD = 0.7
-CREST_BASE_LOAD = 0.5
-CREST_LOAD = 3.0
-# The backlog of a crest is twice its length in work, and half of the capacity is
-# spare, so it takes four times the crest's length to go; 1.2 times that is allowed.
-CREST_TAIL_FACTOR = 5.0
+STEADY_LOAD = 0.7
+PEAK_BASE_LOAD = 0.5
+PEAK_LOAD = 3.0
+# A peak of 3x capacity leaves a backlog of twice its length in work. With half of the
+# capacity spare, the backlog takes four times the peak's length to drain, and recovery
+# may take 1.2 times that.
+PEAK_TAIL_FACTOR = 5.0
 STRAGGLER_SHARE = 0.1
-WAVE_JOBS_PER_SLOT = 2
-WAVE_PATIENCE_S = 0.5
+CANCELLED_JOBS_PER_SLOT = 2
+CANCEL_DELAY_S = 0.5
 POISONED_SHARE = 0.1
-# Jobs with a task on a silent server end with their deadline, within the time for
-# which the load tool waits for answers.
+# A job with a task on a silent server ends at its deadline, which must come before the
+# load tool stops waiting for answers.
 SILENT_DEADLINE_MS = 20_000
 
 
 class Fault(enum.Enum):
-    """What is done to the system during a run."""
+    """A fault, drain or outage that a run injects into the system."""
 
     NONE = "none"
     BAD_WORKER = "bad worker"
@@ -33,30 +34,34 @@
     SILENT_WORKER = "silent worker"
     BAD_RACK = "bad rack"
     DRAIN = "drain"
-    DEATH = "agent killed"
+    AGENT_KILLED = "agent killed"
     LOG_DOWN = "log down"
 
 
 @attrs.frozen
 class Scenario:
-    """One kind of run.
-
-    :param fault_from: begin of the fault as a share of the seconds of the run.
-    :param fault_to: its end in the same way.
-    :param expects_failures: whether failed jobs belong to the run.
-    :param poisoned_share: share of the jobs of which every task fails everywhere.
+    """A load and the fault that is injected during it.
+
+    :param fault_from: start of the fault as a share of the length of the run.
+    :param fault_to: end of the fault as a share of the length of the run.
+    :param expects_failures: whether jobs may fail without failing the run.
+    :param has_peak: whether the load exceeds the capacity for a third of the run.
+    :param has_cancel_wave: whether many jobs are submitted and cancelled at once.
+    :param straggler_share: share of the work that stragglers do.
+    :param poisoned_share: share of the jobs whose tasks fail on every worker.
+    :param deadline_ms: deadline of each planned job.
     :param has_changes: whether a row of the table is set each second.
-    :param needs_processes: whether the fault can only be done to a process.
+    :param needs_processes: whether the fault can only be injected into a process.
     """
 
     name: str
-    text: str
+    description: str
     fault: Fault = Fault.NONE
     fault_from: float = 0.0
     fault_to: float = 1.0
     expects_failures: bool = False
-    is_crest: bool = False
-    has_wave: bool = False
+    has_peak: bool = False
+    has_cancel_wave: bool = False
     straggler_share: float = 0.0
     poisoned_share: float = 0.0
     deadline_ms: int = arrivals.DEADLINE_MS
@@ -64,38 +69,41 @@
     needs_processes: bool = False
 
     @property
-    def ends_worker(self) -> bool:
-        """Whether a worker gets no new task after the fault."""
-        return self.fault in (Fault.DRAIN, Fault.DEATH)
+    def is_worker_removed(self) -> bool:
+        """Whether a worker must get no new task after the fault."""
+        return self.fault in (Fault.DRAIN, Fault.AGENT_KILLED)
 
     def phases(self, seconds: float) -> tuple[arrivals.Phase, ...]:
-        """Return the rates of arrivals over time.
+        """Return the phases of the load.
 
-        :param seconds: length of the run; a crest takes a third of it, and the
-            time after it is longer so that the backlog can go.
+        :param seconds: length of the run. A peak takes the second third; the phase
+            after it is longer, so that the backlog can drain.
         """
-        if not self.is_crest:
-            return (arrivals.Phase(seconds, LOAD),)
+        if not self.has_peak:
+            return (arrivals.Phase(seconds, STEADY_LOAD),)
         third = seconds / 3
         return (
-            arrivals.Phase(third, CREST_BASE_LOAD),
-            arrivals.Phase(third, CREST_LOAD),
-            arrivals.Phase(third * CREST_TAIL_FACTOR, CREST_BASE_LOAD),
+            arrivals.Phase(third, PEAK_BASE_LOAD),
+            arrivals.Phase(third, PEAK_LOAD),
+            arrivals.Phase(third * PEAK_TAIL_FACTOR, PEAK_BASE_LOAD),
         )
 
-    def change_at(self, seconds: float) -> float | None:
-        """Return when the backlog should begin to return to normal, in seconds.
+    def recovery_from(self, seconds: float) -> float | None:
+        """Return the time from which the backlog should shrink, in seconds.
+
+        It is the end of the peak or the time of the cancellations, counted from the
+        start of the run; ``None`` without either.
 
         :param seconds: length of the run.
         """
-        if self.is_crest:
+        if self.has_peak:
             return 2 * seconds / 3
-        return seconds / 2 + WAVE_PATIENCE_S if self.has_wave else None
+        return seconds / 2 + CANCEL_DELAY_S if self.has_cancel_wave else None
 
     def shape(
         self, slots: int, entries: int, seconds: float, is_base: bool = False
     ) -> arrivals.Shape:
-        """Return what the arrivals are drawn from.
+        """Return the parameters from which the arrivals are drawn.
 
         :param slots: slots of all workers.
         :param entries: number of entry hosts.
@@ -110,29 +118,29 @@
     ) -> list[arrivals.Job]:
         """Return the arrivals of the run.
 
-        :param shape: what to draw from.
+        :param shape: parameters of the arrivals.
         :param seconds: length of the run.
         :param seed: seed of all random choices.
         """
-        poison = random.Random(f"poison {seed}")
+        poison_rng = random.Random(f"poison {seed}")
         jobs = [
             attrs.evolve(
                 job,
                 deadline_ms=self.deadline_ms,
-                is_poisoned=poison.random() < self.poisoned_share,
+                is_poisoned=poison_rng.random() < self.poisoned_share,
             )
             for job in arrivals.plan(shape, seed)
         ]
-        if not self.has_wave:
+        if not self.has_cancel_wave:
             return jobs
         rng = random.Random(f"wave {seed}")
         at = seconds / 2
         wave = [
             attrs.evolve(
                 arrivals.make_job(shape, rng, at, f"{seed}-wave-{number}"),
-                cancel_at=at + WAVE_PATIENCE_S,
+                cancel_at=at + CANCEL_DELAY_S,
             )
-            for number in range(shape.slots * WAVE_JOBS_PER_SLOT)
+            for number in range(shape.slots * CANCELLED_JOBS_PER_SLOT)
         ]
         return sorted([*jobs, *wave], key=lambda job: job.at)
 
@@ -144,7 +152,7 @@
         Scenario(
             "crest",
             "50% load, 3x capacity for a third of the seconds, then 50%",
-            is_crest=True,
+            has_peak=True,
         ),
         Scenario(
             "stragglers",
@@ -184,7 +192,7 @@
         Scenario(
             "cancel-wave",
             "70% load and many jobs that are cancelled at once",
-            has_wave=True,
+            has_cancel_wave=True,
             expects_failures=True,
         ),
         Scenario(
@@ -196,7 +204,7 @@
         Scenario(
             "death",
             "70% load while the agent of one worker is killed",
-            fault=Fault.DEATH,
+            fault=Fault.AGENT_KILLED,
             fault_from=1 / 3,
             expects_failures=True,
             needs_processes=True,
--- a/src/burdockgate/standin/targets.py
+++ b/src/burdockgate/standin/targets.py
@@ -1,4 +1,4 @@
-"""What a measured run drives: a local system, or daemons that run already."""
+"""Systems that the load tool runs against: a local system or running daemons."""
 
 from __future__ import annotations
 
@@ -19,9 +19,15 @@
 
 @attrs.frozen
 class Size:
-    """Size of the local system; the default is that of both deployments.
+    """Size of a system that is started for a run.
 
+    The defaults are those of both deployments.
+
+    :param entries: number of entry hosts.
+    :param agents: number of agents.
     :param slots: slots of each worker.
+    :param deployment: a key of ``DATA_CENTRES_BY_DEPLOYMENT``.
+    :param policy: name of the placement policy.
     """
 
     entries: int = 3
@@ -33,11 +39,11 @@
 
 @attrs.frozen
 class Totals:
-    """Totals up to one moment.
+    """Running totals at one time.
 
     :param messages: messages sent between the system's processes.
     :param agent_bytes: bytes that agents sent and received, payloads included.
-    :param returned: tasks that agents returned without a start.
+    :param returned_tasks: tasks that agents returned without a start.
     :param processor_s: processor time of the processes, in seconds.
     :param agent_mb: resident memory of the largest agent in MB; ``None`` when the
         agents share a process with others.
@@ -45,14 +51,14 @@
 
     messages: int
     agent_bytes: int
-    returned: int
+    returned_tasks: int
     processor_s: float
     agent_mb: float | None = None
 
 
 @attrs.frozen
 class Start:
-    """A start as a backend server saw it.
+    """A start of a task, as recorded by a backend server.
 
     :param at: seconds of the monotonic clock.
     :param worker: name of the agent.
@@ -67,40 +73,45 @@
 
 
 class Target(abc.ABC):
-    """A system under load."""
+    """A system under load.
+
+    After :meth:`start`, ``urls`` has the base URLs of the entry hosts, ``slots`` and
+    ``agents`` are the numbers of slots and agents of the service, and ``worker`` is the
+    name of the worker that is drained or killed.
+    """
 
     urls: Sequence[str]
     service: str
     slots: int
     agents: int
     worker: str
-    # Time after which all that was counted up to now is in the totals.
+    # Time until the totals include everything counted so far.
     totals_delay_s = 0.0
     log_url: str = ""
 
     @abc.abstractmethod
     async def start(self) -> None:
-        """Make the system ready; sets the attributes."""
+        """Make the system ready and set the attributes."""
 
     @abc.abstractmethod
     async def stop(self) -> None:
-        """Release what :meth:`start` made."""
+        """Release the resources of :meth:`start`."""
 
     @abc.abstractmethod
     async def set_fault(self, fault: scenarios.Fault, is_on: bool) -> None:
         """Begin or end a fault.
 
-        :param fault: the fault.
-        :param is_on: whether it begins.
+        :param fault: the fault to inject.
+        :param is_on: whether the fault begins.
         """
 
     @abc.abstractmethod
     def read_totals(self) -> Totals | None:
-        """Return the totals so far; ``None`` when they cannot be known."""
+        """Return the totals so far; ``None`` when they are not available."""
 
     @abc.abstractmethod
     async def read_starts(self) -> list[Start] | None:
-        """Return every start so far; ``None`` when they cannot be known."""
+        """Return every start so far; ``None`` when they are not available."""
 
     async def drain(self, is_on: bool) -> None:
         """Drain or resume the first worker.
@@ -109,17 +120,19 @@
         """
         async with client.Client(self.urls) as caller:
             if not await caller.drain(self.worker, is_on):
-                raise errors.ClientError(f"worker {self.worker}: no host knows it")
+                raise errors.ClientError(
+                    f"worker {self.worker}: unknown to the entry hosts"
+                )
 
 
 class ManagedTarget(Target):
-    """A system that was started for the run, with its stand-ins."""
+    """A system with stand-ins that is started for the run and stopped after it."""
 
     async def set_fault(self, fault: scenarios.Fault, is_on: bool) -> None:
         """Begin or end a fault.
 
-        :param fault: the fault.
-        :param is_on: whether it begins.
+        :param fault: the fault to inject.
+        :param is_on: whether the fault begins.
         """
         match fault:
             case scenarios.Fault.BAD_WORKER:
@@ -136,37 +149,37 @@
                 await self.set_log_down(is_on)
             case scenarios.Fault.DRAIN:
                 await self.drain(is_on)
-            case scenarios.Fault.DEATH if is_on:
+            case scenarios.Fault.AGENT_KILLED if is_on:
                 self.kill_worker()
 
     @abc.abstractmethod
     async def set_backend_faults(self, count: int, faults: backend.Faults) -> None:
         """Replace the faults of the first backend servers.
 
-        :param count: number of servers; a rack holds the first three.
-        :param faults: the faults.
+        :param count: number of servers; the first three are in one rack.
+        :param faults: faults of each of them.
         """
 
     @abc.abstractmethod
     async def set_log_down(self, is_down: bool) -> None:
         """Begin or end an outage of the log.
 
-        :param is_down: whether it begins.
+        :param is_down: whether the outage begins.
         """
 
     def kill_worker(self) -> None:
         """Kill the agent of the first worker.
 
-        :raises errors.SettingsError: when it is no process of its own.
+        :raises errors.SettingsError: when the agent is not a separate process.
         """
         raise errors.SettingsError(["--scenario: only possible with --processes"])
 
 
 class LocalTarget(ManagedTarget):
-    """All roles and the stand-ins in this process.
+    """All roles and stand-ins in this process.
 
     :param size: size of the system.
-    :param seed: seed of the system's own random choices.
+    :param seed: seed of the random choices that the system makes.
     """
 
     def __init__(self, size: Size, seed: int) -> None:
@@ -193,14 +206,14 @@
         self.log_url = self.system.log.url
 
     async def stop(self) -> None:
-        """Stop them."""
+        """Stop the roles and the stand-ins."""
         await self.system.stop()
 
     async def set_backend_faults(self, count: int, faults: backend.Faults) -> None:
         """Replace the faults of the first backend servers.
 
-        :param count: number of servers; a rack holds the first three.
-        :param faults: the faults.
+        :param count: number of servers; the first three are in one rack.
+        :param faults: faults of each of them.
         """
         for server in self.system.servers[:count]:
             server.faults = faults
@@ -208,7 +221,7 @@
     async def set_log_down(self, is_down: bool) -> None:
         """Begin or end an outage of the log.
 
-        :param is_down: whether it begins.
+        :param is_down: whether the outage begins.
         """
         self.system.log.store.set_faults(log.Faults(down=is_down))
 
@@ -247,7 +260,7 @@
 
 
 class RemoteTarget(Target):
-    """Daemons that run already; their backend servers must be stand-ins.
+    """Running daemons; their backend servers must be stand-ins.
 
     :param urls: base URLs of the entry hosts.
     """
@@ -258,18 +271,19 @@
     async def start(self) -> None:
         """Read the service and the number of slots from an entry host.
 
-        :raises errors.ClientError: when no entry host answers or knows a worker.
+        :raises errors.ClientError: when no entry host answers, or the one that answers
+            has no worker.
         """
         async with client.Client(self.urls) as caller:
             status = await caller.status()
         workers = status["workers"]
         if not workers:
-            raise errors.ClientError(f"{self.urls[0]}: knows no worker")
+            raise errors.ClientError(f"{self.urls[0]}: the entry host has no worker")
         self.service = workers[0]["service"]
-        own = [item for item in workers if item["service"] == self.service]
-        self.slots = sum(item["slots"] for item in own)
-        self.agents = len(own)
-        self.worker = own[0]["name"]
+        service_workers = [item for item in workers if item["service"] == self.service]
+        self.slots = sum(item["slots"] for item in service_workers)
+        self.agents = len(service_workers)
+        self.worker = service_workers[0]["name"]
 
     async def stop(self) -> None:
         """Leave the daemons as they are."""
@@ -277,9 +291,9 @@
     async def set_fault(self, fault: scenarios.Fault, is_on: bool) -> None:
         """Drain or resume a worker.
 
-        :param fault: the fault.
-        :param is_on: whether it begins.
-        :raises errors.SettingsError: for a fault of the stand-ins.
+        :param fault: the fault to inject.
+        :param is_on: whether to drain.
+        :raises errors.SettingsError: for a fault other than a drain.
         """
         if fault is not scenarios.Fault.DRAIN:
             raise errors.SettingsError(
@@ -288,7 +302,7 @@
         await self.drain(is_on)
 
     def read_totals(self) -> None:
-        """Return nothing: only entry hosts are reached, and the agents count too."""
+        """Return ``None``: the totals include the agents, which are not reachable."""
 
     async def read_starts(self) -> None:
-        """Return nothing: the backend servers are not reached."""
+        """Return ``None``: the backend servers are not reachable."""
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -1,4 +1,4 @@
-"""Guards the load tool: exact plans, honest figures, and the exit status."""
+"""Tests of the load tool: reproducible plans, correct figures and exit statuses."""
 
 import json
 import math
@@ -45,7 +45,7 @@
 
 @pytest.mark.parametrize("name", scenarios.SCENARIO_BY_NAME)
 def test_same_seed_gives_same_plan(name):
-    """Two policies must meet the same arrivals, or their comparison is void."""
+    """A comparison of two policies is valid only with the same arrivals."""
     assert plan(name) == plan(name)
     assert plan(name) != plan(name, seed=2)
     assert [job.at for job in plan(name)] == sorted(job.at for job in plan(name))
@@ -58,35 +58,35 @@
 
 
 def test_stragglers_do_their_share_of_the_work():
-    """A wrong share would make the comparison with no stragglers meaningless."""
+    """A wrong share would invalidate the comparison with a run without stragglers."""
     share = arrivals.straggler_probability(0.1)
     work = share * arrivals.STRAGGLER_FACTOR
     assert work / (work + 1 - share) == pytest.approx(0.1)
 
 
 def test_steady_run_reports_all_fields(capsys):
-    """A run without faults must end whole, with every field of the interface."""
+    """A run without faults must complete every job and report every field."""
     assert measurement.run(REQUEST) == 0
     summary = json.loads(capsys.readouterr().out)
     assert summary.keys() >= FIELDS
     assert summary["complete"] == summary["jobs"] > 0
     assert summary["violations"] == summary["failed"] == summary["refused"] == 0
     assert summary["response_over_ideal"].keys() == {"p50", "p99"}
-    # These do not apply to one process without a crest.
+    # These do not apply to a system in one process or to a run without a peak.
     assert [summary[name] for name in ("rss_mb", "recovery_s", "share_error")] == [
         None
     ] * 3
 
 
 def test_planted_violation_is_reported(monkeypatch, capsys, tmp_path):
-    """A task that starts twice must show in the figures and in the exit status."""
-    honest = figures.started_events
+    """A task that starts twice must be in the figures, report and exit status."""
+    original = figures.started_events
 
-    def twice(starts):
-        events = list(honest(starts))
+    def repeat_first(starts):
+        events = list(original(starts))
         return [*events, events[0]]
 
-    monkeypatch.setattr(figures, "started_events", twice)
+    monkeypatch.setattr(figures, "started_events", repeat_first)
     path = tmp_path / "report.html"
     assert measurement.run(attrs.evolve(REQUEST, report=str(path))) == 1
     summary = json.loads(capsys.readouterr().out)
@@ -96,7 +96,7 @@
 
 
 def test_failed_jobs_fail_a_run_that_expects_none(monkeypatch, capsys):
-    """Failures of a run without a planned cause must not pass unnoticed."""
+    """Failed jobs in a scenario that expects none must set the exit status."""
     bad = scenarios.SCENARIO_BY_NAME["bad-worker"]
     strict = attrs.evolve(bad, expects_failures=False)
     monkeypatch.setitem(scenarios.SCENARIO_BY_NAME, "bad-worker", strict)
@@ -107,7 +107,7 @@
 
 
 def test_run_with_processes_counts_what_they_report(capsys):
-    """Figures of separate processes must not be those of the load tool."""
+    """The figures must be those of the started processes, not of the load tool."""
     size = targets.Size(entries=1, agents=3, slots=2)
     request = attrs.evolve(REQUEST, size=size, has_processes=True)
     assert measurement.run(request) == 0
@@ -120,7 +120,7 @@
 
 
 def test_versus_runs_both_policies(capsys):
-    """The second policy must really be the other one, with the same arrivals."""
+    """The second run must use the other policy and the same arrivals."""
     assert measurement.run(attrs.evolve(REQUEST, versus="least-loaded")) == 0
     first, second = map(json.loads, capsys.readouterr().out.splitlines())
     assert (first["policy"], second["policy"]) == ("two-choices", "least-loaded")
@@ -128,7 +128,7 @@
 
 
 def test_bench_completes_the_jobs_whose_starts_it_counts():
-    """Starts of jobs that never end would make the figure of the hot path false."""
+    """Starts of jobs that never end must not raise the start rate."""
     run = bench.Bench(agents=4, tasks=5, seed=1)
     assert run.run(200) > 0
     assert run.started >= 200
@@ -136,8 +136,8 @@
 
 
 @pytest.mark.parametrize(("name", "processes"), [("rollout", False), ("drain", True)])
-def test_limits_of_time_are_measured(name, processes, capsys):
-    """Without these figures nobody sees how near the system is to its limits."""
+def test_time_limits_are_measured(name, processes, capsys):
+    """The figures must show how close the system is to its time limits."""
     request = attrs.evolve(REQUEST, scenario=name, seconds=1.2, has_processes=processes)
     assert measurement.run(request) == 0
     summary = json.loads(capsys.readouterr().out)
@@ -145,35 +145,35 @@
     if name == "drain":
         assert summary["last_new_task_s"] >= 0
     else:
-        plain, late = summary["in_force_s"], summary["in_force_after_outage_s"]
-        assert [(each or {}).get("changes", 0) for each in (plain, late)] == [2, 0]
+        plain, delayed = summary["in_force_s"], summary["in_force_after_outage_s"]
+        assert [(each or {}).get("changes", 0) for each in (plain, delayed)] == [2, 0]
 
 
 def test_late_version_is_a_violation_and_counts_from_the_end_of_an_outage():
-    """A change that one node never works by must not be left out of the figures."""
-    watched = rollout.Rollout((), "")
+    """A change that a node never applies must be in the figures and a violation."""
+    table_rollout = rollout.Rollout((), "")
     for at, version in ((1.0, 1), (9.0, 3)):
         workers = [{"name": "a", "table_version": version}]
         status = {"name": "e", "table_version": version, "workers": workers}
-        watched.note(status, at)
-    watched.outage_ended_at = 5.0
-    for asked_at, version in ((0.5, 1), (4.0, 2), (8.5, 3), (9.5, 4)):
-        watched.accept(asked_at, version)
-    assert [watched.delays(False), watched.delays(True)] == [
+        table_rollout.record_status(status, at)
+    table_rollout.outage_ended_at = 5.0
+    for requested_at, version in ((0.5, 1), (4.0, 2), (8.5, 3), (9.5, 4)):
+        table_rollout.record_change(requested_at, version)
+    assert [table_rollout.delays(False), table_rollout.delays(True)] == [
         [0.5, 0.5, math.inf],
         [4.0],
     ]
     later = trace.Left(20.0, "other")
-    settings = checker.Settings(watched.nodes)
-    found = checker.check([*watched.events, later], settings)
-    assert {each.promise for each in found} == {checker.Promise.VERSION_IN_FORCE}
-    assert len(found) == len(watched.nodes) == 2
+    settings = checker.Settings(table_rollout.nodes)
+    violations = checker.check([*table_rollout.events, later], settings)
+    assert {each.promise for each in violations} == {checker.Promise.VERSION_IN_FORCE}
+    assert len(violations) == len(table_rollout.nodes) == 2
 
 
 @pytest.mark.parametrize(
     ("arguments", "line"),
     [
-        (["--scenario", "death"], "'death', allowed is it with --processes"),
+        (["--scenario", "death"], "--scenario: 'death' needs --processes"),
         (["--processes", "--policy", "least-loaded"], "not possible with --processes"),
         (["--scenario", "x"], "--scenario: 'x', allowed are steady, "),
         (["--versus", "x"], "--versus: 'x', allowed are two-choices, least-loaded"),
@@ -191,28 +191,28 @@
         ),
     ],
 )
-def test_wrong_options_are_named(arguments, line, capsys):
-    """An operator's mistake must be one line, before anything is started."""
+def test_invalid_options_are_named(arguments, line, capsys):
+    """An invalid option must give one line before anything is started."""
     assert main.main(["measure", *arguments]) == 2
     assert line in capsys.readouterr().err
 
 
 def test_list_names_every_scenario(capsys):
-    """A scenario that is not listed would not be found."""
+    """Operators look up the names of the scenarios in this list."""
     assert main.main(["measure", "--list"]) == 0
     names = {line.split()[0] for line in capsys.readouterr().out.splitlines()}
     assert names == {*scenarios.SCENARIO_BY_NAME, "starts"}
 
 
 def test_unreachable_host_is_a_failure(capsys):
-    """A run against a dead host must not look like a run without jobs."""
+    """A run against an unreachable host must fail, not report zero jobs."""
     assert main.main(["measure", "--connect", "http://127.0.0.1:1"]) == 1
     assert "127.0.0.1:1" in capsys.readouterr().err
 
 
 def test_plot_is_well_formed_and_escapes_names():
-    """Names of callers' classes must not break the page."""
+    """Names of callers' classes must be escaped in the page."""
     points = [(0.0, 1.0), (1.0, float("inf")), (2.0, 3.0)]
-    text = report.plot("a < b", [report.Series("x & y", points, is_line=True)])
+    text = report.render_plot("a < b", [report.Series("x & y", points, is_line=True)])
     ET.fromstring(f"<body>{text}</body>")
     assert "inf" not in text
