Rename names of the standin modules that other modules use

Promise, Local, page and began were vague or private to this project. Now: checker.Invariant and Violation.invariant, local.LocalSystem with message_count, start_count and sum_counter, LogStore.read_page and wait_for_offset, Run.started_at, BackendServer.stopped_count, and httpcost.measure_http_calls. Members and values of Invariant stay, since figures.py writes the names.

--- a/src/burdockgate/standin/backend.py
+++ b/src/burdockgate/standin/backend.py
@@ -87,7 +87,8 @@
         outlive a process that is killed. ``None`` for none.
     :raises errors.SettingsError: when the file cannot be opened.
 
-    ``stopped`` counts the tasks whose caller closed the connection during their run.
+    ``stopped_count`` is the number of tasks whose caller closed the connection during
+    the run.
     """
 
     def __init__(
@@ -102,7 +103,7 @@
         self.name = name
         self._record = None if record is None else _open(record)
         self.starts: list[Start] = []
-        self.stopped = 0
+        self.stopped_count = 0
         self.faults = Faults()
         self._clock = clock
         self._tail = b',"server":' + json.dumps(name).encode()
@@ -139,7 +140,7 @@
         if controls.sleep_ms:
             seconds = controls.sleep_ms * self.faults.slow_factor / 1000
             if await _is_cut(scope["state"]["lost"], seconds):
-                self.stopped += 1
+                self.stopped_count += 1
                 return
         if controls.fail or self.faults.fail_all:
             await _answer(send, 500, b"the task failed as asked", b"text/plain")
--- a/src/burdockgate/standin/checker.py
+++ b/src/burdockgate/standin/checker.py
@@ -21,7 +21,7 @@
 from burdockgate.standin import trace
 
 
-class Promise(enum.Enum):
+class Invariant(enum.Enum):
     """A promise of the system."""
 
     TASK_STARTED_ONCE = "a task of an attempt starts at most once"
@@ -43,7 +43,7 @@
     :param detail: one line that names what broke it.
     """
 
-    promise: Promise
+    invariant: Invariant
     detail: str
 
 
@@ -141,7 +141,7 @@
     late_s = event.at - left_at_by_worker.get(event.server, math.inf)
     if late_s > settings.leave_limit_s:
         yield Violation(
-            Promise.LEFT_WORKER_RESTS,
+            Invariant.LEFT_WORKER_RESTS,
             f"{_task(event)} started on {event.server} {late_s:.3f} s after it left, "
             f"allowed are {settings.leave_limit_s:g} s",
         )
@@ -156,7 +156,7 @@
         attempt.server_by_index[event.index] = event.server
     else:
         yield Violation(
-            Promise.TASK_STARTED_ONCE,
+            Invariant.TASK_STARTED_ONCE,
             f"{_task(event)} started on {first} and again on {event.server}",
         )
 
@@ -169,7 +169,7 @@
     first = job.owner_by_epoch.setdefault(event.epoch, event.owner)
     if first != event.owner:
         yield Violation(
-            Promise.ONE_OWNER,
+            Invariant.ONE_OWNER,
             f"job {event.job.hex()} epoch {event.epoch} claimed by {first} and "
             f"by {event.owner}",
         )
@@ -179,23 +179,23 @@
     started = sorted(job.attempt_by_number)
     if len(started) > 1 and not all(each.repeatable for each in job.submissions):
         yield Violation(
-            Promise.NOT_REPEATABLE,
+            Invariant.NOT_REPEATABLE,
             f"job {identity.hex()} is not repeatable and started in attempts {started}",
         )
     complete_by_attempt: dict[int, tuple[bytes, ...]] = {}
     for answer in job.answers:
         if answer.code is not codes.Code.COMPLETE:
             if answer.results:
-                yield _broken(Promise.WHOLE_ANSWER, answer, "it has results")
+                yield _broken(Invariant.WHOLE_ANSWER, answer, "it has results")
             continue
         yield from _answer_violations(answer, job)
         first = complete_by_attempt.setdefault(answer.attempt, answer.results)
         if first != answer.results:
-            yield _broken(Promise.SAME_ANSWER, answer, "an earlier answer differs")
+            yield _broken(Invariant.SAME_ANSWER, answer, "an earlier answer differs")
     yield from _false_not_run(job)
 
 
-def _broken(promise: Promise, answer: trace.Answered, detail: str) -> Violation:
+def _broken(promise: Invariant, answer: trace.Answered, detail: str) -> Violation:
     return Violation(
         promise,
         f"{answer.guest} key {answer.key!r} attempt {answer.attempt} got "
@@ -208,15 +208,15 @@
     bodies = list(dict.fromkeys(each.tasks for each in job.submissions))
     bodies_of_size = [body for body in bodies if len(body) == len(answer.results)]
     if not bodies:
-        yield _broken(Promise.OWN_ANSWER, answer, "the key was never submitted")
+        yield _broken(Invariant.OWN_ANSWER, answer, "the key was never submitted")
     elif not bodies_of_size:
         detail = f"{len(answer.results)} results for {len(bodies[0])} tasks"
-        yield _broken(Promise.WHOLE_ANSWER, answer, detail)
+        yield _broken(Invariant.WHOLE_ANSWER, answer, detail)
     else:
         crossed = [_first_crossed(answer.results, body) for body in bodies_of_size]
         if None not in crossed:
             detail = f"result {crossed[0]} is not that of its payload"
-            yield _broken(Promise.OWN_ANSWER, answer, detail)
+            yield _broken(Invariant.OWN_ANSWER, answer, detail)
 
 
 def _first_crossed(results: tuple[bytes, ...], body: tuple[bytes, ...]) -> int | None:
@@ -261,7 +261,7 @@
     for answer in refusals:
         if answer.attempt in job.attempt_by_number:
             yield _broken(
-                Promise.NOT_RUN_IS_TRUE, answer, "a task of this attempt started"
+                Invariant.NOT_RUN_IS_TRUE, answer, "a task of this attempt started"
             )
         elif answer.attempt == 0:
             submitted_at = _submitted_at(answer, job)
@@ -271,7 +271,7 @@
                 for number, each in job.attempt_by_number.items()
             ):
                 detail = "an attempt that had started was not yet answered"
-                yield _broken(Promise.NOT_RUN_IS_TRUE, answer, detail)
+                yield _broken(Invariant.NOT_RUN_IS_TRUE, answer, detail)
     unnamed = [
         answer
         for answer in refusals
@@ -280,7 +280,7 @@
     # A cancel gets the refusal of its job too, so the answers must all say the same.
     if len(job.answers) == len(unnamed) >= len(job.submissions) > 0:
         detail = f"so got every submission, and a task started at {first_at:.3f} s"
-        yield _broken(Promise.NOT_RUN_IS_TRUE, unnamed[-1], detail)
+        yield _broken(Invariant.NOT_RUN_IS_TRUE, unnamed[-1], detail)
 
 
 def _concerns_other_body(answer: trace.Answered, job: _Job) -> bool:
@@ -384,7 +384,7 @@
     if missed is not None and missed != state.reported:
         state.reported = missed
         yield Violation(
-            Promise.VERSION_IN_FORCE,
+            Invariant.VERSION_IN_FORCE,
             f"version {missed} was not in force on {name} within "
             f"{settings.in_force_limit_s:g} s",
         )
@@ -393,7 +393,7 @@
 def _version_back(event: trace.InForce, state: _NodeState) -> Iterator[Violation]:
     if event.version < state.version:
         yield Violation(
-            Promise.VERSION_GROWS,
+            Invariant.VERSION_GROWS,
             f"{event.node} went back from version {state.version} to {event.version} "
             f"at {event.at:.3f} s",
         )
--- a/src/burdockgate/standin/demo.py
+++ b/src/burdockgate/standin/demo.py
@@ -76,7 +76,7 @@
 ) -> int:
     asked = asyncio.Event()
     runner.on_signal(asked.set)
-    system = local.Local(config)
+    system = local.LocalSystem(config)
     try:
         await system.start()
         answer, summary = await _submit(system, body)
@@ -93,11 +93,11 @@
 
 
 async def _submit(
-    system: local.Local, body: dict[str, object]
+    system: local.LocalSystem, body: dict[str, object]
 ) -> tuple[client.Answer, Summary]:
     loop = asyncio.get_running_loop()
     async with client.Client(system.urls) as caller:
-        sent, started = system.messages, system.starts
+        sent, started = system.message_count, system.start_count
         begin = loop.time()
         answer = await caller.submit(body)
         response_ms = (loop.time() - begin) * 1000
@@ -111,10 +111,10 @@
         code=answer.code,
         key=answer.key,
         tasks=len(run_times),
-        starts=system.starts - started,
+        starts=system.start_count - started,
         response_ms=round(response_ms, 3),
         ideal_ms=local.ideal_ms(run_times, slots),
-        messages=system.messages - sent,
+        messages=system.message_count - sent,
     )
     return answer, summary
 
--- a/src/burdockgate/standin/figures.py
+++ b/src/burdockgate/standin/figures.py
@@ -87,7 +87,7 @@
         )
 
     def _events(self) -> Iterator[trace.Event]:
-        began = self.run.began
+        began = self.run.started_at
         for record, answer in zip(self.run.records, self.answers, strict=True):
             job, entry = record.job, f"entry-{record.job.entry + 1}"
             if record.sent_at is not None:
@@ -136,7 +136,7 @@
             "unanswered": sum(item is None for item in self.answers),
             "violations": len(self.violations),
             "violation_details": [
-                f"{item.promise.name}: {item.detail}"
+                f"{item.invariant.name}: {item.detail}"
                 for item in self.violations[:SHOWN_VIOLATIONS]
             ],
             "response_over_ideal": percentiles(
@@ -191,7 +191,7 @@
         )
         seconds = self.run.window_s
         tasks = sum(
-            start.at - self.run.began < seconds for start in self.run.starts or ()
+            start.at - self.run.started_at < seconds for start in self.run.starts or ()
         )
         if before is None or after is None or not tasks:
             return dict.fromkeys(names)
@@ -226,7 +226,7 @@
         """Yield each started task with its wait from the arrival, in ms."""
         for start in self.run.starts or ():
             job = self.job_by_id[start.job]
-            wait_ms = (start.at - self.run.began - job.at) * 1000
+            wait_ms = (start.at - self.run.started_at - job.at) * 1000
             yield job, job.tasks[start.index], wait_ms
 
     def short_waits(self) -> list[float]:
@@ -241,7 +241,7 @@
         A task waits from its planned arrival to its start or its job's answer.
         """
         started_at = {
-            (start.job, start.index): start.at - self.run.began
+            (start.job, start.index): start.at - self.run.started_at
             for start in self.run.starts or ()
         }
         changes: list[tuple[float, int]] = []
@@ -279,7 +279,7 @@
             (item.at for item in run.starts if item.worker == run.worker),
             default=0.0,
         )
-        return round(max(0.0, last - run.began - run.fault_at), 4)
+        return round(max(0.0, last - run.started_at - run.fault_at), 4)
 
     def _in_force_s(self, met_outage: bool) -> dict[str, float | int] | None:
         """Return how long changes of the table took to be in force everywhere."""
@@ -308,7 +308,7 @@
         begin, end = self._window()
         busy = 0.0
         for start in self.run.starts:
-            at = start.at - self.run.began
+            at = start.at - self.run.started_at
             run_s = self.job_by_id[start.job].tasks[start.index].run_ms / 1000
             busy += max(0.0, min(at + run_s, end) - max(at, begin))
         return round(busy / (end - begin) / self.run.slots, 4)
@@ -324,7 +324,7 @@
         begin, end = self._window()
         work_by_class: Counter[str] = Counter()
         for start in self.run.starts:
-            if begin <= start.at - self.run.began < end:
+            if begin <= start.at - self.run.started_at < end:
                 job = self.job_by_id[start.job]
                 declared = job.tasks[start.index].declared_ms
                 work_by_class[job.caller_class] += round(declared * 1000)
--- a/src/burdockgate/standin/httpcost.py
+++ b/src/burdockgate/standin/httpcost.py
@@ -10,7 +10,7 @@
 from burdockgate.standin import costmeter
 
 
-def http(calls: int, seed: int) -> dict[str, float]:
+def measure_http_calls(calls: int, seed: int) -> dict[str, float]:
     """Call a backend server with the agent's client, and with a bare socket.
 
     The server is on the same loop and answers fixed bytes; the bare client shows
--- a/src/burdockgate/standin/load.py
+++ b/src/burdockgate/standin/load.py
@@ -81,7 +81,7 @@
     config: Config
     slots: int
     agents: int
-    began: float
+    started_at: float
     seconds: float
     window_s: float
     records: list[Record]
--- a/src/burdockgate/standin/local.py
+++ b/src/burdockgate/standin/local.py
@@ -44,7 +44,7 @@
     limits: settings.LimitSettings = attrs.field(factory=settings.LimitSettings)
 
 
-class Local:
+class LocalSystem:
     """A whole system on the loopback interface.
 
     :param config: its size.
@@ -147,11 +147,11 @@
         return [f"http://{entry.http_address}" for entry in self.entries]
 
     @property
-    def messages(self) -> int:
+    def message_count(self) -> int:
         """Messages sent so far between the system's processes, of all kinds."""
-        return self.count("wire.sent")
+        return self.sum_counter("wire.sent")
 
-    def count(self, name: str) -> int:
+    def sum_counter(self, name: str) -> int:
         """Return the sum of one counter over all daemons.
 
         :param name: name of the counter.
@@ -160,7 +160,7 @@
         return sum(int(item.counters.snapshot()[name]) for item in daemons)
 
     @property
-    def starts(self) -> int:
+    def start_count(self) -> int:
         """Tasks started so far, as the backend servers saw them."""
         return sum(len(server.starts) for server in self.servers)
 
--- a/src/burdockgate/standin/log.py
+++ b/src/burdockgate/standin/log.py
@@ -116,7 +116,7 @@
         self.next += 1
         return offset
 
-    def page(self, wanted: int) -> Page:
+    def read_page(self, wanted: int) -> Page:
         """Return the kept records from an offset on, as many as a page holds."""
         oldest = self._clock.now() - self._retention_s
         while self._records and self._records[0].appended_s < oldest:
@@ -172,12 +172,12 @@
         self._wake()
         return offset
 
-    def page(self, name: str, wanted: int) -> Page:
+    def read_page(self, name: str, wanted: int) -> Page:
         """Return kept records of a stream; one that does not exist is empty."""
         stream = self._stream_by_name.get(name)
-        return stream.page(wanted) if stream else Page(0, 0, ())
+        return stream.read_page(wanted) if stream else Page(0, 0, ())
 
-    async def wait(self, name: str, wanted: int, wait_s: float) -> None:
+    async def wait_for_offset(self, name: str, wanted: int, wait_s: float) -> None:
         """Wait until a stream has the wanted offset, the log goes down or closes.
 
         :param wait_s: longest wait in seconds.
@@ -280,10 +280,10 @@
     store: LogStore = request.app.state.store
     await _enter(store)
     name, wanted = _stream_name(request), _offset(request)
-    await store.wait(name, wanted, _number(request, "wait_s", WAIT_LIMIT_S))
+    await store.wait_for_offset(name, wanted, _number(request, "wait_s", WAIT_LIMIT_S))
     if store.faults.down:
         _fail(503, "the log is down")
-    return _json(store.page(name, wanted).text())
+    return _json(store.read_page(name, wanted).text())
 
 
 @litestar.get("/v1/faults")
--- a/src/burdockgate/standin/probes.py
+++ b/src/burdockgate/standin/probes.py
@@ -404,5 +404,5 @@
     Probe("agents connected", (16, 64, 256), announcement),
     Probe("entry hosts", (4, 16, 64), peers),
     Probe("agents connected, all voters", (16, 64, 255), view_change),
-    Probe("calls", (50, 100, 200), httpcost.http),
+    Probe("calls", (50, 100, 200), httpcost.measure_http_calls),
 )
--- a/src/burdockgate/standin/targets.py
+++ b/src/burdockgate/standin/targets.py
@@ -170,7 +170,7 @@
     """
 
     def __init__(self, size: Size, seed: int) -> None:
-        self.system = local.Local(
+        self.system = local.LocalSystem(
             local.LocalSettings(
                 entries=size.entries,
                 agents=size.agents,
@@ -220,7 +220,7 @@
             for name in ("wire.bytes_sent", "wire.bytes_received")
         )
         return Counts(
-            self.system.messages,
+            self.system.message_count,
             agent_bytes,
             sum(
                 int(agent.counters.snapshot()["tasks.returned"])
--- a/src/burdockgate/standin/wave.py
+++ b/src/burdockgate/standin/wave.py
@@ -45,7 +45,7 @@
     :param jobs: number of jobs.
     :param seed: seed of the system's random choices.
     """
-    system = local.Local(local.LocalSettings(entries=1, agents=11, seed=seed))
+    system = local.LocalSystem(local.LocalSettings(entries=1, agents=11, seed=seed))
     await system.start()
     try:
         return await _Wave(system, jobs, seed).run()
@@ -60,7 +60,7 @@
 
 
 class _Wave:
-    def __init__(self, system: local.Local, jobs: int, seed: int) -> None:
+    def __init__(self, system: local.LocalSystem, jobs: int, seed: int) -> None:
         self._system = system
         self._entry = system.entries[0]
         self._keys = [f"wave-{seed}-{number}" for number in range(jobs)]
@@ -79,9 +79,9 @@
             while self._led() < len(submitted):
                 await asyncio.sleep(0.01)
         slots = self._system.config.agents * self._system.config.slots
-        while self._system.starts < slots:
+        while self._system.start_count < slots:
             await asyncio.sleep(0.01)
-        full_mb, running = _resident_mb(), self._system.starts
+        full_mb, running = _resident_mb(), self._system.start_count
         self._count_messages()
         watch = asyncio.create_task(self._watch())
         await asyncio.sleep(0.2)
@@ -102,7 +102,9 @@
             "jobs": len(self._keys),
             "tasks": tasks,
             "started": running,
-            "stopped_at_backend": sum(item.stopped for item in self._system.servers),
+            "stopped_at_backend": sum(
+                item.stopped_count for item in self._system.servers
+            ),
             "slots_taken": sum(item.core.slots.running for item in self._system.agents),
             "cancel_codes": collections.Counter(
                 codes.Code(result.code).name for _, result in ended
--- a/tests/fuzz.py
+++ b/tests/fuzz.py
@@ -343,7 +343,7 @@
 
     def _violations(self):
         for violation in checker.check(self._events(), checker.Settings()):
-            yield f"{violation.promise.value}: {violation.detail}"
+            yield f"{violation.invariant.value}: {violation.detail}"
         for ticket, request in self.request_by_ticket.items():
             result = self.session.answers.get(ticket)
             if result is None:
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -227,5 +227,5 @@
             while not server.starts:
                 await asyncio.sleep(0)
             task.cancel()
-            while not server.stopped:
+            while not server.stopped_count:
                 await asyncio.sleep(0)
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -13,7 +13,7 @@
     for index, payload in enumerate(TASKS)
 )
 Code = codes.Code
-P = checker.Promise
+P = checker.Invariant
 
 
 def submitted(at=0.0, repeatable=True, tasks=TASKS, entry="e"):
@@ -60,7 +60,7 @@
 def broken(events, **settings):
     found = checker.check(events, checker.Settings(**settings))
     assert all("\n" not in violation.detail for violation in found)
-    return [violation.promise for violation in found]
+    return [violation.invariant for violation in found]
 
 
 @pytest.mark.parametrize(
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -17,7 +17,7 @@
 async def system():
     """Yield a local system whose nodes get other ``[platform]`` settings on request."""
     async with contextlib.AsyncExitStack() as stack:
-        started = local.Local(local.LocalSettings(entries=1, agents=1, slots=2))
+        started = local.LocalSystem(local.LocalSettings(entries=1, agents=1, slots=2))
         await started.start()
         stack.push_async_callback(started.stop)
         yield started
--- a/tests/test_editor.py
+++ b/tests/test_editor.py
@@ -169,4 +169,4 @@
     server.store.set_faults(log.Faults(down=True))
     assert await _run(server, "get") == 1
     assert capsys.readouterr().err.count("\n") == 1
-    assert server.store.page("table", 0).next == 0
+    assert server.store.read_page("table", 0).next == 0
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -27,13 +27,13 @@
 
 def _entered(store):
     """Return an event that is set once a reader begins to wait."""
-    wait, entered = store.wait, asyncio.Event()
+    wait, entered = store.wait_for_offset, asyncio.Event()
 
     async def noticed(*arguments):
         entered.set()
         await wait(*arguments)
 
-    store.wait = noticed
+    store.wait_for_offset = noticed
     return entered
 
 
@@ -102,7 +102,7 @@
     answer = await http.post(path, content=body)
     assert answer.status_code == status
     assert "\n" not in answer.json()["error"]
-    assert server.store.page("table", 0).next == 0
+    assert server.store.read_page("table", 0).next == 0
 
 
 @pytest.mark.parametrize("query", ["from=-1", "from=x", "wait_s=31", "wait_s=nan"])
@@ -120,7 +120,7 @@
     await http.post("/v1/faults", json={"down": True})
     assert (await poll).status_code == 503
     assert (await _append(http, "a")).status_code == 503
-    assert server.store.page("table", 0).next == 0
+    assert server.store.read_page("table", 0).next == 0
     await http.post("/v1/faults", json={"lose_answers": "error"})
     assert (await _append(http, "a")).status_code == 500
     await http.post("/v1/faults", json={"lose_answers": "cut"})
@@ -128,7 +128,7 @@
         await _append(http, "b")
     cleared = await http.post("/v1/faults", json={})
     assert cleared.json() == {"down": False, "delay_s": 0.0, "lose_answers": "no"}
-    assert [r.id for r in server.store.page("table", 0).records] == ["a", "b"]
+    assert [r.id for r in server.store.read_page("table", 0).records] == ["a", "b"]
 
 
 async def test_stop_ends_long_polls():
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -166,7 +166,7 @@
     later = trace.Left(20.0, "other")
     settings = checker.Settings(watched.nodes)
     found = checker.check([*watched.events, later], settings)
-    assert {each.promise for each in found} == {checker.Promise.VERSION_IN_FORCE}
+    assert {each.invariant for each in found} == {checker.Invariant.VERSION_IN_FORCE}
     assert len(found) == len(watched.nodes) == 2
 
 
