--- a/src/burdockgate/standin/log.py
+++ b/src/burdockgate/standin/log.py
@@ -1,7 +1,7 @@
-"""Stand-in of the platform's log service: streams of records over HTTP and JSON.
+"""Stand-in for the platform's log service: streams of JSON records over HTTP.
 
-The streams live in memory. Faults can be set in process or over HTTP, so that
-tests meet a log that is down, slow, or loses the answer to an append.
+The records are kept in memory. Faults, set in the process or over HTTP, make the
+service unavailable or slow, or lose the response to an append.
 """
 
 from __future__ import annotations
@@ -28,10 +28,10 @@
 WAIT_LIMIT_S = 30.0
 DELAY_LIMIT_S = 60.0
 PAGE_LIMIT_RECORDS = 500
-# With the largest record, a page of records still fits in a frame between nodes.
+# A full page fits in one frame between nodes, even with a record of maximum size.
 PAGE_LIMIT_BYTES = 2 * 1024 * 1024
 RETENTION_S = 3600.0
-# A stop ends the long polls at once; this bounds calls delayed by a fault.
+# Long polls end at once on a stop; this limits requests delayed by a fault.
 STOP_TIMEOUT_S = 1.0
 
 _Request = litestar.Request[Any, Any, Any]
@@ -40,7 +40,7 @@
 
 
 class LostAnswer(enum.Enum):
-    """What the writer gets instead of the answer to an append that took effect."""
+    """What replaces the response to an append that took effect."""
 
     NO = "no"
     ERROR = "error"
@@ -51,9 +51,9 @@
 class Faults:
     """Faults of the log service.
 
-    :param down: every call is answered with 503 and has no effect.
-    :param delay_s: seconds before a call takes effect.
-    :param lose_answers: what replaces the answer to an append.
+    :param down: every request gets status 503 and has no effect.
+    :param delay_s: delay of each request in seconds, before it takes effect.
+    :param lose_answers: what replaces the response to an append.
     """
 
     down: bool = False
@@ -65,8 +65,8 @@
 class Record:
     """One record of a stream.
 
-    :param value: the JSON text of the value.
-    :param appended_s: time of the append on the store's clock, in seconds.
+    :param value: JSON text.
+    :param appended_s: time of the append by the store's clock, in seconds.
     """
 
     offset: int
@@ -77,17 +77,17 @@
 
 @attrs.frozen
 class Page:
-    """Answer to a read.
+    """Response to a read.
 
-    :param first: offset of the oldest record kept.
-    :param next: offset from which to read on.
+    :param first: offset of the oldest retained record.
+    :param next: offset at which the next read continues.
     """
 
     first: int
     next: int
     records: tuple[Record, ...]
 
-    def text(self) -> str:
+    def to_json(self) -> str:
         """Return the page as JSON text."""
         records = ",".join(
             f'{{"offset":{record.offset},"id":{json.dumps(record.id)},'
@@ -100,7 +100,7 @@
 class Stream:
     """Records of one stream, oldest first.
 
-    :param retention_s: seconds for which a record is kept.
+    :param retention_s: seconds for which a record is retained.
     """
 
     def __init__(self, time: clock.Clock, retention_s: float) -> None:
@@ -116,18 +116,18 @@
         self.next += 1
         return offset
 
-    def read_page(self, wanted: int) -> Page:
-        """Return the kept records from an offset on, as many as a page holds."""
+    def read_page(self, from_offset: int) -> Page:
+        """Return the retained records from an offset onwards, up to the page limits."""
         oldest = self._clock.now() - self._retention_s
         while self._records and self._records[0].appended_s < oldest:
             self._records.popleft()
         first = self._records[0].offset if self._records else self.next
-        start = max(wanted, first)
-        records = tuple(self._cut(start))
+        start = max(from_offset, first)
+        records = tuple(self._select_records(start))
         end = records[-1].offset + 1 if records else self.next
         return Page(first, end, records)
 
-    def _cut(self, start: int) -> Iterator[Record]:
+    def _select_records(self, start: int) -> Iterator[Record]:
         size = 0
         index = start - (self.next - len(self._records))
         end = min(len(self._records), index + PAGE_LIMIT_RECORDS)
@@ -139,9 +139,9 @@
 
 
 class LogStore:
-    """All streams, the faults, and the readers that wait for records.
+    """Holds all streams and the faults, and wakes readers that wait for records.
 
-    :param retention_s: seconds for which a record is kept.
+    :param retention_s: seconds for which a record is retained.
     """
 
     def __init__(
@@ -155,182 +155,197 @@
         self.faults = Faults()
 
     def set_faults(self, faults: Faults) -> None:
-        """Replace the faults; readers that wait notice it at once."""
+        """Replace the faults and wake the waiting readers."""
         self.faults = faults
-        self._wake()
+        self._wake_readers()
 
     def close(self) -> None:
-        """End every wait of a reader, now and from now on."""
+        """Wake the waiting readers; later waits return at once."""
         self._closed = True
-        self._wake()
+        self._wake_readers()
 
     def append(self, name: str, record_id: str, value: str) -> int:
         """Add a record, whose value is JSON text, and return its offset."""
         if name not in self._stream_by_name:
             self._stream_by_name[name] = Stream(self._clock, self._retention_s)
         offset = self._stream_by_name[name].append(record_id, value)
-        self._wake()
+        self._wake_readers()
         return offset
 
-    def read_page(self, name: str, wanted: int) -> Page:
-        """Return kept records of a stream; one that does not exist is empty."""
+    def read_page(self, name: str, from_offset: int) -> Page:
+        """Return a page of a stream; a stream that does not exist is empty."""
         stream = self._stream_by_name.get(name)
-        return stream.read_page(wanted) if stream else Page(0, 0, ())
+        return stream.read_page(from_offset) if stream else Page(0, 0, ())
 
-    async def wait_for_offset(self, name: str, wanted: int, wait_s: float) -> None:
-        """Wait until a stream has the wanted offset, the log goes down or closes.
+    async def wait_for_offset(self, name: str, offset: int, wait_s: float) -> None:
+        """Wait until a stream has a record at an offset, or the log is down or closed.
 
-        :param wait_s: longest wait in seconds.
+        :param wait_s: maximum wait in seconds.
         """
         deadline = asyncio.get_running_loop().time() + wait_s
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(deadline):
-                while not (self._closed or self.faults.down or self._has(name, wanted)):
+                while not (
+                    self._closed or self.faults.down or self._has_record(name, offset)
+                ):
                     await self._changed.wait()
 
-    def _has(self, name: str, wanted: int) -> bool:
+    def _has_record(self, name: str, offset: int) -> bool:
         stream = self._stream_by_name.get(name)
-        return stream is not None and stream.next > wanted
+        return stream is not None and stream.next > offset
 
-    def _wake(self) -> None:
+    def _wake_readers(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
 
-def _fail(status: int, line: str) -> NoReturn:
-    raise exceptions.HTTPException(line, status_code=status)
+def _raise_http_error(status: int, message: str) -> NoReturn:
+    raise exceptions.HTTPException(message, status_code=status)
 
 
-async def _object(request: _Request) -> dict[str, Any]:
+async def _read_object(request: _Request) -> dict[str, Any]:
     try:
-        body = json.loads(await request.body(), parse_constant=_refuse_constant)
+        body = json.loads(await request.body(), parse_constant=_reject_constant)
     except (ValueError, RecursionError):
-        _fail(400, "body: allowed is one JSON object")
+        _raise_http_error(400, "body: allowed is one JSON object")
     if not isinstance(body, dict):
-        _fail(400, f"body: {type(body).__name__}, allowed is one JSON object")
+        _raise_http_error(
+            400, f"body: {type(body).__name__}, allowed is one JSON object"
+        )
     return body
 
 
-def _refuse_constant(name: str) -> NoReturn:
+def _reject_constant(name: str) -> NoReturn:
     raise ValueError(name)
 
 
-def _stream_name(request: _Request) -> str:
+def _parse_stream_name(request: _Request) -> str:
     name = str(request.path_params["name"])
     if not _STREAM_NAME.fullmatch(name):
-        _fail(400, f"stream {name!r:.40}: allowed are 1 to 64 of a-z, 0-9, _ and -")
+        _raise_http_error(
+            400, f"stream {name!r:.40}: allowed are 1 to 64 of a-z, 0-9, _ and -"
+        )
     return name
 
 
-def _number(request: _Request, name: str, high: float) -> float:
+def _parse_number(request: _Request, name: str, maximum: float) -> float:
     text = request.query_params.get(name, "0")
     try:
         number = float(text)
     except ValueError:
         number = -1.0
-    if not 0 <= number <= high:
-        _fail(400, f"{name}={text!r:.40}: allowed are 0 to {high:g}")
+    if not 0 <= number <= maximum:
+        _raise_http_error(400, f"{name}={text!r:.40}: allowed are 0 to {maximum:g}")
     return number
 
 
-def _offset(request: _Request) -> int:
+def _parse_offset(request: _Request) -> int:
     text = request.query_params.get("from", "0")
     if not re.fullmatch(r"[0-9]{1,18}", text):
-        _fail(400, f"from={text!r:.40}: allowed is an offset of at least 0")
+        _raise_http_error(400, f"from={text!r:.40}: allowed is an offset of at least 0")
     return int(text)
 
 
-async def _enter(store: LogStore) -> None:
+async def _apply_faults(store: LogStore) -> None:
     await asyncio.sleep(store.faults.delay_s)
     if store.faults.down:
-        _fail(503, "the log is down")
+        _raise_http_error(503, "the log is down")
 
 
 async def _cut_connection(
     scope: types.Scope, receive: types.Receive, send: types.Send
 ) -> None:
-    # uvicorn closes a connection whose application ends before its answer does.
+    # uvicorn closes the connection when the application returns before the response
+    # is complete.
     await base.ASGIResponse(content_length=1).start_response(send)
 
 
 @litestar.post("/v1/streams/{name:str}/records")
 async def _append(request: _Request) -> types.ASGIApp:
     store: LogStore = request.app.state.store
-    await _enter(store)
-    name, body = _stream_name(request), await _object(request)
+    await _apply_faults(store)
+    name, body = _parse_stream_name(request), await _read_object(request)
     record_id = body.get("id")
     if not isinstance(record_id, str) or not _RECORD_ID.fullmatch(record_id):
-        _fail(400, f"id={record_id!r:.40}: allowed are 1 to 128 visible ASCII")
+        _raise_http_error(
+            400, f"id={record_id!r:.40}: allowed are 1 to 128 visible ASCII"
+        )
     if "value" not in body:
-        _fail(400, "value: missing, allowed is any JSON")
+        _raise_http_error(400, "value: missing, allowed is any JSON")
     try:
         value = json.dumps(body["value"], separators=(",", ":"), allow_nan=False)
     except (ValueError, RecursionError):
-        _fail(400, "value: allowed is JSON with finite numbers")
+        _raise_http_error(400, "value: allowed is JSON with finite numbers")
     offset = store.append(name, record_id, value)
     if store.faults.lose_answers is LostAnswer.CUT:
         return _cut_connection
     if store.faults.lose_answers is LostAnswer.ERROR:
-        _fail(500, "the answer is lost")
-    return _json(f'{{"offset":{offset}}}')
+        _raise_http_error(500, "the response is lost")
+    return _json_response(f'{{"offset":{offset}}}')
 
 
 @litestar.get("/v1/streams/{name:str}/records")
 async def _read(request: _Request) -> types.ASGIApp:
     store: LogStore = request.app.state.store
-    await _enter(store)
-    name, wanted = _stream_name(request), _offset(request)
-    await store.wait_for_offset(name, wanted, _number(request, "wait_s", WAIT_LIMIT_S))
+    await _apply_faults(store)
+    name, from_offset = _parse_stream_name(request), _parse_offset(request)
+    await store.wait_for_offset(
+        name, from_offset, _parse_number(request, "wait_s", WAIT_LIMIT_S)
+    )
     if store.faults.down:
-        _fail(503, "the log is down")
-    return _json(store.read_page(name, wanted).text())
+        _raise_http_error(503, "the log is down")
+    return _json_response(store.read_page(name, from_offset).to_json())
 
 
 @litestar.get("/v1/faults")
-async def _show_faults(request: _Request) -> types.ASGIApp:
-    return _faults_json(request.app.state.store.faults)
+async def _get_faults(request: _Request) -> types.ASGIApp:
+    return _faults_response(request.app.state.store.faults)
 
 
 @litestar.post("/v1/faults")
 async def _set_faults(request: _Request) -> types.ASGIApp:
     store: LogStore = request.app.state.store
-    body = await _object(request)
+    body = await _read_object(request)
     for unknown in body.keys() - {"down", "delay_s", "lose_answers"}:
-        _fail(400, f"{unknown!r:.40}: allowed are down, delay_s and lose_answers")
+        _raise_http_error(
+            400, f"{unknown!r:.40}: allowed are down, delay_s and lose_answers"
+        )
     down, delay_s = body.get("down", False), body.get("delay_s", 0.0)
     if type(down) is not bool:
-        _fail(400, f"down={down!r:.40}: allowed are true and false")
+        _raise_http_error(400, f"down={down!r:.40}: allowed are true and false")
     if type(delay_s) not in (int, float) or not 0 <= delay_s <= DELAY_LIMIT_S:
-        _fail(400, f"delay_s={delay_s!r:.40}: allowed are 0 to {DELAY_LIMIT_S:g}")
+        _raise_http_error(
+            400, f"delay_s={delay_s!r:.40}: allowed are 0 to {DELAY_LIMIT_S:g}"
+        )
     try:
         lost = LostAnswer(body.get("lose_answers", "no"))
     except ValueError:
-        _fail(400, "lose_answers: allowed are no, error and cut")
+        _raise_http_error(400, "lose_answers: allowed are no, error and cut")
     store.set_faults(Faults(down, float(delay_s), lost))
-    return _faults_json(store.faults)
+    return _faults_response(store.faults)
 
 
-def _faults_json(faults: Faults) -> types.ASGIApp:
+def _faults_response(faults: Faults) -> types.ASGIApp:
     body = attrs.asdict(faults) | {"lose_answers": faults.lose_answers.value}
-    return _json(json.dumps(body))
+    return _json_response(json.dumps(body))
 
 
-def _json(text: str) -> types.ASGIApp:
+def _json_response(text: str) -> types.ASGIApp:
     return base.ASGIResponse(body=text, media_type=litestar.MediaType.JSON)
 
 
-def _answer_error(_: _Request, error: Exception) -> litestar.Response[dict[str, str]]:
-    status, line = 500, "internal error"
+def _error_response(_: _Request, error: Exception) -> litestar.Response[dict[str, str]]:
+    status, message = 500, "internal error"
     if isinstance(error, exceptions.HTTPException):
-        status, line = error.status_code, " ".join(error.detail.split())
-    return litestar.Response({"error": line}, status_code=status)
+        status, message = error.status_code, " ".join(error.detail.split())
+    return litestar.Response({"error": message}, status_code=status)
 
 
-def application(store: LogStore) -> litestar.Litestar:
-    """Return the HTTP application over a store."""
+def create_application(store: LogStore) -> litestar.Litestar:
+    """Return an HTTP application that serves a store."""
     app = litestar.Litestar(
-        [_append, _read, _show_faults, _set_faults],
-        exception_handlers={Exception: _answer_error},
+        [_append, _read, _get_faults, _set_faults],
+        exception_handlers={Exception: _error_response},
         logging_config=None,
         openapi_config=None,
         request_max_body_size=BODY_LIMIT_BYTES,
@@ -342,13 +357,13 @@
 class LogServer(serving.Server):
     """Serves a store over HTTP on the current event loop.
 
-    :param store: the streams to serve.
+    :param store: holds the streams to serve.
     :param host: address to bind.
-    :param port: TCP port; 0 takes any free one.
+    :param port: TCP port; 0 lets the system choose.
     """
 
     def __init__(self, store: LogStore, host: str = "127.0.0.1", port: int = 0) -> None:
-        super().__init__(application(store), host, port)
+        super().__init__(create_application(store), host, port)
         self.store = store
 
     @property
@@ -357,6 +372,6 @@
         return f"http://{self.address}"
 
     async def stop_now(self) -> None:
-        """End every long poll and stop; the store keeps its records."""
+        """End all long polls and stop the server; the store keeps its records."""
         self.store.close()
         await self.stop(STOP_TIMEOUT_S)
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -1,4 +1,4 @@
-"""Guards the stand-in of the log: offsets, retention, faults, bad input."""
+"""Tests the log stand-in: offsets, retention, faults and invalid input."""
 
 import asyncio
 
@@ -25,20 +25,20 @@
     return await http.post(RECORDS, json={"id": record_id, "value": value})
 
 
-def _entered(store):
-    """Return an event that is set once a reader begins to wait."""
+def _watch_waits(store):
+    """Return an event that is set when a reader begins to wait."""
     wait, entered = store.wait_for_offset, asyncio.Event()
 
-    async def noticed(*arguments):
+    async def notify_and_wait(*arguments):
         entered.set()
         await wait(*arguments)
 
-    store.wait_for_offset = noticed
+    store.wait_for_offset = notify_and_wait
     return entered
 
 
 async def test_offsets_grow_and_records_expire(served):
-    """Expired records must move ``first`` and never free their offsets."""
+    """Expired records must advance ``first``, and their offsets are never reused."""
     _, http, manual = served
     assert (await _append(http, "a", {"x": [1.5, "é"]})).json() == {"offset": 0}
     manual.advance(50)
@@ -57,10 +57,10 @@
     assert (await _append(http, "b")).json() == {"offset": 2}
 
 
-async def test_long_poll_ends_with_the_record(served):
-    """A reader must not wait for its whole time once a record is there."""
+async def test_long_poll_returns_on_append(served):
+    """A long poll must return as soon as a record is appended."""
     server, http, _ = served
-    entered = _entered(server.store)
+    entered = _watch_waits(server.store)
     poll = asyncio.create_task(http.get(f"{RECORDS}?from=0&wait_s=30", timeout=20))
     await entered.wait()
     await _append(http, "a")
@@ -68,8 +68,8 @@
     assert (await http.get(f"{RECORDS}?from=1&wait_s=0.01")).json()["records"] == []
 
 
-async def test_pages_are_bounded(served):
-    """A page must fit in a frame whatever the stream holds."""
+async def test_page_size_is_limited(served):
+    """A page must fit in a frame, whatever the size of the stream."""
     server, http, _ = served
     for number in range(4):
         server.store.append("table", str(number), '"' + "x" * 900_000 + '"')
@@ -96,8 +96,8 @@
         ("/v1/nothing", b"", 404),
     ],
 )
-async def test_bad_calls_get_one_line(served, path, body, status):
-    """Bad input must be refused without a traceback and without effect."""
+async def test_invalid_requests_get_one_line_errors(served, path, body, status):
+    """Invalid input must be rejected with one line of text and have no effect."""
     server, http, _ = served
     answer = await http.post(path, content=body)
     assert answer.status_code == status
@@ -106,15 +106,15 @@
 
 
 @pytest.mark.parametrize("query", ["from=-1", "from=x", "wait_s=31", "wait_s=nan"])
-async def test_bad_queries_are_refused(served, query):
+async def test_invalid_query_parameters_are_rejected(served, query):
     _, http, _ = served
     assert (await http.get(f"{RECORDS}?{query}")).status_code == 400
 
 
 async def test_faults_over_http(served):
-    """Down has no effect, a lost answer has one, and both can be cleared."""
+    """Down rejects an append, a lost response does not, and faults can be cleared."""
     server, http, _ = served
-    entered = _entered(server.store)
+    entered = _watch_waits(server.store)
     poll = asyncio.create_task(http.get(f"{RECORDS}?wait_s=30", timeout=20))
     await entered.wait()
     await http.post("/v1/faults", json={"down": True})
@@ -132,18 +132,18 @@
 
 
 async def test_stop_ends_long_polls():
-    """A stop must answer readers at once that wait up to 30 s."""
+    """A stop must answer long polls at once, although they may wait for 30 s."""
     server = log.LogServer(log.LogStore())
     await server.start()
     async with httpx.AsyncClient(base_url=server.url, trust_env=False) as http:
-        entered = _entered(server.store)
+        entered = _watch_waits(server.store)
         poll = asyncio.create_task(http.get(f"{RECORDS}?wait_s=30", timeout=20))
         await entered.wait()
         await server.stop_now()
         assert (await poll).status_code == 200
 
 
-async def test_taken_port_is_one_line(served):
+async def test_port_in_use_is_a_one_line_error(served):
     server, _, _ = served
     with pytest.raises(errors.SettingsError, match=f"127.0.0.1:{server.port}: "):
         await log.LogServer(log.LogStore(), port=server.port).start()
