--- a/src/burdockgate/standin/launcher.py
+++ b/src/burdockgate/standin/launcher.py
@@ -1,11 +1,11 @@
-"""Runs a stand-in as a process of its own."""
+"""Runs a stand-in server in its own process."""
 
 from __future__ import annotations
 
 from burdockgate.process import runner, serving
 
 
-class _Standin(runner.Runnable):
+class _StandinProcess(runner.Runnable):
     def __init__(self, server: serving.Server) -> None:
         self._server = server
 
@@ -18,9 +18,9 @@
 
 
 def run(server: serving.Server) -> int:
-    """Serve until SIGTERM or SIGINT; prints the bound address as the first line.
+    """Print the bound address as the first line, and serve until SIGTERM or SIGINT.
 
-    :param server: the stand-in.
+    :param server: the stand-in server.
     :returns: the exit status.
     """
-    return runner.run(_Standin(server))
+    return runner.run(_StandinProcess(server))
--- a/tests/test_standin_backend.py
+++ b/tests/test_standin_backend.py
@@ -1,4 +1,4 @@
-"""Guards the stand-in of a backend server: its answers, faults and record of starts."""
+"""Tests the stand-in for a backend server: responses, faults and recorded starts."""
 
 import asyncio
 import contextlib
@@ -28,30 +28,30 @@
         await server.stop_now()
 
 
-async def post(client, payload, headers=HEADERS):
+async def post_task(client, payload, headers=HEADERS):
     return await client.post("/tasks", content=json.dumps(payload), headers=headers)
 
 
-async def until_started(client, count):
+async def wait_for_starts(client, count):
     async with asyncio.timeout(10):
         while len((await client.get("/v1/starts")).json()) < count:
             pass
 
 
 @pytest.mark.parametrize("payload", [{"a": [1, "ü"], "sleep_ms": 1}, None, 3, "x", []])
-async def test_answer_names_task_payload_and_server(payload):
+async def test_result_contains_task_payload_and_server(payload):
     async with serving() as (_, client):
-        answer = await post(client, payload)
+        answer = await post_task(client, payload)
     assert answer.status_code == 200
     assert answer.json() == {"task": 5, "echo": payload, "server": "b-1"}
 
 
-async def test_every_start_is_listed_even_when_the_task_fails_or_is_cut():
+async def test_all_starts_are_listed_including_failed_and_cut_tasks():
     async with serving() as (server, client):
-        await post(client, {"fail": True})
+        await post_task(client, {"fail": True})
         with pytest.raises(httpx.RemoteProtocolError):
-            await post(client, {"cut": True})
-        await post(client, 1)
+            await post_task(client, {"cut": True})
+        await post_task(client, 1)
         listed = (await client.get("/v1/starts?from=1")).json()
     first = backend.Start(b"\x0a" * 16, 2, 5, 0, 7.5, b'{"fail": true}')
     assert server.starts[0] == first
@@ -66,18 +66,18 @@
     }
 
 
-async def test_padded_result_has_the_size_asked_for():
+async def test_result_is_padded_to_the_requested_size():
     async with serving() as (_, client):
-        answer = await post(client, {"result_bytes": 5000})
+        answer = await post_task(client, {"result_bytes": 5000})
     assert len(answer.content) == 5000
     assert answer.json()["echo"] == {"result_bytes": 5000}
 
 
-async def test_hanging_task_ends_only_when_the_caller_goes_or_the_server_stops():
+async def test_hanging_task_ends_only_on_disconnect_or_server_stop():
     async with serving() as (server, client):
-        first = asyncio.create_task(post(client, {"hang": True}))
-        second = asyncio.create_task(post(client, {"sleep_ms": 3_600_000}))
-        await until_started(client, 2)
+        first = asyncio.create_task(post_task(client, {"hang": True}))
+        second = asyncio.create_task(post_task(client, {"sleep_ms": 3_600_000}))
+        await wait_for_starts(client, 2)
         assert not first.done() and not second.done()
         first.cancel()
         await server.stop_now()
@@ -93,10 +93,10 @@
         ({"slow_factor": 0}, 200, 200, 1),
     ],
 )
-async def test_faults_change_the_answers(faults, status, health, starts):
+async def test_faults_change_the_responses(faults, status, health, starts):
     async with serving() as (server, client):
         assert (await client.post("/v1/faults", json=faults)).status_code == 200
-        assert (await post(client, {"sleep_ms": 500})).status_code == status
+        assert (await post_task(client, {"sleep_ms": 500})).status_code == status
         assert (await client.get("/healthz")).status_code == health
         assert len(server.starts) == starts
 
@@ -110,8 +110,8 @@
         (1, {}),
     ],
 )
-async def test_malformed_task_is_refused_and_not_recorded(payload, headers):
+async def test_malformed_task_is_rejected_and_not_recorded(payload, headers):
     async with serving() as (server, client):
-        answer = await post(client, payload, headers)
+        answer = await post_task(client, payload, headers)
         assert answer.status_code == 400
         assert server.starts == []
