Reword the local system and its demonstration

place was a number without a meaning and is position now; the private methods that return settings say so; docstrings name daemons, records and units. One error of read_job says 'must be a string'.

--- a/src/burdockgate/standin/demo.py
+++ b/src/burdockgate/standin/demo.py
@@ -1,4 +1,4 @@
-"""One job on a local system, for newcomers: ``burdockgate local``."""
+"""Runs one job on a local system, as a demonstration: ``burdockgate local``."""
 
 from __future__ import annotations
 
@@ -19,9 +19,9 @@
 class Summary:
     """Totals of one job.
 
-    :param starts: starts that the backend servers saw.
-    :param ideal_ms: response time on free slots without any overhead.
-    :param messages: messages between the system's processes, of all kinds.
+    :param starts: number of starts that the backend servers recorded.
+    :param ideal_ms: response time on free slots without overhead.
+    :param messages: number of messages of all types between the daemons.
     """
 
     outcome: str
@@ -37,8 +37,8 @@
 def read_job(path: str | None) -> dict[str, object]:
     """Read a job from a JSON file, or return the sample job.
 
-    :param path: the file, or ``None``.
-    :raises errors.RequestError: when the file cannot be used.
+    :param path: the file; ``None`` for the sample job.
+    :raises errors.RequestError: when the file cannot be read or is not a valid job.
     """
     if path is None:
         tasks = [{"payload": {"sleep_ms": ms}} for ms in SAMPLE_RUN_TIMES_MS]
@@ -52,7 +52,7 @@
         ) from None
     if not isinstance(body, dict) or not isinstance(body.get("service"), str):
         raise errors.RequestError(
-            codes.Code.INVALID_REQUEST, f"{path}: service: a string is needed"
+            codes.Code.INVALID_REQUEST, f"{path}: service: must be a string"
         )
     return body
 
@@ -63,9 +63,9 @@
     """Start a local system, run one job and print its answer.
 
     :param config: size of the system.
-    :param body: the job as the HTTP interface takes it.
+    :param body: the job in the format of the HTTP interface.
     :param as_json: whether to print one JSON object.
-    :param keep: whether to serve on until SIGTERM or SIGINT.
+    :param keep: whether to keep serving until SIGTERM or SIGINT.
     :returns: the exit status: 0 when the job is complete, else 1.
     """
     return asyncio.run(_run(config, body, as_json, keep))
@@ -74,21 +74,21 @@
 async def _run(
     config: local.LocalSettings, body: dict[str, object], as_json: bool, keep: bool
 ) -> int:
-    asked = asyncio.Event()
-    runner.on_signal(asked.set)
+    stop_requested = asyncio.Event()
+    runner.on_signal(stop_requested.set)
     system = local.LocalSystem(config)
     try:
         await system.start()
         answer, summary = await _submit(system, body)
         if keep:
-            _show(as_json, answer, summary)
+            _print_answer(as_json, answer, summary)
             print("serving at", " ".join(system.urls), file=sys.stderr, flush=True)
-            await asked.wait()
+            await stop_requested.wait()
     finally:
         await system.stop()
     if not keep:
-        # After the last log lines, so that the answer stands at the end.
-        _show(as_json, answer, summary)
+        # Printed after the last log lines, so that the output ends with the answer.
+        _print_answer(as_json, answer, summary)
     return 0 if answer.outcome == "complete" else 1
 
 
@@ -97,7 +97,7 @@
 ) -> tuple[client.Answer, Summary]:
     loop = asyncio.get_running_loop()
     async with client.Client(system.urls) as caller:
-        sent, started = system.message_count, system.start_count
+        messages_before, starts_before = system.message_count, system.start_count
         begin = loop.time()
         answer = await caller.submit(body)
         response_ms = (loop.time() - begin) * 1000
@@ -111,10 +111,10 @@
         code=answer.code,
         key=answer.key,
         tasks=len(run_times),
-        starts=system.start_count - started,
+        starts=system.start_count - starts_before,
         response_ms=round(response_ms, 3),
         ideal_ms=local.ideal_ms(run_times, slots),
-        messages=system.message_count - sent,
+        messages=system.message_count - messages_before,
     )
     return answer, summary
 
@@ -125,7 +125,7 @@
     return float(value) if isinstance(value, int | float) else 0.0
 
 
-def _show(as_json: bool, answer: client.Answer, summary: Summary) -> None:
+def _print_answer(as_json: bool, answer: client.Answer, summary: Summary) -> None:
     if as_json:
         print(json.dumps({**attrs.asdict(summary), "results": answer.results}))
         return
--- a/src/burdockgate/standin/local.py
+++ b/src/burdockgate/standin/local.py
@@ -1,4 +1,4 @@
-"""All roles and the stand-ins in one process on one event loop."""
+"""Runs all roles and the stand-ins in one process on one event loop."""
 
 from __future__ import annotations
 
@@ -25,9 +25,9 @@
 
     :param slots: slots of each worker.
     :param service: name of the one service.
-    :param http_port: port of the first entry host; 0 takes a free one.
-    :param data_centres: number of data centres, which the racks take in turn.
-    :param nodes_per_rack: agents in one rack; also entry hosts in one rack.
+    :param http_port: port of the first entry host; 0 lets the system choose.
+    :param data_centres: number of data centres; racks are assigned to them in turn.
+    :param nodes_per_rack: number of agents, and of entry hosts, in one rack.
     :param policy: name of the placement policy of the entry hosts.
     """
 
@@ -45,9 +45,9 @@
 
 
 class LocalSystem:
-    """A whole system on the loopback interface.
+    """A complete system on the loopback interface.
 
-    :param config: its size.
+    :param config: size of the system.
     """
 
     def __init__(self, config: LocalSettings) -> None:
@@ -59,7 +59,7 @@
         self._rng = random.Random(config.seed)
 
     async def start(self) -> None:
-        """Start every role and wait until jobs can be taken.
+        """Start all roles and wait until the system accepts jobs.
 
         :raises errors.BurdockgateError: when the system is not ready in time.
         """
@@ -78,7 +78,7 @@
             ) from None
 
     def _is_ready(self) -> bool:
-        """Return whether every node knows every other and all voters agree."""
+        """Return whether all nodes know each other and have the same view."""
         numbers = {entry.core.view.number for entry in self.entries}
         numbers |= {item.core.claims.catchup.view.number for item in self.agents}
         return len(numbers) == 1 and all(
@@ -88,17 +88,17 @@
             for entry in self.entries
         )
 
-    async def add_entry(self, name: str, place: int) -> entryhost.EntryHost:
-        """Start one more entry host.
+    async def add_entry(self, name: str, position: int) -> entryhost.EntryHost:
+        """Start another entry host.
 
-        :param name: its name.
-        :param place: number that gives its data centre and rack.
+        :param name: name of the entry host.
+        :param position: number from which its data centre and rack follow.
         """
         port = self.config.http_port if not self.entries else 0
         config = settings.EntrySettings(
-            node=self._node(name, place),
+            node=self._node_settings(name, position),
             http=f"{LOOPBACK}:{port}",
-            platform=self._platform(),
+            platform=self._platform_settings(),
             limits=self.config.limits,
             timing=self.config.timing,
             statsd=settings.StatsdSettings(),
@@ -109,11 +109,11 @@
         self.entries.append(entry)
         return entry
 
-    async def add_agent(self, name: str, place: int) -> agenthost.AgentHost:
-        """Start one more backend server with its agent.
+    async def add_agent(self, name: str, position: int) -> agenthost.AgentHost:
+        """Start another backend server with its agent.
 
         :param name: name of the agent.
-        :param place: number that gives its data centre and rack.
+        :param position: number from which its data centre and rack follow.
         """
         server = backend.BackendServer(
             f"server-of-{name}", LOOPBACK, 0, clock.SystemClock()
@@ -121,13 +121,13 @@
         await server.start()
         self.servers.append(server)
         config = settings.AgentSettings(
-            node=self._node(name, place),
+            node=self._node_settings(name, position),
             backend_server=settings.BackendSettings(
                 url=f"http://{server.address}",
                 service=self.config.service,
                 slots=self.config.slots,
             ),
-            platform=self._platform(),
+            platform=self._platform_settings(),
             timing=self.config.timing,
             statsd=settings.StatsdSettings(),
         )
@@ -136,7 +136,7 @@
         self.agents.append(host)
         return host
 
-    def _platform(self) -> settings.PlatformSettings:
+    def _platform_settings(self) -> settings.PlatformSettings:
         return settings.PlatformSettings(
             log_url=self.log.url, seeds=tuple(entry.address for entry in self.entries)
         )
@@ -148,11 +148,11 @@
 
     @property
     def message_count(self) -> int:
-        """Messages sent so far between the system's processes, of all kinds."""
+        """Number of messages of all types sent so far between the daemons."""
         return self.sum_counter("wire.sent")
 
     def sum_counter(self, name: str) -> int:
-        """Return the sum of one counter over all daemons.
+        """Return the sum of a counter over all daemons.
 
         :param name: name of the counter.
         """
@@ -161,18 +161,18 @@
 
     @property
     def start_count(self) -> int:
-        """Tasks started so far, as the backend servers saw them."""
+        """Number of starts so far that the backend servers recorded."""
         return sum(len(server.starts) for server in self.servers)
 
     async def stop(self) -> None:
-        """Stop every role, callers first and the log last."""
+        """Stop all roles: entry hosts, agents, backend servers, and last the log."""
         await asyncio.gather(*(entry.stop() for entry in self.entries))
         await asyncio.gather(*(host.stop() for host in self.agents))
         await asyncio.gather(*(server.stop_now() for server in self.servers))
         await self.log.stop_now()
 
-    def _node(self, name: str, place: int) -> settings.NodeSettings:
-        rack = place // self.config.nodes_per_rack
+    def _node_settings(self, name: str, position: int) -> settings.NodeSettings:
+        rack = position // self.config.nodes_per_rack
         return settings.NodeSettings(
             name=name,
             region=REGION,
@@ -183,12 +183,14 @@
 
 
 def ideal_ms(run_times_ms: list[float], slots: int) -> float:
-    """Return the response time of a job that has all slots for itself.
+    """Return the response time in ms of a job that has all slots to itself.
 
-    :param run_times_ms: run times of its tasks, in ms; the longest is placed first.
+    Longer tasks are placed first.
+
+    :param run_times_ms: run times of its tasks.
     :param slots: number of slots.
     """
-    busy_until = [0.0] * slots
+    free_at_ms = [0.0] * slots
     for run_time in sorted(run_times_ms, reverse=True):
-        heapq.heappush(busy_until, heapq.heappop(busy_until) + run_time)
-    return max(busy_until)
+        heapq.heappush(free_at_ms, heapq.heappop(free_at_ms) + run_time)
+    return max(free_at_ms)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -31,8 +31,8 @@
 
 def use(system, monkeypatch, **platform):
     """Let the next nodes of a system start with these platform settings."""
-    fresh = attrs.evolve(system._platform(), **platform)
-    monkeypatch.setattr(system, "_platform", lambda: fresh)
+    fresh = attrs.evolve(system._platform_settings(), **platform)
+    monkeypatch.setattr(system, "_platform_settings", lambda: fresh)
 
 
 def knows(system, name):
@@ -79,7 +79,7 @@
 async def test_entry_host_that_starts_in_an_outage_learns_the_view(system, monkeypatch):
     """Without the log, the view comes from a peer."""
     use(system, monkeypatch, seeds=(system.entries[0].address,))
-    assert isinstance(system._platform(), settings.PlatformSettings)
+    assert isinstance(system._platform_settings(), settings.PlatformSettings)
     system.log.store.set_faults(log.Faults(down=True))
     late = await system.add_entry("entry-2", 1)
     await until(lambda: late.core.view.number == system.entries[0].core.view.number)
