--- a/src/burdockgate/standin/caller.py
+++ b/src/burdockgate/standin/caller.py
@@ -1,8 +1,8 @@
-"""HTTP/1.1 calls of the load tool, over kept connections.
+"""HTTP/1.1 client of the load tool, with persistent connections.
 
-The pool of httpx visits every open connection for each state of each request, so a
-wave of a few hundred requests at once occupies the loop for seconds and delays the
-system that shares it.
+The connection pool of httpx iterates over all open connections at each state change of
+a request. A burst of a few hundred requests would block the event loop for seconds, and
+with it the system under test that shares the loop.
 """
 
 from __future__ import annotations
@@ -18,12 +18,17 @@
 # Below the 5 s after which the entry host closes an idle connection.
 IDLE_LIMIT_S = 2.0
 _Host = tuple[str, int]
-_CUT = (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, ValueError)
+_CONNECTION_ERRORS = (
+    OSError,
+    asyncio.IncompleteReadError,
+    asyncio.LimitOverrunError,
+    ValueError,
+)
 
 
 @attrs.frozen
 class Reply:
-    """An answer.
+    """An HTTP response.
 
     :param status: HTTP status.
     :param content: the body.
@@ -47,7 +52,7 @@
 
 
 class Caller:
-    """Sends requests, each on a connection that carries no other one."""
+    """Sends HTTP requests; each one has a connection to itself until its response."""
 
     def __init__(self) -> None:
         self._idle_by_host: dict[_Host, list[_Connection]] = {}
@@ -55,13 +60,13 @@
     async def call(
         self, method: str, url: str, body: bytes = b"", key: str = ""
     ) -> Reply:
-        """Send a request once and return the answer.
+        """Send a request, without retries, and return the response.
 
         :param method: the HTTP method.
         :param url: ``http://host:port/path``.
         :param body: JSON text.
         :param key: the idempotency key; empty for none.
-        :raises errors.ClientError: when no whole answer comes.
+        :raises errors.ClientError: when no complete response arrives.
         """
         parts = urllib.parse.urlsplit(url)
         if parts.scheme != "http" or not parts.hostname:
@@ -75,11 +80,11 @@
             connection = await self._connect(host)
             try:
                 connection.writer.write(head.encode("latin-1") + body)
-                reply = await _read(connection.reader)
+                reply = await _read_reply(connection.reader)
             except BaseException:
                 connection.writer.close()
                 raise
-        except _CUT as error:
+        except _CONNECTION_ERRORS as error:
             raise errors.ClientError(f"{method} {url}: {error}") from error
         connection.used_at = time.monotonic()
         self._idle_by_host.setdefault(host, []).append(connection)
@@ -96,14 +101,14 @@
         return _Connection(reader, writer, time.monotonic())
 
     def close(self) -> None:
-        """Close the connections that carry no request."""
+        """Close the idle connections."""
         for idle in self._idle_by_host.values():
             for connection in idle:
                 connection.writer.close()
         self._idle_by_host.clear()
 
 
-async def _read(reader: asyncio.StreamReader) -> Reply:
+async def _read_reply(reader: asyncio.StreamReader) -> Reply:
     head = (await reader.readuntil(b"\r\n\r\n")).split(b"\r\n")
     size = 0
     for line in head[1:]:
--- a/src/burdockgate/standin/httpcost.py
+++ b/src/burdockgate/standin/httpcost.py
@@ -1,4 +1,4 @@
-"""Processor time of the agent's HTTP calls to its backend server."""
+"""Measures the processor time of the agent's HTTP calls to its backend server."""
 
 from __future__ import annotations
 
@@ -11,15 +11,15 @@
 
 
 def measure_http_calls(calls: int, seed: int) -> dict[str, float]:
-    """Call a backend server with the agent's client, and with a bare socket.
+    """Call a backend server with the agent's client, and over a bare socket.
 
-    The server is on the same loop and answers fixed bytes; the bare client shows
-    what it and the sockets cost.
+    The server runs on the same event loop and sends a fixed response. The calls over
+    the bare socket show the cost of the server and the sockets alone.
     """
-    return asyncio.run(_http(calls))
+    return asyncio.run(_measure(calls))
 
 
-async def _http(calls: int) -> dict[str, float]:
+async def _measure(calls: int) -> dict[str, float]:
     body = b'"' + b"x" * (costmeter.PAYLOAD_BYTES - 2) + b'"'
     head = f"HTTP/1.1 200 OK\r\ncontent-length: {len(body)}\r\n"
     answer = f"{head}content-type: application/json\r\n\r\n".encode() + body
@@ -40,17 +40,17 @@
     await client.run(b"j" * 16, 1, 0, body, 5000)
     begin = time.process_time()
     for index in range(calls):
-        ended = await client.run(b"j" * 16, 1, index, body, 5000)
-        if ended.state is not messages.TaskState.DONE:
-            raise AssertionError(f"backend call ended as {ended}")
-    spent = time.process_time() - begin
+        report = await client.run(b"j" * 16, 1, index, body, 5000)
+        if report.state is not messages.TaskState.DONE:
+            raise AssertionError(f"backend call ended as {report}")
+    client_s = time.process_time() - begin
     await client.close()
-    bare = await _bare(port, calls, len(answer), body)
+    socket_s = await _call_over_socket(port, calls, len(answer), body)
     await asyncio.gather(*served)
     server.close()
     return {
-        "HTTP calls of the agent, client and server, ms": spent * 1000,
-        "HTTP calls over a bare socket, client and server, ms": bare * 1000,
+        "HTTP calls of the agent, client and server, ms": client_s * 1000,
+        "HTTP calls over a bare socket, client and server, ms": socket_s * 1000,
     }
 
 
@@ -67,13 +67,13 @@
     return True
 
 
-async def _bare(port: int, calls: int, size: int, body: bytes) -> float:
+async def _call_over_socket(port: int, calls: int, size: int, body: bytes) -> float:
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     head = f"POST /tasks HTTP/1.1\r\ncontent-length: {len(body)}\r\n\r\n".encode()
     begin = time.process_time()
     for _ in range(calls):
         writer.write(head + body)
         await reader.readexactly(size)
-    spent = time.process_time() - begin
+    processor_s = time.process_time() - begin
     writer.close()
-    return spent
+    return processor_s
--- a/src/burdockgate/standin/trace.py
+++ b/src/burdockgate/standin/trace.py
@@ -1,6 +1,6 @@
-"""Events of a run, as the checker and the measurements read them.
+"""Events of a run, which the checker and the measurements read.
 
-All times are seconds of one clock.
+All times are in seconds, by the same clock.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 class Submitted:
     """A caller sent a job.
 
-    :param attempt_of_caller: counts the caller's submissions of this key.
+    :param submission_number: number of the caller's submission of this key.
     :param entry: name of the entry host.
     :param tasks: JSON text of each task's payload, in order.
     """
@@ -22,7 +22,7 @@
     at: float
     guest: str
     key: str
-    attempt_of_caller: int
+    submission_number: int
     entry: str
     tasks: tuple[bytes, ...]
     repeatable: bool
@@ -32,7 +32,7 @@
 class Claimed:
     """An entry host became the owner of a job.
 
-    :param owner: name and boot of the entry host, as one text.
+    :param owner: name and boot of the entry host, as one string.
     """
 
     at: float
@@ -44,7 +44,7 @@
 
 @attrs.frozen
 class Sent:
-    """An owner sent a task to an agent; no promise is judged by it alone."""
+    """An owner sent a task to an agent; the checker ignores it."""
 
     at: float
     job: bytes
@@ -55,7 +55,7 @@
 
 @attrs.frozen
 class Started:
-    """A backend server got a task.
+    """A backend server started a task.
 
     :param server: name of the worker, as in :class:`Left`.
     :param payload: JSON text.
@@ -71,9 +71,9 @@
 
 @attrs.frozen
 class Answered:
-    """A caller got an answer.
+    """A caller received an answer.
 
-    :param attempt: attempt that the answer names; 0 for none.
+    :param attempt: attempt given in the answer; 0 for none.
     :param results: JSON text of each result; empty when the answer has none.
     :param entry: name of the entry host.
     """
@@ -89,7 +89,7 @@
 
 @attrs.frozen
 class Left:
-    """A worker or another node left, died, or let its lease lapse."""
+    """A worker or another node left, crashed, or its lease expired."""
 
     at: float
     worker: str
@@ -97,7 +97,7 @@
 
 @attrs.frozen
 class Joined:
-    """A worker or another node that had left announced itself again."""
+    """A worker or another node that had left joined again."""
 
     at: float
     worker: str
@@ -105,7 +105,7 @@
 
 @attrs.frozen
 class Accepted:
-    """The log accepted a version of the table."""
+    """The log accepted a new version of the table."""
 
     at: float
     version: int
@@ -113,9 +113,9 @@
 
 @attrs.frozen
 class InForce:
-    """A node works by a version of the table.
+    """A version of the table took effect on a node.
 
-    :param node: name as in :class:`Left`; a restarted node is the same node.
+    :param node: name as in :class:`Left`; it stays the same after a restart.
     """
 
     at: float
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -1,4 +1,4 @@
-"""Guards the checker: each broken promise is named, and correct traces pass."""
+"""Tests the checker: each violation is found, and correct traces pass."""
 
 import pytest
 
@@ -13,7 +13,7 @@
     for index, payload in enumerate(TASKS)
 )
 Code = codes.Code
-P = checker.Invariant
+Invariant = checker.Invariant
 
 
 def submitted(at=0.0, repeatable=True, tasks=TASKS, entry="e"):
@@ -57,7 +57,7 @@
 BACK = [*VERSIONS, trace.Left(1.5, "b"), trace.Joined(8.0, "b")]
 
 
-def broken(events, **settings):
+def violated(events, **settings):
     found = checker.check(events, checker.Settings(**settings))
     assert all("\n" not in violation.detail for violation in found)
     return [violation.invariant for violation in found]
@@ -71,7 +71,7 @@
         list(reversed(CORRECT)),
         # The same owner claims again, and another takes over by the next epoch.
         [*CORRECT, claimed(1, "e/1"), claimed(2, "f/1")],
-        # One entry host refused its submission and a cancel, another ran the job.
+        # One entry host refused a submission and a cancel, another ran the job.
         [*CORRECT, submitted(0.1, entry="f"), refused(0.11), refused(0.12)],
         # A failed attempt, then the next one of a repeatable job.
         [
@@ -90,7 +90,7 @@
         # The refused body is not the one that ran.
         [*CORRECT[:-1], OTHER, refused(5.1, Code.KEY_REUSED)],
         [*RUNNING, refused(0.2, Code.WORKER_LOST, 1)],
-        # Another spelling of the same JSON.
+        # The same JSON in other formatting.
         [
             submitted(),
             answered(1, results=(b'{"echo": {"n": 1}, "task": 0}', RESULTS[1])),
@@ -99,70 +99,73 @@
         [*LEFT, trace.Joined(8.0, "w"), started(9.0, 0)],
         [*VERSIONS, trace.InForce(6.0, "b", 3), trace.Accepted(9.0, 4)],
         [*VERSIONS, trace.Left(3.0, "b"), trace.InForce(20.0, "a", 2)],
-        # A version is due only 5 s after a node has come back.
+        # A version is due 5 s after a node has joined again.
         [*BACK, trace.InForce(12.0, "b", 2), trace.InForce(30.0, "a", 2)],
     ],
 )
 def test_correct_trace_passes(events):
-    assert broken(events) == []
+    assert violated(events) == []
 
 
 @pytest.mark.parametrize(
-    ("promise", "events"),
+    ("invariant", "events"),
     [
-        (P.TASK_STARTED_ONCE, [*CORRECT, started(1.0, 0, server="v")]),
-        (P.ONE_OWNER, [*CORRECT, claimed(1, "f/1")]),
-        (P.WHOLE_ANSWER, [*ASKED, answered(1, results=RESULTS[:1])]),
-        (P.WHOLE_ANSWER, [*ASKED, answered(1, Code.WORKER_LOST)]),
-        (P.OWN_ANSWER, [*ASKED, answered(1, results=RESULTS[::-1])]),
-        (P.OWN_ANSWER, [submitted(tasks=(b"1", b"2")), answered(1)]),
-        (P.OWN_ANSWER, [*ASKED, answered(1, results=(b"{", b"1"))]),
+        (Invariant.TASK_STARTED_ONCE, [*CORRECT, started(1.0, 0, server="v")]),
+        (Invariant.ONE_OWNER, [*CORRECT, claimed(1, "f/1")]),
+        (Invariant.WHOLE_ANSWER, [*ASKED, answered(1, results=RESULTS[:1])]),
+        (Invariant.WHOLE_ANSWER, [*ASKED, answered(1, Code.WORKER_LOST)]),
+        (Invariant.OWN_ANSWER, [*ASKED, answered(1, results=RESULTS[::-1])]),
+        (Invariant.OWN_ANSWER, [submitted(tasks=(b"1", b"2")), answered(1)]),
+        (Invariant.OWN_ANSWER, [*ASKED, answered(1, results=(b"{", b"1"))]),
         (
-            P.OWN_ANSWER,
+            Invariant.OWN_ANSWER,
             [
                 submitted(tasks=(b"1",)),
                 answered(1, results=(b'{"task":0,"echo":true}',)),
             ],
         ),
-        (P.OWN_ANSWER, [answered(1)]),
-        (P.NOT_RUN_IS_TRUE, [*RUNNING, refused(0.2, Code.QUEUE_TIMEOUT, 1)]),
+        (Invariant.OWN_ANSWER, [answered(1)]),
+        (Invariant.NOT_RUN_IS_TRUE, [*RUNNING, refused(0.2, Code.QUEUE_TIMEOUT, 1)]),
         # The start comes after the refusal.
         (
-            P.NOT_RUN_IS_TRUE,
+            Invariant.NOT_RUN_IS_TRUE,
             [*ASKED, refused(0.2, Code.CANCELLED_NOT_RUN, 1), started(0.3, 0)],
         ),
         # The only submission is refused without an attempt, then a task starts.
-        (P.NOT_RUN_IS_TRUE, [*ASKED, refused(0.2), started(0.3, 0)]),
+        (Invariant.NOT_RUN_IS_TRUE, [*ASKED, refused(0.2), started(0.3, 0)]),
         # A second submission is refused while the first one runs.
-        (P.NOT_RUN_IS_TRUE, [*RUNNING, submitted(1.0), refused(1.1), answered(2)]),
-        (P.NOT_RUN_IS_TRUE, [*RUNNING, refused(0.2, Code.KEY_REUSED)]),
         (
-            P.NOT_REPEATABLE,
+            Invariant.NOT_RUN_IS_TRUE,
+            [*RUNNING, submitted(1.0), refused(1.1), answered(2)],
+        ),
+        (Invariant.NOT_RUN_IS_TRUE, [*RUNNING, refused(0.2, Code.KEY_REUSED)]),
+        (
+            Invariant.NOT_REPEATABLE,
             [submitted(repeatable=False), started(0.1, 0), started(1.0, 0, 2)],
         ),
         (
-            P.SAME_ANSWER,
+            Invariant.SAME_ANSWER,
             [*CORRECT, answered(2, results=(RESULTS[0] + b" ", RESULTS[1]))],
         ),
-        (P.LEFT_WORKER_RESTS, [*LEFT, started(4.1, 0)]),
-        # The death that follows a leave does not begin the limit again.
-        (P.LEFT_WORKER_RESTS, [*LEFT, trace.Left(3.0, "w"), started(5.0, 0)]),
-        (P.VERSION_GROWS, [*VERSIONS, trace.InForce(2.5, "a", 1)]),
-        (P.VERSION_IN_FORCE, [*VERSIONS, trace.InForce(6.1, "b", 2)]),
-        (P.VERSION_IN_FORCE, [*VERSIONS, trace.InForce(9.0, "a", 2)]),
-        (P.VERSION_IN_FORCE, [*BACK, trace.InForce(13.1, "b", 2)]),
+        (Invariant.LEFT_WORKER_RESTS, [*LEFT, started(4.1, 0)]),
+        # A crash after a leave does not restart the time limit.
+        (Invariant.LEFT_WORKER_RESTS, [*LEFT, trace.Left(3.0, "w"), started(5.0, 0)]),
+        (Invariant.VERSION_GROWS, [*VERSIONS, trace.InForce(2.5, "a", 1)]),
+        (Invariant.VERSION_IN_FORCE, [*VERSIONS, trace.InForce(6.1, "b", 2)]),
+        (Invariant.VERSION_IN_FORCE, [*VERSIONS, trace.InForce(9.0, "a", 2)]),
+        (Invariant.VERSION_IN_FORCE, [*BACK, trace.InForce(13.1, "b", 2)]),
     ],
 )
-def test_broken_promise_is_found_and_no_other_is_named(promise, events):
-    assert broken(events) == [promise]
+def test_only_the_violated_invariant_is_reported(invariant, events):
+    assert violated(events) == [invariant]
 
 
 def test_node_that_never_reports_a_version_is_found():
     events = [*VERSIONS, trace.InForce(6.0, "b", 2), trace.InForce(9.0, "a", 2)]
-    assert broken(events) == []
-    assert broken(events, nodes=("c",)) == [P.VERSION_IN_FORCE]
+    assert violated(events) == []
+    assert violated(events, nodes=("c",)) == [Invariant.VERSION_IN_FORCE]
 
 
-def test_every_promise_is_covered():
-    marks = test_broken_promise_is_found_and_no_other_is_named.pytestmark
-    assert {promise for promise, _ in marks[0].args[1]} == set(P)
+def test_every_invariant_is_covered():
+    marks = test_only_the_violated_invariant_is_reported.pytestmark
+    assert {invariant for invariant, _ in marks[0].args[1]} == set(Invariant)
