Reword the load tool, the fleet of processes, the arrivals and the start rate

Names such as _end, _drive_fault, _timed, _perform, _PLACE and PROGRESS_PER_SLOT are replaced by what they stand for; docstrings use the terms of load tests (open-loop, arrival rate). arrivals.SHORT_MS becomes SHORT_TASK_MAX_MS in figures.py as well.

--- a/src/burdockgate/standin/arrivals.py
+++ b/src/burdockgate/standin/arrivals.py
@@ -1,4 +1,4 @@
-"""Plans of measured runs: every arrival is drawn before the run starts."""
+"""Plans the jobs of a run: all arrivals are drawn before the run starts."""
 
 from __future__ import annotations
 
@@ -12,23 +12,27 @@
 
 from burdockgate.request import job
 
-SHORT_MS = 200.0
+SHORT_TASK_MAX_MS = 200.0
 RUN_TIME_MIN_MS = 50.0
 RUN_TIME_MAX_MS = 1000.0
-LONG_SHARE = 0.02
-LONG_MIN_MS = 2000.0
-LONG_MAX_MS = 6000.0
+LONG_TASK_SHARE = 0.02
+LONG_TASK_MIN_MS = 2000.0
+LONG_TASK_MAX_MS = 6000.0
 STRAGGLER_FACTOR = 10.0
-DECLARED_FACTOR = 4.0
-TASKS_MAX = 30
-# A crest of 3x capacity leaves a backlog that takes longer than the usual deadline.
+DECLARED_ERROR_FACTOR = 4.0
+MAX_TASKS_PER_JOB = 30
+# A peak of 3x capacity leaves a backlog that takes longer than the usual deadline.
 DEADLINE_MS = 240_000
 CLASSES = ("alpha", "beta", "gamma")
 
 
 @attrs.frozen
 class Task:
-    """One planned task; both times are in ms."""
+    """One planned task; times are in ms.
+
+    :param run_ms: actual run time.
+    :param declared_ms: run time that the caller expects.
+    """
 
     run_ms: float
     declared_ms: float
@@ -36,12 +40,13 @@
 
 @attrs.frozen
 class Job:
-    """One planned submission.
+    """One planned job.
 
     :param at: planned time of the arrival, in seconds after the start of the run.
     :param entry: index of the entry host.
-    :param cancel_at: when the caller cancels, in seconds after the start.
-    :param is_poisoned: whether each task fails on every backend server.
+    :param cancel_at: time of the cancellation, in seconds after the start of the
+        run; ``None`` for none.
+    :param is_poisoned: whether all tasks fail, on any backend server.
     """
 
     at: float
@@ -93,7 +98,7 @@
 
 @attrs.frozen
 class Phase:
-    """A part of a run with one rate of arrivals.
+    """A part of a run with a constant arrival rate.
 
     :param load: offered work as a share of the capacity of all slots.
     """
@@ -104,10 +109,10 @@
 
 @attrs.frozen
 class Shape:
-    """What the arrivals of a run are drawn from.
+    """Parameters of the random arrivals of a run.
 
-    :param straggler_share: share of the work that stragglers do; each one runs 10
-        times as long as it otherwise would.
+    :param straggler_share: stragglers' share of the work; a straggler runs 10 times as
+        long as it would otherwise.
     """
 
     slots: int
@@ -117,16 +122,16 @@
 
 
 def plan(shape: Shape, seed: int) -> list[Job]:
-    """Return the arrivals of a run in the order of time.
+    """Return the jobs of a run, ordered by arrival time.
 
-    :param shape: what to draw from.
-    :param seed: seed of all random choices; the same one gives the same plan.
+    :param shape: parameters of the arrivals.
+    :param seed: seed of all random choices; the same seed gives the same plan.
     """
     rng = random.Random(seed)
-    return list(_arrivals(shape, seed, rng))
+    return list(_draw_arrivals(shape, seed, rng))
 
 
-def _arrivals(shape: Shape, seed: int, rng: random.Random) -> Iterator[Job]:
+def _draw_arrivals(shape: Shape, seed: int, rng: random.Random) -> Iterator[Job]:
     numbers = itertools.count(1)
     begin = 0.0
     for phase in shape.phases:
@@ -141,30 +146,32 @@
 
 
 def make_job(shape: Shape, rng: random.Random, at: float, key: str) -> Job:
-    """Return one job drawn from a shape.
+    """Return a randomly drawn job.
 
-    :param shape: what to draw from.
-    :param rng: the source of random numbers.
+    :param shape: parameters of the arrivals.
+    :param rng: random number generator.
     :param at: planned time of the arrival, in seconds after the start of the run.
     :param key: idempotency key.
     """
-    count = int(math.exp(rng.uniform(0.0, math.log(TASKS_MAX + 1))))
+    count = int(math.exp(rng.uniform(0.0, math.log(MAX_TASKS_PER_JOB + 1))))
     return Job(
         at=at,
         guest=f"guest-{rng.randrange(8) + 1}",
         key=key,
         caller_class=rng.choice(CLASSES),
         entry=rng.randrange(shape.entries),
-        tasks=tuple(_task(shape, rng) for _ in range(count)),
+        tasks=tuple(_draw_task(shape, rng) for _ in range(count)),
     )
 
 
-def _task(shape: Shape, rng: random.Random) -> Task:
-    if rng.random() < LONG_SHARE:
-        run_ms = _log_uniform(rng, LONG_MIN_MS, LONG_MAX_MS)
+def _draw_task(shape: Shape, rng: random.Random) -> Task:
+    if rng.random() < LONG_TASK_SHARE:
+        run_ms = _log_uniform(rng, LONG_TASK_MIN_MS, LONG_TASK_MAX_MS)
     else:
         run_ms = _log_uniform(rng, RUN_TIME_MIN_MS, RUN_TIME_MAX_MS)
-    declared_ms = run_ms * _log_uniform(rng, 1 / DECLARED_FACTOR, DECLARED_FACTOR)
+    declared_ms = run_ms * _log_uniform(
+        rng, 1 / DECLARED_ERROR_FACTOR, DECLARED_ERROR_FACTOR
+    )
     if rng.random() < straggler_probability(shape.straggler_share):
         run_ms *= STRAGGLER_FACTOR
     return Task(round(run_ms, 3), round(declared_ms, 3))
@@ -173,7 +180,7 @@
 def straggler_probability(share: float) -> float:
     """Return the share of tasks that must be stragglers.
 
-    :param share: share of the work that stragglers do.
+    :param share: stragglers' share of the work.
     """
     return share / (STRAGGLER_FACTOR - share * (STRAGGLER_FACTOR - 1))
 
@@ -181,18 +188,20 @@
 def mean_run_ms(shape: Shape) -> float:
     """Return the mean run time of a task, in ms.
 
-    :param shape: what the tasks are drawn from.
+    :param shape: parameters of the arrivals.
     """
     usual = _log_uniform_mean(RUN_TIME_MIN_MS, RUN_TIME_MAX_MS)
-    long = _log_uniform_mean(LONG_MIN_MS, LONG_MAX_MS)
-    mean = (1 - LONG_SHARE) * usual + LONG_SHARE * long
+    long = _log_uniform_mean(LONG_TASK_MIN_MS, LONG_TASK_MAX_MS)
+    mean = (1 - LONG_TASK_SHARE) * usual + LONG_TASK_SHARE * long
     probability = straggler_probability(shape.straggler_share)
     return mean * (1 + probability * (STRAGGLER_FACTOR - 1))
 
 
 def _mean_tasks() -> float:
-    span = math.log(TASKS_MAX + 1)
-    return sum(n * math.log((n + 1) / n) / span for n in range(1, TASKS_MAX + 1))
+    span = math.log(MAX_TASKS_PER_JOB + 1)
+    return sum(
+        n * math.log((n + 1) / n) / span for n in range(1, MAX_TASKS_PER_JOB + 1)
+    )
 
 
 def _log_uniform(rng: random.Random, low: float, high: float) -> float:
--- a/src/burdockgate/standin/figures.py
+++ b/src/burdockgate/standin/figures.py
@@ -232,7 +232,9 @@
     def short_waits(self) -> list[float]:
         """Return the waits of short tasks, in ms."""
         return [
-            wait for _, task, wait in self.waits() if task.run_ms < arrivals.SHORT_MS
+            wait
+            for _, task, wait in self.waits()
+            if task.run_ms < arrivals.SHORT_TASK_MAX_MS
         ]
 
     def backlog(self) -> list[tuple[float, int]]:
--- a/src/burdockgate/standin/fleet.py
+++ b/src/burdockgate/standin/fleet.py
@@ -1,4 +1,4 @@
-"""A system of separate processes on the loopback interface, under load."""
+"""Runs a system under load, each role in its own process on the loopback interface."""
 
 from __future__ import annotations
 
@@ -27,9 +27,9 @@
 SERVICE = "sample"
 READY_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 20.0
-POLL_S = 0.1
+POLL_INTERVAL_S = 0.1
 
-_PLACE = """[node]
+_SETTINGS_TEMPLATE = """[node]
 name = {name}
 region = {region}
 data_centre = dc-{data_centre}
@@ -46,7 +46,7 @@
 
 
 class _Start(msgspec.Struct):
-    """A start as the stand-in of a backend server shows it."""
+    """A start as listed by the backend server stand-in."""
 
     at: float
     job: str
@@ -58,16 +58,16 @@
 _STARTS = msgspec.json.Decoder(list[_Start])
 
 
-class Totals(asyncio.DatagramProtocol):
-    """Adds up the counters that the daemons send to statsd."""
+class StatsdTotals(asyncio.DatagramProtocol):
+    """Receives statsd packets and sums up the counters of the daemons."""
 
     def __init__(self) -> None:
         self.count_by_name: collections.Counter[str] = collections.Counter()
 
     def datagram_received(self, data: bytes, _address: object) -> None:
-        """Add the counters of one packet; the first part of a name is the node.
+        """Add the counters of one packet.
 
-        :param data: lines of ``node.name:value|c``; other kinds are passed over.
+        :param data: lines of ``node.counter:value|c``; other types are ignored.
         """
         for line in data.decode().splitlines():
             name, _, value = line.partition(":")
@@ -77,23 +77,23 @@
                 self.count_by_name[f"{role}.{counter}"] += int(value[:-2])
 
     def total(self, counter: str, *roles: str) -> int:
-        """Return a counter's sum over the processes of some roles.
+        """Return the sum of a counter over the processes of some roles.
 
         :param counter: name of the counter.
-        :param roles: first parts of the names of the nodes.
+        :param roles: roles, which are the prefixes of the names of the nodes.
         """
         return sum(self.count_by_name[f"{role}.{counter}"] for role in roles)
 
 
 class FleetTarget(targets.OwnTarget):
-    """Starts a process for each role and each stand-in.
+    """Starts a process for each daemon and each stand-in.
 
-    Messages are counted by statsd, so a total is up to one flush old.
+    The counts come from statsd, so that they are up to one flush interval old.
 
     :param size: size of the system; the policy must be the default one.
     """
 
-    counts_delay_s = daemon.METRICS_INTERVAL_S + POLL_S
+    counts_delay_s = daemon.METRICS_INTERVAL_S + POLL_INTERVAL_S
 
     def __init__(self, size: targets.Size) -> None:
         self.service = SERVICE
@@ -101,22 +101,24 @@
         self.agents = size.agents
         self.worker = "agent-1"
         self._size = size
-        self._totals = Totals()
+        self._totals = StatsdTotals()
         self._transport: asyncio.BaseTransport | None = None
         self._process_by_name: dict[str, asyncio.subprocess.Process] = {}
         self._directory = tempfile.TemporaryDirectory(prefix="burdockgate-")
-        self._log, *addresses = _free_addresses(1 + 2 * (size.entries + size.agents))
-        self.log_url = f"http://{self._log}"
-        self._streams = [addresses.pop() for _ in range(size.entries)]
+        self._log_address, *addresses = _free_addresses(
+            1 + 2 * (size.entries + size.agents)
+        )
+        self.log_url = f"http://{self._log_address}"
+        self._entry_addresses = [addresses.pop() for _ in range(size.entries)]
         self.urls = [f"http://{addresses.pop()}" for _ in range(size.entries)]
-        self._servers = [addresses.pop() for _ in range(size.agents)]
-        self._agents = [addresses.pop() for _ in range(size.agents)]
+        self._server_addresses = [addresses.pop() for _ in range(size.agents)]
+        self._agent_addresses = [addresses.pop() for _ in range(size.agents)]
         self._http = httpx.AsyncClient(trust_env=False)
 
     async def start(self) -> None:
-        """Start all processes and wait until every worker is known everywhere.
+        """Start all processes and wait until each entry host knows all workers.
 
-        :raises errors.ClientError: when they are not ready in time.
+        :raises errors.ClientError: when the processes are not ready in time.
         """
         loop = asyncio.get_running_loop()
         self._transport, _ = await loop.create_datagram_endpoint(
@@ -135,55 +137,61 @@
         try:
             async with asyncio.timeout(READY_TIMEOUT_S):
                 while not await self._is_ready():
-                    await asyncio.sleep(POLL_S)
+                    await asyncio.sleep(POLL_INTERVAL_S)
         except TimeoutError:
             raise errors.ClientError(
                 f"the processes were not ready within {READY_TIMEOUT_S:g} s"
             ) from None
 
     def _commands(self, port: int) -> Iterator[tuple[str, list[str]]]:
-        yield "log", ["standin", "log", "--listen", self._log]
-        for index, address in enumerate(self._servers, start=1):
+        yield "log", ["standin", "log", "--listen", self._log_address]
+        for index, address in enumerate(self._server_addresses, start=1):
             name = f"server-{index}"
             listen = ["--listen", address, "--name", name]
             yield name, ["standin", "backend", *listen]
-        for index, address in enumerate(self._streams):
-            own = {"http": self.urls[index].removeprefix("http://")}
-            yield self._daemon("entry", "entry", index, address, port, own)
-        for index, address in enumerate(self._agents):
-            own = {
-                "url": f"http://{self._servers[index]}",
+        for index, address in enumerate(self._entry_addresses):
+            section_settings = {"http": self.urls[index].removeprefix("http://")}
+            yield self._write_settings(
+                "entry", "entry", index, address, port, section_settings
+            )
+        for index, address in enumerate(self._agent_addresses):
+            section_settings = {
+                "url": f"http://{self._server_addresses[index]}",
                 "service": SERVICE,
                 "slots": str(self._size.slots),
             }
-            yield self._daemon("agent", "backend_server", index, address, port, own)
+            yield self._write_settings(
+                "agent", "backend_server", index, address, port, section_settings
+            )
 
-    def _daemon(
+    def _write_settings(
         self,
         role: str,
         section: str,
         index: int,
         listen: str,
         port: int,
-        own: Mapping[str, str],
+        section_settings: Mapping[str, str],
     ) -> tuple[str, list[str]]:
         name = f"{role}-{index + 1}"
         rack = index // targets.NODES_PER_RACK
-        centres = targets.DATA_CENTRES_BY_DEPLOYMENT[self._size.deployment]
-        text = _PLACE.format(
+        data_centres = targets.DATA_CENTRES_BY_DEPLOYMENT[self._size.deployment]
+        text = _SETTINGS_TEMPLATE.format(
             name=name,
             region=local.REGION,
-            data_centre=rack % centres + 1,
+            data_centre=rack % data_centres + 1,
             rack=rack + 1,
             listen=listen,
-            log=self._log,
-            seeds=", ".join(self._streams),
+            log=self._log_address,
+            seeds=", ".join(self._entry_addresses),
             host=HOST,
             port=port,
         )
-        keys = "".join(f"{key} = {value}\n" for key, value in own.items())
+        section_lines = "".join(
+            f"{key} = {value}\n" for key, value in section_settings.items()
+        )
         path = pathlib.Path(self._directory.name) / f"{name}.ini"
-        path.write_text(f"{text}[{section}]\n{keys}", encoding="utf-8")
+        path.write_text(f"{text}[{section}]\n{section_lines}", encoding="utf-8")
         return name, [role, "--settings", str(path)]
 
     async def _is_ready(self) -> bool:
@@ -205,18 +213,18 @@
         return dict(reply.json())
 
     async def stop(self) -> None:
-        """Stop the processes, callers' side first and the log last."""
+        """Stop the processes: entry hosts, agents, backend servers, then the log."""
         for role in ("entry", "agent", "server", "log"):
-            own = [
+            processes = [
                 process
                 for name, process in self._process_by_name.items()
                 if name.startswith(role)
             ]
-            for process in own:
+            for process in processes:
                 with contextlib.suppress(ProcessLookupError):
                     process.send_signal(signal.SIGTERM)
-            for process in own:
-                await _wait(process)
+            for process in processes:
+                await _wait_or_kill(process)
         await self._http.aclose()
         if self._transport is not None:
             self._transport.close()
@@ -225,18 +233,18 @@
     async def set_backend_faults(self, count: int, faults: backend.Faults) -> None:
         """Replace the faults of the first backend servers.
 
-        :param count: number of servers; a rack holds the first three.
-        :param faults: the faults.
+        :param count: number of servers; the first three share a rack.
+        :param faults: the new faults.
         """
-        for address in self._servers[:count]:
+        for address in self._server_addresses[:count]:
             await self._post_faults(address, attrs.asdict(faults))
 
     async def set_log_down(self, is_down: bool) -> None:
         """Begin or end an outage of the log.
 
-        :param is_down: whether it begins.
+        :param is_down: whether the log is down from now on.
         """
-        await self._post_faults(self._log, {"down": is_down})
+        await self._post_faults(self._log_address, {"down": is_down})
 
     def kill_worker(self) -> None:
         """Kill the agent of the first worker."""
@@ -247,7 +255,7 @@
         reply.raise_for_status()
 
     def counts(self) -> targets.Counts:
-        """Return the totals so far, as of the last flush of each daemon."""
+        """Return the totals as of the last statsd flush of each daemon."""
         roles = ("entry", "agent")
         agent_bytes = sum(
             self._totals.total(name, "agent")
@@ -271,11 +279,11 @@
         )
 
     async def starts(self) -> list[targets.Start]:
-        """Return every start so far, with the names of the agents."""
-        found = []
-        for index, address in enumerate(self._servers, start=1):
+        """Return all starts so far, with the names of the agents."""
+        starts = []
+        for index, address in enumerate(self._server_addresses, start=1):
             reply = await self._http.get(f"http://{address}/v1/starts")
-            found += [
+            starts += [
                 targets.Start(
                     start.at,
                     bytes.fromhex(start.job),
@@ -286,19 +294,19 @@
                 )
                 for start in _STARTS.decode(reply.raise_for_status().content)
             ]
-        return found
+        return starts
 
 
 def _free_addresses(count: int) -> list[str]:
-    """Return loopback addresses that were free a moment ago."""
+    """Return addresses with free ports; another process may take them before use."""
     with contextlib.ExitStack() as stack:
-        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for probe in probes:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in sockets:
             probe.bind((HOST, 0))
-        return [f"{HOST}:{probe.getsockname()[1]}" for probe in probes]
+        return [f"{HOST}:{probe.getsockname()[1]}" for probe in sockets]
 
 
-async def _wait(process: asyncio.subprocess.Process) -> None:
+async def _wait_or_kill(process: asyncio.subprocess.Process) -> None:
     try:
         async with asyncio.timeout(STOP_TIMEOUT_S):
             await process.wait()
@@ -308,7 +316,7 @@
 
 
 def _processor_s(pid: int) -> float:
-    # The name of the program, in parentheses, may hold spaces.
+    # The program name, in parentheses, may contain spaces.
     fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     user, system = int(fields[11]), int(fields[12])
     return (user + system) / os.sysconf("SC_CLK_TCK")
--- a/src/burdockgate/standin/load.py
+++ b/src/burdockgate/standin/load.py
@@ -1,8 +1,8 @@
-"""Runs a plan of arrivals against a system and records what its callers see.
+"""Load generator: submits the planned jobs to a system and records the answers.
 
-The loop is open: a submission is sent at its planned time whether or not earlier
-ones were answered, and every wait counts from the planned time, so that a slow
-system or a slow load tool cannot hide its own delays.
+The load is open-loop: a job is submitted at its planned time whether or not earlier
+ones were answered. Waiting times count from the planned time, so that the delays of a
+slow system or of a slow load generator are part of the measurement.
 """
 
 from __future__ import annotations
@@ -20,18 +20,19 @@
 from burdockgate import errors
 from burdockgate.standin import arrivals, caller, fleet, rollout, scenarios, targets
 
-# Answers still missing this long after the last arrival are given up.
-ANSWER_LIMIT_S = 60.0
+# Answers that take longer after the planned arrivals are not waited for.
+ANSWER_TIMEOUT_S = 60.0
 WARM_UP_TASK_MS = 20.0
-LEAD_S = 0.1
+START_DELAY_S = 0.1
 
 
 @attrs.frozen
 class Config:
-    """What is run.
+    """Configuration of a run.
 
     :param seconds: length of the run; see :meth:`scenarios.Scenario.phases`.
-    :param has_processes: whether each role and each stand-in is a process.
+    :param urls: base URLs of the entry hosts of a running system; empty to start one.
+    :param has_processes: whether each role and each stand-in runs in its own process.
     """
 
     scenario: scenarios.Scenario
@@ -42,16 +43,16 @@
     has_processes: bool = False
 
     @property
-    def planned_s(self) -> float:
-        """Time in which jobs arrive, in seconds."""
+    def arrivals_s(self) -> float:
+        """Length of the planned arrivals, in seconds."""
         return sum(phase.seconds for phase in self.scenario.phases(self.seconds))
 
 
 @attrs.define
 class Record:
-    """What a caller saw of one job; times are seconds after the start of the run.
+    """The answers to one job; times are in seconds after the start of the run.
 
-    :param body: the answer; empty while there is none.
+    :param body: the answer; empty until it arrives.
     :param cancel_body: the answer to the cancellation.
     """
 
@@ -67,15 +68,15 @@
 class Run:
     """A finished run.
 
-    :param began: start of the run by the monotonic clock, in seconds.
+    :param started_at: start of the run by the monotonic clock, in seconds.
     :param seconds: time from the start to the last answer.
     :param window_s: time from the start to the end of the planned arrivals.
     :param before: totals at the start.
     :param after: totals at the end of the planned arrivals.
-    :param starts: starts of the planned jobs; ``None`` when they are not known.
-    :param fault_at: begin of the fault, in seconds after the start.
-    :param worker: the worker that the faults concern.
-    :param changes: the changes of the table; ``None`` for a run without.
+    :param starts: task starts of the planned jobs; ``None`` when unknown.
+    :param fault_at: time of the fault, in seconds after the start.
+    :param worker: the worker that the faults affect.
+    :param changes: the changes of the table; ``None`` for a run without changes.
     """
 
     config: Config
@@ -94,14 +95,14 @@
 
 
 async def run(config: Config, is_base: bool = False) -> Run:
-    """Start the system, run the plan and stop the system.
+    """Start the system, submit the planned jobs and stop the system.
 
-    :param config: what to run.
+    :param config: configuration of the run.
     :param is_base: whether to leave out the stragglers.
     """
-    target = _target(config)
+    target = _create_target(config)
     if config.has_processes:
-        # Without a handler, the processes would outlive this one.
+        # Without a handler, SIGTERM would leave the child processes running.
         task, loop = asyncio.current_task(), asyncio.get_running_loop()
         assert task is not None
         loop.add_signal_handler(signal.SIGTERM, task.cancel)
@@ -111,14 +112,14 @@
             target.slots, len(target.urls), config.seconds, is_base
         )
         plan = config.scenario.plan(shape, config.seconds, config.seed)
-        return await _Driver(config, target, plan).run()
+        return await _LoadDriver(config, target, plan).run()
     except asyncio.CancelledError:
         raise errors.BurdockgateError("the run was stopped by a signal") from None
     finally:
         await target.stop()
 
 
-def _target(config: Config) -> targets.Target:
+def _create_target(config: Config) -> targets.Target:
     if config.urls:
         return targets.RemoteTarget(config.urls)
     if config.has_processes:
@@ -126,8 +127,8 @@
     return targets.LocalTarget(config.size, config.seed)
 
 
-class _Driver:
-    """Sends the planned jobs and the faults at their times."""
+class _LoadDriver:
+    """Submits the jobs and injects the faults at their planned times."""
 
     def __init__(
         self, config: Config, target: targets.Target, plan: Sequence[arrivals.Job]
@@ -135,9 +136,9 @@
         self._config = config
         self._target = target
         self._records = [Record(job) for job in plan]
-        self._began = 0.0
+        self._started_at = 0.0
         self._fault_at: float | None = None
-        self._answered = asyncio.Event()
+        self._all_answered = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._changes = (
             rollout.Rollout(target.urls, target.log_url)
@@ -147,44 +148,47 @@
         self._caller = caller.Caller()
 
     def _now(self) -> float:
-        return time.monotonic() - self._began
+        return time.monotonic() - self._started_at
 
     async def run(self) -> Run:
-        """Run the plan and wait for the answers."""
+        """Submit the planned jobs and wait for the answers."""
         with contextlib.closing(self._caller):
             await self._warm_up()
             await asyncio.sleep(self._target.counts_delay_s)
             before = self._target.counts()
-            # Tasks are made and bodies are encoded before the first arrival.
-            self._began = time.monotonic() + LEAD_S
-            fault = asyncio.create_task(self._drive_fault())
-            others = [asyncio.create_task(item) for item in self._rollout()]
+            # Leaves time to create the tasks and encode the bodies before the first
+            # arrival.
+            self._started_at = time.monotonic() + START_DELAY_S
+            fault = asyncio.create_task(self._inject_fault())
+            rollout_tasks = [
+                asyncio.create_task(item) for item in self._rollout_coroutines()
+            ]
             try:
                 await self._send_all()
-                # The tail after the last arrival has few tasks and many heartbeats,
-                # so it is left out of the costs.
-                end = self._config.planned_s + self._target.counts_delay_s
+                # After the last arrival there are few tasks and many heartbeats, so
+                # the costs exclude this time.
+                end = self._config.arrivals_s + self._target.counts_delay_s
                 await asyncio.sleep(max(0.0, end - self._now()))
                 window_s, after = self._now(), self._target.counts()
                 if self._tasks:
-                    await asyncio.wait(self._tasks, timeout=ANSWER_LIMIT_S)
+                    await asyncio.wait(self._tasks, timeout=ANSWER_TIMEOUT_S)
                 if self._changes is not None:
                     await self._changes.settle()
                 seconds = self._now()
-                self._answered.set()
+                self._all_answered.set()
                 if self._config.scenario.fault is scenarios.Fault.DRAIN:
                     await fault
             finally:
-                await _end([fault, *others, *self._tasks])
-        for task in (fault, *others):
+                await _cancel_tasks([fault, *rollout_tasks, *self._tasks])
+        for task in (fault, *rollout_tasks):
             if not task.cancelled():
                 task.result()
         starts = await self._target.starts()
-        return self._result(seconds, window_s, before, after, starts)
+        return self._build_run(seconds, window_s, before, after, starts)
 
     async def _warm_up(self) -> None:
-        """Open the connections that the run will use."""
-        shape_task = arrivals.Task(WARM_UP_TASK_MS, WARM_UP_TASK_MS)
+        """Run one job on each entry host, which opens the connections of the run."""
+        task = arrivals.Task(WARM_UP_TASK_MS, WARM_UP_TASK_MS)
         per_entry = max(1, self._target.slots // len(self._target.urls))
         jobs = [
             arrivals.Job(
@@ -193,7 +197,7 @@
                 f"warm-up-{self._config.seed}-{index}-{time.monotonic_ns()}",
                 arrivals.CLASSES[0],
                 index,
-                (shape_task,) * per_entry,
+                (task,) * per_entry,
             )
             for index in range(len(self._target.urls))
         ]
@@ -209,11 +213,11 @@
             delay = record.job.at - self._now()
             if delay > 0:
                 await asyncio.sleep(delay)
-            self._spawn(self._submit(record, body))
+            self._create_task(self._submit(record, body))
             if record.job.cancel_at is not None:
-                self._spawn(self._cancel(record, record.job.cancel_at))
+                self._create_task(self._cancel(record, record.job.cancel_at))
 
-    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+    def _create_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
         self._tasks.append(asyncio.create_task(coroutine))
 
     async def _submit(self, record: Record, body: bytes) -> None:
@@ -240,30 +244,30 @@
             record.cancel_body = reply.content
             record.cancelled_at = self._now()
 
-    async def _drive_fault(self) -> None:
+    async def _inject_fault(self) -> None:
         scenario, seconds = self._config.scenario, self._config.seconds
         if scenario.fault is scenarios.Fault.NONE:
             return
-        await asyncio.sleep(scenario.fault_from * seconds + LEAD_S)
-        asked_at = self._now()
+        await asyncio.sleep(scenario.fault_from * seconds + START_DELAY_S)
+        requested_at = self._now()
         await self._target.set_fault(scenario.fault, is_on=True)
-        # A drain counts from the operator's answer, as an operator sees it.
+        # The time of a drain is that of the response to the operator.
         is_drain = scenario.fault is scenarios.Fault.DRAIN
-        self._fault_at = self._now() if is_drain else asked_at
+        self._fault_at = self._now() if is_drain else requested_at
         if is_drain:
-            # A worker that is resumed in the run would get new tasks.
-            await self._answered.wait()
+            # A worker that is resumed during the run would get new tasks.
+            await self._all_answered.wait()
         await asyncio.sleep(max(0.0, scenario.fault_to * seconds - self._now()))
         if self._changes is not None:
             self._changes.outage_ended_at = time.monotonic()
         await self._target.set_fault(scenario.fault, is_on=False)
 
-    def _rollout(self) -> Iterator[Coroutine[Any, Any, None]]:
+    def _rollout_coroutines(self) -> Iterator[Coroutine[Any, Any, None]]:
         if self._changes is not None:
             yield self._changes.watch()
-            yield self._changes.change(self._began + self._config.seconds)
+            yield self._changes.change(self._started_at + self._config.seconds)
 
-    def _result(
+    def _build_run(
         self,
         seconds: float,
         window_s: float,
@@ -278,7 +282,7 @@
             self._config,
             self._target.slots,
             self._target.agents,
-            self._began,
+            self._started_at,
             seconds,
             window_s,
             self._records,
@@ -291,7 +295,7 @@
         )
 
 
-async def _end(tasks: Sequence[asyncio.Task[None]]) -> None:
+async def _cancel_tasks(tasks: Sequence[asyncio.Task[None]]) -> None:
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
--- a/src/burdockgate/standin/startrate.py
+++ b/src/burdockgate/standin/startrate.py
@@ -1,8 +1,8 @@
-"""Task starts per second of processor time of one entry host, without sockets.
+"""Measures an entry host's task starts per second of processor time, without sockets.
 
-One ``EntryCore`` gets encoded messages and its effects are encoded, as its daemon
-would do. The agents' side is a small fake whose time is not counted. So the figure
-covers decoding, deciding and encoding, but no sockets, HTTP or timers.
+One ``EntryCore`` receives encoded messages and its effects are encoded, as in the
+daemon. The time of the simulated agents is not counted. The figure covers decoding,
+scheduling and encoding, but no sockets, HTTP or timers.
 """
 
 from __future__ import annotations
@@ -25,10 +25,10 @@
 TASKS_PER_JOB = (1, 10, 100)
 SLOTS = 8
 SERVICE = "sample"
-CASE_STARTS = 4000
-# Twice as many tasks in progress as slots, so that tasks always wait.
-PROGRESS_PER_SLOT = 2
-STEP_S = 0.0001
+STARTS_PER_CASE = 4000
+# Twice as many tasks in progress as slots, so that there are always waiting tasks.
+TASKS_PER_SLOT = 2
+CLOCK_STEP_S = 0.0001
 DEADLINE_MS = 60_000
 PAYLOAD = b'{"sleep_ms":100}'
 RESULT = b'{"task":0,"echo":{"sleep_ms":100},"server":"server-of-agent-1"}'
@@ -36,7 +36,7 @@
 
 @attrs.define
 class _Agent:
-    """A worker as far as the entry host can see it."""
+    """State of a simulated agent that it reports to the entry host."""
 
     node: messages.Node
     received: int = 0
@@ -44,7 +44,7 @@
 
 
 def measure(seed: int) -> dict[str, object]:
-    """Return the starts per second of each case, ready for JSON.
+    """Return the starts per second of each case as a JSON object.
 
     :param seed: seed of all random choices.
     """
@@ -52,7 +52,7 @@
         {
             "agents": agents,
             "tasks_per_job": tasks,
-            "starts_per_s": round(Bench(agents, tasks, seed).run(CASE_STARTS)),
+            "starts_per_s": round(Bench(agents, tasks, seed).run(STARTS_PER_CASE)),
         }
         for agents in AGENTS
         for tasks in TASKS_PER_JOB
@@ -67,10 +67,10 @@
 
 
 class Bench:
-    """One entry host with fake agents.
+    """One entry host with simulated agents.
 
     :param agents: number of agents.
-    :param tasks: tasks of each job.
+    :param tasks: number of tasks of each job.
     :param seed: seed of all random choices.
     :param voters: number of agents that are in the view; ``None`` for all.
     """
@@ -102,29 +102,29 @@
         self._replies: collections.deque[tuple[str, messages.Message]] = (
             collections.deque()
         )
-        self._join()
+        self._connect_agents()
 
-    def _join(self) -> None:
+    def _connect_agents(self) -> None:
         records = []
         for index, agent in enumerate(self._agent_by_name.values()):
             hello = _hello(agent.node, index)
             value = view.voter_record(hello)
             if self._voters is None or index < self._voters:
                 records.append(messages.LogRecord(index, str(index), value))
-            self._perform(self._core.handle_connect(hello))
+            self._simulate_agents(self._core.handle_connect(hello))
         count = len(records)
-        self._perform(
+        self._simulate_agents(
             self._core.follow(messages.Records(view.STREAM, 0, count, tuple(records)))
         )
-        # Without the end of the stream the view does not count as the newest one.
+        # The view counts as up to date only after the end of the stream.
         end = messages.Records(view.STREAM, count, count, ())
-        self._perform(self._core.follow(end))
+        self._simulate_agents(self._core.follow(end))
         for name in self._agent_by_name:
             load = messages.Load(SLOTS, 0, 0, draining=False)
-            self._perform(self._core.receive(name, load))
+            self._simulate_agents(self._core.receive(name, load))
 
     def run(self, starts: int, in_progress: int | None = None) -> float:
-        """Run until so many tasks have started and return starts per second.
+        """Run until a number of tasks have started and return starts per second.
 
         :param starts: number of starts.
         :param in_progress: number of jobs in progress; ``None`` for as many as keep
@@ -133,25 +133,25 @@
         self.processor_s, self.started, self.messages = 0.0, 0, 0
         slots = SLOTS * len(self._agent_by_name)
         if in_progress is None:
-            in_progress = max(2, -(-slots * PROGRESS_PER_SLOT // self._tasks))
+            in_progress = max(2, -(-slots * TASKS_PER_SLOT // self._tasks))
         while self.started < starts:
             while len(self._core.jobs) < in_progress:
                 self._submit()
-                self._deliver()
-            self._finish_one()
-            self._deliver()
+                self._deliver_replies()
+            self._finish_random_task()
+            self._deliver_replies()
         return self.started / self.processor_s
 
     def _submit(self) -> None:
         number = next(self._numbers)
         request = _request(f"key-{number}", self._tasks)
-        self._timed(lambda: self._core.submit(request, number))
+        self._run_timed(lambda: self._core.submit(request, number))
 
-    def _finish_one(self) -> None:
-        place = self._rng.randrange(len(self._running))
-        self._running[place], self._running[-1] = (
+    def _finish_random_task(self) -> None:
+        position = self._rng.randrange(len(self._running))
+        self._running[position], self._running[-1] = (
             self._running[-1],
-            self._running[place],
+            self._running[position],
         )
         name, start, task = self._running.pop()
         agent = self._agent_by_name[name]
@@ -174,26 +174,26 @@
             )
         )
 
-    def _deliver(self) -> None:
+    def _deliver_replies(self) -> None:
         while self._replies:
             name, message = self._replies.popleft()
             body = wire.encode(message)[wire.HEADER.size :]
-            self._timed(_receiver(self._core, name, body))
+            self._run_timed(_receive_call(self._core, name, body))
 
-    def _timed(self, act: Callable[[], Iterator[effects.Effect]]) -> None:
-        """Perform effects and encode their messages on the counted time."""
-        self._time.advance(STEP_S)
+    def _run_timed(self, handle: Callable[[], Iterator[effects.Effect]]) -> None:
+        """Run a call of the core, encode its messages and count the time of both."""
+        self._time.advance(CLOCK_STEP_S)
         begin = time.process_time()
-        wanted = list(act())
-        for effect in wanted:
+        core_effects = list(handle())
+        for effect in core_effects:
             if isinstance(effect, effects.Send):
                 wire.encode(effect.message)
         self.processor_s += time.process_time() - begin
-        self._perform(wanted)
+        self._simulate_agents(core_effects)
 
-    def _perform(self, wanted: Iterable[effects.Effect]) -> None:
-        """Do what the agents would do with the messages to them."""
-        for effect in wanted:
+    def _simulate_agents(self, core_effects: Iterable[effects.Effect]) -> None:
+        """Handle the effects as the agents would, and queue their replies."""
+        for effect in core_effects:
             if isinstance(effect, effects.Answer):
                 self.complete += isinstance(effect.outcome, outcome.Complete)
             if not isinstance(effect, effects.Send):
@@ -216,7 +216,7 @@
         self._running += [(name, start, task) for task in start.tasks]
 
 
-def _receiver(
+def _receive_call(
     core: entry.EntryCore, name: str, body: bytes
 ) -> Callable[[], Iterator[effects.Effect]]:
     return lambda: core.receive(name, wire.decode_session_message(body))
@@ -226,8 +226,8 @@
     return messages.Node(name, boot, "127.0.0.1:1")
 
 
-def _hello(node: messages.Node, place: int) -> messages.Hello:
-    rack = place // 3
+def _hello(node: messages.Node, position: int) -> messages.Hello:
+    rack = position // 3
     return messages.Hello(
         messages.PROTOCOL,
         messages.Role.AGENT,
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -38,8 +38,8 @@
 @pytest.fixture(autouse=True)
 def short_tasks(monkeypatch):
     """Keep tasks of several seconds out of the runs of these tests."""
-    monkeypatch.setattr(arrivals, "LONG_MIN_MS", 50.0)
-    monkeypatch.setattr(arrivals, "LONG_MAX_MS", 100.0)
+    monkeypatch.setattr(arrivals, "LONG_TASK_MIN_MS", 50.0)
+    monkeypatch.setattr(arrivals, "LONG_TASK_MAX_MS", 100.0)
     monkeypatch.setattr(arrivals, "RUN_TIME_MAX_MS", 100.0)
 
 
