--- a/src/burdockgate/standin/targets.py
+++ b/src/burdockgate/standin/targets.py
@@ -183,7 +183,7 @@
     """
 
     def __init__(self, size: Size, seed: int) -> None:
-        self.system = local.Local(
+        self.system = local.LocalSystem(
             local.LocalSettings(
                 entries=size.entries,
                 agents=size.agents,
@@ -233,7 +233,7 @@
             for name in ("wire.bytes_sent", "wire.bytes_received")
         )
         return Totals(
-            self.system.messages,
+            self.system.message_count,
             agent_bytes,
             sum(
                 int(agent.counters.snapshot()["tasks.returned"])
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -17,7 +17,7 @@
 async def system():
     """Yield a started local system of one entry host and one agent."""
     async with contextlib.AsyncExitStack() as stack:
-        started = local.Local(local.LocalSettings(entries=1, agents=1, slots=2))
+        started = local.LocalSystem(local.LocalSettings(entries=1, agents=1, slots=2))
         await started.start()
         stack.push_async_callback(started.stop)
         yield started
@@ -31,8 +31,8 @@
 
 def set_platform(system, monkeypatch, **platform):
     """Start further nodes of a system with these platform settings."""
-    changed = attrs.evolve(system._platform(), **platform)
-    monkeypatch.setattr(system, "_platform", lambda: changed)
+    changed = attrs.evolve(system._platform_settings(), **platform)
+    monkeypatch.setattr(system, "_platform_settings", lambda: changed)
 
 
 def knows(system, name):
@@ -79,7 +79,7 @@
 async def test_entry_host_that_starts_in_an_outage_learns_the_view(system, monkeypatch):
     """Without the log, an entry host must get the view from a peer."""
     set_platform(system, monkeypatch, seeds=(system.entries[0].address,))
-    assert isinstance(system._platform(), settings.PlatformSettings)
+    assert isinstance(system._platform_settings(), settings.PlatformSettings)
     system.log.store.set_faults(log.Faults(down=True))
     late = await system.add_entry("entry-2", 1)
     await wait_until(
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -38,8 +38,8 @@
 @pytest.fixture(autouse=True)
 def short_tasks(monkeypatch):
     """Keep tasks of several seconds out of the runs of these tests."""
-    monkeypatch.setattr(arrivals, "LONG_MIN_MS", 50.0)
-    monkeypatch.setattr(arrivals, "LONG_MAX_MS", 100.0)
+    monkeypatch.setattr(arrivals, "LONG_TASK_MIN_MS", 50.0)
+    monkeypatch.setattr(arrivals, "LONG_TASK_MAX_MS", 100.0)
     monkeypatch.setattr(arrivals, "RUN_TIME_MAX_MS", 100.0)
 
 
@@ -166,7 +166,9 @@
     later = trace.Left(20.0, "other")
     settings = checker.Settings(table_rollout.nodes)
     violations = checker.check([*table_rollout.events, later], settings)
-    assert {each.promise for each in violations} == {checker.Promise.VERSION_IN_FORCE}
+    assert {each.invariant for each in violations} == {
+        checker.Invariant.VERSION_IN_FORCE
+    }
     assert len(violations) == len(table_rollout.nodes) == 2
 
 
