--- a/tests/builders.py
+++ b/tests/builders.py
@@ -89,6 +89,6 @@
 
 
 def sent_messages(effects, kind):
-    """Return the messages of one type among effects, which are run if a generator."""
+    """Consume the effects and return the messages of one type among them."""
     found = [getattr(effect, "message", effect) for effect in effects]
     return [message for message in found if isinstance(message, kind)]
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -44,7 +44,7 @@
 
 @contextlib.asynccontextmanager
 async def _run_load(system, name, run_times_ms, is_lossy=False):
-    """Submit jobs continuously with several clients, and check the answers.
+    """Submit jobs from several clients, one at a time each, and check the answers.
 
     :param is_lossy: the fault may lose tasks, which ends an attempt; the client then
         submits the next one.
@@ -76,7 +76,7 @@
 
 
 async def test_job_echoes_its_own_payloads(system):
-    """Guards against lost, repeated or swapped tasks on the way to the worker."""
+    """Guards against lost, repeated or swapped tasks and results."""
     run_times_ms = [1 + index % 7 for index in range(100)]
     answers = await asyncio.gather(
         *(system.submit(f"echo-{index}", run_times_ms) for index in range(4))
@@ -154,7 +154,7 @@
 
 
 async def test_entry_host_stops_under_load(system):
-    """Guards against a planned stop of an entry host that ends a request."""
+    """Guards against a planned stop of an entry host that interrupts a request."""
     own = [
         asyncio.create_task(system.submit(f"own-{index}", [300] * 4, system.urls[:1]))
         for index in range(LOAD_JOBS)
@@ -188,7 +188,7 @@
 
 
 async def test_owner_paused(system):
-    """Guards against an owner that acts on its own when it goes on after a takeover."""
+    """Guards against a paused owner that starts or answers alone after a takeover."""
     first = asyncio.create_task(system.post(0, "paused", [500] * 60))
     await system.wait_for_starts("paused", count=12)
     system.entries[0].send(signal.SIGSTOP)
@@ -355,7 +355,7 @@
     "entry-killed": _make_fault("entries", *KILLED, _is_peer_lost),
     "entry-paused": _make_fault("entries", *PAUSED, _is_peer_lost),
     "agent-killed": _make_fault("agents", *KILLED, _is_worker_lost, is_lossy=True),
-    # On a slow machine the tasks of a paused agent are lost, 5 s after its lease.
+    # On a slow machine the tasks of a paused agent count as lost 5 s after its lease.
     "agent-paused": _make_fault("agents", *PAUSED, _is_worker_lost, is_lossy=True),
     "server-killed": _make_fault("servers", *KILLED, _has_no_free_slot, is_lossy=True),
     "server-paused": _make_fault("servers", *PAUSED, _has_no_free_slot),
--- a/tests/test_session_steps.py
+++ b/tests/test_session_steps.py
@@ -208,7 +208,7 @@
 
 @pytest.mark.parametrize("fault", ["down", "slow", "loses answers"])
 def test_log(fault, snapshot):
-    """Guards the jobs and the changes of the table against faults of the log."""
+    """Jobs go on, and a change of the table reaches all nodes within its limit."""
     session = make_session(entries=3)
     session.log_is_up = fault != "down"
     session.append_s = 2.0 if fault == "slow" else sessions.APPEND_S
@@ -247,7 +247,7 @@
 @pytest.mark.parametrize("role", [None, *ROLES])
 @pytest.mark.parametrize("kind", ["doubled", "reordered", "delayed"])
 def test_messages_disturbed(kind, role, snapshot):
-    """Guards against tasks, counts and answers repeated by late messages."""
+    """Guards against late or repeated messages that start, count or answer twice."""
     session = make_session()
     session.filters.append(make_disturbance(kind, random.Random(7)))
     requests = [make_request(f"late-{number}") for number in range(12)]
@@ -276,7 +276,7 @@
 
 
 def test_wave_of_cancellations(snapshot):
-    """Guards against a cancelled job without an outcome, and a false "not run"."""
+    """Each cancelled job ends in one outcome, and "not run" is true."""
     session = make_session()
     requests = [sessions.make_request(f"wave-{n}", [150] * 4) for n in range(60)]
     for number, request in enumerate(requests):
