Rename seven attributes that a new reader mistook

running_count counts starting and uncertain runs too, accepted_ms is a reading of the worker's clock, deadline_at of a submission is the limit of its current step, is_recovering stood for two things, is_linked and is_connected for one, and had_attempt did not say that the earlier attempt may have run.

They are now dispatched_count, accepted_clock_ms, step_deadline_at, may_have_old_runs, is_connected and may_have_run_before. The log field 'running' keeps its name.

--- a/src/burdockgate/process/agentdaemon.py
+++ b/src/burdockgate/process/agentdaemon.py
@@ -108,10 +108,12 @@
 
         Runs that are still in progress shortly before the end are stopped.
         """
-        self.events.record("process.stopping", {"running": self.executor.running_count})
+        self.events.record(
+            "process.stopping", {"running": self.executor.dispatched_count}
+        )
         self._perform(self.executor.drain())
         await self._wait_until_idle(self._settings.grace_s - STOP_RESERVE_S)
-        if self.executor.running_count:
+        if self.executor.dispatched_count:
             self._perform(self.executor.stop_all("agent stops"))
             await self._wait_until_idle(STOP_RESERVE_S / 2)
         self._report()
@@ -122,11 +124,13 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._worker.close()
         await self._store.close()
-        self.events.record("process.stopped", {"running": self.executor.running_count})
+        self.events.record(
+            "process.stopped", {"running": self.executor.dispatched_count}
+        )
 
     async def _wait_until_idle(self, timeout_s: float) -> None:
         deadline = self._time.now() + timeout_s
-        while self.executor.running_count and self._time.now() < deadline:
+        while self.executor.dispatched_count and self._time.now() < deadline:
             await asyncio.sleep(TICK_S)
 
     def handle_heartbeat(self, heartbeat: workercontrol.WorkerHeartbeat) -> None:
--- a/src/burdockgate/process/entrysessions.py
+++ b/src/burdockgate/process/entrysessions.py
@@ -32,7 +32,7 @@
 
     :param boot: random number that the process of the entry host drew at its start.
     :param distance: sort key returned by :func:`distance`; smaller is nearer.
-    :param is_linked: whether a connection exists.
+    :param is_connected: whether a connection exists.
     :param leased_until: end of the session lease. Runs of this entry host may start
         until then, and go on until then after the connection is lost. It is counted
         from the sending time of the report that a renewal echoes, so that delayed
@@ -50,7 +50,7 @@
     name: str
     boot: int
     distance: tuple[bool, int] = (False, 0)
-    is_linked: bool = True
+    is_connected: bool = True
     leased_until: float = 0.0
     last_assign_number: int = 0
     demand: assignments.Demand = assignments.Demand(0, 0)
@@ -68,7 +68,7 @@
         :param now: the time in seconds.
         """
         is_valid = now - self.demand_received_at < DEMAND_VALID_S
-        return self.is_linked and is_valid and self.demand.waiting_cpu > 0
+        return self.is_connected and is_valid and self.demand.waiting_cpu > 0
 
     def record_end(
         self,
@@ -154,6 +154,6 @@
     :param sessions: sessions with the entry hosts.
     :param count: largest number of names.
     """
-    linked = [session for session in sessions if session.is_linked]
+    linked = [session for session in sessions if session.is_connected]
     linked.sort(key=lambda session: session.distance)
     return {session.name for session in linked[:count]}
--- a/src/burdockgate/process/executor.py
+++ b/src/burdockgate/process/executor.py
@@ -127,7 +127,7 @@
         """
         session = self.session_by_entry.get(entry)
         if session is not None and session.boot == boot:
-            session.is_linked = True
+            session.is_connected = True
             session.last_assign_number = 0
             session.reported_load = None
             for end in session.unacknowledged():
@@ -144,8 +144,8 @@
         :param entry: name of the entry host.
         """
         session = self.session_by_entry.get(entry)
-        if session is not None and session.is_linked:
-            session.is_linked = False
+        if session is not None and session.is_connected:
+            session.is_connected = False
             yield actions.LogEvent("owner.unlinked", {"owner": entry})
 
     def handle_entry_gone(self, entry: str) -> Iterator[executoractions.Effect]:
@@ -287,7 +287,7 @@
             return
         state = self.worker_state()
         if state is assignments.WorkerState.PROBATION:
-            if self.running_count:
+            if self.dispatched_count:
                 return
         elif state is not assignments.WorkerState.READY:
             return
--- a/src/burdockgate/process/fleet.py
+++ b/src/burdockgate/process/fleet.py
@@ -29,7 +29,8 @@
     :param last_end_number: number of the last task end received.
     :param unconfirmed_runs: assigned runs that the agent did not list when it connected
         again.
-    :param is_recovering: whether runs from an earlier boot of the agent may be active.
+    :param may_have_old_runs: whether runs from an earlier boot of the agent may be
+        active.
     :param reported_at: when the last load report came.
     """
 
@@ -41,7 +42,7 @@
     renewal_due_at: float = 0.0
     last_assign_number: int = 0
     last_end_number: int = 0
-    is_recovering: bool = False
+    may_have_old_runs: bool = False
     unconfirmed_runs: set[assignments.RunKey] = attrs.field(factory=set)
     info: assignments.WorkerInfo | None = None
     load: assignments.LoadReport | None = None
--- a/src/burdockgate/process/lifecycle.py
+++ b/src/burdockgate/process/lifecycle.py
@@ -57,7 +57,7 @@
         submission.is_cancel_requested |= self._was_cancelled(request.job)
         self._set_request(submission, request)
         submission.refusal, submission.refusal_detail = refusal, detail
-        submission.deadline_at = self._time.now() + request.deadline_ms / 1000
+        submission.step_deadline_at = self._time.now() + request.deadline_ms / 1000
         self._add_caller(submission, ticket)
         yield from self._claim(submission, 0 if refusal else 1, 1)
 
@@ -90,7 +90,7 @@
             submission = self._add_submission(request.job, request.deadline_ms / 1000)
             self._set_request(submission, request)
             self._add_caller(submission, ticket)
-            submission.had_attempt = registry.may_have_run(cached.outcome.code)
+            submission.may_have_run_before = registry.may_have_run(cached.outcome.code)
             yield from self._claim(
                 submission, cached.epoch + 1, cached.outcome.attempt + 1
             )
@@ -168,7 +168,7 @@
         else:
             # Without a majority, the claim would stay open until the deadline.
             latest_at = self._time.now() + ownership.CONFIRMATION_TIMEOUT_S
-            submission.deadline_at = min(submission.deadline_at, latest_at)
+            submission.step_deadline_at = min(submission.step_deadline_at, latest_at)
 
     def tick(self) -> _Effects:
         """Run the timers that are due; call at least ten times a second."""
@@ -215,12 +215,12 @@
         if submission.owned_job is not None:
             due_times.append(submission.owned_job.due_at)
             if submission.confirmation is not None:
-                due_times.append(submission.deadline_at)
+                due_times.append(submission.step_deadline_at)
             queue_s = self._limits.max_queue_s(submission.owned_job.request)
             if queue_s is not None and submission.owned_job.first_sent_at is None:
                 due_times.append(submission.owned_job.arrived_at + queue_s)
         else:
-            due_times.append(submission.deadline_at)
+            due_times.append(submission.step_deadline_at)
             if submission.owner_disconnected_at is not None:
                 due_times.append(
                     submission.owner_disconnected_at + self._config.timing.lease_s
@@ -243,7 +243,7 @@
                 yield from submission.owned_job.check_queue_time(queue_s)
             yield from submission.owned_job.tick()
             yield from self._handle_job_change(submission)
-        elif now >= submission.deadline_at:
+        elif now >= submission.step_deadline_at:
             yield from self._finish_expired(submission)
         elif submission.owner is not None:
             yield from self._check_owner(submission, now)
--- a/src/burdockgate/process/ownership.py
+++ b/src/burdockgate/process/ownership.py
@@ -50,7 +50,7 @@
         self, submission: _Submission, epoch: int, attempt: int
     ) -> claimant.Terms:
         request = submission.request
-        remaining_s = max(0.0, submission.deadline_at - self._time.now())
+        remaining_s = max(0.0, submission.step_deadline_at - self._time.now())
         return claimant.Terms(
             submission.job,
             epoch,
@@ -146,7 +146,7 @@
             self.view.group(submission.job),
             self._time,
             self._config.timing.lost_worker_s,
-            submission.had_attempt,
+            submission.may_have_run_before,
         )
         if record is not None and record.attempt == terms.attempt and terms.epoch > 1:
             yield from submission.owned_job.recover(record.scope)
@@ -169,7 +169,7 @@
             and submission.refusal is None
             and outcomecache.may_run_again(code, record.repeatable)
         ):
-            submission.had_attempt = registry.may_have_run(code)
+            submission.may_have_run_before = registry.may_have_run(code)
             yield from self._claim(submission, record.epoch + 1, record.attempt + 1)
         else:
             detail = codes.MEANING_BY_CODE[code].text
@@ -256,7 +256,7 @@
             self._confirmation_queue[submission.job] = None
         elif submission.confirmation is None:
             yield from self._start_confirmation(submission, owned_job)
-        elif self._time.now() >= submission.deadline_at:
+        elif self._time.now() >= submission.step_deadline_at:
             owned_job.replace_code(_UNCONFIRMED_CODE_BY_CODE[owned_job.outcome.code])
             yield from self._finish(submission, owned_job.outcome)
 
@@ -265,7 +265,7 @@
     ) -> _Effects:
         assert owned_job.outcome is not None
         self._confirming_jobs.add(submission.job)
-        submission.deadline_at = self._time.now() + CONFIRMATION_TIMEOUT_S
+        submission.step_deadline_at = self._time.now() + CONFIRMATION_TIMEOUT_S
         submission.confirmation = claimant.Claimant(
             attrs.evolve(owned_job.terms, code=int(owned_job.outcome.code)),
             self._time,
--- a/src/burdockgate/process/runs.py
+++ b/src/burdockgate/process/runs.py
@@ -39,7 +39,8 @@
         while it may run.
     :param stop_sent_at: when the last stop command was sent.
     :param started_at: when the last start command was sent; 0 before the first.
-    :param accepted_ms: the worker's clock when the start was confirmed; 0 before that.
+    :param accepted_clock_ms: the worker's clock when the start was confirmed; 0 before
+        that.
     :param percent: share of the work that is done, 0 to 100.
     :param progressed_at: when the share last grew, or the start command was sent.
     """
@@ -60,7 +61,7 @@
     stop_requested_at: float | None = None
     stop_sent_at: float = 0.0
     started_at: float = 0.0
-    accepted_ms: int = 0
+    accepted_clock_ms: int = 0
     percent: int = 0
     progressed_at: float = 0.0
 
--- a/src/burdockgate/process/scheduler.py
+++ b/src/burdockgate/process/scheduler.py
@@ -197,7 +197,7 @@
             yield actions.LogEvent(
                 "agent.restarted", {"agent": hello.name, "boot": hello.boot}
             )
-            view.boot, view.is_recovering = hello.boot, True
+            view.boot, view.may_have_old_runs = hello.boot, True
             view.info = None
             view.last_end_number = 0
         view.reset_session()
@@ -251,12 +251,12 @@
                 "worker.state",
                 {"agent": agent, "state": load.state.name, "speed": load.speed},
             )
-        if not view.is_recovering:
+        if not view.may_have_old_runs:
             yield from self._mark_unconfirmed_lost(view)
         elif load.state is not assignments.WorkerState.UNREACHABLE:
             # The restarted agent has reached its worker and found no foreign runs, so
             # that all runs of its previous boot have ended.
-            view.is_recovering = False
+            view.may_have_old_runs = False
             yield from self._mark_all_lost(agent, "agent restarted")
         if now >= view.renewal_due_at:
             view.renewed_at, view.renewal_due_at = now, now + RENEWAL_INTERVAL_S
@@ -418,8 +418,8 @@
         now = self._time.now()
         for view in list(self.fleet.view_by_agent.values()):
             is_timed_out = now - view.renewed_at > self._settings.agent_timeout_s
-            if is_timed_out and (view.is_recovering or not view.is_connected):
-                view.is_recovering = False
+            if is_timed_out and (view.may_have_old_runs or not view.is_connected):
+                view.may_have_old_runs = False
                 yield from self._mark_all_lost(view.agent, "agent silent")
         for job in list(self.job_by_id.values()):
             yield from self._expire(job, now)
--- a/src/burdockgate/process/supervisor.py
+++ b/src/burdockgate/process/supervisor.py
@@ -213,7 +213,7 @@
         return self._health.state(now)
 
     @property
-    def running_count(self) -> int:
+    def dispatched_count(self) -> int:
         """Number of dispatched runs, which may exist at the worker."""
         return sum(1 for _ in self._runs.dispatched())
 
@@ -262,7 +262,7 @@
         match result:
             case workercontrol.Accepted(clock_ms):
                 self._record_answer(clock_ms)
-                run.state, run.accepted_ms = runs.RunState.RUNNING, clock_ms
+                run.state, run.accepted_clock_ms = runs.RunState.RUNNING, clock_ms
                 if run.is_stopping:
                     yield from self._send_stop(run)
             case workercontrol.Refused(reason, clock_ms):
@@ -508,7 +508,10 @@
                 yield from self._stop_foreign(worker, entry.key, now)
                 continue
             if run.state is not runs.RunState.RUNNING:
-                run.state, run.accepted_ms = runs.RunState.RUNNING, snapshot.clock_ms
+                run.state, run.accepted_clock_ms = (
+                    runs.RunState.RUNNING,
+                    snapshot.clock_ms,
+                )
                 if run.is_stopping:
                     yield from self._send_stop(run)
             if entry.percent > run.percent:
@@ -536,7 +539,7 @@
             if run.state is runs.RunState.UNCERTAIN and run.token < command.token:
                 # The worker has confirmed a higher token, so that it rejects the start
                 # command if that is still in flight.
-                if run.accepted_ms:
+                if run.accepted_clock_ms:
                     yield from self._end_run(
                         run, assignments.EndKind.LOST, "fenced off"
                     )
@@ -549,7 +552,7 @@
                     )
             elif (
                 run.state is runs.RunState.RUNNING
-                and run.accepted_ms < snapshot.clock_ms
+                and run.accepted_clock_ms < snapshot.clock_ms
             ):
                 yield from self._end_run(run, assignments.EndKind.LOST, "not listed")
 
--- a/src/burdockgate/request/ownedjob.py
+++ b/src/burdockgate/request/ownedjob.py
@@ -56,8 +56,8 @@
     :param claim_group: the members of the claim group, which get the settlement.
     :param time: the clock.
     :param lost_worker_s: time after which a disconnected agent counts as lost.
-    :param had_attempt: whether an earlier attempt may have run; if so, no result code
-        of this attempt may say "not run".
+    :param may_have_run_before: whether an earlier attempt may have run; if so, no
+        result code of this attempt may say "not run".
     """
 
     def __init__(
@@ -67,7 +67,7 @@
         claim_group: Iterable[messages.Node],
         time: clock.Clock,
         lost_worker_s: float,
-        had_attempt: bool = False,
+        may_have_run_before: bool = False,
     ) -> None:
         self.request = request
         self.extend_scope(terms)
@@ -84,7 +84,7 @@
         self._result_by_index: dict[int, bytes] = {}
         self._send_by_index = [0] * len(request.tasks)
         self._agent_by_name: dict[str, _AgentState] = {}
-        self._has_started = had_attempt
+        self._has_started = may_have_run_before
         self._is_in_doubt = False
         self._recovering_count = 0
         self._sent_count = 0
--- a/src/burdockgate/request/submission.py
+++ b/src/burdockgate/request/submission.py
@@ -20,7 +20,7 @@
     """State of one job at one entry host.
 
     :param job: 16-byte job id.
-    :param deadline_at: time at which an open claim, the wait for the owner or the
+    :param step_deadline_at: time at which an open claim, the wait for the owner or the
         confirmation fails, in seconds.
     :param request: the job; ``None`` while callers only ask for its outcome.
     :param tickets: numbers of the callers that wait here.
@@ -35,13 +35,13 @@
     :param retry_at: time of the next claim, set when the supposed owner has replied
         that it does not own the job.
     :param is_cancel_requested: whether a caller has cancelled the job.
-    :param had_attempt: whether an earlier attempt may have run.
+    :param may_have_run_before: whether an earlier attempt may have run.
     :param number: position in the order of arrival.
     :param scheduled_at: time of the entry in the schedule heap.
     """
 
     job: bytes
-    deadline_at: float
+    step_deadline_at: float
     request: jobs.JobRequest | None = None
     tickets: set[int] = attrs.field(factory=set)
     attached_hosts: set[str] = attrs.field(factory=set)
@@ -56,6 +56,6 @@
     owner_disconnected_at: float | None = None
     retry_at: float | None = None
     is_cancel_requested: bool = False
-    had_attempt: bool = False
+    may_have_run_before: bool = False
     number: int = 0
     scheduled_at: float | None = None
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -66,10 +66,12 @@
     return attrs.evolve(whole, caller_class=caller_class, tasks=specs)
 
 
-def make_owned_job(made=None, time=None, scope=("a1", "a2"), had_attempt=False):
+def make_owned_job(made=None, time=None, scope=("a1", "a2"), may_have_run_before=False):
     members, time = (node("m1"),), time or clock.ManualClock()
     made = made or request()
-    return ownedjob.OwnedJob(made, terms(scope), members, time, 5.0, had_attempt)
+    return ownedjob.OwnedJob(
+        made, terms(scope), members, time, 5.0, may_have_run_before
+    )
 
 
 def report(index, send=1, state=messages.TaskState.DONE, payload=b"1"):
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -343,7 +343,7 @@
     (start,) = _of(executoractions.Start, bench.assign(0))
     bench.accept(start)
     list(bench.executor.drain())
-    assert bench.executor.running_count == 1
+    assert bench.executor.dispatched_count == 1
     assert _of(executoractions.Start, bench.assign(1)) == []
     assert bench.executor.next_poll().lease_until_ms is not None
 
--- a/tests/test_ownedjob.py
+++ b/tests/test_ownedjob.py
@@ -236,8 +236,8 @@
 def test_code_says_not_run_only_if_no_task_can_have_started(
     time, situation, is_not_run, by_deadline
 ):
-    had_attempt = situation == "earlier attempt"
-    job = builders.make_owned_job(time=time, had_attempt=had_attempt)
+    may_have_run_before = situation == "earlier attempt"
+    job = builders.make_owned_job(time=time, may_have_run_before=may_have_run_before)
     if situation in ("returned", "sent", "running", "done"):
         assign(job, A1)
     if situation in ("returned", "done"):
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -21,7 +21,9 @@
 def _is_settled(sim):
     return not any(
         entry.scheduler.job_by_id for entry in sim.entry_by_name.values()
-    ) and not any(agent.executor.running_count for agent in sim.agent_by_name.values())
+    ) and not any(
+        agent.executor.dispatched_count for agent in sim.agent_by_name.values()
+    )
 
 
 def test_load_below_capacity_is_served_in_time():
@@ -140,7 +142,7 @@
     sim.run(6)
     worker.faults.unanswered = 0.0
     sim.run(60)
-    assert sim.agent_by_name["agent-0"].executor.running_count == 0
+    assert sim.agent_by_name["agent-0"].executor.dispatched_count == 0
     assert list(invariants.violations(sim)) == []
 
 
