Clarify the names and comments of owned jobs

A new reader took lost_at for the time of the loss, send_by_index for sends, and is_accounted_for for the opposite of unaccounted tasks. They are now out_of_sync_since, send_number_by_index and is_unstarted. Comments say what a query claim is and which fence replies are dropped.

Comparison: Ownership._handle_job_change differs in code, as the arguments of _claim are now named. The fields lost_at and send_by_index belong to a private class that is not written out.

--- a/src/burdockgate/process/ownership.py
+++ b/src/burdockgate/process/ownership.py
@@ -49,6 +49,8 @@
     def _claim_terms(
         self, submission: _Submission, epoch: int, attempt: int
     ) -> claimant.Terms:
+        # A claim with epoch 0 only asks whether the claim group has a record of the
+        # job. Such a claim, or one without a request, sends no tasks: it has no scope.
         request = submission.request
         remaining_s = max(0.0, submission.step_deadline_at - self._time.now())
         return claimant.Terms(
@@ -218,7 +220,7 @@
         yield from self._handle_job_change(submission)
 
     def _handle_job_change(self, submission: _Submission) -> _Effects:
-        """Queue, finish or claim a job again after its owned job has changed."""
+        """Queue the job, finish it, or claim it anew, by the state of its owned job."""
         owned_job = submission.owned_job
         if owned_job is None:
             return
@@ -233,7 +235,7 @@
             submission.owned_job = submission.extension = submission.confirmation = None
             self._confirming_jobs.discard(submission.job)
             self._confirmation_queue.pop(submission.job, None)
-            yield from self._claim(submission, 1, 1)
+            yield from self._claim(submission, epoch=1, attempt=1)
         elif owned_job.outcome is not None:
             if codes.start_class(owned_job.outcome.code) is codes.StartClass.NOT_RUN:
                 yield from self._confirm_not_run(submission, owned_job)
--- a/src/burdockgate/request/ownedjob.py
+++ b/src/burdockgate/request/ownedjob.py
@@ -33,9 +33,10 @@
     :param is_fencing: whether the reply to that fence is outstanding.
     :param is_recovering: whether the agent may have unreported tasks that an earlier
         owner sent.
-    :param lost_at: time from which the loss of the agent is counted; ``None`` while it
-        is connected and in sync.
-    :param send_by_index: number of the current send of each task at the agent.
+    :param out_of_sync_since: start of the time limit after which the agent counts as
+        lost; ``None`` while it is connected and in sync. It starts anew when the
+        agent connects again and gets a fence, and when it counts as lost.
+    :param send_number_by_index: number of the current send of each task at the agent.
     :param reported_indexes: tasks reported in replies to the current fence.
     """
 
@@ -43,8 +44,8 @@
     fence: int = 0
     is_fencing: bool = False
     is_recovering: bool = False
-    lost_at: float | None = None
-    send_by_index: dict[int, int] = attrs.field(factory=dict)
+    out_of_sync_since: float | None = None
+    send_number_by_index: dict[int, int] = attrs.field(factory=dict)
     reported_indexes: set[int] = attrs.field(factory=set)
 
 
@@ -82,9 +83,9 @@
         self._lost_worker_s = lost_worker_s
         self._waiting_indexes = collections.deque(range(len(request.tasks)))
         self._result_by_index: dict[int, bytes] = {}
-        self._send_by_index = [0] * len(request.tasks)
+        self._send_number_by_index = [0] * len(request.tasks)
         self._agent_by_name: dict[str, _AgentState] = {}
-        self._has_started = may_have_run_before
+        self._may_have_started = may_have_run_before
         self._is_in_doubt = False
         self._recovering_count = 0
         self._sent_count = 0
@@ -123,7 +124,7 @@
         agent = self._agent_by_name.get(node.name)
         if agent is not None and (
             agent.is_fencing
-            or agent.lost_at is not None
+            or agent.out_of_sync_since is not None
             or not agent.node.is_same_incarnation(node)
         ):
             return False
@@ -142,15 +143,15 @@
         :param node: the agent; see :meth:`may_send_to`.
         """
         index = self._waiting_indexes.popleft()
-        self._send_by_index[index] += 1
+        self._send_number_by_index[index] += 1
         agent = self._find_or_add_agent(node)
-        agent.send_by_index[index] = self._send_by_index[index]
+        agent.send_number_by_index[index] = self._send_number_by_index[index]
         self._sent_count += 1
         if self.first_sent_at is None:
             self.first_sent_at = self._time.now()
         return messages.TaskStart(
             index,
-            self._send_by_index[index],
+            self._send_number_by_index[index],
             self.request.tasks[index].payload,
             max(1, int((self.deadline_at - self._time.now()) * 1000)),
         )
@@ -202,7 +203,7 @@
                 self._is_in_doubt = True
                 continue
             self._set_recovering(agent, True)
-            agent.lost_at = self._time.now()
+            agent.out_of_sync_since = self._time.now()
             yield from self._send_fence(agent)
 
     def _send_fence(self, agent: _AgentState) -> _Effects:
@@ -232,28 +233,28 @@
             return
         if not agent.node.is_same_incarnation(node):
             yield from self._handle_agent_lost(agent)
-        elif agent.send_by_index or agent.is_fencing:
-            agent.lost_at = self._time.now()
+        elif agent.send_number_by_index or agent.is_fencing:
+            agent.out_of_sync_since = self._time.now()
             yield from self._send_fence(agent)
         else:
-            agent.lost_at = None
+            agent.out_of_sync_since = None
 
     def handle_agent_disconnected(self, name: str) -> None:
-        """Record when the connection of an agent was lost.
+        """Start the time limit after which a disconnected agent counts as lost.
 
         :param name: name of the agent.
         """
         agent = self._agent_by_name.get(name)
-        if agent is not None and agent.lost_at is None:
-            agent.lost_at = self._time.now()
+        if agent is not None and agent.out_of_sync_since is None:
+            agent.out_of_sync_since = self._time.now()
 
     def handle_fence_reply(self, name: str, reply: messages.FenceReply) -> _Effects:
         """Handle an agent's reply to a fence.
 
         :param name: name of the agent.
         :param reply: the tasks that the agent knows. A higher epoch shows that another
-            owner has taken the job over; any other reply is dropped and counted unless
-            it is to the latest fence.
+            owner has taken the job over. Replies to older fences are dropped and
+            counted.
         """
         agent = self._agent_by_name.get(name)
         if reply.epoch > self.terms.epoch:
@@ -269,7 +270,7 @@
             # The return of an earlier send says nothing about the current send.
             is_earlier_send = (
                 report.state is messages.TaskState.RETURNED
-                and report.send_number != agent.send_by_index.get(report.index)
+                and report.send_number != agent.send_number_by_index.get(report.index)
             )
             if not is_earlier_send:
                 agent.reported_indexes.add(report.index)
@@ -291,13 +292,13 @@
         """Queue the tasks again that the agent did not report and will never start."""
         agent.is_fencing = False
         self._set_recovering(agent, False)
-        agent.lost_at = None
+        agent.out_of_sync_since = None
         for index in [
             index
-            for index in agent.send_by_index
+            for index in agent.send_number_by_index
             if index not in agent.reported_indexes
         ]:
-            del agent.send_by_index[index]
+            del agent.send_number_by_index[index]
             self._sent_count -= 1
             self._requeue(index)
         yield from self._fail_if_in_doubt()
@@ -311,18 +312,21 @@
         was_recovering = agent.is_recovering
         agent.is_fencing = False
         self._set_recovering(agent, False)
-        if agent.send_by_index:
+        if agent.send_number_by_index:
             yield from self.fail(
                 codes.Code.WORKER_LOST,
                 f"worker {agent.node.name} was lost with "
-                f"{len(agent.send_by_index)} tasks",
+                f"{len(agent.send_number_by_index)} tasks",
             )
         elif was_recovering:
             self._is_in_doubt = True
             yield from self._fail_if_in_doubt()
 
     def _fail_if_in_doubt(self) -> _Effects:
-        """Fail if no agent's reply is outstanding and a task is unaccounted for."""
+        """Fail if tasks still wait that may have started on a lost agent's worker.
+
+        Agents that may still report such tasks are awaited first.
+        """
         if self._is_in_doubt and not self._recovering_count and self._waiting_indexes:
             yield from self.fail(
                 codes.Code.OWNER_LOST,
@@ -357,9 +361,9 @@
         index = report.index
         if index >= len(self.request.tasks) or self.outcome:
             self.dropped_count += 1
-        elif is_resync and agent.send_by_index.get(index) is None:
+        elif is_resync and agent.send_number_by_index.get(index) is None:
             yield from self._adopt_task(agent, report)
-        elif agent.send_by_index.get(index) != report.send_number:
+        elif agent.send_number_by_index.get(index) != report.send_number:
             self.dropped_count += 1
         else:
             yield from self._apply_report(agent, report)
@@ -371,13 +375,15 @@
             report.state is messages.TaskState.RETURNED
             or index not in self._waiting_indexes
         ):
-            self._send_by_index[index] = max(
-                self._send_by_index[index], report.send_number
+            self._send_number_by_index[index] = max(
+                self._send_number_by_index[index], report.send_number
             )
             return
         self._waiting_indexes.remove(index)
-        self._send_by_index[index] = max(self._send_by_index[index], report.send_number)
-        agent.send_by_index[index] = report.send_number
+        self._send_number_by_index[index] = max(
+            self._send_number_by_index[index], report.send_number
+        )
+        agent.send_number_by_index[index] = report.send_number
         self._sent_count += 1
         yield from self._apply_report(agent, report)
 
@@ -386,15 +392,15 @@
     ) -> _Effects:
         index, state = report.index, report.state
         if state is messages.TaskState.RUNNING:
-            self._has_started = True
+            self._may_have_started = True
             return
-        del agent.send_by_index[index]
+        del agent.send_number_by_index[index]
         self._sent_count -= 1
         if state is messages.TaskState.RETURNED:
             self._requeue(index)
             self.returned_tasks.append(self.request.tasks[index])
             return
-        self._has_started = True
+        self._may_have_started = True
         if state is not messages.TaskState.DONE:
             detail = report.payload.decode(errors="replace")[:200]
             yield from self.fail(_CODE_BY_STATE[state], f"task {index}: {detail}")
@@ -417,9 +423,9 @@
     def due_at(self) -> float:
         """Time at which :meth:`tick` is due, if no event comes first."""
         loss_times = [
-            agent.lost_at + self._lost_worker_s
+            agent.out_of_sync_since + self._lost_worker_s
             for agent in self._agent_by_name.values()
-            if agent.lost_at is not None
+            if agent.out_of_sync_since is not None
         ]
         return min([self.deadline_at, *loss_times])
 
@@ -430,11 +436,14 @@
             yield from self.expire()
         for agent in list(self._agent_by_name.values()):
             if self.outcome is None and self._is_overdue(agent, now):
-                agent.lost_at = now
+                agent.out_of_sync_since = now
                 yield from self._handle_agent_lost(agent)
 
     def _is_overdue(self, agent: _AgentState, now: float) -> bool:
-        return agent.lost_at is not None and now - agent.lost_at >= self._lost_worker_s
+        return (
+            agent.out_of_sync_since is not None
+            and now - agent.out_of_sync_since >= self._lost_worker_s
+        )
 
     def expire(self) -> _Effects:
         """Fail the job because its deadline has passed."""
@@ -473,10 +482,10 @@
     def _fail_by_start(
         self, not_run: codes.Code, may_have_run: codes.Code, detail: str
     ) -> _Effects:
-        is_accounted_for = not (
-            self._has_started or self._recovering_count or self._is_in_doubt
+        is_unstarted = not (
+            self._may_have_started or self._recovering_count or self._is_in_doubt
         )
-        code = not_run if is_accounted_for and not self._sent_count else may_have_run
+        code = not_run if is_unstarted and not self._sent_count else may_have_run
         yield from self.fail(code, detail)
 
     def fail(self, code: codes.Code, detail: str) -> _Effects:
@@ -490,7 +499,7 @@
         self.outcome = outcome.Failed(self.terms.attempt, code, detail)
         cancel = messages.Cancel(self.request.job, self.terms.epoch, self.terms.attempt)
         for agent in self._agent_by_name.values():
-            if agent.send_by_index:
+            if agent.send_number_by_index:
                 yield effects.Send(agent.node.name, cancel)
 
     def _complete(self) -> None:
@@ -502,7 +511,7 @@
     def replace_code(self, code: codes.Code) -> None:
         """Replace the code of a failure that the claim group has not confirmed.
 
-        :param code: result code that claims less.
+        :param code: the "may have run" code that replaces the "not run" code.
         """
         assert isinstance(self.outcome, outcome.Failed)
         self.outcome = outcome.Failed(self.terms.attempt, code, self.outcome.detail)
