Clarify the comments of the supervisor and executor

Say why tokens need not be stored, what happens after a refused start, and what the ample share of the capacity means. 'share' stood for a fraction and for processors; the latter is now allotted_cpu.

--- a/src/burdockgate/process/entrysessions.py
+++ b/src/burdockgate/process/entrysessions.py
@@ -9,8 +9,9 @@
 
 from burdockgate import assignments
 
-# Entry hosts send their demand with every change and at least every 0.2 s. An older
-# demand must not reserve capacity that others can use.
+# Entry hosts send their demand when its urgency changes or no task waits any more, and
+# every 0.1 s while tasks wait. An older demand must not reserve capacity that others
+# can use.
 DEMAND_VALID_S = 0.5
 
 
@@ -18,8 +19,9 @@
 class ReportedLoad:
     """Part of a load report whose changes are reported at once.
 
-    :param free_cpu: free processors up to the share above which changes do not matter,
-        in thousandths of a core; 0 for an entry host that is not among the nearest.
+    :param free_cpu: free processors, at most the amount above which changes do not
+        matter, in thousandths of a core; 0 for an entry host that is not among the
+        nearest.
     """
 
     state: assignments.WorkerState
@@ -122,14 +124,16 @@
         (session for session in sessions if session.has_demand(now)),
         key=lambda session: (session.demand.rank, session.last_start_at, session.name),
     )
-    share_by_entry: dict[str, int] = {}
+    allotted_cpu_by_entry: dict[str, int] = {}
     for session in demanding:
-        share = min(free_cpu, session.demand.waiting_cpu)
-        share_by_entry[session.name] = share
-        free_cpu -= share
+        allotted_cpu = min(free_cpu, session.demand.waiting_cpu)
+        allotted_cpu_by_entry[session.name] = allotted_cpu
+        free_cpu -= allotted_cpu
     for session in sessions:
-        share_by_entry[session.name] = share_by_entry.get(session.name, 0) + free_cpu
-    return share_by_entry
+        allotted_cpu_by_entry[session.name] = (
+            allotted_cpu_by_entry.get(session.name, 0) + free_cpu
+        )
+    return allotted_cpu_by_entry
 
 
 def distance(
@@ -154,6 +158,6 @@
     :param sessions: sessions with the entry hosts.
     :param count: largest number of names.
     """
-    linked = [session for session in sessions if session.is_connected]
-    linked.sort(key=lambda session: session.distance)
-    return {session.name for session in linked[:count]}
+    connected = [session for session in sessions if session.is_connected]
+    connected.sort(key=lambda session: session.distance)
+    return {session.name for session in connected[:count]}
--- a/src/burdockgate/process/executor.py
+++ b/src/burdockgate/process/executor.py
@@ -18,8 +18,9 @@
     supervisor,
 )
 
-# Changes of the free capacity above this share of the total are not reported at once:
-# a task fits, and the entry host cannot use up the rest before the next regular report.
+# Share of the capacity above which the exact free amount does not matter to an entry
+# host: a task fits, and the entry host cannot use up the rest before the next periodic
+# report. Changes above it wait for that report.
 AMPLE_FREE_SHARE = 0.5
 
 
@@ -46,7 +47,7 @@
 
         Marks them as sent.
 
-        :param is_periodic: whether regular reports are included; otherwise only entry
+        :param is_periodic: whether periodic reports are included; otherwise only entry
             hosts that need to know of a change at once get a report.
         """
         now, state = self._time.now(), self.worker_state()
@@ -56,14 +57,14 @@
         queued_cpu = sum(run.cpu for run in self._runs.queued())
         capacity = self._worker.heartbeat.cpu if self._worker else 0
         free_cpu = max(0, capacity - used.cpu - queued_cpu)
-        share_by_entry = entrysessions.allocate_free_cpu(free_cpu, sessions, now)
+        allotted_cpu_by_entry = entrysessions.allocate_free_cpu(free_cpu, sessions, now)
         speed = int(self._health.current_speed(now) * 1000)
         report_by_entry = {}
         for name, session in self.session_by_entry.items():
-            share = share_by_entry[name]
-            ample_cpu = min(share, int(AMPLE_FREE_SHARE * capacity))
+            allotted_cpu = allotted_cpu_by_entry[name]
+            reported_free_cpu = min(allotted_cpu, int(AMPLE_FREE_SHARE * capacity))
             load = entrysessions.ReportedLoad(
-                state, ample_cpu if name in near_entries else 0
+                state, reported_free_cpu if name in near_entries else 0
             )
             has_changed = session.has_stale_load or load != session.reported_load
             if not (
@@ -78,7 +79,7 @@
                 int(now * 1_000_000),
                 session.last_assign_number,
                 state,
-                share,
+                allotted_cpu,
                 used.cpu,
                 used.memory_mb,
                 used.gpu,
@@ -91,7 +92,7 @@
     def _is_report_due(
         self, session: entrysessions.EntrySession, near_entries: set[str], now: float
     ) -> bool:
-        """Return whether a regular report to an entry host is due."""
+        """Return whether a periodic report to an entry host is due."""
         if session.name in near_entries or any(self._runs.owned_by(session.name)):
             return True
         return now - session.reported_at >= self._settings.distant_report_s
@@ -240,7 +241,7 @@
     def handle_revocation(
         self, message: assignments.Revoke
     ) -> Iterator[executoractions.Effect]:
-        """Drop or stop runs that their owner has revoked.
+        """Return the queued runs that their owner has revoked, and stop the others.
 
         :param message: the keys of the runs.
         """
--- a/src/burdockgate/process/supervisor.py
+++ b/src/burdockgate/process/supervisor.py
@@ -29,8 +29,9 @@
     workercontrol.EndReason.OTHER: assignments.EndKind.LOST,
 }
 
-# Weight of one sample of the speed of an overdue run. Samples are taken at every tick,
-# ten times a second, so that a single slow run shows in the speed after a few of them.
+# Weight of a sample of the speed of an overdue run, in the geometric mean with the
+# current speed of the worker. Samples are taken at every tick, ten times a second, so
+# that a single slow run shows in the speed after a few of them.
 OVERDUE_WEIGHT = 0.34
 
 
@@ -47,7 +48,7 @@
     :param lease_extended_at: when a command that can extend the lease was last sent.
     :param stop_sent_at_by_foreign_run: when a stop was last sent to each run that the
         worker lists and this agent does not know, such as one of the agent's previous
-        process.
+        process. While there is such a run, no queued run is started.
     :param first_token: first token drawn for this incarnation. Once the worker has
         accepted a poll with it, every earlier command is fenced off.
     :param is_synchronized: whether the runs at the worker are fully known, so that
@@ -178,8 +179,9 @@
                 yield from self._end_run(
                     run, assignments.EndKind.LOST, "worker replaced"
                 )
-        # The worker's clock is monotonic within one incarnation, so it exceeds every
-        # token that a previous process of this agent derived from it.
+        # Tokens are not stored: they start at the worker's clock, in ms. An earlier
+        # process of this agent derived its tokens from earlier readings, and the clock
+        # is monotonic within one incarnation, so this token exceeds all of them.
         self._token = max(self._token + 1, heartbeat.clock_ms)
         self._worker.first_token = self._token
         yield from self._poll_now()
@@ -279,6 +281,8 @@
     def _handle_start_refusal(
         self, run: runs.Run, reason: workercontrol.Refusal, clock_ms: int
     ) -> Iterator[executoractions.Effect]:
+        # After FENCED or LATE, the run stays queued and is started again with the new
+        # token or a new lease.
         run.state = runs.RunState.QUEUED
         if run.is_stopping:
             yield from self._end_run(run, assignments.EndKind.RETURNED, "stopped")
@@ -294,9 +298,9 @@
             if reason is workercontrol.Refusal.UNHEALTHY:
                 self._health.eject(self._time.now())
             # The worker rejects run numbers up to the highest that it has seen of the
-            # task. That number is not known here, so that several are skipped.
-            step = 16 if reason is workercontrol.Refusal.OLD_RUN else 1
-            yield from self._return_run(run, reason.value, run.key.run + step)
+            # task. That number is not known here, so several are skipped.
+            increment = 16 if reason is workercontrol.Refusal.OLD_RUN else 1
+            yield from self._return_run(run, reason.value, run.key.run + increment)
 
     def _fence_commands(self) -> Iterator[executoractions.Effect]:
         """Raise the fencing token and poll at once.
@@ -568,11 +572,13 @@
 
     def _sample_overdue_run(self, run: runs.Run, run_s: float, now: float) -> None:
         """Lower the speed of the worker if an overdue run progresses more slowly."""
-        sampled = self._health.current_speed(now)
+        current_speed = self._health.current_speed(now)
         speed = max(run.percent, 1) / 100 * run.estimate_s / run_s
-        if speed < sampled:
+        if speed < current_speed:
             weight = OVERDUE_WEIGHT
-            self._health.record_speed(sampled ** (1 - weight) * speed**weight, now)
+            self._health.record_speed(
+                current_speed ** (1 - weight) * speed**weight, now
+            )
 
     def _expire_lease(
         self, worker: WorkerIncarnation, now: float
