Clarify the comments of the scheduler and the health monitor

Say what the retry time divides, how assignments are counted, why renewals have a minimum interval, and what each branch of a recorded failure means. Jobs are refused, not rejected; the entry daemon separates futures from outcomes and the route table from the message that carries it.

--- a/src/burdockgate/process/assigner.py
+++ b/src/burdockgate/process/assigner.py
@@ -79,7 +79,7 @@
     :param settings: limits.
     :param selection_settings: weights of the choice of a worker.
     :param ordering: order of the waiting jobs.
-    :param time: a clock that counts suspensions.
+    :param time: a clock that goes on while the machine is suspended.
     :param rng: source of random numbers.
     """
 
@@ -107,7 +107,7 @@
         self._is_assign_due = False
         self._sent_demand = assignments.Demand(0, 0)
         self._demand_sent_at = 0.0
-        self._reject_checked_at = 0.0
+        self._refusals_checked_at = 0.0
         self._throughput = throughput.Throughput(time.now())
         self._ended: collections.OrderedDict[str, besteffort.Job] = (
             collections.OrderedDict()
@@ -116,7 +116,7 @@
         self._agent_by_revoked_task: dict[assignments.TaskKey, str] = {}
 
     def _retry_after_s(self, service: str) -> float:
-        """Return the time in seconds in which the present work can be done."""
+        """Return the seconds the workers need for this host's work, at least 1."""
         capacity = self.fleet.capacity_cpu(service, self._time.now())
         if not capacity:
             return 1.0
@@ -127,7 +127,9 @@
             for task in job.all_tasks()
             if task.state is not besteffort.TaskState.DONE
         )
-        # Other entry hosts use the same workers; each is expected to have similar work.
+        # Divides the work of this entry host alone by the capacity of all assignable
+        # workers, although other entry hosts, which are expected to have similar work,
+        # use the same workers.
         return max(1.0, work / capacity)
 
     def _schedule_assignment(self) -> Iterator[Effect]:
@@ -242,7 +244,8 @@
         task.agent, task.assigned_at = view.agent, now
         job.has_been_assigned = True
         self._throughput.add(task.step.cpu / 1000 * task.step.estimate_s)
-        # Numbers each task by itself; the message carries the number of the last one.
+        # Counts every run. ``Assign.number`` is the count after all runs that the
+        # assignment pass sends to the agent.
         view.add_assignment(task.step)
 
     def _send_assignment(
--- a/src/burdockgate/process/entrydaemon.py
+++ b/src/burdockgate/process/entrydaemon.py
@@ -104,14 +104,14 @@
         )
         self.routes: routes.RouteTable | None = None
         self._has_routes = asyncio.Event()
-        self._configuration: assignments.Configuration | None = None
+        self._configuration_message: assignments.Configuration | None = None
         self._agents_with_configuration: set[str] = set()
         self._links = links.EntryLinks(self, self._time)
         self._server: asyncio.Server | None = None
         self._link_by_agent: dict[str, stream.Stream] = {}
         self._agent_by_link: dict[stream.Stream, str] = {}
         self._address_by_entry: dict[str, str] = {settings.name: self._address}
-        self._outcome_by_ticket: dict[int, asyncio.Future[besteffort.Outcome]] = {}
+        self._future_by_ticket: dict[int, asyncio.Future[besteffort.Outcome]] = {}
         self._tickets = itertools.count(1)
         self._tasks: set[asyncio.Task[None]] = set()
         self.is_stopping = False
@@ -130,9 +130,9 @@
         )
 
     async def wait_for_routes(self, limit_s: float) -> routes.RouteTable | None:
-        """Return the configuration; ``None`` when none arrives in time.
+        """Return the route table; ``None`` when none arrives in time.
 
-        :param limit_s: longest wait for the first configuration in seconds.
+        :param limit_s: longest wait for the first route table in seconds.
         """
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(limit_s):
@@ -184,29 +184,29 @@
         :returns: how the job ended; ``None`` when its caller disconnected before.
         """
         ticket = next(self._tickets)
-        outcome: asyncio.Future[besteffort.Outcome] = (
+        future: asyncio.Future[besteffort.Outcome] = (
             asyncio.get_running_loop().create_future()
         )
-        self._outcome_by_ticket[ticket] = outcome
+        self._future_by_ticket[ticket] = future
         started_at = self._time.now()
         try:
             self._perform(self.scheduler.submit(submission, ticket))
-            awaited: set[asyncio.Future[Any]] = {outcome, disconnected}
+            awaited: set[asyncio.Future[Any]] = {future, disconnected}
             await asyncio.wait(awaited, return_when=asyncio.FIRST_COMPLETED)
-            if not outcome.done():
+            if not future.done():
                 self._perform(
                     self.scheduler.handle_caller_disconnected(submission.job, ticket)
                 )
                 return None
-            result = outcome.result()
+            outcome = future.result()
             self.events.histograms.record(
-                f"response.{result.code.name.lower()}",
+                f"response.{outcome.code.name.lower()}",
                 submission.route,
                 self._time.now() - started_at,
             )
-            return result
+            return outcome
         finally:
-            del self._outcome_by_ticket[ticket]
+            del self._future_by_ticket[ticket]
 
     def cancel(self, job: str) -> bool:
         """Cancel a job; return whether it was in progress.
@@ -230,10 +230,10 @@
                         link.send(message)
                 case assigner.ScheduleAssignment():
                     asyncio.get_running_loop().call_later(ASSIGN_DELAY_S, self._assign)
-                case assigner.Respond(ticket, _, result):
-                    outcome = self._outcome_by_ticket.get(ticket)
-                    if outcome is not None and not outcome.done():
-                        outcome.set_result(result)
+                case assigner.Respond(ticket, _, outcome):
+                    future = self._future_by_ticket.get(ticket)
+                    if future is not None and not future.done():
+                        future.set_result(outcome)
 
     def _assign(self) -> None:
         self._perform(self.scheduler.assign())
@@ -296,7 +296,7 @@
             self._distribute_configuration()
 
     def handle_rejected(self, reason: str) -> None:
-        """Handle a malformed message."""
+        """Handle a message that was rejected as malformed."""
         self.events.record("link.rejected", {"detail": reason})
 
     async def _run_timers(self) -> None:
@@ -327,7 +327,7 @@
             return
         self.routes = table
         self._has_routes.set()
-        self._configuration = assignments.Configuration(table.version, body)
+        self._configuration_message = assignments.Configuration(table.version, body)
         self.events.record(
             "configuration.applied",
             {
@@ -344,12 +344,12 @@
     def _distribute_configuration(self) -> None:
         """Send the configuration to agents until enough of them have it."""
         missing = CONFIGURATION_COPIES - len(self._agents_with_configuration)
-        if self._configuration is None or missing <= 0:
+        if self._configuration_message is None or missing <= 0:
             return
         others = sorted(set(self._link_by_agent) - self._agents_with_configuration)
         for agent in self._rng.sample(others, min(missing, len(others))):
             self._agents_with_configuration.add(agent)
-            self._link_by_agent[agent].send(self._configuration)
+            self._link_by_agent[agent].send(self._configuration_message)
 
     async def _follow_entry_hosts(self) -> None:
         source = follower.TopicFollower(
@@ -388,6 +388,7 @@
 
     async def _deregister(self) -> None:
         try:
+            # An empty value deletes the record.
             await self._store.put(discovery.TOPIC, self._settings.name, b"")
         except errors.LogUnavailableError as error:
             self.events.record("entry.not_deregistered", {"detail": str(error)})
--- a/src/burdockgate/process/health.py
+++ b/src/burdockgate/process/health.py
@@ -31,11 +31,12 @@
 MAX_LOG_EXCESS = math.log(10.0)
 # A task is overdue after this multiple of the mean run time of its class.
 OVERDUE_FACTOR = 30.0
-# Two overdue tasks without any answer since, or one task that has passed twice the
-# limit, weigh as much as the failures that eject a worker.
+# Number of overdue reports, without any answer since, that weigh as much as the
+# failures that eject a worker. A task counts when it passes the limit, and again at
+# twice the limit.
 OVERDUE_TASKS_TO_EJECT = 2
-# When more than this share of the workers report failures in a row, the jobs are taken
-# to be at fault.
+# When more than this share of the workers report consecutive failures, the jobs are
+# taken to be at fault.
 MAX_FAILING_SHARE = 0.5
 MAX_FAILED_JOBS = 4096
 MAX_CLASSES = 1000
@@ -85,7 +86,8 @@
         self._failed_by_job: dict[bytes, detectors.FailedJob] = {}
         self._last_tick_at = -math.inf
         self._allowance_listener: Callable[[detectors.WorkerRecord], None] | None = None
-        # Bounded, because tests run cores without a daemon that consumes the changes.
+        # Bounded, because tests run an entry host's state machine without the daemon
+        # that consumes the changes.
         self.changes: collections.deque[detectors.StateChange] = collections.deque(
             maxlen=1000
         )
@@ -283,6 +285,8 @@
             and earlier_failure.record is not record
             and is_trusted
         ):
+            # The job failed on another worker before and now on a trusted one, so
+            # neither failure adds to a score.
             stats.add_outcome(1.0, record.trust)
             self._excuse(earlier_failure)
             return
@@ -294,6 +298,8 @@
                 or not earlier_failure.weight
             )
         ):
+            # The job has counted against this worker already. Only overdue tasks add
+            # to that, and only if its weight was not cancelled.
             return
         weight = self._detector.failure_weight(record, stats)
         stats.add_outcome(1.0, record.trust)
@@ -320,7 +326,7 @@
             self._count_probation_outcome(record)
 
     def _excuse(self, failed_job: detectors.FailedJob) -> None:
-        """Take a failure back, because a trusted worker failed the same job."""
+        """Cancel the weight of a failure, as a trusted worker failed the same job."""
         if not failed_job.weight:
             return
         self._counters.count("health.excused")
@@ -345,7 +351,7 @@
     def record_reported_failures(
         self, record: detectors.WorkerRecord, count: int
     ) -> None:
-        """Record the number of failed jobs in a row that an agent reports.
+        """Record the number of consecutive failed jobs that an agent reports.
 
         :param record: the worker.
         :param count: number of jobs over all entry hosts; a success resets it.
@@ -362,18 +368,21 @@
     def _set_reported_failures(
         self, record: detectors.WorkerRecord, count: int
     ) -> None:
-        """Set the number, and count the workers with more than one failure in a row."""
+        """Set the number, and count the workers that report more than one failure."""
         if record.is_connected:
             change = (count > 1) - (record.reported_failures > 1)
             self._failing_by_service[record.service] += change
         record.reported_failures = count
 
     def _reported_failure_weight(self, record: detectors.WorkerRecord) -> float:
-        """Return the weight of the failures in a row at other entry hosts.
+        """Return the weight of the consecutive failures at other entry hosts.
+
+        ``reported_failures`` counts those at all entry hosts, and
+        ``consecutive_failures`` those at this one.
 
         The report does not say whether the jobs failed on other workers too. So these
         failures count only together with one at this entry host, and not while many
-        workers report failures in a row.
+        workers report consecutive failures.
         """
         others = record.reported_failures - record.consecutive_failures
         service = record.service
--- a/src/burdockgate/process/scheduler.py
+++ b/src/burdockgate/process/scheduler.py
@@ -12,19 +12,21 @@
 from burdockgate.process import actions, assigner, executoractions, fleet
 from burdockgate.request import besteffort
 
-# Ejected and unreachable workers are retried after one second.
+# Retry time when no worker can take a task of the job. Ejected and unreachable workers
+# are retried after one second.
 NO_WORKER_RETRY_S = 1.0
 # Another entry host can accept the job immediately.
 RETRY_ELSEWHERE_S = 1.0
 # Estimates are up to 40% off, and slow workers take a quarter longer.
 WORST_CASE_RUN_FACTOR = 1.75
 # How often waiting jobs are checked for those that cannot finish in time.
-REJECT_INTERVAL_S = 0.1
+REFUSAL_CHECK_INTERVAL_S = 0.1
 # Share of the estimated queueing delay that counts against a waiting job. It is below 1
 # because estimates are up to 40% off and the throughput fluctuates.
 QUEUE_DELAY_FACTOR = 0.5
-# Reports of load changes arrive more often than a session lease of 0.7 s has to be
-# renewed. The periodic reports, 0.2 s apart, all renew it.
+# Minimum interval between renewals. Load changes are reported more often than a session
+# lease of 0.7 s has to be renewed. The interval is below the 0.2 s between periodic
+# reports, so that each of those renews the lease.
 RENEWAL_INTERVAL_S = 0.15
 # Allows for network latency and late timers on top of the agent's own timeouts.
 AGENT_TIMEOUT_MARGIN_S = 0.2
@@ -315,6 +317,7 @@
             return
         task.state = besteffort.TaskState.WAITING
         self._waiting_by_id[task.key.job] = job
+        # The next assignment adds one.
         task.run = max(task.run, next_run - 1)
         task.avoided_until_by_agent[agent] = now + self._settings.avoid_agent_s
         yield actions.LogEvent(
@@ -423,9 +426,9 @@
                 yield from self._mark_all_lost(view.agent, "agent silent")
         for job in list(self.job_by_id.values()):
             yield from self._expire(job, now)
-        if now - self._reject_checked_at >= REJECT_INTERVAL_S:
-            self._reject_checked_at = now
-            yield from self._reject_unservable(now)
+        if now - self._refusals_checked_at >= REFUSAL_CHECK_INTERVAL_S:
+            self._refusals_checked_at = now
+            yield from self._refuse_unservable(now)
         self._evict_ended_jobs(now)
         yield from self.assign()
 
@@ -437,15 +440,15 @@
                 outcome = besteffort.Interrupted(codes.Code.DEADLINE_MAY_HAVE_RUN)
                 yield from self._end_job(job, outcome)
         elif now + remaining_s > job.useful_until():
-            yield from self._reject(job)
+            yield from self._refuse(job)
 
-    def _reject(self, job: besteffort.Job) -> Iterator[assigner.Effect]:
+    def _refuse(self, job: besteffort.Job) -> Iterator[assigner.Effect]:
         retry_after_s = self._retry_after_s(job.submission.service)
         outcome = besteffort.Refused(codes.Code.QUEUE_TIMEOUT, retry_after_s)
         yield from self._end_job(job, outcome)
 
-    def _reject_unservable(self, now: float) -> Iterator[assigner.Effect]:
-        """Reject waiting jobs that cannot finish in time behind the jobs before them.
+    def _refuse_unservable(self, now: float) -> Iterator[assigner.Effect]:
+        """Refuse waiting jobs that cannot finish in time behind the jobs before them.
 
         Callers get a retry time at once instead of waiting until their deadline.
         """
@@ -462,7 +465,7 @@
                 not is_started
                 and start_at + job.remaining_path_s() > job.useful_until()
             ):
-                yield from self._reject(job)
+                yield from self._refuse(job)
             else:
                 ahead_core_s += job.waiting_core_s()
 
