Define the terms of claims in the messages module

Epoch, attempt, claim group, settlement, scope, fence, view and table were used without a definition. Also say when the payload of a task report is empty, and call an incarnation of the worker one everywhere.

--- a/src/burdockgate/messages.py
+++ b/src/burdockgate/messages.py
@@ -2,6 +2,14 @@
 
 The order of the fields is their order on the wire. ``TYPES`` maps the number of each
 message type to its class; the number of a removed type is never reused.
+
+The entry host that runs a job is its owner. The *epoch* of a job grows with each owner,
+and the *attempt* counts how often the job of a key is run. A *claim group* is the
+agents that vote on the ownership of a job, and a *settlement* tells them and the agents
+with tasks of the job its result code. The *scope* is the agents to which an owner may
+send tasks. A *fence* makes an agent refuse earlier owners and report its tasks of the
+job. The *view* is the list of entry hosts and voters by the members stream, and the
+*table* holds the operators' weights and limits.
 """
 
 from __future__ import annotations
@@ -12,8 +20,8 @@
 
 PROTOCOL = 1
 RESULT_LIMIT_BYTES = 1024 * 1024
-# A claim group member that has lost its records waits for this time and the key
-# retention before it votes on unknown keys, so the value must not be large.
+# A claim group member that has lost its records votes on unknown jobs only after this
+# time plus the key retention and the view limit, so a large value delays its recovery.
 MAX_DEADLINE_S = 300.0
 # Value of ``Heartbeat.view_age_s`` when the age is not known.
 UNKNOWN_AGE_S = 2**31 - 1
@@ -299,7 +307,8 @@
 class TaskReport:
     """State of one task at an agent.
 
-    :param payload: JSON text of the result, or one line that describes a failure.
+    :param payload: JSON text of the result, or one line that describes a failure; empty
+        when the agent no longer keeps the result.
     :param run_ms: run time measured by the agent, in ms.
     """
 
--- a/src/burdockgate/platform/worker.py
+++ b/src/burdockgate/platform/worker.py
@@ -18,7 +18,8 @@
 POLL_TIMEOUT_MARGIN_S = 0.25
 # The worker accepts 64.
 MAX_CONNECTIONS = 16
-# Part of each task name; best-effort jobs have a single occurrence.
+# Names of tasks consist of job, occurrence, step and index. A best-effort job has a
+# single occurrence.
 _OCCURRENCE = "0"
 _INSTANCE_HEADER = "Expected-Instance"
 _OK = 200
@@ -55,7 +56,7 @@
     running: list[Any]
     # Rows of number, task, run, name of the end reason, and checkpoint.
     finished: list[Any]
-    # Start time of this worker instance; older platforms do not send it.
+    # Start time of this incarnation of the worker; older platforms do not send it.
     born: int = 0
 
 
