--- a/src/burdockgate/process/entrysessions.py
+++ b/src/burdockgate/process/entrysessions.py
@@ -9,8 +9,9 @@
 
 from burdockgate import assignments
 
-# Entry hosts send their demand with every change and at least every 0.2 s. An older
-# demand must not reserve capacity that others can use.
+# Entry hosts send their demand when its urgency changes or no task waits any more, and
+# every 0.1 s while tasks wait. An older demand must not reserve capacity that others
+# can use.
 DEMAND_VALID_S = 0.5
 
 
@@ -18,8 +19,9 @@
 class ReportedLoad:
     """Part of a load report whose changes are reported at once.
 
-    :param free_cpu: free processors up to the share above which changes do not matter,
-        in thousandths of a core; 0 for an entry host that is not among the nearest.
+    :param free_cpu: free processors, at most the amount above which changes do not
+        matter, in thousandths of a core; 0 for an entry host that is not among the
+        nearest.
     """
 
     state: assignments.WorkerState
@@ -32,7 +34,7 @@
 
     :param boot: random number that the process of the entry host drew at its start.
     :param distance: sort key returned by :func:`distance`; smaller is nearer.
-    :param is_linked: whether a connection exists.
+    :param is_connected: whether a connection exists.
     :param leased_until: end of the session lease. Runs of this entry host may start
         until then, and go on until then after the connection is lost. It is counted
         from the sending time of the report that a renewal echoes, so that delayed
@@ -50,7 +52,7 @@
     name: str
     boot: int
     distance: tuple[bool, int] = (False, 0)
-    is_linked: bool = True
+    is_connected: bool = True
     leased_until: float = 0.0
     last_assign_number: int = 0
     demand: assignments.Demand = assignments.Demand(0, 0)
@@ -68,7 +70,7 @@
         :param now: the time in seconds.
         """
         is_valid = now - self.demand_received_at < DEMAND_VALID_S
-        return self.is_linked and is_valid and self.demand.waiting_cpu > 0
+        return self.is_connected and is_valid and self.demand.waiting_cpu > 0
 
     def record_end(
         self,
@@ -122,14 +124,16 @@
         (session for session in sessions if session.has_demand(now)),
         key=lambda session: (session.demand.rank, session.last_start_at, session.name),
     )
-    share_by_entry: dict[str, int] = {}
+    allotted_cpu_by_entry: dict[str, int] = {}
     for session in demanding:
-        share = min(free_cpu, session.demand.waiting_cpu)
-        share_by_entry[session.name] = share
-        free_cpu -= share
+        allotted_cpu = min(free_cpu, session.demand.waiting_cpu)
+        allotted_cpu_by_entry[session.name] = allotted_cpu
+        free_cpu -= allotted_cpu
     for session in sessions:
-        share_by_entry[session.name] = share_by_entry.get(session.name, 0) + free_cpu
-    return share_by_entry
+        allotted_cpu_by_entry[session.name] = (
+            allotted_cpu_by_entry.get(session.name, 0) + free_cpu
+        )
+    return allotted_cpu_by_entry
 
 
 def distance(
@@ -154,6 +158,6 @@
     :param sessions: sessions with the entry hosts.
     :param count: largest number of names.
     """
-    linked = [session for session in sessions if session.is_linked]
-    linked.sort(key=lambda session: session.distance)
-    return {session.name for session in linked[:count]}
+    connected = [session for session in sessions if session.is_connected]
+    connected.sort(key=lambda session: session.distance)
+    return {session.name for session in connected[:count]}
--- a/src/burdockgate/process/supervisor.py
+++ b/src/burdockgate/process/supervisor.py
@@ -29,8 +29,9 @@
     workercontrol.EndReason.OTHER: assignments.EndKind.LOST,
 }
 
-# Weight of one sample of the speed of an overdue run. Samples are taken at every tick,
-# ten times a second, so that a single slow run shows in the speed after a few of them.
+# Weight of a sample of the speed of an overdue run, in the geometric mean with the
+# current speed of the worker. Samples are taken at every tick, ten times a second, so
+# that a single slow run shows in the speed after a few of them.
 OVERDUE_WEIGHT = 0.34
 
 
@@ -47,7 +48,7 @@
     :param lease_extended_at: when a command that can extend the lease was last sent.
     :param stop_sent_at_by_foreign_run: when a stop was last sent to each run that the
         worker lists and this agent does not know, such as one of the agent's previous
-        process.
+        process. While there is such a run, no queued run is started.
     :param first_token: first token drawn for this incarnation. Once the worker has
         accepted a poll with it, every earlier command is fenced off.
     :param is_synchronized: whether the runs at the worker are fully known, so that
@@ -178,8 +179,9 @@
                 yield from self._end_run(
                     run, assignments.EndKind.LOST, "worker replaced"
                 )
-        # The worker's clock is monotonic within one incarnation, so it exceeds every
-        # token that a previous process of this agent derived from it.
+        # Tokens are not stored: they start at the worker's clock, in ms. An earlier
+        # process of this agent derived its tokens from earlier readings, and the clock
+        # is monotonic within one incarnation, so this token exceeds all of them.
         self._token = max(self._token + 1, heartbeat.clock_ms)
         self._worker.first_token = self._token
         yield from self._poll_now()
@@ -213,7 +215,7 @@
         return self._health.state(now)
 
     @property
-    def running_count(self) -> int:
+    def dispatched_count(self) -> int:
         """Number of dispatched runs, which may exist at the worker."""
         return sum(1 for _ in self._runs.dispatched())
 
@@ -262,7 +264,7 @@
         match result:
             case workercontrol.Accepted(clock_ms):
                 self._record_answer(clock_ms)
-                run.state, run.accepted_ms = runs.RunState.RUNNING, clock_ms
+                run.state, run.accepted_clock_ms = runs.RunState.RUNNING, clock_ms
                 if run.is_stopping:
                     yield from self._send_stop(run)
             case workercontrol.Refused(reason, clock_ms):
@@ -279,6 +281,8 @@
     def _handle_start_refusal(
         self, run: runs.Run, reason: workercontrol.Refusal, clock_ms: int
     ) -> Iterator[executoractions.Effect]:
+        # After FENCED or LATE, the run stays queued and is started again with the new
+        # token or a new lease.
         run.state = runs.RunState.QUEUED
         if run.is_stopping:
             yield from self._end_run(run, assignments.EndKind.RETURNED, "stopped")
@@ -294,9 +298,9 @@
             if reason is workercontrol.Refusal.UNHEALTHY:
                 self._health.eject(self._time.now())
             # The worker rejects run numbers up to the highest that it has seen of the
-            # task. That number is not known here, so that several are skipped.
-            step = 16 if reason is workercontrol.Refusal.OLD_RUN else 1
-            yield from self._return_run(run, reason.value, run.key.run + step)
+            # task. That number is not known here, so several are skipped.
+            increment = 16 if reason is workercontrol.Refusal.OLD_RUN else 1
+            yield from self._return_run(run, reason.value, run.key.run + increment)
 
     def _fence_commands(self) -> Iterator[executoractions.Effect]:
         """Raise the fencing token and poll at once.
@@ -508,7 +512,10 @@
                 yield from self._stop_foreign(worker, entry.key, now)
                 continue
             if run.state is not runs.RunState.RUNNING:
-                run.state, run.accepted_ms = runs.RunState.RUNNING, snapshot.clock_ms
+                run.state, run.accepted_clock_ms = (
+                    runs.RunState.RUNNING,
+                    snapshot.clock_ms,
+                )
                 if run.is_stopping:
                     yield from self._send_stop(run)
             if entry.percent > run.percent:
@@ -536,7 +543,7 @@
             if run.state is runs.RunState.UNCERTAIN and run.token < command.token:
                 # The worker has confirmed a higher token, so that it rejects the start
                 # command if that is still in flight.
-                if run.accepted_ms:
+                if run.accepted_clock_ms:
                     yield from self._end_run(
                         run, assignments.EndKind.LOST, "fenced off"
                     )
@@ -549,7 +556,7 @@
                     )
             elif (
                 run.state is runs.RunState.RUNNING
-                and run.accepted_ms < snapshot.clock_ms
+                and run.accepted_clock_ms < snapshot.clock_ms
             ):
                 yield from self._end_run(run, assignments.EndKind.LOST, "not listed")
 
@@ -565,11 +572,13 @@
 
     def _sample_overdue_run(self, run: runs.Run, run_s: float, now: float) -> None:
         """Lower the speed of the worker if an overdue run progresses more slowly."""
-        sampled = self._health.current_speed(now)
+        current_speed = self._health.current_speed(now)
         speed = max(run.percent, 1) / 100 * run.estimate_s / run_s
-        if speed < sampled:
+        if speed < current_speed:
             weight = OVERDUE_WEIGHT
-            self._health.record_speed(sampled ** (1 - weight) * speed**weight, now)
+            self._health.record_speed(
+                current_speed ** (1 - weight) * speed**weight, now
+            )
 
     def _expire_lease(
         self, worker: WorkerIncarnation, now: float
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -67,12 +67,12 @@
 
 
 def make_owned_job(
-    job_request=None, manual_clock=None, scope=("a1", "a2"), had_attempt=False
+    job_request=None, manual_clock=None, scope=("a1", "a2"), may_have_run_before=False
 ):
     members, manual_clock = (node("m1"),), manual_clock or clock.ManualClock()
     job_request = job_request or request()
     return ownedjob.OwnedJob(
-        job_request, claim_terms(scope), members, manual_clock, 5.0, had_attempt
+        job_request, claim_terms(scope), members, manual_clock, 5.0, may_have_run_before
     )
 
 
