Rename the ASGI applications, Dispatcher.run and Submission.number

The names Front, Ready, run and number did not tell what they stand for. The settings key and the listener names stay. tests/test_dispatch.py calls the dispatcher through an untyped attribute and was changed by hand.

Checked: ruff, mypy, tests of dispatch, entry, remote jobs, adapter and sessions pass.

--- a/src/burdockgate/platform/__main__.py
+++ b/src/burdockgate/platform/__main__.py
@@ -122,8 +122,8 @@
 
         await self._daemon.start()
         listen = self.settings.listen
-        await self.listen(front.Front(self._daemon), listen.front)
-        await self.listen(front.Ready(self._daemon), listen.ready)
+        await self.listen(front.CallerApplication(self._daemon), listen.front)
+        await self.listen(front.ReadinessApplication(self._daemon), listen.ready)
         await self.listen(heartbeats.NoHeartbeats(), listen.heartbeats)
         await self.listen_metrics(self._daemon.events)
 
--- a/src/burdockgate/platform/front.py
+++ b/src/burdockgate/platform/front.py
@@ -28,7 +28,7 @@
 CONFIGURATION_WAIT_S = 0.3
 
 
-class Front:
+class CallerApplication:
     """ASGI application that serves the requests of callers.
 
     :param daemon: runs the jobs.
@@ -150,7 +150,7 @@
         return DEFAULT_DEADLINE_S
 
 
-class Ready:
+class ReadinessApplication:
     """ASGI application for the load balancer's readiness check.
 
     :param daemon: the entry host to check.
--- a/src/burdockgate/process/dispatch.py
+++ b/src/burdockgate/process/dispatch.py
@@ -114,7 +114,9 @@
         """Return the number of waiting tasks, over all services."""
         return sum(queue.demand()[0] for queue in self._backlog_by_service.values())
 
-    def run(self, on_outside_scope: Callable[[ownedjob.OwnedJob], None]) -> _Effects:
+    def dispatch(
+        self, on_outside_scope: Callable[[ownedjob.OwnedJob], None]
+    ) -> _Effects:
         """Send the tasks that can start now, and update the demand at the agents.
 
         :param on_outside_scope: called with a job that has waiting tasks when no worker
--- a/src/burdockgate/process/entry.py
+++ b/src/burdockgate/process/entry.py
@@ -260,7 +260,7 @@
             yield from self._dispatch()
 
     def _dispatch(self) -> _Effects:
-        yield from self._dispatcher.run(self.jobs.request_scope_extension)
+        yield from self._dispatcher.dispatch(self.jobs.request_scope_extension)
 
     def _heartbeat_message(
         self, age_s: int = messages.UNKNOWN_AGE_S
--- a/src/burdockgate/process/lifecycle.py
+++ b/src/burdockgate/process/lifecycle.py
@@ -192,7 +192,7 @@
             ids.add(heapq.heappop(self._schedule_heap)[1])
         known = (self._submission_by_job.get(job_id) for job_id in ids)
         due = [submission for submission in known if submission is not None]
-        return sorted(due, key=lambda submission: submission.number)
+        return sorted(due, key=lambda submission: submission.arrival_number)
 
     def _schedule(self, submission: _Submission) -> None:
         due_at = self._next_due_at(submission)
--- a/src/burdockgate/process/registry.py
+++ b/src/burdockgate/process/registry.py
@@ -133,7 +133,9 @@
 
     def _add_submission(self, job_id: bytes, timeout_s: float) -> _Submission:
         number = next(self._submission_numbers)
-        submission = _Submission(job_id, self._time.now() + timeout_s, number=number)
+        submission = _Submission(
+            job_id, self._time.now() + timeout_s, arrival_number=number
+        )
         self._submission_by_job[job_id] = submission
         self._touched_jobs.add(job_id)
         return submission
--- a/src/burdockgate/request/submission.py
+++ b/src/burdockgate/request/submission.py
@@ -36,7 +36,7 @@
         that it does not own the job.
     :param is_cancel_requested: whether a caller has cancelled the job.
     :param had_attempt: whether an earlier attempt may have run.
-    :param number: position in the order of arrival.
+    :param arrival_number: position in the order of arrival.
     :param scheduled_at: time of the entry in the schedule heap.
     """
 
@@ -57,5 +57,5 @@
     retry_at: float | None = None
     is_cancel_requested: bool = False
     had_attempt: bool = False
-    number: int = 0
+    arrival_number: int = 0
     scheduled_at: float | None = None
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -26,7 +26,7 @@
 
 
 def run(dispatcher, outside=lambda job: None):
-    return list(dispatcher.run(outside))
+    return list(dispatcher.dispatch(outside))
 
 
 def start_indexes(effects):
