Say voter, old view and job record for what they are

Catch-up used member, change and before for a voter, a reconfiguration and its old view; the agent used record for three kinds. The comments now say why an incomplete view is kept, what the time window sums up and that the answer to Leave is a Leave.

Comparison: is_leaving, before, after and is_base_unknown are attributes of private classes that are not written out.

--- a/src/burdockgate/process/agent.py
+++ b/src/burdockgate/process/agent.py
@@ -18,8 +18,9 @@
 from burdockgate.version import view as views
 
 EXPIRY_INTERVAL_S = 1.0
-# While the agent drains. A planned stop waits until every job is settled; without
-# a repeat, a Settle message lost with its connection would delay it until the timeout.
+# Interval for resending results while the agent drains. A planned stop waits until
+# every job is settled; without a repeat, a Settle message lost with its connection
+# would delay it until the timeout.
 RESULT_REPEAT_INTERVAL_S = 1.0
 _FAILED = (messages.TaskState.FAILED, messages.TaskState.UNKNOWN)
 RECORDS_PER_SYNC_REPLY = 500
@@ -34,9 +35,9 @@
 
     :param received: number of tasks received on this connection.
     :param free_sent: free slots last reported; -1 before the first report.
-    :param failure_streak_sent: failure streak last reported.
+    :param failure_streak_sent: number of consecutive failed jobs last reported.
     :param pending_syncs: view numbers of the ``Sync`` requests not answered yet.
-    :param is_leaving: whether the answer to a ``Leave`` is awaited.
+    :param is_leave_pending: whether the entry host has yet to answer a ``Leave``.
     """
 
     hello: messages.Hello
@@ -44,7 +45,7 @@
     free_sent: int = -1
     failure_streak_sent: int = 0
     pending_syncs: list[int] = attrs.field(factory=list)
-    is_leaving: bool = False
+    is_leave_pending: bool = False
 
 
 class AgentCore(core.Core):
@@ -73,7 +74,7 @@
         self._config = config
         self._time = time
         self._counters = counters
-        self._records = jobrecords.JobRecords(
+        self._job_records = jobrecords.JobRecords(
             time, config.timing.retention_s, config.backend_server.results_bytes
         )
         self._failure_streak = 0
@@ -97,12 +98,12 @@
     @property
     def is_idle(self) -> bool:
         """Whether no task runs and every job received is settled."""
-        return self.slots.running == 0 and self._records.is_settled
+        return self.slots.running == 0 and self._job_records.is_settled
 
     @property
     def has_left(self) -> bool:
-        """Whether no entry host may still send tasks after :meth:`leave`."""
-        return not any(item.is_leaving for item in self._session_by_name.values())
+        """Whether every entry host has answered ``Leave``; none sends tasks then."""
+        return not any(item.is_leave_pending for item in self._session_by_name.values())
 
     @property
     def table_and_view_versions(self) -> tuple[int, int]:
@@ -112,7 +113,7 @@
     def handle_connect(self, hello: messages.Hello) -> _Effects:
         """Start a session with a node.
 
-        :param hello: the node's announcement.
+        :param hello: the node's ``Hello``.
         """
         self._session_by_name[hello.node.name] = _Session(hello)
         if hello.role is messages.Role.ENTRY:
@@ -150,8 +151,8 @@
         if now - self._last_expiry_at >= EXPIRY_INTERVAL_S:
             self._last_expiry_at = now
             self.claims.expire()
-            self._records.expire()
-            self._counters.gauge("records.kept", len(self._records.record_by_job))
+            self._job_records.expire()
+            self._counters.gauge("records.kept", len(self._job_records.record_by_job))
         if (
             self.draining
             and now - self._results_repeated_at >= RESULT_REPEAT_INTERVAL_S
@@ -164,9 +165,9 @@
 
         Jobs with a running task are left out.
         """
-        for job in self._records.record_by_job.values():
-            if not job.is_settled and not job.running_indexes():
-                yield from self._send_results(job, list(job.reports()))
+        for job_record in self._job_records.record_by_job.values():
+            if not job_record.is_settled and not job_record.running_indexes():
+                yield from self._send_results(job_record, list(job_record.reports()))
 
     def send_heartbeats(self) -> _Effects:
         """Send the heartbeats; call once in each heartbeat interval.
@@ -233,11 +234,12 @@
         """
         for name, session in self._session_by_name.items():
             if session.hello.role is messages.Role.ENTRY:
-                session.is_leaving = True
+                session.is_leave_pending = True
                 yield effects.Send(name, messages.Leave())
 
     def _on_leave(self, name: str, _message: messages.Leave) -> _Effects:
-        self._session_by_name[name].is_leaving = False
+        """Handle an entry host's answer to a ``Leave``, which is a ``Leave`` too."""
+        self._session_by_name[name].is_leave_pending = False
         yield from ()
 
     # Starts and results
@@ -248,26 +250,30 @@
         if message.boot != self.node.boot:
             self._counters.count("starts.ignored", len(message.tasks))
             return
-        job = self._records.admit(message, name)
-        if isinstance(job, jobrecord.Admission):
+        job_record = self._job_records.admit(message, name)
+        if isinstance(job_record, jobrecord.Admission):
             self._counters.count("starts.ignored", len(message.tasks))
-            yield from self._reply_to_old_owner(name, message, job)
+            yield from self._reply_to_old_owner(name, message, job_record)
             return
         returned = []
         for task in message.tasks:
-            if not job.is_new_send(task.index, task.send_number):
+            if not job_record.is_new_send(task.index, task.send_number):
                 self._counters.count("starts.ignored")
             elif self.slots.acquire(name):
-                job.record_start(task.index, task.send_number)
+                job_record.record_start(task.index, task.send_number)
                 self._counters.count("tasks.started")
                 yield effects.Execute(
-                    job.job, job.attempt, task.index, task.payload, task.timeout_ms
+                    job_record.job,
+                    job_record.attempt,
+                    task.index,
+                    task.payload,
+                    task.timeout_ms,
                 )
             else:
-                returned.append(job.record_return(task.index, task.send_number))
+                returned.append(job_record.record_return(task.index, task.send_number))
         if returned:
             self._counters.count("tasks.returned", len(returned))
-            yield from self._send_results(job, returned)
+            yield from self._send_results(job_record, returned)
 
     def _reply_to_old_owner(
         self,
@@ -277,27 +283,27 @@
     ) -> _Effects:
         """Send the newer epoch to an owner that has lost the job."""
         if admission is jobrecord.Admission.OLD_EPOCH:
-            job = self._records.record_by_job[message.job]
-            yield from self._send_fence_reply(name, job, ())
+            job_record = self._job_records.record_by_job[message.job]
+            yield from self._send_fence_reply(name, job_record, ())
 
     def _send_fence_reply(
         self,
         name: str,
-        job: jobrecord.JobRecord,
+        job_record: jobrecord.JobRecord,
         reports: tuple[messages.TaskReport, ...],
     ) -> _Effects:
         batches = list(_batches(reports))
-        for number, batch in enumerate(batches, start=1):
+        for batch_number, batch in enumerate(batches, start=1):
             yield effects.Send(
                 name,
                 messages.FenceReply(
-                    job.job,
-                    job.epoch,
-                    job.fence,
-                    job.attempt,
+                    job_record.job,
+                    job_record.epoch,
+                    job_record.fence,
+                    job_record.attempt,
                     self.node.boot,
                     batch,
-                    more=number < len(batches),
+                    more=batch_number < len(batches),
                 ),
             )
 
@@ -323,16 +329,18 @@
         self.slots.release()
         self._counters.count(_COUNTER_BY_STATE.get(state, "tasks.failed"))
         self._count_failed_job(job_id, state)
-        job = self._records.record_by_job.get(job_id)
+        job_record = self._job_records.record_by_job.get(job_id)
         report = None
-        if job is not None and job.attempt == attempt:
-            report = job.record_end(index, state, payload, run_ms)
-        owner = job.owner if job is not None and report is not None else ""
+        if job_record is not None and job_record.attempt == attempt:
+            report = job_record.record_end(index, state, payload, run_ms)
+        owner = (
+            job_record.owner if job_record is not None and report is not None else ""
+        )
         # The results that follow report the free slots to the owner.
         yield from self._send_offers(excluded=owner)
-        if job is not None and report is not None:
-            yield from self._send_results(job, [report])
-            self._records.count_result(job, len(payload))
+        if job_record is not None and report is not None:
+            yield from self._send_results(job_record, [report])
+            self._job_records.count_result(job_record, len(payload))
 
     def _count_failed_job(self, job_id: bytes, state: messages.TaskState) -> None:
         """Count consecutive failed jobs over all entry hosts.
@@ -348,18 +356,18 @@
             )
 
     def _send_results(
-        self, job: jobrecord.JobRecord, reports: list[messages.TaskReport]
+        self, job_record: jobrecord.JobRecord, reports: list[messages.TaskReport]
     ) -> _Effects:
-        session = self._session_by_name.get(job.owner)
+        session = self._session_by_name.get(job_record.owner)
         if session is None:
             return
-        session.free_sent = self.slots.free_for(job.owner)
+        session.free_sent = self.slots.free_for(job_record.owner)
         yield effects.Send(
-            job.owner,
+            job_record.owner,
             messages.Results(
-                job.job,
-                job.epoch,
-                job.attempt,
+                job_record.job,
+                job_record.epoch,
+                job_record.attempt,
                 self.node.boot,
                 session.free_sent,
                 session.received,
@@ -368,23 +376,27 @@
         )
 
     def _on_fence(self, name: str, message: messages.Fence) -> _Effects:
-        job = self._records.admit(message, name)
-        if isinstance(job, jobrecord.Admission):
-            yield from self._reply_to_old_owner(name, message, job)
+        job_record = self._job_records.admit(message, name)
+        if isinstance(job_record, jobrecord.Admission):
+            yield from self._reply_to_old_owner(name, message, job_record)
             return
-        reports = tuple(job.reports()) if message.boot == self.node.boot else ()
-        yield from self._send_fence_reply(name, job, reports)
+        reports = tuple(job_record.reports()) if message.boot == self.node.boot else ()
+        yield from self._send_fence_reply(name, job_record, reports)
 
     def _on_cancel(self, _name: str, message: messages.Cancel) -> _Effects:
-        job = self._records.record_by_job.get(message.job)
-        if job is None or message.epoch < job.epoch or message.attempt != job.attempt:
+        job_record = self._job_records.record_by_job.get(message.job)
+        if (
+            job_record is None
+            or message.epoch < job_record.epoch
+            or message.attempt != job_record.attempt
+        ):
             return
-        for index in job.running_indexes():
-            yield effects.Stop(job.job, job.attempt, index)
+        for index in job_record.running_indexes():
+            yield effects.Stop(job_record.job, job_record.attempt, index)
 
     def _on_settle(self, name: str, message: messages.Settle) -> _Effects:
         self.claims.settle(message, self._session_by_name[name].hello.node)
-        self._records.settle(message)
+        self._job_records.settle(message)
         yield from ()
 
     # Slots
@@ -422,20 +434,22 @@
 
     def _answer_syncs(self) -> _Effects:
         for name, session in self._session_by_name.items():
-            numbers = session.pending_syncs
+            view_numbers = session.pending_syncs
             session.pending_syncs = []
-            for number in numbers:
-                if self.claims.catchup.can_reply(number):
-                    yield from self._answer_sync(name, session.hello.node, number)
-                elif number not in session.pending_syncs:
-                    session.pending_syncs.append(number)
-
-    def _answer_sync(self, name: str, node: messages.Node, number: int) -> _Effects:
-        records = self.claims.records_for(node, number)
-        for start in range(0, max(1, len(records)), RECORDS_PER_SYNC_REPLY):
-            batch = tuple(records[start : start + RECORDS_PER_SYNC_REPLY])
-            more = start + RECORDS_PER_SYNC_REPLY < len(records)
-            yield effects.Send(name, messages.SyncReply(number, batch, more))
+            for view_number in view_numbers:
+                if self.claims.catchup.can_reply(view_number):
+                    yield from self._answer_sync(name, session.hello.node, view_number)
+                elif view_number not in session.pending_syncs:
+                    session.pending_syncs.append(view_number)
+
+    def _answer_sync(
+        self, name: str, node: messages.Node, view_number: int
+    ) -> _Effects:
+        claim_records = self.claims.records_for(node, view_number)
+        for start in range(0, max(1, len(claim_records)), RECORDS_PER_SYNC_REPLY):
+            batch = tuple(claim_records[start : start + RECORDS_PER_SYNC_REPLY])
+            more = start + RECORDS_PER_SYNC_REPLY < len(claim_records)
+            yield effects.Send(name, messages.SyncReply(view_number, batch, more))
 
     def _on_sync_reply(self, name: str, message: messages.SyncReply) -> _Effects:
         self.claims.merge(message.records)
--- a/src/burdockgate/process/catchup.py
+++ b/src/burdockgate/process/catchup.py
@@ -1,17 +1,16 @@
-"""When a member that newly joins claim groups may vote.
+"""When a voter that newly joins claim groups may vote.
 
 Each record of the members stream that changes the voters is a reconfiguration. It
 gives a job an old and a new claim group:
 
-- A member that joins the group votes on the job only after a majority of the old
-  group has applied the reconfiguration and sent its records, or after the time in
-  which a record from before it can still matter.
-- A member that has applied a reconfiguration no longer votes in the old group, so
+- A voter that joins the group votes on the job only after a majority of the old
+  group has applied the reconfiguration and sent its records, or after a time window
+  at whose end no record from before the reconfiguration matters any more.
+- A voter that has applied a reconfiguration no longer votes in the old group, so
   the old and the new group can never both grant a claim.
-- A member of both groups need not have every record of the old group, and votes at
-  once as long as a majority of the new group is also a majority of the old one.
-  Where the group shrinks to one member, it is not, and that member catches up like a
-  new one.
+- A member of both groups need not have every record of the old group. It votes at
+  once, unless a majority of the new group is smaller than one of the old group. That
+  happens when the group shrinks to one member, which then catches up like a new one.
 """
 
 from __future__ import annotations
@@ -33,21 +32,21 @@
 
 @attrs.define
 class _Reconfiguration:
-    """A change of the voters that the member has not finished catching up with.
+    """A change of the voters that this voter has not finished catching up with.
 
-    :param before: the view that gives the old groups.
-    :param after: the view that gives the new groups.
-    :param is_base_unknown: whether the old groups are not known, because the view
+    :param old_view: the view that gives the old groups.
+    :param new_view: the view that gives the new groups.
+    :param is_old_view_unknown: whether the old groups are not known, because the view
         came from a snapshot; then only the time window ends the reconfiguration.
     :param ask_at_by_name: when each voter is asked next, by name.
     :param interval_s_by_name: the current backoff of each voter, by name.
     :param replied: name and boot of the voters that have sent their records.
     """
 
-    before: views.View
-    after: views.View
+    old_view: views.View
+    new_view: views.View
     started_at: float
-    is_base_unknown: bool = False
+    is_old_view_unknown: bool = False
     ask_at_by_name: dict[str, float] = attrs.field(factory=dict)
     interval_s_by_name: dict[str, float] = attrs.field(factory=dict)
     replied: set[tuple[str, int]] = attrs.field(factory=set)
@@ -56,7 +55,7 @@
         """Return the other voters of the old view that have not sent their records."""
         return [
             voter.node
-            for voter in self.before.voter_by_name.values()
+            for voter in self.old_view.voter_by_name.values()
             if (voter.node.name, voter.node.boot) not in self.replied
             and not voter.node.is_same_incarnation(own)
         ]
@@ -67,10 +66,14 @@
         return not group or replies >= views.majority(len(group))
 
     def is_finished(self, own: messages.Node) -> bool:
-        """Return whether every possible old group has a majority of replies."""
-        if self.is_base_unknown:
+        """Return whether every possible old group has a majority of replies.
+
+        Each group has one when the voters without a reply are no more than a group can
+        miss.
+        """
+        if self.is_old_view_unknown:
             return False
-        size = min(views.GROUP_SIZE, len(self.before.voter_by_name))
+        size = min(views.GROUP_SIZE, len(self.old_view.voter_by_name))
         return (
             len(self.nodes_without_reply(own)) <= size - views.majority(size)
             if size
@@ -79,13 +82,13 @@
 
 
 class Catchup:
-    """Holds the view of a member and its unfinished reconfigurations.
+    """Holds the view of a voter and its unfinished reconfigurations.
 
-    :param node: the member.
+    :param node: the voter.
     :param time: the clock.
-    :param window_s: time after which no claim from before a reconfiguration can still
-        matter. It covers the time in which entry hosts make claims by an outdated
-        view, the longest deadline of a job and the retention.
+    :param window_s: time after a reconfiguration until no earlier claim matters any
+        more: the sum of the time for which entry hosts make claims by an outdated
+        view, the longest deadline of a job, the retention and a margin.
     """
 
     def __init__(self, node: messages.Node, time: clock.Clock, window_s: float) -> None:
@@ -93,9 +96,11 @@
         self._time = time
         self._window_s = window_s
         self._reconfigurations: list[_Reconfiguration] = []
-        # The last view that had voters or was incomplete. When no voter is left, the
-        # claims that the previous voters granted remain valid.
-        self._base_view = views.View()
+        # The old view of the next reconfiguration: the last one that had voters, as
+        # the claims that they granted remain valid when no voter is left. An incomplete
+        # view is kept too, so that the next complete one starts a reconfiguration whose
+        # old groups are unknown.
+        self._old_view = views.View()
         self._view_by_number: dict[int, views.View] = {}
         self.view = views.View()
 
@@ -104,27 +109,27 @@
 
         :param view: the view after one more record.
         """
-        before, self.view = self._base_view, view
+        old_view, self.view = self._old_view, view
         if view.voter_by_name or not view.is_complete:
-            self._base_view = view
+            self._old_view = view
         self._view_by_number[view.number] = view
         while len(self._view_by_number) > HISTORY_LENGTH:
             del self._view_by_number[next(iter(self._view_by_number))]
-        is_gap_closed = view.is_complete and not before.is_complete
-        is_changed = is_gap_closed or before.voter_by_name != view.voter_by_name
+        is_gap_closed = view.is_complete and not old_view.is_complete
+        is_changed = is_gap_closed or old_view.voter_by_name != view.voter_by_name
         if is_changed and view.is_voter(self._node):
-            change = _Reconfiguration(
-                before, view, self._time.now(), not before.is_complete
+            reconfiguration = _Reconfiguration(
+                old_view, view, self._time.now(), not old_view.is_complete
             )
-            if before.is_voter(self._node):
-                change.replied.add((self._node.name, self._node.boot))
-            self._reconfigurations.append(change)
+            if old_view.is_voter(self._node):
+                reconfiguration.replied.add((self._node.name, self._node.boot))
+            self._reconfigurations.append(reconfiguration)
 
     def agrees_on_group(self, job: bytes, group: tuple[messages.Node, ...]) -> bool:
-        """Return whether the own view gives the same group, with this member in it.
+        """Return whether the own view gives the same group, with this voter in it.
 
         :param job: 16-byte job id.
-        :param group: the job's group in the view of the claimant.
+        :param group: the job's group in the view of the entry host that claims it.
         """
         own = self.view.group(job)
         return _ids(own) == _ids(group) and any(
@@ -132,74 +137,79 @@
         )
 
     def is_ready(self, job: bytes) -> bool:
-        """Return whether this member may vote on a job.
+        """Return whether this voter may vote on a job.
 
         :param job: 16-byte job id.
         """
-        return all(self._has_records(change, job) for change in self._reconfigurations)
+        return all(
+            self._allows_vote(reconfiguration, job)
+            for reconfiguration in self._reconfigurations
+        )
 
-    def _has_records(self, change: _Reconfiguration, job: bytes) -> bool:
-        if change.is_base_unknown:
+    def _allows_vote(self, reconfiguration: _Reconfiguration, job: bytes) -> bool:
+        """Return whether a reconfiguration does not keep this voter from voting."""
+        if reconfiguration.is_old_view_unknown:
             return False
-        old = change.before.group(job)
-        new = change.after.group(job)
+        old = reconfiguration.old_view.group(job)
+        new = reconfiguration.new_view.group(job)
         if not any(self._node.is_same_incarnation(node) for node in new):
             return True
         was_member = any(self._node.is_same_incarnation(node) for node in old)
         if was_member and views.majority(len(new)) >= views.majority(len(old)):
             return True
-        return change.has_majority(old)
+        return reconfiguration.has_majority(old)
 
-    def needs_record(self, member: messages.Node, job: bytes, number: int) -> bool:
-        """Return whether a member needs the record of a job.
+    def needs_record(self, voter: messages.Node, job: bytes, view_number: int) -> bool:
+        """Return whether a voter needs the record of a job.
 
-        :param member: the member that asks.
-        :param number: number of the view of its reconfiguration. When this view is
+        :param voter: the voter that asks.
+        :param view_number: number of the view of its reconfiguration. When this view is
             no longer kept here, every record is needed.
         """
-        view = self._view_by_number.get(number)
+        view = self._view_by_number.get(view_number)
         if view is None:
             return True
         groups = (view.group(job), self.view.group(job))
         return any(
-            member.is_same_incarnation(node) for group in groups for node in group
+            voter.is_same_incarnation(node) for group in groups for node in group
         )
 
-    def can_reply(self, number: int) -> bool:
+    def can_reply(self, view_number: int) -> bool:
         """Return whether the records here are complete up to a reconfiguration.
 
-        They are when this member has applied the reconfiguration and has finished
+        They are when this voter has applied the reconfiguration and has finished
         its own earlier ones. The reconfigurations inside a gap of the stream are not
         known, so after a gap the records are incomplete until the time window ends.
 
-        :param number: number of the view of the reconfiguration of the member that
+        :param view_number: number of the view of the reconfiguration of the voter that
             asks.
         """
-        if self.view.number < number or not self.view.is_complete:
+        if self.view.number < view_number or not self.view.is_complete:
             return False
         return all(
-            change.after.number >= number and not change.is_base_unknown
-            for change in self._reconfigurations
+            reconfiguration.new_view.number >= view_number
+            and not reconfiguration.is_old_view_unknown
+            for reconfiguration in self._reconfigurations
         )
 
-    def record_reply(self, node: messages.Node, number: int) -> None:
+    def record_reply(self, node: messages.Node, view_number: int) -> None:
         """Record that a voter has sent all its records for a reconfiguration.
 
         :param node: the voter.
-        :param number: number of the view of the reconfiguration.
+        :param view_number: number of the view of the reconfiguration.
         """
-        for change in self._reconfigurations:
-            if change.after.number == number:
-                change.replied.add((node.name, node.boot))
+        for reconfiguration in self._reconfigurations:
+            if reconfiguration.new_view.number == view_number:
+                reconfiguration.replied.add((node.name, node.boot))
 
     def reset_backoff(self, name: str) -> None:
         """Ask a voter again at the next tick; call when it has connected.
 
         :param name: name of the voter.
         """
-        for change in self._reconfigurations:
-            change.ask_at_by_name.pop(name, None)
-            change.interval_s_by_name.pop(name, None)
+        for reconfiguration in self._reconfigurations:
+            reconfiguration.ask_at_by_name.pop(name, None)
+            reconfiguration.interval_s_by_name.pop(name, None)
 
     def tick(self, connected: Iterable[str]) -> Iterator[effects.Effect]:
         """Drop finished reconfigurations, and ask the voters that have not answered.
@@ -208,29 +218,33 @@
         """
         now = self._time.now()
         self._reconfigurations = [
-            change
-            for change in self._reconfigurations
-            if not change.is_finished(self._node)
-            and now - change.started_at < self._window_s
+            reconfiguration
+            for reconfiguration in self._reconfigurations
+            if not reconfiguration.is_finished(self._node)
+            and now - reconfiguration.started_at < self._window_s
         ]
         names = set(connected)
-        for change in self._reconfigurations:
-            yield from self._ask(change, names, now)
+        for reconfiguration in self._reconfigurations:
+            yield from self._ask(reconfiguration, names, now)
 
     def _ask(
-        self, change: _Reconfiguration, connected: set[str], now: float
+        self, reconfiguration: _Reconfiguration, connected: set[str], now: float
     ) -> Iterator[effects.Effect]:
-        for node in change.nodes_without_reply(self._node):
-            ask_at = change.ask_at_by_name.get(node.name, now)
+        for node in reconfiguration.nodes_without_reply(self._node):
+            ask_at = reconfiguration.ask_at_by_name.get(node.name, now)
             if now < ask_at or node.name == self._node.name:
                 continue
-            interval_s = change.interval_s_by_name.get(node.name, ASK_INTERVAL_S)
-            change.ask_at_by_name[node.name] = now + interval_s
-            change.interval_s_by_name[node.name] = min(
+            interval_s = reconfiguration.interval_s_by_name.get(
+                node.name, ASK_INTERVAL_S
+            )
+            reconfiguration.ask_at_by_name[node.name] = now + interval_s
+            reconfiguration.interval_s_by_name[node.name] = min(
                 2 * interval_s, ASK_INTERVAL_LIMIT_S
             )
             if node.name in connected:
-                yield effects.Send(node.name, messages.Sync(change.after.number))
+                yield effects.Send(
+                    node.name, messages.Sync(reconfiguration.new_view.number)
+                )
             else:
                 yield effects.Dial(node)
 
--- a/src/burdockgate/process/claims.py
+++ b/src/burdockgate/process/claims.py
@@ -49,6 +49,7 @@
         self._time = time
         self._retention_s = retention_s
         self._stored_by_job: dict[bytes, _StoredRecord] = {}
+        # The sum is the time until no claim from before a reconfiguration matters.
         # Members that are partitioned off still grant claims by the view before a
         # reconfiguration, until the entry hosts in their partition stop making claims.
         window_s = view_limit_s + messages.MAX_DEADLINE_S + retention_s
@@ -157,12 +158,12 @@
             self._store(record, record.expires_in_ms / MS_PER_S + self._retention_s)
 
     def records_for(
-        self, member: messages.Node, number: int
+        self, member: messages.Node, view_number: int
     ) -> list[messages.ClaimRecord]:
         """Return the records that a member needs after it has joined groups.
 
         :param member: the member that asks.
-        :param number: number of the view in which it joined them.
+        :param view_number: number of the view in which it joined them.
         """
         now = self._time.now()
         return [
@@ -171,7 +172,7 @@
                 expires_in_ms=max(0, int((stored.expires_at - now) * MS_PER_S)),
             )
             for stored in self._stored_by_job.values()
-            if self.catchup.needs_record(member, stored.record.job, number)
+            if self.catchup.needs_record(member, stored.record.job, view_number)
         ]
 
     def expire(self) -> None:
@@ -191,10 +192,10 @@
 ) -> messages.Verdict:
     """Vote on an epoch above the recorded one.
 
-    A failed attempt stays closed: it is not granted to a newer owner. A grant would
-    copy its code into the record of the newer epoch. An entry host that reads this
-    record would take the attempt for failed, while the newer owner, which may have
-    won without this vote, runs it.
+    An attempt that was settled with a failure is never granted to a newer owner. A
+    grant would copy its code into the record of the newer epoch. An entry host that
+    reads this record would take the attempt for failed, while the newer owner, which
+    may have won without this vote, runs it.
     """
     is_pending = claim.code == codes.Code.PENDING
     if _has_failed(record) and is_pending and claim.attempt == record.attempt:
@@ -224,9 +225,9 @@
         newer.attempt,
         code,
     ):
-        # Either a majority closed the attempt or a majority granted the newer epoch,
-        # never both, and it is not known which. The attempt may have run, so it stays
-        # closed.
+        # Either a majority settled the attempt as failed, or a majority granted the
+        # newer epoch; the two exclude each other, and it is not known which is so. The
+        # attempt may have run, so it is recorded as failed.
         epoch, code = epoch + 1, codes.Code.OWNER_LOST
     scope = merge_scopes((first.scope, second.scope))
     return attrs.evolve(newer, epoch=epoch, code=int(code), scope=scope)
