Use one verb for demand and name the sets of the dispatcher

Demand was announced, notified and updated; it is sent. The comment on small scopes said that a scope is searched in its order, but the policy chooses among its workers.

Comparison: tasks_by_pair is an attribute of a private class that is not written out. Checked with ruff, mypy and the tests of the dispatcher and of sessions, all passed.

--- a/src/burdockgate/process/dispatch.py
+++ b/src/burdockgate/process/dispatch.py
@@ -18,9 +18,9 @@
 
 # Expected run time of a task for which the caller declared none.
 DEFAULT_WORK_MS = 100.0
-# Demand is announced to at least this many workers, even when fewer tasks wait.
+# Demand is sent to at least this many workers, even when fewer tasks wait.
 DEMAND_WORKERS_MIN = 64
-# A scope of up to this size is searched in its order, even if fewer workers are free.
+# A scope of up to this size is searched itself, even if fewer workers are free.
 SMALL_SCOPE_SIZE = 16
 
 _Effects = Iterator[effects.Effect]
@@ -28,21 +28,25 @@
 
 @attrs.define
 class _StartBatches:
-    """Tasks assigned in one round, with one start message per agent and job."""
+    """Tasks assigned in one round, with one start message per agent and job.
 
-    tasks_by_pair: dict[
+    :param batch_by_agent_and_job: job, agent and tasks of each message, by the name of
+        the agent and the job id.
+    """
+
+    batch_by_agent_and_job: dict[
         tuple[str, bytes],
         tuple[ownedjob.OwnedJob, messages.Node, list[messages.TaskStart]],
     ] = attrs.field(factory=dict)
 
     def add(self, job: ownedjob.OwnedJob, node: messages.Node) -> int:
         key = (node.name, job.request.job)
-        _, _, tasks = self.tasks_by_pair.setdefault(key, (job, node, []))
+        _, _, tasks = self.batch_by_agent_and_job.setdefault(key, (job, node, []))
         tasks.append(job.assign_next_task(node))
         return tasks[-1].index
 
     def start_messages(self) -> _Effects:
-        for job, node, tasks in self.tasks_by_pair.values():
+        for job, node, tasks in self.batch_by_agent_and_job.values():
             yield job.start_message(node, tasks)
 
 
@@ -68,7 +72,7 @@
         self._counters = counters
         self._backlog_by_service: dict[str, backlog.Backlog] = {}
         self._has_new_weights = False
-        self._notified_state_by_service: dict[str, tuple[object, ...]] = {}
+        self._demand_state_by_service: dict[str, tuple[object, ...]] = {}
 
     def add(self, job: ownedjob.OwnedJob, weight: float) -> None:
         """Queue a job that has waiting tasks.
@@ -115,23 +119,23 @@
         return sum(queue.demand()[0] for queue in self._backlog_by_service.values())
 
     def dispatch(
-        self, on_outside_scope: Callable[[ownedjob.OwnedJob], None]
+        self, on_scope_exhausted: Callable[[ownedjob.OwnedJob], None]
     ) -> _Effects:
-        """Send the tasks that can start now, and update the demand at the agents.
+        """Send the tasks that can start now, and the demand of the tasks that wait.
 
         :param on_outside_scope: called with a job that has waiting tasks when no worker
             in its scope can take one while other workers have free slots.
         """
         for name, queue in self._backlog_by_service.items():
-            yield from self._send_tasks(name, queue, on_outside_scope)
-            yield from self._update_demand(name, queue)
+            yield from self._send_tasks(name, queue, on_scope_exhausted)
+            yield from self._send_demand(name, queue)
         self._has_new_weights = False
 
     def _send_tasks(
         self,
         service: str,
         queue: backlog.Backlog,
-        on_outside_scope: Callable[[ownedjob.OwnedJob], None],
+        on_scope_exhausted: Callable[[ownedjob.OwnedJob], None],
     ) -> _Effects:
         free = self._workers.service(service).available
         if not free or not self._may_start("service", service):
@@ -139,7 +143,7 @@
         batches = _StartBatches()
         for job in queue.jobs_in_order():
             if not self._assign_one_task(queue, job, free, batches):
-                on_outside_scope(job)
+                on_scope_exhausted(job)
             if not free or not self._may_start("service", service):
                 break
         yield from batches.start_messages()
@@ -172,85 +176,88 @@
     ) -> directory.Worker | None:
         """Choose a worker in the scope of a job for its next task.
 
-        Either the scope or the free workers are searched, whichever are fewer.
+        The scope is searched, unless it is larger than ``SMALL_SCOPE_SIZE`` and there
+        are fewer free workers: then these are searched.
         """
         task, scope = job.next_task, job.terms.scope
         worker_by_name = self._workers.worker_by_name
 
-        def if_usable(worker: directory.Worker | None) -> directory.Worker | None:
+        def usable_or_none(worker: directory.Worker | None) -> directory.Worker | None:
             if worker is None or worker.available_slots <= 0 or not _fits(worker, task):
                 return None
             if worker.hello.service != job.request.service:
                 return None
             if not self._workers.is_schedulable(worker):
-                lapsed.append(worker)
+                unschedulable.append(worker)
                 return None
             return worker if job.may_send_to(worker.node) else None
 
-        lapsed: list[directory.Worker] = []
-        # Workers on probation come first, since a policy would seldom choose them.
+        unschedulable: list[directory.Worker] = []
+        # Workers on probation come first: they need tasks to leave probation, and a
+        # policy would seldom choose these few.
         on_probation = self._workers.service(job.request.service).on_probation
-        found = next(filter(if_usable, on_probation.values()), None)
+        found = next(filter(usable_or_none, on_probation.values()), None)
         if found is None and SMALL_SCOPE_SIZE < len(scope) > len(free):
             found = self._policy.choose_by_index(
-                len(free), lambda index: if_usable(free[index])
+                len(free), lambda index: usable_or_none(free[index])
             )
         elif found is None:
             found = self._policy.choose_by_index(
                 len(scope),
-                lambda index: if_usable(worker_by_name.get(scope[index].name)),
+                lambda index: usable_or_none(worker_by_name.get(scope[index].name)),
             )
-        for worker in lapsed:
+        for worker in unschedulable:
             self._workers.reindex(worker)
         return found
 
-    def _update_demand(self, name: str, queue: backlog.Backlog) -> _Effects:
+    def _send_demand(self, name: str, queue: backlog.Backlog) -> _Effects:
         service = self._workers.service(name)
         # A service at its limit could not use the slots that agents offer it.
         if queue.is_empty or not self._may_start("service", name):
-            self._notified_state_by_service.pop(name, None)
+            self._demand_state_by_service.pop(name, None)
             for worker in _in_join_order(service.with_demand.values()):
                 self._workers.set_demand(worker, 0)
                 yield effects.Send(worker.name, messages.Demand(0, 0.0))
             return
         # Agents divide their slots by the weights in the latest demand messages.
-        to_update = list(service.with_demand.values()) if self._has_new_weights else []
-        to_notify = self._workers_to_notify(name, service, queue)
-        if to_update or to_notify:
+        to_resend = list(service.with_demand.values()) if self._has_new_weights else []
+        to_send = self._workers_to_send_demand(name, service, queue)
+        if to_resend or to_send:
             waiting, weight = queue.demand()
-            for worker in _in_join_order([*to_update, *to_notify]):
+            for worker in _in_join_order([*to_resend, *to_send]):
                 self._workers.set_demand(worker, waiting)
                 yield effects.Send(worker.name, messages.Demand(waiting, weight))
 
-    def _workers_to_notify(
+    def _workers_to_send_demand(
         self, name: str, service: directory.ServiceIndex, queue: backlog.Backlog
     ) -> list[directory.Worker]:
-        """Return the workers to which demand is announced now.
+        """Return the workers without demand to which it is sent now.
 
-        A service with many workers announces it only in the scopes of the first jobs of
-        its classes, because the other workers may not get their tasks.
+        A service with many workers sends it only within the scopes of the first jobs
+        of its classes, because the other workers may not get their tasks.
         """
         if not service.without_demand:
             return []
         if len(service.members) <= DEMAND_WORKERS_MIN:
-            return self._with_lease(service.without_demand.values())
+            return self._schedulable(service.without_demand.values())
         if len(service.with_demand) >= max(DEMAND_WORKERS_MIN, queue.demand()[0]):
             return []
         first_jobs = list(queue.first_jobs())
         state = (service.additions, *first_jobs)
-        if self._notified_state_by_service.get(name) == state:
+        if self._demand_state_by_service.get(name) == state:
             return []
-        self._notified_state_by_service[name] = state
+        self._demand_state_by_service[name] = state
         scope_names = {node.name for job in first_jobs for node in job.terms.scope}
-        return self._with_lease(
+        return self._schedulable(
             service.without_demand[worker_name]
             for worker_name in scope_names
             if worker_name in service.without_demand
         )
 
-    def _with_lease(
+    def _schedulable(
         self, workers: Iterable[directory.Worker]
     ) -> list[directory.Worker]:
+        """Return the schedulable workers, and reindex the others."""
         candidates = list(workers)
         for worker in candidates:
             if not self._workers.is_schedulable(worker):
