--- a/src/burdockgate/process/lifecycle.py
+++ b/src/burdockgate/process/lifecycle.py
@@ -1,4 +1,4 @@
-"""Calls of clients and timers of the jobs of an entry host.
+"""Handles client calls and job timers at an entry host.
 
 This is the top layer of the job registry; see :mod:`burdockgate.process.registry`
 for the layers below.
@@ -54,11 +54,12 @@
             return
         if submission is None:
             submission = self._add_submission(request.job, request.deadline_ms / 1000)
-        submission.is_cancel_requested |= self._was_cancelled(request.job)
+        submission.is_cancel_requested |= self._pop_early_cancel(request.job)
         self._set_request(submission, request)
         submission.refusal, submission.refusal_detail = refusal, detail
         submission.deadline_at = self._time.now() + request.deadline_ms / 1000
         self._add_caller(submission, ticket)
+        # A refused job is not claimed: epoch 0 only asks whether it is claimed already.
         yield from self._claim(submission, 0 if refusal else 1, 1)
 
     def _join_submission(
@@ -109,6 +110,7 @@
             return
         if submission is None:
             submission = self._add_submission(job_id, FETCH_DEADLINE_S)
+            # Epoch 0 only asks whether the job is claimed.
             yield from self._claim(submission, 0, 0)
         self._add_caller(submission, ticket)
         if is_cancel:
@@ -116,14 +118,18 @@
             yield from self._cancel(submission)
 
     def _refuse_unclaimed(self, submission: _Submission) -> _Effects:
+        """Refuse an unclaimed job; keep a cancel that came before the submission."""
         if submission.is_cancel_requested and submission.request is None:
             self._cancelled_at_by_job[submission.job] = self._time.now()
             if len(self._cancelled_at_by_job) > CANCEL_RETENTION_LIMIT:
                 del self._cancelled_at_by_job[next(iter(self._cancelled_at_by_job))]
         yield from super()._refuse_unclaimed(submission)
 
-    def _was_cancelled(self, job_id: bytes) -> bool:
-        """Return whether the job was cancelled shortly before it was submitted."""
+    def _pop_early_cancel(self, job_id: bytes) -> bool:
+        """Remove the cancel that came before a submission, and return whether it holds.
+
+        It holds for ``CANCEL_RETENTION_S``.
+        """
         cancelled_at = self._cancelled_at_by_job.pop(job_id, None)
         return (
             cancelled_at is not None
@@ -131,10 +137,10 @@
         )
 
     def _expire_cancels(self) -> None:
-        expired_at = self._time.now() - CANCEL_RETENTION_S
+        cutoff = self._time.now() - CANCEL_RETENTION_S
         while self._cancelled_at_by_job:
             job_id, cancelled_at = next(iter(self._cancelled_at_by_job.items()))
-            if cancelled_at > expired_at:
+            if cancelled_at > cutoff:
                 return
             del self._cancelled_at_by_job[job_id]
 
@@ -166,7 +172,8 @@
                 submission.owner.name, messages.Detach(submission.job, cancel=True)
             )
         else:
-            # Without a majority, the claim would stay open until the deadline.
+            # Without a majority, the claim would stay open until the deadline. A cancel
+            # waits for it no longer than the confirmation of an outcome does.
             latest_at = self._time.now() + ownership.CONFIRMATION_TIMEOUT_S
             submission.deadline_at = min(submission.deadline_at, latest_at)
 
@@ -181,7 +188,7 @@
         yield from self._start_queued_confirmations(ownership.CONFIRMATIONS_PER_TICK)
 
     def _due_submissions(self) -> list[_Submission]:
-        """Return the jobs that were touched or are due, in the order of submission."""
+        """Return the jobs that may have changed or are due, in the order of arrival."""
         versions = (self.view.number, self._limits.version)
         if versions != self._versions_at_last_tick:
             # A new view or table affects every job.
@@ -232,8 +239,9 @@
     def _tick_submission(self, submission: _Submission) -> _Effects:
         now = self._time.now()
         for claim in ownership.open_claims(submission):
-            # The claim of a job that is not owned here yet needs a current view. An
-            # owned job ends before a newer group votes on it.
+            # Only the initial claim needs a current view. Members of a newer group vote
+            # without the records of the old one only after a time window, which
+            # outlasts the deadline of a job that is already owned.
             if self.is_view_current or claim is not submission.claimant:
                 yield from claim.tick(self.view)
         yield from self._check_claims(submission)
--- a/src/burdockgate/process/remotejobs.py
+++ b/src/burdockgate/process/remotejobs.py
@@ -12,6 +12,8 @@
 from burdockgate.request import outcome
 from burdockgate.request import submission as submissions
 
+# Bounds of the random delay before a new claim of a job whose supposed owner does not
+# own it, so that the entry hosts that wait for it don't claim it at the same time.
 CONTENTION_MIN_S = 0.05
 CONTENTION_MAX_S = 0.25
 
@@ -26,6 +28,7 @@
         self, submission: _Submission, record: messages.ClaimRecord
     ) -> _Effects:
         submission.owner = record.owner
+        # The hosts attached here must not wait for this host, as it is not the owner.
         for name in submission.attached_hosts:
             yield effects.Send(name, self._not_owned_message(submission.job))
         submission.attached_hosts.clear()
@@ -59,6 +62,7 @@
                 submission, outcome.Pending(record.attempt, detail=detail)
             )
             return
+        # A refusal applies only to a job that is not claimed yet.
         submission.refusal = None
         yield from self._claim(submission, record.epoch + 1, record.attempt)
 
@@ -170,6 +174,7 @@
                 submission.owner_disconnected_at = self._time.now()
 
     def _check_owner(self, submission: _Submission, now: float) -> _Effects:
+        # The lease also limits how long the owner of a job may be disconnected.
         lease_s = self._config.timing.lease_s
         is_lost = (
             submission.owner_disconnected_at is not None
