--- a/src/burdockgate/platform/front.py
+++ b/src/burdockgate/platform/front.py
@@ -113,7 +113,7 @@
             outcome = await self._daemon.submit(submission, disconnected)
         finally:
             disconnect_task.cancel()
-        if outcome is None:
+        if outcome is None:  # the caller disconnected
             raise asgi.CallerGoneError
         return jobs.encode(outcome)
 
--- a/src/burdockgate/process/membership.py
+++ b/src/burdockgate/process/membership.py
@@ -21,7 +21,7 @@
 REPEAT_INTERVAL_S = 3.0
 VOTER_TIMEOUT_S = 10.0
 ENTRY_TIMEOUT_S = 30.0
-# Upper bound of the timeout of a voter that was added again after each removal.
+# Upper bound of the timeout of a voter, which doubles with each removal.
 VOTER_TIMEOUT_LIMIT_S = 3600.0
 
 
@@ -60,7 +60,7 @@
         """Yield the appends that are due.
 
         :param view: the current view.
-        :param agents: announcements of the connected agents.
+        :param agents: ``Hello`` messages of the connected agents.
         :param entries: the connected entry hosts.
         """
         others = list(entries)
@@ -77,6 +77,8 @@
                 pending, wait_s + RANK_DELAY_S * rank(key[1], self._node, names)
             ):
                 pending.appended_at = self._time.now()
+                # An append that is repeated in the same view has the same id, so that
+                # readers count the record once.
                 record_id = f"{key[0]}-{key[1]}-{key[2]}-{view.number}"
                 yield effects.Append(views.STREAM, record_id, value)
 
@@ -125,7 +127,7 @@
             yield (
                 _key(views.Change.ENTRY, self._node),
                 (
-                    # Offsets the delay by rank: no other entry host announces this one.
+                    # Cancels the rank delay: only this host appends its own record.
                     -RANK_DELAY_S * (len(entries) + 1),
                     views.entry_record(self._node),
                 ),
--- a/src/burdockgate/process/web.py
+++ b/src/burdockgate/process/web.py
@@ -151,7 +151,7 @@
 @litestar.delete("/v1/jobs/{guest:str}/{key:str}", status_code=200)
 async def _cancel(request: _Request) -> responses.Response:
     """Cancel a job and return its definite outcome."""
-    _query_parameter(request)
+    _query_parameter(request)  # rejects every parameter
     guest, key = _guest_and_key(request)
     return await _respond(guest, key, _application(request).service.cancel(guest, key))
 
--- a/src/burdockgate/version/view.py
+++ b/src/burdockgate/version/view.py
@@ -23,8 +23,9 @@
 # The messages cannot carry a larger boot number: a claim whose group contains such a
 # node could not be sent.
 BOOT_LIMIT = 2**63
-# Number of records. A reader that waits for a snapshot drops the oldest ones above
-# it; a snapshot that ends before the first buffered record is not used.
+# Number of records that a reader buffers while it waits for a snapshot; it drops the
+# oldest ones beyond that. A snapshot that ends before the first buffered record is not
+# used.
 BUFFER_LIMIT = 2_000
 
 
@@ -163,6 +164,7 @@
     first = buffered[0].offset
     if change is not Change.SNAPSHOT or value["through"] < first:
         return attrs.evolve(view, buffered=buffered)
+    # "through" is the offset after the last record that the snapshot includes.
     start = View(
         value["through"],
         {item["name"]: _read_node(item) for item in value["entries"]},
@@ -213,7 +215,7 @@
 
 
 def entry_record(node: messages.Node) -> bytes:
-    """Return the JSON text of a record that announces an entry host.
+    """Return the JSON text of a record that adds an entry host to the view.
 
     :param node: the entry host.
     """
@@ -223,7 +225,7 @@
 def voter_record(hello: messages.Hello) -> bytes:
     """Return the JSON text of a record that makes an agent a voter.
 
-    :param hello: the agent's announcement.
+    :param hello: the agent's ``Hello``.
     """
     voter = Voter(hello.node, hello.region, hello.data_centre, hello.rack)
     return _encode({"type": Change.VOTER, **_voter_fields(voter)})
@@ -269,9 +271,9 @@
 def fold_page(view: View, message: messages.Records) -> Iterator[View]:
     """Yield the view after each new record of a page, and after the page.
 
-    The log client leaves out records with a repeated id. The number skips those at
-    the end of a page, so that they don't look like a gap before the next page. After
-    a real gap the view is incomplete until a snapshot is read.
+    The log client leaves out records with a repeated id. The number of the view also
+    passes such records at the end of a page, so that they don't look like a gap before
+    the next page. After a real gap the view is incomplete until a snapshot is read.
 
     :param view: the view before the page.
     :param message: a page of the stream, without a gap inside.
