--- a/src/burdockgate/process/ownership.py
+++ b/src/burdockgate/process/ownership.py
@@ -49,8 +49,10 @@
     def _claim_terms(
         self, submission: _Submission, epoch: int, attempt: int
     ) -> claimant.Terms:
+        # A claim with epoch 0 only asks whether the claim group has a record of the
+        # job. Such a claim, or one without a request, sends no tasks: it has no scope.
         request = submission.request
-        remaining_s = max(0.0, submission.deadline_at - self._time.now())
+        remaining_s = max(0.0, submission.step_deadline_at - self._time.now())
         return claimant.Terms(
             submission.job,
             epoch,
@@ -146,7 +148,7 @@
             self.view.group(submission.job),
             self._time,
             self._config.timing.lost_worker_s,
-            submission.had_attempt,
+            submission.may_have_run_before,
         )
         if record is not None and record.attempt == terms.attempt and terms.epoch > 1:
             yield from submission.owned_job.recover(record.scope)
@@ -169,7 +171,7 @@
             and submission.refusal is None
             and outcomecache.may_run_again(code, record.repeatable)
         ):
-            submission.had_attempt = registry.may_have_run(code)
+            submission.may_have_run_before = registry.may_have_run(code)
             yield from self._claim(submission, record.epoch + 1, record.attempt + 1)
         else:
             detail = codes.MEANING_BY_CODE[code].text
@@ -218,7 +220,7 @@
         yield from self._handle_job_change(submission)
 
     def _handle_job_change(self, submission: _Submission) -> _Effects:
-        """Queue, finish or claim a job again after its owned job has changed."""
+        """Queue the job, finish it, or claim it anew, by the state of its owned job."""
         owned_job = submission.owned_job
         if owned_job is None:
             return
@@ -233,9 +235,9 @@
             submission.owned_job = submission.extension = submission.confirmation = None
             self._confirming_jobs.discard(submission.job)
             self._confirmation_queue.pop(submission.job, None)
-            yield from self._claim(submission, 1, 1)
+            yield from self._claim(submission, epoch=1, attempt=1)
         elif owned_job.outcome is not None:
-            if codes.start_of(owned_job.outcome.code) is codes.Start.NOT_RUN:
+            if codes.start_class(owned_job.outcome.code) is codes.StartClass.NOT_RUN:
                 yield from self._confirm_not_run(submission, owned_job)
             else:
                 yield from self._finish(submission, owned_job.outcome)
@@ -256,7 +258,7 @@
             self._confirmation_queue[submission.job] = None
         elif submission.confirmation is None:
             yield from self._start_confirmation(submission, owned_job)
-        elif self._time.now() >= submission.deadline_at:
+        elif self._time.now() >= submission.step_deadline_at:
             owned_job.replace_code(_UNCONFIRMED_CODE_BY_CODE[owned_job.outcome.code])
             yield from self._finish(submission, owned_job.outcome)
 
@@ -265,7 +267,7 @@
     ) -> _Effects:
         assert owned_job.outcome is not None
         self._confirming_jobs.add(submission.job)
-        submission.deadline_at = self._time.now() + CONFIRMATION_TIMEOUT_S
+        submission.step_deadline_at = self._time.now() + CONFIRMATION_TIMEOUT_S
         submission.confirmation = claimant.Claimant(
             attrs.evolve(owned_job.terms, code=int(owned_job.outcome.code)),
             self._time,
--- a/src/burdockgate/standin/probes.py
+++ b/src/burdockgate/standin/probes.py
@@ -1,4 +1,4 @@
-"""What the bench measures: each probe gives values at one size and seed."""
+"""Probes that measure costs; each returns values for one size and seed."""
 
 from __future__ import annotations
 
@@ -12,40 +12,50 @@
 
 from burdockgate import clock, codes, messages, wire
 from burdockgate.process import agent, entry
-from burdockgate.standin import calls, meter, starts
+from burdockgate.standin import costmeter, httpcost, startrate
 from burdockgate.version import table, view
 
 US_PER_S = 1_000_000
-LOAD = 0.7
-REST_S = 8.0
-BEAT_S = 0.8
-OWNER = meter.hello(messages.Role.ENTRY, 0)
+LOAD_SHARE = 0.7
+IDLE_S = 8.0
+HEARTBEAT_INTERVAL_S = 0.8
+OWNER = costmeter.hello(messages.Role.ENTRY, 0)
 
 Values = Mapping[str, float]
 
 
 @attrs.frozen
 class Probe:
-    """A measure over sizes.
+    """A measurement over several sizes.
 
-    :param against: what the size counts.
+    :param parameter: what the size counts.
     :param sizes: the sizes, at least three.
-    :param take: returns values by name and unit, at a size and with a seed.
+    :param measure: takes a size and a seed; returns values by name with unit.
     """
 
-    against: str
+    parameter: str
     sizes: tuple[int, ...]
-    take: Callable[[int, int], Values]
+    measure: Callable[[int, int], Values]
 
 
 def jobs(tasks: int, seed: int) -> Values:
-    """Run jobs of some tasks on 11 agents at 70% load; costs are for each job."""
-    return _load(11, tasks, max(3, min(42, 840 // tasks)), seed)
+    """Run jobs on 11 agents at 70% load; costs are per job.
+
+    :param tasks: number of tasks of a job.
+    :param seed: seed of the load.
+    """
+    return _measure_load(11, tasks, max(3, min(42, 840 // tasks)), seed)
 
 
 def workers(agents: int, seed: int) -> Values:
-    """Run the same jobs of 20 tasks with some agents; costs are for each start."""
-    values = _load(agents, 20, 20, seed, slots=11 * meter.SLOTS)
+    """Run 70% load for 11 agents, in jobs of 20 tasks, on any number of agents.
+
+    Costs are per start of a task.
+
+    :param agents: number of agents.
+    :param seed: seed of the load.
+    """
+    values = _measure_load(agents, 20, 20, seed, slots=11 * costmeter.SLOTS)
     return {
         "entry host µs a start": values["entry host µs"] / 20,
         "entry host messages a start": values["entry host messages sent"] / 20,
@@ -53,58 +63,62 @@
     }
 
 
-def _load(agents: int, tasks: int, count: int, seed: int, slots: int = 0) -> Values:
-    system = meter.System(agents, seed)
-    slots = slots or agents * meter.SLOTS
-    run_s = (meter.RUN_MIN_S + meter.RUN_MAX_S) / 2
-    gap_s = tasks * run_s / (slots * LOAD)
-    for ticket in range(count):
-        system.later(ticket * gap_s, functools.partial(system.submit, ticket, tasks))
-    while len(system.answers) < count:
+def _measure_load(
+    agents: int, tasks: int, job_count: int, seed: int, slots: int = 0
+) -> Values:
+    system = costmeter.System(agents, seed)
+    slots = slots or agents * costmeter.SLOTS
+    run_s = (costmeter.RUN_MIN_S + costmeter.RUN_MAX_S) / 2
+    gap_s = tasks * run_s / (slots * LOAD_SHARE)
+    for ticket in range(job_count):
+        system.call_later(
+            ticket * gap_s, functools.partial(system.submit, ticket, tasks)
+        )
+    while len(system.answers) < job_count:
         system.run(1.0)
-    _check(system, count * tasks)
-    at_agents, at_entry = system.agent_cost(), system.entry.cost
+    _check_complete(system, job_count * tasks)
+    agents_cost, entry_cost = system.agent_cost(), system.entry.cost
     return {
-        "entry host µs": at_entry.cpu_s / count * US_PER_S,
-        "entry host messages sent": at_entry.sent / count,
-        "entry host bytes sent": at_entry.sent_bytes / count,
-        "agents µs": at_agents.cpu_s / count * US_PER_S,
-        "agents messages sent": at_agents.sent / count,
-        "agents bytes sent": at_agents.sent_bytes / count,
+        "entry host µs": entry_cost.cpu_s / job_count * US_PER_S,
+        "entry host messages sent": entry_cost.sent / job_count,
+        "entry host bytes sent": entry_cost.sent_bytes / job_count,
+        "agents µs": agents_cost.cpu_s / job_count * US_PER_S,
+        "agents messages sent": agents_cost.sent / job_count,
+        "agents bytes sent": agents_cost.sent_bytes / job_count,
     }
 
 
-def _check(system: meter.System, starts: int) -> None:
-    """Fail when a run was not whole, because its costs would mean nothing."""
-    codes_seen = {answer.outcome.code for answer in system.answers}
-    if codes_seen != {codes.Code.COMPLETE} or system.starts != starts:
-        raise AssertionError(f"{system.starts} starts of {starts}, codes {codes_seen}")
+def _check_complete(system: costmeter.System, starts: int) -> None:
+    """Raise if not all jobs completed, since the costs would mean nothing."""
+    seen_codes = {answer.outcome.code for answer in system.answers}
+    if seen_codes != {codes.Code.COMPLETE} or system.starts != starts:
+        raise AssertionError(f"{system.starts} starts of {starts}, codes {seen_codes}")
 
 
 def backlog(count: int, seed: int) -> Values:
-    """Give a heartbeat to an entry host where some jobs wait for a slot."""
-    system = meter.System(3, seed)
+    """Measure a received heartbeat and a tick while jobs wait for a slot."""
+    system = costmeter.System(3, seed)
     for ticket in range(count):
         system.submit(ticket, 20)
     system.run(0.02)
     frame = wire.encode(messages.Heartbeat(0, _view_of(system.entry).number))
     process, name = system.entry, system.agents[0].name
-    process.cost = meter.Cost()
+    process.cost = costmeter.Cost()
     for _ in range(50):
         process.receive(name, frame)
-    per_message = process.cost.cpu_s / 50 * US_PER_S
-    process.cost = meter.Cost()
+    per_message_us = process.cost.cpu_s / 50 * US_PER_S
+    process.cost = costmeter.Cost()
     for _ in range(20):
-        process.run(_entry_core(process).tick)
+        process.execute(_entry_core(process).tick)
     return {
-        "entry host µs a received message": per_message,
+        "entry host µs a received message": per_message_us,
         "entry host µs a tick": process.cost.cpu_s / 20 * US_PER_S,
     }
 
 
 def many_workers(count: int, seed: int) -> Values:
-    """Run jobs of 20 tasks at an entry host with many workers, 64 of them voters."""
-    bench = starts.Bench(count, 20, seed, voters=64)
+    """Run jobs of 20 tasks on many workers, 64 of which vote."""
+    bench = startrate.Bench(count, 20, seed, voters=64)
     bench.run(200, in_progress=10)
     per_s = bench.run(1000, in_progress=10)
     return {
@@ -114,17 +128,17 @@
 
 
 def many_jobs(count: int, seed: int) -> Values:
-    """Tick an entry host, and let callers leave, while many jobs wait."""
-    system = meter.System(3, seed)
+    """Measure a tick and the disconnect of a caller while many jobs wait."""
+    system = costmeter.System(3, seed)
     for ticket in range(count):
         system.submit(ticket, 1)
     system.run(0.2)
     process = system.entry
     core = _entry_core(process)
-    process.cost = meter.Cost()
+    process.cost = costmeter.Cost()
     for _ in range(20):
-        process.run(core.tick)
-    per_tick, process.cost = process.cost.cpu_s / 20, meter.Cost()
+        process.execute(core.tick)
+    per_tick, process.cost = process.cost.cpu_s / 20, costmeter.Cost()
     begin = time.process_time()
     for ticket in range(count - 50, count):
         core.jobs.remove_caller(ticket)
@@ -136,112 +150,114 @@
     }
 
 
-def _entry_core(process: meter.Process) -> entry.EntryCore:
+def _entry_core(process: costmeter.Process) -> entry.EntryCore:
     assert isinstance(process.core, entry.EntryCore)
     return process.core
 
 
-def _agent_core(process: meter.Process) -> agent.AgentCore:
+def _agent_core(process: costmeter.Process) -> agent.AgentCore:
     assert isinstance(process.core, agent.AgentCore)
     return process.core
 
 
-def _view_of(process: meter.Process) -> view.View:
+def _view_of(process: costmeter.Process) -> view.View:
     return _entry_core(process).view
 
 
-def entry_rest(agents: int, seed: int) -> Values:
-    """Let an entry host rest with some agents connected; costs are for a second."""
-    process, now = _joined_entry(agents, 0, seed)
-    return _rest(process, now, "entry host")
+def idle_entry(agents: int, seed: int) -> Values:
+    """Measure an idle entry host with connected agents; costs are per second."""
+    process, now = _entry_with_connections(agents, 0, seed)
+    return _measure_idle(process, now, "entry host")
 
 
-def peer_rest(peers: int, seed: int) -> Values:
-    """Let an entry host rest with some other entry hosts and 11 agents."""
-    process, now = _joined_entry(11, peers, seed)
-    return _rest(process, now, "entry host")
+def idle_entry_with_peers(peers: int, seed: int) -> Values:
+    """Measure an idle entry host with connected entry hosts and 11 agents."""
+    process, now = _entry_with_connections(11, peers, seed)
+    return _measure_idle(process, now, "entry host")
 
 
-def agent_rest(entries: int, seed: int) -> Values:
-    """Let an agent rest with some entry hosts; costs are for a second."""
+def idle_agent(entries: int, seed: int) -> Values:
+    """Measure an idle agent with connected entry hosts; costs are per second."""
     now = clock.ManualClock(100.0)
-    process = meter.agent_process(0, now)
-    _agent_core(process).claims.catchup.view = meter.members(64, entries)
+    process = costmeter.agent_process(0, now)
+    _agent_core(process).claims.catchup.view = costmeter.view_of_members(64, entries)
     for index in range(entries):
-        other = meter.hello(messages.Role.ENTRY, index)
-        process.run(functools.partial(process.core.handle_connect, other))
-    return _rest(process, now, "agent")
+        other = costmeter.hello(messages.Role.ENTRY, index)
+        process.execute(functools.partial(process.core.handle_connect, other))
+    return _measure_idle(process, now, "agent")
 
 
-def _joined_entry(
+def _entry_with_connections(
     agents: int, peers: int, seed: int
-) -> tuple[meter.Process, clock.ManualClock]:
+) -> tuple[costmeter.Process, clock.ManualClock]:
     now = clock.ManualClock(100.0)
-    process = meter.entry_process(0, now, random.Random(seed))
-    _entry_core(process).jobs.view = meter.members(agents, peers + 1)
+    process = costmeter.entry_process(0, now, random.Random(seed))
+    _entry_core(process).jobs.view = costmeter.view_of_members(agents, peers + 1)
     roles = [(messages.Role.AGENT, agents, 0), (messages.Role.ENTRY, peers, 1)]
     for role, count, first in roles:
         for index in range(first, first + count):
-            other = meter.hello(role, index)
-            process.run(functools.partial(process.core.handle_connect, other))
+            other = costmeter.hello(role, index)
+            process.execute(functools.partial(process.core.handle_connect, other))
     return process, now
 
 
-def _rest(process: meter.Process, now: clock.ManualClock, role: str) -> Values:
-    """Tick, and send and answer the heartbeats of every connected node for a while."""
-    process.run(process.core.send_heartbeats)
-    process.cost = meter.Cost()
-    beats = round(REST_S / BEAT_S)
-    number = _number_of(process)
-    frame = wire.encode(messages.Heartbeat(0, number))
-    for _ in range(beats):
-        for _ in range(round(BEAT_S / meter.TICK_S)):
-            now.advance(meter.TICK_S)
-            process.run(process.core.tick)
-        sent = process.run(process.core.send_heartbeats)
+def _measure_idle(
+    process: costmeter.Process, now: clock.ManualClock, role: str
+) -> Values:
+    """Tick, and exchange heartbeats with every connected node, for ``IDLE_S``."""
+    process.execute(process.core.send_heartbeats)
+    process.cost = costmeter.Cost()
+    heartbeat_count = round(IDLE_S / HEARTBEAT_INTERVAL_S)
+    view_number = _view_number(process)
+    frame = wire.encode(messages.Heartbeat(0, view_number))
+    for _ in range(heartbeat_count):
+        for _ in range(round(HEARTBEAT_INTERVAL_S / costmeter.TICK_S)):
+            now.advance(costmeter.TICK_S)
+            process.execute(process.core.tick)
+        sent = process.execute(process.core.send_heartbeats)
         for item in sent:
-            if isinstance(item, meter.Frame):
+            if isinstance(item, costmeter.Frame):
                 process.receive(item.to, frame)
     cost = process.cost
     return {
-        f"{role} at rest, µs a second": cost.cpu_s / REST_S * US_PER_S,
-        f"{role} at rest, messages sent a second": cost.sent / REST_S,
-        f"{role} at rest, bytes sent a second": cost.sent_bytes / REST_S,
+        f"{role} at rest, µs a second": cost.cpu_s / IDLE_S * US_PER_S,
+        f"{role} at rest, messages sent a second": cost.sent / IDLE_S,
+        f"{role} at rest, bytes sent a second": cost.sent_bytes / IDLE_S,
     }
 
 
-def _number_of(process: meter.Process) -> int:
+def _view_number(process: costmeter.Process) -> int:
     if isinstance(process.core, agent.AgentCore):
         return process.core.table_and_view_versions[1]
     return process.core.view.number
 
 
-def group(voters: int, seed: int) -> Values:
-    """Compute claim groups among some voters."""
-    members = meter.members(voters, 1)
+def claim_group(voters: int, seed: int) -> Values:
+    """Measure the choice of a claim group among the voters."""
+    member_view = costmeter.view_of_members(voters, 1)
     rng = random.Random(seed)
     ids = [rng.randbytes(16) for _ in range(max(20, 4000 // voters))]
     begin = time.process_time()
     for id_ in ids:
-        members.group(id_)
+        member_view.group(id_)
     return {"View.group µs": (time.process_time() - begin) / len(ids) * US_PER_S}
 
 
 def vote(voters: int, seed: int) -> Values:
-    """Ask an agent for its vote, with a scope of 64 agents."""
-    values = _vote(voters, 64, seed)
+    """Measure a vote on a claim with a scope of 64 agents."""
+    values = _measure_vote(voters, 64, seed)
     return {"claim vote at the agent, µs": values["claim vote at the agent, µs"]}
 
 
 def scope(agents: int, seed: int) -> Values:
-    """Ask one of 64 voters for its vote, with a scope of some agents."""
-    return _vote(64, agents, seed)
+    """Measure a vote of one of 64 voters, by the number of agents in the scope."""
+    return _measure_vote(64, agents, seed)
 
 
-def _vote(voters: int, agents: int, seed: int) -> Values:
-    process = voter(voters)
-    frames = list(claims(process, agents, 50, random.Random(seed)))
-    process.cost = meter.Cost()
+def _measure_vote(voters: int, agents: int, seed: int) -> Values:
+    process = voting_agent(voters)
+    frames = list(claim_frames(process, agents, 50, random.Random(seed)))
+    process.cost = costmeter.Cost()
     for frame in frames:
         process.receive(OWNER.node.name, frame)
     return {
@@ -252,64 +268,66 @@
 
 
 def sync(count: int, seed: int) -> Values:
-    """Ask one of 64 voters for the claims that another one needs."""
-    process = voter(64)
-    for frame in claims(process, 3, count, random.Random(seed)):
+    """Measure how one of 64 voters sends its claims to another that catches up."""
+    process = voting_agent(64)
+    for frame in claim_frames(process, 3, count, random.Random(seed)):
         process.receive(OWNER.node.name, frame)
-    other = meter.hello(messages.Role.AGENT, 1)
-    process.run(lambda: process.core.handle_connect(other))
-    process.cost = meter.Cost()
-    frame = wire.encode(messages.Sync(_number_of(process)))
+    other = costmeter.hello(messages.Role.AGENT, 1)
+    process.execute(lambda: process.core.handle_connect(other))
+    process.cost = costmeter.Cost()
+    frame = wire.encode(messages.Sync(_view_number(process)))
     process.receive(other.node.name, frame)
     return {"one Sync at an agent, µs": process.cost.cpu_s * US_PER_S}
 
 
-def voter(voters: int) -> meter.Process:
+def voting_agent(voters: int) -> costmeter.Process:
     """Return a voting agent to which one entry host is connected.
 
     :param voters: number of voters in its view.
     """
-    process = meter.agent_process(0, clock.ManualClock(100.0))
-    _agent_core(process).claims.catchup.advance(meter.members(voters, 1))
-    process.run(lambda: process.core.handle_connect(OWNER))
+    process = costmeter.agent_process(0, clock.ManualClock(100.0))
+    _agent_core(process).claims.catchup.advance(costmeter.view_of_members(voters, 1))
+    process.execute(lambda: process.core.handle_connect(OWNER))
     return process
 
 
-def claims(
-    process: meter.Process, agents: int, count: int, rng: random.Random
+def claim_frames(
+    process: costmeter.Process, agents: int, count: int, rng: random.Random
 ) -> Iterator[bytes]:
-    """Yield frames of claims on which a voter may vote.
+    """Yield encoded claims whose claim group includes a voter.
 
-    :param process: the voter.
+    :param process: process of the voter.
     :param agents: number of agents in the scope.
     :param count: number of claims.
     :param rng: the source of random job ids.
     """
     core = _agent_core(process)
     members = core.claims.catchup.view
-    nodes = tuple(meter.hello(messages.Role.AGENT, i).node for i in range(agents))
+    nodes = tuple(costmeter.hello(messages.Role.AGENT, i).node for i in range(agents))
     while count:
         id_ = rng.randbytes(16)
         chosen = members.group(id_)
-        if any(core.node.same(node) for node in chosen):
+        if any(core.node.is_same_incarnation(node) for node in chosen):
             count -= 1
-            head = (id_, members.number, chosen, 1, 1, OWNER.node, id_, nodes)
-            yield wire.encode(messages.Claim(*head, 60_000, True, 900))
+            fields = (id_, members.number, chosen, 1, 1, OWNER.node, id_, nodes)
+            yield wire.encode(messages.Claim(*fields, 60_000, True, 900))
 
 
 def rows(count: int, seed: int) -> Values:
-    """Fold row changes into a table of some rows."""
+    """Measure changes of rows, the memory and the snapshot of a table."""
     rng = random.Random(seed)
     values = [_set_value(index, rng) for index in range(count)]
     tracemalloc.start()
     before, _ = tracemalloc.get_traced_memory()
-    whole = table.Table()
+    full_table = table.Table()
     for offset, value in enumerate(values):
-        whole, _ = table.fold(whole, messages.LogRecord(offset, str(offset), value))
+        full_table, _ = table.fold(
+            full_table, messages.LogRecord(offset, str(offset), value)
+        )
     after, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     begin = time.process_time()
-    changed = whole
+    changed = full_table
     for offset in range(count, count + 50):
         row = rng.randrange(count)
         value = _set_value(row, rng, changed.row_version(("class", f"team-{row:05d}")))
@@ -319,7 +337,7 @@
     return {
         "table: µs a row change": spent * US_PER_S,
         "table: bytes of memory": after - before,
-        "table: bytes of a snapshot": len(table.snapshot_record(whole)),
+        "table: bytes of a snapshot": len(table.snapshot_record(full_table)),
     }
 
 
@@ -329,15 +347,17 @@
 
 
 def announcement(agents: int, seed: int) -> Values:
-    """Connect one more agent, then one more entry host, to an entry host."""
-    process, _ = _joined_entry(agents, 3, seed)
-    process.cost = meter.Cost()
-    process.run(
-        lambda: process.core.handle_connect(meter.hello(messages.Role.AGENT, agents))
+    """Measure the connection of one more agent, then of one more entry host."""
+    process, _ = _entry_with_connections(agents, 3, seed)
+    process.cost = costmeter.Cost()
+    process.execute(
+        lambda: process.core.handle_connect(
+            costmeter.hello(messages.Role.AGENT, agents)
+        )
     )
-    agent_cost, process.cost = process.cost, meter.Cost()
-    process.run(
-        lambda: process.core.handle_connect(meter.hello(messages.Role.ENTRY, 4))
+    agent_cost, process.cost = process.cost, costmeter.Cost()
+    process.execute(
+        lambda: process.core.handle_connect(costmeter.hello(messages.Role.ENTRY, 4))
     )
     return {
         "new agent: messages of an entry host": agent_cost.sent,
@@ -350,31 +370,31 @@
 
 
 def peers(entries: int, seed: int) -> Values:
-    """Send the list of entry hosts that each new agent gets."""
-    process, _ = _joined_entry(11, entries - 1, seed)
-    process.cost = meter.Cost()
-    process.run(
-        lambda: process.core.handle_connect(meter.hello(messages.Role.AGENT, 11))
+    """Measure the list of entry hosts that each new agent is sent."""
+    process, _ = _entry_with_connections(11, entries - 1, seed)
+    process.cost = costmeter.Cost()
+    process.execute(
+        lambda: process.core.handle_connect(costmeter.hello(messages.Role.AGENT, 11))
     )
     return {"new agent: bytes of the list of entry hosts": process.cost.sent_bytes}
 
 
 def view_change(agents: int, seed: int) -> Values:
-    """Add one voter to the view at an entry host, and at an agent it tells."""
-    process, now = _joined_entry(agents, 0, seed)
-    other = meter.agent_process(0, now)
+    """Measure a new voter in the view at an entry host, and at a voting agent."""
+    process, now = _entry_with_connections(agents, 0, seed)
+    other = costmeter.agent_process(0, now)
     _agent_core(other).claims.catchup.view = _view_of(process)
-    owner = meter.hello(messages.Role.ENTRY, 0)
-    other.run(lambda: other.core.handle_connect(owner))
+    owner = costmeter.hello(messages.Role.ENTRY, 0)
+    other.execute(lambda: other.core.handle_connect(owner))
     number = _view_of(process).number
-    added = view.voter_record(meter.hello(messages.Role.AGENT, agents))
+    added = view.voter_record(costmeter.hello(messages.Role.AGENT, agents))
     record = messages.LogRecord(number, "new", added)
     records = messages.Records(view.STREAM, number, number + 1, (record,))
-    process.cost = meter.Cost()
+    process.cost = costmeter.Cost()
     core = _entry_core(process)
-    sent = process.run(lambda: core.follow(records))
-    frame = next(item for item in sent if isinstance(item, meter.Frame))
-    other.cost = meter.Cost()
+    sent = process.execute(lambda: core.follow(records))
+    frame = next(item for item in sent if isinstance(item, costmeter.Frame))
+    other.cost = costmeter.Cost()
     effects = other.receive(owner.node.name, frame.data)
     return {
         "view change: µs at the entry host": process.cost.cpu_s * US_PER_S,
@@ -385,16 +405,16 @@
     }
 
 
-EVERY = (
+PROBES = (
     Probe("tasks of a job", (20, 80, 280), jobs),
     Probe("agents connected", (11, 64, 256), workers),
     Probe("jobs of 20 tasks waiting", (10, 50, 250), backlog),
     Probe("workers", (100, 1000, 10_000), many_workers),
     Probe("jobs waiting", (100, 1000, 10_000), many_jobs),
-    Probe("agents connected", (16, 64, 256), entry_rest),
-    Probe("other entry hosts connected", (1, 4, 16), peer_rest),
-    Probe("entry hosts connected", (1, 4, 16), agent_rest),
-    Probe("voters", (11, 64, 256, 1024), group),
+    Probe("agents connected", (16, 64, 256), idle_entry),
+    Probe("other entry hosts connected", (1, 4, 16), idle_entry_with_peers),
+    Probe("entry hosts connected", (1, 4, 16), idle_agent),
+    Probe("voters", (11, 64, 256, 1024), claim_group),
     Probe("voters", (11, 64, 256), vote),
     Probe("agents in the scope", (3, 16, 64), scope),
     Probe("claims held, 64 voters", (100, 200, 400), sync),
@@ -402,5 +422,5 @@
     Probe("agents connected", (16, 64, 256), announcement),
     Probe("entry hosts", (4, 16, 64), peers),
     Probe("agents connected, all voters", (16, 64, 255), view_change),
-    Probe("calls", (50, 100, 200), calls.http),
+    Probe("calls", (50, 100, 200), httpcost.measure_http_calls),
 )
--- /dev/null
+++ b/src/burdockgate/standin/simnodes.py
@@ -0,0 +1,426 @@
+"""Simulated agents and entry hosts, and the jobs that callers submit to them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator
+from typing import TYPE_CHECKING
+
+import attrs
+
+from burdockgate.process import (
+    actions,
+    assigner,
+    executor,
+    executoractions,
+    scheduler,
+    workercontrol,
+)
+from burdockgate.request import besteffort
+from burdockgate.standin import simworker
+
+if TYPE_CHECKING:
+    from burdockgate import assignments
+    from burdockgate.standin import simulation
+
+# An agent waits this long for the answer to a start or stop command.
+COMMAND_TIMEOUT_S = 0.08
+# A poll is unanswered this long after its requested wait.
+POLL_TIMEOUT_S = 0.25
+ASSIGN_DELAY_S = 0.001
+# One-way delay between an agent and its worker.
+COMMAND_LATENCY_S = 0.0005
+AGENT_TICK_INTERVAL_S = 0.1
+ENTRY_TICK_INTERVAL_S = 0.02
+REPORT_INTERVAL_S = 0.2
+HEARTBEAT_INTERVAL_S = 1.5
+
+
+@attrs.frozen
+class JobKind:
+    """A kind of job that callers submit.
+
+    :param width: number of tasks.
+    :param work_s: mean duration of a task at speed 1.
+    :param cpu: thousandths of a core for each task.
+    :param jobs_per_s: jobs per second over all entry hosts.
+    :param worth: what a job on time earns.
+    """
+
+    name: str
+    width: int
+    work_s: float
+    cpu: int
+    jobs_per_s: float
+    priority: int
+    worth: float
+
+
+@attrs.define
+class CallerJob:
+    """A job of a caller with its outcomes; times in virtual seconds."""
+
+    job: str
+    kind: JobKind
+    submission: besteffort.Submission
+    sent_at: float
+    objective_s: float
+    outcomes: list[besteffort.Outcome] = attrs.field(factory=list)
+    ended_at: float | None = None
+    is_interrupted: bool = False
+
+    def earned_share(self) -> float:
+        """Return the share of its worth that the job earned.
+
+        1 within the objective, 0.2 within ``LATE_FACTOR`` times the objective,
+        otherwise 0.
+        """
+        if self.ended_at is None or not self.is_completed:
+            return 0.0
+        took_s = self.ended_at - self.sent_at
+        if took_s <= self.objective_s:
+            return 1.0
+        return 0.2 if took_s <= besteffort.LATE_FACTOR * self.objective_s else 0.0
+
+    @property
+    def is_completed(self) -> bool:
+        """Whether the caller was answered that all tasks are done."""
+        return any(
+            isinstance(outcome, besteffort.Completed) for outcome in self.outcomes
+        )
+
+
+class SimulatedNode:
+    """A process that can be killed and frozen.
+
+    :param sim: the simulation.
+    :param name: name of the process.
+    :param zone: zone of the process.
+    """
+
+    def __init__(self, sim: simulation.Simulation, name: str, zone: str) -> None:
+        self.sim, self.name, self.zone = sim, name, zone
+        self.is_up = True
+        self.is_frozen = False
+        self.incarnation = 0
+        self._deferred: list[Callable[[], None]] = []
+
+    def execute(self, action: Callable[[], None]) -> None:
+        """Execute an action now, or after a freeze; a process that is down drops it.
+
+        :param action: the action.
+        """
+        if self.is_frozen:
+            self._deferred.append(action)
+        elif self.is_up:
+            action()
+
+    def freeze(self, for_s: float) -> None:
+        """Freeze the process.
+
+        :param for_s: duration in seconds.
+        """
+        self.is_frozen = True
+        self.sim.time.call_later(for_s, self._resume)
+
+    def _resume(self) -> None:
+        self.is_frozen = False
+        inbox, self._deferred = self._deferred, []
+        for action in inbox:
+            self.execute(action)
+
+    def terminate(self) -> None:
+        """End the process; its connections are not reset."""
+        self.is_up, self.incarnation = False, self.incarnation + 1
+        self._deferred.clear()
+
+
+def _discard(result: workercontrol.PollResult) -> None:
+    """Discard the result of a poll."""
+
+
+class SimulatedAgent(SimulatedNode):
+    """An agent with its worker.
+
+    :param sim: the simulation.
+    :param name: name of the agent.
+    :param zone: zone of the process.
+    :param worker: worker of the agent.
+    """
+
+    def __init__(
+        self,
+        sim: simulation.Simulation,
+        name: str,
+        zone: str,
+        worker: simworker.SimulatedWorker,
+    ) -> None:
+        super().__init__(sim, name, zone)
+        self.worker = worker
+        self.sequence = 0
+        self.is_draining = False
+        self.drained_at: float | None = None
+        self._start()
+
+    def _start(self) -> None:
+        self.boot = self.sim.rng.getrandbits(60)
+        self.executor = executor.Executor(self.sim.limits, self.sim.time)
+        self.sent_worker_info: set[tuple[str, assignments.WorkerInfo]] = set()
+        incarnation = self.incarnation
+        self._repeat(
+            AGENT_TICK_INTERVAL_S,
+            lambda: self.perform(self.executor.tick()),
+            incarnation,
+        )
+        self._repeat(REPORT_INTERVAL_S, self.report, incarnation)
+        self._repeat(HEARTBEAT_INTERVAL_S, self._send_heartbeat, incarnation)
+        self.sim.time.call_later(0.01, lambda: self._poll(incarnation))
+
+    def _repeat(
+        self, interval_s: float, action: Callable[[], None], incarnation: int
+    ) -> None:
+        def run_once() -> None:
+            if incarnation != self.incarnation:
+                return
+            self.execute(action)
+            self.sim.time.call_later(interval_s, run_once)
+
+        self.sim.time.call_later(self.sim.rng.random() * interval_s, run_once)
+
+    def kill(self) -> None:
+        """End the process; its connections are reset."""
+        self.terminate()
+        self.sim.reset_connections(agent=self.name)
+
+    def restart(self) -> None:
+        """Start the process again."""
+        self.is_up = True
+        self._start()
+
+    def _send_heartbeat(self) -> None:
+        if self.worker.faults.is_unreachable:
+            return
+        self.sequence += 1
+        if self.is_draining and self.drained_at is None:
+            self.drained_at = self.sim.time.now()
+        heartbeat = self.worker.heartbeat(self.sequence, self.is_draining)
+        self.perform(self.executor.handle_heartbeat(heartbeat))
+
+    def _poll(self, incarnation: int) -> None:
+        if incarnation != self.incarnation:
+            return
+        command = self.executor.next_poll() if not self.is_frozen else None
+        if command is None:
+            self.sim.time.call_later(0.05, lambda: self._poll(incarnation))
+            return
+        has_polled_again = False
+
+        def poll_again() -> None:
+            nonlocal has_polled_again
+            if not has_polled_again:
+                has_polled_again = True
+                self._poll(incarnation)
+
+        self._send_poll(command, poll_again, incarnation)
+        overdue_s = command.wait_ms / 1000 + self.sim.limits.poll_repeat_s
+        self.sim.time.call_later(overdue_s, poll_again)
+
+    def _send_poll(
+        self,
+        command: workercontrol.PollCommand,
+        on_done: Callable[[], None],
+        incarnation: int,
+    ) -> None:
+        state = {"done": False}
+
+        def finish(result: workercontrol.PollResult) -> None:
+            if state["done"] or incarnation != self.incarnation:
+                return
+            state["done"] = True
+
+            def handle() -> None:
+                self.perform(self.executor.handle_poll_result(command, result))
+                pause_s = 0.0 if isinstance(result, workercontrol.Snapshot) else 0.05
+                self.sim.time.call_later(pause_s, on_done)
+
+            self.execute(handle)
+
+        time = self.sim.time
+        limit_s = command.wait_ms / 1000 + POLL_TIMEOUT_S
+        time.call_later(limit_s, lambda: finish(workercontrol.Unanswered()))
+
+        def send_result(result: workercontrol.PollResult) -> None:
+            time.call_later(COMMAND_LATENCY_S, lambda: finish(result))
+
+        def arrive() -> None:
+            if self.worker.faults.unanswered_share and self.worker.is_command_lost():
+                late_s = self.sim.rng.uniform(*simworker.LATE_DELAY_RANGE_S)
+                time.call_later(late_s, lambda: self.worker.poll(command, _discard))
+            elif not self.worker.faults.is_unreachable:
+                self.worker.poll(command, send_result)
+
+        time.call_later(COMMAND_LATENCY_S, arrive)
+
+    def perform(self, effects: Iterable[executoractions.Effect]) -> None:
+        """Perform effects of the executor.
+
+        :param effects: the effects.
+        """
+        for effect in effects:
+            match effect:
+                case actions.Send(to, message):
+                    self.sim.send_to_entry(self.name, to, message)
+                case executoractions.Start(start):
+                    self._send_command(
+                        lambda start=start: self.worker.start(start),  # type: ignore[misc]
+                        lambda result, start=start: self.executor.handle_start_result(  # type: ignore[misc]
+                            start, result
+                        ),
+                    )
+                case executoractions.Stop(stop):
+                    self._send_command(
+                        lambda stop=stop: self.worker.stop(stop),  # type: ignore[misc]
+                        lambda result, stop=stop: self.executor.handle_stop_result(  # type: ignore[misc]
+                            stop, result
+                        ),
+                    )
+                case executoractions.Poll(poll):
+                    self._send_poll(poll, lambda: None, self.incarnation)
+                case actions.LogEvent(event, fields):
+                    self.sim.record_event(self.name, event, fields)
+                    continue
+            self.sim.schedule_report(self, self.report_change)
+
+    def _send_command(
+        self,
+        execute_command: Callable[[], workercontrol.CommandResult],
+        handle_result: Callable[
+            [workercontrol.CommandResult], Iterator[executoractions.Effect]
+        ],
+    ) -> None:
+        incarnation, time, faults = self.incarnation, self.sim.time, self.worker.faults
+
+        def finish(result: workercontrol.CommandResult) -> None:
+            if incarnation == self.incarnation:
+                self.execute(lambda: self.perform(handle_result(result)))
+
+        if faults.is_unreachable:
+            time.call_later(
+                COMMAND_TIMEOUT_S, lambda: finish(workercontrol.Unanswered())
+            )
+        elif self.worker.is_command_lost():
+            late_s = self.sim.rng.uniform(*simworker.LATE_DELAY_RANGE_S)
+            time.call_later(late_s, execute_command)
+            time.call_later(
+                COMMAND_TIMEOUT_S, lambda: finish(workercontrol.Unanswered())
+            )
+        else:
+
+            def arrive() -> None:
+                result = execute_command()
+                time.call_later(COMMAND_LATENCY_S, lambda: finish(result))
+
+            time.call_later(COMMAND_LATENCY_S, arrive)
+
+    def report_change(self) -> None:
+        """Send the load to the entry hosts that get a report of every change."""
+        self.report(is_periodic=False)
+
+    def report(self, is_periodic: bool = True) -> None:
+        """Send the load to the connected entry hosts for which a report is due.
+
+        :param is_periodic: whether the report is a periodic one.
+        """
+        info, report_by_entry = (
+            self.executor.worker_info(),
+            self.executor.due_reports(is_periodic),
+        )
+        for entry in self.sim.connected_entries(self.name):
+            if entry not in report_by_entry:
+                continue
+            if info is not None and (entry, info) not in self.sent_worker_info:
+                self.sent_worker_info.add((entry, info))
+                self.sim.send_to_entry(self.name, entry, info)
+            self.sim.send_to_entry(self.name, entry, report_by_entry[entry])
+
+
+class SimulatedEntryHost(SimulatedNode):
+    """An entry host.
+
+    :param sim: the simulation.
+    :param name: name of the entry host.
+    :param zone: zone of the process.
+    """
+
+    def __init__(self, sim: simulation.Simulation, name: str, zone: str) -> None:
+        super().__init__(sim, name, zone)
+        self._start()
+
+    def _start(self) -> None:
+        self.boot = self.sim.rng.getrandbits(60)
+        self.caller_job_by_ticket: dict[int, CallerJob] = {}
+        self.scheduler = scheduler.Scheduler(
+            self.zone,
+            assigner.SchedulerSettings(
+                agent_timeout_s=scheduler.agent_timeout_s(self.sim.limits)
+            ),
+            self.sim.selection,
+            self.sim.ordering,
+            self.sim.time,
+            self.sim.rng,
+        )
+        incarnation = self.incarnation
+
+        def tick() -> None:
+            if incarnation == self.incarnation:
+                self.execute(lambda: self.perform(self.scheduler.tick()))
+                self.sim.time.call_later(ENTRY_TICK_INTERVAL_S, tick)
+
+        self.sim.time.call_later(self.sim.rng.random() * ENTRY_TICK_INTERVAL_S, tick)
+
+    def kill(self) -> None:
+        """End the process; its callers retry after their connections broke."""
+        self.terminate()
+        caller_jobs, self.caller_job_by_ticket = (
+            list(self.caller_job_by_ticket.values()),
+            {},
+        )
+        self.sim.reset_connections(entry=self.name)
+        for caller_job in caller_jobs:
+            self.sim.retry(caller_job)
+
+    def restart(self) -> None:
+        """Start the process again."""
+        self.is_up = True
+        self._start()
+
+    def submit(self, caller_job: CallerJob) -> None:
+        """Submit a job to the scheduler.
+
+        :param caller_job: the job.
+        """
+        ticket = next(self.sim.tickets)
+        self.caller_job_by_ticket[ticket] = caller_job
+        self.perform(self.scheduler.submit(caller_job.submission, ticket))
+
+    def perform(self, effects: Iterable[assigner.Effect]) -> None:
+        """Perform effects of the scheduler.
+
+        :param effects: the effects.
+        """
+        for effect in effects:
+            match effect:
+                case actions.Send(to, message):
+                    self.sim.send_to_agent(self.name, to, message)
+                case assigner.ScheduleAssignment():
+                    self.sim.time.call_later(
+                        ASSIGN_DELAY_S,
+                        lambda: self.execute(
+                            lambda: self.perform(self.scheduler.assign())
+                        ),
+                    )
+                case assigner.Respond(ticket, _, outcome):
+                    caller_job = self.caller_job_by_ticket.pop(ticket, None)
+                    if caller_job is not None:
+                        self.sim.handle_outcome(caller_job, outcome)
+                case actions.LogEvent(event, fields):
+                    self.sim.record_event(self.name, event, fields)
--- /dev/null
+++ b/src/burdockgate/standin/simulation.py
@@ -0,0 +1,426 @@
+"""Simulates best-effort jobs on entry hosts, agents and workers in virtual time.
+
+Schedulers and executors are the real ones; the network, the workers and the callers
+are simulated. The same seed gives the same simulation.
+"""
+
+from __future__ import annotations
+
+import collections
+import random
+from collections.abc import Callable
+
+from burdockgate import assignments
+from burdockgate.process import entrysessions, executoractions, selection
+from burdockgate.request import besteffort
+from burdockgate.standin import simnodes, simworker, virtualtime
+
+REDIAL_INTERVAL_S = 0.05
+# Both ends of a connection notice a partition after this time.
+DISCONNECT_TIMEOUT_S = 0.9
+# A caller submits a job again this long after its connection broke.
+RETRY_DELAY_S = 1.3
+# One-way network delays.
+SAME_ZONE_DELAY_S = 0.0002
+CROSS_ZONE_DELAY_S = 0.0009
+
+
+class Simulation:
+    """All entry hosts, agents, workers and callers, and the network between them.
+
+    :param seed: seed of all random choices.
+    :param kinds: kinds of jobs that callers submit.
+    :param entries: number of entry hosts, spread over the zones.
+    :param workers: number of workers, spread over the zones.
+    :param zones: number of zones; 0 for as many as entry hosts.
+    :param ordering: order of waiting jobs.
+    :param selection_settings: settings of the choice of a worker.
+    :param limits: settings of the agents' executors.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        kinds: tuple[simnodes.JobKind, ...],
+        entries: int = 4,
+        workers: int = 11,
+        zones: int = 0,
+        ordering: selection.Ordering | None = None,
+        selection_settings: selection.SelectionSettings | None = None,
+        limits: executoractions.ExecutorSettings | None = None,
+    ) -> None:
+        zones = zones or entries
+        self.rng = random.Random(seed)
+        self.time = virtualtime.VirtualClock()
+        self.kinds = kinds
+        self.ordering = ordering or selection.ShortestFirst()
+        self.selection = selection_settings or selection.SelectionSettings()
+        self.limits = limits or executoractions.ExecutorSettings()
+        self.message_count_by_type: collections.Counter[type] = collections.Counter()
+        self.tickets = iter(range(1, 1 << 60))
+        self.work_by_task: dict[assignments.TaskKey, tuple[float, int]] = {}
+        self.caller_jobs: list[simnodes.CallerJob] = []
+        self.events: list[tuple[float, str, str, dict[str, object]]] = []
+        self.partitioned_pairs: set[tuple[str, str]] = set()
+        self._connection_by_pair: dict[tuple[str, str], int] = {}
+        self._connection_numbers = iter(range(1, 1 << 60))
+        self._agents_with_scheduled_report: set[str] = set()
+        self._delayed_by_pair: dict[tuple[str, str], list[Callable[[], None]]] = {}
+        self.entry_by_name = {
+            f"entry-{number}": simnodes.SimulatedEntryHost(
+                self, f"entry-{number}", f"zone-{number % zones}"
+            )
+            for number in range(entries)
+        }
+        self.agent_by_name: dict[str, simnodes.SimulatedAgent] = {}
+        for number in range(workers):
+            speed = (0.8, 1.0, 1.25)[number % 3]
+            cpu = (16_000, 16_000, 24_000)[number // 3 % 3]
+            worker = simworker.SimulatedWorker(
+                f"worker-{number}", cpu, speed, self.time, self.rng, self._work_of
+            )
+            zone = f"zone-{number % zones}"
+            name = f"agent-{number}"
+            self.agent_by_name[name] = simnodes.SimulatedAgent(self, name, zone, worker)
+        self._connect_all()
+
+    def _work_of(self, task: assignments.TaskKey) -> tuple[float, int]:
+        return self.work_by_task[task]
+
+    def record_event(self, process: str, event: str, fields: dict[str, object]) -> None:
+        """Record an event that a process logs.
+
+        :param process: name of the process.
+        :param event: name of the event.
+        :param fields: fields of the event.
+        """
+        self.events.append((self.time.now(), process, event, fields))
+
+    def schedule_report(
+        self, agent: simnodes.SimulatedAgent, action: Callable[[], None]
+    ) -> None:
+        """Schedule the report of an agent in 4 ms, unless one is scheduled already.
+
+        :param agent: the agent.
+        :param action: sends the report.
+        """
+        if agent.name not in self._agents_with_scheduled_report:
+            self._agents_with_scheduled_report.add(agent.name)
+
+            def report() -> None:
+                self._agents_with_scheduled_report.discard(agent.name)
+                agent.execute(action)
+
+            self.time.call_later(0.004, report)
+
+    # Connections between agents and entry hosts.
+
+    def _connect_all(self) -> None:
+        """Connect every pair that can be connected, as the dialling agents do."""
+        for agent in self.agent_by_name.values():
+            for entry in self.entry_by_name.values():
+                self._connect(agent, entry)
+        self.time.call_later(REDIAL_INTERVAL_S, self._connect_all)
+
+    def _connect(
+        self, agent: simnodes.SimulatedAgent, entry: simnodes.SimulatedEntryHost
+    ) -> None:
+        pair = (agent.name, entry.name)
+        is_blocked = (
+            pair in self.partitioned_pairs or agent.is_frozen or not agent.is_up
+        )
+        if pair in self._connection_by_pair or is_blocked:
+            return
+        if not entry.is_up:
+            agent.perform(agent.executor.handle_entry_gone(entry.name))
+            return
+        if entry.is_frozen:
+            return
+        self._connection_by_pair[pair] = next(self._connection_numbers)
+        boot, run_keys = agent.executor.session_state(entry.name)
+        hello = assignments.AgentHello(
+            1, agent.name, agent.boot, agent.zone, boot, run_keys
+        )
+        entry_boot = entry.boot
+        connection = self._connection_by_pair[pair]
+        self._deliver(
+            pair,
+            connection,
+            entry,
+            lambda: entry.perform(
+                entry.scheduler.handle_agent_connected(hello, entry_boot)
+            ),
+        )
+        agent.sent_worker_info = {
+            sent for sent in agent.sent_worker_info if sent[0] != entry.name
+        }
+        distance = entrysessions.distance(
+            agent.name, agent.zone, entry.name, entry.zone
+        )
+        agent.perform(
+            agent.executor.handle_entry_connected(entry.name, entry_boot, distance)
+        )
+        agent.report()
+
+    def reset_connections(self, agent: str = "", entry: str = "") -> None:
+        """Reset connections; both ends notice it without a timeout.
+
+        :param agent: name of the agent; empty for any.
+        :param entry: name of the entry host; empty for any.
+        """
+        for pair in list(self._connection_by_pair):
+            if agent in ("", pair[0]) and entry in ("", pair[1]):
+                self._disconnect(pair)
+
+    def _disconnect(self, pair: tuple[str, str]) -> None:
+        del self._connection_by_pair[pair]
+        agent, entry = self.agent_by_name[pair[0]], self.entry_by_name[pair[1]]
+        agent.execute(
+            lambda: agent.perform(agent.executor.handle_entry_disconnected(entry.name))
+        )
+        entry.execute(
+            lambda: entry.perform(entry.scheduler.handle_agent_disconnected(agent.name))
+        )
+
+    def partition(self, agent: str, entry: str, for_s: float) -> None:
+        """Delay the messages of a pair; both ends notice it only after a timeout.
+
+        :param agent: name of the agent.
+        :param entry: name of the entry host.
+        :param for_s: duration in seconds.
+        """
+        pair = (agent, entry)
+        self.partitioned_pairs.add(pair)
+
+        def disconnect() -> None:
+            if pair in self._connection_by_pair and pair in self.partitioned_pairs:
+                self._disconnect(pair)
+
+        self.time.call_later(DISCONNECT_TIMEOUT_S, disconnect)
+        self.time.call_later(for_s, lambda: self._heal(pair))
+
+    def _heal(self, pair: tuple[str, str]) -> None:
+        self.partitioned_pairs.discard(pair)
+        for deliver in self._delayed_by_pair.pop(pair, []):
+            deliver()
+
+    def connected_entries(self, agent: str) -> list[str]:
+        """Return the names of the entry hosts to which an agent is connected.
+
+        :param agent: name of the agent.
+        """
+        return [pair[1] for pair in self._connection_by_pair if pair[0] == agent]
+
+    def _delay_s(self, agent: str, entry: str) -> float:
+        is_same_zone = self.agent_by_name[agent].zone == self.entry_by_name[entry].zone
+        return SAME_ZONE_DELAY_S if is_same_zone else CROSS_ZONE_DELAY_S
+
+    def _deliver(
+        self,
+        pair: tuple[str, str],
+        connection: int,
+        node: simnodes.SimulatedAgent | simnodes.SimulatedEntryHost,
+        action: Callable[[], None],
+    ) -> None:
+        incarnation = node.incarnation
+
+        def deliver() -> None:
+            is_current = (
+                self._connection_by_pair.get(pair) == connection
+                and incarnation == node.incarnation
+            )
+            if is_current and pair in self.partitioned_pairs:
+                # If the connection survives the partition, the message follows it.
+                self._delayed_by_pair.setdefault(pair, []).append(deliver)
+            elif is_current:
+                node.execute(action)
+
+        self.time.call_later(self._delay_s(*pair), deliver)
+
+    def send_to_entry(
+        self, agent: str, entry: str, message: assignments.Message
+    ) -> None:
+        """Send a message from an agent to an entry host.
+
+        :param agent: name of the sender.
+        :param entry: name of the receiver.
+        :param message: the message.
+        """
+        pair = (agent, entry)
+        connection = self._connection_by_pair.get(pair)
+        if connection is None:
+            return
+        self.message_count_by_type[type(message)] += 1
+        node = self.entry_by_name[entry]
+
+        def handle() -> None:
+            if agent not in node.scheduler.fleet.view_by_agent:
+                return
+            match message:
+                case assignments.LoadReport():
+                    node.perform(node.scheduler.handle_load_report(agent, message))
+                case assignments.TaskEnd():
+                    node.perform(node.scheduler.handle_task_end(agent, message))
+                case assignments.WorkerInfo():
+                    node.perform(node.scheduler.handle_worker_info(agent, message))
+
+        self._deliver(pair, connection, node, handle)
+
+    def send_to_agent(
+        self, entry: str, agent: str, message: assignments.Message
+    ) -> None:
+        """Send a message from an entry host to an agent.
+
+        :param entry: name of the sender.
+        :param agent: name of the receiver.
+        :param message: the message.
+        """
+        pair = (agent, entry)
+        connection = self._connection_by_pair.get(pair)
+        if connection is None:
+            return
+        self.message_count_by_type[type(message)] += 1
+        node = self.agent_by_name[agent]
+
+        def handle() -> None:
+            if entry not in node.executor.session_by_entry:
+                return
+            match message:
+                case assignments.Assign():
+                    node.perform(node.executor.handle_assignment(entry, message))
+                case assignments.Renewal():
+                    node.executor.handle_renewal(entry, message)
+                case assignments.Revoke():
+                    node.perform(node.executor.handle_revocation(message))
+                case assignments.Demand():
+                    node.executor.handle_demand(entry, message)
+                    self.schedule_report(node, node.report_change)
+
+        self._deliver(pair, connection, node, handle)
+
+    # Callers.
+
+    def schedule_load(self, begin: float, end: float, factor: float = 1.0) -> None:
+        """Schedule jobs at random times, at the rates of their kinds.
+
+        :param begin: start of the load, in seconds from now.
+        :param end: end of the load, in seconds from now.
+        :param factor: factor on all rates.
+        """
+        for kind in self.kinds:
+            at = begin
+            while True:
+                at += self.rng.expovariate(kind.jobs_per_s * factor)
+                if at >= end:
+                    break
+                self.submit_at(at, self.make_job(kind))
+
+    def make_job(
+        self, kind: simnodes.JobKind, is_poison: bool = False
+    ) -> simnodes.CallerJob:
+        """Return a job whose estimate differs from the durations of its tasks.
+
+        :param kind: kind of the job.
+        :param is_poison: whether all runs of its tasks fail.
+        """
+        job = f"{self.rng.getrandbits(64):016x}"
+        works_s = []
+        for index in range(kind.width):
+            work_s = kind.work_s * self.rng.lognormvariate(-0.08, 0.4)
+            if self.rng.random() < 0.03:
+                work_s *= 7
+            works_s.append(work_s)
+            key = assignments.TaskKey(job, 0, index)
+            self.work_by_task[key] = (-work_s if is_poison else work_s, kind.cpu)
+        estimate_s = kind.work_s * self.rng.uniform(0.6, 1.4)
+        step = besteffort.Step(kind.width, kind.cpu, 64, 0, estimate_s)
+        objective_s = 1.6 * max(works_s) + 0.06
+        submission = besteffort.Submission(
+            job,
+            kind.name,
+            "service",
+            "text",
+            (step,),
+            kind.priority,
+            3,
+            1.6,
+            0.06,
+            3 * objective_s + 1,
+        )
+        return simnodes.CallerJob(job, kind, submission, 0.0, objective_s)
+
+    def submit_at(
+        self, at: float, caller_job: simnodes.CallerJob, entry: str | None = None
+    ) -> None:
+        """Let a caller submit a job.
+
+        :param at: when, in seconds from now.
+        :param caller_job: the job.
+        :param entry: name of the entry host; ``None`` for a random one.
+        """
+        self.caller_jobs.append(caller_job)
+
+        def send() -> None:
+            caller_job.sent_at = self.time.now()
+            self._submit(caller_job, entry)
+
+        self.time.call_later(at, send)
+
+    def _submit(self, caller_job: simnodes.CallerJob, entry: str | None = None) -> None:
+        running_entries = [node for node in self.entry_by_name.values() if node.is_up]
+        if not running_entries:
+            self.retry(caller_job)
+            return
+        node = self.entry_by_name[entry] if entry else self.rng.choice(running_entries)
+        node.execute(lambda: node.submit(caller_job))
+
+    def retry(self, caller_job: simnodes.CallerJob) -> None:
+        """Submit a job again later, unless its deadline is too near.
+
+        :param caller_job: the job.
+        """
+        caller_job.is_interrupted = True
+        waited_s = self.time.now() - caller_job.sent_at
+        if waited_s + RETRY_DELAY_S < caller_job.submission.deadline_s:
+            self.time.call_later(RETRY_DELAY_S, lambda: self._submit(caller_job))
+
+    def handle_outcome(
+        self, caller_job: simnodes.CallerJob, outcome: besteffort.Outcome
+    ) -> None:
+        """Record the outcome of a job; retry the job if it was interrupted.
+
+        :param caller_job: the job.
+        :param outcome: the outcome.
+        """
+        caller_job.outcomes.append(outcome)
+        caller_job.ended_at = self.time.now()
+        if isinstance(outcome, besteffort.Interrupted):
+            self.retry(caller_job)
+
+    def run(self, seconds: float) -> None:
+        """Advance the virtual time.
+
+        :param seconds: by how much.
+        """
+        self.time.run_until(self.time.now() + seconds)
+
+    # Results.
+
+    def spans(self) -> list[simworker.Span]:
+        """Return the spans of all runs on all workers."""
+        return [
+            span
+            for agent in self.agent_by_name.values()
+            for span in [*agent.worker.spans, *agent.worker.open_spans()]
+        ]
+
+    def earned_share_by_kind(self) -> dict[str, float]:
+        """Return the share of the worth of its jobs that each kind earned."""
+        shares: dict[str, float] = {}
+        for kind in self.kinds:
+            caller_jobs = [
+                caller_job for caller_job in self.caller_jobs if caller_job.kind is kind
+            ]
+            earned = sum(caller_job.earned_share() for caller_job in caller_jobs)
+            shares[kind.name] = earned / max(1, len(caller_jobs))
+        return shares
--- a/src/burdockgate/standin/leased.py
+++ b/src/burdockgate/standin/simworker.py
@@ -1,4 +1,4 @@
-"""A worker with leases, fencing tokens and lists of runs, in virtual time."""
+"""A simulated worker with leases, fencing tokens and lists of runs."""
 
 from __future__ import annotations
 
@@ -9,12 +9,12 @@
 
 from burdockgate import assignments
 from burdockgate.process import workercontrol
-from burdockgate.standin import virtual
+from burdockgate.standin import virtualtime
 
-STOP_S = 0.04
+STOP_DELAY_S = 0.04
 MAX_LEASE_MS = 1000
-# Orders that got no answer are carried out this much later.
-LATE_S = (2.0, 12.0)
+# A command that gets no answer is executed after a delay in this range.
+LATE_DELAY_RANGE_S = (2.0, 12.0)
 
 
 @attrs.define
@@ -27,45 +27,51 @@
 
 @attrs.frozen
 class Span:
-    """One run as the worker saw it, for the checker.
+    """The time that a run took on its worker, for the check of the invariants.
 
     :param cpu: thousandths of a core.
+    :param started_at: start in virtual seconds.
+    :param ended_at: end in virtual seconds.
+    :param reason: why the run ended; ``None`` if it runs or its worker restarted.
     """
 
     worker: str
     key: assignments.RunKey
     cpu: int
-    began: float
-    ended: float
+    started_at: float
+    ended_at: float
     reason: workercontrol.EndReason | None
 
 
 @attrs.define
 class Faults:
-    """What is wrong with a worker now.
-
-    :param slowness: factor on every duration.
-    :param unanswered: share of commands without an answer; they are carried out late.
-    :param is_cut: whether the worker is out of reach and runs on.
+    """Current faults of a worker.
+
+    :param slow_factor: factor on the duration of every run.
+    :param is_failing: whether runs that start fail at once.
+    :param is_hanging: whether runs that start never end by themselves.
+    :param unanswered_share: share of commands that get no answer and are executed
+        late.
+    :param is_unreachable: whether its agent can't reach the worker; its runs continue.
     """
 
-    slowness: float = 1.0
-    fails: bool = False
-    hangs: bool = False
-    unanswered: float = 0.0
-    is_cut: bool = False
+    slow_factor: float = 1.0
+    is_failing: bool = False
+    is_hanging: bool = False
+    unanswered_share: float = 0.0
+    is_unreachable: bool = False
 
 
-class LeasedWorker:
-    """Runs what it is told, whether it fits or not.
+class SimulatedWorker:
+    """Runs what it is commanded to, even beyond its capacity.
 
     :param name: identifier of the worker.
     :param cpu: capacity in thousandths of a core.
-    :param speed: work done per second.
+    :param speed: seconds of work done per second.
     :param time: virtual time.
     :param rng: source of random numbers.
-    :param work_of: returns the work of a task in seconds and its processors; a
-        negative work makes the task fail.
+    :param work_of: returns the work of a task in seconds and its processors in
+        thousandths of a core; a task with negative work fails.
     """
 
     def __init__(
@@ -73,7 +79,7 @@
         name: str,
         cpu: int,
         speed: float,
-        time: virtual.VirtualTime,
+        time: virtualtime.VirtualClock,
         rng: random.Random,
         work_of: Callable[[assignments.TaskKey], tuple[float, int]],
     ) -> None:
@@ -89,35 +95,35 @@
         self._reset()
 
     def _reset(self) -> None:
-        self._life_began = self._time.now() - 1.0
+        self._started_at = self._time.now() - 1.0
         self._token = 0
-        self._lease_ms = 0.0
+        self._lease_until_ms = 0.0
         self._run_by_key: dict[assignments.RunKey, _Run] = {}
-        self._highest_by_task: dict[assignments.TaskKey, int] = {}
+        self._highest_run_by_task: dict[assignments.TaskKey, int] = {}
         self._finished: list[workercontrol.FinishedEntry] = []
         self._end_number = 0
-        self._waiting: list[Callable[[], None]] = []
+        self._pending_polls: list[Callable[[], None]] = []
 
     def restart(self) -> None:
-        """End everything and begin a new life under the same identifier."""
+        """End all runs and restart as a new incarnation under the same identifier."""
         for run in list(self._run_by_key.values()):
-            self._record(run, None)
+            self._record_span(run, None)
             run.is_alive = False
         self._reset()
         self.born += 1
 
     @property
     def clock_ms(self) -> int:
-        """The worker's steady clock."""
-        return int((self._time.now() - self._life_began) * 1000)
+        """The worker's monotonic clock."""
+        return int((self._time.now() - self._started_at) * 1000)
 
-    def announcement(
+    def heartbeat(
         self, sequence: int, is_draining: bool
     ) -> workercontrol.WorkerHeartbeat:
         """Return a heartbeat.
 
-        :param sequence: its number.
-        :param is_draining: whether the worker leaves.
+        :param sequence: sequence number of the heartbeat.
+        :param is_draining: whether the worker drains.
         """
         return workercontrol.WorkerHeartbeat(
             self.name,
@@ -133,11 +139,11 @@
         )
 
     def is_command_lost(self) -> bool:
-        """Return whether the next command gets no answer and is carried out late."""
-        return self._rng.random() < self.faults.unanswered
+        """Return whether the next command gets no answer and is executed late."""
+        return self._rng.random() < self.faults.unanswered_share
 
     def start(self, command: workercontrol.StartCommand) -> workercontrol.CommandResult:
-        """Carry out a start command.
+        """Execute a start command.
 
         :param command: the command.
         """
@@ -147,33 +153,33 @@
         self._token = command.token
         if command.lease_until_ms <= self.clock_ms:
             return workercontrol.Refused(workercontrol.Refusal.LATE, self.clock_ms)
-        self._extend(command.lease_until_ms)
+        self._extend_lease(command.lease_until_ms)
         if key in self._run_by_key:
             return workercontrol.Accepted(self.clock_ms)
-        if key.run <= self._highest_by_task.get(key.task, 0):
+        if key.run <= self._highest_run_by_task.get(key.task, 0):
             return workercontrol.Refused(workercontrol.Refusal.OLD_RUN, self.clock_ms)
-        self._begin(key)
+        self._start_run(key)
         return workercontrol.Accepted(self.clock_ms)
 
-    def _begin(self, key: assignments.RunKey) -> None:
+    def _start_run(self, key: assignments.RunKey) -> None:
         work_s, _ = self._work_of(key.task)
         run = _Run(key, abs(work_s), self._time.now())
         self._run_by_key[key] = run
-        duration_s = run.work_s * self.faults.slowness / self._speed
-        is_failing = work_s < 0 or self.faults.fails
-        if self.faults.hangs:
+        duration_s = run.work_s * self.faults.slow_factor / self._speed
+        is_failing = work_s < 0 or self.faults.is_failing
+        if self.faults.is_hanging:
             return
         reason = (
             workercontrol.EndReason.FAILED
             if is_failing
             else workercontrol.EndReason.DONE
         )
-        if self.faults.fails:
+        if self.faults.is_failing:
             duration_s = 0.005
-        self._time.call_later(duration_s, lambda: self._end(run, reason))
+        self._time.call_later(duration_s, lambda: self._end_run(run, reason))
 
     def stop(self, command: workercontrol.StopCommand) -> workercontrol.CommandResult:
-        """Carry out a stop command.
+        """Execute a stop command.
 
         :param command: the command.
         """
@@ -181,102 +187,106 @@
             return workercontrol.Refused(workercontrol.Refusal.FENCED, self.clock_ms)
         self._token = command.token
         task = command.key.task
-        highest = max(self._highest_by_task.get(task, 0), command.key.run)
-        self._highest_by_task[task] = highest
+        highest = max(self._highest_run_by_task.get(task, 0), command.key.run)
+        self._highest_run_by_task[task] = highest
         run = self._run_by_key.get(command.key)
         if run is not None:
             stopped = workercontrol.EndReason.STOPPED
-            self._time.call_later(STOP_S, lambda: self._end(run, stopped))
+            self._time.call_later(STOP_DELAY_S, lambda: self._end_run(run, stopped))
         return workercontrol.Accepted(self.clock_ms)
 
     def poll(
         self,
         command: workercontrol.PollCommand,
-        answer: Callable[[workercontrol.PollResult], None],
+        send_result: Callable[[workercontrol.PollResult], None],
     ) -> None:
-        """Carry out a poll; it is answered at an end or after its wait.
+        """Execute a poll; it is answered when a run ends, or after its wait.
 
         :param command: the command.
-        :param answer: gets the lists.
+        :param send_result: called with the result.
         """
         if command.token < self._token:
-            answer(workercontrol.Refused(workercontrol.Refusal.FENCED, self.clock_ms))
+            send_result(
+                workercontrol.Refused(workercontrol.Refusal.FENCED, self.clock_ms)
+            )
             return
         self._token = command.token
         if command.lease_until_ms is not None:
-            self._extend(command.lease_until_ms)
+            self._extend_lease(command.lease_until_ms)
         self._finished = [
             entry for entry in self._finished if entry.number > command.acknowledged
         ]
         if self._finished or not command.wait_ms:
-            answer(self._snapshot())
+            send_result(self._snapshot())
             return
-        is_answered = False
+        is_sent = False
 
-        def answer_once() -> None:
-            nonlocal is_answered
-            if not is_answered:
-                is_answered = True
-                answer(self._snapshot())
+        def send_snapshot_once() -> None:
+            nonlocal is_sent
+            if not is_sent:
+                is_sent = True
+                send_result(self._snapshot())
 
-        self._waiting.append(answer_once)
-        self._time.call_later(command.wait_ms / 1000, answer_once)
+        self._pending_polls.append(send_snapshot_once)
+        self._time.call_later(command.wait_ms / 1000, send_snapshot_once)
 
     def _snapshot(self) -> workercontrol.Snapshot:
         now = self._time.now()
         running = tuple(
-            workercontrol.RunningEntry(run.key, self._percent(run, now))
+            workercontrol.RunningEntry(run.key, self._progress_percent(run, now))
             for run in self._run_by_key.values()
         )
         return workercontrol.Snapshot(
             self.clock_ms, self.born, running, tuple(self._finished)
         )
 
-    def _percent(self, run: _Run, now: float) -> int:
-        if self.faults.hangs:
+    def _progress_percent(self, run: _Run, now: float) -> int:
+        if self.faults.is_hanging:
             return 0
-        done = (now - run.started_at) * self._speed / self.faults.slowness
+        done = (now - run.started_at) * self._speed / self.faults.slow_factor
         return min(99, int(100 * done / max(run.work_s, 0.001)))
 
-    def _extend(self, until_ms: float) -> None:
+    def _extend_lease(self, until_ms: float) -> None:
         until_ms = min(until_ms, self.clock_ms + MAX_LEASE_MS)
-        if until_ms > self._lease_ms:
-            self._lease_ms = until_ms
+        if until_ms > self._lease_until_ms:
+            self._lease_until_ms = until_ms
             delay_s = (until_ms - self.clock_ms) / 1000
-            life = self.born
+            incarnation = self.born
             # The worker's clock may be 2% slow.
-            self._time.call_later(delay_s * 1.02, lambda: self._lapse(life))
+            self._time.call_later(
+                delay_s * 1.02, lambda: self._expire_lease(incarnation)
+            )
 
-    def _lapse(self, life: int) -> None:
-        if life == self.born and self.clock_ms >= self._lease_ms:
+    def _expire_lease(self, incarnation: int) -> None:
+        if incarnation == self.born and self.clock_ms >= self._lease_until_ms:
             for run in list(self._run_by_key.values()):
-                self._end(run, workercontrol.EndReason.LAPSED)
+                self._end_run(run, workercontrol.EndReason.LAPSED)
 
-    def _end(self, run: _Run, reason: workercontrol.EndReason) -> None:
+    def _end_run(self, run: _Run, reason: workercontrol.EndReason) -> None:
         if not run.is_alive:
             return
         run.is_alive = False
         del self._run_by_key[run.key]
         task = run.key.task
-        highest = max(self._highest_by_task.get(task, 0), run.key.run)
-        self._highest_by_task[task] = highest
-        self._record(run, reason)
+        highest = max(self._highest_run_by_task.get(task, 0), run.key.run)
+        self._highest_run_by_task[task] = highest
+        self._record_span(run, reason)
         self._end_number += 1
         self._finished.append(
             workercontrol.FinishedEntry(self._end_number, run.key, reason)
         )
-        waiting, self._waiting = self._waiting, []
-        for answer in waiting:
-            answer()
+        polls, self._pending_polls = self._pending_polls, []
+        for send_snapshot in polls:
+            send_snapshot()
 
-    def _record(self, run: _Run, reason: workercontrol.EndReason | None) -> None:
+    def _record_span(self, run: _Run, reason: workercontrol.EndReason | None) -> None:
         _, cpu = self._work_of(run.key.task)
         self.spans.append(
             Span(self.name, run.key, cpu, run.started_at, self._time.now(), reason)
         )
 
     def open_spans(self) -> list[Span]:
-        """Return what still runs, as spans that end now."""
+        """Return the spans of the current runs, with the current time as their end."""
         now = self._time.now()
         return [
             Span(
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -9,7 +9,7 @@
 from burdockgate.process import claims
 
 V = messages.Verdict
-GROUP = builders.view_of("a1", "a2", "a3").group(builders.JOB)
+GROUP = builders.make_view("a1", "a2", "a3").group(builders.JOB)
 OWNER = builders.node("e1")
 S1, S2 = (builders.node("s1"),), (builders.node("s2"),)
 
@@ -18,7 +18,7 @@
     store = claims.ClaimStore(
         builders.node(own), time or clock.ManualClock(), 300.0, 3900.0
     )
-    store.catchup.advance(builders.view_of("a1", "a2", "a3"))
+    store.catchup.advance(builders.make_view("a1", "a2", "a3"))
     return store
 
 
@@ -54,7 +54,7 @@
 
 def test_no_vote_for_another_group_or_before_catching_up():
     store = make_store()
-    other = builders.view_of("a1", "a2", "a4")
+    other = builders.make_view("a1", "a2", "a4")
     assert vote(store, other.group(builders.JOB)).verdict is V.STALE_VIEW
     assert vote(store, epoch=0).verdict is V.FREE
     assert len(store) == 0, "a query must not block the first claim"
@@ -168,7 +168,7 @@
         assert vote(closed, owner=owner, epoch=epoch).verdict is V.HELD
         assert vote(joining, owner=owner, epoch=epoch).verdict is V.HELD
     assert set(record_of(joining).scope) == set(S1 + S2)
-    assert codes.start_of(record_of(joining).code) is codes.Start.MAY_HAVE_RUN
+    assert codes.start_class(record_of(joining).code) is codes.StartClass.MAY_HAVE_RUN
     # The next attempt of a repeatable job is open.
     assert vote(joining, owner="e3", epoch=4, attempt=2).verdict is V.GRANTED
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -26,7 +26,7 @@
 
 
 def run(dispatcher, outside=lambda job: None):
-    return list(dispatcher.run(outside))
+    return list(dispatcher.dispatch(outside))
 
 
 def start_indexes(effects):
@@ -45,7 +45,7 @@
     dispatcher.add(builders.make_owned_job(builders.request(tasks=5)), 1.0)
     wanted = run(dispatcher)
     assert start_indexes(wanted) == {"a1": [0, 1], "a2": [2]}
-    assert len(builders.sent(wanted, messages.Start)) == 2
+    assert len(builders.sent_messages(wanted, messages.Start)) == 2
     assert dispatcher.waiting_count() == 2
     assert start_indexes(run(dispatcher)) == {}
 
@@ -57,7 +57,7 @@
     join(workers, "other", 2, service="other")
     scope = ("small", "leaving", "other", "a1")
     made = builders.request(tasks=3, cores=2.0)
-    dispatcher.add(builders.make_owned_job(scope=scope, made=made), 1.0)
+    dispatcher.add(builders.make_owned_job(scope=scope, job_request=made), 1.0)
     assert start_indexes(run(dispatcher)) == {}
     join(workers, "a1", 1)
     assert start_indexes(run(dispatcher)) == {"a1": [0]}
@@ -71,7 +71,7 @@
     outside = []
     assert start_indexes(run(dispatcher, outside.append)) == {}
     assert outside == [job]
-    job.extend_scope(builders.terms(["a9"]))
+    job.extend_scope(builders.claim_terms(["a9"]))
     assert start_indexes(run(dispatcher)) == {"a9": [0]}
 
 
@@ -80,7 +80,9 @@
     join(workers, "a1", 0)
     job = builders.make_owned_job()
     dispatcher.add(job, 3.0)
-    assert builders.sent(run(dispatcher), messages.Demand) == [messages.Demand(2, 3.0)]
+    assert builders.sent_messages(run(dispatcher), messages.Demand) == [
+        messages.Demand(2, 3.0)
+    ]
     assert run(dispatcher) == []
     workers.record_offer("a1", 2, 0)
     assert start_indexes(run(dispatcher)) == {"a1": [0, 1]}
@@ -95,7 +97,9 @@
     dispatcher.add(job, 1.0)
     run(dispatcher)
     list(job.cancel())
-    assert builders.sent(run(dispatcher), messages.Demand) == [messages.Demand(0, 0.0)]
+    assert builders.sent_messages(run(dispatcher), messages.Demand) == [
+        messages.Demand(0, 0.0)
+    ]
     assert run(dispatcher) == []
     join(workers, "a2", 0)
     assert run(dispatcher) == []
@@ -105,7 +109,7 @@
     """Tasks of a service without workers must not block another service."""
     join(workers, "a1", 1)
     stuck = builders.attrs.evolve(builders.request("k2"), service="missing")
-    dispatcher.add(builders.make_owned_job(made=stuck), 1.0)
+    dispatcher.add(builders.make_owned_job(job_request=stuck), 1.0)
     dispatcher.add(builders.make_owned_job(), 1.0)
     assert start_indexes(run(dispatcher)) == {"a1": [0]}
 
@@ -115,9 +119,10 @@
     join(workers, "a1", 10)
     for name, work in (("long", 400.0), ("short", 0.0)):
         made = builders.request(name, 20, caller_class=name, expected_ms=work)
-        dispatcher.add(builders.make_owned_job(made=made), 1.0)
+        dispatcher.add(builders.make_owned_job(job_request=made), 1.0)
     counts = [
-        len(each.tasks) for each in builders.sent(run(dispatcher), messages.Start)
+        len(each.tasks)
+        for each in builders.sent_messages(run(dispatcher), messages.Start)
     ]
     assert sorted(counts) == [2, 8]
 
@@ -156,7 +161,7 @@
     join(workers, "a1", 1)
     for number in range(200):
         large = builders.request(f"k{number}", 1, cores=100.0)
-        dispatcher.add(builders.make_owned_job(made=large), 1.0)
+        dispatcher.add(builders.make_owned_job(job_request=large), 1.0)
     dispatcher.add(builders.make_owned_job(builders.request("small", 50)), 1.0)
     found = [start_indexes(run(dispatcher)) for _ in range(4)]
     assert found == [{}, {}, {}, {"a1": [0]}]
--- a/tests/test_editor.py
+++ b/tests/test_editor.py
@@ -23,7 +23,7 @@
     await server.start()
     async with logclient.LogClient(server.url, random.Random(1)) as client:
         yield server, client, manual
-    await server.cut()
+    await server.stop_now()
 
 
 def _editor(client, seed, budget_s=10.0):
@@ -169,4 +169,4 @@
     server.store.set_faults(log.Faults(down=True))
     assert await _run(server, "get") == 1
     assert capsys.readouterr().err.count("\n") == 1
-    assert server.store.page("table", 0).next == 0
+    assert server.store.read_page("table", 0).next == 0
--- a/tests/test_ownedjob.py
+++ b/tests/test_ownedjob.py
@@ -20,7 +20,7 @@
 
 @pytest.fixture
 def job(time):
-    return builders.make_owned_job(time=time)
+    return builders.make_owned_job(manual_clock=time)
 
 
 def assign(job, *nodes):
@@ -37,7 +37,7 @@
 
 def reconnect(job, node):
     job.handle_agent_disconnected(node.name)
-    return builders.sent(job.handle_agent_connected(node), messages.Fence)
+    return builders.sent_messages(job.handle_agent_connected(node), messages.Fence)
 
 
 def code(job):
@@ -72,7 +72,7 @@
     start = job.start_message(A1, assign(job, A1)).message
     assert (start.epoch, start.fence, start.attempt, start.boot) == (1, 0, 1, 1)
     results(job, "a1", report(0, 1, RETURNED))
-    assert [task.send for task in assign(job, A2)] == [2]
+    assert [task.send_number for task in assign(job, A2)] == [2]
     reconnect(job, A2)
     reply(job, "a2")
     assert job.start_message(A2, assign(job, A2)).message.fence == 1
@@ -83,7 +83,7 @@
     a3 = builders.node("a3")
     allowed = [job.may_send_to(each) for each in (A1, a3, builders.node("a1", 2))]
     assert allowed == [True, False, False]
-    job.extend_scope(builders.terms(("a1", "a3")))
+    job.extend_scope(builders.claim_terms(("a1", "a3")))
     assert job.may_send_to(a3)
 
 
@@ -142,12 +142,12 @@
     """Until all agents of the scopes have replied, a task may run at any of them."""
     performed = list(job.recover([A1, A2]))
     assert effects.Dial(A1) in performed
-    fences = builders.sent(performed, messages.Fence)
+    fences = builders.sent_messages(performed, messages.Fence)
     assert [(fence.epoch, fence.fence) for fence in fences] == [(1, 1), (1, 1)]
     reply(job, "a1", report(0, 3, RUNNING))
     assert job.waiting_count == 0
     reply(job, "a2", report(1, 4, RETURNED))
-    assert [task.send for task in assign(job, A2)] == [5]
+    assert [task.send_number for task in assign(job, A2)] == [5]
     for name, index, send in (("a1", 0, 3), ("a2", 1, 5)):
         results(job, name, report(index, send))
     assert code(job) is C.COMPLETE
@@ -236,8 +236,10 @@
 def test_code_says_not_run_only_if_no_task_can_have_started(
     time, situation, is_not_run, by_deadline
 ):
-    had_attempt = situation == "earlier attempt"
-    job = builders.make_owned_job(time=time, had_attempt=had_attempt)
+    may_have_run_before = situation == "earlier attempt"
+    job = builders.make_owned_job(
+        manual_clock=time, may_have_run_before=may_have_run_before
+    )
     if situation in ("returned", "sent", "running", "done"):
         assign(job, A1)
     if situation in ("returned", "done"):
@@ -250,7 +252,7 @@
         list(job.recover([A1, A2]))
     time.advance(30.0 if by_deadline else 0.0)
     list(job.tick() if by_deadline else job.cancel())
-    assert (codes.start_of(code(job)) is codes.Start.NOT_RUN) == is_not_run
+    assert (codes.start_class(code(job)) is codes.StartClass.NOT_RUN) == is_not_run
 
 
 def test_fence_discards_reports_of_an_earlier_fence(job):
@@ -291,7 +293,7 @@
     reply(job, "a2", report(0, 5, RUNNING), report(1, 1, RETURNED))
     assert job.returned_tasks == [], "the earlier owner has counted the return"
     results(job, "a1", report(0, 3, RETURNED))
-    assert [(task.index, task.send) for task in assign(job, A2)] == [(0, 6)]
+    assert [(task.index, task.send_number) for task in assign(job, A2)] == [(0, 6)]
 
 
 def test_send_number_of_an_adopted_task_increases(job):
@@ -299,7 +301,7 @@
     list(job.recover([A1]))
     reply(job, "a1", report(0, 3, RUNNING))
     results(job, "a1", report(0, 3, RETURNED))
-    assert assign(job, A1)[0].send == 4
+    assert assign(job, A1)[0].send_number == 4
 
 
 def test_second_loss_does_not_extend_the_timeout(job, time):
