--- a/src/burdockgate/process/metrics.py
+++ b/src/burdockgate/process/metrics.py
@@ -43,14 +43,14 @@
 
 METRICS = (
     Metric("jobs.submitted", _COUNTER, "jobs", "submissions read from callers"),
-    Metric("jobs.complete", _COUNTER, "jobs", "led jobs that ended complete"),
-    Metric("jobs.failed", _COUNTER, "jobs", "led jobs that ended failed"),
+    Metric("jobs.complete", _COUNTER, "jobs", "owned jobs that ended complete"),
+    Metric("jobs.failed", _COUNTER, "jobs", "owned jobs that ended failed"),
     Metric("jobs.refused", _COUNTER, "jobs", "submissions refused"),
     Metric(
         "jobs.joined",
         _COUNTER,
         "jobs",
-        "submissions that joined a job in progress or got a kept answer",
+        "submissions that joined a job in progress or got a stored answer",
     ),
     Metric("jobs.owned", _COUNTER, "jobs", "jobs claimed with the first epoch"),
     Metric("jobs.taken_over", _COUNTER, "jobs", "jobs claimed with a next epoch"),
