Describe the clock of connections as elsewhere

Cause: links.py spoke of a clock that counts suspensions, the other modules of one that goes on while the machine is suspended. Change: two docstrings. Result: no other place has the old words; formatter and linter pass.

--- a/src/burdockgate/process/links.py
+++ b/src/burdockgate/process/links.py
@@ -74,7 +74,7 @@
     """Open connections, with the time of the last message of each.
 
     :param handler: handles the events.
-    :param time: a clock that counts suspensions.
+    :param time: a clock that goes on while the machine is suspended.
     """
 
     def __init__(self, handler: Handler, time: clock.Clock) -> None:
@@ -155,7 +155,7 @@
     """Connections that an agent opens.
 
     :param handler: handles the events.
-    :param time: a clock that counts suspensions.
+    :param time: a clock that goes on while the machine is suspended.
     :param rng: source of the jitter that keeps agents from dialling at the same time.
     """
 
