Say in the modules' first lines which kind of jobs they serve

Cause: two modules each call themselves the daemon of an agent and of an entry host, and two assign waiting tasks; a newcomer can't tell those of best-effort jobs from those of claimed jobs. Three docstrings spoke of regular reports, the others of periodic ones.

--- a/src/burdockgate/process/agent.py
+++ b/src/burdockgate/process/agent.py
@@ -1,4 +1,4 @@
-"""The protocol logic of an agent: task starts, fences, results and claim votes.
+"""Logic of an agent for claimed jobs: task starts, fences, results and claim votes.
 
 It does no I/O: the agent's daemon passes in messages and ticks, and performs the
 effects that come out.
--- a/src/burdockgate/process/agentdaemon.py
+++ b/src/burdockgate/process/agentdaemon.py
@@ -1,4 +1,4 @@
-"""The agent's daemon: connects an executor with its worker, entry hosts and store."""
+"""Agent's daemon for best-effort jobs, between executor, worker and entry hosts."""
 
 from __future__ import annotations
 
@@ -308,7 +308,7 @@
     def _report(self, is_periodic: bool = True) -> None:
         """Send the due load reports, each after the worker's facts if they changed.
 
-        :param is_periodic: whether regular reports are included.
+        :param is_periodic: whether periodic reports are included.
         """
         info, report_by_entry = (
             self.executor.worker_info(),
--- a/src/burdockgate/process/agenthost.py
+++ b/src/burdockgate/process/agenthost.py
@@ -1,4 +1,4 @@
-"""The daemon of an agent: one process beside each backend server.
+"""Daemon of an agent for claimed jobs: one process beside each backend server.
 
 It connects the agent's core with entry hosts and with the backend server.
 """
--- a/src/burdockgate/process/assigner.py
+++ b/src/burdockgate/process/assigner.py
@@ -1,4 +1,4 @@
-"""Assigns the waiting tasks of an entry host to workers.
+"""Assigns the waiting tasks of best-effort jobs to workers.
 
 Base class of the scheduler: holds the jobs in progress and sends assignments and
 demands to the agents. :mod:`selection` defines the order of jobs and rates workers.
--- a/src/burdockgate/process/backlog.py
+++ b/src/burdockgate/process/backlog.py
@@ -1,4 +1,4 @@
-"""The queue of jobs with waiting tasks at an entry host.
+"""The queue of claimed jobs with waiting tasks at an entry host.
 
 Classes share the slots by start-time fair queueing: the virtual time of a class grows
 by the work sent divided by the weight of the class, and the class with the lowest
--- a/src/burdockgate/process/dispatch.py
+++ b/src/burdockgate/process/dispatch.py
@@ -1,4 +1,4 @@
-"""Assigns the waiting tasks of an entry host to workers with free slots.
+"""Assigns the waiting tasks of claimed jobs to workers with free slots.
 
 The order of jobs comes from :mod:`burdockgate.process.backlog`, the choice among
 workers from :mod:`burdockgate.process.placement`.
--- a/src/burdockgate/process/entry.py
+++ b/src/burdockgate/process/entry.py
@@ -1,4 +1,4 @@
-"""The state machine of an entry host.
+"""The state machine of an entry host for claimed jobs.
 
 It routes calls and messages to the job lifecycle, the dispatcher, the worker
 directory and the replicas of the log's streams, and returns effects that the daemon
--- a/src/burdockgate/process/entryhost.py
+++ b/src/burdockgate/process/entryhost.py
@@ -1,4 +1,4 @@
-"""The daemon of an entry host.
+"""The daemon of an entry host for claimed jobs.
 
 It connects the core of the entry host with callers over HTTP, and with agents and
 other entry hosts over the network.
--- a/src/burdockgate/process/executor.py
+++ b/src/burdockgate/process/executor.py
@@ -1,4 +1,4 @@
-"""Decides which runs an agent starts and stops on its worker.
+"""Decides which runs of best-effort jobs an agent starts and stops on its worker.
 
 Nothing else sends commands to the worker, so the executor alone keeps it within its
 capacity. :mod:`agentdaemon` performs the effects, and :mod:`supervisor` tracks the
--- a/src/burdockgate/process/executoractions.py
+++ b/src/burdockgate/process/executoractions.py
@@ -30,8 +30,8 @@
     :param near_entries: number of nearest entry hosts that get a report of every change
         of the load and divide freed capacity among them. With ten entry hosts, reports
         of every change to all of them took more processor time than the jobs; the
-        others get regular reports only.
-    :param distant_report_s: interval of the regular reports to the other entry hosts
+        others get periodic reports only.
+    :param distant_report_s: interval of the periodic reports to the other entry hosts
         while they have no runs here; half of the session lease, since each report
         causes its renewal.
     """
--- a/src/burdockgate/process/links.py
+++ b/src/burdockgate/process/links.py
@@ -1,4 +1,4 @@
-"""Connections between agents and entry hosts.
+"""Connections between agents and entry hosts, for best-effort jobs.
 
 Each agent connects to every entry host. Connections without messages are aborted and
 made again.
--- a/src/burdockgate/process/network.py
+++ b/src/burdockgate/process/network.py
@@ -1,4 +1,4 @@
-"""The connections of a node with other nodes.
+"""The connections of a node with other nodes, for claimed jobs.
 
 The daemons of entry hosts and agents send and receive all messages through it.
 """
