--- a/review/common/system.py
+++ b/review/common/system.py
@@ -46,6 +46,7 @@
 contracts = ["base","drain","config","cost","recover","sched","platform"]
 orders = "invoke"
 app = "{app}"
+{service}
 [zones]
 z1 = "north"
 z2 = "north"
@@ -230,6 +231,7 @@
                     [f"{seeds}{10 + n}:{self.control}" for n in range(self.entries)][:3]
                 ),
                 app=app,
+                service='service = "svc"' if is_agent else "",
                 listen=listen,
                 store="127.0.0.1:"
                 f"{self.agent_store_port if is_agent else self.store_port}",
