Revoke again what an agent still holds when it connects again

Cause: Revoke was sent once, into the broken connection. The agent named the runs in its next hello, and the entry host compared the hello only with the runs that it wanted. Its renewals then kept the session lease of the others.

Change: at a hello, the entry host revokes each run that no task of its own needs, before any renewal. A revoked run that the hello does not name no longer blocks its task. Related: the end of an earlier run releases no revoked task, a returned assignment leaves another run with the same key in the agent's table, and an agent carries revocations out for the owner of the run only.

Evidence: the model plays resets of callers' connections now.

--- a/src/burdockgate/process/agentdaemon.py
+++ b/src/burdockgate/process/agentdaemon.py
@@ -236,6 +236,10 @@
         link = self._link_by_entry.get(entry)
         if link is not None:
             link.send(message)
+        else:
+            self.events.record(
+                "message.unsent", {"to": entry, "kind": type(message).__name__}
+            )
 
     def handle_open(self, link: stream.Stream) -> None:
         """Do nothing: the entry host sends its hello first."""
@@ -258,7 +262,7 @@
                 self.executor.handle_demand(entry, message)
                 self._schedule_report()
             case assignments.Revoke():
-                self._perform(self.executor.handle_revocation(message))
+                self._perform(self.executor.handle_revocation(entry, message))
             case assignments.EntryHosts(entries):
                 self._handle_entry_hosts(self._registry.merge(entries))
             case assignments.Configuration():
--- a/src/burdockgate/process/assigner.py
+++ b/src/burdockgate/process/assigner.py
@@ -69,6 +69,17 @@
     """Effect: call :meth:`Assigner.assign` within 1 to 2 ms."""
 
 
+@attrs.frozen
+class RevokedRun:
+    """A run that was revoked and may still be active on its agent.
+
+    Its task is not assigned again before the agent has reported its end.
+    """
+
+    agent: str
+    key: assignments.RunKey
+
+
 Effect = actions.Send | Respond | actions.LogEvent | ScheduleAssignment
 
 
@@ -115,8 +126,7 @@
         self._ended: collections.OrderedDict[str, besteffort.Job] = (
             collections.OrderedDict()
         )
-        # Tasks of ended jobs whose revoked run may still be active on its agent.
-        self._agent_by_revoked_task: dict[assignments.TaskKey, str] = {}
+        self._revoked_run_by_task: dict[assignments.TaskKey, RevokedRun] = {}
 
     def _retry_after_s(self, service: str) -> float:
         """Return the seconds the workers need for this host's work, at least 1."""
@@ -215,7 +225,7 @@
             for task in job.all_tasks()
             if task.state is besteffort.TaskState.WAITING
             and task.not_before <= now
-            and task.key not in self._agent_by_revoked_task
+            and task.key not in self._revoked_run_by_task
         )
 
     def _choose_worker(
--- a/src/burdockgate/process/entrydaemon.py
+++ b/src/burdockgate/process/entrydaemon.py
@@ -232,6 +232,11 @@
                     link = self._link_by_agent.get(agent)
                     if link is not None:
                         link.send(message)
+                    else:
+                        self.events.record(
+                            "message.unsent",
+                            {"to": agent, "kind": type(message).__name__},
+                        )
                 case assigner.ScheduleAssignment():
                     asyncio.get_running_loop().call_later(ASSIGN_DELAY_S, self._assign)
                 case assigner.Respond(ticket, _, outcome):
--- a/src/burdockgate/process/executor.py
+++ b/src/burdockgate/process/executor.py
@@ -260,15 +260,19 @@
         self._runs.run_by_key[run.key] = run
 
     def handle_revocation(
-        self, message: assignments.Revoke
+        self, entry: str, message: assignments.Revoke
     ) -> Iterator[executoractions.Effect]:
         """Return the queued runs that their owner has revoked, and stop the others.
 
+        Entry hosts number the runs of a job that was sent to several of them alike, so
+        a late revocation may name the run of another owner.
+
+        :param entry: name of the entry host.
         :param message: the keys of the runs.
         """
         for key in message.keys:
             run = self._runs.run_by_key.get(key)
-            if run is not None:
+            if run is not None and run.owner == entry:
                 yield from self._stop_run(run, "revoked")
         yield from self._start_queued()
 
@@ -387,7 +391,7 @@
             number after this run.
         """
         now = self._time.now()
-        self._runs.run_by_key.pop(run.key, None)
+        self._runs.remove(run)
         run_s = now - run.started_at if run.started_at else 0.0
         if kind is assignments.EndKind.DONE:
             self._health.record_success(run_s, run.estimate_s, now)
--- a/src/burdockgate/process/runs.py
+++ b/src/burdockgate/process/runs.py
@@ -110,6 +110,17 @@
 
     run_by_key: dict[assignments.RunKey, Run] = attrs.field(factory=dict)
 
+    def remove(self, run: Run) -> None:
+        """Remove a run that has ended.
+
+        A run that was returned before it was added is not in the table. Another owner's
+        run of the same task may be there under the same key.
+
+        :param run: the run.
+        """
+        if self.run_by_key.get(run.key) is run:
+            del self.run_by_key[run.key]
+
     def queued(self) -> Iterator[Run]:
         """Yield the runs that wait for their start."""
         return (run for run in self.run_by_key.values() if run.state is RunState.QUEUED)
--- a/src/burdockgate/process/scheduler.py
+++ b/src/burdockgate/process/scheduler.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from burdockgate import assignments, codes
 from burdockgate.process import actions, assigner, executoractions, fleet
@@ -199,7 +199,7 @@
         """
         now = self._time.now()
         view = self.fleet.view_by_agent.get(hello.name)
-        active_runs = set(hello.active_runs) if hello.entry_boot == own_boot else set()
+        active_runs = hello.active_runs if hello.entry_boot == own_boot else ()
         if view is None:
             view = fleet.WorkerView(hello.name, hello.boot, hello.zone)
             self.fleet.view_by_agent[hello.name] = view
@@ -212,14 +212,44 @@
             view.last_end_number = 0
         view.reset_session()
         view.renewed_at = now
+        assigned_runs = {task.run_key for task in self._tasks_assigned_to(hello.name)}
+        revoked_runs = set(self._revoked_runs_of(hello.name))
         # The agent repeats unacknowledged ends before its first load report. Runs that
         # are still unconfirmed by then count as lost.
-        view.unconfirmed_runs = {
-            task.run_key for task in self._tasks_assigned_to(hello.name)
-        } - active_runs
+        view.unconfirmed_runs = (assigned_runs | revoked_runs).difference(active_runs)
+        surplus_runs = [key for key in active_runs if key not in assigned_runs]
         yield actions.LogEvent(
             "agent.linked", {"agent": hello.name, "held": len(active_runs)}
         )
+        for key in surplus_runs:
+            yield actions.LogEvent("run.surplus", {"run": key, "agent": hello.name})
+        yield from self._revoke(hello.name, surplus_runs)
+
+    def _revoke(
+        self, agent: str, keys: Iterable[assignments.RunKey]
+    ) -> Iterator[assigner.Effect]:
+        """Revoke runs, so that their tasks wait until the agent reports their ends.
+
+        The message is lost when the connection breaks. The agent then lists the runs
+        when it connects again, and they are revoked again before any renewal.
+        """
+        keys = tuple(keys)
+        for key in keys:
+            self._revoked_run_by_task[key.task] = assigner.RevokedRun(agent, key)
+        if keys:
+            yield actions.Send(agent, assignments.Revoke(keys))
+
+    def _revoked_runs_of(self, agent: str) -> list[assignments.RunKey]:
+        return [
+            revoked.key
+            for revoked in self._revoked_run_by_task.values()
+            if revoked.agent == agent
+        ]
+
+    def _forget_revoked(self, agent: str, key: assignments.RunKey) -> None:
+        """Let a task be assigned again if a run of it was revoked and has ended."""
+        if self._revoked_run_by_task.get(key.task) == assigner.RevokedRun(agent, key):
+            del self._revoked_run_by_task[key.task]
 
     def handle_agent_disconnected(self, agent: str) -> Iterator[assigner.Effect]:
         """Handle the loss of the connection to an agent.
@@ -236,7 +266,7 @@
             view.load is not None
             and view.load.state is assignments.WorkerState.DRAINING
             and not tasks
-            and agent not in self._agent_by_revoked_task.values()
+            and not self._revoked_runs_of(agent)
         ):
             # The agent has left, or serves other entry hosts from now on.
             del self.fleet.view_by_agent[agent]
@@ -296,9 +326,7 @@
         view = self.fleet.view_by_agent[agent]
         view.last_end_number = max(view.last_end_number, end.number)
         key = end.key
-        revoked_agent = self._agent_by_revoked_task.get(key.task)
-        if revoked_agent == agent:
-            del self._agent_by_revoked_task[key.task]
+        self._forget_revoked(agent, key)
         job = self.job_by_id.get(key.task.job)
         if job is None:
             return
@@ -371,6 +399,8 @@
     ) -> Iterator[assigner.Effect]:
         """Mark the runs as lost that an agent neither lists nor reports as ended."""
         missing, view.unconfirmed_runs = view.unconfirmed_runs, set()
+        for key in missing:
+            self._forget_revoked(view.agent, key)
         for task in self._tasks_assigned_to(view.agent) if missing else []:
             job = self.job_by_id.get(task.key.job)
             if task.run_key in missing and job is not None:
@@ -381,12 +411,8 @@
 
     def _mark_all_lost(self, agent: str, reason: str) -> Iterator[assigner.Effect]:
         """Mark all runs of an agent as lost."""
-        for key in [
-            key
-            for key, holder in self._agent_by_revoked_task.items()
-            if holder == agent
-        ]:
-            del self._agent_by_revoked_task[key]
+        for key in self._revoked_runs_of(agent):
+            self._forget_revoked(agent, key)
         tasks = self._tasks_assigned_to(agent)
         if tasks:
             yield actions.LogEvent(
@@ -412,10 +438,9 @@
         self._ended.move_to_end(job_id)
         run_keys_by_agent: dict[str, list[assignments.RunKey]] = {}
         for task in job.assigned_tasks():
-            self._agent_by_revoked_task[task.key] = task.agent
             run_keys_by_agent.setdefault(task.agent, []).append(task.run_key)
         for agent, keys in run_keys_by_agent.items():
-            yield actions.Send(agent, assignments.Revoke(tuple(keys)))
+            yield from self._revoke(agent, keys)
         yield actions.LogEvent(
             "job.ended",
             {
--- a/src/burdockgate/standin/faultinjection.py
+++ b/src/burdockgate/standin/faultinjection.py
@@ -9,6 +9,9 @@
 
 Fault = Callable[[simulation.Simulation, random.Random], str]
 
+# Share of the connections of an entry host that are reset at once.
+RESET_SHARE = 0.55
+
 
 def _random_agent(
     sim: simulation.Simulation, rng: random.Random
@@ -81,6 +84,19 @@
     return f"reset {entry.name}"
 
 
+def reset_connections(sim: simulation.Simulation, rng: random.Random) -> str:
+    """Reset half of the connections of an entry host, with agents and with callers.
+
+    The order to stop the jobs of those callers finds its connections broken.
+    """
+    entry = _random_entry(sim, rng)
+    for agent in sim.agent_by_name:
+        if rng.random() < RESET_SHARE:
+            sim.reset_connections(agent=agent, entry=entry.name)
+    entry.reset_callers(RESET_SHARE, rng)
+    return f"reset connections and callers of {entry.name}"
+
+
 def _inject_worker_fault(
     sim: simulation.Simulation,
     rng: random.Random,
@@ -165,6 +181,7 @@
     return f"restart {agent.worker.name}"
 
 
+# The seeds of earlier failures are drawn from these.
 ALL: tuple[Fault, ...] = (
     kill_agent,
     kill_entry,
@@ -180,6 +197,8 @@
     slow_worker,
     restart_worker,
 )
+# Faults of callers' connections come on top.
+WITH_CALLERS: tuple[Fault, ...] = (*ALL, reset_connections)
 
 
 def schedule(
--- a/src/burdockgate/standin/simnodes.py
+++ b/src/burdockgate/standin/simnodes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable, Iterable, Iterator
 from typing import TYPE_CHECKING
 
@@ -403,6 +404,22 @@
         self.is_up = True
         self._start()
 
+    def reset_callers(self, share: float, rng: random.Random) -> None:
+        """Reset connections of callers; they submit their jobs again.
+
+        :param share: probability that a connection is reset.
+        :param rng: source of random numbers.
+        """
+        for ticket, caller_job in list(self.caller_job_by_ticket.items()):
+            if rng.random() < share:
+                del self.caller_job_by_ticket[ticket]
+                self.execute(
+                    lambda job=caller_job.job, ticket=ticket: self.perform(  # type: ignore[misc]
+                        self.scheduler.handle_caller_disconnected(job, ticket)
+                    )
+                )
+                self.sim.retry(caller_job)
+
     def submit(self, caller_job: CallerJob) -> None:
         """Submit a job to the scheduler.
 
--- a/src/burdockgate/standin/simulation.py
+++ b/src/burdockgate/standin/simulation.py
@@ -303,7 +303,7 @@
                 case assignments.Renewal():
                     node.executor.handle_renewal(entry, message)
                 case assignments.Revoke():
-                    node.perform(node.executor.handle_revocation(message))
+                    node.perform(node.executor.handle_revocation(entry, message))
                 case assignments.Demand():
                     node.executor.handle_demand(entry, message)
                     self.schedule_report(node, node.report_change)
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -25,15 +25,19 @@
         list(self.executor.handle_entry_connected(OWNER, 77))
         self.renew()
 
-    def renew(self):
-        sent_at = self.executor.due_reports()[OWNER].sent_at_us
-        self.executor.handle_renewal(OWNER, assignments.Renewal(sent_at, 0, 0))
+    def renew(self, owner=OWNER):
+        sent_at = self.executor.due_reports()[owner].sent_at_us
+        self.executor.handle_renewal(owner, assignments.Renewal(sent_at, 0, 0))
 
     def advance(self, seconds):
         self.time.advance(seconds)
         self.clock_ms += int(seconds * 1000)
 
-    def assign(self, *indexes, cpu=1000, job="job", run=1):
+    def connect(self, owner):
+        list(self.executor.handle_entry_connected(owner, 88))
+        self.renew(owner)
+
+    def assign(self, *indexes, cpu=1000, job="job", run=1, owner=OWNER):
         message = assignments.Assign(
             1,
             job,
@@ -48,7 +52,7 @@
             500,
             100,
         )
-        return list(self.executor.handle_assignment(OWNER, message))
+        return list(self.executor.handle_assignment(owner, message))
 
     def poll(self, running=(), finished=(), born=1, command=None):
         command = command or self.executor.next_poll()
@@ -313,6 +317,30 @@
     assert end.kind is assignments.EndKind.RETURNED
 
 
+def test_returned_run_leaves_the_run_of_another_owner_in_the_table():
+    """Both had the same key; the forgotten one took more than the free capacity."""
+    bench = Bench()
+    (start,) = _of(executoractions.Start, bench.assign(0))
+    bench.accept(start)
+    bench.connect("entry-2")
+    (end,) = _ends(bench.assign(0, owner="entry-2"))
+    assert end.kind is assignments.EndKind.RETURNED
+    assert bench.executor.due_reports()[OWNER].used_cpu == 1000
+    assert _of(executoractions.Stop, bench.poll(running=[KEY])) == []
+
+
+def test_revocation_does_not_stop_the_run_of_another_owner():
+    """A late order of a job's earlier entry host named the run of the next one."""
+    bench = Bench()
+    bench.connect("entry-2")
+    (start,) = _of(executoractions.Start, bench.assign(0, owner="entry-2"))
+    bench.accept(start)
+    revoke = assignments.Revoke((KEY,))
+    assert list(bench.executor.handle_revocation(OWNER, revoke)) == []
+    effects = bench.executor.handle_revocation("entry-2", revoke)
+    assert len(_of(executoractions.Stop, effects)) == 1
+
+
 def test_old_run_number_asks_for_a_higher_one():
     """The worker rejects run numbers up to the highest that it has seen of the task."""
     bench = Bench()
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -246,6 +246,71 @@
     assert assign.indexes == (0,)
 
 
+TASK_KEYS = [assignments.TaskKey("job", 0, index) for index in range(2)]
+
+
+def _revoke_all(bench):
+    """Submit the job, and end it because its caller has disconnected."""
+    bench.submit()
+    effects = list(bench.scheduler.handle_caller_disconnected("job", 1))
+    (revoke,) = _messages(assignments.Revoke, effects)
+    return revoke.keys
+
+
+def test_lost_revocation_is_repeated_when_the_agent_connects_again():
+    """A reset of the connection lost the only order to stop the runs."""
+    bench = Bench(4000)
+    keys = _revoke_all(bench)
+    list(bench.scheduler.handle_agent_disconnected("agent-0"))
+    effects = bench.link("agent-0", 4000, active_runs=keys)
+    (revoke,) = _messages(assignments.Revoke, effects)
+    assert revoke.keys == keys
+    assert _messages(assignments.Assign, bench.submit(ticket=2)) == []
+    effects = bench.end("agent-0", 0, assignments.EndKind.STOPPED)
+    (assign,) = _messages(assignments.Assign, effects)
+    assert assign.indexes == (0,)
+
+
+def test_runs_of_an_unknown_job_are_revoked_when_an_agent_connects():
+    """The job had ended, and its runs had been given up, before the agent was back."""
+    bench = Bench(4000)
+    key = assignments.RunKey(TASK_KEYS[0], 7)
+    (revoke,) = _messages(
+        assignments.Revoke, bench.link("agent-1", 4000, active_runs=[key])
+    )
+    assert revoke.keys == (key,)
+
+
+def test_revoked_run_that_never_arrived_keeps_its_task_from_no_worker():
+    """Assignment and revocation were lost together; the task was never assigned again.
+
+    The agent, connected again, neither lists the run nor reports its end.
+    """
+    bench = Bench(4000)
+    _revoke_all(bench)
+    list(bench.scheduler.handle_agent_disconnected("agent-0"))
+    bench.link("agent-0", 4000)
+    (assign,) = _messages(assignments.Assign, bench.submit(ticket=2))
+    assert assign.indexes == (0, 1)
+
+
+def test_end_of_an_earlier_run_does_not_release_a_revoked_task():
+    """Agents repeat ends after a reset, also of runs before the revoked one."""
+    bench = Bench(4000)
+    bench.submit()
+    bench.end("agent-0", 0, assignments.EndKind.RETURNED)
+    bench.time.advance(0.3)
+    bench.report("agent-0")
+    (assign,) = _messages(assignments.Assign, bench.scheduler.assign())
+    assert assign.runs == (2,)
+    list(bench.scheduler.handle_caller_disconnected("job", 1))
+    bench.submit(ticket=2)
+    effects = bench.end("agent-0", 0, assignments.EndKind.RETURNED)
+    assert _messages(assignments.Assign, effects) == []
+    effects = bench.end("agent-0", 0, assignments.EndKind.STOPPED, run=2, number=2)
+    assert len(_messages(assignments.Assign, effects)) == 1
+
+
 def test_every_request_for_a_job_gets_its_answer():
     """A caller that sent its job again waits for the same outcome as the first."""
     bench = Bench(4000)
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -2,6 +2,7 @@
 
 import collections
 
+import attrs
 import pytest
 
 from burdockgate import assignments
@@ -10,6 +11,8 @@
 from burdockgate.standin import crest, faultinjection, invariants, simulation, simworker
 
 SHORT, MEDIUM, LONG = KINDS = crest.KINDS
+# Tasks that outlast the 1.3 s after which callers submit a job again.
+LASTING = attrs.evolve(LONG, width=4, work_s=4.0)
 # Virtual time at which a simulation begins.
 START = 1000.0
 # Share of the full load that six workers carry.
@@ -51,7 +54,9 @@
     assert _is_settled(sim), injected
 
 
-@pytest.mark.parametrize("fault", faultinjection.ALL, ids=lambda fault: fault.__name__)
+@pytest.mark.parametrize(
+    "fault", faultinjection.WITH_CALLERS, ids=lambda fault: fault.__name__
+)
 def test_invariants_hold_through_a_series_of_one_fault(fault):
     """The same fault may recur before the system has recovered from it."""
     sim = _small(7)
@@ -78,6 +83,23 @@
     assert len({span.key.task for span in sim.spans()}) == LONG.width
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_reset_of_callers_and_agents_leaves_no_run_behind(seed):
+    """The order to stop runs was lost with its connection and not repeated.
+
+    The callers' jobs, sent again after 1.3 s, ran beside the old runs to their ends.
+    """
+    sim = simulation.Simulation(seed, (LASTING,), entries=2, workers=4)
+    for number in range(8):
+        sim.submit_at(3 + number / 20, sim.make_job(LASTING), "entry-0")
+    injected = faultinjection.schedule(
+        sim, seed, 4, 4.1, 1, (faultinjection.reset_connections,)
+    )
+    sim.run(120)
+    assert list(invariants.violations(sim)) == [], injected
+    assert _is_settled(sim)
+
+
 @pytest.mark.parametrize("for_s", [0.5, 1.5, 3.0])
 def test_frozen_agent_does_not_run_tasks_that_were_assigned_elsewhere(for_s):
     """Assignments that were buffered while an agent was frozen must not start."""
