End the worker's lease before callers of a dead owner return

Cause: the agent's limits added up to more than the 1.3 s after which callers return: up to 0.3 s until it was refused, 0.4 s of stops while polls extended the worker's lease, 1.02 s of lease. Starts for other owners extended the lease without any limit.

Change: no command extends the lease of a worker beyond 1.196 s after the last sign of life of the owner of any run that may exist there (1.22 s by a slow clock). Lease ends are fixed times of the worker's clock, so that late commands cannot exceed them and no stop needs an answer. Nothing waits longer, and no message is added. Unanswered stops are repeated at once. The twin: a restarted agent extended the lease of the runs of its earlier process. The time until callers return is read from the settings.

Evidence: the model now plays a kill beside lost commands.

--- a/src/burdockgate/platform/boot.py
+++ b/src/burdockgate/platform/boot.py
@@ -17,11 +17,13 @@
 PATH_VARIABLE = "BURDOCKGATE_NODE_FILE"
 
 
-class _Bounds(msgspec.Struct, rename={"max_worker_lease_ms": "maxHoldMs"}):
+class _Bounds(msgspec.Struct):
     # Seconds between SIGTERM and SIGKILL.
     grace_s: float = msgspec.field(default=6.0, name="graceS")
     # Longest lease that the worker grants.
-    max_worker_lease_ms: float = 1000.0
+    max_worker_lease_ms: float = msgspec.field(default=1000.0, name="maxHoldMs")
+    # Time after which a caller without an answer submits its job again.
+    caller_retry_ms: float = msgspec.field(default=1300.0, name="retransmitMs")
 
 
 class _Listen(msgspec.Struct):
@@ -96,7 +98,8 @@
         from burdockgate.process import executoractions
 
         return executoractions.ExecutorSettings(
-            worker_lease_s=self.bounds.max_worker_lease_ms / 1000
+            worker_lease_s=self.bounds.max_worker_lease_ms / 1000,
+            caller_retry_s=self.bounds.caller_retry_ms / 1000,
         )
 
 
--- a/src/burdockgate/process/executor.py
+++ b/src/burdockgate/process/executor.py
@@ -276,6 +276,21 @@
                 yield from self._stop_run(run, "revoked")
         yield from self._start_queued()
 
+    def _lease_limit(self, run: runs.Run) -> float:
+        """Return the end of the lease by which the owner of a run allows it to go on.
+
+        A renewal shows that its owner lived when the echoed report was sent, and wanted
+        the run: revocations come before later renewals, and those that were lost with a
+        connection are repeated before the first renewal on the next.
+        """
+        if run.is_stopping:
+            return run.lease_limit
+        settings = self._settings
+        renewed_at = (
+            self.session_by_entry[run.owner].leased_until - settings.session_lease_s
+        )
+        return renewed_at + settings.run_limit_s
+
     def _stop_runs_of(
         self, entry: str, reason: str
     ) -> Iterator[executoractions.Effect]:
--- a/src/burdockgate/process/executoractions.py
+++ b/src/burdockgate/process/executoractions.py
@@ -6,17 +6,23 @@
 
 from burdockgate.process import actions, workercontrol
 
+# Part of the time until a caller submits its job again that is kept for late timers:
+# of the worker when a lease ends, and of the caller and its network.
+CALLER_RETRY_MARGIN_S = 0.08
+
 
 @attrs.frozen
 class ExecutorSettings:
     """Time limits of the executor, in seconds.
 
     :param worker_lease_s: lease on the worker that each poll extends.
-    :param session_lease_s: how long runs go on without a renewal from their owner. A
-        caller submits a job again 1.3 s after its connection broke; these runs must
-        have ended by then.
+    :param session_lease_s: how long runs go on without a renewal from their owner.
+        They are stopped then.
+    :param caller_retry_s: time after which a caller whose connection broke submits its
+        job again, to any entry host.
     :param clock_drift: largest relative error of the worker's monotonic clock.
-    :param stop_repeat_s: time after which a stop command is repeated.
+    :param stop_repeat_s: time after which an answered stop command is repeated; one
+        without an answer is repeated at once.
     :param unreachable_after_s: time without an answer after which the worker counts as
         unreachable; several times the poll interval.
     :param poll_wait_s: longest time that the worker may delay the answer to a poll.
@@ -38,6 +44,7 @@
 
     worker_lease_s: float = 1.0
     session_lease_s: float = 0.7
+    caller_retry_s: float = 1.3
     clock_drift: float = 0.02
     stop_repeat_s: float = 0.2
     unreachable_after_s: float = 0.45
@@ -48,6 +55,15 @@
     near_entries: int = 4
     distant_report_s: float = 0.35
 
+    @property
+    def run_limit_s(self) -> float:
+        """Longest lease on the worker, from the last sign of life of a run's owner.
+
+        By the worker's clock, which may be slow. However many commands get lost, runs
+        of an owner that died have ended when its callers submit their jobs again.
+        """
+        return (self.caller_retry_s - CALLER_RETRY_MARGIN_S) / (1 + self.clock_drift)
+
 
 @attrs.frozen
 class Start:
--- a/src/burdockgate/process/runs.py
+++ b/src/burdockgate/process/runs.py
@@ -38,6 +38,8 @@
     :param stop_requested_at: since when the run must stop, or must not start; ``None``
         while it may run.
     :param stop_sent_at: when the last stop command was sent.
+    :param lease_limit: latest end of the worker's lease, set with
+        ``stop_requested_at``; before that, the owner's session defines it.
     :param started_at: when the last start command was sent; 0 before the first.
     :param accepted_clock_ms: the worker's clock when the start was confirmed; 0 before
         that.
@@ -60,6 +62,7 @@
     token: int = 0
     stop_requested_at: float | None = None
     stop_sent_at: float = 0.0
+    lease_limit: float = float("inf")
     started_at: float = 0.0
     accepted_clock_ms: int = 0
     percent: int = 0
--- a/src/burdockgate/process/supervisor.py
+++ b/src/burdockgate/process/supervisor.py
@@ -34,6 +34,14 @@
 # and nothing was heard of the later incarnation meanwhile.
 OLDER_INCARNATION_S = 3.0
 
+# Time that a lease must last for a run to be started with it: several polls, the
+# usual way to extend it.
+MIN_START_LEASE_S = 0.3
+# Added to the end of a lease by the worker's clock before its runs count as ended.
+LEASE_MARGIN_S = 0.2
+# Limits the rate of stops to a worker that breaks connections off at once.
+MIN_STOP_INTERVAL_S = 0.05
+
 # Weight of a sample of the speed of an overdue run, in the geometric mean with the
 # current speed of the worker. Samples are taken at every tick, ten times a second, so
 # that a single slow run shows in the speed after a few of them.
@@ -50,7 +58,7 @@
     :param last_processed_end: number of the last end processed; the next poll
         acknowledges it.
     :param last_answer_at: when the worker last answered a command or a poll.
-    :param lease_extended_at: when a command that can extend the lease was last sent.
+    :param lease_ends_at: latest end of the lease by the commands sent so far.
     :param stop_sent_at_by_foreign_run: when a stop was last sent to each run that the
         worker lists and this agent does not know, such as one of the agent's previous
         process. While there is such a run, no queued run is started.
@@ -72,7 +80,7 @@
     clock_read_at: float
     last_processed_end: int = 0
     last_answer_at: float = 0.0
-    lease_extended_at: float = -1e9
+    lease_ends_at: float = -1e9
     stop_sent_at_by_foreign_run: dict[assignments.RunKey, float] = attrs.field(
         factory=dict
     )
@@ -84,6 +92,14 @@
     heard_at: float = -1e9
     older: tuple[workercontrol.WorkerHeartbeat, float] | None = None
 
+    @property
+    def may_have_foreign_runs(self) -> bool:
+        """Whether runs may be active that the agent does not know and does not extend.
+
+        Their owners have no session here that limits the lease.
+        """
+        return bool(self.stop_sent_at_by_foreign_run) or not self.is_synchronized
+
     def record_heard(self, now: float) -> None:
         """Record that this incarnation is alive.
 
@@ -135,6 +151,13 @@
         self.is_draining = False
         self._is_lease_expired = False
 
+    @abc.abstractmethod
+    def _lease_limit(self, run: runs.Run) -> float:
+        """Return the latest time at which the worker's lease may end.
+
+        :param run: a run that may exist at the worker.
+        """
+
     @abc.abstractmethod
     def _start_queued(self) -> Iterator[executoractions.Effect]:
         """Start the queued runs that fit into the free capacity."""
@@ -209,6 +232,8 @@
         self._worker = WorkerIncarnation(
             heartbeat, heartbeat.clock_ms, now, last_answer_at=now, heard_at=now
         )
+        # An earlier process of this agent may have extended the lease just now.
+        self._record_lease(self._worker, now, self._settings.worker_lease_s)
         self._health = workerhealth.WorkerHealth()
         for run in list(self._runs.dispatched()):
             if previous is not None and previous.heartbeat.worker == heartbeat.worker:
@@ -250,6 +275,9 @@
             return assignments.WorkerState.DRAINING
         if now - worker.last_answer_at > self._settings.unreachable_after_s:
             return assignments.WorkerState.UNREACHABLE
+        if self._max_lease_s(now) < MIN_START_LEASE_S:
+            # It does not answer the orders to stop runs.
+            return assignments.WorkerState.UNREACHABLE
         if worker.is_refusing_polls:
             return assignments.WorkerState.EJECTED
         return self._health.state(now)
@@ -264,7 +292,6 @@
     ) -> Iterator[executoractions.Effect]:
         run.state, run.token = runs.RunState.STARTING, self._token
         run.started_at = run.progressed_at = now
-        worker.lease_extended_at = now
         yield actions.LogEvent(
             "run.starting",
             {
@@ -278,15 +305,36 @@
                 worker.heartbeat.worker,
                 run.key,
                 run.spec,
-                self._lease_until_ms(worker, now),
+                self._extend_lease(worker, now),
                 run.token,
             )
         )
 
-    def _lease_until_ms(self, worker: WorkerIncarnation, now: float) -> int:
-        """Return the end of a lease that begins now, on the worker's clock."""
+    def _max_lease_s(self, now: float) -> float:
+        """Return the longest lease that may begin now; negative if none may.
+
+        The worker has one lease for all of its runs. It ends in time for the first run
+        that has to end, so that no stop needs an answer. Commands that are carried out
+        late cannot exceed it, because it ends at a fixed time of the worker's clock.
+        """
+        limits = [self._lease_limit(run) - now for run in self._runs.dispatched()]
+        return min([self._settings.worker_lease_s, *limits])
+
+    def _extend_lease(self, worker: WorkerIncarnation, now: float) -> int:
+        """Return the end of the longest lease that may begin now, and record it.
+
+        :returns: a time in milliseconds of the worker's clock.
+        """
+        lease_s = self._max_lease_s(now)
+        self._record_lease(worker, now, lease_s)
         worker_now = worker.clock_ms + (now - worker.clock_read_at) * 1000
-        return int(worker_now + self._settings.worker_lease_s * 1000)
+        return int(worker_now + lease_s * 1000)
+
+    def _record_lease(
+        self, worker: WorkerIncarnation, now: float, lease_s: float
+    ) -> None:
+        ends_at = now + lease_s * (1 + self._settings.clock_drift)
+        worker.lease_ends_at = max(worker.lease_ends_at, ends_at)
 
     def handle_start_result(
         self, command: workercontrol.StartCommand, result: workercontrol.CommandResult
@@ -361,6 +409,7 @@
             return
         if run.is_stopping:
             return
+        run.lease_limit = self._lease_limit(run)
         run.stop_requested_at = self._time.now()
         yield actions.LogEvent("run.stopping", {"run": run.key, "reason": reason})
         if run.state is not runs.RunState.STARTING:
@@ -382,6 +431,10 @@
         :param command: the command.
         :param result: the answer, or that there was none.
         """
+        if isinstance(result, workercontrol.Unanswered):
+            run = self._runs.run_by_key.get(command.key)
+            if run is not None and self._is_stop_due(run, MIN_STOP_INTERVAL_S):
+                yield from self._send_stop(run)
         if isinstance(result, workercontrol.Refused) and (
             result.reason is workercontrol.Refusal.FENCED
             and command.token >= self._token
@@ -411,9 +464,10 @@
         # be gone one lease after the last command that could extend it.
         is_silent = now - worker.last_answer_at > self._settings.unreachable_after_s
         lease_until_ms = None
-        if not is_silent and not self._is_stop_overdue(now):
-            lease_until_ms = self._lease_until_ms(worker, now)
-            worker.lease_extended_at = now
+        if not (is_silent or worker.may_have_foreign_runs) and (
+            self._max_lease_s(now) > 0
+        ):
+            lease_until_ms = self._extend_lease(worker, now)
         return workercontrol.PollCommand(
             worker.heartbeat.worker,
             self._token,
@@ -422,17 +476,6 @@
             0 if is_silent else int(wait_s * 1000),
         )
 
-    def _is_stop_overdue(self, now: float) -> bool:
-        """Return whether a run still exists long after its stop was requested.
-
-        Polls then no longer extend the lease of the worker, so that it ends all runs.
-        """
-        limit_s = 2 * self._settings.stop_repeat_s
-        return any(
-            run.stop_requested_at is not None and now - run.stop_requested_at > limit_s
-            for run in self._runs.dispatched()
-        )
-
     def _poll_now(self) -> Iterator[executoractions.Effect]:
         command = self._poll_command(0.0)
         if command is not None:
@@ -603,14 +646,27 @@
 
     def _check_run(self, run: runs.Run, now: float) -> Iterator[executoractions.Effect]:
         """Repeat a stop without effect, or sample the speed of an overdue run."""
-        if run.is_stopping and run.state is not runs.RunState.STARTING:
-            if now - run.stop_sent_at >= self._settings.stop_repeat_s:
+        if run.is_stopping:
+            if self._is_stop_due(run, self._settings.stop_repeat_s):
                 yield from self._send_stop(run)
         elif run.state is runs.RunState.RUNNING and run.estimate_s > 0:
             run_s = now - run.started_at
             if run_s > 2 * run.estimate_s and run.percent < 100:
                 self._sample_overdue_run(run, run_s, now)
 
+    def _is_stop_due(self, run: runs.Run, interval_s: float) -> bool:
+        """Return whether a run is still to be stopped, long enough after the last stop.
+
+        A run whose start is awaited is stopped when that has been answered.
+
+        :param interval_s: least time between two stops.
+        """
+        return (
+            run.is_stopping
+            and run.state in (runs.RunState.RUNNING, runs.RunState.UNCERTAIN)
+            and self._time.now() - run.stop_sent_at >= interval_s
+        )
+
     def _sample_overdue_run(self, run: runs.Run, run_s: float, now: float) -> None:
         """Lower the speed of the worker if an overdue run progresses more slowly."""
         current_speed = self._health.current_speed(now)
@@ -625,10 +681,7 @@
         self, worker: WorkerIncarnation, now: float
     ) -> Iterator[executoractions.Effect]:
         """End the dispatched runs once the lease of the worker has expired."""
-        lease_s = self._settings.worker_lease_s * (1 + self._settings.clock_drift)
-        is_expired = (
-            now - worker.lease_extended_at > lease_s + self._settings.stop_repeat_s
-        )
+        is_expired = now > worker.lease_ends_at + LEASE_MARGIN_S
         if is_expired:
             for run in list(self._runs.dispatched()):
                 # This holds for uncertain runs too: a start command that is carried
--- a/src/burdockgate/standin/faultinjection.py
+++ b/src/burdockgate/standin/faultinjection.py
@@ -137,6 +137,27 @@
     return _inject_worker_fault(sim, rng, "workers cut", begin, end)
 
 
+def kill_entry_amid_lost_commands(
+    sim: simulation.Simulation, rng: random.Random
+) -> str:
+    """Kill an entry host while workers leave half of all commands unanswered."""
+    entry = _random_entry(sim, rng)
+    workers = [agent.worker for agent in sim.agent_by_name.values()]
+    for worker in workers:
+        worker.faults.unanswered_share = 0.5
+    if entry.is_up and not entry.is_frozen:
+        entry.kill()
+
+    def end() -> None:
+        for worker in workers:
+            worker.faults.unanswered_share = 0.0
+        if not entry.is_up:
+            entry.restart()
+
+    sim.time.call_later(2.5, end)
+    return f"kill {entry.name} for 2.5 s, half of the commands late"
+
+
 def fail_worker(sim: simulation.Simulation, rng: random.Random) -> str:
     """Let workers fail every run that they start."""
 
@@ -197,8 +218,8 @@
     slow_worker,
     restart_worker,
 )
-# Faults of callers' connections come on top.
-WITH_CALLERS: tuple[Fault, ...] = (*ALL, reset_connections)
+# Faults that reach callers and agents at once.
+COMBINED: tuple[Fault, ...] = (reset_connections, kill_entry_amid_lost_commands)
 
 
 def schedule(
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -100,6 +100,13 @@
     assert settings.entry_settings().scheduler.agent_timeout_s > 0.9 * 1.02 + 0.7
 
 
+def test_time_until_callers_return_is_that_of_the_settings():
+    """The limit of orphaned runs follows from it, so it must not be a constant."""
+    content = SETTINGS.replace(b"maxHoldMs", b"retransmitMs = 1500\nmaxHoldMs")
+    assert boot.decode(content).agent_settings().executor.caller_retry_s == 1.5
+    assert boot.decode(SETTINGS).agent_settings().executor.caller_retry_s == 1.3
+
+
 @pytest.mark.parametrize(
     "content", [b"", b"nodeName = 1", b"\xff", SETTINGS.replace(b"ip =", b"pi =")]
 )
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -172,6 +172,139 @@
     assert len(_of(executoractions.Stop, bench.executor.tick())) == 1
 
 
+LIMITS = executoractions.ExecutorSettings()
+UNANSWERED = workercontrol.Unanswered()
+
+
+def _lease_ends(bench, effects):
+    """Return when the leases of start and poll commands end, by the agent's clock.
+
+    Commands without a lease are left out.
+    """
+    commands = [
+        effect.command
+        for effect in _of((executoractions.Start, executoractions.Poll), effects)
+    ]
+    ends_ms = [command.lease_until_ms for command in commands]
+    return [
+        bench.time.now() + (end_ms - bench.clock_ms) / 1000
+        for end_ms in ends_ms
+        if end_ms is not None
+    ]
+
+
+def _play_lost_stops(bench, seconds):
+    """Let all stops be lost while another owner lives and gets a task each 0.1 s.
+
+    Returns when the leases end that the worker was sent.
+    """
+    lease_ends = []
+    running = [KEY]
+    for number in range(int(seconds * 10)):
+        bench.advance(0.1)
+        bench.renew("entry-2")
+        effects = list(bench.executor.tick())
+        effects += bench.assign(0, cpu=100, job=f"job-{number}", owner="entry-2")
+        command = bench.executor.next_poll()
+        lease_ends += _lease_ends(bench, [*effects, executoractions.Poll(command)])
+        for start in _of(executoractions.Start, effects):
+            bench.accept(start)
+            running.append(start.command.key)
+        for stop in _of(executoractions.Stop, effects):
+            list(bench.executor.handle_stop_result(stop.command, UNANSWERED))
+        lease_ends += _lease_ends(bench, bench.poll(running, command=command))
+    return lease_ends
+
+
+def test_retry_limit_covers_the_lease_by_a_slow_clock():
+    """The time limits added up to more than the time until callers return."""
+    longest_s = LIMITS.run_limit_s * (1 + LIMITS.clock_drift)
+    assert longest_s < LIMITS.caller_retry_s
+    # Otherwise a run would be lost before its owner counts as silent.
+    assert LIMITS.session_lease_s < LIMITS.run_limit_s
+
+
+@pytest.mark.parametrize("event", ["silent", "ended", "restarted", "revoked"])
+def test_no_lease_outlives_an_orphaned_run_whose_stops_are_lost(event):
+    """Polls, and starts for other owners, extended it while stops were repeated."""
+    bench = Bench()
+    bench.connect("entry-2")
+    (start,) = _of(executoractions.Start, bench.assign(0))
+    bench.accept(start)
+    limit = bench.time.now() + LIMITS.run_limit_s
+    bench.advance(0.05)
+    if event == "ended":
+        list(bench.executor.handle_entry_gone(OWNER))
+    elif event == "restarted":
+        list(bench.executor.handle_entry_connected(OWNER, 78))
+        bench.renew()
+    elif event == "revoked":
+        list(bench.executor.handle_revocation(OWNER, assignments.Revoke((KEY,))))
+        bench.renew()
+    lease_ends = _play_lost_stops(bench, 1.3)
+    # Other owners' runs go on as long as that is possible. The worker's clock has
+    # gained some milliseconds on the agent's.
+    assert limit - 0.1 < max(lease_ends) <= limit + 0.005
+
+
+def test_run_of_a_living_owner_has_its_lease_extended():
+    """Each renewal moves the limit, so that calm days see no lapsed lease."""
+    bench = Bench()
+    (start,) = _of(executoractions.Start, bench.assign(0))
+    bench.accept(start)
+    for _ in range(20):
+        bench.advance(0.2)
+        bench.renew()
+        lease_s = (bench.executor.next_poll().lease_until_ms - bench.clock_ms) / 1000
+        assert lease_s == pytest.approx(LIMITS.worker_lease_s, abs=0.01)
+        bench.poll(running=[KEY])
+
+
+def test_worker_that_answers_no_stop_gets_no_task():
+    """Its lease is about to end, and with it every run that starts now."""
+    bench = Bench()
+    bench.connect("entry-2")
+    (start,) = _of(executoractions.Start, bench.assign(0))
+    bench.accept(start)
+    _play_lost_stops(bench, 1.0)
+    assert bench.executor.worker_state() is assignments.WorkerState.UNREACHABLE
+    lapsed = workercontrol.FinishedEntry(1, KEY, workercontrol.EndReason.LAPSED)
+    bench.poll(finished=[lapsed])
+    assert bench.executor.worker_state() is assignments.WorkerState.READY
+
+
+def test_stop_without_an_answer_is_repeated_at_once():
+    """A repetition after 0.2 s left too few of them before the lease had to end."""
+    bench = Bench()
+    (start,) = _of(executoractions.Start, bench.assign(0))
+    bench.accept(start)
+    revoke = assignments.Revoke((KEY,))
+    (stop,) = _of(executoractions.Stop, bench.executor.handle_revocation(OWNER, revoke))
+    # A worker that breaks connections off at once must not be flooded.
+    assert list(bench.executor.handle_stop_result(stop.command, UNANSWERED)) == []
+    bench.advance(0.08)
+    (again,) = _of(
+        executoractions.Stop,
+        bench.executor.handle_stop_result(stop.command, UNANSWERED),
+    )
+    assert again.command.key == KEY
+
+
+def test_restarted_agent_extends_no_lease_of_runs_that_it_does_not_know():
+    """Runs of the process before went on for as long as the stops were lost."""
+    bench = Bench()
+    foreign = assignments.RunKey(assignments.TaskKey("other", 0, 0), 3)
+    newer = attrs.evolve(bench.heartbeat, worker="i-2", born=9)
+    effects = list(bench.executor.handle_heartbeat(newer))
+    assert _lease_ends(bench, effects) == []
+    for _ in range(5):
+        bench.advance(0.1)
+        assert bench.executor.next_poll().lease_until_ms is None
+        bench.poll(running=[foreign], born=9)
+    bench.poll(born=9)
+    assert bench.executor.next_poll().lease_until_ms is not None
+
+
 def test_restarted_owner_has_its_runs_stopped():
     """The new process of the entry host does not know the runs of the old one."""
     bench = Bench()
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -55,7 +55,9 @@
 
 
 @pytest.mark.parametrize(
-    "fault", faultinjection.WITH_CALLERS, ids=lambda fault: fault.__name__
+    "fault",
+    (*faultinjection.ALL, *faultinjection.COMBINED),
+    ids=lambda fault: fault.__name__,
 )
 def test_invariants_hold_through_a_series_of_one_fault(fault):
     """The same fault may recur before the system has recovered from it."""
@@ -100,6 +102,49 @@
     assert _is_settled(sim)
 
 
+@pytest.mark.parametrize("seed", [0, 12, 13, 15])
+def test_lost_stops_do_not_let_runs_outlive_a_dead_owner(seed):
+    """Stops, refusals and leases added up to 1.7 s; callers submit again after 1.3 s.
+
+    Meanwhile starts for other owners extended the lease of the worker.
+    """
+    sim = simulation.Simulation(seed, (LASTING, SHORT), entries=2, workers=8)
+    sim.schedule_load(3, 30, 0.5)
+    injected = faultinjection.schedule(
+        sim, seed, 4, 30, 8, (faultinjection.kill_entry_amid_lost_commands,)
+    )
+    sim.run(200)
+    assert list(invariants.violations(sim)) == [], injected
+    assert _is_settled(sim)
+
+
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize("unanswered_share", [0.2, 0.5, 0.9])
+def test_runs_of_a_dead_owner_end_before_its_callers_return(unanswered_share, seed):
+    """The bound itself: a run may be over by luck when its task starts elsewhere."""
+    sim = simulation.Simulation(seed, (LASTING, SHORT), entries=2, workers=8)
+    sim.schedule_load(3, 8, 0.5)
+    sim.run(6)
+    for agent in sim.agent_by_name.values():
+        agent.worker.faults.unanswered_share = unanswered_share
+    orphans = {
+        run_key
+        for agent in sim.agent_by_name.values()
+        for run_key in agent.executor.session_state("entry-0")[1]
+    }
+    killed_at = sim.time.now()
+    sim.entry_by_name["entry-0"].kill()
+    sim.run(simulation.RETRY_DELAY_S)
+    late = [
+        span
+        for agent in sim.agent_by_name.values()
+        for span in agent.worker.open_spans()
+        if span.key in orphans and span.started_at < killed_at
+    ]
+    assert orphans
+    assert late == []
+
+
 @pytest.mark.parametrize("for_s", [0.5, 1.5, 3.0])
 def test_frozen_agent_does_not_run_tasks_that_were_assigned_elsewhere(for_s):
     """Assignments that were buffered while an agent was frozen must not start."""
