Derive the timeout of silent agents from the limit of their leases

Cause: an entry host gave the runs of a silent agent up 2.32 s after the last renewal: session lease, stops and worker lease in a row. That sum proved nothing, since starts extended the worker's lease while stops got lost, and it is longer than the limit that agents now enforce.

Change: 1.42 s, the limit of a run by a slow clock and 0.2 s. Entry hosts rely on agents that keep the limit, hence protocol 4.

--- a/src/burdockgate/assignments.py
+++ b/src/burdockgate/assignments.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-PROTOCOL = 3
+PROTOCOL = 4
 
 
 class WorkerState(enum.IntEnum):
--- a/src/burdockgate/process/assigner.py
+++ b/src/burdockgate/process/assigner.py
@@ -42,7 +42,7 @@
         1 s.
     """
 
-    agent_timeout_s: float = 2.3
+    agent_timeout_s: float = 1.42
     return_backoff_s: float = 0.01
     avoid_agent_s: float = 0.25
     ended_job_ttl_s: float = 20.0
--- a/src/burdockgate/process/scheduler.py
+++ b/src/burdockgate/process/scheduler.py
@@ -37,21 +37,20 @@
 # Workers whose agent has been disconnected for this long are dropped; they have been
 # replaced under another name.
 WORKER_TTL_S = 60.0
-# Allows for network latency and late timers on top of the agent's own timeouts.
+# Allows for late timers of the worker, and for clocks that differ.
 AGENT_TIMEOUT_MARGIN_S = 0.2
 
 
 def agent_timeout_s(limits: executoractions.ExecutorSettings) -> float:
     """Return the seconds after which all runs of a silent agent have ended.
 
-    The agent stops its runs when its session lease lapses. If the worker does not
-    confirm the stops, the agent lets the lease of the worker lapse as well.
+    Counted from the last renewal sent. Whether the agent lives or not, it has not
+    extended the lease of its worker beyond the limit of the run's owner.
 
     :param limits: timeouts that the agents enforce.
     """
-    stops_s = 2 * limits.stop_repeat_s
-    lease_s = limits.worker_lease_s * (1 + limits.clock_drift)
-    return limits.session_lease_s + stops_s + lease_s + AGENT_TIMEOUT_MARGIN_S
+    lease_s = limits.run_limit_s * (1 + limits.clock_drift)
+    return lease_s + AGENT_TIMEOUT_MARGIN_S
 
 
 class Scheduler(assigner.Assigner):
