Name the limit of orphaned leases, and keep the last sign of life of an owner

Cause: the limit was worked out backwards from the end of the session lease, and its name suggested a limit of a run's duration.

Change: a session keeps when its entry host was last known to be alive; the session lease and the worker's lease both count from it. No change of behaviour.

--- a/src/burdockgate/process/entrysessions.py
+++ b/src/burdockgate/process/entrysessions.py
@@ -36,10 +36,11 @@
     :param distance: sort key returned by :func:`distance`; smaller is nearer.
     :param is_connected: whether a connection exists.
     :param disconnected_at: when the last connection ended.
-    :param leased_until: end of the session lease. Runs of this entry host may start
-        until then, and go on until then after the connection is lost. It is counted
-        from the sending time of the report that a renewal echoes, so that delayed
-        messages do not extend it.
+    :param alive_at: last sign of life: when the newest report was sent that a renewal
+        has echoed. Delayed messages are no later sign of life.
+    :param leased_until: end of the session lease, counted from ``alive_at``. Runs of
+        this entry host may start until then, and go on until then after the connection
+        is lost.
     :param last_assign_number: number of the last assignment received.
     :param demand: processors that tasks waiting at the entry host need.
     :param last_start_at: when a run of this entry host was last started.
@@ -55,6 +56,7 @@
     distance: tuple[bool, int] = (False, 0)
     is_connected: bool = True
     disconnected_at: float = 0.0
+    alive_at: float = 0.0
     leased_until: float = 0.0
     last_assign_number: int = 0
     demand: assignments.Demand = assignments.Demand(0, 0)
--- a/src/burdockgate/process/executor.py
+++ b/src/burdockgate/process/executor.py
@@ -185,10 +185,8 @@
         :param message: the renewal.
         """
         session = self.session_by_entry[entry]
-        echoed_at = message.echo_us / 1_000_000
-        session.leased_until = max(
-            session.leased_until, echoed_at + self._settings.session_lease_s
-        )
+        session.alive_at = max(session.alive_at, message.echo_us / 1_000_000)
+        session.leased_until = session.alive_at + self._settings.session_lease_s
         session.acknowledge(message.last_end_number)
 
     def handle_assignment(
@@ -277,19 +275,16 @@
         yield from self._start_queued()
 
     def _lease_limit(self, run: runs.Run) -> float:
-        """Return the end of the lease by which the owner of a run allows it to go on.
+        """Return the latest end of the lease by the last sign of life of the owner.
 
-        A renewal shows that its owner lived when the echoed report was sent, and wanted
-        the run: revocations come before later renewals, and those that were lost with a
-        connection are repeated before the first renewal on the next.
+        A renewal also shows that the owner wanted the run: revocations come before
+        later renewals, and those that were lost with a connection are repeated before
+        the first renewal on the next.
         """
         if run.is_stopping:
             return run.lease_limit
-        settings = self._settings
-        renewed_at = (
-            self.session_by_entry[run.owner].leased_until - settings.session_lease_s
-        )
-        return renewed_at + settings.run_limit_s
+        session = self.session_by_entry[run.owner]
+        return session.alive_at + self._settings.orphan_lease_s
 
     def _stop_runs_of(
         self, entry: str, reason: str
--- a/src/burdockgate/process/executoractions.py
+++ b/src/burdockgate/process/executoractions.py
@@ -56,11 +56,11 @@
     distant_report_s: float = 0.35
 
     @property
-    def run_limit_s(self) -> float:
-        """Longest lease on the worker, from the last sign of life of a run's owner.
+    def orphan_lease_s(self) -> float:
+        """Longest lease of a run, counted from the last sign of life of its owner.
 
-        By the worker's clock, which may be slow. However many commands get lost, runs
-        of an owner that died have ended when its callers submit their jobs again.
+        It is shorter than the time until callers return, as the worker's clock may be
+        slow. So the runs of a dead owner end in time, however many stops are lost.
         """
         return (self.caller_retry_s - CALLER_RETRY_MARGIN_S) / (1 + self.clock_drift)
 
--- a/src/burdockgate/process/scheduler.py
+++ b/src/burdockgate/process/scheduler.py
@@ -49,7 +49,7 @@
 
     :param limits: timeouts that the agents enforce.
     """
-    lease_s = limits.run_limit_s * (1 + limits.clock_drift)
+    lease_s = limits.orphan_lease_s * (1 + limits.clock_drift)
     return lease_s + AGENT_TIMEOUT_MARGIN_S
 
 
--- a/src/burdockgate/process/supervisor.py
+++ b/src/burdockgate/process/supervisor.py
@@ -34,8 +34,7 @@
 # and nothing was heard of the later incarnation meanwhile.
 OLDER_INCARNATION_S = 3.0
 
-# Time that a lease must last for a run to be started with it: several polls, the
-# usual way to extend it.
+# No run is started with a shorter lease; the polls that extend it come every 0.25 s.
 MIN_START_LEASE_S = 0.3
 # Added to the end of a lease by the worker's clock before its runs count as ended.
 LEASE_MARGIN_S = 0.2
@@ -276,7 +275,7 @@
         if now - worker.last_answer_at > self._settings.unreachable_after_s:
             return assignments.WorkerState.UNREACHABLE
         if self._max_lease_s(now) < MIN_START_LEASE_S:
-            # It does not answer the orders to stop runs.
+            # A run has to end, and the worker does not confirm its stop.
             return assignments.WorkerState.UNREACHABLE
         if worker.is_refusing_polls:
             return assignments.WorkerState.EJECTED
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -218,10 +218,10 @@
 
 def test_retry_limit_covers_the_lease_by_a_slow_clock():
     """The time limits added up to more than the time until callers return."""
-    longest_s = LIMITS.run_limit_s * (1 + LIMITS.clock_drift)
+    longest_s = LIMITS.orphan_lease_s * (1 + LIMITS.clock_drift)
     assert longest_s < LIMITS.caller_retry_s
     # Otherwise a run would be lost before its owner counts as silent.
-    assert LIMITS.session_lease_s < LIMITS.run_limit_s
+    assert LIMITS.session_lease_s < LIMITS.orphan_lease_s
 
 
 @pytest.mark.parametrize("event", ["silent", "ended", "restarted", "revoked"])
@@ -231,7 +231,7 @@
     bench.connect("entry-2")
     (start,) = _of(executoractions.Start, bench.assign(0))
     bench.accept(start)
-    limit = bench.time.now() + LIMITS.run_limit_s
+    limit = bench.time.now() + LIMITS.orphan_lease_s
     bench.advance(0.05)
     if event == "ended":
         list(bench.executor.handle_entry_gone(OWNER))
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -468,7 +468,7 @@
 def test_timeout_of_agents_is_the_sum_of_the_limits_that_they_enforce():
     """A limit that agents do not enforce would start runs beside older ones."""
     limits = executoractions.ExecutorSettings()
-    longest_lease_s = limits.run_limit_s * (1 + limits.clock_drift)
+    longest_lease_s = limits.orphan_lease_s * (1 + limits.clock_drift)
     timeout_s = scheduler.agent_timeout_s(limits)
     assert timeout_s == pytest.approx(longest_lease_s + 0.2)
     assert assigner.SchedulerSettings().agent_timeout_s >= round(timeout_s, 2)
