Move what an agent knows of its worker into a module of its own

No change of behaviour.

Measured: 100 tests of the executor, the agent's daemon and the model pass.

--- a/src/burdockgate/process/supervisor.py
+++ b/src/burdockgate/process/supervisor.py
@@ -16,6 +16,7 @@
 from burdockgate.process import (
     actions,
     executoractions,
+    incarnation,
     runs,
     workercontrol,
     workerhealth,
@@ -29,15 +30,8 @@
     workercontrol.EndReason.OTHER: assignments.EndKind.LOST,
 }
 
-# A worker that restarts after its clock was set back has an earlier start time than
-# before. It is adopted when heartbeats of it, sent every 1.5 s, have come for this long
-# and nothing was heard of the later incarnation meanwhile.
-OLDER_INCARNATION_S = 3.0
-
 # No run is started with a shorter lease; the polls that extend it come every 0.25 s.
 MIN_START_LEASE_S = 0.3
-# Added to the end of a lease by the worker's clock before its runs count as ended.
-LEASE_MARGIN_S = 0.2
 # Limits the rate of stops to a worker that breaks connections off at once.
 MIN_STOP_INTERVAL_S = 0.05
 
@@ -47,87 +41,6 @@
 OVERDUE_WEIGHT = 0.34
 
 
-@attrs.define
-class WorkerIncarnation:
-    """State of the worker since its last start; times in seconds of the agent's clock.
-
-    :param heartbeat: the newest heartbeat.
-    :param clock_ms: newest known reading of the worker's clock.
-    :param clock_read_at: when that reading arrived.
-    :param last_processed_end: number of the last end processed; the next poll
-        acknowledges it.
-    :param last_answer_at: when the worker last answered a command or a poll.
-    :param lease_ends_at: latest end of the lease by the commands sent so far.
-    :param stop_sent_at_by_foreign_run: when a stop was last sent to each run that the
-        worker lists and this agent does not know, such as one of the agent's previous
-        process. While there is such a run, no queued run is started.
-    :param first_token: first token drawn for this incarnation. Once the worker has
-        accepted a poll with it, every earlier command is fenced off.
-    :param is_synchronized: whether the runs at the worker are fully known, so that
-        tasks can be assigned.
-    :param is_refusing_polls: whether the worker refused a poll as unhealthy since its
-        last snapshot.
-    :param is_poll_failing: whether the last poll returned no snapshot.
-    :param poll_unanswered_at: when a poll last got no answer.
-    :param heard_at: when the last heartbeat or snapshot of this incarnation came.
-    :param older: first heartbeat of an incarnation that started earlier, since this one
-        was last heard of, and when it came.
-    """
-
-    heartbeat: workercontrol.WorkerHeartbeat
-    clock_ms: int
-    clock_read_at: float
-    last_processed_end: int = 0
-    last_answer_at: float = 0.0
-    lease_ends_at: float = -1e9
-    stop_sent_at_by_foreign_run: dict[assignments.RunKey, float] = attrs.field(
-        factory=dict
-    )
-    first_token: int = 0
-    is_synchronized: bool = False
-    is_refusing_polls: bool = False
-    is_poll_failing: bool = False
-    poll_unanswered_at: float = -1e9
-    heard_at: float = -1e9
-    older: tuple[workercontrol.WorkerHeartbeat, float] | None = None
-
-    @property
-    def may_have_foreign_runs(self) -> bool:
-        """Whether runs may be active that the agent does not know and does not extend.
-
-        Their owners have no session here that limits the lease.
-        """
-        return bool(self.stop_sent_at_by_foreign_run) or not self.is_synchronized
-
-    def record_heard(self, now: float) -> None:
-        """Record that this incarnation is alive.
-
-        :param now: the time.
-        """
-        self.heard_at, self.older = now, None
-
-    def is_replaced_by(
-        self, heartbeat: workercontrol.WorkerHeartbeat, now: float
-    ) -> bool:
-        """Return whether an incarnation that started earlier is the one that runs.
-
-        A single heartbeat may be late; later ones of one incarnation have higher
-        numbers.
-
-        :param heartbeat: a heartbeat with an earlier start time.
-        :param now: the time.
-        """
-        if self.older is None or self.older[0].born != heartbeat.born:
-            self.older = heartbeat, now
-            return False
-        first, first_at = self.older
-        return (
-            heartbeat.sequence > first.sequence
-            and now - first_at >= OLDER_INCARNATION_S
-            and now - self.heard_at >= OLDER_INCARNATION_S
-        )
-
-
 class Supervisor(abc.ABC):
     """Sends commands to the worker and handles its answers, lists and heartbeats.
 
@@ -143,7 +56,7 @@
     ) -> None:
         self._settings = settings
         self._time = time
-        self._worker: WorkerIncarnation | None = None
+        self._worker: incarnation.WorkerIncarnation | None = None
         self._runs = runs.RunTable()
         self._health = workerhealth.WorkerHealth()
         self._token = 0
@@ -228,11 +141,11 @@
             "worker.adopted", {"worker": heartbeat.worker, "born": heartbeat.born}
         )
         previous = self._worker
-        self._worker = WorkerIncarnation(
+        self._worker = incarnation.WorkerIncarnation(
             heartbeat, heartbeat.clock_ms, now, last_answer_at=now, heard_at=now
         )
         # An earlier process of this agent may have extended the lease just now.
-        self._record_lease(self._worker, now, self._settings.worker_lease_s)
+        self._worker.extend_lease(now, self._settings.worker_lease_s, self._settings)
         self._health = workerhealth.WorkerHealth()
         for run in list(self._runs.dispatched()):
             if previous is not None and previous.heartbeat.worker == heartbeat.worker:
@@ -287,7 +200,7 @@
         return sum(1 for _ in self._runs.dispatched())
 
     def _start_run(
-        self, run: runs.Run, worker: WorkerIncarnation, now: float
+        self, run: runs.Run, worker: incarnation.WorkerIncarnation, now: float
     ) -> Iterator[executoractions.Effect]:
         run.state, run.token = runs.RunState.STARTING, self._token
         run.started_at = run.progressed_at = now
@@ -304,7 +217,7 @@
                 worker.heartbeat.worker,
                 run.key,
                 run.spec,
-                self._extend_lease(worker, now),
+                worker.extend_lease(now, self._max_lease_s(now), self._settings),
                 run.token,
             )
         )
@@ -319,22 +232,6 @@
         limits = [self._lease_limit(run) - now for run in self._runs.dispatched()]
         return min([self._settings.worker_lease_s, *limits])
 
-    def _extend_lease(self, worker: WorkerIncarnation, now: float) -> int:
-        """Return the end of the longest lease that may begin now, and record it.
-
-        :returns: a time in milliseconds of the worker's clock.
-        """
-        lease_s = self._max_lease_s(now)
-        self._record_lease(worker, now, lease_s)
-        worker_now = worker.clock_ms + (now - worker.clock_read_at) * 1000
-        return int(worker_now + lease_s * 1000)
-
-    def _record_lease(
-        self, worker: WorkerIncarnation, now: float, lease_s: float
-    ) -> None:
-        ends_at = now + lease_s * (1 + self._settings.clock_drift)
-        worker.lease_ends_at = max(worker.lease_ends_at, ends_at)
-
     def handle_start_result(
         self, command: workercontrol.StartCommand, result: workercontrol.CommandResult
     ) -> Iterator[executoractions.Effect]:
@@ -462,11 +359,9 @@
         # The lease of a worker that does not answer must expire: its runs are known to
         # be gone one lease after the last command that could extend it.
         is_silent = now - worker.last_answer_at > self._settings.unreachable_after_s
-        lease_until_ms = None
-        if not (is_silent or worker.may_have_foreign_runs) and (
-            self._max_lease_s(now) > 0
-        ):
-            lease_until_ms = self._extend_lease(worker, now)
+        lease_until_ms, lease_s = None, self._max_lease_s(now)
+        if lease_s > 0 and not (is_silent or worker.may_have_foreign_runs):
+            lease_until_ms = worker.extend_lease(now, lease_s, self._settings)
         return workercontrol.PollCommand(
             worker.heartbeat.worker,
             self._token,
@@ -512,7 +407,7 @@
 
     def _apply_snapshot(
         self,
-        worker: WorkerIncarnation,
+        worker: incarnation.WorkerIncarnation,
         command: workercontrol.PollCommand,
         snapshot: workercontrol.Snapshot,
     ) -> Iterator[executoractions.Effect]:
@@ -567,7 +462,7 @@
             worker.clock_read_at = worker.last_answer_at = self._time.now()
 
     def _end_finished(
-        self, worker: WorkerIncarnation, snapshot: workercontrol.Snapshot
+        self, worker: incarnation.WorkerIncarnation, snapshot: workercontrol.Snapshot
     ) -> Iterator[executoractions.Effect]:
         """End the runs that the worker lists as finished."""
         for entry in snapshot.finished:
@@ -580,7 +475,7 @@
                 yield from self._end_run(run, _END_BY_REASON[entry.reason], "listed")
 
     def _update_running(
-        self, worker: WorkerIncarnation, snapshot: workercontrol.Snapshot
+        self, worker: incarnation.WorkerIncarnation, snapshot: workercontrol.Snapshot
     ) -> Iterator[executoractions.Effect]:
         """Update the runs that the worker lists as running, and stop foreign ones."""
         now = self._time.now()
@@ -605,7 +500,7 @@
                 run.percent, run.progressed_at = entry.percent, now
 
     def _stop_foreign(
-        self, worker: WorkerIncarnation, key: assignments.RunKey, now: float
+        self, worker: incarnation.WorkerIncarnation, key: assignments.RunKey, now: float
     ) -> Iterator[executoractions.Effect]:
         sent_at = worker.stop_sent_at_by_foreign_run.get(key, -1e9)
         if now - sent_at >= self._settings.stop_repeat_s:
@@ -677,10 +572,10 @@
             )
 
     def _expire_lease(
-        self, worker: WorkerIncarnation, now: float
+        self, worker: incarnation.WorkerIncarnation, now: float
     ) -> Iterator[executoractions.Effect]:
         """End the dispatched runs once the lease of the worker has expired."""
-        is_expired = now > worker.lease_ends_at + LEASE_MARGIN_S
+        is_expired = worker.is_lease_expired(now)
         if is_expired:
             for run in list(self._runs.dispatched()):
                 # This holds for uncertain runs too: a start command that is carried
