--- a/review/7/play.py
+++ b/review/7/play.py
@@ -1,50 +1,39 @@
-"""A heartbeat of another writer reaches an agent while its worker runs tasks."""
+"""Entry hosts are lost for good and replaced; later, agents are killed and restart."""
 
 import asyncio
-import json
 import pathlib
 import random
 import sys
-import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common-2"))
 
 import deployment as deployments  # noqa: E402
 
-WORKERS = 4
-STEPS = [{"count": 4, "cpu": 1600, "memMb": 64, "estimateMs": 1500}]
-SPEC = {"s": 1.5, "cpu": 1600}
-# A service that no configuration names.
-UNNAMED_SERVICE = "svc-unknown"
+ENTRIES = 4
+REPLACED = 8
+WORKERS = 8
+KILLS = 20
+# Until the platform starts a killed process again.
+RESTART_S = 0.3
+STEPS = [{"count": 3, "cpu": 1600, "memMb": 64, "estimateMs": 3000}]
+SPEC = {"s": 3.0, "cpu": 1600}
 
 
 def deployment():
-    return deployments.Deployment(FOLDER, entries=2, workers=WORKERS)
+    return deployments.Deployment(
+        FOLDER, entries=ENTRIES, workers=WORKERS, spare_entries=REPLACED
+    )
 
 
-async def send_odd_heartbeat(system):
-    """Send one heartbeat of a service that isn't named to the first agent."""
-    worker = system.workers[0]
-    heartbeat = {
-        **worker.heartbeat(),
-        "service": UNNAMED_SERVICE,
-        "born": int(time.time() * 1000),
-        "seq": 1,
-        "clockMs": 1000,
-    }
-    worker.sequence -= 1
-    name = f"i-{random.getrandbits(40):010x}"
-    status, _ = await deployments.call(
-        worker.control,
-        "POST",
-        f"/burdockgate/instances/{name}/heartbeat",
-        body=json.dumps(heartbeat).encode(),
-    )
-    system.record.write(
-        f"another writer's heartbeat of {name}, service {UNNAMED_SERVICE}, at agent 0: "
-        f"answered {status}"
-    )
+async def replace(system, number):
+    """Remove an entry host for good; a new one comes 1 s later at another address."""
+    system.record.write(f"{system.entries[0].name} is removed for good")
+    await system.entries.pop(0).kill()
+    await asyncio.sleep(1)
+    entry = system.new_entry(number)
+    system.entries.append(entry)
+    await entry.start()
 
 
 async def run(system):
@@ -52,26 +41,41 @@
     for number in range(WORKERS):
         worker = deployments.Worker(system, number, 482_113)
         system.workers.append(worker)
-        await worker.start(first_beat_s=random.uniform(0, 1.5))
+        await worker.start(first_beat_s=random.uniform(0, deployments.HEARTBEAT_S))
+    await system.wait_ready()
+    if deployments.has_trouble():
+        for number in range(ENTRIES, ENTRIES + REPLACED):
+            await replace(system, number)
+            await asyncio.sleep(1)
     await system.wait_ready()
     await asyncio.sleep(2)
-    results = []
+    statuses = []
 
-    async def send(number):
-        entry = system.entries[number % 2]
-        results.append(
+    async def send():
+        entry = random.choice(system.entries)
+        statuses.append(
             await system.submit(
-                entry, deployments.job_id(), STEPS, SPEC, deadline_s=8.0
+                entry, deployments.job_id(), STEPS, SPEC, deadline_s=15.0
             )
         )
 
-    tasks = []
-    for number in range(24):
-        tasks.append(asyncio.create_task(send(number)))
-        if number == 12 and deployments.has_trouble():
-            await send_odd_heartbeat(system)
-        await asyncio.sleep(0.3)
-    await asyncio.gather(*tasks)
+    async def send_all():
+        tasks = []
+        for _ in range(int((KILLS * 1.5 + 2) / 0.25)):
+            tasks.append(asyncio.create_task(send()))
+            await asyncio.sleep(0.25)
+        await asyncio.gather(*tasks)
+
+    sending = asyncio.create_task(send_all())
+    await asyncio.sleep(2)
+    if deployments.has_trouble():
+        for number in range(KILLS):
+            agent = system.agents[number % WORKERS]
+            await agent.kill()
+            await asyncio.sleep(RESTART_S)
+            await agent.start()
+            await asyncio.sleep(1.5 - RESTART_S)
+    await sending
     pairs = system.overlaps()
     for first, second in pairs:
         system.record.write(
@@ -79,7 +83,7 @@
             f"{first[4]:.3f} ({first[5]}) and #{second[1]} on worker {second[2]} from "
             f"{second[3]:.3f} to {second[4]:.3f} ({second[5]})"
         )
-    print(f"answers: {sorted(map(str, results))}")
+    print(f"answers: 200 {statuses.count(200)} of {len(statuses)}")
     print(f"tasks that ran on two workers at the same time: {len(pairs)}")
     print("TWICE is broken" if pairs else "TWICE held")
     return bool(pairs)
--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -410,10 +410,12 @@
             deployment, name, role, host,
         )
         self._file = deployment.folder / f"{name}.toml"
-        self._file.write_text(settings)
+        # Returns the settings, which are placed at each start.
+        self._settings = settings
         self._popen = None
 
     async def start(self):
+        self._file.write_text(self._settings())
         command = self.deployment.command_by_role[self.role].split()
         environment = {
             name: os.environ[name]
@@ -465,7 +467,7 @@
 class Deployment:
     """The stand-ins and processes of one run of a script."""
 
-    def __init__(self, folder, entries, workers):
+    def __init__(self, folder, entries, workers, spare_entries=0):
         self.case = pathlib.Path(folder)
         self._temporary = tempfile.TemporaryDirectory()
         self.folder = pathlib.Path(self._temporary.name)
@@ -473,7 +475,7 @@
         network = random.randint(1, 250)
         self._network = f"127.{random.randint(10, 250)}.{network}"
         self.service, self.prefix, self.host_name = "svc1", "/jobs/", "queue.example"
-        hosts = [self.entry_host(n) for n in range(entries)]
+        hosts = [self.entry_host(n) for n in range(entries + spare_entries)]
         hosts += [self.side_host(n) for n in range(workers)] + [f"{self._network}.1"]
         (
             self.front_port, self.ready_port, self.control_port,
@@ -484,12 +486,13 @@
             role: fields["run"] for role, fields in deploy["roles"].items()
         }
         self.store = Store(f"{self._network}.1", self.store_port)
-        self.entries = [
-            Process(self, f"edge-{n}", "entry", self.entry_host(n), self._settings(n, True))
-            for n in range(entries)
-        ]
+        # Entry hosts that have not been removed for good.
+        self.entries = [self.new_entry(n) for n in range(entries)]
         self.agents = [
-            Process(self, f"side-{n}", "agent", self.side_host(n), self._settings(n, False))
+            Process(
+                self, f"side-{n}", "agent", self.side_host(n),
+                lambda n=n: self._settings(n, False),
+            )
             for n in range(workers)
         ]
         self.workers = []
@@ -498,6 +501,12 @@
         self._open = {}
         self.start_checks = []
 
+    def new_entry(self, number):
+        return Process(
+            self, f"edge-{number}", "entry", self.entry_host(number),
+            lambda: self._settings(number, True),
+        )
+
     def entry_host(self, number):
         return f"{self._network}.{10 + number}"
 
@@ -507,7 +516,8 @@
     def _settings(self, number, is_entry):
         host = self.entry_host(number) if is_entry else self.side_host(number)
         kind = "edge" if is_entry else "side"
-        seed = f"{self.entry_host(0)}:{self.control_port}"
+        hosts = [entry.host for entry in self.entries[:3]]
+        seeds = ",".join(f'"{seed}:{self.control_port}"' for seed in hosts)
         lines = [
             f'nodeName = "{kind}-{number}"',
             f'role = "{"entry" if is_entry else "agent"}"',
@@ -516,7 +526,7 @@
             'zone = "z1"',
             'region = "r1"',
             f"portRange = [{self.link_port},{self.link_port}]",
-            f'seeds = ["{seed}"]',
+            f"seeds = [{seeds}]",
             "bootstrap = true",
             'discovery = "local"',
             f"heartbeatMs = {int(HEARTBEAT_S * 1000)}",
