Move the release of entry hosts from the agent's daemon to its executor

Change: the sessions hold since when an entry host is released, and the limit of 1 s is one of the executor's settings. No behaviour changes. Measured: tests of the agent's daemon, executor, scheduler and entry host's daemon pass.

--- a/src/burdockgate/process/agentdaemon.py
+++ b/src/burdockgate/process/agentdaemon.py
@@ -43,9 +43,6 @@
 # worker's time limit for a stop, and the delivery of the ends to their owners.
 STOP_RESERVE_S = 0.8
 STORE_RETRY_S = 0.5
-# Time in which an entry host learns that it is no longer served, and assignments that
-# it sent before arrive.
-RELEASE_S = 1.0
 BOOT_BITS = 62
 
 
@@ -104,7 +101,6 @@
         self.seeds = settings.entry_addresses
         self._registry = entryregistry.EntryRegistry()
         self._ranked_entries: list[assignments.EntryHost] = []
-        self._released_at_by_entry: dict[str, float] = {}
         self._is_report_scheduled = False
         self._has_worker = asyncio.Event()
 
@@ -292,22 +288,15 @@
             self._release_surplus({entry.name for entry in chosen})
 
     def _release_surplus(self, chosen: set[str]) -> None:
-        """Close idle connections to present entry hosts that are not chosen.
-
-        The entry host is told first, so that no assignment is on its way.
-        """
-        now = self._time.now()
-        for entry, link in list(self._link_by_entry.items()):
-            record = self._registry.get(entry)
-            if entry in chosen or record is None or not record.address:
-                self._released_at_by_entry.pop(entry, None)
-                self.executor.released_entries.discard(entry)
-                continue
-            released_at = self._released_at_by_entry.setdefault(entry, now)
-            self.executor.released_entries.add(entry)
-            if now - released_at > RELEASE_S and not self.executor.has_runs_of(entry):
-                self.events.record("owner.released", {"owner": entry})
-                self.links.release(link)
+        """Release the present entry hosts that are connected and not chosen."""
+        surplus = {
+            entry
+            for entry in self._link_by_entry.keys() - chosen
+            if (record := self._registry.get(entry)) is not None and record.address
+        }
+        for entry in self.executor.release(surplus):
+            self.events.record("owner.released", {"owner": entry})
+            self.links.release(self._link_by_entry[entry])
 
     def _handle_hello(self, link: stream.Stream, hello: assignments.EntryHello) -> None:
         if hello.protocol != assignments.PROTOCOL:
@@ -371,8 +360,6 @@
         entry = self._entry_by_link.pop(link, None)
         if entry is not None:
             del self._link_by_entry[entry]
-            self._released_at_by_entry.pop(entry, None)
-            self.executor.released_entries.discard(entry)
             self._perform(self.executor.handle_entry_disconnected(entry))
 
     def handle_rejected(self, reason: str) -> None:
--- a/src/burdockgate/process/entrysessions.py
+++ b/src/burdockgate/process/entrysessions.py
@@ -49,6 +49,8 @@
     :param reported_load: part of the last report whose changes matter; ``None`` when
         none was sent on this connection.
     :param reported_at: when the last report was sent.
+    :param released_at: since when the entry host is told that this agent serves it no
+        longer; ``None`` while it is served.
     """
 
     name: str
@@ -65,6 +67,7 @@
     has_stale_load: bool = False
     reported_load: ReportedLoad | None = None
     reported_at: float = float("-inf")
+    released_at: float | None = None
     _last_end_number: int = 0
     _end_by_number: dict[int, assignments.TaskEnd] = attrs.field(factory=dict)
 
--- a/src/burdockgate/process/executor.py
+++ b/src/burdockgate/process/executor.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 
 from burdockgate import assignments, clock
 from burdockgate.process import (
@@ -44,8 +44,6 @@
         self.session_by_entry: dict[str, entrysessions.EntrySession] = {}
         # Named in the load reports; the daemon holds the configuration.
         self.configuration_version = 0
-        # Entry hosts that this agent will serve no longer; they get no new capacity.
-        self.released_entries: set[str] = set()
 
     def due_reports(
         self, is_periodic: bool = True
@@ -70,7 +68,7 @@
         for name, session in self.session_by_entry.items():
             allotted_cpu = allotted_cpu_by_entry[name]
             reported_free_cpu = min(allotted_cpu, int(AMPLE_FREE_SHARE * capacity))
-            if name in self.released_entries:
+            if session.released_at is not None:
                 reported_state, allotted_cpu = assignments.WorkerState.DRAINING, 0
                 reported_free_cpu = 0
             else:
@@ -110,12 +108,28 @@
             return True
         return now - session.reported_at >= self._settings.distant_report_s
 
-    def has_runs_of(self, entry: str) -> bool:
-        """Return whether a run of an entry host is queued or dispatched.
+    def release(self, surplus: Collection[str]) -> list[str]:
+        """Announce to entry hosts that they are served no longer.
 
-        :param entry: name of the entry host.
+        They are told before the connection is closed, so that no assignment is on its
+        way.
+
+        :param surplus: names of the entry hosts that are not to be served; all others
+            are served.
+        :returns: names of those whose connection is idle and can be closed.
         """
-        return any(self._runs.owned_by(entry))
+        now = self._time.now()
+        idle = []
+        for name, session in self.session_by_entry.items():
+            if name not in surplus:
+                session.released_at = None
+            elif session.released_at is None:
+                session.released_at = now
+            elif now - session.released_at > self._settings.release_s and not any(
+                self._runs.owned_by(name)
+            ):
+                idle.append(name)
+        return idle
 
     def handle_demand(self, entry: str, message: assignments.Demand) -> None:
         """Record the demand of an entry host.
@@ -149,6 +163,7 @@
         session = self.session_by_entry.get(entry)
         if session is not None and session.boot == boot:
             session.is_connected = True
+            session.released_at = None
             session.last_assign_number = 0
             session.reported_load = None
             for end in session.unacknowledged():
--- a/src/burdockgate/process/executoractions.py
+++ b/src/burdockgate/process/executoractions.py
@@ -40,6 +40,9 @@
     :param distant_report_s: interval of the periodic reports to the other entry hosts
         while they have no runs here; half of the session lease, since each report
         causes its renewal.
+    :param release_s: time between the notice to an entry host that it is served no
+        longer and the end of the connection; the notice takes 0.2 s at most, and
+        assignments that were sent before arrive meanwhile.
     """
 
     worker_lease_s: float = 1.0
@@ -54,6 +57,7 @@
     short_poll_wait_s: float = 0.03
     near_entries: int = 4
     distant_report_s: float = 0.35
+    release_s: float = 1.0
 
     @property
     def orphan_lease_s(self) -> float:
--- a/tests/test_agentdaemon.py
+++ b/tests/test_agentdaemon.py
@@ -82,7 +82,6 @@
     """All agents stayed connected with the few entry hosts that the settings name."""
     monkeypatch.setattr(subset, "LIMIT", 1)
     monkeypatch.setattr(subset, "OWN_ZONE_LIMIT", 1)
-    monkeypatch.setattr(agentdaemon, "RELEASE_S", 0.3)
     port = _free_port()
     hosts = {"e1": "127.0.0.2", "e2": "127.0.0.3"}
     known = [
@@ -96,7 +95,11 @@
         for name, host in hosts.items()
     }
     settings = agentdaemon.AgentDaemonSettings(
-        "a1", "z1", (f"{hosts[seed]}:{port}",), 1.0, executoractions.ExecutorSettings()
+        "a1",
+        "z1",
+        (f"{hosts[seed]}:{port}",),
+        1.0,
+        executoractions.ExecutorSettings(release_s=0.3),
     )
     agent = agentdaemon.AgentDaemon(
         settings,
