Model: agents release entry hosts and find out which are unreachable

Change: each process of an agent learns by its own dials which entry hosts don't answer, dials the seeds while none is connected, and releases by the executor's decision. Faults: a machine of an entry host is off without a reset, an agent restarts within its leases.

--- a/src/burdockgate/standin/faultinjection.py
+++ b/src/burdockgate/standin/faultinjection.py
@@ -11,6 +11,8 @@
 
 # Share of the connections of an entry host that are reset at once.
 RESET_SHARE = 0.55
+# Entry hosts whose machines are off at the same time.
+MAX_LOST_ENTRIES = 3
 
 
 def _random_agent(
@@ -34,6 +36,29 @@
     return f"kill {agent.name} for {down_s:.1f} s"
 
 
+def restart_agent(sim: simulation.Simulation, rng: random.Random) -> str:
+    """Kill an agent and start it again while its earlier runs still hold a lease."""
+    agent, down_s = _random_agent(sim, rng), rng.uniform(0.05, 0.6)
+    if agent.is_up and not agent.is_frozen:
+        agent.kill()
+        sim.time.call_later(down_s, agent.restart)
+    return f"restart {agent.name} in {down_s:.2f} s"
+
+
+def lose_entry(sim: simulation.Simulation, rng: random.Random) -> str:
+    """Turn the machine of an entry host off for long, unless three are off.
+
+    With more entry hosts than an agent serves, agents that have found out which of them
+    are unreachable serve others than those that have just started.
+    """
+    entry, down_s = _random_entry(sim, rng), rng.uniform(6, 15)
+    lost_count = sum(other.is_lost for other in sim.entry_by_name.values())
+    if entry.is_up and not entry.is_frozen and lost_count < MAX_LOST_ENTRIES:
+        entry.lose_power()
+        sim.time.call_later(down_s, entry.restart)
+    return f"lose {entry.name} for {down_s:.1f} s"
+
+
 def kill_entry(sim: simulation.Simulation, rng: random.Random) -> str:
     """Kill an entry host and start it again."""
     entry, down_s = _random_entry(sim, rng), rng.uniform(0.2, 4)
@@ -220,6 +245,8 @@
 )
 # Faults that reach callers and agents at once.
 COMBINED: tuple[Fault, ...] = (reset_connections, kill_entry_amid_lost_commands)
+# Faults that make agents release entry hosts, where there are more than they serve.
+RELEASING: tuple[Fault, ...] = (lose_entry, restart_agent)
 
 
 def schedule(
--- a/src/burdockgate/standin/simnodes.py
+++ b/src/burdockgate/standin/simnodes.py
@@ -175,6 +175,8 @@
         self.boot = self.sim.rng.getrandbits(60)
         self.executor = executor.Executor(self.sim.limits, self.sim.time)
         self.sent_worker_info: set[tuple[str, assignments.WorkerInfo]] = set()
+        # Entry hosts that this process has dialled in vain.
+        self.unreachable_entries: set[str] = set()
         incarnation = self.incarnation
         self._repeat(
             AGENT_TICK_INTERVAL_S,
@@ -363,6 +365,7 @@
 
     def __init__(self, sim: simulation.Simulation, name: str, zone: str) -> None:
         super().__init__(sim, name, zone)
+        self.is_lost = False
         self._start()
 
     def _start(self) -> None:
@@ -390,18 +393,27 @@
 
     def kill(self) -> None:
         """End the process; its callers retry after their connections broke."""
+        self._end()
+        self.sim.reset_connections(entry=self.name)
+
+    def lose_power(self) -> None:
+        """End the process; its machine resets no connection and answers no dial."""
+        self.is_lost = True
+        self._end()
+        self.sim.time_out_connections(self.name)
+
+    def _end(self) -> None:
         self.terminate()
         caller_jobs, self.caller_job_by_ticket = (
             list(self.caller_job_by_ticket.values()),
             {},
         )
-        self.sim.reset_connections(entry=self.name)
         for caller_job in caller_jobs:
             self.sim.retry(caller_job)
 
     def restart(self) -> None:
         """Start the process again."""
-        self.is_up = True
+        self.is_up, self.is_lost = True, False
         self._start()
 
     def reset_callers(self, share: float, rng: random.Random) -> None:
--- a/src/burdockgate/standin/simulation.py
+++ b/src/burdockgate/standin/simulation.py
@@ -16,6 +16,10 @@
 from burdockgate.standin import simnodes, simworker, virtualtime
 
 REDIAL_INTERVAL_S = 0.05
+# An agent regards an entry host as unreachable after this time without an answer.
+DIAL_TIMEOUT_S = 0.6
+# Entry hosts that the settings of every agent name; dialled while none is connected.
+SEED_COUNT = 3
 # Both ends of a connection notice a partition after this time.
 DISCONNECT_TIMEOUT_S = 0.9
 # A caller submits a job again this long after its connection broke.
@@ -64,6 +68,7 @@
         self.partitioned_pairs: set[tuple[str, str]] = set()
         self._connection_by_pair: dict[tuple[str, str], int] = {}
         self._connection_numbers = iter(range(1, 1 << 60))
+        self._dialled_pairs: set[tuple[str, str]] = set()
         self._agents_with_scheduled_report: set[str] = set()
         self._delayed_by_pair: dict[tuple[str, str], list[Callable[[], None]]] = {}
         self.entry_count = min(entries, subset.LIMIT)
@@ -125,14 +130,49 @@
     # Connections between agents and entry hosts.
 
     def _connect_all(self) -> None:
-        """Connect every pair that can be connected, as the dialling agents do."""
+        """Connect and release entry hosts, as the agents do."""
         for agent in self.agent_by_name.values():
+            if agent.is_up and not agent.is_frozen:
+                self._connect_agent(agent)
+        self.time.call_later(REDIAL_INTERVAL_S, self._connect_all)
+
+    def _connect_agent(self, agent: simnodes.SimulatedAgent) -> None:
+        """Dial the chosen entry hosts, and release the others.
+
+        Each process of an agent finds out by itself which entry hosts are unreachable.
+        """
+        chosen = {
+            entry.name: self.entry_by_name[entry.name]
             for entry in subset.choose(
                 self._ranked_entries_by_agent[agent.name],
-                lambda name: not self.entry_by_name[name].is_up,
-            ):
-                self._connect(agent, self.entry_by_name[entry.name])
-        self.time.call_later(REDIAL_INTERVAL_S, self._connect_all)
+                agent.unreachable_entries.__contains__,
+            )
+        }
+        wanted = chosen
+        if not self.connected_entries(agent.name):
+            wanted = chosen | dict(list(self.entry_by_name.items())[:SEED_COUNT])
+        for entry in wanted.values():
+            self._connect(agent, entry)
+        surplus = set(self.connected_entries(agent.name)) - chosen.keys()
+        for name in agent.executor.release(surplus):
+            self._disconnect((agent.name, name))
+
+    def _dial_lost(
+        self, agent: simnodes.SimulatedAgent, entry: simnodes.SimulatedEntryHost
+    ) -> None:
+        """Let an agent wait for the answer of a machine that is off."""
+        pair, incarnation = (agent.name, entry.name), agent.incarnation
+        if pair in self._dialled_pairs:
+            return
+        self._dialled_pairs.add(pair)
+
+        def time_out() -> None:
+            self._dialled_pairs.discard(pair)
+            is_connected = pair in self._connection_by_pair
+            if incarnation == agent.incarnation and not is_connected:
+                agent.unreachable_entries.add(entry.name)
+
+        self.time.call_later(DIAL_TIMEOUT_S, time_out)
 
     def _connect(
         self, agent: simnodes.SimulatedAgent, entry: simnodes.SimulatedEntryHost
@@ -143,11 +183,16 @@
         )
         if pair in self._connection_by_pair or is_blocked:
             return
+        if entry.is_lost:
+            self._dial_lost(agent, entry)
+            return
         if not entry.is_up:
+            agent.unreachable_entries.add(entry.name)
             agent.perform(agent.executor.handle_entry_gone(entry.name))
             return
         if entry.is_frozen:
             return
+        agent.unreachable_entries.discard(entry.name)
         self._connection_by_pair[pair] = next(self._connection_numbers)
         boot, run_keys = agent.executor.session_state(entry.name)
         hello = assignments.AgentHello(
@@ -184,6 +229,24 @@
             if agent in ("", pair[0]) and entry in ("", pair[1]):
                 self._disconnect(pair)
 
+    def time_out_connections(self, entry: str) -> None:
+        """End the connections of an entry host whose machine is off, after a timeout.
+
+        :param entry: its name.
+        """
+        connections = [
+            (pair, connection)
+            for pair, connection in self._connection_by_pair.items()
+            if pair[1] == entry
+        ]
+
+        def time_out() -> None:
+            for pair, connection in connections:
+                if self._connection_by_pair.get(pair) == connection:
+                    self._disconnect(pair)
+
+        self.time.call_later(DISCONNECT_TIMEOUT_S, time_out)
+
     def _disconnect(self, pair: tuple[str, str]) -> None:
         del self._connection_by_pair[pair]
         agent, entry = self.agent_by_name[pair[0]], self.entry_by_name[pair[1]]
