Report the end of an earlier agent process' runs instead of inferring it

No caller sent a job twice.

Cause: the owner took the first report of a restarted agent that was not UNREACHABLE for the end of all runs of the earlier process. An agent that releases an entry host reports DRAINING to it whatever its worker does. A process that has just started doesn't know which entry hosts are unreachable, chooses others than the process before and releases the owner before it has looked at its worker.

Change: load reports say whether the runs of earlier processes have ended, which an agent knows once its worker has accepted a higher token and lists no unknown run. It holds from then on, also when the worker is lost again.

--- a/src/burdockgate/assignments.py
+++ b/src/burdockgate/assignments.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-PROTOCOL = 4
+PROTOCOL = 5
 
 
 class WorkerState(enum.IntEnum):
@@ -120,6 +120,11 @@
     :param sent_at_us: steady clock of the agent, echoed by :class:`Renewal`.
     :param last_assign_number: number of the last :class:`Assign` that the load
         includes.
+    :param state: whether the receiver may assign tasks. It says nothing about runs: an
+        agent that will not serve the receiver any more reports ``DRAINING`` before it
+        has reached its worker.
+    :param earlier_runs_ended: whether all runs that earlier processes of the agent
+        started have ended.
     :param free_cpu: thousandths of a core that the receiver may assign. While tasks
         wait at entry hosts, free capacity is allotted to those with the most urgent.
     :param used_cpu: thousandths of a core of all runs that are not known to have ended.
@@ -135,6 +140,7 @@
     sent_at_us: int
     last_assign_number: int
     state: WorkerState
+    earlier_runs_ended: bool
     free_cpu: int
     used_cpu: int
     used_memory_mb: int
--- a/src/burdockgate/process/executor.py
+++ b/src/burdockgate/process/executor.py
@@ -89,6 +89,7 @@
                 int(now * 1_000_000),
                 session.last_assign_number,
                 reported_state,
+                self.earlier_runs_ended,
                 allotted_cpu,
                 used.cpu,
                 used.memory_mb,
--- a/src/burdockgate/process/scheduler.py
+++ b/src/burdockgate/process/scheduler.py
@@ -299,9 +299,7 @@
             )
         if not view.may_have_old_runs:
             yield from self._mark_unconfirmed_lost(view)
-        elif load.state is not assignments.WorkerState.UNREACHABLE:
-            # The restarted agent has reached its worker and found no foreign runs, so
-            # that all runs of its previous boot have ended.
+        elif load.earlier_runs_ended:
             view.may_have_old_runs = False
             yield from self._mark_all_lost(agent, "agent restarted")
         if now >= view.renewal_due_at:
--- a/src/burdockgate/process/supervisor.py
+++ b/src/burdockgate/process/supervisor.py
@@ -61,6 +61,9 @@
         self._health = workerhealth.WorkerHealth()
         self._token = 0
         self.is_draining = False
+        # Whether the runs of earlier processes of this agent have ended: the worker has
+        # accepted a token above theirs, and lists no run that is unknown here.
+        self.earlier_runs_ended = False
         self._is_lease_expired = False
 
     @abc.abstractmethod
@@ -447,7 +450,7 @@
             and not worker.stop_sent_at_by_foreign_run
             and not worker.is_synchronized
         ):
-            worker.is_synchronized = True
+            worker.is_synchronized = self.earlier_runs_ended = True
             yield actions.LogEvent("worker.ready", {"worker": worker.heartbeat.worker})
         yield from self._start_queued()
 
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -361,6 +361,36 @@
     assert len(_of(executoractions.Start, bench.poll())) == 1
 
 
+@pytest.mark.parametrize("event", ["started", "releases", "stops", "foreign run"])
+def test_agent_that_does_not_know_its_worker_vouches_for_no_run(event):
+    """Owners start the runs of its earlier process elsewhere once it does."""
+    bench = Bench()
+    bench.executor = executor.Executor(executoractions.ExecutorSettings(), bench.time)
+    list(bench.executor.handle_entry_connected(OWNER, 77))
+    foreign = assignments.RunKey(assignments.TaskKey("other", 0, 0), 3)
+    if event == "releases":
+        bench.executor.release({OWNER})
+    elif event == "stops":
+        list(bench.executor.drain())
+    elif event == "foreign run":
+        list(bench.executor.handle_heartbeat(bench.heartbeat))
+        bench.poll(running=[foreign])
+    assert not bench.executor.due_reports()[OWNER].earlier_runs_ended
+    list(bench.executor.handle_heartbeat(bench.heartbeat))
+    bench.poll()
+    assert bench.executor.due_reports()[OWNER].earlier_runs_ended
+
+
+def test_agent_that_lost_its_worker_still_vouches_for_earlier_runs():
+    """An owner that connects only now need not wait until the worker answers again."""
+    bench = Bench()
+    bench.advance(0.5)
+    list(bench.executor.handle_entry_connected("entry-2", 88))
+    report = bench.executor.due_reports()["entry-2"]
+    assert report.state is assignments.WorkerState.UNREACHABLE
+    assert report.earlier_runs_ended
+
+
 def test_draining_worker_gets_no_task_and_its_queue_is_returned():
     """A worker that shuts down must get no new task."""
     bench = Bench()
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -51,12 +51,13 @@
         self.free_by_agent[agent] = free
         return effects + self.report(agent)
 
-    def report(self, agent, state=READY):
+    def report(self, agent, state=READY, earlier_runs_ended=True):
         view = self.scheduler.fleet.view_by_agent[agent]
         load = assignments.LoadReport(
             1,
             view.last_assign_number,
             state,
+            earlier_runs_ended,
             self.free_by_agent[agent],
             0,
             0,
@@ -233,6 +234,31 @@
     assert assign.runs == (2, 2)
 
 
+def _restart_agent(bench, agent, boot=6):
+    """Connect a new process of an agent, which has not reached its worker yet."""
+    hello = assignments.AgentHello(1, agent, boot, "z1", 0, ())
+    list(bench.scheduler.handle_agent_disconnected(agent))
+    return list(bench.scheduler.handle_agent_connected(hello, 9))
+
+
+@pytest.mark.parametrize("state", assignments.WorkerState)
+def test_no_state_of_a_worker_shows_that_runs_of_an_earlier_process_ended(state):
+    """An agent that released its owner said DRAINING before it knew its worker's runs.
+
+    The owner took it for the end of the runs and started them elsewhere beside the old.
+    """
+    bench = Bench(4000)
+    bench.submit()
+    bench.link("agent-1", 4000)
+    _restart_agent(bench, "agent-0")
+    bench.report("agent-0", state, earlier_runs_ended=False)
+    assert _messages(assignments.Assign, bench.scheduler.assign()) == []
+    bench.report("agent-0", state, earlier_runs_ended=True)
+    bench.report("agent-1")
+    (assign,) = _messages(assignments.Assign, bench.scheduler.assign())
+    assert assign.runs == (2, 2)
+
+
 def test_resubmitted_job_waits_for_the_ends_of_its_revoked_runs():
     """Starting a task again before its revoked run has ended would run it twice."""
     bench = Bench(4000)
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -56,7 +56,7 @@
 
 @pytest.mark.parametrize(
     "fault",
-    (*faultinjection.ALL, *faultinjection.COMBINED),
+    (*faultinjection.ALL, *faultinjection.COMBINED, *faultinjection.RELEASING),
     ids=lambda fault: fault.__name__,
 )
 def test_invariants_hold_through_a_series_of_one_fault(fault):
@@ -118,6 +118,22 @@
     assert _is_settled(sim)
 
 
+@pytest.mark.parametrize("seed", [0, 2, 7, 8])
+def test_released_owner_does_not_take_a_notice_for_the_end_of_runs(seed):
+    """A restarted agent released owners before it had looked at its worker.
+
+    They started its tasks elsewhere, while the first runs still held their lease. It
+    shows where agents serve fewer entry hosts than there are and some are unreachable:
+    a process that has just started does not know yet which.
+    """
+    sim = simulation.Simulation(seed, (LASTING, SHORT), entries=12, workers=8, zones=4)
+    sim.schedule_load(3, 20, 0.5)
+    injected = faultinjection.schedule(sim, seed, 4, 20, 14, faultinjection.RELEASING)
+    sim.run(120)
+    assert list(invariants.violations(sim)) == [], injected
+    assert _is_settled(sim)
+
+
 @pytest.mark.parametrize("seed", range(6))
 @pytest.mark.parametrize("unanswered_share", [0.2, 0.5, 0.9])
 def test_runs_of_a_dead_owner_end_before_its_callers_return(unanswered_share, seed):
@@ -325,7 +341,7 @@
         for effect in entry.scheduler.handle_load_report(
             agent,
             assignments.LoadReport(
-                1, 0, assignments.WorkerState.READY, 0, 0, 0, 0, 0, 1000, True, 0
+                1, 0, assignments.WorkerState.READY, True, 0, 0, 0, 0, 0, 1000, True, 0
             ),
         )
         if isinstance(effect, assigner.ScheduleAssignment)
