--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -259,6 +259,27 @@
     assert assign.runs == (2, 2)
 
 
+def test_runs_missing_in_a_new_process_hello_are_lost_once():
+    """They were compared again with the runs of a job that was submitted again.
+
+    Its runs have the same numbers, so that they were started elsewhere while they ran.
+    """
+    bench = Bench(4000)
+    bench.submit()
+    bench.link("agent-1", 0)
+    _restart_agent(bench, "agent-0")
+    list(bench.scheduler.handle_caller_disconnected("job", 1))
+    bench.submit(ticket=2)
+    info = assignments.WorkerInfo("i", 1, "svc", 4000, 1000, 0, ())
+    list(bench.scheduler.handle_worker_info("agent-0", info))
+    bench.report("agent-0")
+    (assign,) = _messages(assignments.Assign, bench.scheduler.assign())
+    assert assign.runs == (1, 1)
+    bench.report("agent-0")
+    bench.link("agent-1", 4000)
+    assert _messages(assignments.Assign, bench.scheduler.assign()) == []
+
+
 def test_resubmitted_job_waits_for_the_ends_of_its_revoked_runs():
     """Starting a task again before its revoked run has ended would run it twice."""
     bench = Bench(4000)
