Number ends for a restarted owner after those that it was sent

Cause: when an entry host had restarted, the agent sent it the ends of its earlier process' queued runs with the numbers of that session, and then counted from 1 again. The new process acknowledged the high number, and the agent dropped ends of the new session that had perhaps not arrived. Change: the numbers go on in the session of the new process.

--- a/src/burdockgate/process/entrysessions.py
+++ b/src/burdockgate/process/entrysessions.py
@@ -49,6 +49,7 @@
     :param reported_load: part of the last report whose changes matter; ``None`` when
         none was sent on this connection.
     :param reported_at: when the last report was sent.
+    :param last_end_number: number of the last end of a run.
     :param released_at: since when the entry host is told that this agent serves it no
         longer; ``None`` while it is served.
     """
@@ -68,7 +69,7 @@
     reported_load: ReportedLoad | None = None
     reported_at: float = float("-inf")
     released_at: float | None = None
-    _last_end_number: int = 0
+    last_end_number: int = 0
     _end_by_number: dict[int, assignments.TaskEnd] = attrs.field(factory=dict)
 
     def has_demand(self, now: float) -> bool:
@@ -93,9 +94,9 @@
         :param run_s: run time in seconds.
         :param next_run: smallest number for the next run of the task.
         """
-        self._last_end_number += 1
+        self.last_end_number += 1
         end = assignments.TaskEnd(
-            self._last_end_number, key, kind, int(max(0.0, run_s) * 1000), next_run
+            self.last_end_number, key, kind, int(max(0.0, run_s) * 1000), next_run
         )
         self._end_by_number[end.number] = end
         return end
--- a/src/burdockgate/process/executor.py
+++ b/src/burdockgate/process/executor.py
@@ -173,7 +173,13 @@
         if session is not None:
             yield actions.LogEvent("owner.restarted", {"owner": entry, "boot": boot})
             yield from self._stop_runs_of(entry, "owner restarted")
-        self.session_by_entry[entry] = entrysessions.EntrySession(entry, boot, distance)
+        self.session_by_entry[entry] = entrysessions.EntrySession(
+            entry,
+            boot,
+            distance,
+            # The new process gets the ends above and acknowledges their numbers.
+            last_end_number=session.last_end_number if session is not None else 0,
+        )
 
     def handle_entry_disconnected(self, entry: str) -> Iterator[executoractions.Effect]:
         """Handle the loss of the connection to an entry host.
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -316,6 +316,29 @@
     )
 
 
+def test_ends_for_a_restarted_owner_are_numbered_after_those_it_was_sent():
+    """Its acknowledgement of an earlier session's end dropped ends that it never got.
+
+    Those runs would be taken for lost after a reset, and run again.
+    """
+    bench = Bench()
+    for run in range(1, 4):
+        bench.assign(0, cpu=9000, run=run)
+    foreign = assignments.RunKey(assignments.TaskKey("other", 0, 0), 3)
+    bench.poll(running=[foreign])
+    bench.assign(0, run=9)
+    (last_of_old,) = _ends(bench.executor.handle_entry_connected(OWNER, 78))
+    bench.poll()
+    bench.renew()
+    (first_of_new,) = _ends(bench.assign(0, cpu=9000, job="new"))
+    acknowledgement = assignments.Renewal(
+        int(bench.time.now() * 1e6), last_of_old.number, 0
+    )
+    bench.executor.handle_renewal(OWNER, acknowledgement)
+    list(bench.executor.handle_entry_disconnected(OWNER))
+    assert _ends(bench.executor.handle_entry_connected(OWNER, 78)) == [first_of_new]
+
+
 def test_lease_of_a_silent_worker_expires_and_its_runs_are_lost():
     """A poll that extended the lease of an unreachable worker would keep its runs."""
     bench = Bench()
