Keep the connection to a released owner until it learns of earlier runs

Cause: an agent that has just started closes the connection to a released entry host 1 s later, when it may not have reached its worker yet. The owner of runs there then waited for 1.42 s from the last renewal instead of the agent's word. Change: a released connection is closed only once the agent can say that the runs of its earlier processes have ended.

--- a/src/burdockgate/process/executor.py
+++ b/src/burdockgate/process/executor.py
@@ -113,7 +113,8 @@
         """Announce to entry hosts that they are served no longer.
 
         They are told before the connection is closed, so that no assignment is on its
-        way.
+        way. An agent that has just started keeps the connection until it can say that
+        the runs of its earlier processes have ended.
 
         :param surplus: names of the entry hosts that are not to be served; all others
             are served.
@@ -126,8 +127,10 @@
                 session.released_at = None
             elif session.released_at is None:
                 session.released_at = now
-            elif now - session.released_at > self._settings.release_s and not any(
-                self._runs.owned_by(name)
+            elif (
+                now - session.released_at > self._settings.release_s
+                and self.earlier_runs_ended
+                and not self._runs.owned_by(name)
             ):
                 idle.append(name)
         return idle
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -404,6 +404,21 @@
     assert bench.executor.due_reports()[OWNER].earlier_runs_ended
 
 
+def test_released_owner_stays_connected_until_it_learns_of_earlier_runs():
+    """It waited for 1.42 s more when the connection was closed before."""
+    bench = Bench()
+    bench.executor = executor.Executor(executoractions.ExecutorSettings(), bench.time)
+    list(bench.executor.handle_entry_connected(OWNER, 77))
+    bench.executor.release({OWNER})
+    bench.advance(1.5)
+    assert bench.executor.release({OWNER}) == []
+    list(bench.executor.handle_heartbeat(bench.heartbeat))
+    bench.poll()
+    assert bench.executor.due_reports()[OWNER].earlier_runs_ended
+    bench.advance(0.1)
+    assert bench.executor.release({OWNER}) == [OWNER]
+
+
 def test_agent_that_lost_its_worker_still_vouches_for_earlier_runs():
     """An owner that connects only now need not wait until the worker answers again."""
     bench = Bench()
