--- a/src/burdockgate/process/scheduler.py
+++ b/src/burdockgate/process/scheduler.py
@@ -213,14 +213,12 @@
         view.renewed_at = now
         assigned_runs = {task.run_key for task in self._tasks_assigned_to(hello.name)}
         revoked_runs = set(self._revoked_runs_of(hello.name))
-        # The agent repeats unacknowledged ends before its first load report. Runs that
-        # are still unconfirmed by then count as lost.
+        view.unconfirmed_runs = set()
         # A new process lists none of the runs of earlier ones, which may go on.
-        view.unconfirmed_runs = (
-            set()
-            if view.may_have_old_runs
-            else (assigned_runs | revoked_runs).difference(active_runs)
-        )
+        if not view.may_have_old_runs:
+            # The agent repeats unacknowledged ends before its first load report. Runs
+            # that are still unconfirmed by then count as lost.
+            view.unconfirmed_runs = (assigned_runs | revoked_runs) - set(active_runs)
         surplus_runs = [key for key in active_runs if key not in assigned_runs]
         yield actions.LogEvent(
             "agent.linked", {"agent": hello.name, "held": len(active_runs)}
--- a/src/burdockgate/standin/faultinjection.py
+++ b/src/burdockgate/standin/faultinjection.py
@@ -27,22 +27,24 @@
     return rng.choice(list(sim.entry_by_name.values()))
 
 
-def kill_agent(sim: simulation.Simulation, rng: random.Random) -> str:
-    """Kill an agent and start it again."""
-    agent, down_s = _random_agent(sim, rng), rng.uniform(0.2, 4)
+def _kill_agent_for(
+    sim: simulation.Simulation, rng: random.Random, min_s: float, max_s: float
+) -> str:
+    agent, down_s = _random_agent(sim, rng), rng.uniform(min_s, max_s)
     if agent.is_up and not agent.is_frozen:
         agent.kill()
         sim.time.call_later(down_s, agent.restart)
-    return f"kill {agent.name} for {down_s:.1f} s"
+    return f"kill {agent.name} for {down_s:.2f} s"
+
+
+def kill_agent(sim: simulation.Simulation, rng: random.Random) -> str:
+    """Kill an agent and start it again."""
+    return _kill_agent_for(sim, rng, 0.2, 4)
 
 
 def restart_agent(sim: simulation.Simulation, rng: random.Random) -> str:
     """Kill an agent and start it again while its earlier runs still hold a lease."""
-    agent, down_s = _random_agent(sim, rng), rng.uniform(0.05, 0.6)
-    if agent.is_up and not agent.is_frozen:
-        agent.kill()
-        sim.time.call_later(down_s, agent.restart)
-    return f"restart {agent.name} in {down_s:.2f} s"
+    return _kill_agent_for(sim, rng, 0.05, 0.6)
 
 
 def lose_entry(sim: simulation.Simulation, rng: random.Random) -> str:
