--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -385,8 +385,8 @@
 
 
 @pytest.mark.parametrize("event", ["started", "releases", "stops", "foreign run"])
-def test_agent_that_does_not_know_its_worker_vouches_for_no_run(event):
-    """Owners start the runs of its earlier process elsewhere once it does."""
+def test_agent_that_does_not_know_its_worker_reports_no_end_of_earlier_runs(event):
+    """Owners start the runs of its earlier process elsewhere at that report."""
     bench = Bench()
     bench.executor = executor.Executor(executoractions.ExecutorSettings(), bench.time)
     list(bench.executor.handle_entry_connected(OWNER, 77))
@@ -419,7 +419,7 @@
     assert bench.executor.release({OWNER}) == [OWNER]
 
 
-def test_agent_that_lost_its_worker_still_vouches_for_earlier_runs():
+def test_agent_that_lost_its_worker_still_reports_the_end_of_earlier_runs():
     """An owner that connects only now need not wait until the worker answers again."""
     bench = Bench()
     bench.advance(0.5)
