Stop starting tasks in data centres that are being emptied

Change: entry hosts follow the records, nodes pass the newest state on to each other, and the agent, which alone starts runs, returns what is assigned to it meanwhile. Agents and entry hosts speak protocol 6, so both have to be replaced together.

--- a/src/burdockgate/assignments.py
+++ b/src/burdockgate/assignments.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-PROTOCOL = 5
+PROTOCOL = 6
 
 
 class WorkerState(enum.IntEnum):
@@ -26,6 +26,8 @@
     EJECTED = 4
     # The worker was ejected and gets one task at a time as a trial.
     PROBATION = 5
+    # The data centre of the worker is being emptied; running tasks continue.
+    EVACUATED = 6
 
 
 class EndKind(enum.IntEnum):
@@ -271,6 +273,19 @@
     version: int
 
 
+@attrs.frozen
+class Evacuations:
+    """Data centres in which no task may be started.
+
+    :param version: offset in the store up to which the requests are included; a larger
+        one is newer.
+    :param zones: names of the data centres, sorted.
+    """
+
+    version: int
+    zones: tuple[str, ...]
+
+
 Message = (
     AgentHello
     | EntryHello
@@ -284,6 +299,7 @@
     | EntryHosts
     | Configuration
     | ConfigurationRequest
+    | Evacuations
 )
 
 TYPES: dict[int, type[Message]] = {
@@ -299,4 +315,5 @@
     49: Configuration,
     50: Demand,
     51: ConfigurationRequest,
+    52: Evacuations,
 }
--- a/src/burdockgate/platform/boot.py
+++ b/src/burdockgate/platform/boot.py
@@ -76,6 +76,7 @@
             grace_s=self.bounds.grace_s,
             configuration_topic="keyed.op",
             configuration_key="config",
+            evacuation_prefix="evacuate/",
             scheduler=assigner.SchedulerSettings(
                 agent_timeout_s=scheduler.agent_timeout_s(self._executor_settings())
             ),
--- a/src/burdockgate/process/agentdaemon.py
+++ b/src/burdockgate/process/agentdaemon.py
@@ -18,6 +18,7 @@
     discovery,
     entryregistry,
     entrysessions,
+    evacuation,
     events,
     executor,
     executoractions,
@@ -96,6 +97,7 @@
         self._entry_by_link: dict[stream.Stream, str] = {}
         self._sent_info_by_entry: dict[str, assignments.WorkerInfo] = {}
         self._configuration = relay.Copy()
+        self._evacuations = evacuation.Replica()
         self.background = background.Background(self._record_failure)
         # Addresses at which the first entry host is looked for.
         self.seeds = settings.entry_addresses
@@ -259,12 +261,20 @@
                 self._schedule_report()
             case assignments.Revoke():
                 self._perform(self.executor.handle_revocation(entry, message))
+            case _:
+                self._handle_shared_state(entry, message)
+
+    def _handle_shared_state(self, entry: str, message: assignments.Message) -> None:
+        """Handle a message about state that all nodes share."""
+        match message:
             case assignments.EntryHosts(entries):
                 self._handle_entry_hosts(self._registry.merge(entries))
             case assignments.Configuration():
                 self._update_configuration(entry, message)
             case assignments.ConfigurationRequest(version):
                 self._send_configuration(entry, version)
+            case assignments.Evacuations():
+                self._update_evacuations(entry, message)
 
     def _handle_entry_hosts(self, changed: tuple[assignments.EntryHost, ...]) -> None:
         """Connect to the new entry hosts, and forget those that have left."""
@@ -329,6 +339,8 @@
         self._perform(
             self.executor.handle_entry_connected(hello.name, hello.boot, distance)
         )
+        self._evacuations.forget(hello.name)
+        self._send_evacuations()
         self._report()
 
     def _update_configuration(
@@ -340,6 +352,22 @@
                 "configuration.held", {"version": message.version, "source": entry}
             )
 
+    def _update_evacuations(self, entry: str, message: assignments.Evacuations) -> None:
+        """Apply the evacuations that an entry host knows, and pass newer ones on."""
+        if self._evacuations.receive(entry, message):
+            self.events.record(
+                "evacuations.applied",
+                {"zones": list(message.zones), "source": f"entry host {entry}"},
+            )
+        is_evacuated = self._evacuations.is_evacuated(self._settings.zone)
+        if is_evacuated != self.executor.is_evacuated:
+            self._perform(self.executor.set_evacuated(is_evacuated))
+        self._send_evacuations()
+
+    def _send_evacuations(self) -> None:
+        for entry in self._evacuations.outdated_peers(self._link_by_entry):
+            self._send(entry, self._evacuations.current)
+
     def _drop_old_configuration(self, version: int) -> None:
         if self._configuration.drop_older_than(version):
             self.executor.configuration_version = 0
@@ -360,6 +388,7 @@
         entry = self._entry_by_link.pop(link, None)
         if entry is not None:
             del self._link_by_entry[entry]
+            self._evacuations.forget(entry)
             self._perform(self.executor.handle_entry_disconnected(entry))
 
     def handle_rejected(self, reason: str) -> None:
--- a/src/burdockgate/process/entrydaemon.py
+++ b/src/burdockgate/process/entrydaemon.py
@@ -22,6 +22,7 @@
     actions,
     assigner,
     background,
+    evacuation,
     events,
     follower,
     links,
@@ -56,6 +57,8 @@
     :param grace_s: time between the stop signal and the exit of the process.
     :param configuration_topic: topic of the store that holds the configuration.
     :param configuration_key: key of the configuration in its topic.
+    :param evacuation_prefix: start of the keys, in the same topic, of requests to empty
+        a data centre; its name follows. Empty where there are no such requests.
     """
 
     name: str
@@ -65,6 +68,7 @@
     grace_s: float
     configuration_topic: str
     configuration_key: str
+    evacuation_prefix: str = ""
     scheduler: assigner.SchedulerSettings = assigner.SchedulerSettings()
     selection: selection.SelectionSettings = selection.SelectionSettings()
 
@@ -104,6 +108,7 @@
         self._has_routes = asyncio.Event()
         self._configuration_message: assignments.Configuration | None = None
         self._holders = relay.Holders(self._time, self._rng)
+        self._evacuations = evacuation.Replica(settings.evacuation_prefix)
         self._links = links.EntryLinks(self, self._time)
         self._server: asyncio.Server | None = None
         self._link_by_agent: dict[str, stream.Stream] = {}
@@ -281,6 +286,10 @@
                 self._apply_configuration(
                     relay.unpack(message), f"agent {agent}", message
                 )
+            case assignments.Evacuations():
+                if self._evacuations.receive(agent, message):
+                    self._record_evacuations(f"agent {agent}")
+                self._send_evacuations()
 
     def _accept_agent(self, link: stream.Stream, hello: assignments.AgentHello) -> None:
         if hello.protocol != assignments.PROTOCOL:
@@ -294,6 +303,8 @@
         self._perform(self.scheduler.handle_agent_connected(hello, self.boot))
         link.send(assignments.EntryHosts(self._registration.registry.all()))
         self._holders.record(hello.name, 0)
+        self._evacuations.forget(hello.name)
+        self._send_evacuations()
 
     def handle_close(self, link: stream.Stream) -> None:
         """Handle the end of a connection."""
@@ -302,6 +313,7 @@
             del self._link_by_agent[agent]
             self._perform(self.scheduler.handle_agent_disconnected(agent))
             self._holders.forget(agent)
+            self._evacuations.forget(agent)
 
     def handle_rejected(self, reason: str) -> None:
         """Handle a message that was rejected as malformed."""
@@ -321,9 +333,22 @@
         source = follower.TopicFollower(
             self._store, settings.configuration_topic, self.events, self._rng
         )
-        async for record in source.records():
-            if record.key == settings.configuration_key:
-                self._apply_configuration(record.value, "store")
+        async for page in source.pages():
+            for record in page.records:
+                if record.key == settings.configuration_key:
+                    self._apply_configuration(record.value, "store")
+            if self._evacuations.apply(page):
+                self._record_evacuations("store")
+            self._send_evacuations()
+
+    def _record_evacuations(self, source: str) -> None:
+        zones = list(self._evacuations.current.zones)
+        self.events.record("evacuations.applied", {"zones": zones, "source": source})
+
+    def _send_evacuations(self) -> None:
+        """Send the evacuations to the agents that have an older state."""
+        for agent in self._evacuations.outdated_peers(self._link_by_agent):
+            self._link_by_agent[agent].send(self._evacuations.current)
 
     def _apply_configuration(
         self,
--- a/src/burdockgate/process/executor.py
+++ b/src/burdockgate/process/executor.py
@@ -329,6 +329,18 @@
         self.is_draining = True
         yield from self._return_queued("agent leaving")
 
+    def set_evacuated(self, is_evacuated: bool) -> Iterator[executoractions.Effect]:
+        """Stop or resume starting runs, because the data centre is being emptied.
+
+        Queued runs return to their owners; dispatched runs go on.
+
+        :param is_evacuated: whether no run may be started.
+        """
+        self.is_evacuated = is_evacuated
+        yield actions.LogEvent("worker.evacuated", {"state": str(is_evacuated)})
+        if is_evacuated:
+            yield from self._return_queued("data centre evacuated")
+
     def stop_all(self, reason: str) -> Iterator[executoractions.Effect]:
         """Stop the dispatched runs and return the queued ones.
 
--- a/src/burdockgate/process/supervisor.py
+++ b/src/burdockgate/process/supervisor.py
@@ -61,6 +61,8 @@
         self._health = workerhealth.WorkerHealth()
         self._token = 0
         self.is_draining = False
+        # Whether the data centre of the worker is being emptied.
+        self.is_evacuated = False
         # Whether the runs of earlier processes of this agent have ended: the worker has
         # accepted a token above theirs, and lists no run that is unknown here.
         self.earlier_runs_ended = False
@@ -188,6 +190,8 @@
             return assignments.WorkerState.UNREACHABLE
         if self.is_draining or worker.heartbeat.is_draining:
             return assignments.WorkerState.DRAINING
+        if self.is_evacuated:
+            return assignments.WorkerState.EVACUATED
         if now - worker.last_answer_at > self._settings.unreachable_after_s:
             return assignments.WorkerState.UNREACHABLE
         if self._max_lease_s(now) < MIN_START_LEASE_S:
--- a/tests/test_agentdaemon.py
+++ b/tests/test_agentdaemon.py
@@ -144,3 +144,35 @@
     link.reset_mock()
     daemon.handle_message(link, assignments.ConfigurationRequest(0))
     link.send.assert_not_called()
+
+
+def _link_to(daemon, entry, boot):
+    link = mock.Mock()
+    daemon.handle_message(
+        link, assignments.EntryHello(assignments.PROTOCOL, entry, boot, "z1")
+    )
+    return link
+
+
+def _sent(link, kind):
+    messages = (call.args[0] for call in link.send.call_args_list)
+    return [message for message in messages if isinstance(message, kind)]
+
+
+def test_evacuation_reaches_entry_hosts_that_do_not_know_it():
+    """An entry host without the store went on assigning tasks to an emptied zone."""
+    settings = agentdaemon.AgentDaemonSettings(
+        "a1", "z1", (), 1.0, executoractions.ExecutorSettings()
+    )
+    with mock.patch("asyncio.get_running_loop"):
+        daemon = agentdaemon.AgentDaemon(settings, mock.Mock(), mock.Mock())
+        informed, other = _link_to(daemon, "e1", 7), _link_to(daemon, "e2", 8)
+        request = assignments.Evacuations(5, ("z1",))
+        daemon.handle_message(informed, request)
+        assert daemon.executor.is_evacuated
+        assert _sent(informed, assignments.Evacuations) == []
+        assert _sent(other, assignments.Evacuations) == [request]
+        restarted = _link_to(daemon, "e2", 9)
+        assert _sent(restarted, assignments.Evacuations) == [request]
+        daemon.handle_message(informed, assignments.Evacuations(7, ()))
+        assert not daemon.executor.is_evacuated
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import os
 import signal
@@ -269,6 +270,49 @@
     assert await is_gone()
 
 
+async def test_emptied_zone_gets_no_task_until_it_is_taken_back(deployment):
+    """Workers of a data centre that operators had emptied went on getting tasks.
+
+    An agent that starts meanwhile, while the store is down, must not start any either.
+    """
+    job = "00000000000000e1"
+    numbers = itertools.count()
+
+    async def post_new_job():
+        # An identifier that was answered before would get that answer again.
+        return await deployment.post("127.0.0.11", f"{next(numbers):016x}")
+
+    async def is_refused():
+        return (await post_new_job()).status_code == 503
+
+    async def is_served():
+        return (await post_new_job()).status_code == 200
+
+    async def is_restarted_agent_informed():
+        log = (deployment.folder / "agent-1.log").read_text()
+        return log.count("worker.evacuated") == 2
+
+    running = asyncio.create_task(deployment.post("127.0.0.11", job))
+    await _wait_until_running(deployment, job)
+    deployment.store.append("keyed.op", "evacuate/z1", b"{}")
+    await deployment.wait_for(is_refused)
+    assert (await running).json() == {"state": "completed"}
+    deployment.store.is_down = True
+    process = deployment.process_by_name["agent-1"]
+    process.kill()
+    await process.wait()
+    await deployment.start_process(
+        "agent-1", "agent", "127.0.0.21", deployment.workers[0].server.address
+    )
+    await deployment.wait_for(is_restarted_agent_informed)
+    refused = await deployment.post("127.0.0.11", "00000000000000e2")
+    assert refused.status_code == 503
+    assert deployment.spans("00000000000000e2") == []
+    deployment.store.is_down = False
+    deployment.store.append("keyed.op", "evacuate/z1", b"")
+    await deployment.wait_for(is_served)
+
+
 async def test_planned_stop_answers_what_is_in_progress(deployment):
     """A graceful stop must not cut off a request."""
     job = "00000000000000ee"
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -441,6 +441,21 @@
     assert bench.executor.worker_state() is assignments.WorkerState.DRAINING
 
 
+def test_emptied_data_centre_gets_no_task_and_its_running_ones_go_on():
+    """Tasks were started in a data centre that operators had asked to empty."""
+    bench = Bench()
+    (start,) = _of(executoractions.Start, bench.assign(0))
+    bench.accept(start)
+    assert _ends(bench.executor.set_evacuated(True)) == []
+    assert bench.executor.worker_state() is assignments.WorkerState.EVACUATED
+    effects = bench.assign(1)
+    assert _of(executoractions.Start, effects) == []
+    assert [end.kind for end in _ends(effects)] == [assignments.EndKind.RETURNED]
+    assert bench.executor.dispatched_count == 1
+    list(bench.executor.set_evacuated(False))
+    assert _of(executoractions.Start, bench.assign(2))
+
+
 def test_late_heartbeat_does_not_undo_a_later_one():
     """A delayed heartbeat must not make a draining worker ready again."""
     bench = Bench()
