--- a/src/burdockgate/process/evacuation.py
+++ b/src/burdockgate/process/evacuation.py
@@ -45,21 +45,24 @@
         :returns: whether the evacuated data centres have changed.
         """
         before = self.current
-        zones = set() if page.is_snapshot else set(before.zones)
-        # A snapshot has no record of a request that was taken back, so it counts as
-        # the state at its end.
+        if page.is_snapshot and page.end < before.version:
+            return False
+        # A snapshot has no record of a request that was taken back. One that could not
+        # be read may be missing too.
+        is_complete = page.is_snapshot and not page.unreadable
+        zones = set() if is_complete else set(before.zones)
+        # A snapshot may hold some later changes, but only those up to its end for sure.
         version = page.end if page.is_snapshot else before.version
         for record in self._records(page):
-            if not page.is_snapshot and record.offset < before.version:
-                continue
+            if not page.is_snapshot:
+                if record.offset < before.version:
+                    continue
+                version = record.offset + 1
             zone = record.key.removeprefix(self.key_prefix)
-            if record.value and len(zones) < MAX_ZONES:
-                zones.add(zone)
-            else:
+            if not record.value:
                 zones.discard(zone)
-            version = max(version, record.offset + 1)
-        if version < before.version:
-            return False
+            elif len(zones) < MAX_ZONES:
+                zones.add(zone)
         self.current = assignments.Evacuations(version, tuple(sorted(zones)))
         return self.current.zones != before.zones
 
@@ -79,7 +82,7 @@
         self._version_by_peer[peer] = max(
             self._version_by_peer.get(peer, 0), message.version
         )
-        if message.version <= self.current.version or len(message.zones) > MAX_ZONES:
+        if message.version <= self.current.version or not _is_bounded(message.zones):
             return False
         before, self.current = self.current, message
         return message.zones != before.zones
@@ -107,3 +110,9 @@
         for peer in outdated:
             self._version_by_peer[peer] = self.current.version
         return outdated
+
+
+def _is_bounded(zones: tuple[str, ...]) -> bool:
+    return len(zones) <= MAX_ZONES and all(
+        0 < len(zone) <= MAX_ZONE_CHARS for zone in zones
+    )
--- a/src/burdockgate/process/executor.py
+++ b/src/burdockgate/process/executor.py
@@ -337,7 +337,8 @@
         :param is_evacuated: whether no run may be started.
         """
         self.is_evacuated = is_evacuated
-        yield actions.LogEvent("worker.evacuated", {"state": str(is_evacuated)})
+        state = "evacuated" if is_evacuated else "resumed"
+        yield actions.LogEvent("worker.evacuated", {"state": state})
         if is_evacuated:
             yield from self._return_queued("data centre evacuated")
 
@@ -356,6 +357,10 @@
         decide. A worker on probation gets one run.
         """
         worker, now = self._worker, self._time.now()
+        if self.is_evacuated or self.is_draining:
+            # A run whose start did not reach the worker was queued again meanwhile.
+            yield from self._return_queued("agent starts no runs")
+            return
         if worker is None or worker.stop_sent_at_by_foreign_run:
             return
         state = self.worker_state()
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -4,12 +4,9 @@
 from burdockgate.process import evacuation, store
 
 
-def _page(*records, end, is_snapshot=False):
-    return store.Page(
-        tuple(store.KeyedRecord(*record) for record in records),
-        end,
-        is_snapshot=is_snapshot,
-    )
+def _page(*records, end, is_snapshot=False, unreadable=0):
+    records = tuple(store.KeyedRecord(*record) for record in records)
+    return store.Page(records, end, unreadable, is_snapshot)
 
 
 def _replica():
@@ -98,3 +95,51 @@
         _page(("evacuate/", b"x", 1), ("evacuate/" + "z" * 300, b"x", 2), end=3)
     )
     assert replica.current.zones == ()
+
+
+def test_changes_behind_the_end_of_a_snapshot_are_applied():
+    """A snapshot of several pages held a later record, and changes before it were lost.
+
+    One zone stayed evacuated for good, and the request for another was never seen.
+    """
+    replica = _replica()
+    replica.apply(
+        _page(
+            ("evacuate/z1", b"{}", 4),
+            ("evacuate/z2", b"{}", 12),
+            end=10,
+            is_snapshot=True,
+        )
+    )
+    replica.apply(
+        _page(
+            ("evacuate/z1", b"", 10),
+            ("evacuate/z0", b"{}", 11),
+            ("evacuate/z2", b"{}", 12),
+            end=13,
+        )
+    )
+    assert replica.current == assignments.Evacuations(13, ("z0", "z2"))
+
+
+def test_unreadable_records_of_a_snapshot_take_no_request_back():
+    replica = _replica()
+    replica.apply(_page(("evacuate/z1", b"{}", 4), end=5))
+    assert not replica.apply(_page(end=9, is_snapshot=True, unreadable=1))
+    assert replica.is_evacuated("z1")
+
+
+def test_repeated_request_holds_at_the_largest_number_of_zones():
+    """It deleted itself when as many zones were evacuated as are kept."""
+    replica = _replica()
+    records = [(f"evacuate/z{n}", b"{}", n) for n in range(evacuation.MAX_ZONES)]
+    replica.apply(_page(*records, end=len(records)))
+    replica.apply(_page(("evacuate/z3", b"{}", 300), end=301))
+    assert replica.is_evacuated("z3")
+
+
+def test_state_of_a_peer_is_bounded():
+    replica = _replica()
+    too_many = tuple(f"z{n}" for n in range(evacuation.MAX_ZONES + 1))
+    for zones in (too_many, ("z" * 300,)):
+        assert not replica.receive("a1", assignments.Evacuations(9, zones))
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -456,6 +456,17 @@
     assert _of(executoractions.Start, bench.assign(2))
 
 
+def test_run_that_is_queued_again_is_returned_while_no_run_may_start():
+    """It waited, neither run nor returned, until its data centre was taken back."""
+    bench = Bench()
+    (start,) = _of(executoractions.Start, bench.assign(0))
+    list(bench.executor.set_evacuated(True))
+    late = workercontrol.Refused(workercontrol.Refusal.LATE, bench.clock_ms)
+    effects = list(bench.executor.handle_start_result(start.command, late))
+    effects += list(bench.executor.tick())
+    assert [end.kind for end in _ends(effects)] == [assignments.EndKind.RETURNED]
+
+
 def test_late_heartbeat_does_not_undo_a_later_one():
     """A delayed heartbeat must not make a draining worker ready again."""
     bench = Bench()
