Release callers of a stopping entry host, and end each stop in time

Each host took 5.5 to 5.6 s to stop and interrupted what was left. The waits of a stop added up to more than the grace time when a caller did not read, and counted from when the event loop got to the signal.

Change: after 2.2 s responses carry Connection: close. Waiting jobs that can no longer end are refused when that is known; a job whose deadline comes before the exit is not refused; a job between the last wait and the closing of the servers is refused and not cut.

--- a/src/burdockgate/platform/front.py
+++ b/src/burdockgate/platform/front.py
@@ -49,6 +49,8 @@
             status, headers, body = await self._handle(scope, receive)
         except asgi.CallerGoneError:
             return
+        if self._daemon.releases_callers:
+            headers = {**headers, "Connection": "close"}
         await asgi.send_response(send, status, body, headers)
 
     async def _handle(
--- a/src/burdockgate/process/agentdaemon.py
+++ b/src/burdockgate/process/agentdaemon.py
@@ -24,6 +24,7 @@
     executoractions,
     links,
     relay,
+    restart,
     runner,
     store,
     subset,
@@ -40,9 +41,6 @@
 REPORT_DELAY_S = 0.004
 # Pause after a refused poll, so that the agent does not poll in a tight loop.
 POLL_PAUSE_S = 0.05
-# Part of the grace time that is kept for stopping the runs still in progress: the
-# worker's time limit for a stop, and the delivery of the ends to their owners.
-STOP_RESERVE_S = 0.8
 STORE_RETRY_S = 0.5
 BOOT_BITS = 62
 
@@ -119,14 +117,20 @@
 
         Runs that are still in progress shortly before the end are stopped.
         """
+        now = self._time.now()
+        started_at = now - runner.stop_delay_s()
+        plan = restart.StopPlan(started_at, self._settings.grace_s)
+        runner.limit_stop(plan.exit_at - now)
         self.events.record(
             "process.stopping", {"running": self.executor.dispatched_count}
         )
         self._perform(self.executor.drain())
-        await self._wait_until_idle(self._settings.grace_s - STOP_RESERVE_S)
+        # Without queued runs, entry hosts would assign until the next periodic report.
+        self._report_changes()
+        await self._wait_until_idle(plan.stop_runs_at)
         if self.executor.dispatched_count:
             self._perform(self.executor.stop_all("agent stops"))
-            await self._wait_until_idle(STOP_RESERVE_S / 2)
+            await self._wait_until_idle(plan.leave_runs_at)
         self._report()
         self.links.close()
         await asyncio.sleep(0)
@@ -137,10 +141,12 @@
             "process.stopped", {"running": self.executor.dispatched_count}
         )
 
-    async def _wait_until_idle(self, timeout_s: float) -> None:
-        deadline = self._time.now() + timeout_s
-        while self.executor.dispatched_count and self._time.now() < deadline:
-            await asyncio.sleep(TICK_S)
+    async def _wait_until_idle(self, limit_at: float) -> None:
+        while self.executor.dispatched_count:
+            remaining_s = limit_at - self._time.now()
+            if remaining_s <= 0:
+                return
+            await asyncio.sleep(min(TICK_S, remaining_s))
 
     def handle_heartbeat(self, heartbeat: workercontrol.WorkerHeartbeat) -> bool:
         """Handle a heartbeat of the worker.
--- a/src/burdockgate/process/entrydaemon.py
+++ b/src/burdockgate/process/entrydaemon.py
@@ -28,6 +28,7 @@
     links,
     registration,
     relay,
+    restart,
     runner,
     scheduler,
     selection,
@@ -40,11 +41,6 @@
 TICK_S = 0.02
 # Load reports and task ends that arrive within this time share one assignment pass.
 ASSIGN_DELAY_S = 0.001
-# The load balancer detects within two seconds that an entry host is not ready. Requests
-# that it still sends until then are served.
-BALANCER_DELAY_S = 2.2
-# Part of the grace period that is reserved for sending the last responses.
-STOP_RESERVE_S = 0.5
 BOOT_BITS = 62
 
 
@@ -124,12 +120,27 @@
             self._rng,
             self._announce_entry_hosts,
         )
-        self.is_stopping = False
+        self._stop_plan: restart.StopPlan | None = None
 
     @property
     def _address(self) -> str:
         return f"{self._settings.host}:{self._settings.port}"
 
+    @property
+    def is_stopping(self) -> bool:
+        """Whether the process has been told to stop."""
+        return self._stop_plan is not None
+
+    @property
+    def releases_callers(self) -> bool:
+        """Whether callers should reach another entry host with their next request.
+
+        An open connection stays here until it is closed. Before the balancer has
+        noticed the stop, a new one could lead here again.
+        """
+        plan = self._stop_plan
+        return plan is not None and self._time.now() >= plan.balancer_left_at
+
     @property
     def is_ready(self) -> bool:
         """Whether the balancer should send requests here."""
@@ -161,15 +172,22 @@
 
     async def stop(self) -> None:
         """Wait for the jobs in progress and interrupt those left when time is up."""
-        self.is_stopping = True
+        now = self._time.now()
+        plan = self._stop_plan = restart.StopPlan(
+            now - runner.stop_delay_s(), self._settings.grace_s
+        )
+        runner.limit_stop(plan.exit_at - now)
         self.events.record("process.stopping", {"jobs": len(self.scheduler.job_by_id)})
         self.background.run(self._registration.leave())
-        started_at = self._time.now()
-        limit_s = self._settings.grace_s - STOP_RESERVE_S
-        self.scheduler.stop_deadline = started_at + limit_s
-        await asyncio.sleep(min(BALANCER_DELAY_S, limit_s))
-        while self.scheduler.job_by_id and self._time.now() - started_at < limit_s:
-            await asyncio.sleep(TICK_S)
+        self.scheduler.stop_deadline = plan.interrupt_at
+        await asyncio.sleep(max(0.0, plan.balancer_left_at - now))
+        while self.scheduler.job_by_id:
+            remaining_s = plan.interrupt_at - self._time.now()
+            if remaining_s <= 0:
+                break
+            await asyncio.sleep(min(TICK_S, remaining_s))
+        # The servers close next and would cut off a job that came meanwhile.
+        self.scheduler.stop_deadline = self._time.now()
         self._perform(self.scheduler.interrupt_all())
 
     async def close(self) -> None:
--- a/src/burdockgate/process/scheduler.py
+++ b/src/burdockgate/process/scheduler.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable, Iterator
 
 from burdockgate import assignments, codes
-from burdockgate.process import actions, assigner, executoractions, fleet
+from burdockgate.process import actions, assigner, executoractions, fleet, restart
 from burdockgate.request import besteffort
 
 # Retry time when no worker can take a task of the job. Ejected and unreachable workers
@@ -17,8 +17,6 @@
 NO_WORKER_RETRY_S = 1.0
 # Another entry host can accept the job immediately.
 RETRY_ELSEWHERE_S = 1.0
-# Estimates are up to 40% off, and slow workers take a quarter longer.
-WORST_CASE_RUN_FACTOR = 1.75
 # How often jobs and agents are checked for time limits, which are 0.2 s or longer.
 EXPIRY_CHECK_INTERVAL_S = 0.06
 # How often waiting jobs are checked for those that cannot finish in time.
@@ -124,7 +122,9 @@
             path_s = besteffort.Job.from_submission(
                 submission, 0.0, 0
             ).critical_path_s()
-            if self._time.now() + WORST_CASE_RUN_FACTOR * path_s > self.stop_deadline:
+            if not restart.can_end(
+                path_s, submission.deadline_s, self._time.now(), self.stop_deadline
+            ):
                 return besteffort.Refused(codes.Code.DRAINING, RETRY_ELSEWHERE_S)
         if not is_starting_up and not all(
             self.fleet.can_fit(step, service) for step in submission.steps
@@ -484,12 +484,16 @@
     def _expire(self, job: besteffort.Job, now: float) -> Iterator[assigner.Effect]:
         """End a job that can no longer finish in time for its caller."""
         remaining_s = job.remaining_path_s()
+        outcome: besteffort.Outcome
         if job.is_started:
             if now + remaining_s > job.received_at + job.submission.deadline_s:
                 outcome = besteffort.Interrupted(codes.Code.DEADLINE_MAY_HAVE_RUN)
                 yield from self._end_job(job, outcome)
         elif now + remaining_s > job.useful_until():
             yield from self._refuse(job)
+        elif self.stop_deadline is not None and now + remaining_s > self.stop_deadline:
+            outcome = besteffort.Refused(codes.Code.DRAINING, RETRY_ELSEWHERE_S)
+            yield from self._end_job(job, outcome)
 
     def _refuse(self, job: besteffort.Job) -> Iterator[assigner.Effect]:
         retry_after_s = self._retry_after_s(job.submission.service)
--- a/tests/test_agentdaemon.py
+++ b/tests/test_agentdaemon.py
@@ -5,6 +5,8 @@
 import socket
 from unittest import mock
 
+import attrs
+
 from burdockgate import assignments
 from burdockgate.process import (
     agentdaemon,
@@ -176,3 +178,48 @@
         assert _sent(restarted, assignments.Evacuations) == [request]
         daemon.handle_message(informed, assignments.Evacuations(7, ()))
         assert not daemon.executor.is_evacuated
+
+
+async def test_stopping_agent_says_so_at_once():
+    """Entry hosts assigned runs to it until its next periodic report."""
+    settings = agentdaemon.AgentDaemonSettings(
+        "a1", "z1", (), 1.0, executoractions.ExecutorSettings()
+    )
+    daemon = agentdaemon.AgentDaemon(
+        settings, LossyWorker(), _unavailable_store(), random.Random(1)
+    )
+    link = mock.Mock()
+    with mock.patch.object(daemon.links, "address_of", return_value="x"):
+        daemon.handle_message(
+            link, assignments.EntryHello(assignments.PROTOCOL, "e1", 7, "z1")
+        )
+    daemon.handle_heartbeat(HEARTBEAT)
+    command = attrs.evolve(daemon.executor.next_poll(), wait_ms=0)
+    await daemon._poll_once(command)
+    daemon._report()
+    assert _last_report(link).state is assignments.WorkerState.READY
+    waiting = mock.Mock(side_effect=asyncio.CancelledError)
+    with mock.patch.object(daemon, "_wait_until_idle", waiting):
+        await asyncio.gather(daemon.stop(), return_exceptions=True)
+    assert _last_report(link).state is assignments.WorkerState.DRAINING
+    await daemon.background.cancel()
+
+
+def _last_report(link):
+    return [
+        call.args[0]
+        for call in link.send.call_args_list
+        if isinstance(call.args[0], assignments.LoadReport)
+    ][-1]
+
+
+async def test_stop_of_an_agent_ends_in_time_whatever_it_waits_for():
+    """A wait without a limit kept the process until it was killed."""
+    settings = agentdaemon.AgentDaemonSettings(
+        "a1", "z1", (), 0.5, executoractions.ExecutorSettings()
+    )
+    worker = mock.Mock(close=asyncio.get_running_loop().create_future)
+    daemon = agentdaemon.AgentDaemon(settings, worker, _unavailable_store())
+    stopping = asyncio.create_task(daemon.stop())
+    await asyncio.wait({stopping}, timeout=5)
+    assert stopping.cancelled()
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -15,6 +15,7 @@
 import platform_standins
 
 WAIT_S = 30
+GRACE_S = 4
 CONFIGURATION = {
     "version": 3,
     "routes": [
@@ -88,7 +89,7 @@
                 if role == "entry"
                 else ""
             )
-            + "[bounds]\ngraceS = 4\n"
+            + f"[bounds]\ngraceS = {GRACE_S}\n"
             + f'[platform]\naddress = "{self.store.server.address}"\n'
         )
         log = (self.folder / f"{name}.log").open("ab")
@@ -323,6 +324,29 @@
     assert await deployment.process_by_name["entry-1"].wait() == 0
 
 
+async def test_planned_stop_ends_in_time_beside_callers_that_do_not_read(deployment):
+    """The process waited for them after its last jobs, and was killed."""
+    job = "00000000000000f0"
+    request = asyncio.create_task(deployment.post("127.0.0.11", job, count=1000))
+    await _wait_until_running(deployment, job)
+    # Long heads, so that the entry host reads only some requests at a time.
+    head = b"GET /jobs/ HTTP/1.1\r\nHost: h.example\r\nPad: " + b"x" * 2000
+    requests = (head + b"\r\n\r\n") * 100
+    with socket.socket() as caller:
+        caller.setblocking(False)
+        # A small window, so that few unread responses fill the entry host's buffers.
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(caller, ("127.0.0.11", deployment.front_port))
+        with contextlib.suppress(TimeoutError):
+            while True:
+                await asyncio.wait_for(loop.sock_sendall(caller, requests), 1)
+        process = deployment.process_by_name["entry-1"]
+        process.send_signal(signal.SIGTERM)
+        await asyncio.wait_for(process.wait(), GRACE_S)
+    assert (await request).status_code == 502
+
+
 async def test_caller_that_leaves_has_its_tasks_stopped(deployment):
     """Tasks whose caller has left would delay the tasks of others."""
     job = "00000000000000ff"
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -404,6 +404,27 @@
     assert _outcomes(bench.submit(attrs.evolve(SUBMISSION, job="short"))) == []
 
 
+def test_stopping_entry_host_admits_a_job_whose_caller_waits_no_longer_anyway():
+    """A short deadline ends a job before the exit, however long its tasks take."""
+    bench = Bench(4000)
+    bench.scheduler.stop_deadline = bench.time.now() + 1.0
+    steps = (attrs.evolve(STEP, estimate_s=0.8),)
+    submission = attrs.evolve(SUBMISSION, steps=steps, deadline_s=1.0)
+    assert _outcomes(bench.submit(submission)) == []
+
+
+def test_stopping_entry_host_answers_at_once_what_cannot_start_in_time():
+    """A job that still waited was interrupted at the exit, although it had not run."""
+    bench = Bench(0)
+    steps = (attrs.evolve(STEP, estimate_s=2.0),)
+    submission = attrs.evolve(SUBMISSION, steps=steps, deadline_s=20.0)
+    assert _outcomes(bench.submit(submission)) == []
+    bench.scheduler.stop_deadline = bench.time.now() + 2.05
+    bench.time.advance(0.1)
+    (outcome,) = _outcomes(bench.scheduler.tick())
+    assert outcome == besteffort.Refused(codes.Code.DRAINING, 1.0)
+
+
 # Order of jobs, choice of workers, shares of capacity.
 
 
