Choose workers by free room, and keep their speeds steady

Entry hosts chose the worker with the highest measured speed. Measured speeds of alike workers varied by 25% (estimates are off by 40%, and runs that are overdue were averaged in), so all entry hosts chose the same worker for its last free place, and 29% of the runs came back as RETURNED.

- The choice adds the delay of a returned task, weighed by the number of tasks that still fit; reports of agents that do not tell each change count least.
- The agent keeps a mean of some fifty ended tasks as the speed.
The recent speed, with runs that are overdue, holds where it differs by more than its noise.
- Speeds within 20% of the typical one count as equal.
- `remoteFactor` of the settings replaces the constant for remote data.

--- a/src/burdockgate/platform/boot.py
+++ b/src/burdockgate/platform/boot.py
@@ -24,6 +24,8 @@
     max_worker_lease_ms: float = msgspec.field(default=1000.0, name="maxHoldMs")
     # Time after which a caller without an answer submits its job again.
     caller_retry_ms: float = msgspec.field(default=1300.0, name="retransmitMs")
+    # How much longer a task runs outside the rack of its data.
+    remote_data_factor: float = msgspec.field(default=1.5, name="remoteFactor")
 
 
 class _Listen(msgspec.Struct):
@@ -66,7 +68,7 @@
 
     def entry_settings(self) -> entrydaemon.EntryDaemonSettings:
         """Return the settings of an entry host."""
-        from burdockgate.process import assigner, entrydaemon, scheduler
+        from burdockgate.process import assigner, entrydaemon, scheduler, selection
 
         return entrydaemon.EntryDaemonSettings(
             name=self.name,
@@ -80,6 +82,9 @@
             scheduler=assigner.SchedulerSettings(
                 agent_timeout_s=scheduler.agent_timeout_s(self._executor_settings())
             ),
+            selection=selection.SelectionSettings(
+                remote_data_factor=self.bounds.remote_data_factor
+            ),
         )
 
     def agent_settings(self) -> agentdaemon.AgentDaemonSettings:
--- a/src/burdockgate/process/fleet.py
+++ b/src/burdockgate/process/fleet.py
@@ -137,24 +137,25 @@
             return 0
         return self.load.used_cpu + self.load.queued_cpu + self._unreported_sums[0]
 
-    def has_capacity_for(self, step: besteffort.Step) -> bool:
-        """Return whether one more task fits into the free capacity.
+    def free_slots(self, step: besteffort.Step) -> int:
+        """Return how many tasks of a step fit into the free capacity.
 
-        :param step: step of the task.
+        :param step: the step.
         """
         info, load = self.info, self.load
         if info is None or load is None:
-            return False
+            return 0
         cpu, memory_mb, gpu = self._unreported_sums
-        if step.cpu > load.free_cpu - cpu:
-            return False
-        if load.used_memory_mb + memory_mb + step.memory_mb > info.memory_mb:
-            return False
-        if load.used_gpu + gpu + step.gpu > info.gpu:
-            return False
-        is_on_probation = load.state is assignments.WorkerState.PROBATION
-        # A worker on probation gets one task at a time.
-        return not (is_on_probation and self.committed_cpu())
+        slots = (load.free_cpu - cpu) // max(1, step.cpu)
+        if step.memory_mb:
+            free_mb = info.memory_mb - load.used_memory_mb - memory_mb
+            slots = min(slots, free_mb // step.memory_mb)
+        if step.gpu:
+            slots = min(slots, (info.gpu - load.used_gpu - gpu) // step.gpu)
+        if load.state is assignments.WorkerState.PROBATION:
+            # A worker on probation gets one task at a time.
+            slots = min(slots, 0 if self.committed_cpu() else 1)
+        return max(0, slots)
 
 
 @attrs.define
--- a/src/burdockgate/process/selection.py
+++ b/src/burdockgate/process/selection.py
@@ -4,6 +4,7 @@
 
 import abc
 import random
+import statistics
 from collections.abc import Iterable
 
 import attrs
@@ -14,15 +15,16 @@
 # Upper bounds of the components of a rank.
 MAX_PRIORITY = 1000
 MAX_LENGTH_MS = 10_000_000
-# How much longer a task runs outside the rack of its data. Users' platforms state 1.5
-# and 3.
-REMOTE_DATA_FACTOR = 1.5
 # A late job is finished first if at most this share of its work still waits, and if it
 # can end within this many times its objective. Its result is of use up to three times
 # the objective; the difference is for estimates that are too low.
 FINISH_SHARE = 0.5
 FINISH_FACTOR = 2.5
 
+# Speeds that differ by less count as equal: estimates of run times are off by 40%, and
+# all entry hosts would choose the worker that happens to look fastest.
+SPEED_ERROR = 0.2
+
 
 class Ordering(abc.ABC):
     """Order in which the waiting jobs are served."""
@@ -148,10 +150,16 @@
         the latency between zones, and the cost of the traffic.
     :param jitter_s: upper bound of a random part in seconds, so that entry hosts with
         the same load reports choose different workers.
+    :param return_delay_s: delay in seconds of a task that is returned because another
+        entry host took its place: two messages, the backoff and a wait for the next
+        place.
+    :param remote_data_factor: how much longer a task runs outside the rack of its data.
     """
 
     other_zone_penalty_s: float = 0.004
     jitter_s: float = 0.002
+    return_delay_s: float = 0.03
+    remote_data_factor: float = 1.5
 
 
 class Selection:
@@ -178,23 +186,47 @@
         :param views: assignable workers of its service.
         :param now: the time in seconds.
         """
-        scored = (
-            (self._score(task.step, view), view.agent, view)
+        slots_by_agent = {
+            view.agent: (view, slots)
             for view in views
-            if view.has_capacity_for(task.step) and _is_allowed(task, view, now)
+            if (slots := view.free_slots(task.step)) and _is_allowed(task, view, now)
+        }
+        if not slots_by_agent:
+            return None
+        typical = statistics.median_low(
+            view.speed for view, _ in slots_by_agent.values()
         )
-        best = min(scored, default=None)
-        return best[2] if best else None
-
-    def _score(self, step: besteffort.Step, view: fleet.WorkerView) -> float:
-        run_s = step.estimate_s / view.speed
+        scored = (
+            (self._score(task.step, view, slots, typical), agent)
+            for agent, (view, slots) in slots_by_agent.items()
+        )
+        return slots_by_agent[min(scored)[1]][0]
+
+    def _score(
+        self,
+        step: besteffort.Step,
+        view: fleet.WorkerView,
+        slots: int,
+        typical_speed: float,
+    ) -> float:
+        """Return the seconds until a task is expected to end, with all penalties."""
+        speed = view.speed
+        if abs(speed / typical_speed - 1) < SPEED_ERROR:
+            speed = typical_speed
+        run_s = step.estimate_s / speed
         zone_penalty_s = (
             0.0 if view.zone == self._zone else self._settings.other_zone_penalty_s
         )
         if step.data_rack and not view.has_label(step.data_rack):
-            run_s *= REMOTE_DATA_FACTOR
+            run_s *= self._settings.remote_data_factor
+        return_s = self._settings.return_delay_s * _return_risk(view, slots)
         jitter_s: float = self._rng.random() * self._settings.jitter_s
-        return run_s + zone_penalty_s + jitter_s
+        return run_s + zone_penalty_s + return_s + jitter_s
+
+
+def _return_risk(view: fleet.WorkerView, slots: int) -> float:
+    """Return the risk that another entry host takes the place first, from 0 to 1."""
+    return 1 / slots if view.is_near else 1.0
 
 
 def _is_allowed(task: besteffort.Task, view: fleet.WorkerView, now: float) -> bool:
--- a/src/burdockgate/process/workerhealth.py
+++ b/src/burdockgate/process/workerhealth.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 from burdockgate import assignments
@@ -17,24 +19,33 @@
 # estimate gains one percent in a tenth of the estimate.
 STALL_MIN_S = 0.5
 STALL_ESTIMATE_SHARE = 0.2
-# Weight of a new sample. Estimates are off by 40%, so that one sample proves little.
-SPEED_WEIGHT = 0.25
+# Estimates are off by 40%, so that one sample proves little.
+SPEED_WEIGHT = 0.02
+# Samples that the initial speed of 1 counts for.
+INITIAL_SAMPLES = 4
+# Weight of a sample in the recent speed, by which a worker that turns slow is known
+# after some four samples.
+RECENT_WEIGHT = 0.25
+# Factor between the recent and the steady speed beyond which the recent one holds; it
+# varies by a quarter although the worker stays alike.
+CHANGE_FACTOR = 1.7
 # Bounds of a sample, so that single tasks of extreme length do not make a worker look
 # slow.
 SPEED_BOUNDS = (0.1, 2.0)
-# Without samples the speed returns to 1, so that a recovered worker gets tasks again.
+# Without samples the speed returns to 1, so that a recovered worker gets tasks again:
+# first it is kept for a time, since idle workers have few samples.
+SPEED_KEPT_S = 1.0
 SPEED_HALF_LIFE_S = 6.0
 
 
 @attrs.define
 class WorkerHealth:
-    """Speed and health of one incarnation of a worker; times in seconds.
-
-    :param speed: speed against the estimates after the last sample; 1 where they are
-        right.
-    """
+    """Speed and health of one incarnation of a worker; times in seconds."""
 
-    speed: float = 1.0
+    # Logarithms of the speed against the estimates, after the last sample.
+    _steady_log: float = 0.0
+    _recent_log: float = 0.0
+    _sample_count: int = 0
     _sampled_at: float = 0.0
     _failed_jobs: set[str] = attrs.field(factory=set)
     _ejected_until: float = 0.0
@@ -62,7 +73,11 @@
         self._failed_jobs.clear()
         self._is_on_probation = False
         self._ejection_s = FIRST_EJECTION_S
-        self.record_speed(estimate_s / max(run_s, 0.001), now)
+        speed = estimate_s / max(run_s, 0.001)
+        self._sample_count += 1
+        weight = max(SPEED_WEIGHT, 1 / (self._sample_count + INITIAL_SAMPLES))
+        self.record_speed(speed, now)
+        self._steady_log += weight * (_bounded_log(speed) - self._steady_log)
 
     def record_failure(self, job: str, now: float) -> bool:
         """Record a task that failed.
@@ -91,16 +106,18 @@
         return True
 
     def record_speed(self, speed: float, now: float) -> None:
-        """Include a sample in the speed.
+        """Include a sample in the recent speed.
+
+        The speed of runs that have not ended is no sample of the steady speed: only
+        slow runs last long enough to be sampled.
 
         :param speed: speed against the estimates; 1 where they are right.
         :param now: the time.
         """
-        low, high = SPEED_BOUNDS
-        bounded = min(max(speed, low), high)
-        self.speed = self.current_speed(now) ** (1 - SPEED_WEIGHT) * (
-            bounded**SPEED_WEIGHT
-        )
+        kept = self._kept_share(now)
+        self._steady_log *= kept
+        self._recent_log *= kept
+        self._recent_log += RECENT_WEIGHT * (_bounded_log(speed) - self._recent_log)
         self._sampled_at = now
 
     def current_speed(self, now: float) -> float:
@@ -108,9 +125,15 @@
 
         :param now: the time.
         """
-        age = max(0.0, now - self._sampled_at)
-        weight: float = 0.5 ** (age / SPEED_HALF_LIFE_S)
-        return float(self.speed**weight)
+        has_changed = abs(self._recent_log - self._steady_log) > math.log(CHANGE_FACTOR)
+        speed_log = self._recent_log if has_changed else self._steady_log
+        return math.exp(speed_log * self._kept_share(now))
+
+    def _kept_share(self, now: float) -> float:
+        """Return the share of the logarithms that is left since the last sample."""
+        age_s = max(0.0, now - self._sampled_at - SPEED_KEPT_S)
+        share: float = 0.5 ** (age_s / SPEED_HALF_LIFE_S)
+        return share
 
     @staticmethod
     def stall_limit_s(estimate_s: float) -> float:
@@ -119,3 +142,8 @@
         :param estimate_s: estimated run time of the whole task.
         """
         return STALL_MIN_S + STALL_ESTIMATE_SHARE * estimate_s
+
+
+def _bounded_log(speed: float) -> float:
+    low, high = SPEED_BOUNDS
+    return math.log(min(max(speed, low), high))
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -112,6 +112,13 @@
     assert timeout_s == pytest.approx(1.5 - 0.08 + 0.2)
 
 
+def test_cost_of_remote_data_is_that_of_the_settings():
+    """With the constant 1.5 tasks left the rack of their data where that costs more."""
+    content = SETTINGS.replace(b"maxHoldMs", b"remoteFactor = 3\nmaxHoldMs")
+    assert boot.decode(content).entry_settings().selection.remote_data_factor == 3
+    assert boot.decode(SETTINGS).entry_settings().selection.remote_data_factor == 1.5
+
+
 @pytest.mark.parametrize(
     "content", [b"", b"nodeName = 1", b"\xff", SETTINGS.replace(b"ip =", b"pi =")]
 )
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -140,6 +140,8 @@
     """The bound itself: a run may be over by luck when its task starts elsewhere."""
     sim = simulation.Simulation(seed, (LASTING, SHORT), entries=2, workers=8)
     sim.schedule_load(3, 8, 0.5)
+    # The random load alone may leave the owner without runs at that moment.
+    sim.submit_at(5.5, sim.make_job(LASTING), "entry-0")
     sim.run(6)
     for agent in sim.agent_by_name.values():
         agent.worker.faults.unanswered_share = unanswered_share
