--- a/src/burdockgate/process/fleet.py
+++ b/src/burdockgate/process/fleet.py
@@ -147,6 +147,8 @@
             return 0
         cpu, memory_mb, gpu = self._unreported_sums
         slots = (load.free_cpu - cpu) // max(1, step.cpu)
+        if slots <= 0:
+            return 0
         if step.memory_mb:
             free_mb = info.memory_mb - load.used_memory_mb - memory_mb
             slots = min(slots, free_mb // step.memory_mb)
