Count the slots of tasks without processors, and choose workers cheaply

A task that states no processors fitted a worker without free ones before the slots were counted; it does so again.

--- a/src/burdockgate/process/fleet.py
+++ b/src/burdockgate/process/fleet.py
@@ -16,6 +16,8 @@
 # An entry host that is reached by less than half of the agents that reported in this
 # time considers itself cut off.
 RECENT_AGENT_WINDOW_S = 10.0
+# Stands for the slots of a worker for tasks that state no processors.
+UNLIMITED_SLOTS = 1000
 
 
 @attrs.define
@@ -146,9 +148,10 @@
         if info is None or load is None:
             return 0
         cpu, memory_mb, gpu = self._unreported_sums
-        slots = (load.free_cpu - cpu) // max(1, step.cpu)
-        if slots <= 0:
+        free_cpu = load.free_cpu - cpu
+        if free_cpu < step.cpu:
             return 0
+        slots = free_cpu // step.cpu if step.cpu else UNLIMITED_SLOTS
         if step.memory_mb:
             free_mb = info.memory_mb - load.used_memory_mb - memory_mb
             slots = min(slots, free_mb // step.memory_mb)
--- a/src/burdockgate/process/selection.py
+++ b/src/burdockgate/process/selection.py
@@ -186,42 +186,45 @@
         :param views: assignable workers of its service.
         :param now: the time in seconds.
         """
-        slots_by_agent = {
-            view.agent: (view, slots)
+        candidates = [
+            (view, slots, view.speed)
             for view in views
             if (slots := view.free_slots(task.step)) and _is_allowed(task, view, now)
-        }
-        if not slots_by_agent:
+        ]
+        if not candidates:
             return None
-        typical = statistics.median_low(
-            view.speed for view, _ in slots_by_agent.values()
-        )
+        typical_speed = statistics.median_low(speed for _, _, speed in candidates)
         scored = (
-            (self._score(task.step, view, slots, typical), agent)
-            for agent, (view, slots) in slots_by_agent.items()
+            (
+                self._run_s(task.step, view, speed, typical_speed)
+                + self._penalty_s(view, slots),
+                view.agent,
+                view,
+            )
+            for view, slots, speed in candidates
         )
-        return slots_by_agent[min(scored)[1]][0]
+        return min(scored)[2]
 
-    def _score(
+    def _run_s(
         self,
         step: besteffort.Step,
         view: fleet.WorkerView,
-        slots: int,
+        speed: float,
         typical_speed: float,
     ) -> float:
-        """Return the seconds until a task is expected to end, with all penalties."""
-        speed = view.speed
-        if abs(speed / typical_speed - 1) < SPEED_ERROR:
+        if abs(speed - typical_speed) < SPEED_ERROR * typical_speed:
             speed = typical_speed
         run_s = step.estimate_s / speed
-        zone_penalty_s = (
-            0.0 if view.zone == self._zone else self._settings.other_zone_penalty_s
-        )
         if step.data_rack and not view.has_label(step.data_rack):
             run_s *= self._settings.remote_data_factor
-        return_s = self._settings.return_delay_s * _return_risk(view, slots)
-        jitter_s: float = self._rng.random() * self._settings.jitter_s
-        return run_s + zone_penalty_s + return_s + jitter_s
+        return run_s
+
+    def _penalty_s(self, view: fleet.WorkerView, slots: int) -> float:
+        settings = self._settings
+        zone_s = 0.0 if view.zone == self._zone else settings.other_zone_penalty_s
+        return_s = settings.return_delay_s * _return_risk(view, slots)
+        jitter_s: float = self._rng.random() * settings.jitter_s
+        return zone_s + return_s + jitter_s
 
 
 def _return_risk(view: fleet.WorkerView, slots: int) -> float:
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -63,6 +63,15 @@
     assert _choose(_view("w1", 30_000, 0.55), _view("w2", 2500, 1.2)) == "w2"
 
 
+def test_free_slots_are_those_of_the_scarcest_resource():
+    """A task that states no processors fits a worker that has none left."""
+    view = _view("w1", 7400)
+    assert view.free_slots(STEP) == 2
+    assert view.free_slots(attrs.evolve(STEP, memory_mb=40_000)) == 1
+    assert view.free_slots(attrs.evolve(STEP, gpu=1)) == 0
+    assert _view("w1", 0).free_slots(attrs.evolve(STEP, cpu=0)) > 0
+
+
 @pytest.mark.parametrize("speeds", [(1.0,), (0.55, 1.2, 1.2, 1.2)])
 def test_few_runs_are_returned_in_calm(speeds):
     """Eight in ten cores used: hosts of uneven load chose the same free places.
