--- a/src/burdockgate/process/selection.py
+++ b/src/burdockgate/process/selection.py
@@ -4,6 +4,7 @@
 
 import abc
 import random
+import statistics
 from collections.abc import Iterable
 
 import attrs
@@ -14,15 +15,16 @@
 # Upper bounds of the components of a rank.
 MAX_PRIORITY = 1000
 MAX_LENGTH_MS = 10_000_000
-# How much longer a task runs outside the rack of its data. Users' platforms state 1.5
-# and 3.
-REMOTE_DATA_FACTOR = 1.5
 # A late job is finished first if at most this share of its work still waits, and if it
 # can end within this many times its objective. Its result is of use up to three times
 # the objective; the difference is for estimates that are too low.
 FINISH_SHARE = 0.5
 FINISH_FACTOR = 2.5
 
+# Speeds that differ by less count as equal: estimates of run times are off by 40%, and
+# all entry hosts would choose the worker that happens to look fastest.
+SPEED_ERROR = 0.2
+
 
 class Ordering(abc.ABC):
     """Order in which the waiting jobs are served."""
@@ -148,10 +150,16 @@
         the latency between zones, and the cost of the traffic.
     :param jitter_s: upper bound of a random part in seconds, so that entry hosts with
         the same load reports choose different workers.
+    :param return_delay_s: delay in seconds of a task that is returned because another
+        entry host took its place: two messages, the backoff and a wait for the next
+        place.
+    :param remote_data_factor: how much longer a task runs outside the rack of its data.
     """
 
     other_zone_penalty_s: float = 0.004
     jitter_s: float = 0.002
+    return_delay_s: float = 0.03
+    remote_data_factor: float = 1.5
 
 
 class Selection:
@@ -178,23 +186,50 @@
         :param views: assignable workers of its service.
         :param now: the time in seconds.
         """
-        scored = (
-            (self._score(task.step, view), view.agent, view)
+        candidates = [
+            (view, slots, view.speed)
             for view in views
-            if view.has_capacity_for(task.step) and _is_allowed(task, view, now)
-        )
-        best = min(scored, default=None)
-        return best[2] if best else None
-
-    def _score(self, step: besteffort.Step, view: fleet.WorkerView) -> float:
-        run_s = step.estimate_s / view.speed
-        zone_penalty_s = (
-            0.0 if view.zone == self._zone else self._settings.other_zone_penalty_s
+            if (slots := view.free_slots(task.step)) and _is_allowed(task, view, now)
+        ]
+        if not candidates:
+            return None
+        typical_speed = statistics.median_low(speed for _, _, speed in candidates)
+        scored = (
+            (
+                self._run_s(task.step, view, speed, typical_speed)
+                + self._penalty_s(view, slots),
+                view.agent,
+                view,
+            )
+            for view, slots, speed in candidates
         )
+        return min(scored)[2]
+
+    def _run_s(
+        self,
+        step: besteffort.Step,
+        view: fleet.WorkerView,
+        speed: float,
+        typical_speed: float,
+    ) -> float:
+        if abs(speed - typical_speed) < SPEED_ERROR * typical_speed:
+            speed = typical_speed
+        run_s = step.estimate_s / speed
         if step.data_rack and not view.has_label(step.data_rack):
-            run_s *= REMOTE_DATA_FACTOR
-        jitter_s: float = self._rng.random() * self._settings.jitter_s
-        return run_s + zone_penalty_s + jitter_s
+            run_s *= self._settings.remote_data_factor
+        return run_s
+
+    def _penalty_s(self, view: fleet.WorkerView, slots: int) -> float:
+        settings = self._settings
+        zone_s = 0.0 if view.zone == self._zone else settings.other_zone_penalty_s
+        return_s = settings.return_delay_s * _return_risk(view, slots)
+        jitter_s: float = self._rng.random() * settings.jitter_s
+        return zone_s + return_s + jitter_s
+
+
+def _return_risk(view: fleet.WorkerView, slots: int) -> float:
+    """Return the risk that another entry host takes the place first, from 0 to 1."""
+    return 1 / slots if view.is_near else 1.0
 
 
 def _is_allowed(task: besteffort.Task, view: fleet.WorkerView, now: float) -> bool:
