--- a/src/burdockgate/assignments.py
+++ b/src/burdockgate/assignments.py
@@ -161,11 +161,14 @@
     :param last_end_number: number of the last :class:`TaskEnd` received.
     :param configuration_version: newest version of which enough agents hold copies;
         older copies must not be passed on any more.
+    :param load_cpu: thousandths of a core that the entry host's runs use and its
+        waiting tasks need, averaged over some seconds.
     """
 
     echo_us: int
     last_end_number: int
     configuration_version: int
+    load_cpu: int
 
 
 @attrs.frozen
--- a/src/burdockgate/process/executor.py
+++ b/src/burdockgate/process/executor.py
@@ -213,6 +213,7 @@
         session.alive_at = max(session.alive_at, message.echo_us / 1_000_000)
         session.leased_until = session.alive_at + self._settings.session_lease_s
         session.acknowledge(message.last_end_number)
+        session.record_load(message.load_cpu)
 
     def handle_assignment(
         self, entry: str, message: assignments.Assign
--- a/src/burdockgate/process/scheduler.py
+++ b/src/burdockgate/process/scheduler.py
@@ -30,6 +30,8 @@
 # urgent work of all entry hosts is served first. A lower measured rate is from a time
 # in which workers were away.
 MIN_RATE_SHARE = 0.5
+# Waiting work counts as the load that would serve it in this time.
+LOAD_PERIOD_S = 1.0
 # Minimum interval between renewals. Load changes are reported more often than a session
 # lease of 0.7 s has to be renewed. The interval is below the 0.2 s between periodic
 # reports, so that each of those renews the lease.
@@ -310,7 +312,10 @@
             yield actions.Send(
                 agent,
                 assignments.Renewal(
-                    load.sent_at_us, view.last_end_number, self.configuration_version
+                    load.sent_at_us,
+                    view.last_end_number,
+                    self.configuration_version,
+                    self._load_cpu,
                 ),
             )
         yield from self._schedule_assignment()
@@ -503,8 +508,6 @@
         a start of this process, the workers become known one by one, and the rate of
         the first of them says nothing about the wait.
         """
-        if now - self._started_at < self._settings.startup_grace_s:
-            return
         ahead_core_s = 0.0
         measured = self._throughput.rate(now)
         rate_by_service: dict[str, float] = {}
@@ -512,6 +515,7 @@
             self._waiting_by_id.values(),
             key=lambda job: self._ordering.key(job, now),
         )
+        is_starting_up = now - self._started_at < self._settings.startup_grace_s
         for job in waiting:
             service = job.submission.service
             if service not in rate_by_service:
@@ -519,12 +523,14 @@
             rate = rate_by_service[service]
             start_at = now + QUEUE_DELAY_FACTOR * ahead_core_s / rate if rate else now
             if (
-                not job.is_started
+                not is_starting_up
+                and not job.is_started
                 and start_at + job.remaining_path_s() > job.useful_until()
             ):
                 yield from self._refuse(job)
             else:
                 ahead_core_s += job.waiting_core_s()
+        self._load_cpu = int(1000 * (measured + ahead_core_s / LOAD_PERIOD_S))
 
     def _min_rate(self, service: str, now: float) -> float:
         """Return the rate that the known workers allow, in core-seconds per second."""
