Expect of the workers what their speeds and the part in the load allow

Cause: an entry host expected an even part of the workers' processors, whatever their speed and its load, and Retry-After divided its own work by the processors of all workers that others use too.

Change: renewals state the load of an entry host, load reports its part in the load of all that the agent serves. The smallest expected rate and Retry-After count processors times speed times that part, an even part at least. Retry-After counts what waits only. The stated load is bounded, since jobs may state any work.

--- a/src/burdockgate/assignments.py
+++ b/src/burdockgate/assignments.py
@@ -137,6 +137,8 @@
         periodic reports only.
     :param configuration_version: version of the configuration that the agent holds for
         entry hosts without it; 0 for none.
+    :param load_share: part of the receiver in the load of all entry hosts that the
+        agent serves, in thousandths.
     """
 
     sent_at_us: int
@@ -151,6 +153,7 @@
     speed: int
     is_near: bool
     configuration_version: int
+    load_share: int
 
 
 @attrs.frozen
--- a/src/burdockgate/process/assigner.py
+++ b/src/burdockgate/process/assigner.py
@@ -132,21 +132,24 @@
         self._revoked_run_by_task: dict[assignments.TaskKey, RevokedRun] = {}
 
     def _retry_after_s(self, service: str) -> float:
-        """Return the seconds the workers need for this host's work, at least 1."""
-        capacity = self.fleet.capacity_cpu(service, self._time.now())
-        if not capacity:
+        """Return the seconds until new work is reached, at least 1.
+
+        It is reached behind the work that waits; what runs holds no place in the queue.
+        """
+        expected = self.fleet.expected_cpu(
+            service, self._time.now(), self.entry_host_count
+        )
+        if not expected:
             return 1.0
         work = sum(
             task.step.cpu * task.step.estimate_s
             for job in self.job_by_id.values()
             if job.submission.service == service
             for task in job.all_tasks()
-            if task.state is not besteffort.TaskState.DONE
+            if task.state
+            in (besteffort.TaskState.WAITING, besteffort.TaskState.BLOCKED)
         )
-        # Divides the work of this entry host alone by the capacity of all assignable
-        # workers, although other entry hosts, which are expected to have similar work,
-        # use the same workers.
-        return max(1.0, work / capacity)
+        return max(1.0, work / expected)
 
     def _schedule_assignment(self) -> Iterator[Effect]:
         """Schedule one assignment pass for a burst of load reports and task ends.
--- a/src/burdockgate/process/entrysessions.py
+++ b/src/burdockgate/process/entrysessions.py
@@ -51,6 +51,7 @@
     :param leased_until: end of the session lease, counted from ``alive_at``. Runs of
         this entry host may start until then, and go on until then after the connection
         is lost.
+    :param load_cpu: load that the entry host last reported, in thousandths of a core.
     :param load_power: binary logarithm of the load that the entry host last reported,
         in units of ``MIN_LOAD_CPU``, rounded.
     :param last_assign_number: number of the last assignment received.
@@ -73,6 +74,7 @@
     disconnected_at: float = 0.0
     alive_at: float = 0.0
     leased_until: float = 0.0
+    load_cpu: int = 0
     load_power: int = 0
     last_assign_number: int = 0
     demand: assignments.Demand = assignments.Demand(0, 0)
@@ -86,11 +88,12 @@
     _end_by_number: dict[int, assignments.TaskEnd] = attrs.field(factory=dict)
 
     def record_load(self, load_cpu: int) -> None:
-        """Record the load of the entry host, unless it has hardly changed.
+        """Record the load of the entry host.
 
         :param load_cpu: processors that its runs use and its waiting tasks need, in
             thousandths of a core.
         """
+        self.load_cpu = load_cpu
         power = math.log2(max(load_cpu, MIN_LOAD_CPU) / MIN_LOAD_CPU)
         if abs(power - self.load_power) > LOAD_HYSTERESIS:
             self.load_power = round(power)
@@ -206,3 +209,18 @@
     connected = [session for session in sessions if session.is_connected]
     connected.sort(key=lambda session: session.remoteness)
     return {session.name for session in connected[:count]}
+
+
+def load_shares(sessions: Iterable[EntrySession]) -> dict[str, int]:
+    """Return the part of each entry host in the load of all, in thousandths.
+
+    :param sessions: sessions with the entry hosts; disconnected ones have no part.
+    """
+    load_by_entry = {
+        session.name: session.load_cpu * session.is_connected for session in sessions
+    }
+    total = sum(load_by_entry.values())
+    return {
+        name: 1000 * load // total if total else 0
+        for name, load in load_by_entry.items()
+    }
--- a/src/burdockgate/process/executor.py
+++ b/src/burdockgate/process/executor.py
@@ -63,6 +63,7 @@
         capacity = self._worker.heartbeat.cpu if self._worker else 0
         free_cpu = max(0, capacity - used.cpu - queued_cpu)
         allotted_cpu_by_entry = entrysessions.allocate_free_cpu(free_cpu, sessions, now)
+        share_by_entry = entrysessions.load_shares(sessions)
         speed = int(self._health.current_speed(now) * 1000)
         report_by_entry = {}
         for name, session in self.session_by_entry.items():
@@ -98,6 +99,7 @@
                 speed,
                 name in near_entries,
                 self.configuration_version,
+                share_by_entry[name],
             )
         return report_by_entry
 
--- a/src/burdockgate/process/scheduler.py
+++ b/src/burdockgate/process/scheduler.py
@@ -26,12 +26,15 @@
 # Share of the estimated queueing delay that counts against a waiting job. It is below 1
 # because estimates are up to 40% off and the throughput fluctuates.
 QUEUE_DELAY_FACTOR = 0.5
-# Share of its even part of the workers that an entry host gets at least, as the most
-# urgent work of all entry hosts is served first. A lower measured rate is from a time
-# in which workers were away.
+# Share of its expected part of the workers that an entry host gets at least, as the
+# most urgent work of all entry hosts is served first. A lower measured rate is from a
+# time in which workers were away.
 MIN_RATE_SHARE = 0.5
 # Waiting work counts as the load that would serve it in this time.
 LOAD_PERIOD_S = 1.0
+# Largest load that is stated, in thousandths of a core: that of a million cores. Jobs
+# may state any work, and the messages hold integers below 2**63.
+MAX_LOAD_CPU = 10**9
 # Minimum interval between renewals. Load changes are reported more often than a session
 # lease of 0.7 s has to be renewed. The interval is below the 0.2 s between periodic
 # reports, so that each of those renews the lease.
@@ -530,12 +533,13 @@
                 yield from self._refuse(job)
             else:
                 ahead_core_s += job.waiting_core_s()
-        self._load_cpu = int(1000 * (measured + ahead_core_s / LOAD_PERIOD_S))
+        load_cpu = 1000 * (measured + ahead_core_s / LOAD_PERIOD_S)
+        self._load_cpu = int(min(load_cpu, MAX_LOAD_CPU))
 
     def _min_rate(self, service: str, now: float) -> float:
         """Return the rate that the known workers allow, in core-seconds per second."""
-        capacity = self.fleet.capacity_cpu(service, now) / 1000
-        return MIN_RATE_SHARE * capacity / self.entry_host_count
+        expected = self.fleet.expected_cpu(service, now, self.entry_host_count) / 1000
+        return MIN_RATE_SHARE * expected
 
     def _evict_ended_jobs(self, now: float) -> None:
         while self._ended:
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -655,6 +655,16 @@
     assert all(near_count[f"entry-{number}"] for number in range(1, 9))
 
 
+def test_each_entry_host_is_told_its_part_in_the_load():
+    """Each expected an even part of the workers, whatever the others held."""
+    bench = _connect_distant_entries(Bench(), 2)
+    _renew_with_load(bench, {OWNER: 3000, "far-0": 1000, "far-1": 4000})
+    list(bench.executor.handle_entry_disconnected("far-1"))
+    bench.advance(0.4)
+    reports = bench.executor.due_reports()
+    assert (reports[OWNER].load_share, reports["far-0"].load_share) == (750, 250)
+
+
 def test_small_changes_of_the_load_change_no_near_entry_host():
     """Each change costs reports to the entry hosts that come and go."""
     bench = _connect_distant_entries(Bench(), 9)
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -348,7 +348,19 @@
         for effect in entry.scheduler.handle_load_report(
             agent,
             assignments.LoadReport(
-                1, 0, assignments.WorkerState.READY, True, 0, 0, 0, 0, 0, 1000, True, 0
+                1,
+                0,
+                assignments.WorkerState.READY,
+                True,
+                0,
+                0,
+                0,
+                0,
+                0,
+                1000,
+                True,
+                0,
+                0,
             ),
         )
         if isinstance(effect, assigner.ScheduleAssignment)
