Let the largest hash of an agent and an entry host have a place in the order

Cause: hashes in the last 1024 below 2**64 rounded to the whole range, whose logarithm does not exist; the reports of that agent would have ended. Found by reading; a test has the largest hash. The test of steady near entry hosts now fails without the hysteresis.

--- a/src/burdockgate/process/entrysessions.py
+++ b/src/burdockgate/process/entrysessions.py
@@ -15,6 +15,8 @@
 # can use.
 DEMAND_VALID_S = 0.5
 HASH_RANGE = 1 << 64
+# Largest hashes round to the whole range, which has no logarithm.
+LARGEST_SHARE = math.nextafter(1.0, 0.0)
 # Weight of an entry host of the agent's own zone against one of another zone with the
 # same load. Work in the own zone saves the latency and the cost of the traffic.
 OWN_ZONE_WEIGHT = 4.0
@@ -107,7 +109,8 @@
         """
         is_other_zone, draw = self.distance
         weight = 2.0**self.load_power * (1.0 if is_other_zone else OWN_ZONE_WEIGHT)
-        return -math.log1p(-(draw + 0.5) / HASH_RANGE) / weight
+        share = min((draw + 0.5) / HASH_RANGE, LARGEST_SHARE)
+        return -math.log1p(-share) / weight
 
     def has_demand(self, now: float) -> bool:
         """Return whether tasks wait at the entry host for free capacity.
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -655,6 +655,13 @@
     assert all(near_count[f"entry-{number}"] for number in range(1, 9))
 
 
+def test_every_hash_has_a_place_in_the_order():
+    """The logarithm of 0 for the largest hashes would have ended all reports."""
+    largest = entrysessions.EntrySession("a", 1, (True, entrysessions.HASH_RANGE - 1))
+    smallest = entrysessions.EntrySession("b", 1, (True, 0))
+    assert 0.0 < smallest.remoteness < largest.remoteness
+
+
 def test_each_entry_host_is_told_its_part_in_the_load():
     """Each expected an even part of the workers, whatever the others held."""
     bench = _connect_distant_entries(Bench(), 2)
@@ -672,7 +679,7 @@
     _renew_with_load(bench, loads)
     near = _near(bench)
     for load_cpu in (11_000, 6000, 12_000):
-        _renew_with_load(bench, loads | {"far-8": load_cpu})
+        _renew_with_load(bench, loads | {"far-4": load_cpu})
         assert _near(bench) == near
 
 
