--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -4,164 +4,17 @@
 import contextlib
 import itertools
 import json
-import os
 import signal
-import socket
-import sys
 
 import httpx
 import pytest
 
-import platform_standins
-
-WAIT_S = 30
-CONFIGURATION = {
-    "version": 3,
-    "routes": [
-        {
-            "name": "r",
-            "host": "h.example",
-            "pathPrefix": "/jobs/",
-            "service": "svc",
-            "priority": 0,
-            "timeoutMs": 1500,
-            "targetLatencyMs": 60,
-            "stretch": 1.6,
-            "maxAttempts": 3,
-        }
-    ],
-}
-
-
-def _free_ports(count):
-    listeners = [socket.socket() for _ in range(count)]
-    for listener in listeners:
-        # Each port is used at several loopback addresses and must be free at all.
-        listener.bind(("0.0.0.0", 0))
-    ports = [listener.getsockname()[1] for listener in listeners]
-    for listener in listeners:
-        listener.close()
-    return ports
-
-
-class Deployment:
-    """A store, two entry hosts, and two agents with their workers."""
-
-    def __init__(self, folder):
-        self.folder = folder
-        self.link_port, self.front_port, self.ready_port, self.heartbeat_port = (
-            _free_ports(4)
-        )
-        self.store = platform_standins.StoreStandIn()
-        self.workers = []
-        self.process_by_name = {}
-
-    async def start(self):
-        self.store.append("keyed.op", "config", json.dumps(CONFIGURATION).encode())
-        await self.store.server.start()
-        for number in (1, 2):
-            await self.start_process(
-                f"entry-{number}", "entry", f"127.0.0.{10 + number}"
-            )
-            host = f"127.0.0.{20 + number}"
-            worker = platform_standins.WorkerStandIn(
-                f"i-{number}", f"{host}:{self.heartbeat_port}", 0.3
-            )
-            await worker.start()
-            self.workers.append(worker)
-            await self.start_process(
-                f"agent-{number}", "agent", host, worker.server.address
-            )
-        for host in ("127.0.0.11", "127.0.0.12"):
-            await self.wait_ready(host)
-
-    async def start_process(self, name, role, host, worker=""):
-        path = self.folder / f"{name}.toml"
-        path.write_text(
-            f'nodeName = "{name}"\nrole = "{role}"\nip = "{host}"\nzone = "z1"\n'
-            f"portRange = [{self.link_port}, {self.link_port + 1}]\n"
-            f'seeds = ["127.0.0.11:{self.heartbeat_port}"]\napp = "{worker}"\n'
-            f'[listen]\ncontrol = "{host}:{self.heartbeat_port}"\n'
-            + (
-                f'front = "{host}:{self.front_port}"\n'
-                f'ready = "{host}:{self.ready_port}"\n'
-                if role == "entry"
-                else ""
-            )
-            + "[bounds]\ngraceS = 4\n"
-            + f'[platform]\naddress = "{self.store.server.address}"\n'
-        )
-        log = (self.folder / f"{name}.log").open("ab")
-        self.process_by_name[name] = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "burdockgate.platform",
-            role,
-            env={**os.environ, "BURDOCKGATE_NODE_FILE": str(path)},
-            stdout=log,
-            stderr=log,
-        )
-        log.close()
-
-    async def wait_ready(self, host):
-        async def is_ready():
-            try:
-                response = await self.get(host, self.ready_port, "/burdockgate/readyz")
-            except httpx.HTTPError:
-                return False
-            return response.status_code == 200
-
-        await self.wait_for(is_ready)
-
-    async def wait_for(self, condition):
-        async with asyncio.timeout(WAIT_S):
-            while not await condition():
-                await asyncio.sleep(0.05)
-
-    async def get(self, host, port, path):
-        async with httpx.AsyncClient(trust_env=False) as client:
-            headers = {"Host": "h.example"}
-            return await client.get(f"http://{host}:{port}{path}", headers=headers)
-
-    async def post(self, host, job, count=4):
-        body = {
-            "spec": "text",
-            "bestEffort": True,
-            "steps": [{"count": count, "cpu": 1600, "memMb": 64, "estimateMs": 300}],
-        }
-        async with httpx.AsyncClient(trust_env=False) as client:
-            return await client.post(
-                f"http://{host}:{self.front_port}/jobs/{job}",
-                json=body,
-                headers={
-                    "Host": "h.example",
-                    "Deadline-Ms": "20000",
-                    "Request-Id": f"req-{job}",
-                },
-                timeout=WAIT_S,
-            )
-
-    def spans(self, job):
-        return [
-            span
-            for worker in self.workers
-            for span in [*worker.simulated.spans, *worker.simulated.open_spans()]
-            if span.key.task.job == job
-        ]
-
-    async def close(self):
-        for process in self.process_by_name.values():
-            if process.returncode is None:
-                process.kill()
-            await process.wait()
-        for worker in self.workers:
-            await worker.close()
-        await self.store.server.stop_now()
+import platform_deployment
 
 
 @pytest.fixture
 async def deployment(tmp_path):
-    instance = Deployment(tmp_path)
+    instance = platform_deployment.Deployment(tmp_path)
     try:
         await instance.start()
         yield instance
@@ -256,7 +109,7 @@
 
 async def test_new_version_is_in_force_and_an_old_one_does_not_return(deployment):
     """An old version that is read late must not replace a newer one."""
-    newer = {**CONFIGURATION, "version": 9, "routes": []}
+    newer = {**platform_deployment.CONFIGURATION, "version": 9, "routes": []}
     deployment.store.append("keyed.op", "config", json.dumps(newer).encode())
 
     async def is_gone():
@@ -264,7 +117,9 @@
         return response.status_code == 404
 
     await deployment.wait_for(is_gone)
-    deployment.store.append("keyed.op", "config", json.dumps(CONFIGURATION).encode())
+    deployment.store.append(
+        "keyed.op", "config", json.dumps(platform_deployment.CONFIGURATION).encode()
+    )
     deployment.store.append("keyed.op", "other", b"x")
     await asyncio.sleep(0.5)
     assert await is_gone()
@@ -381,8 +236,10 @@
     for number, value in enumerate(ODD_ENTRIES):
         deployment.store.append("keyed.entries", f"odd-{number}", value)
     assert set(await _send_odd_heartbeats(deployment)) == {400}
-    newer = {**CONFIGURATION, "version": 9}
-    newer["routes"] = [{**CONFIGURATION["routes"][0], "pathPrefix": "/new/"}]
+    newer = {**platform_deployment.CONFIGURATION, "version": 9}
+    newer["routes"] = [
+        {**platform_deployment.CONFIGURATION["routes"][0], "pathPrefix": "/new/"}
+    ]
     deployment.store.append("keyed.op", "config", json.dumps(newer).encode())
 
     async def is_followed():
