--- a/src/burdockgate/process/guard.py
+++ b/src/burdockgate/process/guard.py
@@ -77,8 +77,8 @@
         self._is_refused = False
         # Bytes that were received since the parser last passed on a part of a request.
         self._unclaimed_bytes = 0
-        self._field_count = 0
-        self._field_bytes = 0
+        self._trailer_count = 0
+        self._trailer_bytes = 0
         self._body_bytes = 0
         self._discarded_bytes = 0
 
@@ -104,10 +104,14 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse the data, then count what is held because of it."""
+        usage = self._usage
+        phase = usage.phase
         self._unclaimed_bytes += len(data)
         super().data_received(data)
         if self._is_refused:
             return
+        if usage.phase is not phase:
+            usage.enter(usage.phase, self._endpoint.time.now())
         if self._unclaimed_bytes:
             self._check_unclaimed()
         self._update_held()
@@ -141,8 +145,7 @@
     def on_message_begin(self) -> None:
         """Begin a head."""
         super().on_message_begin()
-        self._usage.enter(intake.Phase.HEAD, self._endpoint.time.now())
-        self._field_count = self._field_bytes = 0
+        self._usage.phase = intake.Phase.HEAD
 
     def on_url(self, url: bytes) -> None:
         """Add a part of the request target."""
@@ -152,25 +155,33 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header field; trailer fields are dropped."""
-        self._field_count += 1
-        self._field_bytes += len(name) + len(value)
-        if self._field_count > self._limits.header_fields:
-            self._refuse_parsing(intake.Reason.FIELDS)
-        if self._usage.phase is intake.Phase.BODY:
-            if self._field_bytes > self._limits.trailer_bytes:
-                self._refuse_parsing(intake.Reason.TRAILERS)
+        if self._usage.phase is not intake.Phase.BODY:
+            super().on_header(name, value)
             return
-        if self._field_bytes + len(self.url) > self._limits.head_bytes:
-            self._refuse_parsing(intake.Reason.HEAD)
-        super().on_header(name, value)
+        self._trailer_count += 1
+        self._trailer_bytes += len(name) + len(value)
+        if self._trailer_count > self._limits.header_fields:
+            self._refuse_parsing(intake.Reason.FIELDS)
+        if self._trailer_bytes > self._limits.trailer_bytes:
+            self._refuse_parsing(intake.Reason.TRAILERS)
 
     def on_headers_complete(self) -> None:
         """Begin a body."""
-        if len(self.pipeline) >= self._limits.pipelined_requests:
+        limits = self._limits
+        if len(self.pipeline) >= limits.pipelined_requests:
             self._refuse_parsing(intake.Reason.PIPELINE)
+        if len(self.headers) > limits.header_fields:
+            self._refuse_parsing(intake.Reason.FIELDS)
+        # The head may have come with a body of any size.
+        if self._unclaimed_bytes > limits.head_bytes < self._head_bytes():
+            self._refuse_parsing(intake.Reason.HEAD)
         super().on_headers_complete()
-        self._usage.enter(intake.Phase.BODY, self._endpoint.time.now())
-        self._unclaimed_bytes = self._field_count = self._field_bytes = 0
+        self._usage.phase = intake.Phase.BODY
+        self._unclaimed_bytes = self._trailer_count = self._trailer_bytes = 0
+
+    def _head_bytes(self) -> int:
+        fields = sum(len(name) + len(value) for name, value in self.headers)
+        return len(self.url) + fields
 
     def on_body(self, body: bytes) -> None:
         """Add a part of a body."""
@@ -193,8 +204,7 @@
         if not self.pipeline:
             self._body_bytes = 0
         is_answered = self.cycle.response_complete
-        phase = intake.Phase.IDLE if is_answered else intake.Phase.SERVED
-        self._usage.enter(phase, self._endpoint.time.now())
+        self._usage.phase = intake.Phase.IDLE if is_answered else intake.Phase.SERVED
 
     def on_response_complete(self) -> None:
         """Wait for the next request."""
