Exit after a planned stop without waiting for callers that do not read

Cause: the end of the event loop went on to answer pipelined requests of such a caller, up to 4 s after the stop (found by its test beside load). Change: serve() exits the process when the stop has ended. The reserves of the stop stay as they were; a proposal to raise them for this machine was not taken. That requests came by open connections is inferred from the log, which has no connection ids.

--- a/src/burdockgate/process/runner.py
+++ b/src/burdockgate/process/runner.py
@@ -30,18 +30,17 @@
 def run(daemon: Runnable) -> int:
     """Run until SIGTERM or SIGINT; a second signal cancels the graceful stop.
 
+    The process exits with status 0, or 1 when the graceful stop was cut short.
+
     :param daemon: the service.
-    :returns: the exit status 0. The process exits with status 1 when the graceful stop
-        was cut short.
     """
     return asyncio.run(serve(daemon))
 
 
-async def serve(daemon: Runnable) -> int:
-    """Run until SIGTERM or SIGINT, on the current event loop.
+async def serve(daemon: Runnable) -> NoReturn:
+    """Run until SIGTERM or SIGINT, on the current event loop, and exit.
 
     :param daemon: the service.
-    :returns: the exit status, as :func:`run`.
     """
     stop_requested = asyncio.Event()
     signalled_at: list[float] = []
@@ -51,20 +50,14 @@
     _signalled_at.set(signalled_at[0])
     stopping = asyncio.ensure_future(daemon.stop())
     on_signal(stopping.cancel)
+    status = 0
     try:
         await stopping
     except asyncio.CancelledError:
-        _exit_now()
-    return 0
-
-
-def _exit_now() -> NoReturn:
-    """End the process without any further wait.
-
-    The end of the event loop would cancel the requests in progress, which are answered
-    nevertheless, and wait for callers that do not read.
-    """
-    os._exit(1)
+        status = 1
+    # The end of the event loop would go on to answer the requests of callers that do
+    # not read, for longer than the grace time.
+    os._exit(status)
 
 
 def limit_stop(limit_s: float) -> None:
