--- a/src/burdockgate/process/executor.py
+++ b/src/burdockgate/process/executor.py
@@ -361,7 +361,7 @@
         """
         worker, now = self._worker, self._time.now()
         if self.is_evacuated or self.is_draining:
-            # A run whose start did not reach the worker was queued again meanwhile.
+            # A run that the worker did not start may have been queued again.
             yield from self._return_queued("agent starts no runs")
             return
         if worker is None or worker.stop_sent_at_by_foreign_run:
--- a/src/burdockgate/process/scheduler.py
+++ b/src/burdockgate/process/scheduler.py
@@ -472,7 +472,7 @@
             yield from self._handle_timeouts(now)
         if now - self._refusals_checked_at >= REFUSAL_CHECK_INTERVAL_S:
             self._refusals_checked_at = now
-            yield from self._refuse_unservable(now)
+            yield from self._review_waiting(now)
         self._evict_ended_jobs(now)
         yield from self.assign()
 
@@ -508,12 +508,13 @@
         outcome = besteffort.Refused(codes.Code.QUEUE_TIMEOUT, retry_after_s)
         yield from self._end_job(job, outcome)
 
-    def _refuse_unservable(self, now: float) -> Iterator[assigner.Effect]:
-        """Refuse waiting jobs that cannot finish in time behind the jobs before them.
+    def _review_waiting(self, now: float) -> Iterator[assigner.Effect]:
+        """Refuse waiting jobs that cannot finish in time, and measure the load.
 
-        Callers get a retry time at once instead of waiting until their deadline. After
-        a start of this process, the workers become known one by one, and the rate of
-        the first of them says nothing about the wait.
+        Jobs that are served first count as the wait of the others. Callers get a retry
+        time at once instead of waiting until their deadline. After a start of this
+        process, the workers become known one by one, and the rate of the first of them
+        says nothing about the wait.
         """
         ahead_core_s = 0.0
         measured = self._throughput.rate(now)
