--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -18,8 +18,9 @@
 
 
 @pytest.fixture
-async def deployment(tmp_path):
-    instance = platform_deployment.Deployment(tmp_path)
+async def deployment(request, tmp_path):
+    settings = getattr(request, "param", "")
+    instance = platform_deployment.Deployment(tmp_path, settings=settings)
     try:
         await instance.start()
         yield instance
@@ -183,15 +184,21 @@
     assert await deployment.process_by_name["entry-1"].wait() == 0
 
 
-# The kernel's buffers for the unread responses take thousands of requests to fill.
-@pytest.mark.timeout(300)
+# With the default limits such a caller is disconnected before.
+WIDE_LIMITS = (
+    "[limits]\nmemoryMb = 2000\npipelinedRequests = 1000000\nresponseS = 100\n"
+)
+
+
+@pytest.mark.parametrize("deployment", [WIDE_LIMITS], indirect=True)
 async def test_planned_stop_ends_in_time_beside_callers_that_do_not_read(deployment):
     """The process waited for them after its last jobs, and was killed."""
     job = "00000000000000f0"
     request = asyncio.create_task(deployment.post("127.0.0.11", job, count=1000))
     await _wait_until_running(deployment, job)
-    # Long heads, so that the entry host reads few of them at a time.
-    head = b"GET /jobs/ HTTP/1.1\r\nHost: h.example\r\nPad: " + b"x" * 12_000
+    # Long heads, so that the entry host reads only some requests at a time.
+    head = b"GET /jobs/ HTTP/1.1\r\nHost: h.example\r\nPad: " + b"x" * 2000
+    requests = (head + b"\r\n\r\n") * 100
     with socket.socket() as caller:
         caller.setblocking(False)
         # A small window, so that few unread responses fill the entry host's buffers.
@@ -200,10 +207,7 @@
         await loop.sock_connect(caller, ("127.0.0.11", deployment.front_port))
         with contextlib.suppress(TimeoutError):
             while True:
-                request_bytes = head + b"\r\n\r\n"
-                await asyncio.wait_for(loop.sock_sendall(caller, request_bytes), 1)
-                # More pipelined requests than a few are refused.
-                await asyncio.sleep(0.002)
+                await asyncio.wait_for(loop.sock_sendall(caller, requests), 1)
         process = deployment.process_by_name["entry-1"]
         process.send_signal(signal.SIGTERM)
         limit_s = platform_deployment.GRACE_S + SIGNAL_S
