Wait for the agents of a test's deployment to listen

Entry hosts are ready with one agent, and the other process had not begun to listen. Seen once; the trace is the ConnectError of that run. Change: the deployment waits until each agent answers. Measured: the test and the planned stops pass.

--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -78,6 +78,7 @@
             )
         for number in self.numbers:
             await self.wait_ready(f"{self.network}.{10 + number}")
+            await self.wait_listening(f"{self.network}.{20 + number}")
 
     async def start_process(self, name, role, host, worker=""):
         path = self.folder / f"{name}.toml"
@@ -118,6 +119,18 @@
 
         await self.wait_for(is_ready)
 
+    async def wait_listening(self, host):
+        """Wait until an agent listens; entry hosts are ready with one of them."""
+
+        async def is_listening():
+            try:
+                await self.get(host, self.heartbeat_port, "/")
+            except httpx.HTTPError:
+                return False
+            return True
+
+        await self.wait_for(is_listening)
+
     async def wait_for(self, condition):
         async with asyncio.timeout(WAIT_S):
             while not await condition():
