--- a/src/burdockgate/process/assigner.py
+++ b/src/burdockgate/process/assigner.py
@@ -13,7 +13,7 @@
 import attrs
 
 from burdockgate import assignments, clock
-from burdockgate.process import actions, fleet, selection, throughput
+from burdockgate.process import actions, demand, fleet, selection, throughput
 from burdockgate.request import besteffort
 
 # Minimum intervals between demands sent to the agents: when the urgency has changed,
@@ -107,6 +107,7 @@
         self._ordering = ordering
         self._selection = selection.Selection(selection_settings, zone, rng)
         self._time = time
+        self._rng = rng
         self.fleet = fleet.Fleet()
         self._started_at = time.now()
         # Time by which the process must exit; set when its stop begins.
@@ -200,7 +201,11 @@
     def _send_demand(
         self, waiting: list[besteffort.Job], now: float
     ) -> Iterator[Effect]:
-        """Send the demand of unassigned tasks, so that agents share freed capacity."""
+        """Send the demand of unassigned tasks, so that agents share freed capacity.
+
+        Each waiting task is announced to one agent, so that an urgent one does not
+        reserve the capacity that becomes free everywhere.
+        """
         # A returned task in its backoff is no demand: other workers may have capacity.
         unassigned = [
             (job, task.step.cpu)
@@ -209,8 +214,8 @@
         ]
         cpu = sum(task_cpu for _, task_cpu in unassigned)
         rank = self._ordering.rank(unassigned[0][0], now) if unassigned else 0
-        demand = assignments.Demand(cpu, rank)
-        has_changed = demand != self._sent_demand and (
+        total = assignments.Demand(cpu, rank)
+        has_changed = total != self._sent_demand and (
             not cpu
             or not self._sent_demand.waiting_cpu
             or rank != self._sent_demand.rank
@@ -218,10 +223,22 @@
         due_s = DEMAND_CHANGE_S if has_changed else DEMAND_REPEAT_S
         if not (cpu or has_changed) or now - self._demand_sent_at < due_s:
             return
-        self._sent_demand, self._demand_sent_at = demand, now
-        for view in self.fleet.view_by_agent.values():
-            if view.is_near and view.is_fresh(now):
-                yield actions.Send(view.agent, demand)
+        self._sent_demand, self._demand_sent_at = total, now
+        near = [
+            view
+            for view in self.fleet.view_by_agent.values()
+            if view.is_near and view.is_fresh(now)
+        ]
+        self._rng.shuffle(near)
+        asked = (
+            assignments.Demand(waiting_cpu, self._ordering.rank(job, now))
+            for job, waiting_cpu in demand.divide(unassigned)
+        )
+        for view in near:
+            message = next(asked, assignments.Demand(0, 0))
+            if message.waiting_cpu or view.has_sent_demand:
+                view.has_sent_demand = message.waiting_cpu > 0
+                yield actions.Send(view.agent, message)
 
     def _assignable_tasks(
         self, job: besteffort.Job, now: float
--- a/src/burdockgate/process/fleet.py
+++ b/src/burdockgate/process/fleet.py
@@ -34,6 +34,7 @@
     :param may_have_old_runs: whether runs from an earlier boot of the agent may be
         active.
     :param reported_at: when the last load report came.
+    :param has_sent_demand: whether the last demand sent to the agent was not 0.
     """
 
     agent: str
@@ -53,6 +54,7 @@
     # the sums of their resources.
     _unreported: list[tuple[int, int, int, int]] = attrs.field(factory=list)
     _unreported_sums: tuple[int, int, int] = (0, 0, 0)
+    has_sent_demand: bool = False
 
     def reset_session(self) -> None:
         """Reset the state of the connection for a new one."""
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -556,6 +556,26 @@
     }
 
 
+def test_urgent_task_is_announced_to_one_agent_and_the_next_to_others():
+    """An urgent task at every agent took the capacity for all tasks of its host."""
+    bench = Bench(*[0] * 5)
+    urgent = attrs.evolve(SUBMISSION, steps=(attrs.evolve(STEP, count=1),))
+    later = attrs.evolve(SUBMISSION, job="later", priority=1)
+    bench.submit(later)
+    bench.time.advance(assigner.DEMAND_CHANGE_S)
+    sent = _messages(assignments.Demand, bench.submit(urgent, ticket=2))
+    demands = [demand for demand in sent if demand.waiting_cpu]
+    ranks = [demand.rank for demand in demands]
+    assert [demand.waiting_cpu for demand in demands] == [3000, 2000, 1000]
+    assert ranks[0] < ranks[1] == ranks[2]
+    # Agents that are asked for nothing any more are told so.
+    bench.time.advance(assigner.DEMAND_CHANGE_S)
+    for job in list(bench.scheduler.job_by_id):
+        list(bench.scheduler.cancel(job))
+    ended = _messages(assignments.Demand, bench.scheduler.assign())
+    assert set(ended) == {assignments.Demand(0, 0)}
+
+
 def test_rate_of_a_time_without_workers_refuses_nothing():
     """The rate measured while workers are away is too low when they are back."""
     bench = Bench(4000, 4000)
