--- a/src/burdockgate/assignments.py
+++ b/src/burdockgate/assignments.py
@@ -137,8 +137,6 @@
         periodic reports only.
     :param configuration_version: version of the configuration that the agent holds for
         entry hosts without it; 0 for none.
-    :param load_share: part of the receiver in the load of all entry hosts that the
-        agent serves, in thousandths.
     """
 
     sent_at_us: int
@@ -153,7 +151,6 @@
     speed: int
     is_near: bool
     configuration_version: int
-    load_share: int
 
 
 @attrs.frozen
@@ -164,14 +161,11 @@
     :param last_end_number: number of the last :class:`TaskEnd` received.
     :param configuration_version: newest version of which enough agents hold copies;
         older copies must not be passed on any more.
-    :param load_cpu: thousandths of a core that the entry host's runs use and its
-        waiting tasks need, averaged over some seconds.
     """
 
     echo_us: int
     last_end_number: int
     configuration_version: int
-    load_cpu: int
 
 
 @attrs.frozen
--- a/src/burdockgate/process/assigner.py
+++ b/src/burdockgate/process/assigner.py
@@ -13,7 +13,7 @@
 import attrs
 
 from burdockgate import assignments, clock
-from burdockgate.process import actions, demand, fleet, selection, throughput
+from burdockgate.process import actions, fleet, selection, throughput
 from burdockgate.request import besteffort
 
 # Minimum intervals between demands sent to the agents: when the urgency has changed,
@@ -107,7 +107,6 @@
         self._ordering = ordering
         self._selection = selection.Selection(selection_settings, zone, rng)
         self._time = time
-        self._rng = rng
         self.fleet = fleet.Fleet()
         self._started_at = time.now()
         # Time by which the process must exit; set when its stop begins.
@@ -122,8 +121,6 @@
         self._sent_demand = assignments.Demand(0, 0)
         self._demand_sent_at = 0.0
         self._refusals_checked_at = 0.0
-        # Sent to the agents with renewals, in thousandths of a core.
-        self._load_cpu = 0
         self._expiry_checked_at = 0.0
         self._throughput = throughput.Throughput(time.now())
         self._ended: collections.OrderedDict[str, besteffort.Job] = (
@@ -132,24 +129,21 @@
         self._revoked_run_by_task: dict[assignments.TaskKey, RevokedRun] = {}
 
     def _retry_after_s(self, service: str) -> float:
-        """Return the seconds until new work is reached, at least 1.
-
-        It is reached behind the work that waits; what runs holds no place in the queue.
-        """
-        expected = self.fleet.expected_cpu(
-            service, self._time.now(), self.entry_host_count
-        )
-        if not expected:
+        """Return the seconds the workers need for this host's work, at least 1."""
+        capacity = self.fleet.capacity_cpu(service, self._time.now())
+        if not capacity:
             return 1.0
         work = sum(
             task.step.cpu * task.step.estimate_s
             for job in self.job_by_id.values()
             if job.submission.service == service
             for task in job.all_tasks()
-            if task.state
-            in (besteffort.TaskState.WAITING, besteffort.TaskState.BLOCKED)
+            if task.state is not besteffort.TaskState.DONE
         )
-        return max(1.0, work / expected)
+        # Divides the work of this entry host alone by the capacity of all assignable
+        # workers, although other entry hosts, which are expected to have similar work,
+        # use the same workers.
+        return max(1.0, work / capacity)
 
     def _schedule_assignment(self) -> Iterator[Effect]:
         """Schedule one assignment pass for a burst of load reports and task ends.
@@ -201,11 +195,7 @@
     def _send_demand(
         self, waiting: list[besteffort.Job], now: float
     ) -> Iterator[Effect]:
-        """Send the demand of unassigned tasks, so that agents share freed capacity.
-
-        Each waiting task is announced to one agent, so that an urgent one does not
-        reserve the capacity that becomes free everywhere.
-        """
+        """Send the demand of unassigned tasks, so that agents share freed capacity."""
         # A returned task in its backoff is no demand: other workers may have capacity.
         unassigned = [
             (job, task.step.cpu)
@@ -214,31 +204,18 @@
         ]
         cpu = sum(task_cpu for _, task_cpu in unassigned)
         rank = self._ordering.rank(unassigned[0][0], now) if unassigned else 0
-        total = assignments.Demand(cpu, rank)
-        has_changed = total != self._sent_demand and (
+        demand = assignments.Demand(cpu, rank)
+        has_changed = demand != self._sent_demand and (
             not cpu
             or not self._sent_demand.waiting_cpu
             or rank != self._sent_demand.rank
         )
         due_s = DEMAND_CHANGE_S if has_changed else DEMAND_REPEAT_S
-        if not (cpu or has_changed) or now - self._demand_sent_at < due_s:
-            return
-        self._sent_demand, self._demand_sent_at = total, now
-        near = [
-            view
-            for view in self.fleet.view_by_agent.values()
-            if view.is_near and view.is_fresh(now)
-        ]
-        self._rng.shuffle(near)
-        asked = (
-            assignments.Demand(waiting_cpu, self._ordering.rank(job, now))
-            for job, waiting_cpu in demand.divide(unassigned)
-        )
-        for view in near:
-            message = next(asked, assignments.Demand(0, 0))
-            if message.waiting_cpu or view.has_sent_demand:
-                view.has_sent_demand = message.waiting_cpu > 0
-                yield actions.Send(view.agent, message)
+        if (cpu or has_changed) and now - self._demand_sent_at >= due_s:
+            self._sent_demand, self._demand_sent_at = demand, now
+            for view in self.fleet.view_by_agent.values():
+                if view.is_near and view.is_fresh(now):
+                    yield actions.Send(view.agent, demand)
 
     def _assignable_tasks(
         self, job: besteffort.Job, now: float
--- a/src/burdockgate/process/entrysessions.py
+++ b/src/burdockgate/process/entrysessions.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterable
 
 import attrs
@@ -14,17 +13,6 @@
 # every 0.1 s while tasks wait. An older demand must not reserve capacity that others
 # can use.
 DEMAND_VALID_S = 0.5
-HASH_RANGE = 1 << 64
-# Largest hashes round to the whole range, which has no logarithm.
-LARGEST_SHARE = math.nextafter(1.0, 0.0)
-# Weight of an entry host of the agent's own zone against one of another zone with the
-# same load. Work in the own zone saves the latency and the cost of the traffic.
-OWN_ZONE_WEIGHT = 4.0
-# Loads are compared as powers of two, and a change by less than this many powers is
-# ignored, so that the choice of near entry hosts is steady.
-LOAD_HYSTERESIS = 0.75
-# Smallest load that is told from none, in thousandths of a core.
-MIN_LOAD_CPU = 1000
 
 
 @attrs.frozen
@@ -53,9 +41,6 @@
     :param leased_until: end of the session lease, counted from ``alive_at``. Runs of
         this entry host may start until then, and go on until then after the connection
         is lost.
-    :param load_cpu: load that the entry host last reported, in thousandths of a core.
-    :param load_power: binary logarithm of the load that the entry host last reported,
-        in units of ``MIN_LOAD_CPU``, rounded.
     :param last_assign_number: number of the last assignment received.
     :param demand: processors that tasks waiting at the entry host need.
     :param last_start_at: when a run of this entry host was last started.
@@ -76,8 +61,6 @@
     disconnected_at: float = 0.0
     alive_at: float = 0.0
     leased_until: float = 0.0
-    load_cpu: int = 0
-    load_power: int = 0
     last_assign_number: int = 0
     demand: assignments.Demand = assignments.Demand(0, 0)
     demand_received_at: float = 0.0
@@ -89,29 +72,6 @@
     last_end_number: int = 0
     _end_by_number: dict[int, assignments.TaskEnd] = attrs.field(factory=dict)
 
-    def record_load(self, load_cpu: int) -> None:
-        """Record the load of the entry host.
-
-        :param load_cpu: processors that its runs use and its waiting tasks need, in
-            thousandths of a core.
-        """
-        self.load_cpu = load_cpu
-        power = math.log2(max(load_cpu, MIN_LOAD_CPU) / MIN_LOAD_CPU)
-        if abs(power - self.load_power) > LOAD_HYSTERESIS:
-            self.load_power = round(power)
-
-    @property
-    def remoteness(self) -> float:
-        """Sort key for the choice of near entry hosts; the smallest are chosen.
-
-        Weighted rendezvous hashing: each entry host is near to a share of the agents
-        that grows with its load, and a change of its load changes few of them.
-        """
-        is_other_zone, draw = self.distance
-        weight = 2.0**self.load_power * (1.0 if is_other_zone else OWN_ZONE_WEIGHT)
-        share = min((draw + 0.5) / HASH_RANGE, LARGEST_SHARE)
-        return -math.log1p(-share) / weight
-
     def has_demand(self, now: float) -> bool:
         """Return whether tasks wait at the entry host for free capacity.
 
@@ -201,29 +161,11 @@
 
 
 def nearest(sessions: Iterable[EntrySession], count: int) -> set[str]:
-    """Return the names of the connected entry hosts with which capacity is shared.
-
-    Those with much load are near to more agents: an entry host competes for the freed
-    capacity of its near agents only.
+    """Return the names of the nearest connected entry hosts.
 
     :param sessions: sessions with the entry hosts.
     :param count: largest number of names.
     """
     connected = [session for session in sessions if session.is_connected]
-    connected.sort(key=lambda session: session.remoteness)
+    connected.sort(key=lambda session: session.distance)
     return {session.name for session in connected[:count]}
-
-
-def load_shares(sessions: Iterable[EntrySession]) -> dict[str, int]:
-    """Return the part of each entry host in the load of all, in thousandths.
-
-    :param sessions: sessions with the entry hosts; disconnected ones have no part.
-    """
-    load_by_entry = {
-        session.name: session.load_cpu * session.is_connected for session in sessions
-    }
-    total = sum(load_by_entry.values())
-    return {
-        name: 1000 * load // total if total else 0
-        for name, load in load_by_entry.items()
-    }
--- a/src/burdockgate/process/executor.py
+++ b/src/burdockgate/process/executor.py
@@ -63,7 +63,6 @@
         capacity = self._worker.heartbeat.cpu if self._worker else 0
         free_cpu = max(0, capacity - used.cpu - queued_cpu)
         allotted_cpu_by_entry = entrysessions.allocate_free_cpu(free_cpu, sessions, now)
-        share_by_entry = entrysessions.load_shares(sessions)
         speed = int(self._health.current_speed(now) * 1000)
         report_by_entry = {}
         for name, session in self.session_by_entry.items():
@@ -99,7 +98,6 @@
                 speed,
                 name in near_entries,
                 self.configuration_version,
-                share_by_entry[name],
             )
         return report_by_entry
 
@@ -215,7 +213,6 @@
         session.alive_at = max(session.alive_at, message.echo_us / 1_000_000)
         session.leased_until = session.alive_at + self._settings.session_lease_s
         session.acknowledge(message.last_end_number)
-        session.record_load(message.load_cpu)
 
     def handle_assignment(
         self, entry: str, message: assignments.Assign
--- a/src/burdockgate/process/fleet.py
+++ b/src/burdockgate/process/fleet.py
@@ -34,7 +34,6 @@
     :param may_have_old_runs: whether runs from an earlier boot of the agent may be
         active.
     :param reported_at: when the last load report came.
-    :param has_sent_demand: whether the last demand sent to the agent was not 0.
     """
 
     agent: str
@@ -54,7 +53,6 @@
     # the sums of their resources.
     _unreported: list[tuple[int, int, int, int]] = attrs.field(factory=list)
     _unreported_sums: tuple[int, int, int] = (0, 0, 0)
-    has_sent_demand: bool = False
 
     def reset_session(self) -> None:
         """Reset the state of the connection for a new one."""
@@ -128,11 +126,6 @@
         """Speed relative to the estimates, at least 0.05; 1 where they are right."""
         return max(self.load.speed / 1000, 0.05) if self.load else 1.0
 
-    @property
-    def load_share(self) -> float:
-        """Part of this entry host in the load of all that share the worker."""
-        return self.load.load_share / 1000 if self.load else 0.0
-
     def has_label(self, label: str) -> bool:
         """Return whether the worker has a label.
 
@@ -206,21 +199,14 @@
             if view.info is not None
         )
 
-    def expected_cpu(self, service: str, now: float, entry_host_count: int) -> int:
-        """Return the part of the capacity that falls to the entry host by its load.
-
-        Estimates are for a speed of 1, so processors count times the speed of their
-        worker, in thousandths of a core. The part is no less than an even one: agents
-        learn of a load that has just grown only after some tenths of a second.
+    def capacity_cpu(self, service: str, now: float) -> int:
+        """Return the processors of all assignable workers, in thousandths of a core.
 
         :param service: name of the service.
         :param now: the time.
-        :param entry_host_count: number of entry hosts that share each worker.
         """
         return sum(
-            int(view.info.cpu * view.speed * max(view.load_share, 1 / entry_host_count))
-            for view in self.assignable_workers(service, now)
-            if view.info
+            view.info.cpu for view in self.assignable_workers(service, now) if view.info
         )
 
     def has_enough_agents(self, now: float) -> bool:
--- a/src/burdockgate/process/scheduler.py
+++ b/src/burdockgate/process/scheduler.py
@@ -24,15 +24,10 @@
 # Share of the estimated queueing delay that counts against a waiting job. It is below 1
 # because estimates are up to 40% off and the throughput fluctuates.
 QUEUE_DELAY_FACTOR = 0.5
-# Share of its expected part of the workers that an entry host gets at least, as the
-# most urgent work of all entry hosts is served first. A lower measured rate is from a
-# time in which workers were away.
+# Share of its even part of the workers that an entry host gets at least, as the most
+# urgent work of all entry hosts is served first. A lower measured rate is from a time
+# in which workers were away.
 MIN_RATE_SHARE = 0.5
-# Waiting work counts as the load that would serve it in this time.
-LOAD_PERIOD_S = 1.0
-# Largest load that is stated, in thousandths of a core: that of a million cores. Jobs
-# may state any work, and the messages hold integers below 2**63.
-MAX_LOAD_CPU = 10**9
 # Minimum interval between renewals. Load changes are reported more often than a session
 # lease of 0.7 s has to be renewed. The interval is below the 0.2 s between periodic
 # reports, so that each of those renews the lease.
@@ -315,10 +310,7 @@
             yield actions.Send(
                 agent,
                 assignments.Renewal(
-                    load.sent_at_us,
-                    view.last_end_number,
-                    self.configuration_version,
-                    self._load_cpu,
+                    load.sent_at_us, view.last_end_number, self.configuration_version
                 ),
             )
         yield from self._schedule_assignment()
@@ -516,6 +508,8 @@
         process, the workers become known one by one, and the rate of the first of them
         says nothing about the wait.
         """
+        if now - self._started_at < self._settings.startup_grace_s:
+            return
         ahead_core_s = 0.0
         measured = self._throughput.rate(now)
         rate_by_service: dict[str, float] = {}
@@ -523,7 +517,6 @@
             self._waiting_by_id.values(),
             key=lambda job: self._ordering.key(job, now),
         )
-        is_starting_up = now - self._started_at < self._settings.startup_grace_s
         for job in waiting:
             service = job.submission.service
             if service not in rate_by_service:
@@ -531,20 +524,17 @@
             rate = rate_by_service[service]
             start_at = now + QUEUE_DELAY_FACTOR * ahead_core_s / rate if rate else now
             if (
-                not is_starting_up
-                and not job.is_started
+                not job.is_started
                 and start_at + job.remaining_path_s() > job.useful_until()
             ):
                 yield from self._refuse(job)
             else:
                 ahead_core_s += job.waiting_core_s()
-        load_cpu = 1000 * (measured + ahead_core_s / LOAD_PERIOD_S)
-        self._load_cpu = int(min(load_cpu, MAX_LOAD_CPU))
 
     def _min_rate(self, service: str, now: float) -> float:
         """Return the rate that the known workers allow, in core-seconds per second."""
-        expected = self.fleet.expected_cpu(service, now, self.entry_host_count) / 1000
-        return MIN_RATE_SHARE * expected
+        capacity = self.fleet.capacity_cpu(service, now) / 1000
+        return MIN_RATE_SHARE * capacity / self.entry_host_count
 
     def _evict_ended_jobs(self, now: float) -> None:
         while self._ended:
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -34,7 +34,6 @@
         int(speed * 1000),
         is_near,
         0,
-        0,
     )
     return view
 
