--- a/src/burdockgate/process/scheduler.py
+++ b/src/burdockgate/process/scheduler.py
@@ -464,7 +464,7 @@
             yield from self._handle_timeouts(now)
         if now - self._refusals_checked_at >= REFUSAL_CHECK_INTERVAL_S:
             self._refusals_checked_at = now
-            yield from self._review_waiting(now)
+            yield from self._refuse_unservable(now)
         self._evict_ended_jobs(now)
         yield from self.assign()
 
@@ -500,13 +500,12 @@
         outcome = besteffort.Refused(codes.Code.QUEUE_TIMEOUT, retry_after_s)
         yield from self._end_job(job, outcome)
 
-    def _review_waiting(self, now: float) -> Iterator[assigner.Effect]:
-        """Refuse waiting jobs that cannot finish in time, and measure the load.
+    def _refuse_unservable(self, now: float) -> Iterator[assigner.Effect]:
+        """Refuse waiting jobs that cannot finish in time behind the jobs before them.
 
-        Jobs that are served first count as the wait of the others. Callers get a retry
-        time at once instead of waiting until their deadline. After a start of this
-        process, the workers become known one by one, and the rate of the first of them
-        says nothing about the wait.
+        Callers get a retry time at once instead of waiting until their deadline. After
+        a start of this process, the workers become known one by one, and the rate of
+        the first of them says nothing about the wait.
         """
         if now - self._started_at < self._settings.startup_grace_s:
             return
