--- a/review/standins3/fleet3.py
+++ b/review/standins3/fleet3.py
@@ -87,6 +87,7 @@
         self.host, self.port, self._handler = host, port, handler
         self._server = None
         self._writers = set()
+        self._is_aborted = False
 
     async def start(self):
         self._server = await asyncio.start_server(self._serve, self.host, self.port)
@@ -103,6 +104,9 @@
                     for name, _, value in (line.partition(":") for line in lines[1:])
                 }
                 body = await reader.readexactly(int(headers.get("content-length", 0)))
+                if self._is_aborted:
+                    # What a crashed process had not read is lost.
+                    return
                 answer = await self._handler(method, target, headers, body)
                 if answer is None:
                     writer.transport.abort()
@@ -123,6 +127,7 @@
 
     def abort(self):
         """End like a crashed process."""
+        self._is_aborted = True
         if self._server is not None:
             self._server.close()
             self._server = None
