--- a/review/standins3/fleet3.py
+++ b/review/standins3/fleet3.py
@@ -224,8 +224,11 @@
         self._tasks = []
         self.is_up = False
         self.capacity, self.labels = kind
-        # Reading of the steady clock at the start of the next life.
-        self.clock_base_ms = 0
+        # Set while the worker is to crash when it has begun a task.
+        self.crashes_at_start = False
+        self.has_crashed = asyncio.Event()
+        # An unhealthy worker refuses starts with 503 and does nothing.
+        self.is_unhealthy = False
         self.server = None
 
     # One life.
@@ -262,6 +265,14 @@
             self._note_end(run, "lost with the worker")
         self._running = {}
         self.record.write(f"worker {self.name} crashes")
+        self.crashes_at_start = False
+        self.has_crashed.set()
+
+    async def crash_at_start(self):
+        """Crash as soon as a task has begun, before the start is answered."""
+        self.has_crashed.clear()
+        self.crashes_at_start = True
+        await self.has_crashed.wait()
 
     def close(self):
         if self.is_up:
@@ -272,8 +283,7 @@
 
     @property
     def clock_ms(self):
-        age_ms = (time.monotonic() - self._clock_start) * 1000
-        return int(self.clock_base_ms + age_ms)
+        return int((time.monotonic() - self._clock_start) * 1000)
 
     def _note_end(self, run, how):
         run.ended_at, run.how = self.record.now(), how
@@ -349,7 +359,11 @@
         self._token = fields.get("fencingToken", 0)
         match target.rpartition("/")[2]:
             case "run-start":
-                return self._start_run(fields)
+                answer = self._start_run(fields)
+                if self.crashes_at_start and answer[0] == 200:
+                    self.crash()
+                    return None
+                return answer
             case "run-stop":
                 return await self._stop_run(fields)
             case "hold":
@@ -366,6 +380,8 @@
             self._deadline_ms = max(self._deadline_ms, min(fields["deadlineMs"], limit))
 
     def _start_run(self, fields):
+        if self.is_unhealthy:
+            return self._reply(503)
         task, number = fields["task"], fields["run"]
         if (task, number) in self._running:
             self._extend(fields)
@@ -575,19 +591,6 @@
                 stderr=log,
             )
 
-    async def restart_processes(self, down_s):
-        """Kill all processes at the same moment and start them again."""
-        for name in self.process_by_name:
-            self.signal(name, signal.SIGKILL)
-        for process in self.process_by_name.values():
-            await process.wait()
-        await asyncio.sleep(down_s)
-        for number, host in enumerate(self.entry_hosts):
-            await self.start_process(f"edge-{number}", "entry", host)
-        for number, host in enumerate(self.agent_hosts):
-            await self.start_process(f"side-{number}", "agent", host)
-        self.record.write("all processes are started again")
-
     async def _wait_listening(self, address):
         for _ in range(200):
             if (await call(address, "GET", "/", timeout_s=1.0))[0]:
@@ -698,5 +701,5 @@
     record.close()
     print(f"breaches: {len(breaches)}")
     for breach in breaches[:5]:
-        print(breach)
+        print(breach, flush=True)
     sys.exit(1 if breaches else 0)
