Review stand-ins: ports are looked for at loopback addresses only

The search for free ports bound sockets to all addresses of the machine; it binds the deployment's own loopback addresses now.

--- a/review/standins3/fleet3.py
+++ b/review/standins3/fleet3.py
@@ -474,14 +474,27 @@
             writer.transport.abort()
 
 
-def _free_ports(count):
-    listeners = [socket.socket() for _ in range(count)]
-    for listener in listeners:
-        listener.bind(("0.0.0.0", 0))
-    ports = [listener.getsockname()[1] for listener in listeners]
-    for listener in listeners:
-        listener.close()
-    return ports
+def _free_ports(count, hosts):
+    """Return ports that are free at each of the loopback addresses."""
+    listeners, ports = [], []
+    try:
+        for _ in range(10 * count):
+            if len(ports) == count:
+                return ports
+            port = 0
+            try:
+                for host in hosts:
+                    listener = socket.socket()
+                    listeners.append(listener)
+                    listener.bind((host, port))
+                    port = listener.getsockname()[1]
+            except OSError:
+                continue
+            ports.append(port)
+    finally:
+        for listener in listeners:
+            listener.close()
+    raise CannotRunError("no free ports")
 
 
 class Fleet:
@@ -497,7 +510,9 @@
         network = f"127.{random.randint(16, 240)}.{random.randint(1, 250)}"
         self.entry_hosts = [f"{network}.{10 + number}" for number in range(entries)]
         self.agent_hosts = [f"{network}.{50 + number}" for number in range(len(workers))]
-        store_port, self.front, self.ready, self.control, app, link = _free_ports(6)
+        hosts = [f"{network}.1", *self.entry_hosts, *self.agent_hosts]
+        ports = _free_ports(6, hosts)
+        store_port, self.front, self.ready, self.control, app, link = ports
         self.link = link
         self.store = Store(f"{network}.1", store_port)
         self.workers = [
