Model: workers crash at any point of a start and come back changed

Change: a worker can crash at any time or amid a start, which breaks its connections, and come back after 0 to 3 s under its own or a new identifier, as another kind, with another capacity, refusing starts, with a late first heartbeat, twice in a row. A job may require a label. The checks know starts without the label, and measure each life of a worker by its own capacity.

--- a/src/burdockgate/standin/invariants.py
+++ b/src/burdockgate/standin/invariants.py
@@ -17,6 +17,7 @@
     """
     yield from _concurrent_runs(sim.spans())
     yield from _overcommitted_workers(sim)
+    yield from _missing_labels(sim)
     yield from _false_answers(sim)
 
 
@@ -44,18 +45,35 @@
             change
             for span in [*worker.spans, *worker.open_spans()]
             for change in (
-                (span.started_at, 1, span.cpu),
-                (span.ended_at, 0, -span.cpu),
+                (span.started_at, 1, span.cpu, span.capacity or worker.cpu),
+                (span.ended_at, 0, -span.cpu, span.capacity or worker.cpu),
             )
         ]
         used = 0
-        for at, _, cpu in sorted(changes):
+        for at, _, cpu, capacity in sorted(changes):
             used += cpu
-            if used > worker.cpu:
-                yield f"limit: {worker.name} has {used} of {worker.cpu} at {at:.3f}"
+            if cpu > 0 and used > capacity:
+                yield f"limit: {worker.name} has {used} of {capacity} at {at:.3f}"
                 break
 
 
+def _missing_labels(sim: simulation.Simulation) -> Iterator[str]:
+    """Yield starts on workers without the label that the task requires."""
+    label_by_step = {
+        (caller_job.job, number): step.label
+        for caller_job in sim.caller_jobs
+        for number, step in enumerate(caller_job.submission.steps)
+    }
+    for span in sim.spans():
+        task = span.key.task
+        label = label_by_step.get((task.job, task.step), "")
+        if label and span.labels is not None and label not in span.labels:
+            yield (
+                f"route: {task} run {span.key.run} starts on {span.worker}, which has "
+                f"{span.labels} and not {label}, at {span.started_at:.3f}"
+            )
+
+
 def _false_answers(sim: simulation.Simulation) -> Iterator[str]:
     """Yield outcomes that contradict the runs on the workers."""
     done_indexes_by_job: dict[str, set[int]] = {}
--- a/src/burdockgate/standin/simnodes.py
+++ b/src/burdockgate/standin/simnodes.py
@@ -46,6 +46,7 @@
     :param jobs_per_s: jobs per second over all entry hosts.
     :param worth: what a job on time earns.
     :param width_spread: standard deviation of the logarithm of the number of tasks.
+    :param label: label that the workers must have; empty for any.
     """
 
     name: str
@@ -56,6 +57,7 @@
     priority: int
     worth: float
     width_spread: float = 0.0
+    label: str = ""
 
 
 @attrs.define
@@ -208,8 +210,23 @@
         self.is_up = True
         self._start()
 
+    def restart_worker(self, first_heartbeat_s: float) -> None:
+        """Start the worker again after a crash.
+
+        :param first_heartbeat_s: time until its first heartbeat.
+        """
+        self.worker.start_again(first_heartbeat_s)
+        self.sequence = 0
+        self.sim.time.call_later(first_heartbeat_s, self._send_heartbeat_if_up)
+
+    def _send_heartbeat_if_up(self) -> None:
+        if self.is_up:
+            self.execute(self._send_heartbeat)
+
     def _send_heartbeat(self) -> None:
-        if self.worker.faults.is_unreachable:
+        worker = self.worker
+        is_silent = self.sim.time.now() < worker.silent_until
+        if worker.faults.is_unreachable or not worker.is_up or is_silent:
             return
         self.sequence += 1
         if self.is_draining and self.drained_at is None:
@@ -256,7 +273,8 @@
 
             self.execute(handle)
 
-        time = self.sim.time
+        time, worker = self.sim.time, self.worker
+        crash_count = worker.crash_count
         limit_s = command.wait_ms / 1000 + POLL_TIMEOUT_S
         time.call_later(limit_s, lambda: finish(workercontrol.Unanswered()))
 
@@ -264,7 +282,10 @@
             time.call_later(COMMAND_LATENCY_S, lambda: finish(result))
 
         def arrive() -> None:
-            if self.worker.faults.unanswered_share and self.worker.is_command_lost():
+            if worker.crash_count != crash_count:
+                # The connection broke when the worker crashed.
+                finish(workercontrol.Unanswered())
+            elif self.worker.faults.unanswered_share and self.worker.is_command_lost():
                 late_s = self.sim.rng.uniform(*simworker.LATE_DELAY_RANGE_S)
                 time.call_later(late_s, lambda: self.worker.poll(command, _discard))
             elif not self.worker.faults.is_unreachable:
@@ -310,11 +331,17 @@
         ],
     ) -> None:
         incarnation, time, faults = self.incarnation, self.sim.time, self.worker.faults
+        worker, crash_count = self.worker, self.worker.crash_count
 
         def finish(result: workercontrol.CommandResult) -> None:
             if incarnation == self.incarnation:
                 self.execute(lambda: self.perform(handle_result(result)))
 
+        def answer(result: workercontrol.CommandResult) -> None:
+            # The connection breaks when the worker crashes.
+            is_broken = worker.crash_count != crash_count
+            finish(workercontrol.Unanswered() if is_broken else result)
+
         if faults.is_unreachable:
             time.call_later(
                 COMMAND_TIMEOUT_S, lambda: finish(workercontrol.Unanswered())
@@ -328,8 +355,11 @@
         else:
 
             def arrive() -> None:
-                result = execute_command()
-                time.call_later(COMMAND_LATENCY_S, lambda: finish(result))
+                if worker.crash_count == crash_count:
+                    result = execute_command()
+                    time.call_later(COMMAND_LATENCY_S, lambda: answer(result))
+                else:
+                    answer(workercontrol.Unanswered())
 
             time.call_later(COMMAND_LATENCY_S, arrive)
 
--- a/src/burdockgate/standin/simulation.py
+++ b/src/burdockgate/standin/simulation.py
@@ -418,7 +418,7 @@
             key = assignments.TaskKey(job, 0, index)
             self.work_by_task[key] = (-work_s if is_poison else work_s, kind.cpu)
         estimate_s = kind.work_s * self.rng.uniform(0.6, 1.4)
-        step = besteffort.Step(width, kind.cpu, 64, 0, estimate_s)
+        step = besteffort.Step(width, kind.cpu, 64, 0, estimate_s, label=kind.label)
         objective_s = 1.6 * max(works_s) + 0.06
         submission = besteffort.Submission(
             job,
--- a/src/burdockgate/standin/simworker.py
+++ b/src/burdockgate/standin/simworker.py
@@ -33,6 +33,8 @@
     :param started_at: start in virtual seconds.
     :param ended_at: end in virtual seconds.
     :param reason: why the run ended; ``None`` if it runs or its worker restarted.
+    :param capacity: processors of the worker when the run started.
+    :param labels: labels of the worker when the run started.
     """
 
     worker: str
@@ -41,6 +43,8 @@
     started_at: float
     ended_at: float
     reason: workercontrol.EndReason | None
+    capacity: int | None = None
+    labels: tuple[str, ...] | None = None
 
 
 @attrs.define
@@ -53,6 +57,9 @@
     :param unanswered_share: share of commands that get no answer and are executed
         late.
     :param is_unreachable: whether its agent can't reach the worker; its runs continue.
+    :param is_unhealthy: whether starts are refused.
+    :param crashes_at_start: whether the worker crashes when the next run has begun,
+        before the start is answered.
     """
 
     slow_factor: float = 1.0
@@ -60,6 +67,8 @@
     is_hanging: bool = False
     unanswered_share: float = 0.0
     is_unreachable: bool = False
+    is_unhealthy: bool = False
+    crashes_at_start: bool = False
 
 
 class SimulatedWorker:
@@ -85,6 +94,13 @@
     ) -> None:
         self.name = name
         self.cpu = cpu
+        self.labels: tuple[str, ...] = ("a", "r1")
+        self.is_up = True
+        self.crash_count = 0
+        # No heartbeat is sent before this time.
+        self.silent_until = 0.0
+        # Lets the worker crash, and decides what comes back.
+        self.on_crash: Callable[[], None] = self.crash
         self.born = 1
         self.faults = Faults()
         self.spans: list[Span] = []
@@ -103,14 +119,40 @@
         self._finished: list[workercontrol.FinishedEntry] = []
         self._end_number = 0
         self._pending_polls: list[Callable[[], None]] = []
+        # Break the polls that wait for an answer, when the worker crashes.
+        self._broken_polls: list[Callable[[workercontrol.PollResult], None]] = []
 
     def restart(self) -> None:
         """End all runs and restart as a new incarnation under the same identifier."""
+        self._end_all_runs()
+        self._reset()
+        self.born += 1
+
+    def _end_all_runs(self) -> None:
         for run in list(self._run_by_key.values()):
             self._record_span(run, None)
             run.is_alive = False
+        self._run_by_key.clear()
+
+    def crash(self) -> None:
+        """End all runs and break all connections; no command is answered any more."""
+        self._end_all_runs()
+        self.is_up = False
+        self.crash_count += 1
+        self.faults.crashes_at_start = False
+        broken, self._broken_polls = self._broken_polls, []
+        for send_result in broken:
+            send_result(workercontrol.Unanswered())
+
+    def start_again(self, first_heartbeat_s: float) -> None:
+        """Start as a new incarnation after a crash.
+
+        :param first_heartbeat_s: time until its first heartbeat.
+        """
         self._reset()
-        self.born += 1
+        self.silent_until = self._time.now() + first_heartbeat_s
+        self.born = max(self.born + 1, int(self._time.now() * 1000))
+        self.is_up = True
 
     @property
     def clock_ms(self) -> int:
@@ -132,7 +174,7 @@
             self.cpu,
             65_536,
             0,
-            ("a", "r1"),
+            self.labels,
             is_draining,
             sequence,
             self.clock_ms,
@@ -148,9 +190,15 @@
         :param command: the command.
         """
         key = command.key
+        if not self.is_up:
+            return workercontrol.Refused(workercontrol.Refusal.NOT_SENT)
+        if command.worker != self.name:
+            return workercontrol.Refused(workercontrol.Refusal.OTHER_WORKER)
         if command.token < self._token:
             return workercontrol.Refused(workercontrol.Refusal.FENCED, self.clock_ms)
         self._token = command.token
+        if self.faults.is_unhealthy:
+            return workercontrol.Refused(workercontrol.Refusal.UNHEALTHY)
         if command.lease_until_ms <= self.clock_ms:
             return workercontrol.Refused(workercontrol.Refusal.LATE, self.clock_ms)
         self._extend_lease(command.lease_until_ms)
@@ -159,6 +207,9 @@
         if key.run <= self._highest_run_by_task.get(key.task, 0):
             return workercontrol.Refused(workercontrol.Refusal.OLD_RUN, self.clock_ms)
         self._start_run(key)
+        if self.faults.crashes_at_start:
+            self.on_crash()
+            return workercontrol.Unanswered()
         return workercontrol.Accepted(self.clock_ms)
 
     def _start_run(self, key: assignments.RunKey) -> None:
@@ -183,6 +234,10 @@
 
         :param command: the command.
         """
+        if not self.is_up:
+            return workercontrol.Refused(workercontrol.Refusal.NOT_SENT)
+        if command.worker != self.name:
+            return workercontrol.Refused(workercontrol.Refusal.OTHER_WORKER)
         if command.token < self._token:
             return workercontrol.Refused(workercontrol.Refusal.FENCED, self.clock_ms)
         self._token = command.token
@@ -205,6 +260,12 @@
         :param command: the command.
         :param send_result: called with the result.
         """
+        if not self.is_up:
+            send_result(workercontrol.Refused(workercontrol.Refusal.NOT_SENT))
+            return
+        if command.worker != self.name:
+            send_result(workercontrol.Refused(workercontrol.Refusal.OTHER_WORKER))
+            return
         if command.token < self._token:
             send_result(
                 workercontrol.Refused(workercontrol.Refusal.FENCED, self.clock_ms)
@@ -228,6 +289,7 @@
                 send_result(self._snapshot())
 
         self._pending_polls.append(send_snapshot_once)
+        self._broken_polls.append(send_result)
         self._time.call_later(command.wait_ms / 1000, send_snapshot_once)
 
     def _snapshot(self) -> workercontrol.Snapshot:
@@ -276,13 +338,23 @@
             workercontrol.FinishedEntry(self._end_number, run.key, reason)
         )
         polls, self._pending_polls = self._pending_polls, []
+        self._broken_polls.clear()
         for send_snapshot in polls:
             send_snapshot()
 
     def _record_span(self, run: _Run, reason: workercontrol.EndReason | None) -> None:
         _, cpu = self._work_of(run.key.task)
         self.spans.append(
-            Span(self.name, run.key, cpu, run.started_at, self._time.now(), reason)
+            Span(
+                self.name,
+                run.key,
+                cpu,
+                run.started_at,
+                self._time.now(),
+                reason,
+                self.cpu,
+                self.labels,
+            )
         )
 
     def open_spans(self) -> list[Span]:
@@ -296,6 +368,8 @@
                 run.started_at,
                 now,
                 None,
+                self.cpu,
+                self.labels,
             )
             for run in self._run_by_key.values()
         ]
--- /dev/null
+++ b/tests/test_lives.py
@@ -0,0 +1,73 @@
+"""Simulates workers that crash and come back, as the same or as another kind.
+
+An agent concludes from answers of the new life what has become of the runs of the one
+before. The decisions are the real ones; the seeds are those of failures that were seen.
+"""
+
+import attrs
+import pytest
+
+from burdockgate import assignments
+from burdockgate.standin import (
+    crest,
+    faultinjection,
+    invariants,
+    lives,
+    simulation,
+    simworker,
+)
+
+SHORT, MEDIUM, LONG = crest.KINDS
+# Two thirds of the jobs require a kind that half of the workers are of.
+KINDS = (attrs.evolve(SHORT, label="b"), MEDIUM, attrs.evolve(LONG, label="b"))
+
+
+def _simulate(seed, faults=(lives.crash_worker,), count=12):
+    sim = simulation.Simulation(seed, KINDS, entries=3, workers=6)
+    for number, agent in enumerate(sim.agent_by_name.values()):
+        agent.worker.labels = (lives.KINDS[number % 2], lives.RACK)
+    sim.schedule_load(3, 18, 0.3)
+    injected = faultinjection.schedule(sim, seed, 4, 16, count, faults)
+    sim.run(90)
+    return sim, injected
+
+
+def test_checker_detects_a_start_without_the_required_label():
+    """A checker that detects nothing would pass every simulation."""
+    sim = simulation.Simulation(1, KINDS, entries=1, workers=2)
+    caller_job = sim.make_job(KINDS[0])
+    sim.caller_jobs.append(caller_job)
+    key = assignments.RunKey(assignments.TaskKey(caller_job.job, 0, 0), 1)
+    worker = sim.agent_by_name["agent-0"].worker
+    for labels in (("b", lives.RACK), ("a", lives.RACK)):
+        worker.spans = [simworker.Span("w", key, 1, 0.0, 1.0, None, 16_000, labels)]
+        found = [text.partition(":")[0] for text in invariants.violations(sim)]
+        assert found == ([] if "b" in labels else ["route"])
+
+
+def test_checker_measures_a_life_by_its_own_capacity():
+    """A worker that came back larger hid that its smaller life was overfilled."""
+    sim = simulation.Simulation(1, KINDS, entries=1, workers=2)
+    key = assignments.RunKey(assignments.TaskKey("j", 0, 0), 1)
+    worker = sim.agent_by_name["agent-0"].worker
+    worker.spans = [simworker.Span("w", key, 9_000, 0.0, 1.0, None, 8_000, ())]
+    assert worker.cpu > 9_000
+    assert len(list(invariants.violations(sim))) == 1
+
+
+@pytest.mark.parametrize("is_at_start", [False, True])
+def test_worker_comes_back_as_described(is_at_start):
+    """A model whose crashes leave no trace would pass every check."""
+    sim = simulation.Simulation(1, KINDS, entries=3, workers=6)
+    sim.schedule_load(3, 10, 0.8)
+    agent = sim.agent_by_name["agent-0"]
+    worker, born = agent.worker, agent.worker.born
+    life = lives.Return("b", 8_000, 0.5, 1.0, 2.0, is_renamed=True, crashes_again_s=0.1)
+    sim.time.call_later(5, lambda: lives.crash(sim, agent, life, is_at_start))
+    sim.run(60)
+    assert worker.crash_count == 2
+    assert worker.born > born
+    assert (worker.labels, worker.cpu) == (("b", lives.RACK), 8_000)
+    assert agent.executor.worker_info().worker == worker.name != "worker-0"
+    assert any(span.reason is None for span in worker.spans)
+    assert worker.faults == simworker.Faults()
