A run that an earlier life of a worker may have started is lost, not returned

Seen: a worker crashed when it had begun a task, before the start was answered, and was back 0.3 s later, unhealthy. Cause: the agent took the first list of the new life, which lacked the run, for a proof that the start had never been carried out. It queued the run again; the unhealthy worker refused it, and the agent reported RETURNED, "has not started". Where the worker was healthy, the agent started the run anew by itself. Evidence: agent's log of the untouched code, job 4e: run.starting 31.391, run.uncertain 31.392, worker.adopted 31.694, run.requeued 31.696, run.ended RETURNED unhealthy; the worker had begun it at 31.391. Three of three refused jobs of the case show this order. Change: a run keeps the start time of the life that its start was meant for. Once another life has confirmed a higher token and does not list the run, it ends as LOST: the start can't be carried out late any more, and what the earlier life ran has ended with it. Why it works: lists prove the absence of a start only for the life that they are of. In the same life nothing changes; a run that the new life does list goes on.

--- a/src/burdockgate/process/runs.py
+++ b/src/burdockgate/process/runs.py
@@ -35,6 +35,8 @@
     :param estimate_s: estimated run time.
     :param assignment: number of the message that assigned the run.
     :param token: fencing token of the last start command.
+    :param born: start time of the incarnation of the worker that the last start command
+        was meant for.
     :param stop_requested_at: since when the run must stop, or must not start; ``None``
         while it may run.
     :param stop_sent_at: when the last stop command was sent.
@@ -60,6 +62,7 @@
     assignment: int = 0
     state: RunState = RunState.QUEUED
     token: int = 0
+    born: int = 0
     stop_requested_at: float | None = None
     stop_sent_at: float = 0.0
     lease_limit: float = float("inf")
--- a/src/burdockgate/process/supervisor.py
+++ b/src/burdockgate/process/supervisor.py
@@ -210,6 +210,7 @@
         self, run: runs.Run, worker: incarnation.WorkerIncarnation, now: float
     ) -> Iterator[executoractions.Effect]:
         run.state, run.token = runs.RunState.STARTING, self._token
+        run.born = worker.heartbeat.born
         run.started_at = run.progressed_at = now
         yield actions.LogEvent(
             "run.starting",
@@ -447,7 +448,7 @@
         ended = list(self._end_finished(worker, snapshot))
         yield from ended
         yield from self._update_running(worker, snapshot)
-        yield from self._resolve_unlisted(command, snapshot)
+        yield from self._resolve_unlisted(worker, command, snapshot)
         is_current = command.token >= worker.first_token
         if (
             is_current
@@ -518,9 +519,17 @@
             )
 
     def _resolve_unlisted(
-        self, command: workercontrol.PollCommand, snapshot: workercontrol.Snapshot
+        self,
+        worker: incarnation.WorkerIncarnation,
+        command: workercontrol.PollCommand,
+        snapshot: workercontrol.Snapshot,
     ) -> Iterator[executoractions.Effect]:
-        """Requeue or end dispatched runs that the worker does not list as running."""
+        """Requeue or end dispatched runs that the worker does not list as running.
+
+        The lists show that a run has not started only if they are of the incarnation
+        that its start command was meant for. An earlier incarnation may have started
+        it, and what it ran ended with it.
+        """
         listed = {entry.key for entry in snapshot.running}
         for run in list(self._runs.dispatched()):
             if run.key in listed:
@@ -528,7 +537,11 @@
             if run.state is runs.RunState.UNCERTAIN and run.token < command.token:
                 # The worker has confirmed a higher token, so that it rejects the start
                 # command if that is still in flight.
-                if run.accepted_clock_ms:
+                if run.born != worker.heartbeat.born:
+                    yield from self._end_run(
+                        run, assignments.EndKind.LOST, "worker restarted"
+                    )
+                elif run.accepted_clock_ms:
                     yield from self._end_run(
                         run, assignments.EndKind.LOST, "fenced off"
                     )
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -514,6 +514,26 @@
     assert bench.executor.due_reports()[OWNER].used_cpu == 1000
 
 
+def test_start_without_an_answer_before_a_restart_is_lost_and_not_returned():
+    """The list of the new life was taken for a proof that the run had not started.
+
+    Its job was refused as not run, or the agent started the run again by itself.
+    """
+    bench = Bench()
+    (start,) = _of(executoractions.Start, bench.assign(0))
+    old_poll = bench.executor.next_poll()
+    list(bench.executor.handle_start_result(start.command, workercontrol.Unanswered()))
+    restarted = attrs.evolve(bench.heartbeat, born=9, sequence=1, clock_ms=10)
+    bench.clock_ms = 10
+    (poll,) = _of(executoractions.Poll, bench.executor.handle_heartbeat(restarted))
+    # Until the new life has confirmed a higher token, the start may still reach it.
+    assert _ends(bench.poll(born=9, command=old_poll)) == []
+    assert bench.executor.dispatched_count == 1
+    effects = bench.poll(born=9, command=poll.command)
+    assert [end.kind for end in _ends(effects)] == [assignments.EndKind.LOST]
+    assert _of(executoractions.Start, effects) == []
+
+
 def test_token_grows_across_a_restart_of_the_worker():
     """A late command to the earlier incarnation must not pass for a current one."""
     bench = Bench()
--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -71,3 +71,24 @@
     assert agent.executor.worker_info().worker == worker.name != "worker-0"
     assert any(span.reason is None for span in worker.spans)
     assert worker.faults == simworker.Faults()
+
+
+def _simulate(seed, faults, count):
+    sim = simulation.Simulation(seed, KINDS, entries=3, workers=6)
+    for number, agent in enumerate(sim.agent_by_name.values()):
+        agent.worker.labels = (lives.KINDS[number % 2], lives.RACK)
+    sim.schedule_load(3, 18, 0.3)
+    injected = faultinjection.schedule(sim, seed, 4, 16, count, faults)
+    sim.run(90)
+    return sim, injected
+
+
+@pytest.mark.parametrize("seed", [3, 15, 44, 51, 67])
+def test_job_whose_task_started_before_a_crash_is_not_refused_as_not_run(seed):
+    """The next life's list, which lacked the run, passed for a proof that it never was.
+
+    The worker crashed when the run had begun, and was unhealthy when it was back.
+    """
+    sim, injected = _simulate(seed, (lives.crash_worker,), 14)
+    found = list(invariants.violations(sim))
+    assert [text for text in found if text.startswith("refused")] == [], injected
