An agent checks service, label and size of a run again at its start

Cause: what a run requires was known to its entry host alone, which had chosen the worker by what it was before. The agent started what was queued, or on its way, on whatever worker it had by then; it compared only the free room, so a run larger than the whole new worker waited there in vain. The same holds for runs that wait for foreign runs to end, and for an assignment that crosses the adoption: one test for each, started before. Change: an assignment names the service and the label (protocol 7). The agent, which alone knows the worker's present kind, checks them with the whole capacity before each start and returns what doesn't fit: it was never sent, so "not run" is true. A run that fits stays. antiAffinity needs no check: entry hosts count assigned runs by agent, whose worker's restart does not change the count. Measured: the new tests failed before and pass.

--- a/src/burdockgate/assignments.py
+++ b/src/burdockgate/assignments.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-PROTOCOL = 6
+PROTOCOL = 7
 
 
 class WorkerState(enum.IntEnum):
@@ -184,12 +184,17 @@
 class Assign:
     """Runs of tasks of one step of a job for the agent's worker.
 
+    The agent's worker may have been replaced by another kind since the entry host chose
+    it, so the message says what the tasks require of it.
+
     :param number: number of runs assigned on the connection when the message is sent.
     :param spec: text that the worker gets with each task.
     :param indexes: numbers of the tasks in their step.
     :param runs: number of the run of each task.
     :param priority: 0 is served first.
     :param start_by_ms: time from now until the latest start that is on time.
+    :param service: service whose workers may run the tasks.
+    :param label: label that the worker must have; empty for any.
     """
 
     number: int
@@ -204,6 +209,8 @@
     priority: int
     start_by_ms: int
     estimate_ms: int
+    service: str
+    label: str
 
 
 @attrs.frozen
--- a/src/burdockgate/process/assigner.py
+++ b/src/burdockgate/process/assigner.py
@@ -293,6 +293,8 @@
                 submission.priority,
                 max(0, int((job.start_by() - now) * 1000)),
                 int(step.estimate_s * 1000),
+                submission.service,
+                step.label,
             ),
         )
 
--- a/src/burdockgate/process/executor.py
+++ b/src/burdockgate/process/executor.py
@@ -14,6 +14,7 @@
     actions,
     entrysessions,
     executoractions,
+    incarnation,
     runs,
     supervisor,
 )
@@ -237,6 +238,8 @@
                 now + message.start_by_ms / 1000,
                 message.estimate_ms / 1000,
                 now,
+                message.service,
+                message.label,
                 message.number,
             )
             yield from self._enqueue(run, session, now)
@@ -369,16 +372,16 @@
                 return
         elif state is not assignments.WorkerState.READY:
             return
-        heartbeat = worker.heartbeat
-        capacity = runs.Resources(heartbeat.cpu, heartbeat.memory_mb, heartbeat.gpu)
+        capacity = worker.capacity
         used = self._runs.used()
         queued = sorted(
             self._runs.queued(),
             key=lambda run: (run.start_by < now, run.priority, run.estimate_s),
         )
         for run in queued:
-            if now >= self.session_by_entry[run.owner].leased_until:
-                yield from self._return_run(run, "session lapsed")
+            reason = self._reason_to_return(run, worker, now)
+            if reason:
+                yield from self._return_run(run, reason)
             elif capacity.fits(used, run):
                 used.add(run)
                 self.session_by_entry[run.owner].last_start_at = now
@@ -386,6 +389,17 @@
                 if state is assignments.WorkerState.PROBATION:
                     return
 
+    def _reason_to_return(
+        self, run: runs.Run, worker: incarnation.WorkerIncarnation, now: float
+    ) -> str:
+        """Return why a queued run can never start here; empty if it may."""
+        if now >= self.session_by_entry[run.owner].leased_until:
+            return "session lapsed"
+        if not worker.can_run(run):
+            # The entry host chose the worker by what it was before a restart.
+            return "other kind of worker"
+        return ""
+
     def tick(self) -> Iterator[executoractions.Effect]:
         """Expire leases, check dispatched runs and start queued ones.
 
--- a/src/burdockgate/process/incarnation.py
+++ b/src/burdockgate/process/incarnation.py
@@ -5,7 +5,7 @@
 import attrs
 
 from burdockgate import assignments
-from burdockgate.process import executoractions, workercontrol
+from burdockgate.process import executoractions, runs, workercontrol
 
 # A worker that restarts after its clock was set back has an earlier start time than
 # before. It is adopted when heartbeats of it, sent every 1.5 s, have come for this long
@@ -67,6 +67,24 @@
         """
         return bool(self.stop_sent_at_by_foreign_run) or not self.is_synchronized
 
+    @property
+    def capacity(self) -> runs.Resources:
+        """The whole capacity of the worker."""
+        heartbeat = self.heartbeat
+        return runs.Resources(heartbeat.cpu, heartbeat.memory_mb, heartbeat.gpu)
+
+    def can_run(self, run: runs.Run) -> bool:
+        """Return whether the worker could run a task if it were idle.
+
+        :param run: a run of the task.
+        """
+        heartbeat = self.heartbeat
+        return (
+            run.service == heartbeat.service
+            and (not run.label or run.label in heartbeat.labels)
+            and self.capacity.fits(runs.Resources(), run)
+        )
+
     def record_heard(self, now: float) -> None:
         """Record that this incarnation is alive.
 
--- a/src/burdockgate/process/runs.py
+++ b/src/burdockgate/process/runs.py
@@ -33,6 +33,8 @@
     :param priority: smaller is started first.
     :param start_by: latest start that is on time.
     :param estimate_s: estimated run time.
+    :param service: service whose workers may run it.
+    :param label: label that the worker must have; empty for any.
     :param assignment: number of the message that assigned the run.
     :param token: fencing token of the last start command.
     :param born: start time of the incarnation of the worker that the last start command
@@ -59,6 +61,8 @@
     start_by: float
     estimate_s: float
     queued_at: float
+    service: str
+    label: str
     assignment: int = 0
     state: RunState = RunState.QUEUED
     token: int = 0
--- a/tests/test_boundary.py
+++ b/tests/test_boundary.py
@@ -222,6 +222,8 @@
             submission.priority,
             0,
             int(step.estimate_s * 1000),
+            submission.service,
+            step.label,
         )
         _assert_fits_the_wire(message)
         _assert_fits_the_wire(assignments.Demand(step.cpu * 10_000, 0))
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -37,7 +37,7 @@
         list(self.executor.handle_entry_connected(owner, 88))
         self.renew(owner)
 
-    def assign(self, *indexes, cpu=1000, job="job", run=1, owner=OWNER):
+    def assign(self, *indexes, cpu=1000, job="job", run=1, owner=OWNER, label=""):
         message = assignments.Assign(
             1,
             job,
@@ -51,6 +51,8 @@
             0,
             500,
             100,
+            "svc",
+            label,
         )
         return list(self.executor.handle_assignment(owner, message))
 
@@ -534,6 +536,65 @@
     assert _of(executoractions.Start, effects) == []
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"labels": ("a",)},
+        {"service": "other"},
+        {"cpu": 900},
+        {"memory_mb": 5},
+    ],
+    ids=lambda change: next(iter(change)),
+)
+def test_queued_run_is_returned_by_a_worker_that_came_back_as_another_kind(change):
+    """It was started without the label that it requires, or waited for room in vain."""
+    bench = Bench()
+    labelled = attrs.evolve(bench.heartbeat, labels=("b",), sequence=2)
+    list(bench.executor.handle_heartbeat(labelled))
+    (start,) = _of(executoractions.Start, bench.assign(0, label="b"))
+    bench.accept(start)
+    # A foreign run keeps the run of the next assignment in the queue.
+    foreign = assignments.RunKey(assignments.TaskKey("other", 0, 0), 1)
+    bench.poll(running=[KEY, foreign])
+    assert bench.assign(1, label="b") == []
+    restarted = attrs.evolve(labelled, born=9, sequence=1, clock_ms=10, **change)
+    bench.clock_ms = 10
+    (poll,) = _of(executoractions.Poll, bench.executor.handle_heartbeat(restarted))
+    effects = bench.poll(born=9, command=poll.command)
+    assert _of(executoractions.Start, effects) == []
+    kind_by_index = {end.key.task.index: end.kind for end in _ends(effects)}
+    assert kind_by_index == {
+        0: assignments.EndKind.LOST,
+        1: assignments.EndKind.RETURNED,
+    }
+
+
+def test_queued_run_stays_where_the_restarted_worker_is_of_the_same_kind():
+    """Giving up all work at each restart costs callers a second choice of worker."""
+    bench = Bench()
+    foreign = assignments.RunKey(assignments.TaskKey("other", 0, 0), 1)
+    bench.poll(running=[foreign])
+    assert bench.assign(1) == []
+    restarted = attrs.evolve(bench.heartbeat, born=9, sequence=1, clock_ms=10)
+    bench.clock_ms = 10
+    (poll,) = _of(executoractions.Poll, bench.executor.handle_heartbeat(restarted))
+    effects = bench.poll(born=9, command=poll.command)
+    (start,) = _of(executoractions.Start, effects)
+    assert start.command.key.task.index == 1
+
+
+def test_assignment_that_crossed_a_restart_is_returned():
+    """The entry host chose the worker by the labels of its earlier life."""
+    bench = Bench()
+    restarted = attrs.evolve(bench.heartbeat, born=9, labels=("a",), clock_ms=10)
+    bench.clock_ms = 10
+    (poll,) = _of(executoractions.Poll, bench.executor.handle_heartbeat(restarted))
+    bench.poll(born=9, command=poll.command)
+    effects = bench.assign(0, label="b")
+    assert _of(executoractions.Start, effects) == []
+    assert [end.kind for end in _ends(effects)] == [assignments.EndKind.RETURNED]
+
+
 def test_token_grows_across_a_restart_of_the_worker():
     """A late command to the earlier incarnation must not pass for a current one."""
     bench = Bench()
