A restarted worker gets no task before its first heartbeat

Cause: when a poll found the restart, the agent went on with the heartbeat of the life before, under the new start time, and was ready for tasks after one more poll. Evidence: in the model, worker.adopted and worker.ready 1 to 2 ms after the restart, run.starting from then on, the first heartbeat up to 1.5 s later. Change: a life that a poll has found is UNREACHABLE to entry hosts until a heartbeat of it has come (worker.described). Its runs and lists are handled as before. Why it works: each fact about a worker's kind is now of the life that gets the task. Measured: the new tests failed before (test_executor, 5 of 5 seeds in test_lives) and pass.

--- a/src/burdockgate/process/incarnation.py
+++ b/src/burdockgate/process/incarnation.py
@@ -19,7 +19,10 @@
 class WorkerIncarnation:
     """State of the worker since its last start; times in seconds of the agent's clock.
 
-    :param heartbeat: the newest heartbeat.
+    :param heartbeat: the newest heartbeat; that of an earlier incarnation, with the
+        start time of this one, until ``is_described``.
+    :param is_described: whether a heartbeat of this incarnation has come. Until then
+        nothing is known of its service, capacity and labels.
     :param clock_ms: newest known reading of the worker's clock.
     :param clock_read_at: when that reading arrived.
     :param last_processed_end: number of the last end processed; the next poll
@@ -45,6 +48,7 @@
     heartbeat: workercontrol.WorkerHeartbeat
     clock_ms: int
     clock_read_at: float
+    is_described: bool = True
     last_processed_end: int = 0
     last_answer_at: float = 0.0
     lease_ends_at: float = -1e9
--- a/src/burdockgate/process/supervisor.py
+++ b/src/burdockgate/process/supervisor.py
@@ -130,6 +130,11 @@
                 worker.record_heard(now)
                 if heartbeat.sequence > known.sequence:
                     worker.heartbeat = heartbeat
+                    if not worker.is_described:
+                        worker.is_described = True
+                        yield actions.LogEvent(
+                            "worker.described", {"worker": heartbeat.worker}
+                        )
                     if heartbeat.is_draining != known.is_draining:
                         yield actions.LogEvent(
                             "worker.draining", {"worker": heartbeat.worker}
@@ -139,15 +144,28 @@
         yield from self._adopt_worker(heartbeat, now)
 
     def _adopt_worker(
-        self, heartbeat: workercontrol.WorkerHeartbeat, now: float
+        self,
+        heartbeat: workercontrol.WorkerHeartbeat,
+        now: float,
+        is_described: bool = True,
     ) -> Iterator[executoractions.Effect]:
-        """Reset the state for another worker or a new incarnation of the same one."""
+        """Reset the state for another worker or a new incarnation of the same one.
+
+        :param heartbeat: heartbeat of the worker.
+        :param now: the time.
+        :param is_described: whether the worker has sent it itself.
+        """
         yield actions.LogEvent(
             "worker.adopted", {"worker": heartbeat.worker, "born": heartbeat.born}
         )
         previous = self._worker
         self._worker = incarnation.WorkerIncarnation(
-            heartbeat, heartbeat.clock_ms, now, last_answer_at=now, heard_at=now
+            heartbeat,
+            heartbeat.clock_ms,
+            now,
+            is_described,
+            last_answer_at=now,
+            heard_at=now,
         )
         # An earlier process of this agent may have extended the lease just now.
         self._worker.extend_lease(now, self._settings.worker_lease_s, self._settings)
@@ -186,7 +204,7 @@
     def worker_state(self) -> assignments.WorkerState:
         """Return whether new tasks may be assigned to the worker."""
         worker, now = self._worker, self._time.now()
-        if worker is None or not worker.is_synchronized:
+        if worker is None or not (worker.is_synchronized and worker.is_described):
             return assignments.WorkerState.UNREACHABLE
         if self.is_draining or worker.heartbeat.is_draining:
             return assignments.WorkerState.DRAINING
@@ -421,14 +439,17 @@
     ) -> Iterator[executoractions.Effect]:
         """Update the state of the worker and of all runs from the lists of a poll."""
         if snapshot.born > worker.heartbeat.born:
-            # The worker has restarted and has not sent a heartbeat since.
+            # The worker has restarted and has not sent a heartbeat since. It may be of
+            # another kind now.
             heartbeat = attrs.evolve(
                 worker.heartbeat,
                 born=snapshot.born,
                 sequence=-1,
                 clock_ms=snapshot.clock_ms,
             )
-            yield from self._adopt_worker(heartbeat, self._time.now())
+            yield from self._adopt_worker(
+                heartbeat, self._time.now(), is_described=False
+            )
             return
         if snapshot.born < worker.heartbeat.born or snapshot.clock_ms < worker.clock_ms:
             # An earlier incarnation answered, or a later answer overtook this one.
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -583,6 +583,22 @@
     assert start.command.key.task.index == 1
 
 
+def test_restarted_worker_gets_no_task_before_it_has_described_itself():
+    """Its earlier life's labels and capacity were used until its first heartbeat."""
+    bench = Bench()
+    bench.clock_ms = 20
+    (poll,) = _of(executoractions.Poll, bench.poll(born=2))
+    bench.poll(born=2, command=poll.command)
+    assert bench.executor.worker_state() is assignments.WorkerState.UNREACHABLE
+    assert _of(executoractions.Start, bench.assign(0)) == []
+    smaller = attrs.evolve(bench.heartbeat, born=2, sequence=1, cpu=500)
+    effects = list(bench.executor.handle_heartbeat(smaller))
+    # Entry hosts get a report after an effect only.
+    assert effects
+    assert bench.executor.worker_state() is assignments.WorkerState.READY
+    assert bench.executor.worker_info().cpu == 500
+
+
 def test_assignment_that_crossed_a_restart_is_returned():
     """The entry host chose the worker by the labels of its earlier life."""
     bench = Bench()
--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -92,3 +92,13 @@
     sim, injected = _simulate(seed, (lives.crash_worker,), 14)
     found = list(invariants.violations(sim))
     assert [text for text in found if text.startswith("refused")] == [], injected
+
+
+@pytest.mark.parametrize("seed", [0, 4, 6, 11, 19])
+def test_worker_that_came_back_is_not_taken_for_what_it_was(seed):
+    """Until its first heartbeat, a new life got runs by the labels of the one before.
+
+    It was also filled up to the capacity of that life.
+    """
+    sim, injected = _simulate(seed, (lives.crash_worker,), 14)
+    assert list(invariants.violations(sim)) == [], injected
