Nothing is started on a worker between a lost connection and the next poll

Cause: commands name the worker's identifier only. When a worker had crashed and come back under it, a start that the agent sent before its next poll reached the new life, of which it knew nothing, neither kind nor room. Change: a connection that ends or can't be made (not: an answer that does not come) puts the incarnation in doubt. The agent returns what is queued, reports UNREACHABLE, polls at once with a higher token, and starts nothing before a poll with that token has shown the start time of the same incarnation (worker.doubted). A crash breaks the poll in progress, so the agent hears of it before another process can accept connections. Why it works: between the break and the answer no start is sent, and an answer that was on its way has a lower token.

--- a/src/burdockgate/errors.py
+++ b/src/burdockgate/errors.py
@@ -61,6 +61,10 @@
     """A request was not answered; it may have taken effect, or may do so later."""
 
 
+class ConnectionLostError(UnansweredError):
+    """The connection ended before the answer; the server's process may have ended."""
+
+
 class HistoryExpiredError(BurdockgateError):
     """The requested records have been deleted from the log."""
 
--- a/src/burdockgate/platform/http.py
+++ b/src/burdockgate/platform/http.py
@@ -79,14 +79,14 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self._fail(f"malformed answer: {error}")
+            self._fail(errors.UnansweredError(f"malformed answer: {error}"))
             self.abort()
 
     def on_body(self, body: bytes) -> None:
         """Append to the body of the response; called by the parser."""
         self._body += body
         if len(self._body) > MAX_BODY_BYTES:
-            self._fail("answer is too large")
+            self._fail(errors.UnansweredError("answer is too large"))
             self.abort()
 
     def on_message_complete(self) -> None:
@@ -102,12 +102,12 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the request in progress; called by asyncio."""
         self.is_closed = True
-        self._fail(str(exc or "connection closed"))
+        self._fail(errors.ConnectionLostError(str(exc or "connection closed")))
 
-    def _fail(self, reason: str) -> None:
+    def _fail(self, error: errors.UnansweredError) -> None:
         response, self._response = self._response, None
         if response is not None and not response.done():
-            response.set_exception(errors.UnansweredError(reason))
+            response.set_exception(error)
 
     def abort(self) -> None:
         """Close the connection at once."""
@@ -154,6 +154,7 @@
         :raises errors.NotSentError: when no connection could be made or was free.
         :raises errors.UnansweredError: when no valid response came, so that the request
             may have been carried out.
+        :raises errors.ConnectionLostError: likewise, as the connection ended before.
         """
         request = self._encode(method, path, query, headers, body)
         try:
--- a/src/burdockgate/platform/worker.py
+++ b/src/burdockgate/platform/worker.py
@@ -151,6 +151,8 @@
             )
         except errors.NotSentError:
             return workercontrol.Refused(workercontrol.Refusal.NOT_SENT)
+        except errors.ConnectionLostError:
+            return workercontrol.Unanswered(is_connection_lost=True)
         except errors.UnansweredError:
             return workercontrol.Unanswered()
 
--- a/src/burdockgate/process/incarnation.py
+++ b/src/burdockgate/process/incarnation.py
@@ -34,8 +34,10 @@
         process. While there is such a run, no queued run is started.
     :param first_token: first token drawn for this incarnation. Once the worker has
         accepted a poll with it, every earlier command is fenced off.
-    :param is_synchronized: whether the runs at the worker are fully known, so that
-        tasks can be assigned.
+    :param confirmation_token: a poll with this token or a higher one was sent after a
+        connection to the worker was last lost, so that its answer shows whether the
+        worker has restarted; 0 while that is not in doubt.
+    :param is_synchronized: whether the runs at the worker are fully known.
     :param is_refusing_polls: whether the worker refused a poll as unhealthy since its
         last snapshot.
     :param is_poll_failing: whether the last poll returned no snapshot.
@@ -56,6 +58,7 @@
         factory=dict
     )
     first_token: int = 0
+    confirmation_token: int = 0
     is_synchronized: bool = False
     is_refusing_polls: bool = False
     is_poll_failing: bool = False
@@ -89,6 +92,16 @@
             and self.capacity.fits(runs.Resources(), run)
         )
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether a command reaches this incarnation and no later one."""
+        return not self.confirmation_token
+
+    @property
+    def is_known(self) -> bool:
+        """Whether its kind and its runs are known, so that tasks can be assigned."""
+        return self.is_synchronized and self.is_described and self.is_confirmed
+
     def record_heard(self, now: float) -> None:
         """Record that this incarnation is alive.
 
--- a/src/burdockgate/process/supervisor.py
+++ b/src/burdockgate/process/supervisor.py
@@ -204,7 +204,7 @@
     def worker_state(self) -> assignments.WorkerState:
         """Return whether new tasks may be assigned to the worker."""
         worker, now = self._worker, self._time.now()
-        if worker is None or not (worker.is_synchronized and worker.is_described):
+        if worker is None or not worker.is_known:
             return assignments.WorkerState.UNREACHABLE
         if self.is_draining or worker.heartbeat.is_draining:
             return assignments.WorkerState.DRAINING
@@ -266,6 +266,7 @@
         :param command: the command.
         :param result: the answer, or that there was none.
         """
+        yield from self._check_connection(result)
         run = self._runs.run_by_key.get(command.key)
         if run is None or run.state is not runs.RunState.STARTING:
             return
@@ -281,12 +282,14 @@
                 self._record_answer(clock_ms)
                 yield from self._handle_start_refusal(run, reason, clock_ms)
                 yield from self._start_queued()
-            case workercontrol.Unanswered():
+            case workercontrol.Unanswered(is_connection_lost):
                 run.state = runs.RunState.UNCERTAIN
                 yield actions.LogEvent(
                     "run.uncertain", {"run": run.key, "token": run.token}
                 )
-                yield from self._fence_commands()
+                if not is_connection_lost:
+                    # Otherwise the check of the connection has polled already.
+                    yield from self._fence_commands()
 
     def _handle_start_refusal(
         self, run: runs.Run, reason: workercontrol.Refusal, clock_ms: int
@@ -324,6 +327,29 @@
         self._token = max(self._token + 1, worker.clock_ms)
         yield from self._poll_now()
 
+    def _check_connection(
+        self, result: workercontrol.CommandResult | workercontrol.PollResult
+    ) -> Iterator[executoractions.Effect]:
+        """Start nothing more on a worker that may have restarted.
+
+        Until a poll has shown that it has not, a start could reach a later incarnation,
+        of which nothing is known.
+
+        :param result: the result of a command or a poll.
+        """
+        worker = self._worker
+        if worker is None or not workercontrol.may_have_restarted(result):
+            return
+        was_confirmed = worker.is_confirmed
+        self._token = max(self._token + 1, worker.clock_ms)
+        worker.confirmation_token = self._token
+        if was_confirmed:
+            yield actions.LogEvent(
+                "worker.doubted", {"worker": worker.heartbeat.worker}
+            )
+            yield from self._return_queued("connection to the worker lost")
+            yield from self._poll_now()
+
     def _stop_run(self, run: runs.Run, reason: str) -> Iterator[executoractions.Effect]:
         """Return a queued run, or stop a dispatched one once its start is answered."""
         if run.state is runs.RunState.QUEUED:
@@ -353,6 +379,7 @@
         :param command: the command.
         :param result: the answer, or that there was none.
         """
+        yield from self._check_connection(result)
         if isinstance(result, workercontrol.Unanswered):
             run = self._runs.run_by_key.get(command.key)
             if run is not None and self._is_stop_due(run, MIN_STOP_INTERVAL_S):
@@ -415,6 +442,7 @@
         if isinstance(result, workercontrol.Snapshot):
             yield from self._apply_snapshot(worker, command, result)
             return
+        yield from self._check_connection(result)
         if not worker.is_poll_failing:
             worker.is_poll_failing = True
             yield actions.LogEvent("worker.lost", {"reason": _poll_failure(result)})
@@ -454,6 +482,8 @@
         if snapshot.born < worker.heartbeat.born or snapshot.clock_ms < worker.clock_ms:
             # An earlier incarnation answered, or a later answer overtook this one.
             return
+        if command.token >= worker.confirmation_token:
+            worker.confirmation_token = 0
         self._record_answer(snapshot.clock_ms)
         worker.record_heard(self._time.now())
         worker.is_refusing_polls = False
--- a/src/burdockgate/process/workercontrol.py
+++ b/src/burdockgate/process/workercontrol.py
@@ -121,7 +121,13 @@
 
 @attrs.frozen
 class Unanswered:
-    """No answer: the command may have been carried out, or may still be."""
+    """No answer: the command may have been carried out, or may still be.
+
+    :param is_connection_lost: whether the connection ended, as it does with the
+        worker's process.
+    """
+
+    is_connection_lost: bool = False
 
 
 @attrs.frozen
@@ -173,6 +179,21 @@
     unreadable: int = 0
 
 
+def may_have_restarted(result: CommandResult | PollResult) -> bool:
+    """Return whether the worker's process may have ended since it was last heard of.
+
+    Then another incarnation may accept connections by now.
+
+    :param result: the result of a command or a poll.
+    """
+    match result:
+        case Unanswered(is_connection_lost):
+            return is_connection_lost
+        case Refused(reason):
+            return reason is Refusal.NOT_SENT
+    return False
+
+
 CommandResult = Accepted | Refused | Unanswered
 PollResult = Snapshot | Refused | Unanswered
 
--- a/src/burdockgate/standin/simnodes.py
+++ b/src/burdockgate/standin/simnodes.py
@@ -284,7 +284,7 @@
         def arrive() -> None:
             if worker.crash_count != crash_count:
                 # The connection broke when the worker crashed.
-                finish(workercontrol.Unanswered())
+                finish(workercontrol.Unanswered(is_connection_lost=True))
             elif self.worker.faults.unanswered_share and self.worker.is_command_lost():
                 late_s = self.sim.rng.uniform(*simworker.LATE_DELAY_RANGE_S)
                 time.call_later(late_s, lambda: self.worker.poll(command, _discard))
@@ -340,7 +340,8 @@
         def answer(result: workercontrol.CommandResult) -> None:
             # The connection breaks when the worker crashes.
             is_broken = worker.crash_count != crash_count
-            finish(workercontrol.Unanswered() if is_broken else result)
+            broken = workercontrol.Unanswered(is_connection_lost=True)
+            finish(broken if is_broken else result)
 
         if faults.is_unreachable:
             time.call_later(
--- a/src/burdockgate/standin/simworker.py
+++ b/src/burdockgate/standin/simworker.py
@@ -142,7 +142,7 @@
         self.faults.crashes_at_start = False
         broken, self._broken_polls = self._broken_polls, []
         for send_result in broken:
-            send_result(workercontrol.Unanswered())
+            send_result(workercontrol.Unanswered(is_connection_lost=True))
 
     def start_again(self, first_heartbeat_s: float) -> None:
         """Start as a new incarnation after a crash.
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -599,6 +599,43 @@
     assert bench.executor.worker_info().cpu == 500
 
 
+@pytest.mark.parametrize(
+    "result",
+    [
+        workercontrol.Unanswered(is_connection_lost=True),
+        workercontrol.Refused(workercontrol.Refusal.NOT_SENT),
+    ],
+    ids=["connection lost", "not sent"],
+)
+@pytest.mark.parametrize("source", ["start", "poll"])
+def test_nothing_starts_between_a_lost_connection_and_the_next_poll(source, result):
+    """A start reached the next life of the worker, of another kind, unseen by then."""
+    bench = Bench()
+    (start,) = _of(executoractions.Start, bench.assign(0))
+    old_poll = bench.executor.next_poll()
+    if source == "start":
+        effects = list(bench.executor.handle_start_result(start.command, result))
+    else:
+        bench.accept(start)
+        effects = list(bench.executor.handle_poll_result(old_poll, result))
+    (poll,) = {effect.command for effect in _of(executoractions.Poll, effects)}
+    assert bench.executor.worker_state() is assignments.WorkerState.UNREACHABLE
+    assert _of(executoractions.Start, bench.assign(1)) == []
+    # An answer that was on its way may be of the life that has ended.
+    bench.poll(running=[KEY], command=old_poll)
+    assert bench.executor.worker_state() is assignments.WorkerState.UNREACHABLE
+    bench.poll(running=[KEY], command=poll)
+    assert bench.executor.worker_state() is assignments.WorkerState.READY
+
+
+def test_silent_worker_is_not_taken_for_one_that_has_restarted():
+    """Workers that leave commands unanswered would get no tasks for seconds."""
+    bench = Bench()
+    (start,) = _of(executoractions.Start, bench.assign(0))
+    list(bench.executor.handle_start_result(start.command, workercontrol.Unanswered()))
+    assert bench.executor.worker_state() is assignments.WorkerState.READY
+
+
 def test_assignment_that_crossed_a_restart_is_returned():
     """The entry host chose the worker by the labels of its earlier life."""
     bench = Bench()
--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -102,3 +102,25 @@
     """
     sim, injected = _simulate(seed, (lives.crash_worker,), 14)
     assert list(invariants.violations(sim)) == [], injected
+
+
+@pytest.mark.parametrize("seed", [33, 70, 78])
+def test_start_does_not_reach_a_life_of_the_worker_that_nobody_knows_yet(seed):
+    """It was sent to the life before, after that had ended and before a poll."""
+    sim, injected = _simulate(seed, (lives.crash_worker,), 14)
+    assert list(invariants.violations(sim)) == [], injected
+
+
+WITH_LATE_COMMANDS = (*(lives.crash_worker,) * 2, faultinjection.lose_commands)
+WITH_NEW_AGENTS = (*WITH_LATE_COMMANDS, faultinjection.restart_agent)
+
+
+@pytest.mark.parametrize("faults", [WITH_LATE_COMMANDS, WITH_NEW_AGENTS])
+@pytest.mark.parametrize("seed", [4, 7, 14, 58])
+def test_lives_of_workers_beside_late_commands_and_new_agents(seed, faults):
+    """A start for the life before may be carried out late by the next one.
+
+    An agent that has just started knows nothing of that start.
+    """
+    sim, injected = _simulate(seed, faults, 14)
+    assert list(invariants.violations(sim)) == [], injected
