Draw fencing tokens from the worker's start time and clock, and find higher ones fast

Cause: a token was the worker's clock alone, which starts anew in each life. An agent carried the higher token of a life before into the next one, and its successor, which knew the present clock only, stayed below it and raised its token by one a poll. Where agent and worker both restarted, the successor's tokens were below those of starts that were still on their way, so that nothing fenced them. Change: a token is the start time of the worker's life plus its clock, Unix ms (module tokens). It isn't carried on to a worker with another identifier, which no earlier command can reach. Each refusal in succession doubles the step to the next token. Why it works: a later life starts later, so tokens grow over restarts of both without a store; where a clock was set back, at most 60 polls find the token that the worker has. Measured: the new tests failed before and pass.

--- a/src/burdockgate/process/supervisor.py
+++ b/src/burdockgate/process/supervisor.py
@@ -18,6 +18,7 @@
     executoractions,
     incarnation,
     runs,
+    tokens,
     workercontrol,
     workerhealth,
 )
@@ -59,7 +60,7 @@
         self._worker: incarnation.WorkerIncarnation | None = None
         self._runs = runs.RunTable()
         self._health = workerhealth.WorkerHealth()
-        self._token = 0
+        self._tokens = tokens.TokenSource()
         self.is_draining = False
         # Whether the data centre of the worker is being emptied.
         self.is_evacuated = False
@@ -159,6 +160,9 @@
             "worker.adopted", {"worker": heartbeat.worker, "born": heartbeat.born}
         )
         previous = self._worker
+        is_same_worker = (
+            previous is not None and previous.heartbeat.worker == heartbeat.worker
+        )
         self._worker = incarnation.WorkerIncarnation(
             heartbeat,
             heartbeat.clock_ms,
@@ -171,7 +175,7 @@
         self._worker.extend_lease(now, self._settings.worker_lease_s, self._settings)
         self._health = workerhealth.WorkerHealth()
         for run in list(self._runs.dispatched()):
-            if previous is not None and previous.heartbeat.worker == heartbeat.worker:
+            if is_same_worker:
                 # Commands name only the identifier of the worker, so a start may have
                 # reached the new incarnation.
                 run.state = runs.RunState.UNCERTAIN
@@ -179,11 +183,8 @@
                 yield from self._end_run(
                     run, assignments.EndKind.LOST, "worker replaced"
                 )
-        # Tokens are not stored: they start at the worker's clock, in ms. An earlier
-        # process of this agent derived its tokens from earlier readings, and the clock
-        # is monotonic within one incarnation, so this token exceeds all of them.
-        self._token = max(self._token + 1, heartbeat.clock_ms)
-        self._worker.first_token = self._token
+        self._tokens.adopt(heartbeat, is_same_worker)
+        self._worker.first_token = self._tokens.current
         yield from self._poll_now()
 
     def worker_info(self) -> assignments.WorkerInfo | None:
@@ -227,7 +228,7 @@
     def _start_run(
         self, run: runs.Run, worker: incarnation.WorkerIncarnation, now: float
     ) -> Iterator[executoractions.Effect]:
-        run.state, run.token = runs.RunState.STARTING, self._token
+        run.state, run.token = runs.RunState.STARTING, self._tokens.current
         run.born = worker.heartbeat.born
         run.started_at = run.progressed_at = now
         yield actions.LogEvent(
@@ -300,11 +301,7 @@
         if run.is_stopping:
             yield from self._end_run(run, assignments.EndKind.RETURNED, "stopped")
         elif reason is workercontrol.Refusal.FENCED:
-            if run.token >= self._token:
-                self._token = max(self._token + 1, clock_ms)
-                yield actions.LogEvent(
-                    "token.raised", {"token": self._token, "reason": "fenced"}
-                )
+            yield from self._handle_fencing(run.token, clock_ms, "fenced")
         elif reason is workercontrol.Refusal.LATE:
             yield actions.LogEvent("run.late", {"run": run.key, "clock_ms": clock_ms})
         else:
@@ -324,9 +321,24 @@
         worker = self._worker
         if worker is None:
             return
-        self._token = max(self._token + 1, worker.clock_ms)
+        self._tokens.advance(worker.heartbeat.born, worker.clock_ms)
         yield from self._poll_now()
 
+    def _handle_fencing(
+        self, token: int, clock_ms: int, reason: str
+    ) -> Iterator[executoractions.Effect]:
+        """Draw a higher token after the worker has refused one.
+
+        :param token: the token that it refused.
+        :param clock_ms: its clock.
+        :param reason: reason for the log.
+        """
+        born = self._worker.heartbeat.born if self._worker is not None else 0
+        if self._tokens.refuse(token, born, clock_ms):
+            yield actions.LogEvent(
+                "token.raised", {"token": self._tokens.current, "reason": reason}
+            )
+
     def _check_connection(
         self, result: workercontrol.CommandResult | workercontrol.PollResult
     ) -> Iterator[executoractions.Effect]:
@@ -341,8 +353,8 @@
         if worker is None or not workercontrol.may_have_restarted(result):
             return
         was_confirmed = worker.is_confirmed
-        self._token = max(self._token + 1, worker.clock_ms)
-        worker.confirmation_token = self._token
+        self._tokens.advance(worker.heartbeat.born, worker.clock_ms)
+        worker.confirmation_token = self._tokens.current
         if was_confirmed:
             yield actions.LogEvent(
                 "worker.doubted", {"worker": worker.heartbeat.worker}
@@ -368,7 +380,9 @@
         if worker is not None:
             run.stop_sent_at = self._time.now()
             yield executoractions.Stop(
-                workercontrol.StopCommand(worker.heartbeat.worker, run.key, self._token)
+                workercontrol.StopCommand(
+                    worker.heartbeat.worker, run.key, self._tokens.current
+                )
             )
 
     def handle_stop_result(
@@ -384,14 +398,9 @@
             run = self._runs.run_by_key.get(command.key)
             if run is not None and self._is_stop_due(run, MIN_STOP_INTERVAL_S):
                 yield from self._send_stop(run)
-        if isinstance(result, workercontrol.Refused) and (
-            result.reason is workercontrol.Refusal.FENCED
-            and command.token >= self._token
-        ):
-            self._token = max(self._token + 1, result.clock_ms)
-            yield actions.LogEvent(
-                "token.raised", {"token": self._token, "reason": "fenced stop"}
-            )
+        match result:
+            case workercontrol.Refused(workercontrol.Refusal.FENCED, clock_ms):
+                yield from self._handle_fencing(command.token, clock_ms, "fenced stop")
 
     def next_poll(self) -> workercontrol.PollCommand | None:
         """Return the next regular poll, or ``None`` while no worker is known."""
@@ -417,7 +426,7 @@
             lease_until_ms = worker.extend_lease(now, lease_s, self._settings)
         return workercontrol.PollCommand(
             worker.heartbeat.worker,
-            self._token,
+            self._tokens.current,
             worker.last_processed_end,
             lease_until_ms,
             0 if is_silent else int(wait_s * 1000),
@@ -449,11 +458,7 @@
         match result:
             case workercontrol.Refused(workercontrol.Refusal.FENCED, clock_ms):
                 self._record_answer(clock_ms)
-                if command.token >= self._token:
-                    self._token = max(self._token + 1, clock_ms)
-                    yield actions.LogEvent(
-                        "token.raised", {"token": self._token, "reason": "fenced look"}
-                    )
+                yield from self._handle_fencing(command.token, clock_ms, "fenced look")
             case workercontrol.Refused(workercontrol.Refusal.UNHEALTHY, _):
                 worker.is_refusing_polls = True
             case workercontrol.Unanswered():
@@ -484,6 +489,7 @@
             return
         if command.token >= worker.confirmation_token:
             worker.confirmation_token = 0
+        self._tokens.confirm()
         self._record_answer(snapshot.clock_ms)
         worker.record_heard(self._time.now())
         worker.is_refusing_polls = False
@@ -566,7 +572,9 @@
             worker.stop_sent_at_by_foreign_run[key] = now
             yield actions.LogEvent("run.foreign", {"run": key})
             yield executoractions.Stop(
-                workercontrol.StopCommand(worker.heartbeat.worker, key, self._token)
+                workercontrol.StopCommand(
+                    worker.heartbeat.worker, key, self._tokens.current
+                )
             )
 
     def _resolve_unlisted(
--- a/src/burdockgate/standin/simworker.py
+++ b/src/burdockgate/standin/simworker.py
@@ -101,7 +101,8 @@
         self.silent_until = 0.0
         # Lets the worker crash, and decides what comes back.
         self.on_crash: Callable[[], None] = self.crash
-        self.born = 1
+        # Start time in milliseconds of the virtual clock.
+        self.born = int((time.now() - 1.0) * 1000)
         self.faults = Faults()
         self.spans: list[Span] = []
         self._speed = speed
@@ -151,7 +152,7 @@
         """
         self._reset()
         self.silent_until = self._time.now() + first_heartbeat_s
-        self.born = max(self.born + 1, int(self._time.now() * 1000))
+        self.born = max(self.born + 1, int(self._started_at * 1000))
         self.is_up = True
 
     @property
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -669,6 +669,18 @@
     assert again.command.token >= 9000
 
 
+def test_poll_that_is_refused_doubles_the_step_to_the_next_token():
+    """An agent whose worker had seen a far higher token was fenced out for minutes."""
+    bench = Bench()
+    seen, polls = bench.executor.next_poll().token + 100_000, 0
+    while (command := bench.executor.next_poll()).token < seen:
+        bench.advance(0.05)
+        refusal = workercontrol.Refused(workercontrol.Refusal.FENCED, bench.clock_ms)
+        list(bench.executor.handle_poll_result(command, refusal))
+        polls += 1
+    assert polls < 30
+
+
 def test_run_of_another_owner_keeps_a_task_from_starting_twice():
     """A job may be submitted to another entry host while its tasks still run."""
     bench = Bench()
--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -116,7 +116,8 @@
 
 
 @pytest.mark.parametrize("faults", [WITH_LATE_COMMANDS, WITH_NEW_AGENTS])
-@pytest.mark.parametrize("seed", [4, 7, 14, 58])
+# Seed 78: a start of the earlier agent process had a higher token than the new one.
+@pytest.mark.parametrize("seed", [4, 7, 14, 58, 78])
 def test_lives_of_workers_beside_late_commands_and_new_agents(seed, faults):
     """A start for the life before may be carried out late by the next one.
 
