A refusal by an earlier life of a worker does not set the clock of the next one

Cause, found by reading for the twins of the faults before: the clock in the answer to a refused poll was recorded for the worker's present life, whichever life had answered. The clock of an earlier life is ahead, so that all lists of the new one counted as overtaken by a later answer, and the worker was out of use until its clock had caught up. Change: the clock counts only if the poll was sent in this life, which its token shows. The answers to starts and stops record none over a restart already. Measured: the new test failed before and passes.

--- a/src/burdockgate/process/supervisor.py
+++ b/src/burdockgate/process/supervisor.py
@@ -457,7 +457,9 @@
             yield actions.LogEvent("worker.lost", {"reason": _poll_failure(result)})
         match result:
             case workercontrol.Refused(workercontrol.Refusal.FENCED, clock_ms):
-                self._record_answer(clock_ms)
+                if command.token >= worker.first_token:
+                    # Otherwise an earlier incarnation may have answered.
+                    self._record_answer(clock_ms)
                 yield from self._handle_fencing(command.token, clock_ms, "fenced look")
             case workercontrol.Refused(workercontrol.Refusal.UNHEALTHY, _):
                 worker.is_refusing_polls = True
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -669,6 +669,19 @@
     assert again.command.token >= 9000
 
 
+def test_refusal_by_an_earlier_life_does_not_set_the_clock_of_the_next():
+    """All lists of the new life passed for overtaken ones until its clock caught up."""
+    bench = Bench()
+    old_poll = bench.executor.next_poll()
+    restarted = attrs.evolve(bench.heartbeat, born=9, sequence=1, clock_ms=10)
+    (poll,) = _of(executoractions.Poll, bench.executor.handle_heartbeat(restarted))
+    refusal = workercontrol.Refused(workercontrol.Refusal.FENCED, bench.clock_ms)
+    list(bench.executor.handle_poll_result(old_poll, refusal))
+    bench.clock_ms = 20
+    bench.poll(born=9, command=poll.command)
+    assert bench.executor.worker_state() is assignments.WorkerState.READY
+
+
 def test_poll_that_is_refused_doubles_the_step_to_the_next_token():
     """An agent whose worker had seen a far higher token was fenced out for minutes."""
     bench = Bench()
