A lost connection to a replaced worker casts no doubt on the next one

Cause, found in the read-through: the check of the connection took the result of a command to the worker before for one to the present worker, which was then out of use until its next poll, and lost its queue. Change: the check compares the worker that the command was meant for. Measured: the new test, a stop to the replaced worker, failed before and passes.

--- a/src/burdockgate/process/supervisor.py
+++ b/src/burdockgate/process/supervisor.py
@@ -267,7 +267,7 @@
         :param command: the command.
         :param result: the answer, or that there was none.
         """
-        yield from self._check_connection(result)
+        yield from self._check_connection(command.worker, result)
         run = self._runs.run_by_key.get(command.key)
         if run is None or run.state is not runs.RunState.STARTING:
             return
@@ -340,17 +340,22 @@
             )
 
     def _check_connection(
-        self, result: workercontrol.CommandResult | workercontrol.PollResult
+        self,
+        name: str,
+        result: workercontrol.CommandResult | workercontrol.PollResult,
     ) -> Iterator[executoractions.Effect]:
         """Start nothing more on a worker that may have restarted.
 
         Until a poll has shown that it has not, a start could reach a later incarnation,
         of which nothing is known.
 
-        :param result: the result of a command or a poll.
+        :param name: identifier of the worker that the command or poll was meant for.
+        :param result: its result.
         """
         worker = self._worker
-        if worker is None or not workercontrol.may_have_restarted(result):
+        if worker is None or worker.heartbeat.worker != name:
+            return
+        if not workercontrol.may_have_restarted(result):
             return
         was_confirmed = worker.is_confirmed
         self._tokens.advance(worker.heartbeat.born, worker.clock_ms)
@@ -393,7 +398,7 @@
         :param command: the command.
         :param result: the answer, or that there was none.
         """
-        yield from self._check_connection(result)
+        yield from self._check_connection(command.worker, result)
         if isinstance(result, workercontrol.Unanswered):
             run = self._runs.run_by_key.get(command.key)
             if run is not None and self._is_stop_due(run, MIN_STOP_INTERVAL_S):
@@ -451,7 +456,7 @@
         if isinstance(result, workercontrol.Snapshot):
             yield from self._apply_snapshot(worker, command, result)
             return
-        yield from self._check_connection(result)
+        yield from self._check_connection(command.worker, result)
         if not worker.is_poll_failing:
             worker.is_poll_failing = True
             yield actions.LogEvent("worker.lost", {"reason": _poll_failure(result)})
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -628,6 +628,21 @@
     assert bench.executor.worker_state() is assignments.WorkerState.READY
 
 
+def test_connection_to_a_replaced_worker_casts_no_doubt_on_the_next_one():
+    """The next worker would report that it can't be reached, and return its queue."""
+    bench = Bench()
+    old_poll = bench.executor.next_poll()
+    newer = attrs.evolve(bench.heartbeat, worker="i-2", born=9, clock_ms=10)
+    (poll,) = _of(executoractions.Poll, bench.executor.handle_heartbeat(newer))
+    bench.clock_ms = 20
+    bench.poll(born=9, command=poll.command)
+    lost = workercontrol.Unanswered(is_connection_lost=True)
+    list(bench.executor.handle_poll_result(old_poll, lost))
+    stop = workercontrol.StopCommand("i-1", KEY, old_poll.token)
+    list(bench.executor.handle_stop_result(stop, lost))
+    assert bench.executor.worker_state() is assignments.WorkerState.READY
+
+
 def test_silent_worker_is_not_taken_for_one_that_has_restarted():
     """Workers that leave commands unanswered would get no tasks for seconds."""
     bench = Bench()
