Progress of a run counts from its own life of the worker

Cause, found by going through the fields that pass a restart: a run that a late start had begun anew in the next life was compared with the share done in the life before, counted as stalled, and was stopped with the worker ejected. Change: the share is 0 again when a life is adopted. Measured: the new test failed before and passes.

--- a/src/burdockgate/process/workerwatch.py
+++ b/src/burdockgate/process/workerwatch.py
@@ -161,6 +161,8 @@
                 # Commands name only the identifier of the worker, so a start may have
                 # reached the new incarnation.
                 run.state = runs.RunState.UNCERTAIN
+                # The new incarnation would begin it from the start.
+                run.percent, run.progressed_at = 0, now
             else:
                 yield from self._end_run(
                     run, assignments.EndKind.LOST, "worker replaced"
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -56,13 +56,13 @@
         )
         return list(self.executor.handle_assignment(owner, message))
 
-    def poll(self, running=(), finished=(), born=1, command=None):
+    def poll(self, running=(), finished=(), born=1, command=None, percent=1):
         command = command or self.executor.next_poll()
         self.clock_ms += 1
         snapshot = workercontrol.Snapshot(
             self.clock_ms,
             born,
-            tuple(workercontrol.RunningEntry(key, 1) for key in running),
+            tuple(workercontrol.RunningEntry(key, percent) for key in running),
             tuple(finished),
         )
         return list(self.executor.handle_poll_result(command, snapshot))
@@ -663,6 +663,23 @@
     assert [end.kind for end in _ends(effects)] == [assignments.EndKind.RETURNED]
 
 
+def test_run_that_began_again_in_the_next_life_is_not_taken_for_a_stalled_one():
+    """Its progress was compared with that of the life before, and it was stopped."""
+    bench = Bench()
+    (start,) = _of(executoractions.Start, bench.assign(0))
+    bench.accept(start)
+    bench.poll(running=[KEY], percent=90)
+    restarted = attrs.evolve(bench.heartbeat, born=9, sequence=1, clock_ms=10)
+    bench.clock_ms = 10
+    (poll,) = _of(executoractions.Poll, bench.executor.handle_heartbeat(restarted))
+    bench.poll(running=[KEY], born=9, command=poll.command)
+    for step in range(12):
+        bench.advance(0.1)
+        bench.renew()
+        bench.poll(running=[KEY], born=9, percent=2 + step)
+        assert _of(executoractions.Stop, bench.executor.tick()) == []
+
+
 def test_token_grows_across_a_restart_of_the_worker():
     """A late command to the earlier incarnation must not pass for a current one."""
     bench = Bench()
