--- a/src/burdockgate/standin/lives.py
+++ b/src/burdockgate/standin/lives.py
@@ -13,12 +13,21 @@
 CAPACITIES = (8_000, 16_000, 24_000)
 RACK = "r1"
 MAX_DOWN_S = 3.0
+# A process that is supervised is back sooner than a machine.
+MAX_SUPERVISED_DOWN_S = 0.4
+MAX_UNHEALTHY_S = 3.0
+MAX_TIME_TO_NEXT_CRASH_S = 0.5
+# Probabilities of what a crash is like.
+AT_START_SHARE = 0.6
+CHANGED_SHARE = 0.5
+RENAMED_SHARE = 0.3
+TWICE_SHARE = 0.3
 # Interval of the heartbeats; the first one of a life comes within it.
 MAX_FIRST_HEARTBEAT_S = 1.5
 
 
 @attrs.frozen
-class Return:
+class NextLife:
     """How a worker comes back after a crash.
 
     :param down_s: time until its new incarnation starts.
@@ -41,29 +50,38 @@
     """Let a worker crash, at once or amid its next start, and come back."""
     agent = rng.choice(list(sim.agent_by_name.values()))
     life = _draw(agent, rng)
-    is_at_start = rng.random() < 0.6
+    is_at_start = rng.random() < AT_START_SHARE
     crash(sim, agent, life, is_at_start)
-    return f"crash {agent.worker.name} {'at a start' if is_at_start else ''} {life}"
+    moment = "at a start" if is_at_start else "at once"
+    return f"crash {agent.worker.name} {moment}, {life}"
 
 
-def _draw(agent: simnodes.SimulatedAgent, rng: random.Random) -> Return:
+def _draw(agent: simnodes.SimulatedAgent, rng: random.Random) -> NextLife:
     worker = agent.worker
-    is_changed = rng.random() < 0.5
-    return Return(
+    is_changed = rng.random() < CHANGED_SHARE
+    return NextLife(
         rng.choice(KINDS) if is_changed else worker.labels[0],
         rng.choice(CAPACITIES) if is_changed else worker.cpu,
-        rng.choice((0.0, rng.uniform(0, 0.4), rng.uniform(0, MAX_DOWN_S))),
+        rng.choice(
+            (
+                0.0,
+                rng.uniform(0, MAX_SUPERVISED_DOWN_S),
+                rng.uniform(0, MAX_DOWN_S),
+            )
+        ),
         rng.choice((0.0, rng.uniform(0, MAX_FIRST_HEARTBEAT_S))),
-        rng.choice((0.0, rng.uniform(0, 3.0))),
-        rng.random() < 0.3,
-        rng.uniform(0, 0.5) if rng.random() < 0.3 else None,
+        rng.choice((0.0, rng.uniform(0, MAX_UNHEALTHY_S))),
+        rng.random() < RENAMED_SHARE,
+        rng.uniform(0, MAX_TIME_TO_NEXT_CRASH_S)
+        if rng.random() < TWICE_SHARE
+        else None,
     )
 
 
 def crash(
     sim: simulation.Simulation,
     agent: simnodes.SimulatedAgent,
-    life: Return,
+    life: NextLife,
     is_at_start: bool = False,
 ) -> None:
     """Let a worker crash and come back.
--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -22,12 +22,13 @@
 KINDS = (attrs.evolve(SHORT, label="b"), MEDIUM, attrs.evolve(LONG, label="b"))
 
 
-def _simulate(seed, faults=(lives.crash_worker,), count=12):
+def _simulate(seed, faults=(lives.crash_worker,)):
+    """Play 14 faults within 12 s on six workers, and return them as well."""
     sim = simulation.Simulation(seed, KINDS, entries=3, workers=6)
     for number, agent in enumerate(sim.agent_by_name.values()):
         agent.worker.labels = (lives.KINDS[number % 2], lives.RACK)
     sim.schedule_load(3, 18, 0.3)
-    injected = faultinjection.schedule(sim, seed, 4, 16, count, faults)
+    injected = faultinjection.schedule(sim, seed, 4, 16, 14, faults)
     sim.run(90)
     return sim, injected
 
@@ -62,7 +63,9 @@
     sim.schedule_load(3, 10, 0.8)
     agent = sim.agent_by_name["agent-0"]
     worker, born = agent.worker, agent.worker.born
-    life = lives.Return("b", 8_000, 0.5, 1.0, 2.0, is_renamed=True, crashes_again_s=0.1)
+    life = lives.NextLife(
+        "b", 8_000, 0.5, 1.0, 2.0, is_renamed=True, crashes_again_s=0.1
+    )
     sim.time.call_later(5, lambda: lives.crash(sim, agent, life, is_at_start))
     sim.run(60)
     assert worker.crash_count == 2
@@ -73,23 +76,13 @@
     assert worker.faults == simworker.Faults()
 
 
-def _simulate(seed, faults, count):
-    sim = simulation.Simulation(seed, KINDS, entries=3, workers=6)
-    for number, agent in enumerate(sim.agent_by_name.values()):
-        agent.worker.labels = (lives.KINDS[number % 2], lives.RACK)
-    sim.schedule_load(3, 18, 0.3)
-    injected = faultinjection.schedule(sim, seed, 4, 16, count, faults)
-    sim.run(90)
-    return sim, injected
-
-
 @pytest.mark.parametrize("seed", [3, 15, 44, 51, 67])
 def test_job_whose_task_started_before_a_crash_is_not_refused_as_not_run(seed):
     """The next life's list, which lacked the run, passed for a proof that it never was.
 
     The worker crashed when the run had begun, and was unhealthy when it was back.
     """
-    sim, injected = _simulate(seed, (lives.crash_worker,), 14)
+    sim, injected = _simulate(seed)
     found = list(invariants.violations(sim))
     assert [text for text in found if text.startswith("refused")] == [], injected
 
@@ -100,14 +93,14 @@
 
     It was also filled up to the capacity of that life.
     """
-    sim, injected = _simulate(seed, (lives.crash_worker,), 14)
+    sim, injected = _simulate(seed)
     assert list(invariants.violations(sim)) == [], injected
 
 
 @pytest.mark.parametrize("seed", [33, 70, 78])
 def test_start_does_not_reach_a_life_of_the_worker_that_nobody_knows_yet(seed):
     """It was sent to the life before, after that had ended and before a poll."""
-    sim, injected = _simulate(seed, (lives.crash_worker,), 14)
+    sim, injected = _simulate(seed)
     assert list(invariants.violations(sim)) == [], injected
 
 
@@ -123,5 +116,5 @@
 
     An agent that has just started knows nothing of that start.
     """
-    sim, injected = _simulate(seed, faults, 14)
+    sim, injected = _simulate(seed, faults)
     assert list(invariants.violations(sim)) == [], injected
