--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -83,8 +83,7 @@
     The worker crashed when the run had begun, and was unhealthy when it was back.
     """
     sim, injected = _simulate(seed)
-    found = list(invariants.violations(sim))
-    assert [text for text in found if text.startswith("refused")] == [], injected
+    assert list(invariants.violations(sim)) == [], injected
 
 
 @pytest.mark.parametrize("seed", [0, 4, 6, 11, 19])
