Log when the event loop of a daemon has stood still

Neither daemon logged it, so a request that an entry host had read late could not be told apart from an assignment that an agent had read late.

--- a/src/burdockgate/process/agentdaemon.py
+++ b/src/burdockgate/process/agentdaemon.py
@@ -26,6 +26,7 @@
     relay,
     restart,
     runner,
+    stalls,
     store,
     subset,
     workercontrol,
@@ -438,8 +439,12 @@
 
     async def _run_timers(self) -> None:
         report_at = 0.0
+        detector = stalls.StallDetector(self._time.now())
         while True:
             now = self._time.now()
+            stall_s = detector.observe(now)
+            if stall_s:
+                self.events.record("process.stalled", {"for_ms": int(stall_s * 1000)})
             self.links.abort_silent_links()
             self._choose_entries()
             self.links.dial_due()
--- a/src/burdockgate/process/entrydaemon.py
+++ b/src/burdockgate/process/entrydaemon.py
@@ -32,6 +32,7 @@
     runner,
     scheduler,
     selection,
+    stalls,
     store,
     subset,
 )
@@ -121,6 +122,7 @@
             self._announce_entry_hosts,
         )
         self._stop_plan: restart.StopPlan | None = None
+        self._stalls = stalls.StallDetector(self._time.now())
 
     @property
     def _address(self) -> str:
@@ -339,11 +341,17 @@
 
     async def _run_timers(self) -> None:
         while True:
+            self._record_stall()
             self._links.abort_silent_links()
             self._perform(self.scheduler.tick())
             self._exchange_configuration()
             await asyncio.sleep(TICK_S)
 
+    def _record_stall(self) -> None:
+        stall_s = self._stalls.observe(self._time.now())
+        if stall_s:
+            self.events.record("process.stalled", {"for_ms": int(stall_s * 1000)})
+
     # Configuration and membership.
 
     async def _follow_configuration(self) -> None:
