Wait for the end of a connection behind a request that was read late

Callers saw tasks that ran at two entry hosts at the same time (TWICE).

Cause: a request that a proxy, a cut link or a suspended machine held back is followed by the end of its connection, which the client sends only a round trip after the request has been acknowledged. When the request is read, the kernel does not know of that end yet, and its tasks were assigned.

Change: a request counts as late when it came 0.25 s or longer after its connection opened or after its own first bytes, or was read within 1 s after the event loop stood still. A late job is assigned 20 ms later than others, and its caller's connection is looked at then. Other requests do not wait, and nothing is refused. job.received tells whether a request was late.

--- a/src/burdockgate/process/assigner.py
+++ b/src/burdockgate/process/assigner.py
@@ -266,7 +266,7 @@
             task
             for task in job.all_tasks()
             if task.state is besteffort.TaskState.WAITING
-            and task.not_before <= now
+            and max(task.not_before, job.not_before) <= now
             and task.key not in self._revoked_run_by_task
         )
 
--- a/src/burdockgate/process/entrydaemon.py
+++ b/src/burdockgate/process/entrydaemon.py
@@ -222,8 +222,9 @@
         )
         self._future_by_ticket[ticket] = future
         started_at = self._time.now()
+        is_late = client.was_delayed() or self._stalls.may_have_waited(started_at)
         try:
-            self._perform(self.scheduler.submit(submission, ticket, client))
+            self._perform(self.scheduler.submit(submission, ticket, client, is_late))
             awaited: set[asyncio.Future[Any]] = {future, disconnected}
             await asyncio.wait(awaited, return_when=asyncio.FIRST_COMPLETED)
             if not future.done():
--- a/src/burdockgate/process/guard.py
+++ b/src/burdockgate/process/guard.py
@@ -14,7 +14,7 @@
 from uvicorn.protocols.http import httptools_impl
 
 from burdockgate import clock
-from burdockgate.process import intake
+from burdockgate.process import intake, stalls
 from burdockgate.request import caller
 
 # Key of the connection, a :class:`caller.Caller`, in the extensions of a request's
@@ -92,6 +92,8 @@
         self._limits = endpoint.budgets.limits
         self._usage: intake.Usage
         self._is_refused = False
+        # Start of the connection, then of each request after the first.
+        self._began_at = endpoint.time.now()
         # Bytes that were received since the parser last passed on a part of a request.
         self._unclaimed_bytes = 0
         self._trailer_count = 0
@@ -162,6 +164,8 @@
     def on_message_begin(self) -> None:
         """Begin a head."""
         super().on_message_begin()
+        if self.cycle is not None:
+            self._began_at = self._endpoint.time.now()
         cast(dict[str, Any], self.scope)["extensions"] = {CALLER_EXTENSION: self}
         self._usage.phase = intake.Phase.HEAD
 
@@ -241,6 +245,13 @@
         connection = cast(socket.socket, self.transport.get_extra_info("socket"))
         return not _is_ended_by_peer(connection)
 
+    def was_delayed(self) -> bool:
+        """Return whether the request may have been held back on its way.
+
+        Clients send a request as soon as they are connected, and at once.
+        """
+        return self._endpoint.time.now() - self._began_at >= stalls.STALL_S
+
     @property
     def has_unread_body(self) -> bool:
         """Whether the request was answered before its whole body has arrived."""
--- a/src/burdockgate/process/scheduler.py
+++ b/src/burdockgate/process/scheduler.py
@@ -35,6 +35,10 @@
 # Workers whose agent has been disconnected for this long are dropped; they have been
 # replaced under another name.
 WORKER_TTL_S = 60.0
+# Wait for the end of the connection behind a request that was read late. A client or a
+# proxy whose packets were held back sends it when the request has been acknowledged, a
+# round trip of up to 6 ms later.
+LATE_REQUEST_DELAY_S = 0.02
 # Allows for late timers of the worker, and for clocks that differ.
 AGENT_TIMEOUT_MARGIN_S = 0.2
 
@@ -55,13 +59,19 @@
     """Handles events of callers and agents; handlers yield the resulting effects."""
 
     def submit(
-        self, submission: besteffort.Submission, ticket: int, client: caller.Caller
+        self,
+        submission: besteffort.Submission,
+        ticket: int,
+        client: caller.Caller,
+        is_late: bool = False,
     ) -> Iterator[assigner.Effect]:
         """Accept a job, join it to the same job in progress, or answer it at once.
 
         :param submission: the job.
         :param ticket: number of the caller's request.
         :param client: the caller.
+        :param is_late: whether the request was read late, so that the caller may have
+            left since.
         """
         now = self._time.now()
         job = self.job_by_id.get(submission.job)
@@ -94,6 +104,8 @@
             return
         job = besteffort.Job.from_submission(submission, now)
         job.caller_by_ticket[ticket] = client
+        if is_late:
+            job.not_before = now + LATE_REQUEST_DELAY_S
         self.job_by_id[submission.job] = self._waiting_by_id[submission.job] = job
         yield actions.LogEvent(
             "job.received",
@@ -104,6 +116,7 @@
                 "tasks": sum(step.count for step in submission.steps),
                 "objective_ms": int(job.objective_s() * 1000),
                 "deadline_ms": int(submission.deadline_s * 1000),
+                "late": is_late,
             },
         )
         yield from self._schedule_assignment()
--- a/src/burdockgate/process/stalls.py
+++ b/src/burdockgate/process/stalls.py
@@ -8,6 +8,9 @@
 
 # Longer than the pauses of a healthy process on a throttled core, of 0.1 s.
 STALL_S = 0.25
+# In which a process reads what has waited during a stall: 2,048 connections in the
+# queue of a listener, of which it accepts eight in a turn of the loop.
+BACKLOG_S = 1.0
 
 
 class StallDetector:
@@ -18,6 +21,7 @@
 
     def __init__(self, now: float) -> None:
         self._observed_at = now
+        self._stall_ended_at = float("-inf")
 
     def observe(self, now: float) -> float:
         """Return how long the loop has stood still since the last call.
@@ -26,4 +30,15 @@
         :returns: seconds; 0 if it was shorter than a stall.
         """
         elapsed_s, self._observed_at = now - self._observed_at, now
-        return elapsed_s if elapsed_s >= STALL_S else 0.0
+        if elapsed_s < STALL_S:
+            return 0.0
+        self._stall_ended_at = now
+        return elapsed_s
+
+    def may_have_waited(self, now: float) -> bool:
+        """Return whether what is read now may have arrived during a stall.
+
+        :param now: the time.
+        """
+        is_unobserved = now - self._observed_at >= STALL_S
+        return is_unobserved or now - self._stall_ended_at < BACKLOG_S
--- a/src/burdockgate/request/besteffort.py
+++ b/src/burdockgate/request/besteffort.py
@@ -156,6 +156,7 @@
     :param received_at: when its caller's request was read.
     :param caller_by_ticket: the requests that wait for the outcome, by their numbers;
         several when the caller has sent the job again.
+    :param not_before: earliest time of its first assignment.
     :param has_run: whether a run of it has ended and may have started.
     :param has_been_assigned: whether a task was ever assigned.
     :param outcome: set once the job has ended.
@@ -165,6 +166,7 @@
     received_at: float
     tasks: list[list[Task]]
     caller_by_ticket: dict[int, caller.Caller] = attrs.field(factory=dict)
+    not_before: float = 0.0
     has_run: bool = False
     has_been_assigned: bool = False
     outcome: Outcome | None = None
--- a/src/burdockgate/request/caller.py
+++ b/src/burdockgate/request/caller.py
@@ -14,3 +14,11 @@
 
         The machine knows of the end before the process has read it.
         """
+
+    @abc.abstractmethod
+    def was_delayed(self) -> bool:
+        """Return whether its request may have been held back on its way.
+
+        The client may have left since, and the end of its connection may follow its
+        request by a round trip.
+        """
--- a/src/burdockgate/standin/simnodes.py
+++ b/src/burdockgate/standin/simnodes.py
@@ -393,6 +393,10 @@
         """Return true."""
         return True
 
+    def was_delayed(self) -> bool:
+        """Return false."""
+        return False
+
 
 class SimulatedEntryHost(SimulatedNode):
     """An entry host.
--- a/tests/test_entrydaemon.py
+++ b/tests/test_entrydaemon.py
@@ -83,7 +83,8 @@
         "job", "r", "svc", "", (step,), 0, 3, 1.6, 0.06, 5.0
     )
     disconnected = asyncio.get_running_loop().create_future()
+    client = mock.Mock(was_delayed=mock.Mock(return_value=False))
     async with asyncio.timeout(5):
-        outcome = await daemon.submit(submission, mock.Mock(), disconnected)
+        outcome = await daemon.submit(submission, client, disconnected)
     assert outcome.code is codes.Code.DRAINING
     await daemon.background.cancel()
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -34,6 +34,9 @@
     def is_connected(self):
         return not self.has_left
 
+    def was_delayed(self):
+        return False
+
 
 class Bench:
     """A scheduler after its startup grace, with agents that have reported."""
@@ -79,9 +82,9 @@
         )
         return list(self.scheduler.handle_load_report(agent, load))
 
-    def submit(self, submission=SUBMISSION, ticket=1, client=None):
+    def submit(self, submission=SUBMISSION, ticket=1, client=None, is_late=False):
         client = client or Client()
-        effects = list(self.scheduler.submit(submission, ticket, client))
+        effects = list(self.scheduler.submit(submission, ticket, client, is_late))
         return effects + list(self.scheduler.assign())
 
     def end(self, agent, index, kind, run=1, number=1):
@@ -130,6 +133,16 @@
     assert bench.scheduler.job_by_id == {}
 
 
+def test_job_whose_request_was_read_late_waits_for_the_end_of_its_connection():
+    """The end came a round trip after the request, and its tasks had started."""
+    bench, client = Bench(4000), Client()
+    assert (
+        _messages(assignments.Assign, bench.submit(client=client, is_late=True)) == []
+    )
+    bench.time.advance(scheduler.LATE_REQUEST_DELAY_S)
+    assert len(_messages(assignments.Assign, bench.scheduler.tick())) == 1
+
+
 def test_job_is_assigned_while_one_of_its_callers_is_connected():
     """A caller that came back waits for the job that it had sent before."""
     bench = Bench(0)
