Tell each request on a connection of its end

Cause: uvicorn keeps the newest request of a connection only, and told the end to that one. The earlier one, in progress, never learned of it. The same held for connections that the limits of clients close.

Change: a connection knows all of its requests without a complete response and tells each.

Before: test_job_ends_with_its_connection_beside_a_request_sent_ahead failed 3 of 3 runs on.

--- a/src/burdockgate/process/guard.py
+++ b/src/burdockgate/process/guard.py
@@ -98,6 +98,8 @@
         self._unclaimed_bytes = 0
         self._trailer_count = 0
         self._trailer_bytes = 0
+        # Requests without a complete response, the one in progress first.
+        self._open_cycles: list[httptools_impl.RequestResponseCycle] = []
         self._body_bytes = 0
         self._discarded_bytes = 0
 
@@ -119,6 +121,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Return the place in the budgets."""
         self._budgets.disconnect(self._usage)
+        self._disconnect_requests()
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -198,6 +201,7 @@
         if self._unclaimed_bytes > limits.head_bytes < self._head_bytes():
             self._refuse_parsing(intake.Reason.HEAD)
         super().on_headers_complete()
+        self._open_cycles.append(self.cycle)
         self._usage.phase = intake.Phase.BODY
         self._unclaimed_bytes = self._trailer_count = self._trailer_bytes = 0
 
@@ -230,6 +234,9 @@
 
     def on_response_complete(self) -> None:
         """Wait for the next request."""
+        self._open_cycles = [
+            cycle for cycle in self._open_cycles if not cycle.response_complete
+        ]
         super().on_response_complete()
         if not self.cycle.response_complete:  # a later request is in progress
             return
@@ -301,14 +308,23 @@
         if status is not None and self._may_answer(reason):
             self.transport.write(self._encode_refusal(status, reason))
         if self.cycle is not None and not self.cycle.response_complete:
-            self.cycle.disconnected = True
             self.cycle.body = bytearray()
-            self.cycle.message_event.set()
+        self._disconnect_requests()
         self.pipeline.clear()
         # What the kernel has taken is still sent.
         self.transport.abort()
         self._budgets.disconnect(self._usage)
 
+    def _disconnect_requests(self) -> None:
+        """Let the application know of the end of the connection.
+
+        uvicorn tells it to the newest request only, which may wait behind others.
+        """
+        for cycle in self._open_cycles:
+            if not cycle.response_complete:
+                cycle.disconnected = True
+                cycle.message_event.set()
+
     def _may_answer(self, reason: intake.Reason) -> bool:
         """Return whether a response would belong to the request that is coming in."""
         match self._usage.phase:
