Forget the callers of ended jobs

A job that has ended is kept for 20 s to answer repeated submissions. Since it also kept the connections of its callers with their heads, outside the budgets for clients: at most 4,000 jobs. A job now forgets its callers when it ends.

Before: test_connection_is_freed_when_its_job_has_ended failed. After: it passed, with test_latereads.py and test_scheduler.py.

--- a/src/burdockgate/process/scheduler.py
+++ b/src/burdockgate/process/scheduler.py
@@ -476,7 +476,10 @@
                 "revoked": sum(map(len, run_keys_by_agent.values())),
             },
         )
-        for ticket in sorted(job.caller_by_ticket):
+        # Ended jobs are kept, and would keep the connections of their callers.
+        tickets = sorted(job.caller_by_ticket)
+        job.caller_by_ticket.clear()
+        for ticket in tickets:
             yield assigner.Respond(ticket, job_id, outcome)
 
     def tick(self) -> Iterator[assigner.Effect]:
--- a/tests/test_latereads.py
+++ b/tests/test_latereads.py
@@ -7,11 +7,13 @@
 """
 
 import asyncio
+import gc
 import json
 import random
 import socket
 import struct
 import time
+import weakref
 from unittest import mock
 
 import pytest
@@ -250,3 +252,29 @@
     _leave(caller, "closed")
     await asyncio.sleep(SETTLED_S)
     assert entry_host.daemon.scheduler.job_by_id == {}
+
+
+async def test_connection_is_freed_when_its_job_has_ended(entry_host):
+    """Ended jobs, which are kept for repeated submissions, kept their connections."""
+    connections = []
+    connect = guard.Connection.connection_made
+
+    def record(connection, transport):
+        connections.append(weakref.ref(connection))
+        connect(connection, transport)
+
+    job = "00000000000000aa"
+    with mock.patch.object(guard.Connection, "connection_made", record):
+        caller = entry_host.connect()
+        caller.sendall(*_request(job))
+        await asyncio.sleep(0.1)
+    for index in range(2):
+        key = assignments.RunKey(assignments.TaskKey(job, 0, index), 1)
+        end = assignments.TaskEnd(index + 1, key, assignments.EndKind.DONE, 100, 2)
+        entry_host.daemon.handle_message(entry_host.agent, end)
+    await asyncio.sleep(0.1)
+    assert caller.recv(4096).startswith(b"HTTP/1.1 200")
+    caller.close()
+    await asyncio.sleep(SETTLED_S)
+    gc.collect()
+    assert [connection() for connection in connections] == [None]
