Look for ended connections that the server does not read

Cause: uvicorn pauses reading for the second request while the application already waits for the first one's end, so the end of the connection stays unread. Change: the scheduler looks at the callers of all jobs in progress every 0.2 s and ends the jobs that have none.

Before: test_job_ends_with_its_connection_when_another_request_came_meanwhile failed, closed and reset. After: passed, with test_latereads.py, test_scheduler.py and test_simulation.py (140 passed).

--- a/src/burdockgate/process/assigner.py
+++ b/src/burdockgate/process/assigner.py
@@ -143,6 +143,7 @@
         self._demand_sent_at = 0.0
         self._refusals_checked_at = 0.0
         self._expiry_checked_at = 0.0
+        self._callers_checked_at = 0.0
         self._throughput = throughput.Throughput(time.now())
         self._ended: collections.OrderedDict[str, besteffort.Job] = (
             collections.OrderedDict()
--- a/src/burdockgate/process/scheduler.py
+++ b/src/burdockgate/process/scheduler.py
@@ -19,6 +19,9 @@
 RETRY_ELSEWHERE_S = 1.0
 # How often jobs and agents are checked for time limits, which are 0.2 s or longer.
 EXPIRY_CHECK_INTERVAL_S = 0.06
+# How often the callers of jobs in progress are looked at. A caller sends its job again
+# 1.3 s after its connection ended.
+CALLER_CHECK_INTERVAL_S = 0.2
 # How often waiting jobs are checked for those that cannot finish in time.
 REFUSAL_CHECK_INTERVAL_S = 0.1
 # Share of the estimated queueing delay that counts against a waiting job. It is below 1
@@ -176,6 +179,15 @@
         outcome = besteffort.Interrupted(codes.Code.REQUEST_CUT)
         yield from self._end_job(job, outcome)
 
+    def _abandon_disconnected(self) -> Iterator[assigner.Effect]:
+        """End the jobs none of whose callers is connected any more.
+
+        The end of a connection is not read while a request sent ahead waits on it.
+        """
+        for job in list(self.job_by_id.values()):
+            if not job.has_caller():
+                yield from self._abandon(job, "found by a check")
+
     def _abandon_unassigned(self, job: besteffort.Job) -> Iterator[assigner.Effect]:
         yield from self._abandon(job, "found before an assignment")
 
@@ -488,6 +500,9 @@
         if now - self._expiry_checked_at >= EXPIRY_CHECK_INTERVAL_S:
             self._expiry_checked_at = now
             yield from self._handle_timeouts(now)
+        if now - self._callers_checked_at >= CALLER_CHECK_INTERVAL_S:
+            self._callers_checked_at = now
+            yield from self._abandon_disconnected()
         if now - self._refusals_checked_at >= REFUSAL_CHECK_INTERVAL_S:
             self._refusals_checked_at = now
             yield from self._refuse_unservable(now)
--- a/tests/test_latereads.py
+++ b/tests/test_latereads.py
@@ -20,7 +20,7 @@
 
 from burdockgate import assignments, clock
 from burdockgate.platform import front
-from burdockgate.process import entrydaemon, guard, intake, serving
+from burdockgate.process import entrydaemon, guard, intake, scheduler, serving
 from burdockgate.version import routes
 
 ROUTE = routes.Route(
@@ -254,6 +254,21 @@
     assert entry_host.daemon.scheduler.job_by_id == {}
 
 
+@pytest.mark.parametrize("how", ["closed", "reset"])
+async def test_job_ends_with_its_connection_when_another_request_came_meanwhile(
+    entry_host, how
+):
+    """The server reads no further while a request waits behind the one in progress."""
+    caller = entry_host.connect()
+    for job in ("00000000000000aa", "00000000000000bb"):
+        caller.sendall(b"".join(_request(job)).replace(b"Connection: close\r\n", b""))
+        await asyncio.sleep(0.1)
+    assert entry_host.assigned_jobs() == {"00000000000000aa"}
+    _leave(caller, how)
+    await asyncio.sleep(SETTLED_S + scheduler.CALLER_CHECK_INTERVAL_S)
+    assert entry_host.daemon.scheduler.job_by_id == {}
+
+
 async def test_connection_is_freed_when_its_job_has_ended(entry_host):
     """Ended jobs, which are kept for repeated submissions, kept their connections."""
     connections = []
