Delay jobs that waited through a standstill, and requests read together

Before: test_no_task_starts_for_a_job_that_waited_through_a_standstill and ..._for_requests_that_were_held_back_together failed. After: test_latereads.py, test_scheduler.py and test_entrydaemon.py passed (71). The join has no test of its own.

--- a/src/burdockgate/process/entrydaemon.py
+++ b/src/burdockgate/process/entrydaemon.py
@@ -346,16 +346,17 @@
 
     async def _run_timers(self) -> None:
         while True:
-            self._record_stall()
+            self._handle_stall()
             self._links.abort_silent_links()
             self._perform(self.scheduler.tick())
             self._exchange_configuration()
             await asyncio.sleep(TICK_S)
 
-    def _record_stall(self) -> None:
+    def _handle_stall(self) -> None:
         stall_s = self._stalls.observe(self._time.now())
         if stall_s:
             self.events.record("process.stalled", {"for_ms": int(stall_s * 1000)})
+            self.scheduler.handle_stall()
 
     # Configuration and membership.
 
--- a/src/burdockgate/process/guard.py
+++ b/src/burdockgate/process/guard.py
@@ -92,7 +92,7 @@
         self._limits = endpoint.budgets.limits
         self._usage: intake.Usage
         self._is_refused = False
-        # Start of the connection, then of each request after the first.
+        # Start of the connection, then of the first request of each later sequence.
         self._began_at = endpoint.time.now()
         # Bytes that were received since the parser last passed on a part of a request.
         self._unclaimed_bytes = 0
@@ -167,7 +167,7 @@
     def on_message_begin(self) -> None:
         """Begin a head."""
         super().on_message_begin()
-        if self.cycle is not None:
+        if self.cycle is not None and not self._open_cycles:
             self._began_at = self._endpoint.time.now()
         cast(dict[str, Any], self.scope)["extensions"] = {CALLER_EXTENSION: self}
         self._usage.phase = intake.Phase.HEAD
--- a/src/burdockgate/process/scheduler.py
+++ b/src/burdockgate/process/scheduler.py
@@ -83,6 +83,8 @@
                 "job.joined", {"job": submission.job, "request": submission.request}
             )
             job.caller_by_ticket[ticket] = client
+            if is_late:
+                self._delay(job, now)
             return
         ended = self._ended.get(submission.job)
         if ended is not None and isinstance(ended.outcome, besteffort.Completed):
@@ -108,7 +110,7 @@
         job = besteffort.Job.from_submission(submission, now)
         job.caller_by_ticket[ticket] = client
         if is_late:
-            job.not_before = now + LATE_REQUEST_DELAY_S
+            self._delay(job, now)
         self.job_by_id[submission.job] = self._waiting_by_id[submission.job] = job
         yield actions.LogEvent(
             "job.received",
@@ -124,6 +126,15 @@
         )
         yield from self._schedule_assignment()
 
+    @staticmethod
+    def _delay(job: besteffort.Job, now: float) -> None:
+        job.not_before = now + LATE_REQUEST_DELAY_S
+
+    def handle_stall(self) -> None:
+        """Handle that the event loop has stood still: callers may have left since."""
+        for job in self.job_by_id.values():
+            self._delay(job, self._time.now())
+
     def _check_admission(
         self, submission: besteffort.Submission
     ) -> besteffort.Outcome | None:
--- a/src/burdockgate/request/besteffort.py
+++ b/src/burdockgate/request/besteffort.py
@@ -156,7 +156,7 @@
     :param received_at: when its caller's request was read.
     :param caller_by_ticket: the requests that wait for the outcome, by their numbers;
         several when the caller has sent the job again.
-    :param not_before: earliest time of its first assignment.
+    :param not_before: earliest time of the next assignment.
     :param has_run: whether a run of it has ended and may have started.
     :param has_been_assigned: whether a task was ever assigned.
     :param outcome: set once the job has ended.
