Send crowds to every port of every process

The crowds of tests/test_clients.py reached three ports. The page on clients does not bound the connections of peers, and nothing showed what the other ports, the earlier protocol and a start, stop or reload do under a crowd.

--- a/Makefile
+++ b/Makefile
@@ -8,14 +8,14 @@
 
 SEEDS ?= 200
 # Crowds of clients that take memory and descriptors; they run alone.
-CROWD_TESTS := tests/test_clients.py
+CROWD_TESTS := $(wildcard tests/test_clients*.py)
 
 demo: $(STAMP)
 	$(BIN)/burdockgate local
 	$(BIN)/python -m burdockgate.standin.crest --seconds 2
 
 test: check
-	$(BIN)/pytest --numprocesses 4 --dist loadfile --ignore $(CROWD_TESTS)
+	$(BIN)/pytest --numprocesses 4 --dist loadfile $(addprefix --ignore ,$(CROWD_TESTS))
 	$(BIN)/pytest $(CROWD_TESTS)
 
 check: $(STAMP)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -127,6 +127,10 @@
     def is_running(self):
         return self._running is not None and self._running.poll() is None
 
+    @property
+    def pid(self):
+        return self._running.pid
+
     @property
     def unexpected_exit_status(self):
         """Exit status of a process that ended on its own, otherwise ``None``."""
