Bound what connections between processes hold

Anyone can connect to the port for agents, and to the node ports of the earlier protocol. Each connection kept the part of a frame that had come, up to 4 MiB, and nothing bounded their number: asyncio accepted up to a thousand at once.

Connections that have not said hello now have a budget by maxFds, and the unfinished frames of a process share a budget of bytes; those without a hello give way first (process/peerintake.py, without I/O). Connections are accepted eight at a time from a long queue, with a bounded receive buffer, as those of callers are.

--- a/src/burdockgate/connection/stream.py
+++ b/src/burdockgate/connection/stream.py
@@ -54,6 +54,13 @@
         :param stream: the stream that ended.
         """
 
+    def handle_held(self, stream: Stream, held_bytes: int) -> None:  # noqa: B027
+        """Handle a change of the bytes that a stream keeps of an unfinished frame.
+
+        :param stream: the stream.
+        :param held_bytes: bytes that it keeps now.
+        """
+
 
 class Stream(asyncio.Protocol):
     """Sends and receives messages on one connection.
@@ -61,11 +68,14 @@
     Messages sent in one pass of the event loop are combined into one write.
 
     :param receiver: receives the messages and the events.
+    :param is_accepted: whether the other end opened the connection.
     """
 
-    def __init__(self, receiver: Receiver) -> None:
+    def __init__(self, receiver: Receiver, is_accepted: bool = False) -> None:
         self._receiver = receiver
+        self.is_accepted = is_accepted
         self._buffer = wire.FrameBuffer()
+        self._held_bytes = 0
         self._transport: asyncio.Transport | None = None
         self._outgoing: list[bytes] = []
         self.is_closed = False
@@ -86,6 +96,11 @@
         except errors.WireError as error:
             self._receiver.handle_rejected(self, error)
             self.abort()
+            return
+        held_bytes = self._buffer.held_bytes
+        if held_bytes != self._held_bytes and not self.is_closed:
+            self._held_bytes = held_bytes
+            self._receiver.handle_held(self, held_bytes)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the end of the connection; called by asyncio."""
@@ -126,7 +141,8 @@
             self._buffer = wire.FrameBuffer()
 
     def abort(self) -> None:
-        """Close the connection at once and drop the queued messages."""
+        """Close the connection at once and drop all that is kept."""
         self.is_closed = True
+        self._buffer, self._outgoing = wire.FrameBuffer(), []
         if self._transport is not None:
             self._transport.abort()
--- a/src/burdockgate/platform/boot.py
+++ b/src/burdockgate/platform/boot.py
@@ -115,6 +115,7 @@
             selection=selection.SelectionSettings(
                 remote_data_factor=self.bounds.remote_data_factor
             ),
+            limits=self.client_limits(),
         )
 
     def agent_settings(self) -> agentdaemon.AgentDaemonSettings:
--- a/src/burdockgate/process/entrydaemon.py
+++ b/src/burdockgate/process/entrydaemon.py
@@ -11,7 +11,7 @@
 import itertools
 import random
 import secrets
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 import attrs
@@ -25,6 +25,7 @@
     evacuation,
     events,
     follower,
+    intake,
     links,
     registration,
     relay,
@@ -68,6 +69,7 @@
     evacuation_prefix: str = ""
     scheduler: assigner.SchedulerSettings = assigner.SchedulerSettings()
     selection: selection.SelectionSettings = selection.SelectionSettings()
+    limits: intake.Limits = intake.Limits()
 
 
 class EntryDaemon(links.Handler, runner.Runnable):
@@ -106,7 +108,7 @@
         self._configuration_message: assignments.Configuration | None = None
         self._holders = relay.Holders(self._time, self._rng)
         self._evacuations = evacuation.Replica(settings.evacuation_prefix)
-        self._links = links.EntryLinks(self, self._time)
+        self._links = links.EntryLinks(self, self._time, settings.limits)
         self._server: asyncio.Server | None = None
         self._link_by_agent: dict[str, stream.Stream] = {}
         self._agent_by_link: dict[stream.Stream, str] = {}
@@ -339,10 +341,17 @@
         """Handle a message that was rejected as malformed."""
         self.events.record("link.rejected", {"detail": reason})
 
+    def handle_gave_way(self, counts: Mapping[intake.Reason, int]) -> None:
+        """Record the connections that gave way."""
+        for reason, count in counts.items():
+            fields = {"reason": reason.value, "endpoint": "agents"}
+            self.events.record("client.refused", {**fields, "clients": count}, count)
+
     async def _run_timers(self) -> None:
         while True:
             self._record_stall()
             self._links.abort_silent_links()
+            self._links.report()
             self._perform(self.scheduler.tick())
             self._exchange_configuration()
             await asyncio.sleep(TICK_S)
--- a/src/burdockgate/process/intake.py
+++ b/src/burdockgate/process/intake.py
@@ -23,23 +23,29 @@
 DEFAULT_MAX_FDS = 4096
 # Interpreter, modules and allocator.
 BASE_BYTES = 48 * MIB
-# Of the rest, shares for requests that are still coming in and for connections. What
-# remains is for jobs in progress.
+# Of the rest, shares for requests that are still coming in, for connections, and for
+# unfinished frames of peers. What remains is for jobs in progress.
 REQUEST_SHARE = 0.25
 CONNECTION_SHARE = 0.5
+PEER_SHARE = 0.125
 # Room for a few of the largest legal requests.
 MIN_REQUEST_BYTES = 2 * MIB
+# Room for the largest frame, 4 MiB, of a peer beside that of another one.
+MIN_PEER_BYTES = 9 * MIB
 # Memory of one connection beside its request: objects, write buffer, and the bytes
 # that the kernel holds unread.
 CONNECTION_BYTES = 48 << 10
 RECEIVE_BUFFER_BYTES = 32 << 10
 WRITE_BUFFER_BYTES = 16 << 10
+# Peers may be in another zone; a smaller window would slow down their large frames.
+PEER_RECEIVE_BUFFER_BYTES = 64 << 10
 # Descriptors that the system keeps for files.
 FILE_FDS = 200
 # Part of the sockets that callers cannot take: peers, the store and the other
-# endpoints, each of which gets a sixth of the reserve.
+# endpoints. Each of three endpoints gets a sixth of the reserve, and peers get half.
 RESERVE_SHARE = 0.25
 RESERVED_ENDPOINTS = 6
+PEER_CONNECTION_SHARE = 0.5
 # A request without progress for this time gives way before those that make progress,
 # which is looked at once per second.
 STALL_S = 3.0
@@ -122,6 +128,21 @@
         """Budget of connections at each of the other endpoints."""
         return max(2, self._reserve // RESERVED_ENDPOINTS)
 
+    @property
+    def peer_connections(self) -> int:
+        """Connections of peers up to which one without a hello never gives way."""
+        return max(2, int(self._reserve * PEER_CONNECTION_SHARE))
+
+    @property
+    def min_strangers(self) -> int:
+        """Connections without a hello that are kept beside any number of peers."""
+        return self.reserved_connections
+
+    @property
+    def peer_bytes(self) -> int:
+        """Budget for unfinished frames of peers."""
+        return max(MIN_PEER_BYTES, int(self._free_bytes * PEER_SHARE))
+
 
 class Phase(enum.Enum):
     """What a connection waits for."""
--- a/src/burdockgate/process/links.py
+++ b/src/burdockgate/process/links.py
@@ -10,13 +10,14 @@
 import asyncio
 import random
 import socket
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import cast
 
 import attrs
 
 from burdockgate import addresses, assignments, clock, errors, wire
 from burdockgate.connection import stream
+from burdockgate.process import intake, listeners, peerintake
 
 DIAL_TIMEOUT_S = 0.6
 # The first retry after a reset is early, because the entry host's runs on this worker
@@ -33,6 +34,7 @@
 # An entry host that leaves finishes its jobs first, in the grace time of its platform
 # of a few seconds. Until then, a broken connection to it is made again.
 DEPARTURE_S = 15.0
+REPORT_INTERVAL_S = 1.0
 
 
 class Handler(abc.ABC):
@@ -73,6 +75,12 @@
         :param address: the address.
         """
 
+    def handle_gave_way(self, counts: Mapping[intake.Reason, int]) -> None:  # noqa: B027
+        """Handle that connections gave way; called at most once per second.
+
+        :param counts: their number by reason.
+        """
+
 
 class Links(stream.Receiver):
     """Open connections, with the time of the last message of each.
@@ -129,7 +137,20 @@
 
 
 class EntryLinks(Links):
-    """Connections that an entry host accepts."""
+    """Connections that an entry host accepts.
+
+    :param handler: handles the events.
+    :param time: a clock that goes on while the machine is suspended.
+    :param limits: the limits of the process.
+    """
+
+    def __init__(
+        self, handler: Handler, time: clock.Clock, limits: intake.Limits
+    ) -> None:
+        super().__init__(handler, time)
+        self._budgets: peerintake.PeerIntake[stream.Stream]
+        self._budgets = peerintake.PeerIntake(limits)
+        self._reported_at = time.now()
 
     async def start(self, host: str, port: int) -> asyncio.Server:
         """Listen for agents.
@@ -138,10 +159,46 @@
         :param port: port to listen at.
         :raises OSError: when the address cannot be bound.
         """
-        loop = asyncio.get_running_loop()
-        return await loop.create_server(
-            lambda: stream.Stream(self), host, port, backlog=1024
+        server = await listeners.bind(
+            lambda: stream.Stream(self, is_accepted=True), host, port
         )
+        await listeners.serve(server)
+        return server
+
+    def handle_open(self, stream: stream.Stream) -> None:
+        """Report a new connection, for which an older one may give way."""
+        self._abort(self._budgets.connect(stream))
+        super().handle_open(stream)
+
+    def handle_held(self, stream: stream.Stream, held_bytes: int) -> None:
+        """Count the bytes of an unfinished frame."""
+        self._abort(self._budgets.hold(stream, held_bytes))
+
+    def handle_message(
+        self, stream: stream.Stream, message: wire.Message, size: int
+    ) -> None:
+        """Pass a message to the handler, which accepts only a hello as the first."""
+        super().handle_message(stream, message, size)
+        self._budgets.introduce(stream)
+
+    def handle_close(self, stream: stream.Stream) -> None:
+        """Report the end of a connection."""
+        self._budgets.disconnect(stream)
+        super().handle_close(stream)
+
+    def _abort(self, victims: Iterable[stream.Stream]) -> None:
+        for link in victims:
+            link.abort()
+            self.handle_close(link)
+
+    def report(self) -> None:
+        """Report the connections that gave way, at most once per second."""
+        now = self._time.now()
+        if now - self._reported_at < REPORT_INTERVAL_S:
+            return
+        self._reported_at = now
+        if counts := self._budgets.take_counts():
+            self._handler.handle_gave_way(counts)
 
 
 @attrs.define
--- a/src/burdockgate/process/metrics.py
+++ b/src/burdockgate/process/metrics.py
@@ -96,6 +96,12 @@
     Metric("wire.bytes_sent", _COUNTER, "bytes", "frames sent to nodes"),
     Metric("wire.bytes_received", _COUNTER, "bytes", "frames received from nodes"),
     Metric("wire.rejected", _COUNTER, "frames", "malformed frames from nodes"),
+    Metric(
+        "wire.refused",
+        _COUNTER,
+        "connections",
+        "connections that gave way because a budget for nodes was full",
+    ),
     Metric(
         "wire.truncated",
         _COUNTER,
--- a/src/burdockgate/process/network.py
+++ b/src/burdockgate/process/network.py
@@ -14,7 +14,7 @@
 
 from burdockgate import assignments, clock, errors, messages, wire
 from burdockgate.connection import session, stream
-from burdockgate.process import metrics
+from burdockgate.process import intake, listeners, metrics, peerintake
 
 DIAL_TIMEOUT_S = 2.0
 DIAL_RETRY_S = 0.5
@@ -77,6 +77,7 @@
     :param time: the clock.
     :param rng: the source of random delays.
     :param counters: the process's metrics.
+    :param limits: the limits of the process; by default those that it inherits.
     """
 
     def __init__(
@@ -87,6 +88,7 @@
         time: clock.Clock,
         rng: random.Random,
         counters: metrics.Metrics,
+        limits: intake.Limits | None = None,
     ) -> None:
         self._hello = hello
         self._handler = handler
@@ -94,6 +96,8 @@
         self._time = time
         self._rng = rng
         self._counters = counters
+        self._budgets: peerintake.PeerIntake[stream.Stream]
+        self._budgets = peerintake.PeerIntake(limits or listeners.inherited_limits())
         self._server: asyncio.Server | None = None
         self._link_by_stream: dict[stream.Stream, _Link] = {}
         self._stream_by_name: dict[str, stream.Stream] = {}
@@ -112,10 +116,9 @@
         :raises errors.SettingsError: when the address cannot be bound.
         """
         host, _, port = listen.rpartition(":")
-        loop = asyncio.get_running_loop()
         try:
-            self._server = await loop.create_server(
-                lambda: stream.Stream(self), host, int(port), start_serving=False
+            self._server = await listeners.bind(
+                lambda: stream.Stream(self, is_accepted=True), host, int(port)
             )
         except OSError as error:
             problem = f"[node] listen={listen}: {error.strerror or error}"
@@ -126,7 +129,7 @@
     async def serve(self) -> None:
         """Accept connections at the bound address."""
         assert self._server is not None
-        await self._server.start_serving()
+        await listeners.serve(self._server)
 
     async def stop(self) -> None:
         """Stop listening and close every connection after writing what is queued."""
@@ -239,11 +242,23 @@
     def handle_open(self, stream: stream.Stream) -> None:
         """Send ``Hello`` on a new connection."""
         now = self._time.now()
+        if stream.is_accepted:
+            self._abort(self._budgets.connect(stream))
         self._link_by_stream[stream] = _Link(stream, session.Session(now, now))
         stream.send(self._hello())
 
+    def handle_held(self, stream: stream.Stream, held_bytes: int) -> None:
+        """Count the bytes of an unfinished frame."""
+        self._abort(self._budgets.hold(stream, held_bytes))
+
+    def _abort(self, victims: Iterable[stream.Stream]) -> None:
+        for victim in victims:
+            self._counters.count("wire.refused")
+            victim.abort()
+
     def handle_close(self, stream: stream.Stream) -> None:
         """Report the loss of a node unless another connection has replaced this one."""
+        self._budgets.disconnect(stream)
         link = self._link_by_stream.pop(stream, None)
         if link is None or link.session.hello is None:
             return
@@ -295,6 +310,7 @@
 
     def _register(self, link: _Link) -> None:
         """Use a connection for its node; of two connections, one is closed."""
+        self._budgets.introduce(link.stream)
         hello = link.session.hello
         assert hello is not None
         own_node = self._hello().node
--- a/src/burdockgate/process/serving.py
+++ b/src/burdockgate/process/serving.py
@@ -12,13 +12,10 @@
 import uvicorn
 
 from burdockgate import errors
-from burdockgate.process import guard, intake
+from burdockgate.process import guard, intake, listeners
 
 # The load balancer keeps a pool of connections, which must stay open between requests.
 KEEP_ALIVE_S = 60
-ACCEPT_BACKLOG = 2048
-# Connections that are accepted before the budget of connections is looked at.
-ACCEPT_BATCH = 8
 CANCEL_TIMEOUT_S = 1.0
 # The ``Date`` header has a resolution of one second.
 DATE_INTERVAL_S = 1.0
@@ -63,7 +60,9 @@
                 access_log=False,
                 proxy_headers=False,
                 server_header=False,
-                backlog=ACCEPT_BATCH if endpoint else ACCEPT_BACKLOG,
+                backlog=(
+                    listeners.ACCEPT_BATCH if endpoint else listeners.ACCEPT_BACKLOG
+                ),
                 timeout_keep_alive=KEEP_ALIVE_S,
             ),
             endpoint,
@@ -155,9 +154,9 @@
 class _Listener(socket.socket):
     """A listener whose queue is longer than what asyncio accepts at a time."""
 
-    def listen(self, backlog: int = ACCEPT_BACKLOG, /) -> None:
+    def listen(self, backlog: int = listeners.ACCEPT_BACKLOG, /) -> None:
         """Listen with a queue of ``ACCEPT_BACKLOG`` connections."""
-        super().listen(max(backlog, ACCEPT_BACKLOG))
+        super().listen(max(backlog, listeners.ACCEPT_BACKLOG))
 
 
 class _Uvicorn(uvicorn.Server):
--- a/src/burdockgate/process/web.py
+++ b/src/burdockgate/process/web.py
@@ -9,7 +9,6 @@
 import abc
 import asyncio
 import math
-import resource
 import urllib.parse
 from collections.abc import AsyncIterator, Awaitable, Mapping
 from typing import Any, cast
@@ -20,7 +19,7 @@
 from litestar.openapi import plugins
 
 from burdockgate import clock, codes, errors
-from burdockgate.process import guard, intake, responses, schema, serving
+from burdockgate.process import guard, intake, listeners, responses, schema, serving
 from burdockgate.request import job, outcome
 
 BODY_TIMEOUT_S = 10.0
@@ -364,7 +363,7 @@
         port: int = 0,
         limits: intake.Limits | None = None,
     ) -> None:
-        limits = limits or _default_limits()
+        limits = limits or listeners.inherited_limits()
         time = clock.SystemClock()
         endpoint = guard.Endpoint(
             "web",
@@ -376,13 +375,6 @@
         super().__init__(application, host, port, _Connection, endpoint)
 
 
-def _default_limits() -> intake.Limits:
-    max_fds, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if max_fds == resource.RLIM_INFINITY:
-        return intake.Limits()
-    return intake.Limits(max_fds=max_fds)
-
-
 def _report_refused(endpoint: str, counts: Mapping[intake.Reason, int]) -> None:
     for reason, count in counts.items():
         _logger.warning("client.refused", reason=reason.value, clients=count)
--- a/src/burdockgate/wire.py
+++ b/src/burdockgate/wire.py
@@ -119,6 +119,11 @@
         self._limit = limit
         self._buffer = bytearray()
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the frame that is not complete."""
+        return len(self._buffer)
+
     @property
     def is_partial(self) -> bool:
         """Whether the bytes received so far end within a frame."""
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -203,3 +203,4 @@
     )
     expected = intake.Limits(memory_mb=300, max_fds=4100, body_bytes_per_s=100)
     assert boot.decode(content).client_limits() == expected
+    assert boot.decode(content).entry_settings().limits == expected
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -11,7 +11,7 @@
 import builders
 from burdockgate import clock, errors, messages, settings, wire
 from burdockgate.connection import session, stream
-from burdockgate.process import metrics, network
+from burdockgate.process import intake, metrics, network
 
 HEARTBEAT = messages.Heartbeat(1, 1)
 
@@ -19,13 +19,19 @@
 class Node(network.Handler):
     """A node that records its connection events as text."""
 
-    def __init__(self, name, boot=1, **fields):
+    def __init__(self, name, boot=1, limits=None, **fields):
         self.events = []
         self.time = clock.ManualClock()
         self.counters = metrics.Metrics(settings.StatsdSettings())
         self.hello = builders.hello(name, boot, **fields)
         self.network = network.Network(
-            lambda: self.hello, self, 2.5, self.time, random.Random(1), self.counters
+            lambda: self.hello,
+            self,
+            2.5,
+            self.time,
+            random.Random(1),
+            self.counters,
+            limits,
         )
 
     def handle_connect(self, hello):
@@ -411,3 +417,47 @@
     await until(lambda: "-b" in a.events)
     assert a.count("sessions.lost") == lost
     assert a.count("wire.timeouts") == (own is not AGENT or peer is not AGENT)
+
+
+async def test_strangers_give_way_and_nodes_stay(start):
+    """Connections without a hello took the descriptors and the memory of a node."""
+    limits = intake.Limits(memory_mb=56, max_fds=300)
+    node = await start("a", limits=limits)
+    peer = await start("b")
+    await connect(peer, node)
+    host, port = node.address.split(":")
+    clients = [
+        socket.create_connection((host, int(port)))
+        for _ in range(limits.peer_connections + 4)
+    ]
+    await until(lambda: node.count("wire.refused") == 5)
+    part = wire.HEADER.pack(wire.FRAME_LIMIT_BYTES) + b"a" * (
+        wire.FRAME_LIMIT_BYTES - 1
+    )
+    for client in clients[-4:]:
+        await asyncio.to_thread(_send, client, part)
+    await until(lambda: node.count("wire.refused") > 5)
+    assert "-b" not in node.events
+    assert node.network._budgets.held_bytes <= limits.peer_bytes
+    for client in clients:
+        client.close()
+
+
+def _send(client, data):
+    with contextlib.suppress(OSError):
+        client.sendall(data)
+
+
+async def test_closed_connections_return_what_they_used(start):
+    """Nodes that come and go would have used up the budgets."""
+    limits = intake.Limits(max_fds=300)
+    node = await start("a", limits=limits)
+    host, port = node.address.split(":")
+    for _ in range(2 * limits.peer_connections):
+        client = socket.create_connection((host, int(port)))
+        client.sendall(wire.HEADER.pack(wire.FRAME_LIMIT_BYTES) + b"a")
+        await until(lambda: node.network._budgets.held_bytes)
+        client.close()
+        await until(lambda: not node.streams)
+        assert node.network._budgets.held_bytes == 0
+    assert node.count("wire.refused") == 0
