Refuse a second hello on the connection of an agent

A connection could say hello again under another name. Each name stayed in the entry host for ever, since the end of the connection takes back only the last one; and each hello is answered with the list of all entry hosts. The connection is closed now.

test_connection_says_hello_once fails without the check and passes with it.

--- a/src/burdockgate/process/entrydaemon.py
+++ b/src/burdockgate/process/entrydaemon.py
@@ -314,6 +314,8 @@
                 self._send_evacuations()
 
     def _accept_agent(self, link: stream.Stream, hello: assignments.AgentHello) -> None:
+        if link in self._agent_by_link:
+            raise errors.WireError("AgentHello was sent twice")
         if hello.protocol != assignments.PROTOCOL:
             raise errors.WireError(f"protocol {hello.protocol} of {hello.name}")
         old = self._link_by_agent.get(hello.name)
--- a/tests/test_entrydaemon.py
+++ b/tests/test_entrydaemon.py
@@ -3,7 +3,9 @@
 import asyncio
 from unittest import mock
 
-from burdockgate import assignments, clock, codes
+import pytest
+
+from burdockgate import assignments, clock, codes, errors
 from burdockgate.platform import front
 from burdockgate.process import entrydaemon, restart
 from burdockgate.request import besteffort
@@ -42,6 +44,21 @@
     old_link.send.assert_not_called()
 
 
+async def test_connection_says_hello_once():
+    """Under new names, each hello left an agent that the end of the link kept."""
+    daemon, link = _daemon(), mock.Mock()
+    hellos = [
+        assignments.AgentHello(assignments.PROTOCOL, name, 5, "z1", 0, ())
+        for name in ("a1", "a2")
+    ]
+    daemon.handle_message(link, hellos[0])
+    for hello in hellos:
+        with pytest.raises(errors.WireError):
+            daemon.handle_message(link, hello)
+    daemon.handle_close(link)
+    assert daemon._link_by_agent == {}
+
+
 async def test_callers_leave_a_stopping_entry_host_once_the_balancer_has():
     """Callers with open connections went on sending requests until the exit.
 
