Simulate callers that leave while their requests wait

Change: with habits of callers, connections that get no answer break after 0.3 to 1 s, links hold requests back, processes go on in turns of the event loop, and connections of frozen processes time out. What the kernel knows of a caller's connection is kept apart from what the process has read. Without habits the model is as before.

--- a/src/burdockgate/standin/simnodes.py
+++ b/src/burdockgate/standin/simnodes.py
@@ -17,11 +17,11 @@
     workercontrol,
 )
 from burdockgate.request import besteffort
-from burdockgate.standin import simworker
+from burdockgate.standin import simworker, standstill
 
 if TYPE_CHECKING:
     from burdockgate import assignments
-    from burdockgate.standin import simulation
+    from burdockgate.standin import callers, simulation
 
 # An agent waits this long for the answer to a start or stop command.
 COMMAND_TIMEOUT_S = 0.08
@@ -72,6 +72,8 @@
     outcomes: list[besteffort.Outcome] = attrs.field(factory=list)
     ended_at: float | None = None
     is_interrupted: bool = False
+    # Whether the caller left for good without an answer.
+    has_given_up: bool = False
 
     def earned_share(self) -> float:
         """Return the share of its worth that the job earned.
@@ -114,36 +116,49 @@
         self.is_up = True
         self.is_frozen = False
         self.incarnation = 0
-        self._deferred: list[Callable[[], None]] = []
+        # When the process last stopped and went on.
+        self.frozen_at = self.resumed_at = 0.0
+        self._inbox = sim.make_inbox()
 
-    def execute(self, action: Callable[[], None]) -> None:
-        """Execute an action now, or after a freeze; a process that is down drops it.
+    @property
+    def is_behind(self) -> bool:
+        """Whether the process stands still, or has not handled all that waited."""
+        return self.is_frozen or self._inbox.is_handling
+
+    def execute(self, event: standstill.Event) -> None:
+        """Handle an event now, or after a freeze; a process that is down drops it.
 
-        :param action: the action.
+        :param event: the event.
         """
-        if self.is_frozen:
-            self._deferred.append(action)
-        elif self.is_up:
-            action()
+        if self.is_behind:
+            self._inbox.put(event)
+        else:
+            self._run(event)
+
+    def _run(self, event: standstill.Event) -> None:
+        if self.is_up:
+            event.action()
 
     def freeze(self, for_s: float) -> None:
         """Freeze the process.
 
         :param for_s: duration in seconds.
         """
+        self._inbox.stop()
         self.is_frozen = True
+        self.frozen_at = self.sim.time.now()
         self.sim.time.call_later(for_s, self._resume)
+        self.sim.handle_freeze(self)
 
     def _resume(self) -> None:
         self.is_frozen = False
-        inbox, self._deferred = self._deferred, []
-        for action in inbox:
-            self.execute(action)
+        self.resumed_at = self.sim.time.now()
+        self._inbox.go_on(self._run)
 
     def terminate(self) -> None:
         """End the process; its connections are not reset."""
         self.is_up, self.incarnation = False, self.incarnation + 1
-        self._deferred.clear()
+        self._inbox.clear()
 
 
 def _discard(result: workercontrol.PollResult) -> None:
@@ -195,7 +210,7 @@
         def run_once() -> None:
             if incarnation != self.incarnation:
                 return
-            self.execute(action)
+            self.execute(standstill.Repeated(action, f"timer {interval_s}"))
             self.sim.time.call_later(interval_s, run_once)
 
         self.sim.time.call_later(self.sim.rng.random() * interval_s, run_once)
@@ -221,7 +236,7 @@
 
     def _send_heartbeat_if_up(self) -> None:
         if self.is_up:
-            self.execute(self._send_heartbeat)
+            self.execute(standstill.Event(self._send_heartbeat))
 
     def _send_heartbeat(self) -> None:
         worker = self.worker
@@ -237,7 +252,7 @@
     def _poll(self, incarnation: int) -> None:
         if incarnation != self.incarnation:
             return
-        command = self.executor.next_poll() if not self.is_frozen else None
+        command = self.executor.next_poll() if not self.is_behind else None
         if command is None:
             self.sim.time.call_later(0.05, lambda: self._poll(incarnation))
             return
@@ -271,7 +286,7 @@
                 pause_s = 0.0 if isinstance(result, workercontrol.Snapshot) else 0.05
                 self.sim.time.call_later(pause_s, on_done)
 
-            self.execute(handle)
+            self.execute(standstill.Event(handle))
 
         time, worker = self.sim.time, self.worker
         crash_count = worker.crash_count
@@ -332,10 +347,13 @@
     ) -> None:
         incarnation, time, faults = self.incarnation, self.sim.time, self.worker.faults
         worker, crash_count = self.worker, self.worker.crash_count
+        sent_at = time.now()
 
         def finish(result: workercontrol.CommandResult) -> None:
             if incarnation == self.incarnation:
-                self.execute(lambda: self.perform(handle_result(result)))
+                self.execute(
+                    standstill.Event(lambda: self.perform(handle_result(result)))
+                )
 
         def answer(result: workercontrol.CommandResult) -> None:
             # The connection breaks when the worker crashes.
@@ -343,13 +361,17 @@
             broken = workercontrol.Unanswered(is_connection_lost=True)
             finish(broken if is_broken else result)
 
+        def execute_late() -> None:
+            if isinstance(execute_command(), workercontrol.Accepted):
+                self.sim.ages.record("late command: accepted", time.now() - sent_at)
+
         if faults.is_unreachable:
             time.call_later(
                 COMMAND_TIMEOUT_S, lambda: finish(workercontrol.Unanswered())
             )
         elif self.worker.is_command_lost():
-            late_s = self.sim.rng.uniform(*simworker.LATE_DELAY_RANGE_S)
-            time.call_later(late_s, execute_command)
+            late_s = self.sim.rng.uniform(*faults.late_range_s)
+            time.call_later(late_s, execute_late)
             time.call_later(
                 COMMAND_TIMEOUT_S, lambda: finish(workercontrol.Unanswered())
             )
@@ -401,7 +423,7 @@
 
     def _start(self) -> None:
         self.boot = self.sim.rng.getrandbits(60)
-        self.caller_job_by_ticket: dict[int, CallerJob] = {}
+        self.connection_by_ticket: dict[int, callers.Connection] = {}
         self.scheduler = scheduler.Scheduler(
             self.zone,
             assigner.SchedulerSettings(
@@ -417,7 +439,11 @@
 
         def tick() -> None:
             if incarnation == self.incarnation:
-                self.execute(lambda: self.perform(self.scheduler.tick()))
+                self.execute(
+                    standstill.Repeated(
+                        lambda: self.perform(self.scheduler.tick()), "timer tick"
+                    )
+                )
                 self.sim.time.call_later(ENTRY_TICK_INTERVAL_S, tick)
 
         self.sim.time.call_later(self.sim.rng.random() * ENTRY_TICK_INTERVAL_S, tick)
@@ -435,12 +461,9 @@
 
     def _end(self) -> None:
         self.terminate()
-        caller_jobs, self.caller_job_by_ticket = (
-            list(self.caller_job_by_ticket.values()),
-            {},
-        )
-        for caller_job in caller_jobs:
-            self.sim.retry(caller_job)
+        connections, self.connection_by_ticket = self.connection_by_ticket, {}
+        for connection in connections.values():
+            self.sim.retry(connection.caller_job)
 
     def restart(self) -> None:
         """Start the process again."""
@@ -453,24 +476,29 @@
         :param share: probability that a connection is reset.
         :param rng: source of random numbers.
         """
-        for ticket, caller_job in list(self.caller_job_by_ticket.items()):
+        for connection in list(self.connection_by_ticket.values()):
             if rng.random() < share:
-                del self.caller_job_by_ticket[ticket]
-                self.execute(
-                    lambda job=caller_job.job, ticket=ticket: self.perform(  # type: ignore[misc]
-                        self.scheduler.handle_caller_disconnected(job, ticket)
-                    )
-                )
-                self.sim.retry(caller_job)
+                self.sim.callers.leave(connection)
+
+    def handle_caller_gone(self, connection: callers.Connection) -> None:
+        """Handle the end of a caller's connection.
 
-    def submit(self, caller_job: CallerJob) -> None:
+        :param connection: the connection.
+        """
+        self.perform(
+            self.scheduler.handle_caller_disconnected(
+                connection.caller_job.job, connection.ticket
+            )
+        )
+
+    def submit(self, connection: callers.Connection) -> None:
         """Submit a job to the scheduler.
 
-        :param caller_job: the job.
+        :param connection: connection of its caller.
         """
-        ticket = next(self.sim.tickets)
-        self.caller_job_by_ticket[ticket] = caller_job
-        self.perform(self.scheduler.submit(caller_job.submission, ticket))
+        self.perform(
+            self.scheduler.submit(connection.caller_job.submission, connection.ticket)
+        )
 
     def perform(self, effects: Iterable[assigner.Effect]) -> None:
         """Perform effects of the scheduler.
@@ -485,12 +513,12 @@
                     self.sim.time.call_later(
                         ASSIGN_DELAY_S,
                         lambda: self.execute(
-                            lambda: self.perform(self.scheduler.assign())
+                            standstill.Event(
+                                lambda: self.perform(self.scheduler.assign())
+                            )
                         ),
                     )
                 case assigner.Respond(ticket, _, outcome):
-                    caller_job = self.caller_job_by_ticket.pop(ticket, None)
-                    if caller_job is not None:
-                        self.sim.handle_outcome(caller_job, outcome)
+                    self.sim.callers.answer(self, ticket, outcome)
                 case actions.LogEvent(event, fields):
                     self.sim.record_event(self.name, event, fields)
--- a/src/burdockgate/standin/simulation.py
+++ b/src/burdockgate/standin/simulation.py
@@ -7,13 +7,22 @@
 from __future__ import annotations
 
 import collections
+import functools
 import random
 from collections.abc import Callable
 
 from burdockgate import assignments
 from burdockgate.process import entrysessions, executoractions, selection, subset
 from burdockgate.request import besteffort
-from burdockgate.standin import layouts, simnodes, simworker, virtualtime
+from burdockgate.standin import (
+    callers,
+    layouts,
+    readages,
+    simnodes,
+    simworker,
+    standstill,
+    virtualtime,
+)
 
 REDIAL_INTERVAL_S = 0.05
 # An agent regards an entry host as unreachable after this time without an answer.
@@ -42,6 +51,9 @@
     :param ordering: order of waiting jobs.
     :param selection_settings: settings of the choice of a worker.
     :param limits: settings of the agents' executors.
+    :param habits: lets the connections of callers break that get no answer, processes
+        go on in turns after a freeze, and connections of frozen processes time out;
+        ``None`` for none of this.
     """
 
     def __init__(
@@ -55,11 +67,16 @@
         selection_settings: selection.SelectionSettings | None = None,
         limits: executoractions.ExecutorSettings | None = None,
         layout: layouts.Layout | None = None,
+        habits: callers.Habits | None = None,
     ) -> None:
         layout = layout or layouts.even(entries, workers, zones or entries)
         self._layout = layout
         self.rng = random.Random(seed)
         self.time = virtualtime.VirtualClock()
+        self._habits = habits
+        # Apart from the other choices, which a seed repeats without habits.
+        self._late_rng = random.Random(f"late reads {seed}")
+        self.callers = callers.Callers(self, habits, self._late_rng)
         self.kinds = kinds
         self.ordering = ordering or selection.FinishStarted()
         self.selection = selection_settings or selection.SelectionSettings()
@@ -69,6 +86,7 @@
         self.work_by_task: dict[assignments.TaskKey, tuple[float, int]] = {}
         self.caller_jobs: list[simnodes.CallerJob] = []
         self.events: list[tuple[float, str, str, dict[str, object]]] = []
+        self.ages = readages.ReadAges()
         self.partitioned_pairs: set[tuple[str, str]] = set()
         self._connection_by_pair: dict[tuple[str, str], int] = {}
         self._connection_numbers = iter(range(1, 1 << 60))
@@ -129,7 +147,7 @@
 
             def report() -> None:
                 self._agents_with_scheduled_report.discard(agent.name)
-                agent.execute(action)
+                agent.execute(standstill.Event(action))
 
             self.time.call_later(0.004, report)
 
@@ -138,7 +156,7 @@
     def _connect_all(self) -> None:
         """Connect and release entry hosts, as the agents do."""
         for agent in self.agent_by_name.values():
-            if agent.is_up and not agent.is_frozen:
+            if agent.is_up and not agent.is_behind:
                 self._connect_agent(agent)
         self.time.call_later(REDIAL_INTERVAL_S, self._connect_all)
 
@@ -181,11 +199,14 @@
         self.time.call_later(DIAL_TIMEOUT_S, time_out)
 
     def _connect(
-        self, agent: simnodes.SimulatedAgent, entry: simnodes.SimulatedEntryHost
+        self,
+        agent: simnodes.SimulatedAgent,
+        entry: simnodes.SimulatedEntryHost,
+        is_accepting: bool = False,
     ) -> None:
         pair = (agent.name, entry.name)
         is_blocked = (
-            pair in self.partitioned_pairs or agent.is_frozen or not agent.is_up
+            pair in self.partitioned_pairs or agent.is_behind or not agent.is_up
         )
         if pair in self._connection_by_pair or is_blocked:
             return
@@ -196,7 +217,11 @@
             agent.unreachable_entries.add(entry.name)
             agent.perform(agent.executor.handle_entry_gone(entry.name))
             return
-        if entry.is_frozen:
+        if entry.is_behind and not is_accepting:
+            # The connection waits in the queue of the listener.
+            accept = functools.partial(self._connect, agent, entry, is_accepting=True)
+            if self._habits is not None:
+                entry.execute(standstill.Repeated(accept, f"listener {agent.name}"))
             return
         agent.unreachable_entries.discard(entry.name)
         self._connection_by_pair[pair] = next(self._connection_numbers)
@@ -210,6 +235,7 @@
             pair,
             connection,
             entry,
+            hello,
             lambda: entry.perform(
                 entry.scheduler.handle_agent_connected(hello, entry_boot)
             ),
@@ -220,10 +246,18 @@
         distance = entrysessions.distance(
             agent.name, agent.zone, entry.name, entry.zone
         )
-        agent.perform(
-            agent.executor.handle_entry_connected(entry.name, entry_boot, distance)
-        )
-        agent.report()
+
+        def handle_answer() -> None:
+            agent.perform(
+                agent.executor.handle_entry_connected(entry.name, entry_boot, distance)
+            )
+            agent.report()
+
+        if self._habits is None:
+            handle_answer()
+            return
+        answer = assignments.EntryHello(1, entry.name, entry_boot, entry.zone)
+        self._deliver(pair, connection, agent, answer, handle_answer)
 
     def reset_connections(self, agent: str = "", entry: str = "") -> None:
         """Reset connections; both ends notice it without a timeout.
@@ -253,14 +287,50 @@
 
         self.time.call_later(DISCONNECT_TIMEOUT_S, time_out)
 
+    def make_inbox(self) -> standstill.Inbox:
+        """Return the inbox of a process."""
+        if self._habits is None:
+            return standstill.AllAtOnce()
+        return standstill.InTurns(self.time, self._late_rng)
+
+    def handle_freeze(self, node: simnodes.SimulatedNode) -> None:
+        """Let the connections of a process time out that stands still from now on.
+
+        :param node: the process.
+        """
+        if self._habits is None:
+            return
+        entry = self.entry_by_name.get(node.name)
+        if entry is not None:
+            self.callers.handle_freeze(entry)
+        frozen_at = node.frozen_at
+
+        def time_out() -> None:
+            if node.is_frozen and node.frozen_at == frozen_at:
+                for pair in list(self._connection_by_pair):
+                    if node.name in pair:
+                        self._disconnect(pair)
+
+        self.time.call_later(DISCONNECT_TIMEOUT_S, time_out)
+
     def _disconnect(self, pair: tuple[str, str]) -> None:
         del self._connection_by_pair[pair]
         agent, entry = self.agent_by_name[pair[0]], self.entry_by_name[pair[1]]
         agent.execute(
-            lambda: agent.perform(agent.executor.handle_entry_disconnected(entry.name))
+            standstill.Ended(
+                lambda: agent.perform(
+                    agent.executor.handle_entry_disconnected(entry.name)
+                ),
+                entry.name,
+            )
         )
         entry.execute(
-            lambda: entry.perform(entry.scheduler.handle_agent_disconnected(agent.name))
+            standstill.Ended(
+                lambda: entry.perform(
+                    entry.scheduler.handle_agent_disconnected(agent.name)
+                ),
+                agent.name,
+            )
         )
 
     def partition(self, agent: str, entry: str, for_s: float) -> None:
@@ -301,9 +371,15 @@
         pair: tuple[str, str],
         connection: int,
         node: simnodes.SimulatedAgent | simnodes.SimulatedEntryHost,
+        message: assignments.Message,
         action: Callable[[], None],
     ) -> None:
-        incarnation = node.incarnation
+        incarnation, sent_at = node.incarnation, self.time.now()
+
+        def read() -> None:
+            events_before = len(self.events)
+            action()
+            self._record_age(message, self.time.now() - sent_at, events_before)
 
         def deliver() -> None:
             is_current = (
@@ -314,10 +390,24 @@
                 # If the connection survives the partition, the message follows it.
                 self._delayed_by_pair.setdefault(pair, []).append(deliver)
             elif is_current:
-                node.execute(action)
+                source = pair[1] if pair[0] == node.name else pair[0]
+                node.execute(standstill.Connected(read, source))
 
         self.time.call_later(self._delay_s(*pair), deliver)
 
+    def _record_age(
+        self, message: assignments.Message, age_s: float, events_before: int
+    ) -> None:
+        """Record the age of a message that was read, and its effect on runs.
+
+        :param events_before: number of events before it was handled.
+        """
+        kind = type(message).__name__
+        self.ages.record(kind, age_s)
+        effects = {event for _, _, event, _ in self.events[events_before:]}
+        for event in effects & {"run.starting", "run.stopping", "task.assigned"}:
+            self.ages.record(f"{kind}: {event}", age_s)
+
     def send_to_entry(
         self, agent: str, entry: str, message: assignments.Message
     ) -> None:
@@ -329,7 +419,8 @@
         """
         pair = (agent, entry)
         connection = self._connection_by_pair.get(pair)
-        if connection is None:
+        session = self.agent_by_name[agent].executor.session_by_entry.get(entry)
+        if connection is None or session is None or not session.is_connected:
             return
         self.message_count_by_type[type(message)] += 1
         node = self.entry_by_name[entry]
@@ -345,7 +436,7 @@
                 case assignments.WorkerInfo():
                     node.perform(node.scheduler.handle_worker_info(agent, message))
 
-        self._deliver(pair, connection, node, handle)
+        self._deliver(pair, connection, node, message, handle)
 
     def send_to_agent(
         self, entry: str, agent: str, message: assignments.Message
@@ -377,7 +468,7 @@
                     node.executor.handle_demand(entry, message)
                     self.schedule_report(node, node.report_change)
 
-        self._deliver(pair, connection, node, handle)
+        self._deliver(pair, connection, node, message, handle)
 
     # Callers.
 
@@ -457,7 +548,7 @@
             self.retry(caller_job)
             return
         node = self.entry_by_name[entry] if entry else self._choose(running_entries)
-        node.execute(lambda: node.submit(caller_job))
+        self.callers.connect(caller_job, node)
 
     def _choose(
         self, entries: list[simnodes.SimulatedEntryHost]
--- a/src/burdockgate/standin/simworker.py
+++ b/src/burdockgate/standin/simworker.py
@@ -56,6 +56,7 @@
     :param is_hanging: whether runs that start never end by themselves.
     :param unanswered_share: share of commands that get no answer and are executed
         late.
+    :param late_range_s: range of the delays after which those are executed.
     :param is_unreachable: whether its agent can't reach the worker; its runs continue.
     :param is_unhealthy: whether starts are refused.
     :param crashes_at_start: whether the worker crashes when the next run has begun,
@@ -66,6 +67,7 @@
     is_failing: bool = False
     is_hanging: bool = False
     unanswered_share: float = 0.0
+    late_range_s: tuple[float, float] = LATE_DELAY_RANGE_S
     is_unreachable: bool = False
     is_unhealthy: bool = False
     crashes_at_start: bool = False
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -336,7 +336,7 @@
     for agent in sim.agent_by_name.values():
         agent.worker.faults.is_unreachable = True
     sim.run(1)
-    entry.submit(sim.make_job(LONG))
+    sim.callers.connect(sim.make_job(LONG), entry)
     scheduled = [
         effect
         for agent in sim.agent_by_name
