--- a/src/burdockgate/process/guard.py
+++ b/src/burdockgate/process/guard.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import http
+import select
+import socket
 from collections.abc import Callable, Mapping
 from typing import Any, cast
 
@@ -12,8 +14,12 @@
 from uvicorn.protocols.http import httptools_impl
 
 from burdockgate import clock
-from burdockgate.process import intake
+from burdockgate.process import intake, stalls
+from burdockgate.request import caller
 
+# Key of the connection, a :class:`caller.Caller`, in the extensions of a request's
+# scope.
+CALLER_EXTENSION = "burdockgate.caller"
 # Body that is read and dropped after an early response, so that a client which sends
 # its whole body first gets the response. A heartbeat may have 4 MiB.
 DISCARD_BYTES = 8 * intake.MIB
@@ -61,7 +67,18 @@
     """Stops the parser after the connection has been refused."""
 
 
-class Connection(httptools_impl.HttpToolsProtocol, intake.Client):
+def _is_ended_by_peer(connection: socket.socket) -> bool:
+    """Return whether the end of the peer's stream, or a reset, has arrived.
+
+    The kernel tells it even where data before the end has not been read.
+    """
+    poll = select.poll()
+    poll.register(connection, select.POLLRDHUP)
+    # Errors and hang-ups are always reported.
+    return bool(poll.poll(0))
+
+
+class Connection(httptools_impl.HttpToolsProtocol, intake.Client, caller.Caller):
     """An HTTP connection within the limits of its endpoint.
 
     :param endpoint: the endpoint that accepted it.
@@ -75,6 +92,8 @@
         self._limits = endpoint.budgets.limits
         self._usage: intake.Usage
         self._is_refused = False
+        # Start of the connection, then of each request after the first.
+        self._began_at = endpoint.time.now()
         # Bytes that were received since the parser last passed on a part of a request.
         self._unclaimed_bytes = 0
         self._trailer_count = 0
@@ -145,6 +164,9 @@
     def on_message_begin(self) -> None:
         """Begin a head."""
         super().on_message_begin()
+        if self.cycle is not None:
+            self._began_at = self._endpoint.time.now()
+        cast(dict[str, Any], self.scope)["extensions"] = {CALLER_EXTENSION: self}
         self._usage.phase = intake.Phase.HEAD
 
     def on_url(self, url: bytes) -> None:
@@ -216,6 +238,20 @@
             self._usage.enter(intake.Phase.IDLE, self._endpoint.time.now())
         self._update_held()
 
+    def is_connected(self) -> bool:
+        """Return whether the client has not ended its connection, as far as known."""
+        if self.transport.is_closing():
+            return False
+        connection = cast(socket.socket, self.transport.get_extra_info("socket"))
+        return not _is_ended_by_peer(connection)
+
+    def was_delayed(self) -> bool:
+        """Return whether the request may have been held back on its way.
+
+        Clients send a request as soon as they are connected, and at once.
+        """
+        return self._endpoint.time.now() - self._began_at >= stalls.STALL_S
+
     @property
     def has_unread_body(self) -> bool:
         """Whether the request was answered before its whole body has arrived."""
--- a/src/burdockgate/process/scheduler.py
+++ b/src/burdockgate/process/scheduler.py
@@ -10,7 +10,7 @@
 
 from burdockgate import assignments, codes
 from burdockgate.process import actions, assigner, executoractions, fleet, restart
-from burdockgate.request import besteffort
+from burdockgate.request import besteffort, caller
 
 # Retry time when no worker can take a task of the job. Ejected and unreachable workers
 # are retried after one second.
@@ -35,6 +35,10 @@
 # Workers whose agent has been disconnected for this long are dropped; they have been
 # replaced under another name.
 WORKER_TTL_S = 60.0
+# Wait for the end of the connection behind a request that was read late. A client or a
+# proxy whose packets were held back sends it when the request has been acknowledged, a
+# round trip of up to 6 ms later.
+LATE_REQUEST_DELAY_S = 0.02
 # Allows for late timers of the worker, and for clocks that differ.
 AGENT_TIMEOUT_MARGIN_S = 0.2
 
@@ -55,12 +59,19 @@
     """Handles events of callers and agents; handlers yield the resulting effects."""
 
     def submit(
-        self, submission: besteffort.Submission, ticket: int
+        self,
+        submission: besteffort.Submission,
+        ticket: int,
+        client: caller.Caller,
+        is_late: bool = False,
     ) -> Iterator[assigner.Effect]:
         """Accept a job, join it to the same job in progress, or answer it at once.
 
         :param submission: the job.
         :param ticket: number of the caller's request.
+        :param client: the caller.
+        :param is_late: whether the request was read late, so that the caller may have
+            left since.
         """
         now = self._time.now()
         job = self.job_by_id.get(submission.job)
@@ -68,7 +79,7 @@
             yield actions.LogEvent(
                 "job.joined", {"job": submission.job, "request": submission.request}
             )
-            job.tickets.add(ticket)
+            job.caller_by_ticket[ticket] = client
             return
         ended = self._ended.get(submission.job)
         if ended is not None and isinstance(ended.outcome, besteffort.Completed):
@@ -91,7 +102,10 @@
             )
             yield assigner.Respond(ticket, submission.job, refusal)
             return
-        job = besteffort.Job.from_submission(submission, now, ticket)
+        job = besteffort.Job.from_submission(submission, now)
+        job.caller_by_ticket[ticket] = client
+        if is_late:
+            job.not_before = now + LATE_REQUEST_DELAY_S
         self.job_by_id[submission.job] = self._waiting_by_id[submission.job] = job
         yield actions.LogEvent(
             "job.received",
@@ -102,6 +116,7 @@
                 "tasks": sum(step.count for step in submission.steps),
                 "objective_ms": int(job.objective_s() * 1000),
                 "deadline_ms": int(submission.deadline_s * 1000),
+                "late": is_late,
             },
         )
         yield from self._schedule_assignment()
@@ -119,9 +134,7 @@
         ):
             return besteffort.Refused(codes.Code.NOT_READY, NO_WORKER_RETRY_S)
         if self.stop_deadline is not None:
-            path_s = besteffort.Job.from_submission(
-                submission, 0.0, 0
-            ).critical_path_s()
+            path_s = besteffort.Job.from_submission(submission, 0.0).critical_path_s()
             if not restart.can_end(
                 path_s, submission.deadline_s, self._time.now(), self.stop_deadline
             ):
@@ -145,17 +158,27 @@
         :param ticket: number of the caller's request.
         """
         job = self.job_by_id.get(job_id)
-        if job is None or ticket not in job.tickets:
-            return
-        job.tickets.discard(ticket)
-        if job.tickets:
+        if job is None or ticket not in job.caller_by_ticket:
             return
+        del job.caller_by_ticket[ticket]
+        if not job.caller_by_ticket:
+            yield from self._abandon(job, "end of the connection read")
+
+    def _abandon(self, job: besteffort.Job, reason: str) -> Iterator[assigner.Effect]:
         yield actions.LogEvent(
-            "job.abandoned", {"job": job_id, "age_ms": self._age_ms(job)}
+            "job.abandoned",
+            {
+                "job": job.submission.job,
+                "age_ms": self._age_ms(job),
+                "reason": reason,
+            },
         )
         outcome = besteffort.Interrupted(codes.Code.REQUEST_CUT)
         yield from self._end_job(job, outcome)
 
+    def _abandon_unassigned(self, job: besteffort.Job) -> Iterator[assigner.Effect]:
+        yield from self._abandon(job, "found before an assignment")
+
     def cancel(self, job_id: str) -> Iterator[assigner.Effect]:
         """End a job on request.
 
@@ -453,7 +476,7 @@
                 "revoked": sum(map(len, run_keys_by_agent.values())),
             },
         )
-        for ticket in sorted(job.tickets):
+        for ticket in sorted(job.caller_by_ticket):
             yield assigner.Respond(ticket, job_id, outcome)
 
     def tick(self) -> Iterator[assigner.Effect]:
--- a/src/burdockgate/standin/callers.py
+++ b/src/burdockgate/standin/callers.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from burdockgate.process import stalls
+from burdockgate.request import caller
 from burdockgate.standin import standstill
 
 if TYPE_CHECKING:
@@ -24,21 +26,25 @@
     :param leave_range_s: time until then.
     :param end_lag_range_s: how long after its data the end of a connection arrives
         that a link has held back.
+    :param reuse_share: share of the requests on connections that exist already. The
+        process knows when it reads them, but not when they were sent.
     """
 
     leave_share: float = 0.9
     leave_range_s: tuple[float, float] = (0.3, 1.0)
     end_lag_range_s: tuple[float, float] = (0.0, 0.008)
+    reuse_share: float = 0.0
 
 
 @attrs.define(eq=False)
-class Connection:
+class Connection(caller.Caller):
     """A connection with one request.
 
     :param ticket: number of the request.
-    :param arrived_at: when the request arrived at the machine of the entry host, or
-        will arrive.
-    :param opened_at: when the kernel accepted the connection.
+    :param has_arrived: whether the request has arrived at the entry host's machine.
+    :param opened_at: when the caller opened it, or chose to send the request on it.
+    :param began_at: when the process accepted the connection, or read the beginning of
+        the request on one that it had accepted before; ``None`` if not yet.
     :param has_end_arrived: whether the kernel there knows that the connection has
         ended, whatever the process has read.
     """
@@ -47,7 +53,8 @@
     caller_job: simnodes.CallerJob
     entry: simnodes.SimulatedEntryHost
     opened_at: float
-    arrived_at: float
+    began_at: float | None = None
+    has_arrived: bool = False
     has_end_arrived: bool = False
 
     @property
@@ -64,6 +71,11 @@
         """Return whether the kernel has not seen the end of the connection."""
         return not self.has_end_arrived
 
+    def was_delayed(self) -> bool:
+        """Return whether the request was read long after the connection began."""
+        now = self.entry.sim.time.now()
+        return self.began_at is not None and now - self.began_at >= stalls.STALL_S
+
 
 class Callers:
     """All connections of callers.
@@ -88,54 +100,72 @@
         :param entry: the entry host.
         """
         now = self._sim.time.now()
-        connection = Connection(
-            next(self._sim.tickets), caller_job, entry, now, self._heals_at(entry)
-        )
+        connection = Connection(next(self._sim.tickets), caller_job, entry, now)
         entry.connection_by_ticket[connection.ticket] = connection
+        if not entry.is_behind and not self._is_reused():
+            connection.began_at = now
 
         def arrive() -> None:
+            connection.has_arrived = True
             entry.execute(
                 standstill.Requested(
                     lambda: entry.submit(connection), connection.source
                 )
             )
 
-        self._transmit(entry, connection.arrived_at, arrive)
-        if entry.is_frozen or connection.arrived_at > now:
+        self._transmit(entry, arrive)
+        if entry.is_frozen or not connection.has_arrived:
             self._leave_later(connection)
 
-    def _heals_at(self, entry: simnodes.SimulatedEntryHost) -> float:
-        """Return when something that is sent now arrives at an entry host."""
-        return max(self._sim.time.now(), self._held_until_by_entry.get(entry.name, 0.0))
+    def _is_reused(self) -> bool:
+        share = self._habits.reuse_share if self._habits is not None else 0.0
+        return bool(share) and self._rng.random() < share
 
     def _transmit(
         self,
         entry: simnodes.SimulatedEntryHost,
-        arrives_at: float,
         arrive: Callable[[], None],
+        lag_s: float = 0.0,
     ) -> None:
-        """Let something arrive at an entry host, unless it has ended by then."""
-        incarnation, delay_s = entry.incarnation, arrives_at - self._sim.time.now()
-        if delay_s <= 0:
-            arrive()
-            return
+        """Let something arrive at an entry host, unless it has ended by then.
+
+        :param entry: the entry host.
+        :param arrive: called when it arrives.
+        :param lag_s: how long after the link has healed.
+        """
+        incarnation, time = entry.incarnation, self._sim.time
 
         def arrive_at_process() -> None:
             if entry.incarnation == incarnation:
                 arrive()
 
-        self._sim.time.call_later(delay_s, arrive_at_process)
+        def pass_link() -> None:
+            delay_s = self._held_until_by_entry.get(entry.name, 0.0) - time.now()
+            if delay_s > 0:
+                time.call_later(delay_s, pass_link)
+            elif lag_s:
+                time.call_later(lag_s, arrive_at_process)
+            else:
+                arrive_at_process()
+
+        pass_link()
+
+    def _is_held(self, entry: simnodes.SimulatedEntryHost) -> bool:
+        return self._held_until_by_entry.get(entry.name, 0.0) > self._sim.time.now()
 
     def hold(self, entry: simnodes.SimulatedEntryHost, for_s: float) -> None:
         """Hold back what callers and an entry host send each other.
 
-        Connections that carry no request yet exist already: their callers send it when
-        the link is cut, and leave before it heals.
+        Connections exist already: their callers send requests while the link is cut,
+        and leave before it heals.
 
         :param entry: the entry host.
         :param for_s: duration in seconds.
         """
-        self._held_until_by_entry[entry.name] = self._sim.time.now() + for_s
+        self._held_until_by_entry[entry.name] = max(
+            self._held_until_by_entry.get(entry.name, 0.0),
+            self._sim.time.now() + for_s,
+        )
 
     def _leave_later(self, connection: Connection) -> None:
         """Let a connection break, if the entry host does not go on before."""
@@ -146,7 +176,7 @@
 
         def leave() -> None:
             entry = connection.entry
-            is_waiting = entry.is_frozen or self._sim.time.now() < connection.arrived_at
+            is_waiting = entry.is_frozen or not connection.has_arrived
             if is_waiting and entry.incarnation == incarnation:
                 self.leave(connection)
 
@@ -170,9 +200,9 @@
             return
         entry = connection.entry
         del entry.connection_by_ticket[connection.ticket]
-        arrives_at = self._heals_at(entry)
-        if self._habits is not None and arrives_at > self._sim.time.now():
-            arrives_at += self._rng.uniform(*self._habits.end_lag_range_s)
+        lag_s = 0.0
+        if self._habits is not None and self._is_held(entry):
+            lag_s = self._rng.uniform(*self._habits.end_lag_range_s)
 
         def arrive() -> None:
             connection.has_end_arrived = True
@@ -182,7 +212,7 @@
                 )
             )
 
-        self._transmit(entry, arrives_at, arrive)
+        self._transmit(entry, arrive, lag_s)
         if is_retrying:
             self._sim.retry(connection.caller_job)
         else:
@@ -210,7 +240,7 @@
         def arrive() -> None:
             entry.execute(standstill.Requested(read, source))
 
-        self._transmit(entry, self._heals_at(entry), arrive)
+        self._transmit(entry, arrive)
 
     def answer(
         self,
@@ -230,4 +260,4 @@
             if connection is not None:
                 self._sim.handle_outcome(connection.caller_job, outcome)
 
-        self._transmit(entry, self._heals_at(entry), arrive)
+        self._transmit(entry, arrive)
--- a/src/burdockgate/standin/simnodes.py
+++ b/src/burdockgate/standin/simnodes.py
@@ -14,6 +14,7 @@
     executor,
     executoractions,
     scheduler,
+    stalls,
     workercontrol,
 )
 from burdockgate.request import besteffort
@@ -362,8 +363,10 @@
             finish(broken if is_broken else result)
 
         def execute_late() -> None:
-            if isinstance(execute_command(), workercontrol.Accepted):
-                self.sim.ages.record("late command: accepted", time.now() - sent_at)
+            runs_before = len(worker.open_spans())
+            execute_command()
+            if len(worker.open_spans()) > runs_before:
+                self.sim.ages.record("late start: carried out", time.now() - sent_at)
 
         if faults.is_unreachable:
             time.call_later(
@@ -435,19 +438,20 @@
             self.sim.rng,
         )
         self.scheduler.entry_host_count = self.sim.entry_count
+        self._stalls = stalls.StallDetector(self.sim.time.now())
         incarnation = self.incarnation
 
         def tick() -> None:
             if incarnation == self.incarnation:
-                self.execute(
-                    standstill.Repeated(
-                        lambda: self.perform(self.scheduler.tick()), "timer tick"
-                    )
-                )
+                self.execute(standstill.Repeated(self._tick, "timer tick"))
                 self.sim.time.call_later(ENTRY_TICK_INTERVAL_S, tick)
 
         self.sim.time.call_later(self.sim.rng.random() * ENTRY_TICK_INTERVAL_S, tick)
 
+    def _tick(self) -> None:
+        self._stalls.observe(self.sim.time.now())
+        self.perform(self.scheduler.tick())
+
     def kill(self) -> None:
         """End the process; its callers retry after their connections broke."""
         self._end()
@@ -496,8 +500,15 @@
 
         :param connection: connection of its caller.
         """
+        now = self.sim.time.now()
+        is_late = connection.was_delayed() or self._stalls.may_have_waited(now)
         self.perform(
-            self.scheduler.submit(connection.caller_job.submission, connection.ticket)
+            self.scheduler.submit(
+                connection.caller_job.submission,
+                connection.ticket,
+                connection,
+                is_late,
+            )
         )
 
     def perform(self, effects: Iterable[assigner.Effect]) -> None:
--- a/tests/test_latereads_model.py
+++ b/tests/test_latereads_model.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from burdockgate.process import executoractions
 from burdockgate.standin import (
     callers,
     crest,
@@ -22,15 +23,21 @@
 SHORT, _, LONG = crest.KINDS
 # Share of the full load that six workers carry.
 LOAD_SHARE = 0.35
+LIMITS = executoractions.ExecutorSettings()
 
 
-def _simulate(seed, faults, count=4):
+def _simulate(seed, faults, count=4, limits=LIMITS):
     """Simulate callers that leave under faults; return the simulation and the faults.
 
     The same seeds were surveyed by hand, so that a change here changes what they mean.
     """
     sim = simulation.Simulation(
-        seed, (LONG, SHORT), entries=3, workers=6, habits=callers.Habits()
+        seed,
+        (LONG, SHORT),
+        entries=3,
+        workers=6,
+        limits=limits,
+        habits=callers.Habits(),
     )
     sim.schedule_load(3, 13, LOAD_SHARE)
     injected = faultinjection.schedule(sim, seed, 4, 11, count, faults)
@@ -62,6 +69,19 @@
     assert _is_settled(sim), injected
 
 
+@pytest.mark.parametrize("seed", [0, 1])
+def test_messages_that_are_read_late_start_no_task_beside_another_run(seed):
+    """An assignment or a start command must not count for longer than its lease."""
+    sim, injected = _simulate(seed, latereads.MESSAGES)
+    assert list(invariants.violations(sim)) == [], injected
+    assert _is_settled(sim), injected
+    ages = sim.ages.max_by_kind
+    # They lay in sockets for longer than they count.
+    assert ages["Assign"] > LIMITS.session_lease_s
+    assert ages["Assign: run.starting"] < LIMITS.session_lease_s
+    assert ages.get("late start: carried out", 0.0) < LIMITS.orphan_lease_s
+
+
 # The model itself.
 
 
