--- a/src/burdockgate/standin/callers.py
+++ b/src/burdockgate/standin/callers.py
@@ -90,6 +90,7 @@
     ) -> None:
         self._sim, self._habits, self._rng = sim, habits, rng
         self._held_until_by_entry: dict[str, float] = {}
+        self._unaccepted_by_entry: dict[str, list[Connection]] = {}
 
     def connect(
         self, caller_job: simnodes.CallerJob, entry: simnodes.SimulatedEntryHost
@@ -102,8 +103,11 @@
         now = self._sim.time.now()
         connection = Connection(next(self._sim.tickets), caller_job, entry, now)
         entry.connection_by_ticket[connection.ticket] = connection
-        if not entry.is_behind and not self._is_reused():
-            connection.began_at = now
+        if not self._is_reused():
+            if entry.is_behind:
+                self._unaccepted_by_entry.setdefault(entry.name, []).append(connection)
+            else:
+                connection.began_at = now
 
         def arrive() -> None:
             connection.has_arrived = True
@@ -190,6 +194,14 @@
         for connection in list(entry.connection_by_ticket.values()):
             self._leave_later(connection)
 
+    def handle_resumption(self, entry: simnodes.SimulatedEntryHost) -> None:
+        """Let an entry host that goes on accept what waits at its listener.
+
+        :param entry: the entry host.
+        """
+        for connection in self._unaccepted_by_entry.pop(entry.name, []):
+            connection.began_at = self._sim.time.now()
+
     def leave(self, connection: Connection, is_retrying: bool = True) -> None:
         """Break a connection; its caller sends the job again later.
 
