--- a/tests/test_latereads_model.py
+++ b/tests/test_latereads_model.py
@@ -80,6 +80,14 @@
     assert _is_settled(sim), injected
 
 
+@pytest.mark.parametrize("seed", [238, 255])
+def test_end_that_a_link_holds_back_beyond_a_standstill_lets_no_task_start(seed):
+    """Tasks had two runs: the request lay at the machine, its caller's end did not."""
+    sim, injected = _simulate(seed, latereads.REQUESTS + latereads.MESSAGES)
+    assert list(invariants.violations(sim)) == [], injected
+    assert _is_settled(sim), injected
+
+
 @pytest.mark.parametrize("seed", [4, 6])
 def test_messages_that_are_read_late_start_no_task_beside_another_run(seed):
     """An assignment or a start command must not count for longer than its lease."""
