Keep the open requests of a connection in order

Since each response looked at all requests sent ahead on its connection. With the limit of 16 that is little; with pipelinedRequests raised to 1,000,000 the cost grew with the square of their number, and the event loop of an entry host fell behind. Responses are completed in order, so only the first request has to be looked at.

--- a/src/burdockgate/process/guard.py
+++ b/src/burdockgate/process/guard.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import http
 import select
 import socket
@@ -99,7 +100,8 @@
         self._trailer_count = 0
         self._trailer_bytes = 0
         # Requests without a complete response, the one in progress first.
-        self._open_cycles: list[httptools_impl.RequestResponseCycle] = []
+        self._open_cycles: collections.deque[httptools_impl.RequestResponseCycle]
+        self._open_cycles = collections.deque()
         self._body_bytes = 0
         self._discarded_bytes = 0
 
@@ -234,9 +236,8 @@
 
     def on_response_complete(self) -> None:
         """Wait for the next request."""
-        self._open_cycles = [
-            cycle for cycle in self._open_cycles if not cycle.response_complete
-        ]
+        while self._open_cycles and self._open_cycles[0].response_complete:
+            self._open_cycles.popleft()
         super().on_response_complete()
         if not self.cycle.response_complete:  # a later request is in progress
             return
