--- a/src/burdockgate/standin/simnodes.py
+++ b/src/burdockgate/standin/simnodes.py
@@ -452,7 +452,8 @@
         super()._resume()
 
     def _tick(self) -> None:
-        self._stalls.observe(self.sim.time.now())
+        if self._stalls.observe(self.sim.time.now()):
+            self.scheduler.handle_stall()
         self.perform(self.scheduler.tick())
 
     def kill(self) -> None:
