--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -143,6 +143,18 @@
     assert len(_messages(assignments.Assign, bench.scheduler.tick())) == 1
 
 
+def test_late_request_delays_the_job_that_it_joins():
+    """Both callers could have left, and the ends of their connections be on the way."""
+    bench = Bench(0)
+    bench.submit(ticket=1)
+    bench.submit(ticket=2, is_late=True)
+    bench.free_by_agent["agent-0"] = 4000
+    bench.report("agent-0")
+    assert _messages(assignments.Assign, bench.scheduler.assign()) == []
+    bench.time.advance(scheduler.LATE_REQUEST_DELAY_S)
+    assert len(_messages(assignments.Assign, bench.scheduler.tick())) == 1
+
+
 def test_job_is_assigned_while_one_of_its_callers_is_connected():
     """A caller that came back waits for the job that it had sent before."""
     bench = Bench(0)
