--- a/src/burdockgate/process/guard.py
+++ b/src/burdockgate/process/guard.py
@@ -93,7 +93,7 @@
         self._limits = endpoint.budgets.limits
         self._usage: intake.Usage
         self._is_refused = False
-        # Start of the connection, then of the first request of each later sequence.
+        # When the connection opened; later, when the oldest request in progress began.
         self._began_at = endpoint.time.now()
         # Bytes that were received since the parser last passed on a part of a request.
         self._unclaimed_bytes = 0
